--- /dev/null
+++ b/catkinport/adapters/__init__.py
@@ -0,0 +1,8 @@
+"""HTTP and gRPC clients and servers behind the ports."""
+
+from ._http_client import HttpClient
+from .object_store_http import HttpObjectStore
+from .table_http import HttpTable
+from .vm_list_http import HttpVmList
+
+__all__ = ["HttpClient", "HttpObjectStore", "HttpTable", "HttpVmList"]
--- /dev/null
+++ b/catkinport/adapters/_http_client.py
@@ -0,0 +1,99 @@
+"""JSON calls to the platform's services over HTTP."""
+
+import json
+from typing import Any, NamedTuple
+
+import urllib3
+
+from ..ports import Reason, Unavailable
+
+CONNECT_TIMEOUT_SECONDS = 0.5
+
+
+class JsonReply(NamedTuple):
+    """Status and decoded body of an answer."""
+
+    status: int
+    content: bytes
+
+    def decode(self) -> Any:
+        """Return the body as JSON."""
+        return json.loads(self.content or b"null")
+
+
+class HttpClient:
+    """Calls one HTTP service; every failure becomes ``Unavailable``.
+
+    Args:
+        address: ``host:port`` of the service.
+        client_name: sent with each call, so that the service can tell clients apart.
+        timeout_seconds: longest wait for an answer.
+        n_connections: connections kept open.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        client_name: str = "",
+        timeout_seconds: float = 1.0,
+        n_connections: int = 8,
+    ) -> None:
+        self.address = address
+        self._headers = {"Client-Name": client_name}
+        host, _, port = address.rpartition(":")
+        self._pool = urllib3.HTTPConnectionPool(
+            host,
+            int(port),
+            maxsize=n_connections,
+            block=False,
+            timeout=urllib3.Timeout(
+                connect=CONNECT_TIMEOUT_SECONDS, read=timeout_seconds
+            ),
+            retries=False,
+        )
+
+    def call(
+        self,
+        step: str,
+        method: str,
+        path: str,
+        body: Any = None,
+        content: bytes | None = None,
+        accepted_statuses: tuple[int, ...] = (200,),
+    ) -> JsonReply | Unavailable:
+        """Call the service once.
+
+        Args:
+            step: name of the operation, for errors.
+            method: HTTP method.
+            path: path and query string.
+            body: value sent as JSON.
+            content: bytes sent as they are, instead of ``body``.
+            accepted_statuses: statuses that count as an answer.
+        """
+        headers = dict(self._headers)
+        if body is not None:
+            content = json.dumps(body).encode()
+            headers["Content-Type"] = "application/json"
+        try:
+            answer = self._pool.request(method, path, body=content, headers=headers)
+        except urllib3.exceptions.NewConnectionError as error:
+            return self._unavailable(step, Reason.CONNECT_FAILED, str(error), False)
+        except urllib3.exceptions.ConnectTimeoutError as error:
+            return self._unavailable(step, Reason.TIMEOUT, str(error), False)
+        except urllib3.exceptions.HTTPError as error:
+            return self._unavailable(step, Reason.CONNECTION_LOST, str(error), True)
+        if answer.status in accepted_statuses:
+            return JsonReply(answer.status, answer.data)
+        # 503 and 429 are sent before an operation starts; a 504 is sent by a proxy
+        # that does not know whether the service went on.
+        may_have_committed = answer.status not in (429, 503)
+        detail = f"status {answer.status}"
+        return self._unavailable(
+            step, Reason.STORE_UNAVAILABLE, detail, may_have_committed
+        )
+
+    def _unavailable(
+        self, step: str, reason: Reason, detail: str, may_have_committed: bool
+    ) -> Unavailable:
+        return Unavailable(reason, step, self.address, detail, may_have_committed)
--- /dev/null
+++ b/catkinport/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command line."""
--- /dev/null
+++ b/catkinport/controller/__init__.py
@@ -0,0 +1,1 @@
+"""The controller daemon: jobs, placement, VMs and maintenance."""
--- /dev/null
+++ b/catkinport/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry daemon: callers' requests and the administration API."""
--- /dev/null
+++ b/catkinport/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Roster, freshness lease and distribution of the configuration."""
--- /dev/null
+++ b/catkinport/policy/__init__.py
@@ -0,0 +1,1 @@
+"""Pure decisions: no I/O, no clock and no randomness but what the caller passes."""
--- /dev/null
+++ b/catkinport/ports/backend_servers.py
@@ -0,0 +1,73 @@
+"""Backend servers, which answer requests on a fixed number of slots."""
+
+from collections.abc import Iterator, Mapping
+from typing import NamedTuple, Protocol
+
+from .outcomes import NotRun, Unknown
+
+
+class BackendRequest(NamedTuple):
+    """A request to forward.
+
+    Args:
+        method: HTTP method.
+        path: path and query string.
+        headers: end-to-end headers.
+        body: content as chunks.
+        content_length: length of the body in bytes, ``None`` for a chunked body.
+        deadline: time on the entry's clock by which the whole answer is needed,
+            in seconds.
+        is_idempotent: whether the request may run more than once.
+    """
+
+    method: str
+    path: str
+    headers: Mapping[str, str]
+    body: Iterator[bytes]
+    content_length: int | None
+    deadline: float
+    is_idempotent: bool
+
+
+class BackendAnswer(NamedTuple):
+    """An answer whose body is still being read.
+
+    Iterating ``chunks`` raises ``BrokenAnswerError`` when the answer ends early
+    or makes no progress. ``close`` gives the connection back, or drops it when
+    the body was not read to its end.
+    """
+
+    status: int
+    headers: Mapping[str, str]
+    chunks: Iterator[bytes]
+    close: "CloseAnswer"
+
+
+class CloseAnswer(Protocol):
+    """Releases the connection of an answer; calling it twice is no error."""
+
+    def __call__(self) -> None:
+        """Release the connection."""
+        ...
+
+
+class BrokenAnswerError(Exception):
+    """The body of an answer ended early or made no progress."""
+
+    def __init__(self, outcome: Unknown) -> None:
+        super().__init__(f"{outcome.step} {outcome.peer}: {outcome.reason}")
+        self.outcome = outcome
+
+
+class BackendServers(Protocol):
+    """Client of the backend servers. Blocks and is thread-safe."""
+
+    def send(
+        self, address: str, request: BackendRequest
+    ) -> BackendAnswer | NotRun | Unknown:
+        """Send a request once and return as soon as the answer's head is there.
+
+        ``NotRun`` is returned only when no byte of the request has left, or the
+        backend server itself says that it did not run it.
+        """
+        ...
--- /dev/null
+++ b/catkinport/protocol/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between the daemons, generated from peer.proto."""
--- /dev/null
+++ b/catkinport/runtime/http.py
@@ -0,0 +1,220 @@
+"""A small HTTP layer: routes and typed answers over a cheroot WSGI server."""
+
+import json
+import logging
+import re
+import threading
+from collections.abc import Callable, Iterable, Iterator, Mapping
+from http import HTTPStatus
+from typing import Any, NamedTuple
+from urllib.parse import parse_qs, unquote
+
+from cheroot import wsgi
+
+from .logs import log_event
+
+logger = logging.getLogger(__name__)
+
+MAX_JSON_BODY_BYTES = 4 * 1024 * 1024
+MAX_HEADER_BYTES = 64 * 1024
+
+
+class HttpRequest(NamedTuple):
+    """A request as a handler sees it."""
+
+    method: str
+    path: str
+    query: Mapping[str, str]
+    headers: Mapping[str, str]
+    environ: Mapping[str, Any]
+
+    def read_json(self) -> Any:
+        """Return the body as JSON.
+
+        Raises:
+            BadRequestError: if the body is too large or no JSON.
+        """
+        try:
+            length = int(self.environ.get("CONTENT_LENGTH") or 0)
+        except ValueError as error:
+            raise BadRequestError("Content-Length must be a whole number") from error
+        if length > MAX_JSON_BODY_BYTES:
+            raise BadRequestError(
+                f"the body must have at most {MAX_JSON_BODY_BYTES} bytes, got {length}"
+            )
+        try:
+            return json.loads(self.environ["wsgi.input"].read(length) or b"null")
+        except ValueError as error:
+            raise BadRequestError(f"the body is not JSON: {error}") from error
+
+
+class HttpAnswer(NamedTuple):
+    """An answer; ``body`` is bytes or an iterator of chunks."""
+
+    status: int
+    body: bytes | Iterable[bytes] = b""
+    headers: Mapping[str, str] = {}
+
+
+class BadRequestError(Exception):
+    """The request cannot be understood; answered with status 400."""
+
+
+Handler = Callable[..., HttpAnswer]
+
+
+def json_answer(
+    status: int, value: Any, headers: Mapping[str, str] | None = None
+) -> HttpAnswer:
+    """Return an answer whose body is ``value`` as JSON."""
+    body = json.dumps(value).encode()
+    return HttpAnswer(
+        status, body, {"Content-Type": "application/json", **(headers or {})}
+    )
+
+
+class Router:
+    """A registry of handlers by method and path, as a WSGI application.
+
+    A path has named parts in braces; ``{name*}`` takes the rest of the path.
+
+    Example:
+        >>> router = Router()
+        >>> @router.route("GET", "/v1/jobs/{job_id}")
+        ... def show_job(request, job_id):
+        ...     return json_answer(200, {"job_id": job_id})
+        >>> router.list_routes()
+        ['GET /v1/jobs/{job_id}']
+    """
+
+    def __init__(self) -> None:
+        self._routes: list[tuple[str, str, re.Pattern[str], Handler]] = []
+
+    def route(self, method: str, path: str) -> Callable[[Handler], Handler]:
+        """Register the decorated handler; method ``*`` matches all methods."""
+        pattern = re.sub(r"\{(\w+)\*\}", r"(?P<\1>.*)", path)
+        pattern = re.sub(r"\{(\w+)\}", r"(?P<\1>[^/]+)", pattern)
+
+        def register(handler: Handler) -> Handler:
+            self._routes.append((method, path, re.compile(pattern), handler))
+            return handler
+
+        return register
+
+    def list_routes(self) -> list[str]:
+        """Return method and path of every route."""
+        return [f"{method} {path}" for method, path, _, _ in self._routes]
+
+    def dispatch(self, request: HttpRequest) -> HttpAnswer:
+        """Call the first handler whose method and path match."""
+        is_path_known = False
+        for method, _, pattern, handler in self._routes:
+            match = pattern.fullmatch(request.path)
+            if match is None:
+                continue
+            is_path_known = True
+            if method in ("*", request.method):
+                parts = {
+                    name: unquote(text) for name, text in match.groupdict().items()
+                }
+                return handler(request, **parts)
+        if is_path_known:
+            return json_answer(405, {"error": f"{request.method} is not allowed here"})
+        return json_answer(404, {"error": f"there is no resource {request.path}"})
+
+    def __call__(self, environ: dict[str, Any], start_response: Any) -> Iterable[bytes]:
+        """Answer a WSGI request."""
+        request = _request_from_environ(environ)
+        try:
+            answer = self.dispatch(request)
+        except BadRequestError as error:
+            answer = json_answer(400, {"error": str(error)})
+        except Exception:
+            logger.exception("handler failed")
+            answer = json_answer(500, {"error": "internal error"})
+        headers = dict(answer.headers)
+        body = answer.body
+        if isinstance(body, bytes):
+            headers["Content-Length"] = str(len(body))
+            body = [body]
+        start_response(_status_line(answer.status), list(headers.items()))
+        return body
+
+
+class HttpServer:
+    """Serves a WSGI application from a thread of its own.
+
+    Args:
+        application: the WSGI application.
+        host: IP number to listen on.
+        port: port to listen on; 0 lets the kernel choose.
+        n_threads: number of requests handled at once, at least 1.
+    """
+
+    def __init__(self, application: Any, host: str, port: int, n_threads: int = 10):
+        if n_threads < 1:
+            raise ValueError(f"n_threads must be >= 1, got {n_threads!r}")
+        self._server = wsgi.Server(
+            (host, port), application, numthreads=n_threads, request_queue_size=512
+        )
+        self._server.max_request_header_size = MAX_HEADER_BYTES
+        self._server.error_log = _log_server_error
+        self._thread = threading.Thread(
+            target=self._server.serve, name="http-server", daemon=True
+        )
+
+    @property
+    def address(self) -> str:
+        """``host:port`` that the server listens on."""
+        host, port = self._server.bind_addr[:2]
+        return f"{host}:{port}"
+
+    def start(self) -> None:
+        """Bind the port, then serve in the background."""
+        self._server.prepare()
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Stop accepting connections and wait for the requests in flight."""
+        self._server.stop()
+        self._thread.join()
+
+
+def read_chunks(stream: Any, n_bytes: int, chunk_bytes: int = 65536) -> Iterator[bytes]:
+    """Yield ``n_bytes`` of ``stream`` in chunks."""
+    remaining = n_bytes
+    while remaining > 0:
+        chunk = stream.read(min(chunk_bytes, remaining))
+        if not chunk:
+            return
+        remaining -= len(chunk)
+        yield chunk
+
+
+def _request_from_environ(environ: dict[str, Any]) -> HttpRequest:
+    headers = {
+        name[5:].replace("_", "-").lower(): value
+        for name, value in environ.items()
+        if name.startswith("HTTP_")
+    }
+    if environ.get("CONTENT_TYPE"):
+        headers["content-type"] = environ["CONTENT_TYPE"]
+    query = {
+        name: values[-1]
+        for name, values in parse_qs(environ.get("QUERY_STRING", "")).items()
+    }
+    path = environ["PATH_INFO"]
+    return HttpRequest(environ["REQUEST_METHOD"], path, query, headers, environ)
+
+
+def _status_line(status: int) -> str:
+    try:
+        return f"{status} {HTTPStatus(status).phrase}"
+    except ValueError:
+        return f"{status} Unknown"
+
+
+def _log_server_error(msg: str = "", level: int = 20, traceback: bool = False) -> None:
+    log_event(
+        logger, "http server message", level=level, detail=msg, exception=traceback
+    )
--- /dev/null
+++ b/catkinport/runtime/signals.py
@@ -0,0 +1,31 @@
+"""Waits for the signal that asks a process to stop."""
+
+import signal
+import threading
+
+
+class StopSignal:
+    """Set by SIGTERM or SIGINT. Create it in the main thread.
+
+    Example:
+        >>> stop_signal = StopSignal(install=False)
+        >>> stop_signal.wait(0.0)
+        False
+    """
+
+    def __init__(self, install: bool = True) -> None:
+        self._event = threading.Event()
+        if install:
+            signal.signal(signal.SIGTERM, self._on_signal)
+            signal.signal(signal.SIGINT, self._on_signal)
+
+    def wait(self, timeout_seconds: float | None = None) -> bool:
+        """Block until a stop was asked for; return whether it was."""
+        return self._event.wait(timeout_seconds)
+
+    def set(self) -> None:
+        """Ask for a stop from inside the process."""
+        self._event.set()
+
+    def _on_signal(self, signal_number: int, frame: object) -> None:
+        self._event.set()
--- /dev/null
+++ b/catkinport/standins/platform.py
@@ -0,0 +1,269 @@
+"""Stand-in of the platform: table service, object store and VM list over HTTP."""
+
+import random
+import threading
+import time
+from collections import Counter
+from collections.abc import Callable
+from typing import Annotated
+
+import cappa
+
+from ..ports import Committed, Condition, RowKey, Transaction, Write
+from ..runtime import (
+    BadRequestError,
+    BootTimeClock,
+    HttpAnswer,
+    HttpRequest,
+    HttpServer,
+    Router,
+    StopSignal,
+    configure_logging,
+    json_answer,
+)
+from ._faults import FaultSettings, add_fault_routes
+from ._table import MemoryTable
+from ._vms import MemoryVmList
+
+FAULT_DEFAULTS = {
+    "is_down": False,
+    "delay_seconds": 0.0,
+    # The next this many commits take effect, but their answers are lost.
+    "lost_commit_answers": 0,
+    "lost_answer_probability": 0.0,
+    "is_list_down": False,
+    "list_lag_seconds": 0.0,
+    # Comma-separated client names that cannot reach the platform.
+    "cut_clients": "",
+}
+READS_PER_SECOND = 2000
+WRITES_PER_SECOND = 500
+SEED = 20261204
+
+
+class RateLimiter:
+    """A token bucket that holds at most one second of ``per_second``."""
+
+    def __init__(self, per_second: float) -> None:
+        self._per_second = per_second
+        self._tokens = per_second
+        self._updated = time.monotonic()
+        self._lock = threading.Lock()
+
+    def take(self, amount: float) -> bool:
+        """Take ``amount`` tokens; return whether any were there."""
+        with self._lock:
+            now = time.monotonic()
+            earned = (now - self._updated) * self._per_second
+            self._tokens = min(self._per_second, self._tokens + earned)
+            self._updated = now
+            if self._tokens <= 0:
+                return False
+            self._tokens -= amount
+            return True
+
+
+class PlatformStandin:
+    """The three services behind one HTTP server.
+
+    Args:
+        host: IP number to listen on.
+        port: port to listen on; 0 lets the kernel choose.
+        reboot_seconds: how long a VM takes to reboot.
+    """
+
+    def __init__(self, host: str = "127.0.0.1", port: int = 0, reboot_seconds=2.0):
+        self.faults = FaultSettings(FAULT_DEFAULTS)
+        self.table = MemoryTable()
+        self.vm_list = MemoryVmList(BootTimeClock(), reboot_seconds)
+        self._content_by_name: dict[str, bytes] = {}
+        self._read_limiter = RateLimiter(READS_PER_SECOND)
+        self._write_limiter = RateLimiter(WRITES_PER_SECOND)
+        self._rng = random.Random(SEED)
+        self._counts: Counter[str] = Counter()
+        router = Router()
+        self._add_table_routes(router)
+        self._add_object_routes(router)
+        self._add_vm_routes(router)
+        add_fault_routes(router, self.faults)
+        self._server = HttpServer(router, host, port, n_threads=40)
+
+    @property
+    def address(self) -> str:
+        """``host:port`` that the stand-in listens on."""
+        return self._server.address
+
+    def start(self) -> None:
+        """Start serving in the background."""
+        self._server.start()
+
+    def stop(self) -> None:
+        """Stop serving."""
+        self._server.stop()
+
+    def _add_table_routes(self, router: Router) -> None:
+        @router.route("POST", "/table/read")
+        def read(request: HttpRequest) -> HttpAnswer:
+            row_keys = [RowKey(*pair) for pair in request.read_json()["row_keys"]]
+            return self._serve(
+                request, "reads", len(row_keys), lambda: self._read(row_keys)
+            )
+
+        @router.route("GET", "/table/scan")
+        def scan(request: HttpRequest) -> HttpAnswer:
+            return self._serve(request, "reads", 1, lambda: self._scan(request.query))
+
+        @router.route("POST", "/table/commit")
+        def commit(request: HttpRequest) -> HttpAnswer:
+            transactions = _parse_transactions(request.read_json())
+            n_writes = sum(len(transaction.writes) for transaction in transactions)
+            return self._serve(
+                request, "writes", n_writes, lambda: self._commit(transactions)
+            )
+
+        @router.route("GET", "/standin/counts")
+        def show_counts(request: HttpRequest) -> HttpAnswer:
+            return json_answer(200, dict(self._counts))
+
+    def _add_object_routes(self, router: Router) -> None:
+        @router.route("PUT", "/objects/{name*}")
+        def put(request: HttpRequest, name: str) -> HttpAnswer:
+            length = int(request.environ.get("CONTENT_LENGTH") or 0)
+            content = request.environ["wsgi.input"].read(length)
+
+            def store() -> HttpAnswer:
+                self._content_by_name[name] = content
+                return json_answer(200, {})
+
+            return self._serve(request, "object_writes", 0, store)
+
+        @router.route("GET", "/objects/{name*}")
+        def get(request: HttpRequest, name: str) -> HttpAnswer:
+            content = self._content_by_name.get(name)
+            if content is None:
+                return self._serve(
+                    request, "object_reads", 0, lambda: json_answer(404, {})
+                )
+            return self._serve(
+                request, "object_reads", 0, lambda: HttpAnswer(200, content)
+            )
+
+        @router.route("DELETE", "/objects/{name*}")
+        def delete(request: HttpRequest, name: str) -> HttpAnswer:
+            def remove() -> HttpAnswer:
+                self._content_by_name.pop(name, None)
+                return json_answer(200, {})
+
+            return self._serve(request, "object_writes", 0, remove)
+
+    def _add_vm_routes(self, router: Router) -> None:
+        @router.route("GET", "/vms")
+        def list_vms(request: HttpRequest) -> HttpAnswer:
+            if self.faults["is_list_down"]:
+                return json_answer(503, {"error": "the list is down"})
+            vms = self.vm_list.list_vms(self.faults["list_lag_seconds"])
+            return json_answer(200, {"vms": [vm._asdict() for vm in vms]})
+
+        @router.route("PUT", "/vms/{vm_id}")
+        def put_vm(request: HttpRequest, vm_id: str) -> HttpAnswer:
+            self.vm_list.put({**request.read_json(), "vm_id": vm_id})
+            return json_answer(200, {})
+
+        @router.route("POST", "/vms/{vm_id}/reboot")
+        def reboot(request: HttpRequest, vm_id: str) -> HttpAnswer:
+            if self.faults["is_list_down"]:
+                return json_answer(503, {"error": "the list is down"})
+            is_known = self.vm_list.reboot(vm_id, request.read_json()["token"])
+            return json_answer(200 if is_known else 404, {})
+
+    def _serve(
+        self,
+        request: HttpRequest,
+        kind: str,
+        amount: int,
+        operation: Callable[[], HttpAnswer],
+    ) -> HttpAnswer:
+        client = request.headers.get("client-name", "")
+        if self.faults["is_down"] or client in self.faults["cut_clients"].split(","):
+            return json_answer(503, {"error": "the service is down"})
+        if self.faults["delay_seconds"] > 0:
+            time.sleep(self.faults["delay_seconds"])
+        limiter = self._write_limiter if kind == "writes" else self._read_limiter
+        if not limiter.take(amount):
+            return json_answer(429, {"error": f"too many {kind} a second"})
+        self._counts[kind] += amount
+        self._counts[f"{kind}_calls"] += 1
+        return operation()
+
+    def _read(self, row_keys: list[RowKey]) -> HttpAnswer:
+        rows = self.table.read(row_keys).values()
+        return json_answer(200, {"rows": [_row_to_list(row) for row in rows]})
+
+    def _scan(self, query) -> HttpAnswer:
+        page = self.table.scan(
+            query["table"],
+            query.get("prefix", ""),
+            query.get("after_key", ""),
+            min(int(query.get("limit", 500)), 1000),
+        )
+        rows = [_row_to_list(row) for row in page.rows]
+        return json_answer(200, {"rows": rows, "next_after_key": page.next_after_key})
+
+    def _commit(self, transactions: list[Transaction]) -> HttpAnswer:
+        outcomes = self.table.commit_batch(transactions)
+        is_lost = self.faults.consume("lost_commit_answers")
+        if is_lost or self._rng.random() < self.faults["lost_answer_probability"]:
+            # 504 is what a proxy in front of the service answers in this case.
+            return json_answer(504, {"error": "the answer was lost"})
+        results = [
+            {
+                "is_committed": isinstance(outcome, Committed),
+                "versions": [
+                    [*row_key, version]
+                    for row_key, version in outcome.versions_by_row_key.items()
+                ],
+            }
+            for outcome in outcomes
+        ]
+        return json_answer(200, {"results": results})
+
+
+def _parse_transactions(body: dict) -> list[Transaction]:
+    try:
+        return [
+            Transaction(
+                [Condition(RowKey(t, k), v) for t, k, v in entry["conditions"]],
+                [Write(RowKey(t, k), value) for t, k, value in entry["writes"]],
+            )
+            for entry in body["transactions"]
+        ]
+    except (KeyError, TypeError, ValueError) as error:
+        raise BadRequestError(f"malformed transactions: {error}") from error
+
+
+def _row_to_list(row) -> list:
+    return [*row.row_key, row.version, row.value]
+
+
+@cappa.command(name="catkin-standin-platform")
+class PlatformCommand:
+    """Run the stand-in of the platform until it is told to stop."""
+
+    host: Annotated[str, cappa.Arg(long=True)] = "127.0.0.1"
+    port: Annotated[int, cappa.Arg(long=True)] = 0
+    reboot_seconds: Annotated[float, cappa.Arg(long=True)] = 2.0
+
+    def __call__(self) -> None:
+        """Serve until SIGTERM or SIGINT."""
+        configure_logging()
+        stop_signal = StopSignal()
+        standin = PlatformStandin(self.host, self.port, self.reboot_seconds)
+        standin.start()
+        print(f"listening on {standin.address}", flush=True)
+        stop_signal.wait()
+        standin.stop()
+
+
+def main() -> None:
+    """Entry point of ``catkin-standin-platform``."""
+    cappa.invoke(PlatformCommand)
