--- /dev/null
+++ b/catkinport/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Operations on VMs and pools, shared by the controller and the administration API."""
--- /dev/null
+++ b/catkinport/state/rows.py
@@ -0,0 +1,226 @@
+"""Names and values of the rows that catkinport keeps in the table service."""
+
+from enum import StrEnum
+from typing import NotRequired, TypedDict
+
+from ..ports import RowKey
+
+CONFIGURATION = RowKey("configuration", "current")
+ROSTER = RowKey("membership", "roster")
+GENERATION = RowKey("fleet", "generation")
+MAINTENANCE = RowKey("maintenance", "state")
+
+
+class RevisionRecord(TypedDict):
+    """One entry of the configuration's history."""
+
+    revision: int
+    digest: str
+    change_id: str
+    accepted_by: str
+    operator: str
+
+
+class ConfigurationRow(TypedDict):
+    """The accepted document; ``history`` holds the last 20 revisions."""
+
+    revision: int
+    digest: str
+    change_id: str
+    document: str
+    accepted_by: str
+    operator: str
+    history: list[RevisionRecord]
+
+
+class MemberRow(TypedDict):
+    """A member as the roster holds it."""
+
+    role: str
+    peer_address: str
+    admin_address: str
+    zone: str
+    is_evicted: bool
+
+
+class RosterRow(TypedDict):
+    """All members. An evicted member stays until its allowances are reclaimed."""
+
+    member_by_id: dict[str, MemberRow]
+
+
+class GenerationRow(TypedDict):
+    """Counts the transactions that change which VMs serve."""
+
+    generation: int
+
+
+class OwnerRow(TypedDict):
+    """Owner of a pool; ``epoch`` grows by one with every change of owner."""
+
+    member_id: str
+    epoch: int
+
+
+class ServingVm(TypedDict):
+    """A VM that may get new work."""
+
+    backend_address: str
+    worker_address: str
+    zone: str
+    rack: str
+
+
+class PoolRow(TypedDict):
+    """State of a pool.
+
+    ``reason_by_disrupted_vm`` holds every VM of the pool that does not serve, with
+    the reason; their number counts against the pool's availability budget.
+    """
+
+    serving_vm_by_id: dict[str, ServingVm]
+    reason_by_disrupted_vm: dict[str, str]
+
+
+class VmState(StrEnum):
+    """State of a VM."""
+
+    ACTIVE = "active"
+    DRAINING = "draining"
+    DRAINED = "drained"
+    REBOOTING = "rebooting"
+    FAILED = "failed"
+
+
+class VmRow(TypedDict):
+    """The only place that says which pool a VM belongs to.
+
+    ``operation`` is what a drain is for: ``"drain"``, ``"maintenance"``, ``"move"``
+    or empty. ``last_maintained`` is in seconds since the Unix epoch.
+    """
+
+    pool: str
+    state: str
+    operation: str
+    target_pool: str
+    zone: str
+    rack: str
+    worker_address: str
+    backend_address: str
+    boot_id: str
+    n_cores: float
+    memory_gb: float
+    n_accelerators: int
+    last_maintained: float
+    last_token: str
+
+
+class JobState(StrEnum):
+    """State of a job."""
+
+    QUEUED = "queued"
+    RUNNING = "running"
+    DONE = "done"
+    FAILED = "failed"
+    CANCELLED = "cancelled"
+    PARKED = "parked"
+    UNKNOWN = "unknown"
+
+
+class JobRow(TypedDict):
+    """A job and its current attempt. Times are seconds since the Unix epoch."""
+
+    team: str
+    account: str
+    command: str
+    n_cores: float
+    memory_gb: float
+    n_accelerators: int
+    run_seconds: float
+    is_restartable: bool
+    is_urgent: bool
+    input_reference: str
+    state: str
+    attempt: int
+    worker_vm: str
+    checkpoint_reference: str
+    result_reference: str
+    reason: str
+    is_cancel_requested: bool
+    failed_vms: list[str]
+    n_moves: int
+    submitted_at: float
+    started_at: float
+    finished_at: float
+    input: NotRequired[str]
+
+
+class ClaimState(StrEnum):
+    """State of a claim."""
+
+    CLAIMED = "claimed"
+    DONE = "done"
+    UNKNOWN = "unknown"
+    NOT_RUN = "not-run"
+
+
+class ClaimRow(TypedDict):
+    """The right of one attempt to run a non-idempotent request."""
+
+    token: str
+    member_id: str
+    digest: str
+    state: str
+    status: int
+    answer_reference: str
+    content_type: str
+    claimed_at: float
+
+
+class AllowanceRow(TypedDict):
+    """How an upper limit is divided; the sum never exceeds the limit."""
+
+    amount_by_holder: dict[str, int]
+
+
+class MaintenanceRow(TypedDict):
+    """Whether maintenance runs."""
+
+    is_paused: bool
+    is_started: bool
+    operator: str
+
+
+def owner_key(pool: str) -> RowKey:
+    """Return the row that names the owner of ``pool``."""
+    return RowKey("owners", pool)
+
+
+def pool_key(pool: str) -> RowKey:
+    """Return the row with the state of ``pool``."""
+    return RowKey("pools", pool)
+
+
+def vm_key(vm_id: str) -> RowKey:
+    """Return the row of a VM."""
+    return RowKey("vms", vm_id)
+
+
+def job_key(queue: str, job_id: str) -> RowKey:
+    """Return the row of a job.
+
+    Example:
+        >>> job_key("renders", "j-1").key
+        'renders/j-1'
+    """
+    return RowKey("jobs", f"{queue}/{job_id}")
+
+
+def claim_key(team: str, idempotency_key: str) -> RowKey:
+    """Return the row of a claim."""
+    return RowKey("claims", f"{team}/{idempotency_key}")
+
+
+def allowance_key(team: str, resource: str) -> RowKey:
+    """Return the row that divides a team's limit on ``resource``."""
+    return RowKey("allowances", f"{team}/{resource}")
