--- /dev/null
+++ b/catkinport/controller/ownership.py
@@ -0,0 +1,176 @@
+"""Takes, keeps and releases the owners' rows of pools."""
+
+import logging
+from collections.abc import Mapping
+from typing import NamedTuple
+
+from ..fleet.fence import Fence
+from ..membership.interface import Snapshot
+from ..policy.ownership import OwnershipAction, OwnershipView, decide_ownership
+from ..ports import (
+    ABSENT_VERSION,
+    Clock,
+    Committed,
+    Condition,
+    Row,
+    RowKey,
+    Table,
+    Transaction,
+    Unavailable,
+    Write,
+)
+from ..runtime import log_event
+from ..state import owner_key
+
+logger = logging.getLogger(__name__)
+
+
+class Ownership(NamedTuple):
+    """A pool that this controller owns, with its fencing epoch."""
+
+    pool: str
+    member_id: str
+    epoch: int
+    fence: Fence
+
+
+class OwnershipChanges(NamedTuple):
+    """What changed in a step: pools gained, pools lost and pools to release."""
+
+    gained: list[Ownership]
+    lost: list[str]
+    to_release: list[str]
+
+
+class OwnershipKeeper:
+    """Watches the owners' rows and takes pools over.
+
+    Args:
+        table: client of the table service.
+        clock: clock that eviction waits are counted on.
+    """
+
+    def __init__(self, table: Table, clock: Clock) -> None:
+        self._table = table
+        self._clock = clock
+        self._ownership_by_pool: dict[str, Ownership] = {}
+        self._live_since_by_id: dict[str, float] = {}
+        self._left_since_by_id: dict[str, float] = {}
+
+    @property
+    def ownership_by_pool(self) -> Mapping[str, Ownership]:
+        """Pools that this controller owns."""
+        return self._ownership_by_pool
+
+    def step(self, snapshot: Snapshot) -> OwnershipChanges:
+        """Compare the owners' rows with the roster and take what is due."""
+        if snapshot.environment is None or not snapshot.is_fresh(self._clock.now()):
+            return OwnershipChanges([], [], [])
+        live_ids = self._watch_roster(snapshot)
+        pools = sorted(snapshot.environment.pool_by_name)
+        rows = self._table.read([owner_key(pool) for pool in pools])
+        if isinstance(rows, Unavailable):
+            return OwnershipChanges([], [], [])
+        lost = self._drop_lost(snapshot, rows)
+        gained: list[Ownership] = []
+        to_release: list[str] = []
+        for pool in pools:
+            row = rows.get(owner_key(pool))
+            action = self._decide(snapshot, pool, row, live_ids)
+            if action == OwnershipAction.RELEASE:
+                to_release.append(pool)
+            if action == OwnershipAction.KEEP and row is not None:
+                # The answer to the take-over was lost and so was the read after it.
+                is_new = pool not in self._ownership_by_pool
+                gained += [self._adopt(snapshot, row)] if is_new else []
+            if action == OwnershipAction.TAKE:
+                ownership = self._take(snapshot, pool, row)
+                gained += [ownership] if ownership else []
+        return OwnershipChanges(gained, lost, to_release)
+
+    def release(self, pool: str) -> bool:
+        """Give up a pool whose actor has stopped; return whether it was ours."""
+        ownership = self._ownership_by_pool.pop(pool, None)
+        if ownership is None:
+            return False
+        value = {"member_id": "", "epoch": ownership.epoch}
+        writes = [Write(owner_key(pool), value)]
+        outcome = self._table.commit(Transaction([ownership.fence.condition], writes))
+        log_event(logger, "pool released", pool=pool, outcome=type(outcome).__name__)
+        return isinstance(outcome, Committed)
+
+    def _watch_roster(self, snapshot: Snapshot) -> set[str]:
+        now = self._clock.now()
+        live_ids = {
+            member_id
+            for member_id, record in snapshot.member_by_id.items()
+            if record.role == "controller" and not record.is_evicted
+        }
+        self._live_since_by_id = {
+            member_id: self._live_since_by_id.get(member_id, now)
+            for member_id in live_ids
+        }
+        for member_id in live_ids & self._left_since_by_id.keys():
+            del self._left_since_by_id[member_id]
+        return live_ids
+
+    def _drop_lost(
+        self, snapshot: Snapshot, rows: Mapping[RowKey, Row]
+    ) -> list[str]:
+        lost = []
+        for pool, ownership in list(self._ownership_by_pool.items()):
+            row = rows.get(owner_key(pool))
+            is_same_row = row is not None and row.version == ownership.fence.version
+            if not is_same_row or ownership.member_id != snapshot.member_id:
+                del self._ownership_by_pool[pool]
+                lost.append(pool)
+                log_event(logger, "pool lost", pool=pool, epoch=ownership.epoch)
+        return lost
+
+    def _decide(
+        self, snapshot: Snapshot, pool: str, row: Row | None, live_ids: set[str]
+    ) -> OwnershipAction:
+        now = self._clock.now()
+        owner_id = row.value["member_id"] if row else ""
+        seconds_left = 0.0
+        if owner_id and owner_id not in live_ids:
+            seconds_left = now - self._left_since_by_id.setdefault(owner_id, now)
+        seconds_live_by_id = {
+            member_id: now - since for member_id, since in self._live_since_by_id.items()
+        }
+        view = OwnershipView(
+            pool, snapshot.member_id, owner_id, seconds_live_by_id, seconds_left
+        )
+        return decide_ownership(view)
+
+    def _take(
+        self, snapshot: Snapshot, pool: str, row: Row | None
+    ) -> Ownership | None:
+        key = owner_key(pool)
+        epoch = (row.value["epoch"] if row else 0) + 1
+        value = {"member_id": snapshot.member_id, "epoch": epoch}
+        version = row.version if row else ABSENT_VERSION
+        if not snapshot.is_fresh(self._clock.now()):
+            return None
+        outcome = self._table.commit(
+            Transaction([Condition(key, version)], [Write(key, value)])
+        )
+        if isinstance(outcome, Committed):
+            return self._own(pool, snapshot, epoch, outcome.versions_by_row_key[key])
+        if isinstance(outcome, Unavailable) and outcome.may_have_committed:
+            rows = self._table.read([key])
+            if not isinstance(rows, Unavailable) and key in rows:
+                if rows[key].value == value:
+                    return self._own(pool, snapshot, epoch, rows[key].version)
+        return None
+
+    def _adopt(self, snapshot: Snapshot, row: Row) -> Ownership:
+        return self._own(row.row_key.key, snapshot, row.value["epoch"], row.version)
+
+    def _own(
+        self, pool: str, snapshot: Snapshot, epoch: int, version: int
+    ) -> Ownership:
+        ownership = Ownership(pool, snapshot.member_id, epoch, Fence(pool, version))
+        self._ownership_by_pool[pool] = ownership
+        log_event(logger, "pool taken", pool=pool, epoch=epoch)
+        return ownership
--- /dev/null
+++ b/catkinport/fleet/pool_rows.py
@@ -0,0 +1,52 @@
+"""Pure changes of a pool's row; none modifies its arguments."""
+
+from ..state import PoolRow, ServingVm, VmRow
+
+GONE = "gone"
+"""Reason of a VM that the platform has removed for good."""
+
+
+def serve(pool: PoolRow, vm_id: str, vm: VmRow) -> PoolRow:
+    """Return the row with the VM serving."""
+    serving: ServingVm = {
+        "backend_address": vm["backend_address"],
+        "worker_address": vm["worker_address"],
+        "zone": vm["zone"],
+        "rack": vm["rack"],
+    }
+    without = remove(pool, vm_id)
+    return {
+        "serving_vm_by_id": {**without["serving_vm_by_id"], vm_id: serving},
+        "reason_by_disrupted_vm": without["reason_by_disrupted_vm"],
+    }
+
+
+def disrupt(pool: PoolRow, vm_id: str, reason: str) -> PoolRow:
+    """Return the row with the VM out of service and counted against the budget."""
+    without = remove(pool, vm_id)
+    return {
+        "serving_vm_by_id": without["serving_vm_by_id"],
+        "reason_by_disrupted_vm": {**without["reason_by_disrupted_vm"], vm_id: reason},
+    }
+
+
+def remove(pool: PoolRow, vm_id: str) -> PoolRow:
+    """Return the row without the VM."""
+    return {
+        "serving_vm_by_id": _without(pool["serving_vm_by_id"], vm_id),
+        "reason_by_disrupted_vm": _without(pool["reason_by_disrupted_vm"], vm_id),
+    }
+
+
+def find_replaced_vm(pool: PoolRow) -> str | None:
+    """Return a VM that is gone, whose place a new VM of the pool takes.
+
+    A VM that is gone counts against the budget until it has been replaced, because
+    the pool lacks its capacity until then.
+    """
+    gone = [vm for vm, why in pool["reason_by_disrupted_vm"].items() if why == GONE]
+    return min(gone, default=None)
+
+
+def _without(value_by_name: dict, name: str) -> dict:
+    return {key: value for key, value in value_by_name.items() if key != name}
