--- /dev/null
+++ b/catkinport/standins/backend_server.py
@@ -0,0 +1,188 @@
+"""Stand-in of a backend server: a fixed number of slots, with faults."""
+
+import json
+import threading
+import time
+from collections.abc import Iterator
+from typing import Annotated
+
+import cappa
+
+from ..runtime import (
+    HttpAnswer,
+    HttpRequest,
+    HttpServer,
+    Router,
+    StopSignal,
+    configure_logging,
+    json_answer,
+    read_chunks,
+)
+from ._faults import FaultSettings, add_fault_routes
+
+FAULT_DEFAULTS = {
+    # Seconds of work when the request does not name any.
+    "work_seconds": 0.0,
+    # Added after the work, before the answer: the answer is late.
+    "late_seconds": 0.0,
+    # The body ends after half of the announced length.
+    "is_truncating": False,
+    # The work is done, but no answer is ever sent while this is set.
+    "is_silent": False,
+    # 503 with the header that says the request did not run.
+    "is_refusing": False,
+    "fails_with_status": 0,
+}
+N_SLOTS = 8
+N_CONNECTIONS = 60
+MAX_EXECUTIONS_KEPT = 200_000
+
+
+class BackendServerStandin:
+    """Answers every request with a description of it.
+
+    The answer holds the request's id and a digest of its body, so that a caller
+    can check that it got the answer to its own request. ``seconds`` in the query
+    sets the time of the work, ``size`` the length of padding in the answer.
+
+    Args:
+        host: IP number to listen on.
+        port: port to listen on; 0 lets the kernel choose.
+        n_slots: requests that run at the same time.
+    """
+
+    def __init__(
+        self, host: str = "127.0.0.1", port: int = 0, n_slots: int = N_SLOTS
+    ) -> None:
+        self.faults = FaultSettings(FAULT_DEFAULTS)
+        self._lock = threading.Lock()
+        self._executions: list[dict] = []
+        self._n_running = 0
+        self._max_running = 0
+        self._slots = threading.Semaphore(n_slots)
+        router = Router()
+        add_fault_routes(router, self.faults)
+        router.route("GET", "/standin/executions")(self._show_executions)
+        router.route("*", "/{path*}")(self._handle)
+        self._server = HttpServer(router, host, port, n_threads=N_CONNECTIONS)
+
+    @property
+    def address(self) -> str:
+        """``host:port`` that the stand-in listens on."""
+        return self._server.address
+
+    def start(self) -> None:
+        """Start serving in the background."""
+        self._server.start()
+
+    def stop(self) -> None:
+        """Stop serving."""
+        self._server.stop()
+
+    def list_executions(self) -> list[dict]:
+        """Return a record of every request that started to run."""
+        with self._lock:
+            return list(self._executions)
+
+    def _show_executions(self, request: HttpRequest) -> HttpAnswer:
+        body = {"executions": self.list_executions(), "max_running": self._max_running}
+        return json_answer(200, body)
+
+    def _handle(self, request: HttpRequest, path: str) -> HttpAnswer:
+        body = b"".join(_read_body(request))
+        if self.faults["is_refusing"] or not self._slots.acquire(blocking=False):
+            headers = {"Retry-After": "1", "Catkin-Not-Run": "true"}
+            return json_answer(503, {"error": "no free slot"}, headers)
+        try:
+            self._record_start(request, body)
+            self._work(request)
+        finally:
+            with self._lock:
+                self._n_running -= 1
+            self._slots.release()
+        return self._answer(request, path, body)
+
+    def _record_start(self, request: HttpRequest, body: bytes) -> None:
+        with self._lock:
+            self._n_running += 1
+            self._max_running = max(self._max_running, self._n_running)
+            if len(self._executions) >= MAX_EXECUTIONS_KEPT:
+                return
+            self._executions.append(
+                {
+                    "request_id": request.headers.get("catkin-request-id", ""),
+                    "team": request.headers.get("catkin-team", ""),
+                    "idempotency_key": request.headers.get("idempotency-key", ""),
+                    "operation": request.query.get("operation", ""),
+                    "method": request.method,
+                    "body_bytes": len(body),
+                    "started_at": time.time(),
+                }
+            )
+
+    def _work(self, request: HttpRequest) -> None:
+        seconds = float(request.query.get("seconds", self.faults["work_seconds"]))
+        if seconds > 0:
+            time.sleep(seconds)
+        if self.faults["late_seconds"] > 0:
+            time.sleep(self.faults["late_seconds"])
+        while self.faults["is_silent"]:
+            time.sleep(0.05)
+
+    def _answer(self, request: HttpRequest, path: str, body: bytes) -> HttpAnswer:
+        if self.faults["fails_with_status"]:
+            return json_answer(self.faults["fails_with_status"], {"error": "fault"})
+        value = {
+            "path": path,
+            "request_id": request.headers.get("catkin-request-id", ""),
+            "operation": request.query.get("operation", ""),
+            "body_bytes": len(body),
+            "padding": "x" * int(request.query.get("size", "0")),
+        }
+        content = json.dumps(value).encode()
+        if self.faults["is_truncating"]:
+            headers = {"Content-Length": str(len(content))}
+            return HttpAnswer(200, _truncate(content), headers)
+        return HttpAnswer(200, content, {"Content-Type": "application/json"})
+
+
+def _truncate(content: bytes) -> Iterator[bytes]:
+    yield content[: len(content) // 2]
+    # cheroot closes the connection when the application fails after the head; it
+    # ignores a Connection header that the application sets.
+    raise ConnectionAbortedError("truncated on purpose")
+
+
+def _read_body(request: HttpRequest) -> Iterator[bytes]:
+    stream = request.environ["wsgi.input"]
+    if request.headers.get("transfer-encoding", "").lower() == "chunked":
+        return iter(lambda: stream.read(65536), b"")
+    return read_chunks(stream, int(request.environ.get("CONTENT_LENGTH") or 0))
+
+
+@cappa.command(name="catkin-standin-backend")
+class BackendServerCommand:
+    """Run the stand-in of a backend server until it is told to stop."""
+
+    host: Annotated[str, cappa.Arg(long=True)] = "127.0.0.1"
+    port: Annotated[int, cappa.Arg(long=True)] = 0
+    slots: Annotated[int, cappa.Arg(long=True)] = N_SLOTS
+
+    def __call__(self) -> None:
+        """Serve until SIGTERM or SIGINT."""
+        configure_logging()
+        stop_signal = StopSignal()
+        standin = BackendServerStandin(self.host, self.port, self.slots)
+        standin.start()
+        print(f"listening on {standin.address}", flush=True)
+        stop_signal.wait()
+        standin.stop()
+
+
+def main() -> None:
+    """Entry point of ``catkin-standin-backend``."""
+    cappa.invoke(BackendServerCommand)
+
+
+if __name__ == "__main__":
+    main()
--- a/catkinport/standins/platform.py
+++ b/catkinport/standins/platform.py
@@ -184,7 +184,8 @@
         operation: Callable[[], HttpAnswer],
     ) -> HttpAnswer:
         client = request.headers.get("client-name", "")
-        if self.faults["is_down"] or client in self.faults["cut_clients"].split(","):
+        is_cut = bool(client) and client in self.faults["cut_clients"].split(",")
+        if self.faults["is_down"] or is_cut:
             return json_answer(503, {"error": "the service is down"})
         if self.faults["delay_seconds"] > 0:
             time.sleep(self.faults["delay_seconds"])
@@ -267,3 +268,7 @@
 def main() -> None:
     """Entry point of ``catkin-standin-platform``."""
     cappa.invoke(PlatformCommand)
+
+
+if __name__ == "__main__":
+    main()
