Add the pool manager and the HTTP client of workers

One manager per owned pool places jobs, renews leases, settles reports and losses, drains, reboots, moves and maintains VMs. Every commit is conditional on the owner's row, and guarded clients do nothing once the freshness lease has ended.

--- a/catkinport/adapters/__init__.py
+++ b/catkinport/adapters/__init__.py
@@ -4,5 +4,6 @@
 from .object_store_http import HttpObjectStore
 from .table_http import HttpTable
 from .vm_list_http import HttpVmList
+from .workers_http import HttpWorkers
 
-__all__ = ["HttpClient", "HttpObjectStore", "HttpTable", "HttpVmList"]
+__all__ = ["HttpClient", "HttpObjectStore", "HttpTable", "HttpVmList", "HttpWorkers"]
--- /dev/null
+++ b/catkinport/controller/allowances.py
@@ -0,0 +1,149 @@
+"""The pool's part of each team's upper limit on processors."""
+
+import math
+from collections.abc import Collection, Mapping
+from typing import NamedTuple
+
+from ..ports import (
+    ABSENT_VERSION,
+    Committed,
+    Condition,
+    Row,
+    RowKey,
+    Table,
+    Transaction,
+    Unavailable,
+    Write,
+)
+from ..state import JobState, allowance_key
+from .pool_state import PoolState
+from .services import Services
+
+RESOURCE = "cores"
+IDLE_SECONDS = 5.0
+
+
+class Allowance(NamedTuple):
+    """A team's allowance row as it was read.
+
+    Args:
+        row_key: key of the row.
+        version: version of the row.
+        amount_by_holder: cores by pool.
+        limit: upper limit of the team.
+    """
+
+    row_key: RowKey
+    version: int
+    amount_by_holder: Mapping[str, int]
+    limit: int
+
+    def held(self, pool: str) -> int:
+        """Return the cores that ``pool`` holds."""
+        return self.amount_by_holder.get(pool, 0)
+
+    def available(self, pool: str) -> int:
+        """Return the cores that ``pool`` may hold, taking what is free.
+
+        A lowered limit is below the sum for a while; nothing is free then.
+        """
+        others = sum(self.amount_by_holder.values()) - self.held(pool)
+        return max(0, self.limit - others)
+
+    def with_amount(self, pool: str, amount: int) -> dict[str, dict[str, int]]:
+        """Return the row's value with ``amount`` held by ``pool``."""
+        amounts = {**self.amount_by_holder, pool: amount}
+        return {"amount_by_holder": {name: n for name, n in amounts.items() if n > 0}}
+
+
+class AllowanceKeeper:
+    """Reads, takes and returns allowances of one pool.
+
+    Args:
+        services: ports.
+        state: state of the pool.
+    """
+
+    def __init__(self, services: Services, state: PoolState) -> None:
+        self._table: Table = services.table
+        self._clock = services.clock
+        self._state = state
+        self._idle_since_by_team: dict[str, float] = {}
+        self._next_check_at = 0.0
+
+    def read(self, teams: Collection[str]) -> dict[str, Allowance] | Unavailable:
+        """Read the allowance rows of ``teams`` that the environment knows."""
+        team_by_name = self._state.environment.team_by_name
+        known = [name for name in sorted(teams) if name in team_by_name]
+        rows = self._table.read([allowance_key(name, RESOURCE) for name in known])
+        if isinstance(rows, Unavailable):
+            return rows
+        return {
+            name: _to_allowance(rows, name, team_by_name[name].max_cores)
+            for name in known
+        }
+
+    def used_cores(self) -> dict[str, float]:
+        """Return the declared cores of running jobs by team.
+
+        The declared size is what the worker grants, so that the limit rests on it and
+        not on an estimate.
+        """
+        used: dict[str, float] = {}
+        for job in self._state.book.list_jobs(JobState.RUNNING):
+            used[job.row["team"]] = used.get(job.row["team"], 0.0) + job.row["n_cores"]
+        return used
+
+    def take(
+        self, allowance: Allowance, needed: float
+    ) -> tuple[list[Condition], list[Write]] | None:
+        """Return what a transaction needs so that the pool holds ``needed`` cores.
+
+        ``None`` means that the limit does not allow it.
+        """
+        amount = math.ceil(needed)
+        pool = self._state.pool
+        if amount > allowance.available(pool):
+            return None
+        if amount <= allowance.held(pool):
+            return [], []
+        value = allowance.with_amount(pool, amount)
+        condition = Condition(allowance.row_key, allowance.version)
+        return [condition], [Write(allowance.row_key, value)]
+
+    def return_idle(self, idle_seconds: float = IDLE_SECONDS) -> None:
+        """Return what has been idle for ``idle_seconds``."""
+        now = self._clock.now()
+        if now < self._next_check_at:
+            return
+        self._next_check_at = now + idle_seconds / 5
+        allowances = self.read(self._state.environment.team_by_name)
+        if isinstance(allowances, Unavailable):
+            return
+        used = self.used_cores()
+        for team, allowance in allowances.items():
+            amount = math.ceil(used.get(team, 0.0))
+            if amount >= allowance.held(self._state.pool):
+                self._idle_since_by_team.pop(team, None)
+                continue
+            since = self._idle_since_by_team.setdefault(team, now)
+            if now - since >= idle_seconds and self._set(allowance, amount):
+                self._idle_since_by_team.pop(team, None)
+
+    def _set(self, allowance: Allowance, amount: int) -> bool:
+        value = allowance.with_amount(self._state.pool, amount)
+        conditions = [
+            self._state.fence.condition,
+            Condition(allowance.row_key, allowance.version),
+        ]
+        writes = [Write(allowance.row_key, value)]
+        outcome = self._table.commit(Transaction(conditions, writes))
+        return isinstance(outcome, Committed)
+
+
+def _to_allowance(rows: Mapping[RowKey, Row], team: str, limit: int) -> Allowance:
+    key = allowance_key(team, RESOURCE)
+    row = rows.get(key)
+    if row is None:
+        return Allowance(key, ABSENT_VERSION, {}, limit)
+    return Allowance(key, row.version, row.value["amount_by_holder"], limit)
--- /dev/null
+++ b/catkinport/controller/fleet_watch.py
@@ -0,0 +1,146 @@
+"""Compares the VM list and the workers' answers with the VMs' rows."""
+
+import logging
+
+from ..fleet.operations import fail_vm, mark_maintained, recover_vm
+from ..fleet.pool_rows import GONE
+from ..ports import ListedVm, VmStatus
+from ..runtime import log_event
+from ..state import VmState
+from .pool_state import PoolState, VmRecord
+from .services import Services
+from .vm_records import VmRecords
+
+logger = logging.getLogger(__name__)
+
+MISSING_SECONDS = 30.0
+"""A VM that the lagging list lacks for this long counts as failed."""
+
+SILENT = "silent"
+MISSING = "missing"
+REBOOTING = "rebooting"
+LEAVING = "leaving"
+OVERDUE = "reboot-overdue"
+LISTED_REASONS = (MISSING, REBOOTING, LEAVING)
+
+
+class FleetWatch:
+    """Takes failing VMs out of service and lets recovered ones back in.
+
+    Args:
+        services: ports.
+        state: state of the pool.
+        records: is told when rows have changed.
+    """
+
+    def __init__(
+        self, services: Services, state: PoolState, records: VmRecords
+    ) -> None:
+        self._services = services
+        self._state = state
+        self._records = records
+        self._missing_since_by_vm: dict[str, float] = {}
+
+    def step(self) -> None:
+        """Look at every VM of the pool once."""
+        if not self._state.listed_by_vm:
+            return
+        for vm in list(self._state.vm_by_id.values()):
+            listed = self._state.listed_by_vm.get(vm.vm_id)
+            if listed is None:
+                self._watch_missing(vm)
+                continue
+            self._missing_since_by_vm.pop(vm.vm_id, None)
+            self._watch_listed(vm, listed)
+
+    def _watch_missing(self, vm: VmRecord) -> None:
+        now = self._services.clock.now()
+        since = self._missing_since_by_vm.setdefault(vm.vm_id, now)
+        if now - since >= MISSING_SECONDS:
+            self._fail(vm, MISSING)
+
+    def _watch_listed(self, vm: VmRecord, listed: ListedVm) -> None:
+        if listed.status == VmStatus.GONE:
+            self._lose_tasks(vm)
+            self._fail(vm, GONE)
+        elif listed.status == VmStatus.LEAVING:
+            self._fail(vm, LEAVING)
+        elif listed.status == VmStatus.REBOOTING:
+            if vm.row["state"] != VmState.REBOOTING:
+                self._fail(vm, REBOOTING)
+        elif listed.boot_id != vm.row["boot_id"]:
+            self._watch_rebooted(vm, listed)
+        else:
+            self._watch_live(vm)
+
+    def _watch_rebooted(self, vm: VmRecord, listed: ListedVm) -> None:
+        """Let a VM back in once the tasks of its earlier boot have been settled."""
+        self._lose_tasks(vm)
+        if self._state.tasks_on(vm.vm_id):
+            return
+        self._state.failures.forget(vm.vm_id)
+        is_awaited = vm.row["state"] in (VmState.REBOOTING, VmState.FAILED)
+        if vm.row["operation"] == "maintenance" and is_awaited:
+            mark_maintained(
+                self._services.table,
+                vm.vm_id,
+                listed.boot_id,
+                self._state.next_token(),
+                self._services.unix_time(),
+                self._state.fence,
+            )
+        else:
+            self._recover(vm, listed.boot_id)
+        self._records.invalidate()
+
+    def _watch_live(self, vm: VmRecord) -> None:
+        link = self._state.link_by_vm.get(vm.vm_id)
+        now = self._services.clock.now()
+        is_silent = link is not None and link.is_silent(now)
+        reason = self._state.pool_row["reason_by_disrupted_vm"].get(vm.vm_id, "")
+        if is_silent and vm.row["state"] != VmState.REBOOTING:
+            self._fail(vm, SILENT)
+        elif vm.row["state"] == VmState.FAILED and not is_silent:
+            has_answered = link is None or link.has_answered
+            if reason in LISTED_REASONS or (reason == SILENT and has_answered):
+                self._recover(vm, None)
+
+    def _lose_tasks(self, vm: VmRecord) -> None:
+        for task in self._state.tasks_on(vm.vm_id):
+            task.is_lost = True
+
+    def _fail(self, vm: VmRecord, reason: str) -> None:
+        known = self._state.pool_row["reason_by_disrupted_vm"].get(vm.vm_id)
+        is_final = vm.row["state"] == VmState.FAILED or reason == LEAVING
+        if known == reason and is_final:
+            return
+        outcome = fail_vm(
+            self._services.table,
+            vm.vm_id,
+            reason,
+            self._state.next_token(),
+            self._state.fence,
+            is_leaving=reason == LEAVING,
+        )
+        self._log("VM taken out of service", vm, reason, outcome)
+
+    def _recover(self, vm: VmRecord, boot_id: str | None) -> None:
+        outcome = recover_vm(
+            self._services.table,
+            vm.vm_id,
+            self._state.next_token(),
+            boot_id,
+            self._state.fence,
+        )
+        self._log("VM recovered", vm, "", outcome)
+
+    def _log(self, event: str, vm: VmRecord, reason: str, outcome: object) -> None:
+        self._records.invalidate()
+        log_event(
+            logger,
+            event,
+            vm=vm.vm_id,
+            pool=self._state.pool,
+            reason=reason,
+            outcome=type(outcome).__name__,
+        )
--- /dev/null
+++ b/catkinport/controller/job_book.py
@@ -0,0 +1,129 @@
+"""The owner's cache of the jobs that wait or run."""
+
+from collections.abc import Iterable, Sequence
+from typing import NamedTuple, cast
+
+from ..ports import Row, RowKey, Table, Unavailable
+from ..state import JobRow, JobState, job_key
+
+ACTIVE_STATES = (JobState.QUEUED, JobState.RUNNING)
+MAX_NOTICES_PER_STEP = 200
+SCAN_PAGE_ROWS = 500
+
+
+class Job(NamedTuple):
+    """A job as it was last read; ``version`` is that of its row."""
+
+    queue: str
+    job_id: str
+    version: int
+    row: JobRow
+
+    @property
+    def row_key(self) -> RowKey:
+        """Key of the job's row."""
+        return job_key(self.queue, self.job_id)
+
+
+class JobBook:
+    """Jobs of a pool's queues that are queued or running.
+
+    Each step does a bounded amount of work: it reads noticed jobs in one call and
+    one page of the scan.
+
+    Args:
+        table: client of the table service.
+    """
+
+    def __init__(self, table: Table) -> None:
+        self._table = table
+        self._job_by_id: dict[str, Job] = {}
+        self._noticed: dict[RowKey, None] = {}
+        self._queues: tuple[str, ...] = ()
+        self._scan_queue_index = 0
+        self._scan_after_key = ""
+        self._is_scanning = False
+        self.is_loaded = False
+
+    def __len__(self) -> int:
+        return len(self._job_by_id)
+
+    def get(self, job_id: str) -> Job | None:
+        """Return an active job."""
+        return self._job_by_id.get(job_id)
+
+    def list_jobs(self, state: JobState) -> list[Job]:
+        """Return the jobs in ``state``."""
+        return [job for job in self._job_by_id.values() if job.row["state"] == state]
+
+    def set_queues(self, queues: Sequence[str]) -> None:
+        """Set the queues that run on the pool; a change starts a new scan."""
+        if tuple(queues) != self._queues:
+            self._queues = tuple(queues)
+            self.start_scan()
+
+    def start_scan(self) -> None:
+        """Start reading all jobs, unless a scan is under way."""
+        if not self._is_scanning:
+            self._is_scanning = True
+            self._scan_queue_index = 0
+            self._scan_after_key = ""
+
+    def notice(self, queue: str, job_id: str) -> None:
+        """Have a job read in one of the next steps."""
+        self._noticed[job_key(queue, job_id)] = None
+
+    def refresh(self) -> None:
+        """Read noticed jobs and the next page of a scan that is under way."""
+        self._read_noticed()
+        if self._is_scanning:
+            self._scan_page()
+
+    def put(self, job: Job) -> None:
+        """Take in a job that was read or written, unless a newer one is known."""
+        known = self._job_by_id.get(job.job_id)
+        if known is not None and known.version > job.version:
+            return
+        if job.row["state"] in ACTIVE_STATES:
+            self._job_by_id[job.job_id] = job
+        else:
+            self._job_by_id.pop(job.job_id, None)
+
+    def _read_noticed(self) -> None:
+        row_keys = list(self._noticed)[:MAX_NOTICES_PER_STEP]
+        if not row_keys:
+            return
+        rows = self._table.read(row_keys)
+        if isinstance(rows, Unavailable):
+            return
+        for row_key in row_keys:
+            del self._noticed[row_key]
+            if row_key not in rows:
+                self._job_by_id.pop(row_key.key.partition("/")[2], None)
+        self._put_rows(rows.values())
+
+    def _scan_page(self) -> None:
+        if self._scan_queue_index >= len(self._queues):
+            self._finish_scan()
+            return
+        prefix = self._queues[self._scan_queue_index] + "/"
+        page = self._table.scan("jobs", prefix, self._scan_after_key, SCAN_PAGE_ROWS)
+        if isinstance(page, Unavailable):
+            return
+        self._put_rows(page.rows)
+        if page.next_after_key is not None:
+            self._scan_after_key = page.next_after_key
+            return
+        self._scan_queue_index += 1
+        self._scan_after_key = ""
+        if self._scan_queue_index >= len(self._queues):
+            self._finish_scan()
+
+    def _finish_scan(self) -> None:
+        self._is_scanning = False
+        self.is_loaded = True
+
+    def _put_rows(self, rows: Iterable[Row]) -> None:
+        for row in rows:
+            queue, _, job_id = row.row_key.key.partition("/")
+            self.put(Job(queue, job_id, row.version, cast(JobRow, row.value)))
--- /dev/null
+++ b/catkinport/controller/leases.py
@@ -0,0 +1,182 @@
+"""Renews the leases of tasks and takes in the workers' reports."""
+
+import logging
+
+from ..ports import TaskReport, TaskState, Unavailable
+from ..runtime import log_event
+from ..state import JobState, VmState
+from .pool_state import LEASE_SECONDS, LEASE_WAIT_SECONDS, PoolState, Task, WorkerLink
+from .services import Services
+
+logger = logging.getLogger(__name__)
+
+RENEWAL_SECONDS = 10.0
+SOON_SECONDS = 0.5
+"""Period of calls to a worker whose task was asked to end, because work waits for
+its room."""
+
+ADOPTED_WAIT_SECONDS = 20.0
+"""A start that the previous owner sent has been answered or has timed out by then."""
+
+
+class LeaseKeeper:
+    """Keeps contact with the workers of a pool.
+
+    Args:
+        services: ports.
+        state: state of the pool.
+        renewal_seconds: period of the calls to each worker.
+    """
+
+    def __init__(
+        self,
+        services: Services,
+        state: PoolState,
+        renewal_seconds: float = RENEWAL_SECONDS,
+    ) -> None:
+        self._services = services
+        self._state = state
+        self._renewal_seconds = renewal_seconds
+        self._planned: set[tuple[str, int, str]] = set()
+
+    def expect_start(self, job_id: str, attempt: int, vm_id: str) -> None:
+        """Note an attempt that this owner is about to commit and then starts."""
+        self._planned.add((job_id, attempt, vm_id))
+
+    def sync(self) -> None:
+        """Match contacts with VMs and tasks with the jobs that run."""
+        self._sync_links()
+        self._sync_tasks()
+
+    def renew_due(self) -> None:
+        """Call each worker that is due, then take in its reports."""
+        now = self._services.clock.now()
+        due = [link for link in self._state.link_by_vm.values() if self._is_due(link)]
+        calls = [lambda link=link: self._call(link, now) for link in due]
+        answers = self._services.run_all(calls)
+        for link, answer in zip(due, answers, strict=True):
+            self._take_answer(link, now, answer)
+
+    def _sync_links(self) -> None:
+        state = self._state
+        now = self._services.clock.now()
+        for vm_id, vm in state.vm_by_id.items():
+            address = vm.row["worker_address"]
+            link = state.link_by_vm.get(vm_id)
+            if not address:
+                state.link_by_vm.pop(vm_id, None)
+            elif link is None or link.address != address:
+                state.link_by_vm[vm_id] = WorkerLink(vm_id, address, now)
+        for vm_id in state.link_by_vm.keys() - state.vm_by_id.keys():
+            del state.link_by_vm[vm_id]
+
+    def _sync_tasks(self) -> None:
+        state = self._state
+        for job in state.book.list_jobs(JobState.RUNNING):
+            task = state.task_by_job.get(job.job_id)
+            if task is None or task.attempt != job.row["attempt"]:
+                vm_id, attempt = job.row["worker_vm"], job.row["attempt"]
+                state.task_by_job[job.job_id] = self._new_task(
+                    job.job_id, attempt, vm_id
+                )
+        for job_id, task in list(state.task_by_job.items()):
+            job = state.job_of(task)
+            if job is None or job.row["state"] != JobState.RUNNING:
+                del state.task_by_job[job_id]
+
+    def _new_task(self, job_id: str, attempt: int, vm_id: str) -> Task:
+        now = self._services.clock.now()
+        task = Task(job_id, attempt, vm_id, now, now, checkpointed_at=now)
+        if (job_id, attempt, vm_id) in self._planned:
+            self._planned.discard((job_id, attempt, vm_id))
+            task.needs_start = True
+            return task
+        # The previous owner may have renewed the lease just before it stopped.
+        task.lease_until = now + LEASE_WAIT_SECONDS
+        task.absent_after = now + ADOPTED_WAIT_SECONDS
+        return task
+
+    def _is_due(self, link: WorkerLink) -> bool:
+        now = self._services.clock.now()
+        if now >= link.next_call_at:
+            return True
+        is_awaited = any(task.ending for task in self._state.tasks_on(link.vm_id))
+        return is_awaited and now >= link.next_call_at - (
+            self._renewal_seconds - SOON_SECONDS
+        )
+
+    def _call(self, link: WorkerLink, now: float) -> list[TaskReport] | Unavailable:
+        # A silent worker is only asked: renewals that may still arrive would keep its
+        # leases from certainly ending.
+        is_silent = link.is_silent(now)
+        tasks = [] if is_silent else self._state.tasks_on(link.vm_id)
+        job_ids = [task.job_id for task in tasks if not task.needs_start]
+        epoch = self._state.ownership.epoch
+        return self._services.workers.renew_leases(
+            link.address, epoch, job_ids, LEASE_SECONDS
+        )
+
+    def _take_answer(
+        self, link: WorkerLink, sent_at: float, answer: list[TaskReport] | Unavailable
+    ) -> None:
+        now = self._services.clock.now()
+        link.next_call_at = now + self._renewal_seconds
+        tasks = self._state.tasks_on(link.vm_id)
+        is_failed = isinstance(answer, Unavailable)
+        may_be_renewed = not is_failed or answer.may_have_committed
+        if may_be_renewed and not link.is_silent(sent_at):
+            for task in tasks:
+                if not task.needs_start:
+                    task.lease_until = now + LEASE_WAIT_SECONDS
+        if isinstance(answer, Unavailable):
+            log_event(
+                logger,
+                "worker did not answer",
+                vm=link.vm_id,
+                step=answer.step,
+                peer=answer.peer,
+                reason=str(answer.reason),
+            )
+            return
+        link.last_answer_at = now
+        link.has_answered = True
+        self._take_reports(link, sent_at, answer)
+
+    def _take_reports(
+        self, link: WorkerLink, sent_at: float, reports: list[TaskReport]
+    ) -> None:
+        report_by_attempt = {(r.job_id, r.attempt): r for r in reports}
+        for task in self._state.tasks_on(link.vm_id):
+            report = report_by_attempt.pop((task.job_id, task.attempt), None)
+            if report is None:
+                task.is_absent = sent_at > task.absent_after
+                continue
+            task.is_absent = False
+            task.report = report
+            if not task.has_ended:
+                task.needs_start = False
+        for report in report_by_attempt.values():
+            if report.state in (TaskState.RUNNING, TaskState.THROTTLED):
+                self._stop_orphan(link, report)
+
+    def _stop_orphan(self, link: WorkerLink, report: TaskReport) -> None:
+        """Stop an attempt that the job's row no longer names."""
+        if not self._state.book.is_loaded or link.vm_id not in self._state.vm_by_id:
+            return
+        if self._state.vm_by_id[link.vm_id].row["state"] == VmState.REBOOTING:
+            return
+        known = self._state.book.get(report.job_id)
+        if known is not None and known.row["attempt"] < report.attempt:
+            # The cache lags behind the row.
+            self._state.book.notice(known.queue, report.job_id)
+            return
+        log_event(
+            logger,
+            "stopping an attempt that is not current",
+            vm=link.vm_id,
+            job_id=report.job_id,
+            attempt=report.attempt,
+        )
+        self._services.workers.stop_task(
+            link.address, report.job_id, report.attempt, self._state.ownership.epoch
+        )
--- a/catkinport/controller/ownership.py
+++ b/catkinport/controller/ownership.py
@@ -114,9 +114,7 @@
             del self._left_since_by_id[member_id]
         return live_ids
 
-    def _drop_lost(
-        self, snapshot: Snapshot, rows: Mapping[RowKey, Row]
-    ) -> list[str]:
+    def _drop_lost(self, snapshot: Snapshot, rows: Mapping[RowKey, Row]) -> list[str]:
         lost = []
         for pool, ownership in list(self._ownership_by_pool.items()):
             row = rows.get(owner_key(pool))
@@ -136,16 +134,15 @@
         if owner_id and owner_id not in live_ids:
             seconds_left = now - self._left_since_by_id.setdefault(owner_id, now)
         seconds_live_by_id = {
-            member_id: now - since for member_id, since in self._live_since_by_id.items()
+            member_id: now - since
+            for member_id, since in self._live_since_by_id.items()
         }
         view = OwnershipView(
             pool, snapshot.member_id, owner_id, seconds_live_by_id, seconds_left
         )
         return decide_ownership(view)
 
-    def _take(
-        self, snapshot: Snapshot, pool: str, row: Row | None
-    ) -> Ownership | None:
+    def _take(self, snapshot: Snapshot, pool: str, row: Row | None) -> Ownership | None:
         key = owner_key(pool)
         epoch = (row.value["epoch"] if row else 0) + 1
         value = {"member_id": snapshot.member_id, "epoch": epoch}
@@ -159,9 +156,9 @@
             return self._own(pool, snapshot, epoch, outcome.versions_by_row_key[key])
         if isinstance(outcome, Unavailable) and outcome.may_have_committed:
             rows = self._table.read([key])
-            if not isinstance(rows, Unavailable) and key in rows:
-                if rows[key].value == value:
-                    return self._own(pool, snapshot, epoch, rows[key].version)
+            seen = None if isinstance(rows, Unavailable) else rows.get(key)
+            if seen is not None and seen.value == value:
+                return self._own(pool, snapshot, epoch, seen.version)
         return None
 
     def _adopt(self, snapshot: Snapshot, row: Row) -> Ownership:
--- /dev/null
+++ b/catkinport/controller/rounds.py
@@ -0,0 +1,265 @@
+"""Placement rounds: one transaction over jobs and allowances."""
+
+from collections.abc import Mapping, Sequence
+
+from ..policy.placement import (
+    PlacementPlan,
+    PlacementProblem,
+    Resources,
+    RunningTask,
+    Start,
+    TeamView,
+    WaitingJob,
+    WorkerView,
+    plan_placement,
+)
+from ..ports import Condition, Transaction, Unavailable, Write
+from ..state import JobRow, JobState
+from . import transitions
+from .allowances import Allowance, AllowanceKeeper
+from .job_book import Job
+from .job_commits import (
+    JobChange,
+    commit_changes,
+    job_conditions,
+    job_writes,
+    take_outcome,
+)
+from .leases import LeaseKeeper
+from .outcomes import end_task
+from .pool_state import PoolState, Task
+from .services import Services
+
+MAX_STARTS_PER_ROUND = 100
+
+
+class PlacementRound:
+    """Places the waiting jobs of a pool.
+
+    Args:
+        services: ports.
+        state: state of the pool.
+        leases: is told of the attempts that are about to be committed.
+        allowances: the pool's part of the upper limits.
+    """
+
+    def __init__(
+        self,
+        services: Services,
+        state: PoolState,
+        leases: LeaseKeeper,
+        allowances: AllowanceKeeper,
+    ) -> None:
+        self._services = services
+        self._state = state
+        self._leases = leases
+        self._allowances = allowances
+
+    def step(self) -> None:
+        """Plan a round and carry it out."""
+        waiting = self._list_waiting()
+        if not waiting:
+            return
+        started_at = self._services.clock.now()
+        teams = {job.row["team"] for job in waiting}
+        allowances = self._allowances.read(teams)
+        if isinstance(allowances, Unavailable):
+            return
+        problem = self._build_problem(waiting, allowances)
+        plan = plan_placement(problem)
+        self._commit_starts(plan.starts, allowances)
+        self._make_room(plan)
+        self._observe_round(started_at, waiting, plan)
+
+    def park_impossible(self) -> None:
+        """Park jobs that are larger than every worker of the pool or than the limit."""
+        capacities = [_capacity(vm.row) for vm in self._state.vm_by_id.values()]
+        if not capacities:
+            return
+        largest = Resources(
+            *(max(amounts) for amounts in zip(*capacities, strict=True))
+        )
+        now = self._services.unix_time()
+        changes = []
+        for job in self._list_waiting():
+            reason = self._impossible_reason(job, capacities, largest)
+            if reason:
+                parked = transitions.finish(job.row, JobState.PARKED, now, reason)
+                changes.append(JobChange(job, parked))
+        commit_changes(self._services.table, self._state, changes)
+
+    def _list_waiting(self) -> list[Job]:
+        queued = self._state.book.list_jobs(JobState.QUEUED)
+        return [job for job in queued if not job.row["is_cancel_requested"]]
+
+    def _impossible_reason(
+        self, job: Job, capacities: Sequence[Resources], largest: Resources
+    ) -> str:
+        request = _request(job.row)
+        if not any(_fits(request, capacity) for capacity in capacities):
+            return f"needs {_text(request)}; the largest worker has {_text(largest)}"
+        team = self._state.environment.team_by_name.get(job.row["team"])
+        if team is not None and request.cores > team.max_cores:
+            return f"needs {request.cores:g} cores; the team may use {team.max_cores}"
+        return ""
+
+    def _build_problem(
+        self, waiting: Sequence[Job], allowances: Mapping[str, Allowance]
+    ) -> PlacementProblem:
+        bad_vms = self._state.failures.bad_vms()
+        teams = self._state.environment.team_by_name
+        return PlacementProblem(
+            [self._worker_view(vm_id, bad_vms) for vm_id in self._usable_vms()],
+            [_waiting_job(job) for job in waiting],
+            [self._running_task(task) for task in self._state.task_by_job.values()],
+            {
+                name: TeamView(
+                    name, teams[name].weight, allowance.available(self._state.pool)
+                )
+                for name, allowance in allowances.items()
+            },
+        )
+
+    def _usable_vms(self) -> list[str]:
+        now = self._services.clock.now()
+        usable = []
+        for vm_id, link in sorted(self._state.link_by_vm.items()):
+            is_ready = link.has_answered and not link.is_silent(now)
+            is_active = self._state.vm_by_id[vm_id].is_active
+            if is_ready and is_active and now >= link.avoid_until:
+                usable.append(vm_id)
+        return usable
+
+    def _worker_view(self, vm_id: str, bad_vms: set[str]) -> WorkerView:
+        row = self._state.vm_by_id[vm_id].row
+        capacity = _capacity(row)
+        return WorkerView(vm_id, row["zone"], row["rack"], capacity, vm_id in bad_vms)
+
+    def _running_task(self, task: Task) -> RunningTask:
+        job = self._state.book.get(task.job_id)
+        assert job is not None
+        row = job.row
+        return RunningTask(
+            task.job_id,
+            job.queue,
+            row["team"],
+            task.vm_id,
+            row["is_urgent"],
+            row["is_restartable"],
+            _request(row),
+            self._services.clock.now() - task.checkpointed_at,
+            task.is_throttled,
+            bool(task.ending) or task.needs_start,
+        )
+
+    def _commit_starts(
+        self, starts: Sequence[Start], allowances: Mapping[str, Allowance]
+    ) -> None:
+        now = self._services.unix_time()
+        changes = []
+        for start in starts[:MAX_STARTS_PER_ROUND]:
+            job = self._state.book.get(start.job_id)
+            if job is not None and job.row["state"] == JobState.QUEUED:
+                row = transitions.begin(job.row, job.job_id, start.vm_id, now)
+                changes.append(JobChange(job, row))
+        changes, conditions, writes = self._take_allowances(changes, allowances)
+        if not changes:
+            return
+        for job, row in changes:
+            self._leases.expect_start(job.job_id, row["attempt"], row["worker_vm"])
+        transaction = Transaction(
+            [*job_conditions(self._state, changes), *conditions],
+            [*job_writes(changes), *writes],
+        )
+        outcome = self._services.table.commit(transaction)
+        take_outcome(self._state, changes, outcome)
+        self._leases.sync()
+
+    def _take_allowances(
+        self, changes: Sequence[JobChange], allowances: Mapping[str, Allowance]
+    ) -> tuple[list[JobChange], list[Condition], list[Write]]:
+        """Drop starts above the limit, which holds whatever the policy planned."""
+        needed = self._allowances.used_cores()
+        allowed = []
+        for change in changes:
+            team, cores = change.row["team"], change.row["n_cores"]
+            total = needed.get(team, 0.0) + cores
+            if team not in allowances:
+                continue
+            if self._allowances.take(allowances[team], total) is not None:
+                needed[team] = total
+                allowed.append(change)
+        conditions: list[Condition] = []
+        writes: list[Write] = []
+        for team in {change.row["team"] for change in allowed}:
+            taken = self._allowances.take(allowances[team], needed[team])
+            assert taken is not None
+            conditions += taken[0]
+            writes += taken[1]
+        return allowed, conditions, writes
+
+    def _make_room(self, plan: PlacementPlan) -> None:
+        for throttle in plan.throttles:
+            self._throttle(throttle.job_id, throttle.fraction)
+        for preemption in plan.preemptions:
+            task = self._state.task_by_job.get(preemption.job_id)
+            job = self._state.job_of(task) if task else None
+            # A job that cannot resume would be lost by a stop.
+            if task is None or job is None or not job.row["is_restartable"]:
+                continue
+            how = "checkpoint" if preemption.with_checkpoint else "stop"
+            end_task(self._services, self._state, task, how)
+
+    def _throttle(self, job_id: str, fraction: float) -> None:
+        task = self._state.task_by_job.get(job_id)
+        link = self._state.link_by_vm.get(task.vm_id) if task else None
+        if task is None or link is None or task.needs_start:
+            return
+        epoch = self._state.ownership.epoch
+        outcome = self._services.workers.throttle_task(
+            link.address, job_id, task.attempt, epoch, fraction
+        )
+        if outcome is None:
+            task.is_throttled = fraction < 1.0
+
+    def _observe_round(
+        self, started_at: float, waiting: Sequence[Job], plan: PlacementPlan
+    ) -> None:
+        labels = {"pool": self._state.pool}
+        seconds = self._services.clock.now() - started_at
+        metrics = self._services.metrics
+        metrics.observe("round_seconds", "Time of a placement round.", labels, seconds)
+        n_waiting = len(waiting) - len(plan.starts)
+        metrics.set("jobs_waiting", "Jobs that wait for room.", labels, n_waiting)
+
+
+def _waiting_job(job: Job) -> WaitingJob:
+    row = job.row
+    return WaitingJob(
+        job.job_id,
+        job.queue,
+        row["team"],
+        row["is_urgent"],
+        _request(row),
+        row["submitted_at"],
+        frozenset(row["failed_vms"]),
+    )
+
+
+def _request(row: JobRow) -> Resources:
+    return Resources(row["n_cores"], row["memory_gb"], row["n_accelerators"])
+
+
+def _capacity(row) -> Resources:
+    return Resources(row["n_cores"], row["memory_gb"], row["n_accelerators"])
+
+
+def _fits(request: Resources, capacity: Resources) -> bool:
+    return all(need <= room for need, room in zip(request, capacity, strict=True))
+
+
+def _text(amount: Resources) -> str:
+    return (
+        f"{amount.cores:g} cores, {amount.memory_gb:g} GB, "
+        f"{amount.accelerators:g} accelerators"
+    )
--- a/catkinport/controller/services.py
+++ b/catkinport/controller/services.py
@@ -5,7 +5,7 @@
 from typing import NamedTuple, TypeVar
 
 from ..membership.interface import Membership
-from ..ports import Clock, Table, VmList, Workers
+from ..ports import Clock, ObjectStore, Table, VmList, Workers
 from ..runtime import Metrics
 
 Result = TypeVar("Result")
@@ -29,6 +29,7 @@
         metrics: metrics of the process.
         run_all: calls several functions, possibly at once, and returns the results
             in order.
+        objects: client of the object store, for inputs kept in job rows.
     """
 
     table: Table
@@ -39,6 +40,7 @@
     unix_time: Callable[[], float]
     metrics: Metrics
     run_all: RunAll
+    objects: ObjectStore | None = None
 
 
 def run_in_turn(calls: Iterable[Callable[[], Result]]) -> list[Result]:
--- /dev/null
+++ b/catkinport/controller/starts.py
@@ -0,0 +1,168 @@
+"""Starts committed attempts on their workers."""
+
+import logging
+from typing import NamedTuple
+
+from ..ports import NotRun, Reason, TaskSpecification, Unavailable, Unknown
+from ..runtime import log_event
+from . import transitions
+from .job_book import Job
+from .job_commits import JobChange, commit_changes
+from .pool_state import (
+    LEASE_SECONDS,
+    LEASE_WAIT_SECONDS,
+    PoolState,
+    Task,
+    WorkerLink,
+)
+from .services import Services
+
+logger = logging.getLogger(__name__)
+
+AVOID_SECONDS = 10.0
+"""Time without new tasks for a worker that refused one."""
+
+
+class _Pending(NamedTuple):
+    job: Job
+    task: Task
+    link: WorkerLink
+
+
+class Starter:
+    """Tells workers to run the attempts that a round has committed.
+
+    Args:
+        services: ports.
+        state: state of the pool.
+    """
+
+    def __init__(self, services: Services, state: PoolState) -> None:
+        self._services = services
+        self._state = state
+
+    def start_pending(self) -> None:
+        """Start every attempt that still needs it, and requeue what was refused."""
+        pending, unsent = self._sort_pending()
+        calls = [lambda entry=entry: self._call(entry) for entry in pending]
+        answers = self._services.run_all(calls)
+        refused = [(job, "not started: the worker was lost") for job in unsent]
+        for entry, answer in zip(pending, answers, strict=True):
+            if answer is None:
+                self._take_started(entry)
+            elif isinstance(answer, Unknown):
+                self._take_unknown(entry)
+            elif self._is_refused(entry, answer):
+                refused.append((entry.job, f"not started: {answer.reason}"))
+        changes = [
+            JobChange(job, transitions.requeue(job.row, why)) for job, why in refused
+        ]
+        commit_changes(self._services.table, self._state, changes)
+
+    def _sort_pending(self) -> tuple[list[_Pending], list[Job]]:
+        """Return what to start now, and jobs that were never sent to their worker."""
+        now = self._services.clock.now()
+        pending, unsent = [], []
+        for task in self._state.task_by_job.values():
+            job = self._state.job_of(task)
+            if not task.needs_start or job is None:
+                continue
+            link = self._state.link_by_vm.get(task.vm_id)
+            is_usable = link is not None and not link.is_silent(now)
+            is_wanted = not (task.is_lost or job.row["is_cancel_requested"])
+            if link is not None and is_usable and is_wanted:
+                pending.append(_Pending(job, task, link))
+            elif task.is_unsure:
+                # A report or the loss of the worker decides about the attempt.
+                task.needs_start = False
+            else:
+                unsent.append(job)
+        return pending, unsent
+
+    def _call(self, entry: _Pending) -> None | NotRun | Unknown:
+        specification = self._specify(entry)
+        if specification is None:
+            return NotRun(Reason.STORE_UNAVAILABLE, "input-put")
+        return self._services.workers.start_task(
+            entry.link.address, specification, LEASE_SECONDS
+        )
+
+    def _specify(self, entry: _Pending) -> TaskSpecification | None:
+        row = entry.job.row
+        input_reference = self._store_input(entry.job)
+        if input_reference is None:
+            return None
+        return TaskSpecification(
+            entry.job.job_id,
+            row["attempt"],
+            self._state.ownership.epoch,
+            row["team"],
+            row["command"],
+            input_reference,
+            row["checkpoint_reference"],
+            row["result_reference"],
+            row["n_cores"],
+            row["memory_gb"],
+            row["n_accelerators"],
+            row["run_seconds"],
+        )
+
+    def _store_input(self, job: Job) -> str | None:
+        """Store an input that came in the row; workers read the object store only."""
+        text = job.row.get("input", "")
+        if job.row["input_reference"] or not text or self._services.objects is None:
+            return job.row["input_reference"]
+        name = f"inputs/{job.job_id}"
+        outcome = self._services.objects.put(name, text.encode())
+        return None if isinstance(outcome, Unavailable) else name
+
+    def _take_started(self, entry: _Pending) -> None:
+        now = self._services.clock.now()
+        task, row = entry.task, entry.job.row
+        task.needs_start = False
+        task.is_unsure = False
+        task.absent_after = now
+        task.lease_until = now + LEASE_WAIT_SECONDS
+        task.checkpointed_at = now
+        labels = {
+            "team": row["team"],
+            "class": "urgent" if row["is_urgent"] else "long",
+        }
+        seconds = max(0.0, self._services.unix_time() - row["submitted_at"])
+        self._services.metrics.observe(
+            "job_start_seconds", "Time from submission to start.", labels, seconds
+        )
+
+    def _take_unknown(self, entry: _Pending) -> None:
+        """Keep an attempt whose start got no answer.
+
+        Starting the same attempt again is harmless for a restartable job. Another job
+        waits for a report or for the end of its lease, because the worker may have
+        run the attempt and forgotten it.
+        """
+        now = self._services.clock.now()
+        task = entry.task
+        task.is_unsure = True
+        task.lease_until = now + LEASE_WAIT_SECONDS
+        task.absent_after = now
+        task.needs_start = entry.job.row["is_restartable"]
+        entry.link.next_call_at = now
+
+    def _is_refused(self, entry: _Pending, answer: NotRun) -> bool:
+        log_event(
+            logger,
+            "worker refused a task",
+            job_id=entry.job.job_id,
+            attempt=entry.task.attempt,
+            step=answer.step,
+            peer=answer.peer,
+            reason=str(answer.reason),
+        )
+        if answer.reason == Reason.CONFIGURATION_STALE:
+            return False
+        entry.link.avoid_until = self._services.clock.now() + AVOID_SECONDS
+        if entry.task.is_unsure:
+            # An earlier start of this attempt may have been accepted.
+            entry.task.needs_start = False
+            return False
+        return True
--- /dev/null
+++ b/catkinport/controller/tests/cluster.py
@@ -0,0 +1,249 @@
+"""A pool with fake workers, a fake membership and a clock moved by hand."""
+
+from collections.abc import Callable
+
+from ...fleet.fence import Fence
+from ...fleet.operations import register_vm
+from ...membership.interface import MemberRecord, Snapshot
+from ...ports import (
+    ListedVm,
+    ManualClock,
+    NotRun,
+    Reason,
+    Table,
+    Unavailable,
+    Unknown,
+    VmStatus,
+    Write,
+)
+from ...ports.table import Transaction
+from ...runtime import Metrics
+from ...settings.environment import Environment, Maintenance, Pool, Queue, Team
+from ...standins import MemoryTable, MemoryVmList
+from ...standins._tasks import TaskTable
+from ...state import GENERATION, JobRow, job_key, owner_key
+from ..ownership import Ownership
+from ..pool_manager import PoolManager
+from ..services import Services, run_in_turn
+
+UNIX_START = 1_800_000_000.0
+
+
+class FakeWorkers:
+    """Workers behind the port; faults are sets of addresses."""
+
+    def __init__(self, clock: ManualClock) -> None:
+        self.clock = clock
+        self.tasks_by_address: dict[str, TaskTable] = {}
+        self.down: set[str] = set()
+        self.loses_start_answers: set[str] = set()
+        self.drops_starts: set[str] = set()
+        self.failing: set[str] = set()
+        self.n_calls = 0
+
+    def table(self, address: str) -> TaskTable:
+        return self.tasks_by_address.setdefault(address, TaskTable(self.clock))
+
+    def starts(self, job_id: str) -> int:
+        tables = self.tasks_by_address.values()
+        events = [event for table in tables for event in table.events]
+        return sum(e.job_id == job_id and e.event == "started" for e in events)
+
+    def running(self) -> list[str]:
+        return [
+            report.job_id
+            for address, table in self.tasks_by_address.items()
+            if address not in self.down
+            for report in table.list_reports()
+            if report.state in ("running", "throttled")
+        ]
+
+    def start_task(self, address, task, lease_seconds):
+        self.n_calls += 1
+        if address in self.down:
+            return NotRun(Reason.CONNECT_FAILED, "task-start", address)
+        if address in self.drops_starts:
+            return Unknown(Reason.TIMEOUT, "task-start", address)
+        is_failing = address in self.failing
+        started = self.table(address).start(task, lease_seconds, 0.0, is_failing)
+        if address in self.loses_start_answers:
+            return Unknown(Reason.TIMEOUT, "task-start", address)
+        return None if started else NotRun(Reason.NOT_OWNER, "task-start", address)
+
+    def renew_leases(self, address, epoch, job_ids, lease_seconds):
+        self.n_calls += 1
+        if address in self.down:
+            return Unavailable(Reason.CONNECT_FAILED, "lease-renew", address)
+        self.table(address).renew(epoch, list(job_ids), lease_seconds)
+        return self.table(address).list_reports()
+
+    def checkpoint_task(self, address, job_id, attempt, epoch):
+        return self._change(address, job_id, "checkpoint", attempt, epoch)
+
+    def throttle_task(self, address, job_id, attempt, epoch, fraction):
+        return self._change(address, job_id, "throttle", attempt, epoch, fraction)
+
+    def stop_task(self, address, job_id, attempt, epoch):
+        return self._change(address, job_id, "stop", attempt, epoch)
+
+    def _change(self, address, job_id, operation, attempt, epoch, fraction=1.0):
+        self.n_calls += 1
+        if address in self.down:
+            return Unavailable(Reason.CONNECT_FAILED, operation, address)
+        body = {"attempt": attempt, "epoch": epoch, "fraction": fraction}
+        self.table(address).change(job_id, operation, body)
+        return None
+
+
+class FakeMembership:
+    """Membership whose snapshot a test sets."""
+
+    def __init__(self, member_id: str, environment: Environment, cluster) -> None:
+        self.member_id = member_id
+        self.environment = environment
+        self.cluster = cluster
+        self.lease_expires_at = float("inf")
+
+    def snapshot(self) -> Snapshot:
+        rows = self.cluster.table.read([GENERATION])
+        generation = rows[GENERATION].value["generation"] if rows else 0
+        return Snapshot(
+            self.member_id,
+            self.lease_expires_at,
+            1,
+            self.environment,
+            "",
+            generation,
+            self.cluster.member_by_id,
+            True,
+        )
+
+
+class Cluster:
+    """A fleet with one spare pool and any number of pools.
+
+    Args:
+        max_cores: upper limit of each team.
+        max_unavailable: availability budget of each pool.
+        pools: names of the pools; each has a queue of the same name.
+        wrap_table: wraps the table that managers use, to inject faults.
+    """
+
+    def __init__(
+        self,
+        max_cores: int = 1000,
+        max_unavailable: int = 2,
+        pools: tuple[str, ...] = ("p",),
+        wrap_table: Callable[[MemoryTable], Table] = lambda table: table,
+    ) -> None:
+        self.clock = ManualClock(1000.0)
+        self.table = MemoryTable()
+        self.manager_table = wrap_table(self.table)
+        self.vm_list = MemoryVmList(self.clock)
+        self.workers = FakeWorkers(self.clock)
+        self.member_by_id: dict[str, MemberRecord] = {}
+        self.environment = Environment(
+            {name: Team(name, 1.0, 10, max_cores) for name in ("a", "b")},
+            {},
+            {},
+            {},
+            {},
+            {n: Queue(n, False, False, "", n, (), "") for n in pools},
+            {n: Pool(n, max_unavailable, False, 0) for n in pools},
+            Maintenance(56.0, 60.0, 60.0),
+        )
+
+    def add_member(self, member_id: str, is_evicted: bool = False) -> None:
+        self.member_by_id[member_id] = MemberRecord(
+            member_id, "controller", "", "", "z", is_evicted
+        )
+
+    def membership(self, member_id: str) -> FakeMembership:
+        return FakeMembership(member_id, self.environment, self)
+
+    def services(self, membership: FakeMembership) -> Services:
+        return Services(
+            self.manager_table,
+            self.vm_list,
+            self.workers,
+            membership,
+            self.clock,
+            lambda: UNIX_START + self.clock.now(),
+            Metrics(),
+            run_in_turn,
+        )
+
+    def own(self, pool: str = "p", member_id: str = "c-1") -> PoolManager:
+        """Write the owner's row and return a manager of the pool."""
+        rows = self.table.read([owner_key(pool)])
+        epoch = rows[owner_key(pool)].value["epoch"] + 1 if rows else 1
+        value = {"member_id": member_id, "epoch": epoch}
+        outcome = self.table.commit(Transaction([], [Write(owner_key(pool), value)]))
+        version = outcome.versions_by_row_key[owner_key(pool)]
+        ownership = Ownership(pool, member_id, epoch, Fence(pool, version))
+        membership = self.membership(member_id)
+        manager = PoolManager(
+            self.services(membership), ownership, membership.snapshot()
+        )
+        self._give_list(manager)
+        return manager
+
+    def add_vm(self, vm_id: str, pool: str = "p", rack: str = "r", cores: float = 8.0):
+        listed = ListedVm(
+            vm_id, VmStatus.LIVE, "z", rack, f"w-{vm_id}", "", "1", cores, 64.0, 0
+        )
+        self.vm_list.put(listed._asdict())
+        register_vm(self.table, listed, pool, f"register-{vm_id}", UNIX_START)
+
+    def set_status(self, vm_id: str, status: VmStatus) -> None:
+        vm_by_id = {vm.vm_id: vm for vm in self.vm_list.list_vms()}
+        self.vm_list.put({**vm_by_id[vm_id]._asdict(), "status": status})
+
+    def submit(self, job_id: str, queue: str = "p", **changes) -> None:
+        row: JobRow = {
+            "team": "a",
+            "account": "",
+            "command": "sleep",
+            "n_cores": 4.0,
+            "memory_gb": 8.0,
+            "n_accelerators": 0,
+            "run_seconds": 20.0,
+            "is_restartable": True,
+            "is_urgent": False,
+            "input_reference": "",
+            "state": "queued",
+            "attempt": 0,
+            "worker_vm": "",
+            "checkpoint_reference": "",
+            "result_reference": "",
+            "reason": "",
+            "is_cancel_requested": False,
+            "failed_vms": [],
+            "n_moves": 0,
+            "submitted_at": UNIX_START + self.clock.now(),
+            "started_at": 0.0,
+            "finished_at": 0.0,
+            **changes,
+        }
+        self.write_job(job_id, queue, row)
+
+    def write_job(self, job_id: str, queue: str, row) -> None:
+        self.table.commit(Transaction([], [Write(job_key(queue, job_id), dict(row))]))
+
+    def cancel(self, job_id: str, queue: str = "p") -> None:
+        row = {**self.job(job_id, queue), "is_cancel_requested": True}
+        self.write_job(job_id, queue, row)
+
+    def job(self, job_id: str, queue: str = "p"):
+        return self.table.read([job_key(queue, job_id)])[job_key(queue, job_id)].value
+
+    def run(self, *managers: PoolManager, seconds: float, period: float = 0.5):
+        """Step the managers until ``seconds`` have passed."""
+        for _ in range(round(seconds / period)):
+            for manager in managers:
+                self._give_list(manager)
+                manager.step()
+            self.clock.advance(period)
+
+    def _give_list(self, manager: PoolManager) -> None:
+        manager.set_listed_vms({vm.vm_id: vm for vm in self.vm_list.list_vms()})
--- /dev/null
+++ b/catkinport/controller/transitions.py
@@ -0,0 +1,95 @@
+"""Pure changes of a job's row; none modifies its argument."""
+
+from ..state import JobRow, JobState
+
+MAX_FAILED_WORKERS = 3
+"""A job that failed on this many good workers is at fault itself."""
+
+
+def begin(row: JobRow, job_id: str, vm_id: str, now: float) -> JobRow:
+    """Return the row of a new attempt on ``vm_id``, started at Unix time ``now``."""
+    attempt = row["attempt"] + 1
+    return {
+        **row,
+        "state": JobState.RUNNING,
+        "attempt": attempt,
+        "worker_vm": vm_id,
+        "result_reference": f"results/{job_id}/{attempt}",
+        "reason": "",
+        "started_at": now,
+    }
+
+
+def requeue(
+    row: JobRow, reason: str, checkpoint_reference: str = "", is_move: bool = False
+) -> JobRow:
+    """Return the row waiting for a new attempt, from its last checkpoint."""
+    return {
+        **row,
+        "state": JobState.QUEUED,
+        "worker_vm": "",
+        "result_reference": "",
+        "checkpoint_reference": checkpoint_reference or row["checkpoint_reference"],
+        "reason": reason,
+        "n_moves": row["n_moves"] + is_move,
+    }
+
+
+def finish(row: JobRow, state: JobState, now: float, reason: str = "") -> JobRow:
+    """Return the row in a final ``state``; only a done job keeps its result."""
+    result = row["result_reference"] if state == JobState.DONE else ""
+    return {
+        **row,
+        "state": state,
+        "worker_vm": "",
+        "result_reference": result,
+        "reason": reason,
+        "finished_at": now,
+    }
+
+
+def lose(row: JobRow, reason: str, now: float) -> JobRow:
+    """Return the row of an attempt that ended without a report.
+
+    A job that is not restartable may have run, so it never runs again.
+    """
+    if not row["is_restartable"]:
+        return finish(row, JobState.UNKNOWN, now, reason)
+    if row["is_cancel_requested"]:
+        return finish(row, JobState.CANCELLED, now, reason)
+    return requeue(row, reason)
+
+
+def stop(
+    row: JobRow, reason: str, checkpoint_reference: str, is_move: bool, now: float
+) -> JobRow:
+    """Return the row of an attempt that its worker stopped or checkpointed."""
+    if row["is_cancel_requested"]:
+        return finish(row, JobState.CANCELLED, now, "cancelled on request")
+    if not row["is_restartable"]:
+        return finish(row, JobState.UNKNOWN, now, reason)
+    return requeue(row, reason, checkpoint_reference, is_move)
+
+
+def fail(row: JobRow, reason: str, n_good_workers: int, bad_vms: set[str], now: float):
+    """Return the row of an attempt that failed on its worker.
+
+    Args:
+        row: the job's row.
+        reason: what the worker reported.
+        n_good_workers: workers of the pool that are not quarantined; a small pool
+            cannot offer three of them.
+        bad_vms: quarantined workers, whose failures do not count against the job.
+        now: seconds since the Unix epoch.
+    """
+    failed_vms = list(dict.fromkeys([*row["failed_vms"], row["worker_vm"]]))
+    failed: JobRow = {**row, "failed_vms": failed_vms}
+    if row["is_cancel_requested"]:
+        return finish(failed, JobState.CANCELLED, now, reason)
+    if not row["is_restartable"]:
+        return finish(failed, JobState.FAILED, now, reason)
+    n_failed = sum(vm_id not in bad_vms for vm_id in failed_vms)
+    if n_failed >= max(1, min(MAX_FAILED_WORKERS, n_good_workers)):
+        text = f"failed on {n_failed} good workers; last failure: {reason}"
+        return finish(failed, JobState.PARKED, now, text)
+    return requeue(failed, reason)
--- a/catkinport/fleet/change.py
+++ b/catkinport/fleet/change.py
@@ -150,7 +150,9 @@
         return VmConflict(change.vm_id, version)
     if isinstance(decision, Refused):
         return decision
-    plan = decision._replace(vm=cast(VmRow, {**decision.vm, "last_token": change.token}))
+    plan = decision._replace(
+        vm=cast(VmRow, {**decision.vm, "last_token": change.token})
+    )
     return _commit(table, change, reading, plan)
 
 
