--- a/catkinport/standins/_table.py
+++ b/catkinport/standins/_table.py
@@ -16,6 +16,9 @@
     Transaction,
 )
 
+# Tables whose every write is kept, so that a check can look at each instant.
+RECORDED_TABLES = frozenset({"pools", "vms", "owners"})
+
 
 class MemoryTable:
     """Implements the table port in memory; also a fake for unit tests.
@@ -37,6 +40,12 @@
         self._row_by_key: dict[RowKey, Row] = {}
         self._sorted_keys_by_table: dict[str, list[str]] = {}
         self._sequence = 0
+        self._history: list[tuple[str, int, str, dict | None]] = []
+
+    def list_history(self, table: str) -> list[tuple[int, str, dict | None]]:
+        """Return version, key and value of every write of a recorded table."""
+        with self._lock:
+            return [entry[1:] for entry in self._history if entry[0] == table]
 
     def read(self, row_keys: Sequence[RowKey]) -> dict[RowKey, Row]:
         """Return the rows that exist among ``row_keys``."""
@@ -89,6 +98,8 @@
         return conflicts
 
     def _apply(self, row_key: RowKey, value: dict | None) -> None:
+        if row_key.table in RECORDED_TABLES:
+            self._history.append((row_key.table, self._sequence, row_key.key, value))
         keys = self._sorted_keys_by_table.setdefault(row_key.table, [])
         is_known = row_key in self._row_by_key
         if value is None:
--- a/catkinport/standins/backend_server.py
+++ b/catkinport/standins/backend_server.py
@@ -93,32 +93,33 @@
         if self.faults["is_refusing"] or not self._slots.acquire(blocking=False):
             headers = {"Retry-After": "1", "Catkin-Not-Run": "true"}
             return json_answer(503, {"error": "no free slot"}, headers)
+        execution = self._record_start(request, body)
         try:
-            self._record_start(request, body)
             self._work(request)
         finally:
             with self._lock:
                 self._n_running -= 1
+                execution["ended_at"] = time.time()
             self._slots.release()
         return self._answer(request, path, body)
 
-    def _record_start(self, request: HttpRequest, body: bytes) -> None:
+    def _record_start(self, request: HttpRequest, body: bytes) -> dict:
+        execution = {
+            "request_id": request.headers.get("catkin-request-id", ""),
+            "team": request.headers.get("catkin-team", ""),
+            "idempotency_key": request.headers.get("idempotency-key", ""),
+            "operation": request.query.get("operation", ""),
+            "method": request.method,
+            "body_bytes": len(body),
+            "started_at": time.time(),
+            "ended_at": 0.0,
+        }
         with self._lock:
             self._n_running += 1
             self._max_running = max(self._max_running, self._n_running)
-            if len(self._executions) >= MAX_EXECUTIONS_KEPT:
-                return
-            self._executions.append(
-                {
-                    "request_id": request.headers.get("catkin-request-id", ""),
-                    "team": request.headers.get("catkin-team", ""),
-                    "idempotency_key": request.headers.get("idempotency-key", ""),
-                    "operation": request.query.get("operation", ""),
-                    "method": request.method,
-                    "body_bytes": len(body),
-                    "started_at": time.time(),
-                }
-            )
+            if len(self._executions) < MAX_EXECUTIONS_KEPT:
+                self._executions.append(execution)
+        return execution
 
     def _work(self, request: HttpRequest) -> None:
         seconds = float(request.query.get("seconds", self.faults["work_seconds"]))
--- a/catkinport/standins/platform.py
+++ b/catkinport/standins/platform.py
@@ -125,6 +125,10 @@
         def show_counts(request: HttpRequest) -> HttpAnswer:
             return json_answer(200, dict(self._counts))
 
+        @router.route("GET", "/standin/history/{table}")
+        def show_history(request: HttpRequest, table: str) -> HttpAnswer:
+            return json_answer(200, {"changes": self.table.list_history(table)})
+
     def _add_object_routes(self, router: Router) -> None:
         @router.route("PUT", "/objects/{name*}")
         def put(request: HttpRequest, name: str) -> HttpAnswer:
--- /dev/null
+++ b/verification/__init__.py
@@ -0,0 +1,1 @@
+"""Fault schedules against real processes, with histories checked against promises."""
