--- /dev/null
+++ b/verification/processes.py
@@ -0,0 +1,142 @@
+"""Starts, pauses, kills and measures the processes of a trial deployment."""
+
+import os
+import signal
+import subprocess
+import sys
+import tempfile
+import threading
+import time
+from collections.abc import Sequence
+from pathlib import Path
+from typing import NamedTuple
+
+READY_TIMEOUT_SECONDS = 30.0
+CLOCK_TICKS_PER_SECOND = os.sysconf("SC_CLK_TCK")
+PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
+
+
+class Usage(NamedTuple):
+    """Processor time and resident memory of a process."""
+
+    cpu_seconds: float
+    resident_mb: float
+
+
+class ManagedProcess:
+    """A process of the trial, with its output in a file.
+
+    Args:
+        name: name for messages.
+        arguments: module to run and its arguments, without the interpreter.
+        log_path: file that takes standard output and standard error.
+    """
+
+    def __init__(self, name: str, arguments: Sequence[str], log_path: Path) -> None:
+        self.name = name
+        self.log_path = log_path
+        self._log = log_path.open("wb")
+        environment = {**os.environ, "PYTHONUNBUFFERED": "1"}
+        self._process = subprocess.Popen(
+            [sys.executable, "-m", *arguments],
+            stdout=self._log,
+            stderr=subprocess.STDOUT,
+            env=environment,
+        )
+
+    @property
+    def is_running(self) -> bool:
+        """Whether the process has not ended."""
+        return self._process.poll() is None
+
+    def wait_for_line(self, start: str, n_lines: int = 1) -> list[str]:
+        """Wait for ``n_lines`` lines of output that begin with ``start``.
+
+        Returns:
+            The rest of each of these lines.
+
+        Raises:
+            RuntimeError: if the process ends or the lines do not come in time.
+        """
+        deadline = time.monotonic() + READY_TIMEOUT_SECONDS
+        while time.monotonic() < deadline:
+            lines = self.log_path.read_text(errors="replace").splitlines()
+            found = [line[len(start) :] for line in lines if line.startswith(start)]
+            if len(found) >= n_lines:
+                return found
+            if not self.is_running:
+                break
+            time.sleep(0.02)
+        tail = self.log_path.read_text(errors="replace")[-2000:]
+        raise RuntimeError(f"{self.name} did not print {start!r}; its output: {tail}")
+
+    def send_signal(self, signal_number: int) -> None:
+        """Send a signal to the process, if it still runs."""
+        if self.is_running:
+            self._process.send_signal(signal_number)
+
+    def kill(self) -> None:
+        """Kill the process and wait for its end."""
+        self.send_signal(signal.SIGKILL)
+        self._process.wait()
+
+    def terminate(self, timeout_seconds: float = 30.0) -> int:
+        """Ask the process to stop; kill it after the timeout.
+
+        Returns:
+            The exit status, negative when a signal ended the process.
+        """
+        self.send_signal(signal.SIGTERM)
+        try:
+            return self._process.wait(timeout_seconds)
+        except subprocess.TimeoutExpired:
+            self.kill()
+            return -signal.SIGKILL
+
+    def measure(self) -> Usage:
+        """Return what the process has used since its start."""
+        stat = Path(f"/proc/{self._process.pid}/stat").read_text()
+        fields = stat.rpartition(")")[2].split()
+        ticks = int(fields[11]) + int(fields[12])
+        pages = int(Path(f"/proc/{self._process.pid}/statm").read_text().split()[1])
+        return Usage(ticks / CLOCK_TICKS_PER_SECOND, pages * PAGE_BYTES / (1024 * 1024))
+
+
+class ProcessGroup:
+    """All processes of a trial; ends every one of them when it is closed."""
+
+    def __init__(self) -> None:
+        self._folder = tempfile.TemporaryDirectory(prefix="catkinport-")
+        self._processes: list[ManagedProcess] = []
+        self._lock = threading.Lock()
+
+    def __enter__(self) -> "ProcessGroup":
+        """Return the group."""
+        return self
+
+    def __exit__(self, *exception_info: object) -> None:
+        """End all processes."""
+        self.close()
+
+    @property
+    def folder(self) -> Path:
+        """Folder for settings and output, removed at the end."""
+        return Path(self._folder.name)
+
+    def start(self, name: str, arguments: Sequence[str]) -> ManagedProcess:
+        """Start a Python module as a process."""
+        with self._lock:
+            log_path = self.folder / f"{name}-{len(self._processes)}.log"
+            process = ManagedProcess(name, arguments, log_path)
+            self._processes.append(process)
+        return process
+
+    def close(self) -> None:
+        """End all processes and remove the folder."""
+        for process in self._processes:
+            # A paused process would not see the signal.
+            process.send_signal(signal.SIGCONT)
+            process.send_signal(signal.SIGTERM)
+        for process in self._processes:
+            process.terminate(timeout_seconds=5.0)
+        self._folder.cleanup()
