Add the controller's actors and failure tests of jobs

Cause of the one fault found: renewals kept extending the lease of a start whose answer was lost, so that a job that must not run twice never became unknown. Such a task is no longer renewed until a report shows it.

--- a/catkinport/controller/leases.py
+++ b/catkinport/controller/leases.py
@@ -5,12 +5,11 @@
 from ..ports import TaskReport, TaskState, Unavailable
 from ..runtime import log_event
 from ..state import JobState, VmState
-from .pool_state import LEASE_SECONDS, LEASE_WAIT_SECONDS, PoolState, Task, WorkerLink
+from .pool_state import PoolState, Task, WorkerLink
 from .services import Services
 
 logger = logging.getLogger(__name__)
 
-RENEWAL_SECONDS = 10.0
 SOON_SECONDS = 0.5
 """Period of calls to a worker whose task was asked to end, because work waits for
 its room."""
@@ -25,18 +24,12 @@
     Args:
         services: ports.
         state: state of the pool.
-        renewal_seconds: period of the calls to each worker.
     """
 
-    def __init__(
-        self,
-        services: Services,
-        state: PoolState,
-        renewal_seconds: float = RENEWAL_SECONDS,
-    ) -> None:
+    def __init__(self, services: Services, state: PoolState) -> None:
         self._services = services
         self._state = state
-        self._renewal_seconds = renewal_seconds
+        self._timing = services.timing
         self._planned: set[tuple[str, int, str]] = set()
 
     def expect_start(self, job_id: str, attempt: int, vm_id: str) -> None:
@@ -66,7 +59,9 @@
             if not address:
                 state.link_by_vm.pop(vm_id, None)
             elif link is None or link.address != address:
-                state.link_by_vm[vm_id] = WorkerLink(vm_id, address, now)
+                state.link_by_vm[vm_id] = WorkerLink(
+                    vm_id, address, now, self._timing.silent_seconds
+                )
         for vm_id in state.link_by_vm.keys() - state.vm_by_id.keys():
             del state.link_by_vm[vm_id]
 
@@ -92,7 +87,7 @@
             task.needs_start = True
             return task
         # The previous owner may have renewed the lease just before it stopped.
-        task.lease_until = now + LEASE_WAIT_SECONDS
+        task.lease_until = now + self._timing.lease_wait_seconds
         task.absent_after = now + ADOPTED_WAIT_SECONDS
         return task
 
@@ -102,7 +97,7 @@
             return True
         is_awaited = any(task.ending for task in self._state.tasks_on(link.vm_id))
         return is_awaited and now >= link.next_call_at - (
-            self._renewal_seconds - SOON_SECONDS
+            self._timing.renew_seconds - SOON_SECONDS
         )
 
     def _call(self, link: WorkerLink, now: float) -> list[TaskReport] | Unavailable:
@@ -110,24 +105,24 @@
         # leases from certainly ending.
         is_silent = link.is_silent(now)
         tasks = [] if is_silent else self._state.tasks_on(link.vm_id)
-        job_ids = [task.job_id for task in tasks if not task.needs_start]
+        job_ids = [task.job_id for task in tasks if task.is_renewable]
         epoch = self._state.ownership.epoch
         return self._services.workers.renew_leases(
-            link.address, epoch, job_ids, LEASE_SECONDS
+            link.address, epoch, job_ids, self._timing.lease_seconds
         )
 
     def _take_answer(
         self, link: WorkerLink, sent_at: float, answer: list[TaskReport] | Unavailable
     ) -> None:
         now = self._services.clock.now()
-        link.next_call_at = now + self._renewal_seconds
+        link.next_call_at = now + self._timing.renew_seconds
         tasks = self._state.tasks_on(link.vm_id)
         is_failed = isinstance(answer, Unavailable)
         may_be_renewed = not is_failed or answer.may_have_committed
         if may_be_renewed and not link.is_silent(sent_at):
             for task in tasks:
-                if not task.needs_start:
-                    task.lease_until = now + LEASE_WAIT_SECONDS
+                if task.is_renewable:
+                    task.lease_until = now + self._timing.lease_wait_seconds
         if isinstance(answer, Unavailable):
             log_event(
                 logger,
--- a/catkinport/controller/pool_manager.py
+++ b/catkinport/controller/pool_manager.py
@@ -10,7 +10,7 @@
 from .fleet_watch import FleetWatch
 from .guards import GuardedTable, GuardedVmList, GuardedWorkers
 from .job_book import JobBook
-from .leases import RENEWAL_SECONDS, LeaseKeeper
+from .leases import LeaseKeeper
 from .outcomes import OutcomeKeeper
 from .ownership import Ownership
 from .pool_state import PoolState
@@ -20,9 +20,6 @@
 from .vm_records import VmRecords
 from .waves import WaveKeeper
 
-SCAN_SECONDS = 30.0
-"""Period of the scan for jobs, which finds those whose notice was lost."""
-
 
 class PoolManager:
     """Runs the jobs and the VMs of one pool, one bounded step at a time.
@@ -34,7 +31,6 @@
         services: ports of the daemon.
         ownership: the pool and its epoch.
         snapshot: what the member knows, with a configuration.
-        renewal_seconds: period of the calls to each worker.
     """
 
     def __init__(
@@ -42,7 +38,6 @@
         services: Services,
         ownership: Ownership,
         snapshot: Snapshot,
-        renewal_seconds: float = RENEWAL_SECONDS,
     ) -> None:
         if snapshot.environment is None:
             raise ValueError("snapshot must have a configuration")
@@ -57,7 +52,7 @@
         self.state = PoolState(ownership, snapshot.environment, JobBook(guarded.table))
         self._records = VmRecords(guarded, self.state)
         self._watch = FleetWatch(guarded, self.state, self._records)
-        self._leases = LeaseKeeper(guarded, self.state, renewal_seconds)
+        self._leases = LeaseKeeper(guarded, self.state)
         self._outcomes = OutcomeKeeper(guarded, self.state)
         self._allowances = AllowanceKeeper(guarded, self.state)
         self._round = PlacementRound(
@@ -66,6 +61,7 @@
         self._starter = Starter(guarded, self.state)
         self._drains = DrainKeeper(guarded, self.state, self._records)
         self._waves = WaveKeeper(guarded, self.state, self._records)
+        self._scan_seconds = services.timing.scan_seconds
         self._next_scan_at = 0.0
 
     def set_listed_vms(self, listed_by_vm: Mapping[str, ListedVm]) -> None:
@@ -103,7 +99,7 @@
         names = [queue.name for queue in queues if queue.pool == self.state.pool]
         self.state.book.set_queues(sorted(names))
         if now >= self._next_scan_at:
-            self._next_scan_at = now + SCAN_SECONDS
+            self._next_scan_at = now + self._scan_seconds
             self.state.book.start_scan()
         self.state.book.refresh()
 
--- a/catkinport/controller/pool_state.py
+++ b/catkinport/controller/pool_state.py
@@ -13,13 +13,6 @@
 from .ownership import Ownership
 from .worker_failures import WorkerFailures
 
-LEASE_SECONDS = 300.0
-LEASE_WAIT_SECONDS = LEASE_SECONDS * 1.02
-"""Time after which a task's lease has certainly ended; clocks drift by up to 2%."""
-
-SILENT_SECONDS = 30.0
-"""Three renewals without an answer."""
-
 ENDED_STATES = (
     TaskState.DONE,
     TaskState.FAILED,
@@ -48,13 +41,14 @@
     vm_id: str
     address: str
     last_answer_at: float
+    silent_seconds: float
     next_call_at: float = 0.0
     has_answered: bool = False
     avoid_until: float = 0.0
 
     def is_silent(self, now: float) -> bool:
         """Return whether the worker has not answered for several renewals."""
-        return now - self.last_answer_at >= SILENT_SECONDS
+        return now - self.last_answer_at >= self.silent_seconds
 
 
 @dataclass
@@ -94,6 +88,15 @@
     is_throttled: bool = False
     report: TaskReport | None = None
 
+    @property
+    def is_renewable(self) -> bool:
+        """Whether the worker has the task as far as is known.
+
+        Renewing a task whose start got no answer would keep its lease from certainly
+        ending.
+        """
+        return not self.needs_start and (self.report is not None or not self.is_unsure)
+
     @property
     def has_ended(self) -> bool:
         """Whether the worker reported its end."""
--- a/catkinport/controller/services.py
+++ b/catkinport/controller/services.py
@@ -7,6 +7,7 @@
 from ..membership.interface import Membership
 from ..ports import Clock, ObjectStore, Table, VmList, Workers
 from ..runtime import Metrics
+from .timing import Timing
 
 Result = TypeVar("Result")
 RunAll = Callable[[Sequence[Callable[[], Result]]], list[Result]]
@@ -30,6 +31,7 @@
         run_all: calls several functions, possibly at once, and returns the results
             in order.
         objects: client of the object store, for inputs kept in job rows.
+        timing: durations from the settings of the process.
     """
 
     table: Table
@@ -41,6 +43,7 @@
     metrics: Metrics
     run_all: RunAll
     objects: ObjectStore | None = None
+    timing: Timing = Timing()
 
 
 def run_in_turn(calls: Iterable[Callable[[], Result]]) -> list[Result]:
--- a/catkinport/controller/starts.py
+++ b/catkinport/controller/starts.py
@@ -9,8 +9,6 @@
 from .job_book import Job
 from .job_commits import JobChange, commit_changes
 from .pool_state import (
-    LEASE_SECONDS,
-    LEASE_WAIT_SECONDS,
     PoolState,
     Task,
     WorkerLink,
@@ -84,7 +82,7 @@
         if specification is None:
             return NotRun(Reason.STORE_UNAVAILABLE, "input-put")
         return self._services.workers.start_task(
-            entry.link.address, specification, LEASE_SECONDS
+            entry.link.address, specification, self._services.timing.lease_seconds
         )
 
     def _specify(self, entry: _Pending) -> TaskSpecification | None:
@@ -122,7 +120,7 @@
         task.needs_start = False
         task.is_unsure = False
         task.absent_after = now
-        task.lease_until = now + LEASE_WAIT_SECONDS
+        task.lease_until = now + self._services.timing.lease_wait_seconds
         task.checkpointed_at = now
         labels = {
             "team": row["team"],
@@ -143,7 +141,7 @@
         now = self._services.clock.now()
         task = entry.task
         task.is_unsure = True
-        task.lease_until = now + LEASE_WAIT_SECONDS
+        task.lease_until = now + self._services.timing.lease_wait_seconds
         task.absent_after = now
         task.needs_start = entry.job.row["is_restartable"]
         entry.link.next_call_at = now
--- a/catkinport/controller/tests/test_pool_manager.py
+++ b/catkinport/controller/tests/test_pool_manager.py
@@ -1,8 +1,38 @@
 """Jobs of one pool, against fake workers."""
 
+import pytest
+
+from ...ports import Unavailable, VmStatus
+from ...ports.outcomes import Reason
+from ...state import allowance_key
 from .cluster import Cluster
 
 
+class LossyTable:
+    """Loses the answers of the next commits, which take effect."""
+
+    def __init__(self, table) -> None:
+        self._table = table
+        self.n_lost = 0
+
+    def __getattr__(self, name):
+        return getattr(self._table, name)
+
+    def commit(self, transaction):
+        outcome = self._table.commit(transaction)
+        return self._lose() if self.n_lost > 0 else outcome
+
+    def commit_batch(self, transactions):
+        outcomes = self._table.commit_batch(transactions)
+        return [self._lose()] * len(outcomes) if self.n_lost > 0 else outcomes
+
+    def _lose(self):
+        self.n_lost -= 1
+        return Unavailable(
+            Reason.CONNECTION_LOST, "table-commit", may_have_committed=True
+        )
+
+
 class TestJobLife:
     def test_job_runs_to_its_end(self):
         """Guards against a job that is accepted but never placed or never ends."""
@@ -18,3 +48,237 @@
         assert job["state"] == "done"
         assert job["result_reference"] == "results/j/1"
         assert cluster.workers.starts("j") == 1
+
+    def test_job_submitted_without_notice_is_found(self):
+        """Guards against a job whose notice was lost waiting for ever."""
+        cluster = Cluster()
+        cluster.add_vm("vm-1")
+        manager = cluster.own()
+        cluster.run(manager, seconds=5)
+        cluster.submit("j")
+        cluster.run(manager, seconds=35)
+        assert cluster.workers.starts("j") == 1
+
+    def test_impossible_job_is_parked(self):
+        """Guards against a job that can never run waiting without a reason."""
+        cluster = Cluster()
+        cluster.add_vm("vm-1", cores=8.0)
+        cluster.submit("j", n_cores=9.0)
+        cluster.run(cluster.own(), seconds=2)
+        assert cluster.job("j")["state"] == "parked"
+        assert "needs 9 cores" in cluster.job("j")["reason"]
+
+    @pytest.mark.parametrize("n_lost", [1, 2, 3])
+    def test_lost_store_answers_start_a_job_once(self, n_lost):
+        """Guards against a job started twice after the answer to a round was lost."""
+        cluster = Cluster(wrap_table=LossyTable)
+        cluster.add_vm("vm-1")
+        cluster.submit("j", is_restartable=False)
+        manager = cluster.own()
+        cluster.manager_table.n_lost = n_lost
+        cluster.run(manager, seconds=60)
+        assert cluster.job("j")["state"] == "done"
+        assert cluster.workers.starts("j") == 1
+
+
+class TestLostWorker:
+    @pytest.mark.parametrize("is_restartable", [True, False])
+    def test_silent_worker(self, is_restartable):
+        """Guards against a second run while the first one's lease may still run."""
+        cluster = Cluster()
+        cluster.add_vm("vm-1")
+        cluster.submit("j", is_restartable=is_restartable, run_seconds=10_000.0)
+        manager = cluster.own()
+        cluster.run(manager, seconds=20)
+        cluster.add_vm("vm-2")
+        cluster.workers.down.add("w-vm-1")
+        cluster.run(manager, seconds=250, period=2.0)
+        assert cluster.workers.starts("j") == 1
+        cluster.run(manager, seconds=100, period=2.0)
+        expected = ("running", 2) if is_restartable else ("unknown", 1)
+        assert (cluster.job("j")["state"], cluster.workers.starts("j")) == expected
+
+    def test_gone_vm_frees_its_task_at_once(self):
+        """Guards against waiting for a lease on a VM that no longer exists."""
+        cluster = Cluster()
+        cluster.add_vm("vm-1")
+        cluster.submit("j", checkpoint_reference="checkpoints/j/0")
+        manager = cluster.own()
+        cluster.run(manager, seconds=5)
+        cluster.add_vm("vm-2")
+        cluster.workers.down.add("w-vm-1")
+        cluster.set_status("vm-1", VmStatus.GONE)
+        cluster.run(manager, seconds=10)
+        job = cluster.job("j")
+        assert (job["state"], job["worker_vm"], job["attempt"]) == (
+            "running",
+            "vm-2",
+            2,
+        )
+        assert job["checkpoint_reference"] == "checkpoints/j/0"
+
+    def test_lost_start_answer_of_a_job_that_must_not_run_twice(self):
+        """Guards against a second start after the answer to the first was lost."""
+        cluster = Cluster()
+        cluster.add_vm("vm-1")
+        cluster.workers.loses_start_answers.add("w-vm-1")
+        cluster.submit("j", is_restartable=False)
+        cluster.run(cluster.own(), seconds=60)
+        assert cluster.job("j")["state"] == "done"
+        assert cluster.workers.starts("j") == 1
+
+    def test_dropped_start_of_a_job_that_must_not_run_twice(self):
+        """Guards against taking a worker's ignorance of a task for proof."""
+        cluster = Cluster()
+        cluster.add_vm("vm-1")
+        cluster.workers.drops_starts.add("w-vm-1")
+        cluster.submit("j", is_restartable=False)
+        manager = cluster.own()
+        cluster.run(manager, seconds=280, period=2.0)
+        assert cluster.job("j")["state"] == "running"
+        cluster.run(manager, seconds=60, period=2.0)
+        assert cluster.job("j")["state"] == "unknown"
+
+
+class TestOwnerChange:
+    def test_new_owner_adopts_running_tasks(self):
+        """Guards against a second start of what the last owner started."""
+        cluster = Cluster()
+        cluster.add_vm("vm-1")
+        cluster.submit("j", is_restartable=False, run_seconds=60.0)
+        cluster.run(cluster.own(), seconds=5)
+        second = cluster.own(member_id="c-2")
+        cluster.run(second, seconds=100)
+        assert cluster.job("j")["state"] == "done"
+        assert cluster.workers.starts("j") == 1
+
+    def test_paused_owner_writes_nothing_after_a_takeover(self):
+        """Guards against two owners placing the same job after a pause."""
+        cluster = Cluster()
+        cluster.add_vm("vm-1")
+        first = cluster.own()
+        cluster.run(first, seconds=5)
+        second = cluster.own(member_id="c-2")
+        cluster.submit("j", is_restartable=False)
+        first.notice_job("p", "j")
+        for _ in range(10):
+            first.step()
+        assert cluster.job("j")["state"] == "queued"
+        cluster.run(first, second, seconds=60)
+        assert cluster.job("j")["state"] == "done"
+        assert cluster.workers.starts("j") == 1
+
+    def test_nothing_is_done_without_a_lease(self):
+        """Guards against an owner that acts after its lease has ended."""
+        cluster = Cluster()
+        cluster.add_vm("vm-1")
+        manager = cluster.own()
+        cluster.run(manager, seconds=2)
+        cluster.submit("j")
+        manager.notice_job("p", "j")
+        manager._membership.lease_expires_at = cluster.clock.now()
+        n_calls = cluster.workers.n_calls
+        cluster.run(manager, seconds=30)
+        assert cluster.workers.n_calls == n_calls
+        assert cluster.job("j")["state"] == "queued"
+
+    def test_job_committed_but_never_started_is_not_run_by_the_next_owner(self):
+        """Guards against a second run when an owner dies around a start."""
+        cluster = Cluster()
+        cluster.add_vm("vm-1")
+        state = {"state": "running", "attempt": 1, "worker_vm": "vm-1"}
+        cluster.submit("once", is_restartable=False, **state)
+        cluster.submit("again", **state)
+        cluster.run(cluster.own(), seconds=60)
+        assert cluster.job("once")["state"] == "unknown"
+        assert cluster.workers.starts("once") == 0
+        assert cluster.job("again")["attempt"] == 2
+
+
+class TestFailures:
+    def test_bad_job_is_parked(self):
+        """Guards against a job that always fails being tried for ever."""
+        cluster = Cluster()
+        for number in range(5):
+            cluster.add_vm(f"vm-{number}")
+        cluster.submit("j", command="fail")
+        cluster.run(cluster.own(), seconds=60)
+        assert cluster.job("j")["state"] == "parked"
+        assert cluster.workers.starts("j") == 3
+
+    def test_bad_worker_is_quarantined(self):
+        """Guards against a worker that fails everything taking all the work."""
+        cluster = Cluster()
+        for number in range(4):
+            cluster.add_vm(f"vm-{number}")
+        cluster.workers.failing.add("w-vm-0")
+        for number in range(12):
+            cluster.submit(f"j-{number}", run_seconds=5.0)
+        manager = cluster.own()
+        cluster.run(manager, seconds=200)
+        states = {cluster.job(f"j-{number}")["state"] for number in range(12)}
+        assert states == {"done"}
+        assert manager.state.failures.bad_vms() == {"vm-0"}
+
+
+class TestLimits:
+    def test_limit_holds_across_pools(self):
+        """Guards against a team running its whole limit in every pool."""
+        cluster = Cluster(max_cores=12, pools=("p", "q"))
+        for pool in ("p", "q"):
+            cluster.add_vm(f"vm-{pool}", pool, cores=64.0)
+            for number in range(6):
+                cluster.submit(f"{pool}-{number}", pool, run_seconds=15.0)
+        managers = [cluster.own("p", "c-1"), cluster.own("q", "c-2")]
+        highest = 0
+        for _ in range(300):
+            cluster.run(*managers, seconds=0.5)
+            highest = max(highest, len(cluster.workers.running()))
+            row = cluster.table.read([allowance_key("a", "cores")])
+            amounts = row[allowance_key("a", "cores")].value["amount_by_holder"]
+            assert sum(amounts.values()) <= 12
+        assert highest == 3
+        assert all(
+            cluster.job(f"{pool}-{number}", pool)["state"] == "done"
+            for pool in ("p", "q")
+            for number in range(6)
+        )
+
+    def test_lowered_limit_stops_new_work(self):
+        """Guards against new work above a limit that was lowered while full."""
+        cluster = Cluster(max_cores=8)
+        cluster.add_vm("vm-1", cores=64.0)
+        for number in range(4):
+            cluster.submit(f"j-{number}", run_seconds=30.0)
+        manager = cluster.own()
+        cluster.run(manager, seconds=2)
+        assert len(cluster.workers.running()) == 2
+        teams = cluster.environment.team_by_name
+        lowered = teams["a"]._replace(max_cores=4)
+        manager._membership.environment = cluster.environment._replace(
+            team_by_name={**teams, "a": lowered}
+        )
+        cluster.run(manager, seconds=45)
+        assert len(cluster.workers.running()) == 1
+
+
+class TestCancellations:
+    def test_wave_is_handled_in_bounded_steps(self):
+        """Guards against a wave of cancellations that holds up a step or is lost."""
+        cluster = Cluster()
+        cluster.add_vm("vm-1", cores=400.0)
+        for number in range(600):
+            cluster.submit(f"j-{number}", run_seconds=10_000.0, memory_gb=0.1)
+        manager = cluster.own()
+        cluster.run(manager, seconds=5)
+        assert len(cluster.workers.running()) == 100
+        for number in range(600):
+            cluster.cancel(f"j-{number}")
+            manager.notice_job("p", f"j-{number}")
+        n_calls = cluster.workers.n_calls
+        manager.step()
+        assert cluster.workers.n_calls - n_calls <= 60
+        cluster.run(manager, seconds=30)
+        states = [cluster.job(f"j-{number}")["state"] for number in range(600)]
+        assert states == ["cancelled"] * 600
+        assert cluster.workers.running() == []
