Add the trial deployment of real processes

Cause: the demo and the fault schedules need platform, backend servers, workers and daemons started and addressed in one place. Ruled out: fixed ports (two runs on one machine would meet). Change: Deployment starts all processes, builds a document with fresh keys and reads the stand-ins' execution logs.

--- /dev/null
+++ b/verification/deployment.py
@@ -0,0 +1,362 @@
+"""A small deployment of real processes on this machine."""
+
+import json
+import random
+import signal
+import time
+from typing import Any, NamedTuple
+
+import urllib3
+
+from catkinport.settings.keys import create_salt, create_secret, hash_secret
+
+from .client import Caller
+from .history import Execution, RowChange
+from .processes import ManagedProcess, ProcessGroup
+
+N_ZONES = 3
+SERVERS_PER_RACK = 4
+OPERATOR = "operator-1"
+READY_SECONDS = 30.0
+
+
+class DeploymentSize(NamedTuple):
+    """How many processes and teams the deployment has."""
+
+    n_services: int = 2
+    n_servers: int = 3
+    n_entries: int = 3
+    n_controllers: int = 2
+    n_teams: int = 3
+    max_slots: int = 20
+    max_cores: int = 200
+    max_request_seconds: int = 20
+    lease_seconds: int = 300
+
+
+class Daemon(NamedTuple):
+    """A running daemon and where it listens."""
+
+    name: str
+    process: ManagedProcess
+    caller_address: str
+    admin_address: str
+
+
+class Deployment:
+    """Platform, backend servers, workers, entries and controllers.
+
+    Args:
+        processes: group that the processes belong to.
+        size: how many there are of each.
+    """
+
+    def __init__(self, processes: ProcessGroup, size: DeploymentSize) -> None:
+        self.size = size
+        self.entry_by_name: dict[str, Daemon] = {}
+        self.controller_by_name: dict[str, Daemon] = {}
+        self.server_address_by_vm: dict[str, str] = {}
+        self.worker_address_by_vm: dict[str, str] = {}
+        self.caller_by_key: dict[str, Caller] = {}
+        self.platform_address = ""
+        self._server_process_by_vm: dict[str, ManagedProcess] = {}
+        self._processes = processes
+        self._pool = urllib3.PoolManager(retries=False, timeout=30.0)
+        self._operator_secret = create_secret()
+        self._operator_salt = create_salt()
+        self._cluster_key = create_secret()
+        self._document = ""
+
+    def start(self) -> None:
+        """Start everything and apply the document."""
+        self.start_platform()
+        for name in self._names("entry", self.size.n_entries):
+            self.start_entry(name)
+        self.apply_document(self.build_document(), expected_revision=0)
+        for name in self._names("controller", self.size.n_controllers):
+            self.start_controller(name)
+        self.wait_until_ready()
+
+    def start_platform(self) -> None:
+        """Start the platform, the backend servers and the workers."""
+        module = "catkinport.standins.platform"
+        platform = self._processes.start("platform", [module])
+        self.platform_address = platform.wait_for_line("listening on ")[0]
+        for service in range(self.size.n_services):
+            self._start_service(service)
+
+    def start_entry(self, name: str) -> Daemon:
+        """Start an entry; an earlier process of the same name must have ended."""
+        daemon = self._start_daemon(name, "entry")
+        self.entry_by_name[name] = daemon
+        return daemon
+
+    def start_controller(self, name: str) -> Daemon:
+        """Start a controller."""
+        daemon = self._start_daemon(name, "controller")
+        self.controller_by_name[name] = daemon
+        return daemon
+
+    def list_caller_addresses(self) -> list[str]:
+        """Return the entries that the balancer would use: those that run."""
+        return [
+            entry.caller_address
+            for entry in self.entry_by_name.values()
+            if entry.process.is_running
+        ]
+
+    def list_ready_addresses(self) -> list[str]:
+        """Return the entries that say that they are ready."""
+        return [
+            entry.caller_address
+            for entry in list(self.entry_by_name.values())
+            if entry.process.is_running and self._is_ready(entry)
+        ]
+
+    def list_callers(self) -> list[Caller]:
+        """Return every caller with a valid key."""
+        return list(self.caller_by_key.values())
+
+    def wait_until_ready(self) -> None:
+        """Wait until requests of every service are answered.
+
+        Raises:
+            RuntimeError: if they are not in time.
+        """
+        deadline = time.monotonic() + READY_SECONDS
+        caller = self.list_callers()[0]
+        while time.monotonic() < deadline:
+            if self._are_services_ready(caller):
+                return
+            time.sleep(0.2)
+        raise RuntimeError("the deployment did not get ready")
+
+    def set_platform_faults(self, **faults: Any) -> None:
+        """Change faults of the platform."""
+        self.call("PUT", f"http://{self.platform_address}/standin/faults", faults)
+
+    def set_server_faults(self, vm_id: str, **faults: Any) -> None:
+        """Change faults of a backend server."""
+        address = self.server_address_by_vm[vm_id]
+        self.call("PUT", f"http://{address}/standin/faults", faults)
+
+    def administer(
+        self,
+        method: str,
+        path: str,
+        body: Any = None,
+        entry: Daemon | None = None,
+        headers: dict[str, str] | None = None,
+    ) -> tuple[int, Any]:
+        """Call the administration API of ``entry``, or of the first that runs."""
+        running = [e for e in self.entry_by_name.values() if e.process.is_running]
+        entry = entry or running[0]
+        key = f"{OPERATOR}.{self._operator_secret}"
+        all_headers = {"Authorization": f"Bearer {key}", **(headers or {})}
+        return self.call(
+            method, f"http://{entry.admin_address}{path}", body, all_headers
+        )
+
+    def call(
+        self,
+        method: str,
+        url: str,
+        body: Any = None,
+        headers: dict[str, str] | None = None,
+    ) -> tuple[int, Any]:
+        """Call a URL with a JSON body; return status and decoded answer."""
+        content = None if body is None else json.dumps(body).encode()
+        answer = self._pool.request(method, url, body=content, headers=headers or {})
+        try:
+            return answer.status, json.loads(answer.data or b"null")
+        except ValueError:
+            return answer.status, answer.data
+
+    def apply_document(self, document: str, expected_revision: int) -> int:
+        """Apply a document through the administration API; return the revision."""
+        status, answer = self.administer(
+            "PUT",
+            "/v1/configuration",
+            {"document": document, "expected_revision": expected_revision},
+            headers={"Idempotency-Key": create_secret()},
+        )
+        if status != 200:
+            raise RuntimeError(f"the document was refused: {status} {answer}")
+        self._document = document
+        return int(answer["revision"])
+
+    def list_executions(self) -> list[Execution]:
+        """Return what every backend server ran."""
+        executions = []
+        for vm_id, address in self.server_address_by_vm.items():
+            if not self._server_process_by_vm[vm_id].is_running:
+                continue
+            _, answer = self.call("GET", f"http://{address}/standin/executions")
+            executions.extend(_parse_executions(vm_id, answer["executions"]))
+        return executions
+
+    def list_row_changes(self, table: str) -> list[RowChange]:
+        """Return every write of a recorded table."""
+        url = f"http://{self.platform_address}/standin/history/{table}"
+        _, answer = self.call("GET", url)
+        return [
+            RowChange(version, table, key, value)
+            for version, key, value in answer["changes"]
+        ]
+
+    def count_store_calls(self) -> dict[str, int]:
+        """Return the platform's counts of reads and writes."""
+        url = f"http://{self.platform_address}/standin/counts"
+        return self.call("GET", url)[1]
+
+    def pause(self, daemon: Daemon) -> None:
+        """Stop the scheduling of a daemon, as a frozen VM would."""
+        daemon.process.send_signal(signal.SIGSTOP)
+
+    def resume(self, daemon: Daemon) -> None:
+        """Let a paused daemon go on."""
+        daemon.process.send_signal(signal.SIGCONT)
+
+    def build_document(self) -> str:
+        """Return a document with the deployment's teams, services and pools."""
+        salted = hash_secret(self._operator_secret, self._operator_salt)
+        sections = [
+            "[catkinport]\nformat = 1\n",
+            f"[operator {OPERATOR}]\nsalt = {salted.salt}\ndigest = {salted.digest}\n",
+            "[pool spare]\nmax_unavailable = 100\nspare = yes\nmin_vms = 0\n",
+            "[maintenance]\nperiod_days = 56\n",
+        ]
+        sections += [self._build_team(index) for index in range(self.size.n_teams)]
+        sections += [self._build_service(i) for i in range(self.size.n_services)]
+        return "\n".join(sections)
+
+    def _build_team(self, index: int) -> str:
+        team, account, key = f"team-{index}", f"account-{index}", f"key-{index}"
+        secret = create_secret()
+        salted = hash_secret(secret, create_salt())
+        queue = f"queue-{index % self.size.n_services}"
+        self.caller_by_key[key] = Caller(team, key, f"{key}.{secret}", queue)
+        return (
+            f"[team {team}]\nweight = 1\nmax_slots = {self.size.max_slots}\n"
+            f"max_cores = {self.size.max_cores}\n\n"
+            f"[account {account}]\nteam = {team}\n\n"
+            f"[key {key}]\naccount = {account}\n"
+            f"salt = {salted.salt}\ndigest = {salted.digest}\n"
+        )
+
+    def _build_service(self, index: int) -> str:
+        service, pool = f"service-{index}", f"pool-{index}"
+        return (
+            f"[pool {pool}]\nmax_unavailable = 1\nspare = no\nmin_vms = 1\n\n"
+            f"[service {service}]\npool = {pool}\nslots = 8\nconnections = 60\n"
+            f"max_request_seconds = {self.size.max_request_seconds}\n"
+            f"progress_seconds = 5\n\n"
+            f"[queue queue-{index}]\naccess = keyed\npriority = urgent\n"
+            f"service = {service}\npool = {pool}\n\n"
+            f"[queue long-{index}]\naccess = keyed\npriority = long\n"
+            f"service = {service}\npool = {pool}\n"
+        )
+
+    def _start_service(self, service: int) -> None:
+        n_servers = self.size.n_servers
+        module = "catkinport.standins.worker"
+        arguments = [module, "--platform", self.platform_address]
+        workers = self._processes.start(
+            f"workers-{service}", [*arguments, "--count", str(n_servers)]
+        )
+        servers = [
+            self._processes.start(
+                f"server-{service}-{index}", ["catkinport.standins.backend_server"]
+            )
+            for index in range(n_servers)
+        ]
+        worker_addresses = workers.wait_for_line("listening on ", n_servers)
+        for index, server in enumerate(servers):
+            vm_id = f"vm-{service}-{index}"
+            self._server_process_by_vm[vm_id] = server
+            address = server.wait_for_line("listening on ")[0]
+            self.server_address_by_vm[vm_id] = address
+            self.worker_address_by_vm[vm_id] = worker_addresses[index]
+            self._register_vm(vm_id, f"pool-{service}", index)
+
+    def _register_vm(self, vm_id: str, pool: str, index: int) -> None:
+        listed = {
+            "status": "live",
+            "zone": f"zone-{index % N_ZONES}",
+            "rack": f"rack-{index // SERVERS_PER_RACK}",
+            "worker_address": self.worker_address_by_vm[vm_id],
+            "backend_address": self.server_address_by_vm[vm_id],
+            "boot_id": "1",
+            "n_cores": 64.0,
+            "memory_gb": 256.0,
+            "n_accelerators": 0,
+        }
+        self.call("PUT", f"http://{self.platform_address}/vms/{vm_id}", listed)
+
+    def _start_daemon(self, name: str, role: str) -> Daemon:
+        path = self._processes.folder / f"{name}.ini"
+        path.write_text(self._build_settings(name, role))
+        module = f"catkinport.{role}.main"
+        process = self._processes.start(name, [module, "--settings", str(path)])
+        line = process.wait_for_line("listening on ")[0]
+        address_by_port = dict(pair.split("=") for pair in line.split())
+        return Daemon(
+            name,
+            process,
+            address_by_port.get("caller", ""),
+            address_by_port["admin"],
+        )
+
+    def _build_settings(self, name: str, role: str) -> str:
+        salted = hash_secret(self._operator_secret, self._operator_salt)
+        zone = random.Random(name).randrange(N_ZONES)
+        settings = (
+            f"[process]\nname = {name}\nzone = zone-{zone}\n\n"
+            f"[platform]\ntable = {self.platform_address}\n"
+            f"objects = {self.platform_address}\nvm_list = {self.platform_address}\n\n"
+            f"[cluster]\nkey = {self._cluster_key}\n\n"
+            f"[stop]\nbalancer_lag_seconds = 0.5\ndrain_deadline_seconds = 20\n\n"
+            f"[bootstrap]\noperator = {OPERATOR}\nsalt = {salted.salt}\n"
+            f"digest = {salted.digest}\n"
+        )
+        if role == "controller":
+            settings += f"\n[controller]\nlease_seconds = {self.size.lease_seconds}\n"
+        return settings
+
+    def _is_ready(self, entry: Daemon) -> bool:
+        try:
+            return self.call("GET", f"http://{entry.admin_address}/readyz")[0] == 200
+        except urllib3.exceptions.HTTPError:
+            return False
+
+    def _are_services_ready(self, caller: Caller) -> bool:
+        headers = {
+            "Authorization": f"Bearer {caller.secret}",
+            "Catkin-Idempotent": "true",
+        }
+        for entry in self.entry_by_name.values():
+            for index in range(self.size.n_services):
+                path = f"/v1/queues/queue-{index}/requests/work"
+                url = f"http://{entry.caller_address}{path}"
+                if self.call("POST", url, {}, headers)[0] != 200:
+                    return False
+        return True
+
+    @staticmethod
+    def _names(role: str, count: int) -> list[str]:
+        return [f"{role}-{index}" for index in range(count)]
+
+
+def _parse_executions(vm_id: str, entries: list[dict]) -> list[Execution]:
+    return [
+        Execution(
+            entry["operation"],
+            entry["idempotency_key"],
+            entry["team"],
+            vm_id,
+            entry["started_at"],
+            entry["ended_at"],
+        )
+        for entry in entries
+        if entry["operation"]
+    ]
