--- a/catkinport/settings/declaration.py
+++ b/catkinport/settings/declaration.py
@@ -6,7 +6,7 @@
 from typing import Any, NamedTuple
 
 NAME_PATTERN = re.compile(r"[a-z0-9][a-z0-9-]{0,62}")
-NAME_ALLOWED = "1 to 63 of a-z, 0-9 and -, first no -"
+NAME_ALLOWED = "1 to 63 of a-z, 0-9 and -, and starts with no -"
 # int() and float() also take underscores, other scripts' digits, "inf" and "nan".
 _WHOLE_PATTERN = re.compile(r"-?[0-9]{1,15}")
 _NUMBER_PATTERN = re.compile(r"-?[0-9]{1,15}(\.[0-9]{1,15})?")
@@ -219,7 +219,9 @@
     return text
 
 
-@_register("names", lambda option: f"names of [{option.refers_to}] sections, comma")
+@_register(
+    "names", lambda option: f"names of [{option.refers_to}] sections, with commas"
+)
 def _read_names(option: Option, text: str) -> tuple[str, ...]:
     names = tuple(name.strip() for name in text.split(",")) if text else ()
     if not all(NAME_PATTERN.fullmatch(name) for name in names):
