--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks: one script per question, each with a baseline, the product, a bound."""
--- /dev/null
+++ b/catkinport/policy/_round.py
@@ -0,0 +1,259 @@
+"""Free capacity and team usage while a placement round is being planned."""
+
+from collections import defaultdict
+from collections.abc import Sequence
+
+from .placement_types import (
+    THROTTLE_FRACTION,
+    PlacementProblem,
+    RunningTask,
+    WaitingJob,
+    WorkerView,
+)
+from .resources import NOTHING, Resources, dominant_share, total
+from .shares import Claim, water_fill
+
+RESERVE_FRACTION = 0.125
+"""Part of a reserve worker that long work leaves free for urgent work."""
+
+SPREAD_WEIGHT = 0.3
+"""Weight of the spread over racks and zones against the tightness of the fit."""
+
+_TINY = 1e-9
+
+
+def held_by(task: RunningTask) -> Resources:
+    """Return what a task holds now."""
+    if not task.is_throttled:
+        return task.reserved
+    cores, memory_gb, accelerators = task.reserved
+    return Resources(cores * THROTTLE_FRACTION, memory_gb, accelerators)
+
+
+class RoundState:
+    """What is free on each worker and what each team uses, by worker index.
+
+    Args:
+        problem: input of the round. Tasks on unknown or quarantined workers count
+            for their team only.
+    """
+
+    def __init__(self, problem: PlacementProblem) -> None:
+        self.workers = [w for w in problem.workers if not w.is_quarantined]
+        self.team_by_name = problem.team_by_name
+        self.index_by_vm = {w.vm_id: i for i, w in enumerate(self.workers)}
+        self.free = [list(w.capacity) for w in self.workers]
+        self.ending = [[0.0, 0.0, 0.0] for _ in self.workers]
+        self.throttleable_cores = [0.0] * len(self.workers)
+        self.capacity = total(w.capacity for w in self.workers)
+        self.tasks: list[list[RunningTask]] = [[] for _ in self.workers]
+        self.usage_by_team: dict[str, list[float]] = defaultdict(lambda: [0.0] * 3)
+        self.n_by_queue_and_domain: dict[tuple[str, str], int] = defaultdict(int)
+        self.n_by_queue: dict[str, int] = defaultdict(int)
+        self._reserve = _reserve_by_worker(self.workers)
+        for task in problem.running:
+            self._add_task(task)
+        self.target_by_team = self._fair_targets(problem.waiting)
+
+    def _add_task(self, task: RunningTask) -> None:
+        held = held_by(task)
+        self._count(task.team, held, 1.0)
+        index = self.index_by_vm.get(task.vm_id)
+        if index is None:
+            return
+        _change(self.free[index], held, -1.0)
+        self.tasks[index].append(task)
+        self._count_domain(task.queue, index)
+        if task.is_ending:
+            _change(self.ending[index], held, 1.0)
+        elif not task.is_urgent and not task.is_throttled:
+            self.throttleable_cores[index] += held.cores * (1 - THROTTLE_FRACTION)
+
+    def _count(self, team: str, amount: Resources, sign: float) -> None:
+        _change(self.usage_by_team[team], amount, sign)
+
+    def _count_domain(self, queue: str, index: int) -> None:
+        worker = self.workers[index]
+        self.n_by_queue[queue] += 1
+        self.n_by_queue_and_domain[queue, worker.rack] += 1
+        self.n_by_queue_and_domain[queue, worker.zone] += 1
+
+    def _fair_targets(self, waiting: Sequence[WaitingJob]) -> dict[str, float]:
+        demand_by_team = {t: list(used) for t, used in self.usage_by_team.items()}
+        for job in waiting:
+            if job.team in self.team_by_name:
+                _change(demand_by_team.setdefault(job.team, [0.0] * 3), job.request, 1)
+        claims = [
+            Claim(
+                name,
+                self.team_by_name[name].weight,
+                Resources(*demand),
+                max(_TINY, self.team_by_name[name].max_cores),
+            )
+            for name, demand in demand_by_team.items()
+            if name in self.team_by_name
+        ]
+        allocations = water_fill(self.capacity, claims)
+        return {
+            name: dominant_share(amount, self.capacity)
+            for name, amount in allocations.items()
+        }
+
+    def share_of(self, team: str, extra: Resources = NOTHING) -> float:
+        """Return the dominant share of a team if it also held ``extra``."""
+        used = self.usage_by_team[team]
+        amount = Resources(used[0] + extra[0], used[1] + extra[1], used[2] + extra[2])
+        return dominant_share(amount, self.capacity)
+
+    def is_over_limit(self, job: WaitingJob) -> bool:
+        """Return whether the job would take its team over its upper limit."""
+        team = self.team_by_name.get(job.team)
+        if team is None:
+            return True
+        cores = self.usage_by_team[job.team][0] + job.request.cores
+        return cores > team.max_cores + _TINY
+
+    def find_worker(self, job: WaitingJob) -> int | None:
+        """Return the best worker that has room for ``job`` now.
+
+        The score is the part of the dominant resource that stays free, plus a term
+        for the tasks of the same queue in the same rack and zone.
+        """
+        need_cores, need_memory, need_accelerators = job.request
+        dominant = self._dominant_resource(job.request)
+        penalty_by_rack = self._spread_penalties(job.queue)
+        best, best_score = None, float("inf")
+        for index, (cores, memory, accelerators) in enumerate(self.free):
+            if (
+                cores + _TINY < need_cores
+                or memory + _TINY < need_memory
+                or accelerators < need_accelerators
+            ):
+                continue
+            worker = self.workers[index]
+            if worker.vm_id in job.excluded_vms:
+                continue
+            if not job.is_urgent and self._takes_reserve(index, job.request):
+                continue
+            score = (self.free[index][dominant] - job.request[dominant]) / max(
+                _TINY, worker.capacity[dominant]
+            ) + penalty_by_rack[worker.rack]
+            if not need_accelerators and worker.capacity.accelerators:
+                score += 1.0
+            if score < best_score:
+                best, best_score = index, score
+        return best
+
+    def _takes_reserve(self, index: int, request: Resources) -> bool:
+        reserve = self._reserve.get(index)
+        if reserve is None:
+            return False
+        cores, memory, _ = self.free[index]
+        return (
+            cores - request.cores < reserve.cores
+            or memory - request.memory_gb < reserve.memory_gb
+        )
+
+    def room_for(self, job: WaitingJob, index: int) -> Sequence[float]:
+        """Return what a job may take of a worker; long jobs leave the reserve."""
+        room = self.free[index]
+        reserve = None if job.is_urgent else self._reserve.get(index)
+        if reserve is None:
+            return room
+        return [room[0] - reserve.cores, room[1] - reserve.memory_gb, room[2]]
+
+    def _dominant_resource(self, request: Resources) -> int:
+        shares = [
+            need / whole if whole else 0.0
+            for need, whole in zip(request, self.capacity, strict=True)
+        ]
+        return shares.index(max(shares))
+
+    def _spread_penalties(self, queue: str) -> dict[str, float]:
+        n_tasks = self.n_by_queue[queue]
+        if not n_tasks:
+            return defaultdict(float)
+        factor = SPREAD_WEIGHT / n_tasks
+        counts = self.n_by_queue_and_domain
+        return {
+            worker.rack: factor
+            * (
+                counts.get((queue, worker.rack), 0)
+                + counts.get((queue, worker.zone), 0)
+            )
+            for worker in self.workers
+        }
+
+    def place(self, job: WaitingJob, index: int) -> None:
+        """Take what a job needs from a worker."""
+        _change(self.free[index], job.request, -1.0)
+        self._count(job.team, job.request, 1.0)
+        self._count_domain(job.queue, index)
+
+    def throttle(self, task: RunningTask) -> None:
+        """Free the processors that a task loses when it is throttled."""
+        index = self.index_by_vm[task.vm_id]
+        freed = Resources(task.reserved.cores * (1 - THROTTLE_FRACTION), 0.0, 0.0)
+        _change(self.free[index], freed, 1.0)
+        self._count(task.team, freed, -1.0)
+        self.throttleable_cores[index] -= freed.cores
+        self._replace(index, task, task._replace(is_throttled=True))
+
+    def unthrottle(self, task: RunningTask) -> bool:
+        """Give a task its processors back if they are free and within its limit."""
+        index = self.index_by_vm[task.vm_id]
+        more = Resources(task.reserved.cores * (1 - THROTTLE_FRACTION), 0.0, 0.0)
+        cores = self.usage_by_team[task.team][0] + more.cores
+        team = self.team_by_name.get(task.team)
+        if self.free[index][0] < more.cores or not team or cores > team.max_cores:
+            return False
+        _change(self.free[index], more, -1.0)
+        self._count(task.team, more, 1.0)
+        self._replace(index, task, task._replace(is_throttled=False))
+        return True
+
+    def end_task(self, task: RunningTask) -> None:
+        """Count a task's resources as soon to be free."""
+        index = self.index_by_vm[task.vm_id]
+        held = held_by(task)
+        _change(self.ending[index], held, 1.0)
+        self._count(task.team, held, -1.0)
+        if not task.is_throttled and not task.is_urgent:
+            self.throttleable_cores[index] -= held.cores * (1 - THROTTLE_FRACTION)
+        self._replace(index, task, task._replace(is_ending=True))
+
+    def claim_ending(self, job: WaitingJob, index: int) -> None:
+        """Keep room that is being freed for ``job``: free first, then ending."""
+        for resource, need in enumerate(job.request):
+            room = self.free[index]
+            taken = min(max(0.0, room[resource]), need)
+            room[resource] -= taken
+            self.ending[index][resource] -= need - taken
+        self._count(job.team, job.request, 1.0)
+
+    def _replace(self, index: int, old: RunningTask, new: RunningTask) -> None:
+        tasks = self.tasks[index]
+        tasks[tasks.index(old)] = new
+
+
+def _change(amount: list[float], other: Resources, sign: float) -> None:
+    amount[0] += sign * other[0]
+    amount[1] += sign * other[1]
+    amount[2] += sign * other[2]
+
+
+def _reserve_by_worker(workers: Sequence[WorkerView]) -> dict[int, Resources]:
+    """Choose the first worker of each rack, so that no rack holds all the reserve."""
+    first_by_rack: dict[str, int] = {}
+    for index, worker in enumerate(workers):
+        held = first_by_rack.get(worker.rack)
+        if held is None or worker.vm_id < workers[held].vm_id:
+            first_by_rack[worker.rack] = index
+    return {
+        index: Resources(
+            workers[index].capacity.cores * RESERVE_FRACTION,
+            workers[index].capacity.memory_gb * RESERVE_FRACTION,
+            0.0,
+        )
+        for index in first_by_rack.values()
+    }
--- a/catkinport/policy/maintenance.py
+++ b/catkinport/policy/maintenance.py
@@ -3,6 +3,12 @@
 from collections.abc import Sequence
 from typing import NamedTuple
 
+LEAD_FRACTION = 0.125
+"""Part of the period by which maintenance starts early: a week in 8, for pauses."""
+
+FAILURE_ALLOWANCE = 0
+"""VMs of the budget that waves leave free for failures."""
+
 
 class MaintainableVm(NamedTuple):
     """A VM of a pool.
@@ -15,6 +21,8 @@
         last_maintained: seconds since the Unix epoch.
         n_tasks: tasks that run on it.
         n_unrestartable_tasks: those of them that cannot resume from a checkpoint.
+        is_failed: whether a failure, not a drain, keeps it from serving. A VM that
+            does not serve and has not failed is taken to be part of a wave.
     """
 
     vm_id: str
@@ -24,6 +32,7 @@
     last_maintained: float
     n_tasks: int
     n_unrestartable_tasks: int
+    is_failed: bool = False
 
 
 class PoolMaintenance(NamedTuple):
@@ -35,20 +44,73 @@
 
 
 def choose_vms_to_drain(
-    pool: PoolMaintenance, now: float, period_seconds: float
+    pool: PoolMaintenance,
+    now: float,
+    period_seconds: float,
+    failure_allowance: int = FAILURE_ALLOWANCE,
 ) -> list[str]:
-    """Choose the VM whose maintenance is longest due, one at a time.
+    """Choose VMs of one rack to drain now, within what is left of the budget.
+
+    While VMs of a rack are in maintenance, only that rack gets more, so that a wave
+    never spans racks or zones. Otherwise the rack with the longest overdue VM is
+    next. Failed VMs count against the budget; waves stop while they use it up.
 
     Args:
         pool: the pool.
         now: seconds since the Unix epoch.
         period_seconds: every VM is maintained once in this time.
+        failure_allowance: VMs of the budget that are left free for failures, as far
+            as one VM can still be maintained.
 
     Returns:
-        Ids of the VMs to drain now, within what is left of the budget.
+        Ids of the VMs to drain now: overdue first, then idle, then those whose tasks
+        all resume from a checkpoint.
     """
-    n_unavailable = sum(not vm.is_serving for vm in pool.vms)
-    if n_unavailable >= min(1, pool.max_unavailable):
+    due = [vm for vm in pool.vms if vm.is_serving and _is_due(vm, now, period_seconds)]
+    n_left = _budget_left(pool, failure_allowance)
+    if n_left <= 0 or not due:
         return []
-    due = [vm for vm in pool.vms if now - vm.last_maintained >= period_seconds]
-    return [vm.vm_id for vm in sorted(due, key=lambda vm: vm.last_maintained)[:1]]
+    rack = _choose_rack(pool.vms, due)
+    wave = [vm for vm in due if _rack_of(vm) == rack]
+    wave.sort(key=lambda vm: _drain_order(vm, now, period_seconds))
+    return [vm.vm_id for vm in wave[:n_left]]
+
+
+def _is_due(vm: MaintainableVm, now: float, period_seconds: float) -> bool:
+    return now - vm.last_maintained >= period_seconds * (1 - LEAD_FRACTION)
+
+
+def _budget_left(pool: PoolMaintenance, failure_allowance: int) -> int:
+    n_failed = sum(vm.is_failed and not vm.is_serving for vm in pool.vms)
+    n_unavailable = sum(not vm.is_serving for vm in pool.vms)
+    if not pool.max_unavailable:
+        return 0
+    n_kept = max(0, failure_allowance - n_failed)
+    return max(1, pool.max_unavailable - n_kept) - n_unavailable
+
+
+def _rack_of(vm: MaintainableVm) -> tuple[str, str]:
+    return vm.zone, vm.rack
+
+
+def _choose_rack(
+    vms: Sequence[MaintainableVm], due: Sequence[MaintainableVm]
+) -> tuple[str, str] | None:
+    """Return the rack of the wave under way, else the one that is longest due."""
+    in_wave = {_rack_of(vm) for vm in vms if not vm.is_serving and not vm.is_failed}
+    if not in_wave:
+        return _rack_of(min(due, key=lambda vm: (vm.last_maintained, vm.vm_id)))
+    return in_wave.pop() if len(in_wave) == 1 else None
+
+
+def _drain_order(
+    vm: MaintainableVm, now: float, period_seconds: float
+) -> tuple[bool, bool, bool, int, float]:
+    is_overdue = now - vm.last_maintained > period_seconds
+    return (
+        not is_overdue,
+        vm.n_tasks > 0,
+        vm.n_unrestartable_tasks > 0,
+        vm.n_tasks,
+        vm.last_maintained,
+    )
--- /dev/null
+++ b/catkinport/policy/preemption.py
@@ -0,0 +1,207 @@
+"""Frees room for a job: throttle, then checkpoint or stop, in order of cost."""
+
+from collections.abc import Callable, Sequence
+from typing import NamedTuple
+
+from ._round import RoundState, held_by
+from .placement_types import THROTTLE_FRACTION, Preempt, RunningTask, WaitingJob
+
+STOP_LOSS_SECONDS = 3.0
+"""A task stopped so soon after a checkpoint loses less than a checkpoint costs."""
+
+MAX_CANDIDATES = 6
+"""Workers whose victims are compared in full; bounds the work per waiting job."""
+
+CHECKPOINT_COST_SECONDS = 10.0
+"""Run time that a checkpoint with a later resume costs a task."""
+
+_TINY = 1e-9
+
+MayTake = Callable[[RunningTask], bool]
+
+
+class Victims(NamedTuple):
+    """Tasks of one worker that make room together; ``cost`` in core-seconds."""
+
+    worker_index: int
+    tasks: Sequence[RunningTask]
+    cost: float
+
+
+def is_with_checkpoint(task: RunningTask) -> bool:
+    """Return whether a checkpoint costs less than the work since the last one."""
+    return task.seconds_since_checkpoint > STOP_LOSS_SECONDS
+
+
+def find_throttles(
+    state: RoundState, job: WaitingJob, may_take: MayTake
+) -> Victims | None:
+    """Find tasks of one worker that make room for ``job`` when throttled.
+
+    Throttling frees processors at once and moves nothing, but frees no memory.
+
+    Args:
+        state: the round.
+        job: the job that waits.
+        may_take: whether a task may be slowed down for this job.
+
+    Returns:
+        The tasks with the fewest processors in all, or ``None``.
+    """
+    candidates = [
+        (state.free[index][0], index)
+        for index in range(len(state.workers))
+        if _can_throttle_help(state, job, index)
+    ]
+    best = None
+    for _, index in sorted(candidates, reverse=True)[:MAX_CANDIDATES]:
+        victims = _throttles_on(state, job, index, may_take)
+        if victims and (best is None or victims.cost < best.cost):
+            best = victims
+    return best
+
+
+def _can_throttle_help(state: RoundState, job: WaitingJob, index: int) -> bool:
+    cores, memory_gb, accelerators = state.room_for(job, index)
+    need = job.request
+    return (
+        memory_gb + _TINY >= need.memory_gb
+        and accelerators >= need.accelerators
+        and cores + state.throttleable_cores[index] + _TINY >= need.cores
+        and state.workers[index].vm_id not in job.excluded_vms
+    )
+
+
+def _throttles_on(
+    state: RoundState, job: WaitingJob, index: int, may_take: MayTake
+) -> Victims | None:
+    missing = job.request.cores - state.room_for(job, index)[0]
+    tasks = [
+        task
+        for task in state.tasks[index]
+        if _is_available(task) and not task.is_throttled and may_take(task)
+    ]
+    tasks.sort(key=lambda task: -task.reserved.cores)
+    chosen = []
+    for task in tasks:
+        if missing <= _TINY:
+            break
+        missing -= task.reserved.cores * (1 - THROTTLE_FRACTION)
+        chosen.append(task)
+    if missing > _TINY or not chosen:
+        return None
+    return Victims(index, chosen, sum(task.reserved.cores for task in chosen))
+
+
+def find_ending_room(state: RoundState, job: WaitingJob) -> int | None:
+    """Find a worker where tasks that are ending make enough room for ``job``."""
+    for index, ending in enumerate(state.ending):
+        if ending[0] <= _TINY and ending[1] <= _TINY and ending[2] <= _TINY:
+            continue
+        if state.workers[index].vm_id in job.excluded_vms:
+            continue
+        if all(missing <= _TINY for missing in _missing(state, job, index)):
+            return index
+    return None
+
+
+def find_preemptions(
+    state: RoundState, job: WaitingJob, may_take: MayTake
+) -> Victims | None:
+    """Find the cheapest tasks of one worker whose end makes room for ``job``.
+
+    Tasks that cannot resume from a checkpoint are never chosen: their work would be
+    lost for good. Nothing is returned unless the job fits afterwards.
+
+    Args:
+        state: the round.
+        job: the job that waits.
+        may_take: whether a task may be moved for this job.
+
+    Returns:
+        The tasks to end, without any that the job does not need.
+    """
+    candidates = []
+    for index in range(len(state.workers)):
+        if state.workers[index].vm_id in job.excluded_vms:
+            continue
+        missing = _missing(state, job, index)
+        bound = max(0.0, missing[0]) + max(0.0, missing[1]) / 4 + max(0.0, missing[2])
+        candidates.append((bound, index))
+    best = None
+    n_found = 0
+    for _, index in sorted(candidates):
+        victims = _preemptions_on(state, job, index, may_take)
+        if victims is None:
+            continue
+        if best is None or victims.cost < best.cost:
+            best = victims
+        n_found += 1
+        if n_found >= MAX_CANDIDATES:
+            break
+    return best
+
+
+def _preemptions_on(
+    state: RoundState, job: WaitingJob, index: int, may_take: MayTake
+) -> Victims | None:
+    missing = _missing(state, job, index)
+    tasks = [
+        task
+        for task in state.tasks[index]
+        if _is_available(task) and task.is_restartable and may_take(task)
+    ]
+    tasks.sort(key=lambda task: _cost_seconds(task) * task.reserved.cores)
+    chosen = []
+    for task in tasks:
+        if all(value <= _TINY for value in missing):
+            break
+        held = held_by(task)
+        if any(
+            have > 0 and lack > _TINY for have, lack in zip(held, missing, strict=True)
+        ):
+            missing = [lack - have for lack, have in zip(missing, held, strict=True)]
+            chosen.append(task)
+    if not chosen or any(value > _TINY for value in missing):
+        return None
+    needed = _without_unneeded(chosen, missing)
+    cost = sum(_cost_seconds(task) * task.reserved.cores for task in needed)
+    return Victims(index, needed, cost)
+
+
+def _without_unneeded(
+    chosen: Sequence[RunningTask], missing: Sequence[float]
+) -> list[RunningTask]:
+    """Drop victims, the most expensive first, that the surplus makes unneeded."""
+    surplus = [-value for value in missing]
+    needed = list(chosen)
+    for task in reversed(chosen):
+        held = held_by(task)
+        if all(
+            have <= extra + _TINY for have, extra in zip(held, surplus, strict=True)
+        ):
+            needed.remove(task)
+            surplus = [e - have for e, have in zip(surplus, held, strict=True)]
+    return needed
+
+
+def _missing(state: RoundState, job: WaitingJob, index: int) -> list[float]:
+    return [
+        need - free - ending
+        for need, free, ending in zip(
+            job.request, state.room_for(job, index), state.ending[index], strict=True
+        )
+    ]
+
+
+def _cost_seconds(task: RunningTask) -> float:
+    return min(task.seconds_since_checkpoint, CHECKPOINT_COST_SECONDS) + 1.0
+
+
+def _is_available(task: RunningTask) -> bool:
+    return not task.is_urgent and not task.is_ending
+
+
+def to_preempt(task: RunningTask, job: WaitingJob) -> Preempt:
+    """Return the message that ends ``task`` for ``job``."""
+    return Preempt(task.job_id, job.job_id, is_with_checkpoint(task))
