Use the policies for worker health and sizes; test operations on VMs

The controller's own rule for bad workers is replaced by policy.worker_health, and placement reserves sizes corrected by policy.size_estimates. Upper limits rest on the declared size. The test of a wave of cancellations now counts stops instead of all calls, because the placement policy also throttles tasks in the same step.

--- a/catkinport/controller/fleet_watch.py
+++ b/catkinport/controller/fleet_watch.py
@@ -78,7 +78,6 @@
         self._lose_tasks(vm)
         if self._state.tasks_on(vm.vm_id):
             return
-        self._state.failures.forget(vm.vm_id)
         is_awaited = vm.row["state"] in (VmState.REBOOTING, VmState.FAILED)
         if vm.row["operation"] == "maintenance" and is_awaited:
             mark_maintained(
--- a/catkinport/controller/leases.py
+++ b/catkinport/controller/leases.py
@@ -7,6 +7,7 @@
 from ..state import JobState, VmState
 from .pool_state import PoolState, Task, WorkerLink
 from .services import Services
+from .sizes import SizeKeeper
 
 logger = logging.getLogger(__name__)
 
@@ -24,12 +25,14 @@
     Args:
         services: ports.
         state: state of the pool.
+        sizes: takes in the reports of usage.
     """
 
-    def __init__(self, services: Services, state: PoolState) -> None:
+    def __init__(self, services: Services, state: PoolState, sizes: SizeKeeper) -> None:
         self._services = services
         self._state = state
         self._timing = services.timing
+        self._sizes = sizes
         self._planned: set[tuple[str, int, str]] = set()
 
     def expect_start(self, job_id: str, attempt: int, vm_id: str) -> None:
@@ -150,6 +153,9 @@
             task.report = report
             if not task.has_ended:
                 task.needs_start = False
+            job = self._state.job_of(task)
+            if job is not None:
+                self._sizes.take_report(job, task, self._services.unix_time())
         for report in report_by_attempt.values():
             if report.state in (TaskState.RUNNING, TaskState.THROTTLED):
                 self._stop_orphan(link, report)
--- a/catkinport/controller/pool_manager.py
+++ b/catkinport/controller/pool_manager.py
@@ -11,11 +11,12 @@
 from .guards import GuardedTable, GuardedVmList, GuardedWorkers
 from .job_book import JobBook
 from .leases import LeaseKeeper
-from .outcomes import OutcomeKeeper
+from .outcomes import OutcomeKeeper, update_health
 from .ownership import Ownership
 from .pool_state import PoolState
 from .rounds import PlacementRound
 from .services import Services
+from .sizes import SizeKeeper
 from .starts import Starter
 from .vm_records import VmRecords
 from .waves import WaveKeeper
@@ -50,13 +51,15 @@
             vm_list=cast(VmList, GuardedVmList(services.vm_list, self._is_held)),
         )
         self.state = PoolState(ownership, snapshot.environment, JobBook(guarded.table))
+        self._services = guarded
         self._records = VmRecords(guarded, self.state)
         self._watch = FleetWatch(guarded, self.state, self._records)
-        self._leases = LeaseKeeper(guarded, self.state)
+        sizes = SizeKeeper()
+        self._leases = LeaseKeeper(guarded, self.state, sizes)
         self._outcomes = OutcomeKeeper(guarded, self.state)
         self._allowances = AllowanceKeeper(guarded, self.state)
         self._round = PlacementRound(
-            guarded, self.state, self._leases, self._allowances
+            guarded, self.state, self._leases, self._allowances, sizes
         )
         self._starter = Starter(guarded, self.state)
         self._drains = DrainKeeper(guarded, self.state, self._records)
@@ -107,6 +110,7 @@
         self._leases.sync()
         self._leases.renew_due()
         self._outcomes.settle()
+        update_health(self._services, self.state)
         self._outcomes.stop_cancelled()
         self._round.park_impossible()
         self._round.step()
--- a/catkinport/controller/pool_state.py
+++ b/catkinport/controller/pool_state.py
@@ -6,12 +6,12 @@
 
 from ..fleet.change import empty_pool
 from ..fleet.fence import Fence
+from ..policy.worker_health import WorkerHealth, WorkerState
 from ..ports import ListedVm, TaskReport, TaskState
 from ..settings.environment import Environment
 from ..state import PoolRow, VmRow, VmState
 from .job_book import Job, JobBook
 from .ownership import Ownership
-from .worker_failures import WorkerFailures
 
 ENDED_STATES = (
     TaskState.DONE,
@@ -71,6 +71,8 @@
         checkpointed_at: time of the last checkpoint or start.
         is_throttled: whether it was limited to a part of its processors.
         report: last report of this attempt.
+        highest_cores: highest usage reported.
+        highest_memory_gb: highest usage reported.
     """
 
     job_id: str
@@ -87,6 +89,8 @@
     checkpointed_at: float = 0.0
     is_throttled: bool = False
     report: TaskReport | None = None
+    highest_cores: float = 0.0
+    highest_memory_gb: float = 0.0
 
     @property
     def is_renewable(self) -> bool:
@@ -115,7 +119,7 @@
     link_by_vm: dict[str, WorkerLink] = field(default_factory=dict)
     task_by_job: dict[str, Task] = field(default_factory=dict)
     listed_by_vm: Mapping[str, ListedVm] = field(default_factory=dict)
-    failures: WorkerFailures = field(default_factory=WorkerFailures)
+    health: WorkerHealth | None = None
     is_owner: bool = True
     n_operations: int = 0
 
@@ -135,6 +139,25 @@
         owner = self.ownership
         return f"{owner.member_id}/{owner.pool}/{owner.epoch}/{self.n_operations}"
 
+    def may_get_task(self, vm_id: str) -> bool:
+        """Return whether a worker's health lets it get a task now.
+
+        On probation it gets one task at a time.
+        """
+        health = self.health.state_of(vm_id) if self.health else WorkerState.GOOD
+        if health is WorkerState.PROBATION:
+            return not self.tasks_on(vm_id)
+        return health is WorkerState.GOOD
+
+    def good_vms(self) -> set[str]:
+        """Return the workers that are not under suspicion."""
+        health = self.health
+        return {
+            vm_id
+            for vm_id in self.link_by_vm
+            if health is None or health.state_of(vm_id) is WorkerState.GOOD
+        }
+
     def tasks_on(self, vm_id: str) -> list[Task]:
         """Return the running attempts on a VM."""
         return [task for task in self.task_by_job.values() if task.vm_id == vm_id]
--- a/catkinport/controller/rounds.py
+++ b/catkinport/controller/rounds.py
@@ -14,7 +14,7 @@
     plan_placement,
 )
 from ..ports import Condition, Transaction, Unavailable, Write
-from ..state import JobRow, JobState
+from ..state import JobState, VmRow
 from . import transitions
 from .allowances import Allowance, AllowanceKeeper
 from .job_book import Job
@@ -29,6 +29,7 @@
 from .outcomes import end_task
 from .pool_state import PoolState, Task
 from .services import Services
+from .sizes import SizeKeeper
 
 MAX_STARTS_PER_ROUND = 100
 
@@ -41,6 +42,7 @@
         state: state of the pool.
         leases: is told of the attempts that are about to be committed.
         allowances: the pool's part of the upper limits.
+        sizes: corrected sizes of jobs.
     """
 
     def __init__(
@@ -49,11 +51,13 @@
         state: PoolState,
         leases: LeaseKeeper,
         allowances: AllowanceKeeper,
+        sizes: SizeKeeper,
     ) -> None:
         self._services = services
         self._state = state
         self._leases = leases
         self._allowances = allowances
+        self._sizes = sizes
 
     def step(self) -> None:
         """Plan a round and carry it out."""
@@ -95,22 +99,22 @@
     def _impossible_reason(
         self, job: Job, capacities: Sequence[Resources], largest: Resources
     ) -> str:
-        request = _request(job.row)
+        request = self._sizes.correct(job)
         if not any(_fits(request, capacity) for capacity in capacities):
             return f"needs {_text(request)}; the largest worker has {_text(largest)}"
         team = self._state.environment.team_by_name.get(job.row["team"])
-        if team is not None and request.cores > team.max_cores:
-            return f"needs {request.cores:g} cores; the team may use {team.max_cores}"
+        n_cores = job.row["n_cores"]
+        if team is not None and n_cores > team.max_cores:
+            return f"needs {n_cores:g} cores; the team may use {team.max_cores}"
         return ""
 
     def _build_problem(
         self, waiting: Sequence[Job], allowances: Mapping[str, Allowance]
     ) -> PlacementProblem:
-        bad_vms = self._state.failures.bad_vms()
         teams = self._state.environment.team_by_name
         return PlacementProblem(
-            [self._worker_view(vm_id, bad_vms) for vm_id in self._usable_vms()],
-            [_waiting_job(job) for job in waiting],
+            [self._worker_view(vm_id) for vm_id in self._usable_vms()],
+            [self._waiting_job(job) for job in waiting],
             [self._running_task(task) for task in self._state.task_by_job.values()],
             {
                 name: TeamView(
@@ -130,10 +134,23 @@
                 usable.append(vm_id)
         return usable
 
-    def _worker_view(self, vm_id: str, bad_vms: set[str]) -> WorkerView:
+    def _worker_view(self, vm_id: str) -> WorkerView:
         row = self._state.vm_by_id[vm_id].row
+        is_quarantined = not self._state.may_get_task(vm_id)
         capacity = _capacity(row)
-        return WorkerView(vm_id, row["zone"], row["rack"], capacity, vm_id in bad_vms)
+        return WorkerView(vm_id, row["zone"], row["rack"], capacity, is_quarantined)
+
+    def _waiting_job(self, job: Job) -> WaitingJob:
+        row = job.row
+        return WaitingJob(
+            job.job_id,
+            job.queue,
+            row["team"],
+            row["is_urgent"],
+            self._sizes.correct(job),
+            row["submitted_at"],
+            frozenset(row["failed_vms"]),
+        )
 
     def _running_task(self, task: Task) -> RunningTask:
         job = self._state.book.get(task.job_id)
@@ -146,10 +163,10 @@
             task.vm_id,
             row["is_urgent"],
             row["is_restartable"],
-            _request(row),
+            self._sizes.correct(job),
             self._services.clock.now() - task.checkpointed_at,
             task.is_throttled,
-            bool(task.ending) or task.needs_start,
+            bool(task.ending),
         )
 
     def _commit_starts(
@@ -233,24 +250,7 @@
         metrics.set("jobs_waiting", "Jobs that wait for room.", labels, n_waiting)
 
 
-def _waiting_job(job: Job) -> WaitingJob:
-    row = job.row
-    return WaitingJob(
-        job.job_id,
-        job.queue,
-        row["team"],
-        row["is_urgent"],
-        _request(row),
-        row["submitted_at"],
-        frozenset(row["failed_vms"]),
-    )
-
-
-def _request(row: JobRow) -> Resources:
-    return Resources(row["n_cores"], row["memory_gb"], row["n_accelerators"])
-
-
-def _capacity(row) -> Resources:
+def _capacity(row: VmRow) -> Resources:
     return Resources(row["n_cores"], row["memory_gb"], row["n_accelerators"])
 
 
--- /dev/null
+++ b/catkinport/controller/sizes.py
@@ -0,0 +1,48 @@
+"""Corrects declared sizes of jobs from the workers' reports of usage."""
+
+from ..policy.resources import Resources
+from ..policy.size_estimates import SizeEstimates, UsageReport
+from ..ports import TaskState
+from ..state import JobRow
+from .job_book import Job
+from .pool_state import Task
+
+
+def declared_size(row: JobRow) -> Resources:
+    """Return the size that the caller declared."""
+    return Resources(row["n_cores"], row["memory_gb"], row["n_accelerators"])
+
+
+class SizeKeeper:
+    """Estimates of one pool.
+
+    They correct what placement reserves. Upper limits rest on the declared size, which
+    is what a team asked for and what workers grant.
+    """
+
+    def __init__(self) -> None:
+        self._estimates = SizeEstimates()
+
+    def correct(self, job: Job) -> Resources:
+        """Return the size to reserve for a job."""
+        declared = declared_size(job.row)
+        return self._estimates.correct(job.queue, job.row["team"], declared)
+
+    def take_report(self, job: Job, task: Task, now: float) -> None:
+        """Take in the last report of a task at Unix time ``now``.
+
+        A throttled task uses less than it would, so that it says nothing.
+        """
+        report = task.report
+        if report is None or report.state != TaskState.RUNNING or task.is_throttled:
+            return
+        task.highest_cores = max(task.highest_cores, report.used_cores)
+        task.highest_memory_gb = max(task.highest_memory_gb, report.used_memory_gb)
+        declared = declared_size(job.row)
+        used = Resources(
+            task.highest_cores, task.highest_memory_gb, declared.accelerators
+        )
+        age = now - job.row["started_at"]
+        team = job.row["team"]
+        usage = UsageReport(job.queue, team, job.job_id, declared, used, age)
+        self._estimates.add(usage)
--- a/catkinport/controller/tests/cluster.py
+++ b/catkinport/controller/tests/cluster.py
@@ -40,6 +40,7 @@
         self.drops_starts: set[str] = set()
         self.failing: set[str] = set()
         self.n_calls = 0
+        self.n_stops = 0
 
     def table(self, address: str) -> TaskTable:
         return self.tasks_by_address.setdefault(address, TaskTable(self.clock))
@@ -84,6 +85,7 @@
         return self._change(address, job_id, "throttle", attempt, epoch, fraction)
 
     def stop_task(self, address, job_id, attempt, epoch):
+        self.n_stops += 1
         return self._change(address, job_id, "stop", attempt, epoch)
 
     def _change(self, address, job_id, operation, attempt, epoch, fraction=1.0):
--- a/catkinport/controller/waves.py
+++ b/catkinport/controller/waves.py
@@ -6,7 +6,7 @@
 from ..policy.maintenance import MaintainableVm, PoolMaintenance, choose_vms_to_drain
 from ..ports import Unavailable
 from ..runtime import log_event
-from ..state import MAINTENANCE
+from ..state import MAINTENANCE, VmState
 from .pool_state import PoolState, VmRecord
 from .services import Services
 from .vm_records import VmRecords
@@ -86,4 +86,5 @@
             vm.row["last_maintained"],
             len(tasks),
             sum(job is not None and not job.row["is_restartable"] for job in jobs),
+            vm.row["state"] == VmState.FAILED,
         )
