Add the demo and the fault schedules

Cause: promises are to be proved by histories of real processes under faults. Change: demo, schedules registered by name, a trial that runs load beside a schedule and checks every promise, a report.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV ?= .venv
 PYTHON ?= python3
 
-.PHONY: install test demo bench lint generate
+.PHONY: install test demo prove bench lint generate
 
 install: $(VENV)/.installed
 
@@ -18,6 +18,9 @@
 demo: install
 	$(VENV)/bin/python -m examples.demo
 
+prove: install
+	$(VENV)/bin/python -m verification
+
 bench: install
 	$(VENV)/bin/python -m benchmarks
 
--- /dev/null
+++ b/examples/__init__.py
@@ -0,0 +1,1 @@
+"""Examples that run."""
--- /dev/null
+++ b/examples/demo.py
@@ -0,0 +1,132 @@
+"""Run a small deployment, kill an entry under load and print what was served."""
+
+import random
+import sys
+import time
+from collections import Counter
+
+from verification.checkers import check_at_most_once, check_own_answer
+from verification.client import LoadGenerator, RecordingClient
+from verification.deployment import Deployment, DeploymentSize
+from verification.history import Operation, Outcome, Recorder
+from verification.processes import ProcessGroup
+
+N_REQUESTS = 600
+N_JOBS = 12
+JOB_SECONDS = 1.0
+JOB_TIMEOUT_SECONDS = 60.0
+SEED = 1
+
+
+def main() -> int:
+    """Run the demo; return 0 when every request and job ended well."""
+    with ProcessGroup() as processes:
+        deployment = Deployment(processes, DeploymentSize())
+        print("starting platform, backend servers, workers, entries, controllers")
+        deployment.start()
+        jobs = submit_jobs(deployment)
+        operations = send_requests_and_kill_an_entry(deployment)
+        n_done = count_finished_jobs(deployment, jobs)
+        executions = deployment.list_executions()
+        violations = check_at_most_once(operations, executions)
+        violations += check_own_answer(operations)
+    print_table(operations, n_done, len(violations))
+    is_good = n_done == N_JOBS and not violations
+    return 0 if is_good and count_lost(operations) == 0 else 1
+
+
+def send_requests_and_kill_an_entry(deployment: Deployment) -> list[Operation]:
+    """Send requests from several threads and kill one entry half way."""
+    recorder = Recorder()
+    client = RecordingClient(recorder, deployment.list_caller_addresses)
+    callers = deployment.list_callers()
+
+    def send_one(rng: random.Random) -> None:
+        is_idempotent = rng.random() < 0.5
+        idempotency_key = "" if is_idempotent else f"{rng.getrandbits(64):x}"
+        caller = rng.choice(callers)
+        for _ in range(4):
+            operation = client.send(
+                caller, rng, 0.01, is_idempotent, idempotency_key, b"x" * 100
+            )
+            if operation.outcome is Outcome.ANSWERED:
+                return
+
+    with LoadGenerator(send_one, 8, 0.01, N_REQUESTS, SEED):
+        while len(recorder.list_operations()) < N_REQUESTS // 2:
+            time.sleep(0.02)
+        name = next(iter(deployment.entry_by_name))
+        print(f"killing {name}")
+        deployment.entry_by_name[name].process.kill()
+        while len(recorder.list_operations()) < N_REQUESTS:
+            time.sleep(0.02)
+    return recorder.list_operations()
+
+
+def submit_jobs(deployment: Deployment) -> list[tuple[str, str]]:
+    """Submit jobs with the teams' keys; return queue and id of each."""
+    jobs = []
+    for index in range(N_JOBS):
+        caller = deployment.list_callers()[index % len(deployment.caller_by_key)]
+        address = deployment.list_caller_addresses()[0]
+        queue = caller.queue.replace("queue", "long")
+        status, answer = deployment.call(
+            "POST",
+            f"http://{address}/v1/queues/{queue}/jobs",
+            {"command": "sleep", "cores": 2, "run_seconds": JOB_SECONDS},
+            {"Authorization": f"Bearer {caller.secret}"},
+        )
+        if status != 202:
+            raise RuntimeError(f"the job was refused: {status} {answer}")
+        jobs.append((caller.key_name, f"{queue}/jobs/{answer['job_id']}"))
+    return jobs
+
+
+def count_finished_jobs(deployment: Deployment, jobs: list[tuple[str, str]]) -> int:
+    """Wait for the jobs and fetch their results; return how many are done."""
+    deadline = time.monotonic() + JOB_TIMEOUT_SECONDS
+    waiting = list(jobs)
+    while waiting and time.monotonic() < deadline:
+        time.sleep(0.2)
+        waiting = [job for job in waiting if not _has_result(deployment, *job)]
+    return len(jobs) - len(waiting)
+
+
+def count_lost(operations: list[Operation]) -> int:
+    """Return how many requests never got an answer, retries included."""
+    # The calls of one idempotent request do not share a key; each retry that
+    # follows a broken call counts as the same request only by its answer.
+    lost = {o.idempotency_key for o in operations if o.idempotency_key}
+    answered = {o.idempotency_key for o in operations if o.outcome is Outcome.ANSWERED}
+    return len(lost - answered)
+
+
+def print_table(operations: list[Operation], n_done: int, n_violations: int) -> None:
+    """Print what was served."""
+    counts = Counter(operation.outcome.value for operation in operations)
+    print("\nrequests")
+    for outcome, count in sorted(counts.items()):
+        print(f"  {outcome:<12} {count:>6}")
+    durations = sorted(o.ended_at - o.started_at for o in operations)
+    median = durations[len(durations) // 2]
+    p99 = durations[int(len(durations) * 0.99)]
+    print(f"  median {median * 1000:.1f} ms, p99 {p99 * 1000:.1f} ms")
+    print(f"jobs done        {n_done:>6} of {N_JOBS}")
+    print("entries killed        1")
+    print(f"keyed requests without any answer {count_lost(operations)}")
+    print(f"violations       {n_violations:>6}")
+
+
+def _has_result(deployment: Deployment, key_name: str, path: str) -> bool:
+    caller = deployment.caller_by_key[key_name]
+    address = deployment.list_caller_addresses()[0]
+    status, _ = deployment.call(
+        "GET",
+        f"http://{address}/v1/queues/{path}/result",
+        headers={"Authorization": f"Bearer {caller.secret}"},
+    )
+    return status == 200
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/verification/__main__.py
@@ -0,0 +1,32 @@
+"""Run fault schedules and print a table of promises (``make prove``)."""
+
+import sys
+from typing import Annotated
+
+import cappa
+
+from .report import print_report
+from .schedules import list_schedules, run_schedule
+
+
+@cappa.command(name="verification")
+class ProveCommand:
+    """Run every fault schedule, or those that are named, with each seed."""
+
+    schedules: Annotated[list[str], cappa.Arg()] = []
+    seeds: Annotated[list[int], cappa.Arg(long=True)] = [1, 2]
+
+    def __call__(self) -> None:
+        """Exit with 1 when a promise was violated."""
+        names = self.schedules or list_schedules()
+        results = []
+        for name in names:
+            for seed in self.seeds:
+                print(f"running {name} with seed {seed}", flush=True)
+                results.append(run_schedule(name, seed))
+        n_violations = print_report(results)
+        sys.exit(1 if n_violations else 0)
+
+
+if __name__ == "__main__":
+    cappa.invoke(ProveCommand)
--- a/verification/deployment.py
+++ b/verification/deployment.py
@@ -8,6 +8,9 @@
 
 import urllib3
 
+from catkinport.adapters import HttpClient, HttpTable
+from catkinport.fleet.operations import VmChanged, register_vm
+from catkinport.ports import ListedVm, VmStatus
 from catkinport.settings.keys import create_salt, create_secret, hash_secret
 
 from .client import Caller
@@ -66,6 +69,7 @@
         self._operator_salt = create_salt()
         self._cluster_key = create_secret()
         self._document = ""
+        self._listed_vm_by_id: dict[str, ListedVm] = {}
 
     def start(self) -> None:
         """Start everything and apply the document."""
@@ -73,6 +77,7 @@
         for name in self._names("entry", self.size.n_entries):
             self.start_entry(name)
         self.apply_document(self.build_document(), expected_revision=0)
+        self._register_vms()
         for name in self._names("controller", self.size.n_controllers):
             self.start_controller(name)
         self.wait_until_ready()
@@ -277,21 +282,32 @@
             address = server.wait_for_line("listening on ")[0]
             self.server_address_by_vm[vm_id] = address
             self.worker_address_by_vm[vm_id] = worker_addresses[index]
-            self._register_vm(vm_id, f"pool-{service}", index)
-
-    def _register_vm(self, vm_id: str, pool: str, index: int) -> None:
-        listed = {
-            "status": "live",
-            "zone": f"zone-{index % N_ZONES}",
-            "rack": f"rack-{index // SERVERS_PER_RACK}",
-            "worker_address": self.worker_address_by_vm[vm_id],
-            "backend_address": self.server_address_by_vm[vm_id],
-            "boot_id": "1",
-            "n_cores": 64.0,
-            "memory_gb": 256.0,
-            "n_accelerators": 0,
-        }
-        self.call("PUT", f"http://{self.platform_address}/vms/{vm_id}", listed)
+            listed = self._describe_vm(vm_id, index)
+            self._listed_vm_by_id[vm_id] = listed
+            url = f"http://{self.platform_address}/vms/{vm_id}"
+            self.call("PUT", url, listed._asdict())
+
+    def _describe_vm(self, vm_id: str, index: int) -> ListedVm:
+        return ListedVm(
+            vm_id,
+            VmStatus.LIVE,
+            zone=f"zone-{index % N_ZONES}",
+            rack=f"rack-{index // SERVERS_PER_RACK}",
+            worker_address=self.worker_address_by_vm[vm_id],
+            backend_address=self.server_address_by_vm[vm_id],
+            boot_id="1",
+            n_cores=64.0,
+            memory_gb=256.0,
+            n_accelerators=0,
+        )
+
+    def _register_vms(self) -> None:
+        table = HttpTable(HttpClient(self.platform_address, "operator"))
+        for vm_id, listed in self._listed_vm_by_id.items():
+            pool = f"pool-{vm_id.split('-')[1]}"
+            outcome = register_vm(table, listed, pool, create_secret(), time.time())
+            if not isinstance(outcome, VmChanged):
+                raise RuntimeError(f"{vm_id} was not registered: {outcome}")
 
     def _start_daemon(self, name: str, role: str) -> Daemon:
         path = self._processes.folder / f"{name}.ini"
