--- a/catkinport/membership/__init__.py
+++ b/catkinport/membership/__init__.py
@@ -1,1 +1,24 @@
 """Roster, freshness lease and distribution of the configuration."""
+
+from .interface import (
+    Acceptance,
+    AcceptOutcome,
+    MemberRecord,
+    Membership,
+    RevisionConflict,
+    Snapshot,
+)
+from .service import RunningMembership, start_membership
+from .settings import MembershipSettings
+
+__all__ = [
+    "AcceptOutcome",
+    "Acceptance",
+    "MemberRecord",
+    "Membership",
+    "MembershipSettings",
+    "RevisionConflict",
+    "RunningMembership",
+    "Snapshot",
+    "start_membership",
+]
--- /dev/null
+++ b/catkinport/membership/actor.py
@@ -0,0 +1,593 @@
+"""The actor that decides on membership; it does no blocking call itself."""
+
+import logging
+import threading
+import uuid
+from collections.abc import Callable, Collection, Mapping
+from concurrent.futures import Future
+from typing import Any
+
+import pykka
+
+from ..adapters.peers_grpc import PeerCall
+from ..policy.freshness import Freshness, PeerAnswer, View
+from ..ports import Clock, Reason, Refused, Table, Unavailable
+from ..protocol import peer_pb2
+from ..runtime import log_event
+from ..settings.environment import Environment
+from ..state import MemberRow
+from . import messages, roster_store
+from .interface import MemberRecord, Snapshot
+from .pending_changes import PendingChanges
+from .settings import MembershipSettings, Parse
+from .store_actor import StoreActor, StoreCall
+from .wire import (
+    answer_from_message,
+    answer_to_message,
+    view_from_message,
+    view_to_message,
+)
+
+# Used while no document says how long requests may take.
+DEFAULT_LONGEST_REQUEST_SECONDS = 600.0
+
+_logger = logging.getLogger(__name__)
+
+Publish = Callable[[Snapshot], None]
+
+
+class MembershipActor(pykka.ThreadingActor):
+    """Owns the freshness state and the configuration of one member.
+
+    Args:
+        settings: settings of the member.
+        table: client of the table service, used in the store actors only.
+        clock: clock of the leases.
+        parse: turns a document into the environment.
+        publish: gets every new snapshot.
+    """
+
+    use_daemon_thread = True
+
+    def __init__(
+        self,
+        settings: MembershipSettings,
+        table: Table,
+        clock: Clock,
+        parse: Parse,
+        publish: Publish,
+    ) -> None:
+        super().__init__()
+        self._settings = settings
+        self._table = table
+        self._clock = clock
+        self._parse = parse
+        self._publish = publish
+        self._peers: pykka.ActorRef | None = None
+        self._peer_address = ""
+        self._member_id = new_member_id(settings.role)
+        self._freshness: Freshness | None = None
+        self._revision = 0
+        self._document = ""
+        self._environment: Environment | None = None
+        self._generation = 0
+        self._admin_address_by_id: dict[str, str] = {}
+        self._is_reading = False
+        self._is_writing = False
+        self._is_fetching = False
+        self._is_leaving = False
+        self._pending = PendingChanges()
+        self._stop_ticker = threading.Event()
+        self._handler_by_type: Mapping[type, Callable[[Any], None]] = {
+            messages.Tick: self._on_tick,
+            messages.PollNow: self._on_poll_now,
+            messages.StoreRead: self._on_store_read,
+            messages.Registered: self._on_registered,
+            messages.StoreWritten: self._on_store_written,
+            messages.PeerConfirmed: self._on_peer_confirmed,
+            messages.DocumentArrived: self._on_document_arrived,
+            messages.PeerAcknowledged: self._on_peer_acknowledged,
+            messages.FetchEnded: self._on_fetch_ended,
+            messages.ServeCall: self._on_serve_call,
+            messages.PrepareAcceptance: self._on_prepare_acceptance,
+            messages.AwaitInForce: self._on_await_in_force,
+            messages.Leave: self._on_leave,
+            messages.Connected: self._on_connected,
+        }
+        self._answer_by_method: Mapping[str, Callable[[Any, Freshness], Any]] = {
+            "Confirm": self._answer_confirm,
+            "Announce": self._answer_announce,
+            "Leave": self._answer_leave,
+            "FetchDocument": self._answer_fetch_document,
+        }
+
+    def on_start(self) -> None:
+        """Start the store actors."""
+        self._reader = StoreActor.start()
+        self._writer = StoreActor.start()
+
+    def on_stop(self) -> None:
+        """Stop the ticker and the store actors without waiting for the store."""
+        self._stop_ticker.set()
+        self._reader.stop(block=False)
+        self._writer.stop(block=False)
+
+    def on_receive(self, message: Any) -> None:
+        """Handle a message; an error is logged and leaves the actor running."""
+        try:
+            self._handler_by_type[type(message)](message)
+        except Exception:
+            _logger.exception("membership message failed: %s", type(message).__name__)
+            if isinstance(message, messages.ServeCall) and not message.reply.done():
+                message.reply.set_exception(RuntimeError("membership failed"))
+
+    def _on_connected(self, message: messages.Connected) -> None:
+        self._peers = message.peers
+        self._peer_address = message.peer_address
+        self._register()
+        self._publish_snapshot()
+        threading.Thread(target=self._run_ticker, daemon=True).start()
+
+    def _run_ticker(self) -> None:
+        while not self._stop_ticker.wait(self._settings.timing.renewal):
+            if not self.actor_ref.is_alive():
+                return
+            self.actor_ref.tell(messages.Tick())
+
+    # Store
+
+    def _on_tick(self, message: messages.Tick) -> None:
+        if self._is_leaving:
+            return
+        if self._freshness is None:
+            self._register()
+            return
+        self._freshness.tick(self._clock.now())
+        self._read_store()
+        self._ask_peers()
+        self._change_roster()
+        self._finish_pending()
+        self._publish_snapshot()
+
+    def _on_poll_now(self, message: messages.PollNow) -> None:
+        if self._freshness is not None:
+            self._read_store()
+
+    def _read_store(self) -> None:
+        if self._is_reading:
+            return
+        self._is_reading = True
+
+        def read() -> messages.StoreRead:
+            sent_at = self._clock.now()
+            return messages.StoreRead(sent_at, roster_store.read_state(self._table))
+
+        def on_done(result: messages.StoreRead | None) -> None:
+            self._tell(result or messages.StoreRead(0.0, None))
+
+        self._reader.tell(StoreCall(read, on_done))
+
+    def _on_store_read(self, message: messages.StoreRead) -> None:
+        self._is_reading = False
+        freshness, state = self._freshness, message.state
+        if freshness is None:
+            return
+        if not isinstance(state, roster_store.StoreState):
+            self._note_store_failure(freshness, state)
+            return
+        now = self._clock.now()
+        self._apply_document(state.revision, state.document)
+        freshness.on_store_read(message.sent_at, now, state.revision, state.view)
+        self._apply_state(state)
+        if freshness.is_evicted and not self._is_leaving:
+            self._register_anew(freshness)
+        self._finish_pending()
+        self._publish_snapshot()
+
+    def _note_store_failure(
+        self, freshness: Freshness, failure: Unavailable | None
+    ) -> None:
+        if freshness.is_store_reachable(self._clock.now()):
+            reason = failure.reason if failure else "error"
+            log_event(
+                _logger,
+                "store read failed; peers confirm the lease",
+                logging.WARNING,
+                step="membership-read",
+                reason=reason,
+            )
+        freshness.on_store_failed()
+        self._ask_peers()
+
+    def _apply_state(self, state: roster_store.StoreState) -> None:
+        self._generation = max(self._generation, state.generation)
+        self._admin_address_by_id = {
+            member_id: row["admin_address"]
+            for member_id, row in state.member_row_by_id.items()
+        }
+
+    def _register(self) -> None:
+        if self._is_writing:
+            return
+        self._is_writing = True
+        member_id, row = self._member_id, self._member_row()
+
+        def write() -> messages.Registered:
+            state = roster_store.register(self._table, member_id, row)
+            return messages.Registered(member_id, state)
+
+        self._run_write(write, messages.Registered(member_id, None))
+
+    def _member_row(self) -> MemberRow:
+        return {
+            "role": self._settings.role,
+            "peer_address": self._peer_address,
+            "admin_address": self._settings.admin_address,
+            "zone": self._settings.zone,
+            "is_evicted": False,
+        }
+
+    def _on_registered(self, message: messages.Registered) -> None:
+        self._is_writing = False
+        state = message.state
+        if not isinstance(state, roster_store.StoreState):
+            log_event(
+                _logger,
+                "registration failed; trying again",
+                logging.WARNING,
+                step="membership-register",
+                reason=getattr(state, "reason", "error"),
+            )
+            return
+        now = self._clock.now()
+        self._freshness = Freshness(
+            self._member_id, state.view, now, self._revision, self._settings.timing
+        )
+        self._apply_document(state.revision, state.document)
+        self._freshness.on_revision_known(state.revision, now)
+        self._apply_state(state)
+        log_event(_logger, "registered", member_id=self._member_id)
+        self._read_store()
+        self._ask_peers()
+        self._publish_snapshot()
+
+    def _register_anew(self, freshness: Freshness) -> None:
+        log_event(
+            _logger,
+            "found itself evicted; registering with a new id",
+            logging.WARNING,
+            member_id=self._member_id,
+        )
+        self._pending.fail_all()
+        self._freshness = None
+        self._member_id = new_member_id(self._settings.role)
+        self._register()
+
+    def _change_roster(self) -> None:
+        freshness = self._freshness
+        if freshness is None or self._is_writing:
+            return
+        now = self._clock.now()
+        silent = freshness.silent_ids(now)
+        if silent:
+            self._write_roster("evicting silent members", roster_store.evict, silent)
+            return
+        ended = freshness.completed_evictions(now, self._longest_request_seconds())
+        if ended and freshness.is_store_reachable(now):
+            self._write_roster("removing evicted members", roster_store.remove, ended)
+
+    def _write_roster(
+        self,
+        event: str,
+        change: Callable[[Table, Collection[str]], Unavailable | None],
+        member_ids: Collection[str],
+    ) -> None:
+        log_event(_logger, event, member_ids=",".join(member_ids))
+        self._is_writing = True
+
+        def write() -> messages.StoreWritten:
+            return messages.StoreWritten(change(self._table, member_ids))
+
+        self._run_write(write, messages.StoreWritten(None))
+
+    def _run_write(self, write: Callable[[], Any], on_error: Any) -> None:
+        self._writer.tell(
+            StoreCall(write, lambda result: self._tell(result or on_error))
+        )
+
+    def _on_store_written(self, message: messages.StoreWritten) -> None:
+        self._is_writing = False
+        if self._freshness is not None:
+            self._read_store()
+
+    def _longest_request_seconds(self) -> float:
+        if self._environment is None:
+            return DEFAULT_LONGEST_REQUEST_SECONDS
+        services = self._environment.service_by_name.values()
+        return max((s.max_request_seconds for s in services), default=0.0)
+
+    # Configuration
+
+    def _apply_document(self, revision: int, document: str) -> None:
+        if revision <= self._revision:
+            return
+        try:
+            environment = self._parse(document)
+        except ValueError as error:
+            log_event(
+                _logger,
+                "accepted document cannot be parsed; the lease will end",
+                logging.ERROR,
+                revision=revision,
+                detail=error,
+            )
+            return
+        self._revision = revision
+        self._document = document
+        self._environment = environment
+        if self._freshness is not None:
+            self._freshness.on_revision_held(revision, self._clock.now())
+        log_event(_logger, "configuration applied", revision=revision)
+
+    def _on_document_arrived(self, message: messages.DocumentArrived) -> None:
+        self._apply_document(message.revision, message.document)
+        self._publish_snapshot()
+
+    def _fetch_if_behind(self, address: str) -> None:
+        freshness = self._freshness
+        if freshness is None or self._is_fetching or not address:
+            return
+        if freshness.held_revision >= freshness.known_revision:
+            return
+        self._is_fetching = True
+        request = peer_pb2.FetchDocumentRequest(member_id=self._member_id)
+
+        def on_done(reply: Any) -> None:
+            if isinstance(reply, Unavailable):
+                reply = peer_pb2.FetchDocumentReply()
+            self._tell(messages.FetchEnded(reply.revision, reply.document))
+
+        self._call(address, "FetchDocument", request, on_done)
+
+    def _on_fetch_ended(self, message: messages.FetchEnded) -> None:
+        self._is_fetching = False
+        self._apply_document(message.revision, message.document)
+        self._publish_snapshot()
+
+    # Peers
+
+    def _ask_peers(self) -> None:
+        freshness = self._freshness
+        if freshness is None or self._is_leaving:
+            return
+        now = self._clock.now()
+        request = peer_pb2.ConfirmRequest(
+            member_id=self._member_id,
+            revision=freshness.known_revision,
+            view=view_to_message(freshness.view),
+        )
+        for peer_id in freshness.peers_to_ask(now):
+            self._ask_peer(peer_id, freshness.view, request, now)
+
+    def _ask_peer(
+        self, peer_id: str, view: View, request: peer_pb2.ConfirmRequest, now: float
+    ) -> None:
+        def on_done(reply: Any) -> None:
+            if not isinstance(reply, Unavailable):
+                reply = answer_from_message(reply)
+            self._tell(messages.PeerConfirmed(peer_id, now, reply))
+
+        address = view.member_by_id[peer_id].peer_address
+        self._call(address, "Confirm", request, on_done)
+
+    def _on_peer_confirmed(self, message: messages.PeerConfirmed) -> None:
+        freshness, answer = self._freshness, message.answer
+        if freshness is None or not isinstance(answer, PeerAnswer):
+            return
+        if answer.member_id != message.peer_id:
+            # A restarted member answers at the address of its former id.
+            return
+        freshness.on_peer_answer(answer, message.sent_at, self._clock.now())
+        peer = freshness.view.member_by_id.get(message.peer_id)
+        self._fetch_if_behind(peer.peer_address if peer else "")
+        self._ask_peers()
+        self._publish_snapshot()
+
+    def _on_serve_call(self, message: messages.ServeCall) -> None:
+        freshness = self._freshness
+        if freshness is None:
+            message.reply.set_exception(RuntimeError("not registered"))
+            return
+        answer = self._answer_by_method[message.method]
+        message.reply.set_result(answer(message.request, freshness))
+        self._publish_snapshot()
+
+    def _answer_confirm(
+        self, request: peer_pb2.ConfirmRequest, freshness: Freshness
+    ) -> peer_pb2.ConfirmReply:
+        now = self._clock.now()
+        view = view_from_message(request.view)
+        freshness.on_peer_request(request.revision, view, now)
+        asking = view.member_by_id.get(request.member_id)
+        self._fetch_if_behind(asking.peer_address if asking else "")
+        return answer_to_message(freshness.answer(now))
+
+    def _answer_announce(
+        self, request: peer_pb2.Announcement, freshness: Freshness
+    ) -> peer_pb2.AnnouncementReply:
+        self._apply_document(request.revision, request.document)
+        freshness.on_revision_known(request.revision, self._clock.now())
+        return peer_pb2.AnnouncementReply(
+            member_id=self._member_id, held_revision=self._revision
+        )
+
+    def _answer_leave(
+        self, request: peer_pb2.LeaveRequest, freshness: Freshness
+    ) -> peer_pb2.LeaveReply:
+        view = view_from_message(request.view)
+        freshness.on_goodbye(
+            request.member_id, request.revision, view, self._clock.now()
+        )
+        leaving = view.member_by_id.get(request.member_id)
+        self._fetch_if_behind(leaving.peer_address if leaving else "")
+        log_event(_logger, "member said goodbye", peer=request.member_id)
+        return peer_pb2.LeaveReply()
+
+    def _answer_fetch_document(
+        self, request: peer_pb2.FetchDocumentRequest, freshness: Freshness
+    ) -> peer_pb2.FetchDocumentReply:
+        return peer_pb2.FetchDocumentReply(
+            revision=self._revision, document=self._document
+        )
+
+    def _call(
+        self, address: str, method: str, request: Any, on_done: Callable[[Any], None]
+    ) -> None:
+        result: Future[Any] = Future()
+
+        def finish(future: "Future[Any]") -> None:
+            error = future.exception()
+            if error is not None:
+                _logger.error("peer call %s raised", method, exc_info=error)
+                on_done(Unavailable(Reason.CONNECTION_LOST, method, address))
+                return
+            on_done(future.result())
+
+        result.add_done_callback(finish)
+        if self._peers is None or not self._peers.is_alive():
+            result.set_result(Unavailable(Reason.STOPPING, method, address))
+            return
+        self._peers.tell(PeerCall(address, method, request, result))
+
+    # Changes
+
+    def _on_prepare_acceptance(self, message: messages.PrepareAcceptance) -> None:
+        freshness, now = self._freshness, self._clock.now()
+        if freshness is not None and freshness.may_accept_changes(now):
+            message.result.set_result(self._member_id)
+            return
+        reason = Reason.STOPPING if self._is_leaving else Reason.CONFIGURATION_STALE
+        detail = "this member is not registered yet"
+        if freshness is not None:
+            rest = max(0.0, freshness.established_at - now)
+            detail = f"this member may accept changes in {rest:.1f} s at the latest"
+        message.result.set_result(Refused(reason, "accept-document", detail=detail))
+
+    def _on_await_in_force(self, message: messages.AwaitInForce) -> None:
+        freshness = self._freshness
+        if freshness is None:
+            message.result.cancel()
+            return
+        self._apply_document(message.revision, message.document)
+        freshness.on_revision_known(message.revision, self._clock.now())
+        missing = self._members_to_acknowledge(freshness, message.roster_ids)
+        self._pending.add(message.revision, missing, message.result)
+        self._announce(freshness)
+        self._finish_pending()
+        self._publish_snapshot()
+
+    def _members_to_acknowledge(
+        self, freshness: Freshness, roster_ids: Collection[str]
+    ) -> set[str]:
+        now = self._clock.now()
+        ended = set(freshness.view.departed_ids) | {self._member_id}
+        for member_id in roster_ids:
+            ended_at = freshness.eviction_in_force_at(member_id)
+            if ended_at is not None and ended_at <= now:
+                ended.add(member_id)
+        return set(roster_ids) - ended
+
+    def _announce(self, freshness: Freshness) -> None:
+        request = peer_pb2.Announcement(
+            member_id=self._member_id, revision=self._revision, document=self._document
+        )
+
+        def on_done(reply: Any) -> None:
+            if not isinstance(reply, Unavailable):
+                self._tell(
+                    messages.PeerAcknowledged(reply.member_id, reply.held_revision)
+                )
+
+        for peer_id in freshness.view.live_ids() - {self._member_id}:
+            address = freshness.view.member_by_id[peer_id].peer_address
+            self._call(address, "Announce", request, on_done)
+
+    def _on_peer_acknowledged(self, message: messages.PeerAcknowledged) -> None:
+        self._pending.acknowledge(message.peer_id, message.held_revision)
+        self._finish_pending()
+
+    def _finish_pending(self) -> None:
+        if self._freshness is not None:
+            self._pending.finish(self._clock.now(), self._freshness.in_force_at)
+
+    # Leaving
+
+    def _on_leave(self, message: messages.Leave) -> None:
+        self._is_leaving = True
+        self._stop_ticker.set()
+        freshness = self._freshness
+        if freshness is None:
+            message.result.set_result(self._member_id)
+            return
+        view = freshness.stop(self._clock.now())
+        request = peer_pb2.LeaveRequest(
+            member_id=self._member_id,
+            view=view_to_message(view),
+            revision=freshness.known_revision,
+        )
+        self._publish_snapshot()
+        waiting = set(view.live_ids() - {self._member_id})
+        if not waiting:
+            message.result.set_result(self._member_id)
+        for peer_id in sorted(waiting):
+
+            def on_done(reply: Any, peer_id: str = peer_id) -> None:
+                waiting.discard(peer_id)
+                if not waiting and not message.result.done():
+                    message.result.set_result(self._member_id)
+
+            address = view.member_by_id[peer_id].peer_address
+            self._call(address, "Leave", request, on_done)
+
+    # Snapshots
+
+    def _publish_snapshot(self) -> None:
+        freshness = self._freshness
+        now = self._clock.now()
+        self._publish(
+            Snapshot(
+                member_id=self._member_id,
+                lease_expires_at=freshness.lease_expires_at if freshness else 0.0,
+                revision=self._revision,
+                environment=self._environment,
+                document=self._document,
+                generation=self._generation,
+                member_by_id=self._member_records(freshness) if freshness else {},
+                is_store_reachable=bool(
+                    freshness and freshness.is_store_reachable(now)
+                ),
+            )
+        )
+
+    def _member_records(self, freshness: Freshness) -> dict[str, MemberRecord]:
+        view = freshness.view
+        return {
+            member_id: MemberRecord(
+                member_id,
+                member.role,
+                member.peer_address,
+                self._admin_address_by_id.get(member_id, ""),
+                member.zone,
+                member.is_evicted or member_id in view.departed_ids,
+            )
+            for member_id, member in view.member_by_id.items()
+        }
+
+    def _tell(self, message: Any) -> None:
+        if self.actor_ref.is_alive():
+            self.actor_ref.tell(message)
+
+
+def new_member_id(role: str) -> str:
+    """Return an id that no member had before."""
+    return f"{role}-{uuid.uuid4().hex[:16]}"
--- /dev/null
+++ b/catkinport/membership/settings.py
@@ -0,0 +1,47 @@
+"""What a daemon sets for its membership."""
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+from ..policy.freshness import FreshnessTiming
+from ..settings.environment import Environment
+
+ROLES = ("entry", "controller")
+
+Parse = Callable[[str], Environment]
+"""Turns a checked document into the environment; a ``ValueError`` keeps the old one."""
+
+
+class MembershipSettings(NamedTuple):
+    """Settings of one member.
+
+    Args:
+        role: ``"entry"`` or ``"controller"``.
+        zone: availability zone.
+        host: address that peers reach and that the server listens on.
+        peer_port: port of the gRPC server; 0 lets the system choose.
+        admin_address: ``host:port`` of the administration API.
+        cluster_key: secret that all members share, at least 16 bytes.
+        timing: durations of the freshness rule.
+    """
+
+    role: str
+    zone: str
+    host: str
+    peer_port: int
+    admin_address: str
+    cluster_key: bytes
+    timing: FreshnessTiming = FreshnessTiming()
+
+    def check(self) -> None:
+        """Check the settings.
+
+        Raises:
+            ValueError: if a setting is out of its range.
+        """
+        if self.role not in ROLES:
+            raise ValueError(f"role must be one of {ROLES}, got {self.role!r}")
+        if not 0 <= self.peer_port <= 65535:
+            raise ValueError(f"peer_port must be 0 to 65535, got {self.peer_port}")
+        if not self.host:
+            raise ValueError("host must not be empty")
--- a/catkinport/policy/freshness.py
+++ b/catkinport/policy/freshness.py
@@ -243,9 +243,10 @@
         self.held_revision = max(self.held_revision, revision)
         self._renew_from_peers()
 
-    def stop(self) -> View:
-        """Accept no more changes; return the view to say goodbye with."""
+    def stop(self, now: float) -> View:
+        """End the lease, accept no more changes; return the view of the goodbye."""
         self.is_stopping = True
+        self.lease_expires_at = min(self.lease_expires_at, now)
         return self.view
 
     def answer(self, now: float) -> PeerAnswer:
@@ -271,8 +272,7 @@
 
     def peers_to_ask(self, now: float) -> list[str]:
         """Return the peers to ask now, and count them as asked."""
-        is_reachable = self.is_store_reachable(now)
-        period = self.timing.liveness if is_reachable else self.timing.renewal
+        period = self._asking_period(now)
         # A tick that comes slightly early must not skip a whole period.
         limit = now - period + self.timing.renewal / 4
         due = [
@@ -307,9 +307,7 @@
 
     def in_force_at(self, revision: int) -> float | None:
         """Return when ``revision`` is in force by time alone; ``None`` if unknown."""
-        known_at = [
-            at for r, at in self._known_at_by_revision.items() if r >= revision
-        ]
+        known_at = [at for r, at in self._known_at_by_revision.items() if r >= revision]
         if revision > self.known_revision:
             return None
         return self._after_lease(min(known_at))
@@ -378,6 +376,15 @@
         if self.is_evicted:
             self.lease_expires_at = min(self.lease_expires_at, now)
 
+    def _asking_period(self, now: float) -> float:
+        # A member that nobody acknowledged yet cannot accept changes.
+        is_acknowledged = self._established_at <= now + self.timing.wait(
+            self.timing.lease
+        )
+        if is_acknowledged and self.is_store_reachable(now):
+            return self.timing.liveness
+        return self.timing.renewal
+
     def _peer_ids(self) -> set[str]:
         return self.view.live_ids() - {self.member_id}
 
@@ -395,7 +402,9 @@
             self._renew(confirmed_at)
 
     def _renew(self, sent_at: float) -> None:
-        if self.is_evicted or self.held_revision < self.known_revision:
+        if self.is_stopping or self.is_evicted:
+            return
+        if self.held_revision < self.known_revision:
             return
         limit = self._store_read_at + self.timing.hold(self.timing.without_store)
         expires_at = min(sent_at + self.timing.hold(self.timing.lease), limit)
