--- /dev/null
+++ b/catkinport/administration/health.py
@@ -0,0 +1,33 @@
+"""Routes for health, readiness and metrics, which need no key."""
+
+from collections.abc import Callable
+
+from ..runtime import HttpAnswer, HttpRequest, Metrics, Router, json_answer
+
+
+def add_health_routes(
+    router: Router, metrics: Metrics, check_ready: Callable[[], str]
+) -> None:
+    """Add ``/healthz``, ``/readyz`` and ``/metrics``.
+
+    Args:
+        router: the router.
+        metrics: metrics of the process.
+        check_ready: returns why the process isn't ready, empty when it is.
+    """
+
+    @router.route("GET", "/healthz")
+    def show_health(request: HttpRequest) -> HttpAnswer:
+        return json_answer(200, {"status": "alive"})
+
+    @router.route("GET", "/readyz")
+    def show_readiness(request: HttpRequest) -> HttpAnswer:
+        reason = check_ready()
+        if reason:
+            return json_answer(503, {"status": "not ready", "reason": reason})
+        return json_answer(200, {"status": "ready"})
+
+    @router.route("GET", "/metrics")
+    def show_metrics(request: HttpRequest) -> HttpAnswer:
+        content, content_type = metrics.render()
+        return HttpAnswer(200, content, {"Content-Type": content_type})
