Add catkinctl and the administration page

Operators need a command line with stable exit codes. Secrets and keys are not taken from the command line, which other users of a machine can see.

--- a/catkinport/administration/tests/test_api.py
+++ b/catkinport/administration/tests/test_api.py
@@ -10,7 +10,15 @@
 from ...runtime import BadRequestError, HttpRequest
 from ...settings.keys import check_key
 from ...standins import MemoryTable
-from ...state import MAINTENANCE, job_key, owner_key, vm_key
+from ...state import (
+    MAINTENANCE,
+    ServingVm,
+    VmRow,
+    job_key,
+    owner_key,
+    pool_key,
+    vm_key,
+)
 from .fakes import OPERATOR_DOCUMENT, SALTED_HASH, SECRET, FakeDaemon
 
 HASH = SALTED_HASH._asdict()
@@ -206,6 +214,26 @@
         path = "/v1/vms/vm-1/move"
         assert client.call("POST", path, {"pool": "nowhere"})[0] == 404
 
+    def test_drain_within_the_budget(self, daemon, client):
+        """Guards against a lost answer whose repetition drains a VM twice (P1)."""
+        vm = dict.fromkeys(VmRow.__annotations__, "")
+        vm.update(pool="captions", state="active", rack="r", zone="a")
+        serving = dict.fromkeys(ServingVm.__annotations__, "")
+        names = [f"vm-{number}" for number in range(4)]
+        for name in names:
+            daemon.write(vm_key(name), vm)
+        pool = {"serving_vm_by_id": dict.fromkeys(names, serving)}
+        daemon.write(pool_key("captions"), {**pool, "reason_by_disrupted_vm": {}})
+        drain = [
+            client.call("POST", f"/v1/vms/{name}/drain", change_id=change_id)[0]
+            for name, change_id in [("vm-0", "c-1"), ("vm-0", "c-1"), ("vm-1", "c-2")]
+        ]
+        assert drain == [200, 200, 200]
+        status, body = client.call("POST", "/v1/vms/vm-2/drain", change_id="c-3")
+        assert (status, body["reason"]) == (409, "budget-exhausted")
+        undrain = client.call("POST", "/v1/vms/vm-0/undrain", change_id="c-4")
+        assert (undrain[0], undrain[1]["state"]) == (200, "active")
+
     def test_maintenance_state(self, daemon, client):
         assert client.call("POST", "/v1/maintenance/start")[1]["is_started"]
         paused = client.call("POST", "/v1/maintenance/pause")[1]
--- /dev/null
+++ b/catkinport/cli/documents.py
@@ -0,0 +1,200 @@
+"""Commands on the environment's document."""
+
+from dataclasses import dataclass
+from typing import Annotated, Any
+
+import cappa
+
+from ..settings.declaration import Fault, format_fault
+from ..settings.document import parse_document
+from .api import ApiClient
+from .exit_codes import ExitCode, Failure
+from .output import Report
+from .session import Session, read_file
+
+ExpectedRevision = Annotated[
+    int | None,
+    cappa.Arg(
+        long="--expected-revision",
+        help="Revision that the change was made for; 0 for the first document.",
+    ),
+]
+DryRun = Annotated[
+    bool, cappa.Arg(long="--dry-run", help="Show what would change, change nothing.")
+]
+
+
+@cappa.command(name="check", help="Check a document without an environment.")
+@dataclass
+class Check:
+    """Checks a file locally."""
+
+    file: Annotated[str, cappa.Arg(help="The document.")]
+
+    def run(self, session: Session) -> Report | Failure:
+        """Return that the document is valid, or its faults."""
+        text = _read_document(self.file)
+        if isinstance(text, Failure):
+            return text
+        return Report({"faults": []}, [f"{self.file} has no faults"])
+
+
+@cappa.command(name="show", help="Print the accepted document.")
+@dataclass
+class Show:
+    """Prints the document, to start a change from it."""
+
+    def run(self, session: Session) -> Report | Failure:
+        """Return the document."""
+        client = session.connect()
+        stored = client if isinstance(client, Failure) else _read_stored(client)
+        if isinstance(stored, Failure):
+            return stored
+        return Report(stored, [stored["document"].rstrip("\n")])
+
+
+@cappa.command(name="diff", help="Compare a document with the accepted one.")
+@dataclass
+class Diff:
+    """Shows what applying a file would change."""
+
+    file: Annotated[str, cappa.Arg(help="The proposed document.")]
+
+    def run(self, session: Session) -> Report | Failure:
+        """Return the difference and the current revision."""
+        text = _read_document(self.file)
+        client = session.connect()
+        for outcome in (text, client):
+            if isinstance(outcome, Failure):
+                return outcome
+        return _diff(client, text)
+
+
+@cappa.command(name="apply", help="Apply a document and wait until it is in force.")
+@dataclass
+class Apply:
+    """Applies a file."""
+
+    file: Annotated[str, cappa.Arg(help="The document.")]
+    expected_revision: ExpectedRevision = None
+    dry_run: DryRun = False
+
+    def run(self, session: Session) -> Report | Failure:
+        """Return the acceptance."""
+        text = _read_document(self.file)
+        client = session.connect()
+        for outcome in (text, client):
+            if isinstance(outcome, Failure):
+                return outcome
+        return _apply(client, text, self.expected_revision, self.dry_run)
+
+
+@cappa.command(
+    name="promote",
+    help="Apply the document of another environment, byte for byte, to this one.",
+)
+@dataclass
+class Promote:
+    """Copies the accepted document of ``--from-api`` to ``--api``."""
+
+    from_api: Annotated[str, cappa.Arg(long=True, help="API of the environment.")]
+    from_key_file: Annotated[
+        str, cappa.Arg(long=True, help="File with the operator's key there.")
+    ] = ""
+    from_revision: Annotated[
+        int | None, cappa.Arg(long=True, help="Revision there that was tried.")
+    ] = None
+    expected_revision: ExpectedRevision = None
+    dry_run: DryRun = False
+
+    def run(self, session: Session) -> Report | Failure:
+        """Return the acceptance."""
+        source = session.connect_to(self.from_api, self.from_key_file)
+        target = session.connect()
+        for outcome in (source, target):
+            if isinstance(outcome, Failure):
+                return outcome
+        stored = _read_stored(source)
+        if isinstance(stored, Failure):
+            return stored
+        revision = stored["revision"]
+        if self.from_revision not in (None, revision):
+            error = f"{self.from_api} has revision {revision}, not {self.from_revision}"
+            hint = "try the new revision first, then name it with --from-revision"
+            return Failure(ExitCode.CONFLICT, error, hint)
+        document = stored["document"]
+        return _apply(target, document, self.expected_revision, self.dry_run)
+
+
+def _read_document(path: str) -> str | Failure:
+    text = read_file(path)
+    if isinstance(text, Failure):
+        return text
+    outcome = parse_document(text)
+    if not isinstance(outcome, list):
+        return text
+    error = f"{path} has {len(outcome)} faults"
+    faults = [_describe(fault) for fault in outcome]
+    return Failure(ExitCode.INVALID, error, details={"faults": faults})
+
+
+def _describe(fault: Fault) -> dict[str, Any]:
+    return {**fault._asdict(), "text": format_fault(fault)}
+
+
+def _read_stored(client: ApiClient) -> dict[str, Any] | Failure:
+    stored = client.get("/v1/configuration")
+    if isinstance(stored, Failure):
+        return stored
+    if stored["source"] != "store":
+        error = "the store cannot be read, so the document shown may not be the newest"
+        return Failure(ExitCode.UNAVAILABLE, error, "try again when the store is back")
+    if not stored["revision"]:
+        error = "the environment has no document yet"
+        hint = "catkinctl apply FILE --expected-revision 0"
+        return Failure(ExitCode.NOT_FOUND, error, hint)
+    return stored
+
+
+def _diff(client: ApiClient, text: str) -> Report | Failure:
+    answer = client.compute("/v1/configuration/diff", {"document": text})
+    if isinstance(answer, Failure):
+        return answer
+    difference = answer["diff"].rstrip("\n") or "no difference"
+    revision = answer["current_revision"]
+    return Report(answer, [difference, f"current revision: {revision}"])
+
+
+def _apply(
+    client: ApiClient, text: str, expected_revision: int | None, dry_run: bool
+) -> Report | Failure:
+    if dry_run:
+        return _dry_run(client, text, expected_revision)
+    if expected_revision is None:
+        error = "--expected-revision must be given"
+        hint = "--dry-run shows the difference and the current revision"
+        return Failure(ExitCode.USAGE, error, hint)
+    body = {"document": text, "expected_revision": expected_revision}
+    answer = client.change("PUT", "/v1/configuration", body)
+    return answer if isinstance(answer, Failure) else report_acceptance(answer)
+
+
+def _dry_run(
+    client: ApiClient, text: str, expected_revision: int | None
+) -> Report | Failure:
+    report = _diff(client, text)
+    if isinstance(report, Failure):
+        return report
+    revision = report.value["current_revision"]
+    if expected_revision not in (None, revision):
+        error = f"the current revision is {revision}, not {expected_revision}"
+        hint = "look at the difference to the current document with catkinctl diff"
+        return Failure(ExitCode.CONFLICT, error, hint)
+    return report
+
+
+def report_acceptance(answer: dict[str, Any]) -> Report:
+    """Return the report of an accepted change."""
+    seconds = answer["seconds_until_in_force"]
+    after = "" if seconds is None else f", in force everywhere after {seconds:.2f} s"
+    return Report(answer, [f"accepted as revision {answer['revision']}{after}"])
--- /dev/null
+++ b/catkinport/cli/jobs.py
@@ -0,0 +1,94 @@
+"""Commands on jobs."""
+
+from dataclasses import dataclass
+from typing import Annotated
+
+import cappa
+
+from .api import path_of
+from .exit_codes import Failure
+from .fleet import change, read
+from .output import Report, Table
+from .session import Session
+
+_COLUMNS = ("queue", "job_id", "team", "state", "attempt", "worker_vm", "reason")
+QueueName = Annotated[str, cappa.Arg(help="Queue of the job.")]
+JobId = Annotated[str, cappa.Arg(help="The job.")]
+
+
+@cappa.command(name="list", help="List jobs.")
+@dataclass
+class JobList:
+    """Lists jobs."""
+
+    queue: Annotated[str, cappa.Arg(long=True, help="Only this queue.")] = ""
+    state: Annotated[str, cappa.Arg(long=True, help="Only this state.")] = ""
+    team: Annotated[str, cappa.Arg(long=True, help="Only this team.")] = ""
+    after: Annotated[str, cappa.Arg(long=True, help="Go on after this job.")] = ""
+    limit: Annotated[int, cappa.Arg(long=True, help="At most this many.")] = 100
+
+    def run(self, session: Session) -> Report | Failure:
+        """Return a page of jobs."""
+        answer = read(
+            session,
+            "/v1/jobs",
+            queue=self.queue,
+            state=self.state,
+            team=self.team,
+            after=self.after,
+            limit=str(self.limit),
+        )
+        if isinstance(answer, Failure):
+            return answer
+        lines = []
+        if answer["next_after"]:
+            lines = [f"there are more; go on with --after {answer['next_after']}"]
+        return Report(answer, lines, [Table(_COLUMNS, answer["jobs"])])
+
+
+@cappa.command(name="show", help="Show a job.")
+@dataclass
+class JobShow:
+    """Shows a job."""
+
+    queue: QueueName
+    job_id: JobId
+
+    def run(self, session: Session) -> Report | Failure:
+        """Return the job."""
+        answer = read(session, path_of("jobs", self.queue, self.job_id))
+        if isinstance(answer, Failure):
+            return answer
+        rows = [{"field": name, "value": value} for name, value in answer.items()]
+        return Report(answer, tables=[Table(("field", "value"), rows)])
+
+
+@cappa.command(name="cancel", help="Ask for the cancellation of a job.")
+@dataclass
+class JobCancel:
+    """Cancels a job."""
+
+    queue: QueueName
+    job_id: JobId
+
+    def run(self, session: Session) -> Report | Failure:
+        """Return the job's state."""
+        path = path_of("jobs", self.queue, self.job_id, "cancel")
+        answer = change(session, "POST", path)
+        if isinstance(answer, Failure):
+            return answer
+        if answer["is_cancel_requested"]:
+            return Report(answer, [f"the cancellation of {self.job_id} is under way"])
+        return Report(answer, [f"{self.job_id} is {answer['state']} already"])
+
+
+@cappa.command(name="job", help="List, show and cancel jobs.")
+@dataclass
+class JobCommand:
+    """Commands on jobs."""
+
+    command: cappa.Subcommands[JobList | JobShow | JobCancel]
+
+    def run(self, session: Session) -> Report | Failure:
+        """Run the command."""
+        return self.command.run(session)
--- /dev/null
+++ b/catkinport/cli/output.py
@@ -0,0 +1,87 @@
+"""Writes results as tables for people or as JSON for programs."""
+
+import json
+import sys
+from collections.abc import Sequence
+from typing import Any, NamedTuple, TextIO
+
+from .exit_codes import Failure
+
+
+class Table(NamedTuple):
+    """Rows to show, with the fields that are columns."""
+
+    columns: Sequence[str]
+    rows: Sequence[dict[str, Any]]
+
+
+class Report(NamedTuple):
+    """Result of a command.
+
+    Args:
+        value: the object for JSON output.
+        lines: text for a person, before the tables.
+        tables: tables for a person.
+    """
+
+    value: dict[str, Any]
+    lines: Sequence[str] = ()
+    tables: Sequence[Table] = ()
+
+
+def render_table(table: Table) -> list[str]:
+    """Return aligned lines; plain text, so that no column is cut in a pipe.
+
+    Example:
+        >>> render_table(Table(("vm", "state"), [{"vm": "vm-1", "state": "active"}]))
+        ['VM    STATE', 'vm-1  active']
+    """
+    if not table.rows:
+        return ["(none)"]
+    cells = [[name.upper().replace("_", " ") for name in table.columns]]
+    cells += [[_text(row.get(name)) for name in table.columns] for row in table.rows]
+    widths = [max(len(row[i]) for row in cells) for i in range(len(table.columns))]
+    return ["  ".join(map(str.ljust, row, widths)).rstrip() for row in cells]
+
+
+def write_report(report: Report, output_format: str, stream: TextIO) -> None:
+    """Write the result of a command."""
+    if output_format == "json":
+        print(json.dumps(report.value, indent=2), file=stream)
+        return
+    lines = list(report.lines)
+    for table in report.tables:
+        lines += ([""] if lines else []) + render_table(table)
+    print("\n".join(lines), file=stream)
+
+
+def write_failure(failure: Failure, output_format: str, stream: TextIO) -> None:
+    """Write why a command failed."""
+    if output_format == "json":
+        value = {
+            **failure.details,
+            "error": failure.error,
+            "hint": failure.hint,
+            "exit_code": int(failure.exit_code),
+        }
+        print(json.dumps(value, indent=2), file=stream)
+        return
+    print(f"catkinctl: {failure.error}", file=stream)
+    for fault in failure.details.get("faults", []):
+        print(f"  {fault['text']}", file=stream)
+    if failure.hint:
+        print(f"catkinctl: {failure.hint}", file=stream)
+
+
+def clear_screen(stream: TextIO) -> None:
+    """Clear a terminal; does nothing to a file or pipe."""
+    if stream is sys.stdout and stream.isatty():
+        stream.write("\x1b[2J\x1b[H")
+
+
+def _text(value: Any) -> str:
+    if isinstance(value, bool):
+        return "yes" if value else "no"
+    text = "-" if value is None or value == "" else str(value)
+    # Values come from the store; a control character could change the terminal.
+    return "".join(char if char.isprintable() else "?" for char in text)
