Add catkin-controller with health, metrics and hand-over of pools

The daemon takes pools over, registers VMs, runs jobs and gives its pools up on SIGTERM before it leaves the roster.

--- /dev/null
+++ b/catkinport/controller/daemon.py
@@ -0,0 +1,141 @@
+"""Puts the controller's parts together and takes them apart again."""
+
+import logging
+import time
+
+from ..adapters import HttpClient, HttpObjectStore, HttpTable, HttpVmList, HttpWorkers
+from ..membership import MembershipSettings, start_membership
+from ..runtime import (
+    BootTimeClock,
+    HttpAnswer,
+    HttpRequest,
+    HttpServer,
+    Metrics,
+    Router,
+    json_answer,
+    log_event,
+)
+from ..settings.declaration import format_fault
+from ..settings.document import parse_document
+from ..settings.environment import Environment
+from ..settings.process import ControllerSettings
+from .actors import OWNERSHIP_SECONDS, ControllerActor, ReleaseAll, Ticker
+from .services import ParallelRunner, Services
+from .timing import Timing
+
+logger = logging.getLogger(__name__)
+
+N_ADMIN_THREADS = 2
+RELEASE_SECONDS = 10.0
+"""Longest wait for the hand-over; the pools are taken over without it after T."""
+
+
+class ControllerDaemon:
+    """The running controller.
+
+    Args:
+        settings: settings of the process.
+    """
+
+    def __init__(self, settings: ControllerSettings) -> None:
+        self._is_stopping = False
+        self._metrics = Metrics()
+        self._clock = BootTimeClock()
+        addresses = settings.addresses
+        self._server = HttpServer(
+            self._build_router(), addresses.host, addresses.admin_port, N_ADMIN_THREADS
+        )
+        self._server.start()
+        _, _, admin_port = self._server.address.rpartition(":")
+        table = HttpTable(_client(settings, settings.platform.table))
+        self._membership = start_membership(
+            MembershipSettings(
+                "controller",
+                settings.process.zone,
+                addresses.advertised_host,
+                addresses.peer_port,
+                f"{addresses.advertised_host}:{admin_port}",
+                bytes(settings.cluster_key),
+            ),
+            table,
+            self._clock,
+            parse_environment,
+        )
+        self._runner = ParallelRunner()
+        services = Services(
+            table,
+            HttpVmList(_client(settings, settings.platform.vm_list)),
+            HttpWorkers(settings.process.name),
+            self._membership,
+            self._clock,
+            time.time,
+            self._metrics,
+            self._runner,
+            HttpObjectStore(_client(settings, settings.platform.objects)),
+            Timing(*settings.controller),
+        )
+        self._controller = ControllerActor.start(services)
+        self._ticker = Ticker(self._controller, OWNERSHIP_SECONDS)
+        self._ticker.start()
+
+    @property
+    def admin_address(self) -> str:
+        """``host:port`` of health and metrics."""
+        return self._server.address
+
+    def stop(self) -> None:
+        """Hand the pools over, say goodbye to the members and stop."""
+        self._is_stopping = True
+        n_released = self._controller.ask(ReleaseAll(), timeout=RELEASE_SECONDS)
+        log_event(logger, "pools handed over", count=n_released)
+        self._ticker.stop()
+        self._controller.stop(timeout=RELEASE_SECONDS)
+        self._membership.leave()
+        self._runner.stop()
+        self._server.stop()
+
+    def _build_router(self) -> Router:
+        router = Router()
+
+        @router.route("GET", "/healthz")
+        def show_health(request: HttpRequest) -> HttpAnswer:
+            return json_answer(200, {"status": "ok"})
+
+        @router.route("GET", "/readyz")
+        def show_readiness(request: HttpRequest) -> HttpAnswer:
+            snapshot = self._membership.snapshot()
+            is_fresh = snapshot.is_fresh(self._clock.now())
+            is_ready = is_fresh and not self._is_stopping
+            return json_answer(
+                200 if is_ready else 503,
+                {
+                    "member_id": snapshot.member_id,
+                    "revision": snapshot.revision,
+                    "is_fresh": is_fresh,
+                    "is_stopping": self._is_stopping,
+                },
+            )
+
+        @router.route("GET", "/metrics")
+        def show_metrics(request: HttpRequest) -> HttpAnswer:
+            content, content_type = self._metrics.render()
+            return HttpAnswer(200, content, {"Content-Type": content_type})
+
+        return router
+
+
+def parse_environment(document: str) -> Environment:
+    """Parse a document that was checked when it was accepted.
+
+    Raises:
+        ValueError: if this version of the program does not accept it.
+    """
+    parsed = parse_document(document)
+    if isinstance(parsed, list):
+        raise ValueError("; ".join(format_fault(fault) for fault in parsed))
+    return parsed
+
+
+def _client(settings: ControllerSettings, address: str) -> HttpClient:
+    timeout_seconds = settings.platform.timeout_seconds
+    return HttpClient(address, settings.process.name, timeout_seconds)
--- /dev/null
+++ b/catkinport/controller/main.py
@@ -0,0 +1,47 @@
+"""Entry point of ``catkin-controller``."""
+
+import logging
+from pathlib import Path
+from typing import Annotated
+
+import cappa
+
+from ..runtime import StopSignal, configure_logging, log_event
+from ..settings.declaration import format_fault
+from ..settings.process import load_controller_settings
+from .daemon import ControllerDaemon
+
+logger = logging.getLogger(__name__)
+
+
+@cappa.command(name="catkin-controller")
+class ControllerCommand:
+    """Own pools: place jobs, keep task leases, drain, move and maintain VMs."""
+
+    settings: Annotated[
+        Path, cappa.Arg(long=True, help="INI file with the settings of the process")
+    ]
+
+    def __call__(self) -> None:
+        """Run until SIGTERM or SIGINT, then hand the pools over."""
+        settings = load_controller_settings(self.settings)
+        if isinstance(settings, list):
+            text = "\n".join(format_fault(fault) for fault in settings)
+            raise cappa.Exit(text, code=2)
+        configure_logging(settings.logging.level, settings.logging.format)
+        stop_signal = StopSignal()
+        daemon = ControllerDaemon(settings)
+        print(f"admin listening on {daemon.admin_address}", flush=True)
+        log_event(logger, "controller started", peer=daemon.admin_address)
+        stop_signal.wait()
+        daemon.stop()
+        log_event(logger, "controller stopped")
+
+
+def main() -> None:
+    """Run the command line."""
+    cappa.invoke(ControllerCommand)
+
+
+if __name__ == "__main__":
+    main()
