Bound the memory of request bodies that nobody reads

A request that is refused before its body is read, for instance for a wrong key, made cheroot read the rest into memory at once: an unauthenticated upload of 200 MB took the process from 36 to 436 MB. The rest of a chunked body stayed on the connection and was answered as a further request, and a negative Content-Length was passed on to reads. The rest is now read in pieces and dropped up to 16 MiB; above that, and for chunked bodies, the connection is closed. HttpServer takes an optional max_body_bytes.

--- a/catkinport/runtime/http.py
+++ b/catkinport/runtime/http.py
@@ -17,6 +17,9 @@
 
 MAX_JSON_BODY_BYTES = 4 * 1024 * 1024
 MAX_HEADER_BYTES = 64 * 1024
+# The unread rest of a body up to this size is read and dropped, so that the sender
+# sees the answer; for a larger one the connection is closed.
+MAX_DISCARDED_BYTES = 16 * 1024 * 1024
 
 
 class HttpRequest(NamedTuple):
@@ -149,15 +152,27 @@
         host: IP number to listen on.
         port: port to listen on; 0 lets the kernel choose.
         n_threads: number of requests handled at once, at least 1.
+        max_body_bytes: largest body that is accepted; 0 for no limit.
     """
 
-    def __init__(self, application: Any, host: str, port: int, n_threads: int = 10):
+    def __init__(
+        self,
+        application: Any,
+        host: str,
+        port: int,
+        n_threads: int = 10,
+        max_body_bytes: int = 0,
+    ):
         if n_threads < 1:
             raise ValueError(f"n_threads must be >= 1, got {n_threads!r}")
+        if max_body_bytes < 0:
+            raise ValueError(f"max_body_bytes must be >= 0, got {max_body_bytes!r}")
         self._server = wsgi.Server(
             (host, port), application, numthreads=n_threads, request_queue_size=512
         )
         self._server.max_request_header_size = MAX_HEADER_BYTES
+        self._server.max_request_body_size = max_body_bytes
+        self._server.gateway = _Gateway
         self._server.error_log = _log_server_error
         self._thread = threading.Thread(
             target=self._server.serve, name="http-server", daemon=True
@@ -180,6 +195,38 @@
         self._thread.join()
 
 
+class _Gateway(wsgi.Gateway_10):
+    """Deals with bodies that the application has not read to their end.
+
+    cheroot itself reads the rest of a body of known length into memory at once, and
+    leaves the rest of a chunked body on the connection, where it would be taken for
+    the next request.
+    """
+
+    def respond(self) -> None:
+        """Answer the request; a negative length would read until the peer closes."""
+        if getattr(self.req.rfile, "remaining", 0) >= 0:
+            super().respond()
+            return
+        self.req.close_connection = True
+        super().start_response("400 Bad Request", [("Content-Length", "0")])
+        self.req.ensure_headers_sent()
+
+    def start_response(self, status: Any, headers: Any, exc_info: Any = None) -> Any:
+        """Take the answer's head, and drop what is left of the request's body."""
+        write = super().start_response(status, headers, exc_info)
+        body = self.req.rfile
+        remaining = getattr(body, "remaining", 0)
+        if remaining > MAX_DISCARDED_BYTES or not getattr(body, "closed", True):
+            self.req.close_connection = True
+            return write
+        for _ in read_chunks(body, remaining):
+            pass
+        if getattr(body, "remaining", 0) > 0:
+            self.req.close_connection = True
+        return write
+
+
 def read_chunks(stream: Any, n_bytes: int, chunk_bytes: int = 65536) -> Iterator[bytes]:
     """Yield ``n_bytes`` of ``stream`` in chunks."""
     remaining = n_bytes
