Refuse documents that leave out what is still in use

A VM of a pool that no document names has no budget and no owner, and a job of a removed queue or team would wait for ever. The check covers VMs of pools, unfinished jobs of queues and teams, and allowances held by teams; diff and a dry run show the same list. Use that begins between the check and the acceptance is not seen, as VMs and the document are in different transactions.

--- a/catkinport/administration/answers.py
+++ b/catkinport/administration/answers.py
@@ -47,6 +47,16 @@
     return json_answer(422, body)
 
 
+def answer_obstacles(obstacles: list[str]) -> HttpAnswer:
+    """Return the answer to a document that removes what is still in use."""
+    body = {
+        "error": "the document leaves out what is still in use",
+        "reason": Reason.REQUEST_INVALID,
+        "obstacles": obstacles,
+    }
+    return json_answer(422, body)
+
+
 def describe_fault(fault: Fault) -> dict[str, Any]:
     """Return a fault with its text for a person."""
     return {**fault._asdict(), "text": format_fault(fault)}
--- a/catkinport/administration/configuration.py
+++ b/catkinport/administration/configuration.py
@@ -6,8 +6,10 @@
 from ..runtime import BadRequestError
 from ..settings.document import parse_document
 from ..settings.edits import diff_documents
-from .answers import answer_faults, describe_fault
+from ..settings.environment import Environment
+from .answers import answer_faults, answer_obstacles, describe_fault
 from .calls import OperatorCall, OperatorRoutes, read_text, read_whole_number
+from .removals import find_obstacles
 from .stored_document import StoredDocument, read_stored_document
 
 
@@ -31,6 +33,11 @@
         outcome = parse_document(document)
         if isinstance(outcome, list):
             return answer_faults(outcome)
+        obstacles = _find_obstacles(call, outcome)
+        if isinstance(obstacles, Unavailable):
+            return obstacles
+        if obstacles:
+            return answer_obstacles(obstacles)
         return call.context.membership.accept_document(
             document, expected_revision, call.change_id, call.operator
         )
@@ -49,13 +56,26 @@
             return stored
         outcome = parse_document(document)
         faults = outcome if isinstance(outcome, list) else []
+        obstacles = [] if faults else _find_obstacles(call, outcome)
+        if isinstance(obstacles, Unavailable):
+            return obstacles
         return {
             "current_revision": stored.revision,
             "diff": diff_documents(stored.document, document),
             "faults": [describe_fault(fault) for fault in faults],
+            "obstacles": obstacles,
         }
 
 
+def _find_obstacles(
+    call: OperatorCall, environment: Environment
+) -> list[str] | Unavailable:
+    current = call.context.membership.snapshot().environment
+    if current is None:
+        return []
+    return find_obstacles(call.context.table, current, environment)
+
+
 def _show_own(call: OperatorCall) -> dict[str, Any]:
     """Return the member's own document while the store can't be read."""
     snapshot = call.context.membership.snapshot()
--- a/catkinport/administration/tests/test_api.py
+++ b/catkinport/administration/tests/test_api.py
@@ -14,6 +14,7 @@
     MAINTENANCE,
     ServingVm,
     VmRow,
+    allowance_key,
     job_key,
     owner_key,
     pool_key,
@@ -143,6 +144,26 @@
         """Guards against a change that can't be repeated safely."""
         assert client.apply(OPERATOR_DOCUMENT, 1, change_id=change_id)[0] == 400
 
+    def test_removed_sections_in_use(self, daemon, client):
+        """Guards against VMs without a budget and jobs that wait for ever."""
+        old, new = "[queue captions-open]", "[queue captions-free]"
+        document = OPERATOR_DOCUMENT.replace(old, new).replace("green", "grey")
+        document = document.replace("[pool spare]", "[pool reserve]")
+        serving = {"serving_vm_by_id": {"vm-1": {}}, "reason_by_disrupted_vm": {}}
+        daemon.write(pool_key("spare"), serving)
+        daemon.write(allowance_key("green", "slots"), {"amount_by_holder": {"m": 3}})
+        job = {"state": "queued", "team": "green"}
+        daemon.write(job_key("captions-open", "j-1"), job)
+        daemon.write(job_key("captions-open", "j-2"), {**job, "state": "done"})
+        status, body = client.apply(document, 1)
+        assert (status, len(body["obstacles"])) == (422, 4)
+        diff = client.call("POST", "/v1/configuration/diff", {"document": document})
+        assert diff[1]["obstacles"] == body["obstacles"]
+        daemon.write(pool_key("spare"), {**serving, "serving_vm_by_id": {}})
+        daemon.write(allowance_key("green", "slots"), {"amount_by_holder": {}})
+        daemon.write(job_key("captions-open", "j-1"), {**job, "state": "cancelled"})
+        assert client.apply(document, 1)[0] == 200
+
     def test_diff_and_check(self, client):
         body = {"document": OPERATOR_DOCUMENT.replace("weight = 2", "weight = x")}
         diff = client.call("POST", "/v1/configuration/diff", body)[1]
--- a/catkinport/cli/documents.py
+++ b/catkinport/cli/documents.py
@@ -161,8 +161,9 @@
     if isinstance(answer, Failure):
         return answer
     difference = answer["diff"].rstrip("\n") or "no difference"
-    revision = answer["current_revision"]
-    return Report(answer, [difference, f"current revision: {revision}"])
+    lines = [difference, f"current revision: {answer['current_revision']}"]
+    lines += [f"cannot be applied yet: {text}" for text in answer["obstacles"]]
+    return Report(answer, lines)
 
 
 def _apply(
--- a/catkinport/cli/output.py
+++ b/catkinport/cli/output.py
@@ -69,6 +69,8 @@
     print(f"catkinctl: {failure.error}", file=stream)
     for fault in failure.details.get("faults", []):
         print(f"  {fault['text']}", file=stream)
+    for obstacle in failure.details.get("obstacles", []):
+        print(f"  {obstacle}", file=stream)
     if failure.hint:
         print(f"catkinctl: {failure.hint}", file=stream)
 
