Add example settings of both daemons

A new deployment needs a file to start from; the examples name a key file, so that no cluster key is copied from them.

--- a/catkinport/settings/reference.py
+++ b/catkinport/settings/reference.py
@@ -54,6 +54,7 @@
 
 Each daemon reads one file of its own. Entry settings take the section `[entry]`,
 controller settings the section `[controller]`; all other sections are common to both.
+See [entry.ini](../examples/entry.ini) and [controller.ini](../examples/controller.ini).
 """
 
 
--- a/catkinport/settings/tests/test_process.py
+++ b/catkinport/settings/tests/test_process.py
@@ -1,10 +1,13 @@
 """Checks of a process's own settings."""
 
+from pathlib import Path
+
 import pytest
 
 from ..declaration import format_fault
 from ..process import load_controller_settings, load_entry_settings
 
+EXAMPLES = Path(__file__).parents[3] / "examples"
 CLUSTER_KEY = "0123456789abcdef" * 2
 SETTINGS = f"""\
 [process]
@@ -49,6 +52,14 @@
         settings = load(SETTINGS.replace(f"key = {CLUSTER_KEY}", "key_file = key"))
         assert settings.cluster_key == CLUSTER_KEY.encode()
 
+    def test_examples(self, load, tmp_path):
+        """Guards against example settings that a daemon refuses."""
+        (tmp_path / "cluster.key").write_text(CLUSTER_KEY)
+        entry = load((EXAMPLES / "entry.ini").read_text())
+        assert entry.addresses.caller_port == 7070
+        text = (EXAMPLES / "controller.ini").read_text()
+        assert load(text, load_controller_settings).controller.renew_seconds == 10
+
     @pytest.mark.parametrize(
         ("old", "new", "option"),
         [
