Test the calls between members

The seals, timeouts and the replacement of silent connections had no tests. A relay that stops forwarding one connection stands in for a connection gone silent; dropping packets below TCP was ruled out, since it needs rights on the machine. No change of behaviour was needed.

--- /dev/null
+++ b/catkinport/adapters/tests/test_peers_grpc.py
@@ -0,0 +1,166 @@
+"""Tests of the calls between members."""
+
+import socket
+import threading
+from concurrent.futures import Future
+
+import pytest
+
+from ...ports import Reason, Unavailable
+from ...protocol import peer_pb2
+from ..peers_grpc import MessageAuthenticator, PeerCall, PeersActor
+
+_KEY = b"cluster key of the tests"
+
+
+def _completed(reply):
+    future = Future()
+    future.set_result(reply)
+    return future
+
+
+class _Relay:
+    """Forwards connections to a server; the first one can go silent."""
+
+    def __init__(self, port):
+        self._port = port
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
+        self.n_connections = 0
+        self.silent_numbers = set()
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def close(self):
+        self._listener.close()
+
+    def _accept(self):
+        while True:
+            try:
+                client, _ = self._listener.accept()
+            except OSError:
+                return
+            number = self.n_connections
+            self.n_connections += 1
+            server = socket.create_connection(("127.0.0.1", self._port))
+            for source, target in ((client, server), (server, client)):
+                arguments = (number, source, target)
+                threading.Thread(
+                    target=self._forward, args=arguments, daemon=True
+                ).start()
+
+    def _forward(self, number, source, target):
+        while True:
+            try:
+                data = source.recv(65536)
+                if number not in self.silent_numbers:
+                    target.sendall(data)
+            except OSError:
+                return
+            if not data:
+                target.close()
+                return
+
+
+@pytest.fixture
+def start_peers():
+    """Start actors and stop them after the test."""
+    started = []
+
+    def start(key=_KEY, **handler_by_method):
+        peers = PeersActor.start(
+            "127.0.0.1", 0, MessageAuthenticator(key), handler_by_method
+        )
+        started.append(peers)
+        return peers
+
+    yield start
+    for peers in started:
+        peers.stop()
+
+
+def _call(peers, address, method="Notify", timeout_seconds=5.0, **fields):
+    request = peer_pb2.QueueNotice(**fields)
+    result = Future()
+    peers.tell(PeerCall(address, method, request, result, timeout_seconds))
+    return result.result(20)
+
+
+def _accept_notice(request):
+    return _completed(peer_pb2.QueueNoticeReply(is_owner=request.queue == "renders"))
+
+
+class TestPeersActor:
+    """Calls between two actors over loopback."""
+
+    def test_call_is_answered(self, start_peers):
+        """Guards against a call that reaches the wrong handler."""
+        server = start_peers(Notify=_accept_notice)
+        address = f"127.0.0.1:{server.ask('port')}"
+        assert _call(start_peers(), address, queue="renders").is_owner
+        assert not _call(start_peers(), address, queue="other").is_owner
+
+    def test_other_key_never_reaches_the_handler(self, start_peers):
+        """Guards against a stray process that acts as a member."""
+        requests = []
+        server = start_peers(Notify=requests.append)
+        address = f"127.0.0.1:{server.ask('port')}"
+        outcome = _call(start_peers(key=b"another key of 16+ bytes"), address)
+        assert isinstance(outcome, Unavailable)
+        assert requests == []
+
+    def test_silent_connection_is_replaced(self, start_peers):
+        """Guards against a connection that went silent while new ones work."""
+        server = start_peers(Notify=_accept_notice)
+        relay = _Relay(server.ask("port"))
+        client = start_peers()
+        assert _call(client, relay.address, queue="renders").is_owner
+        relay.silent_numbers.add(0)
+        outcome = _call(client, relay.address, timeout_seconds=0.3)
+        assert outcome.reason == Reason.TIMEOUT
+        assert _call(client, relay.address, queue="renders").is_owner
+        assert relay.n_connections == 2
+        relay.close()
+
+    def test_failing_handler_and_missing_server(self, start_peers):
+        """Guards against a failure of a peer that raises in the caller."""
+
+        def fail(request):
+            raise RuntimeError("handler failed")
+
+        server = start_peers(Notify=fail)
+        address = f"127.0.0.1:{server.ask('port')}"
+        assert isinstance(_call(start_peers(), address), Unavailable)
+        server.stop()
+        assert isinstance(_call(start_peers(), address), Unavailable)
+
+    def test_message_over_the_limit_is_not_sent(self, start_peers):
+        """Guards against a message that fills the memory of a peer."""
+        server = start_peers(Notify=_accept_notice)
+        address = f"127.0.0.1:{server.ask('port')}"
+        with pytest.raises(ValueError, match="at most"):
+            _call(start_peers(), address, queue="x" * (5 * 1024 * 1024))
+
+
+class TestMessageAuthenticator:
+    """Seals of messages."""
+
+    @pytest.mark.parametrize("length", ["", "-1", "x", "99999999", "999999999"])
+    def test_length_that_is_invalid_or_too_large(self, length):
+        """Guards against a body that is read before its length is checked."""
+        authenticator = MessageAuthenticator(_KEY)
+        metadata = authenticator.seal("request/Confirm", b"body")
+        metadata["catkin-length"] = length
+        assert authenticator.check("request/Confirm", metadata) is None
+
+    def test_recorded_answer_is_rejected(self):
+        """Guards against a replayed answer that renews a lease."""
+        authenticator = MessageAuthenticator(_KEY)
+        recorded = authenticator.seal("reply/Confirm", b"body", nonce="first")
+        assert authenticator.check("reply/Confirm", recorded, "first") is not None
+        assert authenticator.check("reply/Confirm", recorded, "second") is None
+
+    def test_changed_body_is_rejected(self):
+        """Guards against a body that was changed on its way."""
+        authenticator = MessageAuthenticator(_KEY)
+        metadata = authenticator.seal("request/Leave", b"body")
+        assert not authenticator.check("request/Leave", metadata).matches(b"bodY")
