--- a/catkinport/controller/allowances.py
+++ b/catkinport/controller/allowances.py
@@ -27,12 +27,14 @@
     """A team's allowance row as it was read.
 
     Args:
+        team: the team.
         row_key: key of the row.
         version: version of the row.
         amount_by_holder: cores by pool.
         limit: upper limit of the team.
     """
 
+    team: str
     row_key: RowKey
     version: int
     amount_by_holder: Mapping[str, int]
@@ -70,6 +72,8 @@
         self._state = state
         self._idle_since_by_team: dict[str, float] = {}
         self._next_check_at = 0.0
+        # Teams of which the pool may hold an amount; ``None`` until all were read.
+        self._holding_teams: set[str] | None = None
 
     def read(self, teams: Collection[str]) -> dict[str, Allowance] | Unavailable:
         """Read the allowance rows of ``teams`` that the environment knows."""
@@ -78,10 +82,14 @@
         rows = self._table.read([allowance_key(name, RESOURCE) for name in known])
         if isinstance(rows, Unavailable):
             return rows
-        return {
+        allowance_by_team = {
             name: _to_allowance(rows, name, team_by_name[name].max_cores)
             for name in known
         }
+        for name, allowance in allowance_by_team.items():
+            if self._holding_teams is not None and allowance.held(self._state.pool):
+                self._holding_teams.add(name)
+        return allowance_by_team
 
     def used_cores(self) -> dict[str, float]:
         """Return the declared cores of running jobs by team.
@@ -107,6 +115,8 @@
             return None
         if amount <= allowance.held(pool):
             return [], []
+        if self._holding_teams is not None:
+            self._holding_teams.add(allowance.team)
         value = allowance.with_amount(pool, amount)
         condition = Condition(allowance.row_key, allowance.version)
         return [condition], [Write(allowance.row_key, value)]
@@ -117,12 +127,14 @@
         if now < self._next_check_at:
             return
         self._next_check_at = now + idle_seconds / 5
-        allowances = self.read(self._state.environment.team_by_name)
+        allowances = self._read_holding()
         if isinstance(allowances, Unavailable):
             return
         used = self.used_cores()
         for team, allowance in allowances.items():
             amount = math.ceil(used.get(team, 0.0))
+            if self._holding_teams and not allowance.held(self._state.pool):
+                self._holding_teams.discard(team)
             if amount >= allowance.held(self._state.pool):
                 self._idle_since_by_team.pop(team, None)
                 continue
@@ -130,6 +142,16 @@
             if now - since >= idle_seconds and self._set(allowance, amount):
                 self._idle_since_by_team.pop(team, None)
 
+    def _read_holding(self) -> dict[str, Allowance] | Unavailable:
+        """Read the rows in which the pool may hold an amount."""
+        if self._holding_teams is not None:
+            return self.read(self._holding_teams)
+        allowances = self.read(self._state.environment.team_by_name)
+        if not isinstance(allowances, Unavailable):
+            pool = self._state.pool
+            self._holding_teams = {t for t, a in allowances.items() if a.held(pool)}
+        return allowances
+
     def _set(self, allowance: Allowance, amount: int) -> bool:
         value = allowance.with_amount(self._state.pool, amount)
         conditions = [
@@ -145,5 +167,5 @@
     key = allowance_key(team, RESOURCE)
     row = rows.get(key)
     if row is None:
-        return Allowance(key, ABSENT_VERSION, {}, limit)
-    return Allowance(key, row.version, row.value["amount_by_holder"], limit)
+        return Allowance(team, key, ABSENT_VERSION, {}, limit)
+    return Allowance(team, key, row.version, row.value["amount_by_holder"], limit)
--- a/catkinport/controller/leases.py
+++ b/catkinport/controller/leases.py
@@ -39,6 +39,10 @@
         """Note an attempt that this owner is about to commit and then starts."""
         self._planned.add((job_id, attempt, vm_id))
 
+    def forget_start(self, job_id: str, attempt: int, vm_id: str) -> None:
+        """Drop an attempt that was certainly not committed."""
+        self._planned.discard((job_id, attempt, vm_id))
+
     def sync(self) -> None:
         """Match contacts with VMs and tasks with the jobs that run."""
         self._sync_links()
--- a/catkinport/controller/rounds.py
+++ b/catkinport/controller/rounds.py
@@ -13,7 +13,7 @@
     WorkerView,
     plan_placement,
 )
-from ..ports import Condition, Transaction, Unavailable, Write
+from ..ports import Condition, Conflict, Transaction, Unavailable, Write
 from ..state import JobState, VmRow
 from . import transitions
 from .allowances import Allowance, AllowanceKeeper
@@ -65,7 +65,8 @@
         if not waiting:
             return
         started_at = self._services.clock.now()
-        teams = {job.row["team"] for job in waiting}
+        running = self._state.book.list_jobs(JobState.RUNNING)
+        teams = {job.row["team"] for job in [*waiting, *running]}
         allowances = self._allowances.read(teams)
         if isinstance(allowances, Unavailable):
             return
@@ -190,6 +191,9 @@
         )
         outcome = self._services.table.commit(transaction)
         take_outcome(self._state, changes, outcome)
+        if isinstance(outcome, Conflict):
+            for job, row in changes:
+                self._leases.forget_start(job.job_id, row["attempt"], row["worker_vm"])
         self._leases.sync()
 
     def _take_allowances(
--- /dev/null
+++ b/catkinport/controller/tests/test_ownership.py
@@ -0,0 +1,123 @@
+"""Who owns a pool, and the registration of VMs."""
+
+from ...policy.ownership import OwnershipAction, OwnershipView, choose_owner
+from ...policy.ownership import decide_ownership as decide
+from ...ports import VmStatus
+from ...state import owner_key, vm_key
+from ..ownership import OwnershipKeeper
+from ..registrar import Registrar, choose_pool
+from .cluster import Cluster
+from .test_pool_manager import LossyTable
+
+POOLS = tuple(f"p-{number}" for number in range(12))
+
+
+def make_keepers(cluster, *member_ids):
+    keepers = {}
+    for member_id in member_ids:
+        cluster.add_member(member_id)
+        keepers[member_id] = OwnershipKeeper(cluster.manager_table, cluster.clock)
+    return keepers
+
+
+def step_all(cluster, keepers, seconds: float):
+    changes = []
+    for _ in range(round(seconds / 0.5)):
+        for member_id, keeper in keepers.items():
+            step = keeper.step(cluster.membership(member_id).snapshot())
+            for pool in step.to_release:
+                keeper.release(pool)
+            changes.append(step)
+        cluster.clock.advance(0.5)
+    return changes
+
+
+def owners(cluster) -> dict[str, str]:
+    rows = cluster.table.read([owner_key(pool) for pool in POOLS])
+    return {key.key: row.value["member_id"] for key, row in rows.items()}
+
+
+class TestPolicy:
+    def test_leaving_controller_moves_only_its_own_pools(self):
+        """Guards against a change of all owners when one controller leaves."""
+        ids = ["c-1", "c-2", "c-3"]
+        before = {pool: choose_owner(pool, ids) for pool in POOLS}
+        after = {pool: choose_owner(pool, ids[:2]) for pool in POOLS}
+        moved = {pool for pool in POOLS if before[pool] != after[pool]}
+        assert moved == {pool for pool in POOLS if before[pool] == "c-3"}
+
+    def test_takeover_waits_until_the_eviction_is_complete(self):
+        """Guards against two owners while the old one's lease may still run."""
+        view = OwnershipView("p", "c-1", "c-0", {"c-1": 60.0}, 2.03)
+        assert decide(view) == OwnershipAction.WAIT
+        later = view._replace(seconds_since_owner_left=2.05)
+        assert decide(later) == OwnershipAction.TAKE
+
+
+class TestKeeper:
+    def test_every_pool_has_one_owner(self):
+        """Guards against pools that nobody or that two controllers own."""
+        cluster = Cluster(pools=POOLS)
+        keepers = make_keepers(cluster, "c-1", "c-2", "c-3")
+        step_all(cluster, keepers, 2.0)
+        assert owners(cluster) == {p: choose_owner(p, keepers) for p in POOLS}
+        owned = [p for keeper in keepers.values() for p in keeper.ownership_by_pool]
+        assert sorted(owned) == sorted(POOLS)
+
+    def test_evicted_owner_is_replaced_with_a_higher_epoch(self):
+        """Guards against a takeover that does not fence the old owner."""
+        cluster = Cluster(pools=("p-0",))
+        keepers = make_keepers(cluster, "c-1")
+        step_all(cluster, keepers, 1.0)
+        cluster.add_member("c-1", is_evicted=True)
+        heir = make_keepers(cluster, "c-2")
+        step_all(cluster, heir, 2.0)
+        assert owners(cluster) == {"p-0": "c-1"}
+        step_all(cluster, heir, 1.0)
+        assert heir["c-2"].ownership_by_pool["p-0"].epoch == 2
+        lost = step_all(cluster, keepers, 0.5)[0].lost
+        assert lost == ["p-0"]
+
+    def test_new_controller_gets_its_pools_in_good_order(self):
+        """Guards against a new controller that never gets or that steals a pool."""
+        cluster = Cluster(pools=POOLS)
+        keepers = make_keepers(cluster, "c-1")
+        step_all(cluster, keepers, 1.0)
+        keepers |= make_keepers(cluster, "c-2")
+        step_all(cluster, keepers, 8.0)
+        assert set(owners(cluster).values()) == {"c-1"}
+        step_all(cluster, keepers, 6.0)
+        assert owners(cluster) == {p: choose_owner(p, keepers) for p in POOLS}
+
+    def test_lost_answer_to_a_takeover(self):
+        """Guards against a pool without an actor because an answer was lost."""
+        cluster = Cluster(pools=("p-0",), wrap_table=LossyTable)
+        keepers = make_keepers(cluster, "c-1")
+        cluster.manager_table.n_lost = 1
+        step_all(cluster, keepers, 1.0)
+        assert list(keepers["c-1"].ownership_by_pool) == ["p-0"]
+
+
+class TestRegistrar:
+    def test_new_vm_goes_to_the_spare_pool(self):
+        """Guards against VMs that no pool holds, and against moving known ones."""
+        cluster = Cluster(pools=("p", "q"))
+        pools = cluster.environment.pool_by_name
+        spare = pools["q"]._replace(is_spare=True)
+        cluster.environment = cluster.environment._replace(
+            pool_by_name={**pools, "q": spare}
+        )
+        cluster.add_vm("known", "p")
+        cluster.set_status("known", VmStatus.LIVE)
+        known = cluster.vm_list.list_vms()[0]
+        cluster.vm_list.put({**known._asdict(), "vm_id": "new"})
+        ownership = cluster.own("q").state.ownership
+        membership = cluster.membership("c-1")
+        registrar = Registrar(cluster.services(membership))
+        listed = {vm.vm_id: vm for vm in cluster.vm_list.list_vms()}
+        n = registrar.step(membership.snapshot(), listed, {"q": ownership})
+        assert n == 1
+        rows = cluster.table.read([vm_key("known"), vm_key("new")])
+        assert rows[vm_key("known")].value["pool"] == "p"
+        assert rows[vm_key("new")].value["pool"] == "q"
+        assert choose_pool(cluster.environment, "p") == "p"
--- a/catkinport/controller/tests/test_pool_manager.py
+++ b/catkinport/controller/tests/test_pool_manager.py
@@ -68,6 +68,17 @@
         assert cluster.job("j")["state"] == "parked"
         assert "needs 9 cores" in cluster.job("j")["reason"]
 
+    def test_unknown_team_holds_up_nobody(self):
+        """Guards against a pool that stops because a team was removed."""
+        cluster = Cluster()
+        cluster.add_vm("vm-1")
+        cluster.submit("orphan", team="removed")
+        cluster.submit("running", team="removed", state="running", attempt=1)
+        cluster.submit("j")
+        cluster.run(cluster.own(), seconds=2)
+        assert cluster.job("j")["state"] == "running"
+        assert cluster.job("orphan")["state"] == "queued"
+
     @pytest.mark.parametrize("n_lost", [1, 2, 3])
     def test_lost_store_answers_start_a_job_once(self, n_lost):
         """Guards against a job started twice after the answer to a round was lost."""
--- a/catkinport/controller/vm_records.py
+++ b/catkinport/controller/vm_records.py
@@ -7,7 +7,9 @@
 from .pool_state import PoolState, VmRecord
 from .services import Services
 
-REFRESH_SECONDS = 5.0
+REFRESH_SECONDS = 60.0
+"""Every change of a VM counts the generation up, so that this is a safety net only;
+a shorter period would use up the daemon's network budget."""
 
 
 class VmRecords:
