Test the controller under random faults

Guards against faults in combination: lost answers of the store (15%), silent and rebooting workers, lost start answers, paused owners that resume, cancellations and maintenance waves over two pools, with budget, limit and at-most-once checked at each step.

--- a/catkinport/controller/tests/cluster.py
+++ b/catkinport/controller/tests/cluster.py
@@ -45,6 +45,12 @@
     def table(self, address: str) -> TaskTable:
         return self.tasks_by_address.setdefault(address, TaskTable(self.clock))
 
+    def forget(self, address: str) -> None:
+        """Lose all tasks of a worker, as a reboot does; their log is kept."""
+        lost = self.table(address)
+        self.tasks_by_address[address] = TaskTable(self.clock)
+        self.tasks_by_address[address].events.extend(lost.events)
+
     def starts(self, job_id: str) -> int:
         tables = self.tasks_by_address.values()
         events = [event for table in tables for event in table.events]
--- /dev/null
+++ b/catkinport/controller/tests/test_chaos.py
@@ -0,0 +1,126 @@
+"""Random faults from one seed, with the promises checked at every step."""
+
+import random
+
+import pytest
+
+from ...ports import Unavailable, Write
+from ...ports.outcomes import Reason
+from ...ports.table import Transaction
+from ...standins import MemoryTable
+from ...state import MAINTENANCE, allowance_key, vm_key
+from .cluster import Cluster
+from .test_fleet import BudgetWatch
+
+POOLS = ("p", "q")
+N_JOBS = 30
+MAX_CORES = 20
+
+
+class UnreliableTable(BudgetWatch):
+    """Loses answers of commits, before or after they take effect."""
+
+    def __init__(self, table: MemoryTable) -> None:
+        super().__init__(table)
+        self.rng = random.Random(0)
+        self.fault_rate = 0.0
+
+    def commit(self, transaction):
+        if self.rng.random() >= self.fault_rate:
+            return super().commit(transaction)
+        if self.rng.random() < 0.5:
+            super().commit(transaction)
+        return Unavailable(Reason.TIMEOUT, "table-commit", may_have_committed=True)
+
+    def commit_batch(self, transactions):
+        return [self.commit(transaction) for transaction in transactions]
+
+
+class ChaosRun:
+    """A fleet under random faults.
+
+    Args:
+        seed: seed of the faults.
+    """
+
+    def __init__(self, seed: int) -> None:
+        self.rng = random.Random(seed)
+        self.cluster = Cluster(MAX_CORES, pools=POOLS, wrap_table=UnreliableTable)
+        self.cluster.manager_table.rng = random.Random(seed + 1)
+        self.cluster.manager_table.fault_rate = 0.15
+        for number in range(8):
+            pool, rack = POOLS[number % 2], f"r-{number // 4}"
+            self.cluster.add_vm(f"vm-{number}", pool, rack, cores=16.0)
+        value = {"is_paused": False, "is_started": True, "operator": "ana"}
+        self.cluster.table.commit(Transaction([], [Write(MAINTENANCE, value)]))
+        for number in range(N_JOBS):
+            pool = POOLS[number % 2]
+            is_restartable = number % 3 != 0
+            seconds = self.rng.uniform(5.0, 120.0)
+            self.cluster.submit(
+                f"j-{number}", pool, run_seconds=seconds, is_restartable=is_restartable
+            )
+        self.owners = {pool: [self.cluster.own(pool, f"c-{pool}")] for pool in POOLS}
+
+    def run(self, n_steps: int) -> None:
+        for step in range(n_steps):
+            if step < n_steps // 3 and step % 20 == 0:
+                self._inject()
+            if step == n_steps // 3:
+                self._repair()
+            managers = [m for owners in self.owners.values() for m in owners]
+            self.cluster.run(*managers, seconds=1.0, period=1.0)
+            self._check()
+
+    def _inject(self) -> None:
+        vm_id = f"vm-{self.rng.randrange(8)}"
+        fault = self.rng.choice(["down", "up", "answers", "owner", "reboot", "cancel"])
+        if fault == "down":
+            self.cluster.workers.down.add(f"w-{vm_id}")
+        elif fault == "up":
+            self.cluster.workers.down.clear()
+        elif fault == "answers":
+            self.cluster.workers.loses_start_answers ^= {f"w-{vm_id}"}
+        elif fault == "owner":
+            pool = self.rng.choice(POOLS)
+            # The old owner resumes and goes on stepping.
+            self.owners[pool].append(self.cluster.own(pool, f"c-{self.rng.random()}"))
+        elif fault == "reboot":
+            self.cluster.vm_list.reboot(vm_id, f"platform-{self.rng.random()}")
+            self.cluster.workers.forget(f"w-{vm_id}")
+        else:
+            number = self.rng.randrange(N_JOBS)
+            self.cluster.cancel(f"j-{number}", POOLS[number % 2])
+
+    def _repair(self) -> None:
+        self.cluster.workers.down.clear()
+        self.cluster.workers.loses_start_answers.clear()
+        self.cluster.manager_table.fault_rate = 0.0
+
+    def _check(self) -> None:
+        assert self.cluster.manager_table.n_violations == 0
+        key = allowance_key("a", "cores")
+        rows = self.cluster.table.read([key])
+        amounts = rows[key].value["amount_by_holder"] if key in rows else {}
+        assert sum(amounts.values()) <= MAX_CORES
+        for number in range(0, N_JOBS, 3):
+            assert self.cluster.workers.starts(f"j-{number}") <= 1
+
+    def states(self) -> list[str]:
+        jobs = [self.cluster.job(f"j-{n}", POOLS[n % 2]) for n in range(N_JOBS)]
+        return [job["state"] for job in jobs]
+
+
+class TestChaos:
+    @pytest.mark.parametrize("seed", range(4))
+    def test_promises_hold_and_every_job_ends(self, seed):
+        """Guards against faults in combination: P1, P2, P5 and P8."""
+        run = ChaosRun(seed)
+        run.run(1200)
+        states = run.states()
+        assert set(states) <= {"done", "cancelled", "unknown"}
+        assert all(states[n] != "unknown" for n in range(N_JOBS) if n % 3)
+        vms = [run.cluster.table.read([vm_key(f"vm-{n}")]) for n in range(8)]
+        rows = [next(iter(found.values())).value for found in vms]
+        assert {row["state"] for row in rows} == {"active"}
+        assert [row["pool"] for row in rows] == list(POOLS) * 4
