Stop moving tasks back and forth when shares are taken back

Cause: ending tasks still counted for their team, which then lost more; urgent work of teams above their part took freed room at once; any difference above 2% moved tasks.

--- a/catkinport/policy/_round.py
+++ b/catkinport/policy/_round.py
@@ -19,6 +19,13 @@
 SPREAD_WEIGHT = 0.3
 """Weight of the spread over racks and zones against the tightness of the fit."""
 
+TARGET_TOLERANCE = 0.02
+"""Part of its target by which a team may go above it; tasks come in whole sizes."""
+
+SHORTAGE = 0.06
+"""Part of its target that a team must lack before tasks are moved for it, so that the
+usual coming and going of tasks moves nothing."""
+
 _TINY = 1e-9
 
 
@@ -30,9 +37,19 @@
     return Resources(cores * THROTTLE_FRACTION, memory_gb, accelerators)
 
 
+def extra_of(item: RunningTask | WaitingJob) -> Resources:
+    """Return what a job needs, or what a throttled task needs to run in full."""
+    if isinstance(item, WaitingJob):
+        return item.request
+    return Resources(item.reserved.cores * (1 - THROTTLE_FRACTION), 0.0, 0.0)
+
+
 class RoundState:
     """What is free on each worker and what each team uses, by worker index.
 
+    Tasks that are ending no longer count towards a team's share, or the team would
+    look above its part and lose more; they still count towards its upper limit.
+
     Args:
         problem: input of the round. Tasks on unknown or quarantined workers count
             for their team only.
@@ -46,8 +63,15 @@
         self.ending = [[0.0, 0.0, 0.0] for _ in self.workers]
         self.throttleable_cores = [0.0] * len(self.workers)
         self.capacity = total(w.capacity for w in self.workers)
+        self._inverse_capacity = [1 / c if c else 0.0 for c in self.capacity]
         self.tasks: list[list[RunningTask]] = [[] for _ in self.workers]
         self.usage_by_team: dict[str, list[float]] = defaultdict(lambda: [0.0] * 3)
+        self.ending_usage_by_team: dict[str, list[float]] = defaultdict(
+            lambda: [0.0] * 3
+        )
+        self.urgent_usage_by_team: dict[str, list[float]] = defaultdict(
+            lambda: [0.0] * 3
+        )
         self.n_by_queue_and_domain: dict[tuple[str, str], int] = defaultdict(int)
         self.n_by_queue: dict[str, int] = defaultdict(int)
         self._reserve = _reserve_by_worker(self.workers)
@@ -57,7 +81,12 @@
 
     def _add_task(self, task: RunningTask) -> None:
         held = held_by(task)
-        self._count(task.team, held, 1.0)
+        if task.is_ending:
+            _change(self.ending_usage_by_team[task.team], held, 1.0)
+        else:
+            self._count(task.team, held, 1.0)
+        if task.is_urgent:
+            _change(self.urgent_usage_by_team[task.team], held, 1.0)
         index = self.index_by_vm.get(task.vm_id)
         if index is None:
             return
@@ -80,6 +109,9 @@
 
     def _fair_targets(self, waiting: Sequence[WaitingJob]) -> dict[str, float]:
         demand_by_team = {t: list(used) for t, used in self.usage_by_team.items()}
+        for team, ending in self.ending_usage_by_team.items():
+            demand = demand_by_team.setdefault(team, [0.0] * 3)
+            _change(demand, Resources(*ending), 1.0)
         for job in waiting:
             if job.team in self.team_by_name:
                 _change(demand_by_team.setdefault(job.team, [0.0] * 3), job.request, 1)
@@ -101,17 +133,54 @@
 
     def share_of(self, team: str, extra: Resources = NOTHING) -> float:
         """Return the dominant share of a team if it also held ``extra``."""
-        used = self.usage_by_team[team]
-        amount = Resources(used[0] + extra[0], used[1] + extra[1], used[2] + extra[2])
-        return dominant_share(amount, self.capacity)
+        return self._share(self.usage_by_team[team], extra, 1.0)
+
+    def _share(self, used: Sequence[float], extra: Resources, sign: float) -> float:
+        inverse = self._inverse_capacity
+        return max(
+            (used[0] + sign * extra[0]) * inverse[0],
+            (used[1] + sign * extra[1]) * inverse[1],
+            (used[2] + sign * extra[2]) * inverse[2],
+        )
+
+    def is_within_target(self, team: str, extra: Resources) -> bool:
+        """Return whether ``extra`` leaves a team within its fair part."""
+        target = self.target_by_team.get(team, 0.0)
+        return self.share_of(team, extra) <= target * (1 + TARGET_TOLERANCE)
+
+    def is_short(self, team: str) -> bool:
+        """Return whether a team is so far below its fair part that it takes it back."""
+        target = self.target_by_team.get(team, 0.0)
+        return self.share_of(team) < target * (1 - SHORTAGE)
+
+    def is_urgent_within_target(self, team: str, extra: Resources) -> bool:
+        """Return whether a team's urgent work alone stays within its fair part."""
+        target = self.target_by_team.get(team, 0.0)
+        share = self._share(self.urgent_usage_by_team[team], extra, 1.0)
+        return share <= target * (1 + TARGET_TOLERANCE)
+
+    def is_above_target_without(self, task: RunningTask) -> bool:
+        """Return whether a team keeps its fair part without ``task``."""
+        target = self.target_by_team.get(task.team, 0.0)
+        share = self._share(self.usage_by_team[task.team], held_by(task), -1.0)
+        return share >= target
+
+    def throttled_tasks(self) -> list[RunningTask]:
+        """Return the tasks that are throttled and not about to end."""
+        return [
+            task
+            for tasks in self.tasks
+            for task in tasks
+            if task.is_throttled and not task.is_ending
+        ]
 
     def is_over_limit(self, job: WaitingJob) -> bool:
         """Return whether the job would take its team over its upper limit."""
         team = self.team_by_name.get(job.team)
         if team is None:
             return True
-        cores = self.usage_by_team[job.team][0] + job.request.cores
-        return cores > team.max_cores + _TINY
+        cores = self.usage_by_team[job.team][0] + self.ending_usage_by_team[job.team][0]
+        return cores + job.request.cores > team.max_cores + _TINY
 
     def find_worker(self, job: WaitingJob) -> int | None:
         """Return the best worker that has room for ``job`` now.
@@ -188,6 +257,8 @@
         """Take what a job needs from a worker."""
         _change(self.free[index], job.request, -1.0)
         self._count(job.team, job.request, 1.0)
+        if job.is_urgent:
+            _change(self.urgent_usage_by_team[job.team], job.request, 1.0)
         self._count_domain(job.queue, index)
 
     def throttle(self, task: RunningTask) -> None:
@@ -204,6 +275,7 @@
         index = self.index_by_vm[task.vm_id]
         more = Resources(task.reserved.cores * (1 - THROTTLE_FRACTION), 0.0, 0.0)
         cores = self.usage_by_team[task.team][0] + more.cores
+        cores += self.ending_usage_by_team[task.team][0]
         team = self.team_by_name.get(task.team)
         if self.free[index][0] < more.cores or not team or cores > team.max_cores:
             return False
@@ -218,6 +290,7 @@
         held = held_by(task)
         _change(self.ending[index], held, 1.0)
         self._count(task.team, held, -1.0)
+        _change(self.ending_usage_by_team[task.team], held, 1.0)
         if not task.is_throttled and not task.is_urgent:
             self.throttleable_cores[index] -= held.cores * (1 - THROTTLE_FRACTION)
         self._replace(index, task, task._replace(is_ending=True))
@@ -230,6 +303,8 @@
             room[resource] -= taken
             self.ending[index][resource] -= need - taken
         self._count(job.team, job.request, 1.0)
+        if job.is_urgent:
+            _change(self.urgent_usage_by_team[job.team], job.request, 1.0)
 
     def _replace(self, index: int, old: RunningTask, new: RunningTask) -> None:
         tasks = self.tasks[index]
--- a/catkinport/policy/placement.py
+++ b/catkinport/policy/placement.py
@@ -2,9 +2,9 @@
 
 import heapq
 from collections import defaultdict, deque
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
-from ._round import RoundState, held_by
+from ._round import RoundState, extra_of
 from .placement_types import (
     THROTTLE_FRACTION,
     PlacementPlan,
@@ -24,7 +24,7 @@
     find_throttles,
     to_preempt,
 )
-from .resources import Resources, dominant_share
+from .resources import Resources
 
 __all__ = [
     "THROTTLE_FRACTION",
@@ -47,9 +47,6 @@
 MAX_RECLAIM_ATTEMPTS = 16
 """Long jobs per round for which a team takes back its share."""
 
-RECLAIM_TOLERANCE = 0.02
-"""Part of its target by which a team may differ before tasks are moved for it."""
-
 OVER_LIMIT = "upper limit of the team"
 NO_ROOM = "no worker has room"
 ROOM_IS_BEING_FREED = "room is being freed"
@@ -59,10 +56,14 @@
     """Place jobs by share, urgent before long, and make room where it helps.
 
     The order among teams is weighted max-min over the dominant resource. A job that
-    does not fit does not hold back the next one. Urgent jobs that found no room
-    throttle or move long tasks; then a team below its fair part takes room back
-    from teams above theirs. Tasks are throttled for a start of the same plan, so the
-    throttles have to be sent before the starts.
+    does not fit does not hold back the next one. Jobs within the fair part of their
+    team come first, so that a flood of urgent work does not take the part of other
+    teams: urgent jobs, for which long tasks are throttled or moved, then long jobs,
+    for which a team takes room back from teams above their part. What is left goes
+    to all other jobs, urgent ones first.
+
+    Tasks are throttled for a start of the same plan, so the throttles have to be sent
+    before the starts.
 
     Args:
         problem: workers, jobs and teams of one pool.
@@ -73,16 +74,22 @@
     planner = _Planner(problem)
     urgent = [job for job in problem.waiting if job.is_urgent]
     long = [job for job in problem.waiting if not job.is_urgent]
-    blocked_urgent = planner.place_in_order(urgent, [])
-    planner.make_room_for_urgent(blocked_urgent)
-    throttled = [
-        task for tasks in planner.state.tasks for task in tasks if task.is_throttled
-    ]
-    blocked_long = planner.place_in_order(long, throttled)
-    planner.reclaim_shares(blocked_long)
+    state = planner.state
+    blocked, more_urgent = planner.place_in_order(urgent, state.is_urgent_within_target)
+    planner.make_room_for_urgent(blocked)
+    throttled = state.throttled_tasks()
+    blocked, more_long = planner.place_in_order(
+        [*throttled, *long], state.is_within_target
+    )
+    planner.reclaim_shares(blocked)
+    planner.place_in_order(more_urgent)
+    planner.place_in_order(more_long)
     return planner.plan()
 
 
+Item = RunningTask | WaitingJob
+
+
 class _Planner:
     """Collects the decisions of one round."""
 
@@ -105,41 +112,52 @@
         )
 
     def place_in_order(
-        self, jobs: Iterable[WaitingJob], throttled: Iterable[RunningTask]
-    ) -> list[WaitingJob]:
-        """Place ``jobs``, the team with the lowest share first; return the blocked.
+        self,
+        items: Iterable[Item],
+        is_within: Callable[[str, Resources], bool] | None = None,
+    ) -> tuple[list[WaitingJob], list[Item]]:
+        """Place jobs and end throttles, the team with the lowest share first.
 
         A team's throttled tasks get their processors back before it starts more.
+
+        Args:
+            items: throttled tasks and waiting jobs.
+            is_within: whether a team may have so much more; ``None`` for no bound.
+
+        Returns:
+            The jobs that found no room, and the items that ``is_within`` put off.
         """
-        state = self.state
-        items_by_team: dict[str, deque[RunningTask | WaitingJob]] = defaultdict(deque)
-        for task in throttled:
-            if not task.is_ending:
-                items_by_team[task.team].append(task)
-        for job in sorted(jobs, key=lambda job: job.submitted_at):
-            items_by_team[job.team].append(job)
+        items_by_team = _by_team_in_order(items)
         heap = [(self._level(team), team) for team in items_by_team]
         heapq.heapify(heap)
         blocked: list[WaitingJob] = []
+        put_off: list[Item] = []
         no_room: list[Resources] = []
         while heap:
             team = heap[0][1]
-            items = items_by_team[team]
-            while items:
-                item = items.popleft()
-                if isinstance(item, RunningTask):
-                    if state.unthrottle(item):
-                        self._fraction_by_job[item.job_id] = 1.0
-                        break
-                elif self._try_start(item, no_room):
+            queue = items_by_team[team]
+            while queue:
+                item = queue.popleft()
+                if is_within and not is_within(team, extra_of(item)):
+                    put_off.append(item)
+                    self._reason_by_job.setdefault(item.job_id, NO_ROOM)
+                elif self._try(item, no_room):
                     break
-                elif self._reason_by_job[item.job_id] == NO_ROOM:
-                    blocked.append(item)
-            if items:
+                elif self._reason_by_job.get(item.job_id) == NO_ROOM:
+                    blocked.append(item)  # type: ignore[arg-type]
+            if queue:
                 heapq.heapreplace(heap, (self._level(team), team))
             else:
                 heapq.heappop(heap)
-        return blocked
+        return blocked, put_off
+
+    def _try(self, item: Item, no_room: list[Resources]) -> bool:
+        if isinstance(item, WaitingJob):
+            return self._try_start(item, no_room)
+        if not self.state.unthrottle(item):
+            return False
+        self._fraction_by_job[item.job_id] = 1.0
+        return True
 
     def _level(self, team: str) -> float:
         view = self.state.team_by_name.get(team)
@@ -169,9 +187,23 @@
         self._reason_by_job.pop(job.job_id, None)
 
     def make_room_for_urgent(self, blocked: list[WaitingJob]) -> None:
-        """Throttle or move long tasks for urgent jobs, in order of cost."""
+        """Throttle or move long tasks for urgent jobs, in order of cost.
+
+        Tasks of the own team and of teams above their part come first.
+        """
+        state = self.state
         for job in blocked[:MAX_URGENT_ATTEMPTS]:
-            self._make_room(job, self._may_take_for_urgent(job))
+            team = job.team
+            is_within = state.is_within_target(team, job.request)
+            if self._make_room(
+                job,
+                lambda task, team=team: (  # type: ignore[misc]
+                    task.team == team or state.is_above_target_without(task)
+                ),
+            ):
+                continue
+            if is_within:
+                self._make_room(job, lambda task: True)
 
     def reclaim_shares(self, blocked: list[WaitingJob]) -> None:
         """Take room back for teams below their target from teams above theirs."""
@@ -179,54 +211,47 @@
         for job in blocked:
             if n_attempts >= MAX_RECLAIM_ATTEMPTS:
                 return
-            target = self.state.target_by_team.get(job.team, 0.0)
-            after = self.state.share_of(job.team, job.request)
-            if after > target * (1 + RECLAIM_TOLERANCE):
-                continue
-            n_attempts += 1
-            self._make_room(job, self._is_above_target)
+            if self.state.is_short(job.team):
+                n_attempts += 1
+                self._make_room(job, self.state.is_above_target_without)
 
-    def _make_room(self, job: WaitingJob, may_take: MayTake) -> None:
+    def _make_room(self, job: WaitingJob, may_take: MayTake) -> bool:
+        """Start ``job`` or have room freed for it; return whether either is done."""
         state = self.state
         if state.is_over_limit(job):
             self._reason_by_job[job.job_id] = OVER_LIMIT
-            return
+            return True
         index = state.find_worker(job)
         if index is not None:
             self._start(job, index)
-            return
+            return True
         throttles = find_throttles(state, job, may_take)
         if throttles:
             for task in throttles.tasks:
                 state.throttle(task)
                 self._fraction_by_job[task.job_id] = THROTTLE_FRACTION
             self._start(job, throttles.worker_index)
-            return
+            return True
+        return self._free_room(job, may_take)
+
+    def _free_room(self, job: WaitingJob, may_take: MayTake) -> bool:
+        state = self.state
         index = find_ending_room(state, job)
         if index is None:
             victims = find_preemptions(state, job, may_take)
             if victims is None:
-                return
+                return False
             for task in victims.tasks:
                 state.end_task(task)
                 self._preemptions.append(to_preempt(task, job))
             index = victims.worker_index
         state.claim_ending(job, index)
         self._reason_by_job[job.job_id] = ROOM_IS_BEING_FREED
+        return True
 
-    def _may_take_for_urgent(self, job: WaitingJob) -> MayTake:
-        """A team above its share may only take from itself and from teams above."""
-        state = self.state
-        target = state.target_by_team.get(job.team, 0.0)
-        is_within = state.share_of(job.team, job.request) <= target * (
-            1 + RECLAIM_TOLERANCE
-        )
-        if is_within:
-            return lambda task: True
-        return lambda task: task.team == job.team or self._is_above_target(task)
-
-    def _is_above_target(self, task: RunningTask) -> bool:
-        """Return whether the team stays at its target without this task."""
-        target = self.state.target_by_team.get(task.team, 0.0)
-        held = dominant_share(held_by(task), self.state.capacity)
-        return self.state.share_of(task.team) - held >= target * (1 - RECLAIM_TOLERANCE)
+
+def _by_team_in_order(items: Iterable[Item]) -> dict[str, deque[Item]]:
+    items_by_team: dict[str, deque[Item]] = defaultdict(deque)
+    for item in sorted(items, key=lambda item: getattr(item, "submitted_at", 0.0)):
+        items_by_team[item.team].append(item)
+    return items_by_team
