--- a/benchmarks/shares.py
+++ b/benchmarks/shares.py
@@ -26,8 +26,8 @@
 WINDOW_SECONDS = 60.0
 ROUND_SECONDS = 1.0
 LONGEST_PHASE_SECONDS = 900.0
-MAX_WAITING = 40
-"""Waiting jobs per team, which bounds the cost of the run."""
+MAX_WAITING = 150
+"""Waiting jobs per team: more than its equal part holds, few enough for a short run."""
 
 SMALLEST_PART = 0.2
 """Windows where a team's fair part is below this fraction of an equal part are left
--- a/catkinport/policy/worker_health.py
+++ b/catkinport/policy/worker_health.py
@@ -1,5 +1,6 @@
 """Tells a bad worker from a bad job by comparing failures across both."""
 
+import math
 from collections import defaultdict, deque
 from collections.abc import Iterable
 from enum import StrEnum
@@ -33,6 +34,16 @@
 """Beyond this part of the workers the cause is taken to lie elsewhere."""
 
 
+MAX_OUTCOMES = 32
+"""Latest outcomes kept per worker; bounds the work of an update."""
+
+FAILURE_CHANCE = 0.2
+"""Least chance of failure on a good worker that is granted to any job."""
+
+MAX_WORKERS_FAILED = 6
+"""Workers, proven good or not, on which a job may fail before it is parked."""
+
+
 class TaskOutcome(NamedTuple):
     """How a task ended on a worker. Lost workers and cancellations are left out."""
 
@@ -69,7 +80,13 @@
         if n_workers < 1:
             raise ValueError(f"n_workers must be >= 1, got {n_workers!r}")
         self._n_workers = n_workers
-        self._outcomes_by_vm: dict[str, deque[TaskOutcome]] = defaultdict(deque)
+        self._outcomes_by_vm: dict[str, deque[TaskOutcome]] = defaultdict(
+            lambda: deque(maxlen=MAX_OUTCOMES)
+        )
+        self._last_by_queue_and_vm: dict[str, dict[str, TaskOutcome]] = defaultdict(
+            dict
+        )
+        self._last_success_by_vm: dict[str, float] = {}
         self._vms_by_failed_job: dict[str, dict[str, float]] = defaultdict(dict)
         self._succeeded_jobs: dict[str, float] = {}
         self._quarantine_by_vm: dict[str, _Quarantine] = {}
@@ -77,11 +94,13 @@
     def add(self, outcome: TaskOutcome) -> None:
         """Take in the end of a task."""
         self._outcomes_by_vm[outcome.vm_id].append(outcome)
+        self._last_by_queue_and_vm[outcome.queue][outcome.vm_id] = outcome
         if outcome.is_failed:
             failed = self._vms_by_failed_job[outcome.job_id]
             failed[outcome.vm_id] = outcome.ended_at
         else:
             self._succeeded_jobs[outcome.job_id] = outcome.ended_at
+            self._last_success_by_vm[outcome.vm_id] = outcome.ended_at
         self._judge_trial(outcome)
 
     def _judge_trial(self, outcome: TaskOutcome) -> None:
@@ -94,7 +113,7 @@
             if held.n_succeeded >= TRIALS_TO_RECOVER:
                 self._recover(outcome.vm_id)
             return
-        if self._suspicion(outcome.job_id, outcome.vm_id) > 0.5:
+        if self._suspicion(outcome) > 0.5:
             return
         wait = min(MAX_PROBATION_SECONDS, PROBATION_SECONDS * 2**held.n_times)
         self._quarantine_by_vm[outcome.vm_id] = _Quarantine(
@@ -140,29 +159,53 @@
         for job_id, vms in list(self._vms_by_failed_job.items()):
             if max(vms.values()) < before:
                 del self._vms_by_failed_job[job_id]
+        for last_by_vm in self._last_by_queue_and_vm.values():
+            for vm_id in [
+                v for v, last in last_by_vm.items() if last.ended_at < before
+            ]:
+                del last_by_vm[vm_id]
 
     def _odds(self, vm_id: str) -> float:
-        """Return how much likelier a worker's outcomes are if it is bad.
+        """Return how much likelier a worker's latest outcomes are if it is bad.
 
-        A failure says little of the worker when the job fails elsewhere too, and a
-        success speaks strongly for the worker.
+        The largest odds over all latest stretches count, so that successes from before
+        a worker broke do not hide its failures (a CUSUM test).
         """
-        outcomes = self._outcomes_by_vm[vm_id]
-        failed_jobs = {outcome.job_id for outcome in outcomes if outcome.is_failed}
-        if len(failed_jobs) < MIN_FAILED_JOBS:
-            return 0.0
-        odds = 1.0
-        for job_id in failed_jobs:
-            odds *= BAD_WORKER_FAILURE_RATE / self._suspicion(job_id, vm_id)
-        n_succeeded = sum(not outcome.is_failed for outcome in outcomes)
-        return float(odds * (1 - BAD_WORKER_FAILURE_RATE) ** n_succeeded)
-
-    def _suspicion(self, job_id: str, vm_id: str) -> float:
-        """Return the chance that a job fails on a good worker."""
-        if job_id in self._succeeded_jobs:
+        logarithm, largest = 0.0, 0.0
+        failed_jobs: set[str] = set()
+        for outcome in reversed(self._outcomes_by_vm[vm_id]):
+            if not outcome.is_failed:
+                logarithm += math.log(1 - BAD_WORKER_FAILURE_RATE)
+            elif outcome.job_id not in failed_jobs:
+                failed_jobs.add(outcome.job_id)
+                logarithm += math.log(
+                    BAD_WORKER_FAILURE_RATE / self._suspicion(outcome)
+                )
+            if len(failed_jobs) >= MIN_FAILED_JOBS:
+                largest = max(largest, logarithm)
+        return math.exp(largest)
+
+    def _suspicion(self, outcome: TaskOutcome) -> float:
+        """Return the chance that a job fails on a good worker.
+
+        It rises with the other workers on which the job failed, and with the part of
+        the other workers on which its queue's latest task failed: counted by worker,
+        since one bad worker that fails fast yields most of all failures.
+        """
+        if outcome.job_id in self._succeeded_jobs:
             return 0.05
-        n_elsewhere = len(self._vms_by_failed_job.get(job_id, {}).keys() - {vm_id})
-        return (0.2, 0.6, 0.9)[min(2, n_elsewhere)]
+        n_elsewhere = sum(
+            vm != outcome.vm_id and vm not in self._quarantine_by_vm
+            for vm in self._vms_by_failed_job.get(outcome.job_id, ())
+        )
+        by_job = (FAILURE_CHANCE, 0.6, BAD_WORKER_FAILURE_RATE)[min(2, n_elsewhere)]
+        others = [
+            last.is_failed
+            for vm, last in self._last_by_queue_and_vm[outcome.queue].items()
+            if vm != outcome.vm_id and vm not in self._quarantine_by_vm
+        ]
+        by_queue = sum(others) / len(others) if others else 0.0
+        return min(BAD_WORKER_FAILURE_RATE, max(by_job, by_queue))
 
     def state_of(self, vm_id: str) -> WorkerState:
         """Return the health of a worker; on probation it may get one task."""
@@ -176,6 +219,10 @@
     def reason_to_park(self, job_id: str, failed_vms: Iterable[str]) -> str | None:
         """Return why a job that failed must not be tried again, or ``None``.
 
+        A worker is proven good for this job once another task succeeded on it after
+        the job failed there. Without that, a worker that has just broken would get
+        good jobs parked.
+
         Args:
             job_id: the job.
             failed_vms: workers on which it failed.
@@ -183,9 +230,15 @@
         Returns:
             The reason once the job failed on enough workers that are good.
         """
-        good = sorted(
-            vm for vm in set(failed_vms) if self.state_of(vm) is WorkerState.GOOD
-        )
-        if len(good) < MAX_GOOD_WORKERS_FAILED:
-            return None
-        return f"failed on {len(good)} good workers: {', '.join(good)}"
+        failed = {vm for vm in failed_vms if self.state_of(vm) is WorkerState.GOOD}
+        failed_at = self._vms_by_failed_job.get(job_id, {})
+        proven = {
+            vm
+            for vm in failed
+            if self._last_success_by_vm.get(vm, -math.inf) > failed_at.get(vm, math.inf)
+        }
+        if len(proven) >= MAX_GOOD_WORKERS_FAILED:
+            return f"failed on {len(proven)} good workers: {', '.join(sorted(proven))}"
+        if len(failed) >= MAX_WORKERS_FAILED:
+            return f"failed on {len(failed)} workers: {', '.join(sorted(failed))}"
+        return None
