Look at every worker for tasks to throttle before moving any

Cause: only the 6 workers with most free processors were tried, and few of them ran a task that the job's team may slow down, so tasks were moved instead. Ruled out: memory as the limit.

--- a/catkinport/policy/preemption.py
+++ b/catkinport/policy/preemption.py
@@ -1,6 +1,7 @@
 """Frees room for a job: throttle, then checkpoint or stop, in order of cost."""
 
-from collections.abc import Callable, Sequence
+import itertools
+from collections.abc import Callable, Iterable, Sequence
 from typing import NamedTuple
 
 from ._round import RoundState, held_by
@@ -53,12 +54,10 @@
         for index in range(len(state.workers))
         if _can_throttle_help(state, job, index)
     ]
-    best = None
-    for _, index in sorted(candidates, reverse=True)[:MAX_CANDIDATES]:
-        victims = _throttles_on(state, job, index, may_take)
-        if victims and (best is None or victims.cost < best.cost):
-            best = victims
-    return best
+    return _cheapest(
+        _throttles_on(state, job, index, may_take)
+        for _, index in sorted(candidates, reverse=True)
+    )
 
 
 def _can_throttle_help(state: RoundState, job: WaitingJob, index: int) -> bool:
@@ -128,18 +127,15 @@
         missing = _missing(state, job, index)
         bound = max(0.0, missing[0]) + max(0.0, missing[1]) / 4 + max(0.0, missing[2])
         candidates.append((bound, index))
-    best = None
-    n_found = 0
-    for _, index in sorted(candidates):
-        victims = _preemptions_on(state, job, index, may_take)
-        if victims is None:
-            continue
-        if best is None or victims.cost < best.cost:
-            best = victims
-        n_found += 1
-        if n_found >= MAX_CANDIDATES:
-            break
-    return best
+    return _cheapest(
+        _preemptions_on(state, job, index, may_take) for _, index in sorted(candidates)
+    )
+
+
+def _cheapest(found: Iterable[Victims | None]) -> Victims | None:
+    """Return the cheapest of the first few, which bounds the work per job."""
+    first = itertools.islice((victims for victims in found if victims), MAX_CANDIDATES)
+    return min(first, key=lambda victims: victims.cost, default=None)
 
 
 def _preemptions_on(
