--- a/catkinport/adapters/__init__.py
+++ b/catkinport/adapters/__init__.py
@@ -1,8 +1,15 @@
 """HTTP and gRPC clients and servers behind the ports."""
 
 from ._http_client import HttpClient
+from .backend_servers_http import HttpBackendServers
 from .object_store_http import HttpObjectStore
 from .table_http import HttpTable
 from .vm_list_http import HttpVmList
 
-__all__ = ["HttpClient", "HttpObjectStore", "HttpTable", "HttpVmList"]
+__all__ = [
+    "HttpBackendServers",
+    "HttpClient",
+    "HttpObjectStore",
+    "HttpTable",
+    "HttpVmList",
+]
--- /dev/null
+++ b/catkinport/adapters/backend_servers_http.py
@@ -0,0 +1,377 @@
+"""Backend servers over HTTP.
+
+The connection is opened before the first byte of a request is written, so that a
+failure to connect is known to be "not run". Every failure after that is "unknown",
+unless the backend server itself says that it did not run the request.
+"""
+
+import http.client
+import threading
+from collections.abc import Iterator
+from typing import NamedTuple
+
+import urllib3
+from urllib3.connection import HTTPConnection
+from urllib3.exceptions import HTTPError
+
+from ..ports import (
+    BackendAnswer,
+    BackendRequest,
+    BrokenAnswerError,
+    Clock,
+    NotRun,
+    Reason,
+    Unknown,
+)
+
+CONNECT_TIMEOUT_SECONDS = 0.5
+CHUNK_BYTES = 65536
+# A server usually closes an idle connection after 5 s or more, so a connection that
+# answered this recently is still open unless the server stops at this moment.
+PROVEN_SECONDS = 1.0
+MAX_IDLE_SECONDS = 4.0
+DEFAULT_RETRY_AFTER_SECONDS = 1.0
+# Statuses without a body, see RFC 9110, section 6.4.1.
+BODILESS_STATUSES = (204, 304)
+
+TRANSPORT_ERRORS = (OSError, HTTPError, http.client.HTTPException)
+
+
+class _IdleConnection(NamedTuple):
+    connection: HTTPConnection
+    proven_at: float
+
+
+class ConnectionPool:
+    """Connections to one backend server, at most ``n_connections``."""
+
+    def __init__(self, address: str, n_connections: int, clock: Clock) -> None:
+        host, _, port = address.rpartition(":")
+        self._host = host
+        self._port = int(port)
+        self._n_connections = n_connections
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._idle: list[_IdleConnection] = []
+        self._n_leased = 0
+
+    def lease(self, max_idle_seconds: float) -> HTTPConnection | None:
+        """Return a connection, or ``None`` when all are in use.
+
+        Args:
+            max_idle_seconds: longest time since the last answer of a connection
+                that is used again.
+        """
+        with self._lock:
+            if self._n_leased >= self._n_connections:
+                return None
+            self._n_leased += 1
+            connection = self._take_idle(max_idle_seconds)
+        return connection or self._create()
+
+    def give_back(self, connection: HTTPConnection, is_reusable: bool) -> None:
+        """End a lease; a connection that is not reusable is closed."""
+        with self._lock:
+            self._n_leased -= 1
+            if is_reusable:
+                self._idle.append(_IdleConnection(connection, self._clock.now()))
+        if not is_reusable:
+            connection.close()
+
+    def close(self) -> None:
+        """Close the idle connections."""
+        with self._lock:
+            idle, self._idle = self._idle, []
+        for connection, _ in idle:
+            connection.close()
+
+    def _take_idle(self, max_idle_seconds: float) -> HTTPConnection | None:
+        now = self._clock.now()
+        while self._idle:
+            connection, proven_at = self._idle.pop()
+            # is_connected sees a close that has already arrived.
+            if now - proven_at <= max_idle_seconds and connection.is_connected:
+                return connection
+            connection.close()
+        return None
+
+    def _create(self) -> HTTPConnection:
+        connection = HTTPConnection(
+            self._host, self._port, timeout=CONNECT_TIMEOUT_SECONDS
+        )
+        # http.client would otherwise open a new connection inside of a send and
+        # so repeat a part of the request.
+        connection.auto_open = 0
+        return connection
+
+
+class HttpBackendServers:
+    """Client of the backend servers of one service.
+
+    Args:
+        clock: clock of the entry, on which deadlines are given.
+        n_connections: most connections to one server, at least 1.
+        progress_seconds: longest silence of a connection, above 0.
+    """
+
+    def __init__(
+        self, clock: Clock, n_connections: int, progress_seconds: float
+    ) -> None:
+        if n_connections < 1:
+            raise ValueError(f"n_connections must be >= 1, got {n_connections!r}")
+        if progress_seconds <= 0:
+            raise ValueError(f"progress_seconds must be > 0, got {progress_seconds!r}")
+        self._clock = clock
+        self._n_connections = n_connections
+        self._progress_seconds = progress_seconds
+        self._lock = threading.Lock()
+        self._pool_by_address: dict[str, ConnectionPool] = {}
+
+    def send(
+        self, address: str, request: BackendRequest
+    ) -> BackendAnswer | NotRun | Unknown:
+        """Send a request once and return as soon as the answer's head is there."""
+        pool = self._pool(address)
+        max_idle = MAX_IDLE_SECONDS if request.is_idempotent else PROVEN_SECONDS
+        connection = pool.lease(max_idle)
+        if connection is None:
+            return NotRun(
+                Reason.BACKEND_FULL,
+                "connect",
+                address,
+                f"all {self._n_connections} connections are in use",
+                DEFAULT_RETRY_AFTER_SECONDS,
+            )
+        exchange = _Exchange(
+            address, pool, connection, request, self._clock, self._progress_seconds
+        )
+        try:
+            return exchange.run()
+        except BaseException:
+            exchange.close()
+            raise
+
+    def keep_only(self, addresses: set[str]) -> None:
+        """Close idle connections to servers that are no longer listed."""
+        with self._lock:
+            gone = set(self._pool_by_address) - addresses
+            pools = [self._pool_by_address.pop(address) for address in gone]
+        for pool in pools:
+            pool.close()
+
+    def close(self) -> None:
+        """Close all idle connections."""
+        self.keep_only(set())
+
+    def _pool(self, address: str) -> ConnectionPool:
+        with self._lock:
+            pool = self._pool_by_address.get(address)
+            if pool is None:
+                pool = ConnectionPool(address, self._n_connections, self._clock)
+                self._pool_by_address[address] = pool
+            return pool
+
+
+class _Exchange:
+    """One request and its answer on one leased connection."""
+
+    def __init__(
+        self,
+        address: str,
+        pool: ConnectionPool,
+        connection: HTTPConnection,
+        request: BackendRequest,
+        clock: Clock,
+        progress_seconds: float,
+    ) -> None:
+        self._address = address
+        self._pool = pool
+        self._connection = connection
+        self._request = request
+        self._clock = clock
+        self._progress_seconds = progress_seconds
+        self._response: urllib3.HTTPResponse | None = None
+        self._n_sent = 0
+        self._is_complete = False
+        self._is_closed = False
+
+    def run(self) -> BackendAnswer | NotRun | Unknown:
+        """Connect, send the request and read the answer's head."""
+        refusal = self._connect()
+        if refusal is not None:
+            self.close()
+            return refusal
+        failure = self._exchange_heads()
+        if failure is not None:
+            self.close()
+            return failure
+        if self._says_not_run():
+            return self._read_refusal()
+        return BackendAnswer(
+            self._response.status,
+            dict(self._response.headers.items()),
+            self._read_chunks(),
+            self.close,
+        )
+
+    def close(self) -> None:
+        """End the lease; the connection is kept if the answer was read to its end."""
+        if self._is_closed:
+            return
+        self._is_closed = True
+        is_reusable = self._is_complete and not self._connection.is_closed
+        self._pool.give_back(self._connection, is_reusable)
+
+    def _connect(self) -> NotRun | None:
+        if not self._set_timeout(CONNECT_TIMEOUT_SECONDS):
+            return NotRun(Reason.DEADLINE, "connect", self._address)
+        if not self._connection.is_closed:
+            return None
+        try:
+            self._connection.connect()
+        except TRANSPORT_ERRORS as error:
+            return NotRun(Reason.CONNECT_FAILED, "connect", self._address, str(error))
+        return None
+
+    def _exchange_heads(self) -> Unknown | None:
+        try:
+            is_sent = self._send()
+        except TRANSPORT_ERRORS as error:
+            is_sent = False
+            failure = self._unknown("send", error)
+        else:
+            failure = Unknown(
+                Reason.CONNECTION_LOST, "read-request", self._address, "body too short"
+            )
+        if not is_sent and not self._is_answer_waiting():
+            return failure
+        try:
+            self._set_timeout(self._progress_seconds)
+            self._response = self._connection.getresponse()
+        except TRANSPORT_ERRORS as error:
+            return self._unknown("read-head", error)
+        return None if is_sent else self._keep_refusal_only(failure)
+
+    def _send(self) -> bool:
+        """Write the request; return False when the caller's body ended early."""
+        request = self._request
+        if not self._set_timeout(self._progress_seconds):
+            raise TimeoutError("deadline passed before the request was sent")
+        headers = dict(request.headers)
+        is_chunked = request.content_length is None
+        if (
+            request.content_length
+            or not is_chunked
+            and request.method in ("POST", "PUT", "PATCH")
+        ):
+            headers["Content-Length"] = str(request.content_length)
+        self._connection.request(
+            request.method,
+            request.path,
+            body=None if request.content_length == 0 else self._count_body(),
+            headers=headers,
+            chunked=is_chunked,
+            preload_content=False,
+            decode_content=False,
+        )
+        return is_chunked or self._n_sent == request.content_length
+
+    def _count_body(self) -> Iterator[bytes]:
+        for chunk in self._request.body:
+            if not self._set_timeout(self._progress_seconds):
+                raise TimeoutError("deadline passed while the request was sent")
+            self._n_sent += len(chunk)
+            yield chunk
+
+    def _is_answer_waiting(self) -> bool:
+        """Return whether a server that stopped reading has already answered."""
+        sock = self._connection.sock
+        try:
+            return sock is not None and urllib3.util.wait.wait_for_read(sock, 0)
+        except (OSError, ValueError):
+            return False
+
+    def _keep_refusal_only(self, failure: Unknown) -> Unknown | None:
+        return None if self._says_not_run() else failure
+
+    def _says_not_run(self) -> bool:
+        headers = self._response.headers
+        return (
+            self._response.status == 503
+            and headers.get("Catkin-Not-Run", "").lower() == "true"
+            and "Retry-After" in headers
+        )
+
+    def _read_refusal(self) -> NotRun:
+        retry_after = _parse_seconds(self._response.headers["Retry-After"])
+        try:
+            for _ in self._read_chunks():
+                pass
+        except BrokenAnswerError:
+            pass
+        self.close()
+        return NotRun(Reason.BACKEND_FULL, "dispatch", self._address, "", retry_after)
+
+    def _read_chunks(self) -> Iterator[bytes]:
+        try:
+            yield from self._read_body()
+        finally:
+            self.close()
+
+    def _read_body(self) -> Iterator[bytes]:
+        response = self._response
+        has_no_body = (
+            self._request.method == "HEAD" or response.status in BODILESS_STATUSES
+        )
+        is_framed = response.length_remaining is not None or _is_chunked(response)
+        while not has_no_body:
+            if not self._set_timeout(self._progress_seconds):
+                raise self._broken(Reason.DEADLINE, "deadline passed")
+            try:
+                chunk = response.read1(CHUNK_BYTES, decode_content=False)
+            except TimeoutError as error:
+                raise self._broken(Reason.NO_PROGRESS, str(error)) from error
+            except urllib3.exceptions.ReadTimeoutError as error:
+                raise self._broken(Reason.NO_PROGRESS, str(error)) from error
+            except TRANSPORT_ERRORS as error:
+                raise self._broken(Reason.ANSWER_TRUNCATED, str(error)) from error
+            if not chunk:
+                break
+            yield chunk
+        if not is_framed and not has_no_body:
+            # Such a body ends with the connection, so a cut one looks complete.
+            raise self._broken(Reason.ANSWER_TRUNCATED, "answer without a length")
+        self._is_complete = is_framed or has_no_body
+
+    def _set_timeout(self, longest_seconds: float) -> bool:
+        """Bound the next socket operation; return False past the deadline."""
+        remaining = self._request.deadline - self._clock.now()
+        if remaining <= 0:
+            return False
+        timeout = min(longest_seconds, remaining)
+        self._connection.timeout = timeout
+        sock = self._connection.sock
+        if sock is not None:
+            sock.settimeout(timeout)
+        return True
+
+    def _broken(self, reason: Reason, detail: str) -> BrokenAnswerError:
+        return BrokenAnswerError(Unknown(reason, "read-body", self._address, detail))
+
+    def _unknown(self, step: str, error: Exception) -> Unknown:
+        is_timeout = isinstance(error, (TimeoutError, urllib3.exceptions.TimeoutError))
+        reason = Reason.NO_PROGRESS if is_timeout else Reason.CONNECTION_LOST
+        if self._clock.now() >= self._request.deadline:
+            reason = Reason.DEADLINE
+        return Unknown(reason, step, self._address, str(error))
+
+
+def _is_chunked(response: urllib3.HTTPResponse) -> bool:
+    return "chunked" in response.headers.get("Transfer-Encoding", "").lower()
+
+
+def _parse_seconds(text: str) -> float:
+    try:
+        return max(0.0, float(text))
+    except ValueError:
+        return DEFAULT_RETRY_AFTER_SECONDS
--- /dev/null
+++ b/catkinport/policy/retries.py
@@ -0,0 +1,82 @@
+"""Decides whether and when an idempotent request is sent again."""
+
+import random
+from typing import NamedTuple
+
+RETRY_FRACTION = 0.2
+# Lets a service with little traffic retry at all.
+MINIMUM_TOKENS = 3.0
+MAXIMUM_TOKENS = 100.0
+
+
+class RetryDelay(NamedTuple):
+    """Exponential delay with full jitter, in seconds."""
+
+    base_seconds: float = 0.02
+    max_seconds: float = 1.0
+
+    def draw(self, attempt: int, rng: random.Random) -> float:
+        """Return the delay before the attempt after ``attempt`` (from 1)."""
+        ceiling = min(self.max_seconds, self.base_seconds * 2 ** (attempt - 1))
+        return rng.uniform(0, ceiling)
+
+
+class RetryBudget:
+    """Allows retries for at most a fraction of the requests.
+
+    Without a budget, retries multiply the load on a service that already fails.
+
+    Args:
+        fraction: retries a request earns, from 0 to 1.
+
+    Example:
+        >>> budget = RetryBudget(fraction=0.2)
+        >>> [budget.take() for _ in range(4)]
+        [True, True, True, False]
+        >>> for _ in range(5):
+        ...     budget.earn()
+        >>> budget.take(), budget.take()
+        (True, False)
+    """
+
+    def __init__(self, fraction: float = RETRY_FRACTION) -> None:
+        if not 0 <= fraction <= 1:
+            raise ValueError(f"fraction must be in [0, 1], got {fraction!r}")
+        self._fraction = fraction
+        self._tokens = MINIMUM_TOKENS
+
+    def earn(self) -> None:
+        """Count a request."""
+        self._tokens = min(MAXIMUM_TOKENS, self._tokens + self._fraction)
+
+    def take(self) -> bool:
+        """Take one retry; return whether the budget had it."""
+        # The tolerance keeps five requests at 0.2 from summing to just below 1.
+        if self._tokens < 1 - 1e-9:
+            return False
+        self._tokens -= 1
+        return True
+
+
+def plan_retry(
+    attempt: int,
+    now: float,
+    deadline: float,
+    budget: RetryBudget,
+    rng: random.Random,
+    delay: RetryDelay | None = None,
+) -> float | None:
+    """Return the delay before the next attempt, or ``None`` for no retry.
+
+    Args:
+        attempt: number of the attempt that failed, from 1.
+        now: current time in seconds.
+        deadline: time by which the answer is needed, on the same clock.
+        budget: budget of the service; a token is taken when a retry is planned.
+        rng: source of the jitter.
+        delay: delays to use.
+    """
+    seconds = (delay or RetryDelay()).draw(attempt, rng)
+    if now + seconds >= deadline:
+        return None
+    return seconds if budget.take() else None
