--- a/catkinport/adapters/__init__.py
+++ b/catkinport/adapters/__init__.py
@@ -5,6 +5,7 @@
 from .object_store_http import HttpObjectStore
 from .table_http import HttpTable
 from .vm_list_http import HttpVmList
+from .workers_http import HttpWorkers
 
 __all__ = [
     "HttpBackendServers",
@@ -12,4 +13,5 @@
     "HttpObjectStore",
     "HttpTable",
     "HttpVmList",
+    "HttpWorkers",
 ]
