Add the entry's dispatch, claims, allowances and request handling

Cause: first parts of the entry daemon; not yet run end to end. Ruled out: a pure actor per request, which costs a thread switch more.

--- /dev/null
+++ b/catkinport/entry/allowances.py
@@ -0,0 +1,215 @@
+"""The actor that takes, returns and reclaims allowances in the table service."""
+
+import logging
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+from typing import Any
+
+import pykka
+
+from ..membership.interface import Snapshot
+from ..policy.limits import HolderNeed, divide, give_back, is_reclaimable, reclaim
+from ..ports import Committed, Condition, Row, Transaction, Unavailable, Write
+from ..runtime import log_event
+from ..state import allowance_key
+from . import messages
+from .services import EntryServices
+
+logger = logging.getLogger(__name__)
+
+RESOURCE = "slots"
+LEASE_SECONDS = 2.0
+PEER_REQUEST_SECONDS = 0.2
+N_ATTEMPTS = 5
+_NO_NEED = HolderNeed(0, 0)
+
+Change = Callable[[dict[str, int]], dict[str, int]]
+
+
+class AllowanceActor(pykka.ThreadingActor):
+    """Keeps the entry's amounts in step with its need.
+
+    Args:
+        services: ports and shared objects.
+        dispatcher: the actor that uses the amounts.
+    """
+
+    def __init__(self, services: EntryServices, dispatcher: Any) -> None:
+        super().__init__()
+        self._services = services
+        self._dispatcher = dispatcher
+        self._gone_since_by_holder: dict[str, float] = {}
+        self._asked_at_by_team: dict[str, float] = {}
+        self._executor = ThreadPoolExecutor(2, thread_name_prefix="allowance-peers")
+
+    def on_stop(self) -> None:
+        """Stop asking peers."""
+        self._executor.shutdown(wait=False, cancel_futures=True)
+
+    def on_receive(self, message: Any) -> Any:
+        """Handle one message."""
+        match message:
+            case messages.Tick():
+                return self._balance_all()
+            case messages.Shortage():
+                return self._balance(message.team)
+            case messages.ReturnIdle():
+                return self._return_idle(message)
+            case messages.ReturnAll():
+                return self._return_all()
+
+    def _balance_all(self) -> None:
+        for team, need in self._list_needs().items():
+            if need.is_short or need.usable or need.need.wanted:
+                self._balance(team)
+
+    def _balance(self, team: str) -> None:
+        snapshot = self._services.membership.snapshot()
+        limit = _find_limit(snapshot, team)
+        if limit is None or not snapshot.is_fresh(self._services.clock.now()):
+            return
+        needs = self._list_needs().get(team)
+        need = needs.need if needs else _NO_NEED
+        is_short = needs is not None and needs.is_short
+
+        def change(amounts: dict[str, int]) -> dict[str, int]:
+            kept = reclaim(amounts, self._find_reclaimable(snapshot, amounts))
+            return divide(limit, kept, snapshot.member_id, need)
+
+        amounts = self._change_row(snapshot.member_id, team, change)
+        if amounts is not None and is_short:
+            self._ask_peer(snapshot, team, amounts, need)
+
+    def _change_row(
+        self, member_id: str, team: str, change: Change
+    ) -> dict[str, int] | None:
+        """Apply ``change`` to the row; return the row, ``None`` without the store."""
+        table = self._services.table
+        row_key = allowance_key(team, RESOURCE)
+        for _ in range(N_ATTEMPTS):
+            rows = table.read([row_key])
+            if isinstance(rows, Unavailable):
+                return None
+            row = rows.get(row_key)
+            amounts = dict(row.value["amount_by_holder"]) if row else {}
+            changed = change(amounts)
+            if changed == amounts:
+                self._tell(member_id, team, amounts)
+                return amounts
+            if not self._lower_first(member_id, team, amounts, changed):
+                continue
+            outcome = table.commit(_write(row_key, row, changed))
+            if isinstance(outcome, Committed):
+                self._tell(member_id, team, changed)
+                return changed
+            if isinstance(outcome, Unavailable) and not outcome.may_have_committed:
+                return None
+        return None
+
+    def _lower_first(
+        self, member_id: str, team: str, amounts: dict, changed: dict
+    ) -> bool:
+        """Stop using what is about to be returned, before anyone can take it."""
+        new = changed.get(member_id, 0)
+        if new >= amounts.get(member_id, 0):
+            return True
+        in_use = self._dispatcher.ask(messages.LowerAllowance(team, new))
+        if in_use > new:
+            changed[member_id] = min(in_use, amounts[member_id])
+        return changed != amounts
+
+    def _tell(self, member_id: str, team: str, amounts: dict[str, int]) -> None:
+        own = amounts.get(member_id, 0)
+        others = sum(amounts.values()) - own
+        read = messages.AllowanceRead(member_id, team, own, others)
+        self._dispatcher.tell(read)
+
+    def _find_reclaimable(self, snapshot: Snapshot, amounts: dict) -> list[str]:
+        now = self._services.clock.now()
+        longest = max(
+            (
+                s.max_request_seconds
+                for s in snapshot.environment.service_by_name.values()
+            ),
+            default=0.0,
+        )
+        reclaimable = []
+        for holder in amounts:
+            record = snapshot.member_by_id.get(holder)
+            if record is not None and not record.is_evicted:
+                self._gone_since_by_holder.pop(holder, None)
+                continue
+            gone_since = self._gone_since_by_holder.setdefault(holder, now)
+            if is_reclaimable(now - gone_since, LEASE_SECONDS, longest):
+                reclaimable.append(holder)
+        return reclaimable
+
+    def _ask_peer(
+        self, snapshot: Snapshot, team: str, amounts: dict, need: HolderNeed
+    ) -> None:
+        now = self._services.clock.now()
+        wanted = need.wanted - amounts.get(snapshot.member_id, 0)
+        asked_at = self._asked_at_by_team.get(team, float("-inf"))
+        peers = {
+            holder: amount
+            for holder, amount in amounts.items()
+            if holder != snapshot.member_id and holder in snapshot.member_by_id
+        }
+        if wanted <= 0 or not peers or now - asked_at < PEER_REQUEST_SECONDS:
+            return
+        self._asked_at_by_team[team] = now
+        peer = max(peers, key=lambda holder: peers[holder])
+        self._executor.submit(self._request_return, peer, team, wanted)
+
+    def _request_return(self, peer: str, team: str, wanted: int) -> None:
+        """Ask a peer on another thread, because the peer may ask this entry too."""
+        returned = self._services.membership.request_return(
+            peer, team, RESOURCE, wanted
+        )
+        if isinstance(returned, Unavailable):
+            log_event(
+                logger,
+                "allowance request failed",
+                step=returned.step,
+                peer=peer,
+                reason=returned.reason.value,
+            )
+        elif returned > 0:
+            self.actor_ref.tell(messages.Shortage(team))
+
+    def _return_idle(self, message: messages.ReturnIdle) -> int:
+        member_id = self._services.membership.snapshot().member_id
+        needs = self._list_needs().get(message.team)
+        need = needs.need if needs else _NO_NEED
+        returned = 0
+
+        def change(amounts: dict[str, int]) -> dict[str, int]:
+            nonlocal returned
+            given = give_back(amounts, member_id, need, message.wanted)
+            returned = amounts.get(member_id, 0) - given.get(member_id, 0)
+            return given
+
+        amounts = self._change_row(member_id, message.team, change)
+        return returned if amounts is not None else 0
+
+    def _return_all(self) -> None:
+        member_id = self._services.membership.snapshot().member_id
+        for team in self._list_needs():
+            self._change_row(
+                member_id, team, lambda amounts: reclaim(amounts, [member_id])
+            )
+
+    def _list_needs(self) -> dict[str, messages.TeamNeed]:
+        return self._dispatcher.ask(messages.ListNeeds())
+
+
+def _find_limit(snapshot: Snapshot, team: str) -> int | None:
+    if snapshot.environment is None or team not in snapshot.environment.team_by_name:
+        return None
+    return snapshot.environment.team_by_name[team].max_slots
+
+
+def _write(row_key, row: Row | None, amounts: dict[str, int]) -> Transaction:
+    version = row.version if row else 0
+    value = {"amount_by_holder": amounts}
+    return Transaction([Condition(row_key, version)], [Write(row_key, value)])
--- /dev/null
+++ b/catkinport/entry/bodies.py
@@ -0,0 +1,72 @@
+"""Bodies of callers' requests: small ones in memory, others as a stream."""
+
+import itertools
+from collections.abc import Iterator, Mapping
+from typing import Any, NamedTuple
+
+from ..ports import Reason, Refused
+from ..runtime import HttpRequest, read_chunks
+from .services import MAX_BUFFERED_BODY_BYTES
+
+CHUNK_BYTES = 65536
+
+
+class RequestBody(NamedTuple):
+    """A body; ``rest`` is ``None`` when ``prefix`` is all of it.
+
+    Args:
+        prefix: the body, or its first 1 MB.
+        rest: what follows, read from the caller at most once.
+        length: length in bytes, ``None`` for a chunked body that is a stream.
+    """
+
+    prefix: bytes
+    rest: Iterator[bytes] | None
+    length: int | None
+
+    @property
+    def is_repeatable(self) -> bool:
+        """Whether the body can be sent again."""
+        return self.rest is None
+
+    def chunks(self) -> Iterator[bytes]:
+        """Return the whole body."""
+        prefix = [self.prefix] if self.prefix else []
+        return itertools.chain(prefix, self.rest or ())
+
+
+def open_body(request: HttpRequest, max_bytes: int) -> RequestBody | Refused:
+    """Read the first 1 MB of the body."""
+    stream = request.environ["wsgi.input"]
+    if request.headers.get("transfer-encoding", "").lower() == "chunked":
+        chunks = iter(lambda: stream.read(CHUNK_BYTES), b"")
+        return _buffer(chunks, None)
+    length = _parse_length(request.environ)
+    if length is None or length > max_bytes:
+        detail = f"Content-Length must be 0 to {max_bytes}, got {length!r}"
+        return Refused(Reason.REQUEST_INVALID, "read-request", detail=detail)
+    body = _buffer(read_chunks(stream, length), length)
+    if body.rest is None and len(body.prefix) < length:
+        detail = f"the body ended after {len(body.prefix)} of {length} bytes"
+        return Refused(Reason.REQUEST_INVALID, "read-request", detail=detail)
+    return body
+
+
+def _buffer(chunks: Iterator[bytes], length: int | None) -> RequestBody:
+    parts: list[bytes] = []
+    n_bytes = 0
+    for chunk in chunks:
+        parts.append(chunk)
+        n_bytes += len(chunk)
+        if n_bytes >= MAX_BUFFERED_BODY_BYTES and n_bytes != length:
+            return RequestBody(b"".join(parts), chunks, length)
+    prefix = b"".join(parts)
+    return RequestBody(prefix, None, len(prefix) if length is None else length)
+
+
+def _parse_length(environ: Mapping[str, Any]) -> int | None:
+    try:
+        length = int(environ.get("CONTENT_LENGTH") or 0)
+    except ValueError:
+        return None
+    return length if length >= 0 else None
--- /dev/null
+++ b/catkinport/entry/requests.py
@@ -0,0 +1,490 @@
+"""Forwards callers' requests to backend servers."""
+
+import itertools
+import logging
+import random
+import threading
+import uuid
+from collections.abc import Iterator, Mapping
+from concurrent.futures import Future
+from concurrent.futures import TimeoutError as FutureTimeoutError
+from typing import Any, NamedTuple
+
+from ..policy.admission import WaitingRequest
+from ..policy.retries import RetryBudget, plan_retry
+from ..ports import (
+    BackendAnswer,
+    BackendRequest,
+    BackendServers,
+    BrokenAnswerError,
+    NotRun,
+    Reason,
+    Refused,
+    Unknown,
+)
+from ..runtime import HttpAnswer, HttpRequest, log_event
+from ..settings.environment import Service
+from .answers import not_run_answer, outcome_headers, unknown_answer
+from .bodies import RequestBody, open_body
+from .callers import Entrant, check_again, check_entrant
+from .claims import Claim, Claims, StoredAnswer, request_digest
+from .messages import Admit, Grant, Release, Withdraw
+from .services import EntryServices
+
+logger = logging.getLogger(__name__)
+
+SAFE_METHODS = ("GET", "HEAD", "OPTIONS")
+MAX_IDEMPOTENCY_KEY_CHARACTERS = 200
+HOP_BY_HOP_HEADERS = frozenset(
+    [
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "content-length",
+        "host",
+        "expect",
+    ]
+)
+# The caller's secret is for the entry only.
+UNFORWARDED_HEADERS = HOP_BY_HOP_HEADERS | {"authorization", "catkin-deadline-ms"}
+_SEED = 20261204
+
+
+class Call(NamedTuple):
+    """A caller's request with everything that was decided about it."""
+
+    request_id: str
+    method: str
+    path: str
+    headers: Mapping[str, str]
+    body: RequestBody
+    entrant: Entrant
+    service: Service
+    started_at: float
+    deadline: float
+    is_idempotent: bool
+    idempotency_key: str
+
+
+class HeldAnswer(NamedTuple):
+    """A complete answer."""
+
+    status: int
+    headers: Mapping[str, str]
+    content: bytes
+
+
+class StreamedAnswer(NamedTuple):
+    """An answer that is too large to be held; its slot is still in use."""
+
+    answer: BackendAnswer
+    prefix: bytes
+    grant: Grant
+
+
+Outcome = HeldAnswer | StreamedAnswer | NotRun | Refused | Unknown
+
+
+class RequestForwarder:
+    """Handles the request plane; its methods run in the server's threads.
+
+    Args:
+        services: ports and shared objects.
+        dispatcher: the ``DispatchActor``.
+        claims: claims of non-idempotent requests.
+    """
+
+    def __init__(self, services: EntryServices, dispatcher: Any, claims: Claims):
+        self._services = services
+        self._dispatcher = dispatcher
+        self._claims = claims
+        self._lock = threading.Lock()
+        self._backends_by_service: dict[str, tuple[Service, BackendServers]] = {}
+        self._budget_by_service: dict[str, RetryBudget] = {}
+        self._rng = random.Random(_SEED)
+        self.is_stopping = False
+
+    def handle(self, request: HttpRequest, queue: str, path: str) -> HttpAnswer:
+        """Answer a request to a queue."""
+        request_id = uuid.uuid4().hex
+        started_at = self._services.clock.now()
+        call = self._open_call(request, queue, path, request_id)
+        if isinstance(call, Refused):
+            labels = {"team": "", "class": "", "outcome": "not-run"}
+            self._observe(labels, started_at)
+            self._log(request_id, "not-run", call, 0.0, queue=queue)
+            return not_run_answer(call, request_id)
+        return self._run(call)
+
+    def _open_call(
+        self, request: HttpRequest, queue: str, path: str, request_id: str
+    ) -> Call | Refused:
+        clock = self._services.clock
+        started_at = clock.now()
+        if self.is_stopping:
+            return Refused(Reason.STOPPING, "admission")
+        snapshot = self._services.membership.snapshot()
+        authorization = request.headers.get("authorization")
+        entrant = check_entrant(snapshot, clock, queue, authorization)
+        if isinstance(entrant, Refused):
+            return entrant
+        service = entrant.environment.service_by_name.get(entrant.queue.service)
+        if service is None:
+            detail = f"queue {queue!r} takes jobs only"
+            return Refused(Reason.REQUEST_INVALID, "admission", detail=detail)
+        seconds = _read_deadline(request.headers, service.max_request_seconds)
+        if isinstance(seconds, Refused):
+            return seconds
+        key = request.headers.get("idempotency-key", "")
+        if len(key) > MAX_IDEMPOTENCY_KEY_CHARACTERS:
+            detail = (
+                f"Idempotency-Key must have at most {MAX_IDEMPOTENCY_KEY_CHARACTERS} "
+                f"characters, got {len(key)}"
+            )
+            return Refused(Reason.REQUEST_INVALID, "admission", detail=detail)
+        body = open_body(request, self._services.max_body_bytes)
+        if isinstance(body, Refused):
+            return body
+        is_declared = request.headers.get("catkin-idempotent", "").lower() == "true"
+        return Call(
+            request_id,
+            request.method,
+            _raw_path(request, path),
+            request.headers,
+            body,
+            entrant,
+            service,
+            started_at,
+            started_at + seconds,
+            is_declared or request.method in SAFE_METHODS,
+            key,
+        )
+
+    def _run(self, call: Call) -> HttpAnswer:
+        if call.is_idempotent or not call.idempotency_key:
+            return self._answer(call, self._send(call), None)
+        digest = request_digest(
+            call.method, call.path, call.body.length, call.body.prefix
+        )
+        claim = self._claims.take(call.entrant.team.name, call.idempotency_key, digest)
+        if isinstance(claim, StoredAnswer):
+            return self._replay(call, claim)
+        if not isinstance(claim, Claim):
+            return self._answer(call, claim, None)
+        if claim.row["member_id"] != call.entrant.member_id:
+            outcome = Refused(Reason.CONFIGURATION_STALE, "claim")
+            return self._answer(call, outcome, claim)
+        return self._answer(call, self._send(call), claim)
+
+    def _send(self, call: Call) -> Outcome:
+        """Send until there is an answer, an unknown outcome or no time left."""
+        self._budget(call.service).earn()
+        excluded: frozenset[str] = frozenset()
+        for attempt in itertools.count(1):
+            grant = self._admit(call, excluded, attempt > 1)
+            if isinstance(grant, NotRun):
+                return grant
+            outcome = self._dispatch(call, grant)
+            if isinstance(outcome, NotRun) and self._may_go_elsewhere(call, outcome):
+                excluded = frozenset({grant.address})
+                continue
+            if not isinstance(outcome, Unknown):
+                return outcome
+            if not call.is_idempotent or not call.body.is_repeatable:
+                return outcome
+            if not self._wait_for_retry(call, attempt):
+                return outcome
+            excluded = frozenset({grant.address})
+        raise AssertionError("unreachable")
+
+    def _admit(
+        self, call: Call, excluded: frozenset[str], is_again: bool
+    ) -> Grant | NotRun:
+        team = call.entrant.team
+        request = WaitingRequest(
+            call.request_id,
+            team.name,
+            team.weight,
+            call.entrant.queue.is_urgent,
+            call.deadline,
+        )
+        future: Future[Grant | NotRun] = Future()
+        self._dispatcher.tell(Admit(request, call.service, excluded, is_again, future))
+        remaining = call.deadline - self._services.clock.now()
+        try:
+            return future.result(max(0.0, remaining))
+        except FutureTimeoutError:
+            if not future.cancel():
+                return future.result()
+            self._dispatcher.tell(Withdraw(request, call.service.name))
+            return NotRun(Reason.DEADLINE, "admission", "", "", 1.0)
+
+    def _dispatch(self, call: Call, grant: Grant) -> Outcome:
+        snapshot = self._services.membership.snapshot()
+        refusal = check_again(call.entrant, snapshot, self._services.clock)
+        if refusal is not None:
+            self._dispatcher.tell(Release(grant))
+            return refusal
+        try:
+            sent = self._backends(call.service).send(
+                grant.address, self._backend_request(call)
+            )
+            outcome = self._hold(sent, grant)
+        except BaseException:
+            self._dispatcher.tell(Release(grant, is_failure=True))
+            raise
+        if not isinstance(outcome, StreamedAnswer):
+            self._dispatcher.tell(_release(grant, outcome))
+        return outcome
+
+    def _hold(self, sent: BackendAnswer | NotRun | Unknown, grant: Grant) -> Outcome:
+        """Read the answer to its end, or up to the size that is held."""
+        if not isinstance(sent, BackendAnswer):
+            return sent
+        parts: list[bytes] = []
+        n_bytes = 0
+        try:
+            for chunk in sent.chunks:
+                parts.append(chunk)
+                n_bytes += len(chunk)
+                if n_bytes > self._services.max_held_answer_bytes:
+                    return StreamedAnswer(sent, b"".join(parts), grant)
+        except BrokenAnswerError as error:
+            sent.close()
+            return error.outcome
+        sent.close()
+        return HeldAnswer(sent.status, sent.headers, b"".join(parts))
+
+    def _may_go_elsewhere(self, call: Call, outcome: NotRun) -> bool:
+        """Return whether a request that did not run is tried again."""
+        if outcome.reason == Reason.DEADLINE:
+            return False
+        # A server that refused a streamed body may have read a part of it.
+        is_untouched = outcome.reason == Reason.CONNECT_FAILED
+        is_repeatable = call.body.is_repeatable or is_untouched
+        return is_repeatable and self._services.clock.now() < call.deadline
+
+    def _wait_for_retry(self, call: Call, attempt: int) -> bool:
+        clock = self._services.clock
+        with self._lock:
+            seconds = plan_retry(
+                attempt,
+                clock.now(),
+                call.deadline,
+                self._budget(call.service),
+                self._rng,
+            )
+        if seconds is None:
+            return False
+        clock.sleep(seconds)
+        return True
+
+    def _backend_request(self, call: Call) -> BackendRequest:
+        remaining = call.deadline - self._services.clock.now()
+        headers = {
+            name: value
+            for name, value in call.headers.items()
+            if name not in UNFORWARDED_HEADERS
+        }
+        headers["Catkin-Deadline-Ms"] = str(max(0, int(remaining * 1000)))
+        headers["Catkin-Request-Id"] = call.request_id
+        headers["Catkin-Team"] = call.entrant.team.name
+        return BackendRequest(
+            call.method,
+            call.path,
+            headers,
+            call.body.chunks(),
+            call.body.length,
+            call.deadline,
+            call.is_idempotent,
+        )
+
+    def _answer(self, call: Call, outcome: Outcome, claim: Claim | None) -> HttpAnswer:
+        if claim is not None:
+            self._settle(claim, outcome)
+        if isinstance(outcome, StreamedAnswer):
+            return self._stream(call, outcome)
+        if isinstance(outcome, HeldAnswer):
+            self._finish(call, "answered", None)
+            headers = _answer_headers(outcome.headers, call.request_id)
+            return HttpAnswer(outcome.status, outcome.content, headers)
+        if isinstance(outcome, Unknown):
+            self._finish(call, "unknown", outcome)
+            return unknown_answer(outcome, call.request_id)
+        self._finish(call, "not-run", outcome)
+        return not_run_answer(outcome, call.request_id)
+
+    def _settle(self, claim: Claim, outcome: Outcome) -> None:
+        if isinstance(outcome, HeldAnswer):
+            content_type = outcome.headers.get("Content-Type", "")
+            self._claims.finish(claim, outcome.status, content_type, outcome.content)
+        elif isinstance(outcome, StreamedAnswer):
+            self._claims.finish_unkept(claim, outcome.answer.status)
+        else:
+            self._claims.abandon(claim, isinstance(outcome, Unknown))
+
+    def _replay(self, call: Call, stored: StoredAnswer) -> HttpAnswer:
+        self._finish(call, "answered", None)
+        headers = outcome_headers("answered", "", call.request_id)
+        headers["Catkin-Replayed"] = "true"
+        if stored.content_type:
+            headers["Content-Type"] = stored.content_type
+        return HttpAnswer(stored.status, stored.content, headers)
+
+    def _stream(self, call: Call, outcome: StreamedAnswer) -> HttpAnswer:
+        answer = outcome.answer
+        headers = _answer_headers(answer.headers, call.request_id)
+        length = answer.headers.get("Content-Length")
+        if length is not None:
+            headers["Content-Length"] = length
+
+        def on_end(failure: Unknown | None) -> None:
+            self._dispatcher.tell(Release(outcome.grant, failure is not None))
+            kind = "answered" if failure is None else "unknown"
+            self._finish(call, kind, failure)
+
+        return HttpAnswer(answer.status, AnswerStream(outcome, on_end), headers)
+
+    def _finish(
+        self, call: Call, kind: str, outcome: NotRun | Refused | Unknown | None
+    ) -> None:
+        is_urgent = call.entrant.queue.is_urgent
+        labels = {
+            "team": call.entrant.team.name,
+            "class": "urgent" if is_urgent else "long",
+            "outcome": kind,
+        }
+        self._observe(labels, call.started_at)
+        seconds = self._services.clock.now() - call.started_at
+        self._log(
+            call.request_id,
+            kind,
+            outcome,
+            seconds,
+            queue=call.entrant.queue.name,
+            team=call.entrant.team.name,
+        )
+
+    def _observe(self, labels: Mapping[str, str], started_at: float) -> None:
+        self._services.metrics.observe(
+            "catkin_request_seconds",
+            "Time from a request's head to the end of its answer.",
+            labels,
+            self._services.clock.now() - started_at,
+        )
+
+    def _log(
+        self,
+        request_id: str,
+        kind: str,
+        outcome: NotRun | Refused | Unknown | None,
+        seconds: float,
+        **fields: Any,
+    ) -> None:
+        if outcome is None:
+            level = logging.DEBUG
+        else:
+            level = logging.INFO
+            fields |= {"reason": outcome.reason.value, "step": outcome.step}
+            fields |= {"peer": outcome.peer, "detail": outcome.detail}
+        log_event(
+            logger,
+            "request ended",
+            level,
+            request_id=request_id,
+            outcome=kind,
+            seconds=f"{seconds:.4f}",
+            **fields,
+        )
+
+    def _backends(self, service: Service) -> BackendServers:
+        with self._lock:
+            known = self._backends_by_service.get(service.name)
+            if known is None or known[0] != service:
+                created = self._services.create_backend_servers(service)
+                known = (service, created)
+                self._backends_by_service[service.name] = known
+            return known[1]
+
+    def _budget(self, service: Service) -> RetryBudget:
+        return self._budget_by_service.setdefault(
+            service.name, RetryBudget(self._services.retry_fraction)
+        )
+
+
+class AnswerStream:
+    """Body of a streamed answer.
+
+    A failure raises out of the iteration, whereupon the server closes the
+    connection without the final chunk.
+    """
+
+    def __init__(self, outcome: StreamedAnswer, on_end: Any) -> None:
+        self._outcome = outcome
+        self._on_end = on_end
+        self._is_ended = False
+
+    def __iter__(self) -> Iterator[bytes]:
+        """Yield the chunks of the answer."""
+        try:
+            yield self._outcome.prefix
+            yield from self._outcome.answer.chunks
+        except BrokenAnswerError as error:
+            self._end(error.outcome)
+            raise
+        self._end(None)
+
+    def close(self) -> None:
+        """Release the slot of a caller that went away in mid-answer."""
+        peer = self._outcome.grant.address
+        self._end(Unknown(Reason.CONNECTION_LOST, "answer", peer), is_failure=False)
+
+    def _end(self, failure: Unknown | None, is_failure: bool = True) -> None:
+        if self._is_ended:
+            return
+        self._is_ended = True
+        self._outcome.answer.close()
+        self._on_end(failure)
+
+
+def _release(grant: Grant, outcome: Outcome) -> Release:
+    if isinstance(outcome, NotRun) and outcome.reason == Reason.BACKEND_FULL:
+        return Release(grant, hold_seconds=outcome.retry_after_seconds or 1.0)
+    is_failure = isinstance(outcome, Unknown) or (
+        isinstance(outcome, NotRun) and outcome.reason == Reason.CONNECT_FAILED
+    )
+    return Release(grant, is_failure)
+
+
+def _answer_headers(headers: Mapping[str, str], request_id: str) -> dict[str, str]:
+    kept = {
+        name: value
+        for name, value in headers.items()
+        if name.lower() not in HOP_BY_HOP_HEADERS
+    }
+    return kept | outcome_headers("answered", "", request_id)
+
+
+def _raw_path(request: HttpRequest, path: str) -> str:
+    """Return the path as the caller wrote it, with its query string."""
+    uri = request.environ.get("REQUEST_URI", "")
+    _, marker, raw = uri.partition("/requests/")
+    if marker:
+        return f"/{raw}"
+    query = request.environ.get("QUERY_STRING", "")
+    return f"/{path}?{query}" if query else f"/{path}"
+
+
+def _read_deadline(headers: Mapping[str, str], longest: float) -> float | Refused:
+    text = headers.get("catkin-deadline-ms")
+    if text is None:
+        return longest
+    if not text.isascii() or not text.isdigit() or not int(text[:12]) > 0:
+        detail = f"Catkin-Deadline-Ms must be a whole number above 0, got {text[:20]!r}"
+        return Refused(Reason.REQUEST_INVALID, "admission", detail=detail)
+    return min(longest, int(text[:12]) / 1000)
--- a/catkinport/policy/admission.py
+++ b/catkinport/policy/admission.py
@@ -153,6 +153,10 @@
         self._class_of(request).push(request)
         return Offer(None, displaced)
 
+    def push_again(self, request: WaitingRequest) -> None:
+        """Let a request wait that already had a place; a full queue keeps it."""
+        self._class_of(request).push(request)
+
     def pop(self, now: float, can_run: Callable[[str], bool]) -> WaitingRequest | None:
         """Return the request to dispatch next.
 
