Forward keyed requests end to end through the entry daemon

Cause: callers need one way in with keys, limits, claims and routing. Ruled out: counting in flight in the dispatcher, which does not see a request that is taking its claim or an answer that is still being written.

--- a/catkinport/entry/dispatch.py
+++ b/catkinport/entry/dispatch.py
@@ -96,9 +96,6 @@
                 return self._on_serving(message)
             case messages.ListNeeds():
                 return self._list_needs()
-            case messages.CountInFlight():
-                n_waiting = sum(len(s.queue) for s in self._state_by_service.values())
-                return self._in_use_by_team.total() + n_waiting
             case messages.Wake():
                 return self._dispatch_all()
 
--- /dev/null
+++ b/catkinport/entry/jobs.py
@@ -0,0 +1,279 @@
+"""Submits, shows and cancels jobs for callers."""
+
+import logging
+import uuid
+from concurrent.futures import ThreadPoolExecutor
+from typing import Any
+
+from ..ports import (
+    ABSENT_VERSION,
+    Committed,
+    Condition,
+    NotRun,
+    Reason,
+    Refused,
+    Row,
+    Transaction,
+    Unavailable,
+    Unknown,
+    Write,
+)
+from ..runtime import HttpAnswer, HttpRequest, json_answer, log_event
+from ..state import JobRow, JobState, job_key, owner_key
+from .answers import not_run_answer, outcome_headers, unknown_answer
+from .callers import Entrant, check_again, check_entrant
+from .job_requests import (
+    MAX_INLINE_INPUT_CHARACTERS,
+    build_job,
+    choose_job_id,
+    is_same_request,
+)
+from .services import EntryServices
+
+logger = logging.getLogger(__name__)
+
+N_ATTEMPTS = 4
+ENDED_STATES = (
+    JobState.DONE,
+    JobState.FAILED,
+    JobState.CANCELLED,
+    JobState.PARKED,
+    JobState.UNKNOWN,
+)
+SHOWN_FIELDS = (
+    "team",
+    "command",
+    "state",
+    "attempt",
+    "reason",
+    "is_cancel_requested",
+    "n_moves",
+    "submitted_at",
+    "started_at",
+    "finished_at",
+)
+
+
+class JobDesk:
+    """Handles the callers' side of jobs.
+
+    Args:
+        services: ports and shared objects.
+    """
+
+    def __init__(self, services: EntryServices) -> None:
+        self._services = services
+        self._notifier = ThreadPoolExecutor(2, thread_name_prefix="job-notice")
+        self.is_stopping = False
+
+    def stop(self) -> None:
+        """Stop sending notices; owners find jobs by their scan too."""
+        self._notifier.shutdown(wait=False, cancel_futures=True)
+
+    def submit(self, request: HttpRequest, queue: str) -> HttpAnswer:
+        """Store a job, then answer 202."""
+        request_id = uuid.uuid4().hex
+        outcome = self._submit(request, queue)
+        if isinstance(outcome, str):
+            log_event(
+                logger,
+                "job submitted",
+                request_id=request_id,
+                step="submit",
+                peer="",
+                job_id=outcome,
+                queue=queue,
+            )
+            value = {"job_id": outcome, "queue": queue, "state": JobState.QUEUED}
+            headers = outcome_headers("answered", "", request_id)
+            return json_answer(202, value, headers)
+        return _failure_answer(outcome, request_id)
+
+    def show(self, request: HttpRequest, queue: str, job_id: str) -> HttpAnswer:
+        """Return the state of a job."""
+        request_id = uuid.uuid4().hex
+        row = self._find(request, queue, job_id)
+        if not isinstance(row, Row):
+            return _failure_answer(row, request_id)
+        shown = {name: row.value[name] for name in SHOWN_FIELDS}
+        value = {"job_id": job_id, "queue": queue, **shown}
+        return json_answer(200, value, outcome_headers("answered", "", request_id))
+
+    def show_result(self, request: HttpRequest, queue: str, job_id: str) -> HttpAnswer:
+        """Return the result of a job that is done."""
+        request_id = uuid.uuid4().hex
+        row = self._find(request, queue, job_id)
+        if not isinstance(row, Row):
+            return _failure_answer(row, request_id)
+        if row.value["state"] != JobState.DONE:
+            detail = f"the job is {row.value['state']}, not done"
+            refusal = Refused(Reason.NOT_FOUND, "result", detail=detail)
+            return _failure_answer(refusal, request_id)
+        content = self._services.objects.get(row.value["result_reference"])
+        if isinstance(content, Unavailable):
+            return _failure_answer(content, request_id)
+        if content is None:
+            refusal = Refused(Reason.NOT_FOUND, "result", detail="no result is stored")
+            return _failure_answer(refusal, request_id)
+        headers = outcome_headers("answered", "", request_id)
+        return HttpAnswer(
+            200, content, {"Content-Type": "application/octet-stream", **headers}
+        )
+
+    def cancel(self, request: HttpRequest, queue: str, job_id: str) -> HttpAnswer:
+        """Ask for the cancellation of a job; its owner carries it out."""
+        request_id = uuid.uuid4().hex
+        outcome = self._cancel(request, queue, job_id)
+        if not isinstance(outcome, dict):
+            return _failure_answer(outcome, request_id)
+        headers = outcome_headers("answered", "", request_id)
+        return json_answer(202, outcome, headers)
+
+    def _submit(self, request: HttpRequest, queue: str):
+        entrant = self._check(request, queue)
+        if isinstance(entrant, Refused):
+            return entrant
+        if not entrant.queue.pool:
+            detail = f"queue {queue!r} takes requests only"
+            return Refused(Reason.REQUEST_INVALID, "submit", detail=detail)
+        job = build_job(request.read_json(), entrant, self._services.unix_time())
+        if isinstance(job, Refused):
+            return job
+        key = request.headers.get("idempotency-key", "")
+        job_id = choose_job_id(entrant.team.name, key)
+        failure = self._store_input(job, queue, job_id)
+        if failure is not None:
+            return failure
+        snapshot = self._services.membership.snapshot()
+        refusal = check_again(entrant, snapshot, self._services.clock)
+        if refusal is not None:
+            return refusal
+        outcome = self._insert(job, queue, job_id)
+        if outcome is None:
+            self._notify(entrant.queue.pool, queue, job_id)
+            return job_id
+        return outcome
+
+    def _insert(self, job: JobRow, queue: str, job_id: str):
+        """Write the row; after a lost answer read it back."""
+        row_key = job_key(queue, job_id)
+        insert = Transaction(
+            [Condition(row_key, ABSENT_VERSION)], [Write(row_key, dict(job))]
+        )
+        may_be_written = False
+        for _ in range(N_ATTEMPTS):
+            outcome = self._services.table.commit(insert)
+            if isinstance(outcome, Committed):
+                return None
+            if isinstance(outcome, Unavailable):
+                may_be_written |= outcome.may_have_committed
+                continue
+            rows = self._services.table.read([row_key])
+            if isinstance(rows, Unavailable):
+                may_be_written = True
+                continue
+            if row_key in rows:
+                if is_same_request(rows[row_key].value, job):
+                    return None
+                detail = "Idempotency-Key was used for another job"
+                return Refused(Reason.DIGEST_DIFFERS, "submit", detail=detail)
+        if may_be_written:
+            return Unknown(Reason.STORE_UNAVAILABLE, "submit", detail=job_id)
+        return NotRun(Reason.STORE_UNAVAILABLE, "submit", "", "", 1.0)
+
+    def _store_input(self, job: JobRow, queue: str, job_id: str) -> NotRun | None:
+        """Move an input over 32 KB to the object store, before the row names it."""
+        text = job["input"]
+        if len(text) <= MAX_INLINE_INPUT_CHARACTERS:
+            return None
+        reference = f"inputs/{queue}/{job_id}"
+        outcome = self._services.objects.put(reference, text.encode())
+        if isinstance(outcome, Unavailable):
+            return _refuse_without_store(outcome)
+        job["input"] = ""
+        job["input_reference"] = reference
+        return None
+
+    def _cancel(self, request: HttpRequest, queue: str, job_id: str):
+        for _ in range(N_ATTEMPTS):
+            row = self._find(request, queue, job_id)
+            if not isinstance(row, Row):
+                return row
+            is_ended = row.value["state"] in ENDED_STATES
+            if is_ended or row.value["is_cancel_requested"]:
+                return {"job_id": job_id, "state": row.value["state"]}
+            changed = {**row.value, "is_cancel_requested": True}
+            change = Transaction(
+                [Condition(row.row_key, row.version)], [Write(row.row_key, changed)]
+            )
+            outcome = self._services.table.commit(change)
+            if isinstance(outcome, Committed):
+                snapshot = self._services.membership.snapshot()
+                pool = snapshot.environment.queue_by_name[queue].pool
+                self._notify(pool, queue, job_id)
+                return {"job_id": job_id, "state": row.value["state"]}
+        detail = "the job changed or the store did not answer"
+        return Unknown(Reason.STORE_UNAVAILABLE, "cancel", detail=detail)
+
+    def _find(self, request: HttpRequest, queue: str, job_id: str):
+        entrant = self._check(request, queue)
+        if isinstance(entrant, Refused):
+            return entrant
+        row_key = job_key(queue, job_id)
+        rows = self._services.table.read([row_key])
+        if isinstance(rows, Unavailable):
+            return rows
+        row = rows.get(row_key)
+        # The same answer for another team's job does not tell that it exists.
+        if row is None or row.value["team"] != entrant.team.name:
+            return Refused(Reason.NOT_FOUND, "find-job", detail="there is no such job")
+        return row
+
+    def _check(self, request: HttpRequest, queue: str) -> Entrant | Refused:
+        if self.is_stopping:
+            return Refused(Reason.STOPPING, "admission")
+        return check_entrant(
+            self._services.membership.snapshot(),
+            self._services.clock,
+            queue,
+            request.headers.get("authorization"),
+        )
+
+    def _notify(self, pool: str, queue: str, job_id: str) -> None:
+        try:
+            self._notifier.submit(self._send_notice, pool, queue, job_id)
+        except RuntimeError:
+            log_event(logger, "job notice skipped", step="notify", job_id=job_id)
+
+    def _send_notice(self, pool: str, queue: str, job_id: str) -> Any:
+        row_key = owner_key(pool)
+        rows = self._services.table.read([row_key])
+        if isinstance(rows, Unavailable) or row_key not in rows:
+            return
+        owner = rows[row_key].value["member_id"]
+        is_accepted = self._services.membership.notify_queue(owner, queue, job_id)
+        log_event(
+            logger,
+            "job owner notified",
+            logging.DEBUG,
+            step="notify",
+            peer=owner,
+            job_id=job_id,
+            is_accepted=is_accepted,
+        )
+
+
+def _failure_answer(
+    outcome: NotRun | Refused | Unknown | Unavailable, request_id: str
+) -> HttpAnswer:
+    if isinstance(outcome, Unavailable):
+        outcome = _refuse_without_store(outcome)
+    if isinstance(outcome, Unknown):
+        return unknown_answer(outcome, request_id)
+    return not_run_answer(outcome, request_id)
+
+
+def _refuse_without_store(outcome: Unavailable) -> NotRun:
+    return NotRun(
+        Reason.STORE_UNAVAILABLE, outcome.step, outcome.peer, outcome.detail, 1.0
+    )
--- /dev/null
+++ b/catkinport/entry/main.py
@@ -0,0 +1,53 @@
+"""Entry point of ``catkin-entry``."""
+
+import logging
+from pathlib import Path
+from typing import Annotated
+
+import cappa
+
+from ..runtime import StopSignal, configure_logging, log_event
+from ..settings.declaration import format_fault
+from ..settings.process import load_entry_settings
+from .daemon import EntryDaemon
+
+logger = logging.getLogger(__name__)
+
+
+@cappa.command(name="catkin-entry")
+class EntryCommand:
+    """Take callers' requests and jobs, and serve the administration API."""
+
+    settings: Annotated[
+        Path, cappa.Arg(long=True, help="INI file with the settings of the process")
+    ]
+
+    def __call__(self) -> None:
+        """Run until SIGTERM or SIGINT, then stop without cutting a request."""
+        settings = load_entry_settings(self.settings)
+        if isinstance(settings, list):
+            text = "\n".join(format_fault(fault) for fault in settings)
+            raise cappa.Exit(text, code=2)
+        configure_logging(settings.logging.level, settings.logging.format)
+        stop_signal = StopSignal()
+        daemon = EntryDaemon(settings)
+        print(f"admin listening on {daemon.admin_address}", flush=True)
+        print(f"listening on {daemon.address}", flush=True)
+        log_event(
+            logger,
+            "entry started",
+            peer=daemon.address,
+            admin_address=daemon.admin_address,
+        )
+        stop_signal.wait()
+        daemon.stop()
+        log_event(logger, "entry stopped")
+
+
+def main() -> None:
+    """Run the command line."""
+    cappa.invoke(EntryCommand)
+
+
+if __name__ == "__main__":
+    main()
--- a/catkinport/entry/messages.py
+++ b/catkinport/entry/messages.py
@@ -86,10 +86,6 @@
     """Answered with ``dict[str, TeamNeed]`` of all teams with work or amounts."""
 
 
-class CountInFlight(NamedTuple):
-    """Answered with the number of requests that hold a slot or wait."""
-
-
 class Wake(NamedTuple):
     """Look again at requests that wait for a server on hold."""
 
--- a/catkinport/entry/requests.py
+++ b/catkinport/entry/requests.py
@@ -36,7 +36,7 @@
 SAFE_METHODS = ("GET", "HEAD", "OPTIONS")
 MAX_IDEMPOTENCY_KEY_CHARACTERS = 200
 HOP_BY_HOP_HEADERS = frozenset(
-    [
+    (
         "connection",
         "keep-alive",
         "proxy-authenticate",
@@ -48,7 +48,7 @@
         "content-length",
         "host",
         "expect",
-    ]
+    )
 )
 # The caller's secret is for the entry only.
 UNFORWARDED_HEADERS = HOP_BY_HOP_HEADERS | {"authorization", "catkin-deadline-ms"}
@@ -119,7 +119,12 @@
             self._observe(labels, started_at)
             self._log(request_id, "not-run", call, 0.0, queue=queue)
             return not_run_answer(call, request_id)
-        return self._run(call)
+        try:
+            return self._run(call)
+        except Exception:
+            logger.exception("request failed")
+            # A fault of the entry leaves open how far the request got.
+            return self._answer(call, Unknown(Reason.CONNECTION_LOST, "entry"), None)
 
     def _open_call(
         self, request: HttpRequest, queue: str, path: str, request_id: str
@@ -343,8 +348,8 @@
         if length is not None:
             headers["Content-Length"] = length
 
-        def on_end(failure: Unknown | None) -> None:
-            self._dispatcher.tell(Release(outcome.grant, failure is not None))
+        def on_end(failure: Unknown | None, is_server_failure: bool) -> None:
+            self._dispatcher.tell(Release(outcome.grant, is_server_failure))
             kind = "answered" if failure is None else "unknown"
             self._finish(call, kind, failure)
 
@@ -435,21 +440,21 @@
             yield self._outcome.prefix
             yield from self._outcome.answer.chunks
         except BrokenAnswerError as error:
-            self._end(error.outcome)
+            self._end(error.outcome, is_server_failure=True)
             raise
         self._end(None)
 
     def close(self) -> None:
         """Release the slot of a caller that went away in mid-answer."""
         peer = self._outcome.grant.address
-        self._end(Unknown(Reason.CONNECTION_LOST, "answer", peer), is_failure=False)
+        self._end(Unknown(Reason.CONNECTION_LOST, "answer", peer))
 
-    def _end(self, failure: Unknown | None, is_failure: bool = True) -> None:
+    def _end(self, failure: Unknown | None, is_server_failure: bool = False) -> None:
         if self._is_ended:
             return
         self._is_ended = True
         self._outcome.answer.close()
-        self._on_end(failure)
+        self._on_end(failure, is_server_failure)
 
 
 def _release(grant: Grant, outcome: Outcome) -> Release:
