--- a/verification/deployment.py
+++ b/verification/deployment.py
@@ -316,7 +316,7 @@
         process = self._processes.start(name, [module, "--settings", str(path)])
         caller_address = ""
         if role == "entry":
-            caller_address = process.wait_for_line("caller listening on ")[0]
+            caller_address = process.wait_for_line("listening on ")[0]
         admin_address = process.wait_for_line("admin listening on ")[0]
         return Daemon(name, process, caller_address, admin_address)
 
