Run the fault schedules against real processes

Cause: the schedules had not run before the entry daemon was there. Ruled out: the operation's id in the query; the digest of a claim covers the path, so that every retry of a keyed request was refused as another request (7 refusals digest-differs with faulty servers). Change: the id travels in a header; list options of make prove get their defaults from a factory.

--- a/catkinport/standins/backend_server.py
+++ b/catkinport/standins/backend_server.py
@@ -108,7 +108,7 @@
             "request_id": request.headers.get("catkin-request-id", ""),
             "team": request.headers.get("catkin-team", ""),
             "idempotency_key": request.headers.get("idempotency-key", ""),
-            "operation": request.query.get("operation", ""),
+            "operation": request.headers.get("operation-id", ""),
             "method": request.method,
             "body_bytes": len(body),
             "started_at": time.time(),
@@ -136,7 +136,7 @@
         value = {
             "path": path,
             "request_id": request.headers.get("catkin-request-id", ""),
-            "operation": request.query.get("operation", ""),
+            "operation": request.headers.get("operation-id", ""),
             "body_bytes": len(body),
             "padding": "x" * int(request.query.get("size", "0")),
         }
--- a/verification/__main__.py
+++ b/verification/__main__.py
@@ -1,6 +1,7 @@
 """Run fault schedules and print a table of promises (``make prove``)."""
 
 import sys
+from dataclasses import field
 from typing import Annotated
 
 import cappa
@@ -13,8 +14,10 @@
 class ProveCommand:
     """Run every fault schedule, or those that are named, with each seed."""
 
-    schedules: Annotated[list[str], cappa.Arg()] = []
-    seeds: Annotated[list[int], cappa.Arg(long=True)] = [1, 2]
+    schedules: Annotated[list[str], cappa.Arg()] = field(default_factory=list)
+    seeds: Annotated[list[int], cappa.Arg(long=True)] = field(
+        default_factory=lambda: [1, 2]
+    )
 
     def __call__(self) -> None:
         """Exit with 1 when a promise was violated."""
--- a/verification/client.py
+++ b/verification/client.py
@@ -59,7 +59,11 @@
         """Send one request to an entry chosen at random and record its outcome."""
         entry = rng.choice(list(self._list_entries()))
         operation_id = uuid.UUID(int=rng.getrandbits(128)).hex
-        headers = {"Catkin-Deadline-Ms": str(deadline_ms)}
+        # In a header, because a retry must repeat path and body of its request.
+        headers = {
+            "Catkin-Deadline-Ms": str(deadline_ms),
+            "Operation-Id": operation_id,
+        }
         if caller.secret:
             headers["Authorization"] = f"Bearer {caller.secret}"
         if idempotency_key:
@@ -67,7 +71,7 @@
         if is_idempotent:
             headers["Catkin-Idempotent"] = "true"
         path = f"/v1/queues/{caller.queue}/requests/work"
-        url = f"http://{entry}{path}?operation={operation_id}&seconds={seconds}"
+        url = f"http://{entry}{path}?seconds={seconds}"
         started_at = time.time()
         outcome, status, reason, answered = self._call(url, headers, body)
         operation = Operation(
