Make liveness checks between members small

Cause: with 18 members each daemon sent 20.7 KB/s and received 21.5 KB/s while idle, against 7 KB/s for control, because each check carried the whole roster both ways and both members of a pair checked one another. Ruled out: checking less often, which would delay evictions. Change: members are left out when the receiver has the same roster version; a peer that has just asked is not asked as well; the seal is one short metadata entry. The server closes its connections when it stops, since a request that arrived later started a task on a stopped loop and logged a traceback.

--- a/benchmarks/_freshness_world.py
+++ b/benchmarks/_freshness_world.py
@@ -316,11 +316,11 @@
         if self.freshness is not None:
             self.freshness.on_goodbye(peer_id, revision, view, self.now())
 
-    def answer(self, revision: int, view: View) -> PeerAnswer | None:
+    def answer(self, peer_id: str, revision: int, view: View) -> PeerAnswer | None:
         """Answer a peer that asks for confirmation."""
         if self.freshness is None:
             return None
-        self.freshness.on_peer_request(revision, view, self.now())
+        self.freshness.on_peer_request(peer_id, revision, view, self.now())
         return self.freshness.answer(self.now())
 
     def _resume(self) -> None:
@@ -390,11 +390,12 @@
         freshness = self.freshness
         if freshness is None:
             return
-        sent_at, revision, view = self.now(), freshness.known_revision, freshness.view
+        sent_at, own_id = self.now(), self.member_id
+        revision, view = freshness.known_revision, freshness.view
         for peer in self._peers(freshness.peers_to_ask(sent_at)):
 
             def reply(peer: Process = peer) -> None:
-                answer = peer.answer(revision, view)
+                answer = peer.answer(own_id, revision, view)
                 if answer is not None:
                     self.world.send(
                         peer, self, lambda: self._on_answer(peer, answer, sent_at)
--- a/catkinport/adapters/_peer_authentication.py
+++ b/catkinport/adapters/_peer_authentication.py
@@ -1,5 +1,6 @@
 """Authenticates messages between members with the shared cluster key."""
 
+import base64
 import hashlib
 import hmac
 import secrets
@@ -9,10 +10,12 @@
 MAX_MESSAGE_BYTES = 4 * 1024 * 1024
 MIN_KEY_BYTES = 16
 
-_NONCE = "catkin-nonce"
-_LENGTH = "catkin-length"
-_DIGEST = "catkin-digest"
-_MAC = "catkin-mac"
+SEAL = "catkin-seal"
+"""Metadata ``nonce.length.digest.code``, the last two cut to 192 bits."""
+
+_N_PARTS = 4
+_NONCE_BYTES = 12
+_CODE_BYTES = 24
 
 
 class Seal(NamedTuple):
@@ -55,13 +58,10 @@
 
     def seal(self, purpose: str, body: bytes, nonce: str = "") -> dict[str, str]:
         """Return the metadata for ``body``."""
-        seal = Seal(nonce or secrets.token_hex(16), len(body), _digest(body))
-        return {
-            _NONCE: seal.nonce,
-            _LENGTH: str(seal.length),
-            _DIGEST: seal.digest,
-            _MAC: self._code(purpose, seal),
-        }
+        nonce = nonce or _encode(secrets.token_bytes(_NONCE_BYTES))
+        seal = Seal(nonce, len(body), _digest(body))
+        code = self._code(purpose, seal)
+        return {SEAL: f"{seal.nonce}.{seal.length}.{seal.digest}.{code}"}
 
     def check(
         self, purpose: str, metadata: Mapping[str, str], nonce: str = ""
@@ -73,13 +73,11 @@
             metadata: what came with the message.
             nonce: nonce that an answer must repeat, empty for a request.
         """
-        length = str(metadata.get(_LENGTH, ""))
-        if not (length.isascii() and length.isdigit() and len(length) <= 8):
+        parts = str(metadata.get(SEAL, "")).split(".")
+        if len(parts) != _N_PARTS or not _is_length(parts[1]):
             return None
-        seal = Seal(
-            str(metadata.get(_NONCE, "")), int(length), str(metadata.get(_DIGEST, ""))
-        )
-        code = str(metadata.get(_MAC, "")).encode(errors="replace")
+        seal = Seal(parts[0], int(parts[1]), parts[2])
+        code = parts[3].encode(errors="replace")
         if not hmac.compare_digest(self._code(purpose, seal).encode(), code):
             return None
         if nonce and seal.nonce != nonce:
@@ -89,8 +87,23 @@
     def _code(self, purpose: str, seal: Seal) -> str:
         text = "\n".join((purpose, seal.nonce, str(seal.length), seal.digest))
         content = text.encode(errors="replace")
-        return hmac.new(self._key, content, hashlib.sha256).hexdigest()
+        return _encode(hmac.digest(self._key, content, "sha256")[:_CODE_BYTES])
+
+
+def nonce_of(metadata: Mapping[str, str]) -> str:
+    """Return the nonce of a seal made by ``MessageAuthenticator.seal``."""
+    return metadata[SEAL].partition(".")[0]
+
+
+def _is_length(text: str) -> bool:
+    return (
+        text.isascii() and text.isdigit() and len(text) <= len(str(MAX_MESSAGE_BYTES))
+    )
 
 
 def _digest(body: bytes) -> str:
-    return hashlib.sha256(body).hexdigest()
+    return _encode(hashlib.sha256(body).digest()[:_CODE_BYTES])
+
+
+def _encode(content: bytes) -> str:
+    return base64.urlsafe_b64encode(content).decode()
--- a/catkinport/adapters/peers_grpc.py
+++ b/catkinport/adapters/peers_grpc.py
@@ -3,7 +3,8 @@
 import asyncio
 import logging
 import socket
-from collections.abc import Callable, Mapping
+import weakref
+from collections.abc import Callable, Mapping, Sequence
 from concurrent.futures import Future
 from typing import Any, NamedTuple
 
@@ -25,7 +26,12 @@
     QueuesStub,
 )
 from ..runtime import LoopActor, log_event
-from ._peer_authentication import MAX_MESSAGE_BYTES, MessageAuthenticator
+from ._peer_authentication import (
+    MAX_MESSAGE_BYTES,
+    SEAL,
+    MessageAuthenticator,
+    nonce_of,
+)
 
 CALL_TIMEOUT_SECONDS = 1.0
 # An answer may wait for a store write of the peer.
@@ -104,7 +110,7 @@
         self._authenticator = authenticator
         self._socket = _listen(host, port)
         self._server_calls = _ServerCalls(authenticator, handler_by_method)
-        self._server: Server | None = None
+        self._server: _TrackingServer | None = None
         self._connection_by_address: dict[str, _Connection] = {}
 
     def on_receive(self, message: Any) -> Any:
@@ -121,14 +127,16 @@
             _QueuesService(self._server_calls),
             _AllowancesService(self._server_calls),
         ]
-        self._server = Server(services, codec=_BytesCodec())
+        self._server = _TrackingServer(services, codec=_BytesCodec())
         await self._server.start(sock=self._socket)
 
     async def close(self) -> None:
         """Close the server and every channel."""
         if self._server is not None:
             self._server.close()
+            self._server.abort_connections()
             await self._server.wait_closed()
+        await _cancel_other_tasks()
         for connection in self._connection_by_address.values():
             connection.channel.close()
         self._connection_by_address.clear()
@@ -136,6 +144,9 @@
     async def _call(self, call: PeerCall) -> None:
         try:
             outcome = await self._exchange(call)
+        except asyncio.CancelledError:
+            call.result.set_result(_unavailable(call, Reason.STOPPING, "stopped"))
+            raise
         except Exception as error:
             call.result.set_exception(error)
             return
@@ -180,9 +191,9 @@
             seal = self._authenticator.check(
                 f"reply/{call.method}",
                 stream.initial_metadata or {},
-                metadata["catkin-nonce"],
+                nonce_of(metadata),
             )
-            if seal is None and "catkin-mac" in (stream.initial_metadata or {}):
+            if seal is None and SEAL in (stream.initial_metadata or {}):
                 await stream.cancel()
                 return _unavailable(call, Reason.CONNECTION_LOST, "invalid seal")
             reply = await stream.recv_message()
@@ -240,6 +251,33 @@
         return data
 
 
+class _TrackingServer(Server):
+    """Knows its connections: grpclib leaves them open when the server closes.
+
+    A peer's request on such a connection would start a task on a stopping loop.
+    """
+
+    def __init__(self, services: Sequence[Any], codec: CodecBase) -> None:
+        super().__init__(services, codec=codec)
+        self._transports: weakref.WeakSet[Any] = weakref.WeakSet()
+
+    def abort_connections(self) -> None:
+        """Close all connections at once."""
+        for transport in list(self._transports):
+            transport.abort()
+
+    def _protocol_factory(self) -> Any:
+        protocol = super()._protocol_factory()
+        connection_made = protocol.connection_made
+
+        def track(transport: Any) -> None:
+            self._transports.add(transport)
+            connection_made(transport)
+
+        protocol.connection_made = track  # type: ignore[method-assign]
+        return protocol
+
+
 class _ServerCalls:
     """Checks a peer's call, lets a handler answer it and seals the answer."""
 
@@ -335,6 +373,15 @@
         await self._calls.serve("RequestReturn", stream)
 
 
+async def _cancel_other_tasks() -> None:
+    """End the calls in flight; each gets its outcome before the loop stops."""
+    tasks = asyncio.all_tasks() - {asyncio.current_task()}
+    for task in tasks:
+        task.cancel()
+    if tasks:
+        await asyncio.wait(tasks, timeout=CALL_TIMEOUT_SECONDS)
+
+
 def _listen(host: str, port: int) -> socket.socket:
     listener = socket.create_server((host, port), backlog=128)
     # Accepted sockets inherit these; connections of peers that vanished are closed.
--- a/catkinport/adapters/tests/test_peers_grpc.py
+++ b/catkinport/adapters/tests/test_peers_grpc.py
@@ -144,14 +144,29 @@
 class TestMessageAuthenticator:
     """Seals of messages."""
 
-    @pytest.mark.parametrize("length", ["", "-1", "x", "99999999", "999999999"])
+    @pytest.mark.parametrize("length", ["", "-1", "x", "5", "9999999", "99999999"])
     def test_length_that_is_invalid_or_too_large(self, length):
         """Guards against a body that is read before its length is checked."""
         authenticator = MessageAuthenticator(_KEY)
         metadata = authenticator.seal("request/Confirm", b"body")
-        metadata["catkin-length"] = length
+        assert authenticator.check("request/Confirm", metadata) is not None
+        parts = metadata["catkin-seal"].split(".")
+        metadata["catkin-seal"] = ".".join([parts[0], length, *parts[2:]])
         assert authenticator.check("request/Confirm", metadata) is None
 
+    @pytest.mark.parametrize("text", ["", "...", "a.1.b", "a.1.b.c.d", "é.1.é.é"])
+    def test_malformed_seal(self, text):
+        """Guards against metadata that raises instead of being rejected."""
+        authenticator = MessageAuthenticator(_KEY)
+        assert authenticator.check("request/Confirm", {"catkin-seal": text}) is None
+
+    def test_sealed_body_over_the_limit(self):
+        """Guards against a member that fills the memory of a peer."""
+        authenticator = MessageAuthenticator(_KEY)
+        body = bytes(4 * 1024 * 1024 + 1)
+        metadata = authenticator.seal("request/Announce", body)
+        assert authenticator.check("request/Announce", metadata) is None
+
     def test_recorded_answer_is_rejected(self):
         """Guards against a replayed answer that renews a lease."""
         authenticator = MessageAuthenticator(_KEY)
--- a/catkinport/membership/actor.py
+++ b/catkinport/membership/actor.py
@@ -10,7 +10,7 @@
 import pykka
 
 from ..adapters.peers_grpc import PeerCall
-from ..policy.freshness import Freshness, PeerAnswer, View
+from ..policy.freshness import Freshness
 from ..ports import Clock, Reason, Refused, Table, Unavailable
 from ..protocol import peer_pb2
 from ..runtime import log_event
@@ -73,6 +73,7 @@
         self._generation = 0
         self._store_state: roster_store.StoreState | None = None
         self._admin_address_by_id: dict[str, str] = {}
+        self._roster_version_by_peer: dict[str, int] = {}
         self._is_reading = False
         self._is_writing = False
         self._is_fetching = False
@@ -212,6 +213,8 @@
             member_id: row["admin_address"]
             for member_id, row in state.member_row_by_id.items()
         }
+        for peer_id in self._roster_version_by_peer.keys() - state.member_row_by_id:
+            del self._roster_version_by_peer[peer_id]
 
     def _register(self) -> None:
         if self._is_writing:
@@ -368,32 +371,31 @@
         if freshness is None or self._is_leaving:
             return
         now = self._clock.now()
-        request = peer_pb2.ConfirmRequest(
-            member_id=self._member_id,
-            revision=freshness.known_revision,
-            view=view_to_message(freshness.view),
-        )
         for peer_id in freshness.peers_to_ask(now):
-            self._ask_peer(peer_id, freshness.view, request, now)
+            self._ask_peer(peer_id, freshness, now)
 
-    def _ask_peer(
-        self, peer_id: str, view: View, request: peer_pb2.ConfirmRequest, now: float
-    ) -> None:
+    def _ask_peer(self, peer_id: str, freshness: Freshness, now: float) -> None:
         def on_done(reply: Any) -> None:
-            if not isinstance(reply, Unavailable):
-                reply = answer_from_message(reply)
             self._tell(messages.PeerConfirmed(peer_id, now, reply))
 
-        address = view.member_by_id[peer_id].peer_address
+        peer_version = self._roster_version_by_peer.get(peer_id, 0)
+        request = peer_pb2.ConfirmRequest(
+            member_id=self._member_id,
+            revision=freshness.known_revision,
+            view=view_to_message(freshness.view, peer_version),
+        )
+        address = freshness.view.member_by_id[peer_id].peer_address
         self._call(address, "Confirm", request, on_done)
 
     def _on_peer_confirmed(self, message: messages.PeerConfirmed) -> None:
-        freshness, answer = self._freshness, message.answer
-        if freshness is None or not isinstance(answer, PeerAnswer):
+        freshness, reply = self._freshness, message.reply
+        if freshness is None or isinstance(reply, Unavailable):
             return
-        if answer.member_id != message.peer_id:
+        if reply.member_id != message.peer_id:
             # A restarted member answers at the address of its former id.
             return
+        answer = answer_from_message(reply, freshness.view)
+        self._roster_version_by_peer[message.peer_id] = reply.view.roster_version
         freshness.on_peer_answer(answer, message.sent_at, self._clock.now())
         peer = freshness.view.member_by_id.get(message.peer_id)
         self._fetch_if_behind(peer.peer_address if peer else "")
@@ -413,11 +415,11 @@
         self, request: peer_pb2.ConfirmRequest, freshness: Freshness
     ) -> peer_pb2.ConfirmReply:
         now = self._clock.now()
-        view = view_from_message(request.view)
-        freshness.on_peer_request(request.revision, view, now)
+        view = view_from_message(request.view, freshness.view)
+        freshness.on_peer_request(request.member_id, request.revision, view, now)
         asking = view.member_by_id.get(request.member_id)
         self._fetch_if_behind(asking.peer_address if asking else "")
-        return answer_to_message(freshness.answer(now))
+        return answer_to_message(freshness.answer(now), request.view.roster_version)
 
     def _answer_announce(
         self, request: peer_pb2.Announcement, freshness: Freshness
@@ -431,7 +433,7 @@
     def _answer_leave(
         self, request: peer_pb2.LeaveRequest, freshness: Freshness
     ) -> peer_pb2.LeaveReply:
-        view = view_from_message(request.view)
+        view = view_from_message(request.view, freshness.view)
         freshness.on_goodbye(
             request.member_id, request.revision, view, self._clock.now()
         )
--- a/catkinport/membership/messages.py
+++ b/catkinport/membership/messages.py
@@ -6,8 +6,8 @@
 
 import pykka
 
-from ..policy.freshness import PeerAnswer
 from ..ports import Refused, Unavailable
+from ..protocol import peer_pb2
 from .roster_store import StoreState
 
 
@@ -51,7 +51,7 @@
 
     peer_id: str
     sent_at: float
-    answer: PeerAnswer | Unavailable
+    reply: peer_pb2.ConfirmReply | Unavailable
 
 
 class DocumentArrived(NamedTuple):
--- a/catkinport/membership/service.py
+++ b/catkinport/membership/service.py
@@ -144,10 +144,11 @@
 
     def stop(self) -> None:
         """Stop at once without a goodbye, as a killed process would."""
-        if self._actor.is_alive():
-            self._actor.stop()
+        # The peers actor first, so that no peer waits for an answer of a stopped actor.
         if self._peers.is_alive():
             self._peers.stop()
+        if self._actor.is_alive():
+            self._actor.stop()
         self._executor.shutdown(wait=False, cancel_futures=True)
 
     def _prepare_acceptance(self) -> str | Refused | Unavailable:
--- a/catkinport/membership/wire.py
+++ b/catkinport/membership/wire.py
@@ -4,8 +4,18 @@
 from ..protocol import peer_pb2
 
 
-def view_to_message(view: View) -> peer_pb2.View:
-    """Return the message for ``view``."""
+def view_to_message(view: View, receiver_version: int = 0) -> peer_pb2.View:
+    """Return the message for ``view``.
+
+    Args:
+        view: the view.
+        receiver_version: roster version that the receiver has. The members are left
+            out if it has the same, which keeps liveness checks small.
+    """
+    if receiver_version and receiver_version == view.roster_version:
+        return peer_pb2.View(
+            roster_version=view.roster_version, departed_ids=sorted(view.departed_ids)
+        )
     members = [
         peer_pb2.Member(
             member_id=member_id,
@@ -23,8 +33,13 @@
     )
 
 
-def view_from_message(message: peer_pb2.View) -> View:
-    """Return the view in ``message``."""
+def view_from_message(message: peer_pb2.View, own: View) -> View:
+    """Return the view in ``message``; members left out are taken from ``own``."""
+    if not message.members:
+        is_same = message.roster_version == own.roster_version
+        # Without members of its own, another version tells nothing of the roster.
+        known = own if is_same else View(0, {})
+        return known._replace(departed_ids=frozenset(message.departed_ids))
     member_by_id = {
         member.member_id: ViewMember(
             member.role, member.peer_address, member.zone, member.evicted
@@ -34,23 +49,25 @@
     return View(message.roster_version, member_by_id, frozenset(message.departed_ids))
 
 
-def answer_to_message(answer: PeerAnswer) -> peer_pb2.ConfirmReply:
+def answer_to_message(
+    answer: PeerAnswer, receiver_version: int
+) -> peer_pb2.ConfirmReply:
     """Return the message for ``answer``."""
     return peer_pb2.ConfirmReply(
         member_id=answer.member_id,
         revision=answer.revision,
-        view=view_to_message(answer.view),
+        view=view_to_message(answer.view, receiver_version),
         stopping=answer.is_stopping,
         established=answer.is_established,
     )
 
 
-def answer_from_message(message: peer_pb2.ConfirmReply) -> PeerAnswer:
+def answer_from_message(message: peer_pb2.ConfirmReply, own: View) -> PeerAnswer:
     """Return the answer in ``message``."""
     return PeerAnswer(
         message.member_id,
         message.revision,
-        view_from_message(message.view),
+        view_from_message(message.view, own),
         message.stopping,
         message.established,
     )
--- a/catkinport/policy/freshness.py
+++ b/catkinport/policy/freshness.py
@@ -141,6 +141,7 @@
         self._confirmed_at_by_peer: dict[str, float] = {}
         self._asked_at_by_peer: dict[str, float] = {}
         self._unanswered_since_by_peer: dict[str, float] = {}
+        self._heard_at_by_peer: dict[str, float] = {}
         self._evicted_at_by_id: dict[str, float] = {}
         self._departed_at_by_id: dict[str, float] = {}
         self._last_tick = registered_at
@@ -210,9 +211,13 @@
             self._established_at = min(self._established_at, acknowledged_at)
         self._renew_from_peers()
 
-    def on_peer_request(self, revision: int, view: View, now: float) -> None:
-        """Learn what a peer knows from its own request."""
+    def on_peer_request(
+        self, peer_id: str, revision: int, view: View, now: float
+    ) -> None:
+        """Learn what a peer knows from its own request, and that it is alive."""
         self._learn_from_peer(revision, view, now)
+        self._unanswered_since_by_peer.pop(peer_id, None)
+        self._heard_at_by_peer[peer_id] = now
         self._renew_from_peers()
 
     def on_goodbye(self, peer_id: str, revision: int, view: View, now: float) -> None:
@@ -275,10 +280,16 @@
         period = self._asking_period(now)
         # A tick that comes slightly early must not skip a whole period.
         limit = now - period + self.timing.renewal / 4
+        latest_by_peer = dict(self._asked_at_by_peer)
+        if period == self.timing.liveness:
+            # A peer that has asked is alive; one call for each pair is enough.
+            for peer_id, heard_at in self._heard_at_by_peer.items():
+                asked_at = latest_by_peer.get(peer_id, heard_at)
+                latest_by_peer[peer_id] = max(asked_at, heard_at)
         due = [
             peer_id
             for peer_id in sorted(self._peer_ids())
-            if self._asked_at_by_peer.get(peer_id, limit) <= limit
+            if latest_by_peer.get(peer_id, limit) <= limit
         ]
         for peer_id in due:
             self._asked_at_by_peer[peer_id] = now
@@ -370,6 +381,7 @@
             self._confirmed_at_by_peer,
             self._asked_at_by_peer,
             self._unanswered_since_by_peer,
+            self._heard_at_by_peer,
         ):
             for member_id in noted.keys() - self.view.member_by_id.keys():
                 del noted[member_id]
--- a/catkinport/policy/tests/test_freshness.py
+++ b/catkinport/policy/tests/test_freshness.py
@@ -73,7 +73,7 @@
         """Guards against an evicted member that uses what others took over."""
         freshness = Freshness("a", _view(1, "a", "b"), 0.0)
         freshness.on_store_read(5.0, 5.1, 0, _view(1, "a", "b"))
-        freshness.on_peer_request(0, _view(2, "a", "b", evicted="a"), 5.2)
+        freshness.on_peer_request("b", 0, _view(2, "a", "b", evicted="a"), 5.2)
         freshness.on_store_read(5.3, 5.4, 0, _view(2, "a", "b", evicted="a"))
         assert freshness.is_evicted
         assert not freshness.is_fresh(5.4)
@@ -143,6 +143,17 @@
         self._ask(freshness, 2, 10, view)
         assert freshness.silent_ids(10.0) == []
 
+    def test_peer_that_asks_is_not_asked_as_well(self):
+        """Guards against twice the traffic: 21 KB/s were sent with 18 members."""
+        view = _view(1, "a", "b", "c")
+        freshness = Freshness("a", view, 0.0)
+        freshness.on_peer_answer(_answer("b", view), 0.0, 0.0)
+        freshness.on_store_read(3.0, 3.0, 0, view)
+        freshness.on_peer_request("b", 0, view, 3.0)
+        assert freshness.peers_to_ask(3.1) == ["c"]
+        freshness.on_store_failed()
+        assert freshness.peers_to_ask(3.1) == ["b"]
+
     def test_pause_of_the_own_process_is_no_silence(self):
         """Guards against a resumed member that evicts all others."""
         view = _view(1, "a", "b", "c")
@@ -167,9 +178,9 @@
     def test_wrong_variants_are_found(self, variant):
         """Guards against a model that cannot tell a wrong rule from the right one."""
         seed_by_variant = {
-            "any peer confirms": 6,
-            "new member waits only T": 438,
-            "views not merged": 17,
-            "any member acknowledges": 995,
+            "any peer confirms": 24,
+            "new member waits only T": 51,
+            "views not merged": 94,
+            "any member acknowledges": 872,
         }
         assert run_randomized(seed_by_variant[variant], variant).violation
