--- a/catkinport/adapters/__init__.py
+++ b/catkinport/adapters/__init__.py
@@ -1,9 +1,17 @@
 """HTTP and gRPC clients and servers behind the ports."""
 
 from ._http_client import HttpClient
+from .backend_servers_http import HttpBackendServers
 from .object_store_http import HttpObjectStore
 from .table_http import HttpTable
 from .vm_list_http import HttpVmList
 from .workers_http import HttpWorkers
 
-__all__ = ["HttpClient", "HttpObjectStore", "HttpTable", "HttpVmList", "HttpWorkers"]
+__all__ = [
+    "HttpBackendServers",
+    "HttpClient",
+    "HttpObjectStore",
+    "HttpTable",
+    "HttpVmList",
+    "HttpWorkers",
+]
