--- a/catkinport/entry/bodies.py
+++ b/catkinport/entry/bodies.py
@@ -39,8 +39,7 @@
     """Read the first 1 MB of the body."""
     stream = request.environ["wsgi.input"]
     if request.headers.get("transfer-encoding", "").lower() == "chunked":
-        chunks = iter(lambda: stream.read(CHUNK_BYTES), b"")
-        return _buffer(chunks, None)
+        return _buffer(_read_chunked(stream), None)
     length = _parse_length(request.environ)
     if length is None or length > max_bytes:
         detail = f"Content-Length must be 0 to {max_bytes}, got {length!r}"
@@ -52,6 +51,17 @@
     return body
 
 
+def _read_chunked(stream: Any) -> Iterator[bytes]:
+    while chunk := stream.read(CHUNK_BYTES):
+        yield chunk
+    # cheroot leaves the empty line after the last chunk unread, and a thread then
+    # waits on it for the next request until the connection times out after 10 s.
+    read_trailer_lines = getattr(stream, "read_trailer_lines", None)
+    if read_trailer_lines is not None:
+        for _ in read_trailer_lines():
+            pass
+
+
 def _buffer(chunks: Iterator[bytes], length: int | None) -> RequestBody:
     parts: list[bytes] = []
     n_bytes = 0
--- a/catkinport/entry/tests/test_requests.py
+++ b/catkinport/entry/tests/test_requests.py
@@ -1,9 +1,17 @@
 """Tests of the request plane over real sockets."""
 
+import time
+from concurrent.futures import ThreadPoolExecutor
+
 import pytest
+import urllib3
 
+from ...ports import Transaction, Write
+from ...state import allowance_key, claim_key, job_key, owner_key
 from .world import World
 
+BIG = 3_000_000
+
 
 @pytest.fixture
 def make_world():
@@ -28,3 +36,298 @@
         body = answer.json()
         assert (body["operation"], body["body_bytes"]) == ("7", 5)
         assert body["request_id"] == answer.headers["Catkin-Request-Id"]
+
+    def test_long_bodies_are_streamed_both_ways(self, make_world):
+        """Guards against bodies over 1 MB that are cut at the buffer's size."""
+        entry = make_world().entries[0]
+        answer = entry.call(f"/x?size={BIG}", body=b"y" * BIG)
+        assert answer.json()["body_bytes"] == BIG
+        chunked = entry.call("/x", body=iter([b"y" * 1_000_000] * 3))
+        assert chunked.json()["body_bytes"] == BIG
+
+    @pytest.mark.parametrize("size", [0, BIG])
+    def test_cut_answer_is_never_taken_for_a_whole_one(self, make_world, size):
+        """Guards against a truncated answer that looks complete (P6)."""
+        world = make_world()
+        world.set_faults(is_truncating=True)
+        try:
+            answer = world.entries[0].call(f"/x?size={size}")
+        except urllib3.exceptions.HTTPError:
+            assert size == BIG
+            return
+        assert answer.headers["Catkin-Outcome"] == "unknown"
+        assert answer.status == 502
+        assert len(world.list_executions()) == 1
+
+    def test_silent_server_gives_unknown_and_one_run(self, make_world):
+        """Guards against hanging on a silent connection, and against a second run."""
+        world = make_world(progress_seconds=0.3)
+        world.set_faults(is_silent=True)
+        answer = world.entries[0].call()
+        assert (answer.status, answer.headers["Catkin-Outcome"]) == (504, "unknown")
+        assert len(world.list_executions()) == 1
+
+    def test_idempotent_request_survives_a_silent_server(self, make_world):
+        """Guards against giving up where a retry on another server is allowed."""
+        world = make_world(progress_seconds=0.3)
+        world.servers[0].faults.update({"is_silent": True})
+        answers = [world.entries[0].call(Catkin_Idempotent="true") for _ in range(3)]
+        assert [answer.status for answer in answers] == [200] * 3
+
+    def test_server_that_refuses_connections_is_passed_over(self, make_world):
+        """Guards against failing a request that another server can still run once."""
+        world = make_world()
+        world.serve(["127.0.0.1:1", world.servers[0].address])
+        time.sleep(0.6)
+        statuses = [world.entries[0].call().status for _ in range(10)]
+        assert statuses == [200] * 10
+        assert len(world.list_executions()) == 10
+
+    def test_request_past_its_deadline_is_refused_as_not_run(self, make_world):
+        """Guards against "not run" for a request that did run (P7)."""
+        world = make_world(n_servers=1)
+        world.set_faults(is_refusing=True)
+        answer = world.entries[0].call(Catkin_Deadline_Ms="300")
+        assert answer.status == 503
+        assert answer.headers["Catkin-Outcome"] == "not-run"
+        assert int(answer.headers["Retry-After"]) >= 1
+        assert world.list_executions() == []
+
+
+class TestAccess:
+    @pytest.mark.parametrize(
+        "header", ["", "Bearer", "Bearer k.short", "Bearer k." + "t" * 43, "x" * 5000]
+    )
+    def test_wrong_keys_are_refused(self, make_world, header):
+        """Guards against work without a valid key on a keyed queue (P3)."""
+        world = make_world()
+        answer = world.entries[0].call(Authorization=header)
+        assert (answer.status, answer.headers["Catkin-Outcome"]) == (401, "not-run")
+        assert world.list_executions() == []
+
+    def test_without_a_lease_only_open_queues_go_on(self, make_world):
+        """Guards against keyed work on a configuration that may be old (P4)."""
+        world = make_world()
+        entry = world.entries[0]
+        path = "/v1/queues/o/requests/x"
+        assert entry.api("GET", path, headers={}).status == 200
+        entry.membership.is_fresh = False
+        answer = entry.call()
+        assert (answer.status, answer.headers["Catkin-Reason"]) == (
+            503,
+            "configuration-stale",
+        )
+        assert entry.api("GET", path, headers={}).status == 200
+
+    def test_key_withdrawn_while_waiting_does_not_run(self, make_world):
+        """Guards against work that was admitted under a key withdrawn since (P4)."""
+        world = make_world(max_slots=1)
+        entry = world.entries[0]
+        with ThreadPoolExecutor(2) as executor:
+            first = executor.submit(entry.call, "/x?seconds=0.6")
+            _wait_for(lambda: len(world.list_executions()) == 1)
+            second = executor.submit(entry.call)
+            time.sleep(0.1)
+            world.environment = world.environment._replace(key_by_name={})
+            assert first.result().status == 200
+            assert second.result().status == 401
+        assert len(world.list_executions()) == 1
+
+
+class TestAtMostOnce:
+    def test_two_entries_with_one_key_run_it_once(self, make_world):
+        """Guards against two runs of one idempotency key (P8).
+
+        Shown to fail with 2 runs when a claim is inserted without its condition.
+        """
+        world = make_world(n_entries=2)
+        with ThreadPoolExecutor(8) as executor:
+            answers = list(
+                executor.map(
+                    lambda i: world.entries[i % 2].call(
+                        "/x?seconds=0.2", Idempotency_Key="one"
+                    ),
+                    range(8),
+                )
+            )
+        assert len(world.list_executions()) == 1
+        assert sorted({answer.status for answer in answers}) == [200, 409]
+        replay = world.entries[1].call("/x?seconds=0.2", Idempotency_Key="one")
+        assert replay.headers["Catkin-Replayed"] == "true"
+        original = next(answer for answer in answers if answer.status == 200)
+        assert replay.data == original.data
+        other = world.entries[1].call("/other", Idempotency_Key="one")
+        assert (other.status, other.headers["Catkin-Outcome"]) == (422, "not-run")
+        assert len(world.list_executions()) == 1
+
+    def test_lost_claim_answer_neither_blocks_nor_repeats(self, make_world):
+        """Guards against taking one's own claim for another attempt's."""
+        world = make_world()
+        assert world.entries[0].call().status == 200
+        world.entries[0].table.n_lost_answers = 1
+        assert world.entries[0].call(Idempotency_Key="one").status == 200
+        assert len(world.list_executions()) == 2
+
+    def test_without_the_store_keyed_work_is_not_run(self, make_world):
+        """Guards against a run without a claim while the store is down."""
+        world = make_world()
+        entry = world.entries[0]
+        assert entry.call().status == 200
+        entry.table.is_down = True
+        answer = entry.call(Idempotency_Key="one")
+        assert (answer.status, answer.headers["Catkin-Outcome"]) == (503, "not-run")
+        assert entry.call().status == 200
+
+    def test_claim_of_an_evicted_entry_stays_unknown(self, make_world):
+        """Guards against a second run after an entry died in mid-request."""
+        world = make_world()
+        row = {"token": "t", "member_id": "dead", "digest": "", "state": "claimed"}
+        key = claim_key("blue", "one")
+        world.entries[0].call(Idempotency_Key="one")
+        digest = world.table.read([key])[key].value["digest"]
+        world.table.commit(Transaction([], [Write(key, {**row, "digest": digest})]))
+        answer = world.entries[0].call(Idempotency_Key="one")
+        assert (answer.status, answer.headers["Catkin-Outcome"]) == (409, "unknown")
+        assert world.table.read([key])[key].value["state"] == "unknown"
+        assert len(world.list_executions()) == 1
+
+    def test_entry_that_registered_anew_does_not_use_its_old_claim(self, make_world):
+        """Guards against a frozen entry that runs a claim already given up."""
+        world = make_world(max_slots=1)
+        entry = world.entries[0]
+        with ThreadPoolExecutor(2) as executor:
+            first = executor.submit(entry.call, "/x?seconds=0.5")
+            _wait_for(lambda: len(world.list_executions()) == 1)
+            second = executor.submit(
+                entry.call, Idempotency_Key="one", Catkin_Deadline_Ms="1500"
+            )
+            _wait_for(lambda: claim_key("blue", "one") in _claims(world))
+            entry.membership.member_id = "e-new"
+            assert first.result().status == 200
+            assert second.result().headers["Catkin-Outcome"] == "not-run"
+        assert len(world.list_executions()) == 1
+
+
+class TestLimits:
+    def test_entries_admitting_at_once_stay_within_the_limit(self, make_world):
+        """Guards against a sum of admissions above the team's limit (P5).
+
+        Shown to fail with 16 at once when every entry uses the whole limit.
+        """
+        world = make_world(n_entries=3, max_slots=4)
+        path = "/x?seconds=0.1"
+        with ThreadPoolExecutor(24) as executor:
+            answers = list(
+                executor.map(lambda i: world.entries[i % 3].call(path), range(36))
+            )
+        assert {answer.status for answer in answers} == {200}
+        assert _most_at_once(world.list_executions(), 0.1) <= 4
+
+    def test_lowered_limit_stops_new_work_at_once(self, make_world):
+        """Guards against admitting under the old limit after it was lowered."""
+        world = make_world(max_slots=6)
+        entry = world.entries[0]
+        with ThreadPoolExecutor(6) as executor:
+            list(executor.map(lambda i: entry.call("/x?seconds=0.2"), range(6)))
+            teams = dict(world.environment.team_by_name)
+            teams["blue"] = teams["blue"]._replace(max_slots=2)
+            world.environment = world.environment._replace(team_by_name=teams)
+            before = len(world.list_executions())
+            list(executor.map(lambda i: entry.call("/x?seconds=0.2"), range(6)))
+        assert _most_at_once(world.list_executions()[before:], 0.2) <= 2
+
+    def test_amount_of_a_stopped_entry_is_returned(self, make_world):
+        """Guards against allowances lost with every planned restart."""
+        world = make_world(n_entries=2)
+        world.entries[0].call()
+        key = allowance_key("blue", "slots")
+        assert "e-0" in world.table.read([key])[key].value["amount_by_holder"]
+        world.entries[0].engine.return_allowances()
+        assert "e-0" not in world.table.read([key])[key].value["amount_by_holder"]
+
+
+class TestGracefulStop:
+    def test_stop_under_load_cuts_nothing(self, make_world):
+        """Guards against a planned stop that cuts answers or uploads (P10)."""
+        world = make_world()
+        entry = world.entries[0]
+        assert entry.call().status == 200
+        with ThreadPoolExecutor(8) as executor:
+            running = [
+                executor.submit(entry.call, f"/x?seconds=0.5&size={BIG}")
+                for _ in range(6)
+            ]
+            upload = executor.submit(entry.call, "/x", body=_slow_body())
+            _wait_for(lambda: len(world.list_executions()) >= 7)
+            entry.engine.refuse_new_work()
+            refused = entry.call()
+            assert refused.headers["Catkin-Reason"] == "stopping"
+            assert entry.engine.wait_until_idle(10.0)
+            assert {future.result().status for future in running} == {200}
+            assert upload.result().json()["body_bytes"] == 400_000
+
+
+class TestJobs:
+    def test_job_is_durable_before_202_and_the_owner_is_told(self, make_world):
+        """Guards against an accepted job that the store does not have."""
+        world = make_world()
+        _add_job_queue(world)
+        entry = world.entries[0]
+        entry.table.n_lost_answers = 1
+        path = "/v1/queues/j/jobs"
+        owner = {"member_id": "c-1", "epoch": 1}
+        world.table.commit(Transaction([], [Write(owner_key("p"), owner)]))
+        answer = entry.api("POST", path, json={"command": "sleep", "cores": 2})
+        assert answer.status == 202
+        job_id = answer.json()["job_id"]
+        assert world.table.read([job_key("j", job_id)])
+        _wait_for(lambda: entry.membership.notices == [("c-1", "j", job_id)])
+        shown = entry.api("GET", f"{path}/{job_id}").json()
+        assert shown["state"] == "queued"
+        assert entry.api("GET", f"{path}/{job_id}/result").status == 404
+        assert entry.api("DELETE", f"{path}/{job_id}").status == 202
+        assert entry.api("GET", f"{path}/{job_id}").json()["is_cancel_requested"]
+
+    def test_wrong_fields_are_named(self, make_world):
+        """Guards against jobs that are stored although no worker can run them."""
+        world = make_world()
+        _add_job_queue(world)
+        answer = world.entries[0].api(
+            "POST", "/v1/queues/j/jobs", json={"command": "sleep", "cores": -1}
+        )
+        assert answer.status == 400
+        assert "cores must be 0.01 to 1024, got -1" in answer.json()["detail"]
+
+
+def _add_job_queue(world):
+    queue = world.environment.queue_by_name["q"]
+    queues = {
+        **world.environment.queue_by_name,
+        "j": queue._replace(name="j", pool="p"),
+    }
+    world.environment = world.environment._replace(queue_by_name=queues)
+
+
+def _claims(world):
+    return {row.row_key for row in world.table.scan("claims").rows}
+
+
+def _most_at_once(executions, seconds):
+    starts = sorted(execution["started_at"] for execution in executions)
+    return max(
+        sum(start <= other < start + seconds * 0.9 for other in starts)
+        for start in starts
+    )
+
+
+def _slow_body():
+    for _ in range(4):
+        time.sleep(0.05)
+        yield b"z" * 100_000
+
+
+def _wait_for(condition, seconds=10.0):
+    deadline = time.monotonic() + seconds
+    while not condition():
+        assert time.monotonic() < deadline, "the condition did not come true in time"
+        time.sleep(0.01)
