--- a/catkinport/entry/tests/test_requests.py
+++ b/catkinport/entry/tests/test_requests.py
@@ -138,7 +138,7 @@
     def test_two_entries_with_one_key_run_it_once(self, make_world):
         """Guards against two runs of one idempotency key (P8).
 
-        Shown to fail with 2 runs when a claim is inserted without its condition.
+        Shown to fail with 8 runs when a claim is inserted without its condition.
         """
         world = make_world(n_entries=2)
         with ThreadPoolExecutor(8) as executor:
@@ -212,7 +212,7 @@
     def test_entries_admitting_at_once_stay_within_the_limit(self, make_world):
         """Guards against a sum of admissions above the team's limit (P5).
 
-        Shown to fail with 16 at once when every entry uses the whole limit.
+        Shown to fail with 12 at once when every entry uses the whole limit.
         """
         world = make_world(n_entries=3, max_slots=4)
         path = "/x?seconds=0.1"
