Do not use an allowance that was read under a higher limit

And http.client takes the end of the connection for the end of an answer's head, so a head cut after its status line passed as an answer without a body. Ruled out: capping by the new limit alone. Change: a reading carries its limit; the head's lines must be whole. Conclusion: a lowered limit stops new work until the row is read again, one store read later.

--- a/catkinport/adapters/backend_servers_http.py
+++ b/catkinport/adapters/backend_servers_http.py
@@ -8,7 +8,7 @@
 import http.client
 import threading
 from collections.abc import Iterator
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 import urllib3
 from urllib3.connection import HTTPConnection
@@ -37,6 +37,40 @@
 TRANSPORT_ERRORS = (OSError, HTTPError, http.client.HTTPException)
 
 
+class _WholeLines:
+    """A file whose lines are never cut by the end of the connection."""
+
+    def __init__(self, file: Any) -> None:
+        self._file = file
+
+    def readline(self, *limit: int) -> bytes:
+        line = self._file.readline(*limit)
+        if not line.endswith(b"\n"):
+            raise http.client.IncompleteRead(line)
+        return line
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self._file, name)
+
+
+class _WholeHeadResponse(http.client.HTTPResponse):
+    """An answer whose head must be complete.
+
+    http.client takes the end of the connection for the end of the head, so that a
+    head cut after its status line would pass for an answer without a body.
+    """
+
+    def begin(self) -> None:
+        """Read the head."""
+        file = self.fp
+        self.fp = _WholeLines(file)
+        try:
+            super().begin()
+        finally:
+            if self.fp is not None:
+                self.fp = file
+
+
 class _IdleConnection(NamedTuple):
     connection: HTTPConnection
     proven_at: float
@@ -102,6 +136,7 @@
         # http.client would otherwise open a new connection inside of a send and
         # so repeat a part of the request.
         connection.auto_open = 0
+        connection.response_class = _WholeHeadResponse
         return connection
 
 
--- /dev/null
+++ b/catkinport/adapters/tests/test_backend_servers_http.py
@@ -0,0 +1,198 @@
+"""Tests of the backend server client against scripted sockets."""
+
+import socket
+import threading
+import time
+
+import pytest
+
+from ...ports import BackendRequest, BrokenAnswerError, NotRun, Reason, Unknown
+from ...runtime import BootTimeClock
+from ..backend_servers_http import PROVEN_SECONDS, HttpBackendServers
+
+OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+REFUSAL = b"HTTP/1.1 503 X\r\nContent-Length: 0\r\nCatkin-Not-Run: true\r\n%s\r\n"
+
+
+class SkewedClock(BootTimeClock):
+    """The real clock, which a test can put forward."""
+
+    offset = 0.0
+
+    def now(self):
+        return super().now() + self.offset
+
+
+class ScriptedServer:
+    """Answers the n-th request with the n-th script; ``None`` stays silent.
+
+    ``n_connections`` counts accepted connections, ``n_requests`` heads received.
+    """
+
+    def __init__(self, scripts, closes_after=False):
+        self._scripts = list(scripts)
+        self._closes_after = closes_after
+        self.n_connections = self.n_requests = 0
+        self.ended = threading.Event()
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def _accept(self):
+        while True:
+            try:
+                connection, _ = self._listener.accept()
+            except OSError:
+                return
+            self.n_connections += 1
+            threading.Thread(
+                target=self._serve, args=(connection,), daemon=True
+            ).start()
+
+    def _serve(self, connection):
+        with connection:
+            while b"\r\n\r\n" in (received := connection.recv(65536)):
+                assert received
+                self.n_requests += 1
+                script = self._scripts.pop(0)
+                if script is None:
+                    self.ended.wait(10)
+                    return
+                connection.sendall(script)
+                if self._closes_after:
+                    return
+
+    def close(self):
+        self.ended.set()
+        self._listener.close()
+
+
+@pytest.fixture
+def serve():
+    servers = []
+
+    def start(*scripts, **options):
+        servers.append(ScriptedServer(scripts, **options))
+        return servers[-1]
+
+    yield start
+    for server in servers:
+        server.close()
+
+
+@pytest.fixture
+def clock():
+    return SkewedClock()
+
+
+@pytest.fixture
+def client(clock):
+    client = HttpBackendServers(clock, n_connections=2, progress_seconds=0.2)
+    yield client
+    client.close()
+
+
+def request(clock, is_idempotent=False, body=b"", length=None):
+    length = len(body) if length is None else length
+    chunks = iter([body] if body else [])
+    deadline = clock.now() + 5
+    return BackendRequest("POST", "/x", {}, chunks, length, deadline, is_idempotent)
+
+
+def read(answer):
+    return b"".join(answer.chunks)
+
+
+class TestOutcomes:
+    def test_refused_connection_is_not_run(self, client, clock):
+        """Guards against "unknown" where no byte has left."""
+        outcome = client.send("127.0.0.1:1", request(clock))
+        assert isinstance(outcome, NotRun)
+        assert outcome.reason == Reason.CONNECT_FAILED
+
+    @pytest.mark.parametrize(
+        ("extra", "kind"), [(b"Retry-After: 2\r\n", NotRun), (b"", None)]
+    )
+    def test_only_a_full_refusal_is_not_run(self, serve, client, clock, extra, kind):
+        """Guards against any 503 taken for "not run" (P7)."""
+        server = serve(REFUSAL % extra)
+        outcome = client.send(server.address, request(clock))
+        if kind is None:
+            assert outcome.status == 503
+        else:
+            assert outcome.retry_after_seconds == 2.0
+
+    @pytest.mark.parametrize(
+        ("script", "closes_after", "reason"),
+        [
+            (None, False, Reason.NO_PROGRESS),
+            (b"", True, Reason.CONNECTION_LOST),
+            (b"HTTP/1.1 200", True, Reason.CONNECTION_LOST),
+            (b"HTTP/1.1 204 No Content\r\nA: b\r\n", True, Reason.CONNECTION_LOST),
+        ],
+    )
+    def test_lost_head_is_unknown(
+        self, serve, client, clock, script, closes_after, reason
+    ):
+        """Guards against "not run" for a request that may have run."""
+        server = serve(script, closes_after=closes_after)
+        outcome = client.send(server.address, request(clock))
+        assert isinstance(outcome, Unknown)
+        assert (outcome.reason, outcome.peer) == (reason, server.address)
+        assert server.n_requests == 1
+
+    @pytest.mark.parametrize(
+        "script",
+        [
+            b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok",
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n",
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nok",
+            b"HTTP/1.1 200 OK\r\n\r\nok",
+        ],
+    )
+    @pytest.mark.parametrize("closes_after", [True, False])
+    def test_cut_body_is_an_error(self, serve, client, clock, script, closes_after):
+        """Guards against a truncated or stuck body taken for a whole one (P6)."""
+        server = serve(script, closes_after=closes_after)
+        answer = client.send(server.address, request(clock))
+        with pytest.raises(BrokenAnswerError):
+            read(answer)
+
+    def test_short_upload_is_not_reported_as_answered(self, serve, client, clock):
+        """Guards against a backend server that waits for a body that never comes."""
+        server = serve(None)
+        outcome = client.send(server.address, request(clock, body=b"ab", length=5))
+        assert isinstance(outcome, Unknown)
+        assert outcome.step == "read-request"
+
+
+class TestConnections:
+    def test_stale_connection_gets_no_non_idempotent_request(
+        self, serve, client, clock
+    ):
+        """Guards against a keep-alive connection that the server gave up (P8)."""
+        server = serve(OK, OK, OK)
+        assert read(client.send(server.address, request(clock))) == b"ok"
+        assert read(client.send(server.address, request(clock))) == b"ok"
+        assert server.n_connections == 1
+        clock.offset += PROVEN_SECONDS + 0.1
+        assert read(client.send(server.address, request(clock))) == b"ok"
+        assert server.n_connections == 2
+
+    def test_connection_closed_by_the_server_is_not_used(self, serve, client, clock):
+        """Guards against an "unknown" that a look at the socket prevents."""
+        server = serve(OK, OK, closes_after=True)
+        assert read(client.send(server.address, request(clock))) == b"ok"
+        time.sleep(0.05)
+        assert read(client.send(server.address, request(clock))) == b"ok"
+
+    def test_connections_are_bounded_and_given_back(self, serve, client, clock):
+        """Guards against more connections than a backend server accepts."""
+        server = serve(OK, OK, OK)
+        held = [client.send(server.address, request(clock)) for _ in range(2)]
+        refused = client.send(server.address, request(clock))
+        assert refused.reason == Reason.BACKEND_FULL
+        held[0].close()
+        held[1].close()
+        assert read(client.send(server.address, request(clock))) == b"ok"
+        assert server.n_requests == 3
--- a/catkinport/entry/allowances.py
+++ b/catkinport/entry/allowances.py
@@ -8,7 +8,14 @@
 import pykka
 
 from ..membership.interface import Snapshot
-from ..policy.limits import HolderNeed, divide, fair_amount, is_reclaimable, reclaim
+from ..policy.limits import (
+    HolderNeed,
+    divide,
+    fair_amount,
+    is_reclaimable,
+    read_amounts,
+    reclaim,
+)
 from ..ports import Committed, Condition, Row, Transaction, Unavailable, Write
 from ..runtime import log_event
 from ..state import allowance_key
@@ -79,13 +86,13 @@
             kept = reclaim(amounts, self._find_reclaimable(snapshot, amounts))
             return divide(limit, kept, snapshot.member_id, need, self._ceiling(team))
 
-        amounts = self._change_row(snapshot.member_id, team, change)
+        amounts = self._change_row(snapshot.member_id, team, limit, change)
         if amounts is not None and is_short:
             self._ask_peer(snapshot, team, amounts, need)
         return amounts
 
     def _change_row(
-        self, member_id: str, team: str, change: Change
+        self, member_id: str, team: str, limit: int, change: Change
     ) -> dict[str, int] | None:
         """Apply ``change`` to the row; return the row, ``None`` without the store."""
         table = self._services.table
@@ -98,13 +105,13 @@
             amounts = dict(row.value["amount_by_holder"]) if row else {}
             changed = change(amounts)
             if changed == amounts:
-                self._tell(member_id, team, amounts)
+                self._tell(member_id, team, limit, amounts)
                 return amounts
             if not self._lower_first(member_id, team, amounts, changed):
                 continue
             outcome = table.commit(_write(row_key, row, changed))
             if isinstance(outcome, Committed):
-                self._tell(member_id, team, changed)
+                self._tell(member_id, team, limit, changed)
                 return changed
             if isinstance(outcome, Unavailable) and not outcome.may_have_committed:
                 return None
@@ -122,11 +129,11 @@
             changed[member_id] = min(in_use, amounts[member_id])
         return changed != amounts
 
-    def _tell(self, member_id: str, team: str, amounts: dict[str, int]) -> None:
-        own = amounts.get(member_id, 0)
-        others = sum(amounts.values()) - own
-        read = messages.AllowanceRead(member_id, team, own, others)
-        self._dispatcher.tell(read)
+    def _tell(
+        self, member_id: str, team: str, limit: int, amounts: dict[str, int]
+    ) -> None:
+        reading = read_amounts(limit, amounts, member_id)
+        self._dispatcher.tell(messages.AllowanceRead(member_id, team, reading))
 
     def _find_reclaimable(self, snapshot: Snapshot, amounts: dict) -> list[str]:
         now = self._services.clock.now()
@@ -215,7 +222,7 @@
         member_id = self._services.membership.snapshot().member_id
         for team in self._list_needs():
             self._change_row(
-                member_id, team, lambda amounts: reclaim(amounts, [member_id])
+                member_id, team, 0, lambda amounts: reclaim(amounts, [member_id])
             )
 
     def _list_needs(self) -> dict[str, messages.TeamNeed]:
--- a/catkinport/entry/dispatch.py
+++ b/catkinport/entry/dispatch.py
@@ -8,7 +8,7 @@
 import pykka
 
 from ..policy.admission import AdmissionQueue
-from ..policy.limits import HolderNeed
+from ..policy.limits import HolderNeed, usable_amount
 from ..policy.routing import OutlierTracker, ServerLoad, choose_server
 from ..ports import NotRun, Reason
 from ..settings.environment import Service
@@ -171,8 +171,9 @@
         in_use = self._in_use_by_team[message.team]
         amount = max(message.amount, in_use)
         if read is not None:
-            lowered = read._replace(own=min(read.own, amount))
-            self._allowance_by_team[message.team] = lowered
+            own = min(read.reading.own, amount)
+            reading = read.reading._replace(own=own)
+            self._allowance_by_team[message.team] = read._replace(reading=reading)
         return in_use
 
     def _on_serving(self, message: messages.ServingChanged) -> None:
@@ -256,9 +257,8 @@
             return 0
         if team not in environment.team_by_name:
             return 0
-        # Same rule as limits.usable_amount, with the limit in force now.
         limit = environment.team_by_name[team].max_slots
-        usable = max(0, min(read.own, limit - read.others))
+        usable = usable_amount(limit, read.reading)
         ceiling = self._ceiling_by_team.get(team)
         if ceiling is not None and self._services.clock.now() < ceiling.until:
             return min(usable, ceiling.amount)
--- a/catkinport/entry/messages.py
+++ b/catkinport/entry/messages.py
@@ -5,7 +5,7 @@
 from typing import NamedTuple
 
 from ..policy.admission import WaitingRequest
-from ..policy.limits import HolderNeed
+from ..policy.limits import HolderNeed, Reading
 from ..ports import NotRun, Transaction
 from ..settings.environment import Service
 from ..state import ServingVm
@@ -67,12 +67,11 @@
 
 
 class AllowanceRead(NamedTuple):
-    """A team's row as it was read: own amount, and the sum of the others."""
+    """A team's row as the entry read it under its id."""
 
     member_id: str
     team: str
-    own: int
-    others: int
+    reading: Reading
 
 
 class LowerAllowance(NamedTuple):
--- a/catkinport/policy/limits.py
+++ b/catkinport/policy/limits.py
@@ -1,8 +1,10 @@
 """Divides an upper limit among holders so that their sum never exceeds it.
 
 Only a holder changes its own amount, except that the amounts of evicted members
-are reclaimed. That rule makes ``usable_amount`` safe: whichever holder read the row
-last counts every other holder's amount, and nobody else's amount has changed since.
+are reclaimed, and an amount is never below what running work uses. So what others
+run is at most what a reading says they hold, as long as they take only what is free.
+After a limit was lowered that no longer bounds their running work to the new limit,
+so a reading made under a higher limit is not used.
 """
 
 import math
@@ -30,21 +32,45 @@
     return max(0, limit - sum(amount_by_holder.values()))
 
 
-def usable_amount(limit: int, amount_by_holder: Mapping[str, int], holder: str) -> int:
-    """Return how many units ``holder`` may use under ``limit``.
+class Reading(NamedTuple):
+    """A holder's view of the row.
 
-    After a limit was lowered, a holder may use nothing of what other holders have
-    not yet returned.
+    Args:
+        limit: the limit that was in force when the row was read.
+        own: the holder's amount.
+        others: the sum of the other amounts.
+    """
+
+    limit: int
+    own: int
+    others: int
+
+
+def read_amounts(
+    limit: int, amount_by_holder: Mapping[str, int], holder: str
+) -> Reading:
+    """Return what ``holder`` sees in the row under ``limit``."""
+    own = amount_by_holder.get(holder, 0)
+    return Reading(limit, own, sum(amount_by_holder.values()) - own)
+
+
+def usable_amount(limit: int, reading: Reading) -> int:
+    """Return how many units a holder may use under ``limit``.
+
+    Nothing may be used after the limit was lowered, until the row is read again;
+    then, nothing of what other holders have not yet returned.
 
     Example:
-        >>> usable_amount(10, {"e-1": 4, "e-2": 6}, "e-1")
+        >>> usable_amount(10, Reading(10, own=4, others=6))
         4
-        >>> usable_amount(8, {"e-1": 4, "e-2": 6}, "e-1")
+        >>> usable_amount(8, Reading(10, own=4, others=6))
+        0
+        >>> usable_amount(8, Reading(8, own=4, others=6))
         2
     """
-    own = amount_by_holder.get(holder, 0)
-    others = sum(amount_by_holder.values()) - own
-    return max(0, min(own, limit - others))
+    if limit < reading.limit:
+        return 0
+    return max(0, min(reading.own, limit - reading.others))
 
 
 def divide(
