Settle claims after a store outage; check the lease after connecting

Cause: a claim whose last write failed answered 409 "still running" for as long as its entry lived, and a connect of up to 0.5 s lay between the lease check and the first byte. Ruled out: writing from the request's thread until it succeeds, which holds the caller. Change: the claim writer repeats up to 100 such writes; BackendRequest.may_send is asked once the connection is open. Conclusion: a replay follows an outage at the end of a request.

--- a/catkinport/adapters/backend_servers_http.py
+++ b/catkinport/adapters/backend_servers_http.py
@@ -233,6 +233,11 @@
     def run(self) -> BackendAnswer | NotRun | Unknown:
         """Connect, send the request and read the answer's head."""
         refusal = self._connect()
+        if refusal is None and not self._request.may_send():
+            detail = "the caller may no longer send it"
+            refusal = NotRun(
+                Reason.CONFIGURATION_STALE, "send", self._address, detail, 1.0
+            )
         if refusal is not None:
             self.close()
             return refusal
--- a/catkinport/adapters/tests/test_backend_servers_http.py
+++ b/catkinport/adapters/tests/test_backend_servers_http.py
@@ -158,6 +158,15 @@
         with pytest.raises(BrokenAnswerError):
             read(answer)
 
+    def test_lease_is_asked_for_after_connecting(self, serve, client, clock):
+        """Guards against a slow connect between the lease check and the bytes."""
+        server = serve(OK)
+        refused = request(clock)._replace(may_send=lambda: False)
+        outcome = client.send(server.address, refused)
+        assert isinstance(outcome, NotRun)
+        assert outcome.reason == Reason.CONFIGURATION_STALE
+        assert server.n_requests == 0
+
     def test_short_upload_is_not_reported_as_answered(self, serve, client, clock):
         """Guards against a backend server that waits for a body that never comes."""
         server = serve(None)
--- a/catkinport/entry/claims.py
+++ b/catkinport/entry/claims.py
@@ -3,6 +3,7 @@
 import hashlib
 import time
 import uuid
+from collections import deque
 from collections.abc import Mapping
 from concurrent.futures import Future
 from typing import Any, NamedTuple
@@ -25,12 +26,16 @@
     Write,
 )
 from ..state import ClaimRow, ClaimState, claim_key
-from .messages import CommitClaim
+from .messages import CommitClaim, Later, Tick
 from .services import EntryServices
 
 COMMIT_SECONDS = 10.0
 N_ATTEMPTS = 3
 RETRY_AFTER_SECONDS = 1.0
+# Bounds the memory for answers that wait for the store, and the work of one tick. A
+# claim that is dropped stays "claimed", so it only makes a retry answer "unknown".
+MAX_LATER = 100
+MAX_LATER_PER_TICK = 20
 
 
 class Claim(NamedTuple):
@@ -66,12 +71,17 @@
         self._table = table
         self._batch_seconds = batch_seconds
         self._pending: list[CommitClaim] = []
+        self._later: deque[Later] = deque(maxlen=MAX_LATER)
         self._last_size = 0
 
     def on_receive(self, message: Any) -> None:
         """Collect a transaction, or commit those collected on ``None``."""
         if message is None:
             return self._flush()
+        if isinstance(message, Later):
+            return self._later.append(message)
+        if isinstance(message, Tick):
+            return self._try_later()
         self._pending.append(message)
         if len(self._pending) == 1:
             if self._last_size > 1:
@@ -80,6 +90,12 @@
             self.actor_ref.tell(None)
         return None
 
+    def _try_later(self) -> None:
+        for _ in range(min(MAX_LATER_PER_TICK, len(self._later))):
+            if not self._later[0].operation():
+                return
+            self._later.popleft()
+
     def _flush(self) -> None:
         pending, self._pending = self._pending, []
         self._last_size = len(pending)
@@ -137,13 +153,12 @@
                 return found
             version = found
         # Nobody dispatches under this token any more, even if the row appears late.
+        self._writer.tell(Later(lambda: self._give_up(row_key, row)))
         return NotRun(Reason.STORE_UNAVAILABLE, "claim", "", "", RETRY_AFTER_SECONDS)
 
     def finish(self, claim: Claim, status: int, content_type: str, content: bytes):
         """Store the answer, so that a retry gets it again."""
         reference = f"answers/{claim.row_key.key}/{claim.row['token']}"
-        if self._services.objects.put(reference, content) is not None:
-            return
         row = {
             **claim.row,
             "state": ClaimState.DONE,
@@ -151,6 +166,15 @@
             "answer_reference": reference,
             "content_type": content_type,
         }
+
+        def store() -> bool:
+            if self._services.objects.put(reference, content) is not None:
+                return False
+            return self._write(claim, row)
+
+        if self._services.objects.put(reference, content) is not None:
+            self._writer.tell(Later(store))
+            return
         self._settle(claim, row)
 
     def finish_unkept(self, claim: Claim, status: int) -> None:
@@ -169,16 +193,32 @@
         self._settle(claim, {**claim.row, "state": state})
 
     def _settle(self, claim: Claim, row: Mapping[str, Any]) -> None:
-        # A failure leaves the claim as it is, which lets nothing run again.
-        self._commit(claim.row_key, claim.version, row)
+        outcome = self._commit(claim.row_key, claim.version, row)
+        if isinstance(outcome, Unavailable):
+            self._writer.tell(Later(lambda: self._write(claim, row)))
+
+    def _write(self, claim: Claim, row: Mapping[str, Any]) -> bool:
+        """Write the row; a conflict means that another member settled the claim."""
+        transaction = _conditional_write(claim.row_key, claim.version, row)
+        outcome = self._services.table.commit(transaction)
+        return not isinstance(outcome, Unavailable)
+
+    def _give_up(self, row_key: RowKey, row: ClaimRow) -> bool:
+        """Let others claim what this attempt claimed without learning of it."""
+        rows = self._services.table.read([row_key])
+        if isinstance(rows, Unavailable):
+            return False
+        found = rows.get(row_key)
+        if found is None or found.value["token"] != row["token"]:
+            return True
+        not_run = {**row, "state": ClaimState.NOT_RUN}
+        return self._write(Claim(row_key, found.version, row), not_run)
 
     def _commit(
         self, row_key: RowKey, version: int, row: Mapping[str, Any]
     ) -> CommitOutcome:
         future: Future[CommitOutcome] = Future()
-        transaction = Transaction(
-            [Condition(row_key, version)], [Write(row_key, dict(row))]
-        )
+        transaction = _conditional_write(row_key, version, row)
         self._writer.tell(CommitClaim(transaction, future))
         return future.result(COMMIT_SECONDS)
 
@@ -187,6 +227,7 @@
         rows = self._services.table.read([row_key])
         if isinstance(rows, Unavailable):
             # Whether the claim was written stays open; it is not used.
+            self._writer.tell(Later(lambda: self._give_up(row_key, row)))
             return _refuse_without_store(rows)
         found = rows.get(row_key)
         if found is None:
@@ -236,6 +277,12 @@
     return hashlib.sha256(head + body).hexdigest()
 
 
+def _conditional_write(
+    row_key: RowKey, version: int, row: Mapping[str, Any]
+) -> Transaction:
+    return Transaction([Condition(row_key, version)], [Write(row_key, dict(row))])
+
+
 def _load_answer(objects: ObjectStore, row: Any) -> StoredAnswer | Unknown:
     if not row["answer_reference"]:
         detail = "it ran, but its answer was too large to be kept"
--- a/catkinport/entry/engine.py
+++ b/catkinport/entry/engine.py
@@ -84,3 +84,4 @@
         if is_period:
             self._allowances.tell(messages.Tick())
             self._pools.tell(None)
+            self._writer.tell(messages.Tick())
--- a/catkinport/entry/messages.py
+++ b/catkinport/entry/messages.py
@@ -1,6 +1,6 @@
 """Messages of the entry's actors."""
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from concurrent.futures import Future
 from typing import NamedTuple
 
@@ -133,6 +133,12 @@
     future: Future
 
 
+class Later(NamedTuple):
+    """Call ``operation`` on every ``Tick`` until it returns true."""
+
+    operation: Callable[[], bool]
+
+
 class ReadPools(NamedTuple):
     """Read the serving VMs of pools."""
 
--- a/catkinport/entry/requests.py
+++ b/catkinport/entry/requests.py
@@ -230,8 +230,7 @@
             return NotRun(Reason.DEADLINE, "admission", "", "", 1.0)
 
     def _dispatch(self, call: Call, grant: Grant) -> Outcome:
-        snapshot = self._services.membership.snapshot()
-        refusal = check_again(call.entrant, snapshot, self._services.clock)
+        refusal = self._check_again(call)
         if refusal is not None:
             self._dispatcher.tell(Release(grant))
             return refusal
@@ -267,7 +266,7 @@
 
     def _may_go_elsewhere(self, call: Call, outcome: NotRun) -> bool:
         """Return whether a request that did not run is tried again."""
-        if outcome.reason == Reason.DEADLINE:
+        if outcome.reason not in (Reason.CONNECT_FAILED, Reason.BACKEND_FULL):
             return False
         # A server that refused a streamed body may have read a part of it.
         is_untouched = outcome.reason == Reason.CONNECT_FAILED
@@ -307,8 +306,13 @@
             call.body.length,
             call.deadline,
             call.is_idempotent,
+            lambda: self._check_again(call) is None,
         )
 
+    def _check_again(self, call: Call) -> Refused | None:
+        snapshot = self._services.membership.snapshot()
+        return check_again(call.entrant, snapshot, self._services.clock)
+
     def _answer(self, call: Call, outcome: Outcome, claim: Claim | None) -> HttpAnswer:
         if claim is not None:
             self._settle(claim, outcome)
--- a/catkinport/entry/tests/test_requests.py
+++ b/catkinport/entry/tests/test_requests.py
@@ -178,6 +178,45 @@
         assert (answer.status, answer.headers["Catkin-Outcome"]) == (503, "not-run")
         assert entry.call().status == 200
 
+    def test_claim_is_settled_once_the_store_is_back(self, make_world):
+        """Guards against "still running" for ever after an outage at the end."""
+        world = make_world()
+        entry = world.entries[0]
+        assert entry.call().status == 200
+        with ThreadPoolExecutor(1) as executor:
+            running = executor.submit(
+                entry.call, "/x?seconds=0.3", Idempotency_Key="one"
+            )
+            _wait_for(lambda: len(world.list_executions()) == 2)
+            entry.table.is_down = True
+            assert running.result().status == 200
+        entry.table.is_down = False
+        _wait_for(lambda: _claim_state(world, "one") == "done")
+        again = entry.call("/x?seconds=0.3", Idempotency_Key="one")
+        assert again.headers["Catkin-Replayed"] == "true"
+        assert len(world.list_executions()) == 2
+
+    def test_claims_of_one_moment_share_a_call(self, make_world):
+        """Guards against one store write call for each claim under load."""
+        world = make_world(n_servers=4, max_slots=32)
+        entry = world.entries[0]
+        sizes = []
+        commit_batch = entry.table.commit_batch
+
+        def slow_commit_batch(transactions):
+            sizes.append(len(transactions))
+            time.sleep(0.02)
+            return commit_batch(transactions)
+
+        entry.table.commit_batch = slow_commit_batch
+        with ThreadPoolExecutor(16) as executor:
+            calls = executor.map(
+                lambda i: entry.call(Idempotency_Key=f"k-{i}").status, range(32)
+            )
+            assert set(calls) == {200}
+        assert len(world.list_executions()) == 32
+        assert max(sizes) > 4
+
     def test_claim_of_an_evicted_entry_stays_unknown(self, make_world):
         """Guards against a second run after an entry died in mid-request."""
         world = make_world()
@@ -191,6 +230,21 @@
         assert world.table.read([key])[key].value["state"] == "unknown"
         assert len(world.list_executions()) == 1
 
+    def test_lease_that_ends_while_waiting_stops_the_request(self, make_world):
+        """Guards against a frozen entry that sends after its lease has ended."""
+        world = make_world(max_slots=1)
+        entry = world.entries[0]
+        with ThreadPoolExecutor(2) as executor:
+            first = executor.submit(entry.call, "/x?seconds=0.4")
+            _wait_for(lambda: len(world.list_executions()) == 1)
+            second = executor.submit(entry.call, Idempotency_Key="one")
+            _wait_for(lambda: claim_key("blue", "one") in _claims(world))
+            entry.membership.is_fresh = False
+            assert first.result().status == 200
+            assert second.result().headers["Catkin-Reason"] == "configuration-stale"
+        assert len(world.list_executions()) == 1
+        assert _claim_state(world, "one") == "not-run"
+
     def test_entry_that_registered_anew_does_not_use_its_old_claim(self, make_world):
         """Guards against a frozen entry that runs a claim already given up."""
         world = make_world(max_slots=1)
@@ -208,6 +262,18 @@
         assert len(world.list_executions()) == 1
 
 
+class TestSlots:
+    def test_caller_that_goes_away_gives_its_slot_back(self, make_world):
+        """Guards against slots lost to callers that leave in mid-answer."""
+        world = make_world(n_servers=1, max_slots=1)
+        entry = world.entries[0]
+        for _ in range(3):
+            answer = entry.call(f"/x?size={8 * BIG}", preload_content=False)
+            assert answer.status == 200
+            answer.close()
+        assert entry.call().status == 200
+
+
 class TestLimits:
     def test_entries_admitting_at_once_stay_within_the_limit(self, make_world):
         """Guards against a sum of admissions above the team's limit (P5).
@@ -314,6 +380,11 @@
     return {row.row_key for row in world.table.scan("claims").rows}
 
 
+def _claim_state(world, idempotency_key):
+    key = claim_key("blue", idempotency_key)
+    return world.table.read([key])[key].value["state"]
+
+
 def _most_at_once(executions, seconds):
     starts = sorted(execution["started_at"] for execution in executions)
     return max(
--- a/catkinport/entry/tests/world.py
+++ b/catkinport/entry/tests/world.py
@@ -162,7 +162,15 @@
             host, int(port), maxsize=40, retries=False, timeout=15
         )
 
-    def call(self, path="/work", method="POST", queue="q", body=b"x", **headers):
+    def call(
+        self,
+        path="/work",
+        method="POST",
+        queue="q",
+        body=b"x",
+        preload_content=True,
+        **headers,
+    ):
         """Send a request with the key; underscores in header names become dashes."""
         named = {name.replace("_", "-"): value for name, value in headers.items()}
         return self._pool.request(
@@ -170,6 +178,7 @@
             f"/v1/queues/{queue}/requests{path}",
             body=body,
             headers={**AUTHORIZATION, **named},
+            preload_content=preload_content,
         )
 
     def api(self, method, path, headers=AUTHORIZATION, **options):
--- a/catkinport/entry/ticker.py
+++ b/catkinport/entry/ticker.py
@@ -31,10 +31,11 @@
         self._thread.start()
 
     def stop(self) -> None:
-        """Stop calling."""
+        """Stop calling, and wait for a call that is in progress."""
         with self._condition:
             self._is_stopped = True
             self._condition.notify()
+        self._thread.join()
 
     def wake_after(self, seconds: float) -> None:
         """Ask for a call after ``seconds``."""
--- a/catkinport/ports/backend_servers.py
+++ b/catkinport/ports/backend_servers.py
@@ -1,6 +1,6 @@
 """Backend servers, which answer requests on a fixed number of slots."""
 
-from collections.abc import Iterator, Mapping
+from collections.abc import Callable, Iterator, Mapping
 from typing import NamedTuple, Protocol
 
 from .outcomes import NotRun, Unknown
@@ -18,6 +18,8 @@
         deadline: time on the entry's clock by which the whole answer is needed,
             in seconds.
         is_idempotent: whether the request may run more than once.
+        may_send: asked once the connection is open, right before the first byte;
+            if it returns false, nothing is sent.
     """
 
     method: str
@@ -27,6 +29,7 @@
     content_length: int | None
     deadline: float
     is_idempotent: bool
+    may_send: Callable[[], bool] = lambda: True
 
 
 class BackendAnswer(NamedTuple):
