Take over a VM's addresses after a reboot and let VMs that stay serve again

Cause: a rebooted VM kept its old worker address in its row, and a VM that was leaving or gone by mistake, or whose reboot was overdue, stayed out of service for good. recover_vm and mark_maintained take the listed VM now instead of its boot id.

--- a/catkinport/controller/fleet_watch.py
+++ b/catkinport/controller/fleet_watch.py
@@ -2,7 +2,7 @@
 
 import logging
 
-from ..fleet.operations import fail_vm, mark_maintained, recover_vm
+from ..fleet.operations import fail_vm, mark_maintained, recover_vm, undrain_vm
 from ..fleet.pool_rows import GONE
 from ..ports import ListedVm, VmStatus
 from ..runtime import log_event
@@ -21,7 +21,8 @@
 REBOOTING = "rebooting"
 LEAVING = "leaving"
 OVERDUE = "reboot-overdue"
-LISTED_REASONS = (MISSING, REBOOTING, LEAVING)
+LISTED_REASONS = (MISSING, REBOOTING, GONE, OVERDUE)
+"""Reasons that end when the list shows the VM as live."""
 
 
 class FleetWatch:
@@ -82,14 +83,13 @@
         if vm.row["operation"] == "maintenance" and is_awaited:
             mark_maintained(
                 self._services.table,
-                vm.vm_id,
-                listed.boot_id,
+                listed,
                 self._state.next_token(),
                 self._services.unix_time(),
                 self._state.fence,
             )
         else:
-            self._recover(vm, listed.boot_id)
+            self._recover(vm, listed)
         self._records.invalidate()
 
     def _watch_live(self, vm: VmRecord) -> None:
@@ -99,11 +99,24 @@
         reason = self._state.pool_row["reason_by_disrupted_vm"].get(vm.vm_id, "")
         if is_silent and vm.row["state"] != VmState.REBOOTING:
             self._fail(vm, SILENT)
+        elif reason == LEAVING:
+            self._stay(vm)
         elif vm.row["state"] == VmState.FAILED and not is_silent:
             has_answered = link is None or link.has_answered
             if reason in LISTED_REASONS or (reason == SILENT and has_answered):
                 self._recover(vm, None)
 
+    def _stay(self, vm: VmRecord) -> None:
+        """Let a VM serve again that was leaving and is not any more."""
+        outcome = undrain_vm(
+            self._services.table,
+            self._state.environment,
+            vm.vm_id,
+            self._state.next_token(),
+            fence=self._state.fence,
+        )
+        self._log("VM stays", vm, "", outcome)
+
     def _lose_tasks(self, vm: VmRecord) -> None:
         for task in self._state.tasks_on(vm.vm_id):
             task.is_lost = True
@@ -123,12 +136,12 @@
         )
         self._log("VM taken out of service", vm, reason, outcome)
 
-    def _recover(self, vm: VmRecord, boot_id: str | None) -> None:
+    def _recover(self, vm: VmRecord, listed: ListedVm | None) -> None:
         outcome = recover_vm(
             self._services.table,
             vm.vm_id,
             self._state.next_token(),
-            boot_id,
+            listed,
             self._state.fence,
         )
         self._log("VM recovered", vm, "", outcome)
--- a/catkinport/controller/tests/test_fleet.py
+++ b/catkinport/controller/tests/test_fleet.py
@@ -174,6 +174,34 @@
         assert cluster.job("j")["state"] == "done"
         assert cluster.job("once")["state"] == "unknown"
 
+    def test_rebooted_vm_has_a_new_address(self):
+        """Guards against calls to the address that a VM had before its reboot."""
+        cluster = Cluster()
+        cluster.add_vm("vm-0")
+        manager = cluster.own()
+        cluster.run(manager, seconds=2)
+        listed = cluster.vm_list.list_vms()[0]
+        changed = {"boot_id": "2", "worker_address": "w-new"}
+        cluster.vm_list.put({**listed._asdict(), **changed})
+        cluster.run(manager, seconds=2)
+        serving = pool_row(cluster)["serving_vm_by_id"]
+        assert serving["vm-0"]["worker_address"] == "w-new"
+        cluster.submit("j")
+        manager.notice_job("p", "j")
+        cluster.run(manager, seconds=2)
+        assert cluster.workers.table("w-new").list_reports()[0].job_id == "j"
+
+    @pytest.mark.parametrize("status", [VmStatus.LEAVING, VmStatus.GONE])
+    def test_vm_that_stays_after_all_serves_again(self, status):
+        """Guards against a VM that is out of service for good after an error."""
+        cluster = Cluster()
+        cluster.add_vm("vm-0")
+        manager = cluster.own()
+        for listed, seconds in ((VmStatus.LIVE, 2), (status, 10), (VmStatus.LIVE, 4)):
+            cluster.set_status("vm-0", listed)
+            cluster.run(manager, seconds=seconds)
+        assert list(pool_row(cluster)["serving_vm_by_id"]) == ["vm-0"]
+
     def test_silent_vm_comes_back(self):
         """Guards against a VM that is lost for good after a network failure."""
         cluster = Cluster()
--- a/catkinport/fleet/operations.py
+++ b/catkinport/fleet/operations.py
@@ -220,19 +220,22 @@
     table: Table,
     vm_id: str,
     token: str,
-    boot_id: str | None = None,
+    listed: ListedVm | None = None,
     fence: Fence | None = None,
 ) -> VmOutcome:
-    """Let a failed VM serve again, or go on with the operation it was in."""
+    """Let a failed VM serve again, or go on with the operation it was in.
+
+    ``listed`` is the VM after a reboot, whose addresses and size are taken over.
+    """
 
     def decide(view: VmView) -> Decision:
         vm = view.vm
         if vm is None:
             return _not_found(vm_id)
-        if vm["state"] != VmState.FAILED and boot_id in (None, vm["boot_id"]):
+        booted = vm if listed is None else _booted(vm, listed)
+        if vm["state"] != VmState.FAILED and booted == vm:
             return Unchanged()
         pool = view.pool_by_name[vm["pool"]]
-        booted: VmRow = {**vm, "boot_id": boot_id or vm["boot_id"]}
         if vm["state"] not in (VmState.FAILED, VmState.ACTIVE):
             return VmPlan(booted, {})
         if vm["operation"]:
@@ -270,8 +273,7 @@
 
 def mark_maintained(
     table: Table,
-    vm_id: str,
-    boot_id: str,
+    listed: ListedVm,
     token: str,
     now: float,
     fence: Fence | None = None,
@@ -280,8 +282,7 @@
 
     Args:
         table: client of the table service.
-        vm_id: the VM.
-        boot_id: its boot after the reboot.
+        listed: the VM after its reboot.
         token: token of the attempt.
         now: time of the maintenance, in seconds since the Unix epoch.
         fence: ownership that must still hold.
@@ -290,19 +291,18 @@
     def decide(view: VmView) -> Decision:
         vm = view.vm
         if vm is None:
-            return _not_found(vm_id)
+            return _not_found(listed.vm_id)
         if vm["operation"] != "maintenance":
-            return _wrong_state("mark-maintained", vm_id, vm)
+            return _wrong_state("mark-maintained", listed.vm_id, vm)
         changed: VmRow = {
-            **vm,
+            **_booted(vm, listed),
             **_state(VmState.ACTIVE),
-            "boot_id": boot_id,
             "last_maintained": now,
         }  # type: ignore[typeddict-item]
         pool = view.pool_by_name[vm["pool"]]
-        return VmPlan(changed, {vm["pool"]: serve(pool, vm_id, changed)})
+        return VmPlan(changed, {vm["pool"]: serve(pool, listed.vm_id, changed)})
 
-    return commit_change(table, VmChange(vm_id, token, decide, (), None, fence))
+    return commit_change(table, VmChange(listed.vm_id, token, decide, (), None, fence))
 
 
 def _check_drain(
@@ -384,6 +384,13 @@
     }
 
 
+def _booted(vm: VmRow, listed: ListedVm) -> VmRow:
+    """Return the row with what a reboot may have changed."""
+    new = _new_vm(listed, vm["pool"], vm["last_maintained"])
+    kept = ("state", "operation", "target_pool", "last_token")
+    return {**new, **{name: vm[name] for name in kept}}  # type: ignore
+
+
 def _not_found(vm_id: str) -> Refused:
     return Refused(Reason.NOT_FOUND, "vm-change", detail=f"VM {vm_id!r} has no row")
 
