--- a/catkinport/policy/maintenance.py
+++ b/catkinport/policy/maintenance.py
@@ -96,10 +96,18 @@
 def _choose_rack(
     vms: Sequence[MaintainableVm], due: Sequence[MaintainableVm]
 ) -> tuple[str, str] | None:
-    """Return the rack of the wave under way, else the one that is longest due."""
+    """Return the rack of the wave under way, else the one that is longest due.
+
+    Racks with failed VMs come last: they need a second wave once those are repaired.
+    """
     in_wave = {_rack_of(vm) for vm in vms if not vm.is_serving and not vm.is_failed}
     if not in_wave:
-        return _rack_of(min(due, key=lambda vm: (vm.last_maintained, vm.vm_id)))
+        has_failed = {_rack_of(vm) for vm in vms if vm.is_failed and not vm.is_serving}
+        first = min(
+            due,
+            key=lambda vm: (_rack_of(vm) in has_failed, vm.last_maintained, vm.vm_id),
+        )
+        return _rack_of(first)
     return in_wave.pop() if len(in_wave) == 1 else None
 
 
