Cover less of the spread of processors in corrected sizes

Cause of the idle part: the 0.9 quantile covered differences that even out over the tasks of a worker, and four prior reports kept a tenfold error at 1.15.

--- a/benchmarks/maintenance.py
+++ b/benchmarks/maintenance.py
@@ -93,6 +93,11 @@
         self.budget = budget
         self.vm_by_id = {vm.view.vm_id: vm for vm in vms}
 
+    def maintenance_view(self) -> PoolMaintenance:
+        """Return the pool as the chooser sees it before the first drain."""
+        views = [vm.view for vm in self.vm_by_id.values()]
+        return PoolMaintenance(self.name, self.budget, views)
+
     def roll_out(self, chooser: Chooser, failures: Sequence[Failure]) -> PoolOutcome:
         """Maintain every VM once; return how long it took and what it cost."""
         clock = ManualClock()
--- a/catkinport/policy/size_estimates.py
+++ b/catkinport/policy/size_estimates.py
@@ -12,11 +12,15 @@
 WINDOW = 64
 """Finished or mature tasks per queue and team that an estimate rests on."""
 
-PRIOR_WEIGHT = 4
+PRIOR_WEIGHT = 1
 """Reports at which measured usage and the declared size count the same."""
 
-QUANTILE = 0.9
-"""Part of the tasks that the corrected size is meant to hold."""
+CORES_QUANTILE = 0.6
+"""Part of the tasks whose processors are covered: differences even out over the tasks
+of a worker, and processors that are short only slow work down."""
+
+MEMORY_QUANTILE = 0.9
+"""Part of the tasks whose memory is covered: a task that lacks memory fails."""
 
 MIN_AGE_SECONDS = 20.0
 """Younger tasks are ignored: reports lag by a renewal (10 s) and tasks ramp up."""
@@ -78,8 +82,8 @@
         ratios = self._ratios.get((queue, team))
         if not ratios:
             return declared
-        cores = _shrunk_factor([ratio for _, ratio, _ in ratios])
-        memory = _shrunk_factor([ratio for _, _, ratio in ratios])
+        cores = _shrunk_factor([ratio for _, ratio, _ in ratios], CORES_QUANTILE)
+        memory = _shrunk_factor([ratio for _, _, ratio in ratios], MEMORY_QUANTILE)
         return Resources(
             declared.cores * cores, declared.memory_gb * memory, declared.accelerators
         )
@@ -91,12 +95,12 @@
     return min(MAX_FACTOR, max(1 / MAX_FACTOR, used / declared))
 
 
-def _shrunk_factor(ratios: list[float]) -> float:
+def _shrunk_factor(ratios: list[float], quantile: float) -> float:
     """Return the upper quantile of the ratios, drawn towards 1 while they are few.
 
     The mean is geometric because errors are factors either way.
     """
     ordered = sorted(ratios)
-    rank = min(len(ordered) - 1, math.ceil(QUANTILE * len(ordered)) - 1)
+    rank = min(len(ordered) - 1, math.ceil(quantile * len(ordered)) - 1)
     weight = len(ordered) / (len(ordered) + PRIOR_WEIGHT)
     return math.exp(weight * math.log(ordered[rank]))
