--- a/catkinport/policy/placement.py
+++ b/catkinport/policy/placement.py
@@ -140,17 +140,21 @@
                 item = queue.popleft()
                 if is_within and not is_within(team, extra_of(item)):
                     put_off.append(item)
-                    self._reason_by_job.setdefault(item.job_id, NO_ROOM)
+                    if isinstance(item, WaitingJob):
+                        self._reason_by_job[item.job_id] = NO_ROOM
                 elif self._try(item, no_room):
                     break
-                elif self._reason_by_job.get(item.job_id) == NO_ROOM:
-                    blocked.append(item)  # type: ignore[arg-type]
+                elif isinstance(item, WaitingJob) and self._has_no_room(item):
+                    blocked.append(item)
             if queue:
                 heapq.heapreplace(heap, (self._level(team), team))
             else:
                 heapq.heappop(heap)
         return blocked, put_off
 
+    def _has_no_room(self, job: WaitingJob) -> bool:
+        return self._reason_by_job.get(job.job_id) == NO_ROOM
+
     def _try(self, item: Item, no_room: list[Resources]) -> bool:
         if isinstance(item, WaitingJob):
             return self._try_start(item, no_room)
