--- a/catkinport/controller/tests/cluster.py
+++ b/catkinport/controller/tests/cluster.py
@@ -8,19 +8,14 @@
 from ...ports import (
     ListedVm,
     ManualClock,
-    NotRun,
-    Reason,
     Table,
-    Unavailable,
-    Unknown,
     VmStatus,
     Write,
 )
 from ...ports.table import Transaction
 from ...runtime import Metrics
 from ...settings.environment import Environment, Maintenance, Pool, Queue, Team
-from ...standins import MemoryTable, MemoryVmList
-from ...standins._tasks import TaskTable
+from ...standins import MemoryTable, MemoryVmList, MemoryWorkers
 from ...state import GENERATION, JobRow, job_key, owner_key
 from ..ownership import Ownership
 from ..pool_manager import PoolManager
@@ -29,83 +24,6 @@
 UNIX_START = 1_800_000_000.0
 
 
-class FakeWorkers:
-    """Workers behind the port; faults are sets of addresses."""
-
-    def __init__(self, clock: ManualClock) -> None:
-        self.clock = clock
-        self.tasks_by_address: dict[str, TaskTable] = {}
-        self.down: set[str] = set()
-        self.loses_start_answers: set[str] = set()
-        self.drops_starts: set[str] = set()
-        self.mute: set[str] = set()
-        self.failing: set[str] = set()
-        self.n_calls = 0
-        self.n_stops = 0
-
-    def table(self, address: str) -> TaskTable:
-        return self.tasks_by_address.setdefault(address, TaskTable(self.clock))
-
-    def forget(self, address: str) -> None:
-        """Lose all tasks of a worker, as a reboot does; their log is kept."""
-        lost = self.table(address)
-        self.tasks_by_address[address] = TaskTable(self.clock)
-        self.tasks_by_address[address].events.extend(lost.events)
-
-    def starts(self, job_id: str) -> int:
-        tables = self.tasks_by_address.values()
-        events = [event for table in tables for event in table.events]
-        return sum(e.job_id == job_id and e.event == "started" for e in events)
-
-    def running(self) -> list[str]:
-        return [
-            report.job_id
-            for address, table in self.tasks_by_address.items()
-            if address not in self.down
-            for report in table.list_reports()
-            if report.state in ("running", "throttled")
-        ]
-
-    def start_task(self, address, task, lease_seconds):
-        self.n_calls += 1
-        if address in self.down:
-            return NotRun(Reason.CONNECT_FAILED, "task-start", address)
-        if address in self.drops_starts:
-            return Unknown(Reason.TIMEOUT, "task-start", address)
-        is_failing = address in self.failing
-        started = self.table(address).start(task, lease_seconds, 0.0, is_failing)
-        if address in self.loses_start_answers:
-            return Unknown(Reason.TIMEOUT, "task-start", address)
-        return None if started else NotRun(Reason.NOT_OWNER, "task-start", address)
-
-    def renew_leases(self, address, epoch, job_ids, lease_seconds):
-        self.n_calls += 1
-        if address in self.down:
-            return Unavailable(Reason.CONNECT_FAILED, "lease-renew", address)
-        self.table(address).renew(epoch, list(job_ids), lease_seconds)
-        if address in self.mute:
-            return Unavailable(Reason.TIMEOUT, "lease-renew", address, "", True)
-        return self.table(address).list_reports()
-
-    def checkpoint_task(self, address, job_id, attempt, epoch):
-        return self._change(address, job_id, "checkpoint", attempt, epoch)
-
-    def throttle_task(self, address, job_id, attempt, epoch, fraction):
-        return self._change(address, job_id, "throttle", attempt, epoch, fraction)
-
-    def stop_task(self, address, job_id, attempt, epoch):
-        self.n_stops += 1
-        return self._change(address, job_id, "stop", attempt, epoch)
-
-    def _change(self, address, job_id, operation, attempt, epoch, fraction=1.0):
-        self.n_calls += 1
-        if address in self.down:
-            return Unavailable(Reason.CONNECT_FAILED, operation, address)
-        body = {"attempt": attempt, "epoch": epoch, "fraction": fraction}
-        self.table(address).change(job_id, operation, body)
-        return None
-
-
 class FakeMembership:
     """Membership whose snapshot a test sets."""
 
@@ -151,7 +69,7 @@
         self.table = MemoryTable()
         self.manager_table = wrap_table(self.table)
         self.vm_list = MemoryVmList(self.clock)
-        self.workers = FakeWorkers(self.clock)
+        self.workers = MemoryWorkers(self.clock)
         self.member_by_id: dict[str, MemberRecord] = {}
         self.environment = Environment(
             {name: Team(name, 1.0, 10, max_cores) for name in ("a", "b")},
--- a/catkinport/controller/tests/test_chaos.py
+++ b/catkinport/controller/tests/test_chaos.py
@@ -4,10 +4,9 @@
 
 import pytest
 
-from ...ports import Unavailable, Write
-from ...ports.outcomes import Reason
+from ...ports import Write
 from ...ports.table import Transaction
-from ...standins import MemoryTable
+from ...standins import LossyTable
 from ...state import MAINTENANCE, allowance_key, vm_key
 from .cluster import Cluster
 from .test_fleet import BudgetWatch
@@ -17,25 +16,6 @@
 MAX_CORES = 20
 
 
-class UnreliableTable(BudgetWatch):
-    """Loses answers of commits, before or after they take effect."""
-
-    def __init__(self, table: MemoryTable) -> None:
-        super().__init__(table)
-        self.rng = random.Random(0)
-        self.fault_rate = 0.0
-
-    def commit(self, transaction):
-        if self.rng.random() >= self.fault_rate:
-            return super().commit(transaction)
-        if self.rng.random() < 0.5:
-            super().commit(transaction)
-        return Unavailable(Reason.TIMEOUT, "table-commit", may_have_committed=True)
-
-    def commit_batch(self, transactions):
-        return [self.commit(transaction) for transaction in transactions]
-
-
 class ChaosRun:
     """A fleet under random faults.
 
@@ -45,9 +25,12 @@
 
     def __init__(self, seed: int) -> None:
         self.rng = random.Random(seed)
-        self.cluster = Cluster(MAX_CORES, pools=POOLS, wrap_table=UnreliableTable)
-        self.cluster.manager_table.rng = random.Random(seed + 1)
-        self.cluster.manager_table.fault_rate = 0.15
+
+        def make_table(table):
+            rng = random.Random(seed + 1)
+            return LossyTable(BudgetWatch(table), fault_rate=0.15, rng=rng)
+
+        self.cluster = Cluster(MAX_CORES, pools=POOLS, wrap_table=make_table)
         for number in range(8):
             pool, rack = POOLS[number % 2], f"r-{number // 4}"
             self.cluster.add_vm(f"vm-{number}", pool, rack, cores=16.0)
--- a/catkinport/controller/tests/test_ownership.py
+++ b/catkinport/controller/tests/test_ownership.py
@@ -5,12 +5,12 @@
 from ...policy.ownership import OwnershipAction, OwnershipView, choose_owner
 from ...policy.ownership import decide_ownership as decide
 from ...ports import Reason, Unavailable, VmStatus
+from ...standins import LossyTable
 from ...state import owner_key, vm_key
 from ..actors import Tick, VmListActor
 from ..ownership import OwnershipKeeper
 from ..registrar import Registrar, choose_pool
 from .cluster import Cluster
-from .test_pool_manager import LossyTable
 
 POOLS = tuple(f"p-{number}" for number in range(12))
 
--- a/catkinport/controller/tests/test_pool_manager.py
+++ b/catkinport/controller/tests/test_pool_manager.py
@@ -3,38 +3,14 @@
 import pytest
 
 from ...policy.resources import Resources
-from ...ports import TaskSpecification, Transaction, Unavailable, VmStatus
+from ...ports import TaskSpecification, Transaction, VmStatus
 from ...ports.outcomes import Reason
+from ...standins import LossyTable
 from ...state import allowance_key
 from ..guards import GuardedTable, GuardedVmList, GuardedWorkers
 from .cluster import Cluster
 
 
-class LossyTable:
-    """Loses the answers of the next commits, which take effect."""
-
-    def __init__(self, table) -> None:
-        self._table = table
-        self.n_lost = 0
-
-    def __getattr__(self, name):
-        return getattr(self._table, name)
-
-    def commit(self, transaction):
-        outcome = self._table.commit(transaction)
-        return self._lose() if self.n_lost > 0 else outcome
-
-    def commit_batch(self, transactions):
-        outcomes = self._table.commit_batch(transactions)
-        return [self._lose()] * len(outcomes) if self.n_lost > 0 else outcomes
-
-    def _lose(self):
-        self.n_lost -= 1
-        return Unavailable(
-            Reason.CONNECTION_LOST, "table-commit", may_have_committed=True
-        )
-
-
 class TestJobLife:
     def test_job_runs_to_its_end(self):
         """Guards against a job that is accepted but never placed or never ends."""
--- a/catkinport/fleet/tests/test_operations.py
+++ b/catkinport/fleet/tests/test_operations.py
@@ -4,10 +4,10 @@
 
 import pytest
 
-from ...ports import ListedVm, Reason, Refused, Unavailable, VmStatus, Write
+from ...ports import ListedVm, Reason, Refused, VmStatus, Write
 from ...ports.table import Transaction
 from ...settings.environment import Environment, Maintenance, Pool
-from ...standins import MemoryTable
+from ...standins import LossyTable, MemoryTable
 from ...state import GENERATION, VmState, owner_key, pool_key, vm_key
 from .. import operations
 from ..operations import (
@@ -52,28 +52,6 @@
     return table.read([row_key])[row_key].value
 
 
-class LossyTable:
-    """Loses commits' answers: before (not applied) or after they take effect."""
-
-    def __init__(self, table, n_lost: int, is_applied: bool = True) -> None:
-        self._table = table
-        self._n_lost = n_lost
-        self._is_applied = is_applied
-
-    def __getattr__(self, name):
-        return getattr(self._table, name)
-
-    def commit(self, transaction):
-        if self._n_lost <= 0:
-            return self._table.commit(transaction)
-        self._n_lost -= 1
-        if self._is_applied:
-            self._table.commit(transaction)
-        return Unavailable(
-            Reason.CONNECTION_LOST, "table-commit", may_have_committed=True
-        )
-
-
 class RacingTable:
     """Runs another operation just before the first commit."""
 
--- a/catkinport/standins/__init__.py
+++ b/catkinport/standins/__init__.py
@@ -1,6 +1,8 @@
 """Small stand-ins of the platform, workers and backend servers, with faults."""
 
+from ._lossy_table import LossyTable
 from ._table import MemoryTable
 from ._vms import MemoryVmList
+from ._workers import MemoryWorkers
 
-__all__ = ["MemoryTable", "MemoryVmList"]
+__all__ = ["LossyTable", "MemoryTable", "MemoryVmList", "MemoryWorkers"]
--- /dev/null
+++ b/catkinport/standins/_workers.py
@@ -0,0 +1,102 @@
+"""Workers in memory, with faults."""
+
+from ..ports import Clock, NotRun, Reason, Unavailable, Unknown
+from ._tasks import TaskTable
+
+
+class MemoryWorkers:
+    """Implements the workers port in memory; faults are sets of addresses.
+
+    Args:
+        clock: the clock.
+
+    Attributes:
+        down: workers that refuse connections.
+        mute: workers that renew leases but whose answers are lost.
+        failing: workers that fail every task.
+        loses_start_answers: workers that start tasks but whose answers are lost.
+        drops_starts: workers that a start never reaches.
+        n_calls: calls so far.
+        n_stops: calls to stop a task so far.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self.clock = clock
+        self.tasks_by_address: dict[str, TaskTable] = {}
+        self.down: set[str] = set()
+        self.loses_start_answers: set[str] = set()
+        self.drops_starts: set[str] = set()
+        self.mute: set[str] = set()
+        self.failing: set[str] = set()
+        self.n_calls = 0
+        self.n_stops = 0
+
+    def table(self, address: str) -> TaskTable:
+        """Return the tasks of a worker."""
+        return self.tasks_by_address.setdefault(address, TaskTable(self.clock))
+
+    def forget(self, address: str) -> None:
+        """Lose all tasks of a worker, as a reboot does; their log is kept."""
+        lost = self.table(address)
+        self.tasks_by_address[address] = TaskTable(self.clock)
+        self.tasks_by_address[address].events.extend(lost.events)
+
+    def starts(self, job_id: str) -> int:
+        """Return how often a job was started."""
+        tables = self.tasks_by_address.values()
+        events = [event for table in tables for event in table.events]
+        return sum(e.job_id == job_id and e.event == "started" for e in events)
+
+    def running(self) -> list[str]:
+        """Return the jobs that run on workers that are reachable."""
+        return [
+            report.job_id
+            for address, table in self.tasks_by_address.items()
+            if address not in self.down
+            for report in table.list_reports()
+            if report.state in ("running", "throttled")
+        ]
+
+    def start_task(self, address, task, lease_seconds):
+        """Start an attempt."""
+        self.n_calls += 1
+        if address in self.down:
+            return NotRun(Reason.CONNECT_FAILED, "task-start", address)
+        if address in self.drops_starts:
+            return Unknown(Reason.TIMEOUT, "task-start", address)
+        is_failing = address in self.failing
+        started = self.table(address).start(task, lease_seconds, 0.0, is_failing)
+        if address in self.loses_start_answers:
+            return Unknown(Reason.TIMEOUT, "task-start", address)
+        return None if started else NotRun(Reason.NOT_OWNER, "task-start", address)
+
+    def renew_leases(self, address, epoch, job_ids, lease_seconds):
+        """Renew leases and return reports."""
+        self.n_calls += 1
+        if address in self.down:
+            return Unavailable(Reason.CONNECT_FAILED, "lease-renew", address)
+        self.table(address).renew(epoch, list(job_ids), lease_seconds)
+        if address in self.mute:
+            return Unavailable(Reason.TIMEOUT, "lease-renew", address, "", True)
+        return self.table(address).list_reports()
+
+    def checkpoint_task(self, address, job_id, attempt, epoch):
+        """Ask for a checkpoint."""
+        return self._change(address, job_id, "checkpoint", attempt, epoch)
+
+    def throttle_task(self, address, job_id, attempt, epoch, fraction):
+        """Limit a task's processors."""
+        return self._change(address, job_id, "throttle", attempt, epoch, fraction)
+
+    def stop_task(self, address, job_id, attempt, epoch):
+        """Stop a task."""
+        self.n_stops += 1
+        return self._change(address, job_id, "stop", attempt, epoch)
+
+    def _change(self, address, job_id, operation, attempt, epoch, fraction=1.0):
+        self.n_calls += 1
+        if address in self.down:
+            return Unavailable(Reason.CONNECT_FAILED, operation, address)
+        body = {"attempt": attempt, "epoch": epoch, "fraction": fraction}
+        self.table(address).change(job_id, operation, body)
+        return None
