--- a/catkinport/standins/platform.py
+++ b/catkinport/standins/platform.py
@@ -174,7 +174,11 @@
             if self.faults["is_list_down"]:
                 return json_answer(503, {"error": "the list is down"})
             vms = self.vm_list.list_vms(self.faults["list_lag_seconds"])
-            return json_answer(200, {"vms": [vm._asdict() for vm in vms]})
+            answer = json_answer(200, {"vms": [vm._asdict() for vm in vms]})
+            client = request.headers.get("client-name", "")
+            self._n_bytes_by_client[client] += len(answer.body) + ANSWER_HEAD_BYTES
+            self._counts["lists"] += 1
+            return answer
 
         @router.route("PUT", "/vms/{vm_id}")
         def put_vm(request: HttpRequest, vm_id: str) -> HttpAnswer:
--- a/verification/deployment.py
+++ b/verification/deployment.py
@@ -35,6 +35,8 @@
     max_cores: int = 200
     max_request_seconds: int = 20
     lease_seconds: int = 300
+    # Without processes of their own, all VMs of a service share one backend server.
+    has_server_processes: bool = True
 
 
 class Daemon(NamedTuple):
@@ -214,6 +216,11 @@
         url = f"http://{self.platform_address}/standin/counts"
         return self.call("GET", url)[1]
 
+    def count_store_bytes(self) -> dict[str, int]:
+        """Return the bytes between the platform and each client."""
+        url = f"http://{self.platform_address}/standin/bytes"
+        return self.call("GET", url)[1]
+
     def pause(self, daemon: Daemon) -> None:
         """Stop the scheduling of a daemon, as a frozen VM would."""
         daemon.process.send_signal(signal.SIGSTOP)
@@ -269,14 +276,16 @@
         workers = self._processes.start(
             f"workers-{service}", [*arguments, "--count", str(n_servers)]
         )
+        n_processes = n_servers if self.size.has_server_processes else 1
         servers = [
             self._processes.start(
                 f"server-{service}-{index}", ["catkinport.standins.backend_server"]
             )
-            for index in range(n_servers)
+            for index in range(n_processes)
         ]
         worker_addresses = workers.wait_for_line("listening on ", n_servers)
-        for index, server in enumerate(servers):
+        for index in range(n_servers):
+            server = servers[index % n_processes]
             vm_id = f"vm-{service}-{index}"
             self._server_process_by_vm[vm_id] = server
             address = server.wait_for_line("listening on ")[0]
