Evict a silent member only if peers report it too

Cause: a link that is down between two members made them evict each other every 7 s, with a new id, new allowances and new pool owners each time; a member cut off from its peers tried to evict all of them. Ruled out: a longer silence, which delays the take-over after every crash. Change: answers name the members that do not answer; half of the answering peers must agree. A member that hears fewer than half of its peers waits 10 s.

--- a/benchmarks/freshness_model.py
+++ b/benchmarks/freshness_model.py
@@ -100,6 +100,22 @@
     return RunResult(seed, violation, world.n_acknowledged)
 
 
+def run_island(variant: str, n_members: int, n_newcomers: int) -> RunResult:
+    """Put two members on an island; the others and newcomers accept changes."""
+    world = World(0, VARIANT_BY_NAME[variant])
+    members = [world.start_process() for _ in range(n_members)]
+    world.run_until(5.0)
+    world.islands.append(frozenset(member.number for member in members[:2]))
+    newcomers = [world.start_process() for _ in range(n_newcomers)]
+    # Within M, so that the members of the island still hold leases.
+    while world.time < 5.0 + TIMING.hold(TIMING.without_store):
+        world.run_until(world.time + 0.5)
+        for process in (*members[2:], *newcomers):
+            process.accept_change()
+    violation = world.violations[0] if world.violations else ""
+    return RunResult(0, violation, world.n_acknowledged)
+
+
 def _cut_link(world: World) -> None:
     if len(world.alive()) < 2:
         return
@@ -279,6 +295,18 @@
     return statistics.mean(samples)
 
 
+def eviction_seconds(seed: int, n_members: int = 4) -> float:
+    """Return the time from a member's crash to its eviction, the store being up."""
+    world = World(seed)
+    members = [world.start_process() for _ in range(n_members)]
+    world.run_until(FAULT_START + world.rng.uniform(0.0, 2.0))
+    crashed_at = world.time
+    members[0].crash()
+    while not world.store.member_by_id[members[0].member_id].is_evicted:
+        world.run_until(world.time + 0.05)
+    return world.time - crashed_at
+
+
 def _is_serving(process: Process) -> bool:
     freshness = process.freshness
     if freshness is None or process.is_paused:
@@ -309,6 +337,11 @@
     for scenario in SCENARIO_BY_NAME:
         share = statistics.mean(lease_share(scenario, seed) for seed in range(10))
         figures.append(Figure(scenario, "share of time without lease", 1 - share))
+    for n_members in (2, 4, 9):
+        seconds = [eviction_seconds(seed, n_members) for seed in range(30)]
+        setting = f"crash of one of {n_members} members"
+        quantity = "seconds until evicted, longest of 30"
+        figures.append(Figure(setting, quantity, max(seconds)))
     return figures
 
 
@@ -328,6 +361,10 @@
     for scenario in SCENARIO_BY_NAME:
         shares = [lease_share(scenario, seed) for seed in range(n_scenario_runs)]
         yield f"{scenario:<52}{statistics.mean(shares):>7.3f}"
+    yield "seconds from a crash to the eviction: median, longest of 30 seeds"
+    for n_members in (2, 4, 9):
+        times = [eviction_seconds(seed, n_members) for seed in range(30)]
+        yield f"{n_members} members{statistics.median(times):>8.2f}{max(times):>8.2f}"
 
 
 def main() -> None:
--- a/catkinport/membership/wire.py
+++ b/catkinport/membership/wire.py
@@ -59,6 +59,7 @@
         view=view_to_message(answer.view, receiver_version),
         stopping=answer.is_stopping,
         established=answer.is_established,
+        silent_ids=sorted(answer.silent_ids),
     )
 
 
@@ -70,4 +71,5 @@
         view_from_message(message.view, own),
         message.stopping,
         message.established,
+        frozenset(message.silent_ids),
     )
--- a/catkinport/policy/freshness.py
+++ b/catkinport/policy/freshness.py
@@ -19,10 +19,12 @@
         renewal: period of store reads, and of asking peers during an outage.
         liveness: period of asking peers while the store is reachable.
         store_answer: age of the last read at which peers are asked as well.
-        silence: silence after which a member is evicted.
-        isolated_silence: the same for a member that hears fewer than half of its
-            peers. It is longer, so that a member cut off from all its peers is
-            evicted by them and does not evict them.
+        doubt: silence after which a member is reported as silent to peers.
+        silence: silence after which a member is evicted, if at least half of the
+            peers that answer report it as well.
+        isolated_silence: silence after which it is evicted by a member that hears
+            fewer than half of its peers. It is longer, so that a member cut off
+            from all its peers is evicted by them and does not evict them.
         without_store: longest time M that a member is fresh without the store.
         clock_margin: how much less a holder counts and how much more a waiter,
             for clocks that run at different rates.
@@ -32,8 +34,9 @@
     renewal: float = 0.5
     liveness: float = 2.0
     store_answer: float = 1.0
+    doubt: float = 1.0
     silence: float = 5.0
-    isolated_silence: float = 15.0
+    isolated_silence: float = 10.0
     without_store: float = 1800.0
     clock_margin: float = 0.02
 
@@ -79,6 +82,7 @@
     view: View
     is_stopping: bool = False
     is_established: bool = True
+    silent_ids: frozenset[str] = frozenset()
 
 
 def merge_views(first: View, second: View) -> View:
@@ -142,6 +146,7 @@
         self._asked_at_by_peer: dict[str, float] = {}
         self._unanswered_since_by_peer: dict[str, float] = {}
         self._heard_at_by_peer: dict[str, float] = {}
+        self._reported_silent_by_peer: dict[str, frozenset[str]] = {}
         self._evicted_at_by_id: dict[str, float] = {}
         self._departed_at_by_id: dict[str, float] = {}
         self._last_tick = registered_at
@@ -206,6 +211,7 @@
         self._unanswered_since_by_peer.pop(peer_id, None)
         previous = self._confirmed_at_by_peer.get(peer_id, sent_at)
         self._confirmed_at_by_peer[peer_id] = max(previous, sent_at)
+        self._reported_silent_by_peer[peer_id] = answer.silent_ids
         if self._is_acknowledged_by(answer):
             acknowledged_at = now + self.timing.wait(self.timing.lease)
             self._established_at = min(self._established_at, acknowledged_at)
@@ -262,6 +268,7 @@
             self.view,
             self.is_stopping,
             self.is_established(now),
+            frozenset(self._unanswering(now, self.timing.doubt)),
         )
 
     def tick(self, now: float) -> None:
@@ -300,14 +307,7 @@
         """Return the members to evict; empty without store or acceptance."""
         if not self.may_accept_changes(now) or not self.is_store_reachable(now):
             return []
-        peer_ids = self._peer_ids()
-        unanswered = {
-            peer_id: since
-            for peer_id, since in self._unanswered_since_by_peer.items()
-            if peer_id in peer_ids
-        }
-        silence = self._silence_limit(unanswered, now, len(peer_ids))
-        silent = {p for p, since in unanswered.items() if now - since > silence}
+        silent = self._silent_peers(now)
         silent |= {
             departed_id
             for departed_id in self.view.departed_ids
@@ -382,6 +382,7 @@
             self._asked_at_by_peer,
             self._unanswered_since_by_peer,
             self._heard_at_by_peer,
+            self._reported_silent_by_peer,
         ):
             for member_id in noted.keys() - self.view.member_by_id.keys():
                 del noted[member_id]
@@ -422,13 +423,26 @@
         expires_at = min(sent_at + self.timing.hold(self.timing.lease), limit)
         self.lease_expires_at = max(self.lease_expires_at, expires_at)
 
-    def _silence_limit(
-        self, unanswered: Mapping[str, float], now: float, n_peers: int
-    ) -> float:
-        n_silent = sum(now - s > self.timing.silence for s in unanswered.values())
-        if 2 * n_silent > n_peers:
-            return self.timing.isolated_silence
-        return self.timing.silence
+    def _unanswering(self, now: float, seconds: float) -> set[str]:
+        peer_ids = self._peer_ids()
+        return {
+            peer_id
+            for peer_id, since in self._unanswered_since_by_peer.items()
+            if peer_id in peer_ids and now - since > seconds
+        }
+
+    def _silent_peers(self, now: float) -> set[str]:
+        """Return the peers to evict for their silence."""
+        silent = self._unanswering(now, self.timing.silence)
+        heard = self._peer_ids() - self._unanswering(now, self.timing.doubt)
+        if 2 * len(heard) < len(self._peer_ids()):
+            return self._unanswering(now, self.timing.isolated_silence)
+        return {peer_id for peer_id in silent if self._is_reported(peer_id, heard)}
+
+    def _is_reported(self, silent_id: str, heard: set[str]) -> bool:
+        reports = [self._reported_silent_by_peer.get(p, frozenset()) for p in heard]
+        n_reporting = sum(silent_id in report for report in reports)
+        return 2 * n_reporting >= len(reports)
 
     def _after_lease(self, known_at: float) -> float:
         start = max(known_at, self._established_at)
