--- a/catkinport/entry/allowances.py
+++ b/catkinport/entry/allowances.py
@@ -8,7 +8,14 @@
 import pykka
 
 from ..membership.interface import Snapshot
-from ..policy.limits import HolderNeed, divide, give_back, is_reclaimable, reclaim
+from ..policy.limits import (
+    HolderNeed,
+    divide,
+    fair_amount,
+    is_reclaimable,
+    read_amounts,
+    reclaim,
+)
 from ..ports import Committed, Condition, Row, Transaction, Unavailable, Write
 from ..runtime import log_event
 from ..state import allowance_key
@@ -20,6 +27,8 @@
 RESOURCE = "slots"
 LEASE_SECONDS = 2.0
 PEER_REQUEST_SECONDS = 0.2
+# How long a holder makes room for a peer that is short. After that, need decides.
+CEILING_SECONDS = 1.0
 N_ATTEMPTS = 5
 _NO_NEED = HolderNeed(0, 0)
 
@@ -39,6 +48,7 @@
         self._services = services
         self._dispatcher = dispatcher
         self._gone_since_by_holder: dict[str, float] = {}
+        self._ceiling_by_team: dict[str, messages.SetCeiling] = {}
         self._asked_at_by_team: dict[str, float] = {}
         self._executor = ThreadPoolExecutor(2, thread_name_prefix="allowance-peers")
 
@@ -63,25 +73,26 @@
             if need.is_short or need.usable or need.need.wanted:
                 self._balance(team)
 
-    def _balance(self, team: str) -> None:
+    def _balance(self, team: str) -> dict[str, int] | None:
         snapshot = self._services.membership.snapshot()
         limit = _find_limit(snapshot, team)
         if limit is None or not snapshot.is_fresh(self._services.clock.now()):
-            return
+            return None
         needs = self._list_needs().get(team)
         need = needs.need if needs else _NO_NEED
         is_short = needs is not None and needs.is_short
 
         def change(amounts: dict[str, int]) -> dict[str, int]:
             kept = reclaim(amounts, self._find_reclaimable(snapshot, amounts))
-            return divide(limit, kept, snapshot.member_id, need)
+            return divide(limit, kept, snapshot.member_id, need, self._ceiling(team))
 
-        amounts = self._change_row(snapshot.member_id, team, change)
+        amounts = self._change_row(snapshot.member_id, team, limit, change)
         if amounts is not None and is_short:
             self._ask_peer(snapshot, team, amounts, need)
+        return amounts
 
     def _change_row(
-        self, member_id: str, team: str, change: Change
+        self, member_id: str, team: str, limit: int, change: Change
     ) -> dict[str, int] | None:
         """Apply ``change`` to the row; return the row, ``None`` without the store."""
         table = self._services.table
@@ -94,13 +105,13 @@
             amounts = dict(row.value["amount_by_holder"]) if row else {}
             changed = change(amounts)
             if changed == amounts:
-                self._tell(member_id, team, amounts)
+                self._tell(member_id, team, limit, amounts)
                 return amounts
             if not self._lower_first(member_id, team, amounts, changed):
                 continue
             outcome = table.commit(_write(row_key, row, changed))
             if isinstance(outcome, Committed):
-                self._tell(member_id, team, changed)
+                self._tell(member_id, team, limit, changed)
                 return changed
             if isinstance(outcome, Unavailable) and not outcome.may_have_committed:
                 return None
@@ -118,11 +129,11 @@
             changed[member_id] = min(in_use, amounts[member_id])
         return changed != amounts
 
-    def _tell(self, member_id: str, team: str, amounts: dict[str, int]) -> None:
-        own = amounts.get(member_id, 0)
-        others = sum(amounts.values()) - own
-        read = messages.AllowanceRead(member_id, team, own, others)
-        self._dispatcher.tell(read)
+    def _tell(
+        self, member_id: str, team: str, limit: int, amounts: dict[str, int]
+    ) -> None:
+        reading = read_amounts(limit, amounts, member_id)
+        self._dispatcher.tell(messages.AllowanceRead(member_id, team, reading))
 
     def _find_reclaimable(self, snapshot: Snapshot, amounts: dict) -> list[str]:
         now = self._services.clock.now()
@@ -178,25 +189,40 @@
             self.actor_ref.tell(messages.Shortage(team))
 
     def _return_idle(self, message: messages.ReturnIdle) -> int:
-        member_id = self._services.membership.snapshot().member_id
+        """Make room for a peer; return what could be returned at once."""
+        snapshot = self._services.membership.snapshot()
+        limit = _find_limit(snapshot, message.team)
+        row_key = allowance_key(message.team, RESOURCE)
+        rows = self._services.table.read([row_key])
+        if limit is None or isinstance(rows, Unavailable) or row_key not in rows:
+            return 0
         needs = self._list_needs().get(message.team)
         need = needs.need if needs else _NO_NEED
-        returned = 0
-
-        def change(amounts: dict[str, int]) -> dict[str, int]:
-            nonlocal returned
-            given = give_back(amounts, member_id, need, message.wanted)
-            returned = amounts.get(member_id, 0) - given.get(member_id, 0)
-            return given
-
-        amounts = self._change_row(member_id, message.team, change)
-        return returned if amounts is not None else 0
+        amounts = rows[row_key].value["amount_by_holder"]
+        member_id = snapshot.member_id
+        before = amounts.get(member_id, 0)
+        kept = fair_amount(limit, amounts, member_id, need, message.wanted)
+        if kept >= before:
+            return 0
+        # Units that running work uses are returned by later ticks as it ends.
+        until = self._services.clock.now() + CEILING_SECONDS
+        ceiling = messages.SetCeiling(message.team, kept, until)
+        self._ceiling_by_team[message.team] = ceiling
+        self._dispatcher.tell(ceiling)
+        after = self._balance(message.team)
+        return max(0, before - after.get(member_id, 0)) if after else 0
+
+    def _ceiling(self, team: str) -> int | None:
+        ceiling = self._ceiling_by_team.get(team)
+        if ceiling is None or self._services.clock.now() >= ceiling.until:
+            return None
+        return ceiling.amount
 
     def _return_all(self) -> None:
         member_id = self._services.membership.snapshot().member_id
         for team in self._list_needs():
             self._change_row(
-                member_id, team, lambda amounts: reclaim(amounts, [member_id])
+                member_id, team, 0, lambda amounts: reclaim(amounts, [member_id])
             )
 
     def _list_needs(self) -> dict[str, messages.TeamNeed]:
--- a/catkinport/entry/messages.py
+++ b/catkinport/entry/messages.py
@@ -1,11 +1,11 @@
 """Messages of the entry's actors."""
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from concurrent.futures import Future
 from typing import NamedTuple
 
 from ..policy.admission import WaitingRequest
-from ..policy.limits import HolderNeed
+from ..policy.limits import HolderNeed, Reading
 from ..ports import NotRun, Transaction
 from ..settings.environment import Service
 from ..state import ServingVm
@@ -52,12 +52,12 @@
     Args:
         grant: the slot.
         is_failure: whether the server failed.
-        hold_seconds: how long the server gets no work because it is full.
+        is_full: whether the server refused because it is full.
     """
 
     grant: Grant
     is_failure: bool = False
-    hold_seconds: float = 0.0
+    is_full: bool = False
 
 
 class ServingChanged(NamedTuple):
@@ -67,21 +67,28 @@
 
 
 class AllowanceRead(NamedTuple):
-    """A team's row as it was read: own amount, and the sum of the others."""
+    """A team's row as the entry read it under its id."""
 
     member_id: str
     team: str
-    own: int
-    others: int
+    reading: Reading
 
 
 class LowerAllowance(NamedTuple):
-    """Use at most ``amount`` from now on; answered with the units in use."""
+    """Use at most ``amount`` until the next read; answered with the units in use."""
 
     team: str
     amount: int
 
 
+class SetCeiling(NamedTuple):
+    """Start nothing above ``amount`` until ``until``; running work goes on."""
+
+    team: str
+    amount: int
+    until: float
+
+
 class ListNeeds(NamedTuple):
     """Answered with ``dict[str, TeamNeed]`` of all teams with work or amounts."""
 
@@ -126,6 +133,12 @@
     future: Future
 
 
+class Later(NamedTuple):
+    """Call ``operation`` on every ``Tick`` until it returns true."""
+
+    operation: Callable[[], bool]
+
+
 class ReadPools(NamedTuple):
     """Read the serving VMs of pools."""
 
