Report evictions only once the member is established

A new member can read the eviction before the evictor does, and the evictor's answers still confirm the old lease until then; the wait of the new member would end too early. Ruled out: a longer wait in each part, which would repeat the rule in three places. The interface's comment says what is_evicted means.

--- a/catkinport/membership/actor.py
+++ b/catkinport/membership/actor.py
@@ -582,6 +582,7 @@
 
     def _member_records(self, freshness: Freshness) -> dict[str, MemberRecord]:
         view = freshness.view
+        ended_ids = freshness.ended_ids(self._clock.now())
         return {
             member_id: MemberRecord(
                 member_id,
@@ -589,7 +590,7 @@
                 member.peer_address,
                 self._admin_address_by_id.get(member_id, ""),
                 member.zone,
-                member.is_evicted or member_id in view.departed_ids,
+                member_id in ended_ids,
             )
             for member_id, member in view.member_by_id.items()
         }
--- a/catkinport/membership/interface.py
+++ b/catkinport/membership/interface.py
@@ -8,7 +8,11 @@
 
 
 class MemberRecord(NamedTuple):
-    """A member as the roster names it; ``role`` is ``entry`` or ``controller``."""
+    """A member as the roster names it; ``role`` is ``entry`` or ``controller``.
+
+    ``is_evicted`` is also true of a member that said goodbye. Its lease has ended T
+    (with the margin of a waiter) after the first snapshot that shows it.
+    """
 
     member_id: str
     role: str
--- a/catkinport/policy/freshness.py
+++ b/catkinport/policy/freshness.py
@@ -328,6 +328,16 @@
         evicted_at = self._evicted_at_by_id.get(member_id)
         return None if evicted_at is None else self._after_lease(evicted_at)
 
+    def ended_ids(self, now: float) -> set[str]:
+        """Return members after whose leases other parts may start to wait for T.
+
+        A member that is not established may see an eviction before those that
+        confirm the evicted member's lease do, so it names none.
+        """
+        if not self.is_established(now):
+            return set(self.view.departed_ids)
+        return set(self.view.departed_ids) | self._evicted_at_by_id.keys()
+
     def completed_evictions(
         self, now: float, longest_request_seconds: float
     ) -> list[str]:
--- a/catkinport/policy/tests/test_freshness.py
+++ b/catkinport/policy/tests/test_freshness.py
@@ -105,6 +105,14 @@
         assert freshness.in_force_at(3) == pytest.approx(12.04)
         assert freshness.in_force_at(4) is None
 
+    def test_new_member_reports_no_eviction_before_it_is_established(self):
+        """Guards against a take-over while the evictor still confirms the old lease."""
+        view = _view(2, "a", "b", "n", evicted="b")
+        freshness = Freshness("n", view, 0.0)
+        assert freshness.ended_ids(1.0) == set()
+        freshness.on_peer_answer(_answer("a", view), 1.0, 1.1)
+        assert freshness.ended_ids(3.2) == {"b"}
+
     def test_eviction_is_complete_after_the_longest_request(self):
         """Guards against an allowance that is reclaimed while requests run."""
         freshness = Freshness("a", _view(1, "a"), 0.0)
