--- a/catkinport/controller/tests/cluster.py
+++ b/catkinport/controller/tests/cluster.py
@@ -2,25 +2,22 @@
 
 from collections.abc import Callable
 
+from ...entry.callers import Entrant
+from ...entry.job_requests import build_job
 from ...fleet.fence import Fence
 from ...fleet.operations import register_vm
 from ...membership.interface import MemberRecord, Snapshot
-from ...ports import (
-    ListedVm,
-    ManualClock,
-    Table,
-    VmStatus,
-    Write,
-)
+from ...ports import ListedVm, ManualClock, Table, VmStatus, Write
 from ...ports.table import Transaction
 from ...runtime import Metrics
 from ...settings.environment import Environment, Maintenance, Pool, Queue, Team
 from ...standins import MemoryTable, MemoryVmList, MemoryWorkers
-from ...state import GENERATION, JobRow, job_key, owner_key
+from ...state import GENERATION, job_key, owner_key
 from ..ownership import Ownership
 from ..pool_manager import PoolManager
 from ..services import Services, run_in_turn
 
+JOB_BODY = {"command": "sleep", "cores": 4, "memory_gb": 8, "run_seconds": 20}
 UNIX_START = 1_800_000_000.0
 
 
@@ -71,15 +68,12 @@
         self.vm_list = MemoryVmList(self.clock)
         self.workers = MemoryWorkers(self.clock)
         self.member_by_id: dict[str, MemberRecord] = {}
+        teams = {name: Team(name, 1.0, 10, max_cores) for name in ("a", "b")}
+        queues = {n: Queue(n, False, False, "", n, (), "") for n in pools}
+        pool_by_name = {n: Pool(n, max_unavailable, False, 0) for n in pools}
+        maintenance = Maintenance(56.0, 60.0, 60.0)
         self.environment = Environment(
-            {name: Team(name, 1.0, 10, max_cores) for name in ("a", "b")},
-            {},
-            {},
-            {},
-            {},
-            {n: Queue(n, False, False, "", n, (), "") for n in pools},
-            {n: Pool(n, max_unavailable, False, 0) for n in pools},
-            Maintenance(56.0, 60.0, 60.0),
+            teams, {}, {}, {}, {}, queues, pool_by_name, maintenance
         )
 
     def add_member(self, member_id: str, is_evicted: bool = False) -> None:
@@ -129,31 +123,11 @@
         self.vm_list.put({**vm_by_id[vm_id]._asdict(), "status": status})
 
     def submit(self, job_id: str, queue: str = "p", **changes) -> None:
-        row: JobRow = {
-            "team": "a",
-            "account": "",
-            "command": "sleep",
-            "n_cores": 4.0,
-            "memory_gb": 8.0,
-            "n_accelerators": 0,
-            "run_seconds": 20.0,
-            "is_restartable": True,
-            "is_urgent": False,
-            "input_reference": "",
-            "state": "queued",
-            "attempt": 0,
-            "worker_vm": "",
-            "checkpoint_reference": "",
-            "result_reference": "",
-            "reason": "",
-            "is_cancel_requested": False,
-            "failed_vms": [],
-            "n_moves": 0,
-            "submitted_at": UNIX_START + self.clock.now(),
-            "started_at": 0.0,
-            "finished_at": 0.0,
-            **changes,
-        }
+        environment = self.environment
+        team, entered = environment.team_by_name["a"], Queue(queue, *[None] * 6)
+        entrant = Entrant(team, "", entered, environment, "", "")
+        now = UNIX_START + self.clock.now()
+        row = build_job(JOB_BODY, entrant, now) | {"is_urgent": False} | changes
         self.write_job(job_id, queue, row)
 
     def write_job(self, job_id: str, queue: str, row) -> None:
--- a/catkinport/controller/tests/test_daemon.py
+++ b/catkinport/controller/tests/test_daemon.py
@@ -8,7 +8,7 @@
 
 from ...adapters import HttpClient, HttpTable
 from ...membership import Acceptance
-from ...ports import RowKey, Write
+from ...ports import ListedVm, RowKey, Write
 from ...ports.table import Transaction
 from ...settings.process import load_controller_settings
 from ...standins.platform import PlatformStandin
@@ -104,18 +104,8 @@
 class TestDaemon:
     def test_job_runs_and_its_result_is_stored(self, platform, worker, tmp_path):
         """Guards against parts that work alone but not together."""
-        vm = {
-            "status": "live",
-            "zone": "z",
-            "rack": "r",
-            "worker_address": worker.address,
-            "backend_address": "",
-            "boot_id": "1",
-            "n_cores": 8.0,
-            "memory_gb": 64.0,
-            "n_accelerators": 0,
-        }
-        platform.vm_list.put({"vm_id": "vm-1", **vm})
+        vm = ListedVm("vm-1", "live", "z", "r", worker.address, "", "1", 8.0, 64.0, 0)
+        platform.vm_list.put(vm._asdict())
         source = Cluster()
         source.submit("j", "q", n_cores=1.0, memory_gb=1.0, run_seconds=0.2)
         row = source.job("j", "q")
--- a/catkinport/controller/tests/test_pool_manager.py
+++ b/catkinport/controller/tests/test_pool_manager.py
@@ -119,11 +119,8 @@
         cluster.set_status("vm-1", VmStatus.GONE)
         cluster.run(manager, seconds=10)
         job = cluster.job("j")
-        assert (job["state"], job["worker_vm"], job["attempt"]) == (
-            "running",
-            "vm-2",
-            2,
-        )
+        placed = (job["state"], job["worker_vm"], job["attempt"])
+        assert placed == ("running", "vm-2", 2)
         assert job["checkpoint_reference"] == "checkpoints/j/0"
 
     def test_lost_start_answer_of_a_job_that_must_not_run_twice(self):
--- a/catkinport/fleet/tests/test_operations.py
+++ b/catkinport/fleet/tests/test_operations.py
@@ -24,16 +24,8 @@
     undrain_vm,
 )
 
-ENVIRONMENT = Environment(
-    {},
-    {},
-    {},
-    {},
-    {},
-    {},
-    {name: Pool(name, 1, False, 2) for name in ("p", "q", "r")},
-    Maintenance(56.0, 60.0, 60.0),
-)
+POOLS = {name: Pool(name, 1, False, 2) for name in ("p", "q", "r")}
+ENVIRONMENT = Environment(*[{}] * 6, POOLS, Maintenance(56.0, 60.0, 60.0))
 
 
 def make_table(n_vms: int = 4) -> MemoryTable:
