--- a/benchmarks/baselines.py
+++ b/benchmarks/baselines.py
@@ -55,14 +55,20 @@
         )
     starts = []
     reason_by_waiting_job = {}
+    # Room only shrinks in a round, so a size that found none need not be tried again.
+    no_room: list[Resources] = []
     for job in sorted(problem.waiting, key=lambda job: job.submitted_at):
         team = problem.team_by_name.get(job.team)
         used_cores = used_cores_by_team.get(job.team, 0.0)
         if team is None or used_cores + job.request.cores > team.max_cores:
             reason_by_waiting_job[job.job_id] = "upper limit of the team"
             continue
-        vm_id = _find_first_fit(job, free_by_vm)
+        vm_id = None
+        if not any(_is_at_least(job.request, size) for size in no_room):
+            vm_id = _find_first_fit(job, free_by_vm)
         if vm_id is None:
+            if not job.excluded_vms:
+                no_room.append(job.request)
             reason_by_waiting_job[job.job_id] = "no worker has room"
             continue
         starts.append(Start(job.job_id, vm_id))
@@ -80,5 +86,13 @@
     return None
 
 
+def _is_at_least(request: Resources, size: Resources) -> bool:
+    return (
+        request.cores >= size.cores
+        and request.memory_gb >= size.memory_gb
+        and request.accelerators >= size.accelerators
+    )
+
+
 def _subtract(amount: Resources, other: Resources) -> Resources:
     return Resources(*(a - b for a, b in zip(amount, other, strict=True)))
