Ask for the VM list by its entity tag and scan jobs once a minute

Cause: every controller read the whole VM list every 2 s: 605 bytes a second per worker, 726 KB/s at 1,200 workers. Jobs were scanned every 5 s, finished ones included, to find those whose notice was lost. Ruled out: a list read by one controller alone (it would still carry the whole list, and its failure would stop all); a slower list (a leaving backend server must get no new work after a few seconds). Change: If-None-Match and gzip for the list; a job notice that was not accepted is sent again twice; scans every 60 s by default. Conclusion: an unchanged list costs a status line.

--- a/catkinport/adapters/_http_client.py
+++ b/catkinport/adapters/_http_client.py
@@ -1,6 +1,7 @@
 """JSON calls to the platform's services over HTTP."""
 
 import json
+from collections.abc import Mapping
 from typing import Any, NamedTuple
 
 import urllib3
@@ -11,10 +12,11 @@
 
 
 class JsonReply(NamedTuple):
-    """Status and decoded body of an answer."""
+    """Status, body and headers of an answer."""
 
     status: int
     content: bytes
+    headers: Mapping[str, str] = {}
 
     def decode(self) -> Any:
         """Return the body as JSON."""
@@ -60,6 +62,7 @@
         body: Any = None,
         content: bytes | None = None,
         accepted_statuses: tuple[int, ...] = (200,),
+        extra_headers: Mapping[str, str] | None = None,
     ) -> JsonReply | Unavailable:
         """Call the service once.
 
@@ -70,8 +73,9 @@
             body: value sent as JSON.
             content: bytes sent as they are, instead of ``body``.
             accepted_statuses: statuses that count as an answer.
+            extra_headers: headers of this call alone.
         """
-        headers = dict(self._headers)
+        headers = {**self._headers, **(extra_headers or {})}
         if body is not None:
             content = json.dumps(body).encode()
             headers["Content-Type"] = "application/json"
@@ -84,7 +88,7 @@
         except urllib3.exceptions.HTTPError as error:
             return self._unavailable(step, Reason.CONNECTION_LOST, str(error), True)
         if answer.status in accepted_statuses:
-            return JsonReply(answer.status, answer.data)
+            return JsonReply(answer.status, answer.data, answer.headers)
         # 503 and 429 are sent before an operation starts; a 504 is sent by a proxy
         # that does not know whether the service went on.
         may_have_committed = answer.status not in (429, 503)
--- a/catkinport/entry/jobs.py
+++ b/catkinport/entry/jobs.py
@@ -3,7 +3,6 @@
 import logging
 import uuid
 from concurrent.futures import ThreadPoolExecutor
-from typing import Any
 
 from ..ports import (
     ABSENT_VERSION,
@@ -33,6 +32,10 @@
 logger = logging.getLogger(__name__)
 
 N_ATTEMPTS = 4
+# Urgent jobs start within 2.4 s, while the owner scans its queues once a minute; a new
+# owner reads them all when it takes over.
+N_NOTICES = 3
+NOTICE_RETRY_SECONDS = 0.4
 ENDED_STATES = (
     JobState.DONE,
     JobState.FAILED,
@@ -245,11 +248,19 @@
         except RuntimeError:
             log_event(logger, "job notice skipped", step="notify", job_id=job_id)
 
-    def _send_notice(self, pool: str, queue: str, job_id: str) -> Any:
+    def _send_notice(self, pool: str, queue: str, job_id: str) -> None:
+        """Tell the owner of the pool; a lost notice waits for the owner's scan."""
+        for attempt in range(N_NOTICES):
+            if attempt > 0:
+                self._services.clock.sleep(NOTICE_RETRY_SECONDS)
+            if self._try_notice(pool, queue, job_id):
+                return
+
+    def _try_notice(self, pool: str, queue: str, job_id: str) -> bool:
         row_key = owner_key(pool)
         rows = self._services.table.read([row_key])
         if isinstance(rows, Unavailable) or row_key not in rows:
-            return
+            return False
         owner = rows[row_key].value["member_id"]
         is_accepted = self._services.membership.notify_queue(owner, queue, job_id)
         log_event(
@@ -261,6 +272,7 @@
             job_id=job_id,
             is_accepted=is_accepted,
         )
+        return is_accepted
 
 
 def _failure_answer(
--- a/catkinport/entry/tests/test_requests.py
+++ b/catkinport/entry/tests/test_requests.py
@@ -360,6 +360,18 @@
 
 
 class TestJobs:
+    def test_lost_notice_is_sent_again(self, make_world):
+        """Guards against an urgent job that waits for the owner's next scan."""
+        world = make_world()
+        _add_job_queue(world)
+        entry = world.entries[0]
+        entry.membership.n_lost_notices = 1
+        owner = {"member_id": "c-1", "epoch": 1}
+        world.table.commit(Transaction([], [Write(owner_key("p"), owner)]))
+        body = {"command": "sleep", "cores": 2}
+        assert entry.api("POST", "/v1/queues/j/jobs", json=body).status == 202
+        _wait_for(lambda: len(entry.membership.notices) == 2)
+
     def test_job_is_durable_before_202_and_the_owner_is_told(self, make_world):
         """Guards against an accepted job that the store does not have."""
         world = make_world()
--- a/catkinport/entry/tests/world.py
+++ b/catkinport/entry/tests/world.py
@@ -111,6 +111,7 @@
         self.member_id = member_id
         self.is_fresh = True
         self.notices = []
+        self.n_lost_notices = 0
         self.return_handler = None
 
     def snapshot(self):
@@ -140,7 +141,8 @@
 
     def notify_queue(self, controller_id, queue, job_id):
         self.notices.append((controller_id, queue, job_id))
-        return True
+        self.n_lost_notices -= 1
+        return self.n_lost_notices < 0
 
 
 class Entry:
--- a/catkinport/settings/process_declaration.py
+++ b/catkinport/settings/process_declaration.py
@@ -196,6 +196,6 @@
         _seconds("round_seconds", "Longest time between rounds.", "0.5", 0.05, 60),
         _seconds("lease_seconds", "Length of a task lease.", "300", 1, 86400),
         _seconds("renew_seconds", "Time between renewals.", "10", 0.1, 3600),
-        _seconds("scan_seconds", "Time between scans for jobs.", "5", 0.1, 3600),
+        _seconds("scan_seconds", "Time between scans for jobs.", "60", 0.1, 3600),
     ),
 )
--- a/catkinport/standins/platform.py
+++ b/catkinport/standins/platform.py
@@ -1,5 +1,8 @@
 """Stand-in of the platform: table service, object store and VM list over HTTP."""
 
+import gzip
+import hashlib
+import json
 import random
 import threading
 import time
@@ -97,6 +100,10 @@
         """``host:port`` that the stand-in listens on."""
         return self._server.address
 
+    def count_bytes(self, client: str) -> int:
+        """Return the bytes sent to and received from a client."""
+        return self._n_bytes_by_client[client]
+
     def start(self) -> None:
         """Start serving in the background."""
         self._server.start()
@@ -174,7 +181,7 @@
             if self.faults["is_list_down"]:
                 return json_answer(503, {"error": "the list is down"})
             vms = self.vm_list.list_vms(self.faults["list_lag_seconds"])
-            answer = json_answer(200, {"vms": [vm._asdict() for vm in vms]})
+            answer = _answer_list(request, [vm._asdict() for vm in vms])
             client = request.headers.get("client-name", "")
             self._n_bytes_by_client[client] += len(answer.body) + ANSWER_HEAD_BYTES
             self._counts["lists"] += 1
@@ -255,6 +262,18 @@
         return json_answer(200, {"results": results})
 
 
+def _answer_list(request: HttpRequest, vms: list[dict]) -> HttpAnswer:
+    content = json.dumps({"vms": vms}).encode()
+    entity_tag = f'"{hashlib.sha256(content).hexdigest()[:32]}"'
+    headers = {"ETag": entity_tag, "Content-Type": "application/json"}
+    if request.headers.get("if-none-match") == entity_tag:
+        return HttpAnswer(304, b"", headers)
+    if "gzip" in request.headers.get("accept-encoding", ""):
+        headers["Content-Encoding"] = "gzip"
+        content = gzip.compress(content, compresslevel=1)
+    return HttpAnswer(200, content, headers)
+
+
 def _parse_transactions(body: dict) -> list[Transaction]:
     try:
         return [
--- a/catkinport/standins/tests/test_standins.py
+++ b/catkinport/standins/tests/test_standins.py
@@ -21,6 +21,11 @@
 from ..platform import PlatformStandin
 from ..worker import WorkerStandin
 
+VM = {
+    "status": "live", "zone": "z1", "rack": "r1", "worker_address": "",
+    "backend_address": "", "boot_id": "1", "n_cores": 64.0,
+    "memory_gb": 256.0, "n_accelerators": 0, "vm_id": "vm-1",
+}  # fmt: skip
 ROW = RowKey("vms", "vm-1")
 INSERT = Transaction([Condition(ROW, 0)], [Write(ROW, {"pool": "a"})])
 SPECIFICATION = TaskSpecification(
@@ -103,19 +108,26 @@
 class TestVmList:
     def test_reboot_with_one_token_happens_once(self, platform):
         """Guards against a repeated call that reboots a VM twice."""
-        value = {
-            "status": "live", "zone": "z1", "rack": "r1", "worker_address": "",
-            "backend_address": "", "boot_id": "1", "n_cores": 64.0,
-            "memory_gb": 256.0, "n_accelerators": 0, "vm_id": "vm-1",
-        }  # fmt: skip
-        platform.vm_list.put(value)
+        platform.vm_list.put(VM)
         vms = HttpVmList(HttpClient(platform.address))
         vms.reboot("vm-1", "token")
         assert vms.list_vms()[0].status is VmStatus.REBOOTING
-        platform.vm_list.put(value)
+        platform.vm_list.put(VM)
         vms.reboot("vm-1", "token")
         assert vms.list_vms()[0].status is VmStatus.LIVE
 
+    def test_unchanged_list_is_not_sent_again(self, platform):
+        """Guards against a list of 1,200 VMs that is read whole every 2 s."""
+        vms = HttpVmList(HttpClient(platform.address, "controller"))
+        for number in range(200):
+            platform.vm_list.put({**VM, "vm_id": f"vm-{number}"})
+        first = vms.list_vms()
+        n_bytes = platform.count_bytes("controller")
+        assert vms.list_vms() == first
+        assert platform.count_bytes("controller") - n_bytes < 400
+        platform.vm_list.put({**VM, "vm_id": "vm-0", "status": "leaving"})
+        assert vms.list_vms()[0].status is VmStatus.LEAVING
+
 
 class TestBackendServer:
     def test_full_server_says_that_it_did_not_run(self, backend_server):
