Take shares back from teams far above their part as well

Cause of the worst window: what one team had too much was spread over several that each lacked less than 6%, so none of them took it back.

--- a/catkinport/policy/_round.py
+++ b/catkinport/policy/_round.py
@@ -165,6 +165,19 @@
         share = self._share(self.usage_by_team[task.team], held_by(task), -1.0)
         return share >= target
 
+    def is_far_above_target_without(self, task: RunningTask) -> bool:
+        """Return whether a team is well above its fair part even without ``task``."""
+        target = self.target_by_team.get(task.team, 0.0)
+        share = self._share(self.usage_by_team[task.team], held_by(task), -1.0)
+        return share >= target * (1 + SHORTAGE)
+
+    def is_any_far_above_target(self) -> bool:
+        """Return whether some team is well above its fair part."""
+        return any(
+            self.share_of(team) >= target * (1 + SHORTAGE)
+            for team, target in self.target_by_team.items()
+        )
+
     def throttled_tasks(self) -> list[RunningTask]:
         """Return the tasks that are throttled and not about to end."""
         return [
--- a/catkinport/policy/placement.py
+++ b/catkinport/policy/placement.py
@@ -210,14 +210,24 @@
                 self._make_room(job, lambda task: True)
 
     def reclaim_shares(self, blocked: list[WaitingJob]) -> None:
-        """Take room back for teams below their target from teams above theirs."""
+        """Take room back for teams below their target from teams above theirs.
+
+        A team that lacks little takes only from teams far above their target: what
+        one team has too much may be spread over many that each lack little.
+        """
         n_attempts = 0
+        is_any_far_above = self.state.is_any_far_above_target()
         for job in blocked:
             if n_attempts >= MAX_RECLAIM_ATTEMPTS:
                 return
             if self.state.is_short(job.team):
                 n_attempts += 1
                 self._make_room(job, self.state.is_above_target_without)
+            elif is_any_far_above and self.state.is_within_target(
+                job.team, job.request
+            ):
+                n_attempts += 1
+                self._make_room(job, self.state.is_far_above_target_without)
 
     def _make_room(self, job: WaitingJob, may_take: MayTake) -> bool:
         """Start ``job`` or have room freed for it; return whether either is done."""
