--- a/benchmarks/capacity_policy.py
+++ b/benchmarks/capacity_policy.py
@@ -109,6 +109,11 @@
     return lambda: plan_placement(problem)
 
 
+def _placement_of_fleet(n_workers: int) -> Callable[[], object]:
+    problems = [make_problem(28, 26, seed) for seed in range(n_workers // 28)]
+    return lambda: [plan_placement(problem) for problem in problems]
+
+
 def _water_filling(n_teams: int) -> Callable[[], object]:
     rng = Random(1)
     capacity = Resources(9600.0, 38400.0, 0.0)
@@ -175,11 +180,14 @@
 
 CASES = (
     Case("placement round", "workers", (36, 75, 150, 300), _placement),
+    Case(
+        "placement, pools of 28", "workers", (140, 280, 560, 1176), _placement_of_fleet
+    ),
     Case("water filling", "teams", (6, 13, 26, 52), _water_filling),
     Case("maintenance, all pools", "workers", (150, 300, 600, 1200), _maintenance),
     Case("spare pool moves", "pools", (6, 21, 42), _buffers),
-    Case("worker health update", "workers", (36, 150, 300), _worker_health),
-    Case("usage reports of a round", "workers", (36, 75, 150), _size_estimates),
+    Case("worker health update", "workers", (36, 150, 300, 1200), _worker_health),
+    Case("usage reports of a round", "workers", (36, 150, 600, 1200), _size_estimates),
 )
 
 
