--- a/catkinport/controller/actors.py
+++ b/catkinport/controller/actors.py
@@ -221,7 +221,7 @@
             owned = dict(self._keeper.ownership_by_pool)
             self._vm_list.tell(PoolsOwned(owned))
             self._services.metrics.set(
-                "pools_owned", "Pools that this controller owns.", {}, len(owned)
+                "catkin_pools_owned", "Pools that this controller owns.", {}, len(owned)
             )
 
     def _start_pool(self, ownership: Ownership) -> None:
--- a/catkinport/controller/outcomes.py
+++ b/catkinport/controller/outcomes.py
@@ -130,11 +130,13 @@
         del self._state.task_by_job[change.job.job_id]
         if change.row["n_moves"] > change.job.row["n_moves"]:
             labels = {"team": change.row["team"], "how": task.ending}
-            self._services.metrics.increment("moves", "Tasks moved.", labels)
+            self._services.metrics.increment("catkin_moves", "Tasks moved.", labels)
         if task.report is None or not task.has_ended:
             return
         labels = {"team": change.row["team"], "outcome": str(task.report.state)}
-        self._services.metrics.increment("tasks_ended", "Tasks that ended.", labels)
+        self._services.metrics.increment(
+            "catkin_tasks_ended", "Tasks that ended.", labels
+        )
         if task.report.state in (TaskState.DONE, TaskState.FAILED):
             self._judge_worker(change.job, task)
 
--- a/catkinport/controller/rounds.py
+++ b/catkinport/controller/rounds.py
@@ -277,9 +277,13 @@
         labels = {"pool": self._state.pool}
         seconds = self._services.clock.now() - started_at
         metrics = self._services.metrics
-        metrics.observe("round_seconds", "Time of a placement round.", labels, seconds)
+        metrics.observe(
+            "catkin_round_seconds", "Time of a placement round.", labels, seconds
+        )
         n_waiting = len(waiting) - len(plan.starts)
-        metrics.set("jobs_waiting", "Jobs that wait for room.", labels, n_waiting)
+        metrics.set(
+            "catkin_jobs_waiting", "Jobs that wait for room.", labels, n_waiting
+        )
 
 
 def _capacity(row: VmRow) -> Resources:
--- a/catkinport/controller/starts.py
+++ b/catkinport/controller/starts.py
@@ -131,7 +131,10 @@
         }
         seconds = max(0.0, self._services.unix_time() - row["submitted_at"])
         self._services.metrics.observe(
-            "job_start_seconds", "Time from submission to start.", labels, seconds
+            "catkin_job_start_seconds",
+            "Time from submission to start.",
+            labels,
+            seconds,
         )
 
     def _take_unknown(self, entry: _Pending) -> None:
