Let the worker stand-in report usage with a lag

Cause: workers report usage late; the stand-in reported it at once, so that no test could show what follows. Ruled out: delaying whole reports (the end of a task would lag as well).

--- a/catkinport/standins/_tasks.py
+++ b/catkinport/standins/_tasks.py
@@ -26,6 +26,7 @@
 
     specification: TaskSpecification
     lease_expires_at: float
+    started_at: float
     updated_at: float
     progress: float = 0.0
     fraction: float = 1.0
@@ -80,7 +81,7 @@
             if known and known.specification.attempt == specification.attempt:
                 known.lease_expires_at = now + lease_seconds
                 return True
-            task = Task(specification, now + lease_seconds, now, progress)
+            task = Task(specification, now + lease_seconds, now, now, progress)
             self._task_by_job[specification.job_id] = task
             self._record(task, "started")
             if is_failing or specification.command == FAILING_COMMAND:
@@ -135,11 +136,20 @@
                 task.detail = "stored"
             return finished
 
-    def list_reports(self) -> list[TaskReport]:
-        """Return a report of every task."""
+    def list_reports(self, usage_lag_seconds: float = 0.0) -> list[TaskReport]:
+        """Return a report of every task.
+
+        Args:
+            usage_lag_seconds: age of the usage that is reported; a task that is
+                younger is reported as using nothing yet.
+        """
         with self._lock:
             self._advance()
-            return [_to_report(task) for task in self._task_by_job.values()]
+            seen_before = self._clock.now() - usage_lag_seconds
+            return [
+                _to_report(task, is_usage_known=task.started_at <= seen_before)
+                for task in self._task_by_job.values()
+            ]
 
     def _advance(self) -> None:
         now = self._clock.now()
@@ -175,15 +185,15 @@
         )
 
 
-def _to_report(task: Task) -> TaskReport:
+def _to_report(task: Task, is_usage_known: bool) -> TaskReport:
     specification = task.specification
-    is_active = task.state in ACTIVE_STATES
+    is_using = task.state in ACTIVE_STATES and is_usage_known
     return TaskReport(
         specification.job_id,
         specification.attempt,
         task.state,
-        specification.n_cores * task.fraction if is_active else 0.0,
-        specification.memory_gb if is_active else 0.0,
+        specification.n_cores * task.fraction if is_using else 0.0,
+        specification.memory_gb if is_using else 0.0,
         task.progress,
         task.checkpoint_reference,
         task.detail,
--- a/catkinport/standins/tests/test_standins.py
+++ b/catkinport/standins/tests/test_standins.py
@@ -165,6 +165,17 @@
         assert report.state.value == "stopped"
         assert report.progress == pytest.approx(0.1)
 
+    def test_usage_lags_behind_the_state(self):
+        """Guards against a lag that also delays the state of a task."""
+        clock = ManualClock()
+        tasks = TaskTable(clock)
+        tasks.start(SPECIFICATION, lease_seconds=60)
+        clock.advance(5)
+        report = tasks.list_reports(usage_lag_seconds=10.0)[0]
+        assert (report.state.value, report.used_cores) == ("running", 0.0)
+        clock.advance(5)
+        assert tasks.list_reports(usage_lag_seconds=10.0)[0].used_cores == 1.0
+
     def test_checkpoint_keeps_progress_for_the_next_worker(self, platform):
         """Guards against a resumed task that starts from nothing."""
         worker = WorkerStandin(platform.address)
--- a/catkinport/standins/worker.py
+++ b/catkinport/standins/worker.py
@@ -27,6 +27,7 @@
     "delay_seconds": 0.0,
     "fails_everything": False,
     "is_full": False,
+    "usage_lag_seconds": 0.0,
 }
 
 
@@ -102,7 +103,8 @@
             return json_answer(503, {"error": "the worker is down"})
         self.tasks.renew(body["epoch"], body["job_ids"], body["lease_seconds"])
         self.store_results()
-        reports = [report._asdict() for report in self.tasks.list_reports()]
+        lag_seconds = self.faults["usage_lag_seconds"]
+        reports = [r._asdict() for r in self.tasks.list_reports(lag_seconds)]
         return compressible_answer(request, {"reports": reports})
 
     def _change(self, request: HttpRequest, job_id: str, operation: str) -> HttpAnswer:
