Add schedules for a leaving backend server and a killed controller

Ruled out: checking the pools' rows alone (an entry with an old view would not show). Change: two schedules; submitting jobs and fetching results moves into the deployment, where demo and capacity benchmark used copies.

--- a/benchmarks/capacity_daemons.py
+++ b/benchmarks/capacity_daemons.py
@@ -83,7 +83,8 @@
     with ProcessGroup() as processes:
         deployment = Deployment(processes, size)
         deployment.start()
-        submit_tasks(deployment, n_workers * TASKS_PER_WORKER)
+        for _ in range(n_workers * TASKS_PER_WORKER):
+            deployment.submit_job(JOB_SECONDS, n_cores=8.0)
         return measure_period(deployment, n_workers, lambda: None)
 
 
@@ -110,19 +111,6 @@
     return row._replace(size=n_calls / (MEASURED_SECONDS + SETTLE_SECONDS))
 
 
-def submit_tasks(deployment: Deployment, n_jobs: int) -> None:
-    """Submit long jobs and wait until all of them run."""
-    caller = deployment.list_callers()[0]
-    address = deployment.list_caller_addresses()[0]
-    url = f"http://{address}/v1/queues/long-0/jobs"
-    headers = {"Authorization": f"Bearer {caller.secret}"}
-    body = {"command": "sleep", "cores": 8, "run_seconds": JOB_SECONDS}
-    for _ in range(n_jobs):
-        status, answer = deployment.call("POST", url, body, headers)
-        if status != 202:
-            raise RuntimeError(f"the job was refused: {status} {answer}")
-
-
 def measure_period(
     deployment: Deployment, size: float, during: Callable[[], None]
 ) -> Row:
--- a/examples/demo.py
+++ b/examples/demo.py
@@ -7,7 +7,7 @@
 
 from verification.checkers import check_at_most_once, check_own_answer
 from verification.client import LoadGenerator, RecordingClient
-from verification.deployment import Deployment, DeploymentSize
+from verification.deployment import Deployment, DeploymentSize, SubmittedJob
 from verification.history import Operation, Outcome, Recorder
 from verification.processes import ProcessGroup
 
@@ -24,7 +24,7 @@
         deployment = Deployment(processes, DeploymentSize())
         print("starting platform, backend servers, workers, entries, controllers")
         deployment.start()
-        jobs = submit_jobs(deployment)
+        jobs = [deployment.submit_job(JOB_SECONDS) for _ in range(N_JOBS)]
         operations = send_requests_and_kill_an_entry(deployment)
         n_done = count_finished_jobs(deployment, jobs)
         executions = deployment.list_executions()
@@ -63,32 +63,13 @@
     return recorder.list_operations()
 
 
-def submit_jobs(deployment: Deployment) -> list[tuple[str, str]]:
-    """Submit jobs with the teams' keys; return queue and id of each."""
-    jobs = []
-    for index in range(N_JOBS):
-        caller = deployment.list_callers()[index % len(deployment.caller_by_key)]
-        address = deployment.list_caller_addresses()[0]
-        queue = caller.queue.replace("queue", "long")
-        status, answer = deployment.call(
-            "POST",
-            f"http://{address}/v1/queues/{queue}/jobs",
-            {"command": "sleep", "cores": 2, "run_seconds": JOB_SECONDS},
-            {"Authorization": f"Bearer {caller.secret}"},
-        )
-        if status != 202:
-            raise RuntimeError(f"the job was refused: {status} {answer}")
-        jobs.append((caller.key_name, f"{queue}/jobs/{answer['job_id']}"))
-    return jobs
-
-
-def count_finished_jobs(deployment: Deployment, jobs: list[tuple[str, str]]) -> int:
+def count_finished_jobs(deployment: Deployment, jobs: list[SubmittedJob]) -> int:
     """Wait for the jobs and fetch their results; return how many are done."""
     deadline = time.monotonic() + JOB_TIMEOUT_SECONDS
     waiting = list(jobs)
     while waiting and time.monotonic() < deadline:
         time.sleep(0.2)
-        waiting = [job for job in waiting if not _has_result(deployment, *job)]
+        waiting = [job for job in waiting if not deployment.has_result(job)]
     return len(jobs) - len(waiting)
 
 
@@ -131,16 +112,5 @@
     print(f"violations       {n_violations:>6}")
 
 
-def _has_result(deployment: Deployment, key_name: str, path: str) -> bool:
-    caller = deployment.caller_by_key[key_name]
-    address = deployment.list_caller_addresses()[0]
-    status, _ = deployment.call(
-        "GET",
-        f"http://{address}/v1/queues/{path}/result",
-        headers={"Authorization": f"Bearer {caller.secret}"},
-    )
-    return status == 200
-
-
 if __name__ == "__main__":
     sys.exit(main())
--- a/verification/deployment.py
+++ b/verification/deployment.py
@@ -48,6 +48,13 @@
     admin_address: str
 
 
+class SubmittedJob(NamedTuple):
+    """A job and the key that it was submitted with."""
+
+    key_name: str
+    path: str
+
+
 class Deployment:
     """Platform, backend servers, workers, entries and controllers.
 
@@ -71,6 +78,7 @@
         self._operator_salt = create_salt()
         self._cluster_key = create_secret()
         self._document = ""
+        self._n_jobs = 0
         self._listed_vm_by_id: dict[str, ListedVm] = {}
 
     def start(self) -> None:
@@ -147,6 +155,42 @@
         address = self.server_address_by_vm[vm_id]
         self.call("PUT", f"http://{address}/standin/faults", faults)
 
+    def set_vm_status(self, vm_id: str, status: VmStatus) -> None:
+        """Have the platform's list show a VM in another state."""
+        listed = self._listed_vm_by_id[vm_id]._replace(status=status)
+        url = f"http://{self.platform_address}/vms/{vm_id}"
+        self.call("PUT", url, listed._asdict())
+
+    def submit_job(self, run_seconds: float, n_cores: float = 2.0) -> SubmittedJob:
+        """Submit a long job with the key of the next team in turn.
+
+        Raises:
+            RuntimeError: if the job was refused.
+        """
+        callers = self.list_callers()
+        caller = callers[self._n_jobs % len(callers)]
+        self._n_jobs += 1
+        queue = caller.queue.replace("queue", "long")
+        address = self.list_caller_addresses()[0]
+        status, answer = self.call(
+            "POST",
+            f"http://{address}/v1/queues/{queue}/jobs",
+            {"command": "sleep", "cores": n_cores, "run_seconds": run_seconds},
+            {"Authorization": f"Bearer {caller.secret}"},
+        )
+        if status != 202:
+            raise RuntimeError(f"the job was refused: {status} {answer}")
+        path = f"/v1/queues/{queue}/jobs/{answer['job_id']}"
+        return SubmittedJob(caller.key_name, path)
+
+    def has_result(self, job: SubmittedJob) -> bool:
+        """Return whether the result of a job can be fetched."""
+        address = self.list_caller_addresses()[0]
+        secret = self.caller_by_key[job.key_name].secret
+        headers = {"Authorization": f"Bearer {secret}"}
+        url = f"http://{address}{job.path}/result"
+        return self.call("GET", url, headers=headers)[0] == 200
+
     def administer(
         self,
         method: str,
--- a/verification/schedules.py
+++ b/verification/schedules.py
@@ -3,10 +3,19 @@
 import time
 from collections.abc import Callable
 
-from .checkers import Violation, check_nothing_cut
+from catkinport.ports import VmStatus
+
+from .checkers import Violation, check_leaving_servers, check_nothing_cut
 from .history import Withdrawal
 from .trial import Trial, TrialResult, run_together, run_trial
 
+# "A few seconds", taken as the bound for configuration changes.
+LEAVING_BOUND_SECONDS = 4.0
+N_JOBS = 10
+JOB_SECONDS = 8.0
+# Longer than the eviction, the takeover and the run of the jobs.
+JOB_TIMEOUT_SECONDS = 60.0
+
 Schedule = Callable[[Trial], None]
 
 _schedule_by_name: dict[str, Schedule] = {}
@@ -182,6 +191,38 @@
         time.sleep(0.5)
 
 
+@schedule("leaving-server")
+def let_server_leave(trial: Trial) -> None:
+    """Let the platform's list show a VM as leaving while requests go on."""
+    deployment = trial.deployment
+    vm_id = trial.rng.choice(list(deployment.server_address_by_vm))
+    trial.mark_fault()
+    left_at = time.time()
+    deployment.set_vm_status(vm_id, VmStatus.LEAVING)
+    time.sleep(10.0)
+    trial.extra_violations += check_leaving_servers(
+        deployment.list_executions(), {vm_id: left_at}, LEAVING_BOUND_SECONDS
+    )
+
+
+@schedule("kill-controller")
+def kill_controller(trial: Trial) -> None:
+    """Kill a controller while jobs run; every job still ends with its result."""
+    deployment = trial.deployment
+    jobs = [deployment.submit_job(JOB_SECONDS) for _ in range(N_JOBS)]
+    time.sleep(1.0)
+    trial.mark_fault()
+    next(iter(deployment.controller_by_name.values())).process.kill()
+    deadline = time.monotonic() + JOB_TIMEOUT_SECONDS
+    waiting = jobs
+    while waiting and time.monotonic() < deadline:
+        time.sleep(0.5)
+        waiting = [job for job in waiting if not deployment.has_result(job)]
+    trial.extra_violations += [
+        Violation("long work survives", f"{job.path} has no result") for job in waiting
+    ]
+
+
 @schedule("together-twice")
 def combine_faults(trial: Trial) -> None:
     """Kill an entry, freeze another and take the store down, twice."""
