Answer unknown where a retry is refused after an attempt that may have run

Cause: found by reading. An idempotent request whose first attempt was lost was answered "not run" when its retry found no room, no time or no lease (P7). Ruled out: retrying without a limit; the deadline and the retry budget stand. Change: the forwarder keeps the unknown outcome of an earlier attempt and returns it in place of a later refusal. Conclusion: a refusal speaks of all attempts of a request.

--- a/catkinport/entry/requests.py
+++ b/catkinport/entry/requests.py
@@ -187,24 +187,31 @@
         return self._answer(call, self._send(call), claim)
 
     def _send(self, call: Call) -> Outcome:
-        """Send until there is an answer, an unknown outcome or no time left."""
+        """Send until there is an answer, an unknown outcome or no time left.
+
+        After an attempt that may have run, a refusal of a later one does not mean
+        that the request has not run.
+        """
         self._budget(call.service).earn()
         excluded: frozenset[str] = frozenset()
+        unknown: Unknown | None = None
         for attempt in itertools.count(1):
             grant = self._admit(call, excluded, attempt > 1)
             if isinstance(grant, NotRun):
-                return grant
+                return unknown or grant
             outcome = self._dispatch(call, grant)
+            excluded = frozenset({grant.address})
             if isinstance(outcome, NotRun) and self._may_go_elsewhere(call, outcome):
-                excluded = frozenset({grant.address})
                 continue
+            if isinstance(outcome, NotRun | Refused):
+                return unknown or outcome
             if not isinstance(outcome, Unknown):
                 return outcome
+            unknown = outcome
             if not call.is_idempotent or not call.body.is_repeatable:
-                return outcome
+                return unknown
             if not self._wait_for_retry(call, attempt):
-                return outcome
-            excluded = frozenset({grant.address})
+                return unknown
         raise AssertionError("unreachable")
 
     def _admit(
--- a/catkinport/entry/tests/test_requests.py
+++ b/catkinport/entry/tests/test_requests.py
@@ -83,6 +83,20 @@
         assert statuses == [200] * 10
         assert len(world.list_executions()) == 10
 
+    def test_refused_retry_is_not_reported_as_not_run(self, make_world):
+        """Guards against "not run" where an earlier attempt may have run (P7)."""
+        world = make_world()
+        world.set_faults(is_truncating=True)
+        entry = world.entries[0]
+        with ThreadPoolExecutor(1) as executor:
+            path = "/x?seconds=0.4"
+            call = executor.submit(entry.call, path, Catkin_Idempotent="true")
+            _wait_for(lambda: len(world.list_executions()) == 1)
+            entry.membership.is_fresh = False
+            answer = call.result()
+        assert answer.headers["Catkin-Outcome"] == "unknown"
+        assert answer.headers["Catkin-Reason"] == "answer-truncated"
+
     def test_request_past_its_deadline_is_refused_as_not_run(self, make_world):
         """Guards against "not run" for a request that did run (P7)."""
         world = make_world(n_servers=1)
