Bound the size of bodies on the administration ports

Cause: the HTTP server has a limit for bodies since an upload of 200 MB raised an entry's memory by 400 MB, but the daemons did not set it. Ruled out: the same limit on the callers' port; the entry checks it itself and answers with the outcome not-run. Change: both daemons pass the limit of JSON bodies to the server.

--- a/catkinport/controller/daemon.py
+++ b/catkinport/controller/daemon.py
@@ -15,6 +15,7 @@
     json_answer,
     log_event,
 )
+from ..runtime.http import MAX_JSON_BODY_BYTES
 from ..settings.declaration import format_fault
 from ..settings.document import parse_document
 from ..settings.environment import Environment
@@ -43,7 +44,11 @@
         self._clock = BootTimeClock()
         addresses = settings.addresses
         self._server = HttpServer(
-            self._build_router(), addresses.host, addresses.admin_port, N_ADMIN_THREADS
+            self._build_router(),
+            addresses.host,
+            addresses.admin_port,
+            N_ADMIN_THREADS,
+            MAX_JSON_BODY_BYTES,
         )
         self._server.start()
         _, _, admin_port = self._server.address.rpartition(":")
--- a/catkinport/entry/daemon.py
+++ b/catkinport/entry/daemon.py
@@ -7,6 +7,7 @@
 from ..administration import AdministrationContext, build_router
 from ..membership import MembershipSettings, start_membership
 from ..runtime import BootTimeClock, HttpServer, Metrics, log_event
+from ..runtime.http import MAX_JSON_BODY_BYTES
 from ..settings.declaration import format_fault
 from ..settings.document import parse_document
 from ..settings.environment import Environment
@@ -37,7 +38,11 @@
         # The administration port must be bound before the member registers its
         # address, and its routes need the membership.
         self._admin_server = HttpServer(
-            self._administer, addresses.host, addresses.admin_port, N_ADMIN_THREADS
+            self._administer,
+            addresses.host,
+            addresses.admin_port,
+            N_ADMIN_THREADS,
+            MAX_JSON_BODY_BYTES,
         )
         self._admin_router = None
         self._admin_server.start()
