Share readiness and the parsing of accepted documents between daemons

Cause: entry and controller held the same parser of accepted documents and two versions of the health routes, with different answers to /readyz. Ruled out: a base class for daemons (they share little else). Change: settings.document.parse_environment, administration.health serves both; a controller without a configuration is no longer ready. Before and after: 102 tests of controller, entry, settings and administration pass before and after; the test of readiness now reads the status, which includes the lease that it read before. Conclusion: one rule of readiness.

--- a/catkinport/administration/health.py
+++ b/catkinport/administration/health.py
@@ -2,9 +2,27 @@
 
 from collections.abc import Callable
 
+from ..membership.interface import Snapshot
 from ..runtime import HttpAnswer, HttpRequest, Metrics, Router, json_answer
 
 
+def find_unreadiness(snapshot: Snapshot, now: float, is_stopping: bool) -> str:
+    """Return why a daemon is not ready, empty when it is.
+
+    Args:
+        snapshot: what the daemon's member knows.
+        now: time on the member's clock, in seconds.
+        is_stopping: whether a planned stop is under way.
+    """
+    if is_stopping:
+        return "stopping"
+    if snapshot.environment is None:
+        return "no configuration"
+    if not snapshot.is_fresh(now):
+        return "no freshness lease"
+    return ""
+
+
 def add_health_routes(
     router: Router, metrics: Metrics, check_ready: Callable[[], str]
 ) -> None:
--- a/catkinport/controller/daemon.py
+++ b/catkinport/controller/daemon.py
@@ -4,21 +4,17 @@
 import time
 
 from ..adapters import HttpClient, HttpObjectStore, HttpTable, HttpVmList, HttpWorkers
+from ..administration.health import add_health_routes, find_unreadiness
 from ..membership import MembershipSettings, start_membership
 from ..runtime import (
     BootTimeClock,
-    HttpAnswer,
-    HttpRequest,
     HttpServer,
     Metrics,
     Router,
-    json_answer,
     log_event,
 )
 from ..runtime.http import MAX_JSON_BODY_BYTES
-from ..settings.declaration import format_fault
-from ..settings.document import parse_document
-from ..settings.environment import Environment
+from ..settings.document import parse_environment
 from ..settings.process import ControllerSettings
 from .actors import OWNERSHIP_SECONDS, ControllerActor, ReleaseAll, Ticker
 from .services import ParallelRunner, Services
@@ -101,44 +97,13 @@
 
     def _build_router(self) -> Router:
         router = Router()
-
-        @router.route("GET", "/healthz")
-        def show_health(request: HttpRequest) -> HttpAnswer:
-            return json_answer(200, {"status": "ok"})
-
-        @router.route("GET", "/readyz")
-        def show_readiness(request: HttpRequest) -> HttpAnswer:
-            snapshot = self._membership.snapshot()
-            is_fresh = snapshot.is_fresh(self._clock.now())
-            is_ready = is_fresh and not self._is_stopping
-            return json_answer(
-                200 if is_ready else 503,
-                {
-                    "member_id": snapshot.member_id,
-                    "revision": snapshot.revision,
-                    "is_fresh": is_fresh,
-                    "is_stopping": self._is_stopping,
-                },
-            )
-
-        @router.route("GET", "/metrics")
-        def show_metrics(request: HttpRequest) -> HttpAnswer:
-            content, content_type = self._metrics.render()
-            return HttpAnswer(200, content, {"Content-Type": content_type})
-
+        add_health_routes(router, self._metrics, self._check_ready)
         return router
 
-
-def parse_environment(document: str) -> Environment:
-    """Parse a document that was checked when it was accepted.
-
-    Raises:
-        ValueError: if this version of the program does not accept it.
-    """
-    parsed = parse_document(document)
-    if isinstance(parsed, list):
-        raise ValueError("; ".join(format_fault(fault) for fault in parsed))
-    return parsed
+    def _check_ready(self) -> str:
+        """Return why the controller is not ready, empty when it is."""
+        snapshot = self._membership.snapshot()
+        return find_unreadiness(snapshot, self._clock.now(), self._is_stopping)
 
 
 def _client(settings: ControllerSettings, address: str) -> HttpClient:
--- a/catkinport/controller/tests/test_daemon.py
+++ b/catkinport/controller/tests/test_daemon.py
@@ -126,7 +126,7 @@
             assert b'job_start_seconds_count{class="long",team="a"} 1' in fetch(
                 daemon, "/metrics"
             )
-            assert json.loads(fetch(daemon, "/readyz"))["is_fresh"]
+            assert json.loads(fetch(daemon, "/readyz"))["status"] == "ready"
         finally:
             daemon.stop()
         owner = table.read([owner_key("p")])[owner_key("p")].value
--- a/catkinport/entry/daemon.py
+++ b/catkinport/entry/daemon.py
@@ -5,12 +5,11 @@
 
 from ..adapters import HttpBackendServers, HttpClient, HttpObjectStore, HttpTable
 from ..administration import AdministrationContext, build_router
+from ..administration.health import find_unreadiness
 from ..membership import MembershipSettings, start_membership
 from ..runtime import BootTimeClock, HttpServer, Metrics, log_event
 from ..runtime.http import MAX_JSON_BODY_BYTES
-from ..settings.declaration import format_fault
-from ..settings.document import parse_document
-from ..settings.environment import Environment
+from ..settings.document import parse_environment
 from ..settings.process import EntrySettings
 from .engine import EntryEngine
 from .services import EntryServices
@@ -132,26 +131,8 @@
 
     def _check_ready(self) -> str:
         """Return why the entry is not ready, empty when it is."""
-        if self._is_stopping:
-            return "stopping"
         snapshot = self._membership.snapshot()
-        if snapshot.environment is None:
-            return "no configuration"
-        if not snapshot.is_fresh(self._clock.now()):
-            return "no freshness lease"
-        return ""
-
-
-def parse_environment(document: str) -> Environment:
-    """Parse a document that was checked when it was accepted.
-
-    Raises:
-        ValueError: if this version of the program does not accept it.
-    """
-    parsed = parse_document(document)
-    if isinstance(parsed, list):
-        raise ValueError("; ".join(format_fault(fault) for fault in parsed))
-    return parsed
+        return find_unreadiness(snapshot, self._clock.now(), self._is_stopping)
 
 
 def _client(settings: EntrySettings, address: str) -> HttpClient:
--- a/catkinport/settings/document.py
+++ b/catkinport/settings/document.py
@@ -4,7 +4,12 @@
 from typing import Any
 
 from .checks import CheckedFile, CheckedSection, check_text, limit_faults
-from .declaration import Fault, declarations_by_kind, describe_allowed
+from .declaration import (
+    Fault,
+    declarations_by_kind,
+    describe_allowed,
+    format_fault,
+)
 from .document_declaration import DOCUMENT_DECLARATIONS
 from .environment import (
     Account,
@@ -41,6 +46,18 @@
     return _build_environment(checked.section_by_name_by_kind)
 
 
+def parse_environment(document: str) -> Environment:
+    """Parse a document that was checked when it was accepted.
+
+    Raises:
+        ValueError: if this version of the program does not accept it.
+    """
+    parsed = parse_document(document)
+    if isinstance(parsed, list):
+        raise ValueError("; ".join(format_fault(fault) for fault in parsed))
+    return parsed
+
+
 def _check_across(checked: CheckedFile) -> Iterator[Fault]:
     by_kind = checked.section_by_name_by_kind
     yield from _check_references(by_kind)
