Add a schedule whose load reaches the upper limits

Cause: 8 client threads of 3 teams never reached 20 slots a team, so that the check of limits could not fail in any schedule. Ruled out: the low limit for every schedule (a trial showed what it does to throughput, and the shares served would measure that instead of the faults). Change: a schedule names the size of its deployment; tight-limits kills one entry and freezes another at 2 slots a team.

--- a/verification/schedules.py
+++ b/verification/schedules.py
@@ -2,10 +2,12 @@
 
 import time
 from collections.abc import Callable
+from typing import NamedTuple
 
 from catkinport.ports import VmStatus
 
 from .checkers import Violation, check_leaving_servers, check_nothing_cut
+from .deployment import DeploymentSize
 from .history import Withdrawal
 from .trial import Trial, TrialResult, run_together, run_trial
 
@@ -18,14 +20,29 @@
 
 Schedule = Callable[[Trial], None]
 
-_schedule_by_name: dict[str, Schedule] = {}
 
+class RegisteredSchedule(NamedTuple):
+    """A schedule and the deployment that it runs on."""
 
-def schedule(name: str) -> Callable[[Schedule], Schedule]:
-    """Register the decorated function as a fault schedule."""
+    run: Schedule
+    size: DeploymentSize
+
+
+_schedule_by_name: dict[str, RegisteredSchedule] = {}
+
+
+def schedule(
+    name: str, size: DeploymentSize | None = None
+) -> Callable[[Schedule], Schedule]:
+    """Register the decorated function as a fault schedule.
+
+    Args:
+        name: name of the schedule.
+        size: size of its deployment; ``None`` for the default.
+    """
 
     def register(function: Schedule) -> Schedule:
-        _schedule_by_name[name] = function
+        _schedule_by_name[name] = RegisteredSchedule(function, size or DeploymentSize())
         return function
 
     return register
@@ -45,7 +62,8 @@
     if name not in _schedule_by_name:
         known = ", ".join(list_schedules())
         raise ValueError(f"name must be one of {known}, got {name!r}")
-    return run_trial(name, _schedule_by_name[name], seed)
+    registered = _schedule_by_name[name]
+    return run_trial(name, registered.run, seed, registered.size)
 
 
 @schedule("kill-entry")
@@ -73,6 +91,22 @@
         time.sleep(3.0)
 
 
+# 8 threads of 3 teams reach a limit of 2 slots; with the 20 of the other schedules the
+# check of limits could not fail.
+@schedule("tight-limits", DeploymentSize(max_slots=2))
+def kill_and_pause_under_tight_limits(trial: Trial) -> None:
+    """Kill one entry and freeze another while every team is at its limit."""
+    deployment = trial.deployment
+    killed, paused = trial.rng.sample(list(deployment.entry_by_name.values()), 2)
+    trial.mark_fault()
+    killed.process.kill()
+    deployment.pause(paused)
+    time.sleep(4.0)
+    deployment.resume(paused)
+    deployment.start_entry(killed.name)
+    time.sleep(6.0)
+
+
 @schedule("store-down")
 def take_store_down(trial: Trial) -> None:
     """Take the table service down for all for longer than a lease."""
--- a/verification/trial.py
+++ b/verification/trial.py
@@ -144,11 +144,11 @@
     name: str,
     schedule: Callable[[Trial], None],
     seed: int,
-    size: DeploymentSize | None = None,
+    size: DeploymentSize,
 ) -> TrialResult:
     """Run a fault schedule on a fresh deployment and check it."""
     with ProcessGroup() as processes:
-        deployment = Deployment(processes, size or DeploymentSize())
+        deployment = Deployment(processes, size)
         deployment.start()
         trial = Trial(deployment, seed)
         trial.run(schedule, seed)
