--- /dev/null
+++ b/catkinport/jobs/__init__.py
@@ -0,0 +1,1 @@
+"""Jobs of many tasks on workers: the model, its state, and the owner that runs it."""
--- /dev/null
+++ b/catkinport/jobs/dispatcher.py
@@ -0,0 +1,605 @@
+"""The owner's state machine: jobs, workers, and what happens to both.
+
+Nothing here does input or output, and time is passed in. `planner` decides which tasks
+start; the owner's shell carries the orders out and reports what came of them.
+"""
+
+import logging
+from collections.abc import Iterator, Sequence
+from typing import Any, NamedTuple
+
+from ..policy.resources import Resources
+from ..ports.fleet_vms import FleetVm, VmState
+from ..ports.fleet_workers import (
+    Done,
+    EndedTask,
+    EndKind,
+    ListedWorker,
+    OrderOutcome,
+    Rejected,
+    Rejection,
+    WorkerLists,
+)
+from ..runtime.logs import log_event
+from .configuration import FleetConfiguration, Queue
+from .model import Job, JobState, TaskId, work_core_seconds
+from .record import JobRecord, Task, TaskPhase
+from .worker_state import (
+    UNHEALTHY_PAUSE_SECONDS,
+    Run,
+    RunKey,
+    RunPhase,
+    WorkerBelief,
+)
+
+logger = logging.getLogger(__name__)
+
+STOP_RETRY_SECONDS = 0.4
+"""Time after which an unanswered stop is sent again."""
+
+DEAD_VM_SILENCE_SECONDS = 1.2
+"""A VM that the platform lists as down counts as dead if its worker has been silent for
+longer than the platform's list may lag."""
+
+RESTART_PAUSE_SECONDS = 0.2
+"""Pause before a task whose run failed is started again."""
+
+STALL_FACTOR = 1.0
+"""A run without progress for this many times its estimate stands still."""
+
+MIN_STALL_SECONDS = 2.5
+"""Shortest time without progress that counts, as workers report in whole percents."""
+
+
+class StopOrder(NamedTuple):
+    """Stops a run."""
+
+    worker_id: str
+    key: RunKey
+    reason: str
+
+
+class Dispatcher:
+    """Jobs and workers as the owner knows them.
+
+    Attributes:
+        job_by_id: jobs that have not been stored as ended.
+        worker_by_id: workers that are listed or may still run something.
+        runs_by_task: runs of each task that may be alive, by the task's name.
+        unresolved_by_id: pool of each worker of the former owner that has neither
+            answered nor outlived its lease, by worker id.
+    """
+
+    def __init__(self, configuration: FleetConfiguration) -> None:
+        self.configuration = configuration
+        self._known_queue_by_name: dict[str, Queue] = {}
+        self.apply_configuration(configuration)
+        self.job_by_id: dict[str, JobRecord] = {}
+        self.worker_by_id: dict[str, WorkerBelief] = {}
+        self.runs_by_task: dict[str, list[Run]] = {}
+        self.unresolved_by_id: dict[str, str] = {}
+        self.mean_work_by_queue: dict[str, float] = {}
+
+    def apply_configuration(self, configuration: FleetConfiguration) -> None:
+        """Take over a version of the configuration.
+
+        Queues that it drops stay known, because their accepted jobs go on.
+        """
+        self.configuration = configuration
+        self._known_queue_by_name.update(configuration.queue_by_name)
+
+    # Jobs.
+
+    def add_job(self, job: Job, now: float, is_inherited: bool = False) -> None:
+        """Take in an accepted job; one that is known already is left as it is."""
+        if job.job_id in self.job_by_id:
+            return
+        record = JobRecord(job, is_inherited)
+        record.first_seen_at = now
+        self.job_by_id[job.job_id] = record
+        self._learn_work(job)
+        log_event(
+            logger,
+            "job taken in",
+            request_id=job.job_id,
+            queue=job.queue,
+            account=job.account,
+            n_steps=len(job.steps),
+            n_tasks=sum(step.n_tasks for step in job.steps),
+            inherited=is_inherited,
+        )
+
+    def load_state(self, job_id: str, row: dict[str, Any], version: int) -> None:
+        """Take over the stored state of a job; one that has ended is forgotten."""
+        record = self.job_by_id.get(job_id)
+        if record is None:
+            return
+        record.load_row(row, version)
+        if record.is_final:
+            del self.job_by_id[job_id]
+
+    def cancel_job(self, job_id: str) -> None:
+        """Note that the caller has canceled the job."""
+        record = self.job_by_id.get(job_id)
+        if record is None or record.is_cancel_asked:
+            return
+        record.is_cancel_asked = True
+        log_event(logger, "job cancel taken in", request_id=job_id, state=record.state)
+        self._settle_closing(record)
+
+    def queue_of(self, record: JobRecord) -> Queue | None:
+        """Return the queue of a job; ``None`` if no known configuration has it."""
+        return self._known_queue_by_name.get(record.job.queue)
+
+    def count_waiting(self) -> dict[str, int]:
+        """Return how many jobs of each queue have not begun."""
+        n_by_queue = dict.fromkeys(self.configuration.queue_by_name, 0)
+        for record in self.job_by_id.values():
+            if not record.is_begun and not record.is_closing:
+                queue = record.job.queue
+                n_by_queue[queue] = n_by_queue.get(queue, 0) + 1
+        return n_by_queue
+
+    def dirty_jobs(self) -> list[JobRecord]:
+        """Return the jobs whose state has to be stored."""
+        return [
+            record for record in self.job_by_id.values() if record.is_dirty
+        ]
+
+    def forget_ended(self, record: JobRecord) -> None:
+        """Drop a job that has ended, once that is stored and nothing of it runs."""
+        if record.is_final and not record.is_dirty and not self._has_runs(record):
+            self.job_by_id.pop(record.job.job_id, None)
+
+    # Workers.
+
+    def update_workers(self, listed: Sequence[ListedWorker], now: float) -> None:
+        """Take in the list of workers."""
+        listed_by_id = {worker.worker_id: worker for worker in listed}
+        for worker in listed:
+            self._see_worker(worker, now)
+        for belief in list(self.worker_by_id.values()):
+            if belief.worker_id in listed_by_id:
+                continue
+            if belief.is_listed:
+                belief.is_listed = False
+                log_event(
+                    logger,
+                    "worker no longer listed",
+                    worker=belief.worker_id,
+                    n_runs=len(belief.run_by_key),
+                    silent_seconds=round(now - belief.contact_at, 2),
+                )
+            if not belief.run_by_key and now > belief.lease_until:
+                self._remove_worker(belief)
+
+    def _see_worker(self, worker: ListedWorker, now: float) -> None:
+        belief = self.worker_by_id.get(worker.worker_id)
+        if belief is None:
+            belief = WorkerBelief(worker, now)
+            self.worker_by_id[worker.worker_id] = belief
+            log_event(
+                logger,
+                "worker listed",
+                worker=worker.worker_id,
+                pool=worker.pool,
+                peer=worker.address,
+                labels=",".join(worker.labels),
+            )
+            return
+        if worker.is_draining and not belief.listed.is_draining:
+            log_event(
+                logger,
+                "worker drains",
+                worker=worker.worker_id,
+                remaining_seconds=worker.remaining_seconds,
+                n_runs=len(belief.run_by_key),
+            )
+        belief.listed = worker
+        belief.is_listed = True
+
+    def update_vms(self, vms: Sequence[FleetVm], sent_at: float, now: float) -> None:
+        """Take in the platform's list of VMs; a dead VM runs nothing any more."""
+        vm_id_by_worker = {vm.worker_id: vm.vm_id for vm in vms if vm.worker_id}
+        state_by_vm = {vm.vm_id: vm.state for vm in vms}
+        for belief in list(self.worker_by_id.values()):
+            vm_id = vm_id_by_worker.get(belief.worker_id)
+            if vm_id:
+                belief.vm_id = vm_id
+            if not belief.vm_id or belief.worker_id in vm_id_by_worker:
+                if state_by_vm.get(belief.vm_id) is not VmState.DOWN:
+                    continue
+            is_silent = sent_at - belief.contact_at > DEAD_VM_SILENCE_SECONDS
+            is_gone = state_by_vm.get(belief.vm_id) is not VmState.UP
+            if is_silent and is_gone and belief.run_by_key:
+                state = state_by_vm.get(belief.vm_id)
+                self._lose_runs(belief, f"vm-{state or 'absent'}", now, sent_at)
+
+    def on_lists(
+        self, worker_id: str, lists: WorkerLists, sent_at: float, now: float
+    ) -> None:
+        """Take in what a worker says that it runs and which ends it lists."""
+        belief = self.worker_by_id.get(worker_id)
+        if belief is None:
+            return
+        if belief.born and lists.born != belief.born:
+            self._begin_life(belief, lists, now)
+        if belief.contact_at == float("-inf"):
+            log_event(logger, "worker reached", worker=worker_id)
+        belief.born = lists.born
+        belief.contact_at = now
+        self.unresolved_by_id.pop(worker_id, None)
+        for ended in sorted(lists.ended):
+            if ended.number > belief.processed_end:
+                self._on_end(belief, ended, now)
+                belief.processed_end = ended.number
+        self._match_running(belief, lists, sent_at, now)
+
+    def _begin_life(
+        self, belief: WorkerBelief, lists: WorkerLists, now: float
+    ) -> None:
+        belief.processed_end = 0
+        belief.noted_end = 0
+        listed = {RunKey(entry.task, entry.run) for entry in lists.running}
+        listed |= {RunKey(entry.task, entry.run) for entry in lists.ended}
+        lost = [run for key, run in belief.run_by_key.items() if key not in listed]
+        log_event(
+            logger, "worker started anew", worker=belief.worker_id, n_lost=len(lost)
+        )
+        for run in lost:
+            # An order that is still unanswered may have reached the new life.
+            if run.known_at or run.is_unsure:
+                self._lose_run(belief, run, "worker-restarted", now)
+
+    def _match_running(
+        self, belief: WorkerBelief, lists: WorkerLists, sent_at: float, now: float
+    ) -> None:
+        listed_keys = set()
+        for entry in lists.running:
+            key = RunKey(entry.task, entry.run)
+            listed_keys.add(key)
+            run = belief.run_by_key.get(key) or self._adopt(belief, key, now)
+            if run is None:
+                continue
+            run.known_at = run.known_at or now
+            if run.phase is RunPhase.ASKED and not run.is_unsure:
+                run.phase = RunPhase.RUNNING
+            if entry.percent != run.percent:
+                run.percent = entry.percent
+                run.progressed_at = now
+            run.gauge = entry.gauge
+            if entry.saved:
+                run.task.saved = entry.saved
+        for key, run in list(belief.run_by_key.items()):
+            if key in listed_keys:
+                continue
+            confirmed_at = run.stopped_at if run.is_unsure else run.known_at
+            if confirmed_at and confirmed_at < sent_at:
+                self._lose_run(belief, run, "not-listed", now)
+
+    def _adopt(self, belief: WorkerBelief, key: RunKey, now: float) -> Run | None:
+        """Take over a run that a former owner ordered, or stop a foreign one."""
+        task_id = TaskId.parse(key.task)
+        record = self.job_by_id.get(task_id.job_id)
+        task = record.find_task(task_id) if record else None
+        if record is None or task is None:
+            return None
+        record.note_run(task, key.run)
+        run = Run(record, task, key.run, belief.worker_id, now)
+        run.phase = RunPhase.RUNNING
+        run.known_at = now
+        self._attach(belief, run)
+        log_event(
+            logger,
+            "run adopted",
+            request_id=record.job.job_id,
+            task=key.task,
+            run=key.run,
+            worker=belief.worker_id,
+            task_phase=task.phase,
+            n_runs=len(self.runs_by_task[task.text]),
+        )
+        if task.phase is TaskPhase.WAITING:
+            task.phase = TaskPhase.PLACED
+        return run
+
+    def _attach(self, belief: WorkerBelief, run: Run) -> None:
+        belief.add_run(run)
+        self.runs_by_task.setdefault(run.task.text, []).append(run)
+        run.record.ever_started = True
+        run.record.n_placed += 1
+        run.task.ever_started = True
+
+    def _detach(self, belief: WorkerBelief, run: Run) -> None:
+        belief.drop_run(run.key)
+        runs = self.runs_by_task.get(run.task.text, [])
+        if run in runs:
+            runs.remove(run)
+            run.record.n_placed -= 1
+        if not runs:
+            self.runs_by_task.pop(run.task.text, None)
+
+    def _on_end(self, belief: WorkerBelief, ended: EndedTask, now: float) -> None:
+        task_id = TaskId.parse(ended.task)
+        record = self.job_by_id.get(task_id.job_id)
+        task = record.find_task(task_id) if record else None
+        run = belief.run_by_key.get(RunKey(ended.task, ended.run))
+        log_event(
+            logger,
+            "run ended",
+            request_id=task_id.job_id,
+            task=ended.task,
+            run=ended.run,
+            worker=belief.worker_id,
+            how=ended.how,
+            end=ended.number,
+            seconds=round(now - run.asked_at, 3) if run else "",
+        )
+        if run is not None:
+            self._detach(belief, run)
+        if record is None or task is None:
+            return
+        record.note_run(task, ended.run)
+        record.keep_saved(task, ended.saved)
+        if ended.how is EndKind.DONE and not task.step.is_lasting:
+            self._on_done(belief, record, task, now)
+        elif ended.how is EndKind.FAILED:
+            self._on_failed(belief, record, task, ended.run, now)
+        self._return_task(record, task)
+        self._settle_closing(record)
+
+    def _on_done(
+        self, belief: WorkerBelief, record: JobRecord, task: Task, now: float
+    ) -> None:
+        belief.note_outcome(True, now)
+        tasks = [task]
+        if task.step.is_gang:
+            stage = (task.task_id.occurrence, task.task_id.step)
+            tasks = record.tasks_by_stage[stage]
+        for member in tasks:
+            record.mark_done(member)
+        if record.state is JobState.COMPLETED:
+            log_event(
+                logger,
+                "job complete",
+                request_id=record.job.job_id,
+                queue=record.job.queue,
+                seconds=round(now - record.first_seen_at, 3),
+            )
+
+    def _on_failed(
+        self,
+        belief: WorkerBelief,
+        record: JobRecord,
+        task: Task,
+        run: int,
+        now: float,
+    ) -> None:
+        task.avoided_worker = belief.worker_id
+        task.not_before = now + RESTART_PAUSE_SECONDS * task.step.is_lasting
+        queue = self.queue_of(record)
+        counted = task
+        if task.step.is_gang:
+            # Any member's failure is one failure of the gang.
+            stage = (task.task_id.occurrence, task.task_id.step)
+            counted = record.tasks_by_stage[stage][0]
+        record.mark_failed(counted, run, queue.max_failures if queue else 0)
+        if belief.note_outcome(False, now):
+            log_event(
+                logger,
+                "worker quarantined",
+                worker=belief.worker_id,
+                until_seconds=round(belief.blocked_until - now, 2),
+            )
+        if record.state is JobState.FAILED:
+            log_event(
+                logger,
+                "job failed",
+                request_id=record.job.job_id,
+                task=task.text,
+                n_failures=len(counted.failed_runs),
+                worker=belief.worker_id,
+            )
+
+    def _return_task(self, record: JobRecord, task: Task) -> None:
+        if task.phase is TaskPhase.PLACED and not self.runs_by_task.get(task.text):
+            task.phase = TaskPhase.WAITING
+
+    def _lose_run(
+        self, belief: WorkerBelief, run: Run, reason: str, now: float
+    ) -> None:
+        self._detach(belief, run)
+        log_event(
+            logger,
+            "run lost",
+            request_id=run.record.job.job_id,
+            task=run.key.task,
+            run=run.key.run,
+            worker=belief.worker_id,
+            reason=reason,
+            silent_seconds=round(now - belief.contact_at, 2),
+        )
+        self._return_task(run.record, run.task)
+        self._settle_closing(run.record)
+
+    def _lose_runs(
+        self, belief: WorkerBelief, reason: str, now: float, asked_before: float
+    ) -> None:
+        for run in list(belief.run_by_key.values()):
+            if run.asked_at < asked_before - DEAD_VM_SILENCE_SECONDS:
+                self._lose_run(belief, run, reason, now)
+
+    def _remove_worker(self, belief: WorkerBelief) -> None:
+        del self.worker_by_id[belief.worker_id]
+        log_event(logger, "worker forgotten", worker=belief.worker_id)
+
+    # Orders and their outcomes.
+
+    def begin_run(self, belief: WorkerBelief, task: Task, now: float) -> Run:
+        """Note that a run of ``task`` is ordered on the worker."""
+        record = self.job_by_id[task.task_id.job_id]
+        number = task.run + 1
+        record.note_run(task, number)
+        run = Run(record, task, number, belief.worker_id, now)
+        self._attach(belief, run)
+        task.phase = TaskPhase.PLACED
+        return run
+
+    def on_start_outcome(self, run: Run, outcome: OrderOutcome, now: float) -> None:
+        """Take in what became of a start order."""
+        belief = self.worker_by_id.get(run.worker_id)
+        if belief is None or run.key not in belief.run_by_key:
+            return
+        if isinstance(outcome, Done):
+            run.known_at = run.known_at or now
+            if run.phase is RunPhase.ASKED:
+                run.phase = RunPhase.RUNNING
+            return
+        if isinstance(outcome, Rejected):
+            self._on_start_rejected(belief, run, outcome.reason, now)
+            return
+        log_event(
+            logger,
+            "start without answer",
+            request_id=run.record.job.job_id,
+            task=run.key.task,
+            run=run.key.run,
+            worker=run.worker_id,
+            reason=outcome.reason,
+            may_run=outcome.may_have_committed,
+        )
+        if not outcome.may_have_committed:
+            self._lose_run(belief, run, "not-sent", now)
+            return
+        run.is_unsure = True
+
+    def _on_start_rejected(
+        self, belief: WorkerBelief, run: Run, reason: Rejection, now: float
+    ) -> None:
+        log_event(
+            logger,
+            "start rejected",
+            request_id=run.record.job.job_id,
+            task=run.key.task,
+            run=run.key.run,
+            worker=run.worker_id,
+            reason=reason,
+        )
+        if reason in (Rejection.UNHEALTHY, Rejection.OTHER_LIFE):
+            belief.blocked_until = now + UNHEALTHY_PAUSE_SECONDS
+        if reason is Rejection.UNHEALTHY:
+            belief.note_outcome(False, now)
+        if reason is Rejection.NO_ROOM:
+            belief.blocked_until = now + STOP_RETRY_SECONDS / 2
+        if reason is Rejection.INVALID:
+            run.task.not_before = now + UNHEALTHY_PAUSE_SECONDS
+        self._detach(belief, run)
+        self._return_task(run.record, run.task)
+        self._settle_closing(run.record)
+
+    def on_stop_outcome(self, run: Run, outcome: OrderOutcome, now: float) -> None:
+        """Take in what became of a stop order."""
+        if isinstance(outcome, Done):
+            run.stopped_at = now
+        elif isinstance(outcome, Rejected):
+            log_event(
+                logger,
+                "stop rejected",
+                level=logging.WARNING,
+                task=run.key.task,
+                run=run.key.run,
+                worker=run.worker_id,
+                reason=outcome.reason,
+            )
+
+    def expire(self, now: float) -> None:
+        """Give up runs whose lease has ended on a silent worker."""
+        for belief in self.worker_by_id.values():
+            if belief.is_in_contact(now) or now <= belief.lease_until:
+                continue
+            for run in list(belief.run_by_key.values()):
+                self._lose_run(belief, run, "lease-ended", now)
+
+    def find_stops(self, now: float) -> Iterator[StopOrder]:
+        """Yield the stop orders that are due."""
+        for belief in self.worker_by_id.values():
+            for run in belief.run_by_key.values():
+                reason = self._stop_reason(run, now)
+                if not reason or run.stopped_at:
+                    continue
+                if now - run.stop_sent_at < STOP_RETRY_SECONDS and run.stop_sent_at:
+                    continue
+                run.stop_sent_at = now
+                run.phase = RunPhase.STOPPING
+                yield StopOrder(belief.worker_id, run.key, reason)
+
+    def _stop_reason(self, run: Run, now: float) -> str:
+        if run.record.is_cancel_asked:
+            return "canceled"
+        if run.record.is_final:
+            return "job-ended"
+        if run.task.phase is TaskPhase.DONE:
+            return "task-done"
+        if run.is_unsure:
+            return "start-unsure"
+        if run.phase is RunPhase.STOPPING:
+            return "repeat"
+        runs = self.runs_by_task.get(run.task.text, [])
+        if len(runs) > 1 and not run.task.step.may_run_twice and run is not runs[0]:
+            return "second-run"
+        if self._is_stalled(run, now):
+            return "stalled"
+        return ""
+
+    def _is_stalled(self, run: Run, now: float) -> bool:
+        step = run.task.step
+        if step.is_lasting or step.is_filler or not run.known_at or step.is_gang:
+            return False
+        limit = max(MIN_STALL_SECONDS, STALL_FACTOR * step.estimate_seconds)
+        if now - run.progressed_at <= limit:
+            return False
+        belief = self.worker_by_id[run.worker_id]
+        if not belief.is_in_contact(now):
+            return False
+        run.task.avoided_worker = run.worker_id
+        belief.note_outcome(False, now)
+        return True
+
+    # Sums.
+
+    def usage_by_account(self) -> dict[str, Resources]:
+        """Return what each client account has or may have running."""
+        usage: dict[str, Resources] = {}
+        for belief in self.worker_by_id.values():
+            for run in belief.run_by_key.values():
+                need = run.task.step.need
+                have = usage.get(run.record.job.account, Resources(0, 0, 0))
+                usage[run.record.job.account] = Resources(
+                    have.cores + need.cores,
+                    have.memory_gb + need.memory_gb,
+                    have.accelerators + need.accelerators,
+                )
+        return usage
+
+    def workers_of(self, pool: str) -> list[WorkerBelief]:
+        """Return the workers of a pool."""
+        return [w for w in self.worker_by_id.values() if w.listed.pool == pool]
+
+    def is_pool_resolved(self, pool: str) -> bool:
+        """Return whether tasks of inherited jobs may start in the pool."""
+        return pool not in self.unresolved_by_id.values()
+
+    def _has_runs(self, record: JobRecord) -> bool:
+        return record.n_placed > 0
+
+    def _settle_closing(self, record: JobRecord) -> None:
+        if record.is_cancel_asked and not self._has_runs(record):
+            record.mark_canceled()
+
+    def _learn_work(self, job: Job) -> None:
+        work = work_core_seconds(job.steps)
+        mean = self.mean_work_by_queue.get(job.queue)
+        self.mean_work_by_queue[job.queue] = (
+            work if mean is None else mean + (work - mean) * 0.05
+        )
+
--- /dev/null
+++ b/catkinport/jobs/intake.py
@@ -0,0 +1,112 @@
+"""Takes jobs, questions and cancellations of callers; runs in every daemon."""
+
+import logging
+from typing import NamedTuple
+
+from ..ports import NotRun, Reason, Unavailable, Unknown
+from ..ports.async_table import AsyncTable, commit_until_known
+from ..ports.table import ABSENT_VERSION, Committed, Condition, Conflict, Transaction, Write
+from ..runtime.logs import log_event
+from .model import Job, JobState, job_to_row
+from .tables import (
+    JOBS_TABLE,
+    RANGE_END,
+    STATES_TABLE,
+    cancel_key,
+    job_key,
+)
+
+logger = logging.getLogger(__name__)
+
+COMMIT_ATTEMPTS = 2
+"""Attempts of one commit within a call; a caller's own retry follows."""
+
+RETRY_SECONDS = 0.5
+"""When a caller may come back after the table service gave no answer."""
+
+
+class Accepted(NamedTuple):
+    """The job is stored; ``is_repeat`` if it had been stored before."""
+
+    is_repeat: bool
+
+
+class Absent(NamedTuple):
+    """There is no such job."""
+
+
+class Canceled(NamedTuple):
+    """The cancellation is stored, or the job has ended."""
+
+
+
+
+class Intake:
+    """Stores what callers ask for.
+
+    Args:
+        table: client of the table service.
+    """
+
+    def __init__(self, table: AsyncTable) -> None:
+        self._table = table
+
+    async def submit(self, job: Job) -> Accepted | NotRun | Unknown:
+        """Store a job; the same id twice is one job."""
+        key = job_key(job.job_id)
+        transaction = Transaction(
+            [Condition(key, ABSENT_VERSION)], [Write(key, job_to_row(job))]
+        )
+        outcome = await commit_until_known(self._table, transaction, COMMIT_ATTEMPTS)
+        if isinstance(outcome, Committed):
+            return Accepted(is_repeat=False)
+        if isinstance(outcome, Conflict):
+            return Accepted(is_repeat=True)
+        if outcome.may_have_committed:
+            return Unknown(outcome.reason, outcome.step, outcome.peer, outcome.detail)
+        return NotRun(
+            outcome.reason, outcome.step, outcome.peer, outcome.detail, RETRY_SECONDS
+        )
+
+    async def find_state(
+        self, job_id: str, account: str
+    ) -> JobState | Absent | Unavailable:
+        """Return the state of a job of ``account``."""
+        states = await self._table.read_range(STATES_TABLE, job_id, job_id + RANGE_END)
+        if isinstance(states, Unavailable):
+            return states
+        for row in states.rows:
+            if row.row_key.key == job_id and row.value["account"] == account:
+                return JobState(row.value["state"])
+        rows = await self._table.read_range(JOBS_TABLE, job_id, job_id + RANGE_END)
+        if isinstance(rows, Unavailable):
+            return rows
+        for row in rows.rows:
+            if row.row_key.key == job_id and row.value.get("account", "") == account:
+                return JobState.QUEUED
+        return Absent()
+
+    async def cancel(
+        self, job_id: str, account: str
+    ) -> Canceled | Absent | NotRun | Unknown:
+        """Store that a job is canceled."""
+        state = await self.find_state(job_id, account)
+        if isinstance(state, Absent):
+            return state
+        if isinstance(state, Unavailable):
+            return NotRun(
+                state.reason, state.step, state.peer, state.detail, RETRY_SECONDS
+            )
+        key = cancel_key(job_id)
+        transaction = Transaction([Condition(key, ABSENT_VERSION)], [Write(key, {})])
+        outcome = await commit_until_known(self._table, transaction, COMMIT_ATTEMPTS)
+        if isinstance(outcome, Committed | Conflict):
+            log_event(logger, "job cancel stored", request_id=job_id, state=state)
+            return Canceled()
+        return Unknown(outcome.reason, outcome.step, outcome.peer, outcome.detail)
+
+
+def describe(outcome: NotRun | Unknown | Unavailable) -> str:
+    """Return reason, step and peer of an outcome for a log line."""
+    reason = Reason(outcome.reason).value
+    return f"{reason} at {outcome.step} of {outcome.peer or 'nobody'}"
--- /dev/null
+++ b/catkinport/jobs/model.py
@@ -0,0 +1,176 @@
+"""What a caller asks for: a job of steps, each of equal tasks."""
+
+from collections.abc import Mapping, Sequence
+from enum import StrEnum
+from typing import Any, NamedTuple
+
+from ..policy.resources import Resources
+
+
+class JobState(StrEnum):
+    """State of a job as its caller sees it."""
+
+    QUEUED = "queued"
+    RUNNING = "running"
+    COMPLETED = "completed"
+    FAILED = "failed"
+    CANCELED = "canceled"
+
+
+FINAL_STATES = frozenset({JobState.COMPLETED, JobState.FAILED, JobState.CANCELED})
+
+
+class Step(NamedTuple):
+    """A step of a job.
+
+    Args:
+        n_tasks: number of tasks, at least 1.
+        need: what each task takes on its worker.
+        estimate_seconds: rough duration of a task; 0 when the caller gives none.
+        after: numbers of the steps whose tasks must all be done first.
+        saves_work: whether a task writes checkpoints that a later run resumes from.
+        is_gang: whether the tasks only work while all of them are present.
+        wants_one_rack: whether tasks on several racks are slowed down.
+        required_label: label that the worker must have; empty for none.
+        preferred_rack: label of the rack that holds the data; empty for none.
+        max_per_worker: most tasks of the step on one worker; 0 for no limit.
+        may_run_twice: whether copies of a task may run side by side.
+        is_lasting: whether tasks run until the job is canceled.
+        image: what the tasks run; tasks of one image behave alike.
+        target_seconds: tail latency that a lasting task has to stay under; 0 for none.
+        is_filler: whether tasks use only capacity that others leave.
+        max_away: how many lasting tasks may be away at once because of us.
+    """
+
+    n_tasks: int
+    need: Resources
+    estimate_seconds: float = 0.0
+    after: tuple[int, ...] = ()
+    saves_work: bool = False
+    is_gang: bool = False
+    wants_one_rack: bool = False
+    required_label: str = ""
+    preferred_rack: str = ""
+    max_per_worker: int = 0
+    may_run_twice: bool = False
+    is_lasting: bool = False
+    image: str = ""
+    target_seconds: float = 0.0
+    is_filler: bool = False
+    max_away: int = 0
+
+
+class Job(NamedTuple):
+    """An accepted job.
+
+    Args:
+        job_id: id chosen by the caller.
+        queue: name of the queue.
+        account: name of the client account; empty on a queue without keys.
+        specification: text handed to each task unchanged.
+        steps: the steps, by number.
+        accepted_at: Unix time of acceptance in seconds.
+        n_occurrences: how often the steps run; 0 for once and without a time.
+        first_due_at: Unix time in seconds at which occurrence 0 is due.
+        interval_seconds: time between occurrences.
+    """
+
+    job_id: str
+    queue: str
+    account: str
+    specification: str
+    steps: Sequence[Step]
+    accepted_at: float
+    n_occurrences: int = 0
+    first_due_at: float = 0.0
+    interval_seconds: float = 0.0
+
+    def due_at(self, occurrence: int) -> float:
+        """Return the Unix time at which ``occurrence`` may start; 0 for at once."""
+        if not self.n_occurrences:
+            return 0.0
+        return self.first_due_at + occurrence * self.interval_seconds
+
+
+class TaskId(NamedTuple):
+    """Name of a task.
+
+    Example:
+        >>> str(TaskId("5c0e", 0, 1, 17))
+        '5c0e.0.1.17'
+        >>> TaskId.parse("5c0e.0.1.17").index
+        17
+    """
+
+    job_id: str
+    occurrence: int
+    step: int
+    index: int
+
+    def __str__(self) -> str:
+        return f"{self.job_id}.{self.occurrence}.{self.step}.{self.index}"
+
+    @classmethod
+    def parse(cls, text: str) -> "TaskId":
+        """Read the text form.
+
+        Raises:
+            ValueError: if ``text`` names no task.
+        """
+        job_id, *numbers = text.split(".")
+        if len(numbers) != 3:
+            raise ValueError(f"not the name of a task: {text[:80]!r}")
+        occurrence, step, index = (int(number) for number in numbers)
+        return cls(job_id, occurrence, step, index)
+
+
+def chain_seconds(steps: Sequence[Step]) -> float:
+    """Return the longest chain of estimated work over dependent steps.
+
+    Example:
+        >>> need = Resources(1, 1, 0)
+        >>> chain_seconds([Step(4, need, 1.0), Step(2, need, 2.0, after=(0,))])
+        3.0
+    """
+    ends: list[float] = []
+    for step in steps:
+        start = max((ends[i] for i in step.after), default=0.0)
+        ends.append(start + step.estimate_seconds)
+    return max(ends, default=0.0)
+
+
+def work_core_seconds(steps: Sequence[Step]) -> float:
+    """Return the estimated core-seconds of all tasks of ``steps``."""
+    return sum(step.n_tasks * step.need.cores * step.estimate_seconds for step in steps)
+
+
+def job_to_row(job: Job) -> dict[str, Any]:
+    """Return the row in which a job is stored; fields at their default are left out."""
+    row = {**job._asdict(), "steps": [_step_to_row(step) for step in job.steps]}
+    return {name: value for name, value in row.items() if value not in ("", 0)}
+
+
+def job_from_row(row: Mapping[str, Any]) -> Job:
+    """Read a stored job.
+
+    Raises:
+        KeyError, TypeError: if the row is no stored job.
+    """
+    steps = tuple(_step_from_row(step) for step in row["steps"])
+    fields = {"account": "", "specification": "", **row, "steps": steps}
+    return Job(**fields)
+
+
+def _step_to_row(step: Step) -> dict[str, Any]:
+    defaults = Step._field_defaults
+    return {
+        name: list(value) if isinstance(value, tuple) else value
+        for name, value in step._asdict().items()
+        if name not in defaults or value != defaults[name]
+    }
+
+
+def _step_from_row(row: Mapping[str, Any]) -> Step:
+    fields = {**row, "need": Resources(*row["need"])}
+    fields["after"] = tuple(row.get("after", ()))
+    return Step(**fields)
--- /dev/null
+++ b/catkinport/jobs/planner.py
@@ -0,0 +1,306 @@
+"""Decides which waiting tasks start, and where."""
+
+from collections.abc import Iterator, Mapping
+from typing import NamedTuple
+
+from ..policy.job_order import JobView, order_key
+from ..policy.resources import Resources
+from ..policy.worker_choice import TaskNeed, WorkerRoom, choose_worker, fits
+from .configuration import Account, Queue
+from .dispatcher import Dispatcher
+from .model import Step, work_core_seconds
+from .record import JobRecord, Task, TaskPhase
+from .worker_state import Run, WorkerBelief
+
+NO_LIMIT = Resources(0.0, 0.0, 0.0)
+
+
+class PlannedStart(NamedTuple):
+    """A run that was noted as ordered; the caller sends the order."""
+
+    belief: WorkerBelief
+    run: Run
+    ticket: str
+
+
+class WantedAdvice(NamedTuple):
+    """Workers whose approval for a step is asked for."""
+
+    stage: str
+    worker_ids: tuple[str, ...]
+    valid_seconds: float
+
+
+class Ticket(NamedTuple):
+    """An approval of a worker for a step, until a clock time in seconds."""
+
+    text: str
+    valid_until: float
+
+
+class Planner:
+    """Starts tasks in the order of `policy.job_order`.
+
+    Args:
+        dispatcher: jobs and workers.
+    """
+
+    def __init__(self, dispatcher: Dispatcher) -> None:
+        self._dispatcher = dispatcher
+        self._tickets_by_stage: dict[str, dict[str, Ticket]] = {}
+        self.wanted_advice: dict[str, WantedAdvice] = {}
+
+    def keep_tickets(self, stage: str, ticket_by_worker: Mapping[str, Ticket]) -> None:
+        """Remember the approvals for a step."""
+        self._tickets_by_stage[stage] = dict(ticket_by_worker)
+
+    def plan(
+        self, now: float, unix_now: float, learnt_before: float | None = None
+    ) -> list[PlannedStart]:
+        """Place waiting tasks and note their runs.
+
+        Args:
+            now: clock time in seconds.
+            unix_now: Unix time in seconds, for jobs with due times.
+            learnt_before: if given, only jobs learnt before this clock time start;
+                set while the ownership is in doubt.
+        """
+        dispatcher = self._dispatcher
+        self.wanted_advice = {}
+        records_by_pool: dict[str, list[tuple[JobRecord, Queue]]] = {}
+        for record in dispatcher.job_by_id.values():
+            queue = dispatcher.queue_of(record)
+            if queue is None or record.is_closing:
+                continue
+            if learnt_before is not None and record.first_seen_at > learnt_before:
+                continue
+            if record.is_inherited and not dispatcher.is_pool_resolved(queue.pool):
+                continue
+            records_by_pool.setdefault(queue.pool, []).append((record, queue))
+        starts: list[PlannedStart] = []
+        usage = dispatcher.usage_by_account()
+        for pool, records in records_by_pool.items():
+            rooms = self._rooms(pool, now)
+            if not rooms:
+                continue
+            ordered = sorted(
+                records, key=lambda item: order_key(self._view(*item, now), now)
+            )
+            for record, queue in ordered:
+                self._plan_job(record, queue, rooms, usage, now, unix_now, starts)
+        return starts
+
+    def _rooms(self, pool: str, now: float) -> dict[str, WorkerRoom]:
+        rooms: dict[str, WorkerRoom] = {}
+        for belief in self._dispatcher.workers_of(pool):
+            if not belief.may_start(now):
+                continue
+            room = WorkerRoom(
+                belief.worker_id, belief.listed.labels, belief.free(), belief.penalty
+            )
+            for run in belief.run_by_key.values():
+                room.count(task_need(run.task))
+            rooms[belief.worker_id] = room
+        return rooms
+
+    def _plan_job(
+        self,
+        record: JobRecord,
+        queue: Queue,
+        rooms: dict[str, WorkerRoom],
+        usage: dict[str, Resources],
+        now: float,
+        unix_now: float,
+        starts: list[PlannedStart],
+    ) -> None:
+        account = self._dispatcher.configuration.account_by_name.get(record.job.account)
+        for stage in list(record.ready_stages()):
+            if record.job.due_at(stage[0]) > unix_now:
+                continue
+            tasks = record.tasks_by_stage[stage]
+            waiting = [
+                task
+                for task in tasks
+                if task.phase is TaskPhase.WAITING and task.not_before <= now
+            ]
+            if not waiting:
+                continue
+            usable = self._usable_rooms(waiting[0], queue, rooms, now)
+            if waiting[0].step.is_gang:
+                if len(waiting) == len(tasks):
+                    self._plan_gang(waiting, usable, usage, account, now, starts)
+                continue
+            for task in waiting:
+                if not self._plan_task(task, usable, usage, account, now, starts):
+                    break
+
+    def _usable_rooms(
+        self, task: Task, queue: Queue, rooms: dict[str, WorkerRoom], now: float
+    ) -> dict[str, WorkerRoom]:
+        if queue.advice is None:
+            return rooms
+        stage = stage_name(task)
+        tickets = self._tickets_by_stage.get(stage, {})
+        valid = {
+            worker_id: room
+            for worker_id, room in rooms.items()
+            if worker_id in tickets and tickets[worker_id].valid_until > now
+        }
+        if not valid:
+            self.wanted_advice[stage] = WantedAdvice(
+                stage, tuple(rooms), queue.advice.valid_seconds
+            )
+        return valid
+
+    def _plan_task(
+        self,
+        task: Task,
+        rooms: dict[str, WorkerRoom],
+        usage: dict[str, Resources],
+        account: Account | None,
+        now: float,
+        starts: list[PlannedStart],
+    ) -> bool:
+        if not is_within_limit(usage, account, task.step.need, 1):
+            return False
+        room = choose_worker(task_need(task), rooms.values())
+        if room is None:
+            return False
+        self._begin(task, room, usage, account, now, starts)
+        return True
+
+    def _plan_gang(
+        self,
+        tasks: list[Task],
+        rooms: dict[str, WorkerRoom],
+        usage: dict[str, Resources],
+        account: Account | None,
+        now: float,
+        starts: list[PlannedStart],
+    ) -> None:
+        step = tasks[0].step
+        if not is_within_limit(usage, account, step.need, len(tasks)):
+            return
+        chosen = find_gang_rooms(tasks, rooms)
+        if chosen is None:
+            return
+        # All members carry one run number and one checkpoint.
+        run = max(task.run for task in tasks)
+        saved = max((task.saved for task in tasks), default="")
+        for task, room in zip(tasks, chosen, strict=True):
+            task.run = run
+            task.saved = saved
+            self._begin(task, room, usage, account, now, starts)
+
+    def _begin(
+        self,
+        task: Task,
+        room: WorkerRoom,
+        usage: dict[str, Resources],
+        account: Account | None,
+        now: float,
+        starts: list[PlannedStart],
+    ) -> None:
+        belief = self._dispatcher.worker_by_id[room.worker_id]
+        run = self._dispatcher.begin_run(belief, task, now)
+        room.take(task_need(task))
+        name = run.record.job.account
+        have = usage.get(name, NO_LIMIT)
+        usage[name] = Resources(*(a + b for a, b in zip(have, task.step.need, strict=True)))
+        tickets = self._tickets_by_stage.get(stage_name(task), {})
+        ticket = tickets.get(room.worker_id)
+        starts.append(PlannedStart(belief, run, ticket.text if ticket else ""))
+
+    def _view(self, record: JobRecord, queue: Queue, now: float) -> JobView:
+        chain = record.remaining_chain_seconds()
+        total = work_core_seconds(record.job.steps)
+        return JobView(
+            accepted_at=record.first_seen_at,
+            objective_seconds=record.objective_seconds(queue),
+            remaining_chain_seconds=chain,
+            remaining_core_seconds=record.remaining_core_seconds(),
+            mean_core_seconds=self._dispatcher.mean_work_by_queue.get(queue.name, total),
+            total_core_seconds=total,
+            priority=queue.priority,
+            is_lasting=any(step.is_lasting for step in record.job.steps),
+        )
+
+
+def stage_name(task: Task) -> str:
+    """Return the name of the task's step within its job's occurrence."""
+    return task.text.rpartition(".")[0]
+
+
+def task_need(task: Task) -> TaskNeed:
+    """Return what ``task`` asks of its worker."""
+    step = task.step
+    return TaskNeed(
+        stage_name(task),
+        step.need,
+        step.required_label,
+        step.preferred_rack,
+        step.max_per_worker,
+        step.is_filler,
+        step.target_seconds > 0,
+        task.avoided_worker,
+    )
+
+
+def is_within_limit(
+    usage: Mapping[str, Resources], account: Account | None, need: Resources, n: int
+) -> bool:
+    """Return whether ``n`` more tasks keep the account within its limit."""
+    if account is None:
+        return True
+    have = usage.get(account.name, NO_LIMIT)
+    return all(
+        not limit or used + n * more <= limit
+        for used, more, limit in zip(have, need, account.limit, strict=True)
+    )
+
+
+def find_gang_rooms(
+    tasks: list[Task], rooms: Mapping[str, WorkerRoom]
+) -> list[WorkerRoom] | None:
+    """Return a worker for each member of a gang, or ``None`` if they do not all fit.
+
+    Racks are tried one by one where the step wants one rack, all workers otherwise.
+    """
+    for candidates in _candidate_groups(tasks[0].step, rooms):
+        chosen = _fit_all(tasks, candidates)
+        if chosen is not None:
+            return chosen
+    return None
+
+
+def _candidate_groups(
+    step: Step, rooms: Mapping[str, WorkerRoom]
+) -> Iterator[list[WorkerRoom]]:
+    if step.wants_one_rack:
+        racks = {label for room in rooms.values() for label in room.labels}
+        for rack in sorted(racks):
+            yield [room for room in rooms.values() if rack in room.labels]
+    yield list(rooms.values())
+
+
+def _fit_all(tasks: list[Task], rooms: list[WorkerRoom]) -> list[WorkerRoom] | None:
+    trial = {room.worker_id: _copy_room(room) for room in rooms}
+    room_by_id = {room.worker_id: room for room in rooms}
+    chosen = []
+    for task in tasks:
+        need = task_need(task)
+        room = choose_worker(need, trial.values())
+        if room is None or not fits(need, room):
+            return None
+        room.take(need)
+        chosen.append(room_by_id[room.worker_id])
+    return chosen
+
+
+def _copy_room(room: WorkerRoom) -> WorkerRoom:
+    free = Resources(room.cores, room.memory_gb, room.accelerators)
+    copy = WorkerRoom(room.worker_id, room.labels, free, room.penalty)
+    copy.n_by_stage = dict(room.n_by_stage)
+    copy.n_fillers = room.n_fillers
+    copy.n_targets = room.n_targets
+    return copy
--- /dev/null
+++ b/catkinport/jobs/record.py
@@ -0,0 +1,260 @@
+"""The state of one job, and the part of it that is stored."""
+
+from collections.abc import Iterator
+from enum import StrEnum
+from typing import Any
+
+from .configuration import Queue
+from .model import FINAL_STATES, Job, JobState, Step, TaskId, chain_seconds
+
+RUN_GAP_AFTER_TAKEOVER = 10
+"""Added to the highest known run when ownership changes, so that a run that the former
+owner started and nobody has listed yet has a lower number."""
+
+
+class TaskPhase(StrEnum):
+    """Where a task stands."""
+
+    WAITING = "waiting"
+    PLACED = "placed"
+    DONE = "done"
+
+
+class Task:
+    """A task of a job.
+
+    Attributes:
+        task_id: name of the task.
+        step: its step.
+        phase: where it stands.
+        run: number of its latest run; 0 before the first.
+        failed_runs: numbers of the runs that ended as failed. A new owner may be
+            shown an end again that a former one has counted.
+        saved: latest known checkpoint.
+        not_before: clock time in seconds before which it is not started again.
+        avoided_worker: worker on which it failed or stalled last; empty for none.
+        ever_started: whether any run was ordered.
+    """
+
+    __slots__ = (
+        "avoided_worker",
+        "ever_started",
+        "failed_runs",
+        "not_before",
+        "phase",
+        "run",
+        "saved",
+        "step",
+        "task_id",
+        "text",
+    )
+
+    def __init__(self, task_id: TaskId, step: Step) -> None:
+        self.task_id = task_id
+        self.text = str(task_id)
+        self.step = step
+        self.phase = TaskPhase.WAITING
+        self.run = 0
+        self.failed_runs: set[int] = set()
+        self.saved = ""
+        self.not_before = 0.0
+        self.avoided_worker = ""
+        self.ever_started = False
+
+
+class JobRecord:
+    """A job with its tasks, as its owner knows it.
+
+    Attributes:
+        job: what the caller asked for.
+        state: state as stored or about to be stored.
+        is_cancel_asked: whether the caller has canceled the job.
+        is_inherited: whether a former owner may have started tasks of it.
+        row_version: version of the stored state; 0 before the first write.
+        is_dirty: whether the state has changed since it was stored.
+        tasks_by_stage: tasks of each (occurrence, step).
+        is_stored: whether the stored state equals this one.
+    """
+
+    def __init__(self, job: Job, is_inherited: bool = False) -> None:
+        self.job = job
+        self.state = JobState.QUEUED
+        self.is_cancel_asked = False
+        self.is_inherited = is_inherited
+        self.row_version = 0
+        self.is_dirty = False
+        self.first_seen_at = 0.0
+        self.n_placed = 0
+        self.ever_started = False
+        self.tasks_by_stage: dict[tuple[int, int], list[Task]] = {}
+        self._n_open_by_stage: dict[tuple[int, int], int] = {}
+        self._top_run = 0
+        for occurrence in range(max(1, job.n_occurrences)):
+            for number, step in enumerate(job.steps):
+                stage = (occurrence, number)
+                self.tasks_by_stage[stage] = [
+                    Task(TaskId(job.job_id, occurrence, number, index), step)
+                    for index in range(step.n_tasks)
+                ]
+                self._n_open_by_stage[stage] = step.n_tasks
+
+    @property
+    def is_final(self) -> bool:
+        """Whether the job has ended."""
+        return self.state in FINAL_STATES
+
+    @property
+    def is_closing(self) -> bool:
+        """Whether no task may start any more."""
+        return self.is_cancel_asked or self.is_final
+
+    @property
+    def is_begun(self) -> bool:
+        """Whether any task has been started."""
+        return self.ever_started or self.row_version > 0
+
+    def all_tasks(self) -> Iterator[Task]:
+        """Iterate over the tasks of all stages."""
+        for tasks in self.tasks_by_stage.values():
+            yield from tasks
+
+    def find_task(self, task_id: TaskId) -> Task | None:
+        """Return the task of that name, or ``None``."""
+        tasks = self.tasks_by_stage.get((task_id.occurrence, task_id.step), [])
+        return tasks[task_id.index] if 0 <= task_id.index < len(tasks) else None
+
+    def is_stage_ready(self, stage: tuple[int, int]) -> bool:
+        """Return whether all tasks of the steps before ``stage`` are done."""
+        occurrence, number = stage
+        return all(
+            self._n_open_by_stage[occurrence, earlier] == 0
+            for earlier in self.job.steps[number].after
+        )
+
+    def ready_stages(self) -> Iterator[tuple[int, int]]:
+        """Iterate over unfinished stages whose earlier steps are done."""
+        for stage, n_open in self._n_open_by_stage.items():
+            if n_open and self.is_stage_ready(stage):
+                yield stage
+
+    def mark_done(self, task: Task) -> None:
+        """Note that ``task`` has ended as done; the job may be complete then."""
+        if task.phase is TaskPhase.DONE:
+            return
+        task.phase = TaskPhase.DONE
+        stage = (task.task_id.occurrence, task.task_id.step)
+        self._n_open_by_stage[stage] -= 1
+        self.is_dirty = True
+        if self.state is JobState.QUEUED:
+            self.state = JobState.RUNNING
+        if not any(self._n_open_by_stage.values()) and not self.is_final:
+            self.state = JobState.COMPLETED
+
+    def mark_failed(self, task: Task, run: int, max_failures: int) -> None:
+        """Count a failed run of ``task``; the job fails at ``max_failures``."""
+        task.failed_runs.add(run)
+        self.is_dirty = True
+        if self.state is JobState.QUEUED:
+            self.state = JobState.RUNNING
+        if task.step.is_lasting or not max_failures or self.is_closing:
+            return
+        if len(task.failed_runs) >= max_failures:
+            self.state = JobState.FAILED
+
+    def mark_canceled(self) -> None:
+        """End a job whose cancellation was asked for, unless it has ended."""
+        if not self.is_final:
+            self.state = JobState.CANCELED
+            self.is_dirty = True
+
+    def keep_saved(self, task: Task, saved: str) -> None:
+        """Remember the checkpoint of a run that has ended."""
+        if saved and saved != task.saved:
+            task.saved = saved
+            self.is_dirty = True
+
+    def note_run(self, task: Task, run: int) -> None:
+        """Remember that ``run`` of ``task`` exists."""
+        task.run = max(task.run, run)
+        self._top_run = max(self._top_run, run)
+
+    def skip_runs(self) -> None:
+        """Raise every task's run number past those of a former owner."""
+        for task in self.all_tasks():
+            if self.is_inherited:
+                task.run = max(task.run, self._top_run) + RUN_GAP_AFTER_TAKEOVER
+
+    def remaining_chain_seconds(self, occurrence: int = 0) -> float:
+        """Return the longest chain of estimated work that is still open."""
+        ends: list[float] = []
+        for number, step in enumerate(self.job.steps):
+            start = max((ends[i] for i in step.after), default=0.0)
+            is_open = self._n_open_by_stage[occurrence, number] > 0
+            ends.append(start + (step.estimate_seconds if is_open else 0.0))
+        return max(ends, default=0.0)
+
+    def remaining_core_seconds(self) -> float:
+        """Return the estimated core-seconds of the tasks that are not done."""
+        return sum(
+            n_open
+            * self.job.steps[number].need.cores
+            * self.job.steps[number].estimate_seconds
+            for (_, number), n_open in self._n_open_by_stage.items()
+        )
+
+    def objective_seconds(self, queue: Queue) -> float:
+        """Return the time within which the job should be complete."""
+        return queue.stretch * chain_seconds(self.job.steps) + queue.target_seconds
+
+    def to_row(self) -> dict[str, Any]:
+        """Return the part of the state that is stored.
+
+        Done tasks are a bit mask in hexadecimal for each stage, as a job may have
+        hundreds of tasks and is written at every end.
+        """
+        row: dict[str, Any] = {
+            "state": self.state.value,
+            "account": self.job.account,
+            "top_run": self._top_run,
+        }
+        if self.is_final:
+            return row
+        row["done"] = {
+            f"{occurrence}.{number}": _to_mask(tasks)
+            for (occurrence, number), tasks in self.tasks_by_stage.items()
+            if any(task.phase is TaskPhase.DONE for task in tasks)
+        }
+        open_tasks = [t for t in self.all_tasks() if t.phase is not TaskPhase.DONE]
+        row["failed_runs"] = {
+            t.text: sorted(t.failed_runs) for t in open_tasks if t.failed_runs
+        }
+        row["saved"] = {t.text: t.saved for t in open_tasks if t.saved}
+        return row
+
+    def load_row(self, row: dict[str, Any], version: int) -> None:
+        """Take over the stored state."""
+        self.row_version = version
+        self._top_run = row["top_run"]
+        for name, mask in row.get("done", {}).items():
+            occurrence, number = (int(part) for part in name.split("."))
+            tasks = self.tasks_by_stage[occurrence, number]
+            for task in tasks:
+                if int(mask, 16) >> task.task_id.index & 1:
+                    self.mark_done(task)
+        for name, runs in row.get("failed_runs", {}).items():
+            task = self.find_task(TaskId.parse(name))
+            if task is not None:
+                task.failed_runs = set(runs)
+        for name, saved in row.get("saved", {}).items():
+            task = self.find_task(TaskId.parse(name))
+            if task is not None:
+                task.saved = saved
+        self.state = JobState(row["state"])
+        self.is_dirty = False
+
+
+def _to_mask(tasks: list[Task]) -> str:
+    bits = sum(
+        1 << task.task_id.index for task in tasks if task.phase is TaskPhase.DONE
+    )
+    return f"{bits:x}"
--- /dev/null
+++ b/catkinport/jobs/tables.py
@@ -0,0 +1,41 @@
+"""Names of the rows that daemons share."""
+
+from ..ports.table import RowKey
+
+LEADER_TABLE = "leader"
+JOBS_TABLE = "jobs"
+STATES_TABLE = "states"
+ROSTER_TABLE = "roster"
+
+OWNER_KEY = RowKey(LEADER_TABLE, "owner")
+"""Written when the ownership changes; its version is the fencing token."""
+
+BEAT_KEY = RowKey(LEADER_TABLE, "beat")
+"""Written by the owner at each renewal."""
+
+CANCEL_SUFFIX = ".cancel"
+"""Ends the key of the row that cancels a job; it lies beside the job's own row, so that
+one read and one feed cover both."""
+
+RANGE_END = "~"
+"""Greater than any character of a key; ends the range of the rows of one job."""
+
+
+def job_key(job_id: str) -> RowKey:
+    """Return the row of a job as it was accepted."""
+    return RowKey(JOBS_TABLE, job_id)
+
+
+def cancel_key(job_id: str) -> RowKey:
+    """Return the row that cancels a job."""
+    return RowKey(JOBS_TABLE, job_id + CANCEL_SUFFIX)
+
+
+def state_key(job_id: str) -> RowKey:
+    """Return the row of a job's state, which its owner writes."""
+    return RowKey(STATES_TABLE, job_id)
+
+
+def roster_key(pool: str) -> RowKey:
+    """Return the row that names the workers of a pool that may run tasks."""
+    return RowKey(ROSTER_TABLE, pool)
--- /dev/null
+++ b/catkinport/platform/callers.py
@@ -0,0 +1,212 @@
+"""The callers' interface: HTTP calls become calls of the intake."""
+
+import json
+import logging
+import time
+from collections.abc import Awaitable, Callable
+from typing import Any, NamedTuple
+
+from aiohttp import web
+
+from ..jobs.configuration import FleetConfiguration, Queue
+from ..jobs.configuration_watch import ConfigurationWatch
+from ..jobs.intake import Absent, Accepted, Canceled, Intake, describe
+from ..jobs.ownership_watch import QueueDepths
+from ..ports import NotRun, Unavailable, Unknown
+from ..ports.clock import Clock
+from ..runtime import Metrics
+from ..runtime.logs import log_event
+from . import decoding
+from .jobs_codec import JOB_ID_PATTERN, decode_job
+
+logger = logging.getLogger(__name__)
+
+DEPTHS_FRESH_SECONDS = 1.6
+"""Age up to which the number of waiting jobs is shown; callers may see it 2 s old."""
+
+RETRY_AFTER_SECONDS = 1
+"""When a caller may come back to a daemon that cannot prove its configuration."""
+
+KEY_SCHEME = "Token "
+
+
+class KeyProof(NamedTuple):
+    """How current the configuration has to be for calls with a key, in seconds."""
+
+    longest_age: float
+
+
+class Answer(NamedTuple):
+    """An answer to a caller, and why it is what it is."""
+
+    status: int
+    body: dict[str, Any] | None = None
+    reason: str = ""
+    retry_after: int = 0
+
+
+class CallerServer:
+    """Answers callers' calls.
+
+    Args:
+        intake: stores jobs and cancellations.
+        configuration: the configuration in force.
+        depths: returns the number of waiting jobs as last seen.
+        clock: steady clock.
+        metrics: metrics of the process.
+        proof: how current the configuration has to be for calls with a key.
+    """
+
+    def __init__(
+        self,
+        intake: Intake,
+        configuration: ConfigurationWatch,
+        depths: Callable[[], QueueDepths | None],
+        clock: Clock,
+        metrics: Metrics,
+        proof: KeyProof,
+    ) -> None:
+        self._intake = intake
+        self._configuration = configuration
+        self._depths = depths
+        self._clock = clock
+        self._metrics = metrics
+        self._proof = proof
+        self.n_in_flight = 0
+        self.is_stopping = False
+
+    def is_ready(self) -> bool:
+        """Return whether new connections are welcome."""
+        has_proof = self._configuration.age_seconds() < self._proof.longest_age
+        is_configured = self._configuration.current is not None
+        return is_configured and has_proof and not self.is_stopping
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answer one call."""
+        started_at = self._clock.now()
+        self.n_in_flight += 1
+        try:
+            answer = await self._answer(request)
+        finally:
+            self.n_in_flight -= 1
+        seconds = self._clock.now() - started_at
+        labels = {"method": request.method, "status": str(answer.status)}
+        self._metrics.increment("calls", "Calls answered.", labels)
+        self._metrics.observe(
+            "call_seconds", "Time to answer a call.", {"method": request.method}, seconds
+        )
+        if request.method != "GET" or answer.status >= 400:
+            log_event(
+                logger,
+                "call answered",
+                request_id=request.path.rpartition("/")[2],
+                method=request.method,
+                status=answer.status,
+                reason=answer.reason,
+                configuration_age_seconds=round(self._configuration.age_seconds(), 2),
+                seconds=round(seconds, 4),
+            )
+        return self._encode(answer)
+
+    def _encode(self, answer: Answer) -> web.Response:
+        headers = {"Content-Type": "application/json"}
+        if answer.retry_after:
+            headers["Retry-After"] = str(answer.retry_after)
+        if self.is_stopping:
+            headers["Connection"] = "close"
+        body = b"" if answer.body is None else json.dumps(answer.body).encode()
+        return web.Response(status=answer.status, body=body, headers=headers)
+
+    async def _answer(self, request: web.BaseRequest) -> Answer:
+        configuration = self._configuration.current
+        if configuration is None:
+            return Answer(503, reason="no-configuration", retry_after=RETRY_AFTER_SECONDS)
+        host = request.headers.get("Host", "").partition(":")[0].lower()
+        queue = configuration.find_queue(host, request.path)
+        if queue is None:
+            return Answer(404, reason="queue-unknown")
+        account = self._find_account(request, configuration, queue)
+        if isinstance(account, Answer):
+            return account
+        name = request.path[len(queue.path_prefix) :]
+        if not name and request.method == "GET":
+            return self._show_depth(queue)
+        handler = _HANDLER_BY_METHOD.get(request.method)
+        if handler is None:
+            return Answer(405, reason="method-unknown")
+        if not JOB_ID_PATTERN.fullmatch(name):
+            return Answer(400, {"error": "the id must be 16 hexadecimal digits"})
+        return await handler(self, request, queue, account, name)
+
+    def _find_account(
+        self, request: web.BaseRequest, configuration: FleetConfiguration, queue: Queue
+    ) -> str | Answer:
+        if queue.is_open:
+            return ""
+        if self._configuration.age_seconds() >= self._proof.longest_age:
+            return Answer(
+                503, reason="configuration-stale", retry_after=RETRY_AFTER_SECONDS
+            )
+        header = request.headers.get("Authorization", "")
+        key = header[len(KEY_SCHEME) :] if header.startswith(KEY_SCHEME) else ""
+        account = configuration.account_name_by_key.get(key)
+        if account is None:
+            return Answer(401, reason="key-unknown")
+        return account
+
+    def _show_depth(self, queue: Queue) -> Answer:
+        depths = self._depths()
+        if depths is None or self._clock.now() - depths.seen_at > DEPTHS_FRESH_SECONDS:
+            return Answer(503, reason="depth-unknown", retry_after=RETRY_AFTER_SECONDS)
+        return Answer(200, {"Waiting": depths.n_by_queue.get(queue.name, 0)})
+
+    async def _submit(
+        self, request: web.BaseRequest, queue: Queue, account: str, job_id: str
+    ) -> Answer:
+        content = await request.read()
+        try:
+            message = json.loads(content)
+            if not isinstance(message, dict):
+                raise decoding.MessageError("the body must be an object")
+            job = decode_job(message, job_id, queue.name, account, time.time())
+        except ValueError as error:
+            return Answer(400, {"error": str(error)}, reason=str(error))
+        outcome = await self._intake.submit(job)
+        if isinstance(outcome, Accepted):
+            return Answer(200, reason="repeat" if outcome.is_repeat else "accepted")
+        if isinstance(outcome, Unknown):
+            return Answer(504, reason=describe(outcome))
+        return Answer(503, reason=describe(outcome), retry_after=RETRY_AFTER_SECONDS)
+
+    async def _show(
+        self, request: web.BaseRequest, queue: Queue, account: str, job_id: str
+    ) -> Answer:
+        state = await self._intake.find_state(job_id, account)
+        if isinstance(state, Absent):
+            return Answer(410, reason="absent")
+        if isinstance(state, Unavailable):
+            return Answer(503, reason=describe(state), retry_after=RETRY_AFTER_SECONDS)
+        return Answer(200, {"State": state.value})
+
+    async def _cancel(
+        self, request: web.BaseRequest, queue: Queue, account: str, job_id: str
+    ) -> Answer:
+        outcome = await self._intake.cancel(job_id, account)
+        if isinstance(outcome, Canceled):
+            return Answer(200, reason="canceled")
+        if isinstance(outcome, Absent):
+            return Answer(410, reason="absent")
+        if isinstance(outcome, NotRun):
+            return Answer(
+                503, reason=describe(outcome), retry_after=RETRY_AFTER_SECONDS
+            )
+        return Answer(504, reason=describe(outcome))
+
+
+Handler = Callable[[CallerServer, web.BaseRequest, Queue, str, str], Awaitable[Answer]]
+
+_HANDLER_BY_METHOD: dict[str, Handler] = {
+    "POST": CallerServer._submit,
+    "GET": CallerServer._show,
+    "DELETE": CallerServer._cancel,
+}
--- /dev/null
+++ b/catkinport/platform/client.py
@@ -0,0 +1,124 @@
+"""The HTTP client for everything that the platform serves."""
+
+import asyncio
+import json
+from collections.abc import Mapping
+from typing import Any, NamedTuple
+
+import aiohttp
+
+from ..ports import Reason, Unavailable
+
+CONNECT_SECONDS = 0.4
+"""Longest wait for a connection; a VM without power does not refuse it."""
+
+MAX_CONNECTIONS_PER_PEER = 6
+"""Connections to one peer, of which a long poll takes one. A worker has 64 for all."""
+
+KEEP_ALIVE_SECONDS = 30.0
+"""How long an idle connection is kept; a new one costs a round trip."""
+
+
+class Reply(NamedTuple):
+    """An answer; ``body`` is its JSON value, ``None`` where there is none."""
+
+    status: int
+    body: Any
+
+
+class PlatformClient:
+    """Calls the platform's services and its workers.
+
+    Every failure becomes `Unavailable` with step and peer, which also says whether the
+    call may have been carried out.
+    """
+
+    def __init__(self) -> None:
+        self._session: aiohttp.ClientSession | None = None
+
+    async def open(self) -> None:
+        """Create the connection pool; needs a running loop."""
+        connector = aiohttp.TCPConnector(
+            limit=0,
+            limit_per_host=MAX_CONNECTIONS_PER_PEER,
+            keepalive_timeout=KEEP_ALIVE_SECONDS,
+        )
+        self._session = aiohttp.ClientSession(
+            connector=connector,
+            cookie_jar=aiohttp.DummyCookieJar(),
+            skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding"),
+        )
+
+    async def close(self) -> None:
+        """Close all connections."""
+        if self._session is not None:
+            await self._session.close()
+
+    async def call(
+        self,
+        step: str,
+        method: str,
+        peer: str,
+        path: str,
+        timeout_seconds: float,
+        body: Any = None,
+        query: Mapping[str, str] | None = None,
+        headers: Mapping[str, str] | None = None,
+    ) -> Reply | Unavailable:
+        """Call ``peer`` once.
+
+        Args:
+            step: name of the operation, for errors.
+            method: HTTP method.
+            peer: ``host:port``.
+            path: path without a query string.
+            timeout_seconds: longest wait for the whole answer.
+            body: value sent as JSON.
+            query: parameters of the query string.
+            headers: further headers.
+
+        Returns:
+            The reply, also with an error status, or what kept it from coming.
+        """
+        assert self._session is not None
+        data = None if body is None else json.dumps(body, separators=(",", ":"))
+        send_headers = dict(headers or {})
+        if data is not None:
+            send_headers["Content-Type"] = "application/json"
+        timeout = aiohttp.ClientTimeout(
+            total=timeout_seconds, sock_connect=CONNECT_SECONDS
+        )
+        try:
+            async with self._session.request(
+                method,
+                f"http://{peer}{path}",
+                data=data,
+                params=query,
+                headers=send_headers,
+                timeout=timeout,
+                allow_redirects=False,
+            ) as response:
+                content = await response.read()
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
+            return Unavailable(Reason.CONNECT_FAILED, step, peer, str(error))
+        except asyncio.TimeoutError:
+            return Unavailable(
+                Reason.TIMEOUT, step, peer, f"no answer in {timeout_seconds} s", True
+            )
+        except (aiohttp.ClientError, OSError, ValueError) as error:
+            return Unavailable(Reason.CONNECTION_LOST, step, peer, repr(error), True)
+        return _decode_reply(step, peer, response.status, content)
+
+
+def _decode_reply(
+    step: str, peer: str, status: int, content: bytes
+) -> Reply | Unavailable:
+    if not content:
+        return Reply(status, None)
+    try:
+        return Reply(status, json.loads(content))
+    except ValueError:
+        if status >= 400:
+            return Reply(status, None)
+        detail = f"status {status} with a body that is not JSON"
+        return Unavailable(Reason.ANSWER_TRUNCATED, step, peer, detail, True)
--- /dev/null
+++ b/catkinport/platform/main.py
@@ -0,0 +1,30 @@
+"""Entry point of the daemon on the platform."""
+
+import asyncio
+import os
+import sys
+from pathlib import Path
+
+from ..runtime.logs import configure_logging
+from ..settings.declaration import format_fault
+from .daemon import PlatformDaemon
+from .settings import load_settings
+
+SETTINGS_VARIABLE = "CATKINPORT_NODE_FILE"
+
+
+def main() -> int:
+    """Run the daemon; return the exit status."""
+    path = Path(os.environ.get(SETTINGS_VARIABLE, "/etc/catkinport/settings.yaml"))
+    settings = load_settings(path)
+    if isinstance(settings, list):
+        for fault in settings:
+            print(format_fault(fault), file=sys.stderr)
+        return 2
+    configure_logging(log_format=settings.log_format, stream=sys.stdout)
+    asyncio.run(PlatformDaemon(settings, path).run())
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/catkinport/platform/operator_rows.py
@@ -0,0 +1,102 @@
+"""Rows that the operator writes: the configuration and the waves of upkeep."""
+
+from collections.abc import Mapping
+from typing import Any
+
+from ..jobs.configuration import (
+    Account,
+    AdviceTerms,
+    FleetConfiguration,
+    Pool,
+    Queue,
+)
+from ..policy.resources import Resources
+from ..ports.fleet_vms import UpkeepWave
+from . import decoding
+
+CONFIGURATION_KEY = "config"
+WAVE_PREFIX = "wave/"
+DEFAULT_BODY_BYTES = 262144
+
+
+def decode_configuration(value: Mapping[str, Any]) -> FleetConfiguration:
+    """Decode the row with the newest configuration.
+
+    Raises:
+        MessageError: if it cannot be used.
+    """
+    queues = [_decode_queue(entry) for entry in decoding.objects(value, "Routes")]
+    pools = [_decode_pool(entry) for entry in decoding.objects(value, "Services")]
+    accounts = [_decode_account(entry) for entry in decoding.objects(value, "Tenants")]
+    account_name_by_key = {
+        key: decoding.text(entry, "Name")
+        for entry in decoding.objects(value, "Tenants")
+        for key in decoding.texts(entry, "ApiKeys")
+    }
+    limits = value.get("Limits") or {}
+    return FleetConfiguration(
+        version=decoding.whole(value, "Version"),
+        queue_by_name={queue.name: queue for queue in queues},
+        pool_by_name={pool.name: pool for pool in pools},
+        account_by_name={account.name: account for account in accounts},
+        account_name_by_key=account_name_by_key,
+        max_body_bytes=decoding.whole(limits, "MaxBodyBytes", DEFAULT_BODY_BYTES),
+    )
+
+
+def decode_wave(value: Mapping[str, Any]) -> UpkeepWave:
+    """Decode a request for upkeep.
+
+    Raises:
+        MessageError: if it cannot be used.
+    """
+    return UpkeepWave(
+        wave=decoding.whole(value, "Wave"),
+        vm_ids=decoding.texts(value, "Machines"),
+        deadline_seconds=decoding.number(value, "DeadlineS"),
+        # Here this is a number of VMs; for a tenant the same name holds resources.
+        max_down=decoding.whole(value, "Maximum"),
+    )
+
+
+def encode_wave_state(wave: int, is_completed: bool) -> dict[str, Any]:
+    """Encode the row that reports a wave to the operator."""
+    return {"Wave": wave, "State": "completed" if is_completed else "running"}
+
+
+def _decode_queue(entry: Mapping[str, Any]) -> Queue:
+    advice = entry.get("Advice")
+    return Queue(
+        name=decoding.text(entry, "Name"),
+        host=decoding.text(entry, "Host").lower(),
+        path_prefix=decoding.text(entry, "PathPrefix"),
+        pool=decoding.text(entry, "Service"),
+        is_open=decoding.flag(entry, "Public"),
+        priority=decoding.whole(entry, "Priority", 0),
+        max_failures=decoding.whole(entry, "MaxAttempts", 0),
+        stretch=decoding.number(entry, "Stretch", 1.0),
+        target_seconds=decoding.seconds(entry, "TargetLatencyMs", 0.0),
+        timeout_seconds=decoding.seconds(entry, "TimeoutMs", 30.0),
+        advice=_decode_advice(advice) if isinstance(advice, dict) else None,
+    )
+
+
+def _decode_advice(entry: Mapping[str, Any]) -> AdviceTerms:
+    return AdviceTerms(valid_seconds=decoding.seconds(entry, "ValidMs", 1.0))
+
+
+def _decode_pool(entry: Mapping[str, Any]) -> Pool:
+    return Pool(
+        name=decoding.text(entry, "Name"),
+        guards_capacity=decoding.flag(entry, "EnforcesCapacity"),
+        is_spare=decoding.flag(entry, "Spare"),
+    )
+
+
+def _decode_account(entry: Mapping[str, Any]) -> Account:
+    limit = entry.get("Maximum")
+    return Account(
+        name=decoding.text(entry, "Name"),
+        weight=decoding.number(entry, "Weight", 1),
+        limit=decoding.resources(limit) if isinstance(limit, dict) else Resources(0, 0, 0),
+    )
--- /dev/null
+++ b/catkinport/platform/settings.py
@@ -0,0 +1,165 @@
+"""Settings of a daemon on the platform: the INI file that the template makes."""
+
+from pathlib import Path
+from typing import Any, NamedTuple
+
+from ..runtime.logs import LOG_FORMATS
+from ..settings.checks import check_text, limit_faults
+from ..settings.declaration import Fault, Option, SectionDeclaration
+
+MAX_SECONDS = 600
+
+
+def _milliseconds(name: str, doc: str, default: str) -> Option:
+    return Option(name, "whole", doc, default, 0, MAX_SECONDS * 1000, unit="ms")
+
+
+def _seconds(name: str, doc: str, default: str) -> Option:
+    return Option(name, "number", doc, default, 0, MAX_SECONDS, unit="seconds")
+
+
+DECLARATIONS: tuple[SectionDeclaration, ...] = (
+    SectionDeclaration(
+        "daemon",
+        "Who the daemon is.",
+        (
+            Option("name", "text", "Name in logs and orders.", low=1, high=200),
+            Option("zone", "text", "Availability zone.", low=1, high=200),
+        ),
+        is_required=True,
+    ),
+    SectionDeclaration(
+        "listen",
+        "Where the daemon listens.",
+        (
+            Option("callers", "address", "Callers' calls."),
+            Option("ready", "address", "Readiness, asked by the load balancer."),
+            Option("metrics_port", "whole", "Port of the metrics.", low=1, high=65535),
+        ),
+        is_required=True,
+    ),
+    SectionDeclaration(
+        "services",
+        "Services that the daemon calls.",
+        (
+            Option("table", "address", "The store."),
+            Option("vms", "address", "The interface for VMs."),
+            Option(
+                "advice",
+                "text",
+                "The service that approves workers; empty for none.",
+                default="",
+                low=0,
+                high=200,
+            ),
+        ),
+        is_required=True,
+    ),
+    SectionDeclaration(
+        "bounds",
+        "Times that the platform promises or asks for.",
+        (
+            _milliseconds(
+                "longest_lease_ms", "Longest lease that a worker grants.", "6000"
+            ),
+            _milliseconds(
+                "revoked_key_ms",
+                "After this long nothing runs for a withdrawn key.",
+                "5000",
+            ),
+            _seconds(
+                "stop_grace_seconds",
+                "Time between the request to stop and the end of the process.",
+                "6",
+            ),
+            _milliseconds(
+                "vm_order_gap_ms",
+                "Shortest time between orders of two owners for one VM.",
+                "3000",
+            ),
+            _milliseconds(
+                "away_notice_ms",
+                "How long a lasting task must be at work to count as present.",
+                "4500",
+            ),
+            _seconds("upkeep_seconds", "Time that the upkeep of a VM takes.", "2"),
+            _seconds("move_seconds", "Time that a move of a VM takes.", "1.5"),
+        ),
+    ),
+    SectionDeclaration(
+        "logging",
+        "Logs of the process.",
+        (
+            Option(
+                "format",
+                "choice",
+                "Form of a line.",
+                default="keyvalue",
+                choices=LOG_FORMATS,
+            ),
+        ),
+    ),
+)
+
+
+class PlatformBounds(NamedTuple):
+    """Times of the section ``bounds``, in seconds."""
+
+    longest_lease: float
+    revoked_key: float
+    stop_grace: float
+    vm_order_gap: float
+    away_notice: float
+    upkeep: float
+    move: float
+
+
+class DaemonSettings(NamedTuple):
+    """Settings of a daemon; addresses are ``host:port``."""
+
+    name: str
+    zone: str
+    callers: str
+    ready: str
+    metrics_port: int
+    table: str
+    vms: str
+    advice: str
+    bounds: PlatformBounds
+    log_format: str
+
+
+def load_settings(path: Path) -> DaemonSettings | list[Fault]:
+    """Read the settings file, or return every fault of it."""
+    try:
+        text = path.read_text(encoding="utf-8")
+    except (OSError, ValueError) as error:
+        message = f"the settings file cannot be read: {error}"
+        return [Fault("", "", 0, str(path), "a readable UTF-8 file", message)]
+    return parse_settings(text)
+
+
+def parse_settings(text: str) -> DaemonSettings | list[Fault]:
+    """Read settings from INI text, or return every fault of it."""
+    checked = check_text(text, DECLARATIONS)
+    if checked.faults:
+        return limit_faults(checked.faults)
+    values: dict[str, Any] = {}
+    for kind, sections in checked.section_by_name_by_kind.items():
+        values[kind] = sections[""].value_by_option
+    bounds = values["bounds"]
+    return DaemonSettings(
+        **values["daemon"],
+        **values["listen"],
+        **values["services"],
+        bounds=PlatformBounds(
+            longest_lease=bounds["longest_lease_ms"] / 1000,
+            revoked_key=bounds["revoked_key_ms"] / 1000,
+            stop_grace=bounds["stop_grace_seconds"],
+            vm_order_gap=bounds["vm_order_gap_ms"] / 1000,
+            away_notice=bounds["away_notice_ms"] / 1000,
+            upkeep=bounds["upkeep_seconds"],
+            move=bounds["move_seconds"],
+        ),
+        log_format=values["logging"]["format"],
+    )
--- /dev/null
+++ b/catkinport/platform/vms.py
@@ -0,0 +1,109 @@
+"""The platform's interface for VMs."""
+
+from collections.abc import Mapping
+from typing import Any
+
+from ..ports import Reason, Unavailable
+from ..ports.fleet_vms import FleetVm, VmState
+from ..ports.fleet_workers import Done, OrderOutcome, Rejected, Rejection
+from . import decoding
+from .client import PlatformClient, Reply
+
+CALL_SECONDS = 1.5
+"""Longest wait for an answer; lists take up to 17 ms when all is well."""
+
+MAX_PAGES = 50
+"""Upper bound of pages, against a list whose end never comes."""
+
+HOLDER_HEADER = "X-Catkinport-Lease-Holder"
+TOKEN_HEADER = "X-Catkinport-Fencing-Token"
+
+
+class PlatformVms:
+    """Implements `ports.fleet_vms.FleetVms`.
+
+    Args:
+        client: HTTP client.
+        address: ``host:port`` of the interface.
+        holder: name of this daemon.
+    """
+
+    def __init__(self, client: PlatformClient, address: str, holder: str) -> None:
+        self._client = client
+        self._address = address
+        self._holder = holder
+
+    async def list_vms(self) -> list[FleetVm] | Unavailable:
+        """Read all VMs."""
+        vms: list[FleetVm] = []
+        token = None
+        for _ in range(MAX_PAGES):
+            query = {"PageToken": str(token)} if token else None
+            reply = await self._client.call(
+                "vm-list", "GET", self._address, "/machines", CALL_SECONDS, None, query
+            )
+            if isinstance(reply, Unavailable):
+                return reply
+            if reply.status != 200:
+                return self._unusable("vm-list", reply)
+            try:
+                for entry in decoding.objects(reply.body, "Machines"):
+                    vms.append(_decode_vm(entry))
+                token = reply.body.get("NextToken")
+            except (decoding.MessageError, ValueError, AttributeError) as error:
+                detail = f"unreadable answer: {error!r}"[:200]
+                return Unavailable(
+                    Reason.ANSWER_TRUNCATED, "vm-list", self._address, detail
+                )
+            if not token:
+                break
+        return vms
+
+    async def move(self, vm_id: str, pool: str, token: int) -> OrderOutcome:
+        """Move a VM to another pool."""
+        body = {"Machine": vm_id, "Pool": pool}
+        return await self._order("vm-move", "/machine-move", body, token)
+
+    async def maintain(self, vm_id: str, wave: int, token: int) -> OrderOutcome:
+        """Take a VM down for upkeep."""
+        body = {"Machine": vm_id, "Wave": wave}
+        return await self._order("vm-upkeep", "/machine-upkeep", body, token)
+
+    async def _order(
+        self, step: str, path: str, body: Mapping[str, Any], token: int
+    ) -> OrderOutcome:
+        headers = {HOLDER_HEADER: self._holder, TOKEN_HEADER: str(token)}
+        reply = await self._client.call(
+            step, "POST", self._address, path, CALL_SECONDS, body, headers=headers
+        )
+        if isinstance(reply, Unavailable):
+            return reply
+        if reply.status == 200:
+            return Done()
+        if reply.status == 409:
+            reason = reply.body.get("Reason") if isinstance(reply.body, dict) else ""
+            is_fenced = reason == "fence"
+            return Rejected(Rejection.FENCED if is_fenced else Rejection.NO_ROOM)
+        if reply.status == 400:
+            return Rejected(Rejection.INVALID)
+        return self._unusable(step, reply)
+
+    def _unusable(self, step: str, reply: Reply) -> Unavailable:
+        detail = f"status {reply.status}"
+        may_have_committed = reply.status not in (429, 503)
+        return Unavailable(
+            Reason.STORE_UNAVAILABLE, step, self._address, detail, may_have_committed
+        )
+
+
+def _decode_vm(entry: Mapping[str, Any]) -> FleetVm:
+    return FleetVm(
+        vm_id=decoding.text(entry, "Machine"),
+        pool=decoding.text(entry, "Pool"),
+        state=VmState(decoding.text(entry, "State")),
+        zone=decoding.text(entry, "Zone", ""),
+        labels=decoding.texts(entry, "Labels"),
+        capacity=decoding.resources(entry.get("Capacity") or {}),
+        # Empty while the VM is off, moving or down.
+        worker_id=entry.get("Id") or "",
+    )
--- /dev/null
+++ b/catkinport/platform/workers.py
@@ -0,0 +1,308 @@
+"""Orders to the platform's workers, and their entries in the store."""
+
+import logging
+from collections.abc import Mapping, Sequence
+from typing import Any
+
+from ..ports import Reason, Unavailable
+from ..ports.async_table import AsyncTable
+from ..ports.clock import Clock
+from ..ports.fleet_workers import (
+    Done,
+    EndedTask,
+    EndKind,
+    ListedWorker,
+    OrderOutcome,
+    Rejected,
+    Rejection,
+    RunningTask,
+    StartOrder,
+    WorkerLists,
+)
+from ..runtime.logs import log_event
+from . import decoding
+from .client import PlatformClient, Reply
+
+logger = logging.getLogger(__name__)
+
+ORDER_SECONDS = 1.2
+"""Longest wait for the answer to an order; a slow worker answers in far less."""
+
+HOLD_EXTRA_SECONDS = 0.6
+"""Longest wait for a long poll beyond the wait that was asked for."""
+
+ADVICE_EXTRA_SECONDS = 3.0
+"""Longest wait for advice; the service handles one call at a time."""
+
+LIFE_HEADER = "X-Catkinport-Expect-Instance"
+
+_REJECTION_BY_REASON = {
+    "fence": Rejection.FENCED,
+    "old": Rejection.OLD_RUN,
+    "late": Rejection.LATE,
+    "room": Rejection.NO_ROOM,
+    "ticket": Rejection.TICKET,
+}
+_REJECTION_BY_STATUS = {
+    400: Rejection.INVALID,
+    404: Rejection.INVALID,
+    421: Rejection.OTHER_LIFE,
+    429: Rejection.UNHEALTHY,
+    503: Rejection.UNHEALTHY,
+}
+
+
+class _WorkerClock:
+    """A worker's clock as its latest answer showed it."""
+
+    def __init__(self, milliseconds: int, read_at: float) -> None:
+        self._milliseconds = milliseconds
+        self._read_at = read_at
+
+    def earliest(self, now: float) -> int:
+        """Return a value that the worker's clock has surely reached."""
+        # The answer was on its way for a while, and the clock may be slow.
+        return self._milliseconds + int((now - self._read_at) * 980)
+
+
+class PlatformWorkers:
+    """Implements `ports.fleet_workers.FleetWorkers`.
+
+    Args:
+        client: HTTP client.
+        table: the store, which lists the workers.
+        clock: steady clock.
+        advice_address: ``host:port`` of the advice service; empty for none.
+    """
+
+    def __init__(
+        self,
+        client: PlatformClient,
+        table: AsyncTable,
+        clock: Clock,
+        advice_address: str,
+    ) -> None:
+        self._client = client
+        self._table = table
+        self._clock = clock
+        self._advice_address = advice_address
+        self._clock_by_worker: dict[str, _WorkerClock] = {}
+        self._bad_entry_versions: dict[str, int] = {}
+
+    async def list_workers(self) -> list[ListedWorker] | Unavailable:
+        """Read the list of workers; entries that cannot be read are left out."""
+        snapshot = await self._table.read_range("servers")
+        if isinstance(snapshot, Unavailable):
+            return snapshot
+        workers = []
+        for row in snapshot.rows:
+            worker_id = row.row_key.key
+            try:
+                workers.append(decode_worker(worker_id, row.value))
+            except decoding.MessageError as error:
+                if self._bad_entry_versions.get(worker_id) != row.version:
+                    self._bad_entry_versions[worker_id] = row.version
+                    log_event(
+                        logger,
+                        "worker entry unreadable",
+                        level=logging.WARNING,
+                        worker=worker_id,
+                        version=row.version,
+                        reason=str(error),
+                    )
+        listed_ids = {worker.worker_id for worker in workers}
+        for worker_id in set(self._clock_by_worker) - listed_ids:
+            # A worker that is not listed may still answer; its next answer brings
+            # the clock back.
+            del self._clock_by_worker[worker_id]
+        return workers
+
+    async def hold(
+        self,
+        worker: ListedWorker,
+        token: int,
+        noted_end: int,
+        lease_seconds: float,
+        wait_seconds: float,
+    ) -> WorkerLists | Rejected | Unavailable:
+        """Renew the worker's lease and read its lists."""
+        body: dict[str, Any] = {"FencingToken": token, "LastSeen": noted_end}
+        until = self._lease_end(worker, lease_seconds)
+        if until is not None:
+            body["UntilMs"] = until
+        if wait_seconds > 0:
+            body["WaitMs"] = int(wait_seconds * 1000)
+        timeout_seconds = wait_seconds + HOLD_EXTRA_SECONDS
+        reply = await self._call("worker-hold", worker, "/hold", body, timeout_seconds)
+        if isinstance(reply, Unavailable):
+            return reply
+        if reply.status != 200:
+            return self._rejection("worker-hold", worker, reply)
+        try:
+            return decode_lists(reply.body)
+        except (decoding.MessageError, KeyError, TypeError, ValueError) as error:
+            detail = f"unreadable answer: {error!r}"[:200]
+            return Unavailable(
+                Reason.ANSWER_TRUNCATED, "worker-hold", worker.worker_id, detail, True
+            )
+
+    async def start(
+        self, worker: ListedWorker, token: int, order: StartOrder, lease_seconds: float
+    ) -> OrderOutcome:
+        """Start a run."""
+        until = self._lease_end(worker, lease_seconds)
+        if until is None:
+            return Unavailable(
+                Reason.NOT_FOUND, "worker-start", worker.worker_id, "clock not known"
+            )
+        body: dict[str, Any] = {
+            "Task": order.task,
+            "Run": order.run,
+            "Spec": order.specification,
+            "UntilMs": until,
+            "FencingToken": token,
+        }
+        if order.saved:
+            body["Saved"] = order.saved
+        if order.ticket:
+            body["Ticket"] = order.ticket
+        return await self._order("worker-start", worker, "/run-start", body)
+
+    async def stop(
+        self, worker: ListedWorker, token: int, task: str, run: int
+    ) -> OrderOutcome:
+        """Stop a run."""
+        body = {"Task": task, "Run": run, "FencingToken": token}
+        return await self._order("worker-stop", worker, "/run-stop", body)
+
+    async def pace(
+        self, worker: ListedWorker, token: int, task: str, run: int, percent: int
+    ) -> OrderOutcome:
+        """Let a task work at ``percent`` of its speed."""
+        body = {"Task": task, "Run": run, "Percent": percent, "FencingToken": token}
+        return await self._order("worker-pace", worker, "/pace", body)
+
+    async def advise(
+        self, step: str, worker_ids: Sequence[str]
+    ) -> dict[str, str] | Unavailable:
+        """Return the ticket of each worker that may run ``step``."""
+        body = {"Step": step, "Workers": list(worker_ids)[:100]}
+        peer = self._advice_address
+        reply = await self._client.call(
+            "advise", "POST", peer, "/advise", ADVICE_EXTRA_SECONDS, body
+        )
+        if isinstance(reply, Unavailable):
+            return reply
+        try:
+            if reply.status == 200:
+                return {str(worker): str(ticket) for worker, ticket in reply.body["Good"]}
+        except (KeyError, TypeError, ValueError) as error:
+            detail = f"unreadable answer: {error!r}"[:200]
+            return Unavailable(Reason.ANSWER_TRUNCATED, "advise", peer, detail)
+        detail = f"status {reply.status}"
+        return Unavailable(Reason.STORE_UNAVAILABLE, "advise", peer, detail)
+
+    async def _order(
+        self, step: str, worker: ListedWorker, path: str, body: Mapping[str, Any]
+    ) -> OrderOutcome:
+        reply = await self._call(step, worker, path, body, ORDER_SECONDS)
+        if isinstance(reply, Unavailable):
+            return reply
+        if reply.status == 200:
+            return Done()
+        return self._rejection(step, worker, reply)
+
+    async def _call(
+        self,
+        step: str,
+        worker: ListedWorker,
+        path: str,
+        body: Mapping[str, Any],
+        timeout_seconds: float,
+    ) -> Reply | Unavailable:
+        reply = await self._client.call(
+            step,
+            "POST",
+            worker.address,
+            path,
+            timeout_seconds,
+            body,
+            headers={LIFE_HEADER: worker.worker_id},
+        )
+        if isinstance(reply, Reply) and isinstance(reply.body, dict):
+            milliseconds = reply.body.get("ClockMs")
+            if isinstance(milliseconds, int) and reply.status != 421:
+                self._clock_by_worker[worker.worker_id] = _WorkerClock(
+                    milliseconds, self._clock.now()
+                )
+        return reply
+
+    def _lease_end(self, worker: ListedWorker, lease_seconds: float) -> int | None:
+        clock = self._clock_by_worker.get(worker.worker_id)
+        if clock is None or lease_seconds <= 0:
+            return None
+        return clock.earliest(self._clock.now()) + int(lease_seconds * 1000)
+
+    def _rejection(
+        self, step: str, worker: ListedWorker, reply: Reply
+    ) -> Rejected | Unavailable:
+        reason = reply.body.get("Reason") if isinstance(reply.body, dict) else None
+        rejection = _REJECTION_BY_REASON.get(str(reason))
+        rejection = rejection or _REJECTION_BY_STATUS.get(reply.status)
+        if rejection is not None:
+            return Rejected(rejection)
+        detail = f"status {reply.status}: {reply.body!r}"[:200]
+        return Unavailable(
+            Reason.ANSWER_TRUNCATED, step, worker.worker_id, detail, True
+        )
+
+
+def decode_worker(worker_id: str, value: Mapping[str, Any]) -> ListedWorker:
+    """Decode a worker's entry.
+
+    Raises:
+        MessageError: if it names no worker that can be used.
+    """
+    state = decoding.text(value, "State")
+    if state not in ("ready", "draining"):
+        raise decoding.MessageError(f"State must be ready or draining, got {state!r:.40}")
+    address = decoding.text(value, "Address")
+    host, _, port = address.rpartition(":")
+    if not host or not port.isdigit():
+        raise decoding.MessageError(f"Address must be host:port, got {address!r:.80}")
+    capacity = value.get("Capacity")
+    if not isinstance(capacity, dict):
+        raise decoding.MessageError("Capacity must be an object")
+    return ListedWorker(
+        worker_id=worker_id,
+        pool=decoding.text(value, "Service"),
+        address=address,
+        zone=decoding.text(value, "Zone"),
+        is_draining=state == "draining",
+        remaining_seconds=decoding.seconds(value, "RemainingMs", 0.0),
+        capacity=decoding.resources(capacity),
+        labels=decoding.texts(value, "Labels"),
+        born=decoding.seconds(value, "born", 0.0),
+    )
+
+
+def decode_lists(value: Mapping[str, Any]) -> WorkerLists:
+    """Decode the lists of a worker.
+
+    Raises:
+        MessageError, KeyError, TypeError, ValueError: if they cannot be read.
+    """
+    running = [_decode_running(entry) for entry in value.get("Running") or []]
+    ended = [_decode_ended(entry) for entry in value.get("Ended") or []]
+    return WorkerLists(decoding.seconds(value, "born", 0.0), running, ended)
+
+
+def _decode_running(entry: Sequence[Any]) -> RunningTask:
+    task, run, saved, percent, *rest = entry
+    gauge = float(rest[0]) if rest else 0.0
+    return RunningTask(str(task), int(run), str(saved), float(percent), gauge)
+
+
+def _decode_ended(entry: Sequence[Any]) -> EndedTask:
+    number, task, run, how, saved = entry[:5]
+    return EndedTask(int(number), str(task), int(run), EndKind(how), str(saved))
--- /dev/null
+++ b/catkinport/policy/leadership.py
@@ -0,0 +1,129 @@
+"""Decides when a daemon may take over the ownership of the fleet.
+
+Pattern: a lease row in a linearizable table. The owner renews a second row; whoever
+has seen it unchanged for long enough replaces the owner's row on the condition that
+neither has changed. The version of the owner's row is the fencing token.
+"""
+
+from typing import NamedTuple
+
+BEAT_SECONDS = 0.5
+"""Time between renewals; one renewal costs a write."""
+
+TAKEOVER_SECONDS = 2.0
+"""Unchanged for this long, an owner is replaced; three renewals may be lost."""
+
+MIN_CONFIRMATIONS = 3
+"""Answers that must have shown no change. An outage of the table service that hides
+the owner's renewals from everybody therefore does not depose it."""
+
+DOUBT_SECONDS = 1.2
+"""After this long without a stored renewal an owner starts nothing that it learnt of
+since, as its successor may be at work from ``TAKEOVER_SECONDS`` on."""
+
+GIVE_UP_SECONDS = 10.0
+"""After this long without a stored renewal an owner stops renewing leases of tasks.
+Longer than the outages of the table service that work has to survive."""
+
+CLOCK_ERROR = 0.02
+"""Fraction by which two steady clocks may differ."""
+
+
+class OwnerSighting(NamedTuple):
+    """The two rows of the ownership as they were read.
+
+    Args:
+        owner_version: version of the owner's row; 0 when there is none.
+        beat_version: version of the row that the owner renews.
+        is_released: whether the owner has given the ownership up.
+    """
+
+    owner_version: int
+    beat_version: int
+    is_released: bool
+
+
+class OwnerWatch:
+    """What a daemon has seen of the owner.
+
+    Example:
+        >>> watch = OwnerWatch()
+        >>> watch.observe(OwnerSighting(0, 0, False), 0.0)
+        >>> watch.may_claim(0.0)
+        True
+    """
+
+    def __init__(self) -> None:
+        self._sighting: OwnerSighting | None = None
+        self._changed_at = 0.0
+        self._n_confirmations = 0
+
+    @property
+    def sighting(self) -> OwnerSighting | None:
+        """The latest sighting."""
+        return self._sighting
+
+    @property
+    def changed_at(self) -> float:
+        """Clock time in seconds of the latest change."""
+        return self._changed_at
+
+    def observe(self, sighting: OwnerSighting, now: float) -> None:
+        """Take in an answer of the table service that arrived at ``now``."""
+        if sighting != self._sighting:
+            self._sighting = sighting
+            self._changed_at = now
+            self._n_confirmations = 0
+            return
+        self._n_confirmations += 1
+
+    def may_claim(self, now: float, wait_seconds: float = 0.0) -> bool:
+        """Return whether the ownership may be claimed.
+
+        Args:
+            now: clock time in seconds.
+            wait_seconds: extra time before this daemon claims, so that several do
+                not claim at the same moment.
+        """
+        if self._sighting is None:
+            return False
+        silent_seconds = now - self._changed_at
+        if self._sighting.owner_version == 0 or self._sighting.is_released:
+            return silent_seconds >= wait_seconds
+        is_confirmed = self._n_confirmations >= MIN_CONFIRMATIONS
+        return is_confirmed and silent_seconds >= TAKEOVER_SECONDS + wait_seconds
+
+
+class OwnLease(NamedTuple):
+    """The owner's own view of its lease.
+
+    Args:
+        token: fencing token.
+        renewed_at: clock time in seconds at which the latest stored renewal was sent.
+    """
+
+    token: int
+    renewed_at: float
+
+    def is_in_doubt(self, now: float) -> bool:
+        """Return whether a successor may be about to take over."""
+        return now - self.renewed_at > DOUBT_SECONDS
+
+    def has_given_up(self, now: float) -> bool:
+        """Return whether leases of tasks may no longer be renewed."""
+        return now - self.renewed_at > GIVE_UP_SECONDS
+
+
+def former_owner_bound(changed_at: float, longest_lease_seconds: float) -> float:
+    """Return when nothing that a former owner ordered can run on an unseen worker.
+
+    Args:
+        changed_at: clock time in seconds at which the successor saw the former owner's
+            last renewal. It was sent earlier.
+        longest_lease_seconds: longest lease that a worker grants.
+
+    Returns:
+        Clock time in seconds.
+    """
+    silent_seconds = GIVE_UP_SECONDS + longest_lease_seconds
+    return changed_at + silent_seconds * (1 + 2 * CLOCK_ERROR)
--- /dev/null
+++ b/catkinport/policy/worker_choice.py
@@ -0,0 +1,142 @@
+"""Chooses the worker that runs a task.
+
+Pattern: best fit. Tasks fill workers that already run some, so that whole workers stay
+free for upkeep, for large tasks and to be switched off.
+"""
+
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from .resources import Resources
+
+ROUNDING = 1e-6
+"""Tolerance of sums of resources."""
+
+
+class WorkerRoom:
+    """A worker that may take tasks, and what is left of it.
+
+    Args:
+        worker_id: id of the worker.
+        labels: kind and rack.
+        free: what is left of its capacity.
+        penalty: the higher, the later it is chosen; 0 for a sound worker.
+
+    Attributes:
+        n_by_stage: tasks that it runs of each step.
+        n_fillers: filling tasks that it runs.
+        n_targets: lasting tasks with a latency target that it runs.
+    """
+
+    __slots__ = (
+        "accelerators",
+        "cores",
+        "labels",
+        "memory_gb",
+        "n_by_stage",
+        "n_fillers",
+        "n_targets",
+        "penalty",
+        "worker_id",
+    )
+
+    def __init__(
+        self,
+        worker_id: str,
+        labels: tuple[str, ...],
+        free: Resources,
+        penalty: float = 0.0,
+    ) -> None:
+        self.worker_id = worker_id
+        self.labels = labels
+        self.cores, self.memory_gb, self.accelerators = free
+        self.penalty = penalty
+        self.n_by_stage: dict[str, int] = {}
+        self.n_fillers = 0
+        self.n_targets = 0
+
+    def count(self, task: "TaskNeed") -> None:
+        """Count a task that runs already, without taking room for it."""
+        self.n_by_stage[task.stage] = self.n_by_stage.get(task.stage, 0) + 1
+        self.n_fillers += task.is_filler
+        self.n_targets += task.has_target
+
+    def take(self, task: "TaskNeed") -> None:
+        """Take room for a task."""
+        self.count(task)
+        self.cores -= 0.0 if task.is_filler else task.need.cores
+        self.memory_gb -= task.need.memory_gb
+        self.accelerators -= task.need.accelerators
+
+
+class TaskNeed(NamedTuple):
+    """What a task asks of its worker.
+
+    Args:
+        stage: name of the step that it belongs to.
+        need: resources; a filler's cores are not counted.
+        required_label: label that the worker must have; empty for none.
+        preferred_rack: label of the rack of its data; empty for none.
+        max_per_worker: most tasks of its step on one worker; 0 for no limit.
+        is_filler: whether it only uses what others leave.
+        has_target: whether it has a latency target.
+        avoided_worker: worker on which it failed before; empty for none.
+    """
+
+    stage: str
+    need: Resources
+    required_label: str = ""
+    preferred_rack: str = ""
+    max_per_worker: int = 0
+    is_filler: bool = False
+    has_target: bool = False
+    avoided_worker: str = ""
+
+
+def fits(task: TaskNeed, room: WorkerRoom) -> bool:
+    """Return whether ``room`` may take the task.
+
+    Example:
+        >>> room = WorkerRoom("w", ("r1",), Resources(4.0, 8.0, 0))
+        >>> fits(TaskNeed("s", Resources(4.0, 1.0, 0)), room)
+        True
+        >>> fits(TaskNeed("s", Resources(1.0, 1.0, 0), required_label="gpu"), room)
+        False
+    """
+    if task.required_label and task.required_label not in room.labels:
+        return False
+    n_of_step = room.n_by_stage.get(task.stage, 0)
+    if task.max_per_worker and n_of_step >= task.max_per_worker:
+        return False
+    cores = 0.0 if task.is_filler else task.need.cores
+    return (
+        cores <= room.cores + ROUNDING
+        and task.need.memory_gb <= room.memory_gb + ROUNDING
+        and task.need.accelerators <= room.accelerators + ROUNDING
+    )
+
+
+def choose_worker(task: TaskNeed, rooms: Iterable[WorkerRoom]) -> WorkerRoom | None:
+    """Return the worker that suits the task best, or ``None``."""
+    fitting = [room for room in rooms if fits(task, room)]
+    return min(fitting, key=lambda room: _cost(task, room), default=None)
+
+
+def _cost(task: TaskNeed, room: WorkerRoom) -> tuple[float, ...]:
+    is_far = bool(task.preferred_rack) and task.preferred_rack not in room.labels
+    is_avoided = room.worker_id == task.avoided_worker
+    disturbs = 0
+    if task.is_filler:
+        disturbs = room.n_targets
+    elif task.has_target:
+        disturbs = room.n_fillers + room.n_targets
+    spread = room.n_by_stage.get(task.stage, 0) if task.has_target else 0
+    return (
+        is_avoided,
+        room.penalty,
+        is_far,
+        disturbs,
+        spread,
+        room.cores,
+        room.memory_gb,
+    )
--- /dev/null
+++ b/catkinport/ports/async_table.py
@@ -0,0 +1,94 @@
+"""The table service as asyncio programs use it."""
+
+from collections.abc import Sequence
+from typing import NamedTuple, Protocol
+
+from .outcomes import Unavailable
+from .table import CommitOutcome, Committed, Conflict, Row, RowKey, Transaction
+
+
+class Snapshot(NamedTuple):
+    """Rows as of one moment, and the table service's newest version then."""
+
+    rows: Sequence[Row]
+    version: int
+
+
+class Changes(NamedTuple):
+    """Rows that changed after a version, oldest first.
+
+    Args:
+        rows: the changed rows; a removed one has the value ``None``.
+        version: where the next call continues.
+    """
+
+    rows: Sequence[Row]
+    version: int
+
+
+class HistoryLost(NamedTuple):
+    """The changes asked for are no longer kept; read the table again."""
+
+
+class AsyncTable(Protocol):
+    """Client of the table service."""
+
+    async def read_range(
+        self, table: str, start: str = "", end: str = ""
+    ) -> Snapshot | Unavailable:
+        """Read the rows with ``start <= key < end``, all of them without ``end``."""
+        ...
+
+    async def commit(self, transaction: Transaction) -> CommitOutcome:
+        """Commit one transaction; its rows lie in the part that owners write."""
+        ...
+
+    async def follow(
+        self, table: str, after_version: int, wait_seconds: float
+    ) -> Changes | HistoryLost | Unavailable:
+        """Return changes after ``after_version`` as soon as there are any."""
+        ...
+
+
+async def commit_until_known(
+    table: AsyncTable, transaction: Transaction, n_attempts: int
+) -> CommitOutcome:
+    """Commit, and repeat while it is unknown whether it took effect.
+
+    Conditions on every written row make a repetition harmless: whichever copy comes
+    second conflicts. A conflict whose current rows hold the values of the
+    transaction therefore means that an earlier copy took effect.
+
+    Args:
+        table: client of the table service.
+        transaction: has a condition on each row that it writes.
+        n_attempts: most attempts, at least 1.
+    """
+    is_unsure = False
+    outcome: CommitOutcome
+    for _ in range(n_attempts):
+        outcome = await table.commit(transaction)
+        if isinstance(outcome, Committed):
+            return outcome
+        if isinstance(outcome, Conflict):
+            versions = _versions_if_written(transaction, outcome.rows)
+            if is_unsure and versions is not None:
+                return Committed(versions)
+            return outcome
+        is_unsure = is_unsure or outcome.may_have_committed
+    return outcome._replace(may_have_committed=is_unsure)
+
+
+def _versions_if_written(
+    transaction: Transaction, rows: Sequence[Row]
+) -> dict[RowKey, int] | None:
+    row_by_key = {row.row_key: row for row in rows}
+    for write in transaction.writes:
+        row = row_by_key.get(write.row_key)
+        if (row.value if row else None) != write.value:
+            return None
+    return {
+        write.row_key: row_by_key[write.row_key].version
+        for write in transaction.writes
+        if write.value is not None
+    }
--- a/catkinport/ports/table.py
+++ b/catkinport/ports/table.py
@@ -58,11 +58,13 @@
     """A condition did not hold, so nothing was written.
 
     ``versions_by_row_key`` holds the current version of each row that differs.
+    ``rows`` holds the current rows of all conditions, where the service returns them.
     """
 
     versions_by_row_key: Mapping[RowKey, int]
     step: str = "table-commit"
     peer: str = ""
+    rows: Sequence[Row] = ()
 
 
 class Page(NamedTuple):
