--- a/catkinport/jobs/dispatcher.py
+++ b/catkinport/jobs/dispatcher.py
@@ -106,6 +106,9 @@
             account=job.account,
             n_steps=len(job.steps),
             n_tasks=sum(step.n_tasks for step in job.steps),
+            lasting=any(step.is_lasting for step in job.steps),
+            max_per_worker=max(step.max_per_worker for step in job.steps),
+            max_away=max(step.max_away for step in job.steps),
             inherited=is_inherited,
         )
 
--- /dev/null
+++ b/catkinport/jobs/keeper.py
@@ -0,0 +1,418 @@
+"""Keeps the VMs: upkeep in waves, and moves between pools.
+
+The state is rebuilt from the platform's list of VMs, which an order changes only later;
+until then the order itself is what counts.
+"""
+
+import logging
+from collections.abc import Iterator, Mapping, Sequence
+from typing import NamedTuple
+
+from ..policy.pool_size import IdleVm, PoolMove, PoolView, choose_moves
+from ..policy.upkeep import (
+    UpkeepCandidate,
+    UpkeepChoice,
+    UpkeepCost,
+    WaveView,
+    choose_upkeep,
+)
+from ..ports.fleet_vms import FleetVm, UpkeepWave, VmState
+from ..runtime.logs import log_event
+from .dispatcher import Dispatcher
+from .record import TaskPhase
+from .worker_state import Run, WorkerBelief
+
+logger = logging.getLogger(__name__)
+
+LIST_LAG_SECONDS = 1.2
+"""The platform's list of VMs may be so old, so an order is older than what the list
+shows only after that time."""
+
+REPEAT_SECONDS = 1.0
+"""Time after which an order without an answer is sent again."""
+
+AT_WORK_PERCENT = 100.0
+"""Figure that a worker lists for a lasting task that is at work."""
+
+LONG_LIST_GAP_SECONDS = 3.0
+"""Without a list for so long no VM is ordered about."""
+
+
+class VmOrder(NamedTuple):
+    """An order for a VM.
+
+    Args:
+        vm_id: the VM.
+        wave: number of the wave for an upkeep; 0 for a move.
+        pool: new pool for a move; empty for an upkeep.
+    """
+
+    vm_id: str
+    wave: int
+    pool: str
+
+
+class VmBounds(NamedTuple):
+    """Times that the platform names, in seconds."""
+
+    upkeep: float
+    move: float
+    away_notice: float
+
+
+class PendingOrder(NamedTuple):
+    """An order and when it was sent; ``answered_at`` is 0 before its answer."""
+
+    order: VmOrder
+    sent_at: float
+    answered_at: float
+
+
+class WaveState:
+    """A wave and what has been done for it.
+
+    Attributes:
+        wave: what the operator asked for.
+        seen_at: clock time in seconds at which it was first seen.
+        begun: VMs that have begun their upkeep.
+        is_reported: whether its completion was reported.
+    """
+
+    def __init__(self, wave: UpkeepWave, seen_at: float) -> None:
+        self.wave = wave
+        self.seen_at = seen_at
+        self.begun: set[str] = set()
+        self.is_reported = False
+        self.is_announced = False
+
+
+class Keeper:
+    """Decides about VMs.
+
+    Args:
+        dispatcher: jobs and workers.
+        bounds: times that the platform names.
+        may_order_from: clock time in seconds before which nothing is ordered, because
+            a former owner may just have given orders.
+    """
+
+    def __init__(
+        self, dispatcher: Dispatcher, bounds: VmBounds, may_order_from: float
+    ) -> None:
+        self._dispatcher = dispatcher
+        self._bounds = bounds
+        self._may_order_from = may_order_from
+        self._vm_by_id: dict[str, FleetVm] = {}
+        self._listed_at = float("-inf")
+        self._pending_by_vm: dict[str, PendingOrder] = {}
+        self._idle_since_by_vm: dict[str, float] = {}
+        self._reserved: set[str] = set()
+        self.wave_by_number: dict[int, WaveState] = {}
+
+    def take_vms(self, vms: Sequence[FleetVm], sent_at: float) -> None:
+        """Take in the platform's list."""
+        self._vm_by_id = {vm.vm_id: vm for vm in vms}
+        self._listed_at = sent_at
+        for vm_id, pending in list(self._pending_by_vm.items()):
+            if self._is_settled(pending, self._vm_by_id.get(vm_id), sent_at):
+                del self._pending_by_vm[vm_id]
+
+    def take_wave(self, wave: UpkeepWave, now: float) -> None:
+        """Take in a wave; a known one is left as it is."""
+        if wave.wave in self.wave_by_number:
+            return
+        self.wave_by_number[wave.wave] = WaveState(wave, now)
+        log_event(
+            logger,
+            "wave taken in",
+            wave=wave.wave,
+            n_vms=len(wave.vm_ids),
+            max_down=wave.max_down,
+            deadline_seconds=wave.deadline_seconds,
+        )
+
+    def restore_begun(self, number: int, vm_ids: Sequence[str]) -> None:
+        """Take over which VMs of a wave have begun their upkeep."""
+        state = self.wave_by_number.get(number)
+        if state is not None:
+            state.begun.update(vm_ids)
+
+    def plan(self, now: float) -> list[VmOrder]:
+        """Return the orders to send now; they count as sent."""
+        if now < self._may_order_from or now - self._listed_at > LONG_LIST_GAP_SECONDS:
+            return []
+        self._note_idle(now)
+        orders = list(self._repeat_orders(now))
+        for state in self.wave_by_number.values():
+            orders.extend(self._plan_wave(state, now))
+        orders.extend(self._plan_moves(now))
+        for order in orders:
+            self._pending_by_vm[order.vm_id] = PendingOrder(order, now, 0.0)
+        return orders
+
+    def on_done(self, order: VmOrder, now: float) -> None:
+        """Note that the platform has carried the order out."""
+        pending = self._pending_by_vm.get(order.vm_id)
+        if pending is not None and pending.order == order:
+            self._pending_by_vm[order.vm_id] = pending._replace(answered_at=now)
+        if order.wave and order.wave in self.wave_by_number:
+            self.wave_by_number[order.wave].begun.add(order.vm_id)
+            self._reserved.discard(order.vm_id)
+
+    def on_rejected(self, order: VmOrder) -> None:
+        """Note that the platform has done nothing."""
+        self._pending_by_vm.pop(order.vm_id, None)
+        self._release(order.vm_id)
+
+    def is_complete(self, state: WaveState) -> bool:
+        """Return whether every VM of the wave that is left has begun its upkeep."""
+        return bool(self._vm_by_id) and all(
+            vm_id in state.begun or vm_id not in self._vm_by_id
+            for vm_id in state.wave.vm_ids
+        )
+
+    # What the list and the orders say together.
+
+    def _is_settled(
+        self, pending: PendingOrder, vm: FleetVm | None, sent_at: float
+    ) -> bool:
+        if vm is None:
+            return True
+        seconds = self._bounds.upkeep if pending.order.wave else self._bounds.move
+        if not pending.answered_at:
+            return False
+        return sent_at > pending.answered_at + seconds + LIST_LAG_SECONDS
+
+    def _repeat_orders(self, now: float) -> Iterator[VmOrder]:
+        for pending in list(self._pending_by_vm.values()):
+            if pending.answered_at or now - pending.sent_at < REPEAT_SECONDS:
+                continue
+            belief = self._worker_on(pending.order.vm_id)
+            if belief is not None and belief.run_by_key:
+                continue
+            yield pending.order
+
+    def _worker_on(self, vm_id: str) -> WorkerBelief | None:
+        vm = self._vm_by_id.get(vm_id)
+        if vm is None or not vm.worker_id:
+            return None
+        return self._dispatcher.worker_by_id.get(vm.worker_id)
+
+    def _is_up(self, vm: FleetVm) -> bool:
+        return vm.state is VmState.UP and vm.vm_id not in self._pending_by_vm
+
+    def _is_off(self, vm: FleetVm) -> bool:
+        pool = self._dispatcher.configuration.pool_by_name.get(vm.pool)
+        return pool is not None and pool.is_spare
+
+    def _note_idle(self, now: float) -> None:
+        for vm_id, vm in self._vm_by_id.items():
+            belief = self._worker_on(vm_id)
+            is_idle = self._is_off(vm) or (
+                belief is not None
+                and not belief.run_by_key
+                and belief.is_in_contact(now)
+                and not belief.listed.is_draining
+            )
+            if not is_idle:
+                self._idle_since_by_vm.pop(vm_id, None)
+            else:
+                self._idle_since_by_vm.setdefault(vm_id, now)
+
+    def _reserve(self, vm_id: str) -> None:
+        self._reserved.add(vm_id)
+        belief = self._worker_on(vm_id)
+        if belief is not None:
+            belief.is_reserved = True
+
+    def _release(self, vm_id: str) -> None:
+        self._reserved.discard(vm_id)
+        belief = self._worker_on(vm_id)
+        if belief is not None:
+            belief.is_reserved = False
+
+    # Waves.
+
+    def _plan_wave(self, state: WaveState, now: float) -> Iterator[VmOrder]:
+        if self.is_complete(state):
+            return
+        wave = state.wave
+        members = [self._vm_by_id[v] for v in wave.vm_ids if v in self._vm_by_id]
+        n_down = sum(self._may_be_down(vm, wave.wave) for vm in members)
+        candidates = [
+            self._candidate(vm)
+            for vm in members
+            if vm.vm_id not in state.begun and self._is_up(vm)
+        ]
+        view = WaveView(
+            n_vms=len(members),
+            n_begun=len(state.begun),
+            n_down=n_down,
+            max_down=wave.max_down,
+            age_seconds=now - state.seen_at,
+            deadline_seconds=wave.deadline_seconds,
+            candidates=candidates,
+        )
+        yield from self._carry_out(choose_upkeep(view), wave.wave)
+
+    def _carry_out(self, choice: UpkeepChoice, wave: int) -> Iterator[VmOrder]:
+        for vm_id in choice.drain:
+            log_event(logger, "vm drains for upkeep", vm=vm_id, wave=wave)
+            self._reserve(vm_id)
+        for vm_id in choice.maintain:
+            # Nothing may start on it between this decision and the order.
+            self._reserve(vm_id)
+            yield VmOrder(vm_id, wave, "")
+
+    def _may_be_down(self, vm: FleetVm, wave: int) -> bool:
+        pending = self._pending_by_vm.get(vm.vm_id)
+        if pending is not None and pending.order.wave == wave:
+            return True
+        return vm.state is VmState.UPKEEP
+
+    def _candidate(self, vm: FleetVm) -> UpkeepCandidate:
+        cost, busy = self._upkeep_cost(vm)
+        is_reserved = vm.vm_id in self._reserved
+        return UpkeepCandidate(vm.vm_id, vm.pool, cost, busy, is_reserved)
+
+    def _upkeep_cost(self, vm: FleetVm) -> tuple[UpkeepCost, float]:
+        if self._is_off(vm):
+            return UpkeepCost.OFF, 0.0
+        belief = self._worker_on(vm.vm_id)
+        if belief is None:
+            return UpkeepCost.FORBIDDEN, 0.0
+        runs = list(belief.run_by_key.values())
+        if not runs:
+            return UpkeepCost.IDLE, 0.0
+        short = [run for run in runs if not run.task.step.is_lasting]
+        busy = sum(run.task.step.need.cores for run in short)
+        if len(short) == len(runs):
+            return UpkeepCost.SHORT_WORK, busy
+        if not self._may_end_lasting(belief):
+            return UpkeepCost.FORBIDDEN, busy
+        cost = UpkeepCost.SHORT_WORK if short else UpkeepCost.LASTING_WORK
+        return cost, busy + 1000.0
+
+    def _may_end_lasting(self, belief: WorkerBelief) -> bool:
+        """Return whether all lasting tasks of the worker may be ended together."""
+        n_here: dict[tuple[str, int, int], int] = {}
+        for run in belief.run_by_key.values():
+            if run.task.step.is_lasting:
+                name = run.task.task_id[:3]
+                n_here[name] = n_here.get(name, 0) + 1
+        return all(self._count_away(name) + n <= self._max_away(name)
+                   for name, n in n_here.items())
+
+    def _max_away(self, stage: tuple[str, int, int]) -> int:
+        record = self._dispatcher.job_by_id[stage[0]]
+        return record.job.steps[stage[2]].max_away
+
+    def _count_away(self, stage: tuple[str, int, int]) -> int:
+        record = self._dispatcher.job_by_id[stage[0]]
+        tasks = record.tasks_by_stage[stage[1], stage[2]]
+        return sum(not self._is_settled_task(task.text) for task in tasks)
+
+    def _is_settled_task(self, task: str) -> bool:
+        runs = self._dispatcher.runs_by_task.get(task, [])
+        return any(self._is_settled_run(run) for run in runs)
+
+    def _is_settled_run(self, run: Run) -> bool:
+        belief = self._dispatcher.worker_by_id[run.worker_id]
+        if run.task.phase is not TaskPhase.PLACED or run.percent < AT_WORK_PERCENT:
+            return False
+        at_work_seconds = belief.contact_at - run.progressed_at
+        return at_work_seconds >= self._bounds.away_notice
+
+    # Moves.
+
+    def _plan_moves(self, now: float) -> Iterator[VmOrder]:
+        pools = self._pool_views()
+        if not any(pool.is_spare for pool in pools.values()):
+            return
+        wave_vms = {
+            vm_id
+            for state in self.wave_by_number.values()
+            for vm_id in state.wave.vm_ids
+            if vm_id not in state.begun
+        }
+        idle = [
+            IdleVm(vm_id, vm.pool, now - self._idle_since_by_vm[vm_id], self._is_off(vm))
+            for vm_id, vm in self._vm_by_id.items()
+            if vm_id in self._idle_since_by_vm
+            and self._is_up(vm)
+            and vm_id not in self._reserved
+            and (vm_id not in wave_vms or self._is_off(vm))
+        ]
+        for move in choose_moves(pools, idle):
+            yield self._order_move(move, pools, now)
+
+    def _order_move(
+        self, move: PoolMove, pools: Mapping[str, PoolView], now: float
+    ) -> VmOrder:
+        vm = self._vm_by_id[move.vm_id]
+        belief = self._worker_on(move.vm_id)
+        if belief is not None:
+            belief.is_reserved = True
+        log_event(
+            logger,
+            "vm moves",
+            vm=move.vm_id,
+            pool=move.pool,
+            from_pool=vm.pool,
+            demand_cores=round(pools[move.pool].demand_cores, 1),
+            capacity_cores=round(pools[move.pool].capacity_cores, 1),
+            list_age_seconds=round(now - self._listed_at, 2),
+        )
+        return VmOrder(move.vm_id, 0, move.pool)
+
+    def _pool_views(self) -> dict[str, PoolView]:
+        demand = self._demand_by_pool()
+        n_vms: dict[str, int] = {}
+        cores: dict[str, float] = {}
+        for vm in self._vm_by_id.values():
+            pending = self._pending_by_vm.get(vm.vm_id)
+            pool = pending.order.pool if pending and pending.order.pool else vm.pool
+            is_down = vm.state is VmState.DOWN or vm.vm_id in self._reserved
+            if is_down:
+                continue
+            n_vms[pool] = n_vms.get(pool, 0) + 1
+            cores[pool] = cores.get(pool, 0.0) + vm.capacity.cores
+        mean_cores = sum(cores.values()) / max(1, sum(n_vms.values()))
+        return {
+            name: PoolView(
+                name=name,
+                is_spare=pool.is_spare,
+                demand_cores=demand.get(name, 0.0),
+                capacity_cores=cores.get(name, 0.0),
+                vm_cores=cores[name] / n_vms[name] if n_vms.get(name) else mean_cores,
+                min_vms=self._min_vms(name),
+                n_vms=n_vms.get(name, 0),
+            )
+            for name, pool in self._dispatcher.configuration.pool_by_name.items()
+        }
+
+    def _min_vms(self, pool: str) -> int:
+        """Return how many VMs the lasting steps of the pool need apart from each other."""
+        n_vms = 1
+        for record in self._dispatcher.job_by_id.values():
+            queue = self._dispatcher.queue_of(record)
+            if queue is None or queue.pool != pool or record.is_closing:
+                continue
+            for step in record.job.steps:
+                if step.is_lasting and step.max_per_worker:
+                    n_vms = max(n_vms, -(-step.n_tasks // step.max_per_worker))
+        return n_vms
+
+    def _demand_by_pool(self) -> dict[str, float]:
+        demand: dict[str, float] = {}
+        for record in self._dispatcher.job_by_id.values():
+            queue = self._dispatcher.queue_of(record)
+            if queue is None or record.is_closing:
+                continue
+            cores = 0.0
+            for stage in record.ready_stages():
+                for task in record.tasks_by_stage[stage]:
+                    if task.phase is not TaskPhase.DONE and not task.step.is_filler:
+                        cores += task.step.need.cores
+            demand[queue.pool] = demand.get(queue.pool, 0.0) + cores
+        return demand
--- a/catkinport/jobs/owner.py
+++ b/catkinport/jobs/owner.py
@@ -15,8 +15,9 @@
 from ..ports import Unavailable
 from ..ports.async_table import AsyncTable, Changes, HistoryLost, commit_until_known
 from ..ports.clock import Clock
-from ..ports.fleet_vms import FleetVms
+from ..ports.fleet_vms import FleetVms, UpkeepDesk
 from ..ports.fleet_workers import (
+    Done,
     FleetWorkers,
     ListedWorker,
     Rejected,
@@ -29,6 +30,7 @@
 from ..runtime.logs import log_event
 from .configuration import FleetConfiguration
 from .dispatcher import Dispatcher, StopOrder
+from .keeper import Keeper, VmBounds, VmOrder
 from .model import Job, job_from_row
 from .planner import PlannedStart, Planner, Ticket, WantedAdvice
 from .record import JobRecord
@@ -39,8 +41,10 @@
     OWNER_KEY,
     ROSTER_TABLE,
     STATES_TABLE,
+    WAVES_TABLE,
     roster_key,
     state_key,
+    wave_key,
 )
 from .worker_state import LEASE_SECONDS, RENEW_CONTACT_SECONDS, Run, WorkerBelief
 
@@ -59,6 +63,9 @@
 VM_LIST_SECONDS = 1.0
 """Time between reads of the platform's list of VMs; each read is charged."""
 
+KEEP_SECONDS = 0.25
+"""Time between two decisions about VMs."""
+
 FEED_WAIT_SECONDS = 2.0
 """Longest wait of one call that follows the table of jobs."""
 
@@ -90,10 +97,25 @@
     table: AsyncTable
     workers: FleetWorkers
     vms: FleetVms
+    desk: UpkeepDesk
     clock: Clock
     metrics: Metrics
 
 
+class OwnerBounds(NamedTuple):
+    """Times that the platform names, in seconds.
+
+    Args:
+        longest_lease: longest lease that a worker grants.
+        vm_order_gap: shortest time between orders of two owners for one VM.
+        vm: times of orders for VMs.
+    """
+
+    longest_lease: float
+    vm_order_gap: float
+    vm: VmBounds
+
+
 class FleetOwner:
     """Runs all jobs while this daemon holds the ownership.
 
@@ -104,7 +126,7 @@
         renewed_at: clock time in seconds at which the claim was sent.
         former_changed_at: clock time in seconds at which the former owner was last seen
             to renew; ``None`` if there was none.
-        longest_lease_seconds: longest lease that a worker grants.
+        bounds: times that the platform names.
     """
 
     def __init__(
@@ -114,19 +136,21 @@
         token: int,
         renewed_at: float,
         former_changed_at: float | None,
-        longest_lease_seconds: float,
+        bounds: OwnerBounds,
     ) -> None:
         self._ports = ports
         self._table = ports.table
         self._clock = ports.clock
         self._lease = OwnLease(token, renewed_at)
         self._former_bound = (
-            former_owner_bound(former_changed_at, longest_lease_seconds)
+            former_owner_bound(former_changed_at, bounds.longest_lease)
             if former_changed_at is not None
             else 0.0
         )
         self.dispatcher = Dispatcher(configuration)
         self._planner = Planner(self.dispatcher)
+        vm_gap = bounds.vm_order_gap if former_changed_at is not None else 0.0
+        self._keeper = Keeper(self.dispatcher, bounds.vm, renewed_at + vm_gap)
         self._wake = asyncio.Event()
         self._store_wake = asyncio.Event()
         self._stored = asyncio.Condition()
@@ -190,6 +214,7 @@
         self._spawn(self._list_loop())
         self._spawn(self._vm_loop())
         self._spawn(self._plan_loop())
+        self._spawn(self._keep_loop())
 
     # Ownership.
 
@@ -558,9 +583,83 @@
                 log_event(logger, "vms not listed", reason=vms.reason, peer=vms.peer)
             else:
                 self.dispatcher.update_vms(vms, sent_at, self._clock.now())
+                self._keeper.take_vms(vms, sent_at)
                 self._wake.set()
             await asyncio.sleep(VM_LIST_SECONDS)
 
+    # Upkeep and moves.
+
+    async def _keep_loop(self) -> None:
+        begun = await self._table.read_range(WAVES_TABLE)
+        while isinstance(begun, Unavailable):
+            await asyncio.sleep(RETRY_SECONDS)
+            begun = await self._table.read_range(WAVES_TABLE)
+        begun_by_wave = {row.row_key.key: row.value for row in begun.rows}
+        while True:
+            now = self._clock.now()
+            for wave in self._ports.desk.list_waves():
+                is_new = wave.wave not in self._keeper.wave_by_number
+                self._keeper.take_wave(wave, now)
+                if is_new:
+                    stored = begun_by_wave.get(str(wave.wave), {})
+                    self._keeper.restore_begun(wave.wave, stored.get("begun", []))
+            if not self._lease.is_in_doubt(now):
+                for order in self._keeper.plan(now):
+                    self._spawn(self._send_vm_order(order))
+                await self._report_waves()
+            await asyncio.sleep(KEEP_SECONDS)
+
+    async def _send_vm_order(self, order: VmOrder) -> None:
+        token = self._lease.token
+        if order.wave:
+            outcome = await self._ports.vms.maintain(order.vm_id, order.wave, token)
+        else:
+            outcome = await self._ports.vms.move(order.vm_id, order.pool, token)
+        log_event(
+            logger,
+            "vm ordered",
+            vm=order.vm_id,
+            wave=order.wave,
+            pool=order.pool,
+            token=token,
+            outcome=type(outcome).__name__,
+            reason=getattr(outcome, "reason", ""),
+        )
+        if isinstance(outcome, Done):
+            self._keeper.on_done(order, self._clock.now())
+            if order.wave:
+                await self._store_begun(order.wave)
+        elif isinstance(outcome, Rejected):
+            self._is_fenced(outcome)
+            self._keeper.on_rejected(order)
+
+    async def _store_begun(self, wave: int) -> None:
+        begun = sorted(self._keeper.wave_by_number[wave].begun)
+        transaction = Transaction(
+            [self._owner_condition()], [Write(wave_key(wave), {"begun": begun})]
+        )
+        outcome = await self._table.commit(transaction)
+        if not isinstance(outcome, Committed):
+            # A successor orders the upkeep once more, which the platform answers
+            # without another one.
+            log_event(logger, "wave progress not stored", wave=wave)
+
+    async def _report_waves(self) -> None:
+        for state in self._keeper.wave_by_number.values():
+            is_complete = self._keeper.is_complete(state)
+            if state.is_reported or (state.is_announced and not is_complete):
+                continue
+            if await self._ports.desk.report(state.wave.wave, is_complete):
+                state.is_announced = True
+                state.is_reported = is_complete
+                log_event(
+                    logger,
+                    "wave reported",
+                    wave=state.wave.wave,
+                    completed=is_complete,
+                    n_begun=len(state.begun),
+                )
+
     # Orders.
 
     async def _plan_loop(self) -> None:
--- a/catkinport/jobs/tables.py
+++ b/catkinport/jobs/tables.py
@@ -6,6 +6,7 @@
 JOBS_TABLE = "jobs"
 STATES_TABLE = "states"
 ROSTER_TABLE = "roster"
+WAVES_TABLE = "waves"
 
 OWNER_KEY = RowKey(LEADER_TABLE, "owner")
 """Written when the ownership changes; its version is the fencing token."""
@@ -39,3 +40,8 @@
 def roster_key(pool: str) -> RowKey:
     """Return the row that names the workers of a pool that may run tasks."""
     return RowKey(ROSTER_TABLE, pool)
+
+
+def wave_key(wave: int) -> RowKey:
+    """Return the row that names the VMs of a wave that have begun their upkeep."""
+    return RowKey(WAVES_TABLE, str(wave))
--- a/catkinport/platform/daemon.py
+++ b/catkinport/platform/daemon.py
@@ -11,14 +11,20 @@
 from ..jobs.configuration import FleetConfiguration
 from ..jobs.configuration_watch import ConfigurationWatch
 from ..jobs.intake import Intake
-from ..jobs.owner import FleetOwner, OwnerPorts
+from ..jobs.keeper import VmBounds
+from ..jobs.owner import FleetOwner, OwnerBounds, OwnerPorts
 from ..jobs.ownership_watch import OwnershipWatch
 from ..runtime import BootTimeClock, Metrics
 from ..runtime.logs import log_event
 from ..settings.declaration import format_fault
 from .callers import CallerServer, KeyProof
 from .client import PlatformClient
-from .operator_rows import CONFIGURATION_KEY, decode_configuration
+from .operator_rows import (
+    CONFIGURATION_KEY,
+    OPERATOR_TABLE,
+    PlatformDesk,
+    decode_configuration,
+)
 from .settings import DaemonSettings, load_settings
 from .table import PlatformTable
 from .vms import PlatformVms
@@ -30,8 +36,6 @@
 """Part of the time to withdraw a key during which calls with keys go on without a new
 proof. The rest covers the call itself and a feed that hides changes."""
 
-OPERATOR_TABLE = "op"
-
 STOP_SLACK_SECONDS = 1.5
 """Time before the end of the grace at which the process ends by itself."""
 
@@ -69,6 +73,7 @@
             table,
             PlatformWorkers(self._client, table, self._clock, settings.advice),
             PlatformVms(self._client, settings.vms, settings.name),
+            PlatformDesk(table, lambda: self._configuration.row_by_key),
             self._clock,
             self._metrics,
         )
@@ -196,7 +201,15 @@
                 claim.token,
                 claim.sent_at,
                 claim.former_changed_at,
-                self._settings.bounds.longest_lease,
+                self._owner_bounds(),
             )
             await self._owner.run(self._stop)
             self._owner = None
+
+    def _owner_bounds(self) -> OwnerBounds:
+        bounds = self._settings.bounds
+        return OwnerBounds(
+            longest_lease=bounds.longest_lease,
+            vm_order_gap=bounds.vm_order_gap,
+            vm=VmBounds(bounds.upkeep, bounds.move, bounds.away_notice),
+        )
--- a/catkinport/platform/operator_rows.py
+++ b/catkinport/platform/operator_rows.py
@@ -1,6 +1,7 @@
 """Rows that the operator writes: the configuration and the waves of upkeep."""
 
-from collections.abc import Mapping
+import logging
+from collections.abc import Callable, Mapping
 from typing import Any
 
 from ..jobs.configuration import (
@@ -11,9 +12,16 @@
     Queue,
 )
 from ..policy.resources import Resources
+from ..ports.async_table import AsyncTable
 from ..ports.fleet_vms import UpkeepWave
+from ..ports.table import Committed, Row, RowKey, Transaction, Write
+from ..runtime.logs import log_event
 from . import decoding
 
+logger = logging.getLogger(__name__)
+
+OPERATOR_TABLE = "op"
+STATUS_TABLE = "status"
 CONFIGURATION_KEY = "config"
 WAVE_PREFIX = "wave/"
 DEFAULT_BODY_BYTES = 262144
@@ -59,9 +67,48 @@
     )
 
 
-def encode_wave_state(wave: int, is_completed: bool) -> dict[str, Any]:
-    """Encode the row that reports a wave to the operator."""
-    return {"Wave": wave, "State": "completed" if is_completed else "running"}
+class PlatformDesk:
+    """Implements `ports.fleet_vms.UpkeepDesk` with the operator's rows.
+
+    Args:
+        table: client of the store.
+        rows: returns the operator's rows by key, as last seen.
+    """
+
+    def __init__(
+        self, table: AsyncTable, rows: Callable[[], Mapping[str, Row]]
+    ) -> None:
+        self._table = table
+        self._rows = rows
+        self._bad_versions: set[int] = set()
+
+    def list_waves(self) -> list[UpkeepWave]:
+        """Return the waves that were asked for; unreadable rows are left out."""
+        waves = []
+        for key, row in self._rows().items():
+            if not key.startswith(WAVE_PREFIX):
+                continue
+            try:
+                waves.append(decode_wave(row.value))
+            except decoding.MessageError as error:
+                if row.version not in self._bad_versions:
+                    self._bad_versions.add(row.version)
+                    log_event(
+                        logger,
+                        "wave unreadable",
+                        level=logging.ERROR,
+                        key=key,
+                        version=row.version,
+                        reason=str(error),
+                    )
+        return waves
+
+    async def report(self, wave: int, is_completed: bool) -> bool:
+        """Write the row that reports a wave to the operator."""
+        value = {"Wave": wave, "State": "completed" if is_completed else "running"}
+        write = Write(RowKey(STATUS_TABLE, f"{WAVE_PREFIX}{wave}"), value)
+        outcome = await self._table.commit(Transaction([], [write]))
+        return isinstance(outcome, Committed)
 
 
 def _decode_queue(entry: Mapping[str, Any]) -> Queue:
--- a/catkinport/ports/fleet_vms.py
+++ b/catkinport/ports/fleet_vms.py
@@ -60,3 +60,15 @@
     async def maintain(self, vm_id: str, wave: int, token: int) -> OrderOutcome:
         """Take a VM down for upkeep; everything that runs on it ends at once."""
         ...
+
+
+class UpkeepDesk(Protocol):
+    """Where the operator asks for waves of upkeep and reads how they go."""
+
+    def list_waves(self) -> list[UpkeepWave]:
+        """Return the waves that were asked for, as last seen."""
+        ...
+
+    async def report(self, wave: int, is_completed: bool) -> bool:
+        """Report a wave as running or completed; return whether that is stored."""
+        ...
