Keep leases short across changes of the owner, and learn of dead VMs from the list

The store answered 50 times slower while the owner stopped, so its release and all claims timed out, and the successor then waited 16 s for workers of a crashed rack. Ruled out: room (the pool had it), the configuration. Change: jobs lie in 16 parts; a stored state renews the ownership; the release has 2.5 s; a successor waits one lease after a released owner and needs no wait for VMs that the platform lists as down; a daemon that restarts claims its own former ownership at once; a VM that was ordered away loses its worker at once.

--- a/catkinport/jobs/dispatcher.py
+++ b/catkinport/jobs/dispatcher.py
@@ -79,6 +79,7 @@
         self.runs_by_task: dict[str, list[Run]] = {}
         self.unresolved_by_id: dict[str, str] = {}
         self.mean_work_by_queue: dict[str, float] = {}
+        self._retired_ids: set[str] = set()
 
     def apply_configuration(self, configuration: FleetConfiguration) -> None:
         """Take over a version of the configuration.
@@ -159,8 +160,10 @@
     def update_workers(self, listed: Sequence[ListedWorker], now: float) -> None:
         """Take in the list of workers."""
         listed_by_id = {worker.worker_id: worker for worker in listed}
+        self._retired_ids &= listed_by_id.keys()
         for worker in listed:
-            self._see_worker(worker, now)
+            if worker.worker_id not in self._retired_ids:
+                self._see_worker(worker, now)
         for belief in list(self.worker_by_id.values()):
             if belief.worker_id in listed_by_id:
                 continue
@@ -204,19 +207,19 @@
     def update_vms(self, vms: Sequence[FleetVm], sent_at: float, now: float) -> None:
         """Take in the platform's list of VMs; a dead VM runs nothing any more."""
         vm_id_by_worker = {vm.worker_id: vm.vm_id for vm in vms if vm.worker_id}
-        state_by_vm = {vm.vm_id: vm.state for vm in vms}
+        vm_by_id = {vm.vm_id: vm for vm in vms}
         for belief in list(self.worker_by_id.values()):
-            vm_id = vm_id_by_worker.get(belief.worker_id)
-            if vm_id:
-                belief.vm_id = vm_id
-            if not belief.vm_id or belief.worker_id in vm_id_by_worker:
-                if state_by_vm.get(belief.vm_id) is not VmState.DOWN:
-                    continue
-            is_silent = sent_at - belief.contact_at > DEAD_VM_SILENCE_SECONDS
-            is_gone = state_by_vm.get(belief.vm_id) is not VmState.UP
-            if is_silent and is_gone and belief.run_by_key:
-                state = state_by_vm.get(belief.vm_id)
-                self._lose_runs(belief, f"vm-{state or 'absent'}", now, sent_at)
+            belief.vm_id = vm_id_by_worker.get(belief.worker_id, belief.vm_id)
+            vm = vm_by_id.get(belief.vm_id)
+            is_alive = vm is not None and (
+                vm.state is VmState.UP and vm.worker_id == belief.worker_id
+            )
+            if not belief.vm_id or is_alive:
+                continue
+            if sent_at - belief.contact_at > DEAD_VM_SILENCE_SECONDS:
+                reason = f"vm-{vm.state}" if vm else "vm-absent"
+                self._resolve(belief.worker_id, reason)
+                self._lose_runs(belief, reason, now, sent_at)
 
     def on_lists(
         self, worker_id: str, lists: WorkerLists, sent_at: float, now: float
@@ -231,13 +234,38 @@
             log_event(logger, "worker reached", worker=worker_id)
         belief.born = lists.born
         belief.contact_at = now
-        self.unresolved_by_id.pop(worker_id, None)
+        self._resolve(worker_id, "reached")
         for ended in sorted(lists.ended):
             if ended.number > belief.processed_end:
                 self._on_end(belief, ended, now)
                 belief.processed_end = ended.number
         self._match_running(belief, lists, sent_at, now)
 
+    def _resolve(self, worker_id: str, reason: str) -> None:
+        if self.unresolved_by_id.pop(worker_id, None) is not None:
+            log_event(
+                logger,
+                "former worker resolved",
+                worker=worker_id,
+                reason=reason,
+                n_left=len(self.unresolved_by_id),
+            )
+
+    def resolve_all(self) -> None:
+        """Note that nothing of the former owner can run on unseen workers."""
+        for worker_id in list(self.unresolved_by_id):
+            self._resolve(worker_id, "lease-ended")
+
+    def retire_worker(self, worker_id: str, now: float) -> None:
+        """Note that the worker's VM was ordered away, which ended its life."""
+        self._retired_ids.add(worker_id)
+        belief = self.worker_by_id.get(worker_id)
+        if belief is None:
+            return
+        for run in list(belief.run_by_key.values()):
+            self._lose_run(belief, run, "vm-ordered-away", now)
+        self._remove_worker(belief)
+
     def _begin_life(
         self, belief: WorkerBelief, lists: WorkerLists, now: float
     ) -> None:
--- a/catkinport/jobs/keeper.py
+++ b/catkinport/jobs/keeper.py
@@ -155,6 +155,9 @@
         pending = self._pending_by_vm.get(order.vm_id)
         if pending is not None and pending.order == order:
             self._pending_by_vm[order.vm_id] = pending._replace(answered_at=now)
+        worker_id = self._vm_by_id[order.vm_id].worker_id if pending else ""
+        if worker_id:
+            self._dispatcher.retire_worker(worker_id, now)
         if order.wave and order.wave in self.wave_by_number:
             self.wave_by_number[order.wave].begun.add(order.vm_id)
             self._reserved.discard(order.vm_id)
--- a/catkinport/jobs/owner.py
+++ b/catkinport/jobs/owner.py
@@ -30,7 +30,7 @@
 from ..runtime.logs import log_event
 from .configuration import FleetConfiguration
 from .dispatcher import Dispatcher, StopOrder
-from .keeper import Keeper, VmBounds, VmOrder
+from .keeper import LIST_LAG_SECONDS, Keeper, VmBounds, VmOrder
 from .model import Job, job_from_row
 from .planner import PlannedStart, Planner, Ticket, WantedAdvice
 from .record import JobRecord
@@ -46,7 +46,13 @@
     state_key,
     wave_key,
 )
-from .worker_state import LEASE_SECONDS, RENEW_CONTACT_SECONDS, Run, WorkerBelief
+from .worker_state import (
+    LEASE_SECONDS,
+    MAX_LEASE_SECONDS,
+    RENEW_CONTACT_SECONDS,
+    Run,
+    WorkerBelief,
+)
 
 logger = logging.getLogger(__name__)
 
@@ -87,6 +93,9 @@
 COMMIT_ATTEMPTS = 3
 """Attempts of one commit before its rows are taken up anew."""
 
+RELEASE_SECONDS = 2.5
+"""Longest time that a stopping owner tries to give the ownership up."""
+
 STORE_WAIT_SECONDS = 1.0
 """Longest time that a look at a worker waits for its last ends to be stored."""
 
@@ -106,12 +115,10 @@
     """Times that the platform names, in seconds.
 
     Args:
-        longest_lease: longest lease that a worker grants.
         vm_order_gap: shortest time between orders of two owners for one VM.
         vm: times of orders for VMs.
     """
 
-    longest_lease: float
     vm_order_gap: float
     vm: VmBounds
 
@@ -125,7 +132,8 @@
         token: fencing token, the version of the owner's row.
         renewed_at: clock time in seconds at which the claim was sent.
         former_changed_at: clock time in seconds at which the former owner was last seen
-            to renew; ``None`` if there was none.
+            to renew, or to have ended; ``None`` if there was none.
+        is_former_ended: whether the former owner surely gives no more orders.
         bounds: times that the platform names.
     """
 
@@ -136,6 +144,7 @@
         token: int,
         renewed_at: float,
         former_changed_at: float | None,
+        is_former_ended: bool,
         bounds: OwnerBounds,
     ) -> None:
         self._ports = ports
@@ -143,7 +152,9 @@
         self._clock = ports.clock
         self._lease = OwnLease(token, renewed_at)
         self._former_bound = (
-            former_owner_bound(former_changed_at, bounds.longest_lease)
+            former_owner_bound(
+                former_changed_at, is_former_ended, MAX_LEASE_SECONDS
+            )
             if former_changed_at is not None
             else 0.0
         )
@@ -160,6 +171,7 @@
         self._roster_by_pool: dict[str, dict[str, Any]] = {}
         self._asked_advice: set[str] = set()
         self._feed_version = 0
+        self._loaded_at = 0.0
 
     @property
     def lease(self) -> OwnLease:
@@ -223,18 +235,17 @@
 
     async def _beat_loop(self) -> None:
         while True:
-            await self._beat()
-            await asyncio.sleep(BEAT_SECONDS)
+            # A stored state renews the ownership too.
+            due_at = self._lease.renewed_at + BEAT_SECONDS
+            if self._clock.now() >= due_at:
+                await self._beat()
+                due_at = self._clock.now() + BEAT_SECONDS
+            await asyncio.sleep(max(0.01, due_at - self._clock.now()))
 
     async def _beat(self, is_released: bool = False) -> None:
         sent_at = self._clock.now()
-        value = {
-            "token": self._lease.token,
-            "sent_at": sent_at,
-            "released": is_released,
-            "waiting": self.dispatcher.count_waiting(),
-        }
-        transaction = Transaction([self._owner_condition()], [Write(BEAT_KEY, value)])
+        write = self._beat_write(sent_at, is_released)
+        transaction = Transaction([self._owner_condition()], [write])
         outcome = await self._table.commit(transaction)
         if isinstance(outcome, Committed):
             self._lease = self._lease._replace(renewed_at=sent_at)
@@ -251,9 +262,18 @@
                 renewed_seconds_ago=round(sent_at - self._lease.renewed_at, 2),
             )
 
+    def _beat_write(self, sent_at: float, is_released: bool = False) -> Write:
+        value = {
+            "token": self._lease.token,
+            "sent_at": sent_at,
+            "released": is_released,
+            "waiting": self.dispatcher.count_waiting(),
+        }
+        return Write(BEAT_KEY, value)
+
     async def _release(self) -> None:
         try:
-            await asyncio.wait_for(self._beat(is_released=True), 1.0)
+            await asyncio.wait_for(self._beat(is_released=True), RELEASE_SECONDS)
         except asyncio.TimeoutError:
             log_event(logger, "ownership not released", token=self._lease.token)
 
@@ -285,6 +305,7 @@
             if row.value["state"] in ("completed", "failed", "canceled")
         }
         now = self._clock.now()
+        self._loaded_at = now
         for row in jobs.rows:
             self._take_job_row(row, now, True, final_ids)
         for row in states.rows:
@@ -341,6 +362,7 @@
             belief.is_enrolled = True
             belief.is_listed = False
             belief.lease_until = self._former_bound
+            belief.vm_id = entry.get("vm", "")
             self.dispatcher.worker_by_id[worker_id] = belief
             self.dispatcher.unresolved_by_id[worker_id] = pool
             self._start_hold(worker_id)
@@ -411,6 +433,7 @@
         return True
 
     async def _store_records(self, records: list[JobRecord]) -> bool:
+        sent_at = self._clock.now()
         conditions = [self._owner_condition()]
         writes = []
         for record in records:
@@ -418,10 +441,10 @@
             conditions.append(Condition(key, record.row_version))
             writes.append(Write(key, record.to_row()))
             record.is_dirty = False
-        outcome = await commit_until_known(
-            self._table, Transaction(conditions, writes), COMMIT_ATTEMPTS
-        )
+        transaction = Transaction(conditions, [*writes, self._beat_write(sent_at)])
+        outcome = await commit_until_known(self._table, transaction, COMMIT_ATTEMPTS)
         if isinstance(outcome, Committed):
+            self._lease = self._lease._replace(renewed_at=sent_at)
             for record, write in zip(records, writes, strict=True):
                 record.row_version = outcome.versions_by_row_key[write.row_key]
                 log_event(
@@ -480,18 +503,15 @@
         self._wake.set()
 
     def _resolve_old_workers(self, now: float) -> None:
-        if now <= self._former_bound:
-            return
-        for worker_id in list(self.dispatcher.unresolved_by_id):
-            log_event(logger, "former worker outlived", worker=worker_id)
-            del self.dispatcher.unresolved_by_id[worker_id]
+        if now > self._former_bound:
+            self.dispatcher.resolve_all()
 
     async def _store_roster(self) -> None:
         """Store which workers may run tasks, before they get any."""
         roster_by_pool: dict[str, dict[str, Any]] = {}
         for belief in self.dispatcher.worker_by_id.values():
             entries = roster_by_pool.setdefault(belief.listed.pool, {})
-            entries[belief.worker_id] = _roster_entry(belief.listed)
+            entries[belief.worker_id] = _roster_entry(belief)
         for pool in set(self._roster_by_pool) - set(roster_by_pool):
             roster_by_pool[pool] = {}
         changed = {
@@ -534,7 +554,7 @@
         is_fresh = sent_at - belief.contact_at <= RENEW_CONTACT_SECONDS + HOLD_WAIT_SECONDS
         lease_seconds = LEASE_SECONDS if is_fresh else 0.0
         if lease_seconds:
-            belief.extend_lease(sent_at, lease_seconds)
+            belief.extend_lease(sent_at)
         has_news = belief.processed_end > belief.noted_end or not is_fresh
         wait_seconds = 0.0 if has_news else HOLD_WAIT_SECONDS
         outcome = await self._ports.workers.hold(
@@ -582,7 +602,8 @@
             if isinstance(vms, Unavailable):
                 log_event(logger, "vms not listed", reason=vms.reason, peer=vms.peer)
             else:
-                self.dispatcher.update_vms(vms, sent_at, self._clock.now())
+                if sent_at > self._loaded_at + LIST_LAG_SECONDS:
+                    self.dispatcher.update_vms(vms, sent_at, self._clock.now())
                 self._keeper.take_vms(vms, sent_at)
                 self._wake.set()
             await asyncio.sleep(VM_LIST_SECONDS)
@@ -627,6 +648,7 @@
         )
         if isinstance(outcome, Done):
             self._keeper.on_done(order, self._clock.now())
+            self._wake.set()
             if order.wave:
                 await self._store_begun(order.wave)
         elif isinstance(outcome, Rejected):
@@ -696,7 +718,7 @@
             start.ticket,
         )
         sent_at = self._clock.now()
-        belief.extend_lease(sent_at, LEASE_SECONDS)
+        belief.extend_lease(sent_at)
         outcome = await self._ports.workers.start(
             belief.listed, self._lease.token, order, LEASE_SECONDS
         )
@@ -768,8 +790,10 @@
         self._asked_advice.discard(wanted.stage)
 
 
-def _roster_entry(worker: ListedWorker) -> dict[str, Any]:
+def _roster_entry(belief: WorkerBelief) -> dict[str, Any]:
+    worker = belief.listed
     return {
+        "vm": belief.vm_id,
         "address": worker.address,
         "zone": worker.zone,
         "capacity": list(worker.capacity),
--- a/catkinport/jobs/ownership_watch.py
+++ b/catkinport/jobs/ownership_watch.py
@@ -15,7 +15,7 @@
 
 logger = logging.getLogger(__name__)
 
-FOLLOW_SECONDS = 0.5
+FOLLOW_SECONDS = 0.4
 """Longest wait of one look at the ownership."""
 
 RETRY_SECONDS = 0.2
@@ -24,6 +24,9 @@
 CLAIM_SPREAD_SECONDS = 0.25
 """Daemons claim at different moments within this time."""
 
+MAX_CLAIM_SPREAD_SECONDS = 2.0
+"""Largest spread, after claims that had no answer because too many came at once."""
+
 CLAIM_ATTEMPTS = 2
 """Attempts of one claim."""
 
@@ -35,12 +38,14 @@
         token: fencing token.
         sent_at: clock time in seconds at which the claim was sent.
         former_changed_at: clock time in seconds at which the former owner was last seen
-            to renew; ``None`` if there was none, or it gave the ownership up.
+            to renew, or to have ended; ``None`` if there was none.
+        is_former_ended: whether the former owner surely gives no more orders.
     """
 
     token: int
     sent_at: float
     former_changed_at: float | None
+    is_former_ended: bool
 
 
 class QueueDepths(NamedTuple):
@@ -79,7 +84,8 @@
 
     async def wait_for_claim(self, stop: asyncio.Event) -> Claim | None:
         """Watch until this daemon owns the fleet, or ``stop`` is set."""
-        spread = self._rng.uniform(0, CLAIM_SPREAD_SECONDS)
+        largest = CLAIM_SPREAD_SECONDS
+        spread = self._rng.uniform(0, largest)
         while not stop.is_set():
             if not await self.look():
                 await asyncio.sleep(RETRY_SECONDS)
@@ -89,7 +95,8 @@
             claim = await self._claim()
             if claim is not None:
                 return claim
-            spread = self._rng.uniform(0, CLAIM_SPREAD_SECONDS)
+            largest = min(largest * 2, MAX_CLAIM_SPREAD_SECONDS)
+            spread = self._rng.uniform(0, largest)
         return None
 
     async def look(self) -> bool:
@@ -130,6 +137,7 @@
             owner_version,
             beat.version if beat else ABSENT_VERSION,
             bool(value.get("released")) and value.get("token") == owner_version,
+            bool(owner) and (owner.value or {}).get("owner") == self._name,
         )
         former = self._watch.sighting
         self._watch.observe(sighting, now)
@@ -167,5 +175,11 @@
             self._version = None
             return None
         is_first = sighting.owner_version == ABSENT_VERSION
-        former = None if is_first else self._watch.changed_at
-        return Claim(outcome.versions_by_row_key[OWNER_KEY], sent_at, former)
+        # A former process of this daemon ended before this one began to watch.
+        ended_at = sent_at if sighting.is_own_former else self._watch.changed_at
+        return Claim(
+            outcome.versions_by_row_key[OWNER_KEY],
+            sent_at,
+            None if is_first else ended_at,
+            sighting.is_former_ended,
+        )
--- /dev/null
+++ b/catkinport/jobs/tests/test_dispatcher.py
@@ -0,0 +1,296 @@
+"""Life of jobs and runs, from what workers list."""
+
+from ...policy.resources import Resources
+from ...ports import Reason, Unavailable
+from ...ports.fleet_vms import FleetVm, VmState
+from ...ports.fleet_workers import Done, EndKind, Rejected, Rejection
+from ..model import JobState
+from ..record import JobRecord
+from .builders import JOB_ID, Fleet, make_job, make_step, make_worker
+
+UNSURE = Unavailable(Reason.TIMEOUT, "worker-start", "w1", "", True)
+
+
+class TestSteps:
+    def test_step_waits_for_all_tasks_before_it(self):
+        """Guards against a step that starts while an earlier task still runs."""
+        fleet = Fleet([make_worker()])
+        job = make_job(steps=[make_step(2), make_step(1, after=(0,))])
+        fleet.dispatcher.add_job(job, fleet.now)
+        first, second = fleet.start()
+        fleet.end(first)
+        assert fleet.start() == []
+        fleet.end(second)
+        (third,) = fleet.start()
+        assert third.run.key.task == f"{JOB_ID}.0.1.0"
+        fleet.end(third)
+        assert fleet.states() == {JOB_ID: "completed"}
+
+    def test_occurrence_waits_for_its_time(self):
+        """Guards against an occurrence that starts before it is due."""
+        fleet = Fleet([make_worker()])
+        job = make_job(n_occurrences=2, first_due_at=101.0, interval_seconds=5.0)
+        fleet.dispatcher.add_job(job, fleet.now)
+        assert fleet.start() == []
+        fleet.advance(1.0)
+        fleet.look_all()
+        (start,) = fleet.start()
+        assert start.run.key.task == f"{JOB_ID}.0.0.0"
+        fleet.end(start)
+        assert fleet.states() == {JOB_ID: "running"}
+
+
+class TestFailures:
+    def test_job_fails_after_the_last_attempt(self):
+        fleet = Fleet([make_worker(f"w{i}") for i in range(4)])
+        fleet.dispatcher.add_job(make_job(), fleet.now)
+        for _ in range(3):
+            (start,) = fleet.start()
+            fleet.end(start, EndKind.FAILED)
+        assert fleet.states() == {JOB_ID: "failed"}
+        assert fleet.start() == []
+
+    def test_an_end_that_is_listed_again_counts_once(self):
+        """Guards against a new owner that counts a failure which is stored already."""
+        fleet = Fleet([make_worker()])
+        fleet.dispatcher.add_job(make_job(), fleet.now)
+        (start,) = fleet.start()
+        fleet.end(start, EndKind.FAILED)
+        row = fleet.dispatcher.job_by_id[JOB_ID].to_row()
+        successor = Fleet([make_worker()])
+        successor.dispatcher.add_job(make_job(), successor.now, is_inherited=True)
+        successor.dispatcher.load_state(JOB_ID, row, 7)
+        successor.ended_by_worker = fleet.ended_by_worker
+        successor.look("w1")
+        record = successor.dispatcher.job_by_id[JOB_ID]
+        assert [len(task.failed_runs) for task in record.all_tasks()] == [1]
+
+    def test_retry_avoids_the_worker_that_failed(self):
+        fleet = Fleet([make_worker("w1"), make_worker("w2")])
+        fleet.dispatcher.add_job(make_job(), fleet.now)
+        (start,) = fleet.start()
+        fleet.end(start, EndKind.FAILED)
+        (again,) = fleet.start()
+        assert again.belief.worker_id != start.belief.worker_id
+
+    def test_worker_that_fails_everything_is_quarantined(self):
+        """Guards against a broken worker that attracts and fails all work."""
+        fleet = Fleet([make_worker("w1")], max_failures=9)
+        for number in range(3):
+            fleet.dispatcher.add_job(make_job(f"{number:016x}"), fleet.now)
+        starts = fleet.start()
+        for start in starts[:2]:
+            fleet.end(start, EndKind.FAILED)
+        fleet.advance(0.5)
+        fleet.look_all()
+        assert fleet.start() == []
+
+    def test_lasting_task_is_restarted_however_it_ends(self):
+        fleet = Fleet([make_worker()], max_failures=1)
+        job = make_job(steps=[make_step(1, is_lasting=True)])
+        fleet.dispatcher.add_job(job, fleet.now)
+        for how in (EndKind.FAILED, EndKind.DONE, EndKind.LAPSED):
+            (start,) = fleet.start()
+            fleet.end(start, how)
+            fleet.advance(0.5)
+            fleet.look_all()
+        assert len(fleet.start()) == 1
+
+
+class TestCancel:
+    def test_runs_are_stopped_before_the_job_counts_as_canceled(self):
+        fleet = Fleet([make_worker()])
+        fleet.dispatcher.add_job(make_job(), fleet.now)
+        (start,) = fleet.start()
+        fleet.dispatcher.cancel_job(JOB_ID)
+        assert fleet.states() == {JOB_ID: "queued"}
+        (stop,) = fleet.dispatcher.find_stops(fleet.now)
+        assert (stop.key, stop.reason) == (start.run.key, "canceled")
+        fleet.end(start, EndKind.STOPPED)
+        assert fleet.states() == {JOB_ID: "canceled"}
+
+    def test_nothing_starts_after_it(self):
+        fleet = Fleet([make_worker()])
+        fleet.dispatcher.add_job(make_job(), fleet.now)
+        fleet.dispatcher.cancel_job(JOB_ID)
+        assert fleet.start() == []
+
+
+class TestUnsureStart:
+    def test_task_starts_elsewhere_only_after_the_stop_took_effect(self):
+        """Guards against two runs of a task when a start is carried out late."""
+        fleet = Fleet([make_worker("w1"), make_worker("w2")])
+        fleet.dispatcher.add_job(make_job(), fleet.now)
+        (start,) = fleet.plan()
+        fleet.answer(start, UNSURE)
+        fleet.look_all()
+        assert fleet.start() == []
+        (stop,) = fleet.dispatcher.find_stops(fleet.now)
+        assert stop.reason == "start-unsure"
+        fleet.dispatcher.on_stop_outcome(start.run, Done(), fleet.now)
+        fleet.advance(0.1)
+        fleet.look_all()
+        (again,) = fleet.start()
+        assert again.run.key.run == 2
+
+    def test_start_that_was_not_sent_is_repeated_at_once(self):
+        fleet = Fleet([make_worker("w1")])
+        fleet.dispatcher.add_job(make_job(), fleet.now)
+        (start,) = fleet.plan()
+        fleet.answer(start, UNSURE._replace(may_have_committed=False))
+        assert len(fleet.start()) == 1
+
+    def test_rejected_start_goes_back_to_waiting(self):
+        fleet = Fleet([make_worker("w1"), make_worker("w2")])
+        fleet.dispatcher.add_job(make_job(), fleet.now)
+        (start,) = fleet.plan()
+        fleet.answer(start, Rejected(Rejection.NO_ROOM))
+        assert len(fleet.start()) == 1
+
+
+class TestSilentWorker:
+    def test_its_tasks_wait_for_the_end_of_the_lease(self):
+        """Guards against a second run while a cut-off worker goes on."""
+        fleet = Fleet([make_worker("w1"), make_worker("w2")])
+        fleet.dispatcher.add_job(make_job(), fleet.now)
+        (start,) = fleet.start()
+        other = {"w1": "w2", "w2": "w1"}[start.belief.worker_id]
+        for _ in range(4):
+            fleet.advance(1.0)
+            fleet.look(other)
+            fleet.dispatcher.expire(fleet.now)
+            assert fleet.start() == []
+        fleet.advance(0.6)
+        fleet.look(other)
+        fleet.dispatcher.expire(fleet.now)
+        (again,) = fleet.start()
+        assert again.belief.worker_id == other
+
+    def test_dead_vm_frees_its_tasks_before_the_lease_ends(self):
+        fleet = Fleet([make_worker("w1"), make_worker("w2")])
+        fleet.dispatcher.add_job(make_job(), fleet.now)
+        (start,) = fleet.start()
+        worker_id = start.belief.worker_id
+        self._list_vm(fleet, worker_id, VmState.UP)
+        fleet.advance(1.5)
+        self._list_vm(fleet, worker_id, VmState.DOWN)
+        assert start.run.key not in fleet.dispatcher.worker_by_id[worker_id].run_by_key
+
+    def test_restarted_worker_has_lost_its_runs(self):
+        fleet = Fleet([make_worker("w1")])
+        fleet.dispatcher.add_job(make_job(), fleet.now)
+        (start,) = fleet.start()
+        fleet.running_by_worker["w1"].clear()
+        fleet.look("w1", born=2.0)
+        (again,) = fleet.start()
+        assert again.run.key.run == start.run.key.run + 1
+
+    @staticmethod
+    def _list_vm(fleet, worker_id, state):
+        shown = worker_id if state is VmState.UP else ""
+        vm = FleetVm("m", "renders", state, "z", (), Resources(16, 256, 0), shown)
+        fleet.dispatcher.update_vms([vm], fleet.now, fleet.now)
+
+
+class TestStall:
+    def test_run_without_progress_is_stopped(self):
+        """Guards against a worker on which tasks stand still for ever."""
+        fleet = Fleet([make_worker("w1")])
+        fleet.dispatcher.add_job(make_job(), fleet.now)
+        (start,) = fleet.start()
+        for _ in range(7):
+            fleet.advance(0.5)
+            fleet.look_all()
+        (stop,) = fleet.dispatcher.find_stops(fleet.now)
+        assert (stop.key, stop.reason) == (start.run.key, "stalled")
+
+
+class TestTakeover:
+    def test_inherited_job_waits_for_every_worker_of_the_former_owner(self):
+        """Guards against a second run of a task that an unseen worker still runs."""
+        fleet = Fleet([make_worker("w1"), make_worker("w2")])
+        fleet.dispatcher.unresolved_by_id["w2"] = "renders"
+        fleet.dispatcher.add_job(make_job(), fleet.now, is_inherited=True)
+        fleet.dispatcher.add_job(make_job("00000000000000b2"), fleet.now)
+        (start,) = fleet.start()
+        assert start.run.record.job.job_id == "00000000000000b2"
+        fleet.look("w2")
+        (start,) = fleet.start()
+        assert start.run.record.job.job_id == JOB_ID
+
+    def test_run_in_a_list_is_adopted(self):
+        fleet = Fleet([make_worker("w1")])
+        fleet.dispatcher.add_job(make_job(), fleet.now)
+        (start,) = fleet.start()
+        successor = Fleet([make_worker("w1")])
+        successor.dispatcher.add_job(make_job(), successor.now, is_inherited=True)
+        successor.running_by_worker = fleet.running_by_worker
+        successor.look("w1")
+        assert successor.start() == []
+        assert start.run.key in successor.dispatcher.worker_by_id["w1"].run_by_key
+
+    def test_runs_of_a_new_owner_have_higher_numbers(self):
+        fleet = Fleet([make_worker("w1")])
+        fleet.dispatcher.add_job(make_job(), fleet.now, is_inherited=True)
+        fleet.dispatcher.job_by_id[JOB_ID].skip_runs()
+        (start,) = fleet.start()
+        assert start.run.key.run > 1
+
+    def test_stored_state_is_the_same_after_it_is_loaded(self):
+        job = make_job(steps=[make_step(5), make_step(2, after=(0,))])
+        record = JobRecord(job)
+        tasks = list(record.all_tasks())
+        record.mark_done(tasks[0])
+        record.mark_done(tasks[3])
+        record.mark_failed(tasks[1], 1, 3)
+        record.keep_saved(tasks[1], "0a")
+        copy = JobRecord(job)
+        copy.load_row(record.to_row(), 4)
+        assert copy.to_row() == record.to_row()
+        assert copy.state is JobState.RUNNING
+
+
+class TestDoubt:
+    def test_jobs_learnt_in_doubt_do_not_start(self):
+        """Guards against an owner that starts what its successor starts too."""
+        fleet = Fleet([make_worker("w1")])
+        fleet.dispatcher.add_job(make_job(), fleet.now)
+        assert fleet.start(learnt_before=fleet.now - 1.0) == []
+        assert len(fleet.start(learnt_before=fleet.now)) == 1
+
+
+class TestLimits:
+    def test_account_stays_under_its_limit(self):
+        fleet = Fleet([make_worker("w1")], limit=Resources(9.0, 0, 0))
+        fleet.dispatcher.add_job(make_job(steps=[make_step(4)]), fleet.now)
+        assert len(fleet.start()) == 2
+
+    def test_what_is_being_stopped_still_counts(self):
+        fleet = Fleet([make_worker("w1")], limit=Resources(4.0, 0, 0))
+        fleet.dispatcher.add_job(make_job(), fleet.now)
+        fleet.start()
+        fleet.dispatcher.cancel_job(JOB_ID)
+        list(fleet.dispatcher.find_stops(fleet.now))
+        fleet.dispatcher.add_job(make_job("00000000000000b2"), fleet.now)
+        assert fleet.start() == []
+
+
+class TestGang:
+    def test_members_start_together_with_one_run_number(self):
+        fleet = Fleet([make_worker("w1", 8.0), make_worker("w2", 8.0)])
+        fleet.dispatcher.add_job(make_job(steps=[make_step(4, is_gang=True)]), fleet.now)
+        starts = fleet.start()
+        assert [start.run.key.run for start in starts] == [1, 1, 1, 1]
+
+    def test_gang_that_does_not_fit_whole_does_not_start(self):
+        """Guards against members that wait alone for the others."""
+        fleet = Fleet([make_worker("w1", 8.0)])
+        fleet.dispatcher.add_job(make_job(steps=[make_step(4, is_gang=True)]), fleet.now)
+        assert fleet.start() == []
+
+    def test_one_done_end_stands_for_all(self):
+        fleet = Fleet([make_worker("w1")])
+        fleet.dispatcher.add_job(make_job(steps=[make_step(2, is_gang=True)]), fleet.now)
+        first, _ = fleet.start()
+        fleet.end(first)
+        assert fleet.states() == {JOB_ID: "completed"}
--- a/catkinport/jobs/worker_state.py
+++ b/catkinport/jobs/worker_state.py
@@ -18,6 +18,9 @@
 CLOCK_ERROR = 0.02
 """Fraction by which a worker's clock may be slow."""
 
+MAX_LEASE_SECONDS = LEASE_SECONDS * (1 + 1.5 * CLOCK_ERROR) + LEASE_MARGIN_SECONDS
+"""Longest time, on our clock, that tasks outlive the last call of their owner."""
+
 FRESH_CONTACT_SECONDS = 1.6
 """A worker that has not answered for so long gets no new tasks: one long poll and the
 time-out of the next."""
@@ -204,10 +207,9 @@
             and now >= self.blocked_until
         )
 
-    def extend_lease(self, sent_at: float, lease_seconds: float) -> None:
-        """Note that a call of ``sent_at`` may have granted ``lease_seconds``."""
-        granted = lease_seconds * (1 + 1.5 * CLOCK_ERROR) + LEASE_MARGIN_SECONDS
-        self.lease_until = max(self.lease_until, sent_at + granted)
+    def extend_lease(self, sent_at: float) -> None:
+        """Note that a call of ``sent_at`` may have granted ``LEASE_SECONDS``."""
+        self.lease_until = max(self.lease_until, sent_at + MAX_LEASE_SECONDS)
 
     def note_outcome(self, is_good: bool, now: float) -> bool:
         """Count an end towards the worker's health; return whether it is blocked now.
--- a/catkinport/platform/daemon.py
+++ b/catkinport/platform/daemon.py
@@ -32,9 +32,9 @@
 
 logger = logging.getLogger(__name__)
 
-KEY_PROOF_FRACTION = 0.6
+KEY_PROOF_FRACTION = 0.92
 """Part of the time to withdraw a key during which calls with keys go on without a new
-proof. The rest covers the call itself and a feed that hides changes."""
+proof. A call is checked after it was sent, so only clocks need the rest."""
 
 STOP_SLACK_SECONDS = 1.5
 """Time before the end of the grace at which the process ends by itself."""
@@ -201,6 +201,7 @@
                 claim.token,
                 claim.sent_at,
                 claim.former_changed_at,
+                claim.is_former_ended,
                 self._owner_bounds(),
             )
             await self._owner.run(self._stop)
@@ -209,7 +210,6 @@
     def _owner_bounds(self) -> OwnerBounds:
         bounds = self._settings.bounds
         return OwnerBounds(
-            longest_lease=bounds.longest_lease,
             vm_order_gap=bounds.vm_order_gap,
             vm=VmBounds(bounds.upkeep, bounds.move, bounds.away_notice),
         )
--- a/catkinport/platform/table.py
+++ b/catkinport/platform/table.py
@@ -1,5 +1,6 @@
 """The platform's metadata store as a table service."""
 
+import asyncio
 import base64
 import json
 from collections.abc import Mapping, Sequence
@@ -23,7 +24,14 @@
 renewals of the ownership."""
 
 PART = "fleet"
-"""The part of all our rows, as a transaction covers one part only."""
+"""The part of all rows that an owner writes, as a transaction covers one part only."""
+
+SPREAD_TABLES = frozenset({"jobs"})
+"""Tables whose rows callers' daemons write one by one, spread over parts by the first
+character of the key. A part carries out one transaction after the other."""
+
+SPREAD_CHARACTERS = "0123456789abcdef"
+"""First characters of the keys of such tables."""
 
 OPERATOR_TABLES = frozenset({"op", "servers", "status"})
 """Tables that the platform's pages define; their rows have no part."""
@@ -52,10 +60,31 @@
         More than one page makes several snapshots; the version of the first one is
         returned, so that whoever follows on from it misses nothing.
         """
+        if table in SPREAD_TABLES and not start:
+            return await self._read_spread(table)
+        return await self._read_part(table, _part_of(RowKey(table, start)), start, end)
+
+    async def _read_spread(self, table: str) -> Snapshot | Unavailable:
+        reads = [
+            self._read_part(table, _part_of(RowKey(table, character)), "", "")
+            for character in SPREAD_CHARACTERS
+        ]
+        rows: list[Row] = []
+        versions = []
+        for snapshot in await asyncio.gather(*reads):
+            if isinstance(snapshot, Unavailable):
+                return snapshot
+            rows.extend(snapshot.rows)
+            versions.append(snapshot.version)
+        return Snapshot(rows, min(versions))
+
+    async def _read_part(
+        self, table: str, part: str, start: str, end: str
+    ) -> Snapshot | Unavailable:
         rows: list[Row] = []
         version = -1
         while True:
-            query = {"Table": table, "part": _part_of(table), "From": start}
+            query = {"Table": table, "part": part, "From": start}
             if end:
                 query["To"] = end
             reply = await self._client.call(
@@ -182,14 +211,18 @@
     return Row(row_key, int(entry["Ver"]), value)
 
 
-def _part_of(table: str) -> str:
-    return "" if table in OPERATOR_TABLES else PART
+def _part_of(row_key: RowKey) -> str:
+    if row_key.table in OPERATOR_TABLES:
+        return ""
+    if row_key.table in SPREAD_TABLES:
+        return f"{row_key.table}-{row_key.key[:1]}"
+    return PART
 
 
 def _encode_key(row_key: RowKey) -> dict[str, str]:
     return {
         "Table": row_key.table,
-        "part": _part_of(row_key.table),
+        "part": _part_of(row_key),
         "Key": row_key.key,
     }
 
--- a/catkinport/policy/leadership.py
+++ b/catkinport/policy/leadership.py
@@ -7,21 +7,21 @@
 
 from typing import NamedTuple
 
-BEAT_SECONDS = 0.5
+BEAT_SECONDS = 0.4
 """Time between renewals; one renewal costs a write."""
 
-TAKEOVER_SECONDS = 2.0
+TAKEOVER_SECONDS = 1.6
 """Unchanged for this long, an owner is replaced; three renewals may be lost."""
 
 MIN_CONFIRMATIONS = 3
 """Answers that must have shown no change. An outage of the table service that hides
 the owner's renewals from everybody therefore does not depose it."""
 
-DOUBT_SECONDS = 1.2
+DOUBT_SECONDS = 1.0
 """After this long without a stored renewal an owner starts nothing that it learnt of
 since, as its successor may be at work from ``TAKEOVER_SECONDS`` on."""
 
-GIVE_UP_SECONDS = 10.0
+GIVE_UP_SECONDS = 6.0
 """After this long without a stored renewal an owner stops renewing leases of tasks.
 Longer than the outages of the table service that work has to survive."""
 
@@ -36,11 +36,19 @@
         owner_version: version of the owner's row; 0 when there is none.
         beat_version: version of the row that the owner renews.
         is_released: whether the owner has given the ownership up.
+        is_own_former: whether the owner was an earlier process of this daemon, which
+            has ended therefore.
     """
 
     owner_version: int
     beat_version: int
     is_released: bool
+    is_own_former: bool = False
+
+    @property
+    def is_former_ended(self) -> bool:
+        """Whether the owner surely gives no more orders."""
+        return self.is_released or self.is_own_former
 
 
 class OwnerWatch:
@@ -88,6 +96,8 @@
         if self._sighting is None:
             return False
         silent_seconds = now - self._changed_at
+        if self._sighting.is_own_former:
+            return True
         if self._sighting.owner_version == 0 or self._sighting.is_released:
             return silent_seconds >= wait_seconds
         is_confirmed = self._n_confirmations >= MIN_CONFIRMATIONS
@@ -114,16 +124,19 @@
         return now - self.renewed_at > GIVE_UP_SECONDS
 
 
-def former_owner_bound(changed_at: float, longest_lease_seconds: float) -> float:
+def former_owner_bound(
+    changed_at: float, is_ended: bool, lease_seconds: float
+) -> float:
     """Return when nothing that a former owner ordered can run on an unseen worker.
 
     Args:
         changed_at: clock time in seconds at which the successor saw the former owner's
-            last renewal. It was sent earlier.
-        longest_lease_seconds: longest lease that a worker grants.
+            last renewal, which was sent earlier; or its end.
+        is_ended: whether the former owner has ended, so that it renews nothing more.
+        lease_seconds: longest time that tasks outlive the last call of their owner.
 
     Returns:
         Clock time in seconds.
     """
-    silent_seconds = GIVE_UP_SECONDS + longest_lease_seconds
+    silent_seconds = lease_seconds + (0.0 if is_ended else GIVE_UP_SECONDS)
     return changed_at + silent_seconds * (1 + 2 * CLOCK_ERROR)
