Let VMs follow the turns of the queues, and renew the ownership less often

Ruled out: idle VMs alone as a sign: a pool that has not had its turn is idle too. Change: policy/turns.py learns turns and their period; a pool rests only after its turn; a commit renews the ownership only when that is due; lasting tasks are packed up to their limit a worker.

--- a/catkinport/jobs/dispatcher.py
+++ b/catkinport/jobs/dispatcher.py
@@ -337,6 +337,8 @@
     def _attach(self, belief: WorkerBelief, run: Run) -> None:
         belief.add_run(run)
         self.runs_by_task.setdefault(run.task.text, []).append(run)
+        if not run.record.ever_started:
+            run.record.first_start_at = run.asked_at
         run.record.ever_started = True
         run.record.n_placed += 1
         run.task.ever_started = True
@@ -390,13 +392,23 @@
         for member in tasks:
             record.mark_done(member)
         if record.state is JobState.COMPLETED:
-            log_event(
-                logger,
-                "job complete",
-                request_id=record.job.job_id,
-                queue=record.job.queue,
-                seconds=round(now - record.first_seen_at, 3),
-            )
+            self._log_complete(record, now)
+
+    def _log_complete(self, record: JobRecord, now: float) -> None:
+        queue = self.queue_of(record)
+        seconds = now - record.first_seen_at
+        objective = record.objective_seconds(queue) if queue else 0.0
+        log_event(
+            logger,
+            "job complete",
+            request_id=record.job.job_id,
+            queue=record.job.queue,
+            pool=queue.pool if queue else "",
+            seconds=round(seconds, 3),
+            objective_seconds=round(objective, 3),
+            late=seconds > objective,
+            waited_seconds=round(record.first_start_at - record.first_seen_at, 3),
+        )
 
     def _on_failed(
         self,
--- a/catkinport/jobs/keeper.py
+++ b/catkinport/jobs/keeper.py
@@ -9,6 +9,7 @@
 from typing import NamedTuple
 
 from ..policy.pool_size import IdleVm, PoolMove, PoolView, choose_moves
+from ..policy.turns import TurnTracker
 from ..policy.upkeep import (
     UpkeepCandidate,
     UpkeepChoice,
@@ -107,16 +108,37 @@
         self._pending_by_vm: dict[str, PendingOrder] = {}
         self._idle_since_by_vm: dict[str, float] = {}
         self._reserved: set[str] = set()
+        self._own_vms_by_pool: dict[str, int] = {}
+        self._turns = TurnTracker({})
         self.wave_by_number: dict[int, WaveState] = {}
 
     def take_vms(self, vms: Sequence[FleetVm], sent_at: float) -> None:
         """Take in the platform's list."""
         self._vm_by_id = {vm.vm_id: vm for vm in vms}
         self._listed_at = sent_at
+        if not self._own_vms_by_pool:
+            self.restore_own_vms(_count_own_vms(vms))
         for vm_id, pending in list(self._pending_by_vm.items()):
             if self._is_settled(pending, self._vm_by_id.get(vm_id), sent_at):
                 del self._pending_by_vm[vm_id]
 
+    def restore_own_vms(self, n_by_pool: Mapping[str, int]) -> None:
+        """Note how many VMs each pool has when none are lent or switched off."""
+        self._own_vms_by_pool = dict(n_by_pool)
+        cores = [vm.capacity.cores for vm in self._vm_by_id.values()]
+        mean_cores = sum(cores) / max(1, len(cores))
+        for pool, n_vms in n_by_pool.items():
+            self._turns.set_own_cores(pool, n_vms * mean_cores)
+
+    @property
+    def own_vms_by_pool(self) -> Mapping[str, int]:
+        """VMs that each pool has when none are lent or switched off."""
+        return self._own_vms_by_pool
+
+    def note_work(self, pool: str, core_seconds: float, now: float) -> None:
+        """Note that work for a pool has arrived."""
+        self._turns.add_arrival(pool, core_seconds, now)
+
     def take_wave(self, wave: UpkeepWave, now: float) -> None:
         """Take in a wave; a known one is left as it is."""
         if wave.wave in self.wave_by_number:
@@ -142,6 +164,7 @@
         if now < self._may_order_from or now - self._listed_at > LONG_LIST_GAP_SECONDS:
             return []
         self._note_idle(now)
+        self._turns.update(now)
         orders = list(self._repeat_orders(now))
         for state in self.wave_by_number.values():
             orders.extend(self._plan_wave(state, now))
@@ -329,7 +352,7 @@
     # Moves.
 
     def _plan_moves(self, now: float) -> Iterator[VmOrder]:
-        pools = self._pool_views()
+        pools = self._pool_views(now)
         if not any(pool.is_spare for pool in pools.values()):
             return
         wave_vms = {
@@ -363,12 +386,15 @@
             pool=move.pool,
             from_pool=vm.pool,
             demand_cores=round(pools[move.pool].demand_cores, 1),
-            capacity_cores=round(pools[move.pool].capacity_cores, 1),
+            n_vms=pools[move.pool].n_vms,
+            own_vms=pools[move.pool].own_vms,
+            may_rest=pools[move.pool].may_rest,
+            from_may_rest=pools[vm.pool].may_rest,
             list_age_seconds=round(now - self._listed_at, 2),
         )
         return VmOrder(move.vm_id, 0, move.pool)
 
-    def _pool_views(self) -> dict[str, PoolView]:
+    def _pool_views(self, now: float) -> dict[str, PoolView]:
         demand = self._demand_by_pool()
         n_vms: dict[str, int] = {}
         cores: dict[str, float] = {}
@@ -386,26 +412,14 @@
                 name=name,
                 is_spare=pool.is_spare,
                 demand_cores=demand.get(name, 0.0),
-                capacity_cores=cores.get(name, 0.0),
                 vm_cores=cores[name] / n_vms[name] if n_vms.get(name) else mean_cores,
-                min_vms=self._min_vms(name),
+                own_vms=self._own_vms_by_pool.get(name, 0),
                 n_vms=n_vms.get(name, 0),
+                may_rest=self._turns.may_rest(name, now, self._bounds.move),
             )
             for name, pool in self._dispatcher.configuration.pool_by_name.items()
         }
 
-    def _min_vms(self, pool: str) -> int:
-        """Return how many VMs the lasting steps of the pool need apart from each other."""
-        n_vms = 1
-        for record in self._dispatcher.job_by_id.values():
-            queue = self._dispatcher.queue_of(record)
-            if queue is None or queue.pool != pool or record.is_closing:
-                continue
-            for step in record.job.steps:
-                if step.is_lasting and step.max_per_worker:
-                    n_vms = max(n_vms, -(-step.n_tasks // step.max_per_worker))
-        return n_vms
-
     def _demand_by_pool(self) -> dict[str, float]:
         demand: dict[str, float] = {}
         for record in self._dispatcher.job_by_id.values():
@@ -419,3 +433,10 @@
                         cores += task.step.need.cores
             demand[queue.pool] = demand.get(queue.pool, 0.0) + cores
         return demand
+
+
+def _count_own_vms(vms: Sequence[FleetVm]) -> dict[str, int]:
+    n_by_pool: dict[str, int] = {}
+    for vm in vms:
+        n_by_pool[vm.pool] = n_by_pool.get(vm.pool, 0) + 1
+    return n_by_pool
--- a/catkinport/jobs/owner.py
+++ b/catkinport/jobs/owner.py
@@ -31,13 +31,14 @@
 from .configuration import FleetConfiguration
 from .dispatcher import Dispatcher, StopOrder
 from .keeper import LIST_LAG_SECONDS, Keeper, VmBounds, VmOrder
-from .model import Job, job_from_row
+from .model import Job, job_from_row, work_core_seconds
 from .planner import PlannedStart, Planner, Ticket, WantedAdvice
 from .record import JobRecord
 from .tables import (
     BEAT_KEY,
     CANCEL_SUFFIX,
     JOBS_TABLE,
+    OWN_VMS_KEY,
     OWNER_KEY,
     ROSTER_TABLE,
     STATES_TABLE,
@@ -351,6 +352,12 @@
         # tells roughly how long ago the job was accepted.
         age = min(max(0.0, time.time() - job.accepted_at), 3600.0)
         self.dispatcher.add_job(job, now - age, is_inherited)
+        self._note_work(job, now)
+
+    def _note_work(self, job: Job, now: float) -> None:
+        queue = self.dispatcher.configuration.queue_by_name.get(job.queue)
+        if queue is not None:
+            self._keeper.note_work(queue.pool, work_core_seconds(job.steps), now)
 
     def _take_roster_row(self, row: Row, now: float) -> None:
         pool = row.row_key.key
@@ -441,10 +448,14 @@
             conditions.append(Condition(key, record.row_version))
             writes.append(Write(key, record.to_row()))
             record.is_dirty = False
-        transaction = Transaction(conditions, [*writes, self._beat_write(sent_at)])
+        # A renewal wakes every daemon, so not each commit carries one.
+        is_renewal = sent_at - self._lease.renewed_at >= BEAT_SECONDS / 2
+        beat = [self._beat_write(sent_at)] if is_renewal else []
+        transaction = Transaction(conditions, [*writes, *beat])
         outcome = await commit_until_known(self._table, transaction, COMMIT_ATTEMPTS)
         if isinstance(outcome, Committed):
-            self._lease = self._lease._replace(renewed_at=sent_at)
+            if is_renewal:
+                self._lease = self._lease._replace(renewed_at=sent_at)
             for record, write in zip(records, writes, strict=True):
                 record.row_version = outcome.versions_by_row_key[write.row_key]
                 log_event(
@@ -616,6 +627,9 @@
             await asyncio.sleep(RETRY_SECONDS)
             begun = await self._table.read_range(WAVES_TABLE)
         begun_by_wave = {row.row_key.key: row.value for row in begun.rows}
+        own_vms = begun_by_wave.get(OWN_VMS_KEY.key)
+        if own_vms is not None:
+            self._keeper.restore_own_vms(own_vms["n_by_pool"])
         while True:
             now = self._clock.now()
             for wave in self._ports.desk.list_waves():
@@ -625,6 +639,8 @@
                     stored = begun_by_wave.get(str(wave.wave), {})
                     self._keeper.restore_begun(wave.wave, stored.get("begun", []))
             if not self._lease.is_in_doubt(now):
+                if own_vms is None and self._keeper.own_vms_by_pool:
+                    own_vms = await self._store_own_vms()
                 for order in self._keeper.plan(now):
                     self._spawn(self._send_vm_order(order))
                 await self._report_waves()
@@ -655,6 +671,12 @@
             self._is_fenced(outcome)
             self._keeper.on_rejected(order)
 
+    async def _store_own_vms(self) -> dict[str, Any] | None:
+        value = {"n_by_pool": dict(self._keeper.own_vms_by_pool)}
+        transaction = Transaction([self._owner_condition()], [Write(OWN_VMS_KEY, value)])
+        outcome = await self._table.commit(transaction)
+        return value if isinstance(outcome, Committed) else None
+
     async def _store_begun(self, wave: int) -> None:
         begun = sorted(self._keeper.wave_by_number[wave].begun)
         transaction = Transaction(
--- a/catkinport/jobs/record.py
+++ b/catkinport/jobs/record.py
@@ -86,6 +86,7 @@
         self.first_seen_at = 0.0
         self.n_placed = 0
         self.ever_started = False
+        self.first_start_at = 0.0
         self.tasks_by_stage: dict[tuple[int, int], list[Task]] = {}
         self._n_open_by_stage: dict[tuple[int, int], int] = {}
         self._top_run = 0
--- a/catkinport/jobs/tables.py
+++ b/catkinport/jobs/tables.py
@@ -14,6 +14,9 @@
 BEAT_KEY = RowKey(LEADER_TABLE, "beat")
 """Written by the owner at each renewal."""
 
+OWN_VMS_KEY = RowKey(WAVES_TABLE, "own-vms")
+"""How many VMs each pool had when the first owner began."""
+
 CANCEL_SUFFIX = ".cancel"
 """Ends the key of the row that cancels a job; it lies beside the job's own row, so that
 one read and one feed cover both."""
--- a/catkinport/policy/pool_size.py
+++ b/catkinport/policy/pool_size.py
@@ -1,19 +1,19 @@
 """Decides how many VMs of each pool are on.
 
 Pattern: each queue in turn asks several times its mean for a few seconds, more than its
-pool holds, and almost nothing in between. VMs follow the turn: those of quiet pools are
-switched off or lent to the pool whose turn it is.
+pool holds, and almost nothing in between. VMs follow the turn: a pool that rests lends
+its idle VMs or switches them off; a pool whose turn may come keeps its own on.
 """
 
 from collections.abc import Mapping, Sequence
 from typing import NamedTuple
 
-IDLE_SECONDS = 1.0
-"""A VM that has been idle for so long is given up, if its pool has room without it. Two
-moves cost as much as two seconds of an idle VM."""
+REST_IDLE_SECONDS = 0.4
+"""A VM of a resting pool is given up when it has been idle for so long."""
 
-LEND_IDLE_SECONDS = 0.3
-"""A VM that has been idle for so long may be lent to a pool that has too little."""
+SURPLUS_IDLE_SECONDS = 2.5
+"""A VM beyond the pool's own is given up when it has been idle for so long: two moves
+cost as much as about two seconds of an idle VM."""
 
 ROOM_FACTOR = 1.15
 """Room that a pool keeps beyond its demand, as tasks of uneven size leave gaps."""
@@ -26,19 +26,19 @@
         name: name of the pool.
         is_spare: whether its VMs are off.
         demand_cores: cores of what runs and of what could start.
-        capacity_cores: cores of its VMs that are on or on their way.
         vm_cores: cores of one VM.
-        min_vms: VMs that stay on whatever the demand.
+        own_vms: VMs that the pool had at first.
         n_vms: VMs that are on or on their way.
+        may_rest: whether its turn is over and its next one not near.
     """
 
     name: str
     is_spare: bool
     demand_cores: float
-    capacity_cores: float
     vm_cores: float
-    min_vms: int
+    own_vms: int
     n_vms: int
+    may_rest: bool = False
 
 
 class IdleVm(NamedTuple):
@@ -68,12 +68,12 @@
     """Return how many VMs the pool should have on.
 
     Example:
-        >>> wanted_vms(PoolView("p", False, 100.0, 64.0, 64.0, 1, 1))
+        >>> wanted_vms(PoolView("p", False, 100.0, 64.0, own_vms=1, n_vms=1))
         2
     """
     cores = view.demand_cores * ROOM_FACTOR
-    n_vms = -int(-cores // view.vm_cores) if view.vm_cores else 0
-    return max(view.min_vms, n_vms)
+    n_vms = int(-(-cores // view.vm_cores)) if view.vm_cores else 0
+    return max(n_vms, 1 if view.may_rest else view.own_vms)
 
 
 def choose_moves(
@@ -81,7 +81,7 @@
 ) -> list[PoolMove]:
     """Choose which idle VMs change their pool now.
 
-    VMs that are off are taken first, then idle ones of pools with room to spare.
+    VMs that are off are taken first, then idle ones of pools with VMs to spare.
     """
     spare = next((p.name for p in pool_by_name.values() if p.is_spare), "")
     missing = {
@@ -101,11 +101,13 @@
             continue
         if missing.get(vm.pool, 0) >= 0:
             continue
-        if is_needed and vm.idle_seconds >= LEND_IDLE_SECONDS:
+        may_rest = pool_by_name[vm.pool].may_rest
+        least_idle = REST_IDLE_SECONDS if may_rest else SURPLUS_IDLE_SECONDS
+        if is_needed and vm.idle_seconds >= REST_IDLE_SECONDS:
             moves.append(PoolMove(vm.vm_id, target))
             missing[target] -= 1
             missing[vm.pool] += 1
-        elif spare and vm.idle_seconds >= IDLE_SECONDS:
+        elif spare and vm.idle_seconds >= least_idle:
             moves.append(PoolMove(vm.vm_id, spare))
             missing[vm.pool] += 1
     return moves
--- /dev/null
+++ b/catkinport/policy/turns.py
@@ -0,0 +1,131 @@
+"""Learns when it is a pool's turn.
+
+Pattern: the queues ask for much one after the other, in turns that repeat. A pool whose
+turn has just ended rests until the others have had theirs; the time between two of its
+turns tells when the next one begins.
+"""
+
+from collections import deque
+from typing import NamedTuple
+
+WINDOW_SECONDS = 1.5
+"""Time over which the demand of a pool is averaged."""
+
+BUSY_LOAD = 0.4
+"""Demand, as a part of the pool's own cores, at which a turn begins."""
+
+QUIET_LOAD = 0.15
+"""Demand at which a turn ends."""
+
+MIN_PERIOD_SECONDS = 4.0
+"""Turns that begin sooner after each other are one turn with a pause."""
+
+LEAD_SECONDS = 0.5
+"""How much before its turn a pool is ready, beyond the time of a move."""
+
+LATE_SECONDS = 2.5
+"""A turn that is later than this does not follow the learnt period."""
+
+
+class _Arrival(NamedTuple):
+    at: float
+    core_seconds: float
+
+
+class _PoolTurns:
+    def __init__(self) -> None:
+        self.arrivals: deque[_Arrival] = deque()
+        self.is_busy = False
+        self.onset_at: float | None = None
+        self.previous_onset_at: float | None = None
+        self.ended_at: float | None = None
+
+
+class TurnTracker:
+    """Follows the demand of all pools.
+
+    Example:
+        >>> tracker = TurnTracker({"a": 100.0})
+        >>> tracker.add_arrival("a", 100.0, 0.0)
+        >>> tracker.update(0.1)
+        >>> tracker.is_busy("a")
+        True
+    """
+
+    def __init__(self, own_cores_by_pool: dict[str, float]) -> None:
+        self._own_cores_by_pool = own_cores_by_pool
+        self._turns_by_pool = {pool: _PoolTurns() for pool in own_cores_by_pool}
+        self._period_seconds: float | None = None
+
+    @property
+    def period_seconds(self) -> float | None:
+        """Time between two turns of a pool; ``None`` while it is not known."""
+        return self._period_seconds
+
+    def set_own_cores(self, pool: str, cores: float) -> None:
+        """Note how many cores the pool has when all its own VMs are on."""
+        self._own_cores_by_pool[pool] = cores
+        self._turns_by_pool.setdefault(pool, _PoolTurns())
+
+    def add_arrival(self, pool: str, core_seconds: float, now: float) -> None:
+        """Note that work for the pool has arrived."""
+        turns = self._turns_by_pool.setdefault(pool, _PoolTurns())
+        turns.arrivals.append(_Arrival(now, core_seconds))
+
+    def update(self, now: float) -> None:
+        """Find the turns that begin or end by ``now``."""
+        for pool, turns in self._turns_by_pool.items():
+            while turns.arrivals and turns.arrivals[0].at < now - WINDOW_SECONDS:
+                turns.arrivals.popleft()
+            load = self._load(pool)
+            if not turns.is_busy and load >= BUSY_LOAD:
+                self._begin(turns, now)
+            elif turns.is_busy and load <= QUIET_LOAD:
+                turns.is_busy = False
+                turns.ended_at = now
+
+    def _load(self, pool: str) -> float:
+        cores = self._own_cores_by_pool.get(pool, 0.0)
+        if cores <= 0:
+            return 0.0
+        arrived = sum(a.core_seconds for a in self._turns_by_pool[pool].arrivals)
+        return arrived / WINDOW_SECONDS / cores
+
+    def _begin(self, turns: _PoolTurns, now: float) -> None:
+        turns.is_busy = True
+        is_new = turns.onset_at is None or now - turns.onset_at >= MIN_PERIOD_SECONDS
+        if not is_new:
+            return
+        turns.previous_onset_at = turns.onset_at
+        turns.onset_at = now
+        if turns.previous_onset_at is not None:
+            self._period_seconds = now - turns.previous_onset_at
+
+    def is_busy(self, pool: str) -> bool:
+        """Return whether it is the pool's turn."""
+        turns = self._turns_by_pool.get(pool)
+        return turns is not None and turns.is_busy
+
+    def may_rest(self, pool: str, now: float, lead_seconds: float) -> bool:
+        """Return whether the pool's turn is over and its next one not near.
+
+        Args:
+            pool: name of the pool.
+            now: clock time in seconds.
+            lead_seconds: time that a VM takes to come back.
+        """
+        turns = self._turns_by_pool.get(pool)
+        if turns is None or turns.is_busy or turns.onset_at is None:
+            return False
+        if self._period_seconds is not None:
+            due_in = turns.onset_at + self._period_seconds - now
+            return due_in > lead_seconds + LEAD_SECONDS
+        return not self._have_others_followed(turns, pool)
+
+    def _have_others_followed(self, turns: _PoolTurns, pool: str) -> bool:
+        assert turns.onset_at is not None
+        others = [t for name, t in self._turns_by_pool.items() if name != pool]
+        return all(
+            other.onset_at is not None and other.onset_at > turns.onset_at
+            for other in others
+        )
--- a/catkinport/policy/worker_choice.py
+++ b/catkinport/policy/worker_choice.py
@@ -130,13 +130,11 @@
         disturbs = room.n_targets
     elif task.has_target:
         disturbs = room.n_fillers + room.n_targets
-    spread = room.n_by_stage.get(task.stage, 0) if task.has_target else 0
     return (
         is_avoided,
         room.penalty,
         is_far,
         disturbs,
-        spread,
         room.cores,
         room.memory_gb,
     )
