--- a/catkinport/jobs/keeper.py
+++ b/catkinport/jobs/keeper.py
@@ -110,6 +110,7 @@
         self._reserved: set[str] = set()
         self._own_vms_by_pool: dict[str, int] = {}
         self._turns = TurnTracker({})
+        self._phase_by_pool: dict[str, str] = {}
         self.wave_by_number: dict[int, WaveState] = {}
 
     def take_vms(self, vms: Sequence[FleetVm], sent_at: float) -> None:
@@ -164,7 +165,7 @@
         if now < self._may_order_from or now - self._listed_at > LONG_LIST_GAP_SECONDS:
             return []
         self._note_idle(now)
-        self._turns.update(now)
+        self._update_turns(now)
         orders = list(self._repeat_orders(now))
         for state in self.wave_by_number.values():
             orders.extend(self._plan_wave(state, now))
@@ -197,6 +198,23 @@
             for vm_id in state.wave.vm_ids
         )
 
+    def _update_turns(self, now: float) -> None:
+        self._turns.update(now)
+        for pool in self._own_vms_by_pool:
+            phase = "turn" if self._turns.is_busy(pool) else "waiting"
+            if self._turns.may_rest(pool, now, self._bounds.move):
+                phase = "resting"
+            if self._phase_by_pool.get(pool) != phase:
+                self._phase_by_pool[pool] = phase
+                period = self._turns.period_seconds
+                log_event(
+                    logger,
+                    "pool phase changed",
+                    pool=pool,
+                    phase=phase,
+                    period_seconds=round(period, 2) if period else "",
+                )
+
     # What the list and the orders say together.
 
     def _is_settled(
@@ -279,16 +297,24 @@
             deadline_seconds=wave.deadline_seconds,
             candidates=candidates,
         )
-        yield from self._carry_out(choose_upkeep(view), wave.wave)
+        yield from self._carry_out(choose_upkeep(view), wave.wave, now)
 
-    def _carry_out(self, choice: UpkeepChoice, wave: int) -> Iterator[VmOrder]:
+    def _carry_out(
+        self, choice: UpkeepChoice, wave: int, now: float
+    ) -> Iterator[VmOrder]:
         for vm_id in choice.drain:
             log_event(logger, "vm drains for upkeep", vm=vm_id, wave=wave)
             self._reserve(vm_id)
         for vm_id in choice.maintain:
+            # An order of this round may have taken tasks of the same step away.
+            belief = self._worker_on(vm_id)
+            if belief is not None and not self._may_end_lasting(belief):
+                continue
             # Nothing may start on it between this decision and the order.
             self._reserve(vm_id)
-            yield VmOrder(vm_id, wave, "")
+            order = VmOrder(vm_id, wave, "")
+            self._pending_by_vm[vm_id] = PendingOrder(order, now, 0.0)
+            yield order
 
     def _may_be_down(self, vm: FleetVm, wave: int) -> bool:
         pending = self._pending_by_vm.get(vm.vm_id)
@@ -334,6 +360,7 @@
         return record.job.steps[stage[2]].max_away
 
     def _count_away(self, stage: tuple[str, int, int]) -> int:
+        """Return how many tasks of the step are not surely at work."""
         record = self._dispatcher.job_by_id[stage[0]]
         tasks = record.tasks_by_stage[stage[1], stage[2]]
         return sum(not self._is_settled_task(task.text) for task in tasks)
@@ -346,6 +373,8 @@
         belief = self._dispatcher.worker_by_id[run.worker_id]
         if run.task.phase is not TaskPhase.PLACED or run.percent < AT_WORK_PERCENT:
             return False
+        if belief.vm_id in self._pending_by_vm:
+            return False
         at_work_seconds = belief.contact_at - run.progressed_at
         return at_work_seconds >= self._bounds.away_notice
 
