--- a/catkinport/jobs/keeper.py
+++ b/catkinport/jobs/keeper.py
@@ -445,6 +445,7 @@
                 own_vms=self._own_vms_by_pool.get(name, 0),
                 n_vms=n_vms.get(name, 0),
                 may_rest=self._turns.may_rest(name, now, self._bounds.move),
+                is_busy=self._turns.is_busy(name),
             )
             for name, pool in self._dispatcher.configuration.pool_by_name.items()
         }
--- a/catkinport/policy/pool_size.py
+++ b/catkinport/policy/pool_size.py
@@ -5,6 +5,7 @@
 its idle VMs or switches them off; a pool whose turn may come keeps its own on.
 """
 
+import math
 from collections.abc import Mapping, Sequence
 from typing import NamedTuple
 
@@ -15,6 +16,10 @@
 """A VM beyond the pool's own is given up when it has been idle for so long: two moves
 cost as much as about two seconds of an idle VM."""
 
+WAITING_FRACTION = 0.6
+"""Part of its own VMs that a pool keeps on before its turn. The slack of a job's
+objective covers the time in which the others come."""
+
 ROOM_FACTOR = 1.15
 """Room that a pool keeps beyond its demand, as tasks of uneven size leave gaps."""
 
@@ -30,6 +35,7 @@
         own_vms: VMs that the pool had at first.
         n_vms: VMs that are on or on their way.
         may_rest: whether its turn is over and its next one not near.
+        is_busy: whether it is its turn.
     """
 
     name: str
@@ -39,6 +45,7 @@
     own_vms: int
     n_vms: int
     may_rest: bool = False
+    is_busy: bool = False
 
 
 class IdleVm(NamedTuple):
@@ -73,7 +80,11 @@
     """
     cores = view.demand_cores * ROOM_FACTOR
     n_vms = int(-(-cores // view.vm_cores)) if view.vm_cores else 0
-    return max(n_vms, 1 if view.may_rest else view.own_vms)
+    if view.may_rest:
+        return max(n_vms, 1)
+    if view.is_busy:
+        return max(n_vms, view.own_vms)
+    return max(n_vms, math.ceil(view.own_vms * WAITING_FRACTION))
 
 
 def choose_moves(
--- a/catkinport/policy/turns.py
+++ b/catkinport/policy/turns.py
@@ -8,24 +8,21 @@
 from collections import deque
 from typing import NamedTuple
 
-WINDOW_SECONDS = 1.5
+WINDOW_SECONDS = 2.0
 """Time over which the demand of a pool is averaged."""
 
-BUSY_LOAD = 0.4
+BUSY_LOAD = 0.5
 """Demand, as a part of the pool's own cores, at which a turn begins."""
 
 QUIET_LOAD = 0.15
 """Demand at which a turn ends."""
 
-MIN_PERIOD_SECONDS = 4.0
-"""Turns that begin sooner after each other are one turn with a pause."""
+MIN_TURN_SECONDS = 2.5
+"""A pool that is busy for less has had a burst, not its turn."""
 
 LEAD_SECONDS = 0.5
 """How much before its turn a pool is ready, beyond the time of a move."""
 
-LATE_SECONDS = 2.5
-"""A turn that is later than this does not follow the learnt period."""
-
 
 class _Arrival(NamedTuple):
     at: float
@@ -36,9 +33,8 @@
     def __init__(self) -> None:
         self.arrivals: deque[_Arrival] = deque()
         self.is_busy = False
+        self.busy_since = 0.0
         self.onset_at: float | None = None
-        self.previous_onset_at: float | None = None
-        self.ended_at: float | None = None
 
 
 class TurnTracker:
@@ -79,10 +75,12 @@
                 turns.arrivals.popleft()
             load = self._load(pool)
             if not turns.is_busy and load >= BUSY_LOAD:
-                self._begin(turns, now)
+                turns.is_busy = True
+                turns.busy_since = now
             elif turns.is_busy and load <= QUIET_LOAD:
                 turns.is_busy = False
-                turns.ended_at = now
+                if now - turns.busy_since >= MIN_TURN_SECONDS:
+                    self._end_turn(turns)
 
     def _load(self, pool: str) -> float:
         cores = self._own_cores_by_pool.get(pool, 0.0)
@@ -91,15 +89,10 @@
         arrived = sum(a.core_seconds for a in self._turns_by_pool[pool].arrivals)
         return arrived / WINDOW_SECONDS / cores
 
-    def _begin(self, turns: _PoolTurns, now: float) -> None:
-        turns.is_busy = True
-        is_new = turns.onset_at is None or now - turns.onset_at >= MIN_PERIOD_SECONDS
-        if not is_new:
-            return
-        turns.previous_onset_at = turns.onset_at
-        turns.onset_at = now
-        if turns.previous_onset_at is not None:
-            self._period_seconds = now - turns.previous_onset_at
+    def _end_turn(self, turns: _PoolTurns) -> None:
+        if turns.onset_at is not None:
+            self._period_seconds = turns.busy_since - turns.onset_at
+        turns.onset_at = turns.busy_since
 
     def is_busy(self, pool: str) -> bool:
         """Return whether it is the pool's turn."""
