Evacuate lasting tasks one by one, stop stray runs, refuse at once without the store

Runs of jobs that had ended were never stopped. Submissions during an outage were sent to the store and ended as 504, which clients may not repeat. Ruled out: the limit of VMs that are down at once. Change: a VM with lasting tasks of each pool is drained from the start of the wave; tasks are stopped one by one where a VM holds too many; runs of unknown jobs are stopped; the intake refuses with 503 while the store gives no answer.

--- a/catkinport/jobs/configuration_watch.py
+++ b/catkinport/jobs/configuration_watch.py
@@ -66,6 +66,10 @@
         """Return for how long a newer configuration may have been in force."""
         return self._clock.now() - self._proved_at
 
+    def is_table_reached(self) -> bool:
+        """Return whether the latest look at the table service had an answer."""
+        return self._is_reached
+
     async def run(self) -> None:
         """Follow the rows for ever."""
         while True:
--- a/catkinport/jobs/dispatcher.py
+++ b/catkinport/jobs/dispatcher.py
@@ -80,6 +80,7 @@
         self.unresolved_by_id: dict[str, str] = {}
         self.mean_work_by_queue: dict[str, float] = {}
         self._retired_ids: set[str] = set()
+        self._stray_sent_at: dict[tuple[str, RunKey], float] = {}
 
     def apply_configuration(self, configuration: FleetConfiguration) -> None:
         """Take over a version of the configuration.
@@ -291,6 +292,7 @@
             listed_keys.add(key)
             run = belief.run_by_key.get(key) or self._adopt(belief, key, now)
             if run is None:
+                self._stray_sent_at.setdefault((belief.worker_id, key), 0.0)
                 continue
             run.known_at = run.known_at or now
             if run.phase is RunPhase.ASKED and not run.is_unsure:
@@ -301,6 +303,9 @@
             run.gauge = entry.gauge
             if entry.saved:
                 run.task.saved = entry.saved
+        for worker_id, key in list(self._stray_sent_at):
+            if worker_id == belief.worker_id and key not in listed_keys:
+                del self._stray_sent_at[worker_id, key]
         for key, run in list(belief.run_by_key.items()):
             if key in listed_keys:
                 continue
@@ -309,7 +314,7 @@
                 self._lose_run(belief, run, "not-listed", now)
 
     def _adopt(self, belief: WorkerBelief, key: RunKey, now: float) -> Run | None:
-        """Take over a run that a former owner ordered, or stop a foreign one."""
+        """Take over a run that a former owner ordered; ``None`` if its job is unknown."""
         task_id = TaskId.parse(key.task)
         record = self.job_by_id.get(task_id.job_id)
         task = record.find_task(task_id) if record else None
@@ -565,6 +570,7 @@
 
     def find_stops(self, now: float) -> Iterator[StopOrder]:
         """Yield the stop orders that are due."""
+        yield from self._find_strays(now)
         for belief in self.worker_by_id.values():
             for run in belief.run_by_key.values():
                 reason = self._stop_reason(run, now)
@@ -576,6 +582,13 @@
                 run.phase = RunPhase.STOPPING
                 yield StopOrder(belief.worker_id, run.key, reason)
 
+    def _find_strays(self, now: float) -> Iterator[StopOrder]:
+        """Yield stops of runs of no known job: orders that were carried out late."""
+        for (worker_id, key), sent_at in self._stray_sent_at.items():
+            if worker_id in self.worker_by_id and now - sent_at >= STOP_RETRY_SECONDS:
+                self._stray_sent_at[worker_id, key] = now
+                yield StopOrder(worker_id, key, "job-unknown")
+
     def _stop_reason(self, run: Run, now: float) -> str:
         if run.record.is_cancel_asked:
             return "canceled"
@@ -585,6 +598,8 @@
             return "task-done"
         if run.is_unsure:
             return "start-unsure"
+        if run.is_evacuated:
+            return "evacuated"
         if run.phase is RunPhase.STOPPING:
             return "repeat"
         runs = self.runs_by_task.get(run.task.text, [])
--- a/catkinport/jobs/intake.py
+++ b/catkinport/jobs/intake.py
@@ -1,6 +1,7 @@
 """Takes jobs, questions and cancellations of callers; runs in every daemon."""
 
 import logging
+from collections.abc import Callable
 from typing import NamedTuple
 
 from ..ports import NotRun, Reason, Unavailable, Unknown
@@ -25,6 +26,11 @@
 """When a caller may come back after the table service gave no answer."""
 
 
+NOT_REACHED = NotRun(
+    Reason.STORE_UNAVAILABLE, "intake", retry_after_seconds=RETRY_SECONDS
+)
+
+
 class Accepted(NamedTuple):
     """The job is stored; ``is_repeat`` if it had been stored before."""
 
@@ -46,13 +52,20 @@
 
     Args:
         table: client of the table service.
+        is_table_reached: returns whether the table service answered lately. Without it
+            a write is not even sent, so that the refusal is true and comes at once.
     """
 
-    def __init__(self, table: AsyncTable) -> None:
+    def __init__(
+        self, table: AsyncTable, is_table_reached: Callable[[], bool]
+    ) -> None:
         self._table = table
+        self._is_table_reached = is_table_reached
 
     async def submit(self, job: Job) -> Accepted | NotRun | Unknown:
         """Store a job; the same id twice is one job."""
+        if not self._is_table_reached():
+            return NOT_REACHED
         key = job_key(job.job_id)
         transaction = Transaction(
             [Condition(key, ABSENT_VERSION)], [Write(key, job_to_row(job))]
@@ -90,6 +103,8 @@
         self, job_id: str, account: str
     ) -> Canceled | Absent | NotRun | Unknown:
         """Store that a job is canceled."""
+        if not self._is_table_reached():
+            return NOT_REACHED
         state = await self.find_state(job_id, account)
         if isinstance(state, Absent):
             return state
--- a/catkinport/jobs/keeper.py
+++ b/catkinport/jobs/keeper.py
@@ -32,6 +32,9 @@
 REPEAT_SECONDS = 1.0
 """Time after which an order without an answer is sent again."""
 
+Stage = tuple[str, int, int]
+"""Job, occurrence and number of a step."""
+
 AT_WORK_PERCENT = 100.0
 """Figure that a worker lists for a lasting task that is at work."""
 
@@ -323,43 +326,79 @@
         return vm.state is VmState.UPKEEP
 
     def _candidate(self, vm: FleetVm) -> UpkeepCandidate:
-        cost, busy = self._upkeep_cost(vm)
-        is_reserved = vm.vm_id in self._reserved
-        return UpkeepCandidate(vm.vm_id, vm.pool, cost, busy, is_reserved)
+        belief = self._worker_on(vm.vm_id)
+        runs = list(belief.run_by_key.values()) if belief else []
+        short = [run for run in runs if not run.task.step.is_lasting]
+        return UpkeepCandidate(
+            vm_id=vm.vm_id,
+            pool=vm.pool,
+            cost=self._upkeep_cost(vm, belief, runs),
+            busy_cores=sum(run.task.step.need.cores for run in short),
+            is_reserved=vm.vm_id in self._reserved,
+            may_end_lasting=belief is not None and self._may_end_lasting(belief),
+            is_pool_busy=self._turns.is_busy(vm.pool),
+        )
 
-    def _upkeep_cost(self, vm: FleetVm) -> tuple[UpkeepCost, float]:
+    def _upkeep_cost(
+        self, vm: FleetVm, belief: WorkerBelief | None, runs: list[Run]
+    ) -> UpkeepCost:
         if self._is_off(vm):
-            return UpkeepCost.OFF, 0.0
-        belief = self._worker_on(vm.vm_id)
+            return UpkeepCost.OFF
         if belief is None:
-            return UpkeepCost.FORBIDDEN, 0.0
-        runs = list(belief.run_by_key.values())
+            return UpkeepCost.FORBIDDEN
         if not runs:
-            return UpkeepCost.IDLE, 0.0
-        short = [run for run in runs if not run.task.step.is_lasting]
-        busy = sum(run.task.step.need.cores for run in short)
-        if len(short) == len(runs):
-            return UpkeepCost.SHORT_WORK, busy
-        if not self._may_end_lasting(belief):
-            return UpkeepCost.FORBIDDEN, busy
-        cost = UpkeepCost.SHORT_WORK if short else UpkeepCost.LASTING_WORK
-        return cost, busy + 1000.0
+            return UpkeepCost.IDLE
+        lasting = [run for run in runs if run.task.step.is_lasting]
+        if not lasting:
+            return UpkeepCost.SHORT_WORK
+        if any(run.task.step.max_away < 1 for run in lasting):
+            return UpkeepCost.FORBIDDEN
+        return UpkeepCost.LASTING_WORK
+
+    def find_evacuations(self) -> list[Run]:
+        """Return lasting runs to stop, so that their drained VM may go down.
+
+        A VM with more tasks of a step than may be away at once gives them up one
+        after the other.
+        """
+        runs = []
+        evacuated: dict[Stage, int] = {}
+        for vm_id in self._reserved:
+            belief = self._worker_on(vm_id)
+            if belief is None or self._may_end_lasting(belief):
+                continue
+            for run in belief.run_by_key.values():
+                stage = run.task.task_id[:3]
+                if not run.task.step.is_lasting or run.is_evacuated:
+                    continue
+                n_away = self._count_away(stage) + evacuated.get(stage, 0)
+                is_last = self._count_here(belief)[stage] <= self._max_away(stage)
+                if n_away + 1 <= self._max_away(stage) and not is_last:
+                    evacuated[stage] = evacuated.get(stage, 0) + 1
+                    runs.append(run)
+        return runs
+
+    @staticmethod
+    def _count_here(belief: WorkerBelief) -> dict[Stage, int]:
+        n_here: dict[Stage, int] = {}
+        for run in belief.run_by_key.values():
+            if run.task.step.is_lasting:
+                stage = run.task.task_id[:3]
+                n_here[stage] = n_here.get(stage, 0) + 1
+        return n_here
 
     def _may_end_lasting(self, belief: WorkerBelief) -> bool:
         """Return whether all lasting tasks of the worker may be ended together."""
-        n_here: dict[tuple[str, int, int], int] = {}
-        for run in belief.run_by_key.values():
-            if run.task.step.is_lasting:
-                name = run.task.task_id[:3]
-                n_here[name] = n_here.get(name, 0) + 1
-        return all(self._count_away(name) + n <= self._max_away(name)
-                   for name, n in n_here.items())
+        return all(
+            self._count_away(stage) + n <= self._max_away(stage)
+            for stage, n in self._count_here(belief).items()
+        )
 
-    def _max_away(self, stage: tuple[str, int, int]) -> int:
+    def _max_away(self, stage: Stage) -> int:
         record = self._dispatcher.job_by_id[stage[0]]
         return record.job.steps[stage[2]].max_away
 
-    def _count_away(self, stage: tuple[str, int, int]) -> int:
+    def _count_away(self, stage: Stage) -> int:
         """Return how many tasks of the step are not surely at work."""
         record = self._dispatcher.job_by_id[stage[0]]
         tasks = record.tasks_by_stage[stage[1], stage[2]]
@@ -373,7 +412,7 @@
         belief = self._dispatcher.worker_by_id[run.worker_id]
         if run.task.phase is not TaskPhase.PLACED or run.percent < AT_WORK_PERCENT:
             return False
-        if belief.vm_id in self._pending_by_vm:
+        if run.is_evacuated or belief.vm_id in self._pending_by_vm:
             return False
         at_work_seconds = belief.contact_at - run.progressed_at
         return at_work_seconds >= self._bounds.away_notice
--- a/catkinport/jobs/owner.py
+++ b/catkinport/jobs/owner.py
@@ -51,7 +51,6 @@
     LEASE_SECONDS,
     MAX_LEASE_SECONDS,
     RENEW_CONTACT_SECONDS,
-    Run,
     WorkerBelief,
 )
 
@@ -643,6 +642,9 @@
                     own_vms = await self._store_own_vms()
                 for order in self._keeper.plan(now):
                     self._spawn(self._send_vm_order(order))
+                for run in self._keeper.find_evacuations():
+                    run.is_evacuated = True
+                    self._wake.set()
                 await self._report_waves()
             await asyncio.sleep(KEEP_SECONDS)
 
@@ -763,16 +765,16 @@
 
     async def _send_stop(self, stop: StopOrder) -> None:
         belief = self.dispatcher.worker_by_id.get(stop.worker_id)
-        run = belief.run_by_key.get(stop.key) if belief else None
-        if belief is None or run is None:
+        if belief is None:
             return
+        run = belief.run_by_key.get(stop.key)
         outcome = await self._ports.workers.stop(
             belief.listed, self._lease.token, stop.key.task, stop.key.run
         )
         log_event(
             logger,
             "run stop ordered",
-            request_id=run.record.job.job_id,
+            request_id=stop.key.task.partition(".")[0],
             task=stop.key.task,
             run=stop.key.run,
             worker=stop.worker_id,
@@ -780,10 +782,8 @@
             outcome=type(outcome).__name__,
         )
         self._is_fenced(outcome)
-        self._finish_stop(run, outcome)
-
-    def _finish_stop(self, run: Run, outcome: Any) -> None:
-        self.dispatcher.on_stop_outcome(run, outcome, self._clock.now())
+        if run is not None:
+            self.dispatcher.on_stop_outcome(run, outcome, self._clock.now())
         self._wake.set()
 
     def _ask_advice(self, wanted: WantedAdvice) -> None:
--- a/catkinport/jobs/tests/test_dispatcher.py
+++ b/catkinport/jobs/tests/test_dispatcher.py
@@ -3,7 +3,13 @@
 from ...policy.resources import Resources
 from ...ports import Reason, Unavailable
 from ...ports.fleet_vms import FleetVm, VmState
-from ...ports.fleet_workers import Done, EndKind, Rejected, Rejection
+from ...ports.fleet_workers import (
+    Done,
+    EndKind,
+    Rejected,
+    Rejection,
+    RunningTask,
+)
 from ..model import JobState
 from ..record import JobRecord
 from .builders import JOB_ID, Fleet, make_job, make_step, make_worker
@@ -294,3 +300,18 @@
         first, _ = fleet.start()
         fleet.end(first)
         assert fleet.states() == {JOB_ID: "completed"}
+
+
+class TestStray:
+    def test_run_of_an_unknown_job_is_stopped(self):
+        """Guards against a start that is carried out after its job has ended."""
+        fleet = Fleet([make_worker("w1")])
+        key = ("00000000000000ff.0.0.0", 1)
+        fleet.running_by_worker["w1"][key] = RunningTask(*key, "", 0.0, 0.0)
+        fleet.look("w1")
+        (stop,) = fleet.dispatcher.find_stops(fleet.now)
+        assert (stop.worker_id, tuple(stop.key)) == ("w1", key)
+        fleet.running_by_worker["w1"].clear()
+        fleet.advance(1.0)
+        fleet.look("w1")
+        assert list(fleet.dispatcher.find_stops(fleet.now)) == []
--- /dev/null
+++ b/catkinport/jobs/tests/test_keeper.py
@@ -0,0 +1,171 @@
+"""Waves of upkeep and moves between pools."""
+
+from ...policy.resources import Resources
+from ...ports.fleet_vms import FleetVm, UpkeepWave, VmState
+from ..keeper import Keeper, VmBounds
+from ..model import Step
+from .builders import NEED, POOL, Fleet, make_job, make_worker
+
+BOUNDS = VmBounds(upkeep=2.0, move=1.5, away_notice=4.5)
+CAPACITY = Resources(16.0, 256.0, 0)
+
+
+class VmFleet(Fleet):
+    """A fleet whose workers run on listed VMs."""
+
+    def __init__(self, n_workers: int, n_off: int = 0) -> None:
+        super().__init__([make_worker(f"w{i}") for i in range(n_workers)])
+        self.vms = [self._vm(f"m{i}", POOL, f"w{i}") for i in range(n_workers)]
+        self.vms += [self._vm(f"off{i}", "off", "") for i in range(n_off)]
+        self.keeper = Keeper(self.dispatcher, BOUNDS, 0.0)
+        self.list_vms()
+
+    @staticmethod
+    def _vm(vm_id, pool, worker_id):
+        return FleetVm(vm_id, pool, VmState.UP, "z", (), CAPACITY, worker_id)
+
+    def list_vms(self) -> None:
+        self.keeper.take_vms(self.vms, self.now)
+        self.dispatcher.update_vms(self.vms, self.now, self.now)
+
+    def ask_wave(self, vm_ids, max_down=5) -> None:
+        self.keeper.take_wave(UpkeepWave(1, vm_ids, 20.0, max_down), self.now)
+
+    def step(self, seconds: float = 0.25) -> list:
+        self.advance(seconds)
+        for worker_id in list(self.running_by_worker):
+            if worker_id in self.dispatcher.worker_by_id:
+                self.look(worker_id)
+        self.list_vms()
+        return self.keeper.plan(self.now)
+
+    def settle_lasting(self) -> None:
+        """Let all started tasks be at work for long enough to count as present."""
+        for running in self.running_by_worker.values():
+            for key, entry in running.items():
+                running[key] = entry._replace(percent=100.0)
+        for _ in range(20):
+            self.advance(0.3)
+            self.look_all()
+        self.list_vms()
+
+
+class TestWave:
+    def test_vms_that_are_off_go_first(self):
+        fleet = VmFleet(2, n_off=1)
+        fleet.ask_wave(["m0", "off0"], max_down=1)
+        assert [order.vm_id for order in fleet.step()] == ["off0"]
+
+    def test_no_more_than_the_maximum_are_down(self):
+        """Guards against VMs counted as up while the list lags behind an order."""
+        fleet = VmFleet(4)
+        fleet.ask_wave(["m0", "m1", "m2", "m3"], max_down=2)
+        first = fleet.step()
+        assert len(first) == 2
+        for order in first:
+            fleet.keeper.on_done(order, fleet.now)
+        assert fleet.step() == []
+        fleet.advance(3.5)
+        assert len(fleet.step()) == 2
+
+    def test_unanswered_order_is_repeated(self):
+        fleet = VmFleet(1)
+        fleet.ask_wave(["m0"])
+        (order,) = fleet.step()
+        assert fleet.step() == []
+        assert fleet.step(1.0) == [order]
+
+    def test_wave_is_complete_when_every_vm_has_begun(self):
+        fleet = VmFleet(1)
+        fleet.ask_wave(["m0", "gone"])
+        (order,) = fleet.step()
+        state = fleet.keeper.wave_by_number[1]
+        assert not fleet.keeper.is_complete(state)
+        fleet.keeper.on_done(order, fleet.now)
+        assert fleet.keeper.is_complete(state)
+
+    def test_nothing_is_ordered_right_after_a_change_of_the_owner(self):
+        """Guards against two owners that give orders for one VM in turns."""
+        fleet = VmFleet(1)
+        fleet.keeper = Keeper(fleet.dispatcher, BOUNDS, fleet.now + 3.0)
+        fleet.list_vms()
+        fleet.ask_wave(["m0"])
+        assert fleet.step() == []
+        assert len(fleet.step(3.0)) == 1
+
+
+class TestLastingTasks:
+    def _fleet(self, n_tasks, max_away, max_per_worker, n_workers=3):
+        fleet = VmFleet(n_workers)
+        step = Step(
+            n_tasks,
+            NEED,
+            1.0,
+            is_lasting=True,
+            target_seconds=0.1,
+            max_per_worker=max_per_worker,
+            max_away=max_away,
+        )
+        fleet.dispatcher.add_job(make_job(steps=[step]), fleet.now)
+        self.starts = fleet.start()
+        fleet.settle_lasting()
+        return fleet
+
+    def test_one_vm_of_a_step_goes_down_at_a_time(self):
+        """Guards against two evacuations of one step in the same round."""
+        fleet = self._fleet(2, max_away=1, max_per_worker=1)
+        used = [start.belief.vm_id for start in self.starts]
+        fleet.ask_wave(used)
+        orders = fleet.step() + fleet.step()
+        assert len(orders) == 1
+
+    def test_vm_of_a_step_that_must_not_miss_any_stays_up(self):
+        fleet = self._fleet(1, max_away=0, max_per_worker=1)
+        fleet.ask_wave([self.starts[0].belief.vm_id])
+        assert [fleet.step() for _ in range(8)] == [[]] * 8
+
+    def test_task_that_began_lately_counts_as_away(self):
+        fleet = self._fleet(2, max_away=1, max_per_worker=1)
+        vm_ids = [start.belief.vm_id for start in self.starts]
+        run = self.starts[1].run
+        worker = self.starts[1].belief.worker_id
+        entry = fleet.running_by_worker[worker][run.key]
+        fleet.running_by_worker[worker][run.key] = entry._replace(percent=60.0)
+        fleet.ask_wave(vm_ids[:1])
+        assert fleet.step() + fleet.step() == []
+
+    def test_vm_with_too_many_tasks_gives_them_up_one_by_one(self):
+        fleet = self._fleet(2, max_away=1, max_per_worker=2, n_workers=1)
+        fleet.ask_wave(["m0"])
+        assert fleet.step() + fleet.step() == []
+        (run,) = fleet.keeper.find_evacuations()
+        run.is_evacuated = True
+        (stop,) = fleet.dispatcher.find_stops(fleet.now)
+        assert stop.reason == "evacuated"
+        assert fleet.keeper.find_evacuations() == []
+
+
+class TestMoves:
+    def test_vms_that_are_off_join_the_pool_whose_turn_it_is(self):
+        """Answers the pattern of turns: more is asked than the pool holds."""
+        fleet = VmFleet(1, n_off=2)
+        steps = [Step(8, NEED, 1.0)]
+        fleet.dispatcher.add_job(make_job(steps=steps), fleet.now)
+        orders = fleet.step()
+        assert [(order.pool, order.wave) for order in orders] == [(POOL, 0), (POOL, 0)]
+
+    def test_vm_with_work_is_not_moved(self):
+        fleet = VmFleet(2)
+        fleet.dispatcher.add_job(make_job(), fleet.now)
+        (start,) = fleet.start()
+        orders = [order for _ in range(40) for order in fleet.step()]
+        assert start.belief.vm_id not in {order.vm_id for order in orders}
+
+    def test_moved_vm_loses_its_worker_at_once(self):
+        fleet = VmFleet(1)
+        fleet.ask_wave(["m0"])
+        (order,) = fleet.step()
+        fleet.keeper.on_done(order, fleet.now)
+        assert "w0" not in fleet.dispatcher.worker_by_id
+        fleet.dispatcher.update_workers(fleet.workers, fleet.now)
+        assert "w0" not in fleet.dispatcher.worker_by_id
--- a/catkinport/jobs/worker_state.py
+++ b/catkinport/jobs/worker_state.py
@@ -70,6 +70,7 @@
         stop_sent_at: clock time of the latest stop order; 0 for none.
         stopped_at: clock time at which the worker confirmed a stop; 0 before.
         is_unsure: whether the start had no answer and may be carried out late.
+        is_evacuated: whether it is stopped so that its VM can be taken down.
         percent: progress that the worker listed last.
         progressed_at: clock time at which the progress last changed.
         gauge: latest rough figure of the worker for the task.
@@ -79,6 +80,7 @@
     __slots__ = (
         "asked_at",
         "gauge",
+        "is_evacuated",
         "is_unsure",
         "key",
         "known_at",
@@ -107,6 +109,7 @@
         self.stop_sent_at = 0.0
         self.stopped_at = 0.0
         self.is_unsure = False
+        self.is_evacuated = False
         self.percent = -1.0
         self.progressed_at = now
         self.gauge = 0.0
--- a/catkinport/platform/daemon.py
+++ b/catkinport/platform/daemon.py
@@ -79,7 +79,7 @@
         )
         longest_age = settings.bounds.revoked_key * KEY_PROOF_FRACTION
         self._callers = CallerServer(
-            Intake(table),
+            Intake(table, self._configuration.is_table_reached),
             self._configuration,
             lambda: self._watch.depths,
             self._clock,
--- a/catkinport/policy/upkeep.py
+++ b/catkinport/policy/upkeep.py
@@ -29,15 +29,19 @@
         vm_id: the VM.
         pool: its pool.
         cost: what taking it down costs.
-        busy_core_seconds: work that runs on it.
-        is_reserved: whether it is being drained for the wave.
+        busy_cores: cores of the short work that runs on it.
+        is_reserved: whether it gets no new work, because the wave drains it.
+        may_end_lasting: whether all its lasting tasks may be ended right now.
+        is_pool_busy: whether the pool has its turn.
     """
 
     vm_id: str
     pool: str
     cost: UpkeepCost
-    busy_core_seconds: float = 0.0
+    busy_cores: float = 0.0
     is_reserved: bool = False
+    may_end_lasting: bool = False
+    is_pool_busy: bool = False
 
 
 class WaveView(NamedTuple):
@@ -81,35 +85,43 @@
 def choose_upkeep(view: WaveView) -> UpkeepChoice:
     """Choose what the wave does next.
 
+    VMs with lasting tasks come first: the tasks of a step may be away one after the
+    other only, so they are what takes longest.
+
     Example:
         >>> idle = UpkeepCandidate("m-1", "p", UpkeepCost.IDLE)
         >>> choose_upkeep(WaveView(1, 0, 0, 1, 0.0, 20.0, [idle])).maintain
         ['m-1']
     """
-    n_free = view.max_down - view.n_down
+    lasting = [c for c in view.candidates if c.cost is UpkeepCost.LASTING_WORK]
+    evacuated = [
+        c for c in lasting if c.is_reserved and c.may_end_lasting and not c.busy_cores
+    ]
     ready = [c for c in view.candidates if c.cost <= UpkeepCost.IDLE]
     ready.sort(key=lambda c: (c.cost, not c.is_reserved, c.vm_id))
-    maintain = [c.vm_id for c in ready[: max(0, n_free)]]
-    n_free -= len(maintain)
-    drained = [c for c in view.candidates if c.is_reserved and c.vm_id not in maintain]
-    behind = is_behind(view)
-    if behind and n_free > 0:
-        for candidate in sorted(drained, key=_drain_order):
-            if candidate.cost is UpkeepCost.LASTING_WORK and n_free > 0:
-                maintain.append(candidate.vm_id)
-                n_free -= 1
-    n_draining = sum(c.vm_id not in maintain for c in drained)
-    n_wanted = n_free - n_draining if behind else 0
-    others = [
-        c
-        for c in view.candidates
-        if not c.is_reserved
-        and c.vm_id not in maintain
-        and c.cost < UpkeepCost.FORBIDDEN
-    ]
-    others.sort(key=_drain_order)
-    return UpkeepChoice(maintain, [c.vm_id for c in others[: max(0, n_wanted)]])
-
-
-def _drain_order(candidate: UpkeepCandidate) -> tuple[float, ...]:
-    return (candidate.cost, candidate.busy_core_seconds)
+    n_free = max(0, view.max_down - view.n_down)
+    maintain = [c.vm_id for c in (*evacuated, *ready)][:n_free]
+    drain = _drain_lasting(lasting, is_behind(view))
+    if is_behind(view):
+        short = [c for c in view.candidates if c.cost is UpkeepCost.SHORT_WORK]
+        n_draining = sum(c.is_reserved for c in (*short, *lasting))
+        n_wanted = max(0, n_free - len(maintain) - n_draining)
+        others = sorted((c for c in short if not c.is_reserved), key=_busy_cores)
+        drain += [c.vm_id for c in others[:n_wanted]]
+    return UpkeepChoice(maintain, drain)
+
+
+def _drain_lasting(lasting: list[UpkeepCandidate], behind: bool) -> list[str]:
+    """Choose one VM with lasting tasks of each pool that has none in work."""
+    drain = []
+    taken = {c.pool for c in lasting if c.is_reserved}
+    for candidate in sorted(lasting, key=_busy_cores):
+        if candidate.pool in taken or (candidate.is_pool_busy and not behind):
+            continue
+        taken.add(candidate.pool)
+        drain.append(candidate.vm_id)
+    return drain
+
+
+def _busy_cores(candidate: UpkeepCandidate) -> float:
+    return candidate.busy_cores
