Pack lasting tasks, and keep half of a waiting pool on

Ruled out: the turns themselves (phases in the log match the demand). Change: lasting tasks fill workers up to the limit of their step, but not workers that a wave is about to take down; a waiting pool keeps half of its own VMs on.

--- a/catkinport/jobs/keeper.py
+++ b/catkinport/jobs/keeper.py
@@ -285,6 +285,10 @@
             return
         wave = state.wave
         members = [self._vm_by_id[v] for v in wave.vm_ids if v in self._vm_by_id]
+        for vm in members:
+            belief = self._worker_on(vm.vm_id)
+            if belief is not None:
+                belief.is_due = vm.vm_id not in state.begun
         n_down = sum(self._may_be_down(vm, wave.wave) for vm in members)
         candidates = [
             self._candidate(vm)
--- a/catkinport/jobs/planner.py
+++ b/catkinport/jobs/planner.py
@@ -98,6 +98,7 @@
             room = WorkerRoom(
                 belief.worker_id, belief.listed.labels, belief.free(), belief.penalty
             )
+            room.is_due = belief.is_due
             for run in belief.run_by_key.values():
                 room.count(task_need(run.task))
             rooms[belief.worker_id] = room
@@ -240,7 +241,7 @@
         step.required_label,
         step.preferred_rack,
         step.max_per_worker,
-        max(1, step.max_away) if step.is_lasting else 0,
+        step.is_lasting,
         step.is_filler,
         step.target_seconds > 0,
         task.avoided_worker,
@@ -301,6 +302,7 @@
 def _copy_room(room: WorkerRoom) -> WorkerRoom:
     free = Resources(room.cores, room.memory_gb, room.accelerators)
     copy = WorkerRoom(room.worker_id, room.labels, free, room.penalty)
+    copy.is_due = room.is_due
     copy.n_by_stage = dict(room.n_by_stage)
     copy.n_fillers = room.n_fillers
     copy.n_targets = room.n_targets
--- a/catkinport/jobs/worker_state.py
+++ b/catkinport/jobs/worker_state.py
@@ -132,6 +132,7 @@
         run_by_key: everything that is or may be on it.
         blocked_until: clock time before which it gets no new tasks.
         is_enrolled: whether a successor would learn of it from the roster.
+        is_due: whether a wave is about to take its VM down.
         is_reserved: whether it is kept free for upkeep or a move.
     """
 
@@ -148,6 +149,7 @@
         self.run_by_key: dict[RunKey, Run] = {}
         self.blocked_until = 0.0
         self.is_reserved = False
+        self.is_due = False
         self.is_enrolled = False
         self._outcomes: deque[bool] = deque(maxlen=HEALTH_WINDOW)
         self._quarantine_seconds = QUARANTINE_SECONDS
--- a/catkinport/policy/pool_size.py
+++ b/catkinport/policy/pool_size.py
@@ -16,7 +16,7 @@
 """A VM beyond the pool's own is given up when it has been idle for so long: two moves
 cost as much as about two seconds of an idle VM."""
 
-WAITING_FRACTION = 0.6
+WAITING_FRACTION = 0.5
 """Part of its own VMs that a pool keeps on before its turn. The slack of a job's
 objective covers the time in which the others come."""
 
--- a/catkinport/policy/worker_choice.py
+++ b/catkinport/policy/worker_choice.py
@@ -23,6 +23,7 @@
         penalty: the higher, the later it is chosen; 0 for a sound worker.
 
     Attributes:
+        is_due: whether its VM is about to be taken down.
         n_by_stage: tasks that it runs of each step.
         n_fillers: filling tasks that it runs.
         n_targets: lasting tasks with a latency target that it runs.
@@ -31,6 +32,7 @@
     __slots__ = (
         "accelerators",
         "cores",
+        "is_due",
         "labels",
         "memory_gb",
         "n_by_stage",
@@ -51,6 +53,7 @@
         self.labels = labels
         self.cores, self.memory_gb, self.accelerators = free
         self.penalty = penalty
+        self.is_due = False
         self.n_by_stage: dict[str, int] = {}
         self.n_fillers = 0
         self.n_targets = 0
@@ -78,8 +81,7 @@
         required_label: label that the worker must have; empty for none.
         preferred_rack: label of the rack of its data; empty for none.
         max_per_worker: most tasks of its step on one worker; 0 for no limit.
-        max_together: tasks of its step that one worker should run at most, so that its
-            VM can be taken down; 0 for no such wish.
+        is_lasting: whether it runs until its job is canceled.
         is_filler: whether it only uses what others leave.
         has_target: whether it has a latency target.
         avoided_worker: worker on which it failed before; empty for none.
@@ -90,7 +92,7 @@
     required_label: str = ""
     preferred_rack: str = ""
     max_per_worker: int = 0
-    max_together: int = 0
+    is_lasting: bool = False
     is_filler: bool = False
     has_target: bool = False
     avoided_worker: str = ""
@@ -133,12 +135,10 @@
         disturbs = room.n_targets
     elif task.has_target:
         disturbs = room.n_fillers + room.n_targets
-    n_of_step = room.n_by_stage.get(task.stage, 0)
-    is_too_many = bool(task.max_together) and n_of_step >= task.max_together
     return (
         is_avoided,
         room.penalty,
-        is_too_many,
+        task.is_lasting and room.is_due,
         is_far,
         disturbs,
         room.cores,
