Detect dead VMs, lost orders and lost owners sooner

Ruled out: room before the crash (jobs waited 0.25 s on average). Change: VMs are listed every 0.4 s and what ran on a dead one is given up without a wait; an order has 0.4 s, and a look follows the stop of an unsure start; a daemon takes over after 1.2 s plus four times the latency of the store; a fenced owner ends at once; a step that may run twice gets a copy of a doubtful run.

--- a/catkinport/jobs/dispatcher.py
+++ b/catkinport/jobs/dispatcher.py
@@ -37,9 +37,9 @@
 STOP_RETRY_SECONDS = 0.4
 """Time after which an unanswered stop is sent again."""
 
-DEAD_VM_SILENCE_SECONDS = 1.2
-"""A VM that the platform lists as down counts as dead if its worker has been silent for
-longer than the platform's list may lag."""
+VM_LIST_LAG_SECONDS = 1.2
+"""The platform's list of VMs may be so old. What was ordered before that has ended if a
+VM is listed as down, or with another worker."""
 
 RESTART_PAUSE_SECONDS = 0.2
 """Pause before a task whose run failed is started again."""
@@ -217,10 +217,9 @@
             )
             if not belief.vm_id or is_alive:
                 continue
-            if sent_at - belief.contact_at > DEAD_VM_SILENCE_SECONDS:
-                reason = f"vm-{vm.state}" if vm else "vm-absent"
-                self._resolve(belief.worker_id, reason)
-                self._lose_runs(belief, reason, now, sent_at)
+            reason = f"vm-{vm.state}" if vm else "vm-absent"
+            self._resolve(belief.worker_id, reason)
+            self._lose_runs(belief, reason, now, sent_at - VM_LIST_LAG_SECONDS)
 
     def on_lists(
         self, worker_id: str, lists: WorkerLists, sent_at: float, now: float
@@ -474,7 +473,7 @@
         self, belief: WorkerBelief, reason: str, now: float, asked_before: float
     ) -> None:
         for run in list(belief.run_by_key.values()):
-            if run.asked_at < asked_before - DEAD_VM_SILENCE_SECONDS:
+            if run.asked_at < asked_before:
                 self._lose_run(belief, run, reason, now)
 
     def _remove_worker(self, belief: WorkerBelief) -> None:
@@ -623,6 +622,11 @@
         belief.note_outcome(False, now)
         return True
 
+    def is_doubtful(self, run: Run, now: float) -> bool:
+        """Return whether a copy of the run should be started where that is allowed."""
+        belief = self.worker_by_id[run.worker_id]
+        return run.is_unsure or not belief.is_in_contact(now)
+
     # Sums.
 
     def usage_by_account(self) -> dict[str, Resources]:
--- a/catkinport/jobs/keeper.py
+++ b/catkinport/jobs/keeper.py
@@ -19,16 +19,12 @@
 )
 from ..ports.fleet_vms import FleetVm, UpkeepWave, VmState
 from ..runtime.logs import log_event
-from .dispatcher import Dispatcher
+from .dispatcher import VM_LIST_LAG_SECONDS, Dispatcher
 from .record import TaskPhase
 from .worker_state import Run, WorkerBelief
 
 logger = logging.getLogger(__name__)
 
-LIST_LAG_SECONDS = 1.2
-"""The platform's list of VMs may be so old, so an order is older than what the list
-shows only after that time."""
-
 REPEAT_SECONDS = 1.0
 """Time after which an order without an answer is sent again."""
 
@@ -228,7 +224,7 @@
         seconds = self._bounds.upkeep if pending.order.wave else self._bounds.move
         if not pending.answered_at:
             return False
-        return sent_at > pending.answered_at + seconds + LIST_LAG_SECONDS
+        return sent_at > pending.answered_at + seconds + VM_LIST_LAG_SECONDS
 
     def _repeat_orders(self, now: float) -> Iterator[VmOrder]:
         for pending in list(self._pending_by_vm.values()):
--- a/catkinport/jobs/owner.py
+++ b/catkinport/jobs/owner.py
@@ -10,7 +10,12 @@
 from collections.abc import Coroutine
 from typing import Any, NamedTuple
 
-from ..policy.leadership import BEAT_SECONDS, OwnLease, former_owner_bound
+from ..policy.leadership import (
+    BEAT_SECONDS,
+    DOUBT_SECONDS,
+    OwnLease,
+    former_owner_bound,
+)
 from ..policy.resources import Resources
 from ..ports import Unavailable
 from ..ports.async_table import AsyncTable, Changes, HistoryLost, commit_until_known
@@ -29,8 +34,8 @@
 from ..runtime import Metrics
 from ..runtime.logs import log_event
 from .configuration import FleetConfiguration
-from .dispatcher import Dispatcher, StopOrder
-from .keeper import LIST_LAG_SECONDS, Keeper, VmBounds, VmOrder
+from .dispatcher import VM_LIST_LAG_SECONDS, Dispatcher, StopOrder
+from .keeper import Keeper, VmBounds, VmOrder
 from .model import Job, job_from_row, work_core_seconds
 from .planner import PlannedStart, Planner, Ticket, WantedAdvice
 from .record import JobRecord
@@ -66,8 +71,9 @@
 """Time between reads of the list of workers. A worker that drains must get nothing new
 within 2 s of its notice."""
 
-VM_LIST_SECONDS = 1.0
-"""Time between reads of the platform's list of VMs; each read is charged."""
+VM_LIST_SECONDS = 0.4
+"""Time between reads of the platform's list of VMs, which shows dead ones first; each
+read is charged."""
 
 KEEP_SECONDS = 0.25
 """Time between two decisions about VMs."""
@@ -160,8 +166,12 @@
         )
         self.dispatcher = Dispatcher(configuration)
         self._planner = Planner(self.dispatcher)
-        vm_gap = bounds.vm_order_gap if former_changed_at is not None else 0.0
-        self._keeper = Keeper(self.dispatcher, bounds.vm, renewed_at + vm_gap)
+        may_order_from = float("-inf")
+        if former_changed_at is not None:
+            # A former owner stops ordering VMs about when its lease is in doubt.
+            doubt = 0.0 if is_former_ended else DOUBT_SECONDS
+            may_order_from = former_changed_at + doubt + bounds.vm_order_gap
+        self._keeper = Keeper(self.dispatcher, bounds.vm, may_order_from)
         self._wake = asyncio.Event()
         self._store_wake = asyncio.Event()
         self._stored = asyncio.Condition()
@@ -280,8 +290,10 @@
     def _is_fenced(self, outcome: Any) -> bool:
         if not isinstance(outcome, Rejected) or outcome.reason is not Rejection.FENCED:
             return False
-        log_event(logger, "order fenced", token=self._lease.token)
-        self._spawn(self._beat())
+        # Only a later owner's token makes a worker or the platform refuse this one.
+        if not self._deposed.is_set():
+            log_event(logger, "order fenced", token=self._lease.token)
+        self._deposed.set()
         return True
 
     # State.
@@ -559,14 +571,14 @@
                 continue
             await self._look(belief)
 
-    async def _look(self, belief: WorkerBelief) -> None:
+    async def _look(self, belief: WorkerBelief, may_wait: bool = True) -> None:
         sent_at = self._clock.now()
         is_fresh = sent_at - belief.contact_at <= RENEW_CONTACT_SECONDS + HOLD_WAIT_SECONDS
         lease_seconds = LEASE_SECONDS if is_fresh else 0.0
         if lease_seconds:
             belief.extend_lease(sent_at)
         has_news = belief.processed_end > belief.noted_end or not is_fresh
-        wait_seconds = 0.0 if has_news else HOLD_WAIT_SECONDS
+        wait_seconds = HOLD_WAIT_SECONDS if may_wait and not has_news else 0.0
         outcome = await self._ports.workers.hold(
             belief.listed,
             self._lease.token,
@@ -612,7 +624,7 @@
             if isinstance(vms, Unavailable):
                 log_event(logger, "vms not listed", reason=vms.reason, peer=vms.peer)
             else:
-                if sent_at > self._loaded_at + LIST_LAG_SECONDS:
+                if sent_at > self._loaded_at + VM_LIST_LAG_SECONDS:
                     self.dispatcher.update_vms(vms, sent_at, self._clock.now())
                 self._keeper.take_vms(vms, sent_at)
                 self._wake.set()
@@ -784,6 +796,9 @@
         self._is_fenced(outcome)
         if run is not None:
             self.dispatcher.on_stop_outcome(run, outcome, self._clock.now())
+            if run.is_unsure and isinstance(outcome, Done):
+                # A run that never began has no end to wait for.
+                await self._look(belief, may_wait=False)
         self._wake.set()
 
     def _ask_advice(self, wanted: WantedAdvice) -> None:
--- a/catkinport/jobs/ownership_watch.py
+++ b/catkinport/jobs/ownership_watch.py
@@ -15,7 +15,7 @@
 
 logger = logging.getLogger(__name__)
 
-FOLLOW_SECONDS = 0.4
+FOLLOW_SECONDS = 0.3
 """Longest wait of one look at the ownership."""
 
 RETRY_SECONDS = 0.2
@@ -106,7 +106,10 @@
         sighting = self._watch.sighting
         is_free = sighting is None or not sighting.owner_version or sighting.is_released
         wait_seconds = 0.05 if is_free else FOLLOW_SECONDS
+        sent_at = self._clock.now()
         outcome = await self._table.follow(LEADER_TABLE, self._version, wait_seconds)
+        if isinstance(outcome, Changes) and not outcome.rows:
+            self._watch.note_latency(self._clock.now() - sent_at - wait_seconds)
         if isinstance(outcome, HistoryLost):
             self._version = None
             return True
--- a/catkinport/jobs/planner.py
+++ b/catkinport/jobs/planner.py
@@ -119,11 +119,7 @@
             if record.job.due_at(stage[0]) > unix_now:
                 continue
             tasks = record.tasks_by_stage[stage]
-            waiting = [
-                task
-                for task in tasks
-                if task.phase is TaskPhase.WAITING and task.not_before <= now
-            ]
+            waiting = [task for task in tasks if self._is_startable(task, now)]
             if not waiting:
                 continue
             usable = self._usable_rooms(waiting[0], queue, rooms, now)
@@ -135,6 +131,14 @@
                 if not self._plan_task(task, usable, usage, account, now, starts):
                     break
 
+    def _is_startable(self, task: Task, now: float) -> bool:
+        if task.phase is TaskPhase.WAITING:
+            return task.not_before <= now
+        if task.phase is TaskPhase.DONE or not task.step.may_run_twice:
+            return False
+        runs = self._dispatcher.runs_by_task.get(task.text, [])
+        return len(runs) == 1 and self._dispatcher.is_doubtful(runs[0], now)
+
     def _usable_rooms(
         self, task: Task, queue: Queue, rooms: dict[str, WorkerRoom], now: float
     ) -> dict[str, WorkerRoom]:
--- a/catkinport/platform/workers.py
+++ b/catkinport/platform/workers.py
@@ -25,8 +25,9 @@
 
 logger = logging.getLogger(__name__)
 
-ORDER_SECONDS = 1.2
-"""Longest wait for the answer to an order; a slow worker answers in far less."""
+ORDER_SECONDS = 0.4
+"""Longest wait for the answer to an order, which takes some milliseconds. A start
+without an answer is taken back, so waiting longer only makes its task late."""
 
 HOLD_EXTRA_SECONDS = 0.6
 """Longest wait for a long poll beyond the wait that was asked for."""
--- a/catkinport/policy/leadership.py
+++ b/catkinport/policy/leadership.py
@@ -7,17 +7,21 @@
 
 from typing import NamedTuple
 
-BEAT_SECONDS = 0.4
+BEAT_SECONDS = 0.3
 """Time between renewals; one renewal costs a write."""
 
-TAKEOVER_SECONDS = 1.6
+TAKEOVER_SECONDS = 1.2
 """Unchanged for this long, an owner is replaced; three renewals may be lost."""
 
+LATENCY_FACTOR = 4.0
+"""Times the latency of the table service is added to the silence that is needed, since
+renewals are as slow as other calls and wait for each other."""
+
 MIN_CONFIRMATIONS = 3
 """Answers that must have shown no change. An outage of the table service that hides
 the owner's renewals from everybody therefore does not depose it."""
 
-DOUBT_SECONDS = 1.0
+DOUBT_SECONDS = 0.8
 """After this long without a stored renewal an owner starts nothing that it learnt of
 since, as its successor may be at work from ``TAKEOVER_SECONDS`` on."""
 
@@ -65,6 +69,7 @@
         self._sighting: OwnerSighting | None = None
         self._changed_at = 0.0
         self._n_confirmations = 0
+        self._latency_seconds = 0.0
 
     @property
     def sighting(self) -> OwnerSighting | None:
@@ -85,6 +90,10 @@
             return
         self._n_confirmations += 1
 
+    def note_latency(self, seconds: float) -> None:
+        """Take in how long the table service took beyond a wait that was asked for."""
+        self._latency_seconds = max(0.0, seconds)
+
     def may_claim(self, now: float, wait_seconds: float = 0.0) -> bool:
         """Return whether the ownership may be claimed.
 
@@ -101,7 +110,8 @@
         if self._sighting.owner_version == 0 or self._sighting.is_released:
             return silent_seconds >= wait_seconds
         is_confirmed = self._n_confirmations >= MIN_CONFIRMATIONS
-        return is_confirmed and silent_seconds >= TAKEOVER_SECONDS + wait_seconds
+        needed = TAKEOVER_SECONDS + LATENCY_FACTOR * self._latency_seconds
+        return is_confirmed and silent_seconds >= needed + wait_seconds
 
 
 class OwnLease(NamedTuple):
