Spread lasting tasks so that upkeep can end them, and pause workers in doubt

Starts went on to VMs of a crashed rack for 2.5 s. Ruled out: the limit of VMs that are down at once. Change: a worker runs at most as many lasting tasks of a step as may be away at once, where others have room; a worker that leaves a start unanswered, or whose VM is listed as dead, gets nothing for 0.6 s.

--- a/catkinport/jobs/dispatcher.py
+++ b/catkinport/jobs/dispatcher.py
@@ -34,6 +34,10 @@
 
 logger = logging.getLogger(__name__)
 
+DOUBT_PAUSE_SECONDS = 0.6
+"""Pause before a worker that left a start unanswered, or whose VM is listed as dead, gets
+another task; the next look or list tells more by then."""
+
 STOP_RETRY_SECONDS = 0.4
 """Time after which an unanswered stop is sent again."""
 
@@ -218,6 +222,7 @@
             if not belief.vm_id or is_alive:
                 continue
             reason = f"vm-{vm.state}" if vm else "vm-absent"
+            belief.blocked_until = max(belief.blocked_until, now + DOUBT_PAUSE_SECONDS)
             self._resolve(belief.worker_id, reason)
             self._lose_runs(belief, reason, now, sent_at - VM_LIST_LAG_SECONDS)
 
@@ -515,6 +520,7 @@
             reason=outcome.reason,
             may_run=outcome.may_have_committed,
         )
+        belief.blocked_until = max(belief.blocked_until, now + DOUBT_PAUSE_SECONDS)
         if not outcome.may_have_committed:
             self._lose_run(belief, run, "not-sent", now)
             return
--- a/catkinport/jobs/planner.py
+++ b/catkinport/jobs/planner.py
@@ -246,6 +246,7 @@
         step.preferred_rack,
         step.max_per_worker,
         step.is_lasting,
+        max(1, step.max_away) if step.is_lasting else 0,
         step.is_filler,
         step.target_seconds > 0,
         task.avoided_worker,
--- a/catkinport/policy/worker_choice.py
+++ b/catkinport/policy/worker_choice.py
@@ -82,6 +82,8 @@
         preferred_rack: label of the rack of its data; empty for none.
         max_per_worker: most tasks of its step on one worker; 0 for no limit.
         is_lasting: whether it runs until its job is canceled.
+        max_together: tasks of its step that one worker should run at most, so that its
+            VM can be taken down; 0 for no such wish.
         is_filler: whether it only uses what others leave.
         has_target: whether it has a latency target.
         avoided_worker: worker on which it failed before; empty for none.
@@ -93,6 +95,7 @@
     preferred_rack: str = ""
     max_per_worker: int = 0
     is_lasting: bool = False
+    max_together: int = 0
     is_filler: bool = False
     has_target: bool = False
     avoided_worker: str = ""
@@ -135,10 +138,12 @@
         disturbs = room.n_targets
     elif task.has_target:
         disturbs = room.n_fillers + room.n_targets
+    n_of_step = room.n_by_stage.get(task.stage, 0)
     return (
         is_avoided,
         room.penalty,
         task.is_lasting and room.is_due,
+        bool(task.max_together) and n_of_step >= task.max_together,
         is_far,
         disturbs,
         room.cores,
