Spread lasting tasks evenly where there are fewer workers than tasks

Ruled out: drains that began late (all began with the wave). Change: each task above the wished number on a worker counts, not only the first.

--- a/catkinport/policy/worker_choice.py
+++ b/catkinport/policy/worker_choice.py
@@ -143,7 +143,7 @@
         is_avoided,
         room.penalty,
         task.is_lasting and room.is_due,
-        bool(task.max_together) and n_of_step >= task.max_together,
+        max(0, n_of_step + 1 - task.max_together) if task.max_together else 0,
         is_far,
         disturbs,
         room.cores,
