Let a worker hold two lasting tasks for each that may be away

Ruled out: short work (about 212 VM-seconds at full use). Change: the wished number is twice the number of tasks that may be away.

--- a/catkinport/jobs/planner.py
+++ b/catkinport/jobs/planner.py
@@ -12,6 +12,10 @@
 from .record import JobRecord, Task, TaskPhase
 from .worker_state import Run, WorkerBelief
 
+LASTING_TOGETHER_FACTOR = 2
+"""Lasting tasks of a step that one worker should hold, as a multiple of how many may be
+away at once. More would take too long to evacuate; fewer keep more VMs on."""
+
 NO_LIMIT = Resources(0.0, 0.0, 0.0)
 
 
@@ -246,7 +250,7 @@
         step.preferred_rack,
         step.max_per_worker,
         step.is_lasting,
-        max(1, step.max_away) if step.is_lasting else 0,
+        LASTING_TOGETHER_FACTOR * max(1, step.max_away) if step.is_lasting else 0,
         step.is_filler,
         step.target_seconds > 0,
         task.avoided_worker,
