Bring VMs in by what waits, and more of them when a turn begins

Ruled out: moves that take longer than they should (1.9 s to the first task). Change: only waiting work brings VMs in, a turn brings one and a quarter of the pool's own at once, and a turn is seen after about half a second.

--- a/catkinport/jobs/keeper.py
+++ b/catkinport/jobs/keeper.py
@@ -453,7 +453,8 @@
             vm=move.vm_id,
             pool=move.pool,
             from_pool=vm.pool,
-            demand_cores=round(pools[move.pool].demand_cores, 1),
+            busy_cores=round(pools[move.pool].busy_cores, 1),
+            waiting_cores=round(pools[move.pool].waiting_cores, 1),
             n_vms=pools[move.pool].n_vms,
             own_vms=pools[move.pool].own_vms,
             may_rest=pools[move.pool].may_rest,
@@ -463,7 +464,7 @@
         return VmOrder(move.vm_id, 0, move.pool)
 
     def _pool_views(self, now: float) -> dict[str, PoolView]:
-        demand = self._demand_by_pool()
+        busy, waiting = self._cores_by_pool()
         n_vms: dict[str, int] = {}
         cores: dict[str, float] = {}
         for vm in self._vm_by_id.values():
@@ -479,7 +480,8 @@
             name: PoolView(
                 name=name,
                 is_spare=pool.is_spare,
-                demand_cores=demand.get(name, 0.0),
+                busy_cores=busy.get(name, 0.0),
+                waiting_cores=waiting.get(name, 0.0),
                 vm_cores=cores[name] / n_vms[name] if n_vms.get(name) else mean_cores,
                 own_vms=self._own_vms_by_pool.get(name, 0),
                 n_vms=n_vms.get(name, 0),
@@ -489,19 +491,25 @@
             for name, pool in self._dispatcher.configuration.pool_by_name.items()
         }
 
-    def _demand_by_pool(self) -> dict[str, float]:
-        demand: dict[str, float] = {}
+    def _cores_by_pool(self) -> tuple[dict[str, float], dict[str, float]]:
+        """Return the cores of what runs, and of what could start, by pool."""
+        busy: dict[str, float] = {}
+        for belief in self._dispatcher.worker_by_id.values():
+            pool = belief.listed.pool
+            busy[pool] = busy.get(pool, 0.0) + belief.used.cores
+        waiting: dict[str, float] = {}
         for record in self._dispatcher.job_by_id.values():
             queue = self._dispatcher.queue_of(record)
             if queue is None or record.is_closing:
                 continue
-            cores = 0.0
-            for stage in record.ready_stages():
-                for task in record.tasks_by_stage[stage]:
-                    if task.phase is not TaskPhase.DONE and not task.step.is_filler:
-                        cores += task.step.need.cores
-            demand[queue.pool] = demand.get(queue.pool, 0.0) + cores
-        return demand
+            cores = sum(
+                task.step.need.cores
+                for stage in record.ready_stages()
+                for task in record.tasks_by_stage[stage]
+                if task.phase is TaskPhase.WAITING and not task.step.is_filler
+            )
+            waiting[queue.pool] = waiting.get(queue.pool, 0.0) + cores
+        return busy, waiting
 
 
 def _count_own_vms(vms: Sequence[FleetVm]) -> dict[str, int]:
--- a/catkinport/policy/pool_size.py
+++ b/catkinport/policy/pool_size.py
@@ -20,8 +20,13 @@
 """Part of its own VMs that a pool keeps on before its turn. The slack of a job's
 objective covers the time in which the others come."""
 
-ROOM_FACTOR = 1.15
-"""Room that a pool keeps beyond its demand, as tasks of uneven size leave gaps."""
+TURN_FACTOR = 1.25
+"""VMs that a pool gets at once when its turn begins, as a multiple of its own: a turn
+asks more than the pool holds, and a VM takes two seconds to come."""
+
+WAITING_WORK_FACTOR = 0.7
+"""Part of the cores asked for by waiting tasks that is brought in. The rest is done by
+the time that a VM takes to come."""
 
 
 class PoolView(NamedTuple):
@@ -30,7 +35,8 @@
     Args:
         name: name of the pool.
         is_spare: whether its VMs are off.
-        demand_cores: cores of what runs and of what could start.
+        busy_cores: cores of what runs.
+        waiting_cores: cores of what could start and has no worker yet.
         vm_cores: cores of one VM.
         own_vms: VMs that the pool had at first.
         n_vms: VMs that are on or on their way.
@@ -40,7 +46,8 @@
 
     name: str
     is_spare: bool
-    demand_cores: float
+    busy_cores: float
+    waiting_cores: float
     vm_cores: float
     own_vms: int
     n_vms: int
@@ -75,15 +82,15 @@
     """Return how many VMs the pool should have on.
 
     Example:
-        >>> wanted_vms(PoolView("p", False, 100.0, 64.0, own_vms=1, n_vms=1))
+        >>> wanted_vms(PoolView("p", False, 64.0, 64.0, 64.0, own_vms=1, n_vms=1))
         2
     """
-    cores = view.demand_cores * ROOM_FACTOR
+    cores = view.busy_cores + view.waiting_cores * WAITING_WORK_FACTOR
     n_vms = int(-(-cores // view.vm_cores)) if view.vm_cores else 0
     if view.may_rest:
         return max(n_vms, 1)
     if view.is_busy:
-        return max(n_vms, view.own_vms)
+        return max(n_vms, math.ceil(view.own_vms * TURN_FACTOR))
     return max(n_vms, math.ceil(view.own_vms * WAITING_FRACTION))
 
 
--- a/catkinport/policy/turns.py
+++ b/catkinport/policy/turns.py
@@ -8,10 +8,10 @@
 from collections import deque
 from typing import NamedTuple
 
-WINDOW_SECONDS = 2.0
+WINDOW_SECONDS = 1.2
 """Time over which the demand of a pool is averaged."""
 
-BUSY_LOAD = 0.5
+BUSY_LOAD = 0.35
 """Demand, as a part of the pool's own cores, at which a turn begins."""
 
 QUIET_LOAD = 0.15
