--- a/catkinport/jobs/tests/test_keeper.py
+++ b/catkinport/jobs/tests/test_keeper.py
@@ -149,7 +149,7 @@
     def test_vms_that_are_off_join_the_pool_whose_turn_it_is(self):
         """Answers the pattern of turns: more is asked than the pool holds."""
         fleet = VmFleet(1, n_off=2)
-        steps = [Step(8, NEED, 1.0)]
+        steps = [Step(16, NEED, 1.0)]
         fleet.dispatcher.add_job(make_job(steps=steps), fleet.now)
         orders = fleet.step()
         assert [(order.pool, order.wave) for order in orders] == [(POOL, 0), (POOL, 0)]
