Pace filling tasks; count what an unseen worker may run towards limits

Cause: the random test of owner changes found that a new owner can bring an account over its limit while workers that it has not reached still run tasks of the former owner (7 tasks where 5 fit). Filling tasks were never slowed beside serving ones. Ruled out: limits within one owner's life (test of limits). Change: inherited tasks that nobody has listed count towards their account until all workers are reached or outlived; policy/pacing.py slows filling tasks.

--- a/catkinport/jobs/dispatcher.py
+++ b/catkinport/jobs/dispatcher.py
@@ -8,7 +8,8 @@
 from collections.abc import Iterator, Sequence
 from typing import Any, NamedTuple
 
-from ..policy.resources import Resources
+from ..policy.pacing import ServingTask, choose_pace
+from ..policy.resources import NOTHING, Resources, add
 from ..ports.fleet_vms import FleetVm, VmState
 from ..ports.fleet_workers import (
     Done,
@@ -63,6 +64,14 @@
     reason: str
 
 
+class PaceOrder(NamedTuple):
+    """Lets a filling task work at ``percent`` of its speed."""
+
+    worker_id: str
+    key: RunKey
+    percent: int
+
+
 class Dispatcher:
     """Jobs and workers as the owner knows them.
 
@@ -587,6 +596,35 @@
                 run.phase = RunPhase.STOPPING
                 yield StopOrder(belief.worker_id, run.key, reason)
 
+    def find_paces(self) -> Iterator[PaceOrder]:
+        """Yield the orders that change the speed of filling tasks.
+
+        Speeds are decided once for each look at a worker, on what it listed then.
+        """
+        for belief in self.worker_by_id.values():
+            if belief.paced_at == belief.contact_at:
+                continue
+            belief.paced_at = belief.contact_at
+            runs = [r for r in belief.run_by_key.values() if r.known_at]
+            serving = [
+                ServingTask(run.gauge / 1000, run.task.step.target_seconds)
+                for run in runs
+                if run.task.step.target_seconds > 0
+            ]
+            for run in runs:
+                if not run.task.step.is_filler or run.task.step.target_seconds > 0:
+                    continue
+                percent = choose_pace(serving, run.pace)
+                if percent != run.pace:
+                    yield PaceOrder(belief.worker_id, run.key, percent)
+
+    def on_pace_done(self, order: PaceOrder) -> None:
+        """Note that a worker has taken the new speed."""
+        belief = self.worker_by_id.get(order.worker_id)
+        run = belief.run_by_key.get(order.key) if belief else None
+        if run is not None:
+            run.pace = order.percent
+
     def _find_strays(self, now: float) -> Iterator[StopOrder]:
         """Yield stops of runs of no known job: orders that were carried out late."""
         for (worker_id, key), sent_at in self._stray_sent_at.items():
@@ -641,12 +679,30 @@
         for belief in self.worker_by_id.values():
             for run in belief.run_by_key.values():
                 need = run.task.step.need
-                have = usage.get(run.record.job.account, Resources(0, 0, 0))
-                usage[run.record.job.account] = Resources(
-                    have.cores + need.cores,
-                    have.memory_gb + need.memory_gb,
-                    have.accelerators + need.accelerators,
-                )
+                account = run.record.job.account
+                usage[account] = add(usage.get(account, NOTHING), need)
+        for account, unseen in self._unseen_usage().items():
+            usage[account] = add(usage.get(account, NOTHING), unseen)
+        return usage
+
+    def _unseen_usage(self) -> dict[str, Resources]:
+        """Return what accounts may have on workers that a new owner has not reached.
+
+        Each inherited task that no worker has listed may run on one of them.
+        """
+        usage: dict[str, Resources] = {}
+        if not self.unresolved_by_id:
+            return usage
+        for record in self.job_by_id.values():
+            queue = self.queue_of(record)
+            is_open = queue is None or not self.is_pool_resolved(queue.pool)
+            if not record.is_inherited or not is_open:
+                continue
+            for task in record.all_tasks():
+                if task.phase is TaskPhase.WAITING:
+                    account = record.job.account
+                    need = task.step.need
+                    usage[account] = add(usage.get(account, NOTHING), need)
         return usage
 
     def workers_of(self, pool: str) -> list[WorkerBelief]:
--- a/catkinport/jobs/owner.py
+++ b/catkinport/jobs/owner.py
@@ -34,7 +34,7 @@
 from ..runtime import Metrics
 from ..runtime.logs import log_event
 from .configuration import FleetConfiguration
-from .dispatcher import VM_LIST_LAG_SECONDS, Dispatcher, StopOrder
+from .dispatcher import VM_LIST_LAG_SECONDS, Dispatcher, PaceOrder, StopOrder
 from .keeper import Keeper, VmBounds, VmOrder
 from .model import Job, job_from_row, work_core_seconds
 from .planner import PlannedStart, Planner, Ticket, WantedAdvice
@@ -735,6 +735,8 @@
         self.dispatcher.expire(now)
         for stop in list(self.dispatcher.find_stops(now)):
             self._spawn(self._send_stop(stop))
+        for pace in list(self.dispatcher.find_paces()):
+            self._spawn(self._send_pace(pace))
         learnt_before = self._lease.renewed_at if self._lease.is_in_doubt(now) else None
         if not self._lease.has_given_up(now):
             for start in self._planner.plan(now, time.time(), learnt_before):
@@ -801,6 +803,31 @@
                 await self._look(belief, may_wait=False)
         self._wake.set()
 
+    async def _send_pace(self, pace: PaceOrder) -> None:
+        belief = self.dispatcher.worker_by_id.get(pace.worker_id)
+        if belief is None:
+            return
+        outcome = await self._ports.workers.pace(
+            belief.listed,
+            self._lease.token,
+            pace.key.task,
+            pace.key.run,
+            pace.percent,
+        )
+        log_event(
+            logger,
+            "run paced",
+            request_id=pace.key.task.partition(".")[0],
+            task=pace.key.task,
+            run=pace.key.run,
+            worker=pace.worker_id,
+            percent=pace.percent,
+            outcome=type(outcome).__name__,
+        )
+        self._is_fenced(outcome)
+        if isinstance(outcome, Done):
+            self.dispatcher.on_pace_done(pace)
+
     def _ask_advice(self, wanted: WantedAdvice) -> None:
         if wanted.stage in self._asked_advice:
             return
--- a/catkinport/jobs/tests/test_dispatcher.py
+++ b/catkinport/jobs/tests/test_dispatcher.py
@@ -317,3 +317,43 @@
         fleet.advance(1.0)
         fleet.look("w1")
         assert list(fleet.dispatcher.find_stops(fleet.now)) == []
+
+
+class TestPacing:
+    """Answers the pattern of filling tasks that disturb tasks that serve."""
+
+    def _fleet(self):
+        fleet = Fleet([make_worker("w1")])
+        serving = make_step(1, is_lasting=True, target_seconds=0.1)
+        filler = make_step(1, is_lasting=True, is_filler=True)
+        fleet.dispatcher.add_job(make_job(steps=[serving, filler]), fleet.now)
+        self.serving, self.filler = fleet.start()
+        return fleet
+
+    def _list_tail(self, fleet, milliseconds):
+        fleet.advance(1.0)
+        key = self.serving.run.key
+        running = fleet.running_by_worker["w1"]
+        running[key] = running[key]._replace(gauge=milliseconds)
+        fleet.look("w1")
+
+    def test_fillers_stop_while_a_task_is_over_its_target(self):
+        fleet = self._fleet()
+        self._list_tail(fleet, 120.0)
+        (order,) = fleet.dispatcher.find_paces()
+        assert (order.key, order.percent) == (self.filler.run.key, 0)
+        fleet.dispatcher.on_pace_done(order)
+        assert list(fleet.dispatcher.find_paces()) == []
+
+    def test_fillers_get_their_speed_back_in_steps(self):
+        fleet = self._fleet()
+        self._list_tail(fleet, 120.0)
+        for order in fleet.dispatcher.find_paces():
+            fleet.dispatcher.on_pace_done(order)
+        percents = []
+        for _ in range(5):
+            self._list_tail(fleet, 20.0)
+            for order in fleet.dispatcher.find_paces():
+                fleet.dispatcher.on_pace_done(order)
+                percents.append(order.percent)
+        assert percents == [25, 50, 75, 100]
--- /dev/null
+++ b/catkinport/jobs/tests/test_owner_changes.py
@@ -0,0 +1,369 @@
+"""Random histories of owners, workers and messages that are lost or late.
+
+Fake workers carry out fenced orders under leases, some orders late or without an answer.
+Each owner loads what its predecessor stored and adopts what workers list. After every
+step the promises about runs are checked on what the workers themselves have seen.
+"""
+
+from typing import NamedTuple
+
+import pytest
+from hypothesis import HealthCheck, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    rule,
+    run_state_machine_as_test,
+)
+
+from ...policy.leadership import former_owner_bound
+from ...policy.resources import Resources
+from ...ports import Reason, Unavailable
+from ...ports.fleet_workers import (
+    Done,
+    EndedTask,
+    EndKind,
+    Rejected,
+    Rejection,
+    RunningTask,
+    WorkerLists,
+)
+from ..dispatcher import Dispatcher, StopOrder
+from ..model import Job
+from ..planner import PlannedStart, Planner
+from ..worker_state import (
+    FRESH_CONTACT_SECONDS,
+    LEASE_SECONDS,
+    MAX_LEASE_SECONDS,
+    WorkerBelief,
+)
+from .builders import make_configuration, make_job, make_step, make_worker
+
+MAX_FAILURES = 2
+LIMIT = Resources(20.0, 0.0, 0.0)
+LOST = Unavailable(Reason.TIMEOUT, "worker-start", "w", "", True)
+WORKER_IDS = ("w0", "w1", "w2")
+FATES = ("answered", "answered", "answered", "no answer", "late", "lost")
+workers = st.sampled_from(WORKER_IDS)
+
+
+class Order(NamedTuple):
+    """A start or stop on its way to a worker."""
+
+    worker_id: str
+    token: int
+    task: str
+    run: int
+    until: float
+    is_start: bool
+
+
+class FakeWorker:
+    """A worker as the platform describes it; time is passed in."""
+
+    def __init__(self) -> None:
+        self.token = 0
+        self.lease_until = 0.0
+        self.running: dict[tuple[str, int], float] = {}
+        self.ended: list[EndedTask] = []
+        self.refused_run: dict[str, int] = {}
+        self.n_ends = 0
+        self.born = 1.0
+
+    def expire(self, now: float) -> None:
+        if now > self.lease_until:
+            for key in list(self.running):
+                self.end(key, EndKind.LAPSED)
+
+    def end(self, key: tuple[str, int], how: EndKind) -> None:
+        del self.running[key]
+        self.n_ends += 1
+        self.ended.append(EndedTask(self.n_ends, *key, how, ""))
+        self._refuse(*key)
+
+    def carry_out(self, order: Order, now: float) -> Done | Rejected:
+        self.expire(now)
+        if order.token < self.token:
+            return Rejected(Rejection.FENCED)
+        self.token = order.token
+        key = (order.task, order.run)
+        if not order.is_start:
+            if key in self.running:
+                self.end(key, EndKind.STOPPED)
+            self._refuse(*key)
+            return Done()
+        if order.until < now:
+            return Rejected(Rejection.LATE)
+        if key in self.running:
+            return Done()
+        if order.run <= self.refused_run.get(order.task, 0):
+            return Rejected(Rejection.OLD_RUN)
+        self.running[key] = now
+        self.lease_until = max(self.lease_until, order.until)
+        return Done()
+
+    def hold(self, token: int, noted: int, until: float, now: float):
+        self.expire(now)
+        if token < self.token:
+            return Rejected(Rejection.FENCED)
+        self.token = token
+        self.lease_until = max(self.lease_until, until)
+        self.ended = [end for end in self.ended if end.number > noted]
+        running = [RunningTask(*key, "", 0.0, 0.0) for key in self.running]
+        return WorkerLists(self.born, running, list(self.ended))
+
+    def crash(self) -> None:
+        born = self.born
+        self.__init__()
+        self.born = born + 1.0
+
+    def _refuse(self, task: str, run: int) -> None:
+        self.refused_run[task] = max(run, self.refused_run.get(task, 0))
+
+
+class OwnerChanges(RuleBasedStateMachine):
+    """Owners that come and go while messages are lost or late."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now = 1000.0
+        self.token = 0
+        self.worker_by_id = {worker_id: FakeWorker() for worker_id in WORKER_IDS}
+        self.cut_ids: set[str] = set()
+        self.late_orders: list[Order] = []
+        self.job_by_id: dict[str, Job] = {}
+        self.canceled_at: dict[str, float] = {}
+        self.stored_rows: dict[str, dict] = {}
+        self.done_noted: set[str] = set()
+        self.failed_noted: dict[str, set[int]] = {}
+
+    @initialize()
+    def begin(self) -> None:
+        self._take_over(is_first=True)
+
+    # What happens to the world.
+
+    @rule(seconds=st.sampled_from([0.1, 0.5, 1.5, 3.0]))
+    def pass_time(self, seconds: float) -> None:
+        self.now += seconds
+        for worker in self.worker_by_id.values():
+            worker.expire(self.now)
+        self.dispatcher.expire(self.now)
+        if self.now > self.former_bound:
+            self.dispatcher.resolve_all()
+
+    @rule(worker_id=workers)
+    def cut(self, worker_id: str) -> None:
+        self.cut_ids.add(worker_id)
+
+    @rule(worker_id=workers)
+    def heal(self, worker_id: str) -> None:
+        self.cut_ids.discard(worker_id)
+
+    @rule(worker_id=workers)
+    def crash(self, worker_id: str) -> None:
+        self.worker_by_id[worker_id].crash()
+
+    @rule(how=st.sampled_from([EndKind.DONE, EndKind.FAILED]), worker_id=workers)
+    def end_a_run(self, how: EndKind, worker_id: str) -> None:
+        worker = self.worker_by_id[worker_id]
+        worker.expire(self.now)
+        if worker.running:
+            worker.end(min(worker.running), how)
+
+    @rule()
+    def carry_out_late(self) -> None:
+        if self.late_orders:
+            order = self.late_orders.pop(0)
+            worker = self.worker_by_id[order.worker_id]
+            self._count_start(worker, order)
+
+    # What callers and the owner do.
+
+    @rule(n_tasks=st.integers(1, 3))
+    def submit(self, n_tasks: int) -> None:
+        job_id = f"{len(self.job_by_id):016x}"
+        steps = [make_step(n_tasks), make_step(1, after=(0,))]
+        self.job_by_id[job_id] = make_job(job_id, steps)
+        self.dispatcher.add_job(self.job_by_id[job_id], self.now)
+
+    @rule()
+    def cancel(self) -> None:
+        open_ids = [i for i in self.job_by_id if i not in self.canceled_at]
+        if open_ids:
+            self.canceled_at[open_ids[0]] = self.now
+            self.dispatcher.cancel_job(open_ids[0])
+
+    @rule(
+        fate=st.sampled_from(FATES),
+        stop_fate=st.sampled_from(FATES),
+        is_stored=st.booleans(),
+    )
+    def work(self, fate: str, stop_fate: str, is_stored: bool) -> None:
+        """Do what an owner does again and again."""
+        self._stop(stop_fate)
+        for worker_id in WORKER_IDS:
+            self._look(worker_id)
+        self._plan(fate)
+        if is_stored:
+            self._store()
+
+    def _look(self, worker_id: str) -> None:
+        belief = self.dispatcher.worker_by_id.get(worker_id)
+        if belief is None:
+            return
+        is_fresh = self.now - belief.contact_at <= FRESH_CONTACT_SECONDS
+        until = 0.0
+        if is_fresh:
+            belief.extend_lease(self.now)
+            until = self.now + LEASE_SECONDS
+        if worker_id in self.cut_ids:
+            return
+        outcome = self.worker_by_id[worker_id].hold(
+            self.token, belief.noted_end, until, self.now
+        )
+        if isinstance(outcome, WorkerLists):
+            self.dispatcher.on_lists(worker_id, outcome, self.now, self.now)
+
+    def _plan(self, fate: str) -> None:
+        for start in self.planner.plan(self.now, self.now):
+            self._check_start(start)
+            start.belief.extend_lease(self.now)
+            order = Order(
+                start.run.worker_id,
+                self.token,
+                *start.run.key,
+                self.now + LEASE_SECONDS,
+                True,
+            )
+            outcome = self._send(order, fate)
+            self.dispatcher.on_start_outcome(start.run, outcome, self.now)
+
+    def _stop(self, fate: str) -> None:
+        for stop in list(self.dispatcher.find_stops(self.now)):
+            order = Order(stop.worker_id, self.token, *stop.key, 0.0, False)
+            outcome = self._send(order, fate)
+            run = self._find_run(stop)
+            if run is not None:
+                self.dispatcher.on_stop_outcome(run, outcome, self.now)
+
+    def _store(self) -> None:
+        for record in self.dispatcher.dirty_jobs():
+            self.stored_rows[record.job.job_id] = record.to_row()
+            record.row_version += 1
+            record.is_dirty = False
+            self.dispatcher.forget_ended(record)
+        for belief in self.dispatcher.worker_by_id.values():
+            belief.noted_end = belief.processed_end
+
+    @rule(is_ended=st.booleans())
+    def change_owner(self, is_ended: bool) -> None:
+        # A killed owner is replaced after the silence that the election asks for.
+        self.now += 0.1 if is_ended else 1.2
+        self._take_over(is_first=False)
+
+    # Promises.
+
+    @invariant()
+    def no_task_runs_twice(self) -> None:
+        """Checks that no two workers run one task at the same time."""
+        seen = set()
+        for worker in self.worker_by_id.values():
+            worker.expire(self.now)
+            for task, _ in worker.running:
+                assert task not in seen, f"{task} runs twice"
+                seen.add(task)
+
+    @invariant()
+    def limit_holds(self) -> None:
+        """Checks that the account stays within its limit."""
+        n_running = sum(len(w.running) for w in self.worker_by_id.values())
+        assert n_running * 4.0 <= LIMIT.cores + 4.0
+
+    def _check_start(self, start: PlannedStart) -> None:
+        task = start.run.task
+        record = start.run.record
+        assert task.text not in self.done_noted, "started again after its end"
+        n_failed = len(self.failed_noted.get(task.text, ()))
+        assert n_failed < MAX_FAILURES, "started after its last attempt"
+        assert record.job.job_id not in self.canceled_at, "started after its cancel"
+        if task.task_id.step == 1:
+            first = record.tasks_by_stage[0, 0]
+            assert all(t.text in self.done_seen for t in first), "started out of order"
+
+    @property
+    def done_seen(self) -> set[str]:
+        return {
+            task.text
+            for record in self.dispatcher.job_by_id.values()
+            for task in record.all_tasks()
+            if task.phase == "done"
+        }
+
+    # Helpers.
+
+    def _send(self, order: Order, fate: str) -> Done | Rejected | Unavailable:
+        is_cut = order.worker_id in self.cut_ids
+        if fate == "late":
+            self.late_orders.append(order)
+        if is_cut or fate in ("late", "lost"):
+            return LOST
+        outcome = self._count_start(self.worker_by_id[order.worker_id], order)
+        return LOST if fate == "no answer" else outcome
+
+    def _count_start(self, worker: FakeWorker, order: Order) -> Done | Rejected:
+        return worker.carry_out(order, self.now)
+
+    def _find_run(self, stop: StopOrder):
+        belief = self.dispatcher.worker_by_id.get(stop.worker_id)
+        return belief.run_by_key.get(stop.key) if belief else None
+
+    def _take_over(self, is_first: bool) -> None:
+        self.token += 1
+        self.dispatcher = Dispatcher(make_configuration(MAX_FAILURES, LIMIT))
+        self.planner = Planner(self.dispatcher)
+        # The former owner may have renewed leases until the moment of the change.
+        bound = former_owner_bound(self.now, True, MAX_LEASE_SECONDS)
+        self.former_bound = bound
+        for job_id, job in self.job_by_id.items():
+            row = self.stored_rows.get(job_id)
+            if row is not None and row["state"] in ("completed", "failed", "canceled"):
+                continue
+            self.dispatcher.add_job(job, self.now, is_inherited=True)
+            if job_id in self.canceled_at:
+                self.dispatcher.cancel_job(job_id)
+            if row is not None:
+                self.dispatcher.load_state(job_id, row, 1)
+                self._note_stored(job_id)
+        for record in self.dispatcher.job_by_id.values():
+            record.skip_runs()
+        for worker_id in WORKER_IDS:
+            belief = WorkerBelief(make_worker(worker_id), self.now)
+            belief.is_enrolled = True
+            belief.lease_until = 0.0 if is_first else bound
+            self.dispatcher.worker_by_id[worker_id] = belief
+            if not is_first:
+                self.dispatcher.unresolved_by_id[worker_id] = belief.listed.pool
+
+    def _note_stored(self, job_id: str) -> None:
+        for task in self.dispatcher.job_by_id[job_id].all_tasks():
+            if task.phase == "done":
+                self.done_noted.add(task.text)
+            self.failed_noted.setdefault(task.text, set()).update(task.failed_runs)
+
+
+class TestOwnerChanges:
+    @pytest.mark.timeout(300)
+    def test_promises_hold_in_random_histories(self):
+        """Guards against runs started twice, out of order, unasked or over a limit."""
+        run_state_machine_as_test(
+            OwnerChanges,
+            settings=settings(
+                max_examples=300,
+                stateful_step_count=40,
+                deadline=None,
+                suppress_health_check=list(HealthCheck),
+            ),
+        )
--- a/catkinport/jobs/worker_state.py
+++ b/catkinport/jobs/worker_state.py
@@ -84,7 +84,6 @@
         "is_unsure",
         "key",
         "known_at",
-        "over_target_at",
         "pace",
         "percent",
         "phase",
@@ -114,7 +113,6 @@
         self.progressed_at = now
         self.gauge = 0.0
         self.pace = 100
-        self.over_target_at = 0.0
 
 
 class WorkerBelief:
@@ -127,6 +125,7 @@
         born: start of its present life; 0 before the first contact.
         contact_at: clock time of its latest lists.
         lease_until: clock time after which nothing that was ordered can run there.
+        paced_at: contact at which the speed of filling tasks was last decided.
         processed_end: number of the last end taken in.
         noted_end: number of the last end that is stored.
         run_by_key: everything that is or may be on it.
@@ -144,6 +143,7 @@
         self.contact_at = float("-inf")
         self.first_seen_at = now
         self.lease_until = 0.0
+        self.paced_at = float("-inf")
         self.processed_end = 0
         self.noted_end = 0
         self.run_by_key: dict[RunKey, Run] = {}
--- a/catkinport/ports/fleet_workers.py
+++ b/catkinport/ports/fleet_workers.py
@@ -27,7 +27,8 @@
         run: number of the run.
         saved: latest checkpoint; empty for none.
         percent: progress, or for a lasting task whether it is at work.
-        gauge: tail latency in seconds of a lasting task, else cores in use.
+        gauge: rough figure of the last half second: the tail latency in milliseconds
+            of a task that serves, the thousandths of a core in use of any other.
     """
 
     task: str
