Bound the logs, explain a request from them, and keep the linter clean

Cause: logs were written straight to standard output, so that a stalled reader would have held up requests; nothing told a failed request's history. Change: runtime/bounded_logs.py hands lines to a thread and drops what is too much; catkinctl explain prints a request's lines and causes.

--- /dev/null
+++ b/catkinport/cli/explain.py
@@ -0,0 +1,146 @@
+"""Command that tells the history of a request from the daemons' logs."""
+
+import re
+import sys
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Annotated, NamedTuple
+
+import cappa
+
+from .exit_codes import ExitCode, Failure
+from .output import Report, Table
+from .session import Session
+
+_PAIR = re.compile(r'(\w+)=(?:"((?:[^"\\]|\\.)*)"|(\S*))')
+_COLUMNS = ("time", "event", "details")
+# Shown in columns of their own, or the same in each line of the history.
+_HIDDEN_FIELDS = frozenset({"time", "level", "event", "request_id"})
+STARTED_LATE_SECONDS = 1.0
+"""A job whose first task waited longer than this is explained by the wait."""
+
+
+class LogEvent(NamedTuple):
+    """A line of a log: its fields by name."""
+
+    field_by_name: dict[str, str]
+
+    @property
+    def name(self) -> str:
+        """Name of the event."""
+        return self.field_by_name.get("event", "")
+
+    def get(self, name: str) -> str:
+        """Return a field, empty if the line has none of that name."""
+        return self.field_by_name.get(name, "")
+
+
+def parse_line(line: str) -> LogEvent:
+    """Read the key=value pairs of a line; whatever stands before them is ignored.
+
+    Example:
+        >>> parse_line('time=1 event="run lost" reason=vm-down').get("event")
+        'run lost'
+    """
+    return LogEvent(
+        {name: quoted or plain for name, quoted, plain in _PAIR.findall(line)}
+    )
+
+
+def find_history(lines: Iterable[str], request_id: str) -> list[LogEvent]:
+    """Return the events of a request in the order of their time."""
+    events = [parse_line(line) for line in lines if request_id in line]
+    return sorted(
+        (e for e in events if e.get("request_id") == request_id),
+        key=lambda event: event.get("time"),
+    )
+
+
+def explain(history: list[LogEvent]) -> list[str]:
+    """Return what the history says about how the request ended, a line each."""
+    return list(_find_causes(history)) or ["nothing in these logs explains a failure"]
+
+
+def _find_causes(history: list[LogEvent]) -> Iterator[str]:
+    for event in history:
+        status = event.get("status")
+        if event.name == "call answered" and status >= "400":
+            yield (
+                f"{event.get('method')} was answered {status}: {event.get('reason')};"
+                f" the configuration was {event.get('configuration_age_seconds')} s old"
+            )
+        elif event.name == "job failed":
+            yield (
+                f"task {event.get('task')} failed {event.get('n_failures')} times,"
+                f" last on {event.get('worker')}"
+            )
+        elif event.name == "job cancel taken in":
+            yield "its caller canceled it"
+        elif event.name == "run lost":
+            yield (
+                f"run {event.get('run')} of {event.get('task')} was lost on"
+                f" {event.get('worker')}: {event.get('reason')}"
+            )
+        elif event.name == "start without answer":
+            yield f"a start on {event.get('worker')} had no answer"
+        elif event.name == "job complete" and event.get("late") == "True":
+            yield _explain_late(event)
+
+
+def _explain_late(event: LogEvent) -> str:
+    waited = float(event.get("waited_seconds") or 0)
+    cause = "its tasks took that long"
+    if waited > STARTED_LATE_SECONDS:
+        cause = f"its first task waited {waited} s for a worker"
+    seconds, objective = event.get("seconds"), event.get("objective_seconds")
+    return f"complete after {seconds} s of {objective} s: {cause}"
+
+
+@cappa.command(
+    name="explain",
+    help="Tell the history of a request from logs; needs no connection.",
+)
+@dataclass
+class Explain:
+    """Prints what daemons logged about a request, and what it says about its end."""
+
+    request_id: Annotated[str, cappa.Arg(help="Id of the job or request.")]
+    logs: Annotated[
+        list[Path], cappa.Arg(help="Log files of all daemons; none for standard input.")
+    ] = field(default_factory=list)
+
+    def run(self, session: Session) -> Report | Failure:
+        """Return the history."""
+        try:
+            history = find_history(_read_lines(self.logs), self.request_id)
+        except OSError as error:
+            return Failure(ExitCode.USAGE, f"a log cannot be read: {error}")
+        if not history:
+            return Failure(
+                ExitCode.NOT_FOUND, f"no line is about the request {self.request_id}"
+            )
+        rows = [
+            {"time": event.get("time"), "event": event.name, "details": _details(event)}
+            for event in history
+        ]
+        causes = explain(history)
+        return Report(
+            {"events": rows, "causes": causes}, causes, [Table(_COLUMNS, rows)]
+        )
+
+
+def _read_lines(paths: list[Path]) -> Iterator[str]:
+    if not paths:
+        yield from sys.stdin
+    for path in paths:
+        with path.open(encoding="utf-8", errors="replace") as log:
+            yield from log
+
+
+def _details(event: LogEvent) -> str:
+    return " ".join(
+        f"{name}={value}"
+        for name, value in event.field_by_name.items()
+        if name not in _HIDDEN_FIELDS
+    )
--- a/catkinport/cli/main.py
+++ b/catkinport/cli/main.py
@@ -11,6 +11,7 @@
 
 from .documents import Apply, Check, Diff, Promote, Show
 from .exit_codes import ExitCode, Failure
+from .explain import Explain
 from .fleet import MaintenanceCommand, VmCommand
 from .jobs import JobCommand
 from .keys import KeyCommand
@@ -31,6 +32,7 @@
     | MaintenanceCommand
     | JobCommand
     | Top
+    | Explain
 )
 
 
--- a/catkinport/jobs/dispatcher.py
+++ b/catkinport/jobs/dispatcher.py
@@ -36,8 +36,8 @@
 logger = logging.getLogger(__name__)
 
 DOUBT_PAUSE_SECONDS = 0.6
-"""Pause before a worker that left a start unanswered, or whose VM is listed as dead, gets
-another task; the next look or list tells more by then."""
+"""Pause before a worker that left a start unanswered, or whose VM is listed as dead,
+gets another task; the next look or list tells more by then."""
 
 STOP_RETRY_SECONDS = 0.4
 """Time after which an unanswered stop is sent again."""
@@ -160,9 +160,7 @@
 
     def dirty_jobs(self) -> list[JobRecord]:
         """Return the jobs whose state has to be stored."""
-        return [
-            record for record in self.job_by_id.values() if record.is_dirty
-        ]
+        return [record for record in self.job_by_id.values() if record.is_dirty]
 
     def forget_ended(self, record: JobRecord) -> None:
         """Drop a job that has ended, once that is stored and nothing of it runs."""
@@ -280,9 +278,7 @@
             self._lose_run(belief, run, "vm-ordered-away", now)
         self._remove_worker(belief)
 
-    def _begin_life(
-        self, belief: WorkerBelief, lists: WorkerLists, now: float
-    ) -> None:
+    def _begin_life(self, belief: WorkerBelief, lists: WorkerLists, now: float) -> None:
         belief.processed_end = 0
         belief.noted_end = 0
         listed = {RunKey(entry.task, entry.run) for entry in lists.running}
@@ -327,7 +323,7 @@
                 self._lose_run(belief, run, "not-listed", now)
 
     def _adopt(self, belief: WorkerBelief, key: RunKey, now: float) -> Run | None:
-        """Take over a run that a former owner ordered; ``None`` if its job is unknown."""
+        """Take over a run of a former owner; ``None`` if its job is unknown."""
         task_id = TaskId.parse(key.task)
         record = self.job_by_id.get(task_id.job_id)
         task = record.find_task(task_id) if record else None
@@ -726,4 +722,3 @@
         self.mean_work_by_queue[job.queue] = (
             work if mean is None else mean + (work - mean) * 0.05
         )
-
--- a/catkinport/jobs/intake.py
+++ b/catkinport/jobs/intake.py
@@ -6,7 +6,14 @@
 
 from ..ports import NotRun, Reason, Unavailable, Unknown
 from ..ports.async_table import AsyncTable, commit_until_known
-from ..ports.table import ABSENT_VERSION, Committed, Condition, Conflict, Transaction, Write
+from ..ports.table import (
+    ABSENT_VERSION,
+    Committed,
+    Condition,
+    Conflict,
+    Transaction,
+    Write,
+)
 from ..runtime.logs import log_event
 from .model import Job, JobState, job_to_row
 from .tables import (
@@ -45,8 +52,6 @@
     """The cancellation is stored, or the job has ended."""
 
 
-
-
 class Intake:
     """Stores what callers ask for.
 
@@ -56,9 +61,7 @@
             a write is not even sent, so that the refusal is true and comes at once.
     """
 
-    def __init__(
-        self, table: AsyncTable, is_table_reached: Callable[[], bool]
-    ) -> None:
+    def __init__(self, table: AsyncTable, is_table_reached: Callable[[], bool]) -> None:
         self._table = table
         self._is_table_reached = is_table_reached
 
--- a/catkinport/jobs/keeper.py
+++ b/catkinport/jobs/keeper.py
@@ -430,7 +430,9 @@
             if vm_id not in state.begun
         }
         idle = [
-            IdleVm(vm_id, vm.pool, now - self._idle_since_by_vm[vm_id], self._is_off(vm))
+            IdleVm(
+                vm_id, vm.pool, now - self._idle_since_by_vm[vm_id], self._is_off(vm)
+            )
             for vm_id, vm in self._vm_by_id.items()
             if vm_id in self._idle_since_by_vm
             and self._is_up(vm)
--- a/catkinport/jobs/owner.py
+++ b/catkinport/jobs/owner.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import contextlib
 import logging
 import time
 from collections.abc import Coroutine
@@ -158,9 +159,7 @@
         self._clock = ports.clock
         self._lease = OwnLease(token, renewed_at)
         self._former_bound = (
-            former_owner_bound(
-                former_changed_at, is_former_ended, MAX_LEASE_SECONDS
-            )
+            former_owner_bound(former_changed_at, is_former_ended, MAX_LEASE_SECONDS)
             if former_changed_at is not None
             else 0.0
         )
@@ -284,7 +283,7 @@
     async def _release(self) -> None:
         try:
             await asyncio.wait_for(self._beat(is_released=True), RELEASE_SECONDS)
-        except asyncio.TimeoutError:
+        except TimeoutError:
             log_event(logger, "ownership not released", token=self._lease.token)
 
     def _is_fenced(self, outcome: Any) -> bool:
@@ -573,7 +572,9 @@
 
     async def _look(self, belief: WorkerBelief, may_wait: bool = True) -> None:
         sent_at = self._clock.now()
-        is_fresh = sent_at - belief.contact_at <= RENEW_CONTACT_SECONDS + HOLD_WAIT_SECONDS
+        is_fresh = (
+            sent_at - belief.contact_at <= RENEW_CONTACT_SECONDS + HOLD_WAIT_SECONDS
+        )
         lease_seconds = LEASE_SECONDS if is_fresh else 0.0
         if lease_seconds:
             belief.extend_lease(sent_at)
@@ -598,9 +599,7 @@
         self, belief: WorkerBelief, lists: WorkerLists, sent_at: float
     ) -> None:
         before = belief.processed_end
-        self.dispatcher.on_lists(
-            belief.worker_id, lists, sent_at, self._clock.now()
-        )
+        self.dispatcher.on_lists(belief.worker_id, lists, sent_at, self._clock.now())
         self._wake.set()
         if belief.processed_end == belief.noted_end:
             return
@@ -613,7 +612,7 @@
                     self._stored.wait_for(lambda: belief.noted_end >= target),
                     STORE_WAIT_SECONDS,
                 )
-        except asyncio.TimeoutError:
+        except TimeoutError:
             # The ends stay listed; until they are stored a look returns at once.
             await asyncio.sleep(RETRY_SECONDS)
 
@@ -687,7 +686,9 @@
 
     async def _store_own_vms(self) -> dict[str, Any] | None:
         value = {"n_by_pool": dict(self._keeper.own_vms_by_pool)}
-        transaction = Transaction([self._owner_condition()], [Write(OWN_VMS_KEY, value)])
+        transaction = Transaction(
+            [self._owner_condition()], [Write(OWN_VMS_KEY, value)]
+        )
         outcome = await self._table.commit(transaction)
         return value if isinstance(outcome, Committed) else None
 
@@ -722,10 +723,8 @@
 
     async def _plan_loop(self) -> None:
         while True:
-            try:
+            with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(self._wake.wait(), PLAN_TICK_SECONDS)
-            except asyncio.TimeoutError:
-                pass
             self._wake.clear()
             self._plan()
             await asyncio.sleep(PLAN_GAP_SECONDS)
@@ -884,4 +883,3 @@
 def owner_row(name: str) -> dict[str, Any]:
     """Return the value of the owner's row."""
     return {"owner": name}
-
--- a/catkinport/jobs/planner.py
+++ b/catkinport/jobs/planner.py
@@ -215,7 +215,9 @@
         room.take(task_need(task))
         name = run.record.job.account
         have = usage.get(name, NO_LIMIT)
-        usage[name] = Resources(*(a + b for a, b in zip(have, task.step.need, strict=True)))
+        usage[name] = Resources(
+            *(a + b for a, b in zip(have, task.step.need, strict=True))
+        )
         tickets = self._tickets_by_stage.get(stage_name(task), {})
         ticket = tickets.get(room.worker_id)
         starts.append(PlannedStart(belief, run, ticket.text if ticket else ""))
@@ -228,7 +230,9 @@
             objective_seconds=record.objective_seconds(queue),
             remaining_chain_seconds=chain,
             remaining_core_seconds=record.remaining_core_seconds(),
-            mean_core_seconds=self._dispatcher.mean_work_by_queue.get(queue.name, total),
+            mean_core_seconds=self._dispatcher.mean_work_by_queue.get(
+                queue.name, total
+            ),
             total_core_seconds=total,
             priority=queue.priority,
             is_lasting=any(step.is_lasting for step in record.job.steps),
--- a/catkinport/jobs/tests/builders.py
+++ b/catkinport/jobs/tests/builders.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Mapping, Sequence
 
-from ...policy.resources import Resources
+from ...policy.resources import NOTHING, Resources
 from ...ports.fleet_workers import (
     Done,
     EndedTask,
@@ -30,12 +30,13 @@
 
 def make_job(job_id: str = JOB_ID, steps: Sequence[Step] = (), **fields) -> Job:
     values = {"queue": QUEUE, "account": ACCOUNT, "specification": "s", **fields}
-    return Job(job_id=job_id, steps=tuple(steps or [make_step()]),
-               accepted_at=0.0, **values)
+    return Job(
+        job_id=job_id, steps=tuple(steps or [make_step()]), accepted_at=0.0, **values
+    )
 
 
 def make_configuration(
-    max_failures: int = 3, limit: Resources = Resources(0, 0, 0), version: int = 1
+    max_failures: int = 3, limit: Resources = NOTHING, version: int = 1
 ) -> FleetConfiguration:
     queue = Queue(QUEUE, "h", "/q/", POOL, False, 0, max_failures, 1.6, 0.6, 3.0)
     return FleetConfiguration(
--- a/catkinport/jobs/tests/test_dispatcher.py
+++ b/catkinport/jobs/tests/test_dispatcher.py
@@ -286,19 +286,25 @@
 class TestGang:
     def test_members_start_together_with_one_run_number(self):
         fleet = Fleet([make_worker("w1", 8.0), make_worker("w2", 8.0)])
-        fleet.dispatcher.add_job(make_job(steps=[make_step(4, is_gang=True)]), fleet.now)
+        fleet.dispatcher.add_job(
+            make_job(steps=[make_step(4, is_gang=True)]), fleet.now
+        )
         starts = fleet.start()
         assert [start.run.key.run for start in starts] == [1, 1, 1, 1]
 
     def test_gang_that_does_not_fit_whole_does_not_start(self):
         """Guards against members that wait alone for the others."""
         fleet = Fleet([make_worker("w1", 8.0)])
-        fleet.dispatcher.add_job(make_job(steps=[make_step(4, is_gang=True)]), fleet.now)
+        fleet.dispatcher.add_job(
+            make_job(steps=[make_step(4, is_gang=True)]), fleet.now
+        )
         assert fleet.start() == []
 
     def test_one_done_end_stands_for_all(self):
         fleet = Fleet([make_worker("w1")])
-        fleet.dispatcher.add_job(make_job(steps=[make_step(2, is_gang=True)]), fleet.now)
+        fleet.dispatcher.add_job(
+            make_job(steps=[make_step(2, is_gang=True)]), fleet.now
+        )
         first, _ = fleet.start()
         fleet.end(first)
         assert fleet.states() == {JOB_ID: "completed"}
--- a/catkinport/jobs/tests/test_owner_changes.py
+++ b/catkinport/jobs/tests/test_owner_changes.py
@@ -1,7 +1,7 @@
 """Random histories of owners, workers and messages that are lost or late.
 
-Fake workers carry out fenced orders under leases, some orders late or without an answer.
-Each owner loads what its predecessor stored and adopts what workers list. After every
+Fake workers carry out fenced orders under leases, some late or without an answer. Each
+owner loads what its predecessor stored and adopts what workers list. After every
 step the promises about runs are checked on what the workers themselves have seen.
 """
 
--- a/catkinport/platform/callers.py
+++ b/catkinport/platform/callers.py
@@ -93,7 +93,10 @@
         labels = {"method": request.method, "status": str(answer.status)}
         self._metrics.increment("calls", "Calls answered.", labels)
         self._metrics.observe(
-            "call_seconds", "Time to answer a call.", {"method": request.method}, seconds
+            "call_seconds",
+            "Time to answer a call.",
+            {"method": request.method},
+            seconds,
         )
         if request.method != "GET" or answer.status >= 400:
             log_event(
@@ -120,7 +123,9 @@
     async def _answer(self, request: web.BaseRequest) -> Answer:
         configuration = self._configuration.current
         if configuration is None:
-            return Answer(503, reason="no-configuration", retry_after=RETRY_AFTER_SECONDS)
+            return Answer(
+                503, reason="no-configuration", retry_after=RETRY_AFTER_SECONDS
+            )
         host = request.headers.get("Host", "").partition(":")[0].lower()
         queue = configuration.find_queue(host, request.path)
         if queue is None:
--- a/catkinport/platform/client.py
+++ b/catkinport/platform/client.py
@@ -1,6 +1,5 @@
 """The HTTP client for everything that the platform serves."""
 
-import asyncio
 import json
 from collections.abc import Mapping
 from typing import Any, NamedTuple
@@ -101,7 +100,7 @@
                 content = await response.read()
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             return Unavailable(Reason.CONNECT_FAILED, step, peer, str(error))
-        except asyncio.TimeoutError:
+        except TimeoutError:
             return Unavailable(
                 Reason.TIMEOUT, step, peer, f"no answer in {timeout_seconds} s", True
             )
--- a/catkinport/platform/daemon.py
+++ b/catkinport/platform/daemon.py
@@ -1,4 +1,4 @@
-"""The daemon of an entry VM: answers callers, and owns the fleet when it is its turn."""
+"""The daemon of an entry VM: answers callers, and owns the fleet at times."""
 
 import asyncio
 import logging
--- a/catkinport/platform/main.py
+++ b/catkinport/platform/main.py
@@ -21,7 +21,9 @@
         for fault in settings:
             print(format_fault(fault), file=sys.stderr)
         return 2
-    configure_logging(log_format=settings.log_format, stream=sys.stdout)
+    configure_logging(
+        log_format=settings.log_format, stream=sys.stdout, is_bounded=True
+    )
     asyncio.run(PlatformDaemon(settings, path).run())
     return 0
 
--- a/catkinport/platform/operator_rows.py
+++ b/catkinport/platform/operator_rows.py
@@ -145,5 +145,7 @@
     return Account(
         name=decoding.text(entry, "Name"),
         weight=decoding.number(entry, "Weight", 1),
-        limit=decoding.resources(limit) if isinstance(limit, dict) else Resources(0, 0, 0),
+        limit=decoding.resources(limit)
+        if isinstance(limit, dict)
+        else Resources(0, 0, 0),
     )
--- a/catkinport/platform/table.py
+++ b/catkinport/platform/table.py
@@ -10,8 +10,8 @@
 from ..ports.async_table import Changes, HistoryLost, Snapshot
 from ..ports.table import (
     ABSENT_VERSION,
-    Committed,
     CommitOutcome,
+    Committed,
     Conflict,
     Row,
     RowKey,
@@ -88,7 +88,13 @@
             if end:
                 query["To"] = end
             reply = await self._client.call(
-                "table-read", "GET", self._address, "/rows-get", CALL_SECONDS, None, query
+                "table-read",
+                "GET",
+                self._address,
+                "/rows-get",
+                CALL_SECONDS,
+                None,
+                query,
             )
             if isinstance(reply, Unavailable):
                 return reply
--- a/catkinport/platform/tests/test_decoding.py
+++ b/catkinport/platform/tests/test_decoding.py
@@ -107,7 +107,9 @@
 class TestRow:
     def test_value_that_is_no_json_becomes_an_empty_object(self):
         """Guards against bytes of another writer that stop the reader of a table."""
-        row = decode_row({"Table": "servers", "Key": "i-1", "Value": "/////w==", "Ver": 3})
+        row = decode_row(
+            {"Table": "servers", "Key": "i-1", "Value": "/////w==", "Ver": 3}
+        )
         assert (row.value, row.version) == ({}, 3)
 
     def test_removed_row_has_no_value(self):
--- a/catkinport/platform/tests/test_settings.py
+++ b/catkinport/platform/tests/test_settings.py
@@ -33,10 +33,8 @@
         return scope
     value: Any = FIELDS
     for part in name.split("."):
-        if isinstance(value, list):
-            value = value[int(part)]
-        else:
-            value = value.get(part, "")
+        is_list = isinstance(value, list)
+        value = value[int(part)] if is_list else value.get(part, "")
     return value
 
 
--- a/catkinport/platform/workers.py
+++ b/catkinport/platform/workers.py
@@ -196,7 +196,9 @@
             return reply
         try:
             if reply.status == 200:
-                return {str(worker): str(ticket) for worker, ticket in reply.body["Good"]}
+                return {
+                    str(worker): str(ticket) for worker, ticket in reply.body["Good"]
+                }
         except (KeyError, TypeError, ValueError) as error:
             detail = f"unreadable answer: {error!r}"[:200]
             return Unavailable(Reason.ANSWER_TRUNCATED, "advise", peer, detail)
@@ -266,7 +268,9 @@
     """
     state = decoding.text(value, "State")
     if state not in ("ready", "draining"):
-        raise decoding.MessageError(f"State must be ready or draining, got {state!r:.40}")
+        raise decoding.MessageError(
+            f"State must be ready or draining, got {state!r:.40}"
+        )
     address = decoding.text(value, "Address")
     host, _, port = address.rpartition(":")
     if not host or not port.isdigit():
--- a/catkinport/policy/pacing.py
+++ b/catkinport/policy/pacing.py
@@ -1,8 +1,8 @@
 """Decides how fast filling tasks may work beside tasks that serve.
 
 Pattern: filling tasks use what others leave and disturb them by amounts that change
-within seconds. They are slowed down as soon as a serving task comes near its target, and
-get their speed back step by step.
+within seconds. They are slowed down as soon as a serving task comes near its target,
+and get their speed back step by step.
 """
 
 from collections.abc import Sequence
@@ -15,7 +15,7 @@
 """Part of its target under which a serving task leaves room for filling tasks."""
 
 RAISE_PERCENT = 25
-"""Steps in which filling tasks get their speed back, one for each look at the worker."""
+"""Step in which filling tasks get their speed back, one for each look at a worker."""
 
 FULL_PERCENT = 100
 
--- a/catkinport/ports/async_table.py
+++ b/catkinport/ports/async_table.py
@@ -65,8 +65,7 @@
         n_attempts: most attempts, at least 1.
     """
     is_unsure = False
-    outcome: CommitOutcome
-    for _ in range(n_attempts):
+    for attempt in range(1, n_attempts + 1):
         outcome = await table.commit(transaction)
         if isinstance(outcome, Committed):
             return outcome
@@ -76,7 +75,9 @@
                 return Committed(versions)
             return outcome
         is_unsure = is_unsure or outcome.may_have_committed
-    return outcome._replace(may_have_committed=is_unsure)
+        if attempt == n_attempts:
+            return outcome._replace(may_have_committed=is_unsure)
+    raise ValueError(f"n_attempts must be >= 1, got {n_attempts!r}")
 
 
 def _versions_if_written(
--- a/catkinport/runtime/logs.py
+++ b/catkinport/runtime/logs.py
@@ -6,6 +6,8 @@
 
 from pythonjsonlogger.json import JsonFormatter
 
+from .bounded_logs import BoundedHandler
+
 LOG_FORMATS = ("keyvalue", "json")
 _FIELDS = "event_fields"
 
@@ -37,7 +39,10 @@
 
 
 def configure_logging(
-    level: str = "INFO", log_format: str = "keyvalue", stream: TextIO | None = None
+    level: str = "INFO",
+    log_format: str = "keyvalue",
+    stream: TextIO | None = None,
+    is_bounded: bool = False,
 ) -> None:
     """Send all log records to ``stream`` (standard error by default).
 
@@ -45,13 +50,15 @@
         level: lowest level that is written.
         log_format: ``"keyvalue"`` or ``"json"``.
         stream: where lines go.
+        is_bounded: whether lines are dropped rather than waited for.
 
     Raises:
         ValueError: if ``log_format`` is unknown.
     """
     if log_format not in LOG_FORMATS:
         raise ValueError(f"log_format must be one of {LOG_FORMATS}, got {log_format!r}")
-    handler = logging.StreamHandler(stream or sys.stderr)
+    target = stream or sys.stderr
+    handler = BoundedHandler(target) if is_bounded else logging.StreamHandler(target)
     if log_format == "json":
         handler.setFormatter(_JsonEventFormatter("%(asctime)s %(message)s"))
     else:
