Keep a job until none of its runs may be left on any worker

Cause: the random test of owner changes found a canceled job that a new owner ended before it had reached the workers; the owner after it forgot the job, whose runs then no longer counted towards the account's limit (7 tasks where 5 fit). Ruled out: the count of runs within one owner's life. Change: a closing job ends only when its pool's workers are all reached or outlived; the stored state says whether runs are left; the roster is loaded before the jobs. Tests: TestClosingAcrossOwners; the random test passes again.

--- a/catkinport/jobs/dispatcher.py
+++ b/catkinport/jobs/dispatcher.py
@@ -23,7 +23,7 @@
 )
 from ..runtime.logs import log_event
 from .configuration import FleetConfiguration, Queue
-from .model import Job, JobState, TaskId, work_core_seconds
+from .model import FINAL_STATES, Job, JobState, TaskId, work_core_seconds
 from .record import JobRecord, Task, TaskPhase
 from .worker_state import (
     UNHEALTHY_PAUSE_SECONDS,
@@ -72,6 +72,12 @@
     percent: int
 
 
+def is_over(row: dict[str, Any]) -> bool:
+    """Return whether a stored state is final and nothing of its job runs."""
+    is_final = JobState(row["state"]) in FINAL_STATES
+    return is_final and row.get("settled", True)
+
+
 class Dispatcher:
     """Jobs and workers as the owner knows them.
 
@@ -128,12 +134,12 @@
         )
 
     def load_state(self, job_id: str, row: dict[str, Any], version: int) -> None:
-        """Take over the stored state of a job; one that has ended is forgotten."""
+        """Take over the stored state of a job; one that is over is forgotten."""
         record = self.job_by_id.get(job_id)
         if record is None:
             return
         record.load_row(row, version)
-        if record.is_final:
+        if is_over(row):
             del self.job_by_id[job_id]
 
     def cancel_job(self, job_id: str) -> None:
@@ -164,7 +170,8 @@
 
     def forget_ended(self, record: JobRecord) -> None:
         """Drop a job that has ended, once that is stored and nothing of it runs."""
-        if record.is_final and not record.is_dirty and not self._has_runs(record):
+        is_over = record.is_final and not self._may_have_runs(record)
+        if is_over and not record.is_dirty:
             self.job_by_id.pop(record.job.job_id, None)
 
     # Workers.
@@ -254,7 +261,8 @@
         self._match_running(belief, lists, sent_at, now)
 
     def _resolve(self, worker_id: str, reason: str) -> None:
-        if self.unresolved_by_id.pop(worker_id, None) is not None:
+        pool = self.unresolved_by_id.pop(worker_id, None)
+        if pool is not None:
             log_event(
                 logger,
                 "former worker resolved",
@@ -262,6 +270,19 @@
                 reason=reason,
                 n_left=len(self.unresolved_by_id),
             )
+            if pool not in self.unresolved_by_id.values():
+                self._settle_inherited(pool)
+
+    def settle_loaded(self) -> None:
+        """End the closing jobs of which no worker may run anything."""
+        for record in list(self.job_by_id.values()):
+            self._settle_closing(record)
+
+    def _settle_inherited(self, pool: str) -> None:
+        for record in list(self.job_by_id.values()):
+            queue = self.queue_of(record)
+            if record.is_inherited and queue is not None and queue.pool == pool:
+                self._settle_closing(record)
 
     def resolve_all(self) -> None:
         """Note that nothing of the former owner can run on unseen workers."""
@@ -709,12 +730,21 @@
         """Return whether tasks of inherited jobs may start in the pool."""
         return pool not in self.unresolved_by_id.values()
 
-    def _has_runs(self, record: JobRecord) -> bool:
-        return record.n_placed > 0
+    def _may_have_runs(self, record: JobRecord) -> bool:
+        if record.n_placed > 0:
+            return True
+        queue = self.queue_of(record)
+        pool = queue.pool if queue else ""
+        return record.is_inherited and not self.is_pool_resolved(pool)
 
     def _settle_closing(self, record: JobRecord) -> None:
-        if record.is_cancel_asked and not self._has_runs(record):
+        if self._may_have_runs(record):
+            return
+        if record.is_cancel_asked:
             record.mark_canceled()
+        if record.is_final:
+            # Stored once more, now as a job of which nothing runs.
+            record.is_dirty = True
 
     def _learn_work(self, job: Job) -> None:
         work = work_core_seconds(job.steps)
--- a/catkinport/jobs/owner.py
+++ b/catkinport/jobs/owner.py
@@ -35,7 +35,13 @@
 from ..runtime import Metrics
 from ..runtime.logs import log_event
 from .configuration import FleetConfiguration
-from .dispatcher import VM_LIST_LAG_SECONDS, Dispatcher, PaceOrder, StopOrder
+from .dispatcher import (
+    VM_LIST_LAG_SECONDS,
+    Dispatcher,
+    PaceOrder,
+    StopOrder,
+    is_over,
+)
 from .keeper import Keeper, VmBounds, VmOrder
 from .model import Job, job_from_row, work_core_seconds
 from .planner import PlannedStart, Planner, Ticket, WantedAdvice
@@ -310,21 +316,19 @@
         assert not isinstance(states, Unavailable)
         assert not isinstance(roster, Unavailable)
         self._feed_version = jobs.version
-        final_ids = {
-            row.row_key.key
-            for row in states.rows
-            if row.value["state"] in ("completed", "failed", "canceled")
-        }
+        over_ids = {row.row_key.key for row in states.rows if is_over(row.value)}
         now = self._clock.now()
         self._loaded_at = now
+        # Workers come first: a job may only end once none of them may run it.
+        for row in roster.rows:
+            self._take_roster_row(row, now)
         for row in jobs.rows:
-            self._take_job_row(row, now, True, final_ids)
+            self._take_job_row(row, now, True, over_ids)
         for row in states.rows:
             self.dispatcher.load_state(row.row_key.key, row.value, row.version)
         for record in self.dispatcher.job_by_id.values():
             record.skip_runs()
-        for row in roster.rows:
-            self._take_roster_row(row, now)
+        self.dispatcher.settle_loaded()
         log_event(
             logger,
             "state loaded",
@@ -336,13 +340,13 @@
         return True
 
     def _take_job_row(
-        self, row: Row, now: float, is_inherited: bool, final_ids: set[str]
+        self, row: Row, now: float, is_inherited: bool, over_ids: set[str]
     ) -> None:
         key = row.row_key.key
         if row.value is None:
             return
         job_id = key.removesuffix(CANCEL_SUFFIX)
-        if job_id in final_ids:
+        if job_id in over_ids:
             return
         if key.endswith(CANCEL_SUFFIX):
             self.dispatcher.cancel_job(job_id)
@@ -413,14 +417,10 @@
         if isinstance(jobs, Unavailable) or isinstance(states, Unavailable):
             await asyncio.sleep(RETRY_SECONDS)
             return
-        final_ids = {
-            row.row_key.key
-            for row in states.rows
-            if row.value["state"] in ("completed", "failed", "canceled")
-        }
+        over_ids = {row.row_key.key for row in states.rows if is_over(row.value)}
         now = self._clock.now()
         for row in jobs.rows:
-            self._take_job_row(row, now, False, final_ids)
+            self._take_job_row(row, now, False, over_ids)
         self._feed_version = jobs.version
         self._wake.set()
 
--- a/catkinport/jobs/record.py
+++ b/catkinport/jobs/record.py
@@ -219,6 +219,8 @@
             "top_run": self._top_run,
         }
         if self.is_final:
+            # A successor has to know a job that still has runs to stop.
+            row["settled"] = self.n_placed == 0
             return row
         row["done"] = {
             f"{occurrence}.{number}": _to_mask(tasks)
--- a/catkinport/jobs/tests/test_dispatcher.py
+++ b/catkinport/jobs/tests/test_dispatcher.py
@@ -10,6 +10,7 @@
     Rejection,
     RunningTask,
 )
+from ..dispatcher import is_over
 from ..model import JobState
 from ..record import JobRecord
 from .builders import JOB_ID, Fleet, make_job, make_step, make_worker
@@ -363,3 +364,29 @@
                 fleet.dispatcher.on_pace_done(order)
                 percents.append(order.percent)
         assert percents == [25, 50, 75, 100]
+
+
+class TestClosingAcrossOwners:
+    def test_cancel_is_not_final_before_all_workers_are_reached(self):
+        """Guards against a canceled job whose tasks still run on an unseen worker.
+
+        Found by the random test of owner changes: the next owner forgot the job, and
+        its runs no longer counted towards the account's limit.
+        """
+        fleet = Fleet([make_worker("w1"), make_worker("w2")])
+        fleet.dispatcher.unresolved_by_id["w2"] = "renders"
+        fleet.dispatcher.add_job(make_job(), fleet.now, is_inherited=True)
+        fleet.dispatcher.cancel_job(JOB_ID)
+        assert fleet.states() == {JOB_ID: "queued"}
+        fleet.look("w2")
+        assert fleet.states() == {JOB_ID: "canceled"}
+
+    def test_failed_job_with_runs_to_stop_is_not_over(self):
+        fleet = Fleet([make_worker("w1", 8.0)], max_failures=1)
+        fleet.dispatcher.add_job(make_job(steps=[make_step(2)]), fleet.now)
+        first, second = fleet.start()
+        fleet.end(first, EndKind.FAILED)
+        record = fleet.dispatcher.job_by_id[JOB_ID]
+        assert not is_over(record.to_row())
+        fleet.end(second, EndKind.STOPPED)
+        assert is_over(record.to_row())
--- a/catkinport/jobs/tests/test_owner_changes.py
+++ b/catkinport/jobs/tests/test_owner_changes.py
@@ -30,7 +30,7 @@
     RunningTask,
     WorkerLists,
 )
-from ..dispatcher import Dispatcher, StopOrder
+from ..dispatcher import Dispatcher, StopOrder, is_over
 from ..model import Job
 from ..planner import PlannedStart, Planner
 from ..worker_state import (
@@ -329,7 +329,7 @@
         self.former_bound = bound
         for job_id, job in self.job_by_id.items():
             row = self.stored_rows.get(job_id)
-            if row is not None and row["state"] in ("completed", "failed", "canceled"):
+            if row is not None and is_over(row):
                 continue
             self.dispatcher.add_job(job, self.now, is_inherited=True)
             if job_id in self.canceled_at:
