--- a/catkinport/jobs/dispatcher.py
+++ b/catkinport/jobs/dispatcher.py
@@ -49,6 +49,12 @@
 RESTART_PAUSE_SECONDS = 0.2
 """Pause before a task whose run failed is started again."""
 
+DEFAULT_TASK_SECONDS = 1.0
+"""Assumed duration of a task before any task of its queue has ended."""
+
+LEARNING_RATE = 0.05
+"""Weight of a new value in a learnt mean; about the last twenty count."""
+
 STALL_FACTOR = 1.0
 """A run without progress for this many times its estimate stands still."""
 
@@ -98,6 +104,7 @@
         self.runs_by_task: dict[str, list[Run]] = {}
         self.unresolved_by_id: dict[str, str] = {}
         self.mean_work_by_queue: dict[str, float] = {}
+        self._mean_seconds_by_queue: dict[str, float] = {}
         self._retired_ids: set[str] = set()
         self._stray_sent_at: dict[tuple[str, RunKey], float] = {}
 
@@ -410,6 +417,8 @@
         record.note_run(task, ended.run)
         record.keep_saved(task, ended.saved)
         if ended.how is EndKind.DONE and not task.step.is_lasting:
+            if run is not None:
+                self._learn_seconds(record.job.queue, now - run.asked_at)
             self._on_done(belief, record, task, now)
         elif ended.how is EndKind.FAILED:
             self._on_failed(belief, record, task, ended.run, now)
@@ -746,9 +755,24 @@
             # Stored once more, now as a job of which nothing runs.
             record.is_dirty = True
 
+    def expected_core_seconds(self, job: Job) -> float:
+        """Return the work of a job by how long tasks of its queue took lately.
+
+        Callers' estimates may be several times too small or too large.
+        """
+        seconds = self._mean_seconds_by_queue.get(job.queue, DEFAULT_TASK_SECONDS)
+        return seconds * sum(
+            step.n_tasks * step.need.cores for step in job.steps if not step.is_lasting
+        )
+
+    def _learn_seconds(self, queue: str, seconds: float) -> None:
+        mean = self._mean_seconds_by_queue.get(queue, DEFAULT_TASK_SECONDS)
+        mean += (seconds - mean) * LEARNING_RATE
+        self._mean_seconds_by_queue[queue] = mean
+
     def _learn_work(self, job: Job) -> None:
         work = work_core_seconds(job.steps)
         mean = self.mean_work_by_queue.get(job.queue)
         self.mean_work_by_queue[job.queue] = (
-            work if mean is None else mean + (work - mean) * 0.05
+            work if mean is None else mean + (work - mean) * LEARNING_RATE
         )
--- a/catkinport/jobs/owner.py
+++ b/catkinport/jobs/owner.py
@@ -43,7 +43,7 @@
     is_over,
 )
 from .keeper import Keeper, VmBounds, VmOrder
-from .model import Job, job_from_row, work_core_seconds
+from .model import Job, job_from_row
 from .planner import PlannedStart, Planner, Ticket, WantedAdvice
 from .record import JobRecord
 from .tables import (
@@ -371,7 +371,8 @@
     def _note_work(self, job: Job, now: float) -> None:
         queue = self.dispatcher.configuration.queue_by_name.get(job.queue)
         if queue is not None:
-            self._keeper.note_work(queue.pool, work_core_seconds(job.steps), now)
+            work = self.dispatcher.expected_core_seconds(job)
+            self._keeper.note_work(queue.pool, work, now)
 
     def _take_roster_row(self, row: Row, now: float) -> None:
         pool = row.row_key.key
--- a/catkinport/platform/table.py
+++ b/catkinport/platform/table.py
@@ -23,6 +23,10 @@
 """Longest wait for an answer, which takes 4 ms when all is well. Shorter than three
 renewals of the ownership."""
 
+FOLLOW_EXTRA_SECONDS = 0.7
+"""Longest wait for the answer of a feed beyond the wait that was asked for; a silent
+store is noticed after it."""
+
 PART = "fleet"
 """The part of all rows that an owner writes, as a transaction covers one part only."""
 
@@ -158,7 +162,7 @@
             "GET",
             self._address,
             "/rows-feed",
-            wait_seconds + CALL_SECONDS,
+            wait_seconds + FOLLOW_EXTRA_SECONDS,
             None,
             query,
         )
