--- a/catkinport/jobs/ownership_watch.py
+++ b/catkinport/jobs/ownership_watch.py
@@ -68,6 +68,7 @@
         clock: steady clock.
         name: name of this daemon.
         rng: source of the spread of claims.
+        claim_delay_seconds: how long this daemon lets stronger ones claim first.
     """
 
     def __init__(
@@ -76,6 +77,7 @@
         self._table = table
         self._clock = clock
         self._name = name
+        self._claim_delay_seconds = claim_delay_seconds
         self._rng = rng
         self._watch = OwnerWatch()
         self._row_by_key: dict[str, Row] = {}
@@ -90,7 +92,7 @@
             if not await self.look():
                 await asyncio.sleep(RETRY_SECONDS)
                 continue
-            if not self._watch.may_claim(self._clock.now(), spread):
+            if not self._may_claim(spread):
                 continue
             claim = await self._claim()
             if claim is not None:
@@ -99,6 +101,14 @@
             spread = self._rng.uniform(0, largest)
         return None
 
+    def _may_claim(self, spread: float) -> bool:
+        sighting = self._watch.sighting
+        is_own_former = sighting is not None and sighting.is_own_former
+        # Nobody else claims sooner than the VM of a former owner that is strong enough.
+        wait_seconds = 0.0 if is_own_former else spread
+        wait_seconds += self._claim_delay_seconds
+        return self._watch.may_claim(self._clock.now(), wait_seconds)
+
     async def look(self) -> bool:
         """Read or follow the rows once; return whether there was an answer."""
         if self._version is None:
--- a/catkinport/platform/daemon.py
+++ b/catkinport/platform/daemon.py
@@ -14,6 +14,7 @@
 from ..jobs.keeper import VmBounds
 from ..jobs.owner import FleetOwner, OwnerBounds, OwnerPorts
 from ..jobs.ownership_watch import OwnershipWatch
+from ..policy.leadership import claim_delay_seconds
 from ..runtime import BootTimeClock, Metrics
 from ..runtime.logs import log_event
 from ..settings.declaration import format_fault
@@ -68,7 +69,14 @@
         self._configuration = ConfigurationWatch(
             table, self._clock, OPERATOR_TABLE, CONFIGURATION_KEY, decode_configuration
         )
-        self._watch = OwnershipWatch(table, self._clock, settings.name, random.Random())
+        cores = settings.processor_share * settings.processor_speed
+        self._watch = OwnershipWatch(
+            table,
+            self._clock,
+            settings.name,
+            random.Random(),
+            claim_delay_seconds(cores, settings.link_mbps),
+        )
         self._ports = OwnerPorts(
             table,
             PlatformWorkers(self._client, table, self._clock, settings.advice),
--- a/catkinport/platform/settings.py
+++ b/catkinport/platform/settings.py
@@ -25,6 +25,31 @@
         (
             Option("name", "text", "Name in logs and orders.", low=1, high=200),
             Option("zone", "text", "Availability zone.", low=1, high=200),
+            Option(
+                "processor_share",
+                "number",
+                "Part of a core that the VM has.",
+                default="1",
+                low=0,
+                high=1024,
+            ),
+            Option(
+                "processor_speed",
+                "number",
+                "How many times as fast as a plain core it runs.",
+                default="1",
+                low=0,
+                high=1024,
+            ),
+            Option(
+                "link_mbps",
+                "number",
+                "Bandwidth of the VM.",
+                default="1000",
+                low=0,
+                high=1000000,
+                unit="Mbit/s",
+            ),
         ),
         is_required=True,
     ),
@@ -119,6 +144,9 @@
 
     name: str
     zone: str
+    processor_share: float
+    processor_speed: float
+    link_mbps: float
     callers: str
     ready: str
     metrics_port: int
--- a/catkinport/policy/leadership.py
+++ b/catkinport/policy/leadership.py
@@ -33,6 +33,30 @@
 """Fraction by which two steady clocks may differ."""
 
 
+STRONG_CORES = 1.0
+"""Processor of a VM that can carry the orders of a whole fleet: an order and a look cost
+about 1 ms together, and a fleet of 180 workers asks for several hundred a second."""
+
+STRONG_LINK_MBPS = 50.0
+"""Link of such a VM; lists and states of a busy fleet take some Mbit/s."""
+
+WEAK_DELAY_SECONDS = 0.8
+"""How much later a VM claims that is weaker. It still claims if no other does."""
+
+
+def claim_delay_seconds(cores: float, link_mbps: float) -> float:
+    """Return how long a VM waits for stronger ones before it claims.
+
+    Example:
+        >>> claim_delay_seconds(2.0, 100.0)
+        0.0
+        >>> claim_delay_seconds(0.5, 100.0)
+        0.8
+    """
+    is_strong = cores >= STRONG_CORES and link_mbps >= STRONG_LINK_MBPS
+    return 0.0 if is_strong else WEAK_DELAY_SECONDS
+
+
 class OwnerSighting(NamedTuple):
     """The two rows of the ownership as they were read.
 
@@ -105,7 +129,7 @@
         if self._sighting is None:
             return False
         silent_seconds = now - self._changed_at
-        if self._sighting.is_own_former:
+        if self._sighting.is_own_former and not wait_seconds:
             return True
         if self._sighting.owner_version == 0 or self._sighting.is_released:
             return silent_seconds >= wait_seconds
