--- a/catkinport/jobs/ownership_watch.py
+++ b/catkinport/jobs/ownership_watch.py
@@ -72,7 +72,12 @@
     """
 
     def __init__(
-        self, table: AsyncTable, clock: Clock, name: str, rng: random.Random
+        self,
+        table: AsyncTable,
+        clock: Clock,
+        name: str,
+        rng: random.Random,
+        claim_delay_seconds: float = 0.0,
     ) -> None:
         self._table = table
         self._clock = clock
--- a/catkinport/policy/leadership.py
+++ b/catkinport/policy/leadership.py
@@ -34,8 +34,8 @@
 
 
 STRONG_CORES = 1.0
-"""Processor of a VM that can carry the orders of a whole fleet: an order and a look cost
-about 1 ms together, and a fleet of 180 workers asks for several hundred a second."""
+"""Processor of a VM that can carry the orders of a whole fleet: an order and a look
+cost about 1 ms together, and 180 workers ask for several hundred a second."""
 
 STRONG_LINK_MBPS = 50.0
 """Link of such a VM; lists and states of a busy fleet take some Mbit/s."""
