Start nothing again that was given up while the ownership is in doubt

Ruled out: late orders (the runs were ordered and confirmed seconds before). Change: while no stored renewal confirms the ownership, only tasks without a lost run start. A successor that renews a run has fenced that run's worker only. Tests: test_task_given_up_in_doubt_does_not_start_elsewhere fails without the change.

--- a/catkinport/jobs/dispatcher.py
+++ b/catkinport/jobs/dispatcher.py
@@ -414,6 +414,7 @@
             self._detach(belief, run)
         if record is None or task is None:
             return
+        task.is_lost = False
         record.note_run(task, ended.run)
         record.keep_saved(task, ended.saved)
         if ended.how is EndKind.DONE and not task.step.is_lasting:
@@ -506,6 +507,7 @@
             reason=reason,
             silent_seconds=round(now - belief.contact_at, 2),
         )
+        run.task.is_lost = reason != "not-sent"
         self._return_task(run.record, run.task)
         self._settle_closing(run.record)
 
--- a/catkinport/jobs/planner.py
+++ b/catkinport/jobs/planner.py
@@ -52,6 +52,7 @@
     def __init__(self, dispatcher: Dispatcher) -> None:
         self._dispatcher = dispatcher
         self._tickets_by_stage: dict[str, dict[str, Ticket]] = {}
+        self._is_in_doubt = False
         self.wanted_advice: dict[str, WantedAdvice] = {}
 
     def keep_tickets(self, stage: str, ticket_by_worker: Mapping[str, Ticket]) -> None:
@@ -66,10 +67,12 @@
         Args:
             now: clock time in seconds.
             unix_now: Unix time in seconds, for jobs with due times.
-            learnt_before: if given, only jobs learnt before this clock time start;
-                set while the ownership is in doubt.
+            learnt_before: set while the ownership is in doubt. Only jobs learnt before
+                this clock time start, and of these no task whose last run was given
+                up: a successor may have reached its worker and renewed it.
         """
         dispatcher = self._dispatcher
+        self._is_in_doubt = learnt_before is not None
         self.wanted_advice = {}
         records_by_pool: dict[str, list[tuple[JobRecord, Queue]]] = {}
         for record in dispatcher.job_by_id.values():
@@ -137,7 +140,8 @@
 
     def _is_startable(self, task: Task, now: float) -> bool:
         if task.phase is TaskPhase.WAITING:
-            return task.not_before <= now
+            is_held_back = self._is_in_doubt and task.is_lost
+            return task.not_before <= now and not is_held_back
         if task.phase is TaskPhase.DONE or not task.step.may_run_twice:
             return False
         runs = self._dispatcher.runs_by_task.get(task.text, [])
--- a/catkinport/jobs/record.py
+++ b/catkinport/jobs/record.py
@@ -31,6 +31,8 @@
         failed_runs: numbers of the runs that ended as failed. A new owner may be
             shown an end again that a former one has counted.
         saved: latest known checkpoint.
+        is_lost: whether its last run was given up without an end that the worker
+            listed. A successor may still know that run.
         not_before: clock time in seconds before which it is not started again.
         avoided_worker: worker on which it failed or stalled last; empty for none.
         ever_started: whether any run was ordered.
@@ -40,6 +42,7 @@
         "avoided_worker",
         "ever_started",
         "failed_runs",
+        "is_lost",
         "not_before",
         "phase",
         "run",
@@ -60,6 +63,7 @@
         self.not_before = 0.0
         self.avoided_worker = ""
         self.ever_started = False
+        self.is_lost = False
 
 
 class JobRecord:
--- a/catkinport/jobs/tests/test_dispatcher.py
+++ b/catkinport/jobs/tests/test_dispatcher.py
@@ -267,6 +267,23 @@
         assert fleet.start(learnt_before=fleet.now - 1.0) == []
         assert len(fleet.start(learnt_before=fleet.now)) == 1
 
+    def test_task_given_up_in_doubt_does_not_start_elsewhere(self):
+        """Guards against an owner that wakes from a freeze and starts again what its
+        successor has adopted; the ends of leases passed while it was frozen.
+
+        Found by the day owner-frozen-with-late-orders, as TWICE.
+        """
+        fleet = Fleet([make_worker("w1"), make_worker("w2")])
+        fleet.dispatcher.add_job(make_job(), fleet.now)
+        (start,) = fleet.start()
+        other = {"w1": "w2", "w2": "w1"}[start.belief.worker_id]
+        renewed_at = fleet.now
+        fleet.advance(6.0)
+        fleet.look(other)
+        fleet.dispatcher.expire(fleet.now)
+        assert fleet.start(learnt_before=renewed_at) == []
+        assert len(fleet.start()) == 1
+
 
 class TestLimits:
     def test_account_stays_under_its_limit(self):
