--- a/catkinport/jobs/tests/test_dispatcher.py
+++ b/catkinport/jobs/tests/test_dispatcher.py
@@ -268,9 +268,9 @@
         assert len(fleet.start(learnt_before=fleet.now)) == 1
 
     def test_task_given_up_in_doubt_does_not_start_elsewhere(self):
-        """Guards against an owner that wakes from a freeze and starts again what its
-        successor has adopted; the ends of leases passed while it was frozen.
+        """Guards against an owner that wakes from a freeze and starts adopted work.
 
+        The ends of leases passed while it was frozen, and its successor renewed them.
         Found by the day owner-frozen-with-late-orders, as TWICE.
         """
         fleet = Fleet([make_worker("w1"), make_worker("w2")])
