Split the owner by what it carries out

Change: session.py holds what the parts share, state_store.py stores, worker_watch.py follows workers, run_orders.py and vm_orders.py send orders, owner.py loads and ends. Text moved, names and steps unchanged; a fenced order and a conflict end an ownership by one function with its reason.

--- /dev/null
+++ b/catkinport/jobs/run_orders.py
@@ -0,0 +1,178 @@
+"""Carries out what is decided about runs: starts, stops, speeds, approvals."""
+
+import asyncio
+import contextlib
+import logging
+import time
+
+from ..ports import Unavailable
+from ..ports.fleet_workers import Done, StartOrder
+from ..runtime.logs import log_event
+from .dispatcher import PaceOrder, StopOrder
+from .planner import PlannedStart, Planner, Ticket, WantedAdvice
+from .session import RETRY_SECONDS, OwnerSession
+from .worker_state import LEASE_SECONDS
+from .worker_watch import WorkerWatch
+
+logger = logging.getLogger(__name__)
+
+PLAN_TICK_SECONDS = 0.2
+"""Longest time between two rounds of planning."""
+
+PLAN_GAP_SECONDS = 0.008
+"""Shortest time between two rounds of planning; bounds their processor time."""
+
+
+class RunOrders:
+    """Plans and sends orders for runs.
+
+    Args:
+        session: the ownership.
+        watch: looks at workers.
+    """
+
+    def __init__(self, session: OwnerSession, watch: WorkerWatch) -> None:
+        self._session = session
+        self._watch = watch
+        self._planner = Planner(session.dispatcher)
+        self._asked_advice: set[str] = set()
+
+    async def run(self) -> None:
+        """Plan and send orders until the ownership ends."""
+        while True:
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(self._session.wake.wait(), PLAN_TICK_SECONDS)
+            self._session.wake.clear()
+            self._plan()
+            await asyncio.sleep(PLAN_GAP_SECONDS)
+
+    def _plan(self) -> None:
+        now = self._session.clock.now()
+        self._session.dispatcher.expire(now)
+        for stop in list(self._session.dispatcher.find_stops(now)):
+            self._session.spawn(self._send_stop(stop))
+        for pace in list(self._session.dispatcher.find_paces()):
+            self._session.spawn(self._send_pace(pace))
+        learnt_before = (
+            self._session.lease.renewed_at
+            if self._session.lease.is_in_doubt(now)
+            else None
+        )
+        if not self._session.lease.has_given_up(now):
+            for start in self._planner.plan(now, time.time(), learnt_before):
+                self._session.spawn(self._send_start(start))
+        for wanted in self._planner.wanted_advice.values():
+            self._ask_advice(wanted)
+        if self._session.dispatcher.dirty_jobs():
+            self._session.store_wake.set()
+
+    async def _send_start(self, start: PlannedStart) -> None:
+        run, belief = start.run, start.belief
+        order = StartOrder(
+            run.key.task,
+            run.key.run,
+            run.record.job.specification,
+            run.task.saved,
+            start.ticket,
+        )
+        sent_at = self._session.clock.now()
+        belief.extend_lease(sent_at)
+        outcome = await self._session.ports.workers.start(
+            belief.listed, self._session.lease.token, order, LEASE_SECONDS
+        )
+        now = self._session.clock.now()
+        log_event(
+            logger,
+            "run ordered",
+            request_id=run.record.job.job_id,
+            task=run.key.task,
+            run=run.key.run,
+            worker=belief.worker_id,
+            token=self._session.lease.token,
+            outcome=type(outcome).__name__,
+            job_age_seconds=round(sent_at - run.record.first_seen_at, 3),
+            seconds=round(now - sent_at, 3),
+        )
+        self._session.check_fenced(outcome)
+        self._session.dispatcher.on_start_outcome(run, outcome, now)
+        self._session.wake.set()
+
+    async def _send_stop(self, stop: StopOrder) -> None:
+        belief = self._session.dispatcher.worker_by_id.get(stop.worker_id)
+        if belief is None:
+            return
+        run = belief.run_by_key.get(stop.key)
+        outcome = await self._session.ports.workers.stop(
+            belief.listed, self._session.lease.token, stop.key.task, stop.key.run
+        )
+        log_event(
+            logger,
+            "run stop ordered",
+            request_id=stop.key.task.partition(".")[0],
+            task=stop.key.task,
+            run=stop.key.run,
+            worker=stop.worker_id,
+            reason=stop.reason,
+            outcome=type(outcome).__name__,
+        )
+        self._session.check_fenced(outcome)
+        if run is not None:
+            self._session.dispatcher.on_stop_outcome(
+                run, outcome, self._session.clock.now()
+            )
+            if run.is_unsure and isinstance(outcome, Done):
+                # A run that never began has no end to wait for.
+                await self._watch.look(belief, may_wait=False)
+        self._session.wake.set()
+
+    async def _send_pace(self, pace: PaceOrder) -> None:
+        belief = self._session.dispatcher.worker_by_id.get(pace.worker_id)
+        if belief is None:
+            return
+        outcome = await self._session.ports.workers.pace(
+            belief.listed,
+            self._session.lease.token,
+            pace.key.task,
+            pace.key.run,
+            pace.percent,
+        )
+        log_event(
+            logger,
+            "run paced",
+            request_id=pace.key.task.partition(".")[0],
+            task=pace.key.task,
+            run=pace.key.run,
+            worker=pace.worker_id,
+            percent=pace.percent,
+            outcome=type(outcome).__name__,
+        )
+        self._session.check_fenced(outcome)
+        if isinstance(outcome, Done):
+            self._session.dispatcher.on_pace_done(pace)
+
+    def _ask_advice(self, wanted: WantedAdvice) -> None:
+        if wanted.stage in self._asked_advice:
+            return
+        self._asked_advice.add(wanted.stage)
+        self._session.spawn(self._get_advice(wanted))
+
+    async def _get_advice(self, wanted: WantedAdvice) -> None:
+        sent_at = self._session.clock.now()
+        outcome = await self._session.ports.workers.advise(
+            wanted.stage, wanted.worker_ids
+        )
+        if isinstance(outcome, Unavailable):
+            log_event(
+                logger,
+                "advice not given",
+                step=wanted.stage,
+                reason=outcome.reason,
+                peer=outcome.peer,
+            )
+            await asyncio.sleep(RETRY_SECONDS)
+        else:
+            valid_until = sent_at + wanted.valid_seconds
+            tickets = {w: Ticket(text, valid_until) for w, text in outcome.items()}
+            self._planner.keep_tickets(wanted.stage, tickets)
+            self._session.wake.set()
+        self._asked_advice.discard(wanted.stage)
--- /dev/null
+++ b/catkinport/jobs/session.py
@@ -0,0 +1,105 @@
+"""What the parts of an owner share: its lease, its ports and its tasks."""
+
+import asyncio
+import logging
+from collections.abc import Coroutine
+from typing import Any, NamedTuple
+
+from ..policy.leadership import OwnLease
+from ..ports.async_table import AsyncTable
+from ..ports.clock import Clock
+from ..ports.fleet_vms import FleetVms, UpkeepDesk
+from ..ports.fleet_workers import FleetWorkers, Rejected, Rejection
+from ..ports.table import Condition
+from ..runtime import Metrics
+from ..runtime.logs import log_event
+from .dispatcher import Dispatcher
+from .tables import OWNER_KEY
+
+logger = logging.getLogger(__name__)
+
+RETRY_SECONDS = 0.2
+"""Pause after a failed call to the table service."""
+
+
+class OwnerPorts(NamedTuple):
+    """What an owner talks to."""
+
+    table: AsyncTable
+    workers: FleetWorkers
+    vms: FleetVms
+    desk: UpkeepDesk
+    clock: Clock
+    metrics: Metrics
+
+
+class OwnerSession:
+    """One ownership, from its claim to its end.
+
+    Args:
+        ports: outside systems.
+        dispatcher: jobs and workers.
+        lease: the claim.
+
+    Attributes:
+        lease: the ownership and its latest renewal.
+        deposed: set once another daemon has taken over.
+        wake: set when there may be something to plan.
+        store_wake: set when there is something to store.
+        loaded_at: clock time in seconds at which the state was loaded; 0 before.
+    """
+
+    def __init__(
+        self, ports: OwnerPorts, dispatcher: Dispatcher, lease: OwnLease
+    ) -> None:
+        self.ports = ports
+        self.table = ports.table
+        self.clock = ports.clock
+        self.dispatcher = dispatcher
+        self.lease = lease
+        self.deposed = asyncio.Event()
+        self.wake = asyncio.Event()
+        self.store_wake = asyncio.Event()
+        self.loaded_at = 0.0
+        self._tasks: set[asyncio.Task[Any]] = set()
+
+    def spawn(self, coroutine: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
+        """Run a coroutine until the ownership ends."""
+        task = asyncio.ensure_future(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._on_task_done)
+        return task
+
+    def cancel_all(self) -> None:
+        """Stop everything that was spawned."""
+        for task in list(self._tasks):
+            task.cancel()
+
+    def owner_condition(self) -> Condition:
+        """Return the condition that this ownership still holds."""
+        return Condition(OWNER_KEY, self.lease.token)
+
+    def note_renewed(self, sent_at: float) -> None:
+        """Note that a renewal sent at ``sent_at`` is stored."""
+        self.lease = self.lease._replace(renewed_at=sent_at)
+
+    def depose(self, reason: str) -> None:
+        """End the ownership, because another daemon has taken over."""
+        if not self.deposed.is_set():
+            log_event(logger, "ownership lost", token=self.lease.token, reason=reason)
+        self.deposed.set()
+
+    def check_fenced(self, outcome: Any) -> bool:
+        """End the ownership if an order was refused for a later owner's token."""
+        if not isinstance(outcome, Rejected) or outcome.reason is not Rejection.FENCED:
+            return False
+        self.depose("order-fenced")
+        return True
+
+    def _on_task_done(self, task: asyncio.Task[Any]) -> None:
+        self._tasks.discard(task)
+        if task.cancelled() or task.exception() is None:
+            return
+        # A broken invariant must not leave half an owner at work.
+        logger.error("owner task failed", exc_info=task.exception())
+        self.depose("internal-error")
--- /dev/null
+++ b/catkinport/jobs/state_store.py
@@ -0,0 +1,145 @@
+"""Stores the states of jobs, in groups, under the owner's fencing token."""
+
+import asyncio
+import logging
+
+from ..policy.leadership import BEAT_SECONDS
+from ..ports.async_table import commit_until_known
+from ..ports.table import Committed, Condition, Conflict, Transaction, Write
+from ..runtime.logs import log_event
+from .record import JobRecord
+from .session import RETRY_SECONDS, OwnerSession
+from .tables import BEAT_KEY, OWNER_KEY, state_key
+from .worker_state import WorkerBelief
+
+logger = logging.getLogger(__name__)
+
+ROWS_PER_COMMIT = 40
+"""States stored in one transaction, which may name 100 rows in all."""
+
+COMMIT_ATTEMPTS = 3
+"""Attempts of one commit before its rows are taken up anew."""
+
+STORE_WAIT_SECONDS = 1.0
+"""Longest time that a look at a worker waits for its last ends to be stored."""
+
+
+def beat_write(
+    session: OwnerSession, sent_at: float, is_released: bool = False
+) -> Write:
+    """Return the write that renews the ownership, or gives it up."""
+    value = {
+        "token": session.lease.token,
+        "sent_at": sent_at,
+        "released": is_released,
+        "waiting": session.dispatcher.count_waiting(),
+    }
+    return Write(BEAT_KEY, value)
+
+
+class StateStore:
+    """Stores changed states, then lets workers forget the ends in them.
+
+    Args:
+        session: the ownership.
+    """
+
+    def __init__(self, session: OwnerSession) -> None:
+        self._session = session
+        self._stored = asyncio.Condition()
+
+    async def wait_until_noted(self, belief: WorkerBelief, end: int) -> bool:
+        """Wait until the ends of a worker up to ``end`` are stored.
+
+        Returns:
+            Whether they are; ``False`` after `STORE_WAIT_SECONDS`.
+        """
+        try:
+            async with self._stored:
+                await asyncio.wait_for(
+                    self._stored.wait_for(lambda: belief.noted_end >= end),
+                    STORE_WAIT_SECONDS,
+                )
+        except TimeoutError:
+            return False
+        return True
+
+    async def run(self) -> None:
+        """Store what changes until the ownership ends."""
+        while True:
+            await self._session.store_wake.wait()
+            self._session.store_wake.clear()
+            if not await self._store_dirty():
+                self._session.store_wake.set()
+                await asyncio.sleep(RETRY_SECONDS)
+
+    async def _store_dirty(self) -> bool:
+        """Store all changed states, then let workers forget the ends in them."""
+        beliefs = list(self._session.dispatcher.worker_by_id.values())
+        end_by_worker = {b.worker_id: (b, b.born, b.processed_end) for b in beliefs}
+        dirty = self._session.dispatcher.dirty_jobs()
+        for first in range(0, len(dirty), ROWS_PER_COMMIT):
+            if not await self._store_records(dirty[first : first + ROWS_PER_COMMIT]):
+                return False
+        for belief, born, end in end_by_worker.values():
+            if belief.born == born:
+                belief.noted_end = end
+        async with self._stored:
+            self._stored.notify_all()
+        for record in dirty:
+            self._session.dispatcher.forget_ended(record)
+        return True
+
+    async def _store_records(self, records: list[JobRecord]) -> bool:
+        sent_at = self._session.clock.now()
+        conditions = [self._session.owner_condition()]
+        writes = []
+        for record in records:
+            key = state_key(record.job.job_id)
+            conditions.append(Condition(key, record.row_version))
+            writes.append(Write(key, record.to_row()))
+            record.is_dirty = False
+        # A renewal wakes every daemon, so not each commit carries one.
+        is_renewal = sent_at - self._session.lease.renewed_at >= BEAT_SECONDS / 2
+        beat = [beat_write(self._session, sent_at)] if is_renewal else []
+        transaction = Transaction(conditions, [*writes, *beat])
+        outcome = await commit_until_known(
+            self._session.table, transaction, COMMIT_ATTEMPTS
+        )
+        if isinstance(outcome, Committed):
+            if is_renewal:
+                self._session.note_renewed(sent_at)
+            for record, write in zip(records, writes, strict=True):
+                record.row_version = outcome.versions_by_row_key[write.row_key]
+                log_event(
+                    logger,
+                    "job state stored",
+                    request_id=record.job.job_id,
+                    state=(write.value or {})["state"],
+                    version=record.row_version,
+                )
+            return True
+        for record in records:
+            record.is_dirty = True
+        if isinstance(outcome, Conflict):
+            self._on_store_conflict(records, outcome)
+        else:
+            log_event(
+                logger,
+                "job states not stored",
+                n_jobs=len(records),
+                reason=outcome.reason,
+                peer=outcome.peer,
+            )
+        return False
+
+    def _on_store_conflict(self, records: list[JobRecord], outcome: Conflict) -> None:
+        if OWNER_KEY in outcome.versions_by_row_key:
+            self._session.depose("state-conflict")
+            return
+        # A commit of ours that had no answer was carried out late.
+        for record in records:
+            key = state_key(record.job.job_id)
+            if key in outcome.versions_by_row_key:
+                record.row_version = outcome.versions_by_row_key[key]
+        log_event(logger, "late commit found", n_jobs=len(outcome.versions_by_row_key))
--- /dev/null
+++ b/catkinport/jobs/vm_orders.py
@@ -0,0 +1,143 @@
+"""Carries out what is decided about VMs: upkeep in waves, and moves."""
+
+import asyncio
+import logging
+from typing import Any
+
+from ..ports import Unavailable
+from ..ports.fleet_workers import Done, Rejected
+from ..ports.table import Committed, Transaction, Write
+from ..runtime.logs import log_event
+from .dispatcher import VM_LIST_LAG_SECONDS
+from .keeper import Keeper, VmOrder
+from .session import RETRY_SECONDS, OwnerSession
+from .tables import OWN_VMS_KEY, WAVES_TABLE, wave_key
+
+logger = logging.getLogger(__name__)
+
+VM_LIST_SECONDS = 0.4
+"""Time between reads of the platform's list of VMs, which shows dead ones first; each
+read is charged."""
+
+KEEP_SECONDS = 0.25
+"""Time between two decisions about VMs."""
+
+
+class VmOrders:
+    """Sends orders for VMs and reports waves.
+
+    Args:
+        session: the ownership.
+        keeper: decides about VMs.
+    """
+
+    def __init__(self, session: OwnerSession, keeper: Keeper) -> None:
+        self._session = session
+        self._keeper = keeper
+
+    async def run_list(self) -> None:
+        """Follow the platform's list of VMs until the ownership ends."""
+        while True:
+            sent_at = self._session.clock.now()
+            vms = await self._session.ports.vms.list_vms()
+            if isinstance(vms, Unavailable):
+                log_event(logger, "vms not listed", reason=vms.reason, peer=vms.peer)
+            else:
+                if sent_at > self._session.loaded_at + VM_LIST_LAG_SECONDS:
+                    self._session.dispatcher.update_vms(
+                        vms, sent_at, self._session.clock.now()
+                    )
+                self._keeper.take_vms(vms, sent_at)
+                self._session.wake.set()
+            await asyncio.sleep(VM_LIST_SECONDS)
+
+    async def run(self) -> None:
+        """Order VMs about until the ownership ends."""
+        begun = await self._session.table.read_range(WAVES_TABLE)
+        while isinstance(begun, Unavailable):
+            await asyncio.sleep(RETRY_SECONDS)
+            begun = await self._session.table.read_range(WAVES_TABLE)
+        begun_by_wave = {row.row_key.key: row.value for row in begun.rows}
+        own_vms = begun_by_wave.get(OWN_VMS_KEY.key)
+        if own_vms is not None:
+            self._keeper.restore_own_vms(own_vms["n_by_pool"])
+        while True:
+            now = self._session.clock.now()
+            for wave in self._session.ports.desk.list_waves():
+                is_new = wave.wave not in self._keeper.wave_by_number
+                self._keeper.take_wave(wave, now)
+                if is_new:
+                    stored = begun_by_wave.get(str(wave.wave), {})
+                    self._keeper.restore_begun(wave.wave, stored.get("begun", []))
+            if not self._session.lease.is_in_doubt(now):
+                if own_vms is None and self._keeper.own_vms_by_pool:
+                    own_vms = await self._store_own_vms()
+                for order in self._keeper.plan(now):
+                    self._session.spawn(self._send_vm_order(order))
+                for run in self._keeper.find_evacuations():
+                    run.is_evacuated = True
+                    self._session.wake.set()
+                await self._report_waves()
+            await asyncio.sleep(KEEP_SECONDS)
+
+    async def _send_vm_order(self, order: VmOrder) -> None:
+        token = self._session.lease.token
+        if order.wave:
+            outcome = await self._session.ports.vms.maintain(
+                order.vm_id, order.wave, token
+            )
+        else:
+            outcome = await self._session.ports.vms.move(order.vm_id, order.pool, token)
+        log_event(
+            logger,
+            "vm ordered",
+            vm=order.vm_id,
+            wave=order.wave,
+            pool=order.pool,
+            token=token,
+            outcome=type(outcome).__name__,
+            reason=getattr(outcome, "reason", ""),
+        )
+        if isinstance(outcome, Done):
+            self._keeper.on_done(order, self._session.clock.now())
+            self._session.wake.set()
+            if order.wave:
+                await self._store_begun(order.wave)
+        elif isinstance(outcome, Rejected):
+            self._session.check_fenced(outcome)
+            self._keeper.on_rejected(order)
+
+    async def _store_own_vms(self) -> dict[str, Any] | None:
+        value = {"n_by_pool": dict(self._keeper.own_vms_by_pool)}
+        transaction = Transaction(
+            [self._session.owner_condition()], [Write(OWN_VMS_KEY, value)]
+        )
+        outcome = await self._session.table.commit(transaction)
+        return value if isinstance(outcome, Committed) else None
+
+    async def _store_begun(self, wave: int) -> None:
+        begun = sorted(self._keeper.wave_by_number[wave].begun)
+        transaction = Transaction(
+            [self._session.owner_condition()], [Write(wave_key(wave), {"begun": begun})]
+        )
+        outcome = await self._session.table.commit(transaction)
+        if not isinstance(outcome, Committed):
+            # A successor orders the upkeep once more, which the platform answers
+            # without another one.
+            log_event(logger, "wave progress not stored", wave=wave)
+
+    async def _report_waves(self) -> None:
+        for state in self._keeper.wave_by_number.values():
+            is_complete = self._keeper.is_complete(state)
+            if state.is_reported or (state.is_announced and not is_complete):
+                continue
+            if await self._session.ports.desk.report(state.wave.wave, is_complete):
+                state.is_announced = True
+                state.is_reported = is_complete
+                log_event(
+                    logger,
+                    "wave reported",
+                    wave=state.wave.wave,
+                    completed=is_complete,
+                    n_begun=len(state.begun),
+                )
--- a/catkinport/platform/daemon.py
+++ b/catkinport/platform/daemon.py
@@ -12,8 +12,9 @@
 from ..jobs.configuration_watch import ConfigurationWatch
 from ..jobs.intake import Intake
 from ..jobs.keeper import VmBounds
-from ..jobs.owner import FleetOwner, OwnerBounds, OwnerPorts
+from ..jobs.owner import FleetOwner, OwnerBounds
 from ..jobs.ownership_watch import OwnershipWatch
+from ..jobs.session import OwnerPorts
 from ..policy.leadership import claim_delay_seconds
 from ..runtime import BootTimeClock, Metrics
 from ..runtime.logs import log_event
@@ -206,10 +207,7 @@
             self._owner = FleetOwner(
                 self._ports,
                 self._configuration.current,
-                claim.token,
-                claim.sent_at,
-                claim.former_changed_at,
-                claim.is_former_ended,
+                claim,
                 self._owner_bounds(),
             )
             await self._owner.run(self._stop)
