Let a new owner see turns

Cause: found by reading: a new owner reads the pools' first sizes before it has a list of VMs, so that the pools had no cores and no load, and no turn was seen after a change of the owner. Change: the cores are reckoned anew with each list. Doc comments name what is there. Test: TestTakeover.test_new_owner_sees_a_turn fails without the change.

--- a/catkinport/jobs/dispatcher.py
+++ b/catkinport/jobs/dispatcher.py
@@ -208,7 +208,7 @@
     def _see_worker(self, worker: ListedWorker, now: float) -> None:
         belief = self.worker_by_id.get(worker.worker_id)
         if belief is None:
-            belief = WorkerBelief(worker, now)
+            belief = WorkerBelief(worker)
             self.worker_by_id[worker.worker_id] = belief
             log_event(
                 logger,
--- a/catkinport/jobs/keeper.py
+++ b/catkinport/jobs/keeper.py
@@ -75,6 +75,7 @@
         wave: what the operator asked for.
         seen_at: clock time in seconds at which it was first seen.
         begun: VMs that have begun their upkeep.
+        is_announced: whether it was reported as running.
         is_reported: whether its completion was reported.
     """
 
@@ -117,7 +118,8 @@
         self._vm_by_id = {vm.vm_id: vm for vm in vms}
         self._listed_at = sent_at
         if not self._own_vms_by_pool:
-            self.restore_own_vms(_count_own_vms(vms))
+            self._own_vms_by_pool = _count_own_vms(vms)
+        self._update_own_cores()
         for vm_id, pending in list(self._pending_by_vm.items()):
             if self._is_settled(pending, self._vm_by_id.get(vm_id), sent_at):
                 del self._pending_by_vm[vm_id]
@@ -125,16 +127,20 @@
     def restore_own_vms(self, n_by_pool: Mapping[str, int]) -> None:
         """Note how many VMs each pool has when none are lent or switched off."""
         self._own_vms_by_pool = dict(n_by_pool)
-        cores = [vm.capacity.cores for vm in self._vm_by_id.values()]
-        mean_cores = sum(cores) / max(1, len(cores))
-        for pool, n_vms in n_by_pool.items():
-            self._turns.set_own_cores(pool, n_vms * mean_cores)
+        self._update_own_cores()
 
     @property
     def own_vms_by_pool(self) -> Mapping[str, int]:
         """VMs that each pool has when none are lent or switched off."""
         return self._own_vms_by_pool
 
+    def _update_own_cores(self) -> None:
+        # A new owner learns the pools' sizes from their row before it has a list.
+        cores = [vm.capacity.cores for vm in self._vm_by_id.values()]
+        mean_cores = sum(cores) / max(1, len(cores))
+        for pool, n_vms in self._own_vms_by_pool.items():
+            self._turns.set_own_cores(pool, n_vms * mean_cores)
+
     def note_work(self, pool: str, core_seconds: float, now: float) -> None:
         """Note that work for a pool has arrived."""
         self._turns.add_arrival(pool, core_seconds, now)
--- a/catkinport/jobs/record.py
+++ b/catkinport/jobs/record.py
@@ -76,8 +76,11 @@
         is_inherited: whether a former owner may have started tasks of it.
         row_version: version of the stored state; 0 before the first write.
         is_dirty: whether the state has changed since it was stored.
+        first_seen_at: clock time in seconds that stands for its acceptance.
+        first_start_at: clock time of its first start order; 0 before.
+        n_placed: runs that are or may be on workers.
+        ever_started: whether this owner has ordered or adopted a run of it.
         tasks_by_stage: tasks of each (occurrence, step).
-        is_stored: whether the stored state equals this one.
     """
 
     def __init__(self, job: Job, is_inherited: bool = False) -> None:
--- a/catkinport/jobs/tests/test_keeper.py
+++ b/catkinport/jobs/tests/test_keeper.py
@@ -169,3 +169,18 @@
         assert "w0" not in fleet.dispatcher.worker_by_id
         fleet.dispatcher.update_workers(fleet.workers, fleet.now)
         assert "w0" not in fleet.dispatcher.worker_by_id
+
+
+class TestTakeover:
+    def test_new_owner_sees_a_turn(self):
+        """Guards against a new owner that learns the pools' sizes before it has a list.
+
+        Its pools then had no cores, so that no turn was seen after a change of owner.
+        """
+        fleet = VmFleet(2, n_off=2)
+        fleet.keeper = Keeper(fleet.dispatcher, BOUNDS, 0.0)
+        fleet.keeper.restore_own_vms({POOL: 2, "off": 2})
+        fleet.list_vms()
+        fleet.keeper.note_work(POOL, 100.0, fleet.now)
+        orders = fleet.step()
+        assert [order.pool for order in orders] == [POOL]
--- a/catkinport/jobs/tests/test_owner_changes.py
+++ b/catkinport/jobs/tests/test_owner_changes.py
@@ -340,7 +340,7 @@
         for record in self.dispatcher.job_by_id.values():
             record.skip_runs()
         for worker_id in WORKER_IDS:
-            belief = WorkerBelief(make_worker(worker_id), self.now)
+            belief = WorkerBelief(make_worker(worker_id))
             belief.is_enrolled = True
             belief.lease_until = 0.0 if is_first else bound
             self.dispatcher.worker_by_id[worker_id] = belief
--- a/catkinport/jobs/worker_state.py
+++ b/catkinport/jobs/worker_state.py
@@ -135,13 +135,12 @@
         is_reserved: whether it is kept free for upkeep or a move.
     """
 
-    def __init__(self, listed: ListedWorker, now: float) -> None:
+    def __init__(self, listed: ListedWorker) -> None:
         self.listed = listed
         self.is_listed = True
         self.vm_id = ""
         self.born = 0.0
         self.contact_at = float("-inf")
-        self.first_seen_at = now
         self.lease_until = 0.0
         self.paced_at = float("-inf")
         self.processed_end = 0
@@ -162,7 +161,7 @@
 
     @property
     def penalty(self) -> float:
-        """Failed part of its latest ends."""
+        """How many of its latest ends failed."""
         return float(self._outcomes.count(False))
 
     def free(self) -> Resources:
--- a/catkinport/jobs/worker_watch.py
+++ b/catkinport/jobs/worker_watch.py
@@ -53,7 +53,7 @@
         self._roster_by_pool[pool] = dict(entries)
         for worker_id, entry in entries.items():
             listed = _worker_from_roster(worker_id, pool, entry)
-            belief = WorkerBelief(listed, now)
+            belief = WorkerBelief(listed)
             belief.is_enrolled = True
             belief.is_listed = False
             belief.lease_until = self._former_bound
