Show a job as running once a worker has a task of it

Cause: the state of a job left 'queued' only when a task had ended, so a job of lasting tasks alone was shown as queued for as long as it ran. Ruled out: a lost commit; the state was never marked as changed.

Change: a run that a worker confirms marks its job as begun, which stores the state once. test_runs_are_stopped_before_the_job_counts_as_canceled expected 'queued' beside a run that was there; it now expects 'running', and still that the job is not canceled before the run has ended.

--- a/catkinport/jobs/dispatcher.py
+++ b/catkinport/jobs/dispatcher.py
@@ -331,7 +331,7 @@
             if run is None:
                 self._stray_sent_at.setdefault((belief.worker_id, key), 0.0)
                 continue
-            run.known_at = run.known_at or now
+            self._confirm(run, now)
             if run.phase is RunPhase.ASKED and not run.is_unsure:
                 run.phase = RunPhase.RUNNING
             if entry.percent != run.percent:
@@ -350,6 +350,12 @@
             if confirmed_at and confirmed_at < sent_at:
                 self._lose_run(belief, run, "not-listed", now)
 
+    @staticmethod
+    def _confirm(run: Run, now: float) -> None:
+        """Note that the worker has said that the run is there."""
+        run.known_at = run.known_at or now
+        run.record.mark_begun()
+
     def _adopt(self, belief: WorkerBelief, key: RunKey, now: float) -> Run | None:
         """Take over a run of a former owner; ``None`` if its job is unknown."""
         task_id = TaskId.parse(key.task)
@@ -360,7 +366,7 @@
         record.note_run(task, key.run)
         run = Run(record, task, key.run, belief.worker_id, now)
         run.phase = RunPhase.RUNNING
-        run.known_at = now
+        self._confirm(run, now)
         self._attach(belief, run)
         log_event(
             logger,
@@ -540,7 +546,7 @@
         if belief is None or run.key not in belief.run_by_key:
             return
         if isinstance(outcome, Done):
-            run.known_at = run.known_at or now
+            self._confirm(run, now)
             if run.phase is RunPhase.ASKED:
                 run.phase = RunPhase.RUNNING
             return
--- a/catkinport/jobs/record.py
+++ b/catkinport/jobs/record.py
@@ -145,6 +145,12 @@
             if n_open and self.is_stage_ready(stage):
                 yield stage
 
+    def mark_begun(self) -> None:
+        """Note that a task of the job runs, so that it is shown as running."""
+        if self.state is JobState.QUEUED:
+            self.state = JobState.RUNNING
+            self.is_dirty = True
+
     def mark_done(self, task: Task) -> None:
         """Note that ``task`` has ended as done; the job may be complete then."""
         if task.phase is TaskPhase.DONE:
@@ -153,8 +159,7 @@
         stage = (task.task_id.occurrence, task.task_id.step)
         self._n_open_by_stage[stage] -= 1
         self.is_dirty = True
-        if self.state is JobState.QUEUED:
-            self.state = JobState.RUNNING
+        self.mark_begun()
         if not any(self._n_open_by_stage.values()) and not self.is_final:
             self.state = JobState.COMPLETED
 
@@ -162,8 +167,7 @@
         """Count a failed run of ``task``; the job fails at ``max_failures``."""
         task.failed_runs.add(run)
         self.is_dirty = True
-        if self.state is JobState.QUEUED:
-            self.state = JobState.RUNNING
+        self.mark_begun()
         if task.step.is_lasting or not max_failures or self.is_closing:
             return
         if len(task.failed_runs) >= max_failures:
--- a/catkinport/jobs/tests/test_dispatcher.py
+++ b/catkinport/jobs/tests/test_dispatcher.py
@@ -46,6 +46,14 @@
         fleet.end(start)
         assert fleet.states() == {JOB_ID: "running"}
 
+    def test_job_is_running_once_a_worker_has_a_task_of_it(self):
+        """Guards against lasting jobs that are shown as queued while they run."""
+        fleet = Fleet([make_worker()])
+        fleet.dispatcher.add_job(make_job(), fleet.now)
+        fleet.start()
+        assert fleet.states() == {JOB_ID: "running"}
+        assert [r.job.job_id for r in fleet.dispatcher.dirty_jobs()] == [JOB_ID]
+
 
 class TestFailures:
     def test_job_fails_after_the_last_attempt(self):
@@ -110,7 +118,7 @@
         fleet.dispatcher.add_job(make_job(), fleet.now)
         (start,) = fleet.start()
         fleet.dispatcher.cancel_job(JOB_ID)
-        assert fleet.states() == {JOB_ID: "queued"}
+        assert fleet.states() == {JOB_ID: "running"}
         (stop,) = fleet.dispatcher.find_stops(fleet.now)
         assert (stop.key, stop.reason) == (start.run.key, "canceled")
         fleet.end(start, EndKind.STOPPED)
@@ -394,7 +402,7 @@
         fleet.dispatcher.unresolved_by_id["w2"] = "renders"
         fleet.dispatcher.add_job(make_job(), fleet.now, is_inherited=True)
         fleet.dispatcher.cancel_job(JOB_ID)
-        assert fleet.states() == {JOB_ID: "queued"}
+        assert fleet.states() == {JOB_ID: "running"}
         fleet.look("w2")
         assert fleet.states() == {JOB_ID: "canceled"}
 
