Add a stand-in of the platform that speaks its protocol, and end-to-end tests

Cause: the daemon of the platform was covered by the users' bench only; the stand-in of the product speaks the product's own interface.

Change: catkinport/platform/standin is one process with the store (parts, conditions, feed, history), the workers (leases, fencing, lists, late orders), the VMs and controls for faults. verification/platform starts it with real daemons; the tests kill, pause and stop the owner, kill all daemons, take the store down, lose its answers and ask for a wave of upkeep, and check from what the workers saw that nothing runs twice, out of order or unasked.

--- /dev/null
+++ b/catkinport/platform/standin/main.py
@@ -0,0 +1,51 @@
+"""Entry point of ``catkin-standin-fleet``."""
+
+import asyncio
+import signal
+from typing import Annotated
+
+import cappa
+
+from ...runtime import configure_logging
+from .server import StandinServer
+from .vms import FleetSize
+
+
+@cappa.command(name="catkin-standin-fleet")
+class StandinCommand:
+    """Run a stand-in of the platform until it is told to stop."""
+
+    host: Annotated[str, cappa.Arg(long=True)] = "127.0.0.1"
+    port: Annotated[int, cappa.Arg(long=True)] = 0
+    seed: Annotated[int, cappa.Arg(long=True)] = 1
+    pools: Annotated[int, cappa.Arg(long=True)] = 2
+    vms: Annotated[int, cappa.Arg(long=True)] = 4
+    spare_vms: Annotated[int, cappa.Arg(long=True)] = 2
+
+    def __call__(self) -> None:
+        """Serve until SIGTERM or SIGINT."""
+        configure_logging()
+        asyncio.run(self._serve())
+
+    async def _serve(self) -> None:
+        size = FleetSize(self.pools, self.vms, self.spare_vms)
+        server = StandinServer(size, self.seed, self.host, self.port)
+        await server.start()
+        print(f"listening on {server.address}", flush=True)
+        ticks = asyncio.ensure_future(server.run())
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, ticks.cancel)
+        await asyncio.wait([ticks])
+        await server.stop()
+        if not ticks.cancelled():
+            ticks.result()
+
+
+def main() -> None:
+    """Run the command."""
+    cappa.invoke(StandinCommand)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/catkinport/platform/standin/rows.py
@@ -0,0 +1,182 @@
+"""The store's rows: parts, versions, transactions and a history to follow."""
+
+import bisect
+from collections import deque
+from collections.abc import Callable, Mapping, Sequence
+from typing import Any, NamedTuple
+
+MAX_ENTRIES = 100
+"""Most entries of one transaction, as the platform's pages say."""
+
+MAX_PAGE_ROWS = 500
+"""Most rows of one answer, as the platform's pages say."""
+
+
+class StoreKey(NamedTuple):
+    """Where a row is: its table, its part and its key."""
+
+    table: str
+    part: str
+    key: str
+
+
+class StoredRow(NamedTuple):
+    """A row; ``value`` is the text that was written, ``None`` once it is removed."""
+
+    key: StoreKey
+    version: int
+    value: str | None
+
+
+class StoreError(Exception):
+    """A call that the store refuses.
+
+    Args:
+        status: HTTP status of the answer.
+        reason: what is wrong.
+    """
+
+    def __init__(self, status: int, reason: str) -> None:
+        super().__init__(reason)
+        self.status = status
+
+
+class RowStore:
+    """Rows in memory.
+
+    Args:
+        now: returns the time in seconds.
+        history_seconds: how long changes can be followed from.
+
+    Example:
+        >>> store = RowStore(lambda: 0.0, 20.0)
+        >>> key = StoreKey("jobs", "a", "1")
+        >>> store.commit({key: 0}, {key: "x"}, [])
+        1
+        >>> store.find_conflicts({key: 0})[0].version
+        1
+    """
+
+    def __init__(self, now: Callable[[], float], history_seconds: float) -> None:
+        self._now = now
+        self._history_seconds = history_seconds
+        self._row_by_key: dict[StoreKey, StoredRow] = {}
+        self._keys_by_part: dict[tuple[str, str], list[str]] = {}
+        self._changes: deque[tuple[float, StoredRow]] = deque()
+        self._forgotten_version = 0
+        self.version = 0
+
+    def get(self, key: StoreKey) -> StoredRow | None:
+        """Return a row, or ``None`` if there is none."""
+        return self._row_by_key.get(key)
+
+    def find_conflicts(self, expected: Mapping[StoreKey, int]) -> list[StoredRow]:
+        """Return the rows, removed ones included, that have another version."""
+        conflicts = []
+        for key, version in expected.items():
+            row = self._row_by_key.get(key)
+            if (row.version if row else 0) != version:
+                conflicts.append(row or StoredRow(key, 0, None))
+        return conflicts
+
+    def commit(
+        self,
+        expected: Mapping[StoreKey, int],
+        writes: Mapping[StoreKey, str],
+        removals: Sequence[StoreKey],
+    ) -> int | None:
+        """Apply a transaction; return its version, or ``None`` after a conflict.
+
+        Raises:
+            StoreError: if it is too large or spans several parts.
+        """
+        keys = [*expected, *writes, *removals]
+        if len(keys) > MAX_ENTRIES:
+            raise StoreError(400, f"at most {MAX_ENTRIES} entries, got {len(keys)}")
+        if len({key.part for key in keys}) > 1:
+            raise StoreError(400, "all entries must share one part")
+        if self.find_conflicts(expected):
+            return None
+        self.version += 1
+        for key, value in writes.items():
+            self._apply(StoredRow(key, self.version, value))
+        for key in removals:
+            if key in self._row_by_key:
+                self._apply(StoredRow(key, self.version, None))
+        return self.version
+
+    def read(
+        self, table: str, part: str, start: str, end: str | None, limit: int
+    ) -> tuple[list[StoredRow], bool]:
+        """Return the rows with ``start <= key < end``, and whether more follow."""
+        keys = self._keys_by_part.get((table, part), [])
+        first = bisect.bisect_left(keys, start)
+        last = len(keys) if end is None else bisect.bisect_left(keys, end)
+        n_rows = min(limit, MAX_PAGE_ROWS)
+        found = keys[first : min(last, first + n_rows)]
+        rows = [self._row_by_key[StoreKey(table, part, key)] for key in found]
+        return rows, last - first > n_rows
+
+    def follow(self, table: str, after: int) -> list[StoredRow]:
+        """Return the changes of a table after a version, oldest first.
+
+        Raises:
+            StoreError: if they are no longer known.
+        """
+        self._forget_old()
+        if after < self._forgotten_version:
+            raise StoreError(410, "the history is no longer available")
+        return [
+            row
+            for _, row in self._changes
+            if row.version > after and row.key.table == table
+        ]
+
+    def compact(self) -> None:
+        """Forget the whole history."""
+        self._changes.clear()
+        self._forgotten_version = self.version
+
+    def _apply(self, row: StoredRow) -> None:
+        self._changes.append((self._now(), row))
+        keys = self._keys_by_part.setdefault((row.key.table, row.key.part), [])
+        is_known = row.key in self._row_by_key
+        if row.value is None:
+            del self._row_by_key[row.key]
+            del keys[bisect.bisect_left(keys, row.key.key)]
+            return
+        if not is_known:
+            bisect.insort(keys, row.key.key)
+        self._row_by_key[row.key] = row
+
+    def _forget_old(self) -> None:
+        oldest = self._now() - self._history_seconds
+        while self._changes and self._changes[0][0] < oldest:
+            self._forgotten_version = self._changes.popleft()[1].version
+
+
+def encode_row(row: StoredRow) -> dict[str, Any]:
+    """Return a row as the store's answers hold it."""
+    entry: dict[str, Any] = {
+        "Table": row.key.table,
+        "part": row.key.part,
+        "Key": row.key.key,
+        "Ver": row.version,
+    }
+    if row.value is None:
+        entry["Tombstone"] = True
+    else:
+        entry["Value"] = row.value
+    return entry
+
+
+def decode_key(entry: Mapping[str, Any]) -> StoreKey:
+    """Return the key of an entry of a transaction.
+
+    Raises:
+        StoreError: if it is malformed.
+    """
+    try:
+        return StoreKey(str(entry["Table"]), str(entry.get("part", "")), entry["Key"])
+    except (KeyError, TypeError) as error:
+        raise StoreError(400, f"malformed entry: {entry!r:.80}") from error
--- /dev/null
+++ b/catkinport/platform/standin/server.py
@@ -0,0 +1,162 @@
+"""The stand-in as one process: store, workers, VMs, operator and faults."""
+
+import asyncio
+import random
+import time
+from typing import Any
+
+from aiohttp import web
+
+from ...standins._faults import FaultSettings
+from .rows import RowStore, StoreKey
+from .store_server import StoreServer
+from .vms import FleetSize, VmFleet, decode_value, encode_value
+from .worker_server import WorkerServer
+
+FAULT_DEFAULTS = {
+    "is_store_down": False,
+    "is_store_silent": False,
+    "store_delay_seconds": 0.0,
+    # Parts of the writes whose answer is lost, and of these, that are done later.
+    "store_lost_answers": 0.0,
+    "store_late_writes": 0.0,
+    # Part of the orders that get no answer and are carried out seconds later.
+    "late_orders": 0.0,
+    "is_vm_interface_down": False,
+}
+"""Faults and their values when nothing is wrong."""
+
+HISTORY_SECONDS = 20.0
+"""How long the store's changes can be followed from."""
+
+TICK_SECONDS = 0.05
+"""Time between two looks at what has ended or is due."""
+
+
+class StandinServer:
+    """The platform on one machine.
+
+    Args:
+        size: pools and VMs.
+        seed: seed of the faults.
+        host: IP number to listen on.
+        port: port of the store, the interface for VMs and the controls; 0 lets the
+            kernel choose.
+    """
+
+    def __init__(
+        self, size: FleetSize, seed: int = 1, host: str = "127.0.0.1", port: int = 0
+    ) -> None:
+        self.faults = FaultSettings(FAULT_DEFAULTS)
+        self._host = host
+        self._port = port
+        self._rng = random.Random(seed)
+        rows = RowStore(time.monotonic, HISTORY_SECONDS)
+        self._store = StoreServer(rows, time.monotonic, self.faults, self._rng)
+        self._fleet = VmFleet(self._store, size, time.monotonic)
+        self._runners: list[web.AppRunner] = []
+        self.address = ""
+
+    async def start(self) -> None:
+        """Listen and start the workers."""
+        app = web.Application()
+        self._store.add_routes(app)
+        self._add_vm_routes(app)
+        self._add_controls(app)
+        self.address = await self._listen(app, self._port)
+        for vm in self._fleet.vm_by_id.values():
+            server = WorkerServer(vm, time.monotonic, self.faults, self._rng)
+            vm.address = await self._listen(server.create_app(), 0)
+        self._fleet.begin()
+
+    async def run(self) -> None:
+        """Let time pass for the workers until it is canceled."""
+        while True:
+            self._fleet.tick()
+            await asyncio.sleep(TICK_SECONDS)
+
+    async def stop(self) -> None:
+        """Close all connections."""
+        for runner in self._runners:
+            await runner.cleanup()
+
+    async def _listen(self, app: web.Application, port: int) -> str:
+        runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
+        await runner.setup()
+        site = web.TCPSite(runner, self._host, port)
+        await site.start()
+        self._runners.append(runner)
+        _, bound_port = runner.addresses[0][:2]
+        return f"{self._host}:{bound_port}"
+
+    def _add_vm_routes(self, app: web.Application) -> None:
+        async def list_vms(request: web.Request) -> web.Response:
+            if self.faults["is_vm_interface_down"]:
+                return web.json_response({}, status=503)
+            body = {"Machines": self._fleet.list_vms(), "NextToken": None}
+            return web.json_response(body)
+
+        async def move(request: web.Request) -> web.Response:
+            body = await request.json()
+            return self._answer_order(self._fleet.move(body["Machine"], body["Pool"]))
+
+        async def maintain(request: web.Request) -> web.Response:
+            body = await request.json()
+            is_done = self._fleet.maintain(body["Machine"], int(body["Wave"]))
+            return self._answer_order(is_done)
+
+        app.router.add_get("/machines", list_vms)
+        app.router.add_post("/machine-move", move)
+        app.router.add_post("/machine-upkeep", maintain)
+
+    def _answer_order(self, is_done: bool) -> web.Response:
+        if self.faults["is_vm_interface_down"]:
+            return web.json_response({}, status=503)
+        if is_done:
+            return web.json_response({})
+        return web.json_response({"Reason": "busy"}, status=409)
+
+    def _add_controls(self, app: web.Application) -> None:
+        async def change_faults(request: web.Request) -> web.Response:
+            self.faults.update(await request.json())
+            return web.json_response(self.faults.to_dict())
+
+        async def write_operator_row(request: web.Request) -> web.Response:
+            key = StoreKey("op", "", request.match_info["key"])
+            self._store.write(key, encode_value(await request.json()))
+            return web.json_response({"version": self._store.rows.version})
+
+        async def show_row(request: web.Request) -> web.Response:
+            query = request.query
+            key = StoreKey(query["table"], query.get("part", ""), query["key"])
+            row = self._store.rows.get(key)
+            value = decode_value(row.value) if row and row.value else None
+            return web.json_response({"value": value})
+
+        async def show_events(request: web.Request) -> web.Response:
+            events = [event._asdict() for event in self._fleet.events]
+            return web.json_response({"events": events, "now": time.monotonic()})
+
+        async def change_vm(request: web.Request) -> web.Response:
+            return self._change_vm(request.match_info["vm"], await request.json())
+
+        async def compact(request: web.Request) -> web.Response:
+            self._store.rows.compact()
+            return web.json_response({})
+
+        app.router.add_put("/standin/faults", change_faults)
+        app.router.add_put("/standin/operator/{key:.+}", write_operator_row)
+        app.router.add_get("/standin/row", show_row)
+        app.router.add_get("/standin/events", show_events)
+        app.router.add_put("/standin/vms/{vm}", change_vm)
+        app.router.add_post("/standin/compact", compact)
+
+    def _change_vm(self, vm_id: str, change: dict[str, Any]) -> web.Response:
+        vm = self._fleet.vm_by_id.get(vm_id)
+        if vm is None:
+            return web.json_response({"error": f"no VM {vm_id!r}"}, status=404)
+        if "crash_seconds" in change:
+            self._fleet.crash(vm_id, float(change["crash_seconds"]))
+        if "is_silent" in change:
+            vm.is_silent = bool(change["is_silent"])
+        return web.json_response({})
--- /dev/null
+++ b/catkinport/platform/standin/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the stand-in of the platform."""
--- /dev/null
+++ b/catkinport/platform/standin/vms.py
@@ -0,0 +1,229 @@
+"""VMs of the stand-in: each runs one life of a worker after the other."""
+
+import base64
+import json
+from collections.abc import Callable, Iterator
+from typing import Any, NamedTuple
+
+from ...policy.resources import Resources
+from ...ports.fleet_vms import VmState
+from .rows import StoreKey
+from .store_server import StoreServer
+from .worker_life import RunEvent, WorkerLife
+
+HEARTBEAT_SECONDS = 1.0
+"""Time between two heartbeats of a worker."""
+
+SILENT_HEARTBEATS = 3
+"""The store drops the entry of a worker after so many heartbeats of silence."""
+
+MOVE_SECONDS = 0.5
+"""Time that a move takes; shorter than the platform's, so that tests are quick."""
+
+UPKEEP_SECONDS = 0.5
+"""Time that an upkeep takes."""
+
+MAX_LEASE_SECONDS = 6.0
+"""Longest lease that a worker grants."""
+
+SPARE_POOL = "spare"
+"""Pool whose VMs are off."""
+
+VMS_PER_RACK = 4
+"""VMs that share a rack."""
+
+
+class FleetSize(NamedTuple):
+    """Pools and VMs of a stand-in."""
+
+    n_pools: int = 2
+    n_vms: int = 4
+    n_spare_vms: int = 2
+    cores: float = 16.0
+
+    def pool_of_each_vm(self) -> Iterator[str]:
+        """Yield the first pool of each VM."""
+        for number in range(self.n_pools):
+            yield from [f"pool-{number}"] * self.n_vms
+        yield from [SPARE_POOL] * self.n_spare_vms
+
+
+class StandinVm:
+    """A VM and the life of its worker.
+
+    Attributes:
+        vm_id: the VM.
+        pool: its pool.
+        rack: label of its rack.
+        address: ``host:port`` of its worker.
+        life: what its worker runs; ``None`` while there is no worker.
+        ready_at: time in seconds at which a worker comes; 0 for none on its way.
+        maintained: waves of which it has had its upkeep.
+        is_silent: whether its worker runs on but reaches nobody.
+    """
+
+    def __init__(self, vm_id: str, pool: str, rack: str) -> None:
+        self.vm_id = vm_id
+        self.pool = pool
+        self.rack = rack
+        self.address = ""
+        self.life: WorkerLife | None = None
+        self.ready_at = 0.0
+        self.state = VmState.UP
+        self.maintained: set[int] = set()
+        self.is_silent = False
+
+
+class VmFleet:
+    """All VMs.
+
+    Args:
+        store: where workers register.
+        size: pools and VMs.
+        now: returns the time in seconds.
+    """
+
+    def __init__(
+        self, store: StoreServer, size: FleetSize, now: Callable[[], float]
+    ) -> None:
+        self._store = store
+        self._now = now
+        self._cores = size.cores
+        self._n_lives = 0
+        self._beat_at_by_worker: dict[str, float] = {}
+        self.events: list[RunEvent] = []
+        self.vm_by_id: dict[str, StandinVm] = {}
+        for number, pool in enumerate(size.pool_of_each_vm()):
+            rack = f"r{number // VMS_PER_RACK}"
+            vm = StandinVm(f"m-{number}", pool, rack)
+            self.vm_by_id[vm.vm_id] = vm
+
+    def begin(self) -> None:
+        """Start the workers of all VMs that are on."""
+        for vm in self.vm_by_id.values():
+            if vm.pool != SPARE_POOL:
+                self._begin_life(vm)
+
+    def tick(self) -> None:
+        """Send heartbeats, end what is over, start the workers that are due."""
+        now = self._now()
+        for vm in self.vm_by_id.values():
+            if vm.ready_at and now >= vm.ready_at:
+                vm.ready_at = 0.0
+                vm.state = VmState.UP
+                if vm.pool != SPARE_POOL:
+                    self._begin_life(vm)
+            if vm.life is not None:
+                vm.life.advance(now)
+                if not vm.is_silent:
+                    self._send_heartbeat(vm, now)
+        self._drop_silent(now)
+
+    def list_vms(self) -> list[dict[str, Any]]:
+        """Return the VMs as the platform's list holds them."""
+        return [
+            {
+                "Machine": vm.vm_id,
+                "Pool": vm.pool,
+                "State": vm.state.value,
+                "Zone": "zone-a",
+                "Labels": ["a", vm.rack],
+                "Capacity": self._capacity(),
+                "Id": vm.life.worker_id if vm.life else "",
+            }
+            for vm in self.vm_by_id.values()
+        ]
+
+    def move(self, vm_id: str, pool: str) -> bool:
+        """Move a VM to another pool; return ``False`` if it is busy."""
+        vm = self.vm_by_id[vm_id]
+        if vm.pool == pool:
+            return True
+        if vm.state is not VmState.UP:
+            return False
+        self._end_life(vm)
+        vm.pool = pool
+        vm.state = VmState.MOVING
+        vm.ready_at = self._now() + MOVE_SECONDS
+        return True
+
+    def maintain(self, vm_id: str, wave: int) -> bool:
+        """Take a VM down for its upkeep; return ``False`` if it is busy."""
+        vm = self.vm_by_id[vm_id]
+        if wave in vm.maintained:
+            return True
+        if vm.state is not VmState.UP:
+            return False
+        vm.maintained.add(wave)
+        self._end_life(vm)
+        vm.state = VmState.UPKEEP
+        vm.ready_at = self._now() + UPKEEP_SECONDS
+        return True
+
+    def crash(self, vm_id: str, down_seconds: float) -> None:
+        """End the life of a VM's worker; another one begins later."""
+        vm = self.vm_by_id[vm_id]
+        self._end_life(vm)
+        vm.state = VmState.DOWN
+        vm.ready_at = self._now() + down_seconds
+
+    def _begin_life(self, vm: StandinVm) -> None:
+        self._n_lives += 1
+        vm.life = WorkerLife(
+            f"i-{vm.vm_id}-{self._n_lives}",
+            Resources(self._cores, 64.0, 0),
+            int(self._now() * 1000),
+            self.events,
+            MAX_LEASE_SECONDS,
+        )
+        self._send_heartbeat(vm, self._now())
+
+    def _end_life(self, vm: StandinVm) -> None:
+        if vm.life is None:
+            return
+        vm.life.end_all("gone", self._now())
+        # Whoever has waited long finds the entry gone; a crash sends nothing.
+        vm.life = None
+
+    def _send_heartbeat(self, vm: StandinVm, now: float) -> None:
+        life = vm.life
+        assert life is not None
+        sent_at = self._beat_at_by_worker.get(life.worker_id)
+        if sent_at is not None and now - sent_at < HEARTBEAT_SECONDS:
+            return
+        self._beat_at_by_worker[life.worker_id] = now
+        entry = {
+            "Service": vm.pool,
+            "Address": vm.address,
+            "Zone": "zone-a",
+            "Version": "v1",
+            "Slots": 8,
+            "State": "ready",
+            "ColdLeftMs": 0,
+            "Sequence": int(now * 1000),
+            "Capacity": self._capacity(),
+            "Labels": ["a", vm.rack],
+            "born": life.born,
+        }
+        key = StoreKey("servers", "", life.worker_id)
+        self._store.write(key, encode_value(entry))
+
+    def _drop_silent(self, now: float) -> None:
+        longest = SILENT_HEARTBEATS * HEARTBEAT_SECONDS
+        for worker_id, sent_at in list(self._beat_at_by_worker.items()):
+            if now - sent_at > longest:
+                del self._beat_at_by_worker[worker_id]
+                self._store.write(StoreKey("servers", "", worker_id), None)
+
+    def _capacity(self) -> dict[str, float]:
+        return {"Cpu": self._cores * 1000, "MemMb": 65536, "Gpu": 0}
+
+
+def encode_value(value: dict[str, Any]) -> str:
+    """Return a value as the store keeps it."""
+    return base64.b64encode(json.dumps(value).encode()).decode()
+
+
+def decode_value(text: str) -> dict[str, Any]:
+    """Return a value that the store keeps."""
+    return json.loads(base64.b64decode(text))
--- /dev/null
+++ b/verification/platform/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the platform's daemon as processes."""
--- a/verification/processes.py
+++ b/verification/processes.py
@@ -7,7 +7,7 @@
 import tempfile
 import threading
 import time
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from pathlib import Path
 from typing import NamedTuple
 
@@ -30,13 +30,20 @@
         name: name for messages.
         arguments: module to run and its arguments, without the interpreter.
         log_path: file that takes standard output and standard error.
+        variables: environment variables beside those of this process.
     """
 
-    def __init__(self, name: str, arguments: Sequence[str], log_path: Path) -> None:
+    def __init__(
+        self,
+        name: str,
+        arguments: Sequence[str],
+        log_path: Path,
+        variables: Mapping[str, str] | None = None,
+    ) -> None:
         self.name = name
         self.log_path = log_path
         self._log = log_path.open("wb")
-        environment = {**os.environ, "PYTHONUNBUFFERED": "1"}
+        environment = {**os.environ, "PYTHONUNBUFFERED": "1", **(variables or {})}
         self._process = subprocess.Popen(
             [sys.executable, "-m", *arguments],
             stdout=self._log,
@@ -123,11 +130,16 @@
         """Folder for settings and output, removed at the end."""
         return Path(self._folder.name)
 
-    def start(self, name: str, arguments: Sequence[str]) -> ManagedProcess:
-        """Start a Python module as a process."""
+    def start(
+        self,
+        name: str,
+        arguments: Sequence[str],
+        variables: Mapping[str, str] | None = None,
+    ) -> ManagedProcess:
+        """Start a Python module as a process, with further environment variables."""
         with self._lock:
             log_path = self.folder / f"{name}-{len(self._processes)}.log"
-            process = ManagedProcess(name, arguments, log_path)
+            process = ManagedProcess(name, arguments, log_path, variables)
             self._processes.append(process)
         return process
 
