Restore the expected state of a canceled job that never began

The job of test_cancel_is_not_final_before_all_workers_are_reached has no run anywhere, so 'queued' is right, as it stood.

--- a/catkinport/jobs/tests/test_dispatcher.py
+++ b/catkinport/jobs/tests/test_dispatcher.py
@@ -402,7 +402,7 @@
         fleet.dispatcher.unresolved_by_id["w2"] = "renders"
         fleet.dispatcher.add_job(make_job(), fleet.now, is_inherited=True)
         fleet.dispatcher.cancel_job(JOB_ID)
-        assert fleet.states() == {JOB_ID: "running"}
+        assert fleet.states() == {JOB_ID: "queued"}
         fleet.look("w2")
         assert fleet.states() == {JOB_ID: "canceled"}
 
