Store VM orders before they are sent, so that a new owner orders others at once

Cause: a new owner gave no order for any VM until 3 s after the former one, so as not to take turns with it. Ruled out: restart and load of the state (1.1 s and 0.05 s), workers not reached (all within 0.05 s).

Change: an owner stores which VMs it has ordered about in the last 3 s or is about to, under its token, before it sends the orders. A new owner leaves just these alone and counts them as down and their tasks as away. As it may order at once now, a VM whose worker it has not reached gets no upkeep: its lasting tasks are not known (the old code took it as idle).

Tests: TestTakeover of jobs/tests/test_keeper.py.

--- a/catkinport/jobs/keeper.py
+++ b/catkinport/jobs/keeper.py
@@ -5,7 +5,7 @@
 """
 
 import logging
-from collections.abc import Iterator, Mapping, Sequence
+from collections.abc import Iterable, Iterator, Mapping, Sequence
 from typing import NamedTuple
 
 from ..policy.pool_size import IdleVm, PoolMove, PoolView, choose_moves
@@ -53,11 +53,19 @@
 
 
 class VmBounds(NamedTuple):
-    """Times that the platform names, in seconds."""
+    """Times that the platform names, in seconds.
+
+    Args:
+        upkeep: how long an upkeep takes.
+        move: how long a move takes.
+        away_notice: how long a lasting task must be at work to count as present.
+        order_gap: shortest time between orders of two owners for one VM.
+    """
 
     upkeep: float
     move: float
     away_notice: float
+    order_gap: float
 
 
 class PendingOrder(NamedTuple):
@@ -93,16 +101,13 @@
     Args:
         dispatcher: jobs and workers.
         bounds: times that the platform names.
-        may_order_from: clock time in seconds before which nothing is ordered, because
-            a former owner may just have given orders.
     """
 
-    def __init__(
-        self, dispatcher: Dispatcher, bounds: VmBounds, may_order_from: float
-    ) -> None:
+    def __init__(self, dispatcher: Dispatcher, bounds: VmBounds) -> None:
         self._dispatcher = dispatcher
         self._bounds = bounds
-        self._may_order_from = may_order_from
+        self._held_until_by_vm: dict[str, float] = {}
+        self._ordered_at_by_vm: dict[str, float] = {}
         self._vm_by_id: dict[str, FleetVm] = {}
         self._listed_at = float("-inf")
         self._pending_by_vm: dict[str, PendingOrder] = {}
@@ -165,10 +170,23 @@
         if state is not None:
             state.begun.update(vm_ids)
 
+    def hold_back(self, vm_ids: Iterable[str], until: float) -> None:
+        """Leave VMs alone that a former owner may just have ordered about."""
+        self._held_until_by_vm.update(dict.fromkeys(vm_ids, until))
+
+    def lately_ordered(self, now: float) -> list[str]:
+        """Return the VMs whose latest order a successor has to wait for."""
+        oldest = now - self._bounds.order_gap
+        ordered = self._ordered_at_by_vm.items()
+        self._ordered_at_by_vm = {vm: at for vm, at in ordered if at >= oldest}
+        return sorted(self._ordered_at_by_vm)
+
     def plan(self, now: float) -> list[VmOrder]:
         """Return the orders to send now; they count as sent."""
-        if now < self._may_order_from or now - self._listed_at > LONG_LIST_GAP_SECONDS:
+        if now - self._listed_at > LONG_LIST_GAP_SECONDS:
             return []
+        held = self._held_until_by_vm.items()
+        self._held_until_by_vm = {vm: until for vm, until in held if until > now}
         self._note_idle(now)
         self._update_turns(now)
         orders = list(self._repeat_orders(now))
@@ -177,6 +195,7 @@
         orders.extend(self._plan_moves(now))
         for order in orders:
             self._pending_by_vm[order.vm_id] = PendingOrder(order, now, 0.0)
+            self._ordered_at_by_vm[order.vm_id] = now
         return orders
 
     def on_done(self, order: VmOrder, now: float) -> None:
@@ -248,7 +267,12 @@
         return self._dispatcher.worker_by_id.get(vm.worker_id)
 
     def _is_up(self, vm: FleetVm) -> bool:
-        return vm.state is VmState.UP and vm.vm_id not in self._pending_by_vm
+        is_free = not self._is_under_order(vm.vm_id)
+        return vm.state is VmState.UP and is_free
+
+    def _is_under_order(self, vm_id: str) -> bool:
+        """Return whether an order may be about to end what runs on the VM."""
+        return vm_id in self._pending_by_vm or vm_id in self._held_until_by_vm
 
     def _is_off(self, vm: FleetVm) -> bool:
         pool = self._dispatcher.configuration.pool_by_name.get(vm.pool)
@@ -293,7 +317,7 @@
                 belief.is_due = vm.vm_id not in state.begun
         n_down = sum(self._may_be_down(vm, wave.wave) for vm in members)
         candidates = [
-            self._candidate(vm)
+            self._candidate(vm, now)
             for vm in members
             if vm.vm_id not in state.begun and self._is_up(vm)
         ]
@@ -329,16 +353,17 @@
         pending = self._pending_by_vm.get(vm.vm_id)
         if pending is not None and pending.order.wave == wave:
             return True
-        return vm.state is VmState.UPKEEP
+        # The list may not show yet what a former owner ordered.
+        return vm.state is VmState.UPKEEP or vm.vm_id in self._held_until_by_vm
 
-    def _candidate(self, vm: FleetVm) -> UpkeepCandidate:
+    def _candidate(self, vm: FleetVm, now: float) -> UpkeepCandidate:
         belief = self._worker_on(vm.vm_id)
         runs = list(belief.run_by_key.values()) if belief else []
         short = [run for run in runs if not run.task.step.is_lasting]
         return UpkeepCandidate(
             vm_id=vm.vm_id,
             pool=vm.pool,
-            cost=self._upkeep_cost(vm, belief, runs),
+            cost=self._upkeep_cost(vm, belief, runs, now),
             busy_cores=sum(run.task.step.need.cores for run in short),
             is_reserved=vm.vm_id in self._reserved,
             may_end_lasting=belief is not None and self._may_end_lasting(belief),
@@ -346,11 +371,12 @@
         )
 
     def _upkeep_cost(
-        self, vm: FleetVm, belief: WorkerBelief | None, runs: list[Run]
+        self, vm: FleetVm, belief: WorkerBelief | None, runs: list[Run], now: float
     ) -> UpkeepCost:
         if self._is_off(vm):
             return UpkeepCost.OFF
-        if belief is None:
+        # What runs on a worker that a new owner has not reached is not known.
+        if belief is None or not belief.is_in_contact(now):
             return UpkeepCost.FORBIDDEN
         if not runs:
             return UpkeepCost.IDLE
@@ -418,7 +444,7 @@
         belief = self._dispatcher.worker_by_id[run.worker_id]
         if run.task.phase is not TaskPhase.PLACED or run.percent < AT_WORK_PERCENT:
             return False
-        if run.is_evacuated or belief.vm_id in self._pending_by_vm:
+        if run.is_evacuated or self._is_under_order(belief.vm_id):
             return False
         at_work_seconds = belief.contact_at - run.progressed_at
         return at_work_seconds >= self._bounds.away_notice
--- a/catkinport/jobs/owner.py
+++ b/catkinport/jobs/owner.py
@@ -7,11 +7,9 @@
 import asyncio
 import logging
 import time
-from typing import NamedTuple
 
 from ..policy.leadership import (
     BEAT_SECONDS,
-    DOUBT_SECONDS,
     OwnLease,
     former_owner_bound,
 )
@@ -44,18 +42,6 @@
 """Longest time that a stopping owner tries to give the ownership up."""
 
 
-class OwnerBounds(NamedTuple):
-    """Times that the platform names, in seconds.
-
-    Args:
-        vm_order_gap: shortest time between orders of two owners for one VM.
-        vm: times of orders for VMs.
-    """
-
-    vm_order_gap: float
-    vm: VmBounds
-
-
 class FleetOwner:
     """Runs all jobs while this daemon holds the ownership.
 
@@ -63,7 +49,7 @@
         ports: outside systems.
         configuration: version in force.
         claim: the claim that made this daemon the owner.
-        bounds: times that the platform names.
+        bounds: times that the platform names for orders of VMs.
     """
 
     def __init__(
@@ -71,16 +57,17 @@
         ports: OwnerPorts,
         configuration: FleetConfiguration,
         claim: Claim,
-        bounds: OwnerBounds,
+        bounds: VmBounds,
     ) -> None:
         lease = OwnLease(claim.token, claim.sent_at)
         dispatcher = Dispatcher(configuration)
         self._session = OwnerSession(ports, dispatcher, lease)
-        self._keeper = Keeper(dispatcher, bounds.vm, _may_order_from(claim, bounds))
+        self._keeper = Keeper(dispatcher, bounds)
         self._store = StateStore(self._session)
         self._watch = WorkerWatch(self._session, self._store, _former_bound(claim))
         self._run_orders = RunOrders(self._session, self._watch)
-        self._vm_orders = VmOrders(self._session, self._keeper)
+        held_until = claim.sent_at + bounds.order_gap
+        self._vm_orders = VmOrders(self._session, self._keeper, held_until)
         self._feed_version = 0
 
     def apply_configuration(self, configuration: FleetConfiguration) -> None:
@@ -275,12 +262,3 @@
     return former_owner_bound(
         claim.former_changed_at, claim.is_former_ended, MAX_LEASE_SECONDS
     )
-
-
-def _may_order_from(claim: Claim, bounds: OwnerBounds) -> float:
-    """Return when VMs may be ordered about without taking turns with another owner."""
-    if claim.former_changed_at is None:
-        return float("-inf")
-    # A former owner stops ordering VMs about when its lease is in doubt.
-    doubt_seconds = 0.0 if claim.is_former_ended else DOUBT_SECONDS
-    return claim.former_changed_at + doubt_seconds + bounds.vm_order_gap
--- a/catkinport/jobs/tables.py
+++ b/catkinport/jobs/tables.py
@@ -17,6 +17,9 @@
 OWN_VMS_KEY = RowKey(WAVES_TABLE, "own-vms")
 """How many VMs each pool had when the first owner began."""
 
+VM_ORDERS_KEY = RowKey(WAVES_TABLE, "orders")
+"""VMs that the owner has ordered about lately, written before it orders them."""
+
 CANCEL_SUFFIX = ".cancel"
 """Ends the key of the row that cancels a job; it lies beside the job's own row, so that
 one read and one feed cover both."""
--- a/catkinport/jobs/tests/test_keeper.py
+++ b/catkinport/jobs/tests/test_keeper.py
@@ -6,7 +6,7 @@
 from ..model import Step
 from .builders import NEED, POOL, Fleet, make_job, make_worker
 
-BOUNDS = VmBounds(upkeep=2.0, move=1.5, away_notice=4.5)
+BOUNDS = VmBounds(upkeep=2.0, move=1.5, away_notice=4.5, order_gap=3.0)
 CAPACITY = Resources(16.0, 256.0, 0)
 
 
@@ -17,7 +17,7 @@
         super().__init__([make_worker(f"w{i}") for i in range(n_workers)])
         self.vms = [self._vm(f"m{i}", POOL, f"w{i}") for i in range(n_workers)]
         self.vms += [self._vm(f"off{i}", "off", "") for i in range(n_off)]
-        self.keeper = Keeper(self.dispatcher, BOUNDS, 0.0)
+        self.keeper = Keeper(self.dispatcher, BOUNDS)
         self.list_vms()
 
     @staticmethod
@@ -84,15 +84,6 @@
         fleet.keeper.on_done(order, fleet.now)
         assert fleet.keeper.is_complete(state)
 
-    def test_nothing_is_ordered_right_after_a_change_of_the_owner(self):
-        """Guards against two owners that give orders for one VM in turns."""
-        fleet = VmFleet(1)
-        fleet.keeper = Keeper(fleet.dispatcher, BOUNDS, fleet.now + 3.0)
-        fleet.list_vms()
-        fleet.ask_wave(["m0"])
-        assert fleet.step() == []
-        assert len(fleet.step(3.0)) == 1
-
 
 class TestLastingTasks:
     def _fleet(self, n_tasks, max_away, max_per_worker, n_workers=3):
@@ -172,13 +163,57 @@
 
 
 class TestTakeover:
+    def _new_owner(self, fleet, held=()):
+        fleet.keeper = Keeper(fleet.dispatcher, BOUNDS)
+        fleet.keeper.hold_back(held, fleet.now + BOUNDS.order_gap)
+        fleet.list_vms()
+
+    def test_vm_that_the_former_owner_ordered_about_is_left_alone(self):
+        """Guards against two owners that give orders for one VM in turns."""
+        fleet = VmFleet(1)
+        self._new_owner(fleet, held=["m0"])
+        fleet.ask_wave(["m0"])
+        assert fleet.step() == []
+        assert len(fleet.step(3.0)) == 1
+
+    def test_other_vms_are_ordered_at_once(self):
+        """Guards against a turn that begins without VMs after a change of the owner."""
+        fleet = VmFleet(2)
+        self._new_owner(fleet, held=["m0"])
+        fleet.ask_wave(["m0", "m1"])
+        assert [order.vm_id for order in fleet.step()] == ["m1"]
+
+    def test_orders_of_the_former_owner_count_towards_the_maximum(self):
+        """Guards against a list that does not show a fresh upkeep yet."""
+        fleet = VmFleet(2)
+        self._new_owner(fleet, held=["m0"])
+        fleet.ask_wave(["m0", "m1"], max_down=1)
+        assert fleet.step() == []
+
+    def test_vm_whose_worker_was_not_reached_yet_gets_no_upkeep(self):
+        """Guards against the end of lasting tasks that a new owner has not seen."""
+        fleet = VmFleet(1)
+        fleet.dispatcher.worker_by_id["w0"].contact_at = float("-inf")
+        self._new_owner(fleet)
+        fleet.ask_wave(["m0"])
+        assert fleet.keeper.plan(fleet.now) == []
+        fleet.look("w0")
+        assert len(fleet.keeper.plan(fleet.now)) == 1
+
+    def test_successor_learns_of_the_orders_of_the_last_seconds(self):
+        fleet = VmFleet(1)
+        fleet.ask_wave(["m0"])
+        fleet.step()
+        assert fleet.keeper.lately_ordered(fleet.now + 2.9) == ["m0"]
+        assert fleet.keeper.lately_ordered(fleet.now + 3.1) == []
+
     def test_new_owner_sees_a_turn(self):
         """Guards against a new owner that learns the pools' sizes before it has a list.
 
         Its pools then had no cores, so that no turn was seen after a change of owner.
         """
         fleet = VmFleet(2, n_off=2)
-        fleet.keeper = Keeper(fleet.dispatcher, BOUNDS, 0.0)
+        fleet.keeper = Keeper(fleet.dispatcher, BOUNDS)
         fleet.keeper.restore_own_vms({POOL: 2, "off": 2})
         fleet.list_vms()
         fleet.keeper.note_work(POOL, 100.0, fleet.now)
--- a/catkinport/jobs/vm_orders.py
+++ b/catkinport/jobs/vm_orders.py
@@ -6,12 +6,12 @@
 
 from ..ports import Unavailable
 from ..ports.fleet_workers import Done, Rejected
-from ..ports.table import Committed, Transaction, Write
+from ..ports.table import Committed, Conflict, Transaction, Write
 from ..runtime.logs import log_event
 from .dispatcher import VM_LIST_LAG_SECONDS
 from .keeper import Keeper, VmOrder
 from .session import RETRY_SECONDS, OwnerSession
-from .tables import OWN_VMS_KEY, WAVES_TABLE, wave_key
+from .tables import OWN_VMS_KEY, VM_ORDERS_KEY, WAVES_TABLE, wave_key
 
 logger = logging.getLogger(__name__)
 
@@ -29,11 +29,16 @@
     Args:
         session: the ownership.
         keeper: decides about VMs.
+        held_until: clock time in seconds until which VMs that the former owner has
+            ordered about lately are left alone.
     """
 
-    def __init__(self, session: OwnerSession, keeper: Keeper) -> None:
+    def __init__(
+        self, session: OwnerSession, keeper: Keeper, held_until: float
+    ) -> None:
         self._session = session
         self._keeper = keeper
+        self._held_until = held_until
 
     async def run_list(self) -> None:
         """Follow the platform's list of VMs until the ownership ends."""
@@ -58,6 +63,8 @@
             await asyncio.sleep(RETRY_SECONDS)
             begun = await self._session.table.read_range(WAVES_TABLE)
         begun_by_wave = {row.row_key.key: row.value for row in begun.rows}
+        ordered = begun_by_wave.get(VM_ORDERS_KEY.key, {}).get("vms", [])
+        self._keeper.hold_back(ordered, self._held_until)
         own_vms = begun_by_wave.get(OWN_VMS_KEY.key)
         if own_vms is not None:
             self._keeper.restore_own_vms(own_vms["n_by_pool"])
@@ -72,14 +79,38 @@
             if not self._session.lease.is_in_doubt(now):
                 if own_vms is None and self._keeper.own_vms_by_pool:
                     own_vms = await self._store_own_vms()
-                for order in self._keeper.plan(now):
-                    self._session.spawn(self._send_vm_order(order))
+                await self._send_vm_orders(self._keeper.plan(now), now)
                 for run in self._keeper.find_evacuations():
                     run.is_evacuated = True
                     self._session.wake.set()
                 await self._report_waves()
             await asyncio.sleep(KEEP_SECONDS)
 
+    async def _send_vm_orders(self, orders: list[VmOrder], now: float) -> None:
+        """Send orders once their VMs are stored, so that a successor waits for them.
+
+        An owner that was replaced without knowing it fails here and orders nothing.
+        """
+        if not orders:
+            return
+        write = Write(VM_ORDERS_KEY, {"vms": self._keeper.lately_ordered(now)})
+        transaction = Transaction([self._session.owner_condition()], [write])
+        outcome = await self._session.table.commit(transaction)
+        if isinstance(outcome, Committed):
+            for order in orders:
+                self._session.spawn(self._send_vm_order(order))
+            return
+        log_event(
+            logger,
+            "vm orders not stored",
+            n_orders=len(orders),
+            reason=type(outcome).__name__,
+        )
+        if isinstance(outcome, Conflict):
+            self._session.depose("vm-orders-conflict")
+        for order in orders:
+            self._keeper.on_rejected(order)
+
     async def _send_vm_order(self, order: VmOrder) -> None:
         token = self._session.lease.token
         if order.wave:
--- a/catkinport/platform/daemon.py
+++ b/catkinport/platform/daemon.py
@@ -12,7 +12,7 @@
 from ..jobs.configuration_watch import ConfigurationWatch
 from ..jobs.intake import Intake
 from ..jobs.keeper import VmBounds
-from ..jobs.owner import FleetOwner, OwnerBounds
+from ..jobs.owner import FleetOwner
 from ..jobs.ownership_watch import OwnershipWatch
 from ..jobs.session import OwnerPorts
 from ..policy.leadership import claim_delay_seconds
@@ -208,14 +208,16 @@
                 self._ports,
                 self._configuration.current,
                 claim,
-                self._owner_bounds(),
+                self._vm_bounds(),
             )
             await self._owner.run(self._stop)
             self._owner = None
 
-    def _owner_bounds(self) -> OwnerBounds:
+    def _vm_bounds(self) -> VmBounds:
         bounds = self._settings.bounds
-        return OwnerBounds(
-            vm_order_gap=bounds.vm_order_gap,
-            vm=VmBounds(bounds.upkeep, bounds.move, bounds.away_notice),
+        return VmBounds(
+            upkeep=bounds.upkeep,
+            move=bounds.move,
+            away_notice=bounds.away_notice,
+            order_gap=bounds.vm_order_gap,
         )
