Tell what can still be on time by learnt durations

Cause: whether a job can be on time was told by its callers' estimates. Ruled out: waiting; the first task of these jobs started within 25 ms.

Change: policy/durations.py fits a line through the logarithms of estimates and durations of each queue, which begins as 'the estimate is right', forgets, and gives the mean and the longest of n tasks. Order, objectives and the load of a pool use it in place of the estimates and of a mean without them.

--- a/catkinport/jobs/dispatcher.py
+++ b/catkinport/jobs/dispatcher.py
@@ -8,6 +8,8 @@
 from collections.abc import Iterator, Sequence
 from typing import Any, NamedTuple
 
+from ..policy.durations import DurationModel
+from ..policy.job_order import JobView
 from ..policy.pacing import ServingTask, choose_pace
 from ..policy.resources import NOTHING, Resources, add
 from ..ports.fleet_vms import FleetVm, VmState
@@ -49,11 +51,8 @@
 RESTART_PAUSE_SECONDS = 0.2
 """Pause before a task whose run failed is started again."""
 
-DEFAULT_TASK_SECONDS = 1.0
-"""Assumed duration of a task before any task of its queue has ended."""
-
 LEARNING_RATE = 0.05
-"""Weight of a new value in a learnt mean; about the last twenty count."""
+"""Weight of a new job in the mean work of its queue; about the last twenty count."""
 
 STALL_FACTOR = 1.0
 """A run without progress for this many times its estimate stands still."""
@@ -103,8 +102,8 @@
         self.worker_by_id: dict[str, WorkerBelief] = {}
         self.runs_by_task: dict[str, list[Run]] = {}
         self.unresolved_by_id: dict[str, str] = {}
-        self.mean_work_by_queue: dict[str, float] = {}
-        self._mean_seconds_by_queue: dict[str, float] = {}
+        self._mean_work_by_queue: dict[str, float] = {}
+        self._durations_by_queue: dict[str, DurationModel] = {}
         self._retired_ids: set[str] = set()
         self._stray_sent_at: dict[tuple[str, RunKey], float] = {}
 
@@ -425,7 +424,8 @@
         record.keep_saved(task, ended.saved)
         if ended.how is EndKind.DONE and not task.step.is_lasting:
             if run is not None:
-                self._learn_seconds(record.job.queue, now - run.asked_at)
+                durations = self.durations_of(record.job.queue)
+                durations.learn(task.step.estimate_seconds, now - run.asked_at)
             self._on_done(belief, record, task, now)
         elif ended.how is EndKind.FAILED:
             self._on_failed(belief, record, task, ended.run, now)
@@ -448,7 +448,8 @@
     def _log_complete(self, record: JobRecord, now: float) -> None:
         queue = self.queue_of(record)
         seconds = now - record.first_seen_at
-        objective = record.objective_seconds(queue) if queue else 0.0
+        durations = self.durations_of(record.job.queue)
+        objective = record.objective_seconds(queue, durations) if queue else 0.0
         log_event(
             logger,
             "job complete",
@@ -763,24 +764,32 @@
             # Stored once more, now as a job of which nothing runs.
             record.is_dirty = True
 
-    def expected_core_seconds(self, job: Job) -> float:
-        """Return the work of a job by how long tasks of its queue took lately.
-
-        Callers' estimates may be several times too small or too large.
-        """
-        seconds = self._mean_seconds_by_queue.get(job.queue, DEFAULT_TASK_SECONDS)
-        return seconds * sum(
-            step.n_tasks * step.need.cores for step in job.steps if not step.is_lasting
+    def durations_of(self, queue: str) -> DurationModel:
+        """Return what has been learnt of the durations of a queue's tasks."""
+        return self._durations_by_queue.setdefault(queue, DurationModel())
+
+    def view_job(self, record: JobRecord, queue: Queue) -> JobView:
+        """Return what the order of a job depends on."""
+        durations = self.durations_of(queue.name)
+        total = self.expected_core_seconds(record.job)
+        return JobView(
+            accepted_at=record.first_seen_at,
+            objective_seconds=record.objective_seconds(queue, durations),
+            remaining_chain_seconds=record.remaining_chain_seconds(durations),
+            remaining_core_seconds=record.remaining_core_seconds(durations),
+            mean_core_seconds=self._mean_work_by_queue.get(queue.name, total),
+            total_core_seconds=total,
+            priority=queue.priority,
+            is_lasting=any(step.is_lasting for step in record.job.steps),
         )
 
-    def _learn_seconds(self, queue: str, seconds: float) -> None:
-        mean = self._mean_seconds_by_queue.get(queue, DEFAULT_TASK_SECONDS)
-        mean += (seconds - mean) * LEARNING_RATE
-        self._mean_seconds_by_queue[queue] = mean
+    def expected_core_seconds(self, job: Job) -> float:
+        """Return the work of a job by how long tasks of its queue took lately."""
+        return work_core_seconds(job.steps, self.durations_of(job.queue))
 
     def _learn_work(self, job: Job) -> None:
-        work = work_core_seconds(job.steps)
-        mean = self.mean_work_by_queue.get(job.queue)
-        self.mean_work_by_queue[job.queue] = (
+        work = self.expected_core_seconds(job)
+        mean = self._mean_work_by_queue.get(job.queue)
+        self._mean_work_by_queue[job.queue] = (
             work if mean is None else mean + (work - mean) * LEARNING_RATE
         )
--- a/catkinport/jobs/model.py
+++ b/catkinport/jobs/model.py
@@ -4,6 +4,7 @@
 from enum import StrEnum
 from typing import Any, NamedTuple
 
+from ..policy.durations import DurationModel
 from ..policy.resources import Resources
 
 
@@ -124,24 +125,30 @@
         return cls(job_id, occurrence, step, index)
 
 
-def chain_seconds(steps: Sequence[Step]) -> float:
-    """Return the longest chain of estimated work over dependent steps.
+def chain_seconds(steps: Sequence[Step], durations: DurationModel) -> float:
+    """Return the longest chain of expected work over dependent steps.
 
     Example:
         >>> need = Resources(1, 1, 0)
-        >>> chain_seconds([Step(4, need, 1.0), Step(2, need, 2.0, after=(0,))])
-        3.0
+        >>> steps = [Step(1, need, 1.0), Step(1, need, 2.0, after=(0,))]
+        >>> round(chain_seconds(steps, DurationModel()), 1)
+        3.1
     """
     ends: list[float] = []
     for step in steps:
         start = max((ends[i] for i in step.after), default=0.0)
-        ends.append(start + step.estimate_seconds)
+        longest = durations.predict_longest(step.estimate_seconds, step.n_tasks)
+        ends.append(start + longest)
     return max(ends, default=0.0)
 
 
-def work_core_seconds(steps: Sequence[Step]) -> float:
-    """Return the estimated core-seconds of all tasks of ``steps``."""
-    return sum(step.n_tasks * step.need.cores * step.estimate_seconds for step in steps)
+def work_core_seconds(steps: Sequence[Step], durations: DurationModel) -> float:
+    """Return the expected core-seconds of all tasks of ``steps`` that end."""
+    return sum(
+        step.n_tasks * step.need.cores * durations.predict(step.estimate_seconds)
+        for step in steps
+        if not step.is_lasting
+    )
 
 
 def job_to_row(job: Job) -> dict[str, Any]:
--- a/catkinport/jobs/planner.py
+++ b/catkinport/jobs/planner.py
@@ -3,12 +3,12 @@
 from collections.abc import Iterator, Mapping
 from typing import NamedTuple
 
-from ..policy.job_order import JobView, order_key
+from ..policy.job_order import order_key
 from ..policy.resources import Resources
 from ..policy.worker_choice import TaskNeed, WorkerRoom, choose_worker, fits
 from .configuration import Account, Queue
 from .dispatcher import Dispatcher
-from .model import Step, work_core_seconds
+from .model import Step
 from .record import JobRecord, Task, TaskPhase
 from .worker_state import Run, WorkerBelief
 
@@ -91,7 +91,7 @@
             if not rooms:
                 continue
             ordered = sorted(
-                records, key=lambda item: order_key(self._view(*item, now), now)
+                records, key=lambda item: order_key(dispatcher.view_job(*item), now)
             )
             for record, queue in ordered:
                 self._plan_job(record, queue, rooms, usage, now, unix_now, starts)
@@ -226,22 +226,6 @@
         ticket = tickets.get(room.worker_id)
         starts.append(PlannedStart(belief, run, ticket.text if ticket else ""))
 
-    def _view(self, record: JobRecord, queue: Queue, now: float) -> JobView:
-        chain = record.remaining_chain_seconds()
-        total = work_core_seconds(record.job.steps)
-        return JobView(
-            accepted_at=record.first_seen_at,
-            objective_seconds=record.objective_seconds(queue),
-            remaining_chain_seconds=chain,
-            remaining_core_seconds=record.remaining_core_seconds(),
-            mean_core_seconds=self._dispatcher.mean_work_by_queue.get(
-                queue.name, total
-            ),
-            total_core_seconds=total,
-            priority=queue.priority,
-            is_lasting=any(step.is_lasting for step in record.job.steps),
-        )
-
 
 def stage_name(task: Task) -> str:
     """Return the name of the task's step within its job's occurrence."""
--- a/catkinport/jobs/record.py
+++ b/catkinport/jobs/record.py
@@ -4,6 +4,7 @@
 from enum import StrEnum
 from typing import Any
 
+from ..policy.durations import DurationModel
 from .configuration import Queue
 from .model import FINAL_STATES, Job, JobState, Step, TaskId, chain_seconds
 
@@ -196,27 +197,31 @@
             if self.is_inherited:
                 task.run = max(task.run, self._top_run) + RUN_GAP_AFTER_TAKEOVER
 
-    def remaining_chain_seconds(self, occurrence: int = 0) -> float:
-        """Return the longest chain of estimated work that is still open."""
+    def remaining_chain_seconds(
+        self, durations: DurationModel, occurrence: int = 0
+    ) -> float:
+        """Return the longest chain of expected work that is still open."""
         ends: list[float] = []
         for number, step in enumerate(self.job.steps):
             start = max((ends[i] for i in step.after), default=0.0)
-            is_open = self._n_open_by_stage[occurrence, number] > 0
-            ends.append(start + (step.estimate_seconds if is_open else 0.0))
+            n_open = self._n_open_by_stage[occurrence, number]
+            longest = durations.predict_longest(step.estimate_seconds, n_open)
+            ends.append(start + (longest if n_open else 0.0))
         return max(ends, default=0.0)
 
-    def remaining_core_seconds(self) -> float:
-        """Return the estimated core-seconds of the tasks that are not done."""
+    def remaining_core_seconds(self, durations: DurationModel) -> float:
+        """Return the expected core-seconds of the tasks that are not done."""
         return sum(
             n_open
             * self.job.steps[number].need.cores
-            * self.job.steps[number].estimate_seconds
+            * durations.predict(self.job.steps[number].estimate_seconds)
             for (_, number), n_open in self._n_open_by_stage.items()
         )
 
-    def objective_seconds(self, queue: Queue) -> float:
+    def objective_seconds(self, queue: Queue, durations: DurationModel) -> float:
         """Return the time within which the job should be complete."""
-        return queue.stretch * chain_seconds(self.job.steps) + queue.target_seconds
+        chain = chain_seconds(self.job.steps, durations)
+        return queue.stretch * chain + queue.target_seconds
 
     def to_row(self) -> dict[str, Any]:
         """Return the part of the state that is stored.
