Give VMs to jobs that can still be on time, and split the keeper of VMs

Ruled out: the turn was seen at once (0.2 s after its begin); moves took what they should (1.8 s).

Change: a pool's demand is split into jobs that can still be on time and others (jobs/pool_demand.py); what an account's limit keeps from starting asks for no VM. Where on-time work lacks VMs, pools that hold more than theirs keep VMs free, which move as soon as their tasks end (choose_yields). Late work brings in fewer VMs. The keeper is split into vm_book, lasting_guard, pool_mover and keeper; nothing else changes there.

--- a/catkinport/jobs/owner.py
+++ b/catkinport/jobs/owner.py
@@ -19,13 +19,14 @@
 from ..runtime.logs import log_event
 from .configuration import FleetConfiguration
 from .dispatcher import Dispatcher, is_over
-from .keeper import Keeper, VmBounds
+from .keeper import Keeper
 from .model import Job, job_from_row
 from .ownership_watch import Claim
 from .run_orders import RunOrders
 from .session import RETRY_SECONDS, OwnerPorts, OwnerSession
 from .state_store import StateStore, beat_write
 from .tables import CANCEL_SUFFIX, JOBS_TABLE, ROSTER_TABLE, STATES_TABLE
+from .vm_book import VmBounds
 from .vm_orders import VmOrders
 from .worker_state import MAX_LEASE_SECONDS
 from .worker_watch import WorkerWatch
@@ -213,7 +214,7 @@
         queue = self._session.dispatcher.configuration.queue_by_name.get(job.queue)
         if queue is not None:
             work = self._session.dispatcher.expected_core_seconds(job)
-            self._keeper.note_work(queue.pool, work, now)
+            self._keeper.mover.note_work(queue.pool, work, now)
 
     async def _feed_loop(self) -> None:
         while True:
--- /dev/null
+++ b/catkinport/jobs/pool_mover.py
@@ -0,0 +1,210 @@
+"""Moves VMs between pools as their demand changes."""
+
+import logging
+from collections.abc import Iterator, Mapping, Sequence, Set
+
+from ..policy.pool_size import (
+    BusyVm,
+    IdleVm,
+    PoolMove,
+    PoolView,
+    choose_moves,
+    choose_yields,
+)
+from ..policy.turns import TurnTracker
+from ..ports.fleet_vms import FleetVm, VmState
+from ..runtime.logs import log_event
+from .dispatcher import Dispatcher
+from .pool_demand import measure_demand
+from .vm_book import VmBook, VmOrder
+from .worker_state import WorkerBelief
+
+logger = logging.getLogger(__name__)
+
+
+class PoolMover:
+    """Decides which VMs change their pool.
+
+    Args:
+        dispatcher: jobs and workers.
+        book: VMs and the orders for them.
+    """
+
+    def __init__(self, dispatcher: Dispatcher, book: VmBook) -> None:
+        self._dispatcher = dispatcher
+        self._book = book
+        self._own_vms_by_pool: dict[str, int] = {}
+        self._turns = TurnTracker({})
+        self._phase_by_pool: dict[str, str] = {}
+
+    @property
+    def own_vms_by_pool(self) -> Mapping[str, int]:
+        """VMs that each pool has when none are lent or switched off."""
+        return self._own_vms_by_pool
+
+    def restore_own_vms(self, n_by_pool: Mapping[str, int]) -> None:
+        """Note how many VMs each pool has when none are lent or switched off."""
+        self._own_vms_by_pool = dict(n_by_pool)
+        self._update_own_cores()
+
+    def take_vms(self, vms: Sequence[FleetVm]) -> None:
+        """Learn the sizes of the pools from the platform's list."""
+        if not self._own_vms_by_pool:
+            for vm in vms:
+                n_vms = self._own_vms_by_pool.get(vm.pool, 0)
+                self._own_vms_by_pool[vm.pool] = n_vms + 1
+        self._update_own_cores()
+
+    def _update_own_cores(self) -> None:
+        # A new owner learns the pools' sizes from their row before it has a list.
+        cores = [vm.capacity.cores for vm in self._book.vm_by_id.values()]
+        mean_cores = sum(cores) / max(1, len(cores))
+        for pool, n_vms in self._own_vms_by_pool.items():
+            self._turns.set_own_cores(pool, n_vms * mean_cores)
+
+    def note_work(self, pool: str, core_seconds: float, now: float) -> None:
+        """Note that work for a pool has arrived."""
+        self._turns.add_arrival(pool, core_seconds, now)
+
+    def is_busy(self, pool: str) -> bool:
+        """Return whether it is the pool's turn."""
+        return self._turns.is_busy(pool)
+
+    def update_turns(self, now: float) -> None:
+        """Find the turns that begin or end."""
+        self._turns.update(now)
+        for pool in self._own_vms_by_pool:
+            phase = "turn" if self._turns.is_busy(pool) else "waiting"
+            if self._turns.may_rest(pool, now, self._book.bounds.move):
+                phase = "resting"
+            if self._phase_by_pool.get(pool) != phase:
+                self._phase_by_pool[pool] = phase
+                period = self._turns.period_seconds
+                log_event(
+                    logger,
+                    "pool phase changed",
+                    pool=pool,
+                    phase=phase,
+                    period_seconds=round(period, 2) if period else "",
+                )
+
+    def plan(self, wave_vms: Set[str], now: float) -> Iterator[VmOrder]:
+        """Yield the moves to order now.
+
+        Args:
+            wave_vms: VMs that have to stay where they are until their upkeep.
+            now: clock time in seconds.
+        """
+        pools = self._pool_views(now)
+        if not any(pool.is_spare for pool in pools.values()):
+            return
+        movable = [
+            vm
+            for vm_id, vm in self._book.vm_by_id.items()
+            if self._book.is_up(vm)
+            and vm_id not in self._book.reserved
+            and (vm_id not in wave_vms or self._book.is_off(vm))
+        ]
+        self._choose_yields(pools, movable)
+        idle_vms = [
+            self._view_idle(vm, now)
+            for vm in movable
+            if vm.vm_id in self._book.idle_since_by_vm
+        ]
+        for move in choose_moves(pools, idle_vms):
+            yield self._order_move(move, pools, now)
+
+    def _choose_yields(
+        self, pools: Mapping[str, PoolView], movable: Sequence[FleetVm]
+    ) -> None:
+        """Mark the workers that take no more tasks, so that their VMs can move."""
+        busy = []
+        n_free = 0
+        for vm in movable:
+            belief = self._book.worker_on(vm.vm_id)
+            is_idle = vm.vm_id in self._book.idle_since_by_vm
+            if is_idle and not (belief and belief.is_yielding):
+                n_free += 1
+            elif belief is not None and not _has_lasting(belief):
+                cores = belief.used.cores
+                busy.append(BusyVm(vm.vm_id, vm.pool, cores, belief.is_yielding))
+        yields = choose_yields(pools, busy, n_free)
+        for vm in movable:
+            belief = self._book.worker_on(vm.vm_id)
+            if belief is None or belief.is_yielding == (vm.vm_id in yields):
+                continue
+            belief.is_yielding = vm.vm_id in yields
+            log_event(
+                logger,
+                "vm kept free" if belief.is_yielding else "vm no longer kept free",
+                vm=vm.vm_id,
+                pool=vm.pool,
+                busy_cores=round(belief.used.cores, 1),
+            )
+
+    def _view_idle(self, vm: FleetVm, now: float) -> IdleVm:
+        belief = self._book.worker_on(vm.vm_id)
+        return IdleVm(
+            vm.vm_id,
+            vm.pool,
+            now - self._book.idle_since_by_vm[vm.vm_id],
+            self._book.is_off(vm),
+            belief is not None and belief.is_yielding,
+        )
+
+    def _order_move(
+        self, move: PoolMove, pools: Mapping[str, PoolView], now: float
+    ) -> VmOrder:
+        vm = self._book.vm_by_id[move.vm_id]
+        belief = self._book.worker_on(move.vm_id)
+        if belief is not None:
+            belief.is_reserved = True
+        target = pools[move.pool]
+        log_event(
+            logger,
+            "vm moves",
+            vm=move.vm_id,
+            pool=move.pool,
+            from_pool=vm.pool,
+            busy_cores=round(target.busy_cores, 1),
+            waiting_cores=round(target.waiting_cores, 1),
+            late_cores=round(target.late_cores, 1),
+            n_vms=target.n_vms,
+            own_vms=target.own_vms,
+            may_rest=target.may_rest,
+            from_may_rest=pools[vm.pool].may_rest,
+            list_age_seconds=round(now - self._book.listed_at, 2),
+        )
+        return VmOrder(move.vm_id, 0, move.pool)
+
+    def _pool_views(self, now: float) -> dict[str, PoolView]:
+        demand_by_pool = measure_demand(self._dispatcher, now)
+        n_vms: dict[str, int] = {}
+        cores: dict[str, float] = {}
+        for vm in self._book.vm_by_id.values():
+            if vm.state is VmState.DOWN or vm.vm_id in self._book.reserved:
+                continue
+            pool = self._book.pool_of(vm)
+            n_vms[pool] = n_vms.get(pool, 0) + 1
+            cores[pool] = cores.get(pool, 0.0) + vm.capacity.cores
+        mean_cores = sum(cores.values()) / max(1, sum(n_vms.values()))
+        return {
+            name: PoolView(
+                name=name,
+                is_spare=pool.is_spare,
+                busy_cores=demand_by_pool[name].busy_cores,
+                waiting_cores=demand_by_pool[name].waiting_cores,
+                vm_cores=cores[name] / n_vms[name] if n_vms.get(name) else mean_cores,
+                own_vms=self._own_vms_by_pool.get(name, 0),
+                n_vms=n_vms.get(name, 0),
+                may_rest=self._turns.may_rest(name, now, self._book.bounds.move),
+                is_busy=self._turns.is_busy(name),
+                urgent_cores=demand_by_pool[name].urgent_cores,
+                late_cores=demand_by_pool[name].late_cores,
+            )
+            for name, pool in self._dispatcher.configuration.pool_by_name.items()
+        }
+
+
+def _has_lasting(belief: WorkerBelief) -> bool:
+    return any(run.task.step.is_lasting for run in belief.run_by_key.values())
--- a/catkinport/jobs/tests/test_keeper.py
+++ b/catkinport/jobs/tests/test_keeper.py
@@ -2,8 +2,9 @@
 
 from ...policy.resources import Resources
 from ...ports.fleet_vms import FleetVm, UpkeepWave, VmState
-from ..keeper import Keeper, VmBounds
+from ..keeper import Keeper
 from ..model import Step
+from ..vm_book import VmBounds
 from .builders import NEED, POOL, Fleet, make_job, make_worker
 
 BOUNDS = VmBounds(upkeep=2.0, move=1.5, away_notice=4.5, order_gap=3.0)
@@ -165,7 +166,7 @@
 class TestTakeover:
     def _new_owner(self, fleet, held=()):
         fleet.keeper = Keeper(fleet.dispatcher, BOUNDS)
-        fleet.keeper.hold_back(held, fleet.now + BOUNDS.order_gap)
+        fleet.keeper.book.hold_back(held, fleet.now + BOUNDS.order_gap)
         fleet.list_vms()
 
     def test_vm_that_the_former_owner_ordered_about_is_left_alone(self):
@@ -204,8 +205,8 @@
         fleet = VmFleet(1)
         fleet.ask_wave(["m0"])
         fleet.step()
-        assert fleet.keeper.lately_ordered(fleet.now + 2.9) == ["m0"]
-        assert fleet.keeper.lately_ordered(fleet.now + 3.1) == []
+        assert fleet.keeper.book.lately_ordered(fleet.now + 2.9) == ["m0"]
+        assert fleet.keeper.book.lately_ordered(fleet.now + 3.1) == []
 
     def test_new_owner_sees_a_turn(self):
         """Guards against a new owner that learns the pools' sizes before it has a list.
@@ -214,8 +215,8 @@
         """
         fleet = VmFleet(2, n_off=2)
         fleet.keeper = Keeper(fleet.dispatcher, BOUNDS)
-        fleet.keeper.restore_own_vms({POOL: 2, "off": 2})
+        fleet.keeper.mover.restore_own_vms({POOL: 2, "off": 2})
         fleet.list_vms()
-        fleet.keeper.note_work(POOL, 100.0, fleet.now)
+        fleet.keeper.mover.note_work(POOL, 100.0, fleet.now)
         orders = fleet.step()
         assert [order.pool for order in orders] == [POOL]
--- /dev/null
+++ b/catkinport/jobs/vm_book.py
@@ -0,0 +1,208 @@
+"""What is known of the VMs: the platform's list, and what was ordered since.
+
+An order shows in the list only later; until then the order itself is what counts.
+"""
+
+from collections.abc import Iterable, Iterator, Sequence
+from typing import NamedTuple
+
+from ..ports.fleet_vms import FleetVm, VmState
+from .dispatcher import VM_LIST_LAG_SECONDS, Dispatcher
+from .worker_state import WorkerBelief
+
+REPEAT_SECONDS = 1.0
+"""Time after which an order without an answer is sent again."""
+
+
+class VmOrder(NamedTuple):
+    """An order for a VM.
+
+    Args:
+        vm_id: the VM.
+        wave: number of the wave for an upkeep; 0 for a move.
+        pool: new pool for a move; empty for an upkeep.
+    """
+
+    vm_id: str
+    wave: int
+    pool: str
+
+
+class VmBounds(NamedTuple):
+    """Times that the platform names, in seconds.
+
+    Args:
+        upkeep: how long an upkeep takes.
+        move: how long a move takes.
+        away_notice: how long a lasting task must be at work to count as present.
+        order_gap: shortest time between orders of two owners for one VM.
+    """
+
+    upkeep: float
+    move: float
+    away_notice: float
+    order_gap: float
+
+
+class PendingOrder(NamedTuple):
+    """An order and when it was sent; ``answered_at`` is 0 before its answer."""
+
+    order: VmOrder
+    sent_at: float
+    answered_at: float
+
+
+class VmBook:
+    """The VMs and the orders for them.
+
+    Args:
+        dispatcher: jobs and workers.
+        bounds: times that the platform names.
+
+    Attributes:
+        vm_by_id: the platform's latest list.
+        listed_at: clock time in seconds at which it was asked for.
+        reserved: VMs that are kept free for upkeep.
+        idle_since_by_vm: since when nothing has run on a VM.
+    """
+
+    def __init__(self, dispatcher: Dispatcher, bounds: VmBounds) -> None:
+        self.bounds = bounds
+        self.vm_by_id: dict[str, FleetVm] = {}
+        self.listed_at = float("-inf")
+        self.reserved: set[str] = set()
+        self.idle_since_by_vm: dict[str, float] = {}
+        self._dispatcher = dispatcher
+        self._pending_by_vm: dict[str, PendingOrder] = {}
+        self._held_until_by_vm: dict[str, float] = {}
+        self._ordered_at_by_vm: dict[str, float] = {}
+
+    def take_vms(self, vms: Sequence[FleetVm], sent_at: float) -> None:
+        """Take in the platform's list."""
+        self.vm_by_id = {vm.vm_id: vm for vm in vms}
+        self.listed_at = sent_at
+        for vm_id, pending in list(self._pending_by_vm.items()):
+            if self._is_settled(pending, self.vm_by_id.get(vm_id), sent_at):
+                del self._pending_by_vm[vm_id]
+
+    # Orders.
+
+    def hold_back(self, vm_ids: Iterable[str], until: float) -> None:
+        """Leave VMs alone that a former owner may just have ordered about."""
+        self._held_until_by_vm.update(dict.fromkeys(vm_ids, until))
+
+    def end_holds(self, now: float) -> None:
+        """Forget the VMs that need not be left alone any longer."""
+        held = self._held_until_by_vm.items()
+        self._held_until_by_vm = {vm: until for vm, until in held if until > now}
+
+    def lately_ordered(self, now: float) -> list[str]:
+        """Return the VMs whose latest order a successor has to wait for."""
+        oldest = now - self.bounds.order_gap
+        ordered = self._ordered_at_by_vm.items()
+        self._ordered_at_by_vm = {vm: at for vm, at in ordered if at >= oldest}
+        return sorted(self._ordered_at_by_vm)
+
+    def note_sent(self, order: VmOrder, now: float) -> None:
+        """Note that an order is about to be sent."""
+        self._pending_by_vm[order.vm_id] = PendingOrder(order, now, 0.0)
+        self._ordered_at_by_vm[order.vm_id] = now
+
+    def note_done(self, order: VmOrder, now: float) -> None:
+        """Note that the platform has carried the order out."""
+        pending = self._pending_by_vm.get(order.vm_id)
+        if pending is not None and pending.order == order:
+            self._pending_by_vm[order.vm_id] = pending._replace(answered_at=now)
+
+    def note_rejected(self, order: VmOrder) -> None:
+        """Note that the platform has done nothing."""
+        self._pending_by_vm.pop(order.vm_id, None)
+
+    def pending_order(self, vm_id: str) -> VmOrder | None:
+        """Return the order that the list does not show yet, if there is one."""
+        pending = self._pending_by_vm.get(vm_id)
+        return pending.order if pending else None
+
+    def repeat_orders(self, now: float) -> Iterator[VmOrder]:
+        """Yield orders to send again, as they had no answer."""
+        for pending in list(self._pending_by_vm.values()):
+            if pending.answered_at or now - pending.sent_at < REPEAT_SECONDS:
+                continue
+            belief = self.worker_on(pending.order.vm_id)
+            if belief is not None and belief.run_by_key:
+                continue
+            yield pending.order
+
+    def _is_settled(
+        self, pending: PendingOrder, vm: FleetVm | None, sent_at: float
+    ) -> bool:
+        if vm is None:
+            return True
+        seconds = self.bounds.upkeep if pending.order.wave else self.bounds.move
+        if not pending.answered_at:
+            return False
+        return sent_at > pending.answered_at + seconds + VM_LIST_LAG_SECONDS
+
+    # What the list and the orders say together.
+
+    def worker_on(self, vm_id: str) -> WorkerBelief | None:
+        """Return the worker that the VM runs, if the dispatcher knows it."""
+        vm = self.vm_by_id.get(vm_id)
+        if vm is None or not vm.worker_id:
+            return None
+        return self._dispatcher.worker_by_id.get(vm.worker_id)
+
+    def is_up(self, vm: FleetVm) -> bool:
+        """Return whether the VM is up and no order is about to change that."""
+        return vm.state is VmState.UP and not self.is_under_order(vm.vm_id)
+
+    def is_under_order(self, vm_id: str) -> bool:
+        """Return whether an order may be about to end what runs on the VM."""
+        return vm_id in self._pending_by_vm or vm_id in self._held_until_by_vm
+
+    def is_off(self, vm: FleetVm) -> bool:
+        """Return whether the VM is switched off in the spare pool."""
+        pool = self._dispatcher.configuration.pool_by_name.get(vm.pool)
+        return pool is not None and pool.is_spare
+
+    def may_be_down(self, vm: FleetVm, wave: int) -> bool:
+        """Return whether the VM may be down for its upkeep in a wave."""
+        pending = self._pending_by_vm.get(vm.vm_id)
+        if pending is not None and pending.order.wave == wave:
+            return True
+        # The list may not show yet what a former owner ordered.
+        return vm.state is VmState.UPKEEP or vm.vm_id in self._held_until_by_vm
+
+    def pool_of(self, vm: FleetVm) -> str:
+        """Return the pool that the VM is in or on its way to."""
+        pending = self._pending_by_vm.get(vm.vm_id)
+        return pending.order.pool if pending and pending.order.pool else vm.pool
+
+    def note_idle(self, now: float) -> None:
+        """Note on which VMs nothing runs."""
+        for vm_id, vm in self.vm_by_id.items():
+            belief = self.worker_on(vm_id)
+            is_idle = self.is_off(vm) or (
+                belief is not None
+                and not belief.run_by_key
+                and belief.is_in_contact(now)
+                and not belief.listed.is_draining
+            )
+            if not is_idle:
+                self.idle_since_by_vm.pop(vm_id, None)
+            else:
+                self.idle_since_by_vm.setdefault(vm_id, now)
+
+    def reserve(self, vm_id: str) -> None:
+        """Keep a VM free for its upkeep."""
+        self.reserved.add(vm_id)
+        belief = self.worker_on(vm_id)
+        if belief is not None:
+            belief.is_reserved = True
+
+    def release(self, vm_id: str) -> None:
+        """Let a VM take tasks again."""
+        self.reserved.discard(vm_id)
+        belief = self.worker_on(vm_id)
+        if belief is not None:
+            belief.is_reserved = False
--- a/catkinport/jobs/vm_orders.py
+++ b/catkinport/jobs/vm_orders.py
@@ -9,9 +9,10 @@
 from ..ports.table import Committed, Conflict, Transaction, Write
 from ..runtime.logs import log_event
 from .dispatcher import VM_LIST_LAG_SECONDS
-from .keeper import Keeper, VmOrder
+from .keeper import Keeper
 from .session import RETRY_SECONDS, OwnerSession
 from .tables import OWN_VMS_KEY, VM_ORDERS_KEY, WAVES_TABLE, wave_key
+from .vm_book import VmOrder
 
 logger = logging.getLogger(__name__)
 
@@ -64,10 +65,10 @@
             begun = await self._session.table.read_range(WAVES_TABLE)
         begun_by_wave = {row.row_key.key: row.value for row in begun.rows}
         ordered = begun_by_wave.get(VM_ORDERS_KEY.key, {}).get("vms", [])
-        self._keeper.hold_back(ordered, self._held_until)
+        self._keeper.book.hold_back(ordered, self._held_until)
         own_vms = begun_by_wave.get(OWN_VMS_KEY.key)
         if own_vms is not None:
-            self._keeper.restore_own_vms(own_vms["n_by_pool"])
+            self._keeper.mover.restore_own_vms(own_vms["n_by_pool"])
         while True:
             now = self._session.clock.now()
             for wave in self._session.ports.desk.list_waves():
@@ -77,7 +78,7 @@
                     stored = begun_by_wave.get(str(wave.wave), {})
                     self._keeper.restore_begun(wave.wave, stored.get("begun", []))
             if not self._session.lease.is_in_doubt(now):
-                if own_vms is None and self._keeper.own_vms_by_pool:
+                if own_vms is None and self._keeper.mover.own_vms_by_pool:
                     own_vms = await self._store_own_vms()
                 await self._send_vm_orders(self._keeper.plan(now), now)
                 for run in self._keeper.find_evacuations():
@@ -93,7 +94,7 @@
         """
         if not orders:
             return
-        write = Write(VM_ORDERS_KEY, {"vms": self._keeper.lately_ordered(now)})
+        write = Write(VM_ORDERS_KEY, {"vms": self._keeper.book.lately_ordered(now)})
         transaction = Transaction([self._session.owner_condition()], [write])
         outcome = await self._session.table.commit(transaction)
         if isinstance(outcome, Committed):
@@ -139,7 +140,7 @@
             self._keeper.on_rejected(order)
 
     async def _store_own_vms(self) -> dict[str, Any] | None:
-        value = {"n_by_pool": dict(self._keeper.own_vms_by_pool)}
+        value = {"n_by_pool": dict(self._keeper.mover.own_vms_by_pool)}
         transaction = Transaction(
             [self._session.owner_condition()], [Write(OWN_VMS_KEY, value)]
         )
--- a/catkinport/jobs/worker_state.py
+++ b/catkinport/jobs/worker_state.py
@@ -133,6 +133,7 @@
         is_enrolled: whether a successor would learn of it from the roster.
         is_due: whether a wave is about to take its VM down.
         is_reserved: whether it is kept free for upkeep or a move.
+        is_yielding: whether it takes no more tasks, as another pool needs its VM more.
     """
 
     def __init__(self, listed: ListedWorker) -> None:
@@ -148,6 +149,7 @@
         self.run_by_key: dict[RunKey, Run] = {}
         self.blocked_until = 0.0
         self.is_reserved = False
+        self.is_yielding = False
         self.is_due = False
         self.is_enrolled = False
         self._outcomes: deque[bool] = deque(maxlen=HEALTH_WINDOW)
@@ -207,6 +209,7 @@
             and self.is_enrolled
             and not self.listed.is_draining
             and not self.is_reserved
+            and not self.is_yielding
             and self.is_in_contact(now)
             and now >= self.blocked_until
         )
--- a/catkinport/platform/daemon.py
+++ b/catkinport/platform/daemon.py
@@ -11,10 +11,10 @@
 from ..jobs.configuration import FleetConfiguration
 from ..jobs.configuration_watch import ConfigurationWatch
 from ..jobs.intake import Intake
-from ..jobs.keeper import VmBounds
 from ..jobs.owner import FleetOwner
 from ..jobs.ownership_watch import OwnershipWatch
 from ..jobs.session import OwnerPorts
+from ..jobs.vm_book import VmBounds
 from ..policy.leadership import claim_delay_seconds
 from ..runtime import BootTimeClock, Metrics
 from ..runtime.logs import log_event
