Pack lasting tasks on fewer VMs, and evacuate them as soon as the last one works

More on one VM would have taken too long to evacuate for a wave: the guard let the next task go only when the last one had been at work for the notice time of 4.5 s.

Change: a task counts as present after half a second at work; a worker holds five tasks of a step for each that may be away.

--- a/catkinport/jobs/lasting_guard.py
+++ b/catkinport/jobs/lasting_guard.py
@@ -13,6 +13,10 @@
 AT_WORK_PERCENT = 100.0
 """Figure that a worker lists for a lasting task that is at work."""
 
+SETTLED_SECONDS = 0.5
+"""A task that has been listed as at work for so long counts as present. One that the
+platform counts as away has ended by an order, or not been at work for seconds."""
+
 
 class LastingGuard:
     """Says which lasting tasks may be ended now.
@@ -77,7 +81,7 @@
         if run.is_evacuated or self._book.is_under_order(belief.vm_id):
             return False
         at_work_seconds = belief.contact_at - run.progressed_at
-        return at_work_seconds >= self._book.bounds.away_notice
+        return at_work_seconds >= SETTLED_SECONDS
 
 
 def _count_here(belief: WorkerBelief) -> dict[Stage, int]:
--- a/catkinport/jobs/planner.py
+++ b/catkinport/jobs/planner.py
@@ -12,7 +12,7 @@
 from .record import JobRecord, Task, TaskPhase
 from .worker_state import Run, WorkerBelief
 
-LASTING_TOGETHER_FACTOR = 2
+LASTING_TOGETHER_FACTOR = 5
 """Lasting tasks of a step that one worker should hold, as a multiple of how many may be
 away at once. More would take too long to evacuate; fewer keep more VMs on."""
 
--- a/catkinport/jobs/vm_book.py
+++ b/catkinport/jobs/vm_book.py
@@ -34,13 +34,11 @@
     Args:
         upkeep: how long an upkeep takes.
         move: how long a move takes.
-        away_notice: how long a lasting task must be at work to count as present.
         order_gap: shortest time between orders of two owners for one VM.
     """
 
     upkeep: float
     move: float
-    away_notice: float
     order_gap: float
 
 
--- a/catkinport/platform/daemon.py
+++ b/catkinport/platform/daemon.py
@@ -218,6 +218,5 @@
         return VmBounds(
             upkeep=bounds.upkeep,
             move=bounds.move,
-            away_notice=bounds.away_notice,
             order_gap=bounds.vm_order_gap,
         )
--- a/catkinport/platform/settings.py
+++ b/catkinport/platform/settings.py
@@ -102,11 +102,6 @@
                 "Shortest time between orders of two owners for one VM.",
                 "3000",
             ),
-            _milliseconds(
-                "away_notice_ms",
-                "How long a lasting task must be at work to count as present.",
-                "4500",
-            ),
             _seconds("upkeep_seconds", "Time that the upkeep of a VM takes.", "2"),
             _seconds("move_seconds", "Time that a move of a VM takes.", "1.5"),
         ),
@@ -134,7 +129,6 @@
     revoked_key: float
     stop_grace: float
     vm_order_gap: float
-    away_notice: float
     upkeep: float
     move: float
 
@@ -185,7 +179,6 @@
             revoked_key=bounds["revoked_key_ms"] / 1000,
             stop_grace=bounds["stop_grace_seconds"],
             vm_order_gap=bounds["vm_order_gap_ms"] / 1000,
-            away_notice=bounds["away_notice_ms"] / 1000,
             upkeep=bounds["upkeep_seconds"],
             move=bounds["move_seconds"],
         ),
