Hand over to a new owner what was learnt of turns and durations

Of 620 VM-seconds in waiting pools 324 had work. Ruled out: wrong pools' sizes (stored since the first owner).

Change: the owner stores once a second, under its token, for how long pools have been in their turn or since when they rest, and the sums of the durations; a new owner takes them over (jobs/owner_memory.py). A turn that was taken over does not end in the first 1.8 s, as arrivals before are not known. Inherited jobs do not count as arrivals. Nothing that must hold depends on the row.

--- a/catkinport/jobs/dispatcher.py
+++ b/catkinport/jobs/dispatcher.py
@@ -90,6 +90,7 @@
         job_by_id: jobs that have not been stored as ended.
         worker_by_id: workers that are listed or may still run something.
         runs_by_task: runs of each task that may be alive, by the task's name.
+        durations_by_queue: what was learnt of the durations of tasks.
         unresolved_by_id: pool of each worker of the former owner that has neither
             answered nor outlived its lease, by worker id.
     """
@@ -103,7 +104,7 @@
         self.runs_by_task: dict[str, list[Run]] = {}
         self.unresolved_by_id: dict[str, str] = {}
         self._mean_work_by_queue: dict[str, float] = {}
-        self._durations_by_queue: dict[str, DurationModel] = {}
+        self.durations_by_queue: dict[str, DurationModel] = {}
         self._retired_ids: set[str] = set()
         self._stray_sent_at: dict[tuple[str, RunKey], float] = {}
 
@@ -766,7 +767,7 @@
 
     def durations_of(self, queue: str) -> DurationModel:
         """Return what has been learnt of the durations of a queue's tasks."""
-        return self._durations_by_queue.setdefault(queue, DurationModel())
+        return self.durations_by_queue.setdefault(queue, DurationModel())
 
     def view_job(self, record: JobRecord, queue: Queue) -> JobView:
         """Return what the order of a job depends on."""
--- a/catkinport/jobs/owner.py
+++ b/catkinport/jobs/owner.py
@@ -208,7 +208,8 @@
         # tells roughly how long ago the job was accepted.
         age = min(max(0.0, time.time() - job.accepted_at), 3600.0)
         self._session.dispatcher.add_job(job, now - age, is_inherited)
-        self._note_work(job, now)
+        if not is_inherited:
+            self._note_work(job, now)
 
     def _note_work(self, job: Job, now: float) -> None:
         queue = self._session.dispatcher.configuration.queue_by_name.get(job.queue)
--- a/catkinport/jobs/pool_mover.py
+++ b/catkinport/jobs/pool_mover.py
@@ -28,13 +28,16 @@
     Args:
         dispatcher: jobs and workers.
         book: VMs and the orders for them.
+
+    Attributes:
+        turns: turns of the pools' queues.
     """
 
     def __init__(self, dispatcher: Dispatcher, book: VmBook) -> None:
         self._dispatcher = dispatcher
         self._book = book
         self._own_vms_by_pool: dict[str, int] = {}
-        self._turns = TurnTracker({})
+        self.turns = TurnTracker({})
         self._phase_by_pool: dict[str, str] = {}
 
     @property
@@ -60,26 +63,26 @@
         cores = [vm.capacity.cores for vm in self._book.vm_by_id.values()]
         mean_cores = sum(cores) / max(1, len(cores))
         for pool, n_vms in self._own_vms_by_pool.items():
-            self._turns.set_own_cores(pool, n_vms * mean_cores)
+            self.turns.set_own_cores(pool, n_vms * mean_cores)
 
     def note_work(self, pool: str, core_seconds: float, now: float) -> None:
         """Note that work for a pool has arrived."""
-        self._turns.add_arrival(pool, core_seconds, now)
+        self.turns.add_arrival(pool, core_seconds, now)
 
     def is_busy(self, pool: str) -> bool:
         """Return whether it is the pool's turn."""
-        return self._turns.is_busy(pool)
+        return self.turns.is_busy(pool)
 
     def update_turns(self, now: float) -> None:
         """Find the turns that begin or end."""
-        self._turns.update(now)
+        self.turns.update(now)
         for pool in self._own_vms_by_pool:
-            phase = "turn" if self._turns.is_busy(pool) else "waiting"
-            if self._turns.may_rest(pool, now, self._book.bounds.move):
+            phase = "turn" if self.turns.is_busy(pool) else "waiting"
+            if self.turns.may_rest(pool, now, self._book.bounds.move):
                 phase = "resting"
             if self._phase_by_pool.get(pool) != phase:
                 self._phase_by_pool[pool] = phase
-                period = self._turns.period_seconds
+                period = self.turns.period_seconds
                 log_event(
                     logger,
                     "pool phase changed",
@@ -197,8 +200,8 @@
                 vm_cores=cores[name] / n_vms[name] if n_vms.get(name) else mean_cores,
                 own_vms=self._own_vms_by_pool.get(name, 0),
                 n_vms=n_vms.get(name, 0),
-                may_rest=self._turns.may_rest(name, now, self._book.bounds.move),
-                is_busy=self._turns.is_busy(name),
+                may_rest=self.turns.may_rest(name, now, self._book.bounds.move),
+                is_busy=self.turns.is_busy(name),
                 urgent_cores=demand_by_pool[name].urgent_cores,
                 late_cores=demand_by_pool[name].late_cores,
             )
--- a/catkinport/jobs/tables.py
+++ b/catkinport/jobs/tables.py
@@ -20,6 +20,9 @@
 VM_ORDERS_KEY = RowKey(WAVES_TABLE, "orders")
 """VMs that the owner has ordered about lately, written before it orders them."""
 
+MEMORY_KEY = RowKey(WAVES_TABLE, "memory")
+"""What the owner has learnt of turns and durations. Only gains depend on it."""
+
 CANCEL_SUFFIX = ".cancel"
 """Ends the key of the row that cancels a job; it lies beside the job's own row, so that
 one read and one feed cover both."""
--- a/catkinport/jobs/vm_orders.py
+++ b/catkinport/jobs/vm_orders.py
@@ -10,8 +10,15 @@
 from ..runtime.logs import log_event
 from .dispatcher import VM_LIST_LAG_SECONDS
 from .keeper import Keeper
+from .owner_memory import MEMORY_SECONDS, build_memory, restore_memory
 from .session import RETRY_SECONDS, OwnerSession
-from .tables import OWN_VMS_KEY, VM_ORDERS_KEY, WAVES_TABLE, wave_key
+from .tables import (
+    MEMORY_KEY,
+    OWN_VMS_KEY,
+    VM_ORDERS_KEY,
+    WAVES_TABLE,
+    wave_key,
+)
 from .vm_book import VmOrder
 
 logger = logging.getLogger(__name__)
@@ -40,6 +47,7 @@
         self._session = session
         self._keeper = keeper
         self._held_until = held_until
+        self._memory_at = session.clock.now()
 
     async def run_list(self) -> None:
         """Follow the platform's list of VMs until the ownership ends."""
@@ -69,6 +77,14 @@
         own_vms = begun_by_wave.get(OWN_VMS_KEY.key)
         if own_vms is not None:
             self._keeper.mover.restore_own_vms(own_vms["n_by_pool"])
+        memory = begun_by_wave.get(MEMORY_KEY.key)
+        if memory is not None:
+            restore_memory(
+                memory,
+                self._session.dispatcher,
+                self._keeper.mover.turns,
+                self._session.clock.now(),
+            )
         while True:
             now = self._session.clock.now()
             for wave in self._session.ports.desk.list_waves():
@@ -85,6 +101,7 @@
                     run.is_evacuated = True
                     self._session.wake.set()
                 await self._report_waves()
+                await self._store_memory(now)
             await asyncio.sleep(KEEP_SECONDS)
 
     async def _send_vm_orders(self, orders: list[VmOrder], now: float) -> None:
@@ -139,6 +156,19 @@
             self._session.check_fenced(outcome)
             self._keeper.on_rejected(order)
 
+    async def _store_memory(self, now: float) -> None:
+        if now - self._memory_at < MEMORY_SECONDS:
+            return
+        self._memory_at = now
+        turns = self._keeper.mover.turns
+        value = build_memory(self._session.dispatcher, turns, now)
+        transaction = Transaction(
+            [self._session.owner_condition()], [Write(MEMORY_KEY, value)]
+        )
+        outcome = await self._session.table.commit(transaction)
+        if not isinstance(outcome, Committed):
+            log_event(logger, "owner memory not stored", reason=type(outcome).__name__)
+
     async def _store_own_vms(self) -> dict[str, Any] | None:
         value = {"n_by_pool": dict(self._keeper.mover.own_vms_by_pool)}
         transaction = Transaction(
--- a/catkinport/policy/durations.py
+++ b/catkinport/policy/durations.py
@@ -6,6 +6,7 @@
 """
 
 import math
+from collections.abc import Sequence
 from typing import NamedTuple
 
 MIN_SECONDS = 0.01
@@ -66,6 +67,23 @@
         self._yy = PRIOR_WEIGHT * (PRIOR_SPREAD**2 + PRIOR_DEVIATION**2)
         self._line: _Line | None = None
 
+    def to_sums(self) -> list[float]:
+        """Return what was learnt, for a successor."""
+        return [self._weight, self._x, self._y, self._xx, self._xy, self._yy]
+
+    @classmethod
+    def from_sums(cls, sums: Sequence[float]) -> "DurationModel":
+        """Return the model with these sums.
+
+        Raises:
+            ValueError: if they are not the sums of a model.
+        """
+        model = cls()
+        model._weight, model._x, model._y, model._xx, model._xy, model._yy = sums
+        if not model._weight > 0:
+            raise ValueError(f"the weight must be > 0, got {model._weight!r}")
+        return model
+
     def learn(self, estimate_seconds: float, seconds: float) -> None:
         """Take in how long a task has taken.
 
--- a/catkinport/policy/turns.py
+++ b/catkinport/policy/turns.py
@@ -6,6 +6,7 @@
 """
 
 from collections import deque
+from collections.abc import Mapping
 from typing import NamedTuple
 
 WINDOW_SECONDS = 1.2
@@ -24,6 +25,25 @@
 """How much before its turn a pool is ready, beyond the time of a move."""
 
 
+RESTORED_SECONDS = 1.5 * WINDOW_SECONDS
+"""A turn that a former owner has seen does not end sooner after the change of owner,
+because arrivals before it are not known."""
+
+
+class PoolMemory(NamedTuple):
+    """What is known of a pool's turns, for a successor.
+
+    Args:
+        busy_for_seconds: for how long it has been the pool's turn; ``None`` if it is
+            not its turn.
+        onset_seconds_ago: when its latest turn that has ended began; ``None`` if there
+            was none.
+    """
+
+    busy_for_seconds: float | None
+    onset_seconds_ago: float | None
+
+
 class _Arrival(NamedTuple):
     at: float
     core_seconds: float
@@ -52,12 +72,40 @@
         self._own_cores_by_pool = own_cores_by_pool
         self._turns_by_pool = {pool: _PoolTurns() for pool in own_cores_by_pool}
         self._period_seconds: float | None = None
+        self._no_end_before = float("-inf")
 
     @property
     def period_seconds(self) -> float | None:
         """Time between two turns of a pool; ``None`` while it is not known."""
         return self._period_seconds
 
+    def remember(self, now: float) -> dict[str, PoolMemory]:
+        """Return what a successor should know, by pool."""
+        return {
+            pool: PoolMemory(
+                now - turns.busy_since if turns.is_busy else None,
+                None if turns.onset_at is None else now - turns.onset_at,
+            )
+            for pool, turns in self._turns_by_pool.items()
+        }
+
+    def restore(
+        self,
+        memory_by_pool: Mapping[str, PoolMemory],
+        period_seconds: float | None,
+        now: float,
+    ) -> None:
+        """Take over what a former owner has seen; all durations end at ``now``."""
+        self._period_seconds = period_seconds
+        self._no_end_before = now + RESTORED_SECONDS
+        for pool, memory in memory_by_pool.items():
+            turns = self._turns_by_pool.setdefault(pool, _PoolTurns())
+            if memory.busy_for_seconds is not None:
+                turns.is_busy = True
+                turns.busy_since = now - memory.busy_for_seconds
+            if memory.onset_seconds_ago is not None:
+                turns.onset_at = now - memory.onset_seconds_ago
+
     def set_own_cores(self, pool: str, cores: float) -> None:
         """Note how many cores the pool has when all its own VMs are on."""
         self._own_cores_by_pool[pool] = cores
@@ -77,7 +125,7 @@
             if not turns.is_busy and load >= BUSY_LOAD:
                 turns.is_busy = True
                 turns.busy_since = now
-            elif turns.is_busy and load <= QUIET_LOAD:
+            elif turns.is_busy and load <= QUIET_LOAD and now >= self._no_end_before:
                 turns.is_busy = False
                 if now - turns.busy_since >= MIN_TURN_SECONDS:
                     self._end_turn(turns)
