Learn a period only from turns of all queues, and take a gap for none

The spare pool, which never has work, was waited for as if its turn were to come.

Change: a turn that begins within 3 s of the pool's last one is the same. A period is learnt only if every other pool with work has had its turn in between. A turn that is overdue by a quarter of the period is not waited for.

Tests: policy/tests/test_turns.py.

--- a/catkinport/policy/tests/test_turns.py
+++ b/catkinport/policy/tests/test_turns.py
@@ -71,3 +71,43 @@
         assert 15.0 <= (tracker.period_seconds or 0) <= 17.0
         assert rests[24.0]
         assert not rests[31.0]
+
+    def test_gap_within_a_turn_makes_no_second_turn(self):
+        """Guards against a period that is learnt from one interrupted turn.
+
+        The feed of jobs fell silent for a second in the middle of a turn; the period
+        of 5.6 s that was learnt from it kept all pools on for the rest of the day.
+        """
+        tracker = make_tracker("a", "b")
+        turns = [("a", 0.0, 5.0), ("a", 7.0, 11.0)]
+        for _ in play(tracker, turns, 20.0):
+            pass
+        assert tracker.period_seconds is None
+        assert tracker.may_rest("a", 20.0, LEAD_SECONDS)
+
+    def test_burst_without_turns_of_others_gives_no_period(self):
+        tracker = make_tracker("a", "b")
+        turns = [("a", 0.0, 5.0), ("a", 10.0, 15.0), ("b", 19.0, 19.5)]
+        for _ in play(tracker, turns, 19.0):
+            pass
+        assert tracker.period_seconds is None
+        assert tracker.may_rest("a", 19.0, LEAD_SECONDS)
+
+    def test_pool_without_any_work_is_not_waited_for(self):
+        """Guards against the spare pool, which never has a turn."""
+        tracker = make_tracker("a", "b", "spare")
+        turns = [("a", 0.0, 5.0), ("b", 6.0, 11.0)]
+        for _ in play(tracker, turns, 14.0):
+            pass
+        assert not tracker.may_rest("a", 14.0, LEAD_SECONDS)
+        assert tracker.may_rest("b", 14.0, LEAD_SECONDS)
+
+    def test_turn_that_does_not_come_is_not_waited_for_for_long(self):
+        tracker = make_tracker("a", "b")
+        turns = [("a", 0.0, 4.0), ("b", 5.0, 9.0), ("a", 16.0, 20.0), ("c", 50.0, 50.0)]
+        rests = {
+            now: tracker.may_rest("a", now, LEAD_SECONDS)
+            for now in play(tracker, turns[:3], 44.0)
+        }
+        assert not rests[32.0]
+        assert rests[40.0]
--- a/catkinport/policy/turns.py
+++ b/catkinport/policy/turns.py
@@ -21,6 +21,13 @@
 MIN_TURN_SECONDS = 2.5
 """A pool that is busy for less has had a burst, not its turn."""
 
+RESUME_SECONDS = 3.0
+"""A turn that begins so soon after the pool's last one ended is the same one: the
+service's feed may fall silent for a second or two in its middle."""
+
+OVERDUE_FRACTION = 0.25
+"""A turn that is late by this part of its period is not waited for any longer."""
+
 LEAD_SECONDS = 0.5
 """How much before its turn a pool is ready, beyond the time of a move."""
 
@@ -54,7 +61,9 @@
         self.arrivals: deque[_Arrival] = deque()
         self.is_busy = False
         self.busy_since = 0.0
+        self.ended_at = float("-inf")
         self.onset_at: float | None = None
+        self.has_worked = False
 
 
 class TurnTracker:
@@ -100,6 +109,7 @@
         self._no_end_before = now + RESTORED_SECONDS
         for pool, memory in memory_by_pool.items():
             turns = self._turns_by_pool.setdefault(pool, _PoolTurns())
+            turns.has_worked = memory != PoolMemory(None, None)
             if memory.busy_for_seconds is not None:
                 turns.is_busy = True
                 turns.busy_since = now - memory.busy_for_seconds
@@ -115,6 +125,7 @@
         """Note that work for the pool has arrived."""
         turns = self._turns_by_pool.setdefault(pool, _PoolTurns())
         turns.arrivals.append(_Arrival(now, core_seconds))
+        turns.has_worked = True
 
     def update(self, now: float) -> None:
         """Find the turns that begin or end by ``now``."""
@@ -123,12 +134,11 @@
                 turns.arrivals.popleft()
             load = self._load(pool)
             if not turns.is_busy and load >= BUSY_LOAD:
-                turns.is_busy = True
-                turns.busy_since = now
+                self._begin_turn(turns, now)
             elif turns.is_busy and load <= QUIET_LOAD and now >= self._no_end_before:
                 turns.is_busy = False
                 if now - turns.busy_since >= MIN_TURN_SECONDS:
-                    self._end_turn(turns)
+                    self._end_turn(pool, turns, now)
 
     def _load(self, pool: str) -> float:
         cores = self._own_cores_by_pool.get(pool, 0.0)
@@ -137,8 +147,19 @@
         arrived = sum(a.core_seconds for a in self._turns_by_pool[pool].arrivals)
         return arrived / WINDOW_SECONDS / cores
 
-    def _end_turn(self, turns: _PoolTurns) -> None:
-        if turns.onset_at is not None:
+    @staticmethod
+    def _begin_turn(turns: _PoolTurns, now: float) -> None:
+        turns.is_busy = True
+        is_resumed = now - turns.ended_at <= RESUME_SECONDS
+        turns.busy_since = turns.busy_since if is_resumed else now
+
+    def _end_turn(self, pool: str, turns: _PoolTurns, now: float) -> None:
+        turns.ended_at = now
+        if turns.busy_since == turns.onset_at:
+            return
+        # Without turns of the others in between it was a burst of its own.
+        followers = self._followers(turns, pool)
+        if turns.onset_at is not None and all(followers):
             self._period_seconds = turns.busy_since - turns.onset_at
         turns.onset_at = turns.busy_since
 
@@ -160,13 +181,18 @@
             return False
         if self._period_seconds is not None:
             due_in = turns.onset_at + self._period_seconds - now
-            return due_in > lead_seconds + LEAD_SECONDS
-        return not self._have_others_followed(turns, pool)
-
-    def _have_others_followed(self, turns: _PoolTurns, pool: str) -> bool:
-        assert turns.onset_at is not None
-        others = [t for name, t in self._turns_by_pool.items() if name != pool]
-        return all(
-            other.onset_at is not None and other.onset_at > turns.onset_at
-            for other in others
-        )
+            if due_in >= -OVERDUE_FRACTION * self._period_seconds:
+                return due_in > lead_seconds + LEAD_SECONDS
+        followers = self._followers(turns, pool)
+        return not followers or not all(followers)
+
+    def _followers(self, turns: _PoolTurns, pool: str) -> list[bool]:
+        """Return whether the turn of each other pool with work came after this one."""
+        onset_at = turns.onset_at
+        return [
+            other.onset_at is not None
+            and onset_at is not None
+            and other.onset_at > onset_at
+            for name, other in self._turns_by_pool.items()
+            if name != pool and other.has_worked
+        ]
