Add histograms of platform calls, jobs and commits

Cause: the daemon's metrics knew callers' calls only; on-call engineers could not tell a slow store from a slow worker or a pool without room.

--- a/catkinport/jobs/dispatcher.py
+++ b/catkinport/jobs/dispatcher.py
@@ -23,6 +23,7 @@
     Rejection,
     WorkerLists,
 )
+from ..runtime import Metrics
 from ..runtime.logs import log_event
 from .configuration import FleetConfiguration, Queue
 from .model import FINAL_STATES, Job, JobState, TaskId, work_core_seconds
@@ -86,6 +87,10 @@
 class Dispatcher:
     """Jobs and workers as the owner knows them.
 
+    Args:
+        configuration: version in force.
+        metrics: metrics of the process; ``None`` for none that are shown.
+
     Attributes:
         job_by_id: jobs that have not been stored as ended.
         worker_by_id: workers that are listed or may still run something.
@@ -95,8 +100,11 @@
             answered nor outlived its lease, by worker id.
     """
 
-    def __init__(self, configuration: FleetConfiguration) -> None:
+    def __init__(
+        self, configuration: FleetConfiguration, metrics: Metrics | None = None
+    ) -> None:
         self.configuration = configuration
+        self._metrics = metrics or Metrics()
         self._known_queue_by_name: dict[str, Queue] = {}
         self.apply_configuration(configuration)
         self.job_by_id: dict[str, JobRecord] = {}
@@ -416,6 +424,8 @@
             end=ended.number,
             seconds=round(now - run.asked_at, 3) if run else "",
         )
+        labels = {"how": ended.how.value, "pool": belief.listed.pool}
+        self._metrics.increment("runs_ended", "Runs that have ended.", labels)
         if run is not None:
             self._detach(belief, run)
         if record is None or task is None:
@@ -463,6 +473,13 @@
             waited_seconds=round(record.first_start_at - record.first_seen_at, 3),
         )
 
+        labels = {"pool": queue.pool if queue else "", "late": str(seconds > objective)}
+        self._metrics.observe("job_seconds", "Time of a job.", labels, seconds)
+        waited = record.first_start_at - record.first_seen_at
+        self._metrics.observe(
+            "job_wait_seconds", "Time until its first start.", labels, waited
+        )
+
     def _on_failed(
         self,
         belief: WorkerBelief,
@@ -505,6 +522,7 @@
         self, belief: WorkerBelief, run: Run, reason: str, now: float
     ) -> None:
         self._detach(belief, run)
+        self._metrics.increment("runs_lost", "Runs given up.", {"reason": reason})
         log_event(
             logger,
             "run lost",
--- a/catkinport/jobs/owner.py
+++ b/catkinport/jobs/owner.py
@@ -61,7 +61,7 @@
         bounds: VmBounds,
     ) -> None:
         lease = OwnLease(claim.token, claim.sent_at)
-        dispatcher = Dispatcher(configuration)
+        dispatcher = Dispatcher(configuration, ports.metrics)
         self._session = OwnerSession(ports, dispatcher, lease)
         self._keeper = Keeper(dispatcher, bounds)
         self._store = StateStore(self._session)
@@ -79,6 +79,8 @@
     async def run(self, stop: asyncio.Event) -> None:
         """Own the fleet until another daemon takes over or ``stop`` is set."""
         log_event(logger, "ownership begins", token=self._session.lease.token)
+        metrics = self._session.ports.metrics
+        metrics.increment("ownerships", "Times that this daemon began to own.", {})
         waiters = [
             asyncio.ensure_future(self._session.deposed.wait()),
             asyncio.ensure_future(stop.wait()),
--- a/catkinport/jobs/state_store.py
+++ b/catkinport/jobs/state_store.py
@@ -106,6 +106,12 @@
         outcome = await commit_until_known(
             self._session.table, transaction, COMMIT_ATTEMPTS
         )
+        self._session.ports.metrics.observe(
+            "state_commit_seconds",
+            "Time to store states of jobs.",
+            {"outcome": type(outcome).__name__},
+            self._session.clock.now() - sent_at,
+        )
         if isinstance(outcome, Committed):
             if is_renewal:
                 self._session.note_renewed(sent_at)
--- a/catkinport/platform/client.py
+++ b/catkinport/platform/client.py
@@ -1,12 +1,14 @@
 """The HTTP client for everything that the platform serves."""
 
 import json
+import time
 from collections.abc import Mapping
 from typing import Any, NamedTuple
 
 import aiohttp
 
 from ..ports import Reason, Unavailable
+from ..runtime import Metrics
 
 CONNECT_SECONDS = 0.4
 """Longest wait for a connection; a VM without power does not refuse it."""
@@ -30,9 +32,13 @@
 
     Every failure becomes `Unavailable` with step and peer, which also says whether the
     call may have been carried out.
+
+    Args:
+        metrics: metrics of the process.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, metrics: Metrics) -> None:
+        self._metrics = metrics
         self._session: aiohttp.ClientSession | None = None
 
     async def open(self) -> None:
@@ -79,6 +85,36 @@
         Returns:
             The reply, also with an error status, or what kept it from coming.
         """
+        began_at = time.monotonic()
+        outcome = await self._send(
+            step, method, peer, path, timeout_seconds, body, query, headers
+        )
+        if isinstance(outcome, Reply):
+            status = str(outcome.status)
+        else:
+            status = outcome.reason.value
+        self._metrics.increment(
+            "platform_calls", "Calls to the platform.", {"step": step, "status": status}
+        )
+        self._metrics.observe(
+            "platform_call_seconds",
+            "Time of a call to the platform.",
+            {"step": step},
+            time.monotonic() - began_at,
+        )
+        return outcome
+
+    async def _send(
+        self,
+        step: str,
+        method: str,
+        peer: str,
+        path: str,
+        timeout_seconds: float,
+        body: Any,
+        query: Mapping[str, str] | None,
+        headers: Mapping[str, str] | None,
+    ) -> Reply | Unavailable:
         assert self._session is not None
         data = None if body is None else json.dumps(body, separators=(",", ":"))
         send_headers = dict(headers or {})
--- a/catkinport/platform/daemon.py
+++ b/catkinport/platform/daemon.py
@@ -65,7 +65,7 @@
         self._settings_path = settings_path
         self._clock = BootTimeClock()
         self._metrics = Metrics()
-        self._client = PlatformClient()
+        self._client = PlatformClient(self._metrics)
         table = PlatformTable(self._client, settings.table)
         self._configuration = ConfigurationWatch(
             table, self._clock, OPERATOR_TABLE, CONFIGURATION_KEY, decode_configuration
