--- a/catkinport/platform/standin/server.py
+++ b/catkinport/platform/standin/server.py
@@ -121,6 +121,10 @@
             self.faults.update(await request.json())
             return web.json_response(self.faults.to_dict())
 
+        async def reset_faults(request: web.Request) -> web.Response:
+            self.faults.reset()
+            return web.json_response(self.faults.to_dict())
+
         async def write_operator_row(request: web.Request) -> web.Response:
             key = StoreKey("op", "", request.match_info["key"])
             self._store.write(key, encode_value(await request.json()))
@@ -145,6 +149,7 @@
             return web.json_response({})
 
         app.router.add_put("/standin/faults", change_faults)
+        app.router.add_delete("/standin/faults", reset_faults)
         app.router.add_put("/standin/operator/{key:.+}", write_operator_row)
         app.router.add_get("/standin/row", show_row)
         app.router.add_get("/standin/events", show_events)
--- a/catkinport/platform/standin/worker_life.py
+++ b/catkinport/platform/standin/worker_life.py
@@ -51,7 +51,8 @@
 
     Args:
         at: time in seconds.
-        what: ``started``, or how the run ended.
+        what: ``started``, how the run ended, or ``noted`` once whoever orders has taken
+            note of its end as done.
         task: name of the task.
         run: number of the run.
         worker: the worker's id.
@@ -113,6 +114,8 @@
         self._ended: list[tuple[int, str, int, str, str]] = []
         self._n_ended = 0
         self._refused_run_by_task: dict[str, int] = {}
+        self._ended_at_by_number: dict[int, float] = {}
+        self._lapsed_at = 0.0
         self._updated_at = 0.0
 
     def accepts(self, token: int) -> bool:
@@ -124,6 +127,8 @@
 
     def extend_lease(self, until: float | None, now: float) -> None:
         """Extend the lease of everything that runs; it never gets shorter."""
+        if now > self._lease_until:
+            self._lapsed_at = now
         if until is not None:
             limit = min(until, now + self._max_lease_seconds)
             self._lease_until = max(self._lease_until, limit)
@@ -168,8 +173,18 @@
         if current is not None and current.run == run:
             current.percent = percent
 
-    def forget_ends(self, last_seen: int) -> None:
-        """Forget the ends up to a number."""
+    def forget_ends(self, last_seen: int, now: float) -> None:
+        """Forget the ends up to a number.
+
+        Ends as done count as noted if the lease has not lapsed since.
+        """
+        for number, task, run, how, _ in self._ended:
+            if number > last_seen:
+                continue
+            ended_at = self._ended_at_by_number.pop(number)
+            is_valid = now <= self._lease_until and self._lapsed_at <= ended_at
+            if how == "done" and is_valid:
+                self._note("noted", task, run, now)
         self._ended = [end for end in self._ended if end[0] > last_seen]
 
     @property
@@ -220,6 +235,7 @@
         self._refused_run_by_task[run.task] = max(known, run.run)
         self._n_ended += 1
         self._ended.append((self._n_ended, run.task, run.run, how, run.saved))
+        self._ended_at_by_number[self._n_ended] = now
         self._note(how, run.task, run.run, now)
 
     def _note(self, what: str, task: str, run: int, now: float, token: int = 0) -> None:
--- a/catkinport/platform/standin/worker_server.py
+++ b/catkinport/platform/standin/worker_server.py
@@ -111,7 +111,7 @@
         return self._answer(life, 200)
 
     async def _hold(self, life: WorkerLife, body: Mapping[str, Any]) -> web.Response:
-        life.forget_ends(int(body.get("LastSeen", 0)))
+        life.forget_ends(int(body.get("LastSeen", 0)), self._now())
         until = body.get("UntilMs")
         until_seconds = None if until is None else int(until) / 1000 + self._epoch
         life.extend_lease(until_seconds, self._now())
--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized soak: the real daemons under faults from outside, checked by promises."""
--- a/verification/processes.py
+++ b/verification/processes.py
@@ -82,6 +82,10 @@
         if self.is_running:
             self._process.send_signal(signal_number)
 
+    def resume(self) -> None:
+        """Let the process go on if it is paused."""
+        self.send_signal(signal.SIGCONT)
+
     def kill(self) -> None:
         """Kill the process and wait for its end."""
         self.send_signal(signal.SIGKILL)
