Forget VM orders that a successor need not wait for

Change: the row is written again when VMs in it need not be waited for any longer, at most once a second. A new owner also hands on the VMs that it still leaves alone itself; its own first orders wrote over them before.

Tests: jobs/tests/test_vm_orders.py, TestTakeover of test_keeper.py.

--- a/catkinport/jobs/tests/test_keeper.py
+++ b/catkinport/jobs/tests/test_keeper.py
@@ -201,6 +201,14 @@
         fleet.look("w0")
         assert len(fleet.keeper.plan(fleet.now)) == 1
 
+    def test_orders_of_an_owner_before_the_last_are_handed_on(self):
+        """Guards against a second change of owner within the gap of the first."""
+        fleet = VmFleet(2)
+        self._new_owner(fleet, held=["m0"])
+        fleet.ask_wave(["m0", "m1"])
+        fleet.step()
+        assert fleet.keeper.book.lately_ordered(fleet.now) == ["m0", "m1"]
+
     def test_successor_learns_of_the_orders_of_the_last_seconds(self):
         fleet = VmFleet(1)
         fleet.ask_wave(["m0"])
--- /dev/null
+++ b/catkinport/jobs/tests/test_vm_orders.py
@@ -0,0 +1,82 @@
+"""Orders for VMs are stored before they are sent."""
+
+import asyncio
+from types import SimpleNamespace
+
+from ...policy.leadership import OwnLease
+from ...ports.fleet_workers import Done
+from ...ports.table import Committed, Condition, Conflict
+from ..tables import OWNER_KEY, VM_ORDERS_KEY
+from ..vm_orders import VmOrders
+from .test_keeper import VmFleet
+
+
+class FakeSession:
+    """A session whose commits have the outcome that the test sets."""
+
+    def __init__(self, clock):
+        self.clock = clock
+        self.lease = OwnLease(1, 0.0)
+        self.table = self
+        self.ports = SimpleNamespace(vms=self)
+        self.wake = asyncio.Event()
+        self.is_conflict = False
+        self.is_deposed = False
+        self.stored = []
+        self.sent = []
+
+    def owner_condition(self):
+        return Condition(OWNER_KEY, 1)
+
+    async def commit(self, transaction):
+        if self.is_conflict:
+            return Conflict({OWNER_KEY: 2})
+        self.stored += [w.value["vms"] for w in transaction.writes]
+        return Committed({VM_ORDERS_KEY: len(self.stored)})
+
+    async def maintain(self, vm_id, wave, token):
+        self.sent.append((vm_id, len(self.stored)))
+        return Done()
+
+    def depose(self, reason):
+        self.is_deposed = True
+
+    def spawn(self, coroutine):
+        return asyncio.ensure_future(coroutine)
+
+
+def run_orders(*moments, is_conflict=False):
+    """Send the orders of each moment, in seconds from the first; return the session."""
+    fleet = VmFleet(1)
+    fleet.ask_wave(["m0"])
+    session = FakeSession(SimpleNamespace(now=lambda: fleet.now))
+    session.is_conflict = is_conflict
+
+    async def run():
+        orders = VmOrders(session, fleet.keeper, 0.0)
+        orders._store_begun = lambda wave: asyncio.sleep(0)
+        for moment in moments:
+            await orders._send_vm_orders(fleet.step(moment), fleet.now)
+            await asyncio.sleep(0)
+
+    asyncio.run(run())
+    return session
+
+
+class TestStoredOrders:
+    def test_a_vm_is_stored_before_its_order_is_sent(self):
+        """Guards against a successor that orders the same VM at the same time."""
+        assert run_orders(0.25).sent == [("m0", 1)]
+
+    def test_a_replaced_owner_sends_nothing(self):
+        session = run_orders(0.25, is_conflict=True)
+        assert session.sent == []
+        assert session.is_deposed
+
+    def test_vms_leave_the_row_once_they_need_not_be_waited_for(self):
+        """Guards against a successor that waits for VMs ordered long ago.
+
+        The row named the VMs that were switched off seven seconds before, so that a
+        new owner left all VMs that were off alone while a pool's turn began.
+        """
+        assert run_orders(0.25, 1.0, 4.0).stored == [["m0"], []]
--- a/catkinport/jobs/vm_book.py
+++ b/catkinport/jobs/vm_book.py
@@ -95,11 +95,15 @@
         self._held_until_by_vm = {vm: until for vm, until in held if until > now}
 
     def lately_ordered(self, now: float) -> list[str]:
-        """Return the VMs whose latest order a successor has to wait for."""
+        """Return the VMs whose latest order a successor has to wait for.
+
+        Among them are those that this owner itself still leaves alone.
+        """
         oldest = now - self.bounds.order_gap
         ordered = self._ordered_at_by_vm.items()
         self._ordered_at_by_vm = {vm: at for vm, at in ordered if at >= oldest}
-        return sorted(self._ordered_at_by_vm)
+        self.end_holds(now)
+        return sorted({*self._ordered_at_by_vm, *self._held_until_by_vm})
 
     def note_sent(self, order: VmOrder, now: float) -> None:
         """Note that an order is about to be sent."""
--- a/catkinport/jobs/vm_orders.py
+++ b/catkinport/jobs/vm_orders.py
@@ -30,6 +30,10 @@
 KEEP_SECONDS = 0.25
 """Time between two decisions about VMs."""
 
+SHORTEN_SECONDS = 1.0
+"""Time after which VMs are taken out of the stored row whose order a successor need not
+wait for any longer."""
+
 
 class VmOrders:
     """Sends orders for VMs and reports waves.
@@ -48,6 +52,8 @@
         self._keeper = keeper
         self._held_until = held_until
         self._memory_at = session.clock.now()
+        self._stored_vms: list[str] = []
+        self._stored_vms_at = session.clock.now()
 
     async def run_list(self) -> None:
         """Follow the platform's list of VMs until the ownership ends."""
@@ -74,6 +80,8 @@
         begun_by_wave = {row.row_key.key: row.value for row in begun.rows}
         ordered = begun_by_wave.get(VM_ORDERS_KEY.key, {}).get("vms", [])
         self._keeper.book.hold_back(ordered, self._held_until)
+        # Rewritten without them once they need not be waited for any longer.
+        self._stored_vms = ordered
         own_vms = begun_by_wave.get(OWN_VMS_KEY.key)
         if own_vms is not None:
             self._keeper.mover.restore_own_vms(own_vms["n_by_pool"])
@@ -110,24 +118,39 @@
         An owner that was replaced without knowing it fails here and orders nothing.
         """
         if not orders:
+            await self._shorten_stored_vms(now)
             return
-        write = Write(VM_ORDERS_KEY, {"vms": self._keeper.book.lately_ordered(now)})
-        transaction = Transaction([self._session.owner_condition()], [write])
-        outcome = await self._session.table.commit(transaction)
-        if isinstance(outcome, Committed):
+        if await self._store_vms(self._keeper.book.lately_ordered(now), now):
             for order in orders:
                 self._session.spawn(self._send_vm_order(order))
             return
+        for order in orders:
+            self._keeper.on_rejected(order)
+
+    async def _shorten_stored_vms(self, now: float) -> None:
+        if not self._stored_vms or now - self._stored_vms_at < SHORTEN_SECONDS:
+            return
+        vm_ids = self._keeper.book.lately_ordered(now)
+        if vm_ids != self._stored_vms:
+            await self._store_vms(vm_ids, now)
+
+    async def _store_vms(self, vm_ids: list[str], now: float) -> bool:
+        write = Write(VM_ORDERS_KEY, {"vms": vm_ids})
+        transaction = Transaction([self._session.owner_condition()], [write])
+        outcome = await self._session.table.commit(transaction)
+        if isinstance(outcome, Committed):
+            self._stored_vms = vm_ids
+            self._stored_vms_at = now
+            return True
         log_event(
             logger,
             "vm orders not stored",
-            n_orders=len(orders),
+            n_vms=len(vm_ids),
             reason=type(outcome).__name__,
         )
         if isinstance(outcome, Conflict):
             self._session.depose("vm-orders-conflict")
-        for order in orders:
-            self._keeper.on_rejected(order)
+        return False
 
     async def _send_vm_order(self, order: VmOrder) -> None:
         token = self._session.lease.token
