Stop an unanswered start also on the next life of its worker

Cause: a start without an answer may be carried out seconds later. When its worker restarted meanwhile under the same id, the run was given up and its task started elsewhere; the new life, which knows no stop of before, then carried the start out as well: two runs at the same time.

Change: such a run stays unsure, and its stop is sent again to the new life.

--- a/catkinport/jobs/dispatcher.py
+++ b/catkinport/jobs/dispatcher.py
@@ -324,9 +324,12 @@
             logger, "worker started anew", worker=belief.worker_id, n_lost=len(lost)
         )
         for run in lost:
-            # An order that is still unanswered may have reached the new life.
-            if run.known_at or run.is_unsure:
+            if run.known_at:
                 self._lose_run(belief, run, "worker-restarted", now)
+                continue
+            # The order may still be carried out, by the new life then, which knows
+            # nothing of a stop that the former one has confirmed.
+            run.stop_sent_at = run.stopped_at = 0.0
 
     def _match_running(
         self, belief: WorkerBelief, lists: WorkerLists, sent_at: float, now: float
--- a/catkinport/jobs/tests/test_dispatcher.py
+++ b/catkinport/jobs/tests/test_dispatcher.py
@@ -132,6 +132,28 @@
 
 
 class TestUnsureStart:
+    def test_stop_is_repeated_for_a_worker_that_lives_anew(self):
+        """Guards against a late start that a worker carries out after its restart.
+
+        Found by the random test of owner changes: the new life had not seen the stop,
+        so the task ran there and elsewhere.
+        """
+        fleet = Fleet([make_worker("w1"), make_worker("w2")])
+        fleet.dispatcher.add_job(make_job(), fleet.now)
+        (start,) = fleet.plan()
+        fleet.answer(start, UNSURE)
+        (stop,) = fleet.dispatcher.find_stops(fleet.now)
+        fleet.dispatcher.on_stop_outcome(start.run, Done(), fleet.now)
+        fleet.advance(0.5)
+        fleet.look(start.run.worker_id, born=2.0)
+        assert fleet.plan() == []
+        (again,) = fleet.dispatcher.find_stops(fleet.now)
+        assert again.key == stop.key
+        fleet.dispatcher.on_stop_outcome(start.run, Done(), fleet.now)
+        fleet.advance(0.5)
+        fleet.look(start.run.worker_id, born=2.0)
+        assert len(fleet.plan()) == 1
+
     def test_task_starts_elsewhere_only_after_the_stop_took_effect(self):
         """Guards against two runs of a task when a start is carried out late."""
         fleet = Fleet([make_worker("w1"), make_worker("w2")])
