Take ports of trial daemons from below those of connections

Change: ports are drawn from 15000 to 30000, below the kernel's range for connections, and what a daemon printed is shown when it does not get ready.

--- a/verification/platform/deployment.py
+++ b/verification/platform/deployment.py
@@ -1,6 +1,7 @@
 """Daemons of entry VMs and the stand-in of the platform, as processes."""
 
 import json
+import random
 import socket
 import time
 from collections.abc import Mapping
@@ -17,6 +18,9 @@
 READY_SECONDS = 20.0
 """Longest wait until all daemons are ready."""
 
+FIRST_PORT, LAST_PORT = 15000, 30000
+"""Ports that daemons may listen on."""
+
 CALL_SECONDS = 5.0
 """Longest wait for the answer to a control of the stand-in."""
 
@@ -125,8 +129,8 @@
             waiting = [d for d in waiting if not self.is_ready(d)]
             time.sleep(0.05)
         if waiting:
-            names = ", ".join(daemon.name for daemon in waiting)
-            raise RuntimeError(f"not ready in {READY_SECONDS} s: {names}")
+            tails = "".join(f"\n{d.name}: {d.process.read_tail()}" for d in waiting)
+            raise RuntimeError(f"not ready in {READY_SECONDS} s:{tails}")
 
     def is_ready(self, daemon: DaemonProcess) -> bool:
         """Return whether a daemon says that it takes calls."""
@@ -254,11 +258,20 @@
 
 
 def free_ports(n_ports: int) -> list[int]:
-    """Return ports of the loopback interface that are free right now."""
-    sockets = [socket.socket() for _ in range(n_ports)]
-    for each in sockets:
-        each.bind(("127.0.0.1", 0))
-    ports = [each.getsockname()[1] for each in sockets]
-    for each in sockets:
-        each.close()
+    """Return ports of the loopback interface that are free right now.
+
+    They lie below those that the kernel gives to connections, so that none is taken
+    before it is listened on.
+    """
+    ports: list[int] = []
+    rng = random.SystemRandom()
+    while len(ports) < n_ports:
+        port = rng.randrange(FIRST_PORT, LAST_PORT)
+        with socket.socket() as trial:
+            try:
+                trial.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        if port not in ports:
+            ports.append(port)
     return ports
--- a/verification/processes.py
+++ b/verification/processes.py
@@ -74,9 +74,13 @@
             if not self.is_running:
                 break
             time.sleep(0.02)
-        tail = self.log_path.read_text(errors="replace")[-2000:]
+        tail = self.read_tail()
         raise RuntimeError(f"{self.name} did not print {start!r}; its output: {tail}")
 
+    def read_tail(self) -> str:
+        """Return the end of the output."""
+        return self.log_path.read_text(errors="replace")[-2000:]
+
     def send_signal(self, signal_number: int) -> None:
         """Send a signal to the process, if it still runs."""
         if self.is_running:
