Wait for commits as long as answers take lately, and spread claims on a slow store

A transaction takes 0.3 s then, and a part carries out one after the other; seven daemons claimed within 0.3 s, all gave up after 1 s, the fleet had no owner for 3 s, and lasting tasks outlived their lease. Ruled out: the release (seen 0.3 s after the owner's end).

Change: policy/adaptive_timeout.py gives commits ten times what reads and commits took lately, 0.6 s to 3 s; a lost answer does not change it. Claims are spread by the latency of the store. A renewal without an answer is followed by another one after 0.6 s instead of 0.3 s, and the renewal that a state carries counts.

--- a/catkinport/jobs/owner.py
+++ b/catkinport/jobs/owner.py
@@ -39,6 +39,10 @@
 FEED_PAUSE_SECONDS = 0.02
 """Pause between such calls, so that jobs that come together are read together."""
 
+UNANSWERED_BEAT_SECONDS = 2 * BEAT_SECONDS
+"""Time after which a renewal without an answer is followed by another one. Sooner would
+fill the queue of a slow store."""
+
 RELEASE_SECONDS = 2.5
 """Longest time that a stopping owner tries to give the ownership up."""
 
@@ -115,8 +119,11 @@
 
     async def _beat_loop(self) -> None:
         while True:
-            # A stored state renews the ownership too.
-            due_at = self._session.lease.renewed_at + BEAT_SECONDS
+            # A stored state renews the ownership too; one that is on its way may.
+            due_at = max(
+                self._session.lease.renewed_at + BEAT_SECONDS,
+                self._session.renewal_sent_at + UNANSWERED_BEAT_SECONDS,
+            )
             if self._session.clock.now() >= due_at:
                 await self._beat()
                 due_at = self._session.clock.now() + BEAT_SECONDS
@@ -124,6 +131,7 @@
 
     async def _beat(self, is_released: bool = False) -> None:
         sent_at = self._session.clock.now()
+        self._session.renewal_sent_at = sent_at
         write = beat_write(self._session, sent_at, is_released)
         transaction = Transaction([self._session.owner_condition()], [write])
         outcome = await self._session.table.commit(transaction)
--- a/catkinport/jobs/ownership_watch.py
+++ b/catkinport/jobs/ownership_watch.py
@@ -27,6 +27,9 @@
 MAX_CLAIM_SPREAD_SECONDS = 2.0
 """Largest spread, after claims that had no answer because too many came at once."""
 
+SLOW_SECONDS = 0.05
+"""Latency of the store at which claims are spread twice as far."""
+
 CLAIM_ATTEMPTS = 2
 """Attempts of one claim."""
 
@@ -110,7 +113,9 @@
         sighting = self._watch.sighting
         is_own_former = sighting is not None and sighting.is_own_former
         # Nobody else claims sooner than the VM of a former owner that is strong enough.
-        wait_seconds = 0.0 if is_own_former else spread
+        # On a slow store claims wait for each other, so they are spread further.
+        slow_spread = spread * (1 + self._watch.latency_seconds / SLOW_SECONDS)
+        wait_seconds = 0.0 if is_own_former else slow_spread
         wait_seconds += self._claim_delay_seconds
         return self._watch.may_claim(self._clock.now(), wait_seconds)
 
--- a/catkinport/jobs/session.py
+++ b/catkinport/jobs/session.py
@@ -46,6 +46,7 @@
         deposed: set once another daemon has taken over.
         wake: set when there may be something to plan.
         store_wake: set when there is something to store.
+        renewal_sent_at: clock time in seconds at which the latest renewal was sent.
         loaded_at: clock time in seconds at which the state was loaded; 0 before.
     """
 
@@ -61,6 +62,7 @@
         self.wake = asyncio.Event()
         self.store_wake = asyncio.Event()
         self.loaded_at = 0.0
+        self.renewal_sent_at = lease.renewed_at
         self._tasks: set[asyncio.Task[Any]] = set()
 
     def spawn(self, coroutine: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
--- a/catkinport/jobs/state_store.py
+++ b/catkinport/jobs/state_store.py
@@ -101,6 +101,8 @@
             record.is_dirty = False
         # A renewal wakes every daemon, so not each commit carries one.
         is_renewal = sent_at - self._session.lease.renewed_at >= BEAT_SECONDS / 2
+        if is_renewal:
+            self._session.renewal_sent_at = sent_at
         beat = [beat_write(self._session, sent_at)] if is_renewal else []
         transaction = Transaction(conditions, [*writes, *beat])
         outcome = await commit_until_known(
--- a/catkinport/platform/table.py
+++ b/catkinport/platform/table.py
@@ -3,9 +3,11 @@
 import asyncio
 import base64
 import json
+import time
 from collections.abc import Mapping, Sequence
 from typing import Any
 
+from ..policy.adaptive_timeout import AdaptiveTimeout
 from ..ports import Reason, Unavailable
 from ..ports.async_table import Changes, HistoryLost, Snapshot
 from ..ports.table import (
@@ -20,8 +22,15 @@
 from .client import PlatformClient, Reply
 
 CALL_SECONDS = 1.0
-"""Longest wait for an answer, which takes 4 ms when all is well. Shorter than three
-renewals of the ownership."""
+"""Longest wait for the answer to a read, which takes 4 ms when all is well."""
+
+MIN_COMMIT_SECONDS = 0.6
+"""Shortest wait for the answer to a commit, which takes 10 ms when all is well. Two
+renewals of the ownership: an owner that waits longer for a lost answer is replaced."""
+
+MAX_COMMIT_SECONDS = 3.0
+"""Longest wait for the answer to a commit, as a part carries them out in turn and each
+takes 0.3 s on a store that is fifty times as slow."""
 
 FOLLOW_EXTRA_SECONDS = 0.7
 """Longest wait for the answer of a feed beyond the wait that was asked for; a silent
@@ -55,6 +64,7 @@
     def __init__(self, client: PlatformClient, address: str) -> None:
         self._client = client
         self._address = address
+        self._commit_timeout = AdaptiveTimeout(MIN_COMMIT_SECONDS, MAX_COMMIT_SECONDS)
 
     async def read_range(
         self, table: str, start: str = "", end: str = ""
@@ -91,6 +101,7 @@
             query = {"Table": table, "part": part, "From": start}
             if end:
                 query["To"] = end
+            began_at = time.monotonic()
             reply = await self._client.call(
                 "table-read",
                 "GET",
@@ -102,6 +113,7 @@
             )
             if isinstance(reply, Unavailable):
                 return reply
+            self._commit_timeout.on_answer(time.monotonic() - began_at)
             if reply.status != 200:
                 return self._unusable("table-read", reply)
             try:
@@ -133,11 +145,18 @@
             if write.value is None
         ]
         body = {"Expect": expected, "Writes": writes, "Remove": removals}
+        began_at = time.monotonic()
         reply = await self._client.call(
-            "table-commit", "POST", self._address, "/rows-tx", CALL_SECONDS, body
+            "table-commit",
+            "POST",
+            self._address,
+            "/rows-tx",
+            self._commit_timeout.seconds,
+            body,
         )
         if isinstance(reply, Unavailable):
             return reply
+        self._commit_timeout.on_answer(time.monotonic() - began_at)
         try:
             if reply.status == 200:
                 version = int(reply.body["Ver"])
@@ -157,6 +176,7 @@
             "After": str(after_version),
             "WaitMs": str(int(wait_seconds * 1000)),
         }
+        began_at = time.monotonic()
         reply = await self._client.call(
             "table-follow",
             "GET",
@@ -177,6 +197,9 @@
             version = int(reply.body["Ver"])
         except (KeyError, TypeError, ValueError) as error:
             return self._unreadable("table-follow", error)
+        if not rows:
+            extra_seconds = time.monotonic() - began_at - wait_seconds
+            self._commit_timeout.on_answer(max(0.0, extra_seconds))
         return Changes([row for row in rows if row is not None], version)
 
     def _conflict(
--- a/catkinport/policy/leadership.py
+++ b/catkinport/policy/leadership.py
@@ -105,6 +105,11 @@
         """Clock time in seconds of the latest change."""
         return self._changed_at
 
+    @property
+    def latency_seconds(self) -> float:
+        """How long the table service took beyond a wait that was asked for."""
+        return self._latency_seconds
+
     def observe(self, sighting: OwnerSighting, now: float) -> None:
         """Take in an answer of the table service that arrived at ``now``."""
         if sighting != self._sighting:
