--- a/catkinport/cli/explain.py
+++ b/catkinport/cli/explain.py
@@ -1,19 +1,17 @@
 """Command that tells the history of a request from the daemons' logs."""
 
-import re
-import sys
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
 from pathlib import Path
-from typing import Annotated, NamedTuple
+from typing import Annotated
 
 import cappa
 
 from .exit_codes import ExitCode, Failure
+from .log_events import LogEvent, parse_line, read_lines
 from .output import Report, Table
 from .session import Session
 
-_PAIR = re.compile(r'(\w+)=(?:"((?:[^"\\]|\\.)*)"|(\S*))')
 _COLUMNS = ("time", "event", "details")
 # Shown in columns of their own, or the same in each line of the history.
 _HIDDEN_FIELDS = frozenset({"time", "level", "event", "request_id"})
@@ -21,33 +19,6 @@
 """A job whose first task waited longer than this is explained by the wait."""
 
 
-class LogEvent(NamedTuple):
-    """A line of a log: its fields by name."""
-
-    field_by_name: dict[str, str]
-
-    @property
-    def name(self) -> str:
-        """Name of the event."""
-        return self.field_by_name.get("event", "")
-
-    def get(self, name: str) -> str:
-        """Return a field, empty if the line has none of that name."""
-        return self.field_by_name.get(name, "")
-
-
-def parse_line(line: str) -> LogEvent:
-    """Read the key=value pairs of a line; whatever stands before them is ignored.
-
-    Example:
-        >>> parse_line('time=1 event="run lost" reason=vm-down').get("event")
-        'run lost'
-    """
-    return LogEvent(
-        {name: quoted or plain for name, quoted, plain in _PAIR.findall(line)}
-    )
-
-
 def find_history(lines: Iterable[str], request_id: str) -> list[LogEvent]:
     """Return the events of a request in the order of their time."""
     events = [parse_line(line) for line in lines if request_id in line]
@@ -113,7 +84,7 @@
     def run(self, session: Session) -> Report | Failure:
         """Return the history."""
         try:
-            history = find_history(_read_lines(self.logs), self.request_id)
+            history = find_history(read_lines(self.logs), self.request_id)
         except OSError as error:
             return Failure(ExitCode.USAGE, f"a log cannot be read: {error}")
         if not history:
@@ -130,14 +101,6 @@
         )
 
 
-def _read_lines(paths: list[Path]) -> Iterator[str]:
-    if not paths:
-        yield from sys.stdin
-    for path in paths:
-        with path.open(encoding="utf-8", errors="replace") as log:
-            yield from log
-
-
 def _details(event: LogEvent) -> str:
     return " ".join(
         f"{name}={value}"
--- a/catkinport/cli/main.py
+++ b/catkinport/cli/main.py
@@ -18,6 +18,7 @@
 from .output import write_failure, write_report
 from .overview import Members, Status, Top
 from .session import DEFAULT_API, Session
+from .timeline import TimelineCommand
 
 Command = (
     Check
@@ -33,6 +34,7 @@
     | JobCommand
     | Top
     | Explain
+    | TimelineCommand
 )
 
 
