--- a/catkinport/jobs/dispatcher.py
+++ b/catkinport/jobs/dispatcher.py
@@ -5,13 +5,9 @@
 """
 
 import logging
-from collections.abc import Iterator, Sequence
-from typing import Any, NamedTuple
+from collections.abc import Sequence
+from typing import Any
 
-from ..policy.durations import DurationModel
-from ..policy.job_order import JobView
-from ..policy.pacing import ServingTask, choose_pace
-from ..policy.resources import NOTHING, Resources, add
 from ..ports.fleet_vms import FleetVm, VmState
 from ..ports.fleet_workers import (
     Done,
@@ -26,7 +22,8 @@
 from ..runtime import Metrics
 from ..runtime.logs import log_event
 from .configuration import FleetConfiguration, Queue
-from .model import FINAL_STATES, Job, JobState, TaskId, work_core_seconds
+from .job_outlook import JobOutlook
+from .model import FINAL_STATES, Job, JobState, TaskId
 from .record import JobRecord, Task, TaskPhase
 from .worker_state import (
     UNHEALTHY_PAUSE_SECONDS,
@@ -42,41 +39,16 @@
 """Pause before a worker that left a start unanswered, or whose VM is listed as dead,
 gets another task; the next look or list tells more by then."""
 
-STOP_RETRY_SECONDS = 0.4
-"""Time after which an unanswered stop is sent again."""
-
 VM_LIST_LAG_SECONDS = 1.2
 """The platform's list of VMs may be so old. What was ordered before that has ended if a
 VM is listed as down, or with another worker."""
 
+NO_ROOM_PAUSE_SECONDS = 0.2
+"""Pause before a worker that had no room gets another task; its next look tells why."""
+
 RESTART_PAUSE_SECONDS = 0.2
 """Pause before a task whose run failed is started again."""
 
-LEARNING_RATE = 0.05
-"""Weight of a new job in the mean work of its queue; about the last twenty count."""
-
-STALL_FACTOR = 1.0
-"""A run without progress for this many times its estimate stands still."""
-
-MIN_STALL_SECONDS = 2.5
-"""Shortest time without progress that counts, as workers report in whole percents."""
-
-
-class StopOrder(NamedTuple):
-    """Stops a run."""
-
-    worker_id: str
-    key: RunKey
-    reason: str
-
-
-class PaceOrder(NamedTuple):
-    """Lets a filling task work at ``percent`` of its speed."""
-
-    worker_id: str
-    key: RunKey
-    percent: int
-
 
 def is_over(row: dict[str, Any]) -> bool:
     """Return whether a stored state is final and nothing of its job runs."""
@@ -95,7 +67,9 @@
         job_by_id: jobs that have not been stored as ended.
         worker_by_id: workers that are listed or may still run something.
         runs_by_task: runs of each task that may be alive, by the task's name.
-        durations_by_queue: what was learnt of the durations of tasks.
+        outlook: what jobs are expected to take.
+        stray_sent_at: latest stop order for each run of no known job, by worker id and
+            run.
         unresolved_by_id: pool of each worker of the former owner that has neither
             answered nor outlived its lease, by worker id.
     """
@@ -111,10 +85,9 @@
         self.worker_by_id: dict[str, WorkerBelief] = {}
         self.runs_by_task: dict[str, list[Run]] = {}
         self.unresolved_by_id: dict[str, str] = {}
-        self._mean_work_by_queue: dict[str, float] = {}
-        self.durations_by_queue: dict[str, DurationModel] = {}
+        self.outlook = JobOutlook()
         self._retired_ids: set[str] = set()
-        self._stray_sent_at: dict[tuple[str, RunKey], float] = {}
+        self.stray_sent_at: dict[tuple[str, RunKey], float] = {}
 
     def apply_configuration(self, configuration: FleetConfiguration) -> None:
         """Take over a version of the configuration.
@@ -133,7 +106,7 @@
         record = JobRecord(job, is_inherited)
         record.first_seen_at = now
         self.job_by_id[job.job_id] = record
-        self._learn_work(job)
+        self.outlook.learn_work(job)
         log_event(
             logger,
             "job taken in",
@@ -340,7 +313,7 @@
             listed_keys.add(key)
             run = belief.run_by_key.get(key) or self._adopt(belief, key, now)
             if run is None:
-                self._stray_sent_at.setdefault((belief.worker_id, key), 0.0)
+                self.stray_sent_at.setdefault((belief.worker_id, key), 0.0)
                 continue
             self._confirm(run, now)
             if run.phase is RunPhase.ASKED and not run.is_unsure:
@@ -351,9 +324,9 @@
             run.gauge = entry.gauge
             if entry.saved:
                 run.task.saved = entry.saved
-        for worker_id, key in list(self._stray_sent_at):
+        for worker_id, key in list(self.stray_sent_at):
             if worker_id == belief.worker_id and key not in listed_keys:
-                del self._stray_sent_at[worker_id, key]
+                del self.stray_sent_at[worker_id, key]
         for key, run in list(belief.run_by_key.items()):
             if key in listed_keys:
                 continue
@@ -438,7 +411,7 @@
         record.keep_saved(task, ended.saved)
         if ended.how is EndKind.DONE and not task.step.is_lasting:
             if run is not None:
-                durations = self.durations_of(record.job.queue)
+                durations = self.outlook.durations_of(record.job.queue)
                 durations.learn(task.step.estimate_seconds, now - run.asked_at)
             self._on_done(belief, record, task, now)
         elif ended.how is EndKind.FAILED:
@@ -462,7 +435,7 @@
     def _log_complete(self, record: JobRecord, now: float) -> None:
         queue = self.queue_of(record)
         seconds = now - record.first_seen_at
-        durations = self.durations_of(record.job.queue)
+        durations = self.outlook.durations_of(record.job.queue)
         objective = record.objective_seconds(queue, durations) if queue else 0.0
         log_event(
             logger,
@@ -609,7 +582,7 @@
         if reason is Rejection.UNHEALTHY:
             belief.note_outcome(False, now)
         if reason is Rejection.NO_ROOM:
-            belief.blocked_until = now + STOP_RETRY_SECONDS / 2
+            belief.blocked_until = now + NO_ROOM_PAUSE_SECONDS
         if reason is Rejection.INVALID:
             run.task.not_before = now + UNHEALTHY_PAUSE_SECONDS
         self._detach(belief, run)
@@ -639,129 +612,18 @@
             for run in list(belief.run_by_key.values()):
                 self._lose_run(belief, run, "lease-ended", now)
 
-    def find_stops(self, now: float) -> Iterator[StopOrder]:
-        """Yield the stop orders that are due."""
-        yield from self._find_strays(now)
-        for belief in self.worker_by_id.values():
-            for run in belief.run_by_key.values():
-                reason = self._stop_reason(run, now)
-                if not reason or run.stopped_at:
-                    continue
-                if now - run.stop_sent_at < STOP_RETRY_SECONDS and run.stop_sent_at:
-                    continue
-                run.stop_sent_at = now
-                run.phase = RunPhase.STOPPING
-                yield StopOrder(belief.worker_id, run.key, reason)
-
-    def find_paces(self) -> Iterator[PaceOrder]:
-        """Yield the orders that change the speed of filling tasks.
-
-        Speeds are decided once for each look at a worker, on what it listed then.
-        """
-        for belief in self.worker_by_id.values():
-            if belief.paced_at == belief.contact_at:
-                continue
-            belief.paced_at = belief.contact_at
-            runs = [r for r in belief.run_by_key.values() if r.known_at]
-            serving = [
-                ServingTask(run.gauge / 1000, run.task.step.target_seconds)
-                for run in runs
-                if run.task.step.target_seconds > 0
-            ]
-            for run in runs:
-                if not run.task.step.is_filler or run.task.step.target_seconds > 0:
-                    continue
-                percent = choose_pace(serving, run.pace)
-                if percent != run.pace:
-                    yield PaceOrder(belief.worker_id, run.key, percent)
-
-    def on_pace_done(self, order: PaceOrder) -> None:
-        """Note that a worker has taken the new speed."""
-        belief = self.worker_by_id.get(order.worker_id)
-        run = belief.run_by_key.get(order.key) if belief else None
+    def on_pace_done(self, worker_id: str, key: RunKey, percent: int) -> None:
+        """Note that a worker has taken the new speed of a run."""
+        belief = self.worker_by_id.get(worker_id)
+        run = belief.run_by_key.get(key) if belief else None
         if run is not None:
-            run.pace = order.percent
-
-    def _find_strays(self, now: float) -> Iterator[StopOrder]:
-        """Yield stops of runs of no known job: orders that were carried out late."""
-        for (worker_id, key), sent_at in self._stray_sent_at.items():
-            if worker_id in self.worker_by_id and now - sent_at >= STOP_RETRY_SECONDS:
-                self._stray_sent_at[worker_id, key] = now
-                yield StopOrder(worker_id, key, "job-unknown")
-
-    def _stop_reason(self, run: Run, now: float) -> str:
-        if run.record.is_cancel_asked:
-            return "canceled"
-        if run.record.is_final:
-            return "job-ended"
-        if run.task.phase is TaskPhase.DONE:
-            return "task-done"
-        if run.is_unsure:
-            return "start-unsure"
-        if run.is_evacuated:
-            return "evacuated"
-        if run.phase is RunPhase.STOPPING:
-            return "repeat"
-        runs = self.runs_by_task.get(run.task.text, [])
-        if len(runs) > 1 and not run.task.step.may_run_twice and run is not runs[0]:
-            return "second-run"
-        if self._is_stalled(run, now):
-            return "stalled"
-        return ""
-
-    def _is_stalled(self, run: Run, now: float) -> bool:
-        step = run.task.step
-        if step.is_lasting or step.is_filler or not run.known_at or step.is_gang:
-            return False
-        limit = max(MIN_STALL_SECONDS, STALL_FACTOR * step.estimate_seconds)
-        if now - run.progressed_at <= limit:
-            return False
-        belief = self.worker_by_id[run.worker_id]
-        if not belief.is_in_contact(now):
-            return False
-        run.task.avoided_worker = run.worker_id
-        belief.note_outcome(False, now)
-        return True
+            run.pace = percent
 
     def is_doubtful(self, run: Run, now: float) -> bool:
         """Return whether a copy of the run should be started where that is allowed."""
         belief = self.worker_by_id[run.worker_id]
         return run.is_unsure or not belief.is_in_contact(now)
 
-    # Sums.
-
-    def usage_by_account(self) -> dict[str, Resources]:
-        """Return what each client account has or may have running."""
-        usage: dict[str, Resources] = {}
-        for belief in self.worker_by_id.values():
-            for run in belief.run_by_key.values():
-                need = run.task.step.need
-                account = run.record.job.account
-                usage[account] = add(usage.get(account, NOTHING), need)
-        for account, unseen in self._unseen_usage().items():
-            usage[account] = add(usage.get(account, NOTHING), unseen)
-        return usage
-
-    def _unseen_usage(self) -> dict[str, Resources]:
-        """Return what accounts may have on workers that a new owner has not reached.
-
-        Each inherited task that no worker has listed may run on one of them.
-        """
-        usage: dict[str, Resources] = {}
-        if not self.unresolved_by_id:
-            return usage
-        for record in self.job_by_id.values():
-            queue = self.queue_of(record)
-            is_open = queue is None or not self.is_pool_resolved(queue.pool)
-            if not record.is_inherited or not is_open:
-                continue
-            for task in record.all_tasks():
-                if task.phase is TaskPhase.WAITING:
-                    account = record.job.account
-                    need = task.step.need
-                    usage[account] = add(usage.get(account, NOTHING), need)
-        return usage
-
     def workers_of(self, pool: str) -> list[WorkerBelief]:
         """Return the workers of a pool."""
         return [w for w in self.worker_by_id.values() if w.listed.pool == pool]
@@ -785,33 +647,3 @@
         if record.is_final:
             # Stored once more, now as a job of which nothing runs.
             record.is_dirty = True
-
-    def durations_of(self, queue: str) -> DurationModel:
-        """Return what has been learnt of the durations of a queue's tasks."""
-        return self.durations_by_queue.setdefault(queue, DurationModel())
-
-    def view_job(self, record: JobRecord, queue: Queue) -> JobView:
-        """Return what the order of a job depends on."""
-        durations = self.durations_of(queue.name)
-        total = self.expected_core_seconds(record.job)
-        return JobView(
-            accepted_at=record.first_seen_at,
-            objective_seconds=record.objective_seconds(queue, durations),
-            remaining_chain_seconds=record.remaining_chain_seconds(durations),
-            remaining_core_seconds=record.remaining_core_seconds(durations),
-            mean_core_seconds=self._mean_work_by_queue.get(queue.name, total),
-            total_core_seconds=total,
-            priority=queue.priority,
-            is_lasting=any(step.is_lasting for step in record.job.steps),
-        )
-
-    def expected_core_seconds(self, job: Job) -> float:
-        """Return the work of a job by how long tasks of its queue took lately."""
-        return work_core_seconds(job.steps, self.durations_of(job.queue))
-
-    def _learn_work(self, job: Job) -> None:
-        work = self.expected_core_seconds(job)
-        mean = self._mean_work_by_queue.get(job.queue)
-        self._mean_work_by_queue[job.queue] = (
-            work if mean is None else mean + (work - mean) * LEARNING_RATE
-        )
--- /dev/null
+++ b/catkinport/jobs/job_outlook.py
@@ -0,0 +1,53 @@
+"""What jobs are expected to take, by how long tasks of their queues took lately."""
+
+from ..policy.durations import DurationModel
+from ..policy.job_order import JobView
+from .configuration import Queue
+from .model import Job, work_core_seconds
+from .record import JobRecord
+
+LEARNING_RATE = 0.05
+"""Weight of a new job in the mean work of its queue; about the last twenty count."""
+
+
+class JobOutlook:
+    """Durations and work of the jobs of each queue.
+
+    Attributes:
+        durations_by_queue: what was learnt of the durations of tasks.
+    """
+
+    def __init__(self) -> None:
+        self.durations_by_queue: dict[str, DurationModel] = {}
+        self._mean_work_by_queue: dict[str, float] = {}
+
+    def durations_of(self, queue: str) -> DurationModel:
+        """Return what has been learnt of the durations of a queue's tasks."""
+        return self.durations_by_queue.setdefault(queue, DurationModel())
+
+    def view_job(self, record: JobRecord, queue: Queue) -> JobView:
+        """Return what the order of a job depends on."""
+        durations = self.durations_of(queue.name)
+        total = self.expected_core_seconds(record.job)
+        return JobView(
+            accepted_at=record.first_seen_at,
+            objective_seconds=record.objective_seconds(queue, durations),
+            remaining_chain_seconds=record.remaining_chain_seconds(durations),
+            remaining_core_seconds=record.remaining_core_seconds(durations),
+            mean_core_seconds=self._mean_work_by_queue.get(queue.name, total),
+            total_core_seconds=total,
+            priority=queue.priority,
+            is_lasting=any(step.is_lasting for step in record.job.steps),
+        )
+
+    def expected_core_seconds(self, job: Job) -> float:
+        """Return the work of a job by how long tasks of its queue took lately."""
+        return work_core_seconds(job.steps, self.durations_of(job.queue))
+
+    def learn_work(self, job: Job) -> None:
+        """Take a new job into the mean work of its queue."""
+        work = self.expected_core_seconds(job)
+        mean = self._mean_work_by_queue.get(job.queue)
+        self._mean_work_by_queue[job.queue] = (
+            work if mean is None else mean + (work - mean) * LEARNING_RATE
+        )
--- a/catkinport/jobs/owner.py
+++ b/catkinport/jobs/owner.py
@@ -224,7 +224,7 @@
     def _note_work(self, job: Job, now: float) -> None:
         queue = self._session.dispatcher.configuration.queue_by_name.get(job.queue)
         if queue is not None:
-            work = self._session.dispatcher.expected_core_seconds(job)
+            work = self._session.dispatcher.outlook.expected_core_seconds(job)
             self._keeper.mover.note_work(queue.pool, work, now)
 
     async def _feed_loop(self) -> None:
--- a/catkinport/jobs/owner_memory.py
+++ b/catkinport/jobs/owner_memory.py
@@ -33,7 +33,7 @@
         "turns": {pool: list(m) for pool, m in turns.remember(now).items()},
         "durations": {
             queue: model.to_sums()
-            for queue, model in dispatcher.durations_by_queue.items()
+            for queue, model in dispatcher.outlook.durations_by_queue.items()
         },
     }
 
@@ -57,7 +57,7 @@
     except (KeyError, TypeError, ValueError, AttributeError) as error:
         log_event(logger, "owner memory unreadable", reason=repr(error)[:200])
         return
-    dispatcher.durations_by_queue.update(durations)
+    dispatcher.outlook.durations_by_queue.update(durations)
     if age <= MAX_AGE_SECONDS:
         turns.restore({p: _add_age(m, age) for p, m in memory.items()}, period, now)
     log_event(
--- a/catkinport/jobs/planner.py
+++ b/catkinport/jobs/planner.py
@@ -6,6 +6,7 @@
 from ..policy.job_order import order_key
 from ..policy.resources import Resources
 from ..policy.worker_choice import TaskNeed, WorkerRoom, choose_worker, fits
+from .account_usage import usage_by_account
 from .configuration import Account, Queue
 from .dispatcher import Dispatcher
 from .model import Step
@@ -85,13 +86,14 @@
                 continue
             records_by_pool.setdefault(queue.pool, []).append((record, queue))
         starts: list[PlannedStart] = []
-        usage = dispatcher.usage_by_account()
+        usage = usage_by_account(dispatcher)
         for pool, records in records_by_pool.items():
             rooms = self._rooms(pool, now)
             if not rooms:
                 continue
             ordered = sorted(
-                records, key=lambda item: order_key(dispatcher.view_job(*item), now)
+                records,
+                key=lambda item: order_key(dispatcher.outlook.view_job(*item), now),
             )
             for record, queue in ordered:
                 self._plan_job(record, queue, rooms, usage, now, unix_now, starts)
--- a/catkinport/jobs/pool_demand.py
+++ b/catkinport/jobs/pool_demand.py
@@ -4,6 +4,7 @@
 from typing import NamedTuple
 
 from ..policy.job_order import Prospect, find_prospect
+from .account_usage import usage_by_account
 from .dispatcher import Dispatcher
 from .record import JobRecord, TaskPhase
 
@@ -40,7 +41,7 @@
         left = left_by_account.get(record.job.account, float("inf"))
         waiting = min(count_cores(record, TaskPhase.WAITING), left)
         left_by_account[record.job.account] = left - waiting
-        prospect = find_prospect(dispatcher.view_job(record, queue), now)
+        prospect = find_prospect(dispatcher.outlook.view_job(record, queue), now)
         former = demand[queue.pool]
         if prospect > Prospect.ON_TIME:
             late_cores = former.late_cores + waiting
@@ -65,7 +66,7 @@
 
 
 def _cores_left(dispatcher: Dispatcher) -> dict[str, float]:
-    usage = dispatcher.usage_by_account()
+    usage = usage_by_account(dispatcher)
     return {
         name: max(0.0, account.limit.cores - usage[name].cores)
         if name in usage
--- a/catkinport/jobs/run_orders.py
+++ b/catkinport/jobs/run_orders.py
@@ -8,8 +8,8 @@
 from ..ports import Unavailable
 from ..ports.fleet_workers import Done, StartOrder
 from ..runtime.logs import log_event
-from .dispatcher import PaceOrder, StopOrder
 from .planner import PlannedStart, Planner, Ticket, WantedAdvice
+from .run_stops import PaceOrder, StopOrder, find_paces, find_stops
 from .session import RETRY_SECONDS, OwnerSession
 from .worker_state import LEASE_SECONDS
 from .worker_watch import WorkerWatch
@@ -49,9 +49,9 @@
     def _plan(self) -> None:
         now = self._session.clock.now()
         self._session.dispatcher.expire(now)
-        for stop in list(self._session.dispatcher.find_stops(now)):
+        for stop in list(find_stops(self._session.dispatcher, now)):
             self._session.spawn(self._send_stop(stop))
-        for pace in list(self._session.dispatcher.find_paces()):
+        for pace in list(find_paces(self._session.dispatcher)):
             self._session.spawn(self._send_pace(pace))
         learnt_before = (
             self._session.lease.renewed_at
@@ -148,7 +148,7 @@
         )
         self._session.check_fenced(outcome)
         if isinstance(outcome, Done):
-            self._session.dispatcher.on_pace_done(pace)
+            self._session.dispatcher.on_pace_done(*pace)
 
     def _ask_advice(self, wanted: WantedAdvice) -> None:
         if wanted.stage in self._asked_advice:
--- a/catkinport/jobs/tests/test_dispatcher.py
+++ b/catkinport/jobs/tests/test_dispatcher.py
@@ -13,6 +13,7 @@
 from ..dispatcher import is_over
 from ..model import JobState
 from ..record import JobRecord
+from ..run_stops import find_paces, find_stops
 from .builders import JOB_ID, Fleet, make_job, make_step, make_worker
 
 UNSURE = Unavailable(Reason.TIMEOUT, "worker-start", "w1", "", True)
@@ -119,7 +120,7 @@
         (start,) = fleet.start()
         fleet.dispatcher.cancel_job(JOB_ID)
         assert fleet.states() == {JOB_ID: "running"}
-        (stop,) = fleet.dispatcher.find_stops(fleet.now)
+        (stop,) = find_stops(fleet.dispatcher, fleet.now)
         assert (stop.key, stop.reason) == (start.run.key, "canceled")
         fleet.end(start, EndKind.STOPPED)
         assert fleet.states() == {JOB_ID: "canceled"}
@@ -142,12 +143,12 @@
         fleet.dispatcher.add_job(make_job(), fleet.now)
         (start,) = fleet.plan()
         fleet.answer(start, UNSURE)
-        (stop,) = fleet.dispatcher.find_stops(fleet.now)
+        (stop,) = find_stops(fleet.dispatcher, fleet.now)
         fleet.dispatcher.on_stop_outcome(start.run, Done(), fleet.now)
         fleet.advance(0.5)
         fleet.look(start.run.worker_id, born=2.0)
         assert fleet.plan() == []
-        (again,) = fleet.dispatcher.find_stops(fleet.now)
+        (again,) = find_stops(fleet.dispatcher, fleet.now)
         assert again.key == stop.key
         fleet.dispatcher.on_stop_outcome(start.run, Done(), fleet.now)
         fleet.advance(0.5)
@@ -162,7 +163,7 @@
         fleet.answer(start, UNSURE)
         fleet.look_all()
         assert fleet.start() == []
-        (stop,) = fleet.dispatcher.find_stops(fleet.now)
+        (stop,) = find_stops(fleet.dispatcher, fleet.now)
         assert stop.reason == "start-unsure"
         fleet.dispatcher.on_stop_outcome(start.run, Done(), fleet.now)
         fleet.advance(0.1)
@@ -240,7 +241,7 @@
         for _ in range(7):
             fleet.advance(0.5)
             fleet.look_all()
-        (stop,) = fleet.dispatcher.find_stops(fleet.now)
+        (stop,) = find_stops(fleet.dispatcher, fleet.now)
         assert (stop.key, stop.reason) == (start.run.key, "stalled")
 
 
@@ -326,7 +327,7 @@
         fleet.dispatcher.add_job(make_job(), fleet.now)
         fleet.start()
         fleet.dispatcher.cancel_job(JOB_ID)
-        list(fleet.dispatcher.find_stops(fleet.now))
+        list(find_stops(fleet.dispatcher, fleet.now))
         fleet.dispatcher.add_job(make_job("00000000000000b2"), fleet.now)
         assert fleet.start() == []
 
@@ -365,12 +366,12 @@
         key = ("00000000000000ff.0.0.0", 1)
         fleet.running_by_worker["w1"][key] = RunningTask(*key, "", 0.0, 0.0)
         fleet.look("w1")
-        (stop,) = fleet.dispatcher.find_stops(fleet.now)
+        (stop,) = find_stops(fleet.dispatcher, fleet.now)
         assert (stop.worker_id, tuple(stop.key)) == ("w1", key)
         fleet.running_by_worker["w1"].clear()
         fleet.advance(1.0)
         fleet.look("w1")
-        assert list(fleet.dispatcher.find_stops(fleet.now)) == []
+        assert list(find_stops(fleet.dispatcher, fleet.now)) == []
 
 
 class TestPacing:
@@ -394,21 +395,21 @@
     def test_fillers_stop_while_a_task_is_over_its_target(self):
         fleet = self._fleet()
         self._list_tail(fleet, 120.0)
-        (order,) = fleet.dispatcher.find_paces()
+        (order,) = find_paces(fleet.dispatcher)
         assert (order.key, order.percent) == (self.filler.run.key, 0)
-        fleet.dispatcher.on_pace_done(order)
-        assert list(fleet.dispatcher.find_paces()) == []
+        fleet.dispatcher.on_pace_done(*order)
+        assert list(find_paces(fleet.dispatcher)) == []
 
     def test_fillers_get_their_speed_back_in_steps(self):
         fleet = self._fleet()
         self._list_tail(fleet, 120.0)
-        for order in fleet.dispatcher.find_paces():
-            fleet.dispatcher.on_pace_done(order)
+        for order in find_paces(fleet.dispatcher):
+            fleet.dispatcher.on_pace_done(*order)
         percents = []
         for _ in range(5):
             self._list_tail(fleet, 20.0)
-            for order in fleet.dispatcher.find_paces():
-                fleet.dispatcher.on_pace_done(order)
+            for order in find_paces(fleet.dispatcher):
+                fleet.dispatcher.on_pace_done(*order)
                 percents.append(order.percent)
         assert percents == [25, 50, 75, 100]
 
--- a/catkinport/jobs/tests/test_keeper.py
+++ b/catkinport/jobs/tests/test_keeper.py
@@ -4,6 +4,7 @@
 from ...ports.fleet_vms import FleetVm, UpkeepWave, VmState
 from ..keeper import Keeper
 from ..model import Step
+from ..run_stops import find_stops
 from ..vm_book import VmBounds
 from .builders import NEED, POOL, Fleet, make_job, make_worker
 
@@ -132,7 +133,7 @@
         assert fleet.step() + fleet.step() == []
         (run,) = fleet.keeper.find_evacuations()
         run.is_evacuated = True
-        (stop,) = fleet.dispatcher.find_stops(fleet.now)
+        (stop,) = find_stops(fleet.dispatcher, fleet.now)
         assert stop.reason == "evacuated"
         assert fleet.keeper.find_evacuations() == []
 
--- a/catkinport/jobs/tests/test_owner_changes.py
+++ b/catkinport/jobs/tests/test_owner_changes.py
@@ -30,9 +30,10 @@
     RunningTask,
     WorkerLists,
 )
-from ..dispatcher import Dispatcher, StopOrder, is_over
+from ..dispatcher import Dispatcher, is_over
 from ..model import Job
 from ..planner import PlannedStart, Planner
+from ..run_stops import StopOrder, find_stops
 from ..worker_state import (
     FRESH_CONTACT_SECONDS,
     LEASE_SECONDS,
@@ -242,7 +243,7 @@
             self.dispatcher.on_start_outcome(start.run, outcome, self.now)
 
     def _stop(self, fate: str) -> None:
-        for stop in list(self.dispatcher.find_stops(self.now)):
+        for stop in list(find_stops(self.dispatcher, self.now)):
             order = Order(stop.worker_id, self.token, *stop.key, 0.0, False)
             outcome = self._send(order, fate)
             run = self._find_run(stop)
--- a/catkinport/jobs/tests/test_owner_memory.py
+++ b/catkinport/jobs/tests/test_owner_memory.py
@@ -44,9 +44,9 @@
     def test_durations_are_kept(self):
         owner = Owner()
         for _ in range(100):
-            owner.dispatcher.durations_of(QUEUE).learn(0.5, 2.0)
+            owner.dispatcher.outlook.durations_of(QUEUE).learn(0.5, 2.0)
         successor = owner.hand_over(10.0, later=500.0)
-        assert successor.dispatcher.durations_of(QUEUE).predict(0.5) > 1.8
+        assert successor.dispatcher.outlook.durations_of(QUEUE).predict(0.5) > 1.8
 
     def test_a_row_that_cannot_be_read_is_left_aside(self):
         successor = Owner()
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -1,11 +1,16 @@
 """Loopback proxies that delay, silence, cut and reset connections."""
 
 import asyncio
+import socket
+import struct
 import threading
 from collections.abc import Coroutine
 from typing import Any
 
 CHUNK_BYTES = 65536
+NO_LINGER = struct.pack("ii", 1, 0)
+"""Closing sends a reset and drops what is unsent."""
+
 STEP_SECONDS = 0.02
 """How often a silenced connection looks whether it may go on."""
 
@@ -53,6 +58,9 @@
     async def reset(self) -> None:
         """Reset all open connections."""
         for writer in list(self._writers):
+            sock = writer.get_extra_info("socket")
+            # Without it the kernel would end the connection in order.
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
             writer.transport.abort()
 
     async def silence(self) -> None:
--- /dev/null
+++ b/soak/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the soak, and a short run of it."""
--- /dev/null
+++ b/soak/tests/test_soak.py
@@ -0,0 +1,83 @@
+"""A short seeded run, the schedules, and the proxies."""
+
+import random
+import socket
+import threading
+
+import pytest
+
+from verification.platform.deployment import PlatformSize
+
+from ..faults import FAULT_BY_NAME, draw_schedule
+from ..proxy import ProxyHub
+from ..run import run_seed
+
+FAULT_SECONDS = 8.0
+SEEDS = (101,)
+
+
+class TestSchedule:
+    def test_a_seed_repeats_its_schedule(self):
+        first = draw_schedule(random.Random(7), 20.0)
+        assert first == draw_schedule(random.Random(7), 20.0)
+        assert first != draw_schedule(random.Random(8), 20.0)
+
+    def test_every_fault_is_drawn(self):
+        """Guards against a fault that is registered and never played."""
+        schedule = draw_schedule(random.Random(1), 2000.0)
+        assert {planned.name for planned in schedule} == set(FAULT_BY_NAME)
+
+
+class TestProxy:
+    @pytest.fixture
+    def link(self):
+        """Return the hub, a proxy to an echo, and a connection to it."""
+        echo = socket.create_server(("127.0.0.1", 0))
+        threading.Thread(target=self._echo, args=(echo,), daemon=True).start()
+        hub = ProxyHub()
+        proxy = hub.open(f"127.0.0.1:{echo.getsockname()[1]}")
+        host, _, port = proxy.address.rpartition(":")
+        connection = socket.create_connection((host, int(port)), timeout=2.0)
+        yield hub, proxy, connection
+        connection.close()
+        hub.close()
+        echo.close()
+
+    @staticmethod
+    def _echo(server):
+        connection, _ = server.accept()
+        while chunk := connection.recv(100):
+            connection.sendall(chunk)
+
+    def test_bytes_pass(self, link):
+        _, _, connection = link
+        connection.sendall(b"a")
+        assert connection.recv(1) == b"a"
+
+    def test_a_cut_holds_bytes_until_it_is_healed(self, link):
+        _, proxy, connection = link
+        proxy.link.is_cut_there = True
+        connection.sendall(b"a")
+        connection.settimeout(0.3)
+        with pytest.raises(TimeoutError):
+            connection.recv(1)
+        proxy.link.heal()
+        connection.settimeout(2.0)
+        assert connection.recv(1) == b"a"
+
+    def test_a_reset_ends_the_connection(self, link):
+        hub, proxy, connection = link
+        connection.sendall(b"a")
+        connection.recv(1)
+        hub.call(proxy.reset())
+        with pytest.raises(ConnectionError):
+            connection.recv(1)
+
+
+class TestRun:
+    @pytest.mark.parametrize("seed", SEEDS)
+    def test_no_promise_is_broken(self, seed):
+        """Guards against what faults from outside may break; see soak/run.py."""
+        result = run_seed(seed, FAULT_SECONDS, PlatformSize())
+        assert result.faults == []
+        assert result.n_accepted > 10
