--- a/soak/run.py
+++ b/soak/run.py
@@ -6,13 +6,13 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from verification.platform.caller import PlatformCaller, SentJob
+from verification.platform.caller import PlatformCaller
 from verification.platform.checkers import find_faults
 from verification.platform.deployment import PlatformSize
 from verification.processes import ProcessGroup
 
 from .faults import FAULT_BY_NAME, PlannedFault, draw_schedule
-from .load import SoakLoad
+from .load import Cancel, SoakLoad
 from .world import SoakWorld
 
 RECOVERY_SECONDS = 12.0
@@ -130,7 +130,7 @@
     """Return accepted jobs that have not ended, or not as they should."""
     caller = PlatformCaller(world.list_callers, random.Random(1))
     key = world.deployment.keys[-1]
-    canceled_ids = {cancel.job.job_id for cancel in load.cancels}
+    cancel_by_id = {cancel.job.job_id: cancel for cancel in load.cancels}
     faults = []
     deadline = time.monotonic() + FINISH_SECONDS
     for job in load.jobs:
@@ -138,12 +138,17 @@
             continue
         left_seconds = max(0.5, deadline - time.monotonic())
         state = caller.wait_for(job._replace(key=key), FINAL_STATES, left_seconds)
-        if not _is_as_promised(job, state, job.job_id in canceled_ids):
-            faults.append(f"LOST: accepted job {job.job_id} is {state or 'unknown'}")
+        cancel = cancel_by_id.get(job.job_id)
+        if not _is_as_promised(state, cancel):
+            faults.append(
+                f"LOST: accepted job {job.job_id} is {state or 'unknown'}"
+                f" (lasting: {job.steps[0].is_lasting}, canceled: {cancel is not None},"
+                f" acknowledged: {cancel is not None and cancel.acknowledged_at > 0})"
+            )
     return faults
 
 
-def _is_as_promised(job: SentJob, state: str, is_canceled: bool) -> bool:
-    if is_canceled:
+def _is_as_promised(state: str, cancel: Cancel | None) -> bool:
+    if cancel is not None:
         return state in ("canceled", "completed")
     return state == "completed"
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -1,5 +1,6 @@
 """A short seeded run, the schedules, and the proxies."""
 
+import contextlib
 import random
 import socket
 import threading
@@ -46,8 +47,9 @@
     @staticmethod
     def _echo(server):
         connection, _ = server.accept()
-        while chunk := connection.recv(100):
-            connection.sendall(chunk)
+        with contextlib.suppress(ConnectionError):
+            while chunk := connection.recv(100):
+                connection.sendall(chunk)
 
     def test_bytes_pass(self, link):
         _, _, connection = link
