Let a VM that was kept free take tasks again once a wave names it

Cause: found on reading. VMs of a wave are not moved, so the choice of VMs to keep free did not look at them, and one that had been chosen before stayed without tasks until its upkeep.

Change: the mark is taken away from every VM that is not chosen.

Result: the new test of TestMoves fails before and passes after.

--- a/catkinport/jobs/pool_mover.py
+++ b/catkinport/jobs/pool_mover.py
@@ -132,7 +132,8 @@
                 cores = belief.used.cores
                 busy.append(BusyVm(vm.vm_id, vm.pool, cores, belief.is_yielding))
         yields = choose_yields(pools, busy, n_free)
-        for vm in movable:
+        # A VM that may not be moved any more, as a wave names it, takes tasks again.
+        for vm in self._book.vm_by_id.values():
             belief = self._book.worker_on(vm.vm_id)
             if belief is None or belief.is_yielding == (vm.vm_id in yields):
                 continue
--- a/catkinport/jobs/tests/test_keeper.py
+++ b/catkinport/jobs/tests/test_keeper.py
@@ -154,6 +154,16 @@
         orders = [order for _ in range(40) for order in fleet.step()]
         assert start.belief.vm_id not in {order.vm_id for order in orders}
 
+    def test_vm_that_was_kept_free_takes_tasks_again_once_a_wave_names_it(self):
+        """Guards against a VM that neither moves nor works until its upkeep."""
+        fleet = VmFleet(2, n_off=1)
+        fleet.dispatcher.add_job(make_job(steps=[Step(1, NEED, 1.0)]), fleet.now)
+        (start,) = fleet.start()
+        start.belief.is_yielding = True
+        fleet.ask_wave([start.belief.vm_id], max_down=0)
+        fleet.step()
+        assert not start.belief.is_yielding
+
     def test_moved_vm_loses_its_worker_at_once(self):
         fleet = VmFleet(1)
         fleet.ask_wave(["m0"])
