Let a stopping owner go on while the store is away

It ended at once, could not give the ownership up, and the fleet had no owner for 2.6 s, although nobody could take over before the store was back. Ruled out: the successor (it claimed 1.2 s after the store's return, as it must without a release).

Change: an owner that stops goes on until one more renewal is stored, 3.5 s at most, then gives the ownership up; the process waits for that within its grace.

--- a/catkinport/jobs/owner.py
+++ b/catkinport/jobs/owner.py
@@ -43,6 +43,13 @@
 """Time after which a renewal without an answer is followed by another one. Sooner would
 fill the queue of a slow store."""
 
+STOP_WAIT_SECONDS = 3.5
+"""Longest time that a stopping owner goes on until a renewal shows that it can give the
+ownership up. With that the process ends within its grace."""
+
+STOP_STEP_SECONDS = 0.02
+"""How often it looks for that renewal."""
+
 RELEASE_SECONDS = 2.5
 """Longest time that a stopping owner tries to give the ownership up."""
 
@@ -94,6 +101,7 @@
         await asyncio.wait(waiters, return_when=asyncio.FIRST_COMPLETED)
         for waiter in waiters:
             waiter.cancel()
+        await self._await_renewal()
         self._session.cancel_all()
         if stop.is_set() and not self._session.deposed.is_set():
             await self._release()
@@ -149,6 +157,16 @@
                 renewed_seconds_ago=round(sent_at - self._session.lease.renewed_at, 2),
             )
 
+    async def _await_renewal(self) -> None:
+        """Go on while the table service is away, as nobody could take over either."""
+        stopped_at = self._session.clock.now()
+        while not self._session.deposed.is_set():
+            is_stored = self._session.lease.renewed_at >= stopped_at
+            waited_seconds = self._session.clock.now() - stopped_at
+            if is_stored or waited_seconds > STOP_WAIT_SECONDS:
+                return
+            await asyncio.sleep(STOP_STEP_SECONDS)
+
     async def _release(self) -> None:
         try:
             await asyncio.wait_for(self._beat(is_released=True), RELEASE_SECONDS)
--- a/catkinport/platform/daemon.py
+++ b/catkinport/platform/daemon.py
@@ -139,7 +139,7 @@
         quiet_since = started_at
         while True:
             now = self._clock.now()
-            if self._callers.n_in_flight:
+            if self._callers.n_in_flight or self._owner is not None:
                 quiet_since = now
             if now - started_at >= latest:
                 break
--- a/verification/platform/tests/test_end_to_end.py
+++ b/verification/platform/tests/test_end_to_end.py
@@ -122,6 +122,24 @@
 
 
 class TestStoreOutage:
+    def test_an_owner_that_stops_in_an_outage_goes_on_until_it_is_over(
+        self, deployment, caller
+    ):
+        """Guards against leases that lapse as a stopping owner leaves no successor."""
+        owner = wait_for_owner(deployment)
+        jobs = submit_all(caller, 4, "seconds=6.0", (StepSpec(2),))
+        time.sleep(0.5)
+        deployment.set_faults(is_store_down=True)
+        owner.process.send_signal(signal.SIGTERM)
+        time.sleep(3.3)
+        deployment.set_faults(is_store_down=False)
+        assert wait_for_owner(deployment, other_than=owner.name)
+        states = [caller.wait_for(j, ["completed"], COMPLETE_SECONDS) for j in jobs]
+        assert states == ["completed"] * 4
+        events = deployment.list_events()
+        assert [e for e in events if e["what"] == "lapsed"] == []
+        assert find_faults(events, jobs) == []
+
     def test_new_jobs_are_refused_and_accepted_ones_go_on(self, deployment, caller):
         jobs = submit_all(caller, 4, "seconds=1.0")
         deployment.set_faults(is_store_down=True)
