Keep a repeated VM order under way when it could not be stored

Cause: found on reading. A VM order without an answer is sent again and stored before that. Where the store refused, the order counted as rejected, although the first one may have been carried out: its VM counted as up, so more VMs could be down for a wave than it allows, and lasting tasks could be ended beside it.

Change: an order that was sent before stays under way; only a new one is given up.

Result: the new test fails before and passes after.

--- a/catkinport/jobs/keeper.py
+++ b/catkinport/jobs/keeper.py
@@ -129,6 +129,11 @@
         self.book.note_rejected(order)
         self.book.release(order.vm_id)
 
+    def on_not_sent(self, order: VmOrder) -> None:
+        """Note that an order could not be stored and was not sent therefore."""
+        if self.book.note_not_sent(order):
+            self.book.release(order.vm_id)
+
     def is_complete(self, state: WaveState) -> bool:
         """Return whether every VM of the wave that is left has begun its upkeep."""
         return bool(self.book.vm_by_id) and all(
--- a/catkinport/jobs/tests/test_vm_orders.py
+++ b/catkinport/jobs/tests/test_vm_orders.py
@@ -45,9 +45,9 @@
         return asyncio.ensure_future(coroutine)
 
 
-def run_orders(*moments, is_conflict=False):
+def run_orders(*moments, is_conflict=False, fleet=None):
     """Send the orders of each moment, in seconds from the first; return the session."""
-    fleet = VmFleet(1)
+    fleet = fleet or VmFleet(1)
     fleet.ask_wave(["m0"])
     session = FakeSession(SimpleNamespace(now=lambda: fleet.now))
     session.is_conflict = is_conflict
@@ -80,3 +80,18 @@
         new owner left all VMs that were off alone while a pool's turn began.
         """
         assert run_orders(0.25, 1.0, 4.0).stored == [["m0"], []]
+
+    def test_a_repeated_order_that_was_not_stored_may_still_have_been_carried_out(self):
+        """Guards against more VMs down for a wave than it allows."""
+        fleet = VmFleet(1)
+        run_orders(0.25, fleet=fleet)
+        fleet.keeper.book._pending_by_vm["m0"] = fleet.keeper.book._pending_by_vm[
+            "m0"
+        ]._replace(answered_at=0.0)
+        run_orders(1.5, is_conflict=True, fleet=fleet)
+        assert fleet.keeper.book.is_under_order("m0")
+
+    def test_an_order_that_was_not_stored_leaves_its_vm_free(self):
+        fleet = VmFleet(1)
+        run_orders(0.25, is_conflict=True, fleet=fleet)
+        assert not fleet.keeper.book.is_under_order("m0")
--- a/catkinport/jobs/vm_book.py
+++ b/catkinport/jobs/vm_book.py
@@ -43,11 +43,19 @@
 
 
 class PendingOrder(NamedTuple):
-    """An order and when it was sent; ``answered_at`` is 0 before its answer."""
+    """An order that the list does not show yet; times on the steady clock in seconds.
+
+    Args:
+        order: the order.
+        sent_at: when it was sent last.
+        answered_at: when its answer came; 0 before.
+        is_repeated: whether it was sent before, and may have been carried out.
+    """
 
     order: VmOrder
     sent_at: float
     answered_at: float
+    is_repeated: bool
 
 
 class VmBook:
@@ -107,7 +115,12 @@
 
     def note_sent(self, order: VmOrder, now: float) -> None:
         """Note that an order is about to be sent."""
-        self._pending_by_vm[order.vm_id] = PendingOrder(order, now, 0.0)
+        former = self._pending_by_vm.get(order.vm_id)
+        is_repeated = former is not None and (
+            former.is_repeated or former.sent_at < now
+        )
+        pending = PendingOrder(order, now, 0.0, is_repeated)
+        self._pending_by_vm[order.vm_id] = pending
         self._ordered_at_by_vm[order.vm_id] = now
 
     def note_done(self, order: VmOrder, now: float) -> None:
@@ -120,6 +133,19 @@
         """Note that the platform has done nothing."""
         self._pending_by_vm.pop(order.vm_id, None)
 
+    def note_not_sent(self, order: VmOrder) -> bool:
+        """Note that an order was not sent after all.
+
+        Returns:
+            Whether the VM is under no order now; one that was sent before may have
+            been carried out.
+        """
+        pending = self._pending_by_vm.get(order.vm_id)
+        if pending is not None and pending.is_repeated:
+            return False
+        self._pending_by_vm.pop(order.vm_id, None)
+        return True
+
     def pending_order(self, vm_id: str) -> VmOrder | None:
         """Return the order that the list does not show yet, if there is one."""
         pending = self._pending_by_vm.get(vm_id)
--- a/catkinport/jobs/vm_orders.py
+++ b/catkinport/jobs/vm_orders.py
@@ -125,7 +125,7 @@
                 self._session.spawn(self._send_vm_order(order))
             return
         for order in orders:
-            self._keeper.on_rejected(order)
+            self._keeper.on_not_sent(order)
 
     async def _shorten_stored_vms(self, now: float) -> None:
         if not self._stored_vms or now - self._stored_vms_at < SHORTEN_SECONDS:
