Give each process of a trial its own block of ports

Five soaks drew nine ports each from 15,000 in common, which collide in two of a hundred starts.

Change: a process takes its ports in order from a block of 100 by its id.

--- a/verification/platform/deployment.py
+++ b/verification/platform/deployment.py
@@ -1,7 +1,8 @@
 """Daemons of entry VMs and the stand-in of the platform, as processes."""
 
+import itertools
 import json
-import random
+import os
 import socket
 import time
 from collections.abc import Mapping
@@ -21,6 +22,11 @@
 FIRST_PORT, LAST_PORT = 15000, 30000
 """Ports that daemons may listen on."""
 
+PORTS_PER_PROCESS = 100
+"""Ports of one process that starts daemons; several soaks may run at once."""
+
+_port_counter = itertools.count()
+
 CALL_SECONDS = 5.0
 """Longest wait for the answer to a control of the stand-in."""
 
@@ -260,18 +266,18 @@
 def free_ports(n_ports: int) -> list[int]:
     """Return ports of the loopback interface that are free right now.
 
-    They lie below those that the kernel gives to connections, so that none is taken
-    before it is listened on.
+    They lie below those that the kernel gives to connections, and in a block of their
+    own for each process, so that none is taken before it is listened on.
     """
+    n_blocks = (LAST_PORT - FIRST_PORT) // PORTS_PER_PROCESS
+    first = FIRST_PORT + os.getpid() % n_blocks * PORTS_PER_PROCESS
     ports: list[int] = []
-    rng = random.SystemRandom()
     while len(ports) < n_ports:
-        port = rng.randrange(FIRST_PORT, LAST_PORT)
+        port = first + next(_port_counter) % PORTS_PER_PROCESS
         with socket.socket() as trial:
             try:
                 trial.bind(("127.0.0.1", port))
             except OSError:
                 continue
-        if port not in ports:
-            ports.append(port)
+        ports.append(port)
     return ports
