Log which roster an owner has read and stored, and each start of an inherited task

The lines of today can't tell a roster that is out of date from a worker that was retired or resolved too early.

Change: new lines "roster loaded", "roster stored", "inherited pool resolved" and "inherited task start decided". They give the versions and the workers that a new owner has read, those that a former owner was told to be stored, the age of the oldest answer and the runs that are held possible. "roster not stored" says whether the write may still be carried out. No decision changes.

--- a/catkinport/jobs/dispatcher.py
+++ b/catkinport/jobs/dispatcher.py
@@ -235,7 +235,7 @@
             worker.blocked_until = max(
                 worker.blocked_until, now + UNCERTAIN_WORKER_PAUSE_SECONDS
             )
-            self._resolve_worker(worker.worker_id, reason)
+            self._resolve_worker(worker.worker_id, reason, now)
             self._lose_runs(worker, reason, now, sent_at - VM_LIST_LAG_SECONDS)
 
     def on_worker_report(
@@ -251,26 +251,43 @@
             log_event(logger, "worker reached", worker=worker_id)
         worker.started_at = lists.started_at
         worker.contact_at = now
-        self._resolve_worker(worker_id, "reached")
+        self._resolve_worker(worker_id, "reached", now)
         for ended in sorted(lists.ended):
             if ended.number > worker.processed_end:
                 self._on_end(worker, ended, now)
                 worker.processed_end = ended.number
         self._reconcile_running(worker, lists, sent_at, now)
 
-    def _resolve_worker(self, worker_id: str, reason: str) -> None:
+    def _resolve_worker(self, worker_id: str, reason: str, now: float) -> None:
         pool = self.unresolved_by_id.pop(worker_id, None)
         if pool is not None:
             log_event(
                 logger,
                 "inherited worker resolved",
                 worker=worker_id,
+                pool=pool,
                 reason=reason,
                 n_left=len(self.unresolved_by_id),
             )
             if pool not in self.unresolved_by_id.values():
+                self._log_resolved_pool(pool, now)
                 self._finish_inherited_closing(pool)
 
+    def _log_resolved_pool(self, pool: str, now: float) -> None:
+        """Log what is known of a pool as its inherited jobs may go on."""
+        workers = self.workers_of(pool)
+        reached = [w for w in workers if w.contact_at > float("-inf")]
+        oldest = min((w.contact_at for w in reached), default=now)
+        log_event(
+            logger,
+            "inherited pool resolved",
+            pool=pool,
+            n_workers=len(workers),
+            n_reached=len(reached),
+            n_runs=sum(len(worker.run_by_key) for worker in workers),
+            oldest_answer_seconds=round(now - oldest, 3),
+        )
+
     def finish_closing_jobs(self) -> None:
         """End the closing jobs that can have no runs on any worker."""
         for record in list(self.job_by_id.values()):
@@ -282,13 +299,13 @@
             if record.is_inherited and queue is not None and queue.pool == pool:
                 self._finish_if_closing(record)
 
-    def resolve_inherited_workers(self) -> None:
+    def resolve_inherited_workers(self, now: float) -> None:
         """Note that the leases of the former owner's runs have expired.
 
         Workers that this owner has not reached have therefore ended those runs.
         """
         for worker_id in list(self.unresolved_by_id):
-            self._resolve_worker(worker_id, "lease-ended")
+            self._resolve_worker(worker_id, "lease-ended", now)
 
     def retire_worker(self, worker_id: str, now: float) -> None:
         """Remove a worker whose VM was ordered to move or to go down.
@@ -548,12 +565,32 @@
         """Note that a run of ``task`` is ordered on the worker."""
         record = self.job_by_id[task.task_id.job_id]
         number = task.run + 1
+        if record.is_inherited:
+            self._log_inherited_start(worker, task, number, now)
         record.note_run(task, number)
         run = Run(record, task, number, worker.worker_id, now)
         self._attach(worker, run)
         task.phase = TaskPhase.PLACED
         return run
 
+    def _log_inherited_start(
+        self, worker: WorkerRecord, task: Task, number: int, now: float
+    ) -> None:
+        workers = self.workers_of(worker.listed.pool)
+        oldest = min(other.contact_at for other in workers)
+        possible = self.runs_by_task.get(task.text, [])
+        log_event(
+            logger,
+            "inherited task start decided",
+            request_id=task.task_id.job_id,
+            task=task.text,
+            run=number,
+            worker=worker.worker_id,
+            possible_runs=",".join(f"{r.key.run}@{r.worker_id}" for r in possible),
+            n_workers=len(workers),
+            oldest_answer_seconds=round(now - oldest, 3),
+        )
+
     def on_start_outcome(self, run: Run, outcome: OrderOutcome, now: float) -> None:
         """Process the outcome of a start order."""
         worker = self.worker_by_id.get(run.worker_id)
--- a/catkinport/jobs/tests/test_owner_changes.py
+++ b/catkinport/jobs/tests/test_owner_changes.py
@@ -156,7 +156,7 @@
             worker.expire(self.now)
         self.dispatcher.expire(self.now)
         if self.now > self.former_bound:
-            self.dispatcher.resolve_inherited_workers()
+            self.dispatcher.resolve_inherited_workers(self.now)
 
     @rule(worker_id=workers)
     def partition_worker(self, worker_id: str) -> None:
--- a/catkinport/jobs/worker_watch.py
+++ b/catkinport/jobs/worker_watch.py
@@ -55,6 +55,14 @@
         pool = row.row_key.key
         entries = row.value.get("workers", {})
         self._roster_by_pool[pool] = dict(entries)
+        log_event(
+            logger,
+            "roster loaded",
+            pool=pool,
+            version=row.version,
+            n_workers=len(entries),
+            workers=",".join(sorted(entries)),
+        )
         for worker_id, entry in entries.items():
             listed = _worker_from_roster(worker_id, pool, entry)
             worker = WorkerRecord(listed)
@@ -88,7 +96,7 @@
 
     def _resolve_unreached_workers(self, now: float) -> None:
         if now > self._former_bound:
-            self._session.dispatcher.resolve_inherited_workers()
+            self._session.dispatcher.resolve_inherited_workers(now)
 
     async def _store_roster(self) -> None:
         """Store which workers may run tasks; they get none before that."""
@@ -111,12 +119,34 @@
             transaction = Transaction([self._session.owner_condition()], writes)
             outcome = await self._session.table.commit(transaction)
             if not isinstance(outcome, Committed):
-                log_event(logger, "roster not stored", reason=type(outcome).__name__)
+                log_event(
+                    logger,
+                    "roster not stored",
+                    reason=type(outcome).__name__,
+                    may_be_stored=getattr(outcome, "may_have_committed", False),
+                    pools=",".join(sorted(changed)),
+                )
                 return
+            self._log_stored(changed, outcome)
             self._roster_by_pool.update(changed)
         for worker in self._session.dispatcher.worker_by_id.values():
             worker.is_enrolled = True
 
+    def _log_stored(
+        self, changed: dict[str, dict[str, Any]], outcome: Committed
+    ) -> None:
+        for pool, entries in changed.items():
+            former = self._roster_by_pool.get(pool, {})
+            log_event(
+                logger,
+                "roster stored",
+                pool=pool,
+                version=outcome.versions_by_row_key[roster_key(pool)],
+                n_workers=len(entries),
+                added=",".join(sorted(entries.keys() - former.keys())),
+                removed=",".join(sorted(former.keys() - entries.keys())),
+            )
+
     def _start_polling(self, worker_id: str) -> None:
         task = self._poll_task_by_worker.get(worker_id)
         if task is None or task.done():
