Write each row of the owner under its last version

Cause: the table service carries out a write whose answer was lost seconds later, if its conditions hold. The rosters, the list of ordered VMs, the progress of waves, the pools' first sizes and the owner's memory were written on the one condition that the owner had not changed. So a late write put an old roster in place of a newer, confirmed one. A successor read it, did not wait for workers that it lacks, and started their tasks again. The class of fault is a lost update by a delayed write.

Change: FencedRows writes all rows of the owner, each on the condition of the version that the owner knows last. A late write conflicts, or is found by the next write, which then replaces it. A roster without answer is written again before a worker gets tasks, also if it should be as it was before. The states of jobs were written so before and use the same code now. Renewals keep no such condition, as a late one only delays a takeover.

--- /dev/null
+++ b/catkinport/jobs/fenced_rows.py
@@ -0,0 +1,112 @@
+"""Rows that only the owner writes, under its fencing token and their last versions."""
+
+import logging
+from collections.abc import Iterable, Sequence
+
+from ..ports.async_table import commit_until_known
+from ..ports.table import (
+    ABSENT_VERSION,
+    CommitOutcome,
+    Committed,
+    Condition,
+    Conflict,
+    Row,
+    RowKey,
+    Transaction,
+    Write,
+)
+from ..runtime.logs import log_event
+from .session import OwnerSession
+from .tables import OWNER_KEY
+
+logger = logging.getLogger(__name__)
+
+MAX_CONFLICTS = 3
+"""Conflicts with late writes of this owner after which a commit is given up; its caller
+tries again later."""
+
+
+class FencedRows:
+    """Writer of rows that only the owner of the fleet writes.
+
+    The table service may lose the answer to a write and carry the write out seconds
+    later. Each write is therefore conditional on the last known version of each row
+    that it replaces, so that a late one cannot replace a newer one.
+
+    Calls that write the same row must not overlap, as each would make the other one
+    conflict.
+
+    Args:
+        session: the ownership.
+    """
+
+    def __init__(self, session: OwnerSession) -> None:
+        self._session = session
+        self._version_by_row_key: dict[RowKey, int] = {}
+
+    def note_read(self, rows: Iterable[Row]) -> None:
+        """Remember the versions of rows that were read since the ownership began."""
+        self._version_by_row_key.update({row.row_key: row.version for row in rows})
+
+    def forget(self, row_key: RowKey) -> None:
+        """Forget the version of a row that is not written any more."""
+        self._version_by_row_key.pop(row_key, None)
+
+    async def commit(
+        self,
+        writes: Sequence[Write],
+        unconditional: Sequence[Write] = (),
+        n_attempts: int = 1,
+    ) -> CommitOutcome:
+        """Write rows together; end the ownership if another daemon has taken over.
+
+        After a conflict with a late write of this owner, the rows are written again.
+
+        Args:
+            writes: rows that no late write may replace.
+            unconditional: rows that may be replaced by a late write.
+            n_attempts: maximum number of attempts while the outcome is unknown.
+
+        Returns:
+            The outcome. After an `Unavailable` that may have committed, the rows have
+            the old or the new values, and may change to the new ones later.
+        """
+        for _ in range(MAX_CONFLICTS):
+            transaction = self._make_transaction(writes, unconditional)
+            outcome = await commit_until_known(
+                self._session.table, transaction, n_attempts
+            )
+            if isinstance(outcome, Committed):
+                self._note_written(writes, outcome)
+            if not isinstance(outcome, Conflict):
+                return outcome
+            if OWNER_KEY in outcome.versions_by_row_key:
+                self._session.depose("write-conflict")
+                return outcome
+            # Only this owner writes these rows, so the other version comes from one of
+            # its writes that had no answer.
+            self._version_by_row_key.update(outcome.versions_by_row_key)
+            log_event(
+                logger,
+                "late commit detected",
+                n_rows=len(outcome.versions_by_row_key),
+                keys=",".join(key.key for key in outcome.versions_by_row_key),
+            )
+        return outcome
+
+    def _make_transaction(
+        self, writes: Sequence[Write], unconditional: Sequence[Write]
+    ) -> Transaction:
+        conditions = [self._session.owner_condition()]
+        for write in writes:
+            version = self._version_by_row_key.get(write.row_key, ABSENT_VERSION)
+            conditions.append(Condition(write.row_key, version))
+        return Transaction(conditions, [*writes, *unconditional])
+
+    def _note_written(self, writes: Sequence[Write], outcome: Committed) -> None:
+        for write in writes:
+            if write.value is None:
+                self.forget(write.row_key)
+            else:
+                version = outcome.versions_by_row_key[write.row_key]
+                self._version_by_row_key[write.row_key] = version
--- a/catkinport/jobs/owner.py
+++ b/catkinport/jobs/owner.py
@@ -197,6 +197,9 @@
         assert not isinstance(roster, Unavailable)
         self._job_feed_version = jobs.version
         finished_ids = _find_finished_ids(states)
+        self._store.note_read(
+            row for row in states.rows if row.row_key.key not in finished_ids
+        )
         now = self._session.clock.now()
         self._session.loaded_at = now
         # Workers are loaded before the jobs, because a job may end only once none of
--- a/catkinport/jobs/state_store.py
+++ b/catkinport/jobs/state_store.py
@@ -2,14 +2,15 @@
 
 import asyncio
 import logging
+from collections.abc import Iterable
 
 from ..policy.leadership import HEARTBEAT_SECONDS
-from ..ports.async_table import commit_until_known
-from ..ports.table import Committed, Condition, Conflict, Transaction, Write
+from ..ports.table import Committed, Conflict, Row, Write
 from ..runtime.logs import log_event
+from .fenced_rows import FencedRows
 from .record import JobRecord
 from .session import RETRY_SECONDS, OwnerSession
-from .tables import HEARTBEAT_KEY, OWNER_KEY, state_key
+from .tables import HEARTBEAT_KEY, state_key
 from .worker_state import WorkerRecord
 
 logger = logging.getLogger(__name__)
@@ -28,7 +29,11 @@
 def heartbeat_write(
     session: OwnerSession, sent_at: float, is_released: bool = False
 ) -> Write:
-    """Return the write that renews the ownership, or releases it."""
+    """Return the write that renews the ownership, or releases it.
+
+    It needs no condition on the version of its row: a renewal that is carried out late
+    only delays a takeover.
+    """
     value = {
         "token": session.lease.token,
         "sent_at": sent_at,
@@ -50,8 +55,13 @@
 
     def __init__(self, session: OwnerSession) -> None:
         self._session = session
+        self._rows = FencedRows(session)
         self._ends_stored = asyncio.Condition()
 
+    def note_read(self, rows: Iterable[Row]) -> None:
+        """Remember the versions of the states that were read as the ownership began."""
+        self._rows.note_read(rows)
+
     async def wait_until_stored(self, worker: WorkerRecord, end: int) -> bool:
         """Wait until the ends of runs of a worker up to number ``end`` are stored.
 
@@ -94,16 +104,15 @@
             self._ends_stored.notify_all()
         for record in dirty:
             self._session.dispatcher.forget_ended(record)
+            if record.job.job_id not in self._session.dispatcher.job_by_id:
+                self._rows.forget(state_key(record.job.job_id))
         return True
 
     async def _store_records(self, records: list[JobRecord]) -> bool:
         sent_at = self._session.clock.now()
-        conditions = [self._session.owner_condition()]
         writes = []
         for record in records:
-            key = state_key(record.job.job_id)
-            conditions.append(Condition(key, record.row_version))
-            writes.append(Write(key, record.to_row()))
+            writes.append(Write(state_key(record.job.job_id), record.to_row()))
             record.is_dirty = False
         # Each renewal wakes all daemons, which follow its row, so not every commit
         # carries one.
@@ -111,10 +120,7 @@
         if is_renewal:
             self._session.renewal_sent_at = sent_at
         renewals = [heartbeat_write(self._session, sent_at)] if is_renewal else []
-        transaction = Transaction(conditions, [*writes, *renewals])
-        outcome = await commit_until_known(
-            self._session.table, transaction, COMMIT_ATTEMPTS
-        )
+        outcome = await self._rows.commit(writes, renewals, COMMIT_ATTEMPTS)
         self._session.ports.metrics.observe(
             "state_commit_seconds",
             "Time to store states of jobs.",
@@ -136,9 +142,7 @@
             return True
         for record in records:
             record.is_dirty = True
-        if isinstance(outcome, Conflict):
-            self._on_store_conflict(records, outcome)
-        else:
+        if not isinstance(outcome, Conflict):
             log_event(
                 logger,
                 "job states not stored",
@@ -147,16 +151,3 @@
                 peer=outcome.peer,
             )
         return False
-
-    def _on_store_conflict(self, records: list[JobRecord], outcome: Conflict) -> None:
-        if OWNER_KEY in outcome.versions_by_row_key:
-            self._session.depose("state-conflict")
-            return
-        # An earlier commit of this owner had no answer but was carried out later.
-        for record in records:
-            key = state_key(record.job.job_id)
-            if key in outcome.versions_by_row_key:
-                record.row_version = outcome.versions_by_row_key[key]
-        log_event(
-            logger, "late commit detected", n_jobs=len(outcome.versions_by_row_key)
-        )
--- a/catkinport/jobs/tests/late_table.py
+++ b/catkinport/jobs/tests/late_table.py
@@ -1,12 +1,19 @@
-"""A table that can lose the answer to a commit and carry the commit out later."""
+"""A table that can lose the answer to a commit, and a session that uses it."""
 
+import asyncio
 from collections import deque
 
+from ...policy.leadership import OwnLease
 from ...ports import Reason, Unavailable
 from ...ports.async_table import Snapshot
+from ...ports.clock import ManualClock
 from ...ports.table import CommitOutcome, Committed, Transaction, Write
+from ...runtime import Metrics
 from ...standins._table import MemoryTable
+from ..dispatcher import Dispatcher
+from ..session import OwnerPorts, OwnerSession
 from ..tables import OWNER_KEY
+from .builders import make_configuration
 
 LOST = Unavailable(Reason.TIMEOUT, "table-commit", "store", "no answer", True)
 
@@ -16,11 +23,19 @@
 
     Attributes:
         n_lost: how many of the next commits get no answer and are held back.
+        n_foreign: how many of the next commits come after another write of the row.
+        foreign_write: that other write.
+        n_commits: commits that were called.
+        commit_seconds: time that a commit takes.
     """
 
     def __init__(self) -> None:
         self.memory = MemoryTable()
         self.n_lost = 0
+        self.n_foreign = 0
+        self.foreign_write: Write | None = None
+        self.n_commits = 0
+        self.commit_seconds = 0.0
         self._held: deque[Transaction] = deque()
 
     def claim(self) -> int:
@@ -40,8 +55,28 @@
         return Snapshot(kept, max((r.version for r in kept), default=0))
 
     async def commit(self, transaction: Transaction) -> CommitOutcome:
+        self.n_commits += 1
+        await asyncio.sleep(self.commit_seconds)
+        if self.n_foreign and self.foreign_write is not None:
+            self.n_foreign -= 1
+            self.memory.commit(Transaction([], [self.foreign_write]))
         if self.n_lost:
             self.n_lost -= 1
             self._held.append(transaction)
             return LOST
         return self.memory.commit(transaction)
+
+
+class SilentWorkers:
+    """Workers that answer no poll."""
+
+    async def renew_lease(self, worker, *_):
+        return Unavailable(Reason.TIMEOUT, "worker-hold", worker.worker_id)
+
+
+def make_session(table: LateTable) -> OwnerSession:
+    """Return the session of a daemon that has just claimed the ownership."""
+    clock = ManualClock(100.0)
+    ports = OwnerPorts(table, SilentWorkers(), None, None, clock, Metrics())
+    dispatcher = Dispatcher(make_configuration())
+    return OwnerSession(ports, dispatcher, OwnLease(table.claim(), clock.now()))
--- /dev/null
+++ b/catkinport/jobs/tests/test_fenced_rows.py
@@ -0,0 +1,98 @@
+"""Tests of rows that only the owner writes, beside late writes and other owners."""
+
+import asyncio
+
+from ...ports.table import Committed, Conflict, RowKey, Write
+from ..fenced_rows import MAX_CONFLICTS, FencedRows
+from ..tables import HEARTBEAT_KEY, WAVES_TABLE
+from .late_table import LateTable, make_session
+
+KEY = RowKey(WAVES_TABLE, "orders")
+
+
+def write(value: str) -> Write:
+    return Write(KEY, {"value": value})
+
+
+def read(table: LateTable, key: RowKey = KEY) -> str:
+    return table.memory.read([key])[key].value["value"]
+
+
+class TestFencedRows:
+    # Guards against a confirmed value that a late write replaces by an older one.
+    def test_a_late_write_does_not_replace_a_newer_one(self):
+        table = LateTable()
+        rows = FencedRows(make_session(table))
+        table.n_lost = 1
+        asyncio.run(rows.commit([write("old")]))
+        asyncio.run(rows.commit([write("new")]))
+        table.carry_out_held()
+        assert read(table) == "new"
+
+    # Guards against an owner that takes its own late write for another owner's, or
+    # that can never write the row again.
+    def test_a_row_is_written_again_over_a_late_write(self):
+        table = LateTable()
+        session = make_session(table)
+        rows = FencedRows(session)
+        table.n_lost = 1
+        asyncio.run(rows.commit([write("old")]))
+        table.carry_out_held()
+        assert isinstance(asyncio.run(rows.commit([write("new")])), Committed)
+        assert read(table) == "new"
+        assert not session.deposed.is_set()
+
+    # Guards against the same for a row that was removed.
+    def test_a_late_write_does_not_restore_a_removed_row(self):
+        table = LateTable()
+        rows = FencedRows(make_session(table))
+        asyncio.run(rows.commit([write("first")]))
+        table.n_lost = 1
+        asyncio.run(rows.commit([write("second")]))
+        asyncio.run(rows.commit([Write(KEY, None)]))
+        table.carry_out_held()
+        assert KEY not in table.memory.read([KEY])
+        assert isinstance(asyncio.run(rows.commit([write("third")])), Committed)
+
+    # Guards against orders of an owner that has lost the ownership.
+    def test_a_replaced_owner_writes_nothing_and_ends(self):
+        table = LateTable()
+        session = make_session(table)
+        rows = FencedRows(session)
+        asyncio.run(rows.commit([write("old")]))
+        table.claim()
+        assert isinstance(asyncio.run(rows.commit([write("new")])), Conflict)
+        assert read(table) == "old"
+        assert session.deposed.is_set()
+
+    # Guards against a new owner that conflicts with what the former one has stored.
+    def test_rows_that_were_read_are_replaced_without_a_conflict(self):
+        table = LateTable()
+        asyncio.run(FencedRows(make_session(table)).commit([write("old")]))
+        rows = FencedRows(make_session(table))
+        rows.note_read(asyncio.run(table.read_range(WAVES_TABLE)).rows)
+        table.n_commits = 0
+        asyncio.run(rows.commit([write("new")]))
+        assert read(table) == "new"
+        assert table.n_commits == 1
+
+    # Guards against a renewal that fails because an earlier one had no answer.
+    def test_a_row_without_condition_is_always_written(self):
+        table = LateTable()
+        rows = FencedRows(make_session(table))
+        renewal = Write(HEARTBEAT_KEY, {"value": "renewed"})
+        table.n_lost = 1
+        asyncio.run(rows.commit([write("old")], [renewal]))
+        asyncio.run(rows.commit([write("new")], [renewal]))
+        assert read(table, HEARTBEAT_KEY) == "renewed"
+
+    # Guards against a commit that never returns while late writes keep coming.
+    def test_a_commit_gives_up_after_some_conflicts(self):
+        table = LateTable()
+        session = make_session(table)
+        rows = FencedRows(session)
+        table.n_foreign = MAX_CONFLICTS
+        table.foreign_write = write("foreign")
+        assert isinstance(asyncio.run(rows.commit([write("new")])), Conflict)
+        assert not session.deposed.is_set()
+        assert isinstance(asyncio.run(rows.commit([write("new")])), Committed)
--- a/catkinport/jobs/tests/test_late_writes.py
+++ b/catkinport/jobs/tests/test_late_writes.py
@@ -2,33 +2,16 @@
 
 import asyncio
 
-from ...policy.leadership import OwnLease
-from ...ports import Reason, Unavailable
-from ...ports.clock import ManualClock
-from ...runtime import Metrics
-from ..dispatcher import Dispatcher
-from ..session import OwnerPorts, OwnerSession
+from ...ports.fleet_vms import UpkeepWave
+from ..session import OwnerSession
 from ..state_store import StateStore
-from ..tables import ROSTER_TABLE
+from ..tables import ROSTER_TABLE, VM_ORDERS_KEY, wave_key
+from ..vm_inventory import VmBounds
+from ..vm_orders import VmOrders
+from ..vm_planner import VmPlanner
 from ..worker_watch import WorkerWatch
-from .builders import make_configuration, make_worker
-from .late_table import LateTable
-
-
-class SilentWorkers:
-    """Workers that answer no poll."""
-
-    async def renew_lease(self, worker, *_):
-        return Unavailable(Reason.TIMEOUT, "worker-hold", worker.worker_id)
-
-
-def make_session(table: LateTable) -> OwnerSession:
-    """Return the session of a daemon that has just claimed the ownership."""
-    ports = OwnerPorts(
-        table, SilentWorkers(), None, None, ManualClock(100.0), Metrics()
-    )
-    dispatcher = Dispatcher(make_configuration())
-    return OwnerSession(ports, dispatcher, OwnLease(table.claim(), 100.0))
+from .builders import make_worker
+from .late_table import LateTable, make_session
 
 
 def make_watch(session: OwnerSession) -> WorkerWatch:
@@ -87,3 +70,63 @@
             assert await load_roster(make_session(table)) == {"w1", "w2"}
 
         asyncio.run(run())
+
+
+def make_vm_orders(session: OwnerSession) -> VmOrders:
+    vm_planner = VmPlanner(session.dispatcher, VmBounds(2.0, 1.5, 3.0))
+    vm_planner.add_wave(UpkeepWave(1, ("m0", "m1"), 20.0, 2), 0.0)
+    return VmOrders(session, vm_planner, 0.0)
+
+
+class TestVmOrders:
+    # Guards against a successor that orders a VM which the former owner has just
+    # ordered, because a late write took the VM out of the stored row.
+    def test_a_late_write_does_not_remove_a_vm_that_was_ordered(self):
+        async def run():
+            table = LateTable()
+            orders = make_vm_orders(make_session(table))
+            table.n_lost = 1
+            assert not await orders._store_vms([], 100.0)
+            assert await orders._store_vms(["m0"], 100.0)
+            table.carry_out_held()
+            row = table.memory.read([VM_ORDERS_KEY])[VM_ORDERS_KEY]
+            assert row.value["vms"] == ["m0"]
+
+        asyncio.run(run())
+
+    # Guards against upkeep that is ordered again, because a late write took the VM out
+    # of those that have begun it.
+    def test_a_late_write_does_not_remove_a_vm_whose_upkeep_has_begun(self):
+        async def run():
+            table = LateTable()
+            orders = make_vm_orders(make_session(table))
+            begun = orders._vm_planner.wave_by_number[1].begun
+            table.n_lost = 1
+            begun.add("m0")
+            await orders._store_begun(1)
+            begun.add("m1")
+            await orders._store_begun(1)
+            table.carry_out_held()
+            row = table.memory.read([wave_key(1)])[wave_key(1)]
+            assert row.value["begun"] == ["m0", "m1"]
+
+        asyncio.run(run())
+
+    # Guards against an older list of such VMs that replaces a newer one when two orders
+    # are answered at the same time.
+    def test_overlapping_writes_of_a_wave_keep_every_vm(self):
+        async def run():
+            table = LateTable()
+            orders = make_vm_orders(make_session(table))
+            begun = orders._vm_planner.wave_by_number[1].begun
+            begun.add("m0")
+            table.commit_seconds = 0.02
+            first = asyncio.ensure_future(orders._store_begun(1))
+            await asyncio.sleep(0.01)
+            begun.add("m1")
+            table.commit_seconds = 0.0
+            await asyncio.gather(first, orders._store_begun(1))
+            row = table.memory.read([wave_key(1)])[wave_key(1)]
+            assert row.value["begun"] == ["m0", "m1"]
+
+        asyncio.run(run())
--- a/catkinport/jobs/vm_orders.py
+++ b/catkinport/jobs/vm_orders.py
@@ -6,9 +6,10 @@
 
 from ..ports import Unavailable
 from ..ports.fleet_workers import Done, Rejected
-from ..ports.table import Committed, Conflict, Transaction, Write
+from ..ports.table import Committed, Write
 from ..runtime.logs import log_event
 from .dispatcher import VM_LIST_LAG_SECONDS
+from .fenced_rows import FencedRows
 from .owner_memory import MEMORY_STORE_SECONDS, build_memory, restore_memory
 from .session import RETRY_SECONDS, OwnerSession
 from .tables import (
@@ -52,6 +53,8 @@
         self._vm_planner = vm_planner
         self._held_until = held_until
         self._memory_stored_at = session.clock.now()
+        self._rows = FencedRows(session)
+        self._begun_lock = asyncio.Lock()
         self._stored_vms: list[str] = []
         self._stored_vms_at = session.clock.now()
 
@@ -77,6 +80,7 @@
         while isinstance(snapshot, Unavailable):
             await asyncio.sleep(RETRY_SECONDS)
             snapshot = await self._session.table.read_range(WAVES_TABLE)
+        self._rows.note_read(snapshot.rows)
         value_by_key = {row.row_key.key: row.value for row in snapshot.rows}
         ordered = value_by_key.get(VM_ORDERS_KEY.key, {}).get("vms", [])
         self._vm_planner.inventory.hold_back(ordered, self._held_until)
@@ -140,9 +144,7 @@
             await self._store_vms(vm_ids, now)
 
     async def _store_vms(self, vm_ids: list[str], now: float) -> bool:
-        write = Write(VM_ORDERS_KEY, {"vms": vm_ids})
-        transaction = Transaction([self._session.owner_condition()], [write])
-        outcome = await self._session.table.commit(transaction)
+        outcome = await self._rows.commit([Write(VM_ORDERS_KEY, {"vms": vm_ids})])
         if isinstance(outcome, Committed):
             self._stored_vms = vm_ids
             self._stored_vms_at = now
@@ -153,8 +155,6 @@
             n_vms=len(vm_ids),
             reason=type(outcome).__name__,
         )
-        if isinstance(outcome, Conflict):
-            self._session.depose("vm-orders-conflict")
         return False
 
     async def _send_vm_order(self, order: VmOrder) -> None:
@@ -190,27 +190,20 @@
         self._memory_stored_at = now
         turns = self._vm_planner.mover.turns
         value = build_memory(self._session.dispatcher, turns, now)
-        transaction = Transaction(
-            [self._session.owner_condition()], [Write(MEMORY_KEY, value)]
-        )
-        outcome = await self._session.table.commit(transaction)
+        outcome = await self._rows.commit([Write(MEMORY_KEY, value)])
         if not isinstance(outcome, Committed):
             log_event(logger, "owner memory not stored", reason=type(outcome).__name__)
 
     async def _store_own_vms(self) -> dict[str, Any] | None:
         value = {"n_by_pool": dict(self._vm_planner.mover.own_vms_by_pool)}
-        transaction = Transaction(
-            [self._session.owner_condition()], [Write(OWN_VMS_KEY, value)]
-        )
-        outcome = await self._session.table.commit(transaction)
+        outcome = await self._rows.commit([Write(OWN_VMS_KEY, value)])
         return value if isinstance(outcome, Committed) else None
 
     async def _store_begun(self, wave: int) -> None:
-        begun = sorted(self._vm_planner.wave_by_number[wave].begun)
-        transaction = Transaction(
-            [self._session.owner_condition()], [Write(wave_key(wave), {"begun": begun})]
-        )
-        outcome = await self._session.table.commit(transaction)
+        async with self._begun_lock:
+            begun = sorted(self._vm_planner.wave_by_number[wave].begun)
+            write = Write(wave_key(wave), {"begun": begun})
+            outcome = await self._rows.commit([write])
         if not isinstance(outcome, Committed):
             # A successor would order the upkeep again, which is harmless: the platform
             # confirms such an order without a second upkeep.
--- a/catkinport/jobs/worker_watch.py
+++ b/catkinport/jobs/worker_watch.py
@@ -11,8 +11,9 @@
 from ..policy.resources import Resources
 from ..ports import Unavailable
 from ..ports.fleet_workers import ListedWorker, WorkerLists
-from ..ports.table import Committed, Row, Transaction, Write
+from ..ports.table import Committed, Row, Write
 from ..runtime.logs import log_event
+from .fenced_rows import FencedRows
 from .session import RETRY_SECONDS, OwnerSession
 from .state_store import StateStore
 from .tables import roster_key
@@ -48,12 +49,15 @@
         self._store = store
         self._former_bound = former_bound
         self._poll_task_by_worker: dict[str, asyncio.Task[Any]] = {}
-        self._roster_by_pool: dict[str, dict[str, Any]] = {}
+        self._rows = FencedRows(session)
+        # The value is None after a write without an answer.
+        self._roster_by_pool: dict[str, dict[str, Any] | None] = {}
 
     def restore_roster_row(self, row: Row, now: float) -> None:
         """Restore the workers of a pool that the former owner has stored."""
         pool = row.row_key.key
         entries = row.value.get("workers", {})
+        self._rows.note_read([row])
         self._roster_by_pool[pool] = dict(entries)
         log_event(
             logger,
@@ -116,9 +120,11 @@
                 Write(roster_key(pool), {"workers": entries})
                 for pool, entries in changed.items()
             ]
-            transaction = Transaction([self._session.owner_condition()], writes)
-            outcome = await self._session.table.commit(transaction)
+            outcome = await self._rows.commit(writes)
             if not isinstance(outcome, Committed):
+                # A write without an answer may still be carried out, so these rows are
+                # written again even if they should be as they were before.
+                self._roster_by_pool.update(dict.fromkeys(changed))
                 log_event(
                     logger,
                     "roster not stored",
@@ -136,7 +142,7 @@
         self, changed: dict[str, dict[str, Any]], outcome: Committed
     ) -> None:
         for pool, entries in changed.items():
-            former = self._roster_by_pool.get(pool, {})
+            former = self._roster_by_pool.get(pool) or {}
             log_event(
                 logger,
                 "roster stored",
