List a worker that starts again under the id of a retired one

What callers saw: nothing that was reported. Read from the code: once an order for its VM has removed a worker, a worker that starts again under the same id gets no tasks for as long as its entry is listed without a break.

Cause: the dispatcher kept the ids of retired workers alone. The platform lets a worker start again under its id; the time of start tells the two apart.

Evidence: a test retires a worker and lists its id with another time of start.

Ruled out: an entry without a time of start stays hidden, as before, because it can't be told from the entry of the worker that has ended.

Change: the dispatcher remembers the incarnation (id and time of start) that it has retired, and hides only entries of it. It removes no later incarnation either.

--- a/catkinport/jobs/dispatcher.py
+++ b/catkinport/jobs/dispatcher.py
@@ -32,6 +32,7 @@
 from .record import JobRecord, Task, TaskPhase
 from .worker_state import (
     UNHEALTHY_PAUSE_SECONDS,
+    Incarnation,
     Run,
     RunKey,
     RunPhase,
@@ -94,7 +95,7 @@
         self.runs_by_task: dict[str, list[Run]] = {}
         self.unresolved_by_id: dict[str, str] = {}
         self.estimates = JobEstimates()
-        self._retired_ids: set[str] = set()
+        self._retired_by_id: dict[str, Incarnation] = {}
         self.orphan_stop_sent_at: dict[tuple[str, RunKey], float] = {}
 
     def apply_configuration(self, configuration: FleetConfiguration) -> None:
@@ -171,9 +172,10 @@
     def update_workers(self, listed: Sequence[ListedWorker], now: float) -> None:
         """Update the workers from the latest list of them."""
         listed_by_id = {worker.worker_id: worker for worker in listed}
-        self._retired_ids &= listed_by_id.keys()
+        for worker_id in self._retired_by_id.keys() - listed_by_id.keys():
+            del self._retired_by_id[worker_id]
         for worker in listed:
-            if worker.worker_id not in self._retired_ids:
+            if not self._is_retired(worker):
                 self._update_listed_worker(worker, now)
         for worker_record in list(self.worker_by_id.values()):
             if worker_record.worker_id in listed_by_id:
@@ -190,6 +192,13 @@
             if not worker_record.run_by_key and now > worker_record.lease_until:
                 self._remove_worker(worker_record)
 
+    def _is_retired(self, worker: ListedWorker) -> bool:
+        retired = self._retired_by_id.get(worker.worker_id)
+        if retired is None:
+            return False
+        # An entry without the time of start can't be told from the retired one.
+        return worker.started_at in (0.0, retired.started_at)
+
     def _update_listed_worker(self, worker: ListedWorker, now: float) -> None:
         worker_record = self.worker_by_id.get(worker.worker_id)
         if worker_record is None:
@@ -307,14 +316,14 @@
         for worker_id in list(self.unresolved_by_id):
             self._resolve_worker(worker_id, "lease-ended", now)
 
-    def retire_worker(self, worker_id: str, now: float) -> None:
-        """Remove a worker whose VM was ordered to move or to go down.
+    def retire_worker(self, incarnation: Incarnation, now: float) -> None:
+        """Remove a worker that an order for its VM has ended, with all of its runs.
 
-        The order ends the worker's process and with it all of its runs.
+        A worker that has started again under the same id stays.
         """
-        self._retired_ids.add(worker_id)
-        worker = self.worker_by_id.get(worker_id)
-        if worker is None:
+        self._retired_by_id[incarnation.worker_id] = incarnation
+        worker = self.worker_by_id.get(incarnation.worker_id)
+        if worker is None or worker.incarnation != incarnation:
             return
         for run in list(worker.run_by_key.values()):
             self._lose_run(worker, run, "vm-ordered-away", now)
--- a/catkinport/jobs/tests/test_vm_planner.py
+++ b/catkinport/jobs/tests/test_vm_planner.py
@@ -175,6 +175,16 @@
         fleet.dispatcher.update_workers(fleet.workers, fleet.now)
         assert "w0" not in fleet.dispatcher.worker_by_id
 
+    def test_worker_that_starts_again_under_the_id_of_a_removed_one_is_listed(self):
+        """Guards against a worker that gets no tasks for as long as it is listed."""
+        fleet = VmFleet(1)
+        fleet.request_wave(["m0"])
+        (order,) = fleet.step()
+        fleet.vm_planner.on_done(order, fleet.now)
+        restarted = make_worker("w0", started_at=2.0)
+        fleet.dispatcher.update_workers([restarted], fleet.now)
+        assert "w0" in fleet.dispatcher.worker_by_id
+
 
 class TestTakeover:
     def _new_owner(self, fleet, held=()):
--- a/catkinport/jobs/vm_planner.py
+++ b/catkinport/jobs/vm_planner.py
@@ -126,9 +126,9 @@
         """Note that the platform has carried the order out."""
         is_pending = self.inventory.pending_order(order.vm_id) is not None
         self.inventory.note_done(order, now)
-        vm = self.inventory.vm_by_id.get(order.vm_id)
-        if is_pending and vm is not None and vm.worker_id:
-            self._dispatcher.retire_worker(vm.worker_id, now)
+        worker = self.inventory.worker_on(order.vm_id)
+        if is_pending and worker is not None:
+            self._dispatcher.retire_worker(worker.incarnation, now)
         if order.wave and order.wave in self.wave_by_number:
             self.wave_by_number[order.wave].begun.add(order.vm_id)
             self.inventory.reserved.discard(order.vm_id)
--- a/catkinport/jobs/worker_state.py
+++ b/catkinport/jobs/worker_state.py
@@ -60,6 +60,18 @@
     run: int
 
 
+class Incarnation(NamedTuple):
+    """A process of a worker; it may be followed by another one under the same id.
+
+    Args:
+        worker_id: id of the worker.
+        started_at: Unix time in seconds at which the worker process started.
+    """
+
+    worker_id: str
+    started_at: float
+
+
 class Run:
     """A run of a task on a worker, from its start order until the worker lists its end.
 
@@ -173,6 +185,11 @@
         """Id of the worker in the list of workers."""
         return self.listed.worker_id
 
+    @property
+    def incarnation(self) -> Incarnation:
+        """The incarnation that answered last."""
+        return Incarnation(self.worker_id, self.started_at)
+
     @property
     def penalty(self) -> float:
         """Number of failures among its latest ends of runs."""
