Remove only the worker that an order for its VM has ended

An order for upkeep had no answer and was carried out, the VM came back with a new worker, and the repeated order was answered as done. The owner then removed the new worker (vm-ordered-away) and started its tasks elsewhere, while they ran on. The worker left the stored roster too, so that a successor would not wait for it.

Cause: at the answer, the owner removed whatever worker the latest list showed on the VM. But the platform also answers an order as done if it was carried out before.

Ruled out: to remove no worker before the list shows its end; it is safe, but tasks that an upkeep certainly ended would wait for a list that may be 1.2 s old. To trust any first order: a former owner, or an order before a rejected one, may have ended the worker's predecessor. To tell workers apart by id: an id may be used anew.

Change: order_targets.py notes the worker's incarnation when an order is first sent. It is removed at the answer only if the order can't have been carried out before it started: a move to another pool than it serves, or the first order for an upkeep that no former owner can have ordered. A wave first seen within 6 s of the takeover counts as the former owner's. In all other cases reports, the list of VMs and the lease decide, and a worker that is still listed after the order's time gets tasks again.

--- a/catkinport/jobs/pool_mover.py
+++ b/catkinport/jobs/pool_mover.py
@@ -20,8 +20,9 @@
 from ..ports.fleet_vms import FleetVm, VmState
 from ..runtime.logs import log_event
 from .dispatcher import Dispatcher
+from .order_targets import VmOrder
 from .pool_demand import measure_demand
-from .vm_inventory import VmInventory, VmOrder
+from .vm_inventory import VmInventory
 from .worker_state import WorkerRecord
 
 logger = logging.getLogger(__name__)
--- a/catkinport/jobs/tests/test_vm_orders.py
+++ b/catkinport/jobs/tests/test_vm_orders.py
@@ -3,11 +3,14 @@
 import asyncio
 from types import SimpleNamespace
 
+import pytest
+
 from ...policy.leadership import OwnLease
+from ...ports.fleet_vms import UpkeepWave
 from ...ports.fleet_workers import Done
 from ...ports.table import Committed, Condition, Conflict
 from ..tables import OWNER_KEY, VM_ORDERS_KEY
-from ..vm_orders import VmOrders
+from ..vm_orders import FORMER_WAVE_SECONDS, VmOrders
 from .test_vm_planner import VmFleet
 
 
@@ -18,7 +21,8 @@
         self.clock = clock
         self.lease = OwnLease(1, 0.0)
         self.table = self
-        self.ports = SimpleNamespace(vms=self)
+        self.ports = SimpleNamespace(vms=self, desk=self)
+        self.loaded_at = clock.now()
         self.wake = asyncio.Event()
         self.is_conflict = False
         self.is_deposed = False
@@ -38,6 +42,9 @@
         self.sent.append((vm_id, len(self.stored)))
         return Done()
 
+    def list_waves(self):
+        return [UpkeepWave(1, ["m0"], 20.0, 1)]
+
     def depose(self, reason):
         self.is_deposed = True
 
@@ -97,3 +104,30 @@
         fleet = VmFleet(1)
         run_orders(0.25, is_conflict=True, fleet=fleet)
         assert not fleet.vm_planner.inventory.is_under_order("m0")
+
+
+class TestInheritedWaves:
+    @pytest.mark.parametrize(
+        ("seen_after_seconds", "is_removed"),
+        [(0.0, False), (FORMER_WAVE_SECONDS + 0.1, True)],
+    )
+    def test_a_worker_is_removed_for_waves_of_this_owner_alone(
+        self, seen_after_seconds, is_removed
+    ):
+        """Guards against a worker that started after an upkeep for the former owner."""
+        fleet = VmFleet(1)
+        session = FakeSession(SimpleNamespace(now=lambda: fleet.now))
+        orders = VmOrders(session, fleet.vm_planner, 0.0)
+        fleet.advance(seen_after_seconds)
+        orders._add_waves({}, fleet.now)
+        (order,) = fleet.step()
+        fleet.vm_planner.on_done(order, fleet.now)
+        assert ("w0" not in fleet.dispatcher.worker_by_id) is is_removed
+
+    def test_stored_progress_of_a_wave_is_restored(self):
+        """Guards against a second order for an upkeep that is known to have begun."""
+        fleet = VmFleet(1)
+        session = FakeSession(SimpleNamespace(now=lambda: fleet.now))
+        orders = VmOrders(session, fleet.vm_planner, 0.0)
+        orders._add_waves({"1": {"begun": ["m0"]}}, fleet.now)
+        assert fleet.step() == []
--- a/catkinport/jobs/vm_inventory.py
+++ b/catkinport/jobs/vm_inventory.py
@@ -8,27 +8,13 @@
 
 from ..ports.fleet_vms import FleetVm, VmState
 from .dispatcher import VM_LIST_LAG_SECONDS, Dispatcher
-from .worker_state import WorkerRecord
+from .order_targets import OrderTargets, VmOrder
+from .worker_state import Incarnation, WorkerRecord
 
 REPEAT_SECONDS = 1.0
 """Time after which an order without an answer is sent again."""
 
 
-class VmOrder(NamedTuple):
-    """An order to the platform to take a VM down for upkeep, or to move it.
-
-    Args:
-        vm_id: the VM.
-        wave: for an upkeep, the number of its wave (an operator's request that names
-            the VMs to maintain); 0 for a move.
-        pool: new pool for a move; empty for an upkeep.
-    """
-
-    vm_id: str
-    wave: int
-    pool: str
-
-
 class VmBounds(NamedTuple):
     """Times that the platform specifies, in seconds.
 
@@ -73,6 +59,7 @@
         listed_at: clock time in seconds at which that list was requested.
         reserved: VMs that are kept free for upkeep.
         idle_since_by_vm: clock time in seconds since which nothing has run on a VM.
+        targets: workers that the orders end.
     """
 
     def __init__(self, dispatcher: Dispatcher, bounds: VmBounds) -> None:
@@ -81,6 +68,7 @@
         self.listed_at = float("-inf")
         self.reserved: set[str] = set()
         self.idle_since_by_vm: dict[str, float] = {}
+        self.targets = OrderTargets()
         self._dispatcher = dispatcher
         self._pending_by_vm: dict[str, PendingOrder] = {}
         self._held_until_by_vm: dict[str, float] = {}
@@ -93,6 +81,8 @@
         for vm_id, pending in list(self._pending_by_vm.items()):
             if self._is_effect_listed(pending, self.vm_by_id.get(vm_id), sent_at):
                 del self._pending_by_vm[vm_id]
+                # The worker is still there if the order had been carried out before.
+                self.release(vm_id)
 
     def hold_back(self, vm_ids: Iterable[str], until: float) -> None:
         """Send no orders to VMs until a clock time.
@@ -121,6 +111,8 @@
     def note_sent(self, order: VmOrder, now: float) -> None:
         """Record that an order is about to be sent."""
         former = self._pending_by_vm.get(order.vm_id)
+        if former is None or former.order != order:
+            self.targets.note_first_sent(order, self.worker_on(order.vm_id))
         is_repeated = former is not None and (
             former.is_repeated or former.sent_at < now
         )
@@ -128,15 +120,23 @@
         self._pending_by_vm[order.vm_id] = pending
         self._ordered_at_by_vm[order.vm_id] = now
 
-    def note_done(self, order: VmOrder, now: float) -> None:
-        """Record that the platform has carried the order out."""
+    def note_done(self, order: VmOrder, now: float) -> Incarnation | None:
+        """Record that the platform has carried the order out.
+
+        Returns:
+            The worker that has therefore ended; ``None`` if no worker certainly has.
+        """
         pending = self._pending_by_vm.get(order.vm_id)
-        if pending is not None and pending.order == order:
-            self._pending_by_vm[order.vm_id] = pending._replace(answered_at=now)
+        if pending is None or pending.order != order:
+            return None
+        self._pending_by_vm[order.vm_id] = pending._replace(answered_at=now)
+        return self.targets.find(order)
 
     def note_rejected(self, order: VmOrder) -> None:
         """Record that the platform has rejected the order and done nothing."""
-        self._pending_by_vm.pop(order.vm_id, None)
+        pending = self._pending_by_vm.pop(order.vm_id, None)
+        if pending is not None and not pending.is_repeated:
+            self.targets.forget(order)
 
     def note_not_sent(self, order: VmOrder) -> bool:
         """Record that an order that was about to be sent was not sent.
@@ -149,13 +149,9 @@
         if pending is not None and pending.is_repeated:
             return False
         self._pending_by_vm.pop(order.vm_id, None)
+        self.targets.forget(order)
         return True
 
-    def pending_order(self, vm_id: str) -> VmOrder | None:
-        """Return the VM's order that the list does not show yet, if there is one."""
-        pending = self._pending_by_vm.get(vm_id)
-        return pending.order if pending else None
-
     def repeat_orders(self, now: float) -> Iterator[VmOrder]:
         """Yield the orders to send again because they had no answer."""
         for pending in list(self._pending_by_vm.values()):
--- a/catkinport/jobs/vm_orders.py
+++ b/catkinport/jobs/vm_orders.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+from collections.abc import Mapping
 from typing import Any
 
 from ..ports import Unavailable
@@ -9,6 +10,7 @@
 from ..ports.table import Committed, Conflict, Transaction, Write
 from ..runtime.logs import log_event
 from .dispatcher import VM_LIST_LAG_SECONDS
+from .order_targets import VmOrder
 from .owner_memory import MEMORY_STORE_SECONDS, build_memory, restore_memory
 from .session import RETRY_SECONDS, OwnerSession
 from .tables import (
@@ -18,7 +20,6 @@
     WAVES_TABLE,
     wave_key,
 )
-from .vm_inventory import VmOrder
 from .vm_planner import VmPlanner
 
 logger = logging.getLogger(__name__)
@@ -34,6 +35,11 @@
 """Shortest time from a write of the row of ordered VMs to one that only removes VMs.
 VMs are removed once a successor need no longer wait before it orders them."""
 
+FORMER_WAVE_SECONDS = 6.0
+"""A wave that is first seen within this time of the takeover may have been seen, and
+its upkeeps ordered, by the former owner. The time covers a delayed read of the waves.
+"""
+
 
 class VmOrders:
     """Sender of orders for VMs, which also reports the progress of waves.
@@ -95,14 +101,7 @@
             )
         while True:
             now = self._session.clock.now()
-            for wave in self._session.ports.desk.list_waves():
-                is_new = wave.wave not in self._vm_planner.wave_by_number
-                self._vm_planner.add_wave(wave, now)
-                if is_new:
-                    stored = value_by_key.get(str(wave.wave), {})
-                    self._vm_planner.restore_started_vms(
-                        wave.wave, stored.get("begun", [])
-                    )
+            self._add_waves(value_by_key, now)
             if not self._session.lease.may_be_replaced(now):
                 if own_vms is None and self._vm_planner.mover.own_vms_by_pool:
                     own_vms = await self._store_own_vms()
@@ -114,6 +113,16 @@
                 await self._store_memory(now)
             await asyncio.sleep(PLAN_SECONDS)
 
+    def _add_waves(self, value_by_key: Mapping[str, Any], now: float) -> None:
+        """Add the waves that are new to this owner, with their stored progress."""
+        is_inherited = now <= self._session.loaded_at + FORMER_WAVE_SECONDS
+        for wave in self._session.ports.desk.list_waves():
+            if wave.wave in self._vm_planner.wave_by_number:
+                continue
+            self._vm_planner.add_wave(wave, now, is_inherited)
+            stored = value_by_key.get(str(wave.wave), {})
+            self._vm_planner.restore_started_vms(wave.wave, stored.get("begun", []))
+
     async def _send_vm_orders(self, orders: list[VmOrder], now: float) -> None:
         """Store the VMs to be ordered, then send the orders.
 
--- a/catkinport/jobs/vm_planner.py
+++ b/catkinport/jobs/vm_planner.py
@@ -22,8 +22,9 @@
 from ..runtime.logs import log_event
 from .dispatcher import Dispatcher
 from .disruption_budget import DisruptionBudget
+from .order_targets import VmOrder
 from .pool_mover import PoolMover
-from .vm_inventory import VmBounds, VmInventory, VmOrder
+from .vm_inventory import VmBounds, VmInventory
 from .worker_state import Run, WorkerRecord
 
 logger = logging.getLogger(__name__)
@@ -81,10 +82,20 @@
         self.inventory.update_vms(vms, sent_at)
         self.mover.update_vms(vms)
 
-    def add_wave(self, wave: UpkeepWave, now: float) -> None:
-        """Add a wave; do nothing if it is known already."""
+    def add_wave(
+        self, wave: UpkeepWave, now: float, is_inherited: bool = False
+    ) -> None:
+        """Add a wave; do nothing if it is known already.
+
+        Args:
+            wave: request of the operator.
+            now: clock time in seconds.
+            is_inherited: whether a former owner may have ordered some of its upkeeps.
+        """
         if wave.wave in self.wave_by_number:
             return
+        if is_inherited:
+            self.inventory.targets.note_inherited_wave(wave.wave)
         self.wave_by_number[wave.wave] = WaveState(wave, now)
         log_event(
             logger,
@@ -93,6 +104,7 @@
             n_vms=len(wave.vm_ids),
             max_down=wave.max_down,
             deadline_seconds=wave.deadline_seconds,
+            inherited=is_inherited,
         )
 
     def restore_started_vms(self, number: int, vm_ids: Sequence[str]) -> None:
@@ -123,12 +135,20 @@
         return orders
 
     def on_done(self, order: VmOrder, now: float) -> None:
-        """Note that the platform has carried the order out."""
-        is_pending = self.inventory.pending_order(order.vm_id) is not None
-        self.inventory.note_done(order, now)
+        """Note that the platform has carried the order out, now or earlier."""
+        ended = self.inventory.note_done(order, now)
+        if ended is not None:
+            self._dispatcher.retire_worker(ended, now)
         worker = self.inventory.worker_on(order.vm_id)
-        if is_pending and worker is not None:
-            self._dispatcher.retire_worker(worker.incarnation, now)
+        if worker is not None:
+            worker.is_maintenance_due = False
+            log_event(
+                logger,
+                "worker kept after vm order",
+                vm=order.vm_id,
+                worker=worker.worker_id,
+                n_runs=len(worker.run_by_key),
+            )
         if order.wave and order.wave in self.wave_by_number:
             self.wave_by_number[order.wave].begun.add(order.vm_id)
             self.inventory.reserved.discard(order.vm_id)
