Keep the logs, schedule and events of a failing soak run

A run now keeps its folder unless it passes, also when it breaks off: the logs of all processes and their settings, the planned schedule, the log of the soak (faults with the daemons and VMs that they hit, jobs as submitted, canceled and checked, violations) with times that compare to those of the daemons, and the events of the workers. The command prints the folder; an exception carries it as a note. A passing run leaves nothing behind.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -60,6 +60,7 @@
     for violation in result.violations:
         print(f"  {violation}")
     if result.violations:
+        print(f"  logs, schedule and events: {result.folder}")
         for planned in result.schedule:
             print(
                 f"  {planned.start_seconds:6.2f} s {planned.name} "
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -4,15 +4,19 @@
 the platform's table service.
 """
 
+import logging
 import random
 import signal
 from collections.abc import Callable
 from typing import NamedTuple
 
+from catkinport.runtime.logs import log_event
 from verification.platform.deployment import DaemonProcess
 
 from .environment import SoakEnvironment
 
+logger = logging.getLogger(__name__)
+
 Fault = Callable[[SoakEnvironment, random.Random], Callable[[], None] | None]
 """Injects a fault and returns the function that ends it, ``None`` if it needs none."""
 
@@ -58,10 +62,12 @@
 
 def _pick_daemon(environment: SoakEnvironment, rng: random.Random) -> DaemonProcess:
     daemons = environment.deployment.daemon_by_name
-    owner = environment.deployment.find_owner()
-    if owner is not None and rng.random() < 0.6:
-        return owner
-    return daemons[rng.choice(sorted(daemons))]
+    daemon = environment.deployment.find_owner()
+    is_owner = daemon is not None and rng.random() < 0.6
+    if daemon is None or not is_owner:
+        daemon = daemons[rng.choice(sorted(daemons))]
+    log_event(logger, "daemon picked", daemon=daemon.name, is_owner=is_owner)
+    return daemon
 
 
 def _restart(environment: SoakEnvironment, daemon: DaemonProcess) -> None:
@@ -156,6 +162,7 @@
 
 
 def _set_platform_faults(environment: SoakEnvironment, **faults) -> Callable[[], None]:
+    log_event(logger, "platform faults set", **faults)
     environment.deployment.set_faults(**faults)
     # A fault is off at the default of its type, ``False`` or 0.0.
     defaults = {name: type(value)() for name, value in faults.items()}
@@ -207,7 +214,9 @@
 
 def _pick_vm(environment: SoakEnvironment, rng: random.Random) -> str:
     size = environment.deployment.size
-    return f"m-{rng.randrange(size.n_pools * size.n_vms)}"
+    vm_id = f"m-{rng.randrange(size.n_pools * size.n_vms)}"
+    log_event(logger, "vm picked", vm=vm_id)
+    return vm_id
 
 
 @register
--- a/soak/load.py
+++ b/soak/load.py
@@ -3,15 +3,19 @@
 Some jobs are lasting: their tasks run until the job is canceled.
 """
 
+import logging
 import random
 import threading
 import time
 from typing import NamedTuple
 
+from catkinport.runtime.logs import log_event
 from verification.platform.caller import PlatformCaller, SentJob, StepSpec
 
 from .environment import SoakEnvironment
 
+logger = logging.getLogger(__name__)
+
 PAUSE_SECONDS = 0.15
 """Mean pause of a caller between two jobs."""
 
@@ -92,6 +96,15 @@
                 queue, key, steps, specification, REQUEST_TIMEOUT_SECONDS
             )
             self.jobs.append(job)
+            log_event(
+                logger,
+                "job submitted",
+                request_id=job.job_id,
+                queue=queue,
+                specification=specification,
+                accepted=job.accepted_at > 0,
+                may_run=job.may_run,
+            )
             if job.accepted_at and (is_lasting or rng.random() < CANCELED_FRACTION):
                 time.sleep(rng.uniform(0.0, 1.0) + 3.0 * is_lasting)
                 key = self._environment.deployment.keys[-1]
@@ -99,4 +112,10 @@
                     job._replace(key=key), REQUEST_TIMEOUT_SECONDS
                 )
                 self.cancellations.append(Cancellation(job, acknowledged_at))
+                log_event(
+                    logger,
+                    "job canceled",
+                    request_id=job.job_id,
+                    acknowledged=acknowledged_at > 0,
+                )
             time.sleep(rng.expovariate(1 / PAUSE_SECONDS))
--- a/soak/run.py
+++ b/soak/run.py
@@ -7,12 +7,15 @@
 The tasks of a lasting job run until it is canceled.
 """
 
+import logging
 import random
 import threading
 import time
 from collections.abc import Callable
+from pathlib import Path
 from typing import NamedTuple
 
+from catkinport.runtime.logs import log_event
 from verification.platform.caller import PlatformCaller
 from verification.platform.checkers import find_violations
 from verification.platform.deployment import PlatformSize
@@ -21,6 +24,9 @@
 from .environment import SoakEnvironment
 from .faults import FAULT_BY_NAME, PlannedFault, draw_schedule
 from .load import Cancellation, SoakLoad
+from .output import log_to_folder, write_events, write_schedule
+
+logger = logging.getLogger(__name__)
 
 RECOVERY_SECONDS = 12.0
 """Time after the last fault in which the system must recover, as promised to users."""
@@ -52,6 +58,8 @@
         n_jobs: number of jobs that were submitted.
         n_accepted: number of jobs that were accepted.
         n_starts: number of starts of tasks on workers.
+        folder: folder with the logs, the schedule and what was checked; ``None`` if no
+            promise was broken.
     """
 
     seed: int
@@ -60,6 +68,7 @@
     n_jobs: int
     n_accepted: int
     n_starts: int
+    folder: Path | None
 
 
 class WithdrawnKeyProbe:
@@ -111,24 +120,41 @@
         size: size of the deployment.
     """
     schedule = draw_schedule(random.Random(seed), seconds)
-    with ProcessGroup() as processes:
-        environment = SoakEnvironment(processes, size._replace(seed=seed))
-        try:
-            environment.start()
-            load = SoakLoad(environment, seed)
-            probe = WithdrawnKeyProbe(environment)
-            load.start()
-            probe.start()
-            _inject_faults(environment, schedule, random.Random(f"{seed}-faults"))
-            load.stop()
-            environment.heal()
-            time.sleep(RECOVERY_SECONDS)
-            violations = _check_accepted_jobs(environment, load)
-            probe.stop()
-            events = environment.deployment.list_events()
-            violations += find_violations(events, load.jobs) + probe.violations
-        finally:
-            environment.close()
+    with ProcessGroup(label=f"soak-{seed}-") as processes:
+        # A run that breaks off keeps its folder too.
+        processes.is_folder_kept = True
+        with log_to_folder(processes.folder):
+            write_schedule(processes.folder, schedule)
+            result = _run_schedule(processes, schedule, size._replace(seed=seed))
+        processes.is_folder_kept = bool(result.violations)
+    return result
+
+
+def _run_schedule(
+    processes: ProcessGroup, schedule: list[PlannedFault], size: PlatformSize
+) -> SoakResult:
+    seed = size.seed
+    environment = SoakEnvironment(processes, size)
+    try:
+        environment.start()
+        load = SoakLoad(environment, seed)
+        probe = WithdrawnKeyProbe(environment)
+        load.start()
+        probe.start()
+        _inject_faults(environment, schedule, random.Random(f"{seed}-faults"))
+        load.stop()
+        environment.heal()
+        log_event(logger, "faults over", n_jobs=len(load.jobs))
+        time.sleep(RECOVERY_SECONDS)
+        violations = _check_accepted_jobs(environment, load)
+        probe.stop()
+        events = environment.deployment.list_events()
+        write_events(processes.folder, events)
+        violations += find_violations(events, load.jobs) + probe.violations
+    finally:
+        environment.close()
+    for violation in violations:
+        log_event(logger, "violation", text=violation)
     return SoakResult(
         seed,
         violations,
@@ -136,6 +162,7 @@
         len(load.jobs),
         sum(job.accepted_at > 0 for job in load.jobs),
         sum(event["what"] == "started" for event in events),
+        processes.folder if violations else None,
     )
 
 
@@ -144,18 +171,21 @@
 ) -> None:
     """Start and end each fault at its time; return when all have ended."""
     began_at = time.monotonic()
-    ends: list[tuple[float, Callable[[], None]]] = []
+    ends: list[tuple[float, Callable[[], None], str]] = []
     pending = [(fault.start_seconds, fault) for fault in schedule]
     while pending or ends:
         now = time.monotonic() - began_at
         for due in [end for end in ends if end[0] <= now]:
             ends.remove(due)
+            log_event(logger, "fault ends", fault=due[2])
             due[1]()
         while pending and pending[0][0] <= now:
             _, fault = pending.pop(0)
+            log_event(logger, "fault begins", fault=fault.name)
             end = FAULT_BY_NAME[fault.name](environment, rng)
             if end is not None:
-                ends.append((fault.start_seconds + fault.duration_seconds, end))
+                end_seconds = fault.start_seconds + fault.duration_seconds
+                ends.append((end_seconds, end, fault.name))
         time.sleep(0.02)
 
 
@@ -176,6 +206,13 @@
         left_seconds = max(0.5, deadline - time.monotonic())
         state = caller.wait_for(job._replace(key=key), FINAL_STATES, left_seconds)
         cancel = cancel_by_id.get(job.job_id)
+        log_event(
+            logger,
+            "job checked",
+            request_id=job.job_id,
+            state=state,
+            canceled=cancel is not None,
+        )
         if not _is_expected_state(state, cancel):
             violations.append(
                 f"LOST: accepted job {job.job_id} is {state or 'unknown'}"
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -1,14 +1,18 @@
 """Tests of the fault schedules and the proxies, and a short seeded run."""
 
 import contextlib
+import json
 import random
 import socket
+import tempfile
 import threading
 
 import pytest
 
 from verification.platform.deployment import PlatformSize
 
+from .. import run
+from ..environment import SoakEnvironment
 from ..faults import FAULT_BY_NAME, draw_schedule
 from ..proxy import ProxyHub
 from ..run import run_seed
@@ -87,3 +91,50 @@
         result = run_seed(seed, FAULT_SECONDS, PlatformSize())
         assert result.violations == []
         assert result.n_accepted > 10
+
+
+class TestOutput:
+    @pytest.fixture
+    def parent(self, monkeypatch, tmp_path):
+        """Return the folder that takes temporary files; shorten the recovery."""
+        monkeypatch.setattr(tempfile, "tempdir", str(tmp_path))
+        monkeypatch.setattr(run, "RECOVERY_SECONDS", 0.0)
+        return tmp_path
+
+    def test_a_failed_run_keeps_what_explains_it(self, parent, monkeypatch):
+        """Guards against failures that cannot be traced for want of the output."""
+        monkeypatch.setattr(run, "find_violations", lambda events, jobs: ["TWICE: x"])
+        result = run_seed(3, 1.0, PlatformSize(n_daemons=1, n_vms=1))
+        assert result.folder.parent == parent
+        names = {path.name for path in result.folder.iterdir()}
+        assert {"platform-0.log", "entry-0-1.log", "entry-0.ini", "soak.log"} <= names
+        lines = (result.folder / "soak.log").read_text().splitlines()
+        for event in ("job submitted", "job checked", "violation"):
+            assert any(f'event="{event}"' in line for line in lines) or any(
+                f"event={event}" in line for line in lines
+            )
+        schedule = json.loads((result.folder / "schedule.json").read_text())
+        assert len(schedule) == len(result.schedule)
+        assert (result.folder / "events.jsonl").exists()
+
+    def test_a_passing_run_leaves_nothing_behind(self, parent, monkeypatch):
+        """Guards against output that fills the disk run after run."""
+        monkeypatch.setattr(run, "find_violations", lambda events, jobs: [])
+        monkeypatch.setattr(run, "_check_accepted_jobs", lambda environment, load: [])
+        result = run_seed(3, 1.0, PlatformSize(n_daemons=1, n_vms=1))
+        assert result.violations == []
+        assert result.folder is None
+        assert list(parent.iterdir()) == []
+
+    def test_a_run_that_breaks_off_keeps_its_output(self, parent, monkeypatch):
+        """Guards against runs that do not begin and leave no reason behind."""
+
+        def fail(environment):
+            raise RuntimeError("daemons not ready")
+
+        monkeypatch.setattr(SoakEnvironment, "start", fail)
+        with pytest.raises(RuntimeError) as raised:
+            run_seed(3, 1.0, PlatformSize())
+        (folder,) = parent.iterdir()
+        assert str(folder) in raised.value.__notes__[0]
+        assert (folder / "schedule.json").exists()
--- a/verification/processes.py
+++ b/verification/processes.py
@@ -1,6 +1,7 @@
 """Processes of a trial deployment: start, signals, output and resource usage."""
 
 import os
+import shutil
 import signal
 import subprocess
 import sys
@@ -119,10 +120,22 @@
 
 
 class ProcessGroup:
-    """All processes of a trial; closing the group ends every one of them."""
+    """All processes of a trial; closing the group ends every one of them.
 
-    def __init__(self) -> None:
-        self._folder = tempfile.TemporaryDirectory(prefix="catkinport-")
+    Args:
+        parent: folder in which the group makes its own; that of temporary files if
+            ``None``.
+        label: part of the name of the group's folder.
+
+    Attributes:
+        folder: folder for settings and output.
+        is_folder_kept: whether the folder stays when the group is closed.
+    """
+
+    def __init__(self, parent: Path | None = None, label: str = "") -> None:
+        name = tempfile.mkdtemp(prefix=f"catkinport-{label}", dir=parent)
+        self.folder = Path(name)
+        self.is_folder_kept = False
         self._processes: list[ManagedProcess] = []
         self._lock = threading.Lock()
 
@@ -130,14 +143,13 @@
         """Return the group."""
         return self
 
-    def __exit__(self, *exception_info: object) -> None:
-        """End all processes."""
+    def __exit__(
+        self, kind: object, error: BaseException | None, traceback: object
+    ) -> None:
+        """End all processes; an error gets a note that names a kept folder."""
         self.close()
-
-    @property
-    def folder(self) -> Path:
-        """Folder for settings and output, removed when the group is closed."""
-        return Path(self._folder.name)
+        if error is not None and self.is_folder_kept:
+            error.add_note(f"The output of the processes is in {self.folder}.")
 
     def start(
         self,
@@ -159,11 +171,12 @@
         return process
 
     def close(self) -> None:
-        """End all processes and remove the folder."""
+        """End all processes, and remove the folder unless it is kept."""
         for process in self._processes:
             # A paused process handles SIGTERM only after it is resumed.
             process.send_signal(signal.SIGCONT)
             process.send_signal(signal.SIGTERM)
         for process in self._processes:
             process.terminate(timeout_seconds=5.0)
-        self._folder.cleanup()
+        if not self.is_folder_kept:
+            shutil.rmtree(self.folder)
