Skip jobs that end while the owner reads them again

Callers saw: nothing yet that is shown to come from this. A finished job would be started again and shown as running again.

Cause: when the store has lost its history, the owner reads all jobs and then all states. A job whose end was stored and forgotten after its state was read, and before the answer arrived, is in neither the states as over nor in the memory, so it was added as a new job without a stored state.

Evidence: a test in which the end falls into that read; it failed before.

Ruled out: a job that was learned from the feed meanwhile, as the loop that reads again is the one that follows the feed.

Change: jobs that the owner knew before the read and no longer knows after it have ended, and are skipped.

--- a/catkinport/jobs/owner.py
+++ b/catkinport/jobs/owner.py
@@ -280,12 +280,16 @@
 
     async def _reread_jobs(self) -> None:
         log_event(logger, "job feed lost its history", version=self._job_feed_version)
+        job_by_id = self._session.dispatcher.job_by_id
+        known_ids = set(job_by_id)
         jobs = await self._session.table.read_range(JOBS_TABLE)
         states = await self._session.table.read_range(STATES_TABLE)
         if isinstance(jobs, Unavailable) or isinstance(states, Unavailable):
             await asyncio.sleep(RETRY_SECONDS)
             return
-        finished_ids = _find_finished_ids(states)
+        # A job may have ended after its state was read and before the answer arrived.
+        ended_ids = known_ids - job_by_id.keys()
+        finished_ids = _find_finished_ids(states) | ended_ids
         now = self._session.clock.now()
         for row in jobs.rows:
             self._apply_job_row(row, now, False, finished_ids)
--- /dev/null
+++ b/catkinport/jobs/tests/test_job_feed.py
@@ -0,0 +1,104 @@
+"""Tests of how an owner learns of jobs from the table service's change feed."""
+
+import asyncio
+from types import SimpleNamespace
+
+from ...ports.async_table import HistoryLost, Snapshot
+from ...ports.table import Row
+from ...runtime import Metrics
+from ..dispatcher import Dispatcher
+from ..model import JobState, job_to_row
+from ..owner import FleetOwner
+from ..ownership_watch import Claim
+from ..session import OwnerPorts
+from ..tables import JOBS_TABLE, STATES_TABLE, cancel_key, job_key, state_key
+from .builders import JOB_ID, make_configuration, make_job
+from .test_vm_planner import BOUNDS
+
+
+class FakeTable:
+    """Table service whose feed has lost its history, with one job that is running.
+
+    Attributes:
+        on_states_read: called after the states were read and before they are returned.
+    """
+
+    def __init__(self) -> None:
+        self.rows_by_table = {
+            JOBS_TABLE: [Row(job_key(JOB_ID), 1, encode_job(JOB_ID))],
+            STATES_TABLE: [
+                Row(
+                    state_key(JOB_ID),
+                    2,
+                    {"state": "running", "account": "studio", "top_run": 1},
+                )
+            ],
+        }
+        self.on_states_read = lambda: None
+
+    async def read_range(self, table, start="", end=""):
+        snapshot = Snapshot(list(self.rows_by_table.get(table, [])), 3)
+        if table == STATES_TABLE:
+            self.on_states_read()
+        return snapshot
+
+    async def follow(self, table, after_version, wait_seconds):
+        return HistoryLost()
+
+
+def encode_job(job_id: str) -> dict:
+    return job_to_row(make_job(job_id)._replace(accepted_at=1.0))
+
+
+def end_job(dispatcher: Dispatcher) -> None:
+    """Let the job complete, and forget it as after its end was stored."""
+    record = dispatcher.job_by_id[JOB_ID]
+    record.state = JobState.COMPLETED
+    dispatcher.forget_ended(record)
+
+
+def make_owner(table: FakeTable) -> FleetOwner:
+    clock = SimpleNamespace(now=lambda: 100.0)
+    ports = OwnerPorts(table, None, None, None, clock, Metrics())
+    claim = Claim(1, 100.0, None, False)
+    return FleetOwner(ports, make_configuration(), claim, BOUNDS)
+
+
+class TestLostHistory:
+    def test_a_job_that_ended_during_the_read_does_not_run_again(self):
+        """Guards against a second run of a job whose end the read has just missed.
+
+        The answer of a slow table service may be older than the end that was stored
+        and forgotten meanwhile.
+        """
+        table = FakeTable()
+
+        async def end_job_during_reread():
+            owner = make_owner(table)
+            await owner._load()
+            dispatcher = owner._session.dispatcher
+            table.on_states_read = lambda: end_job(dispatcher)
+            await owner._reread_jobs()
+            return dispatcher
+
+        assert asyncio.run(end_job_during_reread()).job_by_id == {}
+
+    def test_jobs_and_cancellations_that_the_feed_lost_are_learned(self):
+        """Guards against accepted jobs and cancellations that no owner learns of."""
+        table = FakeTable()
+        other_id = "00000000000000b2"
+
+        async def accept_before_reread():
+            owner = make_owner(table)
+            await owner._load()
+            table.rows_by_table[JOBS_TABLE] += [
+                Row(cancel_key(JOB_ID), 4, {}),
+                Row(job_key(other_id), 5, encode_job(other_id)),
+            ]
+            await owner._reread_jobs()
+            return owner._session.dispatcher
+
+        dispatcher = asyncio.run(accept_before_reread())
+        assert dispatcher.job_by_id[other_id].state is JobState.QUEUED
+        # Without runs, a job whose cancellation is taken in ends at once.
+        assert dispatcher.job_by_id[JOB_ID].state is JobState.CANCELED
