End the loops of an owner when its ownership ends

Callers saw: nothing yet that is shown to come from this. A replaced or released owner went on to plan, to send orders under its old fencing token and to poll workers, for as long as its process lived, and kept its whole state.

Cause: asyncio.wait_for of Python 3.11 returns the result and drops the cancellation if what it waits for is done before the waiting task resumes. The loops that plan and poll are woken all the time. An order that is rejected for its token ends the ownership and wakes the planner in one step of the event loop, so that the cancellation always fell on the wrong step.

Change: both waits use asyncio.timeout, which lets the cancellation through.

--- a/catkinport/jobs/run_orders.py
+++ b/catkinport/jobs/run_orders.py
@@ -43,14 +43,17 @@
     async def run(self) -> None:
         """Plan and send orders until the ownership ends."""
         while True:
-            with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(
-                    self._session.wake.wait(), MAX_PLAN_INTERVAL_SECONDS
-                )
+            await self._wait_for_wake()
             self._session.wake.clear()
             self._plan()
             await asyncio.sleep(MIN_PLAN_INTERVAL_SECONDS)
 
+    async def _wait_for_wake(self) -> None:
+        # `asyncio.wait_for` may swallow the cancellation that ends the ownership.
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(MAX_PLAN_INTERVAL_SECONDS):
+                await self._session.wake.wait()
+
     def _plan(self) -> None:
         now = self._session.clock.now()
         self._session.dispatcher.expire(now)
--- a/catkinport/jobs/state_store.py
+++ b/catkinport/jobs/state_store.py
@@ -59,11 +59,9 @@
             Whether they are stored; ``False`` after `STORE_WAIT_SECONDS`.
         """
         try:
-            async with self._ends_stored:
-                await asyncio.wait_for(
-                    self._ends_stored.wait_for(lambda: worker.stored_end >= end),
-                    STORE_WAIT_SECONDS,
-                )
+            # `asyncio.wait_for` may swallow the cancellation that ends the ownership.
+            async with asyncio.timeout(STORE_WAIT_SECONDS), self._ends_stored:
+                await self._ends_stored.wait_for(lambda: worker.stored_end >= end)
         except TimeoutError:
             return False
         return True
