Log and restart a background loop of the daemon that fails

Callers saw: nothing yet that is shown to come from this. A daemon whose loop had failed would answer callers and never own the fleet again, or refuse keys with a configuration that grows old, without a line in its log.

Cause: the loops are tasks that nobody awaits while the daemon runs, and they are kept in a list, so that their exceptions were never reported.

Change: such an exception is logged and the loop runs again after a second. An owner whose run ends with an exception now ends its own loops too.

--- a/catkinport/jobs/owner.py
+++ b/catkinport/jobs/owner.py
@@ -103,11 +103,13 @@
         ]
         self._session.spawn(self._renewal_loop())
         self._session.spawn(self._load_and_run())
-        await asyncio.wait(waiters, return_when=asyncio.FIRST_COMPLETED)
-        for waiter in waiters:
-            waiter.cancel()
-        await self._await_renewal()
-        self._session.cancel_all()
+        try:
+            await asyncio.wait(waiters, return_when=asyncio.FIRST_COMPLETED)
+            await self._await_renewal()
+        finally:
+            for waiter in waiters:
+                waiter.cancel()
+            self._session.cancel_all()
         if stop.is_set() and not self._session.deposed.is_set():
             await self._release()
         log_event(
--- a/catkinport/platform/daemon.py
+++ b/catkinport/platform/daemon.py
@@ -21,6 +21,7 @@
 from ..jobs.vm_inventory import VmBounds
 from ..policy.leadership import claim_delay_seconds
 from ..runtime import BootTimeClock, Metrics
+from ..runtime.background import run_until_done
 from ..runtime.logs import log_event
 from ..settings.declaration import format_fault
 from .callers import CallerServer, ConfigurationAgeLimit
@@ -128,9 +129,12 @@
             peer=self._settings.callers,
         )
         background = [
-            asyncio.ensure_future(self._configuration.run()),
-            asyncio.ensure_future(self._run_ownership()),
-            asyncio.ensure_future(self._refresh_queue_depths()),
+            asyncio.ensure_future(run_until_done(name, run))
+            for name, run in (
+                ("configuration", self._configuration.run),
+                ("ownership", self._run_ownership),
+                ("queue depths", self._refresh_queue_depths),
+            )
         ]
         await self._stop.wait()
         await self._drain_and_close(background, runners)
@@ -218,8 +222,10 @@
                 claim,
                 self._vm_bounds(),
             )
-            await self._owner.run(self._stop)
-            self._owner = None
+            try:
+                await self._owner.run(self._stop)
+            finally:
+                self._owner = None
 
     def _vm_bounds(self) -> VmBounds:
         bounds = self._settings.bounds
