Start a daemon once when two faults of the soak have ended it

Seen: in a run whose faults overlap, a daemon that was killed and then stopped, or the reverse, was started twice. The second process could not listen and ended, the soak took it for the daemon, and the first one ran on unseen: no fault hit it any more, the end of the faults did not resume it, and callers did not call it.

Cause: the end of a fault looked at the process that the fault had ended, not at the present process of that daemon.

Evidence: a test of three faults on one daemon; it counted three starts, the first included, instead of two.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -70,9 +70,10 @@
     return daemon
 
 
-def _restart(environment: SoakEnvironment, daemon: DaemonProcess) -> None:
-    if not daemon.process.is_running:
-        environment.start_daemon(daemon.name)
+def _restart(environment: SoakEnvironment, name: str) -> None:
+    # The end of another fault may have started the daemon again already.
+    if not environment.deployment.daemon_by_name[name].process.is_running:
+        environment.start_daemon(name)
 
 
 @register
@@ -80,7 +81,7 @@
     """Kill a daemon, in most cases the owner of the fleet; the end restarts it."""
     daemon = _pick_daemon(environment, rng)
     daemon.process.kill()
-    return lambda: _restart(environment, daemon)
+    return lambda: _restart(environment, daemon.name)
 
 
 @register
@@ -94,8 +95,7 @@
 
     def end() -> None:
         for daemon in daemons:
-            current = environment.deployment.daemon_by_name[daemon.name]
-            _restart(environment, current)
+            _restart(environment, daemon.name)
 
     return end
 
@@ -115,7 +115,7 @@
     """Stop a daemon with SIGTERM, as a planned restart does; the end restarts it."""
     daemon = _pick_daemon(environment, rng)
     daemon.process.send_signal(signal.SIGTERM)
-    return lambda: _restart(environment, daemon)
+    return lambda: _restart(environment, daemon.name)
 
 
 @register
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from verification.platform.deployment import PlatformSize
+from verification.platform.deployment import DaemonProcess, PlatformSize
 
 from .. import run
 from ..environment import SoakEnvironment
@@ -34,6 +34,52 @@
         assert {planned.name for planned in schedule} == set(FAULT_BY_NAME)
 
 
+class FakeProcess:
+    def __init__(self):
+        self.is_running = True
+
+    def kill(self):
+        self.is_running = False
+
+    def send_signal(self, signal_number):
+        self.is_running = False
+
+
+class FakeEnvironment:
+    """Environment with one daemon, which is never the owner, and no processes."""
+
+    def __init__(self):
+        self.deployment = self
+        self.daemon_by_name = {}
+        self.n_starts = 0
+        self.start_daemon("entry-0")
+
+    def find_owner(self):
+        return None
+
+    def start_daemon(self, name):
+        self.n_starts += 1
+        process = FakeProcess()
+        self.daemon_by_name[name] = DaemonProcess(name, process, "", "", "")
+
+
+class TestOverlap:
+    def test_a_daemon_that_two_faults_end_is_started_once(self):
+        """Guards against a second process of a daemon beside the first.
+
+        It can't listen, the soak loses sight of the first one, and that one can be
+        neither stopped nor healed any more.
+        """
+        environment = FakeEnvironment()
+        ends = [
+            FAULT_BY_NAME[name](environment, random.Random(1))
+            for name in ("kill_daemon", "stop_daemon", "kill_all_daemons")
+        ]
+        for end in ends:
+            end()
+        assert environment.n_starts == 2
+
+
 class TestProxy:
     @pytest.fixture
     def proxied_connection(self):
