Restart a daemon in the soak once it has stopped

Seen: a daemon that was asked to stop takes 2.5 s and more to end.

Change: the end of a fault asks for a restart, which happens as soon as the process has ended. The end of all faults waits for it, 10 s at most.

Result: a test with a process that stops slowly; the former code has no way to start it later.

--- a/soak/environment.py
+++ b/soak/environment.py
@@ -1,5 +1,7 @@
 """Test environment: daemons with proxies to the platform and from their callers."""
 
+import time
+
 from verification.platform.deployment import (
     DaemonProcess,
     PlatformDeployment,
@@ -9,6 +11,9 @@
 
 from .proxy import Proxy, ProxyHub
 
+RESTART_TIMEOUT_SECONDS = 10.0
+"""Longest wait for the end of a daemon that is stopping; its grace period is 6 s."""
+
 
 class SoakEnvironment:
     """Daemons, simulated platform (stand-in), and a pair of proxies for each daemon.
@@ -21,6 +26,7 @@
         deployment: the daemons and the stand-in.
         store_proxy_by_name: proxy to the platform of each daemon.
         caller_proxy_by_name: proxy from the callers to each daemon.
+        due_restarts: names of the daemons that start again once they have ended.
     """
 
     def __init__(self, processes: ProcessGroup, size: PlatformSize) -> None:
@@ -28,6 +34,7 @@
         self._hub = ProxyHub()
         self.store_proxy_by_name: dict[str, Proxy] = {}
         self.caller_proxy_by_name: dict[str, Proxy] = {}
+        self.due_restarts: set[str] = set()
 
     def start(self) -> None:
         """Start stand-in, proxies and daemons, and wait until they are ready."""
@@ -45,6 +52,21 @@
         address = self.store_proxy_by_name[name].address
         return self.deployment.start_daemon(name, address, address)
 
+    def request_restart(self, daemon: DaemonProcess) -> None:
+        """Start a daemon once its process has ended, unless that has happened."""
+        if self.deployment.daemon_by_name[daemon.name] is daemon:
+            self.due_restarts.add(daemon.name)
+
+    def restart_ended(self) -> None:
+        """Start the daemons whose restart is due and whose process has ended.
+
+        A daemon that was asked to stop goes on serving open connections for seconds.
+        """
+        for name in sorted(self.due_restarts):
+            if not self.deployment.daemon_by_name[name].process.is_running:
+                self.due_restarts.discard(name)
+                self.start_daemon(name)
+
     def list_caller_addresses(self) -> list[str]:
         """Return the addresses of the caller proxies of the daemons that run."""
         return [
@@ -62,17 +84,25 @@
         self._hub.call(proxy.silence())
 
     def heal(self) -> None:
-        """End every fault, resume paused daemons and restart those that do not run."""
+        """End every fault, resume paused daemons and restart those that have ended.
+
+        Returns once the daemons that are stopping have ended and are started again.
+        """
         for proxy in (
             *self.store_proxy_by_name.values(),
             *self.caller_proxy_by_name.values(),
         ):
             proxy.link.heal()
         self.deployment.reset_faults()
-        for name, daemon in list(self.deployment.daemon_by_name.items()):
+        for name, daemon in self.deployment.daemon_by_name.items():
             daemon.process.resume()
             if not daemon.process.is_running:
-                self.start_daemon(name)
+                self.due_restarts.add(name)
+        deadline = time.monotonic() + RESTART_TIMEOUT_SECONDS
+        self.restart_ended()
+        while self.due_restarts and time.monotonic() < deadline:
+            time.sleep(0.05)
+            self.restart_ended()
 
     def close(self) -> None:
         """Close the proxies."""
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -70,18 +70,12 @@
     return daemon
 
 
-def _restart(environment: SoakEnvironment, name: str) -> None:
-    # The end of another fault may have started the daemon again already.
-    if not environment.deployment.daemon_by_name[name].process.is_running:
-        environment.start_daemon(name)
-
-
 @register
 def kill_daemon(environment: SoakEnvironment, rng: random.Random) -> Callable[[], None]:
     """Kill a daemon, in most cases the owner of the fleet; the end restarts it."""
     daemon = _pick_daemon(environment, rng)
     daemon.process.kill()
-    return lambda: _restart(environment, daemon.name)
+    return lambda: environment.request_restart(daemon)
 
 
 @register
@@ -95,7 +89,7 @@
 
     def end() -> None:
         for daemon in daemons:
-            _restart(environment, daemon.name)
+            environment.request_restart(daemon)
 
     return end
 
@@ -115,7 +109,7 @@
     """Stop a daemon with SIGTERM, as a planned restart does; the end restarts it."""
     daemon = _pick_daemon(environment, rng)
     daemon.process.send_signal(signal.SIGTERM)
-    return lambda: _restart(environment, daemon.name)
+    return lambda: environment.request_restart(daemon)
 
 
 @register
--- a/soak/run.py
+++ b/soak/run.py
@@ -179,6 +179,7 @@
             ends.remove(due)
             log_event(logger, "fault ends", fault=due[2])
             due[1]()
+        environment.restart_ended()
         while pending and pending[0][0] <= now:
             _, fault = pending.pop(0)
             log_event(logger, "fault begins", fault=fault.name)
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -14,7 +14,7 @@
 from .. import run
 from ..environment import SoakEnvironment
 from ..faults import FAULT_BY_NAME, draw_schedule
-from ..proxy import ProxyHub
+from ..proxy import Proxy, ProxyHub
 from ..run import run_seed
 
 FAULT_SECONDS = 8.0
@@ -35,6 +35,8 @@
 
 
 class FakeProcess:
+    """Process that a signal ends later than a kill does."""
+
     def __init__(self):
         self.is_running = True
 
@@ -42,42 +44,65 @@
         self.is_running = False
 
     def send_signal(self, signal_number):
-        self.is_running = False
+        pass
 
 
-class FakeEnvironment:
-    """Environment with one daemon, which is never the owner, and no processes."""
+class FakeDeployment:
+    """Deployment with one daemon, which is never the owner, and no processes."""
 
     def __init__(self):
-        self.deployment = self
         self.daemon_by_name = {}
-        self.n_starts = 0
-        self.start_daemon("entry-0")
 
     def find_owner(self):
         return None
 
-    def start_daemon(self, name):
-        self.n_starts += 1
-        process = FakeProcess()
-        self.daemon_by_name[name] = DaemonProcess(name, process, "", "", "")
+    def start_daemon(self, name, *addresses):
+        daemon = DaemonProcess(name, FakeProcess(), "", "", "")
+        self.daemon_by_name[name] = daemon
+        return daemon
 
 
-class TestOverlap:
-    def test_a_daemon_that_two_faults_end_is_started_once(self):
+class TestRestart:
+    @pytest.fixture
+    def environment(self):
+        """Return an environment with a fake daemon."""
+        environment = SoakEnvironment(None, PlatformSize())
+        environment.deployment = FakeDeployment()
+        environment.store_proxy_by_name["entry-0"] = Proxy("")
+        environment.first = environment.start_daemon("entry-0")
+        yield environment
+        environment.close()
+
+    def test_a_daemon_that_several_faults_end_is_started_once(self, environment):
         """Guards against a second process of a daemon beside the first.
 
         It can't listen, the soak loses sight of the first one, and that one can be
         neither stopped nor healed any more.
         """
-        environment = FakeEnvironment()
-        ends = [
-            FAULT_BY_NAME[name](environment, random.Random(1))
-            for name in ("kill_daemon", "stop_daemon", "kill_all_daemons")
-        ]
-        for end in ends:
+        names = ("kill_daemon", "stop_daemon", "kill_all_daemons")
+        ends = [FAULT_BY_NAME[name](environment, random.Random(1)) for name in names]
+        ends[0]()
+        environment.restart_ended()
+        second = environment.deployment.daemon_by_name["entry-0"]
+        for end in ends[1:]:
             end()
-        assert environment.n_starts == 2
+            environment.restart_ended()
+        assert second is not environment.first
+        assert environment.deployment.daemon_by_name["entry-0"] is second
+
+    def test_a_daemon_that_stops_slowly_is_started_once_it_has_ended(self, environment):
+        """Guards against stopped daemons that are missing for the rest of a run.
+
+        A daemon takes 2.5 s and more to stop, and the fault may be shorter.
+        """
+        end = FAULT_BY_NAME["stop_daemon"](environment, random.Random(1))
+        end()
+        environment.restart_ended()
+        assert environment.deployment.daemon_by_name["entry-0"] is environment.first
+        environment.first.process.is_running = False
+        environment.restart_ended()
+        second = environment.deployment.daemon_by_name["entry-0"]
+        assert second is not environment.first
 
 
 class TestProxy:
