--- a/soak/faults.py
+++ b/soak/faults.py
@@ -4,15 +4,19 @@
 the platform's table service.
 """
 
+import logging
 import random
 import signal
 from collections.abc import Callable
 from typing import NamedTuple
 
+from catkinport.runtime.logs import log_event
 from verification.platform.deployment import DaemonProcess
 
 from .environment import SoakEnvironment
 
+logger = logging.getLogger(__name__)
+
 Fault = Callable[[SoakEnvironment, random.Random], Callable[[], None] | None]
 """Injects a fault and returns the function that ends it, ``None`` if it needs none."""
 
@@ -58,15 +62,12 @@
 
 def _pick_daemon(environment: SoakEnvironment, rng: random.Random) -> DaemonProcess:
     daemons = environment.deployment.daemon_by_name
-    owner = environment.deployment.find_owner()
-    if owner is not None and rng.random() < 0.6:
-        return owner
-    return daemons[rng.choice(sorted(daemons))]
-
-
-def _restart(environment: SoakEnvironment, daemon: DaemonProcess) -> None:
-    if not daemon.process.is_running:
-        environment.start_daemon(daemon.name)
+    daemon = environment.deployment.find_owner()
+    is_owner = daemon is not None and rng.random() < 0.6
+    if daemon is None or not is_owner:
+        daemon = daemons[rng.choice(sorted(daemons))]
+    log_event(logger, "daemon picked", daemon=daemon.name, is_owner=is_owner)
+    return daemon
 
 
 @register
@@ -74,7 +75,7 @@
     """Kill a daemon, in most cases the owner of the fleet; the end restarts it."""
     daemon = _pick_daemon(environment, rng)
     daemon.process.kill()
-    return lambda: _restart(environment, daemon)
+    return lambda: environment.request_restart(daemon)
 
 
 @register
@@ -88,8 +89,7 @@
 
     def end() -> None:
         for daemon in daemons:
-            current = environment.deployment.daemon_by_name[daemon.name]
-            _restart(environment, current)
+            environment.request_restart(daemon)
 
     return end
 
@@ -109,7 +109,7 @@
     """Stop a daemon with SIGTERM, as a planned restart does; the end restarts it."""
     daemon = _pick_daemon(environment, rng)
     daemon.process.send_signal(signal.SIGTERM)
-    return lambda: _restart(environment, daemon)
+    return lambda: environment.request_restart(daemon)
 
 
 @register
@@ -156,6 +156,7 @@
 
 
 def _set_platform_faults(environment: SoakEnvironment, **faults) -> Callable[[], None]:
+    log_event(logger, "platform faults set", **faults)
     environment.deployment.set_faults(**faults)
     # A fault is off at the default of its type, ``False`` or 0.0.
     defaults = {name: type(value)() for name, value in faults.items()}
@@ -207,7 +208,9 @@
 
 def _pick_vm(environment: SoakEnvironment, rng: random.Random) -> str:
     size = environment.deployment.size
-    return f"m-{rng.randrange(size.n_pools * size.n_vms)}"
+    vm_id = f"m-{rng.randrange(size.n_pools * size.n_vms)}"
+    log_event(logger, "vm picked", vm=vm_id)
+    return vm_id
 
 
 @register
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -1,16 +1,20 @@
 """Tests of the fault schedules and the proxies, and a short seeded run."""
 
 import contextlib
+import json
 import random
 import socket
+import tempfile
 import threading
 
 import pytest
 
-from verification.platform.deployment import PlatformSize
+from verification.platform.deployment import DaemonProcess, PlatformSize
 
+from .. import run
+from ..environment import SoakEnvironment
 from ..faults import FAULT_BY_NAME, draw_schedule
-from ..proxy import ProxyHub
+from ..proxy import Proxy, ProxyHub
 from ..run import run_seed
 
 FAULT_SECONDS = 8.0
@@ -30,6 +34,77 @@
         assert {planned.name for planned in schedule} == set(FAULT_BY_NAME)
 
 
+class FakeProcess:
+    """Process that a signal ends later than a kill does."""
+
+    def __init__(self):
+        self.is_running = True
+
+    def kill(self):
+        self.is_running = False
+
+    def send_signal(self, signal_number):
+        pass
+
+
+class FakeDeployment:
+    """Deployment with one daemon, which is never the owner, and no processes."""
+
+    def __init__(self):
+        self.daemon_by_name = {}
+
+    def find_owner(self):
+        return None
+
+    def start_daemon(self, name, *addresses):
+        daemon = DaemonProcess(name, FakeProcess(), "", "", "")
+        self.daemon_by_name[name] = daemon
+        return daemon
+
+
+class TestRestart:
+    @pytest.fixture
+    def environment(self):
+        """Return an environment with a fake daemon."""
+        environment = SoakEnvironment(None, PlatformSize())
+        environment.deployment = FakeDeployment()
+        environment.store_proxy_by_name["entry-0"] = Proxy("")
+        environment.first = environment.start_daemon("entry-0")
+        yield environment
+        environment.close()
+
+    def test_a_daemon_that_several_faults_end_is_started_once(self, environment):
+        """Guards against a second process of a daemon beside the first.
+
+        It can't listen, the soak loses sight of the first one, and that one can be
+        neither stopped nor healed any more.
+        """
+        names = ("kill_daemon", "stop_daemon", "kill_all_daemons")
+        ends = [FAULT_BY_NAME[name](environment, random.Random(1)) for name in names]
+        ends[0]()
+        environment.restart_ended()
+        second = environment.deployment.daemon_by_name["entry-0"]
+        for end in ends[1:]:
+            end()
+            environment.restart_ended()
+        assert second is not environment.first
+        assert environment.deployment.daemon_by_name["entry-0"] is second
+
+    def test_a_daemon_that_stops_slowly_is_started_once_it_has_ended(self, environment):
+        """Guards against stopped daemons that are missing for the rest of a run.
+
+        A daemon takes 2.5 s and more to stop, and the fault may be shorter.
+        """
+        end = FAULT_BY_NAME["stop_daemon"](environment, random.Random(1))
+        end()
+        environment.restart_ended()
+        assert environment.deployment.daemon_by_name["entry-0"] is environment.first
+        environment.first.process.is_running = False
+        environment.restart_ended()
+        second = environment.deployment.daemon_by_name["entry-0"]
+        assert second is not environment.first
+
+
 class TestProxy:
     @pytest.fixture
     def proxied_connection(self):
@@ -87,3 +162,50 @@
         result = run_seed(seed, FAULT_SECONDS, PlatformSize())
         assert result.violations == []
         assert result.n_accepted > 10
+
+
+class TestOutput:
+    @pytest.fixture
+    def parent(self, monkeypatch, tmp_path):
+        """Return the folder that takes temporary files; shorten the recovery."""
+        monkeypatch.setattr(tempfile, "tempdir", str(tmp_path))
+        monkeypatch.setattr(run, "RECOVERY_SECONDS", 0.0)
+        return tmp_path
+
+    def test_a_failed_run_keeps_what_explains_it(self, parent, monkeypatch):
+        """Guards against failures that cannot be traced for want of the output."""
+        monkeypatch.setattr(run, "find_violations", lambda events, jobs: ["TWICE: x"])
+        result = run_seed(3, 1.0, PlatformSize(n_daemons=1, n_vms=1))
+        assert result.folder.parent == parent
+        names = {path.name for path in result.folder.iterdir()}
+        assert {"platform-0.log", "entry-0-1.log", "entry-0.ini", "soak.log"} <= names
+        lines = (result.folder / "soak.log").read_text().splitlines()
+        for event in ("job submitted", "job checked", "violation"):
+            assert any(f'event="{event}"' in line for line in lines) or any(
+                f"event={event}" in line for line in lines
+            )
+        schedule = json.loads((result.folder / "schedule.json").read_text())
+        assert len(schedule) == len(result.schedule)
+        assert (result.folder / "events.jsonl").exists()
+
+    def test_a_passing_run_leaves_nothing_behind(self, parent, monkeypatch):
+        """Guards against output that fills the disk run after run."""
+        monkeypatch.setattr(run, "find_violations", lambda events, jobs: [])
+        monkeypatch.setattr(run, "_check_accepted_jobs", lambda environment, load: [])
+        result = run_seed(3, 1.0, PlatformSize(n_daemons=1, n_vms=1))
+        assert result.violations == []
+        assert result.folder is None
+        assert list(parent.iterdir()) == []
+
+    def test_a_run_that_breaks_off_keeps_its_output(self, parent, monkeypatch):
+        """Guards against runs that do not begin and leave no reason behind."""
+
+        def fail(environment):
+            raise RuntimeError("daemons not ready")
+
+        monkeypatch.setattr(SoakEnvironment, "start", fail)
+        with pytest.raises(RuntimeError) as raised:
+            run_seed(3, 1.0, PlatformSize())
+        (folder,) = parent.iterdir()
+        assert str(folder) in raised.value.__notes__[0]
+        assert (folder / "schedule.json").exists()
