End an ownership only once all of its tasks have ended

Cause: the end of an ownership cancels its tasks once and does not look whether they end. One that misses its cancellation, as those waiting by asyncio.wait_for could, goes on with the former token and spawns orders. Between the loss and the cancellation, a round of planning may send orders too.

Change: the session cancels until every task has ended, and what is spawned once the ownership is lost or over does not begin.

--- a/catkinport/jobs/owner.py
+++ b/catkinport/jobs/owner.py
@@ -109,7 +109,7 @@
         finally:
             for waiter in waiters:
                 waiter.cancel()
-            self._session.cancel_all()
+            await self._session.end()
         if stop.is_set() and not self._session.deposed.is_set():
             await self._release()
         log_event(
--- a/catkinport/jobs/session.py
+++ b/catkinport/jobs/session.py
@@ -21,6 +21,9 @@
 RETRY_SECONDS = 0.2
 """Pause after a failed call to the table service."""
 
+CANCEL_RETRY_SECONDS = 0.05
+"""Time after which a task that has not ended is canceled again."""
+
 
 class OwnerPorts(NamedTuple):
     """Clients of the outside systems that an owner uses."""
@@ -64,15 +67,19 @@
         self.loaded_at = 0.0
         self.renewal_sent_at = lease.renewed_at
         self._tasks: set[asyncio.Task[Any]] = set()
+        self._is_over = False
 
     def spawn(self, coroutine: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
         """Run a coroutine until the ownership ends.
 
-        An exception in the coroutine ends the ownership.
+        An exception in the coroutine ends the ownership. Once it has ended, the
+        coroutine does not begin.
         """
         task = asyncio.ensure_future(coroutine)
         self._tasks.add(task)
         task.add_done_callback(self._on_task_done)
+        if self._is_over or self.deposed.is_set():
+            task.cancel()
         return task
 
     def cancel_all(self) -> None:
@@ -80,6 +87,17 @@
         for task in list(self._tasks):
             task.cancel()
 
+    async def end(self) -> None:
+        """Cancel all tasks that `spawn` started, and wait until they have ended.
+
+        A task that goes on after its cancellation is canceled again, so that no order
+        is sent under this ownership after the call.
+        """
+        self._is_over = True
+        while self._tasks:
+            self.cancel_all()
+            await asyncio.wait(self._tasks, timeout=CANCEL_RETRY_SECONDS)
+
     def owner_condition(self) -> Condition:
         """Return the condition for a commit that no other daemon has taken over."""
         return Condition(OWNER_KEY, self.lease.token)
