--- a/catkinport/jobs/tests/test_owner_changes.py
+++ b/catkinport/jobs/tests/test_owner_changes.py
@@ -6,8 +6,6 @@
 state of the simulated workers.
 """
 
-from typing import NamedTuple
-
 import pytest
 from hypothesis import HealthCheck, settings
 from hypothesis import strategies as st
@@ -24,11 +22,8 @@
 from ...ports import Reason, Unavailable
 from ...ports.fleet_workers import (
     Done,
-    EndedTask,
     EndKind,
     Rejected,
-    Rejection,
-    RunningTask,
     WorkerLists,
 )
 from ..dispatcher import Dispatcher, is_over
@@ -42,6 +37,7 @@
     WorkerRecord,
 )
 from .builders import make_configuration, make_job, make_step, make_worker
+from .simulated_workers import FakeWorker, Order
 
 MAX_FAILURES = 2
 LIMIT = Resources(20.0, 0.0, 0.0)
@@ -51,84 +47,6 @@
 workers = st.sampled_from(WORKER_IDS)
 
 
-class Order(NamedTuple):
-    """An order to a worker to start or stop a run.
-
-    Args:
-        until: clock time in seconds at which the lease of a start ends.
-    """
-
-    worker_id: str
-    token: int
-    task: str
-    run: int
-    until: float
-    is_start: bool
-
-
-class FakeWorker:
-    """Simulated worker with fencing tokens, a lease, and refusal of outdated runs."""
-
-    def __init__(self) -> None:
-        self.token = 0
-        self.lease_until = 0.0
-        self.running: dict[tuple[str, int], float] = {}
-        self.ended: list[EndedTask] = []
-        self.refused_run: dict[str, int] = {}
-        self.n_ends = 0
-        self.started_at = 1.0
-
-    def expire(self, now: float) -> None:
-        if now > self.lease_until:
-            for key in list(self.running):
-                self.end(key, EndKind.LAPSED)
-
-    def end(self, key: tuple[str, int], how: EndKind) -> None:
-        del self.running[key]
-        self.n_ends += 1
-        self.ended.append(EndedTask(self.n_ends, *key, how, ""))
-        self._refuse(*key)
-
-    def carry_out(self, order: Order, now: float) -> Done | Rejected:
-        self.expire(now)
-        if order.token < self.token:
-            return Rejected(Rejection.FENCED)
-        self.token = order.token
-        key = (order.task, order.run)
-        if not order.is_start:
-            if key in self.running:
-                self.end(key, EndKind.STOPPED)
-            self._refuse(*key)
-            return Done()
-        if order.until < now:
-            return Rejected(Rejection.LATE)
-        if key in self.running:
-            return Done()
-        if order.run <= self.refused_run.get(order.task, 0):
-            return Rejected(Rejection.OLD_RUN)
-        self.running[key] = now
-        self.lease_until = max(self.lease_until, order.until)
-        return Done()
-
-    def renew_lease(self, token: int, acknowledged_end: int, until: float, now: float):
-        self.expire(now)
-        if token < self.token:
-            return Rejected(Rejection.FENCED)
-        self.token = token
-        self.lease_until = max(self.lease_until, until)
-        self.ended = [end for end in self.ended if end.number > acknowledged_end]
-        running = [RunningTask(*key, "", 0.0, 0.0) for key in self.running]
-        return WorkerLists(self.started_at, running, list(self.ended))
-
-    def crash(self) -> None:
-        started_at = self.started_at
-        self.__init__()
-        self.started_at = started_at + 1.0
-
-    def _refuse(self, task: str, run: int) -> None:
-        self.refused_run[task] = max(run, self.refused_run.get(task, 0))
-
-
 class OwnerChanges(RuleBasedStateMachine):
     """Owners that come and go while messages are lost or late."""
 
