Trust the end of an owner only once it has resolved what it inherited

Seen: no report from callers; found by reading and by the tests below. A task can run twice after two changes of the owner in a row.

The end of the last owner was taken for the end of all. It was concluded from a release, from a restart of the owner's daemon, and from an owner's row that names the daemon itself; a claim without an answer that is carried out late leaves such a row too, although the daemon has never acted as the owner.

Evidence: in test_ownership_watch.py, four cases of TestFormerOwner failed before the change ("assert not True ... is_former_ended=True").

Change: the heartbeat row says whether its writer has loaded the state and resolved all workers that it inherited. The end of an owner counts only if it has said so under its own token. A row without the field counts as not resolved. Who may claim, and when, is unchanged.

Ruled out: that the latest restart or release alone bounds the renewals of all earlier owners; an owner that has not reached a worker has not fenced anyone there. Not shown: that a reported task ran twice for this reason.

Result: the tests pass, and those of catkinport/jobs and catkinport/policy.

--- a/catkinport/jobs/ownership_watch.py
+++ b/catkinport/jobs/ownership_watch.py
@@ -48,7 +48,8 @@
         sent_at: clock time in seconds at which the claim was sent.
         former_changed_at: clock time in seconds at which the latest renewal of the
             former owner, or its end, was seen; ``None`` if there was no former owner.
-        is_former_ended: whether the former owner is known to give no more orders.
+        is_former_ended: whether neither the former owner nor one before it can renew
+            a lease any more.
     """
 
     token: int
@@ -176,11 +177,14 @@
         renewal_row = self._row_by_key.get(HEARTBEAT_KEY.key)
         value: dict[str, Any] = (renewal_row.value if renewal_row else None) or {}
         owner_version = owner.version if owner else ABSENT_VERSION
+        # Until an owner has renewed once, an earlier owner wrote the heartbeat row.
+        is_own_renewal = value.get("token") == owner_version
         owner_rows = OwnerRows(
             owner_version,
             renewal_row.version if renewal_row else ABSENT_VERSION,
-            bool(value.get("released")) and value.get("token") == owner_version,
+            bool(value.get("released")) and is_own_renewal,
             bool(owner) and (owner.value or {}).get("owner") == self._name,
+            bool(value.get("resolved")) and is_own_renewal,
         )
         former = self._watch.owner_rows
         self._watch.observe(owner_rows, now)
--- a/catkinport/jobs/session.py
+++ b/catkinport/jobs/session.py
@@ -65,6 +65,11 @@
         self.renewal_sent_at = lease.renewed_at
         self._tasks: set[asyncio.Task[Any]] = set()
 
+    @property
+    def is_resolved(self) -> bool:
+        """Whether no task of a former owner can be running on an unreached worker."""
+        return self.loaded_at > 0 and not self.dispatcher.unresolved_by_id
+
     def spawn(self, coroutine: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
         """Run a coroutine until the ownership ends.
 
--- a/catkinport/jobs/state_store.py
+++ b/catkinport/jobs/state_store.py
@@ -33,6 +33,7 @@
         "token": session.lease.token,
         "sent_at": sent_at,
         "released": is_released,
+        "resolved": session.is_resolved,
         "waiting": session.dispatcher.count_waiting(),
     }
     return Write(HEARTBEAT_KEY, value)
--- /dev/null
+++ b/catkinport/jobs/tests/test_ownership_watch.py
@@ -0,0 +1,113 @@
+"""Tests of what a claim tells about the owners before it."""
+
+import random
+from types import SimpleNamespace
+
+import pytest
+
+from ...policy.leadership import OwnLease
+from ...ports.clock import ManualClock
+from ...ports.table import Condition, Transaction, Write
+from ..dispatcher import Dispatcher
+from ..ownership_watch import Claim, OwnershipWatch
+from ..session import OwnerSession
+from ..state_store import heartbeat_write
+from ..tables import HEARTBEAT_KEY, OWNER_KEY
+from .builders import POOL, make_configuration
+from .simulated_store import SimulatedStore, StoreClient, StoreLink, run_now
+
+
+class Daemons:
+    """Daemons that claim the ownership in a store, and the owners' heartbeat."""
+
+    def __init__(self):
+        self.clock = ManualClock(100.0)
+        self.store = SimulatedStore()
+
+    def claim(self, name, link=StoreLink.SOUND) -> Claim | None:
+        """Let a daemon that has just started follow the rows until it claims."""
+        client = StoreClient(self.store)
+        client.link = link
+        watch = OwnershipWatch(client, self.clock, name, random.Random(1))
+        for _ in range(8):
+            run_now(watch.poll())
+            if watch._may_claim(0.0):
+                return run_now(watch._claim())
+            self.clock.advance(0.3)
+        raise AssertionError(f"{name} may not claim")
+
+    def renew(self, claim, **fields):
+        value = {"token": claim.token, "released": False, **fields}
+        condition = Condition(OWNER_KEY, claim.token)
+        self.store.commit(Transaction([condition], [Write(HEARTBEAT_KEY, value)]))
+
+
+class TestFormerOwner:
+    """A successor may wait less if no owner before it renews a lease any more."""
+
+    @pytest.mark.parametrize("fields", [{"resolved": False}, {}])
+    def test_a_release_says_nothing_of_the_owners_before(self, fields):
+        """Guards against a task that runs twice after two changes of the owner.
+
+        The first owner is cut off from the store and alive; the second one released the
+        ownership before it had reached all workers. A row of an earlier version does
+        not tell whether it had.
+        """
+        daemons = Daemons()
+        daemons.renew(daemons.claim("first"))
+        daemons.renew(daemons.claim("second"), released=True, **fields)
+        assert not daemons.claim("third").is_former_ended
+
+    def test_a_restart_says_nothing_of_the_owners_before(self):
+        """Guards against the same after a crash of the second owner."""
+        daemons = Daemons()
+        daemons.renew(daemons.claim("first"), resolved=True)
+        daemons.renew(daemons.claim("second"), resolved=False)
+        assert not daemons.claim("second").is_former_ended
+
+    def test_a_claim_without_an_answer_does_not_end_the_former_owner(self):
+        """Guards against a daemon that takes its own claim for an ended process.
+
+        The claim was carried out after the daemon had given up waiting for its answer,
+        so the row names the daemon although it has never acted as the owner.
+        """
+        daemons = Daemons()
+        daemons.renew(daemons.claim("first"), resolved=True)
+        assert daemons.claim("second", StoreLink.LATE) is None
+        daemons.store.carry_out_late()
+        assert not daemons.claim("second").is_former_ended
+
+    @pytest.mark.parametrize("name", ["second", "third"])
+    def test_an_owner_that_has_resolved_all_workers_ends_for_all(self, name):
+        """Guards against a needless wait after an orderly change of the owner."""
+        daemons = Daemons()
+        daemons.renew(daemons.claim("first"))
+        daemons.renew(daemons.claim("second"), released=True, resolved=True)
+        assert daemons.claim(name).is_former_ended
+
+
+class TestHeartbeat:
+    """The heartbeat row tells whether the owner has resolved all workers."""
+
+    def test_an_owner_is_resolved_once_it_has_loaded_and_resolved_all_workers(self):
+        """Guards against a successor that does not wait for an owner before the last.
+
+        An owner that has not loaded the roster yet knows of no unresolved worker.
+        """
+        session = make_session()
+        assert not read_resolved(session)
+        session.dispatcher.unresolved_by_id["w1"] = POOL
+        session.loaded_at = 101.0
+        assert not read_resolved(session)
+        session.dispatcher.resolve_inherited_workers(102.0)
+        assert read_resolved(session)
+
+
+def make_session() -> OwnerSession:
+    ports = SimpleNamespace(table=None, clock=None)
+    dispatcher = Dispatcher(make_configuration())
+    return OwnerSession(ports, dispatcher, OwnLease(1, 100.0))
+
+
+def read_resolved(session) -> bool:
+    return heartbeat_write(session, 100.0).value["resolved"]
--- a/catkinport/policy/leadership.py
+++ b/catkinport/policy/leadership.py
@@ -70,17 +70,25 @@
         is_released: whether the owner has released the ownership.
         is_earlier_process: whether the owner is an earlier process of this same daemon,
             which must have ended.
+        is_resolved: whether the owner has stored that no task of the owners before it
+            can be running on a worker that it has not reached.
     """
 
     owner_version: int
     heartbeat_version: int
     is_released: bool
     is_earlier_process: bool = False
+    is_resolved: bool = False
 
     @property
     def is_former_ended(self) -> bool:
-        """Whether the owner is certain to give no more orders."""
-        return self.is_released or self.is_earlier_process
+        """Whether no owner so far can renew a lease any more.
+
+        The owner itself must have ended. The owners before it may be alive without
+        knowing that they were replaced, until the owner has resolved all workers.
+        """
+        has_ended = self.is_released or self.is_earlier_process
+        return has_ended and self.is_resolved
 
 
 class OwnerWatch:
@@ -178,7 +186,8 @@
     Args:
         changed_at: clock time in seconds at which the successor saw the last renewal
             by the former owner, which was sent earlier, or at which that owner ended.
-        is_ended: whether the former owner has ended, so that it renews no lease.
+        is_ended: whether the former owner has ended, and all owners before it renew no
+            lease on a worker that may still run their tasks.
         lease_seconds: longest time that a task runs on after the last call of its
             owner.
 
