Add a simulated fleet in which former owners live on

The random test of changes of ownership lets the former owner vanish, so it sees no fault of two owners that are alive at the same time. In the new module the owners are real FleetOwner objects with real claims; the store, the workers and the links to them are simulated. Their loops run when a test says so.

Two tests use it. The first holds a history of the fault that is mended by comparing jobs by when the owner has read them. It needs no clocks that differ: the row of a job is stored seconds after the job was accepted, as the store carried the write out late, and after the successor has read the jobs. The second holds that tasks go on while the store is down.

--- /dev/null
+++ b/catkinport/jobs/tests/rival_fleet.py
@@ -0,0 +1,407 @@
+"""Simulated fleet in which former owners may live on beside the present one.
+
+The owners are real; the table service, the workers and the links to them are simulated.
+"""
+
+import asyncio
+import random
+import time
+from collections.abc import Callable, Iterable
+from typing import Any, NamedTuple
+
+from ...policy.resources import NO_RESOURCES
+from ...ports import Reason, Unavailable
+from ...ports.clock import ManualClock
+from ...ports.fleet_workers import EndKind, ListedWorker, StartOrder
+from ...ports.table import Transaction, Write
+from ...runtime import Metrics
+from ..model import Job, job_to_row
+from ..owner import FleetOwner
+from ..ownership_watch import Claim, OwnershipWatch
+from ..session import OwnerPorts
+from ..tables import JOBS_TABLE, ROSTER_TABLE, job_key
+from ..vm_inventory import VmBounds
+from .builders import make_configuration, make_job, make_step, make_worker
+from .simulated_store import (
+    NO_ANSWER,
+    SimulatedStore,
+    StoreClient,
+    StoreLink,
+    run_now,
+)
+from .simulated_workers import FakeWorker, Order
+
+MAX_FAILURES = 3
+WORKER_CORES = 8.0
+MAX_LEASE_SECONDS = 10.0
+"""Longest lease that a worker grants, on its clock."""
+
+WORKER_AGE_SECONDS = 100.0
+"""Time for which a worker has been up as it joins."""
+
+SLOW_CLOCK_RATE = 0.98
+LATEST_ORDER = Unavailable(Reason.TIMEOUT, "worker-call", "w", "", True)
+N_LOOP_TURNS = 4
+"""Turns of the event loop after which no call to a simulated system is left."""
+
+
+class LateCall(NamedTuple):
+    """A call that a worker has received and carries out later."""
+
+    worker_id: str
+    started_at: float
+    carry_out: Callable[[], Any]
+
+
+class RosterSafeClient(StoreClient):
+    """Client whose writes of the roster are lost rather than late."""
+
+    async def commit(self, transaction: Transaction):
+        """Commit a transaction, or lose it or its answer as the link says."""
+        is_roster = any(w.row_key.table == ROSTER_TABLE for w in transaction.writes)
+        if is_roster and self.link is StoreLink.LATE:
+            return NO_ANSWER
+        return await super().commit(transaction)
+
+
+class WorkerClient:
+    """A daemon's client of the simulated workers; implements `FleetWorkers`.
+
+    Attributes:
+        link_by_id: for each worker, ``requests lost`` or ``answers lost`` if so.
+        delivery_by_call: what becomes of the calls: ``answered``, ``no answer``,
+            ``late`` or ``lost``, by the name of the call.
+    """
+
+    def __init__(self, fleet: "RivalFleet", store: StoreClient) -> None:
+        self._fleet = fleet
+        self._store = store
+        self._clock_by_id: dict[str, tuple[float, float]] = {}
+        self.link_by_id: dict[str, str] = {}
+        self.delivery_by_call: dict[str, str] = {}
+
+    def cut_off(self, worker_ids: Iterable[str]) -> None:
+        """Lose all requests to some workers, and to no others."""
+        self.link_by_id = dict.fromkeys(worker_ids, "requests lost")
+
+    async def list_workers(self):
+        """Return the workers that are up."""
+        if self._store.link is StoreLink.CUT:
+            return NO_ANSWER
+        return self._fleet.list_workers()
+
+    async def renew_lease(
+        self, worker, token, acknowledged_end, lease_seconds, wait_seconds
+    ):
+        """Renew the lease of a worker; return its lists."""
+        worker_id = worker.worker_id
+        until = self._lease_end(worker_id, lease_seconds) or 0.0
+        return self._call(
+            "hold",
+            worker_id,
+            lambda: self._fleet.renew_lease(worker_id, token, acknowledged_end, until),
+        )
+
+    async def start(self, worker, token, order: StartOrder, lease_seconds):
+        """Start a run."""
+        until = self._lease_end(worker.worker_id, lease_seconds)
+        if until is None:
+            return LATEST_ORDER._replace(may_have_committed=False)
+        return self._send(
+            "start",
+            Order(worker.worker_id, token, order.task, order.run, until, True),
+        )
+
+    async def stop(self, worker, token, task, run):
+        """Stop a run."""
+        return self._send("stop", Order(worker.worker_id, token, task, run, 0.0, False))
+
+    def _send(self, call: str, order: Order):
+        return self._call(call, order.worker_id, lambda: self._fleet.carry_out(order))
+
+    def _call(self, call: str, worker_id: str, carry_out: Callable[[], Any]):
+        delivery = self.delivery_by_call.get(call, "answered")
+        link = self.link_by_id.get(worker_id, "")
+        is_down = worker_id in self._fleet.down_ids
+        if is_down or link == "requests lost" or delivery == "lost":
+            return LATEST_ORDER
+        worker = self._fleet.worker_by_id[worker_id]
+        if delivery == "late":
+            late = LateCall(worker_id, worker.started_at, carry_out)
+            self._fleet.late_calls.append(late)
+            return LATEST_ORDER
+        outcome = carry_out()
+        if link == "answers lost" or delivery == "no answer":
+            return LATEST_ORDER
+        now = self._fleet.clock.now()
+        self._clock_by_id[worker_id] = (worker.clock(now), now)
+        return outcome
+
+    def _lease_end(self, worker_id: str, lease_seconds: float) -> float | None:
+        known = self._clock_by_id.get(worker_id)
+        if known is None or not lease_seconds:
+            return None
+        shown, read_at = known
+        elapsed = self._fleet.clock.now() - read_at
+        return shown + SLOW_CLOCK_RATE * elapsed + lease_seconds
+
+
+class SimulatedOwner:
+    """An owner of the fleet whose loops run when the test says so."""
+
+    def __init__(self, fleet: "RivalFleet", name: str, claim: Claim) -> None:
+        self.store = RosterSafeClient(fleet.store)
+        self.workers = WorkerClient(fleet, self.store)
+        self._fleet = fleet
+        ports: Any = OwnerPorts(
+            self.store, self.workers, None, None, fleet.clock, Metrics()
+        )
+        configuration = make_configuration(MAX_FAILURES, NO_RESOURCES)
+        self._owner = FleetOwner(ports, configuration, claim, VmBounds(2.0, 1.5, 3.0))
+        self._watch = self._owner._watch
+        self._watch._start_polling = lambda worker_id: None
+        self._session = self._owner._session
+
+    @property
+    def is_deposed(self) -> bool:
+        """Whether it has learned that it was replaced."""
+        return self._session.deposed.is_set()
+
+    def run_cycle(self, plans_first: bool = False) -> None:
+        """Let each of its loops run once.
+
+        Args:
+            plans_first: whether it plans before it polls the workers.
+        """
+        self._fleet.run(self._run_cycle(plans_first))
+
+    def learn_jobs(self) -> None:
+        """Let it read the store and then renew its ownership."""
+        self._fleet.run(self._read_store())
+        self._fleet.run(self._owner._renew())
+
+    def poll_workers(self) -> None:
+        """Let it poll the workers and store what they list."""
+        self._fleet.run(self._poll_and_store())
+
+    def release(self) -> None:
+        """Release the ownership."""
+        self._fleet.run(self._owner._renew(is_released=True))
+
+    async def _run_cycle(self, plans_first: bool) -> None:
+        await self._owner._renew()
+        if not self._session.loaded_at and not await self._owner._load():
+            return
+        await self._read_store()
+        steps = [self._poll_and_store, self._plan]
+        for step in reversed(steps) if plans_first else steps:
+            if not self.is_deposed:
+                await step()
+
+    async def _read_store(self) -> None:
+        listed = await self.workers.list_workers()
+        if not isinstance(listed, Unavailable):
+            await self._watch._apply_worker_list(listed)
+        version = self._owner._job_feed_version
+        changes = await self.store.follow(JOBS_TABLE, version, 0.0)
+        if not isinstance(changes, Unavailable):
+            self._owner._apply_changes(changes)
+
+    async def _poll_and_store(self) -> None:
+        now = self._session.clock.now()
+        if not self._session.lease.must_stop_renewing(now):
+            for worker in list(self._session.dispatcher.worker_by_id.values()):
+                self._session.spawn(self._watch.poll(worker))
+            await self._settle()
+        await self._owner._store._store_dirty()
+
+    async def _plan(self) -> None:
+        self._owner._run_orders._plan()
+        await self._settle()
+
+    async def _settle(self) -> None:
+        """Let the calls end, without the pauses that follow some of them."""
+        for _ in range(N_LOOP_TURNS):
+            await asyncio.sleep(0)
+        paused = list(self._session._tasks)
+        self._session.cancel_all()
+        if paused:
+            await asyncio.wait(paused)
+
+
+class RivalFleet:
+    """The store, the workers and all owners that are alive."""
+
+    def __init__(self, worker_ids: tuple[str, ...]) -> None:
+        self.clock = ManualClock(1000.0)
+        self.store = SimulatedStore()
+        self.worker_by_id: dict[str, FakeWorker] = {}
+        self.down_ids: set[str] = set()
+        self.late_calls: list[LateCall] = []
+        self.owner_by_name: dict[str, SimulatedOwner] = {}
+        self.job_by_id: dict[str, Job] = {}
+        self.violations: list[str] = []
+        self._watch_by_name: dict[str, OwnershipWatch] = {}
+        self._claim_client_by_name: dict[str, StoreClient] = {}
+        self._n_events = 0
+        self._last_start: dict[str, int] = {}
+        self._done_at: dict[tuple[str, float, int], int] = {}
+        self._noted_tasks: set[str] = set()
+        self._loop = asyncio.new_event_loop()
+        for worker_id in worker_ids:
+            self.join(worker_id)
+
+    def close(self) -> None:
+        """Close the event loop."""
+        self._loop.close()
+
+    def run(self, coroutine) -> Any:
+        """Run a coroutine on the event loop."""
+        return self._loop.run_until_complete(coroutine)
+
+    def advance(self, seconds: float) -> None:
+        """Let time pass."""
+        self.clock.advance(seconds)
+        for worker in self.worker_by_id.values():
+            worker.expire(self.clock.now())
+
+    def join(self, worker_id: str, clock_rate: float = 1.0) -> None:
+        """Add a worker."""
+        if worker_id not in self.worker_by_id:
+            self.worker_by_id[worker_id] = FakeWorker(
+                clock_rate, self.clock.now() - WORKER_AGE_SECONDS, MAX_LEASE_SECONDS
+            )
+
+    def crash(self, worker_id: str) -> None:
+        """Crash a worker; it loses its runs and all calls that it has received."""
+        if worker_id in self.worker_by_id:
+            self.down_ids.add(worker_id)
+            worker = self.worker_by_id[worker_id]
+            worker.crash()
+
+    def restart(self, worker_id: str) -> None:
+        """Start a crashed worker again, with a clock that starts anew."""
+        if worker_id in self.down_ids:
+            self.down_ids.discard(worker_id)
+            self.worker_by_id[worker_id].booted_at = self.clock.now()
+
+    def list_workers(self) -> list[ListedWorker]:
+        """Return the entries of the workers that are up."""
+        return [
+            make_worker(worker_id, WORKER_CORES)
+            for worker_id in self.worker_by_id
+            if worker_id not in self.down_ids
+        ]
+
+    def submit(self, n_tasks: int, delay_seconds: float = 0.0) -> None:
+        """Store a job that was accepted some time before its row was stored."""
+        job_id = f"{len(self.job_by_id):016x}"
+        job = make_job(job_id, [make_step(n_tasks)])
+        job = job._replace(accepted_at=time.time() - delay_seconds)
+        self.job_by_id[job_id] = job
+        self.store.commit(Transaction([], [Write(job_key(job_id), job_to_row(job))]))
+
+    def end_a_run(self, worker_id: str, how: EndKind) -> None:
+        """End a run of a worker, if it has one."""
+        worker = self.worker_by_id.get(worker_id)
+        if worker is None or worker_id in self.down_ids:
+            return
+        worker.expire(self.clock.now())
+        if worker.running:
+            worker.end(min(worker.running), how)
+            self._n_events += 1
+            end = (worker_id, worker.started_at, worker.n_ends)
+            self._done_at[end] = self._n_events
+
+    def carry_out_late_call(self) -> None:
+        """Carry out the oldest late call, if its worker has not crashed since."""
+        if self.late_calls:
+            late = self.late_calls.pop(0)
+            worker = self.worker_by_id[late.worker_id]
+            if worker.started_at == late.started_at:
+                late.carry_out()
+
+    def carry_out(self, order: Order):
+        """Let a worker carry out an order."""
+        worker = self.worker_by_id[order.worker_id]
+        before = set(worker.running)
+        outcome = worker.carry_out(order, self.clock.now())
+        if set(worker.running) - before:
+            self._check_start(order)
+        return outcome
+
+    def renew_lease(self, worker_id: str, token: int, end: int, until: float):
+        """Let a worker renew its lease and forget ends."""
+        worker = self.worker_by_id[worker_id]
+        before = {ended.number: ended for ended in worker.ended}
+        outcome = worker.renew_lease(token, end, until, self.clock.now())
+        for number in before.keys() - {ended.number for ended in worker.ended}:
+            if before[number].how is EndKind.DONE:
+                key = (worker_id, worker.started_at, number)
+                self._note_done(before[number].task, self._done_at[key])
+        return outcome
+
+    def claim(self, name: str, link: StoreLink = StoreLink.SOUND) -> bool:
+        """Let a daemon that is no owner follow the ownership until it may claim.
+
+        Args:
+            name: the daemon.
+            link: what becomes of its claim.
+        """
+        if name in self.owner_by_name:
+            return False
+        if name not in self._watch_by_name:
+            self.restart_daemon(name)
+        watch = self._watch_by_name[name]
+        for _ in range(8):
+            run_now(watch.poll())
+            if watch._may_claim(0.0):
+                self._claim_client_by_name[name].link = link
+                claim = run_now(watch._claim())
+                self._claim_client_by_name[name].link = StoreLink.SOUND
+                if claim is not None:
+                    self.owner_by_name[name] = SimulatedOwner(self, name, claim)
+                return claim is not None
+            self.advance(0.3)
+        return False
+
+    def restart_daemon(self, name: str) -> None:
+        """Start a daemon anew; an owner that it was has ended."""
+        self.owner_by_name.pop(name, None)
+        client = StoreClient(self.store)
+        self._claim_client_by_name[name] = client
+        self._watch_by_name[name] = OwnershipWatch(
+            client, self.clock, name, random.Random(1)
+        )
+
+    def run_cycle(self, name: str, plans_first: bool = False) -> None:
+        """Let the loops of an owner run once; it ends if it was replaced."""
+        owner = self.owner_by_name.get(name)
+        if owner is not None:
+            owner.run_cycle(plans_first)
+            if owner.is_deposed:
+                del self.owner_by_name[name]
+
+    def _check_start(self, order: Order) -> None:
+        self._n_events += 1
+        self._last_start[order.task] = self._n_events
+        if order.task in self._noted_tasks:
+            self.violations.append(f"{order.task} started after its end was noted")
+        for worker_id, worker in self.worker_by_id.items():
+            worker.expire(self.clock.now())
+            if worker_id != order.worker_id and worker_id not in self.down_ids:
+                self._check_other(order, worker_id, worker)
+
+    def _check_other(self, order: Order, worker_id: str, worker: FakeWorker) -> None:
+        for task, run in worker.running:
+            if task == order.task:
+                self.violations.append(
+                    f"{task} runs as {run} on {worker_id} and, since"
+                    f" {self.clock.now():.1f}, as {order.run} on {order.worker_id}"
+                    f" by token {order.token}"
+                )
+
+    def _note_done(self, task: str, ended: int) -> None:
+        self._noted_tasks.add(task)
+        if self._last_start[task] > ended:
+            self.violations.append(f"{task} was started after an end noted later")
--- /dev/null
+++ b/catkinport/jobs/tests/test_rival_owners.py
@@ -0,0 +1,66 @@
+"""Tests of former owners that live on beside the present one.
+
+A former owner that is paused, cut off from the store or without its answers does not
+know that it was replaced. It goes on under the rules of a doubtful ownership, while its
+successor waits for the workers that it has not reached.
+"""
+
+import pytest
+
+from ...ports.fleet_workers import EndKind
+from .rival_fleet import RivalFleet
+from .simulated_store import StoreLink
+
+
+@pytest.fixture
+def fleet():
+    fleet = RivalFleet(("w0", "w1"))
+    yield fleet
+    fleet.close()
+
+
+class TestFormerOwner:
+    """A former owner whose renewals fail while a successor reaches one worker."""
+
+    def test_a_job_that_was_stored_late_is_started_by_the_successor_only(self, fleet):
+        """Guards against a start by both owners of a job accepted before the change.
+
+        Its row was stored after the successor had read the jobs.
+        """
+        split_fleet(fleet, StoreLink.LATE)
+        fleet.submit(1, delay_seconds=5.0)
+        fleet.run_cycle("d1")
+        fleet.run_cycle("d0")
+        assert not fleet.violations
+
+    def test_tasks_go_on_while_the_store_is_down(self, fleet):
+        """Guards against an owner in doubt that starts nothing at all."""
+        fleet.claim("d0")
+        fleet.submit(5)
+        run_cycles(fleet, "d0", 2)
+        fleet.owner_by_name["d0"].store.link = StoreLink.CUT
+        for _ in range(3):
+            fleet.advance(0.5)
+            fleet.run_cycle("d0")
+        fleet.end_a_run("w0", EndKind.DONE)
+        run_cycles(fleet, "d0", 2)
+        assert len(fleet.worker_by_id["w0"].running) == 2
+
+
+def run_cycles(fleet, name, n):
+    for _ in range(n):
+        fleet.run_cycle(name)
+
+
+def split_fleet(fleet, former_link):
+    """Let d1 replace d0; both have reached all workers, then d0 reaches w0 only."""
+    fleet.claim("d0")
+    run_cycles(fleet, "d0", 3)
+    former = fleet.owner_by_name["d0"]
+    former.store.link = former_link
+    assert fleet.claim("d1")
+    former.workers.cut_off(["w1"])
+    if former_link is StoreLink.CUT:
+        fleet.run_cycle("d1")
+    fleet.owner_by_name["d1"].workers.cut_off(["w0"])
+    fleet.run_cycle("d1")
