Start nothing on a restarted worker while a successor may be active

Seen: no report from callers; found by the test below. A task runs twice around a change of the owner.

Cause: a worker that starts again under its id has forgotten the fencing token of the successor, and accepts orders of a former owner that does not know that it was replaced. The former owner holds back tasks whose run it has given up, but not tasks that have never run. The successor may have reached the worker before the restart, resolved the pool and started such a task elsewhere.

Ruled out: a wait of the successor, as the restart comes after it has reached the worker; and to start nothing at all without renewals, as tasks have to go on while the store is down for all (a test holds that).

Change: a worker record holds since when the same process has answered every poll. An owner whose renewals fail starts tasks only on workers that have done so since before its last stored renewal. Their process has kept any later token.

Not covered: a start that is sent before the poll in flight has failed, and arrives after the restart.

Result: both tests pass, and those of catkinport/jobs and catkinport/policy.

--- a/catkinport/jobs/dispatcher.py
+++ b/catkinport/jobs/dispatcher.py
@@ -259,12 +259,13 @@
         worker = self.worker_by_id.get(worker_id)
         if worker is None:
             return
-        if worker.started_at and lists.started_at != worker.started_at:
+        is_restarted = worker.started_at not in (0.0, lists.started_at)
+        if is_restarted:
             self._on_worker_restart(worker, lists, now)
         if worker.contact_at == float("-inf"):
             log_event(logger, "worker reached", worker=worker_id)
         worker.started_at = lists.started_at
-        worker.contact_at = now
+        worker.note_contact(now, is_restarted)
         self._resolve_worker(worker_id, "reached", now)
         for ended in sorted(lists.ended):
             if ended.number > worker.processed_end:
--- a/catkinport/jobs/planner.py
+++ b/catkinport/jobs/planner.py
@@ -71,7 +71,7 @@
     def __init__(self, dispatcher: Dispatcher) -> None:
         self._dispatcher = dispatcher
         self._tickets_by_stage: dict[str, dict[str, Ticket]] = {}
-        self._is_ownership_in_doubt = False
+        self._learned_before: float | None = None
         self.wanted_approvals: dict[str, ApprovalRequest] = {}
 
     def keep_tickets(self, stage: str, ticket_by_worker: Mapping[str, Ticket]) -> None:
@@ -90,9 +90,12 @@
                 successor may already have replaced this owner; ``None`` otherwise. Only
                 jobs that were learned before it start, and no task whose last run was
                 given up: a successor may have reached its worker and renewed its lease.
+                They start only on workers that have answered every poll since before
+                it: a worker that has restarted may have forgotten the successor's
+                token.
         """
         dispatcher = self._dispatcher
-        self._is_ownership_in_doubt = learned_before is not None
+        self._learned_before = learned_before
         self.wanted_approvals = {}
         records_by_pool: dict[str, list[tuple[JobRecord, Queue]]] = {}
         for record in dispatcher.job_by_id.values():
@@ -121,7 +124,7 @@
     def _free_rooms(self, pool: str, now: float) -> dict[str, CandidateWorker]:
         rooms: dict[str, CandidateWorker] = {}
         for worker in self._dispatcher.workers_of(pool):
-            if not worker.may_start(now):
+            if not worker.may_start(now) or not self._has_unbroken_contact(worker):
                 continue
             room = CandidateWorker(
                 worker.worker_id, worker.listed.labels, worker.free(), worker.penalty
@@ -132,6 +135,12 @@
             rooms[worker.worker_id] = room
         return rooms
 
+    def _has_unbroken_contact(self, worker: WorkerRecord) -> bool:
+        """Return whether the worker has kept the token of a possible successor."""
+        return (
+            self._learned_before is None or worker.contact_since <= self._learned_before
+        )
+
     def _plan_job(
         self,
         record: JobRecord,
@@ -161,7 +170,7 @@
 
     def _is_startable(self, task: Task, now: float) -> bool:
         if task.phase is TaskPhase.WAITING:
-            is_held_back = self._is_ownership_in_doubt and task.is_lost
+            is_held_back = self._learned_before is not None and task.is_lost
             return task.not_before <= now and not is_held_back
         if task.phase is TaskPhase.DONE or not task.step.may_run_twice:
             return False
--- a/catkinport/jobs/tests/test_rival_owners.py
+++ b/catkinport/jobs/tests/test_rival_owners.py
@@ -33,6 +33,33 @@
         fleet.run_cycle("d0")
         assert not fleet.violations
 
+    def test_a_restarted_worker_gets_no_task_of_a_former_owner(self, fleet):
+        """Guards against a worker that has forgotten the token of the successor.
+
+        The successor had reached it before it restarted and started the task elsewhere.
+        """
+        fleet.submit(5)
+        split_fleet(fleet, StoreLink.CUT)
+        restart_and_move_on(fleet)
+        fleet.run_cycle("d0")
+        fleet.run_cycle("d0")
+        assert not fleet.violations
+
+    def test_a_worker_that_left_a_poll_unanswered_gets_no_task(self, fleet):
+        """Guards against the same before an answer shows the restart."""
+        fleet.claim("d0")
+        run_cycles(fleet, "d0", 2)
+        owner = fleet.owner_by_name["d0"]
+        fleet.submit(1)
+        owner.learn_jobs()
+        owner.store.link = StoreLink.CUT
+        fleet.advance(1.0)
+        crash_all(fleet)
+        owner.poll_workers()
+        restart_all(fleet)
+        fleet.run_cycle("d0", plans_first=True)
+        assert not any(worker.running for worker in fleet.worker_by_id.values())
+
     def test_tasks_go_on_while_the_store_is_down(self, fleet):
         """Guards against an owner in doubt that starts nothing at all."""
         fleet.claim("d0")
@@ -64,3 +91,21 @@
         fleet.run_cycle("d1")
     fleet.owner_by_name["d1"].workers.cut_off(["w0"])
     fleet.run_cycle("d1")
+
+
+def restart_and_move_on(fleet):
+    """Restart w0, and let d1 start the task that waits for room on w1."""
+    fleet.crash("w0")
+    fleet.restart("w0")
+    fleet.end_a_run("w1", EndKind.DONE)
+    fleet.run_cycle("d1")
+
+
+def crash_all(fleet):
+    for worker_id in fleet.worker_by_id:
+        fleet.crash(worker_id)
+
+
+def restart_all(fleet):
+    for worker_id in fleet.worker_by_id:
+        fleet.restart(worker_id)
--- a/catkinport/jobs/worker_state.py
+++ b/catkinport/jobs/worker_state.py
@@ -131,6 +131,8 @@
         started_at: Unix time in seconds at which the worker process started; 0 before
             the first contact.
         contact_at: clock time in seconds at which its latest answer arrived.
+        contact_since: clock time in seconds since which the same process has answered
+            every poll; infinity while the latest poll had no answer.
         lease_until: clock time in seconds after which no run that was ordered can be
             running there.
         paced_at: ``contact_at`` of the answer by which the speed of filler tasks was
@@ -154,6 +156,7 @@
         self.vm_id = ""
         self.started_at = 0.0
         self.contact_at = float("-inf")
+        self.contact_since = float("inf")
         self.lease_until = 0.0
         self.paced_at = float("-inf")
         self.processed_end = 0
@@ -215,6 +218,17 @@
         """Return whether it has answered within `FRESH_CONTACT_SECONDS`."""
         return now - self.contact_at <= FRESH_CONTACT_SECONDS
 
+    def note_contact(self, now: float, is_restarted: bool) -> None:
+        """Record that an answer arrived, perhaps the first one since a restart."""
+        self.contact_at = now
+        is_interrupted = is_restarted or self.contact_since == float("inf")
+        if is_interrupted:
+            self.contact_since = now
+
+    def note_no_answer(self) -> None:
+        """Record that a poll had no answer, so the worker may have restarted."""
+        self.contact_since = float("inf")
+
     def may_start(self, now: float) -> bool:
         """Return whether it may get new tasks."""
         return (
--- a/catkinport/jobs/worker_watch.py
+++ b/catkinport/jobs/worker_watch.py
@@ -192,6 +192,7 @@
         if isinstance(outcome, WorkerLists):
             await self._apply_run_lists(worker, outcome, sent_at)
         elif isinstance(outcome, Unavailable):
+            worker.note_no_answer()
             await asyncio.sleep(POLL_PAUSE_SECONDS)
         else:
             self._session.check_fenced(outcome)
