Forget the clock of a worker that leaves a poll unanswered

Seen: no report from callers; found by reading and by the tests below. A task can run twice after a worker has restarted under its id.

Cause: leases end at a time on the worker's clock, which starts anew with the worker. A call that is sent with a time on the former clock reaches the restarted worker, for which that time is far ahead, so it grants its longest lease, 10 s in place of 4 s. It never shortens a lease. If the worker is cut off then, the owner gives its tasks up after 4.4 s and starts them elsewhere, while they run on. A successor that can't reach the worker waits too little for the same reason.

That the restarted worker grants 10 s is read from the protocol and was not tried against one.

Ruled out: to reckon with the longest lease everywhere, as every silent worker would then hold its tasks back for 10 s; and the limit on the age of the latest answer, 2 s, which is longer than a restart may take.

Change: after a poll without an answer the worker's clock is unknown until its next answer, so no call renews the lease or starts a run before that. A restart breaks the poll in flight. The next poll asks for an answer at once, so that a lost answer delays the renewal by one short call.

--- a/catkinport/platform/workers.py
+++ b/catkinport/platform/workers.py
@@ -136,7 +136,10 @@
     ) -> WorkerLists | Rejected | Unavailable:
         """Renew the worker's lease and read its lists of running and ended tasks.
 
-        The lease is not renewed while the worker's clock is unknown.
+        The lease is not renewed while the worker's clock is unknown. After a call
+        without an answer it is unknown, because the worker may have restarted under its
+        id: its clock would start anew, and a time on the former clock could be far
+        ahead of it. The worker then answers at once, so that the next call renews.
 
         Args:
             worker: the worker.
@@ -150,11 +153,14 @@
         until = self._lease_end(worker, lease_seconds)
         if until is not None:
             body["UntilMs"] = until
+        elif lease_seconds > 0:
+            wait_seconds = 0.0
         if wait_seconds > 0:
             body["WaitMs"] = int(wait_seconds * 1000)
         timeout_seconds = wait_seconds + HOLD_TIMEOUT_MARGIN_SECONDS
         reply = await self._call("worker-hold", worker, "/hold", body, timeout_seconds)
         if isinstance(reply, Unavailable):
+            self._clock_by_worker.pop(worker.worker_id, None)
             return reply
         if reply.status != 200:
             return self._decode_rejection("worker-hold", worker, reply)
