--- a/catkinport/jobs/session.py
+++ b/catkinport/jobs/session.py
@@ -69,6 +69,11 @@
         self._tasks: set[asyncio.Task[Any]] = set()
         self._is_over = False
 
+    @property
+    def is_resolved(self) -> bool:
+        """Whether no task of a former owner can be running on an unreached worker."""
+        return self.loaded_at > 0 and not self.dispatcher.unresolved_by_id
+
     def spawn(self, coroutine: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
         """Run a coroutine until the ownership ends.
 
