Store the report of a wave only over the version last seen

What callers saw: none is known to have seen it; found by reading. A wave that was reported as completed can be shown as running for good, or as completed while its owner has just reported it as running.

Cause: the status row of a wave was written without any condition. The store may lose the answer to a write and carry it out seconds later, so an older report, also one by a former owner, replaced a newer one that was confirmed.

Ruled out: a condition on the owner's row, because the status row is in another partition than that row and a transaction covers one partition.

Change: the row must have the version that was last seen; one that was never seen counts as absent. A report that is not stored is logged.

--- a/catkinport/platform/operator_rows.py
+++ b/catkinport/platform/operator_rows.py
@@ -17,7 +17,16 @@
 from ..policy.resources import Resources
 from ..ports.async_table import AsyncTable
 from ..ports.fleet_vms import UpkeepWave
-from ..ports.table import Committed, Row, RowKey, Transaction, Write
+from ..ports.table import (
+    ABSENT_VERSION,
+    Committed,
+    Condition,
+    Conflict,
+    Row,
+    RowKey,
+    Transaction,
+    Write,
+)
 from ..runtime.logs import log_event
 from . import decoding
 
@@ -84,6 +93,7 @@
         self._table = table
         self._rows = rows
         self._undecodable_versions: set[int] = set()
+        self._status_version_by_wave: dict[int, int] = {}
 
     def list_waves(self) -> list[UpkeepWave]:
         """Return the requested waves; log and leave out rows that cannot be decoded."""
@@ -107,11 +117,34 @@
         return waves
 
     async def report(self, wave: int, is_completed: bool) -> bool:
-        """Write the status row of a wave; return whether it is stored."""
+        """Write the status row of a wave; return whether it is stored.
+
+        The row must still have the version that was last seen, as the store may carry
+        out a write seconds later, after a newer one. A row that was never seen counts
+        as absent. After a conflict the current version is known, and the caller decides
+        again what to report.
+        """
+        row_key = RowKey(STATUS_TABLE, f"{WAVE_PREFIX}{wave}")
         value = {"Wave": wave, "State": "completed" if is_completed else "running"}
-        write = Write(RowKey(STATUS_TABLE, f"{WAVE_PREFIX}{wave}"), value)
-        outcome = await self._table.commit(Transaction([], [write]))
-        return isinstance(outcome, Committed)
+        version = self._status_version_by_wave.get(wave, ABSENT_VERSION)
+        outcome = await self._table.commit(
+            Transaction([Condition(row_key, version)], [Write(row_key, value)])
+        )
+        if isinstance(outcome, Committed | Conflict):
+            seen = outcome.versions_by_row_key.get(row_key, version)
+            self._status_version_by_wave[wave] = seen
+        if isinstance(outcome, Committed):
+            return True
+        log_event(
+            logger,
+            "wave report not stored",
+            wave=wave,
+            completed=is_completed,
+            version=version,
+            outcome=type(outcome).__name__,
+            reason=getattr(outcome, "reason", ""),
+        )
+        return False
 
 
 def _decode_queue(entry: Mapping[str, Any]) -> Queue:
