Release a claim whose commit is still outstanding

What callers saw: none is known to have seen it; found by reading. A keyed request is refused as "not run", and every retry under its key is then answered "unknown, still running" for good.

Cause: an entry that gives a claim up without confirmation reads its row and does nothing where no row is stored. The store may carry the commit out after that read, and the row then stays claimed although no request was sent. The same happened when the commit took effect between the read and the write of the release, as the conflict was taken for an outcome of another member, and when a commit without an answer was followed by a refused one, as nothing was released then.

Ruled out: waiting before the read, as there is no bound for how late the store carries a commit out.

Change: the release writes "not run" also where no row is stored or an earlier attempt has released it. The outstanding commit depends on the former version and can no longer take effect. A release that conflicts reads again. A claim that another attempt holds is left alone.

A claim that is given up in a store outage costs one more write than before; none is written for a claim that was refused only.

--- a/catkinport/entry/claims.py
+++ b/catkinport/entry/claims.py
@@ -148,19 +148,22 @@
         )
         row_key = claim_key(team, idempotency_key)
         version = ABSENT_VERSION
+        is_undecided = False
         for _ in range(N_ATTEMPTS):
             outcome = self._commit(row_key, version, row)
             if isinstance(outcome, Committed):
                 return Claim(row_key, outcome.versions_by_row_key[row_key], row)
-            if isinstance(outcome, Unavailable) and not outcome.may_have_committed:
-                return _refuse_without_store(outcome)
+            if isinstance(outcome, Unavailable):
+                is_undecided |= outcome.may_have_committed
+                if not outcome.may_have_committed:
+                    if is_undecided:
+                        self._release_later(row_key, row)
+                    return _refuse_without_store(outcome)
             found = self._read_back(row_key, row)
             if not isinstance(found, int):
                 return found
             version = found
-        # A commit may take effect after its answer was lost. No request is sent under
-        # this token any more, so such a row is safe to mark as not run.
-        self._writer.tell(RetryOnTick(lambda: self._release_unconfirmed(row_key, row)))
+        self._release_later(row_key, row)
         return NotRun(Reason.STORE_UNAVAILABLE, "claim", "", "", RETRY_AFTER_SECONDS)
 
     def finish(self, claim: Claim, status: int, content_type: str, content: bytes):
@@ -215,16 +218,26 @@
         outcome = self._services.table.commit(transaction)
         return not isinstance(outcome, Unavailable)
 
+    def _release_later(self, row_key: RowKey, row: ClaimRow) -> None:
+        """Release a claim that may be stored, now or later, and is not used."""
+        self._writer.tell(RetryOnTick(lambda: self._release_unconfirmed(row_key, row)))
+
     def _release_unconfirmed(self, row_key: RowKey, row: ClaimRow) -> bool:
-        """Mark a claim as not run if its commit took effect without confirmation."""
+        """Mark a claim without confirmation as not run; return whether that is done.
+
+        No request is sent under its token. A key that nobody has claimed is marked too:
+        the store may carry the claim out later, but not over a newer version.
+        """
         rows = self._services.table.read([row_key])
         if isinstance(rows, Unavailable):
             return False
         found = rows.get(row_key)
-        if found is None or found.value["token"] != row["token"]:
+        if found is not None and _is_of_other_attempt(found.value, row):
             return True
+        version = found.version if found is not None else ABSENT_VERSION
         not_run = {**row, "state": ClaimState.NOT_RUN}
-        return self._write(Claim(row_key, found.version, row), not_run)
+        transaction = _conditional_write(row_key, version, not_run)
+        return isinstance(self._services.table.commit(transaction), Committed)
 
     def _commit(
         self, row_key: RowKey, version: int, row: Mapping[str, Any]
@@ -238,10 +251,7 @@
         """Return an outcome, or the row version for the next attempt to commit."""
         rows = self._services.table.read([row_key])
         if isinstance(rows, Unavailable):
-            # The claim may have been written. This attempt does not use it.
-            self._writer.tell(
-                RetryOnTick(lambda: self._release_unconfirmed(row_key, row))
-            )
+            self._release_later(row_key, row)
             return _refuse_without_store(rows)
         found = rows.get(row_key)
         if found is None:
@@ -293,6 +303,11 @@
     return hashlib.sha256(head + body).hexdigest()
 
 
+def _is_of_other_attempt(found: Mapping[str, Any], row: ClaimRow) -> bool:
+    is_own = found["token"] == row["token"]
+    return not is_own and found["state"] != ClaimState.NOT_RUN
+
+
 def _conditional_write(
     row_key: RowKey, version: int, row: Mapping[str, Any]
 ) -> Transaction:
