Use no units of a team's limit that a late commit may still return

What callers saw: none is known to have seen it; found by reading.

Cause: an entry returns idle units by a write on the version of the row. If that write has no answer, and the units are needed again before the store carries it out, the entry finds its amount unchanged in the row and uses it without a write. The return is carried out later, as the version is still the same, and another entry takes the units.

Evidence: with a table that holds commits back, an entry used 5 units while the row gave it 0.

Ruled out: waiting until the outcome is known, as there is no bound for how late the store carries a commit out.

Change: the entry remembers the version on which its latest commit without an answer depends. While the row has that version, the entry writes the row also where nothing has to change, and uses the amounts once that is stored: the outstanding commit then depends on a former version.

One more write follows each lost answer; none without one.

--- a/catkinport/entry/allowances.py
+++ b/catkinport/entry/allowances.py
@@ -22,7 +22,15 @@
     reclaim,
     target_amount,
 )
-from ..ports import Committed, Condition, Row, Transaction, Unavailable, Write
+from ..ports import (
+    ABSENT_VERSION,
+    Committed,
+    Condition,
+    RowKey,
+    Transaction,
+    Unavailable,
+    Write,
+)
 from ..runtime import log_event
 from ..state import allowance_key
 from . import messages
@@ -68,6 +76,9 @@
         self._interval_by_team: dict[str, float] = {}
         self._due_by_team: dict[str, float] = {}
         self._asked_at_by_team: dict[str, float] = {}
+        # Version of the row on which the latest commit without an answer depends. It
+        # may still be carried out while the row has this version.
+        self._undecided_version_by_team: dict[str, int] = {}
         self._executor = ThreadPoolExecutor(2, thread_name_prefix="allowance-peers")
 
     def on_stop(self) -> None:
@@ -149,6 +160,9 @@
     ) -> dict[str, int] | None:
         """Apply ``change`` to the row.
 
+        The row is also written without a change if an earlier commit on the same
+        version had no answer: that commit may return units later that are used again.
+
         Returns:
             The amounts in the row, or ``None`` if it could not be changed.
         """
@@ -159,35 +173,39 @@
             if isinstance(rows, Unavailable):
                 return None
             row = rows.get(row_key)
+            version = row.version if row else ABSENT_VERSION
+            is_undecided = self._undecided_version_by_team.get(team) == version
             amounts = dict(row.value["amount_by_holder"]) if row else {}
             changed = change(amounts)
-            if changed == amounts:
+            if changed == amounts and not is_undecided:
                 self._publish_reading(member_id, team, limit, amounts)
                 return amounts
-            if not self._lower_use_first(member_id, team, amounts, changed):
+            self._lower_use_first(member_id, team, amounts, changed)
+            if changed == amounts and not is_undecided:
                 continue
-            outcome = table.commit(_build_write(row_key, row, changed))
+            outcome = table.commit(_build_write(row_key, version, changed))
             if isinstance(outcome, Committed):
                 self._publish_reading(member_id, team, limit, changed)
                 return changed
-            if isinstance(outcome, Unavailable) and not outcome.may_have_committed:
-                return None
+            if isinstance(outcome, Unavailable):
+                if not outcome.may_have_committed:
+                    return None
+                self._undecided_version_by_team[team] = version
         return None
 
     def _lower_use_first(
         self, member_id: str, team: str, amounts: dict, changed: dict
-    ) -> bool:
+    ) -> None:
         """Stop using the units to be returned before another holder can take them.
 
-        Units in use are kept in ``changed``. Return whether there is still a change.
+        Units in use are kept in ``changed``, so that it may be equal to ``amounts``.
         """
         new = changed.get(member_id, 0)
         if new >= amounts.get(member_id, 0):
-            return True
+            return
         in_use = self._dispatcher.ask(messages.LowerAllowance(team, new))
         if in_use > new:
             changed[member_id] = min(in_use, amounts[member_id])
-        return changed != amounts
 
     def _publish_reading(
         self, member_id: str, team: str, limit: int, amounts: dict[str, int]
@@ -301,7 +319,6 @@
     return snapshot.environment.team_by_name[team].max_slots
 
 
-def _build_write(row_key, row: Row | None, amounts: dict[str, int]) -> Transaction:
-    version = row.version if row else 0
+def _build_write(row_key: RowKey, version: int, amounts: dict[str, int]) -> Transaction:
     value = {"amount_by_holder": amounts}
     return Transaction([Condition(row_key, version)], [Write(row_key, value)])
--- a/catkinport/entry/tests/test_late_commits.py
+++ b/catkinport/entry/tests/test_late_commits.py
@@ -2,11 +2,24 @@
 
 import pytest
 
+from ...policy.limits import HolderNeed
 from ...standins import LateTable
+from ...state import allowance_key
+from ..allowances import N_ATTEMPTS, RESOURCE, AllowanceActor
 from ..claims import Claim, Claims
-from ..messages import CommitClaim, RetryOnTick
+from ..messages import (
+    AllowanceRead,
+    CommitClaim,
+    ListNeeds,
+    LowerAllowance,
+    RetryOnTick,
+    Shortage,
+    TeamNeed,
+)
 from .cluster import STORE_DOWN, EntryCluster
 
+ALLOWANCE = allowance_key("blue", RESOURCE)
+
 
 class RefusingTable:
     """A table that can refuse all commits, and do something after the next read."""
@@ -126,3 +139,77 @@
         late.table.carry_out_held()
         late.writer.run_retries()
         assert not isinstance(late.take(), Claim)
+
+
+class FakeDispatcher:
+    """Uses the amounts that it is told, and needs what the test sets."""
+
+    def __init__(self):
+        self.need = HolderNeed(0, 0)
+        self.reading = None
+
+    def ask(self, message):
+        if isinstance(message, ListNeeds):
+            return {"blue": TeamNeed(self.need, True, self.reading)}
+        assert isinstance(message, LowerAllowance)
+        self.reading = self.reading._replace(own=min(self.reading.own, message.amount))
+        return self.need.in_use
+
+    def tell(self, message):
+        assert isinstance(message, AllowanceRead)
+        self.reading = message.reading
+
+
+class LateAllowances:
+    """The allowances of an entry whose table holds commits back."""
+
+    def __init__(self, cluster):
+        self.table = LateTable(cluster.table)
+        self.dispatcher = FakeDispatcher()
+        services = cluster.entries[0].services._replace(table=self.table)
+        self._actor = AllowanceActor.start(services, self.dispatcher)
+
+    def balance(self, n_wanted):
+        """Adjust the amount to the need."""
+        self.dispatcher.need = HolderNeed(0, n_wanted)
+        self._actor.ask(Shortage("blue", is_changed=True))
+
+    def stored_amount(self):
+        row = self.table.read([ALLOWANCE])[ALLOWANCE]
+        return row.value["amount_by_holder"].get("e-0", 0)
+
+    def stop(self):
+        self._actor.stop()
+
+
+@pytest.fixture
+def allowances(cluster):
+    allowances = LateAllowances(cluster)
+    yield allowances
+    allowances.stop()
+
+
+class TestLateAllowance:
+    """A return of units without an answer may be stored after they are used again."""
+
+    def test_units_of_a_late_return_are_not_used(self, allowances):
+        """Guards against entries that together exceed the team's limit.
+
+        The units that the late return frees may be taken by another entry.
+        """
+        allowances.balance(n_wanted=4)
+        assert allowances.dispatcher.reading.own == allowances.stored_amount() == 5
+        allowances.table.n_held = N_ATTEMPTS
+        allowances.balance(n_wanted=0)
+        allowances.balance(n_wanted=4)
+        allowances.table.carry_out_held()
+        assert allowances.dispatcher.reading.own <= allowances.stored_amount()
+
+    def test_units_are_used_again_after_a_late_return(self, allowances):
+        """Guards against an entry that never uses its amount again."""
+        allowances.balance(n_wanted=4)
+        allowances.table.n_held = N_ATTEMPTS
+        allowances.balance(n_wanted=0)
+        allowances.table.carry_out_held()
+        allowances.balance(n_wanted=4)
+        assert allowances.dispatcher.reading.own == allowances.stored_amount() == 5
