Start no tasks on cores that a late commit may still return

What callers saw: none is known to have seen it; found by reading.

Cause: the owner of a pool returns idle cores by a write on the version of the team's row. If that write has no answer, and a task needs the cores before the store carries it out, the owner finds them in the row and commits the start without a write to it. The return is carried out later, as the version is still the same, and another pool takes the cores.

Change: the owner remembers the version on which its latest return without an answer depends. While the row has that version, the transaction that starts tasks writes the row too, so that the return depends on a former version. `LateTable` can hold selected commits only.

A lost answer costs one more write, in a transaction that is sent anyway.

--- a/catkinport/controller/allowances.py
+++ b/catkinport/controller/allowances.py
@@ -80,6 +80,9 @@
         self._next_check_at = 0.0
         # Teams in whose rows the pool may hold cores; ``None`` until all were read.
         self._holding_teams: set[str] | None = None
+        # Version of the row on which the latest return without an answer depends. It
+        # may still be carried out while the row has this version.
+        self._undecided_version_by_team: dict[str, int] = {}
 
     def read(self, teams: Collection[str]) -> dict[str, Allowance] | Unavailable:
         """Read the allowance rows of those ``teams`` that are in the configuration."""
@@ -113,14 +116,16 @@
     ) -> tuple[list[Condition], list[Write]] | None:
         """Return conditions and writes by which the pool holds ``needed`` cores.
 
-        Both are empty if it holds them already. ``None`` means that the limit does not
-        allow it.
+        Both are empty if it holds them already and no return of cores may still be
+        carried out. ``None`` means that the limit does not allow it.
         """
-        amount = math.ceil(needed)
         pool = self._state.pool
-        if amount > allowance.available(pool):
+        if math.ceil(needed) > allowance.available(pool):
             return None
-        if amount <= allowance.held(pool):
+        amount = max(math.ceil(needed), allowance.held(pool))
+        undecided_version = self._undecided_version_by_team.get(allowance.team)
+        is_undecided = undecided_version == allowance.version
+        if amount == allowance.held(pool) and not is_undecided:
             return [], []
         if self._holding_teams is not None:
             self._holding_teams.add(allowance.team)
@@ -167,6 +172,8 @@
         ]
         writes = [Write(allowance.row_key, value)]
         outcome = self._table.commit(Transaction(conditions, writes))
+        if isinstance(outcome, Unavailable) and outcome.may_have_committed:
+            self._undecided_version_by_team[allowance.team] = allowance.version
         return isinstance(outcome, Committed)
 
 
--- a/catkinport/standins/_late_table.py
+++ b/catkinport/standins/_late_table.py
@@ -1,7 +1,7 @@
 """Table wrapper for tests of commits that are carried out late."""
 
 from collections import deque
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from typing import Any
 
 from ..ports import CommitOutcome, Reason, Transaction, Unavailable
@@ -15,7 +15,10 @@
 
     Args:
         table: table to which other calls are passed on.
-        n_held: number of the next commits that are held back.
+        n_held: number of the next selected commits that are held back.
+
+    Attributes:
+        is_selected: tells which commits may be held back; all, unless a test sets it.
 
     Example:
         >>> from catkinport.ports import RowKey, Write
@@ -35,13 +38,14 @@
         self._table = table
         self._held: deque[Transaction] = deque()
         self.n_held = n_held
+        self.is_selected: Callable[[Transaction], bool] = lambda transaction: True
 
     def __getattr__(self, name: str) -> Any:
         return getattr(self._table, name)
 
     def commit(self, transaction: Transaction) -> CommitOutcome:
         """Commit one transaction, or hold it back without an answer."""
-        if self.n_held == 0:
+        if self.n_held == 0 or not self.is_selected(transaction):
             return self._table.commit(transaction)
         self.n_held -= 1
         self._held.append(transaction)
