Settle a round without an answer before the next one is planned

What callers saw: none is known to have seen it; found by reading.

Cause: the owner of a pool planned a new round after a commit of starts without an answer. The store may carry that commit out later, as the rows of its jobs are unchanged. Its starts then took effect beside those of the new round, or after the cores that were idle meanwhile had been returned. If it made the next commit of the same starts conflict, the owner took the conflict for a proof that nothing was stored, forgot the starts, and treated the job as started by another owner.

Evidence: with a table that holds commits back, a job ended as "unknown" with no start, and twice 2 tasks ran under a limit for one.

Ruled out: a condition on the team's row in every round. It keeps late starts off returned cores, but not off those that a newer round uses, and rounds of pools that share a team would conflict.

Change: a round without an answer is committed again, unchanged, before another one is planned. Either commit takes effect and the other conflicts. Its expected starts are kept until then, and no cores are returned.

After a lost answer the pool plans nothing new for one step of 0.5 s or longer.

--- a/catkinport/controller/placement_rounds.py
+++ b/catkinport/controller/placement_rounds.py
@@ -1,6 +1,7 @@
 """Placement rounds, each of which plans starts and commits them in one transaction."""
 
 from collections.abc import Mapping, Sequence
+from typing import NamedTuple
 
 from ..policy.placement import (
     PlacementPlan,
@@ -39,6 +40,11 @@
 every 0.5 s took 3% of a core per pool with 300 jobs waiting."""
 
 
+class _Round(NamedTuple):
+    changes: Sequence[JobChange]
+    transaction: Transaction
+
+
 class PlacementRound:
     """Places the waiting jobs of a pool.
 
@@ -66,9 +72,22 @@
         self._idle_inputs: tuple | None = None
         self._next_replan_at = 0.0
         self._last_checked_for_parking: tuple | None = None
+        self._undecided: _Round | None = None
+
+    @property
+    def is_undecided(self) -> bool:
+        """Whether the starts of a round may still take effect."""
+        return self._undecided is not None
 
     def step(self) -> None:
-        """Plan a round, commit its starts and free capacity for other jobs."""
+        """Plan a round, commit its starts and free capacity for other jobs.
+
+        A round whose commit had no answer is committed again before another one is
+        planned. Its starts would otherwise take effect beside those of the other one.
+        """
+        if self._undecided is not None:
+            self._commit_round(self._undecided)
+            return
         waiting = self._list_waiting()
         if not waiting:
             return
@@ -222,11 +241,22 @@
             [*job_conditions(self._state, changes), *conditions],
             [*job_writes(changes), *writes],
         )
-        outcome = self._services.table.commit(transaction)
-        apply_outcome(self._state, changes, outcome)
-        if isinstance(outcome, Conflict):
-            for job, row in changes:
+        self._commit_round(_Round(changes, transaction))
+
+    def _commit_round(self, planned: _Round) -> None:
+        """Commit a round, or repeat the commit of the undecided one."""
+        is_repeat = self.is_undecided
+        self._undecided = None
+        outcome = self._services.table.commit(planned.transaction)
+        apply_outcome(self._state, planned.changes, outcome)
+        # The conflict of a repeat may come from the first commit, whose starts are then
+        # found in the rows.
+        if isinstance(outcome, Conflict) and not is_repeat:
+            for job, row in planned.changes:
                 self._leases.forget_start(job.job_id, row["attempt"], row["worker_vm"])
+        is_failed = isinstance(outcome, Unavailable)
+        if is_failed and (is_repeat or outcome.may_have_committed):
+            self._undecided = planned
         self._leases.sync()
 
     def _reserve_allowances(
--- a/catkinport/controller/pool_manager.py
+++ b/catkinport/controller/pool_manager.py
@@ -92,7 +92,8 @@
             return self.state.is_owner
         self._run_tasks()
         self._run_vms()
-        self._allowances.return_idle()
+        if not self._round.is_undecided:
+            self._allowances.return_idle()
         return self.state.is_owner
 
     def _is_lease_held(self) -> bool:
