Start no attempt whose requeue may be stored later

What callers saw: none is known to have seen it; found by reading.

Cause: an attempt that its worker refused, or whose worker was lost before the start was sent, is queued again. If the commit of that had no answer, the owner sent the start again in the next step, and the worker could accept it. The store then carried the requeue out, as the row was unchanged, and the job was placed once more while its first attempt ran.

Evidence: with a table that holds the requeue back and a worker that refuses one start, a job that must not run twice was started twice.

Change: an attempt keeps the reason for which it is queued again. From then on it is only queued, until that is stored, and never started.

Result: the test of the second run failed before, the one that a refused start is queued until that is stored passed before; both pass now, as do the tests of controller and standins.

--- a/catkinport/controller/pool_state.py
+++ b/catkinport/controller/pool_state.py
@@ -79,6 +79,9 @@
         absent_after: the worker does not have the task if its answer to a call sent
             after this time lacks it.
         needs_start: whether a start must still be sent to the worker.
+        requeue_reason: why the attempt cannot have started, so that its job is queued
+            again; else empty. Such an attempt is never started, as the store may have
+            queued the job already.
         is_start_uncertain: whether a start got no answer, so that the worker may run
             it.
         is_lost: whether the VM is gone or has rebooted since the start.
@@ -99,6 +102,7 @@
     lease_until: float
     absent_after: float
     needs_start: bool = False
+    requeue_reason: str = ""
     is_start_uncertain: bool = False
     is_lost: bool = False
     is_absent: bool = False
--- a/catkinport/controller/task_starts.py
+++ b/catkinport/controller/task_starts.py
@@ -42,29 +42,34 @@
 
     def start_pending(self) -> None:
         """Start every attempt that needs it; requeue the jobs of those not started."""
-        pending, unsent = self._sort_pending()
+        pending = self._list_pending()
         calls = [lambda entry=entry: self._call(entry) for entry in pending]
         answers = self._services.run_all(calls)
-        refused = [(job, "not started: the worker was lost") for job in unsent]
         for entry, answer in zip(pending, answers, strict=True):
             if answer is None:
                 self._record_started(entry)
             elif isinstance(answer, Unknown):
                 self._record_unanswered(entry)
             elif self._is_refused(entry, answer):
-                refused.append((entry.job, f"not started: {answer.reason}"))
-        changes = [
-            JobChange(job, transitions.requeue(job.row, why)) for job, why in refused
-        ]
+                entry.task.requeue_reason = f"not started: {answer.reason}"
+        self._requeue_refused()
+
+    def _requeue_refused(self) -> None:
+        changes = []
+        for task in self._state.task_by_job.values():
+            job = self._state.job_of(task)
+            if task.requeue_reason and job is not None:
+                row = transitions.requeue(job.row, task.requeue_reason)
+                changes.append(JobChange(job, row))
         commit_changes(self._services.table, self._state, changes)
 
-    def _sort_pending(self) -> tuple[list[_Pending], list[Job]]:
-        """Return attempts to start now, and jobs that certainly cannot have started."""
+    def _list_pending(self) -> list[_Pending]:
+        """Return the attempts to start now; mark those that have to be requeued."""
         now = self._services.clock.now()
-        pending, unsent = [], []
+        pending = []
         for task in self._state.task_by_job.values():
             job = self._state.job_of(task)
-            if not task.needs_start or job is None:
+            if not task.needs_start or task.requeue_reason or job is None:
                 continue
             link = self._state.link_by_vm.get(task.vm_id)
             is_usable = link is not None and not link.is_silent(now)
@@ -76,8 +81,8 @@
                 # from a report or when the worker counts as lost.
                 task.needs_start = False
             else:
-                unsent.append(job)
-        return pending, unsent
+                task.requeue_reason = "not started: the worker was lost"
+        return pending
 
     def _call(self, entry: _Pending) -> None | NotRun | Unknown:
         specification = self._specify(entry)
--- a/catkinport/controller/tests/test_late_commits.py
+++ b/catkinport/controller/tests/test_late_commits.py
@@ -125,3 +125,47 @@
         cluster.run(*managers, seconds=40)
         # Each job has all 4 cores.
         assert len(cluster.workers.list_running_jobs()) == 1
+
+
+class TestLateRequeue:
+    """A requeue without an answer may be stored after the attempt was started."""
+
+    def test_late_requeue_does_not_start_a_job_twice(self):
+        """Guards against a second run of a job that must not run twice.
+
+        Its worker refuses the attempt at first, and would accept it later.
+        """
+        cluster = Cluster(wrap_table=LateTable)
+        table = cluster.manager_table
+        cluster.add_vm("vm-1")
+        manager = cluster.add_owner()
+        cluster.run(manager, seconds=1)
+        cluster.workers.down.add("w-vm-1")
+        table.is_selected, table.n_held = _is_requeue, 1
+        cluster.submit("j", is_restartable=False, run_seconds=10_000.0)
+        manager.notice_job("p", "j")
+        cluster.run(manager, seconds=0.5)
+        assert table.n_held == 0
+        cluster.workers.down.clear()
+        cluster.run(manager, seconds=1)
+        table.carry_out_held()
+        cluster.run(manager, seconds=90)
+        assert cluster.job("j")["state"] == "running"
+        assert cluster.workers.count_starts("j") == 1
+
+    def test_refused_start_is_requeued_until_that_is_stored(self):
+        """Guards against a job that waits for ever after a lost requeue."""
+        cluster = Cluster(wrap_table=LateTable)
+        table = cluster.manager_table
+        cluster.add_vm("vm-1")
+        manager = cluster.add_owner()
+        cluster.run(manager, seconds=1)
+        cluster.workers.down.add("w-vm-1")
+        table.is_selected, table.n_held = _is_requeue, 3
+        cluster.submit("j")
+        manager.notice_job("p", "j")
+        cluster.run(manager, seconds=3)
+        assert table.n_held == 0
+        cluster.workers.down.clear()
+        cluster.run(manager, seconds=60)
+        assert cluster.job("j")["state"] == "done"
