Name the stored input of a job by its content

What callers saw: none is known to have seen it; found by reading. A job with an input over 32 KB can run with the input of another submission under the same idempotency key.

Cause: the input was written without a condition, under a name made of the queue and the job's id, before the row was inserted. A submission that was refused as "not run" because its input had no answer could still have it stored later, over that of the job accepted since. And a second submission with another input replaced the first one's without any fault of the store, and was answered as its repetition, as both rows named the same object.

Evidence: with an object store that holds a write back, the accepted job had the refused one's input; a second submission with another input got 202.

Change: the name ends with the digest of the content. A repeated or late write stores the same bytes, and another input makes another row, which is refused under the same key as for inputs in the row.

A submission that is repeated across the update, with an input over 32 KB, is refused as different from its row of before.

--- a/catkinport/entry/jobs.py
+++ b/catkinport/entry/jobs.py
@@ -1,5 +1,6 @@
 """Submits, shows and cancels jobs for callers."""
 
+import hashlib
 import logging
 import uuid
 from concurrent.futures import ThreadPoolExecutor
@@ -190,12 +191,18 @@
         return NotRun(Reason.STORE_UNAVAILABLE, "submit", "", "", 1.0)
 
     def _store_input(self, job: JobRow, queue: str, job_id: str) -> NotRun | None:
-        """Move an input over 32 KB to the object store before the row refers to it."""
+        """Move an input over 32 KB to the object store before the row refers to it.
+
+        The object is named by its content, so that neither a repeated write nor one
+        that is carried out late replaces the input of another submission.
+        """
         text = job["input"]
         if len(text) <= MAX_INLINE_INPUT_CHARACTERS:
             return None
-        reference = f"inputs/{queue}/{job_id}"
-        outcome = self._services.objects.put(reference, text.encode())
+        content = text.encode()
+        digest = hashlib.sha256(content).hexdigest()
+        reference = f"inputs/{queue}/{job_id}/{digest}"
+        outcome = self._services.objects.put(reference, content)
         if isinstance(outcome, Unavailable):
             return _refuse_without_store(outcome)
         job["input"] = ""
--- a/catkinport/entry/tests/test_late_commits.py
+++ b/catkinport/entry/tests/test_late_commits.py
@@ -3,10 +3,12 @@
 import pytest
 
 from ...policy.limits import HolderNeed
+from ...ports import Reason, Unavailable
 from ...standins import LateTable
-from ...state import allowance_key
+from ...state import allowance_key, job_key
 from ..allowances import N_ATTEMPTS, RESOURCE, AllowanceActor
 from ..claims import Claim, Claims
+from ..job_requests import MAX_INLINE_INPUT_CHARACTERS
 from ..messages import (
     AllowanceRead,
     CommitClaim,
@@ -16,8 +18,9 @@
     Shortage,
     TeamNeed,
 )
-from .cluster import STORE_DOWN, EntryCluster
+from .cluster import AUTHORIZATION, STORE_DOWN, EntryCluster, MemoryObjects
 
+LARGE_CHARACTERS = MAX_INLINE_INPUT_CHARACTERS + 1
 ALLOWANCE = allowance_key("blue", RESOURCE)
 
 
@@ -213,3 +216,69 @@
         allowances.table.carry_out_held()
         allowances.balance(n_wanted=4)
         assert allowances.dispatcher.reading.own == allowances.stored_amount() == 5
+
+
+class LateObjects(MemoryObjects):
+    """An object store that holds writes back without an answer."""
+
+    def __init__(self):
+        super().__init__()
+        self.n_held = 0
+        self._held = []
+
+    def put(self, name, content):
+        if self.n_held == 0:
+            return super().put(name, content)
+        self.n_held -= 1
+        self._held.append((name, content))
+        return Unavailable(Reason.TIMEOUT, "object-put", may_have_committed=True)
+
+    def carry_out_held(self):
+        while self._held:
+            super().put(*self._held.pop(0))
+
+
+class TestLateInput:
+    """An input over 32 KB may be stored after the job of a newer submission."""
+
+    @staticmethod
+    def submit(cluster, text):
+        body = {"command": "sleep", "input": text}
+        headers = {**AUTHORIZATION, "Idempotency-Key": "one"}
+        path = "/v1/queues/j/jobs"
+        return cluster.entries[0].api("POST", path, headers=headers, json=body)
+
+    @staticmethod
+    def stored_input(cluster, answer):
+        row_key = job_key("j", answer.json()["job_id"])
+        row = cluster.table.read([row_key])[row_key].value
+        return cluster.objects.get(row["input_reference"]).decode()
+
+    @pytest.fixture
+    def cluster(self, cluster):
+        queue = cluster.environment.queue_by_name["q"]._replace(name="j")
+        queue_by_name = {**cluster.environment.queue_by_name, "j": queue}
+        cluster.environment = cluster.environment._replace(queue_by_name=queue_by_name)
+        cluster.objects = LateObjects()
+        services = cluster.entries[0].services._replace(objects=cluster.objects)
+        cluster.entries[0].engine._jobs._services = services
+        return cluster
+
+    def test_late_input_of_a_refused_job_does_not_replace_that_of_a_stored_one(
+        self, cluster
+    ):
+        """Guards against a job that runs with the input of another submission."""
+        cluster.objects.n_held = 1
+        refused = self.submit(cluster, "a" * LARGE_CHARACTERS)
+        assert refused.headers["Catkin-Outcome"] == "not-run"
+        accepted = self.submit(cluster, "b" * LARGE_CHARACTERS)
+        assert accepted.status == 202
+        cluster.objects.carry_out_held()
+        assert set(self.stored_input(cluster, accepted)) == {"b"}
+
+    def test_key_of_a_stored_job_is_refused_with_another_input(self, cluster):
+        """Guards against a second submission that replaces the input of the first."""
+        accepted = self.submit(cluster, "a" * LARGE_CHARACTERS)
+        assert self.submit(cluster, "b" * LARGE_CHARACTERS).status != 202
+        assert self.submit(cluster, "a" * LARGE_CHARACTERS).status == 202
+        assert set(self.stored_input(cluster, accepted)) == {"a"}
