Confirm an undrain of an active VM by a write

What callers saw: none is known to have seen it; found by reading. A VM drains after its operator was told that it serves.

Cause: a drain without an answer is reported as unknown, and the store may carry it out later. An undrain meanwhile found the VM active and confirmed that without a write. The drain depends on the version of the VM's row, which was still the same.

Evidence: with a table that holds commits back, a VM was draining after a confirmed undrain.

Ruled out: the same for owners of pools. Their changes depend on the ownership, and each step of the owner corrects what a late one has left. A write in each step would cost more than that.

Change: where an operator's change finds the wanted state, the row is written with the token of the change, in a transaction of its own that does not touch the pool or the generation. A lost answer to it is read back by that token, as for other changes.

--- a/catkinport/fleet/change.py
+++ b/catkinport/fleet/change.py
@@ -155,7 +155,7 @@
         return Conflict({vm_key(change.vm_id): version})
     decision = change.decide(VmView(vm, _pools(reading)))
     if isinstance(decision, Unchanged):
-        return _describe(change.vm_id, cast(VmRow, vm), version)
+        return _confirm_unchanged(table, change, cast(VmRow, vm), version)
     if isinstance(decision, Busy):
         return VmConflict(change.vm_id, version)
     if isinstance(decision, Refused):
@@ -166,6 +166,25 @@
     return _commit(table, change, reading, plan)
 
 
+def _confirm_unchanged(
+    table: Table, change: VmChange, vm: VmRow, version: int
+) -> VmOutcome | Conflict:
+    """Confirm that the VM is in the wanted state.
+
+    For an operator the row is written with the token. An earlier change without an
+    answer then depends on a former version, so that the store cannot carry it out any
+    more.
+    """
+    if change.fence is not None:
+        return _describe(change.vm_id, vm, version)
+    row_key = vm_key(change.vm_id)
+    write = Write(row_key, {**vm, "last_token": change.token})
+    outcome = table.commit(Transaction([Condition(row_key, version)], [write]))
+    if isinstance(outcome, Committed):
+        return _describe(change.vm_id, vm, outcome.versions_by_row_key[row_key])
+    return outcome
+
+
 def _check_conditions(
     change: VmChange, reading: _Reading, version: int
 ) -> VmConflict | Refused | None:
