Write a confirmed start or pause of maintenance under its change id

What callers saw: none is known to have seen it; found by reading. Maintenance starts after its operator was told that it is paused.

Cause: a start without an answer is reported as unknown, and the store may carry it out later. A pause meanwhile found maintenance paused and confirmed that without a write. The start depends on the version of the row, which was still the same.

Evidence: with a table that holds commits back, maintenance was started after a confirmed pause.

Ruled out: a write on every call. A repeat of the last change writes nothing more, as a test asks for.

Change: the row holds the id of its last change, and a change with another id is written also where nothing else differs.

--- a/catkinport/administration/maintenance.py
+++ b/catkinport/administration/maintenance.py
@@ -62,7 +62,11 @@
 
 
 def _set_state(call: OperatorCall, is_paused: bool) -> Any:
-    """Start or pause maintenance; idempotent."""
+    """Start or pause maintenance; idempotent.
+
+    Another change is written even where it changes nothing but its id. An earlier one
+    without an answer then depends on a former version and is not carried out any more.
+    """
     for _ in range(_MAX_COMMIT_ATTEMPTS):
         rows = call.context.table.read([MAINTENANCE])
         if isinstance(rows, Unavailable):
@@ -70,11 +74,14 @@
         row = rows.get(MAINTENANCE)
         current = _read_state(row)
         is_started = current["is_started"] or not is_paused
-        if (current["is_started"], current["is_paused"]) == (is_started, is_paused):
-            return dict(current)
         changed = MaintenanceRow(
-            is_paused=is_paused, is_started=is_started, operator=call.operator
+            is_paused=is_paused,
+            is_started=is_started,
+            operator=call.operator,
+            change_id=call.change_id,
         )
+        if changed == current:
+            return dict(current)
         outcome = _commit_state(call.context.table, row, changed)
         if isinstance(outcome, Committed):
             return dict(changed)
--- a/catkinport/state/rows.py
+++ b/catkinport/state/rows.py
@@ -202,11 +202,12 @@
 
 
 class MaintenanceRow(TypedDict):
-    """Whether the maintenance of VMs is started and whether it is paused."""
+    """Whether the maintenance of VMs is started and paused, and who said so last."""
 
     is_paused: bool
     is_started: bool
     operator: str
+    change_id: NotRequired[str]
 
 
 def owner_key(pool: str) -> RowKey:
