Use one table that holds commits back in all tests of late writes

The tests of the owner's rows and those of the product each had one. The asynchronous one now wraps the one of the stand-ins.

--- a/catkinport/jobs/tests/late_table.py
+++ b/catkinport/jobs/tests/late_table.py
@@ -1,7 +1,6 @@
 """A table that can lose the answer to a commit, and a session that uses it."""
 
 import asyncio
-from collections import deque
 
 from ...policy.leadership import OwnLease
 from ...ports import Reason, Unavailable
@@ -9,20 +8,19 @@
 from ...ports.clock import ManualClock
 from ...ports.table import CommitOutcome, Committed, Transaction, Write
 from ...runtime import Metrics
-from ...standins._table import MemoryTable
+from ...standins import LateTable, MemoryTable
 from ..dispatcher import Dispatcher
 from ..session import OwnerPorts, OwnerSession
 from ..tables import OWNER_KEY
 from .builders import make_configuration
 
-LOST = Unavailable(Reason.TIMEOUT, "table-commit", "store", "no answer", True)
 
-
-class LateTable:
+class AsyncLateTable:
     """In-memory `AsyncTable` whose commits the test can delay.
 
     Attributes:
-        n_lost: how many of the next commits get no answer and are held back.
+        memory: the rows.
+        late: holds back the next ``late.n_held`` commits.
         n_foreign: how many of the next commits come after another write of the row.
         foreign_write: that other write.
         n_commits: commits that were called.
@@ -31,12 +29,11 @@
 
     def __init__(self) -> None:
         self.memory = MemoryTable()
-        self.n_lost = 0
+        self.late = LateTable(self.memory)
         self.n_foreign = 0
         self.foreign_write: Write | None = None
         self.n_commits = 0
         self.commit_seconds = 0.0
-        self._held: deque[Transaction] = deque()
 
     def claim(self) -> int:
         """Write the owner's row; return its version, the fencing token."""
@@ -44,11 +41,6 @@
         assert isinstance(outcome, Committed)
         return outcome.versions_by_row_key[OWNER_KEY]
 
-    def carry_out_held(self) -> None:
-        """Carry out the commits that were held back, where their conditions hold."""
-        while self._held:
-            self.memory.commit(self._held.popleft())
-
     async def read_range(self, table: str, start: str = "", end: str = "") -> Snapshot:
         rows = self.memory.scan(table).rows
         kept = [r for r in rows if start <= r.row_key.key and not end]
@@ -60,11 +52,7 @@
         if self.n_foreign and self.foreign_write is not None:
             self.n_foreign -= 1
             self.memory.commit(Transaction([], [self.foreign_write]))
-        if self.n_lost:
-            self.n_lost -= 1
-            self._held.append(transaction)
-            return LOST
-        return self.memory.commit(transaction)
+        return self.late.commit(transaction)
 
 
 class SilentWorkers:
@@ -74,7 +62,7 @@
         return Unavailable(Reason.TIMEOUT, "worker-hold", worker.worker_id)
 
 
-def make_session(table: LateTable) -> OwnerSession:
+def make_session(table: AsyncLateTable) -> OwnerSession:
     """Return the session of a daemon that has just claimed the ownership."""
     clock = ManualClock(100.0)
     ports = OwnerPorts(table, SilentWorkers(), None, None, clock, Metrics())
--- a/catkinport/jobs/tests/test_fenced_rows.py
+++ b/catkinport/jobs/tests/test_fenced_rows.py
@@ -5,7 +5,7 @@
 from ...ports.table import Committed, Conflict, RowKey, Write
 from ..fenced_rows import MAX_CONFLICTS, FencedRows
 from ..tables import HEARTBEAT_KEY, WAVES_TABLE
-from .late_table import LateTable, make_session
+from .late_table import AsyncLateTable, make_session
 
 KEY = RowKey(WAVES_TABLE, "orders")
 
@@ -14,49 +14,49 @@
     return Write(KEY, {"value": value})
 
 
-def read(table: LateTable, key: RowKey = KEY) -> str:
+def read(table: AsyncLateTable, key: RowKey = KEY) -> str:
     return table.memory.read([key])[key].value["value"]
 
 
 class TestFencedRows:
     # Guards against a confirmed value that a late write replaces by an older one.
     def test_a_late_write_does_not_replace_a_newer_one(self):
-        table = LateTable()
+        table = AsyncLateTable()
         rows = FencedRows(make_session(table))
-        table.n_lost = 1
+        table.late.n_held = 1
         asyncio.run(rows.commit([write("old")]))
         asyncio.run(rows.commit([write("new")]))
-        table.carry_out_held()
+        table.late.carry_out_held()
         assert read(table) == "new"
 
     # Guards against an owner that takes its own late write for another owner's, or
     # that can never write the row again.
     def test_a_row_is_written_again_over_a_late_write(self):
-        table = LateTable()
+        table = AsyncLateTable()
         session = make_session(table)
         rows = FencedRows(session)
-        table.n_lost = 1
+        table.late.n_held = 1
         asyncio.run(rows.commit([write("old")]))
-        table.carry_out_held()
+        table.late.carry_out_held()
         assert isinstance(asyncio.run(rows.commit([write("new")])), Committed)
         assert read(table) == "new"
         assert not session.deposed.is_set()
 
     # Guards against the same for a row that was removed.
     def test_a_late_write_does_not_restore_a_removed_row(self):
-        table = LateTable()
+        table = AsyncLateTable()
         rows = FencedRows(make_session(table))
         asyncio.run(rows.commit([write("first")]))
-        table.n_lost = 1
+        table.late.n_held = 1
         asyncio.run(rows.commit([write("second")]))
         asyncio.run(rows.commit([Write(KEY, None)]))
-        table.carry_out_held()
+        table.late.carry_out_held()
         assert KEY not in table.memory.read([KEY])
         assert isinstance(asyncio.run(rows.commit([write("third")])), Committed)
 
     # Guards against orders of an owner that has lost the ownership.
     def test_a_replaced_owner_writes_nothing_and_ends(self):
-        table = LateTable()
+        table = AsyncLateTable()
         session = make_session(table)
         rows = FencedRows(session)
         asyncio.run(rows.commit([write("old")]))
@@ -67,7 +67,7 @@
 
     # Guards against a new owner that conflicts with what the former one has stored.
     def test_rows_that_were_read_are_replaced_without_a_conflict(self):
-        table = LateTable()
+        table = AsyncLateTable()
         asyncio.run(FencedRows(make_session(table)).commit([write("old")]))
         rows = FencedRows(make_session(table))
         rows.note_read(asyncio.run(table.read_range(WAVES_TABLE)).rows)
@@ -78,17 +78,17 @@
 
     # Guards against a renewal that fails because an earlier one had no answer.
     def test_a_row_without_condition_is_always_written(self):
-        table = LateTable()
+        table = AsyncLateTable()
         rows = FencedRows(make_session(table))
         renewal = Write(HEARTBEAT_KEY, {"value": "renewed"})
-        table.n_lost = 1
+        table.late.n_held = 1
         asyncio.run(rows.commit([write("old")], [renewal]))
         asyncio.run(rows.commit([write("new")], [renewal]))
         assert read(table, HEARTBEAT_KEY) == "renewed"
 
     # Guards against a commit that never returns while late writes keep coming.
     def test_a_commit_gives_up_after_some_conflicts(self):
-        table = LateTable()
+        table = AsyncLateTable()
         session = make_session(table)
         rows = FencedRows(session)
         table.n_foreign = MAX_CONFLICTS
--- a/catkinport/jobs/tests/test_late_writes.py
+++ b/catkinport/jobs/tests/test_late_writes.py
@@ -11,7 +11,7 @@
 from ..vm_planner import VmPlanner
 from ..worker_watch import WorkerWatch
 from .builders import make_worker
-from .late_table import LateTable, make_session
+from .late_table import AsyncLateTable, make_session
 
 
 def make_watch(session: OwnerSession) -> WorkerWatch:
@@ -37,13 +37,13 @@
     # missing from an out-of-date roster, still runs it.
     def test_a_late_roster_write_does_not_remove_workers_that_may_run_tasks(self):
         async def run():
-            table = LateTable()
+            table = AsyncLateTable()
             session = make_session(table)
             watch = make_watch(session)
-            table.n_lost = 1
+            table.late.n_held = 1
             await enroll(watch, "w1")
             await enroll(watch, "w1", "w2")
-            table.carry_out_held()
+            table.late.carry_out_held()
             session.cancel_all()
             workers = session.dispatcher.worker_by_id.values()
             may_run = {w.worker_id for w in workers if w.is_enrolled}
@@ -56,14 +56,14 @@
     # write that removes it has no answer.
     def test_a_late_removal_does_not_remove_a_worker_that_came_back(self):
         async def run():
-            table = LateTable()
+            table = AsyncLateTable()
             session = make_session(table)
             watch = make_watch(session)
             await enroll(watch, "w1", "w2")
-            table.n_lost = 1
+            table.late.n_held = 1
             await enroll(watch, "w1")
             await enroll(watch, "w1", "w2")
-            table.carry_out_held()
+            table.late.carry_out_held()
             session.cancel_all()
             worker = session.dispatcher.worker_by_id["w2"]
             assert worker.is_enrolled
@@ -83,12 +83,12 @@
     # ordered, because a late write took the VM out of the stored row.
     def test_a_late_write_does_not_remove_a_vm_that_was_ordered(self):
         async def run():
-            table = LateTable()
+            table = AsyncLateTable()
             orders = make_vm_orders(make_session(table))
-            table.n_lost = 1
+            table.late.n_held = 1
             assert not await orders._store_vms([], 100.0)
             assert await orders._store_vms(["m0"], 100.0)
-            table.carry_out_held()
+            table.late.carry_out_held()
             row = table.memory.read([VM_ORDERS_KEY])[VM_ORDERS_KEY]
             assert row.value["vms"] == ["m0"]
 
@@ -98,15 +98,15 @@
     # of those that have begun it.
     def test_a_late_write_does_not_remove_a_vm_whose_upkeep_has_begun(self):
         async def run():
-            table = LateTable()
+            table = AsyncLateTable()
             orders = make_vm_orders(make_session(table))
             begun = orders._vm_planner.wave_by_number[1].begun
-            table.n_lost = 1
+            table.late.n_held = 1
             begun.add("m0")
             await orders._store_begun(1)
             begun.add("m1")
             await orders._store_begun(1)
-            table.carry_out_held()
+            table.late.carry_out_held()
             row = table.memory.read([wave_key(1)])[wave_key(1)]
             assert row.value["begun"] == ["m0", "m1"]
 
@@ -116,7 +116,7 @@
     # are answered at the same time.
     def test_overlapping_writes_of_a_wave_keep_every_vm(self):
         async def run():
-            table = LateTable()
+            table = AsyncLateTable()
             orders = make_vm_orders(make_session(table))
             begun = orders._vm_planner.wave_by_number[1].begun
             begun.add("m0")
--- a/catkinport/jobs/tests/test_session.py
+++ b/catkinport/jobs/tests/test_session.py
@@ -5,7 +5,7 @@
 import pytest
 
 from ..session import OwnerSession
-from .late_table import LateTable, make_session
+from .late_table import AsyncLateTable, make_session
 
 
 async def ignore_first_cancellation(steps: list[str]) -> None:
@@ -34,7 +34,7 @@
     # loops has missed the cancellation.
     def test_waits_for_a_task_that_has_missed_its_cancellation(self):
         async def run():
-            session = make_session(LateTable())
+            session = make_session(AsyncLateTable())
             steps: list[str] = []
             task = session.spawn(ignore_first_cancellation(steps))
             await asyncio.sleep(0)
@@ -49,7 +49,7 @@
     @pytest.mark.parametrize("stop", [end, depose])
     def test_nothing_begins_after_it(self, stop):
         async def run():
-            session = make_session(LateTable())
+            session = make_session(AsyncLateTable())
             await stop(session)
             steps: list[str] = []
             task = session.spawn(send_order(steps))
--- a/catkinport/jobs/tests/test_worker_pools.py
+++ b/catkinport/jobs/tests/test_worker_pools.py
@@ -6,7 +6,7 @@
 from ..tables import ROSTER_TABLE
 from ..worker_watch import WorkerWatch
 from .builders import POOL, make_worker
-from .late_table import LateTable, make_session
+from .late_table import AsyncLateTable, make_session
 
 OTHER_POOL = "previews"
 
@@ -16,14 +16,14 @@
     # joined it, but is stored in its former pool, still runs them.
     def test_a_worker_gets_no_task_in_a_pool_for_which_it_is_not_stored(self):
         async def run():
-            table = LateTable()
+            table = AsyncLateTable()
             session = make_session(table)
             watch = WorkerWatch(session, StateStore(session), 0.0)
             await watch._apply_worker_list([make_worker("w1")])
             worker = session.dispatcher.worker_by_id["w1"]
             assert worker.is_enrolled
             moved = make_worker("w1", pool=OTHER_POOL)
-            table.n_lost = 1
+            table.late.n_held = 1
             await watch._apply_worker_list([moved])
             assert not worker.is_enrolled
             await watch._apply_worker_list([moved])
