Compare jobs with the last renewal by when the owner has read them

Callers saw: nothing yet; found while looking for the cause of TWICE elsewhere.

Cause: an owner whose renewals fail starts only jobs that it knew before its last renewal, as a successor takes a job over as inherited only if its row was there before the change. The time that was compared was the time of acceptance, taken from the wall clocks of two VMs. A clock that is ahead makes a job that was read since then look older, and both owners may start it.

Ruled out: a clock that is behind; an age below 0 counts as 0.

Change: the record of a job holds when this owner has read it, and the planner compares that. The approximate time of acceptance only orders jobs and measures them.

--- a/catkinport/jobs/dispatcher.py
+++ b/catkinport/jobs/dispatcher.py
@@ -105,12 +105,26 @@
         self.configuration = configuration
         self._known_queue_by_name.update(configuration.queue_by_name)
 
-    def add_job(self, job: Job, now: float, is_inherited: bool = False) -> None:
-        """Add an accepted job; do nothing if it is known already."""
+    def add_job(
+        self,
+        job: Job,
+        now: float,
+        is_inherited: bool = False,
+        age_seconds: float = 0.0,
+    ) -> None:
+        """Add an accepted job; do nothing if it is known already.
+
+        Args:
+            job: the job.
+            now: clock time in seconds at which this owner has read it.
+            is_inherited: whether a former owner may have started tasks of it.
+            age_seconds: approximate time since it was accepted.
+        """
         if job.job_id in self.job_by_id:
             return
         record = JobRecord(job, is_inherited)
-        record.first_seen_at = now
+        record.learned_at = now
+        record.accepted_at = now - age_seconds
         self.job_by_id[job.job_id] = record
         self.estimates.learn_work(job)
         log_event(
@@ -471,7 +485,7 @@
 
     def _log_complete(self, record: JobRecord, now: float) -> None:
         queue = self.queue_of(record)
-        seconds = now - record.first_seen_at
+        seconds = now - record.accepted_at
         durations = self.estimates.durations_of(record.job.queue)
         objective = record.objective_seconds(queue, durations) if queue else 0.0
         log_event(
@@ -483,12 +497,12 @@
             seconds=round(seconds, 3),
             objective_seconds=round(objective, 3),
             late=seconds > objective,
-            waited_seconds=round(record.first_start_at - record.first_seen_at, 3),
+            waited_seconds=round(record.first_start_at - record.accepted_at, 3),
         )
 
         labels = {"pool": queue.pool if queue else "", "late": str(seconds > objective)}
         self._metrics.observe("job_seconds", "Time of a job.", labels, seconds)
-        waited = record.first_start_at - record.first_seen_at
+        waited = record.first_start_at - record.accepted_at
         self._metrics.observe(
             "job_wait_seconds", "Time until its first start.", labels, waited
         )
--- a/catkinport/jobs/job_estimates.py
+++ b/catkinport/jobs/job_estimates.py
@@ -30,7 +30,7 @@
         durations = self.durations_of(queue.name)
         total = self.expected_core_seconds(record.job)
         return JobView(
-            accepted_at=record.first_seen_at,
+            accepted_at=record.accepted_at,
             objective_seconds=record.objective_seconds(queue, durations),
             remaining_chain_seconds=record.remaining_chain_seconds(durations),
             remaining_core_seconds=record.remaining_core_seconds(durations),
--- a/catkinport/jobs/owner.py
+++ b/catkinport/jobs/owner.py
@@ -249,7 +249,7 @@
         # Steady clocks of different daemons cannot be compared, so the wall clock
         # gives the approximate time since another daemon accepted the job.
         age = min(max(0.0, time.time() - job.accepted_at), 3600.0)
-        self._session.dispatcher.add_job(job, now - age, is_inherited)
+        self._session.dispatcher.add_job(job, now, is_inherited, age)
         if not is_inherited:
             self._note_work(job, now)
 
--- a/catkinport/jobs/planner.py
+++ b/catkinport/jobs/planner.py
@@ -99,7 +99,7 @@
             queue = dispatcher.queue_of(record)
             if queue is None or record.is_closing:
                 continue
-            if learned_before is not None and record.first_seen_at > learned_before:
+            if learned_before is not None and record.learned_at > learned_before:
                 continue
             if record.is_inherited and not dispatcher.is_pool_resolved(queue.pool):
                 continue
--- a/catkinport/jobs/record.py
+++ b/catkinport/jobs/record.py
@@ -78,8 +78,9 @@
         is_inherited: whether a former owner may have started tasks of it.
         row_version: version of the stored state; 0 before the first write.
         is_dirty: whether the state has changed since it was stored.
-        first_seen_at: clock time in seconds of its acceptance, as far as this owner can
-            tell.
+        accepted_at: approximate clock time in seconds of its acceptance. It is taken
+            from wall clocks, which may differ, so nothing that must hold rests on it.
+        learned_at: clock time in seconds at which this owner has read it.
         first_start_at: clock time of its first start order; 0 before.
         n_placed: number of runs that are or may be on workers.
         ever_started: whether this owner has ordered or adopted a run of it.
@@ -93,7 +94,8 @@
         self.is_inherited = is_inherited
         self.row_version = 0
         self.is_dirty = False
-        self.first_seen_at = 0.0
+        self.accepted_at = 0.0
+        self.learned_at = 0.0
         self.n_placed = 0
         self.ever_started = False
         self.first_start_at = 0.0
--- a/catkinport/jobs/run_orders.py
+++ b/catkinport/jobs/run_orders.py
@@ -95,7 +95,7 @@
             worker=worker.worker_id,
             token=self._session.lease.token,
             outcome=type(outcome).__name__,
-            job_age_seconds=round(sent_at - run.record.first_seen_at, 3),
+            job_age_seconds=round(sent_at - run.record.accepted_at, 3),
             seconds=round(now - sent_at, 3),
         )
         self._session.check_fenced(outcome)
--- a/catkinport/jobs/tests/test_dispatcher.py
+++ b/catkinport/jobs/tests/test_dispatcher.py
@@ -298,6 +298,19 @@
         assert fleet.start(learned_before=fleet.now - 1.0) == []
         assert len(fleet.start(learned_before=fleet.now)) == 1
 
+    def test_age_by_the_wall_clock_does_not_make_a_job_known_earlier(self):
+        """Guards against the same fault where the clocks of two VMs differ.
+
+        By the clock of this VM the job was accepted before the last renewal, but this
+        owner has read it only since then, and so may its successor have done.
+        """
+        fleet = Fleet([make_worker("w1")])
+        renewed_at = fleet.now
+        fleet.advance(1.0)
+        fleet.dispatcher.add_job(make_job(), fleet.now, age_seconds=3.0)
+        assert fleet.start(learned_before=renewed_at) == []
+        assert len(fleet.start()) == 1
+
     def test_task_whose_run_was_given_up_does_not_start_elsewhere(self):
         """Guards against an owner that resumes after a freeze and runs tasks twice.
 
