Give a worker no tasks in a pool for which it is not stored

Callers saw: nothing yet; found while looking for the cause of TWICE elsewhere.

Cause: the roster is stored by pool, and a successor waits for the workers of a job's pool. A worker that is listed in another pool under the same id went on getting tasks at once, while the roster still named it in its former pool.

Ruled out: workers that a move of their VM brings back under a new id; they get no task before the roster names them.

Change: a worker whose pool changes counts as not stored until its new row is.

Result: the test of TestChangedPool fails without the change and passes with it.

--- a/catkinport/jobs/dispatcher.py
+++ b/catkinport/jobs/dispatcher.py
@@ -226,6 +226,8 @@
                 remaining_seconds=worker.remaining_seconds,
                 n_runs=len(worker_record.run_by_key),
             )
+        if worker.pool != worker_record.listed.pool:
+            worker_record.is_enrolled = False
         worker_record.listed = worker
         worker_record.is_listed = True
 
