Stop a start without an answer on a worker that has restarted

A task can run twice.

Cause: a start without an answer may be carried out seconds later. The owner gave it up once the VM was listed as dead, the lease was over or a stop was confirmed, and forgot it. A worker that starts again under the same id knows of no stop, has seen the same fencing token, and its clock begins anew, so that the lease in the order is not over: it carries the start out, while the task runs elsewhere or is done. Only a run that was not given up yet got another stop after a restart.

Ruled out: a wait of 12 s for each start without an answer before its task starts elsewhere. Only that closes the window, as a worker may crash after it has confirmed a stop, but tasks would wait that long on sound workers too.

Change: uncertain_starts.py remembers a start that was given up without a sign that it was carried out, for 12 s and whatever becomes of its job. Each incarnation of the worker that answers gets a stop for it at once, until it confirms one. A run whose start was not confirmed is no longer given up because its VM is dead, but at the end of the lease, as on a worker that is cut off, or when the restarted worker has confirmed the stop. Runs that are known to have begun are given up at once as before.

--- a/catkinport/jobs/dispatcher.py
+++ b/catkinport/jobs/dispatcher.py
@@ -30,6 +30,7 @@
 from .job_estimates import JobEstimates
 from .model import FINAL_STATES, Job, JobState, TaskId
 from .record import JobRecord, Task, TaskPhase
+from .uncertain_starts import UncertainStarts
 from .worker_state import (
     UNHEALTHY_PAUSE_SECONDS,
     Incarnation,
@@ -78,6 +79,7 @@
         estimates: expected durations and work of jobs.
         orphan_stop_sent_at: clock time in seconds of the latest stop order for each run
             whose job is unknown, by worker id and run; 0 before the first order.
+        uncertain_starts: start orders that were given up, but may be carried out late.
         unresolved_by_id: pool of each worker that the former owner used and that may
             still run its tasks, by worker id. A worker is resolved once it has
             reported to this owner, its VM has gone or its lease has expired.
@@ -94,6 +96,7 @@
         self.worker_by_id: dict[str, WorkerRecord] = {}
         self.runs_by_task: dict[str, list[Run]] = {}
         self.unresolved_by_id: dict[str, str] = {}
+        self.uncertain_starts = UncertainStarts()
         self.estimates = JobEstimates()
         self._retired_by_id: dict[str, Incarnation] = {}
         self.orphan_stop_sent_at: dict[tuple[str, RunKey], float] = {}
@@ -244,7 +247,8 @@
         """Update the workers from the platform's VM list.
 
         Runs on a VM that is listed as down, absent or with another worker are given up,
-        as they have ended.
+        as they have ended. A run that the worker has not confirmed waits for the end of
+        its lease, because its start may still be carried out if the worker restarts.
         """
         vm_id_by_worker = {vm.worker_id: vm.vm_id for vm in vms if vm.worker_id}
         vm_by_id = {vm.vm_id: vm for vm in vms}
@@ -369,6 +373,7 @@
         for entry in lists.running:
             key = RunKey(entry.task, entry.run)
             listed_keys.add(key)
+            self.uncertain_starts.settle(worker.worker_id, key)
             run = worker.run_by_key.get(key) or self._adopt(worker, key, now)
             if run is None:
                 self.orphan_stop_sent_at.setdefault((worker.worker_id, key), 0.0)
@@ -450,7 +455,9 @@
         task_id = TaskId.parse(ended.task)
         record = self.job_by_id.get(task_id.job_id)
         task = record.find_task(task_id) if record else None
-        run = worker.run_by_key.get(RunKey(ended.task, ended.run))
+        key = RunKey(ended.task, ended.run)
+        run = worker.run_by_key.get(key)
+        self.uncertain_starts.settle(worker.worker_id, key)
         log_event(
             logger,
             "run ended",
@@ -560,6 +567,9 @@
         self, worker: WorkerRecord, run: Run, reason: str, now: float
     ) -> None:
         self._detach(worker, run)
+        is_uncertain = not run.known_at and reason != "not-sent"
+        if is_uncertain:
+            self._keep_uncertain_start(worker, run)
         self._metrics.increment("runs_lost", "Runs given up.", {"reason": reason})
         log_event(
             logger,
@@ -569,17 +579,24 @@
             run=run.key.run,
             worker=worker.worker_id,
             reason=reason,
+            uncertain=is_uncertain,
             silent_seconds=round(now - worker.contact_at, 2),
         )
         run.task.is_lost = reason != "not-sent"
         self._requeue_task(run.record, run.task)
         self._finish_if_closing(run.record)
 
+    def _keep_uncertain_start(self, worker: WorkerRecord, run: Run) -> None:
+        # The incarnation that received the start rejects it once the lease is over.
+        started_at = worker.started_at if run.stopped_at else run.sent_to
+        incarnation = Incarnation(worker.worker_id, started_at)
+        self.uncertain_starts.add(incarnation, run.key, run.asked_at)
+
     def _lose_runs(
         self, worker: WorkerRecord, reason: str, now: float, asked_before: float
     ) -> None:
         for run in list(worker.run_by_key.values()):
-            if run.asked_at < asked_before:
+            if run.known_at and run.asked_at < asked_before:
                 self._lose_run(worker, run, reason, now)
 
     def _remove_worker(self, worker: WorkerRecord) -> None:
@@ -594,6 +611,7 @@
             self._log_inherited_start(worker, task, number, now)
         record.note_run(task, number)
         run = Run(record, task, number, worker.worker_id, now)
+        run.sent_to = worker.started_at
         self._attach(worker, run)
         task.phase = TaskPhase.PLACED
         return run
@@ -688,6 +706,7 @@
 
     def expire(self, now: float) -> None:
         """Give up the runs of silent workers whose lease has expired."""
+        self.uncertain_starts.expire(now)
         for worker in self.worker_by_id.values():
             if worker.is_in_contact(now) or now <= worker.lease_until:
                 continue
--- a/catkinport/jobs/run_orders.py
+++ b/catkinport/jobs/run_orders.py
@@ -107,6 +107,7 @@
         if worker is None:
             return
         run = worker.run_by_key.get(stop.key)
+        incarnation = worker.incarnation
         outcome = await self._session.ports.workers.stop(
             worker.listed, self._session.lease.token, stop.key.task, stop.key.run
         )
@@ -121,6 +122,9 @@
             outcome=type(outcome).__name__,
         )
         self._session.check_fenced(outcome)
+        if isinstance(outcome, Done):
+            uncertain_starts = self._session.dispatcher.uncertain_starts
+            uncertain_starts.note_stopped(incarnation, stop.key)
         if run is not None:
             self._session.dispatcher.on_stop_outcome(
                 run, outcome, self._session.clock.now()
--- a/catkinport/jobs/run_stops.py
+++ b/catkinport/jobs/run_stops.py
@@ -42,6 +42,7 @@
 def find_stops(dispatcher: Dispatcher, now: float) -> Iterator[StopOrder]:
     """Yield the stop orders that are due, and note them as sent at ``now``."""
     yield from _find_orphans(dispatcher, now)
+    yield from _find_given_up(dispatcher, now)
     for worker in dispatcher.worker_by_id.values():
         for run in worker.run_by_key.values():
             reason = _stop_reason(dispatcher, run, now)
@@ -88,6 +89,22 @@
             yield StopOrder(worker_id, key, "job-unknown")
 
 
+def _find_given_up(dispatcher: Dispatcher, now: float) -> Iterator[StopOrder]:
+    """Yield stop orders for starts that were given up, to workers that have restarted.
+
+    A worker out of contact gets none, as it may be gone; the stop follows its first
+    answer.
+    """
+    for worker in dispatcher.worker_by_id.values():
+        if not worker.is_in_contact(now):
+            continue
+        keys = dispatcher.uncertain_starts.find_stops(
+            worker.incarnation, now, STOP_RETRY_SECONDS
+        )
+        for key in keys:
+            yield StopOrder(worker.worker_id, key, "start-unsure")
+
+
 def _stop_reason(dispatcher: Dispatcher, run: Run, now: float) -> str:
     if run.record.is_cancel_asked:
         return "canceled"
--- /dev/null
+++ b/catkinport/jobs/tests/test_uncertain_starts.py
@@ -0,0 +1,181 @@
+"""Tests of starts without an answer on workers that restart under the same id."""
+
+from ...policy.resources import Resources
+from ...ports import Reason, Unavailable
+from ...ports.fleet_vms import FleetVm, VmState
+from ...ports.fleet_workers import Done, EndKind, RunningTask
+from ..run_stops import StopOrder, find_stops
+from ..uncertain_starts import ORDER_DELAY_SECONDS
+from ..worker_state import MAX_LEASE_SECONDS
+from .builders import JOB_ID, POOL, Fleet, make_job, make_worker
+
+UNCERTAIN = Unavailable(Reason.TIMEOUT, "worker-start", "w1", "", True)
+
+
+class TwoWorkers:
+    """A fleet of two workers, on one of which a start had no answer.
+
+    Attributes:
+        key: the run that was ordered.
+        worker_id: worker to which the start was sent.
+        other_id: the other worker.
+    """
+
+    def __init__(self) -> None:
+        self.fleet = Fleet([make_worker("w1"), make_worker("w2")])
+        self.dispatcher = self.fleet.dispatcher
+        self.dispatcher.add_job(make_job(), self.fleet.now)
+        (start,) = self.fleet.plan()
+        self.run = start.run
+        self.key = start.run.key
+        self.worker_id = start.worker.worker_id
+        self.other_id = {"w1": "w2", "w2": "w1"}[self.worker_id]
+        self.fleet.answer(start, UNCERTAIN)
+
+    def pass_time(self, seconds: float) -> None:
+        """Let time pass without an answer of the worker."""
+        self.fleet.advance(seconds)
+        self.fleet.poll(self.other_id)
+        self.dispatcher.expire(self.fleet.now)
+
+    def list_vm(self, state: VmState) -> None:
+        """Read a list of VMs that shows the state of the worker's VM."""
+        shown = self.worker_id if state is VmState.UP else ""
+        vm = FleetVm("m", POOL, state, "z", (), Resources(16, 256, 0), shown)
+        self.dispatcher.update_vms([vm], self.fleet.now, self.fleet.now)
+
+    def report(self, started_at: float) -> None:
+        """Process a report of the incarnation that started at ``started_at``."""
+        self.fleet.advance(0.1)
+        self.fleet.poll(self.worker_id, started_at)
+
+    def stops(self) -> list[StopOrder]:
+        """Return the stops of the run that are due."""
+        stops = find_stops(self.dispatcher, self.fleet.now)
+        return [stop for stop in stops if stop.key == self.key]
+
+    def confirm_stop(self) -> None:
+        """Let the incarnation that reported last confirm the stop that is due."""
+        (stop,) = self.stops()
+        worker = self.dispatcher.worker_by_id[stop.worker_id]
+        incarnation = worker.incarnation
+        self.dispatcher.uncertain_starts.note_stopped(incarnation, stop.key)
+        if stop.key in worker.run_by_key:
+            self.dispatcher.on_stop_outcome(self.run, Done(), self.fleet.now)
+
+    def give_up(self) -> None:
+        """Let the lease of the start end without an answer of the worker."""
+        self.pass_time(MAX_LEASE_SECONDS + 0.1)
+        assert self.key not in self.dispatcher.worker_by_id[self.worker_id].run_by_key
+
+
+class TestDeadVm:
+    def test_task_waits_until_the_restarted_worker_confirms_the_stop(self):
+        """Guards against a second run on a worker that restarts with a late start."""
+        workers = TwoWorkers()
+        workers.list_vm(VmState.UP)
+        workers.pass_time(1.5)
+        workers.list_vm(VmState.DOWN)
+        assert workers.fleet.plan() == []
+        workers.report(started_at=2.0)
+        assert workers.fleet.plan() == []
+        workers.confirm_stop()
+        workers.report(started_at=2.0)
+        assert len(workers.fleet.plan()) == 1
+
+    def test_task_starts_elsewhere_at_the_end_of_the_lease(self):
+        """Guards against a task that waits for a worker that never comes back."""
+        workers = TwoWorkers()
+        workers.list_vm(VmState.UP)
+        workers.pass_time(1.5)
+        workers.list_vm(VmState.DOWN)
+        workers.give_up()
+        (start,) = workers.fleet.plan()
+        assert start.worker.worker_id == workers.other_id
+
+
+class TestRestartAfterGivingUp:
+    def test_stop_is_sent_to_the_restarted_worker(self):
+        """Guards against a late start on a restarted worker after its lease ended."""
+        workers = TwoWorkers()
+        workers.give_up()
+        (start,) = workers.fleet.start()
+        assert start.worker.worker_id == workers.other_id
+        workers.report(started_at=2.0)
+        (stop,) = workers.stops()
+        assert (stop.worker_id, stop.reason) == (workers.worker_id, "start-unsure")
+
+    def test_stop_that_was_confirmed_before_the_restart_is_repeated(self):
+        """Guards against a restarted worker that doesn't know of a confirmed stop."""
+        workers = TwoWorkers()
+        workers.confirm_stop()
+        workers.report(started_at=1.0)
+        (start,) = workers.fleet.plan()
+        assert start.run.key.run == 2
+        assert workers.stops() == []
+        workers.report(started_at=2.0)
+        assert len(workers.stops()) == 1
+
+    def test_every_incarnation_gets_a_stop_until_it_confirms_one(self):
+        """Guards against a stop that only the first restarted worker has seen."""
+        workers = TwoWorkers()
+        workers.give_up()
+        workers.report(started_at=2.0)
+        assert len(workers.stops()) == 1
+        assert workers.stops() == []
+        workers.report(started_at=2.0)
+        workers.fleet.advance(0.5)
+        workers.confirm_stop()
+        workers.fleet.advance(0.5)
+        assert workers.stops() == []
+        workers.report(started_at=3.0)
+        assert len(workers.stops()) == 1
+
+    def test_stop_is_sent_after_the_job_has_ended(self):
+        """Guards against a late start of a task that is done elsewhere by then."""
+        workers = TwoWorkers()
+        workers.give_up()
+        (start,) = workers.fleet.start()
+        workers.fleet.end(start, EndKind.DONE)
+        record = workers.dispatcher.job_by_id[JOB_ID]
+        record.is_dirty = False
+        workers.dispatcher.forget_ended(record)
+        assert JOB_ID not in workers.dispatcher.job_by_id
+        workers.report(started_at=2.0)
+        assert len(workers.stops()) == 1
+
+    def test_silent_worker_gets_no_stop(self):
+        """Guards against calls without use to workers that are gone."""
+        workers = TwoWorkers()
+        workers.give_up()
+        workers.pass_time(1.0)
+        assert workers.stops() == []
+
+    def test_stop_is_sent_to_a_worker_that_was_removed_and_listed_again(self):
+        """Guards against starts that are forgotten with the record of the worker."""
+        workers = TwoWorkers()
+        worker = workers.dispatcher.worker_by_id[workers.worker_id]
+        workers.dispatcher.retire_worker(worker.incarnation, workers.fleet.now)
+        fleet = workers.fleet
+        fleet.workers = [make_worker(workers.worker_id, started_at=2.0)]
+        workers.dispatcher.update_workers(fleet.workers, fleet.now)
+        workers.report(started_at=2.0)
+        assert len(workers.stops()) == 1
+
+    def test_start_that_was_carried_out_needs_no_stop(self):
+        """Guards against stops for a start that can't be carried out again."""
+        workers = TwoWorkers()
+        running = RunningTask(*workers.key, "", 0.0, 0.0)
+        workers.fleet.running_by_worker[workers.worker_id][workers.key] = running
+        workers.report(started_at=1.0)
+        workers.fleet.running_by_worker[workers.worker_id].clear()
+        workers.report(started_at=2.0)
+        assert workers.stops() == []
+
+    def test_start_is_forgotten_once_it_can_be_carried_out_no_more(self):
+        """Guards against a list of starts that grows without end."""
+        workers = TwoWorkers()
+        workers.give_up()
+        workers.pass_time(ORDER_DELAY_SECONDS)
+        workers.report(started_at=2.0)
+        assert workers.stops() == []
--- a/catkinport/jobs/worker_state.py
+++ b/catkinport/jobs/worker_state.py
@@ -82,6 +82,8 @@
         worker_id: worker that runs it.
         phase: whether it was ordered, runs or is being stopped.
         asked_at: clock time in seconds of the start order.
+        sent_to: ``started_at`` of the incarnation of the worker for which the start
+            order was made.
         known_at: clock time at which the worker confirmed it; 0 before.
         stop_sent_at: clock time of the latest stop order; 0 for none.
         stopped_at: clock time at which the worker confirmed a stop; 0 before.
@@ -107,6 +109,7 @@
         "phase",
         "progressed_at",
         "record",
+        "sent_to",
         "stop_sent_at",
         "stopped_at",
         "task",
@@ -122,6 +125,7 @@
         self.worker_id = worker_id
         self.phase = RunPhase.ASKED
         self.asked_at = now
+        self.sent_to = 0.0
         self.known_at = 0.0
         self.stop_sent_at = 0.0
         self.stopped_at = 0.0
