Count a stop only for the incarnation to which it was sent

Callers saw: nothing yet; found by reading. A task can run twice.

Cause: a worker confirms a stop of a start without an answer and restarts under the same id, and the report of the restart arrives before the confirmation, on another channel. The owner had just cleared the stop for the restarted worker, and then counted the confirmation for it. Its next report gave the run up, although it had seen no stop and would have carried the late start out.

Change: run_orders.py notes the incarnation when a stop is sent, and leaves out an answer that arrives under another one. The stop is sent again then.

Result: the test with a restart in test_run_orders.py fails without the change (the task starts again) and passes with it; the one without a restart passes with both.

--- a/catkinport/jobs/run_orders.py
+++ b/catkinport/jobs/run_orders.py
@@ -125,7 +125,8 @@
         if isinstance(outcome, Done):
             uncertain_starts = self._session.dispatcher.uncertain_starts
             uncertain_starts.note_stopped(incarnation, stop.key)
-        if run is not None:
+        # A stop that was answered across a restart may have been carried out before it.
+        if run is not None and worker.incarnation == incarnation:
             self._session.dispatcher.on_stop_outcome(
                 run, outcome, self._session.clock.now()
             )
--- /dev/null
+++ b/catkinport/jobs/tests/test_run_orders.py
@@ -0,0 +1,71 @@
+"""Tests of orders to workers whose answers cross other messages."""
+
+import asyncio
+from types import SimpleNamespace
+
+from ...policy.leadership import OwnLease
+from ...ports import Reason, Unavailable
+from ...ports.fleet_workers import Done
+from ..run_orders import RunOrders
+from ..run_stops import find_stops
+from .builders import Fleet, make_job, make_worker
+
+UNCERTAIN = Unavailable(Reason.TIMEOUT, "worker-start", "w1", "", True)
+
+
+class FakeSession:
+    """A session whose worker confirms each stop after ``before_answer`` has run."""
+
+    def __init__(self, fleet, before_answer):
+        self.dispatcher = fleet.dispatcher
+        self.clock = SimpleNamespace(now=lambda: fleet.now)
+        self.lease = OwnLease(1, 0.0)
+        self.ports = SimpleNamespace(workers=self)
+        self.wake = asyncio.Event()
+        self._before_answer = before_answer
+
+    async def stop(self, worker, token, task, run):
+        self._before_answer()
+        return Done()
+
+    def check_fenced(self, outcome):
+        return False
+
+
+class FakeWatch:
+    async def poll(self, worker, may_wait=True):
+        """Poll nothing; the tests report themselves."""
+
+
+class TestStopAcrossRestart:
+    def test_it_does_not_count_for_the_restarted_worker(self):
+        """Guards against a late start on a restarted worker that has seen no stop.
+
+        The worker confirms the stop and restarts, and the report of the restart
+        arrives before the confirmation.
+        """
+        fleet = Fleet([make_worker("w1")])
+        fleet.dispatcher.add_job(make_job(), fleet.now)
+        (start,) = fleet.plan()
+        fleet.answer(start, UNCERTAIN)
+        session = FakeSession(fleet, lambda: fleet.poll("w1", started_at=2.0))
+        orders = RunOrders(session, FakeWatch())
+        (stop,) = find_stops(fleet.dispatcher, fleet.now)
+        asyncio.run(orders._send_stop(stop))
+        fleet.advance(0.7)
+        fleet.poll("w1", started_at=2.0)
+        assert fleet.plan() == []
+        assert len(list(find_stops(fleet.dispatcher, fleet.now))) == 1
+
+    def test_it_counts_without_a_restart(self):
+        """Guards against a task that waits although its stop is confirmed."""
+        fleet = Fleet([make_worker("w1")])
+        fleet.dispatcher.add_job(make_job(), fleet.now)
+        (start,) = fleet.plan()
+        fleet.answer(start, UNCERTAIN)
+        session = FakeSession(fleet, lambda: None)
+        (stop,) = find_stops(fleet.dispatcher, fleet.now)
+        asyncio.run(RunOrders(session, FakeWatch())._send_stop(stop))
+        fleet.advance(0.7)
+        fleet.poll("w1")
+        assert len(fleet.plan()) == 1
