Take the end of a lease only from the clock of the same incarnation

Callers saw: nothing yet; found by reading.

Cause: the lease in a call is a time on the worker's clock. The last clock that any answer of a worker id had shown was used. A lease never gets shorter. An owner that loses contact then starts the tasks elsewhere while they still run.

Change: a clock is only taken from a worker's lists of runs, which name the incarnation, and kept with it. If the worker's entry shows a later incarnation, no lease is renewed and no run starts before its first lists. A call that renews no lease is answered at once, as the next one has to renew it.

Still possible: a call with a time of the former clock before the entry or an answer shows the restart.

--- /dev/null
+++ b/catkinport/platform/tests/test_workers.py
@@ -0,0 +1,122 @@
+"""Tests of the lease ends that orders to workers carry."""
+
+import asyncio
+from types import SimpleNamespace
+
+from ...policy.resources import Resources
+from ...ports import Reason, Unavailable
+from ...ports.fleet_workers import Done, ListedWorker, StartOrder
+from ..client import Reply
+from ..workers import PlatformWorkers
+
+ORDER = StartOrder("00000000000000a1.0.0.0", 1, "s", "", "")
+LOST = Unavailable(Reason.TIMEOUT, "call", "h:1", "", True)
+OLD_CLOCK_MS = 486_000
+
+
+class FakeClient:
+    """Records the bodies of calls and answers as one incarnation of a worker.
+
+    Attributes:
+        born: start of the incarnation in Unix milliseconds.
+        clock_ms: its clock.
+        is_lost: whether the answers are lost.
+        sent: path and body of each call.
+    """
+
+    def __init__(self):
+        self.born = 1_000
+        self.clock_ms = OLD_CLOCK_MS
+        self.is_lost = False
+        self.sent = []
+
+    async def call(self, step, method, peer, path, timeout, body, headers):
+        self.sent.append((path, body))
+        if self.is_lost:
+            return LOST
+        if path == "/hold":
+            lists = {"Running": [], "Ended": [], "born": self.born}
+            return Reply(200, {"ClockMs": self.clock_ms, **lists})
+        return Reply(200, {"ClockMs": self.clock_ms})
+
+    def restart(self):
+        """Replace the incarnation by one that starts now under the same id."""
+        self.born += 500_000
+        self.clock_ms = 0
+
+
+class Scene:
+    """A client of a single worker, and the worker's entry in the list."""
+
+    def __init__(self):
+        self.client = FakeClient()
+        clock = SimpleNamespace(now=lambda: 100.0)
+        self.workers = PlatformWorkers(self.client, None, clock, "")
+        self.listed = ListedWorker(
+            "i-1", "p", "h:1", "z", False, 0.0, Resources(4.0, 8.0, 0), (), 1.0
+        )
+
+    def hold(self, lease_seconds=4.0, wait_seconds=1.0):
+        """Renew the lease; return the body of the call."""
+        call = self.workers.renew_lease(self.listed, 7, 0, lease_seconds, wait_seconds)
+        asyncio.run(call)
+        return self.client.sent[-1][1]
+
+    def start(self):
+        return asyncio.run(self.workers.start(self.listed, 7, ORDER, 4.0))
+
+    def list_restarted(self):
+        self.listed = self.listed._replace(started_at=self.client.born / 1000)
+
+
+class TestLeaseEnd:
+    def test_first_call_grants_no_lease(self):
+        """Guards against a lease that is computed without the worker's clock."""
+        scene = Scene()
+        assert "UntilMs" not in scene.hold()
+        assert scene.hold()["UntilMs"] == OLD_CLOCK_MS + 4000
+
+    def test_call_without_a_lease_is_answered_at_once(self):
+        """Guards against a worker that waits while the next call has to renew."""
+        scene = Scene()
+        assert "WaitMs" not in scene.hold()
+        assert scene.hold()["WaitMs"] == 1000
+
+    def test_listed_restart_grants_no_lease(self):
+        """Guards against a lease of `HoldMaxMs`, from the clock before a restart."""
+        scene = Scene()
+        scene.hold()
+        scene.client.restart()
+        scene.list_restarted()
+        assert "UntilMs" not in scene.hold()
+        assert scene.hold()["UntilMs"] == 4000
+
+    def test_no_run_starts_before_the_restarted_worker_has_reported(self):
+        """Guards against a start whose lease is taken from the former clock."""
+        scene = Scene()
+        scene.hold()
+        scene.client.restart()
+        scene.list_restarted()
+        outcome = scene.start()
+        assert isinstance(outcome, Unavailable)
+        assert not outcome.may_have_committed
+        scene.hold()
+        assert isinstance(scene.start(), Done)
+        assert scene.client.sent[-1][1]["UntilMs"] == 4000
+
+    def test_entry_from_before_the_restart_does_not_matter(self):
+        """Guards against a restarted worker that waits for its entry in the list."""
+        scene = Scene()
+        scene.hold()
+        scene.client.restart()
+        scene.hold()
+        assert scene.hold()["UntilMs"] == 4000
+
+    def test_answer_to_an_order_does_not_set_the_clock(self):
+        """Guards against a clock of an incarnation that has not been identified."""
+        scene = Scene()
+        scene.hold()
+        scene.client.restart()
+        scene.list_restarted()
+        asyncio.run(scene.workers.stop(scene.listed, 7, ORDER.task, 1))
+        assert "UntilMs" not in scene.hold()
--- a/catkinport/platform/workers.py
+++ b/catkinport/platform/workers.py
@@ -41,8 +41,9 @@
 time."""
 
 INCARNATION_HEADER = "X-Catkinport-Expect-Instance"
-"""Header with the id of the worker incarnation that a call is meant for. A worker that
-has restarted since then has another id and answers with status 421."""
+"""Header with the id of the worker that a call is meant for. A worker with another id,
+as most have after a restart, answers with status 421. It doesn't tell incarnations
+under one id apart."""
 
 _REJECTION_BY_REASON = {
     "fence": Rejection.FENCED,
@@ -61,9 +62,15 @@
 
 
 class _WorkerClock:
-    """Estimate of a worker's clock, taken from its latest answer."""
+    """Estimate of a worker's clock, taken from its latest lists of runs.
 
-    def __init__(self, milliseconds: int, read_at: float) -> None:
+    Attributes:
+        started_at: Unix time in seconds at which the incarnation started that the clock
+            belongs to. The clock of another one begins anew.
+    """
+
+    def __init__(self, milliseconds: int, started_at: float, read_at: float) -> None:
+        self.started_at = started_at
         self._milliseconds = milliseconds
         self._read_at = read_at
 
@@ -136,7 +143,8 @@
     ) -> WorkerLists | Rejected | Unavailable:
         """Renew the worker's lease and read its lists of running and ended tasks.
 
-        The lease is not renewed while the worker's clock is unknown.
+        The lease is not renewed while the clock of the worker's present incarnation is
+        unknown. The worker answers at once then, so that the next call can renew it.
 
         Args:
             worker: the worker.
@@ -148,7 +156,9 @@
         """
         body: dict[str, Any] = {"FencingToken": token, "LastSeen": acknowledged_end}
         until = self._lease_end(worker, lease_seconds)
-        if until is not None:
+        if until is None:
+            wait_seconds = 0.0
+        else:
             body["UntilMs"] = until
         if wait_seconds > 0:
             body["WaitMs"] = int(wait_seconds * 1000)
@@ -159,17 +169,22 @@
         if reply.status != 200:
             return self._decode_rejection("worker-hold", worker, reply)
         try:
-            return decode_lists(reply.body)
+            lists = decode_lists(reply.body)
+            clock = int(reply.body["ClockMs"])
         except (decoding.MessageError, KeyError, TypeError, ValueError) as error:
             detail = f"unreadable answer: {error!r}"[:200]
             return Unavailable(
                 Reason.ANSWER_TRUNCATED, "worker-hold", worker.worker_id, detail, True
             )
+        self._clock_by_worker[worker.worker_id] = _WorkerClock(
+            clock, lists.started_at, self._clock.now()
+        )
+        return lists
 
     async def start(
         self, worker: ListedWorker, token: int, order: StartOrder, lease_seconds: float
     ) -> OrderOutcome:
-        """Start a run; the worker's clock must be known from an earlier answer."""
+        """Start a run; the clock of the worker's incarnation must be known."""
         until = self._lease_end(worker, lease_seconds)
         if until is None:
             return Unavailable(
@@ -245,7 +260,7 @@
         body: Mapping[str, Any],
         timeout_seconds: float,
     ) -> Reply | Unavailable:
-        reply = await self._client.call(
+        return await self._client.call(
             step,
             "POST",
             worker.address,
@@ -254,20 +269,15 @@
             body,
             headers={INCARNATION_HEADER: worker.worker_id},
         )
-        if isinstance(reply, Reply) and isinstance(reply.body, dict):
-            milliseconds = reply.body.get("ClockMs")
-            # Status 421 comes from another incarnation of the worker, with its own
-            # clock.
-            if isinstance(milliseconds, int) and reply.status != 421:
-                self._clock_by_worker[worker.worker_id] = _WorkerClock(
-                    milliseconds, self._clock.now()
-                )
-        return reply
 
     def _lease_end(self, worker: ListedWorker, lease_seconds: float) -> int | None:
         clock = self._clock_by_worker.get(worker.worker_id)
         if clock is None or lease_seconds <= 0:
             return None
+        # The entry of a worker that has restarted under its id may come before its
+        # first answer. On its new clock, a time of the former one is far ahead.
+        if worker.started_at > clock.started_at:
+            return None
         return clock.lower_bound(self._clock.now()) + int(lease_seconds * 1000)
 
     def _decode_rejection(
