Read the lists of a worker after a poll without an answer before renewing

Callers saw: nothing yet; found by reading.

Cause: a poll whose connection breaks is often the first sign that a worker has crashed. The next poll, 0.15 s later, still renewed the lease, and tasks still started there while the last answer was younger than 1.6 s, on the clock of the former incarnation. If the worker had started again under the same id by then, it granted its longest lease, and an owner that lost contact gave the runs up too early.

Ruled out: the same after any order without an answer. Workers that carry out orders late leave many without one, and their leases would run out.

Change: after a poll without an answer, a worker gets no lease and no task until the next poll is answered, which waits for no end of a run.

Price: one more round trip before the renewal, and no new task on the worker for 0.15 s at least after a broken poll.

Result: both tests of test_worker_watch.py fail without the change and pass with it. The 733 tests of catkinport/jobs and catkinport/platform pass.

--- a/catkinport/jobs/dispatcher.py
+++ b/catkinport/jobs/dispatcher.py
@@ -280,6 +280,7 @@
             log_event(logger, "worker reached", worker=worker_id)
         worker.started_at = lists.started_at
         worker.contact_at = now
+        worker.may_have_restarted = False
         self._resolve_worker(worker_id, "reached", now)
         for ended in sorted(lists.ended):
             if ended.number > worker.processed_end:
--- /dev/null
+++ b/catkinport/jobs/tests/test_worker_watch.py
@@ -0,0 +1,71 @@
+"""Tests of the leases that polls renew."""
+
+import asyncio
+from types import SimpleNamespace
+
+import pytest
+
+from ...policy.leadership import OwnLease
+from ...ports import Reason, Unavailable
+from ...ports.fleet_workers import WorkerLists
+from .. import worker_watch
+from ..worker_watch import WorkerWatch
+from .builders import Fleet, make_job, make_worker
+
+LOST = Unavailable(Reason.CONNECTION_LOST, "worker-hold", "w1", "", True)
+
+
+class FakeSession:
+    """A session whose worker answers each poll with the next of ``outcomes``.
+
+    Attributes:
+        polls: length of the lease and wait of each poll, in seconds.
+    """
+
+    def __init__(self, fleet, outcomes):
+        self.dispatcher = fleet.dispatcher
+        self.clock = SimpleNamespace(now=lambda: fleet.now)
+        self.lease = OwnLease(1, 0.0)
+        self.ports = SimpleNamespace(workers=self)
+        self.wake = asyncio.Event()
+        self.polls = []
+        self._outcomes = list(outcomes)
+
+    async def renew_lease(self, worker, token, end, lease_seconds, wait_seconds):
+        self.polls.append((lease_seconds, wait_seconds))
+        return self._outcomes.pop(0)
+
+
+@pytest.fixture(autouse=True)
+def no_pause(monkeypatch):
+    monkeypatch.setattr(worker_watch, "POLL_PAUSE_SECONDS", 0.0)
+
+
+def poll(fleet, *outcomes):
+    """Poll the worker once for each outcome; return the session."""
+    session = FakeSession(fleet, outcomes)
+    watch = WorkerWatch(session, None, 0.0)
+
+    async def run():
+        for _ in outcomes:
+            await watch.poll(fleet.dispatcher.worker_by_id["w1"])
+
+    asyncio.run(run())
+    return session
+
+
+class TestPollWithoutAnswer:
+    def test_next_poll_reads_the_lists_only(self):
+        """Guards against a lease on the clock of a worker that has restarted since."""
+        fleet = Fleet([make_worker("w1")])
+        session = poll(fleet, LOST, WorkerLists(2.0, [], []), LOST)
+        assert session.polls == [(4.0, 1.0), (0.0, 0.0), (4.0, 1.0)]
+
+    def test_worker_gets_no_tasks_before_the_next_answer(self):
+        """Guards against a start on the clock of a worker that has restarted since."""
+        fleet = Fleet([make_worker("w1")])
+        fleet.dispatcher.add_job(make_job(), fleet.now)
+        poll(fleet, LOST)
+        assert fleet.plan() == []
+        poll(fleet, WorkerLists(2.0, [], []))
+        assert len(fleet.plan()) == 1
--- a/catkinport/jobs/worker_state.py
+++ b/catkinport/jobs/worker_state.py
@@ -147,6 +147,8 @@
         started_at: Unix time in seconds at which the worker process started; 0 before
             the first contact.
         contact_at: clock time in seconds at which its latest answer arrived.
+        may_have_restarted: whether it hasn't answered since a poll without an answer.
+            An incarnation with another clock may have its id by then.
         lease_until: clock time in seconds after which no run that was ordered can be
             running there.
         paced_at: ``contact_at`` of the answer by which the speed of filler tasks was
@@ -170,6 +172,7 @@
         self.vm_id = ""
         self.started_at = 0.0
         self.contact_at = float("-inf")
+        self.may_have_restarted = True
         self.lease_until = 0.0
         self.paced_at = float("-inf")
         self.processed_end = 0
@@ -245,6 +248,7 @@
             and not self.is_reserved
             and not self.is_cordoned
             and self.is_in_contact(now)
+            and not self.may_have_restarted
             and now >= self.blocked_until
         )
 
--- a/catkinport/jobs/worker_watch.py
+++ b/catkinport/jobs/worker_watch.py
@@ -180,8 +180,10 @@
                 answers.
         """
         sent_at = self._session.clock.now()
+        silent_seconds = sent_at - worker.contact_at
         is_fresh = (
-            sent_at - worker.contact_at <= RENEW_CONTACT_SECONDS + POLL_WAIT_SECONDS
+            silent_seconds <= RENEW_CONTACT_SECONDS + POLL_WAIT_SECONDS
+            and not worker.may_have_restarted
         )
         lease_seconds = LEASE_SECONDS if is_fresh else 0.0
         if lease_seconds:
@@ -198,6 +200,7 @@
         if isinstance(outcome, WorkerLists):
             await self._apply_run_lists(worker, outcome, sent_at)
         elif isinstance(outcome, Unavailable):
+            worker.may_have_restarted = True
             await asyncio.sleep(POLL_PAUSE_SECONDS)
         else:
             self._session.check_fenced(outcome)
