Count on the longest lease of a worker after its restart

Callers saw: nothing yet; found by reading.

Cause: a call with a lease on the clock of a former incarnation can reach a worker that has just started again under its id, before any sign of the restart. The worker then grants its longest lease, while the owner counted on 4.4 s. If the worker was cut off after the report of its restart, its tasks started elsewhere while they ran there.

Price: tasks of a worker that is cut off within 6 s after a restart wait up to 6 s longer.

Result: the test in TestSilentWorker fails without the change (the task starts elsewhere too early) and passes with it. The 734 tests of catkinport/jobs and catkinport/platform pass.

--- a/catkinport/jobs/dispatcher.py
+++ b/catkinport/jobs/dispatcher.py
@@ -32,12 +32,14 @@
 from .record import JobRecord, Task, TaskPhase
 from .uncertain_starts import UncertainStarts
 from .worker_state import (
+    LEASE_SECONDS,
     UNHEALTHY_PAUSE_SECONDS,
     Incarnation,
     Run,
     RunKey,
     RunPhase,
     WorkerRecord,
+    bound_lease,
 )
 
 logger = logging.getLogger(__name__)
@@ -71,11 +73,13 @@
     Args:
         configuration: version in force.
         metrics: metrics of the process; ``None`` for metrics that nobody reads.
+        longest_lease: longest lease in seconds that a worker grants.
 
     Attributes:
         job_by_id: jobs that have not been stored as ended.
         worker_by_id: workers that are listed or may still run something.
         runs_by_task: runs of each task that may be alive, by the task's name.
+        longest_lease: longest lease in seconds that a worker grants.
         estimates: expected durations and work of jobs.
         orphan_stop_sent_at: clock time in seconds of the latest stop order for each run
             whose job is unknown, by worker id and run; 0 before the first order.
@@ -86,9 +90,13 @@
     """
 
     def __init__(
-        self, configuration: FleetConfiguration, metrics: Metrics | None = None
+        self,
+        configuration: FleetConfiguration,
+        metrics: Metrics | None = None,
+        longest_lease: float = LEASE_SECONDS,
     ) -> None:
         self.configuration = configuration
+        self.longest_lease = longest_lease
         self._metrics = metrics or Metrics()
         self._known_queue_by_name: dict[str, Queue] = {}
         self.apply_configuration(configuration)
@@ -355,6 +363,11 @@
     ) -> None:
         worker.processed_end = 0
         worker.stored_end = 0
+        # Calls with a lease on the former clock may have reached the worker after the
+        # restart. On its new clock that lease ends far ahead.
+        worker.lease_until = max(
+            worker.lease_until, now + bound_lease(self.longest_lease)
+        )
         listed = {RunKey(entry.task, entry.run) for entry in lists.running}
         listed |= {RunKey(entry.task, entry.run) for entry in lists.ended}
         lost = [run for key, run in worker.run_by_key.items() if key not in listed]
--- a/catkinport/jobs/owner.py
+++ b/catkinport/jobs/owner.py
@@ -65,6 +65,7 @@
         configuration: the current configuration.
         claim: the claim that made this daemon the owner.
         bounds: times that the platform specifies for orders to VMs.
+        longest_lease: longest lease in seconds that a worker grants.
     """
 
     def __init__(
@@ -73,9 +74,10 @@
         configuration: FleetConfiguration,
         claim: Claim,
         bounds: VmBounds,
+        longest_lease: float,
     ) -> None:
         lease = OwnLease(claim.token, claim.sent_at)
-        dispatcher = Dispatcher(configuration, ports.metrics)
+        dispatcher = Dispatcher(configuration, ports.metrics, longest_lease)
         self._session = OwnerSession(ports, dispatcher, lease)
         self._vm_planner = VmPlanner(dispatcher, bounds)
         self._store = StateStore(self._session)
--- a/catkinport/jobs/tests/test_dispatcher.py
+++ b/catkinport/jobs/tests/test_dispatcher.py
@@ -225,6 +225,29 @@
         (again,) = fleet.start()
         assert again.run.key.run == start.run.key.run + 1
 
+    def test_restarted_worker_may_have_granted_its_longest_lease(self):
+        """Guards against a second run while a worker that restarted goes on.
+
+        A call with a lease on the clock before the restart may have reached it.
+        """
+        fleet = Fleet([make_worker("w1"), make_worker("w2")])
+        fleet.dispatcher.longest_lease = 10.0
+        fleet.dispatcher.add_job(make_job(), fleet.now)
+        fleet.poll("w1", started_at=2.0)
+        fleet.poll("w2", started_at=2.0)
+        (start,) = fleet.start()
+        other = {"w1": "w2", "w2": "w1"}[start.worker.worker_id]
+        for _ in range(10):
+            fleet.advance(1.0)
+            fleet.poll(other, started_at=2.0)
+            fleet.dispatcher.expire(fleet.now)
+            assert fleet.start() == []
+        fleet.advance(0.7)
+        fleet.poll(other, started_at=2.0)
+        fleet.dispatcher.expire(fleet.now)
+        (again,) = fleet.start()
+        assert again.worker.worker_id == other
+
     @staticmethod
     def _list_vm(fleet, worker_id, state):
         shown = worker_id if state is VmState.UP else ""
--- a/catkinport/jobs/worker_state.py
+++ b/catkinport/jobs/worker_state.py
@@ -19,7 +19,17 @@
 CLOCK_ERROR = 0.02
 """Fraction by which a worker's clock may be slow."""
 
-MAX_LEASE_SECONDS = LEASE_SECONDS * (1 + 1.5 * CLOCK_ERROR) + LEASE_MARGIN_SECONDS
+
+def bound_lease(lease_seconds: float) -> float:
+    """Return the longest time that a lease of a worker lasts on the owner's clock.
+
+    Args:
+        lease_seconds: length of the lease on the worker's clock.
+    """
+    return lease_seconds * (1 + 1.5 * CLOCK_ERROR) + LEASE_MARGIN_SECONDS
+
+
+MAX_LEASE_SECONDS = bound_lease(LEASE_SECONDS)
 """Longest time, on the owner's clock, for which tasks run after the owner's last call
 to their worker."""
 
--- a/catkinport/platform/daemon.py
+++ b/catkinport/platform/daemon.py
@@ -217,6 +217,7 @@
                 self._configuration.current,
                 claim,
                 self._vm_bounds(),
+                self._settings.bounds.longest_lease,
             )
             await self._owner.run(self._stop)
             self._owner = None
