--- a/catkinport/jobs/dispatcher.py
+++ b/catkinport/jobs/dispatcher.py
@@ -30,13 +30,16 @@
 from .job_estimates import JobEstimates
 from .model import FINAL_STATES, Job, JobState, TaskId
 from .record import JobRecord, Task, TaskPhase
+from .uncertain_starts import UncertainStarts
 from .worker_state import (
+    LEASE_SECONDS,
     UNHEALTHY_PAUSE_SECONDS,
     Incarnation,
     Run,
     RunKey,
     RunPhase,
     WorkerRecord,
+    bound_lease,
 )
 
 logger = logging.getLogger(__name__)
@@ -70,23 +73,30 @@
     Args:
         configuration: version in force.
         metrics: metrics of the process; ``None`` for metrics that nobody reads.
+        longest_lease: longest lease in seconds that a worker grants.
 
     Attributes:
         job_by_id: jobs that have not been stored as ended.
         worker_by_id: workers that are listed or may still run something.
         runs_by_task: runs of each task that may be alive, by the task's name.
+        longest_lease: longest lease in seconds that a worker grants.
         estimates: expected durations and work of jobs.
         orphan_stop_sent_at: clock time in seconds of the latest stop order for each run
             whose job is unknown, by worker id and run; 0 before the first order.
+        uncertain_starts: start orders that were given up, but may be carried out late.
         unresolved_by_id: pool of each worker that the former owner used and that may
             still run its tasks, by worker id. A worker is resolved once it has
             reported to this owner, its VM has gone or its lease has expired.
     """
 
     def __init__(
-        self, configuration: FleetConfiguration, metrics: Metrics | None = None
+        self,
+        configuration: FleetConfiguration,
+        metrics: Metrics | None = None,
+        longest_lease: float = LEASE_SECONDS,
     ) -> None:
         self.configuration = configuration
+        self.longest_lease = longest_lease
         self._metrics = metrics or Metrics()
         self._known_queue_by_name: dict[str, Queue] = {}
         self.apply_configuration(configuration)
@@ -94,6 +104,7 @@
         self.worker_by_id: dict[str, WorkerRecord] = {}
         self.runs_by_task: dict[str, list[Run]] = {}
         self.unresolved_by_id: dict[str, str] = {}
+        self.uncertain_starts = UncertainStarts()
         self.estimates = JobEstimates()
         self._retired_by_id: dict[str, Incarnation] = {}
         self.orphan_stop_sent_at: dict[tuple[str, RunKey], float] = {}
@@ -244,7 +255,8 @@
         """Update the workers from the platform's VM list.
 
         Runs on a VM that is listed as down, absent or with another worker are given up,
-        as they have ended.
+        as they have ended. A run that the worker has not confirmed waits for the end of
+        its lease, because its start may still be carried out if the worker restarts.
         """
         vm_id_by_worker = {vm.worker_id: vm.vm_id for vm in vms if vm.worker_id}
         vm_by_id = {vm.vm_id: vm for vm in vms}
@@ -351,6 +363,11 @@
     ) -> None:
         worker.processed_end = 0
         worker.stored_end = 0
+        # Calls with a lease on the former clock may have reached the worker after the
+        # restart. On its new clock that lease ends far ahead.
+        worker.lease_until = max(
+            worker.lease_until, now + bound_lease(self.longest_lease)
+        )
         listed = {RunKey(entry.task, entry.run) for entry in lists.running}
         listed |= {RunKey(entry.task, entry.run) for entry in lists.ended}
         lost = [run for key, run in worker.run_by_key.items() if key not in listed]
@@ -370,6 +387,7 @@
         for entry in lists.running:
             key = RunKey(entry.task, entry.run)
             listed_keys.add(key)
+            self.uncertain_starts.settle(worker.worker_id, key)
             run = worker.run_by_key.get(key) or self._adopt(worker, key, now)
             if run is None:
                 self.orphan_stop_sent_at.setdefault((worker.worker_id, key), 0.0)
@@ -451,7 +469,9 @@
         task_id = TaskId.parse(ended.task)
         record = self.job_by_id.get(task_id.job_id)
         task = record.find_task(task_id) if record else None
-        run = worker.run_by_key.get(RunKey(ended.task, ended.run))
+        key = RunKey(ended.task, ended.run)
+        run = worker.run_by_key.get(key)
+        self.uncertain_starts.settle(worker.worker_id, key)
         log_event(
             logger,
             "run ended",
@@ -561,6 +581,9 @@
         self, worker: WorkerRecord, run: Run, reason: str, now: float
     ) -> None:
         self._detach(worker, run)
+        is_uncertain = not run.known_at and reason != "not-sent"
+        if is_uncertain:
+            self._keep_uncertain_start(worker, run)
         self._metrics.increment("runs_lost", "Runs given up.", {"reason": reason})
         log_event(
             logger,
@@ -570,17 +593,24 @@
             run=run.key.run,
             worker=worker.worker_id,
             reason=reason,
+            uncertain=is_uncertain,
             silent_seconds=round(now - worker.contact_at, 2),
         )
         run.task.is_lost = reason != "not-sent"
         self._requeue_task(run.record, run.task)
         self._finish_if_closing(run.record)
 
+    def _keep_uncertain_start(self, worker: WorkerRecord, run: Run) -> None:
+        # The incarnation that received the start rejects it once the lease is over.
+        started_at = worker.started_at if run.stopped_at else run.sent_to
+        incarnation = Incarnation(worker.worker_id, started_at)
+        self.uncertain_starts.add(incarnation, run.key, run.asked_at)
+
     def _lose_runs(
         self, worker: WorkerRecord, reason: str, now: float, asked_before: float
     ) -> None:
         for run in list(worker.run_by_key.values()):
-            if run.asked_at < asked_before:
+            if run.known_at and run.asked_at < asked_before:
                 self._lose_run(worker, run, reason, now)
 
     def _remove_worker(self, worker: WorkerRecord) -> None:
@@ -595,6 +625,7 @@
             self._log_inherited_start(worker, task, number, now)
         record.note_run(task, number)
         run = Run(record, task, number, worker.worker_id, now)
+        run.sent_to = worker.started_at
         self._attach(worker, run)
         task.phase = TaskPhase.PLACED
         return run
@@ -689,6 +720,7 @@
 
     def expire(self, now: float) -> None:
         """Give up the runs of silent workers whose lease has expired."""
+        self.uncertain_starts.expire(now)
         for worker in self.worker_by_id.values():
             if worker.is_in_contact(now) or now <= worker.lease_until:
                 continue
--- a/catkinport/jobs/run_orders.py
+++ b/catkinport/jobs/run_orders.py
@@ -110,6 +110,7 @@
         if worker is None:
             return
         run = worker.run_by_key.get(stop.key)
+        incarnation = worker.incarnation
         outcome = await self._session.ports.workers.stop(
             worker.listed, self._session.lease.token, stop.key.task, stop.key.run
         )
@@ -124,7 +125,11 @@
             outcome=type(outcome).__name__,
         )
         self._session.check_fenced(outcome)
-        if run is not None:
+        if isinstance(outcome, Done):
+            uncertain_starts = self._session.dispatcher.uncertain_starts
+            uncertain_starts.note_stopped(incarnation, stop.key)
+        # A stop that was answered across a restart may have been carried out before it.
+        if run is not None and worker.incarnation == incarnation:
             self._session.dispatcher.on_stop_outcome(
                 run, outcome, self._session.clock.now()
             )
--- a/catkinport/jobs/tests/rival_fleet.py
+++ b/catkinport/jobs/tests/rival_fleet.py
@@ -157,7 +157,8 @@
             self.store, self.workers, None, None, fleet.clock, Metrics()
         )
         configuration = make_configuration(MAX_FAILURES, NO_RESOURCES)
-        self._owner = FleetOwner(ports, configuration, claim, VmBounds(2.0, 1.5, 3.0))
+        bounds = VmBounds(2.0, 1.5, 3.0)
+        self._owner = FleetOwner(ports, configuration, claim, bounds, 10.0)
         self._watch = self._owner._watch
         self._watch._start_polling = lambda worker_id: None
         self._session = self._owner._session
--- a/catkinport/jobs/tests/test_job_feed.py
+++ b/catkinport/jobs/tests/test_job_feed.py
@@ -61,7 +61,7 @@
     clock = SimpleNamespace(now=lambda: 100.0)
     ports = OwnerPorts(table, None, None, None, clock, Metrics())
     claim = Claim(1, 100.0, None, False)
-    return FleetOwner(ports, make_configuration(), claim, BOUNDS)
+    return FleetOwner(ports, make_configuration(), claim, BOUNDS, 10.0)
 
 
 class TestLostHistory:
--- a/catkinport/jobs/worker_state.py
+++ b/catkinport/jobs/worker_state.py
@@ -19,7 +19,17 @@
 CLOCK_ERROR = 0.02
 """Fraction by which a worker's clock may be slow."""
 
-MAX_LEASE_SECONDS = LEASE_SECONDS * (1 + 1.5 * CLOCK_ERROR) + LEASE_MARGIN_SECONDS
+
+def bound_lease(lease_seconds: float) -> float:
+    """Return the longest time that a lease of a worker lasts on the owner's clock.
+
+    Args:
+        lease_seconds: length of the lease on the worker's clock.
+    """
+    return lease_seconds * (1 + 1.5 * CLOCK_ERROR) + LEASE_MARGIN_SECONDS
+
+
+MAX_LEASE_SECONDS = bound_lease(LEASE_SECONDS)
 """Longest time, on the owner's clock, for which tasks run after the owner's last call
 to their worker."""
 
@@ -82,6 +92,8 @@
         worker_id: worker that runs it.
         phase: whether it was ordered, runs or is being stopped.
         asked_at: clock time in seconds of the start order.
+        sent_to: ``started_at`` of the incarnation of the worker for which the start
+            order was made.
         known_at: clock time at which the worker confirmed it; 0 before.
         stop_sent_at: clock time of the latest stop order; 0 for none.
         stopped_at: clock time at which the worker confirmed a stop; 0 before.
@@ -107,6 +119,7 @@
         "phase",
         "progressed_at",
         "record",
+        "sent_to",
         "stop_sent_at",
         "stopped_at",
         "task",
@@ -122,6 +135,7 @@
         self.worker_id = worker_id
         self.phase = RunPhase.ASKED
         self.asked_at = now
+        self.sent_to = 0.0
         self.known_at = 0.0
         self.stop_sent_at = 0.0
         self.stopped_at = 0.0
@@ -198,6 +212,14 @@
         """Number of failures among its latest ends of runs."""
         return float(self._outcomes.count(False))
 
+    @property
+    def may_have_restarted(self) -> bool:
+        """Whether it hasn't answered since a poll without an answer.
+
+        An incarnation with another clock may have its id by then.
+        """
+        return self.contact_since == float("inf")
+
     def free(self) -> Resources:
         """Return the part of its capacity that no run takes."""
         have = self.listed.capacity
@@ -238,8 +260,7 @@
     def note_contact(self, now: float, is_restarted: bool) -> None:
         """Record that an answer arrived, perhaps the first one since a restart."""
         self.contact_at = now
-        is_interrupted = is_restarted or self.contact_since == float("inf")
-        if is_interrupted:
+        if is_restarted or self.may_have_restarted:
             self.contact_since = now
 
     def note_no_answer(self) -> None:
@@ -255,6 +276,7 @@
             and not self.is_reserved
             and not self.is_cordoned
             and self.is_in_contact(now)
+            and not self.may_have_restarted
             and now >= self.blocked_until
         )
 
--- a/catkinport/jobs/worker_watch.py
+++ b/catkinport/jobs/worker_watch.py
@@ -180,8 +180,10 @@
                 answers.
         """
         sent_at = self._session.clock.now()
+        silent_seconds = sent_at - worker.contact_at
         is_fresh = (
-            sent_at - worker.contact_at <= RENEW_CONTACT_SECONDS + POLL_WAIT_SECONDS
+            silent_seconds <= RENEW_CONTACT_SECONDS + POLL_WAIT_SECONDS
+            and not worker.may_have_restarted
         )
         lease_seconds = LEASE_SECONDS if is_fresh else 0.0
         if lease_seconds:
--- a/catkinport/platform/daemon.py
+++ b/catkinport/platform/daemon.py
@@ -221,6 +221,7 @@
                 self._configuration.current,
                 claim,
                 self._vm_bounds(),
+                self._settings.bounds.longest_lease,
             )
             try:
                 await self._owner.run(self._stop)
