Give the simulated workers a clock that begins anew at each restart

The simulated workers of the test of ownership changes took the lease in a start as a time on the common clock. A late start was therefore refused after a restart, where a real worker carries it out, and no list of VMs was read.

Change: each incarnation has its own clock, a lease is shortened to the longest, workers may stay down for a time, and the owner reads lists of VMs. The invariants are unchanged. Four fixed histories are added.

--- a/catkinport/jobs/tests/test_owner_changes.py
+++ b/catkinport/jobs/tests/test_owner_changes.py
@@ -4,6 +4,10 @@
 arrive late or get no answer. Each new owner loads what the former one stored and takes
 over the runs that the workers list. After every step the invariants are checked on the
 state of the simulated workers.
+
+A worker that crashes starts again under its id, knows nothing of before, and its clock
+begins anew. Late orders may reach it then. As docs/platform.md assumes, that is not
+before the owner's first calls there, nor later than `ORDER_DELAY_SECONDS`.
 """
 
 from typing import NamedTuple
@@ -22,6 +26,7 @@
 from ...policy.leadership import former_owner_bound
 from ...policy.resources import Resources
 from ...ports import Reason, Unavailable
+from ...ports.fleet_vms import FleetVm, VmState
 from ...ports.fleet_workers import (
     Done,
     EndedTask,
@@ -34,19 +39,21 @@
 from ..dispatcher import Dispatcher, is_over
 from ..model import Job
 from ..planner import PlannedStart, Planner
-from ..run_stops import StopOrder, find_stops
+from ..run_stops import STOP_RETRY_SECONDS, StopOrder, find_stops
+from ..uncertain_starts import ORDER_DELAY_SECONDS
 from ..worker_state import (
     FRESH_CONTACT_SECONDS,
     LEASE_SECONDS,
     MAX_LEASE_SECONDS,
     WorkerRecord,
 )
-from .builders import make_configuration, make_job, make_step, make_worker
+from .builders import POOL, make_configuration, make_job, make_step, make_worker
 
 MAX_FAILURES = 2
 LIMIT = Resources(20.0, 0.0, 0.0)
 LOST = Unavailable(Reason.TIMEOUT, "worker-start", "w", "", True)
 WORKER_IDS = ("w0", "w1", "w2")
+LONGEST_LEASE_SECONDS = 10.0
 DELIVERIES = ("answered", "answered", "answered", "no answer", "late", "lost")
 workers = st.sampled_from(WORKER_IDS)
 
@@ -55,7 +62,10 @@
     """An order to a worker to start or stop a run.
 
     Args:
-        until: clock time in seconds at which the lease of a start ends.
+        until: time on the worker's clock in seconds at which the lease of a start
+            ends.
+        sent_at: clock time in seconds.
+        sent_to: ``started_at`` of the worker when the order was sent.
     """
 
     worker_id: str
@@ -64,12 +74,24 @@
     run: int
     until: float
     is_start: bool
+    sent_at: float
+    sent_to: float
 
 
 class FakeWorker:
-    """Simulated worker with fencing tokens, a lease, and refusal of outdated runs."""
+    """Simulated worker with fencing tokens, a lease, and refusal of outdated runs.
+
+    Attributes:
+        clock_zero: clock time in seconds at which its own clock was 0.
+        is_down: whether it has crashed and not started again.
+        is_called: whether the present owner has reached this incarnation, and sent
+            there what it sends at first.
+    """
 
     def __init__(self) -> None:
+        self.clock_zero = 0.0
+        self.is_down = False
+        self.is_called = False
         self.token = 0
         self.lease_until = 0.0
         self.running: dict[tuple[str, int], float] = {}
@@ -100,14 +122,14 @@
                 self.end(key, EndKind.STOPPED)
             self._refuse(*key)
             return Done()
-        if order.until < now:
+        if order.until < now - self.clock_zero:
             return Rejected(Rejection.LATE)
         if key in self.running:
             return Done()
         if order.run <= self.refused_run.get(order.task, 0):
             return Rejected(Rejection.OLD_RUN)
         self.running[key] = now
-        self.lease_until = max(self.lease_until, order.until)
+        self._extend_lease(order.until, now)
         return Done()
 
     def renew_lease(self, token: int, acknowledged_end: int, until: float, now: float):
@@ -115,15 +137,20 @@
         if token < self.token:
             return Rejected(Rejection.FENCED)
         self.token = token
-        self.lease_until = max(self.lease_until, until)
+        self._extend_lease(until, now)
         self.ended = [end for end in self.ended if end.number > acknowledged_end]
         running = [RunningTask(*key, "", 0.0, 0.0) for key in self.running]
         return WorkerLists(self.started_at, running, list(self.ended))
 
-    def crash(self) -> None:
+    def crash(self, now: float) -> None:
         started_at = self.started_at
         self.__init__()
         self.started_at = started_at + 1.0
+        self.clock_zero = now
+
+    def _extend_lease(self, until: float, now: float) -> None:
+        granted = min(self.clock_zero + until, now + LONGEST_LEASE_SECONDS)
+        self.lease_until = max(self.lease_until, granted)
 
     def _refuse(self, task: str, run: int) -> None:
         self.refused_run[task] = max(run, self.refused_run.get(task, 0))
@@ -139,6 +166,8 @@
         self.worker_by_id = {worker_id: FakeWorker() for worker_id in WORKER_IDS}
         self.unreachable_ids: set[str] = set()
         self.late_orders: list[Order] = []
+        self.clock_zero_by_id: dict[str, float] = {}
+        self.stop_unanswered_at = float("-inf")
         self.job_by_id: dict[str, Job] = {}
         self.canceled_at_by_job: dict[str, float] = {}
         self.stored_rows: dict[str, dict] = {}
@@ -166,9 +195,29 @@
     def heal_partition(self, worker_id: str) -> None:
         self.unreachable_ids.discard(worker_id)
 
+    @rule(worker_id=workers, is_down=st.booleans())
+    def crash(self, worker_id: str, is_down: bool) -> None:
+        worker = self.worker_by_id[worker_id]
+        worker.crash(self.now)
+        worker.is_down = is_down
+        # The long poll that was under way has no answer.
+        self.dispatcher.worker_by_id[worker_id].may_have_restarted = True
+
     @rule(worker_id=workers)
-    def crash(self, worker_id: str) -> None:
-        self.worker_by_id[worker_id].crash()
+    def start_again(self, worker_id: str) -> None:
+        if self.worker_by_id[worker_id].is_down:
+            self.worker_by_id[worker_id].crash(self.now)
+
+    @rule()
+    def list_vms(self) -> None:
+        vms = []
+        for worker_id, worker in self.worker_by_id.items():
+            state = VmState.DOWN if worker.is_down else VmState.UP
+            shown = "" if worker.is_down else worker_id
+            capacity = Resources(16.0, 256.0, 0)
+            vm = FleetVm(f"m-{worker_id}", POOL, state, "z", (), capacity, shown)
+            vms.append(vm)
+        self.dispatcher.update_vms(vms, self.now, self.now)
 
     @rule(how=st.sampled_from([EndKind.DONE, EndKind.FAILED]), worker_id=workers)
     def end_a_run(self, how: EndKind, worker_id: str) -> None:
@@ -179,10 +228,16 @@
 
     @rule()
     def carry_out_late(self) -> None:
-        if self.late_orders:
-            order = self.late_orders.pop(0)
-            worker = self.worker_by_id[order.worker_id]
+        if not self.late_orders:
+            return
+        order = self.late_orders.pop(0)
+        worker = self.worker_by_id[order.worker_id]
+        if self.now - order.sent_at > ORDER_DELAY_SECONDS or worker.is_down:
+            return
+        if order.sent_to == worker.started_at or worker.is_called:
             self._deliver(worker, order)
+        else:
+            self.late_orders.append(order)
 
     @rule(n_tasks=st.integers(1, 3))
     def submit(self, n_tasks: int) -> None:
@@ -208,29 +263,51 @@
     ) -> None:
         """Run one cycle of the owner's loops."""
         self._stop(stop_delivery)
+        self._note_called(stop_delivery)
         for worker_id in WORKER_IDS:
             self._poll(worker_id)
         self._plan(delivery)
         if is_stored:
             self._store()
 
+    def _note_called(self, stop_delivery: str) -> None:
+        """Note which workers have got the stops that follow their first answer."""
+        if stop_delivery != "answered":
+            self.stop_unanswered_at = self.now
+        if self.now - self.stop_unanswered_at < STOP_RETRY_SECONDS:
+            return
+        for worker_id, worker in self.worker_by_id.items():
+            record = self.dispatcher.worker_by_id[worker_id]
+            is_known = record.started_at == worker.started_at
+            if is_known and self._is_reachable(worker_id):
+                worker.is_called = worker.is_called or record.is_in_contact(self.now)
+
     def _poll(self, worker_id: str) -> None:
         worker = self.dispatcher.worker_by_id.get(worker_id)
         if worker is None:
             return
         is_fresh = self.now - worker.contact_at <= FRESH_CONTACT_SECONDS
         until = 0.0
-        if is_fresh:
+        if is_fresh and not worker.may_have_restarted:
             worker.extend_lease(self.now)
-            until = self.now + LEASE_SECONDS
-        if worker_id in self.unreachable_ids:
+            until = self._lease_end(worker_id)
+        if not self._is_reachable(worker_id):
+            worker.may_have_restarted = True
             return
-        outcome = self.worker_by_id[worker_id].renew_lease(
-            self.token, worker.stored_end, until, self.now
-        )
+        fake = self.worker_by_id[worker_id]
+        outcome = fake.renew_lease(self.token, worker.stored_end, until, self.now)
         if isinstance(outcome, WorkerLists):
+            self.clock_zero_by_id[worker_id] = fake.clock_zero
             self.dispatcher.on_worker_report(worker_id, outcome, self.now, self.now)
 
+    def _lease_end(self, worker_id: str) -> float:
+        """Return the end of a lease on the clock that the owner knows."""
+        return self.now - self.clock_zero_by_id[worker_id] + LEASE_SECONDS
+
+    def _is_reachable(self, worker_id: str) -> bool:
+        is_down = self.worker_by_id[worker_id].is_down
+        return not is_down and worker_id not in self.unreachable_ids
+
     def _plan(self, delivery: str) -> None:
         for start in self.planner.plan(self.now, self.now):
             self._check_start(start)
@@ -239,16 +316,25 @@
                 start.run.worker_id,
                 self.token,
                 *start.run.key,
-                self.now + LEASE_SECONDS,
+                self._lease_end(start.run.worker_id),
                 True,
+                self.now,
+                self.worker_by_id[start.run.worker_id].started_at,
             )
             outcome = self._send(order, delivery)
             self.dispatcher.on_start_outcome(start.run, outcome, self.now)
 
     def _stop(self, delivery: str) -> None:
         for stop in list(find_stops(self.dispatcher, self.now)):
-            order = Order(stop.worker_id, self.token, *stop.key, 0.0, False)
+            worker = self.dispatcher.worker_by_id[stop.worker_id]
+            sent_to = self.worker_by_id[stop.worker_id].started_at
+            order = Order(
+                stop.worker_id, self.token, *stop.key, 0.0, False, self.now, sent_to
+            )
             outcome = self._send(order, delivery)
+            if isinstance(outcome, Done):
+                starts = self.dispatcher.uncertain_starts
+                starts.note_stopped(worker.incarnation, stop.key)
             run = self._find_run(stop)
             if run is not None:
                 self.dispatcher.on_stop_outcome(run, outcome, self.now)
@@ -307,7 +393,7 @@
         }
 
     def _send(self, order: Order, delivery: str) -> Done | Rejected | Unavailable:
-        is_unreachable = order.worker_id in self.unreachable_ids
+        is_unreachable = not self._is_reachable(order.worker_id)
         if delivery == "late":
             self.late_orders.append(order)
         if is_unreachable or delivery in ("late", "lost"):
@@ -324,7 +410,10 @@
 
     def _take_over(self, is_first: bool) -> None:
         self.token += 1
-        self.dispatcher = Dispatcher(make_configuration(MAX_FAILURES, LIMIT))
+        self.dispatcher = Dispatcher(
+            make_configuration(MAX_FAILURES, LIMIT),
+            longest_lease=LONGEST_LEASE_SECONDS,
+        )
         self.planner = Planner(self.dispatcher)
         # The former owner may have renewed leases until the moment of the change.
         bound = former_owner_bound(self.now, True, MAX_LEASE_SECONDS)
@@ -346,6 +435,7 @@
             worker.is_enrolled = True
             worker.lease_until = 0.0 if is_first else bound
             self.dispatcher.worker_by_id[worker_id] = worker
+            self.worker_by_id[worker_id].is_called = False
             if not is_first:
                 self.dispatcher.unresolved_by_id[worker_id] = worker.listed.pool
 
@@ -371,3 +461,88 @@
                 suppress_health_check=list(HealthCheck),
             ),
         )
+
+
+def begin_with_late_start() -> tuple[OwnerChanges, str]:
+    """Return a history and the worker that may still carry out the start of a task."""
+    history = OwnerChanges()
+    history.begin()
+    history.run_owner_cycle("answered", "answered", True)
+    history.submit(1)
+    history.run_owner_cycle("late", "lost", True)
+    (order,) = history.late_orders
+    return history, order.worker_id
+
+
+class TestRestartUnderOneId:
+    """Histories that the random search rarely finds."""
+
+    def test_late_start_after_the_vm_was_listed_as_dead(self):
+        """Guards against a second run by a late start before the owner's first call."""
+        history, worker_id = begin_with_late_start()
+        history.list_vms()
+        history.crash(worker_id, is_down=True)
+        history.pass_time(1.5)
+        history.list_vms()
+        history.run_owner_cycle("answered", "lost", True)
+        history.start_again(worker_id)
+        history.worker_by_id[worker_id].is_called = True
+        history.carry_out_late()
+        assert history.worker_by_id[worker_id].running
+        history.no_task_runs_twice()
+
+    def test_late_start_after_the_lease_ended(self):
+        """Guards against a second run on a worker that was cut off and restarted."""
+        history, worker_id = begin_with_late_start()
+        history.partition_worker(worker_id)
+        self.pass_and_poll(history, 7)
+        self.check_late_start_is_refused(history, worker_id)
+
+    def test_late_start_after_its_stop_was_confirmed(self):
+        """Guards against a second run on a worker that has forgotten a stop."""
+        history, worker_id = begin_with_late_start()
+        history.dispatcher.worker_by_id[worker_id].is_cordoned = True
+        self.pass_and_poll(history, 2)
+        self.check_late_start_is_refused(history, worker_id)
+
+    def test_lease_on_the_clock_before_a_restart(self):
+        """Guards against a second run while a worker that restarted is cut off."""
+        history = OwnerChanges()
+        history.begin()
+        history.pass_time(3.0)
+        history.run_owner_cycle("answered", "answered", True)
+        for worker_id in WORKER_IDS:
+            history.crash(worker_id, is_down=False)
+            # Nothing has shown the restart, so the next poll renews the lease.
+            record = history.dispatcher.worker_by_id[worker_id]
+            record.may_have_restarted = False
+        history.run_owner_cycle("answered", "answered", True)
+        history.submit(1)
+        history.run_owner_cycle("answered", "answered", True)
+        (worker_id,) = [i for i, w in history.worker_by_id.items() if w.running]
+        history.partition_worker(worker_id)
+        for _ in range(12):
+            self.pass_and_poll(history, 1)
+            history.no_task_runs_twice()
+
+    @staticmethod
+    def pass_and_poll(history: OwnerChanges, n_cycles: int) -> None:
+        for _ in range(n_cycles):
+            history.pass_time(0.5)
+            history.pass_time(0.5)
+            history.run_owner_cycle("answered", "answered", True)
+
+    @staticmethod
+    def check_late_start_is_refused(history: OwnerChanges, worker_id: str) -> None:
+        """Restart the worker and check that it refuses the late start when called."""
+        others = [w for i, w in history.worker_by_id.items() if i != worker_id]
+        assert any(worker.running for worker in others)
+        history.crash(worker_id, is_down=False)
+        history.heal_partition(worker_id)
+        for _ in range(2):
+            history.pass_time(0.1)
+            history.run_owner_cycle("answered", "answered", True)
+        assert history.worker_by_id[worker_id].is_called
+        history.carry_out_late()
+        assert history.late_orders == []
+        history.no_task_runs_twice()
