Let workers of the stand-in start again under the same id

The stand-in gave each restarted worker a new id and dropped the late orders of the former one. Neither the soak nor a test against it could show a fault of late starts after a restart.

Change: a crash may keep the id ("keeps_id" in the control for a VM, off by default). Late orders are then carried out by the incarnation that has the id. Clocks that begin anew and leases that are shortened to the longest were there before. The soak does not use it yet.

--- a/catkinport/platform/standin/server.py
+++ b/catkinport/platform/standin/server.py
@@ -162,7 +162,8 @@
         if vm is None:
             return web.json_response({"error": f"no VM {vm_id!r}"}, status=404)
         if "crash_seconds" in change:
-            self._fleet.crash(vm_id, float(change["crash_seconds"]))
+            keeps_id = bool(change.get("keeps_id", False))
+            self._fleet.crash(vm_id, float(change["crash_seconds"]), keeps_id)
         if "is_silent" in change:
             vm.is_silent = bool(change["is_silent"])
         return web.json_response({})
--- /dev/null
+++ b/catkinport/platform/standin/tests/test_restarts.py
@@ -0,0 +1,96 @@
+"""Tests of workers of the stand-in that start again under the same id."""
+
+import asyncio
+import json
+import random
+
+import pytest
+
+from .. import worker_server
+from ..vms import FleetSize, VmFleet
+from ..worker_server import WorkerServer
+
+START = {"Task": "a.0.0.0", "Run": 1, "Spec": "lasts", "FencingToken": 7}
+OLD_UNTIL_MS = 486_000
+
+
+class FakeStore:
+    """Keeps nothing; the tests look at the workers themselves."""
+
+    def write(self, key, value):
+        pass
+
+
+class Scene:
+    """A VM whose worker restarts, and the server of its calls.
+
+    Attributes:
+        now: time in seconds.
+    """
+
+    def __init__(self, monkeypatch):
+        monkeypatch.setattr(worker_server, "LATE_ORDER_SECONDS", (0.0, 0.0))
+        self.now = 1000.0
+        self.fleet = VmFleet(FakeStore(), FleetSize(1, 1, 0), lambda: self.now)
+        self.fleet.start_workers()
+        (self.vm,) = self.fleet.vm_by_id.values()
+        self.server = WorkerServer(self.vm, lambda: self.now, {}, random.Random(1))
+
+    def restart(self, keeps_id):
+        self.fleet.crash(self.vm.vm_id, 1.0, keeps_id)
+        self.now += 1.5
+        self.fleet.tick()
+
+    def start_late(self, former):
+        """Carry out a start that was sent to a former incarnation."""
+        body = {**START, "UntilMs": OLD_UNTIL_MS}
+
+        async def run():
+            self.server._run_late(former, self.server._start, body)
+            await asyncio.gather(*self.server._late)
+
+        asyncio.run(run())
+
+    def running(self):
+        return self.vm.instance.encode_lists(self.now)["Running"]
+
+
+@pytest.fixture
+def scene(monkeypatch):
+    return Scene(monkeypatch)
+
+
+class TestRestart:
+    def test_late_start_is_carried_out_under_the_same_id(self, scene):
+        """Guards against a stand-in that hides faults of late starts after restarts."""
+        former = scene.vm.instance
+        scene.restart(keeps_id=True)
+        assert scene.vm.instance is not former
+        assert scene.vm.instance.worker_id == former.worker_id
+        scene.start_late(former)
+        assert [run[0] for run in scene.running()] == ["a.0.0.0"]
+
+    def test_late_start_on_the_former_clock_gets_the_longest_lease(self, scene):
+        """Guards against a stand-in whose restarted worker keeps its clock."""
+        former = scene.vm.instance
+        scene.restart(keeps_id=True)
+        scene.start_late(former)
+        scene.now += 5.9
+        assert scene.running()
+        scene.now += 0.2
+        assert not scene.running()
+
+    def test_late_start_is_lost_under_another_id(self, scene):
+        """Guards against a late order that reaches a worker with another id."""
+        former = scene.vm.instance
+        scene.restart(keeps_id=False)
+        assert scene.vm.instance.worker_id != former.worker_id
+        scene.start_late(former)
+        assert not scene.running()
+
+    def test_clock_begins_anew(self, scene):
+        """Guards against a worker that shows the clock of its former incarnation."""
+        scene.now += 50.0
+        scene.restart(keeps_id=True)
+        answer = scene.server._answer(scene.vm.instance, 200)
+        assert json.loads(answer.text)["ClockMs"] < 1000
--- a/catkinport/platform/standin/vms.py
+++ b/catkinport/platform/standin/vms.py
@@ -60,6 +60,7 @@
         ready_at: time in seconds at which the VM is up again; 0 if none is due.
         state: state in the platform's list.
         maintained: numbers of the waves in which it was maintained.
+        kept_id: id under which its next worker starts; empty for a new one.
         is_silent: whether its worker runs on but neither answers calls nor sends
             heartbeats.
     """
@@ -73,6 +74,7 @@
         self.ready_at = 0.0
         self.state = VmState.UP
         self.maintained: set[int] = set()
+        self.kept_id = ""
         self.is_silent = False
 
 
@@ -162,22 +164,33 @@
         vm.ready_at = self._now() + UPKEEP_SECONDS
         return True
 
-    def crash(self, vm_id: str, down_seconds: float) -> None:
-        """End a VM's worker; another incarnation starts after ``down_seconds``."""
+    def crash(self, vm_id: str, down_seconds: float, keeps_id: bool = False) -> None:
+        """End a VM's worker; another incarnation starts after ``down_seconds``.
+
+        Args:
+            vm_id: the VM.
+            down_seconds: time for which the VM is down.
+            keeps_id: whether the next incarnation starts under the same id.
+        """
         vm = self.vm_by_id[vm_id]
+        if vm.instance is not None:
+            vm.kept_id = vm.instance.worker_id if keeps_id else ""
         self._end_instance(vm)
         vm.state = VmState.DOWN
         vm.ready_at = self._now() + down_seconds
 
     def _start_instance(self, vm: StandinVm) -> None:
         self._n_instances += 1
+        worker_id = vm.kept_id or f"i-{vm.vm_id}-{self._n_instances}"
+        vm.kept_id = ""
         vm.instance = WorkerIncarnation(
-            f"i-{vm.vm_id}-{self._n_instances}",
+            worker_id,
             Resources(self._cores, 64.0, 0),
             int(self._now() * 1000),
             self.events,
             MAX_LEASE_SECONDS,
         )
+        self._heartbeat_at_by_worker.pop(worker_id, None)
         self._send_heartbeat(vm, self._now())
 
     def _end_instance(self, vm: StandinVm) -> None:
--- a/catkinport/platform/standin/worker_incarnation.py
+++ b/catkinport/platform/standin/worker_incarnation.py
@@ -1,7 +1,7 @@
 """One incarnation of a worker: runs tasks under a lease and lists those that ended.
 
-A worker that restarts is a new incarnation with a new id. A run is one attempt to
-execute a task.
+A worker that restarts is a new incarnation, under a new id or the same one. A run is
+one attempt to execute a task.
 """
 
 import re
--- a/catkinport/platform/standin/worker_server.py
+++ b/catkinport/platform/standin/worker_server.py
@@ -87,8 +87,11 @@
     ) -> None:
         async def run() -> None:
             await asyncio.sleep(self._rng.uniform(*LATE_ORDER_SECONDS))
-            if self._vm.instance is instance:
-                await self._carry_out(instance, handler, body)
+            # The header of the order names the id only, so an incarnation that has
+            # started again under it carries the order out.
+            present = self._vm.instance
+            if present is not None and present.worker_id == instance.worker_id:
+                await self._carry_out(present, handler, body)
 
         task = asyncio.ensure_future(run())
         self._late.add(task)
--- a/verification/platform/deployment.py
+++ b/verification/platform/deployment.py
@@ -240,8 +240,9 @@
 
         Args:
             vm_id: the VM.
-            change: ``crash_seconds``, time for which the VM is down, or ``is_silent``,
-                whether its worker can neither be called nor call.
+            change: ``crash_seconds``, time for which the VM is down, with ``keeps_id``
+                if its worker starts again under the same id; or ``is_silent``, whether
+                its worker can neither be called nor call.
         """
         self.call_standin("PUT", f"/standin/vms/{vm_id}", change)
 
