Log a start that is carried out after it was given up

The incident of a task that ran twice could not be traced, as no line told that a worker had carried out a start that the owner counted as lost.

Change: "late start carried out" names the task, the run, the worker and the time since the start was sent. "worker restarted" has the number of starts that may still come.

--- a/catkinport/jobs/dispatcher.py
+++ b/catkinport/jobs/dispatcher.py
@@ -371,7 +371,13 @@
         listed = {RunKey(entry.task, entry.run) for entry in lists.running}
         listed |= {RunKey(entry.task, entry.run) for entry in lists.ended}
         lost = [run for key, run in worker.run_by_key.items() if key not in listed]
-        log_event(logger, "worker restarted", worker=worker.worker_id, n_lost=len(lost))
+        log_event(
+            logger,
+            "worker restarted",
+            worker=worker.worker_id,
+            n_lost=len(lost),
+            n_uncertain_starts=self.uncertain_starts.count(worker.worker_id),
+        )
         for run in lost:
             if run.known_at:
                 self._lose_run(worker, run, "worker-restarted", now)
@@ -387,7 +393,7 @@
         for entry in lists.running:
             key = RunKey(entry.task, entry.run)
             listed_keys.add(key)
-            self.uncertain_starts.settle(worker.worker_id, key)
+            self.uncertain_starts.settle(worker.worker_id, key, now)
             run = worker.run_by_key.get(key) or self._adopt(worker, key, now)
             if run is None:
                 self.orphan_stop_sent_at.setdefault((worker.worker_id, key), 0.0)
@@ -471,7 +477,7 @@
         task = record.find_task(task_id) if record else None
         key = RunKey(ended.task, ended.run)
         run = worker.run_by_key.get(key)
-        self.uncertain_starts.settle(worker.worker_id, key)
+        self.uncertain_starts.settle(worker.worker_id, key, now)
         log_event(
             logger,
             "run ended",
--- a/catkinport/jobs/tests/test_uncertain_starts.py
+++ b/catkinport/jobs/tests/test_uncertain_starts.py
@@ -172,6 +172,15 @@
         workers.report(started_at=2.0)
         assert workers.stops() == []
 
+    def test_start_that_is_carried_out_after_all_is_logged(self, caplog):
+        """Guards against a late start that leaves no trace when a task runs twice."""
+        workers = TwoWorkers()
+        workers.give_up()
+        running = RunningTask(*workers.key, "", 0.0, 0.0)
+        workers.fleet.running_by_worker[workers.worker_id][workers.key] = running
+        workers.report(started_at=2.0)
+        assert "late start carried out" in caplog.messages
+
     def test_start_is_forgotten_once_it_can_be_carried_out_no_more(self):
         """Guards against a list of starts that grows without end."""
         workers = TwoWorkers()
--- a/catkinport/jobs/uncertain_starts.py
+++ b/catkinport/jobs/uncertain_starts.py
@@ -7,11 +7,15 @@
 Only a stop that the restarted worker itself has confirmed makes it reject the start.
 """
 
+import logging
 from collections.abc import Iterator
 from dataclasses import dataclass
 
+from ..runtime.logs import log_event
 from .worker_state import Incarnation, RunKey
 
+logger = logging.getLogger(__name__)
+
 ORDER_DELAY_SECONDS = 12.0
 """Longest time after which an order without an answer is carried out. This is an
 assumption: the platform's documentation only speaks of seconds."""
@@ -43,9 +47,24 @@
         starts = self._starts_by_worker.setdefault(incarnation.worker_id, {})
         starts[key] = _UncertainStart(sent_at, incarnation.started_at)
 
-    def settle(self, worker_id: str, key: RunKey) -> None:
+    def count(self, worker_id: str) -> int:
+        """Return how many starts on a worker are remembered."""
+        return len(self._starts_by_worker.get(worker_id, {}))
+
+    def settle(self, worker_id: str, key: RunKey, now: float) -> None:
         """Forget a start, because the worker has carried it out."""
-        self._starts_by_worker.get(worker_id, {}).pop(key, None)
+        start = self._starts_by_worker.get(worker_id, {}).pop(key, None)
+        if start is not None:
+            log_event(
+                logger,
+                "late start carried out",
+                level=logging.WARNING,
+                request_id=key.task.partition(".")[0],
+                task=key.task,
+                run=key.run,
+                worker=worker_id,
+                seconds=round(now - start.sent_at, 3),
+            )
 
     def note_stopped(self, incarnation: Incarnation, key: RunKey) -> None:
         """Note that an incarnation has confirmed a stop.
