Visit only the workers that have uncertain starts

Each round of planning visited all workers to look for uncertain starts to stop, also when there were none.

The 743 tests of catkinport/jobs and catkinport/platform pass.

--- a/catkinport/jobs/run_stops.py
+++ b/catkinport/jobs/run_stops.py
@@ -95,12 +95,12 @@
     A worker out of contact gets none, as it may be gone; the stop follows its first
     answer.
     """
-    for worker in dispatcher.worker_by_id.values():
-        if not worker.is_in_contact(now):
+    starts = dispatcher.uncertain_starts
+    for worker_id in starts.worker_ids():
+        worker = dispatcher.worker_by_id.get(worker_id)
+        if worker is None or not worker.is_in_contact(now):
             continue
-        keys = dispatcher.uncertain_starts.find_stops(
-            worker.incarnation, now, STOP_RETRY_SECONDS
-        )
+        keys = starts.find_stops(worker.incarnation, now, STOP_RETRY_SECONDS)
         for key in keys:
             yield StopOrder(worker.worker_id, key, "start-unsure")
 
--- a/catkinport/jobs/uncertain_starts.py
+++ b/catkinport/jobs/uncertain_starts.py
@@ -47,6 +47,10 @@
         starts = self._starts_by_worker.setdefault(incarnation.worker_id, {})
         starts[key] = _UncertainStart(sent_at, incarnation.started_at)
 
+    def worker_ids(self) -> list[str]:
+        """Return the ids of the workers that may carry out a start."""
+        return list(self._starts_by_worker)
+
     def count(self, worker_id: str) -> int:
         """Return how many starts on a worker are remembered."""
         return len(self._starts_by_worker.get(worker_id, {}))
