Merge workers of the stand-in and of tests that start again under one id

The random test of changes of ownership stays as it was. Workers whose clock begins anew, and late orders under the assumption of docs/platform.md, are a test of their own that extends it.

--- a/catkinport/jobs/tests/test_owner_changes.py
+++ b/catkinport/jobs/tests/test_owner_changes.py
@@ -153,16 +153,16 @@
         for start in self.planner.plan(self.now, self.now):
             self._check_start(start)
             start.worker.extend_lease(self.now)
-            order = Order(
-                start.run.worker_id,
-                self.token,
-                *start.run.key,
-                self.now + LEASE_SECONDS,
-                True,
-            )
+            worker_id = start.run.worker_id
+            until = self._lease_end(worker_id)
+            order = Order(worker_id, self.token, *start.run.key, until, True)
             outcome = self._send(order, delivery)
             self.dispatcher.on_start_outcome(start.run, outcome, self.now)
 
+    def _lease_end(self, worker_id: str) -> float:
+        """Return the end of a lease that is granted now, on the worker's clock."""
+        return self.now + LEASE_SECONDS
+
     def _stop(self, delivery: str) -> None:
         for stop in list(find_stops(self.dispatcher, self.now)):
             order = Order(stop.worker_id, self.token, *stop.key, 0.0, False)
@@ -240,9 +240,12 @@
         worker = self.dispatcher.worker_by_id.get(stop.worker_id)
         return worker.run_by_key.get(stop.key) if worker else None
 
+    def _make_dispatcher(self) -> Dispatcher:
+        return Dispatcher(make_configuration(MAX_FAILURES, LIMIT))
+
     def _take_over(self, is_first: bool) -> None:
         self.token += 1
-        self.dispatcher = Dispatcher(make_configuration(MAX_FAILURES, LIMIT))
+        self.dispatcher = self._make_dispatcher()
         self.planner = Planner(self.dispatcher)
         # The former owner may have renewed leases until the moment of the change.
         bound = former_owner_bound(self.now, True, MAX_LEASE_SECONDS)
--- /dev/null
+++ b/catkinport/jobs/tests/test_worker_restarts.py
@@ -0,0 +1,277 @@
+"""Property-based test of workers that start again under their id.
+
+Such a worker knows nothing of before, not even a fencing token or a stop, and its clock
+begins anew. Late orders may reach it. As docs/platform.md assumes, that is not before
+the owner's first calls there, nor later than `ORDER_DELAY_SECONDS`.
+"""
+
+from typing import NamedTuple
+
+import pytest
+from hypothesis import HealthCheck, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import rule, run_state_machine_as_test
+
+from ...policy.resources import Resources
+from ...ports.fleet_vms import FleetVm, VmState
+from ...ports.fleet_workers import Done, Rejected, WorkerLists
+from ...ports.outcomes import Unavailable
+from ..run_stops import STOP_RETRY_SECONDS, find_stops
+from ..uncertain_starts import ORDER_DELAY_SECONDS
+from ..worker_state import FRESH_CONTACT_SECONDS, LEASE_SECONDS
+from .builders import POOL
+from .simulated_workers import FakeWorker, Order
+from .test_owner_changes import LOST, WORKER_IDS, OwnerChanges, workers
+
+LONGEST_LEASE_SECONDS = 10.0
+
+
+class LateOrder(NamedTuple):
+    """An order that had no answer and may be carried out later.
+
+    Args:
+        order: the order.
+        sent_at: clock time in seconds.
+        sent_to: ``started_at`` of the worker when the order was sent.
+    """
+
+    order: Order
+    sent_at: float
+    sent_to: float
+
+
+class RestartingWorker(FakeWorker):
+    """Simulated worker whose clock begins anew when it starts again.
+
+    Attributes:
+        is_down: whether it has crashed and not started again.
+        is_called: whether the present owner has reached this incarnation, and sent
+            there what it sends at first.
+    """
+
+    def __init__(self) -> None:
+        super().__init__(max_lease_seconds=LONGEST_LEASE_SECONDS)
+        self.is_down = False
+        self.is_called = False
+
+    def restart(self, now: float, is_down: bool = False) -> None:
+        self.crash()
+        self.booted_at = now
+        self.is_down = is_down
+        self.is_called = False
+
+
+class WorkerRestarts(OwnerChanges):
+    """Owners that come and go, and workers that start again under their ids."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.worker_by_id = {worker_id: RestartingWorker() for worker_id in WORKER_IDS}
+        self.late_orders: list[LateOrder] = []
+        self.booted_at_by_id: dict[str, float] = {}
+        self.stop_unanswered_at = float("-inf")
+
+    @rule(worker_id=workers, is_down=st.booleans())
+    def crash(self, worker_id: str, is_down: bool = False) -> None:
+        self.worker_by_id[worker_id].restart(self.now, is_down)
+        # The long poll that was under way has no answer.
+        self.dispatcher.worker_by_id[worker_id].note_no_answer()
+
+    @rule(worker_id=workers)
+    def start_again(self, worker_id: str) -> None:
+        if self.worker_by_id[worker_id].is_down:
+            self.worker_by_id[worker_id].restart(self.now)
+
+    @rule()
+    def list_vms(self) -> None:
+        vms = []
+        for worker_id, worker in self.worker_by_id.items():
+            state = VmState.DOWN if worker.is_down else VmState.UP
+            shown = "" if worker.is_down else worker_id
+            capacity = Resources(16.0, 256.0, 0)
+            vm = FleetVm(f"m-{worker_id}", POOL, state, "z", (), capacity, shown)
+            vms.append(vm)
+        self.dispatcher.update_vms(vms, self.now, self.now)
+
+    @rule()
+    def carry_out_late(self) -> None:
+        if not self.late_orders:
+            return
+        late = self.late_orders.pop(0)
+        worker = self.worker_by_id[late.order.worker_id]
+        if self.now - late.sent_at > ORDER_DELAY_SECONDS or worker.is_down:
+            return
+        if late.sent_to == worker.started_at or worker.is_called:
+            self._deliver(worker, late.order)
+        else:
+            self.late_orders.append(late)
+
+    def _stop(self, delivery: str) -> None:
+        for stop in list(find_stops(self.dispatcher, self.now)):
+            worker = self.dispatcher.worker_by_id[stop.worker_id]
+            order = Order(stop.worker_id, self.token, *stop.key, 0.0, False)
+            outcome = self._send(order, delivery)
+            if isinstance(outcome, Done):
+                starts = self.dispatcher.uncertain_starts
+                starts.note_stopped(worker.incarnation, stop.key)
+            run = self._find_run(stop)
+            if run is not None:
+                self.dispatcher.on_stop_outcome(run, outcome, self.now)
+        self._note_called(delivery)
+
+    def _note_called(self, stop_delivery: str) -> None:
+        """Note which workers have got the stops that follow their first answer."""
+        if stop_delivery != "answered":
+            self.stop_unanswered_at = self.now
+        if self.now - self.stop_unanswered_at < STOP_RETRY_SECONDS:
+            return
+        for worker_id, worker in self.worker_by_id.items():
+            record = self.dispatcher.worker_by_id[worker_id]
+            is_known = record.started_at == worker.started_at
+            if is_known and self._is_reachable(worker_id):
+                worker.is_called = worker.is_called or record.is_in_contact(self.now)
+
+    def _poll(self, worker_id: str) -> None:
+        record = self.dispatcher.worker_by_id.get(worker_id)
+        if record is None:
+            return
+        is_fresh = self.now - record.contact_at <= FRESH_CONTACT_SECONDS
+        until = 0.0
+        if is_fresh and not record.may_have_restarted:
+            record.extend_lease(self.now)
+            until = self._lease_end(worker_id)
+        if not self._is_reachable(worker_id):
+            record.note_no_answer()
+            return
+        worker = self.worker_by_id[worker_id]
+        outcome = worker.renew_lease(self.token, record.stored_end, until, self.now)
+        if isinstance(outcome, WorkerLists):
+            self.booted_at_by_id[worker_id] = worker.booted_at
+            self.dispatcher.on_worker_report(worker_id, outcome, self.now, self.now)
+
+    def _lease_end(self, worker_id: str) -> float:
+        """Return the end of a lease on the clock that the owner knows."""
+        return self.now - self.booted_at_by_id[worker_id] + LEASE_SECONDS
+
+    def _is_reachable(self, worker_id: str) -> bool:
+        is_down = self.worker_by_id[worker_id].is_down
+        return not is_down and worker_id not in self.unreachable_ids
+
+    def _send(self, order: Order, delivery: str) -> Done | Rejected | Unavailable:
+        worker = self.worker_by_id[order.worker_id]
+        if delivery == "late":
+            self.late_orders.append(LateOrder(order, self.now, worker.started_at))
+        if not self._is_reachable(order.worker_id) or delivery in ("late", "lost"):
+            return LOST
+        outcome = self._deliver(worker, order)
+        return LOST if delivery == "no answer" else outcome
+
+    def _make_dispatcher(self):
+        dispatcher = super()._make_dispatcher()
+        dispatcher.longest_lease = LONGEST_LEASE_SECONDS
+        return dispatcher
+
+    def _take_over(self, is_first: bool) -> None:
+        super()._take_over(is_first)
+        for worker in self.worker_by_id.values():
+            worker.is_called = False
+
+
+class TestWorkerRestarts:
+    @pytest.mark.timeout(300)
+    def test_invariants_hold_in_random_histories(self):
+        """Guards against tasks that run twice by late orders to restarted workers."""
+        run_state_machine_as_test(
+            WorkerRestarts,
+            settings=settings(
+                max_examples=300,
+                stateful_step_count=40,
+                deadline=None,
+                suppress_health_check=list(HealthCheck),
+            ),
+        )
+
+
+def begin_with_late_start() -> tuple[WorkerRestarts, str]:
+    """Return a history and the worker that may still carry out the start of a task."""
+    history = WorkerRestarts()
+    history.begin()
+    history.run_owner_cycle("answered", "answered", True)
+    history.submit(1)
+    history.run_owner_cycle("late", "lost", True)
+    (late,) = history.late_orders
+    return history, late.order.worker_id
+
+
+class TestRestartUnderOneId:
+    """Histories that the random search rarely finds."""
+
+    def test_late_start_after_the_vm_was_listed_as_dead(self):
+        """Guards against a second run by a late start before the owner's first call."""
+        history, worker_id = begin_with_late_start()
+        history.list_vms()
+        history.crash(worker_id, is_down=True)
+        history.pass_time(1.5)
+        history.list_vms()
+        history.run_owner_cycle("answered", "lost", True)
+        history.start_again(worker_id)
+        history.worker_by_id[worker_id].is_called = True
+        history.carry_out_late()
+        assert history.worker_by_id[worker_id].running
+        history.no_task_runs_twice()
+
+    def test_late_start_after_the_lease_ended(self):
+        """Guards against a second run on a worker that was cut off and restarted."""
+        history, worker_id = begin_with_late_start()
+        history.partition_worker(worker_id)
+        self.pass_and_poll(history, 7)
+        self.check_late_start_is_refused(history, worker_id)
+
+    def test_late_start_after_its_stop_was_confirmed(self):
+        """Guards against a second run on a worker that has forgotten a stop."""
+        history, worker_id = begin_with_late_start()
+        history.dispatcher.worker_by_id[worker_id].is_cordoned = True
+        self.pass_and_poll(history, 2)
+        self.check_late_start_is_refused(history, worker_id)
+
+    def test_lease_on_the_clock_before_a_restart(self):
+        """Guards against a second run while a worker that restarted is cut off."""
+        history = WorkerRestarts()
+        history.begin()
+        history.pass_time(3.0)
+        history.run_owner_cycle("answered", "answered", True)
+        for worker_id in WORKER_IDS:
+            history.crash(worker_id, is_down=False)
+            # Nothing has shown the restart, so the next poll renews the lease.
+            record = history.dispatcher.worker_by_id[worker_id]
+            record.contact_since = history.now
+        history.run_owner_cycle("answered", "answered", True)
+        history.submit(1)
+        history.run_owner_cycle("answered", "answered", True)
+        (worker_id,) = [i for i, w in history.worker_by_id.items() if w.running]
+        history.partition_worker(worker_id)
+        for _ in range(12):
+            self.pass_and_poll(history, 1)
+            history.no_task_runs_twice()
+
+    @staticmethod
+    def pass_and_poll(history: WorkerRestarts, n_cycles: int) -> None:
+        for _ in range(n_cycles):
+            history.pass_time(0.5)
+            history.pass_time(0.5)
+            history.run_owner_cycle("answered", "answered", True)
+
+    @staticmethod
+    def check_late_start_is_refused(history: WorkerRestarts, worker_id: str) -> None:
+        """Restart the worker and check that it refuses the late start when called."""
+        others = [w for i, w in history.worker_by_id.items() if i != worker_id]
+        assert any(worker.running for worker in others)
+        history.crash(worker_id, is_down=False)
+        history.heal_partition(worker_id)
+        for _ in range(2):
+            history.pass_time(0.1)
+            history.run_owner_cycle("answered", "answered", True)
+        assert history.worker_by_id[worker_id].is_called
+        history.carry_out_late()
+        assert history.late_orders == []
+        history.no_task_runs_twice()
