Drop a report of a worker's earlier process that arrives late

Callers saw: nothing yet that is shown to come from this. A task of a worker that has restarted would run twice.

Cause: two polls of a worker may be under way, one of the loop and one after a stop. An answer of the process that has ended, which arrives after the first one of the process that took its place, counted as another restart: the runs of the present process were given up and those of the ended one adopted.

Evidence: a test in which the answers cross; it failed before.

Ruled out: comparing the times of start, as clocks may jump back between two processes; the present one would be ignored for good.

Change: an answer with another time of start than the known one counts only if its poll was sent after that time became known.

--- a/catkinport/jobs/dispatcher.py
+++ b/catkinport/jobs/dispatcher.py
@@ -245,8 +245,14 @@
         worker = self.worker_by_id.get(worker_id)
         if worker is None:
             return
-        if worker.started_at and lists.started_at != worker.started_at:
-            self._on_worker_restart(worker, lists, now)
+        if lists.started_at != worker.started_at:
+            if sent_at < worker.started_known_at:
+                # Polls overlap, so an earlier process may have given this answer.
+                log_event(logger, "late worker report dropped", worker=worker_id)
+                return
+            if worker.started_at:
+                self._on_worker_restart(worker, lists, now)
+            worker.started_known_at = now
         if worker.contact_at == float("-inf"):
             log_event(logger, "worker reached", worker=worker_id)
         worker.started_at = lists.started_at
--- a/catkinport/jobs/worker_state.py
+++ b/catkinport/jobs/worker_state.py
@@ -130,6 +130,8 @@
         vm_id: VM that it runs on; empty while unknown.
         started_at: Unix time in seconds at which the worker process started; 0 before
             the first contact.
+        started_known_at: clock time in seconds at which an answer first had that
+            ``started_at``.
         contact_at: clock time in seconds at which its latest answer arrived.
         lease_until: clock time in seconds after which no run that was ordered can be
             running there.
@@ -153,6 +155,7 @@
         self.is_listed = True
         self.vm_id = ""
         self.started_at = 0.0
+        self.started_known_at = float("-inf")
         self.contact_at = float("-inf")
         self.lease_until = 0.0
         self.paced_at = float("-inf")
