Store removed queues for the successor of an owner

Callers saw: nothing yet. An accepted job whose queue a later version of the configuration removes stays as it is for good once the owner changes.

Cause: an owner remembers a removed queue while its accepted jobs go on, but only in its memory. A successor that starts from the present configuration has no pool and no rules for these jobs and starts none of their tasks.

Evidence: a test of the planner with an inherited job of a removed queue; it started nothing. The tests here, with a stored row, need code that is new.

That needs no write at a change of the configuration, but makes each job's row longer.

Change: the owner stores the removed queues that have unfinished jobs, at once after a change of the configuration, and a new owner loads them.

Not tried with real processes yet, as the soak removes no queue.

--- a/catkinport/jobs/dispatcher.py
+++ b/catkinport/jobs/dispatcher.py
@@ -149,6 +149,17 @@
         """Return the queue of a job; ``None`` if no known configuration has it."""
         return self._known_queue_by_name.get(record.job.queue)
 
+    def restore_queue(self, queue: Queue) -> None:
+        """Add a removed queue that a former owner knew; a known one stays as it is."""
+        self._known_queue_by_name.setdefault(queue.name, queue)
+
+    def find_removed_queues(self) -> list[Queue]:
+        """Return the removed queues that still have unfinished jobs."""
+        names = {record.job.queue for record in self.job_by_id.values()}
+        removed = names - self.configuration.queue_by_name.keys()
+        known = self._known_queue_by_name
+        return [known[name] for name in sorted(removed) if name in known]
+
     def count_waiting(self) -> dict[str, int]:
         """Return how many jobs of each queue have not started."""
         n_by_queue = dict.fromkeys(self.configuration.queue_by_name, 0)
--- a/catkinport/jobs/owner.py
+++ b/catkinport/jobs/owner.py
@@ -23,6 +23,7 @@
 from .dispatcher import Dispatcher, is_over
 from .model import Job, job_from_row
 from .ownership_watch import Claim
+from .removed_queues import RemovedQueues
 from .run_orders import RunOrders
 from .session import RETRY_SECONDS, OwnerPorts, OwnerSession
 from .state_store import StateStore, heartbeat_write
@@ -82,6 +83,7 @@
         self._watch = WorkerWatch(
             self._session, self._store, _former_runs_end_at(claim)
         )
+        self._removed_queues = RemovedQueues(self._session)
         self._run_orders = RunOrders(self._session, self._watch)
         held_until = claim.sent_at + bounds.order_gap
         self._vm_orders = VmOrders(self._session, self._vm_planner, held_until)
@@ -90,6 +92,7 @@
     def apply_configuration(self, configuration: FleetConfiguration) -> None:
         """Apply a new version of the configuration."""
         self._session.dispatcher.apply_configuration(configuration)
+        self._removed_queues.check_soon()
         self._session.wake.set()
 
     async def run(self, stop: asyncio.Event) -> None:
@@ -125,6 +128,7 @@
         for loop in (
             self._job_feed_loop(),
             self._store.run(),
+            self._removed_queues.run(),
             self._watch.run(),
             self._run_orders.run(),
             self._vm_orders.follow_vm_list(),
@@ -194,6 +198,9 @@
             if isinstance(outcome, Unavailable):
                 log_event(logger, "state not loaded", reason=outcome.reason)
                 return False
+        if not await self._removed_queues.load():
+            log_event(logger, "removed queues not loaded")
+            return False
         assert not isinstance(jobs, Unavailable)
         assert not isinstance(states, Unavailable)
         assert not isinstance(roster, Unavailable)
--- /dev/null
+++ b/catkinport/jobs/removed_queues.py
@@ -0,0 +1,131 @@
+"""Stores the queues that the configuration has removed and whose jobs are unfinished.
+
+Accepted jobs of such a queue go on under its last rules. A successor that has read only
+the present configuration learns of them from the stored row.
+"""
+
+import asyncio
+import logging
+from collections.abc import Mapping
+from typing import Any
+
+from ..ports import Unavailable
+from ..ports.async_table import commit_until_known
+from ..ports.table import ABSENT_VERSION, Committed, Condition, Transaction, Write
+from ..runtime.logs import log_event
+from .configuration import ApprovalTerms, Queue
+from .session import RETRY_SECONDS, OwnerSession
+from .tables import REMOVED_QUEUES_KEY
+
+logger = logging.getLogger(__name__)
+
+CHECK_SECONDS = 1.0
+"""Longest time after the last job of a removed queue until it leaves the row."""
+
+COMMIT_ATTEMPTS = 2
+"""Attempts of one commit of unknown outcome before the queues are collected again."""
+
+
+class RemovedQueues:
+    """Keeper of the row of removed queues.
+
+    Args:
+        session: the ownership.
+    """
+
+    def __init__(self, session: OwnerSession) -> None:
+        self._session = session
+        self._changed = asyncio.Event()
+        self._row_version = ABSENT_VERSION
+        self._stored: dict[str, Any] = {}
+
+    def check_soon(self) -> None:
+        """Compare the row with a new version of the configuration at once."""
+        self._changed.set()
+
+    async def load(self) -> bool:
+        """Restore the queues that a former owner has stored.
+
+        Returns:
+            Whether the table service answered.
+        """
+        key = REMOVED_QUEUES_KEY.key
+        rows = await self._session.table.read_range(
+            REMOVED_QUEUES_KEY.table, key, key + "\0"
+        )
+        if isinstance(rows, Unavailable):
+            return False
+        for row in rows.rows:
+            self._row_version = row.version
+            self._stored = dict(row.value)
+            for name, fields in row.value.items():
+                self._restore(name, fields)
+        return True
+
+    def _restore(self, name: str, fields: Mapping[str, Any]) -> None:
+        try:
+            queue = decode_queue(name, fields)
+        except (TypeError, AttributeError) as error:
+            log_event(
+                logger,
+                "removed queue decode failed",
+                level=logging.ERROR,
+                queue=name,
+                reason=repr(error)[:200],
+            )
+            return
+        self._session.dispatcher.restore_queue(queue)
+
+    async def run(self) -> None:
+        """Store the removed queues when they change, until the ownership ends."""
+        while True:
+            if not await self._store():
+                await asyncio.sleep(RETRY_SECONDS)
+                continue
+            try:
+                async with asyncio.timeout(CHECK_SECONDS):
+                    await self._changed.wait()
+            except TimeoutError:
+                continue
+
+    async def _store(self) -> bool:
+        """Store the present queues if they are not stored; return whether they are."""
+        self._changed.clear()
+        queues = self._session.dispatcher.find_removed_queues()
+        value = {queue.name: encode_queue(queue) for queue in queues}
+        if value == self._stored:
+            return True
+        conditions = [
+            self._session.owner_condition(),
+            Condition(REMOVED_QUEUES_KEY, self._row_version),
+        ]
+        transaction = Transaction(conditions, [Write(REMOVED_QUEUES_KEY, value)])
+        outcome = await commit_until_known(
+            self._session.table, transaction, COMMIT_ATTEMPTS
+        )
+        log_event(
+            logger,
+            "removed queues stored",
+            queues=",".join(sorted(value)),
+            outcome=type(outcome).__name__,
+        )
+        if isinstance(outcome, Committed):
+            self._row_version = outcome.versions_by_row_key[REMOVED_QUEUES_KEY]
+            self._stored = value
+            return True
+        # An earlier commit of this owner may have been carried out late.
+        await self.load()
+        return False
+
+
+def encode_queue(queue: Queue) -> dict[str, Any]:
+    """Return the fields of a queue as the row holds them."""
+    approval = queue.approval._asdict() if queue.approval else None
+    return {**queue._asdict(), "approval": approval}
+
+
+def decode_queue(name: str, fields: Mapping[str, Any]) -> Queue:
+    """Return the queue whose fields a row holds."""
+    approval = fields.get("approval")
+    terms = ApprovalTerms(**approval) if approval else None
+    return Queue(**{**fields, "name": name, "approval": terms})
--- a/catkinport/jobs/tables.py
+++ b/catkinport/jobs/tables.py
@@ -24,6 +24,9 @@
 """Statistics of turns and durations that the owner has learned. They only improve its
 decisions; correctness does not depend on them."""
 
+REMOVED_QUEUES_KEY = RowKey(WAVES_TABLE, "removed-queues")
+"""Queues that the configuration has removed and whose jobs are unfinished."""
+
 CANCEL_SUFFIX = ".cancel"
 """Suffix of the key of the row that cancels a job. The row is in the table of jobs, so
 that one read and one change feed cover both."""
--- /dev/null
+++ b/catkinport/jobs/tests/test_removed_queues.py
@@ -0,0 +1,143 @@
+"""Tests of jobs whose queue the configuration has removed."""
+
+import asyncio
+
+import pytest
+
+from ...policy.leadership import OwnLease
+from ...ports import Reason, Unavailable
+from ...ports.async_table import Snapshot
+from ...ports.table import Committed, Conflict, Row
+from ..configuration import ApprovalTerms
+from ..planner import Planner
+from ..removed_queues import RemovedQueues, decode_queue, encode_queue
+from ..session import OwnerSession
+from ..tables import OWNER_KEY, REMOVED_QUEUES_KEY
+from .builders import JOB_ID, QUEUE, Fleet, make_configuration, make_job, make_worker
+
+TOKEN = 1
+
+
+class FakeTable:
+    """Table service with the row of removed queues.
+
+    Attributes:
+        n_lost: number of the next commits that are carried out without an answer.
+    """
+
+    def __init__(self) -> None:
+        self.row: Row | None = None
+        self.n_commits = 0
+        self.n_lost = 0
+
+    async def read_range(self, table, start="", end=""):
+        return Snapshot([self.row] if self.row else [], 0)
+
+    async def commit(self, transaction):
+        self.n_commits += 1
+        conditions = {c.row_key: c.version for c in transaction.conditions}
+        assert conditions[OWNER_KEY] == TOKEN
+        version = self.row.version if self.row else 0
+        if conditions[REMOVED_QUEUES_KEY] != version:
+            differing = {REMOVED_QUEUES_KEY: version}
+            return Conflict(differing, "commit", "t", [self.row])
+        (write,) = transaction.writes
+        self.row = Row(REMOVED_QUEUES_KEY, version + 1, write.value)
+        if self.n_lost:
+            self.n_lost -= 1
+            return Unavailable(Reason.TIMEOUT, "commit", "t", "", True)
+        return Committed({REMOVED_QUEUES_KEY: version + 1})
+
+
+class Owner:
+    """One period of ownership with a fleet of one worker."""
+
+    def __init__(self, table, configuration=None) -> None:
+        self.fleet = Fleet([make_worker()])
+        dispatcher = self.fleet.dispatcher
+        if configuration is not None:
+            dispatcher._known_queue_by_name.clear()
+            dispatcher.apply_configuration(configuration)
+        session = OwnerSession.__new__(OwnerSession)
+        session.table = table
+        session.dispatcher = dispatcher
+        session.lease = OwnLease(TOKEN, 0.0)
+        self.queues = RemovedQueues(session)
+
+    def add_job(self, is_inherited=False) -> None:
+        self.fleet.dispatcher.add_job(make_job(), self.fleet.now, is_inherited)
+
+
+class TestSuccessor:
+    @pytest.mark.parametrize("n_lost", [0, 1, 2])
+    def test_a_job_of_a_removed_queue_goes_on(self, n_lost):
+        """Guards against accepted jobs that stay unfinished once the owner changes."""
+
+        async def change_owner():
+            table = FakeTable()
+            table.n_lost = n_lost
+            without_queue = make_configuration(version=2)._replace(queue_by_name={})
+            former = Owner(table)
+            former.add_job()
+            former.fleet.dispatcher.apply_configuration(without_queue)
+            while not await former.queues._store():
+                pass
+            successor = Owner(table, without_queue)
+            await successor.queues.load()
+            successor.add_job(is_inherited=True)
+            return successor.fleet.plan()
+
+        assert len(asyncio.run(change_owner())) == 1
+
+    def test_a_queue_leaves_the_row_with_its_last_job(self):
+        """Guards against a row that grows with every queue that ever was."""
+
+        async def end_job():
+            table = FakeTable()
+            owner = Owner(table)
+            owner.add_job()
+            await owner.queues._store()
+            assert table.n_commits == 0
+            owner.fleet.dispatcher.apply_configuration(
+                make_configuration(version=2)._replace(queue_by_name={})
+            )
+            await owner.queues._store()
+            assert list(table.row.value) == [QUEUE]
+            del owner.fleet.dispatcher.job_by_id[JOB_ID]
+            await owner.queues._store()
+            await owner.queues._store()
+            return table
+
+        table = asyncio.run(end_job())
+        assert table.row.value == {}
+        assert table.n_commits == 2
+
+    def test_the_present_configuration_goes_before_the_row(self):
+        """Guards against old rules of a queue that was removed and added again."""
+        fleet = Fleet([make_worker()])
+        present = fleet.dispatcher.configuration.queue_by_name[QUEUE]
+        fleet.dispatcher.restore_queue(present._replace(pool="former"))
+        fleet.dispatcher.add_job(make_job(), fleet.now)
+        record = fleet.dispatcher.job_by_id[JOB_ID]
+        assert fleet.dispatcher.queue_of(record) == present
+        assert len(Planner(fleet.dispatcher).plan(fleet.now, 0.0)) == 1
+
+
+class TestRow:
+    def test_a_queue_that_cannot_be_decoded_is_logged_and_left_out(self, caplog):
+        """Guards against an owner that ends for the row of another version."""
+        table = FakeTable()
+        fields = encode_queue(make_configuration().queue_by_name[QUEUE])
+        value = {QUEUE: fields, "other": {"unknown": 1}}
+        table.row = Row(REMOVED_QUEUES_KEY, 1, value)
+        owner = Owner(table, make_configuration()._replace(queue_by_name={}))
+        assert asyncio.run(owner.queues.load())
+        assert "removed queue decode failed" in caplog.text
+        owner.add_job(is_inherited=True)
+        assert len(owner.fleet.plan()) == 1
+
+    @pytest.mark.parametrize("approval", [None, ApprovalTerms(5.0)])
+    def test_a_queue_is_the_same_after_it_was_stored(self, approval):
+        """Guards against rules of a queue that the row leaves out."""
+        queue = make_configuration().queue_by_name[QUEUE]._replace(approval=approval)
+        assert decode_queue(QUEUE, encode_queue(queue)) == queue
