Add series of faults to the soak

The soak drew single faults at random, two seconds apart on average. Signals, restarts and changes hardly ever came right after each other, and a store that carries out writes late seldom met the loss of the owner.

Change: series are drawn beside the single faults: signals and changes in quick succession, planned restarts that overlap, an owner that is killed again and again, an owner that is killed, paused or cut off from answers while its writes and orders are still to be carried out late, and crashes of VMs in a wave of upkeep. Runs of 8 s and more have at least one.

Schedules: the single faults of all seeds and the choices made for them come from the same random numbers as before; series have their own. A known seed plays its former schedule with series on top.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -22,6 +22,9 @@
 
 FAULT_BY_NAME: dict[str, Fault] = {}
 
+SERIES_FAULT_NAMES: set[str] = set()
+"""Names of the faults that only series use."""
+
 
 class PlannedFault(NamedTuple):
     """A fault of a schedule.
@@ -43,12 +46,21 @@
     return fault
 
 
+def register_for_series(fault: Fault) -> Fault:
+    """Register the decorated function as a fault that only series use.
+
+    Single faults are drawn by name, so a further name would change every schedule.
+    """
+    SERIES_FAULT_NAMES.add(fault.__name__)
+    return register(fault)
+
+
 def draw_schedule(rng: random.Random, seconds: float) -> list[PlannedFault]:
-    """Return random faults over ``seconds``, one every two seconds on average.
+    """Return random single faults over ``seconds``, one in two seconds on average.
 
     The faults last for 0.5 to 5 s, so they may overlap.
     """
-    names = sorted(FAULT_BY_NAME)
+    names = sorted(FAULT_BY_NAME.keys() - SERIES_FAULT_NAMES)
     schedule = []
     start_seconds = rng.uniform(0.5, 2.0)
     while start_seconds < seconds:
@@ -163,6 +175,37 @@
     return lambda: environment.deployment.set_faults(**defaults)
 
 
+def _find_owner(environment: SoakEnvironment) -> DaemonProcess:
+    daemons = environment.deployment.daemon_by_name
+    owner = environment.deployment.find_owner() or daemons[min(daemons)]
+    log_event(logger, "owner picked", daemon=owner.name)
+    return owner
+
+
+@register_for_series
+def kill_owner(environment: SoakEnvironment, rng: random.Random) -> Callable[[], None]:
+    """Kill the owner of the fleet; the end restarts it."""
+    owner = _find_owner(environment)
+    owner.process.kill()
+    return lambda: environment.request_restart(owner)
+
+
+@register_for_series
+def pause_owner(environment: SoakEnvironment, rng: random.Random) -> Callable[[], None]:
+    """Pause the owner, which goes on with what it believed then."""
+    owner = _find_owner(environment)
+    owner.process.send_signal(signal.SIGSTOP)
+    return owner.process.resume
+
+
+@register_for_series
+def cut_owner(environment: SoakEnvironment, rng: random.Random) -> Callable[[], None]:
+    """Cut the answers of the platform to the owner; its calls still arrive."""
+    link = environment.store_proxy_by_name[_find_owner(environment).name].link
+    link.is_cut_from_target = True
+    return link.heal
+
+
 @register
 def store_down(environment: SoakEnvironment, rng: random.Random) -> Callable[[], None]:
     """Make the store refuse every call, or answer none."""
@@ -186,6 +229,16 @@
     )
 
 
+@register_for_series
+def store_writes_late(
+    environment: SoakEnvironment, rng: random.Random
+) -> Callable[[], None]:
+    """Lose the answers to many writes, all of which are applied seconds later."""
+    return _set_platform_faults(
+        environment, store_lost_answers=0.4, store_late_writes=1.0
+    )
+
+
 @register
 def store_history_lost(environment: SoakEnvironment, rng: random.Random) -> None:
     """Discard the store's history of changes, as a compaction does."""
--- a/soak/run.py
+++ b/soak/run.py
@@ -25,6 +25,7 @@
 from .faults import FAULT_BY_NAME, PlannedFault, draw_schedule
 from .load import Cancellation, SoakLoad
 from .output import log_to_folder, write_events, write_schedule
+from .series import draw_series
 
 logger = logging.getLogger(__name__)
 
@@ -119,19 +120,39 @@
         seconds: time over which faults are injected.
         size: size of the deployment.
     """
-    schedule = draw_schedule(random.Random(seed), seconds)
+    plan = [
+        *_plan_faults(draw_schedule(random.Random(seed), seconds), f"{seed}-faults"),
+        *_plan_faults(
+            draw_series(random.Random(f"{seed}-series"), seconds),
+            f"{seed}-series-faults",
+        ),
+    ]
+    plan.sort(key=lambda step: step.fault.start_seconds)
     with ProcessGroup(label=f"soak-{seed}-") as processes:
         # A run that breaks off keeps its folder too.
         processes.is_folder_kept = True
         with log_to_folder(processes.folder):
-            write_schedule(processes.folder, schedule)
-            result = _run_schedule(processes, schedule, size._replace(seed=seed))
+            write_schedule(processes.folder, [step.fault for step in plan])
+            result = _run_plan(processes, plan, size._replace(seed=seed))
         processes.is_folder_kept = bool(result.violations)
     return result
 
 
-def _run_schedule(
-    processes: ProcessGroup, schedule: list[PlannedFault], size: PlatformSize
+class _Step(NamedTuple):
+    """A planned fault, and the source of the choices that are made as it begins."""
+
+    fault: PlannedFault
+    rng: random.Random
+
+
+def _plan_faults(faults: list[PlannedFault], seed: str) -> list[_Step]:
+    # Each schedule has its own choices, so that adding one doesn't change the others.
+    rng = random.Random(seed)
+    return [_Step(fault, rng) for fault in faults]
+
+
+def _run_plan(
+    processes: ProcessGroup, plan: list[_Step], size: PlatformSize
 ) -> SoakResult:
     seed = size.seed
     environment = SoakEnvironment(processes, size)
@@ -141,7 +162,7 @@
         probe = WithdrawnKeyProbe(environment)
         load.start()
         probe.start()
-        _inject_faults(environment, schedule, random.Random(f"{seed}-faults"))
+        _inject_faults(environment, plan)
         load.stop()
         environment.heal()
         log_event(logger, "faults over", n_jobs=len(load.jobs))
@@ -158,7 +179,7 @@
     return SoakResult(
         seed,
         violations,
-        schedule,
+        [step.fault for step in plan],
         len(load.jobs),
         sum(job.accepted_at > 0 for job in load.jobs),
         sum(event["what"] == "started" for event in events),
@@ -166,13 +187,11 @@
     )
 
 
-def _inject_faults(
-    environment: SoakEnvironment, schedule: list[PlannedFault], rng: random.Random
-) -> None:
+def _inject_faults(environment: SoakEnvironment, plan: list[_Step]) -> None:
     """Start and end each fault at its time; return when all have ended."""
     began_at = time.monotonic()
     ends: list[tuple[float, Callable[[], None], str]] = []
-    pending = [(fault.start_seconds, fault) for fault in schedule]
+    pending = list(plan)
     while pending or ends:
         now = time.monotonic() - began_at
         for due in [end for end in ends if end[0] <= now]:
@@ -180,8 +199,8 @@
             log_event(logger, "fault ends", fault=due[2])
             due[1]()
         environment.restart_ended()
-        while pending and pending[0][0] <= now:
-            _, fault = pending.pop(0)
+        while pending and pending[0].fault.start_seconds <= now:
+            fault, rng = pending.pop(0)
             log_event(logger, "fault begins", fault=fault.name)
             end = FAULT_BY_NAME[fault.name](environment, rng)
             if end is not None:
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -16,6 +16,7 @@
 from ..faults import FAULT_BY_NAME, draw_schedule
 from ..proxy import Proxy, ProxyHub
 from ..run import run_seed
+from ..series import draw_series
 
 FAULT_SECONDS = 8.0
 SEEDS = (101,)
@@ -31,7 +32,31 @@
     def test_every_fault_is_drawn(self):
         """Guards against a fault that is registered and never injected."""
         schedule = draw_schedule(random.Random(1), 2000.0)
-        assert {planned.name for planned in schedule} == set(FAULT_BY_NAME)
+        series = draw_series(random.Random(1), 2000.0)
+        assert {planned.name for planned in schedule + series} == set(FAULT_BY_NAME)
+
+    def test_single_faults_of_a_seed_stay_as_they_are(self):
+        """Guards against known seeds that play other faults than when they failed."""
+        schedule = draw_schedule(random.Random(7), 20.0)
+        assert [planned.name for planned in schedule[:4]] == [
+            "cut_from_store",
+            "silence_connections",
+            "late_orders",
+            "cut_worker",
+        ]
+
+    def test_short_runs_have_a_series_too(self):
+        """Guards against a run in CI in which nothing overlaps."""
+        for seed in range(20):
+            series = draw_series(random.Random(f"{seed}-series"), FAULT_SECONDS)
+            assert len(series) >= 2
+            gaps = zip(series, series[1:], strict=False)
+            assert any(b.start_seconds - a.start_seconds < 3.0 for a, b in gaps)
+
+    def test_the_same_seed_gives_the_same_series(self):
+        """Guards against failed seeds that cannot be repeated."""
+        first = draw_series(random.Random("7-series"), 20.0)
+        assert first == draw_series(random.Random("7-series"), 20.0)
 
 
 class FakeProcess:
