Check planned restarts under open connections in the soak

Callers of the load call any daemon whose process runs, over connections that stay open, but a call that a planned restart broke off was only repeated: no check saw it.

--- a/soak/environment.py
+++ b/soak/environment.py
@@ -67,6 +67,14 @@
                 self.due_restarts.discard(name)
                 self.start_daemon(name)
 
+    def wait_for_restarts(self, seconds: float = RESTART_TIMEOUT_SECONDS) -> None:
+        """Restart the daemons that are due, until there are none or time has passed."""
+        deadline = time.monotonic() + seconds
+        self.restart_ended()
+        while self.due_restarts and time.monotonic() < deadline:
+            time.sleep(0.05)
+            self.restart_ended()
+
     def list_caller_addresses(self) -> list[str]:
         """Return the addresses of the caller proxies of the daemons that run."""
         return [
@@ -98,11 +106,7 @@
             daemon.process.resume()
             if not daemon.process.is_running:
                 self.due_restarts.add(name)
-        deadline = time.monotonic() + RESTART_TIMEOUT_SECONDS
-        self.restart_ended()
-        while self.due_restarts and time.monotonic() < deadline:
-            time.sleep(0.05)
-            self.restart_ended()
+        self.wait_for_restarts()
 
     def close(self) -> None:
         """Close the proxies."""
--- a/soak/run.py
+++ b/soak/run.py
@@ -2,7 +2,8 @@
 
 A promise is a guarantee that the system gives its users: an accepted job completes, no
 task runs twice, steps keep their order, nothing runs that was not asked for or was
-refused, a withdrawn key stops working, and a cancellation is acknowledged.
+refused, a withdrawn key stops working, a cancellation is acknowledged, and a planned
+restart leaves no request unanswered that a daemon has read.
 
 The tasks of a lasting job run until it is canceled.
 """
@@ -25,6 +26,7 @@
 from .faults import FAULT_BY_NAME, PlannedFault, draw_schedule
 from .load import Cancellation, SoakLoad
 from .output import log_to_folder, write_events, write_schedule
+from .planned_work import restart_all
 from .series import draw_series
 
 logger = logging.getLogger(__name__)
@@ -167,7 +169,8 @@
         environment.heal()
         log_event(logger, "faults over", n_jobs=len(load.jobs))
         time.sleep(RECOVERY_SECONDS)
-        violations = _check_accepted_jobs(environment, load)
+        violations = restart_all(environment)
+        violations += _check_accepted_jobs(environment, load)
         probe.stop()
         events = environment.deployment.list_events()
         write_events(processes.folder, events)
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -13,9 +13,9 @@
 
 from .. import run
 from ..environment import SoakEnvironment
-from ..faults import FAULT_BY_NAME, draw_schedule
+from ..faults import FAULT_BY_NAME, PlannedFault, draw_schedule
 from ..proxy import Proxy, ProxyHub
-from ..run import run_seed
+from ..run import SoakResult, run_seed
 from ..series import draw_series
 
 FAULT_SECONDS = 8.0
@@ -192,9 +192,13 @@
 class TestOutput:
     @pytest.fixture
     def parent(self, monkeypatch, tmp_path):
-        """Return the folder that takes temporary files; shorten the recovery."""
+        """Return the folder that takes temporary files; shorten the runs."""
         monkeypatch.setattr(tempfile, "tempdir", str(tmp_path))
         monkeypatch.setattr(run, "RECOVERY_SECONDS", 0.0)
+        monkeypatch.setattr(run, "restart_all", lambda environment: [])
+        fault = PlannedFault(0.5, "reload_settings", 0.0)
+        monkeypatch.setattr(run, "draw_schedule", lambda rng, seconds: [fault])
+        monkeypatch.setattr(run, "draw_series", lambda rng, seconds: [])
         return tmp_path
 
     def test_a_failed_run_keeps_what_explains_it(self, parent, monkeypatch):
@@ -215,11 +219,9 @@
 
     def test_a_passing_run_leaves_nothing_behind(self, parent, monkeypatch):
         """Guards against output that fills the disk run after run."""
-        monkeypatch.setattr(run, "find_violations", lambda events, jobs: [])
-        monkeypatch.setattr(run, "_check_accepted_jobs", lambda environment, load: [])
-        result = run_seed(3, 1.0, PlatformSize(n_daemons=1, n_vms=1))
-        assert result.violations == []
-        assert result.folder is None
+        passed = SoakResult(3, [], [], 0, 0, 0, None)
+        monkeypatch.setattr(run, "_run_plan", lambda processes, plan, size: passed)
+        assert run_seed(3, 1.0, PlatformSize()) == passed
         assert list(parent.iterdir()) == []
 
     def test_a_run_that_breaks_off_keeps_its_output(self, parent, monkeypatch):
