--- a/catkinport/jobs/dispatcher.py
+++ b/catkinport/jobs/dispatcher.py
@@ -175,6 +175,17 @@
         """Return the queue of a job; ``None`` if no known configuration has it."""
         return self._known_queue_by_name.get(record.job.queue)
 
+    def restore_queue(self, queue: Queue) -> None:
+        """Add a removed queue that a former owner knew; a known one stays as it is."""
+        self._known_queue_by_name.setdefault(queue.name, queue)
+
+    def find_removed_queues(self) -> list[Queue]:
+        """Return the removed queues that still have unfinished jobs."""
+        names = {record.job.queue for record in self.job_by_id.values()}
+        removed = names - self.configuration.queue_by_name.keys()
+        known = self._known_queue_by_name
+        return [known[name] for name in sorted(removed) if name in known]
+
     def count_waiting(self) -> dict[str, int]:
         """Return how many jobs of each queue have not started."""
         n_by_queue = dict.fromkeys(self.configuration.queue_by_name, 0)
@@ -282,9 +293,16 @@
         worker = self.worker_by_id.get(worker_id)
         if worker is None:
             return
-        is_restarted = worker.started_at not in (0.0, lists.started_at)
+        is_other_process = lists.started_at != worker.started_at
+        if is_other_process and sent_at < worker.started_known_at:
+            # Polls overlap, so an earlier process may have given this answer.
+            log_event(logger, "late worker report dropped", worker=worker_id)
+            return
+        is_restarted = is_other_process and worker.started_at > 0
         if is_restarted:
             self._on_worker_restart(worker, lists, now)
+        if is_other_process:
+            worker.started_known_at = now
         if worker.contact_at == float("-inf"):
             log_event(logger, "worker reached", worker=worker_id)
         worker.started_at = lists.started_at
