--- a/benchmarks/_freshness_simulation.py
+++ b/benchmarks/_freshness_simulation.py
@@ -391,7 +391,8 @@
         self.simulation.call_store(self, self.simulation.store.read, on_read)
 
     def _register_anew(self) -> None:
-        self._pending.fail_all()
+        for in_force in self._pending.take_all():
+            in_force.cancel()
         self.freshness = None
         self._register()
 
@@ -478,8 +479,11 @@
         self._finish_pending()
 
     def _finish_pending(self) -> None:
-        if self.freshness is not None:
-            self._pending.finish(self.now(), self.freshness.in_force_at)
+        if self.freshness is None:
+            return
+        now = self.now()
+        for in_force in self._pending.take_finished(now, self.freshness.in_force_at):
+            in_force.set_result(now)
 
     def _peers(self, member_ids: Any) -> list["Process"]:
         by_id: Mapping[str, Process] = {
--- a/catkinport/membership/actor.py
+++ b/catkinport/membership/actor.py
@@ -18,6 +18,7 @@
 from ..state import MemberRow
 from . import messages, roster_store
 from .interface import MemberRecord, MembershipSnapshot
+from .outbox import Outbox
 from .pending_changes import PendingChanges
 from .settings import MembershipSettings, Parse
 from .store_actor import StoreActor, StoreCall
@@ -39,6 +40,10 @@
 class MembershipActor(pykka.ThreadingActor):
     """Actor that owns the freshness state and the configuration of one member.
 
+    After each message it publishes its snapshot, then sends the answers and the calls
+    to peers that the message led to. What it tells others is thus never ahead of what
+    the readers of the snapshot act on.
+
     Store calls run in two store actors, one for reads and one for writes.
 
     Args:
@@ -82,6 +87,7 @@
         self._is_fetching = False
         self._is_leaving = False
         self._pending = PendingChanges()
+        self._outbox = Outbox()
         self._stop_ticker = threading.Event()
         self._handler_by_type: Mapping[type, Callable[[Any], None]] = {
             messages.Tick: self._on_tick,
@@ -125,16 +131,27 @@
             _logger.exception(
                 "handling of membership message failed: %s", type(message).__name__
             )
-            if isinstance(message, messages.ServeCall) and not message.reply.done():
-                message.reply.set_exception(
-                    RuntimeError("membership failed to handle the call")
-                )
+            if isinstance(message, messages.ServeCall):
+                error = RuntimeError("membership failed to handle the call")
+                self._outbox.fail(message.reply, error)
+        self._publish_and_send()
+
+    def _publish_and_send(self) -> None:
+        """Publish the snapshot, then send what may leave only after it.
+
+        If the publication fails, answers and calls wait for the next one.
+        """
+        try:
+            self._publish_snapshot()
+        except Exception:
+            _logger.exception("publication of the membership snapshot failed")
+            return
+        self._outbox.send_all()
 
     def _on_connected(self, message: messages.Connected) -> None:
         self._peers = message.peers
         self._peer_address = message.peer_address
         self._register()
-        self._publish_snapshot()
         threading.Thread(target=self._run_ticker, daemon=True).start()
 
     def _run_ticker(self) -> None:
@@ -154,7 +171,6 @@
         self._ask_peers_to_confirm()
         self._evict_or_remove_members()
         self._finish_pending()
-        self._publish_snapshot()
 
     def _on_poll_now(self, message: messages.PollNow) -> None:
         if self._freshness is not None:
@@ -192,7 +208,6 @@
         if freshness.is_evicted and not self._is_leaving:
             self._register_anew(freshness)
         self._finish_pending()
-        self._publish_snapshot()
 
     def _on_store_read_failed(
         self, freshness: Freshness, failure: Unavailable | None
@@ -266,7 +281,6 @@
         log_event(_logger, "registered", member_id=self._member_id)
         self._read_store()
         self._ask_peers_to_confirm()
-        self._publish_snapshot()
 
     def _register_anew(self, freshness: Freshness) -> None:
         log_event(
@@ -275,7 +289,8 @@
             logging.WARNING,
             member_id=self._member_id,
         )
-        self._pending.fail_all()
+        for result in self._pending.take_all():
+            self._outbox.cancel(result)
         self._freshness = None
         self._member_id = new_member_id(self._settings.role)
         self._register()
@@ -352,7 +367,6 @@
 
     def _on_document_arrived(self, message: messages.DocumentArrived) -> None:
         self._apply_document(message.revision, message.document)
-        self._publish_snapshot()
 
     def _fetch_document_if_behind(self, address: str) -> None:
         freshness = self._freshness
@@ -373,7 +387,6 @@
     def _on_fetch_ended(self, message: messages.FetchEnded) -> None:
         self._is_fetching = False
         self._apply_document(message.revision, message.document)
-        self._publish_snapshot()
 
     def _ask_peers_to_confirm(self) -> None:
         freshness = self._freshness
@@ -411,16 +424,15 @@
         peer = freshness.view.member_by_id.get(message.peer_id)
         self._fetch_document_if_behind(peer.peer_address if peer else "")
         self._ask_peers_to_confirm()
-        self._publish_snapshot()
 
     def _on_serve_call(self, message: messages.ServeCall) -> None:
         freshness = self._freshness
         if freshness is None:
-            message.reply.set_exception(RuntimeError("member is not registered yet"))
+            error = RuntimeError("member is not registered yet")
+            self._outbox.fail(message.reply, error)
             return
         answer = self._answer_by_method[message.method]
-        message.reply.set_result(answer(message.request, freshness))
-        self._publish_snapshot()
+        self._outbox.answer(message.reply, answer(message.request, freshness))
 
     def _answer_confirm(
         self, request: peer_pb2.ConfirmRequest, freshness: Freshness
@@ -474,27 +486,33 @@
             on_done(future.result())
 
         result.add_done_callback(finish)
+        call = PeerCall(address, method, request, result)
+        self._outbox.add(lambda: self._send_call(call))
+
+    def _send_call(self, call: PeerCall) -> None:
         if self._peers is None or not self._peers.is_alive():
-            result.set_result(Unavailable(Reason.STOPPING, method, address))
+            stopping = Unavailable(Reason.STOPPING, call.method, call.address)
+            call.result.set_result(stopping)
             return
-        self._peers.tell(PeerCall(address, method, request, result))
+        self._peers.tell(call)
 
     def _on_prepare_acceptance(self, message: messages.PrepareAcceptance) -> None:
         freshness, now = self._freshness, self._clock.now()
         if freshness is not None and freshness.may_accept_changes(now):
-            message.result.set_result(self._member_id)
+            self._outbox.answer(message.result, self._member_id)
             return
         reason = Reason.STOPPING if self._is_leaving else Reason.CONFIGURATION_STALE
         detail = "this member is not registered yet"
         if freshness is not None:
             seconds = max(0.0, freshness.established_at - now)
             detail = f"this member may accept changes in {seconds:.1f} s at the latest"
-        message.result.set_result(Refused(reason, "accept-document", detail=detail))
+        refusal = Refused(reason, "accept-document", detail=detail)
+        self._outbox.answer(message.result, refusal)
 
     def _on_await_in_force(self, message: messages.AwaitInForce) -> None:
         freshness = self._freshness
         if freshness is None:
-            message.result.cancel()
+            self._outbox.cancel(message.result)
             return
         self._apply_document(message.revision, message.document)
         freshness.on_revision_known(message.revision, self._clock.now())
@@ -502,7 +520,6 @@
         self._pending.add(message.revision, missing, message.result)
         self._announce(freshness)
         self._finish_pending()
-        self._publish_snapshot()
 
     def _members_to_acknowledge(
         self, freshness: Freshness, roster_ids: Collection[str]
@@ -536,15 +553,18 @@
         self._finish_pending()
 
     def _finish_pending(self) -> None:
-        if self._freshness is not None:
-            self._pending.finish(self._clock.now(), self._freshness.in_force_at)
+        if self._freshness is None:
+            return
+        now = self._clock.now()
+        for result in self._pending.take_finished(now, self._freshness.in_force_at):
+            self._outbox.answer(result, now)
 
     def _on_leave(self, message: messages.Leave) -> None:
         self._is_leaving = True
         self._stop_ticker.set()
         freshness = self._freshness
         if freshness is None:
-            message.result.set_result(self._member_id)
+            self._outbox.answer(message.result, self._member_id)
             return
         view = freshness.stop(self._clock.now())
         request = peer_pb2.LeaveRequest(
@@ -552,10 +572,9 @@
             view=view_to_message(view),
             revision=freshness.known_revision,
         )
-        self._publish_snapshot()
         waiting = set(view.live_ids() - {self._member_id})
         if not waiting:
-            message.result.set_result(self._member_id)
+            self._outbox.answer(message.result, self._member_id)
         for peer_id in sorted(waiting):
 
             def on_done(reply: Any, peer_id: str = peer_id) -> None:
--- a/catkinport/membership/pending_changes.py
+++ b/catkinport/membership/pending_changes.py
@@ -22,9 +22,8 @@
         >>> in_force = Future()
         >>> changes.add(3, {"b"}, in_force)
         >>> changes.acknowledge("b", held_revision=3)
-        >>> changes.finish(1.5, lambda revision: 9.0)
-        >>> in_force.result()
-        1.5
+        >>> changes.take_finished(1.5, lambda revision: 9.0) == [in_force]
+        True
     """
 
     def __init__(self) -> None:
@@ -42,25 +41,33 @@
             if held_revision >= change.revision:
                 change.missing_ids.discard(member_id)
 
-    def finish(self, now: float, in_force_at: Callable[[int], float | None]) -> None:
-        """Complete the changes that are in force at ``now``.
+    def take_finished(
+        self, now: float, in_force_at: Callable[[int], float | None]
+    ) -> list["Future[float]"]:
+        """Remove the changes that are in force at ``now`` and return their results.
+
+        The results are left for the caller to complete.
 
         Args:
-            now: current time, which becomes the result of each completed change.
+            now: current time.
             in_force_at: returns when a revision is in force even if members have not
                 acknowledged it; ``None`` if that is not known.
         """
-        unfinished = []
+        finished, unfinished = [], []
         for change in self._changes:
             at = in_force_at(change.revision)
             if not change.missing_ids or (at is not None and now >= at):
-                change.result.set_result(now)
+                finished.append(change.result)
             else:
                 unfinished.append(change)
         self._changes = unfinished
+        return finished
 
-    def fail_all(self) -> None:
-        """Cancel all changes; this member will not know when they are in force."""
-        for change in self._changes:
-            change.result.cancel()
+    def take_all(self) -> list["Future[float]"]:
+        """Remove all changes and return their results.
+
+        A member that registers anew does not learn when they are in force.
+        """
+        results = [change.result for change in self._changes]
         self._changes = []
+        return results
