Remove two messages of the membership actor that nothing sends

Cause: PollNow and DocumentArrived had handlers, but a search found no sender in the package, the benchmarks, the checkers and the tests.

Change: the messages and their handlers are gone. No behaviour changes.

--- a/catkinport/membership/actor.py
+++ b/catkinport/membership/actor.py
@@ -91,12 +91,10 @@
         self._stop_ticker = threading.Event()
         self._handler_by_type: Mapping[type, Callable[[Any], None]] = {
             messages.Tick: self._on_tick,
-            messages.PollNow: self._on_poll_now,
             messages.StoreRead: self._on_store_read,
             messages.Registered: self._on_registered,
             messages.StoreWritten: self._on_store_written,
             messages.PeerConfirmed: self._on_peer_confirmed,
-            messages.DocumentArrived: self._on_document_arrived,
             messages.PeerAcknowledged: self._on_peer_acknowledged,
             messages.FetchEnded: self._on_fetch_ended,
             messages.ServeCall: self._on_serve_call,
@@ -172,10 +170,6 @@
         self._evict_or_remove_members()
         self._finish_pending()
 
-    def _on_poll_now(self, message: messages.PollNow) -> None:
-        if self._freshness is not None:
-            self._read_store()
-
     def _read_store(self) -> None:
         if self._is_reading:
             return
@@ -365,9 +359,6 @@
             self._freshness.on_revision_held(revision, self._clock.now())
         log_event(_logger, "configuration applied", revision=revision)
 
-    def _on_document_arrived(self, message: messages.DocumentArrived) -> None:
-        self._apply_document(message.revision, message.document)
-
     def _fetch_document_if_behind(self, address: str) -> None:
         freshness = self._freshness
         if freshness is None or self._is_fetching or not address:
--- a/catkinport/membership/messages.py
+++ b/catkinport/membership/messages.py
@@ -22,10 +22,6 @@
     """Notice that a renewal period has passed."""
 
 
-class PollNow(NamedTuple):
-    """Request to read the store without waiting for the next renewal period."""
-
-
 class StoreRead(NamedTuple):
     """Result of a store read that was sent at ``sent_at``.
 
@@ -60,13 +56,6 @@
     reply: peer_pb2.ConfirmReply | Unavailable
 
 
-class DocumentArrived(NamedTuple):
-    """Document that came from a peer or was committed by this member."""
-
-    revision: int
-    document: str
-
-
 class PeerAcknowledged(NamedTuple):
     """Notice that a peer has applied a revision."""
 
