Keep the applied configuration of a member in a module of its own

Change: configuration.py parses and keeps the newest document and knows how long its requests may take. No behaviour changes.

--- a/catkinport/membership/actor.py
+++ b/catkinport/membership/actor.py
@@ -14,9 +14,9 @@
 from ..ports import Clock, Reason, Refused, Table, Unavailable
 from ..protocol import peer_pb2
 from ..runtime import log_event
-from ..settings.environment import Environment
 from ..state import MemberRow
 from . import messages, roster_store
+from .configuration import AppliedConfiguration
 from .interface import MemberRecord, MembershipSnapshot
 from .outbox import Outbox
 from .pending_changes import PendingChanges
@@ -29,9 +29,6 @@
     view_to_message,
 )
 
-# Used until a document says how long requests may take.
-DEFAULT_LONGEST_REQUEST_SECONDS = 600.0
-
 _logger = logging.getLogger(__name__)
 
 Publish = Callable[[MembershipSnapshot], None]
@@ -68,16 +65,12 @@
         self._settings = settings
         self._table = table
         self._clock = clock
-        self._parse = parse
         self._publish = publish
         self._peers: pykka.ActorRef | None = None
         self._peer_address = ""
         self._member_id = new_member_id(settings.role)
         self._freshness: Freshness | None = None
-        self._revision = 0
-        self._document = ""
-        self._environment: Environment | None = None
-        self._longest_request_seconds = DEFAULT_LONGEST_REQUEST_SECONDS
+        self._configuration = AppliedConfiguration(parse)
         self._generation = 0
         self._store_state: roster_store.StoreState | None = None
         self._admin_address_by_id: dict[str, str] = {}
@@ -267,7 +260,11 @@
             return
         now = self._clock.now()
         self._freshness = Freshness(
-            self._member_id, state.view, now, self._revision, self._settings.timing
+            self._member_id,
+            state.view,
+            now,
+            self._configuration.revision,
+            self._settings.timing,
         )
         self._apply_document(state.revision, state.document)
         self._freshness.on_revision_known(state.revision, now)
@@ -300,7 +297,9 @@
                 "eviction of silent members started", roster_store.evict, silent
             )
             return
-        ended = freshness.completed_evictions(now, self._longest_request_seconds)
+        ended = freshness.completed_evictions(
+            now, self._configuration.longest_request_seconds
+        )
         if ended and freshness.is_store_reachable(now):
             self._write_roster(
                 "removal of evicted members started", roster_store.remove, ended
@@ -330,34 +329,10 @@
         if self._freshness is not None:
             self._read_store()
 
-    def _update_longest_request(self, environment: Environment) -> None:
-        # Requests that were accepted under an earlier, longer limit may still run.
-        longest = [s.max_request_seconds for s in environment.service_by_name.values()]
-        previous = [] if self._environment is None else [self._longest_request_seconds]
-        self._longest_request_seconds = max([*longest, *previous], default=0.0)
-
     def _apply_document(self, revision: int, document: str) -> None:
-        if revision <= self._revision:
-            return
-        try:
-            environment = self._parse(document)
-        except ValueError as error:
-            # A member that does not hold the current revision cannot renew its lease.
-            log_event(
-                _logger,
-                "accepted document rejected by parser",
-                logging.ERROR,
-                revision=revision,
-                detail=error,
-            )
-            return
-        self._update_longest_request(environment)
-        self._revision = revision
-        self._document = document
-        self._environment = environment
-        if self._freshness is not None:
+        is_applied = self._configuration.apply(revision, document)
+        if is_applied and self._freshness is not None:
             self._freshness.on_revision_held(revision, self._clock.now())
-        log_event(_logger, "configuration applied", revision=revision)
 
     def _fetch_document_if_behind(self, address: str) -> None:
         freshness = self._freshness
@@ -441,7 +416,7 @@
         self._apply_document(request.revision, request.document)
         freshness.on_revision_known(request.revision, self._clock.now())
         return peer_pb2.AnnouncementReply(
-            member_id=self._member_id, held_revision=self._revision
+            member_id=self._member_id, held_revision=self._configuration.revision
         )
 
     def _answer_leave(
@@ -458,7 +433,7 @@
         self, request: peer_pb2.FetchDocumentRequest, freshness: Freshness
     ) -> peer_pb2.FetchDocumentReply:
         return peer_pb2.FetchDocumentReply(
-            revision=self._revision, document=self._document
+            revision=self._configuration.revision, document=self._configuration.document
         )
 
     def _call(
@@ -526,7 +501,9 @@
 
     def _announce(self, freshness: Freshness) -> None:
         request = peer_pb2.Announcement(
-            member_id=self._member_id, revision=self._revision, document=self._document
+            member_id=self._member_id,
+            revision=self._configuration.revision,
+            document=self._configuration.document,
         )
 
         def on_done(reply: Any) -> None:
@@ -583,9 +560,9 @@
             MembershipSnapshot(
                 member_id=self._member_id,
                 lease_expires_at=freshness.lease_expires_at if freshness else 0.0,
-                revision=self._revision,
-                environment=self._environment,
-                document=self._document,
+                revision=self._configuration.revision,
+                environment=self._configuration.environment,
+                document=self._configuration.document,
                 generation=self._generation,
                 member_by_id=self._member_records(freshness) if freshness else {},
                 is_store_reachable=bool(
