--- a/catkinport/membership/actor.py
+++ b/catkinport/membership/actor.py
@@ -16,8 +16,8 @@
 from ..runtime import log_event
 from ..state import MemberRow
 from . import messages, roster_store
-from .configuration import AppliedConfiguration
-from .interface import MemberRecord, MembershipSnapshot
+from .interface import MembershipSnapshot
+from .member_state import MemberState
 from .outbox import Outbox
 from .pending_changes import PendingChanges
 from .settings import MembershipSettings, Parse
@@ -68,12 +68,7 @@
         self._publish = publish
         self._peers: pykka.ActorRef | None = None
         self._peer_address = ""
-        self._member_id = new_member_id(settings.role)
-        self._freshness: Freshness | None = None
-        self._configuration = AppliedConfiguration(parse)
-        self._generation = 0
-        self._store_state: roster_store.StoreState | None = None
-        self._admin_address_by_id: dict[str, str] = {}
+        self._state = MemberState(new_member_id(settings.role), parse)
         self._roster_version_by_peer: dict[str, int] = {}
         self._is_reading = False
         self._is_writing = False
@@ -133,7 +128,7 @@
         If the publication fails, answers and calls wait for the next one.
         """
         try:
-            self._publish_snapshot()
+            self._publish(self._state.snapshot(self._clock.now()))
         except Exception:
             _logger.exception("publication of the membership snapshot failed")
             return
@@ -154,10 +149,10 @@
     def _on_tick(self, message: messages.Tick) -> None:
         if self._is_leaving:
             return
-        if self._freshness is None:
+        if self._state.freshness is None:
             self._register()
             return
-        self._freshness.tick(self._clock.now())
+        self._state.freshness.tick(self._clock.now())
         self._read_store()
         self._ask_peers_to_confirm()
         self._evict_or_remove_members()
@@ -168,7 +163,7 @@
             return
         self._is_reading = True
 
-        known = self._store_state
+        known = self._state.store_state
 
         def read() -> messages.StoreRead:
             sent_at = self._clock.now()
@@ -182,7 +177,7 @@
 
     def _on_store_read(self, message: messages.StoreRead) -> None:
         self._is_reading = False
-        freshness, state = self._freshness, message.state
+        freshness, state = self._state.freshness, message.state
         if freshness is None:
             return
         if not isinstance(state, roster_store.StoreState):
@@ -213,14 +208,9 @@
         self._ask_peers_to_confirm()
 
     def _apply_state(self, state: roster_store.StoreState) -> None:
-        if state is self._store_state:
+        if state is self._state.store_state:
             return
-        self._store_state = state
-        self._generation = max(self._generation, state.generation)
-        self._admin_address_by_id = {
-            member_id: row["admin_address"]
-            for member_id, row in state.member_row_by_id.items()
-        }
+        self._state.apply_store_state(state)
         for peer_id in self._roster_version_by_peer.keys() - state.member_row_by_id:
             del self._roster_version_by_peer[peer_id]
 
@@ -228,7 +218,7 @@
         if self._is_writing:
             return
         self._is_writing = True
-        member_id, row = self._member_id, self._member_row()
+        member_id, row = self._state.member_id, self._member_row()
 
         def write() -> messages.Registered:
             state = roster_store.register(self._table, member_id, row)
@@ -259,17 +249,17 @@
             )
             return
         now = self._clock.now()
-        self._freshness = Freshness(
-            self._member_id,
+        self._state.freshness = Freshness(
+            self._state.member_id,
             state.view,
             now,
-            self._configuration.revision,
+            self._state.configuration.revision,
             self._settings.timing,
         )
         self._apply_document(state.revision, state.document)
-        self._freshness.on_revision_known(state.revision, now)
+        self._state.freshness.on_revision_known(state.revision, now)
         self._apply_state(state)
-        log_event(_logger, "registered", member_id=self._member_id)
+        log_event(_logger, "registered", member_id=self._state.member_id)
         self._read_store()
         self._ask_peers_to_confirm()
 
@@ -278,16 +268,16 @@
             _logger,
             "own eviction detected",
             logging.WARNING,
-            member_id=self._member_id,
+            member_id=self._state.member_id,
         )
         for result in self._pending.take_all():
             self._outbox.cancel(result)
-        self._freshness = None
-        self._member_id = new_member_id(self._settings.role)
+        self._state.freshness = None
+        self._state.member_id = new_member_id(self._settings.role)
         self._register()
 
     def _evict_or_remove_members(self) -> None:
-        freshness = self._freshness
+        freshness = self._state.freshness
         if freshness is None or self._is_writing:
             return
         now = self._clock.now()
@@ -298,7 +288,7 @@
             )
             return
         ended = freshness.completed_evictions(
-            now, self._configuration.longest_request_seconds
+            now, self._state.configuration.longest_request_seconds
         )
         if ended and freshness.is_store_reachable(now):
             self._write_roster(
@@ -326,22 +316,20 @@
 
     def _on_store_written(self, message: messages.StoreWritten) -> None:
         self._is_writing = False
-        if self._freshness is not None:
+        if self._state.freshness is not None:
             self._read_store()
 
     def _apply_document(self, revision: int, document: str) -> None:
-        is_applied = self._configuration.apply(revision, document)
-        if is_applied and self._freshness is not None:
-            self._freshness.on_revision_held(revision, self._clock.now())
+        self._state.apply_document(revision, document, self._clock.now())
 
     def _fetch_document_if_behind(self, address: str) -> None:
-        freshness = self._freshness
+        freshness = self._state.freshness
         if freshness is None or self._is_fetching or not address:
             return
         if freshness.held_revision >= freshness.known_revision:
             return
         self._is_fetching = True
-        request = peer_pb2.FetchDocumentRequest(member_id=self._member_id)
+        request = peer_pb2.FetchDocumentRequest(member_id=self._state.member_id)
 
         def on_done(reply: Any) -> None:
             if isinstance(reply, Unavailable):
@@ -355,7 +343,7 @@
         self._apply_document(message.revision, message.document)
 
     def _ask_peers_to_confirm(self) -> None:
-        freshness = self._freshness
+        freshness = self._state.freshness
         if freshness is None or self._is_leaving:
             return
         now = self._clock.now()
@@ -370,7 +358,7 @@
 
         peer_version = self._roster_version_by_peer.get(peer_id, 0)
         request = peer_pb2.ConfirmRequest(
-            member_id=self._member_id,
+            member_id=self._state.member_id,
             revision=freshness.known_revision,
             view=view_to_message(freshness.view, peer_version),
         )
@@ -378,7 +366,7 @@
         self._call(address, "Confirm", request, on_done)
 
     def _on_peer_confirmed(self, message: messages.PeerConfirmed) -> None:
-        freshness, reply = self._freshness, message.reply
+        freshness, reply = self._state.freshness, message.reply
         if freshness is None or isinstance(reply, Unavailable):
             return
         if reply.member_id != message.peer_id:
@@ -392,7 +380,7 @@
         self._ask_peers_to_confirm()
 
     def _on_serve_call(self, message: messages.ServeCall) -> None:
-        freshness = self._freshness
+        freshness = self._state.freshness
         if freshness is None:
             error = RuntimeError("member is not registered yet")
             self._outbox.fail(message.reply, error)
@@ -416,7 +404,8 @@
         self._apply_document(request.revision, request.document)
         freshness.on_revision_known(request.revision, self._clock.now())
         return peer_pb2.AnnouncementReply(
-            member_id=self._member_id, held_revision=self._configuration.revision
+            member_id=self._state.member_id,
+            held_revision=self._state.configuration.revision,
         )
 
     def _answer_leave(
@@ -433,7 +422,8 @@
         self, request: peer_pb2.FetchDocumentRequest, freshness: Freshness
     ) -> peer_pb2.FetchDocumentReply:
         return peer_pb2.FetchDocumentReply(
-            revision=self._configuration.revision, document=self._configuration.document
+            revision=self._state.configuration.revision,
+            document=self._state.configuration.document,
         )
 
     def _call(
@@ -463,9 +453,9 @@
         self._peers.tell(call)
 
     def _on_prepare_acceptance(self, message: messages.PrepareAcceptance) -> None:
-        freshness, now = self._freshness, self._clock.now()
+        freshness, now = self._state.freshness, self._clock.now()
         if freshness is not None and freshness.may_accept_changes(now):
-            self._outbox.answer(message.result, self._member_id)
+            self._outbox.answer(message.result, self._state.member_id)
             return
         reason = Reason.STOPPING if self._is_leaving else Reason.CONFIGURATION_STALE
         detail = "this member is not registered yet"
@@ -476,7 +466,7 @@
         self._outbox.answer(message.result, refusal)
 
     def _on_await_in_force(self, message: messages.AwaitInForce) -> None:
-        freshness = self._freshness
+        freshness = self._state.freshness
         if freshness is None:
             self._outbox.cancel(message.result)
             return
@@ -492,7 +482,7 @@
     ) -> set[str]:
         """Return the members whose leases may still run without the new revision."""
         now = self._clock.now()
-        ended = set(freshness.view.departed_ids) | {self._member_id}
+        ended = set(freshness.view.departed_ids) | {self._state.member_id}
         for member_id in roster_ids:
             ended_at = freshness.eviction_in_force_at(member_id)
             if ended_at is not None and ended_at <= now:
@@ -501,9 +491,9 @@
 
     def _announce(self, freshness: Freshness) -> None:
         request = peer_pb2.Announcement(
-            member_id=self._member_id,
-            revision=self._configuration.revision,
-            document=self._configuration.document,
+            member_id=self._state.member_id,
+            revision=self._state.configuration.revision,
+            document=self._state.configuration.document,
         )
 
         def on_done(reply: Any) -> None:
@@ -512,7 +502,7 @@
                     messages.PeerAcknowledged(reply.member_id, reply.held_revision)
                 )
 
-        for peer_id in freshness.view.live_ids() - {self._member_id}:
+        for peer_id in freshness.view.live_ids() - {self._state.member_id}:
             address = freshness.view.member_by_id[peer_id].peer_address
             self._call(address, "Announce", request, on_done)
 
@@ -521,71 +511,40 @@
         self._finish_pending()
 
     def _finish_pending(self) -> None:
-        if self._freshness is None:
+        if self._state.freshness is None:
             return
         now = self._clock.now()
-        for result in self._pending.take_finished(now, self._freshness.in_force_at):
+        for result in self._pending.take_finished(
+            now, self._state.freshness.in_force_at
+        ):
             self._outbox.answer(result, now)
 
     def _on_leave(self, message: messages.Leave) -> None:
         self._is_leaving = True
         self._stop_ticker.set()
-        freshness = self._freshness
+        freshness = self._state.freshness
         if freshness is None:
-            self._outbox.answer(message.result, self._member_id)
+            self._outbox.answer(message.result, self._state.member_id)
             return
         view = freshness.stop(self._clock.now())
         request = peer_pb2.LeaveRequest(
-            member_id=self._member_id,
+            member_id=self._state.member_id,
             view=view_to_message(view),
             revision=freshness.known_revision,
         )
-        waiting = set(view.live_ids() - {self._member_id})
+        waiting = set(view.live_ids() - {self._state.member_id})
         if not waiting:
-            self._outbox.answer(message.result, self._member_id)
+            self._outbox.answer(message.result, self._state.member_id)
         for peer_id in sorted(waiting):
 
             def on_done(reply: Any, peer_id: str = peer_id) -> None:
                 waiting.discard(peer_id)
                 if not waiting and not message.result.done():
-                    message.result.set_result(self._member_id)
+                    message.result.set_result(self._state.member_id)
 
             address = view.member_by_id[peer_id].peer_address
             self._call(address, "Leave", request, on_done)
 
-    def _publish_snapshot(self) -> None:
-        freshness = self._freshness
-        now = self._clock.now()
-        self._publish(
-            MembershipSnapshot(
-                member_id=self._member_id,
-                lease_expires_at=freshness.lease_expires_at if freshness else 0.0,
-                revision=self._configuration.revision,
-                environment=self._configuration.environment,
-                document=self._configuration.document,
-                generation=self._generation,
-                member_by_id=self._member_records(freshness) if freshness else {},
-                is_store_reachable=bool(
-                    freshness and freshness.is_store_reachable(now)
-                ),
-            )
-        )
-
-    def _member_records(self, freshness: Freshness) -> dict[str, MemberRecord]:
-        view = freshness.view
-        ended_ids = freshness.ended_ids(self._clock.now())
-        return {
-            member_id: MemberRecord(
-                member_id,
-                member.role,
-                member.peer_address,
-                self._admin_address_by_id.get(member_id, ""),
-                member.zone,
-                member_id in ended_ids,
-            )
-            for member_id, member in view.member_by_id.items()
-        }
-
     def _tell(self, message: Any) -> None:
         if self.actor_ref.is_alive():
             self.actor_ref.tell(message)
