Move the store calls of the membership actor to a module of its own

Change: roster_client.py runs reads and writes in their threads, at most one of each at a time, and reports the results as messages. No behaviour changes.

Result: the tests of membership, administration and the freshness policy pass (95).

--- a/catkinport/membership/actor.py
+++ b/catkinport/membership/actor.py
@@ -20,8 +20,8 @@
 from .member_state import MemberState
 from .outbox import Outbox
 from .pending_changes import PendingChanges
+from .roster_client import RosterClient
 from .settings import MembershipSettings, Parse
-from .store_actor import StoreActor, StoreCall
 from .wire import (
     answer_from_message,
     answer_to_message,
@@ -41,8 +41,6 @@
     to peers that the message led to. What it tells others is thus never ahead of what
     the readers of the snapshot act on.
 
-    Store calls run in two store actors, one for reads and one for writes.
-
     Args:
         settings: settings of the member.
         table: client of the table service, used in the store actors only.
@@ -70,8 +68,6 @@
         self._peer_address = ""
         self._state = MemberState(new_member_id(settings.role), parse)
         self._roster_version_by_peer: dict[str, int] = {}
-        self._is_reading = False
-        self._is_writing = False
         self._is_fetching = False
         self._is_leaving = False
         self._pending = PendingChanges()
@@ -99,15 +95,13 @@
         }
 
     def on_start(self) -> None:
-        """Start the store actors."""
-        self._reader = StoreActor.start()
-        self._writer = StoreActor.start()
+        """Start the threads for store calls."""
+        self._roster = RosterClient(self._table, self._clock, self._tell)
 
     def on_stop(self) -> None:
-        """Stop the ticker and the store actors without waiting for the store."""
+        """Stop the ticker and the store calls without waiting for the store."""
         self._stop_ticker.set()
-        self._reader.stop(block=False)
-        self._writer.stop(block=False)
+        self._roster.stop()
 
     def on_receive(self, message: Any) -> None:
         """Handle a message; an error is logged and leaves the actor running."""
@@ -159,24 +153,10 @@
         self._finish_pending()
 
     def _read_store(self) -> None:
-        if self._is_reading:
-            return
-        self._is_reading = True
-
-        known = self._state.store_state
-
-        def read() -> messages.StoreRead:
-            sent_at = self._clock.now()
-            state = roster_store.read_state(self._table, known)
-            return messages.StoreRead(sent_at, state)
-
-        def on_done(result: messages.StoreRead | None) -> None:
-            self._tell(result or messages.StoreRead(0.0, None))
-
-        self._reader.tell(StoreCall(read, on_done))
+        self._roster.read(self._state.store_state)
 
     def _on_store_read(self, message: messages.StoreRead) -> None:
-        self._is_reading = False
+        self._roster.on_read_ended()
         freshness, state = self._state.freshness, message.state
         if freshness is None:
             return
@@ -215,16 +195,7 @@
             del self._roster_version_by_peer[peer_id]
 
     def _register(self) -> None:
-        if self._is_writing:
-            return
-        self._is_writing = True
-        member_id, row = self._state.member_id, self._member_row()
-
-        def write() -> messages.Registered:
-            state = roster_store.register(self._table, member_id, row)
-            return messages.Registered(member_id, state)
-
-        self._run_write(write, messages.Registered(member_id, None))
+        self._roster.register(self._state.member_id, self._member_row())
 
     def _member_row(self) -> MemberRow:
         return {
@@ -236,7 +207,7 @@
         }
 
     def _on_registered(self, message: messages.Registered) -> None:
-        self._is_writing = False
+        self._roster.on_write_ended()
         state = message.state
         if not isinstance(state, roster_store.StoreState):
             # The next tick registers again.
@@ -278,44 +249,23 @@
 
     def _evict_or_remove_members(self) -> None:
         freshness = self._state.freshness
-        if freshness is None or self._is_writing:
+        if freshness is None or self._roster.is_writing:
             return
         now = self._clock.now()
         silent = freshness.ids_to_evict(now)
         if silent:
-            self._write_roster(
-                "eviction of silent members started", roster_store.evict, silent
-            )
+            _log_roster_change("eviction of silent members started", silent)
+            self._roster.evict(silent)
             return
         ended = freshness.completed_evictions(
             now, self._state.configuration.longest_request_seconds
         )
         if ended and freshness.is_store_reachable(now):
-            self._write_roster(
-                "removal of evicted members started", roster_store.remove, ended
-            )
-
-    def _write_roster(
-        self,
-        event: str,
-        change: Callable[[Table, Collection[str]], Unavailable | None],
-        member_ids: Collection[str],
-    ) -> None:
-        log_event(_logger, event, member_ids=",".join(member_ids))
-        self._is_writing = True
-
-        def write() -> messages.StoreWritten:
-            return messages.StoreWritten(change(self._table, member_ids))
-
-        self._run_write(write, messages.StoreWritten(None))
-
-    def _run_write(self, write: Callable[[], Any], on_error: Any) -> None:
-        self._writer.tell(
-            StoreCall(write, lambda result: self._tell(result or on_error))
-        )
+            _log_roster_change("removal of evicted members started", ended)
+            self._roster.remove(ended)
 
     def _on_store_written(self, message: messages.StoreWritten) -> None:
-        self._is_writing = False
+        self._roster.on_write_ended()
         if self._state.freshness is not None:
             self._read_store()
 
@@ -550,6 +500,10 @@
             self.actor_ref.tell(message)
 
 
+def _log_roster_change(event: str, member_ids: Collection[str]) -> None:
+    log_event(_logger, event, member_ids=",".join(member_ids))
+
+
 def new_member_id(role: str) -> str:
     """Return a random id, so that a member never reuses the id of another one."""
     return f"{role}-{uuid.uuid4().hex[:16]}"
