Move the calls of the membership actor to its peers to a module of its own

Change: peer_client.py builds the calls and reports their results as messages. The messages between members are the same. No behaviour changes.

--- a/catkinport/membership/actor.py
+++ b/catkinport/membership/actor.py
@@ -4,12 +4,10 @@
 import threading
 import uuid
 from collections.abc import Callable, Collection, Mapping
-from concurrent.futures import Future
 from typing import Any
 
 import pykka
 
-from ..adapters.peers_grpc import PeerCall
 from ..policy.freshness import Freshness
 from ..ports import Clock, Reason, Refused, Table, Unavailable
 from ..protocol import peer_pb2
@@ -19,6 +17,7 @@
 from .interface import MembershipSnapshot
 from .member_state import MemberState
 from .outbox import Outbox
+from .peer_client import PeerClient
 from .pending_changes import PendingChanges
 from .roster_client import RosterClient
 from .settings import MembershipSettings, Parse
@@ -26,7 +25,6 @@
     answer_from_message,
     answer_to_message,
     view_from_message,
-    view_to_message,
 )
 
 _logger = logging.getLogger(__name__)
@@ -64,14 +62,12 @@
         self._table = table
         self._clock = clock
         self._publish = publish
-        self._peers: pykka.ActorRef | None = None
         self._peer_address = ""
         self._state = MemberState(new_member_id(settings.role), parse)
-        self._roster_version_by_peer: dict[str, int] = {}
-        self._is_fetching = False
         self._is_leaving = False
         self._pending = PendingChanges()
         self._outbox = Outbox()
+        self._peers = PeerClient(self._outbox, self._tell)
         self._stop_ticker = threading.Event()
         self._handler_by_type: Mapping[type, Callable[[Any], None]] = {
             messages.Tick: self._on_tick,
@@ -129,7 +125,7 @@
         self._outbox.send_all()
 
     def _on_connected(self, message: messages.Connected) -> None:
-        self._peers = message.peers
+        self._peers.connect(message.peers)
         self._peer_address = message.peer_address
         self._register()
         threading.Thread(target=self._run_ticker, daemon=True).start()
@@ -191,8 +187,7 @@
         if state is self._state.store_state:
             return
         self._state.apply_store_state(state)
-        for peer_id in self._roster_version_by_peer.keys() - state.member_row_by_id:
-            del self._roster_version_by_peer[peer_id]
+        self._peers.forget_absent(state)
 
     def _register(self) -> None:
         self._roster.register(self._state.member_id, self._member_row())
@@ -272,24 +267,8 @@
     def _apply_document(self, revision: int, document: str) -> None:
         self._state.apply_document(revision, document, self._clock.now())
 
-    def _fetch_document_if_behind(self, address: str) -> None:
-        freshness = self._state.freshness
-        if freshness is None or self._is_fetching or not address:
-            return
-        if freshness.held_revision >= freshness.known_revision:
-            return
-        self._is_fetching = True
-        request = peer_pb2.FetchDocumentRequest(member_id=self._state.member_id)
-
-        def on_done(reply: Any) -> None:
-            if isinstance(reply, Unavailable):
-                reply = peer_pb2.FetchDocumentReply()
-            self._tell(messages.FetchEnded(reply.revision, reply.document))
-
-        self._call(address, "FetchDocument", request, on_done)
-
     def _on_fetch_ended(self, message: messages.FetchEnded) -> None:
-        self._is_fetching = False
+        self._peers.on_fetch_ended()
         self._apply_document(message.revision, message.document)
 
     def _ask_peers_to_confirm(self) -> None:
@@ -298,22 +277,7 @@
             return
         now = self._clock.now()
         for peer_id in freshness.peers_to_ask(now):
-            self._ask_peer_to_confirm(peer_id, freshness, now)
-
-    def _ask_peer_to_confirm(
-        self, peer_id: str, freshness: Freshness, now: float
-    ) -> None:
-        def on_done(reply: Any) -> None:
-            self._tell(messages.PeerConfirmed(peer_id, now, reply))
-
-        peer_version = self._roster_version_by_peer.get(peer_id, 0)
-        request = peer_pb2.ConfirmRequest(
-            member_id=self._state.member_id,
-            revision=freshness.known_revision,
-            view=view_to_message(freshness.view, peer_version),
-        )
-        address = freshness.view.member_by_id[peer_id].peer_address
-        self._call(address, "Confirm", request, on_done)
+            self._peers.confirm(peer_id, freshness, now)
 
     def _on_peer_confirmed(self, message: messages.PeerConfirmed) -> None:
         freshness, reply = self._state.freshness, message.reply
@@ -323,10 +287,12 @@
             # A restarted member has the same address but a new id.
             return
         answer = answer_from_message(reply, freshness.view)
-        self._roster_version_by_peer[message.peer_id] = reply.view.roster_version
+        self._peers.on_confirmed(message.peer_id, reply.view.roster_version)
         freshness.on_peer_answer(answer, message.sent_at, self._clock.now())
         peer = freshness.view.member_by_id.get(message.peer_id)
-        self._fetch_document_if_behind(peer.peer_address if peer else "")
+        self._peers.fetch_document_if_behind(
+            freshness, peer.peer_address if peer else ""
+        )
         self._ask_peers_to_confirm()
 
     def _on_serve_call(self, message: messages.ServeCall) -> None:
@@ -345,7 +311,9 @@
         view = view_from_message(request.view, freshness.view)
         freshness.on_peer_request(request.member_id, request.revision, view, now)
         asking = view.member_by_id.get(request.member_id)
-        self._fetch_document_if_behind(asking.peer_address if asking else "")
+        self._peers.fetch_document_if_behind(
+            freshness, asking.peer_address if asking else ""
+        )
         return answer_to_message(freshness.answer(now), request.view.roster_version)
 
     def _answer_announce(
@@ -364,7 +332,9 @@
         view = view_from_message(request.view, freshness.view)
         freshness.on_leave(request.member_id, request.revision, view, self._clock.now())
         leaving = view.member_by_id.get(request.member_id)
-        self._fetch_document_if_behind(leaving.peer_address if leaving else "")
+        self._peers.fetch_document_if_behind(
+            freshness, leaving.peer_address if leaving else ""
+        )
         log_event(_logger, "member left", peer=request.member_id)
         return peer_pb2.LeaveReply()
 
@@ -376,32 +346,6 @@
             document=self._state.configuration.document,
         )
 
-    def _call(
-        self, address: str, method: str, request: Any, on_done: Callable[[Any], None]
-    ) -> None:
-        result: Future[Any] = Future()
-
-        def finish(future: "Future[Any]") -> None:
-            error = future.exception()
-            if error is not None:
-                _logger.error(
-                    "peer call %s failed with an exception", method, exc_info=error
-                )
-                on_done(Unavailable(Reason.CONNECTION_LOST, method, address))
-                return
-            on_done(future.result())
-
-        result.add_done_callback(finish)
-        call = PeerCall(address, method, request, result)
-        self._outbox.add(lambda: self._send_call(call))
-
-    def _send_call(self, call: PeerCall) -> None:
-        if self._peers is None or not self._peers.is_alive():
-            stopping = Unavailable(Reason.STOPPING, call.method, call.address)
-            call.result.set_result(stopping)
-            return
-        self._peers.tell(call)
-
     def _on_prepare_acceptance(self, message: messages.PrepareAcceptance) -> None:
         freshness, now = self._state.freshness, self._clock.now()
         if freshness is not None and freshness.may_accept_changes(now):
@@ -424,7 +368,7 @@
         freshness.on_revision_known(message.revision, self._clock.now())
         missing = self._members_to_acknowledge(freshness, message.roster_ids)
         self._pending.add(message.revision, missing, message.result)
-        self._announce(freshness)
+        self._peers.announce(freshness, self._state.configuration)
         self._finish_pending()
 
     def _members_to_acknowledge(
@@ -439,23 +383,6 @@
                 ended.add(member_id)
         return set(roster_ids) - ended
 
-    def _announce(self, freshness: Freshness) -> None:
-        request = peer_pb2.Announcement(
-            member_id=self._state.member_id,
-            revision=self._state.configuration.revision,
-            document=self._state.configuration.document,
-        )
-
-        def on_done(reply: Any) -> None:
-            if not isinstance(reply, Unavailable):
-                self._tell(
-                    messages.PeerAcknowledged(reply.member_id, reply.held_revision)
-                )
-
-        for peer_id in freshness.view.live_ids() - {self._state.member_id}:
-            address = freshness.view.member_by_id[peer_id].peer_address
-            self._call(address, "Announce", request, on_done)
-
     def _on_peer_acknowledged(self, message: messages.PeerAcknowledged) -> None:
         self._pending.acknowledge(message.peer_id, message.held_revision)
         self._finish_pending()
@@ -476,24 +403,15 @@
         if freshness is None:
             self._outbox.answer(message.result, self._state.member_id)
             return
+        member_id = self._state.member_id
         view = freshness.stop(self._clock.now())
-        request = peer_pb2.LeaveRequest(
-            member_id=self._state.member_id,
-            view=view_to_message(view),
-            revision=freshness.known_revision,
-        )
-        waiting = set(view.live_ids() - {self._state.member_id})
-        if not waiting:
-            self._outbox.answer(message.result, self._state.member_id)
-        for peer_id in sorted(waiting):
 
-            def on_done(reply: Any, peer_id: str = peer_id) -> None:
-                waiting.discard(peer_id)
-                if not waiting and not message.result.done():
-                    message.result.set_result(self._state.member_id)
+        def answer() -> None:
+            # The calls were sent after the end of the lease was published.
+            if not message.result.done():
+                message.result.set_result(member_id)
 
-            address = view.member_by_id[peer_id].peer_address
-            self._call(address, "Leave", request, on_done)
+        self._peers.leave(freshness, view, answer)
 
     def _tell(self, message: Any) -> None:
         if self.actor_ref.is_alive():
