Move the answers to peers out of the membership actor

Change: peer_answers.py answers the calls of peers. A decorator registers each answer under its method, and the service lists the methods from there instead of repeating them. No behaviour changes.

--- a/catkinport/membership/actor.py
+++ b/catkinport/membership/actor.py
@@ -10,21 +10,19 @@
 
 from ..policy.freshness import Freshness
 from ..ports import Clock, Reason, Refused, Table, Unavailable
-from ..protocol import peer_pb2
 from ..runtime import log_event
 from ..state import MemberRow
 from . import messages, roster_store
 from .interface import MembershipSnapshot
 from .member_state import MemberState
 from .outbox import Outbox
+from .peer_answers import PeerAnswers
 from .peer_client import PeerClient
 from .pending_changes import PendingChanges
 from .roster_client import RosterClient
 from .settings import MembershipSettings, Parse
 from .wire import (
     answer_from_message,
-    answer_to_message,
-    view_from_message,
 )
 
 _logger = logging.getLogger(__name__)
@@ -68,6 +66,7 @@
         self._pending = PendingChanges()
         self._outbox = Outbox()
         self._peers = PeerClient(self._outbox, self._tell)
+        self._answers = PeerAnswers(self._state, self._peers, clock)
         self._stop_ticker = threading.Event()
         self._handler_by_type: Mapping[type, Callable[[Any], None]] = {
             messages.Tick: self._on_tick,
@@ -83,12 +82,6 @@
             messages.Leave: self._on_leave,
             messages.Connected: self._on_connected,
         }
-        self._answer_by_method: Mapping[str, Callable[[Any, Freshness], Any]] = {
-            "Confirm": self._answer_confirm,
-            "Announce": self._answer_announce,
-            "Leave": self._answer_leave,
-            "FetchDocument": self._answer_fetch_document,
-        }
 
     def on_start(self) -> None:
         """Start the threads for store calls."""
@@ -301,50 +294,8 @@
             error = RuntimeError("member is not registered yet")
             self._outbox.fail(message.reply, error)
             return
-        answer = self._answer_by_method[message.method]
-        self._outbox.answer(message.reply, answer(message.request, freshness))
-
-    def _answer_confirm(
-        self, request: peer_pb2.ConfirmRequest, freshness: Freshness
-    ) -> peer_pb2.ConfirmReply:
-        now = self._clock.now()
-        view = view_from_message(request.view, freshness.view)
-        freshness.on_peer_request(request.member_id, request.revision, view, now)
-        asking = view.member_by_id.get(request.member_id)
-        self._peers.fetch_document_if_behind(
-            freshness, asking.peer_address if asking else ""
-        )
-        return answer_to_message(freshness.answer(now), request.view.roster_version)
-
-    def _answer_announce(
-        self, request: peer_pb2.Announcement, freshness: Freshness
-    ) -> peer_pb2.AnnouncementReply:
-        self._apply_document(request.revision, request.document)
-        freshness.on_revision_known(request.revision, self._clock.now())
-        return peer_pb2.AnnouncementReply(
-            member_id=self._state.member_id,
-            held_revision=self._state.configuration.revision,
-        )
-
-    def _answer_leave(
-        self, request: peer_pb2.LeaveRequest, freshness: Freshness
-    ) -> peer_pb2.LeaveReply:
-        view = view_from_message(request.view, freshness.view)
-        freshness.on_leave(request.member_id, request.revision, view, self._clock.now())
-        leaving = view.member_by_id.get(request.member_id)
-        self._peers.fetch_document_if_behind(
-            freshness, leaving.peer_address if leaving else ""
-        )
-        log_event(_logger, "member left", peer=request.member_id)
-        return peer_pb2.LeaveReply()
-
-    def _answer_fetch_document(
-        self, request: peer_pb2.FetchDocumentRequest, freshness: Freshness
-    ) -> peer_pb2.FetchDocumentReply:
-        return peer_pb2.FetchDocumentReply(
-            revision=self._state.configuration.revision,
-            document=self._state.configuration.document,
-        )
+        answer = self._answers.answer(message.method, message.request, freshness)
+        self._outbox.answer(message.reply, answer)
 
     def _on_prepare_acceptance(self, message: messages.PrepareAcceptance) -> None:
         freshness, now = self._state.freshness, self._clock.now()
--- a/catkinport/membership/service.py
+++ b/catkinport/membership/service.py
@@ -16,6 +16,7 @@
 from .acceptance import Change, CommittedChange, commit_change
 from .actor import MembershipActor
 from .interface import Acceptance, AcceptOutcome, MembershipSnapshot
+from .peer_answers import list_answered_methods
 from .settings import MembershipSettings, Parse
 
 _logger = logging.getLogger(__name__)
@@ -206,8 +207,7 @@
 
     def _start_peers(self, settings: MembershipSettings) -> pykka.ActorRef:
         handler_by_method: dict[str, Callable[[Any], Future[Any]]] = {
-            method: self._forward_to_actor(method)
-            for method in ("Confirm", "Announce", "Leave", "FetchDocument")
+            method: self._forward_to_actor(method) for method in list_answered_methods()
         }
         handler_by_method["Notify"] = self._answer_queue_notice
         handler_by_method["RequestReturn"] = self._answer_return_request
