Decide in one function which members must acknowledge a change

Cause: the membership actor and the simulation of the freshness benchmark each had the rule.

Change: members_to_acknowledge in pending_changes.py, used by both. No behaviour changes.

--- a/benchmarks/_freshness_simulation.py
+++ b/benchmarks/_freshness_simulation.py
@@ -11,7 +11,10 @@
 from concurrent.futures import Future
 from typing import Any, NamedTuple
 
-from catkinport.membership.pending_changes import PendingChanges
+from catkinport.membership.pending_changes import (
+    PendingChanges,
+    members_to_acknowledge,
+)
 from catkinport.policy.freshness import (
     Freshness,
     FreshnessTiming,
@@ -449,7 +452,7 @@
         if freshness is None:
             return
         freshness.on_revision_held(revision, self.now())
-        missing = self._members_to_acknowledge(freshness, view)
+        missing = members_to_acknowledge(freshness, view.member_by_id, self.now())
         in_force: Future[float] = Future()
         in_force.add_done_callback(
             lambda f: None if f.cancelled() else self.simulation.acknowledge(revision)
@@ -459,14 +462,6 @@
             self.simulation.send(self, peer, lambda p=peer: self._announce(p, revision))
         self._finish_pending()
 
-    def _members_to_acknowledge(self, freshness: Freshness, view: View) -> set[str]:
-        ended = set(freshness.view.departed_ids) | {self.member_id}
-        for member_id in view.member_by_id:
-            at = freshness.eviction_in_force_at(member_id)
-            if at is not None and at <= self.now():
-                ended.add(member_id)
-        return set(view.member_by_id) - ended
-
     def _announce(self, peer: "Process", revision: int) -> None:
         if peer.freshness is None:
             return
--- a/catkinport/membership/actor.py
+++ b/catkinport/membership/actor.py
@@ -18,12 +18,10 @@
 from .outbox import Outbox
 from .peer_answers import PeerAnswers
 from .peer_client import PeerClient
-from .pending_changes import PendingChanges
+from .pending_changes import PendingChanges, members_to_acknowledge
 from .roster_client import RosterClient
 from .settings import MembershipSettings, Parse
-from .wire import (
-    answer_from_message,
-)
+from .wire import answer_from_message
 
 _logger = logging.getLogger(__name__)
 
@@ -315,25 +313,14 @@
         if freshness is None:
             self._outbox.cancel(message.result)
             return
+        now = self._clock.now()
         self._apply_document(message.revision, message.document)
-        freshness.on_revision_known(message.revision, self._clock.now())
-        missing = self._members_to_acknowledge(freshness, message.roster_ids)
+        freshness.on_revision_known(message.revision, now)
+        missing = members_to_acknowledge(freshness, message.roster_ids, now)
         self._pending.add(message.revision, missing, message.result)
         self._peers.announce(freshness, self._state.configuration)
         self._finish_pending()
 
-    def _members_to_acknowledge(
-        self, freshness: Freshness, roster_ids: Collection[str]
-    ) -> set[str]:
-        """Return the members whose leases may still run without the new revision."""
-        now = self._clock.now()
-        ended = set(freshness.view.departed_ids) | {self._state.member_id}
-        for member_id in roster_ids:
-            ended_at = freshness.eviction_in_force_at(member_id)
-            if ended_at is not None and ended_at <= now:
-                ended.add(member_id)
-        return set(roster_ids) - ended
-
     def _on_peer_acknowledged(self, message: messages.PeerAcknowledged) -> None:
         self._pending.acknowledge(message.peer_id, message.held_revision)
         self._finish_pending()
--- a/catkinport/membership/pending_changes.py
+++ b/catkinport/membership/pending_changes.py
@@ -4,6 +4,8 @@
 from concurrent.futures import Future
 from typing import NamedTuple
 
+from ..policy.freshness import Freshness
+
 
 class _PendingChange(NamedTuple):
     revision: int
@@ -71,3 +73,21 @@
         results = [change.result for change in self._changes]
         self._changes = []
         return results
+
+
+def members_to_acknowledge(
+    freshness: Freshness, roster_ids: Collection[str], now: float
+) -> set[str]:
+    """Return the members whose leases may still run without a new revision.
+
+    Args:
+        freshness: state of the member that accepted the change, which has applied it.
+        roster_ids: all members of the roster at the commit.
+        now: current time on the member's clock, in seconds.
+    """
+    ended = set(freshness.view.departed_ids) | {freshness.member_id}
+    for member_id in roster_ids:
+        ended_at = freshness.eviction_in_force_at(member_id)
+        if ended_at is not None and ended_at <= now:
+            ended.add(member_id)
+    return set(roster_ids) - ended
