Move the answers of backend servers out of entry/requests.py

Change: backend_answers.py reads, buffers and streams answers. No behaviour changes.

Result: the tests of the entry and of the checkers pass (53).

--- a/catkinport/entry/requests.py
+++ b/catkinport/entry/requests.py
@@ -5,7 +5,7 @@
 import random
 import threading
 import uuid
-from collections.abc import Iterator, Mapping
+from collections.abc import Mapping
 from concurrent.futures import Future
 from concurrent.futures import TimeoutError as FutureTimeoutError
 from typing import Any, NamedTuple
@@ -13,10 +13,8 @@
 from ..policy.admission import WaitingRequest
 from ..policy.retries import RetryBudget, plan_retry
 from ..ports import (
-    BackendAnswer,
     BackendRequest,
     BackendServers,
-    BrokenAnswerError,
     NotRun,
     Reason,
     Refused,
@@ -25,6 +23,15 @@
 from ..runtime import HttpAnswer, HttpRequest, log_event
 from ..settings.environment import Service
 from .answers import not_run_answer, outcome_headers, unknown_answer
+from .backend_answers import (
+    HOP_BY_HOP_HEADERS,
+    AnswerStream,
+    BufferedAnswer,
+    Outcome,
+    StreamedAnswer,
+    forwarded_headers,
+    read_answer,
+)
 from .bodies import RequestBody, open_body
 from .callers import AuthorizedRequest, authorize, reauthorize
 from .claims import Claim, Claims, StoredAnswer, request_digest
@@ -35,21 +42,6 @@
 
 SAFE_METHODS = ("GET", "HEAD", "OPTIONS")
 MAX_IDEMPOTENCY_KEY_CHARACTERS = 200
-HOP_BY_HOP_HEADERS = frozenset(
-    (
-        "connection",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-        "content-length",
-        "host",
-        "expect",
-    )
-)
 # The caller's key is a secret that backend servers must not see; the deadline header
 # is replaced by one with the remaining time.
 UNFORWARDED_HEADERS = HOP_BY_HOP_HEADERS | {"authorization", "catkin-deadline-ms"}
@@ -75,25 +67,6 @@
     idempotency_key: str
 
 
-class BufferedAnswer(NamedTuple):
-    """A complete answer, held in memory."""
-
-    status: int
-    headers: Mapping[str, str]
-    content: bytes
-
-
-class StreamedAnswer(NamedTuple):
-    """An answer too large to buffer; its slot is in use until the stream ends."""
-
-    answer: BackendAnswer
-    prefix: bytes
-    grant: Grant
-
-
-Outcome = BufferedAnswer | StreamedAnswer | NotRun | Refused | Unknown
-
-
 class RequestForwarder:
     """Handles requests to queues; its methods run in the server's threads.
 
@@ -259,7 +232,7 @@
             sent = self._backend_servers(call.service).send(
                 grant.address, self._backend_request(call)
             )
-            outcome = self._read_answer(sent, grant)
+            outcome = read_answer(sent, grant, self._services.max_held_answer_bytes)
         except BaseException:
             self._dispatcher.tell(Release(grant, is_failure=True))
             raise
@@ -267,26 +240,6 @@
             self._dispatcher.tell(_build_release(grant, outcome))
         return outcome
 
-    def _read_answer(
-        self, sent: BackendAnswer | NotRun | Unknown, grant: Grant
-    ) -> Outcome:
-        """Read the answer to its end, or until it is too large to buffer."""
-        if not isinstance(sent, BackendAnswer):
-            return sent
-        parts: list[bytes] = []
-        n_bytes = 0
-        try:
-            for chunk in sent.chunks:
-                parts.append(chunk)
-                n_bytes += len(chunk)
-                if n_bytes > self._services.max_held_answer_bytes:
-                    return StreamedAnswer(sent, b"".join(parts), grant)
-        except BrokenAnswerError as error:
-            sent.close()
-            return error.outcome
-        sent.close()
-        return BufferedAnswer(sent.status, sent.headers, b"".join(parts))
-
     def _may_resend(self, call: Call, outcome: NotRun) -> bool:
         """Return whether a request that did not run is sent again."""
         if outcome.reason not in (Reason.CONNECT_FAILED, Reason.BACKEND_FULL):
@@ -346,7 +299,7 @@
             return self._stream_answer(call, outcome)
         if isinstance(outcome, BufferedAnswer):
             self._record_end(call, "answered", None)
-            headers = _answer_headers(outcome.headers, call.request_id)
+            headers = forwarded_headers(outcome.headers, call.request_id)
             return HttpAnswer(outcome.status, outcome.content, headers)
         if isinstance(outcome, Unknown):
             self._record_end(call, "unknown", outcome)
@@ -373,7 +326,7 @@
 
     def _stream_answer(self, call: Call, outcome: StreamedAnswer) -> HttpAnswer:
         answer = outcome.answer
-        headers = _answer_headers(answer.headers, call.request_id)
+        headers = forwarded_headers(answer.headers, call.request_id)
         length = answer.headers.get("Content-Length")
         if length is not None:
             headers["Content-Length"] = length
@@ -452,46 +405,6 @@
         )
 
 
-class AnswerStream:
-    """Body of a streamed answer.
-
-    A failure raises an exception in the iteration. The HTTP server then closes the
-    connection without the final chunk, so the caller sees a truncated answer.
-
-    Args:
-        outcome: the answer and its slot.
-        on_end: called once with the failure, ``None`` after a complete answer, and
-            with whether the backend server failed.
-    """
-
-    def __init__(self, outcome: StreamedAnswer, on_end: Any) -> None:
-        self._outcome = outcome
-        self._on_end = on_end
-        self._is_ended = False
-
-    def __iter__(self) -> Iterator[bytes]:
-        """Yield the chunks of the answer."""
-        try:
-            yield self._outcome.prefix
-            yield from self._outcome.answer.chunks
-        except BrokenAnswerError as error:
-            self._end(error.outcome, is_server_failure=True)
-            raise
-        self._end(None)
-
-    def close(self) -> None:
-        """Release the slot when the caller disconnects before the end of the answer."""
-        peer = self._outcome.grant.address
-        self._end(Unknown(Reason.CONNECTION_LOST, "answer", peer))
-
-    def _end(self, failure: Unknown | None, is_server_failure: bool = False) -> None:
-        if self._is_ended:
-            return
-        self._is_ended = True
-        self._outcome.answer.close()
-        self._on_end(failure, is_server_failure)
-
-
 def _build_release(grant: Grant, outcome: Outcome) -> Release:
     if isinstance(outcome, NotRun) and outcome.reason == Reason.BACKEND_FULL:
         return Release(grant, is_full=True)
@@ -501,15 +414,6 @@
     return Release(grant, is_failure)
 
 
-def _answer_headers(headers: Mapping[str, str], request_id: str) -> dict[str, str]:
-    kept = {
-        name: value
-        for name, value in headers.items()
-        if name.lower() not in HOP_BY_HOP_HEADERS
-    }
-    return kept | outcome_headers("answered", "", request_id)
-
-
 def _read_raw_path(request: HttpRequest, path: str) -> str:
     """Return the path as the caller wrote it, with its query string."""
     uri = request.environ.get("REQUEST_URI", "")
