Move the checks of callers' requests out of entry/requests.py

Change: calls.py builds a call from a request, with its deadline, or says why it is refused. No behaviour changes.

--- a/catkinport/entry/requests.py
+++ b/catkinport/entry/requests.py
@@ -8,7 +8,7 @@
 from collections.abc import Mapping
 from concurrent.futures import Future
 from concurrent.futures import TimeoutError as FutureTimeoutError
-from typing import Any, NamedTuple
+from typing import Any
 
 from ..policy.admission import WaitingRequest
 from ..policy.retries import RetryBudget, plan_retry
@@ -32,16 +32,14 @@
     forwarded_headers,
     read_answer,
 )
-from .bodies import RequestBody, open_body
-from .callers import AuthorizedRequest, authorize, reauthorize
+from .callers import authorize, reauthorize
+from .calls import Call, build_call
 from .claims import Claim, Claims, StoredAnswer, request_digest
 from .messages import Admit, Grant, Release, Withdraw
 from .services import EntryServices
 
 logger = logging.getLogger(__name__)
 
-SAFE_METHODS = ("GET", "HEAD", "OPTIONS")
-MAX_IDEMPOTENCY_KEY_CHARACTERS = 200
 # The caller's key is a secret that backend servers must not see; the deadline header
 # is replaced by one with the remaining time.
 UNFORWARDED_HEADERS = HOP_BY_HOP_HEADERS | {"authorization", "catkin-deadline-ms"}
@@ -51,22 +49,6 @@
 _SEED = 20261204
 
 
-class Call(NamedTuple):
-    """A caller's authorized request, with its service, deadline and repeatability."""
-
-    request_id: str
-    method: str
-    path: str
-    headers: Mapping[str, str]
-    body: RequestBody
-    authorized: AuthorizedRequest
-    service: Service
-    started_at: float
-    deadline: float
-    is_idempotent: bool
-    idempotency_key: str
-
-
 class RequestForwarder:
     """Handles requests to queues; its methods run in the server's threads.
 
@@ -118,36 +100,13 @@
         authorized = authorize(snapshot, clock, queue, authorization)
         if isinstance(authorized, Refused):
             return authorized
-        service = authorized.environment.service_by_name.get(authorized.queue.service)
-        if service is None:
-            detail = f"queue {queue!r} accepts only jobs, got a request"
-            return Refused(Reason.REQUEST_INVALID, "admission", detail=detail)
-        seconds = _read_deadline(request.headers, service.max_request_seconds)
-        if isinstance(seconds, Refused):
-            return seconds
-        key = request.headers.get("idempotency-key", "")
-        if len(key) > MAX_IDEMPOTENCY_KEY_CHARACTERS:
-            detail = (
-                f"Idempotency-Key must have at most {MAX_IDEMPOTENCY_KEY_CHARACTERS} "
-                f"characters, got {len(key)}"
-            )
-            return Refused(Reason.REQUEST_INVALID, "admission", detail=detail)
-        body = open_body(request, self._services.max_body_bytes)
-        if isinstance(body, Refused):
-            return body
-        is_declared = request.headers.get("catkin-idempotent", "").lower() == "true"
-        return Call(
+        return build_call(
+            request,
+            path,
             request_id,
-            request.method,
-            _read_raw_path(request, path),
-            request.headers,
-            body,
             authorized,
-            service,
             started_at,
-            started_at + seconds,
-            is_declared or request.method in SAFE_METHODS,
-            key,
+            self._services.max_body_bytes,
         )
 
     def _claim_and_send(self, call: Call) -> HttpAnswer:
@@ -181,7 +140,10 @@
             grant = self._wait_for_slot(call, excluded, attempt > 1)
             if isinstance(grant, NotRun):
                 return unknown or grant
-            if attempt > 1 and self._seconds_left(call) < MIN_RETRY_SECONDS:
+            if (
+                attempt > 1
+                and call.seconds_left(self._services.clock) < MIN_RETRY_SECONDS
+            ):
                 self._dispatcher.tell(Release(grant))
                 return unknown or NotRun(Reason.DEADLINE, "dispatch", "", "", 1.0)
             outcome = self._send_once(call, grant)
@@ -214,7 +176,7 @@
         self._dispatcher.tell(
             Admit(request, call.service, excluded, is_requeued, future)
         )
-        remaining = self._seconds_left(call)
+        remaining = call.seconds_left(self._services.clock)
         try:
             return future.result(max(0.0, remaining))
         except FutureTimeoutError:
@@ -249,9 +211,6 @@
         is_repeatable = call.body.is_repeatable or is_untouched
         return is_repeatable and self._services.clock.now() < call.deadline
 
-    def _seconds_left(self, call: Call) -> float:
-        return call.deadline - self._services.clock.now()
-
     def _wait_for_retry(self, call: Call, attempt: int) -> bool:
         clock = self._services.clock
         with self._lock:
@@ -268,7 +227,7 @@
         return True
 
     def _backend_request(self, call: Call) -> BackendRequest:
-        remaining = self._seconds_left(call)
+        remaining = call.seconds_left(self._services.clock)
         headers = {
             name: value
             for name, value in call.headers.items()
@@ -412,23 +371,3 @@
         isinstance(outcome, NotRun) and outcome.reason == Reason.CONNECT_FAILED
     )
     return Release(grant, is_failure)
-
-
-def _read_raw_path(request: HttpRequest, path: str) -> str:
-    """Return the path as the caller wrote it, with its query string."""
-    uri = request.environ.get("REQUEST_URI", "")
-    _, marker, raw = uri.partition("/requests/")
-    if marker:
-        return f"/{raw}"
-    query = request.environ.get("QUERY_STRING", "")
-    return f"/{path}?{query}" if query else f"/{path}"
-
-
-def _read_deadline(headers: Mapping[str, str], longest: float) -> float | Refused:
-    text = headers.get("catkin-deadline-ms")
-    if text is None:
-        return longest
-    if not text.isascii() or not text.isdigit() or not int(text[:12]) > 0:
-        detail = f"Catkin-Deadline-Ms must be a whole number above 0, got {text[:20]!r}"
-        return Refused(Reason.REQUEST_INVALID, "admission", detail=detail)
-    return min(longest, int(text[:12]) / 1000)
