Move metrics and log lines of requests out of entry/requests.py

Change: request_records.py records how requests end. Metrics and log lines are the same. No behaviour changes.

--- a/catkinport/entry/requests.py
+++ b/catkinport/entry/requests.py
@@ -5,7 +5,6 @@
 import random
 import threading
 import uuid
-from collections.abc import Mapping
 from concurrent.futures import Future
 from concurrent.futures import TimeoutError as FutureTimeoutError
 from typing import Any
@@ -20,7 +19,7 @@
     Refused,
     Unknown,
 )
-from ..runtime import HttpAnswer, HttpRequest, log_event
+from ..runtime import HttpAnswer, HttpRequest
 from ..settings.environment import Service
 from .answers import not_run_answer, outcome_headers, unknown_answer
 from .backend_answers import (
@@ -36,6 +35,7 @@
 from .calls import Call, build_call
 from .claims import Claim, Claims, StoredAnswer, request_digest
 from .messages import Admit, Grant, Release, Withdraw
+from .request_records import RequestRecorder
 from .services import EntryServices
 
 logger = logging.getLogger(__name__)
@@ -62,6 +62,7 @@
         self._services = services
         self._dispatcher = dispatcher
         self._claims = claims
+        self._recorder = RequestRecorder(services.clock, services.metrics)
         self._lock = threading.Lock()
         self._backends_by_service: dict[str, tuple[Service, BackendServers]] = {}
         self._budget_by_service: dict[str, RetryBudget] = {}
@@ -77,9 +78,7 @@
         started_at = self._services.clock.now()
         call = self._prepare_call(request, queue, path, request_id)
         if isinstance(call, Refused):
-            labels = {"team": "", "class": "", "outcome": "not-run"}
-            self._observe_seconds(labels, started_at)
-            self._log_end(request_id, "not-run", call, 0.0, queue=queue)
+            self._recorder.record_refusal(request_id, queue, call, started_at)
             return not_run_answer(call, request_id)
         try:
             return self._claim_and_send(call)
@@ -257,13 +256,13 @@
         if isinstance(outcome, StreamedAnswer):
             return self._stream_answer(call, outcome)
         if isinstance(outcome, BufferedAnswer):
-            self._record_end(call, "answered", None)
+            self._recorder.record_end(call, "answered", None)
             headers = forwarded_headers(outcome.headers, call.request_id)
             return HttpAnswer(outcome.status, outcome.content, headers)
         if isinstance(outcome, Unknown):
-            self._record_end(call, "unknown", outcome)
+            self._recorder.record_end(call, "unknown", outcome)
             return unknown_answer(outcome, call.request_id)
-        self._record_end(call, "not-run", outcome)
+        self._recorder.record_end(call, "not-run", outcome)
         return not_run_answer(outcome, call.request_id)
 
     def _record_claim_outcome(self, claim: Claim, outcome: Outcome) -> None:
@@ -276,7 +275,7 @@
             self._claims.abandon(claim, isinstance(outcome, Unknown))
 
     def _replay(self, call: Call, stored: StoredAnswer) -> HttpAnswer:
-        self._record_end(call, "answered", None)
+        self._recorder.record_end(call, "answered", None)
         headers = outcome_headers("answered", "", call.request_id)
         headers["Catkin-Replayed"] = "true"
         if stored.content_type:
@@ -293,62 +292,10 @@
         def on_end(failure: Unknown | None, is_server_failure: bool) -> None:
             self._dispatcher.tell(Release(outcome.grant, is_server_failure))
             kind = "answered" if failure is None else "unknown"
-            self._record_end(call, kind, failure)
+            self._recorder.record_end(call, kind, failure)
 
         return HttpAnswer(answer.status, AnswerStream(outcome, on_end), headers)
 
-    def _record_end(
-        self, call: Call, kind: str, outcome: NotRun | Refused | Unknown | None
-    ) -> None:
-        is_urgent = call.authorized.queue.is_urgent
-        labels = {
-            "team": call.authorized.team.name,
-            "class": "urgent" if is_urgent else "long",
-            "outcome": kind,
-        }
-        self._observe_seconds(labels, call.started_at)
-        seconds = self._services.clock.now() - call.started_at
-        self._log_end(
-            call.request_id,
-            kind,
-            outcome,
-            seconds,
-            queue=call.authorized.queue.name,
-            team=call.authorized.team.name,
-        )
-
-    def _observe_seconds(self, labels: Mapping[str, str], started_at: float) -> None:
-        self._services.metrics.observe(
-            "catkin_request_seconds",
-            "Time from a request's head to the end of its answer.",
-            labels,
-            self._services.clock.now() - started_at,
-        )
-
-    def _log_end(
-        self,
-        request_id: str,
-        kind: str,
-        outcome: NotRun | Refused | Unknown | None,
-        seconds: float,
-        **fields: Any,
-    ) -> None:
-        if outcome is None:
-            level = logging.DEBUG
-        else:
-            level = logging.INFO
-            fields |= {"reason": outcome.reason.value, "step": outcome.step}
-            fields |= {"peer": outcome.peer, "detail": outcome.detail}
-        log_event(
-            logger,
-            "request ended",
-            level,
-            request_id=request_id,
-            outcome=kind,
-            seconds=f"{seconds:.4f}",
-            **fields,
-        )
-
     def _backend_servers(self, service: Service) -> BackendServers:
         with self._lock:
             known = self._backends_by_service.get(service.name)
