--- a/catkinport/entry/requests.py
+++ b/catkinport/entry/requests.py
@@ -1,98 +1,29 @@
 """Forwards callers' requests to backend servers."""
 
-import itertools
 import logging
-import random
-import threading
 import uuid
-from collections.abc import Iterator, Mapping
-from concurrent.futures import Future
-from concurrent.futures import TimeoutError as FutureTimeoutError
-from typing import Any, NamedTuple
+from typing import Any
 
-from ..policy.admission import WaitingRequest
-from ..policy.retries import RetryBudget, plan_retry
-from ..ports import (
-    BackendAnswer,
-    BackendRequest,
-    BackendServers,
-    BrokenAnswerError,
-    NotRun,
-    Reason,
-    Refused,
-    Unknown,
-)
-from ..runtime import HttpAnswer, HttpRequest, log_event
-from ..settings.environment import Service
+from ..ports import Reason, Refused, Unknown
+from ..runtime import HttpAnswer, HttpRequest
 from .answers import not_run_answer, outcome_headers, unknown_answer
-from .bodies import RequestBody, open_body
-from .callers import AuthorizedRequest, authorize, reauthorize
+from .backend_answers import (
+    AnswerStream,
+    BufferedAnswer,
+    Outcome,
+    StreamedAnswer,
+    forwarded_headers,
+)
+from .callers import authorize
+from .calls import Call, build_call
 from .claims import Claim, Claims, StoredAnswer, request_digest
-from .messages import Admit, Grant, Release, Withdraw
+from .messages import Release
+from .request_records import RequestRecorder
+from .request_sender import RequestSender
 from .services import EntryServices
 
 logger = logging.getLogger(__name__)
 
-SAFE_METHODS = ("GET", "HEAD", "OPTIONS")
-MAX_IDEMPOTENCY_KEY_CHARACTERS = 200
-HOP_BY_HOP_HEADERS = frozenset(
-    (
-        "connection",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-        "content-length",
-        "host",
-        "expect",
-    )
-)
-# The caller's key is a secret that backend servers must not see; the deadline header
-# is replaced by one with the remaining time.
-UNFORWARDED_HEADERS = HOP_BY_HOP_HEADERS | {"authorization", "catkin-deadline-ms"}
-# With less time left, a retry would mostly run into its deadline and turn a known
-# "not run" into "unknown".
-MIN_RETRY_SECONDS = 0.05
-_SEED = 20261204
-
-
-class Call(NamedTuple):
-    """A caller's authorized request, with its service, deadline and repeatability."""
-
-    request_id: str
-    method: str
-    path: str
-    headers: Mapping[str, str]
-    body: RequestBody
-    authorized: AuthorizedRequest
-    service: Service
-    started_at: float
-    deadline: float
-    is_idempotent: bool
-    idempotency_key: str
-
-
-class BufferedAnswer(NamedTuple):
-    """A complete answer, held in memory."""
-
-    status: int
-    headers: Mapping[str, str]
-    content: bytes
-
-
-class StreamedAnswer(NamedTuple):
-    """An answer too large to buffer; its slot is in use until the stream ends."""
-
-    answer: BackendAnswer
-    prefix: bytes
-    grant: Grant
-
-
-Outcome = BufferedAnswer | StreamedAnswer | NotRun | Refused | Unknown
-
 
 class RequestForwarder:
     """Handles requests to queues; its methods run in the server's threads.
@@ -107,10 +38,8 @@
         self._services = services
         self._dispatcher = dispatcher
         self._claims = claims
-        self._lock = threading.Lock()
-        self._backends_by_service: dict[str, tuple[Service, BackendServers]] = {}
-        self._budget_by_service: dict[str, RetryBudget] = {}
-        self._rng = random.Random(_SEED)
+        self._recorder = RequestRecorder(services.clock, services.metrics)
+        self._sender = RequestSender(services, dispatcher)
         self.is_stopping = False
 
     def handle(self, request: HttpRequest, queue: str, path: str) -> HttpAnswer:
@@ -122,9 +51,7 @@
         started_at = self._services.clock.now()
         call = self._prepare_call(request, queue, path, request_id)
         if isinstance(call, Refused):
-            labels = {"team": "", "class": "", "outcome": "not-run"}
-            self._observe_seconds(labels, started_at)
-            self._log_end(request_id, "not-run", call, 0.0, queue=queue)
+            self._recorder.record_refusal(request_id, queue, call, started_at)
             return not_run_answer(call, request_id)
         try:
             return self._claim_and_send(call)
@@ -145,41 +72,18 @@
         authorized = authorize(snapshot, clock, queue, authorization)
         if isinstance(authorized, Refused):
             return authorized
-        service = authorized.environment.service_by_name.get(authorized.queue.service)
-        if service is None:
-            detail = f"queue {queue!r} accepts only jobs, got a request"
-            return Refused(Reason.REQUEST_INVALID, "admission", detail=detail)
-        seconds = _read_deadline(request.headers, service.max_request_seconds)
-        if isinstance(seconds, Refused):
-            return seconds
-        key = request.headers.get("idempotency-key", "")
-        if len(key) > MAX_IDEMPOTENCY_KEY_CHARACTERS:
-            detail = (
-                f"Idempotency-Key must have at most {MAX_IDEMPOTENCY_KEY_CHARACTERS} "
-                f"characters, got {len(key)}"
-            )
-            return Refused(Reason.REQUEST_INVALID, "admission", detail=detail)
-        body = open_body(request, self._services.max_body_bytes)
-        if isinstance(body, Refused):
-            return body
-        is_declared = request.headers.get("catkin-idempotent", "").lower() == "true"
-        return Call(
+        return build_call(
+            request,
+            path,
             request_id,
-            request.method,
-            _read_raw_path(request, path),
-            request.headers,
-            body,
             authorized,
-            service,
             started_at,
-            started_at + seconds,
-            is_declared or request.method in SAFE_METHODS,
-            key,
+            self._services.max_body_bytes,
         )
 
     def _claim_and_send(self, call: Call) -> HttpAnswer:
         if call.is_idempotent or not call.idempotency_key:
-            return self._answer(call, self._send_with_retries(call), None)
+            return self._answer(call, self._sender.send(call), None)
         digest = request_digest(
             call.method, call.path, call.body.length, call.body.prefix
         )
@@ -193,151 +97,7 @@
         if claim.row["member_id"] != call.authorized.member_id:
             outcome = Refused(Reason.CONFIGURATION_STALE, "claim")
             return self._answer(call, outcome, claim)
-        return self._answer(call, self._send_with_retries(call), claim)
-
-    def _send_with_retries(self, call: Call) -> Outcome:
-        """Send until there is an answer, a final failure or no time left.
-
-        Once an attempt may have run, the outcome is unknown even if a later attempt
-        is refused.
-        """
-        self._retry_budget(call.service).record_request()
-        excluded: frozenset[str] = frozenset()
-        unknown: Unknown | None = None
-        for attempt in itertools.count(1):
-            grant = self._wait_for_slot(call, excluded, attempt > 1)
-            if isinstance(grant, NotRun):
-                return unknown or grant
-            if attempt > 1 and self._seconds_left(call) < MIN_RETRY_SECONDS:
-                self._dispatcher.tell(Release(grant))
-                return unknown or NotRun(Reason.DEADLINE, "dispatch", "", "", 1.0)
-            outcome = self._send_once(call, grant)
-            excluded = frozenset({grant.address})
-            if isinstance(outcome, NotRun) and self._may_resend(call, outcome):
-                continue
-            if isinstance(outcome, NotRun | Refused):
-                return unknown or outcome
-            if not isinstance(outcome, Unknown):
-                return outcome
-            unknown = outcome
-            if not call.is_idempotent or not call.body.is_repeatable:
-                return unknown
-            if not self._wait_for_retry(call, attempt):
-                return unknown
-        raise AssertionError("unreachable")
-
-    def _wait_for_slot(
-        self, call: Call, excluded: frozenset[str], is_requeued: bool
-    ) -> Grant | NotRun:
-        team = call.authorized.team
-        request = WaitingRequest(
-            call.request_id,
-            team.name,
-            team.weight,
-            call.authorized.queue.is_urgent,
-            call.deadline,
-        )
-        future: Future[Grant | NotRun] = Future()
-        self._dispatcher.tell(
-            Admit(request, call.service, excluded, is_requeued, future)
-        )
-        remaining = self._seconds_left(call)
-        try:
-            return future.result(max(0.0, remaining))
-        except FutureTimeoutError:
-            if not future.cancel():
-                return future.result()
-            self._dispatcher.tell(Withdraw(request, call.service.name))
-            return NotRun(Reason.DEADLINE, "admission", "", "", 1.0)
-
-    def _send_once(self, call: Call, grant: Grant) -> Outcome:
-        refusal = self._reauthorize(call)
-        if refusal is not None:
-            self._dispatcher.tell(Release(grant))
-            return refusal
-        try:
-            sent = self._backend_servers(call.service).send(
-                grant.address, self._backend_request(call)
-            )
-            outcome = self._read_answer(sent, grant)
-        except BaseException:
-            self._dispatcher.tell(Release(grant, is_failure=True))
-            raise
-        if not isinstance(outcome, StreamedAnswer):
-            self._dispatcher.tell(_build_release(grant, outcome))
-        return outcome
-
-    def _read_answer(
-        self, sent: BackendAnswer | NotRun | Unknown, grant: Grant
-    ) -> Outcome:
-        """Read the answer to its end, or until it is too large to buffer."""
-        if not isinstance(sent, BackendAnswer):
-            return sent
-        parts: list[bytes] = []
-        n_bytes = 0
-        try:
-            for chunk in sent.chunks:
-                parts.append(chunk)
-                n_bytes += len(chunk)
-                if n_bytes > self._services.max_held_answer_bytes:
-                    return StreamedAnswer(sent, b"".join(parts), grant)
-        except BrokenAnswerError as error:
-            sent.close()
-            return error.outcome
-        sent.close()
-        return BufferedAnswer(sent.status, sent.headers, b"".join(parts))
-
-    def _may_resend(self, call: Call, outcome: NotRun) -> bool:
-        """Return whether a request that did not run is sent again."""
-        if outcome.reason not in (Reason.CONNECT_FAILED, Reason.BACKEND_FULL):
-            return False
-        # A server that refused a streamed body may have read a part of it.
-        is_untouched = outcome.reason == Reason.CONNECT_FAILED
-        is_repeatable = call.body.is_repeatable or is_untouched
-        return is_repeatable and self._services.clock.now() < call.deadline
-
-    def _seconds_left(self, call: Call) -> float:
-        return call.deadline - self._services.clock.now()
-
-    def _wait_for_retry(self, call: Call, attempt: int) -> bool:
-        clock = self._services.clock
-        with self._lock:
-            seconds = plan_retry(
-                attempt,
-                clock.now(),
-                call.deadline,
-                self._retry_budget(call.service),
-                self._rng,
-            )
-        if seconds is None:
-            return False
-        clock.sleep(seconds)
-        return True
-
-    def _backend_request(self, call: Call) -> BackendRequest:
-        remaining = self._seconds_left(call)
-        headers = {
-            name: value
-            for name, value in call.headers.items()
-            if name not in UNFORWARDED_HEADERS
-        }
-        headers["Catkin-Deadline-Ms"] = str(max(0, int(remaining * 1000)))
-        headers["Catkin-Request-Id"] = call.request_id
-        headers["Catkin-Team"] = call.authorized.team.name
-        return BackendRequest(
-            call.method,
-            call.path,
-            headers,
-            call.body.chunks(),
-            call.body.length,
-            call.deadline,
-            call.is_idempotent,
-            lambda: self._reauthorize(call) is None,
-        )
-
-    def _reauthorize(self, call: Call) -> Refused | None:
-        snapshot = self._services.membership.snapshot()
-        return reauthorize(call.authorized, snapshot, self._services.clock)
+        return self._answer(call, self._sender.send(call), claim)
 
     def _answer(self, call: Call, outcome: Outcome, claim: Claim | None) -> HttpAnswer:
         if claim is not None:
@@ -345,13 +105,13 @@
         if isinstance(outcome, StreamedAnswer):
             return self._stream_answer(call, outcome)
         if isinstance(outcome, BufferedAnswer):
-            self._record_end(call, "answered", None)
-            headers = _answer_headers(outcome.headers, call.request_id)
+            self._recorder.record_end(call, "answered", None)
+            headers = forwarded_headers(outcome.headers, call.request_id)
             return HttpAnswer(outcome.status, outcome.content, headers)
         if isinstance(outcome, Unknown):
-            self._record_end(call, "unknown", outcome)
+            self._recorder.record_end(call, "unknown", outcome)
             return unknown_answer(outcome, call.request_id)
-        self._record_end(call, "not-run", outcome)
+        self._recorder.record_end(call, "not-run", outcome)
         return not_run_answer(outcome, call.request_id)
 
     def _record_claim_outcome(self, claim: Claim, outcome: Outcome) -> None:
@@ -364,7 +124,7 @@
             self._claims.abandon(claim, isinstance(outcome, Unknown))
 
     def _replay(self, call: Call, stored: StoredAnswer) -> HttpAnswer:
-        self._record_end(call, "answered", None)
+        self._recorder.record_end(call, "answered", None)
         headers = outcome_headers("answered", "", call.request_id)
         headers["Catkin-Replayed"] = "true"
         if stored.content_type:
@@ -373,7 +133,7 @@
 
     def _stream_answer(self, call: Call, outcome: StreamedAnswer) -> HttpAnswer:
         answer = outcome.answer
-        headers = _answer_headers(answer.headers, call.request_id)
+        headers = forwarded_headers(answer.headers, call.request_id)
         length = answer.headers.get("Content-Length")
         if length is not None:
             headers["Content-Length"] = length
@@ -381,150 +141,6 @@
         def on_end(failure: Unknown | None, is_server_failure: bool) -> None:
             self._dispatcher.tell(Release(outcome.grant, is_server_failure))
             kind = "answered" if failure is None else "unknown"
-            self._record_end(call, kind, failure)
+            self._recorder.record_end(call, kind, failure)
 
         return HttpAnswer(answer.status, AnswerStream(outcome, on_end), headers)
-
-    def _record_end(
-        self, call: Call, kind: str, outcome: NotRun | Refused | Unknown | None
-    ) -> None:
-        is_urgent = call.authorized.queue.is_urgent
-        labels = {
-            "team": call.authorized.team.name,
-            "class": "urgent" if is_urgent else "long",
-            "outcome": kind,
-        }
-        self._observe_seconds(labels, call.started_at)
-        seconds = self._services.clock.now() - call.started_at
-        self._log_end(
-            call.request_id,
-            kind,
-            outcome,
-            seconds,
-            queue=call.authorized.queue.name,
-            team=call.authorized.team.name,
-        )
-
-    def _observe_seconds(self, labels: Mapping[str, str], started_at: float) -> None:
-        self._services.metrics.observe(
-            "catkin_request_seconds",
-            "Time from a request's head to the end of its answer.",
-            labels,
-            self._services.clock.now() - started_at,
-        )
-
-    def _log_end(
-        self,
-        request_id: str,
-        kind: str,
-        outcome: NotRun | Refused | Unknown | None,
-        seconds: float,
-        **fields: Any,
-    ) -> None:
-        if outcome is None:
-            level = logging.DEBUG
-        else:
-            level = logging.INFO
-            fields |= {"reason": outcome.reason.value, "step": outcome.step}
-            fields |= {"peer": outcome.peer, "detail": outcome.detail}
-        log_event(
-            logger,
-            "request ended",
-            level,
-            request_id=request_id,
-            outcome=kind,
-            seconds=f"{seconds:.4f}",
-            **fields,
-        )
-
-    def _backend_servers(self, service: Service) -> BackendServers:
-        with self._lock:
-            known = self._backends_by_service.get(service.name)
-            if known is None or known[0] != service:
-                created = self._services.create_backend_servers(service)
-                known = (service, created)
-                self._backends_by_service[service.name] = known
-            return known[1]
-
-    def _retry_budget(self, service: Service) -> RetryBudget:
-        return self._budget_by_service.setdefault(
-            service.name, RetryBudget(self._services.retry_fraction)
-        )
-
-
-class AnswerStream:
-    """Body of a streamed answer.
-
-    A failure raises an exception in the iteration. The HTTP server then closes the
-    connection without the final chunk, so the caller sees a truncated answer.
-
-    Args:
-        outcome: the answer and its slot.
-        on_end: called once with the failure, ``None`` after a complete answer, and
-            with whether the backend server failed.
-    """
-
-    def __init__(self, outcome: StreamedAnswer, on_end: Any) -> None:
-        self._outcome = outcome
-        self._on_end = on_end
-        self._is_ended = False
-
-    def __iter__(self) -> Iterator[bytes]:
-        """Yield the chunks of the answer."""
-        try:
-            yield self._outcome.prefix
-            yield from self._outcome.answer.chunks
-        except BrokenAnswerError as error:
-            self._end(error.outcome, is_server_failure=True)
-            raise
-        self._end(None)
-
-    def close(self) -> None:
-        """Release the slot when the caller disconnects before the end of the answer."""
-        peer = self._outcome.grant.address
-        self._end(Unknown(Reason.CONNECTION_LOST, "answer", peer))
-
-    def _end(self, failure: Unknown | None, is_server_failure: bool = False) -> None:
-        if self._is_ended:
-            return
-        self._is_ended = True
-        self._outcome.answer.close()
-        self._on_end(failure, is_server_failure)
-
-
-def _build_release(grant: Grant, outcome: Outcome) -> Release:
-    if isinstance(outcome, NotRun) and outcome.reason == Reason.BACKEND_FULL:
-        return Release(grant, is_full=True)
-    is_failure = isinstance(outcome, Unknown) or (
-        isinstance(outcome, NotRun) and outcome.reason == Reason.CONNECT_FAILED
-    )
-    return Release(grant, is_failure)
-
-
-def _answer_headers(headers: Mapping[str, str], request_id: str) -> dict[str, str]:
-    kept = {
-        name: value
-        for name, value in headers.items()
-        if name.lower() not in HOP_BY_HOP_HEADERS
-    }
-    return kept | outcome_headers("answered", "", request_id)
-
-
-def _read_raw_path(request: HttpRequest, path: str) -> str:
-    """Return the path as the caller wrote it, with its query string."""
-    uri = request.environ.get("REQUEST_URI", "")
-    _, marker, raw = uri.partition("/requests/")
-    if marker:
-        return f"/{raw}"
-    query = request.environ.get("QUERY_STRING", "")
-    return f"/{path}?{query}" if query else f"/{path}"
-
-
-def _read_deadline(headers: Mapping[str, str], longest: float) -> float | Refused:
-    text = headers.get("catkin-deadline-ms")
-    if text is None:
-        return longest
-    if not text.isascii() or not text.isdigit() or not int(text[:12]) > 0:
-        detail = f"Catkin-Deadline-Ms must be a whole number above 0, got {text[:20]!r}"
-        return Refused(Reason.REQUEST_INVALID, "admission", detail=detail)
-    return min(longest, int(text[:12]) / 1000)
