Acknowledge the ends of runs only until a poll is answered

Callers saw: nothing yet; found by reading. A task that is done can run again.

Cause: each poll carried the number of the last end that is stored. A poll without an answer may be carried out seconds later. After a restart under the same id, ends are numbered anew, so that a number of the former incarnation covers ends that the owner has not read. The worker forgets them, the owner finds the runs no longer listed, and starts their tasks again.

Change: once a poll that acknowledges an end is answered, later polls acknowledge none until more ends are stored. An idle worker's long poll, which a crash breaks, thus acknowledges nothing.

Result: the first test of TestAcknowledgedEnds fails without the change ([57, 57, 57, 57] instead of [57, 57, 0, 0]) and passes with it; the second passes with both.

--- a/catkinport/jobs/dispatcher.py
+++ b/catkinport/jobs/dispatcher.py
@@ -363,6 +363,7 @@
     ) -> None:
         worker.processed_end = 0
         worker.stored_end = 0
+        worker.acknowledged_end = 0
         # Calls with a lease on the former clock may have reached the worker after the
         # restart. On its new clock that lease ends far ahead.
         worker.lease_until = max(
--- a/catkinport/jobs/tests/test_worker_watch.py
+++ b/catkinport/jobs/tests/test_worker_watch.py
@@ -20,6 +20,7 @@
 
     Attributes:
         polls: length of the lease and wait of each poll, in seconds.
+        acknowledged: number of the end that each poll acknowledges.
     """
 
     def __init__(self, fleet, outcomes):
@@ -29,10 +30,12 @@
         self.ports = SimpleNamespace(workers=self)
         self.wake = asyncio.Event()
         self.polls = []
+        self.acknowledged = []
         self._outcomes = list(outcomes)
 
     async def renew_lease(self, worker, token, end, lease_seconds, wait_seconds):
         self.polls.append((lease_seconds, wait_seconds))
+        self.acknowledged.append(end)
         return self._outcomes.pop(0)
 
 
@@ -41,6 +44,9 @@
     monkeypatch.setattr(worker_watch, "POLL_PAUSE_SECONDS", 0.0)
 
 
+ANSWER = WorkerLists(1.0, [], [])
+
+
 def poll(fleet, *outcomes):
     """Poll the worker once for each outcome; return the session."""
     session = FakeSession(fleet, outcomes)
@@ -69,3 +75,27 @@
         assert fleet.plan() == []
         poll(fleet, WorkerLists(2.0, [], []))
         assert len(fleet.plan()) == 1
+
+
+class TestAcknowledgedEnds:
+    def test_ends_are_acknowledged_until_a_poll_is_answered(self):
+        """Guards against a late poll that makes a restarted worker forget its ends.
+
+        The numbers of ends begin anew there, so that a number of the former incarnation
+        covers ends that are not stored.
+        """
+        fleet = Fleet([make_worker("w1")])
+        worker = fleet.dispatcher.worker_by_id["w1"]
+        worker.processed_end = worker.stored_end = 57
+        session = poll(fleet, LOST, ANSWER, ANSWER, LOST)
+        assert session.acknowledged == [57, 57, 0, 0]
+
+    def test_ends_of_a_restarted_worker_are_acknowledged(self):
+        """Guards against ends that are listed for ever after a restart."""
+        fleet = Fleet([make_worker("w1")])
+        worker = fleet.dispatcher.worker_by_id["w1"]
+        worker.processed_end = worker.stored_end = 57
+        poll(fleet, ANSWER, WorkerLists(2.0, [], []))
+        worker.processed_end = worker.stored_end = 1
+        session = poll(fleet, WorkerLists(2.0, [], []))
+        assert session.acknowledged == [1]
--- a/catkinport/jobs/worker_state.py
+++ b/catkinport/jobs/worker_state.py
@@ -165,6 +165,8 @@
             last decided.
         processed_end: number of the last end of a run that was processed.
         stored_end: number of the last end of a run that is stored.
+        acknowledged_end: number of the last end that the worker no longer lists,
+            because an answered poll has acknowledged it.
         run_by_key: the runs that are on it, or may be.
         blocked_until: clock time in seconds before which it gets no new tasks.
         is_enrolled: whether the stored roster names it, so that a successor would
@@ -187,6 +189,7 @@
         self.paced_at = float("-inf")
         self.processed_end = 0
         self.stored_end = 0
+        self.acknowledged_end = 0
         self.run_by_key: dict[RunKey, Run] = {}
         self.blocked_until = 0.0
         self.is_reserved = False
--- a/catkinport/jobs/worker_watch.py
+++ b/catkinport/jobs/worker_watch.py
@@ -190,14 +190,19 @@
             worker.extend_lease(sent_at)
         is_answer_urgent = worker.processed_end > worker.stored_end or not is_fresh
         wait_seconds = POLL_WAIT_SECONDS if may_wait and not is_answer_urgent else 0.0
+        # A poll without an answer may be carried out late, by an incarnation whose ends
+        # are counted anew. So an end is not acknowledged again after an answer.
+        is_end_new = worker.stored_end > worker.acknowledged_end
+        acknowledged_end = worker.stored_end if is_end_new else 0
         outcome = await self._session.ports.workers.renew_lease(
             worker.listed,
             self._session.lease.token,
-            worker.stored_end,
+            acknowledged_end,
             lease_seconds,
             wait_seconds,
         )
         if isinstance(outcome, WorkerLists):
+            worker.acknowledged_end = max(worker.acknowledged_end, acknowledged_end)
             await self._apply_run_lists(worker, outcome, sent_at)
         elif isinstance(outcome, Unavailable):
             worker.may_have_restarted = True
--- a/catkinport/ports/fleet_workers.py
+++ b/catkinport/ports/fleet_workers.py
@@ -166,7 +166,7 @@
             worker: the worker.
             token: fencing token; the worker refuses lower ones from then on.
             acknowledged_end: number of the last ended run that the caller has stored;
-                the worker no longer lists the runs up to it.
+                the worker no longer lists the runs up to it. 0 acknowledges none.
             lease_seconds: how long tasks may continue without another call.
             wait_seconds: how long the worker may wait until a run ends.
         """
