Skip rows in the feed of jobs that a read has shown already

Callers saw: nothing yet; found by review. A finished job would run again.

Cause: the jobs are read part by part, and the feed continues from the oldest version of the parts, so that it misses none. It repeats rows that a later part has shown. If the job has ended and was forgotten before the feed answers, its row was taken for a new job.

Change: the owner remembers the versions of rows that are newer than where the feed continues, and skips them there.

Result: the test of TestRowsReadAndFollowed fails without the check and passes with it.

--- a/catkinport/jobs/owner.py
+++ b/catkinport/jobs/owner.py
@@ -90,6 +90,7 @@
         held_until = claim.sent_at + bounds.order_gap
         self._vm_orders = VmOrders(self._session, self._vm_planner, held_until)
         self._job_feed_version = 0
+        self._read_version_by_key: dict[str, int] = {}
 
     def apply_configuration(self, configuration: FleetConfiguration) -> None:
         """Apply a new version of the configuration."""
@@ -206,7 +207,7 @@
         assert not isinstance(jobs, Unavailable)
         assert not isinstance(states, Unavailable)
         assert not isinstance(roster, Unavailable)
-        self._job_feed_version = jobs.version
+        self._note_jobs_read(jobs)
         finished_ids = _find_finished_ids(states)
         self._store.note_read(
             row for row in states.rows if row.row_key.key not in finished_ids
@@ -284,10 +285,25 @@
                 log_event(logger, "job feed interrupted", reason=outcome.reason)
                 await asyncio.sleep(RETRY_SECONDS)
 
+    def _note_jobs_read(self, jobs: Snapshot) -> None:
+        """Let the feed continue after a read of all jobs.
+
+        The parts of the table are read one by one, and the feed continues from the
+        oldest of their versions. It repeats rows of the other parts, and a job may have
+        ended by then.
+        """
+        self._job_feed_version = jobs.version
+        self._read_version_by_key = {
+            row.row_key.key: row.version
+            for row in jobs.rows
+            if row.version > jobs.version
+        }
+
     def _apply_changes(self, changes: Changes) -> None:
         now = self._session.clock.now()
         for row in changes.rows:
-            self._apply_job_row(row, now, False, set())
+            if row.version > self._read_version_by_key.get(row.row_key.key, 0):
+                self._apply_job_row(row, now, False, set())
         self._job_feed_version = changes.version
         if changes.rows:
             self._session.wake.set()
@@ -307,7 +323,7 @@
         now = self._session.clock.now()
         for row in jobs.rows:
             self._apply_job_row(row, now, False, finished_ids)
-        self._job_feed_version = jobs.version
+        self._note_jobs_read(jobs)
         self._session.wake.set()
 
 
--- a/catkinport/jobs/tests/test_job_feed.py
+++ b/catkinport/jobs/tests/test_job_feed.py
@@ -3,7 +3,7 @@
 import asyncio
 from types import SimpleNamespace
 
-from ...ports.async_table import HistoryLost, Snapshot
+from ...ports.async_table import Changes, HistoryLost, Snapshot
 from ...ports.table import Row
 from ...runtime import Metrics
 from ..dispatcher import Dispatcher
@@ -102,3 +102,28 @@
         assert dispatcher.job_by_id[other_id].state is JobState.QUEUED
         # Without runs, a job whose cancellation is taken in ends at once.
         assert dispatcher.job_by_id[JOB_ID].state is JobState.CANCELED
+
+
+class TestRowsReadAndFollowed:
+    def test_a_job_that_ended_before_the_feed_repeats_its_row_does_not_run_again(self):
+        """Guards against a second run of a job that a read and the feed both return.
+
+        The parts of the table are read one by one and the feed continues from the
+        oldest of their versions. It may have no answer until a job of another part has
+        ended and was forgotten.
+        """
+        table = FakeTable()
+        row = Row(job_key(JOB_ID), 5, encode_job(JOB_ID))
+        table.rows_by_table[JOBS_TABLE] = [row]
+        table.rows_by_table[STATES_TABLE] = []
+
+        async def follow_after_end():
+            owner = make_owner(table)
+            await owner._load()
+            assert owner._job_feed_version < row.version
+            dispatcher = owner._session.dispatcher
+            end_job(dispatcher)
+            owner._apply_changes(Changes([row], 6))
+            return dispatcher
+
+        assert asyncio.run(follow_after_end()).job_by_id == {}
