Test that an owner returns only once its tasks have ended, and log those that don't

Found by review: the end of the tasks was tested for the session alone, and a task that never ends would have kept its daemon from claiming again without a line.

Change: a test of the owner, and an error line each second.

Result: the test fails with one cancellation in place of the end, and passes with it.

--- a/catkinport/jobs/session.py
+++ b/catkinport/jobs/session.py
@@ -24,6 +24,9 @@
 CANCEL_RETRY_SECONDS = 0.05
 """Time after which a task that has not ended is canceled again."""
 
+CANCEL_ROUNDS_PER_LOG = 20
+"""Cancellations after which a log line tells that tasks have not ended."""
+
 
 class OwnerPorts(NamedTuple):
     """Clients of the outside systems that an owner uses."""
@@ -99,9 +102,19 @@
         is sent under this ownership after the call.
         """
         self._is_over = True
+        n_rounds = 0
         while self._tasks:
             self.cancel_all()
             await asyncio.wait(self._tasks, timeout=CANCEL_RETRY_SECONDS)
+            n_rounds += 1
+            if self._tasks and n_rounds % CANCEL_ROUNDS_PER_LOG == 0:
+                log_event(
+                    logger,
+                    "owner tasks have not ended",
+                    level=logging.ERROR,
+                    token=self.lease.token,
+                    n_tasks=len(self._tasks),
+                )
 
     def owner_condition(self) -> Condition:
         """Return the condition for a commit that no other daemon has taken over."""
--- a/catkinport/jobs/tests/test_session.py
+++ b/catkinport/jobs/tests/test_session.py
@@ -4,8 +4,14 @@
 
 import pytest
 
+from ..owner import FleetOwner
+from ..ownership_watch import Claim
 from ..session import OwnerSession
+from .builders import make_configuration
 from .late_table import AsyncLateTable, make_session
+from .test_vm_planner import BOUNDS
+
+LONGEST_LEASE = 10.0
 
 
 async def ignore_first_cancellation(steps: list[str]) -> None:
@@ -57,3 +63,24 @@
             assert steps == []
 
         asyncio.run(run())
+
+    # Guards against a daemon that claims the ownership again while a loop of its former
+    # ownership goes on.
+    def test_an_owner_returns_only_once_its_tasks_have_ended(self):
+        async def run():
+            session = make_session(AsyncLateTable())
+            claim = Claim(session.lease.token, 100.0, None, False)
+            owner = FleetOwner(
+                session.ports, make_configuration(), claim, BOUNDS, LONGEST_LEASE
+            )
+            steps: list[str] = []
+            owner._load_and_run = lambda: ignore_first_cancellation(steps)
+            owner._renewal_loop = lambda: asyncio.sleep(60.0)
+            task = asyncio.ensure_future(owner.run(asyncio.Event()))
+            await asyncio.sleep(0.02)
+            owner._session.depose("order-fenced")
+            await asyncio.wait_for(task, 5.0)
+            assert steps == ["went on"]
+            assert not owner._session._tasks
+
+        asyncio.run(run())
