Report a wave again after a report without an answer

Callers saw: nothing yet; found by review. A wave can be shown as completed although a VM has not begun its upkeep, or a replaced owner can report over its successor.

Cause: a report of the completion that had no answer may be stored late. If the wave counted as open again by then, because a VM was missing from one list, nothing was reported any more, as it had been announced before. And the ownership was checked before several waits, not before each report.

Change: after a report without an answer another one follows, on whose version the late one conflicts; each report checks the lease just before.

Result: both tests of TestWaveReports fail with the former code and pass now.

--- a/catkinport/jobs/tests/test_vm_orders.py
+++ b/catkinport/jobs/tests/test_vm_orders.py
@@ -106,6 +106,50 @@
         assert not fleet.vm_planner.inventory.is_under_order("m0")
 
 
+class FakeDesk:
+    """Takes the reports of waves; the test loses the answers to some."""
+
+    def __init__(self):
+        self.is_answered = True
+        self.reports = []
+
+    async def report(self, wave, is_completed):
+        self.reports.append(is_completed)
+        return self.is_answered
+
+
+class TestWaveReports:
+    def _orders(self):
+        fleet = VmFleet(1)
+        fleet.request_wave(["m0"])
+        session = FakeSession(SimpleNamespace(now=lambda: 0.0))
+        session.ports.desk = FakeDesk()
+        return session, VmOrders(session, fleet.vm_planner, 0.0)
+
+    def test_a_report_follows_one_without_an_answer(self):
+        """Guards against a wave that is shown as completed by a late report.
+
+        The VM that had not begun its upkeep was missing from one list of VMs.
+        """
+        session, orders = self._orders()
+        asyncio.run(orders._report_waves())
+        vm_by_id = orders._vm_planner.inventory.vm_by_id
+        orders._vm_planner.inventory.vm_by_id = {"m9": vm_by_id["m0"]}
+        session.ports.desk.is_answered = False
+        asyncio.run(orders._report_waves())
+        orders._vm_planner.inventory.vm_by_id = vm_by_id
+        session.ports.desk.is_answered = True
+        asyncio.run(orders._report_waves())
+        assert session.ports.desk.reports == [False, True, False]
+
+    def test_an_owner_that_may_be_replaced_reports_nothing(self):
+        """Guards against a report that replaces one of the successor."""
+        session, orders = self._orders()
+        session.clock.now = lambda: 1.0
+        asyncio.run(orders._report_waves())
+        assert session.ports.desk.reports == []
+
+
 class TestInheritedWaves:
     @pytest.mark.parametrize(
         ("seen_after_seconds", "is_removed"),
--- a/catkinport/jobs/vm_orders.py
+++ b/catkinport/jobs/vm_orders.py
@@ -219,10 +219,15 @@
             log_event(logger, "wave progress not stored", wave=wave)
 
     async def _report_waves(self) -> None:
-        for state in self._vm_planner.wave_by_number.values():
+        for state in list(self._vm_planner.wave_by_number.values()):
             is_complete = self._vm_planner.is_complete(state)
             if state.is_reported or (state.is_announced and not is_complete):
                 continue
+            if self._session.lease.may_be_replaced(self._session.clock.now()):
+                return
+            # A report without an answer may still be stored, so another one follows it
+            # even if that says what was said before.
+            state.is_announced = False
             if await self._session.ports.desk.report(state.wave.wave, is_complete):
                 state.is_announced = True
                 state.is_reported = is_complete
