Check the ownership just before a start is sent

Callers saw: nothing yet; found by review.

Cause: the ownership was checked when starts were planned. A process that is paused between the plan and the call sends them after its lease is over, with a fresh lease for the task. Workers that a successor has reached reject them; others carry them out.

Change: the session tells whether orders may be sent, and it is asked just before a call. A start that is not sent leaves its task waiting.

--- a/catkinport/jobs/run_orders.py
+++ b/catkinport/jobs/run_orders.py
@@ -8,7 +8,7 @@
 import logging
 import time
 
-from ..ports import Unavailable
+from ..ports import Reason, Unavailable
 from ..ports.fleet_workers import Done, StartOrder
 from ..runtime.logs import log_event
 from .planner import ApprovalRequest, PlannedStart, Planner, Ticket
@@ -66,7 +66,7 @@
             if self._session.lease.may_be_replaced(now)
             else None
         )
-        if not self._session.lease.must_stop_renewing(now):
+        if self._session.may_order():
             for start in self._planner.plan(now, time.time(), learned_before):
                 self._session.spawn(self._send_start(start))
         for wanted in self._planner.wanted_approvals.values():
@@ -84,10 +84,14 @@
             start.ticket,
         )
         sent_at = self._session.clock.now()
-        worker.extend_lease(sent_at)
-        outcome = await self._session.ports.workers.start(
-            worker.listed, self._session.lease.token, order, LEASE_SECONDS
-        )
+        # The process may have been paused since the start was planned.
+        if self._session.may_order():
+            worker.extend_lease(sent_at)
+            outcome = await self._session.ports.workers.start(
+                worker.listed, self._session.lease.token, order, LEASE_SECONDS
+            )
+        else:
+            outcome = Unavailable(Reason.NOT_OWNER, "worker-start", worker.worker_id)
         now = self._session.clock.now()
         log_event(
             logger,
--- a/catkinport/jobs/session.py
+++ b/catkinport/jobs/session.py
@@ -116,6 +116,11 @@
                     n_tasks=len(self._tasks),
                 )
 
+    def may_order(self) -> bool:
+        """Return whether orders may be sent now under this ownership."""
+        is_expired = self.lease.must_stop_renewing(self.clock.now())
+        return not is_expired and not self.deposed.is_set()
+
     def owner_condition(self) -> Condition:
         """Return the condition for a commit that no other daemon has taken over."""
         return Condition(OWNER_KEY, self.lease.token)
--- a/catkinport/jobs/tests/test_run_orders.py
+++ b/catkinport/jobs/tests/test_run_orders.py
@@ -23,6 +23,15 @@
         self.ports = SimpleNamespace(workers=self)
         self.wake = asyncio.Event()
         self._before_answer = before_answer
+        self.is_allowed = True
+        self.n_starts = 0
+
+    def may_order(self):
+        return self.is_allowed
+
+    async def start(self, worker, token, order, lease_seconds):
+        self.n_starts += 1
+        return Done()
 
     async def stop(self, worker, token, task, run):
         self._before_answer()
@@ -69,3 +78,16 @@
         fleet.advance(0.7)
         fleet.poll("w1")
         assert len(fleet.plan()) == 1
+
+
+class TestStartAfterPause:
+    def test_it_is_not_sent_once_the_ownership_may_be_over(self):
+        """Guards against a start of an owner that was paused before it was sent."""
+        fleet = Fleet([make_worker("w1")])
+        fleet.dispatcher.add_job(make_job(), fleet.now)
+        (start,) = fleet.plan()
+        session = FakeSession(fleet, lambda: None)
+        session.is_allowed = False
+        asyncio.run(RunOrders(session, FakeWatch())._send_start(start))
+        assert session.n_starts == 0
+        assert start.run.key not in start.worker.run_by_key
--- a/catkinport/jobs/tests/test_session.py
+++ b/catkinport/jobs/tests/test_session.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from ...policy.leadership import STOP_RENEWING_SECONDS
 from ..owner import FleetOwner
 from ..ownership_watch import Claim
 from ..session import OwnerSession
@@ -84,3 +85,16 @@
             assert not owner._session._tasks
 
         asyncio.run(run())
+
+
+class TestOrders:
+    # Guards against orders of an owner that has been replaced or may have been.
+    def test_they_end_with_the_ownership_and_without_renewals(self):
+        session = make_session(AsyncLateTable())
+        assert session.may_order()
+        session.clock.advance(STOP_RENEWING_SECONDS + 0.1)
+        assert not session.may_order()
+        session.note_renewed(session.clock.now())
+        assert session.may_order()
+        session.depose("order-fenced")
+        assert not session.may_order()
