Judge an owner by the renewal that it has sent last

Callers saw: nothing yet; found by review. A queue's number of waiting jobs can be too low for a moment, and a released ownership can look held.

Cause: renewals have no condition on their row, so one without an answer may be stored after newer ones. Readers took its number of waiting jobs for a fresh one.

Change: a reader keeps the renewal that an owner has sent last, by the owner's own clock and under the same token. The row's version counts as before.

Result: the test of a late renewal fails with the former code and passes now.

--- a/catkinport/jobs/ownership_watch.py
+++ b/catkinport/jobs/ownership_watch.py
@@ -101,6 +101,7 @@
         self._watch = OwnerWatch()
         self._row_by_key: dict[str, Row] = {}
         self._version: int | None = None
+        self._latest_renewal: dict[str, Any] = {}
         self.depths: QueueDepths | None = None
 
     async def wait_for_claim(self, stop: asyncio.Event) -> Claim | None:
@@ -175,7 +176,7 @@
         now = self._clock.now()
         owner = self._row_by_key.get(OWNER_KEY.key)
         renewal_row = self._row_by_key.get(HEARTBEAT_KEY.key)
-        value: dict[str, Any] = (renewal_row.value if renewal_row else None) or {}
+        value = self._find_latest_renewal(renewal_row)
         owner_version = owner.version if owner else ABSENT_VERSION
         # Until an owner has renewed once, an earlier owner wrote the heartbeat row.
         is_own_renewal = value.get("token") == owner_version
@@ -198,6 +199,20 @@
         if owner_rows != former:
             self.depths = QueueDepths(value.get("waiting", {}), now)
 
+    def _find_latest_renewal(self, row: Row | None) -> dict[str, Any]:
+        """Return the value of the renewal that the owner has sent last.
+
+        The row may hold an earlier one that was stored late.
+        """
+        value: dict[str, Any] = (row.value if row else None) or {}
+        latest = self._latest_renewal
+        is_earlier = value.get("token") == latest.get("token") and (
+            value.get("sent_at", 0.0) < latest.get("sent_at", 0.0)
+        )
+        if not is_earlier:
+            self._latest_renewal = value
+        return self._latest_renewal
+
     async def _claim(self) -> Claim | None:
         owner_rows = self._watch.owner_rows
         assert owner_rows is not None
--- a/catkinport/jobs/tests/test_ownership_watch.py
+++ b/catkinport/jobs/tests/test_ownership_watch.py
@@ -111,3 +111,35 @@
 
 def read_resolved(session) -> bool:
     return heartbeat_write(session, 100.0).value["resolved"]
+
+
+class TestLateRenewal:
+    """A renewal without an answer may be stored after a newer one of the same owner."""
+
+    # Guards against callers that are told an old number of waiting jobs, and against a
+    # released ownership that looks held again.
+    def test_a_renewal_that_is_stored_late_replaces_nothing(self):
+        daemons = Daemons()
+        claim = daemons.claim("first")
+        client = StoreClient(daemons.store)
+        watch = OwnershipWatch(client, daemons.clock, "second", random.Random(1))
+        run_now(watch.poll())
+        daemons.renew(claim, sent_at=102.0, waiting={"q": 5}, released=True)
+        run_now(watch.poll())
+        daemons.renew(claim, sent_at=101.0, waiting={"q": 1}, released=False)
+        run_now(watch.poll())
+        assert watch.depths is not None
+        assert watch.depths.n_by_queue == {"q": 5}
+        assert watch._watch.owner_rows.is_released
+
+    # Guards against a successor that is judged by the renewals of the former owner.
+    def test_a_renewal_of_another_owner_counts_whenever_it_was_sent(self):
+        daemons = Daemons()
+        client = StoreClient(daemons.store)
+        watch = OwnershipWatch(client, daemons.clock, "third", random.Random(1))
+        daemons.renew(daemons.claim("first"), sent_at=102.0, released=True)
+        run_now(watch.poll())
+        daemons.renew(daemons.claim("second"), sent_at=7.0, waiting={"q": 2})
+        run_now(watch.poll())
+        assert watch.depths is not None
+        assert watch.depths.n_by_queue == {"q": 2}
