Recognise a stored commit by the rows that have a condition

Callers saw: nothing; found by review. An owner wrote states again that were stored, and did not count their renewal.

Cause: after an attempt without an answer, the rows of a conflict tell whether it took effect. A commit that renews the ownership too never did, as the row of the renewal has no condition and is not among these rows.

Change: only rows with a condition are compared; without any, nothing is known. The test that a row without a condition is always written now lets the first write be carried out before the second, as it passed with a condition too.

Result: the test of an attempt that was carried out late fails with the former code and passes now; the tests of catkinport/jobs and ports pass (178).

--- a/catkinport/ports/async_table.py
+++ b/catkinport/ports/async_table.py
@@ -64,7 +64,8 @@
 
     Args:
         table: client of the table service.
-        transaction: has a condition on each row that it writes.
+        transaction: has a condition on at least one row that it writes. Only such rows
+            tell whether an earlier attempt took effect.
         n_attempts: maximum number of attempts, at least 1.
     """
     is_undecided = False
@@ -87,12 +88,16 @@
     transaction: Transaction, rows: Sequence[Row]
 ) -> dict[RowKey, int] | None:
     row_by_key = {row.row_key: row for row in rows}
-    for write in transaction.writes:
+    conditional_keys = {condition.row_key for condition in transaction.conditions}
+    writes = [w for w in transaction.writes if w.row_key in conditional_keys]
+    if not writes:
+        return None
+    for write in writes:
         row = row_by_key.get(write.row_key)
         if (row.value if row else None) != write.value:
             return None
     return {
         write.row_key: row_by_key[write.row_key].version
-        for write in transaction.writes
+        for write in writes
         if write.value is not None
     }
