Test with real daemons that jobs of removed queues survive their owner

Seen with the code before removed queues were stored: three daemons, a job of eight tasks of 2 s on a queue that the next version of the configuration leaves out, the owner killed 1 s later. 25 s after that the job was still shown as running.

Change: the test; the deployment can write a configuration without some queues.

--- a/verification/platform/deployment.py
+++ b/verification/platform/deployment.py
@@ -9,7 +9,6 @@
 import os
 import socket
 import time
-from collections.abc import Mapping
 from typing import Any, NamedTuple
 
 import urllib3
@@ -183,12 +182,15 @@
 
         Args:
             changes: ``keys``, the valid keys of the client account (default: those of
-                the previous version), and ``max_cores``, the number of cores that it
-                may use (default: no limit).
+                the previous version), ``max_cores``, the number of cores that it may
+                use (default: no limit), and ``removed_queues``, the names of the queues
+                that this version leaves out (default: none).
         """
         self._version += 1
         self._keys = changes.get("keys", self._keys)
         document = self._build_configuration(changes.get("max_cores", 0.0))
+        removed = changes.get("removed_queues", ())
+        document["Routes"] = [r for r in document["Routes"] if r["Name"] not in removed]
         self.call_standin("PUT", "/standin/operator/config", document)
 
     def request_upkeep_wave(
@@ -285,7 +287,7 @@
             )
         return json.loads(answer.data)
 
-    def _build_configuration(self, max_cores: float) -> Mapping[str, Any]:
+    def _build_configuration(self, max_cores: float) -> dict[str, Any]:
         pools = [f"pool-{number}" for number in range(self.size.n_pools)]
         routes = [
             {
--- a/verification/platform/tests/test_end_to_end.py
+++ b/verification/platform/tests/test_end_to_end.py
@@ -118,6 +118,30 @@
         assert states == ["completed"] * 6
         assert find_violations(deployment.list_events(), jobs) == []
 
+    def test_a_job_of_a_removed_queue_survives_the_loss_of_the_owner(
+        self, deployment, caller
+    ):
+        """Guards against accepted jobs that stay unfinished once the owner changes.
+
+        A daemon answers calls for a removed queue with 404, so the state is read from
+        the store.
+        """
+        owner = wait_for_owner(deployment)
+        steps = (StepSpec(4), StepSpec(4, after=(0,)))
+        job = caller.submit("queue-1", "key-0", steps, "seconds=2", 10.0)
+        deployment.configure(removed_queues=("queue-1",))
+        time.sleep(1.0)
+        owner.process.kill()
+        wait_for_owner(deployment, other_than=owner.name)
+        deadline = time.monotonic() + COMPLETE_SECONDS
+        state = ""
+        while state != "completed" and time.monotonic() < deadline:
+            row = deployment.get_row("states", "fleet", job.job_id)
+            state = row["state"] if row else ""
+            time.sleep(0.1)
+        assert state == "completed"
+        assert find_violations(deployment.list_events(), [job]) == []
+
     def test_a_stopped_owner_is_replaced_and_exits_with_0(self, deployment, caller):
         """Guards against a planned stop that leaves the fleet without an owner."""
         owner = wait_for_owner(deployment)
