Let the soak reset connections that are closed, and end when a run breaks off

Seen: broke off with "Bad file descriptor" as a reset hit connections that were silenced and then reset before, and the command hung.

Cause: the proxy kept closed connections whose forwarding had been stopped, and the threads of the load went on after the exception.

Evidence: a test that resets silent connections twice, and one of a fault that raises; both failed before.

Change: a reset forgets its connections; the threads are stopped in any case.

--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -62,6 +62,8 @@
             # Without this option the kernel would end the connection with a FIN.
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
             writer.transport.abort()
+        # Forwarding that was stopped or is held back doesn't notice the end.
+        self._writers.clear()
 
     async def silence(self) -> None:
         """Stop forwarding on all open connections for good, without closing them.
--- a/soak/run.py
+++ b/soak/run.py
@@ -8,6 +8,7 @@
 The tasks of a lasting job run until it is canceled.
 """
 
+import contextlib
 import logging
 import random
 import threading
@@ -158,12 +159,15 @@
 ) -> SoakResult:
     seed = size.seed
     environment = SoakEnvironment(processes, size)
-    try:
+    load = SoakLoad(environment, seed)
+    probe = WithdrawnKeyProbe(environment)
+    with contextlib.ExitStack() as stack:
+        stack.callback(environment.close)
         environment.start()
-        load = SoakLoad(environment, seed)
-        probe = WithdrawnKeyProbe(environment)
         load.start()
+        stack.callback(load.stop)
         probe.start()
+        stack.callback(probe.stop)
         _inject_faults(environment, plan)
         load.stop()
         environment.heal()
@@ -175,8 +179,6 @@
         events = environment.deployment.list_events()
         write_events(processes.folder, events)
         violations += find_violations(events, load.jobs) + probe.violations
-    finally:
-        environment.close()
     for violation in violations:
         log_event(logger, "violation", text=violation)
     return SoakResult(
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -1,5 +1,6 @@
 """Tests of the fault schedules and the proxies, and a short seeded run."""
 
+import asyncio
 import contextlib
 import json
 import random
@@ -11,7 +12,7 @@
 
 from verification.platform.deployment import DaemonProcess, PlatformSize
 
-from .. import run
+from .. import load, run
 from ..environment import SoakEnvironment
 from ..faults import FAULT_BY_NAME, PlannedFault, draw_schedule
 from ..proxy import Proxy, ProxyHub
@@ -179,6 +180,16 @@
         with pytest.raises(ConnectionError):
             connection.recv(1)
 
+    def test_silent_connections_may_be_reset_twice(self, proxied_connection):
+        """Guards against a run that breaks off at a connection that is closed."""
+        hub, proxy, connection = proxied_connection
+        connection.sendall(b"a")
+        connection.recv(1)
+        hub.call(proxy.silence())
+        for _ in range(2):
+            hub.call(proxy.reset())
+            hub.call(asyncio.sleep(0.05))
+
 
 class TestRun:
     @pytest.mark.parametrize("seed", SEEDS)
@@ -236,3 +247,17 @@
         (folder,) = parent.iterdir()
         assert str(folder) in raised.value.__notes__[0]
         assert (folder / "schedule.json").exists()
+
+    def test_a_run_that_breaks_off_ends_its_threads(self, parent, monkeypatch):
+        """Guards against a command that hangs instead of showing why a run broke."""
+
+        def fail(environment, rng):
+            raise RuntimeError("fault failed")
+
+        monkeypatch.setattr(SoakEnvironment, "start", lambda environment: None)
+        monkeypatch.setattr(load, "REQUEST_TIMEOUT_SECONDS", 0.1)
+        monkeypatch.setitem(FAULT_BY_NAME, "reload_settings", fail)
+        n_threads = threading.active_count()
+        with pytest.raises(RuntimeError):
+            run_seed(3, 1.0, PlatformSize())
+        assert threading.active_count() == n_threads
