End the ownership when the row of removed queues shows a successor

Cause: the write of the removed queues conflicts once another daemon has taken over, and the owner tried it again until another write ended the ownership.

Evidence: a test with a replaced owner; it failed before.

Change: such a conflict ends the ownership, as with the other rows of the owner.

Result: the tests of catkinport/jobs pass.

--- a/catkinport/jobs/removed_queues.py
+++ b/catkinport/jobs/removed_queues.py
@@ -11,11 +11,18 @@
 
 from ..ports import Unavailable
 from ..ports.async_table import commit_until_known
-from ..ports.table import ABSENT_VERSION, Committed, Condition, Transaction, Write
+from ..ports.table import (
+    ABSENT_VERSION,
+    Committed,
+    Condition,
+    Conflict,
+    Transaction,
+    Write,
+)
 from ..runtime.logs import log_event
 from .configuration import ApprovalTerms, Queue
 from .session import RETRY_SECONDS, OwnerSession
-from .tables import REMOVED_QUEUES_KEY
+from .tables import OWNER_KEY, REMOVED_QUEUES_KEY
 
 logger = logging.getLogger(__name__)
 
@@ -113,6 +120,9 @@
             self._row_version = outcome.versions_by_row_key[REMOVED_QUEUES_KEY]
             self._stored = value
             return True
+        if isinstance(outcome, Conflict) and OWNER_KEY in outcome.versions_by_row_key:
+            self._session.depose("removed-queues-conflict")
+            return False
         # An earlier commit of this owner may have been carried out late.
         await self.load()
         return False
--- a/catkinport/jobs/tests/test_removed_queues.py
+++ b/catkinport/jobs/tests/test_removed_queues.py
@@ -23,18 +23,22 @@
 
     Attributes:
         n_lost: number of the next commits that are carried out without an answer.
+        is_replaced: whether another owner has taken over.
     """
 
     def __init__(self) -> None:
         self.row: Row | None = None
         self.n_commits = 0
         self.n_lost = 0
+        self.is_replaced = False
 
     async def read_range(self, table, start="", end=""):
         return Snapshot([self.row] if self.row else [], 0)
 
     async def commit(self, transaction):
         self.n_commits += 1
+        if self.is_replaced:
+            return Conflict({OWNER_KEY: TOKEN + 1}, "commit", "t", [])
         conditions = {c.row_key: c.version for c in transaction.conditions}
         assert conditions[OWNER_KEY] == TOKEN
         version = self.row.version if self.row else 0
@@ -62,6 +66,8 @@
         session.table = table
         session.dispatcher = dispatcher
         session.lease = OwnLease(TOKEN, 0.0)
+        session.deposed = asyncio.Event()
+        self.session = session
         self.queues = RemovedQueues(session)
 
     def add_job(self, is_inherited=False) -> None:
@@ -89,6 +95,22 @@
 
         assert len(asyncio.run(change_owner())) == 1
 
+    def test_a_replaced_owner_ends(self):
+        """Guards against a replaced owner that tries to store again and again."""
+
+        async def store():
+            table = FakeTable()
+            table.is_replaced = True
+            owner = Owner(table)
+            owner.add_job()
+            owner.fleet.dispatcher.apply_configuration(
+                make_configuration(version=2)._replace(queue_by_name={})
+            )
+            assert not await owner.queues._store()
+            return owner.session.deposed.is_set()
+
+        assert asyncio.run(store())
+
     def test_a_queue_leaves_the_row_with_its_last_job(self):
         """Guards against a row that grows with every queue that ever was."""
 
