--- a/catkinport/jobs/removed_queues.py
+++ b/catkinport/jobs/removed_queues.py
@@ -10,10 +10,10 @@
 from typing import Any
 
 from ..ports import Unavailable
-from ..ports.async_table import commit_until_known
-from ..ports.table import ABSENT_VERSION, Committed, Condition, Transaction, Write
+from ..ports.table import Committed, Write
 from ..runtime.logs import log_event
 from .configuration import ApprovalTerms, Queue
+from .fenced_rows import FencedRows
 from .session import RETRY_SECONDS, OwnerSession
 from .tables import REMOVED_QUEUES_KEY
 
@@ -36,7 +36,7 @@
     def __init__(self, session: OwnerSession) -> None:
         self._session = session
         self._changed = asyncio.Event()
-        self._row_version = ABSENT_VERSION
+        self._rows = FencedRows(session)
         self._stored: dict[str, Any] = {}
 
     def check_soon(self) -> None:
@@ -55,8 +55,8 @@
         )
         if isinstance(rows, Unavailable):
             return False
+        self._rows.note_read(rows.rows)
         for row in rows.rows:
-            self._row_version = row.version
             self._stored = dict(row.value)
             for name, fields in row.value.items():
                 self._restore(name, fields)
@@ -95,27 +95,18 @@
         value = {queue.name: encode_queue(queue) for queue in queues}
         if value == self._stored:
             return True
-        conditions = [
-            self._session.owner_condition(),
-            Condition(REMOVED_QUEUES_KEY, self._row_version),
-        ]
-        transaction = Transaction(conditions, [Write(REMOVED_QUEUES_KEY, value)])
-        outcome = await commit_until_known(
-            self._session.table, transaction, COMMIT_ATTEMPTS
-        )
+        writes = [Write(REMOVED_QUEUES_KEY, value)]
+        outcome = await self._rows.commit(writes, n_attempts=COMMIT_ATTEMPTS)
         log_event(
             logger,
             "removed queues stored",
             queues=",".join(sorted(value)),
             outcome=type(outcome).__name__,
         )
-        if isinstance(outcome, Committed):
-            self._row_version = outcome.versions_by_row_key[REMOVED_QUEUES_KEY]
-            self._stored = value
-            return True
-        # An earlier commit of this owner may have been carried out late.
-        await self.load()
-        return False
+        if not isinstance(outcome, Committed):
+            return False
+        self._stored = value
+        return True
 
 
 def encode_queue(queue: Queue) -> dict[str, Any]:
