--- a/catkinport/jobs/fenced_rows.py
+++ b/catkinport/jobs/fenced_rows.py
@@ -34,7 +34,9 @@
     that it replaces, so that a late one cannot replace a newer one.
 
     Calls that write the same row must not overlap, as each would make the other one
-    conflict.
+    conflict. A row that is removed must not have been absent when an earlier write
+    without an answer was sent: an absent row has version 0 before its first write and
+    after its removal, so that a late first write would restore it.
 
     Args:
         session: the ownership.
--- a/catkinport/jobs/state_store.py
+++ b/catkinport/jobs/state_store.py
@@ -32,7 +32,7 @@
     """Return the write that renews the ownership, or releases it.
 
     It needs no condition on the version of its row: a renewal that is carried out late
-    only delays a takeover.
+    only delays a takeover or the wait for leases after it.
     """
     value = {
         "token": session.lease.token,
