--- a/catkinport/jobs/tests/simulated_workers.py
+++ b/catkinport/jobs/tests/simulated_workers.py
@@ -35,6 +35,9 @@
         clock_rate: seconds of its clock per second.
         booted_at: time in seconds at which its clock showed 0.
         max_lease_seconds: longest lease that it grants, on its clock.
+
+    Attributes:
+        lapsed_end: number of the last end after which the lease has ended once.
     """
 
     def __init__(
@@ -56,6 +59,7 @@
         self.ended: list[EndedTask] = []
         self.refused_run: dict[str, int] = {}
         self.n_ends = 0
+        self.lapsed_end = 0
 
     def clock(self, now: float) -> float:
         """Return what its clock shows at ``now``."""
@@ -64,6 +68,7 @@
     def expire(self, now: float) -> None:
         """End all runs if the lease has ended."""
         if self.clock(now) > self.lease_until:
+            self.lapsed_end = self.n_ends
             for key in list(self.running):
                 self.end(key, EndKind.LAPSED)
 
