Resolve no unreached worker while a successor may have reached it

Seen: no report from callers; found by the random test of rival owners. A task runs twice after two changes of the owner.

Cause: a new owner counts a worker that it can't reach as resolved once the leases that the former owner can have granted have ended, and then starts the tasks that ran there elsewhere. If its own renewals fail meanwhile, it may have been replaced: the successor may have reached that worker in time, adopted the tasks and renewed the lease. Tasks whose run an owner has given up are held back for this reason, but the tasks of an inherited worker have no run that it knows of.

Evidence: the history that the random test reduced is a test now: the first owner is killed; the second one can't reach w0 and its renewals are late; the third one reaches w0.

Ruled out: a longer wait of the second owner, as the third one may renew the lease for as long as it likes.

Change: an owner resolves workers by the end of leases only while its renewals are stored. If it is not in doubt, nobody can have replaced it yet, and the runs have ended for good.

--- a/catkinport/jobs/tests/test_former_owners.py
+++ b/catkinport/jobs/tests/test_former_owners.py
@@ -76,6 +76,29 @@
         assert not fleet.violations
         assert len(fleet.worker_by_id["w1"].running) == 2
 
+    def test_an_owner_in_doubt_does_not_count_unreached_workers_as_resolved(
+        self, fleet
+    ):
+        """Guards against a start of a task that a successor has adopted.
+
+        The first owner was killed. The second one can't reach w0, and its renewals are
+        late. The third one reaches w0 and renews the lease there.
+        """
+        fleet.submit(1)
+        fleet.claim("d0")
+        run_cycles(fleet, "d0", 2)
+        fleet.restart_daemon("d0")
+        assert fleet.claim("d0")
+        second = fleet.owner_by_name["d0"]
+        second.workers.cut_off(["w0"])
+        fleet.run_cycle("d0")
+        second.store.link = StoreLink.LATE
+        assert fleet.claim("d1")
+        fleet.owner_by_name["d1"].workers.cut_off(["w1"])
+        fleet.run_all(0.5, n_cycles=10)
+        assert not fleet.violations
+        assert fleet.worker_by_id["w0"].running
+
     def test_tasks_go_on_while_the_store_is_down(self, fleet):
         """Guards against an owner in doubt that starts nothing at all."""
         fleet.claim("d0")
--- a/catkinport/jobs/worker_watch.py
+++ b/catkinport/jobs/worker_watch.py
@@ -95,7 +95,9 @@
         self._session.wake.set()
 
     def _resolve_unreached_workers(self, now: float) -> None:
-        if now > self._former_bound:
+        # A successor may have reached these workers and renewed the leases there.
+        is_in_doubt = self._session.lease.may_be_replaced(now)
+        if now > self._former_bound and not is_in_doubt:
             self._session.dispatcher.resolve_inherited_workers(now)
 
     async def _store_roster(self) -> None:
