Hold a lost task back until the run that was given up has ended

Seen: no report from callers; found by reading. A task can run twice around a change of the owner.

Cause: an owner whose renewals fail starts no task whose run it has given up, as a successor may have adopted that run. The mark was taken off by any listed end of the task, also by that of an earlier run on another worker.

Evidence: test_end_of_an_earlier_run_does_not_free_a_task_whose_run_was_given_up failed ("Left contains one more item: PlannedStart...").

Ruled out: runs of inherited tasks, whose numbers are lower than the task's; their ends leave the mark, which only delays such a task while renewals fail.

Change: only the end of the task's latest run takes the mark off.

Result: the test passes, and those of catkinport/jobs and catkinport/policy.

--- a/catkinport/jobs/dispatcher.py
+++ b/catkinport/jobs/dispatcher.py
@@ -458,7 +458,9 @@
             self._detach(worker, run)
         if record is None or task is None:
             return
-        task.is_lost = False
+        if ended.run >= task.run:
+            # The end of an earlier run says nothing of a later one that was given up.
+            task.is_lost = False
         record.note_run(task, ended.run)
         record.note_checkpoint(task, ended.checkpoint)
         if ended.how is EndKind.DONE and not task.step.is_lasting:
--- a/catkinport/jobs/tests/test_dispatcher.py
+++ b/catkinport/jobs/tests/test_dispatcher.py
@@ -328,6 +328,31 @@
         assert fleet.start(learned_before=renewed_at) == []
         assert len(fleet.start()) == 1
 
+    def test_end_of_an_earlier_run_does_not_free_a_task_whose_run_was_given_up(self):
+        """Guards against a second run of a task that a successor has adopted.
+
+        The first run lapses on a worker that was cut off for a while, and its end is
+        listed after the owner has given up the second run.
+        """
+        fleet = Fleet([make_worker("w1"), make_worker("w2")])
+        fleet.dispatcher.add_job(make_job(), fleet.now)
+        first = give_up_run(fleet)
+        renewed_at = fleet.now
+        give_up_run(fleet)
+        fleet.end(first, EndKind.LAPSED)
+        assert fleet.start(learned_before=renewed_at) == []
+
+
+def give_up_run(fleet):
+    """Start the task, and let its worker be silent until the lease has ended."""
+    (start,) = fleet.start()
+    other = {"w1": "w2", "w2": "w1"}[start.worker.worker_id]
+    for _ in range(6):
+        fleet.advance(1.0)
+        fleet.poll(other)
+    fleet.dispatcher.expire(fleet.now)
+    return start
+
 
 class TestLimits:
     def test_account_stays_under_its_limit(self):
