Move the tables of jobs and workers out of the dispatcher

The jobs are now in job_table, the workers in worker_table, and inherited_workers resolves those of a former owner. The methods of Dispatcher stay and delegate to them; no behaviour, log event or field changes.

--- a/catkinport/jobs/dispatcher.py
+++ b/catkinport/jobs/dispatcher.py
@@ -27,8 +27,9 @@
 from ..runtime import Metrics
 from ..runtime.logs import log_event
 from .configuration import FleetConfiguration, Queue
-from .job_estimates import JobEstimates
-from .model import FINAL_STATES, Job, JobState, TaskId
+from .inherited_workers import InheritedWorkers
+from .job_table import JobTable, is_over
+from .model import Job, JobState, TaskId
 from .record import JobRecord, Task, TaskPhase
 from .uncertain_starts import UncertainStarts
 from .worker_state import (
@@ -41,6 +42,9 @@
     WorkerRecord,
     bound_lease,
 )
+from .worker_table import WorkerTable
+
+__all__ = ["Dispatcher", "is_over"]
 
 logger = logging.getLogger(__name__)
 
@@ -61,12 +65,6 @@
 """Pause before a lasting task whose run failed is started again."""
 
 
-def is_over(row: dict[str, Any]) -> bool:
-    """Return whether a stored state is final and no task of its job runs."""
-    is_final = JobState(row["state"]) in FINAL_STATES
-    return is_final and row.get("settled", True)
-
-
 class Dispatcher:
     """Jobs and workers as the owner knows them.
 
@@ -100,12 +98,16 @@
         self._metrics = metrics or Metrics()
         self._known_queue_by_name: dict[str, Queue] = {}
         self.apply_configuration(configuration)
-        self.job_by_id: dict[str, JobRecord] = {}
-        self.worker_by_id: dict[str, WorkerRecord] = {}
+        self._workers = WorkerTable()
+        self._jobs = JobTable(self._known_queue_by_name, self._workers)
+        self._inherited = InheritedWorkers(self._workers, self._jobs)
+        # The tables change these collections in place and never replace them.
+        self.job_by_id = self._jobs.job_by_id
+        self.estimates = self._jobs.estimates
+        self.worker_by_id = self._workers.worker_by_id
+        self.unresolved_by_id = self._workers.unresolved_by_id
         self.runs_by_task: dict[str, list[Run]] = {}
-        self.unresolved_by_id: dict[str, str] = {}
         self.uncertain_starts = UncertainStarts()
-        self.estimates = JobEstimates()
         self._retired_by_id: dict[str, Incarnation] = {}
         self.orphan_stop_sent_at: dict[tuple[str, RunKey], float] = {}
 
@@ -132,48 +134,19 @@
             is_inherited: whether a former owner may have started tasks of it.
             age_seconds: approximate time since it was accepted.
         """
-        if job.job_id in self.job_by_id:
-            return
-        record = JobRecord(job, is_inherited)
-        record.learned_at = now
-        record.accepted_at = now - age_seconds
-        self.job_by_id[job.job_id] = record
-        self.estimates.learn_work(job)
-        log_event(
-            logger,
-            "job added",
-            request_id=job.job_id,
-            queue=job.queue,
-            account=job.account,
-            n_steps=len(job.steps),
-            n_tasks=sum(step.n_tasks for step in job.steps),
-            lasting=any(step.is_lasting for step in job.steps),
-            max_per_worker=max(step.max_per_worker for step in job.steps),
-            max_away=max(step.max_away for step in job.steps),
-            inherited=is_inherited,
-        )
+        self._jobs.add(job, now, is_inherited, age_seconds)
 
     def load_state(self, job_id: str, row: dict[str, Any], version: int) -> None:
         """Load the stored state of a job; drop the job if it is over."""
-        record = self.job_by_id.get(job_id)
-        if record is None:
-            return
-        record.load_row(row, version)
-        if is_over(row):
-            del self.job_by_id[job_id]
+        self._jobs.load_state(job_id, row, version)
 
     def cancel_job(self, job_id: str) -> None:
         """Note that the caller has asked to cancel the job."""
-        record = self.job_by_id.get(job_id)
-        if record is None or record.is_cancel_asked:
-            return
-        record.is_cancel_asked = True
-        log_event(logger, "job cancel taken in", request_id=job_id, state=record.state)
-        self._finish_if_closing(record)
+        self._jobs.cancel(job_id)
 
     def queue_of(self, record: JobRecord) -> Queue | None:
         """Return the queue of a job; ``None`` if no known configuration has it."""
-        return self._known_queue_by_name.get(record.job.queue)
+        return self._jobs.queue_of(record)
 
     def restore_queue(self, queue: Queue) -> None:
         """Add a removed queue that a former owner knew; a known one stays as it is."""
@@ -188,22 +161,15 @@
 
     def count_waiting(self) -> dict[str, int]:
         """Return how many jobs of each queue have not started."""
-        n_by_queue = dict.fromkeys(self.configuration.queue_by_name, 0)
-        for record in self.job_by_id.values():
-            if not record.is_begun and not record.is_closing:
-                queue = record.job.queue
-                n_by_queue[queue] = n_by_queue.get(queue, 0) + 1
-        return n_by_queue
+        return self._jobs.count_waiting(self.configuration.queue_by_name)
 
     def dirty_jobs(self) -> list[JobRecord]:
         """Return the jobs whose state has to be stored."""
-        return [record for record in self.job_by_id.values() if record.is_dirty]
+        return self._jobs.dirty_jobs()
 
     def forget_ended(self, record: JobRecord) -> None:
         """Drop a job that has ended, once its end is stored and none of it runs."""
-        is_over = record.is_final and not self._may_have_runs(record)
-        if is_over and not record.is_dirty:
-            self.job_by_id.pop(record.job.job_id, None)
+        self._jobs.forget_ended(record)
 
     def update_workers(self, listed: Sequence[ListedWorker], now: float) -> None:
         """Update the workers from the latest list of them."""
@@ -226,7 +192,7 @@
                     silent_seconds=round(now - worker_record.contact_at, 2),
                 )
             if not worker_record.run_by_key and now > worker_record.lease_until:
-                self._remove_worker(worker_record)
+                self._workers.remove(worker_record)
 
     def _is_retired(self, worker: ListedWorker) -> bool:
         retired = self._retired_by_id.get(worker.worker_id)
@@ -283,7 +249,7 @@
             worker.blocked_until = max(
                 worker.blocked_until, now + UNCERTAIN_WORKER_PAUSE_SECONDS
             )
-            self._resolve_worker(worker.worker_id, reason, now)
+            self._inherited.resolve(worker.worker_id, reason, now)
             self._lose_runs(worker, reason, now, sent_at - VM_LIST_LAG_SECONDS)
 
     def on_worker_report(
@@ -307,61 +273,23 @@
             log_event(logger, "worker reached", worker=worker_id)
         worker.started_at = lists.started_at
         worker.note_contact(now, is_restarted)
-        self._resolve_worker(worker_id, "reached", now)
+        self._inherited.resolve(worker_id, "reached", now)
         for ended in sorted(lists.ended):
             if ended.number > worker.processed_end:
                 self._on_end(worker, ended, now)
                 worker.processed_end = ended.number
         self._reconcile_running(worker, lists, sent_at, now)
 
-    def _resolve_worker(self, worker_id: str, reason: str, now: float) -> None:
-        pool = self.unresolved_by_id.pop(worker_id, None)
-        if pool is not None:
-            log_event(
-                logger,
-                "inherited worker resolved",
-                worker=worker_id,
-                pool=pool,
-                reason=reason,
-                n_left=len(self.unresolved_by_id),
-            )
-            if pool not in self.unresolved_by_id.values():
-                self._log_resolved_pool(pool, now)
-                self._finish_inherited_closing(pool)
-
-    def _log_resolved_pool(self, pool: str, now: float) -> None:
-        """Log what is known of a pool as its inherited jobs may go on."""
-        workers = self.workers_of(pool)
-        reached = [w for w in workers if w.contact_at > float("-inf")]
-        oldest = min((w.contact_at for w in reached), default=now)
-        log_event(
-            logger,
-            "inherited pool resolved",
-            pool=pool,
-            n_workers=len(workers),
-            n_reached=len(reached),
-            n_runs=sum(len(worker.run_by_key) for worker in workers),
-            oldest_answer_seconds=round(now - oldest, 3),
-        )
-
     def finish_closing_jobs(self) -> None:
         """End the closing jobs that can have no runs on any worker."""
-        for record in list(self.job_by_id.values()):
-            self._finish_if_closing(record)
-
-    def _finish_inherited_closing(self, pool: str) -> None:
-        for record in list(self.job_by_id.values()):
-            queue = self.queue_of(record)
-            if record.is_inherited and queue is not None and queue.pool == pool:
-                self._finish_if_closing(record)
+        self._jobs.finish_closing_jobs()
 
     def resolve_inherited_workers(self, now: float) -> None:
         """Note that the leases of the former owner's runs have expired.
 
         Workers that this owner has not reached have therefore ended those runs.
         """
-        for worker_id in list(self.unresolved_by_id):
-            self._resolve_worker(worker_id, "lease-ended", now)
+        self._inherited.resolve_all(now)
 
     def retire_worker(self, incarnation: Incarnation, now: float) -> None:
         """Remove a worker that an order for its VM has ended, with all of its runs.
@@ -374,7 +302,7 @@
             return
         for run in list(worker.run_by_key.values()):
             self._lose_run(worker, run, "vm-ordered-away", now)
-        self._remove_worker(worker)
+        self._workers.remove(worker)
 
     def _on_worker_restart(
         self, worker: WorkerRecord, lists: WorkerLists, now: float
@@ -527,7 +455,7 @@
         elif ended.how is EndKind.FAILED:
             self._on_failed(worker, record, task, ended.run, now)
         self._requeue_task(record, task)
-        self._finish_if_closing(record)
+        self._jobs.finish_if_closing(record)
 
     def _on_done(
         self, worker: WorkerRecord, record: JobRecord, task: Task, now: float
@@ -625,7 +553,7 @@
         )
         run.task.is_lost = reason != "not-sent"
         self._requeue_task(run.record, run.task)
-        self._finish_if_closing(run.record)
+        self._jobs.finish_if_closing(run.record)
 
     def _keep_uncertain_start(self, worker: WorkerRecord, run: Run) -> None:
         # The incarnation that received the start rejects it once the lease is over.
@@ -640,10 +568,6 @@
             if run.known_at and run.asked_at < asked_before:
                 self._lose_run(worker, run, reason, now)
 
-    def _remove_worker(self, worker: WorkerRecord) -> None:
-        del self.worker_by_id[worker.worker_id]
-        log_event(logger, "worker removed", worker=worker.worker_id)
-
     def begin_run(self, worker: WorkerRecord, task: Task, now: float) -> Run:
         """Note that a run of ``task`` is ordered on the worker."""
         record = self.job_by_id[task.task_id.job_id]
@@ -728,7 +652,7 @@
             run.task.not_before = now + UNHEALTHY_PAUSE_SECONDS
         self._detach(worker, run)
         self._requeue_task(run.record, run.task)
-        self._finish_if_closing(run.record)
+        self._jobs.finish_if_closing(run.record)
 
     def on_stop_outcome(self, run: Run, outcome: OrderOutcome, now: float) -> None:
         """Process the outcome of a stop order."""
@@ -771,24 +695,8 @@
 
     def workers_of(self, pool: str) -> list[WorkerRecord]:
         """Return the workers of a pool."""
-        return [w for w in self.worker_by_id.values() if w.listed.pool == pool]
+        return self._workers.workers_of(pool)
 
     def is_pool_resolved(self, pool: str) -> bool:
         """Return whether tasks of inherited jobs may start in the pool."""
-        return pool not in self.unresolved_by_id.values()
-
-    def _may_have_runs(self, record: JobRecord) -> bool:
-        if record.n_placed > 0:
-            return True
-        queue = self.queue_of(record)
-        pool = queue.pool if queue else ""
-        return record.is_inherited and not self.is_pool_resolved(pool)
-
-    def _finish_if_closing(self, record: JobRecord) -> None:
-        if self._may_have_runs(record):
-            return
-        if record.is_cancel_asked:
-            record.mark_canceled()
-        if record.is_final:
-            # Store it again, this time as a job without runs.
-            record.is_dirty = True
+        return self._workers.is_pool_resolved(pool)
--- a/catkinport/jobs/owner.py
+++ b/catkinport/jobs/owner.py
@@ -20,7 +20,8 @@
 from ..ports.table import Committed, Conflict, Row, Transaction
 from ..runtime.logs import log_event
 from .configuration import FleetConfiguration
-from .dispatcher import Dispatcher, is_over
+from .dispatcher import Dispatcher
+from .job_table import is_over
 from .model import Job, job_from_row
 from .ownership_watch import Claim
 from .removed_queues import RemovedQueues
--- /dev/null
+++ b/catkinport/jobs/worker_table.py
@@ -0,0 +1,36 @@
+"""Table of a fleet's workers, with those that may still run a former owner's tasks."""
+
+import logging
+
+from ..runtime.logs import log_event
+from .worker_state import WorkerRecord
+
+logger = logging.getLogger(__name__)
+
+
+class WorkerTable:
+    """Workers as the owner knows them.
+
+    Attributes:
+        worker_by_id: workers that are listed or may still run something.
+        unresolved_by_id: pool of each worker that the former owner used and that may
+            still run its tasks, by worker id. A worker is resolved once it has
+            reported to this owner, its VM has gone or its lease has expired.
+    """
+
+    def __init__(self) -> None:
+        self.worker_by_id: dict[str, WorkerRecord] = {}
+        self.unresolved_by_id: dict[str, str] = {}
+
+    def workers_of(self, pool: str) -> list[WorkerRecord]:
+        """Return the workers of a pool."""
+        return [w for w in self.worker_by_id.values() if w.listed.pool == pool]
+
+    def is_pool_resolved(self, pool: str) -> bool:
+        """Return whether tasks of inherited jobs may start in the pool."""
+        return pool not in self.unresolved_by_id.values()
+
+    def remove(self, worker: WorkerRecord) -> None:
+        """Remove a worker that runs nothing any more."""
+        del self.worker_by_id[worker.worker_id]
+        log_event(logger, "worker removed", worker=worker.worker_id)
