Move runs, their ends and the outcomes of orders out of the dispatcher

run_table owns the runs and the uncertain starts: it begins, adopts, gives up and expires runs. run_ends processes the ends that workers report, order_outcomes the outcomes of start, stop and speed orders. The pause of a worker that may be gone stood twice and is now a method of WorkerRecord. No behaviour, log event or field changes.

--- a/catkinport/jobs/dispatcher.py
+++ b/catkinport/jobs/dispatcher.py
@@ -15,13 +15,8 @@
 
 from ..ports.fleet_vms import FleetVm, VmState
 from ..ports.fleet_workers import (
-    Done,
-    EndedTask,
-    EndKind,
     ListedWorker,
     OrderOutcome,
-    Rejected,
-    Rejection,
     WorkerLists,
 )
 from ..runtime import Metrics
@@ -29,12 +24,13 @@
 from .configuration import FleetConfiguration, Queue
 from .inherited_workers import InheritedWorkers
 from .job_table import JobTable, is_over
-from .model import Job, JobState, TaskId
-from .record import JobRecord, Task, TaskPhase
-from .uncertain_starts import UncertainStarts
+from .model import Job
+from .order_outcomes import OrderOutcomes
+from .record import JobRecord, Task
+from .run_ends import RunEnds
+from .run_table import RunTable
 from .worker_state import (
     LEASE_SECONDS,
-    UNHEALTHY_PAUSE_SECONDS,
     Incarnation,
     Run,
     RunKey,
@@ -48,22 +44,11 @@
 
 logger = logging.getLogger(__name__)
 
-UNCERTAIN_WORKER_PAUSE_SECONDS = 0.6
-"""Pause before a worker that left a start unanswered, or whose VM is listed as dead,
-gets another task. The worker's next report or the next VM list arrives by then."""
-
 VM_LIST_LAG_SECONDS = 1.2
 """Maximum age of the data in the platform's VM list. If the list shows a VM as down or
 with another worker, runs ordered there longer than this before the list was requested
 have ended."""
 
-NO_ROOM_PAUSE_SECONDS = 0.2
-"""Pause before a worker that rejected a start for lack of room gets another task. Its
-next report shows what occupies it."""
-
-RESTART_PAUSE_SECONDS = 0.2
-"""Pause before a lasting task whose run failed is started again."""
-
 
 class Dispatcher:
     """Jobs and workers as the owner knows them.
@@ -95,19 +80,22 @@
     ) -> None:
         self.configuration = configuration
         self.longest_lease = longest_lease
-        self._metrics = metrics or Metrics()
+        metrics = metrics or Metrics()
         self._known_queue_by_name: dict[str, Queue] = {}
         self.apply_configuration(configuration)
         self._workers = WorkerTable()
         self._jobs = JobTable(self._known_queue_by_name, self._workers)
+        self._runs = RunTable(self._jobs, self._workers, metrics)
+        self._ends = RunEnds(self._jobs, self._runs, metrics)
+        self._outcomes = OrderOutcomes(self._workers, self._runs)
         self._inherited = InheritedWorkers(self._workers, self._jobs)
         # The tables change these collections in place and never replace them.
         self.job_by_id = self._jobs.job_by_id
         self.estimates = self._jobs.estimates
         self.worker_by_id = self._workers.worker_by_id
         self.unresolved_by_id = self._workers.unresolved_by_id
-        self.runs_by_task: dict[str, list[Run]] = {}
-        self.uncertain_starts = UncertainStarts()
+        self.runs_by_task = self._runs.runs_by_task
+        self.uncertain_starts = self._runs.uncertain_starts
         self._retired_by_id: dict[str, Incarnation] = {}
         self.orphan_stop_sent_at: dict[tuple[str, RunKey], float] = {}
 
@@ -246,11 +234,11 @@
             if not worker.vm_id or is_alive:
                 continue
             reason = f"vm-{vm.state}" if vm else "vm-absent"
-            worker.blocked_until = max(
-                worker.blocked_until, now + UNCERTAIN_WORKER_PAUSE_SECONDS
-            )
+            worker.pause_as_uncertain(now)
             self._inherited.resolve(worker.worker_id, reason, now)
-            self._lose_runs(worker, reason, now, sent_at - VM_LIST_LAG_SECONDS)
+            self._runs.lose_confirmed(
+                worker, reason, now, sent_at - VM_LIST_LAG_SECONDS
+            )
 
     def on_worker_report(
         self, worker_id: str, lists: WorkerLists, sent_at: float, now: float
@@ -276,7 +264,7 @@
         self._inherited.resolve(worker_id, "reached", now)
         for ended in sorted(lists.ended):
             if ended.number > worker.processed_end:
-                self._on_end(worker, ended, now)
+                self._ends.process(worker, ended, now)
                 worker.processed_end = ended.number
         self._reconcile_running(worker, lists, sent_at, now)
 
@@ -301,7 +289,7 @@
         if worker is None or worker.incarnation != incarnation:
             return
         for run in list(worker.run_by_key.values()):
-            self._lose_run(worker, run, "vm-ordered-away", now)
+            self._runs.lose(worker, run, "vm-ordered-away", now)
         self._workers.remove(worker)
 
     def _on_worker_restart(
@@ -327,7 +315,7 @@
         )
         for run in lost:
             if run.known_at:
-                self._lose_run(worker, run, "worker-restarted", now)
+                self._runs.lose(worker, run, "worker-restarted", now)
                 continue
             # The start order may still arrive late. The restarted worker would carry it
             # out, as it doesn't know of a stop that was confirmed before the restart.
@@ -341,11 +329,11 @@
             key = RunKey(entry.task, entry.run)
             listed_keys.add(key)
             self.uncertain_starts.settle(worker.worker_id, key, now)
-            run = worker.run_by_key.get(key) or self._adopt(worker, key, now)
+            run = worker.run_by_key.get(key) or self._runs.adopt(worker, key, now)
             if run is None:
                 self.orphan_stop_sent_at.setdefault((worker.worker_id, key), 0.0)
                 continue
-            self._confirm(run, now)
+            self._runs.confirm(run, now)
             if run.phase is RunPhase.ASKED and not run.is_start_uncertain:
                 run.phase = RunPhase.RUNNING
             if entry.percent != run.percent:
@@ -362,336 +350,34 @@
                 continue
             confirmed_at = run.stopped_at if run.is_start_uncertain else run.known_at
             if confirmed_at and confirmed_at < sent_at:
-                self._lose_run(worker, run, "not-listed", now)
-
-    @staticmethod
-    def _confirm(run: Run, now: float) -> None:
-        """Note that the worker has confirmed that it has the run."""
-        run.known_at = run.known_at or now
-        run.record.mark_begun()
-
-    def _adopt(self, worker: WorkerRecord, key: RunKey, now: float) -> Run | None:
-        """Adopt a run that the worker reports and that a former owner started.
-
-        Returns:
-            The adopted run, or ``None`` if its job or task is unknown.
-        """
-        task_id = TaskId.parse(key.task)
-        record = self.job_by_id.get(task_id.job_id)
-        task = record.find_task(task_id) if record else None
-        if record is None or task is None:
-            return None
-        record.note_run(task, key.run)
-        run = Run(record, task, key.run, worker.worker_id, now)
-        run.phase = RunPhase.RUNNING
-        self._confirm(run, now)
-        self._attach(worker, run)
-        log_event(
-            logger,
-            "run adopted",
-            request_id=record.job.job_id,
-            task=key.task,
-            run=key.run,
-            worker=worker.worker_id,
-            task_phase=task.phase,
-            n_runs=len(self.runs_by_task[task.text]),
-        )
-        if task.phase is TaskPhase.WAITING:
-            task.phase = TaskPhase.PLACED
-        return run
-
-    def _attach(self, worker: WorkerRecord, run: Run) -> None:
-        worker.add_run(run)
-        self.runs_by_task.setdefault(run.task.text, []).append(run)
-        if not run.record.ever_started:
-            run.record.first_start_at = run.asked_at
-        run.record.ever_started = True
-        run.record.n_placed += 1
-        run.task.ever_started = True
-
-    def _detach(self, worker: WorkerRecord, run: Run) -> None:
-        worker.drop_run(run.key)
-        runs = self.runs_by_task.get(run.task.text, [])
-        if run in runs:
-            runs.remove(run)
-            run.record.n_placed -= 1
-        if not runs:
-            self.runs_by_task.pop(run.task.text, None)
-
-    def _on_end(self, worker: WorkerRecord, ended: EndedTask, now: float) -> None:
-        task_id = TaskId.parse(ended.task)
-        record = self.job_by_id.get(task_id.job_id)
-        task = record.find_task(task_id) if record else None
-        key = RunKey(ended.task, ended.run)
-        run = worker.run_by_key.get(key)
-        self.uncertain_starts.settle(worker.worker_id, key, now)
-        log_event(
-            logger,
-            "run ended",
-            request_id=task_id.job_id,
-            task=ended.task,
-            run=ended.run,
-            worker=worker.worker_id,
-            how=ended.how,
-            end=ended.number,
-            seconds=round(now - run.asked_at, 3) if run else "",
-        )
-        labels = {"how": ended.how.value, "pool": worker.listed.pool}
-        self._metrics.increment("runs_ended", "Runs that have ended.", labels)
-        if run is not None:
-            self._detach(worker, run)
-        if record is None or task is None:
-            return
-        if ended.run >= task.run:
-            # The end of an earlier run says nothing of a later one that was given up.
-            task.is_lost = False
-        record.note_run(task, ended.run)
-        record.note_checkpoint(task, ended.checkpoint)
-        if ended.how is EndKind.DONE and not task.step.is_lasting:
-            if run is not None:
-                durations = self.estimates.durations_of(record.job.queue)
-                durations.learn(task.step.estimate_seconds, now - run.asked_at)
-            self._on_done(worker, record, task, now)
-        elif ended.how is EndKind.FAILED:
-            self._on_failed(worker, record, task, ended.run, now)
-        self._requeue_task(record, task)
-        self._jobs.finish_if_closing(record)
-
-    def _on_done(
-        self, worker: WorkerRecord, record: JobRecord, task: Task, now: float
-    ) -> None:
-        worker.note_outcome(True, now)
-        tasks = [task]
-        if task.step.is_gang:
-            stage = (task.task_id.occurrence, task.task_id.step)
-            tasks = record.tasks_by_stage[stage]
-        for member in tasks:
-            record.mark_done(member)
-        if record.state is JobState.COMPLETED:
-            self._log_complete(record, now)
-
-    def _log_complete(self, record: JobRecord, now: float) -> None:
-        queue = self.queue_of(record)
-        seconds = now - record.accepted_at
-        durations = self.estimates.durations_of(record.job.queue)
-        objective = record.objective_seconds(queue, durations) if queue else 0.0
-        log_event(
-            logger,
-            "job complete",
-            request_id=record.job.job_id,
-            queue=record.job.queue,
-            pool=queue.pool if queue else "",
-            seconds=round(seconds, 3),
-            objective_seconds=round(objective, 3),
-            late=seconds > objective,
-            waited_seconds=round(record.first_start_at - record.accepted_at, 3),
-        )
-
-        labels = {"pool": queue.pool if queue else "", "late": str(seconds > objective)}
-        self._metrics.observe("job_seconds", "Time of a job.", labels, seconds)
-        waited = record.first_start_at - record.accepted_at
-        self._metrics.observe(
-            "job_wait_seconds", "Time until its first start.", labels, waited
-        )
-
-    def _on_failed(
-        self,
-        worker: WorkerRecord,
-        record: JobRecord,
-        task: Task,
-        run: int,
-        now: float,
-    ) -> None:
-        task.avoided_worker = worker.worker_id
-        task.not_before = now + RESTART_PAUSE_SECONDS * task.step.is_lasting
-        queue = self.queue_of(record)
-        counted = task
-        if task.step.is_gang:
-            # Any member's failure is one failure of the gang.
-            stage = (task.task_id.occurrence, task.task_id.step)
-            counted = record.tasks_by_stage[stage][0]
-        record.mark_failed(counted, run, queue.max_failures if queue else 0)
-        if worker.note_outcome(False, now):
-            log_event(
-                logger,
-                "worker quarantined",
-                worker=worker.worker_id,
-                until_seconds=round(worker.blocked_until - now, 2),
-            )
-        if record.state is JobState.FAILED:
-            log_event(
-                logger,
-                "job failed",
-                request_id=record.job.job_id,
-                task=task.text,
-                n_failures=len(counted.failed_runs),
-                worker=worker.worker_id,
-            )
-
-    def _requeue_task(self, record: JobRecord, task: Task) -> None:
-        if task.phase is TaskPhase.PLACED and not self.runs_by_task.get(task.text):
-            task.phase = TaskPhase.WAITING
-
-    def _lose_run(
-        self, worker: WorkerRecord, run: Run, reason: str, now: float
-    ) -> None:
-        self._detach(worker, run)
-        is_uncertain = not run.known_at and reason != "not-sent"
-        if is_uncertain:
-            self._keep_uncertain_start(worker, run)
-        self._metrics.increment("runs_lost", "Runs given up.", {"reason": reason})
-        log_event(
-            logger,
-            "run lost",
-            request_id=run.record.job.job_id,
-            task=run.key.task,
-            run=run.key.run,
-            worker=worker.worker_id,
-            reason=reason,
-            uncertain=is_uncertain,
-            silent_seconds=round(now - worker.contact_at, 2),
-        )
-        run.task.is_lost = reason != "not-sent"
-        self._requeue_task(run.record, run.task)
-        self._jobs.finish_if_closing(run.record)
-
-    def _keep_uncertain_start(self, worker: WorkerRecord, run: Run) -> None:
-        # The incarnation that received the start rejects it once the lease is over.
-        started_at = worker.started_at if run.stopped_at else run.sent_to
-        incarnation = Incarnation(worker.worker_id, started_at)
-        self.uncertain_starts.add(incarnation, run.key, run.asked_at)
-
-    def _lose_runs(
-        self, worker: WorkerRecord, reason: str, now: float, asked_before: float
-    ) -> None:
-        for run in list(worker.run_by_key.values()):
-            if run.known_at and run.asked_at < asked_before:
-                self._lose_run(worker, run, reason, now)
+                self._runs.lose(worker, run, "not-listed", now)
 
     def begin_run(self, worker: WorkerRecord, task: Task, now: float) -> Run:
         """Note that a run of ``task`` is ordered on the worker."""
-        record = self.job_by_id[task.task_id.job_id]
-        number = task.run + 1
-        if record.is_inherited:
-            self._log_inherited_start(worker, task, number, now)
-        record.note_run(task, number)
-        run = Run(record, task, number, worker.worker_id, now)
-        run.sent_to = worker.started_at
-        self._attach(worker, run)
-        task.phase = TaskPhase.PLACED
-        return run
-
-    def _log_inherited_start(
-        self, worker: WorkerRecord, task: Task, number: int, now: float
-    ) -> None:
-        workers = self.workers_of(worker.listed.pool)
-        oldest = min(other.contact_at for other in workers)
-        possible = self.runs_by_task.get(task.text, [])
-        log_event(
-            logger,
-            "inherited task start decided",
-            request_id=task.task_id.job_id,
-            task=task.text,
-            run=number,
-            worker=worker.worker_id,
-            possible_runs=",".join(f"{r.key.run}@{r.worker_id}" for r in possible),
-            n_workers=len(workers),
-            oldest_answer_seconds=round(now - oldest, 3),
-        )
+        return self._runs.begin(worker, task, now)
 
     def on_start_outcome(self, run: Run, outcome: OrderOutcome, now: float) -> None:
         """Process the outcome of a start order."""
-        worker = self.worker_by_id.get(run.worker_id)
-        if worker is None or run.key not in worker.run_by_key:
-            return
-        if isinstance(outcome, Done):
-            self._confirm(run, now)
-            if run.phase is RunPhase.ASKED:
-                run.phase = RunPhase.RUNNING
-            return
-        if isinstance(outcome, Rejected):
-            self._on_start_rejected(worker, run, outcome.reason, now)
-            return
-        log_event(
-            logger,
-            "start without answer",
-            request_id=run.record.job.job_id,
-            task=run.key.task,
-            run=run.key.run,
-            worker=run.worker_id,
-            reason=outcome.reason,
-            may_run=outcome.may_have_committed,
-        )
-        worker.blocked_until = max(
-            worker.blocked_until, now + UNCERTAIN_WORKER_PAUSE_SECONDS
-        )
-        if not outcome.may_have_committed:
-            self._lose_run(worker, run, "not-sent", now)
-            return
-        run.is_start_uncertain = True
-
-    def _on_start_rejected(
-        self, worker: WorkerRecord, run: Run, reason: Rejection, now: float
-    ) -> None:
-        log_event(
-            logger,
-            "start rejected",
-            request_id=run.record.job.job_id,
-            task=run.key.task,
-            run=run.key.run,
-            worker=run.worker_id,
-            reason=reason,
-        )
-        if reason in (Rejection.UNHEALTHY, Rejection.OTHER_INCARNATION):
-            worker.blocked_until = now + UNHEALTHY_PAUSE_SECONDS
-        if reason is Rejection.UNHEALTHY:
-            worker.note_outcome(False, now)
-        if reason is Rejection.NO_ROOM:
-            worker.blocked_until = now + NO_ROOM_PAUSE_SECONDS
-        if reason is Rejection.INVALID:
-            run.task.not_before = now + UNHEALTHY_PAUSE_SECONDS
-        self._detach(worker, run)
-        self._requeue_task(run.record, run.task)
-        self._jobs.finish_if_closing(run.record)
+        self._outcomes.on_start(run, outcome, now)
 
     def on_stop_outcome(self, run: Run, outcome: OrderOutcome, now: float) -> None:
         """Process the outcome of a stop order."""
-        if isinstance(outcome, Done):
-            run.stopped_at = now
-        elif isinstance(outcome, Rejected):
-            log_event(
-                logger,
-                "stop rejected",
-                level=logging.WARNING,
-                task=run.key.task,
-                run=run.key.run,
-                worker=run.worker_id,
-                reason=outcome.reason,
-            )
+        self._outcomes.on_stop(run, outcome, now)
 
     def expire(self, now: float) -> None:
         """Give up the runs of silent workers whose lease has expired."""
-        self.uncertain_starts.expire(now)
-        for worker in self.worker_by_id.values():
-            if worker.is_in_contact(now) or now <= worker.lease_until:
-                continue
-            for run in list(worker.run_by_key.values()):
-                self._lose_run(worker, run, "lease-ended", now)
+        self._runs.expire(now)
 
     def on_pace_done(self, worker_id: str, key: RunKey, percent: int) -> None:
         """Note that a worker has applied the new speed of a run, in percent."""
-        worker = self.worker_by_id.get(worker_id)
-        run = worker.run_by_key.get(key) if worker else None
-        if run is not None:
-            run.pace = percent
+        self._outcomes.on_pace_done(worker_id, key, percent)
 
     def is_run_uncertain(self, run: Run, now: float) -> bool:
         """Return whether it is uncertain that the run is alive.
 
         A task that may run twice gets a second run then.
         """
-        worker = self.worker_by_id[run.worker_id]
-        return run.is_start_uncertain or not worker.is_in_contact(now)
+        return self._runs.is_uncertain(run, now)
 
     def workers_of(self, pool: str) -> list[WorkerRecord]:
         """Return the workers of a pool."""
--- /dev/null
+++ b/catkinport/jobs/order_outcomes.py
@@ -0,0 +1,107 @@
+"""Processes the outcomes of orders that start and stop runs and set their speed."""
+
+import logging
+
+from ..ports.fleet_workers import Done, OrderOutcome, Rejected, Rejection
+from ..runtime.logs import log_event
+from .run_table import NOT_SENT, RunTable
+from .worker_state import (
+    UNHEALTHY_PAUSE_SECONDS,
+    Run,
+    RunKey,
+    RunPhase,
+    WorkerRecord,
+)
+from .worker_table import WorkerTable
+
+logger = logging.getLogger(__name__)
+
+NO_ROOM_PAUSE_SECONDS = 0.2
+"""Pause before a worker that rejected a start for lack of room gets another task. Its
+next report shows what occupies it."""
+
+
+class OrderOutcomes:
+    """Processor of the outcomes of orders.
+
+    Args:
+        workers: workers that the orders were sent to.
+        runs: runs that may be alive.
+    """
+
+    def __init__(self, workers: WorkerTable, runs: RunTable) -> None:
+        self._workers = workers
+        self._runs = runs
+
+    def on_start(self, run: Run, outcome: OrderOutcome, now: float) -> None:
+        """Process the outcome of a start order."""
+        worker = self._workers.worker_by_id.get(run.worker_id)
+        if worker is None or run.key not in worker.run_by_key:
+            return
+        if isinstance(outcome, Done):
+            self._runs.confirm(run, now)
+            if run.phase is RunPhase.ASKED:
+                run.phase = RunPhase.RUNNING
+            return
+        if isinstance(outcome, Rejected):
+            self._on_start_rejected(worker, run, outcome.reason, now)
+            return
+        log_event(
+            logger,
+            "start without answer",
+            request_id=run.record.job.job_id,
+            task=run.key.task,
+            run=run.key.run,
+            worker=run.worker_id,
+            reason=outcome.reason,
+            may_run=outcome.may_have_committed,
+        )
+        worker.pause_as_uncertain(now)
+        if not outcome.may_have_committed:
+            self._runs.lose(worker, run, NOT_SENT, now)
+            return
+        run.is_start_uncertain = True
+
+    def _on_start_rejected(
+        self, worker: WorkerRecord, run: Run, reason: Rejection, now: float
+    ) -> None:
+        log_event(
+            logger,
+            "start rejected",
+            request_id=run.record.job.job_id,
+            task=run.key.task,
+            run=run.key.run,
+            worker=run.worker_id,
+            reason=reason,
+        )
+        if reason in (Rejection.UNHEALTHY, Rejection.OTHER_INCARNATION):
+            worker.blocked_until = now + UNHEALTHY_PAUSE_SECONDS
+        if reason is Rejection.UNHEALTHY:
+            worker.note_outcome(False, now)
+        if reason is Rejection.NO_ROOM:
+            worker.blocked_until = now + NO_ROOM_PAUSE_SECONDS
+        if reason is Rejection.INVALID:
+            run.task.not_before = now + UNHEALTHY_PAUSE_SECONDS
+        self._runs.drop(worker, run)
+
+    def on_stop(self, run: Run, outcome: OrderOutcome, now: float) -> None:
+        """Process the outcome of a stop order."""
+        if isinstance(outcome, Done):
+            run.stopped_at = now
+        elif isinstance(outcome, Rejected):
+            log_event(
+                logger,
+                "stop rejected",
+                level=logging.WARNING,
+                task=run.key.task,
+                run=run.key.run,
+                worker=run.worker_id,
+                reason=outcome.reason,
+            )
+
+    def on_pace_done(self, worker_id: str, key: RunKey, percent: int) -> None:
+        """Note that a worker has applied the new speed of a run, in percent."""
+        worker = self._workers.worker_by_id.get(worker_id)
+        run = worker.run_by_key.get(key) if worker else None
+        if run is not None:
+            run.pace = percent
--- /dev/null
+++ b/catkinport/jobs/run_table.py
@@ -0,0 +1,205 @@
+"""Table of a fleet's runs: how they begin, are adopted, end or are given up."""
+
+import logging
+
+from ..runtime import Metrics
+from ..runtime.logs import log_event
+from .job_table import JobTable
+from .model import TaskId
+from .record import JobRecord, Task, TaskPhase
+from .uncertain_starts import UncertainStarts
+from .worker_state import Incarnation, Run, RunKey, RunPhase, WorkerRecord
+from .worker_table import WorkerTable
+
+logger = logging.getLogger(__name__)
+
+NOT_SENT = "not-sent"
+"""Reason for which a run is given up whose start order was never sent."""
+
+
+class RunTable:
+    """Runs that may be alive.
+
+    Args:
+        jobs: jobs that the runs belong to.
+        workers: workers that the runs are on.
+        metrics: metrics of the process.
+
+    Attributes:
+        runs_by_task: runs of each task that may be alive, by the task's name.
+        uncertain_starts: start orders that were given up, but may be carried out late.
+    """
+
+    def __init__(self, jobs: JobTable, workers: WorkerTable, metrics: Metrics) -> None:
+        self.runs_by_task: dict[str, list[Run]] = {}
+        self.uncertain_starts = UncertainStarts()
+        self._jobs = jobs
+        self._workers = workers
+        self._metrics = metrics
+
+    def begin(self, worker: WorkerRecord, task: Task, now: float) -> Run:
+        """Note that a run of ``task`` is ordered on the worker."""
+        record = self._jobs.job_by_id[task.task_id.job_id]
+        number = task.run + 1
+        if record.is_inherited:
+            self._log_inherited_start(worker, task, number, now)
+        record.note_run(task, number)
+        run = Run(record, task, number, worker.worker_id, now)
+        run.sent_to = worker.started_at
+        self._attach(worker, run)
+        task.phase = TaskPhase.PLACED
+        return run
+
+    def adopt(self, worker: WorkerRecord, key: RunKey, now: float) -> Run | None:
+        """Adopt a run that the worker reports and that a former owner started.
+
+        Returns:
+            The adopted run, or ``None`` if its job or task is unknown.
+        """
+        task_id = TaskId.parse(key.task)
+        task = self._jobs.find_task(task_id)
+        if task is None:
+            return None
+        record = self._jobs.job_by_id[task_id.job_id]
+        record.note_run(task, key.run)
+        run = Run(record, task, key.run, worker.worker_id, now)
+        run.phase = RunPhase.RUNNING
+        self.confirm(run, now)
+        self._attach(worker, run)
+        self._log_adopted(run)
+        if task.phase is TaskPhase.WAITING:
+            task.phase = TaskPhase.PLACED
+        return run
+
+    @staticmethod
+    def confirm(run: Run, now: float) -> None:
+        """Note that the worker has confirmed that it has the run."""
+        run.known_at = run.known_at or now
+        run.record.mark_begun()
+
+    def detach(self, worker: WorkerRecord, run: Run) -> None:
+        """Remove a run; `note_run_over` follows once its outcome is noted."""
+        worker.drop_run(run.key)
+        runs = self.runs_by_task.get(run.task.text, [])
+        if run in runs:
+            runs.remove(run)
+            run.record.n_placed -= 1
+        if not runs:
+            self.runs_by_task.pop(run.task.text, None)
+
+    def note_run_over(self, record: JobRecord, task: Task) -> None:
+        """Let a task without runs wait again, and end its job if that is closing."""
+        if task.phase is TaskPhase.PLACED and not self.runs_by_task.get(task.text):
+            task.phase = TaskPhase.WAITING
+        self._jobs.finish_if_closing(record)
+
+    def drop(self, worker: WorkerRecord, run: Run) -> None:
+        """Remove a run whose start the worker has rejected."""
+        self.detach(worker, run)
+        self.note_run_over(run.record, run.task)
+
+    def lose(self, worker: WorkerRecord, run: Run, reason: str, now: float) -> None:
+        """Give up a run without a report of its end.
+
+        Args:
+            worker: worker of the run.
+            run: the run.
+            reason: why it is given up, for the log; `NOT_SENT` if it never began.
+            now: clock time in seconds.
+        """
+        self.detach(worker, run)
+        is_uncertain = not run.known_at and reason != NOT_SENT
+        if is_uncertain:
+            self._keep_uncertain_start(worker, run)
+        self._metrics.increment("runs_lost", "Runs given up.", {"reason": reason})
+        log_event(
+            logger,
+            "run lost",
+            request_id=run.record.job.job_id,
+            task=run.key.task,
+            run=run.key.run,
+            worker=worker.worker_id,
+            reason=reason,
+            uncertain=is_uncertain,
+            silent_seconds=round(now - worker.contact_at, 2),
+        )
+        run.task.is_lost = reason != NOT_SENT
+        self.note_run_over(run.record, run.task)
+
+    def lose_all(self, worker: WorkerRecord, reason: str, now: float) -> None:
+        """Give up all runs on a worker."""
+        for run in list(worker.run_by_key.values()):
+            self.lose(worker, run, reason, now)
+
+    def lose_confirmed(
+        self, worker: WorkerRecord, reason: str, now: float, asked_before: float
+    ) -> None:
+        """Give up the runs that the worker has confirmed.
+
+        Args:
+            worker: worker of the runs.
+            reason: why they are given up, for the log.
+            now: clock time in seconds.
+            asked_before: runs ordered at this clock time or later are kept.
+        """
+        for run in list(worker.run_by_key.values()):
+            if run.known_at and run.asked_at < asked_before:
+                self.lose(worker, run, reason, now)
+
+    def expire(self, now: float) -> None:
+        """Give up the runs of silent workers whose lease has expired."""
+        self.uncertain_starts.expire(now)
+        for worker in self._workers.worker_by_id.values():
+            if worker.is_in_contact(now) or now <= worker.lease_until:
+                continue
+            self.lose_all(worker, "lease-ended", now)
+
+    def is_uncertain(self, run: Run, now: float) -> bool:
+        """Return whether it is uncertain that the run is alive."""
+        worker = self._workers.worker_by_id[run.worker_id]
+        return run.is_start_uncertain or not worker.is_in_contact(now)
+
+    def _attach(self, worker: WorkerRecord, run: Run) -> None:
+        worker.add_run(run)
+        self.runs_by_task.setdefault(run.task.text, []).append(run)
+        if not run.record.ever_started:
+            run.record.first_start_at = run.asked_at
+        run.record.ever_started = True
+        run.record.n_placed += 1
+        run.task.ever_started = True
+
+    def _keep_uncertain_start(self, worker: WorkerRecord, run: Run) -> None:
+        # The incarnation that received the start rejects it once the lease is over.
+        started_at = worker.started_at if run.stopped_at else run.sent_to
+        incarnation = Incarnation(worker.worker_id, started_at)
+        self.uncertain_starts.add(incarnation, run.key, run.asked_at)
+
+    def _log_adopted(self, run: Run) -> None:
+        log_event(
+            logger,
+            "run adopted",
+            request_id=run.record.job.job_id,
+            task=run.key.task,
+            run=run.key.run,
+            worker=run.worker_id,
+            task_phase=run.task.phase,
+            n_runs=len(self.runs_by_task[run.task.text]),
+        )
+
+    def _log_inherited_start(
+        self, worker: WorkerRecord, task: Task, number: int, now: float
+    ) -> None:
+        workers = self._workers.workers_of(worker.listed.pool)
+        oldest = min(other.contact_at for other in workers)
+        possible = self.runs_by_task.get(task.text, [])
+        log_event(
+            logger,
+            "inherited task start decided",
+            request_id=task.task_id.job_id,
+            task=task.text,
+            run=number,
+            worker=worker.worker_id,
+            possible_runs=",".join(f"{r.key.run}@{r.worker_id}" for r in possible),
+            n_workers=len(workers),
+            oldest_answer_seconds=round(now - oldest, 3),
+        )
--- a/catkinport/jobs/worker_state.py
+++ b/catkinport/jobs/worker_state.py
@@ -54,6 +54,10 @@
 UNHEALTHY_PAUSE_SECONDS = 0.5
 """Pause before a worker that has rejected a start as unhealthy gets new tasks."""
 
+UNCERTAIN_WORKER_PAUSE_SECONDS = 0.6
+"""Pause before a worker that left a start unanswered, or whose VM is listed as dead,
+gets another task. The worker's next report or the next VM list arrives by then."""
+
 
 class RunPhase(StrEnum):
     """Whether a run was ordered, runs or is being stopped, as the owner knows it."""
@@ -286,6 +290,11 @@
             and now >= self.blocked_until
         )
 
+    def pause_as_uncertain(self, now: float) -> None:
+        """Record that it may be gone, so that it gets no new tasks for a time."""
+        until = now + UNCERTAIN_WORKER_PAUSE_SECONDS
+        self.blocked_until = max(self.blocked_until, until)
+
     def extend_lease(self, sent_at: float) -> None:
         """Record that a call sent at ``sent_at`` may have granted `LEASE_SECONDS`."""
         self.lease_until = max(self.lease_until, sent_at + MAX_LEASE_SECONDS)
