Split worker reports, worker list and VM list from the dispatcher

worker_reports processes the runs and ends that a worker lists and its restarts, worker_listing follows the list of workers and retires some, worker_vms follows the VM list.

--- a/catkinport/jobs/vm_inventory.py
+++ b/catkinport/jobs/vm_inventory.py
@@ -7,9 +7,10 @@
 from typing import NamedTuple
 
 from ..ports.fleet_vms import FleetVm, VmState
-from .dispatcher import VM_LIST_LAG_SECONDS, Dispatcher
+from .dispatcher import Dispatcher
 from .order_targets import OrderTargets, VmOrder
 from .worker_state import Incarnation, WorkerRecord
+from .worker_vms import VM_LIST_LAG_SECONDS
 
 REPEAT_SECONDS = 1.0
 """Time after which an order without an answer is sent again."""
--- a/catkinport/jobs/vm_orders.py
+++ b/catkinport/jobs/vm_orders.py
@@ -9,7 +9,6 @@
 from ..ports.fleet_workers import Done, Rejected
 from ..ports.table import Committed, Write
 from ..runtime.logs import log_event
-from .dispatcher import VM_LIST_LAG_SECONDS
 from .fenced_rows import FencedRows
 from .order_targets import VmOrder
 from .owner_memory import MEMORY_STORE_SECONDS, build_memory, restore_memory
@@ -22,6 +21,7 @@
     wave_key,
 )
 from .vm_planner import VmPlanner
+from .worker_vms import VM_LIST_LAG_SECONDS
 
 logger = logging.getLogger(__name__)
 
--- /dev/null
+++ b/catkinport/jobs/worker_reports.py
@@ -0,0 +1,168 @@
+"""Processes the reports of workers: the runs that they execute and those that ended."""
+
+import logging
+
+from ..ports.fleet_workers import RunningTask, WorkerLists
+from ..runtime.logs import log_event
+from .inherited_workers import InheritedWorkers
+from .run_ends import RunEnds
+from .run_table import RunTable
+from .worker_state import LEASE_SECONDS, RunKey, RunPhase, WorkerRecord, bound_lease
+from .worker_table import WorkerTable
+
+logger = logging.getLogger(__name__)
+
+
+class WorkerReports:
+    """Processor of the reports of workers.
+
+    Args:
+        workers: workers that report.
+        runs: runs that may be alive.
+        ends: processes the ends of runs.
+        inherited: resolves workers of a former owner with their first report.
+        longest_lease: longest lease in seconds that a worker grants.
+
+    Attributes:
+        longest_lease: longest lease in seconds that a worker grants.
+        orphan_stop_sent_at: clock time in seconds of the latest stop order for each run
+            whose job is unknown, by worker id and run; 0 before the first order.
+    """
+
+    def __init__(
+        self,
+        workers: WorkerTable,
+        runs: RunTable,
+        ends: RunEnds,
+        inherited: InheritedWorkers,
+        longest_lease: float = LEASE_SECONDS,
+    ) -> None:
+        self.longest_lease = longest_lease
+        self.orphan_stop_sent_at: dict[tuple[str, RunKey], float] = {}
+        self._workers = workers
+        self._runs = runs
+        self._ends = ends
+        self._inherited = inherited
+
+    def process(
+        self, worker_id: str, lists: WorkerLists, sent_at: float, now: float
+    ) -> None:
+        """Process a report.
+
+        Args:
+            worker_id: id of the worker; an unknown worker is ignored.
+            lists: runs that it executes and that ended.
+            sent_at: clock time in seconds at which the poll was sent.
+            now: clock time in seconds.
+        """
+        worker = self._workers.worker_by_id.get(worker_id)
+        if worker is None:
+            return
+        is_other_process = lists.started_at != worker.started_at
+        if is_other_process and sent_at < worker.started_known_at:
+            # Polls overlap, so an earlier process may have given this answer.
+            log_event(logger, "late worker report dropped", worker=worker_id)
+            return
+        self._note_answer(worker, lists, now)
+        self._inherited.resolve(worker_id, "reached", now)
+        self._process_ends(worker, lists, now)
+        self._process_running(worker, lists, sent_at, now)
+
+    def _note_answer(
+        self, worker: WorkerRecord, lists: WorkerLists, now: float
+    ) -> None:
+        is_other_process = lists.started_at != worker.started_at
+        is_restarted = is_other_process and worker.started_at > 0
+        if is_restarted:
+            self._on_restart(worker, lists, now)
+        if is_other_process:
+            worker.started_known_at = now
+        if worker.contact_at == float("-inf"):
+            log_event(logger, "worker reached", worker=worker.worker_id)
+        worker.started_at = lists.started_at
+        worker.note_contact(now, is_restarted)
+
+    def _on_restart(self, worker: WorkerRecord, lists: WorkerLists, now: float) -> None:
+        worker.processed_end = 0
+        worker.stored_end = 0
+        worker.acknowledged_end = 0
+        # Calls with a lease on the former clock may have reached the worker after the
+        # restart. On its new clock that lease ends far ahead.
+        worker.lease_until = max(
+            worker.lease_until, now + bound_lease(self.longest_lease)
+        )
+        listed = {RunKey(entry.task, entry.run) for entry in lists.running}
+        listed |= {RunKey(entry.task, entry.run) for entry in lists.ended}
+        lost = [run for key, run in worker.run_by_key.items() if key not in listed]
+        log_event(
+            logger,
+            "worker restarted",
+            worker=worker.worker_id,
+            n_lost=len(lost),
+            n_uncertain_starts=self._runs.uncertain_starts.count(worker.worker_id),
+        )
+        for run in lost:
+            if run.known_at:
+                self._runs.lose(worker, run, "worker-restarted", now)
+                continue
+            # The start order may still arrive late. The restarted worker would carry it
+            # out, as it doesn't know of a stop that was confirmed before the restart.
+            run.stop_sent_at = run.stopped_at = 0.0
+
+    def _process_ends(
+        self, worker: WorkerRecord, lists: WorkerLists, now: float
+    ) -> None:
+        for ended in sorted(lists.ended):
+            if ended.number > worker.processed_end:
+                self._ends.process(worker, ended, now)
+                worker.processed_end = ended.number
+
+    def _process_running(
+        self, worker: WorkerRecord, lists: WorkerLists, sent_at: float, now: float
+    ) -> None:
+        for entry in lists.running:
+            self._update_run(worker, entry, now)
+        listed_keys = {RunKey(entry.task, entry.run) for entry in lists.running}
+        self._forget_orphans(worker, listed_keys)
+        self._lose_unlisted(worker, listed_keys, sent_at, now)
+
+    def _update_run(self, worker: WorkerRecord, entry: RunningTask, now: float) -> None:
+        key = RunKey(entry.task, entry.run)
+        self._runs.uncertain_starts.settle(worker.worker_id, key, now)
+        run = worker.run_by_key.get(key) or self._runs.adopt(worker, key, now)
+        if run is None:
+            self.orphan_stop_sent_at.setdefault((worker.worker_id, key), 0.0)
+            return
+        self._runs.confirm(run, now)
+        if run.phase is RunPhase.ASKED and not run.is_start_uncertain:
+            run.phase = RunPhase.RUNNING
+        if entry.percent != run.percent:
+            run.percent = entry.percent
+            run.progressed_at = now
+        run.load = entry.load
+        if entry.checkpoint:
+            run.task.checkpoint = entry.checkpoint
+
+    def _forget_orphans(self, worker: WorkerRecord, listed_keys: set[RunKey]) -> None:
+        for worker_id, key in list(self.orphan_stop_sent_at):
+            if worker_id == worker.worker_id and key not in listed_keys:
+                del self.orphan_stop_sent_at[worker_id, key]
+
+    def _lose_unlisted(
+        self,
+        worker: WorkerRecord,
+        listed_keys: set[RunKey],
+        sent_at: float,
+        now: float,
+    ) -> None:
+        """Give up runs that were confirmed before the poll and are not in its answer.
+
+        A run whose start is uncertain is given up only after a confirmed stop, because
+        the start may still be carried out.
+        """
+        for key, run in list(worker.run_by_key.items()):
+            if key in listed_keys:
+                continue
+            confirmed_at = run.stopped_at if run.is_start_uncertain else run.known_at
+            if confirmed_at and confirmed_at < sent_at:
+                self._runs.lose(worker, run, "not-listed", now)
