Don't fail a job for a copy of a task that is done

A caller saw the job as failed although each of its tasks could be done: of a task whose runs may overlap, one run ended done and the other one failed, and the failure was counted against the task's limit. The first run to finish counts, so failures that are reported after it no longer end the job.

A new test failed before, for single tasks and for gangs. Ruled out on the same paths: a failure that is reported again is counted once, as runs are kept by number, and the failures of a gang's members share one number.

--- a/catkinport/jobs/record.py
+++ b/catkinport/jobs/record.py
@@ -175,13 +175,16 @@
     def mark_failed(self, task: Task, run: int, max_failures: int) -> None:
         """Count a failed run of ``task``, and fail the job at ``max_failures``.
 
-        Jobs without a limit (0) and lasting tasks are retried without end.
+        Jobs without a limit (0) and lasting tasks are retried without end. A copy of a
+        task may fail after another one has done it, which does not fail the job.
         """
         task.failed_runs.add(run)
         self.is_dirty = True
         self.mark_begun()
         if task.step.is_lasting or not max_failures or self.is_closing:
             return
+        if task.phase is TaskPhase.DONE:
+            return
         if len(task.failed_runs) >= max_failures:
             self.state = JobState.FAILED
 
--- a/catkinport/jobs/tests/test_dispatcher.py
+++ b/catkinport/jobs/tests/test_dispatcher.py
@@ -1,5 +1,7 @@
 """Tests of jobs and runs as workers report them, from start to end."""
 
+import pytest
+
 from ...policy.resources import Resources
 from ...ports import Reason, Unavailable
 from ...ports.fleet_vms import FleetVm, VmState
@@ -12,6 +14,7 @@
 )
 from ..dispatcher import is_over
 from ..model import JobState
+from ..planner import PlannedStart
 from ..record import JobRecord
 from ..run_stops import find_paces, find_stops
 from .builders import JOB_ID, Fleet, make_job, make_step, make_worker
@@ -81,6 +84,24 @@
         record = successor.dispatcher.job_by_id[JOB_ID]
         assert [len(task.failed_runs) for task in record.all_tasks()] == [1]
 
+    @pytest.mark.parametrize("is_gang", [False, True])
+    def test_a_failure_of_a_done_task_does_not_fail_the_job(self, is_gang):
+        """Guards against a job that fails for the second copy of a task that is done.
+
+        The first copy to finish counts, so the job goes on to its next step.
+        """
+        fleet = Fleet([make_worker("w1")], max_failures=1)
+        steps = [make_step(is_gang=is_gang, may_run_twice=True), make_step(after=(0,))]
+        fleet.dispatcher.add_job(make_job(steps=steps), fleet.now)
+        (first,) = fleet.start()
+        second = fleet.dispatcher.begin_run(first.worker, first.run.task, fleet.now)
+        copy = PlannedStart(first.worker, second, "")
+        fleet.answer(copy, Done())
+        fleet.end(first)
+        fleet.end(copy, EndKind.FAILED)
+        assert fleet.states() == {JOB_ID: "running"}
+        assert [start.run.task.task_id.step for start in fleet.start()] == [1]
+
     def test_retry_avoids_the_worker_that_failed(self):
         fleet = Fleet([make_worker("w1"), make_worker("w2")])
         fleet.dispatcher.add_job(make_job(), fleet.now)
