--- a/catkinport/jobs/dispatcher.py
+++ b/catkinport/jobs/dispatcher.py
@@ -10,7 +10,7 @@
 """
 
 import logging
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 from typing import Any
 
 from ..ports.fleet_vms import FleetVm, VmState
@@ -179,12 +179,17 @@
         """Add a removed queue that a former owner knew; a known one stays as it is."""
         self._known_queue_by_name.setdefault(queue.name, queue)
 
-    def find_removed_queues(self) -> list[Queue]:
-        """Return the removed queues that still have unfinished jobs."""
+    def find_used_queues(self, former_names: Iterable[str]) -> list[Queue]:
+        """Return the queues that have unfinished jobs, or may soon have some again.
+
+        Args:
+            former_names: names that an earlier call returned; those that the
+                configuration has are returned again.
+        """
         names = {record.job.queue for record in self.job_by_id.values()}
-        removed = names - self.configuration.queue_by_name.keys()
+        names |= self.configuration.queue_by_name.keys() & set(former_names)
         known = self._known_queue_by_name
-        return [known[name] for name in sorted(removed) if name in known]
+        return [known[name] for name in sorted(names) if name in known]
 
     def count_waiting(self) -> dict[str, int]:
         """Return how many jobs of each queue have not started."""
--- a/catkinport/jobs/removed_queues.py
+++ b/catkinport/jobs/removed_queues.py
@@ -1,7 +1,8 @@
-"""Stores the queues that the configuration has removed and whose jobs are unfinished.
+"""Stores the queues that have unfinished jobs, for when the configuration removes them.
 
-Accepted jobs of such a queue go on under its last rules. A successor that has read only
-the present configuration learns of them from the stored row.
+Accepted jobs of a removed queue go on under its last rules. A successor that has read
+only the present configuration learns of them from the stored row. A queue may be
+removed while there is no owner, so the row also holds queues that are configured.
 """
 
 import asyncio
@@ -20,14 +21,15 @@
 logger = logging.getLogger(__name__)
 
 CHECK_SECONDS = 1.0
-"""Longest time after the last job of a removed queue until it leaves the row."""
+"""Longest time after the first job of a queue until the row holds the queue, and after
+the last job of a removed queue until the queue leaves the row."""
 
 COMMIT_ATTEMPTS = 2
 """Attempts of one commit of unknown outcome before the queues are collected again."""
 
 
 class RemovedQueues:
-    """Keeper of the row of removed queues.
+    """Keeper of the row of queues that have to stay known after their removal.
 
     Args:
         session: the ownership.
@@ -77,7 +79,7 @@
         self._session.dispatcher.restore_queue(queue)
 
     async def run(self) -> None:
-        """Store the removed queues when they change, until the ownership ends."""
+        """Store the queues when they change, until the ownership ends."""
         while True:
             if not await self._store():
                 await asyncio.sleep(RETRY_SECONDS)
@@ -91,7 +93,7 @@
     async def _store(self) -> bool:
         """Store the present queues if they are not stored; return whether they are."""
         self._changed.clear()
-        queues = self._session.dispatcher.find_removed_queues()
+        queues = self._session.dispatcher.find_used_queues(self._stored)
         value = {queue.name: encode_queue(queue) for queue in queues}
         if value == self._stored:
             return True
@@ -99,7 +101,7 @@
         outcome = await self._rows.commit(writes, n_attempts=COMMIT_ATTEMPTS)
         log_event(
             logger,
-            "removed queues stored",
+            "queues stored",
             queues=",".join(sorted(value)),
             outcome=type(outcome).__name__,
         )
--- a/catkinport/jobs/tables.py
+++ b/catkinport/jobs/tables.py
@@ -25,7 +25,7 @@
 decisions; correctness does not depend on them."""
 
 REMOVED_QUEUES_KEY = RowKey(WAVES_TABLE, "removed-queues")
-"""Queues that the configuration has removed and whose jobs are unfinished."""
+"""Queues with unfinished jobs, which go on if the configuration removes the queue."""
 
 CANCEL_SUFFIX = ".cancel"
 """Suffix of the key of the row that cancels a job. The row is in the table of jobs, so
--- a/catkinport/jobs/tests/test_removed_queues.py
+++ b/catkinport/jobs/tests/test_removed_queues.py
@@ -95,6 +95,44 @@
 
         assert len(asyncio.run(change_owner())) == 1
 
+    def test_a_queue_may_be_removed_while_there_is_no_owner(self):
+        """Guards against jobs that no owner starts again.
+
+        The former owner ended before the configuration changed, and the successor has
+        read only the new version.
+        """
+
+        async def change_owner():
+            table = FakeTable()
+            former = Owner(table)
+            former.add_job()
+            assert await former.queues._store()
+            without_queue = make_configuration(version=2)._replace(queue_by_name={})
+            successor = Owner(table, without_queue)
+            await successor.queues.load()
+            successor.add_job(is_inherited=True)
+            return successor.fleet.plan()
+
+        assert len(asyncio.run(change_owner())) == 1
+
+    def test_the_row_stays_while_jobs_of_a_configured_queue_come_and_go(self):
+        """Guards against a write each time that a queue becomes empty."""
+
+        async def end_job():
+            table = FakeTable()
+            owner = Owner(table)
+            assert await owner.queues._store()
+            assert table.n_commits == 0
+            owner.add_job()
+            await owner.queues._store()
+            del owner.fleet.dispatcher.job_by_id[JOB_ID]
+            await owner.queues._store()
+            owner.add_job()
+            await owner.queues._store()
+            return table.n_commits
+
+        assert asyncio.run(end_job()) == 1
+
     def test_a_replaced_owner_ends(self):
         """Guards against a replaced owner that tries to store again and again."""
 
@@ -119,12 +157,13 @@
             owner = Owner(table)
             owner.add_job()
             await owner.queues._store()
-            assert table.n_commits == 0
+            assert table.n_commits == 1
             owner.fleet.dispatcher.apply_configuration(
                 make_configuration(version=2)._replace(queue_by_name={})
             )
             await owner.queues._store()
             assert list(table.row.value) == [QUEUE]
+            assert table.n_commits == 1
             del owner.fleet.dispatcher.job_by_id[JOB_ID]
             await owner.queues._store()
             await owner.queues._store()
