Answer every request that arrived before a daemon closes its connections

Callers saw a connection end without an answer as a daemon stopped. The server of aiohttp drops what it receives on a connection from the moment that it begins to close: requests that lay in the socket while the event loop was busy, requests behind another one on the same connection, the rest of a body, and requests on connections accepted a moment before. A call that took over a second longer than the daemon's stop was cut off without an answer too.

The servers now close only after rounds of the event loop in which nothing arrived. Calls that are still in flight half a second before the end of the grace period are answered with status 504, as their outcome is unknown, with a line 'call cut off' in the log. The configuration and the other background tasks stop after the last call, not before.

Five of the six new tests of the listener failed with the former way to close, and so did the one of the daemon. Ruled out: answers that the close itself cuts off, as aiohttp waits for handlers that have begun, and connections that are closed while idle, with nothing received.

--- a/catkinport/platform/daemon.py
+++ b/catkinport/platform/daemon.py
@@ -26,6 +26,7 @@
 from ..settings.declaration import format_fault
 from .callers import CallerServer, ConfigurationAgeLimit
 from .client import PlatformClient
+from .listener import HttpListener
 from .operator_rows import (
     CONFIGURATION_KEY,
     OPERATOR_TABLE,
@@ -45,8 +46,12 @@
 after it was sent, so the rest only has to cover the inaccuracy of clocks."""
 
 STOP_MARGIN_SECONDS = 1.5
-"""How long before the end of the grace period the process exits, even with calls in
-flight."""
+"""How long before the end of the grace period the daemon begins to close its servers,
+even with calls in flight."""
+
+ANSWER_MARGIN_SECONDS = 0.5
+"""How long before the end of the grace period the calls that are still in flight are
+answered with status 504."""
 
 STOP_IDLE_SECONDS = 0.3
 """How long nothing must have been in flight before a stopping daemon exits."""
@@ -56,9 +61,6 @@
 notice that the daemon is not ready, and clients with open connections go on sending on
 them for a while after that."""
 
-KEEP_ALIVE_SECONDS = 75.0
-"""How long an idle connection of a caller is kept open."""
-
 
 class PlatformDaemon:
     """The daemon's servers and background tasks.
@@ -114,13 +116,15 @@
         loop.add_signal_handler(signal.SIGHUP, self._reload)
         await self._client.open()
         self._configuration.add_listener(self._apply_configuration)
-        runners = [
-            await self._listen(self._callers.handle, self._settings.callers),
-            await self._listen(self._answer_ready, self._settings.ready),
-        ]
         host = self._settings.callers.rpartition(":")[0]
         metrics_address = f"{host}:{self._settings.metrics_port}"
-        runners.append(await self._listen(self._answer_metrics, metrics_address))
+        listeners = [
+            HttpListener(self._callers.handle, self._settings.callers),
+            HttpListener(self._answer_ready, self._settings.ready),
+            HttpListener(self._answer_metrics, metrics_address),
+        ]
+        for listener in listeners:
+            await listener.open()
         log_event(
             logger,
             "daemon started",
@@ -137,10 +141,10 @@
             )
         ]
         await self._stop.wait()
-        await self._drain_and_close(background, runners)
+        await self._drain_and_close(background, listeners)
 
     async def _drain_and_close(
-        self, background: list[asyncio.Future[None]], runners: list[web.ServerRunner]
+        self, background: list[asyncio.Future[None]], listeners: list[HttpListener]
     ) -> None:
         log_event(logger, "daemon stopping", n_in_flight=self._callers.n_in_flight)
         self._callers.is_stopping = True
@@ -158,23 +162,16 @@
             if is_idle and now - started_at >= earliest:
                 break
             await asyncio.sleep(0.05)
+        answer_by = started_at + self._settings.bounds.stop_grace
+        answer_by -= ANSWER_MARGIN_SECONDS
+        # Calls need the current configuration, so the background tasks stop after them.
+        for listener in listeners:
+            await listener.close(max(0.0, answer_by - self._clock.now()))
         for task in background:
             task.cancel()
-        for runner in runners:
-            await runner.cleanup()
         await self._client.close()
         log_event(logger, "daemon stopped", n_in_flight=self._callers.n_in_flight)
 
-    async def _listen(self, handler, address: str) -> web.ServerRunner:
-        server = web.Server(
-            handler, access_log=None, keepalive_timeout=KEEP_ALIVE_SECONDS
-        )
-        runner = web.ServerRunner(server, shutdown_timeout=1.0)
-        await runner.setup()
-        host, _, port = address.rpartition(":")
-        await web.TCPSite(runner, host, int(port), backlog=512).start()
-        return runner
-
     def _reload(self) -> None:
         settings = load_settings(self._settings_path)
         if isinstance(settings, list):
--- /dev/null
+++ b/catkinport/platform/listener.py
@@ -0,0 +1,119 @@
+"""HTTP server that answers each request that it has received before it closes."""
+
+import asyncio
+import logging
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from aiohttp import web
+
+from ..runtime.logs import log_event
+
+logger = logging.getLogger(__name__)
+
+KEEP_ALIVE_SECONDS = 75.0
+"""How long an idle connection of a client is kept open."""
+
+BACKLOG_CONNECTIONS = 512
+"""Most connections that wait until the server accepts them."""
+
+SHUTDOWN_SECONDS = 0.2
+"""Longest wait for each step in which the connections are closed. Their requests have
+been answered by then."""
+
+IDLE_ROUNDS = 10
+"""Rounds of the event loop without a request after which a server is idle. From the
+arrival of a connection, it takes seven rounds until its request is being answered."""
+
+POLL_SECONDS = 0.01
+"""Interval at which a closing server checks whether its requests are answered."""
+
+Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
+
+
+class HttpListener:
+    """HTTP server at one address.
+
+    Args:
+        handler: answers a request.
+        address: ``host:port``.
+    """
+
+    def __init__(self, handler: Handler, address: str) -> None:
+        self._handler = handler
+        self._address = address
+        server = web.Server(
+            self._handle, access_log=None, keepalive_timeout=KEEP_ALIVE_SECONDS
+        )
+        self._runner = web.ServerRunner(server, shutdown_timeout=SHUTDOWN_SECONDS)
+        self._tasks: set[asyncio.Task[Any]] = set()
+        self._is_cut_off = False
+
+    async def open(self) -> None:
+        """Begin to listen."""
+        await self._runner.setup()
+        host, _, port = self._address.rpartition(":")
+        site = web.TCPSite(self._runner, host, int(port), backlog=BACKLOG_CONNECTIONS)
+        await site.start()
+
+    @property
+    def port(self) -> int:
+        """Port on which it listens."""
+        return self._runner.addresses[0][1]
+
+    async def close(self, timeout_seconds: float = 0.0) -> None:
+        """Answer the requests that have arrived, then close all connections.
+
+        The server of aiohttp drops what arrives on a connection from the moment that it
+        begins to close, and the rest of a body too, so it begins only while nothing has
+        arrived.
+
+        Args:
+            timeout_seconds: time after which requests in progress are answered with
+                status 504, as their outcome is unknown.
+        """
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + timeout_seconds
+        while not await self._is_idle() and loop.time() < deadline:
+            await asyncio.sleep(POLL_SECONDS)
+        for site in self._runner.sites:
+            await site.stop()
+        while not await self._is_idle():
+            if loop.time() >= deadline:
+                self._cut_off()
+            await asyncio.sleep(POLL_SECONDS)
+        await self._runner.cleanup()
+
+    async def _is_idle(self) -> bool:
+        """Let the event loop read what has arrived; return whether that is nothing."""
+        for _ in range(IDLE_ROUNDS):
+            if self._tasks:
+                return False
+            await asyncio.sleep(0)
+        return not self._tasks
+
+    def _cut_off(self) -> None:
+        self._is_cut_off = True
+        for task in self._tasks:
+            task.cancel()
+
+    async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        task = asyncio.current_task()
+        assert task is not None
+        self._tasks.add(task)
+        try:
+            return await self._handler(request)
+        except asyncio.CancelledError:
+            if not self._is_cut_off:
+                raise
+            while task.uncancel():
+                pass
+            log_event(
+                logger,
+                "call cut off",
+                request_id=request.path.rpartition("/")[2],
+                method=request.method,
+            )
+            return web.Response(status=504, headers={"Connection": "close"})
+        finally:
+            self._tasks.discard(task)
--- a/catkinport/platform/tests/test_daemon.py
+++ b/catkinport/platform/tests/test_daemon.py
@@ -1,7 +1,9 @@
-"""Tests of the daemon's background loops."""
+"""Tests of the daemon's background loops, and of its stop."""
 
 import asyncio
+import socket
 
+from ..callers import Answer, CallerServer
 from ..daemon import PlatformDaemon
 from ..settings import DaemonSettings, parse_settings
 
@@ -48,3 +50,46 @@
             return failed_text
 
         assert "broken row" in asyncio.run(run_for_a_while())
+
+
+class TestStop:
+    def test_a_call_without_an_outcome_is_answered_within_the_grace_period(
+        self, monkeypatch, tmp_path
+    ):
+        """Guards against a stop that ends a call's connection without an answer."""
+
+        async def answer(server, request):
+            await asyncio.sleep(30.0)
+            return Answer(200)
+
+        monkeypatch.setattr(CallerServer, "_answer", answer)
+        with socket.create_server(("127.0.0.1", 0)) as free:
+            callers = f"127.0.0.1:{free.getsockname()[1]}"
+        settings = parse_settings(SETTINGS)
+        assert isinstance(settings, DaemonSettings), settings
+        settings = settings._replace(
+            callers=callers,
+            ready="127.0.0.1:0",
+            metrics_port=0,
+            bounds=settings.bounds._replace(stop_grace=2.0),
+        )
+
+        async def stop_during_call():
+            loop = asyncio.get_running_loop()
+            daemon = PlatformDaemon(settings, tmp_path)
+            task = asyncio.ensure_future(daemon.run())
+            await asyncio.sleep(0.2)
+            host, port = callers.split(":")
+            reader, writer = await asyncio.open_connection(host, int(port))
+            writer.write(b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n")
+            await asyncio.sleep(0.1)
+            began_at = loop.time()
+            daemon._stop.set()
+            received = await reader.read()
+            await task
+            writer.close()
+            return received, loop.time() - began_at
+
+        received, seconds = asyncio.run(stop_during_call())
+        assert received.startswith(b"HTTP/1.1 504")
+        assert seconds < 2.0
--- /dev/null
+++ b/catkinport/platform/tests/test_listener.py
@@ -0,0 +1,125 @@
+"""Tests of what clients receive while a server closes."""
+
+import asyncio
+import socket
+
+import pytest
+from aiohttp import web
+
+from ..listener import HttpListener
+
+REQUEST = b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n"
+
+
+def connect(listener: HttpListener) -> socket.socket:
+    return socket.create_connection(("127.0.0.1", listener.port), timeout=5.0)
+
+
+async def read_statuses(client: socket.socket) -> list[str]:
+    """Read until the server closes the connection; return the statuses received."""
+    content = b""
+    while received := await asyncio.to_thread(client.recv, 65536):
+        content += received
+    parts = content.split(b"HTTP/1.1 ")[1:]
+    assert all(part.endswith(b"\r\n\r\nok") for part in parts if b"200" in part[:3])
+    return [part[:3].decode() for part in parts]
+
+
+async def receive_one(client: socket.socket) -> None:
+    client.sendall(REQUEST)
+    received = await asyncio.to_thread(client.recv, 65536)
+    assert received.startswith(b"HTTP/1.1 200")
+
+
+class TestClose:
+    """Clients with plain sockets.
+
+    A request that they send is in the buffer of the server's socket before the server's
+    event loop runs again.
+    """
+
+    async def _open(self, seconds: float = 0.0) -> HttpListener:
+        async def answer(request):
+            await request.read()
+            await asyncio.sleep(seconds)
+            return web.Response(body=b"ok")
+
+        listener = HttpListener(answer, "127.0.0.1:0")
+        await listener.open()
+        return listener
+
+    @pytest.mark.parametrize("n_requests", [1, 3])
+    def test_requests_on_an_open_connection_are_answered(self, n_requests):
+        """Guards against requests that were sent while the event loop was busy.
+
+        They were dropped unread when the server closed as the loop went on.
+        """
+
+        async def close():
+            listener = await self._open()
+            client = connect(listener)
+            await receive_one(client)
+            client.sendall(n_requests * REQUEST)
+            await listener.close(1.0)
+            return await read_statuses(client)
+
+        assert asyncio.run(close()) == n_requests * ["200"]
+
+    def test_a_request_on_a_new_connection_is_answered(self):
+        """Guards against connections that the server has accepted and not read."""
+
+        async def close():
+            listener = await self._open()
+            client = connect(listener)
+            client.sendall(REQUEST)
+            await listener.close(1.0)
+            return await read_statuses(client)
+
+        assert asyncio.run(close()) == ["200"]
+
+    def test_a_request_whose_body_arrives_late_is_answered(self):
+        """Guards against bodies that a closing server ignores."""
+
+        async def close():
+            listener = await self._open()
+            client = connect(listener)
+            head = b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\n"
+            client.sendall(head)
+            await asyncio.sleep(0.05)
+            closing = asyncio.ensure_future(listener.close(1.0))
+            await asyncio.sleep(0.05)
+            client.sendall(b"{}")
+            await closing
+            return await read_statuses(client)
+
+        assert asyncio.run(close()) == ["200"]
+
+    def test_a_call_that_takes_too_long_is_answered_504(self):
+        """Guards against a connection that ends without an answer.
+
+        A caller must learn that the outcome is unknown, and repeats the call elsewhere.
+        """
+
+        async def close():
+            listener = await self._open(seconds=30.0)
+            client = connect(listener)
+            client.sendall(REQUEST)
+            await asyncio.sleep(0.05)
+            await listener.close(0.1)
+            return await read_statuses(client)
+
+        assert asyncio.run(close()) == ["504"]
+
+    def test_idle_connections_are_closed_at_once(self):
+        """Guards against a stop that waits for connections that clients keep open."""
+
+        async def close():
+            listener = await self._open()
+            client = connect(listener)
+            await receive_one(client)
+            begin = asyncio.get_running_loop().time()
+            await listener.close(3.0)
+            assert asyncio.get_running_loop().time() - begin < 0.5
+            return await read_statuses(client)
+
+        assert asyncio.run(close()) == []
