Answer a submission with a number out of range with status 400

A caller that sent infinity, a number too large to convert, or deeply nested JSON got status 500, from which it can't tell whether the job is stored. A number too large to convert in a worker's entry ended the ownership of the fleet, with each owner in turn, as only malformed fields were expected there. Numbers now have an upper bound, and a body that is nested too deeply counts as malformed.

Ruled out: other exceptions in the handlers become a complete answer with status 500.

The types of a stopping daemon's tasks and a comment on the listener's rounds are corrected as well.

--- a/catkinport/platform/callers.py
+++ b/catkinport/platform/callers.py
@@ -184,7 +184,7 @@
                     f"the body must be a JSON object, got {type(message).__name__}"
                 )
             job = decode_job(message, job_id, queue.name, account, time.time())
-        except ValueError as error:
+        except (ValueError, RecursionError) as error:
             return Answer(400, {"error": str(error)}, reason=str(error))
         outcome = await self._intake.submit(job)
         if isinstance(outcome, Accepted):
--- a/catkinport/platform/daemon.py
+++ b/catkinport/platform/daemon.py
@@ -144,7 +144,7 @@
         await self._drain_and_close(background, listeners)
 
     async def _drain_and_close(
-        self, background: list[asyncio.Future[None]], listeners: list[HttpListener]
+        self, background: list[asyncio.Task[None]], listeners: list[HttpListener]
     ) -> None:
         log_event(logger, "daemon stopping", n_in_flight=self._callers.n_in_flight)
         self._callers.is_stopping = True
--- a/catkinport/platform/decoding.py
+++ b/catkinport/platform/decoding.py
@@ -7,6 +7,10 @@
 
 MILLISECONDS_PER_SECOND = 1000.0
 
+MAX_NUMBER = 2**63
+"""Upper bound of every number. JSON allows numbers that can't be converted to others,
+and Python's decoder also accepts infinity."""
+
 
 class MessageError(ValueError):
     """A field of a message is missing or has a value that is not allowed."""
@@ -30,12 +34,15 @@
     """Return a number that is not negative.
 
     Raises:
-        MessageError: if it is missing without a default, negative, or not a number.
+        MessageError: if it is missing without a default, negative, larger than
+            `MAX_NUMBER`, or not a number.
     """
     value = message.get(field, default)
     is_number = isinstance(value, int | float) and not isinstance(value, bool)
-    if not is_number or not value >= 0:
-        raise MessageError(f"{field} must be a number >= 0, got {value!r:.80}")
+    if not is_number or not 0 <= value <= MAX_NUMBER:
+        raise MessageError(
+            f"{field} must be a number from 0 to {MAX_NUMBER}, got {value!r:.80}"
+        )
     return value
 
 
--- a/catkinport/platform/listener.py
+++ b/catkinport/platform/listener.py
@@ -22,8 +22,8 @@
 been answered by then."""
 
 IDLE_ROUNDS = 10
-"""Rounds of the event loop without a request after which a server is idle. From the
-arrival of a connection, it takes seven rounds until its request is being answered."""
+"""Rounds of the event loop without a request after which a server is idle. A connection
+that arrives takes a few rounds until it is accepted, read and answered."""
 
 POLL_SECONDS = 0.01
 """Interval at which a closing server checks whether its requests are answered."""
--- a/catkinport/platform/tests/test_decoding.py
+++ b/catkinport/platform/tests/test_decoding.py
@@ -70,6 +70,8 @@
             {"Capacity": {"Cpu": "many"}},
             {"Labels": "a"},
             {"Zone": 1},
+            {"Capacity": {"Cpu": float("inf"), "MemMb": 1, "Gpu": 0}},
+            {"Capacity": {"Cpu": 10**400, "MemMb": 1, "Gpu": 0}},
         ],
     )
     def test_malformed_entry_is_rejected(self, change):
@@ -178,6 +180,9 @@
             {"Steps": [{"Count": 10**9}]},
             {"Spec": "x" * 4001, "Steps": [{"Count": 1}]},
             {"Spec": 3, "Steps": [{"Count": 1}]},
+            {"Steps": [{"Count": float("inf")}]},
+            {"Steps": [{"Count": 1, "Cpu": float("nan")}]},
+            {"Steps": [{"Count": 1, "EstimateMs": 10**400}]},
         ],
     )
     def test_malformed_job_is_rejected(self, message):
