Log what waits in each pool beside its VMs and workers

When an accepted lasting task had no run for seconds, the logs had no line while it waited: there is one when a run starts or is lost, and `vm moves` gives cores alone. So nobody could tell whether its pool was too small, by memory rather than cores, or whether its workers were cordoned or reserved.

Logic is unchanged.

--- a/catkinport/jobs/pool_demand.py
+++ b/catkinport/jobs/pool_demand.py
@@ -19,12 +19,15 @@
         waiting_cores: cores of waiting tasks of such jobs whose earlier steps are done.
         late_cores: cores of waiting tasks of all other jobs whose earlier steps are
             done.
+        waiting_memory_gb: memory of the waiting tasks of all jobs whose earlier steps
+            are done.
     """
 
     busy_cores: float = 0.0
     urgent_cores: float = 0.0
     waiting_cores: float = 0.0
     late_cores: float = 0.0
+    waiting_memory_gb: float = 0.0
 
 
 def measure_demand(dispatcher: Dispatcher, now: float) -> dict[str, PoolDemand]:
@@ -44,7 +47,8 @@
         waiting = min(count_cores(record, TaskPhase.WAITING), allowed)
         allowed_by_account[record.job.account] = allowed - waiting
         prospect = find_prospect(dispatcher.estimates.view_job(record, queue), now)
-        present = demand[queue.pool]
+        memory_gb = demand[queue.pool].waiting_memory_gb + _waiting_memory_gb(record)
+        present = demand[queue.pool]._replace(waiting_memory_gb=memory_gb)
         if prospect > Prospect.ON_TIME:
             late_cores = present.late_cores + waiting
             demand[queue.pool] = present._replace(late_cores=late_cores)
@@ -70,6 +74,15 @@
     )
 
 
+def _waiting_memory_gb(record: JobRecord) -> float:
+    return sum(
+        task.step.need.memory_gb
+        for stage in record.ready_stages()
+        for task in record.tasks_by_stage[stage]
+        if task.phase is TaskPhase.WAITING
+    )
+
+
 def _cores_within_limit(dispatcher: Dispatcher) -> dict[str, float]:
     """Return the cores that accounts with a limit may still use, by account."""
     usage = usage_by_account(dispatcher)
--- a/catkinport/jobs/pool_mover.py
+++ b/catkinport/jobs/pool_mover.py
@@ -15,13 +15,16 @@
     PoolView,
     choose_moves,
     choose_vms_to_cordon,
+    wanted_vms,
 )
 from ..policy.turns import TurnTracker
 from ..ports.fleet_vms import FleetVm, VmState
 from ..runtime.logs import log_event
 from .dispatcher import Dispatcher
+from .lasting_waits import LastingWait, LastingWaits
 from .order_targets import VmOrder
-from .pool_demand import measure_demand
+from .pool_demand import PoolDemand, measure_demand
+from .pool_report import PoolReporter, make_report
 from .vm_inventory import VmInventory
 from .worker_state import WorkerRecord
 
@@ -45,6 +48,8 @@
         self._own_vms_by_pool: dict[str, int] = {}
         self.turns = TurnTracker({})
         self._phase_by_pool: dict[str, str] = {}
+        self._lasting_waits = LastingWaits(dispatcher)
+        self._reporter = PoolReporter()
 
     @property
     def own_vms_by_pool(self) -> Mapping[str, int]:
@@ -105,9 +110,11 @@
             wave_vms: VMs that may not be moved before their upkeep.
             now: clock time in seconds.
         """
-        pools = self._pool_views(now)
+        demand_by_pool = measure_demand(self._dispatcher, now)
+        pools = self._pool_views(demand_by_pool, now)
         if not any(pool.is_spare for pool in pools.values()):
             return
+        waits_by_pool = self._lasting_waits.find(now)
         movable = [
             vm
             for vm_id, vm in self._inventory.vm_by_id.items()
@@ -115,6 +122,7 @@
             and vm_id not in self._inventory.reserved
             and (vm_id not in wave_vms or self._inventory.is_off(vm))
         ]
+        self._report_pools(pools, demand_by_pool, waits_by_pool, movable, now)
         self._update_cordons(pools, movable)
         idle_vms = [
             self._idle_vm(vm, now)
@@ -124,6 +132,29 @@
         for move in choose_moves(pools, idle_vms):
             yield self._start_move(move, pools, now)
 
+    def _report_pools(
+        self,
+        pools: Mapping[str, PoolView],
+        demand_by_pool: Mapping[str, PoolDemand],
+        waits_by_pool: Mapping[str, Sequence[LastingWait]],
+        movable: Sequence[FleetVm],
+        now: float,
+    ) -> None:
+        n_off = sum(self._inventory.is_off(vm) for vm in movable)
+        for name, pool in pools.items():
+            if pool.is_spare:
+                continue
+            report = make_report(
+                demand_by_pool[name],
+                waits_by_pool.get(name, ()),
+                self._dispatcher.workers_of(name),
+                pool.n_vms,
+                wanted_vms(pool),
+                n_off,
+                now,
+            )
+            self._reporter.note(name, report, now)
+
     def _update_cordons(
         self, pools: Mapping[str, PoolView], movable: Sequence[FleetVm]
     ) -> None:
@@ -192,8 +223,9 @@
         )
         return VmOrder(move.vm_id, 0, move.pool)
 
-    def _pool_views(self, now: float) -> dict[str, PoolView]:
-        demand_by_pool = measure_demand(self._dispatcher, now)
+    def _pool_views(
+        self, demand_by_pool: Mapping[str, PoolDemand], now: float
+    ) -> dict[str, PoolView]:
         n_vms: dict[str, int] = {}
         cores: dict[str, float] = {}
         for vm in self._inventory.vm_by_id.values():
