Give a lasting task that fits nowhere in its pool a VM

What callers saw: a lasting task whose worker was lost got no further run, while the platform had VMs that were off.

Cause: a pool is sized by cores, and waiting work counts at 0.7 of its cores. Lasting tasks are mostly bound by memory: one of 8 cores and 90 GB takes a whole VM of 64 cores and 128 GB, but counted as less than a tenth of one. After VMs were lost for good, the pool looked large enough and no VM was moved. Nor is a sum of free memory a measure, as four VMs with 38 GB free have no room for 90 GB.

Evidence: with 8 VMs of 128 GB, each with a task of 90 GB, 4 of them lost and 8 VMs off, no move was planned while the pool rests and before its turn. During a turn a pool gets 1.25 times its own VMs, so it is affected only if its lasting tasks need more than that.

Ruled out: the waiting tasks are listed as waiting, within their account's limit, and there are VMs to move.

Change: the lasting tasks that wait and may start within their account's limit are placed one by one in the room of their pool, VMs on their way included. VMs on which they fit stay in the pool and are not cordoned. Those that fit nowhere are placed on VMs that may move: VMs that are off, cordoned ones that have become idle, and the surplus of other pools. For the rest, busy VMs of pools with a surplus are cordoned. This goes before the choice of other moves, which is unchanged. `vm moves` says for_lasting.

--- a/catkinport/jobs/pool_mover.py
+++ b/catkinport/jobs/pool_mover.py
@@ -13,14 +13,17 @@
     IdleVm,
     PoolMove,
     PoolView,
+    apply_moves,
     choose_moves,
     choose_vms_to_cordon,
+    find_lendable_vms,
     wanted_vms,
 )
 from ..policy.turns import TurnTracker
 from ..ports.fleet_vms import FleetVm, VmState
 from ..runtime.logs import log_event
 from .dispatcher import Dispatcher
+from .lasting_room import LastingPlan, LastingRoom
 from .lasting_waits import LastingWait, LastingWaits
 from .order_targets import VmOrder
 from .pool_demand import PoolDemand, measure_demand
@@ -49,6 +52,7 @@
         self.turns = TurnTracker({})
         self._phase_by_pool: dict[str, str] = {}
         self._lasting_waits = LastingWaits(dispatcher)
+        self._lasting_room = LastingRoom(dispatcher, inventory)
         self._reporter = PoolReporter()
 
     @property
@@ -123,15 +127,37 @@
             and (vm_id not in wave_vms or self._inventory.is_off(vm))
         ]
         self._report_pools(pools, demand_by_pool, waits_by_pool, movable, now)
-        self._update_cordons(pools, movable)
         idle_vms = [
             self._idle_vm(vm, now)
             for vm in movable
             if vm.vm_id in self._inventory.idle_since_by_vm
         ]
-        for move in choose_moves(pools, idle_vms):
+        lasting = self._plan_lasting(pools, idle_vms, waits_by_pool, now)
+        for move in lasting.moves:
+            yield self._start_move(move, pools, now, is_for_lasting=True)
+        source_by_vm = {vm.vm_id: vm.pool for vm in idle_vms}
+        pools = apply_moves(pools, lasting.moves, source_by_vm)
+        settled = lasting.kept_vms | {move.vm_id for move in lasting.moves}
+        others = [vm for vm in movable if vm.vm_id not in settled]
+        self._update_cordons(pools, others, lasting.n_missing_by_pool)
+        other_idle_vms = [vm for vm in idle_vms if vm.vm_id not in settled]
+        for move in choose_moves(pools, other_idle_vms):
             yield self._start_move(move, pools, now)
 
+    def _plan_lasting(
+        self,
+        pools: Mapping[str, PoolView],
+        idle_vms: Sequence[IdleVm],
+        waits_by_pool: Mapping[str, Sequence[LastingWait]],
+        now: float,
+    ) -> LastingPlan:
+        """Find room for the lasting tasks that wait, in any phase of their pool."""
+        lendable = [
+            self._inventory.vm_by_id[vm.vm_id]
+            for vm in find_lendable_vms(pools, idle_vms)
+        ]
+        return self._lasting_room.plan(waits_by_pool, lendable, now)
+
     def _report_pools(
         self,
         pools: Mapping[str, PoolView],
@@ -156,7 +182,10 @@
             self._reporter.note(name, report, now)
 
     def _update_cordons(
-        self, pools: Mapping[str, PoolView], movable: Sequence[FleetVm]
+        self,
+        pools: Mapping[str, PoolView],
+        movable: Sequence[FleetVm],
+        n_lasting_by_pool: Mapping[str, int],
     ) -> None:
         """Choose the workers that get no new tasks, so that their VMs can move.
 
@@ -172,7 +201,7 @@
             elif worker is not None and not _has_lasting_task(worker):
                 cores = worker.used.cores
                 busy.append(BusyVm(vm.vm_id, vm.pool, cores, worker.is_cordoned))
-        cordoned_ids = choose_vms_to_cordon(pools, busy, n_free)
+        cordoned_ids = choose_vms_to_cordon(pools, busy, n_free, n_lasting_by_pool)
         # A VM that a wave names in the meantime may not be moved, so its worker gets
         # tasks again.
         for vm in self._inventory.vm_by_id.values():
@@ -199,12 +228,17 @@
         )
 
     def _start_move(
-        self, move: PoolMove, pools: Mapping[str, PoolView], now: float
+        self,
+        move: PoolMove,
+        pools: Mapping[str, PoolView],
+        now: float,
+        is_for_lasting: bool = False,
     ) -> VmOrder:
         vm = self._inventory.vm_by_id[move.vm_id]
         worker = self._inventory.worker_on(move.vm_id)
         if worker is not None:
             worker.is_reserved = True
+        self._lasting_room.note_move(move.vm_id, now)
         target = pools[move.pool]
         log_event(
             logger,
@@ -212,6 +246,7 @@
             vm=move.vm_id,
             pool=move.pool,
             from_pool=vm.pool,
+            for_lasting=is_for_lasting,
             busy_cores=round(target.busy_cores, 1),
             waiting_cores=round(target.waiting_cores, 1),
             late_cores=round(target.late_cores, 1),
--- a/catkinport/jobs/worker_state.py
+++ b/catkinport/jobs/worker_state.py
@@ -275,12 +275,15 @@
 
     def may_start(self, now: float) -> bool:
         """Return whether it may get new tasks."""
+        return self.is_usable(now) and not self.is_cordoned
+
+    def is_usable(self, now: float) -> bool:
+        """Return whether it may get new tasks unless it is cordoned."""
         return (
             self.is_listed
             and self.is_enrolled
             and not self.listed.is_draining
             and not self.is_reserved
-            and not self.is_cordoned
             and self.is_in_contact(now)
             and not self.may_have_restarted
             and now >= self.blocked_until
--- a/catkinport/policy/pool_size.py
+++ b/catkinport/policy/pool_size.py
@@ -10,6 +10,7 @@
 """
 
 import math
+from collections import Counter
 from collections.abc import Mapping, Sequence
 from typing import NamedTuple
 
@@ -146,7 +147,10 @@
 
 
 def choose_vms_to_cordon(
-    pool_by_name: Mapping[str, PoolView], vms: Sequence[BusyVm], n_free: int
+    pool_by_name: Mapping[str, PoolView],
+    vms: Sequence[BusyVm],
+    n_free: int,
+    n_lasting_by_pool: Mapping[str, int] | None = None,
 ) -> set[str]:
     """Choose the VMs that take no more tasks, so that another pool gets them.
 
@@ -159,13 +163,22 @@
         pool_by_name: all pools by name.
         vms: VMs that are on and not idle.
         n_free: number of VMs that can be moved at once.
+        n_lasting_by_pool: VMs that pools need for waiting lasting tasks, which run
+            until their job is canceled, and for which no VM that can be moved at once
+            has room.
 
     Returns:
         Ids of the VMs.
     """
     pools = [pool for pool in pool_by_name.values() if not pool.is_spare]
-    missing = sum(max(0, urgent_vms(pool) - pool.n_vms) for pool in pools) - n_free
-    surplus = {pool.name: pool.n_vms - urgent_vms(pool) for pool in pools}
+    n_lasting = n_lasting_by_pool or {}
+    n_urgent = sum(max(0, urgent_vms(pool) - pool.n_vms) for pool in pools)
+    missing = max(0, n_urgent - n_free) + sum(n_lasting.values())
+    surplus = {
+        pool.name: pool.n_vms - urgent_vms(pool)
+        for pool in pools
+        if not n_lasting.get(pool.name)
+    }
     chosen_ids: set[str] = set()
     for vm in sorted(vms, key=lambda vm: (not vm.is_cordoned, vm.busy_cores)):
         if missing <= 0:
@@ -177,6 +190,52 @@
     return chosen_ids
 
 
+def find_lendable_vms(
+    pool_by_name: Mapping[str, PoolView], idle_vms: Sequence[IdleVm]
+) -> list[IdleVm]:
+    """Return the idle VMs that waiting lasting tasks of any pool may get.
+
+    These are VMs that are off, VMs that were cordoned to be moved, and the surplus of
+    each pool. VMs that are off come first, then those that have been idle longest.
+    """
+    lendable = []
+    n_lent: Counter[str] = Counter()
+    for vm in sorted(idle_vms, key=lambda vm: (not vm.is_off, -vm.idle_seconds)):
+        if vm.is_off:
+            lendable.append(vm)
+            continue
+        pool = pool_by_name.get(vm.pool)
+        if pool is None:
+            continue
+        n_needed = urgent_vms(pool) if vm.is_cordoned else wanted_vms(pool)
+        is_idle_enough = vm.is_cordoned or vm.idle_seconds >= REST_IDLE_SECONDS
+        if is_idle_enough and pool.n_vms - n_lent[vm.pool] > n_needed:
+            n_lent[vm.pool] += 1
+            lendable.append(vm)
+    return lendable
+
+
+def apply_moves(
+    pool_by_name: Mapping[str, PoolView],
+    moves: Sequence[PoolMove],
+    source_by_vm: Mapping[str, str],
+) -> dict[str, PoolView]:
+    """Return the pools with the VMs that ``moves`` have moved.
+
+    Args:
+        pool_by_name: all pools by name.
+        moves: the moves.
+        source_by_vm: present pool of each VM.
+    """
+    views = dict(pool_by_name)
+    for move in moves:
+        for name, change in ((source_by_vm[move.vm_id], -1), (move.pool, 1)):
+            if name in views:
+                n_vms = views[name].n_vms + change
+                views[name] = views[name]._replace(n_vms=n_vms)
+    return views
+
+
 def choose_moves(
     pool_by_name: Mapping[str, PoolView], idle_vms: Sequence[IdleVm]
 ) -> list[PoolMove]:
--- a/catkinport/policy/tests/test_pool_size.py
+++ b/catkinport/policy/tests/test_pool_size.py
@@ -6,6 +6,7 @@
     PoolView,
     choose_moves,
     choose_vms_to_cordon,
+    find_lendable_vms,
     urgent_vms,
     wanted_vms,
 )
@@ -81,6 +82,39 @@
         assert move.pool == "next"
 
 
+class TestLastingTasks:
+    """Lasting tasks of a pool wait for VMs that other pools have."""
+
+    def _pools(self, **fields):
+        lender = make_pool("lender", may_rest=True, **fields)
+        return by_name(lender, make_pool("short", n_vms=6))
+
+    # Guards against lasting tasks that wait for as long as no VM becomes idle by
+    # itself, while by its cores their pool has enough.
+    def test_busy_vms_are_cordoned_for_them(self):
+        busy = [BusyVm(f"m{i}", "lender", CORES) for i in range(3)]
+        pools = self._pools(late_cores=1e4)
+        assert choose_vms_to_cordon(pools, busy, 0) == set()
+        assert len(choose_vms_to_cordon(pools, busy, 0, {"short": 2})) == 2
+
+    # Guards against a cordon on the VMs of the pool whose tasks wait.
+    def test_their_own_pool_is_not_cordoned(self):
+        busy = [BusyVm(f"m{i}", "short", CORES) for i in range(6)]
+        assert choose_vms_to_cordon(self._pools(), busy, 0, {"short": 2}) == set()
+
+    def test_pools_lend_their_surplus_and_vms_that_are_off(self):
+        idle = [IdleVm(f"m{i}", "lender", 1.0, False) for i in range(3)]
+        idle += [IdleVm("off0", "spare", 1.0, True)]
+        lendable = find_lendable_vms(self._pools(), idle)
+        assert [vm.vm_id for vm in lendable] == ["off0", "m0", "m1"]
+
+    # Guards against lending a VM that has been idle only between two tasks.
+    def test_vm_that_has_just_become_idle_is_lent_only_if_cordoned(self):
+        vm = IdleVm("m0", "lender", 0.1, False)
+        assert find_lendable_vms(self._pools(), [vm]) == []
+        assert find_lendable_vms(self._pools(), [vm._replace(is_cordoned=True)])
+
+
 class TestMoves:
     def test_pool_with_jobs_that_can_be_on_time_gets_the_last_vm(self):
         late = make_pool("late", n_vms=1, late_cores=500 * CORES)
--- /dev/null
+++ b/catkinport/policy/tests/test_vm_packing.py
@@ -0,0 +1,61 @@
+"""Tests of placing tasks on VMs one by one."""
+
+from ..resources import Resources
+from ..vm_packing import count_new_vms, pack_tasks
+from ..worker_choice import CandidateWorker, TaskNeed
+
+VM_CAPACITY = Resources(64.0, 128.0, 0)
+
+
+def make_task(memory_gb, step="s", **fields):
+    return TaskNeed(step, Resources(8.0, memory_gb, 0), **fields)
+
+
+def make_rooms(*free_gb):
+    return {
+        f"m{i}": CandidateWorker(f"m{i}", ("a",), Resources(64.0, memory_gb, 0))
+        for i, memory_gb in enumerate(free_gb)
+    }
+
+
+class TestPacking:
+    # Guards against a task without a VM because the sum of what is free suffices.
+    def test_free_parts_of_several_vms_are_no_room_for_a_large_task(self):
+        packing = pack_tasks([make_task(90.0)], make_rooms(60.0, 60.0, 60.0))
+        assert len(packing.unplaced) == 1
+        assert packing.vm_ids == frozenset()
+
+    # Guards against small tasks that take the only room of a large one.
+    def test_large_tasks_are_placed_first(self):
+        tasks = [make_task(20.0, "small"), make_task(90.0, "large")]
+        packing = pack_tasks(tasks, make_rooms(100.0, 30.0))
+        assert packing.unplaced == ()
+
+    # Guards against tasks of one step that are skipped because another step's did not
+    # fit.
+    def test_a_step_without_room_does_not_stop_another(self):
+        tasks = [make_task(90.0, "large"), make_task(20.0, "small")]
+        packing = pack_tasks(tasks, make_rooms(30.0))
+        assert [task.step for task in packing.unplaced] == ["large"]
+        assert packing.vm_ids == {"m0"}
+
+    def test_limit_of_a_step_per_worker_holds(self):
+        tasks = [make_task(20.0, max_per_worker=1)] * 3
+        packing = pack_tasks(tasks, make_rooms(128.0, 128.0))
+        assert len(packing.unplaced) == 1
+
+
+class TestNewVms:
+    def test_each_task_of_more_than_half_a_vm_needs_one(self):
+        assert count_new_vms([make_task(90.0)] * 5, VM_CAPACITY, ()) == 5
+
+    def test_smaller_tasks_share_vms(self):
+        assert count_new_vms([make_task(40.0)] * 7, VM_CAPACITY, ()) == 3
+
+    # Guards against VMs without end for a task that fits on none.
+    def test_tasks_larger_than_a_vm_are_not_counted(self):
+        tasks = [make_task(200.0, "huge"), make_task(40.0)]
+        assert count_new_vms(tasks, VM_CAPACITY, ()) == 1
+        assert (
+            count_new_vms([make_task(40.0, required_label="b")], VM_CAPACITY, ()) == 0
+        )
