Log why a task that could start still waits

Callers saw lasting tasks without a run for seconds, and the logs had no line on them between the end of one run and the start of the next: neither whether any worker of the pool may get tasks, nor which resource is lacking.

Add the event 'task start delayed' for the first waiting task of a job, after 1 s and again on a change of reason (once a second for each job at most), every 5 s for the same reason, and at most 10 lines a second in all. It gives the reason (account limit, no worker, no suitable worker, no room and of what) and the number of blocked workers of the pool by reason.

The reason of a blocked worker needs its quarantine apart from the short pauses after an order. The two shared one field, so that a start that was rejected for lack of room replaced a quarantine of seconds by a pause of 0.2 s; the test of it failed before. Pools without any usable worker are now planned too, so that their jobs are logged; nothing starts there, and no approvals are asked for.

--- a/catkinport/jobs/dispatcher.py
+++ b/catkinport/jobs/dispatcher.py
@@ -588,7 +588,7 @@
                 logger,
                 "worker quarantined",
                 worker=worker.worker_id,
-                until_seconds=round(worker.blocked_until - now, 2),
+                until_seconds=round(worker.quarantined_until - now, 2),
             )
         if record.state is JobState.FAILED:
             log_event(
--- a/catkinport/jobs/planner.py
+++ b/catkinport/jobs/planner.py
@@ -16,6 +16,7 @@
 from .dispatcher import Dispatcher
 from .model import Step
 from .record import JobRecord, Task, TaskPhase
+from .start_delays import StartDelays
 from .worker_state import Run, WorkerRecord
 
 LASTING_TASKS_PER_WORKER_FACTOR = 5
@@ -72,6 +73,7 @@
         self._dispatcher = dispatcher
         self._tickets_by_stage: dict[str, dict[str, Ticket]] = {}
         self._learned_before: float | None = None
+        self._delays = StartDelays(dispatcher)
         self.wanted_approvals: dict[str, ApprovalRequest] = {}
 
     def keep_tickets(self, stage: str, ticket_by_worker: Mapping[str, Ticket]) -> None:
@@ -111,14 +113,13 @@
         usage = usage_by_account(dispatcher)
         for pool, records in records_by_pool.items():
             rooms = self._free_rooms(pool, now)
-            if not rooms:
-                continue
             ordered = sorted(
                 records,
                 key=lambda item: order_key(dispatcher.estimates.view_job(*item), now),
             )
             for record, queue in ordered:
                 self._plan_job(record, queue, rooms, usage, now, unix_now, starts)
+        self._delays.end_round()
         return starts
 
     def _free_rooms(self, pool: str, now: float) -> dict[str, CandidateWorker]:
@@ -163,10 +164,30 @@
             if waiting[0].step.is_gang:
                 if len(waiting) == len(tasks):
                     self._plan_gang(waiting, usable, usage, account, now, starts)
-                continue
-            for task in waiting:
-                if not self._plan_task(task, usable, usage, account, now, starts):
-                    break
+            else:
+                for task in waiting:
+                    if not self._plan_task(task, usable, usage, account, now, starts):
+                        break
+            self._note_delay(waiting, queue, usable, usage, account, now)
+
+    def _note_delay(
+        self,
+        tasks: list[Task],
+        queue: Queue,
+        rooms: dict[str, CandidateWorker],
+        usage: dict[str, Resources],
+        account: Account | None,
+        now: float,
+    ) -> None:
+        waiting = [task for task in tasks if task.phase is TaskPhase.WAITING]
+        if not waiting:
+            return
+        first = waiting[0]
+        n_together = len(waiting) if first.step.is_gang else 1
+        is_over_limit = not is_within_limit(usage, account, first.step.need, n_together)
+        need = task_need(first)
+        candidates = list(rooms.values())
+        self._delays.note(first, need, queue.pool, now, candidates, is_over_limit)
 
     def _is_startable(self, task: Task, now: float) -> bool:
         if task.phase is TaskPhase.WAITING:
@@ -189,7 +210,7 @@
             for worker_id, room in rooms.items()
             if worker_id in tickets and tickets[worker_id].valid_until > now
         }
-        if not valid:
+        if rooms and not valid:
             self.wanted_approvals[stage] = ApprovalRequest(
                 stage, tuple(rooms), queue.approval.valid_seconds
             )
--- a/catkinport/jobs/worker_state.py
+++ b/catkinport/jobs/worker_state.py
@@ -63,6 +63,19 @@
     STOPPING = "stopping"
 
 
+class StartBlock(StrEnum):
+    """Reason for which a worker gets no new tasks."""
+
+    NOT_LISTED = "not-listed"
+    NOT_ENROLLED = "not-enrolled"
+    DRAINING = "draining"
+    RESERVED = "reserved"
+    CORDONED = "cordoned"
+    OUT_OF_CONTACT = "out-of-contact"
+    PAUSED = "paused"
+    QUARANTINED = "quarantined"
+
+
 class RunKey(NamedTuple):
     """Name of a task, and number of one of its runs (executions on a worker)."""
 
@@ -170,7 +183,10 @@
         acknowledged_end: number of the last end that the worker no longer lists,
             because an answered poll has acknowledged it.
         run_by_key: the runs that are on it, or may be.
-        blocked_until: clock time in seconds before which it gets no new tasks.
+        blocked_until: clock time in seconds before which it gets no new tasks, because
+            of the outcome of an order or the state of its VM.
+        quarantined_until: clock time in seconds before which it gets no new tasks,
+            because too many runs failed on it.
         is_enrolled: whether the stored roster names it, so that a successor would
             know of it.
         is_maintenance_due: whether a wave is about to take its VM down.
@@ -195,6 +211,7 @@
         self.acknowledged_end = 0
         self.run_by_key: dict[RunKey, Run] = {}
         self.blocked_until = 0.0
+        self.quarantined_until = 0.0
         self.is_reserved = False
         self.is_cordoned = False
         self.is_maintenance_due = False
@@ -275,16 +292,22 @@
 
     def may_start(self, now: float) -> bool:
         """Return whether it may get new tasks."""
-        return (
-            self.is_listed
-            and self.is_enrolled
-            and not self.listed.is_draining
-            and not self.is_reserved
-            and not self.is_cordoned
-            and self.is_in_contact(now)
-            and not self.may_have_restarted
-            and now >= self.blocked_until
-        )
+        return self.find_block(now) is None
+
+    def find_block(self, now: float) -> StartBlock | None:
+        """Return why it may get no new tasks, or ``None`` if it may."""
+        is_blocked_by_reason = {
+            StartBlock.NOT_LISTED: not self.is_listed,
+            StartBlock.NOT_ENROLLED: not self.is_enrolled,
+            StartBlock.DRAINING: self.listed.is_draining,
+            StartBlock.RESERVED: self.is_reserved,
+            StartBlock.CORDONED: self.is_cordoned,
+            StartBlock.OUT_OF_CONTACT: not self.is_in_contact(now)
+            or self.may_have_restarted,
+            StartBlock.PAUSED: now < self.blocked_until,
+            StartBlock.QUARANTINED: now < self.quarantined_until,
+        }
+        return next((why for why, is_so in is_blocked_by_reason.items() if is_so), None)
 
     def extend_lease(self, sent_at: float) -> None:
         """Record that a call sent at ``sent_at`` may have granted `LEASE_SECONDS`."""
@@ -304,7 +327,7 @@
         n_failed = self._outcomes.count(False)
         if n_failed < 2 or n_failed * 2 < len(self._outcomes):
             return False
-        self.blocked_until = now + self._quarantine_seconds
+        self.quarantined_until = now + self._quarantine_seconds
         self._quarantine_seconds = min(
             self._quarantine_seconds * 2, MAX_QUARANTINE_SECONDS
         )
--- a/catkinport/policy/worker_choice.py
+++ b/catkinport/policy/worker_choice.py
@@ -113,10 +113,7 @@
         >>> fits(TaskNeed("s", Resources(1.0, 1.0, 0), required_label="gpu"), room)
         False
     """
-    if task.required_label and task.required_label not in room.labels:
-        return False
-    n_of_step = room.n_tasks_by_step.get(task.step, 0)
-    if task.max_per_worker and n_of_step >= task.max_per_worker:
+    if not is_suitable(task, room):
         return False
     cores = 0.0 if task.is_filler else task.need.cores
     return (
@@ -126,6 +123,14 @@
     )
 
 
+def is_suitable(task: TaskNeed, room: CandidateWorker) -> bool:
+    """Return whether the worker may run the task, whatever resources are free."""
+    if task.required_label and task.required_label not in room.labels:
+        return False
+    n_of_step = room.n_tasks_by_step.get(task.step, 0)
+    return not task.max_per_worker or n_of_step < task.max_per_worker
+
+
 def choose_worker(
     task: TaskNeed, rooms: Iterable[CandidateWorker]
 ) -> CandidateWorker | None:
