Count failures of tasks that can't be done against the tasks

Callers saw that nothing started in a pool for seconds, neither lasting tasks nor good jobs, although its workers had room.

A lost or broken worker was ruled out: no worker of these tests is bad.

A failure now counts against the task if it has failed on another worker, or if its step has and none of the step is done.

--- a/catkinport/jobs/dispatcher.py
+++ b/catkinport/jobs/dispatcher.py
@@ -31,6 +31,7 @@
 from .model import FINAL_STATES, Job, JobState, TaskId
 from .record import JobRecord, Task, TaskPhase
 from .uncertain_starts import UncertainStarts
+from .worker_failures import note_failed_run, note_worker_failure
 from .worker_state import (
     LEASE_SECONDS,
     UNHEALTHY_PAUSE_SECONDS,
@@ -574,6 +575,8 @@
         run: int,
         now: float,
     ) -> None:
+        pool_workers = self.workers_of(worker.listed.pool)
+        is_quarantined = note_failed_run(worker, record, task, pool_workers, now)
         task.avoided_worker = worker.worker_id
         task.not_before = now + RESTART_PAUSE_SECONDS * task.step.is_lasting
         queue = self.queue_of(record)
@@ -583,7 +586,7 @@
             stage = (task.task_id.occurrence, task.task_id.step)
             counted = record.tasks_by_stage[stage][0]
         record.mark_failed(counted, run, queue.max_failures if queue else 0)
-        if worker.note_outcome(False, now):
+        if is_quarantined:
             log_event(
                 logger,
                 "worker quarantined",
@@ -721,7 +724,7 @@
         if reason in (Rejection.UNHEALTHY, Rejection.OTHER_INCARNATION):
             worker.blocked_until = now + UNHEALTHY_PAUSE_SECONDS
         if reason is Rejection.UNHEALTHY:
-            worker.note_outcome(False, now)
+            note_worker_failure(worker, self.workers_of(worker.listed.pool), now)
         if reason is Rejection.NO_ROOM:
             worker.blocked_until = now + NO_ROOM_PAUSE_SECONDS
         if reason is Rejection.INVALID:
--- a/catkinport/jobs/record.py
+++ b/catkinport/jobs/record.py
@@ -154,6 +154,10 @@
             if n_open and self.is_stage_ready(stage):
                 yield stage
 
+    def count_done(self, stage: tuple[int, int]) -> int:
+        """Return the number of done tasks of an (occurrence, step)."""
+        return len(self.tasks_by_stage[stage]) - self._n_open_by_stage[stage]
+
     def mark_begun(self) -> None:
         """Set the state of a queued job to running."""
         if self.state is JobState.QUEUED:
--- a/catkinport/jobs/run_stops.py
+++ b/catkinport/jobs/run_stops.py
@@ -10,6 +10,7 @@
 from ..policy.pacing import LatencyTask, choose_speed_percent
 from .dispatcher import Dispatcher
 from .record import TaskPhase
+from .worker_failures import note_failed_run
 from .worker_state import Run, RunKey, RunPhase
 
 STOP_RETRY_SECONDS = 0.4
@@ -129,7 +130,7 @@
 def _is_stalled(dispatcher: Dispatcher, run: Run, now: float) -> bool:
     """Return whether a run has stalled on a worker that is in contact.
 
-    A stall counts as a failure of the worker, and the task avoids it from then on.
+    A stall counts as a failed run, and the task avoids the worker from then on.
     """
     step = run.task.step
     if step.is_lasting or step.is_filler or not run.known_at or step.is_gang:
@@ -140,6 +141,7 @@
     worker = dispatcher.worker_by_id[run.worker_id]
     if not worker.is_in_contact(now):
         return False
+    pool_workers = dispatcher.workers_of(worker.listed.pool)
+    note_failed_run(worker, run.record, run.task, pool_workers, now)
     run.task.avoided_worker = run.worker_id
-    worker.note_outcome(False, now)
     return True
--- a/catkinport/jobs/worker_state.py
+++ b/catkinport/jobs/worker_state.py
@@ -313,21 +313,31 @@
         """Record that a call sent at ``sent_at`` may have granted `LEASE_SECONDS`."""
         self.lease_until = max(self.lease_until, sent_at + MAX_LEASE_SECONDS)
 
-    def note_outcome(self, is_good: bool, now: float) -> bool:
+    def note_outcome(
+        self,
+        is_good: bool,
+        now: float,
+        longest_seconds: float = MAX_QUARANTINE_SECONDS,
+    ) -> bool:
         """Count the end of a run; return whether the worker is quarantined for it.
 
         A worker on which at least half of the latest ends, and at least two, were
         failures gets no new tasks for a time. The time doubles at each quarantine until
         a run succeeds.
+
+        Args:
+            is_good: whether the run succeeded.
+            now: clock time in seconds.
+            longest_seconds: longest quarantine; 0 for none.
         """
         self._outcomes.append(is_good)
         if is_good:
             self._quarantine_seconds = QUARANTINE_SECONDS
             return False
         n_failed = self._outcomes.count(False)
-        if n_failed < 2 or n_failed * 2 < len(self._outcomes):
+        if n_failed < 2 or n_failed * 2 < len(self._outcomes) or not longest_seconds:
             return False
-        self.quarantined_until = now + self._quarantine_seconds
+        self.quarantined_until = now + min(self._quarantine_seconds, longest_seconds)
         self._quarantine_seconds = min(
             self._quarantine_seconds * 2, MAX_QUARANTINE_SECONDS
         )
