Let a lasting task use a quarantined worker if no other has room

Callers saw a lasting task without a run until the end of a quarantine, which takes up to 12 s, although the quarantined worker had room. A lasting task is worth a try on a suspected worker, as it has no limit of attempts, and any other worker with room still comes first. Other tasks get no quarantined worker, as before. The new test failed before; the one that prefers other workers passed before and passes now.

--- a/catkinport/jobs/planner.py
+++ b/catkinport/jobs/planner.py
@@ -17,7 +17,7 @@
 from .model import Step
 from .record import JobRecord, Task, TaskPhase
 from .start_delays import StartDelays
-from .worker_state import Run, WorkerRecord
+from .worker_state import Run, StartBlock, WorkerRecord
 
 LASTING_TASKS_PER_WORKER_FACTOR = 5
 """Most lasting tasks of a step that one worker should run, as a multiple of how many
@@ -125,12 +125,16 @@
     def _free_rooms(self, pool: str, now: float) -> dict[str, CandidateWorker]:
         rooms: dict[str, CandidateWorker] = {}
         for worker in self._dispatcher.workers_of(pool):
-            if not worker.may_start(now) or not self._has_unbroken_contact(worker):
+            block = worker.find_block(now)
+            if block not in (None, StartBlock.QUARANTINED):
+                continue
+            if not self._has_unbroken_contact(worker):
                 continue
             room = CandidateWorker(
                 worker.worker_id, worker.listed.labels, worker.free(), worker.penalty
             )
             room.is_maintenance_due = worker.is_maintenance_due
+            room.is_last_resort = block is StartBlock.QUARANTINED
             for run in worker.run_by_key.values():
                 room.count(task_need(run.task))
             rooms[worker.worker_id] = room
@@ -362,6 +366,7 @@
     free = Resources(room.cores, room.memory_gb, room.accelerators)
     copy = CandidateWorker(room.worker_id, room.labels, free, room.penalty)
     copy.is_maintenance_due = room.is_maintenance_due
+    copy.is_last_resort = room.is_last_resort
     copy.n_tasks_by_step = dict(room.n_tasks_by_step)
     copy.n_fillers = room.n_fillers
     copy.n_latency_tasks = room.n_latency_tasks
--- a/catkinport/jobs/tests/test_quarantines.py
+++ b/catkinport/jobs/tests/test_quarantines.py
@@ -24,6 +24,12 @@
                 fleet.end(start, EndKind.FAILED)
 
 
+def quarantine(fleet: Fleet, worker_id: str) -> None:
+    worker = fleet.dispatcher.worker_by_id[worker_id]
+    worker.note_outcome(False, fleet.now)
+    assert worker.note_outcome(False, fleet.now)
+
+
 def count_usable(fleet: Fleet) -> int:
     workers = fleet.dispatcher.worker_by_id.values()
     return sum(worker.may_start(fleet.now) for worker in workers)
@@ -97,3 +103,24 @@
             is_bad = start.run.worker_id == "bad"
             fleet.end(start, EndKind.FAILED if is_bad else EndKind.DONE)
         assert not fleet.dispatcher.worker_by_id["bad"].may_start(fleet.now)
+
+
+class TestLastResort:
+    def test_lasting_task_starts_on_a_quarantined_worker_if_no_other_has_room(self):
+        """Guards against a lasting task that waits for the end of a quarantine."""
+        fleet = Fleet([make_worker("w1"), make_worker("w2", cores=2.0)])
+        quarantine(fleet, "w1")
+        lasting = make_step(1, is_lasting=True)
+        fleet.dispatcher.add_job(make_job(steps=[lasting]), fleet.now)
+        fleet.dispatcher.add_job(make_job("00000000000000b2"), fleet.now)
+        (start,) = fleet.start()
+        assert start.run.worker_id == "w1"
+        assert start.run.task.step.is_lasting
+
+    def test_other_workers_come_first(self):
+        """Guards against lasting tasks on a worker that fails everything."""
+        fleet = Fleet([make_worker("w1"), make_worker("w2", cores=64.0)])
+        quarantine(fleet, "w1")
+        lasting = make_step(8, is_lasting=True)
+        fleet.dispatcher.add_job(make_job(steps=[lasting]), fleet.now)
+        assert {start.run.worker_id for start in fleet.start()} == {"w2"}
--- a/catkinport/policy/worker_choice.py
+++ b/catkinport/policy/worker_choice.py
@@ -25,6 +25,8 @@
 
     Attributes:
         is_maintenance_due: whether its VM is about to be taken down.
+        is_last_resort: whether it only gets lasting tasks, and only those that fit on
+            no other worker, because it is suspected to be bad.
         n_tasks_by_step: number of tasks that it runs, by name of their step.
         n_fillers: number of filler tasks that it runs.
         n_latency_tasks: number of tasks with a latency target that it runs.
@@ -33,6 +35,7 @@
     __slots__ = (
         "accelerators",
         "cores",
+        "is_last_resort",
         "is_maintenance_due",
         "labels",
         "memory_gb",
@@ -54,6 +57,7 @@
         self.labels = labels
         self.cores, self.memory_gb, self.accelerators = free
         self.penalty = penalty
+        self.is_last_resort = False
         self.is_maintenance_due = False
         self.n_tasks_by_step: dict[str, int] = {}
         self.n_fillers = 0
@@ -127,6 +131,8 @@
     """Return whether the worker may run the task, whatever resources are free."""
     if task.required_label and task.required_label not in room.labels:
         return False
+    if room.is_last_resort and not task.is_lasting:
+        return False
     n_of_step = room.n_tasks_by_step.get(task.step, 0)
     return not task.max_per_worker or n_of_step < task.max_per_worker
 
@@ -150,6 +156,7 @@
         n_disturbing = room.n_fillers + room.n_latency_tasks
     n_of_step = room.n_tasks_by_step.get(task.step, 0)
     return (
+        room.is_last_resort,
         is_avoided,
         room.penalty,
         task.is_lasting and room.is_maintenance_due,
