--- a/catkinport/jobs/dispatcher.py
+++ b/catkinport/jobs/dispatcher.py
@@ -74,7 +74,7 @@
         self._inherited = InheritedWorkers(self._workers, self._jobs)
         self._listing = WorkerListing(self._workers, self._runs)
         self._vms = WorkerVms(self._workers, self._runs, self._inherited)
-        ends = RunEnds(self._jobs, self._runs, metrics)
+        ends = RunEnds(self._jobs, self._workers, self._runs, metrics)
         self._reports = WorkerReports(
             self._workers, self._runs, ends, self._inherited, longest_lease
         )
--- a/catkinport/jobs/order_outcomes.py
+++ b/catkinport/jobs/order_outcomes.py
@@ -5,6 +5,7 @@
 from ..ports.fleet_workers import Done, OrderOutcome, Rejected, Rejection
 from ..runtime.logs import log_event
 from .run_table import NOT_SENT, RunTable
+from .worker_failures import note_worker_failure
 from .worker_state import (
     UNHEALTHY_PAUSE_SECONDS,
     Run,
@@ -77,7 +78,8 @@
         if reason in (Rejection.UNHEALTHY, Rejection.OTHER_INCARNATION):
             worker.blocked_until = now + UNHEALTHY_PAUSE_SECONDS
         if reason is Rejection.UNHEALTHY:
-            worker.note_outcome(False, now)
+            pool_workers = self._workers.workers_of(worker.listed.pool)
+            note_worker_failure(worker, pool_workers, now)
         if reason is Rejection.NO_ROOM:
             worker.blocked_until = now + NO_ROOM_PAUSE_SECONDS
         if reason is Rejection.INVALID:
--- a/catkinport/jobs/planner.py
+++ b/catkinport/jobs/planner.py
@@ -16,7 +16,8 @@
 from .dispatcher import Dispatcher
 from .model import Step
 from .record import JobRecord, Task, TaskPhase
-from .worker_state import Run, WorkerRecord
+from .start_delays import StartDelays
+from .worker_state import Run, StartBlock, WorkerRecord
 
 LASTING_TASKS_PER_WORKER_FACTOR = 5
 """Most lasting tasks of a step that one worker should run, as a multiple of how many
@@ -72,6 +73,7 @@
         self._dispatcher = dispatcher
         self._tickets_by_stage: dict[str, dict[str, Ticket]] = {}
         self._learned_before: float | None = None
+        self._delays = StartDelays(dispatcher)
         self.wanted_approvals: dict[str, ApprovalRequest] = {}
 
     def keep_tickets(self, stage: str, ticket_by_worker: Mapping[str, Ticket]) -> None:
@@ -111,25 +113,28 @@
         usage = usage_by_account(dispatcher)
         for pool, records in records_by_pool.items():
             rooms = self._free_rooms(pool, now)
-            if not rooms:
-                continue
             ordered = sorted(
                 records,
                 key=lambda item: order_key(dispatcher.estimates.view_job(*item), now),
             )
             for record, queue in ordered:
                 self._plan_job(record, queue, rooms, usage, now, unix_now, starts)
+        self._delays.end_round()
         return starts
 
     def _free_rooms(self, pool: str, now: float) -> dict[str, CandidateWorker]:
         rooms: dict[str, CandidateWorker] = {}
         for worker in self._dispatcher.workers_of(pool):
-            if not worker.may_start(now) or not self._has_unbroken_contact(worker):
+            block = worker.find_block(now)
+            if block not in (None, StartBlock.QUARANTINED) or worker.is_cordoned:
+                continue
+            if not self._has_unbroken_contact(worker):
                 continue
             room = CandidateWorker(
                 worker.worker_id, worker.listed.labels, worker.free(), worker.penalty
             )
             room.is_maintenance_due = worker.is_maintenance_due
+            room.is_last_resort = block is StartBlock.QUARANTINED
             for run in worker.run_by_key.values():
                 room.count(task_need(run.task))
             rooms[worker.worker_id] = room
@@ -163,10 +168,30 @@
             if waiting[0].step.is_gang:
                 if len(waiting) == len(tasks):
                     self._plan_gang(waiting, usable, usage, account, now, starts)
-                continue
-            for task in waiting:
-                if not self._plan_task(task, usable, usage, account, now, starts):
-                    break
+            else:
+                for task in waiting:
+                    if not self._plan_task(task, usable, usage, account, now, starts):
+                        break
+            self._note_delay(waiting, queue, usable, usage, account, now)
+
+    def _note_delay(
+        self,
+        tasks: list[Task],
+        queue: Queue,
+        rooms: dict[str, CandidateWorker],
+        usage: dict[str, Resources],
+        account: Account | None,
+        now: float,
+    ) -> None:
+        waiting = [task for task in tasks if task.phase is TaskPhase.WAITING]
+        if not waiting:
+            return
+        first = waiting[0]
+        n_together = len(waiting) if first.step.is_gang else 1
+        is_over_limit = not is_within_limit(usage, account, first.step.need, n_together)
+        need = task_need(first)
+        candidates = list(rooms.values())
+        self._delays.note(first, need, queue.pool, now, candidates, is_over_limit)
 
     def _is_startable(self, task: Task, now: float) -> bool:
         if task.phase is TaskPhase.WAITING:
@@ -189,7 +214,7 @@
             for worker_id, room in rooms.items()
             if worker_id in tickets and tickets[worker_id].valid_until > now
         }
-        if not valid:
+        if rooms and not valid:
             self.wanted_approvals[stage] = ApprovalRequest(
                 stage, tuple(rooms), queue.approval.valid_seconds
             )
@@ -341,6 +366,7 @@
     free = Resources(room.cores, room.memory_gb, room.accelerators)
     copy = CandidateWorker(room.worker_id, room.labels, free, room.penalty)
     copy.is_maintenance_due = room.is_maintenance_due
+    copy.is_last_resort = room.is_last_resort
     copy.n_tasks_by_step = dict(room.n_tasks_by_step)
     copy.n_fillers = room.n_fillers
     copy.n_latency_tasks = room.n_latency_tasks
