Stop a lasting task for an upkeep only once it has room elsewhere

What callers saw: during a wave of upkeep a lasting task could stay without a run without end.

Cause: a VM that a wave names and that has more tasks of a step than may be unavailable at once is reserved, and its tasks are stopped a few at a time, to start elsewhere. Whether another VM has room was not asked. If none has, the task that was stopped waits, and the reserved VM, which has the room, gets no tasks. As the task that waits uses up what may be unavailable, the VM's upkeep does not begin either. The same happens if a task on a reserved VM ends by itself. Full VMs are the rule where memory binds: three tasks of 40 GB take one of 128 GB, and two of the three may be unavailable.

Ruled out: drains of VMs with short tasks only, which go down once these have ended.

Change: a run is stopped for an upkeep only if its task has room on another VM of its pool, and tasks that have to leave count when VMs are moved for lasting tasks. A reserved VM that has the only room for a lasting task that waits is given back, `vm upkeep put off` says so, and no VM with tasks of that pool is drained in that round. Waiting tasks that do not fit on the reserved VM do not put its upkeep off. Without a spare pool no VM moves, as before, but the rest holds.

--- a/catkinport/jobs/lasting_room.py
+++ b/catkinport/jobs/lasting_room.py
@@ -17,7 +17,7 @@
 from .lasting_waits import LastingWait
 from .planner import is_within_limit, task_need
 from .vm_inventory import VmInventory
-from .worker_state import WorkerRecord
+from .worker_state import Run, WorkerRecord
 
 MAX_ARRIVAL_SECONDS = 3.0
 """A VM counts as room from its move until it has a worker, but no longer than this
@@ -32,11 +32,25 @@
             stay where they are and get tasks.
         moves: VMs to move to the tasks' pools.
         n_missing_by_pool: VMs that each pool needs besides and that are not free yet.
+        released_vms: reserved VMs that have the only room for a task that waits.
     """
 
     kept_vms: frozenset[str] = frozenset()
     moves: Sequence[PoolMove] = ()
     n_missing_by_pool: Mapping[str, int] = {}
+    released_vms: frozenset[str] = frozenset()
+
+
+class _PoolNeeds(NamedTuple):
+    """Tasks of a pool that fit on none of its VMs.
+
+    Args:
+        waiting: tasks without a worker.
+        leaving: tasks that have to leave a VM before its upkeep.
+    """
+
+    waiting: Sequence[TaskNeed]
+    leaving: Sequence[TaskNeed]
 
 
 class LastingRoom:
@@ -59,53 +73,85 @@
     def plan(
         self,
         waits_by_pool: Mapping[str, Sequence[LastingWait]],
+        leaving: Sequence[Run],
         movable: Sequence[FleetVm],
         now: float,
     ) -> LastingPlan:
-        """Find room for the waiting tasks.
+        """Find room for tasks that wait, then for those that have to leave a VM.
 
         Args:
             waits_by_pool: waiting tasks of each pool.
+            leaving: runs to stop before the upkeep of their VM.
             movable: idle VMs that may move to any pool; the first are taken first.
             now: clock time in seconds.
         """
         self._forget_arrivals(now)
         kept_vms: set[str] = set()
-        unplaced_by_pool: dict[str, Sequence[TaskNeed]] = {}
+        unplaced_by_pool: dict[str, _PoolNeeds] = {}
         usage = usage_by_account(self._dispatcher) if waits_by_pool else {}
-        for pool, waits in waits_by_pool.items():
+        leaving_by_pool = self._needs_by_pool(leaving)
+        for pool in sorted({*waits_by_pool, *leaving_by_pool}):
             # A new owner does not know yet what room the other workers have.
             if not self._dispatcher.is_pool_resolved(pool):
                 continue
-            needs = list(self._needs_within_limit(waits, usage))
-            packing = pack_tasks(needs, self._pool_rooms(pool, now))
-            kept_vms |= packing.vm_ids
-            unplaced_by_pool[pool] = packing.unplaced
-        return self._plan_moves(frozenset(kept_vms), unplaced_by_pool, movable)
+            rooms = self._pool_rooms(pool, now)
+            needs = list(self._needs_within_limit(waits_by_pool.get(pool, ()), usage))
+            waiting = pack_tasks(needs, rooms)
+            left = pack_tasks(leaving_by_pool.get(pool, ()), rooms)
+            kept_vms |= waiting.vm_ids | left.vm_ids
+            unplaced_by_pool[pool] = _PoolNeeds(waiting.unplaced, left.unplaced)
+        return self._plan_moves(frozenset(kept_vms), unplaced_by_pool, movable, now)
+
+    def find_placeable(self, runs: Sequence[Run], now: float) -> list[Run]:
+        """Return those of the runs whose tasks have room on another VM right now.
+
+        Each gets room of its own. VMs on their way do not count.
+        """
+        rooms_by_pool: dict[str, dict[str, CandidateWorker]] = {}
+        placeable = []
+        for run in runs:
+            pool = self._dispatcher.worker_by_id[run.worker_id].listed.pool
+            if pool not in rooms_by_pool:
+                rooms_by_pool[pool] = self._usable_rooms(pool, now)
+            if pack_tasks([task_need(run.task)], rooms_by_pool[pool]).vm_ids:
+                placeable.append(run)
+        return placeable
+
+    def _needs_by_pool(self, runs: Sequence[Run]) -> dict[str, list[TaskNeed]]:
+        needs_by_pool: dict[str, list[TaskNeed]] = {}
+        for run in runs:
+            pool = self._dispatcher.worker_by_id[run.worker_id].listed.pool
+            needs_by_pool.setdefault(pool, []).append(task_need(run.task))
+        return needs_by_pool
 
     def _plan_moves(
         self,
         kept_vms: frozenset[str],
-        unplaced_by_pool: Mapping[str, Sequence[TaskNeed]],
+        unplaced_by_pool: Mapping[str, _PoolNeeds],
         movable: Sequence[FleetVm],
+        now: float,
     ) -> LastingPlan:
         free_by_vm = {vm.vm_id: vm for vm in movable if vm.vm_id not in kept_vms}
         moves: list[PoolMove] = []
         n_missing_by_pool: dict[str, int] = {}
+        released_vms: set[str] = set()
         for pool, unplaced in unplaced_by_pool.items():
             rooms = {
                 vm_id: CandidateWorker(vm_id, vm.labels, vm.capacity)
                 for vm_id, vm in free_by_vm.items()
                 if vm.pool != pool
             }
-            packing = pack_tasks(unplaced, rooms)
-            for vm_id in sorted(packing.vm_ids):
+            waiting = pack_tasks(unplaced.waiting, rooms)
+            leaving = pack_tasks(unplaced.leaving, rooms)
+            for vm_id in sorted(waiting.vm_ids | leaving.vm_ids):
                 moves.append(PoolMove(vm_id, pool))
                 del free_by_vm[vm_id]
-            n_missing = self._count_missing(packing.unplaced)
+            left = pack_tasks(waiting.unplaced, self._reserved_rooms(pool, now))
+            released_vms |= left.vm_ids
+            n_missing = self._count_missing([*left.unplaced, *leaving.unplaced])
             if n_missing:
                 n_missing_by_pool[pool] = n_missing
-        return LastingPlan(kept_vms, moves, n_missing_by_pool)
+        return LastingPlan(kept_vms, moves, n_missing_by_pool, frozenset(released_vms))
 
     def _needs_within_limit(
         self, waits: Sequence[LastingWait], usage: dict[str, Resources]
@@ -124,15 +170,34 @@
 
     def _pool_rooms(self, pool: str, now: float) -> dict[str, CandidateWorker]:
         """Return the room of each VM of the pool that takes tasks now or soon."""
+        rooms = self._usable_rooms(pool, now)
+        for vm_id, vm in self._inventory.vm_by_id.items():
+            if self._inventory.pool_of(vm) != pool or vm_id in rooms:
+                continue
+            if vm.state is VmState.MOVING or vm_id in self._moved_at_by_vm:
+                rooms[vm_id] = CandidateWorker(vm_id, vm.labels, vm.capacity)
+        return rooms
+
+    def _usable_rooms(self, pool: str, now: float) -> dict[str, CandidateWorker]:
         rooms: dict[str, CandidateWorker] = {}
         for vm_id, vm in self._inventory.vm_by_id.items():
-            if self._inventory.pool_of(vm) != pool:
+            worker = self._inventory.worker_on(vm_id)
+            if worker is None or self._inventory.pool_of(vm) != pool:
                 continue
+            if worker.is_usable(now):
+                rooms[vm_id] = _worker_room(worker)
+        return rooms
+
+    def _reserved_rooms(self, pool: str, now: float) -> dict[str, CandidateWorker]:
+        """Return the room of VMs that are reserved for upkeep but not ordered down."""
+        rooms: dict[str, CandidateWorker] = {}
+        for vm_id in self._inventory.reserved:
+            vm = self._inventory.vm_by_id.get(vm_id)
             worker = self._inventory.worker_on(vm_id)
-            if worker is not None and worker.is_usable(now):
+            if vm is None or worker is None or vm.pool != pool:
+                continue
+            if self._inventory.is_up(vm) and worker.is_in_contact(now):
                 rooms[vm_id] = _worker_room(worker)
-            elif vm.state is VmState.MOVING or vm_id in self._moved_at_by_vm:
-                rooms[vm_id] = CandidateWorker(vm_id, vm.labels, vm.capacity)
         return rooms
 
     def _count_missing(self, tasks: Sequence[TaskNeed]) -> int:
--- a/catkinport/jobs/pool_mover.py
+++ b/catkinport/jobs/pool_mover.py
@@ -29,7 +29,7 @@
 from .pool_demand import PoolDemand, measure_demand
 from .pool_report import PoolReporter, make_report
 from .vm_inventory import VmInventory
-from .worker_state import WorkerRecord
+from .worker_state import Run, WorkerRecord
 
 logger = logging.getLogger(__name__)
 
@@ -43,6 +43,9 @@
 
     Attributes:
         turns: tracker of the turns of all pools.
+        lasting_room: planner of the VMs for lasting tasks.
+        released_vms: reserved VMs that, by the latest plan, have the only room for a
+            lasting task that waits.
     """
 
     def __init__(self, dispatcher: Dispatcher, inventory: VmInventory) -> None:
@@ -52,7 +55,8 @@
         self.turns = TurnTracker({})
         self._phase_by_pool: dict[str, str] = {}
         self._lasting_waits = LastingWaits(dispatcher)
-        self._lasting_room = LastingRoom(dispatcher, inventory)
+        self.lasting_room = LastingRoom(dispatcher, inventory)
+        self.released_vms: frozenset[str] = frozenset()
         self._reporter = PoolReporter()
 
     @property
@@ -107,22 +111,25 @@
                     period_seconds=round(period, 2) if period else "",
                 )
 
-    def plan(self, wave_vms: Set[str], now: float) -> Iterator[VmOrder]:
+    def plan(
+        self, wave_vms: Set[str], now: float, leaving: Sequence[Run] = ()
+    ) -> Iterator[VmOrder]:
         """Yield the moves to order now.
 
         Args:
             wave_vms: VMs that may not be moved before their upkeep.
             now: clock time in seconds.
+            leaving: lasting runs to stop before the upkeep of their VM.
         """
         demand_by_pool = measure_demand(self._dispatcher, now)
         pools = self._pool_views(demand_by_pool, now)
-        if not any(pool.is_spare for pool in pools.values()):
-            return
         waits_by_pool = self._lasting_waits.find(now)
+        may_move = any(pool.is_spare for pool in pools.values())
         movable = [
             vm
             for vm_id, vm in self._inventory.vm_by_id.items()
-            if self._inventory.is_up(vm)
+            if may_move
+            and self._inventory.is_up(vm)
             and vm_id not in self._inventory.reserved
             and (vm_id not in wave_vms or self._inventory.is_off(vm))
         ]
@@ -132,7 +139,8 @@
             for vm in movable
             if vm.vm_id in self._inventory.idle_since_by_vm
         ]
-        lasting = self._plan_lasting(pools, idle_vms, waits_by_pool, now)
+        lasting = self._plan_lasting(pools, idle_vms, waits_by_pool, leaving, now)
+        self.released_vms = lasting.released_vms
         for move in lasting.moves:
             yield self._start_move(move, pools, now, is_for_lasting=True)
         source_by_vm = {vm.vm_id: vm.pool for vm in idle_vms}
@@ -149,14 +157,15 @@
         pools: Mapping[str, PoolView],
         idle_vms: Sequence[IdleVm],
         waits_by_pool: Mapping[str, Sequence[LastingWait]],
+        leaving: Sequence[Run],
         now: float,
     ) -> LastingPlan:
-        """Find room for the lasting tasks that wait, in any phase of their pool."""
+        """Find room for lasting tasks, in any phase of their pool."""
         lendable = [
             self._inventory.vm_by_id[vm.vm_id]
             for vm in find_lendable_vms(pools, idle_vms)
         ]
-        return self._lasting_room.plan(waits_by_pool, lendable, now)
+        return self.lasting_room.plan(waits_by_pool, leaving, lendable, now)
 
     def _report_pools(
         self,
@@ -238,7 +247,7 @@
         worker = self._inventory.worker_on(move.vm_id)
         if worker is not None:
             worker.is_reserved = True
-        self._lasting_room.note_move(move.vm_id, now)
+        self.lasting_room.note_move(move.vm_id, now)
         target = pools[move.pool]
         log_event(
             logger,
--- a/catkinport/jobs/vm_planner.py
+++ b/catkinport/jobs/vm_planner.py
@@ -9,7 +9,7 @@
 """
 
 import logging
-from collections.abc import Iterator, Sequence
+from collections.abc import Iterator, Sequence, Set
 
 from ..policy.upkeep import (
     UpkeepCandidate,
@@ -71,6 +71,8 @@
         self.mover = PoolMover(dispatcher, self.inventory)
         self._disruption_budget = DisruptionBudget(dispatcher, self.inventory)
         self.wave_by_number: dict[int, WaveState] = {}
+        self._planned_at = float("-inf")
+        self._short_pools: set[str] = set()
 
     def update_vms(self, vms: Sequence[FleetVm], sent_at: float) -> None:
         """Update the VMs from the platform's list.
@@ -115,6 +117,7 @@
 
     def plan(self, now: float) -> list[VmOrder]:
         """Return the orders to send now, and note them as sent."""
+        self._planned_at = now
         if now - self.inventory.listed_at > MAX_LIST_AGE_SECONDS:
             return []
         self.inventory.end_holds(now)
@@ -129,7 +132,9 @@
             for vm_id in state.wave.vm_ids
             if vm_id not in state.begun
         }
-        orders.extend(self.mover.plan(wave_vms, now))
+        leaving = self._disruption_budget.find_evacuations(self.inventory.reserved)
+        orders.extend(self.mover.plan(wave_vms, now, leaving))
+        self._release_vms(self.mover.released_vms)
         for order in orders:
             self.inventory.note_sent(order, now)
         return orders
@@ -174,8 +179,23 @@
         )
 
     def find_evacuations(self) -> list[Run]:
-        """Return the lasting runs to stop so that reserved VMs can go down."""
-        return self._disruption_budget.find_evacuations(self.inventory.reserved)
+        """Return the lasting runs to stop so that reserved VMs can go down.
+
+        A run goes on until there is room for its task on another VM.
+        """
+        runs = self._disruption_budget.find_evacuations(self.inventory.reserved)
+        return self.mover.lasting_room.find_placeable(runs, self._planned_at)
+
+    def _release_vms(self, vm_ids: Set[str]) -> None:
+        """Put off the upkeep of VMs that have the only room for a waiting lasting task.
+
+        While such a task is unavailable, upkeep that would make more tasks of its step
+        unavailable can't begin.
+        """
+        self._short_pools = {self.inventory.vm_by_id[vm_id].pool for vm_id in vm_ids}
+        for vm_id in sorted(vm_ids):
+            log_event(logger, "vm upkeep put off", vm=vm_id)
+            self.inventory.release(vm_id)
 
     def _plan_wave(self, state: WaveState, now: float) -> Iterator[VmOrder]:
         if self.is_complete(state):
@@ -234,6 +254,7 @@
             may_end_lasting=worker is not None
             and self._disruption_budget.may_end_all(worker),
             is_pool_busy=self.mover.is_busy(vm.pool),
+            is_pool_short=vm.pool in self._short_pools,
         )
 
     def _upkeep_cost(
--- a/catkinport/policy/upkeep.py
+++ b/catkinport/policy/upkeep.py
@@ -38,6 +38,8 @@
         is_reserved: whether it gets no new tasks, because the wave drains it.
         may_end_lasting: whether all its lasting tasks may be ended right now.
         is_pool_busy: whether the pool's queue has its peak of demand now.
+        is_pool_short: whether a VM of the pool was just given back for a waiting
+            lasting task, so that none of its VMs with tasks is drained.
     """
 
     vm_id: str
@@ -47,6 +49,7 @@
     is_reserved: bool = False
     may_end_lasting: bool = False
     is_pool_busy: bool = False
+    is_pool_short: bool = False
 
 
 class WaveView(NamedTuple):
@@ -111,7 +114,8 @@
         short = [c for c in view.candidates if c.cost is UpkeepCost.SHORT_WORK]
         n_draining = sum(c.is_reserved for c in (*short, *lasting))
         n_wanted = max(0, n_free - len(maintain) - n_draining)
-        others = sorted((c for c in short if not c.is_reserved), key=_busy_cores)
+        drainable = [c for c in short if not c.is_reserved and not c.is_pool_short]
+        others = sorted(drainable, key=_busy_cores)
         drain += [c.vm_id for c in others[:n_wanted]]
     return UpkeepChoice(maintain, drain)
 
@@ -127,9 +131,9 @@
     drain = []
     draining_pools = {c.pool for c in lasting if c.is_reserved}
     for candidate in sorted(lasting, key=_busy_cores):
-        if candidate.pool in draining_pools or (
-            candidate.is_pool_busy and not is_wave_behind
-        ):
+        if candidate.pool in draining_pools or candidate.is_pool_short:
+            continue
+        if candidate.is_pool_busy and not is_wave_behind:
             continue
         draining_pools.add(candidate.pool)
         drain.append(candidate.vm_id)
