Measure what waits in a pool only when its line is due

The report of a pool counted the states of all its workers in each round, four times a second, though it is logged at most once a second and only if tasks wait. It is now made only then. The lines are the same.

--- a/catkinport/jobs/pool_mover.py
+++ b/catkinport/jobs/pool_mover.py
@@ -177,11 +177,14 @@
     ) -> None:
         n_off = sum(self._inventory.is_off(vm) for vm in movable)
         for name, pool in pools.items():
-            if pool.is_spare:
+            demand = demand_by_pool[name]
+            waits = waits_by_pool.get(name, ())
+            is_waiting = demand.waiting_cores + demand.late_cores > 0 or bool(waits)
+            if pool.is_spare or not is_waiting or not self._reporter.is_due(name, now):
                 continue
             report = make_report(
-                demand_by_pool[name],
-                waits_by_pool.get(name, ()),
+                demand,
+                waits,
                 self._dispatcher.workers_of(name),
                 pool.n_vms,
                 wanted_vms(pool),
--- a/catkinport/jobs/pool_report.py
+++ b/catkinport/jobs/pool_report.py
@@ -77,13 +77,14 @@
         self._logged_by_pool: dict[str, PoolReport] = {}
         self._logged_at_by_pool: dict[str, float] = {}
 
-    def note(self, pool: str, report: PoolReport, now: float) -> None:
-        """Log a report that has changed, unless it is too soon or nothing waits."""
-        is_waiting = report.waiting_cores > 0 or report.n_waiting_lasting > 0
-        if not is_waiting or self._logged_by_pool.get(pool) == report:
-            return
+    def is_due(self, pool: str, now: float) -> bool:
+        """Return whether a line about the pool may be logged again."""
         logged_at = self._logged_at_by_pool.get(pool, float("-inf"))
-        if now - logged_at < MIN_REPORT_SECONDS:
+        return now - logged_at >= MIN_REPORT_SECONDS
+
+    def note(self, pool: str, report: PoolReport, now: float) -> None:
+        """Log a report that has changed; call it only if it is due."""
+        if self._logged_by_pool.get(pool) == report:
             return
         self._logged_by_pool[pool] = report
         self._logged_at_by_pool[pool] = now
