Reserve a worker for a lasting task that fits nowhere

Callers saw a large lasting task, whose worker was gone, stay without a run for as long as short jobs kept its pool full.

Jobs are planned with lasting ones first, but a task that fit on no worker reserved nothing. Short tasks took each part of a worker as it became free, so a task that needs most of a worker never found its room free at once.

A waiting lasting task now holds one reservation, on the worker where it fits soonest by the expected ends of the runs there, or else on a worker with reservations. The worker gets no other tasks until it fits. The reservation stays with the worker while the task can still fit there, and ends with the round in which the task starts, is canceled, reaches its account's limit, or the worker may get no tasks. A worker that lasting tasks fill for good is not reserved.

--- a/catkinport/jobs/planner.py
+++ b/catkinport/jobs/planner.py
@@ -9,6 +9,7 @@
 from typing import NamedTuple
 
 from ..policy.job_order import order_key
+from ..policy.reservations import ExpectedEnd, Reservations
 from ..policy.resources import Resources
 from ..policy.worker_choice import CandidateWorker, TaskNeed, choose_worker, fits
 from .account_usage import usage_by_account
@@ -17,7 +18,7 @@
 from .model import Step
 from .record import JobRecord, Task, TaskPhase
 from .start_delays import StartDelays
-from .worker_state import Run, StartBlock, WorkerRecord
+from .worker_state import Run, RunPhase, StartBlock, WorkerRecord
 
 LASTING_TASKS_PER_WORKER_FACTOR = 5
 """Most lasting tasks of a step that one worker should run, as a multiple of how many
@@ -74,6 +75,7 @@
         self._tickets_by_stage: dict[str, dict[str, Ticket]] = {}
         self._learned_before: float | None = None
         self._delays = StartDelays(dispatcher)
+        self._reservations = Reservations()
         self.wanted_approvals: dict[str, ApprovalRequest] = {}
 
     def keep_tickets(self, stage: str, ticket_by_worker: Mapping[str, Ticket]) -> None:
@@ -113,6 +115,7 @@
         usage = usage_by_account(dispatcher)
         for pool, records in records_by_pool.items():
             rooms = self._free_rooms(pool, now)
+            self._reservations.mark(rooms)
             ordered = sorted(
                 records,
                 key=lambda item: order_key(dispatcher.estimates.view_job(*item), now),
@@ -120,6 +123,7 @@
             for record, queue in ordered:
                 self._plan_job(record, queue, rooms, usage, now, unix_now, starts)
         self._delays.end_round()
+        self._reservations.end_round()
         return starts
 
     def _free_rooms(self, pool: str, now: float) -> dict[str, CandidateWorker]:
@@ -169,9 +173,7 @@
                 if len(waiting) == len(tasks):
                     self._plan_gang(waiting, usable, usage, account, now, starts)
             else:
-                for task in waiting:
-                    if not self._plan_task(task, usable, usage, account, now, starts):
-                        break
+                self._plan_tasks(waiting, usable, usage, account, now, starts)
             self._note_delay(waiting, queue, usable, usage, account, now)
 
     def _note_delay(
@@ -220,22 +222,42 @@
             )
         return valid
 
-    def _plan_task(
+    def _plan_tasks(
         self,
-        task: Task,
+        tasks: list[Task],
         rooms: dict[str, CandidateWorker],
         usage: dict[str, Resources],
         account: Account | None,
         now: float,
         starts: list[PlannedStart],
-    ) -> bool:
-        if not is_within_limit(usage, account, task.step.need, 1):
-            return False
-        room = choose_worker(task_need(task), rooms.values())
-        if room is None:
-            return False
-        self._begin_run(task, room, usage, account, now, starts)
-        return True
+    ) -> None:
+        """Place the waiting tasks of a step; reserve workers for lasting ones."""
+        is_full = False
+        may_reserve = True
+        for task in tasks:
+            if not is_within_limit(usage, account, task.step.need, 1):
+                return
+            need = task_need(task)
+            # The tasks of a step differ only in the workers reserved for them.
+            own = self._reservations.find_room(task.text, rooms)
+            candidates = rooms.values() if not is_full else [own] if own else []
+            room = choose_worker(need, candidates)
+            if room is not None:
+                self._begin_run(task, room, usage, account, now, starts)
+                continue
+            is_full = True
+            if not task.step.is_lasting:
+                return
+            if task.phase is TaskPhase.WAITING:
+                may_reserve = self._reservations.reserve(
+                    need,
+                    rooms,
+                    lambda worker_id: self._expected_ends(worker_id, now),
+                    may_reserve,
+                )
+
+    def _expected_ends(self, worker_id: str, now: float) -> list[ExpectedEnd]:
+        return find_expected_ends(self._dispatcher, worker_id, now)
 
     def _plan_gang(
         self,
@@ -271,7 +293,9 @@
     ) -> None:
         worker = self._dispatcher.worker_by_id[room.worker_id]
         run = self._dispatcher.begin_run(worker, task, now)
-        room.take(task_need(task))
+        need = task_need(task)
+        room.take(need)
+        self._reservations.release(task.text, room)
         name = run.record.job.account
         have = usage.get(name, NO_USAGE)
         usage[name] = Resources(
@@ -303,9 +327,31 @@
         step.is_filler,
         step.target_seconds > 0,
         task.avoided_worker,
+        task.text,
     )
 
 
+def find_expected_ends(
+    dispatcher: Dispatcher, worker_id: str, now: float
+) -> list[ExpectedEnd]:
+    """Return when the runs on a worker are expected to end.
+
+    Lasting runs that are not being stopped are left out.
+    """
+    ends = []
+    for run in dispatcher.worker_by_id[worker_id].run_by_key.values():
+        if run.phase is RunPhase.STOPPING:
+            seconds = 0.0
+        elif run.task.step.is_lasting:
+            continue
+        else:
+            durations = dispatcher.estimates.durations_of(run.record.job.queue)
+            expected_seconds = durations.predict(run.task.step.estimate_seconds)
+            seconds = max(0.0, run.asked_at + expected_seconds - now)
+        ends.append(ExpectedEnd(seconds, task_need(run.task).counted_need))
+    return ends
+
+
 def is_within_limit(
     usage: Mapping[str, Resources], account: Account | None, need: Resources, n: int
 ) -> bool:
@@ -367,6 +413,7 @@
     copy = CandidateWorker(room.worker_id, room.labels, free, room.penalty)
     copy.is_maintenance_due = room.is_maintenance_due
     copy.is_last_resort = room.is_last_resort
+    copy.reserved_for = room.reserved_for
     copy.n_tasks_by_step = dict(room.n_tasks_by_step)
     copy.n_fillers = room.n_fillers
     copy.n_latency_tasks = room.n_latency_tasks
--- a/catkinport/jobs/start_delays.py
+++ b/catkinport/jobs/start_delays.py
@@ -137,7 +137,13 @@
     suitable = [room for room in rooms if is_suitable(need, room)]
     if not suitable:
         return "no-suitable-worker"
-    wanted = need.need._replace(cores=0.0) if need.is_filler else need.need
+    suitable = [
+        room
+        for room in suitable
+        if not room.reserved_for or need.task in room.reserved_for
+    ]
+    if not suitable:
+        return "all-reserved"
     names = ("cores", "memory", "accelerators")
     most = Resources(
         max(room.cores for room in suitable),
@@ -146,7 +152,7 @@
     )
     lacking = [
         name
-        for name, amount, free in zip(names, wanted, most, strict=True)
+        for name, amount, free in zip(names, need.counted_need, most, strict=True)
         if amount > free
     ]
     return "no-room:" + ("+".join(lacking) or "together")
--- a/catkinport/policy/worker_choice.py
+++ b/catkinport/policy/worker_choice.py
@@ -30,6 +30,7 @@
         n_tasks_by_step: number of tasks that it runs, by name of their step.
         n_fillers: number of filler tasks that it runs.
         n_latency_tasks: number of tasks with a latency target that it runs.
+        reserved_for: names of the only tasks that may start on it; empty for all tasks.
     """
 
     __slots__ = (
@@ -43,6 +44,7 @@
         "n_fillers",
         "n_latency_tasks",
         "penalty",
+        "reserved_for",
         "worker_id",
     )
 
@@ -62,6 +64,7 @@
         self.n_tasks_by_step: dict[str, int] = {}
         self.n_fillers = 0
         self.n_latency_tasks = 0
+        self.reserved_for: set[str] = set()
 
     def count(self, task: "TaskNeed") -> None:
         """Count a task that runs already; ``free`` does not contain its resources."""
@@ -72,7 +75,7 @@
     def take(self, task: "TaskNeed") -> None:
         """Count a task and reserve its resources, except the cores of a filler task."""
         self.count(task)
-        self.cores -= 0.0 if task.is_filler else task.need.cores
+        self.cores -= task.counted_need.cores
         self.memory_gb -= task.need.memory_gb
         self.accelerators -= task.need.accelerators
 
@@ -93,6 +96,7 @@
             tasks leave idle.
         has_target: whether it has a latency target.
         avoided_worker: worker on which it failed before; empty for none.
+        task: name of the task.
     """
 
     step: str
@@ -105,6 +109,12 @@
     is_filler: bool = False
     has_target: bool = False
     avoided_worker: str = ""
+    task: str = ""
+
+    @property
+    def counted_need(self) -> Resources:
+        """Resources that it takes from its worker: no cores for a filler task."""
+        return self.need._replace(cores=0.0) if self.is_filler else self.need
 
 
 def fits(task: TaskNeed, room: CandidateWorker) -> bool:
@@ -117,23 +127,30 @@
         >>> fits(TaskNeed("s", Resources(1.0, 1.0, 0), required_label="gpu"), room)
         False
     """
-    if not is_suitable(task, room):
+    if room.reserved_for and task.task not in room.reserved_for:
         return False
     cores = 0.0 if task.is_filler else task.need.cores
     return (
         cores <= room.cores + ROUNDING_TOLERANCE
         and task.need.memory_gb <= room.memory_gb + ROUNDING_TOLERANCE
         and task.need.accelerators <= room.accelerators + ROUNDING_TOLERANCE
+        and is_suitable(task, room)
     )
 
 
-def is_suitable(task: TaskNeed, room: CandidateWorker) -> bool:
-    """Return whether the worker may run the task, whatever resources are free."""
+def is_suitable(task: TaskNeed, room: CandidateWorker, n_more_of_step: int = 0) -> bool:
+    """Return whether the worker may run the task, whatever resources are free.
+
+    Args:
+        task: requirements of the task.
+        room: the worker.
+        n_more_of_step: tasks of the same step that are about to start there.
+    """
     if task.required_label and task.required_label not in room.labels:
         return False
     if room.is_last_resort and not task.is_lasting:
         return False
-    n_of_step = room.n_tasks_by_step.get(task.step, 0)
+    n_of_step = room.n_tasks_by_step.get(task.step, 0) + n_more_of_step
     return not task.max_per_worker or n_of_step < task.max_per_worker
 
 
