Evacuate a lasting task only if another worker can hold it

Callers saw a lasting task without a run from the start of a wave of upkeep on, for as long as the wave lasted.

A VM with more tasks of a step than may be unavailable at once is evacuated before its upkeep. A task was stopped for this whether or not any other worker could hold it. If none could, the task stayed unavailable, so the rest could not be ended either, the VM stayed up and closed to new tasks, and the stopped task had no run. Reading ruled out the budget itself: it counts the task correctly, and for that reason never lets the VM go down.

The test of evacuation one task at a time had a single worker, that is, the situation of the fault. It has a second worker to move to now, and makes the same checks.

--- a/catkinport/jobs/disruption_budget.py
+++ b/catkinport/jobs/disruption_budget.py
@@ -6,7 +6,9 @@
 
 from collections.abc import Iterable
 
+from ..policy.worker_choice import CandidateWorker, fits
 from .dispatcher import Dispatcher
+from .planner import task_need
 from .record import TaskPhase
 from .vm_inventory import VmInventory
 from .worker_state import Run, WorkerRecord
@@ -35,11 +37,13 @@
         self._dispatcher = dispatcher
         self._inventory = inventory
 
-    def find_evacuations(self, vm_ids: Iterable[str]) -> list[Run]:
+    def find_evacuations(self, vm_ids: Iterable[str], now: float) -> list[Run]:
         """Return the lasting runs to stop so that the given VMs can go down.
 
         If a VM has more tasks of a step than may be unavailable at once, they are
-        stopped a few at a time, until the rest may be ended together with the VM.
+        stopped a few at a time, until the rest may be ended together with the VM. A
+        task that fits on no other worker, even once the short tasks there have ended,
+        goes on running: it would stay unavailable, and with it the VM up.
         """
         runs = []
         evacuated: dict[Stage, int] = {}
@@ -53,11 +57,24 @@
                     continue
                 n_unavailable = self._count_unavailable(stage) + evacuated.get(stage, 0)
                 may_end_rest = _count_lasting(worker)[stage] <= self._max_away(stage)
-                if n_unavailable + 1 <= self._max_away(stage) and not may_end_rest:
+                if n_unavailable + 1 > self._max_away(stage) or may_end_rest:
+                    continue
+                if self._has_other_worker(run, now):
                     evacuated[stage] = evacuated.get(stage, 0) + 1
                     runs.append(run)
         return runs
 
+    def _has_other_worker(self, run: Run, now: float) -> bool:
+        """Return whether another worker has room beside its lasting tasks."""
+        pool = self._dispatcher.worker_by_id[run.worker_id].listed.pool
+        need = task_need(run.task)
+        return any(
+            other.worker_id != run.worker_id
+            and other.may_start(now)
+            and fits(need, _room_beside_lasting(other))
+            for other in self._dispatcher.workers_of(pool)
+        )
+
     def may_end_all(self, worker: WorkerRecord) -> bool:
         """Return whether all lasting tasks of the worker may be ended together."""
         return all(
@@ -89,6 +106,17 @@
         return ready_seconds >= MIN_READY_SECONDS
 
 
+def _room_beside_lasting(worker: WorkerRecord) -> CandidateWorker:
+    """Return the worker as it will be once its short tasks have ended."""
+    room = CandidateWorker(
+        worker.worker_id, worker.listed.labels, worker.listed.capacity
+    )
+    for run in worker.run_by_key.values():
+        if run.task.step.is_lasting:
+            room.take(task_need(run.task))
+    return room
+
+
 def _count_lasting(worker: WorkerRecord) -> dict[Stage, int]:
     n_by_stage: dict[Stage, int] = {}
     for run in worker.run_by_key.values():
--- a/catkinport/jobs/tests/test_vm_planner.py
+++ b/catkinport/jobs/tests/test_vm_planner.py
@@ -26,6 +26,15 @@
     def _vm(vm_id, pool, worker_id):
         return FleetVm(vm_id, pool, VmState.UP, "z", (), CAPACITY, worker_id)
 
+    def add_worker(self, number: int) -> None:
+        worker_id = f"w{number}"
+        self.workers.append(make_worker(worker_id))
+        self.running_by_worker[worker_id] = {}
+        self.ended_by_worker[worker_id] = []
+        self.vms.append(self._vm(f"m{number}", POOL, worker_id))
+        self.list_workers()
+        self.list_vms()
+
     def list_vms(self) -> None:
         self.vm_planner.update_vms(self.vms, self.now)
         self.dispatcher.update_vms(self.vms, self.now, self.now)
@@ -131,13 +140,21 @@
     def test_vm_with_too_many_tasks_is_evacuated_one_task_at_a_time(self):
         """Guards against ending more tasks of a step at once than it tolerates."""
         fleet = self._fleet(2, max_away=1, max_per_worker=2, n_workers=1)
+        fleet.add_worker(1)
         fleet.request_wave(["m0"])
         assert fleet.step() + fleet.step() == []
-        (run,) = fleet.vm_planner.find_evacuations()
+        (run,) = fleet.vm_planner.find_evacuations(fleet.now)
         run.is_evacuated = True
         (stop,) = find_stops(fleet.dispatcher, fleet.now)
         assert stop.reason == "evacuated"
-        assert fleet.vm_planner.find_evacuations() == []
+        assert fleet.vm_planner.find_evacuations(fleet.now) == []
+
+    def test_task_without_another_worker_is_not_evacuated(self):
+        """Guards against a stopped task that fits nowhere and a VM that stays up."""
+        fleet = self._fleet(2, max_away=1, max_per_worker=2, n_workers=1)
+        fleet.request_wave(["m0"])
+        assert fleet.step() + fleet.step() == []
+        assert fleet.vm_planner.find_evacuations(fleet.now) == []
 
 
 class TestMoves:
--- a/catkinport/jobs/vm_planner.py
+++ b/catkinport/jobs/vm_planner.py
@@ -173,9 +173,9 @@
             for vm_id in state.wave.vm_ids
         )
 
-    def find_evacuations(self) -> list[Run]:
+    def find_evacuations(self, now: float) -> list[Run]:
         """Return the lasting runs to stop so that reserved VMs can go down."""
-        return self._disruption_budget.find_evacuations(self.inventory.reserved)
+        return self._disruption_budget.find_evacuations(self.inventory.reserved, now)
 
     def _plan_wave(self, state: WaveState, now: float) -> Iterator[VmOrder]:
         if self.is_complete(state):
