--- a/catkinport/jobs/planner.py
+++ b/catkinport/jobs/planner.py
@@ -249,12 +249,13 @@
             if not task.step.is_lasting:
                 return
             if task.phase is TaskPhase.WAITING:
-                may_reserve = self._reservations.reserve(
+                is_reserved = self._reservations.reserve(
                     need,
                     rooms,
                     lambda worker_id: self._expected_ends(worker_id, now),
                     may_reserve,
                 )
+                may_reserve = may_reserve and is_reserved
 
     def _expected_ends(self, worker_id: str, now: float) -> list[ExpectedEnd]:
         return find_expected_ends(self._dispatcher, worker_id, now)
