--- a/catkinport/jobs/tests/test_vm_planner.py
+++ b/catkinport/jobs/tests/test_vm_planner.py
@@ -149,6 +149,13 @@
         assert stop.reason == "evacuated"
         assert fleet.vm_planner.find_evacuations() == []
 
+    def test_task_without_another_worker_is_not_evacuated(self):
+        """Guards against a stopped task that fits nowhere and a VM that stays up."""
+        fleet = self._fleet(2, max_away=1, max_per_worker=2, n_workers=1)
+        fleet.request_wave(["m0"])
+        assert fleet.step() + fleet.step() == []
+        assert fleet.vm_planner.find_evacuations() == []
+
 
 class TestMoves:
     def test_vms_that_are_off_join_the_pool_that_needs_more(self):
