Find accepted jobs of a queue after the configuration opens or closes it

A caller got 410 for a job that it had submitted with a key once the queue needed no key any more, and for one submitted without a key once the queue needed one: the account stored with the job was compared with that of the call. Such jobs are now found on the queue on which they were accepted. Jobs of another account, and jobs of another queue where either call has no key, stay hidden.

Found by reading; no configuration of the documented kinds changes whether a queue needs a key. Four cases of the new tests failed before. Ruled out: stale reads, as no state is cached and rows of jobs are never removed; answers in pages, as the range of one job has two rows; and a cancellation answered 410, which writes nothing that a later submission would meet.

--- a/catkinport/jobs/intake.py
+++ b/catkinport/jobs/intake.py
@@ -4,8 +4,8 @@
 """
 
 import logging
-from collections.abc import Callable
-from typing import NamedTuple
+from collections.abc import Callable, Mapping, Sequence
+from typing import Any, NamedTuple
 
 from ..ports import NotRun, Reason, Unavailable, Unknown
 from ..ports.async_table import AsyncTable, commit_until_known
@@ -14,6 +14,7 @@
     Committed,
     Condition,
     Conflict,
+    Row,
     Transaction,
     Write,
 )
@@ -98,33 +99,43 @@
         )
 
     async def find_state(
-        self, job_id: str, account: str
+        self, job_id: str, account: str, queue: str
     ) -> JobState | Absent | Unavailable:
-        """Return the state of a job of ``account``.
+        """Return the state of a job that a caller may see.
 
-        A job without a stored state is queued. A job of another account is absent.
+        A job without a stored state is queued. A job that the caller may not see is
+        absent.
+
+        Args:
+            job_id: id of the job.
+            account: account of the caller; empty on a queue that needs no key.
+            queue: name of the queue on which the caller asks.
         """
         states = await self._table.read_range(STATES_TABLE, job_id, job_id + RANGE_END)
         if isinstance(states, Unavailable):
             return states
-        for row in states.rows:
-            if row.row_key.key == job_id and row.value["account"] == account:
-                return JobState(row.value["state"])
+        state_row = _find_value(states.rows, job_id)
+        state = JobState(state_row["state"]) if state_row else JobState.QUEUED
+        if state_row and state_row["account"] == account:
+            return state
         rows = await self._table.read_range(JOBS_TABLE, job_id, job_id + RANGE_END)
         if isinstance(rows, Unavailable):
             return rows
-        for row in rows.rows:
-            if row.row_key.key == job_id and row.value.get("account", "") == account:
-                return JobState.QUEUED
-        return Absent()
+        job_row = _find_value(rows.rows, job_id)
+        if job_row is None or not _may_see(job_row, account, queue):
+            return Absent()
+        return state
 
     async def cancel(
-        self, job_id: str, account: str
+        self, job_id: str, account: str, queue: str
     ) -> Canceled | Absent | NotRun | Unknown:
-        """Store a request to cancel a job of ``account``; the call is idempotent."""
+        """Store a request to cancel a job; the call is idempotent.
+
+        Its arguments are those of `find_state`.
+        """
         if not self._is_table_reached():
             return TABLE_NOT_REACHED
-        state = await self.find_state(job_id, account)
+        state = await self.find_state(job_id, account, queue)
         if isinstance(state, Absent):
             return state
         if isinstance(state, Unavailable):
@@ -140,6 +151,26 @@
         return Unknown(outcome.reason, outcome.step, outcome.peer, outcome.detail)
 
 
+def _find_value(rows: Sequence[Row], job_id: str) -> Mapping[str, Any] | None:
+    for row in rows:
+        if row.row_key.key == job_id:
+            return row.value
+    return None
+
+
+def _may_see(job_row: Mapping[str, Any], account: str, queue: str) -> bool:
+    """Return whether a caller may see a job.
+
+    A configuration may change whether a queue needs a key. Jobs accepted without a key
+    can then be seen with any, and without a key all jobs of the queue.
+    """
+    stored_account = job_row.get("account", "")
+    if stored_account == account:
+        return True
+    is_without_key = not stored_account or not account
+    return is_without_key and job_row["queue"] == queue
+
+
 def describe(outcome: NotRun | Unknown | Unavailable) -> str:
     """Return the reason, step and peer of an outcome as text for a log line."""
     reason = Reason(outcome.reason).value
--- /dev/null
+++ b/catkinport/jobs/tests/test_intake.py
@@ -0,0 +1,76 @@
+"""Tests of which jobs a caller may see and cancel."""
+
+import asyncio
+
+import pytest
+
+from ...ports.async_table import Snapshot
+from ...ports.table import Committed, Row
+from ..intake import Absent, Canceled, Intake
+from ..model import JobState, job_to_row
+from ..tables import JOBS_TABLE, STATES_TABLE, job_key, state_key
+from .builders import ACCOUNT, JOB_ID, QUEUE, make_job
+
+OPEN = ""
+"""Account of a call on a queue that needs no key."""
+
+
+class FakeTable:
+    """Table service with one job, which may have a state."""
+
+    def __init__(self, account: str, has_state: bool) -> None:
+        job = make_job(account=account)._replace(accepted_at=1.0)
+        state = {"state": "running", "account": account, "top_run": 1}
+        self.rows_by_table = {
+            JOBS_TABLE: [Row(job_key(JOB_ID), 1, job_to_row(job))],
+            STATES_TABLE: [Row(state_key(JOB_ID), 2, state)] if has_state else [],
+        }
+
+    async def read_range(self, table, start="", end=""):
+        return Snapshot(self.rows_by_table[table], 3)
+
+    async def commit(self, transaction):
+        return Committed({write.row_key: 4 for write in transaction.writes})
+
+
+class TestVisibility:
+    @pytest.mark.parametrize("has_state", [False, True])
+    @pytest.mark.parametrize(
+        ("stored", "asking"), [(ACCOUNT, ACCOUNT), (ACCOUNT, OPEN), (OPEN, ACCOUNT)]
+    )
+    def test_a_job_is_known_after_its_queue_was_opened_or_closed(
+        self, stored, asking, has_state
+    ):
+        """Guards against status 410 for an accepted job.
+
+        A configuration may change whether a queue needs a key.
+        """
+        intake = Intake(FakeTable(stored, has_state), lambda: True)
+        expected = JobState.RUNNING if has_state else JobState.QUEUED
+        assert asyncio.run(intake.find_state(JOB_ID, asking, QUEUE)) is expected
+        assert asyncio.run(intake.cancel(JOB_ID, asking, QUEUE)) == Canceled()
+
+    @pytest.mark.parametrize("has_state", [False, True])
+    @pytest.mark.parametrize(
+        ("stored", "asking", "queue"),
+        [
+            (ACCOUNT, "other", QUEUE),
+            (ACCOUNT, OPEN, "other-queue"),
+            (OPEN, ACCOUNT, "other-queue"),
+        ],
+    )
+    def test_a_job_of_another_account_is_absent(self, stored, asking, queue, has_state):
+        """Guards against jobs that callers of other accounts or queues can see."""
+        intake = Intake(FakeTable(stored, has_state), lambda: True)
+        assert asyncio.run(intake.find_state(JOB_ID, asking, queue)) == Absent()
+        assert asyncio.run(intake.cancel(JOB_ID, asking, queue)) == Absent()
+
+    @pytest.mark.parametrize("has_state", [False, True])
+    def test_the_own_account_sees_its_job_through_another_queue(self, has_state):
+        """Guards against a job that is lost as its path leads to another queue.
+
+        A configuration may add a queue with a longer prefix.
+        """
+        intake = Intake(FakeTable(ACCOUNT, has_state), lambda: True)
+        state = asyncio.run(intake.find_state(JOB_ID, ACCOUNT, "other-queue"))
+        assert not isinstance(state, Absent)
--- a/catkinport/platform/callers.py
+++ b/catkinport/platform/callers.py
@@ -196,7 +196,7 @@
     async def _show(
         self, request: web.BaseRequest, queue: Queue, account: str, job_id: str
     ) -> Answer:
-        state = await self._intake.find_state(job_id, account)
+        state = await self._intake.find_state(job_id, account, queue.name)
         if isinstance(state, Absent):
             return Answer(410, reason="absent")
         if isinstance(state, Unavailable):
@@ -206,7 +206,7 @@
     async def _cancel(
         self, request: web.BaseRequest, queue: Queue, account: str, job_id: str
     ) -> Answer:
-        outcome = await self._intake.cancel(job_id, account)
+        outcome = await self._intake.cancel(job_id, account, queue.name)
         if isinstance(outcome, Canceled):
             return Answer(200, reason="canceled")
         if isinstance(outcome, Absent):
