Log each job whose queue no known configuration has

Such a job stands still, and the log of the owner told nothing of it after 'job added': a job that waits for a worker looked the same. The line is a warning, as the owner may read the newest configuration a moment after the daemon that accepted the job. The new test failed before.

--- a/catkinport/jobs/owner.py
+++ b/catkinport/jobs/owner.py
@@ -262,9 +262,22 @@
         # gives the approximate time since another daemon accepted the job.
         age = min(max(0.0, time.time() - job.accepted_at), 3600.0)
         self._session.dispatcher.add_job(job, now, is_inherited, age)
+        self._log_unknown_queue(job)
         if not is_inherited:
             self._note_work(job, now)
 
+    def _log_unknown_queue(self, job: Job) -> None:
+        # A daemon with a newer configuration may have accepted the job.
+        record = self._session.dispatcher.job_by_id[job.job_id]
+        if self._session.dispatcher.queue_of(record) is None:
+            log_event(
+                logger,
+                "job has no known queue",
+                level=logging.WARNING,
+                request_id=job.job_id,
+                queue=job.queue,
+            )
+
     def _note_work(self, job: Job, now: float) -> None:
         queue = self._session.dispatcher.configuration.queue_by_name.get(job.queue)
         if queue is not None:
--- a/catkinport/jobs/tests/test_job_feed.py
+++ b/catkinport/jobs/tests/test_job_feed.py
@@ -127,3 +127,19 @@
             return dispatcher
 
         assert asyncio.run(follow_after_end()).job_by_id == {}
+
+
+class TestUnknownQueue:
+    def test_a_job_that_cannot_start_is_logged(self, caplog):
+        """Guards against jobs that stand still without a line in the log."""
+        table = FakeTable()
+
+        async def load():
+            owner = make_owner(table)
+            without_queue = make_configuration(version=2)._replace(queue_by_name={})
+            owner._session.dispatcher._known_queue_by_name.clear()
+            owner.apply_configuration(without_queue)
+            await owner._load()
+
+        asyncio.run(load())
+        assert "job has no known queue" in caplog.text
