Log which runs a worker had when it crashed

The runs of a crashed worker are given up in several steps over 1.3 s, between those of other workers, and with the reasons of an ordered or a drained VM. A crash is now recognized by itself: the VM is listed as down, or as up with another worker, or another process answers under the worker's id, while the worker was not draining and its VM not ordered away. The line names the runs and their ages. Nothing else changes.

--- a/catkinport/jobs/worker_reports.py
+++ b/catkinport/jobs/worker_reports.py
@@ -7,6 +7,7 @@
 from .inherited_workers import InheritedWorkers
 from .run_ends import RunEnds
 from .run_table import RunTable
+from .worker_crashes import note_answer, note_crash
 from .worker_state import LEASE_SECONDS, RunKey, RunPhase, WorkerRecord, bound_lease
 from .worker_table import WorkerTable
 
@@ -73,8 +74,11 @@
     ) -> None:
         is_other_process = lists.started_at != worker.started_at
         is_restarted = is_other_process and worker.started_at > 0
+        note_answer(worker, lists.started_at)
         if is_restarted:
+            note_crash(worker, "restarted", now)
             self._on_restart(worker, lists, now)
+            worker.is_taken_down = False
         if is_other_process:
             worker.started_known_at = now
         if worker.contact_at == float("-inf"):
--- a/catkinport/jobs/worker_state.py
+++ b/catkinport/jobs/worker_state.py
@@ -86,6 +86,18 @@
     started_at: float
 
 
+class WorkerCrash(NamedTuple):
+    """Crash of a process of a worker.
+
+    Args:
+        started_at: Unix time in seconds at which the process had started.
+        runs: runs that were or may have been on it.
+    """
+
+    started_at: float
+    runs: frozenset[RunKey]
+
+
 class Run:
     """A run of a task on a worker, from its start order until the worker lists its end.
 
@@ -181,6 +193,10 @@
         is_reserved: whether it gets no new tasks before an upkeep or move of its VM.
         is_cordoned: whether it is cordoned: it gets no new tasks, so that its VM can
             move to a pool that needs it more once its runs have ended.
+        is_taken_down: whether its VM was listed as moving, down for upkeep or in
+            another pool.
+        crash: latest crash of a process of it; ``None`` before, or if that process has
+            answered after all.
         used: resources that its runs take.
     """
 
@@ -203,6 +219,8 @@
         self.is_cordoned = False
         self.is_maintenance_due = False
         self.is_enrolled = False
+        self.is_taken_down = False
+        self.crash: WorkerCrash | None = None
         self._outcomes: deque[bool] = deque(maxlen=HEALTH_WINDOW)
         self._quarantine_seconds = QUARANTINE_SECONDS
         self.used = Resources(0.0, 0.0, 0.0)
--- a/catkinport/jobs/worker_vms.py
+++ b/catkinport/jobs/worker_vms.py
@@ -5,6 +5,7 @@
 from ..ports.fleet_vms import FleetVm, VmState
 from .inherited_workers import InheritedWorkers
 from .run_table import RunTable
+from .worker_crashes import note_listed_vm
 from .worker_state import WorkerRecord
 from .worker_table import WorkerTable
 
@@ -53,6 +54,7 @@
     def _on_vm_gone(
         self, worker: WorkerRecord, vm: FleetVm | None, sent_at: float, now: float
     ) -> None:
+        note_listed_vm(worker, vm, now)
         reason = f"vm-{vm.state}" if vm else "vm-absent"
         worker.pause_as_uncertain(now)
         self._inherited.resolve(worker.worker_id, reason, now)
