Give up a task that crashes the workers that start it

Cause: only ends that a worker lists as failed were counted; a run lost with its worker left no trace in the job's record.

Change: each young run on a crashed worker makes its task a suspect, kept in the stored state of the job. Suspects are kept apart at their next start, so that the next crash tells which is to blame: the only suspect, or the one with the most earlier crashes. A task is given up, and its job fails, once it is to blame on two VMs, or on one after crashes of three, or after four crashes in all. A third start waits until the crashes are stored. Drains, orders for the VM, cut workers, expired leases and unconfirmed starts do not count; a run of 10 s clears its task.

--- a/catkinport/jobs/planner.py
+++ b/catkinport/jobs/planner.py
@@ -8,6 +8,7 @@
 from collections.abc import Iterator, Mapping
 from typing import NamedTuple
 
+from ..policy.crash_blame import is_on_trial
 from ..policy.job_order import order_key
 from ..policy.resources import Resources
 from ..policy.worker_choice import CandidateWorker, TaskNeed, choose_worker, fits
@@ -131,7 +132,7 @@
             )
             room.is_maintenance_due = worker.is_maintenance_due
             for run in worker.run_by_key.values():
-                room.count(task_need(run.task))
+                room.count(running_need(worker, run))
             rooms[worker.worker_id] = room
         return rooms
 
@@ -156,7 +157,7 @@
             if record.job.due_at(stage[0]) > unix_now:
                 continue
             tasks = record.tasks_by_stage[stage]
-            waiting = [task for task in tasks if self._is_startable(task, now)]
+            waiting = [t for t in tasks if self._is_startable(record, t, now)]
             if not waiting:
                 continue
             usable = self._usable_rooms(waiting[0], queue, rooms, now)
@@ -168,12 +169,16 @@
                 if not self._plan_task(task, usable, usage, account, now, starts):
                     break
 
-    def _is_startable(self, task: Task, now: float) -> bool:
+    def _is_startable(self, record: JobRecord, task: Task, now: float) -> bool:
+        if record.must_store_crashes(task):
+            return False
         if task.phase is TaskPhase.WAITING:
             is_held_back = self._learned_before is not None and task.is_lost
             return task.not_before <= now and not is_held_back
         if task.phase is TaskPhase.DONE or not task.step.may_run_twice:
             return False
+        if task.crash_by_run:
+            return False
         runs = self._dispatcher.runs_by_task.get(task.text, [])
         return len(runs) == 1 and self._dispatcher.is_run_uncertain(runs[0], now)
 
@@ -278,9 +283,22 @@
         step.is_filler,
         step.target_seconds > 0,
         task.avoided_worker,
+        len(task.crash_by_run),
     )
 
 
+def running_need(worker: WorkerRecord, run: Run) -> TaskNeed:
+    """Return the requirements of the task of a run that is on the worker.
+
+    A suspect whose run is no longer on trial counts like any other task.
+    """
+    need = task_need(run.task)
+    known_seconds = worker.contact_at - run.known_at if run.known_at else 0.0
+    if need.n_crashes and not is_on_trial(known_seconds):
+        return need._replace(n_crashes=0)
+    return need
+
+
 def is_within_limit(
     usage: Mapping[str, Resources], account: Account | None, need: Resources, n: int
 ) -> bool:
@@ -344,4 +362,7 @@
     copy.n_tasks_by_step = dict(room.n_tasks_by_step)
     copy.n_fillers = room.n_fillers
     copy.n_latency_tasks = room.n_latency_tasks
+    copy.n_tasks = room.n_tasks
+    copy.n_suspects = room.n_suspects
+    copy.has_repeated_suspect = room.has_repeated_suspect
     return copy
--- a/catkinport/jobs/record.py
+++ b/catkinport/jobs/record.py
@@ -4,6 +4,7 @@
 from enum import StrEnum
 from typing import Any
 
+from ..policy.crash_blame import REPEATED_CRASHES, Crash, must_give_up
 from ..policy.durations import DurationModel
 from .configuration import Queue
 from .model import FINAL_STATES, Job, JobState, Step, TaskId, chain_seconds
@@ -32,6 +33,7 @@
         run: number of its latest run; 0 before the first.
         failed_runs: numbers of the runs that failed. They are kept as a set, because a
             worker may report a failure again that a former owner has counted.
+        crash_by_run: crashes of workers that it is a suspect of, by number of its run.
         checkpoint: reference of the latest known checkpoint; empty for none.
         is_lost: whether its last run was given up although no worker reported its end.
             A successor may still have that run.
@@ -42,6 +44,7 @@
 
     __slots__ = (
         "avoided_worker",
+        "crash_by_run",
         "ever_started",
         "failed_runs",
         "is_lost",
@@ -61,6 +64,7 @@
         self.phase = TaskPhase.WAITING
         self.run = 0
         self.failed_runs: set[int] = set()
+        self.crash_by_run: dict[int, Crash] = {}
         self.checkpoint = ""
         self.not_before = 0.0
         self.avoided_worker = ""
@@ -83,6 +87,8 @@
         learned_at: clock time in seconds at which this owner has read it.
         first_start_at: clock time of its first start order; 0 before.
         n_placed: number of runs that are or may be on workers.
+        n_crashes: number of crashes of workers counted for its tasks by this owner.
+        n_stored_crashes: number of those that are stored.
         ever_started: whether this owner has ordered or adopted a run of it.
         tasks_by_stage: tasks of each (occurrence, step).
     """
@@ -97,6 +103,8 @@
         self.accepted_at = 0.0
         self.learned_at = 0.0
         self.n_placed = 0
+        self.n_crashes = 0
+        self.n_stored_crashes = 0
         self.ever_started = False
         self.first_start_at = 0.0
         self.tasks_by_stage: dict[tuple[int, int], list[Task]] = {}
@@ -188,6 +196,39 @@
         if len(task.failed_runs) >= max_failures:
             self.state = JobState.FAILED
 
+    def mark_crashed(self, task: Task, run: int, crash: Crash) -> bool:
+        """Count the crash of the worker of a run; return whether the job fails for it.
+
+        Args:
+            task: the task.
+            run: number of the run.
+            crash: the crash.
+        """
+        task.crash_by_run[run] = crash
+        self.n_crashes += 1
+        self.is_dirty = True
+        self.mark_begun()
+        if self.is_closing or task.phase is TaskPhase.DONE:
+            return False
+        if not must_give_up(task.crash_by_run.values()):
+            return False
+        self.state = JobState.FAILED
+        return True
+
+    def clear_crashes(self, task: Task) -> None:
+        """Forget the crashes of a task that a run has proved innocent."""
+        task.crash_by_run.clear()
+        self.is_dirty = True
+
+    def must_store_crashes(self, task: Task) -> bool:
+        """Return whether the task waits for its next start until a crash is stored.
+
+        A successor would not know of that crash. The first crash of a task is mostly
+        that of another one, so it doesn't delay the next start.
+        """
+        is_repeated = len(task.crash_by_run) >= REPEATED_CRASHES
+        return is_repeated and self.n_stored_crashes < self.n_crashes
+
     def mark_canceled(self) -> None:
         """Set the state of a job to canceled, unless it has ended."""
         if not self.is_final:
@@ -261,6 +302,11 @@
         row["failed_runs"] = {
             t.text: sorted(t.failed_runs) for t in open_tasks if t.failed_runs
         }
+        row["crashes"] = {
+            t.text: [[run, *crash] for run, crash in sorted(t.crash_by_run.items())]
+            for t in open_tasks
+            if t.crash_by_run
+        }
         row["saved"] = {t.text: t.checkpoint for t in open_tasks if t.checkpoint}
         return row
 
@@ -283,6 +329,10 @@
             task = self.find_task(TaskId.parse(name))
             if task is not None:
                 task.failed_runs = set(runs)
+        for name, crashes in row.get("crashes", {}).items():
+            task = self.find_task(TaskId.parse(name))
+            if task is not None:
+                task.crash_by_run = {run: Crash(*crash) for run, *crash in crashes}
         for name, checkpoint in row.get("saved", {}).items():
             task = self.find_task(TaskId.parse(name))
             if task is not None:
--- a/catkinport/jobs/run_table.py
+++ b/catkinport/jobs/run_table.py
@@ -8,6 +8,7 @@
 from .model import TaskId
 from .record import JobRecord, Task, TaskPhase
 from .uncertain_starts import UncertainStarts
+from .worker_crashes import count_crash
 from .worker_state import Incarnation, Run, RunKey, RunPhase, WorkerRecord
 from .worker_table import WorkerTable
 
@@ -124,6 +125,7 @@
             silent_seconds=round(now - worker.contact_at, 2),
         )
         run.task.is_lost = reason != NOT_SENT
+        count_crash(worker, run)
         self.note_run_over(run.record, run.task)
 
     def lose_all(self, worker: WorkerRecord, reason: str, now: float) -> None:
--- a/catkinport/jobs/state_store.py
+++ b/catkinport/jobs/state_store.py
@@ -113,6 +113,7 @@
         for record in records:
             writes.append(Write(state_key(record.job.job_id), record.to_row()))
             record.is_dirty = False
+        n_crashes = [record.n_crashes for record in records]
         # Each renewal wakes all daemons, which follow its row, so not every commit
         # carries one.
         is_renewal = sent_at - self._session.lease.renewed_at >= HEARTBEAT_SECONDS / 2
@@ -129,8 +130,9 @@
         if isinstance(outcome, Committed):
             if is_renewal:
                 self._session.note_renewed(sent_at)
-            for record, write in zip(records, writes, strict=True):
+            for record, write, n in zip(records, writes, n_crashes, strict=True):
                 record.row_version = outcome.versions_by_row_key[write.row_key]
+                record.n_stored_crashes = n
                 log_event(
                     logger,
                     "job state stored",
--- a/catkinport/jobs/worker_crashes.py
+++ b/catkinport/jobs/worker_crashes.py
@@ -1,4 +1,4 @@
-"""Recognizes the crashes of workers and the runs that a crash has ended.
+"""Recognizes the crashes of workers and counts them for the tasks that ran there.
 
 A crash ends all runs of a worker. It shows in the platform's VM list, or in an answer
 of a new process under the worker's id. A worker that was drained, ordered away or
@@ -7,9 +7,10 @@
 
 import logging
 
+from ..policy.crash_blame import Crash, SuspectRun, find_suspects, is_cleared
 from ..ports.fleet_vms import FleetVm, VmState
 from ..runtime.logs import log_event
-from .worker_state import WorkerCrash, WorkerRecord
+from .worker_state import Run, RunKey, WorkerCrash, WorkerRecord
 
 logger = logging.getLogger(__name__)
 
@@ -47,7 +48,11 @@
         return
     if worker.listed.is_draining or worker.is_reserved or worker.is_taken_down:
         return
-    worker.crash = WorkerCrash(worker.started_at, frozenset(worker.run_by_key))
+    suspects = [
+        SuspectRun(_name(key), len(run.task.crash_by_run), now - run.asked_at)
+        for key, run in worker.run_by_key.items()
+    ]
+    worker.crash = WorkerCrash(worker.started_at, find_suspects(suspects))
     log_event(
         logger,
         "worker crashed",
@@ -57,8 +62,8 @@
         silent_seconds=round(now - worker.contact_at, 2),
         n_runs=len(worker.run_by_key),
         runs=",".join(
-            f"{run.key.task}:{run.key.run}:{now - run.asked_at:.2f}"
-            for run in worker.run_by_key.values()
+            f"{_name(key)}:{now - run.asked_at:.2f}"
+            for key, run in worker.run_by_key.items()
         ),
     )
 
@@ -67,3 +72,48 @@
     """Note that a process of a worker has answered, so it has not crashed."""
     if worker.crash is not None and worker.crash.started_at == started_at:
         worker.crash = None
+
+
+def count_crash(worker: WorkerRecord, run: Run) -> None:
+    """Count the crash of a worker for a task whose run it has ended, if suspect.
+
+    A run that the worker has not confirmed may never have started, so it doesn't count.
+    """
+    name = _name(run.key)
+    crash = worker.crash
+    if crash is None or not run.known_at or name not in crash.is_blamed_by_run:
+        return
+    is_blamed = crash.is_blamed_by_run[name]
+    counted = Crash(worker.vm_id or worker.worker_id, is_blamed)
+    has_failed = run.record.mark_crashed(run.task, run.key.run, counted)
+    run.task.avoided_worker = worker.worker_id
+    log_event(
+        logger,
+        "worker crash counted",
+        request_id=run.record.job.job_id,
+        task=run.key.task,
+        run=run.key.run,
+        worker=worker.worker_id,
+        vm=worker.vm_id,
+        blamed=is_blamed,
+        n_crashes=len(run.task.crash_by_run),
+    )
+    if has_failed:
+        log_event(
+            logger,
+            "job failed",
+            request_id=run.record.job.job_id,
+            task=run.key.task,
+            n_crashes=len(run.task.crash_by_run),
+            worker=worker.worker_id,
+        )
+
+
+def clear_survivor(run: Run, now: float) -> None:
+    """Forget the crashes of a task that its worker has executed for long enough."""
+    if run.task.crash_by_run and is_cleared(now - run.known_at):
+        run.record.clear_crashes(run.task)
+
+
+def _name(key: RunKey) -> str:
+    return f"{key.task}:{key.run}"
--- a/catkinport/jobs/worker_reports.py
+++ b/catkinport/jobs/worker_reports.py
@@ -7,7 +7,7 @@
 from .inherited_workers import InheritedWorkers
 from .run_ends import RunEnds
 from .run_table import RunTable
-from .worker_crashes import note_answer, note_crash
+from .worker_crashes import clear_survivor, note_answer, note_crash
 from .worker_state import LEASE_SECONDS, RunKey, RunPhase, WorkerRecord, bound_lease
 from .worker_table import WorkerTable
 
@@ -138,6 +138,7 @@
             self.orphan_stop_sent_at.setdefault((worker.worker_id, key), 0.0)
             return
         self._runs.confirm(run, now)
+        clear_survivor(run, now)
         if run.phase is RunPhase.ASKED and not run.is_start_uncertain:
             run.phase = RunPhase.RUNNING
         if entry.percent != run.percent:
--- a/catkinport/jobs/worker_state.py
+++ b/catkinport/jobs/worker_state.py
@@ -1,6 +1,7 @@
 """The owner's record of a worker and of the runs of tasks on it."""
 
 from collections import deque
+from collections.abc import Mapping
 from enum import StrEnum
 from typing import NamedTuple
 
@@ -91,11 +92,11 @@
 
     Args:
         started_at: Unix time in seconds at which the process had started.
-        runs: runs that were or may have been on it.
+        is_blamed_by_run: for each run that may have crashed it, whether it is to blame.
     """
 
     started_at: float
-    runs: frozenset[RunKey]
+    is_blamed_by_run: Mapping[str, bool]
 
 
 class Run:
--- a/catkinport/policy/worker_choice.py
+++ b/catkinport/policy/worker_choice.py
@@ -8,6 +8,7 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
+from .crash_blame import REPEATED_CRASHES
 from .resources import Resources
 
 ROUNDING_TOLERANCE = 1e-6
@@ -28,17 +29,24 @@
         n_tasks_by_step: number of tasks that it runs, by name of their step.
         n_fillers: number of filler tasks that it runs.
         n_latency_tasks: number of tasks with a latency target that it runs.
+        n_tasks: number of tasks that it runs.
+        n_suspects: number of those that may crash it, as they have just started and
+            were on crashed workers before.
+        has_repeated_suspect: whether one of these has had `REPEATED_CRASHES`.
     """
 
     __slots__ = (
         "accelerators",
         "cores",
+        "has_repeated_suspect",
         "is_maintenance_due",
         "labels",
         "memory_gb",
         "n_tasks_by_step",
         "n_fillers",
         "n_latency_tasks",
+        "n_suspects",
+        "n_tasks",
         "penalty",
         "worker_id",
     )
@@ -58,12 +66,18 @@
         self.n_tasks_by_step: dict[str, int] = {}
         self.n_fillers = 0
         self.n_latency_tasks = 0
+        self.n_tasks = 0
+        self.n_suspects = 0
+        self.has_repeated_suspect = False
 
     def count(self, task: "TaskNeed") -> None:
         """Count a task that runs already; ``free`` does not contain its resources."""
         self.n_tasks_by_step[task.step] = self.n_tasks_by_step.get(task.step, 0) + 1
         self.n_fillers += task.is_filler
         self.n_latency_tasks += task.has_target
+        self.n_tasks += 1
+        self.n_suspects += task.n_crashes > 0
+        self.has_repeated_suspect |= task.n_crashes >= REPEATED_CRASHES
 
     def take(self, task: "TaskNeed") -> None:
         """Count a task and reserve its resources, except the cores of a filler task."""
@@ -89,6 +103,7 @@
             tasks leave idle.
         has_target: whether it has a latency target.
         avoided_worker: worker on which it failed before; empty for none.
+        n_crashes: number of crashes of workers that it is a suspect of.
     """
 
     step: str
@@ -101,6 +116,7 @@
     is_filler: bool = False
     has_target: bool = False
     avoided_worker: str = ""
+    n_crashes: int = 0
 
 
 def fits(task: TaskNeed, room: CandidateWorker) -> bool:
@@ -115,6 +131,10 @@
     """
     if task.required_label and task.required_label not in room.labels:
         return False
+    if room.has_repeated_suspect:
+        return False
+    if task.n_crashes >= REPEATED_CRASHES and room.n_suspects:
+        return False
     n_of_step = room.n_tasks_by_step.get(task.step, 0)
     if task.max_per_worker and n_of_step >= task.max_per_worker:
         return False
@@ -145,6 +165,8 @@
         n_disturbing = room.n_fillers + room.n_latency_tasks
     n_of_step = room.n_tasks_by_step.get(task.step, 0)
     return (
+        room.n_suspects,
+        room.n_tasks if task.n_crashes else 0,
         is_avoided,
         room.penalty,
         task.is_lasting and room.is_maintenance_due,
