--- a/catkinport/jobs/worker_state.py
+++ b/catkinport/jobs/worker_state.py
@@ -1,6 +1,7 @@
 """The owner's record of a worker and of the runs of tasks on it."""
 
 from collections import deque
+from collections.abc import Mapping
 from enum import StrEnum
 from typing import NamedTuple
 
@@ -99,6 +100,18 @@
     started_at: float
 
 
+class WorkerCrash(NamedTuple):
+    """Crash of a process of a worker.
+
+    Args:
+        started_at: Unix time in seconds at which the process had started.
+        is_blamed_by_run: for each run that may have crashed it, whether it is to blame.
+    """
+
+    started_at: float
+    is_blamed_by_run: Mapping[str, bool]
+
+
 class Run:
     """A run of a task on a worker, from its start order until the worker lists its end.
 
@@ -197,6 +210,10 @@
         is_reserved: whether it gets no new tasks before an upkeep or move of its VM.
         is_cordoned: whether it is cordoned: it gets no new tasks, so that its VM can
             move to a pool that needs it more once its runs have ended.
+        is_taken_down: whether its VM was listed as moving, down for upkeep or in
+            another pool.
+        crash: latest crash of a process of it; ``None`` before, or if that process has
+            answered after all.
         used: resources that its runs take.
     """
 
@@ -220,6 +237,8 @@
         self.is_cordoned = False
         self.is_maintenance_due = False
         self.is_enrolled = False
+        self.is_taken_down = False
+        self.crash: WorkerCrash | None = None
         self._outcomes: deque[bool] = deque(maxlen=HEALTH_WINDOW)
         self._quarantine_seconds = QUARANTINE_SECONDS
         self.used = Resources(0.0, 0.0, 0.0)
--- a/catkinport/policy/worker_choice.py
+++ b/catkinport/policy/worker_choice.py
@@ -8,6 +8,7 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
+from .crash_blame import REPEATED_CRASHES
 from .resources import Resources
 
 ROUNDING_TOLERANCE = 1e-6
@@ -31,18 +32,25 @@
         n_fillers: number of filler tasks that it runs.
         n_latency_tasks: number of tasks with a latency target that it runs.
         reserved_for: names of the only tasks that may start on it; empty for all tasks.
+        n_tasks: number of tasks that it runs.
+        n_suspects: number of those that may crash it, as they have just started and
+            were on crashed workers before.
+        has_repeated_suspect: whether one of these has had `REPEATED_CRASHES`.
     """
 
     __slots__ = (
         "accelerators",
         "cores",
         "is_last_resort",
+        "has_repeated_suspect",
         "is_maintenance_due",
         "labels",
         "memory_gb",
         "n_tasks_by_step",
         "n_fillers",
         "n_latency_tasks",
+        "n_suspects",
+        "n_tasks",
         "penalty",
         "reserved_for",
         "worker_id",
@@ -65,12 +73,18 @@
         self.n_fillers = 0
         self.n_latency_tasks = 0
         self.reserved_for: set[str] = set()
+        self.n_tasks = 0
+        self.n_suspects = 0
+        self.has_repeated_suspect = False
 
     def count(self, task: "TaskNeed") -> None:
         """Count a task that runs already; ``free`` does not contain its resources."""
         self.n_tasks_by_step[task.step] = self.n_tasks_by_step.get(task.step, 0) + 1
         self.n_fillers += task.is_filler
         self.n_latency_tasks += task.has_target
+        self.n_tasks += 1
+        self.n_suspects += task.n_crashes > 0
+        self.has_repeated_suspect |= task.n_crashes >= REPEATED_CRASHES
 
     def take(self, task: "TaskNeed") -> None:
         """Count a task and reserve its resources, except the cores of a filler task."""
@@ -97,6 +111,7 @@
         has_target: whether it has a latency target.
         avoided_worker: worker on which it failed before; empty for none.
         task: name of the task.
+        n_crashes: number of crashes of workers that it is a suspect of.
     """
 
     step: str
@@ -110,6 +125,7 @@
     has_target: bool = False
     avoided_worker: str = ""
     task: str = ""
+    n_crashes: int = 0
 
     @property
     def counted_need(self) -> Resources:
@@ -129,6 +145,10 @@
     """
     if room.reserved_for and task.task not in room.reserved_for:
         return False
+    if room.has_repeated_suspect:
+        return False
+    if task.n_crashes >= REPEATED_CRASHES and room.n_suspects:
+        return False
     cores = 0.0 if task.is_filler else task.need.cores
     return (
         cores <= room.cores + ROUNDING_TOLERANCE
@@ -174,6 +194,8 @@
     n_of_step = room.n_tasks_by_step.get(task.step, 0)
     return (
         room.is_last_resort,
+        room.n_suspects,
+        room.n_tasks if task.n_crashes else 0,
         is_avoided,
         room.penalty,
         task.is_lasting and room.is_maintenance_due,
