Keep a quarantine when a worker rejects a start

A start that was sent before the quarantine of its worker and is rejected during it, for lack of room or because the worker is unhealthy, set the end of the pause to 0.2 or 0.5 s from then and so ended a quarantine of 3 to 12 s. The longer pause counts now. The test failed before for both reasons.

--- a/catkinport/jobs/order_outcomes.py
+++ b/catkinport/jobs/order_outcomes.py
@@ -75,11 +75,11 @@
             reason=reason,
         )
         if reason in (Rejection.UNHEALTHY, Rejection.OTHER_INCARNATION):
-            worker.blocked_until = now + UNHEALTHY_PAUSE_SECONDS
+            _pause_until(worker, now + UNHEALTHY_PAUSE_SECONDS)
         if reason is Rejection.UNHEALTHY:
             worker.note_outcome(False, now)
         if reason is Rejection.NO_ROOM:
-            worker.blocked_until = now + NO_ROOM_PAUSE_SECONDS
+            _pause_until(worker, now + NO_ROOM_PAUSE_SECONDS)
         if reason is Rejection.INVALID:
             run.task.not_before = now + UNHEALTHY_PAUSE_SECONDS
         self._runs.drop(worker, run)
@@ -105,3 +105,8 @@
         run = worker.run_by_key.get(key) if worker else None
         if run is not None:
             run.pace = percent
+
+
+def _pause_until(worker: WorkerRecord, until: float) -> None:
+    """Let a worker get no new tasks before ``until``, or later if it is quarantined."""
+    worker.blocked_until = max(worker.blocked_until, until)
--- a/catkinport/jobs/tests/test_dispatcher.py
+++ b/catkinport/jobs/tests/test_dispatcher.py
@@ -1,5 +1,7 @@
 """Tests of jobs and runs as workers report them, from start to end."""
 
+import pytest
+
 from ...policy.resources import Resources
 from ...ports import Reason, Unavailable
 from ...ports.fleet_vms import FleetVm, VmState
@@ -14,6 +16,7 @@
 from ..model import JobState
 from ..record import JobRecord
 from ..run_stops import find_paces, find_stops
+from ..worker_state import QUARANTINE_SECONDS
 from .builders import JOB_ID, Fleet, make_job, make_step, make_worker
 
 UNCERTAIN = Unavailable(Reason.TIMEOUT, "worker-start", "w1", "", True)
@@ -101,6 +104,27 @@
         fleet.poll_all()
         assert fleet.start() == []
 
+    @pytest.mark.parametrize("reason", [Rejection.NO_ROOM, Rejection.UNHEALTHY])
+    def test_rejected_start_does_not_shorten_a_quarantine(self, reason):
+        """Guards against a broken worker that gets tasks again during its quarantine.
+
+        A start that was sent before the quarantine is rejected during it.
+        """
+        fleet = Fleet([make_worker("w1")], max_failures=9)
+        for number in range(3):
+            fleet.dispatcher.add_job(make_job(f"{number:016x}"), fleet.now)
+        *failing, rejected = fleet.plan()
+        for start in failing:
+            fleet.answer(start, Done())
+            fleet.end(start, EndKind.FAILED)
+        fleet.answer(rejected, Rejected(reason))
+        fleet.advance(QUARANTINE_SECONDS - 0.1)
+        fleet.poll_all()
+        assert fleet.start() == []
+        fleet.advance(0.2)
+        fleet.poll_all()
+        assert fleet.start() != []
+
     def test_lasting_task_is_restarted_after_any_end(self):
         fleet = Fleet([make_worker()], max_failures=1)
         job = make_job(steps=[make_step(1, is_lasting=True)])
