--- /dev/null
+++ b/catkinport/jobs/job_rows.py
@@ -0,0 +1,77 @@
+"""Passes the rows of the table of jobs, jobs and cancellations, to the dispatcher."""
+
+import logging
+import time
+
+from ..ports.async_table import Snapshot
+from ..ports.table import Row
+from ..runtime.logs import log_event
+from .dispatcher import Dispatcher
+from .job_table import is_over
+from .model import Job, job_from_row
+from .pool_mover import PoolMover
+from .tables import CANCEL_SUFFIX
+
+logger = logging.getLogger(__name__)
+
+
+class JobRows:
+    """Reader of the rows of jobs and their cancellations.
+
+    Args:
+        dispatcher: receives the jobs and cancellations.
+        mover: receives the expected work of new jobs, by pool.
+    """
+
+    def __init__(self, dispatcher: Dispatcher, mover: PoolMover) -> None:
+        self._dispatcher = dispatcher
+        self._mover = mover
+
+    def apply(
+        self, row: Row, now: float, is_inherited: bool, finished_ids: set[str]
+    ) -> None:
+        """Pass the job or the cancellation in a row to the dispatcher.
+
+        Args:
+            row: the row.
+            now: clock time in seconds.
+            is_inherited: whether a former owner may have started the job.
+            finished_ids: jobs that have ended; their rows are ignored.
+        """
+        key = row.row_key.key
+        if row.value is None:
+            return
+        job_id = key.removesuffix(CANCEL_SUFFIX)
+        if job_id in finished_ids:
+            return
+        if key.endswith(CANCEL_SUFFIX):
+            self._dispatcher.cancel_job(job_id)
+            return
+        try:
+            job: Job = job_from_row(row.value)
+        except (KeyError, TypeError) as error:
+            log_event(
+                logger,
+                "stored job decode failed",
+                level=logging.ERROR,
+                request_id=job_id,
+                reason=repr(error),
+            )
+            return
+        # Steady clocks of different daemons cannot be compared, so the wall clock
+        # gives the approximate time since another daemon accepted the job.
+        age = min(max(0.0, time.time() - job.accepted_at), 3600.0)
+        self._dispatcher.add_job(job, now, is_inherited, age)
+        if not is_inherited:
+            self._note_work(job, now)
+
+    def _note_work(self, job: Job, now: float) -> None:
+        queue = self._dispatcher.configuration.queue_by_name.get(job.queue)
+        if queue is not None:
+            work = self._dispatcher.estimates.expected_core_seconds(job)
+            self._mover.note_work(queue.pool, work, now)
+
+
+def find_finished_ids(states: Snapshot) -> set[str]:
+    """Return the ids of the jobs that have ended by their stored states."""
+    return {row.row_key.key for row in states.rows if is_over(row.value)}
--- a/catkinport/jobs/owner.py
+++ b/catkinport/jobs/owner.py
@@ -8,7 +8,6 @@
 
 import asyncio
 import logging
-import time
 
 from ..policy.leadership import (
     HEARTBEAT_SECONDS,
@@ -17,18 +16,17 @@
 )
 from ..ports import Unavailable
 from ..ports.async_table import Changes, HistoryLost, Snapshot
-from ..ports.table import Committed, Conflict, Row, Transaction
+from ..ports.table import Committed, Conflict, Transaction
 from ..runtime.logs import log_event
 from .configuration import FleetConfiguration
 from .dispatcher import Dispatcher
-from .job_table import is_over
-from .model import Job, job_from_row
+from .job_rows import JobRows, find_finished_ids
 from .ownership_watch import Claim
 from .removed_queues import RemovedQueues
 from .run_orders import RunOrders
 from .session import RETRY_SECONDS, OwnerPorts, OwnerSession
 from .state_store import StateStore, heartbeat_write
-from .tables import CANCEL_SUFFIX, JOBS_TABLE, ROSTER_TABLE, STATES_TABLE
+from .tables import JOBS_TABLE, ROSTER_TABLE, STATES_TABLE
 from .vm_inventory import VmBounds
 from .vm_orders import VmOrders
 from .vm_planner import VmPlanner
@@ -90,6 +88,7 @@
         self._run_orders = RunOrders(self._session, self._watch)
         held_until = claim.sent_at + bounds.order_gap
         self._vm_orders = VmOrders(self._session, self._vm_planner, held_until)
+        self._job_rows = JobRows(dispatcher, self._vm_planner.mover)
         self._job_feed_version = 0
         self._read_version_by_key: dict[str, int] = {}
 
@@ -209,7 +208,7 @@
         assert not isinstance(states, Unavailable)
         assert not isinstance(roster, Unavailable)
         self._note_jobs_read(jobs)
-        finished_ids = _find_finished_ids(states)
+        finished_ids = find_finished_ids(states)
         self._store.note_read(
             row for row in states.rows if row.row_key.key not in finished_ids
         )
@@ -220,7 +219,7 @@
         for row in roster.rows:
             self._watch.restore_roster_row(row, now)
         for row in jobs.rows:
-            self._apply_job_row(row, now, True, finished_ids)
+            self._job_rows.apply(row, now, True, finished_ids)
         for row in states.rows:
             self._session.dispatcher.load_state(row.row_key.key, row.value, row.version)
         for record in self._session.dispatcher.job_by_id.values():
@@ -236,42 +235,6 @@
         )
         return True
 
-    def _apply_job_row(
-        self, row: Row, now: float, is_inherited: bool, finished_ids: set[str]
-    ) -> None:
-        key = row.row_key.key
-        if row.value is None:
-            return
-        job_id = key.removesuffix(CANCEL_SUFFIX)
-        if job_id in finished_ids:
-            return
-        if key.endswith(CANCEL_SUFFIX):
-            self._session.dispatcher.cancel_job(job_id)
-            return
-        try:
-            job: Job = job_from_row(row.value)
-        except (KeyError, TypeError) as error:
-            log_event(
-                logger,
-                "stored job decode failed",
-                level=logging.ERROR,
-                request_id=job_id,
-                reason=repr(error),
-            )
-            return
-        # Steady clocks of different daemons cannot be compared, so the wall clock
-        # gives the approximate time since another daemon accepted the job.
-        age = min(max(0.0, time.time() - job.accepted_at), 3600.0)
-        self._session.dispatcher.add_job(job, now, is_inherited, age)
-        if not is_inherited:
-            self._note_work(job, now)
-
-    def _note_work(self, job: Job, now: float) -> None:
-        queue = self._session.dispatcher.configuration.queue_by_name.get(job.queue)
-        if queue is not None:
-            work = self._session.dispatcher.estimates.expected_core_seconds(job)
-            self._vm_planner.mover.note_work(queue.pool, work, now)
-
     async def _job_feed_loop(self) -> None:
         while True:
             outcome = await self._session.table.follow(
@@ -304,7 +267,7 @@
         now = self._session.clock.now()
         for row in changes.rows:
             if row.version > self._read_version_by_key.get(row.row_key.key, 0):
-                self._apply_job_row(row, now, False, set())
+                self._job_rows.apply(row, now, False, set())
         self._job_feed_version = changes.version
         if changes.rows:
             self._session.wake.set()
@@ -320,18 +283,14 @@
             return
         # A job may have ended after its state was read and before the answer arrived.
         ended_ids = known_ids - job_by_id.keys()
-        finished_ids = _find_finished_ids(states) | ended_ids
+        finished_ids = find_finished_ids(states) | ended_ids
         now = self._session.clock.now()
         for row in jobs.rows:
-            self._apply_job_row(row, now, False, finished_ids)
+            self._job_rows.apply(row, now, False, finished_ids)
         self._note_jobs_read(jobs)
         self._session.wake.set()
 
 
-def _find_finished_ids(states: Snapshot) -> set[str]:
-    return {row.row_key.key for row in states.rows if is_over(row.value)}
-
-
 def _former_runs_end_at(claim: Claim) -> float:
     if claim.former_changed_at is None:
         return 0.0
