Join the start of the daemons and of two stand-ins

The controller and the entry read their settings, show the faults and set up their logs in the same way; settings/startup.py does it for both. The stand-ins of the platform and of a backend server serve until a signal in the same way; standins/_serving.py does it for both. No behaviour, output or log event changes, and no test changes.

--- a/catkinport/controller/main.py
+++ b/catkinport/controller/main.py
@@ -6,9 +6,9 @@
 
 import cappa
 
-from ..runtime import StopSignal, configure_logging, log_event
-from ..settings.declaration import format_fault
+from ..runtime import StopSignal, log_event
 from ..settings.process import load_controller_settings
+from ..settings.startup import start_from_settings
 from .daemon import ControllerDaemon
 
 logger = logging.getLogger(__name__)
@@ -24,11 +24,7 @@
 
     def __call__(self) -> None:
         """Run until SIGTERM or SIGINT, then release the pools and stop."""
-        settings = load_controller_settings(self.settings)
-        if isinstance(settings, list):
-            text = "\n".join(format_fault(fault) for fault in settings)
-            raise cappa.Exit(text, code=2)
-        configure_logging(settings.logging.level, settings.logging.format)
+        settings = start_from_settings(load_controller_settings, self.settings)
         stop_signal = StopSignal()
         daemon = ControllerDaemon(settings)
         print(f"admin listening on {daemon.admin_address}", flush=True)
--- a/catkinport/entry/main.py
+++ b/catkinport/entry/main.py
@@ -6,9 +6,9 @@
 
 import cappa
 
-from ..runtime import StopSignal, configure_logging, log_event
-from ..settings.declaration import format_fault
+from ..runtime import StopSignal, log_event
 from ..settings.process import load_entry_settings
+from ..settings.startup import start_from_settings
 from .daemon import EntryDaemon
 
 logger = logging.getLogger(__name__)
@@ -24,11 +24,7 @@
 
     def __call__(self) -> None:
         """Run until SIGTERM or SIGINT, then drain the requests in flight and stop."""
-        settings = load_entry_settings(self.settings)
-        if isinstance(settings, list):
-            text = "\n".join(format_fault(fault) for fault in settings)
-            raise cappa.Exit(text, code=2)
-        configure_logging(settings.logging.level, settings.logging.format)
+        settings = start_from_settings(load_entry_settings, self.settings)
         stop_signal = StopSignal()
         daemon = EntryDaemon(settings)
         print(f"admin listening on {daemon.admin_address}", flush=True)
--- a/catkinport/standins/backend_server.py
+++ b/catkinport/standins/backend_server.py
@@ -13,11 +13,10 @@
     HttpRequest,
     HttpServer,
     Router,
-    StopSignal,
-    configure_logging,
     json_answer,
     read_chunks,
 )
+from ._serving import serve_until_stopped
 from .faults import FaultSettings, add_fault_routes
 
 FAULT_DEFAULTS = {
@@ -176,13 +175,9 @@
 
     def __call__(self) -> None:
         """Serve until SIGTERM or SIGINT."""
-        configure_logging()
-        stop_signal = StopSignal()
-        standin = BackendServerStandin(self.host, self.port, self.slots)
-        standin.start()
-        print(f"listening on {standin.address}", flush=True)
-        stop_signal.wait()
-        standin.stop()
+        serve_until_stopped(
+            lambda: BackendServerStandin(self.host, self.port, self.slots)
+        )
 
 
 def main() -> None:
--- a/catkinport/standins/platform.py
+++ b/catkinport/standins/platform.py
@@ -19,11 +19,10 @@
     HttpRequest,
     HttpServer,
     Router,
-    StopSignal,
-    configure_logging,
     json_answer,
 )
 from ._compression import compressible_answer
+from ._serving import serve_until_stopped
 from ._table import MemoryTable
 from ._vms import MemoryVmList
 from .faults import FaultSettings, add_fault_routes
@@ -303,13 +302,9 @@
 
     def __call__(self) -> None:
         """Serve until SIGTERM or SIGINT."""
-        configure_logging()
-        stop_signal = StopSignal()
-        standin = PlatformStandin(self.host, self.port, self.reboot_seconds)
-        standin.start()
-        print(f"listening on {standin.address}", flush=True)
-        stop_signal.wait()
-        standin.stop()
+        serve_until_stopped(
+            lambda: PlatformStandin(self.host, self.port, self.reboot_seconds)
+        )
 
 
 def main() -> None:
