--- a/catkinport/jobs/planner.py
+++ b/catkinport/jobs/planner.py
@@ -8,7 +8,9 @@
 from collections.abc import Iterator, Mapping
 from typing import NamedTuple
 
+from ..policy.crash_blame import is_on_trial
 from ..policy.job_order import order_key
+from ..policy.reservations import ExpectedEnd, Reservations
 from ..policy.resources import Resources
 from ..policy.worker_choice import CandidateWorker, TaskNeed, choose_worker, fits
 from .account_usage import usage_by_account
@@ -16,7 +18,8 @@
 from .dispatcher import Dispatcher
 from .model import Step
 from .record import JobRecord, Task, TaskPhase
-from .worker_state import Run, WorkerRecord
+from .start_delays import StartDelays
+from .worker_state import Run, RunPhase, StartBlock, WorkerRecord
 
 LASTING_TASKS_PER_WORKER_FACTOR = 5
 """Most lasting tasks of a step that one worker should run, as a multiple of how many
@@ -72,6 +75,8 @@
         self._dispatcher = dispatcher
         self._tickets_by_stage: dict[str, dict[str, Ticket]] = {}
         self._learned_before: float | None = None
+        self._delays = StartDelays(dispatcher)
+        self._reservations = Reservations()
         self.wanted_approvals: dict[str, ApprovalRequest] = {}
 
     def keep_tickets(self, stage: str, ticket_by_worker: Mapping[str, Ticket]) -> None:
@@ -111,27 +116,32 @@
         usage = usage_by_account(dispatcher)
         for pool, records in records_by_pool.items():
             rooms = self._free_rooms(pool, now)
-            if not rooms:
-                continue
+            self._reservations.mark(rooms)
             ordered = sorted(
                 records,
                 key=lambda item: order_key(dispatcher.estimates.view_job(*item), now),
             )
             for record, queue in ordered:
                 self._plan_job(record, queue, rooms, usage, now, unix_now, starts)
+        self._delays.end_round()
+        self._reservations.end_round()
         return starts
 
     def _free_rooms(self, pool: str, now: float) -> dict[str, CandidateWorker]:
         rooms: dict[str, CandidateWorker] = {}
         for worker in self._dispatcher.workers_of(pool):
-            if not worker.may_start(now) or not self._has_unbroken_contact(worker):
+            block = worker.find_block(now)
+            if block not in (None, StartBlock.QUARANTINED) or worker.is_cordoned:
+                continue
+            if not self._has_unbroken_contact(worker):
                 continue
             room = CandidateWorker(
                 worker.worker_id, worker.listed.labels, worker.free(), worker.penalty
             )
             room.is_maintenance_due = worker.is_maintenance_due
+            room.is_last_resort = block is StartBlock.QUARANTINED
             for run in worker.run_by_key.values():
-                room.count(task_need(run.task))
+                room.count(running_need(worker, run))
             rooms[worker.worker_id] = room
         return rooms
 
@@ -156,24 +166,46 @@
             if record.job.due_at(stage[0]) > unix_now:
                 continue
             tasks = record.tasks_by_stage[stage]
-            waiting = [task for task in tasks if self._is_startable(task, now)]
+            waiting = [t for t in tasks if self._is_startable(record, t, now)]
             if not waiting:
                 continue
             usable = self._usable_rooms(waiting[0], queue, rooms, now)
             if waiting[0].step.is_gang:
                 if len(waiting) == len(tasks):
                     self._plan_gang(waiting, usable, usage, account, now, starts)
-                continue
-            for task in waiting:
-                if not self._plan_task(task, usable, usage, account, now, starts):
-                    break
+            else:
+                self._plan_tasks(waiting, usable, usage, account, now, starts)
+            self._note_delay(waiting, queue, usable, usage, account, now)
 
-    def _is_startable(self, task: Task, now: float) -> bool:
+    def _note_delay(
+        self,
+        tasks: list[Task],
+        queue: Queue,
+        rooms: dict[str, CandidateWorker],
+        usage: dict[str, Resources],
+        account: Account | None,
+        now: float,
+    ) -> None:
+        waiting = [task for task in tasks if task.phase is TaskPhase.WAITING]
+        if not waiting:
+            return
+        first = waiting[0]
+        n_together = len(waiting) if first.step.is_gang else 1
+        is_over_limit = not is_within_limit(usage, account, first.step.need, n_together)
+        need = task_need(first)
+        candidates = list(rooms.values())
+        self._delays.note(first, need, queue.pool, now, candidates, is_over_limit)
+
+    def _is_startable(self, record: JobRecord, task: Task, now: float) -> bool:
+        if record.must_store_crashes(task):
+            return False
         if task.phase is TaskPhase.WAITING:
             is_held_back = self._learned_before is not None and task.is_lost
             return task.not_before <= now and not is_held_back
         if task.phase is TaskPhase.DONE or not task.step.may_run_twice:
             return False
+        if task.crash_by_run:
+            return False
         runs = self._dispatcher.runs_by_task.get(task.text, [])
         return len(runs) == 1 and self._dispatcher.is_run_uncertain(runs[0], now)
 
@@ -189,28 +221,49 @@
             for worker_id, room in rooms.items()
             if worker_id in tickets and tickets[worker_id].valid_until > now
         }
-        if not valid:
+        if rooms and not valid:
             self.wanted_approvals[stage] = ApprovalRequest(
                 stage, tuple(rooms), queue.approval.valid_seconds
             )
         return valid
 
-    def _plan_task(
+    def _plan_tasks(
         self,
-        task: Task,
+        tasks: list[Task],
         rooms: dict[str, CandidateWorker],
         usage: dict[str, Resources],
         account: Account | None,
         now: float,
         starts: list[PlannedStart],
-    ) -> bool:
-        if not is_within_limit(usage, account, task.step.need, 1):
-            return False
-        room = choose_worker(task_need(task), rooms.values())
-        if room is None:
-            return False
-        self._begin_run(task, room, usage, account, now, starts)
-        return True
+    ) -> None:
+        """Place the waiting tasks of a step; reserve workers for lasting ones."""
+        is_full = False
+        may_reserve = True
+        for task in tasks:
+            if not is_within_limit(usage, account, task.step.need, 1):
+                return
+            need = task_need(task)
+            # The tasks of a step differ only in the workers reserved for them.
+            own = self._reservations.find_room(task.text, rooms)
+            candidates = rooms.values() if not is_full else [own] if own else []
+            room = choose_worker(need, candidates)
+            if room is not None:
+                self._begin_run(task, room, usage, account, now, starts)
+                continue
+            is_full = True
+            if not task.step.is_lasting:
+                return
+            if task.phase is TaskPhase.WAITING:
+                is_reserved = self._reservations.reserve(
+                    need,
+                    rooms,
+                    lambda worker_id: self._expected_ends(worker_id, now),
+                    may_reserve,
+                )
+                may_reserve = may_reserve and is_reserved
+
+    def _expected_ends(self, worker_id: str, now: float) -> list[ExpectedEnd]:
+        return find_expected_ends(self._dispatcher, worker_id, now)
 
     def _plan_gang(
         self,
@@ -246,7 +299,9 @@
     ) -> None:
         worker = self._dispatcher.worker_by_id[room.worker_id]
         run = self._dispatcher.begin_run(worker, task, now)
-        room.take(task_need(task))
+        need = task_need(task)
+        room.take(need)
+        self._reservations.release(task.text, room)
         name = run.record.job.account
         have = usage.get(name, NO_USAGE)
         usage[name] = Resources(
@@ -278,9 +333,44 @@
         step.is_filler,
         step.target_seconds > 0,
         task.avoided_worker,
+        task.text,
+        len(task.crash_by_run),
     )
 
 
+def find_expected_ends(
+    dispatcher: Dispatcher, worker_id: str, now: float
+) -> list[ExpectedEnd]:
+    """Return when the runs on a worker are expected to end.
+
+    Lasting runs that are not being stopped are left out.
+    """
+    ends = []
+    for run in dispatcher.worker_by_id[worker_id].run_by_key.values():
+        if run.phase is RunPhase.STOPPING:
+            seconds = 0.0
+        elif run.task.step.is_lasting:
+            continue
+        else:
+            durations = dispatcher.estimates.durations_of(run.record.job.queue)
+            expected_seconds = durations.predict(run.task.step.estimate_seconds)
+            seconds = max(0.0, run.asked_at + expected_seconds - now)
+        ends.append(ExpectedEnd(seconds, task_need(run.task).counted_need))
+    return ends
+
+
+def running_need(worker: WorkerRecord, run: Run) -> TaskNeed:
+    """Return the requirements of the task of a run that is on the worker.
+
+    A suspect whose run is no longer on trial counts like any other task.
+    """
+    need = task_need(run.task)
+    known_seconds = worker.contact_at - run.known_at if run.known_at else 0.0
+    if need.n_crashes and not is_on_trial(known_seconds):
+        return need._replace(n_crashes=0)
+    return need
+
+
 def is_within_limit(
     usage: Mapping[str, Resources], account: Account | None, need: Resources, n: int
 ) -> bool:
@@ -341,7 +431,12 @@
     free = Resources(room.cores, room.memory_gb, room.accelerators)
     copy = CandidateWorker(room.worker_id, room.labels, free, room.penalty)
     copy.is_maintenance_due = room.is_maintenance_due
+    copy.is_last_resort = room.is_last_resort
+    copy.reserved_for = room.reserved_for
     copy.n_tasks_by_step = dict(room.n_tasks_by_step)
     copy.n_fillers = room.n_fillers
     copy.n_latency_tasks = room.n_latency_tasks
+    copy.n_tasks = room.n_tasks
+    copy.n_suspects = room.n_suspects
+    copy.has_repeated_suspect = room.has_repeated_suspect
     return copy
--- a/catkinport/jobs/pool_mover.py
+++ b/catkinport/jobs/pool_mover.py
@@ -13,17 +13,23 @@
     IdleVm,
     PoolMove,
     PoolView,
+    apply_moves,
     choose_moves,
     choose_vms_to_cordon,
+    find_lendable_vms,
+    wanted_vms,
 )
 from ..policy.turns import TurnTracker
 from ..ports.fleet_vms import FleetVm, VmState
 from ..runtime.logs import log_event
 from .dispatcher import Dispatcher
+from .lasting_room import LastingPlan, LastingRoom
+from .lasting_waits import LastingWait, LastingWaits
 from .order_targets import VmOrder
-from .pool_demand import measure_demand
+from .pool_demand import PoolDemand, measure_demand
+from .pool_report import PoolReporter, make_report
 from .vm_inventory import VmInventory
-from .worker_state import WorkerRecord
+from .worker_state import Run, WorkerRecord
 
 logger = logging.getLogger(__name__)
 
@@ -37,6 +43,9 @@
 
     Attributes:
         turns: tracker of the turns of all pools.
+        lasting_room: planner of the VMs for lasting tasks.
+        released_vms: reserved VMs that, by the latest plan, have the only room for a
+            lasting task that waits.
     """
 
     def __init__(self, dispatcher: Dispatcher, inventory: VmInventory) -> None:
@@ -45,6 +54,10 @@
         self._own_vms_by_pool: dict[str, int] = {}
         self.turns = TurnTracker({})
         self._phase_by_pool: dict[str, str] = {}
+        self._lasting_waits = LastingWaits(dispatcher)
+        self.lasting_room = LastingRoom(dispatcher, inventory)
+        self.released_vms: frozenset[str] = frozenset()
+        self._reporter = PoolReporter()
 
     @property
     def own_vms_by_pool(self) -> Mapping[str, int]:
@@ -98,34 +111,93 @@
                     period_seconds=round(period, 2) if period else "",
                 )
 
-    def plan(self, wave_vms: Set[str], now: float) -> Iterator[VmOrder]:
+    def plan(
+        self, wave_vms: Set[str], now: float, leaving: Sequence[Run] = ()
+    ) -> Iterator[VmOrder]:
         """Yield the moves to order now.
 
         Args:
             wave_vms: VMs that may not be moved before their upkeep.
             now: clock time in seconds.
+            leaving: lasting runs to stop before the upkeep of their VM.
         """
-        pools = self._pool_views(now)
-        if not any(pool.is_spare for pool in pools.values()):
-            return
+        demand_by_pool = measure_demand(self._dispatcher, now)
+        pools = self._pool_views(demand_by_pool, now)
+        waits_by_pool = self._lasting_waits.find(now)
+        may_move = any(pool.is_spare for pool in pools.values())
         movable = [
             vm
             for vm_id, vm in self._inventory.vm_by_id.items()
-            if self._inventory.is_up(vm)
+            if may_move
+            and self._inventory.is_up(vm)
             and vm_id not in self._inventory.reserved
             and (vm_id not in wave_vms or self._inventory.is_off(vm))
         ]
-        self._update_cordons(pools, movable)
+        self._report_pools(pools, demand_by_pool, waits_by_pool, movable, now)
         idle_vms = [
             self._idle_vm(vm, now)
             for vm in movable
             if vm.vm_id in self._inventory.idle_since_by_vm
         ]
-        for move in choose_moves(pools, idle_vms):
+        lasting = self._plan_lasting(pools, idle_vms, waits_by_pool, leaving, now)
+        self.released_vms = lasting.released_vms
+        for move in lasting.moves:
+            yield self._start_move(move, pools, now, is_for_lasting=True)
+        source_by_vm = {vm.vm_id: vm.pool for vm in idle_vms}
+        pools = apply_moves(pools, lasting.moves, source_by_vm)
+        settled = lasting.kept_vms | {move.vm_id for move in lasting.moves}
+        others = [vm for vm in movable if vm.vm_id not in settled]
+        self._update_cordons(pools, others, lasting.n_missing_by_pool)
+        other_idle_vms = [vm for vm in idle_vms if vm.vm_id not in settled]
+        for move in choose_moves(pools, other_idle_vms):
             yield self._start_move(move, pools, now)
 
+    def _plan_lasting(
+        self,
+        pools: Mapping[str, PoolView],
+        idle_vms: Sequence[IdleVm],
+        waits_by_pool: Mapping[str, Sequence[LastingWait]],
+        leaving: Sequence[Run],
+        now: float,
+    ) -> LastingPlan:
+        """Find room for lasting tasks, in any phase of their pool."""
+        lendable = [
+            self._inventory.vm_by_id[vm.vm_id]
+            for vm in find_lendable_vms(pools, idle_vms)
+        ]
+        return self.lasting_room.plan(waits_by_pool, leaving, lendable, now)
+
+    def _report_pools(
+        self,
+        pools: Mapping[str, PoolView],
+        demand_by_pool: Mapping[str, PoolDemand],
+        waits_by_pool: Mapping[str, Sequence[LastingWait]],
+        movable: Sequence[FleetVm],
+        now: float,
+    ) -> None:
+        n_off = sum(self._inventory.is_off(vm) for vm in movable)
+        for name, pool in pools.items():
+            demand = demand_by_pool[name]
+            waits = waits_by_pool.get(name, ())
+            is_waiting = demand.waiting_cores + demand.late_cores > 0 or bool(waits)
+            if pool.is_spare or not is_waiting or not self._reporter.is_due(name, now):
+                continue
+            report = make_report(
+                demand,
+                waits,
+                self._dispatcher.workers_of(name),
+                pool.n_vms,
+                wanted_vms(pool),
+                n_off,
+                now,
+            )
+            self._reporter.note(name, report, now)
+
     def _update_cordons(
-        self, pools: Mapping[str, PoolView], movable: Sequence[FleetVm]
+        self,
+        pools: Mapping[str, PoolView],
+        movable: Sequence[FleetVm],
+        n_lasting_by_pool: Mapping[str, int],
     ) -> None:
         """Choose the workers that get no new tasks, so that their VMs can move.
 
@@ -141,7 +213,7 @@
             elif worker is not None and not _has_lasting_task(worker):
                 cores = worker.used.cores
                 busy.append(BusyVm(vm.vm_id, vm.pool, cores, worker.is_cordoned))
-        cordoned_ids = choose_vms_to_cordon(pools, busy, n_free)
+        cordoned_ids = choose_vms_to_cordon(pools, busy, n_free, n_lasting_by_pool)
         # A VM that a wave names in the meantime may not be moved, so its worker gets
         # tasks again.
         for vm in self._inventory.vm_by_id.values():
@@ -168,12 +240,17 @@
         )
 
     def _start_move(
-        self, move: PoolMove, pools: Mapping[str, PoolView], now: float
+        self,
+        move: PoolMove,
+        pools: Mapping[str, PoolView],
+        now: float,
+        is_for_lasting: bool = False,
     ) -> VmOrder:
         vm = self._inventory.vm_by_id[move.vm_id]
         worker = self._inventory.worker_on(move.vm_id)
         if worker is not None:
             worker.is_reserved = True
+        self.lasting_room.note_move(move.vm_id, now)
         target = pools[move.pool]
         log_event(
             logger,
@@ -181,6 +258,7 @@
             vm=move.vm_id,
             pool=move.pool,
             from_pool=vm.pool,
+            for_lasting=is_for_lasting,
             busy_cores=round(target.busy_cores, 1),
             waiting_cores=round(target.waiting_cores, 1),
             late_cores=round(target.late_cores, 1),
@@ -192,8 +270,9 @@
         )
         return VmOrder(move.vm_id, 0, move.pool)
 
-    def _pool_views(self, now: float) -> dict[str, PoolView]:
-        demand_by_pool = measure_demand(self._dispatcher, now)
+    def _pool_views(
+        self, demand_by_pool: Mapping[str, PoolDemand], now: float
+    ) -> dict[str, PoolView]:
         n_vms: dict[str, int] = {}
         cores: dict[str, float] = {}
         for vm in self._inventory.vm_by_id.values():
--- a/catkinport/jobs/run_ends.py
+++ b/catkinport/jobs/run_ends.py
@@ -9,7 +9,9 @@
 from .model import JobState, TaskId
 from .record import JobRecord, Task
 from .run_table import RunTable
+from .worker_failures import note_failed_run
 from .worker_state import Run, RunKey, WorkerRecord
+from .worker_table import WorkerTable
 
 logger = logging.getLogger(__name__)
 
@@ -22,12 +24,16 @@
 
     Args:
         jobs: jobs that the runs belong to.
+        workers: workers that report the ends.
         runs: runs that may be alive.
         metrics: metrics of the process.
     """
 
-    def __init__(self, jobs: JobTable, runs: RunTable, metrics: Metrics) -> None:
+    def __init__(
+        self, jobs: JobTable, workers: WorkerTable, runs: RunTable, metrics: Metrics
+    ) -> None:
         self._jobs = jobs
+        self._workers = workers
         self._runs = runs
         self._metrics = metrics
 
@@ -79,13 +85,15 @@
         run: int,
         now: float,
     ) -> None:
+        pool_workers = self._workers.workers_of(worker.listed.pool)
+        is_quarantined = note_failed_run(worker, record, task, pool_workers, now)
         task.avoided_worker = worker.worker_id
         task.not_before = now + RESTART_PAUSE_SECONDS * task.step.is_lasting
         queue = self._jobs.queue_of(record)
         # Any member's failure is one failure of the gang.
         counted = _stage_of(record, task)[0] if task.step.is_gang else task
         record.mark_failed(counted, run, queue.max_failures if queue else 0)
-        if worker.note_outcome(False, now):
+        if is_quarantined:
             _log_quarantined(worker, now)
         if record.state is JobState.FAILED:
             log_event(
@@ -150,5 +158,5 @@
         logger,
         "worker quarantined",
         worker=worker.worker_id,
-        until_seconds=round(worker.blocked_until - now, 2),
+        until_seconds=round(worker.quarantined_until - now, 2),
     )
--- a/catkinport/policy/worker_choice.py
+++ b/catkinport/policy/worker_choice.py
@@ -8,6 +8,7 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
+from .crash_blame import REPEATED_CRASHES
 from .resources import Resources
 
 ROUNDING_TOLERANCE = 1e-6
@@ -25,21 +26,33 @@
 
     Attributes:
         is_maintenance_due: whether its VM is about to be taken down.
+        is_last_resort: whether it only gets lasting tasks, and only those that fit on
+            no other worker, because it is suspected to be bad.
         n_tasks_by_step: number of tasks that it runs, by name of their step.
         n_fillers: number of filler tasks that it runs.
         n_latency_tasks: number of tasks with a latency target that it runs.
+        reserved_for: names of the only tasks that may start on it; empty for all tasks.
+        n_tasks: number of tasks that it runs.
+        n_suspects: number of those that may crash it, as they have just started and
+            were on crashed workers before.
+        has_repeated_suspect: whether one of these has had `REPEATED_CRASHES`.
     """
 
     __slots__ = (
         "accelerators",
         "cores",
+        "is_last_resort",
+        "has_repeated_suspect",
         "is_maintenance_due",
         "labels",
         "memory_gb",
         "n_tasks_by_step",
         "n_fillers",
         "n_latency_tasks",
+        "n_suspects",
+        "n_tasks",
         "penalty",
+        "reserved_for",
         "worker_id",
     )
 
@@ -54,21 +67,29 @@
         self.labels = labels
         self.cores, self.memory_gb, self.accelerators = free
         self.penalty = penalty
+        self.is_last_resort = False
         self.is_maintenance_due = False
         self.n_tasks_by_step: dict[str, int] = {}
         self.n_fillers = 0
         self.n_latency_tasks = 0
+        self.reserved_for: set[str] = set()
+        self.n_tasks = 0
+        self.n_suspects = 0
+        self.has_repeated_suspect = False
 
     def count(self, task: "TaskNeed") -> None:
         """Count a task that runs already; ``free`` does not contain its resources."""
         self.n_tasks_by_step[task.step] = self.n_tasks_by_step.get(task.step, 0) + 1
         self.n_fillers += task.is_filler
         self.n_latency_tasks += task.has_target
+        self.n_tasks += 1
+        self.n_suspects += task.n_crashes > 0
+        self.has_repeated_suspect |= task.n_crashes >= REPEATED_CRASHES
 
     def take(self, task: "TaskNeed") -> None:
         """Count a task and reserve its resources, except the cores of a filler task."""
         self.count(task)
-        self.cores -= 0.0 if task.is_filler else task.need.cores
+        self.cores -= task.counted_need.cores
         self.memory_gb -= task.need.memory_gb
         self.accelerators -= task.need.accelerators
 
@@ -89,6 +110,8 @@
             tasks leave idle.
         has_target: whether it has a latency target.
         avoided_worker: worker on which it failed before; empty for none.
+        task: name of the task.
+        n_crashes: number of crashes of workers that it is a suspect of.
     """
 
     step: str
@@ -101,6 +124,13 @@
     is_filler: bool = False
     has_target: bool = False
     avoided_worker: str = ""
+    task: str = ""
+    n_crashes: int = 0
+
+    @property
+    def counted_need(self) -> Resources:
+        """Resources that it takes from its worker: no cores for a filler task."""
+        return self.need._replace(cores=0.0) if self.is_filler else self.need
 
 
 def fits(task: TaskNeed, room: CandidateWorker) -> bool:
@@ -113,19 +143,37 @@
         >>> fits(TaskNeed("s", Resources(1.0, 1.0, 0), required_label="gpu"), room)
         False
     """
-    if task.required_label and task.required_label not in room.labels:
+    if room.reserved_for and task.task not in room.reserved_for:
         return False
-    n_of_step = room.n_tasks_by_step.get(task.step, 0)
-    if task.max_per_worker and n_of_step >= task.max_per_worker:
+    if room.has_repeated_suspect:
+        return False
+    if task.n_crashes >= REPEATED_CRASHES and room.n_suspects:
         return False
     cores = 0.0 if task.is_filler else task.need.cores
     return (
         cores <= room.cores + ROUNDING_TOLERANCE
         and task.need.memory_gb <= room.memory_gb + ROUNDING_TOLERANCE
         and task.need.accelerators <= room.accelerators + ROUNDING_TOLERANCE
+        and is_suitable(task, room)
     )
 
 
+def is_suitable(task: TaskNeed, room: CandidateWorker, n_more_of_step: int = 0) -> bool:
+    """Return whether the worker may run the task, whatever resources are free.
+
+    Args:
+        task: requirements of the task.
+        room: the worker.
+        n_more_of_step: tasks of the same step that are about to start there.
+    """
+    if task.required_label and task.required_label not in room.labels:
+        return False
+    if room.is_last_resort and not task.is_lasting:
+        return False
+    n_of_step = room.n_tasks_by_step.get(task.step, 0) + n_more_of_step
+    return not task.max_per_worker or n_of_step < task.max_per_worker
+
+
 def choose_worker(
     task: TaskNeed, rooms: Iterable[CandidateWorker]
 ) -> CandidateWorker | None:
@@ -145,6 +193,9 @@
         n_disturbing = room.n_fillers + room.n_latency_tasks
     n_of_step = room.n_tasks_by_step.get(task.step, 0)
     return (
+        room.is_last_resort,
+        room.n_suspects,
+        room.n_tasks if task.n_crashes else 0,
         is_avoided,
         room.penalty,
         task.is_lasting and room.is_maintenance_due,
