--- a/catkinport/jobs/order_outcomes.py
+++ b/catkinport/jobs/order_outcomes.py
@@ -76,12 +76,12 @@
             reason=reason,
         )
         if reason in (Rejection.UNHEALTHY, Rejection.OTHER_INCARNATION):
-            worker.blocked_until = now + UNHEALTHY_PAUSE_SECONDS
+            _pause_until(worker, now + UNHEALTHY_PAUSE_SECONDS)
         if reason is Rejection.UNHEALTHY:
             pool_workers = self._workers.workers_of(worker.listed.pool)
             note_worker_failure(worker, pool_workers, now)
         if reason is Rejection.NO_ROOM:
-            worker.blocked_until = now + NO_ROOM_PAUSE_SECONDS
+            _pause_until(worker, now + NO_ROOM_PAUSE_SECONDS)
         if reason is Rejection.INVALID:
             run.task.not_before = now + UNHEALTHY_PAUSE_SECONDS
         self._runs.drop(worker, run)
@@ -107,3 +107,8 @@
         run = worker.run_by_key.get(key) if worker else None
         if run is not None:
             run.pace = percent
+
+
+def _pause_until(worker: WorkerRecord, until: float) -> None:
+    """Let a worker get no new tasks before ``until``, and never end a longer pause."""
+    worker.blocked_until = max(worker.blocked_until, until)
