Bound the age of a capacity by which a task starts

The platform would see: while the list of workers can't be read, a worker whose capacity has shrunk still gets tasks by its former capacity, without a bound in time.

Cause: after a failed read the workers keep their latest entry, and starts go on as long as the ownership holds and the workers answer. The field `forbids_overcommit` of a pool was decoded, but nothing read it. Ruled out: a worker that is missing from the list, or whose entry is malformed, gets no tasks already.

Change: each worker keeps when the read of the list that has its entry was sent. If its pool may overcommit, or is no longer in the configuration, it gets no task by a list that is older than 2.5 s. The reason in the log of delayed starts is `room-unknown`. Other pools are as before, as their workers reject what doesn't fit. `Dispatcher.update_workers` and the fixtures that call it take the time of the request too.

With the bound disabled, the four tests in test_start_blocks.py that expect no start failed.

--- a/catkinport/jobs/dispatcher.py
+++ b/catkinport/jobs/dispatcher.py
@@ -166,9 +166,11 @@
         """End the closing jobs that can have no runs on any worker."""
         self._jobs.finish_closing_jobs()
 
-    def update_workers(self, listed: Sequence[ListedWorker], now: float) -> None:
-        """Update the workers from the latest list of them."""
-        self._listing.update(listed, now)
+    def update_workers(
+        self, listed: Sequence[ListedWorker], sent_at: float, now: float
+    ) -> None:
+        """Update the workers from the latest list of them, requested at ``sent_at``."""
+        self._listing.update(listed, sent_at, now)
 
     def retire_worker(self, incarnation: Incarnation, now: float) -> None:
         """Remove a worker that an order for its VM has ended, with all of its runs.
--- a/catkinport/jobs/planner.py
+++ b/catkinport/jobs/planner.py
@@ -18,6 +18,7 @@
 from .dispatcher import Dispatcher
 from .model import Step
 from .record import JobRecord, Task, TaskPhase
+from .start_blocks import find_start_block
 from .start_delays import StartDelays
 from .worker_state import Run, RunPhase, StartBlock, WorkerRecord
 
@@ -128,9 +129,10 @@
         return starts
 
     def _free_rooms(self, pool: str, now: float) -> dict[str, CandidateWorker]:
+        dispatcher = self._dispatcher
         rooms: dict[str, CandidateWorker] = {}
-        for worker in self._dispatcher.workers_of(pool):
-            block = worker.find_block(now)
+        for worker in dispatcher.workers_of(pool):
+            block = find_start_block(dispatcher, worker, now)
             if block not in (None, StartBlock.QUARANTINED) or worker.is_cordoned:
                 continue
             if not self._has_unbroken_contact(worker):
--- /dev/null
+++ b/catkinport/jobs/start_blocks.py
@@ -0,0 +1,42 @@
+"""Decides whether a worker may get new tasks under the configuration of its pool.
+
+The workers of most pools reject a task that doesn't fit. Those of the others start
+whatever they are told to, so they get tasks only while their free room is known.
+"""
+
+from .dispatcher import Dispatcher
+from .worker_state import StartBlock, WorkerRecord
+
+MAX_CAPACITY_AGE_SECONDS = 2.5
+"""Maximum age of a capacity by which a worker gets tasks that it wouldn't reject. A
+start must respect a smaller capacity from 3 s after the change on, and may take
+`ORDER_TIMEOUT_SECONDS`."""
+
+
+def find_start_block(
+    dispatcher: Dispatcher, worker: WorkerRecord, now: float
+) -> StartBlock | None:
+    """Return why the worker may get no new tasks, or ``None`` if it may.
+
+    An unknown room comes before a quarantine and a cordon, as a caller may disregard
+    these two.
+    """
+    block = worker.find_block(now)
+    if block not in (None, StartBlock.QUARANTINED, StartBlock.CORDONED):
+        return block
+    if _may_overcommit(dispatcher, worker) and not _is_capacity_known(worker, now):
+        return StartBlock.ROOM_UNKNOWN
+    return block
+
+
+def _may_overcommit(dispatcher: Dispatcher, worker: WorkerRecord) -> bool:
+    """Return whether the worker starts tasks that exceed its capacity.
+
+    That is unknown of a pool that was removed from the configuration.
+    """
+    pool = dispatcher.configuration.pool_by_name.get(worker.listed.pool)
+    return pool is None or not pool.forbids_overcommit
+
+
+def _is_capacity_known(worker: WorkerRecord, now: float) -> bool:
+    return now - worker.listed_at <= MAX_CAPACITY_AGE_SECONDS
--- a/catkinport/jobs/start_delays.py
+++ b/catkinport/jobs/start_delays.py
@@ -12,6 +12,7 @@
 from ..runtime.logs import log_event
 from .dispatcher import Dispatcher
 from .record import Task
+from .start_blocks import find_start_block
 
 logger = logging.getLogger(__name__)
 
@@ -119,7 +120,9 @@
 
     def _count_blocked(self, pool: str, now: float) -> str:
         """Return the number of workers without new tasks, by reason."""
-        blocks = (w.find_block(now) for w in self._dispatcher.workers_of(pool))
+        dispatcher = self._dispatcher
+        workers = dispatcher.workers_of(pool)
+        blocks = [find_start_block(dispatcher, worker, now) for worker in workers]
         n_by_reason = Counter(block.value for block in blocks if block is not None)
         return ",".join(f"{why}:{n}" for why, n in sorted(n_by_reason.items()))
 
--- a/catkinport/jobs/tests/builders.py
+++ b/catkinport/jobs/tests/builders.py
@@ -36,13 +36,19 @@
 
 
 def make_configuration(
-    max_failures: int = 3, limit: Resources = NO_RESOURCES, version: int = 1
+    max_failures: int = 3,
+    limit: Resources = NO_RESOURCES,
+    version: int = 1,
+    forbids_overcommit: bool = True,
 ) -> FleetConfiguration:
     queue = Queue(QUEUE, "h", "/q/", POOL, False, 0, max_failures, 1.6, 0.6, 3.0)
     return FleetConfiguration(
         version,
         {QUEUE: queue},
-        {POOL: Pool(POOL, True, False), "off": Pool("off", True, True)},
+        {
+            POOL: Pool(POOL, forbids_overcommit, False),
+            "off": Pool("off", True, True),
+        },
         {ACCOUNT: Account(ACCOUNT, 1.0, limit)},
         {"key": ACCOUNT},
         262144,
@@ -85,7 +91,7 @@
         self.list_workers()
 
     def list_workers(self) -> None:
-        self.dispatcher.update_workers(self.workers, self.now)
+        self.dispatcher.update_workers(self.workers, self.now, self.now)
         for worker_record in self.dispatcher.worker_by_id.values():
             worker_record.is_enrolled = True
         for worker in self.workers:
--- a/catkinport/jobs/tests/large_task_fleet.py
+++ b/catkinport/jobs/tests/large_task_fleet.py
@@ -63,7 +63,7 @@
             self.vms[index] = lost._replace(state=VmState.DOWN, worker_id="")
             del self.running_by_worker[lost.worker_id]
         self.workers = self.workers[n_vms:]
-        self.dispatcher.update_workers(self.workers, self.now)
+        self.dispatcher.update_workers(self.workers, self.now, self.now)
 
     def finish_moves(self, orders) -> None:
         """Carry out moves to the pool; each VM comes back with a new worker."""
--- a/catkinport/jobs/tests/rival_fleet.py
+++ b/catkinport/jobs/tests/rival_fleet.py
@@ -211,9 +211,10 @@
                 await step()
 
     async def _read_store(self) -> None:
+        sent_at = self._session.clock.now()
         listed = await self.workers.list_workers()
         if not isinstance(listed, Unavailable):
-            await self._watch._apply_worker_list(listed)
+            await self._watch._apply_worker_list(listed, sent_at)
         version = self._owner._job_feed_version
         changes = await self.store.follow(JOBS_TABLE, version, 0.0)
         if not isinstance(changes, Unavailable):
--- a/catkinport/jobs/tests/test_late_writes.py
+++ b/catkinport/jobs/tests/test_late_writes.py
@@ -20,7 +20,9 @@
 
 async def enroll(watch: WorkerWatch, *worker_ids: str) -> None:
     """Apply a list of workers, as each read of the list does."""
-    await watch._apply_worker_list([make_worker(worker_id) for worker_id in worker_ids])
+    await watch._apply_worker_list(
+        [make_worker(worker_id) for worker_id in worker_ids], 0.0
+    )
 
 
 async def load_roster(session: OwnerSession) -> set[str]:
--- /dev/null
+++ b/catkinport/jobs/tests/test_start_blocks.py
@@ -0,0 +1,100 @@
+"""Tests of starts on workers that start even what they have no room for."""
+
+import asyncio
+from types import SimpleNamespace
+
+from ...policy.leadership import OwnLease
+from ..start_blocks import MAX_CAPACITY_AGE_SECONDS
+from ..worker_watch import WorkerWatch
+from .builders import Fleet, make_job, make_step, make_worker
+
+
+def make_fleet(forbids_overcommit: bool = False, **fields) -> Fleet:
+    """Return a fleet of one worker and one job, whose step has ``fields``."""
+    fleet = Fleet([make_worker("w1")], forbids_overcommit=forbids_overcommit)
+    fleet.dispatcher.add_job(make_job(steps=[make_step(**fields)]), fleet.now)
+    return fleet
+
+
+def wait(fleet: Fleet, seconds: float) -> None:
+    """Let time pass in which the worker answers and the list isn't read."""
+    fleet.advance(seconds)
+    fleet.poll_all()
+
+
+class TestOldCapacity:
+    def test_worker_gets_no_task_by_an_old_capacity(self):
+        """Guards against starts by a capacity that has shrunk seconds ago."""
+        fleet = make_fleet()
+        wait(fleet, MAX_CAPACITY_AGE_SECONDS + 0.1)
+        assert fleet.plan() == []
+        fleet.list_workers()
+        assert len(fleet.plan()) == 1
+
+    def test_worker_gets_tasks_by_a_recent_capacity(self):
+        """Guards against tasks that wait whenever a read of the list is lost."""
+        fleet = make_fleet()
+        wait(fleet, MAX_CAPACITY_AGE_SECONDS - 0.1)
+        assert len(fleet.plan()) == 1
+
+    def test_quarantined_worker_gets_no_lasting_task(self):
+        """Guards against a last resort whose capacity is as old."""
+        fleet = make_fleet(is_lasting=True)
+        fleet.dispatcher.worker_by_id["w1"].quarantined_until = fleet.now + 9.0
+        assert len(fleet.plan()) == 1
+        fleet = make_fleet(is_lasting=True)
+        fleet.dispatcher.worker_by_id["w1"].quarantined_until = fleet.now + 9.0
+        wait(fleet, MAX_CAPACITY_AGE_SECONDS + 0.1)
+        assert fleet.plan() == []
+
+    def test_worker_of_a_removed_pool_gets_no_task(self):
+        """Guards against a pool without settings that counts as one that rejects."""
+        fleet = make_fleet(forbids_overcommit=True)
+        configuration = fleet.dispatcher.configuration
+        fleet.dispatcher.apply_configuration(configuration._replace(pool_by_name={}))
+        wait(fleet, MAX_CAPACITY_AGE_SECONDS + 0.1)
+        assert fleet.plan() == []
+
+    def test_worker_that_rejects_what_does_not_fit_gets_tasks(self):
+        """Guards against an outage of the store that stops all starts."""
+        fleet = make_fleet(forbids_overcommit=True)
+        wait(fleet, 60.0)
+        assert len(fleet.plan()) == 1
+
+
+class SlowList:
+    """A session in which each read of the list of workers takes a second."""
+
+    def __init__(self, fleet: Fleet) -> None:
+        self.dispatcher = fleet.dispatcher
+        self.clock = SimpleNamespace(now=lambda: fleet.now)
+        self.lease = OwnLease(1, fleet.now)
+        self.ports = SimpleNamespace(workers=self)
+        self._fleet = fleet
+
+    async def list_workers(self):
+        wait(self._fleet, 1.0)
+        return self._fleet.workers
+
+
+class TestAgeOfTheList:
+    def test_age_counts_from_the_request(self, monkeypatch):
+        """Guards against a capacity that is a second old when the answer arrives."""
+        fleet = make_fleet()
+        watch = WorkerWatch(SlowList(fleet), None, 0.0)
+        applied = asyncio.Event()
+
+        async def apply(listed, sent_at):
+            fleet.dispatcher.update_workers(listed, sent_at, fleet.now)
+            applied.set()
+            await asyncio.sleep(9.0)
+
+        async def read_once():
+            task = asyncio.create_task(watch.run())
+            await applied.wait()
+            task.cancel()
+
+        monkeypatch.setattr(watch, "_apply_worker_list", apply)
+        asyncio.run(read_once())
+        wait(fleet, MAX_CAPACITY_AGE_SECONDS - 0.9)
+        assert fleet.plan() == []
--- a/catkinport/jobs/tests/test_uncertain_starts.py
+++ b/catkinport/jobs/tests/test_uncertain_starts.py
@@ -158,7 +158,7 @@
         workers.dispatcher.retire_worker(worker.incarnation, workers.fleet.now)
         fleet = workers.fleet
         fleet.workers = [make_worker(workers.worker_id, started_at=2.0)]
-        workers.dispatcher.update_workers(fleet.workers, fleet.now)
+        workers.dispatcher.update_workers(fleet.workers, fleet.now, fleet.now)
         workers.report(started_at=2.0)
         assert len(workers.stops()) == 1
 
--- a/catkinport/jobs/tests/test_vm_planner.py
+++ b/catkinport/jobs/tests/test_vm_planner.py
@@ -189,7 +189,7 @@
         (order,) = fleet.step()
         fleet.vm_planner.on_done(order, fleet.now)
         assert "w0" not in fleet.dispatcher.worker_by_id
-        fleet.dispatcher.update_workers(fleet.workers, fleet.now)
+        fleet.dispatcher.update_workers(fleet.workers, fleet.now, fleet.now)
         assert "w0" not in fleet.dispatcher.worker_by_id
 
     def test_worker_that_starts_again_under_the_id_of_a_removed_one_is_listed(self):
@@ -199,7 +199,7 @@
         (order,) = fleet.step()
         fleet.vm_planner.on_done(order, fleet.now)
         restarted = make_worker("w0", started_at=2.0)
-        fleet.dispatcher.update_workers([restarted], fleet.now)
+        fleet.dispatcher.update_workers([restarted], fleet.now, fleet.now)
         assert "w0" in fleet.dispatcher.worker_by_id
 
 
--- a/catkinport/jobs/tests/test_worker_pools.py
+++ b/catkinport/jobs/tests/test_worker_pools.py
@@ -19,14 +19,14 @@
             table = AsyncLateTable()
             session = make_session(table)
             watch = WorkerWatch(session, StateStore(session), 0.0)
-            await watch._apply_worker_list([make_worker("w1")])
+            await watch._apply_worker_list([make_worker("w1")], 0.0)
             worker = session.dispatcher.worker_by_id["w1"]
             assert worker.is_enrolled
             moved = make_worker("w1", pool=OTHER_POOL)
             table.late.n_held = 1
-            await watch._apply_worker_list([moved])
+            await watch._apply_worker_list([moved], 0.0)
             assert not worker.is_enrolled
-            await watch._apply_worker_list([moved])
+            await watch._apply_worker_list([moved], 0.0)
             assert worker.is_enrolled
             session.cancel_all()
             rows = (await table.read_range(ROSTER_TABLE)).rows
--- a/catkinport/jobs/worker_listing.py
+++ b/catkinport/jobs/worker_listing.py
@@ -25,14 +25,22 @@
         self._runs = runs
         self._retired_by_id: dict[str, Incarnation] = {}
 
-    def update(self, listed: Sequence[ListedWorker], now: float) -> None:
-        """Update the workers from the latest list of them."""
+    def update(
+        self, listed: Sequence[ListedWorker], sent_at: float, now: float
+    ) -> None:
+        """Update the workers from the latest list of them.
+
+        Args:
+            listed: the list.
+            sent_at: clock time in seconds at which the read of the list was sent.
+            now: clock time in seconds.
+        """
         listed_by_id = {worker.worker_id: worker for worker in listed}
         for worker_id in self._retired_by_id.keys() - listed_by_id.keys():
             del self._retired_by_id[worker_id]
         for worker in listed:
             if not self._is_retired(worker):
-                self._update_listed(worker)
+                self._update_listed(worker, sent_at)
         for record in list(self._workers.worker_by_id.values()):
             if record.worker_id not in listed_by_id:
                 self._update_unlisted(record, now)
@@ -56,10 +64,10 @@
         # An entry without the time of start can't be told from the retired one.
         return worker.started_at in (0.0, retired.started_at)
 
-    def _update_listed(self, worker: ListedWorker) -> None:
+    def _update_listed(self, worker: ListedWorker, sent_at: float) -> None:
         record = self._workers.worker_by_id.get(worker.worker_id)
         if record is None:
-            self._add(worker)
+            self._add(worker, sent_at)
             return
         if worker.is_draining and not record.listed.is_draining:
             log_event(
@@ -73,9 +81,12 @@
             record.is_enrolled = False
         record.listed = worker
         record.is_listed = True
+        record.listed_at = sent_at
 
-    def _add(self, worker: ListedWorker) -> None:
-        self._workers.worker_by_id[worker.worker_id] = WorkerRecord(worker)
+    def _add(self, worker: ListedWorker, sent_at: float) -> None:
+        record = WorkerRecord(worker)
+        record.listed_at = sent_at
+        self._workers.worker_by_id[worker.worker_id] = record
         log_event(
             logger,
             "worker listed",
--- a/catkinport/jobs/worker_state.py
+++ b/catkinport/jobs/worker_state.py
@@ -79,6 +79,7 @@
     OUT_OF_CONTACT = "out-of-contact"
     PAUSED = "paused"
     QUARANTINED = "quarantined"
+    ROOM_UNKNOWN = "room-unknown"
 
 
 class RunKey(NamedTuple):
@@ -183,6 +184,8 @@
     Attributes:
         listed: its latest entry in the list of workers, or in the stored roster.
         is_listed: whether the latest list of workers has an entry of it.
+        listed_at: clock time in seconds at which the latest read of that list with an
+            entry of it was sent; minus infinity before the first.
         vm_id: VM that it runs on; empty while unknown.
         started_at: Unix time in seconds at which the worker process started; 0 before
             the first contact.
@@ -220,6 +223,7 @@
     def __init__(self, listed: ListedWorker) -> None:
         self.listed = listed
         self.is_listed = True
+        self.listed_at = float("-inf")
         self.vm_id = ""
         self.started_at = 0.0
         self.started_known_at = float("-inf")
--- a/catkinport/jobs/worker_watch.py
+++ b/catkinport/jobs/worker_watch.py
@@ -81,17 +81,20 @@
     async def run(self) -> None:
         """Poll the list of workers until the ownership ends."""
         while True:
+            sent_at = self._session.clock.now()
             listed = await self._session.ports.workers.list_workers()
             if isinstance(listed, Unavailable):
                 log_event(logger, "workers not listed", reason=listed.reason)
                 await asyncio.sleep(RETRY_SECONDS)
                 continue
-            await self._apply_worker_list(listed)
+            await self._apply_worker_list(listed, sent_at)
             await asyncio.sleep(LIST_SECONDS)
 
-    async def _apply_worker_list(self, listed: list[ListedWorker]) -> None:
+    async def _apply_worker_list(
+        self, listed: list[ListedWorker], sent_at: float
+    ) -> None:
         now = self._session.clock.now()
-        self._session.dispatcher.update_workers(listed, now)
+        self._session.dispatcher.update_workers(listed, sent_at, now)
         self._resolve_unreached_workers(now)
         for worker_id in list(self._session.dispatcher.worker_by_id):
             self._start_polling(worker_id)
