Start nothing beside a run of an unknown job on a worker that may overcommit

The platform would see: a worker that doesn't reject what doesn't fit runs a task of a job that has ended, carried out late, and gets other tasks as if that room were free, until the stop of the run has been carried out. That breaks the rule LIMIT, by which what is being stopped counts.

Cause: a run whose job is unknown is stopped, but no record of it exists that counts against the capacity, as its need is unknown. Ruled out: runs of known jobs count until their end is listed.

Change: a worker whose pool may overcommit gets no task while it lists such a run.

--- a/catkinport/jobs/tests/test_start_blocks.py
+++ b/catkinport/jobs/tests/test_start_blocks.py
@@ -4,6 +4,7 @@
 from types import SimpleNamespace
 
 from ...policy.leadership import OwnLease
+from ...ports.fleet_workers import RunningTask
 from ..start_blocks import MAX_CAPACITY_AGE_SECONDS
 from ..worker_watch import WorkerWatch
 from .builders import Fleet, make_job, make_step, make_worker
@@ -98,3 +99,27 @@
         asyncio.run(read_once())
         wait(fleet, MAX_CAPACITY_AGE_SECONDS - 0.9)
         assert fleet.plan() == []
+
+
+class TestRunOfAnUnknownJob:
+    """A late start of a job that has ended takes room, but its need is unknown."""
+
+    def list_unknown_run(self, fleet: Fleet) -> None:
+        run = RunningTask("00000000000000ee.0.0.0", 1, "", 0.0, 0.0)
+        fleet.running_by_worker["w1"] = {("unknown", 1): run}
+        fleet.poll("w1")
+
+    def test_worker_gets_no_task_until_the_run_has_ended(self):
+        """Guards against a start beside a run that isn't counted until its stop."""
+        fleet = make_fleet()
+        self.list_unknown_run(fleet)
+        assert fleet.plan() == []
+        fleet.running_by_worker["w1"].clear()
+        fleet.poll("w1")
+        assert len(fleet.plan()) == 1
+
+    def test_worker_that_rejects_what_does_not_fit_gets_tasks(self):
+        """Guards against a worker that idles although it would reject what doesn't fit."""
+        fleet = make_fleet(forbids_overcommit=True)
+        self.list_unknown_run(fleet)
+        assert len(fleet.plan()) == 1
