Count starts that a restarted worker may carry out late, where it may overcommit

The platform would see: a worker that doesn't reject what doesn't fit restarts under its id, fills up with new tasks, and then carries out a start from before the restart, which brings it over its capacity. That breaks the rule LIMIT.

Cause: a start without an answer counts until its lease has expired, and is given up then. The process that received it would reject it, but a restarted one doesn't, until it has confirmed a stop. Ruled out: a start without an answer counts before its lease has expired; one on a worker that hasn't restarted is rejected as late.

--- a/catkinport/jobs/start_blocks.py
+++ b/catkinport/jobs/start_blocks.py
@@ -24,10 +24,10 @@
     block = worker.find_block(now)
     if block not in (None, StartBlock.QUARANTINED, StartBlock.CORDONED):
         return block
-    if _may_overcommit(dispatcher, worker):
-        is_known = _is_capacity_known(worker, now)
-        if not is_known or _has_unknown_runs(dispatcher, worker):
-            return StartBlock.ROOM_UNKNOWN
+    if _may_overcommit(dispatcher, worker) and not _is_room_known(
+        dispatcher, worker, now
+    ):
+        return StartBlock.ROOM_UNKNOWN
     return block
 
 
@@ -40,6 +40,14 @@
     return pool is None or not pool.forbids_overcommit
 
 
+def _is_room_known(dispatcher: Dispatcher, worker: WorkerRecord, now: float) -> bool:
+    return (
+        _is_capacity_known(worker, now)
+        and not _has_unknown_runs(dispatcher, worker)
+        and not _has_late_starts(dispatcher, worker)
+    )
+
+
 def _is_capacity_known(worker: WorkerRecord, now: float) -> bool:
     return now - worker.listed_at <= MAX_CAPACITY_AGE_SECONDS
 
@@ -48,3 +56,8 @@
     """Return whether it runs tasks of unknown jobs, whose needs are unknown too."""
     keys = dispatcher.orphan_stop_sent_at
     return any(worker_id == worker.worker_id for worker_id, _ in keys)
+
+
+def _has_late_starts(dispatcher: Dispatcher, worker: WorkerRecord) -> bool:
+    """Return whether it may carry out starts that were given up before it restarted."""
+    return dispatcher.uncertain_starts.may_be_carried_out(worker.incarnation)
--- a/catkinport/jobs/tests/test_start_blocks.py
+++ b/catkinport/jobs/tests/test_start_blocks.py
@@ -4,11 +4,15 @@
 from types import SimpleNamespace
 
 from ...policy.leadership import OwnLease
+from ...ports import Reason, Unavailable
 from ...ports.fleet_workers import RunningTask
+from ..run_stops import find_stops
 from ..start_blocks import MAX_CAPACITY_AGE_SECONDS
 from ..worker_watch import WorkerWatch
 from .builders import Fleet, make_job, make_step, make_worker
 
+LOST = Unavailable(Reason.TIMEOUT, "worker-start", "w1", "", True)
+
 
 def make_fleet(forbids_overcommit: bool = False, **fields) -> Fleet:
     """Return a fleet of one worker and one job, whose step has ``fields``."""
@@ -119,7 +123,47 @@
         assert len(fleet.plan()) == 1
 
     def test_worker_that_rejects_what_does_not_fit_gets_tasks(self):
-        """Guards against a worker that idles although it would reject what doesn't fit."""
+        """Guards against a worker that idles although it rejects what does not fit."""
         fleet = make_fleet(forbids_overcommit=True)
         self.list_unknown_run(fleet)
         assert len(fleet.plan()) == 1
+
+
+class TestLateStart:
+    """A start without an answer that was given up, and its worker restarted since."""
+
+    def restart(self, fleet: Fleet) -> None:
+        """Let the lease of a lost start expire, and the worker restart."""
+        (start,) = fleet.plan()
+        fleet.answer(start, LOST)
+        fleet.advance(9.0)
+        fleet.dispatcher.expire(fleet.now)
+        fleet.workers = [make_worker("w1", started_at=2.0)]
+        fleet.dispatcher.update_workers(fleet.workers, fleet.now, fleet.now)
+        fleet.poll("w1", started_at=2.0)
+
+    def test_worker_gets_no_task_until_it_has_confirmed_the_stop(self):
+        """Guards against a late start beside a task that takes its room."""
+        fleet = make_fleet()
+        self.restart(fleet)
+        assert fleet.plan() == []
+        (stop,) = find_stops(fleet.dispatcher, fleet.now)
+        incarnation = fleet.dispatcher.worker_by_id["w1"].incarnation
+        fleet.dispatcher.uncertain_starts.note_stopped(incarnation, stop.key)
+        assert len(fleet.plan()) == 1
+
+    def test_worker_that_did_not_restart_gets_tasks(self):
+        """Guards against a wait for a start that the worker rejects as late."""
+        fleet = make_fleet()
+        (start,) = fleet.plan()
+        fleet.answer(start, LOST)
+        fleet.advance(9.0)
+        fleet.dispatcher.expire(fleet.now)
+        fleet.list_workers()
+        assert len(fleet.plan()) == 1
+
+    def test_worker_that_rejects_what_does_not_fit_gets_tasks(self):
+        """Guards against a worker that idles although it rejects what does not fit."""
+        fleet = make_fleet(forbids_overcommit=True)
+        self.restart(fleet)
+        assert len(fleet.plan()) == 1
--- a/catkinport/jobs/uncertain_starts.py
+++ b/catkinport/jobs/uncertain_starts.py
@@ -55,6 +55,11 @@
         """Return how many starts on a worker are remembered."""
         return len(self._starts_by_worker.get(worker_id, {}))
 
+    def may_be_carried_out(self, incarnation: Incarnation) -> bool:
+        """Return whether an incarnation may carry out a start that was given up."""
+        starts = self._starts_by_worker.get(incarnation.worker_id, {})
+        return any(s.stopped_in != incarnation.started_at for s in starts.values())
+
     def settle(self, worker_id: str, key: RunKey, now: float) -> None:
         """Forget a start, because the worker has carried it out."""
         start = self._starts_by_worker.get(worker_id, {}).pop(key, None)
