--- a/catkinport/jobs/tests/test_changed_capacity.py
+++ b/catkinport/jobs/tests/test_changed_capacity.py
@@ -1,11 +1,16 @@
 """Tests of starts on workers whose capacity changes while they run tasks."""
 
+from types import SimpleNamespace
+
 import pytest
 
 from ...policy.resources import NO_RESOURCES, Resources
 from ...ports import Reason, Unavailable
+from ...ports.table import Row
+from ..tables import roster_key
 from ..worker_state import RunPhase
-from .builders import JOB_ID, Fleet, make_job, make_step, make_worker
+from ..worker_watch import WorkerWatch
+from .builders import JOB_ID, POOL, Fleet, make_job, make_step, make_worker
 
 SECOND_JOB = "00000000000000a2"
 FULL = Resources(16.0, 64.0, 4)
@@ -44,6 +49,23 @@
     return fleet
 
 
+def restore_roster(fleet: Fleet, capacity: Resources) -> None:
+    """Restore the worker from the roster of a former owner."""
+    worker = make_worker("w1")
+    entry = {
+        "vm": "m1",
+        "address": worker.address,
+        "zone": worker.zone,
+        "capacity": list(capacity),
+        "labels": list(worker.labels),
+    }
+    session = SimpleNamespace(
+        dispatcher=fleet.dispatcher, spawn=lambda coroutine: coroutine.close()
+    )
+    watch = WorkerWatch(session, None, fleet.now)
+    watch.restore_roster_row(Row(roster_key(POOL), 1, {"workers": {"w1": entry}}), 0.0)
+
+
 @pytest.mark.parametrize("capacity", SHRUNK)
 class TestShrunkCapacity:
     def test_no_task_starts_until_it_grows_again(self, capacity):
@@ -128,3 +150,50 @@
             fleet.end(start)
         (start,) = fleet.start()
         assert start.worker.worker_id != room_id
+
+
+class TestRestoredCapacity:
+    def test_no_task_starts_by_the_capacity_in_the_roster(self):
+        """Guards against a new owner that starts by the capacity of a former time."""
+        fleet = make_fleet()
+        del fleet.dispatcher.worker_by_id["w1"]
+        restore_roster(fleet, FULL)
+        add_job(fleet, JOB_ID)
+        fleet.poll("w1")
+        assert fleet.plan() == []
+        set_capacity(fleet, FULL._replace(memory_gb=24.0))
+        assert fleet.plan() == []
+        set_capacity(fleet, FULL)
+        assert len(fleet.plan()) == 1
+
+
+class TestRunsOfACutOffWorker:
+    def test_runs_that_were_given_up_count_once_it_answers(self):
+        """Guards against starts beside runs that have outlived their lease."""
+        fleet = fleet_with_one_run()
+        add_job(fleet, SECOND_JOB)
+        shrunk = FULL._replace(memory_gb=24.0)
+        fleet.workers = [make_worker("w1", capacity=shrunk)]
+        fleet.advance(60.0)
+        fleet.dispatcher.expire(fleet.now)
+        worker = fleet.dispatcher.worker_by_id["w1"]
+        assert worker.run_by_key == {}
+        fleet.dispatcher.update_workers(fleet.workers, fleet.now, fleet.now)
+        assert fleet.plan() == []
+        fleet.poll("w1")
+        assert len(worker.run_by_key) == 1
+        assert fleet.plan() == []
+
+    def test_runs_that_were_given_up_count_after_its_removal(self):
+        """Guards against starts beside the runs of a worker that is listed again."""
+        fleet = fleet_with_one_run()
+        add_job(fleet, SECOND_JOB)
+        fleet.advance(60.0)
+        fleet.dispatcher.expire(fleet.now)
+        fleet.dispatcher.update_workers([], fleet.now, fleet.now)
+        assert fleet.dispatcher.worker_by_id == {}
+        shrunk = FULL._replace(memory_gb=24.0)
+        fleet.workers = [make_worker("w1", capacity=shrunk)]
+        fleet.list_workers()
+        assert len(fleet.dispatcher.worker_by_id["w1"].run_by_key) == 1
+        assert fleet.plan() == []
--- a/catkinport/platform/tests/test_workers.py
+++ b/catkinport/platform/tests/test_workers.py
@@ -3,9 +3,13 @@
 import asyncio
 from types import SimpleNamespace
 
+import pytest
+
 from ...policy.resources import Resources
 from ...ports import Reason, Unavailable
+from ...ports.async_table import Snapshot
 from ...ports.fleet_workers import Done, ListedWorker, StartOrder
+from ...ports.table import Row, RowKey
 from ..client import Reply
 from ..workers import PlatformWorkers
 
@@ -134,3 +138,33 @@
         scene.list_restarted()
         asyncio.run(scene.workers.stop(scene.listed, 7, ORDER.task, 1))
         assert "UntilMs" not in scene.hold()
+
+
+class FakeTable:
+    """Lists workers by ``capacity_by_worker``, as the store has it."""
+
+    def __init__(self, capacity_by_worker):
+        self.capacity_by_worker = capacity_by_worker
+
+    async def read_range(self, table):
+        entry = {"Service": "p", "Address": "h:1", "Zone": "z", "State": "ready"}
+        rows = [
+            Row(RowKey(table, worker_id), 1, {**entry, "Capacity": capacity})
+            for worker_id, capacity in self.capacity_by_worker.items()
+        ]
+        return Snapshot(rows, 1)
+
+
+class TestMalformedCapacity:
+    @pytest.mark.parametrize(
+        "capacity",
+        [None, [], "16", {"Cpu": -1}, {"MemMb": float("nan")}, {"Gpu": "1"}],
+    )
+    def test_entry_is_left_out_and_logged_once(self, capacity, caplog):
+        """Guards against an entry that ends the ownership, or starts by its amounts."""
+        table = FakeTable({"i-1": capacity, "i-2": {"Cpu": 4000, "MemMb": 8192}})
+        workers = PlatformWorkers(None, table, None, "")
+        for _ in range(2):
+            listed = asyncio.run(workers.list_workers())
+            assert [worker.worker_id for worker in listed] == ["i-2"]
+        assert caplog.messages.count("worker entry ignored") == 1
