Write no roster row for a changed capacity

Callers would see: tasks wait while the capacity of workers changes and the store is slow or loses answers. The platform would see a start on a worker that drains, or rejected starts, by a list that is as old.

Cause: the stored roster of workers contains the capacity, so that each change of it is committed, and the list of workers isn't read again before that commit has been answered, which may take 3 s. Ruled out that a successor needs the stored capacity: it starts nothing on a worker before the list has an entry.

Change: a row is written only if another field or the set of workers differs. The new test of it failed before.

--- a/catkinport/jobs/tests/test_worker_pools.py
+++ b/catkinport/jobs/tests/test_worker_pools.py
@@ -34,3 +34,40 @@
             assert workers == {POOL: set(), OTHER_POOL: {"w1"}}
 
         asyncio.run(run())
+
+
+class TestChangedCapacity:
+    def test_a_changed_capacity_writes_no_row(self):
+        """Guards against reads of the list that wait for a write without an answer."""
+
+        async def run():
+            table = AsyncLateTable()
+            session = make_session(table)
+            watch = WorkerWatch(session, StateStore(session), 0.0)
+            await watch._apply_worker_list([make_worker("w1")], 0.0)
+            (row,) = (await table.read_range(ROSTER_TABLE)).rows
+            await watch._apply_worker_list([make_worker("w1", cores=2.0)], 0.0)
+            session.cancel_all()
+            assert session.dispatcher.worker_by_id["w1"].listed.capacity.cores == 2.0
+            (later,) = (await table.read_range(ROSTER_TABLE)).rows
+            assert later.version == row.version
+
+        asyncio.run(run())
+
+    def test_a_changed_address_is_written(self):
+        """Guards against a successor that can't reach the worker."""
+
+        async def run():
+            table = AsyncLateTable()
+            session = make_session(table)
+            watch = WorkerWatch(session, StateStore(session), 0.0)
+            await watch._apply_worker_list([make_worker("w1")], 0.0)
+            moved = make_worker("w1", address="h:2", cores=2.0)
+            await watch._apply_worker_list([moved], 0.0)
+            session.cancel_all()
+            (row,) = (await table.read_range(ROSTER_TABLE)).rows
+            entry = row.value["workers"]["w1"]
+            assert entry["address"] == "h:2"
+            assert entry["capacity"] == [2.0, 256.0, 0]
+
+        asyncio.run(run())
--- a/catkinport/jobs/worker_watch.py
+++ b/catkinport/jobs/worker_watch.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import logging
+from collections.abc import Mapping
 from typing import Any
 
 from ..policy.resources import Resources
@@ -118,7 +119,7 @@
         changed = {
             pool: entries
             for pool, entries in roster_by_pool.items()
-            if self._roster_by_pool.get(pool) != entries
+            if not _is_stored(entries, self._roster_by_pool.get(pool))
         }
         if changed:
             writes = [
@@ -245,6 +246,22 @@
     }
 
 
+def _is_stored(
+    entries: Mapping[str, dict[str, Any]], stored: Mapping[str, dict[str, Any]] | None
+) -> bool:
+    """Return whether a pool's stored row says where to find its workers.
+
+    The capacities in the row may be old: a successor starts nothing by them, as it
+    reads the list of workers first.
+    """
+    if stored is None or entries.keys() != stored.keys():
+        return False
+    return all(
+        {**stored[worker_id], "capacity": entry["capacity"]} == entry
+        for worker_id, entry in entries.items()
+    )
+
+
 def _worker_from_roster(
     worker_id: str, pool: str, entry: dict[str, Any]
 ) -> ListedWorker:
