Order waiting tasks by size also beside a worker whose capacity has shrunk

Callers would see: a lasting task waits for a VM that moves to its pool although the pool has room for it.

Cause: the tasks are placed largest first, by their share of what is free in the pool. A worker whose runs exceed its new capacity counted with negative room, so that the sum could become negative, and the order the reverse. Ruled out: no task was placed in negative room.

Change: negative room counts as none in the sum. The new test of it failed before.

--- a/catkinport/policy/tests/test_vm_packing.py
+++ b/catkinport/policy/tests/test_vm_packing.py
@@ -31,6 +31,13 @@
         packing = pack_tasks(tasks, make_rooms(100.0, 30.0))
         assert packing.unplaced == ()
 
+    # Guards against an order by which small tasks come first, as a worker with a shrunk
+    # capacity makes the sum of what is free negative.
+    def test_large_tasks_are_placed_first_beside_a_shrunk_worker(self):
+        tasks = [make_task(gb, f"s{gb}") for gb in (20.0, 90.0, 100.0)]
+        packing = pack_tasks(tasks, make_rooms(100.0, 120.0, -300.0))
+        assert packing.unplaced == ()
+
     # Guards against tasks of one step that are skipped because another step's did not
     # fit.
     def test_a_step_without_room_does_not_stop_another(self):
--- a/catkinport/policy/vm_packing.py
+++ b/catkinport/policy/vm_packing.py
@@ -93,4 +93,7 @@
 
 
 def _free_resources(room: CandidateWorker) -> Resources:
-    return Resources(room.cores, room.memory_gb, room.accelerators)
+    # The runs on a worker whose capacity has shrunk may take more than it has now.
+    return Resources(
+        max(0.0, room.cores), max(0.0, room.memory_gb), max(0.0, room.accelerators)
+    )
