Close a server in time while clients go on sending

A daemon that was asked to stop could go on answering 504 on open connections past its grace period.

Cause: after the deadline, `HttpListener.close` waits for a moment without requests. An answer with status 504 only had the header `Connection: close`, which does not make the server close the connection, so requests kept arriving on it. A handler that ignores its cancellation delayed the close as well.

Change: from the deadline on, each connection is closed after its next answer, and the wait ends 0.2 s after the deadline in any case.

--- a/catkinport/platform/listener.py
+++ b/catkinport/platform/listener.py
@@ -18,8 +18,8 @@
 """Most connections that wait until the server accepts them."""
 
 SHUTDOWN_SECONDS = 0.2
-"""Longest wait for each step in which the connections are closed. Their requests have
-been answered by then."""
+"""Longest wait for requests that have been cut off to be answered, and for each step in
+which the connections are closed."""
 
 IDLE_ROUNDS = 10
 """Rounds of the event loop without a request after which a server is idle. A connection
@@ -70,7 +70,8 @@
 
         Args:
             timeout_seconds: time after which requests in progress are answered with
-                status 504, as their outcome is unknown.
+                status 504, as their outcome is unknown. From then on, each connection
+                is closed after its next answer.
         """
         loop = asyncio.get_running_loop()
         deadline = loop.time() + timeout_seconds
@@ -81,6 +82,8 @@
         while not await self._is_idle():
             if loop.time() >= deadline:
                 self._cut_off()
+            if loop.time() >= deadline + SHUTDOWN_SECONDS:
+                break
             await asyncio.sleep(POLL_SECONDS)
         await self._runner.cleanup()
 
@@ -102,7 +105,10 @@
         assert task is not None
         self._tasks.add(task)
         try:
-            return await self._handler(request)
+            response = await self._handler(request)
+            if self._is_cut_off:
+                response.force_close()
+            return response
         except asyncio.CancelledError:
             if not self._is_cut_off:
                 raise
@@ -114,6 +120,8 @@
                 request_id=request.path.rpartition("/")[2],
                 method=request.method,
             )
-            return web.Response(status=504, headers={"Connection": "close"})
+            response = web.Response(status=504)
+            response.force_close()
+            return response
         finally:
             self._tasks.discard(task)
--- a/catkinport/platform/tests/test_listener.py
+++ b/catkinport/platform/tests/test_listener.py
@@ -1,6 +1,7 @@
 """Tests of what clients receive while a server closes."""
 
 import asyncio
+import contextlib
 import socket
 
 import pytest
@@ -123,3 +124,58 @@
             return await read_statuses(client)
 
         assert asyncio.run(close()) == []
+
+    def test_clients_that_go_on_sending_do_not_delay_the_close(self):
+        """Guards against a close that lasts as long as requests keep arriving.
+
+        A status of 504 left the connection open, so the next request on it was read.
+        """
+
+        async def send_without_end(port: int) -> None:
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            try:
+                writer.write(20 * REQUEST)
+                while received := await reader.read(65536):
+                    writer.write(received.count(b"HTTP/1.1 ") * REQUEST)
+            finally:
+                writer.close()
+
+        async def close():
+            listener = await self._open(seconds=0.001)
+            clients = [
+                asyncio.ensure_future(send_without_end(listener.port)) for _ in range(5)
+            ]
+            await asyncio.sleep(0.2)
+            closing = asyncio.ensure_future(listener.close(0.2))
+            await asyncio.wait({closing}, timeout=2.0)
+            is_closed = closing.done()
+            for client in clients:
+                client.cancel()
+            await closing
+            return is_closed
+
+        assert asyncio.run(close())
+
+    def test_a_handler_that_ignores_its_cancellation_does_not_delay_the_close(self):
+        """Guards against a close that waits without end for one request."""
+
+        async def answer(request):
+            end = asyncio.get_running_loop().time() + 3.0
+            while (left := end - asyncio.get_running_loop().time()) > 0:
+                with contextlib.suppress(asyncio.CancelledError):
+                    await asyncio.sleep(left)
+            return web.Response()
+
+        async def close():
+            listener = HttpListener(answer, "127.0.0.1:0")
+            await listener.open()
+            client = connect(listener)
+            client.sendall(REQUEST)
+            await asyncio.sleep(0.05)
+            begin = asyncio.get_running_loop().time()
+            await listener.close(0.1)
+            seconds = asyncio.get_running_loop().time() - begin
+            client.close()
+            return seconds
+
+        assert asyncio.run(close()) < 2.0
