Let a lasting task use a worker reserved for one that does not fit yet

Callers could see a lasting task without a run although a worker had room for it, for as long as the task waited for which that worker was reserved.

Cause: a worker with reservations takes no other task. A lasting task that fits there now, but not beside the task that holds the reservation, could make no reservation either, so it waited for the longest short task of that worker. The plan of VMs for lasting tasks does not know reservations, so it counted the worker as room and brought no VM.

Evidence: in a pool of one worker with 156 of 256 GB free, reserved for a lasting task of 200 GB, a lasting task of 100 GB was not started.

Ruled out: tasks that fit beside the one that holds the reservation. They make a reservation on the same worker and start in the next round.

Change: such a task takes the worker, unless a task that holds a reservation there fits now. The tasks that held it choose another worker in the next round.

--- a/catkinport/jobs/planner.py
+++ b/catkinport/jobs/planner.py
@@ -233,7 +233,7 @@
     ) -> None:
         """Place the waiting tasks of a step; reserve workers for lasting ones."""
         is_full = False
-        may_reserve = True
+        may_choose = True
         for task in tasks:
             if not is_within_limit(usage, account, task.step.need, 1):
                 return
@@ -248,14 +248,21 @@
             is_full = True
             if not task.step.is_lasting:
                 return
-            if task.phase is TaskPhase.WAITING:
-                is_reserved = self._reservations.reserve(
-                    need,
-                    rooms,
-                    lambda worker_id: self._expected_ends(worker_id, now),
-                    may_reserve,
-                )
-                may_reserve = may_reserve and is_reserved
+            if task.phase is not TaskPhase.WAITING:
+                continue
+            is_reserved = self._reservations.reserve(
+                need,
+                rooms,
+                lambda worker_id: self._expected_ends(worker_id, now),
+                may_choose,
+            )
+            if is_reserved or not may_choose:
+                continue
+            room = self._reservations.take_over(need, rooms.values())
+            if room is not None:
+                self._begin_run(task, room, usage, account, now, starts)
+            else:
+                may_choose = False
 
     def _expected_ends(self, worker_id: str, now: float) -> list[ExpectedEnd]:
         return find_expected_ends(self._dispatcher, worker_id, now)
--- a/catkinport/jobs/tests/test_reservations.py
+++ b/catkinport/jobs/tests/test_reservations.py
@@ -142,3 +142,24 @@
         (lasting, *_) = fleet.plan()
         assert lasting.run.task.step.is_lasting
         fleet.answer(lasting, Done())
+
+
+class TestLastingTasksBesideReservations:
+    def test_lasting_task_uses_a_worker_reserved_for_one_that_does_not_fit_yet(self):
+        """Guards against a lasting task that waits although a worker has room for it.
+
+        No worker could hold it beside the task of the reservation, so it could reserve
+        none and waited until that task had started, and then for good.
+        """
+        fleet = Fleet([make_worker("w1", cores=64.0)])
+        short = make_step(1, need=Resources(1.0, 100.0, 0))
+        fleet.dispatcher.add_job(make_job("0000000000000001", steps=[short]), fleet.now)
+        assert len(fleet.start()) == 1
+        large = make_step(1, need=LARGE, is_lasting=True)
+        fleet.dispatcher.add_job(make_job("0000000000000002", steps=[large]), fleet.now)
+        assert fleet.start() == []
+        smaller = make_step(1, need=Resources(1.0, 100.0, 0), is_lasting=True)
+        job = make_job("0000000000000003", steps=[smaller])
+        fleet.dispatcher.add_job(job, fleet.now)
+        (start,) = fleet.start()
+        assert start.run.key.task == "0000000000000003.0.0.0"
--- a/catkinport/policy/reservations.py
+++ b/catkinport/policy/reservations.py
@@ -15,6 +15,7 @@
     ROUNDING_TOLERANCE,
     CandidateWorker,
     TaskNeed,
+    has_room,
     is_suitable,
 )
 
@@ -110,6 +111,31 @@
         room.reserved_for.add(need.task)
         return True
 
+    def take_over(
+        self, need: TaskNeed, rooms: Iterable[CandidateWorker]
+    ) -> CandidateWorker | None:
+        """Return a reserved worker on which a task fits now, and end its reservations.
+
+        This is for a lasting task that can reserve no worker. It is not known when the
+        tasks that hold the reservations will fit, and they can choose another worker. A
+        worker on which one of them fits now stays reserved, as that task is about to
+        start.
+        """
+        possible = (
+            room
+            for room in rooms
+            if room.reserved_for
+            and has_room(need, room)
+            and not self._is_holder_due(room)
+        )
+        room = min(possible, key=lambda r: (r.penalty, r.worker_id), default=None)
+        if room is None:
+            return None
+        for task in room.reserved_for:
+            self._reservation_by_task.pop(task, None)
+        room.reserved_for.clear()
+        return room
+
     def release(self, task: str, room: CandidateWorker) -> None:
         """Drop the reservation of a task that starts on the worker ``room``."""
         self._reservation_by_task.pop(task, None)
@@ -122,6 +148,11 @@
         self._renewed.clear()
         self._outlook_by_worker.clear()
 
+    def _is_holder_due(self, room: CandidateWorker) -> bool:
+        """Return whether a task fits now on the worker that is reserved for it."""
+        reservations = (self._reservation_by_task.get(t) for t in room.reserved_for)
+        return any(held and has_room(held.need, room) for held in reservations)
+
     def _find_soonest(
         self,
         need: TaskNeed,
--- a/catkinport/policy/worker_choice.py
+++ b/catkinport/policy/worker_choice.py
@@ -129,6 +129,11 @@
     """
     if room.reserved_for and task.task not in room.reserved_for:
         return False
+    return has_room(task, room)
+
+
+def has_room(task: TaskNeed, room: CandidateWorker) -> bool:
+    """Return whether the task fits on the worker, whatever tasks it is reserved for."""
     cores = 0.0 if task.is_filler else task.need.cores
     return (
         cores <= room.cores + ROUNDING_TOLERANCE
