Count no VM that is listed as down as room on its way

Callers could wait longer for a lasting task: its pool got no other VM while the one on its way had been lost.

Cause: a VM counts as room from its move until it has a worker, for up to 3 s after the time that a move takes, whatever state the platform lists for it.

Evidence: after a move was ordered and the VM was listed as down, the next plan ordered no other VM although seven were off.

Ruled out: VMs on their way; the platform lists these as `moving`.

Change: VMs that are listed as down are skipped. The test failed before.

--- a/catkinport/jobs/lasting_room.py
+++ b/catkinport/jobs/lasting_room.py
@@ -174,6 +174,8 @@
         for vm_id, vm in self._inventory.vm_by_id.items():
             if self._inventory.pool_of(vm) != pool or vm_id in rooms:
                 continue
+            if vm.state is VmState.DOWN:
+                continue
             if vm.state is VmState.MOVING or vm_id in self._moved_at_by_vm:
                 rooms[vm_id] = CandidateWorker(vm_id, vm.labels, vm.capacity)
         return rooms
--- a/catkinport/jobs/tests/test_lasting_room.py
+++ b/catkinport/jobs/tests/test_lasting_room.py
@@ -3,6 +3,7 @@
 import pytest
 
 from ...policy.resources import Resources
+from ...ports.fleet_vms import VmState
 from .builders import POOL
 from .large_task_fleet import (
     BEFORE_TURN,
@@ -83,3 +84,19 @@
         fleet = fleet_after_loss(RESTING)
         fleet.dispatcher.unresolved_by_id["w9"] = POOL
         assert move_targets(fleet.step()) == []
+
+
+class TestLostArrivals:
+    def test_vm_that_is_lost_on_its_way_is_replaced_at_once(self):
+        """Guards against tasks that wait for a VM which will not arrive."""
+        fleet = fleet_after_loss(RESTING, n_lost=1)
+        orders = fleet.step()
+        assert [order.pool for order in orders] == [POOL]
+        moved = orders[0].vm_id
+        index = next(i for i, vm in enumerate(fleet.vms) if vm.vm_id == moved)
+        fleet.vms[index] = fleet.vms[index]._replace(state=VmState.DOWN)
+        fleet.advance(0.25)
+        fleet.poll_all()
+        fleet.list_vms()
+        orders = fleet.vm_planner.plan(fleet.now)
+        assert [o.pool for o in orders if o.vm_id != moved] == [POOL]
