--- a/catkinport/policy/reservations.py
+++ b/catkinport/policy/reservations.py
@@ -15,9 +15,15 @@
     ROUNDING_TOLERANCE,
     CandidateWorker,
     TaskNeed,
+    has_room,
     is_suitable,
 )
 
+MAX_NEW_PER_ROUND = 8
+"""Most reservations that are made in a round of planning. Each looks at all workers of
+its pool: 350 of them in one round blocked the event loop for two seconds, which
+is half of a lease."""
+
 
 class ExpectedEnd(NamedTuple):
     """Expected end of a task on a worker.
@@ -56,8 +62,14 @@
     def __init__(self) -> None:
         self._reservation_by_task: dict[str, Reservation] = {}
         self._renewed: set[str] = set()
+        self._n_new = 0
         self._outlook_by_worker: dict[str, _Outlook] = {}
 
+    @property
+    def may_add(self) -> bool:
+        """Whether another reservation may be made in this round."""
+        return self._n_new < MAX_NEW_PER_ROUND
+
     def mark(self, rooms: Mapping[str, CandidateWorker]) -> None:
         """Close reserved workers to tasks that hold no reservation there."""
         for task, reservation in self._reservation_by_task.items():
@@ -107,9 +119,35 @@
             return False
         self._reservation_by_task[need.task] = Reservation(room.worker_id, need)
         self._renewed.add(need.task)
+        self._n_new += 1
         room.reserved_for.add(need.task)
         return True
 
+    def take_over(
+        self, need: TaskNeed, rooms: Iterable[CandidateWorker]
+    ) -> CandidateWorker | None:
+        """Return a reserved worker on which a task fits now, and end its reservations.
+
+        This is for a lasting task that can reserve no worker. It is not known when the
+        tasks that hold the reservations will fit, and they can choose another worker. A
+        worker on which one of them fits now stays reserved, as that task is about to
+        start.
+        """
+        possible = (
+            room
+            for room in rooms
+            if room.reserved_for
+            and has_room(need, room)
+            and not self._is_holder_due(room)
+        )
+        room = min(possible, key=lambda r: (r.penalty, r.worker_id), default=None)
+        if room is None:
+            return None
+        for task in room.reserved_for:
+            self._reservation_by_task.pop(task, None)
+        room.reserved_for.clear()
+        return room
+
     def release(self, task: str, room: CandidateWorker) -> None:
         """Drop the reservation of a task that starts on the worker ``room``."""
         self._reservation_by_task.pop(task, None)
@@ -120,8 +158,14 @@
         for task in self._reservation_by_task.keys() - self._renewed:
             del self._reservation_by_task[task]
         self._renewed.clear()
+        self._n_new = 0
         self._outlook_by_worker.clear()
 
+    def _is_holder_due(self, room: CandidateWorker) -> bool:
+        """Return whether a task fits now on the worker that is reserved for it."""
+        reservations = (self._reservation_by_task.get(t) for t in room.reserved_for)
+        return any(held and has_room(held.need, room) for held in reservations)
+
     def _find_soonest(
         self,
         need: TaskNeed,
--- a/catkinport/policy/worker_choice.py
+++ b/catkinport/policy/worker_choice.py
@@ -145,6 +145,11 @@
     """
     if room.reserved_for and task.task not in room.reserved_for:
         return False
+    return has_room(task, room)
+
+
+def has_room(task: TaskNeed, room: CandidateWorker) -> bool:
+    """Return whether the task fits on the worker, whatever tasks it is reserved for."""
     if room.has_repeated_suspect:
         return False
     if task.n_crashes >= REPEATED_CRASHES and room.n_suspects:
