Move the needs of tasks and the search for gangs' workers out of the planner

What tasks require and when runs may end is in task_needs.py, the workers of gangs in gang_rooms.py, the check of an account's limit beside its usage. A second constant for no resources is gone. Behaviour stays.

--- a/catkinport/jobs/account_usage.py
+++ b/catkinport/jobs/account_usage.py
@@ -1,6 +1,9 @@
-"""Resources of the runs that each client account has or may have."""
+"""Resources of the runs that each client account has or may have, and its limit."""
+
+from collections.abc import Mapping
 
 from ..policy.resources import NO_RESOURCES, Resources, add
+from .configuration import Account
 from .dispatcher import Dispatcher
 from .record import TaskPhase
 
@@ -38,3 +41,19 @@
                 need = task.step.need
                 usage[account] = add(usage.get(account, NO_RESOURCES), need)
     return usage
+
+
+def is_within_limit(
+    usage: Mapping[str, Resources], account: Account | None, need: Resources, n: int
+) -> bool:
+    """Return whether the account stays within its limit with ``n`` more tasks.
+
+    A limit of 0 means that the resource is not limited.
+    """
+    if account is None:
+        return True
+    have = usage.get(account.name, NO_RESOURCES)
+    return all(
+        not limit or used + n * more <= limit
+        for used, more, limit in zip(have, need, account.limit, strict=True)
+    )
--- /dev/null
+++ b/catkinport/jobs/gang_rooms.py
@@ -0,0 +1,67 @@
+"""Finds workers for all tasks of a gang, which can only run while all of them run.
+
+Variables named ``room`` hold a worker with its free resources.
+"""
+
+from collections.abc import Iterator, Mapping
+
+from ..policy.resources import Resources
+from ..policy.worker_choice import CandidateWorker, choose_worker, fits
+from .model import Step
+from .record import Task
+from .task_needs import task_need
+
+
+def find_gang_rooms(
+    tasks: list[Task], rooms: Mapping[str, CandidateWorker]
+) -> list[CandidateWorker] | None:
+    """Return a worker for each task of a gang, or ``None`` if they do not all fit.
+
+    If the step wants one rack, each rack is tried alone before all workers together.
+    """
+    for candidates in _candidate_groups(tasks[0].step, rooms):
+        chosen = _fit_all(tasks, candidates)
+        if chosen is not None:
+            return chosen
+    return None
+
+
+def _candidate_groups(
+    step: Step, rooms: Mapping[str, CandidateWorker]
+) -> Iterator[list[CandidateWorker]]:
+    if step.wants_one_rack:
+        racks = {label for room in rooms.values() for label in room.labels}
+        for rack in sorted(racks):
+            yield [room for room in rooms.values() if rack in room.labels]
+    yield list(rooms.values())
+
+
+def _fit_all(
+    tasks: list[Task], rooms: list[CandidateWorker]
+) -> list[CandidateWorker] | None:
+    trial = {room.worker_id: _copy_room(room) for room in rooms}
+    room_by_id = {room.worker_id: room for room in rooms}
+    chosen = []
+    for task in tasks:
+        need = task_need(task)
+        room = choose_worker(need, trial.values())
+        if room is None or not fits(need, room):
+            return None
+        room.take(need)
+        chosen.append(room_by_id[room.worker_id])
+    return chosen
+
+
+def _copy_room(room: CandidateWorker) -> CandidateWorker:
+    free = Resources(room.cores, room.memory_gb, room.accelerators)
+    copy = CandidateWorker(room.worker_id, room.labels, free, room.penalty)
+    copy.is_maintenance_due = room.is_maintenance_due
+    copy.is_last_resort = room.is_last_resort
+    copy.reserved_for = room.reserved_for
+    copy.n_tasks_by_step = dict(room.n_tasks_by_step)
+    copy.n_fillers = room.n_fillers
+    copy.n_latency_tasks = room.n_latency_tasks
+    copy.n_tasks = room.n_tasks
+    copy.n_suspects = room.n_suspects
+    copy.has_repeated_suspect = room.has_repeated_suspect
+    return copy
--- a/catkinport/jobs/lasting_room.py
+++ b/catkinport/jobs/lasting_room.py
@@ -12,10 +12,10 @@
 from ..policy.vm_packing import count_new_vms, pack_tasks
 from ..policy.worker_choice import CandidateWorker, TaskNeed
 from ..ports.fleet_vms import FleetVm, VmState
-from .account_usage import usage_by_account
+from .account_usage import is_within_limit, usage_by_account
 from .dispatcher import Dispatcher
 from .lasting_waits import LastingWait
-from .planner import is_within_limit, task_need
+from .task_needs import task_need
 from .vm_inventory import VmInventory
 from .worker_state import Run, WorkerRecord
 
--- a/catkinport/jobs/planner.py
+++ b/catkinport/jobs/planner.py
@@ -5,29 +5,22 @@
 Variables named ``room`` hold a worker with its free resources.
 """
 
-from collections.abc import Iterator, Mapping
+from collections.abc import Mapping
 from typing import NamedTuple
 
-from ..policy.crash_blame import is_on_trial
 from ..policy.job_order import order_key
 from ..policy.reservations import ExpectedEnd, Reservations
-from ..policy.resources import Resources
-from ..policy.worker_choice import CandidateWorker, TaskNeed, choose_worker, fits
-from .account_usage import usage_by_account
+from ..policy.resources import NO_RESOURCES, Resources, add
+from ..policy.worker_choice import CandidateWorker, choose_worker
+from .account_usage import is_within_limit, usage_by_account
 from .configuration import Account, Queue
 from .dispatcher import Dispatcher
-from .model import Step
+from .gang_rooms import find_gang_rooms
 from .record import JobRecord, Task, TaskPhase
 from .start_blocks import find_start_block
 from .start_delays import StartDelays
-from .worker_state import Run, RunPhase, StartBlock, WorkerRecord
-
-LASTING_TASKS_PER_WORKER_FACTOR = 5
-"""Most lasting tasks of a step that one worker should run, as a multiple of how many
-of the step may be unavailable at once. More tasks take too long to evacuate before the
-VM can go down; with fewer, more VMs have to stay switched on."""
-
-NO_USAGE = Resources(0.0, 0.0, 0.0)
+from .task_needs import find_expected_ends, running_need, stage_name, task_need
+from .worker_state import Run, StartBlock, WorkerRecord
 
 
 class PlannedStart(NamedTuple):
@@ -313,140 +306,7 @@
         room.take(need)
         self._reservations.release(task.text, room)
         name = run.record.job.account
-        have = usage.get(name, NO_USAGE)
-        usage[name] = Resources(
-            *(a + b for a, b in zip(have, task.step.need, strict=True))
-        )
+        usage[name] = add(usage.get(name, NO_RESOURCES), task.step.need)
         tickets = self._tickets_by_stage.get(stage_name(task), {})
         ticket = tickets.get(room.worker_id)
         starts.append(PlannedStart(worker, run, ticket.text if ticket else ""))
-
-
-def stage_name(task: Task) -> str:
-    """Return the name of the task's step within its job's occurrence."""
-    return task.text.rpartition(".")[0]
-
-
-def task_need(task: Task) -> TaskNeed:
-    """Return the requirements of ``task`` on its worker."""
-    step = task.step
-    return TaskNeed(
-        stage_name(task),
-        step.need,
-        step.required_label,
-        step.preferred_rack,
-        step.max_per_worker,
-        step.is_lasting,
-        LASTING_TASKS_PER_WORKER_FACTOR * max(1, step.max_away)
-        if step.is_lasting
-        else 0,
-        step.is_filler,
-        step.target_seconds > 0,
-        task.avoided_worker,
-        task.text,
-        len(task.crash_by_run),
-    )
-
-
-def find_expected_ends(
-    dispatcher: Dispatcher, worker_id: str, now: float
-) -> list[ExpectedEnd]:
-    """Return when the runs on a worker are expected to end.
-
-    Lasting runs that are not being stopped are left out.
-    """
-    ends = []
-    for run in dispatcher.worker_by_id[worker_id].run_by_key.values():
-        if run.phase is RunPhase.STOPPING:
-            seconds = 0.0
-        elif run.task.step.is_lasting:
-            continue
-        else:
-            durations = dispatcher.estimates.durations_of(run.record.job.queue)
-            expected_seconds = durations.predict(run.task.step.estimate_seconds)
-            seconds = max(0.0, run.asked_at + expected_seconds - now)
-        ends.append(ExpectedEnd(seconds, task_need(run.task).counted_need))
-    return ends
-
-
-def running_need(worker: WorkerRecord, run: Run) -> TaskNeed:
-    """Return the requirements of the task of a run that is on the worker.
-
-    A suspect whose run is no longer on trial counts like any other task.
-    """
-    need = task_need(run.task)
-    known_seconds = worker.contact_at - run.known_at if run.known_at else 0.0
-    if need.n_crashes and not is_on_trial(known_seconds):
-        return need._replace(n_crashes=0)
-    return need
-
-
-def is_within_limit(
-    usage: Mapping[str, Resources], account: Account | None, need: Resources, n: int
-) -> bool:
-    """Return whether the account stays within its limit with ``n`` more tasks.
-
-    A limit of 0 means that the resource is not limited.
-    """
-    if account is None:
-        return True
-    have = usage.get(account.name, NO_USAGE)
-    return all(
-        not limit or used + n * more <= limit
-        for used, more, limit in zip(have, need, account.limit, strict=True)
-    )
-
-
-def find_gang_rooms(
-    tasks: list[Task], rooms: Mapping[str, CandidateWorker]
-) -> list[CandidateWorker] | None:
-    """Return a worker for each task of a gang, or ``None`` if they do not all fit.
-
-    If the step wants one rack, each rack is tried alone before all workers together.
-    """
-    for candidates in _candidate_groups(tasks[0].step, rooms):
-        chosen = _fit_all(tasks, candidates)
-        if chosen is not None:
-            return chosen
-    return None
-
-
-def _candidate_groups(
-    step: Step, rooms: Mapping[str, CandidateWorker]
-) -> Iterator[list[CandidateWorker]]:
-    if step.wants_one_rack:
-        racks = {label for room in rooms.values() for label in room.labels}
-        for rack in sorted(racks):
-            yield [room for room in rooms.values() if rack in room.labels]
-    yield list(rooms.values())
-
-
-def _fit_all(
-    tasks: list[Task], rooms: list[CandidateWorker]
-) -> list[CandidateWorker] | None:
-    trial = {room.worker_id: _copy_room(room) for room in rooms}
-    room_by_id = {room.worker_id: room for room in rooms}
-    chosen = []
-    for task in tasks:
-        need = task_need(task)
-        room = choose_worker(need, trial.values())
-        if room is None or not fits(need, room):
-            return None
-        room.take(need)
-        chosen.append(room_by_id[room.worker_id])
-    return chosen
-
-
-def _copy_room(room: CandidateWorker) -> CandidateWorker:
-    free = Resources(room.cores, room.memory_gb, room.accelerators)
-    copy = CandidateWorker(room.worker_id, room.labels, free, room.penalty)
-    copy.is_maintenance_due = room.is_maintenance_due
-    copy.is_last_resort = room.is_last_resort
-    copy.reserved_for = room.reserved_for
-    copy.n_tasks_by_step = dict(room.n_tasks_by_step)
-    copy.n_fillers = room.n_fillers
-    copy.n_latency_tasks = room.n_latency_tasks
-    copy.n_tasks = room.n_tasks
-    copy.n_suspects = room.n_suspects
-    copy.has_repeated_suspect = room.has_repeated_suspect
-    return copy
