Suspect only runs that have just started of the crash of a worker

Callers saw a lasting job ended although it could be done, and the rule AVAIL was broken, while tasks that crash workers went on.

Cause: a run was suspected for 10 s after its start. Lasting tasks are restarted after each crash, so they collected the crashes of others, had the most of all and took the blame.

Change: a run is no suspect once its worker has answered 2 s after the start, and a lasting task is given up only if each of its crashes is certain. The new test of a lasting task that left its worker alive was not run on the former code; test_long_run_clears_the_task takes the constant that the time of clearing has now.

--- a/catkinport/jobs/record.py
+++ b/catkinport/jobs/record.py
@@ -214,7 +214,12 @@
         self.mark_begun()
         if self.is_closing or task.phase is TaskPhase.DONE:
             return False
-        if not must_give_up(task.crash_by_run.values()):
+        # A lasting task is restarted beside others again and again, and giving it up
+        # ends all tasks of its step, so each of its crashes has to be certain.
+        crashes = task.crash_by_run.values()
+        if task.step.is_lasting and not all(crash.is_blamed for crash in crashes):
+            return False
+        if not must_give_up(crashes):
             return False
         self.state = JobState.FAILED
         return True
--- a/catkinport/jobs/tests/test_worker_crashes.py
+++ b/catkinport/jobs/tests/test_worker_crashes.py
@@ -2,7 +2,7 @@
 
 import json
 
-from ...policy.crash_blame import MAX_CRASHES, SUSPECT_SECONDS
+from ...policy.crash_blame import CLEARED_SECONDS, MAX_CRASHES, SUSPECT_SECONDS
 from ...policy.resources import NO_RESOURCES
 from ...ports.fleet_vms import FleetVm, VmState
 from ..model import JobState, TaskId
@@ -214,6 +214,17 @@
         fleet.set_vm(start.run.worker_id, VmState.DOWN)
         (start,) = fleet.start()
         assert len(start.run.task.crash_by_run) == 1
+        fleet.advance(CLEARED_SECONDS)
+        fleet.poll_all()
+        assert not start.run.task.crash_by_run
+
+    # Guards against lasting tasks that take the blame for the crashes of others.
+    def test_run_that_left_its_worker_alive_is_no_suspect(self) -> None:
+        fleet = CrashingFleet()
+        job = make_job(steps=[make_step(is_lasting=True)])
+        fleet.dispatcher.add_job(job, fleet.now)
+        (start,) = fleet.start()
         fleet.advance(SUSPECT_SECONDS)
         fleet.poll_all()
+        fleet.set_vm(start.run.worker_id, VmState.DOWN)
         assert not start.run.task.crash_by_run
--- a/catkinport/jobs/worker_crashes.py
+++ b/catkinport/jobs/worker_crashes.py
@@ -49,7 +49,7 @@
     if worker.listed.is_draining or worker.is_reserved or worker.is_taken_down:
         return
     suspects = [
-        SuspectRun(_name(key), len(run.task.crash_by_run), now - run.asked_at)
+        SuspectRun(_name(key), len(run.task.crash_by_run), _survived(worker, run))
         for key, run in worker.run_by_key.items()
     ]
     worker.crash = WorkerCrash(worker.started_at, find_suspects(suspects))
@@ -115,5 +115,10 @@
         run.record.clear_crashes(run.task)
 
 
+def _survived(worker: WorkerRecord, run: Run) -> float:
+    """Return for how many seconds the run is known to have left its worker alive."""
+    return worker.contact_at - run.known_at if run.known_at else 0.0
+
+
 def _name(key: RunKey) -> str:
     return f"{key.task}:{key.run}"
--- a/catkinport/policy/crash_blame.py
+++ b/catkinport/policy/crash_blame.py
@@ -10,9 +10,13 @@
 from collections.abc import Collection, Sequence
 from typing import NamedTuple
 
-SUSPECT_SECONDS = 10.0
-"""Time for which a run can be suspected. A task that crashes its workers does so soon
-after its start, so a longer run proves it innocent."""
+SUSPECT_SECONDS = 2.0
+"""A run is no suspect if its worker has answered this long after the start. A task that
+crashes its workers does so at its start. Lasting tasks that are suspected for longer
+collect crashes and take the blame."""
+
+CLEARED_SECONDS = 10.0
+"""A run that lasts this long clears its task of earlier crashes."""
 
 TRIAL_SECONDS = 1.0
 """A suspect is kept apart until its worker has answered this long after the start."""
@@ -53,7 +57,8 @@
     Args:
         name: name of the run, unique on the worker.
         n_crashes: number of crashes that its task was a suspect of before.
-        age_seconds: time since its start order.
+        age_seconds: time from the confirmation of its start to the worker's latest
+            answer.
     """
 
     name: str
@@ -114,4 +119,4 @@
     Args:
         known_seconds: time for which the run is known to have lasted.
     """
-    return known_seconds >= SUSPECT_SECONDS
+    return known_seconds >= CLEARED_SECONDS
