Copy the room of a gang's worker with the standard library

A field that was added to CandidateWorker had to be copied by hand here too, and one that was forgotten would have been lost in the trial placement of a gang. copy.copy takes all fields; only the counts that the trial changes are copied apart. Behaviour stays; the tests of jobs and policy pass.

--- a/catkinport/jobs/gang_rooms.py
+++ b/catkinport/jobs/gang_rooms.py
@@ -3,9 +3,9 @@
 Variables named ``room`` hold a worker with its free resources.
 """
 
+import copy
 from collections.abc import Iterator, Mapping
 
-from ..policy.resources import Resources
 from ..policy.worker_choice import CandidateWorker, choose_worker, fits
 from .model import Step
 from .record import Task
@@ -53,15 +53,6 @@
 
 
 def _copy_room(room: CandidateWorker) -> CandidateWorker:
-    free = Resources(room.cores, room.memory_gb, room.accelerators)
-    copy = CandidateWorker(room.worker_id, room.labels, free, room.penalty)
-    copy.is_maintenance_due = room.is_maintenance_due
-    copy.is_last_resort = room.is_last_resort
-    copy.reserved_for = room.reserved_for
-    copy.n_tasks_by_step = dict(room.n_tasks_by_step)
-    copy.n_fillers = room.n_fillers
-    copy.n_latency_tasks = room.n_latency_tasks
-    copy.n_tasks = room.n_tasks
-    copy.n_suspects = room.n_suspects
-    copy.has_repeated_suspect = room.has_repeated_suspect
-    return copy
+    duplicate = copy.copy(room)
+    duplicate.n_tasks_by_step = dict(room.n_tasks_by_step)
+    return duplicate
