--- a/catkinport/jobs/record.py
+++ b/catkinport/jobs/record.py
@@ -215,7 +215,7 @@
         if self.is_closing or task.phase is TaskPhase.DONE:
             return False
         # A lasting task is restarted beside others again and again, and giving it up
-        # ends all tasks of its step, so each of its crashes has to be certain.
+        # ends its whole job, so it has to be to blame for each of its crashes.
         crashes = task.crash_by_run.values()
         if task.step.is_lasting and not all(crash.is_blamed for crash in crashes):
             return False
--- a/catkinport/jobs/tests/test_worker_crashes.py
+++ b/catkinport/jobs/tests/test_worker_crashes.py
@@ -2,7 +2,14 @@
 
 import json
 
-from ...policy.crash_blame import CLEARED_SECONDS, MAX_CRASHES, SUSPECT_SECONDS
+import pytest
+
+from ...policy.crash_blame import (
+    CLEARED_SECONDS,
+    MAX_CRASHES,
+    SUSPECT_SECONDS,
+    Crash,
+)
 from ...policy.resources import NO_RESOURCES
 from ...ports.fleet_vms import FleetVm, VmState
 from ..model import JobState, TaskId
@@ -219,12 +226,27 @@
         assert not start.run.task.crash_by_run
 
     # Guards against lasting tasks that take the blame for the crashes of others.
-    def test_run_that_left_its_worker_alive_is_no_suspect(self) -> None:
+    @pytest.mark.parametrize("seconds", [SUSPECT_SECONDS, 3.0])
+    def test_run_that_left_its_worker_alive_is_no_suspect(self, seconds) -> None:
         fleet = CrashingFleet()
         job = make_job(steps=[make_step(is_lasting=True)])
         fleet.dispatcher.add_job(job, fleet.now)
         (start,) = fleet.start()
-        fleet.advance(SUSPECT_SECONDS)
+        fleet.advance(seconds)
         fleet.poll_all()
         fleet.set_vm(start.run.worker_id, VmState.DOWN)
         assert not start.run.task.crash_by_run
+
+    def test_lasting_task_beside_others_is_not_given_up(self) -> None:
+        """Guards against lasting jobs that are ended for crashes that others cause.
+
+        It is a suspect of more crashes than the limit, and to blame for none.
+        """
+        fleet = CrashingFleet()
+        step = make_step(is_lasting=True)
+        fleet.dispatcher.add_job(make_job(steps=[step]), fleet.now)
+        (record,) = fleet.dispatcher.job_by_id.values()
+        (task,) = record.all_tasks()
+        for run in range(1, MAX_CRASHES + 2):
+            record.mark_crashed(task, run, Crash(f"vm-{run}", False))
+        assert record.state == JobState.RUNNING
