Count the crash of a worker that the VM list has no time to name

Cause: a crash was recognized by the VM of the worker. A worker that has come back from a crash gets tasks at once; the next guilty task crashed it within 20 ms, before the VM list had named it, so its VM was unknown, its runs were lost as lease-ended after 4.4 s, and nothing was counted.

Change: a worker that has answered, and that a list requested over 2 s later doesn't name, has crashed. It counts only if the worker doesn't answer again and its lease ends; without a VM list nothing counts.

--- a/catkinport/jobs/tests/test_worker_crashes.py
+++ b/catkinport/jobs/tests/test_worker_crashes.py
@@ -15,6 +15,7 @@
 from ..model import JobState, TaskId
 from ..planner import PlannedStart
 from ..record import JobRecord
+from ..worker_state import MAX_LEASE_SECONDS
 from .builders import JOB_ID, POOL, Fleet, make_job, make_step, make_worker
 
 OTHER_JOB_ID = "00000000000000b2"
@@ -75,6 +76,29 @@
         return n_starts
 
 
+class ReturningFleet(CrashingFleet):
+    """Fleet of one worker that the VM list has no time to name."""
+
+    def __init__(self) -> None:
+        super().__init__(n_workers=0)
+        self._add_worker("w0")
+
+    def replace_worker(self, worker_id: str) -> None:
+        """Crash the worker, and let one under another id take its place."""
+        self.advance(MAX_LEASE_SECONDS + 0.1)
+        self.list_vms()
+        self.dispatcher.expire(self.now)
+        assert self.dispatcher.runs_by_task == {}
+        self._add_worker(worker_id)
+        self.store()
+
+    def _add_worker(self, worker_id: str) -> None:
+        self.workers = [make_worker(worker_id, cores=8.0)]
+        self.running_by_worker = {worker_id: {}}
+        self.ended_by_worker = {worker_id: []}
+        self.list_workers()
+
+
 def is_guilty(start: PlannedStart) -> bool:
     return start.run.key.task == f"{JOB_ID}.0.0.0"
 
@@ -146,6 +170,20 @@
         assert task.crash_by_run == start.run.task.crash_by_run
         assert len(task.crash_by_run) == 1
 
+    def test_is_given_up_if_workers_crash_before_the_vm_list_names_them(self) -> None:
+        """Guards against crashes that aren't counted, as the VM list is behind.
+
+        A crashed worker comes back under another id, and the next start crashes it
+        before the list has named it.
+        """
+        fleet = ReturningFleet()
+        fleet.dispatcher.add_job(make_job(), fleet.now)
+        for number in range(2):
+            assert len(fleet.start()) == 1
+            fleet.replace_worker(f"returned-{number}")
+        assert fleet.start() == []
+        assert fleet.states()[JOB_ID] == JobState.FAILED
+
     def test_third_start_waits_until_the_crashes_are_stored(self) -> None:
         """Guards against crashes that each of several killed owners takes with it."""
         fleet = CrashingFleet()
@@ -212,6 +250,24 @@
         fleet.poll(worker_id)
         assert fleet.dispatcher.worker_by_id[worker_id].crash is None
 
+    def test_new_worker_that_is_cut_off_does_not_count(self) -> None:
+        """Guards against a worker that the VM list names once it is cut off."""
+        fleet = ReturningFleet()
+        fleet.dispatcher.add_job(make_job(), fleet.now)
+        (start,) = fleet.start()
+        fleet.state_by_vm = {"vm-w0": VmState.UP}
+        fleet.replace_worker("w1")
+        assert not start.run.task.crash_by_run
+
+    def test_missing_vm_list_does_not_count(self) -> None:
+        """Guards against crashes that only the lack of a VM list suggests."""
+        fleet = ReturningFleet()
+        fleet.dispatcher.add_job(make_job(), fleet.now)
+        (start,) = fleet.start()
+        fleet.advance(60.0)
+        fleet.dispatcher.expire(fleet.now)
+        assert not start.run.task.crash_by_run
+
     def test_long_run_clears_the_task(self) -> None:
         """Guards against lasting tasks that collect the crashes of flapping VMs."""
         fleet = CrashingFleet()
--- a/catkinport/jobs/worker_crashes.py
+++ b/catkinport/jobs/worker_crashes.py
@@ -1,8 +1,8 @@
 """Recognizes the crashes of workers and counts them for the tasks that ran there.
 
-A crash ends all runs of a worker. It shows in the platform's VM list, or in an answer
-of a new process under the worker's id. A worker that was drained, ordered away or
-merely falls silent has not crashed.
+A crash ends all runs of a worker. It shows in the platform's VM list, which may have no
+time to name a worker at all, or in an answer of a new process under the worker's id. A
+worker that was drained, ordered away or merely falls silent has not crashed.
 """
 
 import logging
--- a/catkinport/jobs/worker_reports.py
+++ b/catkinport/jobs/worker_reports.py
@@ -8,7 +8,14 @@
 from .run_ends import RunEnds
 from .run_table import RunTable
 from .worker_crashes import clear_survivor, note_answer, note_crash
-from .worker_state import LEASE_SECONDS, RunKey, RunPhase, WorkerRecord, bound_lease
+from .worker_state import (
+    LEASE_SECONDS,
+    VM_NAMED_SECONDS,
+    RunKey,
+    RunPhase,
+    WorkerRecord,
+    bound_lease,
+)
 from .worker_table import WorkerTable
 
 logger = logging.getLogger(__name__)
@@ -83,6 +90,7 @@
             worker.started_known_at = now
         if worker.contact_at == float("-inf"):
             log_event(logger, "worker reached", worker=worker.worker_id)
+            worker.vm_due_at = now + VM_NAMED_SECONDS
         worker.started_at = lists.started_at
         worker.note_contact(now, is_restarted)
 
--- a/catkinport/jobs/worker_state.py
+++ b/catkinport/jobs/worker_state.py
@@ -55,6 +55,10 @@
 UNHEALTHY_PAUSE_SECONDS = 0.5
 """Pause before a worker that has rejected a start as unhealthy gets new tasks."""
 
+VM_NAMED_SECONDS = 2.0
+"""Longest time until the VM list names a worker that has begun to answer, if it lives.
+The data of the list may be 1.2 s old."""
+
 UNCERTAIN_WORKER_PAUSE_SECONDS = 0.6
 """Pause before a worker that left a start unanswered, or whose VM is listed as dead,
 gets another task. The worker's next report or the next VM list arrives by then."""
@@ -191,6 +195,8 @@
             the first contact.
         started_known_at: clock time in seconds at which an answer first had that
             ``started_at``.
+        vm_due_at: clock time in seconds by which the VM list names it; infinity before
+            its first answer.
         contact_at: clock time in seconds at which its latest answer arrived.
         contact_since: clock time in seconds since which the same process has answered
             every poll; infinity while the latest poll had no answer.
@@ -227,6 +233,7 @@
         self.vm_id = ""
         self.started_at = 0.0
         self.started_known_at = float("-inf")
+        self.vm_due_at = float("inf")
         self.contact_at = float("-inf")
         self.contact_since = float("inf")
         self.lease_until = 0.0
--- a/catkinport/jobs/worker_vms.py
+++ b/catkinport/jobs/worker_vms.py
@@ -5,7 +5,7 @@
 from ..ports.fleet_vms import FleetVm, VmState
 from .inherited_workers import InheritedWorkers
 from .run_table import RunTable
-from .worker_crashes import note_listed_vm
+from .worker_crashes import note_crash, note_listed_vm
 from .worker_state import WorkerRecord
 from .worker_table import WorkerTable
 
@@ -50,6 +50,9 @@
             vm = vm_by_id.get(worker.vm_id)
             if worker.vm_id and not _is_alive(worker, vm):
                 self._on_vm_gone(worker, vm, sent_at, now)
+            elif not worker.vm_id and sent_at > worker.vm_due_at:
+                # Its VM is back under another worker before the list has named it.
+                note_crash(worker, "vm-never-named", now)
 
     def _on_vm_gone(
         self, worker: WorkerRecord, vm: FleetVm | None, sent_at: float, now: float
