Move the modules of jobs into subpackages by what they own

The 46 modules of catkinport/jobs lay flat, so a reader could not tell which of them decide on starts, which on VMs and which talk to the table service.

dispatch/ holds the state of jobs and runs, workers/ that of workers, placement/ the choice of starts and stops, vms/ upkeep and moves, ownership/ the owner, its loops and its rows. What every daemon uses stays in jobs/ itself.

--- a/catkinport/jobs/dispatcher.py
+++ b/catkinport/jobs/dispatch/dispatcher.py
@@ -16,22 +16,22 @@
 from collections.abc import Iterable, Sequence
 from typing import Any
 
-from ..ports.fleet_vms import FleetVm
-from ..ports.fleet_workers import ListedWorker, OrderOutcome, WorkerLists
-from ..runtime import Metrics
-from .configuration import FleetConfiguration, Queue
-from .inherited_workers import InheritedWorkers
+from ...ports.fleet_vms import FleetVm
+from ...ports.fleet_workers import ListedWorker, OrderOutcome, WorkerLists
+from ...runtime import Metrics
+from ..configuration import FleetConfiguration, Queue
+from ..model import Job
+from ..workers.inherited_workers import InheritedWorkers
+from ..workers.worker_listing import WorkerListing
+from ..workers.worker_reports import WorkerReports
+from ..workers.worker_state import LEASE_SECONDS, Incarnation, Run, RunKey, WorkerRecord
+from ..workers.worker_table import WorkerTable
+from ..workers.worker_vms import WorkerVms
 from .job_table import JobTable, is_over
-from .model import Job
 from .order_outcomes import OrderOutcomes
 from .record import JobRecord, Task
 from .run_ends import RunEnds
 from .run_table import RunTable
-from .worker_listing import WorkerListing
-from .worker_reports import WorkerReports
-from .worker_state import LEASE_SECONDS, Incarnation, Run, RunKey, WorkerRecord
-from .worker_table import WorkerTable
-from .worker_vms import WorkerVms
 
 __all__ = ["Dispatcher", "is_over"]
 
--- a/catkinport/jobs/job_estimates.py
+++ b/catkinport/jobs/dispatch/job_estimates.py
@@ -1,9 +1,9 @@
 """Estimates the durations and the work of jobs from recent tasks of their queues."""
 
-from ..policy.durations import DurationModel
-from ..policy.job_order import JobView
-from .configuration import Queue
-from .model import Job, work_core_seconds
+from ...policy.durations import DurationModel
+from ...policy.job_order import JobView
+from ..configuration import Queue
+from ..model import Job, work_core_seconds
 from .record import JobRecord
 
 LEARNING_RATE = 0.05
--- a/catkinport/jobs/job_table.py
+++ b/catkinport/jobs/dispatch/job_table.py
@@ -4,12 +4,12 @@
 from collections.abc import Iterable, Mapping
 from typing import Any
 
-from ..runtime.logs import log_event
-from .configuration import Queue
+from ...runtime.logs import log_event
+from ..configuration import Queue
+from ..model import FINAL_STATES, Job, JobState, TaskId
+from ..workers.worker_table import WorkerTable
 from .job_estimates import JobEstimates
-from .model import FINAL_STATES, Job, JobState, TaskId
 from .record import JobRecord, Task
-from .worker_table import WorkerTable
 
 logger = logging.getLogger(__name__)
 
--- a/catkinport/jobs/order_outcomes.py
+++ b/catkinport/jobs/dispatch/order_outcomes.py
@@ -2,18 +2,18 @@
 
 import logging
 
-from ..ports.fleet_workers import Done, OrderOutcome, Rejected, Rejection
-from ..runtime.logs import log_event
-from .run_table import NOT_SENT, RunTable
-from .worker_failures import note_worker_failure
-from .worker_state import (
+from ...ports.fleet_workers import Done, OrderOutcome, Rejected, Rejection
+from ...runtime.logs import log_event
+from ..workers.worker_failures import note_worker_failure
+from ..workers.worker_state import (
     UNHEALTHY_PAUSE_SECONDS,
     Run,
     RunKey,
     RunPhase,
     WorkerRecord,
 )
-from .worker_table import WorkerTable
+from ..workers.worker_table import WorkerTable
+from .run_table import NOT_SENT, RunTable
 
 logger = logging.getLogger(__name__)
 
--- a/catkinport/jobs/record.py
+++ b/catkinport/jobs/dispatch/record.py
@@ -4,10 +4,10 @@
 from enum import StrEnum
 from typing import Any
 
-from ..policy.crash_blame import REPEATED_CRASHES, Crash, must_give_up
-from ..policy.durations import DurationModel
-from .configuration import Queue
-from .model import FINAL_STATES, Job, JobState, Step, TaskId, chain_seconds
+from ...policy.crash_blame import REPEATED_CRASHES, Crash, must_give_up
+from ...policy.durations import DurationModel
+from ..configuration import Queue
+from ..model import FINAL_STATES, Job, JobState, Step, TaskId, chain_seconds
 
 RUN_GAP_AFTER_TAKEOVER = 10
 """Added to the highest known run number when ownership changes. Runs that the former
--- a/catkinport/jobs/run_ends.py
+++ b/catkinport/jobs/dispatch/run_ends.py
@@ -2,16 +2,16 @@
 
 import logging
 
-from ..ports.fleet_workers import EndedTask, EndKind
-from ..runtime import Metrics
-from ..runtime.logs import log_event
+from ...ports.fleet_workers import EndedTask, EndKind
+from ...runtime import Metrics
+from ...runtime.logs import log_event
+from ..model import JobState, TaskId
+from ..workers.worker_failures import note_failed_run
+from ..workers.worker_state import Run, RunKey, WorkerRecord
+from ..workers.worker_table import WorkerTable
 from .job_table import JobTable
-from .model import JobState, TaskId
 from .record import JobRecord, Task
 from .run_table import RunTable
-from .worker_failures import note_failed_run
-from .worker_state import Run, RunKey, WorkerRecord
-from .worker_table import WorkerTable
 
 logger = logging.getLogger(__name__)
 
--- a/catkinport/jobs/run_table.py
+++ b/catkinport/jobs/dispatch/run_table.py
@@ -2,15 +2,15 @@
 
 import logging
 
-from ..runtime import Metrics
-from ..runtime.logs import log_event
+from ...runtime import Metrics
+from ...runtime.logs import log_event
+from ..model import TaskId
+from ..workers.uncertain_starts import UncertainStarts
+from ..workers.worker_crashes import count_crash
+from ..workers.worker_state import Incarnation, Run, RunKey, RunPhase, WorkerRecord
+from ..workers.worker_table import WorkerTable
 from .job_table import JobTable
-from .model import TaskId
 from .record import JobRecord, Task, TaskPhase
-from .uncertain_starts import UncertainStarts
-from .worker_crashes import count_crash
-from .worker_state import Incarnation, Run, RunKey, RunPhase, WorkerRecord
-from .worker_table import WorkerTable
 
 logger = logging.getLogger(__name__)
 
--- a/catkinport/jobs/fenced_rows.py
+++ b/catkinport/jobs/ownership/fenced_rows.py
@@ -3,8 +3,8 @@
 import logging
 from collections.abc import Iterable, Sequence
 
-from ..ports.async_table import commit_until_known
-from ..ports.table import (
+from ...ports.async_table import commit_until_known
+from ...ports.table import (
     ABSENT_VERSION,
     CommitOutcome,
     Committed,
@@ -15,9 +15,9 @@
     Transaction,
     Write,
 )
-from ..runtime.logs import log_event
+from ...runtime.logs import log_event
+from ..tables import OWNER_KEY
 from .session import OwnerSession
-from .tables import OWNER_KEY
 
 logger = logging.getLogger(__name__)
 
--- a/catkinport/jobs/job_rows.py
+++ b/catkinport/jobs/ownership/job_rows.py
@@ -3,14 +3,14 @@
 import logging
 import time
 
-from ..ports.async_table import Snapshot
-from ..ports.table import Row
-from ..runtime.logs import log_event
-from .dispatcher import Dispatcher
-from .job_table import is_over
-from .model import Job, job_from_row
-from .pool_mover import PoolMover
-from .tables import CANCEL_SUFFIX
+from ...ports.async_table import Snapshot
+from ...ports.table import Row
+from ...runtime.logs import log_event
+from ..dispatch.dispatcher import Dispatcher
+from ..dispatch.job_table import is_over
+from ..model import Job, job_from_row
+from ..tables import CANCEL_SUFFIX
+from ..vms.pool_mover import PoolMover
 
 logger = logging.getLogger(__name__)
 
--- a/catkinport/jobs/owner.py
+++ b/catkinport/jobs/ownership/owner.py
@@ -9,28 +9,28 @@
 import asyncio
 import logging
 
-from ..policy.leadership import (
+from ...policy.leadership import (
     HEARTBEAT_SECONDS,
     OwnLease,
     former_owner_bound,
 )
-from ..ports import Unavailable
-from ..ports.async_table import Changes, HistoryLost, Snapshot
-from ..ports.table import Committed, Conflict, Transaction
-from ..runtime.logs import log_event
-from .configuration import FleetConfiguration
-from .dispatcher import Dispatcher
+from ...ports import Unavailable
+from ...ports.async_table import Changes, HistoryLost, Snapshot
+from ...ports.table import Committed, Conflict, Transaction
+from ...runtime.logs import log_event
+from ..configuration import FleetConfiguration
+from ..dispatch.dispatcher import Dispatcher
+from ..tables import JOBS_TABLE, ROSTER_TABLE, STATES_TABLE
+from ..vms.vm_inventory import VmBounds
+from ..vms.vm_planner import VmPlanner
+from ..workers.worker_state import MAX_LEASE_SECONDS
 from .job_rows import JobRows, find_finished_ids
 from .ownership_watch import Claim
 from .removed_queues import RemovedQueues
 from .run_orders import RunOrders
 from .session import RETRY_SECONDS, OwnerPorts, OwnerSession
 from .state_store import StateStore, heartbeat_write
-from .tables import JOBS_TABLE, ROSTER_TABLE, STATES_TABLE
-from .vm_inventory import VmBounds
 from .vm_orders import VmOrders
-from .vm_planner import VmPlanner
-from .worker_state import MAX_LEASE_SECONDS
 from .worker_watch import WorkerWatch
 
 logger = logging.getLogger(__name__)
--- a/catkinport/jobs/owner_memory.py
+++ b/catkinport/jobs/ownership/owner_memory.py
@@ -10,10 +10,10 @@
 from collections.abc import Mapping
 from typing import Any
 
-from ..policy.durations import DurationModel
-from ..policy.turns import PoolMemory, TurnTracker
-from ..runtime.logs import log_event
-from .dispatcher import Dispatcher
+from ...policy.durations import DurationModel
+from ...policy.turns import PoolMemory, TurnTracker
+from ...runtime.logs import log_event
+from ..dispatch.dispatcher import Dispatcher
 
 logger = logging.getLogger(__name__)
 
--- a/catkinport/jobs/ownership_watch.py
+++ b/catkinport/jobs/ownership/ownership_watch.py
@@ -9,13 +9,13 @@
 import random
 from typing import Any, NamedTuple
 
-from ..policy.leadership import OwnerRows, OwnerWatch
-from ..ports import Unavailable
-from ..ports.async_table import AsyncTable, Changes, HistoryLost, commit_until_known
-from ..ports.clock import Clock
-from ..ports.table import ABSENT_VERSION, Committed, Condition, Row, Transaction, Write
-from ..runtime.logs import log_event
-from .tables import HEARTBEAT_KEY, LEADER_TABLE, OWNER_KEY
+from ...policy.leadership import OwnerRows, OwnerWatch
+from ...ports import Unavailable
+from ...ports.async_table import AsyncTable, Changes, HistoryLost, commit_until_known
+from ...ports.clock import Clock
+from ...ports.table import ABSENT_VERSION, Committed, Condition, Row, Transaction, Write
+from ...runtime.logs import log_event
+from ..tables import HEARTBEAT_KEY, LEADER_TABLE, OWNER_KEY
 
 logger = logging.getLogger(__name__)
 
--- a/catkinport/jobs/removed_queues.py
+++ b/catkinport/jobs/ownership/removed_queues.py
@@ -10,13 +10,13 @@
 from collections.abc import Mapping
 from typing import Any
 
-from ..ports import Unavailable
-from ..ports.table import Committed, Write
-from ..runtime.logs import log_event
-from .configuration import ApprovalTerms, Queue
+from ...ports import Unavailable
+from ...ports.table import Committed, Write
+from ...runtime.logs import log_event
+from ..configuration import ApprovalTerms, Queue
+from ..tables import REMOVED_QUEUES_KEY
 from .fenced_rows import FencedRows
 from .session import RETRY_SECONDS, OwnerSession
-from .tables import REMOVED_QUEUES_KEY
 
 logger = logging.getLogger(__name__)
 
--- a/catkinport/jobs/run_orders.py
+++ b/catkinport/jobs/ownership/run_orders.py
@@ -8,13 +8,13 @@
 import logging
 import time
 
-from ..ports import Reason, Unavailable
-from ..ports.fleet_workers import Done, StartOrder
-from ..runtime.logs import log_event
-from .planner import ApprovalRequest, PlannedStart, Planner, Ticket
-from .run_stops import PaceOrder, StopOrder, find_paces, find_stops
+from ...ports import Reason, Unavailable
+from ...ports.fleet_workers import Done, StartOrder
+from ...runtime.logs import log_event
+from ..placement.planner import ApprovalRequest, PlannedStart, Planner, Ticket
+from ..placement.run_stops import PaceOrder, StopOrder, find_paces, find_stops
+from ..workers.worker_state import LEASE_SECONDS
 from .session import RETRY_SECONDS, OwnerSession
-from .worker_state import LEASE_SECONDS
 from .worker_watch import WorkerWatch
 
 logger = logging.getLogger(__name__)
--- a/catkinport/jobs/session.py
+++ b/catkinport/jobs/ownership/session.py
@@ -5,16 +5,16 @@
 from collections.abc import Coroutine
 from typing import Any, NamedTuple
 
-from ..policy.leadership import OwnLease
-from ..ports.async_table import AsyncTable
-from ..ports.clock import Clock
-from ..ports.fleet_vms import FleetVms, UpkeepDesk
-from ..ports.fleet_workers import FleetWorkers, Rejected, Rejection
-from ..ports.table import Condition
-from ..runtime import Metrics
-from ..runtime.logs import log_event
-from .dispatcher import Dispatcher
-from .tables import OWNER_KEY
+from ...policy.leadership import OwnLease
+from ...ports.async_table import AsyncTable
+from ...ports.clock import Clock
+from ...ports.fleet_vms import FleetVms, UpkeepDesk
+from ...ports.fleet_workers import FleetWorkers, Rejected, Rejection
+from ...ports.table import Condition
+from ...runtime import Metrics
+from ...runtime.logs import log_event
+from ..dispatch.dispatcher import Dispatcher
+from ..tables import OWNER_KEY
 
 logger = logging.getLogger(__name__)
 
--- a/catkinport/jobs/state_store.py
+++ b/catkinport/jobs/ownership/state_store.py
@@ -4,14 +4,14 @@
 import logging
 from collections.abc import Iterable
 
-from ..policy.leadership import HEARTBEAT_SECONDS
-from ..ports.table import Committed, Conflict, Row, Write
-from ..runtime.logs import log_event
+from ...policy.leadership import HEARTBEAT_SECONDS
+from ...ports.table import Committed, Conflict, Row, Write
+from ...runtime.logs import log_event
+from ..dispatch.record import JobRecord
+from ..tables import HEARTBEAT_KEY, state_key
+from ..workers.worker_state import WorkerRecord
 from .fenced_rows import FencedRows
-from .record import JobRecord
 from .session import RETRY_SECONDS, OwnerSession
-from .tables import HEARTBEAT_KEY, state_key
-from .worker_state import WorkerRecord
 
 logger = logging.getLogger(__name__)
 
--- a/catkinport/jobs/vm_orders.py
+++ b/catkinport/jobs/ownership/vm_orders.py
@@ -5,23 +5,23 @@
 from collections.abc import Mapping
 from typing import Any
 
-from ..ports import Unavailable
-from ..ports.fleet_workers import Done, Rejected
-from ..ports.table import Committed, Write
-from ..runtime.logs import log_event
-from .fenced_rows import FencedRows
-from .order_targets import VmOrder
-from .owner_memory import MEMORY_STORE_SECONDS, build_memory, restore_memory
-from .session import RETRY_SECONDS, OwnerSession
-from .tables import (
+from ...ports import Unavailable
+from ...ports.fleet_workers import Done, Rejected
+from ...ports.table import Committed, Write
+from ...runtime.logs import log_event
+from ..tables import (
     MEMORY_KEY,
     OWN_VMS_KEY,
     VM_ORDERS_KEY,
     WAVES_TABLE,
     wave_key,
 )
-from .vm_planner import VmPlanner
-from .worker_vms import VM_LIST_LAG_SECONDS
+from ..vms.order_targets import VmOrder
+from ..vms.vm_planner import VmPlanner
+from ..workers.worker_vms import VM_LIST_LAG_SECONDS
+from .fenced_rows import FencedRows
+from .owner_memory import MEMORY_STORE_SECONDS, build_memory, restore_memory
+from .session import RETRY_SECONDS, OwnerSession
 
 logger = logging.getLogger(__name__)
 
--- a/catkinport/jobs/worker_watch.py
+++ b/catkinport/jobs/ownership/worker_watch.py
@@ -9,16 +9,16 @@
 from collections.abc import Mapping
 from typing import Any
 
-from ..policy.resources import Resources
-from ..ports import Unavailable
-from ..ports.fleet_workers import ListedWorker, WorkerLists
-from ..ports.table import Committed, Row, Write
-from ..runtime.logs import log_event
+from ...policy.resources import Resources
+from ...ports import Unavailable
+from ...ports.fleet_workers import ListedWorker, WorkerLists
+from ...ports.table import Committed, Row, Write
+from ...runtime.logs import log_event
+from ..tables import roster_key
+from ..workers.worker_state import LEASE_SECONDS, RENEW_CONTACT_SECONDS, WorkerRecord
 from .fenced_rows import FencedRows
 from .session import RETRY_SECONDS, OwnerSession
 from .state_store import StateStore
-from .tables import roster_key
-from .worker_state import LEASE_SECONDS, RENEW_CONTACT_SECONDS, WorkerRecord
 
 logger = logging.getLogger(__name__)
 
--- a/catkinport/jobs/account_usage.py
+++ b/catkinport/jobs/placement/account_usage.py
@@ -2,10 +2,10 @@
 
 from collections.abc import Mapping
 
-from ..policy.resources import NO_RESOURCES, Resources, add
-from .configuration import Account
-from .dispatcher import Dispatcher
-from .record import TaskPhase
+from ...policy.resources import NO_RESOURCES, Resources, add
+from ..configuration import Account
+from ..dispatch.dispatcher import Dispatcher
+from ..dispatch.record import TaskPhase
 
 
 def usage_by_account(dispatcher: Dispatcher) -> dict[str, Resources]:
--- a/catkinport/jobs/gang_rooms.py
+++ b/catkinport/jobs/placement/gang_rooms.py
@@ -6,9 +6,9 @@
 import copy
 from collections.abc import Iterator, Mapping
 
-from ..policy.worker_choice import CandidateWorker, choose_worker, fits
-from .model import Step
-from .record import Task
+from ...policy.worker_choice import CandidateWorker, choose_worker, fits
+from ..dispatch.record import Task
+from ..model import Step
 from .task_needs import task_need
 
 
--- a/catkinport/jobs/planner.py
+++ b/catkinport/jobs/placement/planner.py
@@ -8,19 +8,19 @@
 from collections.abc import Mapping
 from typing import NamedTuple
 
-from ..policy.job_order import order_key
-from ..policy.reservations import ExpectedEnd, Reservations
-from ..policy.resources import NO_RESOURCES, Resources, add
-from ..policy.worker_choice import CandidateWorker, choose_worker
+from ...policy.job_order import order_key
+from ...policy.reservations import ExpectedEnd, Reservations
+from ...policy.resources import NO_RESOURCES, Resources, add
+from ...policy.worker_choice import CandidateWorker, choose_worker
+from ..configuration import Account, Queue
+from ..dispatch.dispatcher import Dispatcher
+from ..dispatch.record import JobRecord, Task, TaskPhase
+from ..workers.worker_state import Run, StartBlock, WorkerRecord
 from .account_usage import is_within_limit, usage_by_account
-from .configuration import Account, Queue
-from .dispatcher import Dispatcher
 from .gang_rooms import find_gang_rooms
-from .record import JobRecord, Task, TaskPhase
 from .start_blocks import find_start_block
 from .start_delays import StartDelays
 from .task_needs import find_expected_ends, running_need, stage_name, task_need
-from .worker_state import Run, StartBlock, WorkerRecord
 
 
 class PlannedStart(NamedTuple):
--- a/catkinport/jobs/run_stops.py
+++ b/catkinport/jobs/placement/run_stops.py
@@ -7,11 +7,11 @@
 from collections.abc import Iterator
 from typing import NamedTuple
 
-from ..policy.pacing import LatencyTask, choose_speed_percent
-from .dispatcher import Dispatcher
-from .record import TaskPhase
-from .worker_failures import note_failed_run
-from .worker_state import Run, RunKey, RunPhase
+from ...policy.pacing import LatencyTask, choose_speed_percent
+from ..dispatch.dispatcher import Dispatcher
+from ..dispatch.record import TaskPhase
+from ..workers.worker_failures import note_failed_run
+from ..workers.worker_state import Run, RunKey, RunPhase
 
 STOP_RETRY_SECONDS = 0.4
 """Time after which a stop order without an answer is sent again."""
--- a/catkinport/jobs/start_blocks.py
+++ b/catkinport/jobs/placement/start_blocks.py
@@ -4,8 +4,8 @@
 whatever they are told to, so they get tasks only while their free room is known.
 """
 
-from .dispatcher import Dispatcher
-from .worker_state import StartBlock, WorkerRecord
+from ..dispatch.dispatcher import Dispatcher
+from ..workers.worker_state import StartBlock, WorkerRecord
 
 MAX_CAPACITY_AGE_SECONDS = 2.5
 """Maximum age of a capacity by which a worker gets tasks that it wouldn't reject. A
--- a/catkinport/jobs/task_needs.py
+++ b/catkinport/jobs/placement/task_needs.py
@@ -1,11 +1,11 @@
 """What tasks require of their workers, and when the runs on a worker may end."""
 
-from ..policy.crash_blame import is_on_trial
-from ..policy.reservations import ExpectedEnd
-from ..policy.worker_choice import TaskNeed
-from .dispatcher import Dispatcher
-from .record import Task
-from .worker_state import Run, RunPhase, WorkerRecord
+from ...policy.crash_blame import is_on_trial
+from ...policy.reservations import ExpectedEnd
+from ...policy.worker_choice import TaskNeed
+from ..dispatch.dispatcher import Dispatcher
+from ..dispatch.record import Task
+from ..workers.worker_state import Run, RunPhase, WorkerRecord
 
 LASTING_TASKS_PER_WORKER_FACTOR = 5
 """Most lasting tasks of a step that one worker should run, as a multiple of how many
--- a/catkinport/jobs/tests/builders.py
+++ b/catkinport/jobs/tests/builders.py
@@ -13,9 +13,9 @@
     WorkerLists,
 )
 from ..configuration import Account, FleetConfiguration, Pool, Queue
-from ..dispatcher import Dispatcher
+from ..dispatch.dispatcher import Dispatcher
 from ..model import Job, Step
-from ..planner import PlannedStart, Planner
+from ..placement.planner import PlannedStart, Planner
 
 POOL = "renders"
 QUEUE = "nightly"
--- a/catkinport/jobs/tests/large_task_fleet.py
+++ b/catkinport/jobs/tests/large_task_fleet.py
@@ -3,9 +3,9 @@
 from ...policy.resources import Resources
 from ...policy.turns import PoolMemory
 from ...ports.fleet_vms import FleetVm, VmState
-from ..record import TaskPhase
-from ..vm_inventory import VmBounds
-from ..vm_planner import VmPlanner
+from ..dispatch.record import TaskPhase
+from ..vms.vm_inventory import VmBounds
+from ..vms.vm_planner import VmPlanner
 from .builders import POOL, Fleet, make_job, make_step, make_worker
 
 BOUNDS = VmBounds(upkeep=2.0, move=1.5, order_gap=3.0)
--- a/catkinport/jobs/tests/late_table.py
+++ b/catkinport/jobs/tests/late_table.py
@@ -15,8 +15,8 @@
 )
 from ...runtime import Metrics
 from ...standins import LateTable, MemoryTable
-from ..dispatcher import Dispatcher
-from ..session import OwnerPorts, OwnerSession
+from ..dispatch.dispatcher import Dispatcher
+from ..ownership.session import OwnerPorts, OwnerSession
 from ..tables import OWNER_KEY
 from .builders import make_configuration
 
--- a/catkinport/jobs/tests/rival_fleet.py
+++ b/catkinport/jobs/tests/rival_fleet.py
@@ -16,12 +16,12 @@
 from ...ports.table import Transaction, Write
 from ...runtime import Metrics
 from ..model import Job, job_to_row
-from ..owner import FleetOwner
-from ..ownership_watch import Claim, OwnershipWatch
-from ..session import OwnerPorts
+from ..ownership.owner import FleetOwner
+from ..ownership.ownership_watch import Claim, OwnershipWatch
+from ..ownership.session import OwnerPorts
 from ..tables import JOBS_TABLE, job_key
-from ..vm_inventory import VmBounds
-from ..worker_state import WorkerRecord
+from ..vms.vm_inventory import VmBounds
+from ..workers.worker_state import WorkerRecord
 from .builders import make_configuration, make_job, make_step, make_worker
 from .simulated_store import (
     NO_ANSWER,
--- a/catkinport/jobs/tests/test_dispatcher.py
+++ b/catkinport/jobs/tests/test_dispatcher.py
@@ -12,13 +12,13 @@
     Rejection,
     RunningTask,
 )
-from ..dispatcher import is_over
+from ..dispatch.dispatcher import is_over
+from ..dispatch.record import JobRecord
 from ..model import JobState
-from ..planner import PlannedStart
-from ..record import JobRecord
-from ..run_stops import find_paces, find_stops
-from ..worker_failures import LAST_WORKER_QUARANTINE_SECONDS
-from ..worker_state import UNHEALTHY_PAUSE_SECONDS
+from ..placement.planner import PlannedStart
+from ..placement.run_stops import find_paces, find_stops
+from ..workers.worker_failures import LAST_WORKER_QUARANTINE_SECONDS
+from ..workers.worker_state import UNHEALTHY_PAUSE_SECONDS
 from .builders import JOB_ID, Fleet, make_job, make_step, make_worker
 
 UNCERTAIN = Unavailable(Reason.TIMEOUT, "worker-start", "w1", "", True)
--- a/catkinport/jobs/tests/test_end_of_ownership.py
+++ b/catkinport/jobs/tests/test_end_of_ownership.py
@@ -7,11 +7,11 @@
 
 from ...policy.leadership import OwnLease
 from ...runtime import Metrics
-from ..dispatcher import Dispatcher
-from ..run_orders import RunOrders
-from ..session import OwnerPorts, OwnerSession
-from ..state_store import StateStore
-from ..worker_state import WorkerRecord
+from ..dispatch.dispatcher import Dispatcher
+from ..ownership.run_orders import RunOrders
+from ..ownership.session import OwnerPorts, OwnerSession
+from ..ownership.state_store import StateStore
+from ..workers.worker_state import WorkerRecord
 from .builders import make_configuration, make_worker
 
 MAX_STEPS = 6
--- a/catkinport/jobs/tests/test_fenced_rows.py
+++ b/catkinport/jobs/tests/test_fenced_rows.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from ...ports.table import Committed, Conflict, RowKey, Write
-from ..fenced_rows import MAX_CONFLICTS, FencedRows
+from ..ownership.fenced_rows import MAX_CONFLICTS, FencedRows
 from ..tables import HEARTBEAT_KEY, WAVES_TABLE
 from .late_table import AsyncLateTable, make_session
 
--- a/catkinport/jobs/tests/test_job_feed.py
+++ b/catkinport/jobs/tests/test_job_feed.py
@@ -6,11 +6,11 @@
 from ...ports.async_table import Changes, HistoryLost, Snapshot
 from ...ports.table import Row
 from ...runtime import Metrics
-from ..dispatcher import Dispatcher
+from ..dispatch.dispatcher import Dispatcher
 from ..model import JobState, job_to_row
-from ..owner import FleetOwner
-from ..ownership_watch import Claim
-from ..session import OwnerPorts
+from ..ownership.owner import FleetOwner
+from ..ownership.ownership_watch import Claim
+from ..ownership.session import OwnerPorts
 from ..tables import JOBS_TABLE, STATES_TABLE, cancel_key, job_key, state_key
 from .builders import JOB_ID, make_configuration, make_job
 from .test_vm_planner import BOUNDS
--- a/catkinport/jobs/tests/test_late_writes.py
+++ b/catkinport/jobs/tests/test_late_writes.py
@@ -3,13 +3,13 @@
 import asyncio
 
 from ...ports.fleet_vms import UpkeepWave
-from ..session import OwnerSession
-from ..state_store import StateStore
+from ..ownership.session import OwnerSession
+from ..ownership.state_store import StateStore
+from ..ownership.vm_orders import VmOrders
+from ..ownership.worker_watch import WorkerWatch
 from ..tables import ROSTER_TABLE, VM_ORDERS_KEY, wave_key
-from ..vm_inventory import VmBounds
-from ..vm_orders import VmOrders
-from ..vm_planner import VmPlanner
-from ..worker_watch import WorkerWatch
+from ..vms.vm_inventory import VmBounds
+from ..vms.vm_planner import VmPlanner
 from .builders import make_worker
 from .late_table import AsyncLateTable, make_session
 
--- a/catkinport/jobs/tests/test_order_targets.py
+++ b/catkinport/jobs/tests/test_order_targets.py
@@ -3,7 +3,7 @@
 import pytest
 
 from ...ports.fleet_vms import UpkeepWave, VmState
-from ..order_targets import VmOrder
+from ..vms.order_targets import VmOrder
 from .builders import POOL, make_job, make_worker
 from .test_vm_planner import BOUNDS, VmFleet
 
--- a/catkinport/jobs/tests/test_owner_changes.py
+++ b/catkinport/jobs/tests/test_owner_changes.py
@@ -28,11 +28,11 @@
     Rejected,
     WorkerLists,
 )
-from ..dispatcher import Dispatcher, is_over
+from ..dispatch.dispatcher import Dispatcher, is_over
 from ..model import Job
-from ..planner import PlannedStart, Planner
-from ..run_stops import StopOrder, find_stops
-from ..worker_state import (
+from ..placement.planner import PlannedStart, Planner
+from ..placement.run_stops import StopOrder, find_stops
+from ..workers.worker_state import (
     FRESH_CONTACT_SECONDS,
     LEASE_SECONDS,
     MAX_LEASE_SECONDS,
--- a/catkinport/jobs/tests/test_owner_memory.py
+++ b/catkinport/jobs/tests/test_owner_memory.py
@@ -1,8 +1,8 @@
 """Tests of the statistics that a successor restores from the former owner's row."""
 
 from ...policy.turns import TurnTracker
-from ..dispatcher import Dispatcher
-from ..owner_memory import build_memory, restore_memory
+from ..dispatch.dispatcher import Dispatcher
+from ..ownership.owner_memory import build_memory, restore_memory
 from .builders import POOL, QUEUE, make_configuration
 
 
--- a/catkinport/jobs/tests/test_ownership_watch.py
+++ b/catkinport/jobs/tests/test_ownership_watch.py
@@ -8,10 +8,10 @@
 from ...policy.leadership import OwnLease
 from ...ports.clock import ManualClock
 from ...ports.table import Condition, Transaction, Write
-from ..dispatcher import Dispatcher
-from ..ownership_watch import Claim, OwnershipWatch
-from ..session import OwnerSession
-from ..state_store import heartbeat_write
+from ..dispatch.dispatcher import Dispatcher
+from ..ownership.ownership_watch import Claim, OwnershipWatch
+from ..ownership.session import OwnerSession
+from ..ownership.state_store import heartbeat_write
 from ..tables import HEARTBEAT_KEY, OWNER_KEY
 from .builders import POOL, make_configuration
 from .simulated_store import SimulatedStore, StoreClient, StoreLink, run_now
--- a/catkinport/jobs/tests/test_pool_report.py
+++ b/catkinport/jobs/tests/test_pool_report.py
@@ -2,7 +2,7 @@
 
 import logging
 
-from ..lasting_waits import LastingWaits
+from ..vms.lasting_waits import LastingWaits
 from .builders import POOL, Fleet, make_job, make_step, make_worker
 from .large_task_fleet import RESTING, fleet_after_loss
 
--- a/catkinport/jobs/tests/test_removed_queues.py
+++ b/catkinport/jobs/tests/test_removed_queues.py
@@ -9,9 +9,9 @@
 from ...ports.async_table import Snapshot
 from ...ports.table import Committed, Conflict, Row
 from ..configuration import ApprovalTerms
-from ..planner import Planner
-from ..removed_queues import RemovedQueues, decode_queue, encode_queue
-from ..session import OwnerSession
+from ..ownership.removed_queues import RemovedQueues, decode_queue, encode_queue
+from ..ownership.session import OwnerSession
+from ..placement.planner import Planner
 from ..tables import OWNER_KEY, REMOVED_QUEUES_KEY
 from .builders import JOB_ID, QUEUE, Fleet, make_configuration, make_job, make_worker
 
--- a/catkinport/jobs/tests/test_run_orders.py
+++ b/catkinport/jobs/tests/test_run_orders.py
@@ -6,8 +6,8 @@
 from ...policy.leadership import OwnLease
 from ...ports import Reason, Unavailable
 from ...ports.fleet_workers import Done
-from ..run_orders import RunOrders
-from ..run_stops import find_stops
+from ..ownership.run_orders import RunOrders
+from ..placement.run_stops import find_stops
 from .builders import Fleet, make_job, make_worker
 
 UNCERTAIN = Unavailable(Reason.TIMEOUT, "worker-start", "w1", "", True)
--- a/catkinport/jobs/tests/test_session.py
+++ b/catkinport/jobs/tests/test_session.py
@@ -5,9 +5,9 @@
 import pytest
 
 from ...policy.leadership import STOP_RENEWING_SECONDS
-from ..owner import FleetOwner
-from ..ownership_watch import Claim
-from ..session import OwnerSession
+from ..ownership.owner import FleetOwner
+from ..ownership.ownership_watch import Claim
+from ..ownership.session import OwnerSession
 from .builders import make_configuration
 from .late_table import AsyncLateTable, make_session
 from .test_vm_planner import BOUNDS
--- a/catkinport/jobs/tests/test_start_blocks.py
+++ b/catkinport/jobs/tests/test_start_blocks.py
@@ -6,9 +6,9 @@
 from ...policy.leadership import OwnLease
 from ...ports import Reason, Unavailable
 from ...ports.fleet_workers import RunningTask
-from ..run_stops import find_stops
-from ..start_blocks import MAX_CAPACITY_AGE_SECONDS
-from ..worker_watch import WorkerWatch
+from ..ownership.worker_watch import WorkerWatch
+from ..placement.run_stops import find_stops
+from ..placement.start_blocks import MAX_CAPACITY_AGE_SECONDS
 from .builders import Fleet, make_job, make_step, make_worker
 
 LOST = Unavailable(Reason.TIMEOUT, "worker-start", "w1", "", True)
--- a/catkinport/jobs/tests/test_uncertain_starts.py
+++ b/catkinport/jobs/tests/test_uncertain_starts.py
@@ -4,9 +4,9 @@
 from ...ports import Reason, Unavailable
 from ...ports.fleet_vms import FleetVm, VmState
 from ...ports.fleet_workers import Done, EndKind, RunningTask
-from ..run_stops import StopOrder, find_stops
-from ..uncertain_starts import ORDER_DELAY_SECONDS
-from ..worker_state import MAX_LEASE_SECONDS
+from ..placement.run_stops import StopOrder, find_stops
+from ..workers.uncertain_starts import ORDER_DELAY_SECONDS
+from ..workers.worker_state import MAX_LEASE_SECONDS
 from .builders import JOB_ID, POOL, Fleet, make_job, make_worker
 
 UNCERTAIN = Unavailable(Reason.TIMEOUT, "worker-start", "w1", "", True)
--- a/catkinport/jobs/tests/test_vm_orders.py
+++ b/catkinport/jobs/tests/test_vm_orders.py
@@ -9,8 +9,8 @@
 from ...ports.fleet_vms import UpkeepWave
 from ...ports.fleet_workers import Done
 from ...ports.table import Committed, Condition, Conflict
+from ..ownership.vm_orders import FORMER_WAVE_SECONDS, VmOrders
 from ..tables import OWNER_KEY, VM_ORDERS_KEY
-from ..vm_orders import FORMER_WAVE_SECONDS, VmOrders
 from .test_vm_planner import VmFleet
 
 
--- a/catkinport/jobs/tests/test_vm_planner.py
+++ b/catkinport/jobs/tests/test_vm_planner.py
@@ -3,9 +3,9 @@
 from ...policy.resources import Resources
 from ...ports.fleet_vms import FleetVm, UpkeepWave, VmState
 from ..model import Step
-from ..run_stops import find_stops
-from ..vm_inventory import VmBounds
-from ..vm_planner import VmPlanner
+from ..placement.run_stops import find_stops
+from ..vms.vm_inventory import VmBounds
+from ..vms.vm_planner import VmPlanner
 from .builders import NEED, POOL, Fleet, make_job, make_worker
 
 BOUNDS = VmBounds(upkeep=2.0, move=1.5, order_gap=3.0)
--- a/catkinport/jobs/tests/test_worker_crashes.py
+++ b/catkinport/jobs/tests/test_worker_crashes.py
@@ -12,10 +12,10 @@
 )
 from ...policy.resources import NO_RESOURCES
 from ...ports.fleet_vms import FleetVm, VmState
+from ..dispatch.record import JobRecord
 from ..model import JobState, TaskId
-from ..planner import PlannedStart
-from ..record import JobRecord
-from ..worker_state import MAX_LEASE_SECONDS
+from ..placement.planner import PlannedStart
+from ..workers.worker_state import MAX_LEASE_SECONDS
 from .builders import JOB_ID, POOL, Fleet, make_job, make_step, make_worker
 
 OTHER_JOB_ID = "00000000000000b2"
--- a/catkinport/jobs/tests/test_worker_pools.py
+++ b/catkinport/jobs/tests/test_worker_pools.py
@@ -2,9 +2,9 @@
 
 import asyncio
 
-from ..state_store import StateStore
+from ..ownership.state_store import StateStore
+from ..ownership.worker_watch import WorkerWatch
 from ..tables import ROSTER_TABLE
-from ..worker_watch import WorkerWatch
 from .builders import POOL, make_worker
 from .late_table import AsyncLateTable, make_session
 
--- a/catkinport/jobs/tests/test_worker_watch.py
+++ b/catkinport/jobs/tests/test_worker_watch.py
@@ -8,8 +8,8 @@
 from ...policy.leadership import OwnLease
 from ...ports import Reason, Unavailable
 from ...ports.fleet_workers import WorkerLists
-from .. import worker_watch
-from ..worker_watch import WorkerWatch
+from ..ownership import worker_watch
+from ..ownership.worker_watch import WorkerWatch
 from .builders import Fleet, make_job, make_worker
 
 LOST = Unavailable(Reason.CONNECTION_LOST, "worker-hold", "w1", "", True)
--- a/catkinport/jobs/disruption_budget.py
+++ b/catkinport/jobs/vms/disruption_budget.py
@@ -6,10 +6,10 @@
 
 from collections.abc import Iterable
 
-from .dispatcher import Dispatcher
-from .record import TaskPhase
+from ..dispatch.dispatcher import Dispatcher
+from ..dispatch.record import TaskPhase
+from ..workers.worker_state import Run, WorkerRecord
 from .vm_inventory import VmInventory
-from .worker_state import Run, WorkerRecord
 
 Stage = tuple[str, int, int]
 """Job id, occurrence and number of a step."""
--- a/catkinport/jobs/lasting_room.py
+++ b/catkinport/jobs/vms/lasting_room.py
@@ -7,17 +7,17 @@
 from collections.abc import Iterator, Mapping, Sequence
 from typing import NamedTuple
 
-from ..policy.pool_size import PoolMove
-from ..policy.resources import NO_RESOURCES, Resources, add, scale, total
-from ..policy.vm_packing import count_new_vms, pack_tasks
-from ..policy.worker_choice import CandidateWorker, TaskNeed
-from ..ports.fleet_vms import FleetVm, VmState
-from .account_usage import is_within_limit, usage_by_account
-from .dispatcher import Dispatcher
+from ...policy.pool_size import PoolMove
+from ...policy.resources import NO_RESOURCES, Resources, add, scale, total
+from ...policy.vm_packing import count_new_vms, pack_tasks
+from ...policy.worker_choice import CandidateWorker, TaskNeed
+from ...ports.fleet_vms import FleetVm, VmState
+from ..dispatch.dispatcher import Dispatcher
+from ..placement.account_usage import is_within_limit, usage_by_account
+from ..placement.task_needs import task_need
+from ..workers.worker_state import Run, WorkerRecord
 from .lasting_waits import LastingWait
-from .task_needs import task_need
 from .vm_inventory import VmInventory
-from .worker_state import Run, WorkerRecord
 
 MAX_ARRIVAL_SECONDS = 3.0
 """A VM counts as room from its move until it has a worker, but no longer than this
--- a/catkinport/jobs/lasting_waits.py
+++ b/catkinport/jobs/vms/lasting_waits.py
@@ -7,8 +7,8 @@
 import time
 from typing import NamedTuple
 
-from .dispatcher import Dispatcher
-from .record import JobRecord, Task, TaskPhase
+from ..dispatch.dispatcher import Dispatcher
+from ..dispatch.record import JobRecord, Task, TaskPhase
 
 LONG_WAIT_SECONDS = 3.0
 """A lasting task that waits longer than this is reported as such. A VM takes two
--- a/catkinport/jobs/order_targets.py
+++ b/catkinport/jobs/vms/order_targets.py
@@ -8,7 +8,7 @@
 
 from typing import NamedTuple
 
-from .worker_state import Incarnation, WorkerRecord
+from ..workers.worker_state import Incarnation, WorkerRecord
 
 
 class VmOrder(NamedTuple):
--- a/catkinport/jobs/pool_demand.py
+++ b/catkinport/jobs/vms/pool_demand.py
@@ -3,10 +3,10 @@
 from collections import defaultdict
 from typing import NamedTuple
 
-from ..policy.job_order import Prospect, find_prospect
-from .account_usage import usage_by_account
-from .dispatcher import Dispatcher
-from .record import JobRecord, TaskPhase
+from ...policy.job_order import Prospect, find_prospect
+from ..dispatch.dispatcher import Dispatcher
+from ..dispatch.record import JobRecord, TaskPhase
+from ..placement.account_usage import usage_by_account
 
 
 class PoolDemand(NamedTuple):
--- a/catkinport/jobs/pool_mover.py
+++ b/catkinport/jobs/vms/pool_mover.py
@@ -8,7 +8,7 @@
 import logging
 from collections.abc import Iterator, Mapping, Sequence, Set
 
-from ..policy.pool_size import (
+from ...policy.pool_size import (
     BusyVm,
     IdleVm,
     PoolMove,
@@ -19,17 +19,17 @@
     find_lendable_vms,
     wanted_vms,
 )
-from ..policy.turns import TurnTracker
-from ..ports.fleet_vms import FleetVm, VmState
-from ..runtime.logs import log_event
-from .dispatcher import Dispatcher
+from ...policy.turns import TurnTracker
+from ...ports.fleet_vms import FleetVm, VmState
+from ...runtime.logs import log_event
+from ..dispatch.dispatcher import Dispatcher
+from ..workers.worker_state import Run, WorkerRecord
 from .lasting_room import LastingPlan, LastingRoom
 from .lasting_waits import LastingWait, LastingWaits
 from .order_targets import VmOrder
 from .pool_demand import PoolDemand, measure_demand
 from .pool_report import PoolReporter, make_report
 from .vm_inventory import VmInventory
-from .worker_state import Run, WorkerRecord
 
 logger = logging.getLogger(__name__)
 
--- a/catkinport/jobs/pool_report.py
+++ b/catkinport/jobs/vms/pool_report.py
@@ -4,10 +4,10 @@
 from collections.abc import Sequence
 from typing import NamedTuple
 
-from ..runtime.logs import log_event
+from ...runtime.logs import log_event
+from ..workers.worker_state import WorkerRecord
 from .lasting_waits import LONG_WAIT_SECONDS, LastingWait
 from .pool_demand import PoolDemand
-from .worker_state import WorkerRecord
 
 logger = logging.getLogger(__name__)
 
--- a/catkinport/jobs/vm_inventory.py
+++ b/catkinport/jobs/vms/vm_inventory.py
@@ -6,11 +6,11 @@
 from collections.abc import Iterable, Iterator, Sequence
 from typing import NamedTuple
 
-from ..ports.fleet_vms import FleetVm, VmState
-from .dispatcher import Dispatcher
+from ...ports.fleet_vms import FleetVm, VmState
+from ..dispatch.dispatcher import Dispatcher
+from ..workers.worker_state import Incarnation, WorkerRecord
+from ..workers.worker_vms import VM_LIST_LAG_SECONDS
 from .order_targets import OrderTargets, VmOrder
-from .worker_state import Incarnation, WorkerRecord
-from .worker_vms import VM_LIST_LAG_SECONDS
 
 REPEAT_SECONDS = 1.0
 """Time after which an order without an answer is sent again."""
--- a/catkinport/jobs/vm_planner.py
+++ b/catkinport/jobs/vms/vm_planner.py
@@ -11,21 +11,21 @@
 import logging
 from collections.abc import Iterator, Sequence, Set
 
-from ..policy.upkeep import (
+from ...policy.upkeep import (
     UpkeepCandidate,
     UpkeepChoice,
     UpkeepCost,
     WaveView,
     choose_upkeep,
 )
-from ..ports.fleet_vms import FleetVm, UpkeepWave
-from ..runtime.logs import log_event
-from .dispatcher import Dispatcher
+from ...ports.fleet_vms import FleetVm, UpkeepWave
+from ...runtime.logs import log_event
+from ..dispatch.dispatcher import Dispatcher
+from ..workers.worker_state import Run, WorkerRecord
 from .disruption_budget import DisruptionBudget
 from .order_targets import VmOrder
 from .pool_mover import PoolMover
 from .vm_inventory import VmBounds, VmInventory
-from .worker_state import Run, WorkerRecord
 
 logger = logging.getLogger(__name__)
 
--- a/catkinport/jobs/inherited_workers.py
+++ b/catkinport/jobs/workers/inherited_workers.py
@@ -5,8 +5,8 @@
 
 import logging
 
-from ..runtime.logs import log_event
-from .job_table import JobTable
+from ...runtime.logs import log_event
+from ..dispatch.job_table import JobTable
 from .worker_table import WorkerTable
 
 logger = logging.getLogger(__name__)
--- a/catkinport/jobs/uncertain_starts.py
+++ b/catkinport/jobs/workers/uncertain_starts.py
@@ -11,7 +11,7 @@
 from collections.abc import Iterator
 from dataclasses import dataclass
 
-from ..runtime.logs import log_event
+from ...runtime.logs import log_event
 from .worker_state import Incarnation, RunKey
 
 logger = logging.getLogger(__name__)
--- a/catkinport/jobs/worker_crashes.py
+++ b/catkinport/jobs/workers/worker_crashes.py
@@ -7,9 +7,9 @@
 
 import logging
 
-from ..policy.crash_blame import Crash, SuspectRun, find_suspects, is_cleared
-from ..ports.fleet_vms import FleetVm, VmState
-from ..runtime.logs import log_event
+from ...policy.crash_blame import Crash, SuspectRun, find_suspects, is_cleared
+from ...ports.fleet_vms import FleetVm, VmState
+from ...runtime.logs import log_event
 from .worker_state import Run, RunKey, WorkerCrash, WorkerRecord
 
 logger = logging.getLogger(__name__)
--- a/catkinport/jobs/worker_listing.py
+++ b/catkinport/jobs/workers/worker_listing.py
@@ -3,9 +3,9 @@
 import logging
 from collections.abc import Sequence
 
-from ..ports.fleet_workers import ListedWorker
-from ..runtime.logs import log_event
-from .run_table import RunTable
+from ...ports.fleet_workers import ListedWorker
+from ...runtime.logs import log_event
+from ..dispatch.run_table import RunTable
 from .worker_state import Incarnation, WorkerRecord
 from .worker_table import WorkerTable
 
--- a/catkinport/jobs/worker_reports.py
+++ b/catkinport/jobs/workers/worker_reports.py
@@ -2,11 +2,11 @@
 
 import logging
 
-from ..ports.fleet_workers import RunningTask, WorkerLists
-from ..runtime.logs import log_event
+from ...ports.fleet_workers import RunningTask, WorkerLists
+from ...runtime.logs import log_event
+from ..dispatch.run_ends import RunEnds
+from ..dispatch.run_table import RunTable
 from .inherited_workers import InheritedWorkers
-from .run_ends import RunEnds
-from .run_table import RunTable
 from .worker_crashes import clear_survivor, note_answer, note_crash
 from .worker_state import (
     LEASE_SECONDS,
--- a/catkinport/jobs/worker_state.py
+++ b/catkinport/jobs/workers/worker_state.py
@@ -5,9 +5,9 @@
 from enum import StrEnum
 from typing import NamedTuple
 
-from ..policy.resources import Resources
-from ..ports.fleet_workers import ListedWorker
-from .record import JobRecord, Task
+from ...policy.resources import Resources
+from ...ports.fleet_workers import ListedWorker
+from ..dispatch.record import JobRecord, Task
 
 LEASE_SECONDS = 4.0
 """Duration of the lease under which tasks run on a worker. Longer than a change of
--- a/catkinport/jobs/worker_table.py
+++ b/catkinport/jobs/workers/worker_table.py
@@ -2,7 +2,7 @@
 
 import logging
 
-from ..runtime.logs import log_event
+from ...runtime.logs import log_event
 from .worker_state import WorkerRecord
 
 logger = logging.getLogger(__name__)
--- a/catkinport/jobs/worker_vms.py
+++ b/catkinport/jobs/workers/worker_vms.py
@@ -2,9 +2,9 @@
 
 from collections.abc import Sequence
 
-from ..ports.fleet_vms import FleetVm, VmState
+from ...ports.fleet_vms import FleetVm, VmState
+from ..dispatch.run_table import RunTable
 from .inherited_workers import InheritedWorkers
-from .run_table import RunTable
 from .worker_crashes import note_crash, note_listed_vm
 from .worker_state import WorkerRecord
 from .worker_table import WorkerTable
--- a/catkinport/platform/callers.py
+++ b/catkinport/platform/callers.py
@@ -11,7 +11,7 @@
 from ..jobs.configuration import FleetConfiguration, Queue
 from ..jobs.configuration_watch import ConfigurationWatch
 from ..jobs.intake import Absent, Accepted, Canceled, Intake, describe
-from ..jobs.ownership_watch import QueueDepths
+from ..jobs.ownership.ownership_watch import QueueDepths
 from ..ports import NotRun, Unavailable, Unknown
 from ..ports.clock import Clock
 from ..runtime import Metrics
--- a/catkinport/platform/daemon.py
+++ b/catkinport/platform/daemon.py
@@ -15,10 +15,10 @@
 from ..jobs.configuration import FleetConfiguration
 from ..jobs.configuration_watch import ConfigurationWatch
 from ..jobs.intake import Intake
-from ..jobs.owner import FleetOwner
-from ..jobs.ownership_watch import OwnershipWatch
-from ..jobs.session import OwnerPorts
-from ..jobs.vm_inventory import VmBounds
+from ..jobs.ownership.owner import FleetOwner
+from ..jobs.ownership.ownership_watch import OwnershipWatch
+from ..jobs.ownership.session import OwnerPorts
+from ..jobs.vms.vm_inventory import VmBounds
 from ..policy.leadership import claim_delay_seconds
 from ..runtime import BootTimeClock, Metrics
 from ..runtime.background import run_until_done
