Log why calls for the configuration fail, and count the bytes of incomplete answers

A store that is away, a full connection pool and an answer that is cut off in the middle look alike.

The line now has the step, the reason and the detail of the failed call, and while calls go on failing "table service calls fail" repeats them every 5 s with the number of failures. A timeout within an answer tells how many bytes had arrived. The counter platform_answer_bytes counts the bytes of all answers by step, also of incomplete ones.

No decision changed: calls time out as before. The new tests fail on the former code, which has neither the fields nor the counter. Tests of platform and of the watch pass.

--- a/catkinport/jobs/configuration_watch.py
+++ b/catkinport/jobs/configuration_watch.py
@@ -25,6 +25,9 @@
 """Longest time for which the change feed may hide a change while the table service
 loses its history. An answer of the feed counts as older by this time."""
 
+FAILURE_LOG_SECONDS = 5.0
+"""Time between two log lines while calls to the table service go on failing."""
+
 Decode = Callable[[Mapping[str, Any]], FleetConfiguration]
 Listener = Callable[[FleetConfiguration], None]
 
@@ -59,7 +62,9 @@
         self._decode = decode
         self._version: int | None = None
         self._known_current_at = float("-inf")
-        self._is_table_reached = True
+        self._failure: Unavailable | None = None
+        self._n_failures = 0
+        self._failure_logged_at = float("-inf")
         self._listeners: list[Listener] = []
         self.current: FleetConfiguration | None = None
         self.row_by_key: dict[str, Row] = {}
@@ -74,44 +79,64 @@
 
     def is_table_reached(self) -> bool:
         """Return whether the latest call to the table service had an answer."""
-        return self._is_table_reached
+        return self._failure is None
 
     async def run(self) -> None:
         """Follow the operator's rows until cancelled."""
         while True:
-            is_answered = await self._poll()
-            if is_answered != self._is_table_reached:
-                self._is_table_reached = is_answered
-                log_event(
-                    logger,
-                    "table service contact restored"
-                    if is_answered
-                    else "table service contact lost",
-                    age_seconds=round(self.age_seconds(), 2),
-                )
-            if not is_answered:
+            self._record_outcome(await self._poll())
+            if self._failure is not None:
                 await asyncio.sleep(RETRY_SECONDS)
 
-    async def _poll(self) -> bool:
+    def _record_outcome(self, failure: Unavailable | None) -> None:
+        """Note how the latest call ended; log changes, and failures at intervals."""
+        is_lost_now = failure is not None and self._failure is None
+        if failure is None and self._failure is not None:
+            log_event(
+                logger,
+                "table service contact restored",
+                age_seconds=round(self.age_seconds(), 2),
+                n_failures=self._n_failures,
+            )
+        self._n_failures = 0 if failure is None else self._n_failures + 1
+        self._failure = failure
+        if failure is None:
+            return
+        now = self._clock.now()
+        if not is_lost_now and now - self._failure_logged_at < FAILURE_LOG_SECONDS:
+            return
+        self._failure_logged_at = now
+        log_event(
+            logger,
+            "table service contact lost" if is_lost_now else "table service calls fail",
+            age_seconds=round(self.age_seconds(), 2),
+            n_failures=self._n_failures,
+            step=failure.step,
+            reason=failure.reason.value,
+            detail=failure.detail,
+        )
+
+    async def _poll(self) -> Unavailable | None:
+        """Read or follow the operator's rows once; return why there is no answer."""
         sent_at = self._clock.now()
         if self._version is None:
             snapshot = await self._table.read_range(self._operator_table)
             if isinstance(snapshot, Unavailable):
-                return False
+                return snapshot
             self._version = snapshot.version
             self.row_by_key = {row.row_key.key: row for row in snapshot.rows}
             self._apply_configuration()
             self._known_current_at = max(self._known_current_at, sent_at)
-            return True
+            return None
         outcome = await self._table.follow(
             self._operator_table, self._version, FOLLOW_SECONDS
         )
         if isinstance(outcome, HistoryLost):
             log_event(logger, "configuration feed lost its history")
             self._version = None
-            return True
+            return None
         if not isinstance(outcome, Changes):
-            return False
+            return outcome
         self._version = outcome.version
         for row in outcome.rows:
             if row.value is None:
@@ -121,7 +146,7 @@
         if outcome.rows:
             self._apply_configuration()
         self._known_current_at = max(self._known_current_at, sent_at - FEED_LAG_SECONDS)
-        return True
+        return None
 
     def _apply_configuration(self) -> None:
         row = self.row_by_key.get(self._configuration_key)
--- a/catkinport/platform/client.py
+++ b/catkinport/platform/client.py
@@ -125,6 +125,8 @@
         timeout = aiohttp.ClientTimeout(
             total=timeout_seconds, sock_connect=CONNECT_TIMEOUT_SECONDS
         )
+        content = bytearray()
+        has_begun = False
         try:
             async with self._session.request(
                 method,
@@ -135,16 +137,26 @@
                 timeout=timeout,
                 allow_redirects=False,
             ) as response:
-                content = await response.read()
+                has_begun = True
+                async for chunk in response.content.iter_any():
+                    content += chunk
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             return Unavailable(Reason.CONNECT_FAILED, step, peer, str(error))
         except TimeoutError:
-            return Unavailable(
-                Reason.TIMEOUT, step, peer, f"no answer in {timeout_seconds} s", True
-            )
+            detail = f"no answer in {timeout_seconds} s"
+            if has_begun:
+                detail = f"{len(content)} bytes of an answer in {timeout_seconds} s"
+            return Unavailable(Reason.TIMEOUT, step, peer, detail, True)
         except (aiohttp.ClientError, OSError, ValueError) as error:
             return Unavailable(Reason.CONNECTION_LOST, step, peer, repr(error), True)
-        return _decode_reply(step, peer, response.status, content)
+        finally:
+            self._metrics.increment(
+                "platform_answer_bytes",
+                "Bytes of answers of the platform, also of incomplete ones.",
+                {"step": step},
+                len(content),
+            )
+        return _decode_reply(step, peer, response.status, bytes(content))
 
 
 def _decode_reply(
--- /dev/null
+++ b/catkinport/platform/tests/slow_store.py
@@ -0,0 +1,90 @@
+"""A store behind a slow link: its answers arrive in small pieces."""
+
+import asyncio
+import base64
+import json
+from collections.abc import Mapping
+from typing import Any
+
+from aiohttp import web
+
+PIECE_BYTES = 2_000
+
+
+class SlowStore:
+    """Answers every read and every feed with the same rows.
+
+    Args:
+        rows: value of each row by its key; all are in one table.
+        version: version of the rows. A feed after it answers without rows, and one
+            after an older version with all of them.
+        bytes_per_second: how fast the body of an answer is sent.
+        bytes_until_stall: bytes of a body after which nothing more is sent; ``None``
+            for whole answers.
+
+    Attributes:
+        address: ``host:port`` while it is open.
+        n_calls: calls received.
+    """
+
+    def __init__(
+        self,
+        rows: Mapping[str, Mapping[str, Any]],
+        version: int,
+        bytes_per_second: float,
+        bytes_until_stall: int | None = None,
+    ) -> None:
+        self._rows = rows
+        self._version = version
+        self._piece_seconds = PIECE_BYTES / bytes_per_second
+        self._bytes_until_stall = bytes_until_stall
+        self.address = ""
+        self.n_calls = 0
+
+    async def __aenter__(self) -> "SlowStore":
+        """Begin to listen on a free port."""
+        app = web.Application()
+        app.router.add_get("/rows-get", self._read)
+        app.router.add_get("/rows-feed", self._follow)
+        self._runner = web.AppRunner(app, shutdown_timeout=0.1)
+        await self._runner.setup()
+        site = web.TCPSite(self._runner, "127.0.0.1", 0)
+        await site.start()
+        host, port = self._runner.addresses[0]
+        self.address = f"{host}:{port}"
+        return self
+
+    async def __aexit__(self, *error: object) -> None:
+        """Close all connections."""
+        await self._runner.cleanup()
+
+    async def _read(self, request: web.Request) -> web.StreamResponse:
+        return await self._send(request, request.query["Table"])
+
+    async def _follow(self, request: web.Request) -> web.StreamResponse:
+        if int(request.query["After"]) < self._version:
+            return await self._send(request, request.query["Table"])
+        await asyncio.sleep(int(request.query["WaitMs"]) / 1000)
+        return web.json_response({"rows": [], "Ver": self._version})
+
+    async def _send(self, request: web.Request, table: str) -> web.StreamResponse:
+        self.n_calls += 1
+        rows = [
+            {
+                "Table": table,
+                "Key": key,
+                "Ver": self._version,
+                "Value": base64.b64encode(json.dumps(value).encode()).decode(),
+            }
+            for key, value in self._rows.items()
+        ]
+        body = json.dumps({"rows": rows, "Ver": self._version}).encode()
+        response = web.StreamResponse()
+        response.content_length = len(body)
+        await response.prepare(request)
+        for start in range(0, len(body), PIECE_BYTES):
+            if self._bytes_until_stall is not None and start >= self._bytes_until_stall:
+                await asyncio.sleep(60.0)
+            await response.write(body[start : start + PIECE_BYTES])
+            await asyncio.sleep(self._piece_seconds)
+        return response
