Let reads take as long as their answers keep arriving

Cause: a read of the table service had 1.0 s and a call of the change feed 1.5 s for its whole answer, but the size of an answer grows with the data and its time with the link. An answer that needs longer is cut off, thrown away and requested again from its beginning, so no attempt can succeed. Class of fault: a fixed limit on work whose size is not bounded, with retries that keep nothing (livelock).

Ruled out: a store that is away (its calls are answered), a busy processor (1%), calls of callers that hold all connections (there are none after 38 s, and the failures go on).

Change: reads, feeds and the VM list, whose answers have no bounded size, have a limit on the wait for the beginning of the answer, as before, and then on each pause within it. Orders, polls of workers and commits keep their limit on the whole call. The timeout of commits follows the wait until answers begin; the whole time of a large answer would make an owner wait longer for lost answers, until it is replaced.

A stalled answer is given up after 1.0 s (tested).

--- a/catkinport/platform/client.py
+++ b/catkinport/platform/client.py
@@ -1,5 +1,6 @@
 """HTTP client for the platform's services and workers."""
 
+import asyncio
 import json
 import time
 from collections.abc import Mapping
@@ -22,11 +23,24 @@
 """How long an idle connection is kept open; a new one costs a round trip."""
 
 
+STALL_SECONDS = 1.0
+"""Longest pause within an answer whose size is not bounded. Such an answer may take
+long on a slow link; one that stops arriving has lost its sender or its connection."""
+
+
 class Reply(NamedTuple):
-    """An answer; ``body`` is its JSON value, ``None`` where there is none."""
+    """An answer.
+
+    Args:
+        status: HTTP status.
+        body: its JSON value; ``None`` where there is none.
+        wait_seconds: time from the call until the answer began to arrive. Unlike the
+            whole time it does not depend on the size of the answer and on the link.
+    """
 
     status: int
     body: Any
+    wait_seconds: float = 0.0
 
 
 class PlatformClient:
@@ -71,6 +85,7 @@
         body: Any = None,
         query: Mapping[str, str] | None = None,
         headers: Mapping[str, str] | None = None,
+        is_size_bounded: bool = True,
     ) -> Reply | Unavailable:
         """Call ``peer`` once.
 
@@ -79,17 +94,30 @@
             method: HTTP method.
             peer: ``host:port``.
             path: path without a query string.
-            timeout_seconds: longest wait for the whole answer.
+            timeout_seconds: longest wait for the whole answer, or for its beginning if
+                its size is not bounded.
             body: value sent as JSON.
             query: parameters of the query string.
             headers: additional headers.
+            is_size_bounded: whether every answer is small enough to arrive within
+                ``timeout_seconds`` on the slowest link. Otherwise an answer may take as
+                long as it keeps arriving. A limit on its whole time would cut off each
+                repetition of the call as well.
 
         Returns:
             The reply, whatever its status, or why there is none.
         """
         started_at = time.monotonic()
         outcome = await self._send(
-            step, method, peer, path, timeout_seconds, body, query, headers
+            step,
+            method,
+            peer,
+            path,
+            timeout_seconds,
+            body,
+            query,
+            headers,
+            is_size_bounded,
         )
         if isinstance(outcome, Reply):
             status = str(outcome.status)
@@ -116,36 +144,46 @@
         body: Any,
         query: Mapping[str, str] | None,
         headers: Mapping[str, str] | None,
+        is_size_bounded: bool,
     ) -> Reply | Unavailable:
         assert self._session is not None
         data = None if body is None else json.dumps(body, separators=(",", ":"))
         send_headers = dict(headers or {})
         if data is not None:
             send_headers["Content-Type"] = "application/json"
+        clock = asyncio.get_running_loop().time
+        sent_at = clock()
+        # The deadline below covers the wait for a free connection and for the answer.
         timeout = aiohttp.ClientTimeout(
-            total=timeout_seconds, sock_connect=CONNECT_TIMEOUT_SECONDS
+            total=None, sock_connect=CONNECT_TIMEOUT_SECONDS
         )
         content = bytearray()
-        has_begun = False
+        wait_seconds: float | None = None
         try:
-            async with self._session.request(
-                method,
-                f"http://{peer}{path}",
-                data=data,
-                params=query,
-                headers=send_headers,
-                timeout=timeout,
-                allow_redirects=False,
-            ) as response:
-                has_begun = True
+            async with (
+                asyncio.timeout(timeout_seconds) as deadline,
+                self._session.request(
+                    method,
+                    f"http://{peer}{path}",
+                    data=data,
+                    params=query,
+                    headers=send_headers,
+                    timeout=timeout,
+                    allow_redirects=False,
+                ) as response,
+            ):
+                wait_seconds = clock() - sent_at
                 async for chunk in response.content.iter_any():
                     content += chunk
+                    if not is_size_bounded:
+                        deadline.reschedule(clock() + STALL_SECONDS)
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             return Unavailable(Reason.CONNECT_FAILED, step, peer, str(error))
         except TimeoutError:
             detail = f"no answer in {timeout_seconds} s"
-            if has_begun:
-                detail = f"{len(content)} bytes of an answer in {timeout_seconds} s"
+            if wait_seconds is not None:
+                seconds = clock() - sent_at
+                detail = f"{len(content)} bytes of an answer in {seconds:.1f} s"
             return Unavailable(Reason.TIMEOUT, step, peer, detail, True)
         except (aiohttp.ClientError, OSError, ValueError) as error:
             return Unavailable(Reason.CONNECTION_LOST, step, peer, repr(error), True)
@@ -156,18 +194,18 @@
                 {"step": step},
                 len(content),
             )
-        return _decode_reply(step, peer, response.status, bytes(content))
+        return _decode_reply(step, peer, response.status, content, wait_seconds)
 
 
 def _decode_reply(
-    step: str, peer: str, status: int, content: bytes
+    step: str, peer: str, status: int, content: bytes | bytearray, wait_seconds: float
 ) -> Reply | Unavailable:
     if not content:
-        return Reply(status, None)
+        return Reply(status, None, wait_seconds)
     try:
-        return Reply(status, json.loads(content))
+        return Reply(status, json.loads(content), wait_seconds)
     except ValueError:
         if status >= 400:
-            return Reply(status, None)
+            return Reply(status, None, wait_seconds)
         detail = f"status {status} with a body that is not JSON"
         return Unavailable(Reason.ANSWER_TRUNCATED, step, peer, detail, True)
--- a/catkinport/platform/table.py
+++ b/catkinport/platform/table.py
@@ -7,7 +7,6 @@
 import asyncio
 import base64
 import json
-import time
 from collections.abc import Mapping, Sequence
 from typing import Any
 
@@ -26,7 +25,7 @@
 from .client import PlatformClient, Reply
 
 READ_TIMEOUT_SECONDS = 1.0
-"""Longest wait for the answer to a read, which takes 4 ms without faults."""
+"""Longest wait for the answer to a read to begin, which takes 4 ms without faults."""
 
 MIN_COMMIT_TIMEOUT_SECONDS = 0.6
 """Lower bound of the wait for the answer to a commit, which takes 10 ms without faults.
@@ -38,8 +37,8 @@
 each takes 0.3 s on a store that is fifty times slower than usual."""
 
 FOLLOW_TIMEOUT_MARGIN_SECONDS = 0.7
-"""How much longer than the requested wait the answer of a feed may take. A store that
-has stopped answering is detected after it."""
+"""How much later than after the requested wait the answer of a feed may begin. A store
+that has stopped answering is detected after it."""
 
 OWNER_PART = "fleet"
 """The one part of all rows that an owner writes, as a transaction covers one part."""
@@ -109,7 +108,6 @@
             query = {"Table": table, "part": part, "From": start}
             if end:
                 query["To"] = end
-            started_at = time.monotonic()
             reply = await self._client.call(
                 "table-read",
                 "GET",
@@ -118,10 +116,11 @@
                 READ_TIMEOUT_SECONDS,
                 None,
                 query,
+                is_size_bounded=False,
             )
             if isinstance(reply, Unavailable):
                 return reply
-            self._commit_timeout.on_answer(time.monotonic() - started_at)
+            self._commit_timeout.on_answer(reply.wait_seconds)
             if reply.status != 200:
                 return self._unexpected_status("table-read", reply)
             try:
@@ -153,7 +152,6 @@
             if write.value is None
         ]
         body = {"Expect": expected, "Writes": writes, "Remove": removals}
-        started_at = time.monotonic()
         reply = await self._client.call(
             "table-commit",
             "POST",
@@ -164,7 +162,7 @@
         )
         if isinstance(reply, Unavailable):
             return reply
-        self._commit_timeout.on_answer(time.monotonic() - started_at)
+        self._commit_timeout.on_answer(reply.wait_seconds)
         try:
             if reply.status == 200:
                 version = int(reply.body["Ver"])
@@ -188,7 +186,6 @@
             "After": str(after_version),
             "WaitMs": str(int(wait_seconds * 1000)),
         }
-        started_at = time.monotonic()
         reply = await self._client.call(
             "table-follow",
             "GET",
@@ -197,6 +194,7 @@
             wait_seconds + FOLLOW_TIMEOUT_MARGIN_SECONDS,
             None,
             query,
+            is_size_bounded=False,
         )
         if isinstance(reply, Unavailable):
             return reply
@@ -211,8 +209,7 @@
             return self._malformed_answer("table-follow", error)
         if not rows:
             # The store answers without changes only after ``wait_seconds``.
-            overrun_seconds = time.monotonic() - started_at - wait_seconds
-            self._commit_timeout.on_answer(max(0.0, overrun_seconds))
+            self._commit_timeout.on_answer(max(0.0, reply.wait_seconds - wait_seconds))
         return Changes([row for row in rows if row is not None], version)
 
     def _decode_conflict(
--- a/catkinport/platform/tests/test_slow_links.py
+++ b/catkinport/platform/tests/test_slow_links.py
@@ -5,14 +5,12 @@
 from collections.abc import Mapping
 from typing import Any
 
-import pytest
-
 from ...jobs.configuration_watch import ConfigurationWatch
 from ...ports import Reason, Unavailable
 from ...runtime import BootTimeClock, Metrics
-from ..client import PlatformClient
+from ..client import STALL_SECONDS, PlatformClient
 from ..operator_rows import CONFIGURATION_KEY, OPERATOR_TABLE, decode_configuration
-from ..table import PlatformTable
+from ..table import MIN_COMMIT_TIMEOUT_SECONDS, PlatformTable
 from .slow_store import SlowStore
 
 
@@ -72,7 +70,6 @@
 class TestConfigurationOnSlowLink:
     """The row of the configuration takes longer to arrive than a call may wait."""
 
-    @pytest.mark.xfail(reason="reads are cut off on slow links (issue 24)", strict=True)
     def test_a_daemon_that_starts_gets_the_configuration(self):
         """Guards against reads that are cut off and begin anew without end."""
 
@@ -85,7 +82,6 @@
 
         asyncio.run(run())
 
-    @pytest.mark.xfail(reason="reads are cut off on slow links (issue 24)", strict=True)
     def test_a_configuration_that_grows_is_applied_by_a_running_daemon(self):
         """Guards against answers to calls with a key that are 503 from then on."""
 
@@ -105,6 +101,22 @@
         asyncio.run(run())
 
 
+class TestCommitTimeout:
+    def test_it_does_not_grow_with_the_size_of_rows_that_are_read(self):
+        """Guards against an owner that waits longer for lost answers.
+
+        Its lease would end meanwhile. Only a slow store is a reason to wait longer.
+        """
+
+        async def run() -> float:
+            rows = {CONFIGURATION_KEY: configuration_row(MANY_QUEUES)}
+            async with SlowLink(SlowStore(rows, 3, SLOW_BYTES_PER_SECOND)) as link:
+                await link.table.read_range(OPERATOR_TABLE)
+                return link.table._commit_timeout.seconds
+
+        assert asyncio.run(run()) == MIN_COMMIT_TIMEOUT_SECONDS
+
+
 class TestLogs:
     """A stalled transfer, a refused connection and a silent store look different."""
 
@@ -130,6 +142,21 @@
 
 
 class TestIncompleteAnswer:
+    def test_an_answer_that_stops_arriving_is_given_up(self):
+        """Guards against a call that waits without end on a silent connection."""
+
+        async def run() -> tuple[Any, float]:
+            rows = {CONFIGURATION_KEY: configuration_row(200)}
+            store = SlowStore(rows, 3, 1e6, bytes_until_stall=10_000)
+            async with SlowLink(store) as link:
+                started_at = link.clock.now()
+                outcome = await link.table.read_range(OPERATOR_TABLE)
+                return outcome, link.clock.now() - started_at
+
+        outcome, seconds = asyncio.run(run())
+        assert isinstance(outcome, Unavailable)
+        assert STALL_SECONDS <= seconds < STALL_SECONDS + 1.0
+
     def test_the_bytes_of_an_incomplete_answer_are_counted(self):
         """Guards against a link full of answers that no metric shows."""
 
--- a/catkinport/platform/vms.py
+++ b/catkinport/platform/vms.py
@@ -47,6 +47,7 @@
                 CALL_TIMEOUT_SECONDS,
                 None,
                 query,
+                is_size_bounded=False,
             )
             if isinstance(reply, Unavailable):
                 return reply
