Give reads of the store connections of their own

What callers would see: 503 configuration-stale from an owner that reads its jobs over a slow link, and no owner at all where that read takes long, as it begins again after each timeout.

Cause: the daemon had six connections to the store for all its calls. The 16 parts of the table of jobs are read at once, and the wait for a free connection counts as part of a call. Where the first six reads take over a second, the others time out before they are sent, and all are repeated. A feed of the configuration waits behind them in the same way.

Ruled out: a limit of the store; its pages name none for connections, only workers have one (64 from all clients), for which the limit of six stays.

Change: the client of the store has up to 32 connections.

--- a/catkinport/platform/client.py
+++ b/catkinport/platform/client.py
@@ -16,8 +16,8 @@
 this limit ends the attempt."""
 
 MAX_CONNECTIONS_PER_PEER = 6
-"""Most connections to one peer, of which a long poll takes one. A worker accepts 64
-connections from all its clients together."""
+"""Most connections to one worker or VM interface, of which a long poll takes one. A
+worker accepts 64 connections from all its clients together."""
 
 KEEP_ALIVE_SECONDS = 30.0
 """How long an idle connection is kept open; a new one costs a round trip."""
@@ -51,17 +51,24 @@
 
     Args:
         metrics: metrics of the process.
+        max_connections_per_peer: most connections to one peer. A call that finds all
+            of them in use waits for one within its timeout.
     """
 
-    def __init__(self, metrics: Metrics) -> None:
+    def __init__(
+        self,
+        metrics: Metrics,
+        max_connections_per_peer: int = MAX_CONNECTIONS_PER_PEER,
+    ) -> None:
         self._metrics = metrics
+        self._max_connections_per_peer = max_connections_per_peer
         self._session: aiohttp.ClientSession | None = None
 
     async def open(self) -> None:
         """Create the connection pool; needs a running loop."""
         connector = aiohttp.TCPConnector(
             limit=0,
-            limit_per_host=MAX_CONNECTIONS_PER_PEER,
+            limit_per_host=self._max_connections_per_peer,
             keepalive_timeout=KEEP_ALIVE_SECONDS,
         )
         self._session = aiohttp.ClientSession(
--- a/catkinport/platform/daemon.py
+++ b/catkinport/platform/daemon.py
@@ -34,7 +34,7 @@
     decode_configuration,
 )
 from .settings import DaemonSettings, load_settings
-from .table import PlatformTable
+from .table import MAX_TABLE_CONNECTIONS, PlatformTable
 from .vms import PlatformVms
 from .workers import PlatformWorkers
 
@@ -76,7 +76,8 @@
         self._clock = BootTimeClock()
         self._metrics = Metrics()
         self._client = PlatformClient(self._metrics)
-        table = PlatformTable(self._client, settings.table)
+        self._table_client = PlatformClient(self._metrics, MAX_TABLE_CONNECTIONS)
+        table = PlatformTable(self._table_client, settings.table)
         self._configuration = ConfigurationWatch(
             table, self._clock, OPERATOR_TABLE, CONFIGURATION_KEY, decode_configuration
         )
@@ -115,6 +116,7 @@
         loop.add_signal_handler(signal.SIGINT, self._stop.set)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
         await self._client.open()
+        await self._table_client.open()
         self._configuration.add_listener(self._apply_configuration)
         host = self._settings.callers.rpartition(":")[0]
         metrics_address = f"{host}:{self._settings.metrics_port}"
@@ -170,6 +172,7 @@
         for task in background:
             task.cancel()
         await self._client.close()
+        await self._table_client.close()
         log_event(logger, "daemon stopped", n_in_flight=self._callers.n_in_flight)
 
     def _reload(self) -> None:
--- a/catkinport/platform/table.py
+++ b/catkinport/platform/table.py
@@ -27,6 +27,10 @@
 READ_TIMEOUT_SECONDS = 1.0
 """Longest wait for the answer to a read to begin, which takes 4 ms without faults."""
 
+MAX_TABLE_CONNECTIONS = 32
+"""Most connections of a daemon to the store. Reads of all parts of the jobs take 16 and
+the feeds three; the others are for calls of callers and of the owner."""
+
 MIN_COMMIT_TIMEOUT_SECONDS = 0.6
 """Lower bound of the wait for the answer to a commit, which takes 10 ms without faults.
 It is the time of two renewals of the owner's lease: an owner that waits longer for a
--- a/catkinport/platform/tests/test_slow_links.py
+++ b/catkinport/platform/tests/test_slow_links.py
@@ -6,11 +6,12 @@
 from typing import Any
 
 from ...jobs.configuration_watch import ConfigurationWatch
+from ...jobs.tables import JOBS_TABLE
 from ...ports import Reason, Unavailable
 from ...runtime import BootTimeClock, Metrics
 from ..client import STALL_SECONDS, PlatformClient
 from ..operator_rows import CONFIGURATION_KEY, OPERATOR_TABLE, decode_configuration
-from ..table import MIN_COMMIT_TIMEOUT_SECONDS, PlatformTable
+from ..table import MAX_TABLE_CONNECTIONS, MIN_COMMIT_TIMEOUT_SECONDS, PlatformTable
 from .slow_store import SlowStore
 
 
@@ -32,7 +33,7 @@
 
     async def __aenter__(self) -> "SlowLink":
         await self.store.__aenter__()
-        self.client = PlatformClient(self.metrics)
+        self.client = PlatformClient(self.metrics, MAX_TABLE_CONNECTIONS)
         await self.client.open()
         self.table = PlatformTable(self.client, self.store.address)
         return self
@@ -101,6 +102,37 @@
         asyncio.run(run())
 
 
+class TestJobsOnSlowLink:
+    """The table of jobs lies in 16 parts of the store, which are read one by one."""
+
+    def test_a_new_owner_gets_all_jobs(self):
+        """Guards against reads that time out while they wait for a connection."""
+
+        async def run() -> Any:
+            rows = {f"{i:016x}": {"state": "x" * 400} for i in range(40)}
+            async with SlowLink(SlowStore(rows, 3, 15_000)) as link:
+                return await link.table.read_range(JOBS_TABLE)
+
+        outcome = asyncio.run(run())
+        assert not isinstance(outcome, Unavailable), outcome
+        assert len(outcome.rows) == 16 * 40
+
+    def test_the_configuration_is_followed_while_a_new_owner_reads_jobs(self):
+        """Guards against a configuration that counts as stale behind other reads."""
+
+        async def run() -> float:
+            rows = {f"{i:016x}": {"state": "x" * 400} for i in range(40)}
+            rows[CONFIGURATION_KEY] = configuration_row(1)
+            async with SlowLink(SlowStore(rows, 3, 15_000)) as link:
+                reads = asyncio.ensure_future(link.table.read_range(JOBS_TABLE))
+                await asyncio.sleep(0.1)
+                watch = await link.follow_for(3.0)
+                await reads
+                return watch.age_seconds()
+
+        assert asyncio.run(run()) < LONGEST_AGE_SECONDS
+
+
 class TestCommitTimeout:
     def test_it_does_not_grow_with_the_size_of_rows_that_are_read(self):
         """Guards against an owner that waits longer for lost answers.
