Answer 404 for an unknown queue only by a current configuration

What callers saw: daemons that could not read the configuration for 80 s answered calls on queues that had been added since with 404, which says that no such queue exists.

Cause: the age of the configuration was checked after the queue was looked up, and only for queues that need a key. Class of fault: a definite answer from a state that is not known to be current.

Change: an unknown queue is answered 503 with Retry-After while the configuration is older than the limit for calls with a key. A known queue that needs no key is served on, as before.

Result: the new test got 404 before and gets 503 now.

--- a/catkinport/platform/callers.py
+++ b/catkinport/platform/callers.py
@@ -46,6 +46,11 @@
     retry_after: int = 0
 
 
+CONFIGURATION_STALE = Answer(
+    503, reason="configuration-stale", retry_after=RETRY_AFTER_SECONDS
+)
+
+
 class CallerServer:
     """Answers the calls of callers.
 
@@ -56,7 +61,8 @@
             if unknown.
         clock: steady clock.
         metrics: metrics of the process.
-        age_limit: how old the configuration may be for calls with a key.
+        age_limit: how old the configuration may be for calls with a key, and for the
+            answer that a queue does not exist.
     """
 
     def __init__(
@@ -79,9 +85,9 @@
 
     def is_ready(self) -> bool:
         """Return whether the daemon can serve new connections."""
-        is_current = self._configuration.age_seconds() < self._age_limit.longest_age
         is_configured = self._configuration.current is not None
-        return is_configured and is_current and not self.is_stopping
+        is_current = is_configured and not self._is_configuration_stale()
+        return is_current and not self.is_stopping
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer a request, count it in the metrics and log changes and errors."""
@@ -131,6 +137,9 @@
         host = request.headers.get("Host", "").partition(":")[0].lower()
         queue = configuration.find_queue(host, request.path)
         if queue is None:
+            # A newer configuration may have the queue.
+            if self._is_configuration_stale():
+                return CONFIGURATION_STALE
             return Answer(404, reason="queue-unknown")
         account = self._find_account(request, configuration, queue)
         if isinstance(account, Answer):
@@ -148,15 +157,16 @@
             )
         return await handler(self, request, queue, account, name)
 
+    def _is_configuration_stale(self) -> bool:
+        return self._configuration.age_seconds() >= self._age_limit.longest_age
+
     def _find_account(
         self, request: web.BaseRequest, configuration: FleetConfiguration, queue: Queue
     ) -> str | Answer:
         if queue.is_open:
             return ""
-        if self._configuration.age_seconds() >= self._age_limit.longest_age:
-            return Answer(
-                503, reason="configuration-stale", retry_after=RETRY_AFTER_SECONDS
-            )
+        if self._is_configuration_stale():
+            return CONFIGURATION_STALE
         header = request.headers.get("Authorization", "")
         key = header[len(KEY_PREFIX) :] if header.startswith(KEY_PREFIX) else ""
         account = configuration.account_name_by_key.get(key)
--- a/catkinport/platform/tests/test_callers.py
+++ b/catkinport/platform/tests/test_callers.py
@@ -6,7 +6,7 @@
 import pytest
 
 from ...jobs.tests.builders import QUEUE, make_configuration
-from ..callers import CallerServer
+from ..callers import CallerServer, ConfigurationAgeLimit
 
 
 class TestSubmission:
@@ -25,3 +25,25 @@
         request = SimpleNamespace(read=read)
         answer = asyncio.run(server._submit(request, queue, "studio", "0" * 16))
         assert answer.status == 400
+
+
+class TestUnknownQueue:
+    LIMIT = ConfigurationAgeLimit(4.6)
+
+    def _answer(self, age_seconds):
+        configuration = SimpleNamespace(
+            current=make_configuration(), age_seconds=lambda: age_seconds
+        )
+        server = CallerServer(None, configuration, None, None, None, self.LIMIT)
+        request = SimpleNamespace(headers={"Host": "new"}, path="/new/", method="GET")
+        return asyncio.run(server._answer(request))
+
+    def test_it_is_answered_404_by_a_current_configuration(self):
+        assert self._answer(4.5).status == 404
+
+    # Guards against 404 for a queue that was added while the daemon could not read the
+    # configuration.
+    def test_it_is_answered_503_while_the_configuration_is_stale(self):
+        answer = self._answer(4.7)
+        assert answer.status == 503
+        assert answer.retry_after > 0
