Show that the configuration is current right after a long transfer

What callers would see: on a slow link 503 configuration-stale for up to 0.8 s after a large configuration has arrived, as the next call of the change feed waits for a change while the configuration ages past the limit of 4.6 s.

Cause: an answer proves what was current when its call was sent, so one that took 4 s to arrive leaves a configuration that is 4 s old; only the next answer makes it younger.

Change: while the configuration is older than 2.5 s, the call of the feed does not wait for a change. Its answer comes at once and makes the configuration 1.0 s old.

Result: the new test fails without the change (the second call waits 0.8 s) and passes now.

--- a/catkinport/jobs/configuration_watch.py
+++ b/catkinport/jobs/configuration_watch.py
@@ -18,6 +18,11 @@
 """Longest wait of one long-poll call on the change feed of the operator's rows. Each
 answer shows that the configuration was current when the call was sent."""
 
+MAX_WAIT_AGE_SECONDS = 2.5
+"""Age of the configuration from which on a call of the change feed does not wait for a
+change. An answer that took long to arrive leaves the configuration that old, and a
+call that waits would let it age further before it shows that it is current."""
+
 RETRY_SECONDS = 0.15
 """Pause after a call to the table service that had no answer."""
 
@@ -128,8 +133,9 @@
             self._apply_configuration()
             self._known_current_at = max(self._known_current_at, sent_at)
             return None
+        is_recent = self.age_seconds() < MAX_WAIT_AGE_SECONDS
         outcome = await self._table.follow(
-            self._operator_table, self._version, FOLLOW_SECONDS
+            self._operator_table, self._version, FOLLOW_SECONDS if is_recent else 0.0
         )
         if isinstance(outcome, HistoryLost):
             log_event(logger, "configuration feed lost its history")
--- a/catkinport/jobs/tests/test_configuration_watch.py
+++ b/catkinport/jobs/tests/test_configuration_watch.py
@@ -1,13 +1,59 @@
-"""Tests of what the watch of the configuration logs."""
+"""Tests of the age of the configuration, and of the log lines of lost contact."""
 
+import asyncio
 import logging
 
+import pytest
+
 from ...ports import ManualClock, Reason, Unavailable
-from ..configuration_watch import FAILURE_LOG_SECONDS, ConfigurationWatch
+from ...ports.async_table import Changes, Snapshot
+from ..configuration_watch import (
+    FAILURE_LOG_SECONDS,
+    FEED_LAG_SECONDS,
+    FOLLOW_SECONDS,
+    ConfigurationWatch,
+)
 
 FAILURE = Unavailable(Reason.TIMEOUT, "table-read", "store", "no answer in 1.0 s", True)
 
 
+class SlowTransferTable:
+    """Table whose feed has one change, which takes ``seconds`` to arrive."""
+
+    def __init__(self, clock: ManualClock, seconds: float) -> None:
+        self._clock = clock
+        self._seconds = seconds
+        self.waits: list[float] = []
+
+    async def read_range(self, table: str):
+        return Snapshot([], 1)
+
+    async def follow(self, table: str, after_version: int, wait_seconds: float):
+        self.waits.append(wait_seconds)
+        if after_version == 1:
+            self._clock.advance(self._seconds)
+            return Changes([], 2)
+        self._clock.advance(wait_seconds)
+        return Changes([], 2)
+
+
+class TestAge:
+    # Guards against calls with a key that are refused after each large configuration:
+    # the call after the transfer waited for a change, and the age passed the limit.
+    def test_a_call_after_a_long_transfer_does_not_wait(self):
+        clock = ManualClock()
+        table = SlowTransferTable(clock, 4.0)
+        watch = ConfigurationWatch(table, clock, "op", "config", None)
+        ages = []
+        for _ in range(4):
+            asyncio.run(watch._poll())
+            ages.append(watch.age_seconds())
+        assert table.waits == [FOLLOW_SECONDS, 0.0, FOLLOW_SECONDS]
+        assert ages == pytest.approx(
+            [0.0, 4.0, FEED_LAG_SECONDS, FOLLOW_SECONDS + FEED_LAG_SECONDS]
+        )
+
+
 class TestFailureLog:
     def _watch(self, caplog) -> tuple[ConfigurationWatch, ManualClock]:
         caplog.set_level(logging.INFO)
