Join the checks of reservations, and plan evacuations for the given time

Two places decided by the same expression whether a worker's reservations let a task start, a chosen worker was checked again for what its choice had checked, and the VM planner kept the time of its last plan for a later call that has the same time at hand.

CandidateWorker.is_open_to decides on reservations; find_evacuations takes the time. Two tests pass the time as well and expect what they did before.

--- a/catkinport/jobs/ownership/vm_orders.py
+++ b/catkinport/jobs/ownership/vm_orders.py
@@ -110,7 +110,7 @@
                 if own_vms is None and self._vm_planner.mover.own_vms_by_pool:
                     own_vms = await self._store_own_vms()
                 await self._send_vm_orders(self._vm_planner.plan(now), now)
-                for run in self._vm_planner.find_evacuations():
+                for run in self._vm_planner.find_evacuations(now):
                     run.is_evacuated = True
                     self._session.wake.set()
                 await self._report_waves()
--- a/catkinport/jobs/placement/gang_rooms.py
+++ b/catkinport/jobs/placement/gang_rooms.py
@@ -6,7 +6,7 @@
 import copy
 from collections.abc import Iterator, Mapping
 
-from ...policy.worker_choice import CandidateWorker, choose_worker, fits
+from ...policy.worker_choice import CandidateWorker, choose_worker
 from ..dispatch.record import Task
 from ..model import Step
 from .task_needs import task_need
@@ -45,7 +45,7 @@
     for task in tasks:
         need = task_need(task)
         room = choose_worker(need, trial.values())
-        if room is None or not fits(need, room):
+        if room is None:
             return None
         room.take(need)
         chosen.append(room_by_id[room.worker_id])
--- a/catkinport/jobs/placement/start_delays.py
+++ b/catkinport/jobs/placement/start_delays.py
@@ -140,11 +140,7 @@
     suitable = [room for room in rooms if is_suitable(need, room)]
     if not suitable:
         return "no-suitable-worker"
-    suitable = [
-        room
-        for room in suitable
-        if not room.reserved_for or need.task in room.reserved_for
-    ]
+    suitable = [room for room in suitable if room.is_open_to(need)]
     if not suitable:
         return "all-reserved"
     names = ("cores", "memory", "accelerators")
--- a/catkinport/jobs/tests/test_evacuations.py
+++ b/catkinport/jobs/tests/test_evacuations.py
@@ -33,7 +33,7 @@
     # VM has room. It then waited for a worker, and the VM for its return, without end.
     def test_no_task_is_stopped_before_there_is_room_for_it(self):
         fleet, _, _ = full_fleet()
-        assert fleet.vm_planner.find_evacuations() == []
+        assert fleet.vm_planner.find_evacuations(fleet.now) == []
 
     # Guards against an upkeep that never begins, as tasks that have to leave the VM
     # bring in none.
@@ -44,7 +44,7 @@
         fleet.advance(3.0)
         fleet.finish_moves(orders)
         fleet.step()
-        assert fleet.vm_planner.find_evacuations()
+        assert fleet.vm_planner.find_evacuations(fleet.now)
 
 
 class TestShortPool:
--- a/catkinport/jobs/tests/test_vm_planner.py
+++ b/catkinport/jobs/tests/test_vm_planner.py
@@ -143,18 +143,18 @@
         fleet.add_vm("m1", "w1")
         fleet.request_wave(["m0"])
         assert fleet.step() + fleet.step() == []
-        (run,) = fleet.vm_planner.find_evacuations()
+        (run,) = fleet.vm_planner.find_evacuations(fleet.now)
         run.is_evacuated = True
         (stop,) = find_stops(fleet.dispatcher, fleet.now)
         assert stop.reason == "evacuated"
-        assert fleet.vm_planner.find_evacuations() == []
+        assert fleet.vm_planner.find_evacuations(fleet.now) == []
 
     def test_task_without_another_worker_is_not_evacuated(self):
         """Guards against a stopped task that fits nowhere and a VM that stays up."""
         fleet = self._fleet(2, max_away=1, max_per_worker=2, n_workers=1)
         fleet.request_wave(["m0"])
         assert fleet.step() + fleet.step() == []
-        assert fleet.vm_planner.find_evacuations() == []
+        assert fleet.vm_planner.find_evacuations(fleet.now) == []
 
 
 class TestMoves:
--- a/catkinport/jobs/vms/vm_planner.py
+++ b/catkinport/jobs/vms/vm_planner.py
@@ -71,7 +71,6 @@
         self.mover = PoolMover(dispatcher, self.inventory)
         self._disruption_budget = DisruptionBudget(dispatcher, self.inventory)
         self.wave_by_number: dict[int, WaveState] = {}
-        self._planned_at = float("-inf")
         self._short_pools: set[str] = set()
 
     def update_vms(self, vms: Sequence[FleetVm], sent_at: float) -> None:
@@ -117,7 +116,6 @@
 
     def plan(self, now: float) -> list[VmOrder]:
         """Return the orders to send now, and note them as sent."""
-        self._planned_at = now
         if now - self.inventory.listed_at > MAX_LIST_AGE_SECONDS:
             return []
         self.inventory.end_holds(now)
@@ -178,13 +176,13 @@
             for vm_id in state.wave.vm_ids
         )
 
-    def find_evacuations(self) -> list[Run]:
+    def find_evacuations(self, now: float) -> list[Run]:
         """Return the lasting runs to stop so that reserved VMs can go down.
 
         A run goes on until there is room for its task on another VM.
         """
         runs = self._disruption_budget.find_evacuations(self.inventory.reserved)
-        return self.mover.lasting_room.find_placeable(runs, self._planned_at)
+        return self.mover.lasting_room.find_placeable(runs, now)
 
     def _release_vms(self, vm_ids: Set[str]) -> None:
         """Put off the upkeep of VMs that have the only room for a waiting lasting task.
--- a/catkinport/policy/worker_choice.py
+++ b/catkinport/policy/worker_choice.py
@@ -77,6 +77,10 @@
         self.n_suspects = 0
         self.has_repeated_suspect = False
 
+    def is_open_to(self, task: "TaskNeed") -> bool:
+        """Return whether the task may start on it by its reservations."""
+        return not self.reserved_for or task.task in self.reserved_for
+
     def count(self, task: "TaskNeed") -> None:
         """Count a task that runs already; ``free`` does not contain its resources."""
         self.n_tasks_by_step[task.step] = self.n_tasks_by_step.get(task.step, 0) + 1
@@ -143,9 +147,7 @@
         >>> fits(TaskNeed("s", Resources(1.0, 1.0, 0), required_label="gpu"), room)
         False
     """
-    if room.reserved_for and task.task not in room.reserved_for:
-        return False
-    return has_room(task, room)
+    return room.is_open_to(task) and has_room(task, room)
 
 
 def has_room(task: TaskNeed, room: CandidateWorker) -> bool:
