Keep no failures of tasks that may fail without limit

What callers saw: nothing that was reported; found while looking for ways in which a job stays shown as running. Once the row of one job is too large for the table service, no state of any job is stored again: all jobs stay as they are shown, and no end of a run is acknowledged.

Cause: the state of a job holds the number of each failed run of its open tasks, also of lasting tasks and on queues without a limit, which are started again without end. The platform refuses rows over 65,536 bytes.

Evidence: a test lets one such task fail 20,000 times. The row had 109,021 bytes.

Ruled out: failures of tasks with a limit, whose number is bounded by it; crashes of workers, of which a task that is not lasting has at most four.

Change: failures of lasting tasks are not kept, as nothing reads them. A task on a queue without a limit keeps 100, as a later configuration may set a limit, and the queue may not be known yet when a failure is reported.

Result: the new test failed before in both cases and passes.

--- a/catkinport/jobs/dispatch/record.py
+++ b/catkinport/jobs/dispatch/record.py
@@ -14,6 +14,12 @@
 owner started without storing them then have lower numbers than new runs."""
 
 
+MIN_COUNTED_FAILURES = 100
+"""Failures of a task that are counted even if its queue has no limit now, as a later
+configuration may set one. A task without a limit may fail any number of times, and the
+table service refuses rows over 64 KiB."""
+
+
 class TaskPhase(StrEnum):
     """Whether a task waits for a worker, is placed on one or is done."""
 
@@ -32,7 +38,8 @@
         phase: whether it waits for a worker, is placed on one or is done.
         run: number of its latest run; 0 before the first.
         failed_runs: numbers of the runs that failed. They are kept as a set, because a
-            worker may report a failure again that a former owner has counted.
+            worker may report a failure again that a former owner has counted. It stays
+            empty for a lasting task, which has no limit of failures.
         crash_by_run: crashes of workers that it is a suspect of, by number of its run.
         checkpoint: reference of the latest known checkpoint; empty for none.
         is_lost: whether its last run was given up although no worker reported its end.
@@ -190,12 +197,13 @@
         Jobs without a limit (0) and lasting tasks are retried without end. A copy of a
         task may fail after another one has done it, which does not fail the job.
         """
-        task.failed_runs.add(run)
         self.is_dirty = True
         self.mark_begun()
-        if task.step.is_lasting or not max_failures or self.is_closing:
+        if task.step.is_lasting:
             return
-        if task.phase is TaskPhase.DONE:
+        if len(task.failed_runs) < max(max_failures, MIN_COUNTED_FAILURES):
+            task.failed_runs.add(run)
+        if not max_failures or self.is_closing or task.phase is TaskPhase.DONE:
             return
         if len(task.failed_runs) >= max_failures:
             self.state = JobState.FAILED
@@ -336,7 +344,7 @@
                     self.mark_done(task)
         for name, runs in row.get("failed_runs", {}).items():
             task = self.find_task(TaskId.parse(name))
-            if task is not None:
+            if task is not None and not task.step.is_lasting:
                 task.failed_runs = set(runs)
         for name, crashes in row.get("crashes", {}).items():
             task = self.find_task(TaskId.parse(name))
