Keep the states of jobs within the limits of the table service

What callers saw: nothing that was reported; found while looking for ways in which a job stays shown as running.

Cause: the platform refuses a row over 65,536 bytes and a transaction over 1 MB, with the same result at each attempt. The owner stores up to 40 states in one transaction, whatever their size, and takes the same ones first again after a refusal. So one large state, or 40 that are too large together, keep all others from being stored for good. A successor runs into the same refusal.

Evidence: tests with a table that has the platform's limits. A job of 4,000 tasks that wait with a checkpoint, one that has recurred 6,000 times and 60 jobs of 800 tasks with checkpoints were not stored, nor was a small job beside the first.

Ruled out: refusals for the number of rows, as 40 states need 82 entries of 100.

Rows that are not too large stay as they were, so that daemons of both versions read them. The stand-in's store refuses large rows too.

Not covered: a job with thousands of occurrences that are each done in part.

--- a/catkinport/jobs/dispatch/record.py
+++ b/catkinport/jobs/dispatch/record.py
@@ -1,6 +1,6 @@
 """State of one job and its tasks, and the row in which it is stored."""
 
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
 from enum import StrEnum
 from typing import Any
 
@@ -295,11 +295,16 @@
         chain = chain_seconds(self.job.steps, durations)
         return queue.stretch * chain + queue.target_seconds
 
-    def to_row(self) -> dict[str, Any]:
+    def to_row(self, is_compact: bool = False) -> dict[str, Any]:
         """Return the row in which the state is stored.
 
         Done tasks are stored as a hexadecimal bit mask for each step. This keeps rows
         short, as a job may have hundreds of tasks and is written at the end of each.
+
+        Args:
+            is_compact: whether the steps that are done are stored as one bit mask of
+                occurrences for each step. Only a job that recurs thousands of times
+                needs it.
         """
         row: dict[str, Any] = {
             "state": self.state.value,
@@ -314,7 +319,10 @@
             f"{occurrence}.{number}": _to_mask(tasks)
             for (occurrence, number), tasks in self.tasks_by_stage.items()
             if any(task.phase is TaskPhase.DONE for task in tasks)
+            and not (is_compact and self._is_stage_done((occurrence, number)))
         }
+        if is_compact:
+            row["done_steps"] = self._encode_done_steps()
         open_tasks = [t for t in self.all_tasks() if t.phase is not TaskPhase.DONE]
         row["failed_runs"] = {
             t.text: sorted(t.failed_runs) for t in open_tasks if t.failed_runs
@@ -342,6 +350,7 @@
             for task in tasks:
                 if int(mask, 16) >> task.task_id.index & 1:
                     self.mark_done(task)
+        self._load_done_steps(row.get("done_steps", {}))
         for name, runs in row.get("failed_runs", {}).items():
             task = self.find_task(TaskId.parse(name))
             if task is not None and not task.step.is_lasting:
@@ -357,6 +366,24 @@
         self.state = JobState(row["state"])
         self.is_dirty = False
 
+    def _is_stage_done(self, stage: tuple[int, int]) -> bool:
+        return self._n_open_by_stage[stage] == 0
+
+    def _encode_done_steps(self) -> dict[str, str]:
+        """Return, for each step, a bit mask of the occurrences in which it is done."""
+        mask_by_step = dict.fromkeys(range(len(self.job.steps)), 0)
+        for occurrence, number in self.tasks_by_stage:
+            if self._is_stage_done((occurrence, number)):
+                mask_by_step[number] |= 1 << occurrence
+        return {str(number): f"{mask:x}" for number, mask in mask_by_step.items()}
+
+    def _load_done_steps(self, masks: Mapping[str, str]) -> None:
+        mask_by_step = {int(number): int(mask, 16) for number, mask in masks.items()}
+        for (occurrence, number), tasks in self.tasks_by_stage.items():
+            if mask_by_step.get(number, 0) >> occurrence & 1:
+                for task in tasks:
+                    self.mark_done(task)
+
 
 def _to_mask(tasks: list[Task]) -> str:
     bits = sum(
--- a/catkinport/jobs/ownership/state_store.py
+++ b/catkinport/jobs/ownership/state_store.py
@@ -2,22 +2,19 @@
 
 import asyncio
 import logging
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 
 from ...policy.leadership import HEARTBEAT_SECONDS
 from ...ports.table import Committed, Conflict, Row, Write
 from ...runtime.logs import log_event
-from ..dispatch.record import JobRecord
 from ..tables import HEARTBEAT_KEY, state_key
 from ..workers.worker_state import WorkerRecord
 from .fenced_rows import FencedRows
 from .session import RETRY_SECONDS, OwnerSession
+from .state_sizes import SizedState, encode_batch
 
 logger = logging.getLogger(__name__)
 
-ROWS_PER_COMMIT = 40
-"""States stored in one transaction. A transaction may name 100 rows in all."""
-
 COMMIT_ATTEMPTS = 3
 """Attempts of one commit of unknown outcome before its rows are collected again."""
 
@@ -93,9 +90,12 @@
             w.worker_id: (w, w.started_at, w.processed_end) for w in workers
         }
         dirty = self._session.dispatcher.dirty_jobs()
-        for first in range(0, len(dirty), ROWS_PER_COMMIT):
-            if not await self._store_records(dirty[first : first + ROWS_PER_COMMIT]):
+        n_stored = 0
+        while n_stored < len(dirty):
+            states = encode_batch(dirty[n_stored:])
+            if not await self._store_states(states):
                 return False
+            n_stored += len(states)
         for worker, started_at, end in end_by_worker.values():
             if worker.started_at == started_at:
                 worker.stored_end = end
@@ -107,11 +107,11 @@
                 self._rows.forget(state_key(record.job.job_id))
         return True
 
-    async def _store_records(self, records: list[JobRecord]) -> bool:
+    async def _store_states(self, states: Sequence[SizedState]) -> bool:
         sent_at = self._session.clock.now()
-        writes = []
+        records = [state.record for state in states]
+        writes = [Write(state_key(s.record.job.job_id), s.row) for s in states]
         for record in records:
-            writes.append(Write(state_key(record.job.job_id), record.to_row()))
             record.is_dirty = False
         n_crashes = [record.n_crashes for record in records]
         # Each renewal wakes all daemons, which follow its row, so not every commit
--- a/catkinport/platform/standin/store_server.py
+++ b/catkinport/platform/standin/store_server.py
@@ -21,6 +21,10 @@
 READ_ONLY_TABLES = frozenset({"op", "servers"})
 """Tables that only the operator and the workers write; commits to them are refused."""
 
+MAX_ROW_BYTES = 65536
+"""Largest value that a commit may write, as the platform's documentation says. The
+operator's rows may be larger."""
+
 MAX_FEED_SECONDS = 30.0
 """Longest wait of a feed, as the platform's documentation says."""
 
@@ -96,6 +100,11 @@
             raise StoreError(
                 403, f"the tables {sorted(READ_ONLY_TABLES)} are read-only"
             )
+        largest = max((count_value_bytes(text) for text in writes.values()), default=0)
+        if largest > MAX_ROW_BYTES:
+            raise StoreError(
+                400, f"a row must have at most {MAX_ROW_BYTES} bytes, got {largest}"
+            )
         is_lost = self._rng.random() < self._faults["store_lost_answers"]
         if is_lost and self._rng.random() < self._faults["store_late_writes"]:
             self._commit_late(expected, writes, removals)
@@ -163,5 +172,10 @@
         return {"Ver": self.rows.version, "NowMs": int(self._now() * 1000)}
 
 
+def count_value_bytes(text: str) -> int:
+    """Return the size of a value that is written as ``text`` in base64."""
+    return len(text) * 3 // 4 - text[-2:].count("=")
+
+
 def _encode_rows(rows: list[StoredRow]) -> list[dict[str, Any]]:
     return [encode_row(row) for row in rows]
