Leave queues without waiting jobs out of the renewals of the ownership

What callers saw: nothing that was reported; found while looking for ways in which a job stays shown as running.

Cause: a renewal holds the number of waiting jobs of each queue of the configuration, also if it is 0. The platform refuses rows over 65,536 bytes, so from some thousand queues on each renewal is refused, also those that go along with states of jobs. Every owner is then replaced after 1.2 s, and nothing is stored in between. Below that size, each renewal takes the names of all queues to all daemons, three times a second.

Evidence: tests with 6,000 queues of 12 characters. The renewal had 114,081 bytes, also without a single job; now it has 81. By the same form, 4,250 queues with such names take about 81,000 bytes.

Ruled out: readers that need the zeros. The one reader takes 0 for a queue that is not there.

Change: only queues with waiting jobs are counted. If their names take over 40,000 bytes, the queues with most waiting jobs are kept; callers are told 0 for the others.

Result: three of the four new tests failed before, the fourth guards the choice; all pass. With 6,000 queues that all have a waiting job, a renewal takes 7 ms to make, and 0.1 ms with 100. The tests of catkinport/jobs and catkinport/platform pass.

--- a/catkinport/jobs/dispatch/dispatcher.py
+++ b/catkinport/jobs/dispatch/dispatcher.py
@@ -151,8 +151,8 @@
         self._jobs.cancel(job_id)
 
     def count_waiting(self) -> dict[str, int]:
-        """Return how many jobs of each queue have not started."""
-        return self._jobs.count_waiting(self.configuration.queue_by_name)
+        """Return how many jobs have not started, for each queue with such jobs."""
+        return self._jobs.count_waiting()
 
     def dirty_jobs(self) -> list[JobRecord]:
         """Return the jobs whose state has to be stored."""
--- a/catkinport/jobs/dispatch/job_table.py
+++ b/catkinport/jobs/dispatch/job_table.py
@@ -1,7 +1,7 @@
 """Table of a fleet's jobs, from their acceptance until their end is stored."""
 
 import logging
-from collections.abc import Iterable, Mapping
+from collections.abc import Mapping
 from typing import Any
 
 from ...runtime.logs import log_event
@@ -85,13 +85,9 @@
         """Return the queue of a job; ``None`` if no known configuration has it."""
         return self._known_queue_by_name.get(record.job.queue)
 
-    def count_waiting(self, queues: Iterable[str]) -> dict[str, int]:
-        """Return how many jobs of each queue have not started.
-
-        Args:
-            queues: names of queues that are counted even if they have no jobs.
-        """
-        n_by_queue = dict.fromkeys(queues, 0)
+    def count_waiting(self) -> dict[str, int]:
+        """Return how many jobs have not started, for each queue with such jobs."""
+        n_by_queue: dict[str, int] = {}
         for record in self.job_by_id.values():
             if not record.is_begun and not record.is_closing:
                 queue = record.job.queue
--- a/catkinport/jobs/ownership/state_sizes.py
+++ b/catkinport/jobs/ownership/state_sizes.py
@@ -1,13 +1,14 @@
-"""Fits the states of jobs into the rows and transactions of the table service.
+"""Fits states of jobs and renewals into the rows and transactions of the table service.
 
 The table service refuses a row or a transaction that is too large, at each attempt. A
 refused transaction keeps all states in it from being stored, and the ends of runs from
-being acknowledged.
+being acknowledged. An owner whose renewals are refused is replaced.
 """
 
 import json
 import logging
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
+from operator import itemgetter
 from typing import Any, NamedTuple
 
 from ...runtime.logs import log_event
@@ -33,6 +34,13 @@
 ENTRY_BYTES = 4
 """Quotes, colon and comma of an entry of a field."""
 
+MAX_WAITING_BYTES = 40_000
+"""Largest size of the numbers of waiting jobs in a renewal. All daemons read about
+three renewals a second."""
+
+ESCAPED_CHARACTER_BYTES = 12
+"""Most bytes of a character in JSON; one that is not in ASCII is escaped."""
+
 
 class SizedState(NamedTuple):
     """State of a job as it is about to be stored.
@@ -86,6 +94,19 @@
     return SizedState(record, row, n_bytes)
 
 
+def fit_waiting(n_by_queue: Mapping[str, int]) -> dict[str, int]:
+    """Return the numbers of waiting jobs that a renewal has room for, largest first."""
+    fitting = {}
+    n_bytes = 0
+    for queue, n_jobs in sorted(n_by_queue.items(), key=itemgetter(1), reverse=True):
+        character_bytes = 1 if queue.isascii() else ESCAPED_CHARACTER_BYTES
+        n_bytes += len(queue) * character_bytes + len(str(n_jobs)) + ENTRY_BYTES
+        if n_bytes > MAX_WAITING_BYTES:
+            break
+        fitting[queue] = n_jobs
+    return fitting
+
+
 def _leave_out(entries: dict[str, Any], n_bytes: int) -> None:
     """Remove the last entries until they have taken ``n_bytes`` or none is left."""
     while entries and n_bytes > 0:
--- a/catkinport/jobs/ownership/state_store.py
+++ b/catkinport/jobs/ownership/state_store.py
@@ -11,7 +11,7 @@
 from ..workers.worker_state import WorkerRecord
 from .fenced_rows import FencedRows
 from .session import RETRY_SECONDS, OwnerSession
-from .state_sizes import SizedState, encode_batch
+from .state_sizes import SizedState, encode_batch, fit_waiting
 
 logger = logging.getLogger(__name__)
 
@@ -36,7 +36,7 @@
         "sent_at": sent_at,
         "released": is_released,
         "resolved": session.is_resolved,
-        "waiting": session.dispatcher.count_waiting(),
+        "waiting": fit_waiting(session.dispatcher.count_waiting()),
     }
     return Write(HEARTBEAT_KEY, value)
 
--- a/catkinport/jobs/tests/test_ownership_watch.py
+++ b/catkinport/jobs/tests/test_ownership_watch.py
@@ -1,5 +1,6 @@
 """Tests of what a claim tells about the owners before it."""
 
+import json
 import random
 from types import SimpleNamespace
 
@@ -13,7 +14,7 @@
 from ..ownership.session import OwnerSession
 from ..ownership.state_store import heartbeat_write
 from ..tables import HEARTBEAT_KEY, OWNER_KEY
-from .builders import POOL, make_configuration
+from .builders import POOL, QUEUE, make_configuration, make_job
 from .simulated_store import SimulatedStore, StoreClient, StoreLink, run_now
 
 
@@ -143,3 +144,48 @@
         run_now(watch.poll())
         assert watch.depths is not None
         assert watch.depths.n_by_queue == {"q": 2}
+
+
+N_QUEUES = 6000
+
+
+def make_busy_session(n_waiting_queues: int) -> OwnerSession:
+    """Return the session of a fleet of many queues, some with a waiting job."""
+    queue = make_configuration().queue_by_name[QUEUE]
+    names = [f"queue-{number:06d}" for number in range(N_QUEUES)]
+    queue_by_name = {name: queue._replace(name=name) for name in names}
+    session = make_session()
+    session.dispatcher.apply_configuration(
+        make_configuration(version=2)._replace(queue_by_name=queue_by_name)
+    )
+    for number, name in enumerate(names[:n_waiting_queues]):
+        job = make_job(f"{number:016x}", queue=name)
+        session.dispatcher.add_job(job, 100.0)
+    return session
+
+
+class TestRenewalOfManyQueues:
+    """The table service refuses rows over 64 KiB, and all daemons read each renewal."""
+
+    # Guards against a fleet that nobody can own, because the table service refuses each
+    # renewal.
+    @pytest.mark.parametrize("n_waiting_queues", [0, N_QUEUES])
+    def test_its_row_is_not_too_large(self, n_waiting_queues):
+        session = make_busy_session(n_waiting_queues)
+        value = heartbeat_write(session, 100.0).value
+        assert len(json.dumps(value)) < 65536
+
+    # Guards against renewals that fill slow links with the names of idle queues.
+    def test_queues_without_waiting_jobs_take_no_room(self):
+        session = make_busy_session(3)
+        assert len(json.dumps(heartbeat_write(session, 100.0).value)) < 300
+
+    # Guards against callers that are told too few waiting jobs where most jobs wait.
+    def test_the_queues_with_most_waiting_jobs_are_kept(self):
+        session = make_busy_session(N_QUEUES)
+        for number in range(20):
+            job = make_job(f"{N_QUEUES + number:016x}", queue="queue-005999")
+            session.dispatcher.add_job(job, 100.0)
+        waiting = heartbeat_write(session, 100.0).value["waiting"]
+        assert waiting["queue-005999"] == 21
+        assert len(waiting) > 1000
