End an ownership one of whose loops is canceled by itself

What callers saw: nothing that was reported; found while looking for ways in which a job stays shown as running.

Cause: a task of the owner that ends with a cancellation counted as one that the end of the ownership has canceled. A cancellation may also come out of what it waits for, as of a call or of a group of calls. If the loop that stores states, or that reads new jobs, ends so, the owner goes on to renew its ownership, and no state is stored any more. If the sender of a start ends so, its run is neither repeated nor given up.

Evidence: a test in which the future that a loop waits for is canceled; the ownership went on before.

Ruled out: that the HTTP client lets the cancellation of its own timeouts out. So no source of such a cancellation is known.

Change: unless the owner is ending its tasks, a canceled task is logged with its name and ends the ownership, as an exception does.

Result: the test failed before and passes. The tests of catkinport/jobs and catkinport/platform pass.

--- a/catkinport/jobs/ownership/session.py
+++ b/catkinport/jobs/ownership/session.py
@@ -71,6 +71,7 @@
         self.renewal_sent_at = lease.renewed_at
         self._tasks: set[asyncio.Task[Any]] = set()
         self._is_over = False
+        self._is_canceling = False
 
     @property
     def is_resolved(self) -> bool:
@@ -80,8 +81,8 @@
     def spawn(self, coroutine: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
         """Run a coroutine until the ownership ends.
 
-        An exception in the coroutine ends the ownership. Once it has ended, the
-        coroutine does not begin.
+        An exception in the coroutine, or a cancellation that comes out of it, ends the
+        ownership. Once it has ended, the coroutine does not begin.
         """
         task = asyncio.ensure_future(coroutine)
         self._tasks.add(task)
@@ -92,6 +93,7 @@
 
     def cancel_all(self) -> None:
         """Cancel all tasks that `spawn` started."""
+        self._is_canceling = True
         for task in list(self._tasks):
             task.cancel()
 
@@ -148,8 +150,25 @@
 
     def _on_task_done(self, task: asyncio.Task[Any]) -> None:
         self._tasks.discard(task)
-        if task.cancelled() or task.exception() is None:
+        if task.cancelled():
+            self._on_task_canceled(task)
+            return
+        if task.exception() is None:
             return
         # After a broken invariant the remaining loops must not go on giving orders.
         logger.error("owner task failed", exc_info=task.exception())
         self.depose("internal-error")
+
+    def _on_task_canceled(self, task: asyncio.Task[Any]) -> None:
+        if self._is_canceling or self.deposed.is_set():
+            return
+        # Without one of its loops, an owner would keep the ownership and leave part of
+        # its work undone.
+        log_event(
+            logger,
+            "owner task canceled",
+            level=logging.ERROR,
+            token=self.lease.token,
+            task=getattr(task.get_coro(), "__qualname__", ""),
+        )
+        self.depose("internal-error")
--- a/catkinport/jobs/tests/test_session.py
+++ b/catkinport/jobs/tests/test_session.py
@@ -28,6 +28,10 @@
     steps.append("sent")
 
 
+async def wait_for(future: asyncio.Future[None]) -> None:
+    await future
+
+
 async def end(session: OwnerSession) -> None:
     await session.end()
 
@@ -87,6 +91,33 @@
         asyncio.run(run())
 
 
+class TestUnexpectedEnd:
+    # Guards against an owner that renews its lease while it stores no states or reads
+    # no jobs, because a loop has ended by a cancellation that came out of a call.
+    def test_a_loop_that_is_canceled_by_itself_ends_the_ownership(self):
+        async def run():
+            session = make_session(AsyncLateTable())
+            waiting = asyncio.get_running_loop().create_future()
+            task = session.spawn(wait_for(waiting))
+            await asyncio.sleep(0)
+            waiting.cancel()
+            await asyncio.wait([task])
+            assert session.deposed.is_set()
+
+        asyncio.run(run())
+
+    # Guards against an ownership that is taken for lost because it is released.
+    def test_the_loops_of_an_owner_that_stops_do_not_depose_it(self):
+        async def run():
+            session = make_session(AsyncLateTable())
+            session.spawn(asyncio.sleep(60.0))
+            await asyncio.sleep(0)
+            await session.end()
+            assert not session.deposed.is_set()
+
+        asyncio.run(run())
+
+
 class TestOrders:
     # Guards against orders of an owner that has been replaced or may have been.
     def test_they_end_with_the_ownership_and_without_renewals(self):
