End canceled jobs whose queue changes its pool during a takeover

What callers saw: nothing that was reported; found while looking for ways in which a job stays shown as running. A canceled job stays as it was shown until the owner changes again.

Cause: a new owner lets a canceled job of its predecessor go on until it has reached all workers of the pool of the job's queue. Once a pool is reached, it ends the jobs whose queue has that pool at that time. If a configuration has sent the queue to another pool meanwhile, and that pool was reached before, nothing ends the job.

Evidence: a test that moves the queue between the cancellation and the answer of the last worker; the job stayed queued before.

Ruled out: jobs that are not canceled, as their tasks start by the present pool.

Change: each time a pool is reached, all closing jobs of the former owner are looked at.

Not changed: whether an inherited task may start is decided by the present pool of its queue alone, although a worker of the former pool may still run it.

--- a/catkinport/jobs/dispatch/job_table.py
+++ b/catkinport/jobs/dispatch/job_table.py
@@ -109,11 +109,14 @@
         for record in list(self.job_by_id.values()):
             self.finish_if_closing(record)
 
-    def finish_inherited_jobs(self, pool: str) -> None:
-        """End the closing inherited jobs of a pool that can have no runs any more."""
+    def finish_inherited_jobs(self) -> None:
+        """End the closing inherited jobs that can have no runs any more.
+
+        A configuration may have changed the pool of their queue, so the pool whose
+        workers were reached last does not tell which jobs these are.
+        """
         for record in list(self.job_by_id.values()):
-            queue = self.queue_of(record)
-            if record.is_inherited and queue is not None and queue.pool == pool:
+            if record.is_inherited:
                 self.finish_if_closing(record)
 
     def finish_if_closing(self, record: JobRecord) -> None:
--- a/catkinport/jobs/workers/inherited_workers.py
+++ b/catkinport/jobs/workers/inherited_workers.py
@@ -46,7 +46,7 @@
         )
         if self._workers.is_pool_resolved(pool):
             self._log_resolved_pool(pool, now)
-            self._jobs.finish_inherited_jobs(pool)
+            self._jobs.finish_inherited_jobs()
 
     def resolve_all(self, now: float) -> None:
         """Resolve the workers that are left, as their leases have expired."""
