Let a worker get tasks again if its VM was released while it was not listed

What callers saw: nothing that was reported; found while looking for tasks that stand still although there is room.

Cause: the worker of a VM that is about to go down or to move gets no tasks. The mark is on the worker, and is taken away when the VM is released, if the VM list names the worker then. A VM that is down is listed without it. If the platform rejects the order because the VM is down, and the worker starts again under its id, nothing takes the mark away.

Evidence: a test that releases a VM while the list shows it as down; its worker got no task afterwards.

Ruled out: workers that start again under another id, which get a new record; waves, which reserve the VM again and release it once it has had its upkeep.

Change: with each VM list, workers of VMs that are neither reserved nor under an order get tasks again.

--- a/catkinport/jobs/tests/test_vm_planner.py
+++ b/catkinport/jobs/tests/test_vm_planner.py
@@ -157,6 +157,23 @@
         assert fleet.vm_planner.find_evacuations() == []
 
 
+class TestReservedWorkers:
+    # Guards against a worker that gets no tasks for good, because its reservation ended
+    # while the VM list did not name it.
+    def test_worker_gets_tasks_again_after_its_vm_was_released_without_it(self):
+        fleet = VmFleet(1)
+        fleet.dispatcher.add_job(make_job(), fleet.now)
+        inventory = fleet.vm_planner.inventory
+        inventory.reserve("m0")
+        (up,) = fleet.vms
+        fleet.vms = [up._replace(state=VmState.DOWN, worker_id="")]
+        fleet.step()
+        inventory.release("m0")
+        fleet.vms = [up]
+        fleet.step(1.0)
+        assert len(fleet.start()) == 1
+
+
 class TestMoves:
     def test_vms_that_are_off_join_the_pool_that_needs_more(self):
         """Guards against spare VMs that stay off while a pool's demand exceeds it."""
--- a/catkinport/jobs/vms/vm_inventory.py
+++ b/catkinport/jobs/vms/vm_inventory.py
@@ -84,6 +84,7 @@
                 del self._pending_by_vm[vm_id]
                 # The worker is still there if the order had been carried out before.
                 self.release(vm_id)
+        self._release_workers()
 
     def hold_back(self, vm_ids: Iterable[str], until: float) -> None:
         """Send no orders to VMs until a clock time.
@@ -224,6 +225,18 @@
             else:
                 self.idle_since_by_vm.setdefault(vm_id, now)
 
+    def _release_workers(self) -> None:
+        """Let workers get tasks again whose VM was released while the list lacked them.
+
+        A VM that is down is listed without its worker, which may start again under its
+        id.
+        """
+        for vm_id in self.vm_by_id:
+            worker = self.worker_on(vm_id)
+            is_kept = vm_id in self.reserved or vm_id in self._pending_by_vm
+            if worker is not None and worker.is_reserved and not is_kept:
+                worker.is_reserved = False
+
     def reserve(self, vm_id: str) -> None:
         """Give a VM no new tasks until its upkeep."""
         self.reserved.add(vm_id)
