Repeat the stop of a run that a restarted worker has begun

What callers saw: nothing that was reported; found while looking for ways in which a job stays shown as running. A canceled job with a lasting task stays running for good.

Cause: a stop that was confirmed before a worker started again under its id is forgotten only for runs that the restarted worker doesn't list. If it has carried out the late start before the owner's next poll, the run counts as stopped and gets no stop any more, neither as uncertain nor for the cancellation.

Evidence: a test of that order of events; no stop followed the cancellation.

Change: at a restart, the stops of all runs that are kept count as not confirmed.

Result: the test failed before and passes. The tests of catkinport/jobs pass.

--- a/catkinport/jobs/tests/test_dispatcher.py
+++ b/catkinport/jobs/tests/test_dispatcher.py
@@ -214,6 +214,29 @@
         fleet.poll(start.run.worker_id, started_at=2.0)
         assert len(fleet.plan()) == 1
 
+    def test_stop_is_repeated_if_a_restarted_worker_runs_the_task(self):
+        """Guards against a run that is never stopped, so its job never ends.
+
+        The stop was confirmed, the worker has started again under its id, and the start
+        was carried out late before the owner's next poll.
+        """
+        fleet = Fleet([make_worker()])
+        fleet.dispatcher.add_job(
+            make_job(steps=[make_step(is_lasting=True)]), fleet.now
+        )
+        (start,) = fleet.plan()
+        fleet.answer(start, UNCERTAIN)
+        (stop,) = find_stops(fleet.dispatcher, fleet.now)
+        fleet.dispatcher.on_stop_outcome(start.run, Done(), fleet.now)
+        key = start.run.key
+        fleet.running_by_worker["w1"][key] = RunningTask(*key, "", 0.0, 0.0)
+        fleet.advance(1.0)
+        fleet.poll("w1", started_at=2.0)
+        fleet.dispatcher.cancel_job(JOB_ID)
+        assert list(find_stops(fleet.dispatcher, fleet.now)) == [
+            stop._replace(reason="canceled")
+        ]
+
     def test_task_starts_elsewhere_only_after_the_stop_took_effect(self):
         """Guards against two runs of a task when a start is carried out late."""
         fleet = Fleet([make_worker("w1"), make_worker("w2")])
--- a/catkinport/jobs/workers/worker_reports.py
+++ b/catkinport/jobs/workers/worker_reports.py
@@ -116,9 +116,10 @@
         for run in lost:
             if run.known_at:
                 self._runs.lose(worker, run, "worker-restarted", now)
-                continue
-            # The start order may still arrive late. The restarted worker would carry it
-            # out, as it doesn't know of a stop that was confirmed before the restart.
+        # The start orders of the others may still arrive late, or have done so. The
+        # restarted worker carries them out, as it doesn't know of a stop that was
+        # confirmed before the restart.
+        for run in worker.run_by_key.values():
             run.stop_sent_at = run.stopped_at = 0.0
 
     def _process_ends(
