--- a/soak/regressions.py
+++ b/soak/regressions.py
@@ -10,7 +10,10 @@
         "the check expected the end of a lasting job whose cancellation had no answer;"
         " the caller now repeats it, and it must be acknowledged"
     ),
-    47: "unknown: as with seed 7",
+    47: (
+        "as with seed 42: played again on the code and with the check of then, the same"
+        " job failed, and its cancellation was answered with status 503 three times"
+    ),
 }
 """Run by ``python -m soak --regressions`` with the default times and sizes.
 
