Ask for the approvals of all workers of a large pool in turn

What callers saw: nothing that was reported; found while looking for tasks that stand still although there is room.

Cause: on a queue with advice, a step starts only on workers that the advice service approves. A call names at most 100 workers, so the client passes on the first 100 of a request, which are the same each time. In a pool of more workers, a step that only others may run is never started.

Ruled out: that the answer changes, as the platform says that it doesn't; the workers in question are only asked for while they have room, so a full pool may bring others to the front, which is chance.

Change: a request names the first 100 workers that were not rejected in the present turn. Once all were, the next turn begins. Workers that were approved come first when their tickets have expired.

--- a/catkinport/jobs/ownership/run_orders.py
+++ b/catkinport/jobs/ownership/run_orders.py
@@ -191,6 +191,6 @@
         else:
             valid_until = sent_at + wanted.valid_seconds
             tickets = {w: Ticket(text, valid_until) for w, text in outcome.items()}
-            self._planner.keep_tickets(wanted.stage, tickets)
+            self._planner.keep_tickets(wanted.stage, tickets, wanted.worker_ids)
             self._session.wake.set()
         self._requested_stages.discard(wanted.stage)
--- a/catkinport/jobs/placement/planner.py
+++ b/catkinport/jobs/placement/planner.py
@@ -5,7 +5,7 @@
 Variables named ``room`` hold a worker with its free resources.
 """
 
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping
 from typing import NamedTuple
 
 from ...policy.job_order import order_key
@@ -22,6 +22,9 @@
 from .start_delays import StartDelays
 from .task_needs import find_expected_ends, running_need, stage_name, task_need
 
+MAX_WORKERS_PER_REQUEST = 100
+"""Most workers that the advice service judges in one call."""
+
 
 class PlannedStart(NamedTuple):
     """A run that the dispatcher counts as ordered; the caller sends the order.
@@ -68,14 +71,31 @@
     def __init__(self, dispatcher: Dispatcher) -> None:
         self._dispatcher = dispatcher
         self._tickets_by_stage: dict[str, dict[str, Ticket]] = {}
+        self._rejected_by_stage: dict[str, set[str]] = {}
         self._learned_before: float | None = None
         self._delays = StartDelays(dispatcher)
         self._reservations = Reservations()
         self.wanted_approvals: dict[str, ApprovalRequest] = {}
 
-    def keep_tickets(self, stage: str, ticket_by_worker: Mapping[str, Ticket]) -> None:
-        """Replace the approvals for a step."""
+    def keep_tickets(
+        self,
+        stage: str,
+        ticket_by_worker: Mapping[str, Ticket],
+        asked_ids: Collection[str],
+    ) -> None:
+        """Replace the approvals for a step.
+
+        Args:
+            stage: name of the step within its job's occurrence.
+            ticket_by_worker: approvals of workers.
+            asked_ids: workers that the request named, approved or not.
+        """
         self._tickets_by_stage[stage] = dict(ticket_by_worker)
+        rejected = self._rejected_by_stage.setdefault(stage, set())
+        if not rejected.isdisjoint(asked_ids):
+            # No other worker was left, so the request has begun a new turn.
+            rejected.clear()
+        rejected.update(set(asked_ids) - ticket_by_worker.keys())
 
     def plan(
         self, now: float, unix_now: float, learned_before: float | None = None
@@ -218,10 +238,21 @@
         }
         if rooms and not valid:
             self.wanted_approvals[stage] = ApprovalRequest(
-                stage, tuple(rooms), queue.approval.valid_seconds
+                stage, self._choose_asked(stage, rooms), queue.approval.valid_seconds
             )
         return valid
 
+    def _choose_asked(
+        self, stage: str, rooms: Mapping[str, CandidateWorker]
+    ) -> tuple[str, ...]:
+        """Return the workers to request approvals of: all of them in turn.
+
+        Workers that were approved before come first once their approvals have expired.
+        """
+        rejected = self._rejected_by_stage.get(stage, set())
+        left = [worker_id for worker_id in rooms if worker_id not in rejected]
+        return tuple((left or list(rooms))[:MAX_WORKERS_PER_REQUEST])
+
     def _plan_tasks(
         self,
         tasks: list[Task],
