--- a/catkinport/jobs/dispatch/job_table.py
+++ b/catkinport/jobs/dispatch/job_table.py
@@ -1,7 +1,7 @@
 """Table of a fleet's jobs, from their acceptance until their end is stored."""
 
 import logging
-from collections.abc import Iterable, Mapping
+from collections.abc import Mapping
 from typing import Any
 
 from ...runtime.logs import log_event
@@ -85,13 +85,9 @@
         """Return the queue of a job; ``None`` if no known configuration has it."""
         return self._known_queue_by_name.get(record.job.queue)
 
-    def count_waiting(self, queues: Iterable[str]) -> dict[str, int]:
-        """Return how many jobs of each queue have not started.
-
-        Args:
-            queues: names of queues that are counted even if they have no jobs.
-        """
-        n_by_queue = dict.fromkeys(queues, 0)
+    def count_waiting(self) -> dict[str, int]:
+        """Return how many jobs have not started, for each queue with such jobs."""
+        n_by_queue: dict[str, int] = {}
         for record in self.job_by_id.values():
             if not record.is_begun and not record.is_closing:
                 queue = record.job.queue
@@ -113,11 +109,14 @@
         for record in list(self.job_by_id.values()):
             self.finish_if_closing(record)
 
-    def finish_inherited_jobs(self, pool: str) -> None:
-        """End the closing inherited jobs of a pool that can have no runs any more."""
+    def finish_inherited_jobs(self) -> None:
+        """End the closing inherited jobs that can have no runs any more.
+
+        A configuration may have changed the pool of their queue, so the pool whose
+        workers were reached last does not tell which jobs these are.
+        """
         for record in list(self.job_by_id.values()):
-            queue = self.queue_of(record)
-            if record.is_inherited and queue is not None and queue.pool == pool:
+            if record.is_inherited:
                 self.finish_if_closing(record)
 
     def finish_if_closing(self, record: JobRecord) -> None:
