Send the advice service two calls at a time

What callers would see: jobs of queues that need approvals stay queued once some steps ask at the same time.

Cause: the service handles the calls of a daemon one after the other, and all steps ask at once. The wait for the calls before it, and for one of the six connections, counts as part of the 3.0 s of a call. With calls of 0.6 s five are answered, the others are given up together and begin again behind those that the service still works on, and none is in time any more. Class of fault: one limit on the wait in a queue and the work, with retries that start from nothing.

Evidence: the new test, with times a thirtieth as long (4 of 20 steps have an answer after 2 s). That the service goes on with calls that were given up is an assumption: its page does not say.

Change: at most two calls at a time; the others wait outside of the timeout. Two, so that a lost answer does not hold up all steps for 3.0 s. Ruled out: a longer timeout, as the queue has no bounded length.

Result: the new test failed before and passes now (20 of 20), as do the tests of jobs.

--- a/catkinport/jobs/ownership/run_orders.py
+++ b/catkinport/jobs/ownership/run_orders.py
@@ -25,6 +25,12 @@
 MIN_PLAN_INTERVAL_SECONDS = 0.008
 """Shortest pause between two rounds of planning; bounds their processor time."""
 
+MAX_APPROVAL_CALLS = 2
+"""Most calls to the advice service at a time. The service handles the calls of a daemon
+one after the other. Of many sent together, each would wait for those before it within
+its own timeout, and those given up may still take their turn before the repetitions. A
+second call goes on while the answer to the first one is lost."""
+
 
 class RunOrders:
     """Plans and sends orders for runs.
@@ -39,6 +45,7 @@
         self._watch = watch
         self._planner = Planner(session.dispatcher)
         self._requested_stages: set[str] = set()
+        self._approval_turns = asyncio.Semaphore(MAX_APPROVAL_CALLS)
 
     async def run(self) -> None:
         """Plan and send orders until the ownership ends."""
@@ -175,10 +182,11 @@
         self._session.spawn(self._fetch_tickets(wanted))
 
     async def _fetch_tickets(self, wanted: ApprovalRequest) -> None:
-        sent_at = self._session.clock.now()
-        outcome = await self._session.ports.workers.fetch_tickets(
-            wanted.stage, wanted.worker_ids
-        )
+        async with self._approval_turns:
+            sent_at = self._session.clock.now()
+            outcome = await self._session.ports.workers.fetch_tickets(
+                wanted.stage, wanted.worker_ids
+            )
         if isinstance(outcome, Unavailable):
             log_event(
                 logger,
