Split freshness leases into a package with one module per record

policy/freshness.py had 499 lines: the durations, the view of the roster, the answers of peers and a class that also kept every time at which a peer was asked, answered or was heard. A reader could not tell the rule of the lease from the bookkeeping that it needs.

freshness/timing.py holds the durations, view.py the roster as a member knows it, peer_answer.py what a peer answers, peer_contacts.py when peers were asked, answered and were heard, known_revisions.py when revisions became known, ended_members.py when members were evicted or departed, and lease.py the rule, with 341 lines. Names are imported from catkinport.policy.freshness as before. One wrong variant in benchmarks/freshness_model.py reads a record that has moved.

--- a/benchmarks/_freshness_simulation.py
+++ b/benchmarks/_freshness_simulation.py
@@ -1,4 +1,4 @@
-"""Discrete-event simulation of processes that run ``policy/freshness.py``.
+"""Discrete-event simulation of processes that run ``policy/freshness/``.
 
 Each process runs the same ``Freshness`` code as the daemon, on a clock of its own.
 Links can fail and recover, and messages can be lost or arrive seconds late. A message
--- a/benchmarks/freshness_model.py
+++ b/benchmarks/freshness_model.py
@@ -1,7 +1,7 @@
 """Randomized test of the freshness lease against faults.
 
 A member must not hold a lease while it lacks an acknowledged change. Seeded runs of
-``policy/freshness.py`` in a simulation count the violations of that rule. Deliberately
+``policy/freshness/`` in a simulation count the violations of that rule. Deliberately
 wrong variants of the code show that the simulation detects violations. The report also
 gives the share of time that leases run during each fault.
 
@@ -34,7 +34,7 @@
     """Wrong variant in which the answer of one peer renews the lease."""
 
     def _confirmed_at(self) -> float | None:
-        known = self._confirmed_at_by_peer
+        known = self._contacts.confirmed_at_by_peer
         return max((known[p] for p in self._peer_ids() & known.keys()), default=None)
 
 
