Split the operations on VMs by what they do

fleet/operations/ has drains.py (start and end of a drain, and the check of the budget), moves.py, failures.py (failure and recovery), registration.py, steps.py (steps of an operation under way and the end of a maintenance) and refusals.py. Functions that return the row of a VM are in fleet/vm_rows.py beside pool_rows.py, which has the replacement of a VM that is gone. Names are imported from catkinport.fleet.operations as before. Two tests that switch the check of the budget off name its module, drains.

--- a/catkinport/controller/tests/test_fleet.py
+++ b/catkinport/controller/tests/test_fleet.py
@@ -2,8 +2,7 @@
 
 import pytest
 
-from ...fleet import operations
-from ...fleet.operations import drain_vm, move_vm
+from ...fleet.operations import drain_vm, drains, move_vm
 from ...ports import VmStatus, Write
 from ...ports.table import Committed, Transaction
 from ...state import MAINTENANCE, pool_key, vm_key
@@ -94,7 +93,7 @@
 
     def test_drains_exceed_the_budget_without_the_check(self, monkeypatch):
         """Guards against a rack test that cannot see drains beyond the budget."""
-        monkeypatch.setattr(operations, "_check_drain", lambda *arguments: None)
+        monkeypatch.setattr(drains, "_check_drain", lambda *arguments: None)
         monkeypatch.setattr(
             "catkinport.controller.maintenance.choose_vms_to_drain",
             lambda pool, now, period: [vm.vm_id for vm in pool.vms if vm.is_serving],
--- a/catkinport/fleet/pool_rows.py
+++ b/catkinport/fleet/pool_rows.py
@@ -51,5 +51,13 @@
     return min(gone, default=None)
 
 
+def replace_gone(pool_row: PoolRow) -> tuple[PoolRow, tuple[str, ...]]:
+    """Return the row without one VM that is gone, and the id of that VM if any."""
+    replaced = find_replaced_vm(pool_row)
+    if replaced is None:
+        return pool_row, ()
+    return remove(pool_row, replaced), (replaced,)
+
+
 def _without(value_by_name: dict, name: str) -> dict:
     return {key: value for key, value in value_by_name.items() if key != name}
--- a/catkinport/fleet/tests/test_operations.py
+++ b/catkinport/fleet/tests/test_operations.py
@@ -9,13 +9,13 @@
 from ...settings.environment import Environment, Maintenance, Pool
 from ...standins import LossyTable, MemoryTable
 from ...state import GENERATION, VmState, owner_key, pool_key, vm_key
-from .. import operations
 from ..operations import (
     Fence,
     VmChanged,
     VmConflict,
     advance_vm,
     drain_vm,
+    drains,
     fail_vm,
     finish_move,
     move_vm,
@@ -230,7 +230,7 @@
 
     def test_drains_exceed_the_budget_without_the_check(self, monkeypatch):
         """Guards against a rack test that cannot see drains beyond the budget."""
-        monkeypatch.setattr(operations, "_check_drain", lambda *arguments: None)
+        monkeypatch.setattr(drains, "_check_drain", lambda *arguments: None)
         assert self.drain_during_rack_failure() > 0
 
 
