Split calls between members by caller, connections and server

One actor held the calls that a member makes, the connections for them, the server of the calls that it gets, and the checks of both directions.

peers_grpc.py keeps the actor (73 lines). _peer_calls.py makes calls and verifies replies, _peer_connections.py holds the connections to peers, _peer_server.py verifies requests, runs handlers and signs replies, _peer_services.py has the gRPC services, _peer_methods.py the messages of each method and _peer_codec.py the codec. PeerCall, PeersActor and MessageAuthenticator are imported from peers_grpc as before. Events and error texts are the same; the logger of the server's two events has another name, which neither log format prints.

--- /dev/null
+++ b/catkinport/adapters/_peer_server.py
@@ -0,0 +1,136 @@
+"""Server of the calls of peers: its socket, its connections and the handlers."""
+
+import asyncio
+import logging
+import socket
+import weakref
+from collections.abc import Callable, Mapping, Sequence
+from concurrent.futures import Future
+from typing import Any
+
+from google.protobuf.message import Message
+from grpclib.const import Status
+from grpclib.encoding.base import CodecBase
+from grpclib.exceptions import GRPCError
+from grpclib.server import Server
+
+from ..runtime import log_event
+from ._peer_authentication import MessageAuthenticator
+from ._peer_methods import METHOD_BY_NAME
+
+# A handler may wait for a write to the store before it answers.
+HANDLER_TIMEOUT_SECONDS = 3.0
+MAX_CALLS_SERVED = 256
+
+_logger = logging.getLogger(__name__)
+
+Handler = Callable[[Any], "Future[Message]"]
+
+
+class TrackingServer(Server):
+    """Server that can abort its open connections.
+
+    grpclib leaves them open when the server closes, and a request from a peer on one
+    of them would start a task on an event loop that is stopping.
+    """
+
+    def __init__(self, services: Sequence[Any], codec: CodecBase) -> None:
+        super().__init__(services, codec=codec)
+        self._transports: weakref.WeakSet[Any] = weakref.WeakSet()
+
+    def abort_connections(self) -> None:
+        """Close all connections at once."""
+        for transport in list(self._transports):
+            transport.abort()
+
+    def _protocol_factory(self) -> Any:
+        protocol = super()._protocol_factory()
+        connection_made = protocol.connection_made
+
+        def track(transport: Any) -> None:
+            self._transports.add(transport)
+            connection_made(transport)
+
+        protocol.connection_made = track  # type: ignore[method-assign]
+        return protocol
+
+
+class CallDispatcher:
+    """Dispatcher of peers' calls: verifies the request, signs the handler's reply."""
+
+    def __init__(
+        self,
+        authenticator: MessageAuthenticator,
+        handler_by_method: Mapping[str, Handler],
+    ) -> None:
+        self._authenticator = authenticator
+        self._handler_by_method = handler_by_method
+        self._n_calls = 0
+
+    async def serve(self, method_name: str, stream: Any) -> None:
+        """Verify a request, run its handler and send the signed reply.
+
+        Raises:
+            GRPCError: if too many calls are in progress, the request is not
+                authentic, the handler fails, or it takes too long.
+        """
+        if self._n_calls >= MAX_CALLS_SERVED:
+            raise GRPCError(Status.RESOURCE_EXHAUSTED, "too many calls")
+        self._n_calls += 1
+        try:
+            async with asyncio.timeout(HANDLER_TIMEOUT_SECONDS):
+                await self._serve(method_name, stream)
+        except TimeoutError:
+            raise GRPCError(Status.DEADLINE_EXCEEDED, method_name) from None
+        finally:
+            self._n_calls -= 1
+
+    async def _serve(self, method_name: str, stream: Any) -> None:
+        signature = self._authenticator.verify(
+            f"request/{method_name}", stream.metadata
+        )
+        if signature is None:
+            self._reject(method_name, stream)
+        body = await stream.recv_message()
+        if body is None or not signature.matches(body):
+            self._reject(method_name, stream)
+        request = METHOD_BY_NAME[method_name].request_type.FromString(body)
+        reply = await self._handle(method_name, request)
+        content = reply.SerializeToString()
+        metadata = self._authenticator.sign(
+            f"reply/{method_name}", content, signature.nonce
+        )
+        await stream.send_initial_metadata(metadata=metadata)
+        await stream.send_message(content)
+
+    async def _handle(self, method_name: str, request: Message) -> Message:
+        try:
+            future = self._handler_by_method[method_name](request)
+            return await asyncio.wrap_future(future)
+        except Exception as error:
+            # A handler fails, for instance, while this member is not registered yet.
+            log_event(_logger, "peer call failed", step=method_name, detail=repr(error))
+            raise GRPCError(Status.UNAVAILABLE, "no answer") from error
+
+    def _reject(self, method_name: str, stream: Any) -> None:
+        peer = stream.peer.addr() if stream.peer else None
+        log_event(
+            _logger,
+            "unauthenticated peer message rejected",
+            logging.WARNING,
+            step=method_name,
+            peer=peer,
+        )
+        raise GRPCError(Status.UNAUTHENTICATED, "invalid seal")
+
+
+def listen(host: str, port: int) -> socket.socket:
+    """Return a socket that listens and closes connections to peers that vanished."""
+    listener = socket.create_server((host, port), backlog=128)
+    # Accepted sockets inherit these options: the kernel closes a connection whose peer
+    # vanished after 30 s of silence and 3 probes that stay unanswered for 10 s each.
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 30)
+    listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 10)
+    listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 3)
+    return listener
