Take changes of the configuration and evictions out of the membership actor

change_answers.py answers whether a change may be accepted and when a committed one is in force, as peer_answers.py does for the calls of peers. evictions.py starts the eviction of silent members and their removal afterwards. Events, reasons and texts are the same.

Tests: catkinport/membership, catkinport/administration and policy/tests/test_freshness.py: 97 passed.

--- a/catkinport/membership/actor.py
+++ b/catkinport/membership/actor.py
@@ -3,22 +3,23 @@
 import logging
 import threading
 import uuid
-from collections.abc import Callable, Collection, Mapping
+from collections.abc import Callable, Mapping
 from typing import Any
 
 import pykka
 
 from ..policy.freshness import Freshness
-from ..ports import Clock, Reason, Refused, Table, Unavailable
+from ..ports import Clock, Table, Unavailable
 from ..runtime import log_event
 from ..state import MemberRow
 from . import messages, roster_store
+from .change_answers import ChangeAnswers
+from .evictions import evict_or_remove_members
 from .interface import MembershipSnapshot
 from .member_state import MemberState
 from .outbox import Outbox
 from .peer_answers import PeerAnswers
 from .peer_client import PeerClient
-from .pending_changes import PendingChanges, members_to_acknowledge
 from .roster_client import RosterClient
 from .settings import MembershipSettings, Parse
 from .wire import answer_from_message
@@ -61,10 +62,10 @@
         self._peer_address = ""
         self._state = MemberState(new_member_id(settings.role), parse)
         self._is_leaving = False
-        self._pending = PendingChanges()
         self._outbox = Outbox()
         self._peers = PeerClient(self._outbox, self._tell)
         self._answers = PeerAnswers(self._state, self._peers, clock)
+        self._changes = ChangeAnswers(self._state, self._peers, self._outbox, clock)
         self._stop_ticker = threading.Event()
         self._handler_by_type: Mapping[type, Callable[[Any], None]] = {
             messages.Tick: self._on_tick,
@@ -72,11 +73,11 @@
             messages.Registered: self._on_registered,
             messages.StoreWritten: self._on_store_written,
             messages.PeerConfirmed: self._on_peer_confirmed,
-            messages.PeerAcknowledged: self._on_peer_acknowledged,
+            messages.PeerAcknowledged: self._changes.on_peer_acknowledged,
             messages.FetchEnded: self._on_fetch_ended,
             messages.ServeCall: self._on_serve_call,
             messages.PrepareAcceptance: self._on_prepare_acceptance,
-            messages.AwaitInForce: self._on_await_in_force,
+            messages.AwaitInForce: self._changes.await_in_force,
             messages.Leave: self._on_leave,
             messages.Connected: self._on_connected,
         }
@@ -136,8 +137,8 @@
         self._state.freshness.tick(self._clock.now())
         self._read_store()
         self._ask_peers_to_confirm()
-        self._evict_or_remove_members()
-        self._finish_pending()
+        evict_or_remove_members(self._state, self._roster, self._clock.now())
+        self._changes.answer_those_in_force()
 
     def _read_store(self) -> None:
         self._roster.read(self._state.store_state)
@@ -156,7 +157,7 @@
         self._apply_state(state)
         if freshness.is_evicted and not self._is_leaving:
             self._register_anew(freshness)
-        self._finish_pending()
+        self._changes.answer_those_in_force()
 
     def _on_store_read_failed(
         self, freshness: Freshness, failure: Unavailable | None
@@ -227,29 +228,11 @@
             logging.WARNING,
             member_id=self._state.member_id,
         )
-        for result in self._pending.take_all():
-            self._outbox.cancel(result)
+        self._changes.cancel_all()
         self._state.freshness = None
         self._state.member_id = new_member_id(self._settings.role)
         self._register()
 
-    def _evict_or_remove_members(self) -> None:
-        freshness = self._state.freshness
-        if freshness is None or self._roster.is_writing:
-            return
-        now = self._clock.now()
-        silent = freshness.ids_to_evict(now)
-        if silent:
-            _log_roster_change("eviction of silent members started", silent)
-            self._roster.evict(silent)
-            return
-        ended = freshness.completed_evictions(
-            now, self._state.configuration.longest_request_seconds
-        )
-        if ended and freshness.is_store_reachable(now):
-            _log_roster_change("removal of evicted members started", ended)
-            self._roster.remove(ended)
-
     def _on_store_written(self, message: messages.StoreWritten) -> None:
         self._roster.on_write_ended()
         if self._state.freshness is not None:
@@ -296,43 +279,7 @@
         self._outbox.answer(message.reply, answer)
 
     def _on_prepare_acceptance(self, message: messages.PrepareAcceptance) -> None:
-        freshness, now = self._state.freshness, self._clock.now()
-        if freshness is not None and freshness.may_accept_changes(now):
-            self._outbox.answer(message.result, self._state.member_id)
-            return
-        reason = Reason.STOPPING if self._is_leaving else Reason.CONFIGURATION_STALE
-        detail = "this member is not registered yet"
-        if freshness is not None:
-            seconds = max(0.0, freshness.established_at - now)
-            detail = f"this member may accept changes in {seconds:.1f} s at the latest"
-        refusal = Refused(reason, "accept-document", detail=detail)
-        self._outbox.answer(message.result, refusal)
-
-    def _on_await_in_force(self, message: messages.AwaitInForce) -> None:
-        freshness = self._state.freshness
-        if freshness is None:
-            self._outbox.cancel(message.result)
-            return
-        now = self._clock.now()
-        self._apply_document(message.revision, message.document)
-        freshness.on_revision_known(message.revision, now)
-        missing = members_to_acknowledge(freshness, message.roster_ids, now)
-        self._pending.add(message.revision, missing, message.result)
-        self._peers.announce(freshness, self._state.configuration)
-        self._finish_pending()
-
-    def _on_peer_acknowledged(self, message: messages.PeerAcknowledged) -> None:
-        self._pending.acknowledge(message.peer_id, message.held_revision)
-        self._finish_pending()
-
-    def _finish_pending(self) -> None:
-        if self._state.freshness is None:
-            return
-        now = self._clock.now()
-        for result in self._pending.take_finished(
-            now, self._state.freshness.in_force_at
-        ):
-            self._outbox.answer(result, now)
+        self._changes.prepare_acceptance(message, self._is_leaving)
 
     def _on_leave(self, message: messages.Leave) -> None:
         self._is_leaving = True
@@ -356,10 +303,6 @@
             self.actor_ref.tell(message)
 
 
-def _log_roster_change(event: str, member_ids: Collection[str]) -> None:
-    log_event(_logger, event, member_ids=",".join(member_ids))
-
-
 def new_member_id(role: str) -> str:
     """Return a random id, so that a member never reuses the id of another one."""
     return f"{role}-{uuid.uuid4().hex[:16]}"
