Split the state of a placement round by workers, teams and queues

One class counted what is free on workers, what each team uses next to its fair share and upper limit, and how tasks of a queue are spread over racks and zones.

The planner asks state.teams about shares and limits.

--- a/catkinport/policy/placement.py
+++ b/catkinport/policy/placement.py
@@ -4,7 +4,8 @@
 from collections import defaultdict, deque
 from collections.abc import Callable, Iterable
 
-from ._round import RoundState, additional_need
+from ._round import RoundState
+from ._task_resources import additional_need
 from .placement_types import (
     THROTTLE_FRACTION,
     PlacementPlan,
@@ -79,12 +80,12 @@
     long = [job for job in problem.waiting if not job.is_urgent]
     state = planner.state
     blocked, deferred_urgent = planner.place_in_order(
-        urgent, state.is_urgent_within_target
+        urgent, state.teams.is_urgent_within_target
     )
     planner.make_room_for_urgent(blocked)
     throttled = state.throttled_tasks()
     blocked, deferred_long = planner.place_in_order(
-        [*throttled, *long], state.is_within_target
+        [*throttled, *long], state.teams.is_within_target
     )
     planner.reclaim_shares(blocked)
     planner.place_in_order(deferred_urgent)
@@ -170,8 +171,8 @@
         return True
 
     def _weighted_share(self, team: str) -> float:
-        view = self.state.team_by_name.get(team)
-        return self.state.share_of(team) / view.weight if view else float("inf")
+        view = self.state.teams.team_by_name.get(team)
+        return self.state.teams.share_of(team) / view.weight if view else float("inf")
 
     def _try_start(self, job: WaitingJob, no_room: list[Resources]) -> bool:
         """Start a job if a worker has room.
@@ -181,7 +182,7 @@
             no_room: requests that no worker has room for. A request that is at least
                 as large in every resource is not searched for again.
         """
-        if self.state.is_over_limit(job):
+        if self.state.teams.is_over_limit(job):
             self._reason_by_job[job.job_id] = OVER_LIMIT
             return False
         self._reason_by_job[job.job_id] = NO_ROOM
@@ -210,11 +211,11 @@
         state = self.state
         for job in blocked[:MAX_URGENT_ATTEMPTS]:
             team = job.team
-            is_within = state.is_within_target(team, job.request)
+            is_within = state.teams.is_within_target(team, job.request)
             if self._start_or_free_room(
                 job,
                 lambda task, team=team: (  # type: ignore[misc]
-                    task.team == team or state.is_above_target_without(task)
+                    task.team == team or state.teams.is_above_target_without(task)
                 ),
             ):
                 continue
@@ -228,19 +229,18 @@
         above theirs: the excess of one team may correspond to many teams that are each
         only slightly short.
         """
+        teams = self.state.teams
         n_attempts = 0
-        is_any_far_above = self.state.is_any_far_above_target()
+        is_any_far_above = teams.is_any_far_above_target()
         for job in blocked:
             if n_attempts >= MAX_RECLAIM_ATTEMPTS:
                 return
-            if self.state.is_short(job.team):
+            if teams.is_short(job.team):
                 n_attempts += 1
-                self._start_or_free_room(job, self.state.is_above_target_without)
-            elif is_any_far_above and self.state.is_within_target(
-                job.team, job.request
-            ):
+                self._start_or_free_room(job, teams.is_above_target_without)
+            elif is_any_far_above and teams.is_within_target(job.team, job.request):
                 n_attempts += 1
-                self._start_or_free_room(job, self.state.is_far_above_target_without)
+                self._start_or_free_room(job, teams.is_far_above_target_without)
 
     def _start_or_free_room(self, job: WaitingJob, is_eligible: TaskFilter) -> bool:
         """Start ``job``, or have room freed for it.
@@ -250,7 +250,7 @@
             being freed for it, or its team is at its upper limit.
         """
         state = self.state
-        if state.is_over_limit(job):
+        if state.teams.is_over_limit(job):
             self._reason_by_job[job.job_id] = OVER_LIMIT
             return True
         index = state.find_worker(job)
--- a/catkinport/policy/preemption.py
+++ b/catkinport/policy/preemption.py
@@ -4,7 +4,8 @@
 from collections.abc import Callable, Iterable, Sequence
 from typing import NamedTuple
 
-from ._round import RoundState, held_now
+from ._round import RoundState
+from ._task_resources import held_now
 from .placement_types import THROTTLE_FRACTION, Preempt, RunningTask, WaitingJob
 
 MAX_LOST_WORK_SECONDS = 3.0
