Write the refusal without a row and the return to service of a VM once

Seven operations on VMs began with the same check that the VM has a row, and three ended with the same plan that lets it serve. refuse_without_row is a decorator of their decisions, plan_serving the plan. Rows, refusals and texts are the same.

--- a/catkinport/fleet/operations/drains.py
+++ b/catkinport/fleet/operations/drains.py
@@ -3,12 +3,12 @@
 from ...ports import Reason, Refused, Table
 from ...settings.environment import Environment
 from ...state import PoolRow, VmRow, VmState
-from ..change import Busy, Decision, Unchanged, VmChange, VmPlan, VmView, commit_change
+from ..change import Busy, Decision, Unchanged, VmChange, VmView, commit_change
 from ..fence import Fence
 from ..outcomes import VmOutcome
-from ..pool_rows import disrupt, serve
-from ..vm_rows import plan_change, state_fields
-from .refusals import not_found, wrong_state
+from ..pool_rows import disrupt
+from ..vm_rows import plan_change, plan_serving, state_fields
+from .refusals import refuse_without_row, wrong_state
 
 OPERATIONS = ("drain", "maintenance", "move")
 
@@ -41,10 +41,8 @@
     if operation not in OPERATIONS:
         raise ValueError(f"operation must be one of {OPERATIONS}, got {operation!r}")
 
-    def decide(view: VmView) -> Decision:
-        vm = view.vm
-        if vm is None:
-            return not_found(vm_id)
+    @refuse_without_row(vm_id)
+    def decide(vm: VmRow, view: VmView) -> Decision:
         if vm["operation"]:
             return Busy()
         pool = view.pool_by_name[vm["pool"]]
@@ -69,17 +67,14 @@
 ) -> VmOutcome:
     """Let a drained or draining VM serve again."""
 
-    def decide(view: VmView) -> Decision:
-        vm = view.vm
-        if vm is None:
-            return not_found(vm_id)
+    @refuse_without_row(vm_id)
+    def decide(vm: VmRow, view: VmView) -> Decision:
         if vm["state"] == VmState.ACTIVE:
             return Unchanged()
         if vm["state"] not in (VmState.DRAINING, VmState.DRAINED):
             return wrong_state("undrain", vm_id, vm, "draining or drained")
         pool = view.pool_by_name[vm["pool"]]
-        changed: VmRow = {**vm, **state_fields(VmState.ACTIVE)}
-        return VmPlan(changed, {vm["pool"]: serve(pool, vm_id, changed)})
+        return plan_serving(vm_id, vm, pool)
 
     return commit_change(
         table, VmChange(vm_id, token, decide, (), expected_version, fence)
--- a/catkinport/fleet/operations/failures.py
+++ b/catkinport/fleet/operations/failures.py
@@ -5,9 +5,9 @@
 from ..change import Decision, Unchanged, VmChange, VmPlan, VmView, commit_change
 from ..fence import Fence
 from ..outcomes import VmOutcome
-from ..pool_rows import disrupt, serve
-from ..vm_rows import plan_change, state_fields, update_from_list
-from .refusals import not_found
+from ..pool_rows import disrupt
+from ..vm_rows import plan_change, plan_serving, state_fields, update_from_list
+from .refusals import refuse_without_row
 
 
 def fail_vm(
@@ -25,10 +25,8 @@
     of failing.
     """
 
-    def decide(view: VmView) -> Decision:
-        vm = view.vm
-        if vm is None:
-            return not_found(vm_id)
+    @refuse_without_row(vm_id)
+    def decide(vm: VmRow, view: VmView) -> Decision:
         pool = view.pool_by_name[vm["pool"]]
         state = VmState.DRAINING if is_leaving else VmState.FAILED
         is_known = pool["reason_by_disrupted_vm"].get(vm_id) == reason
@@ -54,10 +52,8 @@
     row.
     """
 
-    def decide(view: VmView) -> Decision:
-        vm = view.vm
-        if vm is None:
-            return not_found(vm_id)
+    @refuse_without_row(vm_id)
+    def decide(vm: VmRow, view: VmView) -> Decision:
         updated = vm if listed is None else update_from_list(vm, listed)
         if vm["state"] != VmState.FAILED and updated == vm:
             return Unchanged()
@@ -67,7 +63,6 @@
         if vm["operation"]:
             changes = state_fields(VmState.DRAINING, vm["operation"], vm["target_pool"])
             return plan_change(updated, changes, disrupt(pool, vm_id, vm["operation"]))
-        changed: VmRow = {**updated, **state_fields(VmState.ACTIVE)}
-        return VmPlan(changed, {vm["pool"]: serve(pool, vm_id, changed)})
+        return plan_serving(vm_id, updated, pool)
 
     return commit_change(table, VmChange(vm_id, token, decide, (), None, fence))
--- a/catkinport/fleet/operations/moves.py
+++ b/catkinport/fleet/operations/moves.py
@@ -9,7 +9,7 @@
 from ..pool_rows import remove, replace_gone, serve
 from ..vm_rows import state_fields
 from .drains import drain_vm
-from .refusals import not_found, wrong_state
+from .refusals import refuse_without_row, wrong_state
 
 
 def move_vm(
@@ -50,10 +50,8 @@
     """Put a drained VM into its target pool, where it serves at once."""
     target = _target_pool(table, vm_id)
 
-    def decide(view: VmView) -> Decision:
-        vm = view.vm
-        if vm is None:
-            return not_found(vm_id)
+    @refuse_without_row(vm_id)
+    def decide(vm: VmRow, view: VmView) -> Decision:
         if vm["state"] != VmState.DRAINED or vm["operation"] != "move":
             return wrong_state("finish-move", vm_id, vm, "drained for a move")
         if vm["target_pool"] not in view.pool_by_name:
--- a/catkinport/fleet/operations/steps.py
+++ b/catkinport/fleet/operations/steps.py
@@ -5,9 +5,8 @@
 from ..change import Busy, Decision, Unchanged, VmChange, VmPlan, VmView, commit_change
 from ..fence import Fence
 from ..outcomes import VmOutcome
-from ..pool_rows import serve
-from ..vm_rows import state_fields, update_from_list
-from .refusals import not_found, wrong_state
+from ..vm_rows import plan_serving, state_fields, update_from_list
+from .refusals import refuse_without_row, wrong_state
 
 
 def advance_vm(
@@ -20,10 +19,8 @@
 ) -> VmOutcome:
     """Change the state of a VM that does not serve, as a step of its operation."""
 
-    def decide(view: VmView) -> Decision:
-        vm = view.vm
-        if vm is None:
-            return not_found(vm_id)
+    @refuse_without_row(vm_id)
+    def decide(vm: VmRow, view: VmView) -> Decision:
         if vm["state"] == to_state:
             return Unchanged()
         if vm["state"] != from_state:
@@ -51,18 +48,11 @@
         fence: ownership that must still hold; ``None`` for no check.
     """
 
-    def decide(view: VmView) -> Decision:
-        vm = view.vm
-        if vm is None:
-            return not_found(listed.vm_id)
+    @refuse_without_row(listed.vm_id)
+    def decide(vm: VmRow, view: VmView) -> Decision:
         if vm["operation"] != "maintenance":
             return wrong_state("mark-maintained", listed.vm_id, vm, "in maintenance")
-        changed: VmRow = {
-            **update_from_list(vm, listed),
-            **state_fields(VmState.ACTIVE),
-            "last_maintained": now,
-        }  # type: ignore[typeddict-item]
-        pool = view.pool_by_name[vm["pool"]]
-        return VmPlan(changed, {vm["pool"]: serve(pool, listed.vm_id, changed)})
+        updated: VmRow = {**update_from_list(vm, listed), "last_maintained": now}
+        return plan_serving(listed.vm_id, updated, view.pool_by_name[vm["pool"]])
 
     return commit_change(table, VmChange(listed.vm_id, token, decide, (), None, fence))
--- a/catkinport/fleet/vm_rows.py
+++ b/catkinport/fleet/vm_rows.py
@@ -3,6 +3,7 @@
 from ..ports import ListedVm
 from ..state import PoolRow, VmRow, VmState
 from .change import VmPlan
+from .pool_rows import serve
 
 
 def new_vm(listed: ListedVm, pool: str, last_maintained: float) -> VmRow:
@@ -37,6 +38,12 @@
     return {"state": state, "operation": operation, "target_pool": target_pool}
 
 
+def plan_serving(vm_id: str, vm: VmRow, pool_row: PoolRow) -> VmPlan:
+    """Return the plan after which the VM serves in its pool and has no operation."""
+    changed: VmRow = {**vm, **state_fields(VmState.ACTIVE)}  # type: ignore
+    return VmPlan(changed, {vm["pool"]: serve(pool_row, vm_id, changed)})
+
+
 def plan_change(vm: VmRow, changes: dict[str, str], pool_row: PoolRow) -> VmPlan:
     """Return the plan that changes fields of a VM's row and the row of its pool."""
     return VmPlan({**vm, **changes}, {vm["pool"]: pool_row})  # type: ignore
