Write two failures of calls once in the adapters

A timeout while the body of an answer is read was handled in two branches with the same statement, and the outcome of a reply that isn't authentic was built in two places.

Tests: catkinport/adapters, catkinport/membership and catkinport/entry: 126 passed.

--- a/catkinport/adapters/_backend_exchange.py
+++ b/catkinport/adapters/_backend_exchange.py
@@ -5,7 +5,7 @@
 
 import urllib3
 from urllib3.connection import HTTPConnection
-from urllib3.exceptions import HTTPError
+from urllib3.exceptions import HTTPError, ReadTimeoutError
 
 from ..ports import (
     BackendAnswer,
@@ -191,9 +191,7 @@
                 raise self._broken_answer(Reason.DEADLINE, "deadline passed")
             try:
                 chunk = response.read1(CHUNK_BYTES, decode_content=False)
-            except TimeoutError as error:
-                raise self._broken_answer(Reason.NO_PROGRESS, str(error)) from error
-            except urllib3.exceptions.ReadTimeoutError as error:
+            except (TimeoutError, ReadTimeoutError) as error:
                 raise self._broken_answer(Reason.NO_PROGRESS, str(error)) from error
             except TRANSPORT_ERRORS as error:
                 raise self._broken_answer(
--- a/catkinport/adapters/_peer_calls.py
+++ b/catkinport/adapters/_peer_calls.py
@@ -110,17 +110,18 @@
             )
             if signature is None and SIGNATURE_ENTRY in (stream.initial_metadata or {}):
                 await stream.cancel()
-                return _unavailable(
-                    call, Reason.CONNECTION_LOST, "invalid signature of the reply"
-                )
+                return _not_authentic(call)
             reply = await stream.recv_message()
             await stream.recv_trailing_metadata()
         if signature is None or reply is None or not signature.matches(reply):
-            return _unavailable(
-                call, Reason.CONNECTION_LOST, "invalid signature of the reply"
-            )
+            return _not_authentic(call)
         return method.reply_type.FromString(reply)
 
 
+def _not_authentic(call: PeerCall) -> Unavailable:
+    detail = "invalid signature of the reply"
+    return _unavailable(call, Reason.CONNECTION_LOST, detail)
+
+
 def _unavailable(call: PeerCall, reason: Reason, detail: str) -> Unavailable:
     return Unavailable(reason, f"peer-{call.method}", call.address, detail, True)
