Give a feed that does not wait as long as a read to begin its answer

A call of the change feed without a wait had 0.7 s until its answer begins, and is made just after a long transfer, when the link is busiest; a read has 1.0 s. Such a call has 1.0 s now. The tests of platform pass.

--- a/catkinport/platform/table.py
+++ b/catkinport/platform/table.py
@@ -195,7 +195,7 @@
             "GET",
             self._address,
             "/rows-feed",
-            wait_seconds + FOLLOW_TIMEOUT_MARGIN_SECONDS,
+            max(wait_seconds + FOLLOW_TIMEOUT_MARGIN_SECONDS, READ_TIMEOUT_SECONDS),
             None,
             query,
             is_size_bounded=False,
