Split the decoding of workers' answers from their client

No test covered the rejection of a poll, which the split broke at first. TestRejections does now, for polls and orders.

--- a/catkinport/platform/tests/test_decoding.py
+++ b/catkinport/platform/tests/test_decoding.py
@@ -8,7 +8,7 @@
 from ..jobs_codec import decode_job
 from ..operator_rows import decode_configuration, decode_wave
 from ..table import decode_row
-from ..workers import decode_lists, decode_worker
+from ..workers_codec import decode_lists, decode_worker
 
 WORKER = {
     "Service": "huvo11a",
--- a/catkinport/platform/tests/test_workers.py
+++ b/catkinport/platform/tests/test_workers.py
@@ -8,7 +8,13 @@
 from ...policy.resources import Resources
 from ...ports import Reason, Unavailable
 from ...ports.async_table import Snapshot
-from ...ports.fleet_workers import Done, ListedWorker, StartOrder
+from ...ports.fleet_workers import (
+    Done,
+    ListedWorker,
+    Rejected,
+    Rejection,
+    StartOrder,
+)
 from ...ports.table import Row, RowKey
 from ..client import Reply
 from ..workers import PlatformWorkers
@@ -25,6 +31,7 @@
         born: start of the incarnation in Unix milliseconds.
         clock_ms: its clock.
         is_lost: whether the answers are lost.
+        rejection: answer to all calls; ``None`` for the usual ones.
         sent: path and body of each call.
     """
 
@@ -32,12 +39,15 @@
         self.born = 1_000
         self.clock_ms = OLD_CLOCK_MS
         self.is_lost = False
+        self.rejection = None
         self.sent = []
 
     async def call(self, step, method, peer, path, timeout, body, headers):
         self.sent.append((path, body))
         if self.is_lost:
             return LOST
+        if self.rejection is not None:
+            return self.rejection
         if path == "/hold":
             lists = {"Running": [], "Ended": [], "born": self.born}
             return Reply(200, {"ClockMs": self.clock_ms, **lists})
@@ -168,3 +178,22 @@
             listed = asyncio.run(workers.list_workers())
             assert [worker.worker_id for worker in listed] == ["i-2"]
         assert caplog.messages.count("worker entry ignored") == 1
+
+
+class TestRejections:
+    # Guards against a rejected poll or order that raises instead of telling the reason.
+    @pytest.mark.parametrize(
+        ("status", "reason", "rejection"),
+        [
+            (409, "fence", Rejection.FENCED),
+            (421, None, Rejection.OTHER_INCARNATION),
+            (503, None, Rejection.UNHEALTHY),
+        ],
+    )
+    def test_polls_and_orders_tell_the_reason(self, status, reason, rejection):
+        scene = Scene()
+        scene.hold()
+        scene.client.rejection = Reply(status, {"Reason": reason, "ClockMs": 1})
+        assert scene.start() == Rejected(rejection)
+        poll = scene.workers.renew_lease(scene.listed, 7, 0, 4.0, 1.0)
+        assert asyncio.run(poll) == Rejected(rejection)
--- a/catkinport/platform/workers.py
+++ b/catkinport/platform/workers.py
@@ -13,19 +13,16 @@
 from ..ports.clock import Clock
 from ..ports.fleet_workers import (
     Done,
-    EndedTask,
-    EndKind,
     ListedWorker,
     OrderOutcome,
     Rejected,
-    Rejection,
-    RunningTask,
     StartOrder,
     WorkerLists,
 )
 from ..runtime.logs import log_event
 from . import decoding
 from .client import PlatformClient, Reply
+from .workers_codec import decode_lists, decode_rejection, decode_worker
 
 logger = logging.getLogger(__name__)
 
@@ -45,21 +42,6 @@
 as most have after a restart, answers with status 421. It doesn't tell incarnations
 under one id apart."""
 
-_REJECTION_BY_REASON = {
-    "fence": Rejection.FENCED,
-    "old": Rejection.OLD_RUN,
-    "late": Rejection.LATE,
-    "room": Rejection.NO_ROOM,
-    "ticket": Rejection.TICKET,
-}
-_REJECTION_BY_STATUS = {
-    400: Rejection.INVALID,
-    404: Rejection.INVALID,
-    421: Rejection.OTHER_INCARNATION,
-    429: Rejection.UNHEALTHY,
-    503: Rejection.UNHEALTHY,
-}
-
 
 class _WorkerClock:
     """Estimate of a worker's clock, taken from its latest lists of runs.
@@ -170,7 +152,9 @@
             self._clock_by_worker.pop(worker.worker_id, None)
             return reply
         if reply.status != 200:
-            return self._decode_rejection("worker-hold", worker, reply)
+            return decode_rejection(
+                "worker-hold", worker.worker_id, reply.status, reply.body
+            )
         try:
             lists = decode_lists(reply.body)
             clock = int(reply.body["ClockMs"])
@@ -253,7 +237,7 @@
             return reply
         if reply.status == 200:
             return Done()
-        return self._decode_rejection(step, worker, reply)
+        return decode_rejection(step, worker.worker_id, reply.status, reply.body)
 
     async def _call(
         self,
@@ -282,71 +266,3 @@
         if worker.started_at > clock.started_at:
             return None
         return clock.lower_bound(self._clock.now()) + int(lease_seconds * 1000)
-
-    def _decode_rejection(
-        self, step: str, worker: ListedWorker, reply: Reply
-    ) -> Rejected | Unavailable:
-        reason = reply.body.get("Reason") if isinstance(reply.body, dict) else None
-        rejection = _REJECTION_BY_REASON.get(str(reason))
-        rejection = rejection or _REJECTION_BY_STATUS.get(reply.status)
-        if rejection is not None:
-            return Rejected(rejection)
-        detail = f"status {reply.status}: {reply.body!r}"[:200]
-        return Unavailable(
-            Reason.ANSWER_TRUNCATED, step, worker.worker_id, detail, True
-        )
-
-
-def decode_worker(worker_id: str, value: Mapping[str, Any]) -> ListedWorker:
-    """Decode a worker's entry.
-
-    Raises:
-        MessageError: if a field is missing or not allowed.
-    """
-    state = decoding.string(value, "State")
-    if state not in ("ready", "draining"):
-        raise decoding.MessageError(
-            f"State must be ready or draining, got {state!r:.40}"
-        )
-    address = decoding.string(value, "Address")
-    host, _, port = address.rpartition(":")
-    if not host or not port.isdigit():
-        raise decoding.MessageError(f"Address must be host:port, got {address!r:.80}")
-    capacity = value.get("Capacity")
-    if not isinstance(capacity, dict):
-        raise decoding.MessageError(
-            f"Capacity must be an object, got {type(capacity).__name__}"
-        )
-    return ListedWorker(
-        worker_id=worker_id,
-        pool=decoding.string(value, "Service"),
-        address=address,
-        zone=decoding.string(value, "Zone"),
-        is_draining=state == "draining",
-        remaining_seconds=decoding.seconds(value, "RemainingMs", 0.0),
-        capacity=decoding.resources(capacity),
-        labels=decoding.strings(value, "Labels"),
-        started_at=decoding.seconds(value, "born", 0.0),
-    )
-
-
-def decode_lists(value: Mapping[str, Any]) -> WorkerLists:
-    """Decode a worker's lists of running and ended tasks.
-
-    Raises:
-        MessageError, KeyError, TypeError, ValueError: if they are malformed.
-    """
-    running = [_decode_running(entry) for entry in value.get("Running") or []]
-    ended = [_decode_ended(entry) for entry in value.get("Ended") or []]
-    return WorkerLists(decoding.seconds(value, "born", 0.0), running, ended)
-
-
-def _decode_running(entry: Sequence[Any]) -> RunningTask:
-    task, run, checkpoint, percent, *rest = entry
-    load = float(rest[0]) if rest else 0.0
-    return RunningTask(str(task), int(run), str(checkpoint), float(percent), load)
-
-
-def _decode_ended(entry: Sequence[Any]) -> EndedTask:
-    number, task, run, how, checkpoint = entry[:5]
-    return EndedTask(int(number), str(task), int(run), EndKind(how), str(checkpoint))
