End the connections of the soak's proxies before their event loop ends

The soak prints many lines of "Event loop is closed".

Cause: the proxies stopped their loop with connections open, and the daemons, which end after them, opened new ones. Each raises an exception when it is collected as garbage. pytest formats these exceptions, and the interpreter failed while it did.

Evidence: the new test, in which the connection was still open 2 s after the end of the proxies.

Change: the proxies stop listening, then reset all connections, also accepted ones that have no connection to their target yet, before the loop stops.

Result: the new test failed before and passes.

--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -48,13 +48,19 @@
         self.address = ""
         self._writers: set[asyncio.StreamWriter] = set()
         self._tasks: set[asyncio.Task[None]] = set()
+        self._server: asyncio.Server | None = None
 
     async def listen(self) -> None:
         """Accept connections on a free port and set ``address``."""
-        server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        port = server.sockets[0].getsockname()[1]
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        port = self._server.sockets[0].getsockname()[1]
         self.address = f"127.0.0.1:{port}"
 
+    async def stop_listening(self) -> None:
+        """Accept no more connections; those that are open go on."""
+        if self._server is not None:
+            self._server.close()
+
     async def reset(self) -> None:
         """Reset all open connections."""
         for writer in list(self._writers):
@@ -77,6 +83,7 @@
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        self._writers.add(writer)
         host, _, port = self.target.rpartition(":")
         try:
             target_reader, target_writer = await asyncio.open_connection(
@@ -84,8 +91,9 @@
             )
         except OSError:
             writer.transport.abort()
+            self._writers.discard(writer)
             return
-        self._writers.update((writer, target_writer))
+        self._writers.add(target_writer)
         for source, sink, is_to_target in (
             (reader, target_writer, True),
             (target_reader, writer, False),
@@ -126,6 +134,7 @@
         self._loop = asyncio.new_event_loop()
         self._thread = threading.Thread(target=self._loop.run_forever, daemon=True)
         self._thread.start()
+        self._proxies: list[Proxy] = []
 
     def call(self, coroutine: Coroutine[Any, Any, Any]) -> Any:
         """Run a coroutine on the loop and return its result.
@@ -139,11 +148,24 @@
         """Return a new proxy that listens and forwards to a target."""
         proxy = Proxy(target)
         self.call(proxy.listen())
+        self._proxies.append(proxy)
         return proxy
 
     def close(self) -> None:
-        """End all connections and stop the loop."""
+        """End all connections and stop the loop.
+
+        A connection that is still open when the loop is gone raises an exception when
+        it is collected as garbage, which pytest may not survive.
+        """
+        if not self._thread.is_alive():
+            return
+        for proxy in self._proxies:
+            self.call(proxy.stop_listening())
         self.call(_cancel_others())
+        for proxy in self._proxies:
+            self.call(proxy.reset())
+        # The connections end in the next step of the loop.
+        self.call(asyncio.sleep(0))
         self._loop.call_soon_threadsafe(self._loop.stop)
         self._thread.join(5.0)
 
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -180,6 +180,18 @@
         with pytest.raises(ConnectionError):
             connection.recv(1)
 
+    def test_connections_end_with_the_hub(self, proxied_connection):
+        """Guards against connections that outlive the event loop of the proxies.
+
+        Their end failed when they were collected as garbage, and pytest with it.
+        """
+        hub, _, connection = proxied_connection
+        connection.sendall(b"a")
+        connection.recv(1)
+        hub.close()
+        with pytest.raises(ConnectionError):
+            connection.recv(1)
+
     def test_silent_connections_may_be_reset_twice(self, proxied_connection):
         """Guards against a run that breaks off at a connection that is closed."""
         hub, proxy, connection = proxied_connection
