--- a/catkinport/jobs/dispatch/dispatcher.py
+++ b/catkinport/jobs/dispatch/dispatcher.py
@@ -22,16 +22,18 @@
 from ..configuration import FleetConfiguration, Queue
 from ..model import Job
 from ..workers.inherited_workers import InheritedWorkers
+from ..workers.run import Run, RunKey
 from ..workers.worker_listing import WorkerListing
 from ..workers.worker_reports import WorkerReports
-from ..workers.worker_state import LEASE_SECONDS, Incarnation, Run, RunKey, WorkerRecord
+from ..workers.worker_state import LEASE_SECONDS, Incarnation, WorkerRecord
 from ..workers.worker_table import WorkerTable
 from ..workers.worker_vms import WorkerVms
 from .job_table import JobTable, is_over
 from .order_outcomes import OrderOutcomes
-from .record import JobRecord, Task
+from .record import JobRecord
 from .run_ends import RunEnds
 from .run_table import RunTable
+from .task import Task
 
 __all__ = ["Dispatcher", "is_over"]
 
--- a/catkinport/jobs/dispatch/job_table.py
+++ b/catkinport/jobs/dispatch/job_table.py
@@ -9,7 +9,8 @@
 from ..model import FINAL_STATES, Job, JobState, TaskId
 from ..workers.worker_table import WorkerTable
 from .job_estimates import JobEstimates
-from .record import JobRecord, Task
+from .record import JobRecord
+from .task import Task
 
 logger = logging.getLogger(__name__)
 
--- a/catkinport/jobs/dispatch/order_outcomes.py
+++ b/catkinport/jobs/dispatch/order_outcomes.py
@@ -4,14 +4,9 @@
 
 from ...ports.fleet_workers import Done, OrderOutcome, Rejected, Rejection
 from ...runtime.logs import log_event
+from ..workers.run import Run, RunKey, RunPhase
 from ..workers.worker_failures import note_worker_failure
-from ..workers.worker_state import (
-    UNHEALTHY_PAUSE_SECONDS,
-    Run,
-    RunKey,
-    RunPhase,
-    WorkerRecord,
-)
+from ..workers.worker_state import UNHEALTHY_PAUSE_SECONDS, WorkerRecord
 from ..workers.worker_table import WorkerTable
 from .run_table import NOT_SENT, RunTable
 
--- a/catkinport/jobs/dispatch/record.py
+++ b/catkinport/jobs/dispatch/record.py
@@ -1,13 +1,13 @@
-"""State of one job and its tasks, and the row in which it is stored."""
+"""State of one job, and the row in which it is stored."""
 
 from collections.abc import Iterator, Mapping
-from enum import StrEnum
 from typing import Any
 
 from ...policy.crash_blame import REPEATED_CRASHES, Crash, must_give_up
 from ...policy.durations import DurationModel
 from ..configuration import Queue
-from ..model import FINAL_STATES, Job, JobState, Step, TaskId, chain_seconds
+from ..model import FINAL_STATES, Job, JobState, TaskId, chain_seconds
+from .task import Task, TaskPhase
 
 RUN_GAP_AFTER_TAKEOVER = 10
 """Added to the highest known run number when ownership changes. Runs that the former
@@ -20,65 +20,6 @@
 table service refuses rows over 64 KiB."""
 
 
-class TaskPhase(StrEnum):
-    """Whether a task waits for a worker, is placed on one or is done."""
-
-    WAITING = "waiting"
-    PLACED = "placed"
-    DONE = "done"
-
-
-class Task:
-    """A task of a job; each execution of it on a worker is a run with a number.
-
-    Attributes:
-        task_id: name of the task.
-        text: text form of the name.
-        step: step that the task belongs to.
-        phase: whether it waits for a worker, is placed on one or is done.
-        run: number of its latest run; 0 before the first.
-        failed_runs: numbers of the runs that failed. They are kept as a set, because a
-            worker may report a failure again that a former owner has counted. It stays
-            empty for a lasting task, which has no limit of failures.
-        crash_by_run: crashes of workers that it is a suspect of, by number of its run.
-        checkpoint: reference of the latest known checkpoint; empty for none.
-        is_lost: whether its last run was given up although no worker reported its end.
-            A successor may still have that run.
-        not_before: clock time in seconds before which it is not started again.
-        avoided_worker: worker on which it failed or stalled last; empty for none.
-        ever_started: whether this owner has ordered or adopted a run of it.
-    """
-
-    __slots__ = (
-        "avoided_worker",
-        "crash_by_run",
-        "ever_started",
-        "failed_runs",
-        "is_lost",
-        "not_before",
-        "phase",
-        "run",
-        "checkpoint",
-        "step",
-        "task_id",
-        "text",
-    )
-
-    def __init__(self, task_id: TaskId, step: Step) -> None:
-        self.task_id = task_id
-        self.text = str(task_id)
-        self.step = step
-        self.phase = TaskPhase.WAITING
-        self.run = 0
-        self.failed_runs: set[int] = set()
-        self.crash_by_run: dict[int, Crash] = {}
-        self.checkpoint = ""
-        self.not_before = 0.0
-        self.avoided_worker = ""
-        self.ever_started = False
-        self.is_lost = False
-
-
 class JobRecord:
     """A job with its tasks, as its owner knows it.
 
--- a/catkinport/jobs/dispatch/run_ends.py
+++ b/catkinport/jobs/dispatch/run_ends.py
@@ -6,12 +6,14 @@
 from ...runtime import Metrics
 from ...runtime.logs import log_event
 from ..model import JobState, TaskId
+from ..workers.run import Run, RunKey
 from ..workers.worker_failures import note_failed_run
-from ..workers.worker_state import Run, RunKey, WorkerRecord
+from ..workers.worker_state import WorkerRecord
 from ..workers.worker_table import WorkerTable
 from .job_table import JobTable
-from .record import JobRecord, Task
+from .record import JobRecord
 from .run_table import RunTable
+from .task import Task
 
 logger = logging.getLogger(__name__)
 
--- a/catkinport/jobs/dispatch/run_table.py
+++ b/catkinport/jobs/dispatch/run_table.py
@@ -5,12 +5,14 @@
 from ...runtime import Metrics
 from ...runtime.logs import log_event
 from ..model import TaskId
+from ..workers.run import Run, RunKey, RunPhase
 from ..workers.uncertain_starts import UncertainStarts
 from ..workers.worker_crashes import count_crash
-from ..workers.worker_state import Incarnation, Run, RunKey, RunPhase, WorkerRecord
+from ..workers.worker_state import Incarnation, WorkerRecord
 from ..workers.worker_table import WorkerTable
 from .job_table import JobTable
-from .record import JobRecord, Task, TaskPhase
+from .record import JobRecord
+from .task import Task, TaskPhase
 
 logger = logging.getLogger(__name__)
 
--- a/catkinport/jobs/placement/account_usage.py
+++ b/catkinport/jobs/placement/account_usage.py
@@ -5,7 +5,7 @@
 from ...policy.resources import NO_RESOURCES, Resources, add
 from ..configuration import Account
 from ..dispatch.dispatcher import Dispatcher
-from ..dispatch.record import TaskPhase
+from ..dispatch.task import TaskPhase
 
 
 def usage_by_account(dispatcher: Dispatcher) -> dict[str, Resources]:
--- a/catkinport/jobs/placement/gang_rooms.py
+++ b/catkinport/jobs/placement/gang_rooms.py
@@ -7,7 +7,7 @@
 from collections.abc import Iterator, Mapping
 
 from ...policy.worker_choice import CandidateWorker, choose_worker
-from ..dispatch.record import Task
+from ..dispatch.task import Task
 from ..model import Step
 from .task_needs import task_need
 
--- a/catkinport/jobs/placement/planner.py
+++ b/catkinport/jobs/placement/planner.py
@@ -14,8 +14,10 @@
 from ...policy.worker_choice import CandidateWorker, choose_worker
 from ..configuration import Account, Queue
 from ..dispatch.dispatcher import Dispatcher
-from ..dispatch.record import JobRecord, Task, TaskPhase
-from ..workers.worker_state import Run, StartBlock, WorkerRecord
+from ..dispatch.record import JobRecord
+from ..dispatch.task import Task, TaskPhase
+from ..workers.run import Run
+from ..workers.worker_state import StartBlock, WorkerRecord
 from .account_usage import is_within_limit, usage_by_account
 from .gang_rooms import find_gang_rooms
 from .start_blocks import find_start_block
--- a/catkinport/jobs/placement/run_stops.py
+++ b/catkinport/jobs/placement/run_stops.py
@@ -9,9 +9,9 @@
 
 from ...policy.pacing import LatencyTask, choose_speed_percent
 from ..dispatch.dispatcher import Dispatcher
-from ..dispatch.record import TaskPhase
+from ..dispatch.task import TaskPhase
+from ..workers.run import Run, RunKey, RunPhase
 from ..workers.worker_failures import note_failed_run
-from ..workers.worker_state import Run, RunKey, RunPhase
 
 STOP_RETRY_SECONDS = 0.4
 """Time after which a stop order without an answer is sent again."""
--- a/catkinport/jobs/placement/start_delays.py
+++ b/catkinport/jobs/placement/start_delays.py
@@ -11,7 +11,7 @@
 from ...policy.worker_choice import CandidateWorker, TaskNeed, is_suitable
 from ...runtime.logs import log_event
 from ..dispatch.dispatcher import Dispatcher
-from ..dispatch.record import Task
+from ..dispatch.task import Task
 from .start_blocks import find_start_block
 
 logger = logging.getLogger(__name__)
--- a/catkinport/jobs/placement/task_needs.py
+++ b/catkinport/jobs/placement/task_needs.py
@@ -4,8 +4,9 @@
 from ...policy.reservations import ExpectedEnd
 from ...policy.worker_choice import TaskNeed
 from ..dispatch.dispatcher import Dispatcher
-from ..dispatch.record import Task
-from ..workers.worker_state import Run, RunPhase, WorkerRecord
+from ..dispatch.task import Task
+from ..workers.run import Run, RunPhase
+from ..workers.worker_state import WorkerRecord
 
 LASTING_TASKS_PER_WORKER_FACTOR = 5
 """Most lasting tasks of a step that one worker should run, as a multiple of how many
--- a/catkinport/jobs/tests/large_task_fleet.py
+++ b/catkinport/jobs/tests/large_task_fleet.py
@@ -3,7 +3,7 @@
 from ...policy.resources import Resources
 from ...policy.turns import PoolMemory
 from ...ports.fleet_vms import FleetVm, VmState
-from ..dispatch.record import TaskPhase
+from ..dispatch.task import TaskPhase
 from ..vms.vm_inventory import VmBounds
 from ..vms.vm_planner import VmPlanner
 from .builders import POOL, Fleet, make_job, make_step, make_worker
--- a/catkinport/jobs/tests/test_changed_capacity.py
+++ b/catkinport/jobs/tests/test_changed_capacity.py
@@ -9,7 +9,7 @@
 from ...ports.table import Row
 from ..ownership.worker_watch import WorkerWatch
 from ..tables import roster_key
-from ..workers.worker_state import RunPhase
+from ..workers.run import RunPhase
 from .builders import JOB_ID, POOL, Fleet, make_job, make_step, make_worker
 
 SECOND_JOB = "00000000000000a2"
--- a/catkinport/jobs/vms/disruption_budget.py
+++ b/catkinport/jobs/vms/disruption_budget.py
@@ -7,8 +7,9 @@
 from collections.abc import Iterable
 
 from ..dispatch.dispatcher import Dispatcher
-from ..dispatch.record import TaskPhase
-from ..workers.worker_state import Run, WorkerRecord
+from ..dispatch.task import TaskPhase
+from ..workers.run import Run
+from ..workers.worker_state import WorkerRecord
 from .vm_inventory import VmInventory
 
 Stage = tuple[str, int, int]
--- a/catkinport/jobs/vms/lasting_room.py
+++ b/catkinport/jobs/vms/lasting_room.py
@@ -15,7 +15,8 @@
 from ..dispatch.dispatcher import Dispatcher
 from ..placement.account_usage import is_within_limit, usage_by_account
 from ..placement.task_needs import task_need
-from ..workers.worker_state import Run, WorkerRecord
+from ..workers.run import Run
+from ..workers.worker_state import WorkerRecord
 from .lasting_waits import LastingWait
 from .vm_inventory import VmInventory
 
--- a/catkinport/jobs/vms/lasting_waits.py
+++ b/catkinport/jobs/vms/lasting_waits.py
@@ -8,7 +8,8 @@
 from typing import NamedTuple
 
 from ..dispatch.dispatcher import Dispatcher
-from ..dispatch.record import JobRecord, Task, TaskPhase
+from ..dispatch.record import JobRecord
+from ..dispatch.task import Task, TaskPhase
 
 LONG_WAIT_SECONDS = 3.0
 """A lasting task that waits longer than this is reported as such. A VM takes two
--- a/catkinport/jobs/vms/pool_demand.py
+++ b/catkinport/jobs/vms/pool_demand.py
@@ -5,7 +5,8 @@
 
 from ...policy.job_order import Prospect, find_prospect
 from ..dispatch.dispatcher import Dispatcher
-from ..dispatch.record import JobRecord, TaskPhase
+from ..dispatch.record import JobRecord
+from ..dispatch.task import TaskPhase
 from ..placement.account_usage import usage_by_account
 
 
--- a/catkinport/jobs/vms/pool_mover.py
+++ b/catkinport/jobs/vms/pool_mover.py
@@ -23,7 +23,8 @@
 from ...ports.fleet_vms import FleetVm, VmState
 from ...runtime.logs import log_event
 from ..dispatch.dispatcher import Dispatcher
-from ..workers.worker_state import Run, WorkerRecord
+from ..workers.run import Run
+from ..workers.worker_state import WorkerRecord
 from .lasting_room import LastingPlan, LastingRoom
 from .lasting_waits import LastingWait, LastingWaits
 from .order_targets import VmOrder
--- a/catkinport/jobs/vms/vm_planner.py
+++ b/catkinport/jobs/vms/vm_planner.py
@@ -21,7 +21,8 @@
 from ...ports.fleet_vms import FleetVm, UpkeepWave
 from ...runtime.logs import log_event
 from ..dispatch.dispatcher import Dispatcher
-from ..workers.worker_state import Run, WorkerRecord
+from ..workers.run import Run
+from ..workers.worker_state import WorkerRecord
 from .disruption_budget import DisruptionBudget
 from .order_targets import VmOrder
 from .pool_mover import PoolMover
--- /dev/null
+++ b/catkinport/jobs/workers/run.py
@@ -0,0 +1,87 @@
+"""A run of a task on a worker, as the owner of the fleet tracks it."""
+
+from enum import StrEnum
+from typing import NamedTuple
+
+from ..dispatch.record import JobRecord
+from ..dispatch.task import Task
+
+
+class RunPhase(StrEnum):
+    """Whether a run was ordered, runs or is being stopped, as the owner knows it."""
+
+    ASKED = "asked"
+    RUNNING = "running"
+    STOPPING = "stopping"
+
+
+class RunKey(NamedTuple):
+    """Name of a task, and number of one of its runs (executions on a worker)."""
+
+    task: str
+    run: int
+
+
+class Run:
+    """A run of a task on a worker, from its start order until the worker lists its end.
+
+    Attributes:
+        record: job of the task.
+        task: the task.
+        key: name of the task and number of the run.
+        worker_id: worker that runs it.
+        phase: whether it was ordered, runs or is being stopped.
+        asked_at: clock time in seconds of the start order.
+        sent_to: ``started_at`` of the incarnation of the worker for which the start
+            order was made.
+        known_at: clock time at which the worker confirmed it; 0 before.
+        stop_sent_at: clock time of the latest stop order; 0 for none.
+        stopped_at: clock time at which the worker confirmed a stop; 0 before.
+        is_start_uncertain: whether the start order had no answer and may be carried out
+            late.
+        is_evacuated: whether it is stopped so that its VM can be taken down.
+        percent: progress that the worker listed last; -1 before.
+        progressed_at: clock time at which the progress last changed.
+        load: latest measurement of the worker: the tail latency in milliseconds of a
+            serving task, else the CPU use in thousandths of a core.
+        pace: speed in percent at which the worker was told to run it.
+    """
+
+    __slots__ = (
+        "asked_at",
+        "load",
+        "is_evacuated",
+        "is_start_uncertain",
+        "key",
+        "known_at",
+        "pace",
+        "percent",
+        "phase",
+        "progressed_at",
+        "record",
+        "sent_to",
+        "stop_sent_at",
+        "stopped_at",
+        "task",
+        "worker_id",
+    )
+
+    def __init__(
+        self, record: JobRecord, task: Task, run: int, worker_id: str, now: float
+    ) -> None:
+        self.record = record
+        self.task = task
+        self.key = RunKey(task.text, run)
+        self.worker_id = worker_id
+        self.phase = RunPhase.ASKED
+        self.asked_at = now
+        self.sent_to = 0.0
+        self.known_at = 0.0
+        self.stop_sent_at = 0.0
+        self.stopped_at = 0.0
+        self.is_start_uncertain = False
+        self.is_evacuated = False
+        self.percent = -1.0
+        self.progressed_at = now
+        self.load = 0.0
+        self.pace = 100
--- a/catkinport/jobs/workers/uncertain_starts.py
+++ b/catkinport/jobs/workers/uncertain_starts.py
@@ -12,7 +12,8 @@
 from dataclasses import dataclass
 
 from ...runtime.logs import log_event
-from .worker_state import Incarnation, RunKey
+from .run import RunKey
+from .worker_state import Incarnation
 
 logger = logging.getLogger(__name__)
 
--- a/catkinport/jobs/workers/worker_crashes.py
+++ b/catkinport/jobs/workers/worker_crashes.py
@@ -10,7 +10,8 @@
 from ...policy.crash_blame import Crash, SuspectRun, find_suspects, is_cleared
 from ...ports.fleet_vms import FleetVm, VmState
 from ...runtime.logs import log_event
-from .worker_state import Run, RunKey, WorkerCrash, WorkerRecord
+from .run import Run, RunKey
+from .worker_state import WorkerCrash, WorkerRecord
 
 logger = logging.getLogger(__name__)
 
--- a/catkinport/jobs/workers/worker_failures.py
+++ b/catkinport/jobs/workers/worker_failures.py
@@ -8,7 +8,8 @@
 from collections.abc import Sequence
 
 from ...policy.worker_health import MAX_QUARANTINED_FRACTION
-from ..dispatch.record import JobRecord, Task
+from ..dispatch.record import JobRecord
+from ..dispatch.task import Task
 from .worker_state import MAX_QUARANTINE_SECONDS, WorkerRecord
 
 LAST_WORKER_QUARANTINE_SECONDS = 1.5
--- a/catkinport/jobs/workers/worker_reports.py
+++ b/catkinport/jobs/workers/worker_reports.py
@@ -7,15 +7,9 @@
 from ..dispatch.run_ends import RunEnds
 from ..dispatch.run_table import RunTable
 from .inherited_workers import InheritedWorkers
+from .run import RunKey, RunPhase
 from .worker_crashes import clear_survivor, note_answer, note_crash
-from .worker_state import (
-    LEASE_SECONDS,
-    VM_NAMED_SECONDS,
-    RunKey,
-    RunPhase,
-    WorkerRecord,
-    bound_lease,
-)
+from .worker_state import LEASE_SECONDS, VM_NAMED_SECONDS, WorkerRecord, bound_lease
 from .worker_table import WorkerTable
 
 logger = logging.getLogger(__name__)
--- a/catkinport/jobs/workers/worker_state.py
+++ b/catkinport/jobs/workers/worker_state.py
@@ -1,4 +1,4 @@
-"""The owner's record of a worker and of the runs of tasks on it."""
+"""The owner's record of a worker: its lease, its contact and the runs on it."""
 
 from collections import deque
 from collections.abc import Mapping
@@ -7,7 +7,7 @@
 
 from ...policy.resources import Resources
 from ...ports.fleet_workers import ListedWorker
-from ..dispatch.record import JobRecord, Task
+from .run import Run, RunKey
 
 LEASE_SECONDS = 4.0
 """Duration of the lease under which tasks run on a worker. Longer than a change of
@@ -64,14 +64,6 @@
 gets another task. The worker's next report or the next VM list arrives by then."""
 
 
-class RunPhase(StrEnum):
-    """Whether a run was ordered, runs or is being stopped, as the owner knows it."""
-
-    ASKED = "asked"
-    RUNNING = "running"
-    STOPPING = "stopping"
-
-
 class StartBlock(StrEnum):
     """Reason for which a worker gets no new tasks."""
 
@@ -86,13 +78,6 @@
     ROOM_UNKNOWN = "room-unknown"
 
 
-class RunKey(NamedTuple):
-    """Name of a task, and number of one of its runs (executions on a worker)."""
-
-    task: str
-    run: int
-
-
 class Incarnation(NamedTuple):
     """A process of a worker; it may be followed by another one under the same id.
 
@@ -117,71 +102,6 @@
     is_blamed_by_run: Mapping[str, bool]
 
 
-class Run:
-    """A run of a task on a worker, from its start order until the worker lists its end.
-
-    Attributes:
-        record: job of the task.
-        task: the task.
-        key: name of the task and number of the run.
-        worker_id: worker that runs it.
-        phase: whether it was ordered, runs or is being stopped.
-        asked_at: clock time in seconds of the start order.
-        sent_to: ``started_at`` of the incarnation of the worker for which the start
-            order was made.
-        known_at: clock time at which the worker confirmed it; 0 before.
-        stop_sent_at: clock time of the latest stop order; 0 for none.
-        stopped_at: clock time at which the worker confirmed a stop; 0 before.
-        is_start_uncertain: whether the start order had no answer and may be carried out
-            late.
-        is_evacuated: whether it is stopped so that its VM can be taken down.
-        percent: progress that the worker listed last; -1 before.
-        progressed_at: clock time at which the progress last changed.
-        load: latest measurement of the worker: the tail latency in milliseconds of a
-            serving task, else the CPU use in thousandths of a core.
-        pace: speed in percent at which the worker was told to run it.
-    """
-
-    __slots__ = (
-        "asked_at",
-        "load",
-        "is_evacuated",
-        "is_start_uncertain",
-        "key",
-        "known_at",
-        "pace",
-        "percent",
-        "phase",
-        "progressed_at",
-        "record",
-        "sent_to",
-        "stop_sent_at",
-        "stopped_at",
-        "task",
-        "worker_id",
-    )
-
-    def __init__(
-        self, record: JobRecord, task: Task, run: int, worker_id: str, now: float
-    ) -> None:
-        self.record = record
-        self.task = task
-        self.key = RunKey(task.text, run)
-        self.worker_id = worker_id
-        self.phase = RunPhase.ASKED
-        self.asked_at = now
-        self.sent_to = 0.0
-        self.known_at = 0.0
-        self.stop_sent_at = 0.0
-        self.stopped_at = 0.0
-        self.is_start_uncertain = False
-        self.is_evacuated = False
-        self.percent = -1.0
-        self.progressed_at = now
-        self.load = 0.0
-        self.pace = 100
-
-
 class WorkerRecord:
     """The owner's record of a worker, its lease, and the runs on it.
 
