Leave the throttle of a task that the same round preempts

What callers saw: a pool that starts no jobs. plan_placement raised ValueError. The exception ends the step of the pool; its ticker logs "actor step failed" and asks for the next step, which plans the same round and fails again until jobs, tasks or workers change. Until then no start is committed or sent, and VM monitoring, drains, maintenance and the return of idle allowances are skipped, because they follow the round in the step. Outcomes and leases, which precede it, go on.

Cause: the first pass for long work defers the throttled tasks of teams above their fair share, as copies of the tasks. reclaim_shares may preempt one of them, which replaces the task in the state of the round. The last pass then ends the throttle of the copy, and _replace searches for the copy in vain.

A second fault of the same kind: a task whose throttle the first pass has ended, and which reclaim_shares preempts then, got both orders.

Ruled out: dropping preempted tasks from the deferred items in the planner, because every other holder of a copy would have to do the same; collecting the throttled tasks anew for the last pass, because it would end throttles that reclaim_shares has just set.

Change: the round keeps the tasks of a worker by job id, so a change needs no equal copy, and unthrottle decides on the task as it is now. A preemption withdraws the end of a throttle that this round has planned, and the processors stay free. That applies only to tasks that were throttled before the round: one that only this round throttled gets no order, and its processors must not be counted as free.

--- a/catkinport/policy/_round.py
+++ b/catkinport/policy/_round.py
@@ -35,7 +35,7 @@
         self.ending = [[0.0, 0.0, 0.0] for _ in self.workers]
         self.throttleable_cores = [0.0] * len(self.workers)
         self.capacity = total(w.capacity for w in self.workers)
-        self.tasks: list[list[RunningTask]] = [[] for _ in self.workers]
+        self.task_by_job: list[dict[str, RunningTask]] = [{} for _ in self.workers]
         self.teams = TeamUsage(problem.team_by_name, self.capacity)
         self._spread = QueueSpread()
         self._reserve = _reserve_by_worker(self.workers)
@@ -50,7 +50,7 @@
             return
         held = held_now(task)
         add_signed(self.free[index], held, -1.0)
-        self.tasks[index].append(task)
+        self.task_by_job[index][task.job_id] = task
         self._spread.count(task.queue, self.workers[index])
         if task.is_ending:
             add_signed(self.ending[index], held, 1.0)
@@ -61,8 +61,8 @@
         """Return the tasks that are throttled and not about to end."""
         return [
             task
-            for tasks in self.tasks
-            for task in tasks
+            for task_by_job in self.task_by_job
+            for task in task_by_job.values()
             if task.is_throttled and not task.is_ending
         ]
 
@@ -129,22 +129,33 @@
         self.teams.add_job(job)
         self._spread.count(job.queue, self.workers[index])
 
-    def throttle(self, task: RunningTask) -> None:
-        """Throttle a task and free the processors that it loses."""
+    def throttle(self, task: RunningTask) -> RunningTask:
+        """Throttle a task and free the processors that it loses.
+
+        Returns:
+            The task as it is now.
+        """
         index = self.index_by_vm[task.vm_id]
         freed = Resources(task.reserved.cores * (1 - THROTTLE_FRACTION), 0.0, 0.0)
         add_signed(self.free[index], freed, 1.0)
         self.teams.change(task.team, freed, -1.0)
         self.throttleable_cores[index] -= freed.cores
-        self._replace(index, task, task._replace(is_throttled=True))
+        return self._replace(index, task._replace(is_throttled=True))
 
     def unthrottle(self, task: RunningTask) -> bool:
         """End a throttle if the processors are free and within the team's limit.
 
+        Args:
+            task: the task as it was at any time of the round. It may have been
+                preempted since; its throttle then stays.
+
         Returns:
             Whether the throttle has ended.
         """
         index = self.index_by_vm[task.vm_id]
+        task = self.task_by_job[index][task.job_id]
+        if task.is_ending or not task.is_throttled:
+            return False
         more = Resources(task.reserved.cores * (1 - THROTTLE_FRACTION), 0.0, 0.0)
         if self.free[index][0] < more.cores:
             return False
@@ -152,7 +163,7 @@
             return False
         add_signed(self.free[index], more, -1.0)
         self.teams.change(task.team, more, 1.0)
-        self._replace(index, task, task._replace(is_throttled=False))
+        self._replace(index, task._replace(is_throttled=False))
         return True
 
     def end_task(self, task: RunningTask) -> None:
@@ -163,7 +174,7 @@
         self.teams.end_task(task)
         if not task.is_throttled and not task.is_urgent:
             self.throttleable_cores[index] -= held.cores * (1 - THROTTLE_FRACTION)
-        self._replace(index, task, task._replace(is_ending=True))
+        self._replace(index, task._replace(is_ending=True))
 
     def reserve_ending(self, job: WaitingJob, index: int) -> None:
         """Reserve room for ``job`` on a worker that has ending tasks.
@@ -177,9 +188,9 @@
             self.ending[index][resource] -= need - taken
         self.teams.add_job(job)
 
-    def _replace(self, index: int, old: RunningTask, new: RunningTask) -> None:
-        tasks = self.tasks[index]
-        tasks[tasks.index(old)] = new
+    def _replace(self, index: int, task: RunningTask) -> RunningTask:
+        self.task_by_job[index][task.job_id] = task
+        return task
 
 
 def _reserve_by_worker(workers: Sequence[WorkerView]) -> dict[int, Resources]:
--- a/catkinport/policy/placement.py
+++ b/catkinport/policy/placement.py
@@ -274,13 +274,28 @@
             if victims is None:
                 return False
             for task in victims.tasks:
-                state.end_task(task)
+                state.end_task(self._keep_throttled(task))
                 self._preemptions.append(make_preemption(task, job))
             index = victims.worker_index
         state.reserve_ending(job, index)
         self._reason_by_job[job.job_id] = ROOM_IS_BEING_FREED
         return True
 
+    def _keep_throttled(self, task: RunningTask) -> RunningTask:
+        """Withdraw the end of a throttle, which is of no use to a task that will end.
+
+        A task that only this round throttled holds all its processors, because it gets
+        no order.
+
+        Returns:
+            The task as it is now.
+        """
+        is_unthrottled = self._fraction_by_job.get(task.job_id) == 1.0
+        if not is_unthrottled or task.job_id not in self._was_throttled:
+            return task
+        del self._fraction_by_job[task.job_id]
+        return self.state.throttle(task)
+
 
 def _group_by_team(items: Iterable[Item]) -> dict[str, deque[Item]]:
     items_by_team: dict[str, deque[Item]] = defaultdict(deque)
--- a/catkinport/policy/preemption.py
+++ b/catkinport/policy/preemption.py
@@ -83,7 +83,7 @@
     missing = job.request.cores - state.room_for(job, index)[0]
     tasks = [
         task
-        for task in state.tasks[index]
+        for task in state.task_by_job[index].values()
         if _may_be_chosen(task) and not task.is_throttled and is_eligible(task)
     ]
     tasks.sort(key=lambda task: -task.reserved.cores)
@@ -156,7 +156,7 @@
     missing = _missing(state, job, index)
     tasks = [
         task
-        for task in state.tasks[index]
+        for task in state.task_by_job[index].values()
         if _may_be_chosen(task) and task.is_restartable and is_eligible(task)
     ]
     tasks.sort(key=lambda task: _cost_seconds(task) * task.reserved.cores)
--- a/catkinport/policy/tests/test_placement.py
+++ b/catkinport/policy/tests/test_placement.py
@@ -1,7 +1,7 @@
 """Tests of the placement round and of preemption."""
 
 from collections import defaultdict
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from random import Random
 from typing import Any
 
@@ -11,6 +11,7 @@
     THROTTLE_FRACTION,
     PlacementPlan,
     PlacementProblem,
+    Preempt,
     Resources,
     RunningTask,
     Start,
@@ -110,6 +111,28 @@
     return make_problem(workers, waiting, running, limits)
 
 
+def random_uneven_problem(seed: int) -> PlacementProblem:
+    """Return a pool with many throttled tasks, whose teams have uneven weights.
+
+    Some tasks are on a VM that is not among the workers.
+    """
+    rng = Random(seed)
+    problem = random_problem(seed)
+    running = [
+        task._replace(
+            vm_id="vm-unknown" if rng.random() < 0.2 else task.vm_id,
+            is_throttled=not task.is_urgent
+            and (task.is_throttled or rng.random() < 0.6),
+        )
+        for task in problem.running
+    ]
+    teams = {
+        name: TeamView(name, rng.choice((1.0, 2.0, 5.0)), view.max_cores)
+        for name, view in problem.team_by_name.items()
+    }
+    return problem._replace(running=running, team_by_name=teams)
+
+
 def held_cores(task: RunningTask) -> float:
     return task.reserved.cores * (THROTTLE_FRACTION if task.is_throttled else 1.0)
 
@@ -304,6 +327,109 @@
         assert plan.throttles == [Throttle("t", 1.0)]
 
 
+N_RANDOM_PROBLEMS = 600
+
+
+def check_plan(problem: PlacementProblem, plan: PlacementPlan) -> None:
+    """Check that a plan decides once on each job and task and keeps every limit."""
+    started = [start.job_id for start in plan.starts]
+    assert sorted([*started, *plan.reason_by_waiting_job]) == sorted(
+        job.job_id for job in problem.waiting
+    )
+    preempted = [preemption.job_id for preemption in plan.preemptions]
+    assert len(set(preempted)) == len(preempted)
+    unthrottled = {t.job_id for t in plan.throttles if t.fraction == 1.0}
+    assert not unthrottled & set(preempted)
+    known_vms = {worker.vm_id for worker in problem.workers}
+    known = [task for task in problem.running if task.vm_id in known_vms]
+    for free in free_after(problem._replace(running=known), plan).values():
+        assert min(free) >= -1e-6
+    check_limits(problem, plan)
+
+
+def check_limits(problem: PlacementProblem, plan: PlacementPlan) -> None:
+    """Check the upper limit of each team that a plan gives more processors."""
+    fraction_by_job = {t.job_id: t.fraction for t in plan.throttles}
+    started = {start.job_id for start in plan.starts}
+    cores_by_team: dict[str, float] = defaultdict(float)
+    gaining_teams = set()
+    for task in problem.running:
+        fraction = fraction_by_job.get(task.job_id)
+        if fraction == 1.0:
+            gaining_teams.add(task.team)
+        cores_by_team[task.team] += (
+            held_cores(task) if fraction is None else task.reserved.cores * fraction
+        )
+    for job in problem.waiting:
+        if job.job_id in started:
+            gaining_teams.add(job.team)
+            cores_by_team[job.team] += job.request.cores
+    for team in gaining_teams:
+        assert cores_by_team[team] <= problem.team_by_name[team].max_cores + 1e-6
+
+
+class TestThrottledTaskThatIsPreempted:
+    """Guards against rounds that give processors back to a task that they preempt."""
+
+    def test_stays_throttled_if_its_team_is_above_its_share(self) -> None:
+        """Guards against a round that fails on the task as it was before its end."""
+        tasks = [
+            make_task("t0", 8.0, memory_gb=128.0, is_restartable=False),
+            make_task("t1", 8.0, memory_gb=100.0, is_throttled=True),
+        ]
+        jobs = [make_job(f"b{n}", 4.0, team="b", memory_gb=64.0) for n in range(2)]
+        plan = plan_placement(make_problem(make_workers(1), jobs, tasks))
+        assert plan.preemptions == [Preempt("t1", "b0", True)]
+        assert not plan.throttles
+
+    def test_stays_throttled_if_its_team_was_within_its_share(self) -> None:
+        """Guards against an order to end the throttle of a task that will end."""
+        tasks = [
+            make_task("t0", 8.0, memory_gb=128.0, is_restartable=False),
+            make_task("t1", 2.0, memory_gb=2.0, is_throttled=True),
+        ]
+        jobs = [make_job(f"b{n}", 4.0, team="b", memory_gb=95.0) for n in range(2)]
+        plan = plan_placement(make_problem(make_workers(1), jobs, tasks))
+        assert plan.preemptions == [Preempt("t1", "b0", True)]
+        assert not plan.throttles
+
+    def test_holds_its_processors_if_only_this_round_throttled_it(self) -> None:
+        """Guards against starts on processors of a task that gets no throttle."""
+        tasks = [
+            make_task("t0", 28.0, memory_gb=127.9, is_urgent=True),
+            make_task("t1", 2.0, memory_gb=2.0),
+            make_task("t2", 34.0, team="c", is_restartable=False),
+        ]
+        jobs = [
+            make_job("a0", 1.0, is_urgent=True, memory_gb=0.5),
+            make_job("c0", 1.0, team="c", is_urgent=True, memory_gb=0.5),
+            make_job("b0", 0.1, team="b", memory_gb=93.0),
+            make_job("b1", 0.1, team="b", memory_gb=93.0),
+            make_job("c1", 15.5, team="c", is_urgent=True, memory_gb=0.5),
+        ]
+        problem = make_problem(make_workers(1), jobs, tasks)
+        teams = {**problem.team_by_name, "c": TeamView("c", 0.1, NO_LIMIT)}
+        problem = problem._replace(team_by_name=teams)
+        plan = plan_placement(problem)
+        assert plan.preemptions == [Preempt("t1", "b0", True)]
+        assert [throttle.job_id for throttle in plan.throttles] == ["t2"]
+        check_plan(problem, plan)
+
+    @pytest.mark.parametrize("make", [random_problem, random_uneven_problem])
+    def test_random_rounds_decide_once_and_keep_limits(
+        self, make: Callable[[int], PlacementProblem]
+    ) -> None:
+        """Guards against the same faults with several workers and teams."""
+        failed_seeds = []
+        for seed in range(N_RANDOM_PROBLEMS):
+            problem = make(seed)
+            try:
+                check_plan(problem, plan_placement(problem))
+            except (AssertionError, ValueError):
+                failed_seeds.append(seed)
+        assert not failed_seeds
+
+
 class TestSpread:
     """Guards against a queue whose tasks all fail with a single rack."""
 
