End throttles under the same limit as starts, with its tolerance

What callers saw: a task of a team whose usage would be exactly its upper limit may keep half of its processors for as long as the usage stays the same, although the team may have them.

Estimated sizes are such fractions.

Which is right: the tolerance. The limit is a whole number of cores and the excess is a rounding error. It cannot take a team over its limit: a start is checked again against declared sizes when it is committed. Ruled out: no tolerance in either check, because jobs would then wait for room that their team has.

Change: may_use_more is the one rule, and is_over_limit is gone.

Result: the new test of the throttle fails without the change and passes with it. The tests of the start at the limit and of a throttle 1e-6 cores above it passed before and pass now.

--- a/catkinport/policy/_team_usage.py
+++ b/catkinport/policy/_team_usage.py
@@ -16,6 +16,9 @@
 """Fraction of its target that a team must lack before tasks are preempted for it, so
 that ordinary starts and ends of tasks cause no preemption."""
 
+LIMIT_TOLERANCE_CORES = 1e-9
+"""Rounding error of a sum of processors, which must not decide about a limit."""
+
 _TOLERANCE = 1e-9
 
 
@@ -126,21 +129,13 @@
             for team, target in self._target_by_team.items()
         )
 
-    def is_over_limit(self, job: WaitingJob) -> bool:
-        """Return whether the job would take its team over its upper limit."""
-        team = self.team_by_name.get(job.team)
-        if team is None:
-            return True
-        cores = self._usage_by_team[job.team][0]
-        cores += self._ending_usage_by_team[job.team][0]
-        return cores + job.request.cores > team.max_cores + _TOLERANCE
-
     def may_use_more(self, team: str, more: Resources) -> bool:
         """Return whether a team's upper limit allows the processors of ``more``."""
-        cores = self._usage_by_team[team][0] + more.cores
-        cores += self._ending_usage_by_team[team][0]
         view = self.team_by_name.get(team)
-        return view is not None and cores <= view.max_cores
+        if view is None:
+            return False
+        cores = self._usage_by_team[team][0] + self._ending_usage_by_team[team][0]
+        return cores + more.cores <= view.max_cores + LIMIT_TOLERANCE_CORES
 
     def _fair_targets(self, waiting: Sequence[WaitingJob]) -> dict[str, float]:
         demand_by_team = {t: list(used) for t, used in self._usage_by_team.items()}
--- a/catkinport/policy/placement.py
+++ b/catkinport/policy/placement.py
@@ -182,7 +182,7 @@
             no_room: requests that no worker has room for. A request that is at least
                 as large in every resource is not searched for again.
         """
-        if self.state.teams.is_over_limit(job):
+        if not self.state.teams.may_use_more(job.team, job.request):
             self._reason_by_job[job.job_id] = OVER_LIMIT
             return False
         self._reason_by_job[job.job_id] = NO_ROOM
@@ -250,7 +250,7 @@
             being freed for it, or its team is at its upper limit.
         """
         state = self.state
-        if state.teams.is_over_limit(job):
+        if not state.teams.may_use_more(job.team, job.request):
             self._reason_by_job[job.job_id] = OVER_LIMIT
             return True
         index = state.find_worker(job)
--- a/catkinport/policy/tests/test_placement.py
+++ b/catkinport/policy/tests/test_placement.py
@@ -430,6 +430,33 @@
         assert not failed_seeds
 
 
+class TestLimitOfThrottledTask:
+    """Guards against a start and the end of a throttle under different limits."""
+
+    # 2.2 + 0.1 + 0.35 + 0.35 is 3.0000000000000004 in binary floating point.
+    TASKS = (make_task("t0", 2.2), make_task("t1", 0.1))
+
+    def test_rounding_does_not_keep_a_throttle(self) -> None:
+        """Guards against a task that stays throttled although its team has room."""
+        tasks = [*self.TASKS, make_task("t", 0.7, is_throttled=True)]
+        plan = plan_placement(make_problem(make_workers(1), [], tasks, [("a", 3.0)]))
+        assert plan.throttles == [Throttle("t", 1.0)]
+
+    def test_rounding_does_not_keep_a_job_waiting(self) -> None:
+        """Guards against a job that waits although its team has room."""
+        tasks = [*self.TASKS, make_task("t", 0.35)]
+        job = make_job("j", 0.35)
+        plan = plan_placement(make_problem(make_workers(1), [job], tasks, [("a", 3.0)]))
+        assert plan.starts == [Start("j", "vm-0")]
+
+    def test_a_throttle_does_not_end_above_the_limit(self) -> None:
+        """Guards against a tolerance that lets a team exceed its limit."""
+        tasks = [*self.TASKS, make_task("t", 0.7, is_throttled=True)]
+        limits = [("a", 3.0 - 1e-6)]
+        plan = plan_placement(make_problem(make_workers(1), [], tasks, limits))
+        assert not plan.throttles
+
+
 class TestSpread:
     """Guards against a queue whose tasks all fail with a single rack."""
 
