End throttles on workers that a rounding error shows as too full

What callers saw: a throttled task may keep half of its processors on a worker that has exactly enough free, for as long as nothing else on the worker ends.

Cause: unthrottle compared the free processors without a tolerance; find_worker, which decides about starts, allows 1e-9 cores.

Evidence: a worker of 4 cores with tasks of 0.1, 1.3 and a throttled one of 2.6 cores.

Change: unthrottle allows the same 1e-9 cores.

Result: the new test fails without the change and passes with it.

--- a/catkinport/policy/_round.py
+++ b/catkinport/policy/_round.py
@@ -157,7 +157,7 @@
         if task.is_ending or not task.is_throttled:
             return False
         more = Resources(task.reserved.cores * (1 - THROTTLE_FRACTION), 0.0, 0.0)
-        if self.free[index][0] < more.cores:
+        if self.free[index][0] + _TOLERANCE < more.cores:
             return False
         if not self.teams.may_use_more(task.team, more):
             return False
--- a/catkinport/policy/tests/test_placement.py
+++ b/catkinport/policy/tests/test_placement.py
@@ -457,6 +457,18 @@
         assert not plan.throttles
 
 
+class TestProcessorsOfThrottledTask:
+    """Guards against wrong amounts of processors that throttles free or take."""
+
+    def test_rounding_does_not_keep_a_throttle_on_a_full_worker(self) -> None:
+        """Guards against a task that stays throttled although its worker has room."""
+        tasks = [make_task("t0", 0.1), make_task("t1", 1.3)]
+        tasks.append(make_task("t", 2.6, is_throttled=True))
+        workers = make_workers(1, Resources(4.0, 256.0, 0.0))
+        plan = plan_placement(make_problem(workers, [], tasks))
+        assert plan.throttles == [Throttle("t", 1.0)]
+
+
 class TestSpread:
     """Guards against a queue whose tasks all fail with a single rack."""
 
