Count processors that the end of a throttle makes available to throttles

What callers saw: in rare rounds a job waits for a task to end where throttling would let it start at once.

Cause: throttle and the end of a task lower throttleable_cores, which says whether throttles on a worker can help; unthrottle did not raise it. After a throttle ended in a round, the sum was too low for the rest of the round. Found by reading, next to the throttles of preempted tasks.

Change: unthrottle raises the sum for tasks that are not urgent, as the start of a round counts them.

--- a/catkinport/policy/_round.py
+++ b/catkinport/policy/_round.py
@@ -163,6 +163,8 @@
             return False
         add_signed(self.free[index], more, -1.0)
         self.teams.change(task.team, more, 1.0)
+        if not task.is_urgent:
+            self.throttleable_cores[index] += more.cores
         self._replace(index, task._replace(is_throttled=False))
         return True
 
--- a/catkinport/policy/tests/test_placement.py
+++ b/catkinport/policy/tests/test_placement.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from .._round import RoundState
 from ..placement import (
     THROTTLE_FRACTION,
     PlacementPlan,
@@ -468,6 +469,22 @@
         plan = plan_placement(make_problem(workers, [], tasks))
         assert plan.throttles == [Throttle("t", 1.0)]
 
+    def test_end_of_a_throttle_is_counted_like_a_task_without_one(self) -> None:
+        """Guards against a preemption where a throttle would make enough room."""
+        for is_urgent in (False, True):
+            task = make_task("t", 8.0, is_throttled=True, is_urgent=is_urgent)
+            state = RoundState(make_problem(make_workers(1), [], [task]))
+            assert state.unthrottle(task)
+            task = task._replace(is_throttled=False)
+            expected = RoundState(make_problem(make_workers(1), [], [task]))
+            assert state.free == expected.free
+            assert state.throttleable_cores == expected.throttleable_cores
+
+    def test_job_starts_beside_a_task_that_stays_throttled(self) -> None:
+        """Guards against a job that waits for an end where a throttle makes room."""
+        plan = plan_placement(random_problem(1626))
+        assert Start("job-8", "vm-5") in plan.starts
+
 
 class TestSpread:
     """Guards against a queue whose tasks all fail with a single rack."""
