Reset only the soak connections that are still open

A connection that its client has closed while forwarding was stopped is still in the proxy's list, and its socket is gone. The same could happen at a reset during a run.

Change: such connections are left out. The new test fails without the change with the same error. Only the soak is concerned.

--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -65,6 +65,8 @@
         """Reset all open connections."""
         for writer in list(self._writers):
             sock = writer.get_extra_info("socket")
+            if sock.fileno() < 0:
+                continue  # The other end has closed it while forwarding was stopped.
             # Without this option the kernel would end the connection with a FIN.
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
             writer.transport.abort()
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -15,7 +15,7 @@
 from .. import load, run
 from ..environment import SoakEnvironment
 from ..faults import FAULT_BY_NAME, PlannedFault, draw_schedule
-from ..proxy import Proxy, ProxyHub
+from ..proxy import RESET_ON_CLOSE, Proxy, ProxyHub
 from ..run import SoakResult, run_seed
 from ..series import draw_series
 
@@ -202,6 +202,28 @@
             hub.call(proxy.reset())
             hub.call(asyncio.sleep(0.05))
 
+    def test_a_silent_connection_that_the_client_has_closed_may_be_reset(
+        self, proxied_connection
+    ):
+        """Guards against a run that breaks off as its proxies end."""
+        hub, proxy, connection = proxied_connection
+        connection.sendall(b"a")
+        connection.recv(1)
+        # Bytes that wait behind a cut keep the writer in the proxy's list.
+        proxy.link.is_cut_to_target = True
+        connection.sendall(b"a")
+        hub.call(asyncio.sleep(0.05))
+        abort(connection)
+        hub.call(proxy.silence())
+        hub.call(asyncio.sleep(0.2))
+        hub.call(proxy.reset())
+
+
+def abort(connection: socket.socket) -> None:
+    """Close a connection so that the other end is reset."""
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+    connection.close()
+
 
 class TestRun:
     @pytest.mark.parametrize("seed", SEEDS)
