Let documents between members arrive over slow links

What callers would see: while the store can't be reached, a member on a link of 5 Mbit/s never gets a configuration of 1 MiB and refuses keyed work until the store is back. A change waits for the end of the leases, as its announcement is not acknowledged. With a store that answers, members read the document there.

Cause: Announce and FetchDocument had 1.0 s for the whole call and 3.0 s for the handler. At the limit the connection was dropped and the next call began anew. They also shared a connection with the small calls, so that a Confirm of 1.0 s waited behind a document.

Ruled out: that the timeout of a small call ends a transfer on the same connection. A retired connection is closed after its last call. A lease without the newest document: a new test, which passes without the change too, shows that peers' confirmations renew none while the document is on its way.

Change: a call that carries a document may take as long as bytes move; a pause has 3.0 s. It uses a connection of its own with a window of 64 KB, so that progress is seen and little of it queues on the link. A member sends four documents at once. All other calls keep their limits.

The limit of four follows from 4 * 64 KB at 5 Mbit/s, 0.42 s; no test shows that it is needed, as the relay of the tests shares its rate evenly between connections.

--- a/catkinport/adapters/_peer_calls.py
+++ b/catkinport/adapters/_peer_calls.py
@@ -2,7 +2,8 @@
 
 import asyncio
 from concurrent.futures import Future
-from typing import NamedTuple
+from contextlib import AbstractAsyncContextManager, nullcontext
+from typing import Any, NamedTuple
 
 from google.protobuf.message import DecodeError, Message
 from grpclib.client import Channel
@@ -17,6 +18,7 @@
 )
 from ._peer_connections import PeerConnections
 from ._peer_methods import METHOD_BY_NAME
+from ._peer_transfers import MAX_ANNOUNCED_AT_ONCE, limit_pauses
 
 CALL_TIMEOUT_SECONDS = 1.0
 MAX_CALLS_PER_PEER = 64
@@ -30,7 +32,8 @@
         method: name of the gRPC method, for instance ``"Confirm"``.
         request: message to send.
         result: completed with the reply or with ``Unavailable``.
-        timeout_seconds: longest wait for the reply.
+        timeout_seconds: longest wait for the reply. A call that carries a document
+            has it only until its first byte is sent, see ``limit_pauses``.
     """
 
     address: str
@@ -50,11 +53,16 @@
     def __init__(self, authenticator: MessageAuthenticator) -> None:
         self._authenticator = authenticator
         self._connections = PeerConnections()
+        # Small calls have connections of their own, on which no document delays them.
+        self._document_connections = PeerConnections()
+        self._announcements = asyncio.Semaphore(MAX_ANNOUNCED_AT_ONCE)
 
     async def call(self, call: PeerCall) -> None:
         """Make a call and complete its result."""
+        sends_document = METHOD_BY_NAME[call.method].sends_document
         try:
-            outcome = await self._exchange(call)
+            async with self._announcements if sends_document else nullcontext():
+                outcome = await self._exchange(call)
         except asyncio.CancelledError:
             call.result.set_result(_unavailable(call, Reason.STOPPING, "stopped"))
             raise
@@ -66,24 +74,29 @@
     def close(self) -> None:
         """Close all connections."""
         self._connections.close()
+        self._document_connections.close()
 
     async def _exchange(self, call: PeerCall) -> Message | Unavailable:
         self._connections.close_idle()
-        connection = self._connections.connect(call.address)
+        self._document_connections.close_idle()
+        method = METHOD_BY_NAME[call.method]
+        connections = (
+            self._document_connections if method.carries_document else self._connections
+        )
+        connection = connections.connect(call.address)
         if connection.n_calls >= MAX_CALLS_PER_PEER:
             return _unavailable(call, Reason.QUEUE_FULL, "too many calls in flight")
         connection.n_calls += 1
         try:
-            async with asyncio.timeout(call.timeout_seconds):
-                return await self._send(connection.channel, call)
+            return await self._send(connection.channel, call)
         except TimeoutError:
             # The connection may be dead without a reset; the next call opens a new one.
-            self._connections.retire(call.address, connection)
+            connections.retire(call.address, connection)
             return _unavailable(call, Reason.TIMEOUT, "no answer in time")
         except GRPCError as error:
             return _unavailable(call, Reason.CONNECTION_LOST, str(error.status))
         except (OSError, StreamTerminatedError, ProtocolError, DecodeError) as error:
-            self._connections.retire(call.address, connection)
+            connections.retire(call.address, connection)
             return _unavailable(call, Reason.CONNECTION_LOST, repr(error))
         finally:
             connection.n_calls -= 1
@@ -98,9 +111,10 @@
             )
         metadata = self._authenticator.sign(f"request/{call.method}", body)
         stub_method = getattr(method.stub_type(channel), call.method)
-        async with stub_method.open(
-            timeout=call.timeout_seconds, metadata=metadata
-        ) as stream:
+        # The peer is told the timeout, so a transfer must not have one.
+        timeout_seconds = None if method.carries_document else call.timeout_seconds
+        stream = stub_method.open(timeout=timeout_seconds, metadata=metadata)
+        async with _limit_time(call, stream), stream:
             await stream.send_message(body, end=True)
             await stream.recv_initial_metadata()
             signature = self._authenticator.verify(
@@ -118,6 +132,12 @@
         return method.reply_type.FromString(reply)
 
 
+def _limit_time(call: PeerCall, stream: Any) -> AbstractAsyncContextManager[Any]:
+    if METHOD_BY_NAME[call.method].carries_document:
+        return limit_pauses(stream, call.timeout_seconds)
+    return asyncio.timeout(call.timeout_seconds)
+
+
 def _not_authentic(call: PeerCall) -> Unavailable:
     detail = "invalid signature of the reply"
     return _unavailable(call, Reason.CONNECTION_LOST, detail)
--- a/catkinport/adapters/_peer_connections.py
+++ b/catkinport/adapters/_peer_connections.py
@@ -5,6 +5,7 @@
 from grpclib.client import Channel
 
 from ._peer_codec import BytesCodec
+from ._peer_transfers import CONNECTION_CONFIGURATION
 
 IDLE_CHANNEL_SECONDS = 60.0
 
@@ -35,7 +36,10 @@
         connection = self._connection_by_address.get(address)
         if connection is None:
             host, _, port = address.rpartition(":")
-            connection = PeerConnection(Channel(host, int(port), codec=BytesCodec()))
+            channel = Channel(
+                host, int(port), codec=BytesCodec(), config=CONNECTION_CONFIGURATION
+            )
+            connection = PeerConnection(channel)
             self._connection_by_address[address] = connection
         connection.last_used_at = asyncio.get_running_loop().time()
         return connection
--- a/catkinport/adapters/_peer_server.py
+++ b/catkinport/adapters/_peer_server.py
@@ -6,6 +6,7 @@
 import weakref
 from collections.abc import Callable, Mapping, Sequence
 from concurrent.futures import Future
+from contextlib import AbstractAsyncContextManager
 from typing import Any
 
 from google.protobuf.message import Message
@@ -17,6 +18,7 @@
 from ..runtime import log_event
 from ._peer_authentication import MessageAuthenticator
 from ._peer_methods import METHOD_BY_NAME
+from ._peer_transfers import CONNECTION_CONFIGURATION, limit_pauses
 
 # A handler may wait for a write to the store before it answers.
 HANDLER_TIMEOUT_SECONDS = 3.0
@@ -35,7 +37,7 @@
     """
 
     def __init__(self, services: Sequence[Any], codec: CodecBase) -> None:
-        super().__init__(services, codec=codec)
+        super().__init__(services, codec=codec, config=CONNECTION_CONFIGURATION)
         self._transports: weakref.WeakSet[Any] = weakref.WeakSet()
 
     def abort_connections(self) -> None:
@@ -78,7 +80,7 @@
             raise GRPCError(Status.RESOURCE_EXHAUSTED, "too many calls")
         self._n_calls += 1
         try:
-            async with asyncio.timeout(HANDLER_TIMEOUT_SECONDS):
+            async with _limit_time(method_name, stream):
                 await self._serve(method_name, stream)
         except TimeoutError:
             raise GRPCError(Status.DEADLINE_EXCEEDED, method_name) from None
@@ -124,6 +126,12 @@
         raise GRPCError(Status.UNAUTHENTICATED, "invalid seal")
 
 
+def _limit_time(method_name: str, stream: Any) -> AbstractAsyncContextManager[Any]:
+    if METHOD_BY_NAME[method_name].carries_document:
+        return limit_pauses(stream, HANDLER_TIMEOUT_SECONDS)
+    return asyncio.timeout(HANDLER_TIMEOUT_SECONDS)
+
+
 def listen(host: str, port: int) -> socket.socket:
     """Return a socket that listens and closes connections to peers that vanished."""
     listener = socket.create_server((host, port), backlog=128)
--- a/catkinport/membership/tests/test_actor.py
+++ b/catkinport/membership/tests/test_actor.py
@@ -10,7 +10,7 @@
 
 import pytest
 
-from ...policy.freshness import View, ViewMember
+from ...policy.freshness import FreshnessTiming, View, ViewMember
 from ...ports import ManualClock
 from ...protocol import peer_pb2
 from ...standins import MemoryTable
@@ -24,6 +24,7 @@
 # Longer than any test, so that only the test sends messages to the actor.
 NO_TICK_SECONDS = 3600.0
 ANSWER_SECONDS = 20.0
+N_RENEWALS = 3
 # Later than every version in these tests.
 LATER_ROSTER_VERSION = 1000
 PEER_ID = "entry-peer"
@@ -48,6 +49,9 @@
     def is_alive(self):
         return True
 
+    def calls(self, method):
+        return [call for call, _ in self.deliveries if call.method == method]
+
     def tell(self, call):
         self.deliveries.append(Delivery(call, self._member.snapshots[-1]))
 
@@ -90,6 +94,15 @@
         self.ref.tell(messages.ServeCall(method, request, future))
         return deliveries.get(timeout=ANSWER_SECONDS)
 
+    def confirm(self, reply):
+        """Let the lease end, deliver a peer's confirmation and return the snapshot."""
+        self.clock.sleep(FreshnessTiming().lease)
+        n_snapshots = len(self.snapshots)
+        now = self.clock.now()
+        self.ref.tell(messages.PeerConfirmed(reply.member_id, now, reply))
+        wait_for(lambda: len(self.snapshots) > n_snapshots)
+        return self.snapshots[-1]
+
     def _publish(self, snapshot):
         if self.n_failing_publications > 0:
             self.n_failing_publications -= 1
@@ -179,6 +192,29 @@
         assert snapshot.revision == 1
 
 
+class TestFetchedDocument:
+    """A member that has learned of a revision whose document is on its way."""
+
+    def test_member_stays_without_a_lease_until_it_arrives(self, member_with_peer):
+        """Guards against keyed work under an earlier revision during a long fetch."""
+        member = member_with_peer
+        reply, _ = member.serve("Confirm", peer_pb2.ConfirmRequest(member_id=PEER_ID))
+        request = peer_pb2.ConfirmRequest(
+            member_id=PEER_ID, revision=1, view=reply.view
+        )
+        member.serve("Confirm", request)
+        (fetch,) = member.peers.calls("FetchDocument")
+        confirmation = peer_pb2.ConfirmReply(
+            member_id=PEER_ID, revision=1, view=reply.view, established=True
+        )
+        for _ in range(N_RENEWALS):
+            assert not member.is_fresh(member.confirm(confirmation))
+        fetch.result.set_result(peer_pb2.FetchDocumentReply(revision=1, document="one"))
+        wait_for(lambda: member.snapshots[-1].revision == 1)
+        assert member.is_fresh(member.confirm(confirmation))
+        assert member.peers.calls("FetchDocument") == [fetch]
+
+
 class TestChanges:
     """Snapshots at the time when changes of the configuration are answered."""
 
