Queue the bytes of all connections in the relay of the peer tests

The relay shared its rate evenly between connections, so that a small call never waited behind the bytes of many documents and no test showed why a member sends four of them at once. It delivers in the order of arrival now, as a link with one queue does.

--- a/catkinport/adapters/tests/test_peers_grpc.py
+++ b/catkinport/adapters/tests/test_peers_grpc.py
@@ -1,5 +1,6 @@
 """Tests of gRPC calls between members."""
 
+import queue
 import socket
 import threading
 import time
@@ -43,7 +44,12 @@
     def __init__(self, port, bytes_per_second=None):
         self._port = port
         self._bytes_per_second = bytes_per_second
-        self._lock_by_direction = [threading.Lock(), threading.Lock()]
+        self._queue_by_direction = [queue.Queue(), queue.Queue()]
+        if bytes_per_second is not None:
+            for link in self._queue_by_direction:
+                threading.Thread(
+                    target=self._deliver, args=(link,), daemon=True
+                ).start()
         self._listener = socket.create_server(("127.0.0.1", 0))
         self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
         self.n_connections = 0
@@ -55,7 +61,7 @@
 
     def share_link(self, other):
         """Share the rate of ``other``; call this before the first connection."""
-        self._lock_by_direction = other._lock_by_direction
+        self._queue_by_direction = other._queue_by_direction
 
     def _accept(self):
         while True:
@@ -67,24 +73,35 @@
             self.n_connections += 1
             server = socket.create_connection(("127.0.0.1", self._port))
             pairs = ((client, server), (server, client))
-            for (source, target), lock in zip(
-                pairs, self._lock_by_direction, strict=True
+            for (source, target), link in zip(
+                pairs, self._queue_by_direction, strict=True
             ):
-                arguments = (number, source, target, lock)
+                arguments = (number, source, target, link)
                 threading.Thread(
                     target=self._forward, args=arguments, daemon=True
                 ).start()
 
-    def _forward(self, number, source, target, lock):
+    def _deliver(self, link):
+        """Deliver in the order of arrival, as a link with one queue does."""
+        while True:
+            data, target = link.get()
+            time.sleep(len(data) / self._bytes_per_second)
+            try:
+                target.sendall(data)
+            except OSError:
+                continue
+
+    def _forward(self, number, source, target, link):
         size = 65536 if self._bytes_per_second is None else RELAY_CHUNK_BYTES
         while True:
             try:
                 data = source.recv(size)
-                if self._bytes_per_second is not None:
-                    with lock:
-                        time.sleep(len(data) / self._bytes_per_second)
-                if number not in self.silent_numbers:
+                if number in self.silent_numbers:
+                    pass
+                elif self._bytes_per_second is None:
                     target.sendall(data)
+                else:
+                    link.put((data, target))
             except OSError:
                 return
             if not data:
