Read the parts of the jobs three at a time, and repeat only a part that failed

Cause: the 16 parts of the table of jobs were read at once. On a slow link their answers wait behind each other, so that some begin after the limit of a read or pause for longer than an answer may; then all that had arrived was thrown away and all parts were read again.

Evidence: with a store behind a link of 600 KB/s that all answers share, 1.6 MB of jobs are never read (64000 bytes of an answer in 1.1 s). Ruled out: the wait for a connection, of which there are 32.

Change: three parts are read at a time, which is 0.3 s of such a link for windows of 64 KB; the wait for a turn is not part of a read. A part that fails is read again by itself, three times at most.

--- a/catkinport/platform/table.py
+++ b/catkinport/platform/table.py
@@ -28,8 +28,8 @@
 """Longest wait for the answer to a read to begin, which takes 4 ms without faults."""
 
 MAX_TABLE_CONNECTIONS = 32
-"""Most connections of a daemon to the store. Reads of all parts of the jobs take 16 and
-the feeds three; the others are for calls of callers and of the owner."""
+"""Most connections of a daemon to the store. Feeds and reads of whole tables take about
+six for seconds; the others are for calls of callers and of the owner."""
 
 MIN_COMMIT_TIMEOUT_SECONDS = 0.6
 """Lower bound of the wait for the answer to a commit, which takes 10 ms without faults.
@@ -55,6 +55,14 @@
 SHARD_CHARACTERS = "0123456789abcdef"
 """First characters of the keys of sharded tables."""
 
+MAX_SHARD_READS = 3
+"""Most parts of a sharded table that are read at once. On a slow link the answers of
+all 16 would wait behind each other for longer than a read may pause, and so would the
+answers to renewals of the ownership."""
+
+SHARD_READ_ATTEMPTS = 3
+"""Attempts to read one part before the whole table counts as not read."""
+
 OPERATOR_TABLES = frozenset({"op", "servers", "status"})
 """Tables that the platform's documentation defines; their rows have no part."""
 
@@ -73,6 +81,7 @@
     def __init__(self, client: PlatformClient, address: str) -> None:
         self._client = client
         self._address = address
+        self._shard_reads = asyncio.Semaphore(MAX_SHARD_READS)
         self._commit_timeout = AdaptiveTimeout(
             MIN_COMMIT_TIMEOUT_SECONDS, MAX_COMMIT_TIMEOUT_SECONDS
         )
@@ -91,7 +100,7 @@
 
     async def _read_sharded(self, table: str) -> Snapshot | Unavailable:
         reads = [
-            self._read_part(table, _part_of(RowKey(table, character)), "", "")
+            self._read_shard(table, _part_of(RowKey(table, character)))
             for character in SHARD_CHARACTERS
         ]
         rows: list[Row] = []
@@ -103,6 +112,15 @@
             versions.append(snapshot.version)
         return Snapshot(rows, min(versions))
 
+    async def _read_shard(self, table: str, part: str) -> Snapshot | Unavailable:
+        """Read a part among others; after a failure only this part is read again."""
+        async with self._shard_reads:
+            for _ in range(SHARD_READ_ATTEMPTS):
+                outcome = await self._read_part(table, part, "", "")
+                if not isinstance(outcome, Unavailable):
+                    break
+        return outcome
+
     async def _read_part(
         self, table: str, part: str, start: str, end: str
     ) -> Snapshot | Unavailable:
--- a/catkinport/platform/tests/slow_store.py
+++ b/catkinport/platform/tests/slow_store.py
@@ -11,6 +11,9 @@
 
 PIECE_BYTES = 2_000
 
+WINDOW_BYTES = 64_000
+"""Bytes of each answer that wait at once for a link that all answers share."""
+
 
 class SlowStore:
     """Answers every read and every feed with the same rows.
@@ -22,10 +25,13 @@
         bytes_per_second: how fast the body of an answer is sent.
         bytes_until_stall: bytes of a body after which nothing more is sent; ``None``
             for whole answers.
+        is_link_shared: whether all answers pass one link of that rate, in the order in
+            which their bytes were sent; otherwise each has the whole rate.
 
     Attributes:
         address: ``host:port`` while it is open.
         n_calls: calls received.
+        n_lost_answers: calls, from now on, that are not answered.
     """
 
     def __init__(
@@ -34,14 +40,19 @@
         version: int,
         bytes_per_second: float,
         bytes_until_stall: int | None = None,
+        is_link_shared: bool = False,
     ) -> None:
         self._rows = rows
         self._version = version
         self._piece_seconds = PIECE_BYTES / bytes_per_second
         self._bytes_until_stall = bytes_until_stall
+        self._is_link_shared = is_link_shared
+        self._bytes_per_second = bytes_per_second
+        self._link_free_at = 0.0
         self._is_changed = asyncio.Event()
         self.address = ""
         self.n_calls = 0
+        self.n_lost_answers = 0
 
     async def __aenter__(self) -> "SlowStore":
         """Begin to listen on a free port."""
@@ -81,6 +92,9 @@
 
     async def _send(self, request: web.Request, table: str) -> web.StreamResponse:
         self.n_calls += 1
+        if self.n_lost_answers > 0:
+            self.n_lost_answers -= 1
+            await asyncio.sleep(60.0)
         rows = [
             {
                 "Table": table,
@@ -93,6 +107,8 @@
         body = json.dumps({"rows": rows, "Ver": self._version}).encode()
         response = web.StreamResponse()
         response.content_length = len(body)
+        if self._is_link_shared:
+            return await self._send_over_shared_link(request, response, body)
         await response.prepare(request)
         for start in range(0, len(body), PIECE_BYTES):
             if self._bytes_until_stall is not None and start >= self._bytes_until_stall:
@@ -100,3 +116,17 @@
             await response.write(body[start : start + PIECE_BYTES])
             await asyncio.sleep(self._piece_seconds)
         return response
+
+    async def _send_over_shared_link(
+        self, request: web.Request, response: web.StreamResponse, body: bytes
+    ) -> web.StreamResponse:
+        now = asyncio.get_running_loop().time
+        for start in range(0, len(body), WINDOW_BYTES):
+            window = body[start : start + WINDOW_BYTES]
+            sent_at = max(now(), self._link_free_at)
+            self._link_free_at = sent_at + len(window) / self._bytes_per_second
+            await asyncio.sleep(self._link_free_at - now())
+            if not response.prepared:
+                await response.prepare(request)
+            await response.write(window)
+        return response
