Name two rounding constants of the placement round

Two modules of the placement round had a constant _TOLERANCE without a unit or a reason, one for the room on workers and one for the smallest limit of a team. ROOM_TOLERANCE and MIN_LIMIT_CORES say what they are. The values are the same; the daemon on the users' platform does not run this planner. Tests of policy and controller, ruff and mypy pass.

--- a/catkinport/policy/_round.py
+++ b/catkinport/policy/_round.py
@@ -17,7 +17,9 @@
 RESERVE_FRACTION = 0.125
 """Fraction of one worker of each rack that long jobs leave free for urgent jobs."""
 
-_TOLERANCE = 1e-9
+ROOM_TOLERANCE = 1e-9
+"""Rounding error of free cores and GB, which must not decide whether a job fits. It is
+also the smallest capacity in a quotient."""
 
 
 class RoundState:
@@ -79,8 +81,8 @@
         best, best_score = None, float("inf")
         for index, (cores, memory, accelerators) in enumerate(self.free):
             if (
-                cores + _TOLERANCE < need_cores
-                or memory + _TOLERANCE < need_memory
+                cores + ROOM_TOLERANCE < need_cores
+                or memory + ROOM_TOLERANCE < need_memory
                 or accelerators < need_accelerators
             ):
                 continue
@@ -90,7 +92,7 @@
             if not job.is_urgent and self._takes_reserve(index, job.request):
                 continue
             score = (self.free[index][dominant] - job.request[dominant]) / max(
-                _TOLERANCE, worker.capacity[dominant]
+                ROOM_TOLERANCE, worker.capacity[dominant]
             ) + penalty_by_rack[worker.rack]
             if not need_accelerators and worker.capacity.accelerators:
                 score += 1.0
@@ -157,7 +159,7 @@
         if task.is_ending or not task.is_throttled:
             return False
         more = Resources(task.reserved.cores * (1 - THROTTLE_FRACTION), 0.0, 0.0)
-        if self.free[index][0] + _TOLERANCE < more.cores:
+        if self.free[index][0] + ROOM_TOLERANCE < more.cores:
             return False
         if not self.teams.may_use_more(task.team, more):
             return False
--- a/catkinport/policy/_team_usage.py
+++ b/catkinport/policy/_team_usage.py
@@ -19,7 +19,8 @@
 LIMIT_TOLERANCE_CORES = 1e-9
 """Rounding error of a sum of processors, which must not decide about a limit."""
 
-_TOLERANCE = 1e-9
+MIN_LIMIT_CORES = 1e-9
+"""Smallest upper limit of a claim, in cores, for a team whose limit is 0."""
 
 
 class TeamUsage:
@@ -152,7 +153,7 @@
                 name,
                 self.team_by_name[name].weight,
                 Resources(*demand),
-                max(_TOLERANCE, self.team_by_name[name].max_cores),
+                max(MIN_LIMIT_CORES, self.team_by_name[name].max_cores),
             )
             for name, demand in demand_by_team.items()
             if name in self.team_by_name
