Let no malformed answer end the ownership of a daemon

What callers would see: no owner, so nothing starts, for as long as one worker or one row of the list of workers sends something unexpected. Each owner fails on it in turn.

Cause: the adapters caught KeyError, TypeError and ValueError around decoders that can raise others too. A list of runs that is null or a list (AttributeError), a number that is Infinity (OverflowError), JSON that is nested too deeply (RecursionError, also in the list of workers, to which other programs may write) and the name of a task that cannot be parsed (ValueError in the dispatcher) came out of the poll loop, and an exception of a loop ends the ownership. 'Limits' that is no object ended the loop that follows the configuration. A 200 of the store without 'rows' was already refused and stays so.

Change: the decoders check all that they read and raise MessageError only; the adapters catch just that. A malformed entry in a list of runs makes the whole list count as no answer, as leaving out a run would let its task start twice. It is logged once for each reason.

--- a/catkinport/platform/client.py
+++ b/catkinport/platform/client.py
@@ -211,7 +211,7 @@
         return Reply(status, None, wait_seconds)
     try:
         return Reply(status, json.loads(content), wait_seconds)
-    except ValueError:
+    except (ValueError, RecursionError):
         if status >= 400:
             return Reply(status, None, wait_seconds)
         detail = f"status {status} with a body that is not JSON"
--- a/catkinport/platform/decoding.py
+++ b/catkinport/platform/decoding.py
@@ -11,6 +11,9 @@
 """Upper bound of every number. JSON allows numbers that can't be converted to others,
 and Python's decoder also accepts infinity."""
 
+MAX_SHOWN_CHARACTERS = 80
+"""Most characters of a malformed value that an error shows."""
+
 
 class MessageError(ValueError):
     """A field of a message is missing or has a value that is not allowed."""
@@ -22,12 +25,61 @@
     Raises:
         MessageError: if it is missing without a default, or not a string.
     """
-    value = message.get(field, default)
+    return check_string(message.get(field, default), field)
+
+
+def mapping(value: Any, name: str) -> Mapping[str, Any]:
+    """Return a value that must be an object.
+
+    Args:
+        value: the value.
+        name: what it is, for the error.
+
+    Raises:
+        MessageError: if it is not an object.
+    """
+    if not isinstance(value, dict):
+        raise MessageError(f"{name} must be an object, got {_shorten(value)}")
+    return value
+
+
+def check_string(value: Any, name: str) -> str:
+    """Return a value that must be a string; ``name`` says what it is.
+
+    Raises:
+        MessageError: if it is not a string.
+    """
     if not isinstance(value, str):
-        raise MessageError(f"{field} must be a string, got {value!r:.80}")
+        raise MessageError(f"{name} must be a string, got {_shorten(value)}")
     return value
 
 
+def check_number(value: Any, name: str) -> float:
+    """Return a value that must be a number and not negative.
+
+    Raises:
+        MessageError: if it is negative, larger than `MAX_NUMBER`, or not a number.
+    """
+    is_number = isinstance(value, int | float) and not isinstance(value, bool)
+    if not is_number or not 0 <= value <= MAX_NUMBER:
+        raise MessageError(
+            f"{name} must be a number from 0 to {MAX_NUMBER}, got {_shorten(value)}"
+        )
+    return value
+
+
+def check_integer(value: Any, name: str) -> int:
+    """Return a value that must be a whole number and not negative.
+
+    Raises:
+        MessageError: if it is not a number as `check_number` has it, or not whole.
+    """
+    checked = check_number(value, name)
+    if checked != int(checked):
+        raise MessageError(f"{name} must be a whole number, got {value!r}")
+    return int(checked)
+
+
 def number(
     message: Mapping[str, Any], field: str, default: float | None = None
 ) -> float:
@@ -37,13 +89,7 @@
         MessageError: if it is missing without a default, negative, larger than
             `MAX_NUMBER`, or not a number.
     """
-    value = message.get(field, default)
-    is_number = isinstance(value, int | float) and not isinstance(value, bool)
-    if not is_number or not 0 <= value <= MAX_NUMBER:
-        raise MessageError(
-            f"{field} must be a number from 0 to {MAX_NUMBER}, got {value!r:.80}"
-        )
-    return value
+    return check_number(message.get(field, default), field)
 
 
 def integer(message: Mapping[str, Any], field: str, default: int | None = None) -> int:
@@ -53,10 +99,7 @@
         MessageError: if it is missing without a default, negative, or not an
             integer.
     """
-    value = number(message, field, default)
-    if value != int(value):
-        raise MessageError(f"{field} must be a whole number, got {value!r}")
-    return int(value)
+    return check_integer(message.get(field, default), field)
 
 
 def boolean(message: Mapping[str, Any], field: str) -> bool:
@@ -67,7 +110,7 @@
     """
     value = message.get(field, False)
     if not isinstance(value, bool):
-        raise MessageError(f"{field} must be true or false, got {value!r:.80}")
+        raise MessageError(f"{field} must be true or false, got {_shorten(value)}")
     return value
 
 
@@ -107,10 +150,27 @@
     Raises:
         MessageError: if it is not a list of objects.
     """
-    value = message.get(field) or []
-    if not isinstance(value, list) or not all(isinstance(v, dict) for v in value):
-        raise MessageError(f"{field} must be a list of objects, got {value!r:.80}")
-    return value
+    return _list_of(
+        dict, message.get(field) or [], f"{field} must be a list of objects"
+    )
+
+
+def required_objects(message: Mapping[str, Any], field: str) -> list[Mapping[str, Any]]:
+    """Return a list of objects that must be there, though it may be empty.
+
+    Raises:
+        MessageError: if it is missing or not a list of objects.
+    """
+    return _list_of(dict, message.get(field), f"{field} must be a list of objects")
+
+
+def lists(message: Mapping[str, Any], field: str) -> list[list[Any]]:
+    """Return a list of lists; a missing one is empty.
+
+    Raises:
+        MessageError: if it is not a list of lists.
+    """
+    return _list_of(list, message.get(field) or [], f"{field} must be a list of lists")
 
 
 def strings(message: Mapping[str, Any], field: str) -> tuple[str, ...]:
@@ -120,6 +180,19 @@
         MessageError: if it is not a list of strings.
     """
     value = message.get(field) or []
-    if not isinstance(value, list) or not all(isinstance(v, str) for v in value):
-        raise MessageError(f"{field} must be a list of strings, got {value!r:.80}")
-    return tuple(value)
+    return tuple(_list_of(str, value, f"{field} must be a list of strings"))
+
+
+def _list_of(kind: type, value: Any, requirement: str) -> list[Any]:
+    if not isinstance(value, list) or not all(isinstance(v, kind) for v in value):
+        raise MessageError(f"{requirement}, got {_shorten(value)}")
+    return value
+
+
+def _shorten(value: Any) -> str:
+    """Return a value as text for an error."""
+    try:
+        return repr(value)[:MAX_SHOWN_CHARACTERS]
+    except ValueError:
+        # Python does not convert integers with thousands of digits to text.
+        return f"a {type(value).__name__}"
--- a/catkinport/platform/operator_rows.py
+++ b/catkinport/platform/operator_rows.py
@@ -53,7 +53,7 @@
         for entry in decoding.objects(value, "Tenants")
         for key in decoding.strings(entry, "ApiKeys")
     }
-    limits = value.get("Limits") or {}
+    limits = decoding.mapping(value.get("Limits") or {}, "Limits")
     return FleetConfiguration(
         version=decoding.integer(value, "Version"),
         queue_by_name={queue.name: queue for queue in queues},
--- a/catkinport/platform/table.py
+++ b/catkinport/platform/table.py
@@ -7,8 +7,8 @@
 import asyncio
 import base64
 import json
-from collections.abc import Mapping, Sequence
-from typing import Any
+from collections.abc import Mapping
+from typing import Any, NamedTuple
 
 from ..policy.adaptive_timeout import AdaptiveTimeout
 from ..ports import Reason, Unavailable
@@ -22,6 +22,7 @@
     RowKey,
     Transaction,
 )
+from . import decoding
 from .client import PlatformClient, Reply
 
 READ_TIMEOUT_SECONDS = 1.0
@@ -146,16 +147,14 @@
             if reply.status != 200:
                 return self._unexpected_status("table-read", reply)
             try:
-                page = [decode_row(entry) for entry in reply.body["rows"]]
-                page_version = int(reply.body["Ver"])
-                is_truncated = bool(reply.body.get("Truncated"))
-            except (KeyError, TypeError, ValueError) as error:
+                page = _decode_page(reply.body)
+            except decoding.MessageError as error:
                 return self._malformed_answer("table-read", error)
-            rows.extend(row for row in page if row is not None)
-            version = page_version if version < 0 else version
-            if not is_truncated or not reply.body["rows"]:
+            rows.extend(page.rows)
+            version = page.version if version < 0 else version
+            if not page.is_truncated or not page.rows:
                 return Snapshot(rows, version)
-            start = reply.body["rows"][-1]["Key"] + "\0"
+            start = page.rows[-1].row_key.key + "\0"
 
     async def commit(self, transaction: Transaction) -> CommitOutcome:
         """Commit a transaction; all its rows must be in one partition of the store."""
@@ -187,11 +186,12 @@
         self._commit_timeout.on_answer(reply.wait_seconds)
         try:
             if reply.status == 200:
-                version = int(reply.body["Ver"])
+                message = decoding.mapping(reply.body, "the answer to a commit")
+                version = decoding.integer(message, "Ver")
                 return Committed({w.row_key: version for w in transaction.writes})
             if reply.status == 412:
-                return self._decode_conflict(transaction, reply.body["rows"])
-        except (KeyError, TypeError, ValueError) as error:
+                return self._decode_conflict(transaction, reply.body)
+        except decoding.MessageError as error:
             return self._malformed_answer("table-commit", error)
         return self._unexpected_status("table-commit", reply)
 
@@ -225,19 +225,16 @@
         if reply.status != 200:
             return self._unexpected_status("table-follow", reply)
         try:
-            rows = [decode_row(entry) for entry in reply.body["rows"]]
-            version = int(reply.body["Ver"])
-        except (KeyError, TypeError, ValueError) as error:
+            page = _decode_page(reply.body)
+        except decoding.MessageError as error:
             return self._malformed_answer("table-follow", error)
-        if not rows:
+        if not page.rows:
             # The store answers without changes only after ``wait_seconds``.
             self._commit_timeout.on_answer(max(0.0, reply.wait_seconds - wait_seconds))
-        return Changes([row for row in rows if row is not None], version)
+        return Changes(page.rows, page.version)
 
-    def _decode_conflict(
-        self, transaction: Transaction, entries: Sequence[Mapping[str, Any]]
-    ) -> Conflict:
-        rows = [row for row in map(decode_row, entries) if row is not None]
+    def _decode_conflict(self, transaction: Transaction, body: Any) -> Conflict:
+        rows = _decode_rows(decoding.mapping(body, "the answer to a commit"))
         version_by_key = {row.row_key: row.version for row in rows}
         differing = {}
         for condition in transaction.conditions:
@@ -256,24 +253,50 @@
         return Unavailable(Reason.STORE_UNAVAILABLE, step, self._address, detail)
 
 
+class _Page(NamedTuple):
+    """Rows of one answer; ``is_truncated`` if the range has more of them."""
+
+    rows: list[Row]
+    version: int
+    is_truncated: bool
+
+
+def _decode_page(body: Any) -> _Page:
+    message = decoding.mapping(body, "the answer of the store")
+    return _Page(
+        _decode_rows(message),
+        decoding.integer(message, "Ver"),
+        bool(message.get("Truncated")),
+    )
+
+
+def _decode_rows(message: Mapping[str, Any]) -> list[Row]:
+    entries = decoding.required_objects(message, "rows")
+    return [row for row in map(decode_row, entries) if row is not None]
+
+
 def decode_row(entry: Mapping[str, Any]) -> Row | None:
     """Decode a row; ``None`` for a row that does not exist.
 
     Other programs may write values that are not JSON objects. Such a value becomes an
     empty object, which the reader of the table rejects as its fields are missing.
+
+    Raises:
+        MessageError: if the entry lacks its table, key or version.
     """
-    row_key = RowKey(str(entry["Table"]), str(entry["Key"]))
+    row_key = RowKey(decoding.string(entry, "Table"), decoding.string(entry, "Key"))
     if entry.get("Tombstone"):
-        return Row(row_key, int(entry["Ver"]), None)  # type: ignore[arg-type]
+        version = decoding.integer(entry, "Ver")
+        return Row(row_key, version, None)  # type: ignore[arg-type]
     if "Value" not in entry:
         return None
     try:
         value = json.loads(base64.b64decode(entry["Value"]))
-    except (ValueError, TypeError):
+    except (ValueError, TypeError, RecursionError):
         value = {}
     if not isinstance(value, dict):
         value = {}
-    return Row(row_key, int(entry["Ver"]), value)
+    return Row(row_key, decoding.integer(entry, "Ver"), value)
 
 
 def _part_of(row_key: RowKey) -> str:
--- a/catkinport/platform/vms.py
+++ b/catkinport/platform/vms.py
@@ -54,10 +54,11 @@
             if reply.status != 200:
                 return self._unexpected_status("vm-list", reply)
             try:
-                for entry in decoding.objects(reply.body, "Machines"):
+                message = decoding.mapping(reply.body, "the list of VMs")
+                for entry in decoding.objects(message, "Machines"):
                     vms.append(_decode_vm(entry))
-                token = reply.body.get("NextToken")
-            except (decoding.MessageError, ValueError, AttributeError) as error:
+                token = message.get("NextToken")
+            except decoding.MessageError as error:
                 detail = f"unreadable answer: {error!r}"[:200]
                 return Unavailable(
                     Reason.ANSWER_TRUNCATED, "vm-list", self._address, detail
@@ -125,10 +126,19 @@
     return FleetVm(
         vm_id=decoding.string(entry, "Machine"),
         pool=decoding.string(entry, "Pool"),
-        state=VmState(decoding.string(entry, "State")),
+        state=_decode_state(decoding.string(entry, "State")),
         zone=decoding.string(entry, "Zone", ""),
         labels=decoding.strings(entry, "Labels"),
-        capacity=decoding.resources(entry.get("Capacity") or {}),
+        capacity=decoding.resources(
+            decoding.mapping(entry.get("Capacity") or {}, "Capacity")
+        ),
         # Empty while no worker runs: the VM is off, moving or down.
-        worker_id=entry.get("Id") or "",
+        worker_id=decoding.check_string(entry.get("Id") or "", "Id"),
     )
+
+
+def _decode_state(state: str) -> VmState:
+    try:
+        return VmState(state)
+    except ValueError as error:
+        raise decoding.MessageError(f"unknown state of a VM: {state!r:.40}") from error
--- a/catkinport/platform/workers.py
+++ b/catkinport/platform/workers.py
@@ -86,6 +86,7 @@
         self._advice_address = advice_address
         self._clock_by_worker: dict[str, _WorkerClock] = {}
         self._ignored_version_by_worker: dict[str, int] = {}
+        self._unreadable_by_worker: dict[str, str] = {}
 
     async def list_workers(self) -> list[ListedWorker] | Unavailable:
         """Read the list of workers; log and leave out entries that are malformed."""
@@ -113,6 +114,8 @@
             # A worker that is not listed may still answer; its next answer adds the
             # clock again.
             del self._clock_by_worker[worker_id]
+        for worker_id in set(self._unreadable_by_worker) - listed_ids:
+            del self._unreadable_by_worker[worker_id]
         return workers
 
     async def renew_lease(
@@ -156,18 +159,32 @@
                 "worker-hold", worker.worker_id, reply.status, reply.body
             )
         try:
-            lists = decode_lists(reply.body)
-            clock = int(reply.body["ClockMs"])
-        except (decoding.MessageError, KeyError, TypeError, ValueError) as error:
-            detail = f"unreadable answer: {error!r}"[:200]
-            return Unavailable(
-                Reason.ANSWER_TRUNCATED, "worker-hold", worker.worker_id, detail, True
-            )
+            message = decoding.mapping(reply.body, "the answer of a worker")
+            lists = decode_lists(message)
+            clock = decoding.integer(message, "ClockMs")
+        except decoding.MessageError as error:
+            return self._ignore_lists(worker.worker_id, str(error))
+        self._unreadable_by_worker.pop(worker.worker_id, None)
         self._clock_by_worker[worker.worker_id] = _WorkerClock(
             clock, lists.started_at, self._clock.now()
         )
         return lists
 
+    def _ignore_lists(self, worker_id: str, reason: str) -> Unavailable:
+        """Return that a worker's lists count as no answer; log each new reason."""
+        if self._unreadable_by_worker.get(worker_id) != reason:
+            self._unreadable_by_worker[worker_id] = reason
+            log_event(
+                logger,
+                "worker lists ignored",
+                level=logging.WARNING,
+                worker=worker_id,
+                reason=reason,
+            )
+        return Unavailable(
+            Reason.ANSWER_TRUNCATED, "worker-hold", worker_id, reason, True
+        )
+
     async def start(
         self, worker: ListedWorker, token: int, order: StartOrder, lease_seconds: float
     ) -> OrderOutcome:
--- a/catkinport/platform/workers_codec.py
+++ b/catkinport/platform/workers_codec.py
@@ -3,6 +3,7 @@
 from collections.abc import Mapping, Sequence
 from typing import Any
 
+from ..jobs.model import TaskId
 from ..ports import Reason, Unavailable
 from ..ports.fleet_workers import (
     EndedTask,
@@ -59,11 +60,7 @@
     host, _, port = address.rpartition(":")
     if not host or not port.isdigit():
         raise decoding.MessageError(f"Address must be host:port, got {address!r:.80}")
-    capacity = value.get("Capacity")
-    if not isinstance(capacity, dict):
-        raise decoding.MessageError(
-            f"Capacity must be an object, got {type(capacity).__name__}"
-        )
+    capacity = decoding.mapping(value.get("Capacity"), "Capacity")
     return ListedWorker(
         worker_id=worker_id,
         pool=decoding.string(value, "Service"),
@@ -77,23 +74,62 @@
     )
 
 
-def decode_lists(value: Mapping[str, Any]) -> WorkerLists:
+def decode_lists(message: Mapping[str, Any]) -> WorkerLists:
     """Decode a worker's lists of running and ended tasks.
 
+    A malformed entry makes the whole lists malformed. Without the entry, its run would
+    count as ended, and its task would start a second time.
+
     Raises:
-        MessageError, KeyError, TypeError, ValueError: if they are malformed.
+        MessageError: if they are malformed.
     """
-    running = [_decode_running(entry) for entry in value.get("Running") or []]
-    ended = [_decode_ended(entry) for entry in value.get("Ended") or []]
-    return WorkerLists(decoding.seconds(value, "born", 0.0), running, ended)
+    running = [_decode_running(e) for e in decoding.lists(message, "Running")]
+    ended = [_decode_ended(e) for e in decoding.lists(message, "Ended")]
+    return WorkerLists(decoding.seconds(message, "born", 0.0), running, ended)
 
 
 def _decode_running(entry: Sequence[Any]) -> RunningTask:
+    if len(entry) < 4:
+        raise decoding.MessageError(
+            f"an entry of Running must have >= 4 values, got {len(entry)}"
+        )
     task, run, checkpoint, percent, *rest = entry
-    load = float(rest[0]) if rest else 0.0
-    return RunningTask(str(task), int(run), str(checkpoint), float(percent), load)
+    return RunningTask(
+        _check_task(task),
+        decoding.check_integer(run, "the run of a running task"),
+        decoding.check_string(checkpoint, "the checkpoint of a running task"),
+        float(decoding.check_number(percent, "the percent of a running task")),
+        float(decoding.check_number(rest[0] if rest else 0, "the load of a task")),
+    )
 
 
 def _decode_ended(entry: Sequence[Any]) -> EndedTask:
+    if len(entry) < 5:
+        raise decoding.MessageError(
+            f"an entry of Ended must have >= 5 values, got {len(entry)}"
+        )
     number, task, run, how, checkpoint = entry[:5]
-    return EndedTask(int(number), str(task), int(run), EndKind(how), str(checkpoint))
+    return EndedTask(
+        decoding.check_integer(number, "the number of an ended task"),
+        _check_task(task),
+        decoding.check_integer(run, "the run of an ended task"),
+        _decode_end_kind(how),
+        decoding.check_string(checkpoint, "the checkpoint of an ended task"),
+    )
+
+
+def _check_task(value: Any) -> str:
+    task = decoding.check_string(value, "the name of a task")
+    try:
+        TaskId.parse(task)
+    except ValueError as error:
+        raise decoding.MessageError(str(error)) from error
+    return task
+
+
+def _decode_end_kind(value: Any) -> EndKind:
+    how = decoding.check_string(value, "the end of a task")
+    try:
+        return EndKind(how)
+    except ValueError as error:
+        raise decoding.MessageError(f"unknown end of a task: {how!r:.40}") from error
