Hold back orders of an owner that was paused before it sent them

What callers would see: a VM that is taken down or moved twice, or a run stopped that a successor keeps.

Cause: a start checks the ownership right before it is sent, but orders for VMs, stops and changes of speed did not. An owner that is paused between the commit that names the VMs and the orders sent them whenever it went on; the platform checks no tokens here (RequireFencing false). A stop is fenced by the worker's token, except on a worker that has restarted since.

Stops and changes of speed need an ownership that may give orders, as starts do.

Tests: TestOrderAfterPause and TestStartAfterPause.test_a_stop_is_not_sent_once_the_ownership_may_be_over failed before (one VM order and one stop were sent after the pause). What is not covered: a pause within the call itself, between the check and the first byte, which the timeout of the call bounds on the steady clock only.

--- a/catkinport/jobs/ownership/run_orders.py
+++ b/catkinport/jobs/ownership/run_orders.py
@@ -118,7 +118,9 @@
 
     async def _send_stop(self, stop: StopOrder) -> None:
         worker = self._session.dispatcher.worker_by_id.get(stop.worker_id)
-        if worker is None:
+        # The process may have been paused since the stop was decided; a stop that is
+        # still wanted then is decided again.
+        if worker is None or not self._session.may_order():
             return
         run = worker.run_by_key.get(stop.key)
         incarnation = worker.incarnation
@@ -152,7 +154,7 @@
 
     async def _send_pace(self, pace: PaceOrder) -> None:
         worker = self._session.dispatcher.worker_by_id.get(pace.worker_id)
-        if worker is None:
+        if worker is None or not self._session.may_order():
             return
         outcome = await self._session.ports.workers.limit_speed(
             worker.listed,
--- a/catkinport/jobs/ownership/vm_orders.py
+++ b/catkinport/jobs/ownership/vm_orders.py
@@ -36,6 +36,11 @@
 """Shortest time from a write of the row of ordered VMs to one that only removes VMs.
 VMs are removed once a successor need no longer wait before it orders them."""
 
+MAX_SEND_DELAY_SECONDS = 1.2
+"""Longest time from a round of decisions to the sending of its orders. A successor
+leaves the stored VMs alone for longer, so that an order of an owner that was paused
+meanwhile cannot follow one of its successor."""
+
 FORMER_WAVE_SECONDS = 6.0
 """A wave that is first seen within this time of the takeover may have been seen, and
 its upkeeps ordered, by the former owner. The time covers a delayed read of the waves.
@@ -139,8 +144,9 @@
         if await self._store_vms(
             self._vm_planner.inventory.find_recently_ordered(now), now
         ):
+            send_by = now + MAX_SEND_DELAY_SECONDS
             for order in orders:
-                self._session.spawn(self._send_vm_order(order))
+                self._session.spawn(self._send_vm_order(order, send_by))
             return
         for order in orders:
             self._vm_planner.on_not_sent(order)
@@ -166,7 +172,18 @@
         )
         return False
 
-    async def _send_vm_order(self, order: VmOrder) -> None:
+    async def _send_vm_order(self, order: VmOrder, send_by: float) -> None:
+        """Send an order, unless the clock is past ``send_by`` in seconds."""
+        now = self._session.clock.now()
+        if now > send_by:
+            log_event(
+                logger,
+                "vm order not sent",
+                vm=order.vm_id,
+                late_seconds=round(now - send_by, 2),
+            )
+            self._vm_planner.on_not_sent(order)
+            return
         token = self._session.lease.token
         if order.wave:
             outcome = await self._session.ports.vms.maintain(
--- a/catkinport/jobs/tests/test_run_orders.py
+++ b/catkinport/jobs/tests/test_run_orders.py
@@ -10,7 +10,7 @@
 from ..ownership.run_orders import RunOrders
 from ..placement.planner import ApprovalRequest
 from ..placement.run_stops import find_stops
-from .builders import Fleet, make_job, make_worker
+from .builders import JOB_ID, Fleet, make_job, make_worker
 
 UNCERTAIN = Unavailable(Reason.TIMEOUT, "worker-start", "w1", "", True)
 
@@ -94,6 +94,24 @@
         assert session.n_starts == 0
         assert start.run.key not in start.worker.run_by_key
 
+    def test_a_stop_is_not_sent_once_the_ownership_may_be_over(self):
+        """Guards against a paused owner that ends what its successor keeps running.
+
+        A worker that has restarted has forgotten the token of the successor.
+        """
+        fleet = Fleet([make_worker("w1")])
+        fleet.dispatcher.add_job(make_job(), fleet.now)
+        fleet.start()
+        fleet.dispatcher.cancel_job(JOB_ID)
+        stopped = []
+        session = FakeSession(fleet, lambda: stopped.append("w1"))
+        session.is_allowed = False
+        (stop,) = find_stops(fleet.dispatcher, fleet.now)
+        asyncio.run(RunOrders(session, FakeWatch())._send_stop(stop))
+        assert stopped == []
+        fleet.advance(0.5)
+        assert list(find_stops(fleet.dispatcher, fleet.now)) == [stop]
+
 
 class SerialAdvice:
     """Advice service that handles calls in turn, also those that were given up.
--- a/catkinport/jobs/tests/test_vm_orders.py
+++ b/catkinport/jobs/tests/test_vm_orders.py
@@ -106,6 +106,32 @@
         assert not fleet.vm_planner.inventory.is_under_order("m0")
 
 
+class TestOrderAfterPause:
+    @pytest.mark.parametrize(("pause_seconds", "n_sent"), [(0.5, 1), (5.0, 0)])
+    def test_it_is_not_sent_once_a_successor_may_order_the_vm(
+        self, pause_seconds, n_sent
+    ):
+        """Guards against orders for one VM by two owners that take turns.
+
+        The owner was paused between the commit that names the VM and the order. Where
+        the platform checks no tokens, only the owner itself can hold the order back.
+        """
+        fleet = VmFleet(1)
+        fleet.request_wave(["m0"])
+        session = FakeSession(SimpleNamespace(now=lambda: fleet.now))
+
+        async def run():
+            orders = VmOrders(session, fleet.vm_planner, 0.0)
+            orders._store_begun = lambda wave: asyncio.sleep(0)
+            await orders._send_vm_orders(fleet.step(0.25), fleet.now)
+            fleet.now += pause_seconds
+            await asyncio.sleep(0)
+
+        asyncio.run(run())
+        assert len(session.sent) == n_sent
+        assert fleet.vm_planner.inventory.is_under_order("m0") == bool(n_sent)
+
+
 class FakeDesk:
     """Takes the reports of waves; the test loses the answers to some."""
 
