Limit the starts in flight, and wait for orders as long as their answers take

Starts without an answer within 0.4 s were stopped and ordered again, and each stop was repeated every 0.4 s: 300 starts were answered, 255 were not, and 3,205 stops were sent.

Change: the starts in flight have a limit (additive increase, multiplicative decrease by the time of answers; calls without an answer leave it as it is, as their workers may be gone); a planning round ends at the limit, and the next one begins with the pool that it has not finished. The timeout of orders is five times the time of recent answers, 0.4 s to 1.0 s, and allows for the lag of the daemon's own event loop, as do polls. One stop of a run is in flight at a time. As a start may now take 1 s, capacities of workers that reject nothing may be 2.0 s old instead of 2.5 s.

--- a/catkinport/jobs/ownership/run_orders.py
+++ b/catkinport/jobs/ownership/run_orders.py
@@ -8,11 +8,13 @@
 import logging
 import time
 
+from ...policy.concurrency_limit import ConcurrencyLimit
 from ...ports import Reason, Unavailable
 from ...ports.fleet_workers import Done, StartOrder
 from ...runtime.logs import log_event
 from ..placement.planner import ApprovalRequest, PlannedStart, Planner, Ticket
 from ..placement.run_stops import PaceOrder, StopOrder, find_paces, find_stops
+from ..workers.run import RunKey
 from ..workers.worker_state import LEASE_SECONDS
 from .session import RETRY_SECONDS, OwnerSession
 from .worker_watch import WorkerWatch
@@ -46,6 +48,8 @@
         self._planner = Planner(session.dispatcher)
         self._requested_stages: set[str] = set()
         self._approval_turns = asyncio.Semaphore(MAX_APPROVAL_CALLS)
+        self._start_limit = ConcurrencyLimit()
+        self._stops_in_flight: set[tuple[str, RunKey]] = set()
 
     async def run(self) -> None:
         """Plan and send orders until the ownership ends."""
@@ -65,7 +69,8 @@
         now = self._session.clock.now()
         self._session.dispatcher.expire(now)
         for stop in list(find_stops(self._session.dispatcher, now)):
-            self._session.spawn(self._send_stop(stop))
+            if (stop.worker_id, stop.key) not in self._stops_in_flight:
+                self._session.spawn(self._send_stop(stop))
         for pace in list(find_paces(self._session.dispatcher)):
             self._session.spawn(self._send_pace(pace))
         learned_before = (
@@ -73,8 +78,10 @@
             if self._session.lease.may_be_replaced(now)
             else None
         )
-        if self._session.may_order():
-            for start in self._planner.plan(now, time.time(), learned_before):
+        n_free = self._start_limit.n_free
+        if self._session.may_order() and n_free:
+            for start in self._planner.plan(now, time.time(), learned_before, n_free):
+                self._start_limit.begin()
                 self._session.spawn(self._send_start(start))
         for wanted in self._planner.wanted_approvals.values():
             self._request_approval(wanted)
@@ -100,6 +107,8 @@
         else:
             outcome = Unavailable(Reason.NOT_OWNER, "worker-start", worker.worker_id)
         now = self._session.clock.now()
+        is_answered = not isinstance(outcome, Unavailable)
+        self._start_limit.end(now - sent_at, is_answered, now)
         log_event(
             logger,
             "run ordered",
@@ -117,6 +126,13 @@
         self._session.wake.set()
 
     async def _send_stop(self, stop: StopOrder) -> None:
+        self._stops_in_flight.add((stop.worker_id, stop.key))
+        try:
+            await self._send_one_stop(stop)
+        finally:
+            self._stops_in_flight.discard((stop.worker_id, stop.key))
+
+    async def _send_one_stop(self, stop: StopOrder) -> None:
         worker = self._session.dispatcher.worker_by_id.get(stop.worker_id)
         # The process may have been paused since the stop was decided; a stop that is
         # still wanted then is decided again.
--- a/catkinport/jobs/placement/planner.py
+++ b/catkinport/jobs/placement/planner.py
@@ -77,6 +77,7 @@
         self._learned_before: float | None = None
         self._delays = StartDelays(dispatcher)
         self._reservations = Reservations()
+        self._first_pool = ""
         self.wanted_approvals: dict[str, ApprovalRequest] = {}
 
     def keep_tickets(
@@ -100,7 +101,11 @@
         rejected.update(set(asked_ids) - ticket_by_worker.keys())
 
     def plan(
-        self, now: float, unix_now: float, learned_before: float | None = None
+        self,
+        now: float,
+        unix_now: float,
+        learned_before: float | None = None,
+        max_starts: float = float("inf"),
     ) -> list[PlannedStart]:
         """Place waiting tasks and register their runs with the dispatcher.
 
@@ -114,6 +119,9 @@
                 They start only on workers that have answered every poll since before
                 it: a worker that has restarted may have forgotten the successor's
                 token.
+            max_starts: number of starts after which the round ends; the next one
+                begins with the pool that this one has not finished. The starts of one
+                job may exceed it.
         """
         dispatcher = self._dispatcher
         self._learned_before = learned_before
@@ -130,7 +138,9 @@
             records_by_pool.setdefault(queue.pool, []).append((record, queue))
         starts: list[PlannedStart] = []
         usage = usage_by_account(dispatcher)
-        for pool, records in records_by_pool.items():
+        is_complete = True
+        for pool in _rotate(list(records_by_pool), self._first_pool):
+            records = records_by_pool[pool]
             rooms = self._free_rooms(pool, now)
             self._reservations.mark(rooms)
             ordered = sorted(
@@ -138,7 +148,14 @@
                 key=lambda item: order_key(dispatcher.estimates.view_job(*item), now),
             )
             for record, queue in ordered:
+                if len(starts) >= max_starts:
+                    is_complete = False
+                    break
                 self._plan_job(record, queue, rooms, usage, now, unix_now, starts)
+            if not is_complete:
+                self._first_pool = pool
+                return starts
+        # What an incomplete round has not seen must not be forgotten.
         self._delays.end_round()
         self._reservations.end_round()
         return starts
@@ -343,3 +360,9 @@
         tickets = self._tickets_by_stage.get(stage_name(task), {})
         ticket = tickets.get(room.worker_id)
         starts.append(PlannedStart(worker, run, ticket.text if ticket else ""))
+
+
+def _rotate(names: list[str], first: str) -> list[str]:
+    """Return the names in the same cyclic order, from ``first`` on if it is there."""
+    start = names.index(first) if first in names else 0
+    return names[start:] + names[:start]
--- a/catkinport/jobs/placement/start_blocks.py
+++ b/catkinport/jobs/placement/start_blocks.py
@@ -7,10 +7,10 @@
 from ..dispatch.dispatcher import Dispatcher
 from ..workers.worker_state import StartBlock, WorkerRecord
 
-MAX_CAPACITY_AGE_SECONDS = 2.5
+MAX_CAPACITY_AGE_SECONDS = 2.0
 """Maximum age of a capacity by which a worker gets tasks that it wouldn't reject. A
-start must respect a smaller capacity from 3 s after the change on, and may take
-`ORDER_TIMEOUT_SECONDS`."""
+start must respect a smaller capacity from 3 s after the change on, and may take 1 s
+from the decision to the worker."""
 
 
 def find_start_block(
--- a/catkinport/jobs/tests/test_run_orders.py
+++ b/catkinport/jobs/tests/test_run_orders.py
@@ -10,7 +10,7 @@
 from ..ownership.run_orders import RunOrders
 from ..placement.planner import ApprovalRequest
 from ..placement.run_stops import find_stops
-from .builders import JOB_ID, Fleet, make_job, make_worker
+from .builders import JOB_ID, Fleet, make_job, make_step, make_worker
 
 UNCERTAIN = Unavailable(Reason.TIMEOUT, "worker-start", "w1", "", True)
 
@@ -113,6 +113,76 @@
         assert list(find_stops(fleet.dispatcher, fleet.now)) == [stop]
 
 
+class HangingWorkers:
+    """Workers that leave each order unanswered for long; counts the orders."""
+
+    def __init__(self):
+        self.n_starts = 0
+        self.n_stops = 0
+
+    async def start(self, *args):
+        self.n_starts += 1
+        await asyncio.sleep(60.0)
+
+    async def stop(self, *args):
+        self.n_stops += 1
+        await asyncio.sleep(60.0)
+
+
+class TestOrdersInFlight:
+    def _orders(self, n_tasks):
+        fleet = Fleet([make_worker(f"w{i}") for i in range(n_tasks // 4)])
+        fleet.dispatcher.add_job(
+            make_job(steps=[make_step(n_tasks)]), fleet.now, age_seconds=0.0
+        )
+        session = FakeSession(fleet, lambda: None)
+        workers = HangingWorkers()
+        session.ports = SimpleNamespace(workers=workers)
+        session.tasks = []
+        session.spawn = lambda call: session.tasks.append(asyncio.ensure_future(call))
+        session.store_wake = asyncio.Event()
+        session.lease = OwnLease(1, fleet.now)
+        return fleet, workers, session, RunOrders(session, FakeWatch())
+
+    async def _end(self, session):
+        for task in session.tasks:
+            task.cancel()
+        await asyncio.wait(session.tasks)
+
+    def test_starts_are_limited(self):
+        """Guards against an owner that orders more than it can read answers of."""
+
+        async def run():
+            fleet, workers, session, orders = self._orders(4)
+            fleet.dispatcher.add_job(make_job("b" * 16), fleet.now)
+            orders._start_limit = SimpleNamespace(n_free=1, begin=lambda: None)
+            orders._plan()
+            orders._start_limit.n_free = 0
+            orders._plan()
+            await asyncio.sleep(0)
+            assert workers.n_starts <= 4
+            assert len(fleet.dispatcher.runs_by_task) == workers.n_starts
+            await self._end(session)
+
+        asyncio.run(run())
+
+    def test_a_stop_is_not_repeated_while_it_is_in_flight(self):
+        """Guards against a growing number of stops for one run that only is slow."""
+
+        async def run():
+            fleet, workers, session, orders = self._orders(4)
+            fleet.start()
+            fleet.dispatcher.cancel_job(JOB_ID)
+            for _ in range(3):
+                orders._plan()
+                await asyncio.sleep(0)
+                fleet.advance(0.5)
+            assert workers.n_stops == 4
+            await self._end(session)
+
+        asyncio.run(run())
+
+
 class SerialAdvice:
     """Advice service that handles calls in turn, also those that were given up.
 
--- a/catkinport/platform/tests/test_workers.py
+++ b/catkinport/platform/tests/test_workers.py
@@ -197,3 +197,50 @@
         assert scene.start() == Rejected(rejection)
         poll = scene.workers.renew_lease(scene.listed, 7, 0, 4.0, 1.0)
         assert asyncio.run(poll) == Rejected(rejection)
+
+
+class TestOrderTimeout:
+    """An owner that is too slow for its fleet must not repeat orders that are late."""
+
+    class SlowClient(FakeClient):
+        """Answers each call after ``wait_seconds``, and records the timeouts."""
+
+        wait_seconds = 0.0
+
+        async def call(self, step, method, peer, path, timeout, body, headers):
+            self.timeout = timeout
+            reply = await super().call(step, method, peer, path, timeout, body, headers)
+            return reply._replace(wait_seconds=self.wait_seconds)
+
+    def _scene(self, lag_seconds=0.0):
+        scene = Scene()
+        scene.client = self.SlowClient()
+        clock = SimpleNamespace(now=lambda: 100.0)
+        scene.workers = PlatformWorkers(
+            scene.client, None, clock, "", lambda: lag_seconds
+        )
+        scene.hold()
+        return scene
+
+    def test_a_lost_answer_is_noticed_soon(self):
+        scene = self._scene()
+        scene.start()
+        assert scene.client.timeout == pytest.approx(0.4)
+
+    def test_it_follows_the_answers(self):
+        """Guards against starts that are given up because they are only slow.
+
+        Each of them was stopped, over and over, and ordered again.
+        """
+        scene = self._scene()
+        scene.client.wait_seconds = 0.3
+        for _ in range(20):
+            scene.start()
+        assert scene.client.timeout == pytest.approx(1.0)
+
+    def test_a_late_event_loop_does_not_count_against_the_worker(self):
+        scene = self._scene(lag_seconds=0.2)
+        scene.start()
+        assert scene.client.timeout == pytest.approx(0.8)
+        scene.hold(wait_seconds=1.0)
+        assert scene.client.timeout == pytest.approx(2.0)
--- a/catkinport/platform/workers.py
+++ b/catkinport/platform/workers.py
@@ -5,9 +5,10 @@
 """
 
 import logging
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from typing import Any
 
+from ..policy.adaptive_timeout import AdaptiveTimeout
 from ..ports import Reason, Unavailable
 from ..ports.async_table import AsyncTable
 from ..ports.clock import Clock
@@ -26,9 +27,24 @@
 
 logger = logging.getLogger(__name__)
 
-ORDER_TIMEOUT_SECONDS = 0.4
-"""Longest wait for the answer to an order, which usually takes a few milliseconds. A
-start without an answer is canceled, so a longer wait would only delay its task."""
+MIN_ORDER_TIMEOUT_SECONDS = 0.4
+"""Lower bound of the wait for the answer to an order, which usually takes a few
+milliseconds. A start without an answer is canceled, so a longer wait would only delay
+its task."""
+
+MAX_ORDER_TIMEOUT_SECONDS = 1.0
+"""Upper bound of that wait. On a VM that is too slow for the fleet, orders that are
+given up sooner are repeated and make it slower still."""
+
+ORDER_TIMEOUT_FACTOR = 5.0
+"""Wait for the answer to an order as a multiple of the time of recent answers."""
+
+MAX_LAG_ALLOWANCE_SECONDS = 0.6
+"""Most that a late event loop of this daemon adds to the wait for an answer."""
+
+LAG_FACTOR = 2.0
+"""Multiple of the event loop's lag that is added to the wait, because both the sending
+and the reading of the answer are late."""
 
 HOLD_TIMEOUT_MARGIN_SECONDS = 0.6
 """How much longer than the requested wait a long poll may take."""
@@ -71,6 +87,8 @@
         table: client of the store, which lists the workers.
         clock: steady clock.
         advice_address: ``host:port`` of the advice service; empty for none.
+        lag_seconds: returns how late the event loop of this daemon is, in seconds. That
+            an answer is read late does not count against the worker.
     """
 
     def __init__(
@@ -79,6 +97,7 @@
         table: AsyncTable,
         clock: Clock,
         advice_address: str,
+        lag_seconds: Callable[[], float] = lambda: 0.0,
     ) -> None:
         self._client = client
         self._table = table
@@ -87,6 +106,10 @@
         self._clock_by_worker: dict[str, _WorkerClock] = {}
         self._ignored_version_by_worker: dict[str, int] = {}
         self._unreadable_by_worker: dict[str, str] = {}
+        self._lag_seconds = lag_seconds
+        self._order_timeout = AdaptiveTimeout(
+            MIN_ORDER_TIMEOUT_SECONDS, MAX_ORDER_TIMEOUT_SECONDS, ORDER_TIMEOUT_FACTOR
+        )
 
     async def list_workers(self) -> list[ListedWorker] | Unavailable:
         """Read the list of workers; log and leave out entries that are malformed."""
@@ -150,6 +173,7 @@
         if wait_seconds > 0:
             body["WaitMs"] = int(wait_seconds * 1000)
         timeout_seconds = wait_seconds + HOLD_TIMEOUT_MARGIN_SECONDS
+        timeout_seconds += self._lag_allowance()
         reply = await self._call("worker-hold", worker, "/hold", body, timeout_seconds)
         if isinstance(reply, Unavailable):
             self._clock_by_worker.pop(worker.worker_id, None)
@@ -249,13 +273,19 @@
     async def _send_order(
         self, step: str, worker: ListedWorker, path: str, body: Mapping[str, Any]
     ) -> OrderOutcome:
-        reply = await self._call(step, worker, path, body, ORDER_TIMEOUT_SECONDS)
+        timeout_seconds = self._order_timeout.seconds + self._lag_allowance()
+        timeout_seconds = min(timeout_seconds, MAX_ORDER_TIMEOUT_SECONDS)
+        reply = await self._call(step, worker, path, body, timeout_seconds)
         if isinstance(reply, Unavailable):
             return reply
+        self._order_timeout.on_answer(reply.wait_seconds)
         if reply.status == 200:
             return Done()
         return decode_rejection(step, worker.worker_id, reply.status, reply.body)
 
+    def _lag_allowance(self) -> float:
+        return min(LAG_FACTOR * self._lag_seconds(), MAX_LAG_ALLOWANCE_SECONDS)
+
     async def _call(
         self,
         step: str,
--- a/catkinport/policy/adaptive_timeout.py
+++ b/catkinport/policy/adaptive_timeout.py
@@ -12,8 +12,8 @@
 four answers."""
 
 TIMEOUT_FACTOR = 10.0
-"""Timeout as a multiple of the average duration, as the store may carry out several
-transactions of other daemons before a call."""
+"""Default timeout as a multiple of the average duration, as the store may carry out
+several transactions of other daemons before a call."""
 
 
 class AdaptiveTimeout:
@@ -22,6 +22,7 @@
     Args:
         min_seconds: shortest timeout in seconds.
         max_seconds: longest timeout in seconds.
+        factor: timeout as a multiple of the average duration.
 
     Example:
         >>> timeout = AdaptiveTimeout(0.6, 3.0)
@@ -33,15 +34,18 @@
         1.1
     """
 
-    def __init__(self, min_seconds: float, max_seconds: float) -> None:
+    def __init__(
+        self, min_seconds: float, max_seconds: float, factor: float = TIMEOUT_FACTOR
+    ) -> None:
         self._min_seconds = min_seconds
         self._max_seconds = max_seconds
+        self._factor = factor
         self._average_seconds: float | None = None
 
     @property
     def seconds(self) -> float:
         """Timeout of the next call in seconds."""
-        expected = TIMEOUT_FACTOR * (self._average_seconds or 0.0)
+        expected = self._factor * (self._average_seconds or 0.0)
         return min(self._max_seconds, max(self._min_seconds, expected))
 
     def on_answer(self, seconds: float) -> None:
--- /dev/null
+++ b/catkinport/policy/concurrency_limit.py
@@ -0,0 +1,78 @@
+"""Limits the calls in flight by the time that their answers take.
+
+A caller on a slow VM that has too many calls in flight finds their answers late, takes
+them for lost, and repeats them: its load makes more load. Fewer calls at a time are
+answered in time, and more of them per second.
+"""
+
+INITIAL_CALLS = 256
+"""Calls in flight that are allowed at first."""
+
+MIN_CALLS = 16
+"""Lower bound of the limit."""
+
+MAX_CALLS = 512
+"""Upper bound of the limit."""
+
+SLOW_ANSWER_SECONDS = 0.25
+"""An answer that took longer lowers the limit. It comes well before a call without an
+answer is given up."""
+
+INCREASE_CALLS = 8.0
+"""Increase of the limit for each set of calls, as many as the limit, that were answered
+in time."""
+
+DECREASE_FACTOR = 0.7
+"""Factor on the limit when answers are slow."""
+
+DECREASE_INTERVAL_SECONDS = 0.5
+"""Shortest time between two decreases, so that calls which were in flight together
+lower the limit once."""
+
+
+class ConcurrencyLimit:
+    """Limit of calls in flight: additive increase, multiplicative decrease.
+
+    Calls without an answer leave the limit as it is, because their peers may be gone.
+
+    Example:
+        >>> limit = ConcurrencyLimit()
+        >>> limit.begin()
+        >>> limit.end(0.5, is_answered=True, now=1.0)
+        >>> limit.n_free
+        179
+    """
+
+    def __init__(self) -> None:
+        self._limit = float(INITIAL_CALLS)
+        self._n_in_flight = 0
+        self._decreased_at = float("-inf")
+
+    @property
+    def n_free(self) -> int:
+        """Number of calls that may begin now."""
+        return max(0, int(self._limit) - self._n_in_flight)
+
+    def begin(self) -> None:
+        """Count a call that begins."""
+        self._n_in_flight += 1
+
+    def end(self, seconds: float, is_answered: bool, now: float) -> None:
+        """Count a call that has ended, and adapt the limit.
+
+        Args:
+            seconds: time from its beginning.
+            is_answered: whether it had an answer.
+            now: clock time in seconds.
+        """
+        was_in_use = self._n_in_flight * 2 >= self._limit
+        self._n_in_flight -= 1
+        if not is_answered:
+            return
+        if seconds <= SLOW_ANSWER_SECONDS:
+            if was_in_use:
+                increase = INCREASE_CALLS / self._limit
+                self._limit = min(self._limit + increase, MAX_CALLS)
+        elif now - self._decreased_at >= DECREASE_INTERVAL_SECONDS:
+            self._decreased_at = now
+            self._limit = max(self._limit * DECREASE_FACTOR, MIN_CALLS)
