Let an owner that falls behind hand over to a larger VM

What callers would see: a fleet that stays with a VM of half a core after the larger ones have come back.

Change: an owner on a small VM whose event loop is 0.25 s late for two seconds says so in its heartbeat row. Daemons on large VMs that follow the row store that they can succeed the owner with this token, one of them under the condition that it still is the owner. The owner then ends all its tasks and releases the ownership, as in a planned stop, if it still falls behind and has reached all workers of former owners, so that at no moment two of them give orders. Large VMs claim 0.8 s before small ones; they never hand over, so the ownership does not go back and forth.

Tests: TestCandidacy, TestHandover (released only after all tasks have ended, and not without a candidate for this very owner, its wish and all workers reached), TestOverload of the policy. All failed or did not exist before.

--- a/catkinport/jobs/ownership/owner.py
+++ b/catkinport/jobs/ownership/owner.py
@@ -11,13 +11,16 @@
 
 from ...policy.leadership import (
     HEARTBEAT_SECONDS,
+    OverloadWatch,
     OwnLease,
     former_owner_bound,
 )
 from ...ports import Unavailable
 from ...ports.async_table import Changes, HistoryLost, Snapshot
 from ...ports.table import Committed, Conflict, Transaction
+from ...runtime import Metrics
 from ...runtime.logs import log_event
+from ...runtime.loop_lag import LoopLag
 from ..configuration import FleetConfiguration
 from ..dispatch.dispatcher import Dispatcher
 from ..tables import JOBS_TABLE, ROSTER_TABLE, STATES_TABLE
@@ -66,6 +69,9 @@
         claim: the claim that made this daemon the owner.
         bounds: times that the platform specifies for orders to VMs.
         longest_lease: longest lease in seconds that a worker grants.
+        lag: measures how late the event loop of this daemon is.
+        is_on_small_vm: whether this VM may be too slow for the fleet, so that the owner
+            hands over to a daemon on a larger one if it falls behind.
     """
 
     def __init__(
@@ -75,6 +81,8 @@
         claim: Claim,
         bounds: VmBounds,
         longest_lease: float,
+        lag: LoopLag | None = None,
+        is_on_small_vm: bool = False,
     ) -> None:
         lease = OwnLease(claim.token, claim.sent_at)
         dispatcher = Dispatcher(configuration, ports.metrics, longest_lease)
@@ -91,6 +99,10 @@
         self._job_rows = JobRows(dispatcher, self._vm_planner.mover)
         self._job_feed_version = 0
         self._read_version_by_key: dict[str, int] = {}
+        self._lag = lag or LoopLag(Metrics())
+        self._overload = OverloadWatch()
+        self._is_on_small_vm = is_on_small_vm
+        self._handover = asyncio.Event()
 
     def apply_configuration(self, configuration: FleetConfiguration) -> None:
         """Apply a new version of the configuration."""
@@ -98,6 +110,27 @@
         self._removed_queues.check_soon()
         self._session.wake.set()
 
+    def hand_over(self, token: int) -> None:
+        """Release the ownership, if this owner still falls behind.
+
+        A successor waits for the leases of workers that it does not reach, and longer
+        if this owner has not reached all of them either. So it hands over only then.
+
+        Args:
+            token: fencing token of the owner that a candidate can succeed.
+        """
+        session = self._session
+        if token != session.lease.token or self._handover.is_set():
+            return
+        if session.wants_successor and session.is_resolved:
+            log_event(
+                logger,
+                "ownership handover begins",
+                token=token,
+                lag_seconds=round(self._lag.seconds, 2),
+            )
+            self._handover.set()
+
     async def run(self, stop: asyncio.Event) -> None:
         """Run the fleet until another daemon takes over or ``stop`` is set."""
         log_event(logger, "ownership begins", token=self._session.lease.token)
@@ -106,8 +139,10 @@
         waiters = [
             asyncio.ensure_future(self._session.deposed.wait()),
             asyncio.ensure_future(stop.wait()),
+            asyncio.ensure_future(self._handover.wait()),
         ]
         self._session.spawn(self._renewal_loop())
+        self._session.spawn(self._follow_lag())
         self._session.spawn(self._load_and_run())
         try:
             await asyncio.wait(waiters, return_when=asyncio.FIRST_COMPLETED)
@@ -116,15 +151,26 @@
             for waiter in waiters:
                 waiter.cancel()
             await self._session.end()
-        if stop.is_set() and not self._session.deposed.is_set():
+        is_deposed = self._session.deposed.is_set()
+        if not is_deposed:
             await self._release()
+        reason = "stopping" if stop.is_set() else "handed-over"
         log_event(
             logger,
             "ownership ended",
             token=self._session.lease.token,
-            reason="replaced" if self._session.deposed.is_set() else "stopping",
+            reason="replaced" if is_deposed else reason,
         )
 
+    async def _follow_lag(self) -> None:
+        self._lag.reset()
+        while True:
+            await self._lag.sample()
+            now = self._session.clock.now()
+            self._overload.note(self._lag.seconds, now)
+            is_overloaded = self._overload.is_lasting(now)
+            self._session.wants_successor = self._is_on_small_vm and is_overloaded
+
     async def _load_and_run(self) -> None:
         while not await self._load():
             await asyncio.sleep(RETRY_SECONDS)
--- a/catkinport/jobs/ownership/ownership_watch.py
+++ b/catkinport/jobs/ownership/ownership_watch.py
@@ -15,7 +15,7 @@
 from ...ports.clock import Clock
 from ...ports.table import ABSENT_VERSION, Committed, Condition, Row, Transaction, Write
 from ...runtime.logs import log_event
-from ..tables import HEARTBEAT_KEY, LEADER_TABLE, OWNER_KEY
+from ..tables import CANDIDATE_KEY, HEARTBEAT_KEY, LEADER_TABLE, OWNER_KEY
 
 logger = logging.getLogger(__name__)
 
@@ -36,6 +36,10 @@
 DOUBLE_JITTER_LATENCY_SECONDS = 0.05
 """Latency of the table service, in seconds, at which delays of claims double."""
 
+CANDIDACY_SHARE = 0.3
+"""Probability with which a daemon becomes a candidate at a renewal that asks for one,
+so that not all of them write the row at the same moment."""
+
 CLAIM_ATTEMPTS = 2
 """Commits tried for one claim while its outcome is unknown."""
 
@@ -117,6 +121,7 @@
                 await asyncio.sleep(RETRY_SECONDS)
                 continue
             if not self._may_claim(jitter):
+                await self._stand_as_candidate()
                 continue
             claim = await self._claim()
             if claim is not None:
@@ -139,6 +144,41 @@
         wait_seconds += self._claim_delay_seconds
         return self._watch.may_claim(self._clock.now(), wait_seconds)
 
+    def find_candidate_token(self) -> int:
+        """Return the token of the owner that a candidate can succeed; 0 for none."""
+        row = self._row_by_key.get(CANDIDATE_KEY.key)
+        return (row.value or {}).get("token", 0) if row else 0
+
+    async def _stand_as_candidate(self) -> None:
+        """Tell an owner that falls behind that this daemon can take over.
+
+        The owner releases the ownership only then, as it would otherwise stop all
+        orders for nothing.
+        """
+        owner_rows = self._watch.owner_rows
+        if owner_rows is None or self._claim_delay_seconds:
+            return
+        token = owner_rows.owner_version
+        value = self._latest_renewal
+        is_wanted = bool(value.get("wants_successor")) and value.get("token") == token
+        if not is_wanted or self.find_candidate_token() == token:
+            return
+        if self._rng.random() >= CANDIDACY_SHARE:
+            return
+        former = self._row_by_key.get(CANDIDATE_KEY.key)
+        conditions = [
+            Condition(OWNER_KEY, token),
+            Condition(CANDIDATE_KEY, former.version if former else ABSENT_VERSION),
+        ]
+        write = Write(CANDIDATE_KEY, {"token": token, "name": self._name})
+        outcome = await self._table.commit(Transaction(conditions, [write]))
+        log_event(
+            logger,
+            "ownership candidacy stored",
+            token=token,
+            outcome=type(outcome).__name__,
+        )
+
     async def poll(self) -> bool:
         """Read the rows, or wait for a change; return whether there was an answer."""
         if self._version is None:
--- a/catkinport/jobs/ownership/session.py
+++ b/catkinport/jobs/ownership/session.py
@@ -53,6 +53,7 @@
         wake: set when there may be something to plan.
         store_wake: set when there is something to store.
         renewal_sent_at: clock time in seconds at which the latest renewal was sent.
+        wants_successor: whether a daemon on a larger VM should take over.
         loaded_at: clock time in seconds at which the state was loaded; 0 before.
     """
 
@@ -67,6 +68,7 @@
         self.deposed = asyncio.Event()
         self.wake = asyncio.Event()
         self.store_wake = asyncio.Event()
+        self.wants_successor = False
         self.loaded_at = 0.0
         self.renewal_sent_at = lease.renewed_at
         self._tasks: set[asyncio.Task[Any]] = set()
--- a/catkinport/jobs/ownership/state_store.py
+++ b/catkinport/jobs/ownership/state_store.py
@@ -36,6 +36,7 @@
         "sent_at": sent_at,
         "released": is_released,
         "resolved": session.is_resolved,
+        "wants_successor": session.wants_successor,
         "waiting": fit_waiting(session.dispatcher.count_waiting()),
     }
     return Write(HEARTBEAT_KEY, value)
--- a/catkinport/jobs/tables.py
+++ b/catkinport/jobs/tables.py
@@ -14,6 +14,10 @@
 HEARTBEAT_KEY = RowKey(LEADER_TABLE, "beat")
 """Written by the owner to renew its lease, or to release it."""
 
+CANDIDATE_KEY = RowKey(LEADER_TABLE, "candidate")
+"""Written by a daemon on a large VM that can take over from an owner that asks for it;
+holds the fencing token of that owner."""
+
 OWN_VMS_KEY = RowKey(WAVES_TABLE, "own-vms")
 """Number of VMs that each pool had when the first owner started."""
 
--- a/catkinport/jobs/tests/test_ownership_watch.py
+++ b/catkinport/jobs/tests/test_ownership_watch.py
@@ -189,3 +189,52 @@
         waiting = heartbeat_write(session, 100.0).value["waiting"]
         assert waiting["queue-005999"] == 21
         assert len(waiting) > 1000
+
+
+class TestCandidacy:
+    """An owner on a small VM that falls behind hands over to a larger VM, if it can."""
+
+    def _watch(self, daemons, claim_delay_seconds=0.0):
+        # With this seed the daemon stands at the first renewal that asks for it.
+        rng = random.Random(1)
+        client = StoreClient(daemons.store)
+        return OwnershipWatch(client, daemons.clock, "other", rng, claim_delay_seconds)
+
+    def _stand(self, watch):
+        run_now(watch.poll())
+        run_now(watch._stand_as_candidate())
+        run_now(watch.poll())
+
+    @pytest.mark.parametrize(
+        ("fields", "claim_delay_seconds", "is_candidate"),
+        [
+            ({"wants_successor": True}, 0.0, True),
+            ({"wants_successor": False}, 0.0, False),
+            ({}, 0.0, False),
+            ({"wants_successor": True}, 0.8, False),
+        ],
+    )
+    def test_a_large_vm_stands_if_the_owner_asks(
+        self, fields, claim_delay_seconds, is_candidate
+    ):
+        """Guards against an owner on half a core that never gets rid of the fleet.
+
+        Ten owners lost their power, and the fast VMs were back soon, but the slow owner
+        kept the ownership and fell behind until the end of the day.
+        """
+        daemons = Daemons()
+        claim = daemons.claim("small")
+        daemons.renew(claim, **fields)
+        watch = self._watch(daemons, claim_delay_seconds)
+        self._stand(watch)
+        assert (watch.find_candidate_token() == claim.token) == is_candidate
+
+    def test_a_candidate_for_an_earlier_owner_does_not_count(self):
+        """Guards against an ownership that goes back and forth."""
+        daemons = Daemons()
+        daemons.renew(daemons.claim("small"), wants_successor=True)
+        watch = self._watch(daemons)
+        self._stand(watch)
+        second = daemons.claim("small")
+        run_now(watch.poll())
+        assert watch.find_candidate_token() not in (0, second.token)
--- a/catkinport/jobs/tests/test_session.py
+++ b/catkinport/jobs/tests/test_session.py
@@ -8,6 +8,7 @@
 from ..ownership.owner import FleetOwner
 from ..ownership.ownership_watch import Claim
 from ..ownership.session import OwnerSession
+from ..tables import HEARTBEAT_KEY
 from .builders import make_configuration
 from .late_table import AsyncLateTable, make_session
 from .test_vm_planner import BOUNDS
@@ -91,6 +92,55 @@
         asyncio.run(run())
 
 
+class TestHandover:
+    def _make_owner(self, session):
+        claim = Claim(session.lease.token, 100.0, None, False)
+        configuration = make_configuration()
+        owner = FleetOwner(session.ports, configuration, claim, BOUNDS, LONGEST_LEASE)
+        owner._session.wants_successor = True
+        owner._session.loaded_at = 100.0
+        return owner
+
+    def test_it_releases_the_ownership_after_all_tasks_have_ended(self):
+        """Guards against two owners that give orders for a moment."""
+
+        async def run():
+            table = AsyncLateTable()
+            session = make_session(table)
+            owner = self._make_owner(session)
+            steps: list[str] = []
+            owner._load_and_run = lambda: ignore_first_cancellation(steps)
+            owner._follow_lag = lambda: asyncio.sleep(60.0)
+            task = asyncio.ensure_future(owner.run(asyncio.Event()))
+            await asyncio.sleep(0.02)
+            owner.hand_over(session.lease.token)
+            await asyncio.wait_for(task, 5.0)
+            assert steps == ["went on"]
+            (row,) = table.memory.read([HEARTBEAT_KEY]).values()
+            assert row.value["released"]
+
+        asyncio.run(run())
+
+    @pytest.mark.parametrize("missing", ["token", "wish", "resolved"])
+    def test_it_needs_a_candidate_for_this_overloaded_owner(self, missing):
+        """Guards against a change of the owner that helps nobody."""
+
+        async def run():
+            session = make_session(AsyncLateTable())
+            owner = self._make_owner(session)
+            token = session.lease.token
+            if missing == "token":
+                token -= 1
+            elif missing == "wish":
+                owner._session.wants_successor = False
+            else:
+                owner._session.loaded_at = 0.0
+            owner.hand_over(token)
+            assert not owner._handover.is_set()
+
+        asyncio.run(run())
+
+
 class TestUnexpectedEnd:
     # Guards against an owner that renews its lease while it stores no states or reads
     # no jobs, because a loop has ended by a cancellation that came out of a call.
--- a/catkinport/platform/daemon.py
+++ b/catkinport/platform/daemon.py
@@ -23,6 +23,7 @@
 from ..runtime import BootTimeClock, Metrics
 from ..runtime.background import run_until_done
 from ..runtime.logs import log_event
+from ..runtime.loop_lag import LoopLag
 from ..settings.declaration import format_fault
 from .callers import CallerServer, ConfigurationAgeLimit
 from .client import PlatformClient
@@ -81,17 +82,25 @@
         self._configuration = ConfigurationWatch(
             table, self._clock, OPERATOR_TABLE, CONFIGURATION_KEY, decode_configuration
         )
+        self._lag = LoopLag(self._metrics)
         cores = settings.processor_share * settings.processor_speed
+        self._claim_delay_seconds = claim_delay_seconds(cores, settings.link_mbps)
         self._ownership_watch = OwnershipWatch(
             table,
             self._clock,
             settings.name,
             random.Random(),
-            claim_delay_seconds(cores, settings.link_mbps),
+            self._claim_delay_seconds,
         )
         self._ports = OwnerPorts(
             table,
-            PlatformWorkers(self._client, table, self._clock, settings.advice),
+            PlatformWorkers(
+                self._client,
+                table,
+                self._clock,
+                settings.advice,
+                lambda: self._lag.seconds,
+            ),
             PlatformVms(self._client, settings.vms, settings.name),
             PlatformMaintenanceRequests(table, lambda: self._configuration.row_by_key),
             self._clock,
@@ -202,10 +211,16 @@
         return web.Response(body=content, headers={"Content-Type": content_type})
 
     async def _refresh_queue_depths(self) -> None:
-        """Refresh the number of waiting jobs while this daemon is the owner."""
+        """Follow the rows of the ownership while this daemon is the owner.
+
+        They tell how many jobs wait, and whether a candidate can take over.
+        """
         while True:
             if self._owner is not None:
                 await self._ownership_watch.poll()
+                if self._owner is not None:
+                    token = self._ownership_watch.find_candidate_token()
+                    self._owner.hand_over(token)
             else:
                 await asyncio.sleep(0.2)
 
@@ -222,6 +237,8 @@
                 claim,
                 self._vm_bounds(),
                 self._settings.bounds.longest_lease,
+                self._lag,
+                self._claim_delay_seconds > 0,
             )
             try:
                 await self._owner.run(self._stop)
--- a/catkinport/policy/leadership.py
+++ b/catkinport/policy/leadership.py
@@ -61,6 +61,42 @@
     return 0.0 if is_large else SMALL_VM_DELAY_SECONDS
 
 
+MAX_OWNER_LAG_SECONDS = 0.25
+"""Lag of the event loop from which on an owner falls behind. Answers that arrive in
+time are then read after their calls have been given up."""
+
+MIN_OVERLOAD_SECONDS = 2.0
+"""How long an owner on a small VM must fall behind until it asks for a successor. A
+change of the owner stops all orders for half a second or more."""
+
+
+class OverloadWatch:
+    """Record of whether an owner falls behind for long.
+
+    Example:
+        >>> watch = OverloadWatch()
+        >>> watch.note(0.5, 10.0)
+        >>> watch.is_lasting(11.0), watch.is_lasting(12.0)
+        (False, True)
+    """
+
+    def __init__(self) -> None:
+        self._began_at: float | None = None
+
+    def note(self, lag_seconds: float, now: float) -> None:
+        """Record the lag of the event loop at clock time ``now`` in seconds."""
+        if lag_seconds < MAX_OWNER_LAG_SECONDS:
+            self._began_at = None
+        elif self._began_at is None:
+            self._began_at = now
+
+    def is_lasting(self, now: float) -> bool:
+        """Return whether the owner has fallen behind for `MIN_OVERLOAD_SECONDS`."""
+        return self._began_at is not None and (
+            now - self._began_at >= MIN_OVERLOAD_SECONDS
+        )
+
+
 class OwnerRows(NamedTuple):
     """The owner's row and its heartbeat row as a daemon has read them.
 
--- a/catkinport/policy/tests/test_leadership.py
+++ b/catkinport/policy/tests/test_leadership.py
@@ -4,6 +4,7 @@
     MAY_BE_REPLACED_SECONDS,
     STOP_RENEWING_SECONDS,
     TAKEOVER_SECONDS,
+    OverloadWatch,
     OwnerRows,
     OwnerWatch,
     OwnLease,
@@ -78,3 +79,16 @@
 
     def test_successor_does_not_wait_for_renewals_of_an_ended_owner(self):
         assert former_owner_bound(0.0, True, 4.5) < STOP_RENEWING_SECONDS
+
+
+class TestOverload:
+    def test_it_lasts_after_some_time_of_lag(self):
+        """Guards against a change of the owner for each short burst of work."""
+        watch = OverloadWatch()
+        watch.note(0.4, 10.0)
+        watch.note(0.4, 11.0)
+        assert not watch.is_lasting(11.0)
+        watch.note(0.1, 11.5)
+        watch.note(0.4, 11.6)
+        assert not watch.is_lasting(13.0)
+        assert watch.is_lasting(13.7)
