Finish waves in time: drain more VMs with lasting tasks, and learn sooner that these are ready

What users saw: upkeep that comes too late.

A step of 24 lasting tasks of which two may be away took 2.4 to 3.8 s for each two of them: stop 0.6 s, start, 0.9 s until ready, and up to 2 s until two long polls had told so.

Change: a pool drains as many VMs with lasting tasks at a time, three at most, as its share of the wave needs; the budget of each step stays as it was. Polls of a worker on which a lasting task is starting wait 0.25 s at most.

--- a/catkinport/jobs/ownership/worker_watch.py
+++ b/catkinport/jobs/ownership/worker_watch.py
@@ -25,6 +25,14 @@
 POLL_WAIT_SECONDS = 1.0
 """Longest time that a worker waits for the end of a run before it answers a poll."""
 
+STARTING_POLL_WAIT_SECONDS = 0.25
+"""Longest such wait while a lasting task on the worker is not ready yet. A worker
+answers a poll early for an end, but not for a task that becomes ready, and the next
+task of its step can leave a VM only then."""
+
+STARTING_SECONDS = 5.0
+"""Time from its start order for which a lasting task counts as starting."""
+
 POLL_PAUSE_SECONDS = 0.15
 """Pause after a poll that had no answer."""
 
@@ -195,7 +203,12 @@
         if lease_seconds:
             worker.extend_lease(sent_at)
         is_answer_urgent = worker.processed_end > worker.stored_end or not is_fresh
-        wait_seconds = POLL_WAIT_SECONDS if may_wait and not is_answer_urgent else 0.0
+        wait_seconds = 0.0
+        if may_wait and not is_answer_urgent:
+            is_starting = _has_starting_task(worker, sent_at)
+            wait_seconds = (
+                STARTING_POLL_WAIT_SECONDS if is_starting else POLL_WAIT_SECONDS
+            )
         # A poll without an answer may be carried out late, by an incarnation whose ends
         # are counted anew. So an end is not acknowledged again after an answer.
         is_end_new = worker.stored_end > worker.acknowledged_end
@@ -235,6 +248,16 @@
             await asyncio.sleep(RETRY_SECONDS)
 
 
+def _has_starting_task(worker: WorkerRecord, now: float) -> bool:
+    """Return whether a lasting task has started there lately and is not ready."""
+    return any(
+        run.task.step.is_lasting
+        and now - run.asked_at <= STARTING_SECONDS
+        and not run.is_reported_ready(worker.contact_at)
+        for run in worker.run_by_key.values()
+    )
+
+
 def _roster_entry(worker_record: WorkerRecord) -> dict[str, Any]:
     worker = worker_record.listed
     return {
--- a/catkinport/jobs/tests/test_worker_watch.py
+++ b/catkinport/jobs/tests/test_worker_watch.py
@@ -10,7 +10,7 @@
 from ...ports.fleet_workers import WorkerLists
 from ..ownership import worker_watch
 from ..ownership.worker_watch import WorkerWatch
-from .builders import Fleet, make_job, make_worker
+from .builders import Fleet, make_job, make_step, make_worker
 
 LOST = Unavailable(Reason.CONNECTION_LOST, "worker-hold", "w1", "", True)
 
@@ -77,6 +77,46 @@
         assert len(fleet.plan()) == 1
 
 
+class TestStartingTask:
+    """While lasting tasks start, the next ones of their step must not leave a VM."""
+
+    def _fleet(self, is_lasting):
+        fleet = Fleet([make_worker("w1")])
+        step = make_step(is_lasting=is_lasting)
+        fleet.dispatcher.add_job(make_job(steps=[step]), fleet.now)
+        fleet.start()
+        return fleet
+
+    def _report(self, fleet, percent):
+        ((key, run),) = fleet.running_by_worker["w1"].items()
+        fleet.running_by_worker["w1"][key] = run._replace(percent=percent)
+        fleet.poll("w1")
+
+    @pytest.mark.parametrize(("is_lasting", "wait"), [(True, 0.25), (False, 1.0)])
+    def test_it_is_noticed_soon_that_a_lasting_task_is_ready(self, is_lasting, wait):
+        """Guards against a wave that is late because it waits for each report.
+
+        A step of 24 tasks of which two may be away took 2.6 s for each two of them,
+        1.5 s of it until a long poll had returned twice.
+        """
+        fleet = self._fleet(is_lasting)
+        assert poll(fleet, ANSWER).polls == [(4.0, wait)]
+
+    def test_long_polls_follow_once_it_is_ready(self):
+        fleet = self._fleet(True)
+        self._report(fleet, 100.0)
+        fleet.advance(0.6)
+        self._report(fleet, 100.0)
+        assert poll(fleet, ANSWER).polls == [(4.0, 1.0)]
+
+    def test_a_task_that_never_gets_ready_does_not_keep_polls_short(self):
+        """Guards against four polls a second of a worker that hangs."""
+        fleet = self._fleet(True)
+        fleet.advance(6.0)
+        fleet.poll("w1")
+        assert poll(fleet, ANSWER).polls == [(4.0, 1.0)]
+
+
 class TestAcknowledgedEnds:
     def test_ends_are_acknowledged_until_a_poll_is_answered(self):
         """Guards against a late poll that makes a restarted worker forget its ends.
--- a/catkinport/jobs/vms/disruption_budget.py
+++ b/catkinport/jobs/vms/disruption_budget.py
@@ -15,14 +15,6 @@
 Stage = tuple[str, int, int]
 """Job id, occurrence and number of a step."""
 
-READY_PERCENT = 100.0
-"""Progress that a worker reports for a lasting task that is ready."""
-
-MIN_READY_SECONDS = 0.5
-"""A task counts as available once it has been reported as ready for this long. The
-platform counts a task as unavailable only if an order has ended it, or if it has not
-been ready for seconds."""
-
 
 class DisruptionBudget:
     """Decides which lasting tasks may be ended now without exceeding `max_away`.
@@ -82,12 +74,11 @@
 
     def _is_run_available(self, run: Run) -> bool:
         worker = self._dispatcher.worker_by_id[run.worker_id]
-        if run.task.phase is not TaskPhase.PLACED or run.percent < READY_PERCENT:
+        if run.task.phase is not TaskPhase.PLACED:
             return False
         if run.is_evacuated or self._inventory.is_under_order(worker.vm_id):
             return False
-        ready_seconds = worker.contact_at - run.progressed_at
-        return ready_seconds >= MIN_READY_SECONDS
+        return run.is_reported_ready(worker.contact_at)
 
 
 def _count_lasting(worker: WorkerRecord) -> dict[Stage, int]:
--- a/catkinport/jobs/workers/run.py
+++ b/catkinport/jobs/workers/run.py
@@ -6,6 +6,14 @@
 from ..dispatch.record import JobRecord
 from ..dispatch.task import Task
 
+READY_PERCENT = 100.0
+"""Progress that a worker reports for a lasting task that is ready."""
+
+MIN_READY_SECONDS = 0.5
+"""A lasting task counts as available once it has been reported as ready for this long.
+The platform counts a task as unavailable only if an order has ended it, or if it has
+not been ready for seconds."""
+
 
 class RunPhase(StrEnum):
     """Whether a run was ordered, runs or is being stopped, as the owner knows it."""
@@ -85,3 +93,12 @@
         self.progressed_at = now
         self.load = 0.0
         self.pace = 100
+
+    def is_reported_ready(self, reported_at: float) -> bool:
+        """Return whether the run of a lasting task has been ready for some time.
+
+        Args:
+            reported_at: clock time in seconds of the worker's latest report.
+        """
+        is_ready = self.percent >= READY_PERCENT
+        return is_ready and reported_at - self.progressed_at >= MIN_READY_SECONDS
--- a/catkinport/policy/upkeep.py
+++ b/catkinport/policy/upkeep.py
@@ -9,6 +9,8 @@
 number of lasting tasks of the same step may be stopped at the same time.
 """
 
+import math
+from collections import Counter
 from collections.abc import Sequence
 from enum import IntEnum
 from typing import NamedTuple
@@ -16,6 +18,15 @@
 PLANNED_FRACTION = 0.65
 """Fraction of the time to the deadline within which the wave is scheduled to finish."""
 
+LASTING_DRAIN_SECONDS = 2.5
+"""Time from the reservation of a VM with lasting tasks until the next one of its pool
+can be reserved: its short tasks end, its lasting ones start elsewhere, and these are
+ready."""
+
+MAX_LASTING_DRAINS = 3
+"""Most VMs with lasting tasks that one pool drains at a time. Draining VMs get no new
+tasks, and the tasks of a step still go away only as many at a time as it allows."""
+
 
 class UpkeepCost(IntEnum):
     """Cost of taking a VM down for the tasks on it, in increasing order."""
@@ -94,7 +105,7 @@
     """Choose the VMs of the wave to take down and to drain now.
 
     VMs with lasting tasks come first, as they take longest: few tasks of a step may be
-    stopped at the same time, so such VMs go down one after the other.
+    stopped at the same time, so a pool drains few such VMs together.
 
     Example:
         >>> idle = UpkeepCandidate("m-1", "p", UpkeepCost.IDLE)
@@ -109,7 +120,7 @@
     ready.sort(key=lambda c: (c.cost, not c.is_reserved, c.vm_id))
     n_free = max(0, view.max_down - view.n_down)
     maintain = [c.vm_id for c in (*drained_vms, *ready)][:n_free]
-    drain = _choose_lasting_to_drain(lasting, is_behind(view))
+    drain = _choose_lasting_to_drain(lasting, view)
     if is_behind(view):
         short = [c for c in view.candidates if c.cost is UpkeepCost.SHORT_WORK]
         n_draining = sum(c.is_reserved for c in (*short, *lasting))
@@ -121,24 +132,36 @@
 
 
 def _choose_lasting_to_drain(
-    lasting: list[UpkeepCandidate], is_wave_behind: bool
+    lasting: list[UpkeepCandidate], view: WaveView
 ) -> list[str]:
-    """Choose one VM with lasting tasks in each pool that is draining none.
+    """Choose the VMs with lasting tasks that are drained next.
 
+    A pool drains one VM at a time, and more if that would take too long for the wave.
     Pools whose queue has its peak of demand are skipped unless the wave is behind its
     schedule.
     """
     drain = []
-    draining_pools = {c.pool for c in lasting if c.is_reserved}
+    n_by_pool = Counter(c.pool for c in lasting)
+    n_draining_by_pool = Counter(c.pool for c in lasting if c.is_reserved)
     for candidate in sorted(lasting, key=_busy_cores):
-        if candidate.pool in draining_pools or candidate.is_pool_short:
+        pool = candidate.pool
+        if candidate.is_reserved or candidate.is_pool_short:
+            continue
+        if candidate.is_pool_busy and not is_behind(view):
             continue
-        if candidate.is_pool_busy and not is_wave_behind:
+        if n_draining_by_pool[pool] >= _lasting_drains(n_by_pool[pool], view):
             continue
-        draining_pools.add(candidate.pool)
+        n_draining_by_pool[pool] += 1
         drain.append(candidate.vm_id)
     return drain
 
 
+def _lasting_drains(n_vms: int, view: WaveView) -> int:
+    """Return how many of ``n_vms`` VMs of a pool are drained at a time."""
+    seconds_left = view.deadline_seconds * PLANNED_FRACTION - view.age_seconds
+    n_turns = max(1.0, seconds_left / LASTING_DRAIN_SECONDS)
+    return min(MAX_LASTING_DRAINS, math.ceil(n_vms / n_turns))
+
+
 def _busy_cores(candidate: UpkeepCandidate) -> float:
     return candidate.busy_cores
