Tell no numbers of waiting jobs that the owner does not know

Cause, by reading: an owner renews its ownership before it has read the jobs, and the renewal then says that none wait. On a slow link the read takes longer than the first renewal. Also, a claim alone made the numbers of the lost owner look new, as it changes the rows that the daemons follow.

Change: a renewal has no numbers until the jobs are loaded, and only a renewal makes numbers newer.

Tests: TestWaitingJobs, both failed before. make_busy_session of the same file now counts as loaded, as its tests mean.

--- a/catkinport/jobs/ownership/ownership_watch.py
+++ b/catkinport/jobs/ownership/ownership_watch.py
@@ -236,8 +236,12 @@
                 owner=(owner.value if owner else {}).get("owner", ""),
                 token=owner_version,
             )
-        if owner_rows != former:
-            self.depths = QueueDepths(value.get("waiting", {}), now)
+        # A claim changes only the owner's row, and the numbers are as old as before.
+        is_renewed = (
+            former is None or former.heartbeat_version != owner_rows.heartbeat_version
+        )
+        if is_renewed and "waiting" in value:
+            self.depths = QueueDepths(value["waiting"], now)
 
     def _find_latest_renewal(self, row: Row | None) -> dict[str, Any]:
         """Return the value of the renewal that the owner has sent last.
--- a/catkinport/jobs/ownership/state_store.py
+++ b/catkinport/jobs/ownership/state_store.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 from collections.abc import Iterable, Sequence
+from typing import Any
 
 from ...policy.leadership import HEARTBEAT_SECONDS
 from ...ports.table import Committed, Conflict, Row, Write
@@ -31,14 +32,16 @@
     It needs no condition on the version of its row: a renewal that is carried out late
     only delays a takeover or the wait for leases after it.
     """
-    value = {
+    value: dict[str, Any] = {
         "token": session.lease.token,
         "sent_at": sent_at,
         "released": is_released,
         "resolved": session.is_resolved,
         "wants_successor": session.wants_successor,
-        "waiting": fit_waiting(session.dispatcher.count_waiting()),
     }
+    # An owner that has not loaded the jobs yet would say that none wait.
+    if session.loaded_at:
+        value["waiting"] = fit_waiting(session.dispatcher.count_waiting())
     return Write(HEARTBEAT_KEY, value)
 
 
--- a/catkinport/jobs/tests/test_ownership_watch.py
+++ b/catkinport/jobs/tests/test_ownership_watch.py
@@ -161,6 +161,7 @@
     for number, name in enumerate(names[:n_waiting_queues]):
         job = make_job(f"{number:016x}", queue=name)
         session.dispatcher.add_job(job, 100.0)
+    session.loaded_at = 100.0
     return session
 
 
@@ -191,6 +192,49 @@
         assert len(waiting) > 1000
 
 
+class TestWaitingJobs:
+    """Numbers of waiting jobs around a change of the owner."""
+
+    def _watch(self, daemons):
+        rng = random.Random(1)
+        return OwnershipWatch(StoreClient(daemons.store), daemons.clock, "other", rng)
+
+    def test_an_owner_that_has_not_loaded_the_jobs_tells_no_numbers(self):
+        """Guards against an answer that no job waits while some wait for seconds.
+
+        A new owner on a slow link renewed its ownership before it had read the jobs.
+        """
+        daemons = Daemons()
+        daemons.renew(daemons.claim("first"), waiting={QUEUE: 4})
+        watch = self._watch(daemons)
+        run_now(watch.poll())
+        seen_at = watch.depths.seen_at
+        daemons.clock.advance(1.0)
+        claim = daemons.claim("first")
+        dispatcher = Dispatcher(make_configuration())
+        session = OwnerSession(
+            SimpleNamespace(table=None, clock=daemons.clock),
+            dispatcher,
+            OwnLease(claim.token, 0.0),
+        )
+        daemons.renew(claim, **heartbeat_write(session, 1.0).value)
+        run_now(watch.poll())
+        assert watch.depths.n_by_queue == {QUEUE: 4}
+        assert watch.depths.seen_at == seen_at
+
+    def test_a_claim_does_not_make_them_newer(self):
+        """Guards against numbers of a lost owner that pass for present ones."""
+        daemons = Daemons()
+        daemons.renew(daemons.claim("first"), waiting={QUEUE: 4})
+        watch = self._watch(daemons)
+        run_now(watch.poll())
+        seen_at = watch.depths.seen_at
+        daemons.clock.advance(1.0)
+        daemons.claim("first")
+        run_now(watch.poll())
+        assert watch.depths.seen_at == seen_at
+
+
 class TestCandidacy:
     """An owner on a small VM that falls behind hands over to a larger VM, if it can."""
 
