--- a/catkinport/platform/daemon.py
+++ b/catkinport/platform/daemon.py
@@ -218,6 +218,7 @@
         while True:
             if self._owner is not None:
                 await self._ownership_watch.poll()
+                # The ownership may have ended during the call.
                 if self._owner is not None:
                     token = self._ownership_watch.find_candidate_token()
                     self._owner.hand_over(token)
