--- a/review/lib/standin.py
+++ b/review/lib/standin.py
@@ -6,7 +6,8 @@
 
 * An order for a VM that is answered with 503 has not been carried out.
 * A worker that has ended, or that is cut off, answers no call that has reached it
-  before. Calls to a worker that has crashed are reset.
+  before. Calls to a worker that has crashed are reset, and calls to one that is cut
+  off or dark get no answer.
 
 It also knows gangs: the tasks whose specification says ``lasts gang=8 seconds=3`` work
 only while all 8 tasks of one run are present, and end as done together after 3 s.
@@ -96,10 +97,13 @@
 
         async def handle(request: web.Request) -> web.StreamResponse:
             instance = self._vm.instance
-            if instance is None and not self._vm.is_silent:
-                return abort(request)
-            response = await answer(request)
-            if self._vm.instance is not instance or self._vm.is_silent:
+            response = None
+            if instance is not None and not self._vm.is_silent:
+                response = await answer(request)
+            while self._vm.is_silent:
+                await asyncio.sleep(server_module.TICK_SECONDS)
+                response = None
+            if response is None or self._vm.instance is not instance:
                 return abort(request)
             return response
 
