--- a/review/3/case.py
+++ b/review/3/case.py
@@ -9,6 +9,7 @@
 
 REPLICAS = {"queue-0": "00000000000000b1", "queue-1": "00000000000000b2"}
 LATER = "00000000000000b3"
+LATER_CORES = 2
 N_VMS = 4
 REFUSAL_SECONDS = 3.0
 DEADLINE_SECONDS = 26
@@ -54,12 +55,15 @@
     trial.submit("queue-0", LATER, "seconds=0.5 cores=2", Count=1, Cpu=2000)
     time.sleep(FINISH_SECONDS + NOTHING_RUNS_SECONDS)
     trial.call("entry-0", "GET", f"/queue-0/{LATER}")
-    if count_started(trial, LATER):
+    cores = trial.list_cores("pool-0")
+    free = {vm: n - trial.count_running(vm) for vm, n in cores.items()}
+    has_room = sum(n // LATER_CORES for n in free.values()) >= 2
+    is_half_free = sum(free.values()) * 2 > sum(cores.values())
+    if count_started(trial, LATER) or not has_room or not is_half_free:
         return HELD
     trial.note(
         f"rule LOST broken: {LATER} has run nothing for "
-        f"{FINISH_SECONDS + NOTHING_RUNS_SECONDS} s, with 15 of 16 cores free on each "
-        f"of the {N_VMS} VMs of its pool"
+        f"{FINISH_SECONDS + NOTHING_RUNS_SECONDS} s; free cores by VM: {free}"
     )
     return BROKEN
 
--- a/review/lib/standin.py
+++ b/review/lib/standin.py
@@ -10,7 +10,8 @@
   off or dark get no answer.
 
 It also knows gangs: the tasks whose specification says ``lasts gang=8 seconds=3`` work
-only while all 8 tasks of one run are present, and end as done together after 3 s.
+only while all 8 tasks of one run are present, and end as done together after 3 s. And
+it can hold the first start order of a job up until its worker has restarted.
 """
 
 import argparse
@@ -93,12 +94,12 @@
     """Start order that gets no answer and that the next incarnation carries out.
 
     Attributes:
-        is_armed: whether the next start order that arrives is held up.
+        job_id: job whose next start order is held up; empty for none.
         vm_id: VM of the order that was held up; empty before.
     """
 
     def __init__(self) -> None:
-        self.is_armed = False
+        self.job_id = ""
         self.vm_id = ""
 
 
@@ -116,8 +117,10 @@
 
         async def handle(request: web.Request) -> web.StreamResponse:
             instance = self._vm.instance
-            if request.path == "/run-start" and HOLD_UP.is_armed:
-                return await self._hold_up(request)
+            if request.path == "/run-start" and HOLD_UP.job_id:
+                body = await request.json()
+                if str(body["Task"]).startswith(HOLD_UP.job_id):
+                    return await self._hold_up(request, body)
             response = None
             if instance is not None and not self._vm.is_silent:
                 response = await answer(request)
@@ -130,11 +133,12 @@
 
         return handle
 
-    async def _hold_up(self, request: web.Request) -> web.Response:
+    async def _hold_up(
+        self, request: web.Request, body: Mapping[str, Any]
+    ) -> web.Response:
         """Carry a start out late, on the incarnation that has the id by then."""
-        HOLD_UP.is_armed = False
+        HOLD_UP.job_id = ""
         HOLD_UP.vm_id = self._vm.vm_id
-        body = await request.json()
         former = self._vm.instance
         while self._vm.instance in (None, former) or self._vm.is_silent:
             await asyncio.sleep(HOLD_UP_POLL_SECONDS)
@@ -162,7 +166,7 @@
         super()._add_vm_routes(app)
 
         async def hold_up(request: web.Request) -> web.Response:
-            HOLD_UP.is_armed = True
+            HOLD_UP.job_id = (await request.json())["job"]
             return web.json_response({})
 
         async def show_held_up(request: web.Request) -> web.Response:
--- a/review/lib/trial.py
+++ b/review/lib/trial.py
@@ -226,6 +226,24 @@
         """Return what the workers have recorded of their runs, oldest first."""
         return self.control("GET", "/standin/events")["events"]
 
+    def list_cores(self, pool: str) -> dict[str, float]:
+        """Return the cores of each VM of a pool that is up and has a worker."""
+        machines = self.control("GET", "/machines")["Machines"]
+        cores = {
+            one["Machine"]: one["Capacity"]["Cpu"] / 1000
+            for one in machines
+            if one["Pool"] == pool and one["State"] == "up" and one["Id"]
+        }
+        self.note(f"platform: VMs of {pool} that are up, and their cores: {cores}")
+        return cores
+
+    def count_running(self, vm_id: str) -> int:
+        """Return how many runs are at work on a VM."""
+        prefix = f"i-{vm_id}-"
+        events = [e for e in self.list_events() if e["worker"].startswith(prefix)]
+        n_started = sum(e["what"] == "started" for e in events)
+        return n_started - sum(e["what"] not in ("started", "noted") for e in events)
+
     def to_trial_time(self, at: float) -> float:
         """Convert a time of the stand-in's events, which is of the same clock."""
         return at - self.began_at
