Let a VM go whose order the platform has refused

An order that was refused stayed pending as if it might have been carried out. It is repeated only once its worker has no runs, and a lasting task never ends; while it is pending, that task counts as unavailable, which uses up the budget of its step, so that no other VM may go down either. Ruled out: the list of VMs (it was read all the time), the ownership (one owner, no change).

Change: the client already tells a refusal (429, 503, no connection) from a lost answer. A refused order leaves its VM free, unless an earlier sending had no answer. A refused upkeep also releases the VMs that are drained, and pauses the waves for a second, as it isn't known how long the platform refuses; a refused move leaves its VM in its pool, which gets no move for a second. The log tells a refusal from a lost answer (detail, may_be_done) and reports the pause.

--- a/catkinport/jobs/ownership/vm_orders.py
+++ b/catkinport/jobs/ownership/vm_orders.py
@@ -200,6 +200,8 @@
             token=token,
             outcome=type(outcome).__name__,
             reason=getattr(outcome, "reason", ""),
+            detail=getattr(outcome, "detail", ""),
+            may_be_done=getattr(outcome, "may_have_committed", ""),
         )
         if isinstance(outcome, Done):
             self._vm_planner.on_done(order, self._session.clock.now())
@@ -209,6 +211,8 @@
         elif isinstance(outcome, Rejected):
             self._session.check_fenced(outcome)
             self._vm_planner.on_rejected(order)
+        elif not outcome.may_have_committed:
+            self._vm_planner.on_refused(order, self._session.clock.now())
 
     async def _store_memory(self, now: float) -> None:
         if now - self._memory_stored_at < MEMORY_STORE_SECONDS:
--- /dev/null
+++ b/catkinport/jobs/tests/test_refused_vm_orders.py
@@ -0,0 +1,150 @@
+"""Tests of VMs whose orders the platform refuses or leaves without an answer."""
+
+import asyncio
+from types import SimpleNamespace
+
+import pytest
+
+from ...ports import Reason, Unavailable
+from ...ports.fleet_workers import Done, OrderOutcome
+from ..ownership.vm_orders import VmOrders
+from ..vms.order_targets import VmOrder
+from ..vms.vm_inventory import REFUSAL_PAUSE_SECONDS, REPEAT_SECONDS
+from .builders import POOL, make_job, make_step, make_worker
+from .test_vm_orders import FakeSession
+from .test_vm_planner import BOUNDS, VmFleet
+
+LATER_JOB = "00000000000000b2"
+N_VMS = 4
+REFUSED = Unavailable(Reason.STORE_UNAVAILABLE, "vm-order", may_have_committed=False)
+
+
+def answer(fleet: VmFleet, order: VmOrder, outcome: OrderOutcome) -> None:
+    """Send an order to a platform that answers it with ``outcome``."""
+    session = FakeSession(SimpleNamespace(now=lambda: fleet.now))
+    session.outcome = outcome
+    orders = VmOrders(session, fleet.vm_planner, 0.0)
+    orders._store_begun = lambda wave: asyncio.sleep(0)
+    asyncio.run(orders._send_vm_order(order, fleet.now))
+
+
+class LastingFleet(VmFleet):
+    """A pool with a lasting task on each VM, of which one may be unavailable at once.
+
+    A wave names all VMs; two may be down together.
+    """
+
+    def __init__(self) -> None:
+        super().__init__(N_VMS)
+        step = make_step(N_VMS, is_lasting=True, max_per_worker=1, max_away=1)
+        self.dispatcher.add_job(make_job(steps=[step]), self.now)
+        assert len(self.start()) == N_VMS
+        self.make_lasting_tasks_available()
+        self.request_wave([f"m{number}" for number in range(N_VMS)], max_down=2)
+
+    def wait_for_order(self) -> VmOrder:
+        """Plan until an upkeep is ordered."""
+        for _ in range(20):
+            for order in self.step():
+                return order
+        raise AssertionError("no upkeep was ordered")
+
+    def replace_worker(self, order: VmOrder) -> None:
+        """Let the VM of an upkeep come back with a new worker."""
+        number = int(order.vm_id[1:])
+        former_id = self.workers[number].worker_id
+        worker_id = former_id + "-next"
+        del self.running_by_worker[former_id]
+        del self.ended_by_worker[former_id]
+        self.workers[number] = make_worker(worker_id, started_at=self.now)
+        self.running_by_worker[worker_id] = {}
+        self.ended_by_worker[worker_id] = []
+        self.vms[number] = self.vms[number]._replace(worker_id=worker_id)
+        self.list_workers()
+        self.list_vms()
+
+    def poll(self, worker_id: str, started_at: float = 1.0) -> None:
+        listed = {worker.worker_id: worker.started_at for worker in self.workers}
+        super().poll(worker_id, listed.get(worker_id, started_at))
+
+    def finish_upkeep(self, order: VmOrder) -> None:
+        """Carry an upkeep out, and let the tasks of its VM start again."""
+        answer(self, order, Done())
+        self.replace_worker(order)
+        self.advance(BOUNDS.upkeep)
+        self.step(BOUNDS.upkeep)
+        self.start()
+        self.make_lasting_tasks_available()
+
+    def is_wave_complete(self) -> bool:
+        return self.vm_planner.is_complete(self.vm_planner.wave_by_number[1])
+
+
+class TestRefusedUpkeep:
+    def test_pool_takes_tasks_again(self):
+        """Guards against a pool without tasks for as long as upkeeps are refused.
+
+        The lasting task of the refused VM counted as unavailable, so that no other VM
+        of the wave could go down, and all of them were kept free for their upkeep.
+        """
+        fleet = LastingFleet()
+        order = fleet.wait_for_order()
+        for _ in range(4):
+            fleet.step()
+        answer(fleet, order, REFUSED)
+        workers = fleet.dispatcher.worker_by_id.values()
+        assert not [w.worker_id for w in workers if w.is_reserved]
+        fleet.dispatcher.add_job(make_job(LATER_JOB), fleet.now)
+        assert len(fleet.start()) == 1
+
+    def test_wave_completes_after_a_refusal(self):
+        """Guards against a wave that stops with the first order that is refused."""
+        fleet = LastingFleet()
+        answer(fleet, fleet.wait_for_order(), REFUSED)
+        for _ in range(N_VMS):
+            fleet.finish_upkeep(fleet.wait_for_order())
+        assert fleet.is_wave_complete()
+
+    def test_no_upkeep_is_ordered_during_the_pause(self):
+        """Guards against a burst of calls to a platform that is overloaded."""
+        fleet = LastingFleet()
+        answer(fleet, fleet.wait_for_order(), REFUSED)
+        refused_at = fleet.now
+        fleet.wait_for_order()
+        assert fleet.now - refused_at >= REFUSAL_PAUSE_SECONDS
+
+    def test_vm_stays_under_an_order_that_was_sent_before(self):
+        """Guards against more VMs down for a wave than it allows.
+
+        The first sending had no answer and may have been carried out.
+        """
+        fleet = VmFleet(1)
+        fleet.request_wave(["m0"])
+        (order,) = fleet.step()
+        assert fleet.step(REPEAT_SECONDS) == [order]
+        answer(fleet, order, REFUSED)
+        assert fleet.vm_planner.inventory.is_under_order("m0")
+        assert fleet.step(REPEAT_SECONDS) == [order]
+
+
+class TestRefusedMove:
+    def _refuse_moves(self):
+        fleet = VmFleet(1, n_off=1)
+        fleet.dispatcher.add_job(make_job(steps=[make_step(16)]), fleet.now)
+        (order,) = fleet.step()
+        assert (order.vm_id, order.pool) == ("off0", POOL)
+        answer(fleet, order, REFUSED)
+        return fleet, order
+
+    def test_vm_stays_in_its_pool(self):
+        """Guards against a pool that counts a VM which has not moved."""
+        fleet, order = self._refuse_moves()
+        inventory = fleet.vm_planner.inventory
+        assert not inventory.is_under_order(order.vm_id)
+        assert inventory.pool_of(inventory.vm_by_id[order.vm_id]) == "off"
+
+    @pytest.mark.parametrize(("seconds", "n_orders"), [(0.5, 0), (1.0, 1)])
+    def test_vm_is_ordered_again_after_a_pause(self, seconds, n_orders):
+        """Guards against a burst of calls to a platform that is overloaded."""
+        fleet, order = self._refuse_moves()
+        assert fleet.step(seconds) == [order] * n_orders
--- a/catkinport/jobs/tests/test_vm_orders.py
+++ b/catkinport/jobs/tests/test_vm_orders.py
@@ -6,6 +6,7 @@
 import pytest
 
 from ...policy.leadership import OwnLease
+from ...ports import Reason, Unavailable
 from ...ports.fleet_vms import UpkeepWave
 from ...ports.fleet_workers import Done
 from ...ports.table import Committed, Condition, Conflict
@@ -26,6 +27,7 @@
         self.wake = asyncio.Event()
         self.is_conflict = False
         self.is_deposed = False
+        self.outcome = Done()
         self.stored = []
         self.sent = []
 
@@ -40,7 +42,11 @@
 
     async def maintain(self, vm_id, wave, token):
         self.sent.append((vm_id, len(self.stored)))
-        return Done()
+        return self.outcome
+
+    async def move(self, vm_id, pool, token):
+        self.sent.append((vm_id, len(self.stored)))
+        return self.outcome
 
     def list_waves(self):
         return [UpkeepWave(1, ["m0"], 20.0, 1)]
@@ -132,6 +138,27 @@
         assert fleet.vm_planner.inventory.is_under_order("m0") == bool(n_sent)
 
 
+class TestOutcomeOfAnOrder:
+    @pytest.mark.parametrize("may_be_done", [False, True])
+    def test_only_an_order_that_may_be_done_keeps_its_vm(self, may_be_done):
+        """Guards against a VM that waits for an order that was certainly refused."""
+        fleet = VmFleet(1)
+        fleet.request_wave(["m0"])
+        session = FakeSession(SimpleNamespace(now=lambda: fleet.now))
+        session.outcome = Unavailable(
+            Reason.STORE_UNAVAILABLE, "vm-upkeep", may_have_committed=may_be_done
+        )
+
+        async def run():
+            orders = VmOrders(session, fleet.vm_planner, 0.0)
+            await orders._send_vm_orders(fleet.step(), fleet.now)
+            await asyncio.sleep(0)
+
+        asyncio.run(run())
+        assert session.sent == [("m0", 1)]
+        assert fleet.vm_planner.inventory.is_under_order("m0") is may_be_done
+
+
 class FakeDesk:
     """Takes the reports of waves; the test loses the answers to some."""
 
--- a/catkinport/jobs/vms/pool_mover.py
+++ b/catkinport/jobs/vms/pool_mover.py
@@ -132,6 +132,7 @@
             if may_move
             and self._inventory.is_up(vm)
             and vm_id not in self._inventory.reserved
+            and not self._inventory.is_refused_lately(vm_id, now)
             and (vm_id not in wave_vms or self._inventory.is_off(vm))
         ]
         self._report_pools(pools, demand_by_pool, waits_by_pool, movable, now)
--- a/catkinport/jobs/vms/vm_inventory.py
+++ b/catkinport/jobs/vms/vm_inventory.py
@@ -15,6 +15,9 @@
 REPEAT_SECONDS = 1.0
 """Time after which an order without an answer is sent again."""
 
+REFUSAL_PAUSE_SECONDS = 1.0
+"""Time for which the platform gets no more orders like one that it has refused."""
+
 
 class VmBounds(NamedTuple):
     """Times that the platform specifies, in seconds.
@@ -74,11 +77,14 @@
         self._pending_by_vm: dict[str, PendingOrder] = {}
         self._held_until_by_vm: dict[str, float] = {}
         self._ordered_at_by_vm: dict[str, float] = {}
+        self._refused_at_by_vm: dict[str, float] = {}
 
     def update_vms(self, vms: Sequence[FleetVm], sent_at: float) -> None:
         """Apply the platform's list, which was requested at ``sent_at``."""
         self.vm_by_id = {vm.vm_id: vm for vm in vms}
         self.listed_at = sent_at
+        refused = self._refused_at_by_vm.items()
+        self._refused_at_by_vm = {v: at for v, at in refused if v in self.vm_by_id}
         for vm_id, pending in list(self._pending_by_vm.items()):
             if self._is_effect_listed(pending, self.vm_by_id.get(vm_id), sent_at):
                 del self._pending_by_vm[vm_id]
@@ -140,8 +146,8 @@
         if pending is not None and not pending.is_repeated:
             self.targets.forget(order)
 
-    def note_not_sent(self, order: VmOrder) -> bool:
-        """Record that an order that was about to be sent was not sent.
+    def note_without_effect(self, order: VmOrder) -> bool:
+        """Record that the latest sending of an order was given up or had no effect.
 
         Returns:
             Whether the VM is under no order now; an order that was sent earlier may
@@ -154,6 +160,29 @@
         self.targets.forget(order)
         return True
 
+    def note_refused(self, order: VmOrder, now: float) -> bool:
+        """Record that the platform has refused an order for now and done nothing.
+
+        It is overloaded or unavailable, so the VM may be ordered again after a pause.
+
+        Returns:
+            As `note_without_effect`.
+        """
+        self._refused_at_by_vm[order.vm_id] = now
+        return self.note_without_effect(order)
+
+    def is_refused_lately(self, vm_id: str, now: float) -> bool:
+        """Return whether an order for the VM was refused within the pause."""
+        refused_at = self._refused_at_by_vm.get(vm_id, float("-inf"))
+        return now - refused_at < REFUSAL_PAUSE_SECONDS
+
+    def release_drained(self) -> list[str]:
+        """Release the reserved VMs that are under no order; return their ids."""
+        vm_ids = sorted(vm for vm in self.reserved if not self.is_under_order(vm))
+        for vm_id in vm_ids:
+            self.release(vm_id)
+        return vm_ids
+
     def repeat_orders(self, now: float) -> Iterator[VmOrder]:
         """Yield the orders to send again because they had no answer."""
         for pending in list(self._pending_by_vm.values()):
--- a/catkinport/jobs/vms/vm_planner.py
+++ b/catkinport/jobs/vms/vm_planner.py
@@ -26,7 +26,7 @@
 from .disruption_budget import DisruptionBudget
 from .order_targets import VmOrder
 from .pool_mover import PoolMover
-from .vm_inventory import VmBounds, VmInventory
+from .vm_inventory import REFUSAL_PAUSE_SECONDS, VmBounds, VmInventory
 
 logger = logging.getLogger(__name__)
 
@@ -73,6 +73,7 @@
         self._disruption_budget = DisruptionBudget(dispatcher, self.inventory)
         self.wave_by_number: dict[int, WaveState] = {}
         self._short_pools: set[str] = set()
+        self._waves_paused_until = float("-inf")
 
     def update_vms(self, vms: Sequence[FleetVm], sent_at: float) -> None:
         """Update the VMs from the platform's list.
@@ -123,8 +124,9 @@
         self.inventory.note_idle(now)
         self.mover.update_turns(now)
         orders = list(self.inventory.repeat_orders(now))
-        for state in self.wave_by_number.values():
-            orders.extend(self._plan_wave(state, now))
+        if now >= self._waves_paused_until:
+            for state in self.wave_by_number.values():
+                orders.extend(self._plan_wave(state, now))
         wave_vms = {
             vm_id
             for state in self.wave_by_number.values()
@@ -164,9 +166,30 @@
 
     def on_not_sent(self, order: VmOrder) -> None:
         """Note that the order was not sent, because it could not be stored first."""
-        if self.inventory.note_not_sent(order):
+        if self.inventory.note_without_effect(order):
             self.inventory.release(order.vm_id)
 
+    def on_refused(self, order: VmOrder, now: float) -> None:
+        """Note that the platform has refused the order for now and done nothing.
+
+        The VMs that were kept free for upkeep get tasks until the platform may accept
+        orders again: how long it refuses them is not known.
+        """
+        if self.inventory.note_refused(order, now):
+            self.inventory.release(order.vm_id)
+        if not order.wave:
+            return
+        self._waves_paused_until = now + REFUSAL_PAUSE_SECONDS
+        released = self.inventory.release_drained()
+        log_event(
+            logger,
+            "upkeep paused",
+            vm=order.vm_id,
+            wave=order.wave,
+            seconds=REFUSAL_PAUSE_SECONDS,
+            released=",".join(released),
+        )
+
     def is_complete(self, state: WaveState) -> bool:
         """Return whether all VMs of the wave that still exist have begun their upkeep.
 
