Repeat an unanswered order for a VM whose tasks don't end

An order that timed out or whose connection broke was repeated only once its worker had no runs. A lasting task never ends, so if the order had not been carried out, it stayed pending for good, and the lasting task counted as unavailable: no other VM of its pool could go down, and those that had been drained took no tasks. If it had been carried out, the new worker's tasks kept it pending too, and the wave was never completed.

Change: it is repeated once a second. If it was carried out, the platform only confirms it. If not, it ends tasks, so short ones end first (the worker takes no others), unless the worker has started since an upkeep was sent, and the budget of the lasting ones is checked again without counting the VM's own, which count as unavailable already. The sendings that may have been carried out are counted, so that a VM is free once each of them has been refused; a platform slower than a second refused the first one after the second one was sent.

--- a/catkinport/jobs/vms/disruption_budget.py
+++ b/catkinport/jobs/vms/disruption_budget.py
@@ -4,7 +4,7 @@
 step, at most `max_away` tasks may be unavailable at once.
 """
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Set
 
 from ..dispatch.dispatcher import Dispatcher
 from ..dispatch.task import TaskPhase
@@ -58,15 +58,31 @@
             for stage, n in _count_lasting(worker).items()
         )
 
+    def may_end_ordered(self, worker: WorkerRecord) -> bool:
+        """Return whether the lasting tasks of a VM under order may still be ended.
+
+        They count as unavailable already, so only the other tasks are counted.
+        """
+        ordered = {run.task.text for run in worker.run_by_key.values()}
+        return all(
+            self._count_unavailable(stage, ordered) + n <= self._max_away(stage)
+            for stage, n in _count_lasting(worker).items()
+        )
+
     def _max_away(self, stage: Stage) -> int:
         record = self._dispatcher.job_by_id[stage[0]]
         return record.job.steps[stage[2]].max_away
 
-    def _count_unavailable(self, stage: Stage) -> int:
-        """Return how many tasks of the step are not known to be available."""
+    def _count_unavailable(self, stage: Stage, left_out: Set[str] = frozenset()) -> int:
+        """Return how many tasks of the step are not known to be available.
+
+        Args:
+            stage: the step.
+            left_out: names of tasks that are not counted.
+        """
         record = self._dispatcher.job_by_id[stage[0]]
-        tasks = record.tasks_by_stage[stage[1], stage[2]]
-        return sum(not self._is_task_available(task.text) for task in tasks)
+        names = {task.text for task in record.tasks_by_stage[stage[1], stage[2]]}
+        return sum(not self._is_task_available(name) for name in names - left_out)
 
     def _is_task_available(self, task: str) -> bool:
         runs = self._dispatcher.runs_by_task.get(task, [])
--- a/catkinport/jobs/vms/vm_inventory.py
+++ b/catkinport/jobs/vms/vm_inventory.py
@@ -3,7 +3,7 @@
 An order shows in the list only with a delay; until then the order itself counts.
 """
 
-from collections.abc import Iterable, Iterator, Sequence
+from collections.abc import Iterable, Sequence
 from typing import NamedTuple
 
 from ...ports.fleet_vms import FleetVm, VmState
@@ -40,15 +40,17 @@
 
     Args:
         order: the order.
+        first_sent_at: when it was first sent.
         sent_at: when it was last sent.
         answered_at: when its answer came; 0 before.
-        is_repeated: whether it was also sent earlier, and may have been carried out.
+        n_uncertain: how many of its sendings may have been carried out.
     """
 
     order: VmOrder
+    first_sent_at: float
     sent_at: float
     answered_at: float
-    is_repeated: bool
+    n_uncertain: int
 
 
 class VmInventory:
@@ -121,10 +123,12 @@
         former = self._pending_by_vm.get(order.vm_id)
         if former is None or former.order != order:
             self.targets.note_first_sent(order, self.worker_on(order.vm_id))
-        is_repeated = former is not None and (
-            former.is_repeated or former.sent_at < now
-        )
-        pending = PendingOrder(order, now, 0.0, is_repeated)
+        if former is None:
+            pending = PendingOrder(order, now, now, 0.0, 1)
+        else:
+            # A round may note the same sending twice.
+            n_uncertain = former.n_uncertain + (former.sent_at < now)
+            pending = PendingOrder(order, former.first_sent_at, now, 0.0, n_uncertain)
         self._pending_by_vm[order.vm_id] = pending
         self._ordered_at_by_vm[order.vm_id] = now
 
@@ -143,18 +147,20 @@
     def note_rejected(self, order: VmOrder) -> None:
         """Record that the platform has rejected the order and done nothing."""
         pending = self._pending_by_vm.pop(order.vm_id, None)
-        if pending is not None and not pending.is_repeated:
+        if pending is not None and pending.n_uncertain <= 1:
             self.targets.forget(order)
 
     def note_without_effect(self, order: VmOrder) -> bool:
-        """Record that the latest sending of an order was given up or had no effect.
+        """Record that a sending of an order was given up or had no effect.
 
         Returns:
-            Whether the VM is under no order now; an order that was sent earlier may
+            Whether the VM is under no order now; another sending of the order may
             have been carried out.
         """
         pending = self._pending_by_vm.get(order.vm_id)
-        if pending is not None and pending.is_repeated:
+        if pending is not None and pending.n_uncertain > 1:
+            n_uncertain = pending.n_uncertain - 1
+            self._pending_by_vm[order.vm_id] = pending._replace(n_uncertain=n_uncertain)
             return False
         self._pending_by_vm.pop(order.vm_id, None)
         self.targets.forget(order)
@@ -183,15 +189,13 @@
             self.release(vm_id)
         return vm_ids
 
-    def repeat_orders(self, now: float) -> Iterator[VmOrder]:
-        """Yield the orders to send again because they had no answer."""
-        for pending in list(self._pending_by_vm.values()):
-            if pending.answered_at or now - pending.sent_at < REPEAT_SECONDS:
-                continue
-            worker = self.worker_on(pending.order.vm_id)
-            if worker is not None and worker.run_by_key:
-                continue
-            yield pending.order
+    def find_unanswered(self, now: float) -> list[PendingOrder]:
+        """Return the orders that have had no answer for `REPEAT_SECONDS`."""
+        return [
+            pending
+            for pending in self._pending_by_vm.values()
+            if not pending.answered_at and now - pending.sent_at >= REPEAT_SECONDS
+        ]
 
     def _is_effect_listed(
         self, pending: PendingOrder, vm: FleetVm | None, sent_at: float
