Let drained VMs take tasks while the platform's list of VMs is old

No order is given by a list that is over 3 s old, but the VMs that were kept free for an upkeep stayed so: a pool whose VMs were all drained took no task for as long as the platform was silent. They are released now, as after a refused order, and drained anew once the list is back. `vm upkeep put off` names its reason. The new test failed before.

--- a/catkinport/jobs/tests/test_refused_vm_orders.py
+++ b/catkinport/jobs/tests/test_refused_vm_orders.py
@@ -10,6 +10,7 @@
 from ..ownership.vm_orders import VmOrders
 from ..vms.order_targets import VmOrder
 from ..vms.vm_inventory import REFUSAL_PAUSE_SECONDS, REPEAT_SECONDS
+from ..vms.vm_planner import MAX_LIST_AGE_SECONDS
 from .builders import POOL, make_job, make_step, make_worker
 from .test_vm_orders import FakeSession
 from .test_vm_planner import BOUNDS, VmFleet
@@ -140,6 +141,25 @@
         assert not fleet.vm_planner.inventory.is_under_order("m0")
 
 
+class TestUnansweredLists:
+    def test_drained_vms_take_tasks_again(self):
+        """Guards against a pool without tasks for as long as the platform is silent.
+
+        All VMs of the pool were kept free for an upkeep that nobody could order.
+        """
+        fleet = LastingFleet()
+        order = fleet.wait_for_order()
+        inventory = fleet.vm_planner.inventory
+        for vm_id in inventory.vm_by_id:
+            inventory.reserve(vm_id)
+        fleet.advance(MAX_LIST_AGE_SECONDS + 0.1)
+        fleet.poll_all()
+        assert fleet.vm_planner.plan(fleet.now) == []
+        assert inventory.reserved == {order.vm_id}
+        fleet.dispatcher.add_job(make_job(LATER_JOB), fleet.now)
+        assert len(fleet.start()) == 1
+
+
 class TestUnansweredOrder:
     def test_it_is_repeated_for_a_vm_with_a_lasting_task(self):
         """Guards against a wave that stops with the first order without an answer.
--- a/catkinport/jobs/vms/vm_planner.py
+++ b/catkinport/jobs/vms/vm_planner.py
@@ -117,8 +117,13 @@
             state.begun.update(vm_ids)
 
     def plan(self, now: float) -> list[VmOrder]:
-        """Return the orders to send now, and note them as sent."""
+        """Return the orders to send now, and note them as sent.
+
+        None are sent by an old list. It shows that the platform doesn't answer, so no
+        VM is kept free for an upkeep meanwhile.
+        """
         if now - self.inventory.listed_at > MAX_LIST_AGE_SECONDS:
+            self._release_drained_vms("list-old")
             return []
         self.inventory.end_holds(now)
         self.inventory.note_idle(now)
@@ -180,15 +185,7 @@
         if not order.wave:
             return
         self._waves_paused_until = now + REFUSAL_PAUSE_SECONDS
-        released = self.inventory.release_drained()
-        log_event(
-            logger,
-            "upkeep paused",
-            vm=order.vm_id,
-            wave=order.wave,
-            seconds=REFUSAL_PAUSE_SECONDS,
-            released=",".join(released),
-        )
+        self._release_drained_vms("order-refused")
 
     def is_complete(self, state: WaveState) -> bool:
         """Return whether all VMs of the wave that still exist have begun their upkeep.
@@ -208,6 +205,11 @@
         runs = self._disruption_budget.find_evacuations(self.inventory.reserved)
         return self.mover.lasting_room.find_placeable(runs, now)
 
+    def _release_drained_vms(self, reason: str) -> None:
+        """Let the VMs that wait for an upkeep get tasks, as none can be ordered now."""
+        for vm_id in self.inventory.release_drained():
+            log_event(logger, "vm upkeep put off", vm=vm_id, reason=reason)
+
     def _release_vms(self, vm_ids: Set[str]) -> None:
         """Put off the upkeep of VMs that have the only room for a waiting lasting task.
 
@@ -216,7 +218,7 @@
         """
         self._short_pools = {self.inventory.vm_by_id[vm_id].pool for vm_id in vm_ids}
         for vm_id in sorted(vm_ids):
-            log_event(logger, "vm upkeep put off", vm=vm_id)
+            log_event(logger, "vm upkeep put off", vm=vm_id, reason="lasting-task")
             self.inventory.release(vm_id)
 
     def _repeat_orders(self, now: float) -> list[VmOrder]:
