Keep a VM under its order if that may be why it is not up

The answer to an upkeep was lost, the repeated order was rejected because the VM was down for the first one, and the owner forgot the order. Until its list showed the VM as down, up to 1.2 s later, the VM counted as up, and another one of the wave was ordered.

Change: a rejection because the VM is not up (a kind of its own now) settles only the sending that it answers. The order stays pending if another sending may have been carried out, and is repeated until the platform confirms it. Other rejections drop it as before. An unhashable reason in an answer counts as unknown.

Test: test_it_counts_as_down_if_an_earlier_sending_may_have_taken_it_down failed before.

--- a/catkinport/jobs/ownership/vm_orders.py
+++ b/catkinport/jobs/ownership/vm_orders.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 from ...ports import Unavailable
-from ...ports.fleet_workers import Done, Rejected
+from ...ports.fleet_workers import Done, Rejected, Rejection
 from ...ports.table import Committed, Write
 from ...runtime.logs import log_event
 from ..tables import (
@@ -210,7 +210,10 @@
                 await self._store_begun(order.wave)
         elif isinstance(outcome, Rejected):
             self._session.check_fenced(outcome)
-            self._vm_planner.on_rejected(order)
+            if outcome.reason is Rejection.NOT_UP:
+                self._vm_planner.on_vm_not_up(order)
+            else:
+                self._vm_planner.on_rejected(order)
         elif not outcome.may_have_committed:
             self._vm_planner.on_refused(order, self._session.clock.now())
 
--- a/catkinport/jobs/tests/test_refused_vm_orders.py
+++ b/catkinport/jobs/tests/test_refused_vm_orders.py
@@ -6,7 +6,7 @@
 import pytest
 
 from ...ports import Reason, Unavailable
-from ...ports.fleet_workers import Done, OrderOutcome
+from ...ports.fleet_workers import Done, OrderOutcome, Rejected, Rejection
 from ..ownership.vm_orders import VmOrders
 from ..vms.order_targets import VmOrder
 from ..vms.vm_inventory import REFUSAL_PAUSE_SECONDS, REPEAT_SECONDS
@@ -215,6 +215,32 @@
         assert fleet.step(REPEAT_SECONDS) == [order]
 
 
+class TestVmThatIsNotUp:
+    def test_it_counts_as_down_if_an_earlier_sending_may_have_taken_it_down(self):
+        """Guards against more VMs down for a wave than it allows.
+
+        The answer to the first sending was lost, and the platform rejected the second
+        one before its list showed the VM as down.
+        """
+        fleet = VmFleet(2)
+        fleet.request_wave(["m0", "m1"], max_down=1)
+        (order,) = fleet.step()
+        assert fleet.step(REPEAT_SECONDS) == [order]
+        answer(fleet, order, Rejected(Rejection.NOT_UP))
+        assert fleet.step() == []
+        assert fleet.step(REPEAT_SECONDS) == [order]
+        answer(fleet, order, Done())
+        assert fleet.vm_planner.wave_by_number[1].begun == {order.vm_id}
+
+    def test_it_is_free_if_the_order_was_sent_once(self):
+        """Guards against a VM that stays unused after it has come back."""
+        fleet = VmFleet(1)
+        fleet.request_wave(["m0"])
+        (order,) = fleet.step()
+        answer(fleet, order, Rejected(Rejection.NOT_UP))
+        assert not fleet.vm_planner.inventory.is_under_order("m0")
+
+
 class TestRefusedMove:
     def _refuse_moves(self):
         fleet = VmFleet(1, n_off=1)
--- a/catkinport/jobs/tests/test_vm_orders.py
+++ b/catkinport/jobs/tests/test_vm_orders.py
@@ -8,7 +8,7 @@
 from ...policy.leadership import OwnLease
 from ...ports import Reason, Unavailable
 from ...ports.fleet_vms import UpkeepWave
-from ...ports.fleet_workers import Done
+from ...ports.fleet_workers import Done, Rejection
 from ...ports.table import Committed, Condition, Conflict
 from ..ownership.vm_orders import FORMER_WAVE_SECONDS, VmOrders
 from ..tables import OWNER_KEY, VM_ORDERS_KEY
@@ -54,6 +54,9 @@
     def depose(self, reason):
         self.is_deposed = True
 
+    def check_fenced(self, outcome):
+        self.is_deposed |= outcome.reason is Rejection.FENCED
+
     def spawn(self, coroutine):
         return asyncio.ensure_future(coroutine)
 
--- a/catkinport/jobs/vms/vm_planner.py
+++ b/catkinport/jobs/vms/vm_planner.py
@@ -169,6 +169,15 @@
         self.inventory.note_rejected(order)
         self.inventory.release(order.vm_id)
 
+    def on_vm_not_up(self, order: VmOrder) -> None:
+        """Note that the platform has rejected the order because the VM is not up.
+
+        It may be down for an earlier sending of the order that had no answer. It stays
+        under order then, and counts as down before the list shows it.
+        """
+        if self.inventory.note_without_effect(order):
+            self.inventory.release(order.vm_id)
+
     def on_not_sent(self, order: VmOrder) -> None:
         """Note that the order was not sent, because it could not be stored first."""
         if self.inventory.note_without_effect(order):
--- /dev/null
+++ b/catkinport/platform/tests/test_vms.py
@@ -0,0 +1,52 @@
+"""Tests of the client of the service that lists, moves and maintains VMs."""
+
+import asyncio
+
+import pytest
+
+from ...ports import Unavailable
+from ...ports.fleet_workers import Done, Rejected, Rejection
+from ..client import Reply
+from ..vms import PlatformVms
+
+
+class ScriptedClient:
+    """Client that gives its replies one after the other, the last one for good."""
+
+    def __init__(self, *replies: Reply) -> None:
+        self._replies = list(replies)
+
+    async def call(self, *args, **kwargs) -> Reply:
+        return self._replies.pop(0) if len(self._replies) > 1 else self._replies[0]
+
+
+def make_vms(*replies: Reply) -> PlatformVms:
+    return PlatformVms(ScriptedClient(*replies), "vms:1", "edge-1")
+
+
+class TestOrder:
+    @pytest.mark.parametrize(
+        ("status", "body", "outcome"),
+        [
+            (200, {}, Done()),
+            (409, {"Reason": "fence"}, Rejected(Rejection.FENCED)),
+            (409, {"Reason": "busy"}, Rejected(Rejection.NOT_UP)),
+            (409, {"Reason": "wave"}, Rejected(Rejection.INVALID)),
+            (409, {"Reason": ["busy"]}, Rejected(Rejection.INVALID)),
+            (409, None, Rejected(Rejection.INVALID)),
+            (400, None, Rejected(Rejection.INVALID)),
+        ],
+    )
+    def test_outcome_by_answer(self, status, body, outcome):
+        """Guards against taking a VM that is down for one that can't be ordered."""
+        vms = make_vms(Reply(status, body, 0.0))
+        assert asyncio.run(vms.maintain("m-1", 1, 7)) == outcome
+
+    @pytest.mark.parametrize(
+        ("status", "may_be_done"), [(429, False), (503, False), (500, True)]
+    )
+    def test_only_a_refusal_is_certainly_without_effect(self, status, may_be_done):
+        """Guards against ordering other VMs while an order may be carried out."""
+        outcome = asyncio.run(make_vms(Reply(status, None, 0.0)).move("m-1", "p", 7))
+        assert isinstance(outcome, Unavailable)
+        assert outcome.may_have_committed is may_be_done
--- a/catkinport/platform/vms.py
+++ b/catkinport/platform/vms.py
@@ -18,6 +18,8 @@
 HOLDER_HEADER = "X-Catkinport-Lease-Holder"
 TOKEN_HEADER = "X-Catkinport-Fencing-Token"
 
+_REJECTION_BY_REASON = {"fence": Rejection.FENCED, "busy": Rejection.NOT_UP}
+
 
 class PlatformVms:
     """Implements `ports.fleet_vms.FleetVms`.
@@ -108,8 +110,7 @@
             return Done()
         if reply.status == 409:
             reason = reply.body.get("Reason") if isinstance(reply.body, dict) else ""
-            is_fenced = reason == "fence"
-            return Rejected(Rejection.FENCED if is_fenced else Rejection.NO_ROOM)
+            return Rejected(_REJECTION_BY_REASON.get(str(reason), Rejection.INVALID))
         if reply.status == 400:
             return Rejected(Rejection.INVALID)
         return self._unexpected_status(step, reply)
--- a/catkinport/ports/fleet_workers.py
+++ b/catkinport/ports/fleet_workers.py
@@ -118,8 +118,9 @@
 
     ``FENCED`` means that the worker has seen a higher fencing token, ``OLD_RUN`` that
     the run was stopped or has ended or that another run of the task is active,
-    ``LATE`` that the lease in the order had expired on arrival, and
-    ``OTHER_INCARNATION`` that the worker has restarted under another id.
+    ``LATE`` that the lease in the order had expired on arrival,
+    ``OTHER_INCARNATION`` that the worker has restarted under another id, and ``NOT_UP``
+    that the VM of the order is down, moving or about to leave.
     """
 
     FENCED = "fenced"
@@ -129,6 +130,7 @@
     TICKET = "ticket"
     UNHEALTHY = "unhealthy"
     OTHER_INCARNATION = "other-life"
+    NOT_UP = "not-up"
     INVALID = "invalid"
 
 
