Wait for all ends of a worker before its tasks start again

A worker lists at most 500 ended runs in an answer, and the next ones once these are acknowledged. The owner took the first answer for all of the worker's state, twice over: it resolved the worker, so that the tasks of inherited jobs could start, and it gave up each run that was in neither list. The second needs no change of owner: 600 runs that end within one poll, or while the store is away, are enough.

Change: a full list of ends says that others may be missing. Until an answer has room left, its worker is not resolved and no run on it is given up as unlisted. A worker that has answered in part is not resolved by the end of the former owner's leases either, as it has a lease of this owner. `worker report lacks ends` shows such an answer.

--- a/catkinport/jobs/dispatch/dispatcher.py
+++ b/catkinport/jobs/dispatch/dispatcher.py
@@ -209,9 +209,10 @@
     def resolve_inherited_workers(self, now: float) -> None:
         """Note that the leases of the former owner's runs have expired.
 
-        Workers that this owner has not reached have therefore ended those runs.
+        Workers that this owner has not reached have therefore ended those runs. Those
+        that it has reached in part are left out, unless its own lease has expired too.
         """
-        self._inherited.resolve_all(now)
+        self._inherited.resolve_expired(now)
 
     def workers_of(self, pool: str) -> list[WorkerRecord]:
         """Return the workers of a pool."""
--- a/catkinport/jobs/tests/simulated_workers.py
+++ b/catkinport/jobs/tests/simulated_workers.py
@@ -12,6 +12,9 @@
     WorkerLists,
 )
 
+MAX_LISTED_ENDS = 2
+"""Most ended runs in one answer; few, so that short histories need several answers."""
+
 
 class Order(NamedTuple):
     """An order to a worker to start or stop a run.
@@ -110,7 +113,9 @@
         self._extend_lease(until, now)
         self.ended = [end for end in self.ended if end.number > acknowledged_end]
         running = [RunningTask(*key, "", 0.0, 0.0) for key in self.running]
-        return WorkerLists(self.started_at, running, list(self.ended))
+        ended = self.ended[:MAX_LISTED_ENDS]
+        may_lack_ends = len(ended) == MAX_LISTED_ENDS
+        return WorkerLists(self.started_at, running, ended, may_lack_ends)
 
     def crash(self) -> None:
         """Restart with nothing known, not even a fencing token."""
--- a/catkinport/jobs/workers/inherited_workers.py
+++ b/catkinport/jobs/workers/inherited_workers.py
@@ -7,6 +7,7 @@
 
 from ...runtime.logs import log_event
 from ..dispatch.job_table import JobTable
+from .worker_state import WorkerRecord
 from .worker_table import WorkerTable
 
 logger = logging.getLogger(__name__)
@@ -48,10 +49,16 @@
             self._log_resolved_pool(pool, now)
             self._jobs.finish_inherited_jobs()
 
-    def resolve_all(self, now: float) -> None:
-        """Resolve the workers that are left, as their leases have expired."""
+    def resolve_expired(self, now: float) -> None:
+        """Resolve the workers that are left and whose leases have expired.
+
+        A worker that has answered, but not listed all ended runs yet, has a lease of
+        this owner.
+        """
         for worker_id in list(self._workers.unresolved_by_id):
-            self.resolve(worker_id, "lease-ended", now)
+            worker = self._workers.worker_by_id.get(worker_id)
+            if worker is None or _is_lease_over(worker, now):
+                self.resolve(worker_id, "lease-ended", now)
 
     def _log_resolved_pool(self, pool: str, now: float) -> None:
         """Log what is known of a pool as its inherited jobs may go on."""
@@ -67,3 +74,7 @@
             n_runs=sum(len(worker.run_by_key) for worker in workers),
             oldest_answer_seconds=round(now - oldest, 3),
         )
+
+
+def _is_lease_over(worker: WorkerRecord, now: float) -> bool:
+    return not worker.is_in_contact(now) and now > worker.lease_until
--- a/catkinport/jobs/workers/worker_reports.py
+++ b/catkinport/jobs/workers/worker_reports.py
@@ -66,9 +66,14 @@
             log_event(logger, "late worker report dropped", worker=worker_id)
             return
         self._note_answer(worker, lists, now)
-        self._inherited.resolve(worker_id, "reached", now)
+        if lists.may_lack_ends:
+            _log_lacking_ends(worker, lists)
+        else:
+            self._inherited.resolve(worker_id, "reached", now)
         self._process_ends(worker, lists, now)
-        self._process_running(worker, lists, sent_at, now)
+        self._process_running(worker, lists, now)
+        if not lists.may_lack_ends:
+            self._lose_unlisted(worker, lists, sent_at, now)
 
     def _note_answer(
         self, worker: WorkerRecord, lists: WorkerLists, now: float
@@ -125,13 +130,11 @@
                 worker.processed_end = ended.number
 
     def _process_running(
-        self, worker: WorkerRecord, lists: WorkerLists, sent_at: float, now: float
+        self, worker: WorkerRecord, lists: WorkerLists, now: float
     ) -> None:
         for entry in lists.running:
             self._update_run(worker, entry, now)
-        listed_keys = {RunKey(entry.task, entry.run) for entry in lists.running}
-        self._forget_orphans(worker, listed_keys)
-        self._lose_unlisted(worker, listed_keys, sent_at, now)
+        self._forget_orphans(worker, _running_keys(lists))
 
     def _update_run(self, worker: WorkerRecord, entry: RunningTask, now: float) -> None:
         key = RunKey(entry.task, entry.run)
@@ -157,20 +160,33 @@
                 del self.orphan_stop_sent_at[worker_id, key]
 
     def _lose_unlisted(
-        self,
-        worker: WorkerRecord,
-        listed_keys: set[RunKey],
-        sent_at: float,
-        now: float,
+        self, worker: WorkerRecord, lists: WorkerLists, sent_at: float, now: float
     ) -> None:
         """Give up runs that were confirmed before the poll and are not in its answer.
 
         A run whose start is uncertain is given up only after a confirmed stop, because
         the start may still be carried out.
         """
+        running_keys = _running_keys(lists)
         for key, run in list(worker.run_by_key.items()):
-            if key in listed_keys:
+            if key in running_keys:
                 continue
             confirmed_at = run.stopped_at if run.is_start_uncertain else run.known_at
             if confirmed_at and confirmed_at < sent_at:
                 self._runs.lose(worker, run, "not-listed", now)
+
+
+def _running_keys(lists: WorkerLists) -> set[RunKey]:
+    return {RunKey(entry.task, entry.run) for entry in lists.running}
+
+
+def _log_lacking_ends(worker: WorkerRecord, lists: WorkerLists) -> None:
+    log_event(
+        logger,
+        "worker report lacks ends",
+        worker=worker.worker_id,
+        n_running=len(lists.running),
+        n_ended=len(lists.ended),
+        last_end=max((ended.number for ended in lists.ended), default=0),
+        n_runs=len(worker.run_by_key),
+    )
--- a/catkinport/platform/tests/test_decoding.py
+++ b/catkinport/platform/tests/test_decoding.py
@@ -8,7 +8,7 @@
 from ..jobs_codec import decode_job
 from ..operator_rows import decode_configuration, decode_wave
 from ..table import decode_row
-from ..workers_codec import decode_lists, decode_worker
+from ..workers_codec import MAX_LISTED_ENDS, decode_lists, decode_worker
 
 WORKER = {
     "Service": "huvo11a",
@@ -109,6 +109,18 @@
         assert lists.ended[0].how is EndKind.DONE
         assert lists.started_at == 1700000000.0
 
+    @pytest.mark.parametrize("n_more", [-1, 0])
+    def test_a_full_list_of_ends_may_lack_others(self, n_more):
+        """Guards against a second start of tasks whose ends come with the next answer.
+
+        An answer holds 500 ended runs at most.
+        """
+        ended = [
+            [number + 1, f"5c0e.0.1.{number}", 1, "done", ""]
+            for number in range(MAX_LISTED_ENDS + n_more)
+        ]
+        assert decode_lists({"Ended": ended}).may_lack_ends is (n_more == 0)
+
     def test_running_entry_without_a_load(self):
         lists = decode_lists({"Running": [["5c0e.0.1.17", 2, "", 41]]})
         assert lists.running[0].load == 0.0
--- a/catkinport/platform/workers_codec.py
+++ b/catkinport/platform/workers_codec.py
@@ -16,6 +16,9 @@
 )
 from . import decoding
 
+MAX_LISTED_ENDS = 500
+"""Most ended runs in one answer of a worker."""
+
 _REJECTION_BY_REASON = {
     "fence": Rejection.FENCED,
     "old": Rejection.OLD_RUN,
@@ -85,7 +88,12 @@
     """
     running = [_decode_running(e) for e in decoding.lists(message, "Running")]
     ended = [_decode_ended(e) for e in decoding.lists(message, "Ended")]
-    return WorkerLists(decoding.seconds(message, "born", 0.0), running, ended)
+    return WorkerLists(
+        decoding.seconds(message, "born", 0.0),
+        running,
+        ended,
+        may_lack_ends=len(ended) >= MAX_LISTED_ENDS,
+    )
 
 
 def _decode_running(entry: Sequence[Any]) -> RunningTask:
--- a/catkinport/ports/fleet_workers.py
+++ b/catkinport/ports/fleet_workers.py
@@ -61,11 +61,15 @@
             shows that the worker has restarted.
         running: all running tasks.
         ended: ended runs that the caller has not acknowledged yet, by number.
+        may_lack_ends: whether more runs may have ended than ``ended`` holds. The worker
+            lists the next ones once these have been acknowledged. A run in neither list
+            may then have ended.
     """
 
     started_at: float
     running: Sequence[RunningTask]
     ended: Sequence[EndedTask]
+    may_lack_ends: bool = False
 
 
 class ListedWorker(NamedTuple):
