Take a list that goes on for no answer instead of a whole one

A list of VMs with more than 50 pages was cut off there. The VMs beyond counted as gone, so the runs on their workers were given up and started elsewhere. A page of the store that is marked as truncated but has no rows ended the read as if the table were complete, so that a new owner could miss jobs. Both new tests failed before. The request for approvals, which the planner limits to 100 workers itself, has no such fault.

--- a/catkinport/platform/table.py
+++ b/catkinport/platform/table.py
@@ -152,8 +152,11 @@
                 return self._malformed_answer("table-read", error)
             rows.extend(page.rows)
             version = page.version if version < 0 else version
-            if not page.is_truncated or not page.rows:
+            if not page.is_truncated:
                 return Snapshot(rows, version)
+            if not page.rows:
+                error = decoding.MessageError("a truncated page has no rows")
+                return self._malformed_answer("table-read", error)
             start = page.rows[-1].row_key.key + "\0"
 
     async def commit(self, transaction: Transaction) -> CommitOutcome:
--- a/catkinport/platform/tests/test_malformed_answers.py
+++ b/catkinport/platform/tests/test_malformed_answers.py
@@ -226,6 +226,12 @@
         assert isinstance(asyncio.run(table.read_range("states")), Unavailable)
         assert isinstance(asyncio.run(table.follow("jobs", 3, 0.0)), Unavailable)
 
+    def test_a_truncated_page_without_rows_counts_as_no_answer(self):
+        """Guards against jobs that a new owner misses, as their rows follow."""
+        body = {"rows": [], "Ver": 3, "Truncated": True}
+        table = PlatformTable(OneAnswerClient(body), "store:1")
+        assert isinstance(asyncio.run(table.read_range("states")), Unavailable)
+
 
 class TestOperatorRows:
     @given(st.dictionaries(FIELDS, JSON_VALUES, max_size=6))
--- a/catkinport/platform/tests/test_vms.py
+++ b/catkinport/platform/tests/test_vms.py
@@ -24,6 +24,23 @@
     return PlatformVms(ScriptedClient(*replies), "vms:1", "edge-1")
 
 
+def _page(number: int, next_token: str | None) -> Reply:
+    entry = {"Machine": f"m-{number}", "Pool": "p", "State": "up", "Labels": []}
+    return Reply(200, {"Machines": [entry], "NextToken": next_token}, 0.0)
+
+
+class TestList:
+    def test_a_list_that_goes_on_counts_as_no_answer(self):
+        """Guards against tasks that start again as the VMs beyond count as gone."""
+        vms = make_vms(Reply(200, {"Machines": [], "NextToken": "more"}, 0.0))
+        assert isinstance(asyncio.run(vms.list_vms()), Unavailable)
+
+    def test_pages_are_read_to_the_end(self):
+        pages = [_page(number, "more" if number < 3 else None) for number in range(4)]
+        listed = asyncio.run(make_vms(*pages).list_vms())
+        assert [vm.vm_id for vm in listed] == ["m-0", "m-1", "m-2", "m-3"]
+
+
 class TestOrder:
     @pytest.mark.parametrize(
         ("status", "body", "outcome"),
--- a/catkinport/platform/vms.py
+++ b/catkinport/platform/vms.py
@@ -66,8 +66,9 @@
                     Reason.ANSWER_TRUNCATED, "vm-list", self._address, detail
                 )
             if not token:
-                break
-        return vms
+                return vms
+        detail = f"the list has more than {MAX_PAGES} pages"
+        return Unavailable(Reason.ANSWER_TRUNCATED, "vm-list", self._address, detail)
 
     async def move(self, vm_id: str, pool: str, token: int) -> OrderOutcome:
         """Order the move of a VM to another pool.
