Settle a sending of a VM order without effect in one place

on_not_sent and on_vm_not_up did the same. One method, on_no_effect, serves orders that were not sent, that were rejected because the VM is not up, and that were refused. No change of behaviour; the tests of catkinport/jobs and catkinport/platform pass.

--- a/catkinport/jobs/ownership/vm_orders.py
+++ b/catkinport/jobs/ownership/vm_orders.py
@@ -149,7 +149,7 @@
                 self._session.spawn(self._send_vm_order(order, send_by))
             return
         for order in orders:
-            self._vm_planner.on_not_sent(order)
+            self._vm_planner.on_no_effect(order)
 
     async def _prune_stored_vms(self, now: float) -> None:
         if not self._stored_vms or now - self._stored_vms_at < PRUNE_SECONDS:
@@ -182,7 +182,7 @@
                 vm=order.vm_id,
                 late_seconds=round(now - send_by, 2),
             )
-            self._vm_planner.on_not_sent(order)
+            self._vm_planner.on_no_effect(order)
             return
         token = self._session.lease.token
         if order.wave:
@@ -211,7 +211,8 @@
         elif isinstance(outcome, Rejected):
             self._session.check_fenced(outcome)
             if outcome.reason is Rejection.NOT_UP:
-                self._vm_planner.on_vm_not_up(order)
+                # The VM may be down for another sending, whose answer was lost.
+                self._vm_planner.on_no_effect(order)
             else:
                 self._vm_planner.on_rejected(order)
         elif not outcome.may_have_committed:
--- a/catkinport/jobs/vms/vm_inventory.py
+++ b/catkinport/jobs/vms/vm_inventory.py
@@ -150,7 +150,7 @@
         if pending is not None and pending.n_uncertain <= 1:
             self.targets.forget(order)
 
-    def note_without_effect(self, order: VmOrder) -> bool:
+    def note_no_effect(self, order: VmOrder) -> bool:
         """Record that a sending of an order was given up or had no effect.
 
         Returns:
@@ -166,16 +166,9 @@
         self.targets.forget(order)
         return True
 
-    def note_refused(self, order: VmOrder, now: float) -> bool:
-        """Record that the platform has refused an order for now and done nothing.
-
-        It is overloaded or unavailable, so the VM may be ordered again after a pause.
-
-        Returns:
-            As `note_without_effect`.
-        """
+    def note_refused(self, order: VmOrder, now: float) -> None:
+        """Record that an overloaded or unavailable platform has refused an order."""
         self._refused_at_by_vm[order.vm_id] = now
-        return self.note_without_effect(order)
 
     def is_refused_lately(self, vm_id: str, now: float) -> bool:
         """Return whether an order for the VM was refused within the pause."""
--- a/catkinport/jobs/vms/vm_planner.py
+++ b/catkinport/jobs/vms/vm_planner.py
@@ -169,18 +169,12 @@
         self.inventory.note_rejected(order)
         self.inventory.release(order.vm_id)
 
-    def on_vm_not_up(self, order: VmOrder) -> None:
-        """Note that the platform has rejected the order because the VM is not up.
+    def on_no_effect(self, order: VmOrder) -> None:
+        """Note that a sending of the order was given up, or had no effect.
 
-        It may be down for an earlier sending of the order that had no answer. It stays
-        under order then, and counts as down before the list shows it.
+        The VM stays under order if another sending may have had one.
         """
-        if self.inventory.note_without_effect(order):
-            self.inventory.release(order.vm_id)
-
-    def on_not_sent(self, order: VmOrder) -> None:
-        """Note that the order was not sent, because it could not be stored first."""
-        if self.inventory.note_without_effect(order):
+        if self.inventory.note_no_effect(order):
             self.inventory.release(order.vm_id)
 
     def on_refused(self, order: VmOrder, now: float) -> None:
@@ -189,8 +183,8 @@
         The VMs that were kept free for upkeep get tasks until the platform may accept
         orders again: how long it refuses them is not known.
         """
-        if self.inventory.note_refused(order, now):
-            self.inventory.release(order.vm_id)
+        self.inventory.note_refused(order, now)
+        self.on_no_effect(order)
         if not order.wave:
             return
         self._waves_paused_until = now + REFUSAL_PAUSE_SECONDS
