Let the stand-in refuse orders for VMs without carrying them out

While its interface for VMs was switched off, the project's stand-in carried out each order and answered 503, which on the platform says that nothing was done.

--- a/catkinport/platform/standin/server.py
+++ b/catkinport/platform/standin/server.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 import time
+from collections.abc import Callable
 from typing import Any
 
 from aiohttp import web
@@ -23,6 +24,8 @@
     "store_late_writes": 0.0,
     # Share of the orders that get no answer and are carried out seconds later.
     "late_orders": 0.0,
+    # Lists of VMs are refused. Orders for VMs are refused and carried out without an
+    # answer by turns.
     "is_vm_interface_down": False,
 }
 """Faults and their values while they are switched off."""
@@ -56,6 +59,7 @@
         self._store = StoreServer(rows, time.monotonic, self.faults, self._rng)
         self._fleet = VmFleet(self._store, size, time.monotonic)
         self._runners: list[web.AppRunner] = []
+        self._is_next_order_refused = True
         self.address = ""
 
     async def start(self) -> None:
@@ -99,20 +103,34 @@
 
         async def move(request: web.Request) -> web.Response:
             body = await request.json()
-            return self._answer_order(self._fleet.move(body["Machine"], body["Pool"]))
+            vm_id, pool = body["Machine"], body["Pool"]
+            return self._process_order(request, lambda: self._fleet.move(vm_id, pool))
 
         async def maintain(request: web.Request) -> web.Response:
             body = await request.json()
-            is_done = self._fleet.maintain(body["Machine"], int(body["Wave"]))
-            return self._answer_order(is_done)
+            vm_id, wave = body["Machine"], int(body["Wave"])
+            return self._process_order(
+                request, lambda: self._fleet.maintain(vm_id, wave)
+            )
 
         app.router.add_get("/machines", list_vms)
         app.router.add_post("/machine-move", move)
         app.router.add_post("/machine-upkeep", maintain)
 
+    def _process_order(
+        self, request: web.Request, carry_out: Callable[[], bool]
+    ) -> web.Response:
+        is_down = self.faults["is_vm_interface_down"]
+        if is_down:
+            self._is_next_order_refused = not self._is_next_order_refused
+            if not self._is_next_order_refused:
+                return web.json_response({}, status=503)
+        is_done = carry_out()
+        if is_down and request.transport is not None:
+            request.transport.abort()
+        return self._answer_order(is_done)
+
     def _answer_order(self, is_done: bool) -> web.Response:
-        if self.faults["is_vm_interface_down"]:
-            return web.json_response({}, status=503)
         if is_done:
             return web.json_response({})
         return web.json_response({"Reason": "busy"}, status=409)
