Move the fleet of VMs of the tests into a module of its own

Five test files took VmFleet or its bounds from test_vm_planner.py, and two of them replaced the worker of a VM and told its time of start in the same lines.

--- a/catkinport/jobs/tests/test_job_feed.py
+++ b/catkinport/jobs/tests/test_job_feed.py
@@ -13,7 +13,7 @@
 from ..ownership.session import OwnerPorts
 from ..tables import JOBS_TABLE, STATES_TABLE, cancel_key, job_key, state_key
 from .builders import JOB_ID, make_configuration, make_job
-from .test_vm_planner import BOUNDS
+from .vm_fleet import BOUNDS
 
 
 class FakeTable:
--- a/catkinport/jobs/tests/test_order_targets.py
+++ b/catkinport/jobs/tests/test_order_targets.py
@@ -5,7 +5,7 @@
 from ...ports.fleet_vms import UpkeepWave, VmState
 from ..vms.order_targets import VmOrder
 from .builders import POOL, make_job, make_worker
-from .test_vm_planner import BOUNDS, VmFleet
+from .vm_fleet import BOUNDS, VmFleet
 
 OTHER_POOL = "off"
 """Pool that the VM of a test leaves by a move to ``POOL``."""
@@ -31,11 +31,7 @@
             self.order = VmOrder("m0", 0, POOL)
             self.workers[0] = make_worker("w0", pool=OTHER_POOL)
             self.list_workers()
-            self.change_vm(pool=OTHER_POOL)
-
-    def poll(self, worker_id: str, started_at: float = 1.0) -> None:
-        listed = {worker.worker_id: worker.started_at for worker in self.workers}
-        super().poll(worker_id, listed.get(worker_id, started_at))
+            self.change_vm("m0", pool=OTHER_POOL)
 
     def send_order(self) -> None:
         """Note the order as sent, for the first time or again."""
@@ -52,19 +48,9 @@
         """Let the platform answer the order as done."""
         self.vm_planner.on_done(self.order, self.now)
 
-    def change_vm(self, **changes) -> None:
-        """Let the platform's list show changes of the VM."""
-        self.vms[0] = self.vms[0]._replace(**changes)
-        self.list_vms()
-
     def come_back(self, worker_id: str = "w1", is_vm_listed: bool = True) -> None:
         """Let a new worker start on the VM and report to the owner."""
-        self.workers[0] = make_worker(worker_id, started_at=2.0)
-        self.running_by_worker[worker_id] = {}
-        self.ended_by_worker[worker_id] = []
-        self.list_workers()
-        if is_vm_listed:
-            self.change_vm(pool=POOL, worker_id=worker_id)
+        self.replace_worker("m0", worker_id, is_vm_listed)
 
     def start_task(self) -> str:
         """Start a task of a new job; return the id of its worker."""
@@ -164,7 +150,7 @@
         assert fleet.start_task() == "w1"
         fleet.answer_order()
         fleet.advance(LIST_STEP_SECONDS)
-        fleet.change_vm(state=VmState.UPKEEP, worker_id="")
+        fleet.change_vm("m0", state=VmState.UPKEEP, worker_id="")
         assert fleet.runs_on("w1") == 0
 
 
@@ -250,5 +236,5 @@
         """Guards against tasks that wait for the lease of a worker that has ended."""
         fleet = self._fleet()
         fleet.advance(LIST_STEP_SECONDS)
-        fleet.change_vm(state=VmState.UPKEEP, worker_id="")
+        fleet.change_vm("m0", state=VmState.UPKEEP, worker_id="")
         assert fleet.runs_on("w0") == 0
--- a/catkinport/jobs/tests/test_refused_vm_orders.py
+++ b/catkinport/jobs/tests/test_refused_vm_orders.py
@@ -11,9 +11,9 @@
 from ..vms.order_targets import VmOrder
 from ..vms.vm_inventory import REFUSAL_PAUSE_SECONDS, REPEAT_SECONDS
 from ..vms.vm_planner import MAX_LIST_AGE_SECONDS
-from .builders import POOL, make_job, make_step, make_worker
+from .builders import POOL, make_job, make_step
 from .test_vm_orders import FakeSession
-from .test_vm_planner import BOUNDS, VmFleet
+from .vm_fleet import BOUNDS, VmFleet
 
 LATER_JOB = "00000000000000b2"
 N_VMS = 4
@@ -50,28 +50,10 @@
                 return order
         raise AssertionError("no upkeep was ordered")
 
-    def replace_worker(self, order: VmOrder) -> None:
-        """Let the VM of an upkeep come back with a new worker."""
-        number = int(order.vm_id[1:])
-        former_id = self.workers[number].worker_id
-        worker_id = former_id + "-next"
-        del self.running_by_worker[former_id]
-        del self.ended_by_worker[former_id]
-        self.workers[number] = make_worker(worker_id, started_at=self.now)
-        self.running_by_worker[worker_id] = {}
-        self.ended_by_worker[worker_id] = []
-        self.vms[number] = self.vms[number]._replace(worker_id=worker_id)
-        self.list_workers()
-        self.list_vms()
-
-    def poll(self, worker_id: str, started_at: float = 1.0) -> None:
-        listed = {worker.worker_id: worker.started_at for worker in self.workers}
-        super().poll(worker_id, listed.get(worker_id, started_at))
-
     def finish_upkeep(self, order: VmOrder) -> None:
         """Carry an upkeep out, and let the tasks of its VM start again."""
         answer(self, order, Done())
-        self.replace_worker(order)
+        self.replace_worker(order.vm_id, f"{order.vm_id}-next")
         self.advance(BOUNDS.upkeep)
         self.step(BOUNDS.upkeep)
         self.start()
@@ -208,10 +190,10 @@
         fleet = LastingFleet()
         order = fleet.wait_for_order()
         fleet.step()
-        fleet.replace_worker(order)
+        fleet.replace_worker(order.vm_id, "w-next")
         fleet.dispatcher.add_job(make_job(LATER_JOB, [make_step(16)]), fleet.now)
         used = {start.run.worker_id for start in fleet.start()}
-        assert fleet.workers[int(order.vm_id[1:])].worker_id in used
+        assert "w-next" in used
         assert fleet.step(REPEAT_SECONDS) == [order]
 
 
--- a/catkinport/jobs/tests/test_session.py
+++ b/catkinport/jobs/tests/test_session.py
@@ -11,7 +11,7 @@
 from ..tables import HEARTBEAT_KEY
 from .builders import make_configuration
 from .late_table import AsyncLateTable, make_session
-from .test_vm_planner import BOUNDS
+from .vm_fleet import BOUNDS
 
 LONGEST_LEASE = 10.0
 
--- a/catkinport/jobs/tests/test_vm_orders.py
+++ b/catkinport/jobs/tests/test_vm_orders.py
@@ -12,7 +12,7 @@
 from ...ports.table import Committed, Condition, Conflict
 from ..ownership.vm_orders import FORMER_WAVE_SECONDS, VmOrders
 from ..tables import OWNER_KEY, VM_ORDERS_KEY
-from .test_vm_planner import VmFleet
+from .vm_fleet import VmFleet
 
 
 class FakeSession:
--- a/catkinport/jobs/tests/test_vm_planner.py
+++ b/catkinport/jobs/tests/test_vm_planner.py
@@ -1,64 +1,11 @@
 """Tests of the orders for VMs: waves of upkeep and moves between pools."""
 
-from ...policy.resources import Resources
-from ...ports.fleet_vms import FleetVm, UpkeepWave, VmState
+from ...ports.fleet_vms import VmState
 from ..model import Step
 from ..placement.run_stops import find_stops
-from ..vms.vm_inventory import VmBounds
 from ..vms.vm_planner import VmPlanner
-from .builders import NEED, POOL, Fleet, make_job, make_worker
-
-BOUNDS = VmBounds(upkeep=2.0, move=1.5, order_gap=3.0)
-CAPACITY = Resources(16.0, 256.0, 0)
-
-
-class VmFleet(Fleet):
-    """A fleet whose workers run on listed VMs."""
-
-    def __init__(self, n_workers: int, n_off: int = 0) -> None:
-        super().__init__([make_worker(f"w{i}") for i in range(n_workers)])
-        self.vms = [self._vm(f"m{i}", POOL, f"w{i}") for i in range(n_workers)]
-        self.vms += [self._vm(f"off{i}", "off", "") for i in range(n_off)]
-        self.vm_planner = VmPlanner(self.dispatcher, BOUNDS)
-        self.list_vms()
-
-    @staticmethod
-    def _vm(vm_id, pool, worker_id):
-        return FleetVm(vm_id, pool, VmState.UP, "z", (), CAPACITY, worker_id)
-
-    def add_vm(self, vm_id: str, worker_id: str) -> None:
-        """Add a VM without tasks to the pool."""
-        self.workers.append(make_worker(worker_id))
-        self.running_by_worker[worker_id] = {}
-        self.ended_by_worker[worker_id] = []
-        self.vms.append(self._vm(vm_id, POOL, worker_id))
-        self.list_workers()
-        self.list_vms()
-
-    def list_vms(self) -> None:
-        self.vm_planner.update_vms(self.vms, self.now)
-        self.dispatcher.update_vms(self.vms, self.now, self.now)
-
-    def request_wave(self, vm_ids, max_down=5) -> None:
-        self.vm_planner.add_wave(UpkeepWave(1, vm_ids, 20.0, max_down), self.now)
-
-    def step(self, seconds: float = 0.25) -> list:
-        self.advance(seconds)
-        for worker_id in list(self.running_by_worker):
-            if worker_id in self.dispatcher.worker_by_id:
-                self.poll(worker_id)
-        self.list_vms()
-        return self.vm_planner.plan(self.now)
-
-    def make_lasting_tasks_available(self) -> None:
-        """Report all started tasks as ready for long enough to count as available."""
-        for running in self.running_by_worker.values():
-            for key, entry in running.items():
-                running[key] = entry._replace(percent=100.0)
-        for _ in range(4):
-            self.advance(0.3)
-            self.poll_all()
-        self.list_vms()
+from .builders import NEED, POOL, make_job, make_worker
+from .vm_fleet import BOUNDS, VmFleet
 
 
 class TestWave:
