--- a/catkinport/jobs/vms/vm_planner.py
+++ b/catkinport/jobs/vms/vm_planner.py
@@ -26,7 +26,8 @@
 from .disruption_budget import DisruptionBudget
 from .order_targets import VmOrder
 from .pool_mover import PoolMover
-from .vm_inventory import REFUSAL_PAUSE_SECONDS, PendingOrder, VmBounds, VmInventory
+from .unanswered_orders import UnansweredOrders
+from .vm_inventory import REFUSAL_PAUSE_SECONDS, VmBounds, VmInventory
 
 logger = logging.getLogger(__name__)
 
@@ -71,6 +72,9 @@
         self.inventory = VmInventory(dispatcher, bounds)
         self.mover = PoolMover(dispatcher, self.inventory)
         self._disruption_budget = DisruptionBudget(dispatcher, self.inventory)
+        self._unanswered_orders = UnansweredOrders(
+            self.inventory, self._disruption_budget
+        )
         self.wave_by_number: dict[int, WaveState] = {}
         self._short_pools: set[str] = set()
         self._waves_paused_until = float("-inf")
@@ -128,7 +132,7 @@
         self.inventory.end_holds(now)
         self.inventory.note_idle(now)
         self.mover.update_turns(now)
-        orders = self._repeat_orders(now)
+        orders = self._unanswered_orders.find_due(now)
         if now >= self._waves_paused_until:
             for state in self.wave_by_number.values():
                 orders.extend(self._plan_wave(state, now))
@@ -224,41 +228,6 @@
             log_event(logger, "vm upkeep put off", vm=vm_id, reason="lasting-task")
             self.inventory.release(vm_id)
 
-    def _repeat_orders(self, now: float) -> list[VmOrder]:
-        """Return the orders to send again because they had no answer."""
-        orders = []
-        for pending in self.inventory.find_unanswered(now):
-            worker = self.inventory.worker_on(pending.order.vm_id)
-            if worker is None or self._may_repeat(pending, worker, now):
-                orders.append(pending.order)
-            else:
-                # Its short tasks end, so that the order can be repeated.
-                worker.is_reserved = True
-        return orders
-
-    def _may_repeat(
-        self, pending: PendingOrder, worker: WorkerRecord, now: float
-    ) -> bool:
-        """Return whether an order without an answer may be sent again.
-
-        If it was carried out, the platform only confirms it. If not, it ends the tasks
-        on the VM. Short tasks end by themselves first; lasting ones never would.
-        """
-        if not worker.run_by_key:
-            return True
-        if not worker.is_in_contact(now):
-            return False
-        is_new_worker = worker.started_known_at > pending.first_sent_at
-        if is_new_worker and worker.listed.pool == pending.order.pool:
-            return True
-        # A worker that has started since shows that an upkeep was most likely begun.
-        is_upkeep_likely_done = is_new_worker and bool(pending.order.wave)
-        runs = worker.run_by_key.values()
-        is_drained = all(run.task.step.is_lasting for run in runs)
-        if not is_drained and not is_upkeep_likely_done:
-            return False
-        return self._disruption_budget.may_end_ordered(worker)
-
     def _plan_wave(self, state: WaveState, now: float) -> Iterator[VmOrder]:
         if self.is_complete(state):
             return
