--- a/verification/platform/caller.py
+++ b/verification/platform/caller.py
@@ -28,6 +28,8 @@
         is_lasting: whether the tasks run until the job is canceled.
         max_away: largest number of lasting tasks that the platform may interrupt at
             the same time.
+        max_per_worker: largest number of tasks on one worker; 0 for no limit.
+        memory_mb: memory of each task in MB.
     """
 
     n_tasks: int
@@ -35,6 +37,8 @@
     after: tuple[int, ...] = ()
     is_lasting: bool = False
     max_away: int = 0
+    max_per_worker: int = 0
+    memory_mb: int = 256
 
 
 class SentJob(NamedTuple):
@@ -170,7 +174,7 @@
     encoded: dict[str, Any] = {
         "Count": step.n_tasks,
         "Cpu": int(step.cores * 1000),
-        "MemMb": 256,
+        "MemMb": step.memory_mb,
         "EstimateMs": 300,
     }
     if step.after:
@@ -179,4 +183,6 @@
         encoded["LongRunning"] = True
     if step.max_away:
         encoded["MayMiss"] = step.max_away
+    if step.max_per_worker:
+        encoded["AntiAffinity"] = step.max_per_worker
     return encoded
