--- a/catkinport/entry/tests/cluster.py
+++ b/catkinport/entry/tests/cluster.py
@@ -248,3 +248,11 @@
         with ThreadPoolExecutor() as executor:
             for stopped in (*self.entries, *self.servers):
                 executor.submit(stopped.stop)
+
+
+def wait_for(condition, seconds=10.0):
+    """Wait until ``condition`` returns true, for at most ``seconds``."""
+    deadline = time.monotonic() + seconds
+    while not condition():
+        assert time.monotonic() < deadline, "the condition did not come true in time"
+        time.sleep(0.01)
--- a/catkinport/entry/tests/test_requests.py
+++ b/catkinport/entry/tests/test_requests.py
@@ -7,25 +7,12 @@
 import urllib3
 
 from ...ports import Transaction, Write
-from ...state import allowance_key, claim_key, job_key, owner_key
-from .cluster import EntryCluster
+from ...state import allowance_key, job_key, owner_key
+from .cluster import wait_for
 
 LARGE_BYTES = 3_000_000
 
 
-@pytest.fixture
-def make_cluster():
-    clusters = []
-
-    def make(**options):
-        clusters.append(EntryCluster(**options))
-        return clusters[-1]
-
-    yield make
-    for cluster in clusters:
-        cluster.stop()
-
-
 class TestForwarding:
     def test_keyed_request_gets_the_answer_to_its_own_request(self, make_cluster):
         """Guards against a request that is not forwarded as it was written."""
@@ -91,7 +78,7 @@
         with ThreadPoolExecutor(1) as executor:
             path = "/x?seconds=0.4"
             call = executor.submit(entry.call, path, Catkin_Idempotent="true")
-            _wait_for(lambda: len(cluster.list_executions()) == 1)
+            wait_for(lambda: len(cluster.list_executions()) == 1)
             entry.membership.is_fresh = False
             answer = call.result()
         assert answer.headers["Catkin-Outcome"] == "unknown"
@@ -139,7 +126,7 @@
         entry = cluster.entries[0]
         with ThreadPoolExecutor(2) as executor:
             first = executor.submit(entry.call, "/x?seconds=0.6")
-            _wait_for(lambda: len(cluster.list_executions()) == 1)
+            wait_for(lambda: len(cluster.list_executions()) == 1)
             second = executor.submit(entry.call)
             time.sleep(0.1)
             cluster.environment = cluster.environment._replace(key_by_name={})
@@ -148,140 +135,6 @@
         assert len(cluster.list_executions()) == 1
 
 
-class TestAtMostOnce:
-    def test_two_entries_with_one_key_run_it_once(self, make_cluster):
-        """Guards against two runs of one idempotency key.
-
-        When a claim was inserted without its condition, the test saw 8 runs.
-        """
-        cluster = make_cluster(n_entries=2)
-        with ThreadPoolExecutor(8) as executor:
-            answers = list(
-                executor.map(
-                    lambda i: cluster.entries[i % 2].call(
-                        "/x?seconds=0.2", Idempotency_Key="one"
-                    ),
-                    range(8),
-                )
-            )
-        assert len(cluster.list_executions()) == 1
-        assert sorted({answer.status for answer in answers}) == [200, 409]
-        replay = cluster.entries[1].call("/x?seconds=0.2", Idempotency_Key="one")
-        assert replay.headers["Catkin-Replayed"] == "true"
-        original = next(answer for answer in answers if answer.status == 200)
-        assert replay.data == original.data
-        other = cluster.entries[1].call("/other", Idempotency_Key="one")
-        assert (other.status, other.headers["Catkin-Outcome"]) == (422, "not-run")
-        assert len(cluster.list_executions()) == 1
-
-    def test_lost_answer_to_a_claim_neither_blocks_nor_repeats_it(self, make_cluster):
-        """Guards against mistaking the own claim for that of another attempt.
-
-        The claim takes effect although the answer to its commit is lost.
-        """
-        cluster = make_cluster()
-        assert cluster.entries[0].call().status == 200
-        cluster.entries[0].table.n_lost_answers = 1
-        assert cluster.entries[0].call(Idempotency_Key="one").status == 200
-        assert len(cluster.list_executions()) == 2
-
-    def test_without_the_store_keyed_work_is_not_run(self, make_cluster):
-        """Guards against a run without a claim while the store is down."""
-        cluster = make_cluster()
-        entry = cluster.entries[0]
-        assert entry.call().status == 200
-        entry.table.is_down = True
-        answer = entry.call(Idempotency_Key="one")
-        assert (answer.status, answer.headers["Catkin-Outcome"]) == (503, "not-run")
-        assert entry.call().status == 200
-
-    def test_claim_gets_its_outcome_once_the_store_is_back(self, make_cluster):
-        """Guards against a claim that stays "claimed" after a store outage.
-
-        The store is down when the request ends, so that its answer is not recorded.
-        """
-        cluster = make_cluster()
-        entry = cluster.entries[0]
-        assert entry.call().status == 200
-        with ThreadPoolExecutor(1) as executor:
-            running = executor.submit(
-                entry.call, "/x?seconds=0.3", Idempotency_Key="one"
-            )
-            _wait_for(lambda: len(cluster.list_executions()) == 2)
-            entry.table.is_down = True
-            assert running.result().status == 200
-        entry.table.is_down = False
-        _wait_for(lambda: _claim_state(cluster, "one") == "done")
-        again = entry.call("/x?seconds=0.3", Idempotency_Key="one")
-        assert again.headers["Catkin-Replayed"] == "true"
-        assert len(cluster.list_executions()) == 2
-
-    def test_concurrent_claims_share_a_commit_call(self, make_cluster):
-        """Guards against a call to the table service for each claim under load."""
-        cluster = make_cluster(n_servers=4, max_slots=32)
-        entry = cluster.entries[0]
-        sizes = []
-        commit_batch = entry.table.commit_batch
-
-        def slow_commit_batch(transactions):
-            sizes.append(len(transactions))
-            time.sleep(0.02)
-            return commit_batch(transactions)
-
-        entry.table.commit_batch = slow_commit_batch
-        with ThreadPoolExecutor(16) as executor:
-            calls = executor.map(
-                lambda i: entry.call(Idempotency_Key=f"k-{i}").status, range(32)
-            )
-            assert set(calls) == {200}
-        assert len(cluster.list_executions()) == 32
-        assert max(sizes) > 4
-
-    def test_claim_of_an_evicted_entry_stays_unknown(self, make_cluster):
-        """Guards against a second run after an entry crashed during a request."""
-        cluster = make_cluster()
-        row = {"token": "t", "member_id": "dead", "digest": "", "state": "claimed"}
-        key = claim_key("blue", "one")
-        cluster.entries[0].call(Idempotency_Key="one")
-        digest = cluster.table.read([key])[key].value["digest"]
-        cluster.table.commit(Transaction([], [Write(key, {**row, "digest": digest})]))
-        answer = cluster.entries[0].call(Idempotency_Key="one")
-        assert (answer.status, answer.headers["Catkin-Outcome"]) == (409, "unknown")
-        assert cluster.table.read([key])[key].value["state"] == "unknown"
-        assert len(cluster.list_executions()) == 1
-
-    def test_lease_that_ends_while_waiting_stops_the_request(self, make_cluster):
-        """Guards against a suspended entry that sends after its lease has ended."""
-        cluster = make_cluster(max_slots=1)
-        entry = cluster.entries[0]
-        with ThreadPoolExecutor(2) as executor:
-            first = executor.submit(entry.call, "/x?seconds=0.4")
-            _wait_for(lambda: len(cluster.list_executions()) == 1)
-            second = executor.submit(entry.call, Idempotency_Key="one")
-            _wait_for(lambda: claim_key("blue", "one") in _claim_keys(cluster))
-            entry.membership.is_fresh = False
-            assert first.result().status == 200
-            assert second.result().headers["Catkin-Reason"] == "configuration-stale"
-        assert len(cluster.list_executions()) == 1
-        assert _claim_state(cluster, "one") == "not-run"
-
-    def test_entry_that_registered_anew_does_not_use_its_old_claim(self, make_cluster):
-        """Guards against a suspended entry that uses a claim of its former id."""
-        cluster = make_cluster(max_slots=1)
-        entry = cluster.entries[0]
-        with ThreadPoolExecutor(2) as executor:
-            first = executor.submit(entry.call, "/x?seconds=0.5")
-            _wait_for(lambda: len(cluster.list_executions()) == 1)
-            second = executor.submit(
-                entry.call, Idempotency_Key="one", Catkin_Deadline_Ms="1500"
-            )
-            _wait_for(lambda: claim_key("blue", "one") in _claim_keys(cluster))
-            entry.membership.member_id = "e-new"
-            assert first.result().status == 200
-            assert second.result().headers["Catkin-Outcome"] == "not-run"
-        assert len(cluster.list_executions()) == 1
-
-
 class TestSlots:
     def test_disconnected_caller_releases_its_slot(self, make_cluster):
         """Guards against slots leaked by callers that disconnect during an answer."""
@@ -348,7 +201,7 @@
         for _ in range(2):
             cluster.clock.offset += 5.0
             time.sleep(0.3)
-        _wait_for(lambda: not cluster.table.read([key])[key].value["amount_by_holder"])
+        wait_for(lambda: not cluster.table.read([key])[key].value["amount_by_holder"])
 
     def test_amount_of_a_stopped_entry_is_returned(self, make_cluster):
         """Guards against allowances lost with every planned restart."""
@@ -372,7 +225,7 @@
                 for _ in range(6)
             ]
             upload = executor.submit(entry.call, "/x", body=_slow_body())
-            _wait_for(lambda: len(cluster.list_executions()) >= 7)
+            wait_for(lambda: len(cluster.list_executions()) >= 7)
             entry.engine.refuse_new_work()
             refused = entry.call()
             assert refused.headers["Catkin-Reason"] == "stopping"
@@ -392,7 +245,7 @@
         cluster.table.commit(Transaction([], [Write(owner_key("p"), owner)]))
         body = {"command": "sleep", "cores": 2}
         assert entry.api("POST", "/v1/queues/j/jobs", json=body).status == 202
-        _wait_for(lambda: len(entry.membership.notices) == 2)
+        wait_for(lambda: len(entry.membership.notices) == 2)
 
     def test_job_is_durable_before_202_and_the_owner_is_notified(self, make_cluster):
         """Guards against an accepted job that the store does not have."""
@@ -407,7 +260,7 @@
         assert answer.status == 202
         job_id = answer.json()["job_id"]
         assert cluster.table.read([job_key("j", job_id)])
-        _wait_for(lambda: entry.membership.notices == [("c-1", "j", job_id)])
+        wait_for(lambda: entry.membership.notices == [("c-1", "j", job_id)])
         shown = entry.api("GET", f"{path}/{job_id}").json()
         assert shown["state"] == "queued"
         assert entry.api("GET", f"{path}/{job_id}/result").status == 404
@@ -434,15 +287,6 @@
     cluster.environment = cluster.environment._replace(queue_by_name=queues)
 
 
-def _claim_keys(cluster):
-    return {row.row_key for row in cluster.table.scan("claims").rows}
-
-
-def _claim_state(cluster, idempotency_key):
-    key = claim_key("blue", idempotency_key)
-    return cluster.table.read([key])[key].value["state"]
-
-
 def _max_concurrent(executions, seconds):
     starts = sorted(execution["started_at"] for execution in executions)
     return max(
@@ -455,10 +299,3 @@
     for _ in range(4):
         time.sleep(0.05)
         yield b"z" * 100_000
-
-
-def _wait_for(condition, seconds=10.0):
-    deadline = time.monotonic() + seconds
-    while not condition():
-        assert time.monotonic() < deadline, "the condition did not come true in time"
-        time.sleep(0.01)
