Count tasks as available on a VM that is back from an unconfirmed upkeep

Change: a worker that has started since an upkeep was last sent shows that it was most likely begun, so the tasks on it count; those on a worker whose VM is unknown don't count while any VM is under order; and an order that is repeated counts for the decisions that follow in the same round.

--- a/catkinport/jobs/vms/disruption_budget.py
+++ b/catkinport/jobs/vms/disruption_budget.py
@@ -92,7 +92,7 @@
         worker = self._dispatcher.worker_by_id[run.worker_id]
         if run.task.phase is not TaskPhase.PLACED:
             return False
-        if run.is_evacuated or self._inventory.is_under_order(worker.vm_id):
+        if run.is_evacuated or self._inventory.may_end_runs(worker):
             return False
         return run.is_reported_ready(worker.contact_at)
 
--- a/catkinport/jobs/vms/unanswered_orders.py
+++ b/catkinport/jobs/vms/unanswered_orders.py
@@ -25,11 +25,13 @@
         self._disruption_budget = disruption_budget
 
     def find_due(self, now: float) -> list[VmOrder]:
-        """Return the orders to send again; drain the VMs of the others."""
+        """Return the orders to send again, noted as sent; drain the other VMs."""
         orders = []
         for pending in self._inventory.find_unanswered(now):
             worker = self._inventory.worker_on(pending.order.vm_id)
             if worker is None or self._may_repeat(pending, worker, now):
+                # The next decisions count the tasks that this order may end.
+                self._inventory.note_sent(pending.order, now)
                 orders.append(pending.order)
             else:
                 worker.is_reserved = True
@@ -51,10 +53,10 @@
         if is_new_worker and worker.listed.pool == pending.order.pool:
             # The VM has moved, so the platform does nothing for the order.
             return True
-        # A worker that has started since shows that an upkeep was most likely begun.
-        is_upkeep_likely_done = is_new_worker and bool(pending.order.wave)
         runs = worker.run_by_key.values()
         is_drained = all(run.task.step.is_lasting for run in runs)
-        if not is_drained and not is_upkeep_likely_done:
+        # A worker that has started since shows that an upkeep was most likely begun.
+        is_upkeep_likely_begun = is_new_worker and bool(pending.order.wave)
+        if not is_drained and not is_upkeep_likely_begun:
             return False
         return self._disruption_budget.may_end_ordered(worker)
--- a/catkinport/jobs/vms/vm_inventory.py
+++ b/catkinport/jobs/vms/vm_inventory.py
@@ -218,6 +218,19 @@
         """
         return vm_id in self._pending_by_vm or vm_id in self._held_until_by_vm
 
+    def may_end_runs(self, worker: WorkerRecord) -> bool:
+        """Return whether an order for its VM may be about to end the worker's runs.
+
+        A worker that has started since an upkeep was last sent shows that it was most
+        likely begun before. A worker on an unknown VM may be on any VM under order.
+        """
+        if not worker.vm_id:
+            return bool(self._pending_by_vm)
+        pending = self._pending_by_vm.get(worker.vm_id)
+        if pending is not None and pending.order.wave:
+            return worker.started_known_at <= pending.sent_at
+        return self.is_under_order(worker.vm_id)
+
     def is_off(self, vm: FleetVm) -> bool:
         """Return whether the VM is switched off in the spare pool."""
         pool = self._dispatcher.configuration.pool_by_name.get(vm.pool)
