--- a/catkinport/jobs/tests/test_vm_order_histories.py
+++ b/catkinport/jobs/tests/test_vm_order_histories.py
@@ -16,7 +16,7 @@
 from ...ports.fleet_workers import Done, Rejected, Rejection
 from ..vms.order_targets import VmOrder
 from ..workers.worker_vms import VM_LIST_LAG_SECONDS
-from .builders import make_job, make_step, make_worker
+from .builders import JOB_ID, make_job, make_step, make_worker
 from .vm_fleet import BOUNDS, VmFleet
 
 SEEDS = (*range(30), 394, 421, 544, 693, 996)
@@ -68,7 +68,6 @@
         self._away_since: dict[str, float] = {}
         self._back_at_by_vm: dict[str, float] = {}
         self._maintained: set[str] = set()
-        self._crashed: set[str] = set()
         self._events: list[tuple[float, Callable[[], None]]] = []
         self._snapshots: list[Snapshot] = []
         self._n_workers = N_VMS
@@ -122,9 +121,7 @@
             return
         if self._rng.random() < 0.01:
             vm = self._rng.choice(self.fleet.vms)
-            # A lasting job is given up after two crashes (review/5 in KNOWN-RED.txt).
-            if vm.state is VmState.UP and vm.vm_id not in self._crashed:
-                self._crashed.add(vm.vm_id)
+            if vm.state is VmState.UP:
                 self._take_down(vm.vm_id, VmState.DOWN, self._rng.uniform(1.0, 3.0))
         if self._rng.random() < 0.01:
             self._list_down_until = self.fleet.now + self._rng.uniform(1.0, 6.0)
@@ -247,14 +244,37 @@
         self.fleet.vms[int(vm_id[1:])] = vm._replace(state=state, worker_id=worker_id)
 
 
+class JobGivenUpError(AssertionError):
+    """The lasting job is shown as failed after two crashes of its workers.
+
+    A known failure (issue 35, ``review/5``).
+    """
+
+
+def check_history(seed: int) -> None:
+    """Play a history and check what holds in the end."""
+    history = WaveHistory(seed)
+    history.play(FAULT_SECONDS + CALM_SECONDS)
+    assert history.violations == []
+    if history.fleet.states()[JOB_ID] == "failed":
+        raise JobGivenUpError(f"job {JOB_ID} failed in the history of seed {seed}")
+    assert history.is_complete
+    history.fleet.dispatcher.add_job(make_job(LATER_JOB), history.fleet.now)
+    history.play(2.0)
+    assert history.count_starts(LATER_JOB) == 1
+
+
 class TestWaveWithFaults:
     @pytest.mark.parametrize("seed", SEEDS)
     def test_limits_hold_and_the_wave_completes(self, seed):
         """Guards against a pool or a wave that stands still, and broken limits."""
-        history = WaveHistory(seed)
-        history.play(FAULT_SECONDS + CALM_SECONDS)
-        assert history.violations == []
-        assert history.is_complete
-        history.fleet.dispatcher.add_job(make_job(LATER_JOB), history.fleet.now)
-        history.play(2.0)
-        assert history.count_starts(LATER_JOB) == 1
+        check_history(seed)
+
+    @pytest.mark.xfail(
+        strict=True,
+        raises=JobGivenUpError,
+        reason="a lasting job fails after two worker crashes (issue 35)",
+    )
+    def test_job_survives_two_crashes_of_one_vm(self):
+        """Guards against a lasting job that is given up without a failed run."""
+        check_history(1287)
