--- /dev/null
+++ b/review/10/case.py
@@ -0,0 +1,54 @@
+"""A cancelling is answered 410 while the write of the submission is not done yet."""
+
+import sys
+import time
+from pathlib import Path
+
+from harness import NotRunError, is_troubled, run_case
+
+JOB = "c5e0000000000001"
+TASK = f"{JOB}.0.0.0"
+PATH = f"/queue-1/{JOB}"
+BODY = {
+    "Spec": "seconds=1 cores=4",
+    "Steps": [{"Count": 1, "Cpu": 4000, "MemMb": 2048, "EstimateMs": 1000}],
+}
+LATE_SECONDS = 5.9
+CANCEL_SECONDS = 3.0
+CONTACT_SECONDS = 3.0
+
+
+def play(deployment) -> bool:
+    """Lose the answers to the writes of the job; return whether the rule held."""
+    deployment.start()
+    daemons = list(deployment.daemon_by_name.values())
+    faults = {"late_job_writes": LATE_SECONDS if is_troubled() else 0.0}
+    deployment.control("PUT", "/standin/faults", faults)
+    deployment.record.add(f"store: {faults}")
+    deployment.call_daemon(daemons[0], "POST", PATH, BODY)
+    deployment.control("PUT", "/standin/faults", {"late_job_writes": 0.0})
+    stable_at = time.monotonic()
+    deployment.record.add("store: answers are no longer lost")
+    time.sleep(0.2)
+    status, _ = deployment.call_daemon(daemons[1], "DELETE", PATH)
+    if status != 410 and not 200 <= status < 300:
+        raise NotRunError("the cancelling was not acknowledged")
+    acknowledged_at = time.monotonic()
+    time.sleep(9.0)
+    deployment.call_daemon(daemons[2], "GET", PATH)
+    events = [e for e in deployment.record_events() if e["task"] == TASK]
+    late = [
+        e
+        for e in events
+        if e["what"] == "started"
+        and e["at"] > acknowledged_at + CANCEL_SECONDS
+        and e["at"] > stable_at + CONTACT_SECONDS
+    ]
+    for event in late:
+        seconds = event["at"] - acknowledged_at
+        deployment.record.add(f"started {seconds:.2f} s after the acknowledgement")
+    return not late
+
+
+if __name__ == "__main__":
+    sys.exit(run_case(str(Path(__file__).parent), play))
