--- a/review/lib2/network.py
+++ b/review/lib2/network.py
@@ -2,7 +2,7 @@
 
 It does what `DEPLOY.md` says of a partition: held-up bytes of an open channel
 arrive when the partition ends, unless their sender has reset the channel. A channel
-that is opened during the partition never comes about.
+that is opened during the partition hangs, and nothing that is sent on it arrives.
 """
 
 import asyncio
@@ -36,6 +36,9 @@
     async def _listen(self, target: str) -> str:
         async def serve(reader, writer) -> None:
             if self.is_cut:
+                # Nobody answers; what is sent on the channel is never forwarded.
+                while self.is_cut:
+                    await asyncio.sleep(POLL_SECONDS)
                 writer.transport.abort()
                 return
             host, _, port = target.rpartition(":")
