--- a/review/10/case.py
+++ b/review/10/case.py
@@ -14,6 +14,8 @@
     "Steps": [{"Count": 1, "Cpu": 4000, "MemMb": 2048, "EstimateMs": 1000}],
 }
 LATE_SECONDS = 5.9
+LOST_SECONDS = 2.5
+MAX_LOST_SHARE = 0.35
 CANCEL_SECONDS = 3.0
 CONTACT_SECONDS = 3.0
 
@@ -22,18 +24,26 @@
     """Lose the answers to the writes of the job; return whether the rule held."""
     deployment.start()
     daemons = list(deployment.daemon_by_name.values())
+    before = deployment.control("GET", "/standin/writes")
     faults = {"late_job_writes": LATE_SECONDS if is_troubled() else 0.0}
     deployment.control("PUT", "/standin/faults", faults)
+    began_at = time.monotonic()
     deployment.record.add(f"store: {faults}")
     deployment.call_daemon(daemons[0], "POST", PATH, BODY)
-    deployment.control("PUT", "/standin/faults", {"late_job_writes": 0.0})
-    stable_at = time.monotonic()
-    deployment.record.add("store: answers are no longer lost")
     time.sleep(0.2)
     status, _ = deployment.call_daemon(daemons[1], "DELETE", PATH)
     if status != 410 and not 200 <= status < 300:
         raise NotRunError("the cancelling was not acknowledged")
     acknowledged_at = time.monotonic()
+    time.sleep(max(0.0, began_at + LOST_SECONDS - time.monotonic()))
+    deployment.control("PUT", "/standin/faults", {"late_job_writes": 0.0})
+    stable_at = time.monotonic()
+    after = deployment.control("GET", "/standin/writes")
+    n_writes, n_lost = (after[name] - before[name] for name in ("all", "lost"))
+    text = f"store: sound again; {n_lost} of {n_writes} writes got no answer"
+    deployment.record.add(text)
+    if n_lost > MAX_LOST_SHARE * n_writes:
+        raise NotRunError("more writes got no answer than the pages name")
     time.sleep(9.0)
     deployment.call_daemon(daemons[2], "GET", PATH)
     events = [e for e in deployment.record_events() if e["task"] == TASK]
--- a/review/lib2/standin.py
+++ b/review/lib2/standin.py
@@ -8,7 +8,8 @@
 * ``refusing_vm``: the runner of this VM answers starts with 503, and has then done
   nothing (`srv_grey`, busy).
 
-``GET /standin/orders`` lists the orders for machines as they arrived.
+``GET /standin/orders`` lists the orders for machines as they arrived, and
+``GET /standin/writes`` counts the writes and those that got no answer.
 """
 
 import argparse
@@ -36,13 +37,18 @@
 class StoreServer(store_server.StoreServer):
     """Store that can carry out writes of jobs late and leave them unanswered."""
 
+    n_writes = 0
+    n_lost_writes = 0
+
     async def _commit(self, request: web.Request) -> web.StreamResponse:
         seconds = self._faults["late_job_writes"]
+        self.n_writes += 1
         body = await request.json()
         writes = {decode_key(e): str(e["Value"]) for e in body.get("Writes") or []}
         if not seconds or not any(key.table == "jobs" for key in writes):
             return await super()._commit(request)
         expected = {decode_key(e): int(e["Ver"]) for e in body.get("Expect") or []}
+        self.n_lost_writes += 1
         asyncio.get_running_loop().call_later(seconds, self._do, expected, writes)
         # The channel on which an answer is lost delivers nothing further.
         await asyncio.sleep(store_server.SILENCE_SECONDS)
@@ -113,7 +119,14 @@
         async def show_orders(request: web.Request) -> web.Response:
             return web.json_response({"orders": self._orders})
 
+        async def count_writes(request: web.Request) -> web.Response:
+            store = self._store
+            return web.json_response(
+                {"all": store.n_writes, "lost": store.n_lost_writes}
+            )
+
         app.router.add_get("/standin/orders", show_orders)
+        app.router.add_get("/standin/writes", count_writes)
 
 
 server.StoreServer = StoreServer
