--- a/catkinport/platform/standin/main.py
+++ b/catkinport/platform/standin/main.py
@@ -21,6 +21,13 @@
     pools: Annotated[int, cappa.Arg(long=True)] = 2
     vms: Annotated[int, cappa.Arg(long=True)] = 4
     spare_vms: Annotated[int, cappa.Arg(long=True)] = 2
+    cores: Annotated[float, cappa.Arg(long=True, help="cores of each VM")] = 16.0
+    move_seconds: Annotated[
+        float, cappa.Arg(long=True, help="time that a move of a VM takes")
+    ] = 0.0
+    upkeep_seconds: Annotated[
+        float, cappa.Arg(long=True, help="time that the upkeep of a VM takes")
+    ] = 0.0
 
     def __call__(self) -> None:
         """Serve until SIGTERM or SIGINT."""
@@ -28,7 +35,14 @@
         asyncio.run(self._serve())
 
     async def _serve(self) -> None:
-        size = FleetSize(self.pools, self.vms, self.spare_vms)
+        size = FleetSize(
+            self.pools,
+            self.vms,
+            self.spare_vms,
+            self.cores,
+            self.move_seconds,
+            self.upkeep_seconds,
+        )
         server = StandinServer(size, self.seed, self.host, self.port)
         await server.start()
         print(f"listening on {server.address}", flush=True)
--- a/catkinport/platform/standin/server.py
+++ b/catkinport/platform/standin/server.py
@@ -3,7 +3,8 @@
 import asyncio
 import random
 import time
-from collections.abc import Callable
+from collections import deque
+from collections.abc import Awaitable, Callable
 from typing import Any
 
 from aiohttp import web
@@ -27,6 +28,12 @@
     # Lists of VMs are refused. Orders for VMs are refused and carried out without an
     # answer by turns.
     "is_vm_interface_down": False,
+    # Delay of each request and of each answer, by the system that is called.
+    "store_one_way_seconds": 0.0,
+    "vms_one_way_seconds": 0.0,
+    "workers_one_way_seconds": 0.0,
+    # Age of the data in the lists of VMs.
+    "vm_list_age_seconds": 0.0,
 }
 """Faults and their values while they are switched off."""
 
@@ -36,6 +43,11 @@
 TICK_SECONDS = 0.05
 """Time between two steps of the simulated VMs and workers."""
 
+MAX_LIST_AGE_SECONDS = 10.0
+"""Largest age of the data in a list of VMs."""
+
+Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+
 
 class StandinServer:
     """The whole stand-in in one process.
@@ -60,24 +72,29 @@
         self._fleet = VmFleet(self._store, size, time.monotonic)
         self._runners: list[web.AppRunner] = []
         self._is_next_order_refused = True
+        # Lists of VMs with the times at which they were true, oldest first.
+        self._vm_lists: deque[tuple[float, list[dict[str, Any]]]] = deque()
         self.address = ""
 
     async def start(self) -> None:
         """Open the ports and start the workers."""
-        app = web.Application()
+        app = web.Application(middlewares=[self._delay_platform])
         self._store.add_routes(app)
         self._add_vm_routes(app)
         self._add_test_controls(app)
         self.address = await self._listen(app, self._port)
         for vm in self._fleet.vm_by_id.values():
             server = WorkerServer(vm, time.monotonic, self.faults, self._rng)
-            vm.address = await self._listen(server.create_app(), 0)
+            worker_app = server.create_app()
+            worker_app.middlewares.append(self._delay_workers)
+            vm.address = await self._listen(worker_app, 0)
         self._fleet.start_workers()
 
     async def run(self) -> None:
         """Advance the simulated VMs and workers until it is canceled."""
         while True:
             self._fleet.tick()
+            self._keep_vm_list()
             await asyncio.sleep(TICK_SECONDS)
 
     async def stop(self) -> None:
@@ -94,11 +111,52 @@
         _, bound_port = runner.addresses[0][:2]
         return f"{self._host}:{bound_port}"
 
+    @web.middleware
+    async def _delay_platform(
+        self, request: web.Request, handler: Handler
+    ) -> web.StreamResponse:
+        if request.path.startswith("/standin/"):
+            return await handler(request)
+        called = "vms" if request.path.startswith("/machine") else "store"
+        return await self._delay(called, request, handler)
+
+    @web.middleware
+    async def _delay_workers(
+        self, request: web.Request, handler: Handler
+    ) -> web.StreamResponse:
+        return await self._delay("workers", request, handler)
+
+    async def _delay(
+        self, called: str, request: web.Request, handler: Handler
+    ) -> web.StreamResponse:
+        seconds = self.faults[f"{called}_one_way_seconds"]
+        if not seconds:
+            return await handler(request)
+        await asyncio.sleep(seconds)
+        answer = await handler(request)
+        await asyncio.sleep(seconds)
+        return answer
+
+    def _keep_vm_list(self) -> None:
+        now = time.monotonic()
+        self._vm_lists.append((now, self._fleet.list_vms()))
+        while now - self._vm_lists[0][0] > MAX_LIST_AGE_SECONDS:
+            self._vm_lists.popleft()
+
+    def _list_vms(self) -> list[dict[str, Any]]:
+        """Return the list of VMs as it was before the time that the faults name."""
+        age = self.faults["vm_list_age_seconds"]
+        if not age:
+            return self._fleet.list_vms()
+        true_at = time.monotonic() - age
+        lists = [vms for at, vms in self._vm_lists if at <= true_at]
+        return lists[-1] if lists else self._vm_lists[0][1]
+
     def _add_vm_routes(self, app: web.Application) -> None:
         async def list_vms(request: web.Request) -> web.Response:
             if self.faults["is_vm_interface_down"]:
                 return web.json_response({}, status=503)
-            body = {"Machines": self._fleet.list_vms(), "NextToken": None}
+            body = {"Machines": self._list_vms(), "NextToken": None}
             return web.json_response(body)
 
         async def move(request: web.Request) -> web.Response:
@@ -157,9 +215,13 @@
             return web.json_response({"value": value})
 
         async def show_events(request: web.Request) -> web.Response:
-            events = [event._asdict() for event in self._fleet.events]
+            first = int(request.query.get("first", 0))
+            events = [event._asdict() for event in self._fleet.events[first:]]
             return web.json_response({"events": events, "now": time.monotonic()})
 
+        async def show_vms(request: web.Request) -> web.Response:
+            return web.json_response({"vms": self._fleet.list_vms()})
+
         async def change_vm(request: web.Request) -> web.Response:
             return self._change_vm(request.match_info["vm"], await request.json())
 
@@ -172,6 +234,7 @@
         app.router.add_put("/standin/operator/{key:.+}", write_operator_row)
         app.router.add_get("/standin/row", show_row)
         app.router.add_get("/standin/events", show_events)
+        app.router.add_get("/standin/vms", show_vms)
         app.router.add_put("/standin/vms/{vm}", change_vm)
         app.router.add_post("/standin/compact", compact)
 
--- a/catkinport/platform/standin/vms.py
+++ b/catkinport/platform/standin/vms.py
@@ -34,12 +34,23 @@
 
 
 class FleetSize(NamedTuple):
-    """Number and size of the pools and VMs of a stand-in; VMs are counted per pool."""
+    """Number and size of the pools and VMs of a stand-in; VMs are counted per pool.
+
+    Args:
+        n_pools: number of pools.
+        n_vms: number of VMs in each pool.
+        n_spare_vms: number of VMs that are off.
+        cores: cores of each VM.
+        move_seconds: time that a move of a VM takes; 0 for `MOVE_SECONDS`.
+        upkeep_seconds: time that an upkeep takes; 0 for `UPKEEP_SECONDS`.
+    """
 
     n_pools: int = 2
     n_vms: int = 4
     n_spare_vms: int = 2
     cores: float = 16.0
+    move_seconds: float = 0.0
+    upkeep_seconds: float = 0.0
 
     def pool_of_each_vm(self) -> Iterator[str]:
         """Yield the initial pool of each VM."""
@@ -92,7 +103,7 @@
     ) -> None:
         self._store = store
         self._now = now
-        self._cores = size.cores
+        self._size = size
         self._n_instances = 0
         self._heartbeat_at_by_worker: dict[str, float] = {}
         self.events: list[RunEvent] = []
@@ -148,7 +159,7 @@
         self._end_instance(vm)
         vm.pool = pool
         vm.state = VmState.MOVING
-        vm.ready_at = self._now() + MOVE_SECONDS
+        vm.ready_at = self._now() + (self._size.move_seconds or MOVE_SECONDS)
         return True
 
     def maintain(self, vm_id: str, wave: int) -> bool:
@@ -161,7 +172,7 @@
         vm.maintained.add(wave)
         self._end_instance(vm)
         vm.state = VmState.UPKEEP
-        vm.ready_at = self._now() + UPKEEP_SECONDS
+        vm.ready_at = self._now() + (self._size.upkeep_seconds or UPKEEP_SECONDS)
         return True
 
     def crash(self, vm_id: str, down_seconds: float, keeps_id: bool = False) -> None:
@@ -185,7 +196,7 @@
         vm.kept_id = ""
         vm.instance = WorkerIncarnation(
             worker_id,
-            Resources(self._cores, 64.0, 0),
+            Resources(self._size.cores, 64.0, 0),
             int(self._now() * 1000),
             self.events,
             MAX_LEASE_SECONDS,
@@ -232,7 +243,7 @@
                 self._store.write(StoreKey("servers", "", worker_id), None)
 
     def _capacity(self) -> dict[str, float]:
-        return {"Cpu": self._cores * 1000, "MemMb": 65536, "Gpu": 0}
+        return {"Cpu": self._size.cores * 1000, "MemMb": 65536, "Gpu": 0}
 
 
 def encode_value(value: dict[str, Any]) -> str:
--- /dev/null
+++ b/soak/conditions.py
@@ -0,0 +1,131 @@
+"""Lasting conditions of machines and networks, under which work must go on.
+
+Unlike a fault, a condition holds from the start of the load to its end.
+"""
+
+import random
+import signal
+import subprocess
+import sys
+import threading
+import time
+from collections.abc import Callable
+
+from .environment import SoakEnvironment
+
+STARVING_PERIOD_SECONDS = 0.05
+"""Time from one pause of a starved process to its next one."""
+
+Condition = Callable[[SoakEnvironment, float], Callable[[], None] | None]
+"""Begins a condition of the given strength; returns what ends it, ``None`` if nothing
+has to be ended before the processes are."""
+
+CONDITION_BY_NAME: dict[str, Condition] = {}
+
+
+def register(condition: Condition) -> Condition:
+    """Register the decorated function as a condition under its own name."""
+    CONDITION_BY_NAME[condition.__name__] = condition
+    return condition
+
+
+@register
+def store_far(environment: SoakEnvironment, strength: float) -> None:
+    """Delay requests to the store, and its answers, by ``strength`` seconds each."""
+    environment.deployment.set_faults(store_one_way_seconds=strength)
+
+
+@register
+def vms_far(environment: SoakEnvironment, strength: float) -> None:
+    """Delay calls of the interface for VMs by ``strength`` seconds each way."""
+    environment.deployment.set_faults(vms_one_way_seconds=strength)
+
+
+@register
+def workers_far(environment: SoakEnvironment, strength: float) -> None:
+    """Delay calls of the workers by ``strength`` seconds each way."""
+    environment.deployment.set_faults(workers_one_way_seconds=strength)
+
+
+@register
+def all_far(environment: SoakEnvironment, strength: float) -> None:
+    """Delay all calls to the platform and its workers by ``strength`` seconds."""
+    store_far(environment, strength)
+    vms_far(environment, strength)
+    workers_far(environment, strength)
+
+
+@register
+def vm_list_old(environment: SoakEnvironment, strength: float) -> None:
+    """Let the platform's list of VMs be ``strength`` seconds old."""
+    environment.deployment.set_faults(vm_list_age_seconds=strength)
+
+
+@register
+def answers_lost(environment: SoakEnvironment, strength: float) -> None:
+    """Lose the answers to this fraction of the writes to the store."""
+    environment.deployment.set_faults(store_lost_answers=strength)
+
+
+@register
+def orders_late(environment: SoakEnvironment, strength: float) -> None:
+    """Leave this fraction of the orders to workers unanswered; carry them out late."""
+    environment.deployment.set_faults(late_orders=strength)
+
+
+@register
+def daemons_starved(
+    environment: SoakEnvironment, strength: float
+) -> Callable[[], None]:
+    """Pause all daemons for this fraction of the time, many times a second."""
+    return _pause_by_turns(
+        environment, STARVING_PERIOD_SECONDS, strength * STARVING_PERIOD_SECONDS
+    )
+
+
+@register
+def daemons_stalled(
+    environment: SoakEnvironment, strength: float
+) -> Callable[[], None]:
+    """Pause all daemons for ``strength`` seconds of each twice that time."""
+    return _pause_by_turns(environment, 2 * strength, strength)
+
+
+@register
+def machine_busy(environment: SoakEnvironment, strength: float) -> Callable[[], None]:
+    """Run ``strength`` processes that do nothing but use a processor."""
+    spin = [sys.executable, "-c", "while True: pass"]
+    processes = [subprocess.Popen(spin) for _ in range(int(strength))]
+
+    def end() -> None:
+        for process in processes:
+            process.kill()
+            process.wait()
+
+    return end
+
+
+def _pause_by_turns(
+    environment: SoakEnvironment, period_seconds: float, pause_seconds: float
+) -> Callable[[], None]:
+    stop = threading.Event()
+    rng = random.Random(1)
+
+    def pause() -> None:
+        while not stop.is_set():
+            daemons = list(environment.deployment.daemon_by_name.values())
+            for daemon in daemons:
+                daemon.process.send_signal(signal.SIGSTOP)
+            time.sleep(pause_seconds * rng.uniform(0.8, 1.2))
+            for daemon in daemons:
+                daemon.process.resume()
+            stop.wait((period_seconds - pause_seconds) * rng.uniform(0.8, 1.2))
+
+    thread = threading.Thread(target=pause)
+    thread.start()
+
+    def end() -> None:
+        stop.set()
+        thread.join()
+
+    return end
--- a/verification/platform/deployment.py
+++ b/verification/platform/deployment.py
@@ -48,6 +48,9 @@
         n_vms: number of VMs in each pool.
         n_spare_vms: number of VMs in the spare pool.
         seed: seed of the stand-in.
+        cores: cores of each VM.
+        move_seconds: time that a move of a VM takes.
+        upkeep_seconds: time that the upkeep of a VM takes.
     """
 
     n_daemons: int = 3
@@ -55,6 +58,9 @@
     n_vms: int = 4
     n_spare_vms: int = 2
     seed: int = 1
+    cores: float = 16.0
+    move_seconds: float = 0.5
+    upkeep_seconds: float = 0.5
 
 
 class DaemonProcess(NamedTuple):
@@ -110,7 +116,9 @@
         size = self.size
         arguments = ["catkinport.platform.standin.main", "--seed", str(size.seed)]
         arguments += ["--pools", str(size.n_pools), "--vms", str(size.n_vms)]
-        arguments += ["--spare-vms", str(size.n_spare_vms)]
+        arguments += ["--spare-vms", str(size.n_spare_vms), "--cores", str(size.cores)]
+        arguments += ["--move-seconds", str(size.move_seconds)]
+        arguments += ["--upkeep-seconds", str(size.upkeep_seconds)]
         standin = self._processes.start("platform", arguments)
         self.platform_address = standin.wait_for_line("listening on ")[0]
         self.configure()
@@ -141,7 +149,8 @@
             f"metrics_port = {metrics_address.rpartition(':')[2]}\n\n"
             f"[services]\ntable = {table}\n"
             f"vms = {vms_address or self.platform_address}\n\n"
-            "[bounds]\nupkeep_seconds = 0.5\nmove_seconds = 0.5\n"
+            f"[bounds]\nupkeep_seconds = {self.size.upkeep_seconds}\n"
+            f"move_seconds = {self.size.move_seconds}\n"
         )
         process = self._processes.start(
             name, ["catkinport.platform.main"], {"CATKINPORT_NODE_FILE": str(path)}
@@ -253,9 +262,13 @@
         daemons = self.daemon_by_name.values()
         return [d.caller_address for d in daemons if d.process.is_running]
 
-    def list_events(self) -> list[dict[str, Any]]:
-        """Return every event of a run that the workers recorded."""
-        return self.call_standin("GET", "/standin/events")["events"]
+    def list_events(self, first: int = 0) -> list[dict[str, Any]]:
+        """Return the events of runs that the workers recorded, from ``first`` on."""
+        return self.call_standin("GET", f"/standin/events?first={first}")["events"]
+
+    def list_vms(self) -> list[dict[str, Any]]:
+        """Return the VMs as they are, whatever the platform's list of them says."""
+        return self.call_standin("GET", "/standin/vms")["vms"]
 
     def find_owner(self) -> DaemonProcess | None:
         """Return the daemon that last claimed ownership of the fleet, else ``None``."""
