Let as many starts be in flight as far workers need

What callers saw: with workers that answer 0.35 s late each way, pools with room got their tasks one by one.

Cause: each answer after 0.25 s lowers the limit of starts in flight, to 16 in the end. With answers after 0.7 s these are 23 starts a second, and the queues of a small deployment ask for about 60 on average. The delay of far workers was taken for load.

Change: the limit stays above what 100 starts a second need at the time of the fastest answers of late. While these are fast it is 16 as before. TestFarPeers of test_concurrency_limit.py fails on the code before (16 calls at 0.7 s).

--- a/catkinport/policy/concurrency_limit.py
+++ b/catkinport/policy/concurrency_limit.py
@@ -9,7 +9,10 @@
 """Calls in flight that are allowed at first."""
 
 MIN_CALLS = 16
-"""Lower bound of the limit."""
+"""Lower bound of the limit while answers are fast."""
+
+MIN_CALLS_PER_SECOND = 100.0
+"""Calls that can begin in a second at least, however far the peers are."""
 
 MAX_CALLS = 512
 """Upper bound of the limit."""
@@ -18,6 +21,13 @@
 """An answer that took longer lowers the limit. It comes well before a call without an
 answer is given up."""
 
+MAX_FASTEST_SECONDS = 2.5
+"""Longest time that the answers of far peers are taken to need."""
+
+FASTEST_WINDOW_SECONDS = 5.0
+"""The fastest answers are those of the present and of the former window of this
+length."""
+
 INCREASE_CALLS = 8.0
 """Increase of the limit for each set of calls, as many as the limit, that were answered
 in time."""
@@ -30,10 +40,38 @@
 lower the limit once."""
 
 
+class _FastestAnswer:
+    """Time of the fastest answer of late, which far peers make long and load doesn't.
+
+    Attributes:
+        seconds: that time; 0 before the end of the first window.
+    """
+
+    def __init__(self) -> None:
+        self.seconds = 0.0
+        self._present = MAX_FASTEST_SECONDS
+        self._window_began_at: float | None = None
+
+    def note(self, seconds: float, now: float) -> None:
+        """Note the time of an answer that came at clock time ``now``, in seconds."""
+        if seconds > MAX_FASTEST_SECONDS:
+            return
+        if self._window_began_at is None:
+            self._window_began_at = now
+        if now - self._window_began_at >= FASTEST_WINDOW_SECONDS:
+            self._window_began_at = now
+            self.seconds = self._present
+            self._present = MAX_FASTEST_SECONDS
+        self._present = min(self._present, seconds)
+        self.seconds = min(self.seconds, seconds)
+
+
 class ConcurrencyLimit:
     """Limit of calls in flight: additive increase, multiplicative decrease.
 
     Calls without an answer leave the limit as it is, because their peers may be gone.
+    The answers of far peers are slow however few calls are in flight, so the limit
+    stays above the number that is in flight at `MIN_CALLS_PER_SECOND`.
 
     Example:
         >>> limit = ConcurrencyLimit()
@@ -47,6 +85,7 @@
         self._limit = float(INITIAL_CALLS)
         self._n_in_flight = 0
         self._decreased_at = float("-inf")
+        self._fastest = _FastestAnswer()
 
     @property
     def n_free(self) -> int:
@@ -69,10 +108,15 @@
         self._n_in_flight -= 1
         if not is_answered:
             return
+        self._fastest.note(seconds, now)
         if seconds <= SLOW_ANSWER_SECONDS:
             if was_in_use:
                 increase = INCREASE_CALLS / self._limit
                 self._limit = min(self._limit + increase, MAX_CALLS)
         elif now - self._decreased_at >= DECREASE_INTERVAL_SECONDS:
             self._decreased_at = now
-            self._limit = max(self._limit * DECREASE_FACTOR, MIN_CALLS)
+            self._limit *= DECREASE_FACTOR
+        self._limit = max(self._limit, self._lower_bound())
+
+    def _lower_bound(self) -> float:
+        return max(MIN_CALLS, MIN_CALLS_PER_SECOND * self._fastest.seconds)
--- a/catkinport/policy/tests/test_concurrency_limit.py
+++ b/catkinport/policy/tests/test_concurrency_limit.py
@@ -1,6 +1,14 @@
 """Tests of the limit of calls in flight, for the pattern of an overloaded caller."""
 
-from ..concurrency_limit import INITIAL_CALLS, MAX_CALLS, MIN_CALLS, ConcurrencyLimit
+import pytest
+
+from ..concurrency_limit import (
+    INITIAL_CALLS,
+    MAX_CALLS,
+    MIN_CALLS,
+    MIN_CALLS_PER_SECOND,
+    ConcurrencyLimit,
+)
 
 CALL_SECONDS = 0.004
 """Time that the caller's processor takes for a call."""
@@ -63,3 +71,41 @@
             limit.begin()
             limit.end(BATCH_SECONDS, True, number * BATCH_SECONDS)
         assert limit.n_free == MIN_CALLS
+
+
+class TestFarPeers:
+    @staticmethod
+    def _play(limit, seconds, began_at, n_rounds):
+        """Answer each call after ``seconds``, in rounds of as many as may begin."""
+        now = began_at
+        for _ in range(n_rounds):
+            n_calls = limit.n_free
+            for _ in range(n_calls):
+                limit.begin()
+            now += seconds
+            for _ in range(n_calls):
+                limit.end(seconds, True, now)
+        return now
+
+    @pytest.mark.parametrize("seconds", [0.3, 0.7, 1.6])
+    def test_starts_go_on_where_each_answer_is_slow(self, seconds):
+        """Guards against pools with room that get tasks one by one.
+
+        With answers after 0.7 s, 16 calls in flight start 23 tasks a second, whatever
+        the fleet has room for.
+        """
+        limit = ConcurrencyLimit()
+        self._play(limit, seconds, 0.0, 60)
+        assert limit.n_free / seconds >= MIN_CALLS_PER_SECOND - 1
+
+    def test_it_falls_again_once_answers_are_fast(self):
+        """Guards against a limit that stays high for peers that are near by then."""
+        limit = ConcurrencyLimit()
+        now = self._play(limit, 1.6, 0.0, 30)
+        for _ in range(30):
+            limit.begin()
+            limit.end(0.01, True, now)
+            limit.begin()
+            limit.end(0.5, True, now)
+            now += 1.0
+        assert limit.n_free == MIN_CALLS
