Take a run for stalled by reports of its worker only

Callers could see tasks stopped and counted as failed although they made progress: a run was stalled 2.5 s after the last progress that was known, also when no report had come since. Reports come each 1.1 s usually, and later where answers of workers take long. The time now ends with the latest report.

--- a/catkinport/jobs/placement/run_stops.py
+++ b/catkinport/jobs/placement/run_stops.py
@@ -130,15 +130,17 @@
 def _is_stalled(dispatcher: Dispatcher, run: Run, now: float) -> bool:
     """Return whether a run has stalled on a worker that is in contact.
 
-    A stall counts as a failed run, and the task avoids the worker from then on.
+    Only reports of the worker show it. Where they come seldom, the run may have made
+    progress since. A stall counts as a failed run, and the task avoids the worker from
+    then on.
     """
     step = run.task.step
     if step.is_lasting or step.is_filler or not run.known_at or step.is_gang:
         return False
     limit = max(MIN_STALL_SECONDS, STALL_FACTOR * step.estimate_seconds)
-    if now - run.progressed_at <= limit:
-        return False
     worker = dispatcher.worker_by_id[run.worker_id]
+    if worker.contact_at - run.progressed_at <= limit:
+        return False
     if not worker.is_in_contact(now):
         return False
     pool_workers = dispatcher.workers_of(worker.listed.pool)
--- a/catkinport/jobs/tests/test_silent_workers.py
+++ b/catkinport/jobs/tests/test_silent_workers.py
@@ -173,6 +173,24 @@
         (stop,) = find_stops(fleet.dispatcher, fleet.now)
         assert (stop.key, stop.reason) == (start.run.key, "stalled")
 
+    def test_run_without_a_report_since_is_not_stopped(self):
+        """Guards against runs that count as failed because reports come late.
+
+        The worker answers each 2.6 s, and each answer shows progress.
+        """
+        fleet = Fleet([make_worker("w1")])
+        fleet.dispatcher.add_job(make_job(), fleet.now)
+        (start,) = fleet.start()
+        worker = fleet.dispatcher.worker_by_id["w1"]
+        worker.answer_seconds = 2.4
+        for percent in (10.0, 20.0, 30.0):
+            fleet.advance(2.6)
+            assert list(find_stops(fleet.dispatcher, fleet.now)) == []
+            key = tuple(start.run.key)
+            running = fleet.running_by_worker["w1"]
+            running[key] = running[key]._replace(percent=percent)
+            fleet.poll_all()
+
 
 class TestOrphanedRun:
     def test_run_of_an_unknown_job_is_stopped(self):
