Send more orders at a time to workers whose answers take long

What callers saw: with workers 0.35 s away, bursts of starts on one worker were given up and stopped again.

Cause: a worker has six connections, so of nine starts at once some waited 0.7 s and more for a connection, within the timeout of the order. They counted as sent, and their runs as uncertain, although nothing had been sent.

Change: orders wait for their turn before the timeout of the call begins (platform/order_turns.py), and one that gets none is known not to be sent. Workers that answer fast get five orders at a time beside the poll, as before, others up to 24. Polls no longer wait behind orders.

--- a/catkinport/platform/daemon.py
+++ b/catkinport/platform/daemon.py
@@ -37,7 +37,7 @@
 from .settings import DaemonSettings, load_settings
 from .table import MAX_TABLE_CONNECTIONS, PlatformTable
 from .vms import PlatformVms
-from .workers import PlatformWorkers
+from .workers import MAX_WORKER_CONNECTIONS, PlatformWorkers
 
 logger = logging.getLogger(__name__)
 
@@ -76,7 +76,7 @@
         self._settings_path = settings_path
         self._clock = BootTimeClock()
         self._metrics = Metrics()
-        self._client = PlatformClient(self._metrics)
+        self._client = PlatformClient(self._metrics, MAX_WORKER_CONNECTIONS)
         self._table_client = PlatformClient(self._metrics, MAX_TABLE_CONNECTIONS)
         table = PlatformTable(self._table_client, settings.table)
         self._configuration = ConfigurationWatch(
--- a/catkinport/platform/workers.py
+++ b/catkinport/platform/workers.py
@@ -23,10 +23,14 @@
 from ..runtime.logs import log_event
 from . import decoding
 from .client import PlatformClient, Reply
+from .order_turns import MAX_ORDERS, OrderTurns
 from .workers_codec import decode_lists, decode_rejection, decode_worker
 
 logger = logging.getLogger(__name__)
 
+MAX_WORKER_CONNECTIONS = MAX_ORDERS + 4
+"""Most connections to one worker, which leaves some for polls beside the orders."""
+
 MIN_ORDER_TIMEOUT_SECONDS = 0.4
 """Lower bound of the wait for the answer to an order, which usually takes a few
 milliseconds. A start without an answer is canceled, so a longer wait would only delay
@@ -110,6 +114,7 @@
         self._unreadable_by_worker: dict[str, str] = {}
         self._lag_seconds = lag_seconds
         self._answer_times = AnswerTimes(MAX_ANSWER_SECONDS)
+        self._turns = OrderTurns(self._answer_times.average)
 
     async def list_workers(self) -> list[ListedWorker] | Unavailable:
         """Read the list of workers; log and leave out entries that are malformed."""
@@ -293,7 +298,13 @@
         self, step: str, worker: ListedWorker, path: str, body: Mapping[str, Any]
     ) -> OrderOutcome:
         timeout_seconds = self._order_timeout(worker.worker_id)
-        reply = await self._call(step, worker, path, body, timeout_seconds)
+        if not await self._turns.begin(worker.worker_id, timeout_seconds):
+            detail = f"not sent in {timeout_seconds} s"
+            return Unavailable(Reason.TIMEOUT, step, worker.worker_id, detail)
+        try:
+            reply = await self._call(step, worker, path, body, timeout_seconds)
+        finally:
+            self._turns.end(worker.worker_id)
         if isinstance(reply, Unavailable):
             return reply
         self._answer_times.note_answer(worker.worker_id, reply.wait_seconds)
--- a/catkinport/policy/answer_times.py
+++ b/catkinport/policy/answer_times.py
@@ -48,6 +48,10 @@
         self._average_by_peer: dict[str, float] = {}
         self._n_unanswered_by_peer: dict[str, int] = {}
 
+    def average(self, peer: str) -> float:
+        """Return the usual time of an answer of a peer in seconds; 0 if unknown."""
+        return self._average_by_peer.get(peer, self._average_seconds) or 0.0
+
     def bound(self, peer: str, min_seconds: float) -> float:
         """Return the time in seconds within which a peer that is alive answers.
 
@@ -56,7 +60,7 @@
                 the others.
             min_seconds: lower bound.
         """
-        average = self._average_by_peer.get(peer, self._average_seconds) or 0.0
+        average = self.average(peer)
         longest = max(LONG_BOUND_SECONDS, average + MAX_SPREAD_SECONDS)
         bound = min(SPREAD_FACTOR * average, longest)
         return min(max(bound, min_seconds), self._max_seconds)
