Take the time of the first late answer at once

What callers saw: with workers 0.8 s away each way, starts failed for 18 s from the moment at which the delay began.

Cause: the average of a worker's answers started from those before the delay, so the timeout of orders stayed below the time of an answer for several answers more.

Evidence: soak.waits with workers_far=0.8 on the commit before: 203 starts without an answer in the second ten seconds, most given up after 1.4 s with answers that took 1.6 s.

Change: an answer that follows calls without one replaces a lower average. test_one_answer_is_enough_after_fast_ones fails on the code before.

--- a/catkinport/policy/answer_times.py
+++ b/catkinport/policy/answer_times.py
@@ -75,13 +75,16 @@
         return min(factor * self.bound(peer, min_seconds), self._max_seconds)
 
     def note_answer(self, peer: str, seconds: float | None) -> None:
-        """Note an answer of a peer, and the seconds that it took if they are known."""
-        self._n_unanswered_by_peer.pop(peer, None)
+        """Note an answer of a peer, and the seconds that it took if they are known.
+
+        An answer that follows calls without one shows that the average is out of date.
+        """
+        n_unanswered = self._n_unanswered_by_peer.pop(peer, 0)
         if seconds is None:
             return
         self._average_seconds = _smooth(self._average_seconds, seconds)
-        own = self._average_by_peer.get(peer, self._average_seconds)
-        self._average_by_peer[peer] = _smooth(own, seconds)
+        own = _smooth(self._average_by_peer.get(peer, self._average_seconds), seconds)
+        self._average_by_peer[peer] = max(own, seconds) if n_unanswered else own
 
     def note_timeout(self, peer: str) -> None:
         """Note that a call of a peer had no answer in time."""
--- a/catkinport/policy/tests/test_answer_times.py
+++ b/catkinport/policy/tests/test_answer_times.py
@@ -34,6 +34,19 @@
         assert all(call(times, "w1", seconds) for _ in range(20))
         assert call(times, "w2", seconds)
 
+    @pytest.mark.parametrize("seconds", [0.7, 1.6])
+    def test_one_answer_is_enough_after_fast_ones(self, seconds):
+        """Guards against calls that are given up for seconds after a network got slow.
+
+        An average that starts from fast answers needs several slow ones.
+        """
+        times = AnswerTimes(MAX_SECONDS)
+        for _ in range(100):
+            times.note_answer("w1", 0.01)
+        while not call(times, "w1", seconds):
+            pass
+        assert times.bound("w1", 0.4) > seconds
+
     def test_one_slow_peer_has_a_bound_of_its_own(self):
         """Guards against a slow peer that is out of contact beside fast ones."""
         times = AnswerTimes(MAX_SECONDS)
