Name what keeps a task from starting first in its log line, within 200 characters

The reason, the blocked workers and the seconds come first. The most frequent blocks are named, the rest is a sum. The task is given without its job's id, which stands beside it; cores, memory and lasting are left out.

Workers without unbroken contact while the lease is in doubt were in no count: they are `contact-broken`. A task that only lacks approvals had the reason `no-worker`: it is `no-approval`. Jobs that are held back as a whole are noted with the reason, for the measurement of stalled pools.

--- a/catkinport/jobs/placement/planner.py
+++ b/catkinport/jobs/placement/planner.py
@@ -19,9 +19,10 @@
 from ..workers.run import Run
 from ..workers.worker_state import StartBlock, WorkerRecord
 from .account_usage import is_within_limit, usage_by_account
+from .blocked_workers import has_unbroken_contact
 from .gang_rooms import find_gang_rooms
 from .start_blocks import find_start_block
-from .start_delays import StartDelays
+from .start_delays import StartDelays, StartHold
 from .task_needs import find_expected_ends, running_need, stage_name, task_need
 
 MAX_WORKERS_PER_REQUEST = 100
@@ -67,6 +68,7 @@
         dispatcher: jobs and workers.
 
     Attributes:
+        delays: waits of the tasks that could not start.
         wanted_approvals: approvals to ask for after the latest planning, by step.
     """
 
@@ -75,7 +77,7 @@
         self._tickets_by_stage: dict[str, dict[str, Ticket]] = {}
         self._rejected_by_stage: dict[str, set[str]] = {}
         self._learned_before: float | None = None
-        self._delays = StartDelays(dispatcher)
+        self.delays = StartDelays(dispatcher)
         self._reservations = Reservations()
         self._first_pool = ""
         self.wanted_approvals: dict[str, ApprovalRequest] = {}
@@ -125,15 +127,16 @@
         """
         dispatcher = self._dispatcher
         self._learned_before = learned_before
+        self.delays.learned_before = learned_before
         self.wanted_approvals = {}
         records_by_pool: dict[str, list[tuple[JobRecord, Queue]]] = {}
         for record in dispatcher.job_by_id.values():
             queue = dispatcher.queue_of(record)
             if queue is None or record.is_closing:
                 continue
-            if learned_before is not None and record.learned_at > learned_before:
-                continue
-            if record.is_inherited and not dispatcher.is_pool_resolved(queue.pool):
+            hold = self._find_job_hold(record, queue)
+            if hold is not None:
+                self.delays.note_held_job(record.job.job_id, queue.pool, now, hold)
                 continue
             records_by_pool.setdefault(queue.pool, []).append((record, queue))
         starts: list[PlannedStart] = []
@@ -156,10 +159,19 @@
                 self._first_pool = pool
                 return starts
         # What an incomplete round has not seen must not be forgotten.
-        self._delays.end_round()
+        self.delays.end_round()
         self._reservations.end_round()
         return starts
 
+    def _find_job_hold(self, record: JobRecord, queue: Queue) -> StartHold | None:
+        """Return why no task of a job may start, or ``None`` if its tasks may."""
+        learned_before = self._learned_before
+        if learned_before is not None and record.learned_at > learned_before:
+            return StartHold.LEASE_IN_DOUBT
+        if record.is_inherited and not self._dispatcher.is_pool_resolved(queue.pool):
+            return StartHold.POOL_UNRESOLVED
+        return None
+
     def _free_rooms(self, pool: str, now: float) -> dict[str, CandidateWorker]:
         dispatcher = self._dispatcher
         rooms: dict[str, CandidateWorker] = {}
@@ -167,7 +179,7 @@
             block = find_start_block(dispatcher, worker, now)
             if block not in (None, StartBlock.QUARANTINED) or worker.is_cordoned:
                 continue
-            if not self._has_unbroken_contact(worker):
+            if not has_unbroken_contact(worker, self._learned_before):
                 continue
             room = CandidateWorker(
                 worker.worker_id, worker.listed.labels, worker.free(), worker.penalty
@@ -179,12 +191,6 @@
             rooms[worker.worker_id] = room
         return rooms
 
-    def _has_unbroken_contact(self, worker: WorkerRecord) -> bool:
-        """Return whether the worker has kept the token of a possible successor."""
-        return (
-            self._learned_before is None or worker.contact_since <= self._learned_before
-        )
-
     def _plan_job(
         self,
         record: JobRecord,
@@ -209,7 +215,8 @@
                     self._plan_gang(waiting, usable, usage, account, now, starts)
             else:
                 self._plan_tasks(waiting, usable, usage, account, now, starts)
-            self._note_delay(waiting, queue, usable, usage, account, now)
+            is_unapproved = bool(rooms) and not usable
+            self._note_delay(waiting, queue, usable, usage, account, now, is_unapproved)
 
     def _note_delay(
         self,
@@ -219,16 +226,19 @@
         usage: dict[str, Resources],
         account: Account | None,
         now: float,
+        is_unapproved: bool,
     ) -> None:
         waiting = [task for task in tasks if task.phase is TaskPhase.WAITING]
         if not waiting:
             return
         first = waiting[0]
         n_together = len(waiting) if first.step.is_gang else 1
-        is_over_limit = not is_within_limit(usage, account, first.step.need, n_together)
+        hold = StartHold.NO_APPROVAL if is_unapproved else None
+        if not is_within_limit(usage, account, first.step.need, n_together):
+            hold = StartHold.ACCOUNT_LIMIT
         need = task_need(first)
         candidates = list(rooms.values())
-        self._delays.note(first, need, queue.pool, now, candidates, is_over_limit)
+        self.delays.note(first, need, queue.pool, now, candidates, hold)
 
     def _is_startable(self, record: JobRecord, task: Task, now: float) -> bool:
         if record.must_store_crashes(task):
--- a/catkinport/jobs/placement/start_delays.py
+++ b/catkinport/jobs/placement/start_delays.py
@@ -1,18 +1,21 @@
 """Logs why tasks that could start still wait.
 
 One line names a job, its first waiting task and what keeps the task from starting.
+What decides comes first, and the line fits into `MAX_LINE_WIDTH`, because tools of
+operators cut off the ends of long lines.
 """
 
 import logging
-from collections import Counter
+from collections.abc import Iterator
+from enum import StrEnum
 from typing import NamedTuple
 
 from ...policy.resources import Resources
 from ...policy.worker_choice import CandidateWorker, TaskNeed, is_suitable
 from ...runtime.logs import log_event
 from ..dispatch.dispatcher import Dispatcher
-from ..dispatch.task import Task
-from .start_blocks import find_start_block
+from ..dispatch.task import Task, TaskPhase
+from .blocked_workers import count_blocks, format_counts
 
 logger = logging.getLogger(__name__)
 
@@ -26,18 +29,41 @@
 """Most lines a second; an overloaded pool has hundreds of waiting jobs."""
 
 
-class _Delay(NamedTuple):
+MAX_LINE_WIDTH = 200
+"""Most characters of a line whose pool has a name of up to 12 characters."""
+
+_FIXED_WIDTH = 116
+"""Characters of a line without the values of its fields."""
+
+_MIN_BLOCKED_WIDTH = 5
+"""Characters that the number of blocked workers of a large pool takes."""
+
+
+class StartHold(StrEnum):
+    """Reason for which a task doesn't start whatever workers are free."""
+
+    ACCOUNT_LIMIT = "account-limit"
+    NO_APPROVAL = "no-approval"
+    POOL_UNRESOLVED = "pool-unresolved"
+    LEASE_IN_DOUBT = "lease-in-doubt"
+
+
+class StartDelay(NamedTuple):
     """Wait of a job's first waiting task.
 
     Args:
-        task: name of the task.
+        task: the task; ``None`` while the whole job is held back.
+        pool: pool of its workers.
         since: clock time in seconds since which it could start.
+        hold: reason that doesn't depend on workers; ``None`` for none.
         reason: reason that was logged last; empty for none.
         logged_at: clock time in seconds of the latest line on the job.
     """
 
-    task: str
+    task: Task | None
+    pool: str
     since: float
+    hold: StartHold | None = None
     reason: str = ""
     logged_at: float = float("-inf")
 
@@ -47,11 +73,16 @@
 
     Args:
         dispatcher: jobs and workers.
+
+    Attributes:
+        learned_before: clock time in seconds of the last stored renewal while a
+            successor may already have replaced this owner; ``None`` otherwise.
     """
 
     def __init__(self, dispatcher: Dispatcher) -> None:
+        self.learned_before: float | None = None
         self._dispatcher = dispatcher
-        self._delay_by_job: dict[str, _Delay] = {}
+        self._delay_by_job: dict[str, StartDelay] = {}
         self._noted_ids: set[str] = set()
         self._second_began_at = float("-inf")
         self._n_lines = 0
@@ -63,7 +94,7 @@
         pool: str,
         now: float,
         rooms: list[CandidateWorker],
-        is_over_limit: bool = False,
+        hold: StartHold | None = None,
     ) -> None:
         """Note that a task could start, and has not been started in this round.
 
@@ -73,38 +104,47 @@
             pool: pool of its workers.
             now: clock time in seconds.
             rooms: workers that may get tasks, with their free resources.
-            is_over_limit: whether the limit of its account keeps it from starting.
+            hold: what keeps it from starting whatever workers are free.
         """
         job_id = task.task_id.job_id
         if job_id in self._noted_ids:
             return
-        self._noted_ids.add(job_id)
-        delay = self._delay_by_job.get(job_id)
-        if delay is None or delay.task != task.text:
-            logged_at = delay.logged_at if delay else float("-inf")
-            delay = _Delay(task.text, now, "", logged_at)
-            self._delay_by_job[job_id] = delay
+        delay = self._update(job_id, task, pool, now, hold)
         since = max(delay.since, delay.logged_at)
         if now - since < MIN_DELAY_SECONDS or not self._may_log(now):
             return
-        reason = "account-limit" if is_over_limit else find_reason(need, rooms)
+        reason = hold.value if hold else find_reason(need, rooms)
         if reason == delay.reason and now - delay.logged_at < REPEAT_SECONDS:
             return
         self._n_lines += 1
-        self._delay_by_job[job_id] = delay._replace(reason=reason, logged_at=now)
-        log_event(
-            logger,
-            "task start delayed",
-            request_id=job_id,
-            task=task.text,
-            pool=pool,
-            seconds=round(now - delay.since, 2),
-            reason=reason,
-            cores=need.need.cores,
-            memory_gb=need.need.memory_gb,
-            lasting=need.is_lasting,
-            blocked=self._count_blocked(pool, now),
-        )
+        delay = delay._replace(reason=reason, logged_at=now)
+        self._delay_by_job[job_id] = delay
+        self._log(task, delay, now)
+
+    def note_held_job(
+        self, job_id: str, pool: str, now: float, hold: StartHold
+    ) -> None:
+        """Note that no task of a job may start in this round, even if one is ready.
+
+        Args:
+            job_id: id of the job.
+            pool: pool of its workers.
+            now: clock time in seconds.
+            hold: why the job is held back.
+        """
+        self._update(job_id, None, pool, now, hold)
+
+    def find_waiting(self) -> Iterator[tuple[str, StartDelay]]:
+        """Iterate over the job ids and waits of tasks that have not started since.
+
+        A job that is held back is among them even if it has no task that is ready.
+        """
+        for job_id, delay in self._delay_by_job.items():
+            record = self._dispatcher.job_by_id.get(job_id)
+            if record is None or record.is_closing:
+                continue
+            if delay.task is None or delay.task.phase is TaskPhase.WAITING:
+                yield job_id, delay
 
     def end_round(self) -> None:
         """Forget the jobs that no longer wait."""
@@ -118,13 +158,57 @@
             self._n_lines = 0
         return self._n_lines < MAX_LINES_PER_SECOND
 
-    def _count_blocked(self, pool: str, now: float) -> str:
+    def _update(
+        self,
+        job_id: str,
+        task: Task | None,
+        pool: str,
+        now: float,
+        hold: StartHold | None,
+    ) -> StartDelay:
+        """Keep the wait of a job, or begin a new one if its task or pool is another."""
+        self._noted_ids.add(job_id)
+        former = self._delay_by_job.get(job_id)
+        if former is None:
+            delay = StartDelay(task, pool, now, hold)
+        elif former.pool != pool or _is_other(task, former.task):
+            delay = StartDelay(task, pool, now, hold, "", former.logged_at)
+        elif former.task is task and former.hold is hold:
+            return former
+        else:
+            delay = former._replace(task=task or former.task, hold=hold)
+        self._delay_by_job[job_id] = delay
+        return delay
+
+    def _log(self, task: Task, delay: StartDelay, now: float) -> None:
+        job_id, _, number = task.text.partition(".")
+        seconds = round(now - delay.since, 1)
+        values = (delay.reason, job_id, delay.pool, number, seconds)
+        rest = MAX_LINE_WIDTH - _FIXED_WIDTH - sum(len(str(value)) for value in values)
+        log_event(
+            logger,
+            "task start delayed",
+            reason=delay.reason,
+            blocked=self._format_blocked(delay.pool, now, rest),
+            seconds=seconds,
+            request_id=job_id,
+            pool=delay.pool,
+            task=number,
+        )
+
+    def _format_blocked(self, pool: str, now: float, max_width: int) -> str:
         """Return the number of workers without new tasks, by reason."""
         dispatcher = self._dispatcher
         workers = dispatcher.workers_of(pool)
-        blocks = [find_start_block(dispatcher, worker, now) for worker in workers]
-        n_by_reason = Counter(block.value for block in blocks if block is not None)
-        return ",".join(f"{why}:{n}" for why, n in sorted(n_by_reason.items()))
+        n_by_reason = count_blocks(dispatcher, workers, now, self.learned_before)
+        return format_counts(n_by_reason, max(max_width, _MIN_BLOCKED_WIDTH))
+
+
+def _is_other(task: Task | None, former: Task | None) -> bool:
+    """Return whether the wait of the ``former`` task is over; ``None`` is any task."""
+    if former is None:
+        return False
+    return former is not task if task else former.phase is not TaskPhase.WAITING
 
 
 def find_reason(need: TaskNeed, rooms: list[CandidateWorker]) -> str:
--- a/catkinport/jobs/tests/test_start_delays.py
+++ b/catkinport/jobs/tests/test_start_delays.py
@@ -1,11 +1,27 @@
 """Tests of the log lines on tasks that could start and still wait."""
 
 import logging
+import re
 
 import pytest
 
-from ...policy.resources import Resources
-from .builders import JOB_ID, Fleet, make_job, make_step, make_worker
+from ...policy.resources import NO_RESOURCES, Resources
+from ...policy.worker_choice import CandidateWorker
+from ...runtime.logs import KeyValueFormatter
+from ..configuration import ApprovalTerms
+from ..dispatch.record import JobRecord
+from ..placement.start_delays import MAX_LINE_WIDTH, StartDelays
+from ..placement.task_needs import task_need
+from ..workers.worker_state import StartBlock
+from .builders import (
+    JOB_ID,
+    QUEUE,
+    Fleet,
+    make_configuration,
+    make_job,
+    make_step,
+    make_worker,
+)
 
 EVENT = "task start delayed"
 
@@ -86,3 +102,97 @@
             worker.is_cordoned = not worker.is_cordoned
             wait(fleet, 0.25)
         assert 2 <= len(read_lines(log)) <= 3
+
+
+class TestHeldTasks:
+    def test_workers_with_broken_contact_are_counted(self, log):
+        """Guards against workers that get no tasks and appear in no count.
+
+        While the lease is in doubt, a worker that has left a poll unanswered since the
+        last renewal gets none, although nothing else blocks it.
+        """
+        fleet = Fleet([make_worker("w1"), make_worker("w2")])
+        fleet.dispatcher.add_job(make_job(), fleet.now)
+        renewed_at = fleet.now
+        fleet.advance(0.25)
+        for worker in fleet.dispatcher.worker_by_id.values():
+            worker.note_no_answer()
+        for _ in range(6):
+            fleet.advance(0.25)
+            fleet.poll_all()
+            assert fleet.plan(learned_before=renewed_at) == []
+        (line,) = read_lines(log)
+        assert line["reason"] == "no-worker"
+        assert line["blocked"] == "contact-broken:2"
+
+    def test_missing_approval_is_no_missing_worker(self, log):
+        """Guards against "no-worker" in a pool whose workers lack only approvals."""
+        fleet = Fleet([make_worker()])
+        configuration = make_configuration(version=2)
+        queue = configuration.queue_by_name[QUEUE]
+        queue = queue._replace(approval=ApprovalTerms(10.0))
+        fleet.dispatcher.apply_configuration(
+            configuration._replace(queue_by_name={QUEUE: queue})
+        )
+        fleet.dispatcher.add_job(make_job(), fleet.now)
+        fleet.plan()
+        wait(fleet, 1.25)
+        (line,) = read_lines(log)
+        assert line["reason"] == "no-approval"
+
+
+BLOCKED_POOL = "twelve-chars"
+
+
+def block(worker, reason: StartBlock, now: float) -> None:
+    """Let one reason keep new tasks from a worker."""
+    worker.is_listed = reason is not StartBlock.NOT_LISTED
+    worker.is_enrolled = reason is not StartBlock.NOT_ENROLLED
+    is_draining = reason is StartBlock.DRAINING
+    worker.listed = worker.listed._replace(is_draining=is_draining)
+    worker.is_reserved = reason is StartBlock.RESERVED
+    worker.is_cordoned = reason is StartBlock.CORDONED
+    if reason is StartBlock.OUT_OF_CONTACT:
+        worker.note_no_answer()
+    if reason is StartBlock.PAUSED:
+        worker.blocked_until = now + 1.0
+    if reason is StartBlock.QUARANTINED:
+        worker.quarantined_until = now + 1.0
+    if reason is StartBlock.ROOM_UNKNOWN:
+        worker.listed_at = now - 60.0
+
+
+def log_delay(rooms: list[CandidateWorker], n_workers: int) -> None:
+    """Log the wait of a task of a pool whose workers are blocked for all reasons."""
+    workers = [make_worker(f"w{i}", pool=BLOCKED_POOL) for i in range(n_workers)]
+    fleet = Fleet(workers)
+    reasons = list(StartBlock)
+    for number, worker in enumerate(fleet.dispatcher.worker_by_id.values()):
+        block(worker, reasons[number % len(reasons)], fleet.now)
+    job = make_job("e9d334a977f9939c", steps=[make_step(400)] * 13)
+    task = JobRecord(job).tasks_by_stage[0, 12][399]
+    delays = StartDelays(fleet.dispatcher)
+    delays.note(task, task_need(task), BLOCKED_POOL, fleet.now - 3600.0, rooms)
+    delays.end_round()
+    delays.note(task, task_need(task), BLOCKED_POOL, fleet.now, rooms)
+
+
+class TestWidthOfLines:
+    @pytest.mark.parametrize("n_workers", [9, 1200])
+    @pytest.mark.parametrize("rooms", [[], [CandidateWorker("w", (), NO_RESOURCES)]])
+    def test_line_is_never_cut_off(self, log, rooms, n_workers):
+        """Guards against a line whose end an operator's tool cuts off."""
+        log_delay(rooms, n_workers)
+        (record,) = [r for r in log.records if r.getMessage() == EVENT]
+        assert len(KeyValueFormatter().format(record)) <= MAX_LINE_WIDTH
+        assert sum_counts(record.event_fields["blocked"]) == n_workers
+
+    def test_what_decides_comes_first(self, log):
+        """Guards against ids that push the cause to the end of the line."""
+        log_delay([], 9)
+        (record,) = [r for r in log.records if r.getMessage() == EVENT]
+        assert list(record.event_fields)[:3] == ["reason", "blocked", "seconds"]
+
+
+def sum_counts(text: str) -> int:
+    return sum(int(re.split(r"[:+]", part)[-1]) for part in text.split(","))
