--- a/catkinport/platform/daemon.py
+++ b/catkinport/platform/daemon.py
@@ -22,6 +22,7 @@
 from ..policy.leadership import claim_delay_seconds
 from ..runtime import BootTimeClock, Metrics
 from ..runtime.background import run_until_done
+from ..runtime.bounded_logs import export_dropped_lines
 from ..runtime.logs import log_event
 from ..runtime.loop_lag import LoopLag
 from ..settings.declaration import format_fault
@@ -207,6 +208,7 @@
         return web.Response(status=200 if self._callers.is_ready() else 503)
 
     async def _answer_metrics(self, request: web.BaseRequest) -> web.Response:
+        export_dropped_lines(self._metrics)
         content, content_type = self._metrics.render()
         return web.Response(body=content, headers={"Content-Type": content_type})
 
--- a/catkinport/runtime/logs.py
+++ b/catkinport/runtime/logs.py
@@ -6,10 +6,9 @@
 
 from pythonjsonlogger.json import JsonFormatter
 
-from .bounded_logs import BoundedHandler
+from .bounded_logs import EVENT_FIELDS, BoundedHandler
 
 LOG_FORMATS = ("keyvalue", "json")
-_FIELDS = "event_fields"
 
 
 class KeyValueFormatter(logging.Formatter):
@@ -23,7 +22,7 @@
             "level": record.levelname.lower(),
             "event": record.getMessage(),
         }
-        fields.update(getattr(record, _FIELDS, {}))
+        fields.update(getattr(record, EVENT_FIELDS, {}))
         if record.exc_info:
             fields["exception"] = self.formatException(record.exc_info)
         return " ".join(f"{name}={_quote(value)}" for name, value in fields.items())
@@ -34,8 +33,8 @@
         super().add_fields(log_data, record, message_dict)
         log_data["level"] = record.levelname.lower()
         log_data["event"] = log_data.pop("message")
-        log_data.pop(_FIELDS, None)
-        log_data.update(getattr(record, _FIELDS, {}))
+        log_data.pop(EVENT_FIELDS, None)
+        log_data.update(getattr(record, EVENT_FIELDS, {}))
 
 
 def configure_logging(
@@ -84,7 +83,7 @@
             or another secret.
     """
     if logger.isEnabledFor(level):
-        logger.log(level, event, extra={_FIELDS: fields})
+        logger.log(level, event, extra={EVENT_FIELDS: fields})
 
 
 def _quote(value: Any) -> str:
