Measure pools that start nothing although they have room

Once a second the owner looks for the first ready task of each job. It stalls if it has waited for 1 s, would fit twice into what its pool has free, whatever blocks the workers, and less than half of the pool is used. The gauges jobs_stalled and oldest_stall_seconds tell how many and how long, by pool and reason; they return to 0 with the stall and with the ownership. From 3 s on the line `pool stalled` names reason, blocked workers and the oldest job, each 5 s at most for a pool, and `pool stall ended` follows. The limit of an account, workers that drain and VMs that are not in the pool don't count as a stall.

--- a/catkinport/jobs/ownership/run_orders.py
+++ b/catkinport/jobs/ownership/run_orders.py
@@ -14,6 +14,9 @@
 from ...runtime.logs import log_event
 from ..placement.planner import ApprovalRequest, PlannedStart, Planner, Ticket
 from ..placement.run_stops import PaceOrder, StopOrder, find_paces, find_stops
+from ..placement.stall_reporter import StallReporter
+from ..placement.stalled_pools import StartState
+from ..placement.start_delays import StartHold
 from ..workers.run import RunKey
 from ..workers.worker_state import LEASE_SECONDS
 from .session import RETRY_SECONDS, OwnerSession
@@ -46,6 +49,7 @@
         self._session = session
         self._watch = watch
         self._planner = Planner(session.dispatcher)
+        self._stalls = StallReporter(session.dispatcher)
         self._requested_stages: set[str] = set()
         self._approval_turns = asyncio.Semaphore(MAX_APPROVAL_CALLS)
         self._start_limit = ConcurrencyLimit()
@@ -53,11 +57,15 @@
 
     async def run(self) -> None:
         """Plan and send orders until the ownership ends."""
-        while True:
-            await self._wait_for_wake()
-            self._session.wake.clear()
-            self._plan()
-            await asyncio.sleep(MIN_PLAN_INTERVAL_SECONDS)
+        try:
+            while True:
+                await self._wait_for_wake()
+                self._session.wake.clear()
+                self._plan()
+                self._report_stalls()
+                await asyncio.sleep(MIN_PLAN_INTERVAL_SECONDS)
+        finally:
+            self._stalls.clear(self._session.ports.metrics)
 
     async def _wait_for_wake(self) -> None:
         # `asyncio.wait_for` may swallow the cancellation that ends the ownership.
@@ -88,6 +96,19 @@
         if self._session.dispatcher.dirty_jobs():
             self._session.store_wake.set()
 
+    def _report_stalls(self) -> None:
+        now = self._session.clock.now()
+        if not self._stalls.is_due(now):
+            return
+        hold = None
+        if not self._session.may_order():
+            hold = StartHold.LEASE_EXPIRED
+        elif not self._start_limit.n_free:
+            hold = StartHold.STARTS_IN_FLIGHT
+        delays = self._planner.delays
+        state = StartState(delays.delay_by_job, delays.learned_before, hold)
+        self._stalls.measure(state, now, time.time(), self._session.ports.metrics)
+
     async def _send_start(self, start: PlannedStart) -> None:
         run, worker = start.run, start.worker
         order = StartOrder(
--- a/catkinport/jobs/placement/start_delays.py
+++ b/catkinport/jobs/placement/start_delays.py
@@ -6,7 +6,7 @@
 """
 
 import logging
-from collections.abc import Iterator
+from collections.abc import Mapping
 from enum import StrEnum
 from typing import NamedTuple
 
@@ -46,6 +46,9 @@
     NO_APPROVAL = "no-approval"
     POOL_UNRESOLVED = "pool-unresolved"
     LEASE_IN_DOUBT = "lease-in-doubt"
+    LEASE_EXPIRED = "lease-expired"
+    CRASH_NOT_STORED = "crash-not-stored"
+    STARTS_IN_FLIGHT = "starts-in-flight"
 
 
 class StartDelay(NamedTuple):
@@ -87,6 +90,11 @@
         self._second_began_at = float("-inf")
         self._n_lines = 0
 
+    @property
+    def delay_by_job(self) -> Mapping[str, StartDelay]:
+        """Waits by job id, those of incomplete rounds among them."""
+        return self._delay_by_job
+
     def note(
         self,
         task: Task,
@@ -134,18 +142,6 @@
         """
         self._update(job_id, None, pool, now, hold)
 
-    def find_waiting(self) -> Iterator[tuple[str, StartDelay]]:
-        """Iterate over the job ids and waits of tasks that have not started since.
-
-        A job that is held back is among them even if it has no task that is ready.
-        """
-        for job_id, delay in self._delay_by_job.items():
-            record = self._dispatcher.job_by_id.get(job_id)
-            if record is None or record.is_closing:
-                continue
-            if delay.task is None or delay.task.phase is TaskPhase.WAITING:
-                yield job_id, delay
-
     def end_round(self) -> None:
         """Forget the jobs that no longer wait."""
         for job_id in self._delay_by_job.keys() - self._noted_ids:
