--- a/catkinport/jobs/ownership/run_orders.py
+++ b/catkinport/jobs/ownership/run_orders.py
@@ -19,6 +19,7 @@
 from ..placement.start_delays import StartHold
 from ..workers.run import RunKey
 from ..workers.worker_state import LEASE_SECONDS
+from .round_times import RoundTimes
 from .session import RETRY_SECONDS, OwnerSession
 from .worker_watch import WorkerWatch
 
@@ -57,11 +58,14 @@
 
     async def run(self) -> None:
         """Plan and send orders until the ownership ends."""
+        job_by_id = self._session.dispatcher.job_by_id
+        round_times = RoundTimes(self._session.ports.metrics)
         try:
             while True:
                 await self._wait_for_wake()
                 self._session.wake.clear()
-                self._plan()
+                with round_times.measure(len(job_by_id)):
+                    self._plan()
                 self._report_stalls()
                 await asyncio.sleep(MIN_PLAN_INTERVAL_SECONDS)
         finally:
--- a/catkinport/jobs/ownership/worker_watch.py
+++ b/catkinport/jobs/ownership/worker_watch.py
@@ -19,6 +19,7 @@
 from .fenced_rows import FencedRows
 from .session import RETRY_SECONDS, OwnerSession
 from .state_store import StateStore
+from .worker_contacts import WorkerContacts
 
 logger = logging.getLogger(__name__)
 
@@ -59,6 +60,7 @@
         self._former_bound = former_bound
         self._poll_task_by_worker: dict[str, asyncio.Task[Any]] = {}
         self._rows = FencedRows(session)
+        self._contacts = WorkerContacts(session.dispatcher)
         # The value is None after a write without an answer.
         self._roster_by_pool: dict[str, dict[str, Any] | None] = {}
 
@@ -220,6 +222,7 @@
             lease_seconds,
             wait_seconds,
         )
+        self._contacts.note(worker, outcome, self._session.clock.now())
         if isinstance(outcome, WorkerLists):
             worker.acknowledged_end = max(worker.acknowledged_end, acknowledged_end)
             await self._apply_run_lists(worker, outcome, sent_at)
