--- a/catkinport/jobs/dispatch/run_table.py
+++ b/catkinport/jobs/dispatch/run_table.py
@@ -203,7 +203,8 @@
             task=task.text,
             run=number,
             worker=worker.worker_id,
-            possible_runs=",".join(f"{r.key.run}@{r.worker_id}" for r in possible),
             n_workers=len(workers),
             oldest_answer_seconds=round(now - oldest, 3),
+            n_possible_runs=len(possible),
+            possible_runs=",".join(f"{r.key.run}@{r.worker_id}" for r in possible),
         )
--- a/catkinport/jobs/ownership/removed_queues.py
+++ b/catkinport/jobs/ownership/removed_queues.py
@@ -103,8 +103,9 @@
         log_event(
             logger,
             "queues stored",
-            queues=",".join(sorted(value)),
             outcome=type(outcome).__name__,
+            n_queues=len(value),
+            queues=",".join(sorted(value)),
         )
         if not isinstance(outcome, Committed):
             return False
