Name the block of workers before the hold of a job in a stall

Holds of single jobs count only if workers with room are open; those of the whole owner come first as before. The new test failed before.

--- a/catkinport/jobs/placement/stalled_pools.py
+++ b/catkinport/jobs/placement/stalled_pools.py
@@ -173,7 +173,11 @@
         return n_by_reason
 
     def find_stall_reason(self, ready: ReadyTask) -> str:
-        """Return why a ready task stalls; empty if it may have to wait."""
+        """Return why a ready task stalls; empty if it may have to wait.
+
+        If all workers with room are blocked, these blocks are the reason: a job is
+        often held back because they are out of contact.
+        """
         hold = self._find_hold(ready)
         if hold is StartHold.ACCOUNT_LIMIT:
             return ""
@@ -184,7 +188,10 @@
             if len(self._reason_by_step) >= MAX_STEPS_PER_POOL:
                 return ""
             reason = self._reason_by_step[key] = self._judge_step(ready.task)
-        return hold.value if reason and hold else reason
+        if not reason or not hold:
+            return reason
+        is_hold_decisive = reason == NO_BLOCK or hold is self._state.hold
+        return hold.value if is_hold_decisive else reason
 
     def _find_hold(self, ready: ReadyTask) -> StartHold | None:
         if self._state.hold is not None:
--- a/catkinport/jobs/tests/test_stalled_pools.py
+++ b/catkinport/jobs/tests/test_stalled_pools.py
@@ -153,11 +153,23 @@
         fleet.run(2.25)
         assert fleet.read_gauges() == {"pool-unresolved": 1}
 
+    def test_silent_workers_of_held_jobs_are_named(self):
+        """Guards against a held job that hides why its pool is not resolved."""
+        fleet = make_fleet()
+        fleet.dispatcher.add_job(make_job(), fleet.now, is_inherited=True)
+        fleet.dispatcher.unresolved_by_id["w9"] = POOL
+        fleet.is_contact_kept = False
+        for worker in fleet.worker_records:
+            worker.note_no_answer()
+        fleet.run(2.25)
+        assert fleet.read_gauges() == {"out-of-contact": 1}
+
     def test_missing_rounds_are_named(self):
         """Guards against an owner that plans nothing and measures nothing either."""
         fleet = make_fleet()
         fleet.dispatcher.add_job(make_job(), fleet.now)
         fleet.hold = StartHold.LEASE_EXPIRED
+        fleet.is_contact_kept = False
         fleet.run(2.25)
         assert fleet.read_gauges() == {"lease-expired": 1}
 
