Count unanswered starts as waiting in the measurement of stalls

In a play with workers 280 ms away and daemons paused 40% of the time nothing ran for 45 s, and `pool stalled` had 10 lines: 1,633 of 1,824 start orders had no answer within their timeout, and these starts took all room, so that the pools counted as busy.

Only confirmed runs take room now, and a task whose starts no worker has confirmed counts as waiting, with the reason start-unanswered. The same reason is named if such starts take the room of open workers. Both tests failed before the change that they guard.

--- a/catkinport/jobs/placement/ready_tasks.py
+++ b/catkinport/jobs/placement/ready_tasks.py
@@ -9,13 +9,13 @@
 
 
 class ReadyTask(NamedTuple):
-    """First task of a job that could start and waits.
+    """First task of a job that could run and doesn't, as far as the owner knows.
 
     Args:
         record: its job.
         task: the task.
         pool: pool of its workers.
-        since: clock time in seconds at which it was first seen to wait.
+        since: clock time in seconds at which it was first seen so.
     """
 
     record: JobRecord
@@ -58,15 +58,20 @@
             queue = self._dispatcher.queue_of(record)
             if queue is None or record.is_closing:
                 continue
-            task = find_ready_task(record, now, unix_now)
+            task = find_ready_task(self._dispatcher, record, now, unix_now)
             if task is not None:
                 yield ReadyTask(record, task, queue.pool, now)
 
 
-def find_ready_task(record: JobRecord, now: float, unix_now: float) -> Task | None:
-    """Return the first task of a job that could start and waits, if there is one.
+def find_ready_task(
+    dispatcher: Dispatcher, record: JobRecord, now: float, unix_now: float
+) -> Task | None:
+    """Return the first task of a job that could run and doesn't, if there is one.
+
+    A task whose start orders no worker has confirmed is such a task too.
 
     Args:
+        dispatcher: jobs and workers.
         record: the job.
         now: clock time in seconds.
         unix_now: Unix time in seconds, for jobs with due times.
@@ -75,6 +80,15 @@
         if record.job.due_at(stage[0]) > unix_now:
             return None
         for task in record.tasks_by_stage[stage]:
-            if task.phase is TaskPhase.WAITING and task.not_before <= now:
+            if _is_ready(dispatcher, task, now):
                 return task
     return None
+
+
+def _is_ready(dispatcher: Dispatcher, task: Task, now: float) -> bool:
+    if task.phase is TaskPhase.WAITING:
+        return task.not_before <= now
+    if task.phase is TaskPhase.DONE:
+        return False
+    runs = dispatcher.runs_by_task.get(task.text, [])
+    return not any(run.known_at for run in runs)
--- a/catkinport/jobs/placement/stalled_pools.py
+++ b/catkinport/jobs/placement/stalled_pools.py
@@ -2,18 +2,20 @@
 
 A job stalls if a task of it is ready, waits, and would fit several times into what its
 pool has free, whatever blocks the workers there. In a pool that is more than half used,
-a task may have to wait for its turn.
+a task may have to wait for its turn. Starts that no worker has confirmed take no room:
+a pool may be full of starts without an answer, and run nothing.
 """
 
+import operator
 from collections import Counter
 from collections.abc import Iterable, Mapping
-from functools import cached_property
+from functools import cached_property, reduce
 from typing import NamedTuple
 
-from ...policy.resources import Resources
+from ...policy.resources import NO_RESOURCES, Resources, add
 from ...policy.worker_choice import ROUNDING_TOLERANCE, TaskNeed
 from ..dispatch.dispatcher import Dispatcher
-from ..dispatch.task import Task
+from ..dispatch.task import Task, TaskPhase
 from ..workers.worker_state import WorkerRecord
 from .blocked_workers import NOT_BLOCKED, name_block
 from .ready_tasks import ReadyTask
@@ -148,14 +150,22 @@
         memory_gb = sum(worker.listed.capacity.memory_gb for worker in self.workers)
         if not cores or not memory_gb:
             return 1.0
-        used_cores = sum(worker.used.cores for worker in self.workers)
-        used_memory_gb = sum(worker.used.memory_gb for worker in self.workers)
+        used_cores = sum(used.cores for used in self.used)
+        used_memory_gb = sum(used.memory_gb for used in self.used)
         return max(used_cores / cores, used_memory_gb / memory_gb)
 
+    @cached_property
+    def used(self) -> list[Resources]:
+        """Resources of each worker that confirmed runs take."""
+        return [find_confirmed_use(worker) for worker in self.workers]
+
     @cached_property
     def free(self) -> list[Resources]:
-        """Free resources of each worker."""
-        return [worker.free() for worker in self.workers]
+        """Resources of each worker that no confirmed run takes."""
+        return [
+            Resources(*map(operator.sub, worker.listed.capacity, used))
+            for worker, used in zip(self.workers, self.used, strict=True)
+        ]
 
     @cached_property
     def blocks(self) -> list[str]:
@@ -190,10 +200,13 @@
             reason = self._reason_by_step[key] = self._judge_step(ready.task)
         if not reason or not hold:
             return reason
-        is_hold_decisive = reason == NO_BLOCK or hold is self._state.hold
+        decisive_holds = (StartHold.START_UNANSWERED, self._state.hold)
+        is_hold_decisive = reason == NO_BLOCK or hold in decisive_holds
         return hold.value if is_hold_decisive else reason
 
     def _find_hold(self, ready: ReadyTask) -> StartHold | None:
+        if ready.task.phase is TaskPhase.PLACED:
+            return StartHold.START_UNANSWERED
         if self._state.hold is not None:
             return self._state.hold
         if ready.record.must_store_crashes(ready.task):
@@ -215,9 +228,27 @@
         if n_by_reason.total() < n_wanted:
             return ""
         if n_by_reason[NOT_BLOCKED]:
-            return NO_BLOCK
+            is_open = self._has_open_room(need)
+            return NO_BLOCK if is_open else StartHold.START_UNANSWERED.value
         return max(n_by_reason, key=lambda reason: (n_by_reason[reason], reason))
 
+    def _has_open_room(self, need: TaskNeed) -> bool:
+        """Return whether a worker has room beside the starts it has not confirmed."""
+        return any(
+            block == NOT_BLOCKED and count_fitting(need, worker, worker.free(), 1)
+            for worker, block in zip(self.workers, self.blocks, strict=True)
+        )
+
+
+def find_confirmed_use(worker: WorkerRecord) -> Resources:
+    """Return the resources of the runs that the worker has confirmed."""
+    needs = (
+        task_need(run.task).counted_need
+        for run in worker.run_by_key.values()
+        if run.known_at
+    )
+    return reduce(add, needs, NO_RESOURCES)
+
 
 def count_fitting(
     need: TaskNeed, worker: WorkerRecord, free: Resources, most: int
--- a/catkinport/jobs/placement/start_delays.py
+++ b/catkinport/jobs/placement/start_delays.py
@@ -49,6 +49,7 @@
     LEASE_EXPIRED = "lease-expired"
     CRASH_NOT_STORED = "crash-not-stored"
     STARTS_IN_FLIGHT = "starts-in-flight"
+    START_UNANSWERED = "start-unanswered"
 
 
 class StartDelay(NamedTuple):
--- a/catkinport/jobs/tests/test_stalled_pools.py
+++ b/catkinport/jobs/tests/test_stalled_pools.py
@@ -8,6 +8,7 @@
 
 from ...policy.leadership import OwnLease
 from ...policy.resources import Resources
+from ...ports import Reason, Unavailable
 from ...runtime.logs import KeyValueFormatter
 from ...runtime.metrics import Metrics
 from ..ownership.run_orders import RunOrders
@@ -173,6 +174,43 @@
         fleet.run(2.25)
         assert fleet.read_gauges() == {"lease-expired": 1}
 
+    def test_starts_without_answers_are_named(self, log):
+        """Guards against a pool full of unanswered starts that counts as busy.
+
+        On workers far away each start was given up before its answer arrived. All room
+        was taken by such starts, and nothing ran.
+        """
+        fleet = make_fleet(2)
+        fleet.dispatcher.add_job(make_job(steps=[make_step(8)]), fleet.now)
+        fleet.measure()
+        lost = Unavailable(Reason.TIMEOUT, "worker-start", "w", "", True)
+        for _ in range(16):
+            fleet.advance(STEP_SECONDS)
+            for start in fleet.plan():
+                fleet.answer(start, lost)
+            fleet.measure()
+        (line,) = read_lines(log)
+        assert line["reason"] == "start-unanswered"
+        assert fleet.read_gauges()["start-unanswered"] == 1
+
+    def test_room_of_unanswered_starts_is_named(self):
+        """Guards against a job without room that looks like a fault of the planner.
+
+        The starts of another job have no answer and take the room.
+        """
+        fleet = make_fleet(1)
+        fleet.dispatcher.add_job(make_job(steps=[make_step(4)]), fleet.now)
+        fleet.plan()
+        waiting = make_job("00000000000000a2")
+        fleet.dispatcher.add_job(waiting, fleet.now)
+        for _ in range(8):
+            fleet.plan()
+            fleet.measure()
+            fleet.advance(STEP_SECONDS)
+            (worker,) = fleet.worker_records
+            worker.note_contact(fleet.now, False)
+        assert fleet.read_gauges() == {"start-unanswered": 2}
+
     def test_stall_beside_open_workers_is_named(self):
         """Guards against a fault of the planner that leaves a task out."""
         fleet = make_fleet()
