Keep a run whose start had no answer if its worker reports it

Callers saw tasks that never ended, and pools that did no work, where the answers of workers come late: every start whose answer took longer than its timeout was stopped as start-unsure at once and started elsewhere, where the same happened. The run was stopped even if the worker had reported it before the timeout.

A report that lists the run confirms the start, as its answer would have: the order has been carried out, so it can't be carried out again. The run is kept unless a stop was sent. The stop is therefore sent with the first report whose poll was sent after the timeout and that lacks the run, or after 1.5 s. The worker is polled at once, so a start that was really lost costs its task one more call. No other run starts meanwhile, as the first one is still on record.

--- a/catkinport/jobs/dispatch/order_outcomes.py
+++ b/catkinport/jobs/dispatch/order_outcomes.py
@@ -56,7 +56,10 @@
         if not outcome.may_have_committed:
             self._runs.lose(worker, run, NOT_SENT, now)
             return
-        run.is_start_uncertain = True
+        # A worker that has reported the run has carried its start out.
+        if not run.known_at:
+            run.is_start_uncertain = True
+            run.given_up_at = now
 
     def _on_start_rejected(
         self, worker: WorkerRecord, run: Run, reason: Rejection, now: float
--- a/catkinport/jobs/ownership/run_orders.py
+++ b/catkinport/jobs/ownership/run_orders.py
@@ -14,8 +14,8 @@
 from ...runtime.logs import log_event
 from ..placement.planner import ApprovalRequest, PlannedStart, Planner, Ticket
 from ..placement.run_stops import PaceOrder, StopOrder, find_paces, find_stops
-from ..workers.run import RunKey
-from ..workers.worker_state import LEASE_SECONDS
+from ..workers.run import RunKey, RunPhase
+from ..workers.worker_state import LEASE_SECONDS, WorkerRecord
 from .session import RETRY_SECONDS, OwnerSession
 from .worker_watch import WorkerWatch
 
@@ -34,6 +34,11 @@
 second call goes on while the answer to the first one is lost."""
 
 
+MAX_UNCERTAIN_POLLS = 2
+"""Most polls of a worker that follow a start without an answer at once. Other starts
+may be given up while the first poll is under way."""
+
+
 class RunOrders:
     """Plans and sends orders for runs.
 
@@ -50,6 +55,7 @@
         self._approval_turns = asyncio.Semaphore(MAX_APPROVAL_CALLS)
         self._start_limit = ConcurrencyLimit()
         self._stops_in_flight: set[tuple[str, RunKey]] = set()
+        self._uncertain_polls: set[str] = set()
 
     async def run(self) -> None:
         """Plan and send orders until the ownership ends."""
@@ -124,6 +130,21 @@
         self._session.check_fenced(outcome)
         self._session.dispatcher.on_start_outcome(run, outcome, now)
         self._session.wake.set()
+        if run.is_start_uncertain:
+            await self._poll_uncertain(worker)
+
+    async def _poll_uncertain(self, worker: WorkerRecord) -> None:
+        """Poll a worker at once whose report decides on starts without an answer."""
+        if worker.worker_id in self._uncertain_polls:
+            return
+        self._uncertain_polls.add(worker.worker_id)
+        try:
+            for _ in range(MAX_UNCERTAIN_POLLS):
+                if _has_undecided_start(worker):
+                    await self._watch.poll(worker, may_wait=False)
+        finally:
+            self._uncertain_polls.discard(worker.worker_id)
+        self._session.wake.set()
 
     async def _send_stop(self, stop: StopOrder) -> None:
         self._stops_in_flight.add((stop.worker_id, stop.key))
@@ -220,3 +241,13 @@
             self._planner.keep_tickets(wanted.stage, tickets, wanted.worker_ids)
             self._session.wake.set()
         self._requested_stages.discard(wanted.stage)
+
+
+def _has_undecided_start(worker: WorkerRecord) -> bool:
+    """Return whether a start without an answer waits for a report of the worker."""
+    return any(
+        run.is_start_uncertain
+        and run.phase is RunPhase.ASKED
+        and run.given_up_at >= worker.polled_at
+        for run in worker.run_by_key.values()
+    )
--- a/catkinport/jobs/placement/run_stops.py
+++ b/catkinport/jobs/placement/run_stops.py
@@ -16,6 +16,10 @@
 STOP_RETRY_SECONDS = 0.4
 """Time after which a stop order without an answer is sent again."""
 
+UNCONFIRMED_START_SECONDS = 1.5
+"""Longest time for which a start without an answer waits for a report of its worker
+before it is stopped. The time covers a poll and the repetition of a lost one."""
+
 STALL_FACTOR = 1.0
 """A run is stalled if it has made no progress for this many times its estimate."""
 
@@ -113,7 +117,7 @@
         return "job-ended"
     if run.task.phase is TaskPhase.DONE:
         return "task-done"
-    if run.is_start_uncertain:
+    if run.is_start_uncertain and _is_unconfirmed(dispatcher, run, now):
         return "start-unsure"
     if run.is_evacuated:
         return "evacuated"
@@ -127,6 +131,17 @@
     return ""
 
 
+def _is_unconfirmed(dispatcher: Dispatcher, run: Run, now: float) -> bool:
+    """Return whether a start without an answer is no longer expected to be confirmed.
+
+    It is confirmed by a report that lists the run, so it isn't stopped before the first
+    report whose poll was sent after the answer was given up.
+    """
+    worker = dispatcher.worker_by_id[run.worker_id]
+    is_reported = worker.polled_at >= run.given_up_at
+    return is_reported or now - run.given_up_at > UNCONFIRMED_START_SECONDS
+
+
 def _is_stalled(dispatcher: Dispatcher, run: Run, now: float) -> bool:
     """Return whether a run has stalled on a worker that is in contact.
 
--- a/catkinport/jobs/tests/test_run_orders.py
+++ b/catkinport/jobs/tests/test_run_orders.py
@@ -59,6 +59,7 @@
         fleet.dispatcher.add_job(make_job(), fleet.now)
         (start,) = fleet.plan()
         fleet.answer(start, UNCERTAIN)
+        fleet.poll("w1")
         session = FakeSession(fleet, lambda: fleet.poll("w1", started_at=2.0))
         orders = RunOrders(session, FakeWatch())
         (stop,) = find_stops(fleet.dispatcher, fleet.now)
@@ -74,6 +75,7 @@
         fleet.dispatcher.add_job(make_job(), fleet.now)
         (start,) = fleet.plan()
         fleet.answer(start, UNCERTAIN)
+        fleet.poll("w1")
         session = FakeSession(fleet, lambda: None)
         (stop,) = find_stops(fleet.dispatcher, fleet.now)
         asyncio.run(RunOrders(session, FakeWatch())._send_stop(stop))
@@ -239,3 +241,38 @@
             return len(advice.answered)
 
         assert asyncio.run(run()) == 20
+
+
+class UnansweringSession(FakeSession):
+    """A session whose worker answers no start."""
+
+    async def start(self, worker, token, order, lease_seconds):
+        return UNCERTAIN
+
+
+class CountingWatch(FakeWatch):
+    """A watch that counts its polls and reports that the worker runs nothing."""
+
+    def __init__(self, fleet):
+        self.n_polls = 0
+        self._fleet = fleet
+
+    async def poll(self, worker, may_wait=True):
+        assert not may_wait
+        self.n_polls += 1
+        self._fleet.advance(0.1)
+        self._fleet.poll(worker.worker_id)
+
+
+class TestStartWithoutAnswer:
+    def test_worker_is_polled_at_once(self):
+        """Guards against a lost start that waits for the end of a long poll."""
+        fleet = Fleet([make_worker("w1")])
+        fleet.dispatcher.add_job(make_job(), fleet.now)
+        (start,) = fleet.plan()
+        watch = CountingWatch(fleet)
+        session = UnansweringSession(fleet, lambda: None)
+        asyncio.run(RunOrders(session, watch)._send_start(start))
+        assert watch.n_polls == 1
+        (stop,) = find_stops(fleet.dispatcher, fleet.now)
+        assert stop.reason == "start-unsure"
--- a/catkinport/jobs/workers/run.py
+++ b/catkinport/jobs/workers/run.py
@@ -47,6 +47,7 @@
         stopped_at: clock time at which the worker confirmed a stop; 0 before.
         is_start_uncertain: whether the start order had no answer and may be carried out
             late.
+        given_up_at: clock time at which the wait for that answer ended; 0 for never.
         is_evacuated: whether it is stopped so that its VM can be taken down.
         percent: progress that the worker listed last; -1 before.
         progressed_at: clock time at which the progress last changed.
@@ -58,6 +59,7 @@
     __slots__ = (
         "asked_at",
         "load",
+        "given_up_at",
         "is_evacuated",
         "is_start_uncertain",
         "key",
@@ -88,6 +90,7 @@
         self.stop_sent_at = 0.0
         self.stopped_at = 0.0
         self.is_start_uncertain = False
+        self.given_up_at = 0.0
         self.is_evacuated = False
         self.percent = -1.0
         self.progressed_at = now
--- a/catkinport/jobs/workers/worker_reports.py
+++ b/catkinport/jobs/workers/worker_reports.py
@@ -66,6 +66,7 @@
             log_event(logger, "late worker report dropped", worker=worker_id)
             return
         self._note_answer(worker, lists, now)
+        worker.polled_at = max(worker.polled_at, sent_at)
         if lists.may_lack_ends:
             _log_lacking_ends(worker, lists)
         else:
@@ -145,7 +146,9 @@
             return
         self._runs.confirm(run, now)
         clear_survivor(run, now)
-        if run.phase is RunPhase.ASKED and not run.is_start_uncertain:
+        if run.phase is RunPhase.ASKED:
+            # No stop was sent, so the report confirms a start without an answer too.
+            run.is_start_uncertain = False
             run.phase = RunPhase.RUNNING
         if entry.percent != run.percent:
             run.percent = entry.percent
--- a/catkinport/jobs/workers/worker_state.py
+++ b/catkinport/jobs/workers/worker_state.py
@@ -120,6 +120,8 @@
         contact_at: clock time in seconds at which its latest answer arrived.
         contact_since: clock time in seconds since which the same process has answered
             every poll; infinity while the latest poll had no answer.
+        polled_at: clock time in seconds at which the poll was sent that it answered
+            last.
         lease_until: clock time in seconds after which no run that was ordered can be
             running there.
         paced_at: ``contact_at`` of the answer by which the speed of filler tasks was
@@ -156,6 +158,7 @@
         self.vm_due_at = float("inf")
         self.contact_at = float("-inf")
         self.contact_since = float("inf")
+        self.polled_at = float("-inf")
         self.lease_until = 0.0
         self.paced_at = float("-inf")
         self.processed_end = 0
