Start a task whose run was given up once a later renewal is stored

Callers would see tasks that never start again after their worker was lost, for as long as the store takes 0.8 s or more to answer: each stored renewal is older than MAY_BE_REPLACED_SECONDS then, the ownership is in doubt without end, and a task whose run was given up was held back all that time.

The renewals do get stored. A run that was given up before the latest of them was sent can't have been kept alive by a successor, since none existed yet. So only runs given up since then are held back.

test_task_starts_elsewhere_once_a_later_renewal_is_stored failed before.

--- a/catkinport/jobs/dispatch/run_ends.py
+++ b/catkinport/jobs/dispatch/run_ends.py
@@ -54,7 +54,7 @@
         record = self._jobs.job_by_id[task_id.job_id]
         if ended.run >= task.run:
             # The end of an earlier run says nothing of a later one that was given up.
-            task.is_lost = False
+            task.lost_at = float("-inf")
         record.note_run(task, ended.run)
         record.note_checkpoint(task, ended.checkpoint)
         if ended.how is EndKind.DONE and not task.step.is_lasting:
--- a/catkinport/jobs/dispatch/run_table.py
+++ b/catkinport/jobs/dispatch/run_table.py
@@ -126,7 +126,7 @@
             uncertain=is_uncertain,
             silent_seconds=round(now - worker.contact_at, 2),
         )
-        run.task.is_lost = reason != NOT_SENT
+        run.task.lost_at = now if reason != NOT_SENT else float("-inf")
         count_crash(worker, run)
         self.note_run_over(run.record, run.task)
 
--- a/catkinport/jobs/dispatch/task.py
+++ b/catkinport/jobs/dispatch/task.py
@@ -28,8 +28,9 @@
             empty for a lasting task, which has no limit of failures.
         crash_by_run: crashes of workers that it is a suspect of, by number of its run.
         checkpoint: reference of the latest known checkpoint; empty for none.
-        is_lost: whether its last run was given up although no worker reported its end.
-            A successor may still have that run.
+        lost_at: clock time in seconds at which its last run was given up although no
+            worker reported its end; minus infinity for never. An owner that had
+            succeeded this one by then may still have that run.
         not_before: clock time in seconds before which it is not started again.
         avoided_worker: worker on which it failed or stalled last; empty for none.
         ever_started: whether this owner has ordered or adopted a run of it.
@@ -40,7 +41,7 @@
         "crash_by_run",
         "ever_started",
         "failed_runs",
-        "is_lost",
+        "lost_at",
         "not_before",
         "phase",
         "run",
@@ -62,4 +63,4 @@
         self.not_before = 0.0
         self.avoided_worker = ""
         self.ever_started = False
-        self.is_lost = False
+        self.lost_at = float("-inf")
--- a/catkinport/jobs/placement/planner.py
+++ b/catkinport/jobs/placement/planner.py
@@ -115,7 +115,8 @@
             learned_before: clock time in seconds of the last stored renewal while a
                 successor may already have replaced this owner; ``None`` otherwise. Only
                 jobs that were learned before it start, and no task whose last run was
-                given up: a successor may have reached its worker and renewed its lease.
+                given up since then: a successor may have reached its worker and renewed
+                its lease.
                 They start only on workers that have answered every poll since before
                 it: a worker that has restarted may have forgotten the successor's
                 token.
@@ -234,8 +235,7 @@
         if record.must_store_crashes(task):
             return False
         if task.phase is TaskPhase.WAITING:
-            is_held_back = self._learned_before is not None and task.is_lost
-            return task.not_before <= now and not is_held_back
+            return task.not_before <= now and not self._is_lost_in_doubt(task)
         if task.phase is TaskPhase.DONE or not task.step.may_run_twice:
             return False
         if task.crash_by_run:
@@ -243,6 +243,14 @@
         runs = self._dispatcher.runs_by_task.get(task.text, [])
         return len(runs) == 1 and self._dispatcher.is_run_uncertain(runs[0], now)
 
+    def _is_lost_in_doubt(self, task: Task) -> bool:
+        """Return whether a possible successor may have the last run of a task.
+
+        No successor existed at the last stored renewal, so a run that was given up
+        before it has ended.
+        """
+        return self._learned_before is not None and task.lost_at > self._learned_before
+
     def _usable_rooms(
         self, task: Task, queue: Queue, rooms: dict[str, CandidateWorker], now: float
     ) -> dict[str, CandidateWorker]:
--- a/catkinport/jobs/tests/test_takeovers.py
+++ b/catkinport/jobs/tests/test_takeovers.py
@@ -92,6 +92,20 @@
         assert fleet.start(learned_before=renewed_at) == []
         assert len(fleet.start()) == 1
 
+    def test_task_starts_elsewhere_once_a_later_renewal_is_stored(self):
+        """Guards against tasks that never start again while the store is slow.
+
+        Each renewal is older than `MAY_BE_REPLACED_SECONDS` by its answer then, so that
+        the ownership is always in doubt.
+        """
+        fleet = Fleet([make_worker("w1"), make_worker("w2")])
+        fleet.dispatcher.add_job(make_job(), fleet.now)
+        give_up_run(fleet)
+        fleet.advance(0.1)
+        renewed_at = fleet.now
+        fleet.advance(1.0)
+        assert len(fleet.start(learned_before=renewed_at)) == 1
+
     def test_end_of_an_earlier_run_does_not_free_a_task_whose_run_was_given_up(self):
         """Guards against a second run of a task that a successor has adopted.
 
