Resolve unreached workers by the last stored renewal while in doubt

Callers would see inherited jobs that never start after a change of owner with one worker lost, while the store takes 0.8 s or more to answer: the ownership is in doubt without end then, and workers that the new owner doesn't reach were not counted as outlived meanwhile, so their pool stayed unresolved.

No successor existed when the last stored renewal was sent. So the leases of the former owner are compared with that moment instead of the present one.

test_renewal_after_the_bound_resolves_them_while_the_store_is_slow failed before.

--- a/catkinport/jobs/ownership/worker_watch.py
+++ b/catkinport/jobs/ownership/worker_watch.py
@@ -111,10 +111,12 @@
         self._session.wake.set()
 
     def _resolve_unreached_workers(self, now: float) -> None:
-        # A successor may have reached these workers and renewed the leases there.
-        is_in_doubt = self._session.lease.may_be_replaced(now)
-        if now > self._former_bound and not is_in_doubt:
-            self._session.dispatcher.resolve_inherited_workers(now)
+        # A possible successor may have reached these workers and renewed the leases
+        # there, but none existed at the last stored renewal.
+        lease = self._session.lease
+        owned_at = lease.renewed_at if lease.may_be_replaced(now) else now
+        if owned_at > self._former_bound:
+            self._session.dispatcher.resolve_inherited_workers(owned_at)
 
     async def _store_roster(self) -> None:
         """Store which workers may run tasks; they get none before that."""
--- a/catkinport/jobs/tests/test_worker_watch.py
+++ b/catkinport/jobs/tests/test_worker_watch.py
@@ -10,7 +10,7 @@
 from ...ports.fleet_workers import WorkerLists
 from ..ownership import worker_watch
 from ..ownership.worker_watch import WorkerWatch
-from .builders import Fleet, make_job, make_step, make_worker
+from .builders import POOL, Fleet, make_job, make_step, make_worker
 
 LOST = Unavailable(Reason.CONNECTION_LOST, "worker-hold", "w1", "", True)
 
@@ -139,3 +139,29 @@
         worker.processed_end = worker.stored_end = 1
         session = poll(fleet, WorkerLists(2.0, [], []))
         assert session.acknowledged == [1]
+
+
+class TestUnreachedWorkers:
+    FORMER_BOUND = 90.0
+
+    def is_resolved(self, renewed_at):
+        """Return whether a pool is resolved, one worker of which was not reached."""
+        fleet = Fleet([])
+        fleet.dispatcher.unresolved_by_id["gone"] = POOL
+        session = FakeSession(fleet, [])
+        session.lease = OwnLease(1, renewed_at)
+        watch = WorkerWatch(session, None, self.FORMER_BOUND)
+        watch._resolve_unreached_workers(fleet.now)
+        return fleet.dispatcher.is_pool_resolved(POOL)
+
+    def test_renewal_after_the_bound_resolves_them_while_the_store_is_slow(self):
+        """Guards against inherited jobs that never start.
+
+        Each stored renewal is older than `MAY_BE_REPLACED_SECONDS` if the store takes
+        that long to answer, so that the ownership is always in doubt.
+        """
+        assert self.is_resolved(renewed_at=98.0)
+
+    def test_renewal_before_the_bound_does_not(self):
+        """Guards against a second run of a task that a successor has adopted."""
+        assert not self.is_resolved(renewed_at=89.0)
