Start a gang again that was on two crashed workers

If there are too few workers to keep the members apart, they are only kept apart from suspects of other jobs now. They start together, so keeping them waiting tells nothing about which of them is to blame.

--- a/catkinport/jobs/placement/gang_rooms.py
+++ b/catkinport/jobs/placement/gang_rooms.py
@@ -6,7 +6,8 @@
 import copy
 from collections.abc import Iterator, Mapping
 
-from ...policy.worker_choice import CandidateWorker, choose_worker
+from ...policy.crash_blame import REPEATED_CRASHES
+from ...policy.worker_choice import CandidateWorker, TaskNeed, choose_worker
 from ..dispatch.task import Task
 from ..model import Step
 from .task_needs import task_need
@@ -18,14 +19,30 @@
     """Return a worker for each task of a gang, or ``None`` if they do not all fit.
 
     If the step wants one rack, each rack is tried alone before all workers together.
+    Members that were on crashed workers are kept apart from each other if there are
+    enough workers, and only from other suspects if not.
     """
-    for candidates in _candidate_groups(tasks[0].step, rooms):
-        chosen = _fit_all(tasks, candidates)
+    needs = [task_need(task) for task in tasks]
+    groups = list(_candidate_groups(tasks[0].step, rooms))
+    for candidates in groups:
+        chosen = _fit_all(needs, candidates)
+        if chosen is not None:
+            return chosen
+    if not any(need.n_crashes >= REPEATED_CRASHES for need in needs):
+        return None
+    lenient = [_as_single_suspect(need) for need in needs]
+    for candidates in groups:
+        chosen = _fit_all(lenient, [room for room in candidates if not room.n_suspects])
         if chosen is not None:
             return chosen
     return None
 
 
+def _as_single_suspect(need: TaskNeed) -> TaskNeed:
+    """Return the need of a member that may share a worker with other suspects."""
+    return need._replace(n_crashes=min(need.n_crashes, REPEATED_CRASHES - 1))
+
+
 def _candidate_groups(
     step: Step, rooms: Mapping[str, CandidateWorker]
 ) -> Iterator[list[CandidateWorker]]:
@@ -37,13 +54,12 @@
 
 
 def _fit_all(
-    tasks: list[Task], rooms: list[CandidateWorker]
+    needs: list[TaskNeed], rooms: list[CandidateWorker]
 ) -> list[CandidateWorker] | None:
     trial = {room.worker_id: _copy_room(room) for room in rooms}
     room_by_id = {room.worker_id: room for room in rooms}
     chosen = []
-    for task in tasks:
-        need = task_need(task)
+    for need in needs:
         room = choose_worker(need, trial.values())
         if room is None:
             return None
--- a/catkinport/jobs/tests/test_worker_crashes.py
+++ b/catkinport/jobs/tests/test_worker_crashes.py
@@ -10,7 +10,7 @@
     SUSPECT_SECONDS,
     Crash,
 )
-from ...policy.resources import NO_RESOURCES
+from ...policy.resources import NO_RESOURCES, Resources
 from ...ports.fleet_vms import FleetVm, VmState
 from ..dispatch.record import JobRecord
 from ..model import JobState, TaskId
@@ -143,6 +143,29 @@
             fleet.poll_all()
         assert fleet.states()[JOB_ID] == JobState.FAILED
 
+    def test_gang_that_was_on_two_crashed_workers_starts_again(self) -> None:
+        """Guards against a gang that needs a worker for each member without end.
+
+        Its members were on crashed workers together, so each of them is a suspect, and
+        there are fewer workers than members.
+        """
+        fleet = CrashingFleet()
+        need = Resources(1.0, 1.0, 0)
+        steps = [make_step(8, need=need, is_gang=True)]
+        fleet.dispatcher.add_job(make_job(steps=steps), fleet.now)
+        for _ in range(2):
+            fleet.store()
+            starts = fleet.start()
+            assert len(starts) == 8
+            crashed = starts[0].run.worker_id
+            fleet.set_vm(crashed, VmState.DOWN)
+            for running in fleet.running_by_worker.values():
+                running.clear()
+            fleet.poll_all()
+        fleet.store()
+        assert fleet.states()[JOB_ID] == JobState.RUNNING
+        assert len(fleet.start()) == 8
+
     def test_worker_that_returns_under_its_id_counts(self) -> None:
         """Guards against crashes that show only as a new process of the worker."""
         fleet = CrashingFleet()
