Let inherited tasks wait for all pools in which they may run

The limit of its account and the end of a canceled job had the same gap.

A pool is forgotten with the last such job. Jobs of queues that kept their pool wait as before, so no pool stands still for it.

Not covered: a queue that gets another pool and its first one back while the owner of the time between dies before it has stored the queue (0.2 s).

--- a/catkinport/jobs/dispatch/dispatcher.py
+++ b/catkinport/jobs/dispatch/dispatcher.py
@@ -13,7 +13,7 @@
 `inherited_workers` process one kind of event each.
 """
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 from typing import Any
 
 from ...ports.fleet_vms import FleetVm
@@ -28,6 +28,7 @@
 from ..workers.worker_state import LEASE_SECONDS, Incarnation, WorkerRecord
 from ..workers.worker_table import WorkerTable
 from ..workers.worker_vms import WorkerVms
+from .former_pools import FormerPools
 from .job_table import JobTable, is_over
 from .order_outcomes import OrderOutcomes
 from .record import JobRecord
@@ -68,11 +69,13 @@
     ) -> None:
         self.configuration = configuration
         self._known_queue_by_name: dict[str, Queue] = {}
+        self._former_pools = FormerPools()
         self._later_rules: list[AcceptedRules] = []
-        self.apply_configuration(configuration)
         metrics = metrics or Metrics()
         self._workers = WorkerTable()
-        self._jobs = JobTable(self._known_queue_by_name, self._workers)
+        self._jobs = JobTable(
+            self._known_queue_by_name, self._workers, self._former_pools
+        )
         self._runs = RunTable(self._jobs, self._workers, metrics)
         self._inherited = InheritedWorkers(self._workers, self._jobs)
         self._listing = WorkerListing(self._workers, self._runs)
@@ -90,6 +93,7 @@
         self.runs_by_task = self._runs.runs_by_task
         self.uncertain_starts = self._runs.uncertain_starts
         self.orphan_stop_sent_at = self._reports.orphan_stop_sent_at
+        self.apply_configuration(configuration)
 
     @property
     def longest_lease(self) -> float:
@@ -106,6 +110,8 @@
         Queues that it removes stay known, because their accepted jobs continue.
         """
         self.configuration = configuration
+        for queue in configuration.queue_by_name.values():
+            self._note_former_pool(queue)
         self._known_queue_by_name.update(configuration.queue_by_name)
         later, self._later_rules = self._later_rules, []
         for rules in later:
@@ -120,11 +126,41 @@
         if rules.version > self.configuration.version:
             self._later_rules.append(rules)
         else:
-            self.restore_queue(rules.queue)
+            self._known_queue_by_name.setdefault(rules.queue.name, rules.queue)
 
     def restore_queue(self, queue: Queue) -> None:
-        """Add a removed queue that a former owner knew; a known one stays as it is."""
-        self._known_queue_by_name.setdefault(queue.name, queue)
+        """Add a queue that a former owner has stored; a known one stays as it is."""
+        present = self._known_queue_by_name.setdefault(queue.name, queue)
+        if present.pool != queue.pool:
+            version = self.configuration.version
+            self._former_pools.note(queue.name, queue.pool, version)
+
+    def restore_former_pools(
+        self, queue: str, version_by_pool: Mapping[str, int]
+    ) -> None:
+        """Add the former pools of a queue that a former owner knew."""
+        for pool, version in version_by_pool.items():
+            self._former_pools.note(queue, pool, version)
+
+    def find_former_pools(self, queue: str) -> dict[str, int]:
+        """Return the former pools of a queue in which its jobs may have runs.
+
+        Returns:
+            For each pool, the latest version of the configuration under which such a
+            job was accepted.
+        """
+        self._former_pools.prune(self.job_by_id.values())
+        return self._former_pools.versions_by_pool(queue)
+
+    def _note_former_pool(self, queue: Queue) -> None:
+        """Remember the pool that a queue is about to lose."""
+        former = self._known_queue_by_name.get(queue.name)
+        if former is None or former.pool == queue.pool:
+            return
+        # Other daemons may have accepted jobs under a newer version already.
+        accepted = [record.accepted_version for record in self.job_by_id.values()]
+        until_version = max(self.configuration.version, *accepted, 0)
+        self._former_pools.note(queue.name, former.pool, until_version)
 
     def find_used_queues(self, former_names: Iterable[str]) -> list[Queue]:
         """Return the queues that have unfinished jobs, or may soon have some again.
@@ -148,6 +184,7 @@
         now: float,
         is_inherited: bool = False,
         age_seconds: float = 0.0,
+        rules: AcceptedRules | None = None,
     ) -> None:
         """Add an accepted job; do nothing if it is known already.
 
@@ -156,8 +193,9 @@
             now: clock time in seconds at which this owner has read it.
             is_inherited: whether a former owner may have started tasks of it.
             age_seconds: approximate time since it was accepted.
+            rules: rules under which it was accepted; ``None`` if unknown.
         """
-        self._jobs.add(job, now, is_inherited, age_seconds)
+        self._jobs.add(job, now, is_inherited, age_seconds, rules)
 
     def load_state(self, job_id: str, row: dict[str, Any], version: int) -> None:
         """Load the stored state of a job; drop the job if it is over."""
@@ -219,9 +257,13 @@
         return self._workers.workers_of(pool)
 
     def is_pool_resolved(self, pool: str) -> bool:
-        """Return whether tasks of inherited jobs may start in the pool."""
+        """Return whether all workers that a former owner used in the pool are known."""
         return self._workers.is_pool_resolved(pool)
 
+    def is_job_resolved(self, record: JobRecord) -> bool:
+        """Return whether no worker that is not reached yet can run tasks of a job."""
+        return self._jobs.is_resolved(record)
+
     def begin_run(self, worker: WorkerRecord, task: Task, now: float) -> Run:
         """Note that a run of ``task`` is ordered on the worker."""
         return self._runs.begin(worker, task, now)
--- a/catkinport/jobs/dispatch/job_table.py
+++ b/catkinport/jobs/dispatch/job_table.py
@@ -5,9 +5,10 @@
 from typing import Any
 
 from ...runtime.logs import log_event
-from ..configuration import Queue
+from ..configuration import AcceptedRules, Queue
 from ..model import FINAL_STATES, Job, JobState, TaskId
 from ..workers.worker_table import WorkerTable
+from .former_pools import FormerPools
 from .job_estimates import JobEstimates
 from .record import JobRecord
 from .task import Task
@@ -27,6 +28,7 @@
     Args:
         known_queue_by_name: all queues that any configuration so far has named.
         workers: workers, of which some may still run tasks of inherited jobs.
+        former_pools: former pools of the queues.
 
     Attributes:
         job_by_id: jobs that have not been stored as ended.
@@ -34,14 +36,25 @@
     """
 
     def __init__(
-        self, known_queue_by_name: Mapping[str, Queue], workers: WorkerTable
+        self,
+        known_queue_by_name: Mapping[str, Queue],
+        workers: WorkerTable,
+        former_pools: FormerPools,
     ) -> None:
         self.job_by_id: dict[str, JobRecord] = {}
         self.estimates = JobEstimates()
         self._known_queue_by_name = known_queue_by_name
         self._workers = workers
-
-    def add(self, job: Job, now: float, is_inherited: bool, age_seconds: float) -> None:
+        self._former_pools = former_pools
+
+    def add(
+        self,
+        job: Job,
+        now: float,
+        is_inherited: bool,
+        age_seconds: float,
+        rules: AcceptedRules | None = None,
+    ) -> None:
         """Add an accepted job; do nothing if it is known already.
 
         Args:
@@ -49,10 +62,11 @@
             now: clock time in seconds at which this owner has read it.
             is_inherited: whether a former owner may have started tasks of it.
             age_seconds: approximate time since it was accepted.
+            rules: rules under which it was accepted; ``None`` if unknown.
         """
         if job.job_id in self.job_by_id:
             return
-        record = JobRecord(job, is_inherited)
+        record = JobRecord(job, is_inherited, rules)
         record.learned_at = now
         record.accepted_at = now - age_seconds
         self.job_by_id[job.job_id] = record
@@ -86,6 +100,26 @@
         """Return the queue of a job; ``None`` if no known configuration has it."""
         return self._known_queue_by_name.get(record.job.queue)
 
+    def is_resolved(self, record: JobRecord) -> bool:
+        """Return whether no worker that is not reached yet can run tasks of a job.
+
+        Only inherited jobs can have runs on such workers.
+        """
+        if not record.is_inherited or not self._workers.unresolved_by_id:
+            return True
+        pools = self._find_possible_pools(record)
+        return all(self._workers.is_pool_resolved(pool) for pool in pools)
+
+    def _find_possible_pools(self, record: JobRecord) -> set[str]:
+        """Return the pools in which a former owner may have started tasks of a job."""
+        queue = self.queue_of(record)
+        pools = self._former_pools.find(record)
+        if queue is not None:
+            pools.add(queue.pool)
+        if record.rules is not None:
+            pools.add(record.rules.queue.pool)
+        return pools or set(self._workers.unresolved_by_id.values())
+
     def count_waiting(self) -> dict[str, int]:
         """Return how many jobs have not started, for each queue with such jobs."""
         n_by_queue: dict[str, int] = {}
@@ -131,11 +165,7 @@
             record.is_dirty = True
 
     def _may_have_runs(self, record: JobRecord) -> bool:
-        if record.n_placed > 0:
-            return True
-        queue = self.queue_of(record)
-        pool = queue.pool if queue else ""
-        return record.is_inherited and not self._workers.is_pool_resolved(pool)
+        return record.n_placed > 0 or not self.is_resolved(record)
 
 
 def _log_added(job: Job, is_inherited: bool) -> None:
--- a/catkinport/jobs/dispatch/record.py
+++ b/catkinport/jobs/dispatch/record.py
@@ -5,7 +5,7 @@
 
 from ...policy.crash_blame import REPEATED_CRASHES, Crash, must_give_up
 from ...policy.durations import DurationModel
-from ..configuration import Queue
+from ..configuration import AcceptedRules, Queue
 from ..model import FINAL_STATES, Job, JobState, TaskId, chain_seconds
 from .task import Task, TaskPhase
 
@@ -28,6 +28,7 @@
         state: state as stored or about to be stored.
         is_cancel_asked: whether the caller has asked to cancel the job.
         is_inherited: whether a former owner may have started tasks of it.
+        rules: rules under which the job was accepted; ``None`` if unknown.
         row_version: version of the stored state; 0 before the first write.
         is_dirty: whether the state has changed since it was stored.
         accepted_at: approximate clock time in seconds of its acceptance. It is taken
@@ -41,11 +42,14 @@
         tasks_by_stage: tasks of each (occurrence, step).
     """
 
-    def __init__(self, job: Job, is_inherited: bool = False) -> None:
+    def __init__(
+        self, job: Job, is_inherited: bool = False, rules: AcceptedRules | None = None
+    ) -> None:
         self.job = job
         self.state = JobState.QUEUED
         self.is_cancel_asked = False
         self.is_inherited = is_inherited
+        self.rules = rules
         self.row_version = 0
         self.is_dirty = False
         self.accepted_at = 0.0
@@ -67,6 +71,11 @@
                 ]
                 self._n_open_by_stage[stage] = step.n_tasks
 
+    @property
+    def accepted_version(self) -> int:
+        """Version of the configuration under which it was accepted; 0 if unknown."""
+        return self.rules.version if self.rules else 0
+
     @property
     def is_final(self) -> bool:
         """Whether the state of the job is final."""
--- a/catkinport/jobs/ownership/job_rows.py
+++ b/catkinport/jobs/ownership/job_rows.py
@@ -6,6 +6,7 @@
 from ...ports.async_table import Snapshot
 from ...ports.table import Row
 from ...runtime.logs import log_event
+from ..configuration import AcceptedRules
 from ..dispatch.dispatcher import Dispatcher
 from ..dispatch.job_table import is_over
 from ..model import Job, find_rules, job_from_row
@@ -61,15 +62,17 @@
         # Steady clocks of different daemons cannot be compared, so the wall clock
         # gives the approximate time since another daemon accepted the job.
         age = min(max(0.0, time.time() - job.accepted_at), 3600.0)
-        self._add_rules(row)
-        self._dispatcher.add_job(job, now, is_inherited, age)
+        rules = self._find_rules(row)
+        if rules is not None:
+            self._dispatcher.add_rules(rules)
+        self._dispatcher.add_job(job, now, is_inherited, age, rules)
         self._log_unknown_queue(job)
         if not is_inherited:
             self._note_work(job, now)
 
-    def _add_rules(self, row: Row) -> None:
+    def _find_rules(self, row: Row) -> AcceptedRules | None:
         try:
-            rules = find_rules(row.value)
+            return find_rules(row.value)
         except (KeyError, TypeError) as error:
             log_event(
                 logger,
@@ -78,9 +81,7 @@
                 request_id=row.row_key.key,
                 reason=repr(error),
             )
-            return
-        if rules is not None:
-            self._dispatcher.add_rules(rules)
+            return None
 
     def _log_unknown_queue(self, job: Job) -> None:
         # A daemon with a newer configuration may have accepted the job.
--- a/catkinport/jobs/ownership/removed_queues.py
+++ b/catkinport/jobs/ownership/removed_queues.py
@@ -3,7 +3,8 @@
 Accepted jobs of a removed queue go on under its last rules. A successor that has read
 only the present configuration learns of them from the stored row. A queue may be
 removed while there is no owner, so the row also holds queues that are configured. Until
-the row holds a queue, the rules in the rows of its jobs count.
+the row holds a queue, the rules in the rows of its jobs count. The row also holds the
+former pools of queues, where inherited jobs may have runs.
 """
 
 import asyncio
@@ -25,6 +26,9 @@
 """Longest time after the first job of a queue until the row holds the queue, and after
 the last job of a removed queue until the queue leaves the row."""
 
+FORMER_POOLS_FIELD = "former_pools"
+"""Field with the pools that a queue had before, beside the fields of the queue."""
+
 COMMIT_ATTEMPTS = 2
 """Attempts of one commit of unknown outcome before the queues are collected again."""
 
@@ -68,6 +72,7 @@
     def _restore(self, name: str, fields: Mapping[str, Any]) -> None:
         try:
             queue = decode_queue(name, fields)
+            former_pools = dict(fields.get(FORMER_POOLS_FIELD, {}))
         except (TypeError, AttributeError) as error:
             log_event(
                 logger,
@@ -78,6 +83,13 @@
             )
             return
         self._session.dispatcher.restore_queue(queue)
+        self._session.dispatcher.restore_former_pools(name, former_pools)
+
+    def _encode(self, queue: Queue) -> dict[str, Any]:
+        """Return the part of the row about a queue, with its former pools if any."""
+        row = encode_queue(queue)
+        former_pools = self._session.dispatcher.find_former_pools(queue.name)
+        return {**row, FORMER_POOLS_FIELD: former_pools} if former_pools else row
 
     async def run(self) -> None:
         """Store the queues when they change, until the ownership ends."""
@@ -95,7 +107,7 @@
         """Store the present queues if they are not stored; return whether they are."""
         self._changed.clear()
         queues = self._session.dispatcher.find_used_queues(self._stored)
-        value = {queue.name: encode_queue(queue) for queue in queues}
+        value = {queue.name: self._encode(queue) for queue in queues}
         if value == self._stored:
             return True
         writes = [Write(REMOVED_QUEUES_KEY, value)]
@@ -122,4 +134,5 @@
     """Return the queue whose fields a row holds."""
     approval = fields.get("approval")
     terms = ApprovalTerms(**approval) if approval else None
-    return Queue(**{**fields, "name": name, "approval": terms})
+    queue_fields = {k: v for k, v in fields.items() if k != FORMER_POOLS_FIELD}
+    return Queue(**{**queue_fields, "name": name, "approval": terms})
--- a/catkinport/jobs/placement/account_usage.py
+++ b/catkinport/jobs/placement/account_usage.py
@@ -25,15 +25,13 @@
     """Return the resources that accounts may use on workers not reached yet.
 
     After a change of owner, each inherited task that no worker has reported may still
-    run on a worker of its pool that the new owner has not reached.
+    run on a worker that the new owner has not reached.
     """
     usage: dict[str, Resources] = {}
     if not dispatcher.unresolved_by_id:
         return usage
     for record in dispatcher.job_by_id.values():
-        queue = dispatcher.queue_of(record)
-        is_unresolved = queue is None or not dispatcher.is_pool_resolved(queue.pool)
-        if not record.is_inherited or not is_unresolved:
+        if dispatcher.is_job_resolved(record):
             continue
         for task in record.all_tasks():
             if task.phase is TaskPhase.WAITING:
--- a/catkinport/jobs/placement/planner.py
+++ b/catkinport/jobs/placement/planner.py
@@ -134,7 +134,7 @@
                 continue
             if learned_before is not None and record.learned_at > learned_before:
                 continue
-            if record.is_inherited and not dispatcher.is_pool_resolved(queue.pool):
+            if not dispatcher.is_job_resolved(record):
                 continue
             records_by_pool.setdefault(queue.pool, []).append((record, queue))
         starts: list[PlannedStart] = []
--- a/catkinport/jobs/tests/test_removed_queues.py
+++ b/catkinport/jobs/tests/test_removed_queues.py
@@ -156,6 +156,33 @@
 
         assert len(asyncio.run(change_owner())) == 1
 
+    def test_inherited_tasks_wait_for_the_former_pool_of_their_queue(self):
+        """Guards against a second run in the pool that the queue has got since.
+
+        The queue is removed and added again with another pool, then the owner changes.
+        """
+
+        async def change_owner():
+            table = FakeTable()
+            former = Owner(table)
+            former.add_job()
+            dispatcher = former.fleet.dispatcher
+            without_queue = make_configuration(version=2)._replace(queue_by_name={})
+            dispatcher.apply_configuration(without_queue)
+            queue = make_configuration().queue_by_name[QUEUE]._replace(pool="off")
+            moved = make_configuration(version=3)
+            moved = moved._replace(queue_by_name={QUEUE: queue})
+            dispatcher.apply_configuration(moved)
+            assert await former.queues._store()
+            successor = Owner(table, moved)
+            await successor.queues.load()
+            successor.add_job(is_inherited=True)
+            successor.fleet.dispatcher.unresolved_by_id["w2"] = POOL
+            (record,) = successor.fleet.dispatcher.job_by_id.values()
+            return successor.fleet.dispatcher.is_job_resolved(record)
+
+        assert not asyncio.run(change_owner())
+
     def test_the_row_stays_while_jobs_of_a_configured_queue_come_and_go(self):
         """Guards against a write each time that a queue becomes empty."""
 
--- a/catkinport/jobs/vms/lasting_waits.py
+++ b/catkinport/jobs/vms/lasting_waits.py
@@ -47,9 +47,7 @@
             queue = self._dispatcher.queue_of(record)
             if queue is None or record.is_closing:
                 continue
-            if record.is_inherited and not self._dispatcher.is_pool_resolved(
-                queue.pool
-            ):
+            if not self._dispatcher.is_job_resolved(record):
                 continue
             for task in _startable_lasting_tasks(record, now):
                 since = self._waiting_since_by_task.get(task.text, now)
--- a/catkinport/jobs/workers/worker_table.py
+++ b/catkinport/jobs/workers/worker_table.py
@@ -27,7 +27,7 @@
         return [w for w in self.worker_by_id.values() if w.listed.pool == pool]
 
     def is_pool_resolved(self, pool: str) -> bool:
-        """Return whether tasks of inherited jobs may start in the pool."""
+        """Return whether no worker of the pool is unresolved."""
         return pool not in self.unresolved_by_id.values()
 
     def remove(self, worker: WorkerRecord) -> None:
