Store a cancellation that finds no job

The cancellation read that there was no job and left no trace.

It now stores a row beside the job's, in the same transaction that checks that there is no job, and jobs are stored only while there is no such row. So the late write conflicts, and 410 is answered once that is certain. A submission with this id by the same account is answered 503 from then on: it never runs. That of another account is not held up. A cancellation of a job that is stored costs nothing more.

--- a/catkinport/jobs/intake.py
+++ b/catkinport/jobs/intake.py
@@ -11,6 +11,7 @@
 from ..ports.async_table import AsyncTable, commit_until_known
 from ..ports.table import (
     ABSENT_VERSION,
+    CommitOutcome,
     Committed,
     Condition,
     Conflict,
@@ -20,12 +21,14 @@
 )
 from ..runtime.logs import log_event
 from .configuration import AcceptedRules
+from .early_cancels import EarlyCancels
 from .model import Job, JobState, job_to_row
 from .tables import (
     JOBS_TABLE,
     RANGE_END,
     STATES_TABLE,
     cancel_key,
+    early_cancel_key,
     job_key,
 )
 
@@ -71,6 +74,7 @@
     def __init__(self, table: AsyncTable, is_table_reached: Callable[[], bool]) -> None:
         self._table = table
         self._is_table_reached = is_table_reached
+        self._early_cancels = EarlyCancels(table)
 
     async def submit(
         self, job: Job, rules: AcceptedRules
@@ -81,15 +85,16 @@
         the queue before any owner has read the job.
 
         The call is idempotent: if a job with this id is stored already, that job stays
-        as it is.
+        as it is. A job that was canceled before it was stored is not stored.
         """
         if not self._is_table_reached():
             return TABLE_NOT_REACHED
-        key = job_key(job.job_id)
-        transaction = Transaction(
-            [Condition(key, ABSENT_VERSION)], [Write(key, job_to_row(job, rules))]
-        )
-        outcome = await commit_until_known(self._table, transaction, COMMIT_ATTEMPTS)
+        outcome = await self._store_job(job, rules, ABSENT_VERSION)
+        cancel_row = _find_early_cancel(outcome, job.job_id)
+        if cancel_row is not None:
+            if _may_see(cancel_row.value or {}, job.account, job.queue):
+                return NotRun(Reason.CANCELED, "intake")
+            outcome = await self._store_job(job, rules, cancel_row.version)
         if isinstance(outcome, Committed):
             return Accepted(is_repeat=False)
         if isinstance(outcome, Conflict):
@@ -104,6 +109,25 @@
             RETRY_AFTER_SECONDS,
         )
 
+    async def _store_job(
+        self, job: Job, rules: AcceptedRules, early_cancel_version: int
+    ) -> CommitOutcome:
+        """Store a job unless it is stored, or was canceled before it could be.
+
+        Args:
+            job: the job.
+            rules: rules of its queue.
+            early_cancel_version: version of an early cancellation that doesn't count,
+                as another account has made it.
+        """
+        key = job_key(job.job_id)
+        conditions = [
+            Condition(key, ABSENT_VERSION),
+            Condition(early_cancel_key(job.job_id), early_cancel_version),
+        ]
+        transaction = Transaction(conditions, [Write(key, job_to_row(job, rules))])
+        return await commit_until_known(self._table, transaction, COMMIT_ATTEMPTS)
+
     async def find_state(
         self, job_id: str, account: str, queue: str
     ) -> JobState | Absent | Unavailable:
@@ -137,11 +161,21 @@
     ) -> Canceled | Absent | NotRun | Unknown:
         """Store a request to cancel a job; the call is idempotent.
 
-        Its arguments are those of `find_state`.
+        If there is no such job, a write of it may still be under way, whose caller has
+        had no answer. So the cancellation is stored all the same, and the job can't be
+        stored any more. Its arguments are those of `find_state`.
         """
         if not self._is_table_reached():
             return TABLE_NOT_REACHED
         state = await self.find_state(job_id, account, queue)
+        if isinstance(state, Absent):
+            is_stored = await self._early_cancels.store(job_id, account, queue)
+            if not isinstance(is_stored, bool):
+                return is_stored
+            if is_stored:
+                return Absent()
+            # The job has been stored since, or it belongs to another account.
+            state = await self.find_state(job_id, account, queue)
         if isinstance(state, Absent):
             return state
         if isinstance(state, Unavailable):
@@ -157,6 +191,16 @@
         return Unknown(outcome.reason, outcome.step, outcome.peer, outcome.detail)
 
 
+def _find_early_cancel(outcome: CommitOutcome, job_id: str) -> Row | None:
+    """Return the early cancellation that alone kept a job from being stored."""
+    if not isinstance(outcome, Conflict):
+        return None
+    if job_key(job_id) in outcome.versions_by_row_key:
+        return None
+    rows = (row for row in outcome.rows if row.row_key == early_cancel_key(job_id))
+    return next(rows, None)
+
+
 def _find_value(rows: Sequence[Row], job_id: str) -> Mapping[str, Any] | None:
     for row in rows:
         if row.row_key.key == job_id:
--- a/catkinport/jobs/tables.py
+++ b/catkinport/jobs/tables.py
@@ -7,6 +7,7 @@
 STATES_TABLE = "states"
 ROSTER_TABLE = "roster"
 WAVES_TABLE = "waves"
+EARLY_CANCELS_TABLE = "early-cancels"
 
 OWNER_KEY = RowKey(LEADER_TABLE, "owner")
 """Written when the ownership changes; its version is the fencing token."""
@@ -50,6 +51,15 @@
     return RowKey(JOBS_TABLE, job_id + CANCEL_SUFFIX)
 
 
+def early_cancel_key(job_id: str) -> RowKey:
+    """Return the key of the row of a cancellation that found no job.
+
+    A job is stored only while there is none, so a write of the job that the table
+    service carries out later conflicts.
+    """
+    return RowKey(EARLY_CANCELS_TABLE, job_id)
+
+
 def state_key(job_id: str) -> RowKey:
     """Return the key of the row of a job's state, which the owner writes."""
     return RowKey(STATES_TABLE, job_id)
--- a/catkinport/platform/table.py
+++ b/catkinport/platform/table.py
@@ -48,11 +48,15 @@
 OWNER_PART = "fleet"
 """The one part of all rows that an owner writes, as a transaction covers one part."""
 
-SHARDED_TABLES = frozenset({"jobs"})
+SHARDED_TABLES = frozenset({"jobs", "early-cancels"})
 """Tables whose rows the daemons write one at a time for callers. They are spread over
 several parts by the first character of the key, as each part runs one transaction at a
 time."""
 
+SHARD_PREFIX = "jobs"
+"""Start of the names of these parts. The rows of one job in different tables are in one
+part."""
+
 SHARD_CHARACTERS = "0123456789abcdef"
 """First characters of the keys of sharded tables."""
 
@@ -306,7 +310,7 @@
     if row_key.table in OPERATOR_TABLES:
         return ""
     if row_key.table in SHARDED_TABLES:
-        return f"{row_key.table}-{row_key.key[:1]}"
+        return f"{SHARD_PREFIX}-{row_key.key[:1]}"
     return OWNER_PART
 
 
--- a/catkinport/ports/outcomes.py
+++ b/catkinport/ports/outcomes.py
@@ -35,6 +35,7 @@
     BUDGET_EXHAUSTED = "budget-exhausted"
     NOT_OWNER = "not-owner"
     NOT_FOUND = "not-found"
+    CANCELED = "canceled"
     TIMEOUT = "timeout"
 
 
