Give up a start without an answer once it can be carried out no more

Callers saw a task that never started again, on a worker that answers its polls but whose answers to orders come after their timeout (it is 0.4 s at first, and follows only the answers that came in time): its start was lost, no stop was ever confirmed, and polls went on extending the lease, so nothing ended the wait.

The run is now given up with a report that lacks it and whose poll was sent more than ORDER_DELAY_SECONDS after the start was given up. A lease is no bound here, as polls extend it.

TestStopsWithoutAnswer failed before, for both incarnations.

--- a/catkinport/jobs/tests/test_uncertain_starts.py
+++ b/catkinport/jobs/tests/test_uncertain_starts.py
@@ -1,5 +1,7 @@
 """Tests of starts without an answer on workers that restart under the same id."""
 
+import pytest
+
 from ...policy.resources import Resources
 from ...ports import Reason, Unavailable
 from ...ports.fleet_vms import FleetVm, VmState
@@ -143,6 +145,31 @@
         assert len(workers.stops()) == 1
 
 
+class TestStopsWithoutAnswer:
+    """Guards against a task that never starts again.
+
+    Its start was lost, and the answer to each stop comes after its timeout, so that no
+    stop is ever confirmed.
+    """
+
+    def pass_time(self, workers: TwoWorkers, seconds: float, started_at: float) -> None:
+        """Let time pass in which the worker reports and answers no stop."""
+        end = workers.fleet.now + seconds
+        while workers.fleet.now < end:
+            workers.pass_time(0.4)
+            workers.report(started_at)
+            workers.stops()
+
+    @pytest.mark.parametrize("started_at", [1.0, 2.0])
+    def test_start_is_given_up_once_it_can_be_carried_out_no_more(self, started_at):
+        workers = TwoWorkers()
+        self.pass_time(workers, ORDER_DELAY_SECONDS - 1.0, started_at)
+        assert workers.fleet.plan() == []
+        self.pass_time(workers, 2.0, started_at)
+        (start,) = workers.fleet.plan()
+        assert start.run.key.run == 2
+
+
 class TestDeadVm:
     def test_task_waits_until_the_restarted_worker_confirms_the_stop(self):
         """Guards against a second run on a worker that restarts with a late start."""
--- a/catkinport/jobs/workers/worker_reports.py
+++ b/catkinport/jobs/workers/worker_reports.py
@@ -7,9 +7,15 @@
 from ..dispatch.run_ends import RunEnds
 from ..dispatch.run_table import RunTable
 from .inherited_workers import InheritedWorkers
-from .run import RunKey, RunPhase
+from .run import Run, RunKey, RunPhase
+from .uncertain_starts import ORDER_DELAY_SECONDS
 from .worker_crashes import clear_survivor, note_answer, note_crash
-from .worker_state import LEASE_SECONDS, VM_NAMED_SECONDS, WorkerRecord, bound_lease
+from .worker_state import (
+    LEASE_SECONDS,
+    VM_NAMED_SECONDS,
+    WorkerRecord,
+    bound_lease,
+)
 from .worker_table import WorkerTable
 
 logger = logging.getLogger(__name__)
@@ -167,8 +173,8 @@
     ) -> None:
         """Give up runs that were confirmed before the poll and are not in its answer.
 
-        A run whose start is uncertain is given up only after a confirmed stop, because
-        the start may still be carried out.
+        A run whose start is uncertain is given up only after a confirmed stop, or once
+        the start can be carried out no more.
         """
         running_keys = _running_keys(lists)
         for key, run in list(worker.run_by_key.items()):
@@ -177,6 +183,17 @@
             confirmed_at = run.stopped_at if run.is_start_uncertain else run.known_at
             if confirmed_at and confirmed_at < sent_at:
                 self._runs.lose(worker, run, "not-listed", now)
+            elif run.is_start_uncertain and _can_start_no_more(run, sent_at):
+                self._runs.lose(worker, run, "never-started", now)
+
+
+def _can_start_no_more(run: Run, polled_at: float) -> bool:
+    """Return whether a start without an answer is outdated at the time of a poll.
+
+    The worker may have restarted, and polls extend its lease, so the lease in the order
+    is no bound.
+    """
+    return polled_at > run.given_up_at + ORDER_DELAY_SECONDS
 
 
 def _running_keys(lists: WorkerLists) -> set[RunKey]:
