--- a/catkinport/jobs/dispatch/task.py
+++ b/catkinport/jobs/dispatch/task.py
@@ -64,3 +64,15 @@
         self.avoided_worker = ""
         self.ever_started = False
         self.lost_at = float("-inf")
+
+    def is_lost_since(self, renewed_at: float | None) -> bool:
+        """Return whether a possible successor may have its last run.
+
+        No successor existed at the last stored renewal, so a run that was given up
+        before it has ended.
+
+        Args:
+            renewed_at: clock time in seconds of that renewal; ``None`` while there can
+                be no successor.
+        """
+        return renewed_at is not None and self.lost_at > renewed_at
--- a/catkinport/jobs/ownership/worker_watch.py
+++ b/catkinport/jobs/ownership/worker_watch.py
@@ -19,12 +19,20 @@
 from .fenced_rows import FencedRows
 from .session import RETRY_SECONDS, OwnerSession
 from .state_store import StateStore
+from .worker_contacts import WorkerContacts
 
 logger = logging.getLogger(__name__)
 
 POLL_WAIT_SECONDS = 1.0
 """Longest time that a worker waits for the end of a run before it answers a poll."""
 
+MIN_POLL_WAIT_SECONDS = 0.1
+"""Shortest such wait, where answers take so long that leases would end otherwise."""
+
+MAX_POLL_SECONDS = 2.6
+"""Longest time from a poll with a lease to its answer. The lease begins with the clock
+of the answer before, and must last until the next poll arrives."""
+
 STARTING_POLL_WAIT_SECONDS = 0.25
 """Longest such wait while a lasting task on the worker is not ready yet. A worker
 answers a poll early for an end, but not for a task that becomes ready, and the next
@@ -59,6 +67,7 @@
         self._former_bound = former_bound
         self._poll_task_by_worker: dict[str, asyncio.Task[Any]] = {}
         self._rows = FencedRows(session)
+        self._contacts = WorkerContacts(session.dispatcher)
         # The value is None after a write without an answer.
         self._roster_by_pool: dict[str, dict[str, Any] | None] = {}
 
@@ -204,13 +213,12 @@
         lease_seconds = LEASE_SECONDS if is_fresh else 0.0
         if lease_seconds:
             worker.extend_lease(sent_at)
+        workers = self._session.ports.workers
+        worker.answer_seconds = workers.bound_answer(worker.worker_id)
         is_answer_urgent = worker.processed_end > worker.stored_end or not is_fresh
         wait_seconds = 0.0
         if may_wait and not is_answer_urgent:
-            is_starting = _has_starting_task(worker, sent_at)
-            wait_seconds = (
-                STARTING_POLL_WAIT_SECONDS if is_starting else POLL_WAIT_SECONDS
-            )
+            wait_seconds = _choose_poll_wait(worker, sent_at)
         # A poll without an answer may be carried out late, by an incarnation whose ends
         # are counted anew. So an end is not acknowledged again after an answer.
         is_end_new = worker.stored_end > worker.acknowledged_end
@@ -222,6 +230,7 @@
             lease_seconds,
             wait_seconds,
         )
+        self._contacts.note(worker, outcome, self._session.clock.now())
         if isinstance(outcome, WorkerLists):
             worker.acknowledged_end = max(worker.acknowledged_end, acknowledged_end)
             await self._apply_run_lists(worker, outcome, sent_at)
@@ -250,6 +259,14 @@
             await asyncio.sleep(RETRY_SECONDS)
 
 
+def _choose_poll_wait(worker: WorkerRecord, now: float) -> float:
+    """Return how long a worker may wait for the end of a run before it answers."""
+    if _has_starting_task(worker, now):
+        return STARTING_POLL_WAIT_SECONDS
+    longest = max(MIN_POLL_WAIT_SECONDS, MAX_POLL_SECONDS - worker.answer_seconds)
+    return min(POLL_WAIT_SECONDS, longest)
+
+
 def _has_starting_task(worker: WorkerRecord, now: float) -> bool:
     """Return whether a lasting task has started there lately and is not ready."""
     return any(
--- a/catkinport/jobs/placement/planner.py
+++ b/catkinport/jobs/placement/planner.py
@@ -19,9 +19,10 @@
 from ..workers.run import Run
 from ..workers.worker_state import StartBlock, WorkerRecord
 from .account_usage import is_within_limit, usage_by_account
+from .blocked_workers import has_unbroken_contact
 from .gang_rooms import find_gang_rooms
 from .start_blocks import find_start_block
-from .start_delays import StartDelays
+from .start_delays import StartDelays, StartHold
 from .task_needs import find_expected_ends, running_need, stage_name, task_need
 
 MAX_WORKERS_PER_REQUEST = 100
@@ -67,6 +68,7 @@
         dispatcher: jobs and workers.
 
     Attributes:
+        delays: waits of the tasks that could not start.
         wanted_approvals: approvals to ask for after the latest planning, by step.
     """
 
@@ -75,7 +77,7 @@
         self._tickets_by_stage: dict[str, dict[str, Ticket]] = {}
         self._rejected_by_stage: dict[str, set[str]] = {}
         self._learned_before: float | None = None
-        self._delays = StartDelays(dispatcher)
+        self.delays = StartDelays(dispatcher)
         self._reservations = Reservations()
         self._first_pool = ""
         self.wanted_approvals: dict[str, ApprovalRequest] = {}
@@ -126,15 +128,16 @@
         """
         dispatcher = self._dispatcher
         self._learned_before = learned_before
+        self.delays.learned_before = learned_before
         self.wanted_approvals = {}
         records_by_pool: dict[str, list[tuple[JobRecord, Queue]]] = {}
         for record in dispatcher.job_by_id.values():
             queue = dispatcher.queue_of(record)
             if queue is None or record.is_closing:
                 continue
-            if learned_before is not None and record.learned_at > learned_before:
-                continue
-            if not dispatcher.is_job_resolved(record):
+            hold = self._find_job_hold(record)
+            if hold is not None:
+                self.delays.note_held_job(record.job.job_id, queue.pool, now, hold)
                 continue
             records_by_pool.setdefault(queue.pool, []).append((record, queue))
         starts: list[PlannedStart] = []
@@ -157,10 +160,19 @@
                 self._first_pool = pool
                 return starts
         # What an incomplete round has not seen must not be forgotten.
-        self._delays.end_round()
+        self.delays.end_round()
         self._reservations.end_round()
         return starts
 
+    def _find_job_hold(self, record: JobRecord) -> StartHold | None:
+        """Return why no task of a job may start, or ``None`` if its tasks may."""
+        learned_before = self._learned_before
+        if learned_before is not None and record.learned_at > learned_before:
+            return StartHold.LEASE_IN_DOUBT
+        if not self._dispatcher.is_job_resolved(record):
+            return StartHold.POOL_UNRESOLVED
+        return None
+
     def _free_rooms(self, pool: str, now: float) -> dict[str, CandidateWorker]:
         dispatcher = self._dispatcher
         rooms: dict[str, CandidateWorker] = {}
@@ -168,7 +180,7 @@
             block = find_start_block(dispatcher, worker, now)
             if block not in (None, StartBlock.QUARANTINED) or worker.is_cordoned:
                 continue
-            if not self._has_unbroken_contact(worker):
+            if not has_unbroken_contact(worker, self._learned_before):
                 continue
             room = CandidateWorker(
                 worker.worker_id, worker.listed.labels, worker.free(), worker.penalty
@@ -180,12 +192,6 @@
             rooms[worker.worker_id] = room
         return rooms
 
-    def _has_unbroken_contact(self, worker: WorkerRecord) -> bool:
-        """Return whether the worker has kept the token of a possible successor."""
-        return (
-            self._learned_before is None or worker.contact_since <= self._learned_before
-        )
-
     def _plan_job(
         self,
         record: JobRecord,
@@ -210,7 +216,8 @@
                     self._plan_gang(waiting, usable, usage, account, now, starts)
             else:
                 self._plan_tasks(waiting, usable, usage, account, now, starts)
-            self._note_delay(waiting, queue, usable, usage, account, now)
+            is_unapproved = bool(rooms) and not usable
+            self._note_delay(waiting, queue, usable, usage, account, now, is_unapproved)
 
     def _note_delay(
         self,
@@ -220,22 +227,26 @@
         usage: dict[str, Resources],
         account: Account | None,
         now: float,
+        is_unapproved: bool,
     ) -> None:
         waiting = [task for task in tasks if task.phase is TaskPhase.WAITING]
         if not waiting:
             return
         first = waiting[0]
         n_together = len(waiting) if first.step.is_gang else 1
-        is_over_limit = not is_within_limit(usage, account, first.step.need, n_together)
+        hold = StartHold.NO_APPROVAL if is_unapproved else None
+        if not is_within_limit(usage, account, first.step.need, n_together):
+            hold = StartHold.ACCOUNT_LIMIT
         need = task_need(first)
         candidates = list(rooms.values())
-        self._delays.note(first, need, queue.pool, now, candidates, is_over_limit)
+        self.delays.note(first, need, queue.pool, now, candidates, hold)
 
     def _is_startable(self, record: JobRecord, task: Task, now: float) -> bool:
         if record.must_store_crashes(task):
             return False
         if task.phase is TaskPhase.WAITING:
-            return task.not_before <= now and not self._is_lost_in_doubt(task)
+            is_held_back = task.is_lost_since(self._learned_before)
+            return task.not_before <= now and not is_held_back
         if task.phase is TaskPhase.DONE or not task.step.may_run_twice:
             return False
         if task.crash_by_run:
@@ -243,14 +254,6 @@
         runs = self._dispatcher.runs_by_task.get(task.text, [])
         return len(runs) == 1 and self._dispatcher.is_run_uncertain(runs[0], now)
 
-    def _is_lost_in_doubt(self, task: Task) -> bool:
-        """Return whether a possible successor may have the last run of a task.
-
-        No successor existed at the last stored renewal, so a run that was given up
-        before it has ended.
-        """
-        return self._learned_before is not None and task.lost_at > self._learned_before
-
     def _usable_rooms(
         self, task: Task, queue: Queue, rooms: dict[str, CandidateWorker], now: float
     ) -> dict[str, CandidateWorker]:
--- a/catkinport/jobs/placement/run_stops.py
+++ b/catkinport/jobs/placement/run_stops.py
@@ -18,7 +18,8 @@
 
 UNCONFIRMED_START_SECONDS = 1.5
 """Longest time for which a start without an answer waits for a report of its worker
-before it is stopped. The time covers a poll and the repetition of a lost one."""
+before it is stopped, if the worker's answers take no longer than usual. The time covers
+a poll and the repetition of a lost one."""
 
 STALL_FACTOR = 1.0
 """A run is stalled if it has made no progress for this many times its estimate."""
@@ -139,21 +140,24 @@
     """
     worker = dispatcher.worker_by_id[run.worker_id]
     is_reported = worker.polled_at >= run.given_up_at
-    return is_reported or now - run.given_up_at > UNCONFIRMED_START_SECONDS
+    longest_seconds = max(UNCONFIRMED_START_SECONDS, 2 * worker.answer_seconds)
+    return is_reported or now - run.given_up_at > longest_seconds
 
 
 def _is_stalled(dispatcher: Dispatcher, run: Run, now: float) -> bool:
     """Return whether a run has stalled on a worker that is in contact.
 
-    A stall counts as a failed run, and the task avoids the worker from then on.
+    Only reports of the worker show it. Where they come seldom, the run may have made
+    progress since. A stall counts as a failed run, and the task avoids the worker from
+    then on.
     """
     step = run.task.step
     if step.is_lasting or step.is_filler or not run.known_at or step.is_gang:
         return False
     limit = max(MIN_STALL_SECONDS, STALL_FACTOR * step.estimate_seconds)
-    if now - run.progressed_at <= limit:
-        return False
     worker = dispatcher.worker_by_id[run.worker_id]
+    if worker.contact_at - run.progressed_at <= limit:
+        return False
     if not worker.is_in_contact(now):
         return False
     pool_workers = dispatcher.workers_of(worker.listed.pool)
--- a/catkinport/platform/daemon.py
+++ b/catkinport/platform/daemon.py
@@ -22,6 +22,7 @@
 from ..policy.leadership import claim_delay_seconds
 from ..runtime import BootTimeClock, Metrics
 from ..runtime.background import run_until_done
+from ..runtime.bounded_logs import export_dropped_lines
 from ..runtime.logs import log_event
 from ..runtime.loop_lag import LoopLag
 from ..settings.declaration import format_fault
@@ -37,7 +38,7 @@
 from .settings import DaemonSettings, load_settings
 from .table import MAX_TABLE_CONNECTIONS, PlatformTable
 from .vms import PlatformVms
-from .workers import PlatformWorkers
+from .workers import MAX_WORKER_CONNECTIONS, PlatformWorkers
 
 logger = logging.getLogger(__name__)
 
@@ -76,7 +77,7 @@
         self._settings_path = settings_path
         self._clock = BootTimeClock()
         self._metrics = Metrics()
-        self._client = PlatformClient(self._metrics)
+        self._client = PlatformClient(self._metrics, MAX_WORKER_CONNECTIONS)
         self._table_client = PlatformClient(self._metrics, MAX_TABLE_CONNECTIONS)
         table = PlatformTable(self._table_client, settings.table)
         self._configuration = ConfigurationWatch(
@@ -207,6 +208,7 @@
         return web.Response(status=200 if self._callers.is_ready() else 503)
 
     async def _answer_metrics(self, request: web.BaseRequest) -> web.Response:
+        export_dropped_lines(self._metrics)
         content, content_type = self._metrics.render()
         return web.Response(body=content, headers={"Content-Type": content_type})
 
