--- a/catkinport/jobs/placement/planner.py
+++ b/catkinport/jobs/placement/planner.py
@@ -117,7 +117,8 @@
             learned_before: clock time in seconds of the last stored renewal while a
                 successor may already have replaced this owner; ``None`` otherwise. Only
                 jobs that were learned before it start, and no task whose last run was
-                given up: a successor may have reached its worker and renewed its lease.
+                given up since then: a successor may have reached its worker and renewed
+                its lease.
                 They start only on workers that have answered every poll since before
                 it: a worker that has restarted may have forgotten the successor's
                 token.
@@ -134,7 +135,7 @@
             queue = dispatcher.queue_of(record)
             if queue is None or record.is_closing:
                 continue
-            hold = self._find_job_hold(record, queue)
+            hold = self._find_job_hold(record)
             if hold is not None:
                 self.delays.note_held_job(record.job.job_id, queue.pool, now, hold)
                 continue
@@ -163,12 +164,12 @@
         self._reservations.end_round()
         return starts
 
-    def _find_job_hold(self, record: JobRecord, queue: Queue) -> StartHold | None:
+    def _find_job_hold(self, record: JobRecord) -> StartHold | None:
         """Return why no task of a job may start, or ``None`` if its tasks may."""
         learned_before = self._learned_before
         if learned_before is not None and record.learned_at > learned_before:
             return StartHold.LEASE_IN_DOUBT
-        if record.is_inherited and not self._dispatcher.is_pool_resolved(queue.pool):
+        if not self._dispatcher.is_job_resolved(record):
             return StartHold.POOL_UNRESOLVED
         return None
 
@@ -244,7 +245,7 @@
         if record.must_store_crashes(task):
             return False
         if task.phase is TaskPhase.WAITING:
-            is_held_back = self._learned_before is not None and task.is_lost
+            is_held_back = task.is_lost_since(self._learned_before)
             return task.not_before <= now and not is_held_back
         if task.phase is TaskPhase.DONE or not task.step.may_run_twice:
             return False
--- a/catkinport/jobs/placement/stalled_pools.py
+++ b/catkinport/jobs/placement/stalled_pools.py
@@ -211,7 +211,7 @@
             return self._state.hold
         if ready.record.must_store_crashes(ready.task):
             return StartHold.CRASH_NOT_STORED
-        if ready.task.is_lost and self._state.learned_before is not None:
+        if ready.task.is_lost_since(self._state.learned_before):
             return StartHold.LEASE_IN_DOUBT
         delay = self._state.delay_by_job.get(ready.record.job.job_id)
         return delay.hold if delay else None
--- a/catkinport/jobs/workers/worker_state.py
+++ b/catkinport/jobs/workers/worker_state.py
@@ -124,6 +124,8 @@
         contact_at: clock time in seconds at which its latest answer arrived.
         contact_since: clock time in seconds since which the same process has answered
             every poll; infinity while the latest poll had no answer.
+        polled_at: clock time in seconds at which the poll was sent that it answered
+            last.
         answer_seconds: bound of the time that its answer to a poll takes besides the
             requested wait.
         lease_until: clock time in seconds after which no run that was ordered can be
@@ -162,6 +164,7 @@
         self.vm_due_at = float("inf")
         self.contact_at = float("-inf")
         self.contact_since = float("inf")
+        self.polled_at = float("-inf")
         self.answer_seconds = USUAL_ANSWER_SECONDS
         self.lease_until = 0.0
         self.paced_at = float("-inf")
