Count the tasks of a job by phase, and create them when they are needed

Cause: a record creates all tasks of all occurrences, and the demand, the usage of accounts and the order of jobs scan them all in each round. Change: StageTable creates the tasks of a step when they are read, and keeps counts by step and phase. Masks of done tasks are read and written in linear time.

--- a/catkinport/jobs/dispatch/record.py
+++ b/catkinport/jobs/dispatch/record.py
@@ -7,6 +7,7 @@
 from ...policy.durations import DurationModel
 from ..configuration import Queue
 from ..model import FINAL_STATES, Job, JobState, TaskId, chain_seconds
+from .stage_table import Stage, StageTable
 from .task import Task, TaskPhase
 
 RUN_GAP_AFTER_TAKEOVER = 10
@@ -38,7 +39,7 @@
         n_crashes: number of crashes of workers counted for its tasks by this owner.
         n_stored_crashes: number of those that are stored.
         ever_started: whether this owner has ordered or adopted a run of it.
-        tasks_by_stage: tasks of each (occurrence, step).
+        tasks_by_stage: tasks of each (occurrence, step); created when they are read.
     """
 
     def __init__(self, job: Job, is_inherited: bool = False) -> None:
@@ -55,17 +56,9 @@
         self.n_stored_crashes = 0
         self.ever_started = False
         self.first_start_at = 0.0
-        self.tasks_by_stage: dict[tuple[int, int], list[Task]] = {}
-        self._n_open_by_stage: dict[tuple[int, int], int] = {}
         self._top_run = 0
-        for occurrence in range(max(1, job.n_occurrences)):
-            for number, step in enumerate(job.steps):
-                stage = (occurrence, number)
-                self.tasks_by_stage[stage] = [
-                    Task(TaskId(job.job_id, occurrence, number, index), step)
-                    for index in range(step.n_tasks)
-                ]
-                self._n_open_by_stage[stage] = step.n_tasks
+        self._stages = StageTable(job)
+        self.tasks_by_stage = self._stages.tasks_by_stage
 
     @property
     def is_final(self) -> bool:
@@ -83,36 +76,47 @@
         return self.ever_started or self.row_version > 0
 
     def all_tasks(self) -> Iterator[Task]:
-        """Iterate over the tasks of all occurrences and steps."""
-        for tasks in self.tasks_by_stage.values():
-            yield from tasks
+        """Iterate over the tasks of all occurrences and steps; this creates them."""
+        return self._stages.all_tasks()
 
     def find_task(self, task_id: TaskId) -> Task | None:
         """Return the task with this name, or ``None`` if the job has no such task."""
-        tasks = self.tasks_by_stage.get((task_id.occurrence, task_id.step), [])
-        return tasks[task_id.index] if 0 <= task_id.index < len(tasks) else None
+        return self._stages.find_task(task_id)
 
-    def is_stage_ready(self, stage: tuple[int, int]) -> bool:
+    def waiting_tasks(self, stage: Stage) -> Iterator[Task]:
+        """Iterate over the tasks of a step that wait for a worker, in their order."""
+        return self._stages.waiting_tasks(stage)
+
+    def set_phase(self, task: Task, phase: TaskPhase) -> None:
+        """Set the phase of a task; `mark_done` marks tasks as done."""
+        self._stages.set_phase(task, phase)
+
+    def is_stage_ready(self, stage: Stage) -> bool:
         """Return whether all steps that ``stage`` depends on are done.
 
         Args:
             stage: occurrence and number of a step.
         """
-        occurrence, number = stage
-        return all(
-            self._n_open_by_stage[occurrence, earlier] == 0
-            for earlier in self.job.steps[number].after
-        )
+        return self._stages.is_ready(stage)
 
-    def ready_stages(self) -> Iterator[tuple[int, int]]:
+    def ready_stages(self) -> Iterator[Stage]:
         """Iterate over the (occurrence, step) that are ready and not yet done."""
-        for stage, n_open in self._n_open_by_stage.items():
-            if n_open and self.is_stage_ready(stage):
-                yield stage
+        return self._stages.ready_stages()
 
-    def count_done(self, stage: tuple[int, int]) -> int:
+    def count_done(self, stage: Stage) -> int:
         """Return the number of done tasks of an (occurrence, step)."""
-        return len(self.tasks_by_stage[stage]) - self._n_open_by_stage[stage]
+        return self.job.steps[stage[1]].n_tasks - self._stages.count_open(stage)
+
+    def count_waiting(self, number: int) -> int:
+        """Return the number of tasks of a step, of all occurrences, without a run."""
+        return self._stages.count_waiting(number)
+
+    def count_ready(self, number: int, phase: TaskPhase) -> int:
+        """Return the number of tasks of a step in ``phase`` whose turn has come.
+
+        Those of all occurrences are counted whose earlier steps are done.
+        """
+        return self._stages.count_ready(number, phase)
 
     def mark_begun(self) -> None:
         """Set the state of a queued job to running."""
@@ -124,12 +128,10 @@
         """Mark ``task`` as done, and the job as completed with its last task."""
         if task.phase is TaskPhase.DONE:
             return
-        task.phase = TaskPhase.DONE
-        stage = (task.task_id.occurrence, task.task_id.step)
-        self._n_open_by_stage[stage] -= 1
+        self._stages.set_phase(task, TaskPhase.DONE)
         self.is_dirty = True
         self.mark_begun()
-        if not any(self._n_open_by_stage.values()) and not self.is_final:
+        if not self._stages.n_open and not self.is_final:
             self.state = JobState.COMPLETED
 
     def mark_failed(self, task: Task, run: int, max_failures: int) -> None:
@@ -206,9 +208,12 @@
 
     def advance_run_numbers(self) -> None:
         """Raise the run numbers of an inherited job above those of a former owner."""
-        for task in self.all_tasks():
-            if self.is_inherited:
+        if not self.is_inherited:
+            return
+        for stage in self._stages.created_stages():
+            for task in self.tasks_by_stage[stage]:
                 task.run = max(task.run, self._top_run) + RUN_GAP_AFTER_TAKEOVER
+        self._stages.advance_runs(self._top_run + RUN_GAP_AFTER_TAKEOVER)
 
     def remaining_chain_seconds(
         self, durations: DurationModel, occurrence: int = 0
@@ -217,7 +222,7 @@
         ends: list[float] = []
         for number, step in enumerate(self.job.steps):
             start = max((ends[i] for i in step.after), default=0.0)
-            n_open = self._n_open_by_stage[occurrence, number]
+            n_open = self._stages.count_open((occurrence, number))
             longest = durations.predict_longest(step.estimate_seconds, n_open)
             ends.append(start + (longest if n_open else 0.0))
         return max(ends, default=0.0)
@@ -225,10 +230,10 @@
     def remaining_core_seconds(self, durations: DurationModel) -> float:
         """Return the expected core-seconds of the tasks that are not done."""
         return sum(
-            n_open
-            * self.job.steps[number].need.cores
-            * durations.predict(self.job.steps[number].estimate_seconds)
-            for (_, number), n_open in self._n_open_by_stage.items()
+            self._stages.count_open_of_step(number)
+            * step.need.cores
+            * durations.predict(step.estimate_seconds)
+            for number, step in enumerate(self.job.steps)
         )
 
     def objective_seconds(self, queue: Queue, durations: DurationModel) -> float:
@@ -257,14 +262,20 @@
             row["settled"] = self.n_placed == 0
             return row
         row["done"] = {
-            f"{occurrence}.{number}": _to_mask(tasks)
-            for (occurrence, number), tasks in self.tasks_by_stage.items()
-            if any(task.phase is TaskPhase.DONE for task in tasks)
-            and not (is_compact and self._is_stage_done((occurrence, number)))
+            f"{occurrence}.{number}": _to_mask(self.tasks_by_stage[occurrence, number])
+            for occurrence, number in self._stages.begun_stages()
+            if not (is_compact and self._stages.is_done((occurrence, number)))
         }
         if is_compact:
             row["done_steps"] = self._encode_done_steps()
-        open_tasks = [t for t in self.all_tasks() if t.phase is not TaskPhase.DONE]
+        open_tasks = [
+            task
+            for stage in self._stages.created_stages()
+            if not self._stages.is_done(stage)
+            for task in self.tasks_by_stage[stage]
+            if task.failed_runs or task.crash_by_run or task.checkpoint
+            if task.phase is not TaskPhase.DONE
+        ]
         row["failed_runs"] = {
             t.text: sorted(t.failed_runs) for t in open_tasks if t.failed_runs
         }
@@ -288,9 +299,8 @@
         for name, mask in row.get("done", {}).items():
             occurrence, number = (int(part) for part in name.split("."))
             tasks = self.tasks_by_stage[occurrence, number]
-            for task in tasks:
-                if int(mask, 16) >> task.task_id.index & 1:
-                    self.mark_done(task)
+            for index in _from_mask(mask):
+                self.mark_done(tasks[index])
         self._load_done_steps(row.get("done_steps", {}))
         for name, runs in row.get("failed_runs", {}).items():
             task = self.find_task(TaskId.parse(name))
@@ -307,27 +317,27 @@
         self.state = JobState(row["state"])
         self.is_dirty = False
 
-    def _is_stage_done(self, stage: tuple[int, int]) -> bool:
-        return self._n_open_by_stage[stage] == 0
-
     def _encode_done_steps(self) -> dict[str, str]:
         """Return, for each step, a bit mask of the occurrences in which it is done."""
         mask_by_step = dict.fromkeys(range(len(self.job.steps)), 0)
-        for occurrence, number in self.tasks_by_stage:
-            if self._is_stage_done((occurrence, number)):
+        for occurrence, number in self._stages.begun_stages():
+            if self._stages.is_done((occurrence, number)):
                 mask_by_step[number] |= 1 << occurrence
         return {str(number): f"{mask:x}" for number, mask in mask_by_step.items()}
 
     def _load_done_steps(self, masks: Mapping[str, str]) -> None:
-        mask_by_step = {int(number): int(mask, 16) for number, mask in masks.items()}
-        for (occurrence, number), tasks in self.tasks_by_stage.items():
-            if mask_by_step.get(number, 0) >> occurrence & 1:
-                for task in tasks:
+        for number, mask in masks.items():
+            for occurrence in _from_mask(mask):
+                for task in self.tasks_by_stage[occurrence, int(number)]:
                     self.mark_done(task)
 
 
 def _to_mask(tasks: list[Task]) -> str:
-    bits = sum(
-        1 << task.task_id.index for task in tasks if task.phase is TaskPhase.DONE
-    )
-    return f"{bits:x}"
+    bits = "".join("01"[task.phase is TaskPhase.DONE] for task in reversed(tasks))
+    return f"{int(bits, 2):x}"
+
+
+def _from_mask(mask: str) -> list[int]:
+    """Return the numbers of the bits that are set, the lowest first."""
+    bits = f"{int(mask, 16):b}"
+    return [index for index, bit in enumerate(reversed(bits)) if bit == "1"]
--- a/catkinport/jobs/dispatch/run_table.py
+++ b/catkinport/jobs/dispatch/run_table.py
@@ -50,7 +50,7 @@
         run = Run(record, task, number, worker.worker_id, now)
         run.sent_to = worker.started_at
         self._attach(worker, run)
-        task.phase = TaskPhase.PLACED
+        record.set_phase(task, TaskPhase.PLACED)
         return run
 
     def adopt(self, worker: WorkerRecord, key: RunKey, now: float) -> Run | None:
@@ -71,7 +71,7 @@
         self._attach(worker, run)
         self._log_adopted(run)
         if task.phase is TaskPhase.WAITING:
-            task.phase = TaskPhase.PLACED
+            record.set_phase(task, TaskPhase.PLACED)
         return run
 
     @staticmethod
@@ -93,7 +93,7 @@
     def note_run_over(self, record: JobRecord, task: Task) -> None:
         """Let a task without runs wait again, and end its job if that is closing."""
         if task.phase is TaskPhase.PLACED and not self.runs_by_task.get(task.text):
-            task.phase = TaskPhase.WAITING
+            record.set_phase(task, TaskPhase.WAITING)
         self._jobs.finish_if_closing(record)
 
     def drop(self, worker: WorkerRecord, run: Run) -> None:
--- a/catkinport/jobs/placement/account_usage.py
+++ b/catkinport/jobs/placement/account_usage.py
@@ -2,10 +2,9 @@
 
 from collections.abc import Mapping
 
-from ...policy.resources import NO_RESOURCES, Resources, add
+from ...policy.resources import NO_RESOURCES, Resources, add, scale
 from ..configuration import Account
 from ..dispatch.dispatcher import Dispatcher
-from ..dispatch.task import TaskPhase
 
 
 def usage_by_account(dispatcher: Dispatcher) -> dict[str, Resources]:
@@ -35,11 +34,10 @@
         is_unresolved = queue is None or not dispatcher.is_pool_resolved(queue.pool)
         if not record.is_inherited or not is_unresolved:
             continue
-        for task in record.all_tasks():
-            if task.phase is TaskPhase.WAITING:
-                account = record.job.account
-                need = task.step.need
-                usage[account] = add(usage.get(account, NO_RESOURCES), need)
+        account = record.job.account
+        for number, step in enumerate(record.job.steps):
+            need = scale(step.need, record.count_waiting(number))
+            usage[account] = add(usage.get(account, NO_RESOURCES), need)
     return usage
 
 
--- a/catkinport/jobs/vms/pool_demand.py
+++ b/catkinport/jobs/vms/pool_demand.py
@@ -68,19 +68,16 @@
     Filler tasks are left out.
     """
     return sum(
-        task.step.need.cores
-        for stage in record.ready_stages()
-        for task in record.tasks_by_stage[stage]
-        if task.phase is phase and not task.step.is_filler
+        step.need.cores * record.count_ready(number, phase)
+        for number, step in enumerate(record.job.steps)
+        if not step.is_filler
     )
 
 
 def _waiting_memory_gb(record: JobRecord) -> float:
     return sum(
-        task.step.need.memory_gb
-        for stage in record.ready_stages()
-        for task in record.tasks_by_stage[stage]
-        if task.phase is TaskPhase.WAITING
+        step.need.memory_gb * record.count_ready(number, TaskPhase.WAITING)
+        for number, step in enumerate(record.job.steps)
     )
 
 
