Load the jobs of a new owner in slices of its event loop

Callers saw: the ownership goes round and nothing starts while large jobs are unfinished. Cause: a new owner reads all rows of jobs and states in one turn of its loop; no renewal is sent meanwhile, it is replaced, and the next owner loads the same rows.

--- a/catkinport/jobs/ownership/owner.py
+++ b/catkinport/jobs/ownership/owner.py
@@ -21,6 +21,7 @@
 from ...runtime import Metrics
 from ...runtime.logs import log_event
 from ...runtime.loop_lag import LoopLag
+from ...runtime.loop_slices import iterate_in_slices
 from ..configuration import FleetConfiguration
 from ..dispatch.dispatcher import Dispatcher
 from ..tables import JOBS_TABLE, ROSTER_TABLE, STATES_TABLE
@@ -263,18 +264,21 @@
             row for row in states.rows if row.row_key.key not in finished_ids
         )
         now = self._session.clock.now()
-        self._session.loaded_at = now
         # Workers are loaded before the jobs, because a job may end only once none of
         # the former owner's workers can still be running its tasks.
         for row in roster.rows:
             self._watch.restore_roster_row(row, now)
-        for row in jobs.rows:
+        # The renewals of the ownership go on between the slices.
+        async for row in iterate_in_slices(jobs.rows):
             self._job_rows.apply(row, now, True, finished_ids)
-        for row in states.rows:
+        async for row in iterate_in_slices(states.rows):
             self._session.dispatcher.load_state(row.row_key.key, row.value, row.version)
-        for record in self._session.dispatcher.job_by_id.values():
+        records = list(self._session.dispatcher.job_by_id.values())
+        async for record in iterate_in_slices(records):
             record.advance_run_numbers()
         self._session.dispatcher.finish_closing_jobs()
+        # A renewal before would tell too few waiting jobs.
+        self._session.loaded_at = now
         log_event(
             logger,
             "state loaded",
