Bound one round of planning by starts of a job and by time

No renewal is sent, another daemon takes over and does the same. Change: a job gets at most 64 starts before all others have had their turn (a gang may exceed it). A round ends after 50 ms of planning jobs; the next one goes on with the jobs that the pass hasn't seen, at another pool. Reservations and delays are dropped at the end of a pass, so what a short round hasn't seen isn't forgotten. The sum of a worker's runs is computed when it is read. Steps are scanned from their first waiting task. A step that fits nowhere isn't tried again for later occurrences. A long round is followed by a pause of its own length, so that planning takes at most half of the loop's time.

--- a/catkinport/jobs/ownership/run_orders.py
+++ b/catkinport/jobs/ownership/run_orders.py
@@ -12,7 +12,8 @@
 from ...ports import Reason, Unavailable
 from ...ports.fleet_workers import Done, StartOrder
 from ...runtime.logs import log_event
-from ..placement.planner import ApprovalRequest, PlannedStart, Planner, Ticket
+from ..placement.planner import ApprovalRequest, Planner, Ticket
+from ..placement.round_budget import PlannedStart
 from ..placement.run_stops import PaceOrder, StopOrder, find_paces, find_stops
 from ..workers.run import RunKey
 from ..workers.worker_state import LEASE_SECONDS
@@ -25,7 +26,8 @@
 """Longest pause between two rounds of planning."""
 
 MIN_PLAN_INTERVAL_SECONDS = 0.008
-"""Shortest pause between two rounds of planning; bounds their processor time."""
+"""Shortest pause between two rounds of planning. A longer round is followed by a pause
+of its own length, so that planning takes half of the event loop's time at most."""
 
 MAX_APPROVAL_CALLS = 2
 """Most calls to the advice service at a time. The service handles the calls of a daemon
@@ -56,8 +58,12 @@
         while True:
             await self._wait_for_wake()
             self._session.wake.clear()
+            began_at = time.monotonic()
             self._plan()
-            await asyncio.sleep(MIN_PLAN_INTERVAL_SECONDS)
+            if self._planner.is_unfinished:
+                self._session.wake.set()
+            taken_seconds = time.monotonic() - began_at
+            await asyncio.sleep(max(MIN_PLAN_INTERVAL_SECONDS, taken_seconds))
 
     async def _wait_for_wake(self) -> None:
         # `asyncio.wait_for` may swallow the cancellation that ends the ownership.
@@ -80,7 +86,10 @@
         )
         n_free = self._start_limit.n_free
         if self._session.may_order() and n_free:
-            for start in self._planner.plan(now, time.time(), learned_before, n_free):
+            starts = self._planner.plan(
+                now, time.time(), learned_before, n_free, time.monotonic
+            )
+            for start in starts:
                 self._start_limit.begin()
                 self._session.spawn(self._send_start(start))
         for wanted in self._planner.wanted_approvals.values():
--- a/catkinport/jobs/placement/planner.py
+++ b/catkinport/jobs/placement/planner.py
@@ -3,9 +3,13 @@
 The tasks of a gang can only run while all of them run, so they start together. Some
 queues need an approval of the worker for each step; a ticket is such an approval.
 Variables named ``room`` hold a worker with its free resources.
+
+A round of planning ends early when it has used up its starts or its time, and the next
+one goes on where it has ended. A pass is the rounds in which each job has its turn.
 """
 
-from collections.abc import Collection, Mapping
+from collections.abc import Callable, Collection, Iterable, Iterator, Mapping
+from itertools import chain, islice
 from typing import NamedTuple
 
 from ...policy.job_order import order_key
@@ -16,10 +20,10 @@
 from ..dispatch.dispatcher import Dispatcher
 from ..dispatch.record import JobRecord
 from ..dispatch.task import Task, TaskPhase
-from ..workers.run import Run
 from ..workers.worker_state import StartBlock, WorkerRecord
 from .account_usage import is_within_limit, usage_by_account
 from .gang_rooms import find_gang_rooms
+from .round_budget import PlannedStart, RoundBudget
 from .start_blocks import find_start_block
 from .start_delays import StartDelays
 from .task_needs import find_expected_ends, running_need, stage_name, task_need
@@ -28,17 +32,6 @@
 """Most workers that the advice service judges in one call."""
 
 
-class PlannedStart(NamedTuple):
-    """A run that the dispatcher counts as ordered; the caller sends the order.
-
-    ``ticket`` is the text of the worker's approval; empty if none is needed.
-    """
-
-    worker: WorkerRecord
-    run: Run
-    ticket: str
-
-
 class ApprovalRequest(NamedTuple):
     """Request to approve workers for a step.
 
@@ -68,6 +61,7 @@
 
     Attributes:
         wanted_approvals: approvals to ask for after the latest planning, by step.
+        is_unfinished: whether the latest round has ended before it had seen all jobs.
     """
 
     def __init__(self, dispatcher: Dispatcher) -> None:
@@ -78,6 +72,8 @@
         self._delays = StartDelays(dispatcher)
         self._reservations = Reservations()
         self._first_pool = ""
+        self._seen_ids: set[str] = set()
+        self.is_unfinished = False
         self.wanted_approvals: dict[str, ApprovalRequest] = {}
 
     def keep_tickets(
@@ -106,6 +102,7 @@
         unix_now: float,
         learned_before: float | None = None,
         max_starts: float = float("inf"),
+        clock: Callable[[], float] = lambda: 0.0,
     ) -> list[PlannedStart]:
         """Place waiting tasks and register their runs with the dispatcher.
 
@@ -119,46 +116,84 @@
                 They start only on workers that have answered every poll since before
                 it: a worker that has restarted may have forgotten the successor's
                 token.
-            max_starts: number of starts after which the round ends; the next one
-                begins with the pool that this one has not finished. The starts of one
-                job may exceed it.
+            max_starts: number of starts after which the round ends. The starts of one
+                job may exceed it by `MAX_STARTS_PER_JOB`, or by the size of a gang.
+            clock: returns the time in seconds, by which the round ends early.
         """
-        dispatcher = self._dispatcher
         self._learned_before = learned_before
         self.wanted_approvals = {}
+        self._reservations.begin_round()
+        budget = RoundBudget(max_starts, clock)
+        records_by_pool = self._find_unseen()
+        usage = usage_by_account(self._dispatcher)
+        pools = _rotate(list(records_by_pool), self._first_pool)
+        self.is_unfinished = False
+        for index, pool in enumerate(pools):
+            is_begun = budget.may_plan_job
+            records = records_by_pool[pool]
+            if self._plan_pool(pool, records, usage, now, unix_now, budget):
+                continue
+            self.is_unfinished = True
+            # The next round begins with another pool, so that none waits for this one.
+            next_index = index + 1 if is_begun else index
+            self._first_pool = pools[next_index % len(pools)]
+            return budget.starts
+        self._end_pass()
+        return budget.starts
+
+    def _find_unseen(self) -> dict[str, list[tuple[JobRecord, Queue]]]:
+        """Return the jobs that may have tasks to start and wait for their turn."""
+        dispatcher = self._dispatcher
         records_by_pool: dict[str, list[tuple[JobRecord, Queue]]] = {}
         for record in dispatcher.job_by_id.values():
             queue = dispatcher.queue_of(record)
             if queue is None or record.is_closing:
                 continue
-            if learned_before is not None and record.learned_at > learned_before:
+            if record.job.job_id in self._seen_ids:
+                continue
+            if not self._was_learned_before(record):
                 continue
             if record.is_inherited and not dispatcher.is_pool_resolved(queue.pool):
                 continue
             records_by_pool.setdefault(queue.pool, []).append((record, queue))
-        starts: list[PlannedStart] = []
-        usage = usage_by_account(dispatcher)
-        is_complete = True
-        for pool in _rotate(list(records_by_pool), self._first_pool):
-            records = records_by_pool[pool]
-            rooms = self._free_rooms(pool, now)
-            self._reservations.mark(rooms)
-            ordered = sorted(
-                records,
-                key=lambda item: order_key(dispatcher.estimates.view_job(*item), now),
-            )
-            for record, queue in ordered:
-                if len(starts) >= max_starts:
-                    is_complete = False
-                    break
-                self._plan_job(record, queue, rooms, usage, now, unix_now, starts)
-            if not is_complete:
-                self._first_pool = pool
-                return starts
-        # What an incomplete round has not seen must not be forgotten.
+        return records_by_pool
+
+    def _was_learned_before(self, record: JobRecord) -> bool:
+        """Return whether a possible successor cannot have started the job."""
+        return self._learned_before is None or record.learned_at <= self._learned_before
+
+    def _plan_pool(
+        self,
+        pool: str,
+        records: list[tuple[JobRecord, Queue]],
+        usage: dict[str, Resources],
+        now: float,
+        unix_now: float,
+        budget: RoundBudget,
+    ) -> bool:
+        """Plan the jobs of a pool; return whether all of them have had their turn."""
+        if not budget.may_plan_job:
+            return False
+        rooms = self._free_rooms(pool, now)
+        self._reservations.mark(rooms)
+        estimates = self._dispatcher.estimates
+        ordered = sorted(
+            records, key=lambda item: order_key(estimates.view_job(*item), now)
+        )
+        for record, queue in ordered:
+            if not budget.may_plan_job:
+                return False
+            budget.begin_job()
+            self._plan_job(record, queue, rooms, usage, now, unix_now, budget)
+            budget.end_job()
+            self._seen_ids.add(record.job.job_id)
+        return True
+
+    def _end_pass(self) -> None:
+        # What a pass has not seen yet must not be forgotten.
         self._delays.end_round()
-        self._reservations.end_round()
-        return starts
+        self._reservations.end_pass()
+        self._seen_ids.clear()
 
     def _free_rooms(self, pool: str, now: float) -> dict[str, CandidateWorker]:
         dispatcher = self._dispatcher
@@ -193,23 +228,44 @@
         usage: dict[str, Resources],
         now: float,
         unix_now: float,
-        starts: list[PlannedStart],
+        budget: RoundBudget,
     ) -> None:
         account = self._dispatcher.configuration.account_by_name.get(record.job.account)
-        for stage in list(record.ready_stages()):
+        full_steps: set[int] = set()
+        for stage in record.ready_stages():
             if record.job.due_at(stage[0]) > unix_now:
+                # The later occurrences are due later.
+                return
+            if stage[1] in full_steps:
                 continue
-            tasks = record.tasks_by_stage[stage]
-            waiting = [t for t in tasks if self._is_startable(record, t, now)]
-            if not waiting:
+            startable = self._find_startable(record, stage, now)
+            first = next(startable, None)
+            if first is None:
                 continue
-            usable = self._usable_rooms(waiting[0], queue, rooms, now)
-            if waiting[0].step.is_gang:
-                if len(waiting) == len(tasks):
-                    self._plan_gang(waiting, usable, usage, account, now, starts)
+            waiting = chain([first], startable)
+            usable = self._usable_rooms(first, queue, rooms, now)
+            if first.step.is_gang:
+                left = list(waiting)
+                if len(left) == first.step.n_tasks:
+                    self._plan_gang(left, usable, usage, account, now, budget)
             else:
-                self._plan_tasks(waiting, usable, usage, account, now, starts)
-            self._note_delay(waiting, queue, usable, usage, account, now)
+                left = self._plan_tasks(waiting, usable, usage, account, now, budget)
+            self._note_delay(left, queue, usable, usage, account, now)
+            if left and not left[0].crash_by_run and queue.approval is None:
+                # The same step of a later occurrence fits nowhere either.
+                full_steps.add(stage[1])
+            if not budget.may_start_of_job:
+                return
+
+    def _find_startable(
+        self, record: JobRecord, stage: tuple[int, int], now: float
+    ) -> Iterator[Task]:
+        """Iterate over the tasks of a step that may get a run, in their order."""
+        if not record.job.steps[stage[1]].may_run_twice:
+            tasks = record.waiting_tasks(stage)
+        else:
+            tasks = iter(record.tasks_by_stage[stage])
+        return (task for task in tasks if self._is_startable(record, task, now))
 
     def _note_delay(
         self,
@@ -274,30 +330,38 @@
 
     def _plan_tasks(
         self,
-        tasks: list[Task],
+        tasks: Iterable[Task],
         rooms: dict[str, CandidateWorker],
         usage: dict[str, Resources],
         account: Account | None,
         now: float,
-        starts: list[PlannedStart],
-    ) -> None:
-        """Place the waiting tasks of a step; reserve workers for lasting ones."""
+        budget: RoundBudget,
+    ) -> list[Task]:
+        """Place the waiting tasks of a step; reserve workers for lasting ones.
+
+        Returns:
+            The first task that waits though the round has tried to place it, if any.
+        """
         is_full = False
         may_choose = True
+        left: list[Task] = []
+        tasks = iter(tasks)
         for task in tasks:
+            if not budget.may_start_of_job:
+                return left
             if not is_within_limit(usage, account, task.step.need, 1):
-                return
+                return left or _find_waiting(chain([task], tasks))
             need = task_need(task)
             # The tasks of a step differ only in the workers reserved for them.
             own = self._reservations.find_room(task.text, rooms)
             candidates = rooms.values() if not is_full else [own] if own else []
             room = choose_worker(need, candidates)
             if room is not None:
-                self._begin_run(task, room, usage, account, now, starts)
+                self._begin_run(task, room, usage, now, budget)
                 continue
             is_full = True
             if not task.step.is_lasting:
-                return
+                return _find_waiting(chain([task], tasks))
             if task.phase is not TaskPhase.WAITING:
                 continue
             may_choose = may_choose and self._reservations.may_add
@@ -308,12 +372,15 @@
                 may_choose,
             )
             if is_reserved or not may_choose:
+                left = left or [task]
                 continue
             room = self._reservations.take_over(need, rooms.values())
             if room is not None:
-                self._begin_run(task, room, usage, account, now, starts)
+                self._begin_run(task, room, usage, now, budget)
             else:
+                left = left or [task]
                 may_choose = False
+        return left
 
     def _expected_ends(self, worker_id: str, now: float) -> list[ExpectedEnd]:
         return find_expected_ends(self._dispatcher, worker_id, now)
@@ -325,7 +392,7 @@
         usage: dict[str, Resources],
         account: Account | None,
         now: float,
-        starts: list[PlannedStart],
+        budget: RoundBudget,
     ) -> None:
         step = tasks[0].step
         if not is_within_limit(usage, account, step.need, len(tasks)):
@@ -339,16 +406,15 @@
         for task, room in zip(tasks, chosen, strict=True):
             task.run = run
             task.checkpoint = checkpoint
-            self._begin_run(task, room, usage, account, now, starts)
+            self._begin_run(task, room, usage, now, budget)
 
     def _begin_run(
         self,
         task: Task,
         room: CandidateWorker,
         usage: dict[str, Resources],
-        account: Account | None,
         now: float,
-        starts: list[PlannedStart],
+        budget: RoundBudget,
     ) -> None:
         worker = self._dispatcher.worker_by_id[room.worker_id]
         run = self._dispatcher.begin_run(worker, task, now)
@@ -359,10 +425,16 @@
         usage[name] = add(usage.get(name, NO_RESOURCES), task.step.need)
         tickets = self._tickets_by_stage.get(stage_name(task), {})
         ticket = tickets.get(room.worker_id)
-        starts.append(PlannedStart(worker, run, ticket.text if ticket else ""))
+        budget.starts.append(PlannedStart(worker, run, ticket.text if ticket else ""))
 
 
 def _rotate(names: list[str], first: str) -> list[str]:
     """Return the names in the same cyclic order, from ``first`` on if it is there."""
     start = names.index(first) if first in names else 0
     return names[start:] + names[:start]
+
+
+def _find_waiting(tasks: Iterable[Task]) -> list[Task]:
+    """Return the first of the tasks that has no run, if any."""
+    waiting = (task for task in tasks if task.phase is TaskPhase.WAITING)
+    return list(islice(waiting, 1))
--- a/catkinport/jobs/tests/builders.py
+++ b/catkinport/jobs/tests/builders.py
@@ -15,7 +15,8 @@
 from ..configuration import Account, FleetConfiguration, Pool, Queue
 from ..dispatch.dispatcher import Dispatcher
 from ..model import Job, Step
-from ..placement.planner import PlannedStart, Planner
+from ..placement.planner import Planner
+from ..placement.round_budget import PlannedStart
 
 POOL = "renders"
 QUEUE = "nightly"
--- a/catkinport/jobs/tests/test_dispatcher.py
+++ b/catkinport/jobs/tests/test_dispatcher.py
@@ -9,7 +9,7 @@
     Rejected,
     Rejection,
 )
-from ..placement.planner import PlannedStart
+from ..placement.round_budget import PlannedStart
 from ..placement.run_stops import find_paces, find_stops
 from ..workers.worker_failures import LAST_WORKER_QUARANTINE_SECONDS
 from ..workers.worker_state import UNHEALTHY_PAUSE_SECONDS
--- a/catkinport/jobs/tests/test_owner_changes.py
+++ b/catkinport/jobs/tests/test_owner_changes.py
@@ -30,7 +30,8 @@
 )
 from ..dispatch.dispatcher import Dispatcher, is_over
 from ..model import Job
-from ..placement.planner import PlannedStart, Planner
+from ..placement.planner import Planner
+from ..placement.round_budget import PlannedStart
 from ..placement.run_stops import StopOrder, find_stops
 from ..workers.worker_state import (
     FRESH_CONTACT_SECONDS,
--- a/catkinport/jobs/tests/test_reservations.py
+++ b/catkinport/jobs/tests/test_reservations.py
@@ -3,7 +3,7 @@
 from ...policy.reservations import MAX_NEW_PER_ROUND
 from ...policy.resources import Resources
 from ...ports.fleet_workers import Done
-from ..placement.planner import PlannedStart
+from ..placement.round_budget import PlannedStart
 from .builders import Fleet, make_job, make_step, make_worker
 
 STEP_SECONDS = 0.25
--- a/catkinport/jobs/tests/test_worker_crashes.py
+++ b/catkinport/jobs/tests/test_worker_crashes.py
@@ -14,7 +14,7 @@
 from ...ports.fleet_vms import FleetVm, VmState
 from ..dispatch.record import JobRecord
 from ..model import JobState, TaskId
-from ..placement.planner import PlannedStart
+from ..placement.round_budget import PlannedStart
 from ..workers.worker_state import MAX_LEASE_SECONDS
 from .builders import JOB_ID, POOL, Fleet, make_job, make_step, make_worker
 
--- a/catkinport/jobs/workers/worker_state.py
+++ b/catkinport/jobs/workers/worker_state.py
@@ -143,7 +143,6 @@
             another pool.
         crash: latest crash of a process of it; ``None`` before, or if that process has
             answered after all.
-        used: resources that its runs take.
     """
 
     def __init__(self, listed: ListedWorker) -> None:
@@ -172,7 +171,7 @@
         self.crash: WorkerCrash | None = None
         self._outcomes: deque[bool] = deque(maxlen=HEALTH_WINDOW)
         self._quarantine_seconds = QUARANTINE_SECONDS
-        self.used = Resources(0.0, 0.0, 0.0)
+        self._used: Resources | None = None
 
     @property
     def worker_id(self) -> str:
@@ -209,18 +208,25 @@
     def add_run(self, run: Run) -> None:
         """Add a run and count what it needs against the capacity."""
         self.run_by_key[run.key] = run
-        self._update_used()
+        self._used = None
 
     def drop_run(self, key: RunKey) -> Run | None:
         """Remove a run; return it, or ``None`` if it was not there."""
         run = self.run_by_key.pop(key, None)
         if run is not None:
-            self._update_used()
+            self._used = None
         return run
 
-    def _update_used(self) -> None:
-        # The sum is computed again each time, because adding and subtracting floats
+    @property
+    def used(self) -> Resources:
+        """Resources that its runs take."""
+        # The sum is computed anew after a change, because adding and subtracting floats
         # would accumulate rounding errors.
+        if self._used is None:
+            self._used = self._add_up_runs()
+        return self._used
+
+    def _add_up_runs(self) -> Resources:
         cores = memory_gb = accelerators = 0.0
         for run in self.run_by_key.values():
             need = run.task.step.need
@@ -228,7 +234,7 @@
                 cores += need.cores
             memory_gb += need.memory_gb
             accelerators += need.accelerators
-        self.used = Resources(cores, memory_gb, accelerators)
+        return Resources(cores, memory_gb, accelerators)
 
     def is_in_contact(self, now: float) -> bool:
         """Return whether it has answered within `FRESH_CONTACT_SECONDS`."""
--- a/catkinport/policy/reservations.py
+++ b/catkinport/policy/reservations.py
@@ -153,13 +153,16 @@
         self._reservation_by_task.pop(task, None)
         room.reserved_for.discard(task)
 
-    def end_round(self) -> None:
-        """Drop the reservations that the round of planning has not renewed."""
+    def begin_round(self) -> None:
+        """Note that a round of planning begins; it may be one of several of a pass."""
+        self._n_new = 0
+        self._outlook_by_worker.clear()
+
+    def end_pass(self) -> None:
+        """Drop the reservations that the rounds of a pass have not renewed."""
         for task in self._reservation_by_task.keys() - self._renewed:
             del self._reservation_by_task[task]
         self._renewed.clear()
-        self._n_new = 0
-        self._outlook_by_worker.clear()
 
     def _is_holder_due(self, room: CandidateWorker) -> bool:
         """Return whether a task fits now on the worker that is reserved for it."""
