Measure the length of a round of planning in processor time

Seen: since a long round is followed by a pause of its own length, a daemon that was stopped for 2.5 s within a round paused for 2.5 s more. Cause: the pause and the time of a round were measured by the wall clock, which goes on while the process is stopped. Change: both are processor time of the thread.

--- a/catkinport/jobs/ownership/run_orders.py
+++ b/catkinport/jobs/ownership/run_orders.py
@@ -26,8 +26,8 @@
 """Longest pause between two rounds of planning."""
 
 MIN_PLAN_INTERVAL_SECONDS = 0.008
-"""Shortest pause between two rounds of planning. A longer round is followed by a pause
-of its own length, so that planning takes half of the event loop's time at most."""
+"""Shortest pause between two rounds of planning. A round that takes more processor time
+is followed by a pause of that time, so that planning takes half of it at most."""
 
 MAX_APPROVAL_CALLS = 2
 """Most calls to the advice service at a time. The service handles the calls of a daemon
@@ -58,11 +58,11 @@
         while True:
             await self._wait_for_wake()
             self._session.wake.clear()
-            began_at = time.monotonic()
+            began_at = time.thread_time()
             self._plan()
             if self._planner.is_unfinished:
                 self._session.wake.set()
-            taken_seconds = time.monotonic() - began_at
+            taken_seconds = time.thread_time() - began_at
             await asyncio.sleep(max(MIN_PLAN_INTERVAL_SECONDS, taken_seconds))
 
     async def _wait_for_wake(self) -> None:
@@ -87,7 +87,7 @@
         n_free = self._start_limit.n_free
         if self._session.may_order() and n_free:
             starts = self._planner.plan(
-                now, time.time(), learned_before, n_free, time.monotonic
+                now, time.time(), learned_before, n_free, time.thread_time
             )
             for start in starts:
                 self._start_limit.begin()
--- a/catkinport/jobs/placement/planner.py
+++ b/catkinport/jobs/placement/planner.py
@@ -118,7 +118,7 @@
                 token.
             max_starts: number of starts after which the round ends. The starts of one
                 job may exceed it by `MAX_STARTS_PER_JOB`, or by the size of a gang.
-            clock: returns the time in seconds, by which the round ends early.
+            clock: returns the processor time in seconds, by which the round ends early.
         """
         self._learned_before = learned_before
         self.wanted_approvals = {}
--- a/catkinport/jobs/placement/round_budget.py
+++ b/catkinport/jobs/placement/round_budget.py
@@ -11,7 +11,7 @@
 start together, may exceed it."""
 
 MAX_PLAN_SECONDS = 0.05
-"""Time after which a round plans no other job, a small part of the lag at which an
+"""Processor time after which a round plans no other job, a small part of the lag at which an
 owner falls behind. The work before the first job of a pool, which grows with the number
 of runs, is not counted: however long it takes, each round gets on."""
 
@@ -32,7 +32,7 @@
 
     Args:
         max_starts: number of starts after which no other job is planned.
-        clock: returns the time in seconds.
+        clock: returns the processor time in seconds.
 
     Attributes:
         starts: the starts so far.
--- a/catkinport/jobs/tests/test_run_orders.py
+++ b/catkinport/jobs/tests/test_run_orders.py
@@ -1,6 +1,7 @@
 """Tests of orders to workers whose answers cross other messages."""
 
 import asyncio
+import time
 from types import SimpleNamespace
 
 from ...policy.leadership import OwnLease
@@ -239,3 +240,42 @@
             return len(advice.answered)
 
         assert asyncio.run(run()) == 20
+
+
+class TestPauseAfterRound:
+    def _find_interval(self, plan) -> float:
+        """Return the time between two rounds, of which the first one calls ``plan``."""
+
+        async def run() -> float:
+            session = FakeSession(Fleet([make_worker("w1")]), lambda: None)
+            orders = RunOrders(session, FakeWatch())
+            began_at = []
+
+            def plan_once():
+                began_at.append(time.monotonic())
+                session.wake.set()
+                if len(began_at) == 1:
+                    plan()
+
+            orders._plan = plan_once
+            task = asyncio.ensure_future(orders.run())
+            while len(began_at) < 2:
+                await asyncio.sleep(0.005)
+            task.cancel()
+            return began_at[1] - began_at[0]
+
+        return asyncio.run(run())
+
+    def test_a_long_round_leaves_half_of_the_time_to_others(self):
+        """Guards against an owner that only plans, and reads answers too late."""
+
+        def use_processor():
+            end_at = time.thread_time() + 0.1
+            while time.thread_time() < end_at:
+                pass
+
+        assert self._find_interval(use_processor) >= 0.2
+
+    def test_a_round_that_was_interrupted_is_followed_by_the_next_one(self):
+        """Guards against a pause that is as long as the one of a paused process."""
+        assert self._find_interval(lambda: time.sleep(0.5)) < 1.0
--- a/catkinport/policy/durations.py
+++ b/catkinport/policy/durations.py
@@ -35,6 +35,10 @@
 MIN_ESTIMATE_VARIANCE = 1e-6
 """Variance of the logarithms of estimates up to which all estimates count as equal."""
 
+MAX_KEPT_PREDICTIONS = 10_000
+"""Predictions that are kept until the next duration is learned. The owner asks for
+those of all waiting jobs in each round of planning."""
+
 
 class _Line(NamedTuple):
     mean_x: float
@@ -71,6 +75,7 @@
         self._xy = PRIOR_WEIGHT * PRIOR_ESTIMATE_DEVIATION**2
         self._yy = PRIOR_WEIGHT * (PRIOR_ESTIMATE_DEVIATION**2 + PRIOR_DEVIATION**2)
         self._line: _Line | None = None
+        self._seconds_by_estimate: dict[float, float] = {}
 
     def to_sums(self) -> list[float]:
         """Return the sums from which ``from_sums`` restores the model."""
@@ -110,9 +115,19 @@
         ):
             setattr(self, name, getattr(self, name) * DECAY_FACTOR + value)
         self._line = None
+        self._seconds_by_estimate.clear()
 
     def predict(self, estimate_seconds: float) -> float:
         """Return the mean duration of tasks with this estimate, in seconds."""
+        seconds = self._seconds_by_estimate.get(estimate_seconds)
+        if seconds is None:
+            if len(self._seconds_by_estimate) >= MAX_KEPT_PREDICTIONS:
+                self._seconds_by_estimate.clear()
+            seconds = self._compute(estimate_seconds)
+            self._seconds_by_estimate[estimate_seconds] = seconds
+        return seconds
+
+    def _compute(self, estimate_seconds: float) -> float:
         line = self._line or self._fit()
         y = line.mean_y
         if estimate_seconds > 0:
