Soak: conditions of a slow reader of the output and of silent connections

output_slow reads the output of all daemons through a pipe at some KB a second; connections_silent leaves the connections to the store and the interface for VMs half open again and again. Connections to the workers don't pass a proxy and are left out.

--- a/soak/conditions.py
+++ b/soak/conditions.py
@@ -3,6 +3,7 @@
 Unlike a fault, a condition holds from the start of the load to its end.
 """
 
+import math
 import random
 import signal
 import subprocess
@@ -91,6 +92,37 @@
     return _pause_by_turns(environment, 2 * strength, strength)
 
 
+@register
+def output_slow(environment: SoakEnvironment, strength: float) -> Callable[[], None]:
+    """Read the output of the daemons at ``strength`` KB a second."""
+    daemons = list(environment.deployment.daemon_by_name.values())
+    for daemon in daemons:
+        daemon.process.limit_output(strength * 1000)
+
+    def end() -> None:
+        for daemon in daemons:
+            daemon.process.limit_output(math.inf)
+
+    return end
+
+
+@register
+def connections_silent(
+    environment: SoakEnvironment, strength: float
+) -> Callable[[], None]:
+    """Leave all connections to the store and the interface for VMs half open.
+
+    It happens to those that are open, once in ``strength`` seconds; the daemons see no
+    end of them, and new ones work.
+    """
+
+    def silence() -> None:
+        for proxy in environment.store_proxy_by_name.values():
+            environment.silence(proxy)
+
+    return _repeat(silence, strength)
+
+
 @register
 def machine_busy(environment: SoakEnvironment, strength: float) -> Callable[[], None]:
     """Run ``strength`` processes that do nothing but use a processor."""
@@ -108,20 +140,32 @@
 def _pause_by_turns(
     environment: SoakEnvironment, period_seconds: float, pause_seconds: float
 ) -> Callable[[], None]:
-    stop = threading.Event()
     rng = random.Random(1)
 
     def pause() -> None:
-        while not stop.is_set():
-            daemons = list(environment.deployment.daemon_by_name.values())
-            for daemon in daemons:
-                daemon.process.send_signal(signal.SIGSTOP)
-            time.sleep(pause_seconds * rng.uniform(0.8, 1.2))
-            for daemon in daemons:
-                daemon.process.resume()
-            stop.wait((period_seconds - pause_seconds) * rng.uniform(0.8, 1.2))
-
-    thread = threading.Thread(target=pause)
+        daemons = list(environment.deployment.daemon_by_name.values())
+        for daemon in daemons:
+            daemon.process.send_signal(signal.SIGSTOP)
+        time.sleep(pause_seconds * rng.uniform(0.8, 1.2))
+        for daemon in daemons:
+            daemon.process.resume()
+
+    return _repeat(pause, period_seconds - pause_seconds)
+
+
+def _repeat(action: Callable[[], None], interval_seconds: float) -> Callable[[], None]:
+    """Repeat an action until the returned function is called.
+
+    The time between two of them varies by a fifth.
+    """
+    stop = threading.Event()
+    rng = random.Random(2)
+
+    def run() -> None:
+        while not stop.wait(interval_seconds * rng.uniform(0.8, 1.2)):
+            action()
+
+    thread = threading.Thread(target=run)
     thread.start()
 
     def end() -> None:
--- a/soak/waits.py
+++ b/soak/waits.py
@@ -96,6 +96,7 @@
     """
     with ProcessGroup(label=f"waits-{seed}-") as processes:
         processes.is_folder_kept = True
+        processes.is_output_piped = True
         environment = SoakEnvironment(processes, size._replace(seed=seed))
         load = TurnsLoad(environment, DEMANDS_BY_DEPLOYMENT[deployment], seed)
         monitor = StallMonitor(environment.deployment, load.jobs)
--- a/verification/processes.py
+++ b/verification/processes.py
@@ -12,6 +12,8 @@
 from pathlib import Path
 from typing import NamedTuple
 
+from .output_pump import OutputPump
+
 READY_TIMEOUT_SECONDS = 30.0
 CLOCK_TICKS_PER_SECOND = os.sysconf("SC_CLK_TCK")
 PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
@@ -32,6 +34,8 @@
         arguments: module to run and its arguments, without the interpreter.
         log_path: file that takes standard output and standard error.
         variables: environment variables in addition to those of this process.
+        is_output_piped: whether the output goes to the file through a pipe, whose
+            reader `limit_output` can slow down.
     """
 
     def __init__(
@@ -40,17 +44,22 @@
         arguments: Sequence[str],
         log_path: Path,
         variables: Mapping[str, str] | None = None,
+        is_output_piped: bool = False,
     ) -> None:
         self.name = name
         self.log_path = log_path
-        self._log = log_path.open("wb")
+        log = log_path.open("wb")
         environment = {**os.environ, "PYTHONUNBUFFERED": "1", **(variables or {})}
         self._process = subprocess.Popen(
             [sys.executable, "-m", *arguments],
-            stdout=self._log,
+            stdout=subprocess.PIPE if is_output_piped else log,
             stderr=subprocess.STDOUT,
             env=environment,
         )
+        self._log = log
+        self._pump: OutputPump | None = None
+        if self._process.stdout is not None:
+            self._pump = OutputPump(self._process.stdout, log)
 
     @property
     def is_running(self) -> bool:
@@ -79,6 +88,16 @@
         tail = self.read_tail()
         raise RuntimeError(f"{self.name} did not print {start!r}; its output: {tail}")
 
+    def limit_output(self, bytes_per_second: float) -> None:
+        """Read the output, which must be piped, at this speed from now on.
+
+        Raises:
+            ValueError: if the output is not piped.
+        """
+        if self._pump is None:
+            raise ValueError(f"the output of {self.name} must be piped")
+        self._pump.bytes_per_second = bytes_per_second
+
     def read_tail(self) -> str:
         """Return the last 2000 characters of the output."""
         return self.log_path.read_text(errors="replace")[-2000:]
@@ -130,12 +149,14 @@
     Attributes:
         folder: folder for settings and output.
         is_folder_kept: whether the folder stays when the group is closed.
+        is_output_piped: whether the output of new processes is piped.
     """
 
     def __init__(self, parent: Path | None = None, label: str = "") -> None:
         name = tempfile.mkdtemp(prefix=f"catkinport-{label}", dir=parent)
         self.folder = Path(name)
         self.is_folder_kept = False
+        self.is_output_piped = False
         self._processes: list[ManagedProcess] = []
         self._lock = threading.Lock()
 
@@ -166,7 +187,9 @@
         """
         with self._lock:
             log_path = self.folder / f"{name}-{len(self._processes)}.log"
-            process = ManagedProcess(name, arguments, log_path, variables)
+            process = ManagedProcess(
+                name, arguments, log_path, variables, self.is_output_piped
+            )
             self._processes.append(process)
         return process
 
--- a/verification/tests/test_processes.py
+++ b/verification/tests/test_processes.py
@@ -1,8 +1,11 @@
 """Tests of the processes of a trial deployment."""
 
+import math
+import time
+
 import pytest
 
-from ..processes import ProcessGroup
+from ..processes import ManagedProcess, ProcessGroup
 
 
 class TestFolder:
@@ -25,3 +28,28 @@
             processes.is_folder_kept = True
             raise RuntimeError("daemon not ready")
         assert str(processes.folder) in raised.value.__notes__[0]
+
+
+class TestLimitedOutput:
+    def test_the_process_is_held_up_and_no_line_is_lost(self, tmp_path):
+        """Guards against a slow reader that slows nobody, or loses lines."""
+        script = "for i in range(20000): print('line', i)"
+        (tmp_path / "printer.py").write_text(script)
+        variables = {"PYTHONPATH": str(tmp_path)}
+        process = ManagedProcess(
+            "printer", ["printer"], tmp_path / "log", variables, is_output_piped=True
+        )
+        process.limit_output(4000)
+        time.sleep(1.0)
+        assert process.is_running
+        process.limit_output(math.inf)
+        assert process.wait_for_line("line 19999")
+
+    def test_output_without_a_pipe_cannot_be_limited(self, tmp_path):
+        """Guards against a condition that is played without any effect."""
+        (tmp_path / "printer.py").write_text("print('line')")
+        variables = {"PYTHONPATH": str(tmp_path)}
+        process = ManagedProcess("printer", ["printer"], tmp_path / "log", variables)
+        with pytest.raises(ValueError, match="must be piped"):
+            process.limit_output(4000)
+        process.terminate()
