--- a/catkinport/jobs/placement/round_budget.py
+++ b/catkinport/jobs/placement/round_budget.py
@@ -11,9 +11,9 @@
 start together, may exceed it."""
 
 MAX_PLAN_SECONDS = 0.05
-"""Processor time after which a round plans no other job, a small part of the lag at which an
-owner falls behind. The work before the first job of a pool, which grows with the number
-of runs, is not counted: however long it takes, each round gets on."""
+"""Processor time after which a round plans no other job, a small part of the lag at
+which an owner falls behind. The work before the first job of a pool, which grows with
+the number of runs, is not counted: however long it takes, each round gets on."""
 
 
 class PlannedStart(NamedTuple):
