--- a/catkinport/jobs/ownership/run_orders.py
+++ b/catkinport/jobs/ownership/run_orders.py
@@ -12,7 +12,8 @@
 from ...ports import Reason, Unavailable
 from ...ports.fleet_workers import Done, StartOrder
 from ...runtime.logs import log_event
-from ..placement.planner import ApprovalRequest, PlannedStart, Planner, Ticket
+from ..placement.planner import ApprovalRequest, Planner, Ticket
+from ..placement.round_budget import PlannedStart
 from ..placement.run_stops import PaceOrder, StopOrder, find_paces, find_stops
 from ..placement.stall_reporter import StallReporter
 from ..placement.stalled_pools import StartState
@@ -29,7 +30,8 @@
 """Longest pause between two rounds of planning."""
 
 MIN_PLAN_INTERVAL_SECONDS = 0.008
-"""Shortest pause between two rounds of planning; bounds their processor time."""
+"""Shortest pause between two rounds of planning. A round that takes more processor time
+is followed by a pause of that time, so that planning takes half of it at most."""
 
 MAX_APPROVAL_CALLS = 2
 """Most calls to the advice service at a time. The service handles the calls of a daemon
@@ -70,10 +72,14 @@
             while True:
                 await self._wait_for_wake()
                 self._session.wake.clear()
+                began_at = time.thread_time()
                 with round_times.measure(len(job_by_id)):
                     self._plan()
+                if self._planner.is_unfinished:
+                    self._session.wake.set()
                 self._report_stalls()
-                await asyncio.sleep(MIN_PLAN_INTERVAL_SECONDS)
+                taken_seconds = time.thread_time() - began_at
+                await asyncio.sleep(max(MIN_PLAN_INTERVAL_SECONDS, taken_seconds))
         finally:
             self._stalls.clear(self._session.ports.metrics)
 
@@ -98,7 +104,10 @@
         )
         n_free = self._start_limit.n_free
         if self._session.may_order() and n_free:
-            for start in self._planner.plan(now, time.time(), learned_before, n_free):
+            starts = self._planner.plan(
+                now, time.time(), learned_before, n_free, time.thread_time
+            )
+            for start in starts:
                 self._start_limit.begin()
                 self._session.spawn(self._send_start(start))
         for wanted in self._planner.wanted_approvals.values():
