Bound for how long a reservation keeps a mostly idle pool from other tasks

A small task waited as long as other runs lasted, though three quarters of its pool were idle: each worker was kept free for a lasting task that did not fit beside a run there. A run that takes longer than expected counts as about to end, so the reservation stayed.

In a pool of which less than half is used in each resource, a reserved worker is closed to other tasks for 1.5 s only; then the reservation is a preference. In fuller pools nothing changes, as large tasks would starve there.

TestIdlePool failed before: no start in 3 s.

--- a/catkinport/jobs/placement/planner.py
+++ b/catkinport/jobs/placement/planner.py
@@ -21,6 +21,7 @@
 from .account_usage import is_within_limit, usage_by_account
 from .blocked_workers import has_unbroken_contact
 from .gang_rooms import find_gang_rooms
+from .pool_use import is_half_used
 from .start_blocks import find_start_block
 from .start_delays import StartDelays, StartHold
 from .task_needs import find_expected_ends, running_need, stage_name, task_need
@@ -146,7 +147,8 @@
         for pool in _rotate(list(records_by_pool), self._first_pool):
             records = records_by_pool[pool]
             rooms = self._free_rooms(pool, now)
-            self._reservations.mark(rooms)
+            is_busy = is_half_used(dispatcher.workers_of(pool))
+            self._reservations.mark(rooms, now, is_busy)
             ordered = sorted(
                 records,
                 key=lambda item: order_key(dispatcher.estimates.view_job(*item), now),
--- a/catkinport/jobs/tests/test_reservations.py
+++ b/catkinport/jobs/tests/test_reservations.py
@@ -199,3 +199,28 @@
         assert fleet.plan() == []
         self._add_job(fleet, "0000000000000003", Resources(1.0, 60.0, 0))
         assert fleet.plan() == []
+
+
+class TestIdlePool:
+    def test_small_task_starts_in_a_pool_that_is_mostly_free(self):
+        """Guards against a pool that stands still for reservations.
+
+        A long run on each worker leaves no room for the large tasks, and has taken
+        longer than expected, so that it may end at any moment.
+        """
+        fleet = Fleet([make_worker(f"w{n}") for n in range(3)])
+        long = make_step(3, need=Resources(4.0, 1.0, 0), max_per_worker=1)
+        fleet.dispatcher.add_job(make_job("0000000000000001", steps=[long]), fleet.now)
+        assert len(fleet.start()) == 3
+        large = make_step(3, need=Resources(14.0, 1.0, 0), is_lasting=True)
+        fleet.dispatcher.add_job(make_job("0000000000000002", steps=[large]), fleet.now)
+        assert fleet.start() == []
+        small = make_step(need=Resources(1.0, 1.0, 0))
+        fleet.dispatcher.add_job(make_job("0000000000000003", steps=[small]), fleet.now)
+        starts = []
+        for _ in range(30):
+            fleet.advance(0.1)
+            fleet.poll_all()
+            starts += fleet.start()
+        (start,) = starts
+        assert start.run.key.task == "0000000000000003.0.0.0"
--- a/catkinport/policy/reservations.py
+++ b/catkinport/policy/reservations.py
@@ -25,6 +25,11 @@
 is half of a lease."""
 
 
+EXCLUSIVE_SECONDS = 1.5
+"""Time for which a worker is kept free for a task while most of its pool is idle. Other
+tasks must not wait longer for room that stands empty."""
+
+
 class ExpectedEnd(NamedTuple):
     """Expected end of a task on a worker.
 
@@ -38,10 +43,17 @@
 
 
 class Reservation(NamedTuple):
-    """Worker that is kept free for a task."""
+    """Worker that is kept free for a task.
+
+    Args:
+        worker_id: id of the worker.
+        need: requirements of the task.
+        since: clock time in seconds since which the task has had a reservation.
+    """
 
     worker_id: str
     need: TaskNeed
+    since: float
 
 
 class _Outlook(NamedTuple):
@@ -63,6 +75,7 @@
         self._reservation_by_task: dict[str, Reservation] = {}
         self._renewed: set[str] = set()
         self._n_new = 0
+        self._now = 0.0
         self._outlook_by_worker: dict[str, _Outlook] = {}
 
     @property
@@ -70,11 +83,23 @@
         """Whether another reservation may be made in this round."""
         return self._n_new < MAX_NEW_PER_ROUND
 
-    def mark(self, rooms: Mapping[str, CandidateWorker]) -> None:
-        """Close reserved workers to tasks that hold no reservation there."""
+    def mark(
+        self, rooms: Mapping[str, CandidateWorker], now: float, is_pool_busy: bool
+    ) -> None:
+        """Close reserved workers to tasks that hold no reservation there.
+
+        Args:
+            rooms: workers of a pool with their free resources.
+            now: clock time in seconds.
+            is_pool_busy: whether the pool is used so much that the room on its reserved
+                workers would be taken again and again. If not, they are kept free only
+                for `EXCLUSIVE_SECONDS`.
+        """
+        self._now = now
         for task, reservation in self._reservation_by_task.items():
             room = rooms.get(reservation.worker_id)
-            if room is not None:
+            is_new = now - reservation.since <= EXCLUSIVE_SECONDS
+            if room is not None and (is_pool_busy or is_new):
                 room.reserved_for.add(task)
 
     def find_room(
@@ -111,13 +136,14 @@
                 self._renewed.add(need.task)
                 return True
             present.reserved_for.discard(need.task)
-        self._reservation_by_task.pop(need.task, None)
+        former = self._reservation_by_task.pop(need.task, None)
         if not may_choose:
             return False
         room = self._find_soonest(need, rooms.values(), find_ends)
         if room is None:
             return False
-        self._reservation_by_task[need.task] = Reservation(room.worker_id, need)
+        since = former.since if former else self._now
+        self._reservation_by_task[need.task] = Reservation(room.worker_id, need, since)
         self._renewed.add(need.task)
         self._n_new += 1
         room.reserved_for.add(need.task)
