Refuse a submission whose early cancellation changes while it is stored

A submission could be answered as accepted though nothing was stored, if the early cancellation of another account with the same id was removed between its two writes. test_job_is_not_accepted_as_that_cancellation_goes failed before.

--- a/catkinport/jobs/intake.py
+++ b/catkinport/jobs/intake.py
@@ -98,7 +98,14 @@
         if isinstance(outcome, Committed):
             return Accepted(is_repeat=False)
         if isinstance(outcome, Conflict):
-            return Accepted(is_repeat=True)
+            if job_key(job.job_id) in outcome.versions_by_row_key:
+                return Accepted(is_repeat=True)
+            # The cancellation by another account has just been removed or replaced.
+            return NotRun(
+                Reason.CLAIMED_ELSEWHERE,
+                "intake",
+                retry_after_seconds=RETRY_AFTER_SECONDS,
+            )
         if outcome.may_have_committed:
             return Unknown(outcome.reason, outcome.step, outcome.peer, outcome.detail)
         return NotRun(
--- a/catkinport/jobs/tests/test_early_cancels.py
+++ b/catkinport/jobs/tests/test_early_cancels.py
@@ -113,6 +113,22 @@
         cancel(intake, "other")
         assert submit(intake) == Accepted(is_repeat=False)
 
+    def test_job_is_not_accepted_as_that_cancellation_goes(
+        self, table, intake, monkeypatch
+    ):
+        """Guards against an acceptance of a job that is not stored."""
+        cancel(intake, "other")
+        carry_out = table.carry_out
+
+        def carry_out_and_remove(transaction):
+            outcome = carry_out(transaction)
+            table.row_by_key.clear()
+            return outcome
+
+        monkeypatch.setattr(table, "carry_out", carry_out_and_remove)
+        assert isinstance(submit(intake), NotRun)
+        assert submit(intake) == Accepted(is_repeat=False)
+
     def test_unanswered_cancellation_is_not_taken_for_stored(self, table, intake):
         """Guards against status 410 before the job can't be stored any more."""
         table.n_unanswered = 2
