--- a/catkinport/jobs/early_cancels.py
+++ b/catkinport/jobs/early_cancels.py
@@ -30,6 +30,14 @@
 seconds late, and daemons repeat one only within a call."""
 
 
+class Prevented(NamedTuple):
+    """The cancellation is stored, so the job can't be stored any more."""
+
+
+class JobFound(NamedTuple):
+    """The job is stored, so nothing was."""
+
+
 class _Stored(NamedTuple):
     row_key: RowKey
     version: int
@@ -57,16 +65,13 @@
 
     async def store(
         self, job_id: str, account: str, queue: str
-    ) -> bool | NotRun | Unknown:
+    ) -> Prevented | JobFound | NotRun | Unknown:
         """Store a cancellation; the call is idempotent.
 
         Args:
             job_id: id of the job.
             account: account of the caller; empty on a queue that needs no key.
             queue: name of the queue on which the caller asks.
-
-        Returns:
-            Whether the job can't be stored any more; ``False`` if it is stored.
         """
         key = early_cancel_key(job_id)
         conditions = [
@@ -81,9 +86,10 @@
             version = outcome.versions_by_row_key[key]
             self._stored.append(_Stored(key, version, self._now()))
             await self._remove_outdated()
-            return True
+            return Prevented()
         if isinstance(outcome, Conflict):
-            return job_key(job_id) not in outcome.versions_by_row_key
+            is_found = job_key(job_id) in outcome.versions_by_row_key
+            return JobFound() if is_found else Prevented()
         kind = Unknown if outcome.may_have_committed else NotRun
         return kind(outcome.reason, outcome.step, outcome.peer, outcome.detail)
 
--- a/catkinport/jobs/intake.py
+++ b/catkinport/jobs/intake.py
@@ -21,7 +21,7 @@
 )
 from ..runtime.logs import log_event
 from .configuration import AcceptedRules
-from .early_cancels import EarlyCancels
+from .early_cancels import EarlyCancels, JobFound, Prevented
 from .model import Job, JobState, job_to_row
 from .tables import (
     JOBS_TABLE,
@@ -176,11 +176,11 @@
             return TABLE_NOT_REACHED
         state = await self.find_state(job_id, account, queue)
         if isinstance(state, Absent):
-            is_stored = await self._early_cancels.store(job_id, account, queue)
-            if not isinstance(is_stored, bool):
-                return is_stored
-            if is_stored:
+            early = await self._early_cancels.store(job_id, account, queue)
+            if isinstance(early, Prevented):
                 return Absent()
+            if not isinstance(early, JobFound):
+                return early
             # The job has been stored since, or it belongs to another account.
             state = await self.find_state(job_id, account, queue)
         if isinstance(state, Absent):
