--- a/catkinport/jobs/placement/planner.py
+++ b/catkinport/jobs/placement/planner.py
@@ -24,6 +24,7 @@
 from .account_usage import is_within_limit, usage_by_account
 from .blocked_workers import has_unbroken_contact
 from .gang_rooms import find_gang_rooms
+from .pool_use import is_half_used
 from .round_budget import PlannedStart, RoundBudget
 from .start_blocks import find_start_block
 from .start_delays import StartDelays, StartHold
@@ -175,7 +176,8 @@
         if not budget.may_plan_job:
             return False
         rooms = self._free_rooms(pool, now)
-        self._reservations.mark(rooms)
+        is_busy = is_half_used(self._dispatcher.workers_of(pool))
+        self._reservations.mark(rooms, now, is_busy)
         estimates = self._dispatcher.estimates
         ordered = sorted(
             records, key=lambda item: order_key(estimates.view_job(*item), now)
