Let timeouts of reads and feeds of the store follow its answers

Callers saw daemons that did not become ready, and owners that lost contact for as long as the store was far away: with answers that take longer than 1.0 s (a read) or than 0.7 s after the wait (a feed), every call was given up, however often it had been.

READ_TIMEOUT_SECONDS and FOLLOW_TIMEOUT_MARGIN_SECONDS are lower bounds now. The timeouts are three times the average time of an answer, up to 4 s, and double with timeouts in a row. A single timeout changes nothing, so a lost answer of a fast store costs what it did.

--- a/catkinport/platform/table.py
+++ b/catkinport/platform/table.py
@@ -26,7 +26,15 @@
 from .client import PlatformClient, Reply
 
 READ_TIMEOUT_SECONDS = 1.0
-"""Longest wait for the answer to a read to begin, which takes 4 ms without faults."""
+"""Lower bound of the wait for the answer to a read to begin, which takes 4 ms without
+faults."""
+
+MAX_READ_TIMEOUT_SECONDS = 4.0
+"""Upper bound of the wait for the answer to a read to begin, and of the wait for the
+answer of a feed beyond the requested one."""
+
+LATENCY_FACTOR = 3.0
+"""Timeout of reads and feeds as a multiple of the average time of an answer."""
 
 MAX_TABLE_CONNECTIONS = 32
 """Most connections of a daemon to the store. Feeds and reads of whole tables take about
@@ -42,8 +50,8 @@
 each takes 0.3 s on a store that is fifty times slower than usual."""
 
 FOLLOW_TIMEOUT_MARGIN_SECONDS = 0.7
-"""How much later than after the requested wait the answer of a feed may begin. A store
-that has stopped answering is detected after it."""
+"""Lower bound of how much later than after the requested wait the answer of a feed may
+begin. A store that has stopped answering is detected after it."""
 
 OWNER_PART = "fleet"
 """The one part of all rows that an owner writes, as a transaction covers one part."""
@@ -86,6 +94,18 @@
         self._commit_timeout = AdaptiveTimeout(
             MIN_COMMIT_TIMEOUT_SECONDS, MAX_COMMIT_TIMEOUT_SECONDS
         )
+        self._read_timeout = AdaptiveTimeout(
+            READ_TIMEOUT_SECONDS, MAX_READ_TIMEOUT_SECONDS, LATENCY_FACTOR
+        )
+        self._follow_margin = AdaptiveTimeout(
+            FOLLOW_TIMEOUT_MARGIN_SECONDS, MAX_READ_TIMEOUT_SECONDS, LATENCY_FACTOR
+        )
+
+    def _note_latency(self, seconds: float) -> None:
+        """Record the time that the store took for an answer without waiting."""
+        self._commit_timeout.on_answer(seconds)
+        self._read_timeout.on_answer(seconds)
+        self._follow_margin.on_answer(seconds)
 
     async def read_range(
         self, table: str, start: str = "", end: str = ""
@@ -131,19 +151,22 @@
             query = {"Table": table, "part": part, "From": start}
             if end:
                 query["To"] = end
+            timeout_seconds = self._read_timeout.seconds
             reply = await self._client.call(
                 "table-read",
                 "GET",
                 self._address,
                 "/rows-get",
-                READ_TIMEOUT_SECONDS,
+                timeout_seconds,
                 None,
                 query,
                 is_size_bounded=False,
             )
             if isinstance(reply, Unavailable):
+                if reply.reason is Reason.TIMEOUT:
+                    self._read_timeout.on_timeout(timeout_seconds)
                 return reply
-            self._commit_timeout.on_answer(reply.wait_seconds)
+            self._note_latency(reply.wait_seconds)
             if reply.status != 200:
                 return self._unexpected_status("table-read", reply)
             try:
@@ -211,17 +234,20 @@
             "After": str(after_version),
             "WaitMs": str(int(wait_seconds * 1000)),
         }
+        margin_seconds = self._follow_margin.seconds
         reply = await self._client.call(
             "table-follow",
             "GET",
             self._address,
             "/rows-feed",
-            max(wait_seconds + FOLLOW_TIMEOUT_MARGIN_SECONDS, READ_TIMEOUT_SECONDS),
+            max(wait_seconds + margin_seconds, READ_TIMEOUT_SECONDS),
             None,
             query,
             is_size_bounded=False,
         )
         if isinstance(reply, Unavailable):
+            if reply.reason is Reason.TIMEOUT:
+                self._follow_margin.on_timeout(margin_seconds)
             return reply
         if reply.status == 410:
             return HistoryLost()
@@ -233,7 +259,7 @@
             return self._malformed_answer("table-follow", error)
         if not page.rows:
             # The store answers without changes only after ``wait_seconds``.
-            self._commit_timeout.on_answer(max(0.0, reply.wait_seconds - wait_seconds))
+            self._note_latency(max(0.0, reply.wait_seconds - wait_seconds))
         return Changes(page.rows, page.version)
 
     def _decode_conflict(self, transaction: Transaction, body: Any) -> Conflict:
--- a/catkinport/platform/tests/slow_store.py
+++ b/catkinport/platform/tests/slow_store.py
@@ -27,6 +27,7 @@
             for whole answers.
         is_link_shared: whether all answers pass one link of that rate, in the order in
             which their bytes were sent; otherwise each has the whole rate.
+        round_trip_seconds: time that each call takes on its way, there and back.
 
     Attributes:
         address: ``host:port`` while it is open.
@@ -41,6 +42,7 @@
         bytes_per_second: float,
         bytes_until_stall: int | None = None,
         is_link_shared: bool = False,
+        round_trip_seconds: float = 0.0,
     ) -> None:
         self._rows = rows
         self._version = version
@@ -49,6 +51,7 @@
         self._is_link_shared = is_link_shared
         self._bytes_per_second = bytes_per_second
         self._link_free_at = 0.0
+        self._round_trip_seconds = round_trip_seconds
         self._is_changed = asyncio.Event()
         self.address = ""
         self.n_calls = 0
@@ -72,6 +75,7 @@
         await self._runner.cleanup()
 
     async def _read(self, request: web.Request) -> web.StreamResponse:
+        await asyncio.sleep(self._round_trip_seconds)
         return await self._send(request, request.query["Table"])
 
     def replace(self, rows: Mapping[str, Mapping[str, Any]]) -> None:
@@ -82,6 +86,7 @@
         self._is_changed = asyncio.Event()
 
     async def _follow(self, request: web.Request) -> web.StreamResponse:
+        await asyncio.sleep(self._round_trip_seconds)
         wait_seconds = int(request.query["WaitMs"]) / 1000
         if int(request.query["After"]) >= self._version:
             with contextlib.suppress(TimeoutError):
--- a/catkinport/policy/adaptive_timeout.py
+++ b/catkinport/policy/adaptive_timeout.py
@@ -5,6 +5,9 @@
 answered and sends them again, which makes the queue longer. A longer fixed timeout
 waits long for each answer that is lost on a fast store. Durations of reads tell the two
 cases apart, as reads are slow on a slow store only.
+
+Where every answer takes longer than the timeout, no duration is ever measured. Timeouts
+in a row therefore lengthen it too.
 """
 
 SMOOTHING_FACTOR = 0.25
@@ -15,6 +18,10 @@
 """Default timeout as a multiple of the average duration, as the store may carry out
 several transactions of other daemons before a call."""
 
+GROWTH_FACTOR = 2.0
+"""Multiple of a timeout that has passed without an answer as the next timeout, from the
+second one in a row on."""
+
 
 class AdaptiveTimeout:
     """Timeout of calls to one service.
@@ -41,6 +48,7 @@
         self._max_seconds = max_seconds
         self._factor = factor
         self._average_seconds: float | None = None
+        self._n_timeouts = 0
 
     @property
     def seconds(self) -> float:
@@ -50,7 +58,20 @@
 
     def on_answer(self, seconds: float) -> None:
         """Record how many seconds an answer took."""
+        self._n_timeouts = 0
         if self._average_seconds is None:
             self._average_seconds = seconds
             return
         self._average_seconds += SMOOTHING_FACTOR * (seconds - self._average_seconds)
+
+    def on_timeout(self, seconds: float) -> None:
+        """Record that there was no answer within ``seconds``.
+
+        A single timeout is taken for a lost answer and changes nothing.
+        """
+        self._n_timeouts += 1
+        if self._n_timeouts < 2:
+            return
+        next_seconds = min(self._max_seconds, GROWTH_FACTOR * seconds)
+        average = next_seconds / self._factor
+        self._average_seconds = max(self._average_seconds or 0.0, average)
--- a/catkinport/policy/tests/test_adaptive_timeout.py
+++ b/catkinport/policy/tests/test_adaptive_timeout.py
@@ -32,3 +32,29 @@
         A lost answer has no duration, and reads of the store stay fast.
         """
         assert make_timeout(*[0.01] * 5).seconds == 0.6
+
+    def test_one_timeout_does_not_lengthen_the_next(self):
+        """Guards against a wait that doubles with each lost answer."""
+        timeout = make_timeout(0.01)
+        timeout.on_timeout(0.6)
+        assert timeout.seconds == 0.6
+
+
+class TestTimeoutsInARow:
+    def test_they_lengthen_the_timeout_up_to_its_limit(self):
+        """Guards against a service whose answers all come after a fixed timeout."""
+        timeout = make_timeout()
+        seconds = []
+        for _ in range(5):
+            seconds.append(timeout.seconds)
+            timeout.on_timeout(timeout.seconds)
+        assert seconds == [0.6, 0.6, 1.2, 2.4, 3.0]
+
+    def test_fast_answers_shorten_it_again(self):
+        """Guards against long waits for lost answers after an outage."""
+        timeout = make_timeout()
+        for _ in range(5):
+            timeout.on_timeout(timeout.seconds)
+        for _ in range(8):
+            timeout.on_answer(0.01)
+        assert timeout.seconds == 0.6
