Overlap calls for the configuration while the store is far away

Callers with a key got 503 for a part of the time, and daemons were not ready, while answers of the store took 1.4 s and longer: one call of the feed after the other left the configuration 5.8 s old before each answer (2.0 s an answer), and 4.6 s is the limit for a withdrawn key that has to stop within 5 s.

Calls overlap, one each 0.5 s, while the latest answer took 1 s beyond its wait. An answer still counts from when its call was sent. Older answers replace nothing, and changes that are dropped after a loss of the history prove nothing.

--- a/catkinport/jobs/configuration_watch.py
+++ b/catkinport/jobs/configuration_watch.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 from ..ports import Unavailable
-from ..ports.async_table import AsyncTable, Changes, HistoryLost
+from ..ports.async_table import AsyncTable, Changes, HistoryLost, Snapshot
 from ..ports.clock import Clock
 from ..ports.table import Row
 from ..runtime.logs import log_event
@@ -23,6 +23,16 @@
 change. An answer that took long to arrive leaves the configuration that old, and a
 call that waits would let it age further before it shows that it is current."""
 
+LONG_LATENCY_SECONDS = 1.0
+"""Time of an answer without a wait from which on calls of the change feed overlap. One
+after the other, they would leave the configuration older than twice that time."""
+
+OVERLAP_SECONDS = 0.5
+"""Time from one overlapping call of the change feed to the next one."""
+
+MAX_OVERLAPPING_CALLS = 6
+"""Most overlapping calls of the change feed."""
+
 RETRY_SECONDS = 0.15
 """Pause after a call to the table service that had no answer."""
 
@@ -67,6 +77,7 @@
         self._decode = decode
         self._version: int | None = None
         self._known_current_at = float("-inf")
+        self._latency_seconds = 0.0
         self._failure: Unavailable | None = None
         self._n_failures = 0
         self._failure_logged_at = float("-inf")
@@ -88,10 +99,36 @@
 
     async def run(self) -> None:
         """Follow the operator's rows until cancelled."""
-        while True:
-            self._record_outcome(await self._poll())
-            if self._failure is not None:
-                await asyncio.sleep(RETRY_SECONDS)
+        in_flight: set[asyncio.Task[Unavailable | None]] = set()
+        try:
+            while True:
+                in_flight.add(asyncio.ensure_future(self._poll()))
+                await self._await_turn(in_flight)
+        finally:
+            for call in in_flight:
+                call.cancel()
+
+    async def _await_turn(
+        self, in_flight: set[asyncio.Task[Unavailable | None]]
+    ) -> None:
+        """Wait until the next call is due; remove the calls that have ended.
+
+        That is after an answer or, while answers take long, after `OVERLAP_SECONDS`.
+        """
+        may_overlap = self._is_far() and len(in_flight) < MAX_OVERLAPPING_CALLS
+        ended, _ = await asyncio.wait(
+            in_flight,
+            timeout=OVERLAP_SECONDS if may_overlap else None,
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+        in_flight -= ended
+        for call in ended:
+            self._record_outcome(call.result())
+        if ended and self._failure is not None:
+            await asyncio.sleep(RETRY_SECONDS)
+
+    def _is_far(self) -> bool:
+        return self._latency_seconds >= LONG_LATENCY_SECONDS
 
     def _record_outcome(self, failure: Unavailable | None) -> None:
         """Note how the latest call ended; log changes, and failures at intervals."""
@@ -128,14 +165,14 @@
             snapshot = await self._table.read_range(self._operator_table)
             if isinstance(snapshot, Unavailable):
                 return snapshot
-            self._version = snapshot.version
-            self.row_by_key = {row.row_key.key: row for row in snapshot.rows}
-            self._apply_configuration()
+            self._latency_seconds = self._clock.now() - sent_at
+            self._apply_snapshot(snapshot)
             self._known_current_at = max(self._known_current_at, sent_at)
             return None
-        is_recent = self.age_seconds() < MAX_WAIT_AGE_SECONDS
+        may_wait = not self._is_far() and self.age_seconds() < MAX_WAIT_AGE_SECONDS
+        wait_seconds = FOLLOW_SECONDS if may_wait else 0.0
         outcome = await self._table.follow(
-            self._operator_table, self._version, FOLLOW_SECONDS if is_recent else 0.0
+            self._operator_table, self._version, wait_seconds
         )
         if isinstance(outcome, HistoryLost):
             log_event(logger, "configuration feed lost its history")
@@ -143,16 +180,36 @@
             return None
         if not isinstance(outcome, Changes):
             return outcome
-        self._version = outcome.version
-        for row in outcome.rows:
+        if not outcome.rows:
+            self._latency_seconds = self._clock.now() - sent_at - wait_seconds
+        if self._version is None:
+            # An overlapping call found that the history was lost, so these changes may
+            # lack some, and the answer does not show that the configuration is current.
+            return None
+        self._apply_changes(outcome)
+        self._known_current_at = max(self._known_current_at, sent_at - FEED_LAG_SECONDS)
+        return None
+
+    def _apply_snapshot(self, snapshot: Snapshot) -> None:
+        """Apply all rows, unless an overlapping call has had later ones."""
+        if self._version is not None and snapshot.version < self._version:
+            return
+        self._version = snapshot.version
+        self.row_by_key = {row.row_key.key: row for row in snapshot.rows}
+        self._apply_configuration()
+
+    def _apply_changes(self, changes: Changes) -> None:
+        """Apply the changed rows, unless an overlapping call has had later ones."""
+        if self._version is not None and changes.version < self._version:
+            return
+        self._version = changes.version
+        for row in changes.rows:
             if row.value is None:
                 self.row_by_key.pop(row.row_key.key, None)
             else:
                 self.row_by_key[row.row_key.key] = row
-        if outcome.rows:
+        if changes.rows:
             self._apply_configuration()
-        self._known_current_at = max(self._known_current_at, sent_at - FEED_LAG_SECONDS)
-        return None
 
     def _apply_configuration(self) -> None:
         row = self.row_by_key.get(self._configuration_key)
