Let an owner far from the store state how long successors have to wait

Pools stood still for as long as the store was far away. From 0.25 s an answer on, an owner was in doubt (0.8 s without a stored renewal) before the answer to each renewal. While in doubt, it plans no order for a VM, gives no lost task another worker and does not resolve workers out of reach, so inherited jobs of their pools do not start. Daemons nearer to the store replaced it 1.2 s after a renewal, though the next one was under way.

An owner states in its claim and in each renewal after how long it may be replaced: five times the time of its renewals, between 1.2 s (as before, and always below 0.24 s an answer) and 6 s, at which it stops renewing leases. A claim is conditional on the version of the row that states it. As renewals may be stored in another order, the shortest time counts that may be stored last. The limit of doubt keeps its distance to the takeover, plus 4% of the additional time for clocks. The latency that a daemon sees itself delays its takeover to 6 s at most, and the random delay of a claim ends at 5 s (82 s before at 2 s an answer after failed claims).

--- a/catkinport/jobs/ownership/owner.py
+++ b/catkinport/jobs/ownership/owner.py
@@ -84,7 +84,7 @@
         lag: LoopLag | None = None,
         is_on_small_vm: bool = False,
     ) -> None:
-        lease = OwnLease(claim.token, claim.sent_at)
+        lease = OwnLease(claim.token, claim.sent_at, claim.takeover_seconds)
         dispatcher = Dispatcher(configuration, ports.metrics, longest_lease)
         self._session = OwnerSession(ports, dispatcher, lease)
         self._vm_planner = VmPlanner(dispatcher, bounds)
@@ -200,8 +200,8 @@
 
     async def _renew(self, is_released: bool = False) -> None:
         sent_at = self._session.clock.now()
-        self._session.renewal_sent_at = sent_at
         write = heartbeat_write(self._session, sent_at, is_released)
+        self._session.note_renewal_sent(sent_at)
         transaction = Transaction([self._session.owner_condition()], [write])
         outcome = await self._session.table.commit(transaction)
         if isinstance(outcome, Committed):
--- a/catkinport/jobs/ownership/ownership_watch.py
+++ b/catkinport/jobs/ownership/ownership_watch.py
@@ -9,7 +9,8 @@
 import random
 from typing import Any, NamedTuple
 
-from ...policy.leadership import OwnerRows, OwnerWatch
+from ...policy.leadership import TAKEOVER_SECONDS, OwnerRows, OwnerWatch
+from ...policy.takeover_time import TakeoverTime, decode_takeover_seconds
 from ...ports import Unavailable
 from ...ports.async_table import AsyncTable, Changes, HistoryLost, commit_until_known
 from ...ports.clock import Clock
@@ -36,6 +37,9 @@
 DOUBLE_JITTER_LATENCY_SECONDS = 0.05
 """Latency of the table service, in seconds, at which delays of claims double."""
 
+MAX_CLAIM_DELAY_SECONDS = 5.0
+"""Longest random delay of a claim, however slow the table service is."""
+
 CANDIDACY_SHARE = 0.3
 """Probability with which a daemon becomes a candidate at a renewal that asks for one,
 so that not all of them write the row at the same moment."""
@@ -54,12 +58,15 @@
             former owner, or its end, was seen; ``None`` if there was no former owner.
         is_former_ended: whether neither the former owner nor one before it can renew
             a lease any more.
+        takeover_seconds: time without a renewal after which others may replace this
+            owner, as the claim states.
     """
 
     token: int
     sent_at: float
     former_changed_at: float | None
     is_former_ended: bool
+    takeover_seconds: float = TAKEOVER_SECONDS
 
 
 class QueueDepths(NamedTuple):
@@ -137,9 +144,8 @@
         # so it comes before the others unless its VM is small: a smaller VM waits
         # longer before it claims (see ``policy/leadership.py``). A slow table service
         # makes claims wait for each other, so their delays grow with its latency.
-        scaled_jitter = jitter * (
-            1 + self._watch.latency_seconds / DOUBLE_JITTER_LATENCY_SECONDS
-        )
+        factor = 1 + self._watch.latency_seconds / DOUBLE_JITTER_LATENCY_SECONDS
+        scaled_jitter = min(jitter * factor, MAX_CLAIM_DELAY_SECONDS)
         wait_seconds = 0.0 if is_earlier_process else scaled_jitter
         wait_seconds += self._claim_delay_seconds
         return self._watch.may_claim(self._clock.now(), wait_seconds)
@@ -218,14 +224,18 @@
         renewal_row = self._row_by_key.get(HEARTBEAT_KEY.key)
         value = self._find_latest_renewal(renewal_row)
         owner_version = owner.version if owner else ABSENT_VERSION
+        owner_value: dict[str, Any] = (owner.value if owner else None) or {}
         # Until an owner has renewed once, an earlier owner wrote the heartbeat row.
         is_own_renewal = value.get("token") == owner_version
         owner_rows = OwnerRows(
             owner_version,
             renewal_row.version if renewal_row else ABSENT_VERSION,
             bool(value.get("released")) and is_own_renewal,
-            bool(owner) and (owner.value or {}).get("owner") == self._name,
+            owner_value.get("owner") == self._name,
             bool(value.get("resolved")) and is_own_renewal,
+            decode_takeover_seconds(
+                (value if is_own_renewal else owner_value).get("takeover_seconds")
+            ),
         )
         former = self._watch.owner_rows
         self._watch.observe(owner_rows, now)
@@ -233,7 +243,7 @@
             log_event(
                 logger,
                 "owner seen",
-                owner=(owner.value if owner else {}).get("owner", ""),
+                owner=owner_value.get("owner", ""),
                 token=owner_version,
             )
         # A claim changes only the owner's row, and the numbers are as old as before.
@@ -261,12 +271,18 @@
         owner_rows = self._watch.owner_rows
         assert owner_rows is not None
         sent_at = self._clock.now()
+        takeover_seconds = TakeoverTime(self._watch.latency_seconds).stated_seconds
+        value = {
+            "owner": self._name,
+            "claimed_at": sent_at,
+            "takeover_seconds": takeover_seconds,
+        }
         transaction = Transaction(
             [
                 Condition(OWNER_KEY, owner_rows.owner_version),
                 Condition(HEARTBEAT_KEY, owner_rows.heartbeat_version),
             ],
-            [Write(OWNER_KEY, {"owner": self._name, "claimed_at": sent_at})],
+            [Write(OWNER_KEY, value)],
         )
         outcome = await commit_until_known(self._table, transaction, CLAIM_ATTEMPTS)
         log_event(
@@ -288,4 +304,5 @@
             sent_at,
             None if is_first else ended_at,
             owner_rows.is_former_ended,
+            takeover_seconds,
         )
--- a/catkinport/jobs/ownership/session.py
+++ b/catkinport/jobs/ownership/session.py
@@ -6,6 +6,7 @@
 from typing import Any, NamedTuple
 
 from ...policy.leadership import OwnLease
+from ...policy.takeover_time import RENEWAL_FACTOR, TakeoverTime
 from ...ports.async_table import AsyncTable
 from ...ports.clock import Clock
 from ...ports.fleet_vms import FleetVms, UpkeepDesk
@@ -71,6 +72,7 @@
         self.wants_successor = False
         self.loaded_at = 0.0
         self.renewal_sent_at = lease.renewed_at
+        self._takeover_time = TakeoverTime(lease.takeover_seconds / RENEWAL_FACTOR)
         self._tasks: set[asyncio.Task[Any]] = set()
         self._is_over = False
         self._is_canceling = False
@@ -129,9 +131,22 @@
         """Return the condition for a commit that no other daemon has taken over."""
         return Condition(OWNER_KEY, self.lease.token)
 
+    @property
+    def takeover_seconds(self) -> float:
+        """Time without a renewal after which successors may replace this owner."""
+        return self._takeover_time.stated_seconds
+
+    def note_renewal_sent(self, sent_at: float) -> None:
+        """Record that a renewal is sent, which states `takeover_seconds`."""
+        self.renewal_sent_at = sent_at
+        self._takeover_time.begin(sent_at)
+
     def note_renewed(self, sent_at: float) -> None:
         """Record that a renewal sent at clock time ``sent_at`` is stored."""
-        self.lease = self.lease._replace(renewed_at=sent_at)
+        takeover_seconds = self._takeover_time.end(sent_at, self.clock.now())
+        self.lease = self.lease._replace(
+            renewed_at=sent_at, takeover_seconds=takeover_seconds
+        )
 
     def depose(self, reason: str) -> None:
         """End the ownership without a release, for the logged ``reason``."""
--- a/catkinport/jobs/ownership/state_store.py
+++ b/catkinport/jobs/ownership/state_store.py
@@ -35,6 +35,7 @@
     value: dict[str, Any] = {
         "token": session.lease.token,
         "sent_at": sent_at,
+        "takeover_seconds": session.takeover_seconds,
         "released": is_released,
         "resolved": session.is_resolved,
         "wants_successor": session.wants_successor,
@@ -121,9 +122,10 @@
         # Each renewal wakes all daemons, which follow its row, so not every commit
         # carries one.
         is_renewal = sent_at - self._session.lease.renewed_at >= HEARTBEAT_SECONDS / 2
+        renewals = []
         if is_renewal:
-            self._session.renewal_sent_at = sent_at
-        renewals = [heartbeat_write(self._session, sent_at)] if is_renewal else []
+            renewals.append(heartbeat_write(self._session, sent_at))
+            self._session.note_renewal_sent(sent_at)
         outcome = await self._rows.commit(writes, renewals, COMMIT_ATTEMPTS)
         self._session.ports.metrics.observe(
             "state_commit_seconds",
--- a/catkinport/jobs/tests/test_ownership_watch.py
+++ b/catkinport/jobs/tests/test_ownership_watch.py
@@ -6,16 +6,26 @@
 
 import pytest
 
-from ...policy.leadership import OwnLease
+from ...policy.leadership import HEARTBEAT_SECONDS, TAKEOVER_SECONDS, OwnLease
 from ...ports.clock import ManualClock
 from ...ports.table import Condition, Transaction, Write
+from ...runtime import Metrics
 from ..dispatch.dispatcher import Dispatcher
-from ..ownership.ownership_watch import Claim, OwnershipWatch
-from ..ownership.session import OwnerSession
+from ..ownership.owner import FleetOwner
+from ..ownership.ownership_watch import (
+    MAX_CLAIM_DELAY_SECONDS,
+    MAX_CLAIM_JITTER_SECONDS,
+    Claim,
+    OwnershipWatch,
+)
+from ..ownership.session import OwnerPorts, OwnerSession
 from ..ownership.state_store import heartbeat_write
 from ..tables import HEARTBEAT_KEY, OWNER_KEY
 from .builders import POOL, QUEUE, make_configuration, make_job
 from .simulated_store import SimulatedStore, StoreClient, StoreLink, run_now
+from .vm_fleet import BOUNDS
+
+LONGEST_LEASE = 10.0
 
 
 class Daemons:
@@ -192,6 +202,93 @@
         assert len(waiting) > 1000
 
 
+class TestFarStore:
+    """Daemons and owners whose calls of the table service take long."""
+
+    def _watch(self, daemons) -> OwnershipWatch:
+        client = StoreClient(daemons.store)
+        return OwnershipWatch(client, daemons.clock, "other", random.Random(1))
+
+    def _silent_seconds(self, daemons, watch, jitter=0.0, latency=0.0) -> float:
+        """Return after how many seconds without a change the watch may claim."""
+        run_now(watch.poll())
+        watch._watch.note_latency(latency)
+        began_at = daemons.clock.now()
+        while not watch._may_claim(jitter):
+            daemons.clock.advance(0.1)
+            run_now(watch.poll())
+            watch._watch.note_latency(latency)
+            assert daemons.clock.now() < began_at + 60.0
+        return daemons.clock.now() - began_at
+
+    def test_an_owner_far_away_keeps_its_ownership(self):
+        """Guards against daemons near the table service that replace it for ever.
+
+        A renewal that takes 0.8 s is followed by the next one 1.1 s later, and may be
+        repeated once.
+        """
+        daemons = Daemons()
+        claim = daemons.claim("far")
+        daemons.renew(claim, sent_at=100.0, takeover_seconds=4.0)
+        assert self._silent_seconds(daemons, self._watch(daemons)) >= 3.9
+
+    def test_a_claim_states_the_time_before_the_first_renewal(self):
+        """Guards against a new owner that is replaced before it can renew."""
+        daemons = Daemons()
+        far = self._watch(daemons)
+        run_now(far.poll())
+        far._watch.note_latency(0.8)
+        claim = run_now(far._claim())
+        watch = OwnershipWatch(
+            StoreClient(daemons.store), daemons.clock, "near", random.Random(1)
+        )
+        silent_seconds = self._silent_seconds(daemons, watch)
+        assert silent_seconds >= claim.takeover_seconds - 0.1 > 2 * TAKEOVER_SECONDS
+
+    def test_the_time_of_a_former_owner_does_not_hold(self):
+        """Guards against a late takeover after a change of the owner."""
+        daemons = Daemons()
+        daemons.renew(daemons.claim("far"), sent_at=100.0, takeover_seconds=1.9)
+        daemons.claim("near")
+        silent_seconds = self._silent_seconds(daemons, self._watch(daemons))
+        assert silent_seconds < TAKEOVER_SECONDS + 0.2
+
+    def test_a_free_ownership_is_claimed_within_a_bound(self):
+        """Guards against pools without an owner for over a minute.
+
+        The random delay grew with the latency, and again with each failed claim.
+        """
+        daemons = Daemons()
+        daemons.renew(daemons.claim("first"), released=True)
+        watch = self._watch(daemons)
+        jitter = MAX_CLAIM_JITTER_SECONDS
+        silent_seconds = self._silent_seconds(daemons, watch, jitter, latency=2.0)
+        assert silent_seconds < MAX_CLAIM_DELAY_SECONDS + 0.2
+
+    @pytest.mark.parametrize("seconds", [0.4, 0.8, 1.2, 2.0])
+    def test_an_owner_that_renews_is_not_in_doubt(self, seconds):
+        """Guards against pools that stand still while the table service is far away.
+
+        An owner in doubt orders no VM and gives no lost task another worker. It was in
+        doubt before the answer to each renewal.
+        """
+
+        class FarClient(StoreClient):
+            async def commit(self, transaction):
+                clock.advance(seconds)
+                return await super().commit(transaction)
+
+        daemons = Daemons()
+        clock = daemons.clock
+        claim = daemons.claim("far")
+        ports = OwnerPorts(FarClient(daemons.store), None, None, None, clock, Metrics())
+        owner = FleetOwner(ports, make_configuration(), claim, BOUNDS, LONGEST_LEASE)
+        for _ in range(8):
+            run_now(owner._renew())
+            clock.advance(HEARTBEAT_SECONDS)
+        assert not owner._session.lease.may_be_replaced(clock.now() + seconds)
+
+
 class TestWaitingJobs:
     """Numbers of waiting jobs around a change of the owner."""
 
--- a/catkinport/policy/leadership.py
+++ b/catkinport/policy/leadership.py
@@ -13,8 +13,13 @@
 """Time between renewals of the heartbeat row; each renewal costs a write."""
 
 TAKEOVER_SECONDS = 1.2
-"""An owner is replaced when its heartbeat row has been unchanged for this long; three
-lost renewals do not cost it the ownership."""
+"""An owner is replaced when its heartbeat row has been unchanged for this long, or for
+the longer time that the row states; three lost renewals do not cost it the ownership.
+"""
+
+MAX_TAKEOVER_SECONDS = 6.0
+"""Longest time that an owner may state, which is `STOP_RENEWING_SECONDS`, and longest
+time that the table service's latency makes a daemon wait for a takeover."""
 
 LATENCY_FACTOR = 4.0
 """Multiple of the table service's latency that is added to ``TAKEOVER_SECONDS``, since
@@ -27,7 +32,8 @@
 
 MAY_BE_REPLACED_SECONDS = 0.8
 """After this long without a stored renewal an owner starts nothing that it has learned
-of since then, as a successor may give orders from ``TAKEOVER_SECONDS`` on."""
+of since then, as a successor may give orders from ``TAKEOVER_SECONDS`` on. It is later
+for an owner that has stated a longer time until a takeover."""
 
 STOP_RENEWING_SECONDS = 6.0
 """After this long without a stored renewal an owner stops renewing the leases of tasks.
@@ -108,6 +114,8 @@
             which must have ended.
         is_resolved: whether the owner has stored that no task of the owners before it
             can be running on a worker that it has not reached.
+        takeover_seconds: time without a change of the rows after which the owner may
+            be replaced, as it has stated.
     """
 
     owner_version: int
@@ -115,6 +123,7 @@
     is_released: bool
     is_earlier_process: bool = False
     is_resolved: bool = False
+    takeover_seconds: float = TAKEOVER_SECONDS
 
     @property
     def is_former_ended(self) -> bool:
@@ -187,7 +196,11 @@
         if self._owner_rows.owner_version == 0 or self._owner_rows.is_released:
             return silent_seconds >= wait_seconds
         is_seen_often_enough = self._n_confirmations >= MIN_CONFIRMATIONS
-        needed_seconds = TAKEOVER_SECONDS + LATENCY_FACTOR * self._latency_seconds
+        latency_seconds = LATENCY_FACTOR * self._latency_seconds
+        needed_seconds = max(
+            self._owner_rows.takeover_seconds,
+            min(MAX_TAKEOVER_SECONDS, TAKEOVER_SECONDS + latency_seconds),
+        )
         return is_seen_often_enough and silent_seconds >= needed_seconds + wait_seconds
 
 
@@ -197,14 +210,19 @@
     Args:
         token: fencing token.
         renewed_at: clock time in seconds at which the latest stored renewal was sent.
+        takeover_seconds: shortest time that any row which a successor may have read
+            states.
     """
 
     token: int
     renewed_at: float
+    takeover_seconds: float = TAKEOVER_SECONDS
 
     def may_be_replaced(self, now: float) -> bool:
         """Return whether a successor may take over soon or has done so."""
-        return now - self.renewed_at > MAY_BE_REPLACED_SECONDS
+        stated_seconds = self.takeover_seconds - TAKEOVER_SECONDS
+        safe_seconds = MAY_BE_REPLACED_SECONDS + stated_seconds * (1 - 2 * CLOCK_ERROR)
+        return now - self.renewed_at > safe_seconds
 
     def must_stop_renewing(self, now: float) -> bool:
         """Return whether the owner must no longer renew the leases of tasks."""
--- a/catkinport/policy/tests/test_leadership.py
+++ b/catkinport/policy/tests/test_leadership.py
@@ -1,6 +1,7 @@
 """Tests of takeovers and of the time when a former owner's tasks have ended."""
 
 from ..leadership import (
+    MAX_TAKEOVER_SECONDS,
     MAY_BE_REPLACED_SECONDS,
     STOP_RENEWING_SECONDS,
     TAKEOVER_SECONDS,
@@ -45,6 +46,21 @@
         assert not watch.may_claim(TAKEOVER_SECONDS + 1.0)
         assert watch.may_claim(TAKEOVER_SECONDS + 1.2)
 
+    def test_owner_far_from_the_table_service_states_a_longer_time(self):
+        """Guards against owners that daemons near the table service replace."""
+        rows = UNCHANGED_ROWS._replace(takeover_seconds=4.0)
+        watch = OwnerWatch()
+        for number in range(8):
+            watch.observe(rows, number * 0.5)
+        assert not watch.may_claim(3.9)
+        assert watch.may_claim(4.0)
+
+    def test_latency_delays_a_takeover_up_to_a_limit(self):
+        """Guards against pools that wait for a successor without a bound."""
+        watch = watch_silence(MAX_TAKEOVER_SECONDS, 4)
+        watch.note_latency(30.0)
+        assert watch.may_claim(MAX_TAKEOVER_SECONDS)
+
     def test_released_ownership_may_be_claimed(self):
         watch = OwnerWatch()
         watch.observe(OwnerRows(5, 9, True), 0.0)
