Load the state of the fleet in few round trips, and read nothing twice

No pool starts a task before a new owner has loaded the state. With the store 2.0 s an answer away that took nine round trips one after the other, 18 s, and a single lost answer began all of it anew.

The tables are read at once: only the owner writes states and roster, and the feed continues after the read of the jobs. A table that was read is kept while others are read again. Parts of the table of jobs are read eight at a time, instead of three, while the store took 0.3 s and more for an answer before.

--- a/catkinport/jobs/ownership/owner.py
+++ b/catkinport/jobs/ownership/owner.py
@@ -97,6 +97,8 @@
         held_until = claim.sent_at + bounds.order_gap
         self._vm_orders = VmOrders(self._session, self._vm_planner, held_until)
         self._job_rows = JobRows(dispatcher, self._vm_planner.mover)
+        self._snapshot_by_table: dict[str, Snapshot] = {}
+        self._are_removed_queues_loaded = False
         self._job_feed_version = 0
         self._read_version_by_key: dict[str, int] = {}
         self._lag = lag or LoopLag(Metrics())
@@ -239,24 +241,19 @@
             log_event(logger, "ownership not released", token=self._session.lease.token)
 
     async def _load(self) -> bool:
+        """Load the state; return whether all of it was read.
+
+        Only this owner can write the states and the roster, and the feed continues
+        after the read of the jobs, so the tables are read at once and what was read
+        stays valid after a failure.
+        """
         started_at = self._session.clock.now()
-        snapshots = []
-        for table in (JOBS_TABLE, STATES_TABLE, ROSTER_TABLE):
-            outcome = await self._session.table.read_range(table)
-            if isinstance(outcome, Unavailable):
-                log_event(
-                    logger,
-                    "state not loaded",
-                    table=table,
-                    reason=outcome.reason,
-                    detail=outcome.detail,
-                )
-                return False
-            snapshots.append(outcome)
-        jobs, states, roster = snapshots
-        if not await self._removed_queues.load():
-            log_event(logger, "removed queues not loaded")
+        tables = (JOBS_TABLE, STATES_TABLE, ROSTER_TABLE)
+        reads = [self._read_once(table) for table in tables]
+        *_, is_queue_read = await asyncio.gather(*reads, self._load_removed_queues())
+        if not is_queue_read or not self._snapshot_by_table.keys() >= set(tables):
             return False
+        jobs, states, roster = map(self._snapshot_by_table.pop, tables)
         self._note_jobs_read(jobs)
         finished_ids = find_finished_ids(states)
         self._store.note_read(
@@ -285,6 +282,29 @@
         )
         return True
 
+    async def _read_once(self, table: str) -> None:
+        """Read a table, unless an earlier attempt to load the state has read it."""
+        if table in self._snapshot_by_table:
+            return
+        outcome = await self._session.table.read_range(table)
+        if not isinstance(outcome, Unavailable):
+            self._snapshot_by_table[table] = outcome
+            return
+        log_event(
+            logger,
+            "state not loaded",
+            table=table,
+            reason=outcome.reason,
+            detail=outcome.detail,
+        )
+
+    async def _load_removed_queues(self) -> bool:
+        if not self._are_removed_queues_loaded:
+            self._are_removed_queues_loaded = await self._removed_queues.load()
+        if not self._are_removed_queues_loaded:
+            log_event(logger, "removed queues not loaded")
+        return self._are_removed_queues_loaded
+
     async def _job_feed_loop(self) -> None:
         while True:
             outcome = await self._session.table.follow(
--- /dev/null
+++ b/catkinport/jobs/tests/test_owner_load.py
@@ -0,0 +1,74 @@
+"""Tests of how a new owner loads the state; no pool starts a task before that."""
+
+import asyncio
+from collections import Counter
+
+from ...ports import Reason, Unavailable
+from ...ports.async_table import Snapshot
+from ...ports.clock import ManualClock
+from ...runtime import Metrics
+from ..ownership.owner import FleetOwner
+from ..ownership.ownership_watch import Claim
+from ..ownership.session import OwnerPorts
+from ..tables import JOBS_TABLE, ROSTER_TABLE, STATES_TABLE
+from .builders import make_configuration
+from .vm_fleet import BOUNDS
+
+LONGEST_LEASE = 10.0
+
+
+class FailingTable:
+    """Table whose reads fail as often as the test says, and count how many overlap."""
+
+    def __init__(self, **n_failures_by_table: int) -> None:
+        self.n_failures_by_table = Counter(n_failures_by_table)
+        self.n_reads_by_table: Counter[str] = Counter()
+        self.n_in_flight = 0
+        self.max_in_flight = 0
+
+    async def read_range(self, table: str, start: str = "", end: str = ""):
+        self.n_reads_by_table[table] += 1
+        self.n_in_flight += 1
+        self.max_in_flight = max(self.max_in_flight, self.n_in_flight)
+        await asyncio.sleep(0)
+        self.n_in_flight -= 1
+        if self.n_failures_by_table[table]:
+            self.n_failures_by_table[table] -= 1
+            return Unavailable(Reason.TIMEOUT, "table-read", "store")
+        return Snapshot([], 1)
+
+
+def load(table: FailingTable) -> int:
+    """Load the state; return the number of attempts."""
+    ports = OwnerPorts(table, None, None, None, ManualClock(100.0), Metrics())
+    claim = Claim(1, 100.0, None, False)
+    owner = FleetOwner(ports, make_configuration(), claim, BOUNDS, LONGEST_LEASE)
+
+    async def run() -> int:
+        n_attempts = 1
+        while not await owner._load():
+            n_attempts += 1
+        return n_attempts
+
+    return asyncio.run(run())
+
+
+class TestFailedReads:
+    def test_only_what_failed_is_read_again(self):
+        """Guards against a load that begins anew for each lost answer.
+
+        On a store that is far away, the read of all jobs took seconds each time.
+        """
+        table = FailingTable(roster=2, states=1)
+        assert load(table) == 3
+        assert table.n_reads_by_table[JOBS_TABLE] == 1
+        assert table.n_reads_by_table[STATES_TABLE] == 2
+        assert table.n_reads_by_table[ROSTER_TABLE] == 3
+
+
+class TestFarStore:
+    def test_the_tables_are_read_at_once(self):
+        """Guards against a load that takes a round trip for each table."""
+        table = FailingTable()
+        load(table)
+        assert table.max_in_flight == 4
--- a/catkinport/platform/table.py
+++ b/catkinport/platform/table.py
@@ -69,6 +69,14 @@
 all 16 would wait behind each other for longer than a read may pause, and so would the
 answers to renewals of the ownership."""
 
+MAX_FAR_SHARD_READS = 8
+"""Most parts of a sharded table that are read at once from a store that is far away,
+where one round after the other would take seconds."""
+
+FAR_LATENCY_SECONDS = 0.3
+"""Average time of an answer, before the reads fill the link, from which on a store is
+far away."""
+
 SHARD_READ_ATTEMPTS = 3
 """Attempts to read one part before the whole table counts as not read."""
 
@@ -90,7 +98,6 @@
     def __init__(self, client: PlatformClient, address: str) -> None:
         self._client = client
         self._address = address
-        self._shard_reads = asyncio.Semaphore(MAX_SHARD_READS)
         self._commit_timeout = AdaptiveTimeout(
             MIN_COMMIT_TIMEOUT_SECONDS, MAX_COMMIT_TIMEOUT_SECONDS
         )
@@ -120,8 +127,10 @@
         return await self._read_part(table, _part_of(RowKey(table, start)), start, end)
 
     async def _read_sharded(self, table: str) -> Snapshot | Unavailable:
+        is_far = self._read_timeout.average_seconds >= FAR_LATENCY_SECONDS
+        turns = asyncio.Semaphore(MAX_FAR_SHARD_READS if is_far else MAX_SHARD_READS)
         reads = [
-            self._read_shard(table, _part_of(RowKey(table, character)))
+            self._read_shard(table, _part_of(RowKey(table, character)), turns)
             for character in SHARD_CHARACTERS
         ]
         rows: list[Row] = []
@@ -133,9 +142,11 @@
             versions.append(snapshot.version)
         return Snapshot(rows, min(versions))
 
-    async def _read_shard(self, table: str, part: str) -> Snapshot | Unavailable:
+    async def _read_shard(
+        self, table: str, part: str, turns: asyncio.Semaphore
+    ) -> Snapshot | Unavailable:
         """Read a part among others; after a failure only this part is read again."""
-        async with self._shard_reads:
+        async with turns:
             for _ in range(SHARD_READ_ATTEMPTS):
                 outcome = await self._read_part(table, part, "", "")
                 if not isinstance(outcome, Unavailable):
--- a/catkinport/platform/tests/test_far_store.py
+++ b/catkinport/platform/tests/test_far_store.py
@@ -8,6 +8,7 @@
 import pytest
 
 from ...jobs.configuration_watch import ConfigurationWatch
+from ...jobs.tables import JOBS_TABLE
 from ...ports import Unavailable
 from ...ports.async_table import Changes, Snapshot
 from ...runtime import BootTimeClock, Metrics
@@ -92,6 +93,19 @@
         assert run_with_table(0.0, read) < READ_TIMEOUT_SECONDS + 0.2
 
 
+class TestReadOfJobs:
+    def test_few_round_trips_are_enough(self):
+        """Guards against owners that load the jobs for seconds, and start nothing."""
+
+        async def read(table: PlatformTable, store: SlowStore) -> float:
+            await table.read_range(OPERATOR_TABLE)
+            sent_at = time.monotonic()
+            assert isinstance(await table.read_range(JOBS_TABLE), Snapshot)
+            return time.monotonic() - sent_at
+
+        assert run_with_table(0.5, read) < 3 * 0.5
+
+
 class TestFollowTimeout:
     """The change feed of a store that is farther away than the margin of its calls."""
 
--- a/catkinport/policy/adaptive_timeout.py
+++ b/catkinport/policy/adaptive_timeout.py
@@ -53,9 +53,14 @@
     @property
     def seconds(self) -> float:
         """Timeout of the next call in seconds."""
-        expected = self._factor * (self._average_seconds or 0.0)
+        expected = self._factor * self.average_seconds
         return min(self._max_seconds, max(self._min_seconds, expected))
 
+    @property
+    def average_seconds(self) -> float:
+        """Moving average of the time of an answer; 0 before the first one."""
+        return self._average_seconds or 0.0
+
     def on_answer(self, seconds: float) -> None:
         """Record how many seconds an answer took."""
         self._n_timeouts = 0
@@ -73,5 +78,5 @@
         if self._n_timeouts < 2:
             return
         next_seconds = min(self._max_seconds, GROWTH_FACTOR * seconds)
-        average = next_seconds / self._factor
-        self._average_seconds = max(self._average_seconds or 0.0, average)
+        average_seconds = next_seconds / self._factor
+        self._average_seconds = max(self.average_seconds, average_seconds)
