Add conditions to the soak: owners that are killed or paused at intervals

Changes of the owner were played by single faults only, not beside a lasting condition. The pause of all daemons and these share one thread function.

--- a/soak/conditions.py
+++ b/soak/conditions.py
@@ -16,6 +16,9 @@
 STARVING_PERIOD_SECONDS = 0.05
 """Time from one pause of a starved process to its next one."""
 
+OWNER_PAUSE_SECONDS = 2.5
+"""How long an owner is paused, which is long enough for it to be replaced."""
+
 Condition = Callable[[SoakEnvironment, float], Callable[[], None] | None]
 """Begins a condition of the given strength; returns what ends it, ``None`` if nothing
 has to be ended before the processes are."""
@@ -91,6 +94,34 @@
     return _pause_by_turns(environment, 2 * strength, strength)
 
 
+@register
+def owner_killed(environment: SoakEnvironment, strength: float) -> Callable[[], None]:
+    """Kill the owner every ``strength`` seconds, and start it again at once."""
+
+    def kill() -> None:
+        owner = environment.deployment.find_owner()
+        if owner is not None and owner.process.is_running:
+            owner.process.kill()
+            environment.start_daemon(owner.name)
+
+    return _repeat(strength, kill)
+
+
+@register
+def owner_paused(environment: SoakEnvironment, strength: float) -> Callable[[], None]:
+    """Pause the owner for `OWNER_PAUSE_SECONDS` every ``strength`` seconds."""
+
+    def pause() -> None:
+        owner = environment.deployment.find_owner()
+        if owner is None:
+            return
+        owner.process.send_signal(signal.SIGSTOP)
+        time.sleep(OWNER_PAUSE_SECONDS)
+        owner.process.resume()
+
+    return _repeat(strength, pause)
+
+
 @register
 def machine_busy(environment: SoakEnvironment, strength: float) -> Callable[[], None]:
     """Run ``strength`` processes that do nothing but use a processor."""
@@ -108,20 +139,29 @@
 def _pause_by_turns(
     environment: SoakEnvironment, period_seconds: float, pause_seconds: float
 ) -> Callable[[], None]:
-    stop = threading.Event()
     rng = random.Random(1)
 
     def pause() -> None:
-        while not stop.is_set():
-            daemons = list(environment.deployment.daemon_by_name.values())
-            for daemon in daemons:
-                daemon.process.send_signal(signal.SIGSTOP)
-            time.sleep(pause_seconds * rng.uniform(0.8, 1.2))
-            for daemon in daemons:
-                daemon.process.resume()
-            stop.wait((period_seconds - pause_seconds) * rng.uniform(0.8, 1.2))
-
-    thread = threading.Thread(target=pause)
+        daemons = list(environment.deployment.daemon_by_name.values())
+        for daemon in daemons:
+            daemon.process.send_signal(signal.SIGSTOP)
+        time.sleep(pause_seconds * rng.uniform(0.8, 1.2))
+        for daemon in daemons:
+            daemon.process.resume()
+
+    return _repeat(period_seconds - pause_seconds, pause)
+
+
+def _repeat(interval_seconds: float, disturb: Callable[[], None]) -> Callable[[], None]:
+    """Disturb in a thread, with about this interval between; return what ends it."""
+    stop = threading.Event()
+    rng = random.Random(1)
+
+    def run() -> None:
+        while not stop.wait(interval_seconds * rng.uniform(0.8, 1.2)):
+            disturb()
+
+    thread = threading.Thread(target=run)
     thread.start()
 
     def end() -> None:
