Bound the age of new jobs where the wall clocks of daemons are apart

The age of a job was taken from the wall clocks of the daemon that accepted it and of the owner, up to an hour. With clocks 30 s apart, each job from that daemon (or all jobs, if the owner's clock is ahead) counted as hopeless from the start: it came last in its pool, and the pool asked for fewer VMs.

A row of the change feed is newer than the call before, whose time the owner knows from its steady clock. A job's age is at most that plus 1 s for its acceptance. Jobs that a new owner loads still take it from the wall clocks.

Evidence: TestWallClocks; without the bound, 30 s and an hour behind fail.

--- a/catkinport/jobs/ownership/job_rows.py
+++ b/catkinport/jobs/ownership/job_rows.py
@@ -14,6 +14,9 @@
 
 logger = logging.getLogger(__name__)
 
+MAX_JOB_AGE_SECONDS = 3600.0
+"""Largest age that a job may have when an owner learns of it."""
+
 
 class JobRows:
     """Reader of the rows of jobs and their cancellations.
@@ -28,7 +31,12 @@
         self._mover = mover
 
     def apply(
-        self, row: Row, now: float, is_inherited: bool, finished_ids: set[str]
+        self,
+        row: Row,
+        now: float,
+        is_inherited: bool,
+        finished_ids: set[str],
+        max_age_seconds: float = MAX_JOB_AGE_SECONDS,
     ) -> None:
         """Pass the job or the cancellation in a row to the dispatcher.
 
@@ -37,6 +45,7 @@
             now: clock time in seconds.
             is_inherited: whether a former owner may have started the job.
             finished_ids: jobs that have ended; their rows are ignored.
+            max_age_seconds: longest time since the row can have been written.
         """
         key = row.row_key.key
         if row.value is None:
@@ -59,8 +68,10 @@
             )
             return
         # Steady clocks of different daemons cannot be compared, so the wall clock
-        # gives the approximate time since another daemon accepted the job.
-        age = min(max(0.0, time.time() - job.accepted_at), 3600.0)
+        # gives the approximate time since another daemon accepted the job. The wall
+        # clocks may be apart as well, but a row of the change feed is known to be new.
+        max_age_seconds = min(max_age_seconds, MAX_JOB_AGE_SECONDS)
+        age = min(max(0.0, time.time() - job.accepted_at), max_age_seconds)
         self._add_rules(row)
         self._dispatcher.add_job(job, now, is_inherited, age)
         self._log_unknown_queue(job)
--- a/catkinport/jobs/ownership/owner.py
+++ b/catkinport/jobs/ownership/owner.py
@@ -44,6 +44,10 @@
 JOB_FEED_PAUSE_SECONDS = 0.02
 """Pause between such calls, so that jobs that arrive together are read together."""
 
+ACCEPT_SECONDS = 1.0
+"""Time from the acceptance of a job to the write of its row, other than after faults.
+"""
+
 UNANSWERED_HEARTBEAT_SECONDS = 2 * HEARTBEAT_SECONDS
 """Time after which a renewal without an answer is followed by another one. Renewals
 that follow sooner would fill the queue of a slow table service."""
@@ -100,6 +104,9 @@
         self._snapshot_by_table: dict[str, Snapshot] = {}
         self._are_removed_queues_loaded = False
         self._job_feed_version = 0
+        # All rows up to that version were read by a call sent at this clock time.
+        self._jobs_read_at = claim.sent_at
+        self._feed_sent_at = claim.sent_at
         self._read_version_by_key: dict[str, int] = {}
         self._lag = lag or LoopLag(Metrics())
         self._overload = OverloadWatch()
@@ -307,17 +314,22 @@
 
     async def _job_feed_loop(self) -> None:
         while True:
-            outcome = await self._session.table.follow(
-                JOBS_TABLE, self._job_feed_version, JOB_FEED_WAIT_SECONDS
-            )
-            if isinstance(outcome, Changes):
-                self._apply_changes(outcome)
-                await asyncio.sleep(JOB_FEED_PAUSE_SECONDS)
-            elif isinstance(outcome, HistoryLost):
-                await self._reread_jobs()
-            else:
-                log_event(logger, "job feed interrupted", reason=outcome.reason)
-                await asyncio.sleep(RETRY_SECONDS)
+            await self._follow_jobs()
+
+    async def _follow_jobs(self) -> None:
+        """Wait for the next changes of the table of jobs, and apply them."""
+        self._feed_sent_at = self._session.clock.now()
+        outcome = await self._session.table.follow(
+            JOBS_TABLE, self._job_feed_version, JOB_FEED_WAIT_SECONDS
+        )
+        if isinstance(outcome, Changes):
+            self._apply_changes(outcome)
+            await asyncio.sleep(JOB_FEED_PAUSE_SECONDS)
+        elif isinstance(outcome, HistoryLost):
+            await self._reread_jobs()
+        else:
+            log_event(logger, "job feed interrupted", reason=outcome.reason)
+            await asyncio.sleep(RETRY_SECONDS)
 
     def _note_jobs_read(self, jobs: Snapshot) -> None:
         """Let the feed continue after a read of all jobs.
@@ -335,10 +347,12 @@
 
     def _apply_changes(self, changes: Changes) -> None:
         now = self._session.clock.now()
+        max_age_seconds = now - self._jobs_read_at + ACCEPT_SECONDS
         for row in changes.rows:
             if row.version > self._read_version_by_key.get(row.row_key.key, 0):
-                self._job_rows.apply(row, now, False, set())
+                self._job_rows.apply(row, now, False, set(), max_age_seconds)
         self._job_feed_version = changes.version
+        self._jobs_read_at = self._feed_sent_at
         if changes.rows:
             self._session.wake.set()
 
--- a/catkinport/jobs/tests/test_job_feed.py
+++ b/catkinport/jobs/tests/test_job_feed.py
@@ -1,14 +1,18 @@
 """Tests of how an owner learns of jobs from the table service's change feed."""
 
 import asyncio
+import time
 from types import SimpleNamespace
 
+import pytest
+
+from ...ports import ManualClock
 from ...ports.async_table import Changes, HistoryLost, Snapshot
 from ...ports.table import Row
 from ...runtime import Metrics
 from ..dispatch.dispatcher import Dispatcher
 from ..model import JobState, job_to_row
-from ..ownership.owner import FleetOwner
+from ..ownership.owner import ACCEPT_SECONDS, FleetOwner
 from ..ownership.ownership_watch import Claim
 from ..ownership.session import OwnerPorts
 from ..tables import JOBS_TABLE, STATES_TABLE, cancel_key, job_key, state_key
@@ -143,3 +147,37 @@
 
         asyncio.run(load())
         assert "job has no known queue" in caplog.text
+
+
+class TestWallClocks:
+    """The wall clocks of the daemons that accept jobs may be wrong."""
+
+    @pytest.mark.parametrize("seconds_behind", [30.0, 3600.0, -30.0, -3600.0])
+    def test_the_age_of_a_new_job_does_not_depend_on_them(self, seconds_behind):
+        """Guards against jobs that count as hopeless from the start.
+
+        They came last in their pool, and their pool asked for fewer VMs.
+        """
+        clock = ManualClock(100.0)
+
+        class FeedTable(FakeTable):
+            async def follow(self, table, after_version, wait_seconds):
+                clock.advance(0.5)
+                job = make_job("00000000000000b3")
+                accepted_at = time.time() - seconds_behind
+                row = job_to_row(job._replace(accepted_at=accepted_at))
+                if after_version < 10:
+                    return Changes([], 10)
+                return Changes([Row(job_key(job.job_id), 11, row)], 11)
+
+        async def run() -> float:
+            ports = OwnerPorts(FeedTable(), None, None, None, clock, Metrics())
+            claim = Claim(1, 100.0, None, False)
+            owner = FleetOwner(ports, make_configuration(), claim, BOUNDS, 10.0)
+            await owner._load()
+            await owner._follow_jobs()
+            await owner._follow_jobs()
+            record = owner._session.dispatcher.job_by_id["00000000000000b3"]
+            return clock.now() - record.accepted_at
+
+        assert 0.0 <= asyncio.run(run()) <= 1.0 + ACCEPT_SECONDS
