Let connections to far peers take longer than 0.4 s

A connection needs a round trip. To a peer that is 0.4 s away and more, each attempt ended at CONNECT_TIMEOUT_SECONDS, so a daemon never reached the store, nor a worker, on a network of that latency.

From the eighth attempt in a row without a connection on, the timeout of this peer doubles up to 2 s. It stays until an answer arrives within 0.4 s. A VM that is off for a move or an upkeep is back before eight attempts, so nothing changes for it.

Evidence: test_connect_timeouts.py, whose test of a far peer fails with a fixed timeout.

--- a/catkinport/platform/client.py
+++ b/catkinport/platform/client.py
@@ -10,10 +10,7 @@
 
 from ..ports import Reason, Unavailable
 from ..runtime import Metrics
-
-CONNECT_TIMEOUT_SECONDS = 0.4
-"""Longest wait for a connection. A VM that is off does not refuse a connection, so only
-this limit ends the attempt."""
+from .connect_timeouts import ConnectTimeouts
 
 MAX_CONNECTIONS_PER_PEER = 6
 """Most connections to one worker or VM interface, of which a long poll takes one. A
@@ -63,6 +60,7 @@
         self._metrics = metrics
         self._max_connections_per_peer = max_connections_per_peer
         self._session: aiohttp.ClientSession | None = None
+        self._connect_timeouts = ConnectTimeouts()
 
     async def open(self) -> None:
         """Create the connection pool; needs a running loop."""
@@ -162,7 +160,7 @@
         sent_at = clock()
         # The deadline below covers the wait for a free connection and for the answer.
         timeout = aiohttp.ClientTimeout(
-            total=None, sock_connect=CONNECT_TIMEOUT_SECONDS
+            total=None, sock_connect=self._connect_timeouts.seconds(peer)
         )
         content = bytearray()
         wait_seconds: float | None = None
@@ -180,11 +178,14 @@
                 ) as response,
             ):
                 wait_seconds = clock() - sent_at
+                self._connect_timeouts.on_answer(peer, wait_seconds)
                 async for chunk in response.content.iter_any():
                     content += chunk
                     if not is_size_bounded:
                         deadline.reschedule(clock() + STALL_SECONDS)
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
+            if isinstance(error, aiohttp.ConnectionTimeoutError):
+                self._connect_timeouts.on_timeout(peer)
             return Unavailable(Reason.CONNECT_FAILED, step, peer, str(error))
         except TimeoutError:
             detail = f"no answer in {timeout_seconds} s"
