Count the hold of a former owner's VMs from the answer to the claim

A new owner leaves the VMs that its predecessor ordered lately alone for the time that orders of two owners must be apart. It counted from the first sending of its claim, which may be repeated and take two timeouts of up to 3 s: the hold was over, or nearly, when the claim was carried out. The answer is later than that in any case, by one round trip on a store that answers.

Evidence: TestLateClaim, failed before.

--- a/catkinport/jobs/ownership/owner.py
+++ b/catkinport/jobs/ownership/owner.py
@@ -98,7 +98,8 @@
         )
         self._removed_queues = RemovedQueues(self._session)
         self._run_orders = RunOrders(self._session, self._watch)
-        held_until = claim.sent_at + bounds.order_gap
+        # A claim that was repeated may have been carried out just before its answer.
+        held_until = ports.clock.now() + bounds.order_gap
         self._vm_orders = VmOrders(self._session, self._vm_planner, held_until)
         self._job_rows = JobRows(dispatcher, self._vm_planner.mover)
         self._snapshot_by_table: dict[str, Snapshot] = {}
--- a/catkinport/jobs/tests/test_owner_load.py
+++ b/catkinport/jobs/tests/test_owner_load.py
@@ -38,11 +38,16 @@
         return Snapshot([], 1)
 
 
+def make_owner(table: FailingTable, now: float = 100.0) -> FleetOwner:
+    """Return the owner at clock time ``now``, by a claim that was sent at 100."""
+    ports = OwnerPorts(table, None, None, None, ManualClock(now), Metrics())
+    claim = Claim(1, 100.0, None, False)
+    return FleetOwner(ports, make_configuration(), claim, BOUNDS, LONGEST_LEASE)
+
+
 def load(table: FailingTable) -> int:
     """Load the state; return the number of attempts."""
-    ports = OwnerPorts(table, None, None, None, ManualClock(100.0), Metrics())
-    claim = Claim(1, 100.0, None, False)
-    owner = FleetOwner(ports, make_configuration(), claim, BOUNDS, LONGEST_LEASE)
+    owner = make_owner(table)
 
     async def run() -> int:
         n_attempts = 1
@@ -72,3 +77,14 @@
         table = FailingTable()
         load(table)
         assert table.max_in_flight == 4
+
+
+class TestLateClaim:
+    def test_vms_of_the_former_owner_are_left_alone_from_the_answer_on(self):
+        """Guards against two owners that order one VM within a short time.
+
+        The first attempt of the claim was lost. The second one was carried out when the
+        time that counted from the first one was over.
+        """
+        owner = make_owner(FailingTable(), now=103.5)
+        assert owner._vm_orders._held_until >= 103.5 + BOUNDS.order_gap
