--- a/soak/conditions.py
+++ b/soak/conditions.py
@@ -96,13 +96,17 @@
 
 @register
 def owner_killed(environment: SoakEnvironment, strength: float) -> Callable[[], None]:
-    """Kill the owner every ``strength`` seconds, and start it again at once."""
+    """Kill the owner every ``strength`` seconds; it starts again at the next kill.
+
+    So another daemon takes over each time.
+    """
 
     def kill() -> None:
+        environment.restart_ended()
         owner = environment.deployment.find_owner()
         if owner is not None and owner.process.is_running:
             owner.process.kill()
-            environment.start_daemon(owner.name)
+            environment.request_restart(owner)
 
     return _repeat(strength, kill)
 
