--- a/catkinport/policy/tests/test_takeover_time.py
+++ b/catkinport/policy/tests/test_takeover_time.py
@@ -3,6 +3,7 @@
 import pytest
 
 from ..leadership import (
+    CLOCK_ERROR,
     HEARTBEAT_SECONDS,
     MAX_TAKEOVER_SECONDS,
     STOP_RENEWING_SECONDS,
@@ -110,6 +111,18 @@
         assert TakeoverTime(2.0).end(0.0, 1.0) == TAKEOVER_SECONDS
 
 
+class TestSteadyClocks:
+    @pytest.mark.parametrize("stated", [TAKEOVER_SECONDS, 2.0, MAX_TAKEOVER_SECONDS])
+    def test_an_owner_with_a_slow_clock_is_in_doubt_before_a_takeover(self, stated):
+        """Guards against an owner and a successor that order the same VM.
+
+        The owner's clock is 2% slow, and that of the successor 2% fast.
+        """
+        taken_over_at = stated / (1 + CLOCK_ERROR)
+        lease = OwnLease(5, 0.0, stated)
+        assert lease.may_be_replaced(taken_over_at * (1 - CLOCK_ERROR))
+
+
 class TestLimits:
     @pytest.mark.parametrize(
         ("value", "seconds"),
