--- a/soak/conditions.py
+++ b/soak/conditions.py
@@ -16,8 +16,9 @@
 STARVING_PERIOD_SECONDS = 0.05
 """Time from one pause of a starved process to its next one."""
 
-OWNER_PAUSE_SECONDS = 2.5
-"""How long an owner is paused, which is long enough for it to be replaced."""
+OWNER_PAUSE_SECONDS = 4.0
+"""How long an owner is paused, which is long enough for it to be replaced where the
+store takes up to half a second for an answer."""
 
 Condition = Callable[[SoakEnvironment, float], Callable[[], None] | None]
 """Begins a condition of the given strength; returns what ends it, ``None`` if nothing
