Return all rows of the conditions in a conflict of the stand-in's store

In a play with paused owners, each pause ended the ownership ("ownership lost", write-conflict) though no other daemon had claimed it. The store's documentation says that a 412 holds the current rows of all conditions. The stand-in left out those that matched, so the client took the owner's row for absent whenever a late write of the owner conflicted on another row. Only trials were concerned.

Evidence: TestConflict, failed before (the owner's row had version 0).

--- a/catkinport/platform/standin/store_server.py
+++ b/catkinport/platform/standin/store_server.py
@@ -114,8 +114,8 @@
         if is_lost:
             await asyncio.sleep(SILENCE_SECONDS)
         if version is None:
-            conflicts = self.rows.find_conflicts(expected)
-            existing = [encode_row(r) for r in conflicts if r.value is not None]
+            current = [self.rows.get(key) for key in expected]
+            existing = [encode_row(row) for row in current if row is not None]
             return web.json_response(
                 {**self._common_fields(), "rows": existing}, status=412
             )
