Count a shorter stated time from the sending of its renewal

While the store becomes faster, each renewal states less than the one before. One that is stored without an answer lets successors claim earlier, and the owner went by the longer time of the one before. The shorter time holds from the sending on.

Evidence: test_a_renewal_without_an_answer_shortens_the_time_at_once, failed before; catkinport/jobs passes.

--- a/catkinport/jobs/ownership/session.py
+++ b/catkinport/jobs/ownership/session.py
@@ -139,7 +139,10 @@
     def note_renewal_sent(self, sent_at: float) -> None:
         """Record that a renewal is sent, which states `takeover_seconds`."""
         self.renewal_sent_at = sent_at
-        self._takeover_time.begin(sent_at)
+        stated_seconds = self._takeover_time.begin(sent_at)
+        self.lease = self.lease._replace(
+            takeover_seconds=min(self.lease.takeover_seconds, stated_seconds)
+        )
 
     def note_renewed(self, sent_at: float) -> None:
         """Record that a renewal sent at clock time ``sent_at`` is stored."""
--- a/catkinport/jobs/tests/test_ownership_watch.py
+++ b/catkinport/jobs/tests/test_ownership_watch.py
@@ -288,6 +288,27 @@
             clock.advance(HEARTBEAT_SECONDS)
         assert not owner._session.lease.may_be_replaced(clock.now() + seconds)
 
+    def test_a_renewal_without_an_answer_shortens_the_time_at_once(self):
+        """Guards against an owner that orders VMs beside its successor.
+
+        Its last renewal was stored and stated less than the one before, but the owner
+        did not learn of it.
+        """
+        daemons = Daemons()
+        clock = daemons.clock
+        lease = OwnLease(1, clock.now(), 6.0)
+        ports = SimpleNamespace(table=None, clock=clock)
+        session = OwnerSession(ports, Dispatcher(make_configuration()), lease)
+        for _ in range(12):
+            sent_at = clock.now()
+            session.note_renewal_sent(sent_at)
+            clock.advance(0.01)
+            session.note_renewed(sent_at)
+            clock.advance(0.3)
+            before = session.takeover_seconds
+            session.note_renewal_sent(clock.now())
+            assert session.lease.takeover_seconds <= before
+
 
 class TestWaitingJobs:
     """Numbers of waiting jobs around a change of the owner."""
--- a/catkinport/policy/takeover_time.py
+++ b/catkinport/policy/takeover_time.py
@@ -52,13 +52,11 @@
         stated_seconds: time that the next renewal states.
 
     Example:
-        >>> takeover = TakeoverTime(0.01)
+        >>> takeover = TakeoverTime(0.8)
         >>> takeover.begin(10.0)
+        4.0
         >>> takeover.end(10.0, 10.8)
-        1.2
-        >>> takeover.begin(11.1)
-        >>> takeover.end(11.1, 11.9) == takeover.stated_seconds
-        False
+        4.0
     """
 
     def __init__(self, latency_seconds: float) -> None:
@@ -73,9 +71,15 @@
         """Time that the next renewal states."""
         return self._seconds.seconds
 
-    def begin(self, sent_at: float) -> None:
-        """Record that a renewal is sent, which states `stated_seconds`."""
+    def begin(self, sent_at: float) -> float:
+        """Record that a renewal is sent, which states `stated_seconds`.
+
+        Returns:
+            That time. It may hold from now on, as the renewal may be stored without an
+            answer.
+        """
         self._renewals.append(_Renewal(sent_at, self.stated_seconds))
+        return self.stated_seconds
 
     def end(self, sent_at: float, now: float) -> float:
         """Record that the renewal sent at ``sent_at`` is stored.
