Merge the adaptation to far stores and clocks that are apart

Beside the merge: workers of the roster are polled once all jobs and their states are known. Since jobs are loaded in slices, a report could come between two of them; its runs and ends counted as those of unknown jobs, and the ends would have been acknowledged. test_no_worker_reports_before_all_states_are_known fails without it.

--- a/catkinport/jobs/ownership/owner.py
+++ b/catkinport/jobs/ownership/owner.py
@@ -19,6 +19,11 @@
 from ...ports.async_table import Changes, HistoryLost, Snapshot
 from ...ports.table import Committed, Conflict, Transaction
 from ...runtime import Metrics
+from ...runtime.collector_pauses import (
+    collector_stopped,
+    exempt_living_objects,
+    visit_all_objects,
+)
 from ...runtime.logs import log_event
 from ...runtime.loop_lag import LoopLag
 from ...runtime.loop_slices import iterate_in_slices
@@ -45,6 +50,10 @@
 JOB_FEED_PAUSE_SECONDS = 0.02
 """Pause between such calls, so that jobs that arrive together are read together."""
 
+ACCEPT_SECONDS = 1.0
+"""Time from the acceptance of a job to the write of its row, other than after faults.
+"""
+
 UNANSWERED_HEARTBEAT_SECONDS = 2 * HEARTBEAT_SECONDS
 """Time after which a renewal without an answer is followed by another one. Renewals
 that follow sooner would fill the queue of a slow table service."""
@@ -85,7 +94,7 @@
         lag: LoopLag | None = None,
         is_on_small_vm: bool = False,
     ) -> None:
-        lease = OwnLease(claim.token, claim.sent_at)
+        lease = OwnLease(claim.token, claim.sent_at, claim.takeover_seconds)
         dispatcher = Dispatcher(configuration, ports.metrics, longest_lease)
         self._session = OwnerSession(ports, dispatcher, lease)
         self._vm_planner = VmPlanner(dispatcher, bounds)
@@ -95,10 +104,16 @@
         )
         self._removed_queues = RemovedQueues(self._session)
         self._run_orders = RunOrders(self._session, self._watch)
-        held_until = claim.sent_at + bounds.order_gap
+        # A claim that was repeated may have been carried out just before its answer.
+        held_until = ports.clock.now() + bounds.order_gap
         self._vm_orders = VmOrders(self._session, self._vm_planner, held_until)
         self._job_rows = JobRows(dispatcher, self._vm_planner.mover)
+        self._snapshot_by_table: dict[str, Snapshot] = {}
+        self._are_removed_queues_loaded = False
         self._job_feed_version = 0
+        # All rows up to that version were read by a call sent at this clock time.
+        self._jobs_read_at = claim.sent_at
+        self._feed_sent_at = claim.sent_at
         self._read_version_by_key: dict[str, int] = {}
         self._lag = lag or LoopLag(Metrics())
         self._overload = OverloadWatch()
@@ -152,6 +167,7 @@
             for waiter in waiters:
                 waiter.cancel()
             await self._session.end()
+            visit_all_objects()
         is_deposed = self._session.deposed.is_set()
         if not is_deposed:
             await self._release()
@@ -175,6 +191,7 @@
     async def _load_and_run(self) -> None:
         while not await self._load():
             await asyncio.sleep(RETRY_SECONDS)
+        exempt_living_objects()
         for loop in (
             self._job_feed_loop(),
             self._store.run(),
@@ -201,8 +218,8 @@
 
     async def _renew(self, is_released: bool = False) -> None:
         sent_at = self._session.clock.now()
-        self._session.renewal_sent_at = sent_at
         write = heartbeat_write(self._session, sent_at, is_released)
+        self._session.note_renewal_sent(sent_at)
         transaction = Transaction([self._session.owner_condition()], [write])
         outcome = await self._session.table.commit(transaction)
         if isinstance(outcome, Committed):
@@ -240,24 +257,37 @@
             log_event(logger, "ownership not released", token=self._session.lease.token)
 
     async def _load(self) -> bool:
+        """Load the state; return whether all of it was read.
+
+        Only this owner can write the states and the roster, and the feed continues
+        after the read of the jobs, so the tables are read at once and what was read
+        stays valid after a failure.
+        """
         started_at = self._session.clock.now()
-        snapshots = []
-        for table in (JOBS_TABLE, STATES_TABLE, ROSTER_TABLE):
-            outcome = await self._session.table.read_range(table)
-            if isinstance(outcome, Unavailable):
-                log_event(
-                    logger,
-                    "state not loaded",
-                    table=table,
-                    reason=outcome.reason,
-                    detail=outcome.detail,
-                )
-                return False
-            snapshots.append(outcome)
-        jobs, states, roster = snapshots
-        if not await self._removed_queues.load():
-            log_event(logger, "removed queues not loaded")
+        tables = (JOBS_TABLE, STATES_TABLE, ROSTER_TABLE)
+        reads = [self._read_once(table) for table in tables]
+        *_, is_queue_read = await asyncio.gather(*reads, self._load_removed_queues())
+        if not is_queue_read or not self._snapshot_by_table.keys() >= set(tables):
             return False
+        jobs, states, roster = map(self._snapshot_by_table.pop, tables)
+        with collector_stopped():
+            await self._restore(jobs, states, roster)
+        # A report before would name runs of jobs that are not known yet.
+        self._watch.poll_all()
+        log_event(
+            logger,
+            "state loaded",
+            n_jobs=len(self._session.dispatcher.job_by_id),
+            n_workers=len(self._session.dispatcher.unresolved_by_id),
+            version=jobs.version,
+            seconds=round(self._session.clock.now() - started_at, 3),
+        )
+        return True
+
+    async def _restore(
+        self, jobs: Snapshot, states: Snapshot, roster: Snapshot
+    ) -> None:
+        """Restore the state from its rows, in slices between which others run."""
         self._note_jobs_read(jobs)
         finished_ids = find_finished_ids(states)
         self._store.note_read(
@@ -279,29 +309,48 @@
         self._session.dispatcher.finish_closing_jobs()
         # A renewal before would tell too few waiting jobs.
         self._session.loaded_at = now
+
+    async def _read_once(self, table: str) -> None:
+        """Read a table, unless an earlier attempt to load the state has read it."""
+        if table in self._snapshot_by_table:
+            return
+        outcome = await self._session.table.read_range(table)
+        if not isinstance(outcome, Unavailable):
+            self._snapshot_by_table[table] = outcome
+            return
         log_event(
             logger,
-            "state loaded",
-            n_jobs=len(self._session.dispatcher.job_by_id),
-            n_workers=len(self._session.dispatcher.unresolved_by_id),
-            version=jobs.version,
-            seconds=round(now - started_at, 3),
+            "state not loaded",
+            table=table,
+            reason=outcome.reason,
+            detail=outcome.detail,
         )
-        return True
+
+    async def _load_removed_queues(self) -> bool:
+        if not self._are_removed_queues_loaded:
+            self._are_removed_queues_loaded = await self._removed_queues.load()
+        if not self._are_removed_queues_loaded:
+            log_event(logger, "removed queues not loaded")
+        return self._are_removed_queues_loaded
 
     async def _job_feed_loop(self) -> None:
         while True:
-            outcome = await self._session.table.follow(
-                JOBS_TABLE, self._job_feed_version, JOB_FEED_WAIT_SECONDS
-            )
-            if isinstance(outcome, Changes):
-                self._apply_changes(outcome)
-                await asyncio.sleep(JOB_FEED_PAUSE_SECONDS)
-            elif isinstance(outcome, HistoryLost):
-                await self._reread_jobs()
-            else:
-                log_event(logger, "job feed interrupted", reason=outcome.reason)
-                await asyncio.sleep(RETRY_SECONDS)
+            await self._follow_jobs()
+
+    async def _follow_jobs(self) -> None:
+        """Wait for the next changes of the table of jobs, and apply them."""
+        self._feed_sent_at = self._session.clock.now()
+        outcome = await self._session.table.follow(
+            JOBS_TABLE, self._job_feed_version, JOB_FEED_WAIT_SECONDS
+        )
+        if isinstance(outcome, Changes):
+            self._apply_changes(outcome)
+            await asyncio.sleep(JOB_FEED_PAUSE_SECONDS)
+        elif isinstance(outcome, HistoryLost):
+            await self._reread_jobs()
+        else:
+            log_event(logger, "job feed interrupted", reason=outcome.reason)
+            await asyncio.sleep(RETRY_SECONDS)
 
     def _note_jobs_read(self, jobs: Snapshot) -> None:
         """Let the feed continue after a read of all jobs.
@@ -319,10 +368,12 @@
 
     def _apply_changes(self, changes: Changes) -> None:
         now = self._session.clock.now()
+        max_age_seconds = now - self._jobs_read_at + ACCEPT_SECONDS
         for row in changes.rows:
             if row.version > self._read_version_by_key.get(row.row_key.key, 0):
-                self._job_rows.apply(row, now, False, set())
+                self._job_rows.apply(row, now, False, set(), max_age_seconds)
         self._job_feed_version = changes.version
+        self._jobs_read_at = self._feed_sent_at
         if changes.rows:
             self._session.wake.set()
 
--- a/catkinport/jobs/ownership/worker_watch.py
+++ b/catkinport/jobs/ownership/worker_watch.py
@@ -94,6 +94,10 @@
             worker.vm_id = entry.get("vm", "")
             self._session.dispatcher.worker_by_id[worker_id] = worker
             self._session.dispatcher.unresolved_by_id[worker_id] = pool
+
+    def poll_all(self) -> None:
+        """Begin to poll the workers that are known and not polled yet."""
+        for worker_id in list(self._session.dispatcher.worker_by_id):
             self._start_polling(worker_id)
 
     async def run(self) -> None:
@@ -114,8 +118,7 @@
         now = self._session.clock.now()
         self._session.dispatcher.update_workers(listed, sent_at, now)
         self._resolve_unreached_workers(now)
-        for worker_id in list(self._session.dispatcher.worker_by_id):
-            self._start_polling(worker_id)
+        self.poll_all()
         await self._store_roster()
         self._session.wake.set()
 
--- a/catkinport/jobs/tests/test_large_jobs.py
+++ b/catkinport/jobs/tests/test_large_jobs.py
@@ -12,9 +12,17 @@
 from ..dispatch.record import JobRecord
 from ..model import job_to_row
 from ..placement.round_budget import MAX_STARTS_PER_JOB
-from ..tables import JOBS_TABLE, STATES_TABLE, job_key, state_key
+from ..tables import (
+    JOBS_TABLE,
+    ROSTER_TABLE,
+    STATES_TABLE,
+    job_key,
+    roster_key,
+    state_key,
+)
 from ..vms.pool_demand import measure_demand
 from .builders import Fleet, make_configuration, make_job, make_step, make_worker
+from .late_table import SilentWorkers
 from .test_job_feed import FakeTable, make_owner
 
 N_TASKS = 8000
@@ -180,11 +188,7 @@
     N_JOBS = 60
     N_TASKS = 4000
 
-    def test_it_leaves_the_loop_to_the_renewals(self):
-        """Guards against a new owner that is replaced while it loads large jobs.
-
-        The next one would load the same jobs, and be replaced as well.
-        """
+    def _make_table(self):
         table = FakeTable()
         table.rows_by_table = {JOBS_TABLE: [], STATES_TABLE: []}
         for number in range(self.N_JOBS):
@@ -198,9 +202,46 @@
             state_row = Row(state_key(job.job_id), 2, record.to_row())
             table.rows_by_table[JOBS_TABLE].append(job_row)
             table.rows_by_table[STATES_TABLE].append(state_row)
+        return table
 
-        async def load() -> float:
+    def test_no_worker_reports_before_all_states_are_known(self):
+        """Guards against runs of a former owner that are stopped or start again.
+
+        The report of a worker names runs and ends of jobs; those of unknown jobs are
+        dropped, and their ends would be acknowledged all the same.
+        """
+        table = self._make_table()
+        entry = {
+            "address": "h:1",
+            "zone": "z",
+            "capacity": [4.0, 8.0, 0],
+            "labels": [],
+        }
+        roster_row = Row(roster_key("renders"), 1, {"workers": {"w1": entry}})
+        table.rows_by_table[ROSTER_TABLE] = [roster_row]
+
+        async def load() -> list[int]:
             owner = make_owner(table)
+            workers = CountingWorkers(owner._session.dispatcher)
+            ports = owner._session.ports._replace(workers=workers)
+            owner._session.ports = ports
+            assert await owner._load()
+            await asyncio.sleep(0.05)
+            owner._session.cancel_all()
+            return workers.n_known_at_poll
+
+        n_known_at_poll = asyncio.run(load())
+        assert n_known_at_poll
+        assert min(n_known_at_poll) == self.N_JOBS
+
+    def test_it_leaves_the_loop_to_the_renewals(self):
+        """Guards against a new owner that is replaced while it loads large jobs.
+
+        The next one would load the same jobs, and be replaced as well.
+        """
+
+        async def load() -> float:
+            owner = make_owner(self._make_table())
             watch = asyncio.ensure_future(find_longest_gap())
             await asyncio.sleep(0)
             assert await owner._load()
@@ -211,6 +252,19 @@
         assert asyncio.run(load()) < MAX_OWNER_LAG_SECONDS
 
 
+class CountingWorkers(SilentWorkers):
+    """Workers that answer nothing, and count the states that are known at each poll."""
+
+    def __init__(self, dispatcher):
+        self.n_known_at_poll = []
+        self._dispatcher = dispatcher
+
+    async def renew_lease(self, worker, *arguments):
+        records = self._dispatcher.job_by_id.values()
+        self.n_known_at_poll.append(sum(record.row_version > 0 for record in records))
+        return await super().renew_lease(worker, *arguments)
+
+
 async def find_longest_gap() -> float:
     """Return the longest processor time between two turns, until it is canceled."""
     longest = 0.0
--- a/catkinport/platform/table.py
+++ b/catkinport/platform/table.py
@@ -26,7 +26,15 @@
 from .client import PlatformClient, Reply
 
 READ_TIMEOUT_SECONDS = 1.0
-"""Longest wait for the answer to a read to begin, which takes 4 ms without faults."""
+"""Lower bound of the wait for the answer to a read to begin, which takes 4 ms without
+faults."""
+
+MAX_READ_TIMEOUT_SECONDS = 4.0
+"""Upper bound of the wait for the answer to a read to begin, and of the wait for the
+answer of a feed beyond the requested one."""
+
+LATENCY_FACTOR = 3.0
+"""Timeout of reads and feeds as a multiple of the average time of an answer."""
 
 MAX_TABLE_CONNECTIONS = 32
 """Most connections of a daemon to the store. Feeds and reads of whole tables take about
@@ -42,8 +50,8 @@
 each takes 0.3 s on a store that is fifty times slower than usual."""
 
 FOLLOW_TIMEOUT_MARGIN_SECONDS = 0.7
-"""How much later than after the requested wait the answer of a feed may begin. A store
-that has stopped answering is detected after it."""
+"""Lower bound of how much later than after the requested wait the answer of a feed may
+begin. A store that has stopped answering is detected after it."""
 
 OWNER_PART = "fleet"
 """The one part of all rows that an owner writes, as a transaction covers one part."""
@@ -65,6 +73,14 @@
 all 16 would wait behind each other for longer than a read may pause, and so would the
 answers to renewals of the ownership."""
 
+MAX_FAR_SHARD_READS = 16
+"""Most parts of a sharded table that are read at once from a store that is far away,
+where one round after the other would take seconds: all of them."""
+
+FAR_LATENCY_SECONDS = 0.3
+"""Average time of an answer, before the reads fill the link, from which on a store is
+far away."""
+
 SHARD_READ_ATTEMPTS = 3
 """Attempts to read one part before the whole table counts as not read."""
 
@@ -86,10 +102,21 @@
     def __init__(self, client: PlatformClient, address: str) -> None:
         self._client = client
         self._address = address
-        self._shard_reads = asyncio.Semaphore(MAX_SHARD_READS)
         self._commit_timeout = AdaptiveTimeout(
             MIN_COMMIT_TIMEOUT_SECONDS, MAX_COMMIT_TIMEOUT_SECONDS
         )
+        self._read_timeout = AdaptiveTimeout(
+            READ_TIMEOUT_SECONDS, MAX_READ_TIMEOUT_SECONDS, LATENCY_FACTOR
+        )
+        self._follow_margin = AdaptiveTimeout(
+            FOLLOW_TIMEOUT_MARGIN_SECONDS, MAX_READ_TIMEOUT_SECONDS, LATENCY_FACTOR
+        )
+
+    def _note_latency(self, seconds: float) -> None:
+        """Record the time that the store took for an answer without waiting."""
+        self._commit_timeout.on_answer(seconds)
+        self._read_timeout.on_answer(seconds)
+        self._follow_margin.on_answer(seconds)
 
     async def read_range(
         self, table: str, start: str = "", end: str = ""
@@ -104,8 +131,10 @@
         return await self._read_part(table, _part_of(RowKey(table, start)), start, end)
 
     async def _read_sharded(self, table: str) -> Snapshot | Unavailable:
+        is_far = self._read_timeout.average_seconds >= FAR_LATENCY_SECONDS
+        turns = asyncio.Semaphore(MAX_FAR_SHARD_READS if is_far else MAX_SHARD_READS)
         reads = [
-            self._read_shard(table, _part_of(RowKey(table, character)))
+            self._read_shard(table, _part_of(RowKey(table, character)), turns)
             for character in SHARD_CHARACTERS
         ]
         rows: list[Row] = []
@@ -117,9 +146,11 @@
             versions.append(snapshot.version)
         return Snapshot(rows, min(versions))
 
-    async def _read_shard(self, table: str, part: str) -> Snapshot | Unavailable:
+    async def _read_shard(
+        self, table: str, part: str, turns: asyncio.Semaphore
+    ) -> Snapshot | Unavailable:
         """Read a part among others; after a failure only this part is read again."""
-        async with self._shard_reads:
+        async with turns:
             for _ in range(SHARD_READ_ATTEMPTS):
                 outcome = await self._read_part(table, part, "", "")
                 if not isinstance(outcome, Unavailable):
@@ -135,19 +166,22 @@
             query = {"Table": table, "part": part, "From": start}
             if end:
                 query["To"] = end
+            timeout_seconds = self._read_timeout.seconds
             reply = await self._client.call(
                 "table-read",
                 "GET",
                 self._address,
                 "/rows-get",
-                READ_TIMEOUT_SECONDS,
+                timeout_seconds,
                 None,
                 query,
                 is_size_bounded=False,
             )
             if isinstance(reply, Unavailable):
+                if reply.reason is Reason.TIMEOUT:
+                    self._read_timeout.on_timeout(timeout_seconds)
                 return reply
-            self._commit_timeout.on_answer(reply.wait_seconds)
+            self._note_latency(reply.wait_seconds)
             if reply.status != 200:
                 return self._unexpected_status("table-read", reply)
             try:
@@ -215,17 +249,20 @@
             "After": str(after_version),
             "WaitMs": str(int(wait_seconds * 1000)),
         }
+        margin_seconds = self._follow_margin.seconds
         reply = await self._client.call(
             "table-follow",
             "GET",
             self._address,
             "/rows-feed",
-            max(wait_seconds + FOLLOW_TIMEOUT_MARGIN_SECONDS, READ_TIMEOUT_SECONDS),
+            max(wait_seconds + margin_seconds, READ_TIMEOUT_SECONDS),
             None,
             query,
             is_size_bounded=False,
         )
         if isinstance(reply, Unavailable):
+            if reply.reason is Reason.TIMEOUT:
+                self._follow_margin.on_timeout(margin_seconds)
             return reply
         if reply.status == 410:
             return HistoryLost()
@@ -237,7 +274,7 @@
             return self._malformed_answer("table-follow", error)
         if not page.rows:
             # The store answers without changes only after ``wait_seconds``.
-            self._commit_timeout.on_answer(max(0.0, reply.wait_seconds - wait_seconds))
+            self._note_latency(max(0.0, reply.wait_seconds - wait_seconds))
         return Changes(page.rows, page.version)
 
     def _decode_conflict(self, transaction: Transaction, body: Any) -> Conflict:
--- a/soak/conditions.py
+++ b/soak/conditions.py
@@ -17,6 +17,10 @@
 STARVING_PERIOD_SECONDS = 0.05
 """Time from one pause of a starved process to its next one."""
 
+OWNER_PAUSE_SECONDS = 4.0
+"""How long an owner is paused, which is long enough for it to be replaced where the
+store takes up to half a second for an answer."""
+
 Condition = Callable[[SoakEnvironment, float], Callable[[], None] | None]
 """Begins a condition of the given strength; returns what ends it, ``None`` if nothing
 has to be ended before the processes are."""
@@ -123,6 +127,38 @@
     return _repeat(silence, strength)
 
 
+@register
+def owner_killed(environment: SoakEnvironment, strength: float) -> Callable[[], None]:
+    """Kill the owner every ``strength`` seconds; it starts again at the next kill.
+
+    So another daemon takes over each time.
+    """
+
+    def kill() -> None:
+        environment.restart_ended()
+        owner = environment.deployment.find_owner()
+        if owner is not None and owner.process.is_running:
+            owner.process.kill()
+            environment.request_restart(owner)
+
+    return _repeat(kill, strength)
+
+
+@register
+def owner_paused(environment: SoakEnvironment, strength: float) -> Callable[[], None]:
+    """Pause the owner for `OWNER_PAUSE_SECONDS` every ``strength`` seconds."""
+
+    def pause() -> None:
+        owner = environment.deployment.find_owner()
+        if owner is None:
+            return
+        owner.process.send_signal(signal.SIGSTOP)
+        time.sleep(OWNER_PAUSE_SECONDS)
+        owner.process.resume()
+
+    return _repeat(pause, strength)
+
+
 @register
 def machine_busy(environment: SoakEnvironment, strength: float) -> Callable[[], None]:
     """Run ``strength`` processes that do nothing but use a processor."""
