Give drained VMs back when the budget of a step stays used up

Cause: the one task of a step that may be unavailable fits on no VM. The wave went on draining VMs with tasks of that step, and nothing gave them back.

Change: a task that has been unavailable for 5 s is not expected back. While such tasks use up the budget of a step, VMs with others of its tasks are not drained, and drained ones get tasks. The wave goes on once the budget is back.

--- a/catkinport/jobs/tests/test_vm_order_histories.py
+++ b/catkinport/jobs/tests/test_vm_order_histories.py
@@ -51,11 +51,15 @@
 class WaveHistory:
     """A fleet with a wave of upkeep, and the platform that carries its orders out.
 
+    Args:
+        seed: seed of the faults and delays.
+        has_wave: whether there is a wave, and random faults for a time.
+
     Attributes:
         violations: what the platform has seen beyond the limits.
     """
 
-    def __init__(self, seed: int) -> None:
+    def __init__(self, seed: int, has_wave: bool = True) -> None:
         self._rng = random.Random(seed)
         self.fleet = VmFleet(N_VMS)
         step = make_step(N_VMS, is_lasting=True, max_per_worker=1, max_away=MAX_AWAY)
@@ -73,6 +77,8 @@
         self._n_workers = N_VMS
         self._faults_until = float("-inf")
         self.play(3.0)
+        if not has_wave:
+            return
         self._faults_until = self.fleet.now + FAULT_SECONDS
         self.fleet.request_wave([f"m{n}" for n in range(N_VMS)], MAX_DOWN)
 
@@ -92,6 +98,15 @@
             self._advance_tasks()
             self._run_owner()
 
+    def crash_next_start(self, vm_id: str) -> None:
+        """Wait until a run has started on a VM, then crash it at once."""
+        for _ in range(round(CALM_SECONDS / STEP_SECONDS)):
+            if self.fleet.running_by_worker.get(self._vm(vm_id).worker_id):
+                break
+            self.play(STEP_SECONDS)
+        self.play(STEP_SECONDS)
+        self._take_down(vm_id, VmState.DOWN, 1.0)
+
     def count_starts(self, job_id: str) -> int:
         """Return how many runs of a job are at work."""
         runs = self.fleet.running_by_worker.values()
@@ -275,6 +290,15 @@
         raises=JobGivenUpError,
         reason="a lasting job fails after two worker crashes (issue 35)",
     )
-    def test_job_survives_two_crashes_of_one_vm(self):
-        """Guards against a lasting job that is given up without a failed run."""
-        check_history(1287)
+    def test_job_survives_crashes_of_one_vm(self):
+        """Guards against a lasting job that is given up without a failed run.
+
+        The worker of the second crash ends before the list of VMs has named it, so its
+        VM counts as another one.
+        """
+        history = WaveHistory(1, has_wave=False)
+        for _ in range(3):
+            history.crash_next_start("m0")
+        history.play(5.0)
+        if history.fleet.states()[JOB_ID] == "failed":
+            raise JobGivenUpError(f"job {JOB_ID} failed after three crashes of a VM")
--- a/catkinport/jobs/vms/disruption_budget.py
+++ b/catkinport/jobs/vms/disruption_budget.py
@@ -4,10 +4,10 @@
 step, at most `max_away` tasks may be unavailable at once.
 """
 
-from collections.abc import Iterable, Set
+from collections.abc import Iterable, Iterator, Set
 
 from ..dispatch.dispatcher import Dispatcher
-from ..dispatch.task import TaskPhase
+from ..dispatch.task import Task, TaskPhase
 from ..workers.run import Run
 from ..workers.worker_state import WorkerRecord
 from .vm_inventory import VmInventory
@@ -15,6 +15,11 @@
 Stage = tuple[str, int, int]
 """Job id, occurrence and number of a step."""
 
+MAX_RETURN_SECONDS = 5.0
+"""A task that is unavailable for longer than this, like one that fits on no VM, is not
+expected back. Tasks that move for an upkeep are available again within three seconds.
+"""
+
 
 class DisruptionBudget:
     """Decides which lasting tasks may be ended now without exceeding `max_away`.
@@ -27,6 +32,26 @@
     def __init__(self, dispatcher: Dispatcher, inventory: VmInventory) -> None:
         self._dispatcher = dispatcher
         self._inventory = inventory
+        self._unavailable_since_by_task: dict[str, float] = {}
+
+    def update(self, now: float) -> None:
+        """Update since when each lasting task has been unavailable."""
+        since_by_task = self._unavailable_since_by_task
+        self._unavailable_since_by_task = {
+            task.text: since_by_task.get(task.text, now)
+            for task in self._lasting_tasks()
+            if not self._is_task_available(task.text)
+        }
+
+    def is_exhausted(self, worker: WorkerRecord, now: float) -> bool:
+        """Return whether a lasting task of the worker can't be ended for long.
+
+        The budget of its step is used up by other tasks that are not expected back.
+        """
+        return any(
+            self._count_missing(stage, worker, now) >= self._max_away(stage)
+            for stage in _count_lasting(worker)
+        )
 
     def find_evacuations(self, vm_ids: Iterable[str]) -> list[Run]:
         """Return the lasting runs to stop so that the given VMs can go down.
@@ -69,6 +94,25 @@
             for stage, n in _count_lasting(worker).items()
         )
 
+    def _lasting_tasks(self) -> Iterator[Task]:
+        for record in self._dispatcher.job_by_id.values():
+            if not any(step.is_lasting for step in record.job.steps):
+                continue
+            for task in record.all_tasks():
+                if task.step.is_lasting:
+                    yield task
+
+    def _count_missing(self, stage: Stage, worker: WorkerRecord, now: float) -> int:
+        """Return how many tasks of the step elsewhere are not expected back."""
+        record = self._dispatcher.job_by_id[stage[0]]
+        own = {run.task.text for run in worker.run_by_key.values()}
+        since_by_task = self._unavailable_since_by_task
+        return sum(
+            now - since_by_task.get(task.text, now) > MAX_RETURN_SECONDS
+            for task in record.tasks_by_stage[stage[1], stage[2]]
+            if task.text not in own
+        )
+
     def _max_away(self, stage: Stage) -> int:
         record = self._dispatcher.job_by_id[stage[0]]
         return record.job.steps[stage[2]].max_away
--- a/catkinport/jobs/vms/vm_planner.py
+++ b/catkinport/jobs/vms/vm_planner.py
@@ -132,6 +132,7 @@
         self.inventory.end_holds(now)
         self.inventory.note_idle(now)
         self.mover.update_turns(now)
+        self._disruption_budget.update(now)
         orders = self._unanswered_orders.find_due(now)
         if now >= self._waves_paused_until:
             for state in self.wave_by_number.values():
@@ -258,6 +259,9 @@
     def _order_upkeep(
         self, choice: UpkeepChoice, wave: int, now: float
     ) -> Iterator[VmOrder]:
+        for vm_id in choice.release:
+            log_event(logger, "vm upkeep put off", vm=vm_id, reason="budget-exhausted")
+            self.inventory.release(vm_id)
         for vm_id in choice.drain:
             log_event(logger, "vm reserved for upkeep", vm=vm_id, wave=wave)
             self.inventory.reserve(vm_id)
@@ -286,6 +290,8 @@
             and self._disruption_budget.may_end_all(worker),
             is_pool_busy=self.mover.is_busy(vm.pool),
             is_pool_short=vm.pool in self._short_pools,
+            is_budget_exhausted=worker is not None
+            and self._disruption_budget.is_exhausted(worker, now),
         )
 
     def _upkeep_cost(
--- a/catkinport/policy/upkeep.py
+++ b/catkinport/policy/upkeep.py
@@ -61,6 +61,8 @@
         is_pool_busy: whether the pool's queue has its peak of demand now.
         is_pool_short: whether a VM of the pool was just given back for a waiting
             lasting task, so that none of its VMs with tasks is drained.
+        is_budget_exhausted: whether one of its lasting tasks can't be ended for long,
+            because too many others of its step are unavailable.
     """
 
     vm_id: str
@@ -71,6 +73,7 @@
     may_end_lasting: bool = False
     is_pool_busy: bool = False
     is_pool_short: bool = False
+    is_budget_exhausted: bool = False
 
 
 class WaveView(NamedTuple):
@@ -96,10 +99,17 @@
 
 
 class UpkeepChoice(NamedTuple):
-    """Ids of the VMs to take down now, and of those to drain."""
+    """Ids of VMs.
+
+    Args:
+        maintain: VMs to take down now.
+        drain: VMs to drain.
+        release: drained VMs that can't go down for long and get tasks meanwhile.
+    """
 
     maintain: list[str]
     drain: list[str]
+    release: list[str]
 
 
 def is_behind(view: WaveView) -> bool:
@@ -122,7 +132,9 @@
         >>> choose_upkeep(WaveView(1, 0, 0, 1, 0.0, 20.0, [idle])).maintain
         ['m-1']
     """
-    lasting = [c for c in view.candidates if c.cost is UpkeepCost.LASTING_WORK]
+    with_lasting = [c for c in view.candidates if c.cost is UpkeepCost.LASTING_WORK]
+    release = [c.vm_id for c in with_lasting if c.is_reserved and c.is_budget_exhausted]
+    lasting = [c for c in with_lasting if not c.is_budget_exhausted]
     drained_vms = [
         c for c in lasting if c.is_reserved and c.may_end_lasting and not c.busy_cores
     ]
@@ -139,7 +151,7 @@
         drainable = [c for c in short if not c.is_reserved and not c.is_pool_short]
         others = sorted(drainable, key=_busy_cores)
         drain += [c.vm_id for c in others[:n_wanted]]
-    return UpkeepChoice(maintain, drain)
+    return UpkeepChoice(maintain, drain, release)
 
 
 def _idle_upkeeps(view: WaveView) -> int:
