Give VMs tasks again when the answer or plan that they wait for does not come

Callers saw: whole pools start nothing for seconds beside free VMs. `task start delayed` shows no-room or no-worker with blocked=reserved:N, for as long as the interface for VMs answers late.

Cause: a VM under an order without an answer stayed blocked until the order was repeated, which the planner does only by a VM list of at most 3 s of age. With answers after 1.6 s and a timeout of 1.5 s no list was read and no order answered, so the idle VMs of each pool stayed blocked for good. Cordons and drained VMs were given up only by the planner, which is not called while the lease is in doubt, and whose loop waited for reports of waves and the owner's memory to be stored.

Cordons and drains end once the list is 3 s old or nothing was planned for 1.5 s. Reports and memory have a loop of their own.

--- a/catkinport/jobs/ownership/vm_orders.py
+++ b/catkinport/jobs/ownership/vm_orders.py
@@ -108,6 +108,8 @@
                 self._vm_planner.mover.turns,
                 self._session.clock.now(),
             )
+        self._session.spawn(self._report_loop())
+        self._session.spawn(self._unblock_loop())
         while True:
             now = self._session.clock.now()
             self._add_waves(value_by_key, now)
@@ -118,8 +120,20 @@
                 for run in self._vm_planner.find_evacuations(now):
                     run.is_evacuated = True
                     self._session.wake.set()
+            await asyncio.sleep(PLAN_SECONDS)
+
+    async def _report_loop(self) -> None:
+        """Report waves and store the memory, however long the store takes."""
+        while True:
+            if not self._session.lease.may_be_replaced(self._session.clock.now()):
                 await self._report_waves()
-                await self._store_memory(now)
+                await self._store_memory(self._session.clock.now())
+            await asyncio.sleep(PLAN_SECONDS)
+
+    async def _unblock_loop(self) -> None:
+        """Let VMs get tasks while the orders that they wait for can't be planned."""
+        while True:
+            self._vm_planner.unblock_idle(self._session.clock.now())
             await asyncio.sleep(PLAN_SECONDS)
 
     def _add_waves(self, value_by_key: Mapping[str, Any], now: float) -> None:
--- a/catkinport/jobs/vms/pool_mover.py
+++ b/catkinport/jobs/vms/pool_mover.py
@@ -218,6 +218,13 @@
         cordoned_ids = choose_vms_to_cordon(pools, busy, n_free, n_lasting_by_pool)
         # A VM that a wave names in the meantime may not be moved, so its worker gets
         # tasks again.
+        self._set_cordons(cordoned_ids)
+
+    def uncordon_all(self) -> None:
+        """Let all workers get tasks again, as no VM can be moved now."""
+        self._set_cordons(frozenset())
+
+    def _set_cordons(self, cordoned_ids: Set[str]) -> None:
         for vm in self._inventory.vm_by_id.values():
             worker = self._inventory.worker_on(vm.vm_id)
             if worker is None or worker.is_cordoned == (vm.vm_id in cordoned_ids):
--- a/catkinport/jobs/vms/vm_inventory.py
+++ b/catkinport/jobs/vms/vm_inventory.py
@@ -166,6 +166,11 @@
         self.targets.forget(order)
         return True
 
+    def give_up(self, order: VmOrder) -> None:
+        """Record that an order without an answer is not expected to take effect."""
+        self._pending_by_vm.pop(order.vm_id, None)
+        self.release(order.vm_id)
+
     def note_refused(self, order: VmOrder, now: float) -> None:
         """Record that an overloaded or unavailable platform has refused an order."""
         self._refused_at_by_vm[order.vm_id] = now
@@ -182,6 +187,11 @@
             self.release(vm_id)
         return vm_ids
 
+    @property
+    def pending_orders(self) -> list[PendingOrder]:
+        """Orders that the platform's list does not show yet."""
+        return list(self._pending_by_vm.values())
+
     def find_unanswered(self, now: float) -> list[PendingOrder]:
         """Return the orders that have had no answer for `REPEAT_SECONDS`."""
         return [
--- a/catkinport/jobs/vms/vm_planner.py
+++ b/catkinport/jobs/vms/vm_planner.py
@@ -35,6 +35,10 @@
 """No VM gets an order while the latest VM list is older than this."""
 
 
+MAX_PLAN_GAP_SECONDS = 1.5
+"""VMs that wait for an order get tasks if none was planned for this long."""
+
+
 class WaveState:
     """A wave of upkeep and its progress.
 
@@ -78,6 +82,7 @@
         self.wave_by_number: dict[int, WaveState] = {}
         self._short_pools: set[str] = set()
         self._waves_paused_until = float("-inf")
+        self._planned_at = float("-inf")
 
     def update_vms(self, vms: Sequence[FleetVm], sent_at: float) -> None:
         """Update the VMs from the platform's list.
@@ -123,12 +128,13 @@
     def plan(self, now: float) -> list[VmOrder]:
         """Return the orders to send now, and note them as sent.
 
-        None are sent by an old list. It shows that the platform doesn't answer, so no
-        VM is kept free for an upkeep meanwhile.
+        None are sent by an old list. It shows that the platform doesn't answer, so VMs
+        get tasks meanwhile.
         """
         if now - self.inventory.listed_at > MAX_LIST_AGE_SECONDS:
-            self._release_drained_vms("list-old")
+            self._unblock_vms("list-old", now)
             return []
+        self._planned_at = now
         self.inventory.end_holds(now)
         self.inventory.note_idle(now)
         self.mover.update_turns(now)
@@ -150,6 +156,14 @@
             self.inventory.note_sent(order, now)
         return orders
 
+    def unblock_idle(self, now: float) -> None:
+        """Let VMs get tasks if no orders have been planned for a time.
+
+        The owner plans none while it may have been replaced or a write is under way.
+        """
+        if now - self._planned_at > MAX_PLAN_GAP_SECONDS:
+            self._unblock_vms("no-plan", now)
+
     def on_done(self, order: VmOrder, now: float) -> None:
         """Note that the platform has carried the order out, now or earlier."""
         ended = self.inventory.note_done(order, now)
@@ -213,6 +227,12 @@
         runs = self._disruption_budget.find_evacuations(self.inventory.reserved)
         return self.mover.lasting_room.find_placeable(runs, now)
 
+    def _unblock_vms(self, reason: str, now: float) -> None:
+        """Let all VMs get tasks that need not be blocked for an order under way."""
+        self._release_drained_vms(reason)
+        self.mover.uncordon_all()
+        self._unanswered_orders.unblock_workers(now)
+
     def _release_drained_vms(self, reason: str) -> None:
         """Let the VMs that wait for an upkeep get tasks, as none can be ordered now."""
         for vm_id in self.inventory.release_drained():
