Adapt the timeout of calls to the interface for VMs

Callers saw: with an interface for VMs that always answers after 1.6 s, no VM list was read and each order for a VM went without an answer for good.

Cause: the timeout was 1.5 s always.

Change: the timeout doubles with each call in a row without an answer, up to 6 s, and follows the time of recent answers; an answer in time ends the doubling. The next read of the list begins 0.4 s after the former one was sent, not answered, so that a list that takes 1.6 s is 1.6 to 3.3 s old and not up to 3.6 s.

TestSlowService and TestAnswersThatAreAlwaysLate failed before.

--- a/catkinport/jobs/ownership/vm_orders.py
+++ b/catkinport/jobs/ownership/vm_orders.py
@@ -29,6 +29,9 @@
 """Time between reads of the platform's list of VMs, which is the first source to show
 that a VM is down. Each read is charged."""
 
+MIN_VM_LIST_PAUSE_SECONDS = 0.1
+"""Shortest pause after a read of that list."""
+
 PLAN_SECONDS = 0.25
 """Time between two rounds of decisions about VMs."""
 
@@ -83,7 +86,11 @@
                     )
                 self._vm_planner.update_vms(vms, sent_at)
                 self._session.wake.set()
-            await asyncio.sleep(VM_LIST_SECONDS)
+            # A list that took long is old already when it arrives.
+            seconds = self._session.clock.now() - sent_at
+            await asyncio.sleep(
+                max(MIN_VM_LIST_PAUSE_SECONDS, VM_LIST_SECONDS - seconds)
+            )
 
     async def run(self) -> None:
         """Restore the stored state, then send orders until the ownership ends."""
--- a/catkinport/platform/tests/test_vms.py
+++ b/catkinport/platform/tests/test_vms.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from ...ports import Unavailable
+from ...ports import Reason, Unavailable
 from ...ports.fleet_workers import Done, Rejected, Rejection
 from ..client import Reply
 from ..vms import PlatformVms
@@ -29,6 +29,31 @@
     return Reply(200, {"Machines": [entry], "NextToken": next_token}, 0.0)
 
 
+class SlowClient:
+    """Client of a service that takes ``seconds`` for each answer."""
+
+    def __init__(self, seconds: float) -> None:
+        self._seconds = seconds
+
+    async def call(self, step, method, peer, path, timeout_seconds, **arguments):
+        if timeout_seconds < self._seconds:
+            return Unavailable(Reason.TIMEOUT, step, peer, "", True)
+        return Reply(200, {"Machines": [], "NextToken": None}, self._seconds)
+
+
+class TestSlowService:
+    def test_lists_and_orders_are_answered_after_some_calls(self):
+        """Guards against VMs that stay blocked by orders without an answer.
+
+        The timeout was 1.5 s always, and pools of a platform 0.8 s away stood still.
+        """
+        vms = PlatformVms(SlowClient(1.6), "vms:1", "edge-1")
+        for _ in range(2):
+            asyncio.run(vms.list_vms())
+        assert asyncio.run(vms.list_vms()) == []
+        assert asyncio.run(vms.maintain("m-1", 1, 7)) == Done()
+
+
 class TestList:
     def test_a_list_that_goes_on_counts_as_no_answer(self):
         """Guards against tasks that start again as the VMs beyond count as gone."""
--- a/catkinport/platform/vms.py
+++ b/catkinport/platform/vms.py
@@ -3,14 +3,21 @@
 from collections.abc import Mapping
 from typing import Any
 
+from ..policy.adaptive_timeout import AdaptiveTimeout
 from ..ports import Reason, Unavailable
 from ..ports.fleet_vms import FleetVm, VmState
 from ..ports.fleet_workers import Done, OrderOutcome, Rejected, Rejection
 from . import decoding
 from .client import PlatformClient, Reply
 
-CALL_TIMEOUT_SECONDS = 1.5
-"""Longest wait for an answer; without faults a list takes up to 17 ms."""
+MIN_CALL_TIMEOUT_SECONDS = 1.5
+"""Lower bound of the wait for an answer; without faults a list takes up to 17 ms."""
+
+MAX_CALL_TIMEOUT_SECONDS = 6.0
+"""Upper bound of that wait, for a service that is always slow."""
+
+CALL_TIMEOUT_FACTOR = 2.0
+"""Wait for an answer as a multiple of the time of recent answers."""
 
 MAX_PAGES = 50
 """Most pages of one list, so that a list without an end does not block the caller."""
@@ -34,6 +41,9 @@
         self._client = client
         self._address = address
         self._holder = holder
+        self._timeout = AdaptiveTimeout(
+            MIN_CALL_TIMEOUT_SECONDS, MAX_CALL_TIMEOUT_SECONDS, CALL_TIMEOUT_FACTOR
+        )
 
     async def list_vms(self) -> list[FleetVm] | Unavailable:
         """Read all VMs."""
@@ -41,15 +51,8 @@
         token = None
         for _ in range(MAX_PAGES):
             query = {"PageToken": str(token)} if token else None
-            reply = await self._client.call(
-                "vm-list",
-                "GET",
-                self._address,
-                "/machines",
-                CALL_TIMEOUT_SECONDS,
-                None,
-                query,
-                is_size_bounded=False,
+            reply = await self._call(
+                "vm-list", "GET", "/machines", query=query, is_size_bounded=False
             )
             if isinstance(reply, Unavailable):
                 return reply
@@ -92,19 +95,25 @@
         body = {"Machine": vm_id, "Wave": wave}
         return await self._send_order("vm-upkeep", "/machine-upkeep", body, token)
 
+    async def _call(
+        self, step: str, method: str, path: str, **arguments: Any
+    ) -> Reply | Unavailable:
+        """Call the service; wait for longer if its answers have taken long."""
+        timeout_seconds = self._timeout.seconds
+        reply = await self._client.call(
+            step, method, self._address, path, timeout_seconds, **arguments
+        )
+        if isinstance(reply, Reply):
+            self._timeout.on_answer(reply.wait_seconds)
+        elif reply.reason is Reason.TIMEOUT:
+            self._timeout.on_timeout(timeout_seconds)
+        return reply
+
     async def _send_order(
         self, step: str, path: str, body: Mapping[str, Any], token: int
     ) -> OrderOutcome:
         headers = {HOLDER_HEADER: self._holder, TOKEN_HEADER: str(token)}
-        reply = await self._client.call(
-            step,
-            "POST",
-            self._address,
-            path,
-            CALL_TIMEOUT_SECONDS,
-            body,
-            headers=headers,
-        )
+        reply = await self._call(step, "POST", path, body=body, headers=headers)
         if isinstance(reply, Unavailable):
             return reply
         if reply.status == 200:
--- a/catkinport/policy/adaptive_timeout.py
+++ b/catkinport/policy/adaptive_timeout.py
@@ -15,6 +15,9 @@
 """Default timeout as a multiple of the average duration, as the store may carry out
 several transactions of other daemons before a call."""
 
+BACKOFF_FACTOR = 2.0
+"""Factor by which the timeout grows with each call in a row that had no answer."""
+
 
 class AdaptiveTimeout:
     """Timeout of calls to one service.
@@ -41,16 +44,29 @@
         self._max_seconds = max_seconds
         self._factor = factor
         self._average_seconds: float | None = None
+        self._backoff = 1.0
 
     @property
     def seconds(self) -> float:
         """Timeout of the next call in seconds."""
         expected = self._factor * (self._average_seconds or 0.0)
-        return min(self._max_seconds, max(self._min_seconds, expected))
+        seconds = max(self._min_seconds, expected) * self._backoff
+        return min(self._max_seconds, seconds)
+
+    def on_timeout(self, timeout_seconds: float) -> None:
+        """Record that a call with this timeout had no answer.
+
+        Without it, the timeout of a service whose answers all take longer would never
+        grow. A call that was given up sooner than the present timeout doesn't count.
+        """
+        if timeout_seconds >= self.seconds < self._max_seconds:
+            self._backoff *= BACKOFF_FACTOR
 
     def on_answer(self, seconds: float) -> None:
         """Record how many seconds an answer took."""
-        if self._average_seconds is None:
-            self._average_seconds = seconds
+        is_slow = self._backoff > 1.0 and seconds > self._min_seconds
+        self._backoff = 1.0
+        if self._average_seconds is None or is_slow:
+            self._average_seconds = max(seconds, self._average_seconds or 0.0)
             return
         self._average_seconds += SMOOTHING_FACTOR * (seconds - self._average_seconds)
--- a/catkinport/policy/tests/test_adaptive_timeout.py
+++ b/catkinport/policy/tests/test_adaptive_timeout.py
@@ -32,3 +32,33 @@
         A lost answer has no duration, and reads of the store stay fast.
         """
         assert make_timeout(*[0.01] * 5).seconds == 0.6
+
+
+class TestAnswersThatAreAlwaysLate:
+    def test_timeouts_lengthen_the_timeout_until_an_answer_comes(self):
+        """Guards against a service whose answers are all given up just before.
+
+        An interface for VMs that always took 1.6 s had a timeout of 1.5 s: no list was
+        read, and no order was ever answered.
+        """
+        timeout = AdaptiveTimeout(1.5, 6.0, 2.0)
+        timeout.on_timeout(timeout.seconds)
+        assert timeout.seconds == 3.0
+        timeout.on_answer(1.6)
+        assert timeout.seconds == 3.2
+
+    def test_timeout_has_a_limit(self):
+        """Guards against a wait without end for a service that is silent."""
+        timeout = AdaptiveTimeout(1.5, 6.0, 2.0)
+        for _ in range(2000):
+            timeout.on_timeout(timeout.seconds)
+        assert timeout.seconds == 6.0
+        timeout.on_answer(0.01)
+        assert timeout.seconds == 1.5
+
+    def test_calls_that_fail_together_lengthen_it_once(self):
+        """Guards against a long wait after one burst of lost answers."""
+        timeout = AdaptiveTimeout(1.5, 6.0, 2.0)
+        for _ in range(8):
+            timeout.on_timeout(1.5)
+        assert timeout.seconds == 3.0
