Add conditions for waves in a row and for VM orders refused or without an answer

soak.waits could not play VMs whose orders fail for a share of the calls, nor one wave after another. The stand-in has two faults for it, each with a test.

--- a/catkinport/platform/standin/server.py
+++ b/catkinport/platform/standin/server.py
@@ -28,6 +28,10 @@
     # Lists of VMs are refused. Orders for VMs are refused and carried out without an
     # answer by turns.
     "is_vm_interface_down": False,
+    # Share of the orders for VMs that are refused, and of the others the share that get
+    # no answer, every other one of which is carried out.
+    "refused_vm_orders": 0.0,
+    "lost_vm_orders": 0.0,
     # Delay of each request and of each answer, by the system that is called.
     "store_one_way_seconds": 0.0,
     "vms_one_way_seconds": 0.0,
@@ -72,6 +76,7 @@
         self._fleet = VmFleet(self._store, size, time.monotonic)
         self._runners: list[web.AppRunner] = []
         self._is_next_order_refused = True
+        self._is_next_lost_order_done = True
         # Lists of VMs with the times at which they were true, oldest first.
         self._vm_lists: deque[tuple[float, list[dict[str, Any]]]] = deque()
         self.address = ""
@@ -183,10 +188,17 @@
             self._is_next_order_refused = not self._is_next_order_refused
             if not self._is_next_order_refused:
                 return web.json_response({}, status=503)
-        is_done = carry_out()
-        if is_down and request.transport is not None:
+        elif self._rng.random() < self.faults["refused_vm_orders"]:
+            return web.json_response({}, status=503)
+        is_lost = self._rng.random() < self.faults["lost_vm_orders"]
+        if is_lost:
+            self._is_next_lost_order_done = not self._is_next_lost_order_done
+        # An order that is not carried out gets no answer that could say so.
+        is_done = not is_lost or self._is_next_lost_order_done
+        is_accepted = is_done and carry_out()
+        if (is_down or is_lost) and request.transport is not None:
             request.transport.abort()
-        return self._answer_order(is_done)
+        return self._answer_order(is_accepted)
 
     def _answer_order(self, is_done: bool) -> web.Response:
         if is_done:
--- a/catkinport/platform/standin/tests/test_vm_interface.py
+++ b/catkinport/platform/standin/tests/test_vm_interface.py
@@ -13,14 +13,14 @@
 N_VMS = 4
 
 
-async def order_upkeeps() -> list[tuple[Unavailable, VmState]]:
-    """Order an upkeep of each VM; return the outcomes and the states of the VMs."""
+async def order_upkeeps(**faults) -> list[tuple[Unavailable, VmState]]:
+    """Order an upkeep of each VM under faults; return outcomes and VM states."""
     server = StandinServer(FleetSize(1, N_VMS, 0))
     await server.start()
     client = PlatformClient(Metrics())
     await client.open()
     vms = PlatformVms(client, server.address, "entry-0")
-    server.faults.update({"is_vm_interface_down": True})
+    server.faults.update(faults)
     results = []
     for number in range(N_VMS):
         outcome = await vms.maintain(f"m-{number}", 1, 1)
@@ -36,8 +36,24 @@
 
         The platform does nothing for a call that it answers with status 503.
         """
-        results = asyncio.run(order_upkeeps())
+        results = asyncio.run(order_upkeeps(is_vm_interface_down=True))
         assert [(o.may_have_committed, state) for o, state in results] == [
             (False, VmState.UP),
             (True, VmState.UPKEEP),
         ] * (N_VMS // 2)
+
+
+class TestShareOfOrders:
+    def test_refused_orders_are_not_carried_out(self):
+        """Guards against a condition that takes down VMs whose orders are refused."""
+        results = asyncio.run(order_upkeeps(refused_vm_orders=1.0))
+        assert [(o.may_have_committed, state) for o, state in results] == [
+            (False, VmState.UP)
+        ] * N_VMS
+
+    def test_every_other_lost_order_is_carried_out(self):
+        """Guards against a condition under which lost orders all have one effect."""
+        results = asyncio.run(order_upkeeps(lost_vm_orders=1.0))
+        assert all(outcome.may_have_committed for outcome, _ in results)
+        states = [state for _, state in results]
+        assert states == [VmState.UP, VmState.UPKEEP] * (N_VMS // 2)
--- a/soak/conditions.py
+++ b/soak/conditions.py
@@ -61,6 +61,37 @@
     environment.deployment.set_faults(vm_list_age_seconds=strength)
 
 
+@register
+def vm_orders_refused(environment: SoakEnvironment, strength: float) -> None:
+    """Refuse this fraction of the orders for VMs."""
+    environment.deployment.set_faults(refused_vm_orders=strength)
+
+
+@register
+def vm_orders_lost(environment: SoakEnvironment, strength: float) -> None:
+    """Leave this fraction of the orders for VMs unanswered; carry out half of these."""
+    environment.deployment.set_faults(lost_vm_orders=strength)
+
+
+@register
+def waves(environment: SoakEnvironment, strength: float) -> Callable[[], None]:
+    """Request waves of upkeep of all VMs one after another, each ``strength`` seconds.
+
+    Each has this time until its deadline. A third of the VMs may be down at once.
+    """
+    deployment = environment.deployment
+    size = deployment.size
+    max_down = (size.n_pools * size.n_vms + size.n_spare_vms) // 3
+    stop = threading.Event()
+
+    def request() -> None:
+        while not stop.is_set():
+            deployment.request_next_upkeep_wave(strength, max_down)
+            stop.wait(strength)
+
+    return _run_until_ended(request, stop)
+
+
 @register
 def answers_lost(environment: SoakEnvironment, strength: float) -> None:
     """Lose the answers to this fraction of the writes to the store."""
@@ -121,7 +152,14 @@
                 daemon.process.resume()
             stop.wait((period_seconds - pause_seconds) * rng.uniform(0.8, 1.2))
 
-    thread = threading.Thread(target=pause)
+    return _run_until_ended(pause, stop)
+
+
+def _run_until_ended(
+    target: Callable[[], None], stop: threading.Event
+) -> Callable[[], None]:
+    """Run ``target`` in a thread; return what sets ``stop`` and waits for its end."""
+    thread = threading.Thread(target=target)
     thread.start()
 
     def end() -> None:
