Give drained and cordoned VMs back to jobs that wait in a mostly unused pool

Callers saw: nothing of a job runs beside free cores, for as long as the tasks on the VMs of its pool take that are drained for a late wave or cordoned for another pool.

Cause: such a VM gets no task until its own have ended, which has no bound, and a wave that is behind may drain all VMs of a pool. Nothing compared that with the jobs that wait.

test_it_starts_on_a_vm_that_a_wave_drains and test_it_starts_on_a_cordoned_vm failed without the change; the two others guard its limits.

--- a/catkinport/jobs/tests/test_blocked_vms.py
+++ b/catkinport/jobs/tests/test_blocked_vms.py
@@ -8,16 +8,18 @@
 from ...ports.table import Committed
 from ..ownership.vm_orders import VmOrders
 from ..vms.order_targets import VmOrder
+from ..vms.starved_pools import MAX_WAIT_SECONDS, RELIEF_SECONDS
 from ..vms.unanswered_orders import (
     DRAIN_AGAIN_SECONDS,
     MAX_BLOCK_SECONDS,
     SURVIVAL_SECONDS,
 )
 from ..vms.vm_planner import MAX_LIST_AGE_SECONDS, MAX_PLAN_GAP_SECONDS
-from .builders import make_job
+from .builders import make_job, make_step
 from .test_vm_orders import FakeSession
 from .vm_fleet import VmFleet
 
+LATER_JOB = "00000000000000b2"
 STEP_SECONDS = 0.25
 
 
@@ -199,3 +201,61 @@
         fleet, session = self._play(renewed_at=-MAY_BE_REPLACED_SECONDS - 1.0)
         assert session.sent == []
         assert not fleet.dispatcher.worker_by_id["w0"].is_cordoned
+
+
+class TestStarvedJob:
+    """Three VMs run a long task each; most of the pool is unused."""
+
+    def _make_fleet(self):
+        fleet = VmFleet(3)
+        step = make_step(3, max_per_worker=1)
+        fleet.dispatcher.add_job(make_job(steps=[step]), fleet.now)
+        assert len(fleet.start()) == 3
+        return fleet
+
+    def _count_starts(self, fleet, seconds):
+        fleet.dispatcher.add_job(make_job(LATER_JOB), fleet.now)
+        n_starts = 0
+        for _ in range(round(seconds / STEP_SECONDS)):
+            fleet.step(STEP_SECONDS)
+            n_starts += len(fleet.start())
+        return n_starts
+
+    def test_it_starts_on_a_vm_that_a_wave_drains(self):
+        """Guards against a pool that waits for the last task on each of its VMs.
+
+        A late wave drained all VMs of a pool for as long as their tasks took, and no
+        job started beside fifteen of sixteen free cores.
+        """
+        fleet = self._make_fleet()
+        for number in range(3):
+            fleet.vm_planner.inventory.reserve(f"m{number}")
+        assert self._count_starts(fleet, MAX_WAIT_SECONDS + 3 * STEP_SECONDS) == 1
+
+    def test_it_starts_on_a_cordoned_vm(self):
+        """Guards against a pool whose VMs all wait for their move to another one."""
+        fleet = self._make_fleet()
+        fleet.vm_planner.mover._update_cordons = lambda pools, vms, missing: (
+            fleet.vm_planner.mover._set_cordons({vm.vm_id for vm in vms})
+        )
+        fleet.step(STEP_SECONDS)
+        assert fleet.dispatcher.worker_by_id["w0"].is_cordoned
+        assert self._count_starts(fleet, MAX_WAIT_SECONDS + 3 * STEP_SECONDS) == 1
+
+    def test_wave_goes_on_after_the_relief(self):
+        """Guards against a wave that never drains a pool in which jobs wait."""
+        fleet = self._make_fleet()
+        fleet.request_wave(["m0"])
+        fleet.vm_planner.inventory.reserve("m0")
+        fleet.advance(20.0)
+        self._count_starts(fleet, MAX_WAIT_SECONDS + RELIEF_SECONDS)
+        fleet.step(RELIEF_SECONDS)
+        assert fleet.dispatcher.worker_by_id["w0"].is_reserved
+
+    def test_nothing_is_given_back_in_a_pool_that_is_mostly_used(self):
+        """Guards against a wave that is late because a full pool has waiting jobs."""
+        fleet = VmFleet(1)
+        fleet.dispatcher.add_job(make_job(steps=[make_step(12)]), fleet.now)
+        assert fleet.start()
+        fleet.vm_planner.inventory.reserve("m0")
+        assert self._count_starts(fleet, MAX_WAIT_SECONDS + 3 * STEP_SECONDS) == 0
--- a/catkinport/jobs/vms/pool_mover.py
+++ b/catkinport/jobs/vms/pool_mover.py
@@ -113,7 +113,11 @@
                 )
 
     def plan(
-        self, wave_vms: Set[str], now: float, leaving: Sequence[Run] = ()
+        self,
+        wave_vms: Set[str],
+        now: float,
+        leaving: Sequence[Run] = (),
+        kept_pools: Set[str] = frozenset(),
     ) -> Iterator[VmOrder]:
         """Yield the moves to order now.
 
@@ -121,6 +125,7 @@
             wave_vms: VMs that may not be moved before their upkeep.
             now: clock time in seconds.
             leaving: lasting runs to stop before the upkeep of their VM.
+            kept_pools: pools whose VMs are not cordoned, as jobs wait for them.
         """
         demand_by_pool = measure_demand(self._dispatcher, now)
         pools = self._pool_views(demand_by_pool, now)
@@ -149,7 +154,8 @@
         pools = apply_moves(pools, lasting.moves, source_by_vm)
         settled = lasting.kept_vms | {move.vm_id for move in lasting.moves}
         others = [vm for vm in movable if vm.vm_id not in settled]
-        self._update_cordons(pools, others, lasting.n_missing_by_pool)
+        may_cordon = [vm for vm in others if vm.pool not in kept_pools]
+        self._update_cordons(pools, may_cordon, lasting.n_missing_by_pool)
         other_idle_vms = [vm for vm in idle_vms if vm.vm_id not in settled]
         for move in choose_moves(pools, other_idle_vms):
             yield self._start_move(move, pools, now)
--- a/catkinport/jobs/vms/vm_planner.py
+++ b/catkinport/jobs/vms/vm_planner.py
@@ -26,6 +26,7 @@
 from .disruption_budget import DisruptionBudget
 from .order_targets import VmOrder
 from .pool_mover import PoolMover
+from .starved_pools import StarvedPools
 from .unanswered_orders import UnansweredOrders
 from .vm_inventory import REFUSAL_PAUSE_SECONDS, VmBounds, VmInventory
 
@@ -83,6 +84,7 @@
         self._short_pools: set[str] = set()
         self._waves_paused_until = float("-inf")
         self._planned_at = float("-inf")
+        self._starved_pools = StarvedPools(dispatcher)
 
     def update_vms(self, vms: Sequence[FleetVm], sent_at: float) -> None:
         """Update the VMs from the platform's list.
@@ -139,6 +141,7 @@
         self.inventory.note_idle(now)
         self.mover.update_turns(now)
         self._disruption_budget.update(now)
+        self._relieve_starved_pools(now)
         orders = self._unanswered_orders.find_due(now)
         if now >= self._waves_paused_until:
             for state in self.wave_by_number.values():
@@ -150,7 +153,12 @@
             if vm_id not in state.begun
         }
         leaving = self._disruption_budget.find_evacuations(self.inventory.reserved)
-        orders.extend(self.mover.plan(wave_vms, now, leaving))
+        kept_pools = {
+            pool
+            for pool in self._dispatcher.configuration.pool_by_name
+            if self._starved_pools.is_relieved(pool, now)
+        }
+        orders.extend(self.mover.plan(wave_vms, now, leaving, kept_pools))
         self._release_vms(self.mover.released_vms)
         for order in orders:
             self.inventory.note_sent(order, now)
@@ -238,6 +246,17 @@
         for vm_id in self.inventory.release_drained():
             log_event(logger, "vm upkeep put off", vm=vm_id, reason=reason)
 
+    def _relieve_starved_pools(self, now: float) -> None:
+        """Put off the upkeep of VMs beside whose room jobs have waited for too long."""
+        starved = self._starved_pools.update(now)
+        for vm_id in sorted(self.inventory.reserved):
+            vm = self.inventory.vm_by_id.get(vm_id)
+            if vm is None or vm.pool not in starved:
+                continue
+            if not self.inventory.is_under_order(vm_id):
+                log_event(logger, "vm upkeep put off", vm=vm_id, reason="starved-jobs")
+                self.inventory.release(vm_id)
+
     def _release_vms(self, vm_ids: Set[str]) -> None:
         """Put off the upkeep of VMs that have the only room for a waiting lasting task.
 
@@ -309,7 +328,8 @@
             may_end_lasting=worker is not None
             and self._disruption_budget.may_end_all(worker),
             is_pool_busy=self.mover.is_busy(vm.pool),
-            is_pool_short=vm.pool in self._short_pools,
+            is_pool_short=vm.pool in self._short_pools
+            or self._starved_pools.is_relieved(vm.pool, now),
             is_budget_exhausted=worker is not None
             and self._disruption_budget.is_exhausted(worker, now),
         )
--- a/catkinport/policy/upkeep.py
+++ b/catkinport/policy/upkeep.py
@@ -59,8 +59,8 @@
         is_reserved: whether it gets no new tasks, because the wave drains it.
         may_end_lasting: whether all its lasting tasks may be ended right now.
         is_pool_busy: whether the pool's queue has its peak of demand now.
-        is_pool_short: whether a VM of the pool was just given back for a waiting
-            lasting task, so that none of its VMs with tasks is drained.
+        is_pool_short: whether a VM of the pool was just given back for a task that
+            waits, so that none of its VMs with tasks is drained.
         is_budget_exhausted: whether one of its lasting tasks can't be ended for long,
             because too many others of its step are unavailable.
     """
