Do not repeat an order for a VM while a call with it waits for its answer

Cause: an order without an answer was repeated each second, also while its first call was under way. The client has six connections to the interface, which orders and lists share.

Change: the repetition is left out until the call has ended.

TestSlowAnswer failed before: four calls in four seconds, one is expected.

--- a/catkinport/jobs/ownership/vm_orders.py
+++ b/catkinport/jobs/ownership/vm_orders.py
@@ -71,6 +71,7 @@
         self._begun_lock = asyncio.Lock()
         self._stored_vms: list[str] = []
         self._stored_vms_at = session.clock.now()
+        self._calls_under_way: set[VmOrder] = set()
 
     async def follow_vm_list(self) -> None:
         """Poll the platform's list of VMs until the ownership ends."""
@@ -194,7 +195,21 @@
         return False
 
     async def _send_vm_order(self, order: VmOrder, send_by: float) -> None:
-        """Send an order, unless the clock is past ``send_by`` in seconds."""
+        """Send an order, unless the clock is past ``send_by`` in seconds.
+
+        An order is not repeated while a call with it waits for its answer. On a slow
+        platform, repetitions would take the connections of all other calls.
+        """
+        if order in self._calls_under_way:
+            self._vm_planner.on_no_effect(order)
+            return
+        self._calls_under_way.add(order)
+        try:
+            await self._call_with_order(order, send_by)
+        finally:
+            self._calls_under_way.discard(order)
+
+    async def _call_with_order(self, order: VmOrder, send_by: float) -> None:
         now = self._session.clock.now()
         if now > send_by:
             log_event(
--- a/catkinport/jobs/tests/test_vm_orders.py
+++ b/catkinport/jobs/tests/test_vm_orders.py
@@ -115,6 +115,39 @@
         assert not fleet.vm_planner.inventory.is_under_order("m0")
 
 
+class TestSlowAnswer:
+    def test_an_order_is_not_repeated_while_its_call_waits(self):
+        """Guards against repetitions that take all connections to a slow platform.
+
+        An order was sent again each second, and its first answer came after five.
+        """
+        fleet = VmFleet(1)
+        fleet.request_wave(["m0"])
+        session = FakeSession(SimpleNamespace(now=lambda: fleet.now))
+        is_answered = asyncio.Event()
+
+        async def maintain(vm_id, wave, token):
+            session.sent.append(vm_id)
+            await is_answered.wait()
+            return Done()
+
+        session.maintain = maintain
+
+        async def run():
+            orders = VmOrders(session, fleet.vm_planner, 0.0)
+            orders._store_begun = lambda wave: asyncio.sleep(0)
+            for _ in range(4):
+                await orders._send_vm_orders(fleet.step(1.0), fleet.now)
+                await asyncio.sleep(0)
+            is_answered.set()
+            await asyncio.sleep(0.01)
+
+        asyncio.run(run())
+        assert session.sent == ["m0"]
+        state = fleet.vm_planner.wave_by_number[1]
+        assert fleet.vm_planner.is_complete(state)
+
+
 class TestOrderAfterPause:
     @pytest.mark.parametrize(("pause_seconds", "n_sent"), [(0.5, 1), (5.0, 0)])
     def test_it_is_not_sent_once_a_successor_may_order_the_vm(
