Give a VM that is drained again under an old order back to jobs that wait

Found by the table of blocks: such a VM was blocked until the tasks that it got meanwhile had ended. test_job_starts_on_the_vm_that_is_drained_again failed before.

--- a/catkinport/jobs/tests/test_blocked_vms.py
+++ b/catkinport/jobs/tests/test_blocked_vms.py
@@ -102,6 +102,17 @@
         fleet.end(start)
         assert fleet.wait(STEP_SECONDS) == [fleet.order]
 
+    def test_job_starts_on_the_vm_that_is_drained_again(self):
+        """Guards against a job that waits for the tasks on a VM under an old order."""
+        fleet = OrderedFleet(wave=1)
+        fleet.wait(MAX_BLOCK_SECONDS + STEP_SECONDS)
+        fleet.dispatcher.add_job(make_job(), fleet.now)
+        assert len(fleet.start()) == 1
+        fleet.wait(DRAIN_AGAIN_SECONDS)
+        fleet.dispatcher.add_job(make_job(LATER_JOB), fleet.now)
+        fleet.wait(MAX_WAIT_SECONDS + 2 * STEP_SECONDS)
+        assert len(fleet.start()) == 1
+
     def test_end_of_its_worker_is_no_crash(self):
         """Guards against blaming tasks for a worker that a late order has ended."""
         fleet = OrderedFleet()
--- a/catkinport/jobs/vms/unanswered_orders.py
+++ b/catkinport/jobs/vms/unanswered_orders.py
@@ -12,6 +12,7 @@
 from ..workers.worker_state import WorkerRecord
 from .disruption_budget import DisruptionBudget
 from .order_targets import VmOrder
+from .starved_pools import StarvedPools
 from .vm_inventory import PendingOrder, VmInventory
 
 logger = logging.getLogger(__name__)
@@ -36,12 +37,17 @@
     Args:
         inventory: VMs and the orders for them.
         disruption_budget: decides which lasting tasks may be ended.
+        starved_pools: pools of which no VM may be kept free.
     """
 
     def __init__(
-        self, inventory: VmInventory, disruption_budget: DisruptionBudget
+        self,
+        inventory: VmInventory,
+        disruption_budget: DisruptionBudget,
+        starved_pools: StarvedPools,
     ) -> None:
         self._inventory = inventory
+        self._starved_pools = starved_pools
         self._disruption_budget = disruption_budget
 
     def find_due(self, now: float) -> list[VmOrder]:
@@ -90,7 +96,7 @@
         if pending.answered_at:
             return worker.contact_at - pending.answered_at >= SURVIVAL_SECONDS
         if worker.run_by_key and now - pending.sent_at >= DRAIN_AGAIN_SECONDS:
-            return False
+            return self._starved_pools.is_relieved(worker.listed.pool, now)
         return worker.contact_at - pending.first_sent_at >= MAX_BLOCK_SECONDS
 
     def _is_given_up(self, pending: PendingOrder, now: float) -> bool:
--- a/catkinport/jobs/vms/vm_planner.py
+++ b/catkinport/jobs/vms/vm_planner.py
@@ -77,14 +77,14 @@
         self.inventory = VmInventory(dispatcher, bounds)
         self.mover = PoolMover(dispatcher, self.inventory)
         self._disruption_budget = DisruptionBudget(dispatcher, self.inventory)
+        self._starved_pools = StarvedPools(dispatcher)
         self._unanswered_orders = UnansweredOrders(
-            self.inventory, self._disruption_budget
+            self.inventory, self._disruption_budget, self._starved_pools
         )
         self.wave_by_number: dict[int, WaveState] = {}
         self._short_pools: set[str] = set()
         self._waves_paused_until = float("-inf")
         self._planned_at = float("-inf")
-        self._starved_pools = StarvedPools(dispatcher)
 
     def update_vms(self, vms: Sequence[FleetVm], sent_at: float) -> None:
         """Update the VMs from the platform's list.
