Keep a VM under its move until a list shows it in its new pool

Callers saw: tasks start and end at once, and then wait for 4.4 s for the end of a lease, beside free cores.

Cause: a confirmed move was taken for listed after the time that it takes and 1.2 s, whatever the list said. With a list 5 s old the VM was taken for one that is still off, or still in its former pool, and was moved again under the tasks that it had got.

Change: the move also counts as under way while the list shows the VM in its former pool, for 6 s longer at most. Fresh lists change nothing.

test_vm_stays_under_an_order_that_the_list_does_not_show failed before.

--- a/catkinport/jobs/tests/test_blocked_vms.py
+++ b/catkinport/jobs/tests/test_blocked_vms.py
@@ -14,10 +14,12 @@
     MAX_BLOCK_SECONDS,
     SURVIVAL_SECONDS,
 )
+from ..vms.vm_inventory import MAX_OLD_LIST_SECONDS
 from ..vms.vm_planner import MAX_LIST_AGE_SECONDS, MAX_PLAN_GAP_SECONDS
-from .builders import make_job, make_step
+from ..workers.worker_vms import VM_LIST_LAG_SECONDS
+from .builders import POOL, make_job, make_step
 from .test_vm_orders import FakeSession
-from .vm_fleet import VmFleet
+from .vm_fleet import BOUNDS, VmFleet
 
 LATER_JOB = "00000000000000b2"
 STEP_SECONDS = 0.25
@@ -133,6 +135,35 @@
         assert not fleet.worker.is_reserved
 
 
+class TestListOlderThanUsual:
+    def test_vm_stays_under_an_order_that_the_list_does_not_show(self):
+        """Guards against orders that end the tasks on a VM which has just moved.
+
+        The list was 5 s old. The VM, which was taken for one that is still off, went
+        down for an upkeep, and its tasks waited for the end of their lease.
+        """
+        fleet = VmFleet(1, n_off=1)
+        order = VmOrder("off0", 0, POOL)
+        inventory = fleet.vm_planner.inventory
+        inventory.note_sent(order, fleet.now)
+        fleet.vm_planner.on_done(order, fleet.now)
+        fleet.advance(BOUNDS.move + VM_LIST_LAG_SECONDS + STEP_SECONDS)
+        fleet.list_vms()
+        assert inventory.is_under_order("off0")
+        fleet.vms[1] = fleet.vms[1]._replace(pool=POOL, worker_id="w1")
+        fleet.list_vms()
+        assert not inventory.is_under_order("off0")
+
+    def test_an_order_that_had_no_effect_ends(self):
+        """Guards against a VM that gets no more orders after one without effect."""
+        fleet = OrderedFleet()
+        fleet.vm_planner.inventory.note_done(fleet.order, fleet.now)
+        fleet.wait(
+            BOUNDS.move + VM_LIST_LAG_SECONDS + MAX_OLD_LIST_SECONDS + STEP_SECONDS
+        )
+        assert not fleet.vm_planner.inventory.is_under_order("m0")
+
+
 class TestCordon:
     def test_it_ends_when_the_list_is_old(self):
         """Guards against VMs that wait for a move which can't be ordered."""
--- a/catkinport/jobs/vms/vm_inventory.py
+++ b/catkinport/jobs/vms/vm_inventory.py
@@ -18,6 +18,10 @@
 REFUSAL_PAUSE_SECONDS = 1.0
 """Time for which the platform gets no more orders like one that it has refused."""
 
+MAX_OLD_LIST_SECONDS = 6.0
+"""Time by which the platform's list may be older than usual. A move that it should
+show, and doesn't, counts as under way for this much longer."""
+
 
 class VmBounds(NamedTuple):
     """Times that the platform specifies, in seconds.
@@ -128,7 +132,9 @@
         else:
             # A round may note the same sending twice.
             n_uncertain = former.n_uncertain + (former.sent_at < now)
-            pending = PendingOrder(order, former.first_sent_at, now, 0.0, n_uncertain)
+            pending = former._replace(
+                order=order, sent_at=now, answered_at=0.0, n_uncertain=n_uncertain
+            )
         self._pending_by_vm[order.vm_id] = pending
         self._ordered_at_by_vm[order.vm_id] = now
 
@@ -208,7 +214,11 @@
         seconds = self.bounds.upkeep if pending.order.wave else self.bounds.move
         if not pending.answered_at:
             return False
-        return sent_at > pending.answered_at + seconds + VM_LIST_LAG_SECONDS
+        late_seconds = sent_at - pending.answered_at - seconds - VM_LIST_LAG_SECONDS
+        # An older list has the VM in its former pool, where it may count as off. An
+        # upkeep is chosen by the worker, which an older list does not name.
+        is_old = bool(pending.order.pool) and vm.pool != pending.order.pool
+        return late_seconds > (MAX_OLD_LIST_SECONDS if is_old else 0.0)
 
     def worker_on(self, vm_id: str) -> WorkerRecord | None:
         """Return the worker that the VM runs, if the dispatcher knows it."""
