--- a/catkinport/jobs/workers/worker_state.py
+++ b/catkinport/jobs/workers/worker_state.py
@@ -140,7 +140,7 @@
         is_cordoned: whether it is cordoned: it gets no new tasks, so that its VM can
             move to a pool that needs it more once its runs have ended.
         is_taken_down: whether its VM was listed as moving, down for upkeep or in
-            another pool.
+            another pool, or an order without an answer may still take it down.
         crash: latest crash of a process of it; ``None`` before, or if that process has
             answered after all.
         used: resources that its runs take.
