Merge the bounds of the states that keep tasks away from VMs

The two ways in which AdaptiveTimeout grew beside each other are one: a call in a row without an answer doubles the timeout, calls of the store after the first one, as single answers of it get lost.

--- a/catkinport/jobs/ownership/vm_orders.py
+++ b/catkinport/jobs/ownership/vm_orders.py
@@ -29,6 +29,9 @@
 """Time between reads of the platform's list of VMs, which is the first source to show
 that a VM is down. Each read is charged."""
 
+MIN_VM_LIST_PAUSE_SECONDS = 0.1
+"""Shortest pause after a read of that list."""
+
 PLAN_SECONDS = 0.25
 """Time between two rounds of decisions about VMs."""
 
@@ -68,6 +71,7 @@
         self._begun_lock = asyncio.Lock()
         self._stored_vms: list[str] = []
         self._stored_vms_at = session.clock.now()
+        self._calls_under_way: set[VmOrder] = set()
 
     async def follow_vm_list(self) -> None:
         """Poll the platform's list of VMs until the ownership ends."""
@@ -83,7 +87,11 @@
                     )
                 self._vm_planner.update_vms(vms, sent_at)
                 self._session.wake.set()
-            await asyncio.sleep(VM_LIST_SECONDS)
+            # A list that took long is old already when it arrives.
+            seconds = self._session.clock.now() - sent_at
+            await asyncio.sleep(
+                max(MIN_VM_LIST_PAUSE_SECONDS, VM_LIST_SECONDS - seconds)
+            )
 
     async def run(self) -> None:
         """Restore the stored state, then send orders until the ownership ends."""
@@ -108,6 +116,8 @@
                 self._vm_planner.mover.turns,
                 self._session.clock.now(),
             )
+        self._session.spawn(self._report_loop())
+        self._session.spawn(self._unblock_loop())
         while True:
             now = self._session.clock.now()
             self._add_waves(value_by_key, now)
@@ -118,8 +128,20 @@
                 for run in self._vm_planner.find_evacuations(now):
                     run.is_evacuated = True
                     self._session.wake.set()
+            await asyncio.sleep(PLAN_SECONDS)
+
+    async def _report_loop(self) -> None:
+        """Report waves and store the memory, however long the store takes."""
+        while True:
+            if not self._session.lease.may_be_replaced(self._session.clock.now()):
                 await self._report_waves()
-                await self._store_memory(now)
+                await self._store_memory(self._session.clock.now())
+            await asyncio.sleep(PLAN_SECONDS)
+
+    async def _unblock_loop(self) -> None:
+        """Let VMs get tasks while the orders that they wait for can't be planned."""
+        while True:
+            self._vm_planner.unblock_idle(self._session.clock.now())
             await asyncio.sleep(PLAN_SECONDS)
 
     def _add_waves(self, value_by_key: Mapping[str, Any], now: float) -> None:
@@ -173,7 +195,21 @@
         return False
 
     async def _send_vm_order(self, order: VmOrder, send_by: float) -> None:
-        """Send an order, unless the clock is past ``send_by`` in seconds."""
+        """Send an order, unless the clock is past ``send_by`` in seconds.
+
+        An order is not repeated while a call with it waits for its answer. On a slow
+        platform, repetitions would take the connections of all other calls.
+        """
+        if order in self._calls_under_way:
+            self._vm_planner.on_no_effect(order)
+            return
+        self._calls_under_way.add(order)
+        try:
+            await self._call_with_order(order, send_by)
+        finally:
+            self._calls_under_way.discard(order)
+
+    async def _call_with_order(self, order: VmOrder, send_by: float) -> None:
         now = self._session.clock.now()
         if now > send_by:
             log_event(
--- a/catkinport/jobs/vms/vm_planner.py
+++ b/catkinport/jobs/vms/vm_planner.py
@@ -26,6 +26,7 @@
 from .disruption_budget import DisruptionBudget
 from .order_targets import VmOrder
 from .pool_mover import PoolMover
+from .starved_pools import StarvedPools
 from .unanswered_orders import UnansweredOrders
 from .vm_inventory import REFUSAL_PAUSE_SECONDS, VmBounds, VmInventory
 
@@ -35,6 +36,10 @@
 """No VM gets an order while the latest VM list is older than this."""
 
 
+MAX_PLAN_GAP_SECONDS = 1.5
+"""VMs that wait for an order get tasks if none was planned for this long."""
+
+
 class WaveState:
     """A wave of upkeep and its progress.
 
@@ -72,12 +77,14 @@
         self.inventory = VmInventory(dispatcher, bounds)
         self.mover = PoolMover(dispatcher, self.inventory)
         self._disruption_budget = DisruptionBudget(dispatcher, self.inventory)
+        self._starved_pools = StarvedPools(dispatcher)
         self._unanswered_orders = UnansweredOrders(
-            self.inventory, self._disruption_budget
+            self.inventory, self._disruption_budget, self._starved_pools
         )
         self.wave_by_number: dict[int, WaveState] = {}
         self._short_pools: set[str] = set()
         self._waves_paused_until = float("-inf")
+        self._planned_at = float("-inf")
 
     def update_vms(self, vms: Sequence[FleetVm], sent_at: float) -> None:
         """Update the VMs from the platform's list.
@@ -123,15 +130,18 @@
     def plan(self, now: float) -> list[VmOrder]:
         """Return the orders to send now, and note them as sent.
 
-        None are sent by an old list. It shows that the platform doesn't answer, so no
-        VM is kept free for an upkeep meanwhile.
+        None are sent by an old list. It shows that the platform doesn't answer, so VMs
+        get tasks meanwhile.
         """
         if now - self.inventory.listed_at > MAX_LIST_AGE_SECONDS:
-            self._release_drained_vms("list-old")
+            self._unblock_vms("list-old", now)
             return []
+        self._planned_at = now
         self.inventory.end_holds(now)
         self.inventory.note_idle(now)
         self.mover.update_turns(now)
+        self._disruption_budget.update(now)
+        self._relieve_starved_pools(now)
         orders = self._unanswered_orders.find_due(now)
         if now >= self._waves_paused_until:
             for state in self.wave_by_number.values():
@@ -143,12 +153,25 @@
             if vm_id not in state.begun
         }
         leaving = self._disruption_budget.find_evacuations(self.inventory.reserved)
-        orders.extend(self.mover.plan(wave_vms, now, leaving))
+        kept_pools = {
+            pool
+            for pool in self._dispatcher.configuration.pool_by_name
+            if self._starved_pools.is_relieved(pool, now)
+        }
+        orders.extend(self.mover.plan(wave_vms, now, leaving, kept_pools))
         self._release_vms(self.mover.released_vms)
         for order in orders:
             self.inventory.note_sent(order, now)
         return orders
 
+    def unblock_idle(self, now: float) -> None:
+        """Let VMs get tasks if no orders have been planned for a time.
+
+        The owner plans none while it may have been replaced or a write is under way.
+        """
+        if now - self._planned_at > MAX_PLAN_GAP_SECONDS:
+            self._unblock_vms("no-plan", now)
+
     def on_done(self, order: VmOrder, now: float) -> None:
         """Note that the platform has carried the order out, now or earlier."""
         ended = self.inventory.note_done(order, now)
@@ -212,11 +235,28 @@
         runs = self._disruption_budget.find_evacuations(self.inventory.reserved)
         return self.mover.lasting_room.find_placeable(runs, now)
 
+    def _unblock_vms(self, reason: str, now: float) -> None:
+        """Let all VMs get tasks that need not be blocked for an order under way."""
+        self._release_drained_vms(reason)
+        self.mover.uncordon_all()
+        self._unanswered_orders.unblock_workers(now)
+
     def _release_drained_vms(self, reason: str) -> None:
         """Let the VMs that wait for an upkeep get tasks, as none can be ordered now."""
         for vm_id in self.inventory.release_drained():
             log_event(logger, "vm upkeep put off", vm=vm_id, reason=reason)
 
+    def _relieve_starved_pools(self, now: float) -> None:
+        """Put off the upkeep of VMs beside whose room jobs have waited for too long."""
+        starved = self._starved_pools.update(now)
+        for vm_id in sorted(self.inventory.reserved):
+            vm = self.inventory.vm_by_id.get(vm_id)
+            if vm is None or vm.pool not in starved:
+                continue
+            if not self.inventory.is_under_order(vm_id):
+                log_event(logger, "vm upkeep put off", vm=vm_id, reason="starved-jobs")
+                self.inventory.release(vm_id)
+
     def _release_vms(self, vm_ids: Set[str]) -> None:
         """Put off the upkeep of VMs that have the only room for a waiting lasting task.
 
@@ -258,6 +298,9 @@
     def _order_upkeep(
         self, choice: UpkeepChoice, wave: int, now: float
     ) -> Iterator[VmOrder]:
+        for vm_id in choice.release:
+            log_event(logger, "vm upkeep put off", vm=vm_id, reason="budget-exhausted")
+            self.inventory.release(vm_id)
         for vm_id in choice.drain:
             log_event(logger, "vm reserved for upkeep", vm=vm_id, wave=wave)
             self.inventory.reserve(vm_id)
@@ -285,7 +328,10 @@
             may_end_lasting=worker is not None
             and self._disruption_budget.may_end_all(worker),
             is_pool_busy=self.mover.is_busy(vm.pool),
-            is_pool_short=vm.pool in self._short_pools,
+            is_pool_short=vm.pool in self._short_pools
+            or self._starved_pools.is_relieved(vm.pool, now),
+            is_budget_exhausted=worker is not None
+            and self._disruption_budget.is_exhausted(worker, now),
         )
 
     def _upkeep_cost(
--- a/catkinport/policy/adaptive_timeout.py
+++ b/catkinport/policy/adaptive_timeout.py
@@ -18,9 +18,12 @@
 """Default timeout as a multiple of the average duration, as the store may carry out
 several transactions of other daemons before a call."""
 
-GROWTH_FACTOR = 2.0
-"""Multiple of a timeout that has passed without an answer as the next timeout, from the
-second one in a row on."""
+BACKOFF_FACTOR = 2.0
+"""Factor by which the timeout grows with each call in a row that had no answer."""
+
+N_LOST_ANSWERS = 1
+"""Calls in a row without an answer that are taken for lost answers by default; the
+timeout grows with the next one."""
 
 
 class AdaptiveTimeout:
@@ -30,6 +33,7 @@
         min_seconds: shortest timeout in seconds.
         max_seconds: longest timeout in seconds.
         factor: timeout as a multiple of the average duration.
+        n_lost_answers: calls in a row without an answer that don't change the timeout.
 
     Example:
         >>> timeout = AdaptiveTimeout(0.6, 3.0)
@@ -42,19 +46,26 @@
     """
 
     def __init__(
-        self, min_seconds: float, max_seconds: float, factor: float = TIMEOUT_FACTOR
+        self,
+        min_seconds: float,
+        max_seconds: float,
+        factor: float = TIMEOUT_FACTOR,
+        n_lost_answers: int = N_LOST_ANSWERS,
     ) -> None:
         self._min_seconds = min_seconds
         self._max_seconds = max_seconds
         self._factor = factor
+        self._n_lost_answers = n_lost_answers
         self._average_seconds: float | None = None
         self._n_timeouts = 0
+        self._backoff = 1.0
 
     @property
     def seconds(self) -> float:
         """Timeout of the next call in seconds."""
         expected = self._factor * self.average_seconds
-        return min(self._max_seconds, max(self._min_seconds, expected))
+        seconds = max(self._min_seconds, expected) * self._backoff
+        return min(self._max_seconds, seconds)
 
     @property
     def average_seconds(self) -> float:
@@ -63,20 +74,22 @@
 
     def on_answer(self, seconds: float) -> None:
         """Record how many seconds an answer took."""
+        is_slow = self._backoff > 1.0 and seconds > self._min_seconds
         self._n_timeouts = 0
-        if self._average_seconds is None:
-            self._average_seconds = seconds
+        self._backoff = 1.0
+        if self._average_seconds is None or is_slow:
+            self._average_seconds = max(seconds, self.average_seconds)
             return
         self._average_seconds += SMOOTHING_FACTOR * (seconds - self._average_seconds)
 
-    def on_timeout(self, seconds: float) -> None:
-        """Record that there was no answer within ``seconds``.
+    def on_timeout(self, timeout_seconds: float) -> None:
+        """Record that a call with this timeout had no answer.
 
-        A single timeout is taken for a lost answer and changes nothing.
+        Without it, the timeout of a service whose answers all take longer would never
+        grow. A call that was given up sooner than the present timeout doesn't count.
         """
-        self._n_timeouts += 1
-        if self._n_timeouts < 2:
+        if timeout_seconds < self.seconds:
             return
-        next_seconds = min(self._max_seconds, GROWTH_FACTOR * seconds)
-        average_seconds = next_seconds / self._factor
-        self._average_seconds = max(self.average_seconds, average_seconds)
+        self._n_timeouts += 1
+        if self._n_timeouts > self._n_lost_answers and self.seconds < self._max_seconds:
+            self._backoff *= BACKOFF_FACTOR
--- a/soak/conditions.py
+++ b/soak/conditions.py
@@ -66,6 +66,35 @@
     environment.deployment.set_faults(vm_list_age_seconds=strength)
 
 
+@register
+def vm_orders_refused(environment: SoakEnvironment, strength: float) -> None:
+    """Refuse this fraction of the orders for VMs."""
+    environment.deployment.set_faults(refused_vm_orders=strength)
+
+
+@register
+def vm_orders_lost(environment: SoakEnvironment, strength: float) -> None:
+    """Leave this fraction of the orders for VMs unanswered; carry out half of these."""
+    environment.deployment.set_faults(lost_vm_orders=strength)
+
+
+@register
+def waves(environment: SoakEnvironment, strength: float) -> Callable[[], None]:
+    """Request waves of upkeep of all VMs one after another, each ``strength`` seconds.
+
+    Each has this time until its deadline. A third of the VMs may be down at once.
+    """
+    deployment = environment.deployment
+    size = deployment.size
+    max_down = (size.n_pools * size.n_vms + size.n_spare_vms) // 3
+
+    def request() -> None:
+        deployment.request_next_upkeep_wave(strength, max_down)
+
+    request()
+    return _repeat(request, strength)
+
+
 @register
 def answers_lost(environment: SoakEnvironment, strength: float) -> None:
     """Lose the answers to this fraction of the writes to the store."""
