--- a/catkinport/jobs/tests/test_run_orders.py
+++ b/catkinport/jobs/tests/test_run_orders.py
@@ -278,4 +278,4 @@
 
     def test_a_round_that_was_interrupted_is_followed_by_the_next_one(self):
         """Guards against a pause that is as long as the one of a paused process."""
-        assert self._find_interval(lambda: time.sleep(0.5)) < 1.0
+        assert self._find_interval(lambda: time.sleep(0.5)) < 0.9
