--- a/catkinport/jobs/placement/gang_rooms.py
+++ b/catkinport/jobs/placement/gang_rooms.py
@@ -7,7 +7,13 @@
 from collections.abc import Iterator, Mapping
 
 from ...policy.crash_blame import REPEATED_CRASHES
-from ...policy.worker_choice import CandidateWorker, TaskNeed, choose_worker
+from ...policy.resources import Resources, is_within, scale
+from ...policy.worker_choice import (
+    ROUNDING_TOLERANCE,
+    CandidateWorker,
+    TaskNeed,
+    choose_worker,
+)
 from ..dispatch.task import Task
 from ..model import Step
 from .task_needs import task_need
@@ -22,8 +28,14 @@
     Members that were on crashed workers are kept apart from each other if there are
     enough workers, and only from other suspects if not.
     """
+    groups = [
+        group
+        for group in _candidate_groups(tasks[0].step, rooms)
+        if _may_fit_all(tasks, group)
+    ]
+    if not groups:
+        return None
     needs = [task_need(task) for task in tasks]
-    groups = list(_candidate_groups(tasks[0].step, rooms))
     for candidates in groups:
         chosen = _fit_all(needs, candidates)
         if chosen is not None:
@@ -53,6 +65,21 @@
     yield list(rooms.values())
 
 
+def _may_fit_all(tasks: list[Task], rooms: list[CandidateWorker]) -> bool:
+    """Return whether the tasks need no more than what all workers have free together.
+
+    It rejects most gangs that do not fit, without choosing a worker for each task.
+    """
+    need = scale(task_need(tasks[0]).counted_need, len(tasks))
+    tolerance = ROUNDING_TOLERANCE * (len(rooms) + 1)
+    free = Resources(
+        sum(max(0.0, room.cores) for room in rooms) + tolerance,
+        sum(max(0.0, room.memory_gb) for room in rooms) + tolerance,
+        sum(max(0.0, room.accelerators) for room in rooms) + tolerance,
+    )
+    return is_within(need, free)
+
+
 def _fit_all(
     needs: list[TaskNeed], rooms: list[CandidateWorker]
 ) -> list[CandidateWorker] | None:
