Send orders for VMs as long as no successor can order the VMs

What callers saw: with the store 0.6 s away each way, no VM moved or went down for its upkeep, and drained and cordoned VMs stayed empty beside jobs that waited.

Cause: an order had 1.2 s from its decision, and the write that names its VM took that long, every time.

Change: after 1.2 s an order is still sent while the lease is not in doubt, which rules out a successor, and 0.5 s before the order gap ends, for which the row keeps the VM. The VM counts as ordered from the sending on.

TestOrderAfterSlowWrite failed before (its first case).

--- a/catkinport/jobs/ownership/vm_orders.py
+++ b/catkinport/jobs/ownership/vm_orders.py
@@ -40,9 +40,13 @@
 VMs are removed once a successor need no longer wait before it orders them."""
 
 MAX_SEND_DELAY_SECONDS = 1.2
-"""Longest time from a round of decisions to the sending of its orders. A successor
-leaves the stored VMs alone for longer, so that an order of an owner that was paused
-meanwhile cannot follow one of its successor."""
+"""Longest time from a round of decisions to the sending of its orders while a successor
+may have claimed the ownership. It leaves the stored VMs alone for longer, so that an
+order of an owner that was paused meanwhile cannot follow one of its successor."""
+
+SEND_MARGIN_SECONDS = 0.5
+"""How much sooner than the order gap all orders are sent. The row that names their VMs
+keeps them for the gap after the decision."""
 
 FORMER_WAVE_SECONDS = 6.0
 """A wave that is first seen within this time of the takeover may have been seen, and
@@ -166,9 +170,8 @@
         if await self._store_vms(
             self._vm_planner.inventory.find_recently_ordered(now), now
         ):
-            send_by = now + MAX_SEND_DELAY_SECONDS
             for order in orders:
-                self._session.spawn(self._send_vm_order(order, send_by))
+                self._session.spawn(self._send_vm_order(order, now))
             return
         for order in orders:
             self._vm_planner.on_no_effect(order)
@@ -194,32 +197,46 @@
         )
         return False
 
-    async def _send_vm_order(self, order: VmOrder, send_by: float) -> None:
-        """Send an order, unless the clock is past ``send_by`` in seconds.
+    async def _send_vm_order(self, order: VmOrder, planned_at: float) -> None:
+        """Send an order that was decided at clock time ``planned_at``, in seconds.
 
-        An order is not repeated while a call with it waits for its answer. On a slow
-        platform, repetitions would take the connections of all other calls.
+        It is not sent if a successor may order the VM by now, and not repeated while a
+        call with it waits for its answer. On a slow platform, repetitions would take
+        the connections of all other calls.
         """
         if order in self._calls_under_way:
             self._vm_planner.on_no_effect(order)
             return
         self._calls_under_way.add(order)
         try:
-            await self._call_with_order(order, send_by)
+            await self._call_with_order(order, planned_at)
         finally:
             self._calls_under_way.discard(order)
 
-    async def _call_with_order(self, order: VmOrder, send_by: float) -> None:
+    def _may_send(self, planned_at: float, now: float) -> bool:
+        """Return whether no successor can order the VMs that were stored with orders.
+
+        The write of these VMs may take longer than `MAX_SEND_DELAY_SECONDS`.
+        """
+        age_seconds = now - planned_at
+        if age_seconds <= MAX_SEND_DELAY_SECONDS:
+            return True
+        order_gap = self._vm_planner.inventory.bounds.order_gap
+        is_in_doubt = self._session.lease.may_be_replaced(now)
+        return age_seconds <= order_gap - SEND_MARGIN_SECONDS and not is_in_doubt
+
+    async def _call_with_order(self, order: VmOrder, planned_at: float) -> None:
         now = self._session.clock.now()
-        if now > send_by:
+        if not self._may_send(planned_at, now):
             log_event(
                 logger,
                 "vm order not sent",
                 vm=order.vm_id,
-                late_seconds=round(now - send_by, 2),
+                age_seconds=round(now - planned_at, 2),
             )
             self._vm_planner.on_no_effect(order)
             return
+        self._vm_planner.inventory.note_ordered(order.vm_id, now)
         token = self._session.lease.token
         if order.wave:
             outcome = await self._session.ports.vms.maintain(
--- a/catkinport/jobs/tests/test_vm_orders.py
+++ b/catkinport/jobs/tests/test_vm_orders.py
@@ -174,6 +174,38 @@
         assert fleet.vm_planner.inventory.is_under_order("m0") == bool(n_sent)
 
 
+class TestOrderAfterSlowWrite:
+    @pytest.mark.parametrize(
+        ("write_seconds", "renewed_seconds_ago", "n_sent"),
+        [(2.0, 0.2, 1), (2.0, 2.0, 0), (2.6, 0.2, 0)],
+    )
+    def test_it_is_sent_while_no_successor_can_order_the_vm(
+        self, write_seconds, renewed_seconds_ago, n_sent
+    ):
+        """Guards against VMs that never move or go down while the store is far away.
+
+        The write of the VMs took longer than the time that an order had. Without a
+        renewal since, and near the end of the gap between the orders of two owners, a
+        successor may order the VM.
+        """
+        fleet = VmFleet(1)
+        fleet.request_wave(["m0"])
+        session = FakeSession(SimpleNamespace(now=lambda: fleet.now))
+
+        async def run():
+            orders = VmOrders(session, fleet.vm_planner, 0.0)
+            orders._store_begun = lambda wave: asyncio.sleep(0)
+            await orders._send_vm_orders(fleet.step(0.25), fleet.now)
+            fleet.now += write_seconds
+            session.lease = OwnLease(1, fleet.now - renewed_seconds_ago)
+            await asyncio.sleep(0)
+
+        asyncio.run(run())
+        assert len(session.sent) == n_sent
+        recently = fleet.vm_planner.inventory.find_recently_ordered(fleet.now + 2.9)
+        assert ("m0" in recently) == bool(n_sent)
+
+
 class TestOutcomeOfAnOrder:
     @pytest.mark.parametrize("may_be_done", [False, True])
     def test_only_an_order_that_may_be_done_keeps_its_vm(self, may_be_done):
--- a/catkinport/jobs/vms/vm_inventory.py
+++ b/catkinport/jobs/vms/vm_inventory.py
@@ -136,7 +136,11 @@
                 order=order, sent_at=now, answered_at=0.0, n_uncertain=n_uncertain
             )
         self._pending_by_vm[order.vm_id] = pending
-        self._ordered_at_by_vm[order.vm_id] = now
+        self.note_ordered(order.vm_id, now)
+
+    def note_ordered(self, vm_id: str, now: float) -> None:
+        """Record when a VM was last ordered, for a successor's wait."""
+        self._ordered_at_by_vm[vm_id] = now
 
     def note_done(self, order: VmOrder, now: float) -> Incarnation | None:
         """Record that the platform has carried the order out.
