Let far workers get the starts of a peak of demand

What callers saw: with workers 0.35 s away, jobs of a queue at the peak of its demand waited beside room, for 6.5 s at most.

Cause: 100 starts a second were let in flight, and a queue asks for about 150 at its peak. For the first 5 s of a distance the limit was that of near workers.

Change: 150 starts a second; the distance is known after 2.5 s.

--- a/catkinport/policy/concurrency_limit.py
+++ b/catkinport/policy/concurrency_limit.py
@@ -11,7 +11,7 @@
 MIN_CALLS = 16
 """Lower bound of the limit while answers are fast."""
 
-MIN_CALLS_PER_SECOND = 100.0
+MIN_CALLS_PER_SECOND = 150.0
 """Calls that can begin in a second at least, however far the peers are."""
 
 MAX_CALLS = 512
@@ -24,7 +24,7 @@
 MAX_FASTEST_SECONDS = 2.5
 """Longest time that the answers of far peers are taken to need."""
 
-FASTEST_WINDOW_SECONDS = 5.0
+FASTEST_WINDOW_SECONDS = 2.5
 """The fastest answers are those of the present and of the former window of this
 length."""
 
