Show two faults of orders for VMs (known red)

A task starts on a VM while the write that names it goes on, and the order then ends it. A wave that the former owner has seen counts as new if the stored waves are read over 6 s after the jobs.

--- a/catkinport/jobs/tests/test_vm_orders.py
+++ b/catkinport/jobs/tests/test_vm_orders.py
@@ -7,11 +7,13 @@
 
 from ...policy.leadership import OwnLease
 from ...ports import Reason, Unavailable
+from ...ports.async_table import Snapshot
 from ...ports.fleet_vms import UpkeepWave
 from ...ports.fleet_workers import Done, Rejection
 from ...ports.table import Committed, Condition, Conflict
 from ..ownership.vm_orders import FORMER_WAVE_SECONDS, VmOrders
 from ..tables import OWNER_KEY, VM_ORDERS_KEY
+from .builders import make_job, make_step
 from .vm_fleet import VmFleet
 
 
@@ -206,6 +208,43 @@
         assert ("m0" in recently) == bool(n_sent)
 
 
+class TestOrderBesideSlowWrite:
+    def test_no_task_starts_on_the_vm_before_its_order_is_sent(self):
+        """Guards against orders that end tasks which nobody has counted.
+
+        The write of the ordered VMs takes 2.3 s. Meanwhile its worker answers and the
+        VM seems to have outlived an order that was not sent yet, so it gets a lasting
+        task, which the order then ends.
+        """
+        fleet = VmFleet(1)
+        fleet.request_wave(["m0"])
+        session = FakeSession(SimpleNamespace(now=lambda: fleet.now))
+        started = []
+
+        async def commit(transaction):
+            for _ in range(9):
+                fleet.advance(0.25)
+                fleet.poll_all()
+                fleet.list_vms()
+                fleet.vm_planner.unblock_idle(fleet.now)
+            job = make_job(steps=[make_step(is_lasting=True)])
+            fleet.dispatcher.add_job(job, fleet.now)
+            started.extend(fleet.start())
+            return Committed({VM_ORDERS_KEY: 1})
+
+        session.commit = commit
+
+        async def run():
+            orders = VmOrders(session, fleet.vm_planner, 0.0)
+            orders._store_begun = lambda wave: asyncio.sleep(0)
+            await orders._send_vm_orders(fleet.step(0.25), fleet.now)
+            session.lease = OwnLease(1, fleet.now - 0.2)
+            await asyncio.sleep(0)
+
+        asyncio.run(run())
+        assert not (started and session.sent)
+
+
 class TestOutcomeOfAnOrder:
     @pytest.mark.parametrize("may_be_done", [False, True])
     def test_only_an_order_that_may_be_done_keeps_its_vm(self, may_be_done):
@@ -296,3 +335,41 @@
         orders = VmOrders(session, fleet.vm_planner, 0.0)
         orders._add_waves({"1": {"begun": ["m0"]}}, fleet.now)
         assert fleet.step() == []
+
+    def test_a_wave_that_was_there_before_the_stored_state_was_read_is_inherited(self):
+        """Guards against a worker that is taken for ended while its tasks run.
+
+        The stored waves could not be read for seven seconds after the jobs. The former
+        owner had ordered the upkeep, which the platform only confirms now.
+        """
+        fleet = VmFleet(1)
+        session = FakeSession(SimpleNamespace(now=lambda: fleet.now))
+        answers = [
+            Unavailable(Reason.TIMEOUT, "table-read"),
+            Snapshot([], 1),
+        ]
+
+        async def read_range(table):
+            fleet.advance(3.5)
+            fleet.poll_all()
+            fleet.list_vms()
+            session.lease = OwnLease(1, fleet.now)
+            return answers.pop(0)
+
+        async def commit(transaction):
+            return Committed({write.row_key: 1 for write in transaction.writes})
+
+        session.read_range = read_range
+        session.commit = commit
+
+        async def run():
+            orders = VmOrders(session, fleet.vm_planner, 0.0)
+            orders._store_begun = lambda wave: asyncio.sleep(0)
+            orders._report_loop = orders._unblock_loop = lambda: asyncio.sleep(0)
+            task = asyncio.ensure_future(orders.run())
+            await asyncio.sleep(0.4)
+            task.cancel()
+
+        asyncio.run(run())
+        assert [vm_id for vm_id, _ in session.sent] == ["m0"]
+        assert "w0" in fleet.dispatcher.worker_by_id
