--- a/catkinport/jobs/tests/test_run_orders.py
+++ b/catkinport/jobs/tests/test_run_orders.py
@@ -4,12 +4,13 @@
 import time
 from types import SimpleNamespace
 
-from ...policy.leadership import OwnLease
+from ...policy.leadership import STOP_RENEWING_SECONDS, OwnLease
 from ...ports import Reason, Unavailable
-from ...ports.fleet_workers import Done
+from ...ports.fleet_workers import Done, WorkerLists
 from ...runtime import Metrics
 from ..ownership import run_orders
 from ..ownership.run_orders import RunOrders
+from ..ownership.worker_watch import WorkerWatch
 from ..placement.planner import ApprovalRequest
 from ..placement.run_stops import find_stops
 from .builders import JOB_ID, Fleet, make_job, make_step, make_worker
@@ -86,6 +87,46 @@
         assert len(fleet.plan()) == 1
 
 
+class TestPollAfterStartWithoutAnswer:
+    def test_it_renews_no_lease_once_the_owner_must_stop_renewing(self):
+        """Guards against a task that runs twice after an owner was cut off the store.
+
+        A successor that can't reach a worker takes its tasks for ended a lease after
+        `STOP_RENEWING_SECONDS`. The owner sends a start just before that time, and the
+        poll that follows the lost answer comes seconds after it.
+        """
+        fleet = Fleet([make_worker("w1")])
+        fleet.dispatcher.add_job(make_job(), fleet.now)
+        session = FakeSession(fleet, lambda: None)
+        session.lease = OwnLease(1, fleet.now)
+        lease_seconds_of_polls = []
+
+        async def start(worker, token, order, lease_seconds):
+            fleet.advance(1.9)
+            return UNCERTAIN
+
+        async def renew_lease(worker, token, end, lease_seconds, wait_seconds):
+            lease_seconds_of_polls.append(lease_seconds)
+            return WorkerLists(1.0, [], [])
+
+        session.start = start
+        session.renew_lease = renew_lease
+        session.bound_answer = lambda worker_id: 0.6
+        orders = RunOrders(session, WorkerWatch(session, None, 0.0))
+        fleet.advance(STOP_RENEWING_SECONDS - 1.0)
+        fleet.poll("w1")
+        (planned,) = fleet.plan()
+        fleet.advance(0.9)
+        fleet.poll("w1")
+
+        async def run():
+            await orders._send_start(planned)
+
+        asyncio.run(run())
+        assert session.lease.must_stop_renewing(fleet.now)
+        assert not any(lease_seconds_of_polls)
+
+
 class TestStartAfterPause:
     def test_it_is_not_sent_once_the_ownership_may_be_over(self):
         """Guards against a start of an owner that was paused before it was sent."""
