Send no poll once an owner must stop renewing leases

What callers could see: a task that runs twice after an owner was cut off from the store.

Cause: only the poll loop checked the ownership. The poll that follows a start or a stop without an answer did not, and since timeouts follow late answers it may come five seconds after the order. In the test it granted a lease 7.8 s after the last stored renewal, which lasts beyond the time after which a successor takes the worker's tasks for ended.

Change: the check is in the poll itself. TestPollAfterStartWithoutAnswer failed before.

--- a/catkinport/jobs/ownership/worker_watch.py
+++ b/catkinport/jobs/ownership/worker_watch.py
@@ -202,12 +202,16 @@
     async def poll(self, worker: WorkerRecord, may_wait: bool = True) -> None:
         """Renew the lease of a worker, and process the runs and ends that it lists.
 
+        Nothing is sent once a successor may have counted the last lease as ended.
+
         Args:
             worker: the worker.
             may_wait: whether the worker may wait for the end of a run before it
                 answers.
         """
         sent_at = self._session.clock.now()
+        if self._session.lease.must_stop_renewing(sent_at):
+            return
         silent_seconds = sent_at - worker.contact_at
         is_fresh = (
             silent_seconds <= RENEW_CONTACT_SECONDS + POLL_WAIT_SECONDS
