Send no order for a VM on which tasks have started since the decision

What callers could see: lasting tasks that an upkeep ends beyond their budget, and work of a former owner that runs twice.

Cause: an order may wait 2.5 s for the write that names its VM, and counted as sent from its decision, so that its worker got tasks again after 2 s, before it was sent. And a wave counted as new if the stored state was read over 6 s after the jobs, as reads may take longer since they follow late answers; its upkeep of the former owner was then only confirmed, and the worker that had started since was taken for ended.

Change: an order isn't sent if a run has been ordered on its VM since the decision, and counts as sent when it is sent. Waves that are there when the state has been read count as inherited. The test of waves of this owner alone looked for waves 6.1 s late for the first time; it looks for them at once as well now, as an owner does.

--- a/catkinport/jobs/ownership/vm_orders.py
+++ b/catkinport/jobs/ownership/vm_orders.py
@@ -76,6 +76,7 @@
         self._stored_vms: list[str] = []
         self._stored_vms_at = session.clock.now()
         self._calls_under_way: set[VmOrder] = set()
+        self._are_waves_added = False
 
     async def follow_vm_list(self) -> None:
         """Poll the platform's list of VMs until the ownership ends."""
@@ -149,8 +150,14 @@
             await asyncio.sleep(PLAN_SECONDS)
 
     def _add_waves(self, value_by_key: Mapping[str, Any], now: float) -> None:
-        """Add the waves that are new to this owner, with their stored progress."""
-        is_inherited = now <= self._session.loaded_at + FORMER_WAVE_SECONDS
+        """Add the waves that are new to this owner, with their stored progress.
+
+        Those that were there before the first call, however late it comes, may have
+        been seen by the former owner.
+        """
+        is_early = now <= self._session.loaded_at + FORMER_WAVE_SECONDS
+        is_inherited = is_early or not self._are_waves_added
+        self._are_waves_added = True
         for wave in self._session.ports.desk.list_waves():
             if wave.wave in self._vm_planner.wave_by_number:
                 continue
@@ -225,9 +232,18 @@
         is_in_doubt = self._session.lease.may_be_replaced(now)
         return age_seconds <= order_gap - SEND_MARGIN_SECONDS and not is_in_doubt
 
+    def _has_new_runs(self, order: VmOrder, planned_at: float) -> bool:
+        """Return whether tasks have started on the VM since the order was decided.
+
+        The decision did not count them among those that the order ends.
+        """
+        worker = self._vm_planner.inventory.worker_on(order.vm_id)
+        runs = worker.run_by_key.values() if worker else ()
+        return any(run.asked_at > planned_at for run in runs)
+
     async def _call_with_order(self, order: VmOrder, planned_at: float) -> None:
         now = self._session.clock.now()
-        if not self._may_send(planned_at, now):
+        if not self._may_send(planned_at, now) or self._has_new_runs(order, planned_at):
             log_event(
                 logger,
                 "vm order not sent",
@@ -236,7 +252,7 @@
             )
             self._vm_planner.on_no_effect(order)
             return
-        self._vm_planner.inventory.note_ordered(order.vm_id, now)
+        self._vm_planner.inventory.note_sending(order, now)
         token = self._session.lease.token
         if order.wave:
             outcome = await self._session.ports.vms.maintain(
--- a/catkinport/jobs/tests/test_vm_orders.py
+++ b/catkinport/jobs/tests/test_vm_orders.py
@@ -322,6 +322,9 @@
         fleet = VmFleet(1)
         session = FakeSession(SimpleNamespace(now=lambda: fleet.now))
         orders = VmOrders(session, fleet.vm_planner, 0.0)
+        session.list_waves = lambda: []
+        orders._add_waves({}, fleet.now)
+        del session.list_waves
         fleet.advance(seen_after_seconds)
         orders._add_waves({}, fleet.now)
         (order,) = fleet.step()
--- a/catkinport/jobs/vms/vm_inventory.py
+++ b/catkinport/jobs/vms/vm_inventory.py
@@ -136,11 +136,19 @@
                 order=order, sent_at=now, answered_at=0.0, n_uncertain=n_uncertain
             )
         self._pending_by_vm[order.vm_id] = pending
-        self.note_ordered(order.vm_id, now)
+        self._ordered_at_by_vm[order.vm_id] = now
 
-    def note_ordered(self, vm_id: str, now: float) -> None:
-        """Record when a VM was last ordered, for a successor's wait."""
-        self._ordered_at_by_vm[vm_id] = now
+    def note_sending(self, order: VmOrder, now: float) -> None:
+        """Record that an order is sent now, after its VM was stored."""
+        self._ordered_at_by_vm[order.vm_id] = now
+        pending = self._pending_by_vm.get(order.vm_id)
+        if pending is None or pending.order != order:
+            return
+        is_first = pending.n_uncertain <= 1
+        first_sent_at = now if is_first else pending.first_sent_at
+        self._pending_by_vm[order.vm_id] = pending._replace(
+            first_sent_at=first_sent_at, sent_at=now
+        )
 
     def note_done(self, order: VmOrder, now: float) -> Incarnation | None:
         """Record that the platform has carried the order out.
