Give jobs another turn while others arrive faster than they are planned

What callers could see: a job of which some tasks run, and whose others get no turn as long as new jobs keep coming; and an owner that uses half of a processor for nothing during an outage of the store. Found by the review.

Cause: a pass of planning ended only when no job was left that had had no turn; and the loop woke itself for the rest of a round that it did not plan at all, as no starts were free or the ownership was over.

Change: a pass ends after 5 s in any case, and the loop wakes itself only after a round that planned. test_jobs_that_arrive_all_the_time_do_not_keep_others_from_their_turn fails with a longer pass.

--- a/catkinport/jobs/ownership/run_orders.py
+++ b/catkinport/jobs/ownership/run_orders.py
@@ -75,8 +75,6 @@
                 began_at = time.thread_time()
                 with round_times.measure(len(job_by_id)):
                     self._plan()
-                if self._planner.is_unfinished:
-                    self._session.wake.set()
                 self._report_stalls()
                 taken_seconds = time.thread_time() - began_at
                 await asyncio.sleep(max(MIN_PLAN_INTERVAL_SECONDS, taken_seconds))
@@ -110,6 +108,8 @@
             for start in starts:
                 self._start_limit.begin()
                 self._session.spawn(self._send_start(start))
+            if self._planner.is_unfinished:
+                self._session.wake.set()
         for wanted in self._planner.wanted_approvals.values():
             self._request_approval(wanted)
         if self._session.dispatcher.dirty_jobs():
--- a/catkinport/jobs/placement/planner.py
+++ b/catkinport/jobs/placement/planner.py
@@ -30,6 +30,10 @@
 from .start_delays import StartDelays, StartHold
 from .task_needs import find_expected_ends, running_need, stage_name, task_need
 
+MAX_PASS_SECONDS = 5.0
+"""Time after which jobs get another turn even if others have not had one, as these may
+arrive faster than they are planned."""
+
 MAX_WORKERS_PER_REQUEST = 100
 """Most workers that the advice service judges in one call."""
 
@@ -76,6 +80,7 @@
         self._reservations = Reservations()
         self._first_pool = ""
         self._seen_ids: set[str] = set()
+        self._pass_began_at = 0.0
         self.is_unfinished = False
         self.wanted_approvals: dict[str, ApprovalRequest] = {}
 
@@ -128,6 +133,8 @@
         self.delays.learned_before = learned_before
         self.wanted_approvals = {}
         self._reservations.begin_round()
+        if now - self._pass_began_at >= MAX_PASS_SECONDS:
+            self._begin_pass(now)
         budget = RoundBudget(max_starts, clock)
         records_by_pool = self._find_unseen(now)
         usage = usage_by_account(self._dispatcher)
@@ -143,7 +150,7 @@
             next_index = index + 1 if is_begun else index
             self._first_pool = pools[next_index % len(pools)]
             return budget.starts
-        self._end_pass()
+        self._end_pass(now)
         return budget.starts
 
     def _find_unseen(self, now: float) -> dict[str, list[tuple[JobRecord, Queue]]]:
@@ -191,11 +198,15 @@
             self._seen_ids.add(record.job.job_id)
         return True
 
-    def _end_pass(self) -> None:
+    def _begin_pass(self, now: float) -> None:
+        self._seen_ids.clear()
+        self._pass_began_at = now
+
+    def _end_pass(self, now: float) -> None:
         # What a pass has not seen yet must not be forgotten.
         self.delays.end_round()
         self._reservations.end_pass()
-        self._seen_ids.clear()
+        self._begin_pass(now)
 
     def _find_job_hold(self, record: JobRecord) -> StartHold | None:
         """Return why no task of a job may start, or ``None`` if its tasks may."""
--- a/catkinport/jobs/tests/test_large_jobs.py
+++ b/catkinport/jobs/tests/test_large_jobs.py
@@ -184,6 +184,27 @@
             fleet.start(clock=itertools.count().__next__)
         assert len(fleet.dispatcher.runs_by_task) == N_JOBS
 
+    def test_jobs_that_arrive_all_the_time_do_not_keep_others_from_their_turn(self):
+        """Guards against a job of which some tasks start, and then none for good."""
+        fleet = make_fleet()
+        fleet.dispatcher.add_job(make_job(SMALL_JOB, [make_step(n_tasks=2)]), fleet.now)
+        record = fleet.dispatcher.job_by_id[SMALL_JOB]
+        (first, second) = record.all_tasks()
+        second.not_before = fleet.now + 1.0
+        names = []
+        for number in range(40):
+            fleet.advance(0.2)
+            fleet.poll_all()
+            record.accepted_at = fleet.now
+            for copy in range(2):
+                job_id = f"{2 * number + copy:016x}"
+                fleet.dispatcher.add_job(make_large_job(job_id, n_tasks=1), fleet.now)
+                # Hopeless jobs come after those that are on time.
+                fleet.dispatcher.job_by_id[job_id].accepted_at = fleet.now - 1000.0
+            starts = fleet.start(clock=itertools.count().__next__)
+            names += [start.run.task.text for start in starts]
+        assert {first.text, second.text} <= set(names)
+
     def test_an_unfinished_round_is_told(self):
         """Guards against the rest of a round that waits for the next event."""
         fleet = make_fleet()
