--- a/verification/output_pump.py
+++ b/verification/output_pump.py
@@ -30,6 +30,11 @@
         self._thread = threading.Thread(target=self._copy, daemon=True)
         self._thread.start()
 
+    @property
+    def is_over(self) -> bool:
+        """Whether all output of a process that has ended is in the file."""
+        return not self._thread.is_alive()
+
     def join(self, timeout_seconds: float) -> None:
         """Wait until the pipe has ended, for the timeout at most."""
         self._thread.join(timeout_seconds)
--- a/verification/processes.py
+++ b/verification/processes.py
@@ -66,6 +66,10 @@
         """Whether the process has not ended."""
         return self._process.poll() is None
 
+    def _is_output_complete(self) -> bool:
+        """Return whether the file has all output of a process that has ended."""
+        return not self.is_running and (self._pump is None or self._pump.is_over)
+
     def wait_for_line(self, start: str, n_lines: int = 1) -> list[str]:
         """Wait for ``n_lines`` lines of output that begin with ``start``.
 
@@ -78,11 +82,13 @@
         """
         deadline = time.monotonic() + READY_TIMEOUT_SECONDS
         while time.monotonic() < deadline:
+            # What was written before the end is there if this comes before the read.
+            is_complete = self._is_output_complete()
             lines = self.log_path.read_text(errors="replace").splitlines()
             found = [line[len(start) :] for line in lines if line.startswith(start)]
             if len(found) >= n_lines:
                 return found
-            if not self.is_running:
+            if is_complete:
                 break
             time.sleep(0.02)
         tail = self.read_tail()
--- a/verification/tests/test_processes.py
+++ b/verification/tests/test_processes.py
@@ -45,6 +45,20 @@
         process.limit_output(math.inf)
         assert process.wait_for_line("line 19999")
 
+    def test_lines_are_found_that_arrive_after_the_end_of_the_process(self, tmp_path):
+        """Guards against a reader that gives up while the last lines are on their way.
+
+        A pipe holds what the process has written, and the process has ended by then.
+        """
+        script = "print('first'); time.sleep(0.5); print('x' * 9000); print('last')"
+        (tmp_path / "printer.py").write_text(f"import time; {script}")
+        variables = {"PYTHONPATH": str(tmp_path)}
+        process = ManagedProcess(
+            "printer", ["printer"], tmp_path / "log", variables, is_output_piped=True
+        )
+        process.limit_output(10_000)
+        assert process.wait_for_line("last") == [""]
+
     def test_output_without_a_pipe_cannot_be_limited(self, tmp_path):
         """Guards against a condition that is played without any effect."""
         (tmp_path / "printer.py").write_text("print('line')")
