Share the sending of orders among three tests of VM orders

Cause: three tests wrote the same steps (store the orders of a round, let time pass or renew the lease, let the orders be sent), two of them line by line. Change: send_orders does these steps; each test passes what happens between. Assertions, parameters and times are the same as before.

--- a/catkinport/jobs/tests/test_vm_orders.py
+++ b/catkinport/jobs/tests/test_vm_orders.py
@@ -117,6 +117,15 @@
         assert not fleet.vm_planner.inventory.is_under_order("m0")
 
 
+async def send_orders(fleet, session, on_stored):
+    """Store the orders of a round, call ``on_stored``, then let them be sent."""
+    orders = VmOrders(session, fleet.vm_planner, 0.0)
+    orders._store_begun = lambda wave: asyncio.sleep(0)
+    await orders._send_vm_orders(fleet.step(0.25), fleet.now)
+    on_stored()
+    await asyncio.sleep(0)
+
+
 class TestSlowAnswer:
     def test_an_order_is_not_repeated_while_its_call_waits(self):
         """Guards against repetitions that take all connections to a slow platform.
@@ -164,14 +173,10 @@
         fleet.request_wave(["m0"])
         session = FakeSession(SimpleNamespace(now=lambda: fleet.now))
 
-        async def run():
-            orders = VmOrders(session, fleet.vm_planner, 0.0)
-            orders._store_begun = lambda wave: asyncio.sleep(0)
-            await orders._send_vm_orders(fleet.step(0.25), fleet.now)
+        def pause():
             fleet.now += pause_seconds
-            await asyncio.sleep(0)
 
-        asyncio.run(run())
+        asyncio.run(send_orders(fleet, session, pause))
         assert len(session.sent) == n_sent
         assert fleet.vm_planner.inventory.is_under_order("m0") == bool(n_sent)
 
@@ -194,15 +199,11 @@
         fleet.request_wave(["m0"])
         session = FakeSession(SimpleNamespace(now=lambda: fleet.now))
 
-        async def run():
-            orders = VmOrders(session, fleet.vm_planner, 0.0)
-            orders._store_begun = lambda wave: asyncio.sleep(0)
-            await orders._send_vm_orders(fleet.step(0.25), fleet.now)
+        def end_write():
             fleet.now += write_seconds
             session.lease = OwnLease(1, fleet.now - renewed_seconds_ago)
-            await asyncio.sleep(0)
 
-        asyncio.run(run())
+        asyncio.run(send_orders(fleet, session, end_write))
         assert len(session.sent) == n_sent
         recently = fleet.vm_planner.inventory.find_recently_ordered(fleet.now + 2.9)
         assert ("m0" in recently) == bool(n_sent)
@@ -234,14 +235,10 @@
 
         session.commit = commit
 
-        async def run():
-            orders = VmOrders(session, fleet.vm_planner, 0.0)
-            orders._store_begun = lambda wave: asyncio.sleep(0)
-            await orders._send_vm_orders(fleet.step(0.25), fleet.now)
+        def renew():
             session.lease = OwnLease(1, fleet.now - 0.2)
-            await asyncio.sleep(0)
 
-        asyncio.run(run())
+        asyncio.run(send_orders(fleet, session, renew))
         assert not (started and session.sent)
 
 
