Store early cancellations by the jobs that they prevent

Cause: a cancellation that finds no job was one row for each id. A submission of A passed over the row of account B by its version. The cancellation of A then found that row, took it for its own and wrote nothing, so A's write that was still under way kept its condition and succeeded. Both accounts could not be canceled at once either.

Change: a row names the jobs that it prevents: those of an account, those of a queue, or those of a queue without a key. A job is stored only while none of the two rows exists that prevent it, so the rows of others don't matter to it, and it needs no second write.

The owner now removes outdated rows, whoever wrote them; their age counts from its first read of their version.

Daemons of before and after this change don't know each other's rows: during a rolling update a late write may pass a cancellation that a daemon of the other release took.

--- a/catkinport/jobs/intake.py
+++ b/catkinport/jobs/intake.py
@@ -11,7 +11,6 @@
 from ..ports.async_table import AsyncTable, commit_until_known
 from ..ports.table import (
     ABSENT_VERSION,
-    CommitOutcome,
     Committed,
     Condition,
     Conflict,
@@ -21,14 +20,19 @@
 )
 from ..runtime.logs import log_event
 from .configuration import AcceptedRules
-from .early_cancels import EarlyCancels, JobFound, Prevented
+from .early_cancels import (
+    EarlyCancels,
+    JobFound,
+    Prevented,
+    absent_conditions,
+    keys_that_prevent,
+)
 from .model import Job, JobState, job_to_row
 from .tables import (
     JOBS_TABLE,
     RANGE_END,
     STATES_TABLE,
     cancel_key,
-    early_cancel_key,
     job_key,
 )
 
@@ -89,23 +93,17 @@
         """
         if not self._is_table_reached():
             return TABLE_NOT_REACHED
-        outcome = await self._store_job(job, rules, ABSENT_VERSION)
-        cancel_row = _find_early_cancel(outcome, job.job_id)
-        if cancel_row is not None:
-            if _may_see(cancel_row.value or {}, job.account, job.queue):
-                return NotRun(Reason.CANCELED, "intake")
-            outcome = await self._store_job(job, rules, cancel_row.version)
+        key = job_key(job.job_id)
+        preventing_keys = keys_that_prevent(job.job_id, job.account, job.queue)
+        transaction = Transaction(
+            absent_conditions([key, *preventing_keys]),
+            [Write(key, job_to_row(job, rules))],
+        )
+        outcome = await commit_until_known(self._table, transaction, COMMIT_ATTEMPTS)
         if isinstance(outcome, Committed):
             return Accepted(is_repeat=False)
         if isinstance(outcome, Conflict):
-            if job_key(job.job_id) in outcome.versions_by_row_key:
-                return Accepted(is_repeat=True)
-            # The cancellation by another account has just been removed or replaced.
-            return NotRun(
-                Reason.CLAIMED_ELSEWHERE,
-                "intake",
-                retry_after_seconds=RETRY_AFTER_SECONDS,
-            )
+            return _explain_conflict(job, outcome)
         if outcome.may_have_committed:
             return Unknown(outcome.reason, outcome.step, outcome.peer, outcome.detail)
         return NotRun(
@@ -116,25 +114,6 @@
             RETRY_AFTER_SECONDS,
         )
 
-    async def _store_job(
-        self, job: Job, rules: AcceptedRules, early_cancel_version: int
-    ) -> CommitOutcome:
-        """Store a job unless it is stored, or was canceled before it could be.
-
-        Args:
-            job: the job.
-            rules: rules of its queue.
-            early_cancel_version: version of an early cancellation that doesn't count,
-                as another account has made it.
-        """
-        key = job_key(job.job_id)
-        conditions = [
-            Condition(key, ABSENT_VERSION),
-            Condition(early_cancel_key(job.job_id), early_cancel_version),
-        ]
-        transaction = Transaction(conditions, [Write(key, job_to_row(job, rules))])
-        return await commit_until_known(self._table, transaction, COMMIT_ATTEMPTS)
-
     async def find_state(
         self, job_id: str, account: str, queue: str
     ) -> JobState | Absent | Unavailable:
@@ -198,14 +177,12 @@
         return Unknown(outcome.reason, outcome.step, outcome.peer, outcome.detail)
 
 
-def _find_early_cancel(outcome: CommitOutcome, job_id: str) -> Row | None:
-    """Return the early cancellation that alone kept a job from being stored."""
-    if not isinstance(outcome, Conflict):
-        return None
-    if job_key(job_id) in outcome.versions_by_row_key:
-        return None
-    rows = (row for row in outcome.rows if row.row_key == early_cancel_key(job_id))
-    return next(rows, None)
+def _explain_conflict(job: Job, conflict: Conflict) -> Accepted | NotRun:
+    """Return why a job was not stored: it is already, or something prevents it."""
+    key = job_key(job.job_id)
+    if key not in conflict.versions_by_row_key:
+        return NotRun(Reason.CANCELED, "intake")
+    return Accepted(is_repeat=True)
 
 
 def _find_value(rows: Sequence[Row], job_id: str) -> Mapping[str, Any] | None:
--- a/catkinport/jobs/ownership/owner.py
+++ b/catkinport/jobs/ownership/owner.py
@@ -33,6 +33,7 @@
 from ..vms.vm_inventory import VmBounds
 from ..vms.vm_planner import VmPlanner
 from ..workers.worker_state import MAX_LEASE_SECONDS
+from .early_cancel_removal import EarlyCancelRemoval
 from .job_rows import JobRows, find_finished_ids
 from .ownership_watch import Claim
 from .removed_queues import RemovedQueues
@@ -103,6 +104,7 @@
             self._session, self._store, _former_runs_end_at(claim)
         )
         self._removed_queues = RemovedQueues(self._session)
+        self._early_cancel_removal = EarlyCancelRemoval(ports.table, ports.clock)
         self._run_orders = RunOrders(self._session, self._watch)
         # A claim that was repeated may have been carried out just before its answer.
         held_until = ports.clock.now() + bounds.order_gap
@@ -196,6 +198,7 @@
             self._job_feed_loop(),
             self._store.run(),
             self._removed_queues.run(),
+            self._early_cancel_removal.run(),
             self._watch.run(),
             self._run_orders.run(),
             self._vm_orders.follow_vm_list(),
--- a/catkinport/jobs/tables.py
+++ b/catkinport/jobs/tables.py
@@ -1,5 +1,9 @@
 """Tables and row keys of the table service that the daemons share."""
 
+import hashlib
+from collections.abc import Iterable
+from enum import StrEnum
+
 from ..ports.table import RowKey
 
 LEADER_TABLE = "leader"
@@ -36,6 +40,9 @@
 """Suffix of the key of the row that cancels a job. The row is in the table of jobs, so
 that one read and one change feed cover both."""
 
+NAME_DIGEST_CHARACTERS = 32
+"""Length of the digests that stand for names in keys, in hexadecimal digits."""
+
 RANGE_END = "~"
 """Character greater than any in a key; appended to a job id, it ends the range of the
 rows of that job."""
@@ -51,13 +58,44 @@
     return RowKey(JOBS_TABLE, job_id + CANCEL_SUFFIX)
 
 
-def early_cancel_key(job_id: str) -> RowKey:
-    """Return the key of the row of a cancellation that found no job.
+class CancelScope(StrEnum):
+    """Jobs with an id that a cancellation prevents, as its caller may see them."""
+
+    ACCOUNT = "account"
+    """Jobs of an account."""
+
+    QUEUE = "queue"
+    """All jobs of a queue."""
+
+    OPEN_QUEUE = "open"
+    """Jobs of a queue that were submitted without a key."""
+
+
+def early_cancel_key(job_id: str, scope: CancelScope, name: str) -> RowKey:
+    """Return the key of a row of a cancellation that found no job.
+
+    A job is stored only while no such row prevents it, so a write of the job that the
+    table service carries out later conflicts.
+
+    Args:
+        job_id: id of the job.
+        scope: what ``name`` names.
+        name: name of an account or queue, of any length and with any characters.
+    """
+    digest = hashlib.sha256(name.encode()).hexdigest()[:NAME_DIGEST_CHARACTERS]
+    return RowKey(EARLY_CANCELS_TABLE, f"{job_id}.{scope}.{digest}")
+
+
+def group_by_partition(row_keys: Iterable[RowKey]) -> list[list[RowKey]]:
+    """Group keys of rows of jobs so that one transaction can cover each group.
 
-    A job is stored only while there is none, so a write of the job that the table
-    service carries out later conflicts.
+    The rows of jobs whose ids begin with the same character are in one partition of
+    the table service.
     """
-    return RowKey(EARLY_CANCELS_TABLE, job_id)
+    group_by_character: dict[str, list[RowKey]] = {}
+    for row_key in row_keys:
+        group_by_character.setdefault(row_key.key[:1], []).append(row_key)
+    return list(group_by_character.values())
 
 
 def state_key(job_id: str) -> RowKey:
