Limit the cancellations of unknown jobs that one caller stores

Cause: a cancellation that finds no job has to be stored before it is answered, and nothing bounded how many one caller may store.

Change: a daemon stores at most 100 of them in 60 s for an account, or for all callers of a queue without keys. The next one is answered 429 at once, with the time until it can be served in Retry-After, and the log line `cancellation refused`. Nothing is stored then, and a cancellation of a job that is stored is not counted. 503 and 429 name the time that the refusal gives, 1 s at least.

TestLimit failed without the limit (all 101 were stored); test_a_limit_names_the_time failed with 503 and 1 s.

--- a/catkinport/jobs/early_cancels.py
+++ b/catkinport/jobs/early_cancels.py
@@ -4,10 +4,12 @@
 has had no answer to its submission may cancel it meanwhile, and must not see it run.
 """
 
-from collections.abc import Iterable
+import logging
+import time
+from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
-from ..ports import NotRun, Unknown
+from ..ports import NotRun, Reason, Unknown
 from ..ports.async_table import AsyncTable, commit_until_known
 from ..ports.table import (
     ABSENT_VERSION,
@@ -18,8 +20,12 @@
     Transaction,
     Write,
 )
+from ..runtime.logs import log_event
+from .call_limits import CallLimits
 from .tables import CancelScope, early_cancel_key, job_key
 
+logger = logging.getLogger(__name__)
+
 COMMIT_ATTEMPTS = 2
 """Attempts of one commit within a call; after that the caller has to retry."""
 
@@ -27,6 +33,10 @@
 """Shortest time for which a cancellation is kept. The table service carries writes out
 a few seconds late, and daemons repeat one only within a call."""
 
+MAX_STORED_PER_CALLER = 100
+"""Most cancellations of jobs that are not stored which a daemon stores for one client
+account, or for all callers of a queue without keys, in `KEEP_SECONDS`."""
+
 
 class Prevented(NamedTuple):
     """The cancellation is stored, so the caller's job can't be stored any more."""
@@ -44,10 +54,14 @@
 
     Args:
         table: client of the table service.
+        now: returns the time of a steady clock in seconds.
     """
 
-    def __init__(self, table: AsyncTable) -> None:
+    def __init__(
+        self, table: AsyncTable, now: Callable[[], float] = time.monotonic
+    ) -> None:
         self._table = table
+        self._limits = CallLimits(MAX_STORED_PER_CALLER, KEEP_SECONDS, now)
 
     async def store(
         self, job_id: str, account: str, queue: str
@@ -63,6 +77,20 @@
             account: account of the caller; empty on a queue that needs no key.
             queue: name of the queue on which the caller asks.
         """
+        wait_seconds = self._limits.admit(account or queue)
+        if wait_seconds:
+            log_event(
+                logger,
+                "cancellation refused",
+                request_id=job_id,
+                account=account,
+                queue=queue,
+                reason=Reason.LIMIT_REACHED,
+            )
+            detail = f"most cancellations of unknown jobs are {MAX_STORED_PER_CALLER}"
+            return NotRun(
+                Reason.LIMIT_REACHED, "early-cancel", "", detail, wait_seconds
+            )
         condition = Condition(job_key(job_id), ABSENT_VERSION)
         writes = [Write(key, {}) for key in keys_of_cancel(job_id, account, queue)]
         outcome = await commit_until_known(
--- a/catkinport/jobs/tests/test_early_cancels.py
+++ b/catkinport/jobs/tests/test_early_cancels.py
@@ -12,7 +12,9 @@
 from ..configuration import AcceptedRules
 from ..early_cancels import (
     KEEP_SECONDS,
+    MAX_STORED_PER_CALLER,
     EarlyCancels,
+    Prevented,
 )
 from ..intake import Absent, Accepted, Intake
 from ..ownership.early_cancel_removal import MAX_ROWS_PER_COMMIT, EarlyCancelRemoval
@@ -213,6 +215,29 @@
         assert not table.early_cancel_keys()
 
 
+class TestLimit:
+    def test_a_caller_stores_a_bounded_number(self, table):
+        """Guards against a caller that fills the table service."""
+        now = 0.0
+        cancels = EarlyCancels(table, lambda: now)
+
+        def store(n, account=ACCOUNT):
+            return asyncio.run(cancels.store(f"{n:016x}", account, QUEUE))
+
+        for n in range(MAX_STORED_PER_CALLER):
+            assert store(n) == Prevented()
+            now += 0.01
+        n_rows = len(table.row_by_key)
+        outcome = store(MAX_STORED_PER_CALLER)
+        assert isinstance(outcome, NotRun)
+        assert outcome.reason is Reason.LIMIT_REACHED
+        assert outcome.retry_after_seconds == pytest.approx(KEEP_SECONDS - now)
+        assert len(table.row_by_key) == n_rows
+        assert store(MAX_STORED_PER_CALLER, "other") == Prevented()
+        now = KEEP_SECONDS
+        assert store(MAX_STORED_PER_CALLER) == Prevented()
+
+
 class TestRemoval:
     @pytest.fixture
     def clock(self):
--- a/catkinport/platform/callers.py
+++ b/catkinport/platform/callers.py
@@ -2,6 +2,7 @@
 
 import json
 import logging
+import math
 import time
 from collections.abc import Awaitable, Callable
 from typing import Any, NamedTuple
@@ -12,7 +13,7 @@
 from ..jobs.configuration_watch import ConfigurationWatch
 from ..jobs.intake import Absent, Accepted, Canceled, Intake, describe
 from ..jobs.ownership.ownership_watch import QueueDepths
-from ..ports import NotRun, Unavailable, Unknown
+from ..ports import NotRun, Reason, Unavailable, Unknown
 from ..ports.clock import Clock
 from ..runtime import Metrics
 from ..runtime.logs import log_event
@@ -26,7 +27,7 @@
 when the caller gets it."""
 
 RETRY_AFTER_SECONDS = 1
-"""Value of ``Retry-After`` in answers with status 503."""
+"""Smallest value of ``Retry-After`` in answers with status 429 and 503."""
 
 KEY_PREFIX = "Token "
 
@@ -204,7 +205,7 @@
             return Answer(200, reason="repeat" if outcome.is_repeat else "accepted")
         if isinstance(outcome, Unknown):
             return Answer(504, reason=describe(outcome))
-        return Answer(503, reason=describe(outcome), retry_after=RETRY_AFTER_SECONDS)
+        return _refuse(outcome)
 
     async def _show(
         self, request: web.BaseRequest, queue: Queue, account: str, job_id: str
@@ -225,12 +226,17 @@
         if isinstance(outcome, Absent):
             return Answer(410, reason="absent")
         if isinstance(outcome, NotRun):
-            return Answer(
-                503, reason=describe(outcome), retry_after=RETRY_AFTER_SECONDS
-            )
+            return _refuse(outcome)
         return Answer(504, reason=describe(outcome))
 
 
+def _refuse(outcome: NotRun) -> Answer:
+    """Return the answer to a call that was not carried out and won't be."""
+    status = 429 if outcome.reason is Reason.LIMIT_REACHED else 503
+    retry_after = max(RETRY_AFTER_SECONDS, math.ceil(outcome.retry_after_seconds))
+    return Answer(status, reason=describe(outcome), retry_after=retry_after)
+
+
 Handler = Callable[[CallerServer, web.BaseRequest, Queue, str, str], Awaitable[Answer]]
 
 _HANDLER_BY_METHOD: dict[str, Handler] = {
--- a/catkinport/platform/tests/test_callers.py
+++ b/catkinport/platform/tests/test_callers.py
@@ -6,6 +6,7 @@
 import pytest
 
 from ...jobs.tests.builders import QUEUE, make_configuration
+from ...ports import NotRun, Reason
 from ..callers import CallerServer, ConfigurationAgeLimit
 
 
@@ -47,3 +48,27 @@
         answer = self._answer(4.7)
         assert answer.status == 503
         assert answer.retry_after > 0
+
+
+class TestRefusals:
+    """Answers to calls that were not carried out and won't be."""
+
+    def _cancel(self, outcome):
+        async def cancel(*_):
+            return outcome
+
+        server = CallerServer.__new__(CallerServer)
+        server._intake = SimpleNamespace(cancel=cancel)
+        queue = make_configuration().queue_by_name[QUEUE]
+        return asyncio.run(server._cancel(None, queue, "studio", "0" * 16))
+
+    def test_a_limit_names_the_time_until_the_next_call(self):
+        """Guards against callers that come back before they can be served."""
+        outcome = NotRun(Reason.LIMIT_REACHED, "early-cancel", "", "", 12.3)
+        answer = self._cancel(outcome)
+        assert (answer.status, answer.retry_after) == (429, 13)
+
+    def test_a_store_without_an_answer_is_answered_503(self):
+        outcome = NotRun(Reason.STORE_UNAVAILABLE, "intake", "", "", 0.5)
+        answer = self._cancel(outcome)
+        assert (answer.status, answer.retry_after) == (503, 1)
