Reject a job whose id a job of another account has

Cause: as for early cancellations, any row of the id was taken for the caller's own: each conflict with the row of a job counted as a repeat of the same submission.

Change: if the caller may not see the job that is stored, its own is answered 400 at once, with an error that names the id. It never runs.

test_a_job_with_it_is_not_accepted failed before (Accepted(is_repeat=True)).

--- a/catkinport/jobs/intake.py
+++ b/catkinport/jobs/intake.py
@@ -57,6 +57,10 @@
     is_repeat: bool
 
 
+class IdInUse(NamedTuple):
+    """Another job that the caller may not see has the id, so this one never runs."""
+
+
 class Absent(NamedTuple):
     """The account has no job with this id."""
 
@@ -82,14 +86,15 @@
 
     async def submit(
         self, job: Job, rules: AcceptedRules
-    ) -> Accepted | NotRun | Unknown:
+    ) -> Accepted | IdInUse | NotRun | Unknown:
         """Store a job with the rules of its queue.
 
         The rules are stored together with the job, because the configuration may remove
         the queue before any owner has read the job.
 
         The call is idempotent: if a job with this id is stored already, that job stays
-        as it is. A job that was canceled before it was stored is not stored.
+        as it is. A job that was canceled before it was stored is not stored, nor is one
+        whose id a job of another account has.
         """
         if not self._is_table_reached():
             return TABLE_NOT_REACHED
@@ -177,11 +182,14 @@
         return Unknown(outcome.reason, outcome.step, outcome.peer, outcome.detail)
 
 
-def _explain_conflict(job: Job, conflict: Conflict) -> Accepted | NotRun:
+def _explain_conflict(job: Job, conflict: Conflict) -> Accepted | IdInUse | NotRun:
     """Return why a job was not stored: it is already, or something prevents it."""
     key = job_key(job.job_id)
     if key not in conflict.versions_by_row_key:
         return NotRun(Reason.CANCELED, "intake")
+    stored = next((row.value for row in conflict.rows if row.row_key == key), None)
+    if stored is not None and not _may_see(stored, job.account, job.queue):
+        return IdInUse()
     return Accepted(is_repeat=True)
 
 
@@ -202,7 +210,7 @@
     if stored_account == account:
         return True
     is_without_key = not stored_account or not account
-    return is_without_key and job_row["queue"] == queue
+    return is_without_key and job_row.get("queue") == queue
 
 
 def describe(outcome: NotRun | Unknown | Unavailable) -> str:
--- a/catkinport/jobs/tests/test_early_cancels.py
+++ b/catkinport/jobs/tests/test_early_cancels.py
@@ -16,7 +16,7 @@
     EarlyCancels,
     Prevented,
 )
-from ..intake import Absent, Accepted, Intake
+from ..intake import Absent, Accepted, IdInUse, Intake
 from ..ownership.early_cancel_removal import MAX_ROWS_PER_COMMIT, EarlyCancelRemoval
 from ..tables import EARLY_CANCELS_TABLE, job_key
 from .builders import JOB_ID, QUEUE, make_configuration, make_job
@@ -215,6 +215,17 @@
         assert not table.early_cancel_keys()
 
 
+class TestIdOfAnotherAccount:
+    def test_a_job_with_it_is_not_accepted(self, intake):
+        """Guards against status 200 for a job that never runs.
+
+        Each row of the id was taken for an earlier submission of the same job.
+        """
+        submit(intake)
+        assert submit(intake, JOB._replace(account="other")) == IdInUse()
+        assert submit(intake) == Accepted(is_repeat=True)
+
+
 class TestLimit:
     def test_a_caller_stores_a_bounded_number(self, table):
         """Guards against a caller that fills the table service."""
--- a/catkinport/platform/tests/test_callers.py
+++ b/catkinport/platform/tests/test_callers.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from ...jobs.intake import IdInUse
 from ...jobs.tests.builders import QUEUE, make_configuration
 from ...ports import NotRun, Reason
 from ..callers import CallerServer, ConfigurationAgeLimit
@@ -72,3 +73,21 @@
         outcome = NotRun(Reason.STORE_UNAVAILABLE, "intake", "", "", 0.5)
         answer = self._cancel(outcome)
         assert (answer.status, answer.retry_after) == (503, 1)
+
+    def test_a_job_with_the_id_of_another_is_answered_400(self):
+        """Guards against an acceptance of a job that never runs."""
+
+        async def read():
+            return b'{"Spec":"s","Steps":[{"Count":1,"Cpu":1,"MemMb":1}]}'
+
+        async def submit(*_):
+            return IdInUse()
+
+        server = CallerServer.__new__(CallerServer)
+        server._intake = SimpleNamespace(submit=submit)
+        server._configuration = SimpleNamespace(current=make_configuration())
+        queue = make_configuration().queue_by_name[QUEUE]
+        request = SimpleNamespace(read=read)
+        answer = asyncio.run(server._submit(request, queue, "studio", "0" * 16))
+        assert answer.status == 400
+        assert "0" * 16 in answer.body["error"]
