Store the cancellation of a job whose write is late in entries as well

Callers saw: a submission whose outcome is unknown is cancelled, answered 404, and the job runs once its write is carried out.

Cause: cancelling read that there was no row and left nothing behind.

Change: as in the platform's daemon, the entry stores a row of the team's cancellation if there is no job, and a job is stored only while its team has no such row. A repeated submission is answered 410. The rows stay, as ended jobs and claims do. The limit of calls is shared with the platform's daemon (policy/call_limits.py).

--- a/catkinport/entry/answers.py
+++ b/catkinport/entry/answers.py
@@ -15,6 +15,7 @@
     Reason.QUEUE_UNKNOWN: 404,
     Reason.NOT_FOUND: 404,
     Reason.REQUEST_INVALID: 400,
+    Reason.CANCELED: 410,
     Reason.DIGEST_DIFFERS: 422,
     Reason.LIMIT_REACHED: 429,
 }
--- a/catkinport/entry/jobs.py
+++ b/catkinport/entry/jobs.py
@@ -19,9 +19,10 @@
     Write,
 )
 from ..runtime import HttpAnswer, HttpRequest, json_answer, log_event
-from ..state import JobRow, JobState, job_key, owner_key
+from ..state import JobRow, JobState, early_cancel_key, job_key, owner_key
 from .answers import not_run_answer, outcome_headers, unknown_answer
 from .callers import AuthorizedRequest, authorize, reauthorize
+from .early_cancels import EarlyCancels, JobStored, Prevented
 from .job_requests import (
     MAX_INLINE_INPUT_CHARACTERS,
     build_job,
@@ -69,6 +70,7 @@
     def __init__(self, services: EntryServices) -> None:
         self._services = services
         self._notifier = ThreadPoolExecutor(2, thread_name_prefix="job-notice")
+        self._early_cancels = EarlyCancels(services)
         self.is_stopping = False
 
     def stop(self) -> None:
@@ -166,8 +168,13 @@
             ``None`` when the row is stored, otherwise the failure.
         """
         row_key = job_key(queue, job_id)
+        canceled_key = early_cancel_key(queue, job_id, job["team"])
         insert = Transaction(
-            [Condition(row_key, ABSENT_VERSION)], [Write(row_key, dict(job))]
+            [
+                Condition(row_key, ABSENT_VERSION),
+                Condition(canceled_key, ABSENT_VERSION),
+            ],
+            [Write(row_key, dict(job))],
         )
         may_be_written = False
         for _ in range(N_ATTEMPTS):
@@ -177,10 +184,13 @@
             if isinstance(outcome, Unavailable):
                 may_be_written |= outcome.may_have_committed
                 continue
-            rows = self._services.table.read([row_key])
+            rows = self._services.table.read([row_key, canceled_key])
             if isinstance(rows, Unavailable):
                 may_be_written = True
                 continue
+            if row_key not in rows and canceled_key in rows:
+                detail = "the job was canceled before it was stored"
+                return Refused(Reason.CANCELED, "submit", detail=detail)
             if row_key in rows:
                 if is_same_request(rows[row_key].value, job):
                     return None
@@ -212,6 +222,11 @@
     def _cancel(self, request: HttpRequest, queue: str, job_id: str):
         for _ in range(N_ATTEMPTS):
             row = self._find_row(request, queue, job_id)
+            if row == _NO_SUCH_JOB:
+                outcome = self._prevent(request, queue, job_id)
+                if isinstance(outcome, JobStored):
+                    continue
+                return outcome
             if not isinstance(row, Row):
                 return row
             is_ended = row.value["state"] in ENDED_STATES
@@ -230,6 +245,19 @@
         detail = "the job changed or the store did not answer"
         return Unknown(Reason.STORE_UNAVAILABLE, "cancel", detail=detail)
 
+    def _prevent(
+        self, request: HttpRequest, queue: str, job_id: str
+    ) -> JobStored | NotRun | Refused | Unknown:
+        """Store the cancellation of a job that the caller's team can't see.
+
+        A write of the job may be under way, of which its caller knows nothing.
+        """
+        authorized = self._authorize(request, queue)
+        if isinstance(authorized, Refused):
+            return authorized
+        outcome = self._early_cancels.store(queue, job_id, authorized.team.name)
+        return _NO_SUCH_JOB if isinstance(outcome, Prevented) else outcome
+
     def _find_row(self, request: HttpRequest, queue: str, job_id: str):
         authorized = self._authorize(request, queue)
         if isinstance(authorized, Refused):
@@ -241,7 +269,7 @@
         row = rows.get(row_key)
         # The same answer for another team's job keeps its existence secret.
         if row is None or row.value["team"] != authorized.team.name:
-            return Refused(Reason.NOT_FOUND, "find-job", detail="there is no such job")
+            return _NO_SUCH_JOB
         return row
 
     def _authorize(
@@ -289,6 +317,9 @@
         return is_accepted
 
 
+_NO_SUCH_JOB = Refused(Reason.NOT_FOUND, "find-job", detail="there is no such job")
+
+
 def _failure_answer(
     outcome: NotRun | Refused | Unknown | Unavailable, request_id: str
 ) -> HttpAnswer:
--- a/catkinport/entry/tests/test_late_commits.py
+++ b/catkinport/entry/tests/test_late_commits.py
@@ -8,7 +8,9 @@
 from ...state import allowance_key, job_key
 from ..allowances import N_ATTEMPTS, RESOURCE, AllowanceActor
 from ..claims import Claim, Claims
+from ..early_cancels import MAX_STORED_PER_TEAM, EarlyCancels
 from ..job_requests import MAX_INLINE_INPUT_CHARACTERS
+from ..jobs import N_ATTEMPTS as N_JOB_ATTEMPTS
 from ..messages import (
     AllowanceRead,
     CommitClaim,
@@ -282,3 +284,51 @@
         assert self.submit(cluster, "b" * LARGE_CHARACTERS).status != 202
         assert self.submit(cluster, "a" * LARGE_CHARACTERS).status == 202
         assert set(self.stored_input(cluster, accepted)) == {"a"}
+
+
+class TestLateJob:
+    """A job without an answer may be stored after its caller has canceled it."""
+
+    HEADERS = {**AUTHORIZATION, "Idempotency-Key": "one"}
+
+    @pytest.fixture
+    def entry(self, cluster):
+        queue = cluster.environment.queue_by_name["q"]._replace(name="j")
+        queue_by_name = {**cluster.environment.queue_by_name, "j": queue}
+        cluster.environment = cluster.environment._replace(queue_by_name=queue_by_name)
+        entry = cluster.entries[0]
+        self.table = LateTable(cluster.table)
+        services = entry.services._replace(table=self.table)
+        entry.engine._jobs._services = services
+        entry.engine._jobs._early_cancels = EarlyCancels(services)
+        return entry
+
+    def submit(self, entry):
+        path = "/v1/queues/j/jobs"
+        body = {"command": "sleep"}
+        return entry.api("POST", path, headers=self.HEADERS, json=body)
+
+    def cancel(self, entry, job_id):
+        return entry.api("DELETE", f"/v1/queues/j/jobs/{job_id}")
+
+    def test_it_is_not_stored_after_its_cancellation(self, entry):
+        """Guards against a job that runs after its caller was told that there is none.
+
+        The cancellation read that there was no job and left nothing behind.
+        """
+        self.table.n_held = N_JOB_ATTEMPTS
+        submitted = self.submit(entry)
+        assert submitted.headers["Catkin-Outcome"] == "unknown"
+        job_id = submitted.json()["detail"]
+        assert self.cancel(entry, job_id).status == 404
+        self.table.carry_out_held()
+        assert job_key("j", job_id) not in self.table.read([job_key("j", job_id)])
+        assert self.submit(entry).status == 410
+
+    def test_a_team_stores_a_bounded_number_of_cancellations(self, entry):
+        """Guards against a caller that fills the table service."""
+        statuses = [
+            self.cancel(entry, f"j-{number:032x}").status
+            for number in range(MAX_STORED_PER_TEAM + 1)
+        ]
+        assert statuses == [404] * MAX_STORED_PER_TEAM + [429]
--- a/catkinport/jobs/early_cancels.py
+++ b/catkinport/jobs/early_cancels.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
+from ..policy.call_limits import CallLimits
 from ..ports import NotRun, Reason, Unknown
 from ..ports.async_table import AsyncTable, commit_until_known
 from ..ports.table import (
@@ -21,7 +22,6 @@
     Write,
 )
 from ..runtime.logs import log_event
-from .call_limits import CallLimits
 from .tables import CancelScope, early_cancel_key, job_key
 
 logger = logging.getLogger(__name__)
--- a/catkinport/state/rows.py
+++ b/catkinport/state/rows.py
@@ -235,6 +235,15 @@
     return RowKey("jobs", f"{queue}/{job_id}")
 
 
+def early_cancel_key(queue: str, job_id: str, team: str) -> RowKey:
+    """Return the key of a team's cancellation of a job that was not stored.
+
+    The team's job is stored only while there is no such row, so a write of the job that
+    the table service carries out later conflicts.
+    """
+    return RowKey("early-cancels", f"{queue}/{job_id}/{team}")
+
+
 def claim_key(team: str, idempotency_key: str) -> RowKey:
     """Return the key of the row of a claim."""
     return RowKey("claims", f"{team}/{idempotency_key}")
