Send the speed of filler tasks that a former owner may have changed

Cause: the speed is known only to the owner that ordered it. Its successor took each adopted run to be at full speed, so it had nothing to change.

Change: the speed of an adopted run is unknown, and the first decision on it is always sent.

test_fillers_of_a_former_owner_get_their_speed_back failed before (no order).

--- a/catkinport/jobs/dispatch/run_table.py
+++ b/catkinport/jobs/dispatch/run_table.py
@@ -67,6 +67,7 @@
         record.note_run(task, key.run)
         run = Run(record, task, key.run, worker.worker_id, now)
         run.phase = RunPhase.RUNNING
+        run.pace = None
         self.confirm(run, now)
         self._attach(worker, run)
         self._log_adopted(run)
--- a/catkinport/jobs/placement/run_stops.py
+++ b/catkinport/jobs/placement/run_stops.py
@@ -7,7 +7,7 @@
 from collections.abc import Iterator
 from typing import NamedTuple
 
-from ...policy.pacing import LatencyTask, choose_speed_percent
+from ...policy.pacing import FULL_SPEED_PERCENT, LatencyTask, choose_speed_percent
 from ..dispatch.dispatcher import Dispatcher
 from ..dispatch.task import TaskPhase
 from ..workers.run import Run, RunKey, RunPhase
@@ -79,7 +79,8 @@
         for run in runs:
             if not run.task.step.is_filler or run.task.step.target_seconds > 0:
                 continue
-            percent = choose_speed_percent(serving, run.pace)
+            pace = FULL_SPEED_PERCENT if run.pace is None else run.pace
+            percent = choose_speed_percent(serving, pace)
             if percent != run.pace:
                 yield PaceOrder(worker.worker_id, run.key, percent)
 
--- a/catkinport/jobs/tests/test_dispatcher.py
+++ b/catkinport/jobs/tests/test_dispatcher.py
@@ -264,3 +264,20 @@
                 fleet.dispatcher.on_pace_done(*order)
                 percents.append(order.percent)
         assert percents == [25, 50, 75, 100]
+
+    def test_fillers_of_a_former_owner_get_their_speed_back(self):
+        """Guards against a filler task that stands still for good.
+
+        The former owner had stopped it, which a successor can't know.
+        """
+        former = self._fleet()
+        fleet = Fleet([make_worker("w1")])
+        job = self.filler.run.record.job
+        fleet.dispatcher.add_job(job, fleet.now, is_inherited=True)
+        fleet.running_by_worker = former.running_by_worker
+        self._report_tail_latency(fleet, 20.0)
+        (order,) = find_paces(fleet.dispatcher)
+        assert (order.key, order.percent) == (self.filler.run.key, 100)
+        fleet.dispatcher.on_pace_done(*order)
+        self._report_tail_latency(fleet, 20.0)
+        assert list(find_paces(fleet.dispatcher)) == []
--- a/catkinport/jobs/workers/run.py
+++ b/catkinport/jobs/workers/run.py
@@ -3,6 +3,7 @@
 from enum import StrEnum
 from typing import NamedTuple
 
+from ...policy.pacing import FULL_SPEED_PERCENT
 from ..dispatch.record import JobRecord
 from ..dispatch.task import Task
 
@@ -53,7 +54,8 @@
         progressed_at: clock time at which the progress last changed.
         load: latest measurement of the worker: the tail latency in milliseconds of a
             serving task, else the CPU use in thousandths of a core.
-        pace: speed in percent at which the worker was told to run it.
+        pace: speed in percent at which the worker was told to run it; ``None`` if a
+            former owner may have told it another one.
     """
 
     __slots__ = (
@@ -95,7 +97,7 @@
         self.percent = -1.0
         self.progressed_at = now
         self.load = 0.0
-        self.pace = 100
+        self.pace: int | None = FULL_SPEED_PERCENT
 
     def is_reported_ready(self, reported_at: float) -> bool:
         """Return whether the run of a lasting task has been ready for some time.
