Start accepted jobs in another pool of their queue once that is stored

Callers would see a task run twice: a queue gets another pool and its first one back, and the owner of the time between ends within 0.2 s, before it has stored the queue.

Cause: where the runs of a job may be was known to the owner before it was stored.

Change: a job starts in its queue's pool only if a successor would look there, as the pool is in the row of the job (the one it was accepted under) or in the stored queues. Jobs of queues that keep their pool wait for nothing. The others wait for one write, which is due at once after a configuration, and the planner is woken by it. A wait shows as `pool-not-stored` in `task start delayed`.

Tests changed: two that let a queue change its pool note the stored queue now, as the owner does.

--- a/catkinport/jobs/dispatch/dispatcher.py
+++ b/catkinport/jobs/dispatch/dispatcher.py
@@ -70,6 +70,7 @@
         self.configuration = configuration
         self._known_queue_by_name: dict[str, Queue] = {}
         self._former_pools = FormerPools()
+        self._stored_pool_by_queue: dict[str, str] = {}
         self._later_rules: list[AcceptedRules] = []
         metrics = metrics or Metrics()
         self._workers = WorkerTable()
@@ -142,6 +143,28 @@
         for pool, version in version_by_pool.items():
             self._former_pools.note(queue, pool, version)
 
+    def note_stored_queues(self, pool_by_queue: Mapping[str, str]) -> None:
+        """Note the pools of queues that a successor will read from the table service.
+
+        Args:
+            pool_by_queue: pool of each queue in the stored row.
+        """
+        self._stored_pool_by_queue = dict(pool_by_queue)
+
+    def may_start_in(self, record: JobRecord, queue: Queue) -> bool:
+        """Return whether a successor would look for runs of a job in its queue's pool.
+
+        The row of the job tells it the pool under which the job was accepted, and the
+        stored queues tell it later ones. A run in any other pool would be unknown to
+        it until the pool's workers are reached, and the task could start twice.
+        """
+        if record.rules is not None:
+            is_accepted_pool = record.rules.queue.pool == queue.pool
+        else:
+            is_accepted_pool = not self._former_pools.versions_by_pool(queue.name)
+        stored_pool = self._stored_pool_by_queue.get(queue.name)
+        return is_accepted_pool or stored_pool == queue.pool
+
     def find_former_pools(self, queue: str) -> dict[str, int]:
         """Return the former pools of a queue in which its jobs may have runs.
 
--- a/catkinport/jobs/ownership/removed_queues.py
+++ b/catkinport/jobs/ownership/removed_queues.py
@@ -4,7 +4,8 @@
 only the present configuration learns of them from the stored row. A queue may be
 removed while there is no owner, so the row also holds queues that are configured. Until
 the row holds a queue, the rules in the rows of its jobs count. The row also holds the
-former pools of queues, where inherited jobs may have runs.
+former pools of queues, where inherited jobs may have runs. A queue that has got another
+pool starts accepted jobs there only once the row holds it.
 """
 
 import asyncio
@@ -64,11 +65,21 @@
             return False
         self._rows.note_read(rows.rows)
         for row in rows.rows:
-            self._stored = dict(row.value)
+            self._note_stored(dict(row.value))
             for name, fields in row.value.items():
                 self._restore(name, fields)
         return True
 
+    def _note_stored(self, value: dict[str, Any]) -> None:
+        """Note the value of the row, which a successor will read."""
+        self._stored = value
+        pool_by_queue = {
+            name: fields["pool"]
+            for name, fields in value.items()
+            if isinstance(fields, Mapping) and isinstance(fields.get("pool"), str)
+        }
+        self._session.dispatcher.note_stored_queues(pool_by_queue)
+
     def _restore(self, name: str, fields: Mapping[str, Any]) -> None:
         try:
             queue = decode_queue(name, fields)
@@ -121,7 +132,9 @@
         )
         if not isinstance(outcome, Committed):
             return False
-        self._stored = value
+        self._note_stored(value)
+        # Jobs of a queue with another pool may start there from now on.
+        self._session.wake.set()
         return True
 
 
--- a/catkinport/jobs/placement/planner.py
+++ b/catkinport/jobs/placement/planner.py
@@ -163,7 +163,7 @@
                 continue
             if record.job.job_id in self._seen_ids:
                 continue
-            hold = self._find_job_hold(record)
+            hold = self._find_job_hold(record, queue)
             if hold is not None:
                 self.delays.note_held_job(record.job.job_id, queue.pool, now, hold)
                 continue
@@ -208,13 +208,15 @@
         self._reservations.end_pass()
         self._begin_pass(now)
 
-    def _find_job_hold(self, record: JobRecord) -> StartHold | None:
+    def _find_job_hold(self, record: JobRecord, queue: Queue) -> StartHold | None:
         """Return why no task of a job may start, or ``None`` if its tasks may."""
         learned_before = self._learned_before
         if learned_before is not None and record.learned_at > learned_before:
             return StartHold.LEASE_IN_DOUBT
         if not self._dispatcher.is_job_resolved(record):
             return StartHold.POOL_UNRESOLVED
+        if not self._dispatcher.may_start_in(record, queue):
+            return StartHold.POOL_NOT_STORED
         return None
 
     def _free_rooms(self, pool: str, now: float) -> dict[str, CandidateWorker]:
--- a/catkinport/jobs/placement/start_delays.py
+++ b/catkinport/jobs/placement/start_delays.py
@@ -45,6 +45,7 @@
     ACCOUNT_LIMIT = "account-limit"
     NO_APPROVAL = "no-approval"
     POOL_UNRESOLVED = "pool-unresolved"
+    POOL_NOT_STORED = "pool-not-stored"
     LEASE_IN_DOUBT = "lease-in-doubt"
     LEASE_EXPIRED = "lease-expired"
     CRASH_NOT_STORED = "crash-not-stored"
--- a/catkinport/jobs/tests/test_changed_pools.py
+++ b/catkinport/jobs/tests/test_changed_pools.py
@@ -78,6 +78,7 @@
         fleet.running_by_worker["w3"] = {}
         fleet.ended_by_worker["w3"] = []
         fleet.list_workers()
+        fleet.dispatcher.note_stored_queues({QUEUE: OTHER_POOL})
         assert fleet.plan() == []
         fleet.dispatcher._inherited.resolve("w2", "reached", fleet.now)
         (start,) = fleet.plan()
--- a/catkinport/jobs/tests/test_removed_queues.py
+++ b/catkinport/jobs/tests/test_removed_queues.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import random
 from types import SimpleNamespace
 
 import pytest
@@ -84,6 +85,7 @@
         session.dispatcher = dispatcher
         session.lease = OwnLease(TOKEN, 0.0)
         session.deposed = asyncio.Event()
+        session.wake = asyncio.Event()
         self.session = session
         self.queues = RemovedQueues(session)
 
@@ -249,9 +251,131 @@
         fleet.dispatcher.add_job(make_job(), fleet.now)
         record = fleet.dispatcher.job_by_id[JOB_ID]
         assert fleet.dispatcher.queue_of(record) == present
+        fleet.dispatcher.note_stored_queues({QUEUE: present.pool})
         assert len(Planner(fleet.dispatcher).plan(fleet.now, 0.0)) == 1
 
 
+class QueueHistory:
+    """Random changes of a queue's pool and of its owner.
+
+    Args:
+        seed: seed of the history.
+
+    Attributes:
+        pools_by_job: pools in which tasks of each job have started.
+    """
+
+    POOLS = ("a", "b", "c")
+
+    def __init__(self, seed) -> None:
+        self._rng = random.Random(seed)
+        self._table = FakeTable()
+        self._rules_by_job: dict[str, AcceptedRules] = {}
+        self.pools_by_job: dict[str, set[str]] = {}
+        self._change_configuration()
+        self._take_over()
+
+    def step(self) -> None:
+        """Let one event happen, then start what may start."""
+        happen = self._rng.choice(
+            [self._change_configuration, self._accept, self._store, self._take_over]
+        )
+        happen()
+        dispatcher = self._owner.fleet.dispatcher
+        for record in dispatcher.job_by_id.values():
+            queue = dispatcher.queue_of(record)
+            if queue is not None and dispatcher.may_start_in(record, queue):
+                self.pools_by_job[record.job.job_id].add(queue.pool)
+
+    def find_unknown_pools(self) -> set[str]:
+        """Return pools in which jobs have runs that a new owner would not wait for."""
+        jobs = self._owner.fleet.dispatcher._jobs
+        return {
+            pool
+            for record in jobs.job_by_id.values()
+            for pool in self.pools_by_job[record.job.job_id]
+            if pool not in jobs._find_possible_pools(record)
+        }
+
+    def _change_configuration(self) -> None:
+        version = self._rng.randrange(1, 4)
+        if hasattr(self, "_configuration"):
+            version += self._configuration.version
+        configuration = make_configuration(version=version)
+        queue = configuration.queue_by_name[QUEUE]
+        queue = queue._replace(pool=self._rng.choice(self.POOLS))
+        queue_by_name = {QUEUE: queue} if self._rng.random() < 0.8 else {}
+        self._configuration = configuration._replace(queue_by_name=queue_by_name)
+        # Nobody may own the fleet as the configuration changes.
+        if hasattr(self, "_owner") and self._rng.random() < 0.7:
+            self._owner.fleet.dispatcher.apply_configuration(self._configuration)
+
+    def _accept(self) -> None:
+        queue = self._configuration.queue_by_name.get(QUEUE)
+        if queue is None:
+            return
+        job_id = f"{len(self._rules_by_job):016x}"
+        self._rules_by_job[job_id] = AcceptedRules(queue, self._configuration.version)
+        self.pools_by_job[job_id] = set()
+        self._add(job_id, is_inherited=False)
+
+    def _add(self, job_id, is_inherited) -> None:
+        rules = self._rules_by_job[job_id]
+        fleet = self._owner.fleet
+        fleet.dispatcher.add_rules(rules)
+        job = make_job(job_id)
+        fleet.dispatcher.add_job(job, fleet.now, is_inherited, rules=rules)
+
+    def _store(self) -> None:
+        asyncio.run(self._owner.queues._store())
+
+    def _take_over(self) -> None:
+        self._owner = Owner(self._table, self._configuration)
+        asyncio.run(self._owner.queues.load())
+        for job_id in self._rules_by_job:
+            self._add(job_id, is_inherited=True)
+
+
+class TestOwnerThatEndsSoon:
+    """The queue has got another pool, and the owner ends before it has stored that."""
+
+    def test_no_task_starts_in_a_pool_that_a_successor_does_not_know(self):
+        """Guards against a second run beside that on a worker that is not reached."""
+
+        async def move_queue():
+            table = FakeTable()
+            owner = Owner(table)
+            dispatcher = owner.fleet.dispatcher
+            queue = dispatcher.configuration.queue_by_name[QUEUE]
+            rules = AcceptedRules(queue._replace(pool="former"), 1)
+            dispatcher.add_job(make_job(), owner.fleet.now, rules=rules)
+            starts_before = owner.fleet.plan()
+            assert await owner.queues._store()
+            return starts_before, owner.session.wake.is_set(), owner.fleet.plan()
+
+        starts_before, is_awake, starts = asyncio.run(move_queue())
+        assert starts_before == []
+        assert is_awake
+        assert len(starts) == 1
+
+    def test_a_job_starts_at_once_in_the_pool_under_which_it_was_accepted(self):
+        """Guards against urgent jobs that wait for a write that they don't need."""
+        owner = Owner(FakeTable())
+        queue = owner.fleet.dispatcher.configuration.queue_by_name[QUEUE]
+        rules = AcceptedRules(queue, 1)
+        owner.fleet.dispatcher.add_job(make_job(), owner.fleet.now, rules=rules)
+        assert len(owner.fleet.plan()) == 1
+
+    @pytest.mark.parametrize("first_seed", range(0, 200, 50))
+    def test_a_successor_waits_for_each_pool_with_runs(self, first_seed):
+        """Guards against tasks that run twice, in random histories of the queue."""
+        for seed in range(first_seed, first_seed + 50):
+            history = QueueHistory(seed)
+            for _ in range(30):
+                history.step()
+                assert history.find_unknown_pools() == set(), seed
+
+
 class TestFirstJob:
     # Guards against an accepted job that stands still for good, as its queue is removed
     # and its owner lost within the second until the next check.
