--- a/catkinport/jobs/vms/vm_planner.py
+++ b/catkinport/jobs/vms/vm_planner.py
@@ -9,26 +9,19 @@
 """
 
 import logging
-from collections.abc import Iterator, Sequence, Set
-
-from ...policy.upkeep import (
-    UpkeepCandidate,
-    UpkeepChoice,
-    UpkeepCost,
-    WaveView,
-    choose_upkeep,
-)
+from collections.abc import Sequence, Set
+
 from ...ports.fleet_vms import FleetVm, UpkeepWave
 from ...runtime.logs import log_event
 from ..dispatch.dispatcher import Dispatcher
 from ..workers.run import Run
-from ..workers.worker_state import WorkerRecord
 from .disruption_budget import DisruptionBudget
 from .order_targets import VmOrder
 from .pool_mover import PoolMover
 from .starved_pools import StarvedPools
 from .unanswered_orders import UnansweredOrders
-from .vm_inventory import REFUSAL_PAUSE_SECONDS, VmBounds, VmInventory
+from .upkeep_waves import UpkeepWaves, WaveState
+from .vm_inventory import VmBounds, VmInventory
 
 logger = logging.getLogger(__name__)
 
@@ -40,25 +33,6 @@
 """VMs that wait for an order get tasks if none was planned for this long."""
 
 
-class WaveState:
-    """A wave of upkeep and its progress.
-
-    Attributes:
-        wave: request of the operator.
-        seen_at: clock time in seconds at which it was first seen.
-        begun: ids of the VMs that have begun their upkeep.
-        is_announced: whether it was reported as running.
-        is_reported: whether its completion was reported.
-    """
-
-    def __init__(self, wave: UpkeepWave, seen_at: float) -> None:
-        self.wave = wave
-        self.seen_at = seen_at
-        self.begun: set[str] = set()
-        self.is_reported = False
-        self.is_announced = False
-
-
 class VmPlanner:
     """Decides which VMs are taken down for upkeep or moved to another pool.
 
@@ -81,9 +55,11 @@
         self._unanswered_orders = UnansweredOrders(
             self.inventory, self._disruption_budget, self._starved_pools
         )
-        self.wave_by_number: dict[int, WaveState] = {}
+        self._waves = UpkeepWaves(
+            self.inventory, self.mover, self._disruption_budget, self._starved_pools
+        )
+        self.wave_by_number = self._waves.wave_by_number
         self._short_pools: set[str] = set()
-        self._waves_paused_until = float("-inf")
         self._planned_at = float("-inf")
 
     def update_vms(self, vms: Sequence[FleetVm], sent_at: float) -> None:
@@ -106,26 +82,11 @@
             now: clock time in seconds.
             is_inherited: whether a former owner may have ordered some of its upkeeps.
         """
-        if wave.wave in self.wave_by_number:
-            return
-        if is_inherited:
-            self.inventory.targets.note_inherited_wave(wave.wave)
-        self.wave_by_number[wave.wave] = WaveState(wave, now)
-        log_event(
-            logger,
-            "wave added",
-            wave=wave.wave,
-            n_vms=len(wave.vm_ids),
-            max_down=wave.max_down,
-            deadline_seconds=wave.deadline_seconds,
-            inherited=is_inherited,
-        )
+        self._waves.add(wave, now, is_inherited)
 
     def restore_started_vms(self, number: int, vm_ids: Sequence[str]) -> None:
         """Add the VMs of a wave whose upkeep an earlier owner has stored as begun."""
-        state = self.wave_by_number.get(number)
-        if state is not None:
-            state.begun.update(vm_ids)
+        self._waves.restore_started_vms(number, vm_ids)
 
     def plan(self, now: float) -> list[VmOrder]:
         """Return the orders to send now, and note them as sent.
@@ -143,15 +104,8 @@
         self._disruption_budget.update(now)
         self._relieve_starved_pools(now)
         orders = self._unanswered_orders.find_due(now)
-        if now >= self._waves_paused_until:
-            for state in self.wave_by_number.values():
-                orders.extend(self._plan_wave(state, now))
-        wave_vms = {
-            vm_id
-            for state in self.wave_by_number.values()
-            for vm_id in state.wave.vm_ids
-            if vm_id not in state.begun
-        }
+        orders.extend(self._waves.plan(now, self._short_pools))
+        wave_vms = self._waves.find_due_vms()
         leaving = self._disruption_budget.find_evacuations(self.inventory.reserved)
         kept_pools = {
             pool
@@ -187,9 +141,7 @@
                 worker=worker.worker_id,
                 n_runs=len(worker.run_by_key),
             )
-        if order.wave and order.wave in self.wave_by_number:
-            self.wave_by_number[order.wave].begun.add(order.vm_id)
-            self.inventory.reserved.discard(order.vm_id)
+        self._waves.note_begun(order)
 
     def on_rejected(self, order: VmOrder) -> None:
         """Note that the platform has rejected the order and done nothing."""
@@ -214,7 +166,7 @@
         self.on_no_effect(order)
         if not order.wave:
             return
-        self._waves_paused_until = now + REFUSAL_PAUSE_SECONDS
+        self._waves.pause(now)
         self._release_drained_vms("order-refused")
 
     def is_complete(self, state: WaveState) -> bool:
@@ -222,10 +174,7 @@
 
         Nothing is complete before the first VM list.
         """
-        return bool(self.inventory.vm_by_id) and all(
-            vm_id in state.begun or vm_id not in self.inventory.vm_by_id
-            for vm_id in state.wave.vm_ids
-        )
+        return self._waves.is_complete(state)
 
     def find_evacuations(self, now: float) -> list[Run]:
         """Return the lasting runs to stop so that reserved VMs can go down.
@@ -267,86 +216,3 @@
         for vm_id in sorted(vm_ids):
             log_event(logger, "vm upkeep put off", vm=vm_id, reason="lasting-task")
             self.inventory.release(vm_id)
-
-    def _plan_wave(self, state: WaveState, now: float) -> Iterator[VmOrder]:
-        if self.is_complete(state):
-            return
-        inventory, wave = self.inventory, state.wave
-        members = [
-            inventory.vm_by_id[v] for v in wave.vm_ids if v in inventory.vm_by_id
-        ]
-        for vm in members:
-            worker = inventory.worker_on(vm.vm_id)
-            if worker is not None:
-                worker.is_maintenance_due = vm.vm_id not in state.begun
-        candidates = [
-            self._make_candidate(vm, now)
-            for vm in members
-            if vm.vm_id not in state.begun and inventory.is_up(vm)
-        ]
-        view = WaveView(
-            n_vms=len(members),
-            n_begun=len(state.begun),
-            n_down=sum(inventory.may_be_down(vm, wave.wave) for vm in members),
-            max_down=wave.max_down,
-            age_seconds=now - state.seen_at,
-            deadline_seconds=wave.deadline_seconds,
-            candidates=candidates,
-        )
-        yield from self._order_upkeep(choose_upkeep(view), wave.wave, now)
-
-    def _order_upkeep(
-        self, choice: UpkeepChoice, wave: int, now: float
-    ) -> Iterator[VmOrder]:
-        for vm_id in choice.release:
-            log_event(logger, "vm upkeep put off", vm=vm_id, reason="budget-exhausted")
-            self.inventory.release(vm_id)
-        for vm_id in choice.drain:
-            log_event(logger, "vm reserved for upkeep", vm=vm_id, wave=wave)
-            self.inventory.reserve(vm_id)
-        for vm_id in choice.maintain:
-            # An earlier order of this round may have ended tasks of the same step.
-            worker = self.inventory.worker_on(vm_id)
-            if worker is not None and not self._disruption_budget.may_end_all(worker):
-                continue
-            # No task may start on the VM between this decision and the order.
-            self.inventory.reserve(vm_id)
-            order = VmOrder(vm_id, wave, "")
-            self.inventory.note_sent(order, now)
-            yield order
-
-    def _make_candidate(self, vm: FleetVm, now: float) -> UpkeepCandidate:
-        worker = self.inventory.worker_on(vm.vm_id)
-        runs = list(worker.run_by_key.values()) if worker else []
-        short = [run for run in runs if not run.task.step.is_lasting]
-        return UpkeepCandidate(
-            vm_id=vm.vm_id,
-            pool=vm.pool,
-            cost=self._upkeep_cost(vm, worker, runs, now),
-            busy_cores=sum(run.task.step.need.cores for run in short),
-            is_reserved=vm.vm_id in self.inventory.reserved,
-            may_end_lasting=worker is not None
-            and self._disruption_budget.may_end_all(worker),
-            is_pool_busy=self.mover.is_busy(vm.pool),
-            is_pool_short=vm.pool in self._short_pools
-            or self._starved_pools.is_relieved(vm.pool, now),
-            is_budget_exhausted=worker is not None
-            and self._disruption_budget.is_exhausted(worker, now),
-        )
-
-    def _upkeep_cost(
-        self, vm: FleetVm, worker: WorkerRecord | None, runs: list[Run], now: float
-    ) -> UpkeepCost:
-        if self.inventory.is_off(vm):
-            return UpkeepCost.OFF
-        # The runs of a worker that a new owner has not reached yet are unknown.
-        if worker is None or not worker.is_in_contact(now):
-            return UpkeepCost.FORBIDDEN
-        if not runs:
-            return UpkeepCost.IDLE
-        lasting = [run for run in runs if run.task.step.is_lasting]
-        if not lasting:
-            return UpkeepCost.SHORT_WORK
-        if any(run.task.step.max_away < 1 for run in lasting):
-            return UpkeepCost.FORBIDDEN
-        return UpkeepCost.LASTING_WORK
