Log and show what a wave of upkeep waits for

Change: while a wave is behind its schedule and no VM has begun for 5 s, `wave delayed` counts the VMs by the reason for which they wait, each 5 s. `catkinctl waves LOG...` shows the latest state of each wave from the logs. UpkeepCost tells VMs whose tasks are unknown from those whose tasks may not end.

test_the_log_tells_what_the_wave_waits_for failed before, for there was no such line.

--- a/catkinport/cli/main.py
+++ b/catkinport/cli/main.py
@@ -19,6 +19,7 @@
 from .overview import Members, Status, Top
 from .session import DEFAULT_API, Session
 from .timeline import TimelineCommand
+from .waves import WavesCommand
 
 Command = (
     Check
@@ -35,6 +36,7 @@
     | Top
     | Explain
     | TimelineCommand
+    | WavesCommand
 )
 
 
--- a/catkinport/jobs/tests/test_drained_pools.py
+++ b/catkinport/jobs/tests/test_drained_pools.py
@@ -1,6 +1,10 @@
 """Tests of pools whose VMs are drained for a wave that cannot go on."""
 
+import logging
+
+from ...runtime.logs import EVENT_FIELDS
 from ..vms.disruption_budget import MAX_RETURN_SECONDS
+from ..vms.wave_delays import MIN_DELAY_SECONDS
 from .builders import make_job, make_step
 from .vm_fleet import BOUNDS, VmFleet
 
@@ -67,6 +71,16 @@
         workers = fleet.dispatcher.worker_by_id.values()
         assert not [w.worker_id for w in workers if w.is_reserved]
 
+    def test_the_log_tells_what_the_wave_waits_for(self, caplog):
+        """Guards against a wave that stays open without a line that tells why."""
+        caplog.set_level(logging.INFO)
+        fleet = LargeJobFleet()
+        fleet.wait(WAIT_SECONDS)
+        records = [r for r in caplog.records if r.getMessage() == "wave delayed"]
+        fields = getattr(records[-1], EVENT_FIELDS)
+        assert fields["reasons"] == f"budget-exhausted:{N_VMS}"
+        assert len(records) <= WAIT_SECONDS / MIN_DELAY_SECONDS
+
     def test_wave_completes_once_the_budget_is_back(self):
         """Guards against a wave that ends for good when its VMs are given back."""
         fleet = LargeJobFleet()
--- a/catkinport/jobs/vms/upkeep_waves.py
+++ b/catkinport/jobs/vms/upkeep_waves.py
@@ -19,6 +19,7 @@
 from .pool_mover import PoolMover
 from .starved_pools import StarvedPools
 from .vm_inventory import REFUSAL_PAUSE_SECONDS, VmInventory
+from .wave_delays import WaveDelays
 
 logger = logging.getLogger(__name__)
 
@@ -67,6 +68,7 @@
         self._budget = budget
         self._starved_pools = starved_pools
         self._paused_until = float("-inf")
+        self._delays = WaveDelays()
         self.wave_by_number: dict[int, WaveState] = {}
 
     def add(self, wave: UpkeepWave, now: float, is_inherited: bool = False) -> None:
@@ -165,6 +167,7 @@
             deadline_seconds=wave.deadline_seconds,
             candidates=candidates,
         )
+        self._delays.note(wave.wave, view, now)
         yield from self._order_upkeep(choose_upkeep(view), wave.wave, now)
 
     def _order_upkeep(
@@ -214,7 +217,7 @@
             return UpkeepCost.OFF
         # The runs of a worker that a new owner has not reached yet are unknown.
         if worker is None or not worker.is_in_contact(now):
-            return UpkeepCost.FORBIDDEN
+            return UpkeepCost.UNKNOWN_WORK
         if not runs:
             return UpkeepCost.IDLE
         lasting = [run for run in runs if run.task.step.is_lasting]
--- a/catkinport/policy/upkeep.py
+++ b/catkinport/policy/upkeep.py
@@ -12,7 +12,7 @@
 import math
 from collections import Counter
 from collections.abc import Sequence
-from enum import IntEnum
+from enum import IntEnum, StrEnum
 from typing import NamedTuple
 
 PLANNED_FRACTION = 0.65
@@ -46,6 +46,19 @@
     SHORT_WORK = 2
     LASTING_WORK = 3
     FORBIDDEN = 4
+    UNKNOWN_WORK = 5
+
+
+class UpkeepHold(StrEnum):
+    """Reason for which a VM of a wave has not gone down yet."""
+
+    OUT_OF_CONTACT = "out-of-contact"
+    TASKS_MAY_NOT_END = "tasks-may-not-end"
+    BUDGET_EXHAUSTED = "budget-exhausted"
+    BUDGET_IN_USE = "budget-in-use"
+    TASKS_RUNNING = "tasks-running"
+    MAXIMUM_DOWN = "maximum-down"
+    ORDER_DUE = "order-due"
 
 
 class UpkeepCandidate(NamedTuple):
@@ -121,6 +134,30 @@
     return view.n_begun + view.n_down < due
 
 
+def find_upkeep_hold(candidate: UpkeepCandidate, view: WaveView) -> UpkeepHold:
+    """Return why a VM of the wave has not gone down yet.
+
+    Example:
+        >>> busy = UpkeepCandidate("m-1", "p", UpkeepCost.SHORT_WORK, 4.0)
+        >>> find_upkeep_hold(busy, WaveView(1, 0, 0, 1, 30.0, 20.0, [busy])).value
+        'tasks-running'
+    """
+    if candidate.cost is UpkeepCost.UNKNOWN_WORK:
+        return UpkeepHold.OUT_OF_CONTACT
+    if candidate.cost is UpkeepCost.FORBIDDEN:
+        return UpkeepHold.TASKS_MAY_NOT_END
+    if candidate.cost is UpkeepCost.LASTING_WORK:
+        if candidate.is_budget_exhausted:
+            return UpkeepHold.BUDGET_EXHAUSTED
+        if not candidate.may_end_lasting:
+            return UpkeepHold.BUDGET_IN_USE
+    if candidate.busy_cores:
+        return UpkeepHold.TASKS_RUNNING
+    if view.n_down >= view.max_down:
+        return UpkeepHold.MAXIMUM_DOWN
+    return UpkeepHold.ORDER_DUE
+
+
 def choose_upkeep(view: WaveView) -> UpkeepChoice:
     """Choose the VMs of the wave to take down and to drain now.
 
