Send the stop orders of large jobs a part at a time

Starts had a bound for each round, stops and speeds had none.

Change: a round sends at most 256 stops, 64 of a job on one worker, and the next one goes on with another worker; speeds are bounded as well. So a worker without answers doesn't hold up the stops of others. `rotate` is shared with the planner.

--- a/catkinport/jobs/ownership/run_orders.py
+++ b/catkinport/jobs/ownership/run_orders.py
@@ -7,6 +7,7 @@
 import contextlib
 import logging
 import time
+from itertools import islice
 
 from ...policy.concurrency_limit import ConcurrencyLimit
 from ...ports import Reason, Unavailable
@@ -14,7 +15,7 @@
 from ...runtime.logs import log_event
 from ..placement.planner import ApprovalRequest, Planner, Ticket
 from ..placement.round_budget import PlannedStart
-from ..placement.run_stops import PaceOrder, StopOrder, find_paces, find_stops
+from ..placement.run_stops import PaceOrder, StopOrder, StopTurns, find_paces
 from ..placement.stall_reporter import StallReporter
 from ..placement.stalled_pools import StartState
 from ..placement.start_delays import StartHold
@@ -33,6 +34,13 @@
 """Shortest pause between two rounds of planning. A round that takes more processor time
 is followed by a pause of that time, so that planning takes half of it at most."""
 
+MAX_STOPS_PER_ROUND = 256
+"""Most stop orders that are sent in one turn of the event loop."""
+
+MAX_PACES_PER_ROUND = 256
+"""Most orders for speeds that are sent in one turn. Those that are left out follow the
+next report of their worker."""
+
 MAX_APPROVAL_CALLS = 2
 """Most calls to the advice service at a time. The service handles the calls of a daemon
 one after the other. Of many sent together, each would wait for those before it within
@@ -57,6 +65,7 @@
         self._session = session
         self._watch = watch
         self._planner = Planner(session.dispatcher)
+        self._stop_turns = StopTurns(session.dispatcher)
         self._stalls = StallReporter(session.dispatcher)
         self._requested_stages: set[str] = set()
         self._approval_turns = asyncio.Semaphore(MAX_APPROVAL_CALLS)
@@ -90,10 +99,13 @@
     def _plan(self) -> None:
         now = self._session.clock.now()
         self._session.dispatcher.expire(now)
-        for stop in list(find_stops(self._session.dispatcher, now)):
+        for stop in self._stop_turns.take(now, MAX_STOPS_PER_ROUND):
             if (stop.worker_id, stop.key) not in self._stops_in_flight:
                 self._session.spawn(self._send_stop(stop))
-        for pace in list(find_paces(self._session.dispatcher)):
+        if self._stop_turns.is_unfinished:
+            self._session.wake.set()
+        paces = islice(find_paces(self._session.dispatcher), MAX_PACES_PER_ROUND)
+        for pace in list(paces):
             self._session.spawn(self._send_pace(pace))
         learned_before = (
             self._session.lease.renewed_at
--- a/catkinport/jobs/placement/planner.py
+++ b/catkinport/jobs/placement/planner.py
@@ -15,6 +15,7 @@
 from ...policy.job_order import order_key
 from ...policy.reservations import ExpectedEnd, Reservations
 from ...policy.resources import NO_RESOURCES, Resources, add
+from ...policy.rotation import rotate
 from ...policy.worker_choice import CandidateWorker, choose_worker
 from ..configuration import Account, Queue
 from ..dispatch.dispatcher import Dispatcher
@@ -138,7 +139,7 @@
         budget = RoundBudget(max_starts, clock)
         records_by_pool = self._find_unseen(now)
         usage = usage_by_account(self._dispatcher)
-        pools = _rotate(list(records_by_pool), self._first_pool)
+        pools = rotate(list(records_by_pool), self._first_pool)
         self.is_unfinished = False
         for index, pool in enumerate(pools):
             is_begun = budget.may_plan_job
@@ -450,12 +451,6 @@
         budget.starts.append(PlannedStart(worker, run, ticket.text if ticket else ""))
 
 
-def _rotate(names: list[str], first: str) -> list[str]:
-    """Return the names in the same cyclic order, from ``first`` on if it is there."""
-    start = names.index(first) if first in names else 0
-    return names[start:] + names[:start]
-
-
 def _find_waiting(tasks: Iterable[Task]) -> list[Task]:
     """Return the first of the tasks that has no run, if any."""
     waiting = (task for task in tasks if task.phase is TaskPhase.WAITING)
--- a/catkinport/jobs/placement/run_stops.py
+++ b/catkinport/jobs/placement/run_stops.py
@@ -4,10 +4,13 @@
 a task on the same worker is near or above its latency target.
 """
 
+from collections import Counter
 from collections.abc import Iterator
+from itertools import islice
 from typing import NamedTuple
 
 from ...policy.pacing import FULL_SPEED_PERCENT, LatencyTask, choose_speed_percent
+from ...policy.rotation import rotate
 from ..dispatch.dispatcher import Dispatcher
 from ..dispatch.task import TaskPhase
 from ..workers.run import Run, RunKey, RunPhase
@@ -24,6 +27,9 @@
 STALL_FACTOR = 1.0
 """A run is stalled if it has made no progress for this many times its estimate."""
 
+MAX_STOPS_PER_JOB = 64
+"""Most stop orders for runs of one job on one worker in a round."""
+
 MIN_STALL_SECONDS = 2.5
 """Lower bound of that time. Workers report progress in whole percents, so a healthy run
 may show none for a while."""
@@ -45,12 +51,56 @@
     percent: int
 
 
-def find_stops(dispatcher: Dispatcher, now: float) -> Iterator[StopOrder]:
-    """Yield the stop orders that are due, and note them as sent at ``now``."""
+class StopTurns:
+    """Turns of the workers that get stop orders.
+
+    A job may have thousands of runs to stop. Only some of them are stopped in a round,
+    and the next round goes on with another worker, so that the runs of other jobs and
+    other workers are stopped as well.
+
+    Args:
+        dispatcher: jobs and workers.
+
+    Attributes:
+        is_unfinished: whether the latest round may have left out some.
+    """
+
+    def __init__(self, dispatcher: Dispatcher) -> None:
+        self._dispatcher = dispatcher
+        self._first_worker = ""
+        self.is_unfinished = False
+
+    def take(self, now: float, max_stops: int) -> list[StopOrder]:
+        """Return at most ``max_stops`` orders that are due, and note them as sent."""
+        found = find_stops(self._dispatcher, now, self._first_worker)
+        stops = list(islice(found, max_stops))
+        self.is_unfinished = len(stops) == max_stops
+        worker_ids = list(self._dispatcher.worker_by_id)
+        if self.is_unfinished and stops[-1].worker_id in worker_ids:
+            next_index = worker_ids.index(stops[-1].worker_id) + 1
+            self._first_worker = worker_ids[next_index % len(worker_ids)]
+        return stops
+
+
+def find_stops(
+    dispatcher: Dispatcher, now: float, first_worker: str = ""
+) -> Iterator[StopOrder]:
+    """Yield the stop orders that are due, and note them as sent at ``now``.
+
+    Args:
+        dispatcher: jobs and workers.
+        now: clock time in seconds.
+        first_worker: id of the worker whose runs come first.
+    """
     yield from _find_orphans(dispatcher, now)
     yield from _find_given_up(dispatcher, now)
-    for worker in dispatcher.worker_by_id.values():
+    for worker_id in rotate(list(dispatcher.worker_by_id), first_worker):
+        worker = dispatcher.worker_by_id[worker_id]
+        n_by_job: Counter[str] = Counter()
         for run in worker.run_by_key.values():
+            job_id = run.record.job.job_id
+            if n_by_job[job_id] >= MAX_STOPS_PER_JOB:
+                continue
             reason = _stop_reason(dispatcher, run, now)
             if not reason or run.stopped_at:
                 continue
@@ -58,6 +108,7 @@
                 continue
             run.stop_sent_at = now
             run.phase = RunPhase.STOPPING
+            n_by_job[job_id] += 1
             yield StopOrder(worker.worker_id, run.key, reason)
 
 
--- a/catkinport/jobs/tests/test_large_jobs.py
+++ b/catkinport/jobs/tests/test_large_jobs.py
@@ -7,11 +7,18 @@
 
 from ...policy.leadership import MAX_OWNER_LAG_SECONDS, MAY_BE_REPLACED_SECONDS
 from ...policy.resources import Resources
+from ...ports.fleet_workers import Done
 from ...ports.table import Row
 from ..configuration import Pool
 from ..dispatch.record import JobRecord
 from ..model import job_to_row
 from ..placement.round_budget import MAX_STARTS_PER_JOB
+from ..placement.run_stops import (
+    MAX_STOPS_PER_JOB,
+    STOP_RETRY_SECONDS,
+    StopOrder,
+    StopTurns,
+)
 from ..tables import (
     JOBS_TABLE,
     ROSTER_TABLE,
@@ -34,6 +41,8 @@
 OTHER_QUEUE = "daily"
 MAX_STARTS = 16
 N_JOBS = 20
+N_STOPPED = 1000
+MAX_STOPS = 50
 N_LASTING_VMS = 30
 LASTING_WAIT_SECONDS = 10.0
 """Time after which the wave is behind its schedule."""
@@ -118,6 +127,60 @@
         assert longest < MAX_OWNER_LAG_SECONDS
 
 
+class TestCancellationOfLargeJob:
+    def make_running_fleet(self) -> Fleet:
+        """Return a fleet with a large job on two workers, and a small one on each."""
+        fleet = make_fleet(n_workers=2)
+        job = make_large_job(n_tasks=N_STOPPED, max_per_worker=N_STOPPED // 2)
+        fleet.dispatcher.add_job(job, fleet.now)
+        step = make_step(2, need=Resources(1.0, 1.0, 0), max_per_worker=1)
+        fleet.dispatcher.add_job(make_job(SMALL_JOB, [step]), fleet.now)
+        while fleet.start():
+            pass
+        assert len(fleet.dispatcher.runs_by_task) == N_STOPPED + 2
+        return fleet
+
+    def take_stops(self, fleet, turns) -> list[StopOrder]:
+        """Return the orders of a round, which their workers carry out."""
+        stops = turns.take(fleet.now, MAX_STOPS)
+        assert len(stops) <= MAX_STOPS
+        for stop in stops:
+            run = fleet.dispatcher.worker_by_id[stop.worker_id].run_by_key[stop.key]
+            fleet.dispatcher.on_stop_outcome(run, Done(), fleet.now)
+        return stops
+
+    def test_all_its_runs_are_stopped_a_part_at_a_time(self):
+        """Guards against an event loop that stands still while orders are sent."""
+        fleet = self.make_running_fleet()
+        turns = StopTurns(fleet.dispatcher)
+        fleet.dispatcher.cancel_job(LARGE_JOB)
+        n_stopped = 0
+        while stops := self.take_stops(fleet, turns):
+            n_stopped += len(stops)
+        assert n_stopped == N_STOPPED
+
+    def test_other_jobs_are_stopped_beside_it(self):
+        """Guards against a cancellation that takes effect after that of a large job."""
+        fleet = self.make_running_fleet()
+        turns = StopTurns(fleet.dispatcher)
+        fleet.dispatcher.cancel_job(LARGE_JOB)
+        fleet.dispatcher.cancel_job(SMALL_JOB)
+        n_rounds = -(-2 * (MAX_STOPS_PER_JOB + 1) // MAX_STOPS)
+        first = [s for _ in range(n_rounds) for s in self.take_stops(fleet, turns)]
+        assert sum(stop.key.task.startswith(SMALL_JOB) for stop in first) == 2
+
+    def test_a_worker_without_answers_does_not_hold_up_the_others(self):
+        """Guards against runs that go on, as orders for a lost worker come first."""
+        fleet = self.make_running_fleet()
+        turns = StopTurns(fleet.dispatcher)
+        fleet.dispatcher.cancel_job(LARGE_JOB)
+        workers = set()
+        for _ in range(2 * MAX_STOPS_PER_JOB // MAX_STOPS + 1):
+            workers |= {stop.worker_id for stop in turns.take(fleet.now, MAX_STOPS)}
+            fleet.advance(STOP_RETRY_SECONDS)
+        assert len(workers) == 2
+
+
 class TestLargeLastingJob:
     def test_a_wave_beside_it_is_planned_soon(self):
         """Guards against an event loop that stands still while a wave is planned.
