Refuse a job that no row can hold at once

Callers saw: a job of some 1,500 steps is accepted by the decoder (20,000 tasks at most), and its row is refused by the table service at each attempt (RowBytes), so that its caller is answered 503 with Retry-After for ever.

Change: a job whose row is larger than 60,000 bytes is answered 400 at once, with its size and the limit. The bound of the states of jobs and that of jobs are one constant now.

test_a_job_that_no_row_can_hold_is_refused_at_once failed before (the write was sent).

--- a/catkinport/jobs/intake.py
+++ b/catkinport/jobs/intake.py
@@ -3,6 +3,7 @@
 Every daemon runs this; only the owner of the fleet acts on what is stored.
 """
 
+import json
 import logging
 from collections.abc import Callable, Mapping, Sequence
 from typing import Any, NamedTuple
@@ -30,6 +31,7 @@
 from .model import Job, JobState, job_to_row
 from .tables import (
     JOBS_TABLE,
+    MAX_ROW_BYTES,
     RANGE_END,
     STATES_TABLE,
     cancel_key,
@@ -57,6 +59,13 @@
     is_repeat: bool
 
 
+class TooLarge(NamedTuple):
+    """The job takes more bytes than a row of the table service may have."""
+
+    n_bytes: int
+    max_bytes: int
+
+
 class IdInUse(NamedTuple):
     """Another job that the caller may not see has the id, so this one never runs."""
 
@@ -86,7 +95,7 @@
 
     async def submit(
         self, job: Job, rules: AcceptedRules
-    ) -> Accepted | IdInUse | NotRun | Unknown:
+    ) -> Accepted | IdInUse | TooLarge | NotRun | Unknown:
         """Store a job with the rules of its queue.
 
         The rules are stored together with the job, because the configuration may remove
@@ -96,13 +105,17 @@
         as it is. A job that was canceled before it was stored is not stored, nor is one
         whose id a job of another account has.
         """
+        row = job_to_row(job, rules)
+        n_bytes = len(json.dumps(row, separators=(",", ":")))
+        if n_bytes > MAX_ROW_BYTES:
+            return TooLarge(n_bytes, MAX_ROW_BYTES)
         if not self._is_table_reached():
             return TABLE_NOT_REACHED
         key = job_key(job.job_id)
         preventing_keys = keys_that_prevent(job.job_id, job.account, job.queue)
         transaction = Transaction(
             absent_conditions([key, *preventing_keys]),
-            [Write(key, job_to_row(job, rules))],
+            [Write(key, row)],
         )
         outcome = await commit_until_known(self._table, transaction, COMMIT_ATTEMPTS)
         if isinstance(outcome, Committed):
--- a/catkinport/jobs/ownership/state_sizes.py
+++ b/catkinport/jobs/ownership/state_sizes.py
@@ -13,15 +13,13 @@
 
 from ...runtime.logs import log_event
 from ..dispatch.record import JobRecord
+from ..tables import MAX_ROW_BYTES
 
 logger = logging.getLogger(__name__)
 
 ROWS_PER_COMMIT = 40
 """States stored in one transaction. A transaction may name 100 rows in all."""
 
-MAX_STATE_BYTES = 60_000
-"""Largest state. The table service refuses rows over 64 KiB."""
-
 MAX_COMMIT_BYTES = 150_000
 """Most bytes of the states in one transaction. Encoded they take a third more: 0.35 s
 on a link of 5 Mbit/s, within the shortest timeout of a commit. The table service
@@ -73,14 +71,14 @@
     """Return the state of a job, without some of its entries if it is too large."""
     row = record.to_row()
     n_bytes = _count_bytes(row)
-    if n_bytes > MAX_STATE_BYTES:
+    if n_bytes > MAX_ROW_BYTES:
         row = record.to_row(is_compact=True)
         n_bytes = _count_bytes(row)
     for field in OPTIONAL_FIELDS:
-        if n_bytes <= MAX_STATE_BYTES:
+        if n_bytes <= MAX_ROW_BYTES:
             break
         n_entries = len(row[field])
-        _leave_out(row[field], n_bytes - MAX_STATE_BYTES)
+        _leave_out(row[field], n_bytes - MAX_ROW_BYTES)
         n_bytes = _count_bytes(row)
         log_event(
             logger,
--- a/catkinport/jobs/tables.py
+++ b/catkinport/jobs/tables.py
@@ -40,6 +40,10 @@
 """Suffix of the key of the row that cancels a job. The row is in the table of jobs, so
 that one read and one change feed cover both."""
 
+MAX_ROW_BYTES = 60_000
+"""Largest value of a row as JSON text. The table service refuses rows over 64 KiB, at
+each attempt."""
+
 NAME_DIGEST_CHARACTERS = 32
 """Length of the digests that stand for names in keys, in hexadecimal digits."""
 
--- a/catkinport/jobs/tests/test_intake.py
+++ b/catkinport/jobs/tests/test_intake.py
@@ -6,10 +6,18 @@
 
 from ...ports.async_table import Snapshot
 from ...ports.table import Committed, Row
-from ..intake import Absent, Canceled, Intake
+from ..configuration import AcceptedRules
+from ..intake import Absent, Canceled, Intake, TooLarge
 from ..model import JobState, job_to_row
-from ..tables import JOBS_TABLE, STATES_TABLE, job_key, state_key
-from .builders import ACCOUNT, JOB_ID, QUEUE, make_job
+from ..tables import JOBS_TABLE, MAX_ROW_BYTES, STATES_TABLE, job_key, state_key
+from .builders import (
+    ACCOUNT,
+    JOB_ID,
+    QUEUE,
+    make_configuration,
+    make_job,
+    make_step,
+)
 
 OPEN = ""
 """Account of a call on a queue that needs no key."""
@@ -33,6 +41,22 @@
         return Committed({write.row_key: 4 for write in transaction.writes})
 
 
+class TestSizeOfJob:
+    def test_a_job_that_no_row_can_hold_is_refused_at_once(self):
+        """Guards against a caller that is told to come back with it again and again.
+
+        The table service refuses the row at each attempt.
+        """
+        steps = [make_step() for _ in range(2000)]
+        job = make_job(steps=steps)._replace(accepted_at=1.0)
+        configuration = make_configuration()
+        rules = AcceptedRules(configuration.queue_by_name[QUEUE], 1)
+        intake = Intake(FakeTable(ACCOUNT, False), lambda: True)
+        outcome = asyncio.run(intake.submit(job, rules))
+        assert isinstance(outcome, TooLarge)
+        assert outcome.n_bytes > outcome.max_bytes == MAX_ROW_BYTES
+
+
 class TestVisibility:
     @pytest.mark.parametrize("has_state", [False, True])
     @pytest.mark.parametrize(
--- a/catkinport/platform/callers.py
+++ b/catkinport/platform/callers.py
@@ -11,7 +11,15 @@
 
 from ..jobs.configuration import AcceptedRules, FleetConfiguration, Queue
 from ..jobs.configuration_watch import ConfigurationWatch
-from ..jobs.intake import Absent, Accepted, Canceled, IdInUse, Intake, describe
+from ..jobs.intake import (
+    Absent,
+    Accepted,
+    Canceled,
+    IdInUse,
+    Intake,
+    TooLarge,
+    describe,
+)
 from ..jobs.ownership.ownership_watch import QueueDepths
 from ..ports import NotRun, Reason, Unavailable, Unknown
 from ..ports.clock import Clock
@@ -203,6 +211,12 @@
         outcome = await self._intake.submit(job, rules)
         if isinstance(outcome, Accepted):
             return Answer(200, reason="repeat" if outcome.is_repeat else "accepted")
+        if isinstance(outcome, TooLarge):
+            error = (
+                f"the steps must take at most {outcome.max_bytes} bytes when stored, "
+                f"got {outcome.n_bytes}"
+            )
+            return Answer(400, {"error": error}, reason="job-too-large")
         if isinstance(outcome, IdInUse):
             error = f"the id {job_id} belongs to another job; choose another one"
             return Answer(400, {"error": error}, reason="id-in-use")
