Reset the connections of calls that are given up

Another daemon takes over and orders the VM under its higher token; as the cut ends, the order of the former owner arrives after that, with the lower token, and one begins an upkeep above the maximum of its wave.

Cause: a call without an answer closed its connection, and the kernel still delivers what a closed connection holds.

Change: connections of the platform's client are reset when they are closed (SO_LINGER of 0 s), also if the process is killed. An order is given up 1.5 s after it was sent, and sent 1.2 s after its decision at the latest, so it is gone before a successor's wait of 3 s for its VM is over. Where answers of the interface for VMs take over 0.75 s, orders are given up later than that (6 s at most): not covered.

--- a/catkinport/platform/client.py
+++ b/catkinport/platform/client.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import json
+import socket
+import struct
 import time
 from collections.abc import Mapping
 from typing import Any, NamedTuple
@@ -25,6 +27,11 @@
 long on a slow link; one that stops arriving has lost its sender or its connection."""
 
 
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+"""Value of the socket option ``SO_LINGER`` (on, 0 s) with which a close resets the
+connection, and unsent bytes are dropped."""
+
+
 class Reply(NamedTuple):
     """An answer.
 
@@ -43,6 +50,9 @@
 class PlatformClient:
     """Calls the platform's services and its workers.
 
+    The connection of a call that is given up is reset. Otherwise a request that is held
+    up on the way would arrive when the way is free again, after newer requests.
+
     Every failure becomes an `Unavailable` that names the step and the peer, and says
     whether the call may have been carried out.
 
@@ -68,6 +78,7 @@
             limit=0,
             limit_per_host=self._max_connections_per_peer,
             keepalive_timeout=KEEP_ALIVE_SECONDS,
+            socket_factory=_create_socket,
         )
         self._session = aiohttp.ClientSession(
             connector=connector,
@@ -205,6 +216,14 @@
         return _decode_reply(step, peer, response.status, content, wait_seconds)
 
 
+def _create_socket(address_info: aiohttp.AddrInfoType) -> socket.socket:
+    """Return the socket of a new connection, which resets it when it is closed."""
+    family, kind, protocol, _, _ = address_info
+    connection = socket.socket(family, kind, protocol)
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+    return connection
+
+
 def _decode_reply(
     step: str, peer: str, status: int, content: bytes | bytearray, wait_seconds: float
 ) -> Reply | Unavailable:
