Never give up a lasting task for crashes of its workers

Cause: a task that is to blame for the crashes of two VMs was given up, lasting tasks too.

Change: a lasting task is not given up. What protects the workers is the rate: after the second crash that only it can have caused it waits 1 s, then 2, then 4 s, which leaves it within the 9 s in which a lasting task with room must run again. Tasks that end are given up as before, which the users' page of deadly tasks allows.

--- a/catkinport/jobs/dispatch/record.py
+++ b/catkinport/jobs/dispatch/record.py
@@ -3,7 +3,12 @@
 from collections.abc import Iterator, Mapping
 from typing import Any
 
-from ...policy.crash_blame import REPEATED_CRASHES, Crash, must_give_up
+from ...policy.crash_blame import (
+    MAX_CRASHES,
+    REPEATED_CRASHES,
+    Crash,
+    must_give_up,
+)
 from ...policy.durations import DurationModel
 from ..configuration import AcceptedRules, Queue
 from ..model import FINAL_STATES, Job, JobState, TaskId, chain_seconds
@@ -172,14 +177,14 @@
         self.n_crashes += 1
         self.is_dirty = True
         self.mark_begun()
-        if self.is_closing or task.phase is TaskPhase.DONE:
+        if task.step.is_lasting:
+            # It may crash without end, and its next start goes by the latest crashes.
+            while len(task.crash_by_run) > MAX_CRASHES:
+                del task.crash_by_run[min(task.crash_by_run)]
             return False
-        # A lasting task is restarted beside others again and again, and giving it up
-        # ends its whole job, so it has to be to blame for each of its crashes.
-        crashes = task.crash_by_run.values()
-        if task.step.is_lasting and not all(crash.is_blamed for crash in crashes):
+        if self.is_closing or task.phase is TaskPhase.DONE:
             return False
-        if not must_give_up(crashes):
+        if not must_give_up(task.crash_by_run.values()):
             return False
         self.state = JobState.FAILED
         return True
--- a/catkinport/jobs/dispatch/run_table.py
+++ b/catkinport/jobs/dispatch/run_table.py
@@ -128,7 +128,7 @@
             silent_seconds=round(now - worker.contact_at, 2),
         )
         run.task.lost_at = now if reason != NOT_SENT else float("-inf")
-        count_crash(worker, run)
+        count_crash(worker, run, now)
         self.note_run_over(run.record, run.task)
 
     def lose_all(self, worker: WorkerRecord, reason: str, now: float) -> None:
--- a/catkinport/jobs/workers/worker_crashes.py
+++ b/catkinport/jobs/workers/worker_crashes.py
@@ -7,7 +7,13 @@
 
 import logging
 
-from ...policy.crash_blame import Crash, SuspectRun, find_suspects, is_cleared
+from ...policy.crash_blame import (
+    Crash,
+    SuspectRun,
+    find_suspects,
+    is_cleared,
+    restart_pause_seconds,
+)
 from ...ports.fleet_vms import FleetVm, VmState
 from ...runtime.logs import log_event
 from .run import Run, RunKey
@@ -75,7 +81,7 @@
         worker.crash = None
 
 
-def count_crash(worker: WorkerRecord, run: Run) -> None:
+def count_crash(worker: WorkerRecord, run: Run, now: float) -> None:
     """Count the crash of a worker for a task whose run it has ended, if suspect.
 
     A run that the worker has not confirmed may never have started, so it doesn't count.
@@ -88,6 +94,9 @@
     counted = Crash(worker.vm_id or worker.worker_id, is_blamed)
     has_failed = run.record.mark_crashed(run.task, run.key.run, counted)
     run.task.avoided_worker = worker.worker_id
+    if run.task.step.is_lasting:
+        pause_seconds = restart_pause_seconds(run.task.crash_by_run.values())
+        run.task.not_before = now + pause_seconds
     log_event(
         logger,
         "worker crash counted",
--- a/catkinport/policy/crash_blame.py
+++ b/catkinport/policy/crash_blame.py
@@ -5,6 +5,9 @@
 crashed worker is a suspect and is kept apart from other suspects at its next start. The
 users' page allows a task to be given up after two crashes, and forbids a third start
 after three crashes.
+
+A lasting task is never given up, as it has no limit of failures. The one that is to
+blame for several crashes is started less often.
 """
 
 from collections.abc import Collection, Sequence
@@ -39,6 +42,14 @@
 after its crashes are stored."""
 
 
+FIRST_RESTART_PAUSE_SECONDS = 1.0
+"""Pause before the next start of a lasting task that is to blame for two crashes. It
+doubles with each further one."""
+
+MAX_RESTART_PAUSE_SECONDS = 4.0
+"""Longest such pause. A lasting task with room must run again within 9 s."""
+
+
 class Crash(NamedTuple):
     """Crash of a worker that a task is a suspect of.
 
@@ -103,6 +114,21 @@
     )
 
 
+def restart_pause_seconds(crashes: Collection[Crash]) -> float:
+    """Return for how long a lasting task waits after a crash until its next start.
+
+    Example:
+        >>> blamed = Crash("vm-a", True)
+        >>> [restart_pause_seconds([blamed] * n) for n in range(6)]
+        [0.0, 0.0, 1.0, 2.0, 4.0, 4.0]
+    """
+    n_repeated = sum(crash.is_blamed for crash in crashes) - REPEATED_CRASHES
+    if n_repeated < 0:
+        return 0.0
+    pause_seconds = FIRST_RESTART_PAUSE_SECONDS * 2.0**n_repeated
+    return min(MAX_RESTART_PAUSE_SECONDS, pause_seconds)
+
+
 def is_on_trial(known_seconds: float) -> bool:
     """Return whether the run of a suspect may still crash its worker.
 
