--- a/catkinport/jobs/ownership/owner.py
+++ b/catkinport/jobs/ownership/owner.py
@@ -300,7 +300,7 @@
         # Workers are loaded before the jobs, because a job may end only once none of
         # the former owner's workers can still be running its tasks.
         for row in roster.rows:
-            self._watch.restore_roster_row(row, now)
+            self._watch.restore_roster_row(row)
         # The renewals of the ownership go on between the slices.
         async for row in iterate_in_slices(jobs.rows):
             self._job_rows.apply(row, now, True, finished_ids)
--- a/catkinport/jobs/ownership/worker_watch.py
+++ b/catkinport/jobs/ownership/worker_watch.py
@@ -1,22 +1,15 @@
-"""Follows the workers: reads their list, renews their leases and polls their runs.
-
-The roster is the stored list of workers that may run tasks. A successor learns from it
-which workers may still run tasks that this owner has started.
-"""
+"""Follows the workers: reads their list, renews their leases and polls their runs."""
 
 import asyncio
 import logging
-from collections.abc import Mapping
 from typing import Any
 
-from ...policy.resources import Resources
 from ...ports import Unavailable
 from ...ports.fleet_workers import ListedWorker, WorkerLists
-from ...ports.table import Committed, Row, Write
+from ...ports.table import Row
 from ...runtime.logs import log_event
-from ..tables import roster_key
 from ..workers.worker_state import LEASE_SECONDS, RENEW_CONTACT_SECONDS, WorkerRecord
-from .fenced_rows import FencedRows
+from .roster_store import RosterStore
 from .session import RETRY_SECONDS, OwnerSession
 from .state_store import StateStore
 from .worker_contacts import WorkerContacts
@@ -48,6 +41,10 @@
 """Time between reads of the list of workers. A worker that drains must get no new tasks
 from 2 s after its notice on."""
 
+LIST_WARNING_SECONDS = 5.0
+"""Time without a list of workers after which, and at which intervals, a warning tells
+of it."""
+
 
 class WorkerWatch:
     """Poller of the list of workers and of each worker.
@@ -66,34 +63,19 @@
         self._store = store
         self._former_bound = former_bound
         self._poll_task_by_worker: dict[str, asyncio.Task[Any]] = {}
-        self._rows = FencedRows(session)
+        self._roster = RosterStore(session)
         self._contacts = WorkerContacts(session.dispatcher)
-        # The value is None after a write without an answer.
-        self._roster_by_pool: dict[str, dict[str, Any] | None] = {}
+        self._listed_at = 0.0
+        self._warned_at = float("-inf")
 
-    def restore_roster_row(self, row: Row, now: float) -> None:
+    def restore_roster_row(self, row: Row) -> None:
         """Restore the workers of a pool that the former owner has stored."""
-        pool = row.row_key.key
-        entries = row.value.get("workers", {})
-        self._rows.note_read([row])
-        self._roster_by_pool[pool] = dict(entries)
-        log_event(
-            logger,
-            "roster loaded",
-            pool=pool,
-            version=row.version,
-            n_workers=len(entries),
-            workers=",".join(sorted(entries)),
-        )
-        for worker_id, entry in entries.items():
-            listed = _worker_from_roster(worker_id, pool, entry)
-            worker = WorkerRecord(listed)
-            worker.is_enrolled = True
+        for worker in self._roster.restore(row):
             worker.is_listed = False
             worker.lease_until = self._former_bound
-            worker.vm_id = entry.get("vm", "")
+            worker_id = worker.worker_id
             self._session.dispatcher.worker_by_id[worker_id] = worker
-            self._session.dispatcher.unresolved_by_id[worker_id] = pool
+            self._session.dispatcher.unresolved_by_id[worker_id] = worker.listed.pool
 
     def poll_all(self) -> None:
         """Begin to poll the workers that are known and not polled yet."""
@@ -102,16 +84,37 @@
 
     async def run(self) -> None:
         """Poll the list of workers until the ownership ends."""
+        self._listed_at = self._session.clock.now()
         while True:
             sent_at = self._session.clock.now()
             listed = await self._session.ports.workers.list_workers()
             if isinstance(listed, Unavailable):
-                log_event(logger, "workers not listed", reason=listed.reason)
+                self._log_list_failure(listed, sent_at)
                 await asyncio.sleep(RETRY_SECONDS)
                 continue
+            self._listed_at = sent_at
             await self._apply_worker_list(listed, sent_at)
             await asyncio.sleep(LIST_SECONDS)
 
+    def _log_list_failure(self, outcome: Unavailable, now: float) -> None:
+        """Log that the list of workers was not read, from some seconds on as a warning.
+
+        Without the list, nothing is known of new workers.
+        """
+        silent_seconds = now - self._listed_at
+        is_due = now - self._warned_at >= LIST_WARNING_SECONDS
+        is_warning = silent_seconds >= LIST_WARNING_SECONDS and is_due
+        if is_warning:
+            self._warned_at = now
+        log_event(
+            logger,
+            "workers not listed",
+            level=logging.WARNING if is_warning else logging.INFO,
+            reason=outcome.reason,
+            detail=outcome.detail,
+            silent_seconds=round(silent_seconds, 1),
+        )
+
     async def _apply_worker_list(
         self, listed: list[ListedWorker], sent_at: float
     ) -> None:
@@ -119,7 +122,7 @@
         self._session.dispatcher.update_workers(listed, sent_at, now)
         self._resolve_unreached_workers(now)
         self.poll_all()
-        await self._store_roster()
+        await self._roster.store()
         self._session.wake.set()
 
     def _resolve_unreached_workers(self, now: float) -> None:
@@ -130,57 +133,6 @@
         if owned_at > self._former_bound:
             self._session.dispatcher.resolve_inherited_workers(owned_at)
 
-    async def _store_roster(self) -> None:
-        """Store which workers may run tasks; they get none before that."""
-        roster_by_pool: dict[str, dict[str, Any]] = {}
-        for worker in self._session.dispatcher.worker_by_id.values():
-            entries = roster_by_pool.setdefault(worker.listed.pool, {})
-            entries[worker.worker_id] = _roster_entry(worker)
-        for pool in set(self._roster_by_pool) - set(roster_by_pool):
-            roster_by_pool[pool] = {}
-        changed = {
-            pool: entries
-            for pool, entries in roster_by_pool.items()
-            if not _is_stored(entries, self._roster_by_pool.get(pool))
-        }
-        if changed:
-            writes = [
-                Write(roster_key(pool), {"workers": entries})
-                for pool, entries in changed.items()
-            ]
-            outcome = await self._rows.commit(writes)
-            if not isinstance(outcome, Committed):
-                # A write without an answer may still be carried out, so these rows are
-                # written again even if they should be as they were before.
-                self._roster_by_pool.update(dict.fromkeys(changed))
-                log_event(
-                    logger,
-                    "roster not stored",
-                    reason=type(outcome).__name__,
-                    may_be_stored=getattr(outcome, "may_have_committed", False),
-                    pools=",".join(sorted(changed)),
-                )
-                return
-            self._log_stored(changed, outcome)
-            self._roster_by_pool.update(changed)
-        for worker in self._session.dispatcher.worker_by_id.values():
-            worker.is_enrolled = True
-
-    def _log_stored(
-        self, changed: dict[str, dict[str, Any]], outcome: Committed
-    ) -> None:
-        for pool, entries in changed.items():
-            former = self._roster_by_pool.get(pool) or {}
-            log_event(
-                logger,
-                "roster stored",
-                pool=pool,
-                version=outcome.versions_by_row_key[roster_key(pool)],
-                n_workers=len(entries),
-                added=",".join(sorted(entries.keys() - former.keys())),
-                removed=",".join(sorted(former.keys() - entries.keys())),
-            )
-
     def _start_polling(self, worker_id: str) -> None:
         task = self._poll_task_by_worker.get(worker_id)
         if task is None or task.done():
@@ -282,46 +234,3 @@
         and not run.is_reported_ready(worker.contact_at)
         for run in worker.run_by_key.values()
     )
-
-
-def _roster_entry(worker_record: WorkerRecord) -> dict[str, Any]:
-    worker = worker_record.listed
-    return {
-        "vm": worker_record.vm_id,
-        "address": worker.address,
-        "zone": worker.zone,
-        "capacity": list(worker.capacity),
-        "labels": list(worker.labels),
-    }
-
-
-def _is_stored(
-    entries: Mapping[str, dict[str, Any]], stored: Mapping[str, dict[str, Any]] | None
-) -> bool:
-    """Return whether a pool's stored row says where to find its workers.
-
-    The capacities in the row may be old: a successor starts nothing by them, as it
-    reads the list of workers first.
-    """
-    if stored is None or entries.keys() != stored.keys():
-        return False
-    return all(
-        {**stored[worker_id], "capacity": entry["capacity"]} == entry
-        for worker_id, entry in entries.items()
-    )
-
-
-def _worker_from_roster(
-    worker_id: str, pool: str, entry: dict[str, Any]
-) -> ListedWorker:
-    return ListedWorker(
-        worker_id=worker_id,
-        pool=pool,
-        address=entry["address"],
-        zone=entry["zone"],
-        is_draining=False,
-        remaining_seconds=0.0,
-        capacity=Resources(*entry["capacity"]),
-        labels=tuple(entry["labels"]),
-        started_at=0.0,
-    )
--- a/catkinport/jobs/tests/test_changed_capacity.py
+++ b/catkinport/jobs/tests/test_changed_capacity.py
@@ -63,7 +63,7 @@
         dispatcher=fleet.dispatcher, spawn=lambda coroutine: coroutine.close()
     )
     watch = WorkerWatch(session, None, fleet.now)
-    watch.restore_roster_row(Row(roster_key(POOL), 1, {"workers": {"w1": entry}}), 0.0)
+    watch.restore_roster_row(Row(roster_key(POOL), 1, {"workers": {"w1": entry}}))
 
 
 @pytest.mark.parametrize("capacity", SHRUNK)
--- a/catkinport/jobs/tests/test_late_writes.py
+++ b/catkinport/jobs/tests/test_late_writes.py
@@ -29,7 +29,7 @@
     """Return the workers that a new owner waits for before it starts anything."""
     watch = make_watch(session)
     for row in (await session.table.read_range(ROSTER_TABLE)).rows:
-        watch.restore_roster_row(row, 0.0)
+        watch.restore_roster_row(row)
     session.cancel_all()
     return set(session.dispatcher.unresolved_by_id)
 
--- a/catkinport/jobs/tests/test_restarts.py
+++ b/catkinport/jobs/tests/test_restarts.py
@@ -36,9 +36,7 @@
         watch = WorkerWatch(session, None, 0.0)
         watch._start_polling = lambda worker_id: None
         entries = {"w1": ROSTER_ENTRY, "gone": ROSTER_ENTRY}
-        watch.restore_roster_row(
-            Row(roster_key(POOL), 1, {"workers": entries}), fleet.now
-        )
+        watch.restore_roster_row(Row(roster_key(POOL), 1, {"workers": entries}))
         fleet.list_workers()
         answer = WorkerLists(1.0, [], [])
         fleet.dispatcher.on_worker_report("gone", answer, fleet.now, fleet.now)
--- a/catkinport/jobs/tests/test_roster_size.py
+++ b/catkinport/jobs/tests/test_roster_size.py
@@ -6,7 +6,7 @@
 import pytest
 
 from ...policy.leadership import OwnLease
-from ..ownership.worker_watch import WorkerWatch
+from ..ownership.roster_store import RosterStore
 from .builders import Fleet, make_worker
 from .late_table import AsyncLateTable, make_session
 
@@ -45,7 +45,7 @@
         session = make_session(table)
         session.dispatcher = fleet.dispatcher
         session.lease = OwnLease(session.lease.token, fleet.now)
-        asyncio.run(WorkerWatch(session, None, 0.0)._store_roster())
+        asyncio.run(RosterStore(session).store())
         rows = table.memory.scan("roster").rows
         assert rows
         sizes = [len(json.dumps(r.value, separators=(",", ":"))) for r in rows]
