Show that new workers never get tasks after late answers or a foreign entry (known red)

Two ways to it, with processes, both for good: * The store carries out each commit of the owner and answers it after 0.8 s; reads and conflicts are answered at once, so the timeout stays at 0.6 s. The roster conflicts with its own row, takes its version and is written once more, without an answer. * One entry of another writer in the list of workers, of a service with no name, with one of 201 bytes, or with a label of 66,000 bytes: the store refuses the one transaction with the rosters of all pools.

The stand-in answers commits of one part late, and refuses names of no byte or over 200, as the platform's page says.

--- a/catkinport/platform/standin/rows.py
+++ b/catkinport/platform/standin/rows.py
@@ -8,6 +8,9 @@
 MAX_ENTRIES = 100
 """Most entries of one transaction, as the platform's documentation says."""
 
+MAX_NAME_BYTES = 200
+"""Longest table, part and key, as the platform's documentation says."""
+
 MAX_PAGE_ROWS = 500
 """Most rows of one answer, as the platform's documentation says."""
 
@@ -190,8 +193,15 @@
         StoreError: if it is malformed.
     """
     try:
-        return StoreKey(str(entry["Table"]), str(entry.get("part", "")), entry["Key"])
-    except (KeyError, TypeError) as error:
+        key = StoreKey(str(entry["Table"]), str(entry.get("part", "")), entry["Key"])
+        n_bytes = max(len(name.encode()) for name in key)
+    except (KeyError, TypeError, AttributeError, UnicodeEncodeError) as error:
         raise StoreError(
             400, f"an entry must have Table and Key, got {entry!r:.80}"
         ) from error
+    if not key.table or not key.key or n_bytes > MAX_NAME_BYTES:
+        raise StoreError(
+            400,
+            f"Table and Key must have 1 to {MAX_NAME_BYTES} bytes, got {entry!r:.80}",
+        )
+    return key
--- a/catkinport/platform/standin/server.py
+++ b/catkinport/platform/standin/server.py
@@ -23,6 +23,10 @@
     # only later.
     "store_lost_answers": 0.0,
     "store_late_writes": 0.0,
+    # Delay of the answers to commits of one part that took effect. Conflicts and reads
+    # are answered at once.
+    "late_answer_seconds": 0.0,
+    "late_answer_part": "",
     # Share of the orders that get no answer and are carried out seconds later.
     "late_orders": 0.0,
     # Lists of VMs are refused. Orders for VMs are refused and carried out without an
@@ -219,6 +223,12 @@
             self._store.write(key, encode_value(await request.json()))
             return web.json_response({"version": self._store.rows.version})
 
+        async def write_worker_entry(request: web.Request) -> web.Response:
+            """Write an entry of a worker as another writer may do."""
+            key = StoreKey("servers", "", request.match_info["key"])
+            self._store.write(key, encode_value(await request.json()))
+            return web.json_response({"version": self._store.rows.version})
+
         async def show_row(request: web.Request) -> web.Response:
             query = request.query
             key = StoreKey(query["table"], query.get("part", ""), query["key"])
@@ -244,6 +254,7 @@
         app.router.add_put("/standin/faults", change_faults)
         app.router.add_delete("/standin/faults", reset_faults)
         app.router.add_put("/standin/operator/{key:.+}", write_operator_row)
+        app.router.add_put("/standin/workers/{key:.+}", write_worker_entry)
         app.router.add_get("/standin/row", show_row)
         app.router.add_get("/standin/events", show_events)
         app.router.add_get("/standin/vms", show_vms)
--- a/catkinport/platform/standin/store_server.py
+++ b/catkinport/platform/standin/store_server.py
@@ -113,6 +113,8 @@
             self._notify_followers()
         if is_lost:
             await asyncio.sleep(SILENCE_SECONDS)
+        if version is not None:
+            await self._delay_answer({key.part for key in (*writes, *removals)})
         if version is None:
             current = [self.rows.get(key) for key in expected]
             existing = [encode_row(row) for row in current if row is not None]
@@ -121,6 +123,10 @@
             )
         return web.json_response({**self._common_fields(), "Ver": version})
 
+    async def _delay_answer(self, parts: set[str]) -> None:
+        if self._faults["late_answer_part"] in parts:
+            await asyncio.sleep(self._faults["late_answer_seconds"])
+
     def _commit_late(
         self,
         expected: dict[StoreKey, int],
--- a/verification/platform/deployment.py
+++ b/verification/platform/deployment.py
@@ -257,6 +257,24 @@
         """
         self.call_standin("PUT", f"/standin/vms/{vm_id}", change)
 
+    def write_worker_entry(self, worker_id: str, **changes: Any) -> None:
+        """Add an entry to the list of workers that no worker has written.
+
+        Args:
+            worker_id: id that the entry is for.
+            changes: fields that differ from those of a worker of the first pool.
+        """
+        entry = {
+            "Service": "pool-0",
+            "Address": "127.0.0.1:9",
+            "Zone": "zone-a",
+            "State": "ready",
+            "Capacity": {"Cpu": 16000, "MemMb": 65536},
+            "Labels": ["a", "r0"],
+            "born": 1,
+        }
+        self.call_standin("PUT", f"/standin/workers/{worker_id}", entry | changes)
+
     def list_caller_addresses(self) -> list[str]:
         """Return the caller addresses of the daemons whose process runs."""
         daemons = self.daemon_by_name.values()
