Count renewals of the ownership that are seen in their row as stored

What callers saw: nothing starts while one daemon stays the owner. The store carries out each renewal and answers it after the timeout: the owner holds back all orders, as it must without a stored renewal, and the row that it renews keeps all others from taking over. That lasts as long as the answers are late.

Change: each daemon follows the rows of the ownership, the owner too. A renewal with its token in the row is stored, whether its answer comes or not. An answer that comes after that of a later renewal no longer sets the ownership back. Counter renewals_seen.

Why it is safe: the row tells which renewal was carried out; successors count from what they see in the same row. A renewal of another token does not count.

test_session.py: two tests use what is new here; the third, test_a_late_answer_does_not_replace_a_newer_renewal, fails with the session before (renewed_at 100.5, not 101.0).

--- a/catkinport/jobs/ownership/owner.py
+++ b/catkinport/jobs/ownership/owner.py
@@ -35,7 +35,7 @@
 from ..workers.worker_state import MAX_LEASE_SECONDS
 from .early_cancel_removal import EarlyCancelRemoval
 from .job_rows import JobRows, find_finished_ids
-from .ownership_watch import Claim
+from .ownership_watch import Claim, OwnershipWatch
 from .removed_queues import RemovedQueues
 from .run_orders import RunOrders
 from .session import RETRY_SECONDS, OwnerPorts, OwnerSession
@@ -149,6 +149,13 @@
             )
             self._handover.set()
 
+    def follow_ownership(self, watch: OwnershipWatch) -> None:
+        """Take over what a daemon that follows the rows of the ownership has seen."""
+        renewed_at = watch.find_stored_renewal(self._session.lease.token)
+        if renewed_at is not None:
+            self._session.note_renewal_seen(renewed_at)
+        self.hand_over(watch.find_candidate_token())
+
     async def run(self, stop: asyncio.Event) -> None:
         """Run the fleet until another daemon takes over or ``stop`` is set."""
         log_event(logger, "ownership begins", token=self._session.lease.token)
--- a/catkinport/jobs/ownership/ownership_watch.py
+++ b/catkinport/jobs/ownership/ownership_watch.py
@@ -155,6 +155,19 @@
         row = self._row_by_key.get(CANDIDATE_KEY.key)
         return (row.value or {}).get("token", 0) if row else 0
 
+    def find_stored_renewal(self, token: int) -> float | None:
+        """Return when the latest renewal that was seen in its row was sent.
+
+        Args:
+            token: fencing token of the owner whose renewals count.
+
+        Returns:
+            Clock time of that owner in seconds; ``None`` if none was seen.
+        """
+        if self._latest_renewal.get("token") != token:
+            return None
+        return self._latest_renewal.get("sent_at")
+
     async def _stand_as_candidate(self) -> None:
         """Tell an owner that falls behind that this daemon can take over.
 
--- a/catkinport/jobs/ownership/session.py
+++ b/catkinport/jobs/ownership/session.py
@@ -145,12 +145,28 @@
         )
 
     def note_renewed(self, sent_at: float) -> None:
-        """Record that a renewal sent at clock time ``sent_at`` is stored."""
+        """Record that a renewal sent at clock time ``sent_at`` is stored.
+
+        Renewals overlap, and the answers to them may come in another order.
+        """
         takeover_seconds = self._takeover_time.end(sent_at, self.clock.now())
+        if sent_at < self.lease.renewed_at:
+            return
         self.lease = self.lease._replace(
             renewed_at=sent_at, takeover_seconds=takeover_seconds
         )
 
+    def note_renewal_seen(self, sent_at: float) -> None:
+        """Record that the row holds a renewal, whose answer may be late or lost."""
+        if sent_at <= self.lease.renewed_at:
+            return
+        self.ports.metrics.increment(
+            "renewals_seen",
+            "Renewals of the ownership that were seen in their row before an answer.",
+            {},
+        )
+        self.note_renewed(sent_at)
+
     def depose(self, reason: str) -> None:
         """End the ownership without a release, for the logged ``reason``."""
         if not self.deposed.is_set():
--- a/catkinport/jobs/tests/late_table.py
+++ b/catkinport/jobs/tests/late_table.py
@@ -33,6 +33,7 @@
         commit_seconds: time that a commit takes.
         is_carried_out_before_next: whether each commit that was held back is carried
             out before the next commit.
+        loses_answers: whether commits that take effect get no answer; conflicts do.
     """
 
     def __init__(self) -> None:
@@ -43,6 +44,7 @@
         self.n_commits = 0
         self.commit_seconds = 0.0
         self.is_carried_out_before_next = False
+        self.loses_answers = False
 
     def claim(self) -> int:
         """Write the owner's row; return its version, the fencing token."""
@@ -63,7 +65,10 @@
             self.memory.commit(Transaction([], [self.foreign_write]))
         if self.is_carried_out_before_next:
             self.late.carry_out_held()
-        return _add_rows(self.memory, transaction, self.late.commit(transaction))
+        outcome = self.late.commit(transaction)
+        if self.loses_answers and isinstance(outcome, Committed):
+            return Unavailable(Reason.TIMEOUT, "table-commit", may_have_committed=True)
+        return _add_rows(self.memory, transaction, outcome)
 
 
 def _add_rows(
--- a/catkinport/jobs/tests/test_session.py
+++ b/catkinport/jobs/tests/test_session.py
@@ -1,12 +1,14 @@
 """Tests of the tasks that an owner's session runs."""
 
 import asyncio
+import random
 
 import pytest
 
 from ...policy.leadership import STOP_RENEWING_SECONDS
+from ...ports.table import Transaction, Write
 from ..ownership.owner import FleetOwner
-from ..ownership.ownership_watch import Claim
+from ..ownership.ownership_watch import Claim, OwnershipWatch
 from ..ownership.session import OwnerSession
 from ..tables import HEARTBEAT_KEY
 from .builders import make_configuration
@@ -179,3 +181,56 @@
         assert session.may_order()
         session.depose("order-fenced")
         assert not session.may_order()
+
+
+class TestRenewals:
+    def _make_owner(self, session):
+        """Return an owner with the claim of the session, and what it sees of others."""
+        claim = Claim(session.lease.token, session.clock.now(), None, False)
+        configuration = make_configuration()
+        owner = FleetOwner(session.ports, configuration, claim, BOUNDS, LONGEST_LEASE)
+        rng = random.Random(1)
+        return owner, OwnershipWatch(session.table, session.clock, "owner", rng)
+
+    # Guards against an owner that holds back all orders for good, though its renewals
+    # are stored and keep others from taking over, because their answers come too late.
+    def test_a_renewal_that_is_seen_in_its_row_counts_as_stored(self):
+        async def run():
+            table = AsyncLateTable()
+            table.loses_answers = True
+            owner, watch = self._make_owner(make_session(table))
+            session = owner._session
+            session.clock.advance(STOP_RENEWING_SECONDS + 0.1)
+            await owner._renew()
+            assert not session.may_order()
+            await watch.poll()
+            owner.follow_ownership(watch)
+            assert session.may_order()
+            assert session.lease.renewed_at == session.clock.now()
+
+        asyncio.run(run())
+
+    # Guards against an owner that counts the renewals of its successor as its own.
+    def test_a_renewal_of_another_owner_does_not_count(self):
+        async def run():
+            table = AsyncLateTable()
+            owner, watch = self._make_owner(make_session(table))
+            renewed_at = owner._session.lease.renewed_at
+            value = {"token": table.claim(), "sent_at": renewed_at + 5.0}
+            table.memory.commit(Transaction([], [Write(HEARTBEAT_KEY, value)]))
+            await watch.poll()
+            owner.follow_ownership(watch)
+            assert owner._session.lease.renewed_at == renewed_at
+
+        asyncio.run(run())
+
+    # Guards against an ownership that seems older after the late answer to an earlier
+    # renewal.
+    def test_a_late_answer_does_not_replace_a_newer_renewal(self):
+        session = make_session(AsyncLateTable())
+        for sent_at in (100.5, 101.0):
+            session.note_renewal_sent(sent_at)
+        session.clock.advance(2.0)
+        session.note_renewed(101.0)
+        session.note_renewed(100.5)
+        assert session.lease.renewed_at == 101.0
--- a/catkinport/platform/daemon.py
+++ b/catkinport/platform/daemon.py
@@ -215,15 +215,15 @@
     async def _refresh_queue_depths(self) -> None:
         """Follow the rows of the ownership while this daemon is the owner.
 
-        They tell how many jobs wait, and whether a candidate can take over.
+        They tell how many jobs wait, whether a candidate can take over, and which
+        renewals are stored.
         """
         while True:
             if self._owner is not None:
                 await self._ownership_watch.poll()
                 # The ownership may have ended during the call.
                 if self._owner is not None:
-                    token = self._ownership_watch.find_candidate_token()
-                    self._owner.hand_over(token)
+                    self._owner.follow_ownership(self._ownership_watch)
             else:
                 await asyncio.sleep(0.2)
 
