Store the roster in bounded rows, of which a refused one holds back no other

Cause: the rosters of all pools were one transaction, and a pool's roster one row. If the store refuses one row, each attempt fails and no pool gets a new worker. One entry of another writer in the list of workers does it (a service without a name or with one of 201 bytes, a label of 66,000 bytes), and so does a pool of some 490 workers. The loop that stores the roster also waited for each read of the list, and the reads for it.

Change: a row names 50 workers at most, each in 1,000 bytes at most, and a worker stays in its row (roster_rows.py). After a refusal the rows are written one by one. A worker is enrolled once its row is stored, whatever becomes of others. Rows between which a worker changes are written together. An entry that no row can hold is left out, with a warning; a stored worker keeps its stored entry. The roster has a loop of its own.

Tests that apply a list of workers store the roster after it, as the loops do.

--- a/catkinport/jobs/ownership/owner.py
+++ b/catkinport/jobs/ownership/owner.py
@@ -207,6 +207,7 @@
             self._removed_queues.run(),
             self._early_cancel_removal.run(),
             self._watch.run(),
+            self._watch.roster.run(),
             self._run_orders.run(),
             self._vm_orders.follow_vm_list(),
             self._vm_orders.run(),
--- a/catkinport/jobs/ownership/roster_store.py
+++ b/catkinport/jobs/ownership/roster_store.py
@@ -4,29 +4,43 @@
 started. A worker is enrolled once the stored roster names it; it gets no tasks before.
 """
 
+import asyncio
 import logging
-from collections.abc import Mapping
-from typing import Any
+from collections.abc import Iterator, Mapping, Sequence
 
 from ...policy.resources import Resources
+from ...ports import Unavailable
 from ...ports.fleet_workers import ListedWorker
-from ...ports.table import Committed, Row, Write
+from ...ports.table import CommitOutcome, Committed, Row, Write
 from ...runtime.logs import log_event
 from ..tables import roster_key
 from ..workers.worker_state import WorkerRecord
 from .fenced_rows import FencedRows
 from .roster_delays import RosterDelays
-from .session import OwnerSession
+from .roster_rows import EntriesById, RosterEntry, RosterRows, fits_row, group_linked
+from .session import RETRY_SECONDS, OwnerSession
 
 logger = logging.getLogger(__name__)
 
 COMMIT_ATTEMPTS = 3
 """Attempts of one commit of unknown outcome before the roster is collected again."""
 
+MAX_ROWS_PER_COMMIT = 10
+"""Most rows in one transaction, which may have 1 MB. A worker that changes its pool may
+add to it."""
+
+POOL_FIELD = "pool"
+"""Field with the pool of a row, which may have another name."""
+
+WORKERS_FIELD = "workers"
+"""Field with the entries of a row's workers, by worker id."""
+
 
 class RosterStore:
     """Keeper of the rows that name the workers of each pool.
 
+    One row that the table service refuses keeps no other row from being stored.
+
     Args:
         session: the ownership.
     """
@@ -35,15 +49,22 @@
         self._session = session
         self._rows = FencedRows(session)
         self._delays = RosterDelays(session)
+        self._places = RosterRows()
         # The value is None after a write without an answer.
-        self._roster_by_pool: dict[str, dict[str, Any] | None] = {}
+        self._stored_by_row: dict[str, dict[str, RosterEntry] | None] = {}
+        self._stored_row_by_id: dict[str, str] = {}
+        self._unfit_ids: set[str] = set()
+        self._is_split = False
+        self._changed = asyncio.Event()
 
     def restore(self, row: Row) -> list[WorkerRecord]:
-        """Return the workers of a pool that the former owner has stored."""
-        pool = row.row_key.key
-        entries = row.value.get("workers", {})
+        """Return the workers that the former owner has stored in a row."""
+        name = row.row_key.key
+        pool = row.value.get(POOL_FIELD, name)
+        entries = dict(row.value.get(WORKERS_FIELD, {}))
         self._rows.note_read([row])
-        self._roster_by_pool[pool] = dict(entries)
+        self._places.restore(name, pool, entries)
+        self._note_stored(name, entries)
         log_event(
             logger,
             "roster loaded",
@@ -52,63 +73,172 @@
             n_workers=len(entries),
             workers=",".join(sorted(entries)),
         )
-        workers = [_decode_entry(name, pool, e) for name, e in entries.items()]
+        workers = [_decode_entry(key, pool, entry) for key, entry in entries.items()]
         for worker in workers:
             worker.is_enrolled = True
         return workers
 
-    async def store(self) -> None:
-        """Store which workers may run tasks; they get none before that."""
-        roster_by_pool: dict[str, dict[str, Any]] = {}
-        for worker in self._session.dispatcher.worker_by_id.values():
-            entries = roster_by_pool.setdefault(worker.listed.pool, {})
-            entries[worker.worker_id] = _encode_entry(worker)
-        for pool in set(self._roster_by_pool) - set(roster_by_pool):
-            roster_by_pool[pool] = {}
-        changed = {
-            pool: entries
-            for pool, entries in roster_by_pool.items()
-            if not _is_stored(entries, self._roster_by_pool.get(pool))
-        }
-        if not changed or await self._commit(changed):
-            for worker in self._session.dispatcher.worker_by_id.values():
-                worker.is_enrolled = True
+    def check_soon(self) -> None:
+        """Compare the stored rows with the present workers at once."""
+        self._changed.set()
+
+    async def run(self) -> None:
+        """Store the roster when it changes, until the ownership ends."""
+        while True:
+            await self._changed.wait()
+            self._changed.clear()
+            if not await self.store():
+                self._changed.set()
+                await asyncio.sleep(RETRY_SECONDS)
+
+    async def store(self) -> bool:
+        """Store which workers may run tasks, and enroll those that are stored.
+
+        Returns:
+            Whether all rows are stored.
+        """
+        changed = self._find_changed()
+        is_stored = True
+        is_refused = False
+        for rows in self._make_batches(changed):
+            outcome = await self._commit({row: changed[row] for row in rows})
+            is_stored = is_stored and isinstance(outcome, Committed)
+            is_refused = is_refused or _is_refusal(outcome)
+            if not isinstance(outcome, Committed) and not _is_refusal(outcome):
+                # The next call would wait as long for its answer.
+                break
+        # Rows that are refused together are written one by one the next time.
+        self._is_split = is_refused and not self._is_split
+        self._enroll()
         self._delays.measure()
+        return is_stored
+
+    def _find_changed(self) -> dict[str, dict[str, RosterEntry]]:
+        """Return the entries that rows are to have, of the rows that differ."""
+        workers = self._session.dispatcher.worker_by_id
+        self._places.release_others(workers)
+        self._unfit_ids &= workers.keys()
+        entries_by_row: dict[str, dict[str, RosterEntry]] = {
+            row: {} for row in self._places.pool_by_row
+        }
+        for worker_id, worker in workers.items():
+            entry = self._choose_entry(worker)
+            if entry is not None:
+                row = self._places.place(worker_id, worker.listed.pool)
+                entries_by_row.setdefault(row, {})[worker_id] = entry
+        return {
+            row: entries
+            for row, entries in entries_by_row.items()
+            if not _is_stored(entries, self._stored_by_row.get(row))
+        }
+
+    def _choose_entry(self, worker: WorkerRecord) -> RosterEntry | None:
+        """Return the entry of a worker, or ``None`` if no row can hold one.
 
-    async def _commit(self, changed: dict[str, dict[str, Any]]) -> bool:
-        """Write the rosters of pools; return whether they are stored."""
+        A worker whose entry has become too large keeps the one that is stored, as it
+        may still run tasks.
+        """
+        worker_id = worker.worker_id
+        entry = _encode_entry(worker)
+        stored = self._find_stored(worker_id)
+        is_same = stored is not None and _is_same(entry, stored)
+        if is_same or fits_row(worker_id, entry):
+            return entry
+        if worker_id not in self._unfit_ids:
+            self._unfit_ids.add(worker_id)
+            log_event(
+                logger,
+                "worker not enrolled",
+                level=logging.WARNING,
+                worker=worker_id,
+                reason="entry-too-large",
+            )
+        return stored
+
+    def _make_batches(
+        self, changed: dict[str, dict[str, RosterEntry]]
+    ) -> Iterator[Sequence[str]]:
+        """Yield the rows of each transaction."""
+        groups = group_linked(changed, self._stored_row_by_id)
+        batch: list[str] = []
+        for group in groups:
+            is_full = len(batch) + len(group) > MAX_ROWS_PER_COMMIT
+            if batch and (self._is_split or is_full):
+                yield batch
+                batch = []
+            batch.extend(sorted(group))
+        if batch:
+            yield batch
+
+    async def _commit(
+        self, changed: Mapping[str, dict[str, RosterEntry]]
+    ) -> CommitOutcome:
+        """Write rows in one transaction."""
+        pool_by_row = self._places.pool_by_row
         writes = [
-            Write(roster_key(pool), {"workers": entries})
-            for pool, entries in changed.items()
+            Write(
+                roster_key(row), {POOL_FIELD: pool_by_row[row], WORKERS_FIELD: entries}
+            )
+            for row, entries in changed.items()
         ]
         outcome = await self._rows.commit(writes, n_attempts=COMMIT_ATTEMPTS)
         self._delays.note_outcome(outcome, changed)
-        if not isinstance(outcome, Committed):
-            # A write without an answer may still be carried out, so these rows are
-            # written again even if they should be as they were before.
-            self._roster_by_pool.update(dict.fromkeys(changed))
+        if isinstance(outcome, Committed):
+            for row, entries in changed.items():
+                version = outcome.versions_by_row_key[roster_key(row)]
+                self._log_stored(row, entries, version)
+                self._note_stored(row, entries)
+        elif not _is_refusal(outcome):
+            # The write may still be carried out, so these rows are written again even
+            # if they should be as they were before.
+            self._stored_by_row.update(dict.fromkeys(changed))
+        return outcome
+
+    def _note_stored(self, row: str, entries: EntriesById) -> None:
+        for worker_id, stored_row in list(self._stored_row_by_id.items()):
+            if stored_row == row:
+                del self._stored_row_by_id[worker_id]
+        self._stored_by_row[row] = dict(entries)
+        self._stored_row_by_id.update(dict.fromkeys(entries, row))
+
+    def _find_stored(self, worker_id: str) -> RosterEntry | None:
+        """Return the entry of a worker as it is stored for certain."""
+        row = self._stored_row_by_id.get(worker_id, "")
+        return (self._stored_by_row.get(row) or {}).get(worker_id)
+
+    def _enroll(self) -> None:
+        """Enroll the workers that a row of their pool names as they are."""
+        for worker in self._session.dispatcher.worker_by_id.values():
+            if not worker.is_enrolled and self._is_named(worker):
+                worker.is_enrolled = True
+                self._session.wake.set()
+
+    def _is_named(self, worker: WorkerRecord) -> bool:
+        stored = self._find_stored(worker.worker_id)
+        if stored is None or not _is_same(_encode_entry(worker), stored):
             return False
-        self._log_stored(changed, outcome)
-        self._roster_by_pool.update(changed)
-        return True
-
-    def _log_stored(
-        self, changed: dict[str, dict[str, Any]], outcome: Committed
-    ) -> None:
-        for pool, entries in changed.items():
-            former = self._roster_by_pool.get(pool) or {}
-            log_event(
-                logger,
-                "roster stored",
-                pool=pool,
-                version=outcome.versions_by_row_key[roster_key(pool)],
-                n_workers=len(entries),
-                added=",".join(sorted(entries.keys() - former.keys())),
-                removed=",".join(sorted(former.keys() - entries.keys())),
-            )
+        row = self._stored_row_by_id[worker.worker_id]
+        return self._places.pool_by_row[row] == worker.listed.pool
 
+    def _log_stored(self, row: str, entries: EntriesById, version: int) -> None:
+        former = self._stored_by_row.get(row) or {}
+        log_event(
+            logger,
+            "roster stored",
+            pool=self._places.pool_by_row[row],
+            version=version,
+            n_workers=len(entries),
+            added=",".join(sorted(entries.keys() - former.keys())),
+            removed=",".join(sorted(former.keys() - entries.keys())),
+        )
 
-def _encode_entry(worker_record: WorkerRecord) -> dict[str, Any]:
+
+def _is_refusal(outcome: CommitOutcome) -> bool:
+    """Return whether the table service has answered that it has written nothing."""
+    return isinstance(outcome, Unavailable) and not outcome.may_have_committed
+
+
+def _encode_entry(worker_record: WorkerRecord) -> RosterEntry:
     worker = worker_record.listed
     return {
         "vm": worker_record.vm_id,
@@ -119,7 +249,7 @@
     }
 
 
-def _decode_entry(worker_id: str, pool: str, entry: dict[str, Any]) -> WorkerRecord:
+def _decode_entry(worker_id: str, pool: str, entry: RosterEntry) -> WorkerRecord:
     listed = ListedWorker(
         worker_id=worker_id,
         pool=pool,
@@ -136,17 +266,17 @@
     return worker
 
 
-def _is_stored(
-    entries: Mapping[str, dict[str, Any]], stored: Mapping[str, dict[str, Any]] | None
-) -> bool:
-    """Return whether a pool's stored row says where to find its workers.
-
-    The capacities in the row may be old: a successor starts nothing by them, as it
-    reads the list of workers first.
-    """
+def _is_stored(entries: EntriesById, stored: EntriesById | None) -> bool:
+    """Return whether a stored row says where to find its workers."""
     if stored is None or entries.keys() != stored.keys():
         return False
-    return all(
-        {**stored[worker_id], "capacity": entry["capacity"]} == entry
-        for worker_id, entry in entries.items()
-    )
+    return all(_is_same(entry, stored[name]) for name, entry in entries.items())
+
+
+def _is_same(entry: RosterEntry, stored: RosterEntry) -> bool:
+    """Return whether a stored entry says where to find the worker.
+
+    Its capacity may be old: a successor starts nothing by it, as it reads the list of
+    workers first.
+    """
+    return {**stored, "capacity": entry["capacity"]} == entry
--- a/catkinport/jobs/ownership/worker_watch.py
+++ b/catkinport/jobs/ownership/worker_watch.py
@@ -54,6 +54,9 @@
         store: stores the ends of runs that workers list.
         former_bound: clock time in seconds after which no run that a former owner
             ordered can be running on a worker that this owner has not reached.
+
+    Attributes:
+        roster: stores which workers may run tasks.
     """
 
     def __init__(
@@ -63,14 +66,14 @@
         self._store = store
         self._former_bound = former_bound
         self._poll_task_by_worker: dict[str, asyncio.Task[Any]] = {}
-        self._roster = RosterStore(session)
+        self.roster = RosterStore(session)
         self._contacts = WorkerContacts(session.dispatcher)
         self._listed_at = 0.0
         self._warned_at = float("-inf")
 
     def restore_roster_row(self, row: Row) -> None:
         """Restore the workers of a pool that the former owner has stored."""
-        for worker in self._roster.restore(row):
+        for worker in self.roster.restore(row):
             worker.is_listed = False
             worker.lease_until = self._former_bound
             worker_id = worker.worker_id
@@ -93,7 +96,7 @@
                 await asyncio.sleep(RETRY_SECONDS)
                 continue
             self._listed_at = sent_at
-            await self._apply_worker_list(listed, sent_at)
+            self._apply_worker_list(listed, sent_at)
             await asyncio.sleep(LIST_SECONDS)
 
     def _log_list_failure(self, outcome: Unavailable, now: float) -> None:
@@ -115,14 +118,12 @@
             silent_seconds=round(silent_seconds, 1),
         )
 
-    async def _apply_worker_list(
-        self, listed: list[ListedWorker], sent_at: float
-    ) -> None:
+    def _apply_worker_list(self, listed: list[ListedWorker], sent_at: float) -> None:
         now = self._session.clock.now()
         self._session.dispatcher.update_workers(listed, sent_at, now)
         self._resolve_unreached_workers(now)
         self.poll_all()
-        await self._roster.store()
+        self.roster.check_soon()
         self._session.wake.set()
 
     def _resolve_unreached_workers(self, now: float) -> None:
--- a/catkinport/jobs/tests/rival_fleet.py
+++ b/catkinport/jobs/tests/rival_fleet.py
@@ -218,7 +218,8 @@
         sent_at = self._session.clock.now()
         listed = await self.workers.list_workers()
         if not isinstance(listed, Unavailable):
-            await self._watch._apply_worker_list(listed, sent_at)
+            self._watch._apply_worker_list(listed, sent_at)
+            await self._watch.roster.store()
         version = self._owner._job_feed_version
         changes = await self.store.follow(JOBS_TABLE, version, 0.0)
         if not isinstance(changes, Unavailable):
--- a/catkinport/jobs/tests/test_late_writes.py
+++ b/catkinport/jobs/tests/test_late_writes.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from ...ports.fleet_vms import UpkeepWave
+from ..ownership import roster_store, vm_orders
 from ..ownership.session import OwnerSession
 from ..ownership.state_store import StateStore
 from ..ownership.vm_orders import VmOrders
@@ -20,9 +21,8 @@
 
 async def enroll(watch: WorkerWatch, *worker_ids: str) -> None:
     """Apply a list of workers, as each read of the list does."""
-    await watch._apply_worker_list(
-        [make_worker(worker_id) for worker_id in worker_ids], 0.0
-    )
+    watch._apply_worker_list([make_worker(worker_id) for worker_id in worker_ids], 0.0)
+    await watch.roster.store()
 
 
 async def load_roster(session: OwnerSession) -> set[str]:
@@ -42,7 +42,7 @@
             table = AsyncLateTable()
             session = make_session(table)
             watch = make_watch(session)
-            table.late.n_held = 1
+            table.late.n_held = roster_store.COMMIT_ATTEMPTS
             await enroll(watch, "w1")
             await enroll(watch, "w1", "w2")
             table.late.carry_out_held()
@@ -62,7 +62,7 @@
             session = make_session(table)
             watch = make_watch(session)
             await enroll(watch, "w1", "w2")
-            table.late.n_held = 1
+            table.late.n_held = roster_store.COMMIT_ATTEMPTS
             await enroll(watch, "w1")
             await enroll(watch, "w1", "w2")
             table.late.carry_out_held()
@@ -87,7 +87,7 @@
         async def run():
             table = AsyncLateTable()
             orders = make_vm_orders(make_session(table))
-            table.late.n_held = 1
+            table.late.n_held = vm_orders.COMMIT_ATTEMPTS
             assert not await orders._store_vms([], 100.0)
             assert await orders._store_vms(["m0"], 100.0)
             table.late.carry_out_held()
@@ -103,7 +103,7 @@
             table = AsyncLateTable()
             orders = make_vm_orders(make_session(table))
             begun = orders._vm_planner.wave_by_number[1].begun
-            table.late.n_held = 1
+            table.late.n_held = vm_orders.COMMIT_ATTEMPTS
             begun.add("m0")
             await orders._store_begun(1)
             begun.add("m1")
--- a/catkinport/jobs/tests/test_roster_size.py
+++ b/catkinport/jobs/tests/test_roster_size.py
@@ -3,8 +3,6 @@
 import asyncio
 import json
 
-import pytest
-
 from ...policy.leadership import OwnLease
 from ..ownership.roster_store import RosterStore
 from .builders import Fleet, make_worker
@@ -20,11 +18,6 @@
 class TestLargePool:
     # Guards against a fleet in which no worker gets tasks: a pool's roster is one row,
     # which the table service refuses at each attempt once the pool is large.
-    @pytest.mark.xfail(
-        reason="a pool's roster is one row (issue 28)",
-        strict=True,
-        raises=AssertionError,
-    )
     def test_its_roster_fits_into_rows(self):
         labels = ("standard", "r12-3")
         fleet = Fleet(
--- /dev/null
+++ b/catkinport/jobs/tests/test_roster_store.py
@@ -0,0 +1,295 @@
+"""Tests of the stored list of the workers that may run tasks."""
+
+import asyncio
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from ...ports import Reason, Unavailable
+from ..ownership.owner import RETRY_SECONDS
+from ..ownership.roster_rows import MAX_WORKERS_PER_ROW, RosterRows, group_linked
+from ..ownership.roster_store import COMMIT_ATTEMPTS, RosterStore
+from ..tables import ROSTER_TABLE, roster_key
+from .builders import POOL, make_worker
+from .late_table import AsyncLateTable, make_session
+
+OTHER_POOL = "previews"
+
+REFUSED = Unavailable(Reason.STORE_UNAVAILABLE, "table-commit", "store:1", "status 400")
+
+
+class PickyTable(AsyncLateTable):
+    """A table that refuses commits with certain rows.
+
+    Attributes:
+        refused_rows: names of the rows of the roster that it refuses.
+        n_written: number of rows of each commit that was not refused.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.refused_rows = set()
+        self.n_written = []
+
+    async def commit(self, transaction):
+        names = {write.row_key.key for write in transaction.writes}
+        if names & self.refused_rows:
+            return REFUSED
+        self.n_written.append(len(names))
+        return await super().commit(transaction)
+
+
+class Owner:
+    """An owner that applies lists of workers and stores the roster."""
+
+    def __init__(self, table):
+        self.table = table
+        self.session = make_session(table)
+        self.roster = RosterStore(self.session)
+        self.worker_by_id = self.session.dispatcher.worker_by_id
+
+    def list_workers(self, *workers):
+        self.session.dispatcher.update_workers(workers, 0.0, self.session.clock.now())
+
+    async def store(self, *workers):
+        self.list_workers(*workers)
+        return await self.roster.store()
+
+    def find_enrolled(self):
+        return {w.worker_id for w in self.worker_by_id.values() if w.is_enrolled}
+
+
+def read_pools(table):
+    """Return the pool of each worker as a successor reads the roster."""
+    successor = RosterStore(make_session(AsyncLateTable()))
+    return {
+        worker.worker_id: worker.listed.pool
+        for row in table.memory.scan(ROSTER_TABLE).rows
+        for worker in successor.restore(row)
+    }
+
+
+class TestRefusedRow:
+    # Guards against one row that the store refuses, at each attempt, and that keeps the
+    # new workers of all pools from getting tasks.
+    def test_it_holds_back_no_other_pool(self):
+        async def run():
+            table = PickyTable()
+            table.refused_rows = {OTHER_POOL}
+            owner = Owner(table)
+            workers = make_worker("w1"), make_worker("v1", pool=OTHER_POOL)
+            for _ in range(2):
+                assert not await owner.store(*workers)
+            assert owner.find_enrolled() == {"w1"}
+            table.refused_rows = set()
+            assert await owner.store(*workers)
+            assert owner.find_enrolled() == {"w1", "v1"}
+
+        asyncio.run(run())
+
+    # Guards against a further new worker that waits for the refused row again.
+    def test_later_workers_of_other_pools_are_enrolled_beside_it(self):
+        async def run():
+            table = PickyTable()
+            table.refused_rows = {OTHER_POOL}
+            owner = Owner(table)
+            workers = [make_worker("v1", pool=OTHER_POOL)]
+            for number in range(5):
+                workers.append(make_worker(f"w{number}"))
+                for _ in range(2):
+                    await owner.store(*workers)
+                assert f"w{number}" in owner.find_enrolled()
+
+        asyncio.run(run())
+
+    # Guards against a new worker without tasks because its entry is one that no row can
+    # hold, and against others that wait for it.
+    def test_an_entry_that_no_row_can_hold_is_left_out(self, caplog):
+        async def run():
+            owner = Owner(PickyTable())
+            large = make_worker("w2", labels=("x" * 2_000,))
+            for _ in range(2):
+                assert await owner.store(make_worker("w1"), large)
+            assert owner.find_enrolled() == {"w1"}
+
+        asyncio.run(run())
+        events = [record.getMessage() for record in caplog.records]
+        assert events.count("worker not enrolled") == 1
+
+    # Guards against a successor that doesn't know of a worker which may run tasks.
+    def test_a_stored_worker_whose_entry_grows_stays_stored(self):
+        async def run():
+            owner = Owner(PickyTable())
+            await owner.store(make_worker("w1"))
+            await owner.store(make_worker("w1", labels=("x" * 2_000,)))
+            await owner.store(
+                make_worker("w1", labels=("x" * 2_000,)), make_worker("w2")
+            )
+            assert read_pools(owner.table) == {"w1": POOL, "w2": POOL}
+
+        asyncio.run(run())
+
+
+class TestLateAnswers:
+    # Guards against workers that are never enrolled because the answer to each commit
+    # comes too late.
+    def test_workers_are_enrolled_though_no_commit_is_answered(self):
+        async def run():
+            owner = Owner(AsyncLateTable())
+            owner.table.loses_answers = True
+            assert await owner.store(make_worker("w1"))
+            assert await owner.store(make_worker("w1"), make_worker("w2"))
+            assert owner.find_enrolled() == {"w1", "w2"}
+
+        asyncio.run(run())
+
+    # Guards against workers that wait until the list of workers is read again, which
+    # may take long, after a commit that failed.
+    def test_a_commit_is_tried_again_without_another_list(self):
+        async def run():
+            owner = Owner(AsyncLateTable())
+            owner.table.late.n_held = COMMIT_ATTEMPTS
+            owner.list_workers(make_worker("w1"))
+            loop = asyncio.ensure_future(owner.roster.run())
+            owner.roster.check_soon()
+            await asyncio.sleep(3 * RETRY_SECONDS)
+            loop.cancel()
+            assert owner.find_enrolled() == {"w1"}
+
+        asyncio.run(run())
+
+
+class TestLargePool:
+    def make_workers(self, n_workers):
+        return [make_worker(f"w{number}") for number in range(n_workers)]
+
+    # Guards against a change of one worker that writes the rows of all.
+    def test_a_change_writes_one_row(self):
+        async def run():
+            owner = Owner(PickyTable())
+            workers = self.make_workers(4 * MAX_WORKERS_PER_ROW)
+            await owner.store(*workers)
+            assert owner.table.n_written == [4]
+            await owner.store(*workers, make_worker("new"))
+            await owner.store(*workers[1:], make_worker("new"))
+            assert owner.table.n_written == [4, 1, 1]
+            assert len(read_pools(owner.table)) == len(workers)
+
+        asyncio.run(run())
+
+    # Guards against a transaction that is larger than the store accepts.
+    def test_many_rows_are_written_in_several_transactions(self):
+        async def run():
+            owner = Owner(PickyTable())
+            workers = self.make_workers(25 * MAX_WORKERS_PER_ROW)
+            assert await owner.store(*workers)
+            assert owner.table.n_written == [10, 10, 5]
+            assert owner.find_enrolled() == set(read_pools(owner.table))
+
+        asyncio.run(run())
+
+    # Guards against a successor that takes a further row for another pool.
+    def test_a_successor_goes_on_with_the_rows(self):
+        async def run():
+            table = PickyTable()
+            workers = self.make_workers(2 * MAX_WORKERS_PER_ROW)
+            await Owner(table).store(*workers)
+            successor = Owner(table)
+            for row in table.memory.scan(ROSTER_TABLE).rows:
+                for worker in successor.roster.restore(row):
+                    successor.worker_by_id[worker.worker_id] = worker
+            table.n_written.clear()
+            assert await successor.store(*workers)
+            assert table.n_written == []
+            assert await successor.store(*workers, make_worker("new"))
+            assert table.n_written == [1]
+
+        asyncio.run(run())
+
+
+class TestChangedPool:
+    # Guards against a moment in which the roster names a worker in no pool.
+    @pytest.mark.parametrize("is_split", [False, True])
+    def test_both_rows_are_written_together(self, is_split):
+        async def run():
+            owner = Owner(PickyTable())
+            await owner.store(make_worker("w1"), make_worker("w2", pool=OTHER_POOL))
+            owner.roster._is_split = is_split
+            owner.table.n_written.clear()
+            moved = make_worker("w1", pool=OTHER_POOL)
+            await owner.store(moved, make_worker("w2", pool=OTHER_POOL))
+            assert owner.table.n_written == [2]
+            assert read_pools(owner.table) == {"w1": OTHER_POOL, "w2": OTHER_POOL}
+
+        asyncio.run(run())
+
+
+class TestRosterRows:
+    # Guards against workers of two pools in a row of one name.
+    def test_a_pool_with_the_name_of_a_further_row_has_rows_of_its_own(self):
+        rows = RosterRows()
+        for number in range(MAX_WORKERS_PER_ROW + 1):
+            rows.place(f"w{number}", "a")
+        assert rows.place("v1", "a#1") == "a#1#1"
+        assert rows.pool_by_row == {"a": "a", "a#1": "a", "a#1#1": "a#1"}
+
+    def test_a_free_place_is_taken_again(self):
+        rows = RosterRows()
+        for number in range(MAX_WORKERS_PER_ROW):
+            rows.place(f"w{number}", "a")
+        rows.release("w3")
+        assert rows.place("new", "a") == "a"
+
+    def test_rows_that_exchange_workers_form_one_group(self):
+        changed = {"a": {"w1": {}}, "b": {"w2": {}}, "c": {"w3": {}}, "d": {}}
+        row_by_id = {"w1": "b", "w2": "c", "w3": "c", "w4": "d"}
+        groups = group_linked(changed, row_by_id)
+        assert sorted(map(sorted, groups)) == [["a", "b", "c"], ["d"]]
+
+
+FAULTS = st.sampled_from(["none", "none", "lost", "held", "refused"])
+
+LISTS = st.dictionaries(
+    st.sampled_from(["w1", "w2", "w3", "w4"]), st.sampled_from([POOL, OTHER_POOL])
+)
+
+
+class TestRandomHistories:
+    # Guards against a worker that may run tasks while a successor doesn't know of it,
+    # or waits for it in another pool, and against workers that are never enrolled.
+    @settings(max_examples=300, deadline=None)
+    @given(st.lists(st.tuples(LISTS, FAULTS, st.booleans()), max_size=12))
+    def test_a_successor_knows_each_enrolled_worker(self, history):
+        asyncio.run(self._play(history))
+
+    async def _play(self, history):
+        owner = Owner(PickyTable())
+        table = owner.table
+        for pool_by_id, fault, is_carried_out in history:
+            table.loses_answers = fault == "lost"
+            table.late.n_held = COMMIT_ATTEMPTS if fault == "held" else 0
+            table.refused_rows = {OTHER_POOL} if fault == "refused" else set()
+            await owner.store(*(make_worker(i, pool=p) for i, p in pool_by_id.items()))
+            self._check(owner)
+            if is_carried_out:
+                table.late.carry_out_held()
+                self._check(owner)
+        table.loses_answers = False
+        table.late.n_held = 0
+        table.refused_rows = set()
+        workers = [make_worker(worker_id) for worker_id in ("w1", "w5")]
+        assert await owner.store(*workers)
+        assert owner.find_enrolled() == {"w1", "w5"}
+        self._check(owner)
+
+    def _check(self, owner):
+        pool_by_id = read_pools(owner.table)
+        for worker_id in owner.find_enrolled():
+            listed = owner.worker_by_id[worker_id].listed
+            assert pool_by_id[worker_id] == listed.pool
+
+
+def test_the_first_row_of_a_pool_has_its_name():
+    """Guards against daemons of earlier versions that read rows by the pool's name."""
+    assert roster_key(RosterRows().place("w1", POOL)).key == POOL
--- a/catkinport/jobs/tests/test_start_blocks.py
+++ b/catkinport/jobs/tests/test_start_blocks.py
@@ -98,10 +98,9 @@
         watch = WorkerWatch(SlowList(fleet), None, 0.0)
         applied = asyncio.Event()
 
-        async def apply(listed, sent_at):
+        def apply(listed, sent_at):
             fleet.dispatcher.update_workers(listed, sent_at, fleet.now)
             applied.set()
-            await asyncio.sleep(9.0)
 
         async def read_once():
             task = asyncio.create_task(watch.run())
--- a/catkinport/jobs/tests/test_worker_pools.py
+++ b/catkinport/jobs/tests/test_worker_pools.py
@@ -12,6 +12,12 @@
 OTHER_POOL = "previews"
 
 
+async def enroll(watch, *listed):
+    """Apply a list of workers and store the roster."""
+    watch._apply_worker_list(listed, 0.0)
+    await watch.roster.store()
+
+
 class TestChangedPool:
     # Guards against a successor that starts tasks of a pool while a worker that has
     # joined it, but is stored in its former pool, still runs them.
@@ -20,14 +26,14 @@
             table = AsyncLateTable()
             session = make_session(table)
             watch = WorkerWatch(session, StateStore(session), 0.0)
-            await watch._apply_worker_list([make_worker("w1")], 0.0)
+            await enroll(watch, make_worker("w1"))
             worker = session.dispatcher.worker_by_id["w1"]
             assert worker.is_enrolled
             moved = make_worker("w1", pool=OTHER_POOL)
             table.late.n_held = COMMIT_ATTEMPTS
-            await watch._apply_worker_list([moved], 0.0)
+            await enroll(watch, moved)
             assert not worker.is_enrolled
-            await watch._apply_worker_list([moved], 0.0)
+            await enroll(watch, moved)
             assert worker.is_enrolled
             session.cancel_all()
             rows = (await table.read_range(ROSTER_TABLE)).rows
@@ -45,9 +51,9 @@
             table = AsyncLateTable()
             session = make_session(table)
             watch = WorkerWatch(session, StateStore(session), 0.0)
-            await watch._apply_worker_list([make_worker("w1")], 0.0)
+            await enroll(watch, make_worker("w1"))
             (row,) = (await table.read_range(ROSTER_TABLE)).rows
-            await watch._apply_worker_list([make_worker("w1", cores=2.0)], 0.0)
+            await enroll(watch, make_worker("w1", cores=2.0))
             session.cancel_all()
             assert session.dispatcher.worker_by_id["w1"].listed.capacity.cores == 2.0
             (later,) = (await table.read_range(ROSTER_TABLE)).rows
@@ -62,9 +68,9 @@
             table = AsyncLateTable()
             session = make_session(table)
             watch = WorkerWatch(session, StateStore(session), 0.0)
-            await watch._apply_worker_list([make_worker("w1")], 0.0)
+            await enroll(watch, make_worker("w1"))
             moved = make_worker("w1", address="h:2", cores=2.0)
-            await watch._apply_worker_list([moved], 0.0)
+            await enroll(watch, moved)
             session.cancel_all()
             (row,) = (await table.read_range(ROSTER_TABLE)).rows
             entry = row.value["workers"]["w1"]
--- a/verification/platform/tests/test_enrolment.py
+++ b/verification/platform/tests/test_enrolment.py
@@ -68,11 +68,6 @@
 
 
 class TestForeignEntries:
-    @pytest.mark.xfail(
-        reason="one refused row holds back all pools (issue 46)",
-        strict=True,
-        raises=AssertionError,
-    )
     @pytest.mark.parametrize(
         "change",
         [{"Service": ""}, {"Service": "x" * 201}, {"Labels": ["x" * 66_000]}],
