Read the roster while a commit of it has no answer

Cause: enrolment waited for the answer to a commit. That the commit was carried out can be read.

Change: without an answer for 0.25 s the rows are read. A row of another version than before has been written by this owner, no earlier write can change it any more, and its workers are enrolled. A row of the same version tells nothing, as the write may still be carried out. Rows whose write had no answer may name a worker until they are known again; a worker is enrolled once exactly one row may name it. That hole was older: a worker that had left a pool and come back could be enrolled while another row still named it. The random histories of test_roster_store.py found it, and test_a_worker_waits_until_no_other_row_may_name_it shows it.

Why it is safe: a successor reads the same rows after its claim, and only writes of this ownership that were carried out before that claim can be in them.

Failures are counted by row: beside a refused row, others were said to fail and to recover several times a second.

Tests that hold back as many attempts as there are hold back one again.

--- a/catkinport/jobs/ownership/fenced_rows.py
+++ b/catkinport/jobs/ownership/fenced_rows.py
@@ -1,8 +1,10 @@
 """Rows that only the owner writes, under its fencing token and their last versions."""
 
+import asyncio
 import logging
 from collections.abc import Iterable, Sequence
 
+from ...ports import Unavailable
 from ...ports.async_table import commit_until_known
 from ...ports.table import (
     ABSENT_VERSION,
@@ -104,6 +106,55 @@
                 return Committed(versions)
         return outcome
 
+    async def commit_or_look(
+        self, writes: Sequence[Write], look_seconds: float
+    ) -> CommitOutcome:
+        """Write rows of one table together; read them while there is no answer.
+
+        It tells that the rows are stored, and not that this daemon still is the owner.
+
+        Args:
+            writes: rows that no late write may replace; none is removed.
+            look_seconds: time from the call to the first read, and between reads.
+        """
+        commit = asyncio.ensure_future(self.commit(writes))
+        row_keys = [write.row_key for write in writes]
+        try:
+            while not commit.done():
+                await asyncio.wait({commit}, timeout=look_seconds)
+                if commit.done():
+                    break
+                written = await self.find_written(row_keys)
+                if _holds(written, writes):
+                    return Committed({row.row_key: row.version for row in written})
+            return commit.result()
+        finally:
+            commit.cancel()
+
+    async def find_written(self, row_keys: Sequence[RowKey]) -> list[Row]:
+        """Return the rows that writes without an answer have changed since.
+
+        No earlier write can change such a row any more: each is conditional on an older
+        version of it.
+
+        Args:
+            row_keys: keys of rows of one table.
+        """
+        first, last = min(row_keys), max(row_keys)
+        outcome = await self._session.table.read_range(
+            first.table, first.key, last.key + "\0"
+        )
+        if isinstance(outcome, Unavailable):
+            return []
+        written = [
+            row
+            for row in outcome.rows
+            if row.row_key in row_keys
+            and row.version != self._version_by_row_key.get(row.row_key, ABSENT_VERSION)
+        ]
+        self.note_read(written)
+        return written
+
     def _make_transaction(
         self, writes: Sequence[Write], unconditional: Sequence[Write]
     ) -> Transaction:
--- a/catkinport/jobs/ownership/roster_delays.py
+++ b/catkinport/jobs/ownership/roster_delays.py
@@ -3,6 +3,7 @@
 import logging
 from collections import Counter
 from collections.abc import Collection
+from typing import NamedTuple
 
 from ...ports.table import CommitOutcome, Committed
 from ...runtime.logs import log_event
@@ -13,6 +14,16 @@
 REPEAT_SECONDS = 5.0
 """Time between two log lines while the roster is not stored."""
 
+MIN_LOGGED_SECONDS = 1.0
+"""Shortest time without success whose end is logged."""
+
+
+class _Failures(NamedTuple):
+    """Failures in a row of the commits of a row, since a clock time in seconds."""
+
+    since: float
+    n: int = 0
+
 
 class RosterDelays:
     """Measures and logs what keeps workers out of the stored roster.
@@ -23,29 +34,29 @@
 
     def __init__(self, session: OwnerSession) -> None:
         self._session = session
-        self._failing_since: float | None = None
-        self._n_failures = 0
+        self._failures_by_row: dict[str, _Failures] = {}
         self._logged_at = float("-inf")
         self._waiting_since_by_worker: dict[str, float] = {}
 
-    def note_outcome(self, outcome: CommitOutcome, pools: Collection[str]) -> None:
-        """Note the outcome of a commit of the rosters of ``pools``."""
-        reason = getattr(outcome, "reason", "")
+    def note_outcome(self, outcome: CommitOutcome, rows: Collection[str]) -> None:
+        """Note the outcome of a commit of rows of the roster."""
+        reason = str(getattr(outcome, "reason", ""))
         self._session.ports.metrics.increment(
             "roster_commits",
             "Commits of the list of workers that may run tasks.",
-            {"outcome": type(outcome).__name__, "reason": str(reason)},
+            {"outcome": type(outcome).__name__, "reason": reason},
         )
         if isinstance(outcome, Committed):
-            self._note_stored(pools)
+            self._note_stored(rows)
             return
         now = self._session.clock.now()
-        if self._failing_since is None:
-            self._failing_since = now
-        self._n_failures += 1
+        for row in rows:
+            failures = self._failures_by_row.get(row, _Failures(now))
+            self._failures_by_row[row] = failures._replace(n=failures.n + 1)
         if now - self._logged_at < REPEAT_SECONDS:
             return
         self._logged_at = now
+        worst = min(self._failures_by_row[row] for row in rows)
         log_event(
             logger,
             "roster not stored",
@@ -53,25 +64,25 @@
             reason=reason or type(outcome).__name__,
             may_be_stored=getattr(outcome, "may_have_committed", False),
             detail=getattr(outcome, "detail", ""),
-            n_failures=self._n_failures,
-            seconds=round(now - self._failing_since, 1),
-            pools=",".join(sorted(pools)),
+            n_failures=worst.n,
+            seconds=round(now - worst.since, 1),
+            rows=",".join(sorted(rows)),
         )
 
-    def _note_stored(self, pools: Collection[str]) -> None:
-        if self._failing_since is None:
+    def _note_stored(self, rows: Collection[str]) -> None:
+        ended = [self._failures_by_row.pop(row, None) for row in rows]
+        worst = min((failures for failures in ended if failures), default=None)
+        now = self._session.clock.now()
+        if worst is None or now - worst.since < MIN_LOGGED_SECONDS:
             return
         log_event(
             logger,
             "roster stored after failures",
             level=logging.WARNING,
-            n_failures=self._n_failures,
-            seconds=round(self._session.clock.now() - self._failing_since, 1),
-            pools=",".join(sorted(pools)),
+            n_failures=worst.n,
+            seconds=round(now - worst.since, 1),
+            rows=",".join(sorted(rows)),
         )
-        self._failing_since = None
-        self._n_failures = 0
-        self._logged_at = float("-inf")
 
     def measure(self) -> None:
         """Set the metrics of the workers that wait for their enrolment."""
--- a/catkinport/jobs/ownership/roster_rows.py
+++ b/catkinport/jobs/ownership/roster_rows.py
@@ -5,7 +5,7 @@
 """
 
 import json
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping
 from typing import Any
 
 MAX_WORKERS_PER_ROW = 50
@@ -97,20 +97,22 @@
 
 
 def group_linked(
-    changed: Mapping[str, EntriesById], row_by_id: Mapping[str, str]
+    changed: Mapping[str, EntriesById], rows_by_id: Mapping[str, Collection[str]]
 ) -> list[set[str]]:
     """Group changed rows so that a worker leaves a row as it enters another one.
 
     Args:
         changed: entries that the rows are to have, by row.
-        row_by_id: row in which each worker is stored.
+        rows_by_id: rows that may name each worker.
 
     Returns:
         The names of the rows of each group.
     """
     groups: list[set[str]] = []
     for row, entries in changed.items():
-        former_rows = {row_by_id.get(worker_id, row) for worker_id in entries}
+        former_rows = {
+            former for worker_id in entries for former in rows_by_id.get(worker_id, ())
+        }
         linked = {row} | (former_rows & changed.keys())
         touching = [group for group in groups if not group.isdisjoint(linked)]
         groups = [group for group in groups if group.isdisjoint(linked)]
--- a/catkinport/jobs/ownership/roster_store.py
+++ b/catkinport/jobs/ownership/roster_store.py
@@ -6,12 +6,12 @@
 
 import asyncio
 import logging
-from collections.abc import Iterator, Mapping, Sequence
+from collections.abc import Iterable, Iterator, Mapping, Sequence
 
 from ...policy.resources import Resources
 from ...ports import Unavailable
 from ...ports.fleet_workers import ListedWorker
-from ...ports.table import CommitOutcome, Committed, Row, Write
+from ...ports.table import CommitOutcome, Committed, Row, RowKey, Write
 from ...runtime.logs import log_event
 from ..tables import roster_key
 from ..workers.worker_state import WorkerRecord
@@ -22,8 +22,9 @@
 
 logger = logging.getLogger(__name__)
 
-COMMIT_ATTEMPTS = 3
-"""Attempts of one commit of unknown outcome before the roster is collected again."""
+LOOK_SECONDS = 0.25
+"""Time without an answer to a commit after which its rows are read, as the answer may
+come late."""
 
 MAX_ROWS_PER_COMMIT = 10
 """Most rows in one transaction, which may have 1 MB. A worker that changes its pool may
@@ -52,7 +53,8 @@
         self._places = RosterRows()
         # The value is None after a write without an answer.
         self._stored_by_row: dict[str, dict[str, RosterEntry] | None] = {}
-        self._stored_row_by_id: dict[str, str] = {}
+        # Rows that name a worker, or may do so after a write without an answer.
+        self._rows_by_id: dict[str, set[str]] = {}
         self._unfit_ids: set[str] = set()
         self._is_split = False
         self._changed = asyncio.Event()
@@ -98,11 +100,9 @@
             Whether all rows are stored.
         """
         changed = self._find_changed()
-        is_stored = True
         is_refused = False
         for rows in self._make_batches(changed):
             outcome = await self._commit({row: changed[row] for row in rows})
-            is_stored = is_stored and isinstance(outcome, Committed)
             is_refused = is_refused or _is_refusal(outcome)
             if not isinstance(outcome, Committed) and not _is_refusal(outcome):
                 # The next call would wait as long for its answer.
@@ -111,7 +111,7 @@
         self._is_split = is_refused and not self._is_split
         self._enroll()
         self._delays.measure()
-        return is_stored
+        return not changed or not self._find_changed()
 
     def _find_changed(self) -> dict[str, dict[str, RosterEntry]]:
         """Return the entries that rows are to have, of the rows that differ."""
@@ -159,7 +159,7 @@
         self, changed: dict[str, dict[str, RosterEntry]]
     ) -> Iterator[Sequence[str]]:
         """Yield the rows of each transaction."""
-        groups = group_linked(changed, self._stored_row_by_id)
+        groups = group_linked(changed, self._rows_by_id)
         batch: list[str] = []
         for group in groups:
             is_full = len(batch) + len(group) > MAX_ROWS_PER_COMMIT
@@ -181,7 +181,7 @@
             )
             for row, entries in changed.items()
         ]
-        outcome = await self._rows.commit(writes, n_attempts=COMMIT_ATTEMPTS)
+        outcome = await self._rows.commit_or_look(writes, LOOK_SECONDS)
         self._delays.note_outcome(outcome, changed)
         if isinstance(outcome, Committed):
             for row, entries in changed.items():
@@ -191,20 +191,39 @@
         elif not _is_refusal(outcome):
             # The write may still be carried out, so these rows are written again even
             # if they should be as they were before.
-            self._stored_by_row.update(dict.fromkeys(changed))
+            for row, entries in changed.items():
+                self._stored_by_row[row] = None
+                self._add_rows(row, entries)
+            await self._look_up([write.row_key for write in writes])
         return outcome
 
+    async def _look_up(self, row_keys: Sequence[RowKey]) -> None:
+        """Read rows whose write had no answer, which may have been carried out.
+
+        A successor reads the same, as it reads the roster after its claim.
+        """
+        for row in await self._rows.find_written(row_keys):
+            self._note_stored(row.row_key.key, row.value[WORKERS_FIELD])
+
     def _note_stored(self, row: str, entries: EntriesById) -> None:
-        for worker_id, stored_row in list(self._stored_row_by_id.items()):
-            if stored_row == row:
-                del self._stored_row_by_id[worker_id]
+        for worker_id, rows in list(self._rows_by_id.items()):
+            rows.discard(row)
+            if not rows:
+                del self._rows_by_id[worker_id]
         self._stored_by_row[row] = dict(entries)
-        self._stored_row_by_id.update(dict.fromkeys(entries, row))
+        self._add_rows(row, entries)
+
+    def _add_rows(self, row: str, worker_ids: Iterable[str]) -> None:
+        for worker_id in worker_ids:
+            self._rows_by_id.setdefault(worker_id, set()).add(row)
 
     def _find_stored(self, worker_id: str) -> RosterEntry | None:
         """Return the entry of a worker as it is stored for certain."""
-        row = self._stored_row_by_id.get(worker_id, "")
-        return (self._stored_by_row.get(row) or {}).get(worker_id)
+        for row in self._rows_by_id.get(worker_id, ()):
+            stored = self._stored_by_row[row]
+            if stored is not None and worker_id in stored:
+                return stored[worker_id]
+        return None
 
     def _enroll(self) -> None:
         """Enroll the workers that a row of their pool names as they are."""
@@ -214,11 +233,14 @@
                 self._session.wake.set()
 
     def _is_named(self, worker: WorkerRecord) -> bool:
+        """Return whether one row names a worker as it is, and no other may do so."""
         stored = self._find_stored(worker.worker_id)
         if stored is None or not _is_same(_encode_entry(worker), stored):
             return False
-        row = self._stored_row_by_id[worker.worker_id]
-        return self._places.pool_by_row[row] == worker.listed.pool
+        pools = [
+            self._places.pool_by_row[row] for row in self._rows_by_id[worker.worker_id]
+        ]
+        return pools == [worker.listed.pool]
 
     def _log_stored(self, row: str, entries: EntriesById, version: int) -> None:
         former = self._stored_by_row.get(row) or {}
--- a/catkinport/jobs/tests/late_table.py
+++ b/catkinport/jobs/tests/late_table.py
@@ -33,6 +33,7 @@
         commit_seconds: time that a commit takes.
         is_carried_out_before_next: whether each commit that was held back is carried
             out before the next commit.
+        answer_seconds: time from a commit to its answer.
         loses_answers: whether commits that take effect get no answer; conflicts do.
     """
 
@@ -44,6 +45,7 @@
         self.n_commits = 0
         self.commit_seconds = 0.0
         self.is_carried_out_before_next = False
+        self.answer_seconds = 0.0
         self.loses_answers = False
 
     def claim(self) -> int:
@@ -54,7 +56,11 @@
 
     async def read_range(self, table: str, start: str = "", end: str = "") -> Snapshot:
         rows = self.memory.scan(table).rows
-        kept = [r for r in rows if start <= r.row_key.key and not end]
+        kept = [
+            row
+            for row in rows
+            if start <= row.row_key.key and (not end or row.row_key.key < end)
+        ]
         return Snapshot(kept, max((r.version for r in kept), default=0))
 
     async def commit(self, transaction: Transaction) -> CommitOutcome:
@@ -66,6 +72,7 @@
         if self.is_carried_out_before_next:
             self.late.carry_out_held()
         outcome = self.late.commit(transaction)
+        await asyncio.sleep(self.answer_seconds)
         if self.loses_answers and isinstance(outcome, Committed):
             return Unavailable(Reason.TIMEOUT, "table-commit", may_have_committed=True)
         return _add_rows(self.memory, transaction, outcome)
--- a/catkinport/jobs/tests/test_late_writes.py
+++ b/catkinport/jobs/tests/test_late_writes.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from ...ports.fleet_vms import UpkeepWave
-from ..ownership import roster_store, vm_orders
+from ..ownership import vm_orders
 from ..ownership.session import OwnerSession
 from ..ownership.state_store import StateStore
 from ..ownership.vm_orders import VmOrders
@@ -42,7 +42,7 @@
             table = AsyncLateTable()
             session = make_session(table)
             watch = make_watch(session)
-            table.late.n_held = roster_store.COMMIT_ATTEMPTS
+            table.late.n_held = 1
             await enroll(watch, "w1")
             await enroll(watch, "w1", "w2")
             table.late.carry_out_held()
@@ -62,7 +62,7 @@
             session = make_session(table)
             watch = make_watch(session)
             await enroll(watch, "w1", "w2")
-            table.late.n_held = roster_store.COMMIT_ATTEMPTS
+            table.late.n_held = 1
             await enroll(watch, "w1")
             await enroll(watch, "w1", "w2")
             table.late.carry_out_held()
--- a/catkinport/jobs/tests/test_roster_delays.py
+++ b/catkinport/jobs/tests/test_roster_delays.py
@@ -55,9 +55,20 @@
         table = RefusingTable()
         session, roster = make_store(table)
         asyncio.run(roster.store())
+        session.clock.advance(2.0)
         table.is_refusing = False
         asyncio.run(roster.store())
         assert caplog.records[-1].getMessage() == "roster stored after failures"
+        assert caplog.records[-1].event_fields["seconds"] == 2.0
+
+    # Guards against a line for each row that is stored beside one that is refused.
+    def test_failures_of_a_moment_are_logged_once(self, caplog):
+        table = RefusingTable()
+        session, roster = make_store(table)
+        asyncio.run(roster.store())
+        table.is_refusing = False
+        asyncio.run(roster.store())
+        assert [r.getMessage() for r in caplog.records] == ["roster not stored"]
 
     # Guards against workers without tasks that no metric shows.
     def test_waiting_workers_are_measured(self):
--- a/catkinport/jobs/tests/test_roster_store.py
+++ b/catkinport/jobs/tests/test_roster_store.py
@@ -1,6 +1,7 @@
 """Tests of the stored list of the workers that may run tasks."""
 
 import asyncio
+import time
 
 import pytest
 from hypothesis import given, settings
@@ -9,7 +10,7 @@
 from ...ports import Reason, Unavailable
 from ..ownership.owner import RETRY_SECONDS
 from ..ownership.roster_rows import MAX_WORKERS_PER_ROW, RosterRows, group_linked
-from ..ownership.roster_store import COMMIT_ATTEMPTS, RosterStore
+from ..ownership.roster_store import LOOK_SECONDS, RosterStore
 from ..tables import ROSTER_TABLE, roster_key
 from .builders import POOL, make_worker
 from .late_table import AsyncLateTable, make_session
@@ -70,6 +71,13 @@
     }
 
 
+def check_enrolled(owner):
+    """Check that a successor knows each enrolled worker in its pool."""
+    pool_by_id = read_pools(owner.table)
+    for worker_id in owner.find_enrolled():
+        assert pool_by_id[worker_id] == owner.worker_by_id[worker_id].listed.pool
+
+
 class TestRefusedRow:
     # Guards against one row that the store refuses, at each attempt, and that keeps the
     # new workers of all pools from getting tasks.
@@ -141,6 +149,51 @@
             assert await owner.store(make_worker("w1"))
             assert await owner.store(make_worker("w1"), make_worker("w2"))
             assert owner.find_enrolled() == {"w1", "w2"}
+            assert owner.table.n_commits == 2
+
+        asyncio.run(run())
+
+    # Guards against workers that wait while the store answers neither commits nor
+    # conflicts in time, which a read tells.
+    def test_a_read_tells_which_workers_are_stored(self):
+        async def run():
+            owner = Owner(AsyncLateTable())
+            owner.table.late.n_held = 2
+            assert not await owner.store(make_worker("w1"))
+            assert owner.find_enrolled() == set()
+            owner.table.late.carry_out_held()
+            assert await owner.store(make_worker("w1"))
+            assert owner.find_enrolled() == {"w1"}
+
+        asyncio.run(run())
+
+    # Guards against workers that wait for the answer to a commit which was carried out
+    # at once.
+    def test_an_answer_that_comes_late_is_not_waited_for(self):
+        async def run():
+            owner = Owner(AsyncLateTable())
+            owner.table.answer_seconds = 20 * LOOK_SECONDS
+            started_at = time.monotonic()
+            assert await owner.store(make_worker("w1"))
+            assert time.monotonic() - started_at < 10 * LOOK_SECONDS
+            assert owner.find_enrolled() == {"w1"}
+            owner.table.answer_seconds = 0.0
+            assert await owner.store(make_worker("w1"), make_worker("w2"))
+            assert owner.table.n_commits == 2
+
+        asyncio.run(run())
+
+    # Guards against a worker that may run tasks while a late write takes it out of the
+    # roster that a successor reads.
+    def test_an_unchanged_row_is_not_taken_for_certain(self):
+        async def run():
+            owner = Owner(AsyncLateTable())
+            await owner.store(make_worker("w1"), make_worker("w2"))
+            owner.table.late.n_held = 1
+            assert not await owner.store(make_worker("w1"))
+            owner.list_workers(make_worker("w1"), make_worker("w2"))
+            owner.roster._enroll()
+            assert owner.find_enrolled() == {"w1"}
 
         asyncio.run(run())
 
@@ -149,7 +202,7 @@
     def test_a_commit_is_tried_again_without_another_list(self):
         async def run():
             owner = Owner(AsyncLateTable())
-            owner.table.late.n_held = COMMIT_ATTEMPTS
+            owner.table.late.n_held = 1
             owner.list_workers(make_worker("w1"))
             loop = asyncio.ensure_future(owner.roster.run())
             owner.roster.check_soon()
@@ -243,11 +296,32 @@
 
     def test_rows_that_exchange_workers_form_one_group(self):
         changed = {"a": {"w1": {}}, "b": {"w2": {}}, "c": {"w3": {}}, "d": {}}
-        row_by_id = {"w1": "b", "w2": "c", "w3": "c", "w4": "d"}
-        groups = group_linked(changed, row_by_id)
+        rows_by_id = {"w1": {"b"}, "w2": {"b", "c"}, "w3": {"c"}, "w4": {"d"}}
+        groups = group_linked(changed, rows_by_id)
         assert sorted(map(sorted, groups)) == [["a", "b", "c"], ["d"]]
 
 
+class TestUncertainRows:
+    # Guards against a successor that waits for a worker in the pool that it has left: a
+    # write to that pool's row had no answer, and was carried out later.
+    def test_a_worker_waits_until_no_other_row_may_name_it(self):
+        async def run():
+            owner = Owner(PickyTable())
+            table = owner.table
+            await owner.store(make_worker("w1", pool=OTHER_POOL))
+            table.late.n_held = 1
+            await owner.store(make_worker("w1"))
+            table.refused_rows = {OTHER_POOL}
+            await owner.store()
+            table.late.carry_out_held()
+            table.refused_rows = set()
+            table.loses_answers = True
+            await owner.store(make_worker("w1", pool=OTHER_POOL))
+            check_enrolled(owner)
+
+        asyncio.run(run())
+
+
 FAULTS = st.sampled_from(["none", "none", "lost", "held", "refused"])
 
 LISTS = st.dictionaries(
@@ -268,26 +342,20 @@
         table = owner.table
         for pool_by_id, fault, is_carried_out in history:
             table.loses_answers = fault == "lost"
-            table.late.n_held = COMMIT_ATTEMPTS if fault == "held" else 0
+            table.late.n_held = 1 if fault == "held" else 0
             table.refused_rows = {OTHER_POOL} if fault == "refused" else set()
             await owner.store(*(make_worker(i, pool=p) for i, p in pool_by_id.items()))
-            self._check(owner)
+            check_enrolled(owner)
             if is_carried_out:
                 table.late.carry_out_held()
-                self._check(owner)
+                check_enrolled(owner)
         table.loses_answers = False
         table.late.n_held = 0
         table.refused_rows = set()
         workers = [make_worker(worker_id) for worker_id in ("w1", "w5")]
         assert await owner.store(*workers)
         assert owner.find_enrolled() == {"w1", "w5"}
-        self._check(owner)
-
-    def _check(self, owner):
-        pool_by_id = read_pools(owner.table)
-        for worker_id in owner.find_enrolled():
-            listed = owner.worker_by_id[worker_id].listed
-            assert pool_by_id[worker_id] == listed.pool
+        check_enrolled(owner)
 
 
 def test_the_first_row_of_a_pool_has_its_name():
--- a/catkinport/jobs/tests/test_worker_pools.py
+++ b/catkinport/jobs/tests/test_worker_pools.py
@@ -2,7 +2,6 @@
 
 import asyncio
 
-from ..ownership.roster_store import COMMIT_ATTEMPTS
 from ..ownership.state_store import StateStore
 from ..ownership.worker_watch import WorkerWatch
 from ..tables import ROSTER_TABLE
@@ -30,7 +29,7 @@
             worker = session.dispatcher.worker_by_id["w1"]
             assert worker.is_enrolled
             moved = make_worker("w1", pool=OTHER_POOL)
-            table.late.n_held = COMMIT_ATTEMPTS
+            table.late.n_held = 1
             await enroll(watch, moved)
             assert not worker.is_enrolled
             await enroll(watch, moved)
