Wait for the commits of a slow part of the store as long as they take

Cause: the timeout of commits followed the answers to reads and to all commits. A part carries out its transactions one after the other; one with a queue is slow while reads and the commits of callers, in other parts, are fast. Each commit of the owner was given up after 0.6 s, and none taught anything.

Change: each part has a timeout of its own beside the common one. It follows the answers to commits of that part, and grows from the third in a row without an answer on. A renewal of the ownership no longer waits for the answer to the one before.

The stand-in can answer conflicts of a part late too.

--- a/catkinport/jobs/ownership/owner.py
+++ b/catkinport/jobs/ownership/owner.py
@@ -223,7 +223,8 @@
                 self._session.renewal_sent_at + UNANSWERED_HEARTBEAT_SECONDS,
             )
             if self._session.clock.now() >= due_at:
-                await self._renew()
+                # The next renewal must not wait for the answer to this one.
+                self._session.spawn(self._renew())
                 due_at = self._session.clock.now() + HEARTBEAT_SECONDS
             await asyncio.sleep(max(0.01, due_at - self._session.clock.now()))
 
--- a/catkinport/jobs/tests/test_session.py
+++ b/catkinport/jobs/tests/test_session.py
@@ -7,7 +7,8 @@
 
 from ...policy.leadership import STOP_RENEWING_SECONDS
 from ...ports.table import Transaction, Write
-from ..ownership.owner import FleetOwner
+from ...runtime import BootTimeClock
+from ..ownership.owner import UNANSWERED_HEARTBEAT_SECONDS, FleetOwner
 from ..ownership.ownership_watch import Claim, OwnershipWatch
 from ..ownership.session import OwnerSession
 from ..tables import HEARTBEAT_KEY
@@ -234,3 +235,21 @@
         session.note_renewed(101.0)
         session.note_renewed(100.5)
         assert session.lease.renewed_at == 101.0
+
+    # Guards against an owner that is replaced while it waits for one lost answer.
+    def test_the_next_renewal_does_not_wait_for_an_answer(self):
+        async def run():
+            table = AsyncLateTable()
+            table.commit_seconds = 9.0
+            session = make_session(table)
+            ports = session.ports._replace(clock=BootTimeClock())
+            owner, _ = self._make_owner(
+                OwnerSession(ports, session.dispatcher, session.lease)
+            )
+            loop = asyncio.ensure_future(owner._renewal_loop())
+            await asyncio.sleep(2.5 * UNANSWERED_HEARTBEAT_SECONDS)
+            loop.cancel()
+            await owner._session.end()
+            assert table.n_commits >= 2
+
+        asyncio.run(run())
--- a/catkinport/platform/standin/server.py
+++ b/catkinport/platform/standin/server.py
@@ -23,10 +23,11 @@
     # only later.
     "store_lost_answers": 0.0,
     "store_late_writes": 0.0,
-    # Delay of the answers to commits of one part that took effect. Conflicts and reads
-    # are answered at once.
+    # Delay of the answers to commits of one part that took effect, and perhaps to
+    # conflicts too. Reads are answered at once.
     "late_answer_seconds": 0.0,
     "late_answer_part": "",
+    "are_conflicts_late": False,
     # Share of the orders that get no answer and are carried out seconds later.
     "late_orders": 0.0,
     # Lists of VMs are refused. Orders for VMs are refused and carried out without an
--- a/catkinport/platform/standin/store_server.py
+++ b/catkinport/platform/standin/store_server.py
@@ -113,7 +113,7 @@
             self._notify_followers()
         if is_lost:
             await asyncio.sleep(SILENCE_SECONDS)
-        if version is not None:
+        if version is not None or self._faults["are_conflicts_late"]:
             await self._delay_answer({key.part for key in (*writes, *removals)})
         if version is None:
             current = [self.rows.get(key) for key in expected]
--- a/catkinport/platform/table.py
+++ b/catkinport/platform/table.py
@@ -34,7 +34,8 @@
 answer of a feed beyond the requested one."""
 
 LATENCY_FACTOR = 3.0
-"""Timeout of reads and feeds as a multiple of the average time of an answer."""
+"""Timeout of reads, of feeds and of the commits of a part as a multiple of the average
+time of their answers."""
 
 MAX_TABLE_CONNECTIONS = 32
 """Most connections of a daemon to the store. Feeds and reads of whole tables take about
@@ -49,6 +50,10 @@
 """Upper bound of the wait for the answer to a commit. Commits queue in their part, and
 each takes 0.3 s on a store that is fifty times slower than usual."""
 
+N_LOST_COMMIT_ANSWERS = 2
+"""Commits of a part in a row without an answer after which the next one waits longer.
+Most answers that are lost are lost singly."""
+
 FOLLOW_TIMEOUT_MARGIN_SECONDS = 0.7
 """Lower bound of how much later than after the requested wait the answer of a feed may
 begin. A store that has stopped answering is detected after it."""
@@ -105,6 +110,8 @@
         self._commit_timeout = AdaptiveTimeout(
             MIN_COMMIT_TIMEOUT_SECONDS, MAX_COMMIT_TIMEOUT_SECONDS
         )
+        # Commits of a part with a queue are slow while all else is as fast as usual.
+        self._commit_timeout_by_part: dict[str, AdaptiveTimeout] = {}
         self._read_timeout = AdaptiveTimeout(
             READ_TIMEOUT_SECONDS, MAX_READ_TIMEOUT_SECONDS, LATENCY_FACTOR
         )
@@ -214,16 +221,21 @@
             if write.value is None
         ]
         body = {"Expect": expected, "Writes": writes, "Remove": removals}
+        part_timeout = self._find_part_timeout(transaction)
+        timeout_seconds = max(part_timeout.seconds, self._commit_timeout.seconds)
         reply = await self._client.call(
             "table-commit",
             "POST",
             self._address,
             "/rows-tx",
-            self._commit_timeout.seconds,
+            timeout_seconds,
             body,
         )
         if isinstance(reply, Unavailable):
+            if reply.reason is Reason.TIMEOUT:
+                part_timeout.on_timeout(timeout_seconds)
             return reply
+        part_timeout.on_answer(reply.wait_seconds)
         self._commit_timeout.on_answer(reply.wait_seconds)
         try:
             if reply.status == 200:
@@ -236,6 +248,19 @@
             return self._malformed_answer("table-commit", error)
         return self._unexpected_status("table-commit", reply)
 
+    def _find_part_timeout(self, transaction: Transaction) -> AdaptiveTimeout:
+        """Return the timeout that follows the commits of the transaction's part."""
+        part = _part_of(transaction.writes[0].row_key) if transaction.writes else ""
+        timeout = self._commit_timeout_by_part.get(part)
+        if timeout is None:
+            timeout = self._commit_timeout_by_part[part] = AdaptiveTimeout(
+                MIN_COMMIT_TIMEOUT_SECONDS,
+                MAX_COMMIT_TIMEOUT_SECONDS,
+                LATENCY_FACTOR,
+                N_LOST_COMMIT_ANSWERS,
+            )
+        return timeout
+
     async def follow(
         self, table: str, after_version: int, wait_seconds: float
     ) -> Changes | HistoryLost | Unavailable:
