Soak: conditions of late answers of the owner's part, and of foreign entries

owner_answers_late answers commits that took effect late, owner_part_slow all commits of the owner's part, entries_foreign adds entries to the list of workers that no worker has written.

--- a/soak/conditions.py
+++ b/soak/conditions.py
@@ -3,6 +3,7 @@
 Unlike a fault, a condition holds from the start of the load to its end.
 """
 
+import itertools
 import math
 import random
 import signal
@@ -11,6 +12,9 @@
 import threading
 import time
 from collections.abc import Callable
+from typing import Any
+
+from catkinport.platform.table import OWNER_PART
 
 from .environment import SoakEnvironment
 
@@ -21,6 +25,18 @@
 """How long an owner is paused, which is long enough for it to be replaced where the
 store takes up to half a second for an answer."""
 
+FOREIGN_CHANGES: tuple[dict[str, Any], ...] = (
+    {"Service": ""},
+    {"Service": "x" * 201},
+    {"Service": "unknown"},
+    {"State": "unknown"},
+    {"Address": 17},
+    {"Labels": ["x" * 66_000]},
+    {"Zone": "\ud800"},
+    {"Capacity": None},
+)
+"""How entries that no worker has written differ from one of a worker."""
+
 Condition = Callable[[SoakEnvironment, float], Callable[[], None] | None]
 """Begins a condition of the given strength; returns what ends it, ``None`` if nothing
 has to be ended before the processes are."""
@@ -101,6 +117,46 @@
     environment.deployment.set_faults(store_lost_answers=strength)
 
 
+@register
+def owner_answers_late(environment: SoakEnvironment, strength: float) -> None:
+    """Answer the owner's commits that took effect ``strength`` seconds late.
+
+    Reads, conflicts and the commits of callers are answered at once.
+    """
+    environment.deployment.set_faults(
+        late_answer_part=OWNER_PART, late_answer_seconds=strength
+    )
+
+
+@register
+def owner_part_slow(environment: SoakEnvironment, strength: float) -> None:
+    """Answer all of the owner's commits ``strength`` seconds late, but not its reads.
+
+    A store does so whose part (partition) with these rows has a queue.
+    """
+    environment.deployment.set_faults(
+        late_answer_part=OWNER_PART,
+        late_answer_seconds=strength,
+        are_conflicts_late=True,
+    )
+
+
+@register
+def entries_foreign(
+    environment: SoakEnvironment, strength: float
+) -> Callable[[], None]:
+    """Write an entry of no worker to the list of workers each ``strength`` seconds."""
+    changes = itertools.cycle(FOREIGN_CHANGES)
+    numbers = itertools.count()
+
+    def write() -> None:
+        name = f"foreign-{next(numbers)}"
+        environment.deployment.write_worker_entry(name, **next(changes))
+
+    write()
+    return _repeat(write, strength)
+
+
 @register
 def orders_late(environment: SoakEnvironment, strength: float) -> None:
     """Leave this fraction of the orders to workers unanswered; carry them out late."""
