Reject entries of workers with texts that no row can hold

Change: the service of an entry has 1 to 190 bytes, its address, availability zone and labels 200 at most, all of them text; else the entry is ignored, with the warning that tells why. The store takes names of 200 bytes, and those of rows begin with the service.

Evidence: eight cases of test_decoding.py, test_entry_that_no_row_can_hold_is_rejected, fail without the change; test_enrolment.py passes. An entry of a service that no configuration has, and else well formed, is still polled and stored; it gets no tasks.

--- a/catkinport/platform/decoding.py
+++ b/catkinport/platform/decoding.py
@@ -54,6 +54,43 @@
     return value
 
 
+def short_string(
+    message: Mapping[str, Any], field: str, max_bytes: int, min_bytes: int = 0
+) -> str:
+    """Return a string that other messages and rows can hold.
+
+    Args:
+        message: the message.
+        field: name of the field.
+        max_bytes: most bytes of it as UTF-8.
+        min_bytes: fewest bytes.
+
+    Raises:
+        MessageError: if it is missing, not a string, not text, too long or too short.
+    """
+    return check_short_string(message.get(field), field, max_bytes, min_bytes)
+
+
+def check_short_string(
+    value: Any, name: str, max_bytes: int, min_bytes: int = 0
+) -> str:
+    """Return a value that must be a string as `short_string` has it.
+
+    Raises:
+        MessageError: if it is not.
+    """
+    text = check_string(value, name)
+    try:
+        n_bytes = len(text.encode())
+    except UnicodeEncodeError as error:
+        raise MessageError(f"{name} must be text, got {_shorten(text)}") from error
+    if not min_bytes <= n_bytes <= max_bytes:
+        raise MessageError(
+            f"{name} must have {min_bytes} to {max_bytes} bytes, got {n_bytes}"
+        )
+    return text
+
+
 def check_number(value: Any, name: str) -> float:
     """Return a value that must be a number and not negative.
 
--- a/catkinport/platform/tests/test_decoding.py
+++ b/catkinport/platform/tests/test_decoding.py
@@ -87,6 +87,25 @@
         with pytest.raises(MessageError):
             decode_worker("i-1", {**WORKER, **change})
 
+    @pytest.mark.parametrize(
+        "change",
+        [
+            {"Service": ""},
+            {"Service": "x" * 191},
+            {"Service": "\ud800"},
+            {"Address": "h" * 200 + ":80"},
+            {"Zone": "x" * 201},
+            {"Zone": "\ud800"},
+            {"Labels": ["a", "x" * 201]},
+            {"Labels": ["\udfff"]},
+        ],
+        ids=str,
+    )
+    def test_entry_that_no_row_can_hold_is_rejected(self, change):
+        """Guards against an entry of another program that keeps rows from storage."""
+        with pytest.raises(MessageError):
+            decode_worker("i-1", {**WORKER, **change})
+
     @pytest.mark.parametrize("field", ["State", "Service", "Address", "Capacity"])
     def test_entry_with_a_missing_field_is_rejected(self, field):
         entry = {name: value for name, value in WORKER.items() if name != field}
--- a/catkinport/platform/workers_codec.py
+++ b/catkinport/platform/workers_codec.py
@@ -16,6 +16,12 @@
 )
 from . import decoding
 
+MAX_TEXT_BYTES = 200
+"""Longest text in a worker's entry. The store has the same limit for names."""
+
+MAX_POOL_BYTES = 190
+"""Longest name of a pool. Names of rows begin with it."""
+
 MAX_LISTED_ENDS = 500
 """Most ended runs in one answer of a worker."""
 
@@ -59,20 +65,23 @@
         raise decoding.MessageError(
             f"State must be ready or draining, got {state!r:.40}"
         )
-    address = decoding.string(value, "Address")
+    address = decoding.short_string(value, "Address", MAX_TEXT_BYTES)
     host, _, port = address.rpartition(":")
     if not host or not port.isdigit():
         raise decoding.MessageError(f"Address must be host:port, got {address!r:.80}")
     capacity = decoding.mapping(value.get("Capacity"), "Capacity")
     return ListedWorker(
         worker_id=worker_id,
-        pool=decoding.string(value, "Service"),
+        pool=decoding.short_string(value, "Service", MAX_POOL_BYTES, min_bytes=1),
         address=address,
-        zone=decoding.string(value, "Zone"),
+        zone=decoding.short_string(value, "Zone", MAX_TEXT_BYTES),
         is_draining=state == "draining",
         remaining_seconds=decoding.seconds(value, "RemainingMs", 0.0),
         capacity=decoding.resources(capacity),
-        labels=decoding.strings(value, "Labels"),
+        labels=tuple(
+            decoding.check_short_string(label, "a label", MAX_TEXT_BYTES)
+            for label in decoding.strings(value, "Labels")
+        ),
         started_at=decoding.seconds(value, "born", 0.0),
     )
 
