Call the keeper of the row of queues a queue store

It holds the queues that have unfinished jobs and the pools that queues had before, not only removed ones, so that its old name, RemovedQueues, told half of it. The row keeps its key.

--- a/catkinport/jobs/ownership/owner.py
+++ b/catkinport/jobs/ownership/owner.py
@@ -36,7 +36,7 @@
 from .early_cancel_removal import EarlyCancelRemoval
 from .job_rows import JobRows, find_finished_ids
 from .ownership_watch import Claim, OwnershipWatch
-from .removed_queues import RemovedQueues
+from .queue_store import QueueStore
 from .run_orders import RunOrders
 from .session import RETRY_SECONDS, OwnerPorts, OwnerSession
 from .state_store import StateStore, heartbeat_write
@@ -103,7 +103,7 @@
         self._watch = WorkerWatch(
             self._session, self._store, _former_runs_end_at(claim)
         )
-        self._removed_queues = RemovedQueues(self._session)
+        self._queues = QueueStore(self._session)
         self._early_cancel_removal = EarlyCancelRemoval(ports.table, ports.clock)
         self._run_orders = RunOrders(self._session, self._watch)
         # A claim that was repeated may have been carried out just before its answer.
@@ -111,7 +111,7 @@
         self._vm_orders = VmOrders(self._session, self._vm_planner, held_until)
         self._job_rows = JobRows(dispatcher, self._vm_planner.mover)
         self._snapshot_by_table: dict[str, Snapshot] = {}
-        self._are_removed_queues_loaded = False
+        self._are_queues_loaded = False
         self._job_feed_version = 0
         # All rows up to that version were read by a call sent at this clock time.
         self._jobs_read_at = claim.sent_at
@@ -125,7 +125,7 @@
     def apply_configuration(self, configuration: FleetConfiguration) -> None:
         """Apply a new version of the configuration."""
         self._session.dispatcher.apply_configuration(configuration)
-        self._removed_queues.check_soon()
+        self._queues.check_soon()
         self._session.wake.set()
 
     def hand_over(self, token: int) -> None:
@@ -204,7 +204,7 @@
         for loop in (
             self._job_feed_loop(),
             self._store.run(),
-            self._removed_queues.run(),
+            self._queues.run(),
             self._early_cancel_removal.run(),
             self._watch.run(),
             self._watch.roster.run(),
@@ -278,7 +278,7 @@
         started_at = self._session.clock.now()
         tables = (JOBS_TABLE, STATES_TABLE, ROSTER_TABLE)
         reads = [self._read_once(table) for table in tables]
-        *_, is_queue_read = await asyncio.gather(*reads, self._load_removed_queues())
+        *_, is_queue_read = await asyncio.gather(*reads, self._load_queues())
         if not is_queue_read or not self._snapshot_by_table.keys() >= set(tables):
             return False
         jobs, states, roster = map(self._snapshot_by_table.pop, tables)
@@ -338,12 +338,12 @@
             detail=outcome.detail,
         )
 
-    async def _load_removed_queues(self) -> bool:
-        if not self._are_removed_queues_loaded:
-            self._are_removed_queues_loaded = await self._removed_queues.load()
-        if not self._are_removed_queues_loaded:
-            log_event(logger, "removed queues not loaded")
-        return self._are_removed_queues_loaded
+    async def _load_queues(self) -> bool:
+        if not self._are_queues_loaded:
+            self._are_queues_loaded = await self._queues.load()
+        if not self._are_queues_loaded:
+            log_event(logger, "queues not loaded")
+        return self._are_queues_loaded
 
     async def _job_feed_loop(self) -> None:
         while True:
--- a/catkinport/jobs/ownership/removed_queues.py
+++ b/catkinport/jobs/ownership/queue_store.py
@@ -1,4 +1,4 @@
-"""Stores the queues that have unfinished jobs, for when the configuration removes them.
+"""Stores the queues that have unfinished jobs, and the pools that queues had before.
 
 Accepted jobs of a removed queue go on under its last rules. A successor that has read
 only the present configuration learns of them from the stored row. A queue may be
@@ -34,8 +34,8 @@
 """Attempts of one commit of unknown outcome before the queues are collected again."""
 
 
-class RemovedQueues:
-    """Keeper of the row of queues that have to stay known after their removal.
+class QueueStore:
+    """Keeper of the row of queues that have to stay known after a change of them.
 
     Args:
         session: the ownership.
--- a/catkinport/jobs/tests/test_removed_queues.py
+++ b/catkinport/jobs/tests/test_queue_store.py
@@ -19,7 +19,7 @@
 )
 from ..intake import Intake
 from ..ownership.job_rows import JobRows
-from ..ownership.removed_queues import RemovedQueues, decode_queue, encode_queue
+from ..ownership.queue_store import QueueStore, decode_queue, encode_queue
 from ..ownership.session import OwnerSession
 from ..placement.planner import Planner
 from ..tables import OWNER_KEY, REMOVED_QUEUES_KEY
@@ -87,7 +87,7 @@
         session.deposed = asyncio.Event()
         session.wake = asyncio.Event()
         self.session = session
-        self.queues = RemovedQueues(session)
+        self.queues = QueueStore(session)
 
     def add_job(self, is_inherited=False) -> None:
         self.fleet.dispatcher.add_job(make_job(), self.fleet.now, is_inherited)
