Take the answer to a commit of the roster while its rows are read

What callers saw: nothing yet; found in plays with a far store before the landing. With the store 1 s away each way, new workers waited up to 2 s longer for their enrolment: a read of the roster that had begun was waited for although the commit had been answered.

Change: the commit and the reads go on side by side, and the first that tells counts.

--- a/catkinport/jobs/ownership/fenced_rows.py
+++ b/catkinport/jobs/ownership/fenced_rows.py
@@ -118,18 +118,23 @@
             look_seconds: time from the call to the first read, and between reads.
         """
         commit = asyncio.ensure_future(self.commit(writes))
-        row_keys = [write.row_key for write in writes]
+        look = asyncio.ensure_future(self._look_until_written(writes, look_seconds))
         try:
-            while not commit.done():
-                await asyncio.wait({commit}, timeout=look_seconds)
-                if commit.done():
-                    break
-                written = await self.find_written(row_keys)
-                if _holds(written, writes):
-                    return Committed({row.row_key: row.version for row in written})
-            return commit.result()
+            await asyncio.wait({commit, look}, return_when=asyncio.FIRST_COMPLETED)
+            return commit.result() if commit.done() else look.result()
         finally:
             commit.cancel()
+            look.cancel()
+
+    async def _look_until_written(
+        self, writes: Sequence[Write], look_seconds: float
+    ) -> Committed:
+        row_keys = [write.row_key for write in writes]
+        while True:
+            await asyncio.sleep(look_seconds)
+            written = await self.find_written(row_keys)
+            if _holds(written, writes):
+                return Committed({row.row_key: row.version for row in written})
 
     async def find_written(self, row_keys: Sequence[RowKey]) -> list[Row]:
         """Return the rows that writes without an answer have changed since.
--- a/catkinport/jobs/tests/late_table.py
+++ b/catkinport/jobs/tests/late_table.py
@@ -34,6 +34,7 @@
         is_carried_out_before_next: whether each commit that was held back is carried
             out before the next commit.
         answer_seconds: time from a commit to its answer.
+        read_seconds: time that a read takes.
         loses_answers: whether commits that take effect get no answer; conflicts do.
     """
 
@@ -46,6 +47,7 @@
         self.commit_seconds = 0.0
         self.is_carried_out_before_next = False
         self.answer_seconds = 0.0
+        self.read_seconds = 0.0
         self.loses_answers = False
 
     def claim(self) -> int:
@@ -55,6 +57,7 @@
         return outcome.versions_by_row_key[OWNER_KEY]
 
     async def read_range(self, table: str, start: str = "", end: str = "") -> Snapshot:
+        await asyncio.sleep(self.read_seconds)
         rows = self.memory.scan(table).rows
         kept = [
             row
--- a/catkinport/jobs/tests/test_roster_store.py
+++ b/catkinport/jobs/tests/test_roster_store.py
@@ -183,6 +183,18 @@
 
         asyncio.run(run())
 
+    # Guards against workers that wait for a slow read after the answer to their commit.
+    def test_a_read_delays_no_answer(self):
+        async def run():
+            owner = Owner(AsyncLateTable())
+            owner.table.answer_seconds = 2 * LOOK_SECONDS
+            owner.table.read_seconds = 20 * LOOK_SECONDS
+            started_at = time.monotonic()
+            assert await owner.store(make_worker("w1"))
+            assert time.monotonic() - started_at < 10 * LOOK_SECONDS
+
+        asyncio.run(run())
+
     # Guards against a worker that may run tasks while a late write takes it out of the
     # roster that a successor reads.
     def test_an_unchanged_row_is_not_taken_for_certain(self):
