Pause between reads of the ownership's rows that fail at once

What callers saw: nothing yet; found by reading. While a daemon is the owner it follows the rows of the ownership. If the store refuses calls or resets their connections, each read failed within milliseconds and was repeated at once, so that the owner was busy with it when it had least to spare.

--- a/catkinport/platform/daemon.py
+++ b/catkinport/platform/daemon.py
@@ -16,7 +16,7 @@
 from ..jobs.configuration_watch import ConfigurationWatch
 from ..jobs.intake import Intake
 from ..jobs.ownership.owner import FleetOwner
-from ..jobs.ownership.ownership_watch import OwnershipWatch
+from ..jobs.ownership.ownership_watch import RETRY_SECONDS, OwnershipWatch
 from ..jobs.ownership.session import OwnerPorts
 from ..jobs.vms.vm_inventory import VmBounds
 from ..policy.leadership import claim_delay_seconds
@@ -220,7 +220,8 @@
         """
         while True:
             if self._owner is not None:
-                await self._ownership_watch.poll()
+                if not await self._ownership_watch.poll():
+                    await asyncio.sleep(RETRY_SECONDS)
                 # The ownership may have ended during the call.
                 if self._owner is not None:
                     self._owner.follow_ownership(self._ownership_watch)
--- a/catkinport/platform/tests/test_daemon.py
+++ b/catkinport/platform/tests/test_daemon.py
@@ -2,7 +2,9 @@
 
 import asyncio
 import socket
+from types import SimpleNamespace
 
+from ...jobs.ownership.ownership_watch import RETRY_SECONDS, OwnershipWatch
 from ..callers import Answer, CallerServer
 from ..daemon import PlatformDaemon
 from ..settings import DaemonSettings, parse_settings
@@ -52,6 +54,33 @@
         assert "broken row" in asyncio.run(run_for_a_while())
 
 
+class TestStoreAway:
+    def test_an_owner_reads_the_rows_of_the_ownership_at_intervals(
+        self, monkeypatch, tmp_path
+    ):
+        """Guards against an owner that is busy with calls that fail at once."""
+        n_polls = 0
+
+        async def fail(watch):
+            nonlocal n_polls
+            n_polls += 1
+            return False
+
+        monkeypatch.setattr(OwnershipWatch, "poll", fail)
+        settings = parse_settings(SETTINGS)
+        assert isinstance(settings, DaemonSettings), settings
+
+        async def own_for_a_while():
+            daemon = PlatformDaemon(settings, tmp_path)
+            daemon._owner = SimpleNamespace(follow_ownership=lambda watch: None)
+            loop = asyncio.ensure_future(daemon._refresh_queue_depths())
+            await asyncio.sleep(2.5 * RETRY_SECONDS)
+            loop.cancel()
+
+        asyncio.run(own_for_a_while())
+        assert n_polls == 3
+
+
 class TestStop:
     def test_a_call_without_an_outcome_is_answered_within_the_grace_period(
         self, monkeypatch, tmp_path
