Count rows of the roster that a read shows as stored, and split refusals only

A commit without an answer whose rows were then read as stored was logged as not stored, and the next one as stored after failures. Calls that could not be sent at all made the rows be written one by one as if the store had refused them, each waiting for its connection. Now only an answer with an error status does.

Neither change has a test of its own.

--- a/catkinport/jobs/ownership/roster_delays.py
+++ b/catkinport/jobs/ownership/roster_delays.py
@@ -5,7 +5,7 @@
 from collections.abc import Collection
 from typing import NamedTuple
 
-from ...ports.table import CommitOutcome, Committed
+from ...ports.table import CommitOutcome
 from ...runtime.logs import log_event
 from .session import OwnerSession
 
@@ -39,15 +39,14 @@
         self._waiting_since_by_worker: dict[str, float] = {}
 
     def note_outcome(self, outcome: CommitOutcome, rows: Collection[str]) -> None:
-        """Note the outcome of a commit of rows of the roster."""
+        """Note the outcome of a commit after which ``rows`` are not stored."""
         reason = str(getattr(outcome, "reason", ""))
         self._session.ports.metrics.increment(
             "roster_commits",
             "Commits of the list of workers that may run tasks.",
             {"outcome": type(outcome).__name__, "reason": reason},
         )
-        if isinstance(outcome, Committed):
-            self._note_stored(rows)
+        if not rows:
             return
         now = self._session.clock.now()
         for row in rows:
@@ -69,7 +68,8 @@
             rows=",".join(sorted(rows)),
         )
 
-    def _note_stored(self, rows: Collection[str]) -> None:
+    def note_stored(self, rows: Collection[str]) -> None:
+        """Note that rows are stored."""
         ended = [self._failures_by_row.pop(row, None) for row in rows]
         worst = min((failures for failures in ended if failures), default=None)
         now = self._session.clock.now()
--- a/catkinport/jobs/ownership/roster_store.py
+++ b/catkinport/jobs/ownership/roster_store.py
@@ -9,9 +9,9 @@
 from collections.abc import Iterable, Iterator, Mapping, Sequence
 
 from ...policy.resources import Resources
-from ...ports import Unavailable
+from ...ports import Reason, Unavailable
 from ...ports.fleet_workers import ListedWorker
-from ...ports.table import CommitOutcome, Committed, Row, RowKey, Write
+from ...ports.table import CommitOutcome, Committed, Row, Write
 from ...runtime.logs import log_event
 from ..tables import roster_key
 from ..workers.worker_state import WorkerRecord
@@ -66,7 +66,7 @@
         entries = dict(row.value.get(WORKERS_FIELD, {}))
         self._rows.note_read([row])
         self._places.restore(name, pool, entries)
-        self._note_stored(name, entries)
+        self._set_stored(name, entries)
         log_event(
             logger,
             "roster loaded",
@@ -182,30 +182,43 @@
             for row, entries in changed.items()
         ]
         outcome = await self._rows.commit_or_look(writes, LOOK_SECONDS)
-        self._delays.note_outcome(outcome, changed)
         if isinstance(outcome, Committed):
             for row, entries in changed.items():
                 version = outcome.versions_by_row_key[roster_key(row)]
-                self._log_stored(row, entries, version)
-                self._note_stored(row, entries)
-        elif not _is_refusal(outcome):
-            # The write may still be carried out, so these rows are written again even
-            # if they should be as they were before.
-            for row, entries in changed.items():
-                self._stored_by_row[row] = None
-                self._add_rows(row, entries)
-            await self._look_up([write.row_key for write in writes])
+                self._note_stored(row, entries, version)
+        elif getattr(outcome, "may_have_committed", True):
+            await self._note_undecided(changed)
+        left = [
+            row
+            for row, entries in changed.items()
+            if not _is_stored(entries, self._stored_by_row.get(row))
+        ]
+        self._delays.note_outcome(outcome, left)
+        self._delays.note_stored(changed.keys() - set(left))
         return outcome
 
-    async def _look_up(self, row_keys: Sequence[RowKey]) -> None:
+    async def _note_undecided(
+        self, changed: Mapping[str, dict[str, RosterEntry]]
+    ) -> None:
         """Read rows whose write had no answer, which may have been carried out.
 
-        A successor reads the same, as it reads the roster after its claim.
+        A successor reads the same, as it reads the roster after its claim. The write
+        may still be carried out, so a row that it has not changed is written again even
+        if it should be as it was before.
         """
-        for row in await self._rows.find_written(row_keys):
-            self._note_stored(row.row_key.key, row.value[WORKERS_FIELD])
-
-    def _note_stored(self, row: str, entries: EntriesById) -> None:
+        for row, entries in changed.items():
+            self._stored_by_row[row] = None
+            self._add_rows(row, entries)
+        row_keys = [roster_key(row) for row in changed]
+        for read in await self._rows.find_written(row_keys):
+            entries = read.value[WORKERS_FIELD]
+            self._note_stored(read.row_key.key, entries, read.version)
+
+    def _note_stored(self, row: str, entries: EntriesById, version: int) -> None:
+        self._log_stored(row, entries, version)
+        self._set_stored(row, entries)
+
+    def _set_stored(self, row: str, entries: EntriesById) -> None:
         for worker_id, rows in list(self._rows_by_id.items()):
             rows.discard(row)
             if not rows:
@@ -257,7 +270,11 @@
 
 def _is_refusal(outcome: CommitOutcome) -> bool:
     """Return whether the table service has answered that it has written nothing."""
-    return isinstance(outcome, Unavailable) and not outcome.may_have_committed
+    return (
+        isinstance(outcome, Unavailable)
+        and outcome.reason is Reason.STORE_UNAVAILABLE
+        and not outcome.may_have_committed
+    )
 
 
 def _encode_entry(worker_record: WorkerRecord) -> RosterEntry:
