Declare the fields of a roster entry

A TypedDict in place of a dict of anything, as the house style asks. It is the same dict when the program runs; the tests of the roster pass.

--- a/catkinport/jobs/ownership/roster_rows.py
+++ b/catkinport/jobs/ownership/roster_rows.py
@@ -6,7 +6,7 @@
 
 import json
 from collections.abc import Collection, Iterable, Mapping
-from typing import Any
+from typing import TypedDict
 
 MAX_WORKERS_PER_ROW = 50
 """Most workers in a row. With `MAX_ENTRY_BYTES` it keeps each row below
@@ -15,9 +15,24 @@
 MAX_ENTRY_BYTES = 1_000
 """Largest entry of a worker as JSON text, its id included."""
 
-RosterEntry = dict[str, Any]
-"""What a row holds of a worker: its VM, address, availability zone, capacity and
-labels."""
+
+class RosterEntry(TypedDict):
+    """What a row holds of a worker.
+
+    Attributes:
+        vm: id of its VM; empty while unknown.
+        address: ``host:port`` of the worker.
+        zone: its availability zone.
+        capacity: cores, memory in GB and accelerators.
+        labels: its labels.
+    """
+
+    vm: str
+    address: str
+    zone: str
+    capacity: list[float]
+    labels: list[str]
+
 
 EntriesById = Mapping[str, RosterEntry]
 
