Start nothing on workers of an evacuated availability zone

The operator had no way to keep tasks off an availability zone. The rows `op/evacuate/ZONE` now name the zones. The owner reads them before each round of planning and before it sends a start that was decided earlier. Workers in such a zone are blocked for starts, reservations, gangs and copies with the reason `evacuated`. Lasting tasks in the zone stay where they are for now.

--- a/catkinport/jobs/dispatch/dispatcher.py
+++ b/catkinport/jobs/dispatch/dispatcher.py
@@ -59,6 +59,8 @@
         unresolved_by_id: pool of each worker that the former owner used and that may
             still run its tasks, by worker id. A worker is resolved once it has
             reported to this owner, its VM has gone or its lease has expired.
+        evacuated_zones: availability zones whose workers get no new tasks, kept up to
+            date by `ZoneEvacuations`.
     """
 
     def __init__(
@@ -91,6 +93,7 @@
         self.estimates = self._jobs.estimates
         self.worker_by_id = self._workers.worker_by_id
         self.unresolved_by_id = self._workers.unresolved_by_id
+        self.evacuated_zones = self._workers.evacuated_zones
         self.runs_by_task = self._runs.runs_by_task
         self.uncertain_starts = self._runs.uncertain_starts
         self.orphan_stop_sent_at = self._reports.orphan_stop_sent_at
@@ -105,6 +108,10 @@
     def longest_lease(self, seconds: float) -> None:
         self._reports.longest_lease = seconds
 
+    def is_evacuated(self, zone: str) -> bool:
+        """Return whether workers in the availability zone get no new tasks."""
+        return zone in self.evacuated_zones
+
     def apply_configuration(self, configuration: FleetConfiguration) -> None:
         """Apply a version of the configuration.
 
--- a/catkinport/jobs/ownership/owner.py
+++ b/catkinport/jobs/ownership/owner.py
@@ -32,6 +32,7 @@
 from ..tables import JOBS_TABLE, ROSTER_TABLE, STATES_TABLE
 from ..vms.vm_inventory import VmBounds
 from ..vms.vm_planner import VmPlanner
+from ..vms.zone_evacuations import ZoneEvacuations
 from ..workers.worker_state import MAX_LEASE_SECONDS
 from .early_cancel_removal import EarlyCancelRemoval
 from .job_rows import JobRows, find_finished_ids
@@ -105,7 +106,13 @@
         )
         self._queues = QueueStore(self._session)
         self._early_cancel_removal = EarlyCancelRemoval(ports.table, ports.clock)
-        self._run_orders = RunOrders(self._session, self._watch)
+        self._zone_evacuations = ZoneEvacuations(
+            dispatcher,
+            self._vm_planner.inventory,
+            ports.evacuations,
+            ports.metrics,
+        )
+        self._run_orders = RunOrders(self._session, self._watch, self._zone_evacuations)
         # A claim that was repeated may have been carried out just before its answer.
         held_until = ports.clock.now() + bounds.order_gap
         self._vm_orders = VmOrders(self._session, self._vm_planner, held_until)
--- a/catkinport/jobs/ownership/run_orders.py
+++ b/catkinport/jobs/ownership/run_orders.py
@@ -19,6 +19,7 @@
 from ..placement.stall_reporter import StallReporter
 from ..placement.stalled_pools import StartState
 from ..placement.start_delays import StartHold
+from ..vms.zone_evacuations import ZoneEvacuations
 from ..workers.run import RunKey, RunPhase
 from ..workers.worker_state import LEASE_SECONDS, WorkerRecord
 from .round_times import RoundTimes
@@ -59,11 +60,18 @@
     Args:
         session: ownership for which the orders are sent.
         watch: polls the workers.
+        evacuations: zones that get no starts; ``None`` if there can't be any.
     """
 
-    def __init__(self, session: OwnerSession, watch: WorkerWatch) -> None:
+    def __init__(
+        self,
+        session: OwnerSession,
+        watch: WorkerWatch,
+        evacuations: ZoneEvacuations | None = None,
+    ) -> None:
         self._session = session
         self._watch = watch
+        self._evacuations = evacuations
         self._planner = Planner(session.dispatcher)
         self._stop_turns = StopTurns(session.dispatcher)
         self._stalls = StallReporter(session.dispatcher)
@@ -89,6 +97,8 @@
                 await asyncio.sleep(max(MIN_PLAN_INTERVAL_SECONDS, taken_seconds))
         finally:
             self._stalls.clear(self._session.ports.metrics)
+            if self._evacuations is not None:
+                self._evacuations.clear()
 
     async def _wait_for_wake(self) -> None:
         # `asyncio.wait_for` may swallow the cancellation that ends the ownership.
@@ -98,6 +108,7 @@
 
     def _plan(self) -> None:
         now = self._session.clock.now()
+        self._update_evacuations(now)
         self._session.dispatcher.expire(now)
         for stop in self._stop_turns.take(now, MAX_STOPS_PER_ROUND):
             if (stop.worker_id, stop.key) not in self._stops_in_flight:
@@ -150,8 +161,12 @@
             start.ticket,
         )
         sent_at = self._session.clock.now()
-        # The process may have been paused since the start was planned.
-        if self._session.may_order():
+        # The process may have been paused since the start was planned, or the zone of
+        # the worker may be evacuated by now.
+        self._update_evacuations(sent_at)
+        if self._session.dispatcher.is_evacuated(worker.listed.zone):
+            outcome = Unavailable(Reason.EVACUATED, "worker-start", worker.worker_id)
+        elif self._session.may_order():
             worker.extend_lease(sent_at)
             outcome = await self._session.ports.workers.start(
                 worker.listed, self._session.lease.token, order, LEASE_SECONDS
@@ -179,6 +194,10 @@
         if run.is_start_uncertain:
             await self._poll_uncertain(worker)
 
+    def _update_evacuations(self, now: float) -> None:
+        if self._evacuations is not None:
+            self._evacuations.update(now)
+
     async def _poll_uncertain(self, worker: WorkerRecord) -> None:
         """Poll a worker at once whose report decides on starts without an answer."""
         if worker.worker_id in self._uncertain_polls:
--- a/catkinport/jobs/ownership/session.py
+++ b/catkinport/jobs/ownership/session.py
@@ -9,7 +9,12 @@
 from ...policy.takeover_time import RENEWAL_FACTOR, TakeoverTime
 from ...ports.async_table import AsyncTable
 from ...ports.clock import Clock
-from ...ports.fleet_vms import FleetVms, UpkeepDesk
+from ...ports.fleet_vms import (
+    EvacuationRequests,
+    FleetVms,
+    NoEvacuationRequests,
+    UpkeepDesk,
+)
 from ...ports.fleet_workers import FleetWorkers, Rejected, Rejection
 from ...ports.table import Condition
 from ...runtime import Metrics
@@ -38,6 +43,7 @@
     desk: UpkeepDesk
     clock: Clock
     metrics: Metrics
+    evacuations: EvacuationRequests = NoEvacuationRequests()
 
 
 class OwnerSession:
--- a/catkinport/jobs/placement/start_blocks.py
+++ b/catkinport/jobs/placement/start_blocks.py
@@ -22,12 +22,14 @@
 ) -> StartBlock | None:
     """Return why the worker may get no new tasks, or ``None`` if it may.
 
-    An unknown room comes before a quarantine and a cordon, as a caller may disregard
-    these two.
+    An evacuated zone and an unknown room come before a quarantine and a cordon, as a
+    caller may disregard these two.
     """
     block = worker.find_block(now)
     if block not in (None, StartBlock.QUARANTINED, StartBlock.CORDONED):
         return block
+    if dispatcher.is_evacuated(worker.listed.zone):
+        return StartBlock.EVACUATED
     if _may_overcommit(dispatcher, worker) and not _is_room_known(
         dispatcher, worker, now
     ):
--- a/catkinport/jobs/tests/test_stalled_pools.py
+++ b/catkinport/jobs/tests/test_stalled_pools.py
@@ -83,12 +83,17 @@
     return StallingFleet(workers, **configuration)
 
 
+EVACUATED_ZONE = "evacuated-zone"
+
+
 def block(worker, reason: StartBlock) -> None:
     """Let one reason keep new tasks from a worker for good."""
     worker.is_listed = reason is not StartBlock.NOT_LISTED
     worker.is_enrolled = reason is not StartBlock.NOT_ENROLLED
     worker.is_reserved = reason is StartBlock.RESERVED
     worker.is_cordoned = reason is StartBlock.CORDONED
+    if reason is StartBlock.EVACUATED:
+        worker.listed = worker.listed._replace(zone=EVACUATED_ZONE)
     if reason is StartBlock.PAUSED:
         worker.blocked_until = float("inf")
     if reason is StartBlock.ROOM_UNKNOWN:
@@ -105,12 +110,14 @@
             StartBlock.CORDONED,
             StartBlock.PAUSED,
             StartBlock.ROOM_UNKNOWN,
+            StartBlock.EVACUATED,
         ],
     )
     def test_reason_of_blocked_workers_is_named(self, log, reason):
         """Guards against a pool that stands still beside room without a line."""
         is_strict = reason is StartBlock.ROOM_UNKNOWN
         fleet = make_fleet(forbids_overcommit=not is_strict)
+        fleet.dispatcher.evacuated_zones.add(EVACUATED_ZONE)
         fleet.dispatcher.add_job(make_job(), fleet.now)
         for worker in fleet.worker_records:
             block(worker, reason)
--- a/catkinport/jobs/tests/test_start_delays.py
+++ b/catkinport/jobs/tests/test_start_delays.py
@@ -142,6 +142,7 @@
 
 
 BLOCKED_POOL = "twelve-chars"
+EVACUATED_ZONE = "evacuated-zone"
 
 
 def block(worker, reason: StartBlock, now: float) -> None:
@@ -150,6 +151,8 @@
     worker.is_enrolled = reason is not StartBlock.NOT_ENROLLED
     is_draining = reason is StartBlock.DRAINING
     worker.listed = worker.listed._replace(is_draining=is_draining)
+    if reason is StartBlock.EVACUATED:
+        worker.listed = worker.listed._replace(zone=EVACUATED_ZONE)
     worker.is_reserved = reason is StartBlock.RESERVED
     worker.is_cordoned = reason is StartBlock.CORDONED
     if reason is StartBlock.OUT_OF_CONTACT:
@@ -166,6 +169,7 @@
     """Log the wait of a task of a pool whose workers are blocked for all reasons."""
     workers = [make_worker(f"w{i}", pool=BLOCKED_POOL) for i in range(n_workers)]
     fleet = Fleet(workers)
+    fleet.dispatcher.evacuated_zones.add(EVACUATED_ZONE)
     reasons = list(StartBlock)
     for number, worker in enumerate(fleet.dispatcher.worker_by_id.values()):
         block(worker, reasons[number % len(reasons)], fleet.now)
--- a/catkinport/jobs/workers/worker_state.py
+++ b/catkinport/jobs/workers/worker_state.py
@@ -80,6 +80,7 @@
     PAUSED = "paused"
     QUARANTINED = "quarantined"
     ROOM_UNKNOWN = "room-unknown"
+    EVACUATED = "evacuated"
 
 
 class Incarnation(NamedTuple):
--- a/catkinport/jobs/workers/worker_table.py
+++ b/catkinport/jobs/workers/worker_table.py
@@ -16,11 +16,13 @@
         unresolved_by_id: pool of each worker that the former owner used and that may
             still run its tasks, by worker id. A worker is resolved once it has
             reported to this owner, its VM has gone or its lease has expired.
+        evacuated_zones: availability zones whose workers get no new tasks.
     """
 
     def __init__(self) -> None:
         self.worker_by_id: dict[str, WorkerRecord] = {}
         self.unresolved_by_id: dict[str, str] = {}
+        self.evacuated_zones: set[str] = set()
 
     def workers_of(self, pool: str) -> list[WorkerRecord]:
         """Return the workers of a pool."""
--- a/catkinport/platform/daemon.py
+++ b/catkinport/platform/daemon.py
@@ -32,6 +32,7 @@
 from .operator_rows import (
     CONFIGURATION_KEY,
     OPERATOR_TABLE,
+    PlatformEvacuationRequests,
     PlatformMaintenanceRequests,
     decode_configuration,
 )
@@ -106,6 +107,7 @@
             PlatformMaintenanceRequests(table, lambda: self._configuration.row_by_key),
             self._clock,
             self._metrics,
+            PlatformEvacuationRequests(lambda: self._configuration.row_by_key),
         )
         max_age = settings.bounds.revoked_key * MAX_CONFIGURATION_AGE_FRACTION
         self._callers = CallerServer(
--- a/catkinport/platform/operator_rows.py
+++ b/catkinport/platform/operator_rows.py
@@ -1,4 +1,4 @@
-"""Decodes the operator's rows: the configuration and the waves of VM maintenance.
+"""Decodes the operator's rows: configuration, maintenance waves, zone evacuations.
 
 A wave is a set of VMs that the operator wants maintained by a deadline.
 """
@@ -36,6 +36,8 @@
 STATUS_TABLE = "status"
 CONFIGURATION_KEY = "config"
 WAVE_PREFIX = "wave/"
+EVACUATION_PREFIX = "evacuate/"
+MAX_ZONE_BYTES = 200
 DEFAULT_MAX_BODY_BYTES = 262144
 
 
@@ -79,6 +81,55 @@
     )
 
 
+def decode_evacuation(key: str) -> str:
+    """Return the zone that a row of a zone evacuation names by its key.
+
+    The value is not used: the presence of the row is the request.
+
+    Raises:
+        MessageError: if the key does not name a zone.
+    """
+    zone = key.removeprefix(EVACUATION_PREFIX)
+    return decoding.check_short_string(zone, "the zone", MAX_ZONE_BYTES, min_bytes=1)
+
+
+class PlatformEvacuationRequests:
+    """Implements `ports.fleet_vms.EvacuationRequests` with the operator's rows.
+
+    Args:
+        rows: returns the operator's rows by key, as last read.
+    """
+
+    def __init__(self, rows: Callable[[], Mapping[str, Row]]) -> None:
+        self._rows = rows
+        self._undecodable_keys: set[str] = set()
+
+    def list_zones(self) -> frozenset[str]:
+        """Return the zones to evacuate; log and leave out rows without a zone."""
+        rows = self._rows().values()
+        zones = (self._find_zone(row) for row in rows)
+        return frozenset(zone for zone in zones if zone)
+
+    def _find_zone(self, row: Row) -> str:
+        key = row.row_key.key
+        if not key.startswith(EVACUATION_PREFIX):
+            return ""
+        try:
+            return decode_evacuation(key)
+        except decoding.MessageError as error:
+            if key not in self._undecodable_keys:
+                self._undecodable_keys.add(key)
+                log_event(
+                    logger,
+                    "zone evacuation ignored",
+                    level=logging.ERROR,
+                    key=key,
+                    version=row.version,
+                    reason=str(error),
+                )
+            return ""
+
+
 class PlatformMaintenanceRequests:
     """Implements `ports.fleet_vms.UpkeepDesk` with the operator's rows.
 
--- a/catkinport/platform/tests/test_operator_rows.py
+++ b/catkinport/platform/tests/test_operator_rows.py
@@ -1,10 +1,16 @@
-"""Tests of the status rows with which waves are reported to the operator."""
+"""Tests of the operator's rows, and of the status rows of waves."""
 
 import asyncio
 
 from ...ports import RowKey
+from ...ports.table import Row
 from ...standins import LateTable, MemoryTable
-from ..operator_rows import STATUS_TABLE, PlatformMaintenanceRequests
+from ..operator_rows import (
+    OPERATOR_TABLE,
+    STATUS_TABLE,
+    PlatformEvacuationRequests,
+    PlatformMaintenanceRequests,
+)
 
 WAVE = 7
 
@@ -99,3 +105,28 @@
         assert store.report(former, is_completed=False)
         assert not store.report(successor, is_completed=True)
         assert store.state() == "running"
+
+
+class TestZoneEvacuations:
+    def make_requests(self, *keys):
+        rows = {key: Row(RowKey(OPERATOR_TABLE, key), 7, {}) for key in keys}
+        return PlatformEvacuationRequests(lambda: rows), rows
+
+    def test_rows_name_zones(self):
+        """Guards against a zone that is missed, or taken from rows of other kinds."""
+        requests, rows = self.make_requests(
+            "config", "wave/1", "evacuate/chc-a", "evacuate/chc-b"
+        )
+        assert requests.list_zones() == {"chc-a", "chc-b"}
+        del rows["evacuate/chc-a"]
+        assert requests.list_zones() == {"chc-b"}
+
+    def test_row_without_a_zone_is_logged_once(self, caplog):
+        """Guards against one bad row that hides the others or fills the log."""
+        requests, _ = self.make_requests(
+            "evacuate/", "evacuate/" + "x" * 201, "evacuate/chc-a"
+        )
+        for _ in range(3):
+            assert requests.list_zones() == {"chc-a"}
+        lines = [r for r in caplog.records if r.msg == "zone evacuation ignored"]
+        assert len(lines) == 2
--- a/catkinport/ports/fleet_vms.py
+++ b/catkinport/ports/fleet_vms.py
@@ -62,6 +62,22 @@
         ...
 
 
+class EvacuationRequests(Protocol):
+    """Interface to the operator's requests to evacuate availability zones."""
+
+    def list_zones(self) -> frozenset[str]:
+        """Return the zones to evacuate, as last read from the store."""
+        ...
+
+
+class NoEvacuationRequests:
+    """Implements `EvacuationRequests` where no zone is ever evacuated."""
+
+    def list_zones(self) -> frozenset[str]:
+        """Return no zone."""
+        return frozenset()
+
+
 class UpkeepDesk(Protocol):
     """Interface to the operator's maintenance requests and their progress."""
 
--- a/catkinport/ports/outcomes.py
+++ b/catkinport/ports/outcomes.py
@@ -36,6 +36,7 @@
     NOT_OWNER = "not-owner"
     NOT_FOUND = "not-found"
     CANCELED = "canceled"
+    EVACUATED = "evacuated"
     TIMEOUT = "timeout"
 
 
