Let lasting tasks leave evacuated zones within their disruption budget

Lasting tasks never end by themselves, so they stayed in an evacuated zone. The stop is that of a drained VM, so the checkpoint is kept. Gangs stay, as the end of one of their tasks ends all. Moves are logged and counted.

--- a/catkinport/jobs/ownership/vm_orders.py
+++ b/catkinport/jobs/ownership/vm_orders.py
@@ -136,8 +136,30 @@
                 for run in self._vm_planner.find_evacuations(now):
                     run.is_evacuated = True
                     self._session.wake.set()
+                self._begin_zone_moves(now)
             await asyncio.sleep(PLAN_SECONDS)
 
+    def _begin_zone_moves(self, now: float) -> None:
+        """Let lasting tasks leave evacuated zones, apart from the drains of VMs."""
+        for run in self._vm_planner.find_zone_moves(now):
+            run.is_evacuated = True
+            worker = self._session.dispatcher.worker_by_id[run.worker_id]
+            log_event(
+                logger,
+                "lasting task leaves zone",
+                request_id=run.record.job.job_id,
+                task=run.key.task,
+                run=run.key.run,
+                worker=run.worker_id,
+                zone=worker.listed.zone,
+            )
+            self._session.ports.metrics.increment(
+                "evacuation_moves",
+                "Runs of lasting tasks that were stopped to leave an evacuated zone.",
+                {},
+            )
+            self._session.wake.set()
+
     async def _report_loop(self) -> None:
         """Report waves and store the memory, however long the store takes."""
         while True:
--- /dev/null
+++ b/catkinport/jobs/tests/test_zone_moves.py
@@ -0,0 +1,270 @@
+"""Tests of lasting tasks that leave evacuated zones."""
+
+import asyncio
+from types import SimpleNamespace
+
+from ...policy.resources import Resources
+from ...ports.fleet_vms import FleetVm, VmState
+from ...ports.fleet_workers import EndKind
+from ...runtime import Metrics
+from ..ownership.vm_orders import VmOrders
+from ..placement.run_stops import find_stops
+from ..vms.vm_planner import VmPlanner
+from ..vms.zone_evacuations import ZoneEvacuations
+from ..vms.zone_moves import MAX_ENDING_RUNS
+from .builders import POOL, Fleet, make_job, make_step, make_worker
+from .test_zone_evacuations import ZONES, FakeRequests
+from .vm_fleet import BOUNDS
+
+CAPACITY = Resources(16.0, 256.0, 0)
+HALF = Resources(8.0, 16.0, 0)
+
+
+class MovingFleet(Fleet):
+    """A fleet of VMs in several zones, whose lasting tasks are ready.
+
+    Args:
+        zones: zone of each VM.
+        n_off: VMs that are off, spread over the zones.
+    """
+
+    def __init__(self, zones, n_off=0):
+        workers = [make_worker(f"w{n}", zone=zone) for n, zone in enumerate(zones)]
+        super().__init__(workers)
+        self.vms = [
+            FleetVm(f"m{n}", POOL, VmState.UP, zone, ("a", "r1"), CAPACITY, f"w{n}")
+            for n, zone in enumerate(zones)
+        ]
+        self.vms += [
+            FleetVm(f"off{n}", "off", VmState.UP, ZONES[n % 3], (), CAPACITY, "")
+            for n in range(n_off)
+        ]
+        self.vm_planner = VmPlanner(self.dispatcher, BOUNDS)
+        self.list_vms()
+        self.requests = FakeRequests()
+        self.evacuations = ZoneEvacuations(
+            self.dispatcher, self.vm_planner.inventory, self.requests, Metrics()
+        )
+
+    def list_vms(self):
+        self.vm_planner.update_vms(self.vms, self.now)
+        self.dispatcher.update_vms(self.vms, self.now, self.now)
+
+    def evacuate(self, *zones):
+        self.requests.zones = set(zones)
+        self.evacuations.update(self.now)
+
+    def add_lasting(self, number, n_tasks, **fields):
+        """Start the tasks of a job and make them ready."""
+        values = {"need": HALF, "is_lasting": True, "max_away": 2, **fields}
+        job = make_job(f"{number:016x}", steps=[make_step(n_tasks, **values)])
+        self.dispatcher.add_job(job, self.now)
+        starts = self.start()
+        assert len(starts) == n_tasks
+        self.make_ready()
+        return starts
+
+    def make_ready(self):
+        for running in self.running_by_worker.values():
+            for key, entry in running.items():
+                running[key] = entry._replace(percent=100.0)
+        for _ in range(4):
+            self.advance(0.3)
+            self.poll_all()
+        self.list_vms()
+
+    def move_round(self):
+        """Decide once, let the workers carry out the stops, and start tasks anew.
+
+        Returns:
+            The runs that were stopped.
+        """
+        self.advance(0.25)
+        self.list_vms()
+        self.poll_all()
+        runs = self.vm_planner.find_zone_moves(self.now)
+        for run in runs:
+            run.is_evacuated = True
+        for stop in find_stops(self.dispatcher, self.now):
+            assert stop.reason == "evacuated"
+        for run in runs:
+            self.end(SimpleNamespace(run=run), EndKind.STOPPED, "saved")
+        self.start()
+        return runs
+
+    def zones_of_runs(self):
+        workers = self.dispatcher.worker_by_id.values()
+        return [w.listed.zone for w in workers for _ in w.run_by_key]
+
+
+def spread_fleet():
+    """Return a fleet with 4 ready tasks in zone z1 and room for them elsewhere."""
+    fleet = MovingFleet(["z1", "z1", "z2", "z2", "z3"])
+    fleet.evacuate("z2", "z3")
+    fleet.add_lasting(1, 4)
+    fleet.evacuate()
+    return fleet
+
+
+class TestBudget:
+    def test_tasks_leave_within_the_budget_of_their_step(self):
+        """Guards against an evacuation that ends more tasks than a step may miss."""
+        fleet = spread_fleet()
+        assert fleet.vm_planner.find_zone_moves(fleet.now) == []
+        fleet.evacuate("z1")
+        assert len(fleet.move_round()) == 2
+        # The next two follow once the first two are ready again.
+        assert fleet.move_round() == []
+        fleet.make_ready()
+        assert len(fleet.move_round()) == 2
+        assert "z1" not in fleet.zones_of_runs()
+        assert len(fleet.zones_of_runs()) == 4
+
+    def test_step_that_may_miss_no_task_stays(self):
+        """Guards against tasks that are ended although none may be unavailable."""
+        fleet = MovingFleet(["z1", "z1", "z2"])
+        fleet.evacuate("z2")
+        fleet.add_lasting(1, 2, max_away=0)
+        fleet.evacuate("z1")
+        assert fleet.move_round() == []
+
+    def test_task_that_is_not_ready_takes_no_more_of_the_budget(self):
+        """Guards against a zone that is never left, for a task that is not ready."""
+        fleet = MovingFleet(["z1", "z1", "z2", "z2"])
+        fleet.evacuate("z2")
+        starts = fleet.add_lasting(1, 3, max_away=1)
+        run = starts[0].run
+        running = fleet.running_by_worker[run.worker_id]
+        running[run.key] = running[run.key]._replace(percent=20.0)
+        fleet.evacuate("z1")
+        (moved,) = fleet.move_round()
+        assert moved is run
+
+    def test_budget_counts_tasks_on_vms_under_order(self):
+        """Guards against a move beside an upkeep that takes up the budget."""
+        fleet = spread_fleet()
+        fleet.evacuate("z1")
+        inventory = fleet.vm_planner.inventory
+        inventory.hold_back(["m0"], fleet.now + 9.0)
+        assert fleet.move_round() == []
+
+    def test_few_tasks_are_stopped_at_a_time(self):
+        """Guards against a burst of stops that an owner can't keep up with."""
+        fleet = MovingFleet(["z1"] * 10 + ["z2"] * 10)
+        fleet.evacuate("z2")
+        for number in range(10):
+            fleet.add_lasting(number + 1, 2)
+        fleet.evacuate("z1")
+        assert len(fleet.move_round()) == MAX_ENDING_RUNS
+
+
+class TestRoom:
+    def test_no_task_is_ended_without_a_place_to_go(self):
+        """Guards against tasks that are ended and then wait without end."""
+        fleet = MovingFleet(["z1", "z1", "z2"])
+        fleet.evacuate("z2")
+        fleet.add_lasting(1, 4)
+        fleet.evacuate("z1", "z2")
+        assert fleet.move_round() == []
+
+    def test_room_that_a_moving_task_needs_counts_once(self):
+        """Guards against a second task that is ended for the room of the first one."""
+        fleet = MovingFleet(["z1", "z1", "z2"])
+        fleet.evacuate("z2")
+        fleet.add_lasting(1, 2, need=CAPACITY._replace(memory_gb=8.0))
+        fleet.evacuate("z1")
+        (first,) = fleet.vm_planner.find_zone_moves(fleet.now)
+        first.is_evacuated = True
+        assert fleet.vm_planner.find_zone_moves(fleet.now) == []
+        fleet.end(SimpleNamespace(run=first), EndKind.STOPPED)
+        assert fleet.vm_planner.find_zone_moves(fleet.now) == []
+
+    def test_tasks_leave_two_zones_for_the_third(self):
+        """Guards against a move from one evacuated zone to the other."""
+        fleet = MovingFleet(["z1", "z2", "z3", "z3"])
+        fleet.evacuate("z3")
+        fleet.add_lasting(1, 4)
+        fleet.evacuate("z1", "z2")
+        for _ in range(3):
+            fleet.move_round()
+            fleet.make_ready()
+        assert fleet.zones_of_runs() == ["z3"] * 4
+
+
+class TestWhichRuns:
+    def test_short_tasks_run_to_their_end(self):
+        """Guards against short tasks that lose their work to an evacuation."""
+        fleet = MovingFleet(["z1", "z2"])
+        fleet.add_lasting(1, 2, is_lasting=False)
+        fleet.evacuate("z1")
+        assert fleet.move_round() == []
+
+    def test_gang_is_not_torn_apart(self):
+        """Guards against a move of one task that ends all tasks of its gang."""
+        fleet = MovingFleet(["z1", "z1", "z2", "z2"])
+        fleet.evacuate("z2")
+        fleet.add_lasting(1, 4, is_gang=True)
+        fleet.evacuate("z1")
+        assert fleet.move_round() == []
+
+    def test_worker_out_of_contact_keeps_its_runs(self):
+        """Guards against a budget spent on stops that nobody confirms."""
+        fleet = spread_fleet()
+        fleet.evacuate("z1")
+        fleet.advance(5.0)
+        fleet.poll("w2")
+        fleet.poll("w3")
+        assert fleet.vm_planner.find_zone_moves(fleet.now) == []
+
+    def test_checkpoint_is_kept(self):
+        """Guards against a moved task that begins anew."""
+        fleet = spread_fleet()
+        fleet.evacuate("z1")
+        runs = fleet.move_round()
+        assert [run.task.checkpoint for run in runs] == ["saved"] * 2
+
+    def test_nothing_moves_back(self):
+        """Guards against tasks that are ended once more when the row is removed."""
+        fleet = spread_fleet()
+        fleet.evacuate("z1")
+        fleet.move_round()
+        fleet.evacuate()
+        fleet.make_ready()
+        assert fleet.move_round() == []
+
+
+class TestSuccessor:
+    def test_moves_of_a_former_owner_use_its_budget(self):
+        """Guards against a successor that ends tasks beyond the budget.
+
+        The former owner was killed after it had stopped two tasks, which wait.
+        """
+        fleet = spread_fleet()
+        runs = [r for w in fleet.dispatcher.worker_by_id.values() for r in w.run_by_key]
+        worker = fleet.dispatcher.worker_by_id["w0"]
+        for run in list(worker.run_by_key.values()):
+            fleet.end(SimpleNamespace(run=run), EndKind.STOPPED)
+        assert len(runs) == 4
+        fleet.evacuate("z1")
+        assert fleet.vm_planner.find_zone_moves(fleet.now) == []
+
+
+class TestOrders:
+    def test_moves_are_counted_and_logged(self, caplog):
+        """Guards against moves that an operator can't tell from drains of VMs."""
+        caplog.set_level("INFO")
+        fleet = spread_fleet()
+        fleet.evacuate("z1")
+        metrics = Metrics()
+        session = SimpleNamespace(
+            dispatcher=fleet.dispatcher,
+            clock=SimpleNamespace(now=lambda: fleet.now),
+            wake=asyncio.Event(),
+            ports=SimpleNamespace(metrics=metrics),
+        )
+        orders = VmOrders(session, fleet.vm_planner, fleet.now)
+        orders._begin_zone_moves(fleet.now)
+        assert session.wake.is_set()
+        assert b"evacuation_moves 2" in metrics.render()[0].replace(b"{}", b"")
+        lines = [r for r in caplog.records if r.msg == "lasting task leaves zone"]
+        assert [line.event_fields["zone"] for line in lines] == ["z1", "z1"]
--- a/catkinport/jobs/vms/disruption_budget.py
+++ b/catkinport/jobs/vms/disruption_budget.py
@@ -5,7 +5,7 @@
 """
 
 from collections import Counter
-from collections.abc import Callable, Collection, Iterator, Set
+from collections.abc import Callable, Collection, Iterable, Iterator, Set
 from itertools import islice
 
 from ..dispatch.dispatcher import Dispatcher
@@ -136,6 +136,25 @@
                     runs.append(run)
         return runs
 
+    def find_endable(self, runs: Iterable[Run]) -> list[Run]:
+        """Return those of the lasting runs that may be ended together now.
+
+        A task that is unavailable already uses its part of the budget, so ending its
+        run takes no more of it.
+        """
+        self._count_available()
+        left_by_stage: dict[Stage, int] = {}
+        endable = []
+        for run in runs:
+            stage = run.task.task_id[:3]
+            if stage not in left_by_stage:
+                left_by_stage[stage] = self._count_left(stage)
+            n_more = int(self._is_task_available(run.task.text))
+            if left_by_stage[stage] >= n_more:
+                left_by_stage[stage] -= n_more
+                endable.append(run)
+        return endable
+
     def may_end_all(self, worker: WorkerRecord) -> bool:
         """Return whether all lasting tasks of the worker may be ended together."""
         return all(
--- a/catkinport/jobs/vms/lasting_room.py
+++ b/catkinport/jobs/vms/lasting_room.py
@@ -25,6 +25,9 @@
 after the time that a move takes."""
 
 
+_NOTHING_AHEAD: Mapping[str, Sequence[TaskNeed]] = {}
+
+
 class LastingPlan(NamedTuple):
     """VMs for the lasting tasks that wait.
 
@@ -103,10 +106,20 @@
             unplaced_by_pool[pool] = _PoolNeeds(waiting.unplaced, left.unplaced)
         return self._plan_moves(frozenset(kept_vms), unplaced_by_pool, movable, now)
 
-    def find_placeable(self, runs: Sequence[Run], now: float) -> list[Run]:
+    def find_placeable(
+        self,
+        runs: Sequence[Run],
+        now: float,
+        ahead_by_pool: Mapping[str, Sequence[TaskNeed]] = _NOTHING_AHEAD,
+    ) -> list[Run]:
         """Return those of the runs whose tasks have room on another VM right now.
 
         Each gets room of its own. VMs on their way do not count.
+
+        Args:
+            runs: lasting runs that are to end.
+            now: clock time in seconds.
+            ahead_by_pool: needs of tasks of each pool that get room before the runs.
         """
         rooms_by_pool: dict[str, dict[str, CandidateWorker]] = {}
         placeable = []
@@ -114,6 +127,7 @@
             pool = self._dispatcher.worker_by_id[run.worker_id].listed.pool
             if pool not in rooms_by_pool:
                 rooms_by_pool[pool] = self._usable_rooms(pool, now)
+                pack_tasks(ahead_by_pool.get(pool, ()), rooms_by_pool[pool])
             if pack_tasks([task_need(run.task)], rooms_by_pool[pool]).vm_ids:
                 placeable.append(run)
         return placeable
@@ -187,7 +201,7 @@
             worker = self._inventory.worker_on(vm_id)
             if worker is None or self._inventory.pool_of(vm) != pool:
                 continue
-            if worker.is_usable(now):
+            if worker.is_usable(now) and not self._inventory.is_evacuated(vm):
                 rooms[vm_id] = _worker_room(worker)
         return rooms
 
--- a/catkinport/jobs/vms/pool_mover.py
+++ b/catkinport/jobs/vms/pool_mover.py
@@ -45,6 +45,7 @@
     Attributes:
         turns: tracker of the turns of all pools.
         lasting_room: planner of the VMs for lasting tasks.
+        lasting_waits: lasting tasks that wait for a worker.
         released_vms: reserved VMs that, by the latest plan, have the only room for a
             lasting task that waits.
     """
@@ -55,7 +56,7 @@
         self._own_vms_by_pool: dict[str, int] = {}
         self.turns = TurnTracker({})
         self._phase_by_pool: dict[str, str] = {}
-        self._lasting_waits = LastingWaits(dispatcher)
+        self.lasting_waits = LastingWaits(dispatcher)
         self.lasting_room = LastingRoom(dispatcher, inventory)
         self.released_vms: frozenset[str] = frozenset()
         self._reporter = PoolReporter()
@@ -129,7 +130,7 @@
         """
         demand_by_pool = measure_demand(self._dispatcher, now)
         pools = self._pool_views(demand_by_pool, now)
-        waits_by_pool = self._lasting_waits.find(now)
+        waits_by_pool = self.lasting_waits.find(now)
         may_move = any(pool.is_spare for pool in pools.values())
         movable = [
             vm
--- a/catkinport/jobs/vms/vm_inventory.py
+++ b/catkinport/jobs/vms/vm_inventory.py
@@ -239,6 +239,16 @@
             return None
         return self._dispatcher.worker_by_id.get(vm.worker_id)
 
+    def is_evacuated(self, vm: FleetVm) -> bool:
+        """Return whether the VM, or the worker that it runs, is in an evacuated zone.
+
+        The list of VMs may lack the zone.
+        """
+        if self._dispatcher.is_evacuated(vm.zone):
+            return True
+        worker = self.worker_on(vm.vm_id)
+        return worker is not None and self._dispatcher.is_evacuated(worker.listed.zone)
+
     def is_up(self, vm: FleetVm) -> bool:
         """Return whether the VM is up and no order is about to change that."""
         return vm.state is VmState.UP and not self.is_under_order(vm.vm_id)
--- a/catkinport/jobs/vms/vm_planner.py
+++ b/catkinport/jobs/vms/vm_planner.py
@@ -22,6 +22,7 @@
 from .unanswered_orders import UnansweredOrders
 from .upkeep_waves import UpkeepWaves, WaveState
 from .vm_inventory import VmBounds, VmInventory
+from .zone_moves import ZoneMoves
 
 logger = logging.getLogger(__name__)
 
@@ -60,6 +61,9 @@
         )
         self.wave_by_number = self._waves.wave_by_number
         self._short_pools: set[str] = set()
+        self._zone_moves = ZoneMoves(
+            dispatcher, self.inventory, self._disruption_budget, self.mover
+        )
         self._planned_at = float("-inf")
 
     def update_vms(self, vms: Sequence[FleetVm], sent_at: float) -> None:
@@ -184,6 +188,10 @@
         runs = self._disruption_budget.find_evacuations(self.inventory.reserved)
         return self.mover.lasting_room.find_placeable(runs, now)
 
+    def find_zone_moves(self, now: float) -> list[Run]:
+        """Return the lasting runs to stop now so that they leave evacuated zones."""
+        return self._zone_moves.find(now)
+
     def _unblock_vms(self, reason: str, now: float) -> None:
         """Let all VMs get tasks that need not be blocked for an order under way."""
         self._release_drained_vms(reason)
--- a/catkinport/jobs/workers/run.py
+++ b/catkinport/jobs/workers/run.py
@@ -49,7 +49,8 @@
         is_start_uncertain: whether the start order had no answer and may be carried out
             late.
         given_up_at: clock time at which the wait for that answer ended; 0 for never.
-        is_evacuated: whether it is stopped so that its VM can be taken down.
+        is_evacuated: whether it is stopped so that its VM can be taken down, or because
+            its zone is evacuated.
         percent: progress that the worker listed last; -1 before.
         progressed_at: clock time at which the progress last changed.
         load: latest measurement of the worker: the tail latency in milliseconds of a
