Count VMs in evacuated zones as unusable when pools are sized

Pools looked large enough with VMs in an evacuated zone, and such VMs were moved between pools. They are neither counted nor moved or cordoned now. Lasting tasks that are to leave the zone count as tasks that need room, so VMs of other zones come ahead of their moves. Reports of demand, the relief of starved pools, the share in use and the bound of quarantines count only workers outside evacuated zones.

--- a/catkinport/jobs/dispatch/dispatcher.py
+++ b/catkinport/jobs/dispatch/dispatcher.py
@@ -282,6 +282,10 @@
         """
         self._inherited.resolve_expired(now)
 
+    def workers_outside_evacuations(self, pool: str) -> list[WorkerRecord]:
+        """Return the workers of a pool that are not in evacuated zones."""
+        return self._workers.workers_outside_evacuations(pool)
+
     def workers_of(self, pool: str) -> list[WorkerRecord]:
         """Return the workers of a pool."""
         return self._workers.workers_of(pool)
--- a/catkinport/jobs/dispatch/order_outcomes.py
+++ b/catkinport/jobs/dispatch/order_outcomes.py
@@ -76,7 +76,7 @@
         if reason in (Rejection.UNHEALTHY, Rejection.OTHER_INCARNATION):
             _pause_until(worker, now + UNHEALTHY_PAUSE_SECONDS)
         if reason is Rejection.UNHEALTHY:
-            pool_workers = self._workers.workers_of(worker.listed.pool)
+            pool_workers = self._workers.workers_outside_evacuations(worker.listed.pool)
             note_worker_failure(worker, pool_workers, now)
         if reason is Rejection.NO_ROOM:
             _pause_until(worker, now + NO_ROOM_PAUSE_SECONDS)
--- a/catkinport/jobs/dispatch/run_ends.py
+++ b/catkinport/jobs/dispatch/run_ends.py
@@ -87,7 +87,7 @@
         run: int,
         now: float,
     ) -> None:
-        pool_workers = self._workers.workers_of(worker.listed.pool)
+        pool_workers = self._workers.workers_outside_evacuations(worker.listed.pool)
         is_quarantined = note_failed_run(worker, record, task, pool_workers, now)
         task.avoided_worker = worker.worker_id
         task.not_before = now + RESTART_PAUSE_SECONDS * task.step.is_lasting
--- a/catkinport/jobs/placement/planner.py
+++ b/catkinport/jobs/placement/planner.py
@@ -184,7 +184,7 @@
         if not budget.may_plan_job:
             return False
         rooms = self._free_rooms(pool, now)
-        is_busy = is_half_used(self._dispatcher.workers_of(pool))
+        is_busy = is_half_used(self._dispatcher.workers_outside_evacuations(pool))
         self._reservations.mark(rooms, now, is_busy)
         estimates = self._dispatcher.estimates
         ordered = sorted(
--- a/catkinport/jobs/placement/run_stops.py
+++ b/catkinport/jobs/placement/run_stops.py
@@ -212,7 +212,7 @@
         return False
     if not worker.is_in_contact(now):
         return False
-    pool_workers = dispatcher.workers_of(worker.listed.pool)
+    pool_workers = dispatcher.workers_outside_evacuations(worker.listed.pool)
     note_failed_run(worker, run.record, run.task, pool_workers, now)
     run.task.avoided_worker = run.worker_id
     return True
--- a/catkinport/jobs/tests/test_zone_moves.py
+++ b/catkinport/jobs/tests/test_zone_moves.py
@@ -1,6 +1,7 @@
 """Tests of lasting tasks that leave evacuated zones."""
 
 import asyncio
+from collections import defaultdict
 from types import SimpleNamespace
 
 from ...policy.resources import Resources
@@ -9,10 +10,16 @@
 from ...runtime import Metrics
 from ..ownership.vm_orders import VmOrders
 from ..placement.run_stops import find_stops
+from ..vms.pool_demand import PoolDemand
 from ..vms.vm_planner import VmPlanner
 from ..vms.zone_evacuations import ZoneEvacuations
 from ..vms.zone_moves import MAX_ENDING_RUNS
+from ..workers.worker_failures import (
+    LAST_WORKER_QUARANTINE_SECONDS,
+    note_worker_failure,
+)
 from .builders import POOL, Fleet, make_job, make_step, make_worker
+from .large_task_fleet import RESTING
 from .test_zone_evacuations import ZONES, FakeRequests
 from .vm_fleet import BOUNDS
 
@@ -268,3 +275,77 @@
         assert b"evacuation_moves 2" in metrics.render()[0].replace(b"{}", b"")
         lines = [r for r in caplog.records if r.msg == "lasting task leaves zone"]
         assert [line.event_fields["zone"] for line in lines] == ["z1", "z1"]
+
+
+class TestSizing:
+    def test_vms_outside_the_zone_come_ahead_of_the_move(self):
+        """Guards against tasks that never leave, as their pool is full elsewhere."""
+        fleet = MovingFleet(["z1", "z1"], n_off=6)
+        fleet.add_lasting(1, 4)
+        fleet.vm_planner.plan(fleet.now)
+        fleet.evacuate("z1")
+        fleet.advance(0.25)
+        orders = fleet.vm_planner.plan(fleet.now)
+        zone_by_vm = {vm.vm_id: vm.zone for vm in fleet.vms}
+        assert len(orders) == 2
+        assert {order.pool for order in orders} == {POOL}
+        assert "z1" not in {zone_by_vm[order.vm_id] for order in orders}
+
+    def test_no_vm_of_the_zone_moves(self):
+        """Guards against VMs of the zone that join a pool as if they were of use."""
+        fleet = MovingFleet(["z2"], n_off=6)
+        fleet.dispatcher.add_job(make_job(steps=[make_step(100)]), fleet.now)
+        fleet.start()
+        fleet.evacuate("z1")
+        fleet.advance(0.25)
+        orders = fleet.vm_planner.plan(fleet.now)
+        assert {order.vm_id for order in orders} == {"off1", "off2", "off4", "off5"}
+
+    def test_idle_vm_of_the_zone_is_not_moved_nor_cordoned(self):
+        """Guards against moves within a zone that is to be left alone."""
+        fleet = MovingFleet(["z1"] * 6)
+        fleet.vm_planner.mover.turns.restore({POOL: RESTING}, None, fleet.now)
+        fleet.evacuate("z1")
+        orders = []
+        for _ in range(12):
+            fleet.advance(0.25)
+            fleet.list_vms()
+            fleet.poll_all()
+            orders += fleet.vm_planner.plan(fleet.now)
+        assert orders == []
+
+    def test_pool_counts_only_vms_outside_the_zone(self):
+        """Guards against a pool that looks large enough with VMs that it can't use."""
+        fleet = MovingFleet(["z1", "z1", "z2"])
+        mover = fleet.vm_planner.mover
+        fleet.evacuate("z1")
+        assert mover._pool_views(defaultdict(PoolDemand), fleet.now)[POOL].n_vms == 1
+        fleet.evacuate()
+        assert mover._pool_views(defaultdict(PoolDemand), fleet.now)[POOL].n_vms == 3
+
+    def test_vm_listed_without_a_zone_has_that_of_its_worker(self):
+        """Guards against VMs that count as usable, as the list lacks their zones."""
+        fleet = MovingFleet(["z1", "z2"])
+        fleet.vms = [vm._replace(zone="") for vm in fleet.vms]
+        fleet.list_vms()
+        fleet.evacuate("z1")
+        inventory = fleet.vm_planner.inventory
+        assert [inventory.is_evacuated(vm) for vm in fleet.vms] == [True, False]
+
+    def test_no_vm_comes_for_tasks_that_never_move(self):
+        """Guards against VMs that wait for good for tasks whose budget is 0."""
+        fleet = MovingFleet(["z1", "z1"], n_off=6)
+        fleet.add_lasting(1, 4, max_away=0)
+        fleet.evacuate("z1")
+        assert fleet.vm_planner._zone_moves.find_leaving() == []
+
+    def test_last_usable_worker_is_quarantined_for_a_short_time(self):
+        """Guards against a pool that stands still while its only worker is blocked."""
+        fleet = MovingFleet(["z1", "z1", "z2"])
+        fleet.evacuate("z1")
+        pool_workers = fleet.dispatcher.workers_outside_evacuations(POOL)
+        (worker,) = pool_workers
+        for _ in range(2):
+            note_worker_failure(worker, pool_workers, fleet.now)
+        quarantine_seconds = worker.quarantined_until - fleet.now
+        assert quarantine_seconds <= LAST_WORKER_QUARANTINE_SECONDS
--- a/catkinport/jobs/vms/lasting_room.py
+++ b/catkinport/jobs/vms/lasting_room.py
@@ -50,7 +50,7 @@
 
     Args:
         waiting: tasks without a worker.
-        leaving: tasks that have to leave a VM before its upkeep.
+        leaving: tasks that have to leave a VM before its upkeep, or their zone.
     """
 
     waiting: Sequence[TaskNeed]
@@ -85,7 +85,8 @@
 
         Args:
             waits_by_pool: waiting tasks of each pool.
-            leaving: runs to stop before the upkeep of their VM.
+            leaving: runs to stop before the upkeep of their VM, and those in evacuated
+                zones.
             movable: idle VMs that may move to any pool; the first are taken first.
             now: clock time in seconds.
         """
@@ -189,7 +190,7 @@
         for vm_id, vm in self._inventory.vm_by_id.items():
             if self._inventory.pool_of(vm) != pool or vm_id in rooms:
                 continue
-            if vm.state is VmState.DOWN:
+            if vm.state is VmState.DOWN or self._inventory.is_evacuated(vm):
                 continue
             if vm.state is VmState.MOVING or vm_id in self._moved_at_by_vm:
                 rooms[vm_id] = CandidateWorker(vm_id, vm.labels, vm.capacity)
@@ -213,6 +214,8 @@
             worker = self._inventory.worker_on(vm_id)
             if vm is None or worker is None or vm.pool != pool:
                 continue
+            if self._inventory.is_evacuated(vm):
+                continue
             if self._inventory.is_up(vm) and worker.is_in_contact(now):
                 rooms[vm_id] = _worker_room(worker)
         return rooms
--- a/catkinport/jobs/vms/pool_mover.py
+++ b/catkinport/jobs/vms/pool_mover.py
@@ -125,7 +125,8 @@
         Args:
             wave_vms: VMs that may not be moved before their upkeep.
             now: clock time in seconds.
-            leaving: lasting runs to stop before the upkeep of their VM.
+            leaving: lasting runs to stop before the upkeep of their VM, and those in
+                evacuated zones.
             kept_pools: pools whose VMs are not cordoned, as jobs wait for them.
         """
         demand_by_pool = measure_demand(self._dispatcher, now)
@@ -138,6 +139,7 @@
             if may_move
             and self._inventory.is_up(vm)
             and vm_id not in self._inventory.reserved
+            and not self._inventory.is_evacuated(vm)
             and not self._inventory.is_refused_lately(vm_id, now)
             and (vm_id not in wave_vms or self._inventory.is_off(vm))
         ]
@@ -194,7 +196,7 @@
             report = make_report(
                 demand,
                 waits,
-                self._dispatcher.workers_of(name),
+                self._dispatcher.workers_outside_evacuations(name),
                 pool.n_vms,
                 wanted_vms(pool),
                 n_off,
@@ -294,6 +296,8 @@
         for vm in self._inventory.vm_by_id.values():
             if vm.state is VmState.DOWN or vm.vm_id in self._inventory.reserved:
                 continue
+            if self._inventory.is_evacuated(vm):
+                continue
             pool = self._inventory.pool_of(vm)
             n_vms[pool] = n_vms.get(pool, 0) + 1
             cores[pool] = cores.get(pool, 0.0) + vm.capacity.cores
--- a/catkinport/jobs/vms/starved_pools.py
+++ b/catkinport/jobs/vms/starved_pools.py
@@ -84,7 +84,7 @@
 
     def _find_kept_free(self, pool: str, now: float) -> list[Resources]:
         """Return the free room on VMs that are kept free; none in a busy pool."""
-        workers = self._dispatcher.workers_of(pool)
+        workers = self._dispatcher.workers_outside_evacuations(pool)
         capacity = total(worker.listed.capacity for worker in workers)
         used = total(worker.used for worker in workers)
         if dominant_share(used, capacity) >= MAX_USED_FRACTION:
--- a/catkinport/jobs/vms/vm_planner.py
+++ b/catkinport/jobs/vms/vm_planner.py
@@ -110,7 +110,9 @@
         orders = self._unanswered_orders.find_due(now)
         orders.extend(self._waves.plan(now, self._short_pools))
         wave_vms = self._waves.find_due_vms()
-        leaving = self._disruption_budget.find_evacuations(self.inventory.reserved)
+        draining = self._disruption_budget.find_evacuations(self.inventory.reserved)
+        # A VM that is drained may be in an evacuated zone.
+        leaving = list(dict.fromkeys([*draining, *self._zone_moves.find_leaving()]))
         kept_pools = {
             pool
             for pool in self._dispatcher.configuration.pool_by_name
--- a/catkinport/jobs/vms/zone_moves.py
+++ b/catkinport/jobs/vms/zone_moves.py
@@ -56,10 +56,10 @@
         return placeable[: max(0, MAX_ENDING_RUNS - len(ending))]
 
     def find_leaving(self) -> list[Run]:
-        """Return all lasting runs in evacuated zones, for which VMs may be moved."""
+        """Return all runs in evacuated zones that are to leave, now or later."""
         workers = self._find_workers()
         runs = chain.from_iterable(worker.run_by_key.values() for worker in workers)
-        return [run for run in runs if run.task.step.is_lasting]
+        return [run for run in runs if _may_ever_move(run)]
 
     def _find_workers(self) -> Iterator[WorkerRecord]:
         if not self._dispatcher.evacuated_zones:
@@ -99,11 +99,15 @@
 
 
 def _is_movable(run: Run) -> bool:
-    """Return whether ending the run ends no other one, and it was surely started.
+    """Return whether the run may be stopped now: it has started and isn't ending."""
+    is_running = run.phase is RunPhase.RUNNING and not run.is_start_uncertain
+    return is_running and not run.is_evacuated and _may_ever_move(run)
+
+
+def _may_ever_move(run: Run) -> bool:
+    """Return whether the budget of the step lets its tasks move one by one.
 
     The end of one task of a gang ends all of them.
     """
     step = run.task.step
-    is_lasting_alone = step.is_lasting and not step.is_gang
-    is_running = run.phase is RunPhase.RUNNING and not run.is_start_uncertain
-    return is_lasting_alone and is_running and not run.is_evacuated
+    return step.is_lasting and not step.is_gang and step.max_away > 0
--- a/catkinport/jobs/workers/worker_failures.py
+++ b/catkinport/jobs/workers/worker_failures.py
@@ -29,7 +29,7 @@
         worker: worker of the run.
         record: job of the task.
         task: the task; ``avoided_worker`` is still that of its previous failure.
-        pool_workers: all workers of the pool.
+        pool_workers: all workers of the pool outside evacuated zones.
         now: clock time in seconds.
     """
     if is_task_suspect(record, task, worker.worker_id):
--- a/catkinport/jobs/workers/worker_table.py
+++ b/catkinport/jobs/workers/worker_table.py
@@ -28,6 +28,11 @@
         """Return the workers of a pool."""
         return [w for w in self.worker_by_id.values() if w.listed.pool == pool]
 
+    def workers_outside_evacuations(self, pool: str) -> list[WorkerRecord]:
+        """Return the workers of a pool that are not in evacuated zones."""
+        workers = self.workers_of(pool)
+        return [w for w in workers if w.listed.zone not in self.evacuated_zones]
+
     def is_pool_resolved(self, pool: str) -> bool:
         """Return whether no worker of the pool is unresolved."""
         return pool not in self.unresolved_by_id.values()
