Let the attempts of a commit be made one by one

Cause: commit_until_known made its attempts right after each other, so a caller could not pause between them, and an attempt that was cancelled was not known to have been sent. Change: CommitAttempts sends one attempt at a time and keeps whether one may have taken effect. commit_until_known uses it, with the same outcomes.

--- a/catkinport/ports/async_table.py
+++ b/catkinport/ports/async_table.py
@@ -53,35 +53,65 @@
         ...
 
 
-async def commit_until_known(
-    table: AsyncTable, transaction: Transaction, n_attempts: int
-) -> CommitOutcome:
-    """Commit, and retry while it is unknown whether the transaction took effect.
+class CommitAttempts:
+    """Repeats one commit whose outcome may be unknown.
 
-    Conditions on every written row make a retry idempotent: whichever attempt comes
-    second conflicts. If the current rows in a conflict have the values of the
+    Conditions on every written row make a repetition idempotent: whichever attempt
+    comes second conflicts. If the current rows in a conflict have the values of the
     transaction, an earlier attempt therefore took effect.
 
     Args:
         table: client of the table service.
         transaction: has a condition on at least one row that it writes. Only such rows
             tell whether an earlier attempt took effect.
-        n_attempts: maximum number of attempts, at least 1.
+
+    Attributes:
+        n_sent: attempts so far.
+        may_have_committed: whether an attempt without an answer may have taken effect,
+            or may still do so. An attempt that was cancelled counts as one.
     """
-    is_undecided = False
-    for attempt in range(1, n_attempts + 1):
-        outcome = await table.commit(transaction)
-        if isinstance(outcome, Committed):
-            return outcome
-        if isinstance(outcome, Conflict):
-            versions = _versions_if_written(transaction, outcome.rows)
-            if is_undecided and versions is not None:
+
+    def __init__(self, table: AsyncTable, transaction: Transaction) -> None:
+        self._table = table
+        self._transaction = transaction
+        self.n_sent = 0
+        self.may_have_committed = False
+
+    async def send(self) -> CommitOutcome:
+        """Commit once more, and return what is known of all attempts."""
+        was_undecided = self.may_have_committed
+        self.n_sent += 1
+        self.may_have_committed = True
+        outcome = await self._table.commit(self._transaction)
+        if isinstance(outcome, Unavailable):
+            self.may_have_committed = was_undecided or outcome.may_have_committed
+            return outcome._replace(may_have_committed=self.may_have_committed)
+        self.may_have_committed = was_undecided
+        if isinstance(outcome, Conflict) and was_undecided:
+            versions = _versions_if_written(self._transaction, outcome.rows)
+            if versions is not None:
                 return Committed(versions)
+        return outcome
+
+
+async def commit_until_known(
+    table: AsyncTable, transaction: Transaction, n_attempts: int
+) -> CommitOutcome:
+    """Commit, and retry while it is unknown whether the transaction took effect.
+
+    Args:
+        table: client of the table service.
+        transaction: as that of `CommitAttempts`.
+        n_attempts: maximum number of attempts, at least 1.
+    """
+    if n_attempts < 1:
+        raise ValueError(f"n_attempts must be >= 1, got {n_attempts!r}")
+    attempts = CommitAttempts(table, transaction)
+    while True:
+        outcome = await attempts.send()
+        is_known = not isinstance(outcome, Unavailable)
+        if is_known or attempts.n_sent == n_attempts:
             return outcome
-        is_undecided = is_undecided or outcome.may_have_committed
-        if attempt == n_attempts:
-            return outcome._replace(may_have_committed=is_undecided)
-    raise ValueError(f"n_attempts must be >= 1, got {n_attempts!r}")
 
 
 def _versions_if_written(
