Repeat writes of callers until their outcome is known

Cause: the intake committed with two attempts right after each other. While the store reset its connections, both were lost within milliseconds, and the caller got 504 with 3 s of its deadline left. Change: CallerCommits repeats a write whose outcome is unknown under its condition, with pauses of 20 to 400 ms, until 150 ms before the deadline (header X-Catkinport-Deadline-Ms, 3 s without it, 30 s at most). At most 128 calls do so at a time; further ones get 504 at once. A stopping daemon ends them before its listeners close. A conflict with a cancellation after an attempt without an answer is 504, as the cancellation may be removed before that attempt is carried out. A cancellation that surely had no effect is now 503, not 504.

--- a/catkinport/jobs/early_cancels.py
+++ b/catkinport/jobs/early_cancels.py
@@ -11,7 +11,7 @@
 
 from ..policy.call_limits import CallLimits
 from ..ports import NotRun, Reason, Unknown
-from ..ports.async_table import AsyncTable, commit_until_known
+from ..ports.async_table import AsyncTable, CommitAttempts
 from ..ports.table import (
     ABSENT_VERSION,
     Committed,
@@ -22,16 +22,15 @@
     Write,
 )
 from ..runtime.logs import log_event
+from .caller_commits import CallerCommits
 from .tables import CancelScope, early_cancel_key, job_key
 
 logger = logging.getLogger(__name__)
 
-COMMIT_ATTEMPTS = 2
-"""Attempts of one commit within a call; after that the caller has to retry."""
-
 KEEP_SECONDS = 60.0
 """Shortest time for which a cancellation is kept. The table service carries writes out
-a few seconds late, and daemons repeat one only within a call."""
+a few seconds late, and daemons repeat one only within a call, which takes 30 s at
+most."""
 
 MAX_STORED_PER_CALLER = 100
 """Most cancellations of jobs that are not stored which a daemon stores for one client
@@ -54,17 +53,22 @@
 
     Args:
         table: client of the table service.
+        commits: commits the writes of callers.
         now: returns the time of a steady clock in seconds.
     """
 
     def __init__(
-        self, table: AsyncTable, now: Callable[[], float] = time.monotonic
+        self,
+        table: AsyncTable,
+        commits: CallerCommits,
+        now: Callable[[], float] = time.monotonic,
     ) -> None:
         self._table = table
+        self._commits = commits
         self._limits = CallLimits(MAX_STORED_PER_CALLER, KEEP_SECONDS, now)
 
     async def store(
-        self, job_id: str, account: str, queue: str
+        self, job_id: str, account: str, queue: str, answer_by: float
     ) -> Prevented | JobFound | NotRun | Unknown:
         """Store a cancellation; the call is idempotent.
 
@@ -76,6 +80,7 @@
             job_id: id of the job.
             account: account of the caller; empty on a queue that needs no key.
             queue: name of the queue on which the caller asks.
+            answer_by: time of the event loop's clock by which the call ends.
         """
         wait_seconds = self._limits.admit(account or queue)
         if wait_seconds:
@@ -93,9 +98,8 @@
             )
         condition = Condition(job_key(job_id), ABSENT_VERSION)
         writes = [Write(key, {}) for key in keys_of_cancel(job_id, account, queue)]
-        outcome = await commit_until_known(
-            self._table, Transaction([condition], writes), COMMIT_ATTEMPTS
-        )
+        attempts = CommitAttempts(self._table, Transaction([condition], writes))
+        outcome = await self._commits.commit(attempts, answer_by, job_id)
         if isinstance(outcome, Committed):
             return Prevented()
         if isinstance(outcome, Conflict):
--- a/catkinport/jobs/intake.py
+++ b/catkinport/jobs/intake.py
@@ -9,7 +9,7 @@
 from typing import Any, NamedTuple
 
 from ..ports import NotRun, Reason, Unavailable, Unknown
-from ..ports.async_table import AsyncTable, commit_until_known
+from ..ports.async_table import AsyncTable, CommitAttempts
 from ..ports.table import (
     ABSENT_VERSION,
     Committed,
@@ -20,6 +20,7 @@
     Write,
 )
 from ..runtime.logs import log_event
+from .caller_commits import CallerCommits
 from .configuration import AcceptedRules
 from .early_cancels import (
     EarlyCancels,
@@ -40,9 +41,6 @@
 
 logger = logging.getLogger(__name__)
 
-COMMIT_ATTEMPTS = 2
-"""Attempts of one commit within a call; after that the caller has to retry."""
-
 RETRY_AFTER_SECONDS = 0.5
 """Delay that a caller is asked for before it retries, if the table service did not
 answer."""
@@ -86,15 +84,28 @@
         is_table_reached: returns whether the table service answered recently. If it did
             not, no write is sent. The caller then learns at once that nothing was
             stored, instead of waiting for an outcome that may be unknown.
+        commits: commits the writes of callers.
+
+    Calls that write end at a time of the event loop's clock, ``answer_by``.
     """
 
-    def __init__(self, table: AsyncTable, is_table_reached: Callable[[], bool]) -> None:
+    def __init__(
+        self,
+        table: AsyncTable,
+        is_table_reached: Callable[[], bool],
+        commits: CallerCommits,
+    ) -> None:
         self._table = table
         self._is_table_reached = is_table_reached
-        self._early_cancels = EarlyCancels(table)
+        self._commits = commits
+        self._early_cancels = EarlyCancels(table, commits)
+
+    def end_by(self, latest: float) -> None:
+        """End all calls that write at a time of the event loop's clock."""
+        self._commits.end_by(latest)
 
     async def submit(
-        self, job: Job, rules: AcceptedRules
+        self, job: Job, rules: AcceptedRules, answer_by: float
     ) -> Accepted | IdInUse | TooLarge | NotRun | Unknown:
         """Store a job with the rules of its queue.
 
@@ -117,20 +128,13 @@
             absent_conditions([key, *preventing_keys]),
             [Write(key, row)],
         )
-        outcome = await commit_until_known(self._table, transaction, COMMIT_ATTEMPTS)
+        attempts = CommitAttempts(self._table, transaction)
+        outcome = await self._commits.commit(attempts, answer_by, job.job_id)
         if isinstance(outcome, Committed):
             return Accepted(is_repeat=False)
         if isinstance(outcome, Conflict):
-            return _explain_conflict(job, outcome)
-        if outcome.may_have_committed:
-            return Unknown(outcome.reason, outcome.step, outcome.peer, outcome.detail)
-        return NotRun(
-            outcome.reason,
-            outcome.step,
-            outcome.peer,
-            outcome.detail,
-            RETRY_AFTER_SECONDS,
-        )
+            return _explain_conflict(job, outcome, attempts.may_have_committed)
+        return _explain_unavailable(outcome)
 
     async def find_state(
         self, job_id: str, account: str, queue: str
@@ -161,7 +165,7 @@
         return state
 
     async def cancel(
-        self, job_id: str, account: str, queue: str
+        self, job_id: str, account: str, queue: str, answer_by: float
     ) -> Canceled | Absent | NotRun | Unknown:
         """Store a request to cancel a job; the call is idempotent.
 
@@ -171,34 +175,59 @@
         """
         if not self._is_table_reached():
             return TABLE_NOT_REACHED
-        state = await self.find_state(job_id, account, queue)
+        state = await self._find_state_by(job_id, account, queue, answer_by)
         if isinstance(state, Absent):
-            early = await self._early_cancels.store(job_id, account, queue)
+            early = await self._early_cancels.store(job_id, account, queue, answer_by)
             if isinstance(early, Prevented):
                 return Absent()
             if not isinstance(early, JobFound):
                 return early
             # The job has been stored since, or it belongs to another account.
-            state = await self.find_state(job_id, account, queue)
+            state = await self._find_state_by(job_id, account, queue, answer_by)
         if isinstance(state, Absent):
             return state
         if isinstance(state, Unavailable):
-            return NotRun(
-                state.reason, state.step, state.peer, state.detail, RETRY_AFTER_SECONDS
-            )
+            return _explain_unavailable(state)
         key = cancel_key(job_id)
         transaction = Transaction([Condition(key, ABSENT_VERSION)], [Write(key, {})])
-        outcome = await commit_until_known(self._table, transaction, COMMIT_ATTEMPTS)
+        attempts = CommitAttempts(self._table, transaction)
+        outcome = await self._commits.commit(attempts, answer_by, job_id)
         if isinstance(outcome, Committed | Conflict):
             log_event(logger, "job cancel stored", request_id=job_id, state=state)
             return Canceled()
-        return Unknown(outcome.reason, outcome.step, outcome.peer, outcome.detail)
+        return _explain_unavailable(outcome)
 
+    async def _find_state_by(
+        self, job_id: str, account: str, queue: str, answer_by: float
+    ) -> JobState | Absent | Unavailable:
+        """Return the state of a job, or that it could not be read in time."""
+        try:
+            async with self._commits.time_limit(answer_by):
+                return await self.find_state(job_id, account, queue)
+        except TimeoutError:
+            return Unavailable(Reason.DEADLINE, "intake")
 
-def _explain_conflict(job: Job, conflict: Conflict) -> Accepted | IdInUse | NotRun:
-    """Return why a job was not stored: it is already, or something prevents it."""
+
+def _explain_unavailable(outcome: Unavailable) -> NotRun | Unknown:
+    """Return whether a call without an outcome has surely not been carried out."""
+    reason, step, peer, detail, may_have_committed = outcome
+    if may_have_committed:
+        return Unknown(reason, step, peer, detail)
+    return NotRun(reason, step, peer, detail, RETRY_AFTER_SECONDS)
+
+
+def _explain_conflict(
+    job: Job, conflict: Conflict, may_have_committed: bool
+) -> Accepted | IdInUse | NotRun | Unknown:
+    """Return why a job was not stored: it is already, or something prevents it.
+
+    A cancellation that prevents it may be removed before an earlier attempt without an
+    answer is carried out, so the outcome stays unknown then.
+    """
     key = job_key(job.job_id)
     if key not in conflict.versions_by_row_key:
+        if may_have_committed:
+            return Unknown(Reason.CANCELED, "intake")
         return NotRun(Reason.CANCELED, "intake")
     stored = next((row.value for row in conflict.rows if row.row_key == key), None)
     if stored is not None and not _may_see(stored, job.account, job.queue):
--- a/catkinport/platform/callers.py
+++ b/catkinport/platform/callers.py
@@ -1,10 +1,11 @@
 """HTTP interface through which callers submit, show and cancel jobs."""
 
+import asyncio
 import json
 import logging
 import math
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Mapping
 from typing import Any, NamedTuple
 
 from aiohttp import web
@@ -21,6 +22,7 @@
     describe,
 )
 from ..jobs.ownership.ownership_watch import QueueDepths
+from ..policy.call_deadlines import answer_seconds
 from ..ports import NotRun, Reason, Unavailable, Unknown
 from ..ports.clock import Clock
 from ..runtime import Metrics
@@ -39,6 +41,25 @@
 
 KEY_PREFIX = "Token "
 
+DEADLINE_HEADER = "X-Catkinport-Deadline-Ms"
+"""Header with the milliseconds from the sending of a call until its deadline."""
+
+
+class JobCall(NamedTuple):
+    """A call that concerns one job.
+
+    Args:
+        queue: queue on which it arrived.
+        account: account of the caller; empty on a queue that needs no key.
+        job_id: id of the job.
+        answer_by: time of the event loop's clock by which it is answered.
+    """
+
+    queue: Queue
+    account: str
+    job_id: str
+    answer_by: float
+
 
 class ConfigurationAgeLimit(NamedTuple):
     """Age in seconds from which on a configuration is too old to check keys with."""
@@ -137,7 +158,13 @@
         body = b"" if answer.body is None else json.dumps(answer.body).encode()
         return web.Response(status=answer.status, body=body, headers=headers)
 
+    def stop(self, seconds: float) -> None:
+        """Serve the last calls; writes without an outcome end in ``seconds``."""
+        self.is_stopping = True
+        self._intake.end_by(asyncio.get_running_loop().time() + seconds)
+
     async def _answer(self, request: web.BaseRequest) -> Answer:
+        arrived_at = asyncio.get_running_loop().time()
         configuration = self._configuration.current
         if configuration is None:
             return Answer(
@@ -164,7 +191,9 @@
                 400,
                 {"error": f"the id must be 16 hexadecimal digits, got {name!r:.80}"},
             )
-        return await handler(self, request, queue, account, name)
+        seconds = answer_seconds(decode_deadline_ms(request.headers))
+        call = JobCall(queue, account, name, arrived_at + seconds)
+        return await handler(self, request, call)
 
     def _is_configuration_stale(self) -> bool:
         return self._configuration.age_seconds() >= self._age_limit.longest_age
@@ -192,9 +221,8 @@
             return Answer(503, reason="depth-unknown", retry_after=RETRY_AFTER_SECONDS)
         return Answer(200, {"Waiting": depths.n_by_queue.get(queue.name, 0)})
 
-    async def _submit(
-        self, request: web.BaseRequest, queue: Queue, account: str, job_id: str
-    ) -> Answer:
+    async def _submit(self, request: web.BaseRequest, call: JobCall) -> Answer:
+        queue, account, job_id, answer_by = call
         content = await request.read()
         try:
             message = json.loads(content)
@@ -208,7 +236,7 @@
         configuration = self._configuration.current
         assert configuration is not None
         rules = AcceptedRules(queue, configuration.version)
-        outcome = await self._intake.submit(job, rules)
+        outcome = await self._intake.submit(job, rules, answer_by)
         if isinstance(outcome, Accepted):
             return Answer(200, reason="repeat" if outcome.is_repeat else "accepted")
         if isinstance(outcome, TooLarge):
@@ -224,20 +252,20 @@
             return Answer(504, reason=describe(outcome))
         return _refuse(outcome)
 
-    async def _show(
-        self, request: web.BaseRequest, queue: Queue, account: str, job_id: str
-    ) -> Answer:
-        state = await self._intake.find_state(job_id, account, queue.name)
+    async def _show(self, request: web.BaseRequest, call: JobCall) -> Answer:
+        state = await self._intake.find_state(
+            call.job_id, call.account, call.queue.name
+        )
         if isinstance(state, Absent):
             return Answer(410, reason="absent")
         if isinstance(state, Unavailable):
             return Answer(503, reason=describe(state), retry_after=RETRY_AFTER_SECONDS)
         return Answer(200, {"State": state.value})
 
-    async def _cancel(
-        self, request: web.BaseRequest, queue: Queue, account: str, job_id: str
-    ) -> Answer:
-        outcome = await self._intake.cancel(job_id, account, queue.name)
+    async def _cancel(self, request: web.BaseRequest, call: JobCall) -> Answer:
+        outcome = await self._intake.cancel(
+            call.job_id, call.account, call.queue.name, call.answer_by
+        )
         if isinstance(outcome, Canceled):
             return Answer(200, reason="canceled")
         if isinstance(outcome, Absent):
@@ -254,7 +282,21 @@
     return Answer(status, reason=describe(outcome), retry_after=retry_after)
 
 
-Handler = Callable[[CallerServer, web.BaseRequest, Queue, str, str], Awaitable[Answer]]
+def decode_deadline_ms(headers: Mapping[str, str]) -> float | None:
+    """Return the deadline that a call names; ``None`` if it is not a positive number.
+
+    Example:
+        >>> decode_deadline_ms({"X-Catkinport-Deadline-Ms": "1500"})
+        1500.0
+    """
+    try:
+        milliseconds = float(headers.get(DEADLINE_HEADER, ""))
+    except ValueError:
+        return None
+    return milliseconds if 0 < milliseconds < math.inf else None
+
+
+Handler = Callable[[CallerServer, web.BaseRequest, JobCall], Awaitable[Answer]]
 
 _HANDLER_BY_METHOD: dict[str, Handler] = {
     "POST": CallerServer._submit,
--- a/catkinport/platform/daemon.py
+++ b/catkinport/platform/daemon.py
@@ -12,6 +12,7 @@
 
 from aiohttp import web
 
+from ..jobs.caller_commits import CallerCommits
 from ..jobs.configuration import FleetConfiguration
 from ..jobs.configuration_watch import ConfigurationWatch
 from ..jobs.intake import Intake
@@ -109,7 +110,11 @@
         )
         max_age = settings.bounds.revoked_key * MAX_CONFIGURATION_AGE_FRACTION
         self._callers = CallerServer(
-            Intake(table, self._configuration.is_table_reached),
+            Intake(
+                table,
+                self._configuration.is_table_reached,
+                CallerCommits(self._metrics),
+            ),
             self._configuration,
             lambda: self._ownership_watch.depths,
             self._clock,
@@ -159,9 +164,9 @@
         self, background: list[asyncio.Task[None]], listeners: list[HttpListener]
     ) -> None:
         log_event(logger, "daemon stopping", n_in_flight=self._callers.n_in_flight)
-        self._callers.is_stopping = True
         started_at = self._clock.now()
         latest = max(0.5, self._settings.bounds.stop_grace - STOP_MARGIN_SECONDS)
+        self._callers.stop(latest)
         earliest = min(MIN_STOP_SECONDS, latest)
         idle_since = started_at
         while True:
