Choose workers that are slow after their start after the others

Best fit puts tasks on workers that have just started as readily as on others, though these are slow for a time. The worker's entry tells for how long (`ColdLeftMs`). It is counted down on the owner's clock from the first read of the entry, and such a worker is chosen after others with as few failures. It is not excluded.

--- a/catkinport/jobs/placement/planner.py
+++ b/catkinport/jobs/placement/planner.py
@@ -232,6 +232,7 @@
             room = CandidateWorker(
                 worker.worker_id, worker.listed.labels, worker.free(), worker.penalty
             )
+            room.is_cold = worker.is_cold(now)
             room.is_maintenance_due = worker.is_maintenance_due
             room.is_last_resort = block is StartBlock.QUARANTINED
             for run in worker.run_by_key.values():
--- a/catkinport/jobs/workers/worker_listing.py
+++ b/catkinport/jobs/workers/worker_listing.py
@@ -79,13 +79,11 @@
             )
         if worker.pool != record.listed.pool:
             record.is_enrolled = False
-        record.listed = worker
-        record.is_listed = True
-        record.listed_at = sent_at
+        record.note_listed(worker, sent_at)
 
     def _add(self, worker: ListedWorker, sent_at: float) -> None:
         record = WorkerRecord(worker)
-        record.listed_at = sent_at
+        record.note_listed(worker, sent_at)
         self._workers.worker_by_id[worker.worker_id] = record
         log_event(
             logger,
--- a/catkinport/jobs/workers/worker_state.py
+++ b/catkinport/jobs/workers/worker_state.py
@@ -150,6 +150,7 @@
             move to a pool that needs it more once its runs have ended.
         is_taken_down: whether its VM was listed as moving, down for upkeep or in
             another pool, or an order without an answer may still take it down.
+        cold_until: clock time in seconds until which it is slow after its start.
         crash: latest crash of a process of it; ``None`` before, or if that process has
             answered after all.
     """
@@ -179,10 +180,13 @@
         self.is_maintenance_due = False
         self.is_enrolled = False
         self.is_taken_down = False
+        self.cold_until = float("-inf")
         self.crash: WorkerCrash | None = None
         self._outcomes: deque[bool] = deque(maxlen=HEALTH_WINDOW)
         self._quarantine_seconds = QUARANTINE_SECONDS
         self._used: Resources | None = None
+        # Start and slow time of the entry by which `cold_until` was set.
+        self._cold_told = (0.0, 0.0)
 
     @property
     def worker_id(self) -> str:
@@ -288,6 +292,24 @@
         }
         return next((why for why, is_so in is_blocked_by_reason.items() if is_so), None)
 
+    def note_listed(self, listed: ListedWorker, sent_at: float) -> None:
+        """Record its entry in a list of workers that was requested at ``sent_at``.
+
+        The time for which it is slow is counted from the first read of the entry that
+        tells it. Reading the same entry again does not prolong it.
+        """
+        told = (listed.started_at, listed.cold_seconds)
+        if told != self._cold_told:
+            self._cold_told = told
+            self.cold_until = sent_at + listed.cold_seconds
+        self.listed = listed
+        self.is_listed = True
+        self.listed_at = sent_at
+
+    def is_cold(self, now: float) -> bool:
+        """Return whether it is slow, as it has started lately."""
+        return now < self.cold_until
+
     def pause_as_uncertain(self, now: float) -> None:
         """Record that it may be gone, so that it gets no new tasks for a time."""
         until = now + UNCERTAIN_WORKER_PAUSE_SECONDS
--- a/catkinport/platform/tests/test_workers.py
+++ b/catkinport/platform/tests/test_workers.py
@@ -18,6 +18,7 @@
 from ...ports.table import Row, RowKey
 from ..client import Reply
 from ..workers import PlatformWorkers
+from ..workers_codec import decode_worker
 
 ORDER = StartOrder("00000000000000a1.0.0.0", 1, "s", "", "")
 LOST = Unavailable(Reason.TIMEOUT, "call", "h:1", "", True)
@@ -223,6 +224,18 @@
         assert caplog.messages.count("worker entry ignored") == 1
 
 
+class TestColdWorkers:
+    @pytest.mark.parametrize(
+        ("field", "seconds"),
+        [({"ColdLeftMs": 2500}, 2.5), ({}, 0.0), ({"ColdLeftMs": "soon"}, 0.0)],
+    )
+    def test_entry_tells_how_long_it_is_slow(self, field, seconds):
+        """Guards against a worker that is left out for a field of minor importance."""
+        entry = {"Service": "p", "Address": "h:1", "Zone": "z", "State": "ready"}
+        worker = decode_worker("i-1", {**entry, "Capacity": {}, **field})
+        assert worker.cold_seconds == seconds
+
+
 class TestRejections:
     # Guards against a rejected poll or order that raises instead of telling the reason.
     @pytest.mark.parametrize(
--- a/catkinport/platform/workers_codec.py
+++ b/catkinport/platform/workers_codec.py
@@ -83,9 +83,22 @@
             for label in decoding.strings(value, "Labels")
         ),
         started_at=decoding.seconds(value, "born", 0.0),
+        cold_seconds=_decode_cold_seconds(value),
     )
 
 
+def _decode_cold_seconds(value: Mapping[str, Any]) -> float:
+    """Return for how much longer a worker is slow; 0 if the entry does not tell.
+
+    It only decides between workers that may both get a task, so a malformed value does
+    not make the worker unusable.
+    """
+    try:
+        return decoding.seconds(value, "ColdLeftMs", 0.0)
+    except decoding.MessageError:
+        return 0.0
+
+
 def decode_lists(message: Mapping[str, Any]) -> WorkerLists:
     """Decode a worker's lists of running and ended tasks.
 
--- a/catkinport/policy/worker_choice.py
+++ b/catkinport/policy/worker_choice.py
@@ -25,6 +25,7 @@
         penalty: workers with a low penalty are preferred; 0 for a healthy worker.
 
     Attributes:
+        is_cold: whether it is slow, as it has started lately.
         is_maintenance_due: whether its VM is about to be taken down.
         is_last_resort: whether it only gets lasting tasks, and only those that fit on
             no other worker, because it is suspected to be bad.
@@ -41,6 +42,7 @@
     __slots__ = (
         "accelerators",
         "cores",
+        "is_cold",
         "is_last_resort",
         "has_repeated_suspect",
         "is_maintenance_due",
@@ -67,6 +69,7 @@
         self.labels = labels
         self.cores, self.memory_gb, self.accelerators = free
         self.penalty = penalty
+        self.is_cold = False
         self.is_last_resort = False
         self.is_maintenance_due = False
         self.n_tasks_by_step: dict[str, int] = {}
@@ -205,6 +208,7 @@
         room.n_tasks if task.n_crashes else 0,
         is_avoided,
         room.penalty,
+        room.is_cold,
         task.is_lasting and room.is_maintenance_due,
         max(0, n_of_step + 1 - task.preferred_max_per_worker)
         if task.preferred_max_per_worker
--- a/catkinport/ports/fleet_workers.py
+++ b/catkinport/ports/fleet_workers.py
@@ -85,6 +85,7 @@
         capacity: resources that its tasks may use together.
         labels: kind and rack.
         started_at: Unix time in seconds at which it started; 0 if the entry lacks it.
+        cold_seconds: for how much longer it is slow after its start, as its entry says.
     """
 
     worker_id: str
@@ -96,6 +97,7 @@
     capacity: Resources
     labels: tuple[str, ...]
     started_at: float
+    cold_seconds: float = 0.0
 
 
 class StartOrder(NamedTuple):
