Show the evacuation of a zone with real processes

The stand-in has availability zones, removes rows of the operator and lets workers tell that they are slow. The test evacuates a zone right after the store has lost its history, kills the owner while lasting tasks move, and removes the row again.

Tests: verification/platform/tests/test_zone_evacuation.py passes, three times in a row. With `Dispatcher.is_evacuated` always false it fails with starts in the zone.

--- a/catkinport/platform/standin/main.py
+++ b/catkinport/platform/standin/main.py
@@ -28,6 +28,7 @@
     upkeep_seconds: Annotated[
         float, cappa.Arg(long=True, help="time that the upkeep of a VM takes")
     ] = 0.0
+    zones: Annotated[int, cappa.Arg(long=True, help="availability zones")] = 1
 
     def __call__(self) -> None:
         """Serve until SIGTERM or SIGINT."""
@@ -42,6 +43,7 @@
             self.cores,
             self.move_seconds,
             self.upkeep_seconds,
+            self.zones,
         )
         server = StandinServer(size, self.seed, self.host, self.port)
         await server.start()
--- a/catkinport/platform/standin/server.py
+++ b/catkinport/platform/standin/server.py
@@ -224,6 +224,10 @@
             self._store.write(key, encode_value(await request.json()))
             return web.json_response({"version": self._store.rows.version})
 
+        async def remove_operator_row(request: web.Request) -> web.Response:
+            self._store.write(StoreKey("op", "", request.match_info["key"]), None)
+            return web.json_response({"version": self._store.rows.version})
+
         async def write_worker_entry(request: web.Request) -> web.Response:
             """Write an entry of a worker as another writer may do."""
             key = StoreKey("servers", "", request.match_info["key"])
@@ -255,6 +259,7 @@
         app.router.add_put("/standin/faults", change_faults)
         app.router.add_delete("/standin/faults", reset_faults)
         app.router.add_put("/standin/operator/{key:.+}", write_operator_row)
+        app.router.add_delete("/standin/operator/{key:.+}", remove_operator_row)
         app.router.add_put("/standin/workers/{key:.+}", write_worker_entry)
         app.router.add_get("/standin/row", show_row)
         app.router.add_get("/standin/events", show_events)
@@ -269,6 +274,8 @@
         if "crash_seconds" in change:
             keeps_id = bool(change.get("keeps_id", False))
             self._fleet.crash(vm_id, float(change["crash_seconds"]), keeps_id)
+        if "cold_seconds" in change:
+            vm.cold_until = time.monotonic() + float(change["cold_seconds"])
         if "is_silent" in change:
             vm.is_silent = bool(change["is_silent"])
         return web.json_response({})
--- a/catkinport/platform/standin/vms.py
+++ b/catkinport/platform/standin/vms.py
@@ -3,6 +3,7 @@
 import base64
 import json
 from collections.abc import Callable, Iterator
+from string import ascii_lowercase
 from typing import Any, NamedTuple
 
 from ...policy.resources import Resources
@@ -43,6 +44,8 @@
         cores: cores of each VM.
         move_seconds: time that a move of a VM takes; 0 for `MOVE_SECONDS`.
         upkeep_seconds: time that an upkeep takes; 0 for `UPKEEP_SECONDS`.
+        n_zones: number of availability zones, 26 at most, which the VMs are in by
+            turns.
     """
 
     n_pools: int = 2
@@ -51,6 +54,7 @@
     cores: float = 16.0
     move_seconds: float = 0.0
     upkeep_seconds: float = 0.0
+    n_zones: int = 1
 
     def pool_of_each_vm(self) -> Iterator[str]:
         """Yield the initial pool of each VM."""
@@ -66,6 +70,7 @@
         vm_id: id of the VM.
         pool: name of its pool.
         rack: label of its rack.
+        zone: its availability zone.
         address: ``host:port`` of its worker.
         instance: current incarnation of its worker; ``None`` while no worker runs.
         ready_at: time in seconds at which the VM is up again; 0 if none is due.
@@ -74,12 +79,14 @@
         kept_id: id under which its next worker starts; empty for a new one.
         is_silent: whether its worker runs on but neither answers calls nor sends
             heartbeats.
+        cold_until: time in seconds until which its worker says that it is slow.
     """
 
-    def __init__(self, vm_id: str, pool: str, rack: str) -> None:
+    def __init__(self, vm_id: str, pool: str, rack: str, zone: str) -> None:
         self.vm_id = vm_id
         self.pool = pool
         self.rack = rack
+        self.zone = zone
         self.address = ""
         self.instance: WorkerIncarnation | None = None
         self.ready_at = 0.0
@@ -87,6 +94,7 @@
         self.maintained: set[int] = set()
         self.kept_id = ""
         self.is_silent = False
+        self.cold_until = 0.0
 
 
 class VmFleet:
@@ -110,7 +118,8 @@
         self.vm_by_id: dict[str, StandinVm] = {}
         for number, pool in enumerate(size.pool_of_each_vm()):
             rack = f"r{number // VMS_PER_RACK}"
-            vm = StandinVm(f"m-{number}", pool, rack)
+            zone = f"zone-{ascii_lowercase[number % size.n_zones]}"
+            vm = StandinVm(f"m-{number}", pool, rack, zone)
             self.vm_by_id[vm.vm_id] = vm
 
     def start_workers(self) -> None:
@@ -141,7 +150,7 @@
                 "Machine": vm.vm_id,
                 "Pool": vm.pool,
                 "State": vm.state.value,
-                "Zone": "zone-a",
+                "Zone": vm.zone,
                 "Labels": ["a", vm.rack],
                 "Capacity": self._capacity(),
                 "Id": vm.instance.worker_id if vm.instance else "",
@@ -222,11 +231,11 @@
         entry = {
             "Service": vm.pool,
             "Address": vm.address,
-            "Zone": "zone-a",
+            "Zone": vm.zone,
             "Version": "v1",
             "Slots": 8,
             "State": "ready",
-            "ColdLeftMs": 0,
+            "ColdLeftMs": max(0, int((vm.cold_until - now) * 1000)),
             "Sequence": int(now * 1000),
             "Capacity": self._capacity(),
             "Labels": ["a", vm.rack],
--- a/verification/platform/deployment.py
+++ b/verification/platform/deployment.py
@@ -51,6 +51,7 @@
         cores: cores of each VM.
         move_seconds: time that a move of a VM takes.
         upkeep_seconds: time that the upkeep of a VM takes.
+        n_zones: number of availability zones, which the VMs are in by turns.
     """
 
     n_daemons: int = 3
@@ -61,6 +62,7 @@
     cores: float = 16.0
     move_seconds: float = 0.5
     upkeep_seconds: float = 0.5
+    n_zones: int = 1
 
 
 class DaemonProcess(NamedTuple):
@@ -119,6 +121,7 @@
         arguments += ["--spare-vms", str(size.n_spare_vms), "--cores", str(size.cores)]
         arguments += ["--move-seconds", str(size.move_seconds)]
         arguments += ["--upkeep-seconds", str(size.upkeep_seconds)]
+        arguments += ["--zones", str(size.n_zones)]
         standin = self._processes.start("platform", arguments)
         self.platform_address = standin.wait_for_line("listening on ")[0]
         self.configure()
@@ -226,6 +229,14 @@
         self._last_wave_number += 1
         self.request_upkeep_wave(self._last_wave_number, deadline_seconds, max_down)
 
+    def evacuate_zone(self, zone: str) -> None:
+        """Request the evacuation of an availability zone."""
+        self.call_standin("PUT", f"/standin/operator/evacuate/{zone}", {})
+
+    def end_zone_evacuation(self, zone: str) -> None:
+        """Withdraw the request to evacuate an availability zone."""
+        self.call_standin("DELETE", f"/standin/operator/evacuate/{zone}")
+
     def rotate_keys(self) -> None:
         """Add a new key, then withdraw the older ones."""
         new_key = f"key-{self._next_key_number}"
@@ -252,8 +263,9 @@
         Args:
             vm_id: the VM.
             change: ``crash_seconds``, time for which the VM is down, with ``keeps_id``
-                if its worker starts again under the same id; or ``is_silent``, whether
-                its worker can neither be called nor call.
+                if its worker starts again under the same id; ``is_silent``, whether
+                its worker can neither be called nor call; or ``cold_seconds``, for how
+                long its worker says that it is slow.
         """
         self.call_standin("PUT", f"/standin/vms/{vm_id}", change)
 
