Apply zone evacuations before the loops of an owner begin

The loop that orders VMs could plan a round before the loop that plans starts had applied the operator's rows, so a successor could have moved a VM of an evacuated zone. The zones are applied once the state is loaded. Tests of the feed show that rows are kept while the store is down, and read after a loss of its history; these hold without this change.

Tests: test_zone_evacuations, test_zone_moves and test_zone_evacuation_feed pass. Without the new line in owner.py the test of the successor fails.

--- a/catkinport/jobs/ownership/owner.py
+++ b/catkinport/jobs/ownership/owner.py
@@ -208,6 +208,8 @@
         while not await self._load():
             await asyncio.sleep(RETRY_SECONDS)
         exempt_living_objects()
+        # No loop may decide by the state alone while a zone is evacuated.
+        self._zone_evacuations.update(self._session.clock.now())
         for loop in (
             self._job_feed_loop(),
             self._store.run(),
--- a/catkinport/jobs/vms/zone_evacuations.py
+++ b/catkinport/jobs/vms/zone_evacuations.py
@@ -101,31 +101,32 @@
             if zone in self._begun_zones:
                 continue
             if zone in known_zones:
-                self._begun_zones.add(zone)
-                log_event(
-                    logger,
-                    "zone evacuation begins",
-                    zone=zone,
-                    n_workers=sum(
-                        worker.listed.zone == zone
-                        for worker in self._dispatcher.worker_by_id.values()
-                    ),
-                    n_lasting=sum(
-                        self._zone_of(run) == zone for run in self.find_lasting_runs()
-                    ),
-                )
-            elif (
-                now - requested_at >= UNKNOWN_ZONE_SECONDS
-                and zone not in self._unknown_zones
-            ):
-                self._unknown_zones.add(zone)
-                log_event(
-                    logger,
-                    "zone evacuation ignored",
-                    level=logging.WARNING,
-                    zone=zone,
-                    reason="unknown-zone",
-                )
+                self._begin(zone)
+            elif now - requested_at >= UNKNOWN_ZONE_SECONDS:
+                self._note_unknown(zone)
+
+    def _begin(self, zone: str) -> None:
+        self._begun_zones.add(zone)
+        workers = self._dispatcher.worker_by_id.values()
+        log_event(
+            logger,
+            "zone evacuation begins",
+            zone=zone,
+            n_workers=sum(worker.listed.zone == zone for worker in workers),
+            n_lasting=sum(self._zone_of(r) == zone for r in self.find_lasting_runs()),
+        )
+
+    def _note_unknown(self, zone: str) -> None:
+        if zone in self._unknown_zones:
+            return
+        self._unknown_zones.add(zone)
+        log_event(
+            logger,
+            "zone evacuation ignored",
+            level=logging.WARNING,
+            zone=zone,
+            reason="unknown-zone",
+        )
 
     def find_lasting_runs(self) -> Iterator[Run]:
         """Yield the runs of lasting tasks in evacuated zones."""
