Stop no lasting task of an evacuated zone while the ownership is in doubt

The decision followed a commit that may take seconds, by the time from before it, so an owner that may have been replaced could stop tasks beside its successor. It takes the time anew and checks the ownership. Pools of fleets without evacuated zones are listed without a second pass.

--- a/catkinport/jobs/ownership/vm_orders.py
+++ b/catkinport/jobs/ownership/vm_orders.py
@@ -136,11 +136,15 @@
                 for run in self._vm_planner.find_evacuations(now):
                     run.is_evacuated = True
                     self._session.wake.set()
-                self._begin_zone_moves(now)
+                self._begin_zone_moves()
             await asyncio.sleep(PLAN_SECONDS)
 
-    def _begin_zone_moves(self, now: float) -> None:
+    def _begin_zone_moves(self) -> None:
         """Let lasting tasks leave evacuated zones, apart from the drains of VMs."""
+        # The commit before the orders for VMs may have taken seconds.
+        now = self._session.clock.now()
+        if self._session.lease.may_be_replaced(now):
+            return
         for run in self._vm_planner.find_zone_moves(now):
             run.is_evacuated = True
             worker = self._session.dispatcher.worker_by_id[run.worker_id]
--- a/catkinport/jobs/tests/test_zone_evacuations.py
+++ b/catkinport/jobs/tests/test_zone_evacuations.py
@@ -15,7 +15,7 @@
 from ..vms.zone_evacuations import POOL_LOG_SECONDS, ZoneEvacuations
 from .builders import POOL, Fleet, make_configuration, make_job, make_step, make_worker
 from .test_run_orders import UNCERTAIN, FakeSession, FakeWatch
-from .vm_fleet import BOUNDS
+from .vm_fleet import BOUNDS, CAPACITY
 
 ZONES = ("z1", "z2", "z3")
 
@@ -132,6 +132,20 @@
         fleet.evacuate("z3")
         assert fleet.start_zones() < {"z1", "z2"}
 
+    def test_no_worker_of_the_zone_stays_reserved(self):
+        """Guards against a lasting task that waits for a worker that it may not use."""
+        fleet = ZoneFleet()
+        fleet.add(n_tasks=3, need=CAPACITY._replace(cores=10.0))
+        assert fleet.start_zones() == set(ZONES)
+        fleet.add(2, need=CAPACITY, is_lasting=True)
+        for _ in range(2):
+            fleet.plan()
+            (reservation,) = fleet.planner._reservations._reservation_by_task.values()
+            zone = fleet.dispatcher.worker_by_id[reservation.worker_id].listed.zone
+            assert not fleet.dispatcher.is_evacuated(zone)
+            fleet.evacuate(zone)
+            fleet.pass_time(0.25)
+
     def test_worker_that_appears_later_gets_no_task(self):
         """Guards against workers that start in the zone after the request."""
         fleet = ZoneFleet("z9")
--- a/catkinport/jobs/tests/test_zone_moves.py
+++ b/catkinport/jobs/tests/test_zone_moves.py
@@ -256,26 +256,41 @@
         assert fleet.vm_planner.find_zone_moves(fleet.now) == []
 
 
+def make_vm_orders(fleet, may_be_replaced=False):
+    """Return the sender of orders of an owner, and its session."""
+    session = SimpleNamespace(
+        dispatcher=fleet.dispatcher,
+        clock=SimpleNamespace(now=lambda: fleet.now),
+        lease=SimpleNamespace(may_be_replaced=lambda now: may_be_replaced),
+        wake=asyncio.Event(),
+        ports=SimpleNamespace(metrics=Metrics()),
+    )
+    return VmOrders(session, fleet.vm_planner, fleet.now), session
+
+
 class TestOrders:
     def test_moves_are_counted_and_logged(self, caplog):
         """Guards against moves that an operator can't tell from drains of VMs."""
         caplog.set_level("INFO")
         fleet = spread_fleet()
         fleet.evacuate("z1")
-        metrics = Metrics()
-        session = SimpleNamespace(
-            dispatcher=fleet.dispatcher,
-            clock=SimpleNamespace(now=lambda: fleet.now),
-            wake=asyncio.Event(),
-            ports=SimpleNamespace(metrics=metrics),
-        )
-        orders = VmOrders(session, fleet.vm_planner, fleet.now)
-        orders._begin_zone_moves(fleet.now)
+        orders, session = make_vm_orders(fleet)
+        orders._begin_zone_moves()
         assert session.wake.is_set()
-        assert b"evacuation_moves 2" in metrics.render()[0].replace(b"{}", b"")
+        text = session.ports.metrics.render()[0]
+        assert b"evacuation_moves 2" in text.replace(b"{}", b"")
         lines = [r for r in caplog.records if r.msg == "lasting task leaves zone"]
         assert [line.event_fields["zone"] for line in lines] == ["z1", "z1"]
 
+    def test_no_task_is_stopped_while_the_ownership_is_in_doubt(self):
+        """Guards against stops beside those of a successor, as the store is down."""
+        fleet = spread_fleet()
+        fleet.evacuate("z1")
+        orders, _ = make_vm_orders(fleet, may_be_replaced=True)
+        orders._begin_zone_moves()
+        workers = fleet.dispatcher.worker_by_id.values()
+        assert not any(r.is_evacuated for w in workers for r in w.run_by_key.values())
+
 
 class TestSizing:
     def test_vms_outside_the_zone_come_ahead_of_the_move(self):
--- a/catkinport/jobs/vms/vm_inventory.py
+++ b/catkinport/jobs/vms/vm_inventory.py
@@ -244,6 +244,8 @@
 
         The list of VMs may lack the zone.
         """
+        if not self._dispatcher.evacuated_zones:
+            return False
         if self._dispatcher.is_evacuated(vm.zone):
             return True
         worker = self.worker_on(vm.vm_id)
--- a/catkinport/jobs/workers/worker_table.py
+++ b/catkinport/jobs/workers/worker_table.py
@@ -31,6 +31,8 @@
     def workers_outside_evacuations(self, pool: str) -> list[WorkerRecord]:
         """Return the workers of a pool that are not in evacuated zones."""
         workers = self.workers_of(pool)
+        if not self.evacuated_zones:
+            return workers
         return [w for w in workers if w.listed.zone not in self.evacuated_zones]
 
     def is_pool_resolved(self, pool: str) -> bool:
