Ask for the disruption budget before a start without an answer is stopped

Cause: a start without an answer was stopped 1.5 s after its answer was given up, or by the first report that lacked it. An owner that falls behind has no answer to its polls either, so it stopped lasting tasks that were at work, without regard to how many others of their step were away, and started them again elsewhere. Change: the stop of a lasting task whose start had no answer asks for the budget of its step. A run that is reported after a stop without an answer is adopted. Runs whose stop is under way, or may be carried out late, count as away.

--- a/catkinport/jobs/ownership/run_orders.py
+++ b/catkinport/jobs/ownership/run_orders.py
@@ -13,6 +13,7 @@
 from ...ports import Reason, Unavailable
 from ...ports.fleet_workers import Done, StartOrder
 from ...runtime.logs import log_event
+from ..placement.lasting_stops import MayEndRun
 from ..placement.planner import ApprovalRequest, Planner, Ticket
 from ..placement.round_budget import PlannedStart
 from ..placement.run_stops import PaceOrder, StopOrder, StopTurns, find_paces
@@ -59,13 +60,20 @@
     Args:
         session: ownership for which the orders are sent.
         watch: polls the workers.
+        may_end_run: returns whether the disruption budget of its step lets a run be
+            ended that may be at work.
     """
 
-    def __init__(self, session: OwnerSession, watch: WorkerWatch) -> None:
+    def __init__(
+        self,
+        session: OwnerSession,
+        watch: WorkerWatch,
+        may_end_run: MayEndRun = lambda run: True,
+    ) -> None:
         self._session = session
         self._watch = watch
         self._planner = Planner(session.dispatcher)
-        self._stop_turns = StopTurns(session.dispatcher)
+        self._stop_turns = StopTurns(session.dispatcher, may_end_run)
         self._stalls = StallReporter(session.dispatcher)
         self._requested_stages: set[str] = set()
         self._approval_turns = asyncio.Semaphore(MAX_APPROVAL_CALLS)
--- a/catkinport/jobs/placement/run_stops.py
+++ b/catkinport/jobs/placement/run_stops.py
@@ -15,6 +15,8 @@
 from ..dispatch.task import TaskPhase
 from ..workers.run import Run, RunKey, RunPhase
 from ..workers.worker_failures import note_failed_run
+from ..workers.worker_state import WorkerRecord
+from .lasting_stops import MayEndRun, may_stop_unconfirmed
 
 STOP_RETRY_SECONDS = 0.4
 """Time after which a stop order without an answer is sent again."""
@@ -60,19 +62,24 @@
 
     Args:
         dispatcher: jobs and workers.
+        may_end_run: returns whether the disruption budget of its step lets a run be
+            ended that may be at work.
 
     Attributes:
         is_unfinished: whether the latest round may have left out some.
     """
 
-    def __init__(self, dispatcher: Dispatcher) -> None:
+    def __init__(
+        self, dispatcher: Dispatcher, may_end_run: MayEndRun = lambda run: True
+    ) -> None:
         self._dispatcher = dispatcher
+        self._may_end_run = may_end_run
         self._first_worker = ""
         self.is_unfinished = False
 
     def take(self, now: float, max_stops: int) -> list[StopOrder]:
         """Return at most ``max_stops`` orders that are due, and note them as sent."""
-        found = find_stops(self._dispatcher, now, self._first_worker)
+        found = find_stops(self._dispatcher, now, self._first_worker, self._may_end_run)
         stops = list(islice(found, max_stops))
         self.is_unfinished = len(stops) == max_stops
         worker_ids = list(self._dispatcher.worker_by_id)
@@ -83,7 +90,10 @@
 
 
 def find_stops(
-    dispatcher: Dispatcher, now: float, first_worker: str = ""
+    dispatcher: Dispatcher,
+    now: float,
+    first_worker: str = "",
+    may_end_run: MayEndRun = lambda run: True,
 ) -> Iterator[StopOrder]:
     """Yield the stop orders that are due, and note them as sent at ``now``.
 
@@ -91,6 +101,7 @@
         dispatcher: jobs and workers.
         now: clock time in seconds.
         first_worker: id of the worker whose runs come first.
+        may_end_run: as that of `StopTurns`.
     """
     yield from _find_orphans(dispatcher, now)
     yield from _find_given_up(dispatcher, now)
@@ -101,7 +112,7 @@
             job_id = run.record.job.job_id
             if n_by_job[job_id] >= MAX_STOPS_PER_JOB:
                 continue
-            reason = _stop_reason(dispatcher, run, now)
+            reason = _stop_reason(dispatcher, run, now, may_end_run)
             if not reason or run.stopped_at:
                 continue
             if now - run.stop_sent_at < STOP_RETRY_SECONDS and run.stop_sent_at:
@@ -163,18 +174,27 @@
             yield StopOrder(worker.worker_id, key, "start-unsure")
 
 
-def _stop_reason(dispatcher: Dispatcher, run: Run, now: float) -> str:
+def _stop_reason(
+    dispatcher: Dispatcher, run: Run, now: float, may_end_run: MayEndRun
+) -> str:
     if run.record.is_cancel_asked:
         return "canceled"
     if run.record.is_final:
         return "job-ended"
     if run.task.phase is TaskPhase.DONE:
         return "task-done"
-    if run.is_start_uncertain and _is_unconfirmed(dispatcher, run, now):
+    worker = dispatcher.worker_by_id[run.worker_id]
+    if (
+        run.is_start_uncertain
+        and _is_unconfirmed(worker, run, now)
+        and may_stop_unconfirmed(worker, run, now, may_end_run)
+    ):
         return "start-unsure"
     if run.is_evacuated:
         return "evacuated"
-    if run.phase is RunPhase.STOPPING:
+    # A stop without an answer of a start without an answer is decided anew.
+    is_decided_anew = run.is_start_uncertain and run.task.step.is_lasting
+    if run.phase is RunPhase.STOPPING and not is_decided_anew:
         return "repeat"
     runs = dispatcher.runs_by_task.get(run.task.text, [])
     if len(runs) > 1 and not run.task.step.may_run_twice and run is not runs[0]:
@@ -184,13 +204,12 @@
     return ""
 
 
-def _is_unconfirmed(dispatcher: Dispatcher, run: Run, now: float) -> bool:
+def _is_unconfirmed(worker: WorkerRecord, run: Run, now: float) -> bool:
     """Return whether a start without an answer is no longer expected to be confirmed.
 
     It is confirmed by a report that lists the run, so it isn't stopped before the first
     report whose poll was sent after the answer was given up.
     """
-    worker = dispatcher.worker_by_id[run.worker_id]
     is_reported = worker.polled_at >= run.given_up_at
     longest_seconds = max(UNCONFIRMED_START_SECONDS, 2 * worker.answer_seconds)
     return is_reported or now - run.given_up_at > longest_seconds
--- a/catkinport/jobs/tests/test_uncertain_starts.py
+++ b/catkinport/jobs/tests/test_uncertain_starts.py
@@ -12,7 +12,7 @@
     StopOrder,
     find_stops,
 )
-from ..workers.uncertain_starts import ORDER_DELAY_SECONDS
+from ..workers.run import ORDER_DELAY_SECONDS
 from ..workers.worker_state import MAX_LEASE_SECONDS
 from .builders import JOB_ID, POOL, Fleet, make_job, make_worker
 
--- a/catkinport/jobs/tests/test_worker_restarts.py
+++ b/catkinport/jobs/tests/test_worker_restarts.py
@@ -15,7 +15,7 @@
 from ...ports.fleet_workers import Done, Rejected, WorkerLists
 from ...ports.outcomes import Unavailable
 from ..placement.run_stops import STOP_RETRY_SECONDS, find_stops
-from ..workers.uncertain_starts import ORDER_DELAY_SECONDS
+from ..workers.run import ORDER_DELAY_SECONDS
 from ..workers.worker_state import FRESH_CONTACT_SECONDS, LEASE_SECONDS
 from .builders import POOL
 from .simulated_workers import FakeWorker, Order
--- a/catkinport/jobs/vms/disruption_budget.py
+++ b/catkinport/jobs/vms/disruption_budget.py
@@ -143,6 +143,19 @@
             for stage, n in _count_lasting(worker).items()
         )
 
+    def may_end_run(self, run: Run) -> bool:
+        """Return whether a run may be ended that may be at work.
+
+        It is asked between the rounds of decisions on VMs, so it counts anew.
+        """
+        max_away = run.task.step.max_away
+        others = (
+            task
+            for task in run.record.tasks_by_stage[run.task.task_id[1:3]]
+            if task is not run.task and not self._is_task_available(task.text)
+        )
+        return max_away > 0 and len(list(islice(others, max_away))) < max_away
+
     def may_end_ordered(self, worker: WorkerRecord) -> bool:
         """Return whether the lasting tasks of a VM under order may still be ended.
 
@@ -216,6 +229,8 @@
         if run.task.phase is not TaskPhase.PLACED or run.is_evacuated:
             return False
         worker = self._dispatcher.worker_by_id[run.worker_id]
+        if run.may_be_stopped(worker.contact_at):
+            return False
         return run.is_reported_ready(worker.contact_at)
 
 
--- a/catkinport/jobs/vms/vm_planner.py
+++ b/catkinport/jobs/vms/vm_planner.py
@@ -184,6 +184,10 @@
         runs = self._disruption_budget.find_evacuations(self.inventory.reserved)
         return self.mover.lasting_room.find_placeable(runs, now)
 
+    def may_end_run(self, run: Run) -> bool:
+        """Return whether the disruption budget lets a run be ended now."""
+        return self._disruption_budget.may_end_run(run)
+
     def _unblock_vms(self, reason: str, now: float) -> None:
         """Let all VMs get tasks that need not be blocked for an order under way."""
         self._release_drained_vms(reason)
--- a/catkinport/jobs/workers/run.py
+++ b/catkinport/jobs/workers/run.py
@@ -15,6 +15,10 @@
 The platform counts a task as unavailable only if an order has ended it, or if it has
 not been ready for seconds."""
 
+ORDER_DELAY_SECONDS = 12.0
+"""Longest time after which an order without an answer is carried out. This is an
+assumption: the platform's documentation only speaks of seconds."""
+
 
 class RunPhase(StrEnum):
     """Whether a run was ordered, runs or is being stopped, as the owner knows it."""
@@ -99,6 +103,17 @@
         self.load = 0.0
         self.pace: int | None = FULL_SPEED_PERCENT
 
+    def may_be_stopped(self, reported_at: float) -> bool:
+        """Return whether a stop of it is under way, or may still be carried out.
+
+        Args:
+            reported_at: clock time in seconds of the worker's latest report.
+        """
+        if self.phase is RunPhase.STOPPING:
+            return True
+        is_recent = reported_at - self.stop_sent_at <= ORDER_DELAY_SECONDS
+        return bool(self.stop_sent_at) and is_recent
+
     def is_reported_ready(self, reported_at: float) -> bool:
         """Return whether the run of a lasting task has been ready for some time.
 
--- a/catkinport/jobs/workers/uncertain_starts.py
+++ b/catkinport/jobs/workers/uncertain_starts.py
@@ -12,15 +12,11 @@
 from dataclasses import dataclass
 
 from ...runtime.logs import log_event
-from .run import RunKey
+from .run import ORDER_DELAY_SECONDS, RunKey
 from .worker_state import Incarnation
 
 logger = logging.getLogger(__name__)
 
-ORDER_DELAY_SECONDS = 12.0
-"""Longest time after which an order without an answer is carried out. This is an
-assumption: the platform's documentation only speaks of seconds."""
-
 
 @dataclass
 class _UncertainStart:
--- a/catkinport/jobs/workers/worker_reports.py
+++ b/catkinport/jobs/workers/worker_reports.py
@@ -7,8 +7,7 @@
 from ..dispatch.run_ends import RunEnds
 from ..dispatch.run_table import RunTable
 from .inherited_workers import InheritedWorkers
-from .run import Run, RunKey, RunPhase
-from .uncertain_starts import ORDER_DELAY_SECONDS
+from .run import ORDER_DELAY_SECONDS, Run, RunKey, RunPhase
 from .worker_crashes import clear_survivor, note_answer, note_crash
 from .worker_state import (
     LEASE_SECONDS,
@@ -152,8 +151,7 @@
             return
         self._runs.confirm(run, now)
         clear_survivor(run, now)
-        if run.phase is RunPhase.ASKED:
-            # No stop was sent, so the report confirms a start without an answer too.
+        if run.phase is RunPhase.ASKED or _is_adopted_after_stop(run):
             run.is_start_uncertain = False
             run.phase = RunPhase.RUNNING
         if entry.percent != run.percent:
@@ -187,6 +185,16 @@
                 self._runs.lose(worker, run, "never-started", now)
 
 
+def _is_adopted_after_stop(run: Run) -> bool:
+    """Return whether a run that is reported is kept although a stop was sent.
+
+    The start of a lasting task had no answer, and nor had the stop, which may have been
+    lost. If it is carried out after all, a report shows that the run has ended.
+    """
+    is_unanswered = run.is_start_uncertain and not run.stopped_at
+    return run.task.step.is_lasting and is_unanswered
+
+
 def _can_start_no_more(run: Run, polled_at: float) -> bool:
     """Return whether a start without an answer is outdated at the time of a poll.
 
