Check the disruption budget again when an order for a VM is sent

Other tasks of a step may go away meanwhile, and the order then ended one more than may be away. Change: an order that has not been sent before is held back if the budgets of the steps on its VM no longer allow it; the next round decides anew.

--- a/catkinport/jobs/ownership/vm_orders.py
+++ b/catkinport/jobs/ownership/vm_orders.py
@@ -247,7 +247,11 @@
 
     async def _call_with_order(self, order: VmOrder, planned_at: float) -> None:
         now = self._session.clock.now()
-        if not self._may_send(planned_at, now) or self._has_new_runs(order, planned_at):
+        if (
+            not self._may_send(planned_at, now)
+            or self._has_new_runs(order, planned_at)
+            or not self._vm_planner.may_still_end(order)
+        ):
             log_event(
                 logger,
                 "vm order not sent",
--- a/catkinport/jobs/tests/test_vm_orders.py
+++ b/catkinport/jobs/tests/test_vm_orders.py
@@ -181,6 +181,33 @@
         assert fleet.vm_planner.inventory.is_under_order("m0") == bool(n_sent)
 
 
+class TestTaskThatGoesAwayMeanwhile:
+    @pytest.mark.parametrize(("percent", "n_sent"), [(100.0, 1), (0.0, 0)])
+    def test_no_order_ends_another_task_of_its_step(self, percent, n_sent):
+        """Guards against two tasks of a step that are away where one may be.
+
+        One of them went away while the order that ends the other was being stored.
+        """
+        fleet = VmFleet(2)
+        step = make_step(2, is_lasting=True, max_per_worker=1, max_away=1)
+        fleet.dispatcher.add_job(make_job(steps=[step]), fleet.now)
+        fleet.start()
+        fleet.make_lasting_tasks_available()
+        fleet.request_wave(["m0"])
+        assert fleet.step() == []
+        session = FakeSession(SimpleNamespace(now=lambda: fleet.now))
+
+        def change_other():
+            running = fleet.running_by_worker["w1"]
+            for key, entry in running.items():
+                running[key] = entry._replace(percent=percent)
+            fleet.poll("w1")
+
+        asyncio.run(send_orders(fleet, session, change_other))
+        assert len(session.sent) == n_sent
+        assert fleet.vm_planner.inventory.is_under_order("m0") == bool(n_sent)
+
+
 class TestOrderAfterSlowWrite:
     @pytest.mark.parametrize(
         ("write_seconds", "renewed_seconds_ago", "n_sent"),
--- a/catkinport/jobs/vms/disruption_budget.py
+++ b/catkinport/jobs/vms/disruption_budget.py
@@ -156,6 +156,13 @@
         )
         return max_away > 0 and len(list(islice(others, max_away))) < max_away
 
+    def may_still_end(self, worker: WorkerRecord) -> bool:
+        """Return what `may_end_ordered` does, between two rounds of decisions."""
+        if not _count_lasting(worker):
+            return True
+        self._count_available()
+        return self.may_end_ordered(worker)
+
     def may_end_ordered(self, worker: WorkerRecord) -> bool:
         """Return whether the lasting tasks of a VM under order may still be ended.
 
--- a/catkinport/jobs/vms/vm_inventory.py
+++ b/catkinport/jobs/vms/vm_inventory.py
@@ -150,6 +150,11 @@
             first_sent_at=first_sent_at, sent_at=now
         )
 
+    def is_sent_before(self, order: VmOrder) -> bool:
+        """Return whether an earlier sending of an order may have been carried out."""
+        pending = self._pending_by_vm.get(order.vm_id)
+        return pending is not None and pending.n_uncertain > 1
+
     def note_done(self, order: VmOrder, now: float) -> Incarnation | None:
         """Record that the platform has carried the order out.
 
--- a/catkinport/jobs/vms/vm_planner.py
+++ b/catkinport/jobs/vms/vm_planner.py
@@ -188,6 +188,17 @@
         """Return whether the disruption budget lets a run be ended now."""
         return self._disruption_budget.may_end_run(run)
 
+    def may_still_end(self, order: VmOrder) -> bool:
+        """Return whether the lasting tasks on the VM of an order may be ended now.
+
+        Other tasks of their steps may have become unavailable since it was decided. An
+        order that was sent before may end them anyway.
+        """
+        worker = self.inventory.worker_on(order.vm_id)
+        if worker is None or self.inventory.is_sent_before(order):
+            return True
+        return self._disruption_budget.may_still_end(worker)
+
     def _unblock_vms(self, reason: str, now: float) -> None:
         """Let all VMs get tasks that need not be blocked for an order under way."""
         self._release_drained_vms(reason)
