--- a/catkinport/jobs/ownership/owner.py
+++ b/catkinport/jobs/ownership/owner.py
@@ -112,7 +112,12 @@
             ports.evacuations,
             ports.metrics,
         )
-        self._run_orders = RunOrders(self._session, self._watch, self._zone_evacuations)
+        self._run_orders = RunOrders(
+            self._session,
+            self._watch,
+            self._vm_planner.may_end_run,
+            self._zone_evacuations,
+        )
         # A claim that was repeated may have been carried out just before its answer.
         held_until = ports.clock.now() + bounds.order_gap
         self._vm_orders = VmOrders(self._session, self._vm_planner, held_until)
--- a/catkinport/jobs/tests/test_zone_evacuations.py
+++ b/catkinport/jobs/tests/test_zone_evacuations.py
@@ -168,7 +168,7 @@
     def make_orders(self, fleet):
         session = FakeSession(fleet, lambda: None)
         session.ports = SimpleNamespace(workers=session, metrics=fleet.metrics)
-        return session, RunOrders(session, FakeWatch(), fleet.evacuations)
+        return session, RunOrders(session, FakeWatch(), evacuations=fleet.evacuations)
 
     def test_start_that_was_decided_before_the_request_is_dropped(self):
         """Guards against a start that follows the evacuation, decided before it."""
