Divide a pool that is short among the accounts that wait for it

Cause: the order of jobs did not consider their accounts. An account that sends many times its rate took the pool, and the others waited 10 to 12 s.

Change: policy/account_shares.py finds which jobs exceed the rate of their account as they arrive (surplus, a token bucket of 4 s of the weight in jobs a second), and which are beyond the weighted max-min share of their account, corrected by a moving average of what the accounts ran. Surplus waits behind all jobs of its prospect, work beyond the share behind the others of its priority; hopeless surplus is ordered as if accepted 10 s later, so it is never starved for good. The order depends on accounts only while several of them wait and the waiting jobs want more cores than are free. It is found once a round, as jobs are placed in it and the work ahead of each is known. JobView.account_load, which nothing used, is gone.

--- a/catkinport/jobs/dispatch/job_estimates.py
+++ b/catkinport/jobs/dispatch/job_estimates.py
@@ -23,7 +23,10 @@
 
     def durations_of(self, queue: str) -> DurationModel:
         """Return the model of the durations of a queue's tasks; create it if absent."""
-        return self.durations_by_queue.setdefault(queue, DurationModel())
+        durations = self.durations_by_queue.get(queue)
+        if durations is None:
+            durations = self.durations_by_queue[queue] = DurationModel()
+        return durations
 
     def view_job(self, record: JobRecord, queue: Queue) -> JobView:
         """Return the figures by which a job is ordered among those of its pool."""
--- a/catkinport/jobs/dispatch/record.py
+++ b/catkinport/jobs/dispatch/record.py
@@ -40,6 +40,8 @@
         accepted_at: approximate clock time in seconds of its acceptance. It is taken
             from wall clocks, which may differ, so nothing that must hold rests on it.
         learned_at: clock time in seconds at which this owner has read it.
+        is_surplus: whether it exceeded the rate of its account as it arrived; ``None``
+            until that is known.
         first_start_at: clock time of its first start order; 0 before.
         n_placed: number of runs that are or may be on workers.
         n_crashes: number of crashes of workers counted for its tasks by this owner.
@@ -64,6 +66,7 @@
         self.n_crashes = 0
         self.n_stored_crashes = 0
         self.ever_started = False
+        self.is_surplus: bool | None = None
         self.first_start_at = 0.0
         self._top_run = 0
         self._stages = StageTable(job)
--- a/catkinport/jobs/placement/planner.py
+++ b/catkinport/jobs/placement/planner.py
@@ -12,7 +12,6 @@
 from itertools import chain, islice
 from typing import NamedTuple
 
-from ...policy.job_order import order_key
 from ...policy.reservations import ExpectedEnd, Reservations
 from ...policy.resources import NO_RESOURCES, Resources, add
 from ...policy.rotation import rotate
@@ -22,6 +21,7 @@
 from ..dispatch.record import JobRecord
 from ..dispatch.task import Task, TaskPhase
 from ..workers.worker_state import StartBlock
+from .account_order import AccountOrder
 from .account_usage import is_within_limit, usage_by_account
 from .blocked_workers import has_unbroken_contact
 from .gang_rooms import find_gang_rooms
@@ -78,6 +78,7 @@
         self._rejected_by_stage: dict[str, set[str]] = {}
         self._learned_before: float | None = None
         self.delays = StartDelays(dispatcher)
+        self._account_order = AccountOrder(dispatcher)
         self._reservations = Reservations()
         self._first_pool = ""
         self._seen_ids: set[str] = set()
@@ -138,6 +139,7 @@
             self._begin_pass(now)
         budget = RoundBudget(max_starts, clock)
         records_by_pool = self._find_unseen(now)
+        self._account_order.note_arrivals()
         usage = usage_by_account(self._dispatcher)
         pools = rotate(list(records_by_pool), self._first_pool)
         self.is_unfinished = False
@@ -186,9 +188,9 @@
         rooms = self._free_rooms(pool, now)
         is_busy = is_half_used(self._dispatcher.workers_of(pool))
         self._reservations.mark(rooms, now, is_busy)
-        estimates = self._dispatcher.estimates
-        ordered = sorted(
-            records, key=lambda item: order_key(estimates.view_job(*item), now)
+        free_cores = sum(room.cores for room in rooms.values())
+        ordered = self._account_order.sort(
+            pool, records, usage, free_cores, now, unix_now
         )
         for record, queue in ordered:
             if not budget.may_plan_job:
--- a/catkinport/jobs/vms/pool_demand.py
+++ b/catkinport/jobs/vms/pool_demand.py
@@ -8,6 +8,7 @@
 from ..dispatch.record import JobRecord
 from ..dispatch.task import TaskPhase
 from ..placement.account_usage import usage_by_account
+from ..placement.ready_cores import count_cores
 
 
 class PoolDemand(NamedTuple):
@@ -62,18 +63,6 @@
     return demand
 
 
-def count_cores(record: JobRecord, phase: TaskPhase) -> float:
-    """Return the cores of the job's tasks in ``phase`` whose earlier steps are done.
-
-    Filler tasks are left out.
-    """
-    return sum(
-        step.need.cores * record.count_ready(number, phase)
-        for number, step in enumerate(record.job.steps)
-        if not step.is_filler
-    )
-
-
 def _waiting_memory_gb(record: JobRecord) -> float:
     return sum(
         step.need.memory_gb * record.count_ready(number, TaskPhase.WAITING)
--- a/catkinport/policy/job_order.py
+++ b/catkinport/policy/job_order.py
@@ -3,12 +3,16 @@
 The demand of a queue comes in bursts of several times its mean. First in, first out
 would then make every job late. Instead, jobs that can still meet their objective go
 first, and among these the ones with the least remaining work for their value. Jobs that
-can no longer meet theirs use what is left.
+can no longer meet theirs use what is left. Where several accounts wait for a pool that
+is short, the jobs that `account_shares` finds to be surplus or beyond the share of
+their account wait behind the others of the same prospect.
 """
 
 from enum import IntEnum
 from typing import NamedTuple
 
+from .account_shares import AccountTurn
+
 LATE_FACTOR = 3.0
 """Multiple of its objective up to which a job counts as late. Beyond it, the job counts
 as hopeless."""
@@ -19,6 +23,10 @@
 BASE_VALUE = 0.3
 """Constant part of a job's value; the rest is proportional to its work."""
 
+SURPLUS_WAIT_SECONDS = 10.0
+"""Time by which hopeless surplus jobs are ordered as if accepted later. A bound, unlike
+a place behind all others, so that none of them waits for good."""
+
 
 class Prospect(IntEnum):
     """Expected outcome of a job compared with its objective."""
@@ -41,7 +49,6 @@
         total_core_seconds: work of the whole job.
         priority: priority of its queue; 0 comes first.
         is_lasting: whether its tasks run until it is canceled.
-        account_load: running work of its account, divided by the account's weight.
     """
 
     accepted_at: float
@@ -52,7 +59,6 @@
     total_core_seconds: float
     priority: int
     is_lasting: bool
-    account_load: float = 0.0
 
 
 def find_prospect(view: JobView, now: float) -> Prospect:
@@ -77,15 +83,32 @@
     return value / max(view.remaining_core_seconds, MIN_WORK_CORE_SECONDS)
 
 
-def order_key(view: JobView, now: float) -> tuple[float, ...]:
+def order_key(
+    view: JobView, now: float, turn: AccountTurn = AccountTurn.WITHIN_SHARE
+) -> tuple[float, ...]:
     """Return the sort key of a job; the smallest is served first.
 
     Lasting jobs come first, hopeless ones last, in order of acceptance. The others are
-    ordered by prospect, priority and value density.
+    ordered by prospect, priority and value density. Surplus jobs of an account wait
+    behind all jobs of their prospect, those beyond its share behind the other jobs of
+    their priority.
+
+    Args:
+        view: the job.
+        now: time in seconds.
+        turn: its place by its account, where accounts compete.
     """
     prospect = find_prospect(view, now)
     if prospect is Prospect.LASTING:
         return (prospect, view.priority, view.accepted_at)
+    is_surplus = turn is AccountTurn.SURPLUS
     if prospect is Prospect.HOPELESS:
-        return (prospect, view.accepted_at)
-    return (prospect, view.priority, -value_density(view), view.accepted_at)
+        return (prospect, view.accepted_at + is_surplus * SURPLUS_WAIT_SECONDS)
+    return (
+        prospect,
+        is_surplus,
+        view.priority,
+        turn,
+        -value_density(view),
+        view.accepted_at,
+    )
