Poll the idle workers of large fleets half as often

Change: in fleets of 400 workers or more, a worker without runs waits 2 s before it answers a poll, the longest that workers grant. It stays in contact, and its lease is renewed, for as much longer. Smaller fleets are polled as before.

--- a/catkinport/jobs/ownership/worker_watch.py
+++ b/catkinport/jobs/ownership/worker_watch.py
@@ -8,7 +8,12 @@
 from ...ports.fleet_workers import ListedWorker, WorkerLists
 from ...ports.table import Row
 from ...runtime.logs import log_event
-from ..workers.worker_state import LEASE_SECONDS, RENEW_CONTACT_SECONDS, WorkerRecord
+from ..workers.worker_state import (
+    LEASE_SECONDS,
+    POLL_WAIT_SECONDS,
+    RENEW_CONTACT_SECONDS,
+    WorkerRecord,
+)
 from .roster_store import RosterStore
 from .session import RETRY_SECONDS, OwnerSession
 from .state_store import StateStore
@@ -16,8 +21,13 @@
 
 logger = logging.getLogger(__name__)
 
-POLL_WAIT_SECONDS = 1.0
-"""Longest time that a worker waits for the end of a run before it answers a poll."""
+IDLE_POLL_WAIT_SECONDS = 2.0
+"""Longest such wait of a worker without runs in a large fleet. Workers grant no longer
+one."""
+
+LARGE_FLEET_WORKERS = 400
+"""Number of workers from which on a fleet is large. A poll takes the owner about 0.5 ms
+of processor time, and most workers of a large fleet are idle."""
 
 MIN_POLL_WAIT_SECONDS = 0.1
 """Shortest such wait, where answers take so long that leases would end otherwise."""
@@ -167,7 +177,7 @@
             return
         silent_seconds = sent_at - worker.contact_at
         is_fresh = (
-            silent_seconds <= RENEW_CONTACT_SECONDS + POLL_WAIT_SECONDS
+            silent_seconds <= RENEW_CONTACT_SECONDS + worker.poll_wait_seconds
             and not worker.may_have_restarted
         )
         lease_seconds = LEASE_SECONDS if is_fresh else 0.0
@@ -178,7 +188,10 @@
         is_answer_urgent = worker.processed_end > worker.stored_end or not is_fresh
         wait_seconds = 0.0
         if may_wait and not is_answer_urgent:
-            wait_seconds = _choose_poll_wait(worker, sent_at)
+            n_workers = len(self._session.dispatcher.worker_by_id)
+            wait_seconds = _choose_poll_wait(worker, sent_at, n_workers)
+        if may_wait:
+            worker.poll_wait_seconds = max(POLL_WAIT_SECONDS, wait_seconds)
         # A poll without an answer may be carried out late, by an incarnation whose ends
         # are counted anew. So an end is not acknowledged again after an answer.
         is_end_new = worker.stored_end > worker.acknowledged_end
@@ -219,11 +232,19 @@
             await asyncio.sleep(RETRY_SECONDS)
 
 
-def _choose_poll_wait(worker: WorkerRecord, now: float) -> float:
-    """Return how long a worker may wait for the end of a run before it answers."""
+def _choose_poll_wait(worker: WorkerRecord, now: float, n_workers: int) -> float:
+    """Return how long a worker may wait for the end of a run before it answers.
+
+    Args:
+        worker: the worker.
+        now: clock time in seconds.
+        n_workers: number of workers in the fleet.
+    """
     if _has_starting_task(worker, now):
         return STARTING_POLL_WAIT_SECONDS
     longest = max(MIN_POLL_WAIT_SECONDS, MAX_POLL_SECONDS - worker.answer_seconds)
+    if n_workers >= LARGE_FLEET_WORKERS and not worker.run_by_key:
+        return min(IDLE_POLL_WAIT_SECONDS, longest)
     return min(POLL_WAIT_SECONDS, longest)
 
 
--- a/catkinport/jobs/tests/test_worker_watch.py
+++ b/catkinport/jobs/tests/test_worker_watch.py
@@ -204,3 +204,50 @@
     def test_renewal_before_the_bound_does_not(self):
         """Guards against a second run of a task that a successor has adopted."""
         assert not self.is_resolved(renewed_at=89.0)
+
+
+class TestLargeFleet:
+    """Load: thousands of workers, most of them idle, that one owner polls."""
+
+    def _fleet(self, n_workers, n_tasks=0):
+        fleet = Fleet([make_worker(f"w{number}") for number in range(1, n_workers + 1)])
+        if n_tasks:
+            fleet.dispatcher.add_job(make_job(steps=[make_step(n_tasks)]), fleet.now)
+            fleet.start()
+        return fleet
+
+    def test_idle_workers_are_polled_half_as_often(self):
+        """Guards against an owner whose processor is used up by polls."""
+        session = poll(self._fleet(worker_watch.LARGE_FLEET_WORKERS), ANSWER)
+        assert session.polls == [(4.0, 2.0)]
+
+    def test_small_fleets_are_polled_as_before(self):
+        """Guards against workers that are lost without notice for longer."""
+        session = poll(self._fleet(worker_watch.LARGE_FLEET_WORKERS - 1), ANSWER)
+        assert session.polls == [(4.0, 1.0)]
+
+    def test_workers_with_runs_are_polled_as_before(self):
+        """Guards against progress and readiness that are learned late."""
+        n_workers = worker_watch.LARGE_FLEET_WORKERS
+        fleet = self._fleet(n_workers, n_tasks=n_workers * 64)
+        assert fleet.dispatcher.worker_by_id["w1"].run_by_key
+        session = poll(fleet, WorkerLists(1.0, [], []))
+        assert session.polls == [(4.0, 1.0)]
+
+    def test_the_worker_stays_in_contact_during_its_wait(self):
+        """Guards against idle workers that get no tasks for a part of each poll."""
+        fleet = self._fleet(worker_watch.LARGE_FLEET_WORKERS)
+        poll(fleet, ANSWER, ANSWER)
+        worker = fleet.dispatcher.worker_by_id["w1"]
+        fleet.advance(2.5)
+        assert worker.is_in_contact(fleet.now)
+        fleet.advance(0.2)
+        assert not worker.is_in_contact(fleet.now)
+
+    def test_the_next_poll_renews_the_lease(self):
+        """Guards against polls that read only, as the last answer seems too old."""
+        fleet = self._fleet(worker_watch.LARGE_FLEET_WORKERS)
+        poll(fleet, ANSWER)
+        fleet.advance(2.1)
+        session = poll(fleet, ANSWER)
+        assert session.polls == [(4.0, 2.0)]
--- a/catkinport/jobs/workers/worker_state.py
+++ b/catkinport/jobs/workers/worker_state.py
@@ -42,6 +42,10 @@
 """Part of that time for the answer. Workers whose answers take longer stay in contact
 for longer."""
 
+POLL_WAIT_SECONDS = 1.0
+"""Longest time that a worker usually waits for the end of a run before it answers a
+poll. It is part of `FRESH_CONTACT_SECONDS`."""
+
 RENEW_CONTACT_SECONDS = 1.0
 """The lease of a worker is not renewed if its last answer is older than a long poll and
 this time, so that the lease of a worker that does not answer expires."""
@@ -127,6 +131,8 @@
             every poll; infinity while the latest poll had no answer.
         polled_at: clock time in seconds at which the poll was sent that it answered
             last.
+        poll_wait_seconds: longest time that it may wait before it answers its latest
+            poll, `POLL_WAIT_SECONDS` at least.
         answer_seconds: bound of the time that its answer to a poll takes besides the
             requested wait.
         lease_until: clock time in seconds after which no run that was ordered can be
@@ -166,6 +172,7 @@
         self.contact_at = float("-inf")
         self.contact_since = float("inf")
         self.polled_at = float("-inf")
+        self.poll_wait_seconds = POLL_WAIT_SECONDS
         self.answer_seconds = USUAL_ANSWER_SECONDS
         self.lease_until = 0.0
         self.paced_at = float("-inf")
@@ -254,6 +261,7 @@
     def is_in_contact(self, now: float) -> bool:
         """Return whether it has answered lately, by the time that its answers take."""
         excess = max(0.0, self.answer_seconds - USUAL_ANSWER_SECONDS)
+        excess += self.poll_wait_seconds - POLL_WAIT_SECONDS
         return now - self.contact_at <= FRESH_CONTACT_SECONDS + excess
 
     def note_contact(self, now: float, is_restarted: bool) -> None:
