Keep zones evacuated until an owner has ended

The gauges were cleared by forgetting the zones, while other loops of the same owner may go on for a moment and could have ordered a VM of the zone. Only the gauges are set to 0 now.

Tests: test_zone_evacuations and test_zone_moves pass. With the former zone_evacuations.py, the test of the gauges fails.

--- a/catkinport/jobs/tests/test_zone_evacuations.py
+++ b/catkinport/jobs/tests/test_zone_evacuations.py
@@ -251,6 +251,8 @@
         fleet = ZoneFleet("z1")
         fleet.evacuations.clear()
         assert fleet.read_gauge("evacuated_zones") == 0
+        # Loops of the owner that end later must not use the zone.
+        assert fleet.dispatcher.is_evacuated("z1")
 
 
 class TestAnswerAfterEvacuation:
--- a/catkinport/jobs/vms/zone_evacuations.py
+++ b/catkinport/jobs/vms/zone_evacuations.py
@@ -72,12 +72,12 @@
         self._reported_at = now
         self._log_begun(now)
         self._warn_of_pools(now)
-        self._set_gauges()
+        n_lasting = sum(1 for _ in self.find_lasting_runs())
+        self._set_gauges(len(self._begun_zones), n_lasting)
 
     def clear(self) -> None:
         """Set the gauges to 0, as this daemon is no longer the owner."""
-        self._dispatcher.evacuated_zones.clear()
-        self._set_gauges()
+        self._set_gauges(0, 0)
 
     def _apply(self, zones: frozenset[str], now: float) -> None:
         for zone in sorted(self._dispatcher.evacuated_zones - zones):
@@ -176,16 +176,16 @@
         evacuated = {w.pool for w in listed if self.is_evacuated(w.zone)}
         return evacuated - {w.pool for w in listed if not self.is_evacuated(w.zone)}
 
-    def _set_gauges(self) -> None:
+    def _set_gauges(self, n_zones: int, n_lasting: int) -> None:
         self._metrics.set(
             "evacuated_zones",
             "Availability zones that are evacuated and have workers or VMs.",
             {},
-            len(self._begun_zones & self._dispatcher.evacuated_zones),
+            n_zones,
         )
         self._metrics.set(
             "lasting_tasks_in_evacuated_zones",
             "Runs of lasting tasks on workers of evacuated zones.",
             {},
-            sum(1 for _ in self.find_lasting_runs()),
+            n_lasting,
         )
