Rank the workers once for the tasks of a step

Cause: each task looked at all workers of its pool. On 3,000 workers the 24 tasks of a lasting job took 0.2 s of the owner's event loop, the largest cost of the first seconds of a new owner. Change: StepChooser keeps the workers of a step in a heap by their cost; between two tasks of the same needs only the chosen worker is ranked again.

--- a/catkinport/jobs/placement/planner.py
+++ b/catkinport/jobs/placement/planner.py
@@ -16,6 +16,7 @@
 from ...policy.reservations import ExpectedEnd, Reservations
 from ...policy.resources import NO_RESOURCES, Resources, add
 from ...policy.rotation import rotate
+from ...policy.step_choice import StepChooser
 from ...policy.worker_choice import CandidateWorker, choose_worker
 from ..configuration import Account, Queue
 from ..dispatch.dispatcher import Dispatcher
@@ -368,6 +369,7 @@
         is_full = False
         may_choose = True
         left: list[Task] = []
+        chooser = StepChooser(rooms.values())
         tasks = iter(tasks)
         for task in tasks:
             if not budget.may_start_of_job:
@@ -377,8 +379,8 @@
             need = task_need(task)
             # The tasks of a step differ only in the workers reserved for them.
             own = self._reservations.find_room(task.text, rooms)
-            candidates = rooms.values() if not is_full else [own] if own else []
-            room = choose_worker(need, candidates)
+            reserved = [own] if own else []
+            room = choose_worker(need, reserved) if is_full else chooser.choose(need)
             if room is not None:
                 self._begin_run(task, room, usage, now, budget)
                 continue
--- a/catkinport/policy/worker_choice.py
+++ b/catkinport/policy/worker_choice.py
@@ -186,10 +186,10 @@
 ) -> CandidateWorker | None:
     """Return the best worker for the task, or ``None`` if it fits on none."""
     fitting = [room for room in rooms if fits(task, room)]
-    return min(fitting, key=lambda room: _cost(task, room), default=None)
+    return min(fitting, key=lambda room: placement_cost(task, room), default=None)
 
 
-def _cost(task: TaskNeed, room: CandidateWorker) -> tuple[float, ...]:
+def placement_cost(task: TaskNeed, room: CandidateWorker) -> tuple[float, ...]:
     """Return the sort key of a worker for a task; the lowest is the best."""
     is_far = bool(task.preferred_rack) and task.preferred_rack not in room.labels
     is_avoided = room.worker_id == task.avoided_worker
