Decide on starts without an answer also where reports are late

Cause: a report counts as fresh for 0.5 s, while the answers of far workers take longer, and a worker whose start is older than 5 s is polled each second. Such a start would have waited until no order is carried out any more, 12 s.

--- a/catkinport/jobs/ownership/worker_watch.py
+++ b/catkinport/jobs/ownership/worker_watch.py
@@ -228,10 +228,13 @@
 
 
 def _has_starting_task(worker: WorkerRecord, now: float) -> bool:
-    """Return whether a lasting task has started there lately and is not ready."""
+    """Return whether a lasting task has started there lately and is not ready.
+
+    A start without an answer is decided on by fresh reports, however old it is.
+    """
     return any(
         run.task.step.is_lasting
-        and now - run.asked_at <= STARTING_SECONDS
+        and (now - run.asked_at <= STARTING_SECONDS or run.is_start_uncertain)
         and not run.is_reported_ready(worker.contact_at)
         for run in worker.run_by_key.values()
     )
--- a/catkinport/jobs/tests/test_lasting_stops.py
+++ b/catkinport/jobs/tests/test_lasting_stops.py
@@ -5,6 +5,7 @@
 from ...ports import Reason, Unavailable
 from ...ports.fleet_workers import Done, RunningTask
 from ..model import Step
+from ..ownership.worker_watch import STARTING_SECONDS, _choose_poll_wait
 from ..placement.lasting_stops import FRESH_REPORT_SECONDS, LATE_START_SECONDS
 from ..placement.run_stops import (
     STOP_RETRY_SECONDS,
@@ -131,6 +132,26 @@
         step.pass_time(FRESH_REPORT_SECONDS + 0.1)
         assert step.reasons() == []
 
+    def test_a_worker_that_is_far_away_has_older_reports(self):
+        """Guards against a task that waits for a report that can't be so fresh."""
+        step = LastingStep(are_others_ready=False)
+        worker = step.fleet.dispatcher.worker_by_id[step.run.worker_id]
+        worker.answer_seconds = 1.2
+        step.pass_time(LATE_START_SECONDS)
+        step.report()
+        step.pass_time(FRESH_REPORT_SECONDS + 0.1)
+        assert step.reasons() == ["start-unsure"]
+
+    def test_its_worker_is_polled_often_until_it_is_known(self):
+        """Guards against reports that are never fresh enough to decide on it.
+
+        A start is given up within a second, but its worker may answer only later.
+        """
+        step = LastingStep(are_others_ready=False)
+        worker = step.fleet.dispatcher.worker_by_id[step.run.worker_id]
+        late = step.fleet.now + STARTING_SECONDS + 0.1
+        assert _choose_poll_wait(worker, late) < FRESH_REPORT_SECONDS
+
     def test_it_is_adopted_after_a_stop_without_an_answer(self):
         """Guards against stops that go on until they end a task at work."""
         step = LastingStep(are_others_ready=True)
