Order jobs of a short pool by the waits that its room allows

Cause: a job counted as on time if its age plus its chain of steps was within its objective, though its turn may come seconds later. In a backlog most jobs counted as on time, and room went to jobs that could no longer make it.

Change: policy/wait_forecast.py forecasts the wait of each job in order: work ahead over the cores that the pool has and gets by confirmed moves (vms/coming_cores.py). Jobs that can't be on time by it count as late and take no room from those that can; late ones that would be hopeless take none from the other late ones. It counts only while the waiting jobs want more cores than are free. placement/pool_order.py orders by prospect, accounts and waits; account_order.py keeps the accounts. A job that has begun is no longer put behind others by the share of its account. pool_demand.py keeps the prospect without waits, as a pool that is short must not ask for fewer VMs.

--- a/catkinport/jobs/ownership/owner.py
+++ b/catkinport/jobs/ownership/owner.py
@@ -105,7 +105,9 @@
         )
         self._queues = QueueStore(self._session)
         self._early_cancel_removal = EarlyCancelRemoval(ports.table, ports.clock)
-        self._run_orders = RunOrders(self._session, self._watch)
+        self._run_orders = RunOrders(
+            self._session, self._watch, self._vm_planner.inventory
+        )
         # A claim that was repeated may have been carried out just before its answer.
         held_until = ports.clock.now() + bounds.order_gap
         self._vm_orders = VmOrders(self._session, self._vm_planner, held_until)
--- a/catkinport/jobs/ownership/run_orders.py
+++ b/catkinport/jobs/ownership/run_orders.py
@@ -19,6 +19,8 @@
 from ..placement.stall_reporter import StallReporter
 from ..placement.stalled_pools import StartState
 from ..placement.start_delays import StartHold
+from ..vms.coming_cores import find_coming_cores
+from ..vms.vm_inventory import VmInventory
 from ..workers.run import RunKey, RunPhase
 from ..workers.worker_state import LEASE_SECONDS, WorkerRecord
 from .round_times import RoundTimes
@@ -59,11 +61,18 @@
     Args:
         session: ownership for which the orders are sent.
         watch: polls the workers.
+        inventory: VMs and the orders for them; ``None`` if no VM moves.
     """
 
-    def __init__(self, session: OwnerSession, watch: WorkerWatch) -> None:
+    def __init__(
+        self,
+        session: OwnerSession,
+        watch: WorkerWatch,
+        inventory: VmInventory | None = None,
+    ) -> None:
         self._session = session
         self._watch = watch
+        self._inventory = inventory
         self._planner = Planner(session.dispatcher)
         self._stop_turns = StopTurns(session.dispatcher)
         self._stalls = StallReporter(session.dispatcher)
@@ -114,6 +123,8 @@
         )
         n_free = self._start_limit.n_free
         if self._session.may_order() and n_free:
+            if self._inventory is not None:
+                self._planner.coming_by_pool = find_coming_cores(self._inventory, now)
             starts = self._planner.plan(
                 now, time.time(), learned_before, n_free, time.thread_time
             )
--- a/catkinport/jobs/placement/account_order.py
+++ b/catkinport/jobs/placement/account_order.py
@@ -1,12 +1,7 @@
-"""Orders the jobs of a pool, with shares for the accounts that compete for it.
-
-The order is found once a round, before anything is placed: jobs are placed in this
-order, so the work ahead of a job of its account is known beforehand.
-"""
+"""Finds the jobs that wait behind those of other accounts in a pool that is short."""
 
 import math
-import operator
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from typing import NamedTuple
 
 from ...policy.account_shares import (
@@ -16,38 +11,30 @@
     RecentUse,
     find_allowances,
 )
-from ...policy.job_order import JobView, order_key
 from ...policy.resources import NO_RESOURCES, Resources
-from ..configuration import Account, Queue
+from ...policy.wait_forecast import JobWork
+from ..configuration import Account
 from ..dispatch.dispatcher import Dispatcher
 from ..dispatch.record import JobRecord
-from ..dispatch.task import TaskPhase
-from .ready_cores import count_cores
-
-JobAndQueue = tuple[JobRecord, Queue]
 
 
-class _OrderedJob(NamedTuple):
-    """A job with its queue, the figures by which it is ordered, and its sort key."""
+class WaitingJob(NamedTuple):
+    """A job and its work that has not started."""
 
-    item: JobAndQueue
-    view: JobView
-    key: tuple[float, ...]
+    record: JobRecord
+    work: JobWork
 
     @property
     def account(self) -> str:
-        return self.item[0].job.account
-
-
-_KEY_OF = operator.attrgetter("key")
+        """Name of its account."""
+        return self.record.job.account
 
 
 class AccountOrder:
-    """Order of the jobs of each pool.
+    """Shares and rates of the accounts that compete for each pool.
 
-    The order depends on accounts only while the jobs that wait for a pool want more
-    cores than it has free and several accounts have such jobs. Jobs without a known
-    account and lasting jobs belong to no share.
+    Shares count only while several accounts have jobs that wait for the pool. Jobs
+    without a known account and lasting jobs belong to no share.
 
     Args:
         dispatcher: jobs and workers.
@@ -78,111 +65,59 @@
                 )
             )
 
-    def sort(
-        self,
-        pool: str,
-        items: list[JobAndQueue],
-        usage: Mapping[str, Resources],
-        free_cores: float,
-        now: float,
-        unix_now: float,
-    ) -> list[JobAndQueue]:
-        """Return the jobs of a pool in the order in which they may start.
-
-        Args:
-            pool: name of the pool.
-            items: jobs and their queues.
-            usage: resources of the runs of each account in all pools.
-            free_cores: cores of the pool that are free for new tasks.
-            now: clock time in seconds.
-            unix_now: Unix time in seconds, for jobs with due times.
-        """
-        view_job = self._dispatcher.estimates.view_job
-        views = [view_job(*item) for item in items]
-        jobs = [
-            _OrderedJob(item, view, order_key(view, now))
-            for item, view in zip(items, views, strict=True)
-        ]
-        jobs.sort(key=_KEY_OF)
-        waiting = self._find_waiting(jobs, unix_now)
-        n_accounts = len({job.account for job, _ in waiting})
-        if n_accounts > 1 and sum(cores for _, cores in waiting) > free_cores:
-            turns = self._find_turns(pool, waiting, usage, free_cores, now)
-            jobs = [_apply_turn(job, turns, now) for job in jobs]
-            jobs.sort(key=_KEY_OF)
-        return [job.item for job in jobs]
-
-    def _find_waiting(
-        self, jobs: list[_OrderedJob], unix_now: float
-    ) -> list[tuple[_OrderedJob, float]]:
-        """Return the jobs that belong to a share and wait, with their waiting cores."""
-        accounts = self._dispatcher.configuration.account_by_name
-        return [
-            (job, cores)
-            for job in jobs
-            if job.account in accounts and not job.view.is_lasting
-            if (cores := _waiting_cores(job.item[0], unix_now)) > 0
-        ]
-
-    def _find_turns(
+    def find_turns(
         self,
         pool: str,
-        waiting: list[tuple[_OrderedJob, float]],
+        jobs: Sequence[WaitingJob],
+        running: Mapping[str, float],
         usage: Mapping[str, Resources],
         free_cores: float,
         now: float,
     ) -> dict[str, AccountTurn]:
-        """Return the place of each waiting job by its account, by job id.
+        """Return the places by their account of the jobs that come later, by job id.
 
         Args:
-            pool: name of the pool.
-            waiting: jobs in their order so far, with their waiting cores.
+            pool: name of the pool, which is short.
+            jobs: jobs that wait for it, in their order so far.
+            running: cores of each account's runs in the pool.
             usage: resources of the runs of each account in all pools.
             free_cores: cores of the pool that are free for new tasks.
             now: clock time in seconds.
         """
-        running = self._running_cores(pool)
+        accounts = self._dispatcher.configuration.account_by_name
+        jobs = [job for job in jobs if job.account in accounts]
+        if len({job.account for job in jobs}) < 2:
+            return {}
+        running = {name: n for name, n in running.items() if name in accounts}
         recent = self._use_by_pool.setdefault(pool, RecentUse())
         recent.note(running, now)
-        demands = self._find_demands(waiting, running, usage)
-        allowances = find_allowances(
-            free_cores + sum(running.values()), demands, recent.cores_by_account
-        )
+        demands = self._find_demands(jobs, running, usage)
+        cores = free_cores + sum(running.values())
+        allowances = find_allowances(cores, demands, recent.cores_by_account)
         taken = dict(running)
         turn_by_job: dict[str, AccountTurn] = {}
-        for job, cores in waiting:
-            record = job.item[0]
-            if record.is_surplus:
-                turn_by_job[record.job.job_id] = AccountTurn.SURPLUS
+        for job in jobs:
+            if job.record.is_surplus:
+                turn_by_job[job.record.job.job_id] = AccountTurn.SURPLUS
                 continue
             before = taken.get(job.account, 0.0)
-            if before >= allowances[job.account]:
-                turn_by_job[record.job.job_id] = AccountTurn.BEYOND_SHARE
-            taken[job.account] = before + cores
+            # A job that has begun keeps its place: to stop halfway wastes its work.
+            is_beyond = before >= allowances[job.account]
+            if is_beyond and not job.record.ever_started:
+                turn_by_job[job.record.job.job_id] = AccountTurn.BEYOND_SHARE
+            taken[job.account] = before + job.work.ready_cores
         return turn_by_job
 
-    def _running_cores(self, pool: str) -> dict[str, float]:
-        """Return the cores of each account's runs in a pool, lasting tasks aside."""
-        accounts = self._dispatcher.configuration.account_by_name
-        cores_by_account: dict[str, float] = {}
-        for worker in self._dispatcher.workers_of(pool):
-            for run in worker.run_by_key.values():
-                account = run.record.job.account
-                if account in accounts and not run.task.step.is_lasting:
-                    cores = cores_by_account.get(account, 0.0)
-                    cores_by_account[account] = cores + run.task.step.need.cores
-        return cores_by_account
-
     def _find_demands(
         self,
-        waiting: list[tuple[_OrderedJob, float]],
+        jobs: Sequence[WaitingJob],
         running: Mapping[str, float],
         usage: Mapping[str, Resources],
     ) -> list[AccountDemand]:
         cores_by_account = dict.fromkeys(running, 0.0)
-        for job, cores in waiting:
-            waiting_cores = cores_by_account.get(job.account, 0.0)
-            cores_by_account[job.account] = waiting_cores + cores
+        for job in jobs:
+            cores = cores_by_account.get(job.account, 0.0) + job.work.ready_cores
+            cores_by_account[job.account] = cores
         accounts = self._dispatcher.configuration.account_by_name
         return [
             AccountDemand(
@@ -196,15 +131,6 @@
         ]
 
 
-def _apply_turn(
-    job: _OrderedJob, turn_by_job: Mapping[str, AccountTurn], now: float
-) -> _OrderedJob:
-    turn = turn_by_job.get(job.item[0].job.job_id)
-    if turn is None:
-        return job
-    return _OrderedJob(job.item, job.view, order_key(job.view, now, turn))
-
-
 def _max_cores(
     account: Account, running: Mapping[str, float], usage: Mapping[str, Resources]
 ) -> float:
@@ -215,17 +141,3 @@
     own = running.get(account.name, 0.0)
     used = usage.get(account.name, NO_RESOURCES).cores
     return own + max(0.0, limit - used)
-
-
-def _waiting_cores(record: JobRecord, unix_now: float) -> float:
-    """Return the cores of the job's tasks that are due and could start."""
-    if not record.job.n_occurrences:
-        return count_cores(record, TaskPhase.WAITING)
-    cores = 0.0
-    for occurrence, number in record.ready_stages():
-        if record.job.due_at(occurrence) > unix_now:
-            break
-        step = record.job.steps[number]
-        n_open = step.n_tasks - record.count_done((occurrence, number))
-        cores += n_open * step.need.cores
-    return cores
--- a/catkinport/jobs/placement/planner.py
+++ b/catkinport/jobs/placement/planner.py
@@ -8,23 +8,24 @@
 one goes on where it has ended. A pass is the rounds in which each job has its turn.
 """
 
-from collections.abc import Callable, Collection, Iterable, Iterator, Mapping
+from collections.abc import Callable, Collection, Iterable, Iterator, Mapping, Sequence
 from itertools import chain, islice
 from typing import NamedTuple
 
 from ...policy.reservations import ExpectedEnd, Reservations
 from ...policy.resources import NO_RESOURCES, Resources, add
 from ...policy.rotation import rotate
+from ...policy.wait_forecast import ComingCores
 from ...policy.worker_choice import CandidateWorker, choose_worker
 from ..configuration import Account, Queue
 from ..dispatch.dispatcher import Dispatcher
 from ..dispatch.record import JobRecord
 from ..dispatch.task import Task, TaskPhase
 from ..workers.worker_state import StartBlock
-from .account_order import AccountOrder
 from .account_usage import is_within_limit, usage_by_account
 from .blocked_workers import has_unbroken_contact
 from .gang_rooms import find_gang_rooms
+from .pool_order import PoolOrder, PoolState
 from .pool_use import is_half_used
 from .round_budget import PlannedStart, RoundBudget
 from .start_blocks import find_start_block
@@ -69,6 +70,8 @@
     Attributes:
         delays: waits of the tasks that could not start.
         wanted_approvals: approvals to ask for after the latest planning, by step.
+        coming_by_pool: cores that are being moved to each pool, for the forecast of
+            waits.
         is_unfinished: whether the latest round has ended before it had seen all jobs.
     """
 
@@ -78,13 +81,14 @@
         self._rejected_by_stage: dict[str, set[str]] = {}
         self._learned_before: float | None = None
         self.delays = StartDelays(dispatcher)
-        self._account_order = AccountOrder(dispatcher)
+        self._order = PoolOrder(dispatcher)
         self._reservations = Reservations()
         self._first_pool = ""
         self._seen_ids: set[str] = set()
         self._pass_began_at = 0.0
         self.is_unfinished = False
         self.wanted_approvals: dict[str, ApprovalRequest] = {}
+        self.coming_by_pool: Mapping[str, Sequence[ComingCores]] = {}
 
     def keep_tickets(
         self,
@@ -139,7 +143,7 @@
             self._begin_pass(now)
         budget = RoundBudget(max_starts, clock)
         records_by_pool = self._find_unseen(now)
-        self._account_order.note_arrivals()
+        self._order.note_arrivals()
         usage = usage_by_account(self._dispatcher)
         pools = rotate(list(records_by_pool), self._first_pool)
         self.is_unfinished = False
@@ -189,9 +193,9 @@
         is_busy = is_half_used(self._dispatcher.workers_of(pool))
         self._reservations.mark(rooms, now, is_busy)
         free_cores = sum(room.cores for room in rooms.values())
-        ordered = self._account_order.sort(
-            pool, records, usage, free_cores, now, unix_now
-        )
+        coming = self.coming_by_pool.get(pool, ())
+        state = PoolState(pool, free_cores, usage, coming)
+        ordered = self._order.sort(state, records, now, unix_now)
         for record, queue in ordered:
             if not budget.may_plan_job:
                 return False
--- a/catkinport/jobs/placement/ready_cores.py
+++ b/catkinport/jobs/placement/ready_cores.py
@@ -1,5 +1,7 @@
-"""Counts the cores of a job's tasks whose turn has come."""
+"""Measures the tasks of a job whose turn has come."""
 
+from ...policy.durations import DurationModel
+from ...policy.wait_forecast import JobWork
 from ..dispatch.record import JobRecord
 from ..dispatch.task import TaskPhase
 
@@ -14,3 +16,39 @@
         for number, step in enumerate(record.job.steps)
         if not step.is_filler
     )
+
+
+def measure_work(
+    record: JobRecord, durations: DurationModel, unix_now: float
+) -> JobWork:
+    """Return the work of the job that has not started, lasting tasks aside.
+
+    Later occurrences of a job that recurs are left out.
+    """
+    if record.job.n_occurrences:
+        return _measure_due(record, durations, unix_now)
+    cores = ready = later = 0.0
+    for number, step in enumerate(record.job.steps):
+        n_waiting = record.count_waiting(number)
+        if not n_waiting or step.is_lasting or step.is_filler:
+            continue
+        n_ready = record.count_ready(number, TaskPhase.WAITING)
+        core_seconds = step.need.cores * durations.predict(step.estimate_seconds)
+        cores += n_ready * step.need.cores
+        ready += n_ready * core_seconds
+        later += (n_waiting - n_ready) * core_seconds
+    return JobWork(cores, ready, later)
+
+
+def _measure_due(
+    record: JobRecord, durations: DurationModel, unix_now: float
+) -> JobWork:
+    cores = ready = 0.0
+    for occurrence, number in record.ready_stages():
+        if record.job.due_at(occurrence) > unix_now:
+            break
+        step = record.job.steps[number]
+        n_open = step.n_tasks - record.count_done((occurrence, number))
+        cores += n_open * step.need.cores
+        ready += n_open * step.need.cores * durations.predict(step.estimate_seconds)
+    return JobWork(cores, ready)
--- a/catkinport/jobs/tests/test_account_order.py
+++ b/catkinport/jobs/tests/test_account_order.py
@@ -1,6 +1,7 @@
 """Tests of the order of jobs while accounts compete for a pool that is short."""
 
 from ...policy.job_order import order_key
+from ..placement.pool_order import PoolState
 from .account_load import LoadedFleet
 
 ORDINARY = [f"a{number}" for number in range(19)]
@@ -70,9 +71,9 @@
     def test_its_jobs_keep_their_order_however_many_it_sends(self):
         """Guards against surplus that changes the order where nobody competes."""
         fleet = LoadedFleet(1, {"a": 1.0, "idle": 5.0})
-        for n_tasks in (3, 1, 2, 1, 5, 4, 2, 1):
+        for n_tasks in (3, 1, 2, 1, 5, 4, 2, 1) * 3:
             fleet.send("a", n_tasks=n_tasks)
-        fleet.planner._account_order.note_arrivals()
+        fleet.planner._order.note_arrivals()
         assert any(record.is_surplus for record in _find_records(fleet))
         assert _find_order(fleet) == _find_order_without_accounts(fleet)
 
@@ -83,7 +84,7 @@
         fleet = LoadedFleet(20, {"a": 1.0, "b": 1.0})
         for account in ("a", "a", "a", "b", "a", "a", "a"):
             fleet.send(account, 2)
-        fleet.planner._account_order.note_arrivals()
+        fleet.planner._order.note_arrivals()
         assert _find_order(fleet) == _find_order_without_accounts(fleet)
 
 
@@ -104,9 +105,8 @@
 def _find_order(fleet):
     workers = fleet.dispatcher.worker_by_id.values()
     free_cores = sum(worker.free().cores for worker in workers)
-    ordered = fleet.planner._account_order.sort(
-        "renders", _find_items(fleet), {}, free_cores, fleet.now, fleet.now
-    )
+    state = PoolState("renders", free_cores, {})
+    ordered = fleet.planner._order.sort(state, _find_items(fleet), fleet.now, fleet.now)
     return [record.job.job_id for record, _ in ordered]
 
 
--- /dev/null
+++ b/catkinport/jobs/tests/test_pool_order.py
@@ -0,0 +1,49 @@
+"""Tests of the order of jobs by the waits that the room of their pool allows."""
+
+from ...ports.fleet_vms import VmState
+from ..placement.pool_order import PoolOrder, PoolState
+from ..vms.coming_cores import find_coming_cores
+from ..vms.order_targets import VmOrder
+from .builders import POOL, Fleet, make_job, make_step, make_worker
+from .vm_fleet import BOUNDS, VmFleet
+
+
+class TestBacklogAfterOutage:
+    def test_jobs_that_can_be_on_time_come_before_those_whose_turn_is_too_late(self):
+        """Guards against a backlog in which all jobs count as on time.
+
+        Of twelve equal jobs, each of which takes the whole pool, the first two can be
+        on time. A longer job, behind them by its value, can be on time too.
+        """
+        fleet = Fleet([make_worker("w0")])
+        for number in range(12):
+            fleet.dispatcher.add_job(make_job(f"{number:016x}", [make_step(4)]), 100.0)
+        steps = [make_step(4), make_step(4, after=(0,)), make_step(4, after=(1,))]
+        patient = make_job("f" * 16, steps)
+        fleet.dispatcher.add_job(patient, fleet.now)
+        queue_of = fleet.dispatcher.queue_of
+        records = fleet.dispatcher.job_by_id.values()
+        items = [(record, queue_of(record)) for record in records]
+        ordered = PoolOrder(fleet.dispatcher).sort(
+            PoolState(POOL, 16.0, {}), items, fleet.now, fleet.now
+        )
+        ids = [record.job.job_id for record, _ in ordered]
+        assert len(ids) == 13
+        assert ids.index(patient.job_id) <= 2
+
+
+class TestComingCores:
+    def test_a_confirmed_move_counts_until_its_worker_is_there(self):
+        """Guards against jobs that count as late though VMs are on their way."""
+        fleet = VmFleet(1, n_off=1)
+        order = VmOrder("off0", 0, POOL)
+        fleet.vm_planner.inventory.note_sent(order, fleet.now)
+        assert not find_coming_cores(fleet.vm_planner.inventory, fleet.now)
+        fleet.vm_planner.on_done(order, fleet.now)
+        fleet.advance(0.5)
+        coming = find_coming_cores(fleet.vm_planner.inventory, fleet.now)
+        assert [tuple(entry) for entry in coming[POOL]] == [(BOUNDS.move - 0.5, 16.0)]
+        fleet.vms[1] = fleet.vms[1]._replace(state=VmState.UP, pool=POOL)
+        fleet.advance(BOUNDS.move + 2.0)
+        fleet.list_vms()
+        assert not find_coming_cores(fleet.vm_planner.inventory, fleet.now)
--- a/catkinport/policy/job_order.py
+++ b/catkinport/policy/job_order.py
@@ -61,14 +61,16 @@
     is_lasting: bool
 
 
-def find_prospect(view: JobView, now: float) -> Prospect:
+def find_prospect(view: JobView, now: float, wait_seconds: float = 0.0) -> Prospect:
     """Return whether the job is expected to meet its objective.
 
-    The expected time is the age of the job at ``now`` plus its remaining chain.
+    The expected time is the age of the job at ``now`` plus the wait until its tasks can
+    start plus its remaining chain.
     """
     if view.is_lasting:
         return Prospect.LASTING
-    expected_seconds = now + view.remaining_chain_seconds - view.accepted_at
+    starts_at = now + wait_seconds
+    expected_seconds = starts_at + view.remaining_chain_seconds - view.accepted_at
     if expected_seconds <= view.objective_seconds:
         return Prospect.ON_TIME
     if expected_seconds <= LATE_FACTOR * view.objective_seconds:
@@ -84,7 +86,10 @@
 
 
 def order_key(
-    view: JobView, now: float, turn: AccountTurn = AccountTurn.WITHIN_SHARE
+    view: JobView,
+    now: float,
+    turn: AccountTurn = AccountTurn.WITHIN_SHARE,
+    prospect: Prospect | None = None,
 ) -> tuple[float, ...]:
     """Return the sort key of a job; the smallest is served first.
 
@@ -97,8 +102,10 @@
         view: the job.
         now: time in seconds.
         turn: its place by its account, where accounts compete.
+        prospect: its expected outcome; ``None`` for the one without any wait.
     """
-    prospect = find_prospect(view, now)
+    if prospect is None:
+        prospect = find_prospect(view, now)
     if prospect is Prospect.LASTING:
         return (prospect, view.priority, view.accepted_at)
     is_surplus = turn is AccountTurn.SURPLUS
