Count only clear excess over the rate of an account as surplus

Cause: a bucket of 4 s of the weight, at least one job, made many jobs of small accounts surplus that arrive at random times.

Change: the bucket holds 8 s of the rate and at least 4 jobs, and refills at 1.25 times the weight.

--- a/catkinport/policy/account_shares.py
+++ b/catkinport/policy/account_shares.py
@@ -1,9 +1,9 @@
 """Divides a pool that is short among the client accounts that wait for it.
 
 Two rules put jobs behind those of other accounts. A job is surplus if its account
-sends more jobs than its weight in jobs a second. A job is beyond the share if what its
-account runs, and what waits ahead of the job, takes up the account's weighted max-min
-share.
+sends clearly more jobs than its weight in jobs a second. A job is beyond the share if
+what its account runs, and what waits ahead of the job, takes up the account's weighted
+max-min share.
 """
 
 import math
@@ -14,9 +14,16 @@
 from .resources import Resources
 from .shares import Claim, water_fill
 
-RATE_SECONDS = 4.0
-"""Seconds of its rate that an account may send at once. It is the usual period of the
-turns, as each account sends most of its jobs within a part of a turn."""
+RATE_SECONDS = 8.0
+"""Seconds of its rate that an account may send at once: two usual periods of the turns,
+as an account sends most of its jobs within a part of a turn."""
+
+RATE_TOLERANCE = 1.25
+"""Factor on the rate. Jobs that arrive at random exceed their mean rate for a time, and
+the loss is larger if these count as surplus than if some surplus does not."""
+
+MIN_BURST_JOBS = 4.0
+"""Jobs that any account may send at once, as small rates vary most."""
 
 USE_SECONDS = 4.0
 """Time constant of the moving average of the cores that an account runs."""
@@ -47,8 +54,8 @@
             weight: jobs a second that it may send.
             accepted_at: time of the job's acceptance in seconds.
         """
-        rate = max(weight, MIN_WEIGHT)
-        size = max(1.0, rate * RATE_SECONDS)
+        rate = max(weight, MIN_WEIGHT) * RATE_TOLERANCE
+        size = max(MIN_BURST_JOBS, rate * RATE_SECONDS)
         tokens, counted_at = self._bucket_by_account.get(account, (size, accepted_at))
         # Jobs of several daemons may be learned in another order than accepted.
         elapsed = max(0.0, accepted_at - counted_at)
