--- a/catkinport/jobs/ownership/owner.py
+++ b/catkinport/jobs/ownership/owner.py
@@ -117,6 +117,7 @@
             self._watch,
             self._vm_planner.may_end_run,
             self._zone_evacuations,
+            self._vm_planner.inventory,
         )
         # A claim that was repeated may have been carried out just before its answer.
         held_until = ports.clock.now() + bounds.order_gap
--- a/catkinport/jobs/ownership/run_orders.py
+++ b/catkinport/jobs/ownership/run_orders.py
@@ -20,6 +20,8 @@
 from ..placement.stall_reporter import StallReporter
 from ..placement.stalled_pools import StartState
 from ..placement.start_delays import StartHold
+from ..vms.coming_cores import find_coming_cores
+from ..vms.vm_inventory import VmInventory
 from ..vms.zone_evacuations import ZoneEvacuations
 from ..workers.run import RunKey, RunPhase
 from ..workers.worker_state import LEASE_SECONDS, WorkerRecord
@@ -64,6 +66,7 @@
         may_end_run: returns whether the disruption budget of its step lets a run be
             ended that may be at work.
         evacuations: zones that get no starts; ``None`` if there can't be any.
+        inventory: VMs and the orders for them; ``None`` if no VM moves.
     """
 
     def __init__(
@@ -72,10 +75,12 @@
         watch: WorkerWatch,
         may_end_run: MayEndRun = lambda run: True,
         evacuations: ZoneEvacuations | None = None,
+        inventory: VmInventory | None = None,
     ) -> None:
         self._session = session
         self._watch = watch
         self._evacuations = evacuations
+        self._inventory = inventory
         self._planner = Planner(session.dispatcher)
         self._stop_turns = StopTurns(session.dispatcher, may_end_run)
         self._stalls = StallReporter(session.dispatcher)
@@ -129,6 +134,8 @@
         )
         n_free = self._start_limit.n_free
         if self._session.may_order() and n_free:
+            if self._inventory is not None:
+                self._planner.coming_by_pool = find_coming_cores(self._inventory, now)
             starts = self._planner.plan(
                 now, time.time(), learned_before, n_free, time.thread_time
             )
