Add tests of crowds of clients nobody controls

Cause: such clients exhausted a daemon's memory. Each test starts one daemon with lowered limits and 160 clients of one kind, and bounds what the daemon needs beyond its rest: 12 MB of peak memory and 130 descriptors. The settings get the declaration of the section "limits"; no product code reads it yet.

--- a/catkinport/platform/settings.py
+++ b/catkinport/platform/settings.py
@@ -13,6 +13,9 @@
 MAX_SECONDS = 600
 """Upper bound of every time in the settings."""
 
+MAX_MEMORY_MB = 1024 * 1024
+MAX_DESCRIPTORS = 1024 * 1024
+
 
 def _milliseconds_option(name: str, doc: str, default: str) -> Option:
     return Option(name, "whole", doc, default, 0, MAX_SECONDS * 1000, unit="ms")
@@ -118,6 +121,54 @@
             _seconds_option("move_seconds", "Time that a move of a VM takes.", "1.5"),
         ),
     ),
+    SectionDeclaration(
+        "limits",
+        "Limits of the VM, and of what the daemon holds for its clients.",
+        (
+            Option(
+                "memory_mb",
+                "whole",
+                "Memory of the VM; 0 if unknown.",
+                "0",
+                0,
+                MAX_MEMORY_MB,
+                unit="MB",
+            ),
+            Option(
+                "max_fds",
+                "whole",
+                "Descriptors that a process of the VM may open; 0 if unknown.",
+                "0",
+                0,
+                MAX_DESCRIPTORS,
+            ),
+            Option(
+                "held_kb",
+                "whole",
+                "Most memory for requests of clients; 0 for a part of the VM's.",
+                "0",
+                0,
+                MAX_MEMORY_MB * 1024,
+                unit="KB",
+            ),
+            Option(
+                "connections",
+                "whole",
+                "Most connections of clients; 0 for a part of the VM's descriptors.",
+                "0",
+                0,
+                MAX_DESCRIPTORS,
+            ),
+            Option(
+                "connections_per_address",
+                "whole",
+                "Most connections of one client address; 0 for a part of all.",
+                "0",
+                0,
+                MAX_DESCRIPTORS,
+            ),
+        ),
+    ),
     SectionDeclaration(
         "logging",
         "Logs of the process.",
--- /dev/null
+++ b/verification/clients/__init__.py
@@ -0,0 +1,1 @@
+"""Crowds of clients outside the operators' control, against real daemons."""
--- /dev/null
+++ b/verification/clients/tests/test_crowds.py
@@ -0,0 +1,112 @@
+"""Tests of one daemon that meets a small crowd of clients nobody controls.
+
+Limits are lowered in the daemon's settings. The crowd and the bounds were fixed before
+the daemon had limits, so that most of these tests failed then.
+"""
+
+import random
+import time
+
+import pytest
+
+from ...platform.caller import PlatformCaller, StepSpec
+from ...platform.deployment import HOST, PlatformDeployment, PlatformSize
+from ...processes import ProcessGroup
+from ..crowds import Crowd, build_kinds
+from ..usage import read_usage
+
+N_CLIENTS = 160
+MAX_CONNECTIONS = 100
+HELD_KB = 2048
+"""Settings of the daemon: connections, and memory for requests of clients."""
+
+BUDGET_KB = 12 * 1024
+"""Peak memory allowed beyond that at rest. Held requests take `HELD_KB`; the rest is
+for `MAX_CONNECTIONS` connections (about 20 KB each) and for the work on a request."""
+
+DESCRIPTOR_BUDGET = MAX_CONNECTIONS + 30
+"""Descriptors allowed beyond those at rest; the daemon's own connections to the store
+and to workers vary by less than 30."""
+
+SEND_SECONDS = 15.0
+HOLD_SECONDS = 1.0
+"""Time for which the crowd stays open after its last byte."""
+
+ANSWER_SECONDS = 20.0
+SETTLE_SECONDS = 2.0
+"""Time in which a started daemon claims the fleet and reaches its memory at rest."""
+
+KINDS = build_kinds(HOST, "/queue-0/", "key-0")
+
+LIMITS = {"held_kb": HELD_KB, "connections": MAX_CONNECTIONS}
+SIZE = PlatformSize(
+    n_daemons=1, n_pools=1, n_vms=2, n_spare_vms=0, daemon_limits=LIMITS
+)
+
+
+@pytest.fixture
+def deployment():
+    with ProcessGroup() as processes:
+        deployment = PlatformDeployment(processes, SIZE)
+        deployment.start()
+        time.sleep(SETTLE_SECONDS)
+        yield deployment
+
+
+def submit(deployment):
+    """Submit an ordinary job; return whether it was accepted."""
+    caller = PlatformCaller(deployment.list_caller_addresses, random.Random(1))
+    steps = [StepSpec(1)]
+    sent = caller.submit("queue-0", "key-0", steps, "seconds=0.1", ANSWER_SECONDS)
+    return sent.accepted_at > 0
+
+
+class TestCrowds:
+    def check(self, deployment, name):
+        """Let a crowd of one kind come and go; check what the daemon needed for it."""
+        (daemon,) = deployment.daemon_by_name.values()
+        rest = read_usage(daemon.process.pid)
+        with Crowd(daemon.caller_address, [KINDS[name]], N_CLIENTS) as crowd:
+            crowd.connect()
+            crowd.send(SEND_SECONDS)
+            time.sleep(HOLD_SECONDS)
+            assert daemon.process.is_running, daemon.process.read_tail()
+            usage = read_usage(daemon.process.pid)
+        is_answered = submit(deployment)
+        assert daemon.process.is_running, daemon.process.read_tail()
+        peak_kb = read_usage(daemon.process.pid).peak_kb
+        extra_kb = peak_kb - rest.peak_kb
+        extra_descriptors = usage.n_descriptors - rest.n_descriptors
+        found = f"{name}: {extra_kb} KB and {extra_descriptors} descriptors over "
+        found += f"{rest}, ordinary request answered: {is_answered}"
+        print(found)
+        is_within = extra_kb <= BUDGET_KB and extra_descriptors <= DESCRIPTOR_BUDGET
+        assert is_within and is_answered, found
+
+    def test_heads_over_the_limit(self, deployment):
+        """Guards against heads that are kept whole before they are refused."""
+        self.check(deployment, "long-heads")
+
+    def test_heads_without_end(self, deployment):
+        """Guards against fields of a head that are collected without a bound."""
+        self.check(deployment, "endless-heads")
+
+    def test_empty_lines_without_end(self, deployment):
+        """Guards against empty lines that keep a connection and the process busy."""
+        self.check(deployment, "empty-lines")
+
+    def test_whole_bodies_that_stop_short(self, deployment):
+        """Guards against large bodies that are all admitted at once."""
+        self.check(deployment, "whole-bodies")
+
+    def test_bodies_in_pieces_that_stop_short(self, deployment):
+        """Guards against bodies whose size shows only as they arrive slowly."""
+        self.check(deployment, "bodies-in-pieces")
+
+    def test_large_chunks_that_stop_short(self, deployment):
+        """Guards against bodies of unknown size that no budget counts."""
+        self.check(deployment, "large-chunks")
+
+    def test_small_chunks_that_stop_short(self, deployment):
+        """Guards against chunks whose objects take far more memory than their bytes."""
+        self.check(deployment, "small-chunks")
--- a/verification/platform/deployment.py
+++ b/verification/platform/deployment.py
@@ -9,6 +9,8 @@
 import os
 import socket
 import time
+from collections.abc import Mapping
+from types import MappingProxyType
 from typing import Any, NamedTuple
 
 import urllib3
@@ -51,6 +53,7 @@
         cores: cores of each VM.
         move_seconds: time that a move of a VM takes.
         upkeep_seconds: time that the upkeep of a VM takes.
+        daemon_limits: options of the section ``limits`` of each daemon's settings.
     """
 
     n_daemons: int = 3
@@ -61,6 +64,7 @@
     cores: float = 16.0
     move_seconds: float = 0.5
     upkeep_seconds: float = 0.5
+    daemon_limits: Mapping[str, int] = MappingProxyType({})
 
 
 class DaemonProcess(NamedTuple):
@@ -150,7 +154,8 @@
             f"[services]\ntable = {table}\n"
             f"vms = {vms_address or self.platform_address}\n\n"
             f"[bounds]\nupkeep_seconds = {self.size.upkeep_seconds}\n"
-            f"move_seconds = {self.size.move_seconds}\n"
+            f"move_seconds = {self.size.move_seconds}\n\n[limits]\n"
+            + "".join(f"{k} = {v}\n" for k, v in self.size.daemon_limits.items())
         )
         process = self._processes.start(
             name, ["catkinport.platform.main"], {"CATKINPORT_NODE_FILE": str(path)}
--- a/verification/processes.py
+++ b/verification/processes.py
@@ -61,6 +61,11 @@
         if self._process.stdout is not None:
             self._pump = OutputPump(self._process.stdout, log)
 
+    @property
+    def pid(self) -> int:
+        """Id of the process."""
+        return self._process.pid
+
     @property
     def is_running(self) -> bool:
         """Whether the process has not ended."""
