Decode the limits that the configuration tells clients

Cause: of the four limits, only MaxBodyBytes was decoded. The other three have the documented values as defaults.

--- a/catkinport/jobs/configuration.py
+++ b/catkinport/jobs/configuration.py
@@ -137,6 +137,9 @@
         account_by_name: all client accounts.
         account_name_by_key: account of each valid key.
         max_body_bytes: largest body of a request.
+        max_header_bytes: largest head of a request.
+        header_seconds: longest time that the head of a request may take.
+        idle_seconds: longest time without progress of the body of a request.
     """
 
     version: int
@@ -145,6 +148,9 @@
     account_by_name: Mapping[str, Account]
     account_name_by_key: Mapping[str, str]
     max_body_bytes: int
+    max_header_bytes: int = 16384
+    header_seconds: float = 3.0
+    idle_seconds: float = 15.0
 
     def find_queue(self, host: str, path: str) -> Queue | None:
         """Return the queue of ``host`` with the longest prefix of ``path``."""
--- a/catkinport/platform/operator_rows.py
+++ b/catkinport/platform/operator_rows.py
@@ -37,6 +37,9 @@
 CONFIGURATION_KEY = "config"
 WAVE_PREFIX = "wave/"
 DEFAULT_MAX_BODY_BYTES = 262144
+DEFAULT_MAX_HEADER_BYTES = 16384
+DEFAULT_HEADER_SECONDS = 3.0
+DEFAULT_IDLE_SECONDS = 15.0
 
 
 def decode_configuration(value: Mapping[str, Any]) -> FleetConfiguration:
@@ -61,6 +64,13 @@
         account_by_name={account.name: account for account in accounts},
         account_name_by_key=account_name_by_key,
         max_body_bytes=decoding.integer(limits, "MaxBodyBytes", DEFAULT_MAX_BODY_BYTES),
+        max_header_bytes=decoding.integer(
+            limits, "MaxHeaderBytes", DEFAULT_MAX_HEADER_BYTES
+        ),
+        header_seconds=decoding.seconds(
+            limits, "HeaderTimeoutMs", DEFAULT_HEADER_SECONDS
+        ),
+        idle_seconds=decoding.seconds(limits, "IdleTimeoutMs", DEFAULT_IDLE_SECONDS),
     )
 
 
