Hold the daemon's clients within limits

Cause: heads, bodies and connections of clients had no bound over the process, so that a crowd exhausted its memory. All three listeners now share one gate. A request reaches its handler once it is complete, so one that is refused has not run. Heads, bodies, empty lines, the time of a head and the progress of a body are bounded; memory is reserved before a body is taken; at a bound, the clients with the least progress are closed. Reads are 2 KB outside of bodies and 16 KB in them, and connections that send small chunks are read in turns, as 16 KB in chunks of a byte take some 10 ms.

Decompression moved from aiohttp to after the body is complete: gzip and deflate only, at most MaxBodyBytes; other encodings are refused with 400. Refused requests are answered without a body; a malformed request was answered with an explanation before.

--- a/catkinport/platform/daemon.py
+++ b/catkinport/platform/daemon.py
@@ -19,6 +19,7 @@
 from ..jobs.ownership.ownership_watch import RETRY_SECONDS, OwnershipWatch
 from ..jobs.ownership.session import OwnerPorts
 from ..jobs.vms.vm_inventory import VmBounds
+from ..policy.client_limits import RequestLimits
 from ..policy.leadership import claim_delay_seconds
 from ..runtime import BootTimeClock, Metrics
 from ..runtime.background import run_until_done
@@ -28,6 +29,7 @@
 from ..settings.declaration import format_fault
 from .callers import CallerServer, ConfigurationAgeLimit
 from .client import PlatformClient
+from .client_limits import ClientGate
 from .listener import HttpListener
 from .operator_rows import (
     CONFIGURATION_KEY,
@@ -116,6 +118,7 @@
             self._metrics,
             ConfigurationAgeLimit(max_age),
         )
+        self._gate = ClientGate(settings.client_bounds, metrics=self._metrics)
         self._stop = asyncio.Event()
         self._owner: FleetOwner | None = None
 
@@ -130,10 +133,11 @@
         self._configuration.add_listener(self._apply_configuration)
         host = self._settings.callers.rpartition(":")[0]
         metrics_address = f"{host}:{self._settings.metrics_port}"
+        gate = self._gate
         listeners = [
-            HttpListener(self._callers.handle, self._settings.callers),
-            HttpListener(self._answer_ready, self._settings.ready),
-            HttpListener(self._answer_metrics, metrics_address),
+            HttpListener(self._callers.handle, self._settings.callers, gate),
+            HttpListener(self._answer_ready, self._settings.ready, gate),
+            HttpListener(self._answer_metrics, metrics_address, gate),
         ]
         for listener in listeners:
             await listener.open()
@@ -201,6 +205,12 @@
         log_event(logger, "settings reloaded", is_changed=settings != self._settings)
 
     def _apply_configuration(self, configuration: FleetConfiguration) -> None:
+        self._gate.limits = RequestLimits(
+            max_header_bytes=configuration.max_header_bytes,
+            max_body_bytes=configuration.max_body_bytes,
+            header_seconds=configuration.header_seconds,
+            idle_seconds=configuration.idle_seconds,
+        )
         if self._owner is not None:
             self._owner.apply_configuration(configuration)
 
@@ -209,6 +219,7 @@
 
     async def _answer_metrics(self, request: web.BaseRequest) -> web.Response:
         export_dropped_lines(self._metrics)
+        self._gate.export()
         content, content_type = self._metrics.render()
         return web.Response(body=content, headers={"Content-Type": content_type})
 
--- a/catkinport/platform/listener.py
+++ b/catkinport/platform/listener.py
@@ -8,12 +8,10 @@
 from aiohttp import web
 
 from ..runtime.logs import log_event
+from .client_limits import ClientGate, LimitedHandler, LimitedServer
 
 logger = logging.getLogger(__name__)
 
-KEEP_ALIVE_SECONDS = 75.0
-"""How long an idle connection of a client is kept open."""
-
 BACKLOG_CONNECTIONS = 512
 """Most connections that wait until the server accepts them."""
 
@@ -37,15 +35,17 @@
     Args:
         handler: answers a request.
         address: ``host:port``.
+        gate: limits for the clients of all listeners of a process; default limits if
+            ``None``.
     """
 
-    def __init__(self, handler: Handler, address: str) -> None:
+    def __init__(
+        self, handler: Handler, address: str, gate: ClientGate | None = None
+    ) -> None:
         self._handler = handler
         self._address = address
-        server = web.Server(
-            self._handle, access_log=None, keepalive_timeout=KEEP_ALIVE_SECONDS
-        )
-        self._runner = web.ServerRunner(server, shutdown_timeout=SHUTDOWN_SECONDS)
+        self._server = LimitedServer(self._handle, gate or ClientGate())
+        self._runner = web.ServerRunner(self._server, shutdown_timeout=SHUTDOWN_SECONDS)
         self._tasks: set[asyncio.Task[Any]] = set()
         self._is_cut_off = False
 
@@ -93,12 +93,14 @@
             if self._tasks:
                 return False
             await asyncio.sleep(0)
-        return not self._tasks
+        return not self._tasks and not self._server.list_open_bodies()
 
     def _cut_off(self) -> None:
         self._is_cut_off = True
         for task in self._tasks:
             task.cancel()
+        for connection in self._server.list_open_bodies():
+            connection.refuse(503, "stopping")
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         task = asyncio.current_task()
@@ -125,3 +127,6 @@
             return response
         finally:
             self._tasks.discard(task)
+            connection = request.protocol
+            assert isinstance(connection, LimitedHandler)
+            connection.note_answered()
--- a/catkinport/platform/settings.py
+++ b/catkinport/platform/settings.py
@@ -3,9 +3,11 @@
 The platform makes the file from a template when it deploys the daemon.
 """
 
+from collections.abc import Mapping
 from pathlib import Path
 from typing import Any, NamedTuple
 
+from ..policy.client_limits import ClientBounds, derive_bounds
 from ..runtime.logs import LOG_FORMATS
 from ..settings.checks import check_text, limit_faults
 from ..settings.declaration import Fault, Option, SectionDeclaration
@@ -167,6 +169,15 @@
                 0,
                 MAX_DESCRIPTORS,
             ),
+            Option(
+                "unfinished_per_address",
+                "whole",
+                "Most unfinished requests of one client address; 0 for a part of all "
+                "connections.",
+                "0",
+                0,
+                MAX_DESCRIPTORS,
+            ),
         ),
     ),
     SectionDeclaration(
@@ -211,9 +222,21 @@
     vms: str
     advice: str
     bounds: PlatformBounds
+    client_bounds: ClientBounds
     log_format: str
 
 
+def _derive_client_bounds(values: Mapping[str, int]) -> ClientBounds:
+    return derive_bounds(
+        values["memory_mb"],
+        values["max_fds"],
+        held_bytes=values["held_kb"] * 1024,
+        connections=values["connections"],
+        connections_per_address=values["connections_per_address"],
+        unfinished_per_address=values["unfinished_per_address"],
+    )
+
+
 def load_settings(path: Path) -> DaemonSettings | list[Fault]:
     """Read the settings file and return the settings or the faults found."""
     try:
@@ -245,5 +268,6 @@
             upkeep=bounds["upkeep_seconds"],
             move=bounds["move_seconds"],
         ),
+        client_bounds=_derive_client_bounds(values["limits"]),
         log_format=values["logging"]["format"],
     )
--- a/catkinport/platform/tests/test_settings.py
+++ b/catkinport/platform/tests/test_settings.py
@@ -11,7 +11,13 @@
 FIELDS: dict[str, Any] = {
     "NodeName": "edge-chc-a-1",
     "Zone": "chc-a",
-    "Limits": {"CpuShare": 0.537, "Cores": 2, "LinkMbps": 1000.0},
+    "Limits": {
+        "CpuShare": 0.537,
+        "Cores": 2,
+        "LinkMbps": 1000.0,
+        "MemoryMb": 160,
+        "MaxFds": 4100,
+    },
     "ListenAddrs": {"Front": "10.1.0.23:8340", "Ready": "10.1.0.23:8343"},
     "PortRange": [7000, 7015],
     "platform": {"Address": "10.200.1.7:8344"},
@@ -61,6 +67,7 @@
         assert settings.bounds.longest_lease == 10.0
         assert settings.bounds.move == 1.5
         assert settings.processor_share * settings.processor_speed == 1.074
+        assert settings.client_bounds.connections == 1280
 
     def test_bounds_that_the_platform_leaves_out_have_defaults(self):
         text = re.sub(r"\[bounds\].*", "", fill_in(self._template()), flags=re.S)
