--- a/catkinport/platform/settings.py
+++ b/catkinport/platform/settings.py
@@ -3,9 +3,11 @@
 The platform makes the file from a template when it deploys the daemon.
 """
 
+from collections.abc import Mapping
 from pathlib import Path
 from typing import Any, NamedTuple
 
+from ..policy.client_limits import ClientBounds, derive_bounds
 from ..runtime.logs import LOG_FORMATS
 from ..settings.checks import check_text, limit_faults
 from ..settings.declaration import Fault, Option, SectionDeclaration
@@ -13,6 +15,9 @@
 MAX_SECONDS = 600
 """Upper bound of every time in the settings."""
 
+MAX_MEMORY_MB = 1024 * 1024
+MAX_DESCRIPTORS = 1024 * 1024
+
 
 def _milliseconds_option(name: str, doc: str, default: str) -> Option:
     return Option(name, "whole", doc, default, 0, MAX_SECONDS * 1000, unit="ms")
@@ -118,6 +123,63 @@
             _seconds_option("move_seconds", "Time that a move of a VM takes.", "1.5"),
         ),
     ),
+    SectionDeclaration(
+        "limits",
+        "Limits of the VM, and of what the daemon holds for its clients.",
+        (
+            Option(
+                "memory_mb",
+                "whole",
+                "Memory of the VM; 0 if unknown.",
+                "0",
+                0,
+                MAX_MEMORY_MB,
+                unit="MB",
+            ),
+            Option(
+                "max_fds",
+                "whole",
+                "Descriptors that a process of the VM may open; 0 if unknown.",
+                "0",
+                0,
+                MAX_DESCRIPTORS,
+            ),
+            Option(
+                "held_kb",
+                "whole",
+                "Most memory for requests of clients; 0 for a part of the VM's.",
+                "0",
+                0,
+                MAX_MEMORY_MB * 1024,
+                unit="KB",
+            ),
+            Option(
+                "connections",
+                "whole",
+                "Most connections of clients; 0 for a part of the VM's descriptors.",
+                "0",
+                0,
+                MAX_DESCRIPTORS,
+            ),
+            Option(
+                "connections_per_address",
+                "whole",
+                "Most connections of one client address; 0 for a part of all.",
+                "0",
+                0,
+                MAX_DESCRIPTORS,
+            ),
+            Option(
+                "unfinished_per_address",
+                "whole",
+                "Most unfinished requests of one client address; 0 for a part of all "
+                "connections.",
+                "0",
+                0,
+                MAX_DESCRIPTORS,
+            ),
+        ),
+    ),
     SectionDeclaration(
         "logging",
         "Logs of the process.",
@@ -160,9 +222,21 @@
     vms: str
     advice: str
     bounds: PlatformBounds
+    client_bounds: ClientBounds
     log_format: str
 
 
+def _derive_client_bounds(values: Mapping[str, int]) -> ClientBounds:
+    return derive_bounds(
+        values["memory_mb"],
+        values["max_fds"],
+        held_bytes=values["held_kb"] * 1024,
+        connections=values["connections"],
+        connections_per_address=values["connections_per_address"],
+        unfinished_per_address=values["unfinished_per_address"],
+    )
+
+
 def load_settings(path: Path) -> DaemonSettings | list[Fault]:
     """Read the settings file and return the settings or the faults found."""
     try:
@@ -194,5 +268,6 @@
             upkeep=bounds["upkeep_seconds"],
             move=bounds["move_seconds"],
         ),
+        client_bounds=_derive_client_bounds(values["limits"]),
         log_format=values["logging"]["format"],
     )
--- a/verification/platform/deployment.py
+++ b/verification/platform/deployment.py
@@ -9,6 +9,8 @@
 import os
 import socket
 import time
+from collections.abc import Mapping
+from types import MappingProxyType
 from typing import Any, NamedTuple
 
 import urllib3
@@ -52,6 +54,7 @@
         move_seconds: time that a move of a VM takes.
         upkeep_seconds: time that the upkeep of a VM takes.
         n_zones: number of availability zones, which the VMs are in by turns.
+        daemon_limits: options of the section ``limits`` of each daemon's settings.
     """
 
     n_daemons: int = 3
@@ -63,6 +66,7 @@
     move_seconds: float = 0.5
     upkeep_seconds: float = 0.5
     n_zones: int = 1
+    daemon_limits: Mapping[str, int] = MappingProxyType({})
 
 
 class DaemonProcess(NamedTuple):
@@ -153,7 +157,8 @@
             f"[services]\ntable = {table}\n"
             f"vms = {vms_address or self.platform_address}\n\n"
             f"[bounds]\nupkeep_seconds = {self.size.upkeep_seconds}\n"
-            f"move_seconds = {self.size.move_seconds}\n"
+            f"move_seconds = {self.size.move_seconds}\n\n[limits]\n"
+            + "".join(f"{k} = {v}\n" for k, v in self.size.daemon_limits.items())
         )
         process = self._processes.start(
             name, ["catkinport.platform.main"], {"CATKINPORT_NODE_FILE": str(path)}
