--- a/catkinport/jobs/tests/test_lasting_stops.py
+++ b/catkinport/jobs/tests/test_lasting_stops.py
@@ -150,7 +150,8 @@
         step = LastingStep(are_others_ready=False)
         worker = step.fleet.dispatcher.worker_by_id[step.run.worker_id]
         late = step.fleet.now + STARTING_SECONDS + 0.1
-        assert _choose_poll_wait(worker, late) < FRESH_REPORT_SECONDS
+        n_workers = len(step.fleet.dispatcher.worker_by_id)
+        assert _choose_poll_wait(worker, late, n_workers) < FRESH_REPORT_SECONDS
 
     def test_it_is_adopted_after_a_stop_without_an_answer(self):
         """Guards against stops that go on until they end a task at work."""
