Look at the workers of a pool once a round for the log of inherited starts

Change: the number of workers and the oldest answer are found once for a clock time. The benchmark new-owner has inherited jobs from now on, as a new owner has. The new test failed before.

--- a/benchmarks/new_owner.py
+++ b/benchmarks/new_owner.py
@@ -49,7 +49,7 @@
     )
     for number in range(N_JOBS):
         job = make_job(f"{number:016x}", steps=[step])
-        fleet.dispatcher.add_job(job, fleet.now)
+        fleet.dispatcher.add_job(job, fleet.now, is_inherited=True)
     return fleet
 
 
--- a/catkinport/jobs/dispatch/run_table.py
+++ b/catkinport/jobs/dispatch/run_table.py
@@ -39,6 +39,7 @@
         self._jobs = jobs
         self._workers = workers
         self._metrics = metrics
+        self._contacts = _PoolContacts(workers)
 
     def begin(self, worker: WorkerRecord, task: Task, now: float) -> Run:
         """Note that a run of ``task`` is ordered on the worker."""
@@ -194,8 +195,7 @@
     def _log_inherited_start(
         self, worker: WorkerRecord, task: Task, number: int, now: float
     ) -> None:
-        workers = self._workers.workers_of(worker.listed.pool)
-        oldest = min(other.contact_at for other in workers)
+        n_workers, oldest = self._contacts.find(worker.listed.pool, now)
         possible = self.runs_by_task.get(task.text, [])
         log_event(
             logger,
@@ -204,8 +204,32 @@
             task=task.text,
             run=number,
             worker=worker.worker_id,
-            n_workers=len(workers),
+            n_workers=n_workers,
             oldest_answer_seconds=round(now - oldest, 3),
             n_possible_runs=len(possible),
             possible_runs=",".join(f"{r.key.run}@{r.worker_id}" for r in possible),
         )
+
+
+class _PoolContacts:
+    """Number of workers of each pool, and the oldest of their latest answers.
+
+    They are found once for a clock time: a round of planning may start hundreds of
+    tasks in a pool of thousands of workers.
+    """
+
+    def __init__(self, workers: WorkerTable) -> None:
+        self._workers = workers
+        self._found_at = float("-inf")
+        self._found_by_pool: dict[str, tuple[int, float]] = {}
+
+    def find(self, pool: str, now: float) -> tuple[int, float]:
+        """Return the number of workers, and the clock time of the oldest answer."""
+        if now != self._found_at:
+            self._found_at = now
+            self._found_by_pool.clear()
+        if pool not in self._found_by_pool:
+            workers = self._workers.workers_of(pool)
+            oldest = min((worker.contact_at for worker in workers), default=now)
+            self._found_by_pool[pool] = len(workers), oldest
+        return self._found_by_pool[pool]
--- a/catkinport/jobs/tests/test_owner_load.py
+++ b/catkinport/jobs/tests/test_owner_load.py
@@ -11,7 +11,7 @@
 from ..ownership.ownership_watch import Claim
 from ..ownership.session import OwnerPorts
 from ..tables import JOBS_TABLE, ROSTER_TABLE, STATES_TABLE
-from .builders import make_configuration
+from .builders import Fleet, make_configuration, make_job, make_step, make_worker
 from .vm_fleet import BOUNDS
 
 LONGEST_LEASE = 10.0
@@ -88,3 +88,28 @@
         """
         owner = make_owner(FailingTable(), now=103.5)
         assert owner._vm_orders._held_until >= 103.5 + BOUNDS.order_gap
+
+
+class TestInheritedStarts:
+    def test_the_workers_of_a_pool_are_looked_at_once_in_a_round(self, monkeypatch):
+        """Guards against a log line that takes as long as planning the start.
+
+        Each start of an inherited task looked at all workers of its pool.
+        """
+        fleet = Fleet([make_worker(f"w{number}") for number in range(4)])
+        workers = fleet.dispatcher._runs._workers
+        workers_of = workers.workers_of
+        asked = []
+
+        def note(pool):
+            asked.append(pool)
+            return workers_of(pool)
+
+        job = make_job(steps=[make_step(8)])
+        fleet.dispatcher.add_job(job, fleet.now, is_inherited=True)
+        (first,) = fleet.plan(max_starts=1)[:1]
+        monkeypatch.setattr(workers, "workers_of", note)
+        task = first.run.task
+        for _ in range(5):
+            fleet.dispatcher._runs.begin(first.worker, task, fleet.now + 1.0)
+        assert len(asked) == 1
