Report the shares and the surplus of accounts that compete

Cause: no metric or line showed which account is held back in a pool that is short.

Change: gauges account_share_cores and account_surplus_jobs by pool and account, of 100 pairs at most, and the line "accounts compete" each 5 s for a pool. They are 0 after the ownership. The benchmark names its second load by its factor.

--- a/benchmarks/job_order.py
+++ b/benchmarks/job_order.py
@@ -64,7 +64,7 @@
 
 LOADS = (
     Load("turns"),
-    Load("turns, a tenth too much", 1.2),
+    Load("turns, a fifth more jobs", 1.2),
     Load("turns, outage of 4 s", outage=(12.0, 16.0)),
     Load("turns, an account with ten times its rate", hot_rate=9 * 0.12 * 2),
 )
@@ -161,7 +161,7 @@
             configuration._replace(queue_by_name=queues, account_by_name=accounts)
         )
         self.planner = Planner(self.dispatcher)
-        self.planner._order = order(self.dispatcher)
+        self.planner.order = order(self.dispatcher)
 
     def replay(self) -> None:
         """Replay all arrivals, and let the jobs go on for a time."""
--- a/catkinport/jobs/ownership/run_orders.py
+++ b/catkinport/jobs/ownership/run_orders.py
@@ -16,6 +16,7 @@
 from ..placement.planner import ApprovalRequest, Planner, Ticket
 from ..placement.round_budget import PlannedStart
 from ..placement.run_stops import PaceOrder, StopOrder, StopTurns, find_paces
+from ..placement.share_reporter import ShareReporter
 from ..placement.stall_reporter import StallReporter
 from ..placement.stalled_pools import StartState
 from ..placement.start_delays import StartHold
@@ -76,6 +77,7 @@
         self._planner = Planner(session.dispatcher)
         self._stop_turns = StopTurns(session.dispatcher)
         self._stalls = StallReporter(session.dispatcher)
+        self._shares = ShareReporter()
         self._requested_stages: set[str] = set()
         self._approval_turns = asyncio.Semaphore(MAX_APPROVAL_CALLS)
         self._start_limit = ConcurrencyLimit()
@@ -94,10 +96,12 @@
                 with round_times.measure(len(job_by_id)):
                     self._plan()
                 self._report_stalls()
+                self._report_shares()
                 taken_seconds = time.thread_time() - began_at
                 await asyncio.sleep(max(MIN_PLAN_INTERVAL_SECONDS, taken_seconds))
         finally:
             self._stalls.clear(self._session.ports.metrics)
+            self._shares.clear(self._session.ports.metrics)
 
     async def _wait_for_wake(self) -> None:
         # `asyncio.wait_for` may swallow the cancellation that ends the ownership.
@@ -151,6 +155,10 @@
         state = StartState(delays.delay_by_job, delays.learned_before, hold)
         self._stalls.measure(state, now, time.time(), self._session.ports.metrics)
 
+    def _report_shares(self) -> None:
+        now, metrics = self._session.clock.now(), self._session.ports.metrics
+        self._shares.report(self._planner.order.shares_by_pool, now, metrics)
+
     async def _send_start(self, start: PlannedStart) -> None:
         run, worker = start.run, start.worker
         order = StartOrder(
--- a/catkinport/jobs/placement/account_order.py
+++ b/catkinport/jobs/placement/account_order.py
@@ -1,6 +1,7 @@
 """Finds the jobs that wait behind those of other accounts in a pool that is short."""
 
 import math
+from collections import Counter
 from collections.abc import Mapping, Sequence
 from typing import NamedTuple
 
@@ -16,6 +17,7 @@
 from ..configuration import Account
 from ..dispatch.dispatcher import Dispatcher
 from ..dispatch.record import JobRecord
+from .share_reporter import AccountShare
 
 
 class WaitingJob(NamedTuple):
@@ -38,10 +40,14 @@
 
     Args:
         dispatcher: jobs and workers.
+
+    Attributes:
+        shares_by_pool: shares of the accounts that compete, by pool and account.
     """
 
     def __init__(self, dispatcher: Dispatcher) -> None:
         self._dispatcher = dispatcher
+        self.shares_by_pool: dict[str, dict[str, AccountShare]] = {}
         self._rates = ArrivalRates()
         self._use_by_pool: dict[str, RecentUse] = {}
 
@@ -87,6 +93,7 @@
         accounts = self._dispatcher.configuration.account_by_name
         jobs = [job for job in jobs if job.account in accounts]
         if len({job.account for job in jobs}) < 2:
+            self.shares_by_pool.pop(pool, None)
             return {}
         running = {name: n for name, n in running.items() if name in accounts}
         recent = self._use_by_pool.setdefault(pool, RecentUse())
@@ -94,6 +101,7 @@
         demands = self._find_demands(jobs, running, usage)
         cores = free_cores + sum(running.values())
         allowances = find_allowances(cores, demands, recent.cores_by_account)
+        self.shares_by_pool[pool] = _find_shares(jobs, allowances, running)
         taken = dict(running)
         turn_by_job: dict[str, AccountTurn] = {}
         for job in jobs:
@@ -131,6 +139,21 @@
         ]
 
 
+def _find_shares(
+    jobs: Sequence[WaitingJob],
+    allowances: Mapping[str, float],
+    running: Mapping[str, float],
+) -> dict[str, AccountShare]:
+    n_waiting = Counter(job.account for job in jobs)
+    n_surplus = Counter(job.account for job in jobs if job.record.is_surplus)
+    return {
+        name: AccountShare(
+            allowances[name], running.get(name, 0.0), n_waiting[name], n_surplus[name]
+        )
+        for name in n_waiting
+    }
+
+
 def _max_cores(
     account: Account, running: Mapping[str, float], usage: Mapping[str, Resources]
 ) -> float:
--- a/catkinport/jobs/placement/planner.py
+++ b/catkinport/jobs/placement/planner.py
@@ -68,6 +68,7 @@
         dispatcher: jobs and workers.
 
     Attributes:
+        order: order of the jobs of each pool.
         delays: waits of the tasks that could not start.
         wanted_approvals: approvals to ask for after the latest planning, by step.
         coming_by_pool: cores that are being moved to each pool, for the forecast of
@@ -81,7 +82,7 @@
         self._rejected_by_stage: dict[str, set[str]] = {}
         self._learned_before: float | None = None
         self.delays = StartDelays(dispatcher)
-        self._order = PoolOrder(dispatcher)
+        self.order = PoolOrder(dispatcher)
         self._reservations = Reservations()
         self._first_pool = ""
         self._seen_ids: set[str] = set()
@@ -143,7 +144,7 @@
             self._begin_pass(now)
         budget = RoundBudget(max_starts, clock)
         records_by_pool = self._find_unseen(now)
-        self._order.note_arrivals()
+        self.order.note_arrivals()
         usage = usage_by_account(self._dispatcher)
         pools = rotate(list(records_by_pool), self._first_pool)
         self.is_unfinished = False
@@ -195,7 +196,7 @@
         free_cores = sum(room.cores for room in rooms.values())
         coming = self.coming_by_pool.get(pool, ())
         state = PoolState(pool, free_cores, usage, coming)
-        ordered = self._order.sort(state, records, now, unix_now)
+        ordered = self.order.sort(state, records, now, unix_now)
         for record, queue in ordered:
             if not budget.may_plan_job:
                 return False
--- a/catkinport/jobs/placement/pool_order.py
+++ b/catkinport/jobs/placement/pool_order.py
@@ -24,6 +24,7 @@
 from ..workers.worker_state import WorkerRecord
 from .account_order import AccountOrder, WaitingJob
 from .ready_cores import measure_work
+from .share_reporter import SharesByPool
 
 JobAndQueue = tuple[JobRecord, Queue]
 
@@ -69,6 +70,11 @@
         self._dispatcher = dispatcher
         self._accounts = AccountOrder(dispatcher)
 
+    @property
+    def shares_by_pool(self) -> SharesByPool:
+        """Shares of the accounts that compete, by pool and account."""
+        return self._accounts.shares_by_pool
+
     def note_arrivals(self) -> None:
         """Find out which of the new jobs exceed the rates of their accounts."""
         self._accounts.note_arrivals()
@@ -92,6 +98,7 @@
         jobs.sort(key=_key_of)
         ending = [job for job in jobs if not job.view.is_lasting]
         if sum(job.work.ready_cores for job in ending) <= state.free_cores:
+            self._accounts.shares_by_pool.pop(state.pool, None)
             return [job.item for job in jobs]
         workers = self._dispatcher.workers_of(state.pool)
         ending = self._apply_turns(state, ending, _running_cores(workers), now)
--- a/catkinport/jobs/tests/test_account_order.py
+++ b/catkinport/jobs/tests/test_account_order.py
@@ -1,7 +1,9 @@
 """Tests of the order of jobs while accounts compete for a pool that is short."""
 
 from ...policy.job_order import order_key
+from ...runtime import Metrics
 from ..placement.pool_order import PoolState
+from ..placement.share_reporter import MAX_LABELS, AccountShare, ShareReporter
 from .account_load import LoadedFleet
 
 ORDINARY = [f"a{number}" for number in range(19)]
@@ -56,6 +58,31 @@
         assert abs(on_time[0] - on_time[1]) <= 0.1
 
 
+class TestShareReport:
+    def test_gauges_show_the_surplus_and_end_with_the_ownership(self):
+        """Guards against a hot account that no metric shows."""
+        fleet = LoadedFleet(1, {"hot": 1.0, "calm": 1.0})
+        fleet.send("hot", 30)
+        fleet.send("calm", 2)
+        fleet.tick()
+        metrics, reporter = Metrics(), ShareReporter()
+        reporter.report(fleet.planner.order.shares_by_pool, fleet.now, metrics)
+        label = '{account="hot",pool="renders"}'
+        text = metrics.render()[0].decode()
+        assert f"account_surplus_jobs{label} 20\n" in text
+        reporter.clear(metrics)
+        text = metrics.render()[0].decode()
+        assert f"account_surplus_jobs{label} 0\n" in text
+
+    def test_the_number_of_labels_is_bounded(self):
+        """Guards against metrics that grow with the number of accounts."""
+        shares = {f"a{i}": AccountShare(1.0, 1.0, 1, 0) for i in range(1000)}
+        metrics = Metrics()
+        ShareReporter().report({"p": shares}, 0.0, metrics)
+        text = metrics.render()[0].decode()
+        assert text.count("account_share_cores{") == MAX_LABELS
+
+
 class TestWeights:
     def test_an_account_of_three_times_the_weight_gets_three_times_the_room(self):
         """Guards against equal shares for accounts of different weights."""
@@ -73,7 +100,7 @@
         fleet = LoadedFleet(1, {"a": 1.0, "idle": 5.0})
         for n_tasks in (3, 1, 2, 1, 5, 4, 2, 1) * 3:
             fleet.send("a", n_tasks=n_tasks)
-        fleet.planner._order.note_arrivals()
+        fleet.planner.order.note_arrivals()
         assert any(record.is_surplus for record in _find_records(fleet))
         assert _find_order(fleet) == _find_order_without_accounts(fleet)
 
@@ -84,7 +111,7 @@
         fleet = LoadedFleet(20, {"a": 1.0, "b": 1.0})
         for account in ("a", "a", "a", "b", "a", "a", "a"):
             fleet.send(account, 2)
-        fleet.planner._order.note_arrivals()
+        fleet.planner.order.note_arrivals()
         assert _find_order(fleet) == _find_order_without_accounts(fleet)
 
 
@@ -106,7 +133,7 @@
     workers = fleet.dispatcher.worker_by_id.values()
     free_cores = sum(worker.free().cores for worker in workers)
     state = PoolState("renders", free_cores, {})
-    ordered = fleet.planner._order.sort(state, _find_items(fleet), fleet.now, fleet.now)
+    ordered = fleet.planner.order.sort(state, _find_items(fleet), fleet.now, fleet.now)
     return [record.job.job_id for record, _ in ordered]
 
 
