Let begun jobs of a former owner keep their place among accounts

Cause: a job counted as begun only if this owner had started or adopted a run of it, so jobs with done tasks went behind others after a change of the owner.

Change: a job with a stored state counts as begun too.

No test of its own.

--- a/catkinport/jobs/placement/account_order.py
+++ b/catkinport/jobs/placement/account_order.py
@@ -111,7 +111,7 @@
             before = taken.get(job.account, 0.0)
             # A job that has begun keeps its place: to stop halfway wastes its work.
             is_beyond = before >= allowances[job.account]
-            if is_beyond and not job.record.ever_started:
+            if is_beyond and not job.record.is_begun:
                 turn_by_job[job.record.job.job_id] = AccountTurn.BEYOND_SHARE
             taken[job.account] = before + job.work.ready_cores
         return turn_by_job
