Drain VMs of all racks in turn in a pressed wave

Cause: a pressed wave drains many VMs together, those with the least work first, which may be most of one rack. Tasks that need one rack, or have their data there, suffer.

Change: in a pressed wave, VMs with short tasks are drained from all racks in turn. Waves with time left go by the work on their VMs as before.

--- a/catkinport/jobs/vms/upkeep_waves.py
+++ b/catkinport/jobs/vms/upkeep_waves.py
@@ -222,6 +222,8 @@
             or self._starved_pools.is_relieved(vm.pool, now),
             is_budget_exhausted=worker is not None
             and self._budget.is_exhausted(worker),
+            # The labels of a VM are its kind and its rack.
+            rack=vm.labels[1] if len(vm.labels) > 1 else "",
         )
 
     def _upkeep_cost(
--- a/catkinport/policy/tests/test_upkeep.py
+++ b/catkinport/policy/tests/test_upkeep.py
@@ -138,6 +138,30 @@
         assert wave.max_unavailable <= 16
 
 
+class TestRacks:
+    def _choose_drains(self, age_seconds: float) -> list[str]:
+        """Drain VMs of three racks of which the first has those with the least work."""
+        candidates = [
+            UpkeepCandidate(
+                f"r{rack}-{i}", "p", UpkeepCost.SHORT_WORK, rack + 1.0, rack=f"r{rack}"
+            )
+            for rack in range(3)
+            for i in range(8)
+        ]
+        view = WaveView(24, 0, 0, 6, age_seconds, DEADLINE_SECONDS, candidates)
+        return choose_upkeep(view).drain
+
+    def test_a_pressed_wave_drains_as_many_of_each_rack(self):
+        """Guards against a rack that a pressed wave takes down as a whole."""
+        drain = self._choose_drains(age_seconds=12.0)
+        assert [vm_id[:2] for vm_id in drain] == ["r0", "r1", "r2"] * 2
+
+    def test_a_wave_with_time_left_goes_by_the_work_on_its_vms(self):
+        """Guards against a changed order in waves that finish in time."""
+        drain = self._choose_drains(age_seconds=1.0)
+        assert {vm_id[:2] for vm_id in drain} == {"r0"}
+
+
 class TestVmsThatAreOff:
     def test_they_begin_at_once(self):
         """Guards against spare VMs that can't be moved until late in a wave."""
--- a/catkinport/policy/upkeep.py
+++ b/catkinport/policy/upkeep.py
@@ -84,6 +84,7 @@
             waits, so that none of its VMs with tasks is drained.
         is_budget_exhausted: whether one of its lasting tasks can't be ended for long,
             because too many others of its step are unavailable.
+        rack: label of its rack; empty if it has none.
     """
 
     vm_id: str
@@ -95,6 +96,7 @@
     is_pool_busy: bool = False
     is_pool_short: bool = False
     is_budget_exhausted: bool = False
+    rack: str = ""
 
 
 class WaveView(NamedTuple):
@@ -234,6 +236,8 @@
         n_wanted = max(0, _n_places(view) - len(maintain) - n_draining)
         drainable = [c for c in short if not c.is_reserved and not c.is_pool_short]
         others = sorted(drainable, key=_busy_cores)
+        if is_pressed(view):
+            others = _spread_over_racks(others, view)
         drain += [c.vm_id for c in others[:n_wanted]]
     return UpkeepChoice(maintain, drain, release)
 
@@ -290,5 +294,22 @@
     return min(MAX_LASTING_DRAINS, math.ceil(n_vms / n_turns))
 
 
+def _spread_over_racks(
+    candidates: Sequence[UpkeepCandidate], view: WaveView
+) -> list[UpkeepCandidate]:
+    """Return the VMs so that each rack loses as many as others, else in their order.
+
+    A pressed wave drains many VMs together. Tasks that need one rack, or have their
+    data in one, would lose most of it.
+    """
+    n_by_rack = Counter(c.rack for c in view.candidates if c.is_reserved)
+    ranked: list[tuple[int, UpkeepCandidate]] = []
+    for candidate in candidates:
+        ranked.append((n_by_rack[candidate.rack], candidate))
+        n_by_rack[candidate.rack] += 1
+    ranked.sort(key=lambda entry: entry[0])
+    return [candidate for _, candidate in ranked]
+
+
 def _busy_cores(candidate: UpkeepCandidate) -> float:
     return candidate.busy_cores
