--- a/catkinport/jobs/placement/pool_order.py
+++ b/catkinport/jobs/placement/pool_order.py
@@ -5,6 +5,7 @@
 count only while the jobs that wait for the pool want more cores than it has free.
 """
 
+import operator
 from collections.abc import Iterable, Mapping, Sequence
 from typing import NamedTuple
 
@@ -24,9 +25,14 @@
 from ..workers.worker_state import WorkerRecord
 from .account_order import AccountOrder, WaitingJob
 from .ready_cores import measure_work
+from .share_reporter import SharesByPool
 
 JobAndQueue = tuple[JobRecord, Queue]
 
+MAX_FORECAST_JOBS = 500
+"""Most jobs of a pool whose waits are forecast in a round, the first ones in order. Far
+fewer start in a round, and a forecast of 4,000 jobs takes 40 ms more."""
+
 
 class PoolState(NamedTuple):
     """What a round knows of a pool and of the accounts before it places tasks.
@@ -58,6 +64,9 @@
         return self.item[0].job.job_id
 
 
+_key_of = operator.attrgetter("key")
+
+
 class PoolOrder:
     """Order of the jobs of each pool.
 
@@ -69,6 +78,11 @@
         self._dispatcher = dispatcher
         self._accounts = AccountOrder(dispatcher)
 
+    @property
+    def shares_by_pool(self) -> SharesByPool:
+        """Shares of the accounts that compete, by pool and account."""
+        return self._accounts.shares_by_pool
+
     def note_arrivals(self) -> None:
         """Find out which of the new jobs exceed the rates of their accounts."""
         self._accounts.note_arrivals()
@@ -92,6 +106,7 @@
         jobs.sort(key=_key_of)
         ending = [job for job in jobs if not job.view.is_lasting]
         if sum(job.work.ready_cores for job in ending) <= state.free_cores:
+            self._accounts.shares_by_pool.pop(state.pool, None)
             return [job.item for job in jobs]
         workers = self._dispatcher.workers_of(state.pool)
         ending = self._apply_turns(state, ending, _running_cores(workers), now)
@@ -173,18 +188,14 @@
     jobs: list[_OrderedJob], room: PoolRoom, now: float
 ) -> list[_OrderedJob]:
     """Return the jobs in their order by the outcomes that their waits allow."""
+    first = jobs[:MAX_FORECAST_JOBS]
     prospects = forecast_prospects(
-        [ForecastJob(job.view, job.work, job.turn) for job in jobs], room, now
+        [ForecastJob(job.view, job.work, job.turn) for job in first], room, now
     )
     changed = [
-        job
-        if job.key[0] == prospect
-        else job._replace(key=order_key(job.view, now, job.turn, prospect))
-        for job, prospect in zip(jobs, prospects, strict=True)
+        job._replace(key=order_key(job.view, now, job.turn, prospect))
+        if job.key[0] != prospect
+        else job
+        for job, prospect in zip(first, prospects, strict=True)
     ]
-    changed.sort(key=_key_of)
-    return changed
-
-
-def _key_of(job: _OrderedJob) -> tuple[float, ...]:
-    return job.key
+    return sorted([*changed, *jobs[MAX_FORECAST_JOBS:]], key=_key_of)
