Log the bound on connections, and take no part of a body for a head

Cause: the count of clients refused at the bound "connections" and the field of open connections had the same name, so the log call failed, and with it the check of times until the next refusal. And empty lines in a body of known length that came in a read of its own were taken for the end of a chunked body, so the idle connection was closed after the time of a head. The field is named open_connections now, and only chunked bodies are searched for the start of a next head.

--- a/catkinport/platform/client_limits.py
+++ b/catkinport/platform/client_limits.py
@@ -182,7 +182,7 @@
                 logger,
                 "clients refused",
                 level=logging.WARNING,
-                connections=self.ledger.n_connections,
+                open_connections=self.ledger.n_connections,
                 held_bytes=self.ledger.held_bytes,
                 **self._n_by_bound,
             )
@@ -279,8 +279,10 @@
         try:
             messages = self._parse(data)
             if self._message is not None:
+                # A read of a body of known length ends with it.
+                may_have_rest = self._message.chunked and not messages
                 self._collect(data, complete)
-                if self._message is None and not messages:
+                if self._message is None and may_have_rest:
                     self._note_rest(data)
             elif not messages:
                 self._note_head(data)
@@ -306,7 +308,7 @@
     def _note_rest(self, data: bytes) -> None:
         """Count the start of a head that came in the same read as the end of a body."""
         _, _, rest = data.rpartition(b"\r\n\r\n")
-        # Only a chunked body may end within a read. It ends with an empty line.
+        # A chunked body ends with an empty line.
         if rest and rest != data and not self.is_over:
             self._note_head(rest)
 
--- a/catkinport/platform/tests/test_client_limits.py
+++ b/catkinport/platform/tests/test_client_limits.py
@@ -145,6 +145,38 @@
 
         assert run(check) == ({200}, 3 * [5000, 3, 1000, 0], 0)
 
+    def test_empty_lines_in_a_body_begin_no_head(self):
+        """Guards against an idle connection that is closed for a head it never sent."""
+        body = b"a\r\n\r\nb"
+
+        async def check(server):
+            reader, writer = await server.connect()
+            statuses = []
+            for _ in range(2):
+                writer.write(with_length(len(body)))
+                await asyncio.sleep(0.1)
+                writer.write(body)
+                status, _ = await read_answer(reader)
+                await reader.readexactly(1)
+                statuses.append(status)
+                await asyncio.sleep(1.2)
+            return statuses
+
+        assert run(check, header_seconds=0.3) == [200, 200]
+
+    def test_a_request_for_an_upgrade_is_answered_as_any_other(self):
+        """Guards against requests after it that are lost."""
+        upgrade = b"GET /a HTTP/1.1\r\nHost: h\r\nConnection: upgrade\r\n"
+        upgrade += b"Upgrade: websocket\r\n\r\n"
+        get = b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n"
+
+        async def check(server):
+            await server.send(upgrade + get)
+            await asyncio.sleep(0.1)
+            return server.sizes
+
+        assert run(check) == [0, 0]
+
     def test_a_compressed_body_is_served(self):
         """Guards against clients that compress and were served before the limits."""
         body = gzip.compress(1000 * b"x")
@@ -254,6 +286,23 @@
 
         assert run(check, BODY_BUDGET) == (50, 200)
 
+    def test_each_bound_may_be_logged(self, caplog):
+        """Guards against a log line that fails, after which no time is checked."""
+
+        async def check(server):
+            for bound in (
+                "head-bytes", "head-time", "body-bytes", "body-progress", "empty-lines",
+                "malformed", "held-bytes", "connections", "unfinished-per-address",
+                "stopping",
+            ):  # fmt: skip
+                server.gate.count(bound)
+            await asyncio.sleep(0.7)
+
+        with caplog.at_level(logging.WARNING):
+            run(check)
+        lines = [r.getMessage() for r in caplog.records]
+        assert len([line for line in lines if line.startswith("clients refused")]) == 1
+
     def test_refusals_are_logged_together(self, caplog):
         """Guards against a log line for each connection of a crowd."""
 
