Give cheroot's threads only to connections on which something arrived

Cause: cheroot hands each new connection to a thread, and its number of connections and of waiting requests had no bound. So six idle connections kept an ordinary request at a server of two threads waiting beyond 3 s. New connections now wait in the selector, 1,024 at most; beyond it, those that waited longest are closed. At most 512 requests wait for a thread, and more get 503. Run: tests of runtime, administration, entry, cli, controller and standins, 238 passed. With cheroot's own connection manager in place, the first new test fails (timed out).

--- a/catkinport/runtime/http.py
+++ b/catkinport/runtime/http.py
@@ -11,12 +11,17 @@
 
 from cheroot import wsgi
 
+from .http_connections import BoundedServer
 from .logs import log_event
 
 logger = logging.getLogger(__name__)
 
 MAX_JSON_BODY_BYTES = 4 * 1024 * 1024
 MAX_HEADER_BYTES = 64 * 1024
+MAX_WAITING_CONNECTIONS = 1024
+MAX_WAITING_REQUESTS = 512
+"""Requests that wait for a thread; more are answered with 503."""
+
 # The unread rest of a body up to this size is read and dropped, so that the sender
 # sees the answer; for a larger one the connection is closed.
 MAX_DISCARDED_BYTES = 16 * 1024 * 1024
@@ -153,6 +158,8 @@
         port: port to listen on; 0 lets the kernel choose.
         n_threads: number of requests handled at the same time, at least 1.
         max_body_bytes: largest body that is accepted; 0 for no limit.
+        max_connections: most connections that wait for a request; beyond it, the ones
+            that have waited longest are closed.
     """
 
     def __init__(
@@ -162,13 +169,21 @@
         port: int,
         n_threads: int = 10,
         max_body_bytes: int = 0,
+        max_connections: int = MAX_WAITING_CONNECTIONS,
     ):
         if n_threads < 1:
             raise ValueError(f"n_threads must be >= 1, got {n_threads!r}")
         if max_body_bytes < 0:
             raise ValueError(f"max_body_bytes must be >= 0, got {max_body_bytes!r}")
-        self._server = wsgi.Server(
-            (host, port), application, numthreads=n_threads, request_queue_size=512
+        self._server = BoundedServer(
+            max_connections,
+            (host, port),
+            application,
+            numthreads=n_threads,
+            request_queue_size=512,
+            accepted_queue_size=MAX_WAITING_REQUESTS,
+            # A full queue is answered with 503 and must not hold up the acceptance.
+            accepted_queue_timeout=0,
         )
         self._server.max_request_header_size = MAX_HEADER_BYTES
         self._server.max_request_body_size = max_body_bytes
