Bound the connections of peers

Cause: the server of peers' calls took any number of connections, each with a flow control window of 64 KB. Beyond 512, a new one replaces the oldest one that has had no authentic call. The size of a message needs no further bound before that: a body is read only after its signature in the metadata is verified, and the window bounds the rest.

--- a/catkinport/adapters/_peer_server.py
+++ b/catkinport/adapters/_peer_server.py
@@ -24,21 +24,43 @@
 HANDLER_TIMEOUT_SECONDS = 3.0
 MAX_CALLS_SERVED = 256
 
+MAX_CONNECTIONS = 512
+"""Connections of peers, each of which may hold a flow control window of 64 KB. Members
+have one or two each."""
+
 _logger = logging.getLogger(__name__)
 
 Handler = Callable[[Any], "Future[Message]"]
 
 
 class TrackingServer(Server):
-    """Server that can abort its open connections.
+    """Server that bounds its open connections and can abort them.
 
     grpclib leaves them open when the server closes, and a request from a peer on one
     of them would start a task on an event loop that is stopping.
+
+    Beyond the bound, a new connection replaces the oldest one without an authentic
+    call, and is aborted if there is none.
+
+    Args:
+        services: services of the server.
+        codec: codec of the messages.
+        authentic_transports: connections that have had an authentic call.
+        max_connections: most open connections.
     """
 
-    def __init__(self, services: Sequence[Any], codec: CodecBase) -> None:
+    def __init__(
+        self,
+        services: Sequence[Any],
+        codec: CodecBase,
+        authentic_transports: weakref.WeakSet[Any],
+        max_connections: int = MAX_CONNECTIONS,
+    ) -> None:
         super().__init__(services, codec=codec, config=CONNECTION_CONFIGURATION)
-        self._transports: weakref.WeakSet[Any] = weakref.WeakSet()
+        self._authentic_transports = authentic_transports
+        self._max_connections = max_connections
+        # Kept in the order in which they were opened.
+        self._transports: dict[Any, None] = {}
 
     def abort_connections(self) -> None:
         """Close all connections at once."""
@@ -48,14 +70,31 @@
     def _protocol_factory(self) -> Any:
         protocol = super()._protocol_factory()
         connection_made = protocol.connection_made
+        connection_lost = protocol.connection_lost
+        tracked = []
 
         def track(transport: Any) -> None:
-            self._transports.add(transport)
+            tracked.append(transport)
+            self._make_room(transport)
+            self._transports[transport] = None
             connection_made(transport)
 
+        def forget(error: BaseException | None) -> None:
+            self._transports.pop(tracked[0], None)
+            connection_lost(error)
+
         protocol.connection_made = track  # type: ignore[method-assign]
+        protocol.connection_lost = forget  # type: ignore[method-assign]
         return protocol
 
+    def _make_room(self, newcomer: Any) -> None:
+        if len(self._transports) < self._max_connections:
+            return
+        unknown = (t for t in self._transports if t not in self._authentic_transports)
+        displaced = next(unknown, newcomer)
+        self._transports.pop(displaced, None)
+        displaced.abort()
+
 
 class CallDispatcher:
     """Dispatcher of peers' calls: verifies the request, signs the handler's reply."""
@@ -68,6 +107,7 @@
         self._authenticator = authenticator
         self._handler_by_method = handler_by_method
         self._n_calls = 0
+        self.authentic_transports: weakref.WeakSet[Any] = weakref.WeakSet()
 
     async def serve(self, method_name: str, stream: Any) -> None:
         """Verify a request, run its handler and send the signed reply.
@@ -96,6 +136,7 @@
         body = await stream.recv_message()
         if body is None or not signature.matches(body):
             self._reject(method_name, stream)
+        self.authentic_transports.add(stream._stream._transport)
         request = METHOD_BY_NAME[method_name].request_type.FromString(body)
         reply = await self._handle(method_name, request)
         content = reply.SerializeToString()
--- a/catkinport/adapters/peers_grpc.py
+++ b/catkinport/adapters/peers_grpc.py
@@ -51,7 +51,9 @@
             QueuesService(self._dispatcher),
             AllowancesService(self._dispatcher),
         ]
-        self._server = TrackingServer(services, codec=BytesCodec())
+        self._server = TrackingServer(
+            services, BytesCodec(), self._dispatcher.authentic_transports
+        )
         await self._server.start(sock=self._socket)
 
     async def close(self) -> None:
--- a/catkinport/adapters/tests/test_peers_grpc.py
+++ b/catkinport/adapters/tests/test_peers_grpc.py
@@ -10,6 +10,7 @@
 
 from ...ports import Reason, Unavailable
 from ...protocol import peer_pb2
+from .._peer_server import MAX_CONNECTIONS
 from ..peers_grpc import MessageAuthenticator, PeerCall, PeersActor
 
 _KEY = b"cluster key of the tests"
@@ -209,6 +210,43 @@
             _call(start_peers(), address, queue="x" * (5 * 1024 * 1024))
 
 
+class TestConnections:
+    """Connections of clients that are no members."""
+
+    def test_unknown_connections_beyond_the_bound_are_closed(self, start_peers):
+        """Guards against idle connections that take all descriptors from members."""
+        server = start_peers(Notify=_accept_notice)
+        port = server.ask("port")
+        member = start_peers()
+        address = f"127.0.0.1:{port}"
+        assert _call(member, address, queue="renders").is_owner
+        n_over = 20
+        crowd = [
+            socket.create_connection(("127.0.0.1", port), timeout=5.0)
+            for _ in range(MAX_CONNECTIONS + n_over)
+        ]
+        assert _call(member, address, queue="renders").is_owner
+        assert _call(start_peers(), address, queue="renders").is_owner
+        n_closed = sum(_is_closed(connection) for connection in crowd)
+        for connection in crowd:
+            connection.close()
+        # The connections of both members take the place of two more.
+        assert n_closed == n_over + 2
+
+
+def _is_closed(connection):
+    """Return whether the server has closed a connection, after what it sent first."""
+    connection.settimeout(0.01)
+    try:
+        while connection.recv(65536):
+            pass
+    except TimeoutError:
+        return False
+    except ConnectionError:
+        return True
+    return True
+
+
 class TestDocumentsOverSlowLinks:
     """Documents of the largest size over links of 5 Mbit/s."""
 
