Take limits of 0 in the configuration for limits that are not set

Cause: with MaxHeaderBytes 0, each request would be refused. Run: tests of decoding, malformed answers, settings, listener and client limits, 143 passed.

--- a/catkinport/platform/operator_rows.py
+++ b/catkinport/platform/operator_rows.py
@@ -57,6 +57,8 @@
         for key in decoding.strings(entry, "ApiKeys")
     }
     limits = decoding.mapping(value.get("Limits") or {}, "Limits")
+    # Every request meets a limit of 0, so it stands for a limit that is not set.
+    limits = {name: limit for name, limit in limits.items() if limit != 0}
     return FleetConfiguration(
         version=decoding.integer(value, "Version"),
         queue_by_name={queue.name: queue for queue in queues},
--- a/catkinport/platform/tests/test_decoding.py
+++ b/catkinport/platform/tests/test_decoding.py
@@ -183,6 +183,28 @@
         queue = configuration.find_queue("cuzi25.example", "/kafi706/fi50/ab")
         assert queue.name == "long"
 
+    def test_limits_of_clients(self):
+        """Guards against limits that clients are told and that do not hold."""
+        limits = {
+            "MaxHeaderBytes": 8192,
+            "MaxBodyBytes": 65536,
+            "HeaderTimeoutMs": 2000,
+            "IdleTimeoutMs": 9000,
+        }
+        configuration = decode_configuration({**CONFIGURATION, "Limits": limits})
+        assert configuration.max_header_bytes == 8192
+        assert configuration.max_body_bytes == 65536
+        assert configuration.header_seconds == 2.0
+        assert configuration.idle_seconds == 9.0
+
+    def test_limits_of_0_have_defaults(self):
+        """Guards against a configuration with which every request is refused."""
+        limits = dict.fromkeys(("MaxHeaderBytes", "MaxBodyBytes", "IdleTimeoutMs"), 0)
+        configuration = decode_configuration({**CONFIGURATION, "Limits": limits})
+        assert configuration.max_header_bytes == 16384
+        assert configuration.max_body_bytes == 262144
+        assert configuration.idle_seconds == 15.0
+
     def test_version_that_is_no_number_is_rejected(self):
         with pytest.raises(MessageError):
             decode_configuration({**CONFIGURATION, "Version": "7"})
