Leave evacuated zones out of the waits that order the jobs of a pool

Cause: the room by which waits are forecast counted the workers of evacuated zones, so jobs counted as on time by cores that they can't use.

Change: only workers outside evacuated zones count. The runs in those zones still count for the shares of their accounts.

Run: pytest catkinport/jobs/tests/test_pool_order.py, the new test failed before and passes.

--- a/catkinport/jobs/placement/pool_order.py
+++ b/catkinport/jobs/placement/pool_order.py
@@ -95,7 +95,8 @@
             return [job.item for job in jobs]
         workers = self._dispatcher.workers_of(state.pool)
         ending = self._apply_turns(state, ending, _running_cores(workers), now)
-        room = PoolRoom(_usable_cores(workers), state.free_cores, state.coming)
+        usable = self._dispatcher.workers_outside_evacuations(state.pool)
+        room = PoolRoom(_usable_cores(usable), state.free_cores, state.coming)
         ending = _apply_waits(ending, room, now)
         lasting = [job for job in jobs if job.view.is_lasting]
         return [job.item for job in (*lasting, *ending)]
--- a/catkinport/jobs/tests/test_pool_order.py
+++ b/catkinport/jobs/tests/test_pool_order.py
@@ -8,6 +8,33 @@
 from .vm_fleet import BOUNDS, VmFleet
 
 
+def order_backlog(fleet):
+    """Return the ids of twelve equal jobs and a longer one in their order."""
+    for number in range(12):
+        fleet.dispatcher.add_job(make_job(f"{number:016x}", [make_step(4)]), 100.0)
+    steps = [make_step(4), make_step(4, after=(0,)), make_step(4, after=(1,))]
+    fleet.dispatcher.add_job(make_job("f" * 16, steps), fleet.now)
+    queue_of = fleet.dispatcher.queue_of
+    records = fleet.dispatcher.job_by_id.values()
+    items = [(record, queue_of(record)) for record in records]
+    ordered = PoolOrder(fleet.dispatcher).sort(
+        PoolState(POOL, 16.0, {}), items, fleet.now, fleet.now
+    )
+    return [record.job.job_id for record, _ in ordered]
+
+
+class TestEvacuatedZones:
+    def test_their_cores_shorten_no_wait(self):
+        """Guards against jobs that count as on time by cores that they can't use."""
+        zones = ["z1", "z2", "z2"]
+        workers = [make_worker(f"w{n}", zone=zone) for n, zone in enumerate(zones)]
+        order = order_backlog(Fleet(workers[:1]))
+        assert order_backlog(Fleet(workers)) != order
+        evacuated = Fleet(workers)
+        evacuated.dispatcher.evacuated_zones.add("z2")
+        assert order_backlog(evacuated) == order
+
+
 class TestBacklogAfterOutage:
     def test_jobs_that_can_be_on_time_come_before_those_whose_turn_is_too_late(self):
         """Guards against a backlog in which all jobs count as on time.
