Count no VM of an evacuated zone among the cores that a pool gets

Cause: a move that was ordered before the evacuation of its VM's zone counted as coming cores, although the VM gets no tasks.

Change: such moves are left out.

Run: pytest catkinport/jobs/tests/test_pool_order.py, the new test failed before and passes.

--- a/catkinport/jobs/tests/test_pool_order.py
+++ b/catkinport/jobs/tests/test_pool_order.py
@@ -74,3 +74,13 @@
         fleet.advance(BOUNDS.move + 2.0)
         fleet.list_vms()
         assert not find_coming_cores(fleet.vm_planner.inventory, fleet.now)
+
+    def test_a_move_of_a_vm_in_an_evacuated_zone_does_not_count(self):
+        """Guards against jobs that count as on time by a VM that they can't use."""
+        fleet = VmFleet(1, n_off=1)
+        order = VmOrder("off0", 0, POOL)
+        fleet.vm_planner.inventory.note_sent(order, fleet.now)
+        fleet.vm_planner.on_done(order, fleet.now)
+        zone = fleet.vm_planner.inventory.vm_by_id["off0"].zone
+        fleet.dispatcher.evacuated_zones.add(zone)
+        assert not find_coming_cores(fleet.vm_planner.inventory, fleet.now)
--- a/catkinport/jobs/vms/coming_cores.py
+++ b/catkinport/jobs/vms/coming_cores.py
@@ -12,6 +12,7 @@
     """Return the cores of VMs that are being moved, by the pool that gets them.
 
     Only moves that the platform has confirmed count, as others may have had no effect.
+    VMs in evacuated zones get no tasks, so they don't count.
 
     Args:
         inventory: VMs and the orders for them.
@@ -25,6 +26,8 @@
             continue
         if inventory.worker_on(vm_id) is not None and vm.pool == pool:
             continue
+        if inventory.is_evacuated(vm):
+            continue
         up_at = pending.answered_at + inventory.bounds.move
         entry = ComingCores(max(0.0, up_at - now), vm.capacity.cores)
         coming.setdefault(pool, []).append(entry)
