Ask for the budget again before a lasting task is first told to leave

Cause: the stop of a lasting task that leaves a zone or VM was decided within the budget and sent in a later round. An owner that was paused between them, or had many stops to send, ended the task although other tasks of its step had become unavailable meanwhile.

Change: the budget is asked again when the stop is first noted as sent. Beyond it the run stays, and is chosen anew in a later round. A stop that was sent before is repeated as it was, as it may be carried out late anyway.

--- a/catkinport/jobs/placement/run_stops.py
+++ b/catkinport/jobs/placement/run_stops.py
@@ -190,6 +190,9 @@
         and may_stop_unconfirmed(worker, run, now, may_end_run)
     ):
         return "start-unsure"
+    if run.is_evacuated and not run.stop_sent_at and not may_end_run(run):
+        # Other tasks of the step have become unavailable since it was decided.
+        run.is_evacuated = False
     if run.is_evacuated:
         return "evacuated"
     # A stop without an answer of a start without an answer is decided anew.
--- a/catkinport/jobs/tests/test_zone_moves.py
+++ b/catkinport/jobs/tests/test_zone_moves.py
@@ -99,6 +99,10 @@
         self.start()
         return runs
 
+    def find_runs(self):
+        workers = self.dispatcher.worker_by_id.values()
+        return [run for w in workers for run in w.run_by_key.values()]
+
     def zones_of_runs(self):
         workers = self.dispatcher.worker_by_id.values()
         return [w.listed.zone for w in workers for _ in w.run_by_key]
@@ -165,6 +169,45 @@
         assert len(fleet.move_round()) == MAX_ENDING_RUNS
 
 
+class TestStops:
+    def test_budget_is_asked_again_before_the_stop(self):
+        """Guards against an owner that was paused after it had decided on a stop.
+
+        Meanwhile other tasks of the step have become unavailable.
+        """
+        fleet = spread_fleet()
+        fleet.evacuate("z1")
+        planner = fleet.vm_planner
+        runs = planner.find_zone_moves(fleet.now)
+        for run in runs:
+            run.is_evacuated = True
+        others = [r for r in fleet.find_runs() if r not in runs]
+        fleet.end(SimpleNamespace(run=others[0]), EndKind.FAILED)
+        stops = find_stops(fleet.dispatcher, fleet.now, "", planner.may_end_run)
+        (stop,) = stops
+        assert stop.key == runs[1].key
+        assert [run.is_evacuated for run in runs] == [False, True]
+
+    def test_stop_that_was_sent_is_repeated(self):
+        """Guards against a task that counts as away for good.
+
+        Its stop may be carried out late, whether it is repeated or not.
+        """
+        fleet = spread_fleet()
+        fleet.evacuate("z1")
+        planner = fleet.vm_planner
+        runs = planner.find_zone_moves(fleet.now)
+        for run in runs:
+            run.is_evacuated = True
+        may_end = planner.may_end_run
+        assert len(list(find_stops(fleet.dispatcher, fleet.now, "", may_end))) == 2
+        others = [r for r in fleet.find_runs() if r not in runs]
+        fleet.end(SimpleNamespace(run=others[0]), EndKind.FAILED)
+        fleet.advance(0.5)
+        stops = list(find_stops(fleet.dispatcher, fleet.now, "", may_end))
+        assert {stop.key for stop in stops} == {run.key for run in runs}
+
+
 class TestRoom:
     def test_no_task_is_ended_without_a_place_to_go(self):
         """Guards against tasks that are ended and then wait without end."""
