Take no stop while no order may be sent

Cause: an owner whose lease had expired noted stops as sent and dropped them. Once its lease was renewed, the stop of a lasting task counted as a repetition, which doesn't ask for the budget of its step.

Change: stops are taken only while orders may be sent.

Run: pytest catkinport/jobs/tests, all pass; the new test failed before.

--- a/catkinport/jobs/ownership/run_orders.py
+++ b/catkinport/jobs/ownership/run_orders.py
@@ -119,11 +119,9 @@
         now = self._session.clock.now()
         self._update_evacuations(now)
         self._session.dispatcher.expire(now)
-        for stop in self._stop_turns.take(now, MAX_STOPS_PER_ROUND):
-            if (stop.worker_id, stop.key) not in self._stops_in_flight:
-                self._session.spawn(self._send_stop(stop))
-        if self._stop_turns.is_unfinished:
-            self._session.wake.set()
+        # A stop counts as sent once it is taken.
+        if self._session.may_order():
+            self._begin_stops(now)
         paces = islice(find_paces(self._session.dispatcher), MAX_PACES_PER_ROUND)
         for pace in list(paces):
             self._session.spawn(self._send_pace(pace))
@@ -149,6 +147,13 @@
         if self._session.dispatcher.dirty_jobs():
             self._session.store_wake.set()
 
+    def _begin_stops(self, now: float) -> None:
+        for stop in self._stop_turns.take(now, MAX_STOPS_PER_ROUND):
+            if (stop.worker_id, stop.key) not in self._stops_in_flight:
+                self._session.spawn(self._send_stop(stop))
+        if self._stop_turns.is_unfinished:
+            self._session.wake.set()
+
     def _report_stalls(self) -> None:
         now = self._session.clock.now()
         if not self._stalls.is_due(now):
--- a/catkinport/jobs/tests/test_run_orders.py
+++ b/catkinport/jobs/tests/test_run_orders.py
@@ -228,6 +228,28 @@
 
         asyncio.run(run())
 
+    def test_no_stop_counts_as_sent_while_no_order_may_be_sent(self):
+        """Guards against a stop that is sent later as if it repeated an earlier one.
+
+        The first stop of a lasting task that leaves its zone asks for the budget of its
+        step; a repetition does not.
+        """
+
+        async def run():
+            fleet, workers, session, orders = self._orders(1)
+            (start,) = fleet.start()
+            start.run.is_evacuated = True
+            session.is_allowed = False
+            orders._plan()
+            assert start.run.stop_sent_at == 0.0
+            session.is_allowed = True
+            orders._plan()
+            await asyncio.sleep(0)
+            assert workers.n_stops == 1
+            await self._end(session)
+
+        asyncio.run(run())
+
 
 class SerialAdvice:
     """Advice service that handles calls in turn, also those that were given up.
