Keep the room of tasks that leave a zone from drains of VMs

Cause: a VM that was drained for its upkeep stopped its lasting tasks for any room on other VMs, also for that of tasks which were leaving an evacuated zone, or which had left it and waited. One of the two then had no place to go.

Change: while zones are evacuated, lasting tasks that wait or are being stopped get their room before those of drained VMs. Without evacuations, drains are as before.

Run: pytest catkinport/jobs/tests, all pass; the new test failed before. mypy and ruff pass.

--- a/catkinport/jobs/tests/test_zone_moves.py
+++ b/catkinport/jobs/tests/test_zone_moves.py
@@ -229,6 +229,29 @@
         fleet.end(SimpleNamespace(run=first), EndKind.STOPPED)
         assert fleet.vm_planner.find_zone_moves(fleet.now) == []
 
+    def test_room_of_a_moving_task_does_not_count_for_a_drain(self):
+        """Guards against a task that is ended for the room of one that leaves a zone.
+
+        There is room for one task on the third VM. The second VM is drained.
+        """
+        fleet = MovingFleet(["z1", "z2", "z3"])
+        fleet.evacuate("z2", "z3")
+        fleet.add_lasting(1, 1)
+        fleet.evacuate("z1", "z3")
+        fleet.add_lasting(2, 2, max_away=1)
+        fleet.evacuate("z1")
+        fleet.workers[2] = fleet.workers[2]._replace(capacity=HALF)
+        fleet.list_workers()
+        planner = fleet.vm_planner
+        planner.inventory.reserve("m1")
+        (draining,) = planner.find_evacuations(fleet.now)
+        assert draining.worker_id == "w1"
+        (moving,) = planner.find_zone_moves(fleet.now)
+        moving.is_evacuated = True
+        assert planner.find_evacuations(fleet.now) == []
+        fleet.end(SimpleNamespace(run=moving), EndKind.STOPPED)
+        assert planner.find_evacuations(fleet.now) == []
+
     def test_step_without_room_holds_up_no_other(self):
         """Guards against small tasks that stay, as large ones have no place to go."""
         fleet = MovingFleet(["z1", "z1", "z2"])
--- a/catkinport/jobs/vms/vm_planner.py
+++ b/catkinport/jobs/vms/vm_planner.py
@@ -9,8 +9,9 @@
 """
 
 import logging
-from collections.abc import Sequence, Set
+from collections.abc import Mapping, Sequence, Set
 
+from ...policy.worker_choice import TaskNeed
 from ...ports.fleet_vms import FleetVm, UpkeepWave
 from ...runtime.logs import log_event
 from ..dispatch.dispatcher import Dispatcher
@@ -185,10 +186,14 @@
     def find_evacuations(self, now: float) -> list[Run]:
         """Return the lasting runs to stop so that reserved VMs can go down.
 
-        A run goes on until there is room for its task on another VM.
+        A run goes on until there is room for its task on another VM. Tasks that leave
+        evacuated zones get their room first.
         """
         runs = self._disruption_budget.find_evacuations(self.inventory.reserved)
-        return self.mover.lasting_room.find_placeable(runs, now)
+        ahead_by_pool: Mapping[str, Sequence[TaskNeed]] = {}
+        if runs and self._dispatcher.evacuated_zones:
+            ahead_by_pool = self._zone_moves.find_needs_ahead(now)
+        return self.mover.lasting_room.find_placeable(runs, now, ahead_by_pool)
 
     def find_zone_moves(self, now: float) -> list[Run]:
         """Return the lasting runs to stop now so that they leave evacuated zones."""
--- a/catkinport/jobs/vms/zone_moves.py
+++ b/catkinport/jobs/vms/zone_moves.py
@@ -49,12 +49,12 @@
         movable = [run for run in self._find_runs(now) if _is_movable(run)]
         if not movable:
             return []
-        ending = list(self._find_ending())
-        if len(ending) >= MAX_ENDING_RUNS:
+        n_ending = sum(1 for _ in self._find_ending())
+        if n_ending >= MAX_ENDING_RUNS:
             return []
         endable = self._budget.find_endable(movable)
-        ahead_by_pool = self._find_needs_ahead(ending, now)
-        max_runs = MAX_ENDING_RUNS - len(ending)
+        ahead_by_pool = self.find_needs_ahead(now)
+        max_runs = MAX_ENDING_RUNS - n_ending
         return self._mover.lasting_room.find_placeable(
             endable, now, ahead_by_pool, max_runs
         )
@@ -84,9 +84,7 @@
                 if run.is_evacuated:
                     yield run
 
-    def _find_needs_ahead(
-        self, ending: list[Run], now: float
-    ) -> dict[str, list[TaskNeed]]:
+    def find_needs_ahead(self, now: float) -> dict[str, list[TaskNeed]]:
         """Return the needs of tasks that are to start before any run to stop now.
 
         They are lasting tasks that wait already, or will once their runs have ended.
@@ -96,7 +94,7 @@
             pool: [task_need(wait.task) for wait in waits]
             for pool, waits in waits_by_pool.items()
         }
-        for run in ending:
+        for run in self._find_ending():
             pool = self._dispatcher.worker_by_id[run.worker_id].listed.pool
             needs_by_pool.setdefault(pool, []).append(task_need(run.task))
         return needs_by_pool
