Evacuate availability zones in the soak

Time in which a fault may have kept the owner from reading the row doesn't count. The evacuations are drawn from random numbers of their own, and runs with one zone play as before. A test in soak/tests plays a short run with three zones.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -25,6 +25,12 @@
     ] = 20.0
     daemons: Annotated[int, cappa.Arg(long=True)] = 3
     vms: Annotated[int, cappa.Arg(long=True, help="VMs of each pool")] = 4
+    zones: Annotated[
+        int,
+        cappa.Arg(
+            long=True, help="availability zones; with several, some are evacuated"
+        ),
+    ] = 1
     regressions: Annotated[
         bool, cappa.Arg(long=True, help="run the seeds that failed before instead")
     ] = False
@@ -32,7 +38,7 @@
     def __call__(self) -> None:
         """Run the seeds; exit with 1 if a promise was broken, else with 0."""
         seeds = self._list_seeds()
-        size = PlatformSize(n_daemons=self.daemons, n_vms=self.vms)
+        size = PlatformSize(n_daemons=self.daemons, n_vms=self.vms, n_zones=self.zones)
         n_broken = 0
         for seed in seeds:
             result = run_seed(seed, self.seconds, size)
--- a/soak/environment.py
+++ b/soak/environment.py
@@ -1,6 +1,7 @@
 """Test environment: daemons with proxies to the platform and from their callers."""
 
 import time
+from dataclasses import dataclass
 
 from verification.platform.deployment import (
     DaemonProcess,
@@ -15,6 +16,21 @@
 """Longest wait for the end of a daemon that is stopping; its grace period is 6 s."""
 
 
+@dataclass
+class Evacuation:
+    """An evacuation of an availability zone.
+
+    Args:
+        zone: the zone.
+        stored_at: time of the monotonic clock, in seconds, at which its row was stored.
+        removed_at: time at which the removal of the row was requested; 0 before.
+    """
+
+    zone: str
+    stored_at: float = 0.0
+    removed_at: float = 0.0
+
+
 class SoakEnvironment:
     """Daemons, simulated platform (stand-in), and a pair of proxies for each daemon.
 
@@ -27,6 +43,7 @@
         store_proxy_by_name: proxy to the platform of each daemon.
         caller_proxy_by_name: proxy from the callers to each daemon.
         due_restarts: names of the daemons that start again once they have ended.
+        evacuations: evacuations of zones so far.
     """
 
     def __init__(self, processes: ProcessGroup, size: PlatformSize) -> None:
@@ -35,6 +52,7 @@
         self.store_proxy_by_name: dict[str, Proxy] = {}
         self.caller_proxy_by_name: dict[str, Proxy] = {}
         self.due_restarts: set[str] = set()
+        self.evacuations: list[Evacuation] = []
 
     def start(self) -> None:
         """Start stand-in, proxies and daemons, and wait until they are ready."""
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -40,6 +40,20 @@
     duration_seconds: float
 
 
+class InjectedFault(NamedTuple):
+    """A fault that has ended.
+
+    Args:
+        name: name of the fault.
+        began_at: time of the monotonic clock, in seconds, before it was injected.
+        ended_at: time after its end; that after its injection if it needs no end.
+    """
+
+    name: str
+    began_at: float
+    ended_at: float
+
+
 def register(fault: Fault) -> Fault:
     """Register the decorated function as a fault under its own name."""
     FAULT_BY_NAME[fault.__name__] = fault
--- a/soak/run.py
+++ b/soak/run.py
@@ -2,8 +2,9 @@
 
 A promise is a guarantee that the system gives its users: an accepted job completes, no
 task runs twice, steps keep their order, nothing runs that was not asked for or was
-refused, a withdrawn key stops working, a cancellation is acknowledged, and a planned
-restart leaves no request unanswered that a daemon has read.
+refused, a withdrawn key stops working, a cancellation is acknowledged, nothing starts
+in an evacuated zone, and a planned restart leaves no request unanswered that a daemon
+has read.
 
 The tasks of a lasting job run until it is canceled.
 """
@@ -24,11 +25,12 @@
 from verification.processes import ProcessGroup
 
 from .environment import SoakEnvironment
-from .faults import FAULT_BY_NAME, PlannedFault, draw_schedule
+from .faults import FAULT_BY_NAME, InjectedFault, PlannedFault, draw_schedule
 from .load import Cancellation, SoakLoad
 from .output import log_to_folder, write_events, write_schedule
 from .planned_work import restart_all
 from .series import draw_series
+from .zone_evacuations import check_no_late_starts, draw_evacuations
 
 logger = logging.getLogger(__name__)
 
@@ -122,7 +124,8 @@
     Args:
         seed: seed of the faults and of the load.
         seconds: time over which faults are injected.
-        size: size of the deployment.
+        size: size of the deployment. With several availability zones, some of them are
+            evacuated.
     """
     plan = [
         *_plan_faults(draw_schedule(random.Random(seed), seconds), f"{seed}-faults"),
@@ -131,6 +134,9 @@
             f"{seed}-series-faults",
         ),
     ]
+    if size.n_zones > 1:
+        evacuations = draw_evacuations(random.Random(f"{seed}-evacuations"), seconds)
+        plan += _plan_faults(evacuations, f"{seed}-evacuated-zones")
     plan.sort(key=lambda step: step.fault.start_seconds)
     with ProcessGroup(label=f"soak-{seed}-") as processes:
         # A run that breaks off keeps its folder too.
@@ -169,7 +175,7 @@
         stack.callback(load.stop)
         probe.start()
         stack.callback(probe.stop)
-        _inject_faults(environment, plan)
+        faults = _inject_faults(environment, plan)
         load.stop()
         recovered_at = time.monotonic() + RECOVERY_SECONDS
         environment.heal()
@@ -182,9 +188,14 @@
         violations += restart_all(environment)
         violations += _check_accepted_jobs(environment, load)
         probe.stop()
-        events = environment.deployment.list_events()
+        deployment = environment.deployment
+        events = deployment.list_events()
         write_events(processes.folder, events)
         violations += find_violations(events, load.jobs) + probe.violations
+        zone_by_vm = {vm["Machine"]: vm["Zone"] for vm in deployment.list_vms()}
+        violations += check_no_late_starts(
+            events, zone_by_vm, environment.evacuations, faults
+        )
     for violation in violations:
         log_event(logger, "violation", text=violation)
     return SoakResult(
@@ -198,26 +209,45 @@
     )
 
 
-def _inject_faults(environment: SoakEnvironment, plan: list[_Step]) -> None:
-    """Start and end each fault at its time; return when all have ended."""
+class _DueEnd(NamedTuple):
+    """End of a fault, due at ``end_seconds`` of the schedule."""
+
+    end_seconds: float
+    end: Callable[[], None]
+    name: str
+    began_at: float
+
+
+def _inject_faults(
+    environment: SoakEnvironment, plan: list[_Step]
+) -> list[InjectedFault]:
+    """Start and end each fault at its time; return them when all have ended."""
     began_at = time.monotonic()
-    ends: list[tuple[float, Callable[[], None], str]] = []
+    ends: list[_DueEnd] = []
+    injected: list[InjectedFault] = []
     pending = list(plan)
     while pending or ends:
         now = time.monotonic() - began_at
-        for due in [end for end in ends if end[0] <= now]:
+        for due in [end for end in ends if end.end_seconds <= now]:
             ends.remove(due)
-            log_event(logger, "fault ends", fault=due[2])
-            due[1]()
+            log_event(logger, "fault ends", fault=due.name)
+            due.end()
+            injected.append(InjectedFault(due.name, due.began_at, time.monotonic()))
         environment.restart_ended()
         while pending and pending[0].fault.start_seconds <= now:
             fault, rng = pending.pop(0)
             log_event(logger, "fault begins", fault=fault.name)
+            fault_began_at = time.monotonic()
             end = FAULT_BY_NAME[fault.name](environment, rng)
-            if end is not None:
+            if end is None:
+                injected.append(
+                    InjectedFault(fault.name, fault_began_at, time.monotonic())
+                )
+            else:
                 end_seconds = fault.start_seconds + fault.duration_seconds
-                ends.append((end_seconds, end, fault.name))
+                ends.append(_DueEnd(end_seconds, end, fault.name, fault_began_at))
         time.sleep(0.02)
+    return injected
 
 
 def _check_accepted_jobs(environment: SoakEnvironment, load: SoakLoad) -> list[str]:
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -18,6 +18,7 @@
 from ..proxy import RESET_ON_CLOSE, Proxy, ProxyHub
 from ..run import SoakResult, run_seed
 from ..series import draw_series
+from ..zone_evacuations import draw_evacuations
 
 FAULT_SECONDS = 8.0
 SEEDS = (101,)
@@ -34,7 +35,9 @@
         """Guards against a fault that is registered and never injected."""
         schedule = draw_schedule(random.Random(1), 2000.0)
         series = draw_series(random.Random(1), 2000.0)
-        assert {planned.name for planned in schedule + series} == set(FAULT_BY_NAME)
+        evacuations = draw_evacuations(random.Random(1), 2000.0)
+        drawn = schedule + series + evacuations
+        assert {planned.name for planned in drawn} == set(FAULT_BY_NAME)
 
     def test_single_faults_of_a_seed_stay_as_they_are(self):
         """Guards against known seeds that play other faults than when they failed."""
@@ -233,6 +236,12 @@
         assert result.violations == []
         assert result.n_accepted > 10
 
+    def test_nothing_starts_in_evacuated_zones(self):
+        """Guards against starts in evacuated zones, by whichever owner."""
+        result = run_seed(SEEDS[0], FAULT_SECONDS, PlatformSize(n_zones=3))
+        assert result.violations == []
+        assert any(planned.name == "evacuate_zone" for planned in result.schedule)
+
 
 class TestOutput:
     @pytest.fixture
