Order the rooms once for all lasting tasks that move in a round

Cause: the search for room sorted all workers of the pool again for each task that leaves a zone or a drained VM.

Change: the workers are sorted once a round, and the one that takes a task is put back in its place. The order in which they are tried stays the same.

--- a/catkinport/jobs/tests/test_zone_moves.py
+++ b/catkinport/jobs/tests/test_zone_moves.py
@@ -4,6 +4,7 @@
 from collections import defaultdict
 from types import SimpleNamespace
 
+from ...policy import vm_packing
 from ...policy.resources import Resources
 from ...ports.fleet_vms import FleetVm, VmState
 from ...ports.fleet_workers import EndKind
@@ -169,6 +170,23 @@
         assert len(fleet.move_round()) == MAX_ENDING_RUNS
 
 
+class TestCost:
+    def test_rooms_are_ordered_once_a_round(self, monkeypatch):
+        """Guards against an owner that sorts 3,000 workers for each task that moves."""
+        fleet = MovingFleet(["z1"] * 10 + ["z2"] * 60)
+        fleet.evacuate("z2")
+        for number in range(10):
+            fleet.add_lasting(number + 1, 2)
+        fleet.evacuate("z1")
+        ordered = []
+        room_order = vm_packing._room_order
+        monkeypatch.setattr(
+            vm_packing, "_room_order", lambda r: ordered.append(r) or room_order(r)
+        )
+        assert len(fleet.vm_planner.find_zone_moves(fleet.now)) == MAX_ENDING_RUNS
+        assert len(ordered) < 3 * 60
+
+
 class TestStops:
     def test_budget_is_asked_again_before_the_stop(self):
         """Guards against an owner that was paused after it had decided on a stop.
--- a/catkinport/jobs/vms/lasting_room.py
+++ b/catkinport/jobs/vms/lasting_room.py
@@ -9,8 +9,8 @@
 
 from ...policy.pool_size import PoolMove
 from ...policy.resources import NO_RESOURCES, Resources, add, scale, total
-from ...policy.vm_packing import count_new_vms, pack_tasks
-from ...policy.worker_choice import CandidateWorker, TaskNeed, fits
+from ...policy.vm_packing import OrderedRooms, count_new_vms, pack_tasks
+from ...policy.worker_choice import CandidateWorker, TaskNeed
 from ...ports.fleet_vms import FleetVm, VmState
 from ..dispatch.dispatcher import Dispatcher
 from ..placement.account_usage import is_within_limit, usage_by_account
@@ -124,7 +124,7 @@
             ahead_by_pool: needs of tasks of each pool that get room before the runs.
             max_runs: most runs to return; ``None`` for all.
         """
-        rooms_by_pool: dict[str, dict[str, CandidateWorker]] = {}
+        rooms_by_pool: dict[str, OrderedRooms] = {}
         placeable: list[Run] = []
         # The rooms only shrink, so a need that fits nowhere is not tried again.
         unplaceable: set[tuple[str, TaskNeed]] = set()
@@ -133,14 +133,15 @@
                 break
             pool = self._dispatcher.worker_by_id[run.worker_id].listed.pool
             if pool not in rooms_by_pool:
-                rooms_by_pool[pool] = self._usable_rooms(pool, now)
-                pack_tasks(ahead_by_pool.get(pool, ()), rooms_by_pool[pool])
+                rooms = self._usable_rooms(pool, now)
+                if ahead_by_pool.get(pool):
+                    pack_tasks(ahead_by_pool[pool], rooms)
+                rooms_by_pool[pool] = OrderedRooms(rooms.values())
             need = task_need(run.task)
             kind = pool, need._replace(task="", avoided_worker="")
             if kind in unplaceable:
                 continue
-            if _fits_anywhere(need, rooms_by_pool[pool]):
-                pack_tasks([need], rooms_by_pool[pool])
+            if rooms_by_pool[pool].take(need):
                 placeable.append(run)
             else:
                 unplaceable.add(kind)
@@ -247,11 +248,6 @@
         self._moved_at_by_vm = {vm: at for vm, at in moved_at if at >= oldest}
 
 
-def _fits_anywhere(need: TaskNeed, rooms: Mapping[str, CandidateWorker]) -> bool:
-    """Return whether one of the rooms can take the task; faster than packing it."""
-    return any(fits(need, room) for room in rooms.values())
-
-
 def _worker_room(worker: WorkerRecord) -> CandidateWorker:
     room = CandidateWorker(worker.worker_id, worker.listed.labels, worker.free())
     for run in worker.run_by_key.values():
--- a/catkinport/policy/tests/test_vm_packing.py
+++ b/catkinport/policy/tests/test_vm_packing.py
@@ -1,7 +1,9 @@
 """Tests of placing tasks on VMs one by one."""
 
+import random
+
 from ..resources import Resources
-from ..vm_packing import count_new_vms, pack_tasks
+from ..vm_packing import OrderedRooms, count_new_vms, pack_tasks
 from ..worker_choice import CandidateWorker, TaskNeed
 
 VM_CAPACITY = Resources(64.0, 128.0, 0)
@@ -66,3 +68,18 @@
         assert (
             count_new_vms([make_task(40.0, required_label="b")], VM_CAPACITY, ()) == 0
         )
+
+
+class TestOrderedRooms:
+    def test_tasks_are_placed_as_by_packing_one_by_one(self):
+        """Guards against tasks that get other rooms than those of `pack_tasks`."""
+        rng = random.Random(1)
+        sizes = [rng.uniform(20.0, 128.0) for _ in range(30)]
+        packed_rooms, rooms = make_rooms(*sizes), make_rooms(*sizes)
+        ordered = OrderedRooms(rooms.values())
+        for _ in range(80):
+            task = make_task(rng.uniform(5.0, 60.0))
+            is_placed = not pack_tasks([task], packed_rooms).unplaced
+            assert ordered.take(task) == is_placed
+            free_gb = [room.memory_gb for room in rooms.values()]
+            assert free_gb == [room.memory_gb for room in packed_rooms.values()]
--- a/catkinport/policy/vm_packing.py
+++ b/catkinport/policy/vm_packing.py
@@ -5,7 +5,8 @@
 with its free resources.
 """
 
-from collections.abc import Mapping, Sequence
+from bisect import insort
+from collections.abc import Iterable, Mapping, Sequence
 from typing import NamedTuple
 
 from .resources import Resources, dominant_share, total
@@ -60,6 +61,29 @@
     return Packing(frozenset(vm_ids), tuple(unplaced))
 
 
+class OrderedRooms:
+    """VMs that take tasks one by one, each on the first VM where it fits.
+
+    The VMs are tried in the order of `pack_tasks`, which sorts them at each call.
+
+    Args:
+        rooms: the VMs; what the tasks take is subtracted from them.
+    """
+
+    def __init__(self, rooms: Iterable[CandidateWorker]) -> None:
+        self._rooms = sorted(rooms, key=_room_order)
+
+    def take(self, task: TaskNeed) -> bool:
+        """Place a task; return whether it fits on one of the VMs."""
+        for index, room in enumerate(self._rooms):
+            if fits(task, room):
+                del self._rooms[index]
+                room.take(task)
+                insort(self._rooms, room, key=_room_order)
+                return True
+        return False
+
+
 def count_new_vms(
     tasks: Sequence[TaskNeed], capacity: Resources, labels: tuple[str, ...]
 ) -> int:
