Choose workers by the shapes of the tasks that wait

Cause: best fit leaves rests of cores that no waiting task fits into, and fills the memory of workers whose cores are free. choose_worker takes an optional function for it; without one its choice is as before.

--- a/catkinport/policy/worker_choice.py
+++ b/catkinport/policy/worker_choice.py
@@ -5,7 +5,7 @@
 be switched off. Variables named ``room`` hold a worker with its free resources.
 """
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
 from .crash_blame import REPEATED_CRASHES
@@ -182,14 +182,27 @@
 
 
 def choose_worker(
-    task: TaskNeed, rooms: Iterable[CandidateWorker]
+    task: TaskNeed,
+    rooms: Iterable[CandidateWorker],
+    find_waste: Callable[[CandidateWorker], float] | None = None,
 ) -> CandidateWorker | None:
-    """Return the best worker for the task, or ``None`` if it fits on none."""
+    """Return the best worker for the task, or ``None`` if it fits on none.
+
+    Args:
+        task: requirements of the task.
+        rooms: workers with their free resources.
+        find_waste: returns how many cores the task would make useless for what waits;
+            ``None`` for best fit only.
+    """
     fitting = [room for room in rooms if fits(task, room)]
-    return min(fitting, key=lambda room: _cost(task, room), default=None)
+    return min(fitting, key=lambda room: _cost(task, room, find_waste), default=None)
 
 
-def _cost(task: TaskNeed, room: CandidateWorker) -> tuple[float, ...]:
+def _cost(
+    task: TaskNeed,
+    room: CandidateWorker,
+    find_waste: Callable[[CandidateWorker], float] | None = None,
+) -> tuple[float, ...]:
     """Return the sort key of a worker for a task; the lowest is the best."""
     is_far = bool(task.preferred_rack) and task.preferred_rack not in room.labels
     is_avoided = room.worker_id == task.avoided_worker
@@ -211,6 +224,7 @@
         else 0,
         is_far,
         n_disturbing,
+        find_waste(room) if find_waste else 0.0,
         room.cores,
         room.memory_gb,
     )
