Let the planner hold gaps for large short tasks, behind a switch

Cause: large tasks of short jobs start late while small tasks keep arriving. The planner makes holds only with looks_ahead; otherwise its code path is as before.

--- a/catkinport/jobs/placement/planner.py
+++ b/catkinport/jobs/placement/planner.py
@@ -16,7 +16,7 @@
 from ...policy.reservations import ExpectedEnd, Reservations
 from ...policy.resources import NO_RESOURCES, Resources, add
 from ...policy.rotation import rotate
-from ...policy.worker_choice import CandidateWorker, choose_worker
+from ...policy.worker_choice import CandidateWorker, TaskNeed, choose_worker
 from ..configuration import Account, Queue
 from ..dispatch.dispatcher import Dispatcher
 from ..dispatch.record import JobRecord
@@ -25,6 +25,7 @@
 from .account_usage import is_within_limit, usage_by_account
 from .blocked_workers import has_unbroken_contact
 from .gang_rooms import find_gang_rooms
+from .gap_planner import GapPlanner
 from .pool_use import is_half_used
 from .round_budget import PlannedStart, RoundBudget
 from .start_blocks import find_start_block
@@ -65,6 +66,8 @@
 
     Args:
         dispatcher: jobs and workers.
+        looks_ahead: whether room is held for large short tasks by the expected ends of
+            others.
 
     Attributes:
         delays: waits of the tasks that could not start.
@@ -72,8 +75,9 @@
         is_unfinished: whether the latest round has ended before it had seen all jobs.
     """
 
-    def __init__(self, dispatcher: Dispatcher) -> None:
+    def __init__(self, dispatcher: Dispatcher, looks_ahead: bool = False) -> None:
         self._dispatcher = dispatcher
+        self._gaps = GapPlanner(dispatcher) if looks_ahead else None
         self._tickets_by_stage: dict[str, dict[str, Ticket]] = {}
         self._rejected_by_stage: dict[str, set[str]] = {}
         self._learned_before: float | None = None
@@ -186,6 +190,8 @@
         rooms = self._free_rooms(pool, now)
         is_busy = is_half_used(self._dispatcher.workers_of(pool))
         self._reservations.mark(rooms, now, is_busy)
+        if self._gaps:
+            self._gaps.begin_pool(pool, rooms.keys(), now)
         estimates = self._dispatcher.estimates
         ordered = sorted(
             records, key=lambda item: order_key(estimates.view_job(*item), now)
@@ -194,6 +200,9 @@
             if not budget.may_plan_job:
                 return False
             budget.begin_job()
+            if self._gaps:
+                view = estimates.view_job(record, queue)
+                self._gaps.begin_job(pool, record, view, now)
             self._plan_job(record, queue, rooms, usage, now, unix_now, budget)
             budget.end_job()
             self._seen_ids.add(record.job.job_id)
@@ -207,6 +216,8 @@
         # What a pass has not seen yet must not be forgotten.
         self.delays.end_round()
         self._reservations.end_pass()
+        if self._gaps:
+            self._gaps.end_pass()
         self._begin_pass(now)
 
     def _find_job_hold(self, record: JobRecord, queue: Queue) -> StartHold | None:
@@ -360,7 +371,7 @@
         now: float,
         budget: RoundBudget,
     ) -> list[Task]:
-        """Place the waiting tasks of a step; reserve workers for lasting ones.
+        """Place the waiting tasks of a step; reserve workers for those left.
 
         Returns:
             The first task that waits though the round has tried to place it, if any.
@@ -378,13 +389,16 @@
             # The tasks of a step differ only in the workers reserved for them.
             own = self._reservations.find_room(task.text, rooms)
             candidates = rooms.values() if not is_full else [own] if own else []
-            room = choose_worker(need, candidates)
+            room = self._choose(task, need, candidates)
             if room is not None:
                 self._begin_run(task, room, usage, now, budget)
                 continue
             is_full = True
             if not task.step.is_lasting:
-                return _find_waiting(chain([task], tasks))
+                left = _find_waiting(chain([task], tasks))
+                if self._gaps and left:
+                    self._gaps.hold(left[0], rooms, usage, account)
+                return left
             if task.phase is not TaskPhase.WAITING:
                 continue
             may_choose = may_choose and self._reservations.may_add
@@ -405,6 +419,13 @@
                 may_choose = False
         return left
 
+    def _choose(
+        self, task: Task, need: TaskNeed, rooms: Collection[CandidateWorker]
+    ) -> CandidateWorker | None:
+        if self._gaps:
+            return self._gaps.choose(task, need, rooms)
+        return choose_worker(need, rooms)
+
     def _expected_ends(self, worker_id: str, now: float) -> list[ExpectedEnd]:
         return find_expected_ends(self._dispatcher, worker_id, now)
 
@@ -420,7 +441,10 @@
         step = tasks[0].step
         if not is_within_limit(usage, account, step.need, len(tasks)):
             return
-        chosen = find_gang_rooms(tasks, rooms)
+        if self._gaps:
+            chosen = self._gaps.choose_for_gang(tasks, rooms)
+        else:
+            chosen = find_gang_rooms(tasks, rooms)
         if chosen is None:
             return
         # All tasks of a gang get the same run number and resume from one checkpoint.
@@ -444,6 +468,8 @@
         need = task_need(task)
         room.take(need)
         self._reservations.release(task.text, room)
+        if self._gaps:
+            self._gaps.note_start(need, room)
         name = run.record.job.account
         usage[name] = add(usage.get(name, NO_RESOURCES), task.step.need)
         tickets = self._tickets_by_stage.get(stage_name(task), {})
