Add the setting look_ahead of the section placement, off by default

Cause: look-ahead placement stays off until measurements on the new deployments show that callers are served better. The daemon passes the setting to the owner and its planner. The template deploy/settings.ini does not set it.

--- a/catkinport/jobs/ownership/owner.py
+++ b/catkinport/jobs/ownership/owner.py
@@ -83,6 +83,7 @@
         lag: measures how late the event loop of this daemon is.
         is_on_small_vm: whether this VM may be too slow for the fleet, so that the owner
             hands over to a daemon on a larger one if it falls behind.
+        looks_ahead: whether placement holds room by the expected ends of tasks.
     """
 
     def __init__(
@@ -94,6 +95,7 @@
         longest_lease: float,
         lag: LoopLag | None = None,
         is_on_small_vm: bool = False,
+        looks_ahead: bool = False,
     ) -> None:
         lease = OwnLease(claim.token, claim.sent_at, claim.takeover_seconds)
         dispatcher = Dispatcher(configuration, ports.metrics, longest_lease)
@@ -105,7 +107,7 @@
         )
         self._queues = QueueStore(self._session)
         self._early_cancel_removal = EarlyCancelRemoval(ports.table, ports.clock)
-        self._run_orders = RunOrders(self._session, self._watch)
+        self._run_orders = RunOrders(self._session, self._watch, looks_ahead)
         # A claim that was repeated may have been carried out just before its answer.
         held_until = ports.clock.now() + bounds.order_gap
         self._vm_orders = VmOrders(self._session, self._vm_planner, held_until)
--- a/catkinport/jobs/ownership/run_orders.py
+++ b/catkinport/jobs/ownership/run_orders.py
@@ -59,12 +59,15 @@
     Args:
         session: ownership for which the orders are sent.
         watch: polls the workers.
+        looks_ahead: whether placement holds room by the expected ends of tasks.
     """
 
-    def __init__(self, session: OwnerSession, watch: WorkerWatch) -> None:
+    def __init__(
+        self, session: OwnerSession, watch: WorkerWatch, looks_ahead: bool = False
+    ) -> None:
         self._session = session
         self._watch = watch
-        self._planner = Planner(session.dispatcher)
+        self._planner = Planner(session.dispatcher, looks_ahead)
         self._stop_turns = StopTurns(session.dispatcher)
         self._stalls = StallReporter(session.dispatcher)
         self._requested_stages: set[str] = set()
--- a/catkinport/platform/daemon.py
+++ b/catkinport/platform/daemon.py
@@ -243,6 +243,7 @@
                 self._settings.bounds.longest_lease,
                 self._lag,
                 self._claim_delay_seconds > 0,
+                self._settings.looks_ahead,
             )
             try:
                 await self._owner.run(self._stop)
--- a/catkinport/platform/settings.py
+++ b/catkinport/platform/settings.py
@@ -118,6 +118,19 @@
             _seconds_option("move_seconds", "Time that a move of a VM takes.", "1.5"),
         ),
     ),
+    SectionDeclaration(
+        "placement",
+        "How the owner places tasks.",
+        (
+            Option(
+                "look_ahead",
+                "choice",
+                "Whether room is held for large short tasks by expected ends.",
+                default="false",
+                choices=("false", "true"),
+            ),
+        ),
+    ),
     SectionDeclaration(
         "logging",
         "Logs of the process.",
@@ -146,7 +159,10 @@
 
 
 class DaemonSettings(NamedTuple):
-    """Settings of a daemon; addresses are ``host:port``."""
+    """Settings of a daemon; addresses are ``host:port``.
+
+    ``looks_ahead`` is whether placement holds room by expected ends of tasks.
+    """
 
     name: str
     zone: str
@@ -160,6 +176,7 @@
     vms: str
     advice: str
     bounds: PlatformBounds
+    looks_ahead: bool
     log_format: str
 
 
@@ -194,5 +211,6 @@
             upkeep=bounds["upkeep_seconds"],
             move=bounds["move_seconds"],
         ),
+        looks_ahead=values["placement"]["look_ahead"] == "true",
         log_format=values["logging"]["format"],
     )
--- a/catkinport/platform/tests/test_settings.py
+++ b/catkinport/platform/tests/test_settings.py
@@ -68,6 +68,14 @@
         assert isinstance(settings, DaemonSettings), settings
         assert settings.bounds.revoked_key == 5.0
 
+    def test_look_ahead_is_off_unless_it_is_switched_on(self):
+        """Guards against existing deployments that place tasks in another way."""
+        text = fill_in(self._template())
+        assert not parse_settings(text).looks_ahead
+        assert parse_settings(text + "\n[placement]\nlook_ahead = true\n").looks_ahead
+        (fault,) = parse_settings(text + "\n[placement]\nlook_ahead = 2\n")
+        assert fault.option == "look_ahead"
+
     def test_every_fault_is_named_with_its_option(self):
         text = fill_in(self._template()).replace("10.1.0.23:8340", "here")
         (fault,) = parse_settings(text)
