Look for the workers of holds once a round, not for each hold

Cause: with 3,000 workers each hold looked at all of them, about 6 ms. Eight holds used up the time of a round, so that rounds planned one job each and started nothing. The workers with most free cores are kept for a round now, by required label.

--- a/catkinport/jobs/placement/gap_planner.py
+++ b/catkinport/jobs/placement/gap_planner.py
@@ -56,10 +56,12 @@
             self._holds_by_pool[pool] = GapHolds(self._trust)
         return self._holds_by_pool[pool]
 
-    def begin_pool(self, pool: str, worker_ids: Collection[str], now: float) -> None:
-        """Begin a round of a pool; ``worker_ids`` may get tasks."""
+    def begin_pool(
+        self, pool: str, rooms: Mapping[str, CandidateWorker], now: float
+    ) -> None:
+        """Begin a round of a pool, whose workers ``rooms`` may get tasks."""
         self.holds_of(pool).begin_round(
-            worker_ids, now, lambda worker_id: self._find_forecasts(worker_id, now)
+            rooms, now, lambda worker_id: self._find_forecasts(worker_id, now)
         )
 
     def begin_job(
--- a/catkinport/jobs/placement/planner.py
+++ b/catkinport/jobs/placement/planner.py
@@ -191,7 +191,7 @@
         is_busy = is_half_used(self._dispatcher.workers_of(pool))
         self._reservations.mark(rooms, now, is_busy)
         if self._gaps:
-            self._gaps.begin_pool(pool, rooms.keys(), now)
+            self._gaps.begin_pool(pool, rooms, now)
         estimates = self._dispatcher.estimates
         ordered = sorted(
             records, key=lambda item: order_key(estimates.view_job(*item), now)
--- a/catkinport/policy/look_ahead.py
+++ b/catkinport/policy/look_ahead.py
@@ -54,8 +54,9 @@
 """Most holds that are made in a round of planning in a pool."""
 
 MAX_LOOKED_AT = 32
-"""Most workers whose expected ends are looked at for a hold, those with most free
-cores. A pool may have 3,000 workers with tens of tasks each."""
+"""Most workers whose expected ends are looked at for holds in a round, those with most
+free cores. With 3,000 workers, looking for them anew for each hold took a round's time
+for one job."""
 
 LARGE_FACTOR = 1.5
 """Multiple of the smallest waiting task's cores from which on a task gets holds. Tasks
@@ -166,8 +167,10 @@
         self._kept_since_by_step: dict[str, float] = {}
         self._kept: set[str] = set()
         self._forecasts_by_worker: dict[str, list[Forecast]] = {}
+        self._most_free_by_label: dict[str, list[CandidateWorker]] = {}
         self._find_forecasts: FindForecasts = lambda worker_id: ()
         self._n_new = 0
+        self._rooms: Mapping[str, CandidateWorker] = {}
         self._now = 0.0
 
     @property
@@ -177,21 +180,26 @@
         return sorted(holds, key=lambda hold: hold.order)
 
     def begin_round(
-        self, worker_ids: Collection[str], now: float, find_forecasts: FindForecasts
+        self,
+        rooms: Mapping[str, CandidateWorker],
+        now: float,
+        find_forecasts: FindForecasts,
     ) -> None:
         """Drop the holds whose worker is gone or whose time is over.
 
         Args:
-            worker_ids: workers that may get tasks.
+            rooms: workers of the pool that may get tasks.
             now: clock time in seconds.
             find_forecasts: returns the expected ends on a worker.
         """
+        self._rooms = rooms
         self._now = now
         self._find_forecasts = find_forecasts
         self._forecasts_by_worker.clear()
+        self._most_free_by_label.clear()
         self._n_new = 0
         for hold in self.holds:
-            if hold.worker_id not in worker_ids:
+            if hold.worker_id not in rooms:
                 self._drop(hold)
             elif now >= hold.ends_at:
                 self._drop(hold)
@@ -288,17 +296,11 @@
     def _add(self, placement: Placement, rooms: Mapping[str, CandidateWorker]) -> bool:
         """Make a hold on the worker where the task fits soonest, if it is soon."""
         longest = min(MAX_HOLD_SECONDS, HOLD_FACTOR * placement.seconds)
-        suitable = (
-            room
-            for room in rooms.values()
-            if not room.has_repeated_suspect
-            and room.is_open_to(placement.need)
-            and self._is_suitable(placement, room)
-        )
-        most_free = heapq.nlargest(
-            MAX_LOOKED_AT, suitable, key=lambda room: (room.cores, room.memory_gb)
-        )
-        ranked = [(*self._find_fit(placement, room), room) for room in most_free]
+        ranked = [
+            (*self._find_fit(placement, room), room)
+            for room in self._find_most_free(placement.need, rooms)
+            if room.is_open_to(placement.need) and self._is_suitable(placement, room)
+        ]
         best = min(ranked, key=lambda item: (item[0], item[2].worker_id), default=None)
         if best is None or best[0] > longest:
             return False
@@ -312,6 +314,24 @@
         self._n_new += 1
         return True
 
+    def _find_most_free(
+        self, need: TaskNeed, rooms: Mapping[str, CandidateWorker]
+    ) -> list[CandidateWorker]:
+        # Kept for a round, as many tasks make holds in it.
+        most_free = self._most_free_by_label.get(need.required_label)
+        if most_free is None:
+            possible = (
+                room
+                for room in self._rooms.values()
+                if not (room.has_repeated_suspect or room.is_last_resort)
+                and (not need.required_label or need.required_label in room.labels)
+            )
+            most_free = heapq.nlargest(
+                MAX_LOOKED_AT, possible, key=lambda room: (room.cores, room.memory_gb)
+            )
+            self._most_free_by_label[need.required_label] = most_free
+        return [room for room in most_free if room.worker_id in rooms]
+
     def _make_place(self, new: Hold, n_workers: int) -> bool:
         """Return whether a hold stays within the bound of a pool's held workers.
 
--- a/catkinport/policy/tests/test_look_ahead.py
+++ b/catkinport/policy/tests/test_look_ahead.py
@@ -74,7 +74,7 @@
 
     def begin_round(self, seconds: float = 0.0) -> None:
         self.now += seconds
-        self.holds.begin_round(self.rooms.keys(), self.now, self.forecasts)
+        self.holds.begin_round(self.rooms, self.now, self.forecasts)
 
     def hold(self, placement: Placement = LARGE_TASK, n_tasks: int = 1) -> None:
         self.holds.hold(placement, n_tasks, self.rooms)
@@ -245,6 +245,14 @@
         pool.hold(make_placement("spread", LARGE, max_per_worker=1))
         assert pool.holds.holds == []
 
+    def test_step_with_few_approved_workers_does_not_narrow_others(self):
+        """Guards against holds of all steps on the workers approved for one."""
+        pool = HeldPool(10)
+        approved = {"w9": pool.rooms["w9"]}
+        pool.holds.hold(make_placement("approved", LARGE), 1, approved)
+        pool.hold()
+        assert len({hold.worker_id for hold in pool.holds.holds}) == 2
+
     def test_worker_reserved_for_a_lasting_task_is_left_alone(self):
         """Guards against two reservations of the same room."""
         pool = HeldPool()
@@ -328,7 +336,7 @@
         for number, (seconds, tasks, forecasts, gone) in enumerate(rounds):
             now += seconds
             rooms = make_random_rooms(gone, number)
-            holds.begin_round(rooms.keys(), now, lambda w, f=forecasts: f[int(w[1:])])
+            holds.begin_round(rooms, now, lambda w, f=forecasts: f[int(w[1:])])
             for task in tasks:
                 room = holds.choose(task, rooms.values())
                 if room is None:
