Name holds as the reason of a delayed start

Cause: a task that only holds keep waiting was logged as no-room:together, and a stall would have been shown as a fault of the planner. The reason is room-held now.

--- a/catkinport/jobs/placement/gap_planner.py
+++ b/catkinport/jobs/placement/gap_planner.py
@@ -23,7 +23,7 @@
 from ..workers.run import Run, RunPhase
 from .account_usage import is_within_limit
 from .gang_rooms import find_gang_rooms
-from .task_needs import task_need
+from .task_needs import stage_name, task_need
 
 
 class _JobTurn(NamedTuple):
@@ -130,6 +130,10 @@
             placement = _placement(turn, task, task_need(task))
             turn.holds.hold(placement, n_tasks, rooms)
 
+    def is_kept(self, task: Task) -> bool:
+        """Return whether a task of the present job waits for nothing but holds."""
+        return self._present_turn().holds.is_kept(stage_name(task))
+
     def note_start(self, need: TaskNeed, room: CandidateWorker) -> None:
         """Note that a task of the present job starts on the worker ``room``."""
         self._present_turn().holds.note_start(need, room)
--- a/catkinport/jobs/placement/planner.py
+++ b/catkinport/jobs/placement/planner.py
@@ -314,6 +314,8 @@
         first = waiting[0]
         n_together = len(waiting) if first.step.is_gang else 1
         hold = StartHold.NO_APPROVAL if is_unapproved else None
+        if self._gaps and self._gaps.is_kept(first):
+            hold = StartHold.ROOM_HELD
         if not is_within_limit(usage, account, first.step.need, n_together):
             hold = StartHold.ACCOUNT_LIMIT
         need = task_need(first)
--- a/catkinport/jobs/placement/start_delays.py
+++ b/catkinport/jobs/placement/start_delays.py
@@ -49,6 +49,7 @@
     LEASE_IN_DOUBT = "lease-in-doubt"
     LEASE_EXPIRED = "lease-expired"
     CRASH_NOT_STORED = "crash-not-stored"
+    ROOM_HELD = "room-held"
     STARTS_IN_FLIGHT = "starts-in-flight"
     START_UNANSWERED = "start-unanswered"
 
--- a/catkinport/jobs/tests/test_look_ahead.py
+++ b/catkinport/jobs/tests/test_look_ahead.py
@@ -8,6 +8,7 @@
 from ...policy.resources import Resources
 from ..placement.planner import Planner
 from ..placement.round_budget import PlannedStart
+from ..placement.start_delays import StartHold
 from .builders import Fleet, make_job, make_step, make_worker
 
 ROUND_SECONDS = 0.1
@@ -128,6 +129,17 @@
         n_small = len(pool.started_at_by_task) - n_before - len(pool.large_starts())
         assert n_small >= 8
 
+    def test_task_kept_waiting_by_holds_says_so(self):
+        """Guards against a delay that is logged as a lack of room."""
+        pool = LoadedPool(15)
+        pool.add_large(8)
+        delays = pool.fleet.planner.delays
+        noted = set()
+        for _ in range(20):
+            pool.play(ROUND_SECONDS)
+            noted |= {delay.hold for delay in delays.delay_by_job.values()}
+        assert StartHold.ROOM_HELD in noted
+
 
 class TestEndsLaterThanEstimated:
     def test_small_tasks_go_on(self):
--- a/catkinport/policy/look_ahead.py
+++ b/catkinport/policy/look_ahead.py
@@ -257,6 +257,10 @@
         self._kept.add(step)
         self._kept_since_by_step.setdefault(step, self._now)
 
+    def is_kept(self, step: str) -> bool:
+        """Return whether tasks of a step were kept waiting by holds in this pass."""
+        return step in self._kept
+
     def note_start(self, need: TaskNeed, room: CandidateWorker) -> None:
         """Drop the hold that a task has used by starting on the worker ``room``."""
         for hold in self._holds_by_worker.get(room.worker_id, ()):
