--- a/catkinport/jobs/ownership/run_orders.py
+++ b/catkinport/jobs/ownership/run_orders.py
@@ -68,6 +68,7 @@
             ended that may be at work.
         evacuations: zones that get no starts; ``None`` if there can't be any.
         inventory: VMs and the orders for them; ``None`` if no VM moves.
+        looks_ahead: whether placement holds room by the expected ends of tasks.
     """
 
     def __init__(
@@ -77,12 +78,13 @@
         may_end_run: MayEndRun = lambda run: True,
         evacuations: ZoneEvacuations | None = None,
         inventory: VmInventory | None = None,
+        looks_ahead: bool = False,
     ) -> None:
         self._session = session
         self._watch = watch
         self._evacuations = evacuations
         self._inventory = inventory
-        self._planner = Planner(session.dispatcher)
+        self._planner = Planner(session.dispatcher, looks_ahead)
         self._stop_turns = StopTurns(session.dispatcher, may_end_run)
         self._stalls = StallReporter(session.dispatcher)
         self._shares = ShareReporter()
--- a/catkinport/platform/settings.py
+++ b/catkinport/platform/settings.py
@@ -180,6 +180,19 @@
             ),
         ),
     ),
+    SectionDeclaration(
+        "placement",
+        "How the owner places tasks.",
+        (
+            Option(
+                "look_ahead",
+                "choice",
+                "Whether room is held for large short tasks by expected ends.",
+                default="false",
+                choices=("false", "true"),
+            ),
+        ),
+    ),
     SectionDeclaration(
         "logging",
         "Logs of the process.",
@@ -208,7 +221,10 @@
 
 
 class DaemonSettings(NamedTuple):
-    """Settings of a daemon; addresses are ``host:port``."""
+    """Settings of a daemon; addresses are ``host:port``.
+
+    ``looks_ahead`` is whether placement holds room by expected ends of tasks.
+    """
 
     name: str
     zone: str
@@ -223,6 +239,7 @@
     advice: str
     bounds: PlatformBounds
     client_bounds: ClientBounds
+    looks_ahead: bool
     log_format: str
 
 
@@ -269,5 +286,6 @@
             move=bounds["move_seconds"],
         ),
         client_bounds=_derive_client_bounds(values["limits"]),
+        looks_ahead=values["placement"]["look_ahead"] == "true",
         log_format=values["logging"]["format"],
     )
