Judge look-ahead by the prospects and account places of the order

The order puts jobs with the late ones for their predicted waits, and behind others for their accounts. The look-ahead found prospects anew, without waits: jobs that the order calls late counted as on time with less than 1 s of slack, so no hold bound them, and they took each gap. Surplus jobs' holds could bind jobs that come before them. The planner now hands on the place that the order gave.

Run: pytest catkinport/jobs/tests/test_look_ahead.py: 14 passed, before the change 13 passed and TestReservedWorkerThatDies:: test_large_task_starts_elsewhere failed.

--- a/catkinport/jobs/placement/gap_planner.py
+++ b/catkinport/jobs/placement/gap_planner.py
@@ -4,9 +4,10 @@
 from collections.abc import Collection, Mapping
 from typing import NamedTuple
 
+from ...policy.account_shares import AccountTurn
 from ...policy.durations import DurationModel
 from ...policy.forecast_trust import ForecastTrust
-from ...policy.job_order import JobView, Prospect, find_prospect, value_density
+from ...policy.job_order import Prospect, value_density
 from ...policy.look_ahead import (
     MAX_HOLDS_PER_STEP,
     Forecast,
@@ -23,6 +24,7 @@
 from ..workers.run import Run, RunPhase
 from .account_usage import is_within_limit
 from .gang_rooms import find_gang_rooms
+from .pool_order import JobPlace
 from .task_needs import stage_name, task_need
 
 
@@ -65,18 +67,28 @@
         )
 
     def begin_job(
-        self, pool: str, record: JobRecord, view: JobView, now: float
+        self, pool: str, record: JobRecord, place: JobPlace, now: float
     ) -> None:
-        """Note that the next tasks are those of another job."""
-        prospect = find_prospect(view, now)
+        """Note that the next tasks are those of another job.
+
+        Its place must be the one that the order gave it: a job that the order puts
+        with the late ones for its wait would otherwise count as one that holds could
+        make late, and no hold would bind it.
+        """
+        view = place.view
         slack_seconds = math.inf
-        if prospect is Prospect.ON_TIME:
+        if place.prospect is Prospect.ON_TIME:
             expected_at = now + view.remaining_chain_seconds
             slack_seconds = view.accepted_at + view.objective_seconds - expected_at
         self._turn = _JobTurn(
             record,
             self.holds_of(pool),
-            (prospect, view.priority),
+            (
+                place.prospect,
+                place.turn is AccountTurn.SURPLUS,
+                view.priority,
+                place.turn,
+            ),
             value_density(view),
             self._dispatcher.estimates.durations_of(record.job.queue),
             slack_seconds,
--- a/catkinport/jobs/placement/planner.py
+++ b/catkinport/jobs/placement/planner.py
@@ -209,8 +209,8 @@
                 return False
             budget.begin_job()
             if self._gaps:
-                view = self._dispatcher.estimates.view_job(record, queue)
-                self._gaps.begin_job(pool, record, view, now)
+                place = self.order.place_of(record.job.job_id)
+                self._gaps.begin_job(pool, record, place, now)
             self._plan_job(record, queue, rooms, usage, now, unix_now, budget)
             budget.end_job()
             self._seen_ids.add(record.job.job_id)
--- a/catkinport/jobs/placement/pool_order.py
+++ b/catkinport/jobs/placement/pool_order.py
@@ -10,7 +10,7 @@
 from typing import NamedTuple
 
 from ...policy.account_shares import AccountTurn
-from ...policy.job_order import JobView, order_key
+from ...policy.job_order import JobView, Prospect, order_key
 from ...policy.resources import Resources
 from ...policy.wait_forecast import (
     ComingCores,
@@ -50,6 +50,20 @@
     coming: Sequence[ComingCores] = ()
 
 
+class JobPlace(NamedTuple):
+    """What a job is ordered by.
+
+    Args:
+        view: the job.
+        prospect: its expected outcome, with its wait where the pool is short.
+        turn: its place by its account, where accounts compete.
+    """
+
+    view: JobView
+    prospect: Prospect
+    turn: AccountTurn
+
+
 class _OrderedJob(NamedTuple):
     """A job with its queue, and the figures by which it is ordered."""
 
@@ -77,6 +91,7 @@
     def __init__(self, dispatcher: Dispatcher) -> None:
         self._dispatcher = dispatcher
         self._accounts = AccountOrder(dispatcher)
+        self._place_by_job: dict[str, JobPlace] = {}
 
     @property
     def shares_by_pool(self) -> SharesByPool:
@@ -87,6 +102,10 @@
         """Find out which of the new jobs exceed the rates of their accounts."""
         self._accounts.note_arrivals()
 
+    def place_of(self, job_id: str) -> JobPlace:
+        """Return the place of a job in the pool that was sorted last."""
+        return self._place_by_job[job_id]
+
     def sort(
         self,
         state: PoolState,
@@ -107,13 +126,20 @@
         ending = [job for job in jobs if not job.view.is_lasting]
         if sum(job.work.ready_cores for job in ending) <= state.free_cores:
             self._accounts.shares_by_pool.pop(state.pool, None)
-            return [job.item for job in jobs]
+            return self._keep_places(jobs)
         workers = self._dispatcher.workers_of(state.pool)
         ending = self._apply_turns(state, ending, _running_cores(workers), now)
         room = PoolRoom(_usable_cores(workers), state.free_cores, state.coming)
         ending = _apply_waits(ending, room, now)
         lasting = [job for job in jobs if job.view.is_lasting]
-        return [job.item for job in (*lasting, *ending)]
+        return self._keep_places([*lasting, *ending])
+
+    def _keep_places(self, jobs: Sequence[_OrderedJob]) -> list[JobAndQueue]:
+        self._place_by_job = {
+            job.job_id: JobPlace(job.view, Prospect(int(job.key[0])), job.turn)
+            for job in jobs
+        }
+        return [job.item for job in jobs]
 
     def _measure(self, item: JobAndQueue, now: float, unix_now: float) -> _OrderedJob:
         estimates = self._dispatcher.estimates
