Test that look-ahead uses the places of the order

A job that is late by its wait only must be bound by holds, and a surplus job's rank must come after those within their share. Both tests fail if the prospect is found without waits and the account's place is left out.

--- a/catkinport/jobs/tests/test_look_ahead.py
+++ b/catkinport/jobs/tests/test_look_ahead.py
@@ -1,15 +1,20 @@
 """Tests of look-ahead placement by the planner, under loads of many small tasks."""
 
+import math
 import random
 
 import pytest
 
-from ...policy.look_ahead import MAX_KEPT_SECONDS
+from ...policy.account_shares import AccountTurn
+from ...policy.job_order import Prospect, find_prospect
+from ...policy.look_ahead import MAX_KEPT_SECONDS, MIN_SLACK_SECONDS
 from ...policy.resources import Resources
+from ..placement.gap_planner import GapPlanner
 from ..placement.planner import Planner
+from ..placement.pool_order import PoolOrder, PoolState
 from ..placement.round_budget import PlannedStart
 from ..placement.start_delays import StartHold
-from .builders import Fleet, make_job, make_step, make_worker
+from .builders import POOL, Fleet, make_job, make_step, make_worker
 
 ROUND_SECONDS = 0.1
 SMALL = Resources(4.0, 8.0, 0)
@@ -224,3 +229,48 @@
         states = pool.fleet.states()
         for number in range(6):
             assert states[f"{number + 0xF00:016x}"] == "completed"
+
+
+class TestPlaceInTheOrder:
+    def test_job_that_is_late_by_its_wait_is_bound_by_holds(self):
+        """Guards against holds that spare jobs which the order calls late already.
+
+        Each of the jobs would be on time if it started at once, with little to spare.
+        """
+        fleet = Fleet([make_worker("w0")])
+        for number in range(12):
+            fleet.dispatcher.add_job(make_job(f"{number:016x}", [make_step(4)]), 100.0)
+        fleet.advance(0.6)
+        gaps = GapPlanner(fleet.dispatcher)
+        order = sort_jobs(fleet)
+        slacks = []
+        for record in fleet.dispatcher.job_by_id.values():
+            place = order.place_of(record.job.job_id)
+            assert find_prospect(place.view, fleet.now) is Prospect.ON_TIME
+            gaps.begin_job(POOL, record, place, fleet.now)
+            slacks.append(gaps._turn.slack_seconds)
+        assert min(slacks) < MIN_SLACK_SECONDS
+        assert slacks.count(math.inf) >= 6
+
+    def test_surplus_job_binds_no_job_that_comes_before_it(self):
+        """Guards against room held for the surplus of an account ahead of others."""
+        fleet = Fleet([make_worker("w0")])
+        fleet.dispatcher.add_job(make_job(steps=[make_step(4)]), fleet.now)
+        (record,) = fleet.dispatcher.job_by_id.values()
+        gaps = GapPlanner(fleet.dispatcher)
+        place = sort_jobs(fleet).place_of(record.job.job_id)
+        ranks = []
+        for turn in AccountTurn:
+            gaps.begin_job(POOL, record, place._replace(turn=turn), fleet.now)
+            ranks.append(gaps._turn.rank)
+        assert ranks == sorted(set(ranks))
+
+
+def sort_jobs(fleet):
+    """Return the order after it has sorted the jobs of a pool."""
+    queue_of = fleet.dispatcher.queue_of
+    records = fleet.dispatcher.job_by_id.values()
+    items = [(record, queue_of(record)) for record in records]
+    order = PoolOrder(fleet.dispatcher)
+    order.sort(PoolState(POOL, 16.0, {}), items, fleet.now, fleet.now)
+    return order
