--- a/catkinport/jobs/ownership/owner.py
+++ b/catkinport/jobs/ownership/owner.py
@@ -84,6 +84,7 @@
         lag: measures how late the event loop of this daemon is.
         is_on_small_vm: whether this VM may be too slow for the fleet, so that the owner
             hands over to a daemon on a larger one if it falls behind.
+        looks_ahead: whether placement holds room by the expected ends of tasks.
     """
 
     def __init__(
@@ -95,6 +96,7 @@
         longest_lease: float,
         lag: LoopLag | None = None,
         is_on_small_vm: bool = False,
+        looks_ahead: bool = False,
     ) -> None:
         lease = OwnLease(claim.token, claim.sent_at, claim.takeover_seconds)
         dispatcher = Dispatcher(configuration, ports.metrics, longest_lease)
@@ -118,6 +120,7 @@
             self._vm_planner.may_end_run,
             self._zone_evacuations,
             self._vm_planner.inventory,
+            looks_ahead,
         )
         # A claim that was repeated may have been carried out just before its answer.
         held_until = ports.clock.now() + bounds.order_gap
--- a/catkinport/jobs/placement/planner.py
+++ b/catkinport/jobs/placement/planner.py
@@ -26,6 +26,7 @@
 from .account_usage import is_within_limit, usage_by_account
 from .blocked_workers import has_unbroken_contact
 from .gang_rooms import find_gang_rooms
+from .gap_planner import GapPlanner
 from .pool_order import PoolOrder, PoolState
 from .pool_use import is_half_used
 from .round_budget import PlannedStart, RoundBudget
@@ -67,6 +68,8 @@
 
     Args:
         dispatcher: jobs and workers.
+        looks_ahead: whether room is held for large short tasks by the expected ends of
+            others.
 
     Attributes:
         order: order of the jobs of each pool.
@@ -77,8 +80,9 @@
         is_unfinished: whether the latest round has ended before it had seen all jobs.
     """
 
-    def __init__(self, dispatcher: Dispatcher) -> None:
+    def __init__(self, dispatcher: Dispatcher, looks_ahead: bool = False) -> None:
         self._dispatcher = dispatcher
+        self._gaps = GapPlanner(dispatcher) if looks_ahead else None
         self._tickets_by_stage: dict[str, dict[str, Ticket]] = {}
         self._rejected_by_stage: dict[str, set[str]] = {}
         self._learned_before: float | None = None
@@ -198,6 +202,8 @@
         rooms = self._free_rooms(pool, now)
         is_busy = is_half_used(self._dispatcher.workers_outside_evacuations(pool))
         self._reservations.mark(rooms, now, is_busy)
+        if self._gaps:
+            self._gaps.begin_pool(pool, rooms, now)
         free_cores = sum(room.cores for room in rooms.values())
         coming = self.coming_by_pool.get(pool, ())
         state = PoolState(pool, free_cores, usage, coming)
@@ -206,6 +212,9 @@
             if not budget.may_plan_job:
                 return False
             budget.begin_job()
+            if self._gaps:
+                place = self.order.place_of(record.job.job_id)
+                self._gaps.begin_job(pool, record, place, now)
             self._plan_job(record, queue, rooms, usage, now, unix_now, budget)
             budget.end_job()
             self._seen_ids.add(record.job.job_id)
@@ -219,6 +228,8 @@
         # What a pass has not seen yet must not be forgotten.
         self.delays.end_round()
         self._reservations.end_pass()
+        if self._gaps:
+            self._gaps.end_pass()
         self._begin_pass(now)
 
     def _find_job_hold(self, record: JobRecord, queue: Queue) -> StartHold | None:
@@ -325,6 +336,8 @@
         first = waiting[0]
         n_together = len(waiting) if first.step.is_gang else 1
         hold = StartHold.NO_APPROVAL if is_unapproved else None
+        if self._gaps and self._gaps.is_kept(first):
+            hold = StartHold.ROOM_HELD
         if not is_within_limit(usage, account, first.step.need, n_together):
             hold = StartHold.ACCOUNT_LIMIT
         need = task_need(first)
@@ -382,7 +395,7 @@
         now: float,
         budget: RoundBudget,
     ) -> list[Task]:
-        """Place the waiting tasks of a step; reserve workers for lasting ones.
+        """Place the waiting tasks of a step; reserve workers for those left.
 
         Returns:
             The first task that waits though the round has tried to place it, if any.
@@ -400,14 +413,22 @@
             need = task_need(task)
             # The tasks of a step differ only in the workers reserved for them.
             own = self._reservations.find_room(task.text, rooms)
-            reserved = [own] if own else []
-            room = choose_worker(need, reserved) if is_full else chooser.choose(need)
+            candidates = rooms.values() if not is_full else [own] if own else []
+            if self._gaps:
+                room = self._gaps.choose(task, need, candidates)
+            elif is_full:
+                room = choose_worker(need, candidates)
+            else:
+                room = chooser.choose(need)
             if room is not None:
                 self._begin_run(task, room, usage, now, budget)
                 continue
             is_full = True
             if not task.step.is_lasting:
-                return _find_waiting(chain([task], tasks))
+                left = _find_waiting(chain([task], tasks))
+                if self._gaps and left:
+                    self._gaps.hold(left[0], rooms, usage, account)
+                return left
             if task.phase is not TaskPhase.WAITING:
                 continue
             may_choose = may_choose and self._reservations.may_add
@@ -443,7 +464,10 @@
         step = tasks[0].step
         if not is_within_limit(usage, account, step.need, len(tasks)):
             return
-        chosen = find_gang_rooms(tasks, rooms)
+        if self._gaps:
+            chosen = self._gaps.choose_for_gang(tasks, rooms)
+        else:
+            chosen = find_gang_rooms(tasks, rooms)
         if chosen is None:
             return
         # All tasks of a gang get the same run number and resume from one checkpoint.
@@ -467,6 +491,8 @@
         need = task_need(task)
         room.take(need)
         self._reservations.release(task.text, room)
+        if self._gaps:
+            self._gaps.note_start(need, room)
         name = run.record.job.account
         usage[name] = add(usage.get(name, NO_RESOURCES), task.step.need)
         tickets = self._tickets_by_stage.get(stage_name(task), {})
