Keep connections open while a request arrives on them

A request reaches aiohttp's handler once it is complete, so the timer for idle connections took a connection for idle while a body arrived on it. A client whose body was under way 75 s after its latest answer was cut off without a status. The timer now waits until no request is unfinished.

Without the change the new test fails with a broken pipe.

--- a/catkinport/platform/client_limits.py
+++ b/catkinport/platform/client_limits.py
@@ -517,6 +517,18 @@
         self.refuse(503, "held-bytes")
         return False
 
+    def _process_keepalive(self) -> None:
+        """Close an idle connection, but not while a request arrives on it.
+
+        aiohttp's handler takes it for idle until the request is complete.
+        """
+        if self.client is not None and self.client.is_unfinished:
+            self._keepalive_handle = self._loop.call_later(
+                KEEP_ALIVE_SECONDS, self._process_keepalive
+            )
+            return
+        super()._process_keepalive()
+
     def note_complete(self) -> None:
         """Note that a request is complete and goes to its handler."""
         client = self.client
--- a/catkinport/platform/tests/test_client_limits.py
+++ b/catkinport/platform/tests/test_client_limits.py
@@ -9,6 +9,7 @@
 
 from ...policy.client_limits import ClientBounds, RequestLimits, derive_bounds
 from ...runtime import Metrics
+from .. import client_limits
 from ..client_limits import ClientGate
 from ..listener import HttpListener
 
@@ -32,6 +33,7 @@
         )
         self.listener = HttpListener(self.answer, "127.0.0.1:0", self.gate)
         self.sizes = []
+        self._writers = []
 
     async def __aenter__(self):
         await self.listener.open()
@@ -39,6 +41,8 @@
 
     async def __aexit__(self, *error):
         await self.listener.close()
+        for writer in self._writers:
+            writer.close()
 
     async def answer(self, request):
         content = await request.read()
@@ -46,7 +50,9 @@
         return web.Response(body=str(len(content)).encode())
 
     async def connect(self):
-        return await asyncio.open_connection("127.0.0.1", self.listener.port)
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.listener.port)
+        self._writers.append(writer)
+        return reader, writer
 
     async def send(self, *pieces, pause=0.0):
         """Send pieces on a new connection; return the status and the whole answer."""
@@ -112,6 +118,29 @@
 
         assert run(check, idle_seconds=1.0) == 200
 
+    def test_a_body_on_a_connection_that_was_idle_is_served(self, monkeypatch):
+        """Guards against the end of an idle connection while a body arrives on it.
+
+        A request reaches its handler once it is complete, so the connection looked
+        idle until then.
+        """
+        monkeypatch.setattr(client_limits, "KEEP_ALIVE_SECONDS", 0.4)
+
+        async def check(server):
+            reader, writer = await server.connect()
+            writer.write(with_length(1) + b"x")
+            await read_answer(reader)
+            await reader.readexactly(1)
+            for piece in [with_length(8), *(8 * [b"x"])]:
+                writer.write(piece)
+                await asyncio.sleep(0.1)
+            status = (await read_answer(reader))[0]
+            await reader.readexactly(1)
+            # Once it is idle again, it is closed.
+            return status, await asyncio.wait_for(reader.read(), 10.0)
+
+        assert run(check) == (200, b"")
+
     def test_a_head_of_the_largest_size_is_served(self):
         """Guards against a limit that a legal head meets."""
         head = b"GET /a HTTP/1.1\r\nHost: h\r\n"
