Answer status 100 to clients that wait for it

The plain server of aiohttp sends no status 100; only its applications do. A client that sends Expect: 100-continue and waits for it was refused with 408 after the idle time, and one that sends its body after a wait of its own lost that time. The status is sent once the head is admitted.

Run: pytest catkinport/platform/tests/test_client_limits.py passes. Without the change both cases of the new test fail, as the connection ends without status 100.

--- a/catkinport/platform/client_limits.py
+++ b/catkinport/platform/client_limits.py
@@ -11,7 +11,7 @@
 from typing import Any
 
 from aiohttp import web
-from aiohttp.http import HttpRequestParser, RawRequestMessage
+from aiohttp.http import HttpRequestParser, HttpVersion11, RawRequestMessage
 from aiohttp.http_exceptions import ContentEncodingError, HttpProcessingError
 from aiohttp.streams import EMPTY_PAYLOAD, StreamReader
 from aiohttp.web_protocol import RequestHandler, RequestPayloadError
@@ -73,6 +73,10 @@
 KEEP_ALIVE_SECONDS = 75.0
 """How long an idle connection of a client is kept open."""
 
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+"""Answer to a head with `Expect: 100-continue`. Server applications of aiohttp send it,
+but its plain server does not."""
+
 _NOTHING: tuple[tuple[()], bool, bytes] = ((), False, b"")
 _REASON_BY_STATUS = {
     400: "Bad Request",
@@ -348,6 +352,8 @@
         is_large = length > SMALL_BODY_BYTES
         if not length or self._handler.reserve(length * BODY_FACTOR, is_large):
             self._has_small_chunks = message.chunked
+            if _waits_to_send(message) and not payload.total_bytes:
+                self._handler.ask_for_body()
             self._collect(b"", complete)
 
     def _collect(self, data: bytes, complete: list[Any]) -> None:
@@ -529,6 +535,15 @@
             return
         super()._process_keepalive()
 
+    def ask_for_body(self) -> None:
+        """Tell a client that waits for it to send the body of its request.
+
+        Behind a request that is not answered yet, this status would be taken for part
+        of that answer, so the client isn't told then.
+        """
+        if self.transport is not None and self.client and not self.client.answering:
+            self.transport.write(CONTINUE)
+
     def note_complete(self) -> None:
         """Note that a request is complete and goes to its handler."""
         client = self.client
@@ -621,6 +636,12 @@
         return [handler for handler in handlers if handler.has_open_body]
 
 
+def _waits_to_send(message: RawRequestMessage) -> bool:
+    """Return whether a client may wait for status 100 before it sends a body."""
+    is_expected = message.headers.get("Expect", "").lower() == "100-continue"
+    return is_expected and message.version >= HttpVersion11
+
+
 def _format_refusal(status: int) -> bytes:
     retry = f"Retry-After: {RETRY_AFTER_SECONDS}\r\n" if status == 503 else ""
     return (
--- a/catkinport/platform/tests/test_client_limits.py
+++ b/catkinport/platform/tests/test_client_limits.py
@@ -141,6 +141,38 @@
 
         assert run(check) == (200, b"")
 
+    @pytest.mark.parametrize("n_before", [0, 1])
+    def test_a_client_that_waits_to_send_its_body_is_told_to(self, n_before):
+        """Guards against bodies that are never sent, and get status 408.
+
+        A client that sends `Expect: 100-continue` may wait for this status.
+        """
+        expecting = HEAD + b"Expect: 100-continue\r\nContent-Length: 3\r\n\r\n"
+
+        async def check(server):
+            reader, writer = await server.connect()
+            statuses = []
+            for _ in range(n_before):
+                writer.write(with_length(1) + b"x")
+                statuses.append((await read_answer(reader))[0])
+                await reader.readexactly(1)
+            writer.write(expecting)
+            statuses.append((await read_answer(reader))[0])
+            writer.write(b"abc")
+            statuses.append((await read_answer(reader))[0])
+            return statuses
+
+        assert run(check, idle_seconds=1.0) == n_before * [200] + [100, 200]
+
+    def test_a_body_that_was_sent_is_not_asked_for(self):
+        """Guards against an answer more than the client expects."""
+        content = HEAD + b"Expect: 100-continue\r\nContent-Length: 3\r\n\r\nabc"
+
+        async def check(server):
+            return (await server.send(content))[0]
+
+        assert run(check) == 200
+
     def test_a_head_of_the_largest_size_is_served(self):
         """Guards against a limit that a legal head meets."""
         head = b"GET /a HTTP/1.1\r\nHost: h\r\n"
