Count the deadline of a call from its first byte

A request reaches its handler once its body is complete, and the time until its deadline was counted from then on. With a large body on a slow link, or behind other requests on its connection, a call whose outcome was unknown was answered after its caller had gone. The listener now notes when a request began, and the time that it took to arrive counts towards a deadline that the caller names. Callers that name none may send slowly, so their 3 s still begin with the complete request.

Without the change, two cases of the new test of callers and the new test of the listener fail.

--- a/catkinport/platform/callers.py
+++ b/catkinport/platform/callers.py
@@ -29,6 +29,7 @@
 from ..runtime.logs import log_event
 from . import decoding
 from .jobs_codec import JOB_ID_PATTERN, decode_job
+from .listener import BEGAN_AT
 
 logger = logging.getLogger(__name__)
 
@@ -191,7 +192,12 @@
                 400,
                 {"error": f"the id must be 16 hexadecimal digits, got {name!r:.80}"},
             )
-        seconds = answer_seconds(decode_deadline_ms(request.headers))
+        deadline_ms = decode_deadline_ms(request.headers)
+        if deadline_ms is not None:
+            # The deadline counts from the sending, and the body may have taken long.
+            passed_seconds = arrived_at - request.get(BEGAN_AT, arrived_at)
+            deadline_ms = max(0.0, deadline_ms - 1000 * passed_seconds)
+        seconds = answer_seconds(deadline_ms)
         call = JobCall(queue, account, name, arrived_at + seconds)
         return await handler(self, request, call)
 
--- a/catkinport/platform/client_limits.py
+++ b/catkinport/platform/client_limits.py
@@ -428,7 +428,7 @@
         options: further arguments of aiohttp's handler.
     """
 
-    __slots__ = ("_gate", "client", "_n_discarded")
+    __slots__ = ("_began_at", "_gate", "client", "_n_discarded")
 
     def __init__(
         self, server: web.Server, gate: ClientGate, *, loop: Any, **options: Any
@@ -440,6 +440,13 @@
         self._msg_queue_resume_size = MAX_PIPELINED // 2
         self.client: Client | None = None
         self._n_discarded = 0
+        # Of the requests that are complete and not answered, in their order.
+        self._began_at: deque[float] = deque()
+
+    @property
+    def request_began_at(self) -> float:
+        """Time of the first byte of the request whose handler runs."""
+        return self._began_at[0]
 
     @property
     def has_open_body(self) -> bool:
@@ -548,10 +555,14 @@
         """Note that a request is complete and goes to its handler."""
         client = self.client
         assert client is not None
+        # A request that came in one read was never unfinished.
+        is_timed = client.is_unfinished
+        self._began_at.append(client.began_at if is_timed else self._loop.time())
         self._gate.ledger.complete(client)
 
     def note_answered(self) -> None:
         """Note that the handler of a request has ended."""
+        self._began_at.popleft()
         if self.client is not None:
             self._gate.ledger.answer(self.client, self._loop.time())
 
--- a/catkinport/platform/listener.py
+++ b/catkinport/platform/listener.py
@@ -32,6 +32,10 @@
 POLL_SECONDS = 0.01
 """Interval at which a closing server checks whether its requests are answered."""
 
+BEGAN_AT = web.RequestKey("began_at", float)
+"""Key of a request under which the time of its first byte is stored, by the clock of
+the event loop. Its handler runs only once the request is complete."""
+
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
 
@@ -116,6 +120,9 @@
         task = asyncio.current_task()
         assert task is not None
         self._tasks.add(task)
+        connection = request.protocol
+        assert isinstance(connection, LimitedHandler)
+        request[BEGAN_AT] = connection.request_began_at
         try:
             response = await self._handler(request)
             if self._is_cut_off:
@@ -137,6 +144,4 @@
             return response
         finally:
             self._tasks.discard(task)
-            connection = request.protocol
-            assert isinstance(connection, LimitedHandler)
             connection.note_answered()
--- a/catkinport/platform/tests/test_callers.py
+++ b/catkinport/platform/tests/test_callers.py
@@ -15,6 +15,7 @@
     ConfigurationAgeLimit,
     JobCall,
 )
+from ..listener import BEGAN_AT
 
 
 class TestSubmission:
@@ -36,10 +37,21 @@
         assert answer.status == 400
 
 
+class FakeRequest(dict):
+    """Request with the values that the listener stores in it."""
+
+    def __init__(self, headers, path, read, values):
+        super().__init__(values)
+        self.headers = headers
+        self.path = path
+        self.method = "POST"
+        self.read = read
+
+
 class TestDeadline:
     """Time by which a call is answered."""
 
-    def _submit(self, headers):
+    def _submit(self, headers, seconds_to_arrive=0.0):
         async def read():
             return b'{"Spec":"s","Steps":[{"Count":1,"Cpu":1,"MemMb":1}]}'
 
@@ -59,8 +71,13 @@
         limit = ConfigurationAgeLimit(4.6)
         server = CallerServer(intake, watch, None, None, None, limit)
         path = queue.path_prefix + "0" * 16
-        request = SimpleNamespace(headers=headers, path=path, method="POST", read=read)
-        asyncio.run(server._answer(request))
+
+        async def answer():
+            began_at = asyncio.get_running_loop().time() - seconds_to_arrive
+            request = FakeRequest(headers, path, read, {BEGAN_AT: began_at})
+            await server._answer(request)
+
+        asyncio.run(answer())
         return left[0]
 
     @pytest.mark.parametrize(
@@ -86,6 +103,25 @@
         left = self._submit(headers)
         assert left == pytest.approx(answer_seconds(milliseconds), abs=0.2)
 
+    @pytest.mark.parametrize(
+        ("text", "seconds_to_arrive", "left"),
+        [
+            ("2000", 0.5, 1.35),
+            ("2000", 3.0, 0.0),
+            ("60000", 10.0, 29.85),
+            ("", 2.0, 2.85),
+        ],
+    )
+    def test_the_time_in_which_a_request_arrives_counts(
+        self, text, seconds_to_arrive, left
+    ):
+        """Guards against late answers to calls whose bodies take long to arrive.
+
+        The deadline counts from the sending. A caller that names none may send slowly.
+        """
+        headers = {"Host": "any", DEADLINE_HEADER: text}
+        assert self._submit(headers, seconds_to_arrive) == pytest.approx(left, abs=0.2)
+
     def test_a_call_without_the_header_is_answered_within_3_s(self):
         """Guards against calls that wait longer than callers do."""
         assert 2.5 < self._submit({"Host": "any"}) <= 2.85
--- a/catkinport/platform/tests/test_listener.py
+++ b/catkinport/platform/tests/test_listener.py
@@ -7,7 +7,7 @@
 import pytest
 from aiohttp import web
 
-from ..listener import HttpListener
+from ..listener import BEGAN_AT, HttpListener
 
 REQUEST = b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n"
 
@@ -32,6 +32,38 @@
     assert received.startswith(b"HTTP/1.1 200")
 
 
+class TestBegin:
+    def test_a_request_begins_with_its_first_byte(self):
+        """Guards against deadlines that count from the end of a body.
+
+        Requests on one connection wait for those before them, which counts too.
+        """
+
+        async def measure():
+            loop = asyncio.get_running_loop()
+            seconds = []
+
+            async def answer(request):
+                seconds.append(loop.time() - request[BEGAN_AT])
+                await asyncio.sleep(0.3)
+                return web.Response(body=b"ok")
+
+            listener = HttpListener(answer, "127.0.0.1:0")
+            await listener.open()
+            client = connect(listener)
+            client.sendall(REQUEST + REQUEST)
+            await asyncio.sleep(0.8)
+            client.sendall(b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\n")
+            await asyncio.sleep(0.3)
+            client.sendall(b"{}")
+            await asyncio.sleep(0.1)
+            await listener.close(1.0)
+            client.close()
+            return seconds
+
+        assert asyncio.run(measure()) == pytest.approx([0.0, 0.3, 0.3], abs=0.15)
+
+
 class TestClose:
     """Clients with plain sockets.
 
