Poll workers that may carry out a late start as often as before

A start that was given up is remembered for 12 s, as its worker carries it out if it restarts before it gets the stop that follows its first answer. Such a worker has no runs, so in fleets of 400 workers or more it was polled with waits of 2 s instead of 1 s, which let a second run go unnoticed for a second longer. It now keeps the wait of 1 s.

--- a/catkinport/jobs/ownership/worker_watch.py
+++ b/catkinport/jobs/ownership/worker_watch.py
@@ -194,7 +194,8 @@
         wait_seconds = 0.0
         if may_wait and not is_answer_urgent:
             n_workers = len(self._session.dispatcher.worker_by_id)
-            wait_seconds = _choose_poll_wait(worker, sent_at, n_workers)
+            n_starts = self._session.dispatcher.uncertain_starts.count(worker.worker_id)
+            wait_seconds = _choose_poll_wait(worker, sent_at, n_workers, n_starts)
         if may_wait:
             worker.poll_wait_seconds = max(POLL_WAIT_SECONDS, wait_seconds)
         # A poll without an answer may be carried out late, by an incarnation whose ends
@@ -237,18 +238,27 @@
             await asyncio.sleep(RETRY_SECONDS)
 
 
-def _choose_poll_wait(worker: WorkerRecord, now: float, n_workers: int) -> float:
+def _choose_poll_wait(
+    worker: WorkerRecord, now: float, n_workers: int, n_given_up_starts: int = 0
+) -> float:
     """Return how long a worker may wait for the end of a run before it answers.
 
+    A worker that restarts may carry out a start that was given up, until it gets the
+    stop after its first answer. So a longer wait of such a worker lets a task run twice
+    for longer.
+
     Args:
         worker: the worker.
         now: clock time in seconds.
         n_workers: number of workers that the owner polls.
+        n_given_up_starts: number of starts that were given up, but may be carried out
+            late there.
     """
     if _has_uncertain_start(worker):
         return STARTING_POLL_WAIT_SECONDS
     longest = max(MIN_POLL_WAIT_SECONDS, MAX_POLL_SECONDS - worker.answer_seconds)
-    if n_workers >= LARGE_FLEET_WORKERS and not worker.run_by_key:
+    is_idle = not worker.run_by_key and not n_given_up_starts
+    if n_workers >= LARGE_FLEET_WORKERS and is_idle:
         return min(IDLE_POLL_WAIT_SECONDS, longest)
     wait_seconds = min(POLL_WAIT_SECONDS, longest)
     if not _has_starting_task(worker, now):
--- a/catkinport/jobs/tests/test_worker_watch.py
+++ b/catkinport/jobs/tests/test_worker_watch.py
@@ -10,6 +10,8 @@
 from ...ports.fleet_workers import WorkerLists
 from ..ownership import worker_watch
 from ..ownership.worker_watch import WorkerWatch
+from ..workers.run import RunKey
+from ..workers.worker_state import Incarnation
 from .builders import POOL, Fleet, make_job, make_step, make_worker
 
 LOST = Unavailable(Reason.CONNECTION_LOST, "worker-hold", "w1", "", True)
@@ -116,6 +118,30 @@
         assert not fleet.dispatcher.worker_by_id["w1"].is_in_contact(fleet.now)
 
 
+class TestIdleWorkers:
+    """Workers without runs in a large fleet."""
+
+    def _poll(self, monkeypatch, *starts):
+        monkeypatch.setattr(worker_watch, "LARGE_FLEET_WORKERS", 1)
+        fleet = Fleet([make_worker("w1")])
+        for key in starts:
+            incarnation = Incarnation("w1", 1.0)
+            fleet.dispatcher.uncertain_starts.add(incarnation, key, fleet.now)
+        return poll(fleet, ANSWER).polls
+
+    def test_they_are_polled_less_often(self, monkeypatch):
+        """Guards against an owner that spends its time on workers without runs."""
+        assert self._poll(monkeypatch) == [(4.0, 2.0)]
+
+    def test_one_that_may_carry_out_a_late_start_is_not(self, monkeypatch):
+        """Guards against a second run of a task whose start was given up.
+
+        If the worker restarts, it may carry the start out until it gets the stop, which
+        follows the first answer.
+        """
+        assert self._poll(monkeypatch, RunKey("0.0.0.0", 1)) == [(4.0, 1.0)]
+
+
 class TestStartingTask:
     """While lasting tasks start, the next ones of their step must not leave a VM."""
 
