Keep jobs beyond the bound of forecasts behind those before it

Jobs after the first 500 of a pool kept the prospect without a wait, so they counted as on time and passed all jobs among the first 500 that are late by their waits. They now get the prospect of the last forecast job that has the same one without a wait.

--- a/catkinport/jobs/placement/pool_order.py
+++ b/catkinport/jobs/placement/pool_order.py
@@ -218,10 +218,15 @@
     prospects = forecast_prospects(
         [ForecastJob(job.view, job.work, job.turn) for job in first], room, now
     )
+    # A job beyond the bound waits at least as long as the last one before it that has
+    # the same prospect without a wait, so it can't pass that one.
+    latest = {job.key[0]: own for job, own in zip(first, prospects, strict=True)}
+    rest = jobs[MAX_FORECAST_JOBS:]
+    prospects += [latest.get(job.key[0], Prospect(int(job.key[0]))) for job in rest]
     changed = [
         job._replace(key=order_key(job.view, now, job.turn, prospect))
         if job.key[0] != prospect
         else job
-        for job, prospect in zip(first, prospects, strict=True)
+        for job, prospect in zip(jobs, prospects, strict=True)
     ]
-    return sorted([*changed, *jobs[MAX_FORECAST_JOBS:]], key=_key_of)
+    return sorted(changed, key=_key_of)
--- a/catkinport/jobs/tests/test_pool_order.py
+++ b/catkinport/jobs/tests/test_pool_order.py
@@ -1,6 +1,8 @@
 """Tests of the order of jobs by the waits that the room of their pool allows."""
 
+from ...policy.job_order import Prospect
 from ...ports.fleet_vms import VmState
+from ..placement import pool_order
 from ..placement.pool_order import PoolOrder, PoolState
 from ..placement.ready_cores import measure_work
 from ..vms.coming_cores import find_coming_cores
@@ -33,6 +35,27 @@
         assert ids.index(patient.job_id) <= 2
 
 
+class TestMoreJobsThanAreForecast:
+    def test_jobs_beyond_the_bound_do_not_pass_those_before_them(self, monkeypatch):
+        """Guards against jobs that count as on time as their waits are not forecast.
+
+        Of equal jobs, those beyond the bound wait longest.
+        """
+        monkeypatch.setattr(pool_order, "MAX_FORECAST_JOBS", 10)
+        fleet = Fleet([make_worker("w0")])
+        for number in range(30):
+            fleet.dispatcher.add_job(make_job(f"{number:016x}", [make_step(4)]), 100.0)
+        queue_of = fleet.dispatcher.queue_of
+        records = fleet.dispatcher.job_by_id.values()
+        items = [(record, queue_of(record)) for record in records]
+        order = PoolOrder(fleet.dispatcher)
+        ordered = order.sort(PoolState(POOL, 16.0, {}), items, fleet.now, fleet.now)
+        assert ordered == items
+        prospects = [order.place_of(r.job.job_id).prospect for r, _ in ordered]
+        assert prospects[0] is Prospect.ON_TIME
+        assert prospects[9] is not Prospect.ON_TIME
+
+
 class TestViewOfAnUntouchedJob:
     def test_it_has_the_figures_of_the_steps_that_are_left(self):
         """Guards against figures of new jobs that differ from those of begun ones."""
