Name the incarnation of the worker in log lines on runs

Cause: the record of two tasks that ran twice names the worker of each run, but not which of its incarnations was meant, carried a start out or reported an end. So it can't tell apart a lease on a former clock, ends that were acknowledged to the wrong incarnation, and state older than a run.

Change: the field incarnation in 'run ordered', 'run stop ordered', 'run ended', 'run lost', 'run adopted' and 'late worker report dropped'; the former and the new one and the lease that is counted on in 'worker restarted' and 'inherited worker resolved'; the event 'worker incarnation listed'. The lines on contact with workers stay as they are: one more field made the longest of them 201 characters, and records are cut after 200.

--- a/catkinport/jobs/dispatch/run_ends.py
+++ b/catkinport/jobs/dispatch/run_ends.py
@@ -117,6 +117,7 @@
             task=ended.task,
             run=ended.run,
             worker=worker.worker_id,
+            incarnation=worker.started_at,
             how=ended.how,
             end=ended.number,
             seconds=round(now - run.asked_at, 3) if run else "",
--- a/catkinport/jobs/dispatch/run_table.py
+++ b/catkinport/jobs/dispatch/run_table.py
@@ -71,7 +71,7 @@
         run.pace = None
         self.confirm(run, now)
         self._attach(worker, run)
-        self._log_adopted(run)
+        self._log_adopted(worker, run)
         if task.phase is TaskPhase.WAITING:
             record.set_phase(task, TaskPhase.PLACED)
         return run
@@ -124,6 +124,7 @@
             task=run.key.task,
             run=run.key.run,
             worker=worker.worker_id,
+            incarnation=worker.started_at,
             reason=reason,
             uncertain=is_uncertain,
             silent_seconds=round(now - worker.contact_at, 2),
@@ -180,7 +181,7 @@
         incarnation = Incarnation(worker.worker_id, started_at)
         self.uncertain_starts.add(incarnation, run.key, run.asked_at)
 
-    def _log_adopted(self, run: Run) -> None:
+    def _log_adopted(self, worker: WorkerRecord, run: Run) -> None:
         log_event(
             logger,
             "run adopted",
@@ -188,6 +189,7 @@
             task=run.key.task,
             run=run.key.run,
             worker=run.worker_id,
+            incarnation=worker.started_at,
             task_phase=run.task.phase,
             n_runs=len(self.runs_by_task[run.task.text]),
         )
--- a/catkinport/jobs/ownership/run_orders.py
+++ b/catkinport/jobs/ownership/run_orders.py
@@ -209,6 +209,7 @@
             task=run.key.task,
             run=run.key.run,
             worker=worker.worker_id,
+            incarnation=run.sent_to,
             token=self._session.lease.token,
             outcome=type(outcome).__name__,
             job_age_seconds=round(sent_at - run.record.accepted_at, 3),
@@ -262,6 +263,8 @@
             task=stop.key.task,
             run=stop.key.run,
             worker=stop.worker_id,
+            incarnation=incarnation.started_at,
+            token=self._session.lease.token,
             reason=stop.reason,
             outcome=type(outcome).__name__,
         )
--- a/catkinport/jobs/workers/inherited_workers.py
+++ b/catkinport/jobs/workers/inherited_workers.py
@@ -37,12 +37,16 @@
         pool = unresolved_by_id.pop(worker_id, None)
         if pool is None:
             return
+        worker = self._workers.worker_by_id.get(worker_id)
         log_event(
             logger,
             "inherited worker resolved",
             worker=worker_id,
             pool=pool,
             reason=reason,
+            incarnation=worker.started_at if worker else "",
+            listed_incarnation=worker.listed.started_at if worker else "",
+            lease_seconds=round(worker.lease_until - now, 2) if worker else "",
             n_left=len(unresolved_by_id),
         )
         if self._workers.is_pool_resolved(pool):
--- a/catkinport/jobs/workers/worker_listing.py
+++ b/catkinport/jobs/workers/worker_listing.py
@@ -77,6 +77,18 @@
                 remaining_seconds=worker.remaining_seconds,
                 n_runs=len(record.run_by_key),
             )
+        if record.started_at and worker.started_at not in (
+            record.started_at,
+            record.listed.started_at,
+        ):
+            log_event(
+                logger,
+                "worker incarnation listed",
+                worker=worker.worker_id,
+                incarnation=worker.started_at,
+                former_incarnation=record.started_at,
+                n_runs=len(record.run_by_key),
+            )
         if worker.pool != record.listed.pool:
             record.is_enrolled = False
         record.note_listed(worker, sent_at)
--- a/catkinport/jobs/workers/worker_reports.py
+++ b/catkinport/jobs/workers/worker_reports.py
@@ -68,7 +68,12 @@
         is_other_process = lists.started_at != worker.started_at
         if is_other_process and sent_at < worker.started_known_at:
             # Polls overlap, so an earlier process may have given this answer.
-            log_event(logger, "late worker report dropped", worker=worker_id)
+            log_event(
+                logger,
+                "late worker report dropped",
+                worker=worker_id,
+                incarnation=lists.started_at,
+            )
             return
         self._note_answer(worker, lists, now)
         worker.polled_at = max(worker.polled_at, sent_at)
@@ -115,6 +120,9 @@
             logger,
             "worker restarted",
             worker=worker.worker_id,
+            incarnation=lists.started_at,
+            former_incarnation=worker.started_at,
+            lease_seconds=round(worker.lease_until - now, 2),
             n_lost=len(lost),
             n_uncertain_starts=self._runs.uncertain_starts.count(worker.worker_id),
         )
