Acknowledge no ends to an incarnation that may have counted them anew

Cause: a worker that starts again under its id counts its ends from 1 again. The number of the last stored end was sent with each poll until one was answered: also with the poll after one without an answer, which is the first one that reaches the new incarnation, and with a poll that follows a start without an answer beside the loop's own poll. The new incarnation took the number for its own and forgot ends that nobody had read. The run was then neither running nor ended, and its task started again. Besides, an acknowledgment that the new incarnation answered counted as made there, so that it listed its ends for ever.

Change: a number is sent by the loop's own poll only, and neither after a poll without an answer nor while the list of workers shows another incarnation than the one that answered last. It counts only for the incarnation that it was made for.

Evidence: four tests, which fail without the change: acknowledged numbers [57, 57, 0, 0, 0] instead of [57, 0, 57, 0, 0] after a lost poll, [57] instead of [0] beside another poll, [57, 0] instead of [0, 0] to a listed incarnation, and [0] instead of [1] after an acknowledgment that another incarnation took. The first replaces test_ends_are_acknowledged_until_a_poll_is_answered, which asserted the repeated number; it still asserts that an end is acknowledged once a poll is answered, and not again after that.

--- a/catkinport/jobs/ownership/worker_watch.py
+++ b/catkinport/jobs/ownership/worker_watch.py
@@ -175,7 +175,8 @@
         Args:
             worker: the worker.
             may_wait: whether the worker may wait for the end of a run before it
-                answers.
+                answers. A poll that may not follows an order without an answer, beside
+                a poll that is under way, and acknowledges no ends.
         """
         sent_at = self._session.clock.now()
         if self._session.lease.must_stop_renewing(sent_at):
@@ -198,10 +199,8 @@
             wait_seconds = _choose_poll_wait(worker, sent_at, n_workers, n_starts)
         if may_wait:
             worker.poll_wait_seconds = max(POLL_WAIT_SECONDS, wait_seconds)
-        # A poll without an answer may be carried out late, by an incarnation whose ends
-        # are counted anew. So an end is not acknowledged again after an answer.
-        is_end_new = worker.stored_end > worker.acknowledged_end
-        acknowledged_end = worker.stored_end if is_end_new else 0
+        started_at = worker.started_at
+        acknowledged_end = _choose_acknowledged_end(worker) if may_wait else 0
         outcome = await self._session.ports.workers.renew_lease(
             worker.listed,
             self._session.lease.token,
@@ -211,7 +210,8 @@
         )
         self._contacts.note(worker, outcome, self._session.clock.now())
         if isinstance(outcome, WorkerLists):
-            worker.acknowledged_end = max(worker.acknowledged_end, acknowledged_end)
+            if outcome.started_at == started_at:
+                worker.acknowledged_end = max(worker.acknowledged_end, acknowledged_end)
             await self._apply_run_lists(worker, outcome, sent_at)
         elif isinstance(outcome, Unavailable):
             worker.note_no_answer()
@@ -238,6 +238,18 @@
             await asyncio.sleep(RETRY_SECONDS)
 
 
+def _choose_acknowledged_end(worker: WorkerRecord) -> int:
+    """Return the number of the last end to acknowledge with the next poll; 0 for none.
+
+    Another incarnation counts its ends anew, and a number of the former one would make
+    it forget ends that nobody has read. So a number is sent only while nothing suggests
+    a restart, and no longer once it is known to have arrived.
+    """
+    is_new = worker.stored_end > worker.acknowledged_end
+    may_be_other = worker.may_have_restarted or worker.is_restart_listed
+    return worker.stored_end if is_new and not may_be_other else 0
+
+
 def _choose_poll_wait(
     worker: WorkerRecord, now: float, n_workers: int, n_given_up_starts: int = 0
 ) -> float:
--- a/catkinport/jobs/tests/test_worker_watch.py
+++ b/catkinport/jobs/tests/test_worker_watch.py
@@ -54,14 +54,14 @@
 ANSWER = WorkerLists(1.0, [], [])
 
 
-def poll(fleet, *outcomes, answer_seconds=0.6):
+def poll(fleet, *outcomes, answer_seconds=0.6, may_wait=True):
     """Poll the worker once for each outcome; return the session."""
     session = FakeSession(fleet, outcomes, answer_seconds)
     watch = WorkerWatch(session, None, 0.0)
 
     async def run():
         for _ in outcomes:
-            await watch.poll(fleet.dispatcher.worker_by_id["w1"])
+            await watch.poll(fleet.dispatcher.worker_by_id["w1"], may_wait)
 
     asyncio.run(run())
     return session
@@ -183,17 +183,63 @@
 
 
 class TestAcknowledgedEnds:
-    def test_ends_are_acknowledged_until_a_poll_is_answered(self):
-        """Guards against a late poll that makes a restarted worker forget its ends.
+    """The numbers of ends begin anew after a restart.
 
-        The numbers of ends begin anew there, so that a number of the former incarnation
-        covers ends that are not stored.
-        """
+    A number of the former incarnation covers ends that nobody has read.
+    """
+
+    def make_fleet(self):
         fleet = Fleet([make_worker("w1")])
         worker = fleet.dispatcher.worker_by_id["w1"]
         worker.processed_end = worker.stored_end = 57
-        session = poll(fleet, LOST, ANSWER, ANSWER, LOST)
-        assert session.acknowledged == [57, 57, 0, 0]
+        return fleet
+
+    def test_the_poll_after_one_without_an_answer_acknowledges_none(self):
+        """Guards against a task that runs again after an unread end.
+
+        The worker may have restarted, and that poll is the first one to reach it.
+        """
+        session = poll(self.make_fleet(), LOST, ANSWER, ANSWER, ANSWER, LOST)
+        assert session.acknowledged == [57, 0, 57, 0, 0]
+
+    def test_a_poll_beside_another_one_acknowledges_none(self):
+        """Guards against an unread end after a start that had no answer.
+
+        The poll that was under way at the restart has not failed yet.
+        """
+        session = poll(self.make_fleet(), ANSWER, may_wait=False)
+        assert session.acknowledged == [0]
+
+    def test_none_is_acknowledged_to_an_incarnation_that_is_only_listed(self):
+        """Guards against an unread end on a worker whose entry tells its restart."""
+        fleet = self.make_fleet()
+        fleet.dispatcher.update_workers(
+            [make_worker("w1", started_at=2.0)], fleet.now, fleet.now
+        )
+        session = poll(fleet, ANSWER, WorkerLists(2.0, [], []))
+        assert session.acknowledged == [0, 0]
+
+    def test_an_acknowledgment_counts_for_the_incarnation_that_it_was_made_for(
+        self, monkeypatch
+    ):
+        """Guards against ends that the next incarnation lists for ever.
+
+        It has taken the poll, whose number is above those of its own ends, and has
+        answered another poll meanwhile.
+        """
+        fleet = self.make_fleet()
+        restarted = WorkerLists(2.0, [], [])
+        renew_lease = FakeSession.renew_lease
+
+        async def renew_lease_beside_another_poll(session, *arguments):
+            fleet.poll("w1", restarted.started_at)
+            return await renew_lease(session, *arguments)
+
+        monkeypatch.setattr(FakeSession, "renew_lease", renew_lease_beside_another_poll)
+        poll(fleet, restarted)
+        worker = fleet.dispatcher.worker_by_id["w1"]
+        worker.processed_end = worker.stored_end = 1
+        assert poll(fleet, restarted).acknowledged == [1]
 
     def test_ends_of_a_restarted_worker_are_acknowledged(self):
         """Guards against ends that are listed for ever after a restart."""
--- a/catkinport/jobs/workers/worker_state.py
+++ b/catkinport/jobs/workers/worker_state.py
@@ -218,6 +218,11 @@
         """
         return self.contact_since == float("inf")
 
+    @property
+    def is_restart_listed(self) -> bool:
+        """Whether the list of workers shows an incarnation that hasn't answered yet."""
+        return 0 < self.started_at < self.listed.started_at
+
     def free(self) -> Resources:
         """Return the part of its capacity that no run takes."""
         have = self.listed.capacity
