Keep runs that were confirmed after the poll that shows a restart

Cause: the first answer of a worker that has started again under its id gave up all runs that it did not list and that the worker had confirmed before. The start may have been confirmed by the new incarnation, after that answer was written and before it was processed: two calls on two connections. The task then started elsewhere while it ran.

Change: only runs that were confirmed before that poll was sent are given up at once. The answer to a later poll decides on the others, as it does for runs without a restart.

--- a/catkinport/jobs/tests/test_silent_workers.py
+++ b/catkinport/jobs/tests/test_silent_workers.py
@@ -127,6 +127,7 @@
         fleet.dispatcher.add_job(make_job(), fleet.now)
         (start,) = fleet.start()
         fleet.running_by_worker["w1"].clear()
+        fleet.advance(0.1)
         fleet.poll("w1", started_at=2.0)
         (again,) = fleet.start()
         assert again.run.key.run == start.run.key.run + 1
--- a/catkinport/jobs/workers/worker_reports.py
+++ b/catkinport/jobs/workers/worker_reports.py
@@ -75,7 +75,7 @@
                 incarnation=lists.started_at,
             )
             return
-        self._note_answer(worker, lists, now)
+        self._note_answer(worker, lists, sent_at, now)
         worker.polled_at = max(worker.polled_at, sent_at)
         if lists.may_lack_ends:
             _log_lacking_ends(worker, lists)
@@ -87,14 +87,14 @@
             self._lose_unlisted(worker, lists, sent_at, now)
 
     def _note_answer(
-        self, worker: WorkerRecord, lists: WorkerLists, now: float
+        self, worker: WorkerRecord, lists: WorkerLists, sent_at: float, now: float
     ) -> None:
         is_other_process = lists.started_at != worker.started_at
         is_restarted = is_other_process and worker.started_at > 0
         note_answer(worker, lists.started_at)
         if is_restarted:
             note_crash(worker, "restarted", now)
-            self._on_restart(worker, lists, now)
+            self._on_restart(worker, lists, sent_at, now)
             worker.is_taken_down = False
         if is_other_process:
             worker.started_known_at = now
@@ -104,7 +104,9 @@
         worker.started_at = lists.started_at
         worker.note_contact(now, is_restarted)
 
-    def _on_restart(self, worker: WorkerRecord, lists: WorkerLists, now: float) -> None:
+    def _on_restart(
+        self, worker: WorkerRecord, lists: WorkerLists, sent_at: float, now: float
+    ) -> None:
         worker.processed_end = 0
         worker.stored_end = 0
         worker.acknowledged_end = 0
@@ -127,7 +129,9 @@
             n_uncertain_starts=self._runs.uncertain_starts.count(worker.worker_id),
         )
         for run in lost:
-            if run.known_at:
+            # A start that was confirmed later may have been carried out after the
+            # answer was written.
+            if run.known_at and run.known_at < sent_at:
                 self._runs.lose(worker, run, "worker-restarted", now)
         # The start orders of the others may still arrive late, or have done so. The
         # restarted worker carries them out, as it doesn't know of a stop that was
