Compare the age of the VM list with confirmations of runs, not with orders

Cause: the data of the list of VMs may be 1.2 s old. Runs on a VM that it shows as down were given up if they were ordered before that time. A start that was ordered before may be carried out after, by the incarnation with which the VM is up again under its id, and its confirmation says so. The run was given up and its task started elsewhere.

Change: the time of the confirmation counts.

Evidence: test_run_that_was_confirmed_after_its_data_is_kept (ordered 1.4 s, confirmed 0.7 s before the request of the list) fails without the change: the run is given up and the task is planned again. Its neighbour checks that a run confirmed 1.3 s before is given up as ever.

--- a/catkinport/jobs/dispatch/run_table.py
+++ b/catkinport/jobs/dispatch/run_table.py
@@ -139,18 +139,19 @@
             self.lose(worker, run, reason, now)
 
     def lose_confirmed(
-        self, worker: WorkerRecord, reason: str, now: float, asked_before: float
+        self, worker: WorkerRecord, reason: str, now: float, known_before: float
     ) -> None:
-        """Give up the runs that the worker has confirmed.
+        """Give up the runs that the worker had confirmed by some time.
 
         Args:
             worker: worker of the runs.
             reason: why they are given up, for the log.
             now: clock time in seconds.
-            asked_before: runs ordered at this clock time or later are kept.
+            known_before: runs confirmed at this clock time or later are kept. A later
+                incarnation may have confirmed them, however early they were ordered.
         """
         for run in list(worker.run_by_key.values()):
-            if run.known_at and run.asked_at < asked_before:
+            if 0 < run.known_at < known_before:
                 self.lose(worker, run, reason, now)
 
     def expire(self, now: float) -> None:
--- a/catkinport/jobs/tests/test_quick_restarts.py
+++ b/catkinport/jobs/tests/test_quick_restarts.py
@@ -6,7 +6,11 @@
 
 import pytest
 
-from .builders import Fleet, make_job, make_worker
+from ...policy.resources import Resources
+from ...ports.fleet_vms import FleetVm, VmState
+from ...ports.fleet_workers import Done
+from ..workers.worker_vms import VM_LIST_LAG_SECONDS
+from .builders import POOL, Fleet, make_job, make_worker
 
 POLL_SECONDS = 0.3
 """Time for which the poll is under way that first shows the restart."""
@@ -21,14 +25,24 @@
         worker_id: worker of the run.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, answer_seconds: float = 0.0) -> None:
+        """Start a task; the worker confirms it ``answer_seconds`` after the order."""
         self.fleet = Fleet([make_worker("w1"), make_worker("w2")])
         self.fleet.advance(1.0)
         self.fleet.poll_all()
         self.fleet.dispatcher.add_job(make_job(), self.fleet.now)
-        (start,) = self.fleet.start()
+        (start,) = self.fleet.plan()
         self.run = start.run
         self.worker_id = start.worker.worker_id
+        self.fleet.advance(answer_seconds)
+        self.fleet.answer(start, Done())
+
+    def list_vm_as_down(self) -> None:
+        """Process a list of VMs that was requested just now."""
+        vm = FleetVm("m", POOL, VmState.DOWN, "z", (), Resources(16, 256, 0), "")
+        worker = self.fleet.dispatcher.worker_by_id[self.worker_id]
+        worker.vm_id = vm.vm_id
+        self.fleet.dispatcher.update_vms([vm], self.fleet.now, self.fleet.now)
 
     def is_held(self) -> bool:
         """Return whether the owner knows of the run and starts the task nowhere."""
@@ -61,3 +75,24 @@
         start.fleet.advance(POLL_SECONDS)
         start.fleet.poll(start.worker_id, started_at=2.0)
         assert not start.is_held()
+
+
+class TestVmList:
+    """The data of the list may be `VM_LIST_LAG_SECONDS` old."""
+
+    def test_run_that_was_confirmed_after_its_data_is_kept(self):
+        """Guards against a second run: the VM may be up again, and run the task.
+
+        The order was sent before the VM went down, and carried out after it was back.
+        """
+        start = StartOnRestartedWorker(answer_seconds=0.7)
+        start.fleet.advance(VM_LIST_LAG_SECONDS - 0.5)
+        start.list_vm_as_down()
+        assert start.is_held()
+
+    def test_run_that_was_confirmed_before_its_data_is_given_up(self):
+        """Guards against a task that waits for the lease of a worker that is gone."""
+        start = StartOnRestartedWorker(answer_seconds=0.7)
+        start.fleet.advance(VM_LIST_LAG_SECONDS + 0.1)
+        start.list_vm_as_down()
+        assert not start.is_held()
--- a/catkinport/jobs/workers/worker_vms.py
+++ b/catkinport/jobs/workers/worker_vms.py
@@ -11,7 +11,7 @@
 
 VM_LIST_LAG_SECONDS = 1.2
 """Maximum age of the data in the platform's VM list. If the list shows a VM as down or
-with another worker, runs ordered there longer than this before the list was requested
+with another worker, runs confirmed there longer than this before the list was requested
 have ended."""
 
 
@@ -61,8 +61,8 @@
         reason = f"vm-{vm.state}" if vm else "vm-absent"
         worker.pause_as_uncertain(now)
         self._inherited.resolve(worker.worker_id, reason, now)
-        asked_before = sent_at - VM_LIST_LAG_SECONDS
-        self._runs.lose_confirmed(worker, reason, now, asked_before)
+        known_before = sent_at - VM_LIST_LAG_SECONDS
+        self._runs.lose_confirmed(worker, reason, now, known_before)
 
 
 def _is_alive(worker: WorkerRecord, vm: FleetVm | None) -> bool:
