Resolve no inherited worker by a VM list that is older than the claim

Cause: a new owner counted each worker whose VM the list shows as down as one that runs nothing of the former owner. The data of that list may be 1.2 s old. Where an owner follows at once (a planned stop, or the killed daemon itself is back), that is before the former owner's last orders: the VM was up again under its worker's id and had taken tasks. They started a second time elsewhere, before the new owner had read the worker's runs.

Change: the list resolves an inherited worker only if its data can't be older than the claim. The worker waits for a later list, for its own answer or for the end of the lease, as before.

Evidence: test_inherited_worker_is_resolved_by_data_after_the_claim fails without the condition: a list requested 1.0 s after the claim resolves the pool. The cost is 1.2 s at most, for inherited tasks on VMs that are down as the ownership changes.

--- a/catkinport/jobs/dispatch/dispatcher.py
+++ b/catkinport/jobs/dispatch/dispatcher.py
@@ -274,6 +274,10 @@
         """Process a worker's report of the runs that it executes and that ended."""
         self._reports.process(worker_id, lists, sent_at, now)
 
+    def note_former_orders(self, until: float) -> None:
+        """Note that former owners may have sent orders until that clock time."""
+        self._workers.former_orders_until = until
+
     def resolve_inherited_workers(self, now: float) -> None:
         """Note that the leases of the former owner's runs have expired.
 
--- a/catkinport/jobs/ownership/owner.py
+++ b/catkinport/jobs/ownership/owner.py
@@ -100,6 +100,7 @@
     ) -> None:
         lease = OwnLease(claim.token, claim.sent_at, claim.takeover_seconds)
         dispatcher = Dispatcher(configuration, ports.metrics, longest_lease)
+        dispatcher.note_former_orders(claim.sent_at)
         self._session = OwnerSession(ports, dispatcher, lease)
         self._vm_planner = VmPlanner(dispatcher, bounds)
         self._store = StateStore(self._session)
--- a/catkinport/jobs/tests/test_former_owners.py
+++ b/catkinport/jobs/tests/test_former_owners.py
@@ -99,6 +99,14 @@
         assert not fleet.violations
         assert fleet.worker_by_id["w0"].running
 
+    def test_orders_of_former_owners_are_expected_until_the_claim(self, fleet):
+        """Guards against an owner that trusts a list of VMs from before its claim."""
+        fleet.advance(0.5)
+        claimed_at = fleet.clock.now()
+        fleet.claim("d0")
+        workers = fleet.owner_by_name["d0"]._session.dispatcher._workers
+        assert workers.former_orders_until >= claimed_at
+
     def test_tasks_go_on_while_the_store_is_down(self, fleet):
         """Guards against an owner in doubt that starts nothing at all."""
         fleet.claim("d0")
--- a/catkinport/jobs/tests/test_quick_restarts.py
+++ b/catkinport/jobs/tests/test_quick_restarts.py
@@ -39,10 +39,7 @@
 
     def list_vm_as_down(self) -> None:
         """Process a list of VMs that was requested just now."""
-        vm = FleetVm("m", POOL, VmState.DOWN, "z", (), Resources(16, 256, 0), "")
-        worker = self.fleet.dispatcher.worker_by_id[self.worker_id]
-        worker.vm_id = vm.vm_id
-        self.fleet.dispatcher.update_vms([vm], self.fleet.now, self.fleet.now)
+        list_vm_as_down(self.fleet, self.worker_id)
 
     def is_held(self) -> bool:
         """Return whether the owner knows of the run and starts the task nowhere."""
@@ -50,6 +47,13 @@
         return self.run.key in worker.run_by_key and self.fleet.plan() == []
 
 
+def list_vm_as_down(fleet: Fleet, worker_id: str) -> None:
+    """Process a list of VMs, requested just now, that shows a worker's VM as down."""
+    vm = FleetVm("m", POOL, VmState.DOWN, "z", (), Resources(16, 256, 0), "")
+    fleet.dispatcher.worker_by_id[worker_id].vm_id = vm.vm_id
+    fleet.dispatcher.update_vms([vm], fleet.now, fleet.now)
+
+
 @pytest.fixture
 def start():
     return StartOnRestartedWorker()
@@ -96,3 +100,20 @@
         start.fleet.advance(VM_LIST_LAG_SECONDS + 0.1)
         start.list_vm_as_down()
         assert not start.is_held()
+
+    @pytest.mark.parametrize(
+        ("seconds", "is_resolved"), [(1.0, False), (VM_LIST_LAG_SECONDS + 0.1, True)]
+    )
+    def test_inherited_worker_is_resolved_by_data_after_the_claim(
+        self, seconds, is_resolved
+    ):
+        """Guards against a second run of a task that the former owner started.
+
+        The VM was up again by then, and its worker had taken the order.
+        """
+        fleet = Fleet([make_worker("w1"), make_worker("w2")])
+        fleet.dispatcher.unresolved_by_id["w1"] = POOL
+        fleet.dispatcher.note_former_orders(fleet.now)
+        fleet.advance(seconds)
+        list_vm_as_down(fleet, "w1")
+        assert fleet.dispatcher.is_pool_resolved(POOL) is is_resolved
--- a/catkinport/jobs/workers/worker_table.py
+++ b/catkinport/jobs/workers/worker_table.py
@@ -16,12 +16,15 @@
         unresolved_by_id: pool of each worker that the former owner used and that may
             still run its tasks, by worker id. A worker is resolved once it has
             reported to this owner, its VM has gone or its lease has expired.
+        former_orders_until: clock time in seconds of the last order that a former owner
+            can have sent, unless it doesn't know yet that it was replaced.
         evacuated_zones: availability zones whose workers get no new tasks.
     """
 
     def __init__(self) -> None:
         self.worker_by_id: dict[str, WorkerRecord] = {}
         self.unresolved_by_id: dict[str, str] = {}
+        self.former_orders_until = float("-inf")
         self.evacuated_zones: set[str] = set()
 
     def workers_of(self, pool: str) -> list[WorkerRecord]:
--- a/catkinport/jobs/workers/worker_vms.py
+++ b/catkinport/jobs/workers/worker_vms.py
@@ -60,8 +60,11 @@
         note_listed_vm(worker, vm, now)
         reason = f"vm-{vm.state}" if vm else "vm-absent"
         worker.pause_as_uncertain(now)
-        self._inherited.resolve(worker.worker_id, reason, now)
         known_before = sent_at - VM_LIST_LAG_SECONDS
+        # The VM may have come back since then, and its worker, under the same id, may
+        # have carried out an order of the former owner.
+        if known_before >= self._workers.former_orders_until:
+            self._inherited.resolve(worker.worker_id, reason, now)
         self._runs.lose_confirmed(worker, reason, now, known_before)
 
 
