Store the count of crashes in the model of owner changes

Cause: the random test of lasting tasks found a history in which a task waits for good: a worker crashes twice, and its task waits until the crash is stored. The model stored the rows, but didn't note the number of stored crashes as StateStore does.

Change: the model notes the number.

--- a/catkinport/jobs/tests/test_owner_changes.py
+++ b/catkinport/jobs/tests/test_owner_changes.py
@@ -232,6 +232,7 @@
         for record in self.dispatcher.dirty_jobs():
             self.stored_rows[record.job.job_id] = record.to_row()
             record.row_version += 1
+            record.n_stored_crashes = record.n_crashes
             record.is_dirty = False
             self.dispatcher.forget_ended(record)
         for worker in self.dispatcher.worker_by_id.values():
