Count on leases of calls for a former incarnation, also as a successor

Cause: a call with a lease on the clock of a worker's former incarnation that reaches the next one makes it grant its longest lease (10 s on the deployment of the record), as that time is far ahead on a clock that begins anew. The owner counted on this from the report of the restart on only, so not if the worker was cut off before its first answer, and not on calls that are carried out after that report. A successor didn't count on it at all: for a worker out of reach it waited 4.6 s after an owner that had surely ended (a planned stop, or the killed daemon is back and claims), and 10.8 s else. For a worker that it had reached and lost again it counted 4.4 s.

Change: the incarnations of a worker are known from its answers and from the list of workers, whichever comes first. From the moment that a later one is known, the owner counts on calls for the former one until 12 s after the last of them, and on the longest lease from then on. The stored entry of the roster names the newest incarnation and whether such leases may be in force. A worker that has restarted gets no tasks before its entry is stored. A successor counts on such leases where the entry says so, where the list of workers or an answer shows an incarnation that the entry doesn't name, and where an earlier version of this program has written the entry. Its own token ends this for the calls of former owners once it has reached the worker. A list of VMs that shows the VM as down ends it too, as soon as its data is later than the incarnation.

The simulated fleets without a roster keep a restarted worker enrolled, as if its row were stored at once.

Cost: two writes of a row of the roster for each restart under the same id; and tasks of a worker that is cut off within 22 s after such a restart wait for up to 12 s more. Workers that have not restarted are waited for as long as before. A residue remains: a worker that is cut off from the list of workers and from its owner before either has seen the new incarnation.

--- a/catkinport/jobs/dispatch/dispatcher.py
+++ b/catkinport/jobs/dispatch/dispatcher.py
@@ -75,7 +75,7 @@
         self._stored_pool_by_queue: dict[str, str] = {}
         self._later_rules: list[AcceptedRules] = []
         metrics = metrics or Metrics()
-        self._workers = WorkerTable()
+        self._workers = WorkerTable(longest_lease)
         self._jobs = JobTable(
             self._known_queue_by_name, self._workers, self._former_pools
         )
@@ -84,9 +84,7 @@
         self._listing = WorkerListing(self._workers, self._runs)
         self._vms = WorkerVms(self._workers, self._runs, self._inherited)
         ends = RunEnds(self._jobs, self._workers, self._runs, metrics)
-        self._reports = WorkerReports(
-            self._workers, self._runs, ends, self._inherited, longest_lease
-        )
+        self._reports = WorkerReports(self._workers, self._runs, ends, self._inherited)
         self._outcomes = OrderOutcomes(self._workers, self._runs)
         # The tables change these collections in place and never replace them.
         self.job_by_id = self._jobs.job_by_id
@@ -102,11 +100,11 @@
     @property
     def longest_lease(self) -> float:
         """Longest lease in seconds that a worker grants."""
-        return self._reports.longest_lease
+        return self._workers.longest_lease
 
     @longest_lease.setter
     def longest_lease(self, seconds: float) -> None:
-        self._reports.longest_lease = seconds
+        self._workers.longest_lease = seconds
 
     def is_evacuated(self, zone: str) -> bool:
         """Return whether workers in the availability zone get no new tasks."""
--- a/catkinport/jobs/dispatch/run_table.py
+++ b/catkinport/jobs/dispatch/run_table.py
@@ -158,7 +158,7 @@
         """Give up the runs of silent workers whose lease has expired."""
         self.uncertain_starts.expire(now)
         for worker in self._workers.worker_by_id.values():
-            if worker.is_in_contact(now) or now <= worker.lease_until:
+            if worker.is_in_contact(now) or now <= worker.runs_end_by:
                 continue
             self.lose_all(worker, "lease-ended", now)
 
--- a/catkinport/jobs/ownership/owner.py
+++ b/catkinport/jobs/ownership/owner.py
@@ -105,7 +105,10 @@
         self._vm_planner = VmPlanner(dispatcher, bounds)
         self._store = StateStore(self._session)
         self._watch = WorkerWatch(
-            self._session, self._store, _former_runs_end_at(claim)
+            self._session,
+            self._store,
+            _former_owner_bound(claim, MAX_LEASE_SECONDS),
+            _former_owner_bound(claim, 0.0),
         )
         self._queues = QueueStore(self._session)
         self._early_cancel_removal = EarlyCancelRemoval(ports.table, ports.clock)
@@ -427,9 +430,9 @@
         self._session.wake.set()
 
 
-def _former_runs_end_at(claim: Claim) -> float:
+def _former_owner_bound(claim: Claim, lease_seconds: float) -> float:
     if claim.former_changed_at is None:
         return 0.0
     return former_owner_bound(
-        claim.former_changed_at, claim.is_former_ended, MAX_LEASE_SECONDS
+        claim.former_changed_at, claim.is_former_ended, lease_seconds
     )
--- a/catkinport/jobs/ownership/roster_rows.py
+++ b/catkinport/jobs/ownership/roster_rows.py
@@ -25,6 +25,9 @@
         zone: its availability zone.
         capacity: cores, memory in GB and accelerators.
         labels: its labels.
+        started_at: Unix time in seconds at which its newest known incarnation started.
+        has_former_leases: whether a lease may be in force that a call for a former
+            incarnation has granted.
     """
 
     vm: str
@@ -32,6 +35,8 @@
     zone: str
     capacity: list[float]
     labels: list[str]
+    started_at: float
+    has_former_leases: bool
 
 
 EntriesById = Mapping[str, RosterEntry]
--- a/catkinport/jobs/ownership/roster_store.py
+++ b/catkinport/jobs/ownership/roster_store.py
@@ -14,7 +14,8 @@
 from ...ports.table import CommitOutcome, Committed, Row, Write
 from ...runtime.logs import log_event
 from ..tables import roster_key
-from ..workers.worker_state import WorkerRecord
+from ..workers.run import ORDER_DELAY_SECONDS
+from ..workers.worker_state import WorkerRecord, bound_lease
 from .fenced_rows import FencedRows
 from .roster_delays import RosterDelays
 from .roster_rows import EntriesById, RosterEntry, RosterRows, fits_row, group_linked
@@ -44,10 +45,15 @@
 
     Args:
         session: the ownership.
+        former_calls_until: clock time in seconds after which no former owner calls a
+            worker that this owner has not reached.
     """
 
-    def __init__(self, session: OwnerSession) -> None:
+    def __init__(
+        self, session: OwnerSession, former_calls_until: float = float("-inf")
+    ) -> None:
         self._session = session
+        self._former_calls_until = former_calls_until
         self._rows = FencedRows(session)
         self._delays = RosterDelays(session)
         self._places = RosterRows()
@@ -78,8 +84,20 @@
         workers = [_decode_entry(key, pool, entry) for key, entry in entries.items()]
         for worker in workers:
             worker.is_enrolled = True
+            self._restore_leases(worker, entries[worker.worker_id])
         return workers
 
+    def _restore_leases(self, worker: WorkerRecord, entry: RosterEntry) -> None:
+        """Restore which leases of calls for former incarnations may be in force."""
+        worker.lease_sent_at = self._former_calls_until
+        longest = bound_lease(self._session.dispatcher.longest_lease)
+        until = self._former_calls_until + ORDER_DELAY_SECONDS + longest
+        # An entry of an earlier version of this program doesn't tell.
+        may_have_leases = entry.get("has_former_leases", True)
+        worker.former_leases.restore(
+            entry.get("started_at", 0.0), until if may_have_leases else float("-inf")
+        )
+
     def check_soon(self) -> None:
         """Compare the stored rows with the present workers at once."""
         self._changed.set()
@@ -139,7 +157,7 @@
         may still run tasks.
         """
         worker_id = worker.worker_id
-        entry = _encode_entry(worker)
+        entry = self._encode_entry(worker)
         stored = self._find_stored(worker_id)
         is_same = stored is not None and _is_same(entry, stored)
         if is_same or fits_row(worker_id, entry):
@@ -155,6 +173,18 @@
             )
         return stored
 
+    def _encode_entry(self, worker: WorkerRecord) -> RosterEntry:
+        leases = worker.former_leases
+        return {
+            "vm": worker.vm_id,
+            "address": worker.listed.address,
+            "zone": worker.listed.zone,
+            "capacity": list(worker.listed.capacity),
+            "labels": list(worker.listed.labels),
+            "started_at": leases.newest,
+            "has_former_leases": self._session.clock.now() <= leases.until,
+        }
+
     def _make_batches(
         self, changed: dict[str, dict[str, RosterEntry]]
     ) -> Iterator[Sequence[str]]:
@@ -248,7 +278,7 @@
     def _is_named(self, worker: WorkerRecord) -> bool:
         """Return whether one row names a worker as it is, and no other may do so."""
         stored = self._find_stored(worker.worker_id)
-        if stored is None or not _is_same(_encode_entry(worker), stored):
+        if stored is None or not _is_same(self._encode_entry(worker), stored):
             return False
         pools = [
             self._places.pool_by_row[row] for row in self._rows_by_id[worker.worker_id]
@@ -277,17 +307,6 @@
     )
 
 
-def _encode_entry(worker_record: WorkerRecord) -> RosterEntry:
-    worker = worker_record.listed
-    return {
-        "vm": worker_record.vm_id,
-        "address": worker.address,
-        "zone": worker.zone,
-        "capacity": list(worker.capacity),
-        "labels": list(worker.labels),
-    }
-
-
 def _decode_entry(worker_id: str, pool: str, entry: RosterEntry) -> WorkerRecord:
     listed = ListedWorker(
         worker_id=worker_id,
--- a/catkinport/jobs/ownership/worker_watch.py
+++ b/catkinport/jobs/ownership/worker_watch.py
@@ -68,20 +68,27 @@
         session: the ownership.
         store: stores the ends of runs that workers list.
         former_bound: clock time in seconds after which no run that a former owner
-            ordered can be running on a worker that this owner has not reached.
+            ordered can be running on a worker that this owner has not reached, unless
+            the worker has restarted.
+        former_calls_until: clock time in seconds after which no former owner calls a
+            worker that this owner has not reached.
 
     Attributes:
         roster: stores which workers may run tasks.
     """
 
     def __init__(
-        self, session: OwnerSession, store: StateStore, former_bound: float
+        self,
+        session: OwnerSession,
+        store: StateStore,
+        former_bound: float,
+        former_calls_until: float = float("-inf"),
     ) -> None:
         self._session = session
         self._store = store
         self._former_bound = former_bound
         self._poll_task_by_worker: dict[str, asyncio.Task[Any]] = {}
-        self.roster = RosterStore(session)
+        self.roster = RosterStore(session, former_calls_until)
         self._contacts = WorkerContacts(session.dispatcher)
         self._listed_at = 0.0
         self._warned_at = float("-inf")
--- a/catkinport/jobs/tests/builders.py
+++ b/catkinport/jobs/tests/builders.py
@@ -74,6 +74,8 @@
 class Fleet:
     """A dispatcher with simulated workers that the test controls.
 
+    The roster is stored at once: a worker that restarts stays enrolled.
+
     Attributes:
         now: clock time in seconds; it only advances when the test says so.
     """
@@ -113,7 +115,9 @@
         worker = self.dispatcher.worker_by_id[worker_id]
         worker.extend_lease(self.now)
         sent_at = self.now if sent_at is None else sent_at
+        is_enrolled = worker.is_enrolled
         self.dispatcher.on_worker_report(worker_id, lists, sent_at, self.now)
+        worker.is_enrolled = is_enrolled
 
     def poll_all(self) -> None:
         for worker_id in self.running_by_worker:
--- a/catkinport/jobs/tests/test_owner_changes.py
+++ b/catkinport/jobs/tests/test_owner_changes.py
@@ -195,6 +195,8 @@
         )
         if isinstance(outcome, WorkerLists):
             self.dispatcher.on_worker_report(worker_id, outcome, self.now, self.now)
+            # The roster is stored at once.
+            worker.is_enrolled = True
             self._note_listed(worker_id)
 
     def _note_listed(self, worker_id: str) -> None:
--- a/catkinport/jobs/tests/test_roster_store.py
+++ b/catkinport/jobs/tests/test_roster_store.py
@@ -12,6 +12,8 @@
 from ..ownership.roster_rows import MAX_WORKERS_PER_ROW, RosterRows, group_linked
 from ..ownership.roster_store import LOOK_SECONDS, RosterStore
 from ..tables import ROSTER_TABLE, roster_key
+from ..workers.run import ORDER_DELAY_SECONDS
+from ..workers.worker_state import LEASE_SECONDS, bound_lease
 from .builders import POOL, make_worker
 from .late_table import AsyncLateTable, make_session
 
@@ -373,3 +375,80 @@
 def test_the_first_row_of_a_pool_has_its_name():
     """Guards against daemons of earlier versions that read rows by the pool's name."""
     assert roster_key(RosterRows().place("w1", POOL)).key == POOL
+
+
+class TestRestartedWorkers:
+    """A worker that has started again under its id.
+
+    Calls for its former incarnation may reach the next one, which grants its longest
+    lease.
+    """
+
+    def restart(self, table):
+        """Return an owner that has stored a worker and then reads of its restart."""
+
+        async def run():
+            owner = Owner(table)
+            await owner.store(make_worker("w1", started_at=1.0))
+            owner.list_workers(make_worker("w1", started_at=2.0))
+            return owner
+
+        return asyncio.run(run())
+
+    def restore(self, table, called_until=100.0):
+        """Return the worker as a successor reads it.
+
+        Args:
+            table: the table.
+            called_until: clock time after which the former owner calls no worker.
+        """
+        roster = RosterStore(make_session(AsyncLateTable()), called_until)
+        (row,) = table.memory.scan(ROSTER_TABLE).rows
+        (worker,) = roster.restore(row)
+        return worker
+
+    def test_it_gets_no_tasks_before_the_row_names_its_incarnation(self):
+        """Guards against tasks of which a successor doesn't know how long they run."""
+        table = AsyncLateTable()
+        owner = self.restart(table)
+        assert owner.find_enrolled() == set()
+        assert asyncio.run(owner.roster.store())
+        assert owner.find_enrolled() == {"w1"}
+
+    def test_a_successor_counts_on_calls_for_the_former_incarnation(self):
+        """Guards against a second run by a successor that sees no restart itself."""
+        table = AsyncLateTable()
+        asyncio.run(self.restart(table).roster.store())
+        longest = bound_lease(LEASE_SECONDS)
+        assert self.restore(table).runs_end_by == 100.0 + ORDER_DELAY_SECONDS + longest
+
+    def test_a_successor_recognizes_a_restart_that_is_not_stored(self):
+        """Guards against a restart that only the list of workers shows."""
+        table = AsyncLateTable()
+        self.restart(table)
+        worker = self.restore(table)
+        assert worker.runs_end_by == 0.0
+        worker.note_incarnation(2.0, 101.0, LEASE_SECONDS)
+        longest = bound_lease(LEASE_SECONDS)
+        assert worker.runs_end_by == 100.0 + ORDER_DELAY_SECONDS + longest
+
+    def test_a_successor_does_not_wait_longer_once_those_leases_are_over(self):
+        """Guards against long waits for all workers that have ever restarted."""
+        table = AsyncLateTable()
+        owner = self.restart(table)
+        owner.worker_by_id["w1"].former_leases.limit(float("-inf"))
+        assert asyncio.run(owner.roster.store())
+        assert owner.find_enrolled() == {"w1"}
+        worker = self.restore(table)
+        worker.note_incarnation(2.0, 101.0, LEASE_SECONDS)
+        assert worker.runs_end_by == 0.0
+
+    def test_an_entry_of_an_earlier_version_counts_as_one_with_such_leases(self):
+        """Guards against a second run after an upgrade."""
+        table = AsyncLateTable()
+        asyncio.run(self.restart(table).roster.store())
+        (row,) = table.memory.scan(ROSTER_TABLE).rows
+        for field in ("started_at", "has_former_leases"):
+            del row.value["workers"]["w1"][field]
+        (worker,) = RosterStore(make_session(AsyncLateTable()), 100.0).restore(row)
+        assert worker.runs_end_by > 100.0 + ORDER_DELAY_SECONDS
--- a/catkinport/jobs/tests/test_silent_workers.py
+++ b/catkinport/jobs/tests/test_silent_workers.py
@@ -10,6 +10,7 @@
     RunningTask,
 )
 from ..placement.run_stops import find_stops
+from ..workers.run import ORDER_DELAY_SECONDS
 from .builders import JOB_ID, Fleet, make_job, make_step, make_worker
 
 UNCERTAIN = Unavailable(Reason.TIMEOUT, "worker-start", "w1", "", True)
@@ -135,7 +136,8 @@
     def test_restarted_worker_may_have_granted_its_longest_lease(self):
         """Guards against a second run while a worker that restarted goes on.
 
-        A call with a lease on the clock before the restart may have reached it.
+        A call with a lease on the clock before the restart may have reached it, or may
+        reach it until `ORDER_DELAY_SECONDS` after it was sent.
         """
         fleet = Fleet([make_worker("w1"), make_worker("w2")])
         fleet.dispatcher.longest_lease = 10.0
@@ -144,7 +146,7 @@
         fleet.poll("w2", started_at=2.0)
         (start,) = fleet.start()
         other = {"w1": "w2", "w2": "w1"}[start.worker.worker_id]
-        for _ in range(10):
+        for _ in range(10 + int(ORDER_DELAY_SECONDS)):
             fleet.advance(1.0)
             fleet.poll(other, started_at=2.0)
             fleet.dispatcher.expire(fleet.now)
--- a/catkinport/jobs/tests/test_start_blocks.py
+++ b/catkinport/jobs/tests/test_start_blocks.py
@@ -149,6 +149,7 @@
         fleet.workers = [make_worker("w1", started_at=2.0)]
         fleet.dispatcher.update_workers(fleet.workers, fleet.now, fleet.now)
         fleet.poll("w1", started_at=2.0)
+        fleet.dispatcher.worker_by_id["w1"].is_enrolled = True
 
     def test_worker_gets_no_task_until_it_has_confirmed_the_stop(self):
         """Guards against a late start beside a task that takes its room."""
--- a/catkinport/jobs/tests/test_worker_restarts.py
+++ b/catkinport/jobs/tests/test_worker_restarts.py
@@ -131,6 +131,8 @@
         if isinstance(outcome, WorkerLists):
             self.booted_at_by_id[worker_id] = worker.booted_at
             self.dispatcher.on_worker_report(worker_id, outcome, self.now, self.now)
+            # The roster is stored at once.
+            record.is_enrolled = True
 
     def _lease_end(self, worker_id: str) -> float:
         """Return the end of a lease on the clock that the owner knows."""
--- a/catkinport/jobs/workers/inherited_workers.py
+++ b/catkinport/jobs/workers/inherited_workers.py
@@ -46,7 +46,7 @@
             reason=reason,
             incarnation=worker.started_at if worker else "",
             listed_incarnation=worker.listed.started_at if worker else "",
-            lease_seconds=round(worker.lease_until - now, 2) if worker else "",
+            lease_seconds=round(worker.runs_end_by - now, 2) if worker else "",
             n_left=len(unresolved_by_id),
         )
         if self._workers.is_pool_resolved(pool):
@@ -81,4 +81,4 @@
 
 
 def _is_lease_over(worker: WorkerRecord, now: float) -> bool:
-    return not worker.is_in_contact(now) and now > worker.lease_until
+    return not worker.is_in_contact(now) and now > worker.runs_end_by
--- a/catkinport/jobs/workers/worker_listing.py
+++ b/catkinport/jobs/workers/worker_listing.py
@@ -40,7 +40,7 @@
             del self._retired_by_id[worker_id]
         for worker in listed:
             if not self._is_retired(worker):
-                self._update_listed(worker, sent_at)
+                self._update_listed(worker, sent_at, now)
         for record in list(self._workers.worker_by_id.values()):
             if record.worker_id not in listed_by_id:
                 self._update_unlisted(record, now)
@@ -64,10 +64,10 @@
         # An entry without the time of start can't be told from the retired one.
         return worker.started_at in (0.0, retired.started_at)
 
-    def _update_listed(self, worker: ListedWorker, sent_at: float) -> None:
+    def _update_listed(self, worker: ListedWorker, sent_at: float, now: float) -> None:
         record = self._workers.worker_by_id.get(worker.worker_id)
         if record is None:
-            self._add(worker, sent_at)
+            self._add(worker, sent_at, now)
             return
         if worker.is_draining and not record.listed.is_draining:
             log_event(
@@ -77,24 +77,25 @@
                 remaining_seconds=worker.remaining_seconds,
                 n_runs=len(record.run_by_key),
             )
-        if record.started_at and worker.started_at not in (
-            record.started_at,
-            record.listed.started_at,
-        ):
+        former = record.former_leases.newest
+        record.note_incarnation(worker.started_at, now, self._workers.longest_lease)
+        if former and record.former_leases.newest != former:
             log_event(
                 logger,
                 "worker incarnation listed",
                 worker=worker.worker_id,
                 incarnation=worker.started_at,
-                former_incarnation=record.started_at,
+                former_incarnation=former,
                 n_runs=len(record.run_by_key),
+                lease_seconds=round(record.runs_end_by - now, 2),
             )
         if worker.pool != record.listed.pool:
             record.is_enrolled = False
         record.note_listed(worker, sent_at)
 
-    def _add(self, worker: ListedWorker, sent_at: float) -> None:
+    def _add(self, worker: ListedWorker, sent_at: float, now: float) -> None:
         record = WorkerRecord(worker)
+        record.note_incarnation(worker.started_at, now, self._workers.longest_lease)
         record.note_listed(worker, sent_at)
         self._workers.worker_by_id[worker.worker_id] = record
         log_event(
@@ -116,5 +117,5 @@
                 n_runs=len(record.run_by_key),
                 silent_seconds=round(now - record.contact_at, 2),
             )
-        if not record.run_by_key and now > record.lease_until:
+        if not record.run_by_key and now > record.runs_end_by:
             self._workers.remove(record)
--- a/catkinport/jobs/workers/worker_reports.py
+++ b/catkinport/jobs/workers/worker_reports.py
@@ -9,12 +9,7 @@
 from .inherited_workers import InheritedWorkers
 from .run import ORDER_DELAY_SECONDS, Run, RunKey, RunPhase
 from .worker_crashes import clear_survivor, note_answer, note_crash
-from .worker_state import (
-    LEASE_SECONDS,
-    VM_NAMED_SECONDS,
-    WorkerRecord,
-    bound_lease,
-)
+from .worker_state import VM_NAMED_SECONDS, WorkerRecord
 from .worker_table import WorkerTable
 
 logger = logging.getLogger(__name__)
@@ -28,10 +23,8 @@
         runs: runs that may be alive.
         ends: processes the ends of runs.
         inherited: resolves workers of a former owner with their first report.
-        longest_lease: longest lease in seconds that a worker grants.
 
     Attributes:
-        longest_lease: longest lease in seconds that a worker grants.
         orphan_stop_sent_at: clock time in seconds of the latest stop order for each run
             whose job is unknown, by worker id and run; 0 before the first order.
     """
@@ -42,9 +35,7 @@
         runs: RunTable,
         ends: RunEnds,
         inherited: InheritedWorkers,
-        longest_lease: float = LEASE_SECONDS,
     ) -> None:
-        self.longest_lease = longest_lease
         self.orphan_stop_sent_at: dict[tuple[str, RunKey], float] = {}
         self._workers = workers
         self._runs = runs
@@ -91,6 +82,8 @@
     ) -> None:
         is_other_process = lists.started_at != worker.started_at
         is_restarted = is_other_process and worker.started_at > 0
+        longest_lease = self._workers.longest_lease
+        worker.note_incarnation(lists.started_at, now, longest_lease)
         note_answer(worker, lists.started_at)
         if is_restarted:
             note_crash(worker, "restarted", now)
@@ -99,6 +92,7 @@
         if is_other_process:
             worker.started_known_at = now
         if worker.contact_at == float("-inf"):
+            worker.note_first_contact(now, longest_lease)
             log_event(logger, "worker reached", worker=worker.worker_id)
             worker.vm_due_at = now + VM_NAMED_SECONDS
         worker.started_at = lists.started_at
@@ -110,11 +104,6 @@
         worker.processed_end = 0
         worker.stored_end = 0
         worker.acknowledged_end = 0
-        # Calls with a lease on the former clock may have reached the worker after the
-        # restart. On its new clock that lease ends far ahead.
-        worker.lease_until = max(
-            worker.lease_until, now + bound_lease(self.longest_lease)
-        )
         listed = {RunKey(entry.task, entry.run) for entry in lists.running}
         listed |= {RunKey(entry.task, entry.run) for entry in lists.ended}
         lost = [run for key, run in worker.run_by_key.items() if key not in listed]
@@ -124,7 +113,7 @@
             worker=worker.worker_id,
             incarnation=lists.started_at,
             former_incarnation=worker.started_at,
-            lease_seconds=round(worker.lease_until - now, 2),
+            lease_seconds=round(worker.runs_end_by - now, 2),
             n_lost=len(lost),
             n_uncertain_starts=self._runs.uncertain_starts.count(worker.worker_id),
         )
--- a/catkinport/jobs/workers/worker_state.py
+++ b/catkinport/jobs/workers/worker_state.py
@@ -7,6 +7,7 @@
 
 from ...policy.resources import Resources
 from ...ports.fleet_workers import ListedWorker
+from .former_leases import FormerLeases
 from .run import Run, RunKey
 
 LEASE_SECONDS = 4.0
@@ -135,8 +136,10 @@
             poll, `POLL_WAIT_SECONDS` at least.
         answer_seconds: bound of the time that its answer to a poll takes besides the
             requested wait.
-        lease_until: clock time in seconds after which no run that was ordered can be
-            running there.
+        lease_until: clock time in seconds until which a lease may last that a call for
+            its present incarnation has granted.
+        lease_sent_at: clock time in seconds of the last call with a lease.
+        former_leases: its incarnations, and leases of calls for former ones.
         paced_at: ``contact_at`` of the answer by which the speed of filler tasks was
             last decided.
         processed_end: number of the last end of a run that was processed.
@@ -175,6 +178,8 @@
         self.poll_wait_seconds = POLL_WAIT_SECONDS
         self.answer_seconds = USUAL_ANSWER_SECONDS
         self.lease_until = 0.0
+        self.lease_sent_at = float("-inf")
+        self.former_leases = FormerLeases()
         self.paced_at = float("-inf")
         self.processed_end = 0
         self.stored_end = 0
@@ -221,7 +226,12 @@
     @property
     def is_restart_listed(self) -> bool:
         """Whether the list of workers shows an incarnation that hasn't answered yet."""
-        return 0 < self.started_at < self.listed.started_at
+        return 0 < self.started_at != self.former_leases.newest
+
+    @property
+    def runs_end_by(self) -> float:
+        """Clock time in seconds after which no run of a silent worker can be alive."""
+        return max(self.lease_until, self.former_leases.until)
 
     def free(self) -> Resources:
         """Return the part of its capacity that no run takes."""
@@ -331,6 +341,33 @@
     def extend_lease(self, sent_at: float) -> None:
         """Record that a call sent at ``sent_at`` may have granted `LEASE_SECONDS`."""
         self.lease_until = max(self.lease_until, sent_at + MAX_LEASE_SECONDS)
+        self.lease_sent_at = max(self.lease_sent_at, sent_at)
+
+    def note_incarnation(
+        self, started_at: float, now: float, longest_lease: float
+    ) -> None:
+        """Note an incarnation that an answer or the list of workers shows.
+
+        A later incarnation gets no task before the stored roster names it, as a
+        successor has to count on the leases of calls for the former one too.
+
+        Args:
+            started_at: Unix time in seconds at which it started; 0 if unknown.
+            now: clock time in seconds.
+            longest_lease: longest lease in seconds that a worker grants.
+        """
+        is_later = self.former_leases.note(
+            started_at, now, self.lease_sent_at, bound_lease(longest_lease)
+        )
+        if is_later:
+            self.is_enrolled = False
+
+    def note_first_contact(self, now: float, longest_lease: float) -> None:
+        """Note that it has seen the token of this owner for the first time.
+
+        It carries out no call of a former owner from now on.
+        """
+        self.former_leases.limit(now + bound_lease(longest_lease))
 
     def note_outcome(
         self,
--- a/catkinport/jobs/workers/worker_table.py
+++ b/catkinport/jobs/workers/worker_table.py
@@ -11,7 +11,11 @@
 class WorkerTable:
     """Workers as the owner knows them.
 
+    Args:
+        longest_lease: longest lease in seconds that a worker grants.
+
     Attributes:
+        longest_lease: longest lease in seconds that a worker grants.
         worker_by_id: workers that are listed or may still run something.
         unresolved_by_id: pool of each worker that the former owner used and that may
             still run its tasks, by worker id. A worker is resolved once it has
@@ -21,7 +25,8 @@
         evacuated_zones: availability zones whose workers get no new tasks.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, longest_lease: float) -> None:
+        self.longest_lease = longest_lease
         self.worker_by_id: dict[str, WorkerRecord] = {}
         self.unresolved_by_id: dict[str, str] = {}
         self.former_orders_until = float("-inf")
--- a/catkinport/jobs/workers/worker_vms.py
+++ b/catkinport/jobs/workers/worker_vms.py
@@ -61,6 +61,7 @@
         reason = f"vm-{vm.state}" if vm else "vm-absent"
         worker.pause_as_uncertain(now)
         known_before = sent_at - VM_LIST_LAG_SECONDS
+        worker.former_leases.note_ended(known_before)
         # The VM may have come back since then, and its worker, under the same id, may
         # have carried out an order of the former owner.
         if known_before >= self._workers.former_orders_until:
