Send no start on the clock of a former incarnation after it waited its turn

Cause: only some orders to a worker are under way at a time. The end of the lease in a start was computed before the start waited for its turn, up to a second. If the worker restarted meanwhile and a report showed it, the start was sent with a lease on the former clock all the same, after the moment from which the owner counts on the longest lease. It was also sent to an incarnation that it was not made for.

Change: the body of an order is made once its turn has come. A start whose incarnation is no longer the known one, by an answer or by the latest entry in the list of workers, is not sent and its task is planned again.

--- a/catkinport/platform/workers.py
+++ b/catkinport/platform/workers.py
@@ -261,41 +261,49 @@
     async def start(
         self, worker: ListedWorker, token: int, order: StartOrder, lease_seconds: float
     ) -> OrderOutcome:
-        """Start a run; the clock of the worker's incarnation must be known."""
-        until = self._lease_end(worker, lease_seconds)
-        if until is None:
-            return Unavailable(
-                Reason.NOT_FOUND,
-                "worker-start",
-                worker.worker_id,
-                "the worker's clock is not known yet",
-            )
-        body: dict[str, Any] = {
-            "Task": order.task,
-            "Run": order.run,
-            "Spec": order.specification,
-            "UntilMs": until,
-            "FencingToken": token,
-        }
-        if order.checkpoint:
-            body["Saved"] = order.checkpoint
-        if order.ticket:
-            body["Ticket"] = order.ticket
-        return await self._send_order("worker-start", worker, "/run-start", body)
+        """Start a run.
+
+        The clock of the worker's incarnation must be known, and the order is for this
+        incarnation: it isn't sent once another one is known.
+        """
+        incarnation = self._known_incarnation(worker.worker_id)
+        if incarnation is None:
+            return _clock_unknown("worker-start", worker.worker_id)
+
+        def make_body() -> dict[str, Any] | None:
+            # The worker may have restarted while the order waited for its turn.
+            until = self._lease_end(worker, lease_seconds)
+            is_same = self._known_incarnation(worker.worker_id) == incarnation
+            if until is None or not is_same:
+                return None
+            body: dict[str, Any] = {
+                "Task": order.task,
+                "Run": order.run,
+                "Spec": order.specification,
+                "UntilMs": until,
+                "FencingToken": token,
+            }
+            if order.checkpoint:
+                body["Saved"] = order.checkpoint
+            if order.ticket:
+                body["Ticket"] = order.ticket
+            return body
+
+        return await self._send_order("worker-start", worker, "/run-start", make_body)
 
     async def stop(
         self, worker: ListedWorker, token: int, task: str, run: int
     ) -> OrderOutcome:
         """Order a worker to stop a run; ``token`` is the fencing token of the owner."""
         body = {"Task": task, "Run": run, "FencingToken": token}
-        return await self._send_order("worker-stop", worker, "/run-stop", body)
+        return await self._send_order("worker-stop", worker, "/run-stop", lambda: body)
 
     async def limit_speed(
         self, worker: ListedWorker, token: int, task: str, run: int, percent: int
     ) -> OrderOutcome:
         """Order a worker to limit a run to ``percent`` of its full speed."""
         body = {"Task": task, "Run": run, "Percent": percent, "FencingToken": token}
-        return await self._send_order("worker-pace", worker, "/pace", body)
+        return await self._send_order("worker-pace", worker, "/pace", lambda: body)
 
     async def fetch_tickets(
         self, step: str, worker_ids: Sequence[str]
@@ -320,13 +328,29 @@
         return Unavailable(Reason.STORE_UNAVAILABLE, "advise", peer, detail)
 
     async def _send_order(
-        self, step: str, worker: ListedWorker, path: str, body: Mapping[str, Any]
+        self,
+        step: str,
+        worker: ListedWorker,
+        path: str,
+        make_body: Callable[[], Mapping[str, Any] | None],
     ) -> OrderOutcome:
+        """Send an order in its turn.
+
+        Args:
+            step: name of the operation, for errors and metrics.
+            worker: the worker.
+            path: path of the call.
+            make_body: returns the body once the turn has come; ``None`` if the order
+                must not be sent.
+        """
         timeout_seconds = self._order_timeout(worker.worker_id)
         if not await self._turns.begin(worker.worker_id, timeout_seconds):
             detail = f"not sent in {timeout_seconds} s"
             return Unavailable(Reason.TIMEOUT, step, worker.worker_id, detail)
         try:
+            body = make_body()
+            if body is None:
+                return _clock_unknown(step, worker.worker_id)
             reply = await self._call(step, worker, path, body, timeout_seconds)
         finally:
             self._turns.end(worker.worker_id)
@@ -363,12 +387,25 @@
             headers={INCARNATION_HEADER: worker.worker_id},
         )
 
+    def _known_incarnation(self, worker_id: str) -> float | None:
+        """Return the start of the incarnation whose clock is known, in Unix seconds."""
+        clock = self._clock_by_worker.get(worker_id)
+        return clock.started_at if clock else None
+
     def _lease_end(self, worker: ListedWorker, lease_seconds: float) -> int | None:
         clock = self._clock_by_worker.get(worker.worker_id)
         if clock is None or lease_seconds <= 0:
             return None
         # The entry of a worker that has restarted under its id may come before its
         # first answer. On its new clock, a time of the former one is far ahead.
-        if worker.started_at > clock.started_at:
+        entry = self._entry_by_worker.get(worker.worker_id)
+        listed = entry.worker if entry else worker
+        if listed.started_at > clock.started_at:
             return None
         return clock.lower_bound(self._clock.now()) + int(lease_seconds * 1000)
+
+
+def _clock_unknown(step: str, worker_id: str) -> Unavailable:
+    """Return that a call was not sent, as the clock of its incarnation is not known."""
+    detail = "the clock of the worker is not known yet"
+    return Unavailable(Reason.NOT_FOUND, step, worker_id, detail)
