Ignore the clock in a late answer of a former incarnation

Cause: two polls of a worker overlap after a start without an answer. The answer of the former incarnation to the first one may arrive after that of the later one to the second. The owner drops such a report, but the client took its clock. The next poll and all starts until the next answer carried a lease on the former clock, after the moment from which the owner counts on the longest lease.

Change: the clock in an answer is used only if its poll was sent after another incarnation became known, and after the latest poll that had no answer.

Evidence: test_a_late_answer_does_not_bring_it_back (found in the search for the same cause elsewhere) fails without the change: the next poll carries a lease until 504.0 s on a clock that shows 1.2 s.

--- a/catkinport/platform/tests/test_worker_incarnations.py
+++ b/catkinport/platform/tests/test_worker_incarnations.py
@@ -85,6 +85,32 @@
 
 
 class TestFormerClock:
+    def test_a_late_answer_does_not_bring_it_back(self):
+        """Guards against a lease that is far longer than the owner counts on.
+
+        Two polls are under way, as after a start without an answer. The answer of the
+        former incarnation arrives after that of the later one.
+        """
+        scene = DelayedAnswers()
+
+        async def run():
+            scene.delayed_path = "/hold"
+            late = asyncio.ensure_future(scene.poll_beside_others(may_wait=True))
+            await asyncio.sleep(0)
+            scene.delayed_path = ""
+            scene.advance(0.3)
+            scene.restart()
+            scene.advance(0.7)
+            await scene.poll_beside_others()
+            scene.advance(0.5)
+            scene.arrival.set()
+            await late
+            scene.sent.clear()
+            await scene.poll_beside_others()
+            return scene.longest_lease_end()
+
+        assert asyncio.run(run()) <= 1.2 + LEASE_SECONDS
+
     def test_a_start_that_has_waited_for_its_turn_is_not_sent_with_it(self):
         """Guards against a lease that begins after the report of the restart.
 
--- a/catkinport/platform/workers.py
+++ b/catkinport/platform/workers.py
@@ -72,10 +72,15 @@
     Attributes:
         started_at: Unix time in seconds at which the incarnation started that the clock
             belongs to. The clock of another one begins anew.
+        known_at: clock time in seconds at which a list of that incarnation was first
+            read.
     """
 
-    def __init__(self, milliseconds: int, started_at: float, read_at: float) -> None:
+    def __init__(
+        self, milliseconds: int, started_at: float, read_at: float, known_at: float
+    ) -> None:
         self.started_at = started_at
+        self.known_at = known_at
         self._milliseconds = milliseconds
         self._read_at = read_at
 
@@ -118,6 +123,8 @@
         self._clock = clock
         self._advice_address = advice_address
         self._clock_by_worker: dict[str, _WorkerClock] = {}
+        # Clock time at which the latest poll without an answer was sent.
+        self._unanswered_by_worker: dict[str, float] = {}
         self._entry_by_worker: dict[str, _WorkerEntry] = {}
         self._ignored_version_by_worker: dict[str, int] = {}
         self._unreadable_by_worker: dict[str, str] = {}
@@ -151,6 +158,8 @@
             # A worker that is not listed may still answer; its next answer adds the
             # clock again.
             del self._clock_by_worker[worker_id]
+        for worker_id in set(self._unanswered_by_worker) - listed_ids:
+            del self._unanswered_by_worker[worker_id]
         for worker_id in set(self._unreadable_by_worker) - listed_ids:
             del self._unreadable_by_worker[worker_id]
         for worker_id in set(self._entry_by_worker) - listed_ids:
@@ -202,6 +211,7 @@
             lease_seconds: length of the lease; 0 to read the lists only.
             wait_seconds: longest wait of the worker for a run to end.
         """
+        sent_at = self._clock.now()
         body: dict[str, Any] = {"FencingToken": token, "LastSeen": acknowledged_end}
         until = self._lease_end(worker, lease_seconds)
         if until is None:
@@ -217,6 +227,7 @@
             if reply.reason is Reason.TIMEOUT:
                 self._answer_times.note_timeout(worker.worker_id)
             self._clock_by_worker.pop(worker.worker_id, None)
+            self._unanswered_by_worker[worker.worker_id] = sent_at
             return reply
         self._note_poll_answer(worker.worker_id, reply.wait_seconds - wait_seconds)
         if reply.status != 200:
@@ -230,11 +241,37 @@
         except decoding.MessageError as error:
             return self._ignore_lists(worker.worker_id, str(error))
         self._unreadable_by_worker.pop(worker.worker_id, None)
-        self._clock_by_worker[worker.worker_id] = _WorkerClock(
-            clock, lists.started_at, self._clock.now()
-        )
+        self._note_clock(worker.worker_id, clock, lists.started_at, sent_at)
         return lists
 
+    def _note_clock(
+        self, worker_id: str, milliseconds: int, started_at: float, sent_at: float
+    ) -> None:
+        """Note the clock in an answer, unless it may be one of a former incarnation.
+
+        Polls overlap. The answer to one that was sent before a later incarnation was
+        known, or before a poll that had no answer, may have been written by the former
+        one.
+
+        Args:
+            worker_id: the worker.
+            milliseconds: what its clock showed.
+            started_at: Unix time in seconds at which the incarnation started.
+            sent_at: clock time in seconds at which the poll was sent.
+        """
+        now = self._clock.now()
+        known = self._clock_by_worker.get(worker_id)
+        known_at = now
+        if known is not None and known.started_at == started_at:
+            known_at = known.known_at
+        elif known is not None and sent_at < known.known_at:
+            return
+        if sent_at < self._unanswered_by_worker.get(worker_id, float("-inf")):
+            return
+        self._clock_by_worker[worker_id] = _WorkerClock(
+            milliseconds, started_at, now, known_at
+        )
+
     def _note_poll_answer(self, worker_id: str, late_seconds: float) -> None:
         """Note an answer that came so many seconds after the requested wait.
 
