Take an answer to an order with a clock that begins anew for a restart

Cause: a start that was made for a worker's former incarnation and that the next one confirms has made it grant its longest lease. If it was cut off before it answered a poll, and before the list of workers showed it, the owner counted on 4.4 s. The answer tells of the restart: each answer has the clock of the worker, and that of the new incarnation is far below the known one.

Change: an answer to a start, a stop or a speed whose clock is below the lower bound of the known clock counts as a poll without an answer, and the longest lease counts from there on, also for a successor by the entry in the roster. Status 421 is left out: the address belongs to a worker with another id then.

An existing test of rejections used a clock of 1 ms beside a known clock of minutes; it uses the known clock now, and a new one has the former case. It can't tell an incarnation that was as young.

--- a/catkinport/jobs/ownership/run_orders.py
+++ b/catkinport/jobs/ownership/run_orders.py
@@ -11,7 +11,7 @@
 
 from ...policy.concurrency_limit import ConcurrencyLimit
 from ...ports import Reason, Unavailable
-from ...ports.fleet_workers import Done, StartOrder
+from ...ports.fleet_workers import Done, OrderOutcome, StartOrder
 from ...runtime.logs import log_event
 from ..placement.lasting_stops import MayEndRun
 from ..placement.planner import ApprovalRequest, Planner, Ticket
@@ -216,11 +216,29 @@
             seconds=round(now - sent_at, 3),
         )
         self._session.check_fenced(outcome)
+        self._note_restart(worker, outcome, now)
         self._session.dispatcher.on_start_outcome(run, outcome, now)
         self._session.wake.set()
         if run.is_start_uncertain:
             await self._poll_uncertain(worker)
 
+    def _note_restart(
+        self, worker: WorkerRecord, outcome: OrderOutcome, now: float
+    ) -> None:
+        """Note that the answer to an order shows an incarnation that is not known."""
+        if isinstance(outcome, Unavailable) or not outcome.shows_restart:
+            return
+        longest_lease = self._session.dispatcher.longest_lease
+        worker.note_unknown_incarnation(now, longest_lease)
+        self._watch.roster.check_soon()
+        log_event(
+            logger,
+            "restart seen in an answer",
+            worker=worker.worker_id,
+            former_incarnation=worker.started_at,
+            lease_seconds=round(worker.runs_end_by - now, 2),
+        )
+
     def _update_evacuations(self, now: float) -> None:
         if self._evacuations is not None:
             self._evacuations.update(now)
@@ -269,6 +287,7 @@
             outcome=type(outcome).__name__,
         )
         self._session.check_fenced(outcome)
+        self._note_restart(worker, outcome, self._session.clock.now())
         if isinstance(outcome, Done):
             uncertain_starts = self._session.dispatcher.uncertain_starts
             uncertain_starts.note_stopped(incarnation, stop.key)
@@ -305,6 +324,7 @@
             outcome=type(outcome).__name__,
         )
         self._session.check_fenced(outcome)
+        self._note_restart(worker, outcome, self._session.clock.now())
         if isinstance(outcome, Done):
             self._session.dispatcher.on_pace_done(*pace)
 
--- a/catkinport/jobs/workers/former_leases.py
+++ b/catkinport/jobs/workers/former_leases.py
@@ -49,12 +49,22 @@
         is_later = bool(self._known)
         self._known.add(started_at)
         self.newest = started_at
-        self._noted_at = now
         if is_later:
-            arrives_by = max(now, called_at + ORDER_DELAY_SECONDS)
-            self.until = max(self.until, arrives_by + lease_seconds)
+            self.note_unknown(now, called_at, lease_seconds)
         return is_later
 
+    def note_unknown(self, now: float, called_at: float, lease_seconds: float) -> None:
+        """Note a later incarnation of which nothing else is known.
+
+        Args:
+            now: clock time in seconds.
+            called_at: as for `note`.
+            lease_seconds: as for `note`.
+        """
+        self._noted_at = now
+        arrives_by = max(now, called_at + ORDER_DELAY_SECONDS)
+        self.until = max(self.until, arrives_by + lease_seconds)
+
     def restore(self, started_at: float, until: float) -> None:
         """Restore what a former owner has stored."""
         if started_at:
--- a/catkinport/jobs/workers/worker_state.py
+++ b/catkinport/jobs/workers/worker_state.py
@@ -362,6 +362,16 @@
         if is_later:
             self.is_enrolled = False
 
+    def note_unknown_incarnation(self, now: float, longest_lease: float) -> None:
+        """Note that an answer shows a restart, but not which incarnation gave it.
+
+        Until an answer to a poll tells it, the worker gets no tasks and no leases.
+        """
+        self.note_no_answer()
+        self.former_leases.note_unknown(
+            now, self.lease_sent_at, bound_lease(longest_lease)
+        )
+
     def note_first_contact(self, now: float, longest_lease: float) -> None:
         """Note that it has seen the token of this owner for the first time.
 
--- a/catkinport/platform/tests/test_workers.py
+++ b/catkinport/platform/tests/test_workers.py
@@ -249,11 +249,28 @@
     def test_polls_and_orders_tell_the_reason(self, status, reason, rejection):
         scene = Scene()
         scene.hold()
-        scene.client.rejection = Reply(status, {"Reason": reason, "ClockMs": 1})
+        body = {"Reason": reason, "ClockMs": scene.client.clock_ms}
+        scene.client.rejection = Reply(status, body)
         assert scene.start() == Rejected(rejection)
         poll = scene.workers.renew_lease(scene.listed, 7, 0, 4.0, 1.0)
         assert asyncio.run(poll) == Rejected(rejection)
 
+    @pytest.mark.parametrize(
+        ("status", "reason", "shows_restart"),
+        [(409, "old", True), (503, None, True), (421, None, False)],
+    )
+    def test_a_clock_that_begins_anew_shows_a_restart(
+        self, status, reason, shows_restart
+    ):
+        """Guards against a lease that nobody counts on, which a rejection grants too.
+
+        The address may be that of a worker with another id, which tells nothing.
+        """
+        scene = Scene()
+        scene.hold()
+        scene.client.rejection = Reply(status, {"Reason": reason, "ClockMs": 1})
+        assert scene.start().shows_restart is shows_restart
+
 
 class TestOrderTimeout:
     """An owner that is too slow for its fleet must not repeat orders that are late."""
--- a/catkinport/platform/workers.py
+++ b/catkinport/platform/workers.py
@@ -60,10 +60,13 @@
 """Longest wait for the answer of the advice service, which handles one call at a
 time."""
 
+OTHER_ID_STATUS = 421
+"""Status with which a worker answers a call that is meant for another id."""
+
 INCARNATION_HEADER = "X-Catkinport-Expect-Instance"
 """Header with the id of the worker that a call is meant for. A worker with another id,
-as most have after a restart, answers with status 421. It doesn't tell incarnations
-under one id apart."""
+as most have after a restart, answers with `OTHER_ID_STATUS`. The header doesn't tell
+incarnations under one id apart."""
 
 
 class _WorkerClock:
@@ -388,15 +391,25 @@
             body = make_body()
             if body is None:
                 return _clock_unknown(step, worker.worker_id)
+            clock = self._clock_by_worker.get(worker.worker_id)
+            lower_bound = clock.lower_bound(self._clock.now()) if clock else 0
             reply = await self._call(step, worker, path, body, timeout_seconds)
         finally:
             self._turns.end(worker.worker_id)
         if isinstance(reply, Unavailable):
             return reply
         self._answer_times.note_answer(worker.worker_id, reply.wait_seconds)
+        # A worker with another id, which has the address now, has a clock of its own.
+        is_same_id = reply.status != OTHER_ID_STATUS
+        shows_restart = is_same_id and _shows_clock_below(reply.body, lower_bound)
+        if shows_restart and self._clock_by_worker.get(worker.worker_id) is clock:
+            del self._clock_by_worker[worker.worker_id]
         if reply.status == 200:
-            return Done()
-        return decode_rejection(step, worker.worker_id, reply.status, reply.body)
+            return Done(shows_restart)
+        outcome = decode_rejection(step, worker.worker_id, reply.status, reply.body)
+        if isinstance(outcome, Rejected):
+            return outcome._replace(shows_restart=shows_restart)
+        return outcome
 
     def _order_timeout(self, worker_id: str) -> float:
         bound = self._answer_times.bound(worker_id, MIN_ORDER_TIMEOUT_SECONDS)
@@ -446,3 +459,13 @@
     """Return that a call was not sent, as the clock of its incarnation is not known."""
     detail = "the clock of the worker is not known yet"
     return Unavailable(Reason.NOT_FOUND, step, worker_id, detail)
+
+
+def _shows_clock_below(body: Any, lower_bound: int) -> bool:
+    """Return whether an answer names a clock that has not reached ``lower_bound``.
+
+    The clock of a later incarnation begins anew. An answer without a clock shows
+    nothing.
+    """
+    clock = body.get("ClockMs") if isinstance(body, dict) else None
+    return isinstance(clock, int) and clock < lower_bound
--- a/catkinport/ports/fleet_workers.py
+++ b/catkinport/ports/fleet_workers.py
@@ -141,13 +141,27 @@
 
 
 class Done(NamedTuple):
-    """Outcome of an order that the worker has carried out."""
+    """Outcome of an order that the worker has carried out.
+
+    Args:
+        shows_restart: whether the answer is that of a later incarnation than the one
+            that the order was made for.
+    """
+
+    shows_restart: bool = False
 
 
 class Rejected(NamedTuple):
-    """Outcome of an order that the worker rejected and that had no effect."""
+    """Outcome of an order that the worker rejected and that had no effect.
+
+    Args:
+        reason: why it was rejected.
+        shows_restart: whether the answer is that of a later incarnation than the one
+            that the order was made for.
+    """
 
     reason: Rejection
+    shows_restart: bool = False
 
 
 OrderOutcome = Done | Rejected | Unavailable
