Acknowledge no ends to a worker whose incarnation the client doesn't know

Cause: the client drops what it knows of an incarnation after a poll without an answer, after a late answer and after an answer to an order that shows a restart. It left out the lease then, but not the number of the acknowledged end, which belongs to the incarnation as well. The owner decides on that number by what it knows, and the two may differ for a moment.

Change: the client sends 0 in place of that number while it knows no clock. As the owner can't see this, an acknowledgment counts only if the answer lists none of the acknowledged ends.

--- a/catkinport/jobs/ownership/worker_watch.py
+++ b/catkinport/jobs/ownership/worker_watch.py
@@ -217,7 +217,9 @@
         )
         self._contacts.note(worker, outcome, self._session.clock.now())
         if isinstance(outcome, WorkerLists):
-            if outcome.started_at == started_at:
+            numbers = (ended.number for ended in outcome.ended)
+            is_taken = min(numbers, default=acknowledged_end + 1) > acknowledged_end
+            if outcome.started_at == started_at and is_taken:
                 worker.acknowledged_end = max(worker.acknowledged_end, acknowledged_end)
             await self._apply_run_lists(worker, outcome, sent_at)
         elif isinstance(outcome, Unavailable):
--- a/catkinport/jobs/tests/test_worker_watch.py
+++ b/catkinport/jobs/tests/test_worker_watch.py
@@ -7,7 +7,7 @@
 
 from ...policy.leadership import OwnLease
 from ...ports import Reason, Unavailable
-from ...ports.fleet_workers import WorkerLists
+from ...ports.fleet_workers import EndedTask, EndKind, WorkerLists
 from ..ownership import worker_watch
 from ..ownership.worker_watch import WorkerWatch
 from ..workers.run import RunKey
@@ -203,6 +203,15 @@
         session = poll(self.make_fleet(), LOST, ANSWER, ANSWER, ANSWER, LOST)
         assert session.acknowledged == [57, 0, 57, 0, 0]
 
+    def test_an_end_that_is_still_listed_is_acknowledged_again(self):
+        """Guards against ends that are listed for ever.
+
+        A poll carries no number while the clock of the worker is not known.
+        """
+        listed = [EndedTask(57, "0000000000000001.0.0.0", 1, EndKind.FAILED, "")]
+        answers = (WorkerLists(1.0, [], listed), ANSWER, ANSWER)
+        assert poll(self.make_fleet(), *answers).acknowledged == [57, 57, 0]
+
     def test_a_poll_beside_another_one_acknowledges_none(self):
         """Guards against an unread end after a start that had no answer.
 
--- a/catkinport/platform/tests/test_worker_incarnations.py
+++ b/catkinport/platform/tests/test_worker_incarnations.py
@@ -5,6 +5,8 @@
 import pytest
 
 from ...jobs.ownership import worker_watch
+from ...jobs.ownership.session import RETRY_SECONDS
+from ...jobs.ownership.state_store import STORE_WAIT_SECONDS
 from ...jobs.workers.run import ORDER_DELAY_SECONDS
 from ...jobs.workers.worker_state import LEASE_SECONDS
 from ...ports.fleet_workers import StartOrder
@@ -47,6 +49,34 @@
         assert list(scene.second_runs()) == []
 
 
+class TestPauseBetweenTwoPolls:
+    """No poll is under way while the owner stores ends, or while it is paused.
+
+    A restart in such a pause leaves no poll without an answer.
+    """
+
+    def test_the_next_poll_acknowledges_no_ends(self):
+        """Guards against a second run of a task whose end nobody has read.
+
+        The table service takes a second to store the ends in the answer before.
+        """
+        scene = RestartedWorkers(["w1"])
+        scene.submit(0.3, n_tasks=2)
+        scene.plan()
+        scene.advance(0.4)
+        scene.poll("w1")
+        pause_seconds = STORE_WAIT_SECONDS + RETRY_SECONDS
+        scene.advance(0.7)
+        scene.worker_by_id["w1"].restart(scene.now)
+        scene.submit(0.3)
+        scene.plan()
+        scene.advance(pause_seconds - 0.7)
+        scene.store()
+        scene.poll("w1")
+        scene.run_owner(2.0)
+        assert list(scene.second_runs()) == []
+
+
 class DelayedAnswers(RestartedWorkers):
     """A fleet of one worker, whose answers to some calls are on their way for long.
 
--- a/catkinport/platform/tests/test_workers.py
+++ b/catkinport/platform/tests/test_workers.py
@@ -74,9 +74,11 @@
             "i-1", "p", "h:1", "z", False, 0.0, Resources(4.0, 8.0, 0), (), 1.0
         )
 
-    def hold(self, lease_seconds=4.0, wait_seconds=1.0):
+    def hold(self, lease_seconds=4.0, wait_seconds=1.0, end=0):
         """Renew the lease; return the body of the call."""
-        call = self.workers.renew_lease(self.listed, 7, 0, lease_seconds, wait_seconds)
+        call = self.workers.renew_lease(
+            self.listed, 7, end, lease_seconds, wait_seconds
+        )
         asyncio.run(call)
         return self.client.sent[-1][1]
 
@@ -154,6 +156,12 @@
         assert "UntilMs" not in scene.hold()
         assert scene.hold()["UntilMs"] == 4000
 
+    def test_no_end_is_acknowledged_while_the_clock_is_unknown(self):
+        """Guards against an end that nobody has read, of an incarnation not known."""
+        scene = Scene()
+        assert scene.hold(end=57)["LastSeen"] == 0
+        assert scene.hold(end=57)["LastSeen"] == 57
+
     def test_listed_restart_grants_no_lease(self):
         """Guards against a lease of `HoldMaxMs`, from the clock before a restart."""
         scene = Scene()
--- a/catkinport/platform/workers.py
+++ b/catkinport/platform/workers.py
@@ -210,12 +210,17 @@
             worker: the worker.
             token: fencing token of the owner.
             acknowledged_end: number of the last ended run that the caller has stored;
-                the worker no longer lists it and those before it.
+                the worker no longer lists it and those before it. It is not sent while
+                the clock of the worker's present incarnation is unknown.
             lease_seconds: length of the lease; 0 to read the lists only.
             wait_seconds: longest wait of the worker for a run to end.
         """
         sent_at = self._clock.now()
-        body: dict[str, Any] = {"FencingToken": token, "LastSeen": acknowledged_end}
+        is_known = self._known_incarnation(worker.worker_id) is not None
+        body: dict[str, Any] = {
+            "FencingToken": token,
+            "LastSeen": acknowledged_end if is_known else 0,
+        }
         until = self._lease_end(worker, lease_seconds)
         if until is None:
             wait_seconds = 0.0
