Show a second run by the lease of a late start that is rejected

Cause: a start that was made for a former incarnation carries the end of a lease on its clock. The next incarnation has confirmed a stop of that run, so it rejects the start with `old`, but it takes the lease from it, as the protocol says, and grants its longest one. The owner counts on the longest lease from the report of the restart on only, though the start may be carried out up to 12 s after it was sent.

Order of events, in seconds: 0 the start of a task to X is held up on the way; 0.5 a poll has no answer, and Y takes the place of X; 1.0 to 8.5 Y reports, confirms the stop of the held-up start, and starts the task as run 2 under leases of 4 s on its own clock; 8.5 the held-up start arrives, is rejected as `old`, and the lease of Y lasts until 18.5; Y is cut off; about 13 the owner gives run 2 up (4.42 s after its last poll, and 10.6 s after the report of the restart) and starts run 3 elsewhere.

A bound of the longest lease from the report of a restart on doesn't cover this: it has to count from the time at which the last unanswered call with a lease for a former incarnation can be carried out no more. The same holds for a start that is rejected with `room`.

--- /dev/null
+++ b/catkinport/platform/tests/test_worker_incarnations.py
@@ -0,0 +1,42 @@
+"""Tests of calls and knowledge that outlive the incarnation they were made for."""
+
+import pytest
+
+from ...jobs.ownership import worker_watch
+from ...jobs.workers.run import ORDER_DELAY_SECONDS
+from .restarted_workers import RestartedWorkers
+
+
+@pytest.fixture(autouse=True)
+def no_pause(monkeypatch):
+    monkeypatch.setattr(worker_watch, "POLL_PAUSE_SECONDS", 0.0)
+
+
+class TestLateStartOnTheFormerClock:
+    def test_its_lease_counts_until_it_can_be_carried_out_no_more(self):
+        """Guards against a second run of a task on a worker that has restarted.
+
+        The worker has confirmed a stop of the run, so it rejects the late start, but
+        takes its lease, which ends far ahead on the new clock.
+        """
+        scene = RestartedWorkers(["w1", "w2"])
+        scene.worker_by_id["w2"].is_reachable = False
+        scene.poll("w2")
+        scene.submit(60.0)
+        scene.holds_up = "/run-start"
+        scene.plan()
+        scene.holds_up = ""
+        (late,) = scene.held_up
+        assert late.worker_id == "w1"
+        scene.worker_by_id["w1"].is_reachable = False
+        scene.advance(0.5)
+        scene.poll("w1")
+        scene.worker_by_id["w1"].restart(scene.now)
+        scene.worker_by_id["w1"].is_reachable = True
+        scene.run_owner(8.0)
+        assert scene.worker_by_id["w1"].incarnation.encode_lists(scene.now)["Running"]
+        assert scene.deliver(late).body["Reason"] == "old"
+        scene.worker_by_id["w1"].is_reachable = False
+        scene.worker_by_id["w2"].is_reachable = True
+        scene.run_owner(ORDER_DELAY_SECONDS)
+        assert list(scene.second_runs()) == []
