Show a second run by an acknowledgment after a pause between two polls

Cause: an acknowledgment is left out after a poll without an answer, but a restart between two polls leaves none. A poll that has listed ends waits for the table service to store them, for up to 1.2 s, and an owner that is paused or late has no poll under way for as long.

Order of events, in seconds: 0.4 X lists the ends 1 and 2, and the owner begins to store them; X crashes; 1.1 Y is up, and the owner, which counts X as in contact, starts a task there and gets its 200; 1.4 the task ends as done, end 1 of Y; 1.6 the ends 1 and 2 of X are stored, and the next poll acknowledges 2; Y forgets its end 1 unread; the owner reads a report of Y without the run, and starts its task again.

The poll carries a lease on the former clock for the same reason. Both rest on `silent_seconds <= RENEW_CONTACT_SECONDS + poll_wait_seconds`, which is 2 s, longer than a restart takes. Polls that follow their answer at once don't need that much.

--- a/catkinport/platform/tests/test_worker_incarnations.py
+++ b/catkinport/platform/tests/test_worker_incarnations.py
@@ -3,6 +3,8 @@
 import pytest
 
 from ...jobs.ownership import worker_watch
+from ...jobs.ownership.session import RETRY_SECONDS
+from ...jobs.ownership.state_store import STORE_WAIT_SECONDS
 from ...jobs.workers.run import ORDER_DELAY_SECONDS
 from .restarted_workers import RestartedWorkers
 
@@ -40,3 +42,31 @@
         scene.worker_by_id["w2"].is_reachable = True
         scene.run_owner(ORDER_DELAY_SECONDS)
         assert list(scene.second_runs()) == []
+
+
+class TestPauseBetweenTwoPolls:
+    """No poll is under way while the owner stores ends, or while it is paused.
+
+    A restart in such a pause leaves no poll without an answer.
+    """
+
+    def test_the_next_poll_acknowledges_no_ends(self):
+        """Guards against a second run of a task whose end nobody has read.
+
+        The table service takes a second to store the ends in the answer before.
+        """
+        scene = RestartedWorkers(["w1"])
+        scene.submit(0.3, n_tasks=2)
+        scene.plan()
+        scene.advance(0.4)
+        scene.poll("w1")
+        pause_seconds = STORE_WAIT_SECONDS + RETRY_SECONDS
+        scene.advance(0.7)
+        scene.worker_by_id["w1"].restart(scene.now)
+        scene.submit(0.3)
+        scene.plan()
+        scene.advance(pause_seconds - 0.7)
+        scene.store()
+        scene.poll("w1")
+        scene.run_owner(2.0)
+        assert list(scene.second_runs()) == []
