Show that a late answer of a former incarnation brings its clock back

Cause: `PlatformWorkers.renew_lease` takes the clock of each answer to a poll. Polls overlap after a start without an answer, and an answer of X may arrive after that of Y. `WorkerReports.process` drops the report of X then, but the client has taken its clock already, so the calls that follow carry leases on it. Y grants its longest lease for them, later than the owner counts on: from the report of the restart on. The guard in `_lease_end` acts only once the entry in the list of workers shows Y.

Order of events, in seconds: 0 poll 1 is sent, and X writes its answer, which is held up; 0.3 Y takes the place of X; 1.0 poll 2 is answered by Y; 1.5 the answer of X arrives; the next poll has a lease on the clock of X.

The second run needs Y to be cut off right after that, on a worker whose answers take over half a second: the owner counts on 10.6 s from 1.0 on, and the lease lasts 10.2 s from 1.5 on if the clock is 2% slow. So it is rare by itself, but it voids the bound on which the other fixes rest.

A report that is dropped shows that two incarnations have answered, and the clock should stay that of the later one, or count as unknown.

--- a/catkinport/platform/tests/test_worker_incarnations.py
+++ b/catkinport/platform/tests/test_worker_incarnations.py
@@ -1,11 +1,14 @@
 """Tests of calls and knowledge that outlive the incarnation they were made for."""
 
+import asyncio
+
 import pytest
 
 from ...jobs.ownership import worker_watch
 from ...jobs.ownership.session import RETRY_SECONDS
 from ...jobs.ownership.state_store import STORE_WAIT_SECONDS
 from ...jobs.workers.run import ORDER_DELAY_SECONDS
+from ...jobs.workers.worker_state import LEASE_SECONDS
 from .restarted_workers import RestartedWorkers
 
 
@@ -70,3 +73,68 @@
         scene.poll("w1")
         scene.run_owner(2.0)
         assert list(scene.second_runs()) == []
+
+
+class DelayedAnswers(RestartedWorkers):
+    """A fleet of one worker, whose answers to some calls are on their way for long.
+
+    Attributes:
+        delayed_path: path of the calls whose answers are delayed; empty for none.
+        arrival: set when they arrive.
+        sent: path and body of each call, in the order of their sending.
+    """
+
+    def __init__(self) -> None:
+        self.delayed_path = ""
+        self.sent = []
+        super().__init__(["w1"])
+        self.arrival = asyncio.Event()
+
+    async def call(self, step, method, peer, path, timeout, body, headers):
+        self.sent.append((path, body))
+        is_delayed = path == self.delayed_path
+        reply = await super().call(step, method, peer, path, timeout, body, headers)
+        if is_delayed:
+            await self.arrival.wait()
+        return reply
+
+    async def poll_beside_others(self, may_wait=False):
+        await self.watch.poll(self.dispatcher.worker_by_id["w1"], may_wait)
+
+    def restart(self) -> None:
+        self.worker_by_id["w1"].restart(self.now)
+
+    def longest_lease_end(self) -> float:
+        """Return the latest end of a lease of the calls since, on the worker's clock.
+
+        The first incarnation has a clock that shows minutes.
+        """
+        return max(body.get("UntilMs", 0) for _, body in self.sent) / 1000
+
+
+class TestFormerClock:
+    def test_a_late_answer_does_not_bring_it_back(self):
+        """Guards against a lease that is far longer than the owner counts on.
+
+        Two polls are under way, as after a start without an answer. The answer of the
+        former incarnation arrives after that of the later one.
+        """
+        scene = DelayedAnswers()
+
+        async def run():
+            scene.delayed_path = "/hold"
+            late = asyncio.ensure_future(scene.poll_beside_others(may_wait=True))
+            await asyncio.sleep(0)
+            scene.delayed_path = ""
+            scene.advance(0.3)
+            scene.restart()
+            scene.advance(0.7)
+            await scene.poll_beside_others()
+            scene.advance(0.5)
+            scene.arrival.set()
+            await late
+            scene.sent.clear()
+            await scene.poll_beside_others()
+            return scene.longest_lease_end()
+
+        assert asyncio.run(run()) <= 1.2 + LEASE_SECONDS
