Show that a start which has waited for its turn is sent on the former clock

Cause: `PlatformWorkers.start` computes the end of the lease before the order waits for its turn, which takes up to 1 s while the orders before it have no answer, as on a worker that has just crashed. Y may report meanwhile. The start is then sent after the report of the restart, with a lease on the clock of X, and Y grants its longest lease from that moment on. The owner counts on the longest lease from the report on, and the start is noted as made for X though nothing had to be made for X any more.

Order of events, in seconds: 0 five starts to X are under way, the sixth waits; Y takes the place of X; 0.2 a poll is answered by Y; the first five starts end, and the sixth is sent to Y with a lease on the clock of X.

It should be computed when the order is sent, and the order not be sent if its incarnation is not the one that it was decided for.

--- a/catkinport/platform/tests/test_worker_incarnations.py
+++ b/catkinport/platform/tests/test_worker_incarnations.py
@@ -9,6 +9,8 @@
 from ...jobs.ownership.state_store import STORE_WAIT_SECONDS
 from ...jobs.workers.run import ORDER_DELAY_SECONDS
 from ...jobs.workers.worker_state import LEASE_SECONDS
+from ...ports.fleet_workers import StartOrder
+from ..order_turns import MIN_ORDERS
 from .restarted_workers import RestartedWorkers
 
 
@@ -138,3 +140,31 @@
             return scene.longest_lease_end()
 
         assert asyncio.run(run()) <= 1.2 + LEASE_SECONDS
+
+    def test_a_start_that_has_waited_for_its_turn_is_not_sent_with_it(self):
+        """Guards against a lease that begins after the report of the restart.
+
+        The starts before it are still without an answer. The owner counts on the
+        longest lease from that report on.
+        """
+        scene = DelayedAnswers()
+
+        async def run():
+            worker = scene.dispatcher.worker_by_id["w1"].listed
+            scene.delayed_path = "/run-start"
+            starts = []
+            for number in range(MIN_ORDERS + 1):
+                order = StartOrder(f"{1:016x}.0.0.{number}", 1, "seconds=9", "", "")
+                start = scene.session.ports.workers.start(worker, 1, order, 4.0)
+                starts.append(asyncio.ensure_future(start))
+                await asyncio.sleep(0)
+            scene.restart()
+            scene.advance(0.2)
+            await scene.poll_beside_others()
+            scene.sent.clear()
+            scene.arrival.set()
+            await asyncio.gather(*starts)
+            assert len(scene.sent) <= 1
+            return scene.longest_lease_end() if scene.sent else 0.0
+
+        assert asyncio.run(run()) <= 0.2 + LEASE_SECONDS
