--- a/catkinport/jobs/tests/test_knowledge_of_former_incarnations.py
+++ b/catkinport/jobs/tests/test_knowledge_of_former_incarnations.py
@@ -1,7 +1,7 @@
 """Tests of what is known of one incarnation of a worker when another one runs."""
 
 from ...ports.fleet_workers import Done
-from .builders import Fleet, make_job, make_worker
+from .builders import Fleet, make_job, make_step, make_worker
 
 
 class TestBlameForACrash:
@@ -22,3 +22,18 @@
         fleet.dispatcher.expire(fleet.now)
         assert fleet.dispatcher.runs_by_task == {}
         assert start.run.task.crash_by_run == {}
+
+
+class TestCapacityOfTheFormerIncarnation:
+    """A restarted worker may be of another kind, and its entry comes later."""
+
+    def test_it_gives_no_room_on_a_worker_that_rejects_nothing(self):
+        """Guards against tasks that exceed the capacity of a restarted worker."""
+        fleet = Fleet([make_worker(cores=16.0)], forbids_overcommit=False)
+        fleet.dispatcher.add_job(make_job(steps=[make_step(4)]), fleet.now)
+        fleet.advance(0.3)
+        fleet.poll("w1", started_at=2.0)
+        assert fleet.plan() == []
+        fleet.workers = [make_worker(cores=8.0, started_at=2.0)]
+        fleet.dispatcher.update_workers(fleet.workers, fleet.now, fleet.now)
+        assert len(fleet.plan()) == 2
