Show that a ticket which a restarted worker has rejected is used again

Cause: the planner keeps a ticket by the id of the worker until it expires. A ticket is valid in one incarnation only, so Y rejects that of X. The start is dropped then without a pause, and the next round of planning, 8 ms later, chooses the same worker with the same ticket. Each such start is charged, the task waits up to `ValidMs`, and no approval is asked for while the planner believes to have one.

Order of events: X is approved for a step; Y takes its place; a start is rejected with `ticket`; the next round sends the same one.

A ticket belongs to the incarnation that answered last when it was asked for, and a rejection removes it.

--- a/catkinport/jobs/tests/test_approvals.py
+++ b/catkinport/jobs/tests/test_approvals.py
@@ -1,5 +1,6 @@
 """Tests of steps that need an approval of their workers, a ticket."""
 
+from ...ports.fleet_workers import Rejected, Rejection
 from ..configuration import ApprovalTerms
 from ..placement.planner import Ticket
 from .builders import JOB_ID, QUEUE, Fleet, make_configuration, make_job, make_worker
@@ -84,3 +85,16 @@
         fleet.list_workers()
         fleet.start()
         assert answer_request(fleet, set()) == ("w2",)
+
+
+class TestRejectedTickets:
+    # Guards against starts without end on a worker that has restarted: it rejects the
+    # ticket of its former incarnation until that expires.
+    def test_a_rejected_ticket_is_not_used_again(self):
+        fleet = make_fleet(n_workers=1)
+        fleet.start()
+        answer_request(fleet, {"w0"})
+        (start,) = fleet.plan()
+        fleet.answer(start, Rejected(Rejection.TICKET))
+        assert fleet.plan() == []
+        assert fleet.planner.wanted_approvals[STAGE].worker_ids == ("w0",)
