Show a second run on a VM that has come back before its order is answered

Cause: the answer `done` to an order for a VM retires the incarnation that was on the VM when the order was first sent, with all runs in its record. An order without an answer may be carried out seconds later; the worker gets tasks again 2 s after its first sending. A start that is sent then may be confirmed by X or, once the VM is back, by Y under the same id: an answer to a start doesn't tell which. Until Y answers a poll, the record is that of X, and the run on Y is given up with it.

Order of events, in seconds: 0 an upkeep is sent and has no answer; 2 X still answers, so the worker gets tasks again; then the upkeep is carried out; the VM is back, and Y confirms a start that was sent before the poll under way at the crash has failed; the repeated upkeep is answered as done, and X is retired with the run; the task starts elsewhere.

It takes an upkeep or a move that is over before a poll of the worker fails, so slow answers, or a short upkeep; rare. A run is surely one of X if a report of X has listed it, or if it was confirmed before the order was first sent. The same holds for other decisions that go by `known_at`: a time that an answer to a start has set doesn't name an incarnation, one from a report would.

--- a/catkinport/jobs/tests/test_order_targets.py
+++ b/catkinport/jobs/tests/test_order_targets.py
@@ -3,6 +3,7 @@
 import pytest
 
 from ...ports.fleet_vms import UpkeepWave, VmState
+from ...ports.fleet_workers import Done
 from ..vms.order_targets import VmOrder
 from .builders import POOL, make_job, make_worker
 from .vm_fleet import BOUNDS, VmFleet
@@ -238,3 +239,26 @@
         fleet.advance(LIST_STEP_SECONDS)
         fleet.change_vm("m0", state=VmState.UPKEEP, worker_id="")
         assert fleet.runs_on("w0") == 0
+
+
+class TestRunConfirmedAcrossTheOrder:
+    def test_it_is_kept_when_the_repeated_order_is_answered(self):
+        """Guards against a second run of a task that the next incarnation executes.
+
+        An upkeep without an answer is carried out once its VM gets tasks again. The
+        worker comes back under its id, and confirms a start before it answers a poll.
+        """
+        fleet = OneVmFleet(n_workers=2)
+        fleet.dispatcher.worker_by_id["w1"].is_cordoned = True
+        fleet.send_order()
+        while not fleet.dispatcher.worker_by_id["w0"].may_start(fleet.now):
+            fleet.advance(0.5)
+            fleet.poll_all()
+            fleet.vm_planner.plan(fleet.now)
+        fleet.dispatcher.add_job(make_job(), fleet.now)
+        (start,) = fleet.plan()
+        fleet.dispatcher.worker_by_id["w1"].is_cordoned = False
+        assert start.run.worker_id == "w0"
+        fleet.answer(start, Done())
+        fleet.answer_order()
+        assert fleet.plan() == []
