Show a second run by a VM list while the former owner still gives orders

Cause: lets the list of VMs resolve an inherited worker once its data is later than the claim. A former owner that is alive and cut off from the store goes on for 6 s after its last renewal. In doubt, it still starts tasks that it learned of before, on workers whose contact seems unbroken to it. The VM that the list shows as down is up again by then, and Y, which the successor hasn't called, takes orders with the lower token.

Order of events, in seconds: -1.5 the last renewal of the former owner; 0 the claim, the successor is cut off from w0; 0.25 X answers a poll of the former owner; 0.3 X crashes, and Y takes its place; 1.3 the list shows the VM as down by data of 0.3, which resolves the pool, and the successor starts the task on w1; 1.35 the former owner, whose poll is still under way, starts the task on Y.

Without the list, the successor waits until it has called Y, or 10.8 s. The time until which the former owner may give orders is that of the claim only if it has surely ended (`Claim.is_former_ended`), else 6 s on its clock after its last renewal. Even a claim is carried out later than `sent_at`.

--- a/catkinport/jobs/tests/test_inherited_leases.py
+++ b/catkinport/jobs/tests/test_inherited_leases.py
@@ -2,7 +2,12 @@
 
 import pytest
 
+from ...policy.resources import NO_RESOURCES
+from ...ports.fleet_vms import FleetVm, VmState
+from ..workers.worker_vms import VM_LIST_LAG_SECONDS
+from .builders import POOL
 from .rival_fleet import RivalFleet
+from .simulated_store import StoreLink
 
 
 class RestartingFleet(RivalFleet):
@@ -52,3 +57,50 @@
         fleet.owner_by_name["d0"].workers.cut_off(["w0"])
         fleet.run_all(0.5, n_cycles=16)
         assert not fleet.violations
+
+
+class TestVmListWhileTheFormerOwnerRuns:
+    def test_it_resolves_no_worker_that_owner_may_still_use(self, fleet):
+        """Guards against a task that both owners start, each on another worker.
+
+        The former owner doesn't know that it was replaced, nor that the worker has
+        restarted. Only the successor's first call keeps it from starting tasks there.
+        """
+        fleet.claim("d0")
+        for _ in range(3):
+            fleet.advance(0.3)
+            fleet.run_cycle("d0")
+        former = fleet.owner_by_name["d0"]
+        worker_by_id = former._session.dispatcher.worker_by_id
+        for worker in worker_by_id.values():
+            worker.is_cordoned = True
+        fleet.submit(1)
+        former.learn_jobs()
+        former.store.link = StoreLink.CUT
+        assert fleet.claim("d1")
+        claimed_at = fleet.clock.now()
+        former.workers.cut_off(["w1"])
+        successor = fleet.owner_by_name["d1"]
+        successor.workers.cut_off(["w0"])
+        fleet.run_cycle("d1")
+        show_vm_of_w0(fleet, successor, VmState.UP)
+        fleet.advance(0.25)
+        fleet.run_cycle("d0")
+        fleet.advance(0.05)
+        fleet.restart_unnoticed("w0")
+        fleet.advance(1.0)
+        assert fleet.clock.now() > claimed_at + VM_LIST_LAG_SECONDS
+        show_vm_of_w0(fleet, successor, VmState.DOWN)
+        fleet.run_cycle("d1")
+        worker_by_id["w0"].is_cordoned = False
+        fleet.run_cycle("d0", plans_first=True)
+        assert fleet.worker_by_id["w0"].running
+        assert not fleet.violations
+
+
+def show_vm_of_w0(fleet, owner, state):
+    """Let an owner read a list of VMs with the one on which w0 runs."""
+    shown = "w0" if state is VmState.UP else ""
+    vm = FleetVm("m0", POOL, state, "z", (), NO_RESOURCES, shown)
+    now = fleet.clock.now()
+    owner._session.dispatcher.update_vms([vm], now, now)
