Show a second run by a first report that doesn't hold all ends

Cause: a worker lists at most 500 ends in an answer. `_lose_unlisted` gives up no run by such an answer, as the run may have ended, but `_on_restart` does. Y has confirmed a run, has ended it with more than 499 others, and its first answer doesn't hold that end: the run is given up as `worker-restarted`, and its task starts again.

Order of events: Y takes the place of X; it confirms a start and ends it, as end 501; its first answer holds the ends 1 to 500; the run is given up.

It takes 500 ends between two answers, so it is rare; the condition exists in the same module.

--- a/catkinport/jobs/tests/test_knowledge_of_former_incarnations.py
+++ b/catkinport/jobs/tests/test_knowledge_of_former_incarnations.py
@@ -1,6 +1,6 @@
 """Tests of what is known of one incarnation of a worker when another one runs."""
 
-from ...ports.fleet_workers import Done
+from ...ports.fleet_workers import Done, WorkerLists
 from .builders import Fleet, make_job, make_step, make_worker
 
 
@@ -37,3 +37,20 @@
         fleet.workers = [make_worker(cores=8.0, started_at=2.0)]
         fleet.dispatcher.update_workers(fleet.workers, fleet.now, fleet.now)
         assert len(fleet.plan()) == 2
+
+
+class TestFirstReportThatLacksEnds:
+    def test_a_confirmed_run_waits_for_the_other_ends(self):
+        """Guards against a second run of a task whose end is not listed yet.
+
+        The restarted worker has more ends to list than one answer holds.
+        """
+        fleet = Fleet([make_worker()])
+        fleet.dispatcher.add_job(make_job(), fleet.now)
+        (start,) = fleet.plan()
+        fleet.advance(0.2)
+        fleet.answer(start, Done())
+        fleet.advance(0.2)
+        lists = WorkerLists(2.0, [], [], may_lack_ends=True)
+        fleet.dispatcher.on_worker_report("w1", lists, fleet.now, fleet.now)
+        assert fleet.plan() == []
