Show that a late start is forgotten too soon after a pause of the owner

Cause: a start that was given up is remembered for 12 s from `asked_at`, the time of the decision. It may be sent seconds later: it waits up to 1 s for its turn, and an owner that is paused between the decision and the sending still sends it until 6 s after its last renewal. It may be carried out until 12 s after it was sent, so a worker that restarts in the time between gets no stop for it and starts a task that runs elsewhere.

Order of events, in seconds: 0 the start is decided on, and the owner is paused; 4 it is sent, without an answer; 8.4 its lease ends, and the task starts elsewhere; 12 it is forgotten; 15 the worker, which has started again under its id, answers, and gets no stop; the start may be carried out until 16.

--- a/catkinport/jobs/tests/test_knowledge_of_former_incarnations.py
+++ b/catkinport/jobs/tests/test_knowledge_of_former_incarnations.py
@@ -1,6 +1,13 @@
 """Tests of what is known of one incarnation of a worker when another one runs."""
 
+import asyncio
+from types import SimpleNamespace
+
+from ...policy.leadership import OwnLease
+from ...ports import Reason, Unavailable
 from ...ports.fleet_workers import Done, WorkerLists
+from ..ownership.run_orders import RunOrders
+from ..workers.run import ORDER_DELAY_SECONDS
 from .builders import Fleet, make_job, make_step, make_worker
 
 
@@ -54,3 +61,46 @@
         lists = WorkerLists(2.0, [], [], may_lack_ends=True)
         fleet.dispatcher.on_worker_report("w1", lists, fleet.now, fleet.now)
         assert fleet.plan() == []
+
+
+class TestUncertainStartOfAPausedOwner:
+    def test_it_is_remembered_from_its_sending_on(self):
+        """Guards against a late start that a restarted worker gets no stop for.
+
+        The owner was paused between its decision and the sending of the order.
+        """
+        fleet = Fleet([make_worker("w1")])
+        fleet.dispatcher.add_job(make_job(), fleet.now)
+        (planned,) = fleet.plan()
+        fleet.advance(4.0)
+        session = PausedSession(fleet)
+        orders = RunOrders(session, session)
+        asyncio.run(orders._send_start(planned))
+        fleet.advance(ORDER_DELAY_SECONDS - 3.0)
+        fleet.dispatcher.expire(fleet.now)
+        fleet.advance(2.0)
+        fleet.dispatcher.expire(fleet.now)
+        assert fleet.dispatcher.uncertain_starts.count("w1") == 1
+
+
+class PausedSession:
+    """A session whose worker answers no start, and its watch, which polls nothing."""
+
+    def __init__(self, fleet):
+        self.dispatcher = fleet.dispatcher
+        self.clock = SimpleNamespace(now=lambda: fleet.now)
+        self.lease = OwnLease(1, fleet.now)
+        self.ports = SimpleNamespace(workers=self)
+        self.wake = asyncio.Event()
+
+    def may_order(self):
+        return True
+
+    def check_fenced(self, outcome):
+        return False
+
+    async def start(self, *order):
+        return Unavailable(Reason.TIMEOUT, "worker-start", "w1", "", True)
+
+    async def poll(self, worker, may_wait=True):
+        pass
