Show an unread end that is acknowledged after a dropped report

Cause: a report of an incarnation that differs from the one in the record is dropped if its poll was sent before the record's incarnation was first seen, as it is taken for a late one of an earlier incarnation. It may be one of a later one: a poll that was held up is carried out last. The owner goes on by the incarnation in the record then, and the next poll acknowledges its ends and carries a lease, though two incarnations have just answered.

Order of events, in seconds: 0 poll 1 is sent and held up; the worker restarts as X; 0.5 poll 2, which follows a start without an answer, is answered by X, whose ends 1 to 3 are stored; the worker restarts as Y; poll 1 is carried out by Y, and its report is dropped; the next poll acknowledges 3.

It takes two restarts within the timeout of a poll, so it is rare. A dropped report should count as a poll without an answer.

--- a/catkinport/jobs/tests/test_worker_watch.py
+++ b/catkinport/jobs/tests/test_worker_watch.py
@@ -323,3 +323,31 @@
         fleet.advance(2.1)
         session = poll(fleet, ANSWER)
         assert session.polls == [(4.0, 2.0)]
+
+
+class TestDroppedReport:
+    """Two polls are under way, and different incarnations answer them."""
+
+    def test_the_next_poll_reads_the_lists_only(self, monkeypatch):
+        """Guards against an unread end on the incarnation whose report was dropped.
+
+        The worker has restarted twice, and the poll that was sent first is carried out
+        last. Its report counts as one of the first incarnation.
+        """
+        fleet = Fleet([make_worker("w1")])
+        renew_lease = FakeSession.renew_lease
+
+        async def renew_lease_beside_another_poll(session, *arguments):
+            fleet.advance(0.5)
+            fleet.poll("w1", started_at=2.0)
+            worker = fleet.dispatcher.worker_by_id["w1"]
+            worker.processed_end = worker.stored_end = 3
+            return await renew_lease(session, *arguments)
+
+        monkeypatch.setattr(FakeSession, "renew_lease", renew_lease_beside_another_poll)
+        poll(fleet, WorkerLists(3.0, [], []))
+        monkeypatch.setattr(FakeSession, "renew_lease", renew_lease)
+        assert fleet.dispatcher.worker_by_id["w1"].started_at == 2.0
+        session = poll(fleet, WorkerLists(3.0, [], []))
+        assert session.acknowledged == [0]
+        assert session.polls == [(0.0, 0.0)]
