Check that late stops and speeds change no later run

An order that stops a run or sets its speed names the run number, which is used once. A late one for a former incarnation therefore has nothing to act on in the next one.

--- a/catkinport/platform/tests/restarted_workers.py
+++ b/catkinport/platform/tests/restarted_workers.py
@@ -76,6 +76,8 @@
                 return Reply(409, {**answer, "Reason": str(error)})
         elif path == "/run-stop":
             incarnation.stop(body["Task"], body["Run"], now)
+        elif path == "/pace":
+            incarnation.pace(body["Task"], body["Run"], body["Percent"], now)
         else:
             incarnation.advance(now)
             incarnation.extend_lease(until, now)
--- a/catkinport/platform/tests/test_worker_incarnations.py
+++ b/catkinport/platform/tests/test_worker_incarnations.py
@@ -168,3 +168,34 @@
             return scene.longest_lease_end() if scene.sent else 0.0
 
         assert asyncio.run(run()) <= 0.2 + LEASE_SECONDS
+
+
+class TestOrdersThatNameARun:
+    """A run number is used once, so an order for it can't mean a later run."""
+
+    @pytest.mark.parametrize("call", ["stop", "limit_speed"])
+    def test_a_late_one_changes_nothing_on_the_next_incarnation(self, call):
+        """Guards against a later run of the task that it ends or slows down."""
+        scene = RestartedWorkers(["w1"])
+        scene.submit(30.0)
+        scene.plan()
+        workers = scene.session.ports.workers
+        listed = scene.dispatcher.worker_by_id["w1"].listed
+        scene.holds_up = "/run-stop" if call == "stop" else "/pace"
+        arguments = [] if call == "stop" else [10]
+        task = f"{1:016x}.0.0.0"
+        asyncio.run(getattr(workers, call)(listed, 1, task, 1, *arguments))
+        scene.holds_up = ""
+        scene.worker_by_id["w1"].restart(scene.now)
+        scene.run_owner(3.0)
+        lists = scene.worker_by_id["w1"].incarnation.encode_lists(scene.now)
+        ((_, run, _, percent, _),) = lists["Running"]
+        assert run > 1
+        (late,) = scene.held_up
+        scene.deliver(late)
+        scene.run_owner(3.0)
+        lists = scene.worker_by_id["w1"].incarnation.encode_lists(scene.now)
+        assert [(entry[1], entry[3]) for entry in lists["Running"]] == [
+            (run, percent + 10)
+        ]
+        assert list(scene.second_runs()) == []
