--- a/catkinport/jobs/tests/test_knowledge_of_former_incarnations.py
+++ b/catkinport/jobs/tests/test_knowledge_of_former_incarnations.py
@@ -45,6 +45,21 @@
         fleet.dispatcher.update_workers(fleet.workers, fleet.now, fleet.now)
         assert len(fleet.plan()) == 2
 
+    def test_its_labels_allow_no_step_that_needs_them(self):
+        """Guards against a step on a worker that lacks the label it requires."""
+        fleet = Fleet([make_worker(labels=("large", "r1"))])
+        steps = [make_step(required_label="large")]
+        fleet.dispatcher.add_job(make_job(steps=steps), fleet.now)
+        fleet.advance(0.3)
+        fleet.poll("w1", started_at=2.0)
+        assert fleet.plan() == []
+        fleet.workers = [make_worker(labels=("small", "r1"), started_at=2.0)]
+        fleet.dispatcher.update_workers(fleet.workers, fleet.now, fleet.now)
+        assert fleet.plan() == []
+        fleet.workers = [make_worker(labels=("large", "r1"), started_at=2.0)]
+        fleet.dispatcher.update_workers(fleet.workers, fleet.now, fleet.now)
+        assert len(fleet.plan()) == 1
+
 
 class TestFirstReportThatLacksEnds:
     def test_a_confirmed_run_waits_for_the_other_ends(self):
