Check that ends of a restarted worker don't count as stored by an old commit

No test showed that `StateStore` compares the incarnation of the ends that it has stored with that of the record. The test passes; without the comparison it fails with `assert 57 == 0`.

--- a/catkinport/jobs/tests/test_state_store.py
+++ b/catkinport/jobs/tests/test_state_store.py
@@ -6,6 +6,7 @@
 import pytest
 
 from ...ports import Reason, Unavailable
+from ...ports.fleet_workers import WorkerLists
 from ...ports.table import CommitOutcome, Transaction
 from ..dispatch.record import JobRecord
 from ..model import JobState
@@ -13,7 +14,7 @@
 from ..ownership.state_sizes import encode_batch
 from ..ownership.state_store import StateStore
 from ..tables import state_key
-from .builders import JOB_ID, make_job, make_step
+from .builders import JOB_ID, make_job, make_step, make_worker
 from .late_table import AsyncLateTable, make_session
 
 MAX_ROW_BYTES = 65536
@@ -144,3 +145,31 @@
                 record.note_checkpoint(task, "00000bb87a21d94b")
         assert asyncio.run(StateStore(session)._store_dirty())
         assert not session.dispatcher.dirty_jobs()
+
+
+class TestRestartDuringACommit:
+    def test_the_ends_of_the_next_incarnation_do_not_count_as_stored(self):
+        """Guards against an acknowledgment of ends that are not stored.
+
+        The worker restarts while the ends of its former incarnation are being stored.
+        """
+        table = AsyncLateTable()
+        table.commit_seconds = 0.01
+        session = make_session(table)
+        add_job(session)
+        now = session.clock.now()
+        session.dispatcher.update_workers([make_worker()], now, now)
+        worker = session.dispatcher.worker_by_id["w1"]
+        worker.started_at = 1.0
+        worker.processed_end = 57
+
+        async def run():
+            store = asyncio.ensure_future(StateStore(session)._store_dirty())
+            await asyncio.sleep(0)
+            restarted = WorkerLists(2.0, [], [])
+            session.dispatcher.on_worker_report("w1", restarted, now, now)
+            assert await store
+
+        asyncio.run(run())
+        assert table.n_commits == 1
+        assert worker.stored_end == 0
