Show a second run on a worker that is cut off from the store as well

Cause: leases on the clock of X, granted by Y, that a successor doesn't count on. What a successor can read doesn't tell of Y if Y is cut off before its entry is in the list of workers and before it has answered a poll of the former owner: the roster and the list both name X.

Order of events, in seconds: 1.0 Y takes the place of X between two polls; the owner starts a task there with a lease on the clock of X, and Y confirms it; Y is cut off from the daemons and the store; the owner is killed, and its daemon is back and claims; it counts on 4.6 s and starts the task elsewhere at 5.6, while Y runs it until 11.

Two things that could tell, for whoever mends it: * The answer to the start has the clock of Y (`ClockMs`), which is far below the lower bound that the owner knows of the clock of X. So an answer to an order shows another incarnation, but for X as young as Y. * A worker that is cut off from the daemons only goes on to write its entry. If the row of the entry gets a newer version after the former owner's last call, and still names the incarnation in the roster, the worker has not restarted, and the short bound holds. Otherwise the longest lease does.

--- a/catkinport/jobs/tests/test_inherited_leases.py
+++ b/catkinport/jobs/tests/test_inherited_leases.py
@@ -11,13 +11,22 @@
 
 
 class RestartingFleet(RivalFleet):
-    """A fleet whose list of workers names the incarnations."""
+    """A fleet whose list of workers names the incarnations.
+
+    Attributes:
+        entry_by_id: entries of workers that can't write to the list any more.
+    """
+
+    def __init__(self, worker_ids) -> None:
+        super().__init__(worker_ids)
+        self.entry_by_id = {}
 
     def list_workers(self):
-        return [
-            listed._replace(started_at=self.worker_by_id[listed.worker_id].started_at)
-            for listed in super().list_workers()
+        listed = [
+            entry._replace(started_at=self.worker_by_id[entry.worker_id].started_at)
+            for entry in super().list_workers()
         ]
+        return [self.entry_by_id.get(entry.worker_id, entry) for entry in listed]
 
     def restart_unnoticed(self, worker_id: str) -> None:
         """Restart a worker between two polls."""
@@ -39,17 +48,7 @@
         The former owner has started it with a lease on the former clock, so the worker
         has granted its longest one. It is cut off once the successor has read its list.
         """
-        fleet.claim("d0")
-        for _ in range(3):
-            fleet.advance(0.3)
-            fleet.run_cycle("d0")
-        fleet.owner_by_name["d0"].workers.cut_off(["w1"])
-        fleet.run_cycle("d0")
-        fleet.advance(0.1)
-        fleet.restart_unnoticed("w0")
-        fleet.submit(1)
-        fleet.run_cycle("d0", plans_first=True)
-        assert fleet.worker_by_id["w0"].running
+        start_on_restarted_worker(fleet)
         fleet.restart_daemon("d0")
         fleet.advance(0.1)
         assert fleet.claim("d0")
@@ -59,6 +58,40 @@
         assert not fleet.violations
 
 
+class TestWorkerThatIsCutOffFromTheStoreToo:
+    def test_its_runs_count_for_the_longest_lease(self, fleet):
+        """Guards against a second run of a task that nothing tells the successor of.
+
+        The worker is cut off before its new incarnation is in the list of workers or
+        has answered the former owner.
+        """
+        (fleet.entry_by_id["w0"],) = [
+            entry for entry in fleet.list_workers() if entry.worker_id == "w0"
+        ]
+        start_on_restarted_worker(fleet)
+        fleet.restart_daemon("d0")
+        fleet.advance(0.1)
+        assert fleet.claim("d0")
+        fleet.owner_by_name["d0"].workers.cut_off(["w0"])
+        fleet.run_all(0.5, n_cycles=16)
+        assert not fleet.violations
+
+
+def start_on_restarted_worker(fleet):
+    """Let d0 start a task on w0 with a lease on the clock before its restart."""
+    fleet.claim("d0")
+    for _ in range(3):
+        fleet.advance(0.3)
+        fleet.run_cycle("d0")
+    fleet.owner_by_name["d0"].workers.cut_off(["w1"])
+    fleet.run_cycle("d0")
+    fleet.advance(0.1)
+    fleet.restart_unnoticed("w0")
+    fleet.submit(1)
+    fleet.run_cycle("d0", plans_first=True)
+    assert fleet.worker_by_id["w0"].running
+
+
 class TestVmListWhileTheFormerOwnerRuns:
     def test_it_resolves_no_worker_that_owner_may_still_use(self, fleet):
         """Guards against a task that both owners start, each on another worker.
