Show a second run on a worker whose answer to a start shows its restart

Cause: `PlatformWorkers._send_order` ignores `ClockMs` in the answers to starts, stops and speeds. It is the clock of the incarnation that answers. Y has just begun, so it is far below the lower bound that the owner knows of the clock of X, and tells of the restart before any poll or list does.

Order of events, in seconds: 0 Y takes the place of X between two polls; a start with a lease on the clock of X is confirmed by Y, with a clock of 0; Y is cut off, before its entry is in the list; 4.5 the owner counts the lease as ended and starts the task elsewhere; Y runs it until 10.

An answer with a clock below the bound should count as a poll without an answer, with the longest lease from the sending on: it needs no new call. It also tells whether a run was confirmed by X or by Y, on which decisions rest that go by `known_at`. It can't tell for X as young as Y, nor for a start without an answer.

--- a/catkinport/platform/tests/test_worker_incarnations.py
+++ b/catkinport/platform/tests/test_worker_incarnations.py
@@ -199,3 +199,24 @@
             (run, percent + 10)
         ]
         assert list(scene.second_runs()) == []
+
+
+class TestStartAnsweredByTheNextIncarnation:
+    def test_its_run_counts_for_the_longest_lease(self):
+        """Guards against a second run on a worker that is cut off after its restart.
+
+        It has answered no poll since, and its entry is that of the former incarnation.
+        Only the answer to the start shows a clock that is far behind the known one.
+        """
+        scene = RestartedWorkers(["w1", "w2"])
+        scene.worker_by_id["w2"].is_reachable = False
+        scene.poll("w2")
+        scene.is_list_old = True
+        scene.worker_by_id["w1"].restart(scene.now)
+        scene.submit(60.0)
+        scene.plan()
+        assert scene.worker_by_id["w1"].incarnation.encode_lists(scene.now)["Running"]
+        scene.worker_by_id["w1"].is_reachable = False
+        scene.worker_by_id["w2"].is_reachable = True
+        scene.run_owner(11.0)
+        assert list(scene.second_runs()) == []
