--- a/catkinport/jobs/tests/rival_fleet.py
+++ b/catkinport/jobs/tests/rival_fleet.py
@@ -12,7 +12,7 @@
 from ...policy.resources import NO_RESOURCES
 from ...ports import Reason, Unavailable
 from ...ports.clock import ManualClock
-from ...ports.fleet_workers import EndKind, ListedWorker, StartOrder
+from ...ports.fleet_workers import EndKind, ListedWorker, StartOrder, WorkerLists
 from ...ports.table import Transaction, Write
 from ...runtime import Metrics
 from ..model import Job, job_to_row
@@ -49,6 +49,14 @@
 """Turns of the event loop after which no call to a simulated system is left."""
 
 
+class KnownClock(NamedTuple):
+    """What a daemon knows of the clock of a worker's incarnation."""
+
+    started_at: float
+    shown: float
+    read_at: float
+
+
 class LateCall(NamedTuple):
     """A call that a worker has received and carries out later."""
 
@@ -64,14 +72,17 @@
         link_by_id: for each worker, ``requests lost`` or ``answers lost`` if so.
         delivery_by_call: what becomes of the calls: ``answered``, ``no answer``,
             ``late`` or ``lost``, by the name of the call.
+        held_answers: event until which the answers to polls are under way; ``None`` if
+            they arrive at once.
     """
 
     def __init__(self, fleet: "RivalFleet", store: StoreClient) -> None:
         self._fleet = fleet
         self._store = store
-        self._clock_by_id: dict[str, tuple[float, float]] = {}
+        self._clock_by_id: dict[str, KnownClock] = {}
         self.link_by_id: dict[str, str] = {}
         self.delivery_by_call: dict[str, str] = {}
+        self.held_answers: asyncio.Event | None = None
 
     def cut_off(self, worker_ids: Iterable[str], is_answer_lost: bool = False) -> None:
         """Lose all requests to some workers, or their answers, and no others."""
@@ -93,22 +104,30 @@
     ):
         """Renew the lease of a worker; return its lists.
 
-        After no answer the clock of the worker counts as unknown.
+        The lists tell the clock of their incarnation. After no answer the clock of the
+        worker counts as unknown.
         """
         worker_id = worker.worker_id
-        until = self._lease_end(worker_id, lease_seconds) or 0.0
+        until = self._lease_end(worker, lease_seconds) or 0.0
         outcome = self._call(
             "hold",
             worker_id,
             lambda: self._fleet.renew_lease(worker_id, token, acknowledged_end, until),
         )
+        shown = self._fleet.worker_by_id[worker_id].clock(self._fleet.clock.now())
+        if self.held_answers is not None:
+            await self.held_answers.wait()
         if isinstance(outcome, Unavailable):
             self._clock_by_id.pop(worker_id, None)
+        elif isinstance(outcome, WorkerLists):
+            self._clock_by_id[worker_id] = KnownClock(
+                outcome.started_at, shown, self._fleet.clock.now()
+            )
         return outcome
 
     async def start(self, worker, token, order: StartOrder, lease_seconds):
         """Start a run."""
-        until = self._lease_end(worker.worker_id, lease_seconds)
+        until = self._lease_end(worker, lease_seconds)
         if until is None:
             return NO_WORKER_ANSWER._replace(may_have_committed=False)
         return self._send(
@@ -137,17 +156,14 @@
         outcome = carry_out()
         if link == "answers lost" or delivery == "no answer":
             return NO_WORKER_ANSWER
-        now = self._fleet.clock.now()
-        self._clock_by_id[worker_id] = (worker.clock(now), now)
         return outcome
 
-    def _lease_end(self, worker_id: str, lease_seconds: float) -> float | None:
-        known = self._clock_by_id.get(worker_id)
-        if known is None or not lease_seconds:
+    def _lease_end(self, worker: ListedWorker, lease_seconds: float) -> float | None:
+        known = self._clock_by_id.get(worker.worker_id)
+        if known is None or not lease_seconds or worker.started_at > known.started_at:
             return None
-        shown, read_at = known
-        elapsed = self._fleet.clock.now() - read_at
-        return shown + SLOW_CLOCK_RATE * elapsed + lease_seconds
+        elapsed = self._fleet.clock.now() - known.read_at
+        return known.shown + SLOW_CLOCK_RATE * elapsed + lease_seconds
 
 
 class SimulatedOwner:
@@ -200,6 +216,19 @@
         if worker is not None:
             self._fleet.run(self._poll([worker]))
 
+    def plan(self) -> None:
+        """Let it plan, and send the starts and stops that it decides on."""
+        self._fleet.run(self._plan())
+
+    def plan_before_answer(self, worker_id: str, seconds: float) -> None:
+        """Let it plan while the answer of a worker to a poll is under way.
+
+        Args:
+            worker_id: the worker, which it knows.
+            seconds: time that passes before and after it plans.
+        """
+        self._fleet.run(self._plan_before_answer(worker_id, seconds))
+
     def release(self) -> None:
         """Release the ownership."""
         self._fleet.run(self._owner._renew(is_released=True))
@@ -240,24 +269,47 @@
         self._owner._run_orders._plan()
         await self._settle()
 
+    async def _plan_before_answer(self, worker_id: str, seconds: float) -> None:
+        worker = self._session.dispatcher.worker_by_id[worker_id]
+        self.workers.held_answers = asyncio.Event()
+        self._session.spawn(self._watch.poll(worker))
+        await _let_calls_end()
+        self._fleet.advance(seconds)
+        self._owner._run_orders._plan()
+        await _let_calls_end()
+        self._fleet.advance(seconds)
+        self.workers.held_answers.set()
+        self.workers.held_answers = None
+        await self._settle()
+
     async def _settle(self) -> None:
         """Let the calls end, without the pauses that follow some of them."""
-        for _ in range(N_LOOP_TURNS):
-            await asyncio.sleep(0)
+        await _let_calls_end()
         paused = list(self._session._tasks)
         self._session.cancel_all()
         if paused:
             await asyncio.wait(paused)
 
 
+async def _let_calls_end() -> None:
+    for _ in range(N_LOOP_TURNS):
+        await asyncio.sleep(0)
+
+
 class RivalFleet:
-    """The store, the workers and all owners that are alive."""
+    """The store, the workers and all owners that are alive.
+
+    A number of an acknowledged end that is above all ends of a worker hides its later
+    ends too. The platform's documentation doesn't say whether it does, and that it does
+    is the worse case for an owner.
+    """
 
     def __init__(self, worker_ids: tuple[str, ...]) -> None:
         self.clock = ManualClock(1000.0)
         self.store = SimulatedStore()
         self.worker_by_id: dict[str, FakeWorker] = {}
         self.down_ids: set[str] = set()
+        self._listed_start_by_id: dict[str, float] = {}
         self.late_calls: list[LateCall] = []
         self.owner_by_name: dict[str, SimulatedOwner] = {}
         self.job_by_id: dict[str, Job] = {}
@@ -290,13 +342,18 @@
         """Add a worker."""
         if worker_id not in self.worker_by_id:
             self.worker_by_id[worker_id] = FakeWorker(
-                clock_rate, self.clock.now() - WORKER_AGE_SECONDS, MAX_LEASE_SECONDS
+                clock_rate,
+                self.clock.now() - WORKER_AGE_SECONDS,
+                MAX_LEASE_SECONDS,
+                forgets_later_ends=True,
             )
+            self.list_incarnation(worker_id)
 
     def crash(self, worker_id: str) -> None:
         """Crash a worker; it loses its runs and all calls that it has received.
 
-        An owner always has a poll in flight, so each one learns that it has no answer.
+        Each owner has a poll in flight and learns that it has no answer. Its calls
+        between the crash and that are not simulated here, see `restart_unnoticed`.
         """
         if worker_id in self.worker_by_id:
             self.down_ids.add(worker_id)
@@ -309,12 +366,34 @@
         if worker_id in self.down_ids:
             self.down_ids.discard(worker_id)
             self.worker_by_id[worker_id].booted_at = self.clock.now()
+            self.list_incarnation(worker_id)
+
+    def restart_unnoticed(self, worker_id: str, is_listed: bool = True) -> None:
+        """Restart a worker between two polls, so that no call fails.
+
+        The next call of each owner was made for the former incarnation and reaches the
+        new one.
+
+        Args:
+            worker_id: the worker; nothing happens if it is down or has not joined.
+            is_listed: whether its entry names the new incarnation at once.
+        """
+        if worker_id in self.worker_by_id.keys() - self.down_ids:
+            self.worker_by_id[worker_id].crash()
+            self.worker_by_id[worker_id].booted_at = self.clock.now()
+            if is_listed:
+                self.list_incarnation(worker_id)
+
+    def list_incarnation(self, worker_id: str) -> None:
+        """Let the entry of a worker name its present incarnation."""
+        started_at = self.worker_by_id[worker_id].started_at
+        self._listed_start_by_id[worker_id] = started_at
 
     def list_workers(self) -> list[ListedWorker]:
         """Return the entries of the workers that are up."""
         return [
-            make_worker(worker_id, WORKER_CORES)
-            for worker_id in self.worker_by_id
+            make_worker(worker_id, WORKER_CORES, started_at=started_at)
+            for worker_id, started_at in self._listed_start_by_id.items()
             if worker_id not in self.down_ids
         ]
 
@@ -339,12 +418,19 @@
             end = (worker_id, worker.started_at, worker.n_ends)
             self._done_at[end] = self._n_events
 
-    def carry_out_late_call(self) -> None:
-        """Carry out the oldest late call, if its worker has not crashed since."""
+    def carry_out_late_call(self, reaches_later_incarnation: bool = False) -> None:
+        """Carry out the oldest late call.
+
+        Args:
+            reaches_later_incarnation: whether the worker carries it out even if it has
+                crashed since. docs/platform.md assumes in which cases it doesn't.
+        """
         if self.late_calls:
             late = self.late_calls.pop(0)
             worker = self.worker_by_id[late.worker_id]
-            if worker.started_at == late.started_at:
+            is_same = worker.started_at == late.started_at
+            is_down = late.worker_id in self.down_ids
+            if is_same or (reaches_later_incarnation and not is_down):
                 late.carry_out()
 
     def carry_out(self, order: Order):
--- a/catkinport/jobs/tests/test_owner_changes.py
+++ b/catkinport/jobs/tests/test_owner_changes.py
@@ -195,6 +195,8 @@
         )
         if isinstance(outcome, WorkerLists):
             self.dispatcher.on_worker_report(worker_id, outcome, self.now, self.now)
+            # The roster is stored at once.
+            worker.is_enrolled = True
             self._note_listed(worker_id)
 
     def _note_listed(self, worker_id: str) -> None:
@@ -232,6 +234,7 @@
         for record in self.dispatcher.dirty_jobs():
             self.stored_rows[record.job.job_id] = record.to_row()
             record.row_version += 1
+            record.n_stored_crashes = record.n_crashes
             record.is_dirty = False
             self.dispatcher.forget_ended(record)
         for worker in self.dispatcher.worker_by_id.values():
