Show a second run by a late call after the worker's record was removed

Cause: what is known of a worker's incarnations, and when it was last called with a lease, is in its record. `WorkerListing._update_unlisted` removes the record of an unlisted worker once its lease is over, 4.4 s after the last call, and `retire` removes it at once. A call with a lease may be carried out 12 s after it was sent. The record of the worker that is listed again has no incarnation before, so the next one isn't a restart: no lease of a call for a former one counts, it is enrolled as if it had never run, and a successor reads the same from the roster.

Order of events, in seconds: 0 a start to X is held up on the way, X is cut off, and its entry expires; 5 the task is given up, and the record is removed; 6 Y takes the place of X and is listed; 6.5 to 10 Y confirms the stop of the held-up start, and the task starts there as run 2; 10 the held-up start arrives, is rejected as `old`, and the lease of Y lasts until 20; Y is cut off; 14.5 run 2 is given up, and run 3 starts elsewhere.

The record, and its entry in the roster, have to stay until the last call with a lease can be carried out no more, or what it knows has to be kept by id, as `UncertainStarts` does.

--- a/catkinport/platform/tests/restarted_workers.py
+++ b/catkinport/platform/tests/restarted_workers.py
@@ -114,6 +114,7 @@
     Attributes:
         events: what has happened to the runs.
         is_list_old: whether the owner goes on to read the entries that it has read.
+        unlisted_ids: workers whose entries have expired.
         held_up: calls that were not carried out yet, in their order.
         holds_up: path of the calls that are held up; empty for none.
     """
@@ -128,6 +129,7 @@
             for worker_id in worker_ids
         }
         self.is_list_old = False
+        self.unlisted_ids: set[str] = set()
         self._entries: dict[str, dict[str, Any]] = {}
         self.dispatcher = Dispatcher(
             make_configuration(), longest_lease=LONGEST_LEASE_SECONDS
@@ -164,6 +166,7 @@
         rows = [
             Row(RowKey(table, worker_id), entry["born"], entry)
             for worker_id, entry in self._entries.items()
+            if worker_id not in self.unlisted_ids
         ]
         return Snapshot(rows, 1)
 
@@ -198,7 +201,7 @@
 
     def poll_all(self) -> None:
         """Poll the workers."""
-        for worker_id in self.worker_by_id:
+        for worker_id in list(self.dispatcher.worker_by_id):
             self.poll(worker_id)
 
     def plan(self) -> None:
--- a/catkinport/platform/tests/test_worker_incarnations.py
+++ b/catkinport/platform/tests/test_worker_incarnations.py
@@ -48,6 +48,35 @@
         scene.run_owner(ORDER_DELAY_SECONDS)
         assert list(scene.second_runs()) == []
 
+    def test_it_counts_after_the_worker_was_removed_and_listed_again(self):
+        """Guards against a second run after the entry of the worker has expired.
+
+        The record of the worker is removed with the end of the lease, and a new one
+        doesn't know of calls for an incarnation before.
+        """
+        scene = RestartedWorkers(["w1", "w2"])
+        scene.worker_by_id["w2"].is_reachable = False
+        scene.poll("w2")
+        scene.submit(60.0)
+        scene.holds_up = "/run-start"
+        scene.plan()
+        scene.holds_up = ""
+        (late,) = scene.held_up
+        scene.worker_by_id["w1"].is_reachable = False
+        scene.unlisted_ids.add("w1")
+        scene.run_owner(6.0)
+        assert "w1" not in scene.dispatcher.worker_by_id
+        scene.worker_by_id["w1"].restart(scene.now)
+        scene.worker_by_id["w1"].is_reachable = True
+        scene.unlisted_ids.clear()
+        scene.run_owner(4.0)
+        assert scene.worker_by_id["w1"].incarnation.encode_lists(scene.now)["Running"]
+        assert scene.deliver(late).body["Reason"] == "old"
+        scene.worker_by_id["w1"].is_reachable = False
+        scene.worker_by_id["w2"].is_reachable = True
+        scene.run_owner(ORDER_DELAY_SECONDS)
+        assert list(scene.second_runs()) == []
+
 
 class TestPauseBetweenTwoPolls:
     """No poll is under way while the owner stores ends, or while it is paused.
