--- a/catkinport/platform/tests/test_worker_incarnations.py
+++ b/catkinport/platform/tests/test_worker_incarnations.py
@@ -107,16 +107,18 @@
 
 
 class DelayedAnswers(RestartedWorkers):
-    """A fleet of one worker, whose answers to some calls are on their way for long.
+    """A fleet of one worker, which takes long to get some calls or to answer them.
 
     Attributes:
         delayed_path: path of the calls whose answers are delayed; empty for none.
+        delayed_request_path: path of the calls that are delayed on their way there.
         arrival: set when they arrive.
         sent: path and body of each call, in the order of their sending.
     """
 
     def __init__(self) -> None:
         self.delayed_path = ""
+        self.delayed_request_path = ""
         self.sent = []
         super().__init__(["w1"])
         self.arrival = asyncio.Event()
@@ -124,6 +126,8 @@
     async def call(self, step, method, peer, path, timeout, body, headers):
         self.sent.append((path, body))
         is_delayed = path == self.delayed_path
+        if path == self.delayed_request_path:
+            await self.arrival.wait()
         reply = await super().call(step, method, peer, path, timeout, body, headers)
         if is_delayed:
             await self.arrival.wait()
