Show a second run by an acknowledgment that is held up during a restart

Cause: an acknowledgment is sent with the first poll after its ends are stored, that is just after an answer of X. If X crashes between that answer and the arrival of the poll, the poll may wait on the way until Y takes it, within its own timeout. No poll is without an answer before, so nothing keeps the owner from sending the number, and Y forgets ends of its own that nobody has read. Workers whose tasks are short list ends with nearly each answer, so nearly each poll carries a number.

Order of events, in seconds: 0.4 X lists the ends 1 and 2, and they are stored; X crashes; the next poll acknowledges 2, and is held up; 0.8 Y is up; a task is started there and confirmed; 1.1 it ends as done, end 1 of Y; 1.2 the poll reaches Y, which forgets the end; its answer lists neither the run nor the end, and the task starts again.

What would narrow it: the answer to the start has the clock of Y, and tells of the restart before the poll arrives; giving up the poll then resets its connection, so that it isn't carried out. Or a poll with a number that doesn't wait, with no start on that worker until it is answered.

--- a/catkinport/platform/tests/test_worker_incarnations.py
+++ b/catkinport/platform/tests/test_worker_incarnations.py
@@ -253,3 +253,36 @@
         scene.worker_by_id["w2"].is_reachable = True
         scene.run_owner(11.0)
         assert list(scene.second_runs()) == []
+
+
+class TestAcknowledgmentThatIsHeldUp:
+    def test_it_reaches_no_incarnation_that_has_ends_of_its_own(self):
+        """Guards against a second run of a task whose end nobody has read.
+
+        The worker crashes just after an answer with ends, so no poll is without an
+        answer. The next poll waits on the way until the worker is back.
+        """
+        scene = DelayedAnswers()
+        scene.submit(0.3, n_tasks=2)
+        scene.plan()
+        scene.advance(0.4)
+        scene.poll("w1")
+        scene.store()
+        scene.submit(0.3)
+
+        async def run():
+            scene.delayed_request_path = "/hold"
+            held_up = asyncio.ensure_future(scene.poll_beside_others(may_wait=True))
+            await asyncio.sleep(0)
+            scene.delayed_request_path = ""
+            scene.advance(0.4)
+            scene.restart()
+            for start in scene.find_starts():
+                await scene.orders._send_start(start)
+            scene.advance(0.4)
+            scene.arrival.set()
+            await held_up
+
+        asyncio.run(run())
+        scene.run_owner(2.0)
+        assert list(scene.second_runs()) == []
