--- a/catkinport/platform/tests/test_worker_incarnations.py
+++ b/catkinport/platform/tests/test_worker_incarnations.py
@@ -48,6 +48,36 @@
         scene.run_owner(ORDER_DELAY_SECONDS)
         assert list(scene.second_runs()) == []
 
+    @pytest.mark.xfail(strict=True, reason="a former incarnation's state (issue 54)")
+    def test_it_counts_after_the_worker_was_removed_and_listed_again(self):
+        """Guards against a second run after the entry of the worker has expired.
+
+        The record of the worker is removed with the end of the lease, and a new one
+        doesn't know of calls for an incarnation before.
+        """
+        scene = RestartedWorkers(["w1", "w2"])
+        scene.worker_by_id["w2"].is_reachable = False
+        scene.poll("w2")
+        scene.submit(60.0)
+        scene.holds_up = "/run-start"
+        scene.plan()
+        scene.holds_up = ""
+        (late,) = scene.held_up
+        scene.worker_by_id["w1"].is_reachable = False
+        scene.unlisted_ids.add("w1")
+        scene.run_owner(6.0)
+        assert "w1" not in scene.dispatcher.worker_by_id
+        scene.worker_by_id["w1"].restart(scene.now)
+        scene.worker_by_id["w1"].is_reachable = True
+        scene.unlisted_ids.clear()
+        scene.run_owner(4.0)
+        assert scene.worker_by_id["w1"].incarnation.encode_lists(scene.now)["Running"]
+        assert scene.deliver(late).body["Reason"] == "old"
+        scene.worker_by_id["w1"].is_reachable = False
+        scene.worker_by_id["w2"].is_reachable = True
+        scene.run_owner(ORDER_DELAY_SECONDS)
+        assert list(scene.second_runs()) == []
+
 
 class TestPauseBetweenTwoPolls:
     """No poll is under way while the owner stores ends, or while it is paused.
@@ -78,16 +108,18 @@
 
 
 class DelayedAnswers(RestartedWorkers):
-    """A fleet of one worker, whose answers to some calls are on their way for long.
+    """A fleet of one worker, which takes long to get some calls or to answer them.
 
     Attributes:
         delayed_path: path of the calls whose answers are delayed; empty for none.
+        delayed_request_path: path of the calls that are delayed on their way there.
         arrival: set when they arrive.
         sent: path and body of each call, in the order of their sending.
     """
 
     def __init__(self) -> None:
         self.delayed_path = ""
+        self.delayed_request_path = ""
         self.sent = []
         super().__init__(["w1"])
         self.arrival = asyncio.Event()
@@ -95,6 +127,8 @@
     async def call(self, step, method, peer, path, timeout, body, headers):
         self.sent.append((path, body))
         is_delayed = path == self.delayed_path
+        if path == self.delayed_request_path:
+            await self.arrival.wait()
         reply = await super().call(step, method, peer, path, timeout, body, headers)
         if is_delayed:
             await self.arrival.wait()
@@ -220,3 +254,37 @@
         scene.worker_by_id["w2"].is_reachable = True
         scene.run_owner(11.0)
         assert list(scene.second_runs()) == []
+
+
+class TestAcknowledgmentThatIsHeldUp:
+    @pytest.mark.xfail(strict=True, reason="a former incarnation's state (issue 54)")
+    def test_it_reaches_no_incarnation_that_has_ends_of_its_own(self):
+        """Guards against a second run of a task whose end nobody has read.
+
+        The worker crashes just after an answer with ends, so no poll is without an
+        answer. The next poll waits on the way until the worker is back.
+        """
+        scene = DelayedAnswers()
+        scene.submit(0.3, n_tasks=2)
+        scene.plan()
+        scene.advance(0.4)
+        scene.poll("w1")
+        scene.store()
+        scene.submit(0.3)
+
+        async def run():
+            scene.delayed_request_path = "/hold"
+            held_up = asyncio.ensure_future(scene.poll_beside_others(may_wait=True))
+            await asyncio.sleep(0)
+            scene.delayed_request_path = ""
+            scene.advance(0.4)
+            scene.restart()
+            for start in scene.find_starts():
+                await scene.orders._send_start(start)
+            scene.advance(0.4)
+            scene.arrival.set()
+            await held_up
+
+        asyncio.run(run())
+        scene.run_owner(2.0)
+        assert list(scene.second_runs()) == []
