Give up polls for a former incarnation once the later one is known

Cause: a poll that acknowledges ends follows the answer that listed them by a few milliseconds. If the worker crashes in between, the poll may be held up on its way until the next incarnation is up, within its own timeout. No poll has failed by then. A task may have started there and ended as done meanwhile; the number in the poll makes the worker forget that end unread, and the task starts again.

Change: the client knows which polls carry a lease or an acknowledgment. As soon as an answer to a poll or to an order, or the list of workers, shows a later incarnation, it gives them up. The connection of a call that is given up is reset, so that the call does not arrive later.

An incarnation whose clock can't be told from that before, and which answers no poll until its first task has ended, is not covered.

--- a/catkinport/platform/tests/test_worker_incarnations.py
+++ b/catkinport/platform/tests/test_worker_incarnations.py
@@ -257,7 +257,6 @@
 
 
 class TestAcknowledgmentThatIsHeldUp:
-    @pytest.mark.xfail(strict=True, reason="a former incarnation's state (issue 54)")
     def test_it_reaches_no_incarnation_that_has_ends_of_its_own(self):
         """Guards against a second run of a task whose end nobody has read.
 
--- a/catkinport/platform/workers.py
+++ b/catkinport/platform/workers.py
@@ -4,6 +4,7 @@
 lease. A ticket is the approval of a worker for a step by the advice service.
 """
 
+import asyncio
 import logging
 from collections.abc import Callable, Mapping, Sequence
 from typing import Any, NamedTuple
@@ -128,6 +129,9 @@
         self._clock_by_worker: dict[str, _WorkerClock] = {}
         # Clock time at which the latest poll without an answer was sent.
         self._unanswered_by_worker: dict[str, float] = {}
+        # Polls under way that carry a lease or an acknowledgment.
+        self._bound_polls_by_worker: dict[str, set[asyncio.Task[Reply | Unavailable]]]
+        self._bound_polls_by_worker = {}
         self._entry_by_worker: dict[str, _WorkerEntry] = {}
         self._ignored_version_by_worker: dict[str, int] = {}
         self._unreadable_by_worker: dict[str, str] = {}
@@ -161,6 +165,9 @@
             # A worker that is not listed may still answer; its next answer adds the
             # clock again.
             del self._clock_by_worker[worker_id]
+        for worker_id in set(self._bound_polls_by_worker) - listed_ids:
+            if not self._bound_polls_by_worker[worker_id]:
+                del self._bound_polls_by_worker[worker_id]
         for worker_id in set(self._unanswered_by_worker) - listed_ids:
             del self._unanswered_by_worker[worker_id]
         for worker_id in set(self._unreadable_by_worker) - listed_ids:
@@ -182,6 +189,9 @@
             worker = decode_worker(worker_id, row.value)
             entry = _WorkerEntry(row.version, worker)
             self._entry_by_worker[worker_id] = entry
+            known = self._known_incarnation(worker_id)
+            if known is not None and worker.started_at > known:
+                self._give_up_polls(worker_id)
         return entry.worker
 
     def bound_answer(self, worker_id: str) -> float:
@@ -230,7 +240,8 @@
             body["WaitMs"] = int(wait_seconds * 1000)
         margin = self._answer_times.timeout(worker.worker_id, MIN_HOLD_MARGIN_SECONDS)
         timeout_seconds = wait_seconds + margin + self._lag_allowance()
-        reply = await self._call("worker-hold", worker, "/hold", body, timeout_seconds)
+        is_bound = until is not None or body["LastSeen"] > 0
+        reply = await self._poll(worker, body, timeout_seconds, is_bound)
         if isinstance(reply, Unavailable):
             if reply.reason is Reason.TIMEOUT:
                 self._answer_times.note_timeout(worker.worker_id)
@@ -252,6 +263,48 @@
         self._note_clock(worker.worker_id, clock, lists.started_at, sent_at)
         return lists
 
+    async def _poll(
+        self,
+        worker: ListedWorker,
+        body: Mapping[str, Any],
+        timeout_seconds: float,
+        is_bound: bool,
+    ) -> Reply | Unavailable:
+        """Send a poll; give it up once a later incarnation is known than it is for.
+
+        Args:
+            worker: the worker.
+            body: body of the call.
+            timeout_seconds: longest wait for the answer.
+            is_bound: whether the body belongs to the known incarnation.
+        """
+        call = asyncio.ensure_future(
+            self._call("worker-hold", worker, "/hold", body, timeout_seconds)
+        )
+        bound = self._bound_polls_by_worker.setdefault(worker.worker_id, set())
+        if is_bound:
+            bound.add(call)
+        try:
+            await asyncio.wait([call])
+        finally:
+            call.cancel()
+            bound.discard(call)
+        if call.cancelled():
+            detail = "the worker has restarted"
+            return Unavailable(
+                Reason.CONNECTION_LOST, "worker-hold", worker.worker_id, detail, True
+            )
+        return call.result()
+
+    def _give_up_polls(self, worker_id: str) -> None:
+        """Give up the polls that are under way for a former incarnation.
+
+        The connection of a call that is given up is reset, so one that is held up on
+        the way does not reach the later incarnation.
+        """
+        for call in self._bound_polls_by_worker.pop(worker_id, set()):
+            call.cancel()
+
     def _note_clock(
         self, worker_id: str, milliseconds: int, started_at: float, sent_at: float
     ) -> None:
@@ -274,6 +327,8 @@
             known_at = known.known_at
         elif known is not None and sent_at < known.known_at:
             return
+        elif known is not None:
+            self._give_up_polls(worker_id)
         if sent_at < self._unanswered_by_worker.get(worker_id, float("-inf")):
             return
         self._clock_by_worker[worker_id] = _WorkerClock(
@@ -409,6 +464,7 @@
         shows_restart = is_same_id and _shows_clock_below(reply.body, lower_bound)
         if shows_restart and self._clock_by_worker.get(worker.worker_id) is clock:
             del self._clock_by_worker[worker.worker_id]
+            self._give_up_polls(worker.worker_id)
         if reply.status == 200:
             return Done(shows_restart)
         outcome = decode_rejection(step, worker.worker_id, reply.status, reply.body)
