Treat a report that is dropped as late like a poll without an answer

Cause: the report of another incarnation than the known one is dropped if its poll was sent before that one was known. It is taken for a late answer of an earlier incarnation, but a poll that was held up may have been answered by a later one. The next poll acknowledged ends and renewed the lease all the same.

Change: the worker counts as one that may have restarted until its next answer.

--- a/catkinport/jobs/tests/test_worker_watch.py
+++ b/catkinport/jobs/tests/test_worker_watch.py
@@ -338,7 +338,6 @@
 class TestDroppedReport:
     """Two polls are under way, and different incarnations answer them."""
 
-    @pytest.mark.xfail(strict=True, reason="a former incarnation's state (issue 54)")
     def test_the_next_poll_reads_the_lists_only(self, monkeypatch):
         """Guards against an unread end on the incarnation whose report was dropped.
 
--- a/catkinport/jobs/workers/worker_reports.py
+++ b/catkinport/jobs/workers/worker_reports.py
@@ -58,7 +58,9 @@
             return
         is_other_process = lists.started_at != worker.started_at
         if is_other_process and sent_at < worker.started_known_at:
-            # Polls overlap, so an earlier process may have given this answer.
+            # Polls overlap, so an earlier process may have given this answer. It may be
+            # one of a later process too, if the poll was held up on its way.
+            worker.note_no_answer()
             log_event(
                 logger,
                 "late worker report dropped",
