Blame no run of a restarted worker for the crash before it

Callers saw: nothing that could be told apart; two such crashes fail a job that could be done.

Cause: all runs in the record of a worker were suspects of its crash, also those that the next incarnation has started and lists. When such a run was given up later for another reason, the crash counted for its task.

Change: runs that the answer of the next incarnation lists are no suspects.

--- a/catkinport/jobs/tests/test_knowledge_of_former_incarnations.py
+++ b/catkinport/jobs/tests/test_knowledge_of_former_incarnations.py
@@ -14,7 +14,6 @@
 
 
 class TestBlameForACrash:
-    @pytest.mark.xfail(strict=True, reason="a former incarnation's state (issue 54)")
     def test_a_run_that_the_restarted_worker_lists_is_no_suspect(self):
         """Guards against a job that fails for crashes that its task did not cause.
 
--- a/catkinport/jobs/workers/worker_crashes.py
+++ b/catkinport/jobs/workers/worker_crashes.py
@@ -6,6 +6,7 @@
 """
 
 import logging
+from collections.abc import Container
 
 from ...policy.crash_blame import (
     Crash,
@@ -41,13 +42,19 @@
         note_crash(worker, f"vm-{vm.state}", now)
 
 
-def note_crash(worker: WorkerRecord, reason: str, now: float) -> None:
+def note_crash(
+    worker: WorkerRecord,
+    reason: str,
+    now: float,
+    survivors: Container[RunKey] = (),
+) -> None:
     """Note that a process of a worker has crashed, unless that is known or was planned.
 
     Args:
         worker: the worker; its ``started_at`` is that of the process.
         reason: what shows the crash.
         now: clock time in seconds.
+        survivors: runs that began after it, as the next process lists them.
     """
     crash = worker.crash
     is_known = crash is not None and crash.started_at == worker.started_at
@@ -58,6 +65,7 @@
     suspects = [
         SuspectRun(_name(key), len(run.task.crash_by_run), _survived(worker, run))
         for key, run in worker.run_by_key.items()
+        if key not in survivors
     ]
     worker.crash = WorkerCrash(worker.started_at, find_suspects(suspects))
     log_event(
--- a/catkinport/jobs/workers/worker_reports.py
+++ b/catkinport/jobs/workers/worker_reports.py
@@ -88,7 +88,7 @@
         worker.note_incarnation(lists.started_at, now, longest_lease)
         note_answer(worker, lists.started_at)
         if is_restarted:
-            note_crash(worker, "restarted", now)
+            note_crash(worker, "restarted", now, _listed_keys(lists))
             self._on_restart(worker, lists, sent_at, now)
             worker.is_taken_down = False
         if is_other_process:
@@ -106,8 +106,7 @@
         worker.processed_end = 0
         worker.stored_end = 0
         worker.acknowledged_end = 0
-        listed = {RunKey(entry.task, entry.run) for entry in lists.running}
-        listed |= {RunKey(entry.task, entry.run) for entry in lists.ended}
+        listed = _listed_keys(lists)
         lost = [run for key, run in worker.run_by_key.items() if key not in listed]
         log_event(
             logger,
@@ -211,6 +210,11 @@
     return {RunKey(entry.task, entry.run) for entry in lists.running}
 
 
+def _listed_keys(lists: WorkerLists) -> set[RunKey]:
+    ended = {RunKey(entry.task, entry.run) for entry in lists.ended}
+    return _running_keys(lists) | ended
+
+
 def _log_lacking_ends(worker: WorkerRecord, lists: WorkerLists) -> None:
     log_event(
         logger,
