End stored leases by a VM list only if it is later than the last calls

For a worker that a former owner has stored, the time was not compared with that owner's last calls, so data from before the claim could end them, though the worker was up again since and had taken the calls.

Change: a restored worker counts as noted at the former owner's last call.

Evidence: test_a_list_of_vms_ends_them_only_by_data_after_the_last_calls[99.0] fails without the change, as the bound is dropped.

--- a/catkinport/jobs/ownership/roster_store.py
+++ b/catkinport/jobs/ownership/roster_store.py
@@ -95,7 +95,9 @@
         # An entry of an earlier version of this program doesn't tell.
         may_have_leases = entry.get("has_former_leases", True)
         worker.former_leases.restore(
-            entry.get("started_at", 0.0), until if may_have_leases else float("-inf")
+            entry.get("started_at", 0.0),
+            until if may_have_leases else float("-inf"),
+            self._former_calls_until,
         )
 
     def check_soon(self) -> None:
--- a/catkinport/jobs/tests/test_roster_store.py
+++ b/catkinport/jobs/tests/test_roster_store.py
@@ -422,6 +422,18 @@
         longest = bound_lease(LEASE_SECONDS)
         assert self.restore(table).runs_end_by == 100.0 + ORDER_DELAY_SECONDS + longest
 
+    # Guards against a VM that was down before the former owner's last calls: its worker
+    # has started again since and has taken them.
+    @pytest.mark.parametrize(("ended_at", "is_over"), [(99.0, False), (101.0, True)])
+    def test_a_list_of_vms_ends_them_only_by_data_after_the_last_calls(
+        self, ended_at, is_over
+    ):
+        table = AsyncLateTable()
+        asyncio.run(self.restart(table).roster.store())
+        worker = self.restore(table)
+        worker.former_leases.note_ended(ended_at)
+        assert (worker.runs_end_by == 0.0) is is_over
+
     def test_a_successor_recognizes_a_restart_that_is_not_stored(self):
         """Guards against a restart that only the list of workers shows."""
         table = AsyncLateTable()
--- a/catkinport/jobs/workers/former_leases.py
+++ b/catkinport/jobs/workers/former_leases.py
@@ -65,12 +65,22 @@
         arrives_by = max(now, called_at + ORDER_DELAY_SECONDS)
         self.until = max(self.until, arrives_by + lease_seconds)
 
-    def restore(self, started_at: float, until: float) -> None:
-        """Restore what a former owner has stored."""
+    def restore(self, started_at: float, until: float, called_until: float) -> None:
+        """Restore what a former owner has stored.
+
+        Args:
+            started_at: Unix time in seconds at which the newest incarnation started; 0
+                if unknown.
+            until: clock time in seconds until which a lease of a call for a former
+                incarnation may last.
+            called_until: clock time in seconds after which the former owner calls no
+                worker.
+        """
         if started_at:
             self._known.add(started_at)
         self.newest = started_at
         self.until = until
+        self._noted_at = called_until
 
     def limit(self, until: float) -> None:
         """Note that no such lease lasts beyond the clock time ``until``."""
