Take the clock of a simulated worker only from its lists of runs

The simulated fleet also took it from the answers to orders, and sent leases to a worker whose entry names a later incarnation. The client of the platform does neither: an answer to an order doesn't tell which incarnation gave it. The histories of former owners and the random ones pass as before.

--- a/catkinport/jobs/tests/rival_fleet.py
+++ b/catkinport/jobs/tests/rival_fleet.py
@@ -12,7 +12,7 @@
 from ...policy.resources import NO_RESOURCES
 from ...ports import Reason, Unavailable
 from ...ports.clock import ManualClock
-from ...ports.fleet_workers import EndKind, ListedWorker, StartOrder
+from ...ports.fleet_workers import EndKind, ListedWorker, StartOrder, WorkerLists
 from ...ports.table import Transaction, Write
 from ...runtime import Metrics
 from ..model import Job, job_to_row
@@ -49,6 +49,14 @@
 """Turns of the event loop after which no call to a simulated system is left."""
 
 
+class KnownClock(NamedTuple):
+    """What a daemon knows of the clock of a worker's incarnation."""
+
+    started_at: float
+    shown: float
+    read_at: float
+
+
 class LateCall(NamedTuple):
     """A call that a worker has received and carries out later."""
 
@@ -69,7 +77,7 @@
     def __init__(self, fleet: "RivalFleet", store: StoreClient) -> None:
         self._fleet = fleet
         self._store = store
-        self._clock_by_id: dict[str, tuple[float, float]] = {}
+        self._clock_by_id: dict[str, KnownClock] = {}
         self.link_by_id: dict[str, str] = {}
         self.delivery_by_call: dict[str, str] = {}
 
@@ -93,22 +101,27 @@
     ):
         """Renew the lease of a worker; return its lists.
 
-        After no answer the clock of the worker counts as unknown.
+        The lists tell the clock of their incarnation. After no answer the clock of the
+        worker counts as unknown.
         """
         worker_id = worker.worker_id
-        until = self._lease_end(worker_id, lease_seconds) or 0.0
+        until = self._lease_end(worker, lease_seconds) or 0.0
         outcome = self._call(
             "hold",
             worker_id,
             lambda: self._fleet.renew_lease(worker_id, token, acknowledged_end, until),
         )
+        now = self._fleet.clock.now()
         if isinstance(outcome, Unavailable):
             self._clock_by_id.pop(worker_id, None)
+        elif isinstance(outcome, WorkerLists):
+            shown = self._fleet.worker_by_id[worker_id].clock(now)
+            self._clock_by_id[worker_id] = KnownClock(outcome.started_at, shown, now)
         return outcome
 
     async def start(self, worker, token, order: StartOrder, lease_seconds):
         """Start a run."""
-        until = self._lease_end(worker.worker_id, lease_seconds)
+        until = self._lease_end(worker, lease_seconds)
         if until is None:
             return NO_WORKER_ANSWER._replace(may_have_committed=False)
         return self._send(
@@ -137,17 +150,14 @@
         outcome = carry_out()
         if link == "answers lost" or delivery == "no answer":
             return NO_WORKER_ANSWER
-        now = self._fleet.clock.now()
-        self._clock_by_id[worker_id] = (worker.clock(now), now)
         return outcome
 
-    def _lease_end(self, worker_id: str, lease_seconds: float) -> float | None:
-        known = self._clock_by_id.get(worker_id)
-        if known is None or not lease_seconds:
+    def _lease_end(self, worker: ListedWorker, lease_seconds: float) -> float | None:
+        known = self._clock_by_id.get(worker.worker_id)
+        if known is None or not lease_seconds or worker.started_at > known.started_at:
             return None
-        shown, read_at = known
-        elapsed = self._fleet.clock.now() - read_at
-        return shown + SLOW_CLOCK_RATE * elapsed + lease_seconds
+        elapsed = self._fleet.clock.now() - known.read_at
+        return known.shown + SLOW_CLOCK_RATE * elapsed + lease_seconds
 
 
 class SimulatedOwner:
