Simulate restarts of workers that no owner notices at once

RivalFleet.crash lets every owner learn of the crash, and entries of workers named no incarnation. Between the crash and the failure of the poll that is under way, calls for the former incarnation may reach the next one. A restart between two polls now simulates these, and entries name the start of the incarnation, at once or later.

--- a/catkinport/jobs/tests/rival_fleet.py
+++ b/catkinport/jobs/tests/rival_fleet.py
@@ -268,6 +268,7 @@
         self.store = SimulatedStore()
         self.worker_by_id: dict[str, FakeWorker] = {}
         self.down_ids: set[str] = set()
+        self._listed_start_by_id: dict[str, float] = {}
         self.late_calls: list[LateCall] = []
         self.owner_by_name: dict[str, SimulatedOwner] = {}
         self.job_by_id: dict[str, Job] = {}
@@ -302,11 +303,13 @@
             self.worker_by_id[worker_id] = FakeWorker(
                 clock_rate, self.clock.now() - WORKER_AGE_SECONDS, MAX_LEASE_SECONDS
             )
+            self.list_incarnation(worker_id)
 
     def crash(self, worker_id: str) -> None:
         """Crash a worker; it loses its runs and all calls that it has received.
 
-        An owner always has a poll in flight, so each one learns that it has no answer.
+        Each owner has a poll in flight and learns that it has no answer. Its calls
+        between the crash and that are not simulated here, see `restart_unnoticed`.
         """
         if worker_id in self.worker_by_id:
             self.down_ids.add(worker_id)
@@ -319,12 +322,34 @@
         if worker_id in self.down_ids:
             self.down_ids.discard(worker_id)
             self.worker_by_id[worker_id].booted_at = self.clock.now()
+            self.list_incarnation(worker_id)
+
+    def restart_unnoticed(self, worker_id: str, is_listed: bool = True) -> None:
+        """Restart a worker between two polls, so that no call fails.
+
+        The next call of each owner was made for the former incarnation and reaches the
+        new one.
+
+        Args:
+            worker_id: the worker; nothing happens if it is down or has not joined.
+            is_listed: whether its entry names the new incarnation at once.
+        """
+        if worker_id in self.worker_by_id.keys() - self.down_ids:
+            self.worker_by_id[worker_id].crash()
+            self.worker_by_id[worker_id].booted_at = self.clock.now()
+            if is_listed:
+                self.list_incarnation(worker_id)
+
+    def list_incarnation(self, worker_id: str) -> None:
+        """Let the entry of a worker name its present incarnation."""
+        started_at = self.worker_by_id[worker_id].started_at
+        self._listed_start_by_id[worker_id] = started_at
 
     def list_workers(self) -> list[ListedWorker]:
         """Return the entries of the workers that are up."""
         return [
-            make_worker(worker_id, WORKER_CORES)
-            for worker_id in self.worker_by_id
+            make_worker(worker_id, WORKER_CORES, started_at=started_at)
+            for worker_id, started_at in self._listed_start_by_id.items()
             if worker_id not in self.down_ids
         ]
 
