Let simulated workers forget ends after a number above all of theirs

The platform's documentation says that ends up to the acknowledged number are forgotten, and not whether that holds for ends that come after a number above all of a worker's ends. The fleet of the tests now takes the reading that is worse for an owner: they are never listed.

--- a/catkinport/jobs/tests/rival_fleet.py
+++ b/catkinport/jobs/tests/rival_fleet.py
@@ -261,7 +261,12 @@
 
 
 class RivalFleet:
-    """The store, the workers and all owners that are alive."""
+    """The store, the workers and all owners that are alive.
+
+    A number of an acknowledged end that is above all ends of a worker hides its later
+    ends too. The platform's documentation doesn't say whether it does, and that it does
+    is the worse case for an owner.
+    """
 
     def __init__(self, worker_ids: tuple[str, ...]) -> None:
         self.clock = ManualClock(1000.0)
@@ -301,7 +306,10 @@
         """Add a worker."""
         if worker_id not in self.worker_by_id:
             self.worker_by_id[worker_id] = FakeWorker(
-                clock_rate, self.clock.now() - WORKER_AGE_SECONDS, MAX_LEASE_SECONDS
+                clock_rate,
+                self.clock.now() - WORKER_AGE_SECONDS,
+                MAX_LEASE_SECONDS,
+                forgets_later_ends=True,
             )
             self.list_incarnation(worker_id)
 
--- a/catkinport/jobs/tests/simulated_workers.py
+++ b/catkinport/jobs/tests/simulated_workers.py
@@ -38,6 +38,8 @@
         clock_rate: seconds of its clock per second.
         booted_at: time in seconds at which its clock showed 0.
         max_lease_seconds: longest lease that it grants, on its clock.
+        forgets_later_ends: whether it also forgets, up to the highest number that was
+            acknowledged, the ends that come later.
 
     Attributes:
         lapsed_end: number of the last end after which the lease has ended once.
@@ -48,10 +50,12 @@
         clock_rate: float = 1.0,
         booted_at: float = 0.0,
         max_lease_seconds: float = float("inf"),
+        forgets_later_ends: bool = False,
     ) -> None:
         self.clock_rate = clock_rate
         self.booted_at = booted_at
         self.max_lease_seconds = max_lease_seconds
+        self.forgets_later_ends = forgets_later_ends
         self.started_at = 1.0
         self._forget_all()
 
@@ -63,6 +67,7 @@
         self.refused_run: dict[str, int] = {}
         self.n_ends = 0
         self.lapsed_end = 0
+        self.acknowledged_end = 0
 
     def clock(self, now: float) -> float:
         """Return what its clock shows at ``now``."""
@@ -111,6 +116,9 @@
             return Rejected(Rejection.FENCED)
         self.token = token
         self._extend_lease(until, now)
+        if self.forgets_later_ends:
+            self.acknowledged_end = max(self.acknowledged_end, acknowledged_end)
+            acknowledged_end = self.acknowledged_end
         self.ended = [end for end in self.ended if end.number > acknowledged_end]
         running = [RunningTask(*key, "", 0.0, 0.0) for key in self.running]
         ended = self.ended[:MAX_LISTED_ENDS]
