Simulate answers under way and late calls to a later incarnation

In the simulated fleet an owner can now plan while the answer to a poll is under way, and a late call can reach a later incarnation of its worker. The latter is off by default, as docs/platform.md states in which cases it doesn't happen.

--- a/catkinport/jobs/tests/rival_fleet.py
+++ b/catkinport/jobs/tests/rival_fleet.py
@@ -72,6 +72,8 @@
         link_by_id: for each worker, ``requests lost`` or ``answers lost`` if so.
         delivery_by_call: what becomes of the calls: ``answered``, ``no answer``,
             ``late`` or ``lost``, by the name of the call.
+        held_answers: event until which the answers to polls are under way; ``None`` if
+            they arrive at once.
     """
 
     def __init__(self, fleet: "RivalFleet", store: StoreClient) -> None:
@@ -80,6 +82,7 @@
         self._clock_by_id: dict[str, KnownClock] = {}
         self.link_by_id: dict[str, str] = {}
         self.delivery_by_call: dict[str, str] = {}
+        self.held_answers: asyncio.Event | None = None
 
     def cut_off(self, worker_ids: Iterable[str], is_answer_lost: bool = False) -> None:
         """Lose all requests to some workers, or their answers, and no others."""
@@ -111,12 +114,15 @@
             worker_id,
             lambda: self._fleet.renew_lease(worker_id, token, acknowledged_end, until),
         )
-        now = self._fleet.clock.now()
+        shown = self._fleet.worker_by_id[worker_id].clock(self._fleet.clock.now())
+        if self.held_answers is not None:
+            await self.held_answers.wait()
         if isinstance(outcome, Unavailable):
             self._clock_by_id.pop(worker_id, None)
         elif isinstance(outcome, WorkerLists):
-            shown = self._fleet.worker_by_id[worker_id].clock(now)
-            self._clock_by_id[worker_id] = KnownClock(outcome.started_at, shown, now)
+            self._clock_by_id[worker_id] = KnownClock(
+                outcome.started_at, shown, self._fleet.clock.now()
+            )
         return outcome
 
     async def start(self, worker, token, order: StartOrder, lease_seconds):
@@ -210,6 +216,19 @@
         if worker is not None:
             self._fleet.run(self._poll([worker]))
 
+    def plan(self) -> None:
+        """Let it plan, and send the starts and stops that it decides on."""
+        self._fleet.run(self._plan())
+
+    def plan_before_answer(self, worker_id: str, seconds: float) -> None:
+        """Let it plan while the answer of a worker to a poll is under way.
+
+        Args:
+            worker_id: the worker, which it knows.
+            seconds: time that passes before and after it plans.
+        """
+        self._fleet.run(self._plan_before_answer(worker_id, seconds))
+
     def release(self) -> None:
         """Release the ownership."""
         self._fleet.run(self._owner._renew(is_released=True))
@@ -250,16 +269,33 @@
         self._owner._run_orders._plan()
         await self._settle()
 
+    async def _plan_before_answer(self, worker_id: str, seconds: float) -> None:
+        worker = self._session.dispatcher.worker_by_id[worker_id]
+        self.workers.held_answers = asyncio.Event()
+        self._session.spawn(self._watch.poll(worker))
+        await _let_calls_end()
+        self._fleet.advance(seconds)
+        self._owner._run_orders._plan()
+        await _let_calls_end()
+        self._fleet.advance(seconds)
+        self.workers.held_answers.set()
+        self.workers.held_answers = None
+        await self._settle()
+
     async def _settle(self) -> None:
         """Let the calls end, without the pauses that follow some of them."""
-        for _ in range(N_LOOP_TURNS):
-            await asyncio.sleep(0)
+        await _let_calls_end()
         paused = list(self._session._tasks)
         self._session.cancel_all()
         if paused:
             await asyncio.wait(paused)
 
 
+async def _let_calls_end() -> None:
+    for _ in range(N_LOOP_TURNS):
+        await asyncio.sleep(0)
+
+
 class RivalFleet:
     """The store, the workers and all owners that are alive.
 
@@ -382,12 +418,19 @@
             end = (worker_id, worker.started_at, worker.n_ends)
             self._done_at[end] = self._n_events
 
-    def carry_out_late_call(self) -> None:
-        """Carry out the oldest late call, if its worker has not crashed since."""
+    def carry_out_late_call(self, reaches_later_incarnation: bool = False) -> None:
+        """Carry out the oldest late call.
+
+        Args:
+            reaches_later_incarnation: whether the worker carries it out even if it has
+                crashed since. docs/platform.md assumes in which cases it doesn't.
+        """
         if self.late_calls:
             late = self.late_calls.pop(0)
             worker = self.worker_by_id[late.worker_id]
-            if worker.started_at == late.started_at:
+            is_same = worker.started_at == late.started_at
+            is_down = late.worker_id in self.down_ids
+            if is_same or (reaches_later_incarnation and not is_down):
                 late.carry_out()
 
     def carry_out(self, order: Order):
