Test leases on the former clock after an unnoticed restart

Histories in the simulated fleet: a start with a lease on the clock of the former incarnation reaches the new one, which grants its longest lease and is then cut off, from the same owner before its first answer, or from a successor that claims at once after the former owner has ended.

--- a/catkinport/jobs/tests/test_former_incarnations.py
+++ b/catkinport/jobs/tests/test_former_incarnations.py
@@ -11,6 +11,8 @@
 from .rival_fleet import RivalFleet
 
 CYCLE_SECONDS = 0.5
+N_LEASE_CYCLES = 24
+"""Cycles in 12 s, which is longer than the longest lease."""
 
 
 @pytest.fixture
@@ -56,6 +58,73 @@
         assert not fleet.violations
 
 
+class TestLeaseOnTheFormerClock:
+    """A start with a lease on the former clock, which the new incarnation grants.
+
+    That time is far ahead on the new clock, so the task may run for the longest lease.
+    """
+
+    @pytest.mark.parametrize("start", ["answered", "no answer"])
+    def test_the_owner_counts_on_the_longest_lease_once_the_list_shows_it(
+        self, fleet, start
+    ):
+        """Guards against a second run while the worker is cut off and runs the first.
+
+        The worker was cut off before its first answer after the restart.
+        """
+        owner = begin(fleet)
+        fleet.restart_unnoticed("w0", is_listed=False)
+        owner.workers.delivery_by_call = {"start": start, "hold": "lost"}
+        start_task(fleet, owner)
+        owner.workers.delivery_by_call = {}
+        assert fleet.worker_by_id["w0"].running
+        fleet.list_incarnation("w0")
+        fleet.join("w1")
+        owner.workers.cut_off(["w0"])
+        check_task_moves_on(fleet)
+
+    @pytest.mark.parametrize("end", ["killed", "released"])
+    @pytest.mark.parametrize("is_listed_late", [False, True])
+    def test_a_successor_counts_on_it_by_the_list_of_workers(
+        self, fleet, end, is_listed_late
+    ):
+        """Guards against a second run by a successor that doesn't reach the worker.
+
+        The former owner has ended and has not noticed the restart. The list of workers
+        shows it, perhaps only a second after the change of the owner.
+        """
+        owner = begin(fleet)
+        fleet.restart_unnoticed("w0", is_listed=False)
+        start_task(fleet, owner)
+        assert fleet.worker_by_id["w0"].running
+        fleet.join("w1")
+        if not is_listed_late:
+            fleet.list_incarnation("w0")
+        change_owner(fleet, end)
+        fleet.run_all(CYCLE_SECONDS, 2)
+        fleet.list_incarnation("w0")
+        check_task_moves_on(fleet)
+
+    @pytest.mark.parametrize("end", ["killed", "released"])
+    def test_a_successor_counts_on_it_after_a_report_to_the_former_owner(
+        self, fleet, end
+    ):
+        """Guards against a second run by a successor that sees no restart itself.
+
+        The former owner knew of the restart, and had enrolled the new incarnation.
+        """
+        owner = begin(fleet)
+        fleet.restart_unnoticed("w0", is_listed=False)
+        start_task(fleet, owner)
+        assert fleet.worker_by_id["w0"].running
+        fleet.list_incarnation("w0")
+        owner.run_cycle()
+        owner.run_cycle()
+        fleet.join("w1")
+        change_owner(fleet, end)
+        check_task_moves_on(fleet)
+
+
 def begin(fleet):
     """Let d0 own the fleet; return the owner."""
     fleet.claim("d0")
@@ -77,3 +146,20 @@
     fleet.submit(1)
     owner.learn_jobs()
     owner.plan()
+
+
+def change_owner(fleet, end):
+    """End d0, and let a successor claim at once that does not reach w0."""
+    if end == "released":
+        fleet.owner_by_name["d0"].release()
+    fleet.restart_daemon("d0")
+    name = "d0" if end == "killed" else "d1"
+    assert fleet.claim(name)
+    fleet.owner_by_name[name].workers.cut_off(["w0"])
+
+
+def check_task_moves_on(fleet):
+    """Check that the task runs on w1 in the end, and never on both workers."""
+    fleet.run_all(CYCLE_SECONDS, N_LEASE_CYCLES)
+    assert not fleet.violations
+    assert fleet.worker_by_id["w1"].running
