Test a start that is confirmed before an earlier answer arrives

The new incarnation of a worker has written its first answer, then it carries out and confirms a start, and the answer arrives last.

--- a/catkinport/jobs/tests/test_former_incarnations.py
+++ b/catkinport/jobs/tests/test_former_incarnations.py
@@ -125,6 +125,24 @@
         check_task_moves_on(fleet)
 
 
+class TestStartBeforeAnEarlierAnswer:
+    def test_a_run_that_was_confirmed_after_the_poll_is_kept(self, fleet):
+        """Guards against a second run of a task that the new incarnation has started.
+
+        It had written its first answer before that start, and the answer arrived after
+        the confirmation of the start.
+        """
+        owner = begin(fleet)
+        fleet.submit(1)
+        owner.learn_jobs()
+        fleet.restart_unnoticed("w0", is_listed=False)
+        owner.plan_before_answer("w0", 0.1)
+        assert fleet.worker_by_id["w0"].running
+        fleet.join("w1")
+        owner.workers.cut_off(["w0"])
+        check_task_moves_on(fleet)
+
+
 def begin(fleet):
     """Let d0 own the fleet; return the owner."""
     fleet.claim("d0")
