--- a/catkinport/jobs/tests/test_former_incarnations.py
+++ b/catkinport/jobs/tests/test_former_incarnations.py
@@ -11,8 +11,9 @@
 from .rival_fleet import RivalFleet
 
 CYCLE_SECONDS = 0.5
-N_LEASE_CYCLES = 24
-"""Cycles in 12 s, which is longer than the longest lease."""
+N_LEASE_CYCLES = 64
+"""Cycles in 32 s, after which no lease can be in force: an owner that was replaced may
+call for 6 s, calls are late by 12 s at most, and the longest lease is 10 s."""
 
 
 @pytest.fixture
