--- a/catkinport/platform/workers.py
+++ b/catkinport/platform/workers.py
@@ -60,10 +60,13 @@
 """Longest wait for the answer of the advice service, which handles one call at a
 time."""
 
+OTHER_ID_STATUS = 421
+"""Status with which a worker answers a call that is meant for another id."""
+
 INCARNATION_HEADER = "X-Catkinport-Expect-Instance"
 """Header with the id of the worker that a call is meant for. A worker with another id,
-as most have after a restart, answers with status 421. It doesn't tell incarnations
-under one id apart."""
+as most have after a restart, answers with `OTHER_ID_STATUS`. The header doesn't tell
+incarnations under one id apart."""
 
 
 class _WorkerClock:
@@ -72,10 +75,15 @@
     Attributes:
         started_at: Unix time in seconds at which the incarnation started that the clock
             belongs to. The clock of another one begins anew.
+        known_at: clock time in seconds at which a list of that incarnation was first
+            read.
     """
 
-    def __init__(self, milliseconds: int, started_at: float, read_at: float) -> None:
+    def __init__(
+        self, milliseconds: int, started_at: float, read_at: float, known_at: float
+    ) -> None:
         self.started_at = started_at
+        self.known_at = known_at
         self._milliseconds = milliseconds
         self._read_at = read_at
 
@@ -118,6 +126,8 @@
         self._clock = clock
         self._advice_address = advice_address
         self._clock_by_worker: dict[str, _WorkerClock] = {}
+        # Clock time at which the latest poll without an answer was sent.
+        self._unanswered_by_worker: dict[str, float] = {}
         self._entry_by_worker: dict[str, _WorkerEntry] = {}
         self._ignored_version_by_worker: dict[str, int] = {}
         self._unreadable_by_worker: dict[str, str] = {}
@@ -151,6 +161,8 @@
             # A worker that is not listed may still answer; its next answer adds the
             # clock again.
             del self._clock_by_worker[worker_id]
+        for worker_id in set(self._unanswered_by_worker) - listed_ids:
+            del self._unanswered_by_worker[worker_id]
         for worker_id in set(self._unreadable_by_worker) - listed_ids:
             del self._unreadable_by_worker[worker_id]
         for worker_id in set(self._entry_by_worker) - listed_ids:
@@ -198,11 +210,17 @@
             worker: the worker.
             token: fencing token of the owner.
             acknowledged_end: number of the last ended run that the caller has stored;
-                the worker no longer lists it and those before it.
+                the worker no longer lists it and those before it. It is not sent while
+                the clock of the worker's present incarnation is unknown.
             lease_seconds: length of the lease; 0 to read the lists only.
             wait_seconds: longest wait of the worker for a run to end.
         """
-        body: dict[str, Any] = {"FencingToken": token, "LastSeen": acknowledged_end}
+        sent_at = self._clock.now()
+        is_known = self._known_incarnation(worker.worker_id) is not None
+        body: dict[str, Any] = {
+            "FencingToken": token,
+            "LastSeen": acknowledged_end if is_known else 0,
+        }
         until = self._lease_end(worker, lease_seconds)
         if until is None:
             wait_seconds = 0.0
@@ -217,6 +235,7 @@
             if reply.reason is Reason.TIMEOUT:
                 self._answer_times.note_timeout(worker.worker_id)
             self._clock_by_worker.pop(worker.worker_id, None)
+            self._unanswered_by_worker[worker.worker_id] = sent_at
             return reply
         self._note_poll_answer(worker.worker_id, reply.wait_seconds - wait_seconds)
         if reply.status != 200:
@@ -230,11 +249,37 @@
         except decoding.MessageError as error:
             return self._ignore_lists(worker.worker_id, str(error))
         self._unreadable_by_worker.pop(worker.worker_id, None)
-        self._clock_by_worker[worker.worker_id] = _WorkerClock(
-            clock, lists.started_at, self._clock.now()
-        )
+        self._note_clock(worker.worker_id, clock, lists.started_at, sent_at)
         return lists
 
+    def _note_clock(
+        self, worker_id: str, milliseconds: int, started_at: float, sent_at: float
+    ) -> None:
+        """Note the clock in an answer, unless it may be one of a former incarnation.
+
+        Polls overlap. The answer to one that was sent before a later incarnation was
+        known, or before a poll that had no answer, may have been written by the former
+        one.
+
+        Args:
+            worker_id: the worker.
+            milliseconds: what its clock showed.
+            started_at: Unix time in seconds at which the incarnation started.
+            sent_at: clock time in seconds at which the poll was sent.
+        """
+        now = self._clock.now()
+        known = self._clock_by_worker.get(worker_id)
+        known_at = now
+        if known is not None and known.started_at == started_at:
+            known_at = known.known_at
+        elif known is not None and sent_at < known.known_at:
+            return
+        if sent_at < self._unanswered_by_worker.get(worker_id, float("-inf")):
+            return
+        self._clock_by_worker[worker_id] = _WorkerClock(
+            milliseconds, started_at, now, known_at
+        )
+
     def _note_poll_answer(self, worker_id: str, late_seconds: float) -> None:
         """Note an answer that came so many seconds after the requested wait.
 
@@ -261,41 +306,49 @@
     async def start(
         self, worker: ListedWorker, token: int, order: StartOrder, lease_seconds: float
     ) -> OrderOutcome:
-        """Start a run; the clock of the worker's incarnation must be known."""
-        until = self._lease_end(worker, lease_seconds)
-        if until is None:
-            return Unavailable(
-                Reason.NOT_FOUND,
-                "worker-start",
-                worker.worker_id,
-                "the worker's clock is not known yet",
-            )
-        body: dict[str, Any] = {
-            "Task": order.task,
-            "Run": order.run,
-            "Spec": order.specification,
-            "UntilMs": until,
-            "FencingToken": token,
-        }
-        if order.checkpoint:
-            body["Saved"] = order.checkpoint
-        if order.ticket:
-            body["Ticket"] = order.ticket
-        return await self._send_order("worker-start", worker, "/run-start", body)
+        """Start a run.
+
+        The clock of the worker's incarnation must be known, and the order is for this
+        incarnation: it isn't sent once another one is known.
+        """
+        incarnation = self._known_incarnation(worker.worker_id)
+        if incarnation is None:
+            return _clock_unknown("worker-start", worker.worker_id)
+
+        def make_body() -> dict[str, Any] | None:
+            # The worker may have restarted while the order waited for its turn.
+            until = self._lease_end(worker, lease_seconds)
+            is_same = self._known_incarnation(worker.worker_id) == incarnation
+            if until is None or not is_same:
+                return None
+            body: dict[str, Any] = {
+                "Task": order.task,
+                "Run": order.run,
+                "Spec": order.specification,
+                "UntilMs": until,
+                "FencingToken": token,
+            }
+            if order.checkpoint:
+                body["Saved"] = order.checkpoint
+            if order.ticket:
+                body["Ticket"] = order.ticket
+            return body
+
+        return await self._send_order("worker-start", worker, "/run-start", make_body)
 
     async def stop(
         self, worker: ListedWorker, token: int, task: str, run: int
     ) -> OrderOutcome:
         """Order a worker to stop a run; ``token`` is the fencing token of the owner."""
         body = {"Task": task, "Run": run, "FencingToken": token}
-        return await self._send_order("worker-stop", worker, "/run-stop", body)
+        return await self._send_order("worker-stop", worker, "/run-stop", lambda: body)
 
     async def limit_speed(
         self, worker: ListedWorker, token: int, task: str, run: int, percent: int
     ) -> OrderOutcome:
         """Order a worker to limit a run to ``percent`` of its full speed."""
         body = {"Task": task, "Run": run, "Percent": percent, "FencingToken": token}
-        return await self._send_order("worker-pace", worker, "/pace", body)
+        return await self._send_order("worker-pace", worker, "/pace", lambda: body)
 
     async def fetch_tickets(
         self, step: str, worker_ids: Sequence[str]
@@ -320,22 +373,48 @@
         return Unavailable(Reason.STORE_UNAVAILABLE, "advise", peer, detail)
 
     async def _send_order(
-        self, step: str, worker: ListedWorker, path: str, body: Mapping[str, Any]
+        self,
+        step: str,
+        worker: ListedWorker,
+        path: str,
+        make_body: Callable[[], Mapping[str, Any] | None],
     ) -> OrderOutcome:
+        """Send an order in its turn.
+
+        Args:
+            step: name of the operation, for errors and metrics.
+            worker: the worker.
+            path: path of the call.
+            make_body: returns the body once the turn has come; ``None`` if the order
+                must not be sent.
+        """
         timeout_seconds = self._order_timeout(worker.worker_id)
         if not await self._turns.begin(worker.worker_id, timeout_seconds):
             detail = f"not sent in {timeout_seconds} s"
             return Unavailable(Reason.TIMEOUT, step, worker.worker_id, detail)
         try:
+            body = make_body()
+            if body is None:
+                return _clock_unknown(step, worker.worker_id)
+            clock = self._clock_by_worker.get(worker.worker_id)
+            lower_bound = clock.lower_bound(self._clock.now()) if clock else 0
             reply = await self._call(step, worker, path, body, timeout_seconds)
         finally:
             self._turns.end(worker.worker_id)
         if isinstance(reply, Unavailable):
             return reply
         self._answer_times.note_answer(worker.worker_id, reply.wait_seconds)
+        # A worker with another id, which has the address now, has a clock of its own.
+        is_same_id = reply.status != OTHER_ID_STATUS
+        shows_restart = is_same_id and _shows_clock_below(reply.body, lower_bound)
+        if shows_restart and self._clock_by_worker.get(worker.worker_id) is clock:
+            del self._clock_by_worker[worker.worker_id]
         if reply.status == 200:
-            return Done()
-        return decode_rejection(step, worker.worker_id, reply.status, reply.body)
+            return Done(shows_restart)
+        outcome = decode_rejection(step, worker.worker_id, reply.status, reply.body)
+        if isinstance(outcome, Rejected):
+            return outcome._replace(shows_restart=shows_restart)
+        return outcome
 
     def _order_timeout(self, worker_id: str) -> float:
         bound = self._answer_times.bound(worker_id, MIN_ORDER_TIMEOUT_SECONDS)
@@ -363,12 +442,35 @@
             headers={INCARNATION_HEADER: worker.worker_id},
         )
 
+    def _known_incarnation(self, worker_id: str) -> float | None:
+        """Return the start of the incarnation whose clock is known, in Unix seconds."""
+        clock = self._clock_by_worker.get(worker_id)
+        return clock.started_at if clock else None
+
     def _lease_end(self, worker: ListedWorker, lease_seconds: float) -> int | None:
         clock = self._clock_by_worker.get(worker.worker_id)
         if clock is None or lease_seconds <= 0:
             return None
         # The entry of a worker that has restarted under its id may come before its
         # first answer. On its new clock, a time of the former one is far ahead.
-        if worker.started_at > clock.started_at:
+        entry = self._entry_by_worker.get(worker.worker_id)
+        listed = entry.worker if entry else worker
+        if listed.started_at > clock.started_at:
             return None
         return clock.lower_bound(self._clock.now()) + int(lease_seconds * 1000)
+
+
+def _clock_unknown(step: str, worker_id: str) -> Unavailable:
+    """Return that a call was not sent, as the clock of its incarnation is not known."""
+    detail = "the clock of the worker is not known yet"
+    return Unavailable(Reason.NOT_FOUND, step, worker_id, detail)
+
+
+def _shows_clock_below(body: Any, lower_bound: int) -> bool:
+    """Return whether an answer names a clock that has not reached ``lower_bound``.
+
+    The clock of a later incarnation begins anew. An answer without a clock shows
+    nothing.
+    """
+    clock = body.get("ClockMs") if isinstance(body, dict) else None
+    return isinstance(clock, int) and clock < lower_bound
