Let entries of simulated workers name a restart after a time

Besides, the poll of an owner that is under way can be lost, a poll beside the loop's own can be under way while the owner plans, and an owner can load its state without a poll.

--- a/catkinport/jobs/tests/rival_fleet.py
+++ b/catkinport/jobs/tests/rival_fleet.py
@@ -201,6 +201,10 @@
         """
         self._fleet.run(self._run_cycle(plans_first))
 
+    def load(self) -> None:
+        """Let it load the state, without any poll."""
+        self._fleet.run(self._owner._load())
+
     def learn_jobs(self) -> None:
         """Let it read the store and then renew its ownership."""
         self._fleet.run(self._read_store())
@@ -210,6 +214,13 @@
         """Let it poll the workers and store what they list."""
         self._fleet.run(self._poll_and_store())
 
+    def lose_poll(self, worker_id: str) -> None:
+        """Let the poll of one worker that is under way have no answer."""
+        delivery_by_call = self.workers.delivery_by_call
+        self.workers.delivery_by_call = {**delivery_by_call, "hold": "lost"}
+        self.poll_worker(worker_id)
+        self.workers.delivery_by_call = delivery_by_call
+
     def poll_worker(self, worker_id: str) -> None:
         """Let it poll one worker, if it knows it."""
         worker = self._session.dispatcher.worker_by_id.get(worker_id)
@@ -217,17 +228,27 @@
             self._fleet.run(self._poll([worker]))
 
     def plan(self) -> None:
-        """Let it plan, and send the starts and stops that it decides on."""
-        self._fleet.run(self._plan())
+        """Let it plan, and send the starts and stops that it decides on.
 
-    def plan_before_answer(self, worker_id: str, seconds: float) -> None:
+        It does nothing once it has learned that it was replaced.
+        """
+        if not self.is_deposed:
+            self._fleet.run(self._plan())
+
+    def plan_before_answer(
+        self, worker_id: str, seconds: float, may_wait: bool = True
+    ) -> None:
         """Let it plan while the answer of a worker to a poll is under way.
 
         Args:
-            worker_id: the worker, which it knows.
+            worker_id: the worker; nothing happens if it is unknown.
             seconds: time that passes before and after it plans.
+            may_wait: whether the poll is that of its loop, which waits for ends, or
+                another one beside it.
         """
-        self._fleet.run(self._plan_before_answer(worker_id, seconds))
+        worker = self._session.dispatcher.worker_by_id.get(worker_id)
+        if worker is not None:
+            self._fleet.run(self._plan_before_answer(worker, seconds, may_wait))
 
     def release(self) -> None:
         """Release the ownership."""
@@ -269,13 +290,15 @@
         self._owner._run_orders._plan()
         await self._settle()
 
-    async def _plan_before_answer(self, worker_id: str, seconds: float) -> None:
-        worker = self._session.dispatcher.worker_by_id[worker_id]
+    async def _plan_before_answer(
+        self, worker: WorkerRecord, seconds: float, may_wait: bool
+    ) -> None:
         self.workers.held_answers = asyncio.Event()
-        self._session.spawn(self._watch.poll(worker))
+        self._session.spawn(self._watch.poll(worker, may_wait))
         await _let_calls_end()
         self._fleet.advance(seconds)
-        self._owner._run_orders._plan()
+        if not self.is_deposed:
+            self._owner._run_orders._plan()
         await _let_calls_end()
         self._fleet.advance(seconds)
         self.workers.held_answers.set()
@@ -310,6 +333,7 @@
         self.worker_by_id: dict[str, FakeWorker] = {}
         self.down_ids: set[str] = set()
         self._listed_start_by_id: dict[str, float] = {}
+        self._listed_at_by_id: dict[str, float] = {}
         self.late_calls: list[LateCall] = []
         self.owner_by_name: dict[str, SimulatedOwner] = {}
         self.job_by_id: dict[str, Job] = {}
@@ -337,6 +361,7 @@
         self.clock.advance(seconds)
         for worker in self.worker_by_id.values():
             worker.expire(self.clock.now())
+        self._list_due_incarnations()
 
     def join(self, worker_id: str, clock_rate: float = 1.0) -> None:
         """Add a worker."""
@@ -384,10 +409,19 @@
             if is_listed:
                 self.list_incarnation(worker_id)
 
-    def list_incarnation(self, worker_id: str) -> None:
-        """Let the entry of a worker name its present incarnation."""
-        started_at = self.worker_by_id[worker_id].started_at
-        self._listed_start_by_id[worker_id] = started_at
+    def list_incarnation(self, worker_id: str, after_seconds: float = 0.0) -> None:
+        """Let the entry of a worker name its present incarnation after some time."""
+        if worker_id in self.worker_by_id:
+            listed_at = self.clock.now() + after_seconds
+            self._listed_at_by_id[worker_id] = listed_at
+            self._list_due_incarnations()
+
+    def _list_due_incarnations(self) -> None:
+        for worker_id, listed_at in list(self._listed_at_by_id.items()):
+            if self.clock.now() >= listed_at and worker_id not in self.down_ids:
+                del self._listed_at_by_id[worker_id]
+                started_at = self.worker_by_id[worker_id].started_at
+                self._listed_start_by_id[worker_id] = started_at
 
     def list_workers(self) -> list[ListedWorker]:
         """Return the entries of the workers that are up."""
