Let calls reach restarted workers in random histories of rival owners

A worker restarts while polls are under way. The latest owner plans before its poll fails, so that its calls for the former incarnation reach the new one, which ends a run, is listed late, or is cut off from this owner or from one that succeeds it at once. Former owners call the worker only after their polls have failed: an owner in doubt that starts a task there before is an open matter.

--- a/catkinport/jobs/tests/test_rival_owners.py
+++ b/catkinport/jobs/tests/test_rival_owners.py
@@ -17,7 +17,7 @@
 )
 
 from ...ports.fleet_workers import EndKind
-from .rival_fleet import SLOW_CLOCK_RATE, RivalFleet
+from .rival_fleet import SLOW_CLOCK_RATE, RivalFleet, SimulatedOwner
 from .simulated_store import StoreLink
 
 WORKER_IDS = ("w0", "w1", "w2")
@@ -28,6 +28,9 @@
 FORMER_OWNERS = ("paused", "killed", "released", "cut", "unanswered", "late")
 CYCLE_SECONDS = 0.5
 LATE_JOB_SECONDS = 6.0
+MAX_LISTING_SECONDS = 2.0
+"""Time after a restart by which the list of workers names the new incarnation."""
+
 workers = st.sampled_from((*WORKER_IDS, *WORKER_IDS, *LATER_WORKER_IDS))
 worker_sets = st.sets(st.sampled_from(WORKER_IDS), min_size=1, max_size=2)
 owners = st.integers(0, len(DAEMONS) - 1)
@@ -161,6 +164,59 @@
             for owner in list(self.fleet.owner_by_name.values())[-1:]:
                 owner.workers.cut_off([worker_id])
 
+    @rule(
+        worker_id=workers,
+        has_stored_end=st.booleans(),
+        n_tasks=st.integers(0, 4),
+        start=deliveries,
+        is_first_answer_held=st.booleans(),
+        has_new_end=st.booleans(),
+        listed_after=st.sampled_from([0.0, MAX_LISTING_SECONDS]),
+        then=st.sampled_from(["reached", "cut off", "killed", "released"]),
+        n_cycles=st.sampled_from([0, 1, 10]),
+    )
+    def restart_during_polls(
+        self,
+        worker_id: str,
+        has_stored_end: bool,
+        n_tasks: int,
+        start: str,
+        is_first_answer_held: bool,
+        has_new_end: bool,
+        listed_after: float,
+        then: str,
+        n_cycles: int,
+    ) -> None:
+        """Restart a worker; calls for the former incarnation reach the new one.
+
+        The latest owner plans before its poll fails that was under way at the restart,
+        perhaps while the answer to another one is under way. Then the worker may be cut
+        off, perhaps from a daemon that succeeds it at once. The former owners call the
+        worker only after their polls have failed.
+        """
+        owners_by_age = list(self.fleet.owner_by_name.values())
+        owner = owners_by_age[-1] if owners_by_age else None
+        if owner and owner.is_paused:
+            owner = None
+        if has_stored_end and owner:
+            self.fleet.end_a_run(worker_id, EndKind.DONE)
+            owner.poll_workers()
+        self.fleet.restart_unnoticed(worker_id, is_listed=False)
+        if n_tasks:
+            self.fleet.submit(n_tasks)
+        if owner:
+            self._plan_after_restart(owner, worker_id, start, is_first_answer_held)
+        if has_new_end:
+            self.fleet.end_a_run(worker_id, EndKind.DONE)
+        for other in self.fleet.owner_by_name.values():
+            other.lose_poll(worker_id)
+        self.fleet.list_incarnation(worker_id, listed_after)
+        if owner and then != "reached":
+            owner.workers.cut_off([worker_id])
+        if then in ("killed", "released"):
+            self.take_over(then, StoreLink.SOUND, True, {worker_id}, False, 0, 0)
+        self.fleet.run_all(CYCLE_SECONDS, n_cycles)
+
     @rule(worker_id=st.sampled_from(LATER_WORKER_IDS))
     def join(self, worker_id: str) -> None:
         self.fleet.join(worker_id)
@@ -176,6 +232,17 @@
         else:
             self.fleet.store.carry_out_late()
 
+    def _plan_after_restart(
+        self, owner: SimulatedOwner, worker_id: str, start: str, is_answer_held: bool
+    ) -> None:
+        owner.learn_jobs()
+        owner.workers.delivery_by_call = {"start": start}
+        if is_answer_held:
+            owner.plan_before_answer(worker_id, 0.1, may_wait=False)
+        else:
+            owner.plan()
+        owner.workers.delivery_by_call = {}
+
     def _name_of(self, index: int) -> str:
         names = list(self.fleet.owner_by_name)
         return names[index % len(names)] if names else ""
