Test an owner in doubt beside a restarted worker

An owner that was replaced without knowing it plans after a worker has restarted, and before its poll there has failed. The worker has forgotten the token of the successor, which has started the same task elsewhere.

--- a/catkinport/jobs/tests/test_former_incarnations.py
+++ b/catkinport/jobs/tests/test_former_incarnations.py
@@ -9,6 +9,7 @@
 
 from ...ports.fleet_workers import EndKind
 from .rival_fleet import RivalFleet
+from .simulated_store import StoreLink
 
 CYCLE_SECONDS = 0.5
 N_LEASE_CYCLES = 64
@@ -144,6 +145,35 @@
         check_task_moves_on(fleet)
 
 
+class TestOwnerInDoubt:
+    def test_a_former_owner_starts_nothing_on_a_worker_without_the_later_token(
+        self, fleet
+    ):
+        """Guards against a second run by a former owner that sees no restart.
+
+        The successor has reached both workers, w0 has restarted and forgotten its
+        token, and the successor has started the task elsewhere.
+        """
+        fleet.join("w1")
+        fleet.submit(5)
+        former = begin(fleet)
+        former.store.link = StoreLink.CUT
+        former.is_paused = True
+        assert fleet.claim("d1")
+        fleet.end_a_run("w0", EndKind.FAILED)
+        former.poll_workers()
+        fleet.end_a_run("w1", EndKind.FAILED)
+        successor = fleet.owner_by_name["d1"]
+        successor.load()
+        successor.learn_jobs()
+        successor.poll_workers()
+        fleet.restart_unnoticed("w0", is_listed=False)
+        successor.workers.cut_off(["w0"])
+        fleet.run_cycle("d1")
+        former.plan()
+        assert not fleet.violations
+
+
 def begin(fleet):
     """Let d0 own the fleet; return the owner."""
     fleet.claim("d0")
