--- a/catkinport/jobs/tests/rival_fleet.py
+++ b/catkinport/jobs/tests/rival_fleet.py
@@ -72,6 +72,10 @@
         link_by_id: for each worker, ``requests lost`` or ``answers lost`` if so.
         delivery_by_call: what becomes of the calls: ``answered``, ``no answer``,
             ``late`` or ``lost``, by the name of the call.
+        compares_clocks: whether an answer to an order with a clock that begins anew
+            shows a restart, and no end is acknowledged while the clock is unknown, as
+            with the client of the platform. Without that, fewer signs of a restart are
+            left, as if the former incarnation was as young as the new one.
         held_answers: event until which the answers to polls are under way; ``None`` if
             they arrive at once.
     """
@@ -82,6 +86,7 @@
         self._clock_by_id: dict[str, KnownClock] = {}
         self.link_by_id: dict[str, str] = {}
         self.delivery_by_call: dict[str, str] = {}
+        self.compares_clocks = False
         self.held_answers: asyncio.Event | None = None
 
     def cut_off(self, worker_ids: Iterable[str], is_answer_lost: bool = False) -> None:
@@ -108,6 +113,8 @@
         worker counts as unknown.
         """
         worker_id = worker.worker_id
+        if self.compares_clocks and worker_id not in self._clock_by_id:
+            acknowledged_end = 0
         until = self._lease_end(worker, lease_seconds) or 0.0
         outcome = self._call(
             "hold",
@@ -140,7 +147,16 @@
         return self._send("stop", Order(worker.worker_id, token, task, run, 0.0, False))
 
     def _send(self, call: str, order: Order):
-        return self._call(call, order.worker_id, lambda: self._fleet.carry_out(order))
+        worker_id = order.worker_id
+        outcome = self._call(call, worker_id, lambda: self._fleet.carry_out(order))
+        if isinstance(outcome, Unavailable) or not self.compares_clocks:
+            return outcome
+        shown = self._fleet.worker_by_id[worker_id].clock(self._fleet.clock.now())
+        known = self._clock_by_id.get(worker_id)
+        if known is None or shown >= self._lower_bound(known):
+            return outcome
+        del self._clock_by_id[worker_id]
+        return outcome._replace(shows_restart=True)
 
     def _call(self, call: str, worker_id: str, carry_out: Callable[[], Any]):
         delivery = self.delivery_by_call.get(call, "answered")
@@ -162,8 +178,11 @@
         known = self._clock_by_id.get(worker.worker_id)
         if known is None or not lease_seconds or worker.started_at > known.started_at:
             return None
+        return self._lower_bound(known) + lease_seconds
+
+    def _lower_bound(self, known: KnownClock) -> float:
         elapsed = self._fleet.clock.now() - known.read_at
-        return known.shown + SLOW_CLOCK_RATE * elapsed + lease_seconds
+        return known.shown + SLOW_CLOCK_RATE * elapsed
 
 
 class SimulatedOwner:
