Test an unread end after a restart that only an order's answer shows

A history in the simulated fleet: the worker restarts after its last answer, a start made for the former incarnation reaches it and its run ends, and the next poll would acknowledge that end unread. It passes on.

--- a/catkinport/jobs/tests/test_former_incarnations.py
+++ b/catkinport/jobs/tests/test_former_incarnations.py
@@ -60,6 +60,23 @@
         assert not fleet.violations
 
 
+class TestAcknowledgmentWithoutASign:
+    """A poll that acknowledges end 1 is the next poll that reaches the worker."""
+
+    def test_an_end_that_was_not_read_is_not_forgotten(self, fleet):
+        """Guards against a task that starts again after an unread end.
+
+        Only the answer to the start shows the restart, by a clock that begins anew.
+        """
+        owner = begin_with_stored_end(fleet)
+        owner.workers.compares_clocks = True
+        fleet.restart_unnoticed("w0", is_listed=False)
+        start_task(fleet, owner)
+        fleet.end_a_run("w0", EndKind.DONE)
+        fleet.run_all(CYCLE_SECONDS, 2)
+        assert not fleet.violations
+
+
 class TestLeaseOnTheFormerClock:
     """A start with a lease on the former clock, which the new incarnation grants.
 
