Test ends after an acknowledgment that counts for a former incarnation

A worker restarts between its last answer and the next poll, which acknowledges an end of the former incarnation. The platform's documentation doesn't say whether a number above all ends of a worker hides the ends that come later. If it does, the owner never reads them, and starts the task again.

--- a/catkinport/jobs/tests/test_former_incarnations.py
+++ b/catkinport/jobs/tests/test_former_incarnations.py
@@ -76,6 +76,24 @@
         fleet.run_all(CYCLE_SECONDS, 2)
         assert not fleet.violations
 
+    def test_a_later_end_is_not_hidden(self, fleet):
+        """Guards against a task that starts again after an end that was never listed.
+
+        Nothing has shown the restart before the poll. Its number is above all ends of
+        the worker, which may count it for the ends to come.
+        """
+        owner = begin_with_stored_end(fleet)
+        owner.workers.compares_clocks = True
+        fleet.restart_unnoticed("w0", is_listed=False)
+        owner.poll_workers()
+        fleet.list_incarnation("w0")
+        fleet.submit(1)
+        fleet.run_all(CYCLE_SECONDS, 3)
+        assert fleet.worker_by_id["w0"].running
+        fleet.end_a_run("w0", EndKind.DONE)
+        fleet.run_all(CYCLE_SECONDS, 2)
+        assert not fleet.violations
+
 
 class TestLeaseOnTheFormerClock:
     """A start with a lease on the former clock, which the new incarnation grants.
