--- /dev/null
+++ b/catkinport/jobs/tests/test_knowledge_of_former_incarnations.py
@@ -0,0 +1,128 @@
+"""Tests of what is known of one incarnation of a worker when another one runs."""
+
+import asyncio
+from types import SimpleNamespace
+
+import pytest
+
+from ...policy.leadership import OwnLease
+from ...ports import Reason, Unavailable
+from ...ports.fleet_workers import Done, WorkerLists
+from ..ownership.run_orders import RunOrders
+from ..workers.run import ORDER_DELAY_SECONDS
+from .builders import Fleet, make_job, make_step, make_worker
+
+
+class TestBlameForACrash:
+    @pytest.mark.xfail(strict=True, reason="a former incarnation's state (issue 54)")
+    def test_a_run_that_the_restarted_worker_lists_is_no_suspect(self):
+        """Guards against a job that fails for crashes that its task did not cause.
+
+        Its start had no answer before the restart and was carried out after it. The
+        worker is cut off later, and the run is given up.
+        """
+        fleet = Fleet([make_worker()])
+        fleet.dispatcher.add_job(make_job(), fleet.now)
+        (start,) = fleet.plan()
+        fleet.advance(0.7)
+        fleet.answer(start, Done())
+        fleet.advance(0.5)
+        fleet.poll("w1", started_at=2.0)
+        fleet.advance(20.0)
+        fleet.dispatcher.expire(fleet.now)
+        assert fleet.dispatcher.runs_by_task == {}
+        assert start.run.task.crash_by_run == {}
+
+
+class TestCapacityOfTheFormerIncarnation:
+    """A restarted worker may be of another kind, and its entry comes later."""
+
+    @pytest.mark.xfail(strict=True, reason="a former incarnation's state (issue 54)")
+    def test_it_gives_no_room_on_a_worker_that_rejects_nothing(self):
+        """Guards against tasks that exceed the capacity of a restarted worker."""
+        fleet = Fleet([make_worker(cores=16.0)], forbids_overcommit=False)
+        fleet.dispatcher.add_job(make_job(steps=[make_step(4)]), fleet.now)
+        fleet.advance(0.3)
+        fleet.poll("w1", started_at=2.0)
+        assert fleet.plan() == []
+        fleet.workers = [make_worker(cores=8.0, started_at=2.0)]
+        fleet.dispatcher.update_workers(fleet.workers, fleet.now, fleet.now)
+        assert len(fleet.plan()) == 2
+
+    @pytest.mark.xfail(strict=True, reason="a former incarnation's state (issue 54)")
+    def test_its_labels_allow_no_step_that_needs_them(self):
+        """Guards against a step on a worker that lacks the label it requires."""
+        fleet = Fleet([make_worker(labels=("large", "r1"))])
+        steps = [make_step(required_label="large")]
+        fleet.dispatcher.add_job(make_job(steps=steps), fleet.now)
+        fleet.advance(0.3)
+        fleet.poll("w1", started_at=2.0)
+        assert fleet.plan() == []
+        fleet.workers = [make_worker(labels=("small", "r1"), started_at=2.0)]
+        fleet.dispatcher.update_workers(fleet.workers, fleet.now, fleet.now)
+        assert fleet.plan() == []
+        fleet.workers = [make_worker(labels=("large", "r1"), started_at=2.0)]
+        fleet.dispatcher.update_workers(fleet.workers, fleet.now, fleet.now)
+        assert len(fleet.plan()) == 1
+
+
+class TestFirstReportThatLacksEnds:
+    @pytest.mark.xfail(strict=True, reason="a former incarnation's state (issue 54)")
+    def test_a_confirmed_run_waits_for_the_other_ends(self):
+        """Guards against a second run of a task whose end is not listed yet.
+
+        The restarted worker has more ends to list than one answer holds.
+        """
+        fleet = Fleet([make_worker()])
+        fleet.dispatcher.add_job(make_job(), fleet.now)
+        (start,) = fleet.plan()
+        fleet.advance(0.2)
+        fleet.answer(start, Done())
+        fleet.advance(0.2)
+        lists = WorkerLists(2.0, [], [], may_lack_ends=True)
+        fleet.dispatcher.on_worker_report("w1", lists, fleet.now, fleet.now)
+        assert start.run.key in fleet.dispatcher.worker_by_id["w1"].run_by_key
+
+
+class TestUncertainStartOfAPausedOwner:
+    @pytest.mark.xfail(strict=True, reason="a former incarnation's state (issue 54)")
+    def test_it_is_remembered_from_its_sending_on(self):
+        """Guards against a late start that a restarted worker gets no stop for.
+
+        The owner was paused between its decision and the sending of the order.
+        """
+        fleet = Fleet([make_worker("w1")])
+        fleet.dispatcher.add_job(make_job(), fleet.now)
+        (planned,) = fleet.plan()
+        fleet.advance(4.0)
+        session = PausedSession(fleet)
+        orders = RunOrders(session, session)
+        asyncio.run(orders._send_start(planned))
+        fleet.advance(ORDER_DELAY_SECONDS - 3.0)
+        fleet.dispatcher.expire(fleet.now)
+        fleet.advance(2.0)
+        fleet.dispatcher.expire(fleet.now)
+        assert fleet.dispatcher.uncertain_starts.count("w1") == 1
+
+
+class PausedSession:
+    """A session whose worker answers no start, and its watch, which polls nothing."""
+
+    def __init__(self, fleet):
+        self.dispatcher = fleet.dispatcher
+        self.clock = SimpleNamespace(now=lambda: fleet.now)
+        self.lease = OwnLease(1, fleet.now)
+        self.ports = SimpleNamespace(workers=self)
+        self.wake = asyncio.Event()
+
+    def may_order(self):
+        return True
+
+    def check_fenced(self, outcome):
+        return False
+
+    async def start(self, *order):
+        return Unavailable(Reason.TIMEOUT, "worker-start", "w1", "", True)
+
+    async def poll(self, worker, may_wait=True):
+        pass
--- a/catkinport/platform/tests/restarted_workers.py
+++ b/catkinport/platform/tests/restarted_workers.py
@@ -15,6 +15,7 @@
 from ...jobs.ownership.session import OwnerPorts, OwnerSession
 from ...jobs.ownership.worker_watch import WorkerWatch
 from ...jobs.placement.planner import Planner
+from ...jobs.placement.round_budget import PlannedStart
 from ...jobs.placement.run_stops import find_stops
 from ...jobs.tests.builders import POOL, make_configuration, make_job, make_step
 from ...policy.leadership import OwnLease
@@ -114,6 +115,7 @@
     Attributes:
         events: what has happened to the runs.
         is_list_old: whether the owner goes on to read the entries that it has read.
+        unlisted_ids: workers whose entries have expired.
         held_up: calls that were not carried out yet, in their order.
         holds_up: path of the calls that are held up; empty for none.
     """
@@ -127,7 +129,9 @@
             worker_id: StandinWorker(worker_id, self.now, self.events)
             for worker_id in worker_ids
         }
+        self._n_jobs = 0
         self.is_list_old = False
+        self.unlisted_ids: set[str] = set()
         self._entries: dict[str, dict[str, Any]] = {}
         self.dispatcher = Dispatcher(
             make_configuration(), longest_lease=LONGEST_LEASE_SECONDS
@@ -164,6 +168,7 @@
         rows = [
             Row(RowKey(table, worker_id), entry["born"], entry)
             for worker_id, entry in self._entries.items()
+            if worker_id not in self.unlisted_ids
         ]
         return Snapshot(rows, 1)
 
@@ -180,7 +185,8 @@
 
     def submit(self, seconds: float, n_tasks: int = 1) -> None:
         """Submit a job with tasks that take ``seconds``."""
-        job_id = f"{len(self.dispatcher.job_by_id) + 1:016x}"
+        self._n_jobs += 1
+        job_id = f"{self._n_jobs:016x}"
         steps = [make_step(n_tasks)._replace(estimate_seconds=seconds)]
         job = make_job(job_id, steps, specification=f"seconds={seconds} cores=4")
         self.dispatcher.add_job(job, self.now)
@@ -198,15 +204,19 @@
 
     def poll_all(self) -> None:
         """Poll the workers."""
-        for worker_id in self.worker_by_id:
+        for worker_id in list(self.dispatcher.worker_by_id):
             self.poll(worker_id)
 
     def plan(self) -> None:
         """Send the starts that are due."""
-        self.dispatcher.expire(self.now)
-        for start in self._planner.plan(self.now, self.now):
+        for start in self.find_starts():
             asyncio.run(self.orders._send_start(start))
 
+    def find_starts(self) -> list[PlannedStart]:
+        """Return the starts that are due."""
+        self.dispatcher.expire(self.now)
+        return self._planner.plan(self.now, self.now)
+
     def stop(self) -> None:
         """Send the stops that are due."""
         for stop in list(find_stops(self.dispatcher, self.now)):
