--- a/catkinport/jobs/tests/test_knowledge_of_former_incarnations.py
+++ b/catkinport/jobs/tests/test_knowledge_of_former_incarnations.py
@@ -14,7 +14,6 @@
 
 
 class TestBlameForACrash:
-    @pytest.mark.xfail(strict=True, reason="a former incarnation's state (issue 54)")
     def test_a_run_that_the_restarted_worker_lists_is_no_suspect(self):
         """Guards against a job that fails for crashes that its task did not cause.
 
@@ -67,7 +66,6 @@
 
 
 class TestFirstReportThatLacksEnds:
-    @pytest.mark.xfail(strict=True, reason="a former incarnation's state (issue 54)")
     def test_a_confirmed_run_waits_for_the_other_ends(self):
         """Guards against a second run of a task whose end is not listed yet.
 
@@ -85,7 +83,6 @@
 
 
 class TestUncertainStartOfAPausedOwner:
-    @pytest.mark.xfail(strict=True, reason="a former incarnation's state (issue 54)")
     def test_it_is_remembered_from_its_sending_on(self):
         """Guards against a late start that a restarted worker gets no stop for.
 
--- a/catkinport/jobs/workers/worker_reports.py
+++ b/catkinport/jobs/workers/worker_reports.py
@@ -58,7 +58,9 @@
             return
         is_other_process = lists.started_at != worker.started_at
         if is_other_process and sent_at < worker.started_known_at:
-            # Polls overlap, so an earlier process may have given this answer.
+            # Polls overlap, so an earlier process may have given this answer. It may be
+            # one of a later process too, if the poll was held up on its way.
+            worker.note_no_answer()
             log_event(
                 logger,
                 "late worker report dropped",
@@ -86,7 +88,7 @@
         worker.note_incarnation(lists.started_at, now, longest_lease)
         note_answer(worker, lists.started_at)
         if is_restarted:
-            note_crash(worker, "restarted", now)
+            note_crash(worker, "restarted", now, _listed_keys(lists))
             self._on_restart(worker, lists, sent_at, now)
             worker.is_taken_down = False
         if is_other_process:
@@ -104,8 +106,7 @@
         worker.processed_end = 0
         worker.stored_end = 0
         worker.acknowledged_end = 0
-        listed = {RunKey(entry.task, entry.run) for entry in lists.running}
-        listed |= {RunKey(entry.task, entry.run) for entry in lists.ended}
+        listed = _listed_keys(lists)
         lost = [run for key, run in worker.run_by_key.items() if key not in listed]
         log_event(
             logger,
@@ -119,8 +120,8 @@
         )
         for run in lost:
             # A start that was confirmed later may have been carried out after the
-            # answer was written.
-            if run.known_at and run.known_at < sent_at:
+            # answer was written, and the end of a run may not be listed yet.
+            if 0 < run.known_at < sent_at and not lists.may_lack_ends:
                 self._runs.lose(worker, run, "worker-restarted", now)
         # The start orders of the others may still arrive late, or have done so. The
         # restarted worker carries them out, as it doesn't know of a stop that was
@@ -209,6 +210,11 @@
     return {RunKey(entry.task, entry.run) for entry in lists.running}
 
 
+def _listed_keys(lists: WorkerLists) -> set[RunKey]:
+    ended = {RunKey(entry.task, entry.run) for entry in lists.ended}
+    return _running_keys(lists) | ended
+
+
 def _log_lacking_ends(worker: WorkerRecord, lists: WorkerLists) -> None:
     log_event(
         logger,
