--- a/catkinport/jobs/tests/test_former_incarnations.py
+++ b/catkinport/jobs/tests/test_former_incarnations.py
@@ -9,6 +9,7 @@
 
 from ...ports.fleet_workers import EndKind
 from .rival_fleet import RivalFleet
+from .simulated_store import StoreLink
 
 CYCLE_SECONDS = 0.5
 N_LEASE_CYCLES = 64
@@ -59,6 +60,42 @@
         assert not fleet.violations
 
 
+class TestAcknowledgmentWithoutASign:
+    """A poll that acknowledges end 1 is the next poll that reaches the worker."""
+
+    def test_an_end_that_was_not_read_is_not_forgotten(self, fleet):
+        """Guards against a task that starts again after an unread end.
+
+        Only the answer to the start shows the restart, by a clock that begins anew.
+        """
+        owner = begin_with_stored_end(fleet)
+        owner.workers.compares_clocks = True
+        fleet.restart_unnoticed("w0", is_listed=False)
+        start_task(fleet, owner)
+        fleet.end_a_run("w0", EndKind.DONE)
+        fleet.run_all(CYCLE_SECONDS, 2)
+        assert not fleet.violations
+
+    @pytest.mark.xfail(strict=True, reason="a former incarnation's state (issue 54)")
+    def test_a_later_end_is_not_hidden(self, fleet):
+        """Guards against a task that starts again after an end that was never listed.
+
+        Nothing has shown the restart before the poll. Its number is above all ends of
+        the worker, which may count it for the ends to come.
+        """
+        owner = begin_with_stored_end(fleet)
+        owner.workers.compares_clocks = True
+        fleet.restart_unnoticed("w0", is_listed=False)
+        owner.poll_workers()
+        fleet.list_incarnation("w0")
+        fleet.submit(1)
+        fleet.run_all(CYCLE_SECONDS, 3)
+        assert fleet.worker_by_id["w0"].running
+        fleet.end_a_run("w0", EndKind.DONE)
+        fleet.run_all(CYCLE_SECONDS, 2)
+        assert not fleet.violations
+
+
 class TestLeaseOnTheFormerClock:
     """A start with a lease on the former clock, which the new incarnation grants.
 
@@ -126,6 +163,54 @@
         check_task_moves_on(fleet)
 
 
+class TestStartBeforeAnEarlierAnswer:
+    def test_a_run_that_was_confirmed_after_the_poll_is_kept(self, fleet):
+        """Guards against a second run of a task that the new incarnation has started.
+
+        It had written its first answer before that start, and the answer arrived after
+        the confirmation of the start.
+        """
+        owner = begin(fleet)
+        fleet.submit(1)
+        owner.learn_jobs()
+        fleet.restart_unnoticed("w0", is_listed=False)
+        owner.plan_before_answer("w0", 0.1)
+        assert fleet.worker_by_id["w0"].running
+        fleet.join("w1")
+        owner.workers.cut_off(["w0"])
+        check_task_moves_on(fleet)
+
+
+class TestOwnerInDoubt:
+    @pytest.mark.xfail(strict=True, reason="a former incarnation's state (issue 54)")
+    def test_a_former_owner_starts_nothing_on_a_worker_without_the_later_token(
+        self, fleet
+    ):
+        """Guards against a second run by a former owner that sees no restart.
+
+        The successor has reached both workers, w0 has restarted and forgotten its
+        token, and the successor has started the task elsewhere.
+        """
+        fleet.join("w1")
+        fleet.submit(5)
+        former = begin(fleet)
+        former.store.link = StoreLink.CUT
+        former.is_paused = True
+        assert fleet.claim("d1")
+        fleet.end_a_run("w0", EndKind.FAILED)
+        former.poll_workers()
+        fleet.end_a_run("w1", EndKind.FAILED)
+        successor = fleet.owner_by_name["d1"]
+        successor.load()
+        successor.learn_jobs()
+        successor.poll_workers()
+        fleet.restart_unnoticed("w0", is_listed=False)
+        successor.workers.cut_off(["w0"])
+        fleet.run_cycle("d1")
+        former.plan()
+        assert not fleet.violations
+
+
 def begin(fleet):
     """Let d0 own the fleet; return the owner."""
     fleet.claim("d0")
