Reset the connections of a stand-in's worker that crashes

A crash of a worker was too kind to its clients: a connection that was kept open went on with the next incarnation, and a poll that was under way was answered with the runs of the incarnation that had ended. A worker that was cut off still answered the poll that was under way.

Now the connections of a worker that crashes are reset. With `is_dark`, or while the worker is cut off, they end when they are used again, as the whole VM is gone at once, and a call that is under way has no answer.

--- a/catkinport/platform/standin/server.py
+++ b/catkinport/platform/standin/server.py
@@ -4,7 +4,7 @@
 import random
 import time
 from collections import deque
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Mapping
 from typing import Any
 
 from aiohttp import web
@@ -12,7 +12,7 @@
 from ...standins.faults import FaultSettings
 from .rows import RowStore, StoreKey
 from .store_server import StoreServer
-from .vms import FleetSize, VmFleet, decode_value, encode_value
+from .vms import Crash, FleetSize, VmFleet, decode_value, encode_value
 from .worker_server import WorkerServer
 
 FAULT_DEFAULTS = {
@@ -271,11 +271,18 @@
         vm = self._fleet.vm_by_id.get(vm_id)
         if vm is None:
             return web.json_response({"error": f"no VM {vm_id!r}"}, status=404)
+        if "is_silent" in change:
+            vm.is_silent = bool(change["is_silent"])
         if "crash_seconds" in change:
-            keeps_id = bool(change.get("keeps_id", False))
-            self._fleet.crash(vm_id, float(change["crash_seconds"]), keeps_id)
+            self._fleet.crash(vm_id, _decode_crash(change))
         if "cold_seconds" in change:
             vm.cold_until = time.monotonic() + float(change["cold_seconds"])
-        if "is_silent" in change:
-            vm.is_silent = bool(change["is_silent"])
         return web.json_response({})
+
+
+def _decode_crash(change: Mapping[str, Any]) -> Crash:
+    return Crash(
+        float(change["crash_seconds"]),
+        bool(change.get("keeps_id", False)),
+        bool(change.get("is_dark", False)),
+    )
--- a/catkinport/platform/standin/tests/test_restarts.py
+++ b/catkinport/platform/standin/tests/test_restarts.py
@@ -7,7 +7,7 @@
 import pytest
 
 from .. import worker_server
-from ..vms import FleetSize, VmFleet
+from ..vms import Crash, FleetSize, VmFleet
 from ..worker_server import WorkerServer
 
 START = {"Task": "a.0.0.0", "Run": 1, "Spec": "lasts", "FencingToken": 7}
@@ -37,7 +37,7 @@
         self.server = WorkerServer(self.vm, lambda: self.now, {}, random.Random(1))
 
     def restart(self, keeps_id):
-        self.fleet.crash(self.vm.vm_id, 1.0, keeps_id)
+        self.fleet.crash(self.vm.vm_id, Crash(1.0, keeps_id))
         self.now += 1.5
         self.fleet.tick()
 
--- a/catkinport/platform/standin/vms.py
+++ b/catkinport/platform/standin/vms.py
@@ -63,6 +63,21 @@
         yield from [SPARE_POOL] * self.n_spare_vms
 
 
+class Crash(NamedTuple):
+    """How a VM's worker crashes.
+
+    Args:
+        down_seconds: time for which the VM is down.
+        keeps_id: whether the next incarnation starts under the same id.
+        is_dark: whether the whole VM is gone at once, so that its clients notice the
+            end of their connections only when they use them again.
+    """
+
+    down_seconds: float
+    keeps_id: bool = False
+    is_dark: bool = False
+
+
 class StandinVm:
     """A VM and the current incarnation of its worker.
 
@@ -80,6 +95,7 @@
         is_silent: whether its worker runs on but neither answers calls nor sends
             heartbeats.
         cold_until: time in seconds until which its worker says that it is slow.
+        on_crash: called when its worker crashes, with whether the VM is dark.
     """
 
     def __init__(self, vm_id: str, pool: str, rack: str, zone: str) -> None:
@@ -95,6 +111,7 @@
         self.kept_id = ""
         self.is_silent = False
         self.cold_until = 0.0
+        self.on_crash: Callable[[bool], None] = lambda is_dark: None
 
 
 class VmFleet:
@@ -184,20 +201,15 @@
         vm.ready_at = self._now() + (self._size.upkeep_seconds or UPKEEP_SECONDS)
         return True
 
-    def crash(self, vm_id: str, down_seconds: float, keeps_id: bool = False) -> None:
-        """End a VM's worker; another incarnation starts after ``down_seconds``.
-
-        Args:
-            vm_id: the VM.
-            down_seconds: time for which the VM is down.
-            keeps_id: whether the next incarnation starts under the same id.
-        """
+    def crash(self, vm_id: str, crash: Crash) -> None:
+        """End a VM's worker; another incarnation starts after a time."""
         vm = self.vm_by_id[vm_id]
         if vm.instance is not None:
-            vm.kept_id = vm.instance.worker_id if keeps_id else ""
+            vm.kept_id = vm.instance.worker_id if crash.keeps_id else ""
         self._end_instance(vm)
+        vm.on_crash(crash.is_dark or vm.is_silent)
         vm.state = VmState.DOWN
-        vm.ready_at = self._now() + down_seconds
+        vm.ready_at = self._now() + crash.down_seconds
 
     def _start_instance(self, vm: StandinVm) -> None:
         self._n_instances += 1
--- a/catkinport/platform/standin/worker_server.py
+++ b/catkinport/platform/standin/worker_server.py
@@ -2,8 +2,11 @@
 
 import asyncio
 import random
+import socket
+import struct
 from collections.abc import Awaitable, Callable, Mapping
 from typing import Any
+from weakref import WeakSet
 
 from aiohttp import web
 
@@ -22,6 +25,9 @@
 LATE_ORDER_SECONDS = (2.0, 8.0)
 """Shortest and longest delay of an order that is carried out late."""
 
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+"""Value of ``SO_LINGER`` with which a close resets the connection."""
+
 Handler = Callable[[WorkerIncarnation, Mapping[str, Any]], Awaitable[web.Response]]
 
 
@@ -47,6 +53,10 @@
         self._faults = faults
         self._rng = rng
         self._late: set[asyncio.Task[None]] = set()
+        self._connections: WeakSet[asyncio.Transport] = WeakSet()
+        # Connections of former incarnations whose clients don't know of their end yet.
+        self._ended_connections: WeakSet[asyncio.Transport] = WeakSet()
+        vm.on_crash = self._end_connections
 
     def create_app(self) -> web.Application:
         """Return the application that handles the worker's calls."""
@@ -61,20 +71,43 @@
         async def handle(request: web.Request) -> web.StreamResponse:
             instance = self._vm.instance
             if instance is None or self._vm.is_silent:
-                await asyncio.sleep(MAX_HOLD_SECONDS)
+                return await self._leave_unanswered(request)
+            if request.transport in self._ended_connections:
                 return _abort(request)
+            if request.transport is not None:
+                self._connections.add(request.transport)
             expected = request.headers.get(INCARNATION_HEADER, instance.worker_id)
             if expected != instance.worker_id:
                 return self._answer(instance, 421)
             body = await request.json()
             if may_be_late and self._rng.random() < self._faults["late_orders"]:
                 self._run_late(instance, handler, body)
-                await asyncio.sleep(MAX_HOLD_SECONDS)
-                return _abort(request)
-            return await self._carry_out(instance, handler, body)
+                return await self._leave_unanswered(request)
+            answer = await self._carry_out(instance, handler, body)
+            if self._vm.instance is not instance or self._vm.is_silent:
+                return await self._leave_unanswered(request)
+            return answer
 
         return handle
 
+    async def _leave_unanswered(self, request: web.Request) -> web.Response:
+        await asyncio.sleep(MAX_HOLD_SECONDS)
+        return _abort(request)
+
+    def _end_connections(self, is_dark: bool) -> None:
+        """End the connections to an incarnation that has crashed.
+
+        Args:
+            is_dark: whether the VM can't reset them, so that they end when they are
+                used again.
+        """
+        for transport in list(self._connections):
+            if is_dark:
+                self._ended_connections.add(transport)
+            else:
+                _reset(transport)
+        self._connections.clear()
+
     async def _carry_out(
         self, instance: WorkerIncarnation, handler: Handler, body: Mapping[str, Any]
     ) -> web.Response:
@@ -158,3 +191,12 @@
     if request.transport is not None:
         request.transport.abort()
     return web.Response(status=503)
+
+
+def _reset(transport: asyncio.Transport) -> None:
+    """Reset a connection, so that its client sees its end at once."""
+    if transport.is_closing():
+        return
+    connection = transport.get_extra_info("socket")
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+    transport.abort()
--- a/verification/platform/deployment.py
+++ b/verification/platform/deployment.py
@@ -268,9 +268,10 @@
         Args:
             vm_id: the VM.
             change: ``crash_seconds``, time for which the VM is down, with ``keeps_id``
-                if its worker starts again under the same id; ``is_silent``, whether
-                its worker can neither be called nor call; or ``cold_seconds``, for how
-                long its worker says that it is slow.
+                if its worker starts again under the same id and ``is_dark`` if its
+                connections are not reset; ``is_silent``, whether its worker can neither
+                be called nor call; or ``cold_seconds``, for how long its worker says
+                that it is slow.
         """
         self.call_standin("PUT", f"/standin/vms/{vm_id}", change)
 
