Make the longest lease a setting of the stand-in

Its workers grant 6 s at most, as one of the users' platforms does; another one grants 10 s. A test can now set the longest lease of the stand-in (--max-lease-seconds) and of the daemons together. The default stays 6 s.

Evidence: test_longest_lease_is_that_of_the_settings.

--- a/catkinport/platform/standin/main.py
+++ b/catkinport/platform/standin/main.py
@@ -8,7 +8,7 @@
 
 from ...runtime import configure_logging
 from .server import StandinServer
-from .vms import FleetSize
+from .vms import MAX_LEASE_SECONDS, FleetSize
 
 
 @cappa.command(name="catkin-standin-fleet")
@@ -29,6 +29,9 @@
         float, cappa.Arg(long=True, help="time that the upkeep of a VM takes")
     ] = 0.0
     zones: Annotated[int, cappa.Arg(long=True, help="availability zones")] = 1
+    max_lease_seconds: Annotated[
+        float, cappa.Arg(long=True, help="longest lease that a worker grants")
+    ] = MAX_LEASE_SECONDS
 
     def __call__(self) -> None:
         """Serve until SIGTERM or SIGINT."""
@@ -44,6 +47,7 @@
             self.move_seconds,
             self.upkeep_seconds,
             self.zones,
+            self.max_lease_seconds,
         )
         server = StandinServer(size, self.seed, self.host, self.port)
         await server.start()
--- a/catkinport/platform/standin/tests/test_restarts.py
+++ b/catkinport/platform/standin/tests/test_restarts.py
@@ -28,10 +28,10 @@
         now: time in seconds.
     """
 
-    def __init__(self, monkeypatch):
+    def __init__(self, monkeypatch, **size):
         monkeypatch.setattr(worker_server, "LATE_ORDER_SECONDS", (0.0, 0.0))
         self.now = 1000.0
-        self.fleet = VmFleet(FakeStore(), FleetSize(1, 1, 0), lambda: self.now)
+        self.fleet = VmFleet(FakeStore(), FleetSize(1, 1, 0, **size), lambda: self.now)
         self.fleet.start_workers()
         (self.vm,) = self.fleet.vm_by_id.values()
         self.server = WorkerServer(self.vm, lambda: self.now, {}, random.Random(1))
@@ -80,6 +80,17 @@
         scene.now += 0.2
         assert not scene.running()
 
+    def test_longest_lease_is_that_of_the_settings(self, monkeypatch):
+        """Guards against tests of other leases that are played with the usual ones."""
+        scene = Scene(monkeypatch, max_lease_seconds=10.0)
+        former = scene.vm.instance
+        scene.restart(keeps_id=True)
+        scene.start_late(former)
+        scene.now += 9.9
+        assert scene.running()
+        scene.now += 0.2
+        assert not scene.running()
+
     def test_late_start_is_lost_under_another_id(self, scene):
         """Guards against a late order that reaches a worker with another id."""
         former = scene.vm.instance
--- a/catkinport/platform/standin/vms.py
+++ b/catkinport/platform/standin/vms.py
@@ -25,7 +25,7 @@
 """Time that the maintenance of a VM takes."""
 
 MAX_LEASE_SECONDS = 6.0
-"""Longest lease that a worker grants."""
+"""Longest lease that a worker grants, unless the size of the stand-in says another."""
 
 SPARE_POOL = "spare"
 """Pool whose VMs are off."""
@@ -46,6 +46,7 @@
         upkeep_seconds: time that an upkeep takes; 0 for `UPKEEP_SECONDS`.
         n_zones: number of availability zones, 26 at most, which the VMs are in by
             turns.
+        max_lease_seconds: longest lease that a worker grants.
     """
 
     n_pools: int = 2
@@ -55,6 +56,7 @@
     move_seconds: float = 0.0
     upkeep_seconds: float = 0.0
     n_zones: int = 1
+    max_lease_seconds: float = MAX_LEASE_SECONDS
 
     def pool_of_each_vm(self) -> Iterator[str]:
         """Yield the initial pool of each VM."""
@@ -220,7 +222,7 @@
             Resources(self._size.cores, 64.0, 0),
             int(self._now() * 1000),
             self.events,
-            MAX_LEASE_SECONDS,
+            self._size.max_lease_seconds,
         )
         self._heartbeat_at_by_worker.pop(worker_id, None)
         self._send_heartbeat(vm, self._now())
--- a/verification/platform/deployment.py
+++ b/verification/platform/deployment.py
@@ -54,6 +54,7 @@
         move_seconds: time that a move of a VM takes.
         upkeep_seconds: time that the upkeep of a VM takes.
         n_zones: number of availability zones, which the VMs are in by turns.
+        longest_lease_seconds: longest lease that a worker grants.
         daemon_limits: options of the section ``limits`` of each daemon's settings.
     """
 
@@ -66,6 +67,7 @@
     move_seconds: float = 0.5
     upkeep_seconds: float = 0.5
     n_zones: int = 1
+    longest_lease_seconds: float = 6.0
     daemon_limits: Mapping[str, int] = MappingProxyType({})
 
 
@@ -126,6 +128,7 @@
         arguments += ["--move-seconds", str(size.move_seconds)]
         arguments += ["--upkeep-seconds", str(size.upkeep_seconds)]
         arguments += ["--zones", str(size.n_zones)]
+        arguments += ["--max-lease-seconds", str(size.longest_lease_seconds)]
         standin = self._processes.start("platform", arguments)
         self.platform_address = standin.wait_for_line("listening on ")[0]
         self.configure()
@@ -157,7 +160,9 @@
             f"[services]\ntable = {table}\n"
             f"vms = {vms_address or self.platform_address}\n\n"
             f"[bounds]\nupkeep_seconds = {self.size.upkeep_seconds}\n"
-            f"move_seconds = {self.size.move_seconds}\n\n[limits]\n"
+            f"move_seconds = {self.size.move_seconds}\n"
+            f"longest_lease_ms = {int(self.size.longest_lease_seconds * 1000)}\n\n"
+            "[limits]\n"
             + "".join(f"{k} = {v}\n" for k, v in self.size.daemon_limits.items())
         )
         process = self._processes.start(
