Let the stand-in hold calls up until their worker has restarted

A worker that starts again under its id takes calls that were made for its former incarnation. The stand-in could play that only for orders whose answer is lost (`late_orders`), so no test with processes had a call that the next incarnation answers.

Now a test can let a VM hold up starts (`hold_up`: `starts`), polls (`polls`) or both on their way until its next incarnation is up. They arrive with their original body and are answered by it; a call whose client has ended its connection does not arrive. With `is_at_held_call` the first such call brings about the crash, so that a test need not hit a moment.

--- a/catkinport/platform/standin/server.py
+++ b/catkinport/platform/standin/server.py
@@ -55,6 +55,9 @@
 MAX_LIST_AGE_SECONDS = 10.0
 """Largest age of the data in a list of VMs."""
 
+PATH_BY_KIND = {"starts": "/run-start", "polls": "/hold"}
+"""Paths of the calls to workers that can be held up, by their name in the controls."""
+
 Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
 
 
@@ -94,7 +97,9 @@
         self._add_test_controls(app)
         self.address = await self._listen(app, self._port)
         for vm in self._fleet.vm_by_id.values():
-            server = WorkerServer(vm, time.monotonic, self.faults, self._rng)
+            server = WorkerServer(
+                vm, time.monotonic, self.faults, self._rng, self._fleet.crash
+            )
             worker_app = server.create_app()
             worker_app.middlewares.append(self._delay_workers)
             vm.address = await self._listen(worker_app, 0)
@@ -273,7 +278,12 @@
             return web.json_response({"error": f"no VM {vm_id!r}"}, status=404)
         if "is_silent" in change:
             vm.is_silent = bool(change["is_silent"])
-        if "crash_seconds" in change:
+        if "hold_up" in change:
+            vm.held_paths = frozenset(PATH_BY_KIND[kind] for kind in change["hold_up"])
+            vm.crash_at_held_call = None
+        if change.get("is_at_held_call"):
+            vm.crash_at_held_call = _decode_crash(change)
+        elif "crash_seconds" in change:
             self._fleet.crash(vm_id, _decode_crash(change))
         if "cold_seconds" in change:
             vm.cold_until = time.monotonic() + float(change["cold_seconds"])
--- a/catkinport/platform/standin/vms.py
+++ b/catkinport/platform/standin/vms.py
@@ -98,6 +98,10 @@
             heartbeats.
         cold_until: time in seconds until which its worker says that it is slow.
         on_crash: called when its worker crashes, with whether the VM is dark.
+        held_paths: paths of the calls that are held up on their way until the next
+            incarnation is up.
+        crash_at_held_call: crash that the first of these calls brings about; ``None``
+            for none.
     """
 
     def __init__(self, vm_id: str, pool: str, rack: str, zone: str) -> None:
@@ -114,6 +118,8 @@
         self.is_silent = False
         self.cold_until = 0.0
         self.on_crash: Callable[[bool], None] = lambda is_dark: None
+        self.held_paths: frozenset[str] = frozenset()
+        self.crash_at_held_call: Crash | None = None
 
 
 class VmFleet:
@@ -217,6 +223,8 @@
         self._n_instances += 1
         worker_id = vm.kept_id or f"i-{vm.vm_id}-{self._n_instances}"
         vm.kept_id = ""
+        vm.held_paths = frozenset()
+        vm.crash_at_held_call = None
         vm.instance = WorkerIncarnation(
             worker_id,
             Resources(self._size.cores, 64.0, 0),
--- a/catkinport/platform/standin/worker_server.py
+++ b/catkinport/platform/standin/worker_server.py
@@ -12,7 +12,7 @@
 
 from ...standins.faults import FaultSettings
 from ..workers import INCARNATION_HEADER
-from .vms import StandinVm
+from .vms import Crash, StandinVm
 from .worker_incarnation import StartError, WorkerIncarnation
 
 MAX_HOLD_SECONDS = 2.0
@@ -22,6 +22,9 @@
 HOLD_POLL_SECONDS = 0.02
 """How often a waiting call to ``/hold`` checks for ended runs."""
 
+HELD_POLL_SECONDS = 0.005
+"""How often a call that is held up checks whether the next incarnation is up."""
+
 LATE_ORDER_SECONDS = (2.0, 8.0)
 """Shortest and longest delay of an order that is carried out late."""
 
@@ -39,6 +42,7 @@
         now: returns the time in seconds.
         faults: faults that are switched on.
         rng: decides which orders are late, and by how much.
+        crash: lets the worker of a VM crash.
     """
 
     def __init__(
@@ -47,11 +51,13 @@
         now: Callable[[], float],
         faults: FaultSettings,
         rng: random.Random,
+        crash: Callable[[str, Crash], None] = lambda vm_id, crash: None,
     ) -> None:
         self._vm = vm
         self._now = now
         self._faults = faults
         self._rng = rng
+        self._crash = crash
         self._late: set[asyncio.Task[None]] = set()
         self._connections: WeakSet[asyncio.Transport] = WeakSet()
         # Connections of former incarnations whose clients don't know of their end yet.
@@ -69,6 +75,10 @@
 
     def _with_faults(self, handler: Handler, may_be_late: bool = True):
         async def handle(request: web.Request) -> web.StreamResponse:
+            if request.path in self._vm.held_paths:
+                await self._wait_for_next_incarnation(request)
+                if _is_given_up(request):
+                    return _abort(request)
             instance = self._vm.instance
             if instance is None or self._vm.is_silent:
                 return await self._leave_unanswered(request)
@@ -90,6 +100,20 @@
 
         return handle
 
+    async def _wait_for_next_incarnation(self, request: web.Request) -> None:
+        """Hold a call up until the next incarnation is up or the client gives it up.
+
+        The call is on its way, so its connection doesn't end with a crash.
+        """
+        former = self._vm.instance
+        if request.transport is not None:
+            self._connections.discard(request.transport)
+        if self._vm.crash_at_held_call is not None:
+            crash, self._vm.crash_at_held_call = self._vm.crash_at_held_call, None
+            self._crash(self._vm.vm_id, crash)
+        while self._vm.instance in (None, former) and not _is_given_up(request):
+            await asyncio.sleep(HELD_POLL_SECONDS)
+
     async def _leave_unanswered(self, request: web.Request) -> web.Response:
         await asyncio.sleep(MAX_HOLD_SECONDS)
         return _abort(request)
@@ -193,6 +217,11 @@
     return web.Response(status=503)
 
 
+def _is_given_up(request: web.Request) -> bool:
+    """Return whether the client has ended the connection of its call."""
+    return request.transport is None or request.transport.is_closing()
+
+
 def _reset(transport: asyncio.Transport) -> None:
     """Reset a connection, so that its client sees its end at once."""
     if transport.is_closing():
--- a/verification/platform/deployment.py
+++ b/verification/platform/deployment.py
@@ -274,9 +274,12 @@
             vm_id: the VM.
             change: ``crash_seconds``, time for which the VM is down, with ``keeps_id``
                 if its worker starts again under the same id and ``is_dark`` if its
-                connections are not reset; ``is_silent``, whether its worker can neither
-                be called nor call; or ``cold_seconds``, for how long its worker says
-                that it is slow.
+                connections are not reset; ``hold_up``, the kinds of calls
+                (``starts``, ``polls``) that are held up on their way until the next
+                incarnation of its worker is up, which answers them, with
+                ``is_at_held_call`` if the first of them brings about the crash;
+                ``is_silent``, whether its worker can neither be called nor call; or
+                ``cold_seconds``, for how long its worker says that it is slow.
         """
         self.call_standin("PUT", f"/standin/vms/{vm_id}", change)
 
