Hold calls up on their way also while their worker crashes

Of two calls that the stand-in held up, the first brings about the crash. The second one, on a connection that was kept open, was reset after it instead of reaching the next incarnation, so that its client saw a lost call.

Evidence: test_a_call_during_the_crash_reaches_the_next_incarnation fails without the change.

--- a/catkinport/platform/standin/tests/test_crashes.py
+++ b/catkinport/platform/standin/tests/test_crashes.py
@@ -186,6 +186,20 @@
 
         play(scene)
 
+    def test_a_call_during_the_crash_reaches_the_next_incarnation(self):
+        """Guards against a call that is lost because another one was held up first."""
+
+        async def scene(server, client):
+            await poll(server, client, WaitMs=0)
+            former = find_vm(server).instance
+            crash = {"crash_seconds": DOWN_SECONDS, "keeps_id": True, "is_dark": True}
+            await change_vm(server, client, hold_up=["polls"], **crash)
+            url = f"http://{find_vm(server).address}/hold"
+            async with client.post(url, json=HOLD | {"WaitMs": 0}) as answer:
+                assert (await answer.json())["born"] > former.born
+
+        play(scene)
+
     @pytest.mark.parametrize(
         ("held", "other"), [("starts", poll), ("polls", start)], ids=["start", "poll"]
     )
--- a/catkinport/platform/standin/worker_server.py
+++ b/catkinport/platform/standin/worker_server.py
@@ -108,6 +108,7 @@
         former = self._vm.instance
         if request.transport is not None:
             self._connections.discard(request.transport)
+            self._ended_connections.discard(request.transport)
         if self._vm.crash_at_held_call is not None:
             crash, self._vm.crash_at_held_call = self._vm.crash_at_held_call, None
             self._crash(self._vm.vm_id, crash)
