--- a/verification/platform/deployment.py
+++ b/verification/platform/deployment.py
@@ -54,6 +54,7 @@
         move_seconds: time that a move of a VM takes.
         upkeep_seconds: time that the upkeep of a VM takes.
         n_zones: number of availability zones, which the VMs are in by turns.
+        has_spare_pool: whether there is a spare pool; without one, idle VMs stay up.
         longest_lease_seconds: longest lease that a worker grants.
         daemon_limits: options of the section ``limits`` of each daemon's settings.
     """
@@ -67,6 +68,7 @@
     move_seconds: float = 0.5
     upkeep_seconds: float = 0.5
     n_zones: int = 1
+    has_spare_pool: bool = True
     longest_lease_seconds: float = 6.0
     daemon_limits: Mapping[str, int] = MappingProxyType({})
 
@@ -361,7 +363,8 @@
             for number, pool in enumerate(pools)
         ]
         services = [{"Name": pool, "EnforcesCapacity": True} for pool in pools]
-        services.append({"Name": SPARE_POOL, "Spare": True})
+        if self.size.has_spare_pool:
+            services.append({"Name": SPARE_POOL, "Spare": True})
         account = {"Name": "studio", "ApiKeys": self._keys, "Weight": 1}
         if max_cores:
             account["Maximum"] = {"Cpu": max_cores * 1000}
