--- a/catkinport/jobs/tests/test_worker_watch.py
+++ b/catkinport/jobs/tests/test_worker_watch.py
@@ -7,7 +7,7 @@
 
 from ...policy.leadership import OwnLease
 from ...ports import Reason, Unavailable
-from ...ports.fleet_workers import WorkerLists
+from ...ports.fleet_workers import EndedTask, EndKind, WorkerLists
 from ..ownership import worker_watch
 from ..ownership.worker_watch import WorkerWatch
 from ..workers.run import RunKey
@@ -203,6 +203,15 @@
         session = poll(self.make_fleet(), LOST, ANSWER, ANSWER, ANSWER, LOST)
         assert session.acknowledged == [57, 0, 57, 0, 0]
 
+    def test_an_end_that_is_still_listed_is_acknowledged_again(self):
+        """Guards against ends that are listed for ever.
+
+        A poll carries no number while the clock of the worker is not known.
+        """
+        listed = [EndedTask(57, "0000000000000001.0.0.0", 1, EndKind.FAILED, "")]
+        answers = (WorkerLists(1.0, [], listed), ANSWER, ANSWER)
+        assert poll(self.make_fleet(), *answers).acknowledged == [57, 57, 0]
+
     def test_a_poll_beside_another_one_acknowledges_none(self):
         """Guards against an unread end after a start that had no answer.
 
@@ -324,3 +333,32 @@
         fleet.advance(2.1)
         session = poll(fleet, ANSWER)
         assert session.polls == [(4.0, 2.0)]
+
+
+class TestDroppedReport:
+    """Two polls are under way, and different incarnations answer them."""
+
+    @pytest.mark.xfail(strict=True, reason="a former incarnation's state (issue 54)")
+    def test_the_next_poll_reads_the_lists_only(self, monkeypatch):
+        """Guards against an unread end on the incarnation whose report was dropped.
+
+        The worker has restarted twice, and the poll that was sent first is carried out
+        last. Its report counts as one of the first incarnation.
+        """
+        fleet = Fleet([make_worker("w1")])
+        renew_lease = FakeSession.renew_lease
+
+        async def renew_lease_beside_another_poll(session, *arguments):
+            fleet.advance(0.5)
+            fleet.poll("w1", started_at=2.0)
+            worker = fleet.dispatcher.worker_by_id["w1"]
+            worker.processed_end = worker.stored_end = 3
+            return await renew_lease(session, *arguments)
+
+        monkeypatch.setattr(FakeSession, "renew_lease", renew_lease_beside_another_poll)
+        poll(fleet, WorkerLists(3.0, [], []))
+        monkeypatch.setattr(FakeSession, "renew_lease", renew_lease)
+        assert fleet.dispatcher.worker_by_id["w1"].started_at == 2.0
+        session = poll(fleet, WorkerLists(3.0, [], []))
+        assert session.acknowledged == [0]
+        assert session.polls == [(0.0, 0.0)]
