--- a/catkinport/platform/standin/vms.py
+++ b/catkinport/platform/standin/vms.py
@@ -25,7 +25,7 @@
 """Time that the maintenance of a VM takes."""
 
 MAX_LEASE_SECONDS = 6.0
-"""Longest lease that a worker grants."""
+"""Longest lease that a worker grants, unless the size of the stand-in says another."""
 
 SPARE_POOL = "spare"
 """Pool whose VMs are off."""
@@ -46,6 +46,7 @@
         upkeep_seconds: time that an upkeep takes; 0 for `UPKEEP_SECONDS`.
         n_zones: number of availability zones, 26 at most, which the VMs are in by
             turns.
+        max_lease_seconds: longest lease that a worker grants.
     """
 
     n_pools: int = 2
@@ -55,6 +56,7 @@
     move_seconds: float = 0.0
     upkeep_seconds: float = 0.0
     n_zones: int = 1
+    max_lease_seconds: float = MAX_LEASE_SECONDS
 
     def pool_of_each_vm(self) -> Iterator[str]:
         """Yield the initial pool of each VM."""
@@ -63,6 +65,21 @@
         yield from [SPARE_POOL] * self.n_spare_vms
 
 
+class Crash(NamedTuple):
+    """How a VM's worker crashes.
+
+    Args:
+        down_seconds: time for which the VM is down.
+        keeps_id: whether the next incarnation starts under the same id.
+        is_dark: whether the whole VM is gone at once, so that its clients notice the
+            end of their connections only when they use them again.
+    """
+
+    down_seconds: float
+    keeps_id: bool = False
+    is_dark: bool = False
+
+
 class StandinVm:
     """A VM and the current incarnation of its worker.
 
@@ -80,6 +97,11 @@
         is_silent: whether its worker runs on but neither answers calls nor sends
             heartbeats.
         cold_until: time in seconds until which its worker says that it is slow.
+        on_crash: called when its worker crashes, with whether the VM is dark.
+        held_paths: paths of the calls that are held up on their way until the next
+            incarnation is up.
+        crash_at_held_call: crash that the first of these calls brings about; ``None``
+            for none.
     """
 
     def __init__(self, vm_id: str, pool: str, rack: str, zone: str) -> None:
@@ -95,6 +117,9 @@
         self.kept_id = ""
         self.is_silent = False
         self.cold_until = 0.0
+        self.on_crash: Callable[[bool], None] = lambda is_dark: None
+        self.held_paths: frozenset[str] = frozenset()
+        self.crash_at_held_call: Crash | None = None
 
 
 class VmFleet:
@@ -184,31 +209,28 @@
         vm.ready_at = self._now() + (self._size.upkeep_seconds or UPKEEP_SECONDS)
         return True
 
-    def crash(self, vm_id: str, down_seconds: float, keeps_id: bool = False) -> None:
-        """End a VM's worker; another incarnation starts after ``down_seconds``.
-
-        Args:
-            vm_id: the VM.
-            down_seconds: time for which the VM is down.
-            keeps_id: whether the next incarnation starts under the same id.
-        """
+    def crash(self, vm_id: str, crash: Crash) -> None:
+        """End a VM's worker; another incarnation starts after a time."""
         vm = self.vm_by_id[vm_id]
         if vm.instance is not None:
-            vm.kept_id = vm.instance.worker_id if keeps_id else ""
+            vm.kept_id = vm.instance.worker_id if crash.keeps_id else ""
         self._end_instance(vm)
+        vm.on_crash(crash.is_dark or vm.is_silent)
         vm.state = VmState.DOWN
-        vm.ready_at = self._now() + down_seconds
+        vm.ready_at = self._now() + crash.down_seconds
 
     def _start_instance(self, vm: StandinVm) -> None:
         self._n_instances += 1
         worker_id = vm.kept_id or f"i-{vm.vm_id}-{self._n_instances}"
         vm.kept_id = ""
+        vm.held_paths = frozenset()
+        vm.crash_at_held_call = None
         vm.instance = WorkerIncarnation(
             worker_id,
             Resources(self._size.cores, 64.0, 0),
             int(self._now() * 1000),
             self.events,
-            MAX_LEASE_SECONDS,
+            self._size.max_lease_seconds,
         )
         self._heartbeat_at_by_worker.pop(worker_id, None)
         self._send_heartbeat(vm, self._now())
--- a/catkinport/platform/standin/worker_server.py
+++ b/catkinport/platform/standin/worker_server.py
@@ -2,14 +2,17 @@
 
 import asyncio
 import random
+import socket
+import struct
 from collections.abc import Awaitable, Callable, Mapping
 from typing import Any
+from weakref import WeakSet
 
 from aiohttp import web
 
 from ...standins.faults import FaultSettings
 from ..workers import INCARNATION_HEADER
-from .vms import StandinVm
+from .vms import Crash, StandinVm
 from .worker_incarnation import StartError, WorkerIncarnation
 
 MAX_HOLD_SECONDS = 2.0
@@ -19,9 +22,15 @@
 HOLD_POLL_SECONDS = 0.02
 """How often a waiting call to ``/hold`` checks for ended runs."""
 
+HELD_POLL_SECONDS = 0.005
+"""How often a call that is held up checks whether the next incarnation is up."""
+
 LATE_ORDER_SECONDS = (2.0, 8.0)
 """Shortest and longest delay of an order that is carried out late."""
 
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+"""Value of ``SO_LINGER`` with which a close resets the connection."""
+
 Handler = Callable[[WorkerIncarnation, Mapping[str, Any]], Awaitable[web.Response]]
 
 
@@ -33,6 +42,7 @@
         now: returns the time in seconds.
         faults: faults that are switched on.
         rng: decides which orders are late, and by how much.
+        crash: lets the worker of a VM crash.
     """
 
     def __init__(
@@ -41,12 +51,18 @@
         now: Callable[[], float],
         faults: FaultSettings,
         rng: random.Random,
+        crash: Callable[[str, Crash], None] = lambda vm_id, crash: None,
     ) -> None:
         self._vm = vm
         self._now = now
         self._faults = faults
         self._rng = rng
+        self._crash = crash
         self._late: set[asyncio.Task[None]] = set()
+        self._connections: WeakSet[asyncio.Transport] = WeakSet()
+        # Connections of former incarnations whose clients don't know of their end yet.
+        self._ended_connections: WeakSet[asyncio.Transport] = WeakSet()
+        vm.on_crash = self._end_connections
 
     def create_app(self) -> web.Application:
         """Return the application that handles the worker's calls."""
@@ -59,22 +75,64 @@
 
     def _with_faults(self, handler: Handler, may_be_late: bool = True):
         async def handle(request: web.Request) -> web.StreamResponse:
+            if request.path in self._vm.held_paths:
+                await self._wait_for_next_incarnation(request)
+                if _is_given_up(request):
+                    return _abort(request)
             instance = self._vm.instance
             if instance is None or self._vm.is_silent:
-                await asyncio.sleep(MAX_HOLD_SECONDS)
+                return await self._leave_unanswered(request)
+            if request.transport in self._ended_connections:
                 return _abort(request)
+            if request.transport is not None:
+                self._connections.add(request.transport)
             expected = request.headers.get(INCARNATION_HEADER, instance.worker_id)
             if expected != instance.worker_id:
                 return self._answer(instance, 421)
             body = await request.json()
             if may_be_late and self._rng.random() < self._faults["late_orders"]:
                 self._run_late(instance, handler, body)
-                await asyncio.sleep(MAX_HOLD_SECONDS)
-                return _abort(request)
-            return await self._carry_out(instance, handler, body)
+                return await self._leave_unanswered(request)
+            answer = await self._carry_out(instance, handler, body)
+            if self._vm.instance is not instance or self._vm.is_silent:
+                return await self._leave_unanswered(request)
+            return answer
 
         return handle
 
+    async def _wait_for_next_incarnation(self, request: web.Request) -> None:
+        """Hold a call up until the next incarnation is up or the client gives it up.
+
+        The call is on its way, so its connection doesn't end with a crash.
+        """
+        former = self._vm.instance
+        if request.transport is not None:
+            self._connections.discard(request.transport)
+            self._ended_connections.discard(request.transport)
+        if self._vm.crash_at_held_call is not None:
+            crash, self._vm.crash_at_held_call = self._vm.crash_at_held_call, None
+            self._crash(self._vm.vm_id, crash)
+        while self._vm.instance in (None, former) and not _is_given_up(request):
+            await asyncio.sleep(HELD_POLL_SECONDS)
+
+    async def _leave_unanswered(self, request: web.Request) -> web.Response:
+        await asyncio.sleep(MAX_HOLD_SECONDS)
+        return _abort(request)
+
+    def _end_connections(self, is_dark: bool) -> None:
+        """End the connections to an incarnation that has crashed.
+
+        Args:
+            is_dark: whether the VM can't reset them, so that they end when they are
+                used again.
+        """
+        for transport in list(self._connections):
+            if is_dark:
+                self._ended_connections.add(transport)
+            else:
+                _reset(transport)
+        self._connections.clear()
+
     async def _carry_out(
         self, instance: WorkerIncarnation, handler: Handler, body: Mapping[str, Any]
     ) -> web.Response:
@@ -158,3 +216,17 @@
     if request.transport is not None:
         request.transport.abort()
     return web.Response(status=503)
+
+
+def _is_given_up(request: web.Request) -> bool:
+    """Return whether the client has ended the connection of its call."""
+    return request.transport is None or request.transport.is_closing()
+
+
+def _reset(transport: asyncio.Transport) -> None:
+    """Reset a connection, so that its client sees its end at once."""
+    if transport.is_closing():
+        return
+    connection = transport.get_extra_info("socket")
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+    transport.abort()
--- a/verification/platform/deployment.py
+++ b/verification/platform/deployment.py
@@ -54,6 +54,8 @@
         move_seconds: time that a move of a VM takes.
         upkeep_seconds: time that the upkeep of a VM takes.
         n_zones: number of availability zones, which the VMs are in by turns.
+        has_spare_pool: whether there is a spare pool; without one, idle VMs stay up.
+        longest_lease_seconds: longest lease that a worker grants.
         daemon_limits: options of the section ``limits`` of each daemon's settings.
     """
 
@@ -66,6 +68,8 @@
     move_seconds: float = 0.5
     upkeep_seconds: float = 0.5
     n_zones: int = 1
+    has_spare_pool: bool = True
+    longest_lease_seconds: float = 6.0
     daemon_limits: Mapping[str, int] = MappingProxyType({})
 
 
@@ -126,6 +130,7 @@
         arguments += ["--move-seconds", str(size.move_seconds)]
         arguments += ["--upkeep-seconds", str(size.upkeep_seconds)]
         arguments += ["--zones", str(size.n_zones)]
+        arguments += ["--max-lease-seconds", str(size.longest_lease_seconds)]
         standin = self._processes.start("platform", arguments)
         self.platform_address = standin.wait_for_line("listening on ")[0]
         self.configure()
@@ -157,7 +162,9 @@
             f"[services]\ntable = {table}\n"
             f"vms = {vms_address or self.platform_address}\n\n"
             f"[bounds]\nupkeep_seconds = {self.size.upkeep_seconds}\n"
-            f"move_seconds = {self.size.move_seconds}\n\n[limits]\n"
+            f"move_seconds = {self.size.move_seconds}\n"
+            f"longest_lease_ms = {int(self.size.longest_lease_seconds * 1000)}\n\n"
+            "[limits]\n"
             + "".join(f"{k} = {v}\n" for k, v in self.size.daemon_limits.items())
         )
         process = self._processes.start(
@@ -268,9 +275,13 @@
         Args:
             vm_id: the VM.
             change: ``crash_seconds``, time for which the VM is down, with ``keeps_id``
-                if its worker starts again under the same id; ``is_silent``, whether
-                its worker can neither be called nor call; or ``cold_seconds``, for how
-                long its worker says that it is slow.
+                if its worker starts again under the same id and ``is_dark`` if its
+                connections are not reset; ``hold_up``, the kinds of calls
+                (``starts``, ``polls``) that are held up on their way until the next
+                incarnation of its worker is up, which answers them, with
+                ``is_at_held_call`` if the first of them brings about the crash;
+                ``is_silent``, whether its worker can neither be called nor call; or
+                ``cold_seconds``, for how long its worker says that it is slow.
         """
         self.call_standin("PUT", f"/standin/vms/{vm_id}", change)
 
@@ -352,7 +363,8 @@
             for number, pool in enumerate(pools)
         ]
         services = [{"Name": pool, "EnforcesCapacity": True} for pool in pools]
-        services.append({"Name": SPARE_POOL, "Spare": True})
+        if self.size.has_spare_pool:
+            services.append({"Name": SPARE_POOL, "Spare": True})
         account = {"Name": "studio", "ApiKeys": self._keys, "Weight": 1}
         if max_cores:
             account["Maximum"] = {"Cpu": max_cores * 1000}
