Restart workers under their ids in the soak, in series with owner faults

Cause: the soak restarted workers under new ids only, silenced workers and killed daemons independently of each other, and its longest tasks ran for a second. So calls that reach a later incarnation of their worker were never followed by another owner while the worker was out of reach.

Many small tasks of 8 to 15 s run beside the usual load.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -9,7 +9,7 @@
 from verification.platform.deployment import PlatformSize
 
 from .regressions import CAUSE_BY_SEED
-from .run import SoakResult, run_seed
+from .run import Plan, SoakResult, run_seed
 
 
 @cappa.command(name="soak")
@@ -31,6 +31,13 @@
             long=True, help="availability zones; with several, some are evacuated"
         ),
     ] = 1
+    plan: Annotated[
+        Plan,
+        cappa.Arg(
+            long=True,
+            help="random faults, restarts of workers under their ids, or both",
+        ),
+    ] = "standard"
     regressions: Annotated[
         bool, cappa.Arg(long=True, help="run the seeds that failed before instead")
     ] = False
@@ -41,7 +48,7 @@
         size = PlatformSize(n_daemons=self.daemons, n_vms=self.vms, n_zones=self.zones)
         n_broken = 0
         for seed in seeds:
-            result = run_seed(seed, self.seconds, size)
+            result = run_seed(seed, self.seconds, size, self.plan)
             n_broken += bool(result.violations)
             print_result(result)
         print(f"{len(seeds)} seeds from {seeds[0]}, {n_broken} with a broken promise")
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -22,6 +22,9 @@
 
 FAULT_BY_NAME: dict[str, Fault] = {}
 
+VM_LIST_AGE_SECONDS = 1.2
+"""Largest age of the data in a list of VMs, as the platform promises."""
+
 SERIES_FAULT_NAMES: set[str] = set()
 """Names of the faults that only series use."""
 
@@ -204,6 +207,14 @@
     return lambda: environment.request_restart(owner)
 
 
+@register_for_series
+def stop_owner(environment: SoakEnvironment, rng: random.Random) -> Callable[[], None]:
+    """Stop the owner with SIGTERM, as a planned restart does; the end restarts it."""
+    owner = _find_owner(environment)
+    owner.process.send_signal(signal.SIGTERM)
+    return lambda: environment.request_restart(owner)
+
+
 @register_for_series
 def pause_owner(environment: SoakEnvironment, rng: random.Random) -> Callable[[], None]:
     """Pause the owner, which goes on with what it believed then."""
@@ -273,6 +284,12 @@
     return _set_platform_faults(environment, is_vm_interface_down=True)
 
 
+@register_for_series
+def vm_list_old(environment: SoakEnvironment, rng: random.Random) -> Callable[[], None]:
+    """Let the platform's list of VMs be as old as it may be."""
+    return _set_platform_faults(environment, vm_list_age_seconds=VM_LIST_AGE_SECONDS)
+
+
 def _pick_vm(environment: SoakEnvironment, rng: random.Random) -> str:
     size = environment.deployment.size
     vm_id = f"m-{rng.randrange(size.n_pools * size.n_vms)}"
--- a/soak/run.py
+++ b/soak/run.py
@@ -16,7 +16,7 @@
 import time
 from collections.abc import Callable
 from pathlib import Path
-from typing import NamedTuple
+from typing import Literal, NamedTuple
 
 from catkinport.runtime.logs import log_event
 from verification.platform.caller import PlatformCaller
@@ -29,6 +29,7 @@
 from .load import Cancellation, SoakLoad
 from .output import log_to_folder, write_events, write_schedule
 from .planned_work import restart_all
+from .restarts import draw_restarts
 from .series import draw_series
 from .zone_evacuations import check_no_late_starts, draw_evacuations
 
@@ -52,6 +53,10 @@
 KEY_WITHDRAWAL_SECONDS = 5.0
 """Time after which a withdrawn key must be refused, as promised to users."""
 
+Plan = Literal["standard", "restarts", "both"]
+"""What a seed plays: random faults and series of them, series around workers that
+restart under their ids, beside tasks of 8 to 15 s, or all of these."""
+
 FINAL_STATES = ("completed", "failed", "canceled")
 
 
@@ -118,32 +123,33 @@
                     )
 
 
-def run_seed(seed: int, seconds: float, size: PlatformSize) -> SoakResult:
+def run_seed(
+    seed: int, seconds: float, size: PlatformSize, plan: Plan = "standard"
+) -> SoakResult:
     """Run the soak test with one seed and check every promise.
 
     Args:
         seed: seed of the faults and of the load.
         seconds: time over which faults are injected.
         size: size of the deployment. With several availability zones, some of them are
-            evacuated.
+            evacuated, unless only restarts are played.
+        plan: what to play.
     """
-    plan = [
-        *_plan_faults(draw_schedule(random.Random(seed), seconds), f"{seed}-faults"),
-        *_plan_faults(
-            draw_series(random.Random(f"{seed}-series"), seconds),
-            f"{seed}-series-faults",
-        ),
-    ]
-    if size.n_zones > 1:
-        evacuations = draw_evacuations(random.Random(f"{seed}-evacuations"), seconds)
-        plan += _plan_faults(evacuations, f"{seed}-evacuated-zones")
-    plan.sort(key=lambda step: step.fault.start_seconds)
+    steps: list[_Step] = []
+    if plan != "restarts":
+        steps += _plan_standard_faults(seed, seconds, size)
+    if plan != "standard":
+        steps += _plan_restarts(seed, seconds)
+    steps.sort(key=lambda step: step.fault.start_seconds)
     with ProcessGroup(label=f"soak-{seed}-") as processes:
         # A run that breaks off keeps its folder too.
         processes.is_folder_kept = True
         with log_to_folder(processes.folder):
-            write_schedule(processes.folder, [step.fault for step in plan])
-            result = _run_plan(processes, plan, size._replace(seed=seed))
+            write_schedule(processes.folder, [step.fault for step in steps])
+            has_long_jobs = plan != "standard"
+            result = _run_plan(
+                processes, steps, size._replace(seed=seed), has_long_jobs
+            )
         processes.is_folder_kept = bool(result.violations)
     return result
 
@@ -161,12 +167,40 @@
     return [_Step(fault, rng) for fault in faults]
 
 
+def _plan_standard_faults(seed: int, seconds: float, size: PlatformSize) -> list[_Step]:
+    steps = [
+        *_plan_faults(draw_schedule(random.Random(seed), seconds), f"{seed}-faults"),
+        *_plan_faults(
+            draw_series(random.Random(f"{seed}-series"), seconds),
+            f"{seed}-series-faults",
+        ),
+    ]
+    if size.n_zones > 1:
+        evacuations = draw_evacuations(random.Random(f"{seed}-evacuations"), seconds)
+        steps += _plan_faults(evacuations, f"{seed}-evacuated-zones")
+    return steps
+
+
+def _plan_restarts(seed: int, seconds: float) -> list[_Step]:
+    # The faults of a series begin with the same choices, and so with the same workers.
+    return [
+        _Step(fault, random.Random(f"{seed}-restarts-{number}"))
+        for number, series in enumerate(
+            draw_restarts(random.Random(f"{seed}-restarts"), seconds)
+        )
+        for fault in series
+    ]
+
+
 def _run_plan(
-    processes: ProcessGroup, plan: list[_Step], size: PlatformSize
+    processes: ProcessGroup,
+    plan: list[_Step],
+    size: PlatformSize,
+    has_long_jobs: bool = False,
 ) -> SoakResult:
     seed = size.seed
     environment = SoakEnvironment(processes, size)
-    load = SoakLoad(environment, seed)
+    load = SoakLoad(environment, seed, has_long_jobs=has_long_jobs)
     probe = WithdrawnKeyProbe(environment)
     with contextlib.ExitStack() as stack:
         stack.callback(environment.close)
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import itertools
 import json
 import random
 import socket
@@ -16,6 +17,7 @@
 from ..environment import SoakEnvironment
 from ..faults import FAULT_BY_NAME, PlannedFault, draw_schedule
 from ..proxy import RESET_ON_CLOSE, Proxy, ProxyHub
+from ..restarts import draw_restarts
 from ..run import SoakResult, run_seed
 from ..series import draw_series
 from ..zone_evacuations import draw_evacuations
@@ -36,7 +38,8 @@
         schedule = draw_schedule(random.Random(1), 2000.0)
         series = draw_series(random.Random(1), 2000.0)
         evacuations = draw_evacuations(random.Random(1), 2000.0)
-        drawn = schedule + series + evacuations
+        restarts = itertools.chain(*draw_restarts(random.Random(1), 2000.0))
+        drawn = [*schedule, *series, *evacuations, *restarts]
         assert {planned.name for planned in drawn} == set(FAULT_BY_NAME)
 
     def test_single_faults_of_a_seed_stay_as_they_are(self):
@@ -242,6 +245,12 @@
         assert result.violations == []
         assert any(planned.name == "evacuate_zone" for planned in result.schedule)
 
+    def test_no_promise_is_broken_around_restarts(self):
+        """Guards against promises that restarts of workers under their ids break."""
+        result = run_seed(SEEDS[0], FAULT_SECONDS, PlatformSize(), plan="restarts")
+        assert result.violations == []
+        assert any(planned.name == "restart_workers" for planned in result.schedule)
+
 
 class TestOutput:
     @pytest.fixture
@@ -274,7 +283,7 @@
     def test_a_passing_run_leaves_nothing_behind(self, parent, monkeypatch):
         """Guards against output that fills the disk run after run."""
         passed = SoakResult(3, [], [], 0, 0, 0, None)
-        monkeypatch.setattr(run, "_run_plan", lambda processes, plan, size: passed)
+        monkeypatch.setattr(run, "_run_plan", lambda *arguments: passed)
         assert run_seed(3, 1.0, PlatformSize()) == passed
         assert list(parent.iterdir()) == []
 
