Make the longest lease an option of the soak

Cause: the stand-in grants leases of 6 s, which a successor's wait of 4.6 s nearly covers; on some deployments a worker grants 10 s, which a call made for a former incarnation may set.

The default stays 6 s.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -31,6 +31,9 @@
             long=True, help="availability zones; with several, some are evacuated"
         ),
     ] = 1
+    longest_lease: Annotated[
+        float, cappa.Arg(long=True, help="longest lease of a worker in seconds")
+    ] = 6.0
     plan: Annotated[
         Plan,
         cappa.Arg(
@@ -45,7 +48,12 @@
     def __call__(self) -> None:
         """Run the seeds; exit with 1 if a promise was broken, else with 0."""
         seeds = self._list_seeds()
-        size = PlatformSize(n_daemons=self.daemons, n_vms=self.vms, n_zones=self.zones)
+        size = PlatformSize(
+            n_daemons=self.daemons,
+            n_vms=self.vms,
+            n_zones=self.zones,
+            longest_lease_seconds=self.longest_lease,
+        )
         n_broken = 0
         for seed in seeds:
             result = run_seed(seed, self.seconds, size, self.plan)
