--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -8,8 +8,8 @@
 
 from verification.platform.deployment import PlatformSize
 
-from .regressions import CAUSE_BY_SEED
-from .run import SoakResult, run_seed
+from .regressions import SEEDS_BY_PLAN
+from .run import Plan, SoakResult, run_seed
 
 
 @cappa.command(name="soak")
@@ -31,17 +31,32 @@
             long=True, help="availability zones; with several, some are evacuated"
         ),
     ] = 1
+    longest_lease: Annotated[
+        float, cappa.Arg(long=True, help="longest lease of a worker in seconds")
+    ] = 6.0
+    plan: Annotated[
+        Plan,
+        cappa.Arg(
+            long=True,
+            help="random faults, restarts of workers under their ids, or both",
+        ),
+    ] = "standard"
     regressions: Annotated[
-        bool, cappa.Arg(long=True, help="run the seeds that failed before instead")
+        bool, cappa.Arg(long=True, help="run the seeds of the plan that failed before")
     ] = False
 
     def __call__(self) -> None:
         """Run the seeds; exit with 1 if a promise was broken, else with 0."""
         seeds = self._list_seeds()
-        size = PlatformSize(n_daemons=self.daemons, n_vms=self.vms, n_zones=self.zones)
+        size = PlatformSize(
+            n_daemons=self.daemons,
+            n_vms=self.vms,
+            n_zones=self.zones,
+            longest_lease_seconds=self.longest_lease,
+        )
         n_broken = 0
         for seed in seeds:
-            result = run_seed(seed, self.seconds, size)
+            result = run_seed(seed, self.seconds, size, self.plan)
             n_broken += bool(result.violations)
             print_result(result)
         print(f"{len(seeds)} seeds from {seeds[0]}, {n_broken} with a broken promise")
@@ -49,7 +64,7 @@
 
     def _list_seeds(self) -> list[int]:
         if self.regressions:
-            return sorted(CAUSE_BY_SEED)
+            return SEEDS_BY_PLAN[self.plan]
         first = self.first or random.SystemRandom().randrange(10**6, 10**9)
         return list(range(first, first + self.seeds))
 
