Count the lease of a start from its call again, not from its turn

Cause: made the body of a start once its turn had come, with the lease counted from then on. The owner counts it from the call on. A start that waited 0.4 s or more so granted a lease that ended after the owner had counted it as over, and a task could run twice on a worker that was cut off then.

--- a/catkinport/platform/tests/test_worker_incarnations.py
+++ b/catkinport/platform/tests/test_worker_incarnations.py
@@ -8,10 +8,10 @@
 from ...jobs.ownership.session import RETRY_SECONDS
 from ...jobs.ownership.state_store import STORE_WAIT_SECONDS
 from ...jobs.workers.run import ORDER_DELAY_SECONDS
-from ...jobs.workers.worker_state import LEASE_SECONDS
+from ...jobs.workers.worker_state import LEASE_SECONDS, MAX_LEASE_SECONDS
 from ...ports.fleet_workers import StartOrder
 from ..order_turns import MIN_ORDERS
-from .restarted_workers import RestartedWorkers
+from .restarted_workers import FIRST_CLOCK_SECONDS, RestartedWorkers
 
 
 @pytest.fixture(autouse=True)
@@ -203,6 +203,33 @@
         assert asyncio.run(run()) <= 0.2 + LEASE_SECONDS
 
 
+class TestStartThatWaitsForItsTurn:
+    @pytest.mark.parametrize("seconds", [0.39, 3.0])
+    def test_its_lease_counts_from_the_call(self, seconds):
+        """Guards against a lease that ends after the owner has counted it as over.
+
+        The owner counts it from its decision on, as it sends no call after that.
+        """
+        scene = DelayedAnswers()
+
+        async def run():
+            worker = scene.dispatcher.worker_by_id["w1"].listed
+            scene.delayed_path = "/run-start"
+            starts = []
+            for number in range(MIN_ORDERS + 1):
+                order = StartOrder(f"{1:016x}.0.0.{number}", 1, "seconds=9", "", "")
+                start = scene.session.ports.workers.start(worker, 1, order, 4.0)
+                starts.append(asyncio.ensure_future(start))
+                await asyncio.sleep(0)
+            scene.advance(seconds)
+            scene.sent.clear()
+            scene.arrival.set()
+            await asyncio.gather(*starts)
+            return scene.longest_lease_end()
+
+        assert asyncio.run(run()) - FIRST_CLOCK_SECONDS <= MAX_LEASE_SECONDS
+
+
 class TestOrdersThatNameARun:
     """A run number is used once, so an order for it can't mean a later run."""
 
--- a/catkinport/platform/workers.py
+++ b/catkinport/platform/workers.py
@@ -369,12 +369,14 @@
         incarnation = self._known_incarnation(worker.worker_id)
         if incarnation is None:
             return _clock_unknown("worker-start", worker.worker_id)
+        # The caller counts the lease from now on, and not from its turn.
+        until = self._lease_end(worker, lease_seconds)
 
         def make_body() -> dict[str, Any] | None:
             # The worker may have restarted while the order waited for its turn.
-            until = self._lease_end(worker, lease_seconds)
             is_same = self._known_incarnation(worker.worker_id) == incarnation
-            if until is None or not is_same:
+            is_listed = self._lease_end(worker, lease_seconds) is not None
+            if until is None or not is_same or not is_listed:
                 return None
             body: dict[str, Any] = {
                 "Task": order.task,
