Go on acknowledging ends after an outdated list of workers

Cause: the incarnation that became known last counted as the present one. A list of workers that was requested before could show one that had ended, after the next one had answered. Nothing set that right, so no end of the worker was acknowledged any more; with over 500 ends listed its runs never ended for the owner.

Change: an answer of another incarnation, and a list that agrees with the answers, set the present one.

Evidence: test_ends_are_acknowledged_after_an_outdated_list[True] fails without the change: [0] instead of [1].

--- a/catkinport/jobs/tests/test_worker_watch.py
+++ b/catkinport/jobs/tests/test_worker_watch.py
@@ -203,6 +203,26 @@
         session = poll(self.make_fleet(), LOST, ANSWER, ANSWER, ANSWER, LOST)
         assert session.acknowledged == [57, 0, 57, 0, 0]
 
+    @pytest.mark.parametrize("is_listed_again", [False, True])
+    def test_ends_are_acknowledged_after_an_outdated_list(self, is_listed_again):
+        """Guards against ends that are never acknowledged, and fill the list.
+
+        The worker has restarted twice and answered since. A list that was requested
+        before shows the incarnation in between.
+        """
+        fleet = self.make_fleet()
+        answer = WorkerLists(3.0, [], [])
+        poll(fleet, answer)
+        for started_at in (2.0, 3.0) if is_listed_again else (2.0,):
+            entry = make_worker("w1", started_at=started_at)
+            fleet.dispatcher.update_workers([entry], fleet.now, fleet.now)
+        if not is_listed_again:
+            poll(fleet, WorkerLists(4.0, [], []))
+            answer = WorkerLists(4.0, [], [])
+        worker = fleet.dispatcher.worker_by_id["w1"]
+        worker.processed_end = worker.stored_end = 1
+        assert poll(fleet, answer).acknowledged == [1]
+
     def test_an_end_that_is_still_listed_is_acknowledged_again(self):
         """Guards against ends that are listed for ever.
 
--- a/catkinport/jobs/workers/former_leases.py
+++ b/catkinport/jobs/workers/former_leases.py
@@ -12,8 +12,8 @@
     """Incarnations of a worker that are known, and the leases of calls across them.
 
     Attributes:
-        newest: Unix time in seconds at which the incarnation started that became known
-            last; 0 before the first.
+        newest: Unix time in seconds at which the present incarnation started, as the
+            latest answer or list of workers shows it; 0 before the first.
         until: clock time in seconds until which a lease may last that a call for a
             former incarnation has granted; minus infinity if there is none.
 
--- a/catkinport/jobs/workers/worker_listing.py
+++ b/catkinport/jobs/workers/worker_listing.py
@@ -80,6 +80,8 @@
             )
         former = record.former_leases.newest
         record.note_incarnation(worker.started_at, now, self._workers.longest_lease)
+        if worker.started_at == record.started_at:
+            record.former_leases.newest = worker.started_at
         if former and record.former_leases.newest != former:
             log_event(
                 logger,
--- a/catkinport/jobs/workers/worker_reports.py
+++ b/catkinport/jobs/workers/worker_reports.py
@@ -93,6 +93,8 @@
             worker.is_taken_down = False
         if is_other_process:
             worker.started_known_at = now
+            # A list of workers that is older may have shown another one in between.
+            worker.former_leases.newest = lists.started_at
         if worker.contact_at == float("-inf"):
             worker.note_first_contact(now, longest_lease)
             log_event(logger, "worker reached", worker=worker.worker_id)
