Forget a former incarnation whenever an order's answer shows its end

Cause: an answer to an order with a clock that begins anew shows a restart. It was ignored by the client if any poll had been answered while the order was under way, as the clock is read anew by each, and it did not keep a late answer of the former incarnation to a poll without a lease from bringing the clock back. The next poll then carried a lease and a number of the former incarnation, or one that was held up was not given up.

Change: the incarnation is compared instead of the reading of the clock, and answers to polls that were sent before don't bring it back.

Evidence: test_it_is_given_up_although_a_poll_was_answered_meanwhile and test_a_late_answer_does_not_bring_it_back_after_an_order_has_shown_it fail without the change ('starts on (w1, 2) after its end'; UntilMs 504000 and LastSeen 5 in the next poll).

--- a/catkinport/platform/tests/test_worker_incarnations.py
+++ b/catkinport/platform/tests/test_worker_incarnations.py
@@ -174,6 +174,35 @@
 
         assert asyncio.run(run()) <= 1.2 + LEASE_SECONDS
 
+    def test_a_late_answer_does_not_bring_it_back_after_an_order_has_shown_it(self):
+        """Guards against a lease and a number of an end that the next poll carries.
+
+        The late answer is to a poll that read the lists only.
+        """
+        scene = DelayedAnswers()
+
+        async def run():
+            workers = scene.session.ports.workers
+            listed = scene.dispatcher.worker_by_id["w1"].listed
+            scene.delayed_path = "/hold"
+            late = asyncio.ensure_future(workers.renew_lease(listed, 1, 0, 0.0, 0.0))
+            await let_calls_begin()
+            scene.delayed_path = ""
+            scene.advance(0.1)
+            scene.restart()
+            outcome = await workers.stop(listed, 1, f"{1:016x}.0.0.0", 1)
+            assert outcome.shows_restart
+            scene.arrival.set()
+            await late
+            scene.sent.clear()
+            await workers.renew_lease(listed, 1, 5, 4.0, 0.0)
+            ((_, body),) = scene.sent
+            return body
+
+        body = asyncio.run(run())
+        assert "UntilMs" not in body
+        assert body["LastSeen"] == 0
+
     def test_a_start_that_has_waited_for_its_turn_is_not_sent_with_it(self):
         """Guards against a lease that begins after the report of the restart.
 
@@ -282,6 +311,29 @@
         assert list(scene.second_runs()) == []
 
 
+class HeldCalls(RestartedWorkers):
+    """A fleet of one worker, whose calls wait on their way.
+
+    Attributes:
+        gate_by_path: event that the calls of a path wait for.
+    """
+
+    def __init__(self) -> None:
+        self.gate_by_path = {}
+        super().__init__(["w1"])
+
+    async def call(self, step, method, peer, path, timeout, body, headers):
+        gate = self.gate_by_path.get(path)
+        if gate is not None:
+            await gate.wait()
+        return await super().call(step, method, peer, path, timeout, body, headers)
+
+
+async def let_calls_begin():
+    for _ in range(5):
+        await asyncio.sleep(0)
+
+
 class TestAcknowledgmentThatIsHeldUp:
     def test_it_reaches_no_incarnation_that_has_ends_of_its_own(self):
         """Guards against a second run of a task whose end nobody has read.
@@ -313,3 +365,40 @@
         asyncio.run(run())
         scene.run_owner(2.0)
         assert list(scene.second_runs()) == []
+
+    def test_it_is_given_up_although_a_poll_was_answered_meanwhile(self):
+        """Guards against a second run where a start was under way during a poll.
+
+        The clock was read anew from the former incarnation while the start was held up
+        that the next one answers.
+        """
+        scene = HeldCalls()
+        scene.submit(0.3, n_tasks=2)
+        scene.plan()
+        scene.advance(0.4)
+        scene.submit(0.3)
+
+        async def run():
+            worker = scene.dispatcher.worker_by_id["w1"]
+            start_gate, poll_gate = asyncio.Event(), asyncio.Event()
+            scene.gate_by_path = {"/run-start": start_gate}
+            (planned,) = scene.find_starts()
+            start = asyncio.ensure_future(scene.orders._send_start(planned))
+            await let_calls_begin()
+            await scene.watch.poll(worker)
+            scene.store()
+            scene.gate_by_path = {"/hold": poll_gate}
+            held_up = asyncio.ensure_future(scene.watch.poll(worker))
+            await let_calls_begin()
+            scene.gate_by_path = {}
+            scene.advance(0.2)
+            scene.worker_by_id["w1"].restart(scene.now)
+            start_gate.set()
+            await start
+            scene.advance(0.4)
+            poll_gate.set()
+            await held_up
+
+        asyncio.run(run())
+        scene.run_owner(2.0)
+        assert list(scene.second_runs()) == []
--- a/catkinport/platform/workers.py
+++ b/catkinport/platform/workers.py
@@ -296,6 +296,16 @@
             )
         return call.result()
 
+    def _forget_incarnation(self, worker_id: str, started_at: float) -> None:
+        """Forget the clock of an incarnation that has ended, if it is the known one.
+
+        Answers of it that are still on their way don't bring the clock back.
+        """
+        if self._known_incarnation(worker_id) == started_at:
+            del self._clock_by_worker[worker_id]
+            self._unanswered_by_worker[worker_id] = self._clock.now()
+            self._give_up_polls(worker_id)
+
     def _give_up_polls(self, worker_id: str) -> None:
         """Give up the polls that are under way for a former incarnation.
 
@@ -464,9 +474,8 @@
         # A worker with another id, which has the address now, has a clock of its own.
         is_same_id = reply.status != OTHER_ID_STATUS
         shows_restart = is_same_id and _shows_clock_below(reply.body, lower_bound)
-        if shows_restart and self._clock_by_worker.get(worker.worker_id) is clock:
-            del self._clock_by_worker[worker.worker_id]
-            self._give_up_polls(worker.worker_id)
+        if shows_restart and clock is not None:
+            self._forget_incarnation(worker.worker_id, clock.started_at)
         if reply.status == 200:
             return Done(shows_restart)
         outcome = decode_rejection(step, worker.worker_id, reply.status, reply.body)
