Take a given-up poll for no sign against the incarnation that has answered

Cause: a poll for a former incarnation is given up once the later one has answered. It then counted as a poll without an answer: the clock of the later incarnation was forgotten, the worker got no tasks until the next answer, and 'worker contact lost' was logged.

Change: a poll that ends without an answer tells nothing of an incarnation that became known after it was sent.

Evidence: test_its_end_tells_nothing_of_the_incarnation_that_has_answered fails without the change (the worker may have restarted, its clock is unknown).

--- a/catkinport/jobs/ownership/worker_watch.py
+++ b/catkinport/jobs/ownership/worker_watch.py
@@ -215,7 +215,10 @@
             lease_seconds,
             wait_seconds,
         )
-        self._contacts.note(worker, outcome, self._session.clock.now())
+        # A poll for a former incarnation is given up once a later one has answered.
+        is_outdated = worker.started_known_at > sent_at
+        if not is_outdated or not isinstance(outcome, Unavailable):
+            self._contacts.note(worker, outcome, self._session.clock.now())
         if isinstance(outcome, WorkerLists):
             numbers = (ended.number for ended in outcome.ended)
             is_taken = min(numbers, default=acknowledged_end + 1) > acknowledged_end
@@ -223,7 +226,8 @@
                 worker.acknowledged_end = max(worker.acknowledged_end, acknowledged_end)
             await self._apply_run_lists(worker, outcome, sent_at)
         elif isinstance(outcome, Unavailable):
-            worker.note_no_answer()
+            if not is_outdated:
+                worker.note_no_answer()
             await asyncio.sleep(POLL_PAUSE_SECONDS)
         else:
             self._session.check_fenced(outcome)
--- a/catkinport/platform/tests/test_worker_incarnations.py
+++ b/catkinport/platform/tests/test_worker_incarnations.py
@@ -402,3 +402,25 @@
         asyncio.run(run())
         scene.run_owner(2.0)
         assert list(scene.second_runs()) == []
+
+    def test_its_end_tells_nothing_of_the_incarnation_that_has_answered(self):
+        """Guards against starts that are refused after each restart that is noticed."""
+        scene = HeldCalls()
+
+        async def run():
+            worker = scene.dispatcher.worker_by_id["w1"]
+            scene.gate_by_path = {"/hold": asyncio.Event()}
+            held_up = asyncio.ensure_future(scene.watch.poll(worker))
+            await let_calls_begin()
+            scene.gate_by_path = {}
+            scene.advance(0.1)
+            scene.worker_by_id["w1"].restart(scene.now)
+            scene.advance(0.1)
+            await scene.watch.poll(worker, may_wait=False)
+            await held_up
+            return worker
+
+        worker = asyncio.run(run())
+        assert not worker.may_have_restarted
+        workers = scene.session.ports.workers
+        assert workers._known_incarnation("w1") == worker.started_at
--- a/catkinport/platform/workers.py
+++ b/catkinport/platform/workers.py
@@ -245,8 +245,7 @@
         if isinstance(reply, Unavailable):
             if reply.reason is Reason.TIMEOUT:
                 self._answer_times.note_timeout(worker.worker_id)
-            self._clock_by_worker.pop(worker.worker_id, None)
-            self._unanswered_by_worker[worker.worker_id] = sent_at
+            self._note_no_answer(worker.worker_id, sent_at)
             return reply
         self._note_poll_answer(worker.worker_id, reply.wait_seconds - wait_seconds)
         if reply.status != 200:
@@ -296,6 +295,17 @@
             )
         return call.result()
 
+    def _note_no_answer(self, worker_id: str, sent_at: float) -> None:
+        """Note that a poll sent at clock time ``sent_at`` had no answer.
+
+        It tells nothing of an incarnation that became known since.
+        """
+        known = self._clock_by_worker.get(worker_id)
+        if known is not None and known.known_at <= sent_at:
+            del self._clock_by_worker[worker_id]
+        latest = self._unanswered_by_worker.get(worker_id, sent_at)
+        self._unanswered_by_worker[worker_id] = max(latest, sent_at)
+
     def _forget_incarnation(self, worker_id: str, started_at: float) -> None:
         """Forget the clock of an incarnation that has ended, if it is the known one.
 
