Give the larger entries of the roster room, and use plainer names

Cause: an entry names the incarnation and a flag since, some 60 bytes. A worker whose entry had just fitted kept its old one, and after a restart it would never have been enrolled again.

Change: an entry may have 1,100 bytes; 50 of them stay below the 64 KiB of a row. Names and comments that stopped the reviewer are plainer.

Measured: the tests of the roster's size, of the roster and of incarnations pass.

--- a/catkinport/jobs/ownership/roster_rows.py
+++ b/catkinport/jobs/ownership/roster_rows.py
@@ -12,7 +12,7 @@
 """Most workers in a row. With `MAX_ENTRY_BYTES` it keeps each row below
 `tables.MAX_ROW_BYTES`."""
 
-MAX_ENTRY_BYTES = 1_000
+MAX_ENTRY_BYTES = 1_100
 """Largest entry of a worker as JSON text, its id included."""
 
 
--- a/catkinport/jobs/workers/former_leases.py
+++ b/catkinport/jobs/workers/former_leases.py
@@ -54,7 +54,7 @@
         return is_later
 
     def note_unknown(self, now: float, called_at: float, lease_seconds: float) -> None:
-        """Note a later incarnation of which nothing else is known.
+        """Note that some later incarnation exists.
 
         Args:
             now: clock time in seconds.
@@ -80,6 +80,7 @@
             self._known.add(started_at)
         self.newest = started_at
         self.until = until
+        # The former owner's calls may have reached an incarnation until then.
         self._noted_at = called_until
 
     def limit(self, until: float) -> None:
@@ -87,6 +88,9 @@
         self.until = min(self.until, until)
 
     def note_ended(self, ended_at: float) -> None:
-        """Note that no incarnation lived at the clock time ``ended_at``."""
+        """Note that the VM was down at the clock time ``ended_at`` or later.
+
+        Leases of calls for incarnations that were noted before are over by then.
+        """
         if self._noted_at < ended_at:
             self.until = float("-inf")
--- a/catkinport/jobs/workers/worker_reports.py
+++ b/catkinport/jobs/workers/worker_reports.py
@@ -96,6 +96,7 @@
             # A list of workers that is older may have shown another one in between.
             worker.former_leases.newest = lists.started_at
         if worker.contact_at == float("-inf"):
+            # After `note_incarnation`, whose bound it limits.
             worker.note_first_contact(now, longest_lease)
             log_event(logger, "worker reached", worker=worker.worker_id)
             worker.vm_due_at = now + VM_NAMED_SECONDS
--- a/catkinport/jobs/workers/worker_state.py
+++ b/catkinport/jobs/workers/worker_state.py
@@ -140,7 +140,8 @@
             its present incarnation has granted.
         lease_sent_at: clock time in seconds of the last call with a lease.
         former_leases: its incarnations, and leases of calls for former ones.
-        was_called: whether it has answered this owner, perhaps under an earlier record.
+        has_answered_owner: whether it has answered this owner, perhaps under an earlier
+            record.
         paced_at: ``contact_at`` of the answer by which the speed of filler tasks was
             last decided.
         processed_end: number of the last end of a run that was processed.
@@ -181,7 +182,7 @@
         self.lease_until = 0.0
         self.lease_sent_at = float("-inf")
         self.former_leases = FormerLeases()
-        self.was_called = False
+        self.has_answered_owner = False
         self.paced_at = float("-inf")
         self.processed_end = 0
         self.stored_end = 0
@@ -380,9 +381,9 @@
         It has seen the owner's token and carries out no call of a former owner from now
         on. Calls that this owner has sent before may still be carried out.
         """
-        if not self.was_called:
+        if not self.has_answered_owner:
             self.former_leases.limit(now + bound_lease(longest_lease))
-        self.was_called = True
+        self.has_answered_owner = True
 
     def note_outcome(
         self,
--- a/catkinport/jobs/workers/worker_table.py
+++ b/catkinport/jobs/workers/worker_table.py
@@ -57,7 +57,7 @@
         if removed is not None:
             worker.former_leases = removed.former_leases
             worker.lease_sent_at = removed.lease_sent_at
-            worker.was_called = removed.was_called
+            worker.has_answered_owner = removed.has_answered_owner
         self.worker_by_id[worker_id] = worker
 
     def remove(self, worker: WorkerRecord) -> None:
--- a/catkinport/platform/workers.py
+++ b/catkinport/platform/workers.py
@@ -130,8 +130,10 @@
         # Clock time at which the latest poll without an answer was sent.
         self._unanswered_by_worker: dict[str, float] = {}
         # Polls under way that carry a lease or an acknowledgment.
-        self._bound_polls_by_worker: dict[str, set[asyncio.Task[Reply | Unavailable]]]
-        self._bound_polls_by_worker = {}
+        self._incarnation_polls_by_worker: dict[
+            str, set[asyncio.Task[Reply | Unavailable]]
+        ]
+        self._incarnation_polls_by_worker = {}
         self._entry_by_worker: dict[str, _WorkerEntry] = {}
         self._ignored_version_by_worker: dict[str, int] = {}
         self._unreadable_by_worker: dict[str, str] = {}
@@ -165,9 +167,9 @@
             # A worker that is not listed may still answer; its next answer adds the
             # clock again.
             del self._clock_by_worker[worker_id]
-        for worker_id in set(self._bound_polls_by_worker) - listed_ids:
-            if not self._bound_polls_by_worker[worker_id]:
-                del self._bound_polls_by_worker[worker_id]
+        for worker_id in set(self._incarnation_polls_by_worker) - listed_ids:
+            if not self._incarnation_polls_by_worker[worker_id]:
+                del self._incarnation_polls_by_worker[worker_id]
         for worker_id in set(self._unanswered_by_worker) - listed_ids:
             del self._unanswered_by_worker[worker_id]
         for worker_id in set(self._unreadable_by_worker) - listed_ids:
@@ -269,7 +271,7 @@
         timeout_seconds: float,
         is_bound: bool,
     ) -> Reply | Unavailable:
-        """Send a poll; give it up once a later incarnation is known than it is for.
+        """Send a poll; give it up once an incarnation after the one it is for is known.
 
         Args:
             worker: the worker.
@@ -280,7 +282,7 @@
         call = asyncio.ensure_future(
             self._call("worker-hold", worker, "/hold", body, timeout_seconds)
         )
-        bound = self._bound_polls_by_worker.setdefault(worker.worker_id, set())
+        bound = self._incarnation_polls_by_worker.setdefault(worker.worker_id, set())
         if is_bound:
             bound.add(call)
         try:
@@ -322,7 +324,7 @@
         The connection of a call that is given up is reset, so one that is held up on
         the way does not reach the later incarnation.
         """
-        for call in self._bound_polls_by_worker.pop(worker_id, set()):
+        for call in self._incarnation_polls_by_worker.pop(worker_id, set()):
             call.cancel()
 
     def _note_clock(
