Let clients that read no answers give way to others

Callers saw: no answer while a crowd of clients was there that send whole requests and read nothing, also where the crowd is at the metrics address.

Cause: a connection whose request is being answered was never displaced, and the answer waits for its client without an end. Such clients, and clients that pipeline requests without waiting for answers, so had all connections of their address. The system's send buffers, in which answers wait too, had no bound.

Change: a client that has taken nothing of an answer for a second, or has 8 complete requests waiting, is displaced at the bound of connections; one that takes nothing for IdleTimeoutMs is closed. 16 KB of answers wait in the process and 32 KB in the system for each connection.

Four tests of the ledger are new.

--- a/catkinport/platform/client_limits.py
+++ b/catkinport/platform/client_limits.py
@@ -17,6 +17,7 @@
 from aiohttp.web_protocol import RequestHandler, RequestPayloadError
 
 from ..policy.client_limits import (
+    MAX_PIPELINED,
     SMALL_BODY_BYTES,
     Admission,
     Client,
@@ -43,9 +44,6 @@
 SMALL_CHUNK_BYTES = 64
 """Mean size below which the chunks of a read count as small."""
 
-MAX_PIPELINED = 8
-"""Complete requests of one connection that wait for their handler."""
-
 MAX_EMPTY_LINE_BYTES = 256
 """Bytes of empty lines between two requests."""
 
@@ -70,6 +68,10 @@
 """Time and bytes for which a refused client may go on sending. A connection that is
 closed with unread bytes is reset, and the client may lose the answer."""
 
+MAX_UNSENT_BYTES = 16384
+"""Bytes of answers that wait for a client from which on no more requests of it are
+answered. One larger answer is always sent."""
+
 KEEP_ALIVE_SECONDS = 75.0
 """How long an idle connection of a client is kept open."""
 
@@ -122,6 +124,8 @@
         self.limits = limits or RequestLimits()
         self.read_buffer = memoryview(bytearray(READ_BYTES))
         self.closing: dict[LimitedHandler, float] = {}
+        # Connections whose clients leave answers, with the bytes that wait for them.
+        self.unread: dict[LimitedHandler, int] = {}
         self._held_up: deque[LimitedHandler] = deque()
         self._metrics = metrics or Metrics()
         self._n_by_bound: dict[str, int] = {}
@@ -177,6 +181,8 @@
         for client in self.ledger.list_unfinished():
             assert isinstance(client.key, LimitedHandler)
             client.key.check_times(now)
+        for handler in list(self.unread):
+            handler.check_unread(now)
         for handler, closing_at in list(self.closing.items()):
             if now >= closing_at:
                 handler.abort()
@@ -191,7 +197,8 @@
                 **self._n_by_bound,
             )
             self._n_by_bound.clear()
-        if self.ledger.list_unfinished() or self.closing or self._n_by_bound:
+        is_waiting = self.ledger.list_unfinished() or self.closing or self.unread
+        if is_waiting or self._n_by_bound:
             self.start_timer()
 
 
@@ -456,6 +463,8 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Begin to serve the connection, or refuse it."""
         super().connection_made(transport)
+        assert isinstance(transport, asyncio.WriteTransport)
+        transport.set_write_buffer_limits(MAX_UNSENT_BYTES)
         peer = transport.get_extra_info("peername")
         now = self._loop.time()
         self.client = Client(self, peer[0] if peer else "", now)
@@ -467,6 +476,7 @@
         """Forget the connection."""
         super().connection_lost(error)
         self._gate.closing.pop(self, None)
+        self._gate.unread.pop(self, None)
         client, ledger = self.client, self._gate.ledger
         if client is None:
             return
@@ -475,6 +485,33 @@
         while len(client.answering) > self._request_in_progress:
             ledger.answer(client, client.active_at)
 
+    def pause_writing(self) -> None:
+        """Note that the client leaves answers, which fill the buffers."""
+        super().pause_writing()
+        if self.client is not None and self.transport is not None:
+            self.client.unread_at = self._loop.time()
+            self._gate.unread[self] = self.transport.get_write_buffer_size()
+            self._gate.start_timer()
+
+    def resume_writing(self) -> None:
+        """Note that the client has taken its answers."""
+        super().resume_writing()
+        self._gate.unread.pop(self, None)
+        if self.client is not None:
+            self.client.unread_at = float("inf")
+
+    def check_unread(self, now: float) -> None:
+        """Close a connection whose client has taken nothing of its answers for long."""
+        if self.client is None or self.transport is None:
+            return
+        n_waiting = self.transport.get_write_buffer_size()
+        if n_waiting < self._gate.unread[self]:
+            self.client.unread_at = now
+        self._gate.unread[self] = n_waiting
+        if self.client.leaves_answers(now, self._gate.limits.idle_seconds):
+            self._gate.count("unread-answers")
+            self.abort()
+
     def get_buffer(self, sizehint: int) -> memoryview:
         """Return the buffer of all connections; it is copied before the next read."""
         if self._parser is None:
@@ -607,7 +644,12 @@
 
     def displace(self, bound: str) -> None:
         """Close the connection, so that others find room."""
-        if self.client is not None and self.client.is_closing:
+        client = self.client
+        if client is not None and client.answering:
+            # A refusal would wait for the answers before it.
+            self._gate.count("unread-answers")
+            self.abort()
+        elif client is not None and client.is_closing:
             self.abort()
         else:
             self.refuse(503, bound, lingers=False)
--- a/catkinport/platform/listener.py
+++ b/catkinport/platform/listener.py
@@ -21,6 +21,10 @@
 from the backlog. With 512, connections in small chunks, which are costly to read, held
 a round up for seconds."""
 
+SEND_BUFFER_BYTES = 32768
+"""Send buffer of a connection in the system, which may double it. Answers that a client
+does not read wait there, outside the memory of the process."""
+
 SHUTDOWN_SECONDS = 0.2
 """Longest wait for requests that have been cut off to be answered, and for each step in
 which the connections are closed."""
@@ -66,6 +70,8 @@
         host = host.strip("[]")
         family = socket.AF_INET6 if ":" in host else socket.AF_INET
         listening = socket.create_server((host, int(port)), family=family)
+        # Accepted connections inherit it.
+        listening.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
         site = web.SockSite(self._runner, listening, backlog=ACCEPTED_PER_ROUND)
         await site.start()
         listening.listen(BACKLOG_CONNECTIONS)
--- a/catkinport/policy/client_limits.py
+++ b/catkinport/policy/client_limits.py
@@ -47,6 +47,9 @@
 RATE_WINDOW_SECONDS = 2.0
 """Time over which progress is measured, at least."""
 
+MAX_PIPELINED = 8
+"""Complete requests of one connection that wait for their handler."""
+
 BATCH_FRACTION = 1 / 64
 """Part of a bound that is freed at a time, as the choice looks at all clients."""
 
@@ -117,18 +120,22 @@
 
     Attributes:
         answering: memory counted for each request that is complete and not answered. A
-            client with such requests is not displaced, as they may have run.
+            client with such requests is not displaced, as they may have run, unless it
+            doesn't take the answers or sends more requests than it gets answers.
         held_bytes: memory counted for all its requests.
         open_bytes: memory counted for its unfinished request.
         is_large: whether its unfinished request has a large body.
         is_unfinished: whether part of a request has arrived, and not all of it.
         was_answered: whether a request of it was answered.
         is_closing: whether it was refused and is about to be closed.
+        unread_at: time in seconds since which it takes nothing of an answer that waits
+            for it; infinity while none does.
     """
 
     __slots__ = (
         "key", "address", "answering", "held_bytes", "open_bytes", "is_large",
         "is_unfinished", "was_answered", "is_closing", "active_at", "began_at",
+        "unread_at",
         "n_received", "_window_at", "_window_received",
     )  # fmt: skip
 
@@ -142,6 +149,7 @@
         self.is_unfinished = False
         self.was_answered = False
         self.is_closing = False
+        self.unread_at = float("inf")
         self.active_at = now
         self.began_at = now
         self.n_received = 0
@@ -167,6 +175,15 @@
         seconds = max(GRACE_SECONDS, now - self._window_at)
         return (self.n_received - self._window_received) / seconds
 
+    @property
+    def fills_queue(self) -> bool:
+        """Whether as many of its requests wait for an answer as one connection may."""
+        return len(self.answering) >= MAX_PIPELINED
+
+    def leaves_answers(self, now: float, seconds: float = GRACE_SECONDS) -> bool:
+        """Return whether it has taken nothing of an answer for some time."""
+        return now - self.unread_at >= seconds
+
     def is_stalled(self, now: float) -> bool:
         """Return whether an unfinished request makes almost no progress."""
         is_old = now - self.began_at >= GRACE_SECONDS
@@ -306,7 +323,11 @@
     def _displace_connections(
         self, candidates: Iterable[Client], n_bound: int, now: float
     ) -> Admission:
-        found = [client for client in candidates if not client.answering]
+        found = [
+            client
+            for client in candidates
+            if not client.answering or client.fills_queue or client.leaves_answers(now)
+        ]
         if not found:
             return Admission(False)
         found.sort(key=lambda client: self._connection_rank(client, now))
@@ -360,6 +381,10 @@
         is_within = not self._is_over_part(client)
         if client.is_closing:
             return is_within, 0, client.active_at
+        if client.leaves_answers(now):
+            return is_within, 1, client.unread_at
+        if client.answering:
+            return is_within, 7, client.active_at
         if not client.is_unfinished and client.was_answered:
             is_in_use = now - client.active_at < IN_USE_SECONDS
             return is_within, 6 if is_in_use else 3, client.active_at
--- a/catkinport/policy/tests/test_client_limits.py
+++ b/catkinport/policy/tests/test_client_limits.py
@@ -2,6 +2,7 @@
 
 from ..client_limits import (
     LARGE_FRACTION,
+    MAX_PIPELINED,
     Client,
     ClientBounds,
     ClientLedger,
@@ -198,3 +199,40 @@
             ledger.begin(client, 0.0)
             ledger.complete(client)
         assert not ledger.open(Client("new", "b", 9.0), 9.0).is_admitted
+
+
+class TestAnswersThatWait:
+    """All connections have requests that are being answered."""
+
+    def fill(self, n_requests):
+        ledger = ClientLedger(BOUNDS)
+        clients = [add(ledger, f"c{n}", address=f"{n}") for n in range(8)]
+        for client in clients:
+            for _ in range(n_requests):
+                ledger.complete(client)
+        return ledger, clients
+
+    def test_a_request_that_is_being_answered_is_not_broken_off(self):
+        """Guards against an ordinary caller that loses its answer to a newcomer."""
+        ledger, clients = self.fill(n_requests=1)
+        assert not ledger.open(Client("new", "n", 5.0), 5.0).is_admitted
+        assert ledger.n_connections == len(clients)
+
+    def test_a_client_that_leaves_its_answers_gives_way(self):
+        """Guards against connections that are never closed, as an answer waits."""
+        ledger, clients = self.fill(n_requests=1)
+        clients[3].unread_at = 2.0
+        assert ledger.open(Client("new", "n", 5.0), 5.0).displaced == (clients[3],)
+
+    def test_one_that_takes_its_answers_slowly_stays_for_a_while(self):
+        """Guards against a caller on a slow link that is closed at once."""
+        ledger, clients = self.fill(n_requests=1)
+        clients[3].unread_at = 4.5
+        assert not ledger.open(Client("new", "n", 5.0), 5.0).is_admitted
+
+    def test_a_client_that_fills_its_queue_gives_way(self):
+        """Guards against pipelined requests that keep all others out."""
+        ledger, clients = self.fill(n_requests=1)
+        for _ in range(MAX_PIPELINED):
+            ledger.complete(clients[5])
+        assert ledger.open(Client("new", "n", 5.0), 5.0).displaced == (clients[5],)
--- a/verification/clients/crowds.py
+++ b/verification/clients/crowds.py
@@ -14,6 +14,12 @@
 LEGAL_BODY_BYTES = 262144
 """Largest body that clients may send."""
 
+MIN_RECEIVE_BYTES = 2048
+"""Receive buffer of a client that reads nothing, so that few answers fill it."""
+
+MAX_RETURNS = 20
+"""Most times that a client connects again."""
+
 FINISHING_FRACTION = 10
 """One client of this many sends its request to the end."""
 
@@ -27,6 +33,9 @@
         rest: bytes that a client that finishes sends after that.
         piece_bytes: most bytes in one send.
         pause_seconds: pause between two sends of one client.
+        receive_bytes: receive buffer of each client, which reads nothing; 0 for the
+            system's usual one.
+        returns: whether a client whose connection is closed connects again at once.
     """
 
     name: str
@@ -34,6 +43,8 @@
     rest: bytes = b""
     piece_bytes: int = SEND_BYTES
     pause_seconds: float = 0.0
+    receive_bytes: int = 0
+    returns: bool = False
 
 
 def build_kinds(host: str, path: str, key: str) -> dict[str, Kind]:
@@ -58,6 +69,23 @@
     return {kind.name: kind for kind in kinds}
 
 
+def build_further_kinds(host: str, path: str, key: str) -> dict[str, Kind]:
+    """Return kinds by name that send what is legal, in a way that holds resources."""
+    fields = f"Host: {host}\r\nAuthorization: Token {key}\r\n"
+    question = f"GET {path}00000000000000ff HTTP/1.1\r\n{fields}\r\n".encode()
+    start = f"POST {path}00000000000000ff HTTP/1.1\r\n{fields}".encode()
+    body = b" " * LEGAL_BODY_BYTES
+    sized = start + f"Content-Length: {len(body)}\r\n\r\n".encode() + body
+    kinds = [
+        Kind("unread-answers", 4000 * question, receive_bytes=MIN_RECEIVE_BYTES),
+        Kind("unread-bodies", 4 * sized, receive_bytes=MIN_RECEIVE_BYTES),
+        Kind("heads-by-byte", start, b"\r\n", 1, 0.01),
+        Kind("returning-bodies", sized[:-8], returns=True),
+        Kind("returning-heads", start + _build_fields(40, 7000), returns=True),
+    ]
+    return {kind.name: kind for kind in kinds}
+
+
 def _build_fields(n_fields: int, value_bytes: int) -> bytes:
     value = b"a" * value_bytes
     return b"".join(b"X-%d: %s\r\n" % (number, value) for number in range(n_fields))
@@ -71,6 +99,13 @@
             kind.content + kind.rest if finishes else kind.content
         )
         self.next_at = 0.0
+        self.n_returns = 0
+
+    def reconnect(self, connection: socket.socket) -> None:
+        """Begin anew on another connection."""
+        self.connection = connection
+        self.content = memoryview(self.kind.content)
+        self.n_returns += 1
 
     def send(self, now: float) -> bool:
         """Send a piece; return whether there is more to send."""
@@ -113,18 +148,30 @@
             kind = self._kinds[number % len(self._kinds)]
             # Clients of each kind finish, whatever the number of kinds.
             finishes = number // len(self._kinds) % FINISHING_FRACTION == 0
-            try:
-                connection = socket.create_connection(
-                    self._address, CONNECT_TIMEOUT_SECONDS
-                )
-            except OSError:
+            connection = self._connect_one(kind)
+            if connection is None:
                 continue
-            connection.setblocking(False)
-            self._sockets.append(connection)
             client = _Client(connection, kind, finishes)
             self._selector.register(connection, selectors.EVENT_WRITE, client)
         return len(self._sockets)
 
+    def _connect_one(self, kind: Kind) -> socket.socket | None:
+        """Return a connection; ``None`` if the server takes none."""
+        connection = socket.socket()
+        if kind.receive_bytes:
+            connection.setsockopt(
+                socket.SOL_SOCKET, socket.SO_RCVBUF, kind.receive_bytes
+            )
+        connection.settimeout(CONNECT_TIMEOUT_SECONDS)
+        try:
+            connection.connect(self._address)
+        except OSError:
+            connection.close()
+            return None
+        connection.setblocking(False)
+        self._sockets.append(connection)
+        return connection
+
     def send(self, seconds: float) -> None:
         """Send until every client is done or was refused, for at most ``seconds``."""
         deadline = time.monotonic() + seconds
@@ -143,10 +190,21 @@
         except BlockingIOError:
             return
         except OSError:
-            has_more = False
+            self._selector.unregister(client.connection)
+            self._return(client)
+            return
         if not has_more:
             self._selector.unregister(client.connection)
 
+    def _return(self, client: _Client) -> None:
+        """Let a client whose connection was closed connect again, if it does so."""
+        if not client.kind.returns or client.n_returns >= MAX_RETURNS:
+            return
+        connection = self._connect_one(client.kind)
+        if connection is not None:
+            client.reconnect(connection)
+            self._selector.register(connection, selectors.EVENT_WRITE, client)
+
     def close(self) -> None:
         """Close all connections."""
         self._selector.close()
--- a/verification/clients/tests/test_crowds.py
+++ b/verification/clients/tests/test_crowds.py
@@ -12,7 +12,7 @@
 from ...platform.caller import PlatformCaller, StepSpec
 from ...platform.deployment import HOST, PlatformDeployment, PlatformSize
 from ...processes import ProcessGroup
-from ..crowds import Crowd, build_kinds
+from ..crowds import Crowd, build_further_kinds, build_kinds
 from ..usage import read_usage
 
 N_CLIENTS = 160
@@ -116,3 +116,60 @@
     def test_other_addresses(self, deployment, listener):
         """Guards against an address of the daemon that has no limits."""
         self.check(deployment, "whole-bodies", listener)
+
+
+FURTHER_KINDS = build_further_kinds(HOST, "/queue-0/", "key-0")
+
+
+class TestFurtherCrowds:
+    """Crowds of clients whose requests are legal, or that come back after a refusal.
+
+    An ordinary caller is answered while they are there, which comes from the same
+    address.
+    """
+
+    def check(self, deployment, kinds, listener="caller"):
+        """Let a crowd come; check what the daemon needs for it and who is answered."""
+        (daemon,) = deployment.daemon_by_name.values()
+        address = getattr(daemon, f"{listener}_address")
+        rest = read_usage(daemon.process.pid)
+        with Crowd(address, kinds, N_CLIENTS) as crowd:
+            crowd.connect()
+            crowd.send(SEND_SECONDS)
+            time.sleep(HOLD_SECONDS)
+            assert daemon.process.is_running, daemon.process.read_tail()
+            usage = read_usage(daemon.process.pid)
+            is_answered_beside = submit(deployment)
+        is_answered = submit(deployment)
+        assert daemon.process.is_running, daemon.process.read_tail()
+        extra_kb = read_usage(daemon.process.pid).peak_kb - rest.peak_kb
+        extra_descriptors = usage.n_descriptors - rest.n_descriptors
+        found = f"{[kind.name for kind in kinds]}: {extra_kb} KB and "
+        found += f"{extra_descriptors} descriptors over {rest}, ordinary request "
+        found += f"answered beside: {is_answered_beside}, after: {is_answered}"
+        print(found)
+        is_within = extra_kb <= BUDGET_KB and extra_descriptors <= DESCRIPTOR_BUDGET
+        assert is_within and is_answered_beside and is_answered, found
+
+    @pytest.mark.parametrize("name", ["unread-answers", "unread-bodies"])
+    def test_clients_that_read_no_answers(self, deployment, name):
+        """Guards against connections that are never closed, as an answer waits."""
+        self.check(deployment, [FURTHER_KINDS[name]])
+
+    @pytest.mark.parametrize("listener", ["ready", "metrics"])
+    def test_unread_answers_at_other_addresses(self, deployment, listener):
+        """Guards against an address of the daemon that waits for its readers."""
+        self.check(deployment, [FURTHER_KINDS["unread-answers"]], listener)
+
+    def test_heads_that_arrive_a_byte_at_a_time(self, deployment):
+        """Guards against work for each byte, and heads that seem to make progress."""
+        self.check(deployment, [FURTHER_KINDS["heads-by-byte"]])
+
+    @pytest.mark.parametrize("name", ["returning-bodies", "returning-heads"])
+    def test_clients_that_return_after_a_refusal(self, deployment, name):
+        """Guards against refused connections that pile up."""
+        self.check(deployment, [FURTHER_KINDS[name]])
+
+    def test_all_kinds_at_once(self, deployment):
+        """Guards against bounds that hold for each kind alone."""
+        self.check(deployment, [*KINDS.values(), *FURTHER_KINDS.values()])
