Share the check of crowds and the starts beyond the turns in their tests

Cause: the check of a crowd stood twice, once with and once without an ordinary request beside it, and so did the starts of which one waits for its turn.

Change: one function each; the assertions are the same.

--- a/catkinport/platform/tests/test_worker_incarnations.py
+++ b/catkinport/platform/tests/test_worker_incarnations.py
@@ -136,6 +136,18 @@
     async def poll_beside_others(self, may_wait=False):
         await self.watch.poll(self.dispatcher.worker_by_id["w1"], may_wait)
 
+    async def send_more_starts_than_turns(self):
+        """Send starts whose answers are delayed; the last one waits for its turn."""
+        worker = self.dispatcher.worker_by_id["w1"].listed
+        self.delayed_path = "/run-start"
+        starts = []
+        for number in range(MIN_ORDERS + 1):
+            order = StartOrder(f"{1:016x}.0.0.{number}", 1, "seconds=9", "", "")
+            start = self.session.ports.workers.start(worker, 1, order, 4.0)
+            starts.append(asyncio.ensure_future(start))
+            await asyncio.sleep(0)
+        return starts
+
     def restart(self) -> None:
         self.worker_by_id["w1"].restart(self.now)
 
@@ -212,14 +224,7 @@
         scene = DelayedAnswers()
 
         async def run():
-            worker = scene.dispatcher.worker_by_id["w1"].listed
-            scene.delayed_path = "/run-start"
-            starts = []
-            for number in range(MIN_ORDERS + 1):
-                order = StartOrder(f"{1:016x}.0.0.{number}", 1, "seconds=9", "", "")
-                start = scene.session.ports.workers.start(worker, 1, order, 4.0)
-                starts.append(asyncio.ensure_future(start))
-                await asyncio.sleep(0)
+            starts = await scene.send_more_starts_than_turns()
             scene.restart()
             scene.advance(0.2)
             await scene.poll_beside_others()
@@ -242,14 +247,7 @@
         scene = DelayedAnswers()
 
         async def run():
-            worker = scene.dispatcher.worker_by_id["w1"].listed
-            scene.delayed_path = "/run-start"
-            starts = []
-            for number in range(MIN_ORDERS + 1):
-                order = StartOrder(f"{1:016x}.0.0.{number}", 1, "seconds=9", "", "")
-                start = scene.session.ports.workers.start(worker, 1, order, 4.0)
-                starts.append(asyncio.ensure_future(start))
-                await asyncio.sleep(0)
+            starts = await scene.send_more_starts_than_turns()
             scene.advance(seconds)
             scene.sent.clear()
             scene.arrival.set()
--- a/verification/clients/tests/test_crowds.py
+++ b/verification/clients/tests/test_crowds.py
@@ -61,28 +61,41 @@
     return sent.accepted_at > 0
 
 
+def check_crowd(deployment, kinds, listener="caller", answers_beside=False):
+    """Let a crowd come and go; check what the daemon needs, and who is answered.
+
+    Args:
+        deployment: the deployment of one daemon.
+        kinds: what the clients of the crowd send.
+        listener: address of the daemon that the crowd calls.
+        answers_beside: whether an ordinary request must be answered while the crowd is
+            there, too.
+    """
+    (daemon,) = deployment.daemon_by_name.values()
+    address = getattr(daemon, f"{listener}_address")
+    rest = read_usage(daemon.process.pid)
+    with Crowd(address, kinds, N_CLIENTS) as crowd:
+        crowd.connect()
+        crowd.send(SEND_SECONDS)
+        time.sleep(HOLD_SECONDS)
+        assert daemon.process.is_running, daemon.process.read_tail()
+        usage = read_usage(daemon.process.pid)
+        is_answered_beside = not answers_beside or submit(deployment)
+    is_answered = submit(deployment)
+    assert daemon.process.is_running, daemon.process.read_tail()
+    extra_kb = read_usage(daemon.process.pid).peak_kb - rest.peak_kb
+    extra_descriptors = usage.n_descriptors - rest.n_descriptors
+    found = f"{[kind.name for kind in kinds]}: {extra_kb} KB and {extra_descriptors} "
+    found += f"descriptors over {rest}, ordinary request answered: {is_answered}"
+    found += f", beside the crowd: {is_answered_beside}" if answers_beside else ""
+    print(found)
+    is_within = extra_kb <= BUDGET_KB and extra_descriptors <= DESCRIPTOR_BUDGET
+    assert is_within and is_answered and is_answered_beside, found
+
+
 class TestCrowds:
     def check(self, deployment, name, listener="caller"):
-        """Let a crowd of one kind come and go; check what the daemon needed for it."""
-        (daemon,) = deployment.daemon_by_name.values()
-        address = getattr(daemon, f"{listener}_address")
-        rest = read_usage(daemon.process.pid)
-        with Crowd(address, [KINDS[name]], N_CLIENTS) as crowd:
-            crowd.connect()
-            crowd.send(SEND_SECONDS)
-            time.sleep(HOLD_SECONDS)
-            assert daemon.process.is_running, daemon.process.read_tail()
-            usage = read_usage(daemon.process.pid)
-        is_answered = submit(deployment)
-        assert daemon.process.is_running, daemon.process.read_tail()
-        peak_kb = read_usage(daemon.process.pid).peak_kb
-        extra_kb = peak_kb - rest.peak_kb
-        extra_descriptors = usage.n_descriptors - rest.n_descriptors
-        found = f"{name}: {extra_kb} KB and {extra_descriptors} descriptors over "
-        found += f"{rest}, ordinary request answered: {is_answered}"
-        print(found)
-        is_within = extra_kb <= BUDGET_KB and extra_descriptors <= DESCRIPTOR_BUDGET
-        assert is_within and is_answered, found
+        check_crowd(deployment, [KINDS[name]], listener)
 
     def test_heads_over_the_limit(self, deployment):
         """Guards against heads that are kept whole before they are refused."""
@@ -129,27 +142,7 @@
     """
 
     def check(self, deployment, kinds, listener="caller"):
-        """Let a crowd come; check what the daemon needs for it and who is answered."""
-        (daemon,) = deployment.daemon_by_name.values()
-        address = getattr(daemon, f"{listener}_address")
-        rest = read_usage(daemon.process.pid)
-        with Crowd(address, kinds, N_CLIENTS) as crowd:
-            crowd.connect()
-            crowd.send(SEND_SECONDS)
-            time.sleep(HOLD_SECONDS)
-            assert daemon.process.is_running, daemon.process.read_tail()
-            usage = read_usage(daemon.process.pid)
-            is_answered_beside = submit(deployment)
-        is_answered = submit(deployment)
-        assert daemon.process.is_running, daemon.process.read_tail()
-        extra_kb = read_usage(daemon.process.pid).peak_kb - rest.peak_kb
-        extra_descriptors = usage.n_descriptors - rest.n_descriptors
-        found = f"{[kind.name for kind in kinds]}: {extra_kb} KB and "
-        found += f"{extra_descriptors} descriptors over {rest}, ordinary request "
-        found += f"answered beside: {is_answered_beside}, after: {is_answered}"
-        print(found)
-        is_within = extra_kb <= BUDGET_KB and extra_descriptors <= DESCRIPTOR_BUDGET
-        assert is_within and is_answered_beside and is_answered, found
+        check_crowd(deployment, kinds, listener, answers_beside=True)
 
     @pytest.mark.parametrize("name", ["unread-answers", "unread-bodies"])
     def test_clients_that_read_no_answers(self, deployment, name):
