Send what is meant for an incarnation on its connections only

Cause: the client kept its connections to a worker by address. A restart ends them, and the next call opens a new one, to the next incarnation. That call had been made for the former one: a start or a poll with a lease on its clock, or a poll that acknowledges its ends by number. The header names the id only, so the new incarnation carried it out: it granted its longest lease, started a run that the owner took for one of the former incarnation, or forgot ends that nobody had read.

Change: a connection ends with the process that has accepted it. The first call on each connection reads the lists only, and its answer names the incarnation. Leases, numbers of ends and starts go on connections to their incarnation and on no other; where another one answers they are not sent (`restarted`), and the former clock is forgotten.

--- a/catkinport/platform/client.py
+++ b/catkinport/platform/client.py
@@ -47,8 +47,44 @@
     wait_seconds: float = 0.0
 
 
+class CallMetrics:
+    """Metrics of calls to the platform.
+
+    Args:
+        metrics: metrics of the process.
+    """
+
+    def __init__(self, metrics: Metrics) -> None:
+        self._metrics = metrics
+
+    def note(self, step: str, outcome: Reply | Unavailable, seconds: float) -> None:
+        """Note the outcome of a call, and the time that it took in seconds."""
+        if isinstance(outcome, Reply):
+            status = str(outcome.status)
+        else:
+            status = outcome.reason.value
+        self._metrics.increment(
+            "platform_calls", "Calls to the platform.", {"step": step, "status": status}
+        )
+        self._metrics.observe(
+            "platform_call_seconds",
+            "Time of a call to the platform.",
+            {"step": step},
+            seconds,
+        )
+
+    def note_bytes(self, step: str, n_bytes: int) -> None:
+        """Note how many bytes of an answer, maybe an incomplete one, have arrived."""
+        self._metrics.increment(
+            "platform_answer_bytes",
+            "Bytes of answers of the platform, also of incomplete ones.",
+            {"step": step},
+            n_bytes,
+        )
+
+
 class PlatformClient:
-    """Calls the platform's services and its workers.
+    """Calls the platform's services.
 
     The connection of a call that is given up is reset. Otherwise a request that is held
     up on the way would arrive when the way is free again, after newer requests.
@@ -67,7 +103,7 @@
         metrics: Metrics,
         max_connections_per_peer: int = MAX_CONNECTIONS_PER_PEER,
     ) -> None:
-        self._metrics = metrics
+        self._call_metrics = CallMetrics(metrics)
         self._max_connections_per_peer = max_connections_per_peer
         self._session: aiohttp.ClientSession | None = None
         self._connect_timeouts = ConnectTimeouts()
@@ -135,19 +171,7 @@
             headers,
             is_size_bounded,
         )
-        if isinstance(outcome, Reply):
-            status = str(outcome.status)
-        else:
-            status = outcome.reason.value
-        self._metrics.increment(
-            "platform_calls", "Calls to the platform.", {"step": step, "status": status}
-        )
-        self._metrics.observe(
-            "platform_call_seconds",
-            "Time of a call to the platform.",
-            {"step": step},
-            time.monotonic() - started_at,
-        )
+        self._call_metrics.note(step, outcome, time.monotonic() - started_at)
         return outcome
 
     async def _send(
@@ -207,13 +231,8 @@
         except (aiohttp.ClientError, OSError, ValueError) as error:
             return Unavailable(Reason.CONNECTION_LOST, step, peer, repr(error), True)
         finally:
-            self._metrics.increment(
-                "platform_answer_bytes",
-                "Bytes of answers of the platform, also of incomplete ones.",
-                {"step": step},
-                len(content),
-            )
-        return _decode_reply(step, peer, response.status, content, wait_seconds)
+            self._call_metrics.note_bytes(step, len(content))
+        return decode_reply(step, peer, response.status, content, wait_seconds)
 
 
 def _create_socket(address_info: aiohttp.AddrInfoType) -> socket.socket:
@@ -224,9 +243,18 @@
     return connection
 
 
-def _decode_reply(
+def decode_reply(
     step: str, peer: str, status: int, content: bytes | bytearray, wait_seconds: float
 ) -> Reply | Unavailable:
+    """Return the reply with this content, or why it can't be read.
+
+    Args:
+        step: name of the operation, for errors.
+        peer: ``host:port``.
+        status: HTTP status.
+        content: body of the answer.
+        wait_seconds: time from the call until the answer began to arrive.
+    """
     if not content:
         return Reply(status, None, wait_seconds)
     try:
--- a/catkinport/platform/daemon.py
+++ b/catkinport/platform/daemon.py
@@ -42,6 +42,7 @@
 from .settings import DaemonSettings, load_settings
 from .table import MAX_TABLE_CONNECTIONS, PlatformTable
 from .vms import PlatformVms
+from .worker_client import WorkerClient
 from .workers import MAX_WORKER_CONNECTIONS, PlatformWorkers
 
 logger = logging.getLogger(__name__)
@@ -82,6 +83,7 @@
         self._clock = BootTimeClock()
         self._metrics = Metrics()
         self._client = PlatformClient(self._metrics, MAX_WORKER_CONNECTIONS)
+        self._worker_client = WorkerClient(self._metrics, MAX_WORKER_CONNECTIONS)
         self._table_client = PlatformClient(self._metrics, MAX_TABLE_CONNECTIONS)
         table = PlatformTable(self._table_client, settings.table)
         self._configuration = ConfigurationWatch(
@@ -100,11 +102,12 @@
         self._ports = OwnerPorts(
             table,
             PlatformWorkers(
-                self._client,
+                self._worker_client,
                 table,
                 self._clock,
                 settings.advice,
                 lambda: self._lag.seconds,
+                self._client,
             ),
             PlatformVms(self._client, settings.vms, settings.name),
             PlatformMaintenanceRequests(table, lambda: self._configuration.row_by_key),
@@ -192,6 +195,7 @@
             await listener.close(max(0.0, answer_by - self._clock.now()))
         for task in background:
             task.cancel()
+        self._worker_client.close()
         await self._client.close()
         await self._table_client.close()
         log_event(logger, "daemon stopped", n_in_flight=self._callers.n_in_flight)
--- a/catkinport/platform/tests/restarted_workers.py
+++ b/catkinport/platform/tests/restarted_workers.py
@@ -151,7 +151,9 @@
         """Clock time in seconds."""
         return self.clock.now()
 
-    async def call(self, step, method, peer, path, timeout, body, headers):
+    async def call(
+        self, step, worker_id, peer, path, timeout, body, headers, incarnation
+    ):
         """Pass a call to its worker, as the owner's HTTP client."""
         worker = self.worker_by_id[peer.partition(":")[0]]
         if path == self.holds_up:
--- a/catkinport/platform/tests/test_malformed_answers.py
+++ b/catkinport/platform/tests/test_malformed_answers.py
@@ -20,7 +20,7 @@
 from ...ports.fleet_vms import UpkeepWave
 from ...ports.fleet_workers import ListedWorker, StartOrder, WorkerLists
 from ...ports.table import Condition, RowKey, Transaction, Write
-from ..client import Reply, _decode_reply
+from ..client import Reply, decode_reply
 from ..decoding import MessageError
 from ..operator_rows import decode_configuration, decode_wave
 from ..table import PlatformTable, decode_row
@@ -104,7 +104,8 @@
 
 def make_workers(body, status=200):
     clock = SimpleNamespace(now=lambda: 100.0)
-    return PlatformWorkers(OneAnswerClient(body, status), None, clock, "advice:1")
+    client = OneAnswerClient(body, status)
+    return PlatformWorkers(client, None, clock, "advice:1", advice_client=client)
 
 
 def hold(body):
@@ -195,7 +196,7 @@
 class TestServices:
     def test_an_answer_that_is_nested_too_deeply_counts_as_no_answer(self):
         """Guards against an answer of a worker that ends the loop that reads it."""
-        outcome = _decode_reply("worker-hold", "h:1", 200, DEEP_JSON, 0.0)
+        outcome = decode_reply("worker-hold", "h:1", 200, DEEP_JSON, 0.0)
         assert isinstance(outcome, Unavailable)
 
     @given(JSON_VALUES)
--- /dev/null
+++ b/catkinport/platform/tests/test_worker_client.py
@@ -0,0 +1,312 @@
+"""Tests of calls for one incarnation of a worker while the next one listens."""
+
+import asyncio
+import json
+from types import SimpleNamespace
+
+import pytest
+
+from ...policy.resources import Resources
+from ...ports import Reason, Unavailable
+from ...ports.fleet_workers import Done, ListedWorker, StartOrder, WorkerLists
+from ...runtime import Metrics
+from .. import worker_client
+from ..client import Reply
+from ..worker_client import WorkerClient
+from ..workers import INCARNATION_HEADER, PlatformWorkers
+
+TOKEN = 7
+LEASE_SECONDS = 4.0
+ORDER = StartOrder("00000000000000a1.0.0.0", 1, "s", "", "")
+ANSWER_SECONDS = 0.2
+READ_SECONDS = 5.0
+N_ROUNDS_OF_A_RESET = 20
+"""Rounds of the event loop in which a reset on loopback is noticed at the other end."""
+
+
+class OneWorker:
+    """A worker on loopback that starts again under its id at the same address.
+
+    The connections to an incarnation end with it.
+
+    Attributes:
+        born: start of the present incarnation in Unix milliseconds.
+        calls: start of the incarnation, path and body of each call.
+        silent_paths: paths of calls that are not answered.
+        answer: body of the answers to polls; ``None`` for the usual one.
+        status: status of the answers.
+        n_connections: connections that were accepted.
+        endings: how connections have ended: ``"reset"`` or ``"closed"``.
+    """
+
+    def __init__(self) -> None:
+        self.born = 1_000
+        self.calls: list[tuple[int, str, dict]] = []
+        self.silent_paths: set[str] = set()
+        self.answer = None
+        self.status = 200
+        self.n_connections = 0
+        self.endings: asyncio.Queue[str] = asyncio.Queue()
+        self.address = ""
+        self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
+
+    async def __aenter__(self) -> "OneWorker":
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        host, port = self._server.sockets[0].getsockname()
+        self.address = f"{host}:{port}"
+        return self
+
+    async def __aexit__(self, *error: object) -> None:
+        self.end_connections()
+        self._server.close()
+
+    async def restart(self) -> None:
+        """Replace the incarnation by the next one; its client learns of the reset."""
+        self.end_connections()
+        self.born += 500
+        for _ in range(N_ROUNDS_OF_A_RESET):
+            await asyncio.sleep(0)
+
+    def end_connections(self) -> None:
+        for writer in self._writers:
+            writer.transport.abort()
+        self._writers.clear()
+
+    def listed(self) -> ListedWorker:
+        resources = Resources(4.0, 8.0, 0)
+        return ListedWorker(
+            "i-1", "p", self.address, "z", False, 0.0, resources, (), 1.0
+        )
+
+    def paths(self, born: int) -> list[str]:
+        """Return the paths of the calls that an incarnation has received."""
+        return [path for incarnation, path, _ in self.calls if incarnation == born]
+
+    async def _serve(self, reader, writer) -> None:
+        born = self.born
+        self.n_connections += 1
+        self._writers.add(writer)
+        try:
+            while head := await reader.readuntil(b"\r\n\r\n"):
+                await self._answer_call(born, head, reader, writer)
+            self.endings.put_nowait("closed")
+        except asyncio.IncompleteReadError:
+            self.endings.put_nowait("closed")
+        except ConnectionError:
+            self.endings.put_nowait("reset")
+        finally:
+            writer.close()
+
+    async def _answer_call(self, born, head, reader, writer) -> None:
+        path = head.split(b" ")[1].decode()
+        fields = dict(line.split(b": ") for line in head.split(b"\r\n")[1:] if line)
+        length = int(fields[b"Content-Length"])
+        body = json.loads(await reader.readexactly(length))
+        self.calls.append((born, path, body))
+        if path in self.silent_paths:
+            return
+        answer = {"ClockMs": 486_000 if born == 1_000 else 5}
+        if path == "/hold":
+            answer |= {"Running": [], "Ended": [], "born": born}
+            answer = answer if self.answer is None else self.answer
+        content = json.dumps(answer).encode()
+        lines = f"HTTP/1.1 {self.status} X\r\nContent-Length: {len(content)}\r\n\r\n"
+        writer.write(lines.encode() + content)
+
+
+def make_workers() -> PlatformWorkers:
+    clock = SimpleNamespace(now=lambda: asyncio.get_running_loop().time())
+    return PlatformWorkers(WorkerClient(Metrics(), 8), None, clock, "")
+
+
+async def poll(workers, worker, end=0):
+    listed = worker.listed()
+    return await workers.renew_lease(listed, TOKEN, end, LEASE_SECONDS, 0.0)
+
+
+async def start(workers, worker):
+    return await workers.start(worker.listed(), TOKEN, ORDER, LEASE_SECONDS)
+
+
+class TestCallsForTheFormerIncarnation:
+    """The worker restarts between two calls, and nothing has shown it yet."""
+
+    def test_a_start_does_not_reach_the_next_one(self):
+        """Guards against a run that the owner doesn't know to be on a new incarnation.
+
+        Its lease is on the former clock, so the worker would grant its longest one.
+        """
+
+        async def run():
+            async with OneWorker() as worker:
+                workers = make_workers()
+                await poll(workers, worker)
+                await worker.restart()
+                outcome = await start(workers, worker)
+                return worker.paths(worker.born), outcome
+
+        paths, outcome = asyncio.run(run())
+        assert "/run-start" not in paths
+        assert isinstance(outcome, Unavailable)
+        assert outcome.reason is Reason.RESTARTED
+        assert not outcome.may_have_committed
+
+    @pytest.mark.parametrize("end", [0, 5])
+    def test_a_poll_does_not_reach_the_next_one(self, end):
+        """Guards against leases on the former clock and ends that are forgotten unread.
+
+        The connection of the poll before has ended without a sign to the owner.
+        """
+
+        async def run():
+            async with OneWorker() as worker:
+                workers = make_workers()
+                await poll(workers, worker)
+                await poll(workers, worker)
+                await worker.restart()
+                outcomes = [await poll(workers, worker, end) for _ in range(3)]
+                return [b for born, _, b in worker.calls if born != 1_000], outcomes
+
+        bodies, outcomes = asyncio.run(run())
+        assert [body["LastSeen"] for body in bodies[:2]] == [0, 0]
+        assert "UntilMs" not in bodies[0]
+        assert all(body.get("UntilMs", 0) < 10_000 for body in bodies)
+        assert isinstance(outcomes[0], Unavailable)
+        assert [type(outcome) for outcome in outcomes[1:]] == [WorkerLists, WorkerLists]
+
+    def test_nothing_is_sent_on_its_clock_once_a_start_has_shown_it(self):
+        """Guards against later calls that trust the clock of the former incarnation."""
+
+        async def run():
+            async with OneWorker() as worker:
+                workers = make_workers()
+                await poll(workers, worker)
+                await worker.restart()
+                await start(workers, worker)
+                refused = await start(workers, worker)
+                await poll(workers, worker)
+                return await start(workers, worker), refused, worker.calls
+
+        outcome, refused, calls = asyncio.run(run())
+        assert isinstance(refused, Unavailable)
+        assert isinstance(outcome, Done)
+        assert all(b.get("UntilMs", 0) < 10_000 for born, _, b in calls if born > 1_000)
+
+
+class TestConnections:
+    def test_the_first_call_on_each_carries_nothing_of_an_incarnation(self):
+        """Guards against a call whose receiver is not known beforehand."""
+
+        async def run():
+            async with OneWorker() as worker:
+                workers = make_workers()
+                await poll(workers, worker)
+                await asyncio.gather(*(start(workers, worker) for _ in range(3)))
+                return worker.calls, worker.n_connections
+
+        calls, n_connections = asyncio.run(run())
+        paths = [path for _, path, _ in calls]
+        assert n_connections == 3
+        assert paths.count("/hold") == n_connections
+        assert paths.count("/run-start") == 3
+        assert all(b.keys() == {"FencingToken", "LastSeen"} for _, p, b in calls[:1])
+
+    def test_they_are_used_again(self):
+        """Guards against a connection and a poll for each order."""
+
+        async def run():
+            async with OneWorker() as worker:
+                workers = make_workers()
+                await poll(workers, worker)
+                for _ in range(5):
+                    await start(workers, worker)
+                return worker.n_connections, len(worker.calls)
+
+        assert asyncio.run(run()) == (1, 6)
+
+    def test_that_of_a_call_without_an_answer_is_reset(self):
+        """Guards against an order that arrives seconds later, after newer ones."""
+
+        async def run():
+            async with OneWorker() as worker:
+                worker.silent_paths.add("/run-stop")
+                client = WorkerClient(Metrics(), 8)
+                outcome = await client.call(
+                    "stop",
+                    "i-1",
+                    worker.address,
+                    "/run-stop",
+                    ANSWER_SECONDS,
+                    {"FencingToken": TOKEN},
+                    {INCARNATION_HEADER: "i-1"},
+                )
+                async with asyncio.timeout(READ_SECONDS):
+                    return outcome, await worker.endings.get()
+
+        outcome, ending = asyncio.run(run())
+        assert outcome.reason is Reason.TIMEOUT
+        assert outcome.may_have_committed
+        assert ending == "reset"
+
+    def test_idle_ones_are_closed(self, monkeypatch):
+        """Guards against connections that pile up, as a worker accepts 64."""
+        monkeypatch.setattr(worker_client, "KEEP_ALIVE_SECONDS", 0.0)
+        monkeypatch.setattr(worker_client, "SWEEP_SECONDS", 0.0)
+
+        async def run():
+            async with OneWorker() as worker:
+                workers = make_workers()
+                await poll(workers, worker)
+                await poll(workers, worker)
+                return worker.n_connections
+
+        assert asyncio.run(run()) == 2
+
+
+class TestFirstAnswerOnAConnection:
+    """The answer that must name the incarnation is another one."""
+
+    async def _stop(self, worker):
+        client = WorkerClient(Metrics(), 8)
+        return await client.call(
+            "stop",
+            "i-1",
+            worker.address,
+            "/run-stop",
+            ANSWER_SECONDS,
+            {"FencingToken": TOKEN},
+            {INCARNATION_HEADER: "i-1"},
+        )
+
+    def _run(self, **answer):
+        async def run():
+            async with OneWorker() as worker:
+                for name, value in answer.items():
+                    setattr(worker, name, value)
+                outcome = await self._stop(worker)
+                return outcome, worker.paths(worker.born)
+
+        outcome, paths = asyncio.run(run())
+        assert paths == ["/hold"]
+        return outcome
+
+    @pytest.mark.parametrize("status", [409, 421])
+    def test_a_rejection_counts_for_the_call(self, status):
+        """Guards against an owner that doesn't notice its successor by orders."""
+        outcome = self._run(status=status)
+        assert isinstance(outcome, Reply)
+        assert outcome.status == status
+
+    @pytest.mark.parametrize("answer", [[], {}, {"born": "x"}, {"born": -5}])
+    def test_nothing_follows_one_without_an_incarnation(self, answer):
+        """Guards against an order to a process that nobody knows."""
+        outcome = self._run(answer=answer)
+        assert outcome.reason is Reason.ANSWER_TRUNCATED
+        assert not outcome.may_have_committed
+
+    def test_nothing_follows_a_missing_one(self):
+        """Guards against an order that counts as one that may have been carried out."""
+        outcome = self._run(silent_paths={"/hold"})
+        assert outcome.reason is Reason.TIMEOUT
+        assert not outcome.may_have_committed
--- a/catkinport/platform/tests/test_worker_incarnations.py
+++ b/catkinport/platform/tests/test_worker_incarnations.py
@@ -123,12 +123,16 @@
         super().__init__(["w1"])
         self.arrival = asyncio.Event()
 
-    async def call(self, step, method, peer, path, timeout, body, headers):
+    async def call(
+        self, step, worker_id, peer, path, timeout, body, headers, incarnation
+    ):
         self.sent.append((path, body))
         is_delayed = path == self.delayed_path
         if path == self.delayed_request_path:
             await self.arrival.wait()
-        reply = await super().call(step, method, peer, path, timeout, body, headers)
+        reply = await super().call(
+            step, worker_id, peer, path, timeout, body, headers, incarnation
+        )
         if is_delayed:
             await self.arrival.wait()
         return reply
@@ -320,11 +324,15 @@
         self.gate_by_path = {}
         super().__init__(["w1"])
 
-    async def call(self, step, method, peer, path, timeout, body, headers):
+    async def call(
+        self, step, worker_id, peer, path, timeout, body, headers, incarnation
+    ):
         gate = self.gate_by_path.get(path)
         if gate is not None:
             await gate.wait()
-        return await super().call(step, method, peer, path, timeout, body, headers)
+        return await super().call(
+            step, worker_id, peer, path, timeout, body, headers, incarnation
+        )
 
 
 async def let_calls_begin():
--- a/catkinport/platform/tests/test_workers.py
+++ b/catkinport/platform/tests/test_workers.py
@@ -45,7 +45,9 @@
         self.rejection = None
         self.sent = []
 
-    async def call(self, step, method, peer, path, timeout, body, headers):
+    async def call(
+        self, step, worker_id, peer, path, timeout, body, headers, incarnation
+    ):
         self.sent.append((path, body))
         seconds = self.answer_seconds + body.get("WaitMs", 0) / 1000
         if self.is_lost or seconds > timeout:
@@ -288,9 +290,13 @@
 
         wait_seconds = 0.0
 
-        async def call(self, step, method, peer, path, timeout, body, headers):
+        async def call(
+            self, step, worker_id, peer, path, timeout, body, headers, incarnation
+        ):
             self.timeout = timeout
-            reply = await super().call(step, method, peer, path, timeout, body, headers)
+            reply = await super().call(
+                step, worker_id, peer, path, timeout, body, headers, incarnation
+            )
             return reply._replace(wait_seconds=self.wait_seconds)
 
     def _scene(self, lag_seconds=0.0):
--- a/catkinport/platform/workers.py
+++ b/catkinport/platform/workers.py
@@ -26,6 +26,7 @@
 from . import decoding
 from .client import PlatformClient, Reply
 from .order_turns import MAX_ORDERS, OrderTurns
+from .worker_client import POLL_PATH, WorkerClient
 from .workers_codec import decode_lists, decode_rejection, decode_worker
 
 logger = logging.getLogger(__name__)
@@ -67,7 +68,7 @@
 INCARNATION_HEADER = "X-Catkinport-Expect-Instance"
 """Header with the id of the worker that a call is meant for. A worker with another id,
 as most have after a restart, answers with `OTHER_ID_STATUS`. The header doesn't tell
-incarnations under one id apart."""
+incarnations under one id apart; the connections of `WorkerClient` do."""
 
 
 class _WorkerClock:
@@ -106,23 +107,26 @@
     """Implements `ports.fleet_workers.FleetWorkers`.
 
     Args:
-        client: HTTP client.
+        client: HTTP client for workers.
         table: client of the store, which lists the workers.
         clock: steady clock.
         advice_address: ``host:port`` of the advice service; empty for none.
         lag_seconds: returns how late the event loop of this daemon is, in seconds. That
             an answer is read late does not count against the worker.
+        advice_client: HTTP client for the advice service; ``None`` without one.
     """
 
     def __init__(
         self,
-        client: PlatformClient,
+        client: WorkerClient,
         table: AsyncTable,
         clock: Clock,
         advice_address: str,
         lag_seconds: Callable[[], float] = lambda: 0.0,
+        advice_client: PlatformClient | None = None,
     ) -> None:
         self._client = client
+        self._advice_client = advice_client
         self._table = table
         self._clock = clock
         self._advice_address = advice_address
@@ -228,10 +232,10 @@
             wait_seconds: longest wait of the worker for a run to end.
         """
         sent_at = self._clock.now()
-        is_known = self._known_incarnation(worker.worker_id) is not None
+        known = self._known_incarnation(worker.worker_id)
         body: dict[str, Any] = {
             "FencingToken": token,
-            "LastSeen": acknowledged_end if is_known else 0,
+            "LastSeen": 0 if known is None else acknowledged_end,
         }
         until = self._lease_end(worker, lease_seconds)
         if until is None:
@@ -243,7 +247,8 @@
         margin = self._answer_times.timeout(worker.worker_id, MIN_HOLD_MARGIN_SECONDS)
         timeout_seconds = wait_seconds + margin + self._lag_allowance()
         is_bound = until is not None or body["LastSeen"] > 0
-        reply = await self._poll(worker, body, timeout_seconds, is_bound)
+        incarnation = known if is_bound else None
+        reply = await self._poll(worker, body, timeout_seconds, incarnation)
         if isinstance(reply, Unavailable):
             if reply.reason is Reason.TIMEOUT:
                 self._answer_times.note_timeout(worker.worker_id)
@@ -269,7 +274,7 @@
         worker: ListedWorker,
         body: Mapping[str, Any],
         timeout_seconds: float,
-        is_bound: bool,
+        incarnation: float | None,
     ) -> Reply | Unavailable:
         """Send a poll; give it up once an incarnation after the one it is for is known.
 
@@ -277,13 +282,16 @@
             worker: the worker.
             body: body of the call.
             timeout_seconds: longest wait for the answer.
-            is_bound: whether the body belongs to the known incarnation.
+            incarnation: start of the incarnation that the body belongs to, in Unix
+                seconds; ``None`` for none.
         """
         call = asyncio.ensure_future(
-            self._call("worker-hold", worker, "/hold", body, timeout_seconds)
+            self._call(
+                "worker-hold", worker, POLL_PATH, body, timeout_seconds, incarnation
+            )
         )
         bound = self._incarnation_polls_by_worker.setdefault(worker.worker_id, set())
-        if is_bound:
+        if incarnation is not None:
             bound.add(call)
         try:
             await asyncio.wait([call])
@@ -413,7 +421,9 @@
                 body["Ticket"] = order.ticket
             return body
 
-        return await self._send_order("worker-start", worker, "/run-start", make_body)
+        return await self._send_order(
+            "worker-start", worker, "/run-start", make_body, incarnation
+        )
 
     async def stop(
         self, worker: ListedWorker, token: int, task: str, run: int
@@ -435,7 +445,9 @@
         """Return the ticket of each worker that may run ``step``, by worker id."""
         body = {"Step": step, "Workers": list(worker_ids)[:100]}
         peer = self._advice_address
-        reply = await self._client.call(
+        if self._advice_client is None:
+            return Unavailable(Reason.NOT_FOUND, "advise", peer, "no client for it")
+        reply = await self._advice_client.call(
             "advise", "POST", peer, "/advise", ADVICE_TIMEOUT_SECONDS, body
         )
         if isinstance(reply, Unavailable):
@@ -457,6 +469,7 @@
         worker: ListedWorker,
         path: str,
         make_body: Callable[[], Mapping[str, Any] | None],
+        incarnation: float | None = None,
     ) -> OrderOutcome:
         """Send an order in its turn.
 
@@ -466,6 +479,8 @@
             path: path of the call.
             make_body: returns the body once the turn has come; ``None`` if the order
                 must not be sent.
+            incarnation: start of the incarnation that the order is for, in Unix
+                seconds; ``None`` for any.
         """
         timeout_seconds = self._order_timeout(worker.worker_id)
         if not await self._turns.begin(worker.worker_id, timeout_seconds):
@@ -477,10 +492,14 @@
                 return _clock_unknown(step, worker.worker_id)
             clock = self._clock_by_worker.get(worker.worker_id)
             lower_bound = clock.lower_bound(self._clock.now()) if clock else 0
-            reply = await self._call(step, worker, path, body, timeout_seconds)
+            reply = await self._call(
+                step, worker, path, body, timeout_seconds, incarnation
+            )
         finally:
             self._turns.end(worker.worker_id)
         if isinstance(reply, Unavailable):
+            if reply.reason is Reason.RESTARTED and incarnation is not None:
+                self._forget_incarnation(worker.worker_id, incarnation)
             return reply
         self._answer_times.note_answer(worker.worker_id, reply.wait_seconds)
         # A worker with another id, which has the address now, has a clock of its own.
@@ -510,15 +529,17 @@
         path: str,
         body: Mapping[str, Any],
         timeout_seconds: float,
+        incarnation: float | None,
     ) -> Reply | Unavailable:
         return await self._client.call(
             step,
-            "POST",
+            worker.worker_id,
             worker.address,
             path,
             timeout_seconds,
             body,
-            headers={INCARNATION_HEADER: worker.worker_id},
+            {INCARNATION_HEADER: worker.worker_id},
+            incarnation,
         )
 
     def _known_incarnation(self, worker_id: str) -> float | None:
--- a/catkinport/ports/outcomes.py
+++ b/catkinport/ports/outcomes.py
@@ -38,6 +38,7 @@
     CANCELED = "canceled"
     EVACUATED = "evacuated"
     TIMEOUT = "timeout"
+    RESTARTED = "restarted"
 
 
 class NotRun(NamedTuple):
