Play owners whose calls are not sent to a later incarnation

Cause: the histories of rival owners let each call that was made for a former incarnation of a worker reach the next one, so four of them showed second runs that connections bound to an incarnation exclude: an owner in doubt that starts a task on a worker that has restarted unnoticed, the same beside an old list of VMs, a worker that is cut off from daemons and store at once, and a number of an end that hides later ends.

All other histories still let calls reach the next incarnation, as one does that is carried out late. A random test restarts workers between any two calls, also for former owners that live on, which the others leave out.

--- a/catkinport/jobs/tests/test_rival_owners.py
+++ b/catkinport/jobs/tests/test_rival_owners.py
@@ -31,6 +31,9 @@
 MAX_LISTING_SECONDS = 2.0
 """Time after a restart by which the list of workers names the new incarnation."""
 
+NEVER_LISTED_SECONDS = 60.0
+"""The same for a worker that is cut off from the store, longer than any lease."""
+
 workers = st.sampled_from((*WORKER_IDS, *WORKER_IDS, *LATER_WORKER_IDS))
 worker_sets = st.sets(st.sampled_from(WORKER_IDS), min_size=1, max_size=2)
 owners = st.integers(0, len(DAEMONS) - 1)
@@ -265,6 +268,51 @@
         assert not self.fleet.violations
 
 
+class UnnoticedRestarts(RivalOwners):
+    """Workers restart at any time, also for former owners that live on.
+
+    A call that was made for a former incarnation is not sent. The list of workers may
+    name the new one late.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.fleet.binds_calls = True
+
+    @rule(
+        worker_id=workers,
+        failing_ids=worker_sets,
+        listed_after=st.sampled_from([0.0, MAX_LISTING_SECONDS, NEVER_LISTED_SECONDS]),
+        is_cut_off=st.booleans(),
+        is_former_first=st.booleans(),
+    )
+    def restart_between_calls(
+        self,
+        worker_id: str,
+        failing_ids: set[str],
+        listed_after: float,
+        is_cut_off: bool,
+        is_former_first: bool,
+    ) -> None:
+        """Restart a worker; each owner plans before it polls the worker again.
+
+        Runs have failed elsewhere, so that there is something to start. The latest
+        owner may be cut off from the worker.
+        """
+        for failing_id in failing_ids:
+            self.fleet.end_a_run(failing_id, EndKind.FAILED)
+        owners = list(self.fleet.owner_by_name.values())
+        for owner in owners:
+            owner.poll_workers()
+        self.fleet.restart_unnoticed(worker_id, is_listed=False)
+        self.fleet.list_incarnation(worker_id, listed_after)
+        if is_cut_off and owners:
+            owners[-1].workers.cut_off([worker_id])
+        for owner in owners if is_former_first else reversed(owners):
+            if not owner.is_paused:
+                owner.plan()
+
+
 class TestRivalOwners:
     @pytest.mark.timeout(300)
     def test_invariants_hold_while_former_owners_live_on(self):
@@ -278,3 +326,20 @@
                 suppress_health_check=list(HealthCheck),
             ),
         )
+
+    @pytest.mark.timeout(300)
+    def test_invariants_hold_while_workers_restart_between_calls(self):
+        """Guards against a task that runs twice because of a restart nobody noticed.
+
+        Neither a poll without an answer nor the list of workers need show it before an
+        owner calls the worker again, is cut off from it or is replaced.
+        """
+        run_state_machine_as_test(
+            UnnoticedRestarts,
+            settings=settings(
+                max_examples=100,
+                stateful_step_count=40,
+                deadline=None,
+                suppress_health_check=list(HealthCheck),
+            ),
+        )
