Take malformed addresses, ids and answers of workers for failed calls

Change: such an entry gives a failed call that was not sent, and a connection that sends more than its answer is closed.

--- a/catkinport/platform/tests/test_worker_client.py
+++ b/catkinport/platform/tests/test_worker_client.py
@@ -48,6 +48,7 @@
         self.n_connections = 0
         self.endings: asyncio.Queue[str] = asyncio.Queue()
         self.address = ""
+        self._began_at = asyncio.get_running_loop().time()
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
 
@@ -106,7 +107,9 @@
         self.calls.append((born, path, body))
         if path in self.silent_paths:
             return
-        answer = {"ClockMs": 486_000 if born == 1_000 else 5}
+        first_ms = 486_000 if born == 1_000 else 5
+        elapsed = asyncio.get_running_loop().time() - self._began_at
+        answer = {"ClockMs": first_ms + int(elapsed * 1000)}
         if path == "/hold":
             answer |= {"Running": [], "Ended": [], "born": born}
             answer = answer if self.answer is None else self.answer
@@ -129,6 +132,19 @@
     return await workers.start(worker.listed(), TOKEN, ORDER, LEASE_SECONDS)
 
 
+async def stop(client, address, worker_id="i-1"):
+    """Send an order that any incarnation may get."""
+    return await client.call(
+        "stop",
+        worker_id,
+        address,
+        "/run-stop",
+        ANSWER_SECONDS,
+        {"FencingToken": TOKEN},
+        {INCARNATION_HEADER: worker_id},
+    )
+
+
 class TestCallsForTheFormerIncarnation:
     """The worker restarts between two calls, and nothing has shown it yet."""
 
@@ -231,16 +247,7 @@
         async def run():
             async with OneWorker() as worker:
                 worker.silent_paths.add("/run-stop")
-                client = WorkerClient(Metrics(), 8)
-                outcome = await client.call(
-                    "stop",
-                    "i-1",
-                    worker.address,
-                    "/run-stop",
-                    ANSWER_SECONDS,
-                    {"FencingToken": TOKEN},
-                    {INCARNATION_HEADER: "i-1"},
-                )
+                outcome = await stop(WorkerClient(Metrics(), 8), worker.address)
                 async with asyncio.timeout(READ_SECONDS):
                     return outcome, await worker.endings.get()
 
@@ -264,27 +271,42 @@
         assert asyncio.run(run()) == 2
 
 
+class TestMalformedEntries:
+    """An entry of another writer may name any id and any address."""
+
+    @pytest.mark.parametrize(
+        "address", ["127.0.0.1:99999", "127.0.0.1:\u00b2", "h\u00f6st\n:80", "\0:80"]
+    )
+    def test_an_address_that_leads_nowhere_counts_as_no_connection(self, address):
+        """Guards against an error that ends the loops of the owner."""
+        outcome = asyncio.run(stop(WorkerClient(Metrics(), 8), address))
+        assert outcome.reason is Reason.CONNECT_FAILED
+        assert not outcome.may_have_committed
+
+    @pytest.mark.parametrize("worker_id", ["i\r\n1", "i-\u00fc", "\0"])
+    def test_an_id_that_no_header_holds_is_not_sent(self, worker_id):
+        """Guards against an error that ends the loops of the owner."""
+
+        async def run():
+            async with OneWorker() as worker:
+                client = WorkerClient(Metrics(), 8)
+                return await stop(client, worker.address, worker_id), worker.calls
+
+        outcome, calls = asyncio.run(run())
+        assert outcome.reason is Reason.REQUEST_INVALID
+        assert not outcome.may_have_committed
+        assert calls == []
+
+
 class TestFirstAnswerOnAConnection:
     """The answer that must name the incarnation is another one."""
 
-    async def _stop(self, worker):
-        client = WorkerClient(Metrics(), 8)
-        return await client.call(
-            "stop",
-            "i-1",
-            worker.address,
-            "/run-stop",
-            ANSWER_SECONDS,
-            {"FencingToken": TOKEN},
-            {INCARNATION_HEADER: "i-1"},
-        )
-
     def _run(self, **answer):
         async def run():
             async with OneWorker() as worker:
                 for name, value in answer.items():
                     setattr(worker, name, value)
-                outcome = await self._stop(worker)
+                outcome = await stop(WorkerClient(Metrics(), 8), worker.address)
                 return outcome, worker.paths(worker.born)
 
         outcome, paths = asyncio.run(run())
--- a/catkinport/platform/worker_channel.py
+++ b/catkinport/platform/worker_channel.py
@@ -79,13 +79,17 @@
 
         Raises:
             ConnectionError: if the connection ends before, or the answer is malformed.
+            ValueError: if a header field is malformed; nothing was sent then.
         """
         if self._transport is None or not self.is_open:
             raise ConnectionResetError("the connection has ended")
         self._status = 0
         self._content = bytearray()
+        try:
+            request = h11.Request(method=method, target=path, headers=list(headers))
+        except h11.LocalProtocolError as error:
+            raise ValueError(str(error)) from error
         answer = self._answer = self._loop.create_future()
-        request = h11.Request(method=method, target=path, headers=list(headers))
         head = self._http.send(request) or b""
         body = self._http.send(h11.Data(data=content)) or b""
         end = self._http.send(h11.EndOfMessage()) or b""
@@ -115,6 +119,10 @@
 
     def data_received(self, data: bytes) -> None:
         """Read a part of an answer, as asyncio calls it."""
+        if self._answer is None or self._answer.done():
+            # What comes without a call would count as the answer to the next one.
+            self.abort()
+            return
         try:
             self._http.receive_data(data)
             self._read_events()
@@ -143,7 +151,9 @@
 
     def _finish(self) -> None:
         self.idle_since = self._loop.time()
-        if self._http.our_state is h11.DONE and self._http.their_state is h11.DONE:
+        has_more = bool(self._http.trailing_data[0])
+        states = (self._http.our_state, self._http.their_state)
+        if states == (h11.DONE, h11.DONE) and not has_more:
             self._http.start_next_cycle()
         else:
             self.abort()
--- a/catkinport/platform/worker_client.py
+++ b/catkinport/platform/worker_client.py
@@ -189,7 +189,8 @@
         except TimeoutError:
             self._connect_timeouts.on_timeout(peer)
             return call.fail(Reason.CONNECT_FAILED, "no connection in time")
-        except OSError as error:
+        except (OSError, ValueError, OverflowError) as error:
+            # The address is a text of the worker's entry, which may be malformed.
             return call.fail(Reason.CONNECT_FAILED, str(error))
         return channel
 
@@ -231,6 +232,9 @@
             return call.fail(Reason.TIMEOUT, detail, may_be_done=True)
         except OSError as error:
             return call.fail(Reason.CONNECTION_LOST, repr(error), may_be_done=True)
+        except ValueError as error:
+            # The worker's id or address can't stand in a header field.
+            return call.fail(Reason.REQUEST_INVALID, str(error))
         finally:
             self._call_metrics.note_bytes(call.step, channel.n_answer_bytes)
         wait_seconds = answer.began_at - sent_at
