Drop tickets that a worker has rejected or that a former incarnation had

Cause: a ticket holds in one incarnation of its worker, but the planner kept it by the worker's id until it expired. So it sent it again after each rejection, and also when the owner knew of the restart already.

Change: the tickets move from the planner to `dispatch/approvals.py`, which the outcomes of orders reach too. A run names the ticket that its start carries. A rejection drops the ticket if it is still that one. A ticket is not used if it was requested before a later incarnation was noted, by an answer or by the list of workers; that covers requests that were under way. The advice service handles one call at a time, and may go on to give tickets that a worker rejects: the first request after a rejection is sent at once, the next ones for that step 0.5 s apart. The name of a step becomes a property of its task.

--- a/catkinport/jobs/dispatch/dispatcher.py
+++ b/catkinport/jobs/dispatch/dispatcher.py
@@ -28,6 +28,7 @@
 from ..workers.worker_state import LEASE_SECONDS, Incarnation, WorkerRecord
 from ..workers.worker_table import WorkerTable
 from ..workers.worker_vms import WorkerVms
+from .approvals import Approvals
 from .former_pools import FormerPools
 from .job_table import JobTable, is_over
 from .order_outcomes import OrderOutcomes
@@ -61,6 +62,7 @@
             reported to this owner, its VM has gone or its lease has expired.
         evacuated_zones: availability zones whose workers get no new tasks, kept up to
             date by `ZoneEvacuations`.
+        approvals: approvals of workers for steps.
     """
 
     def __init__(
@@ -85,7 +87,8 @@
         self._vms = WorkerVms(self._workers, self._runs, self._inherited)
         ends = RunEnds(self._jobs, self._workers, self._runs, metrics)
         self._reports = WorkerReports(self._workers, self._runs, ends, self._inherited)
-        self._outcomes = OrderOutcomes(self._workers, self._runs)
+        self.approvals = Approvals()
+        self._outcomes = OrderOutcomes(self._workers, self._runs, self.approvals)
         # The tables change these collections in place and never replace them.
         self.job_by_id = self._jobs.job_by_id
         self.estimates = self._jobs.estimates
--- a/catkinport/jobs/dispatch/order_outcomes.py
+++ b/catkinport/jobs/dispatch/order_outcomes.py
@@ -8,6 +8,7 @@
 from ..workers.worker_failures import note_worker_failure
 from ..workers.worker_state import UNHEALTHY_PAUSE_SECONDS, WorkerRecord
 from ..workers.worker_table import WorkerTable
+from .approvals import Approvals
 from .run_table import NOT_SENT, RunTable
 
 logger = logging.getLogger(__name__)
@@ -23,11 +24,15 @@
     Args:
         workers: workers that the orders were sent to.
         runs: runs that may be alive.
+        approvals: approvals that start orders carry.
     """
 
-    def __init__(self, workers: WorkerTable, runs: RunTable) -> None:
+    def __init__(
+        self, workers: WorkerTable, runs: RunTable, approvals: Approvals
+    ) -> None:
         self._workers = workers
         self._runs = runs
+        self._approvals = approvals
 
     def on_start(self, run: Run, outcome: OrderOutcome, now: float) -> None:
         """Process the outcome of a start order."""
@@ -82,6 +87,9 @@
             _pause_until(worker, now + NO_ROOM_PAUSE_SECONDS)
         if reason is Rejection.INVALID:
             run.task.not_before = now + UNHEALTHY_PAUSE_SECONDS
+        if reason is Rejection.TICKET and run.ticket is not None:
+            stage = run.task.stage_name
+            self._approvals.reject(stage, run.worker_id, run.ticket, now)
         self._runs.drop(worker, run)
 
     def on_stop(self, run: Run, outcome: OrderOutcome, now: float) -> None:
--- a/catkinport/jobs/dispatch/task.py
+++ b/catkinport/jobs/dispatch/task.py
@@ -65,6 +65,11 @@
         self.ever_started = False
         self.lost_at = float("-inf")
 
+    @property
+    def stage_name(self) -> str:
+        """Name of its step within its job's occurrence."""
+        return self.text.rpartition(".")[0]
+
     def is_lost_since(self, renewed_at: float | None) -> bool:
         """Return whether a possible successor may have its last run.
 
--- a/catkinport/jobs/ownership/run_orders.py
+++ b/catkinport/jobs/ownership/run_orders.py
@@ -13,8 +13,9 @@
 from ...ports import Reason, Unavailable
 from ...ports.fleet_workers import Done, OrderOutcome, StartOrder
 from ...runtime.logs import log_event
+from ..dispatch.approvals import Ticket
 from ..placement.lasting_stops import MayEndRun
-from ..placement.planner import ApprovalRequest, Planner, Ticket
+from ..placement.planner import ApprovalRequest, Planner
 from ..placement.round_budget import PlannedStart
 from ..placement.run_stops import PaceOrder, StopOrder, StopTurns, find_paces
 from ..placement.share_reporter import ShareReporter
@@ -351,7 +352,10 @@
             await asyncio.sleep(RETRY_SECONDS)
         else:
             valid_until = sent_at + wanted.valid_seconds
-            tickets = {w: Ticket(text, valid_until) for w, text in outcome.items()}
+            tickets = {
+                worker_id: Ticket(text, valid_until, sent_at)
+                for worker_id, text in outcome.items()
+            }
             self._planner.keep_tickets(wanted.stage, tickets, wanted.worker_ids)
             self._session.wake.set()
         self._requested_stages.discard(wanted.stage)
--- a/catkinport/jobs/placement/gap_planner.py
+++ b/catkinport/jobs/placement/gap_planner.py
@@ -25,7 +25,7 @@
 from .account_usage import is_within_limit
 from .gang_rooms import find_gang_rooms
 from .pool_order import JobPlace
-from .task_needs import stage_name, task_need
+from .task_needs import task_need
 
 
 class _JobTurn(NamedTuple):
@@ -144,7 +144,7 @@
 
     def is_kept(self, task: Task) -> bool:
         """Return whether a task of the present job waits for nothing but holds."""
-        return self._present_turn().holds.is_kept(stage_name(task))
+        return self._present_turn().holds.is_kept(task.stage_name)
 
     def note_start(self, need: TaskNeed, room: CandidateWorker) -> None:
         """Note that a task of the present job starts on the worker ``room``."""
--- a/catkinport/jobs/placement/planner.py
+++ b/catkinport/jobs/placement/planner.py
@@ -19,6 +19,7 @@
 from ...policy.wait_forecast import ComingCores
 from ...policy.worker_choice import CandidateWorker, choose_worker
 from ..configuration import Account, Queue
+from ..dispatch.approvals import Ticket
 from ..dispatch.dispatcher import Dispatcher
 from ..dispatch.record import JobRecord
 from ..dispatch.task import Task, TaskPhase
@@ -32,15 +33,12 @@
 from .round_budget import PlannedStart, RoundBudget
 from .start_blocks import find_start_block
 from .start_delays import StartDelays, StartHold
-from .task_needs import find_expected_ends, running_need, stage_name, task_need
+from .task_needs import find_expected_ends, running_need, task_need
 
 MAX_PASS_SECONDS = 5.0
 """Time after which jobs get another turn even if others have not had one, as these may
 arrive faster than they are planned."""
 
-MAX_WORKERS_PER_REQUEST = 100
-"""Most workers that the advice service judges in one call."""
-
 
 class ApprovalRequest(NamedTuple):
     """Request to approve workers for a step.
@@ -56,13 +54,6 @@
     valid_seconds: float
 
 
-class Ticket(NamedTuple):
-    """An approval of a worker for a step, until a clock time in seconds."""
-
-    text: str
-    valid_until: float
-
-
 class Planner:
     """Places waiting tasks on workers, job by job in the order of `policy.job_order`.
 
@@ -83,8 +74,6 @@
     def __init__(self, dispatcher: Dispatcher, looks_ahead: bool = False) -> None:
         self._dispatcher = dispatcher
         self._gaps = GapPlanner(dispatcher) if looks_ahead else None
-        self._tickets_by_stage: dict[str, dict[str, Ticket]] = {}
-        self._rejected_by_stage: dict[str, set[str]] = {}
         self._learned_before: float | None = None
         self.delays = StartDelays(dispatcher)
         self.order = PoolOrder(dispatcher)
@@ -109,12 +98,7 @@
             ticket_by_worker: approvals of workers.
             asked_ids: workers that the request named, approved or not.
         """
-        self._tickets_by_stage[stage] = dict(ticket_by_worker)
-        rejected = self._rejected_by_stage.setdefault(stage, set())
-        if not rejected.isdisjoint(asked_ids):
-            # No other worker was left, so the request has begun a new turn.
-            rejected.clear()
-        rejected.update(set(asked_ids) - ticket_by_worker.keys())
+        self._dispatcher.approvals.replace(stage, ticket_by_worker, asked_ids)
 
     def plan(
         self,
@@ -362,29 +346,25 @@
     ) -> dict[str, CandidateWorker]:
         if queue.approval is None:
             return rooms
-        stage = stage_name(task)
-        tickets = self._tickets_by_stage.get(stage, {})
+        stage = task.stage_name
         valid = {
             worker_id: room
             for worker_id, room in rooms.items()
-            if worker_id in tickets and tickets[worker_id].valid_until > now
+            if self._find_ticket(stage, worker_id, now) is not None
         }
-        if rooms and not valid:
+        approvals = self._dispatcher.approvals
+        if rooms and not valid and approvals.may_request(stage, now):
+            asked_ids = approvals.choose_asked(stage, rooms)
             self.wanted_approvals[stage] = ApprovalRequest(
-                stage, self._choose_asked(stage, rooms), queue.approval.valid_seconds
+                stage, asked_ids, queue.approval.valid_seconds
             )
         return valid
 
-    def _choose_asked(
-        self, stage: str, rooms: Mapping[str, CandidateWorker]
-    ) -> tuple[str, ...]:
-        """Return the workers to request approvals of: all of them in turn.
-
-        Workers that were approved before come first once their approvals have expired.
-        """
-        rejected = self._rejected_by_stage.get(stage, set())
-        left = [worker_id for worker_id in rooms if worker_id not in rejected]
-        return tuple((left or list(rooms))[:MAX_WORKERS_PER_REQUEST])
+    def _find_ticket(self, stage: str, worker_id: str, now: float) -> Ticket | None:
+        restarted_at = self._dispatcher.worker_by_id[worker_id].restart_noted_at
+        return self._dispatcher.approvals.find_valid(
+            stage, worker_id, now, restarted_at
+        )
 
     def _plan_tasks(
         self,
@@ -495,9 +475,9 @@
             self._gaps.note_start(need, room)
         name = run.record.job.account
         usage[name] = add(usage.get(name, NO_RESOURCES), task.step.need)
-        tickets = self._tickets_by_stage.get(stage_name(task), {})
-        ticket = tickets.get(room.worker_id)
-        budget.starts.append(PlannedStart(worker, run, ticket.text if ticket else ""))
+        run.ticket = self._find_ticket(task.stage_name, room.worker_id, now)
+        text = run.ticket.text if run.ticket else ""
+        budget.starts.append(PlannedStart(worker, run, text))
 
 
 def _find_waiting(tasks: Iterable[Task]) -> list[Task]:
--- a/catkinport/jobs/placement/stalled_pools.py
+++ b/catkinport/jobs/placement/stalled_pools.py
@@ -20,7 +20,7 @@
 from .blocked_workers import NOT_BLOCKED, name_block
 from .ready_tasks import ReadyTask
 from .start_delays import StartDelay, StartHold
-from .task_needs import stage_name, task_need
+from .task_needs import task_need
 
 MIN_WAIT_SECONDS = 1.0
 """Shortest wait of a task that counts as stalled."""
@@ -192,7 +192,7 @@
         if hold is StartHold.ACCOUNT_LIMIT:
             return ""
         step = ready.task.step
-        key = (step, stage_name(ready.task) if step.max_per_worker else "")
+        key = (step, ready.task.stage_name if step.max_per_worker else "")
         reason = self._reason_by_step.get(key)
         if reason is None:
             if len(self._reason_by_step) >= MAX_STEPS_PER_POOL:
@@ -268,7 +268,7 @@
         if amount > 0:
             n_fitting = min(n_fitting, int((free_amount + ROUNDING_TOLERANCE) / amount))
     if need.max_per_worker:
-        names = (stage_name(run.task) for run in worker.run_by_key.values())
+        names = (run.task.stage_name for run in worker.run_by_key.values())
         n_of_step = sum(name == need.step for name in names)
         n_fitting = min(n_fitting, need.max_per_worker - n_of_step)
     return max(0, n_fitting)
--- a/catkinport/jobs/placement/task_needs.py
+++ b/catkinport/jobs/placement/task_needs.py
@@ -14,16 +14,11 @@
 VM can go down; with fewer, more VMs have to stay switched on."""
 
 
-def stage_name(task: Task) -> str:
-    """Return the name of the task's step within its job's occurrence."""
-    return task.text.rpartition(".")[0]
-
-
 def task_need(task: Task) -> TaskNeed:
     """Return the requirements of ``task`` on its worker."""
     step = task.step
     return TaskNeed(
-        stage_name(task),
+        task.stage_name,
         step.need,
         step.required_label,
         step.preferred_rack,
--- a/catkinport/jobs/tests/builders.py
+++ b/catkinport/jobs/tests/builders.py
@@ -100,6 +100,17 @@
         for worker in self.workers:
             self.poll(worker.worker_id)
 
+    def renew_entry(self, worker_id: str, started_at: float) -> None:
+        """Read the list with the entry of an incarnation, and store the roster."""
+        self.workers = [
+            worker._replace(started_at=started_at)
+            if worker.worker_id == worker_id
+            else worker
+            for worker in self.workers
+        ]
+        self.dispatcher.update_workers(self.workers, self.now, self.now)
+        self.dispatcher.worker_by_id[worker_id].is_enrolled = True
+
     def advance(self, seconds: float) -> None:
         self.now += seconds
 
--- a/catkinport/jobs/workers/run.py
+++ b/catkinport/jobs/workers/run.py
@@ -4,6 +4,7 @@
 from typing import NamedTuple
 
 from ...policy.pacing import FULL_SPEED_PERCENT
+from ..dispatch.approvals import Ticket
 from ..dispatch.record import JobRecord
 from ..dispatch.task import Task
 
@@ -61,6 +62,8 @@
             serving task, else the CPU use in thousandths of a core.
         pace: speed in percent at which the worker was told to run it; ``None`` if a
             former owner may have told it another one.
+        ticket: approval that its start order carries; ``None`` if it needs none, or a
+            former owner has sent it.
     """
 
     __slots__ = (
@@ -80,6 +83,7 @@
         "stop_sent_at",
         "stopped_at",
         "task",
+        "ticket",
         "worker_id",
     )
 
@@ -103,6 +107,7 @@
         self.progressed_at = now
         self.load = 0.0
         self.pace: int | None = FULL_SPEED_PERCENT
+        self.ticket: Ticket | None = None
 
     def may_be_stopped(self, reported_at: float) -> bool:
         """Return whether a stop of it is under way, or may still be carried out.
--- a/catkinport/jobs/workers/worker_state.py
+++ b/catkinport/jobs/workers/worker_state.py
@@ -127,6 +127,8 @@
             ``started_at``.
         vm_due_at: clock time in seconds by which the VM list names it; infinity before
             its first answer.
+        restart_noted_at: clock time in seconds at which its latest restart was noted;
+            minus infinity for none.
         contact_at: clock time in seconds at which its latest answer arrived.
         contact_since: clock time in seconds since which the same process has answered
             every poll; infinity while the latest poll had no answer.
@@ -173,6 +175,7 @@
         self.vm_id = ""
         self.started_at = 0.0
         self.started_known_at = float("-inf")
+        self.restart_noted_at = float("-inf")
         self.vm_due_at = float("inf")
         self.contact_at = float("-inf")
         self.contact_since = float("inf")
@@ -364,6 +367,7 @@
         )
         if is_later:
             self.is_enrolled = False
+            self.restart_noted_at = now
 
     def note_unknown_incarnation(self, now: float, longest_lease: float) -> None:
         """Note that an answer shows a restart, but not which incarnation gave it.
@@ -371,6 +375,7 @@
         Until an answer to a poll tells it, the worker gets no tasks and no leases.
         """
         self.note_no_answer()
+        self.restart_noted_at = now
         self.former_leases.note_unknown(
             now, self.lease_sent_at, bound_lease(longest_lease)
         )
