Plan no start by the entry of another incarnation

Cause: a worker that starts again under its id may be of another kind. Capacity and labels come from its entry in the list of workers, contact from its answers. Nothing compared the two, so between the answer of the new incarnation and its entry, starts were planned by those of the former one.

Change: a worker gets no new tasks while its entry and its latest answer name different incarnations, whichever is ahead (`other-incarnation`, a reason of its own, as it has another remedy than `room-unknown`). Only equality counts, so a wall clock that is set back changes nothing. An entry without `born` blocks nothing. An entry that is never renewed blocks for 15 s of reads since either side changed: the platform removes the entry of an ended process after three heartbeats, so one that is still there is written by a live process, and its `born` doesn't tell whose it is. Without reads of the list the block stays. Not covered: a start that is planned before anything shows the restart.

Six tests relied on the fault: their restarted worker got tasks while its entry stayed that of the former incarnation. They read the renewed entry now before they expect a start, as they stored the roster before; what they require is unchanged. The simulated workers of the random histories do the same, or restarted ones would get no tasks there.

--- a/catkinport/jobs/tests/test_knowledge_of_former_incarnations.py
+++ b/catkinport/jobs/tests/test_knowledge_of_former_incarnations.py
@@ -10,6 +10,7 @@
 from ...ports.fleet_workers import Done, WorkerLists
 from ..ownership.run_orders import RunOrders
 from ..workers.run import ORDER_DELAY_SECONDS
+from ..workers.worker_state import MAX_OTHER_ENTRY_SECONDS
 from .builders import Fleet, make_job, make_step, make_worker
 
 
@@ -36,7 +37,6 @@
 class TestCapacityOfTheFormerIncarnation:
     """A restarted worker may be of another kind, and its entry comes later."""
 
-    @pytest.mark.xfail(strict=True, reason="a former incarnation's state (issue 54)")
     def test_it_gives_no_room_on_a_worker_that_rejects_nothing(self):
         """Guards against tasks that exceed the capacity of a restarted worker."""
         fleet = Fleet([make_worker(cores=16.0)], forbids_overcommit=False)
@@ -48,7 +48,6 @@
         fleet.dispatcher.update_workers(fleet.workers, fleet.now, fleet.now)
         assert len(fleet.plan()) == 2
 
-    @pytest.mark.xfail(strict=True, reason="a former incarnation's state (issue 54)")
     def test_its_labels_allow_no_step_that_needs_them(self):
         """Guards against a step on a worker that lacks the label it requires."""
         fleet = Fleet([make_worker(labels=("large", "r1"))])
@@ -65,6 +64,86 @@
         assert len(fleet.plan()) == 1
 
 
+class TestEntryOfAnotherIncarnation:
+    """Capacity and labels in an entry are those of the incarnation that wrote it."""
+
+    def test_clock_that_was_set_back_makes_no_difference(self):
+        """Guards against the kind of a former incarnation that seems to be the later.
+
+        The wall clock of the worker was set back as it restarted.
+        """
+        fleet = make_waiting_fleet()
+        fleet.poll("w1", started_at=0.5)
+        assert fleet.plan() == []
+        fleet.renew_entry("w1", 0.5)
+        assert len(fleet.plan()) == 1
+
+    def test_entry_that_is_ahead_of_the_answers_gives_no_room(self):
+        """Guards against tasks by an entry whose incarnation hasn't answered yet."""
+        fleet = make_waiting_fleet()
+        fleet.renew_entry("w1", 2.0)
+        assert fleet.plan() == []
+        fleet.poll("w1", started_at=2.0)
+        assert len(fleet.plan()) == 1
+
+    @pytest.mark.parametrize("is_entry_renewed", [False, True])
+    def test_entry_without_a_time_of_start_blocks_nothing(self, is_entry_renewed):
+        """Guards against workers without tasks whose entries name no incarnation."""
+        fleet = make_waiting_fleet(started_at=0.0)
+        fleet.poll("w1", started_at=2.0)
+        if is_entry_renewed:
+            fleet.renew_entry("w1", 0.0)
+        assert len(fleet.plan()) == 1
+
+    @pytest.mark.parametrize(("listed", "answered"), [(1.0, 2.0), (2.0, 1.0)])
+    def test_entry_that_is_never_renewed_blocks_for_a_time(self, listed, answered):
+        """Guards against a worker that answers and gets no tasks for good."""
+        fleet = make_waiting_fleet()
+        blocked_until = fleet.now + MAX_OTHER_ENTRY_SECONDS
+        while fleet.now < blocked_until:
+            fleet.renew_entry("w1", listed)
+            fleet.poll("w1", started_at=answered)
+            assert fleet.plan() == []
+            fleet.advance(0.5)
+        fleet.advance(0.5)
+        fleet.renew_entry("w1", listed)
+        fleet.poll("w1", started_at=answered)
+        assert len(fleet.plan()) == 1
+
+    def test_time_without_reads_of_the_list_does_not_count(self):
+        """Guards against tasks by a former entry after an outage of the list."""
+        fleet = make_waiting_fleet()
+        for _ in range(40):
+            fleet.poll("w1", started_at=2.0)
+            assert fleet.plan() == []
+            fleet.advance(0.5)
+        fleet.renew_entry("w1", 2.0)
+        fleet.poll("w1", started_at=2.0)
+        assert len(fleet.plan()) == 1
+
+    def test_each_change_of_the_entry_counts_anew(self):
+        """Guards against a restart that is ignored as the one before it was."""
+        fleet = make_waiting_fleet()
+        fleet.poll("w1", started_at=2.0)
+        fleet.advance(MAX_OTHER_ENTRY_SECONDS + 0.5)
+        fleet.renew_entry("w1", 1.0)
+        fleet.poll("w1", started_at=2.0)
+        assert fleet.dispatcher.worker_by_id["w1"].may_start(fleet.now)
+        fleet.renew_entry("w1", 3.0)
+        assert fleet.plan() == []
+        fleet.poll("w1", started_at=4.0)
+        fleet.renew_entry("w1", 3.0)
+        assert fleet.plan() == []
+
+
+def make_waiting_fleet(started_at: float = 1.0) -> Fleet:
+    """Return a fleet of one worker, listed with ``started_at``, and a waiting job."""
+    fleet = Fleet([make_worker(started_at=started_at)])
+    fleet.dispatcher.add_job(make_job(), fleet.now)
+    fleet.advance(0.3)
+    return fleet
+
+
 class TestFirstReportThatLacksEnds:
     def test_a_confirmed_run_waits_for_the_other_ends(self):
         """Guards against a second run of a task whose end is not listed yet.
--- a/catkinport/jobs/tests/test_late_reports.py
+++ b/catkinport/jobs/tests/test_late_reports.py
@@ -20,6 +20,7 @@
         fleet.advance(1.0)
         fleet.running_by_worker["w1"] = {}
         fleet.poll("w1", started_at=2.0)
+        fleet.renew_entry("w1", 2.0)
         (second,) = fleet.plan()
         fleet.answer(second, Done())
         fleet.poll("w1", started_at=2.0)
--- a/catkinport/jobs/tests/test_owner_changes.py
+++ b/catkinport/jobs/tests/test_owner_changes.py
@@ -195,8 +195,7 @@
         )
         if isinstance(outcome, WorkerLists):
             self.dispatcher.on_worker_report(worker_id, outcome, self.now, self.now)
-            # The roster is stored at once.
-            worker.is_enrolled = True
+            note_listed_and_stored(worker)
             self._note_listed(worker_id)
 
     def _note_listed(self, worker_id: str) -> None:
@@ -346,6 +345,13 @@
             )
 
 
+def note_listed_and_stored(worker: WorkerRecord) -> None:
+    """Read the entry of the incarnation that answered at once, and store the roster."""
+    listed = worker.listed._replace(started_at=worker.started_at)
+    worker.note_listed(listed, worker.contact_at)
+    worker.is_enrolled = True
+
+
 def passing_over(known_failures: list[str]) -> type[OwnerChanges]:
     """Return a model that ends a history at `LateStartAfterRestartError`.
 
--- a/catkinport/jobs/tests/test_silent_workers.py
+++ b/catkinport/jobs/tests/test_silent_workers.py
@@ -130,6 +130,7 @@
         fleet.running_by_worker["w1"].clear()
         fleet.advance(0.1)
         fleet.poll("w1", started_at=2.0)
+        fleet.renew_entry("w1", 2.0)
         (again,) = fleet.start()
         assert again.run.key.run == start.run.key.run + 1
 
@@ -142,8 +143,9 @@
         fleet = Fleet([make_worker("w1"), make_worker("w2")])
         fleet.dispatcher.longest_lease = 10.0
         fleet.dispatcher.add_job(make_job(), fleet.now)
-        fleet.poll("w1", started_at=2.0)
-        fleet.poll("w2", started_at=2.0)
+        for worker_id in ("w1", "w2"):
+            fleet.poll(worker_id, started_at=2.0)
+            fleet.renew_entry(worker_id, 2.0)
         (start,) = fleet.start()
         other = {"w1": "w2", "w2": "w1"}[start.worker.worker_id]
         for _ in range(10 + int(ORDER_DELAY_SECONDS)):
--- a/catkinport/jobs/tests/test_stalled_pools.py
+++ b/catkinport/jobs/tests/test_stalled_pools.py
@@ -96,6 +96,8 @@
         worker.listed = worker.listed._replace(zone=EVACUATED_ZONE)
     if reason is StartBlock.PAUSED:
         worker.blocked_until = float("inf")
+    if reason is StartBlock.OTHER_INCARNATION:
+        worker.listed = worker.listed._replace(started_at=2.0)
     if reason is StartBlock.ROOM_UNKNOWN:
         worker.listed_at = float("-inf")
 
@@ -109,6 +111,7 @@
             StartBlock.RESERVED,
             StartBlock.CORDONED,
             StartBlock.PAUSED,
+            StartBlock.OTHER_INCARNATION,
             StartBlock.ROOM_UNKNOWN,
             StartBlock.EVACUATED,
         ],
--- a/catkinport/jobs/tests/test_start_delays.py
+++ b/catkinport/jobs/tests/test_start_delays.py
@@ -161,6 +161,8 @@
         worker.blocked_until = now + 1.0
     if reason is StartBlock.QUARANTINED:
         worker.quarantined_until = now + 1.0
+    if reason is StartBlock.OTHER_INCARNATION:
+        worker.listed = worker.listed._replace(started_at=2.0)
     if reason is StartBlock.ROOM_UNKNOWN:
         worker.listed_at = now - 60.0
 
--- a/catkinport/jobs/tests/test_worker_restarts.py
+++ b/catkinport/jobs/tests/test_worker_restarts.py
@@ -19,7 +19,14 @@
 from ..workers.worker_state import FRESH_CONTACT_SECONDS, LEASE_SECONDS
 from .builders import POOL
 from .simulated_workers import FakeWorker, Order
-from .test_owner_changes import LOST, WORKER_IDS, LateOrder, OwnerChanges, workers
+from .test_owner_changes import (
+    LOST,
+    WORKER_IDS,
+    LateOrder,
+    OwnerChanges,
+    note_listed_and_stored,
+    workers,
+)
 
 LONGEST_LEASE_SECONDS = 10.0
 
@@ -131,8 +138,7 @@
         if isinstance(outcome, WorkerLists):
             self.booted_at_by_id[worker_id] = worker.booted_at
             self.dispatcher.on_worker_report(worker_id, outcome, self.now, self.now)
-            # The roster is stored at once.
-            record.is_enrolled = True
+            note_listed_and_stored(record)
 
     def _lease_end(self, worker_id: str) -> float:
         """Return the end of a lease on the clock that the owner knows."""
--- a/catkinport/jobs/tests/test_worker_watch.py
+++ b/catkinport/jobs/tests/test_worker_watch.py
@@ -81,7 +81,7 @@
         poll(fleet, LOST)
         assert fleet.plan() == []
         poll(fleet, WorkerLists(2.0, [], []))
-        fleet.dispatcher.worker_by_id["w1"].is_enrolled = True
+        fleet.renew_entry("w1", 2.0)
         assert len(fleet.plan()) == 1
 
 
--- a/catkinport/jobs/workers/worker_state.py
+++ b/catkinport/jobs/workers/worker_state.py
@@ -68,6 +68,12 @@
 """Longest time until the VM list names a worker that has begun to answer, if it lives.
 The data of the list may be 1.2 s old."""
 
+MAX_OTHER_ENTRY_SECONDS = 15.0
+"""Time for which the entry of a worker may be of another incarnation than the one that
+answers. The platform removes the entry of an ended process after three heartbeats, of
+1.5 s in its example. An entry that is still read after this time is written by a
+process that lives, so its time of start doesn't tell whose it is."""
+
 UNCERTAIN_WORKER_PAUSE_SECONDS = 0.6
 """Pause before a worker that left a start unanswered, or whose VM is listed as dead,
 gets another task. The worker's next report or the next VM list arrives by then."""
@@ -84,6 +90,7 @@
     OUT_OF_CONTACT = "out-of-contact"
     PAUSED = "paused"
     QUARANTINED = "quarantined"
+    OTHER_INCARNATION = "other-incarnation"
     ROOM_UNKNOWN = "room-unknown"
     EVACUATED = "evacuated"
 
@@ -120,6 +127,8 @@
         is_listed: whether the latest list of workers has an entry of it.
         listed_at: clock time in seconds at which the latest read of that list with an
             entry of it was sent; minus infinity before the first.
+        entry_known_at: clock time in seconds at which the first read was sent that had
+            the ``started_at`` of its latest entry; minus infinity until that changes.
         vm_id: VM that it runs on; empty while unknown.
         started_at: Unix time in seconds at which the worker process started; 0 before
             the first contact.
@@ -172,6 +181,7 @@
         self.listed = listed
         self.is_listed = True
         self.listed_at = float("-inf")
+        self.entry_known_at = float("-inf")
         self.vm_id = ""
         self.started_at = 0.0
         self.started_known_at = float("-inf")
@@ -234,6 +244,21 @@
         """Whether the list of workers shows an incarnation that hasn't answered yet."""
         return 0 < self.started_at != self.former_leases.newest
 
+    @property
+    def is_entry_of_other_incarnation(self) -> bool:
+        """Whether its entry is of another incarnation than the one that answered last.
+
+        The capacity and the labels in it may be wrong then. Only equality counts, as a
+        wall clock may be set back between two incarnations. An entry that lacks the
+        time of start can't be told from its own, and one that stays for
+        `MAX_OTHER_ENTRY_SECONDS` of reads counts as its own.
+        """
+        listed, answered = self.listed.started_at, self.started_at
+        if not listed or not answered or listed == answered:
+            return False
+        since = max(self.started_known_at, self.entry_known_at)
+        return self.listed_at - since <= MAX_OTHER_ENTRY_SECONDS
+
     @property
     def runs_end_by(self) -> float:
         """Clock time in seconds after which no run of a silent worker can be alive."""
@@ -315,6 +340,7 @@
             StartBlock.RESERVED: self.is_reserved,
             StartBlock.OUT_OF_CONTACT: not self.is_in_contact(now)
             or self.may_have_restarted,
+            StartBlock.OTHER_INCARNATION: self.is_entry_of_other_incarnation,
             StartBlock.PAUSED: now < self.blocked_until,
             StartBlock.QUARANTINED: now < self.quarantined_until,
             StartBlock.CORDONED: self.is_cordoned,
@@ -331,6 +357,8 @@
         if told != self._cold_told:
             self._cold_told = told
             self.cold_until = sent_at + listed.cold_seconds
+        if listed.started_at != self.listed.started_at:
+            self.entry_known_at = sent_at
         self.listed = listed
         self.is_listed = True
         self.listed_at = sent_at
