Keep runs confirmed after an order for their VM was sent

What callers saw: a task ran twice at once. An upkeep or a move had no answer, was carried out, and the worker came back under its id with the task. The answer to the repeated order gave the run up, and the task started elsewhere too.

Cause: the answer ends the incarnation that was noted when the order was first sent, and `WorkerListing.retire` gave up all runs of its record. The record is that of the former incarnation until the next one answers a poll, so runs that the next one has confirmed were among them.

Change: `OrderTargets` notes the time before which an order was not carried out: its first sending, or an earlier one if the order was given up or rejected after a sending that may have had an effect. The answer gives up the runs that were confirmed by then. `lose_confirmed` counts a run that was confirmed at the very time of the bound as ended before it.

Ruled out: giving up runs without an answer, as before, with stops to the next incarnation. It may carry the start out before its first answer. The test of starts that outlive their record relied on it; it lets the lease end first now and requires that the record is removed.

--- a/catkinport/jobs/dispatch/dispatcher.py
+++ b/catkinport/jobs/dispatch/dispatcher.py
@@ -255,12 +255,20 @@
         """Update the workers from the latest list of them, requested at ``sent_at``."""
         self._listing.update(listed, sent_at, now)
 
-    def retire_worker(self, incarnation: Incarnation, now: float) -> None:
-        """Remove a worker that an order for its VM has ended, with all of its runs.
+    def retire_worker(
+        self, incarnation: Incarnation, ordered_at: float, now: float
+    ) -> None:
+        """Remove a worker that an order for its VM has ended, with its runs.
+
+        A worker that has started again under the same id stays, or may have done so.
 
-        A worker that has started again under the same id stays.
+        Args:
+            incarnation: the worker.
+            ordered_at: clock time in seconds before which the order was not carried
+                out.
+            now: clock time in seconds.
         """
-        self._listing.retire(incarnation, now)
+        self._listing.retire(incarnation, ordered_at, now)
 
     def update_vms(self, vms: Sequence[FleetVm], sent_at: float, now: float) -> None:
         """Update the workers from the platform's VM list, requested at ``sent_at``."""
--- a/catkinport/jobs/dispatch/run_table.py
+++ b/catkinport/jobs/dispatch/run_table.py
@@ -139,7 +139,7 @@
             self.lose(worker, run, reason, now)
 
     def lose_confirmed(
-        self, worker: WorkerRecord, reason: str, now: float, known_before: float
+        self, worker: WorkerRecord, reason: str, now: float, known_by: float
     ) -> None:
         """Give up the runs that the worker had confirmed by some time.
 
@@ -147,11 +147,11 @@
             worker: worker of the runs.
             reason: why they are given up, for the log.
             now: clock time in seconds.
-            known_before: runs confirmed at this clock time or later are kept. A later
+            known_by: runs confirmed after this clock time are kept. A later
                 incarnation may have confirmed them, however early they were ordered.
         """
         for run in list(worker.run_by_key.values()):
-            if 0 < run.known_at < known_before:
+            if 0 < run.known_at <= known_by:
                 self.lose(worker, run, reason, now)
 
     def expire(self, now: float) -> None:
--- a/catkinport/jobs/tests/test_order_targets.py
+++ b/catkinport/jobs/tests/test_order_targets.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from ...ports import Reason, Unavailable
 from ...ports.fleet_vms import UpkeepWave, VmState
 from ...ports.fleet_workers import Done
 from ..vms.order_targets import VmOrder
@@ -11,6 +12,9 @@
 OTHER_POOL = "off"
 """Pool that the VM of a test leaves by a move to ``POOL``."""
 
+MOVE_AWAY = VmOrder("m0", 0, OTHER_POOL)
+"""Move of the VM of a test from ``POOL``."""
+
 REPEAT_STEP_SECONDS = 1.25
 """Longer than the time after which an order without an answer is repeated."""
 
@@ -242,7 +246,20 @@
 
 
 class TestRunConfirmedAcrossTheOrder:
-    @pytest.mark.xfail(strict=True, reason="a former incarnation's state (issue 54)")
+    def _fleet(self, order=MOVE_AWAY):
+        """Return a fleet with a run on ``w0`` that is confirmed after the order."""
+        fleet = OneVmFleet(n_workers=2)
+        fleet.dispatcher.worker_by_id["w1"].is_cordoned = True
+        fleet.order = order
+        fleet.dispatcher.add_job(make_job(), fleet.now)
+        (start,) = fleet.plan()
+        assert start.run.worker_id == "w0"
+        fleet.send_order()
+        fleet.advance(0.1)
+        fleet.answer(start, Done())
+        fleet.dispatcher.worker_by_id["w1"].is_cordoned = False
+        return fleet
+
     def test_it_is_kept_when_the_repeated_order_is_answered(self):
         """Guards against a second run of a task that the next incarnation executes.
 
@@ -263,3 +280,78 @@
         fleet.answer(start, Done())
         fleet.answer_order()
         assert fleet.plan() == []
+
+    @pytest.mark.parametrize("order", [VmOrder("m0", 1, ""), MOVE_AWAY])
+    def test_it_is_given_up_once_the_list_shows_the_vm_as_down(self, order):
+        """Guards against a task that waits for the lease of a worker that has ended."""
+        fleet = self._fleet(order)
+        fleet.answer_order()
+        assert fleet.plan() == []
+        fleet.advance(LIST_STEP_SECONDS)
+        state = VmState.UPKEEP if order.wave else VmState.MOVING
+        fleet.poll("w1")
+        fleet.change_vm("m0", state=state, worker_id="")
+        assert fleet.runs_on("w0") == 0
+        assert [start.run.worker_id for start in fleet.plan()] == ["w1"]
+
+    def test_it_is_given_up_once_the_next_incarnation_does_not_list_it(self):
+        """Guards against a task that waits for the list, and against a false crash."""
+        fleet = self._fleet(VmOrder("m0", 1, ""))
+        fleet.answer_order()
+        fleet.running_by_worker["w0"].clear()
+        fleet.advance(0.1)
+        fleet.workers[0] = make_worker("w0", started_at=2.0)
+        fleet.poll("w0")
+        worker = fleet.dispatcher.worker_by_id["w0"]
+        assert not worker.run_by_key
+        assert worker.crash is None
+
+    def test_it_is_kept_after_a_move_that_was_given_up(self):
+        """Guards against counting from the last sending, not from the first."""
+        fleet = self._fleet()
+        fleet.vm_planner.inventory.give_up(fleet.order)
+        fleet.advance(0.1)
+        fleet.send_order()
+        fleet.vm_planner.on_no_effect(fleet.order)
+        fleet.send_order()
+        fleet.answer_order()
+        assert fleet.runs_on("w0") == 1
+        assert fleet.plan() == []
+
+    def test_run_without_an_answer_is_kept(self):
+        """Guards against a start that the next incarnation carries out late."""
+        fleet = OneVmFleet(n_workers=2)
+        fleet.dispatcher.worker_by_id["w1"].is_cordoned = True
+        fleet.dispatcher.add_job(make_job(), fleet.now)
+        (start,) = fleet.plan()
+        fleet.dispatcher.worker_by_id["w1"].is_cordoned = False
+        fleet.send_order()
+        fleet.answer(start, Unavailable(Reason.TIMEOUT, "worker-start", "w0", "", True))
+        fleet.answer_order()
+        assert fleet.runs_on("w0") == 1
+        assert fleet.plan() == []
+
+    def test_run_confirmed_before_the_sending_is_given_up_at_once(self):
+        """Guards against waiting for the list after a slow write before the sending."""
+        fleet = self._fleet()
+        fleet.vm_planner.inventory.note_sending(fleet.order, fleet.now)
+        fleet.answer_order()
+        assert "w0" not in fleet.dispatcher.worker_by_id
+        assert [start.run.worker_id for start in fleet.plan()] == ["w1"]
+
+    def test_earlier_moves_that_are_done_do_not_count(self):
+        """Guards against waiting for the list at each later move to the same pool."""
+        fleet = OneVmFleet(n_workers=2)
+        fleet.order = MOVE_AWAY
+        fleet.send_order()
+        fleet.answer_order()
+        fleet.advance(0.1)
+        fleet.come_back("w2")
+        fleet.poll_all()
+        fleet.vm_planner.inventory.give_up(fleet.order)
+        fleet.dispatcher.worker_by_id["w1"].is_cordoned = True
+        assert fleet.start_task() == "w2"
+        fleet.dispatcher.worker_by_id["w1"].is_cordoned = False
+        fleet.send_order()
+        fleet.answer_order()
+        assert "w2" not in fleet.dispatcher.worker_by_id
--- a/catkinport/jobs/tests/test_uncertain_starts.py
+++ b/catkinport/jobs/tests/test_uncertain_starts.py
@@ -256,9 +256,11 @@
     def test_stop_is_sent_to_a_worker_that_was_removed_and_listed_again(self):
         """Guards against starts that are forgotten with the record of the worker."""
         workers = TwoWorkers()
-        worker = workers.dispatcher.worker_by_id[workers.worker_id]
-        workers.dispatcher.retire_worker(worker.incarnation, workers.fleet.now)
+        workers.give_up()
         fleet = workers.fleet
+        worker = workers.dispatcher.worker_by_id[workers.worker_id]
+        workers.dispatcher.retire_worker(worker.incarnation, fleet.now, fleet.now)
+        assert workers.worker_id not in workers.dispatcher.worker_by_id
         fleet.workers = [make_worker(workers.worker_id, started_at=2.0)]
         workers.dispatcher.update_workers(fleet.workers, fleet.now, fleet.now)
         workers.report(started_at=2.0)
--- a/catkinport/jobs/vms/vm_inventory.py
+++ b/catkinport/jobs/vms/vm_inventory.py
@@ -8,9 +8,9 @@
 
 from ...ports.fleet_vms import FleetVm, VmState
 from ..dispatch.dispatcher import Dispatcher
-from ..workers.worker_state import Incarnation, WorkerRecord
+from ..workers.worker_state import WorkerRecord
 from ..workers.worker_vms import VM_LIST_LAG_SECONDS
-from .order_targets import OrderTargets, VmOrder
+from .order_targets import OrderTarget, OrderTargets, VmOrder
 
 REPEAT_SECONDS = 1.0
 """Time after which an order without an answer is sent again."""
@@ -126,7 +126,7 @@
         """Record that an order is about to be sent."""
         former = self._pending_by_vm.get(order.vm_id)
         if former is None or former.order != order:
-            self.targets.note_first_sent(order, self.worker_on(order.vm_id))
+            self.targets.note_first_sent(order, self.worker_on(order.vm_id), now)
         if former is None:
             pending = PendingOrder(order, now, now, 0.0, 1)
         else:
@@ -145,6 +145,8 @@
         if pending is None or pending.order != order:
             return
         is_first = pending.n_uncertain <= 1
+        if is_first:
+            self.targets.note_sending(order, now)
         first_sent_at = now if is_first else pending.first_sent_at
         self._pending_by_vm[order.vm_id] = pending._replace(
             first_sent_at=first_sent_at, sent_at=now
@@ -155,17 +157,18 @@
         pending = self._pending_by_vm.get(order.vm_id)
         return pending is not None and pending.n_uncertain > 1
 
-    def note_done(self, order: VmOrder, now: float) -> Incarnation | None:
+    def note_done(self, order: VmOrder, now: float) -> OrderTarget | None:
         """Record that the platform has carried the order out.
 
         Returns:
             The worker that has therefore ended; ``None`` if no worker certainly has.
         """
+        target = self.targets.note_done(order)
         pending = self._pending_by_vm.get(order.vm_id)
         if pending is None or pending.order != order:
             return None
         self._pending_by_vm[order.vm_id] = pending._replace(answered_at=now)
-        return self.targets.find(order)
+        return target
 
     def note_rejected(self, order: VmOrder) -> None:
         """Record that the platform has rejected the order and done nothing."""
--- a/catkinport/jobs/vms/vm_planner.py
+++ b/catkinport/jobs/vms/vm_planner.py
@@ -142,7 +142,7 @@
         """Note that the platform has carried the order out, now or earlier."""
         ended = self.inventory.note_done(order, now)
         if ended is not None:
-            self._dispatcher.retire_worker(ended, now)
+            self._dispatcher.retire_worker(ended.incarnation, ended.ordered_at, now)
         worker = self.inventory.worker_on(order.vm_id)
         if worker is not None:
             worker.is_maintenance_due = False
--- a/catkinport/jobs/workers/worker_listing.py
+++ b/catkinport/jobs/workers/worker_listing.py
@@ -46,16 +46,29 @@
             if record.worker_id not in listed_by_id:
                 self._update_unlisted(record, now)
 
-    def retire(self, incarnation: Incarnation, now: float) -> None:
-        """Remove a worker that an order for its VM has ended, with all of its runs.
+    def retire(self, incarnation: Incarnation, ordered_at: float, now: float) -> None:
+        """Remove a worker that an order for its VM has ended, with its runs.
 
-        A worker that has started again under the same id stays.
+        A worker that has started again under the same id stays. So does one with runs
+        that a later incarnation may have confirmed, or may still begin.
+
+        Args:
+            incarnation: the worker.
+            ordered_at: clock time in seconds before which the order was not carried
+                out. Runs that were confirmed by then have ended.
+            now: clock time in seconds.
         """
-        self._retired_by_id[incarnation.worker_id] = incarnation
         worker = self._workers.worker_by_id.get(incarnation.worker_id)
         if worker is None or worker.incarnation != incarnation:
+            self._retired_by_id[incarnation.worker_id] = incarnation
+            return
+        self._runs.lose_confirmed(worker, "vm-ordered-away", now, ordered_at)
+        if worker.run_by_key:
+            # That it ends or has ended is no crash.
+            worker.is_taken_down = True
+            worker.pause_as_uncertain(now)
             return
-        self._runs.lose_all(worker, "vm-ordered-away", now)
+        self._retired_by_id[incarnation.worker_id] = incarnation
         self._workers.remove(worker)
 
     def _is_retired(self, worker: ListedWorker) -> bool:
