Decide nothing by lists of VMs from before a reboot or the take-over

What callers saw: a job ran twice, or a job that is not restartable was parked as unknown while its task ran. A controller that took a pool over gave up tasks by a list of VMs that it had read before, from before a reboot that the former owner had seen and stored.

Cause: `VmMonitor` took any boot that differs from the one in the VM's row for a later one, and stored it as such. The list has no time, and its boot ids have no order: they are compared for equality only. A list that lags behind again, at the same owner, had the same effect, and an owner waited without bound for a reboot whose list still showed the boot before the last one.

Change: the row of a VM keeps its latest former boots (`former_boot_ids`, 8 at most), so an entry can be ordered against it: with a former boot it is older and decides nothing, whatever state it shows. What the boots can't order, such as `gone` with the present boot, is ordered by time: a list that was requested before the take-over decides nothing. Until the next list the answers of the worker count, so silent workers are found as before. Rows without the new field are read as before.

Ruled out: boot ids compared as numbers, as the stand-in counts them. Nothing says that the platform does.

Not covered: a list that lags behind and was requested after the take-over, and shows `gone` with the present boot after the VM was live again.

--- a/catkinport/administration/vms.py
+++ b/catkinport/administration/vms.py
@@ -13,6 +13,8 @@
     read_whole_number,
 )
 
+INTERNAL_FIELDS = ("last_token", "former_boot_ids")
+
 
 def add_vm_routes(routes: OperatorRoutes) -> None:
     """Add the routes below ``/v1/vms``."""
@@ -80,5 +82,7 @@
 
 
 def _describe_vm(row: Row) -> dict[str, Any]:
-    value = {name: part for name, part in row.value.items() if name != "last_token"}
+    value = {
+        name: part for name, part in row.value.items() if name not in INTERNAL_FIELDS
+    }
     return {"vm_id": row.row_key.key, "version": row.version, **value}
--- a/catkinport/controller/actors.py
+++ b/catkinport/controller/actors.py
@@ -35,9 +35,16 @@
 
 
 class VmsListed(NamedTuple):
-    """VM list that was read last."""
+    """VM list that was read last.
+
+    Args:
+        listed_by_vm: the list.
+        requested_at: time at which it was requested, in seconds on the clock of the
+            process.
+    """
 
     listed_by_vm: Mapping[str, ListedVm]
+    requested_at: float
 
 
 class PoolsOwned(NamedTuple):
@@ -112,7 +119,7 @@
         if isinstance(message, JobNotice):
             self._manager.notice_job(message.queue, message.job_id)
         elif isinstance(message, VmsListed):
-            self._manager.set_listed_vms(message.listed_by_vm)
+            self._manager.set_listed_vms(message.listed_by_vm, message.requested_at)
         return None
 
 
@@ -147,6 +154,7 @@
             self._step()
 
     def _step(self) -> None:
+        requested_at = self._services.clock.now()
         listed = self._services.vm_list.list_vms()
         if isinstance(listed, Unavailable):
             log_event(
@@ -158,7 +166,7 @@
             )
         else:
             self._listed_by_vm = {vm.vm_id: vm for vm in listed}
-            self._controller.tell(VmsListed(self._listed_by_vm))
+            self._controller.tell(VmsListed(self._listed_by_vm, requested_at))
         snapshot = self._services.membership.snapshot()
         self._registrar.step(snapshot, self._listed_by_vm, self._ownership_by_pool)
 
@@ -184,7 +192,7 @@
         self._ownership_manager = OwnershipManager(services.table, services.clock)
         self._registrar = Registrar(services, default_pool)
         self._pool_by_name: dict[str, _RunningPool] = {}
-        self._vms_listed = VmsListed({})
+        self._vms_listed = VmsListed({}, float("-inf"))
         self._is_releasing = False
 
     def on_start(self) -> None:
--- a/catkinport/controller/drains.py
+++ b/catkinport/controller/drains.py
@@ -3,6 +3,7 @@
 import logging
 
 from ..fleet.operations import VmChanged, advance_vm, fail_vm, finish_move
+from ..fleet.vm_rows import is_later_boot
 from ..ports import VmList
 from ..runtime import log_event
 from ..state import VmState
@@ -109,7 +110,7 @@
     def _reboot(self, vm: VmRecord) -> None:
         now = self._services.clock.now()
         listed = self._state.listed_by_vm.get(vm.vm_id)
-        if listed is not None and listed.boot_id != vm.row["boot_id"]:
+        if listed is not None and is_later_boot(vm.row, listed):
             return
         limit = self._state.environment.maintenance.reboot_seconds
         if self._seconds_in_state(vm) >= limit:
--- a/catkinport/controller/pool_manager.py
+++ b/catkinport/controller/pool_manager.py
@@ -51,6 +51,7 @@
             vm_list=cast(VmList, GuardedVmList(services.vm_list, self._is_lease_held)),
         )
         self.state = PoolState(ownership, snapshot.environment, JobCache(guarded.table))
+        self.state.taken_at = self._clock.now()
         self._services = guarded
         self._records = VmRecords(guarded, self.state)
         self._vm_monitor = VmMonitor(guarded, self.state, self._records)
@@ -67,9 +68,22 @@
         self._scan_seconds = services.timing.scan_seconds
         self._next_scan_at = 0.0
 
-    def set_listed_vms(self, listed_by_vm: Mapping[str, ListedVm]) -> None:
-        """Replace the VM list by the one that was read last."""
+    def set_listed_vms(
+        self,
+        listed_by_vm: Mapping[str, ListedVm],
+        requested_at: float | None = None,
+    ) -> None:
+        """Replace the VM list by the one that was read last.
+
+        Args:
+            listed_by_vm: the list.
+            requested_at: time at which it was requested, in seconds on the clock of the
+                process; ``None`` for now.
+        """
         self.state.listed_by_vm = listed_by_vm
+        if requested_at is None:
+            requested_at = self._clock.now()
+        self.state.listed_at = requested_at
 
     def notice_job(self, queue: str, job_id: str) -> None:
         """Have a new or cancelled job read in the next step."""
--- a/catkinport/controller/pool_state.py
+++ b/catkinport/controller/pool_state.py
@@ -137,6 +137,8 @@
     """State of one pool.
 
     ``is_owner`` becomes false once a commit has failed because the owner has changed.
+    Times are on the clock of the process, in seconds: ``taken_at`` is after the
+    take-over, and the VM list was requested at ``listed_at``.
     """
 
     ownership: Ownership
@@ -147,6 +149,8 @@
     link_by_vm: dict[str, WorkerLink] = field(default_factory=dict)
     task_by_job: dict[str, Task] = field(default_factory=dict)
     listed_by_vm: Mapping[str, ListedVm] = field(default_factory=dict)
+    listed_at: float = float("-inf")
+    taken_at: float = float("-inf")
     health: WorkerHealth | None = None
     is_owner: bool = True
     n_operations: int = 0
@@ -156,6 +160,14 @@
         """Name of the pool."""
         return self.ownership.pool
 
+    @property
+    def is_list_current(self) -> bool:
+        """Whether the VM list was requested after the take-over of the pool.
+
+        An older one may be from before what the former owner has decided.
+        """
+        return self.listed_at >= self.taken_at
+
     @property
     def fence(self) -> Fence:
         """Ownership that every write for the pool depends on."""
--- a/catkinport/controller/vm_monitor.py
+++ b/catkinport/controller/vm_monitor.py
@@ -4,6 +4,7 @@
 
 from ..fleet.operations import fail_vm, mark_maintained, recover_vm, undrain_vm
 from ..fleet.pool_rows import GONE
+from ..fleet.vm_rows import is_former_boot, is_later_boot
 from ..ports import ListedVm, VmStatus
 from ..runtime import log_event
 from ..state import VmState
@@ -29,6 +30,11 @@
 class VmMonitor:
     """Takes failed VMs out of service and returns recovered ones to it.
 
+    An entry of the VM list decides nothing if it is from before a reboot that the row
+    of its VM shows, nor does a list that was requested before the take-over of the
+    pool. The former owner may have seen later ones, and tasks may have started since.
+    Until the next list, only the answers of the workers count.
+
     Args:
         services: clients and shared objects of the process.
         state: state of the pool.
@@ -49,6 +55,9 @@
             return
         for vm in list(self._state.vm_by_id.values()):
             listed = self._state.listed_by_vm.get(vm.vm_id)
+            if not self._state.is_list_current:
+                self._check_answers(vm)
+                continue
             if listed is None:
                 self._check_missing(vm)
                 continue
@@ -62,7 +71,9 @@
             self._fail(vm, MISSING)
 
     def _check_listed(self, vm: VmRecord, listed: ListedVm) -> None:
-        if listed.status == VmStatus.GONE:
+        if is_former_boot(vm.row, listed):
+            self._check_answers(vm)
+        elif listed.status == VmStatus.GONE:
             self._mark_tasks_lost(vm)
             self._fail(vm, GONE)
         elif listed.status == VmStatus.LEAVING:
@@ -70,7 +81,7 @@
         elif listed.status == VmStatus.REBOOTING:
             if vm.row["state"] != VmState.REBOOTING:
                 self._fail(vm, REBOOTING)
-        elif listed.boot_id != vm.row["boot_id"]:
+        elif is_later_boot(vm.row, listed):
             self._check_rebooted(vm, listed)
         else:
             self._check_live(vm)
@@ -94,18 +105,39 @@
         self._records.invalidate()
 
     def _check_live(self, vm: VmRecord) -> None:
-        link = self._state.link_by_vm.get(vm.vm_id)
-        now = self._services.clock.now()
-        is_silent = link is not None and link.is_silent(now)
-        reason = self._state.pool_row["reason_by_disrupted_vm"].get(vm.vm_id, "")
+        if self._check_answers(vm):
+            return
+        reason = self._reason(vm)
+        is_failed = vm.row["state"] == VmState.FAILED
+        if reason == LEAVING:
+            self._cancel_leaving(vm)
+        elif is_failed and reason in LISTED_REASONS and not self._is_silent(vm):
+            self._recover(vm, None)
+
+    def _check_answers(self, vm: VmRecord) -> bool:
+        """Fail a VM whose worker is silent, or recover one that answers again.
+
+        Returns:
+            Whether one of the two was due.
+        """
+        is_silent = self._is_silent(vm)
         if is_silent and vm.row["state"] != VmState.REBOOTING:
             self._fail(vm, SILENT)
-        elif reason == LEAVING:
-            self._cancel_leaving(vm)
-        elif vm.row["state"] == VmState.FAILED and not is_silent:
-            has_answered = link is None or link.has_answered
-            if reason in LISTED_REASONS or (reason == SILENT and has_answered):
-                self._recover(vm, None)
+            return True
+        link = self._state.link_by_vm.get(vm.vm_id)
+        has_answered = link is None or link.has_answered
+        is_failed = vm.row["state"] == VmState.FAILED and self._reason(vm) == SILENT
+        if not is_failed or is_silent or not has_answered:
+            return False
+        self._recover(vm, None)
+        return True
+
+    def _is_silent(self, vm: VmRecord) -> bool:
+        link = self._state.link_by_vm.get(vm.vm_id)
+        return link is not None and link.is_silent(self._services.clock.now())
+
+    def _reason(self, vm: VmRecord) -> str:
+        return self._state.pool_row["reason_by_disrupted_vm"].get(vm.vm_id, "")
 
     def _cancel_leaving(self, vm: VmRecord) -> None:
         """Let a VM serve again that the list no longer shows as leaving."""
--- a/catkinport/fleet/vm_rows.py
+++ b/catkinport/fleet/vm_rows.py
@@ -5,6 +5,10 @@
 from .change import VmPlan
 from .pool_rows import serve
 
+MAX_FORMER_BOOTS = 8
+"""Number of former boots that the row of a VM keeps. The list of VMs lags behind by
+seconds, which is less than so many reboots take."""
+
 
 def new_vm(listed: ListedVm, pool: str, last_maintained: float) -> VmRow:
     """Return the row of a VM that serves in ``pool`` and has no operation."""
@@ -30,7 +34,26 @@
     """Return the row with the listed values, which a reboot may have changed."""
     new = new_vm(listed, vm["pool"], vm["last_maintained"])
     kept = ("state", "operation", "target_pool", "last_token")
-    return {**new, **{name: vm[name] for name in kept}}  # type: ignore
+    boot_ids = [*vm.get("former_boot_ids", ()), vm["boot_id"]]
+    former = [boot_id for boot_id in boot_ids if boot_id not in ("", listed.boot_id)]
+    updated = {**new, **{name: vm[name] for name in kept}}
+    if former:
+        updated["former_boot_ids"] = former[-MAX_FORMER_BOOTS:]
+    return updated  # type: ignore
+
+
+def is_former_boot(vm: VmRow, listed: ListedVm) -> bool:
+    """Return whether a listed VM is as it was before a reboot that the row shows.
+
+    Boots have no order of their own, and the list has no time, so the row names the
+    former ones.
+    """
+    return listed.boot_id in vm.get("former_boot_ids", ())
+
+
+def is_later_boot(vm: VmRow, listed: ListedVm) -> bool:
+    """Return whether a listed VM has rebooted since the row was written."""
+    return listed.boot_id != vm["boot_id"] and not is_former_boot(vm, listed)
 
 
 def state_fields(state: VmState, operation: str = "", target_pool: str = "") -> dict:
--- a/catkinport/state/rows.py
+++ b/catkinport/state/rows.py
@@ -107,6 +107,8 @@
 
     ``operation`` is the purpose of a drain: ``"drain"``, ``"maintenance"``, ``"move"``
     or empty. ``last_maintained`` is in seconds since the Unix epoch.
+    ``former_boot_ids`` are the latest boots before ``boot_id``; an entry of the list of
+    VMs that has one of them is older than the row.
     """
 
     pool: str
@@ -123,6 +125,7 @@
     n_accelerators: int
     last_maintained: float
     last_token: str
+    former_boot_ids: NotRequired[list[str]]
 
 
 class JobState(StrEnum):
