Count on late calls once a call for a former incarnation was kept back

What callers saw: a task could run twice at once. A worker restarts under its id, carries out a late start, and is cut off before it lists its runs.

Cause: since calls are sent on connections bound to an incarnation, the first sign of a restart is often a poll or a start that isn't sent (`restarted`). The owner took it for a poll without an answer. Before, the same poll was answered by the new incarnation, and the owner counted on the longest lease for late calls from then on. Now it gave up the runs of the former incarnation with their usual lease, and the roster didn't tell a successor either.

Change: `restarted` counts as an answer that shows a restart, as a clock that begins anew does in the answer to an order.

--- a/catkinport/jobs/ownership/run_orders.py
+++ b/catkinport/jobs/ownership/run_orders.py
@@ -216,28 +216,26 @@
             seconds=round(now - sent_at, 3),
         )
         self._session.check_fenced(outcome)
-        self._note_restart(worker, outcome, now)
+        self._note_restart(worker, outcome, sent_at)
         self._session.dispatcher.on_start_outcome(run, outcome, now)
         self._session.wake.set()
         if run.is_start_uncertain:
             await self._poll_uncertain(worker)
 
     def _note_restart(
-        self, worker: WorkerRecord, outcome: OrderOutcome, now: float
+        self, worker: WorkerRecord, outcome: OrderOutcome, sent_at: float
     ) -> None:
-        """Note that the answer to an order shows an incarnation that is not known."""
-        if isinstance(outcome, Unavailable) or not outcome.shows_restart:
-            return
-        longest_lease = self._session.dispatcher.longest_lease
-        worker.note_unknown_incarnation(now, longest_lease)
-        self._watch.roster.check_soon()
-        log_event(
-            logger,
-            "restart seen in an answer",
-            worker=worker.worker_id,
-            former_incarnation=worker.started_at,
-            lease_seconds=round(worker.runs_end_by - now, 2),
-        )
+        """Note an incarnation that is not known, if the outcome of an order shows one.
+
+        Either its answer does, or the order was for the former one and wasn't sent.
+        """
+        if isinstance(outcome, Unavailable):
+            is_known = worker.started_known_at > sent_at
+            shows_restart = outcome.reason is Reason.RESTARTED and not is_known
+        else:
+            shows_restart = outcome.shows_restart
+        if shows_restart:
+            self._watch.note_unknown_incarnation(worker)
 
     def _update_evacuations(self, now: float) -> None:
         if self._evacuations is not None:
@@ -271,6 +269,7 @@
             return
         run = worker.run_by_key.get(stop.key)
         incarnation = worker.incarnation
+        sent_at = self._session.clock.now()
         outcome = await self._session.ports.workers.stop(
             worker.listed, self._session.lease.token, stop.key.task, stop.key.run
         )
@@ -287,7 +286,7 @@
             outcome=type(outcome).__name__,
         )
         self._session.check_fenced(outcome)
-        self._note_restart(worker, outcome, self._session.clock.now())
+        self._note_restart(worker, outcome, sent_at)
         if isinstance(outcome, Done):
             uncertain_starts = self._session.dispatcher.uncertain_starts
             uncertain_starts.note_stopped(incarnation, stop.key)
@@ -306,6 +305,7 @@
         worker = self._session.dispatcher.worker_by_id.get(pace.worker_id)
         if worker is None or not self._session.may_order():
             return
+        sent_at = self._session.clock.now()
         outcome = await self._session.ports.workers.limit_speed(
             worker.listed,
             self._session.lease.token,
@@ -324,7 +324,7 @@
             outcome=type(outcome).__name__,
         )
         self._session.check_fenced(outcome)
-        self._note_restart(worker, outcome, self._session.clock.now())
+        self._note_restart(worker, outcome, sent_at)
         if isinstance(outcome, Done):
             self._session.dispatcher.on_pace_done(*pace)
 
--- a/catkinport/jobs/ownership/worker_watch.py
+++ b/catkinport/jobs/ownership/worker_watch.py
@@ -4,7 +4,7 @@
 import logging
 from typing import Any
 
-from ...ports import Unavailable
+from ...ports import Reason, Unavailable
 from ...ports.fleet_workers import ListedWorker, WorkerLists
 from ...ports.table import Row
 from ...runtime.logs import log_event
@@ -226,13 +226,32 @@
                 worker.acknowledged_end = max(worker.acknowledged_end, acknowledged_end)
             await self._apply_run_lists(worker, outcome, sent_at)
         elif isinstance(outcome, Unavailable):
-            if not is_outdated:
+            if outcome.reason is Reason.RESTARTED and not is_outdated:
+                self.note_unknown_incarnation(worker)
+            elif not is_outdated:
                 worker.note_no_answer()
             await asyncio.sleep(POLL_PAUSE_SECONDS)
         else:
             self._session.check_fenced(outcome)
             await asyncio.sleep(RETRY_SECONDS)
 
+    def note_unknown_incarnation(self, worker: WorkerRecord) -> None:
+        """Note that a call shows a restart, but not which incarnation there is now.
+
+        Calls for the former incarnation may still be carried out late, and a successor
+        has to learn of their leases too.
+        """
+        now = self._session.clock.now()
+        worker.note_unknown_incarnation(now, self._session.dispatcher.longest_lease)
+        self.roster.check_soon()
+        log_event(
+            logger,
+            "restart seen in an answer",
+            worker=worker.worker_id,
+            former_incarnation=worker.started_at,
+            lease_seconds=round(worker.runs_end_by - now, 2),
+        )
+
     async def _apply_run_lists(
         self, worker: WorkerRecord, lists: WorkerLists, sent_at: float
     ) -> None:
--- a/catkinport/jobs/tests/test_former_incarnations.py
+++ b/catkinport/jobs/tests/test_former_incarnations.py
@@ -8,6 +8,7 @@
 import pytest
 
 from ...ports.fleet_workers import EndKind
+from ..workers.worker_state import UNCERTAIN_WORKER_PAUSE_SECONDS
 from .rival_fleet import RivalFleet
 from .simulated_store import StoreLink
 
@@ -163,6 +164,44 @@
         check_task_moves_on(fleet)
 
 
+class TestCallThatWasKeptBack:
+    """The sign of the restart is a call that was not sent to the new incarnation.
+
+    The owner has not read a list of the new incarnation when the worker is cut off. A
+    start for the former one is then carried out late.
+    """
+
+    @pytest.mark.parametrize("call", ["poll", "start"])
+    def test_the_owner_counts_on_the_longest_lease(self, fleet, call):
+        """Guards against a second run while the worker is cut off and runs the first.
+
+        A poll that the new incarnation answers tells the owner of the restart. One that
+        is not sent told it nothing but that there was no answer.
+        """
+        owner = begin_with_late_start(fleet)
+        keep_back(fleet, owner, call)
+        owner.workers.cut_off(["w0"])
+        fleet.carry_out_late_call(reaches_later_incarnation=True)
+        assert fleet.worker_by_id["w0"].running
+        check_task_moves_on(fleet)
+
+    @pytest.mark.parametrize("call", ["poll", "start"])
+    def test_a_successor_counts_on_it(self, fleet, call):
+        """Guards against a second run by a successor that doesn't reach the worker.
+
+        The roster has to tell it that leases of calls for a former incarnation may be
+        in force.
+        """
+        owner = begin_with_late_start(fleet)
+        keep_back(fleet, owner, call)
+        owner.learn_jobs()
+        owner.workers.cut_off(["w0"])
+        fleet.carry_out_late_call(reaches_later_incarnation=True)
+        assert fleet.worker_by_id["w0"].running
+        change_owner(fleet, "killed")
+        check_task_moves_on(fleet)
+
+
 class TestStartBeforeAnEarlierAnswer:
     def test_a_run_that_was_confirmed_after_the_poll_is_kept(self, fleet):
         """Guards against a second run of a task that the new incarnation has started.
@@ -234,6 +273,32 @@
     owner.plan()
 
 
+def begin_with_late_start(fleet):
+    """Let d0 send a start that w0 carries out only after a restart; return the owner.
+
+    Calls that were made for a former incarnation are not sent to the next one.
+    """
+    fleet.binds_calls = True
+    owner = begin(fleet)
+    owner.workers.delivery_by_call = {"start": "late"}
+    start_task(fleet, owner)
+    owner.workers.delivery_by_call = {}
+    fleet.join("w1")
+    fleet.advance(UNCERTAIN_WORKER_PAUSE_SECONDS + 0.1)
+    fleet.restart_unnoticed("w0", is_listed=False)
+    return owner
+
+
+def keep_back(fleet, owner, call):
+    """Let the owner make a call to w0 that is not sent."""
+    if call == "poll":
+        owner.poll_worker("w0")
+    else:
+        owner.workers.delivery_by_call = {"stop": "lost"}
+        start_task(fleet, owner)
+        owner.workers.delivery_by_call = {}
+
+
 def change_owner(fleet, end):
     """End d0, and let a successor claim at once that does not reach w0."""
     if end == "released":
