Take unreadable lists that name another incarnation for a restart

What callers saw: nothing that was traced. In a scene with real client and owner, a task runs twice: a worker restarts, answers a poll with lists that can't be read, carries out a late start and is cut off.

Cause: such an answer counted as none, also if the incarnation in it could be read. So the owner didn't count on the longest lease for calls for the former incarnation that arrive late.

Change: if the answer names another incarnation than the known one, its clock is forgotten and the reason is `restarted`, which the owner counts as a restart.

That nothing of the former incarnation is sent after such an answer held before, by the connections; it has a test now. An answer that doesn't name the incarnation either counts as none, as before: the poll doesn't tell more than one that is lost.

--- a/catkinport/platform/tests/test_worker_client.py
+++ b/catkinport/platform/tests/test_worker_client.py
@@ -191,6 +191,31 @@
         assert isinstance(outcomes[0], Unavailable)
         assert [type(outcome) for outcome in outcomes[1:]] == [WorkerLists, WorkerLists]
 
+    @pytest.mark.parametrize("born", [1_500, "x"])
+    def test_neither_does_after_lists_that_cannot_be_read(self, born):
+        """Guards against an owner that goes on with what it knows of the former one.
+
+        The answers of the new incarnation tell nothing of its runs, perhaps not even
+        which incarnation it is.
+        """
+
+        async def run():
+            async with OneWorker() as worker:
+                workers = make_workers()
+                await poll(workers, worker)
+                await worker.restart()
+                worker.answer = {"ClockMs": 5, "born": born, "Running": [[1]]}
+                outcomes = [await poll(workers, worker, 5) for _ in range(3)]
+                outcomes.append(await start(workers, worker))
+                return [call for call in worker.calls if call[0] != 1_000], outcomes
+
+        calls, outcomes = asyncio.run(run())
+        assert {path for _, path, _ in calls} == {"/hold"}
+        assert all(body["LastSeen"] == 0 for _, _, body in calls)
+        assert all("UntilMs" not in body for _, _, body in calls)
+        assert all(isinstance(outcome, Unavailable) for outcome in outcomes)
+        assert not outcomes[-1].may_have_committed
+
     def test_nothing_is_sent_on_its_clock_once_a_start_has_shown_it(self):
         """Guards against later calls that trust the clock of the former incarnation."""
 
--- a/catkinport/platform/tests/test_worker_incarnations.py
+++ b/catkinport/platform/tests/test_worker_incarnations.py
@@ -10,7 +10,9 @@
 from ...jobs.workers.run import ORDER_DELAY_SECONDS
 from ...jobs.workers.worker_state import LEASE_SECONDS, MAX_LEASE_SECONDS
 from ...ports.fleet_workers import StartOrder
+from ..client import Reply
 from ..order_turns import MIN_ORDERS
+from ..worker_client import POLL_PATH
 from .restarted_workers import FIRST_CLOCK_SECONDS, RestartedWorkers
 
 
@@ -78,6 +80,42 @@
         assert list(scene.second_runs()) == []
 
 
+class UnreadableLists(RestartedWorkers):
+    """A fleet whose later incarnations answer polls with lists that can't be read."""
+
+    async def call(self, step, worker_id, peer, path, *arguments):
+        reply = await super().call(step, worker_id, peer, path, *arguments)
+        if path == POLL_PATH and isinstance(reply, Reply) and reply.body["born"] > 1000:
+            reply.body["Running"] = [["w"]]
+        return reply
+
+
+class TestUnreadableListsOfTheNextIncarnation:
+    def test_they_show_the_restart(self):
+        """Guards against a second run on a worker that is cut off after such an answer.
+
+        The owner has read only which incarnation has answered. A start for the former
+        one is carried out late, with the longest lease.
+        """
+        scene = UnreadableLists(["w1", "w2"])
+        scene.worker_by_id["w2"].is_reachable = False
+        scene.poll("w2")
+        scene.submit(60.0)
+        scene.holds_up = "/run-start"
+        scene.plan()
+        scene.holds_up = ""
+        (late,) = scene.held_up
+        scene.worker_by_id["w1"].restart(scene.now)
+        scene.unlisted_ids.add("w1")
+        scene.poll("w1")
+        scene.worker_by_id["w1"].is_reachable = False
+        scene.worker_by_id["w2"].is_reachable = True
+        assert scene.deliver(late).status == 200
+        scene.run_owner(2 * ORDER_DELAY_SECONDS)
+        assert list(scene.second_runs()) == []
+        assert scene.worker_by_id["w2"].incarnation.encode_lists(scene.now)["Running"]
+
+
 class TestPauseBetweenTwoPolls:
     """No poll is under way while the owner stores ends, or while it is paused.
 
--- a/catkinport/platform/worker_client.py
+++ b/catkinport/platform/worker_client.py
@@ -13,10 +13,10 @@
 
 from ..ports import Reason, Unavailable
 from ..runtime import Metrics
-from . import decoding
 from .client import KEEP_ALIVE_SECONDS, CallMetrics, Reply, decode_reply
 from .connect_timeouts import ConnectTimeouts
 from .worker_channel import WorkerChannel
+from .workers_codec import decode_incarnation
 
 POLL_PATH = "/hold"
 """Path of the call that lists the runs of a worker and names its incarnation."""
@@ -293,13 +293,8 @@
 
 def _note_incarnation(channel: WorkerChannel, reply: Reply | Unavailable) -> None:
     """Note which incarnation an answer names, if it names one."""
-    if isinstance(reply, Unavailable) or not isinstance(reply.body, dict):
-        return
-    try:
-        started_at = decoding.seconds(reply.body, "born", 0.0)
-    except decoding.MessageError:
-        return
-    channel.incarnation = channel.incarnation or started_at
+    if isinstance(reply, Reply):
+        channel.incarnation = channel.incarnation or decode_incarnation(reply.body)
 
 
 def _release(channel: WorkerChannel, channels: _Channels) -> None:
--- a/catkinport/platform/workers.py
+++ b/catkinport/platform/workers.py
@@ -27,7 +27,12 @@
 from .client import PlatformClient, Reply
 from .order_turns import MAX_ORDERS, OrderTurns
 from .worker_client import POLL_PATH, WorkerClient
-from .workers_codec import decode_lists, decode_rejection, decode_worker
+from .workers_codec import (
+    decode_incarnation,
+    decode_lists,
+    decode_rejection,
+    decode_worker,
+)
 
 logger = logging.getLogger(__name__)
 
@@ -230,6 +235,10 @@
                 the clock of the worker's present incarnation is unknown.
             lease_seconds: length of the lease; 0 to read the lists only.
             wait_seconds: longest wait of the worker for a run to end.
+
+        Returns:
+            The lists, or why there are none. The reason is `Reason.RESTARTED` if an
+            answer names another incarnation than the known one, but has told no lists.
         """
         sent_at = self._clock.now()
         known = self._known_incarnation(worker.worker_id)
@@ -264,7 +273,11 @@
             lists = decode_lists(message)
             clock = decoding.integer(message, "ClockMs")
         except decoding.MessageError as error:
-            return self._ignore_lists(worker.worker_id, str(error))
+            outcome = self._ignore_lists(worker.worker_id, str(error))
+            if known is None or decode_incarnation(reply.body) in (0.0, known):
+                return outcome
+            self._forget_incarnation(worker.worker_id, known)
+            return outcome._replace(reason=Reason.RESTARTED)
         self._unreadable_by_worker.pop(worker.worker_id, None)
         self._note_clock(worker.worker_id, clock, lists.started_at, sent_at)
         return lists
--- a/catkinport/platform/workers_codec.py
+++ b/catkinport/platform/workers_codec.py
@@ -99,6 +99,19 @@
         return 0.0
 
 
+def decode_incarnation(body: Any) -> float:
+    """Return when the incarnation started that gave an answer, in Unix seconds.
+
+    It is 0 if the answer doesn't tell.
+    """
+    if not isinstance(body, dict):
+        return 0.0
+    try:
+        return decoding.seconds(body, "born", 0.0)
+    except decoding.MessageError:
+        return 0.0
+
+
 def decode_lists(message: Mapping[str, Any]) -> WorkerLists:
     """Decode a worker's lists of running and ended tasks.
 
