Close the other connections to a worker with one that has ended

What callers saw: nothing that was traced. A worker that is cut off while it restarts counts as out of contact for longer than needed.

Cause: a client that wasn't told of the ends of its connections keeps them. After the restart each poll took the next of them and failed, with a pause in between, so the first lists of the new incarnation came after as many polls as there were connections.

Change: when a connection ends during a call, those to the same incarnation that have carried no call since are closed.

Evidence: test_others_are_closed_with_one_that_has_ended failed with 4 connections and held with 1 before; both hold now. Calls that get no answer in time still close their own connection only, as a slow worker would lose all of them.

--- a/catkinport/platform/tests/test_worker_client.py
+++ b/catkinport/platform/tests/test_worker_client.py
@@ -69,6 +69,10 @@
         for _ in range(N_ROUNDS_OF_A_RESET):
             await asyncio.sleep(0)
 
+    def restart_unnoticed(self) -> None:
+        """Replace the incarnation; its connections end at their next call."""
+        self.born += 500
+
     def end_connections(self) -> None:
         for writer in self._writers:
             writer.transport.abort()
@@ -104,6 +108,9 @@
         fields = dict(line.split(b": ") for line in head.split(b"\r\n")[1:] if line)
         length = int(fields[b"Content-Length"])
         body = json.loads(await reader.readexactly(length))
+        if born != self.born:
+            writer.transport.abort()
+            return
         self.calls.append((born, path, body))
         if path in self.silent_paths:
             return
@@ -281,6 +288,26 @@
         assert outcome.may_have_committed
         assert ending == "reset"
 
+    @pytest.mark.parametrize("n_connections", [1, 4])
+    def test_others_are_closed_with_one_that_has_ended(self, n_connections):
+        """Guards against a failed poll for each connection to an ended incarnation.
+
+        The client has not been told of their ends, as it was cut off meanwhile.
+        """
+
+        async def run():
+            async with OneWorker() as worker:
+                workers = make_workers()
+                await poll(workers, worker)
+                await asyncio.gather(
+                    *(start(workers, worker) for _ in range(n_connections))
+                )
+                worker.restart_unnoticed()
+                outcomes = [await poll(workers, worker) for _ in range(3)]
+                return [type(outcome) for outcome in outcomes]
+
+        assert asyncio.run(run()) == [Unavailable, WorkerLists, WorkerLists]
+
     def test_idle_ones_are_closed(self, monkeypatch):
         """Guards against connections that pile up, as a worker accepts 64."""
         monkeypatch.setattr(worker_client, "KEEP_ALIVE_SECONDS", 0.0)
--- a/catkinport/platform/worker_client.py
+++ b/catkinport/platform/worker_client.py
@@ -71,6 +71,19 @@
                 return self.idle.pop(number)
         return None
 
+    def close_ended(self, incarnation: float, before: float) -> None:
+        """Close connections to an incarnation that seems to have ended.
+
+        Args:
+            incarnation: its start in Unix seconds.
+            before: time of the event loop in seconds; a connection that has carried a
+                call since then stays.
+        """
+        for channel in self.idle:
+            if channel.incarnation == incarnation and channel.idle_since < before:
+                channel.abort()
+        self.idle = [channel for channel in self.idle if channel.is_open]
+
     def close_idle(self, before: float) -> None:
         """Close connections that have been idle since ``before``, in loop seconds."""
         for channel in self.idle:
@@ -172,7 +185,12 @@
                 if refusal is not None:
                     _release(channel, channels)
                     return refusal
+        sent_at = asyncio.get_running_loop().time()
         reply = await self._send(channel, call)
+        if isinstance(reply, Unavailable) and reply.reason is Reason.CONNECTION_LOST:
+            # The ends of the others may not have arrived, for instance if the worker
+            # was cut off as it restarted. Each would cost another call.
+            channels.close_ended(channel.incarnation, sent_at)
         _note_incarnation(channel, reply)
         _release(channel, channels)
         return reply
