Test incarnations whose time of day was set back

A worker may restart with its time of day set back, so that the start of the later incarnation is before that of the former one. What guards against calls for the former one then is that connections compare for equality; what PlatformWorkers knows by the list of workers does not. The test held at once; no change was needed. It also shows that such a worker takes tasks only once its own entry is read.

--- a/catkinport/platform/tests/test_worker_client.py
+++ b/catkinport/platform/tests/test_worker_client.py
@@ -31,6 +31,7 @@
 
     Attributes:
         born: start of the present incarnation in Unix milliseconds.
+        listed_born: start of the incarnation that the list of workers shows.
         calls: start of the incarnation, path and body of each call.
         silent_paths: paths of calls that are not answered.
         answer: body of the answers to polls; ``None`` for the usual one.
@@ -41,6 +42,7 @@
 
     def __init__(self) -> None:
         self.born = 1_000
+        self.listed_born = 1_000
         self.calls: list[tuple[int, str, dict]] = []
         self.silent_paths: set[str] = set()
         self.answer = None
@@ -69,9 +71,13 @@
         for _ in range(N_ROUNDS_OF_A_RESET):
             await asyncio.sleep(0)
 
-    def restart_unnoticed(self) -> None:
-        """Replace the incarnation; its connections end at their next call."""
-        self.born += 500
+    def restart_unnoticed(self, milliseconds: int = 500) -> None:
+        """Replace the incarnation; its connections end at their next call.
+
+        Args:
+            milliseconds: time from the start of the former one to that of the next.
+        """
+        self.born += milliseconds
 
     def end_connections(self) -> None:
         for writer in self._writers:
@@ -81,7 +87,15 @@
     def listed(self) -> ListedWorker:
         resources = Resources(4.0, 8.0, 0)
         return ListedWorker(
-            "i-1", "p", self.address, "z", False, 0.0, resources, (), 1.0
+            "i-1",
+            "p",
+            self.address,
+            "z",
+            False,
+            0.0,
+            resources,
+            (),
+            self.listed_born / 1000,
         )
 
     def paths(self, born: int) -> list[str]:
@@ -223,6 +237,32 @@
         assert all(isinstance(outcome, Unavailable) for outcome in outcomes)
         assert not outcomes[-1].may_have_committed
 
+    def test_none_does_if_the_time_of_day_was_set_back(self):
+        """Guards against incarnations that are told apart by which is the later one.
+
+        The start of the new incarnation is before that of the former one, and a
+        connection to that one has ended without a sign.
+        """
+
+        async def run():
+            async with OneWorker() as worker:
+                workers = make_workers()
+                await poll(workers, worker)
+                await asyncio.gather(*(start(workers, worker) for _ in range(3)))
+                worker.restart_unnoticed(milliseconds=-500)
+                outcomes = [await poll(workers, worker, 5) for _ in range(2)]
+                worker.listed_born = worker.born
+                outcomes.append(await start(workers, worker))
+                return [call for call in worker.calls if call[0] == 500], outcomes
+
+        calls, (first, second, started) = asyncio.run(run())
+        assert isinstance(first, Unavailable)
+        assert isinstance(second, WorkerLists)
+        assert isinstance(started, Done)
+        assert calls[0][2].keys() == {"FencingToken", "LastSeen"}
+        assert all(body.get("LastSeen", 0) == 0 for _, _, body in calls)
+        assert all(body.get("UntilMs", 0) < 10_000 for _, _, body in calls)
+
     def test_nothing_is_sent_on_its_clock_once_a_start_has_shown_it(self):
         """Guards against later calls that trust the clock of the former incarnation."""
 
