Test the acknowledgment after a start that was kept back

Cause: a start that wasn't sent because the worker had restarted left the worker in contact, so the next poll acknowledged an end of the former incarnation. The simulated client sent it, as it knew no incarnation any more. The client of the platform sends 0 then, so callers saw nothing of it; but the owner relied on that alone.

--- a/catkinport/jobs/tests/test_former_incarnations.py
+++ b/catkinport/jobs/tests/test_former_incarnations.py
@@ -202,6 +202,26 @@
         check_task_moves_on(fleet)
 
 
+class TestAcknowledgmentAfterAStartThatWasKeptBack:
+    def test_no_end_of_the_former_incarnation_is_acknowledged(self, fleet):
+        """Guards against a task that starts again after an end that was never listed.
+
+        The start has shown the restart, and the client doesn't hold back the next poll,
+        as it knows no incarnation any more.
+        """
+        fleet.binds_calls = True
+        owner = begin_with_stored_end(fleet)
+        fleet.restart_unnoticed("w0", is_listed=False)
+        start_task(fleet, owner)
+        owner.poll_workers()
+        fleet.list_incarnation("w0")
+        fleet.run_all(CYCLE_SECONDS, 3)
+        assert fleet.worker_by_id["w0"].running
+        fleet.end_a_run("w0", EndKind.DONE)
+        fleet.run_all(CYCLE_SECONDS, 2)
+        assert not fleet.violations
+
+
 class TestStartBeforeAnEarlierAnswer:
     def test_a_run_that_was_confirmed_after_the_poll_is_kept(self, fleet):
         """Guards against a second run of a task that the new incarnation has started.
