Send a later incarnation its stop at once

What callers saw: nothing that was traced. A worker that restarts twice, or while a stop is under way to it, may carry out a late start for longer than needed, so that the task runs twice.

Cause: the stop of a start without an answer is sent to each incarnation. Since connections are bound, a stop to an incarnation that has ended may take the waits for a connection and for two answers until it fails.

Change: stops that are under way, and the pause before a stop is repeated, are kept by incarnation.

Evidence: test_one_without_an_answer_yet_does_not_hold_up_the_next and test_a_later_incarnation_waits_for_no_stop_of_the_former_one failed before.

--- a/catkinport/jobs/ownership/run_orders.py
+++ b/catkinport/jobs/ownership/run_orders.py
@@ -25,7 +25,7 @@
 from ..vms.vm_inventory import VmInventory
 from ..vms.zone_evacuations import ZoneEvacuations
 from ..workers.run import RunKey, RunPhase
-from ..workers.worker_state import LEASE_SECONDS, WorkerRecord
+from ..workers.worker_state import LEASE_SECONDS, Incarnation, WorkerRecord
 from .round_times import RoundTimes
 from .session import RETRY_SECONDS, OwnerSession
 from .worker_watch import WorkerWatch
@@ -91,7 +91,7 @@
         self._requested_stages: set[str] = set()
         self._approval_turns = asyncio.Semaphore(MAX_APPROVAL_CALLS)
         self._start_limit = ConcurrencyLimit()
-        self._stops_in_flight: set[tuple[str, RunKey]] = set()
+        self._stops_in_flight: set[tuple[Incarnation, RunKey]] = set()
         self._uncertain_polls: set[str] = set()
 
     async def run(self) -> None:
@@ -155,7 +155,7 @@
 
     def _begin_stops(self, now: float) -> None:
         for stop in self._stop_turns.take(now, MAX_STOPS_PER_ROUND):
-            if (stop.worker_id, stop.key) not in self._stops_in_flight:
+            if self._name_stop(stop) not in self._stops_in_flight:
                 self._session.spawn(self._send_stop(stop))
         if self._stop_turns.is_unfinished:
             self._session.wake.set()
@@ -255,11 +255,21 @@
         self._session.wake.set()
 
     async def _send_stop(self, stop: StopOrder) -> None:
-        self._stops_in_flight.add((stop.worker_id, stop.key))
+        name = self._name_stop(stop)
+        self._stops_in_flight.add(name)
         try:
             await self._send_one_stop(stop)
         finally:
-            self._stops_in_flight.discard((stop.worker_id, stop.key))
+            self._stops_in_flight.discard(name)
+
+    def _name_stop(self, stop: StopOrder) -> tuple[Incarnation, RunKey]:
+        """Return the incarnation and the run that a stop is for.
+
+        One that is under way to a former incarnation holds none up for the present one.
+        """
+        worker = self._session.dispatcher.worker_by_id.get(stop.worker_id)
+        started_at = worker.started_at if worker else 0.0
+        return Incarnation(stop.worker_id, started_at), stop.key
 
     async def _send_one_stop(self, stop: StopOrder) -> None:
         worker = self._session.dispatcher.worker_by_id.get(stop.worker_id)
--- a/catkinport/jobs/tests/test_run_orders.py
+++ b/catkinport/jobs/tests/test_run_orders.py
@@ -72,6 +72,40 @@
         assert fleet.plan() == []
         assert len(list(find_stops(fleet.dispatcher, fleet.now))) == 1
 
+    def test_one_without_an_answer_yet_does_not_hold_up_the_next(self):
+        """Guards against a late start on a restarted worker that waits for its stop.
+
+        The stop that was sent to the former incarnation has no answer yet, and may take
+        seconds to fail.
+        """
+        fleet = Fleet([make_worker("w1")])
+        fleet.dispatcher.add_job(make_job(), fleet.now)
+        (start,) = fleet.plan()
+        fleet.answer(start, UNCERTAIN)
+        fleet.poll("w1")
+        sent = []
+
+        async def run():
+            session = FakeSession(fleet, lambda: None)
+            session.spawn = asyncio.ensure_future
+            is_answered = asyncio.Event()
+
+            async def stop(worker, token, task, run):
+                sent.append(run)
+                await is_answered.wait()
+                return Done()
+
+            session.stop = stop
+            orders = RunOrders(session, FakeWatch())
+            for started_at in (1.0, 2.0, 2.0):
+                fleet.poll("w1", started_at=started_at)
+                orders._begin_stops(fleet.now)
+                await asyncio.sleep(0)
+            is_answered.set()
+
+        asyncio.run(run())
+        assert sent == [1, 1]
+
     def test_it_counts_without_a_restart(self):
         """Guards against a task that waits although its stop is confirmed."""
         fleet = Fleet([make_worker("w1")])
--- a/catkinport/jobs/tests/test_uncertain_starts.py
+++ b/catkinport/jobs/tests/test_uncertain_starts.py
@@ -233,6 +233,19 @@
         workers.report(started_at=3.0)
         assert len(workers.stops()) == 1
 
+    def test_a_later_incarnation_waits_for_no_stop_of_the_former_one(self):
+        """Guards against a late start in the time until a stop would be sent again.
+
+        The first incarnation after the start has got a stop just before it restarts.
+        """
+        workers = TwoWorkers()
+        workers.give_up()
+        workers.report(started_at=2.0)
+        assert len(workers.stops()) == 1
+        workers.report(started_at=3.0)
+        assert len(workers.stops()) == 1
+        assert workers.stops() == []
+
     def test_stop_is_sent_after_the_job_has_ended(self):
         """Guards against a late start of a task that is done elsewhere by then."""
         workers = TwoWorkers()
--- a/catkinport/jobs/workers/uncertain_starts.py
+++ b/catkinport/jobs/workers/uncertain_starts.py
@@ -23,6 +23,7 @@
     sent_at: float
     stopped_in: float
     stop_sent_at: float = float("-inf")
+    stop_sent_to: float = 0.0
 
 
 class UncertainStarts:
@@ -94,13 +95,17 @@
         Args:
             incarnation: incarnation of the worker that answered last.
             now: clock time in seconds.
-            retry_seconds: time after which a stop without an answer is sent again.
+            retry_seconds: time after which a stop without an answer is sent again to
+                the same incarnation.
         """
         starts = self._starts_by_worker.get(incarnation.worker_id, {})
         for key, start in starts.items():
-            is_stopped = start.stopped_in == incarnation.started_at
-            if not is_stopped and now - start.stop_sent_at >= retry_seconds:
+            if start.stopped_in == incarnation.started_at:
+                continue
+            is_sent = start.stop_sent_to == incarnation.started_at
+            if not is_sent or now - start.stop_sent_at >= retry_seconds:
                 start.stop_sent_at = now
+                start.stop_sent_to = incarnation.started_at
                 yield key
 
     def expire(self, now: float) -> None:
