--- a/catkinport/jobs/ownership/run_orders.py
+++ b/catkinport/jobs/ownership/run_orders.py
@@ -26,7 +26,7 @@
 from ..vms.vm_inventory import VmInventory
 from ..vms.zone_evacuations import ZoneEvacuations
 from ..workers.run import RunKey, RunPhase
-from ..workers.worker_state import LEASE_SECONDS, WorkerRecord
+from ..workers.worker_state import LEASE_SECONDS, Incarnation, WorkerRecord
 from .round_times import RoundTimes
 from .session import RETRY_SECONDS, OwnerSession
 from .worker_watch import WorkerWatch
@@ -92,7 +92,7 @@
         self._requested_stages: set[str] = set()
         self._approval_turns = asyncio.Semaphore(MAX_APPROVAL_CALLS)
         self._start_limit = ConcurrencyLimit()
-        self._stops_in_flight: set[tuple[str, RunKey]] = set()
+        self._stops_in_flight: set[tuple[Incarnation, RunKey]] = set()
         self._uncertain_polls: set[str] = set()
 
     async def run(self) -> None:
@@ -156,7 +156,7 @@
 
     def _begin_stops(self, now: float) -> None:
         for stop in self._stop_turns.take(now, MAX_STOPS_PER_ROUND):
-            if (stop.worker_id, stop.key) not in self._stops_in_flight:
+            if self._name_stop(stop) not in self._stops_in_flight:
                 self._session.spawn(self._send_stop(stop))
         if self._stop_turns.is_unfinished:
             self._session.wake.set()
@@ -217,28 +217,26 @@
             seconds=round(now - sent_at, 3),
         )
         self._session.check_fenced(outcome)
-        self._note_restart(worker, outcome, now)
+        self._note_restart(worker, outcome, sent_at)
         self._session.dispatcher.on_start_outcome(run, outcome, now)
         self._session.wake.set()
         if run.is_start_uncertain:
             await self._poll_uncertain(worker)
 
     def _note_restart(
-        self, worker: WorkerRecord, outcome: OrderOutcome, now: float
+        self, worker: WorkerRecord, outcome: OrderOutcome, sent_at: float
     ) -> None:
-        """Note that the answer to an order shows an incarnation that is not known."""
-        if isinstance(outcome, Unavailable) or not outcome.shows_restart:
-            return
-        longest_lease = self._session.dispatcher.longest_lease
-        worker.note_unknown_incarnation(now, longest_lease)
-        self._watch.roster.check_soon()
-        log_event(
-            logger,
-            "restart seen in an answer",
-            worker=worker.worker_id,
-            former_incarnation=worker.started_at,
-            lease_seconds=round(worker.runs_end_by - now, 2),
-        )
+        """Note an incarnation that is not known, if the outcome of an order shows one.
+
+        Either its answer does, or the order was for the former one and wasn't sent.
+        """
+        if isinstance(outcome, Unavailable):
+            is_known = worker.started_known_at > sent_at
+            shows_restart = outcome.reason is Reason.RESTARTED and not is_known
+        else:
+            shows_restart = outcome.shows_restart
+        if shows_restart:
+            self._watch.note_unknown_incarnation(worker)
 
     def _update_evacuations(self, now: float) -> None:
         if self._evacuations is not None:
@@ -258,11 +256,21 @@
         self._session.wake.set()
 
     async def _send_stop(self, stop: StopOrder) -> None:
-        self._stops_in_flight.add((stop.worker_id, stop.key))
+        name = self._name_stop(stop)
+        self._stops_in_flight.add(name)
         try:
             await self._send_one_stop(stop)
         finally:
-            self._stops_in_flight.discard((stop.worker_id, stop.key))
+            self._stops_in_flight.discard(name)
+
+    def _name_stop(self, stop: StopOrder) -> tuple[Incarnation, RunKey]:
+        """Return the incarnation and the run that a stop is for.
+
+        One that is under way to a former incarnation holds none up for the present one.
+        """
+        worker = self._session.dispatcher.worker_by_id.get(stop.worker_id)
+        started_at = worker.started_at if worker else 0.0
+        return Incarnation(stop.worker_id, started_at), stop.key
 
     async def _send_one_stop(self, stop: StopOrder) -> None:
         worker = self._session.dispatcher.worker_by_id.get(stop.worker_id)
@@ -272,6 +280,7 @@
             return
         run = worker.run_by_key.get(stop.key)
         incarnation = worker.incarnation
+        sent_at = self._session.clock.now()
         outcome = await self._session.ports.workers.stop(
             worker.listed, self._session.lease.token, stop.key.task, stop.key.run
         )
@@ -288,7 +297,7 @@
             outcome=type(outcome).__name__,
         )
         self._session.check_fenced(outcome)
-        self._note_restart(worker, outcome, self._session.clock.now())
+        self._note_restart(worker, outcome, sent_at)
         if isinstance(outcome, Done):
             uncertain_starts = self._session.dispatcher.uncertain_starts
             uncertain_starts.note_stopped(incarnation, stop.key)
@@ -307,6 +316,7 @@
         worker = self._session.dispatcher.worker_by_id.get(pace.worker_id)
         if worker is None or not self._session.may_order():
             return
+        sent_at = self._session.clock.now()
         outcome = await self._session.ports.workers.limit_speed(
             worker.listed,
             self._session.lease.token,
@@ -325,7 +335,7 @@
             outcome=type(outcome).__name__,
         )
         self._session.check_fenced(outcome)
-        self._note_restart(worker, outcome, self._session.clock.now())
+        self._note_restart(worker, outcome, sent_at)
         if isinstance(outcome, Done):
             self._session.dispatcher.on_pace_done(*pace)
 
--- a/catkinport/platform/tests/test_worker_client.py
+++ b/catkinport/platform/tests/test_worker_client.py
@@ -31,6 +31,7 @@
 
     Attributes:
         born: start of the present incarnation in Unix milliseconds.
+        listed_born: start of the incarnation that the list of workers shows.
         calls: start of the incarnation, path and body of each call.
         silent_paths: paths of calls that are not answered.
         answer: body of the answers to polls; ``None`` for the usual one.
@@ -41,6 +42,7 @@
 
     def __init__(self) -> None:
         self.born = 1_000
+        self.listed_born = 1_000
         self.calls: list[tuple[int, str, dict]] = []
         self.silent_paths: set[str] = set()
         self.answer = None
@@ -69,6 +71,14 @@
         for _ in range(N_ROUNDS_OF_A_RESET):
             await asyncio.sleep(0)
 
+    def restart_unnoticed(self, milliseconds: int = 500) -> None:
+        """Replace the incarnation; its connections end at their next call.
+
+        Args:
+            milliseconds: time from the start of the former one to that of the next.
+        """
+        self.born += milliseconds
+
     def end_connections(self) -> None:
         for writer in self._writers:
             writer.transport.abort()
@@ -77,7 +87,15 @@
     def listed(self) -> ListedWorker:
         resources = Resources(4.0, 8.0, 0)
         return ListedWorker(
-            "i-1", "p", self.address, "z", False, 0.0, resources, (), 1.0
+            "i-1",
+            "p",
+            self.address,
+            "z",
+            False,
+            0.0,
+            resources,
+            (),
+            self.listed_born / 1000,
         )
 
     def paths(self, born: int) -> list[str]:
@@ -104,6 +122,9 @@
         fields = dict(line.split(b": ") for line in head.split(b"\r\n")[1:] if line)
         length = int(fields[b"Content-Length"])
         body = json.loads(await reader.readexactly(length))
+        if born != self.born:
+            writer.transport.abort()
+            return
         self.calls.append((born, path, body))
         if path in self.silent_paths:
             return
@@ -191,6 +212,57 @@
         assert isinstance(outcomes[0], Unavailable)
         assert [type(outcome) for outcome in outcomes[1:]] == [WorkerLists, WorkerLists]
 
+    @pytest.mark.parametrize("born", [1_500, "x"])
+    def test_neither_does_after_lists_that_cannot_be_read(self, born):
+        """Guards against an owner that goes on with what it knows of the former one.
+
+        The answers of the new incarnation tell nothing of its runs, perhaps not even
+        which incarnation it is.
+        """
+
+        async def run():
+            async with OneWorker() as worker:
+                workers = make_workers()
+                await poll(workers, worker)
+                await worker.restart()
+                worker.answer = {"ClockMs": 5, "born": born, "Running": [[1]]}
+                outcomes = [await poll(workers, worker, 5) for _ in range(3)]
+                outcomes.append(await start(workers, worker))
+                return [call for call in worker.calls if call[0] != 1_000], outcomes
+
+        calls, outcomes = asyncio.run(run())
+        assert {path for _, path, _ in calls} == {"/hold"}
+        assert all(body["LastSeen"] == 0 for _, _, body in calls)
+        assert all("UntilMs" not in body for _, _, body in calls)
+        assert all(isinstance(outcome, Unavailable) for outcome in outcomes)
+        assert not outcomes[-1].may_have_committed
+
+    def test_none_does_if_the_time_of_day_was_set_back(self):
+        """Guards against incarnations that are told apart by which is the later one.
+
+        The start of the new incarnation is before that of the former one, and a
+        connection to that one has ended without a sign.
+        """
+
+        async def run():
+            async with OneWorker() as worker:
+                workers = make_workers()
+                await poll(workers, worker)
+                await asyncio.gather(*(start(workers, worker) for _ in range(3)))
+                worker.restart_unnoticed(milliseconds=-500)
+                outcomes = [await poll(workers, worker, 5) for _ in range(2)]
+                worker.listed_born = worker.born
+                outcomes.append(await start(workers, worker))
+                return [call for call in worker.calls if call[0] == 500], outcomes
+
+        calls, (first, second, started) = asyncio.run(run())
+        assert isinstance(first, Unavailable)
+        assert isinstance(second, WorkerLists)
+        assert isinstance(started, Done)
+        assert calls[0][2].keys() == {"FencingToken", "LastSeen"}
+        assert all(body.get("LastSeen", 0) == 0 for _, _, body in calls)
+        assert all(body.get("UntilMs", 0) < 10_000 for _, _, body in calls)
+
     def test_nothing_is_sent_on_its_clock_once_a_start_has_shown_it(self):
         """Guards against later calls that trust the clock of the former incarnation."""
 
@@ -256,6 +328,26 @@
         assert outcome.may_have_committed
         assert ending == "reset"
 
+    @pytest.mark.parametrize("n_connections", [1, 4])
+    def test_others_are_closed_with_one_that_has_ended(self, n_connections):
+        """Guards against a failed poll for each connection to an ended incarnation.
+
+        The client has not been told of their ends, as it was cut off meanwhile.
+        """
+
+        async def run():
+            async with OneWorker() as worker:
+                workers = make_workers()
+                await poll(workers, worker)
+                await asyncio.gather(
+                    *(start(workers, worker) for _ in range(n_connections))
+                )
+                worker.restart_unnoticed()
+                outcomes = [await poll(workers, worker) for _ in range(3)]
+                return [type(outcome) for outcome in outcomes]
+
+        assert asyncio.run(run()) == [Unavailable, WorkerLists, WorkerLists]
+
     def test_idle_ones_are_closed(self, monkeypatch):
         """Guards against connections that pile up, as a worker accepts 64."""
         monkeypatch.setattr(worker_client, "KEEP_ALIVE_SECONDS", 0.0)
--- a/catkinport/platform/worker_client.py
+++ b/catkinport/platform/worker_client.py
@@ -13,10 +13,10 @@
 
 from ..ports import Reason, Unavailable
 from ..runtime import Metrics
-from . import decoding
 from .client import KEEP_ALIVE_SECONDS, CallMetrics, Reply, decode_reply
 from .connect_timeouts import ConnectTimeouts
 from .worker_channel import WorkerChannel
+from .workers_codec import decode_incarnation
 
 POLL_PATH = "/hold"
 """Path of the call that lists the runs of a worker and names its incarnation."""
@@ -71,6 +71,19 @@
                 return self.idle.pop(number)
         return None
 
+    def close_ended(self, incarnation: float, before: float) -> None:
+        """Close connections to an incarnation that seems to have ended.
+
+        Args:
+            incarnation: its start in Unix seconds.
+            before: time of the event loop in seconds; a connection that has carried a
+                call since then stays.
+        """
+        for channel in self.idle:
+            if channel.incarnation == incarnation and channel.idle_since < before:
+                channel.abort()
+        self.idle = [channel for channel in self.idle if channel.is_open]
+
     def close_idle(self, before: float) -> None:
         """Close connections that have been idle since ``before``, in loop seconds."""
         for channel in self.idle:
@@ -172,7 +185,12 @@
                 if refusal is not None:
                     _release(channel, channels)
                     return refusal
+        sent_at = asyncio.get_running_loop().time()
         reply = await self._send(channel, call)
+        if isinstance(reply, Unavailable) and reply.reason is Reason.CONNECTION_LOST:
+            # The ends of the others may not have arrived, for instance if the worker
+            # was cut off as it restarted. Each would cost another call.
+            channels.close_ended(channel.incarnation, sent_at)
         _note_incarnation(channel, reply)
         _release(channel, channels)
         return reply
@@ -293,13 +311,8 @@
 
 def _note_incarnation(channel: WorkerChannel, reply: Reply | Unavailable) -> None:
     """Note which incarnation an answer names, if it names one."""
-    if isinstance(reply, Unavailable) or not isinstance(reply.body, dict):
-        return
-    try:
-        started_at = decoding.seconds(reply.body, "born", 0.0)
-    except decoding.MessageError:
-        return
-    channel.incarnation = channel.incarnation or started_at
+    if isinstance(reply, Reply):
+        channel.incarnation = channel.incarnation or decode_incarnation(reply.body)
 
 
 def _release(channel: WorkerChannel, channels: _Channels) -> None:
