Return what is written as a feed of the stand-in ends its wait

Cause: the fault is the stand-in's, not the product's. Its feed took the wait for a change as ended by a timeout, and answered with the rows from before the wait, but with the version of then. A timeout takes some turns of the event loop. A row written in these turns was in no answer, because the next call resumes from that version, as the platform's protocol says. The owner follows the table of jobs with waits of 2 s, so it never learned of the job. Other followers of the stand-in's feeds could miss a change in the same way until the next one.

Change: the feed reads the rows again after the wait, however it ended.

Measured on x86-64, beside other tests. TestFeed fails without the change at 0, 1 and 2 turns of the event loop after the wait, and holds at 0 to 7 with it.

--- a/catkinport/platform/standin/store_server.py
+++ b/catkinport/platform/standin/store_server.py
@@ -1,6 +1,7 @@
 """HTTP interface of the stand-in's store."""
 
 import asyncio
+import contextlib
 import random
 from collections.abc import Awaitable, Callable
 from typing import Any
@@ -167,10 +168,10 @@
         rows = self.rows.follow(table, after)
         while not rows and self._now() < deadline:
             changed = self._changed
-            try:
+            with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(changed.wait(), deadline - self._now())
-            except TimeoutError:
-                break
+            # A row may have been written after the end of the wait. The answer names
+            # the present version, so without the row the client would never get it.
             rows = self.rows.follow(table, after)
         return web.json_response({**self._common_fields(), "rows": _encode_rows(rows)})
 
