Keep the logs of a deployment whose test has failed

Change: `run_platform` keeps the folder if the test fails; the note on the error names it, as in the soak. Tests that hold remove it as before. The fixture of test_end_to_end.py doesn't see whether its test fails and is left as it is.

--- a/verification/platform/tests/test_pools_without_spare_vms.py
+++ b/verification/platform/tests/test_pools_without_spare_vms.py
@@ -29,12 +29,17 @@
 
 @contextmanager
 def run_platform(size: PlatformSize) -> Iterator[tuple[PlatformDeployment, ...]]:
-    """Run a deployment; yield it and a caller of it."""
-    with ProcessGroup() as processes:
+    """Run a deployment; yield it and a caller of it.
+
+    The logs of a test that fails are kept, and its error names their folder.
+    """
+    with ProcessGroup(label="test-") as processes:
+        processes.is_folder_kept = True
         deployment = PlatformDeployment(processes, size)
         deployment.start()
         caller = PlatformCaller(deployment.list_caller_addresses, random.Random(1))
         yield deployment, caller
+        processes.is_folder_kept = False
 
 
 def wait_for_starts(deployment: PlatformDeployment, n_runs: int) -> None:
