Test calls on new connections after restarts with real daemons

Cause, as in: a restart ends the connections to a worker, and the next call opens one to the next incarnation. Until then the tests with daemons held calls up artificially to let them arrive there.

Change: the stand-in records each call that a worker carries out with a value of a former incarnation: a lease that ends more than 4.3 s after its present clock, or a number of an end that it hasn't listed. Two tests restart workers under their ids at once, with dark VMs before starts, and with reset connections while ends are stored. In the first one the owner is then killed or stopped, and the workers are cut off. Neither holds a call up, and none may be recorded.

--- a/catkinport/platform/standin/server.py
+++ b/catkinport/platform/standin/server.py
@@ -98,7 +98,12 @@
         self.address = await self._listen(app, self._port)
         for vm in self._fleet.vm_by_id.values():
             server = WorkerServer(
-                vm, time.monotonic, self.faults, self._rng, self._fleet.crash
+                vm,
+                time.monotonic,
+                self.faults,
+                self._rng,
+                self._fleet.crash,
+                self._fleet.misdirected_calls,
             )
             worker_app = server.create_app()
             worker_app.middlewares.append(self._delay_workers)
@@ -251,6 +256,10 @@
             events = [event._asdict() for event in self._fleet.events[first:]]
             return web.json_response({"events": events, "now": time.monotonic()})
 
+        async def show_misdirected_calls(request: web.Request) -> web.Response:
+            calls = [call._asdict() for call in self._fleet.misdirected_calls]
+            return web.json_response({"calls": calls})
+
         async def show_vms(request: web.Request) -> web.Response:
             return web.json_response({"vms": self._fleet.list_vms()})
 
@@ -268,6 +277,7 @@
         app.router.add_put("/standin/workers/{key:.+}", write_worker_entry)
         app.router.add_get("/standin/row", show_row)
         app.router.add_get("/standin/events", show_events)
+        app.router.add_get("/standin/misdirected-calls", show_misdirected_calls)
         app.router.add_get("/standin/vms", show_vms)
         app.router.add_put("/standin/vms/{vm}", change_vm)
         app.router.add_post("/standin/compact", compact)
--- a/catkinport/platform/standin/tests/test_restarts.py
+++ b/catkinport/platform/standin/tests/test_restarts.py
@@ -46,7 +46,8 @@
         body = {**START, "UntilMs": OLD_UNTIL_MS}
 
         async def run():
-            self.server._run_late(former, self.server._start, body)
+            start = self.server._start
+            self.server._run_late(former, start, "/run-start", body)
             await asyncio.gather(*self.server._late)
 
         asyncio.run(run())
@@ -105,3 +106,49 @@
         scene.restart(keeps_id=True)
         answer = scene.server._answer(scene.vm.instance, 200)
         assert json.loads(answer.text)["ClockMs"] < 1000
+
+
+class TestMisdirectedCalls:
+    def find_recorded(self, scene, path, body):
+        """Carry a call out and return the calls that were recorded then."""
+        server, calls = scene.server, scene.server._misdirected_calls
+        handler = server._start if path == "/run-start" else server._hold
+        asyncio.run(server._carry_out(scene.vm.instance, handler, path, body))
+        return calls
+
+    @pytest.mark.parametrize("path", ["/run-start", "/hold"])
+    def test_a_lease_on_the_former_clock_is_recorded(self, scene, path):
+        """Guards against tests that pass though a worker takes a former lease."""
+        scene.now += 1.0
+        scene.restart(keeps_id=True)
+        body = {**START, "UntilMs": 5_400}
+        (call,) = self.find_recorded(scene, path, body)
+        assert (call.path, call.worker) == (path, scene.vm.instance.worker_id)
+        assert call.born == scene.vm.instance.born
+        assert 4.3 < call.lease_seconds < 5.4
+
+    def test_a_number_that_was_not_listed_is_recorded(self, scene):
+        """Guards against tests that pass though a worker forgets unread ends."""
+        scene.vm.instance.start(START, scene.now + 1.0, scene.now)
+        scene.vm.instance.stop(START["Task"], 1, scene.now)
+        body = {"FencingToken": 7, "LastSeen": 1}
+        (call,) = self.find_recorded(scene, "/hold", body)
+        assert (call.last_seen, call.n_listed) == (1, 0)
+
+    @pytest.mark.parametrize("path", ["/run-start", "/hold"])
+    def test_a_call_for_the_present_incarnation_is_not_recorded(self, scene, path):
+        """Guards against tests that blame an owner for calls to the right one."""
+        scene.vm.instance.start(START, scene.now + 1.0, scene.now)
+        scene.vm.instance.stop(START["Task"], 1, scene.now)
+        scene.vm.instance.encode_lists(scene.now)
+        clock = int(scene.now * 1000) - scene.vm.instance.born
+        body = {**START, "Run": 2, "UntilMs": clock + 4000, "LastSeen": 1}
+        assert self.find_recorded(scene, path, body) == []
+
+    def test_a_late_order_is_marked(self, scene):
+        """Guards against late orders that count as calls on a wrong connection."""
+        former = scene.vm.instance
+        scene.restart(keeps_id=True)
+        scene.start_late(former)
+        (call,) = scene.server._misdirected_calls
+        assert call.is_late
--- a/catkinport/platform/standin/vms.py
+++ b/catkinport/platform/standin/vms.py
@@ -80,6 +80,31 @@
     is_dark: bool = False
 
 
+class MisdirectedCall(NamedTuple):
+    """A call that a worker has carried out with a value of a former incarnation.
+
+    Args:
+        at: time in seconds.
+        path: path of the call.
+        worker: id of the worker.
+        born: start of the incarnation that has carried it out, in milliseconds.
+        lease_seconds: time from its present clock to the end of the lease; 0 if the
+            call has no lease.
+        last_seen: number up to which the call acknowledges ends; 0 for none.
+        n_listed: highest number of an end that the incarnation has listed.
+        is_late: whether the order was carried out late.
+    """
+
+    at: float
+    path: str
+    worker: str
+    born: int
+    lease_seconds: float
+    last_seen: int
+    n_listed: int
+    is_late: bool
+
+
 class StandinVm:
     """A VM and the current incarnation of its worker.
 
@@ -140,6 +165,7 @@
         self._n_instances = 0
         self._heartbeat_at_by_worker: dict[str, float] = {}
         self.events: list[RunEvent] = []
+        self.misdirected_calls: list[MisdirectedCall] = []
         self.vm_by_id: dict[str, StandinVm] = {}
         for number, pool in enumerate(size.pool_of_each_vm()):
             rack = f"r{number // VMS_PER_RACK}"
--- a/catkinport/platform/standin/worker_incarnation.py
+++ b/catkinport/platform/standin/worker_incarnation.py
@@ -118,6 +118,7 @@
         self._running: dict[str, _Running] = {}
         self._ended: list[tuple[int, str, int, str, str]] = []
         self._n_ended = 0
+        self._n_listed = 0
         self._last_rejected_run_by_task: dict[str, int] = {}
         self._ended_at_by_number: dict[int, float] = {}
         self._lapsed_at = 0.0
@@ -200,6 +201,11 @@
         """Number of runs that have ended in this incarnation."""
         return self._n_ended
 
+    @property
+    def n_listed(self) -> int:
+        """Highest number of an end that this incarnation has listed; 0 for none."""
+        return self._n_listed
+
     def has_ended_runs(self) -> bool:
         """Return whether ended runs are listed."""
         return bool(self._ended)
@@ -211,7 +217,10 @@
             [run.task, run.run, run.saved, self._percent(run, now), 0]
             for run in self._running.values()
         ]
-        return {"Running": running, "Ended": self._ended[:MAX_LISTED_ENDS]}
+        ended = self._ended[:MAX_LISTED_ENDS]
+        if ended:
+            self._n_listed = max(self._n_listed, ended[-1][0])
+        return {"Running": running, "Ended": ended}
 
     def end_all(self, how: str, now: float) -> None:
         """End all runs, for an incarnation that ends."""
--- a/catkinport/platform/standin/worker_server.py
+++ b/catkinport/platform/standin/worker_server.py
@@ -12,7 +12,7 @@
 
 from ...standins.faults import FaultSettings
 from ..workers import INCARNATION_HEADER
-from .vms import Crash, StandinVm
+from .vms import Crash, MisdirectedCall, StandinVm
 from .worker_incarnation import StartError, WorkerIncarnation
 
 MAX_HOLD_SECONDS = 2.0
@@ -28,6 +28,10 @@
 LATE_ORDER_SECONDS = (2.0, 8.0)
 """Shortest and longest delay of an order that is carried out late."""
 
+LONGEST_ASKED_LEASE_SECONDS = 4.3
+"""Longest lease that an owner asks for, with the margin that it counts with. It reckons
+with a lower bound of the clock, so a lease that ends later is on another clock."""
+
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 """Value of ``SO_LINGER`` with which a close resets the connection."""
 
@@ -43,6 +47,8 @@
         faults: faults that are switched on.
         rng: decides which orders are late, and by how much.
         crash: lets the worker of a VM crash.
+        misdirected_calls: list to which calls are appended that are carried out with a
+            value of a former incarnation.
     """
 
     def __init__(
@@ -52,12 +58,14 @@
         faults: FaultSettings,
         rng: random.Random,
         crash: Callable[[str, Crash], None] = lambda vm_id, crash: None,
+        misdirected_calls: list[MisdirectedCall] | None = None,
     ) -> None:
         self._vm = vm
         self._now = now
         self._faults = faults
         self._rng = rng
         self._crash = crash
+        self._misdirected_calls = [] if misdirected_calls is None else misdirected_calls
         self._late: set[asyncio.Task[None]] = set()
         self._connections: WeakSet[asyncio.Transport] = WeakSet()
         # Connections of former incarnations whose clients don't know of their end yet.
@@ -91,9 +99,9 @@
                 return self._answer(instance, 421)
             body = await request.json()
             if may_be_late and self._rng.random() < self._faults["late_orders"]:
-                self._run_late(instance, handler, body)
+                self._run_late(instance, handler, request.path, body)
                 return await self._leave_unanswered(request)
-            answer = await self._carry_out(instance, handler, body)
+            answer = await self._carry_out(instance, handler, request.path, body)
             if self._vm.instance is not instance or self._vm.is_silent:
                 return await self._leave_unanswered(request)
             return answer
@@ -134,14 +142,53 @@
         self._connections.clear()
 
     async def _carry_out(
-        self, instance: WorkerIncarnation, handler: Handler, body: Mapping[str, Any]
+        self,
+        instance: WorkerIncarnation,
+        handler: Handler,
+        path: str,
+        body: Mapping[str, Any],
+        is_late: bool = False,
     ) -> web.Response:
         if not instance.accepts(int(body.get("FencingToken", 0))):
             return self._answer(instance, 409, {"Reason": "fence"})
+        self._record_if_misdirected(instance, path, body, is_late)
         return await handler(instance, body)
 
+    def _record_if_misdirected(
+        self,
+        instance: WorkerIncarnation,
+        path: str,
+        body: Mapping[str, Any],
+        is_late: bool,
+    ) -> None:
+        """Record a call with a lease or a number of ends of a former incarnation."""
+        now = self._now()
+        lease_seconds = 0.0
+        if body.get("UntilMs") is not None:
+            lease_seconds = (int(body["UntilMs"]) + instance.born) / 1000 - now
+        last_seen = int(body.get("LastSeen", 0))
+        has_lease = lease_seconds > LONGEST_ASKED_LEASE_SECONDS
+        if not has_lease and last_seen <= instance.n_listed:
+            return
+        self._misdirected_calls.append(
+            MisdirectedCall(
+                now,
+                path,
+                instance.worker_id,
+                instance.born,
+                lease_seconds,
+                last_seen,
+                instance.n_listed,
+                is_late,
+            )
+        )
+
     def _run_late(
-        self, instance: WorkerIncarnation, handler: Handler, body: Mapping[str, Any]
+        self,
+        instance: WorkerIncarnation,
+        handler: Handler,
+        path: str,
+        body: Mapping[str, Any],
     ) -> None:
         async def run() -> None:
             await asyncio.sleep(self._rng.uniform(*LATE_ORDER_SECONDS))
@@ -149,7 +196,7 @@
             # started again under it carries the order out.
             present = self._vm.instance
             if present is not None and present.worker_id == instance.worker_id:
-                await self._carry_out(present, handler, body)
+                await self._carry_out(present, handler, path, body, is_late=True)
 
         task = asyncio.ensure_future(run())
         self._late.add(task)
--- a/verification/platform/deployment.py
+++ b/verification/platform/deployment.py
@@ -312,6 +312,10 @@
         """Return the events of runs that the workers recorded, from ``first`` on."""
         return self.call_standin("GET", f"/standin/events?first={first}")["events"]
 
+    def list_misdirected_calls(self) -> list[dict[str, Any]]:
+        """Return the calls that a worker carried out with values of a former one."""
+        return self.call_standin("GET", "/standin/misdirected-calls")["calls"]
+
     def list_vms(self) -> list[dict[str, Any]]:
         """Return the VMs as they are, whatever the platform's list of them says."""
         return self.call_standin("GET", "/standin/vms")["vms"]
--- a/verification/platform/tests/test_restarted_workers.py
+++ b/verification/platform/tests/test_restarted_workers.py
@@ -30,6 +30,20 @@
 CUT_SECONDS = 12.0
 """Time for which a worker is cut off; longer than the longest lease."""
 
+N_RESTARTS = 4
+"""Number of restarts in tests of calls that race with the owner's list of workers."""
+
+IDLE_SECONDS = 1.0
+"""Time without tasks before a restart. A lease on the former clock then ends later than
+one on the clock of the next incarnation."""
+
+CUT_AFTER_STOP_SECONDS = 0.6
+"""Time from the end of the owner to the cut of the workers."""
+
+STORE_ONE_WAY_SECONDS = 0.15
+"""Delay of the store. Between the report of an end and its acknowledgment, it leaves
+time for a restart."""
+
 SIZE = PlatformSize(
     n_daemons=1,
     n_pools=1,
@@ -57,6 +71,38 @@
         )
 
 
+def restart_all(deployment, is_dark):
+    """Let each worker crash and start again under its id at once."""
+    for vm in deployment.list_vms():
+        deployment.set_vm_faults(
+            vm["Machine"], crash_seconds=0.0, keeps_id=True, is_dark=is_dark
+        )
+
+
+def submit_tasks(caller, n_tasks, seconds):
+    specification = f"seconds={seconds}"
+    return caller.submit("queue-0", "key-0", (StepSpec(n_tasks),), specification, 10.0)
+
+
+def run_tasks(caller, n_tasks, seconds):
+    """Submit a job and wait until it is completed."""
+    job = submit_tasks(caller, n_tasks, seconds)
+    state = caller.wait_for(job, ["completed"], 2 * COMPLETE_SECONDS)
+    assert state == "completed"
+    return job
+
+
+def wait_for_end(deployment, job):
+    """Wait until a run of a job has ended as done."""
+    deadline = time.monotonic() + COMPLETE_SECONDS
+    while time.monotonic() < deadline:
+        for event in deployment.list_events():
+            if event["what"] == "done" and event["task"].startswith(job.job_id):
+                return
+        time.sleep(0.01)
+    raise AssertionError("no run has ended as done in time")
+
+
 def find_starts(deployment, job):
     events = deployment.list_events()
     is_of_job = [event["task"].startswith(job.job_id) for event in events]
@@ -194,3 +240,66 @@
             starts = find_starts(deployment, job)
             assert starts[0]["born"] < starts[-1]["born"]
             assert find_violations(deployment.list_events(), [job]) == []
+
+
+class TestCallsOnNewConnections:
+    """A restart ends the connections to a worker, and no call is held up on its way.
+
+    So a call reaches the next incarnation on a new connection only.
+    """
+
+    @pytest.mark.parametrize("stop", ["kill", "terminate"])
+    @pytest.mark.parametrize("stop_seconds", [0.0, 1.4])
+    def test_no_lease_on_the_former_clock(self, stop, stop_seconds):
+        """Guards against starts and polls that make a worker grant its longest lease.
+
+        The VMs are gone at once, so the poll that is under way shows no restart. At
+        last the owner ends some seconds after a restart, and the workers are cut off.
+        """
+        with run_platform(SIZE) as (deployment, caller):
+            wait_for_owner(deployment)
+            jobs = []
+            for _ in range(N_RESTARTS):
+                jobs.append(run_tasks(caller, 2, 0.3))
+                time.sleep(IDLE_SECONDS)
+                former_births = read_births(deployment)
+                restart_all(deployment, is_dark=True)
+                wait_for_restarts(deployment, former_births)
+                jobs.append(submit_tasks(caller, 8, 0.6))
+            time.sleep(stop_seconds)
+            owner = wait_for_owner(deployment)
+            getattr(owner.process, stop)()
+            time.sleep(CUT_AFTER_STOP_SECONDS)
+            for vm in deployment.list_vms():
+                deployment.set_vm_faults(vm["Machine"], is_silent=True)
+            deployment.start_daemon(owner.name)
+            deployment.wait_until_ready()
+            deployment.reset_faults()
+            for job in jobs:
+                state = caller.wait_for(job, ["completed"], 2 * COMPLETE_SECONDS)
+                assert state == "completed"
+            assert deployment.list_misdirected_calls() == []
+            assert find_violations(deployment.list_events(), jobs) == []
+
+    def test_no_number_of_a_former_end(self):
+        """Guards against ends that a worker forgets before anybody has read them.
+
+        The workers restart while the store takes the ends of the former incarnation,
+        so no poll is under way that could show it.
+        """
+        with run_platform(SIZE) as (deployment, caller):
+            wait_for_owner(deployment)
+            jobs = []
+            for _ in range(N_RESTARTS):
+                jobs.append(run_tasks(caller, 2, 0.3))
+                deployment.set_faults(store_one_way_seconds=STORE_ONE_WAY_SECONDS)
+                jobs.append(submit_tasks(caller, 4, 1.5))
+                wait_for_end(deployment, jobs[-1])
+                former_births = read_births(deployment)
+                restart_all(deployment, is_dark=False)
+                wait_for_restarts(deployment, former_births)
+                state = caller.wait_for(jobs[-1], ["completed"], 2 * COMPLETE_SECONDS)
+                assert state == "completed"
+                deployment.reset_faults()
+            assert deployment.list_misdirected_calls() == []
+            assert find_violations(deployment.list_events(), jobs) == []
