Log why a start was not confirmed, and the incarnation of each contact

Question: can an operator tell from the logs to which incarnation a start, its outcome, an end and a renewed lease belonged, and that a restart kept a call from being sent? What was missing: run ordered named the type of the outcome only, start without answer had the reason but no incarnation, and no line named the incarnation that answers polls until the first restart.

Change: run ordered begins with the reason of a start that was not confirmed, also of a rejected one, as the ends of long lines are cut off. start without answer and worker reached name the incarnation. catkinctl explain says that a start was not sent, and why.

--- a/catkinport/cli/explain.py
+++ b/catkinport/cli/explain.py
@@ -54,7 +54,10 @@
                 f" {event.get('worker')}: {event.get('reason')}"
             )
         elif event.name == "start without answer":
-            yield f"a start on {event.get('worker')} had no answer"
+            reason = event.get("reason")
+            is_sent = event.get("may_run") != "False"
+            what = "had no answer" if is_sent else "was not sent"
+            yield f"a start on {event.get('worker')} {what}: {reason}"
         elif event.name == "job complete" and event.get("late") == "True":
             yield _explain_late(event)
 
--- a/catkinport/cli/tests/test_explain.py
+++ b/catkinport/cli/tests/test_explain.py
@@ -40,6 +40,10 @@
             ('event="job failed" task=t n_failures=3 worker=w', "failed 3 times"),
             ('event="job cancel taken in" state=running', "canceled"),
             ('event="run lost" task=t run=1 worker=w reason=vm-down', "vm-down"),
+            (
+                'event="start without answer" worker=w reason=restarted may_run=False',
+                "a start on w was not sent: restarted",
+            ),
         ],
     )
     def test_each_kind_of_failure_has_a_cause(self, line, word):
--- a/catkinport/jobs/dispatch/order_outcomes.py
+++ b/catkinport/jobs/dispatch/order_outcomes.py
@@ -49,6 +49,7 @@
             task=run.key.task,
             run=run.key.run,
             worker=run.worker_id,
+            incarnation=run.sent_to,
             reason=outcome.reason,
             may_run=outcome.may_have_committed,
         )
--- a/catkinport/jobs/ownership/run_orders.py
+++ b/catkinport/jobs/ownership/run_orders.py
@@ -205,6 +205,8 @@
         log_event(
             logger,
             "run ordered",
+            # Tools of operators cut off the ends of long lines.
+            **_describe_failure(outcome),
             request_id=run.record.job.job_id,
             task=run.key.task,
             run=run.key.run,
@@ -357,6 +359,13 @@
         self._requested_stages.discard(wanted.stage)
 
 
+def _describe_failure(outcome: OrderOutcome) -> dict[str, str]:
+    """Return the field of a log line that says why an order was not confirmed."""
+    if isinstance(outcome, Done):
+        return {}
+    return {"reason": outcome.reason.value}
+
+
 def _has_undecided_start(worker: WorkerRecord) -> bool:
     """Return whether a start without an answer waits for a report of the worker."""
     return any(
--- a/catkinport/jobs/tests/test_run_orders.py
+++ b/catkinport/jobs/tests/test_run_orders.py
@@ -1,12 +1,15 @@
 """Tests of orders to workers whose answers cross other messages."""
 
 import asyncio
+import logging
 import time
 from types import SimpleNamespace
 
+import pytest
+
 from ...policy.leadership import STOP_RENEWING_SECONDS, OwnLease
 from ...ports import Reason, Unavailable
-from ...ports.fleet_workers import Done, WorkerLists
+from ...ports.fleet_workers import Done, Rejected, Rejection, WorkerLists
 from ...runtime import Metrics
 from ..ownership import run_orders
 from ..ownership.run_orders import RunOrders
@@ -127,6 +130,43 @@
         assert not any(lease_seconds_of_polls)
 
 
+class TestLogOfStarts:
+    def log_start(self, caplog, outcome):
+        """Send a start with an outcome, and return the fields of its line."""
+        caplog.set_level(logging.INFO)
+        fleet = Fleet([make_worker("w1")])
+        fleet.dispatcher.add_job(make_job(), fleet.now)
+        fleet.poll("w1", started_at=3.0)
+        (planned,) = fleet.plan()
+        session = FakeSession(fleet, lambda: None)
+
+        async def start(worker, token, order, lease_seconds):
+            return outcome
+
+        session.start = start
+        asyncio.run(RunOrders(session, FakeWatch())._send_start(planned))
+        (line,) = [r for r in caplog.records if r.getMessage() == "run ordered"]
+        return line.event_fields
+
+    @pytest.mark.parametrize(
+        ("outcome", "reason"),
+        [
+            (Unavailable(Reason.RESTARTED, "worker-start", "w1"), "restarted"),
+            (UNCERTAIN, "timeout"),
+            (Rejected(Rejection.LATE), "late"),
+        ],
+    )
+    def test_reason_comes_first(self, caplog, outcome, reason):
+        """Guards against a start that a restart has prevented and nobody can tell."""
+        fields = self.log_start(caplog, outcome)
+        assert next(iter(fields.items())) == ("reason", reason)
+        assert fields["incarnation"] == 3.0
+
+    def test_a_start_that_was_carried_out_has_no_reason(self, caplog):
+        """Guards against starts that look like failed ones."""
+        assert "reason" not in self.log_start(caplog, Done())
+
+
 class TestStartAfterPause:
     def test_it_is_not_sent_once_the_ownership_may_be_over(self):
         """Guards against a start of an owner that was paused before it was sent."""
--- a/catkinport/jobs/workers/worker_reports.py
+++ b/catkinport/jobs/workers/worker_reports.py
@@ -98,7 +98,12 @@
         if worker.contact_at == float("-inf"):
             # After `note_incarnation`, whose bound it limits.
             worker.note_first_contact(now, longest_lease)
-            log_event(logger, "worker reached", worker=worker.worker_id)
+            log_event(
+                logger,
+                "worker reached",
+                worker=worker.worker_id,
+                incarnation=lists.started_at,
+            )
             worker.vm_due_at = now + VM_NAMED_SECONDS
         worker.started_at = lists.started_at
         worker.note_contact(now, is_restarted)
