Check in the soak that no worker takes values of a former incarnation

The soak looked at runs only, so a lease or a number of ends that reached the next incarnation showed only where a task ran twice after it.

--- a/soak/run.py
+++ b/soak/run.py
@@ -6,7 +6,9 @@
 in an evacuated zone, and a planned restart leaves no request unanswered that a daemon
 has read.
 
-The tasks of a lasting job run until it is canceled.
+The tasks of a lasting job run until it is canceled. Besides, no worker may take a lease
+or a number of ends from a call for its former incarnation, unless an order is carried
+out late.
 """
 
 import contextlib
@@ -20,7 +22,10 @@
 
 from catkinport.runtime.logs import log_event
 from verification.platform.caller import PlatformCaller
-from verification.platform.checkers import find_violations
+from verification.platform.checkers import (
+    check_no_misdirected_calls,
+    find_violations,
+)
 from verification.platform.deployment import PlatformSize
 from verification.processes import ProcessGroup
 
@@ -226,6 +231,7 @@
         events = deployment.list_events()
         write_events(processes.folder, events)
         violations += find_violations(events, load.jobs) + probe.violations
+        violations += check_no_misdirected_calls(deployment.list_misdirected_calls())
         zone_by_vm = {vm["Machine"]: vm["Zone"] for vm in deployment.list_vms()}
         violations += check_no_late_starts(
             events, zone_by_vm, environment.evacuations, faults
--- a/verification/platform/checkers.py
+++ b/verification/platform/checkers.py
@@ -25,6 +25,20 @@
     ]
 
 
+def check_no_misdirected_calls(calls: Sequence[Mapping[str, Any]]) -> list[str]:
+    """Return each call that a worker carried out with a value of a former one.
+
+    Orders that were carried out late are left out, as nothing in them names the
+    incarnation.
+    """
+    return [
+        f"MISDIRECTED: {call['path']} on {call['worker']} born {call['born']}, lease"
+        f" {call['lease_seconds']:.1f} s, ends to {call['last_seen']}"
+        for call in calls
+        if not call["is_late"]
+    ]
+
+
 def check_no_concurrent_runs(events: Sequence[Mapping[str, Any]]) -> list[str]:
     """Return each start of a task while another run of it had not ended."""
     violations = []
