Close idle connections to workers also when no more calls follow

What callers saw: nothing yet. A daemon that owned workers and doesn't any more keeps its idle connections to them, up to 28 for each, until the workers close them. A worker accepts 64 connections from all daemons.

Cause: the client of the workers searches for idle connections at the end of a call only, and a former owner makes no calls.

Evidence: test_idle_ones_are_closed_without_another_call fails before this change (no end of the connection in 5 s).

Change: a timer searches each second while there are connections.

--- a/catkinport/platform/tests/test_worker_client.py
+++ b/catkinport/platform/tests/test_worker_client.py
@@ -362,6 +362,24 @@
 
         assert asyncio.run(run()) == 2
 
+    def test_idle_ones_are_closed_without_another_call(self, monkeypatch):
+        """Guards against connections of a daemon that owns the workers no more.
+
+        It makes no more calls. A worker accepts 64 connections from all daemons.
+        """
+        monkeypatch.setattr(worker_client, "KEEP_ALIVE_SECONDS", 0.05)
+        monkeypatch.setattr(worker_client, "SWEEP_SECONDS", 0.0)
+
+        async def run():
+            async with OneWorker() as worker:
+                workers = make_workers()
+                await poll(workers, worker)
+                async with asyncio.timeout(READ_SECONDS):
+                    return await worker.endings.get(), workers
+
+        ending, _ = asyncio.run(run())
+        assert ending == "reset"
+
 
 class TestMalformedEntries:
     """An entry of another writer may name any id and any address."""
--- a/catkinport/platform/worker_client.py
+++ b/catkinport/platform/worker_client.py
@@ -110,10 +110,13 @@
         self._max_calls_per_worker = max_calls_per_worker
         self._connect_timeouts = ConnectTimeouts()
         self._channels_by_endpoint: dict[_Endpoint, _Channels] = {}
-        self._swept_at = 0.0
+        self._next_sweep: asyncio.TimerHandle | None = None
 
     def close(self) -> None:
         """Close the connections that carry no call."""
+        if self._next_sweep is not None:
+            self._next_sweep.cancel()
+            self._next_sweep = None
         for channels in self._channels_by_endpoint.values():
             channels.close_idle(float("inf"))
 
@@ -158,7 +161,7 @@
         finally:
             channels.n_calls -= 1
         self._call_metrics.note(step, outcome, loop.time() - started_at)
-        self._sweep(loop.time())
+        self._plan_sweep()
         return outcome
 
     async def _call_in_turn(
@@ -268,15 +271,22 @@
             self._channels_by_endpoint[endpoint] = channels
         return channels
 
-    def _sweep(self, now: float) -> None:
+    def _plan_sweep(self) -> None:
+        """Let idle connections be searched for, also if no other call follows."""
+        if self._next_sweep is None:
+            loop = asyncio.get_running_loop()
+            self._next_sweep = loop.call_later(SWEEP_SECONDS, self._sweep)
+
+    def _sweep(self) -> None:
         """Close connections that have been idle for `KEEP_ALIVE_SECONDS`."""
-        if now - self._swept_at < SWEEP_SECONDS:
-            return
-        self._swept_at = now
+        self._next_sweep = None
+        now = asyncio.get_running_loop().time()
         for endpoint, channels in list(self._channels_by_endpoint.items()):
             channels.close_idle(now - KEEP_ALIVE_SECONDS)
             if not channels.idle and not channels.n_calls:
                 del self._channels_by_endpoint[endpoint]
+        if self._channels_by_endpoint:
+            self._plan_sweep()
 
 
 class _Call(NamedTuple):
