Count a start that was not sent as one that does not run

What callers saw: a task waits for up to 12 s, and its worker gets stops for a run that it was never told to start, after a worker has answered the first poll on a connection with a status such as 500, or has closed the connection after it.

Cause: the client passed such an answer on as that to the start, and an answer that can't be read counts as one to an order that may have been carried out. A start on a connection that had ended counted the same, though nothing was sent.

Evidence: test_nothing_follows_one_that_tells_nothing (409 without a reason, 500, 502) and test_nothing_follows_one_that_ends_the_connection fail before this change.

Change: only rejections count for the call; other answers, and a connection that has ended before the call, say that it was not carried out. The test of rejections now names the reason with 409, as workers do, and has 429 and 503 too; a 409 without one is in the new test.

--- a/catkinport/platform/tests/test_worker_client.py
+++ b/catkinport/platform/tests/test_worker_client.py
@@ -36,6 +36,7 @@
         silent_paths: paths of calls that are not answered.
         answer: body of the answers to polls; ``None`` for the usual one.
         status: status of the answers.
+        closes_after_answers: whether each answer ends its connection.
         n_connections: connections that were accepted.
         endings: how connections have ended: ``"reset"`` or ``"closed"``.
     """
@@ -47,6 +48,7 @@
         self.silent_paths: set[str] = set()
         self.answer = None
         self.status = 200
+        self.closes_after_answers = False
         self.n_connections = 0
         self.endings: asyncio.Queue[str] = asyncio.Queue()
         self.address = ""
@@ -135,8 +137,10 @@
             answer |= {"Running": [], "Ended": [], "born": born}
             answer = answer if self.answer is None else self.answer
         content = json.dumps(answer).encode()
-        lines = f"HTTP/1.1 {self.status} X\r\nContent-Length: {len(content)}\r\n\r\n"
-        writer.write(lines.encode() + content)
+        lines = f"HTTP/1.1 {self.status} X\r\nContent-Length: {len(content)}\r\n"
+        if self.closes_after_answers:
+            lines += "Connection: close\r\n"
+        writer.write(lines.encode() + b"\r\n" + content)
 
 
 def make_workers() -> PlatformWorkers:
@@ -423,13 +427,28 @@
         assert paths == ["/hold"]
         return outcome
 
-    @pytest.mark.parametrize("status", [409, 421])
-    def test_a_rejection_counts_for_the_call(self, status):
+    @pytest.mark.parametrize(
+        ("status", "reason"), [(409, "fence"), (421, ""), (429, ""), (503, "")]
+    )
+    def test_a_rejection_counts_for_the_call(self, status, reason):
         """Guards against an owner that doesn't notice its successor by orders."""
-        outcome = self._run(status=status)
+        outcome = self._run(status=status, answer={"ClockMs": 5, "Reason": reason})
         assert isinstance(outcome, Reply)
         assert outcome.status == status
 
+    @pytest.mark.parametrize("status", [409, 500, 502])
+    def test_nothing_follows_one_that_tells_nothing(self, status):
+        """Guards against a start that was not sent and counts as one that may run."""
+        outcome = self._run(status=status)
+        assert isinstance(outcome, Unavailable)
+        assert not outcome.may_have_committed
+
+    def test_nothing_follows_one_that_ends_the_connection(self):
+        """Guards against a start that was not sent and counts as one that may run."""
+        outcome = self._run(closes_after_answers=True)
+        assert outcome.reason is Reason.CONNECTION_LOST
+        assert not outcome.may_have_committed
+
     @pytest.mark.parametrize("answer", [[], {}, {"born": "x"}, {"born": -5}])
     def test_nothing_follows_one_without_an_incarnation(self, answer):
         """Guards against an order to a process that nobody knows."""
--- a/catkinport/platform/worker_client.py
+++ b/catkinport/platform/worker_client.py
@@ -12,11 +12,12 @@
 from typing import Any, NamedTuple
 
 from ..ports import Reason, Unavailable
+from ..ports.fleet_workers import Rejected
 from ..runtime import Metrics
 from .client import KEEP_ALIVE_SECONDS, CallMetrics, Reply, decode_reply
 from .connect_timeouts import ConnectTimeouts
 from .worker_channel import WorkerChannel
-from .workers_codec import decode_incarnation
+from .workers_codec import decode_incarnation, decode_rejection
 
 POLL_PATH = "/hold"
 """Path of the call that lists the runs of a worker and names its incarnation."""
@@ -230,7 +231,12 @@
         if isinstance(reply, Unavailable):
             return reply._replace(may_have_committed=False)
         if reply.status != 200:
-            return reply
+            outcome = decode_rejection(
+                call.step, call.endpoint.worker_id, reply.status, reply.body
+            )
+            if isinstance(outcome, Rejected):
+                return reply
+            return outcome._replace(may_have_committed=False)
         if not channel.incarnation:
             return call.fail(Reason.ANSWER_TRUNCATED, "no incarnation in the answer")
         if call.incarnation in (None, channel.incarnation):
@@ -240,6 +246,9 @@
     async def _send(self, channel: WorkerChannel, call: "_Call") -> Reply | Unavailable:
         """Send a call on a connection, and wait for the answer."""
         peer = call.endpoint.peer
+        if not channel.is_open:
+            # The answer before may have ended it.
+            return call.fail(Reason.CONNECTION_LOST, "the connection has ended")
         content = json.dumps(call.body, separators=(",", ":")).encode()
         headers = [("Host", peer), *call.headers.items()]
         headers.append(("Content-Type", "application/json"))
