Close the silent connections to a worker with the first of them

What callers saw: nothing was reported. Open connections may go silent for good while new ones work. Each idle connection to such a worker then costs a poll without an answer, 0.6 s or more each. A burst of starts leaves up to 24 of them, and after 4 s the lease of the worker ends with all that runs there.

Cause: the idle connections are used one after the other.

Evidence: test_silent_ones_are_closed_with_the_first fails before this change.

Change: a poll without an answer closes the connections that have been idle since before it was sent, as one that has ended does. An order without an answer doesn't, as its worker may only be slow.

--- a/catkinport/platform/tests/test_worker_client.py
+++ b/catkinport/platform/tests/test_worker_client.py
@@ -55,6 +55,7 @@
         self._began_at = asyncio.get_running_loop().time()
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
+        self._silent_writers: set[asyncio.StreamWriter] = set()
 
     async def __aenter__(self) -> "OneWorker":
         self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
@@ -86,6 +87,10 @@
             writer.transport.abort()
         self._writers.clear()
 
+    def silence_connections(self) -> None:
+        """Let all present connections carry no more answers."""
+        self._silent_writers |= self._writers
+
     def listed(self) -> ListedWorker:
         resources = Resources(4.0, 8.0, 0)
         return ListedWorker(
@@ -128,7 +133,7 @@
             writer.transport.abort()
             return
         self.calls.append((born, path, body))
-        if path in self.silent_paths:
+        if path in self.silent_paths or writer in self._silent_writers:
             return
         first_ms = 486_000 if born == 1_000 else 5
         elapsed = asyncio.get_running_loop().time() - self._began_at
@@ -352,6 +357,24 @@
 
         assert asyncio.run(run()) == [Unavailable, WorkerLists, WorkerLists]
 
+    def test_silent_ones_are_closed_with_the_first(self):
+        """Guards against a poll that gets no answer for each of them.
+
+        Open connections may go silent for good while new ones work. Without an answer
+        for 4 s the lease of the worker ends, and with it all that runs there.
+        """
+
+        async def run():
+            async with OneWorker() as worker:
+                workers = make_workers()
+                await poll(workers, worker)
+                await asyncio.gather(*(start(workers, worker) for _ in range(4)))
+                worker.silence_connections()
+                outcomes = [await poll(workers, worker) for _ in range(2)]
+                return [type(outcome) for outcome in outcomes]
+
+        assert asyncio.run(run()) == [Unavailable, WorkerLists]
+
     def test_idle_ones_are_closed(self, monkeypatch):
         """Guards against connections that pile up, as a worker accepts 64."""
         monkeypatch.setattr(worker_client, "KEEP_ALIVE_SECONDS", 0.0)
--- a/catkinport/platform/worker_client.py
+++ b/catkinport/platform/worker_client.py
@@ -73,7 +73,7 @@
         return None
 
     def close_ended(self, incarnation: float, before: float) -> None:
-        """Close connections to an incarnation that seems to have ended.
+        """Close connections to an incarnation that has ended or gone silent.
 
         Args:
             incarnation: its start in Unix seconds.
@@ -191,9 +191,10 @@
                     return refusal
         sent_at = asyncio.get_running_loop().time()
         reply = await self._send(channel, call)
-        if isinstance(reply, Unavailable) and reply.reason is Reason.CONNECTION_LOST:
+        if _shows_end_of_connections(call, reply):
             # The ends of the others may not have arrived, for instance if the worker
-            # was cut off as it restarted. Each would cost another call.
+            # was cut off as it restarted, or they may have gone silent too. Each would
+            # cost another call.
             channels.close_ended(channel.incarnation, sent_at)
         _note_incarnation(channel, reply)
         _release(channel, channels)
@@ -328,6 +329,20 @@
         return Unavailable(reason, self.step, self.endpoint.peer, detail, may_be_done)
 
 
+def _shows_end_of_connections(call: _Call, reply: Reply | Unavailable) -> bool:
+    """Return whether the other connections to the worker may be of no use.
+
+    A poll without an answer shows it. An order may have none as the worker is slow, and
+    a poll follows it.
+    """
+    if not isinstance(reply, Unavailable):
+        return False
+    is_poll = call.path == POLL_PATH
+    return reply.reason is Reason.CONNECTION_LOST or (
+        is_poll and reply.reason is Reason.TIMEOUT
+    )
+
+
 def _note_incarnation(channel: WorkerChannel, reply: Reply | Unavailable) -> None:
     """Note which incarnation an answer names, if it names one."""
     if isinstance(reply, Reply):
