--- a/catkinport/platform/tests/test_worker_client.py
+++ b/catkinport/platform/tests/test_worker_client.py
@@ -18,7 +18,7 @@
 TOKEN = 7
 LEASE_SECONDS = 4.0
 ORDER = StartOrder("00000000000000a1.0.0.0", 1, "s", "", "")
-ANSWER_SECONDS = 0.2
+SILENT_ANSWER_SECONDS = 0.2
 READ_SECONDS = 5.0
 N_ROUNDS_OF_A_RESET = 20
 """Rounds of the event loop in which a reset on loopback is noticed at the other end."""
@@ -162,14 +162,14 @@
     return await workers.start(worker.listed(), TOKEN, ORDER, LEASE_SECONDS)
 
 
-async def stop(client, address, worker_id="i-1"):
+async def stop(client, address, worker_id="i-1", timeout_seconds=READ_SECONDS):
     """Send an order that any incarnation may get."""
     return await client.call(
         "stop",
         worker_id,
         address,
         "/run-stop",
-        ANSWER_SECONDS,
+        timeout_seconds,
         {"FencingToken": TOKEN},
         {INCARNATION_HEADER: worker_id},
     )
@@ -328,7 +328,10 @@
         async def run():
             async with OneWorker() as worker:
                 worker.silent_paths.add("/run-stop")
-                outcome = await stop(WorkerClient(Metrics(), 8), worker.address)
+                client = WorkerClient(Metrics(), 8)
+                outcome = await stop(
+                    client, worker.address, timeout_seconds=SILENT_ANSWER_SECONDS
+                )
                 async with asyncio.timeout(READ_SECONDS):
                     return outcome, await worker.endings.get()
 
@@ -438,12 +441,15 @@
 class TestFirstAnswerOnAConnection:
     """The answer that must name the incarnation is another one."""
 
-    def _run(self, **answer):
+    def _run(self, timeout_seconds=READ_SECONDS, **answer):
         async def run():
             async with OneWorker() as worker:
                 for name, value in answer.items():
                     setattr(worker, name, value)
-                outcome = await stop(WorkerClient(Metrics(), 8), worker.address)
+                client = WorkerClient(Metrics(), 8)
+                outcome = await stop(
+                    client, worker.address, timeout_seconds=timeout_seconds
+                )
                 return outcome, worker.paths(worker.born)
 
         outcome, paths = asyncio.run(run())
@@ -481,6 +487,6 @@
 
     def test_nothing_follows_a_missing_one(self):
         """Guards against an order that counts as one that may have been carried out."""
-        outcome = self._run(silent_paths={"/hold"})
+        outcome = self._run(SILENT_ANSWER_SECONDS, silent_paths={"/hold"})
         assert outcome.reason is Reason.TIMEOUT
         assert not outcome.may_have_committed
