Keep connections on which the first poll was refused

What callers saw: nothing was reported. A worker that answers polls with 429, 503 or 421 from the first on gets a new connection for each call, which has its price.

Cause: a connection was kept only if an answer had named the incarnation, and refusals don't name it. The pool of aiohttp kept it.

Evidence: test_that_of_a_refused_poll_is_used_again fails before this change (5 connections for 5 calls).

Change: it is kept, and used if no connection to the wanted incarnation is free. A call that must not reach another one still follows a poll on it that names its incarnation.

--- a/catkinport/platform/tests/test_worker_client.py
+++ b/catkinport/platform/tests/test_worker_client.py
@@ -322,6 +322,28 @@
 
         assert asyncio.run(run()) == (1, 6)
 
+    @pytest.mark.parametrize("status", [421, 429, 503])
+    def test_that_of_a_refused_poll_is_used_again(self, status):
+        """Guards against a connection for each call to an unhealthy worker.
+
+        It is not known where it leads, so a start still follows a poll that tells.
+        """
+
+        async def run():
+            async with OneWorker() as worker:
+                workers = make_workers()
+                worker.status, worker.answer = status, {"ClockMs": 5}
+                for _ in range(3):
+                    await poll(workers, worker)
+                await stop(workers._client, worker.address)
+                worker.status, worker.answer = 200, None
+                await stop(workers._client, worker.address)
+                return worker.n_connections, worker.paths(worker.born)
+
+        n_connections, paths = asyncio.run(run())
+        assert n_connections == 1
+        assert paths == ["/hold"] * 5 + ["/run-stop"]
+
     def test_that_of_a_call_without_an_answer_is_reset(self):
         """Guards against an order that arrives seconds later, after newer ones."""
 
--- a/catkinport/platform/worker_client.py
+++ b/catkinport/platform/worker_client.py
@@ -53,7 +53,8 @@
     def take(self, incarnation: float | None) -> WorkerChannel | None:
         """Take an idle connection.
 
-        Connections to incarnations before are closed.
+        Connections to incarnations before are closed. One that has not told where it
+        leads is taken if there is no other.
 
         Args:
             incarnation: start of the incarnation that it must lead to, in Unix seconds;
@@ -64,12 +65,13 @@
         if wanted is None:
             wanted = max((channel.incarnation for channel in self.idle), default=0.0)
         for channel in self.idle:
-            if channel.incarnation < wanted:
+            if 0 < channel.incarnation < wanted:
                 channel.abort()
-        self.idle = [c for c in self.idle if c.incarnation >= wanted]
-        for number in reversed(range(len(self.idle))):
-            if self.idle[number].incarnation == wanted:
-                return self.idle.pop(number)
+        self.idle = [channel for channel in self.idle if channel.is_open]
+        for sought in (wanted, 0.0):
+            for number in reversed(range(len(self.idle))):
+                if self.idle[number].incarnation == sought:
+                    return self.idle.pop(number)
         return None
 
     def close_ended(self, incarnation: float, before: float) -> None:
@@ -184,11 +186,12 @@
             channel = await self._connect(call)
             if isinstance(channel, Unavailable):
                 return channel
-            if call.path != POLL_PATH or call.incarnation is not None:
-                refusal = await self._identify(channel, call)
-                if refusal is not None:
-                    _release(channel, channels)
-                    return refusal
+        is_bound = call.path != POLL_PATH or call.incarnation is not None
+        if is_bound and not channel.incarnation:
+            refusal = await self._identify(channel, call)
+            if refusal is not None:
+                _release(channel, channels)
+                return refusal
         sent_at = asyncio.get_running_loop().time()
         reply = await self._send(channel, call)
         if _shows_end_of_connections(call, reply):
@@ -350,11 +353,6 @@
 
 
 def _release(channel: WorkerChannel, channels: _Channels) -> None:
-    """Keep a connection for the next call, if it is open and known to lead somewhere.
-
-    One without an incarnation has shown a malformed answer or a refusal.
-    """
-    if channel.is_open and channel.incarnation:
+    """Keep a connection for the next call, if it is open."""
+    if channel.is_open:
         channels.idle.append(channel)
-    else:
-        channel.abort()
