Reset the connection of a call that is canceled with its answer

A connection to a worker stays open, and nothing uses or closes it any more, if its call is canceled in the moment the answer has arrived: a poll for a former incarnation that is given up, or any call as an ownership ends. A worker accepts 64 connections from all daemons.

Cause: the connection resets itself if the wait for an answer is canceled. Here the answer was there, and the call was canceled before it had put the connection back.

Evidence: test_that_of_a_call_that_is_canceled_with_its_answer_is_reset fails before this change (no end of the connection in 5 s).

Change: any exception that leaves a call resets its connection.

--- a/catkinport/platform/tests/test_worker_client.py
+++ b/catkinport/platform/tests/test_worker_client.py
@@ -1,6 +1,7 @@
 """Tests of calls for one incarnation of a worker while the next one listens."""
 
 import asyncio
+import contextlib
 import json
 from types import SimpleNamespace
 
@@ -12,6 +13,7 @@
 from ...runtime import Metrics
 from .. import worker_client
 from ..client import Reply
+from ..worker_channel import WorkerChannel
 from ..worker_client import WorkerClient
 from ..workers import INCARNATION_HEADER, PlatformWorkers
 
@@ -362,6 +364,32 @@
         assert outcome.may_have_committed
         assert ending == "reset"
 
+    def test_that_of_a_call_that_is_canceled_with_its_answer_is_reset(
+        self, monkeypatch
+    ):
+        """Guards against an open connection that nothing uses or closes any more.
+
+        A poll is given up, or an ownership ends, in the moment the answer has arrived.
+        """
+        finish = WorkerChannel._finish
+
+        async def run():
+            async with OneWorker() as worker:
+                client = WorkerClient(Metrics(), 8)
+                call = asyncio.ensure_future(stop(client, worker.address))
+
+                def finish_and_cancel(channel):
+                    finish(channel)
+                    call.cancel()
+
+                monkeypatch.setattr(WorkerChannel, "_finish", finish_and_cancel)
+                with contextlib.suppress(asyncio.CancelledError):
+                    await call
+                async with asyncio.timeout(READ_SECONDS):
+                    return call.cancelled(), await worker.endings.get()
+
+        assert asyncio.run(run()) == (True, "reset")
+
     @pytest.mark.parametrize("n_connections", [1, 4])
     def test_others_are_closed_with_one_that_has_ended(self, n_connections):
         """Guards against a failed poll for each connection to an ended incarnation.
--- a/catkinport/platform/worker_client.py
+++ b/catkinport/platform/worker_client.py
@@ -186,6 +186,16 @@
             channel = await self._connect(call)
             if isinstance(channel, Unavailable):
                 return channel
+        try:
+            return await self._call_on(channel, call, channels)
+        except BaseException:
+            # A call may be canceled in the moment its answer has arrived.
+            channel.abort()
+            raise
+
+    async def _call_on(
+        self, channel: WorkerChannel, call: "_Call", channels: _Channels
+    ) -> Reply | Unavailable:
         is_bound = call.path != POLL_PATH or call.incarnation is not None
         if is_bound and not channel.incarnation:
             refusal = await self._identify(channel, call)
