Send no start that was planned for a former incarnation

What callers saw: nothing was reported. A start that was planned by the capacity and the labels of an incarnation goes to the next one, if the first answer of that one is processed between the planning and the sending, in one round of the event loop. The next one may be smaller or lack the label, and a worker that rejects nothing starts the task.

Cause: a start is sent to the incarnation that is known as it is sent.

Evidence: test_a_start_that_was_planned_by_it_is_not_sent fails before this change.

Change: it is not sent if the worker's record names another incarnation than at the planning, and its task is planned anew.

--- a/catkinport/jobs/ownership/run_orders.py
+++ b/catkinport/jobs/ownership/run_orders.py
@@ -193,6 +193,9 @@
         self._update_evacuations(sent_at)
         if self._session.dispatcher.is_evacuated(worker.listed.zone):
             outcome = Unavailable(Reason.EVACUATED, "worker-start", worker.worker_id)
+        elif worker.started_at != run.sent_to:
+            # Its capacity, labels and ticket may be those of the former incarnation.
+            outcome = Unavailable(Reason.NOT_FOUND, "worker-start", worker.worker_id)
         elif self._session.may_order():
             worker.extend_lease(sent_at)
             outcome = await self._session.ports.workers.start(
--- a/catkinport/jobs/tests/test_knowledge_of_former_incarnations.py
+++ b/catkinport/jobs/tests/test_knowledge_of_former_incarnations.py
@@ -10,7 +10,10 @@
 from ...ports.fleet_workers import Done, WorkerLists
 from ..ownership.run_orders import RunOrders
 from ..workers.run import ORDER_DELAY_SECONDS
-from ..workers.worker_state import MAX_OTHER_ENTRY_SECONDS
+from ..workers.worker_state import (
+    MAX_OTHER_ENTRY_SECONDS,
+    UNCERTAIN_WORKER_PAUSE_SECONDS,
+)
 from .builders import Fleet, make_job, make_step, make_worker
 
 
@@ -63,6 +66,24 @@
         fleet.dispatcher.update_workers(fleet.workers, fleet.now, fleet.now)
         assert len(fleet.plan()) == 1
 
+    def test_a_start_that_was_planned_by_it_is_not_sent(self):
+        """Guards against a task that exceeds what the next incarnation has.
+
+        Its first answer is processed between the planning and the sending of a start.
+        """
+        fleet = make_waiting_fleet()
+        (planned,) = fleet.plan()
+        fleet.advance(0.1)
+        fleet.poll("w1", started_at=2.0)
+        session = PausedSession(fleet)
+        asyncio.run(RunOrders(session, session)._send_start(planned))
+        assert session.n_starts == 0
+        assert planned.run.key not in fleet.dispatcher.worker_by_id["w1"].run_by_key
+        fleet.renew_entry("w1", 2.0)
+        fleet.advance(UNCERTAIN_WORKER_PAUSE_SECONDS + 0.1)
+        fleet.poll("w1", started_at=2.0)
+        assert len(fleet.plan()) == 1
+
 
 class TestEntryOfAnotherIncarnation:
     """Capacity and labels in an entry are those of the incarnation that wrote it."""
@@ -190,6 +211,7 @@
         self.lease = OwnLease(1, fleet.now)
         self.ports = SimpleNamespace(workers=self)
         self.wake = asyncio.Event()
+        self.n_starts = 0
 
     def may_order(self):
         return True
@@ -198,6 +220,7 @@
         return False
 
     async def start(self, *order):
+        self.n_starts += 1
         return Unavailable(Reason.TIMEOUT, "worker-start", "w1", "", True)
 
     async def poll(self, worker, may_wait=True):
