--- a/catkinport/platform/worker_client.py
+++ b/catkinport/platform/worker_client.py
@@ -181,11 +181,9 @@
             channels.turns.release()
 
     async def _call(self, call: "_Call", channels: _Channels) -> Reply | Unavailable:
-        channel = channels.take(call.incarnation)
-        if channel is None:
-            channel = await self._connect(call)
-            if isinstance(channel, Unavailable):
-                return channel
+        channel = channels.take(call.incarnation) or await self._connect(call)
+        if isinstance(channel, Unavailable):
+            return channel
         try:
             return await self._call_on(channel, call, channels)
         except BaseException:
