--- a/catkinport/platform/tests/test_worker_client.py
+++ b/catkinport/platform/tests/test_worker_client.py
@@ -1,6 +1,7 @@
 """Tests of calls for one incarnation of a worker while the next one listens."""
 
 import asyncio
+import contextlib
 import json
 from types import SimpleNamespace
 
@@ -12,13 +13,14 @@
 from ...runtime import Metrics
 from .. import worker_client
 from ..client import Reply
+from ..worker_channel import WorkerChannel
 from ..worker_client import WorkerClient
 from ..workers import INCARNATION_HEADER, PlatformWorkers
 
 TOKEN = 7
 LEASE_SECONDS = 4.0
 ORDER = StartOrder("00000000000000a1.0.0.0", 1, "s", "", "")
-ANSWER_SECONDS = 0.2
+SILENT_ANSWER_SECONDS = 0.2
 READ_SECONDS = 5.0
 N_ROUNDS_OF_A_RESET = 20
 """Rounds of the event loop in which a reset on loopback is noticed at the other end."""
@@ -36,6 +38,7 @@
         silent_paths: paths of calls that are not answered.
         answer: body of the answers to polls; ``None`` for the usual one.
         status: status of the answers.
+        closes_after_answers: whether each answer ends its connection.
         n_connections: connections that were accepted.
         endings: how connections have ended: ``"reset"`` or ``"closed"``.
     """
@@ -47,12 +50,14 @@
         self.silent_paths: set[str] = set()
         self.answer = None
         self.status = 200
+        self.closes_after_answers = False
         self.n_connections = 0
         self.endings: asyncio.Queue[str] = asyncio.Queue()
         self.address = ""
         self._began_at = asyncio.get_running_loop().time()
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
+        self._silent_writers: set[asyncio.StreamWriter] = set()
 
     async def __aenter__(self) -> "OneWorker":
         self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
@@ -84,6 +89,10 @@
             writer.transport.abort()
         self._writers.clear()
 
+    def silence_connections(self) -> None:
+        """Let all present connections carry no more answers."""
+        self._silent_writers |= self._writers
+
     def listed(self) -> ListedWorker:
         resources = Resources(4.0, 8.0, 0)
         return ListedWorker(
@@ -126,7 +135,7 @@
             writer.transport.abort()
             return
         self.calls.append((born, path, body))
-        if path in self.silent_paths:
+        if path in self.silent_paths or writer in self._silent_writers:
             return
         first_ms = 486_000 if born == 1_000 else 5
         elapsed = asyncio.get_running_loop().time() - self._began_at
@@ -135,8 +144,10 @@
             answer |= {"Running": [], "Ended": [], "born": born}
             answer = answer if self.answer is None else self.answer
         content = json.dumps(answer).encode()
-        lines = f"HTTP/1.1 {self.status} X\r\nContent-Length: {len(content)}\r\n\r\n"
-        writer.write(lines.encode() + content)
+        lines = f"HTTP/1.1 {self.status} X\r\nContent-Length: {len(content)}\r\n"
+        if self.closes_after_answers:
+            lines += "Connection: close\r\n"
+        writer.write(lines.encode() + b"\r\n" + content)
 
 
 def make_workers() -> PlatformWorkers:
@@ -153,14 +164,14 @@
     return await workers.start(worker.listed(), TOKEN, ORDER, LEASE_SECONDS)
 
 
-async def stop(client, address, worker_id="i-1"):
+async def stop(client, address, worker_id="i-1", timeout_seconds=READ_SECONDS):
     """Send an order that any incarnation may get."""
     return await client.call(
         "stop",
         worker_id,
         address,
         "/run-stop",
-        ANSWER_SECONDS,
+        timeout_seconds,
         {"FencingToken": TOKEN},
         {INCARNATION_HEADER: worker_id},
     )
@@ -313,13 +324,38 @@
 
         assert asyncio.run(run()) == (1, 6)
 
+    @pytest.mark.parametrize("status", [421, 429, 503])
+    def test_that_of_a_refused_poll_is_used_again(self, status):
+        """Guards against a connection for each call to an unhealthy worker.
+
+        It is not known where it leads, so a start still follows a poll that tells.
+        """
+
+        async def run():
+            async with OneWorker() as worker:
+                workers = make_workers()
+                worker.status, worker.answer = status, {"ClockMs": 5}
+                for _ in range(3):
+                    await poll(workers, worker)
+                await stop(workers._client, worker.address)
+                worker.status, worker.answer = 200, None
+                await stop(workers._client, worker.address)
+                return worker.n_connections, worker.paths(worker.born)
+
+        n_connections, paths = asyncio.run(run())
+        assert n_connections == 1
+        assert paths == ["/hold"] * 5 + ["/run-stop"]
+
     def test_that_of_a_call_without_an_answer_is_reset(self):
         """Guards against an order that arrives seconds later, after newer ones."""
 
         async def run():
             async with OneWorker() as worker:
                 worker.silent_paths.add("/run-stop")
-                outcome = await stop(WorkerClient(Metrics(), 8), worker.address)
+                client = WorkerClient(Metrics(), 8)
+                outcome = await stop(
+                    client, worker.address, timeout_seconds=SILENT_ANSWER_SECONDS
+                )
                 async with asyncio.timeout(READ_SECONDS):
                     return outcome, await worker.endings.get()
 
@@ -328,6 +364,32 @@
         assert outcome.may_have_committed
         assert ending == "reset"
 
+    def test_that_of_a_call_that_is_canceled_with_its_answer_is_reset(
+        self, monkeypatch
+    ):
+        """Guards against an open connection that nothing uses or closes any more.
+
+        A poll is given up, or an ownership ends, in the moment the answer has arrived.
+        """
+        finish = WorkerChannel._finish
+
+        async def run():
+            async with OneWorker() as worker:
+                client = WorkerClient(Metrics(), 8)
+                call = asyncio.ensure_future(stop(client, worker.address))
+
+                def finish_and_cancel(channel):
+                    finish(channel)
+                    call.cancel()
+
+                monkeypatch.setattr(WorkerChannel, "_finish", finish_and_cancel)
+                with contextlib.suppress(asyncio.CancelledError):
+                    await call
+                async with asyncio.timeout(READ_SECONDS):
+                    return call.cancelled(), await worker.endings.get()
+
+        assert asyncio.run(run()) == (True, "reset")
+
     @pytest.mark.parametrize("n_connections", [1, 4])
     def test_others_are_closed_with_one_that_has_ended(self, n_connections):
         """Guards against a failed poll for each connection to an ended incarnation.
@@ -348,6 +410,24 @@
 
         assert asyncio.run(run()) == [Unavailable, WorkerLists, WorkerLists]
 
+    def test_silent_ones_are_closed_with_the_first(self):
+        """Guards against a poll that gets no answer for each of them.
+
+        Open connections may go silent for good while new ones work. Without an answer
+        for 4 s the lease of the worker ends, and with it all that runs there.
+        """
+
+        async def run():
+            async with OneWorker() as worker:
+                workers = make_workers()
+                await poll(workers, worker)
+                await asyncio.gather(*(start(workers, worker) for _ in range(4)))
+                worker.silence_connections()
+                outcomes = [await poll(workers, worker) for _ in range(2)]
+                return [type(outcome) for outcome in outcomes]
+
+        assert asyncio.run(run()) == [Unavailable, WorkerLists]
+
     def test_idle_ones_are_closed(self, monkeypatch):
         """Guards against connections that pile up, as a worker accepts 64."""
         monkeypatch.setattr(worker_client, "KEEP_ALIVE_SECONDS", 0.0)
@@ -362,6 +442,24 @@
 
         assert asyncio.run(run()) == 2
 
+    def test_idle_ones_are_closed_without_another_call(self, monkeypatch):
+        """Guards against connections of a daemon that owns the workers no more.
+
+        It makes no more calls. A worker accepts 64 connections from all daemons.
+        """
+        monkeypatch.setattr(worker_client, "KEEP_ALIVE_SECONDS", 0.05)
+        monkeypatch.setattr(worker_client, "SWEEP_SECONDS", 0.0)
+
+        async def run():
+            async with OneWorker() as worker:
+                workers = make_workers()
+                await poll(workers, worker)
+                async with asyncio.timeout(READ_SECONDS):
+                    return await worker.endings.get(), workers
+
+        ending, _ = asyncio.run(run())
+        assert ending == "reset"
+
 
 class TestMalformedEntries:
     """An entry of another writer may name any id and any address."""
@@ -393,25 +491,43 @@
 class TestFirstAnswerOnAConnection:
     """The answer that must name the incarnation is another one."""
 
-    def _run(self, **answer):
+    def _run(self, timeout_seconds=READ_SECONDS, **answer):
         async def run():
             async with OneWorker() as worker:
                 for name, value in answer.items():
                     setattr(worker, name, value)
-                outcome = await stop(WorkerClient(Metrics(), 8), worker.address)
+                client = WorkerClient(Metrics(), 8)
+                outcome = await stop(
+                    client, worker.address, timeout_seconds=timeout_seconds
+                )
                 return outcome, worker.paths(worker.born)
 
         outcome, paths = asyncio.run(run())
         assert paths == ["/hold"]
         return outcome
 
-    @pytest.mark.parametrize("status", [409, 421])
-    def test_a_rejection_counts_for_the_call(self, status):
+    @pytest.mark.parametrize(
+        ("status", "reason"), [(409, "fence"), (421, ""), (429, ""), (503, "")]
+    )
+    def test_a_rejection_counts_for_the_call(self, status, reason):
         """Guards against an owner that doesn't notice its successor by orders."""
-        outcome = self._run(status=status)
+        outcome = self._run(status=status, answer={"ClockMs": 5, "Reason": reason})
         assert isinstance(outcome, Reply)
         assert outcome.status == status
 
+    @pytest.mark.parametrize("status", [409, 500, 502])
+    def test_nothing_follows_one_that_tells_nothing(self, status):
+        """Guards against a start that was not sent and counts as one that may run."""
+        outcome = self._run(status=status)
+        assert isinstance(outcome, Unavailable)
+        assert not outcome.may_have_committed
+
+    def test_nothing_follows_one_that_ends_the_connection(self):
+        """Guards against a start that was not sent and counts as one that may run."""
+        outcome = self._run(closes_after_answers=True)
+        assert outcome.reason is Reason.CONNECTION_LOST
+        assert not outcome.may_have_committed
+
     @pytest.mark.parametrize("answer", [[], {}, {"born": "x"}, {"born": -5}])
     def test_nothing_follows_one_without_an_incarnation(self, answer):
         """Guards against an order to a process that nobody knows."""
@@ -421,6 +537,6 @@
 
     def test_nothing_follows_a_missing_one(self):
         """Guards against an order that counts as one that may have been carried out."""
-        outcome = self._run(silent_paths={"/hold"})
+        outcome = self._run(SILENT_ANSWER_SECONDS, silent_paths={"/hold"})
         assert outcome.reason is Reason.TIMEOUT
         assert not outcome.may_have_committed
--- a/catkinport/platform/worker_client.py
+++ b/catkinport/platform/worker_client.py
@@ -12,11 +12,12 @@
 from typing import Any, NamedTuple
 
 from ..ports import Reason, Unavailable
+from ..ports.fleet_workers import Rejected
 from ..runtime import Metrics
 from .client import KEEP_ALIVE_SECONDS, CallMetrics, Reply, decode_reply
 from .connect_timeouts import ConnectTimeouts
 from .worker_channel import WorkerChannel
-from .workers_codec import decode_incarnation
+from .workers_codec import decode_incarnation, decode_rejection
 
 POLL_PATH = "/hold"
 """Path of the call that lists the runs of a worker and names its incarnation."""
@@ -52,7 +53,8 @@
     def take(self, incarnation: float | None) -> WorkerChannel | None:
         """Take an idle connection.
 
-        Connections to incarnations before are closed.
+        Connections to incarnations before are closed. One that has not told where it
+        leads is taken if there is no other.
 
         Args:
             incarnation: start of the incarnation that it must lead to, in Unix seconds;
@@ -63,16 +65,17 @@
         if wanted is None:
             wanted = max((channel.incarnation for channel in self.idle), default=0.0)
         for channel in self.idle:
-            if channel.incarnation < wanted:
+            if 0 < channel.incarnation < wanted:
                 channel.abort()
-        self.idle = [c for c in self.idle if c.incarnation >= wanted]
-        for number in reversed(range(len(self.idle))):
-            if self.idle[number].incarnation == wanted:
-                return self.idle.pop(number)
+        self.idle = [channel for channel in self.idle if channel.is_open]
+        for sought in (wanted, 0.0):
+            for number in reversed(range(len(self.idle))):
+                if self.idle[number].incarnation == sought:
+                    return self.idle.pop(number)
         return None
 
     def close_ended(self, incarnation: float, before: float) -> None:
-        """Close connections to an incarnation that seems to have ended.
+        """Close connections to an incarnation that has ended or gone silent.
 
         Args:
             incarnation: its start in Unix seconds.
@@ -110,10 +113,13 @@
         self._max_calls_per_worker = max_calls_per_worker
         self._connect_timeouts = ConnectTimeouts()
         self._channels_by_endpoint: dict[_Endpoint, _Channels] = {}
-        self._swept_at = 0.0
+        self._next_sweep: asyncio.TimerHandle | None = None
 
     def close(self) -> None:
         """Close the connections that carry no call."""
+        if self._next_sweep is not None:
+            self._next_sweep.cancel()
+            self._next_sweep = None
         for channels in self._channels_by_endpoint.values():
             channels.close_idle(float("inf"))
 
@@ -158,7 +164,7 @@
         finally:
             channels.n_calls -= 1
         self._call_metrics.note(step, outcome, loop.time() - started_at)
-        self._sweep(loop.time())
+        self._plan_sweep()
         return outcome
 
     async def _call_in_turn(
@@ -175,21 +181,31 @@
             channels.turns.release()
 
     async def _call(self, call: "_Call", channels: _Channels) -> Reply | Unavailable:
-        channel = channels.take(call.incarnation)
-        if channel is None:
-            channel = await self._connect(call)
-            if isinstance(channel, Unavailable):
-                return channel
-            if call.path != POLL_PATH or call.incarnation is not None:
-                refusal = await self._identify(channel, call)
-                if refusal is not None:
-                    _release(channel, channels)
-                    return refusal
+        channel = channels.take(call.incarnation) or await self._connect(call)
+        if isinstance(channel, Unavailable):
+            return channel
+        try:
+            return await self._call_on(channel, call, channels)
+        except BaseException:
+            # A call may be canceled in the moment its answer has arrived.
+            channel.abort()
+            raise
+
+    async def _call_on(
+        self, channel: WorkerChannel, call: "_Call", channels: _Channels
+    ) -> Reply | Unavailable:
+        is_bound = call.path != POLL_PATH or call.incarnation is not None
+        if is_bound and not channel.incarnation:
+            refusal = await self._identify(channel, call)
+            if refusal is not None:
+                _release(channel, channels)
+                return refusal
         sent_at = asyncio.get_running_loop().time()
         reply = await self._send(channel, call)
-        if isinstance(reply, Unavailable) and reply.reason is Reason.CONNECTION_LOST:
+        if _shows_end_of_connections(call, reply):
             # The ends of the others may not have arrived, for instance if the worker
-            # was cut off as it restarted. Each would cost another call.
+            # was cut off as it restarted, or they may have gone silent too. Each would
+            # cost another call.
             channels.close_ended(channel.incarnation, sent_at)
         _note_incarnation(channel, reply)
         _release(channel, channels)
@@ -227,7 +243,12 @@
         if isinstance(reply, Unavailable):
             return reply._replace(may_have_committed=False)
         if reply.status != 200:
-            return reply
+            outcome = decode_rejection(
+                call.step, call.endpoint.worker_id, reply.status, reply.body
+            )
+            if isinstance(outcome, Rejected):
+                return reply
+            return outcome._replace(may_have_committed=False)
         if not channel.incarnation:
             return call.fail(Reason.ANSWER_TRUNCATED, "no incarnation in the answer")
         if call.incarnation in (None, channel.incarnation):
@@ -237,6 +258,9 @@
     async def _send(self, channel: WorkerChannel, call: "_Call") -> Reply | Unavailable:
         """Send a call on a connection, and wait for the answer."""
         peer = call.endpoint.peer
+        if not channel.is_open:
+            # The answer before may have ended it.
+            return call.fail(Reason.CONNECTION_LOST, "the connection has ended")
         content = json.dumps(call.body, separators=(",", ":")).encode()
         headers = [("Host", peer), *call.headers.items()]
         headers.append(("Content-Type", "application/json"))
@@ -268,15 +292,22 @@
             self._channels_by_endpoint[endpoint] = channels
         return channels
 
-    def _sweep(self, now: float) -> None:
+    def _plan_sweep(self) -> None:
+        """Let idle connections be searched for, also if no other call follows."""
+        if self._next_sweep is None:
+            loop = asyncio.get_running_loop()
+            self._next_sweep = loop.call_later(SWEEP_SECONDS, self._sweep)
+
+    def _sweep(self) -> None:
         """Close connections that have been idle for `KEEP_ALIVE_SECONDS`."""
-        if now - self._swept_at < SWEEP_SECONDS:
-            return
-        self._swept_at = now
+        self._next_sweep = None
+        now = asyncio.get_running_loop().time()
         for endpoint, channels in list(self._channels_by_endpoint.items()):
             channels.close_idle(now - KEEP_ALIVE_SECONDS)
             if not channels.idle and not channels.n_calls:
                 del self._channels_by_endpoint[endpoint]
+        if self._channels_by_endpoint:
+            self._plan_sweep()
 
 
 class _Call(NamedTuple):
@@ -309,6 +340,20 @@
         return Unavailable(reason, self.step, self.endpoint.peer, detail, may_be_done)
 
 
+def _shows_end_of_connections(call: _Call, reply: Reply | Unavailable) -> bool:
+    """Return whether the other connections to the worker may be of no use.
+
+    A poll without an answer shows it. An order may have none as the worker is slow, and
+    a poll follows it.
+    """
+    if not isinstance(reply, Unavailable):
+        return False
+    is_poll = call.path == POLL_PATH
+    return reply.reason is Reason.CONNECTION_LOST or (
+        is_poll and reply.reason is Reason.TIMEOUT
+    )
+
+
 def _note_incarnation(channel: WorkerChannel, reply: Reply | Unavailable) -> None:
     """Note which incarnation an answer names, if it names one."""
     if isinstance(reply, Reply):
@@ -316,11 +361,6 @@
 
 
 def _release(channel: WorkerChannel, channels: _Channels) -> None:
-    """Keep a connection for the next call, if it is open and known to lead somewhere.
-
-    One without an incarnation has shown a malformed answer or a refusal.
-    """
-    if channel.is_open and channel.incarnation:
+    """Keep a connection for the next call, if it is open."""
+    if channel.is_open:
         channels.idle.append(channel)
-    else:
-        channel.abort()
