--- a/catkinport/jobs/tests/test_run_orders.py
+++ b/catkinport/jobs/tests/test_run_orders.py
@@ -53,6 +53,9 @@
     async def poll(self, worker, may_wait=True):
         """Poll nothing; the tests report themselves."""
 
+    def note_unknown_incarnation(self, worker):
+        worker.note_no_answer()
+
 
 class TestStopAcrossRestart:
     def test_it_does_not_count_for_the_restarted_worker(self):
@@ -171,6 +174,7 @@
         fleet = Fleet([make_worker("w1")])
         fleet.dispatcher.add_job(make_job(), fleet.now)
         fleet.poll("w1", started_at=3.0)
+        fleet.renew_entry("w1", 3.0)
         (planned,) = fleet.plan()
         session = FakeSession(fleet, lambda: None)
 
