--- a/review/lib3/harness.py
+++ b/review/lib3/harness.py
@@ -258,6 +258,10 @@
         """Submit a job, once."""
         return call(daemon.callers, "POST", f"/queue-0/{job_id}", body, KEY)
 
+    def cancel(self, daemon: Daemon, job_id: str) -> Answer:
+        """Cancel a job, once."""
+        return call(daemon.callers, "DELETE", f"/queue-0/{job_id}", None, KEY)
+
     def show_state(self, daemon: Daemon, job_id: str) -> Answer:
         """Ask a daemon for the state of a job."""
         return call(daemon.callers, "GET", f"/queue-0/{job_id}", None, KEY)
--- a/review/lib3/standin.py
+++ b/review/lib3/standin.py
@@ -7,6 +7,8 @@
 import asyncio
 import signal
 
+import gangs
+
 from catkinport.platform.standin.server import StandinServer
 from catkinport.platform.standin.vms import FleetSize
 
@@ -26,6 +28,7 @@
         upkeep_seconds=2.0,
         max_lease_seconds=10.0,
     )
+    gangs.install()
     asyncio.run(serve(size))
 
 
