--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -9,6 +9,6 @@
 python3 -c "
 import sys
 sys.path.insert(0, 'review/lib3')
-import harness, standin
+import advice, harness, late_orders, standin
 "
 echo "stand-ins of review/lib3 are built"
--- a/review/lib3/harness.py
+++ b/review/lib3/harness.py
@@ -45,7 +45,7 @@
 [services]
 table = {platform}
 vms = {vms}
-advice =
+advice = {advice}
 
 [bounds]
 longest_lease_ms = 10000
@@ -108,6 +108,8 @@
         n_daemons: number of daemons.
         make_vms_proxy: returns the address of a proxy before the interface for VMs,
             given the address of that; ``None`` for no proxy.
+        advice: address of the advice service; empty for none.
+        advice_terms: terms of advice of the queue; ``None`` if it needs none.
     """
 
     def __init__(
@@ -117,8 +119,12 @@
         cores: float,
         n_daemons: int = 3,
         make_vms_proxy: Callable[[str], str] | None = None,
+        advice: str = "",
+        advice_terms: Mapping[str, int] | None = None,
     ) -> None:
         self.record = record
+        self._advice = advice
+        self._advice_terms = advice_terms
         self._make_vms_proxy = make_vms_proxy
         self._vms = ""
         self.daemons: list[Daemon] = []
@@ -215,6 +221,7 @@
             metrics_port=ports[2],
             platform=self._platform,
             vms=self._vms or self._platform,
+            advice=self._advice,
         )
         path.write_text(settings)
         self._run_process(name, command, {"CATKINPORT_NODE_FILE": str(path)})
@@ -228,7 +235,7 @@
         return all(answer.status == 200 for answer in answers)
 
     def _configure(self) -> None:
-        queue = {
+        queue: dict[str, Any] = {
             "Name": "queue-0",
             "Host": HOST,
             "PathPrefix": "/queue-0/",
@@ -237,6 +244,8 @@
             "Stretch": 1.6,
             "TargetLatencyMs": 600,
         }
+        if self._advice_terms is not None:
+            queue["Advice"] = dict(self._advice_terms)
         self.control(
             "PUT",
             "/standin/operator/config",
