--- a/review/lib3/harness.py
+++ b/review/lib3/harness.py
@@ -7,6 +7,7 @@
 import http.client
 import json
 import os
+import random
 import shlex
 import shutil
 import socket
@@ -25,6 +26,8 @@
 KEY = "key-0"
 READY_SECONDS = 20.0
 CALL_SECONDS = 4.0
+FIRST_PORT, LAST_PORT = 20000, 32000
+"""Range of the ports of daemons; ``LAST_PORT`` is not part of it."""
 
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 """Exit statuses: the rule held, it was broken, and the case could not run."""
@@ -328,11 +331,23 @@
 
 
 def find_free_ports(n_ports: int) -> list[int]:
-    """Return ports of the loopback interface that nothing listens on."""
-    sockets = [socket.create_server(("127.0.0.1", 0)) for _ in range(n_ports)]
-    ports = [listening.getsockname()[1] for listening in sockets]
-    for listening in sockets:
-        listening.close()
+    """Return ports of the loopback interface that nothing listens on.
+
+    They lie below those that the kernel gives to outgoing connections, as one of these
+    could take a port before its daemon listens on it.
+    """
+    sockets: list[socket.socket] = []
+    while len(sockets) < n_ports:
+        probe = socket.socket()
+        try:
+            probe.bind(("127.0.0.1", random.randrange(FIRST_PORT, LAST_PORT)))
+        except OSError:
+            probe.close()
+            continue
+        sockets.append(probe)
+    ports = [int(probe.getsockname()[1]) for probe in sockets]
+    for probe in sockets:
+        probe.close()
     return ports
 
 
