--- a/review/11/play.py
+++ b/review/11/play.py
@@ -14,7 +14,7 @@
 
 from harness import Deployment, Record, run_case  # noqa: E402
 
-N_VMS = 6
+N_VMS = 8
 CORES = 16
 N_JOBS = 20
 JOB_SECONDS = 0.25
--- a/review/12/play.py
+++ b/review/12/play.py
@@ -16,8 +16,9 @@
 """A call takes 1.72 s for 6 workers."""
 
 N_JOBS = 8
+BURST_SECONDS = 0.13
 CALM_SECONDS = 4.0
-"""Time between two submissions without the burst."""
+"""Times between two submissions, with and without the burst."""
 
 FINISH_SECONDS = 14.0
 IDLE_SECONDS = 3.0
@@ -42,8 +43,7 @@
             status = deployment.submit(daemon, job_id, body).status
             record.write(f"POST {job_id} to {daemon.name}: {status}")
             job_ids.append(job_id)
-            if not has_trouble:
-                time.sleep(CALM_SECONDS)
+            time.sleep(BURST_SECONDS if has_trouble else CALM_SECONDS)
         time.sleep(FINISH_SECONDS + IDLE_SECONDS)
         events = deployment.list_events()
         for job_id in job_ids:
--- a/review/lib3/harness.py
+++ b/review/lib3/harness.py
@@ -10,6 +10,7 @@
 import random
 import shlex
 import shutil
+import signal
 import socket
 import subprocess
 import sys
@@ -26,6 +27,9 @@
 KEY = "key-0"
 READY_SECONDS = 20.0
 CALL_SECONDS = 4.0
+LONGEST_SECONDS = 110
+"""Time after which a case is given up, with all processes that it has started."""
+
 FIRST_PORT, LAST_PORT = 20000, 32000
 """Range of the ports of daemons; ``LAST_PORT`` is not part of it."""
 
@@ -372,6 +376,11 @@
     raise CaseError(f"waited {seconds} s for {what}")
 
 
+def _give_up(number: int, frame: object) -> None:
+    """Leave the case by an exception, so that it ends what it has started."""
+    raise CaseError(f"given up by {signal.Signals(number).name}")
+
+
 def run_case(folder: Path, play: Callable[[Record, bool], bool]) -> int:
     """Play a case and return its exit status.
 
@@ -381,6 +390,9 @@
     """
     record = Record(folder / "record.txt")
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
+    for number in (signal.SIGALRM, signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        signal.signal(number, _give_up)
+    signal.alarm(LONGEST_SECONDS)
     try:
         has_held = play(record, has_trouble)
     except Exception as error:
