Start no task elsewhere while a start without an answer may come

Cause: a start without an answer was stopped on the worker's incarnation, and its task started elsewhere. If the worker restarts under its id, the next incarnation knows of no stop, and carries the order out, up to 12 s late, before any call of the owner. The record shows run 4 done and noted at 6.98 s, and run 3 of the task started at 8.70 s by the restarted worker.

Change: a task has one start order at a time. While one without an answer may be carried out, until 12 s after its answer was given up, the task has no other, whatever becomes of the worker. A report that lists the run ends the wait, as does an answer that it had no effect. The wait is stored with the state of the job (late_starts), and a successor waits as well. Lasting tasks repeat the order to the same worker (start_repeats), where all copies are one run; they are not stopped for a missing answer any more, so lasting_stops.py goes. Tasks that may run twice are stopped and started elsewhere as before. A job whose only row tells of such a start does not count as begun. Metric unanswered_start_seconds.

Why it works: no second start exists that could overlap or follow the late one, so nothing depends on which call reaches a restart first.

Tests that required the stop of an unanswered start now require that its task waits; for lasting tasks, that the order is repeated; the tests of stops across restarts use canceled jobs instead. Those of test_lasting_stops.py are in test_lasting_starts.py.

--- a/catkinport/jobs/dispatch/dispatcher.py
+++ b/catkinport/jobs/dispatch/dispatcher.py
@@ -57,6 +57,8 @@
         orphan_stop_sent_at: clock time in seconds of the latest stop order for each run
             whose job is unknown, by worker id and run; 0 before the first order.
         uncertain_starts: start orders that were given up, but may be carried out late.
+        unanswered_runs: runs on the workers whose start order had no answer, and that
+            no report shows.
         unresolved_by_id: pool of each worker that the former owner used and that may
             still run its tasks, by worker id. A worker is resolved once it has
             reported to this owner, its VM has gone or its lease has expired.
@@ -97,6 +99,7 @@
         self.evacuated_zones = self._workers.evacuated_zones
         self.runs_by_task = self._runs.runs_by_task
         self.uncertain_starts = self._runs.uncertain_starts
+        self.unanswered_runs = self._runs.unanswered_runs
         self.orphan_stop_sent_at = self._reports.orphan_stop_sent_at
         self.apply_configuration(configuration)
 
--- a/catkinport/jobs/dispatch/order_outcomes.py
+++ b/catkinport/jobs/dispatch/order_outcomes.py
@@ -38,11 +38,13 @@
         """Process the outcome of a start order."""
         worker = self._workers.worker_by_id.get(run.worker_id)
         if worker is None or run.key not in worker.run_by_key:
+            self._runs.note_lost_start(run, outcome, now)
             return
         if isinstance(outcome, Done):
             self._runs.confirm(run, now)
             if run.phase is RunPhase.ASKED:
                 run.phase = RunPhase.RUNNING
+                run.is_start_uncertain = False
             return
         if isinstance(outcome, Rejected):
             self._on_start_rejected(worker, run, outcome.reason, now)
@@ -59,12 +61,11 @@
             may_run=outcome.may_have_committed,
         )
         worker.pause_as_uncertain(now)
-        if not outcome.may_have_committed:
+        if outcome.may_have_committed:
+            self._runs.note_unanswered_start(run, now)
+        elif run.n_start_orders == 1:
             self._runs.lose(worker, run, NOT_SENT, now)
-            return
-        # A worker that has reported the run has carried its start out.
-        if not run.known_at:
-            run.is_start_uncertain = True
+        else:
             run.given_up_at = now
 
     def _on_start_rejected(
@@ -91,7 +92,11 @@
         if reason is Rejection.TICKET and run.ticket is not None:
             stage = run.task.stage_name
             self._approvals.reject(stage, run.worker_id, run.ticket, now)
-        self._runs.drop(worker, run)
+        if run.n_start_orders == 1:
+            self._runs.drop(worker, run)
+        else:
+            # An earlier order, which had no answer, may still be carried out.
+            run.given_up_at = now
 
     def on_stop(self, run: Run, outcome: OrderOutcome, now: float) -> None:
         """Process the outcome of a stop order."""
--- a/catkinport/jobs/dispatch/record.py
+++ b/catkinport/jobs/dispatch/record.py
@@ -1,6 +1,6 @@
 """State of one job, and the row in which it is stored."""
 
-from collections.abc import Iterator, Mapping
+from collections.abc import Iterable, Iterator, Mapping
 from typing import Any
 
 from ...policy.crash_blame import (
@@ -13,7 +13,7 @@
 from ..configuration import AcceptedRules, Queue
 from ..model import FINAL_STATES, Job, JobState, TaskId, chain_seconds
 from .stage_table import Stage, StageTable
-from .task import Task, TaskPhase
+from .task import ORDER_DELAY_SECONDS, Task, TaskPhase
 
 RUN_GAP_AFTER_TAKEOVER = 10
 """Added to the highest known run number when ownership changes. Runs that the former
@@ -95,7 +95,7 @@
     @property
     def is_begun(self) -> bool:
         """Whether any task has been started."""
-        return self.ever_started or self.row_version > 0
+        return self.ever_started or self.state is not JobState.QUEUED
 
     def all_tasks(self) -> Iterator[Task]:
         """Iterate over the tasks of all occurrences and steps; this creates them."""
@@ -283,7 +283,10 @@
             row["settled"] = self.n_placed == 0
             return row
         row["done"] = {
-            f"{occurrence}.{number}": _to_mask(self.tasks_by_stage[occurrence, number])
+            f"{occurrence}.{number}": _to_mask(
+                task.phase is TaskPhase.DONE
+                for task in self.tasks_by_stage[occurrence, number]
+            )
             for occurrence, number in self._stages.begun_stages()
             if not (is_compact and self._stages.is_done((occurrence, number)))
         }
@@ -294,7 +297,6 @@
             for stage in self._stages.created_stages()
             if not self._stages.is_done(stage)
             for task in self.tasks_by_stage[stage]
-            if task.failed_runs or task.crash_by_run or task.checkpoint
             if task.phase is not TaskPhase.DONE
         ]
         row["failed_runs"] = {
@@ -306,6 +308,7 @@
             if t.crash_by_run
         }
         row["saved"] = {t.text: t.checkpoint for t in open_tasks if t.checkpoint}
+        row["late_starts"] = self._encode_late_starts()
         return row
 
     def load_row(self, row: dict[str, Any], version: int) -> None:
@@ -317,11 +320,8 @@
         """
         self.row_version = version
         self._top_run = row["top_run"]
-        for name, mask in row.get("done", {}).items():
-            occurrence, number = (int(part) for part in name.split("."))
-            tasks = self.tasks_by_stage[occurrence, number]
-            for index in _from_mask(mask):
-                self.mark_done(tasks[index])
+        for task in self._find_masked(row.get("done", {})):
+            self.mark_done(task)
         self._load_done_steps(row.get("done_steps", {}))
         for name, runs in row.get("failed_runs", {}).items():
             task = self.find_task(TaskId.parse(name))
@@ -335,9 +335,30 @@
             task = self.find_task(TaskId.parse(name))
             if task is not None:
                 task.checkpoint = checkpoint
+        # The former owner sent its orders before this owner has read the row.
+        for task in self._find_masked(row.get("late_starts", {})):
+            task.hold_for_late_start(self.learned_at + ORDER_DELAY_SECONDS)
         self.state = JobState(row["state"])
         self.is_dirty = False
 
+    def _encode_late_starts(self) -> dict[str, str]:
+        """Return a bit mask of the tasks whose start had no answer, for each step."""
+        masks = {}
+        for occurrence, number in self._stages.created_stages():
+            tasks = self.tasks_by_stage[occurrence, number]
+            if any(task.may_start_late for task in tasks):
+                mask = _to_mask(task.may_start_late for task in tasks)
+                masks[f"{occurrence}.{number}"] = mask
+        return masks
+
+    def _find_masked(self, mask_by_stage: Mapping[str, str]) -> Iterator[Task]:
+        """Iterate over the tasks whose bits are set in the masks of a row."""
+        for name, mask in mask_by_stage.items():
+            occurrence, number = (int(part) for part in name.split("."))
+            tasks = self.tasks_by_stage[occurrence, number]
+            for index in _from_mask(mask):
+                yield tasks[index]
+
     def _encode_done_steps(self) -> dict[str, str]:
         """Return, for each step, a bit mask of the occurrences in which it is done."""
         mask_by_step = dict.fromkeys(range(len(self.job.steps)), 0)
@@ -353,9 +374,9 @@
                     self.mark_done(task)
 
 
-def _to_mask(tasks: list[Task]) -> str:
-    bits = "".join("01"[task.phase is TaskPhase.DONE] for task in reversed(tasks))
-    return f"{int(bits, 2):x}"
+def _to_mask(flags: Iterable[bool]) -> str:
+    """Return the flags as a hexadecimal bit mask, the first one as the lowest bit."""
+    return f"{sum(flag << index for index, flag in enumerate(flags)):x}"
 
 
 def _from_mask(mask: str) -> list[int]:
--- a/catkinport/jobs/dispatch/run_ends.py
+++ b/catkinport/jobs/dispatch/run_ends.py
@@ -44,7 +44,7 @@
         task_id = TaskId.parse(ended.task)
         key = RunKey(ended.task, ended.run)
         run = worker.run_by_key.get(key)
-        self._runs.uncertain_starts.settle(worker.worker_id, key, now)
+        self._runs.note_carried_out(worker, key, now)
         self._log_ended(worker, ended, run, now)
         if run is not None:
             self._runs.detach(worker, run)
--- a/catkinport/jobs/dispatch/run_table.py
+++ b/catkinport/jobs/dispatch/run_table.py
@@ -2,6 +2,8 @@
 
 import logging
 
+from ...ports import Unavailable
+from ...ports.fleet_workers import Done, OrderOutcome
 from ...runtime import Metrics
 from ...runtime.logs import log_event
 from ..model import TaskId
@@ -12,7 +14,7 @@
 from ..workers.worker_table import WorkerTable
 from .job_table import JobTable
 from .record import JobRecord
-from .task import Task, TaskPhase
+from .task import ORDER_DELAY_SECONDS, Task, TaskPhase
 
 logger = logging.getLogger(__name__)
 
@@ -31,11 +33,14 @@
     Attributes:
         runs_by_task: runs of each task that may be alive, by the task's name.
         uncertain_starts: start orders that were given up, but may be carried out late.
+        unanswered_runs: runs on the workers whose start order had no answer, and that
+            no report shows.
     """
 
     def __init__(self, jobs: JobTable, workers: WorkerTable, metrics: Metrics) -> None:
         self.runs_by_task: dict[str, list[Run]] = {}
         self.uncertain_starts = UncertainStarts()
+        self.unanswered_runs: set[Run] = set()
         self._jobs = jobs
         self._workers = workers
         self._metrics = metrics
@@ -47,6 +52,9 @@
         number = task.run + 1
         if record.is_inherited:
             self._log_inherited_start(worker, task, number, now)
+        if task.may_start_late:
+            self._observe_unanswered(worker, "expired", ORDER_DELAY_SECONDS)
+            task.clear_late_start()
         record.note_run(task, number)
         run = Run(record, task, number, worker.worker_id, now)
         run.sent_to = worker.started_at
@@ -69,6 +77,10 @@
         run = Run(record, task, key.run, worker.worker_id, now)
         run.phase = RunPhase.RUNNING
         run.pace = None
+        if task.step.is_lasting and task.may_start_late:
+            # The order may have been repeated, so one may be left.
+            run.n_start_orders += 1
+            run.late_start_until = task.late_start_until
         self.confirm(run, now)
         self._attach(worker, run)
         self._log_adopted(worker, run)
@@ -76,15 +88,66 @@
             record.set_phase(task, TaskPhase.PLACED)
         return run
 
-    @staticmethod
-    def confirm(run: Run, now: float) -> None:
-        """Note that the worker has confirmed that it has the run."""
+    def confirm(self, run: Run, now: float) -> None:
+        """Note that the worker has confirmed that it has the run.
+
+        The order was carried out then, if there was one only. Of several, one may still
+        be carried out by a later incarnation of the worker.
+        """
+        if run.is_start_uncertain and not run.known_at:
+            worker = self._workers.worker_by_id[run.worker_id]
+            self._observe_unanswered(worker, "carried-out", now - run.given_up_at)
         run.known_at = run.known_at or now
+        self.unanswered_runs.discard(run)
+        if run.n_start_orders == 1:
+            run.late_start_until = float("-inf")
+            run.task.clear_late_start()
         run.record.mark_begun()
 
+    def note_unanswered_start(self, run: Run, now: float) -> None:
+        """Note that a start order had no answer, and may be carried out late.
+
+        It is stored, so that a successor starts the task nowhere else before.
+        """
+        # A worker that has reported the run has carried out the only order.
+        if run.known_at and run.n_start_orders == 1:
+            return
+        run.note_unanswered_start(now)
+        if not run.known_at:
+            run.is_start_uncertain = True
+            self.unanswered_runs.add(run)
+
+    @staticmethod
+    def note_lost_start(run: Run, outcome: OrderOutcome, now: float) -> None:
+        """Note the outcome of the start order of a run that was given up before.
+
+        Args:
+            run: the run.
+            outcome: the outcome. An order that was carried out is left for the reports.
+            now: clock time in seconds.
+        """
+        if isinstance(outcome, Done):
+            return
+        if isinstance(outcome, Unavailable) and outcome.may_have_committed:
+            run.note_unanswered_start(now)
+        elif run.n_start_orders == 1 and run.task.run == run.key.run:
+            run.task.clear_late_start()
+
+    def note_carried_out(self, worker: WorkerRecord, key: RunKey, now: float) -> None:
+        """Note that a worker lists a run, or its end, and so has carried out its start.
+
+        If the run was given up before, nothing is left that could be carried out late.
+        """
+        if not self.uncertain_starts.settle(worker.worker_id, key, now):
+            return
+        task = self._jobs.find_task(TaskId.parse(key.task))
+        if task is not None and task.run == key.run and not task.step.is_lasting:
+            task.clear_late_start()
+
     def detach(self, worker: WorkerRecord, run: Run) -> None:
         """Remove a run; `note_run_over` follows once its outcome is noted."""
         worker.drop_run(run.key)
+        self.unanswered_runs.discard(run)
         runs = self.runs_by_task.get(run.task.text, [])
         if run in runs:
             runs.remove(run)
@@ -113,9 +176,9 @@
             now: clock time in seconds.
         """
         self.detach(worker, run)
-        is_uncertain = not run.known_at and reason != NOT_SENT
+        is_uncertain = self._may_start_late(run, reason, now)
         if is_uncertain:
-            self._keep_uncertain_start(worker, run)
+            self._keep_uncertain_start(worker, run, now)
         self._metrics.increment("runs_lost", "Runs given up.", {"reason": reason})
         log_event(
             logger,
@@ -176,14 +239,35 @@
         run.record.n_placed += 1
         run.task.ever_started = True
 
-    def _keep_uncertain_start(self, worker: WorkerRecord, run: Run) -> None:
+    @staticmethod
+    def _may_start_late(run: Run, reason: str, now: float) -> bool:
+        """Return whether a start order of a run that is given up may come late."""
+        if reason == NOT_SENT:
+            return False
+        return not run.known_at or run.late_start_until > now
+
+    def _keep_uncertain_start(self, worker: WorkerRecord, run: Run, now: float) -> None:
         # The incarnation that received the start rejects it once the lease is over.
         started_at = worker.started_at if run.stopped_at else run.sent_to
         incarnation = Incarnation(worker.worker_id, started_at)
-        # It was sent before the wait for its answer ended, and maybe long after it was
-        # decided on.
-        sent_by = max(run.asked_at, run.given_up_at)
-        self.uncertain_starts.add(incarnation, run.key, sent_by)
+        # The latest order was sent before the wait for its answer ended, and maybe long
+        # after it was decided on. It may be under way.
+        is_under_way = run.given_up_at < run.asked_at
+        self.uncertain_starts.add(
+            incarnation, run.key, now if is_under_way else run.given_up_at
+        )
+        if is_under_way:
+            run.note_unanswered_start(now)
+
+    def _observe_unanswered(
+        self, worker: WorkerRecord, outcome: str, seconds: float
+    ) -> None:
+        self._metrics.observe(
+            "unanswered_start_seconds",
+            "Time until the outcome of a start without an answer is known.",
+            {"outcome": outcome, "pool": worker.listed.pool},
+            seconds,
+        )
 
     def _log_adopted(self, worker: WorkerRecord, run: Run) -> None:
         log_event(
--- a/catkinport/jobs/dispatch/task.py
+++ b/catkinport/jobs/dispatch/task.py
@@ -5,6 +5,10 @@
 from ...policy.crash_blame import Crash
 from ..model import Step, TaskId
 
+ORDER_DELAY_SECONDS = 12.0
+"""Longest time after which an order without an answer is carried out. This is an
+assumption: the platform's documentation only speaks of seconds."""
+
 
 class TaskPhase(StrEnum):
     """Whether a task waits for a worker, is placed on one or is done."""
@@ -32,6 +36,9 @@
             worker reported its end; minus infinity for never. An owner that had
             succeeded this one by then may still have that run.
         not_before: clock time in seconds before which it is not started again.
+        late_start_until: clock time in seconds until which a start order of it that had
+            no answer may be carried out; minus infinity for none. Until then it has no
+            other start, unless two runs of it may overlap.
         avoided_worker: worker on which it failed or stalled last; empty for none.
         ever_started: whether this owner has ordered or adopted a run of it.
     """
@@ -41,6 +48,7 @@
         "crash_by_run",
         "ever_started",
         "failed_runs",
+        "late_start_until",
         "lost_at",
         "not_before",
         "phase",
@@ -64,12 +72,37 @@
         self.avoided_worker = ""
         self.ever_started = False
         self.lost_at = float("-inf")
+        self.late_start_until = float("-inf")
 
     @property
     def stage_name(self) -> str:
         """Name of its step within its job's occurrence."""
         return self.text.rpartition(".")[0]
 
+    @property
+    def may_start_late(self) -> bool:
+        """Whether a start order of it may be carried out that had no answer."""
+        return self.late_start_until > float("-inf")
+
+    def hold_for_late_start(self, until: float) -> None:
+        """Note that a start order of it may be carried out until a clock time.
+
+        Nothing is held back if two runs of it may overlap.
+
+        Args:
+            until: clock time in seconds.
+        """
+        if not self.step.may_run_twice:
+            self.late_start_until = max(self.late_start_until, until)
+
+    def clear_late_start(self) -> None:
+        """Note that no start order of it can be carried out any more."""
+        self.late_start_until = float("-inf")
+
+    def is_due(self, now: float) -> bool:
+        """Return whether it may be started as far as its former runs are concerned."""
+        return max(self.not_before, self.late_start_until) <= now
+
     def is_lost_since(self, renewed_at: float | None) -> bool:
         """Return whether a possible successor may have its last run.
 
--- a/catkinport/jobs/ownership/roster_store.py
+++ b/catkinport/jobs/ownership/roster_store.py
@@ -13,8 +13,8 @@
 from ...ports.fleet_workers import ListedWorker
 from ...ports.table import CommitOutcome, Committed, Row, Write
 from ...runtime.logs import log_event
+from ..dispatch.task import ORDER_DELAY_SECONDS
 from ..tables import roster_key
-from ..workers.run import ORDER_DELAY_SECONDS
 from ..workers.worker_state import WorkerRecord, bound_lease
 from .fenced_rows import FencedRows
 from .roster_delays import RosterDelays
--- a/catkinport/jobs/ownership/run_orders.py
+++ b/catkinport/jobs/ownership/run_orders.py
@@ -14,14 +14,20 @@
 from ...ports.fleet_workers import Done, OrderOutcome, StartOrder
 from ...runtime.logs import log_event
 from ..dispatch.approvals import Ticket
-from ..placement.lasting_stops import MayEndRun
 from ..placement.planner import ApprovalRequest, Planner
 from ..placement.round_budget import PlannedStart
-from ..placement.run_stops import PaceOrder, StopOrder, StopTurns, find_paces
+from ..placement.run_stops import (
+    MayEndRun,
+    PaceOrder,
+    StopOrder,
+    StopTurns,
+    find_paces,
+)
 from ..placement.share_reporter import ShareReporter
 from ..placement.stall_reporter import StallReporter
 from ..placement.stalled_pools import StartState
 from ..placement.start_delays import StartHold
+from ..placement.start_repeats import find_start_repeats
 from ..vms.coming_cores import find_coming_cores
 from ..vms.vm_inventory import VmInventory
 from ..vms.zone_evacuations import ZoneEvacuations
@@ -144,7 +150,8 @@
             starts = self._planner.plan(
                 now, time.time(), learned_before, n_free, time.thread_time
             )
-            for start in starts:
+            repeats = find_start_repeats(self._session.dispatcher, now)
+            for start in repeats + starts:
                 self._start_limit.begin()
                 self._session.spawn(self._send_start(start))
             if self._planner.is_unfinished:
--- a/catkinport/jobs/placement/planner.py
+++ b/catkinport/jobs/placement/planner.py
@@ -333,7 +333,7 @@
             return False
         if task.phase is TaskPhase.WAITING:
             is_held_back = task.is_lost_since(self._learned_before)
-            return task.not_before <= now and not is_held_back
+            return task.is_due(now) and not is_held_back
         if task.phase is TaskPhase.DONE or not task.step.may_run_twice:
             return False
         if task.crash_by_run:
--- a/catkinport/jobs/placement/run_stops.py
+++ b/catkinport/jobs/placement/run_stops.py
@@ -5,7 +5,7 @@
 """
 
 from collections import Counter
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from itertools import islice
 from typing import NamedTuple
 
@@ -16,7 +16,6 @@
 from ..workers.run import Run, RunKey, RunPhase
 from ..workers.worker_failures import note_failed_run
 from ..workers.worker_state import WorkerRecord
-from .lasting_stops import MayEndRun, may_stop_unconfirmed
 
 STOP_RETRY_SECONDS = 0.4
 """Time after which a stop order without an answer is sent again."""
@@ -36,6 +35,9 @@
 """Lower bound of that time. Workers report progress in whole percents, so a healthy run
 may show none for a while."""
 
+MayEndRun = Callable[[Run], bool]
+"""Returns whether the disruption budget of its step lets a run be ended."""
+
 
 class StopOrder(NamedTuple):
     """Order to stop a run."""
@@ -184,20 +186,17 @@
     if run.task.phase is TaskPhase.DONE:
         return "task-done"
     worker = dispatcher.worker_by_id[run.worker_id]
-    if (
-        run.is_start_uncertain
-        and _is_unconfirmed(worker, run, now)
-        and may_stop_unconfirmed(worker, run, now, may_end_run)
-    ):
+    # A stop would be of no use for other tasks: they wait until the start can be
+    # carried out no more, and it had better be carried out than be refused.
+    is_copied = run.task.step.may_run_twice
+    if run.is_start_uncertain and is_copied and _is_unconfirmed(worker, run, now):
         return "start-unsure"
     if run.is_evacuated and not run.stop_sent_at and not may_end_run(run):
         # Other tasks of the step have become unavailable since it was decided.
         run.is_evacuated = False
     if run.is_evacuated:
         return "evacuated"
-    # A stop without an answer of a start without an answer is decided anew.
-    is_decided_anew = run.is_start_uncertain and run.task.step.is_lasting
-    if run.phase is RunPhase.STOPPING and not is_decided_anew:
+    if run.phase is RunPhase.STOPPING:
         return "repeat"
     runs = dispatcher.runs_by_task.get(run.task.text, [])
     if len(runs) > 1 and not run.task.step.may_run_twice and run is not runs[0]:
--- a/catkinport/jobs/placement/stalled_pools.py
+++ b/catkinport/jobs/placement/stalled_pools.py
@@ -205,7 +205,8 @@
         return hold.value if is_hold_decisive else reason
 
     def _find_hold(self, ready: ReadyTask) -> StartHold | None:
-        if ready.task.phase is TaskPhase.PLACED:
+        is_held = ready.task.late_start_until > self.now
+        if ready.task.phase is TaskPhase.PLACED or is_held:
             return StartHold.START_UNANSWERED
         if self._state.hold is not None:
             return self._state.hold
--- a/catkinport/jobs/tests/test_knowledge_of_former_incarnations.py
+++ b/catkinport/jobs/tests/test_knowledge_of_former_incarnations.py
@@ -8,8 +8,8 @@
 from ...policy.leadership import OwnLease
 from ...ports import Reason, Unavailable
 from ...ports.fleet_workers import Done, WorkerLists
+from ..dispatch.task import ORDER_DELAY_SECONDS
 from ..ownership.run_orders import RunOrders
-from ..workers.run import ORDER_DELAY_SECONDS
 from ..workers.worker_state import (
     MAX_OTHER_ENTRY_SECONDS,
     UNCERTAIN_WORKER_PAUSE_SECONDS,
--- a/catkinport/jobs/tests/test_roster_store.py
+++ b/catkinport/jobs/tests/test_roster_store.py
@@ -8,11 +8,11 @@
 from hypothesis import strategies as st
 
 from ...ports import Reason, Unavailable
+from ..dispatch.task import ORDER_DELAY_SECONDS
 from ..ownership.owner import RETRY_SECONDS
 from ..ownership.roster_rows import MAX_WORKERS_PER_ROW, RosterRows, group_linked
 from ..ownership.roster_store import LOOK_SECONDS, RosterStore
 from ..tables import ROSTER_TABLE, roster_key
-from ..workers.run import ORDER_DELAY_SECONDS
 from ..workers.worker_state import LEASE_SECONDS, bound_lease
 from .builders import POOL, make_worker
 from .late_table import AsyncLateTable, make_session
--- a/catkinport/jobs/vms/lasting_waits.py
+++ b/catkinport/jobs/vms/lasting_waits.py
@@ -67,5 +67,5 @@
         if record.job.steps[stage[1]].is_lasting
         and record.job.due_at(stage[0]) <= time.time()
         for task in record.tasks_by_stage[stage]
-        if task.phase is TaskPhase.WAITING and task.not_before <= now
+        if task.phase is TaskPhase.WAITING and task.is_due(now)
     ]
--- a/catkinport/jobs/vms/starved_pools.py
+++ b/catkinport/jobs/vms/starved_pools.py
@@ -106,6 +106,6 @@
         for stage in record.ready_stages()
         if record.job.due_at(stage[0]) <= time.time()
         for task in record.waiting_tasks(stage)
-        if task.not_before <= now
+        if task.is_due(now)
     )
     return next(waiting, None)
--- a/catkinport/jobs/workers/former_leases.py
+++ b/catkinport/jobs/workers/former_leases.py
@@ -5,7 +5,7 @@
 in that call then lies far ahead, and the worker grants its longest lease.
 """
 
-from .run import ORDER_DELAY_SECONDS
+from ..dispatch.task import ORDER_DELAY_SECONDS
 
 
 class FormerLeases:
--- a/catkinport/jobs/workers/run.py
+++ b/catkinport/jobs/workers/run.py
@@ -6,7 +6,7 @@
 from ...policy.pacing import FULL_SPEED_PERCENT
 from ..dispatch.approvals import Ticket
 from ..dispatch.record import JobRecord
-from ..dispatch.task import Task
+from ..dispatch.task import ORDER_DELAY_SECONDS, Task
 
 READY_PERCENT = 100.0
 """Progress that a worker reports for a lasting task that is ready."""
@@ -16,10 +16,6 @@
 The platform counts a task as unavailable only if an order has ended it, or if it has
 not been ready for seconds."""
 
-ORDER_DELAY_SECONDS = 12.0
-"""Longest time after which an order without an answer is carried out. This is an
-assumption: the platform's documentation only speaks of seconds."""
-
 
 class RunPhase(StrEnum):
     """Whether a run was ordered, runs or is being stopped, as the owner knows it."""
@@ -45,7 +41,8 @@
         key: name of the task and number of the run.
         worker_id: worker that runs it.
         phase: whether it was ordered, runs or is being stopped.
-        asked_at: clock time in seconds of the start order.
+        asked_at: clock time in seconds of the latest start order.
+        n_start_orders: number of start orders for it.
         sent_to: ``started_at`` of the incarnation of the worker for which the start
             order was made.
         known_at: clock time at which the worker confirmed it; 0 before.
@@ -53,7 +50,10 @@
         stopped_at: clock time at which the worker confirmed a stop; 0 before.
         is_start_uncertain: whether the start order had no answer and may be carried out
             late.
-        given_up_at: clock time at which the wait for that answer ended; 0 for never.
+        late_start_until: clock time in seconds until which a start order without an
+            answer may be carried out; minus infinity for none.
+        given_up_at: clock time at which the wait for that answer ended, or at which a
+            repeated order turned out not to have been carried out; 0 for never.
         is_evacuated: whether it is stopped so that its VM can be taken down, or because
             its zone is evacuated.
         percent: progress that the worker listed last; -1 before.
@@ -74,6 +74,8 @@
         "is_start_uncertain",
         "key",
         "known_at",
+        "late_start_until",
+        "n_start_orders",
         "pace",
         "percent",
         "phase",
@@ -96,12 +98,14 @@
         self.worker_id = worker_id
         self.phase = RunPhase.ASKED
         self.asked_at = now
+        self.n_start_orders = 1
         self.sent_to = 0.0
         self.known_at = 0.0
         self.stop_sent_at = 0.0
         self.stopped_at = 0.0
         self.is_start_uncertain = False
         self.given_up_at = 0.0
+        self.late_start_until = float("-inf")
         self.is_evacuated = False
         self.percent = -1.0
         self.progressed_at = now
@@ -109,6 +113,17 @@
         self.pace: int | None = FULL_SPEED_PERCENT
         self.ticket: Ticket | None = None
 
+    def note_unanswered_start(self, now: float) -> None:
+        """Note that the wait for the answer to a start order ends at ``now``.
+
+        The order was sent before, so that the time counted from now on is long enough
+        also by a clock that is 2% slow.
+        """
+        self.given_up_at = now
+        self.late_start_until = now + ORDER_DELAY_SECONDS
+        self.task.hold_for_late_start(self.late_start_until)
+        self.record.is_dirty = True
+
     def may_be_stopped(self, reported_at: float) -> bool:
         """Return whether a stop of it is under way, or may still be carried out.
 
--- a/catkinport/jobs/workers/uncertain_starts.py
+++ b/catkinport/jobs/workers/uncertain_starts.py
@@ -12,7 +12,8 @@
 from dataclasses import dataclass
 
 from ...runtime.logs import log_event
-from .run import ORDER_DELAY_SECONDS, RunKey
+from ..dispatch.task import ORDER_DELAY_SECONDS
+from .run import RunKey
 from .worker_state import Incarnation
 
 logger = logging.getLogger(__name__)
@@ -58,8 +59,8 @@
         starts = self._starts_by_worker.get(incarnation.worker_id, {})
         return any(s.stopped_in != incarnation.started_at for s in starts.values())
 
-    def settle(self, worker_id: str, key: RunKey, now: float) -> None:
-        """Forget a start, because the worker has carried it out."""
+    def settle(self, worker_id: str, key: RunKey, now: float) -> bool:
+        """Forget a start that a worker has carried out, and return if it was known."""
         start = self._starts_by_worker.get(worker_id, {}).pop(key, None)
         if start is not None:
             log_event(
@@ -72,6 +73,7 @@
                 worker=worker_id,
                 seconds=round(now - start.sent_at, 3),
             )
+        return start is not None
 
     def note_stopped(self, incarnation: Incarnation, key: RunKey) -> None:
         """Note that an incarnation has confirmed a stop.
--- a/catkinport/jobs/workers/worker_reports.py
+++ b/catkinport/jobs/workers/worker_reports.py
@@ -7,7 +7,7 @@
 from ..dispatch.run_ends import RunEnds
 from ..dispatch.run_table import RunTable
 from .inherited_workers import InheritedWorkers
-from .run import ORDER_DELAY_SECONDS, Run, RunKey, RunPhase
+from .run import RunKey, RunPhase
 from .worker_crashes import clear_survivor, note_answer, note_crash
 from .worker_state import VM_NAMED_SECONDS, WorkerRecord
 from .worker_table import WorkerTable
@@ -154,14 +154,14 @@
 
     def _update_run(self, worker: WorkerRecord, entry: RunningTask, now: float) -> None:
         key = RunKey(entry.task, entry.run)
-        self._runs.uncertain_starts.settle(worker.worker_id, key, now)
+        self._runs.note_carried_out(worker, key, now)
         run = worker.run_by_key.get(key) or self._runs.adopt(worker, key, now)
         if run is None:
             self.orphan_stop_sent_at.setdefault((worker.worker_id, key), 0.0)
             return
         self._runs.confirm(run, now)
         clear_survivor(run, now)
-        if run.phase is RunPhase.ASKED or _is_adopted_after_stop(run):
+        if run.phase is RunPhase.ASKED:
             run.is_start_uncertain = False
             run.phase = RunPhase.RUNNING
         if entry.percent != run.percent:
@@ -191,29 +191,10 @@
             confirmed_at = run.stopped_at if run.is_start_uncertain else run.known_at
             if confirmed_at and confirmed_at < sent_at:
                 self._runs.lose(worker, run, "not-listed", now)
-            elif run.is_start_uncertain and _can_start_no_more(run, sent_at):
+            elif run.is_start_uncertain and sent_at > run.late_start_until:
                 self._runs.lose(worker, run, "never-started", now)
 
 
-def _is_adopted_after_stop(run: Run) -> bool:
-    """Return whether a run that is reported is kept although a stop was sent.
-
-    The start of a lasting task had no answer, and nor had the stop, which may have been
-    lost. If it is carried out after all, a report shows that the run has ended.
-    """
-    is_unanswered = run.is_start_uncertain and not run.stopped_at
-    return run.task.step.is_lasting and is_unanswered
-
-
-def _can_start_no_more(run: Run, polled_at: float) -> bool:
-    """Return whether a start without an answer is outdated at the time of a poll.
-
-    The worker may have restarted, and polls extend its lease, so the lease in the order
-    is no bound.
-    """
-    return polled_at > run.given_up_at + ORDER_DELAY_SECONDS
-
-
 def _running_keys(lists: WorkerLists) -> set[RunKey]:
     return {RunKey(entry.task, entry.run) for entry in lists.running}
 
--- a/catkinport/jobs/workers/worker_table.py
+++ b/catkinport/jobs/workers/worker_table.py
@@ -3,7 +3,7 @@
 import logging
 
 from ...runtime.logs import log_event
-from .run import ORDER_DELAY_SECONDS
+from ..dispatch.task import ORDER_DELAY_SECONDS
 from .worker_state import WorkerRecord
 
 logger = logging.getLogger(__name__)
--- a/catkinport/platform/tests/restarted_workers.py
+++ b/catkinport/platform/tests/restarted_workers.py
@@ -185,6 +185,10 @@
             worker.incarnation.advance(self.now)
         self.session.note_renewed(self.now)
 
+    def cancel_job(self, call: Call) -> None:
+        """Cancel the job whose run a call is for."""
+        self.dispatcher.cancel_job(call.body["Task"].partition(".")[0])
+
     def submit(self, seconds: float, n_tasks: int = 1) -> None:
         """Submit a job with tasks that take ``seconds``."""
         self._n_jobs += 1
