Let starts under way get their outcomes before a planned stop

The owner canceled the calls of its starts as it stopped, and stored nothing of those that might be carried out late.

Change: once a renewal is stored, a stopping owner plans no start, and ends when no start is under way and those without an answer are stored, within the time that it waited before (STOP_WAIT_SECONDS).

Tests: TestPlannedStop; the test of new starts fails when the planner goes on (tried), the test of the wait when the owner ends with the renewal.

--- a/catkinport/jobs/ownership/owner.py
+++ b/catkinport/jobs/ownership/owner.py
@@ -274,13 +274,17 @@
         """Wait until a renewal is stored, for `STOP_WAIT_SECONDS` at most.
 
         Jobs go on meanwhile: while the table service is unreachable, no other daemon
-        can take over either.
+        can take over either. Then no task starts any more, and the starts under way
+        get their outcomes: the successor has to know of those without an answer.
         """
         stopped_at = self._session.clock.now()
         while not self._session.deposed.is_set():
             is_stored = self._session.lease.renewed_at >= stopped_at
             waited_seconds = self._session.clock.now() - stopped_at
-            if is_stored or waited_seconds > STOP_WAIT_SECONDS:
+            if is_stored:
+                self._run_orders.stop_starting()
+            is_ready = is_stored and self._run_orders.are_starts_settled()
+            if is_ready or waited_seconds > STOP_WAIT_SECONDS:
                 return
             await asyncio.sleep(STOP_POLL_SECONDS)
 
--- a/catkinport/jobs/ownership/run_orders.py
+++ b/catkinport/jobs/ownership/run_orders.py
@@ -100,6 +100,7 @@
         self._start_limit = ConcurrencyLimit()
         self._stops_in_flight: set[tuple[Incarnation, RunKey]] = set()
         self._uncertain_polls: set[str] = set()
+        self._is_starting = True
 
     async def run(self) -> None:
         """Plan and send orders until the ownership ends."""
@@ -122,6 +123,19 @@
                 self._evacuations.clear()
             self._shares.clear(self._session.ports.metrics)
 
+    def stop_starting(self) -> None:
+        """Send no start from now on; stops and speeds are sent as before."""
+        self._is_starting = False
+
+    def are_starts_settled(self) -> bool:
+        """Return whether no start is under way, and those without an answer are stored.
+
+        A successor learns of these from the stored states of their jobs.
+        """
+        unanswered_runs = self._session.dispatcher.unanswered_runs
+        is_stored = not any(run.record.is_dirty for run in unanswered_runs)
+        return self._start_limit.n_in_flight == 0 and is_stored
+
     async def _wait_for_wake(self) -> None:
         # `asyncio.wait_for` may swallow the cancellation that ends the ownership.
         with contextlib.suppress(TimeoutError):
@@ -144,7 +158,7 @@
             else None
         )
         n_free = self._start_limit.n_free
-        if self._session.may_order() and n_free:
+        if self._is_starting and self._session.may_order() and n_free:
             if self._inventory is not None:
                 self._planner.coming_by_pool = find_coming_cores(self._inventory, now)
             starts = self._planner.plan(
--- a/catkinport/policy/concurrency_limit.py
+++ b/catkinport/policy/concurrency_limit.py
@@ -73,6 +73,9 @@
     The answers of far peers are slow however few calls are in flight, so the limit
     stays above the number that is in flight at `MIN_CALLS_PER_SECOND`.
 
+    Attributes:
+        n_in_flight: number of calls that have begun and not ended.
+
     Example:
         >>> limit = ConcurrencyLimit()
         >>> limit.begin()
@@ -83,18 +86,18 @@
 
     def __init__(self) -> None:
         self._limit = float(INITIAL_CALLS)
-        self._n_in_flight = 0
+        self.n_in_flight = 0
         self._decreased_at = float("-inf")
         self._fastest = _FastestAnswer()
 
     @property
     def n_free(self) -> int:
         """Number of calls that may begin now."""
-        return max(0, int(self._limit) - self._n_in_flight)
+        return max(0, int(self._limit) - self.n_in_flight)
 
     def begin(self) -> None:
         """Count a call that begins."""
-        self._n_in_flight += 1
+        self.n_in_flight += 1
 
     def end(self, seconds: float, is_answered: bool, now: float) -> None:
         """Count a call that has ended, and adapt the limit.
@@ -104,8 +107,8 @@
             is_answered: whether it had an answer.
             now: clock time in seconds.
         """
-        was_in_use = self._n_in_flight * 2 >= self._limit
-        self._n_in_flight -= 1
+        was_in_use = self.n_in_flight * 2 >= self._limit
+        self.n_in_flight -= 1
         if not is_answered:
             return
         self._fastest.note(seconds, now)
