--- a/catkinport/jobs/dispatch/order_outcomes.py
+++ b/catkinport/jobs/dispatch/order_outcomes.py
@@ -63,7 +63,7 @@
         worker.pause_as_uncertain(now)
         if outcome.may_have_committed:
             self._runs.note_unanswered_start(run, now)
-        elif run.n_start_orders == 1:
+        elif not run.task.is_start_repeated:
             self._runs.lose(worker, run, NOT_SENT, now)
         else:
             run.given_up_at = now
@@ -92,7 +92,7 @@
         if reason is Rejection.TICKET and run.ticket is not None:
             stage = run.task.stage_name
             self._approvals.reject(stage, run.worker_id, run.ticket, now)
-        if run.n_start_orders == 1:
+        if not run.task.is_start_repeated:
             self._runs.drop(worker, run)
         else:
             # An earlier order, which had no answer, may still be carried out.
--- a/catkinport/jobs/dispatch/record.py
+++ b/catkinport/jobs/dispatch/record.py
@@ -1,6 +1,6 @@
 """State of one job, and the row in which it is stored."""
 
-from collections.abc import Iterable, Iterator, Mapping
+from collections.abc import Callable, Iterable, Iterator, Mapping
 from typing import Any
 
 from ...policy.crash_blame import (
@@ -308,7 +308,8 @@
             if t.crash_by_run
         }
         row["saved"] = {t.text: t.checkpoint for t in open_tasks if t.checkpoint}
-        row["late_starts"] = self._encode_late_starts()
+        row["late_starts"] = self._encode_tasks(lambda task: task.may_start_late)
+        row["repeated_starts"] = self._encode_tasks(lambda task: task.is_start_repeated)
         return row
 
     def load_row(self, row: dict[str, Any], version: int) -> None:
@@ -338,18 +339,20 @@
         # The former owner sent its orders before this owner has read the row.
         for task in self._find_masked(row.get("late_starts", {})):
             task.hold_for_late_start(self.learned_at + ORDER_DELAY_SECONDS)
+        for task in self._find_masked(row.get("repeated_starts", {})):
+            task.is_start_repeated = True
         self.state = JobState(row["state"])
         self.is_dirty = False
 
-    def _encode_late_starts(self) -> dict[str, str]:
-        """Return a bit mask of the tasks whose start had no answer, for each step."""
-        masks = {}
+    def _encode_tasks(self, is_chosen: Callable[[Task], bool]) -> dict[str, str]:
+        """Return a bit mask of the chosen tasks for each step that has one."""
+        mask_by_stage = {}
         for occurrence, number in self._stages.created_stages():
             tasks = self.tasks_by_stage[occurrence, number]
-            if any(task.may_start_late for task in tasks):
-                mask = _to_mask(task.may_start_late for task in tasks)
-                masks[f"{occurrence}.{number}"] = mask
-        return masks
+            if any(map(is_chosen, tasks)):
+                mask = _to_mask(map(is_chosen, tasks))
+                mask_by_stage[f"{occurrence}.{number}"] = mask
+        return mask_by_stage
 
     def _find_masked(self, mask_by_stage: Mapping[str, str]) -> Iterator[Task]:
         """Iterate over the tasks whose bits are set in the masks of a row."""
--- a/catkinport/jobs/dispatch/run_ends.py
+++ b/catkinport/jobs/dispatch/run_ends.py
@@ -58,12 +58,24 @@
         record.note_run(task, ended.run)
         record.note_checkpoint(task, ended.checkpoint)
         if ended.how is EndKind.DONE and not task.step.is_lasting:
+            self._hold_end(worker, ended, task, now)
             self._learn_duration(run, now)
             self._on_done(worker, record, task, now)
         elif ended.how is EndKind.FAILED:
             self._on_failed(worker, record, task, ended.run, now)
         self._runs.note_run_over(record, task)
 
+    @staticmethod
+    def _hold_end(
+        worker: WorkerRecord, ended: EndedTask, task: Task, now: float
+    ) -> None:
+        """Leave an end unacknowledged while the task may start on a later incarnation.
+
+        If the worker restarts, that start would follow an end that counts.
+        """
+        if task.late_start_until > now:
+            worker.held_ends[ended.number] = task.late_start_until
+
     def _learn_duration(self, run: Run | None, now: float) -> None:
         if run is not None:
             durations = self._jobs.estimates.durations_of(run.record.job.queue)
--- a/catkinport/jobs/dispatch/run_table.py
+++ b/catkinport/jobs/dispatch/run_table.py
@@ -77,10 +77,6 @@
         run = Run(record, task, key.run, worker.worker_id, now)
         run.phase = RunPhase.RUNNING
         run.pace = None
-        if task.step.is_lasting and task.may_start_late:
-            # The order may have been repeated, so one may be left.
-            run.n_start_orders += 1
-            run.late_start_until = task.late_start_until
         self.confirm(run, now)
         self._attach(worker, run)
         self._log_adopted(worker, run)
@@ -99,9 +95,8 @@
             self._observe_unanswered(worker, "carried-out", now - run.given_up_at)
         run.known_at = run.known_at or now
         self.unanswered_runs.discard(run)
-        if run.n_start_orders == 1:
-            run.late_start_until = float("-inf")
-            run.task.clear_late_start()
+        run.task.note_carried_out()
+        run.late_start_until = run.task.late_start_until
         run.record.mark_begun()
 
     def note_unanswered_start(self, run: Run, now: float) -> None:
@@ -110,7 +105,7 @@
         It is stored, so that a successor starts the task nowhere else before.
         """
         # A worker that has reported the run has carried out the only order.
-        if run.known_at and run.n_start_orders == 1:
+        if run.known_at and not run.task.is_start_repeated:
             return
         run.note_unanswered_start(now)
         if not run.known_at:
@@ -130,19 +125,20 @@
             return
         if isinstance(outcome, Unavailable) and outcome.may_have_committed:
             run.note_unanswered_start(now)
-        elif run.n_start_orders == 1 and run.task.run == run.key.run:
+        elif not run.task.is_start_repeated and run.task.run == run.key.run:
             run.task.clear_late_start()
 
     def note_carried_out(self, worker: WorkerRecord, key: RunKey, now: float) -> None:
         """Note that a worker lists a run, or its end, and so has carried out its start.
 
-        If the run was given up before, nothing is left that could be carried out late.
+        If the run was given up before, nothing is left that could be carried out late,
+        unless its order was repeated.
         """
         if not self.uncertain_starts.settle(worker.worker_id, key, now):
             return
         task = self._jobs.find_task(TaskId.parse(key.task))
-        if task is not None and task.run == key.run and not task.step.is_lasting:
-            task.clear_late_start()
+        if task is not None and task.run == key.run:
+            task.note_carried_out()
 
     def detach(self, worker: WorkerRecord, run: Run) -> None:
         """Remove a run; `note_run_over` follows once its outcome is noted."""
--- a/catkinport/jobs/dispatch/task.py
+++ b/catkinport/jobs/dispatch/task.py
@@ -39,6 +39,8 @@
         late_start_until: clock time in seconds until which a start order of it that had
             no answer may be carried out; minus infinity for none. Until then it has no
             other start, unless two runs of it may overlap.
+        is_start_repeated: whether that order was sent more than once, so that a report
+            of its run doesn't tell that none is left.
         avoided_worker: worker on which it failed or stalled last; empty for none.
         ever_started: whether this owner has ordered or adopted a run of it.
     """
@@ -48,6 +50,7 @@
         "crash_by_run",
         "ever_started",
         "failed_runs",
+        "is_start_repeated",
         "late_start_until",
         "lost_at",
         "not_before",
@@ -73,6 +76,7 @@
         self.ever_started = False
         self.lost_at = float("-inf")
         self.late_start_until = float("-inf")
+        self.is_start_repeated = False
 
     @property
     def stage_name(self) -> str:
@@ -98,6 +102,12 @@
     def clear_late_start(self) -> None:
         """Note that no start order of it can be carried out any more."""
         self.late_start_until = float("-inf")
+        self.is_start_repeated = False
+
+    def note_carried_out(self) -> None:
+        """Note that a start order was carried out; of several, one may be left."""
+        if not self.is_start_repeated:
+            self.late_start_until = float("-inf")
 
     def is_due(self, now: float) -> bool:
         """Return whether it may be started as far as its former runs are concerned."""
--- a/catkinport/jobs/ownership/worker_watch.py
+++ b/catkinport/jobs/ownership/worker_watch.py
@@ -52,6 +52,10 @@
 POLL_PAUSE_SECONDS = 0.15
 """Pause after a poll that had no answer."""
 
+HELD_ENDS_PAUSE_SECONDS = 0.1
+"""Pause after a poll of a worker with ends that must not be acknowledged yet. Such a
+worker answers every poll at once."""
+
 LIST_SECONDS = 0.4
 """Time between reads of the list of workers. A worker that drains must get no new tasks
 from 2 s after its notice on."""
@@ -173,6 +177,8 @@
                 await asyncio.sleep(RETRY_SECONDS)
                 continue
             await self.poll(worker)
+            if worker.holds_ends(self._session.clock.now()):
+                await asyncio.sleep(HELD_ENDS_PAUSE_SECONDS)
 
     async def poll(self, worker: WorkerRecord, may_wait: bool = True) -> None:
         """Renew the lease of a worker, and process the runs and ends that it lists.
@@ -198,7 +204,10 @@
             worker.extend_lease(sent_at)
         workers = self._session.ports.workers
         worker.answer_seconds = workers.bound_answer(worker.worker_id)
-        is_answer_urgent = worker.processed_end > worker.stored_end or not is_fresh
+        # A worker with ends that are not acknowledged answers a long poll at once.
+        has_held_ends = worker.holds_ends(sent_at)
+        has_new_ends = worker.processed_end > worker.stored_end
+        is_answer_urgent = has_new_ends or has_held_ends or not is_fresh
         wait_seconds = 0.0
         if may_wait and not is_answer_urgent:
             n_workers = len(self._session.dispatcher.worker_by_id)
@@ -207,7 +216,7 @@
         if may_wait:
             worker.poll_wait_seconds = max(POLL_WAIT_SECONDS, wait_seconds)
         started_at = worker.started_at
-        acknowledged_end = _choose_acknowledged_end(worker) if may_wait else 0
+        acknowledged_end = _choose_acknowledged_end(worker, sent_at) if may_wait else 0
         outcome = await self._session.ports.workers.renew_lease(
             worker.listed,
             self._session.lease.token,
@@ -270,16 +279,17 @@
             await asyncio.sleep(RETRY_SECONDS)
 
 
-def _choose_acknowledged_end(worker: WorkerRecord) -> int:
+def _choose_acknowledged_end(worker: WorkerRecord, now: float) -> int:
     """Return the number of the last end to acknowledge with the next poll; 0 for none.
 
     Another incarnation counts its ends anew, and a number of the former one would make
     it forget ends that nobody has read. So a number is sent only while nothing suggests
     a restart, and no longer once it is known to have arrived.
     """
-    is_new = worker.stored_end > worker.acknowledged_end
+    end = worker.find_acknowledgeable_end(now)
+    is_new = end > worker.acknowledged_end
     may_be_other = worker.may_have_restarted or worker.is_restart_listed
-    return worker.stored_end if is_new and not may_be_other else 0
+    return end if is_new and not may_be_other else 0
 
 
 def _choose_poll_wait(
--- a/catkinport/jobs/tests/test_owner_changes.py
+++ b/catkinport/jobs/tests/test_owner_changes.py
@@ -55,6 +55,10 @@
 workers = st.sampled_from(WORKER_IDS)
 
 
+class DoneTaskStartedError(AssertionError):
+    """A task starts after an end of it as done, and that end is acknowledged."""
+
+
 class UnstoredLateStartError(AssertionError):
     """A task runs twice because of a late start of a former owner.
 
@@ -88,6 +92,14 @@
     run: int
 
 
+class WorkerEnd(NamedTuple):
+    """An end of a run that one incarnation of a worker lists."""
+
+    worker_id: str
+    started_at: float
+    number: int
+
+
 class OwnerChanges(RuleBasedStateMachine):
     """Owners that come and go while messages are lost or late."""
 
@@ -99,6 +111,10 @@
         self.unreachable_ids: set[str] = set()
         self.late_orders: list[LateOrder] = []
         self.unstored_late_runs: set[WorkerRun] = set()
+        self.n_events = 0
+        self.last_start_by_task: dict[str, int] = {}
+        self.done_at_by_end: dict[WorkerEnd, int] = {}
+        self.noted_tasks: set[str] = set()
         self.job_by_id: dict[str, Job] = {}
         self.canceled_at_by_job: dict[str, float] = {}
         self.stored_rows: dict[str, dict] = {}
@@ -136,6 +152,10 @@
         worker.expire(self.now)
         if worker.running:
             worker.end(min(worker.running), how)
+            self.n_events += 1
+            end = WorkerEnd(worker_id, worker.started_at, worker.n_ends)
+            if how is EndKind.DONE:
+                self.done_at_by_end[end] = self.n_events
 
     @rule()
     def carry_out_late(self) -> None:
@@ -149,8 +169,14 @@
         order = late.order
         worker = self.worker_by_id[order.worker_id]
         running_before = set(worker.running)
-        self._deliver(worker, order)
-        if worker.started_at == late.sent_to or not late.is_unstored:
+        is_late = worker.started_at != late.sent_to
+        try:
+            self._deliver(worker, order)
+        except DoneTaskStartedError:
+            if late.is_unstored and is_late:
+                raise UnstoredLateStartError(f"{order.task} starts again") from None
+            raise
+        if not late.is_unstored or not is_late:
             return
         for key in worker.running.keys() - running_before:
             run = WorkerRun(order.worker_id, worker.started_at, *key)
@@ -199,14 +225,35 @@
             until = self.now + LEASE_SECONDS
         if worker_id in self.unreachable_ids:
             return
-        outcome = self.worker_by_id[worker_id].renew_lease(
-            self.token, worker.stored_end, until, self.now
-        )
+        end = worker.find_acknowledgeable_end(self.now)
+        outcome = self._renew_lease(worker_id, end, until)
         if isinstance(outcome, WorkerLists):
             self.dispatcher.on_worker_report(worker_id, outcome, self.now, self.now)
             note_listed_and_stored(worker)
             self._note_listed(worker_id)
 
+    def _renew_lease(self, worker_id: str, acknowledged_end: int, until: float):
+        """Let a worker renew its lease, and check the ends that it forgets."""
+        worker = self.worker_by_id[worker_id]
+        before = {ended.number: ended.task for ended in worker.ended}
+        outcome = worker.renew_lease(self.token, acknowledged_end, until, self.now)
+        for number in before.keys() - {ended.number for ended in worker.ended}:
+            end = WorkerEnd(worker_id, worker.started_at, number)
+            if end in self.done_at_by_end and number > worker.lapsed_end:
+                self._note_done(before[number], self.done_at_by_end[end])
+        return outcome
+
+    def _note_done(self, task: str, done_at: int) -> None:
+        self.noted_tasks.add(task)
+        if self.last_start_by_task[task] > done_at:
+            raise DoneTaskStartedError(f"{task} was started after an end noted later")
+
+    def _note_start(self, task: str) -> None:
+        self.n_events += 1
+        self.last_start_by_task[task] = self.n_events
+        if task in self.noted_tasks:
+            raise DoneTaskStartedError(f"{task} was started after its end was noted")
+
     def _note_listed(self, worker_id: str) -> None:
         """Note that the owner has read all runs of a worker."""
         self.unstored_late_runs = {
@@ -310,7 +357,11 @@
         return LOST if delivery == "no answer" else outcome
 
     def _deliver(self, worker: FakeWorker, order: Order) -> Done | Rejected:
-        return worker.carry_out(order, self.now)
+        before = set(worker.running)
+        outcome = worker.carry_out(order, self.now)
+        if worker.running.keys() - before:
+            self._note_start(order.task)
+        return outcome
 
     def _find_run(self, stop: StopOrder):
         worker = self.dispatcher.worker_by_id.get(stop.worker_id)
@@ -394,6 +445,13 @@
     """
 
     class PassingOverKnownFailure(model):
+        def _carry_out_late(self, late: LateOrder) -> None:
+            try:
+                super()._carry_out_late(late)
+            except UnstoredLateStartError as error:
+                known_failures.append(str(error))
+                reject()
+
         @invariant()
         def no_task_runs_twice(self) -> None:
             try:
@@ -467,6 +525,9 @@
             def _make_steps(self, n_tasks: int) -> list[Step]:
                 return [make_step(n_tasks, is_lasting=True, max_away=1)]
 
+            def _note_done(self, task: str, done_at: int) -> None:
+                """Accept later starts: a lasting task starts however it has ended."""
+
             def _find_stops(self) -> list[StopOrder]:
                 stops = find_stops(
                     self.dispatcher, self.now, may_end_run=lambda run: self.has_budget
@@ -525,6 +586,42 @@
             self._reach_workers(history)
         self._restart_with_late_start(history)
 
+    def test_done_run_of_a_repeated_order_is_not_acknowledged(self):
+        """Guards against a start after an end that counts.
+
+        The first order has no answer, the second one is answered. The run ends as done
+        and its worker restarts, which carries the first order out.
+        """
+        history = self._begin_with_late_start(is_stored=False)
+        history.pass_time(0.5)
+        history.run_owner_cycle("answered", "answered", False)
+        history.pass_time(0.5)
+        history.run_owner_cycle("answered", "answered", False)
+        (late,) = history.late_orders
+        worker_id = late.order.worker_id
+        assert history.worker_by_id[worker_id].running
+        history.end_a_run(EndKind.DONE, worker_id)
+        for _ in range(3):
+            history.run_owner_cycle("answered", "answered", True)
+        self._restart_with_late_start(history)
+
+    def test_such_an_end_is_acknowledged_once_no_order_is_left(self):
+        """Guards against ends that a worker lists for good."""
+        history = self._begin_with_late_start(is_stored=False)
+        for _ in range(2):
+            history.pass_time(0.5)
+            history.run_owner_cycle("answered", "answered", False)
+        (late,) = history.late_orders
+        worker = history.worker_by_id[late.order.worker_id]
+        history.end_a_run(EndKind.DONE, late.order.worker_id)
+        history.run_owner_cycle("answered", "answered", True)
+        assert len(worker.ended) == 1
+        for _ in range(13):
+            history.pass_time(0.5)
+            history.pass_time(0.5)
+            history.run_owner_cycle("answered", "answered", True)
+        assert worker.ended == []
+
     @pytest.mark.xfail(
         strict=True,
         raises=UnstoredLateStartError,
--- a/catkinport/jobs/tests/test_worker_restarts.py
+++ b/catkinport/jobs/tests/test_worker_restarts.py
@@ -107,7 +107,8 @@
             record.note_no_answer()
             return
         worker = self.worker_by_id[worker_id]
-        outcome = worker.renew_lease(self.token, record.stored_end, until, self.now)
+        end = record.find_acknowledgeable_end(self.now)
+        outcome = self._renew_lease(worker_id, end, until)
         if isinstance(outcome, WorkerLists):
             self.booted_at_by_id[worker_id] = worker.booted_at
             self.dispatcher.on_worker_report(worker_id, outcome, self.now, self.now)
--- a/catkinport/jobs/workers/run.py
+++ b/catkinport/jobs/workers/run.py
@@ -42,7 +42,6 @@
         worker_id: worker that runs it.
         phase: whether it was ordered, runs or is being stopped.
         asked_at: clock time in seconds of the latest start order.
-        n_start_orders: number of start orders for it.
         sent_to: ``started_at`` of the incarnation of the worker for which the start
             order was made.
         known_at: clock time at which the worker confirmed it; 0 before.
@@ -75,7 +74,6 @@
         "key",
         "known_at",
         "late_start_until",
-        "n_start_orders",
         "pace",
         "percent",
         "phase",
@@ -98,7 +96,6 @@
         self.worker_id = worker_id
         self.phase = RunPhase.ASKED
         self.asked_at = now
-        self.n_start_orders = 1
         self.sent_to = 0.0
         self.known_at = 0.0
         self.stop_sent_at = 0.0
--- a/catkinport/jobs/workers/worker_reports.py
+++ b/catkinport/jobs/workers/worker_reports.py
@@ -114,6 +114,7 @@
         worker.processed_end = 0
         worker.stored_end = 0
         worker.acknowledged_end = 0
+        worker.held_ends.clear()
         listed = _listed_keys(lists)
         lost = [run for key, run in worker.run_by_key.items() if key not in listed]
         log_event(
--- a/catkinport/jobs/workers/worker_state.py
+++ b/catkinport/jobs/workers/worker_state.py
@@ -159,6 +159,8 @@
         stored_end: number of the last end of a run that is stored.
         acknowledged_end: number of the last end that the worker no longer lists,
             because an answered poll has acknowledged it.
+        held_ends: clock time in seconds before which each of these ends of runs must
+            not be acknowledged, by number.
         run_by_key: the runs that are on it, or may be.
         blocked_until: clock time in seconds before which it gets no new tasks, because
             of the outcome of an order or the state of its VM.
@@ -200,6 +202,7 @@
         self.processed_end = 0
         self.stored_end = 0
         self.acknowledged_end = 0
+        self.held_ends: dict[int, float] = {}
         self.run_by_key: dict[RunKey, Run] = {}
         self.blocked_until = 0.0
         self.quarantined_until = 0.0
@@ -273,6 +276,15 @@
             have.accelerators - self.used.accelerators,
         )
 
+    def find_acknowledgeable_end(self, now: float) -> int:
+        """Return the number of the last end that may be acknowledged, 0 for none."""
+        held = [number for number, until in self.held_ends.items() if until > now]
+        return min(self.stored_end, min(held, default=self.stored_end + 1) - 1)
+
+    def holds_ends(self, now: float) -> bool:
+        """Return whether it has ends that must not be acknowledged yet."""
+        return any(until > now for until in self.held_ends.values())
+
     def add_run(self, run: Run) -> None:
         """Add a run and count what it needs against the capacity."""
         self.run_by_key[run.key] = run
