Keep ends of completed jobs unacknowledged across a change of owner

What callers could see: a done task that starts again after its end was acknowledged (TWICE), by a successor that acknowledges an end that its predecessor held back. The successor doesn't load a job that is stored as completed and settled.

Change: a completed job with a repeated start that may still be carried out is not settled, and its row keeps the late starts. The late tasks of a job are a set of its record, so that a row needs no look at all of its tasks.

--- a/catkinport/jobs/dispatch/job_table.py
+++ b/catkinport/jobs/dispatch/job_table.py
@@ -42,6 +42,7 @@
         former_pools: FormerPools,
     ) -> None:
         self.job_by_id: dict[str, JobRecord] = {}
+        self._late_records: set[JobRecord] = set()
         self.estimates = JobEstimates()
         self._known_queue_by_name = known_queue_by_name
         self._workers = workers
@@ -79,9 +80,26 @@
         if record is None:
             return
         record.load_row(row, version)
+        if record.late_tasks:
+            self.note_late_start(record)
         if is_over(row):
             del self.job_by_id[job_id]
 
+    def note_late_start(self, record: JobRecord) -> None:
+        """Note that a start order for a task of a job may be carried out late."""
+        self._late_records.add(record)
+
+    def expire_late_starts(self, now: float) -> None:
+        """Forget start orders that can be carried out no more, and settle their jobs.
+
+        Args:
+            now: clock time in seconds.
+        """
+        for record in list(self._late_records):
+            if not record.expire_late_starts(now):
+                self._late_records.discard(record)
+                self.finish_if_closing(record)
+
     def cancel(self, job_id: str) -> None:
         """Note that the caller has asked to cancel the job."""
         record = self.job_by_id.get(job_id)
@@ -165,7 +183,9 @@
             record.is_dirty = True
 
     def _may_have_runs(self, record: JobRecord) -> bool:
-        return record.n_placed > 0 or not self.is_resolved(record)
+        if record.n_placed > 0 or record.may_count_ends_late:
+            return True
+        return not self.is_resolved(record)
 
 
 def _log_added(job: Job, is_inherited: bool) -> None:
--- a/catkinport/jobs/dispatch/record.py
+++ b/catkinport/jobs/dispatch/record.py
@@ -48,6 +48,8 @@
         n_stored_crashes: number of those that are stored.
         ever_started: whether this owner has ordered or adopted a run of it.
         tasks_by_stage: tasks of each (occurrence, step); created when they are read.
+        late_tasks: tasks that may have a start order without an answer; those whose
+            order was carried out are removed by `expire_late_starts`.
     """
 
     def __init__(
@@ -69,6 +71,7 @@
         self.is_surplus: bool | None = None
         self.first_start_at = 0.0
         self._top_run = 0
+        self.late_tasks: set[Task] = set()
         self._stages = StageTable(job)
         self.tasks_by_stage = self._stages.tasks_by_stage
 
@@ -140,6 +143,35 @@
         """
         return self._stages.count_ready(number, phase)
 
+    @property
+    def may_count_ends_late(self) -> bool:
+        """Whether an end of a completed job must not be acknowledged yet.
+
+        The order for its run was repeated, and one may still be carried out.
+        """
+        if self.state is not JobState.COMPLETED:
+            return False
+        return any(task.is_start_repeated for task in self.late_tasks)
+
+    def hold_for_late_start(self, task: Task, until: float) -> None:
+        """Note that a start order of a task may be carried out until a clock time.
+
+        Args:
+            task: the task.
+            until: clock time in seconds.
+        """
+        task.hold_for_late_start(until)
+        self.late_tasks.add(task)
+        self.is_dirty = True
+
+    def expire_late_starts(self, now: float) -> bool:
+        """Forget orders that can be carried out no more; return whether any is left."""
+        for task in list(self.late_tasks):
+            if task.late_start_until <= now:
+                task.clear_late_start()
+                self.late_tasks.discard(task)
+        return bool(self.late_tasks)
+
     def mark_begun(self) -> None:
         """Set the state of a queued job to running."""
         if self.state is JobState.QUEUED:
@@ -278,9 +310,17 @@
             "account": self.job.account,
             "top_run": self._top_run,
         }
+        if self.late_tasks:
+            row["late_starts"] = self._encode_late_tasks(
+                lambda task: task.may_start_late
+            )
+            row["repeated_starts"] = self._encode_late_tasks(
+                lambda task: task.is_start_repeated
+            )
         if self.is_final:
-            # A successor has to load an ended job that still has runs to stop.
-            row["settled"] = self.n_placed == 0
+            # A successor has to load an ended job that still has runs to stop, or ends
+            # that must not be acknowledged.
+            row["settled"] = self.n_placed == 0 and not self.may_count_ends_late
             return row
         row["done"] = {
             f"{occurrence}.{number}": _to_mask(
@@ -308,8 +348,6 @@
             if t.crash_by_run
         }
         row["saved"] = {t.text: t.checkpoint for t in open_tasks if t.checkpoint}
-        row["late_starts"] = self._encode_tasks(lambda task: task.may_start_late)
-        row["repeated_starts"] = self._encode_tasks(lambda task: task.is_start_repeated)
         return row
 
     def load_row(self, row: dict[str, Any], version: int) -> None:
@@ -338,21 +376,20 @@
                 task.checkpoint = checkpoint
         # The former owner sent its orders before this owner has read the row.
         for task in self._find_masked(row.get("late_starts", {})):
-            task.hold_for_late_start(self.learned_at + ORDER_DELAY_SECONDS)
+            self.hold_for_late_start(task, self.learned_at + ORDER_DELAY_SECONDS)
         for task in self._find_masked(row.get("repeated_starts", {})):
             task.is_start_repeated = True
         self.state = JobState(row["state"])
         self.is_dirty = False
 
-    def _encode_tasks(self, is_chosen: Callable[[Task], bool]) -> dict[str, str]:
-        """Return a bit mask of the chosen tasks for each step that has one."""
-        mask_by_stage = {}
-        for occurrence, number in self._stages.created_stages():
-            tasks = self.tasks_by_stage[occurrence, number]
-            if any(map(is_chosen, tasks)):
-                mask = _to_mask(map(is_chosen, tasks))
-                mask_by_stage[f"{occurrence}.{number}"] = mask
-        return mask_by_stage
+    def _encode_late_tasks(self, is_chosen: Callable[[Task], bool]) -> dict[str, str]:
+        """Return a bit mask of the chosen late tasks for each step that has one."""
+        mask_by_stage: dict[str, int] = {}
+        for task in filter(is_chosen, self.late_tasks):
+            name = f"{task.task_id.occurrence}.{task.task_id.step}"
+            mask = mask_by_stage.get(name, 0) | 1 << task.task_id.index
+            mask_by_stage[name] = mask
+        return {name: f"{mask:x}" for name, mask in mask_by_stage.items()}
 
     def _find_masked(self, mask_by_stage: Mapping[str, str]) -> Iterator[Task]:
         """Iterate over the tasks whose bits are set in the masks of a row."""
--- a/catkinport/jobs/dispatch/run_table.py
+++ b/catkinport/jobs/dispatch/run_table.py
@@ -14,7 +14,7 @@
 from ..workers.worker_table import WorkerTable
 from .job_table import JobTable
 from .record import JobRecord
-from .task import ORDER_DELAY_SECONDS, Task, TaskPhase
+from .task import Task, TaskPhase
 
 logger = logging.getLogger(__name__)
 
@@ -52,9 +52,7 @@
         number = task.run + 1
         if record.is_inherited:
             self._log_inherited_start(worker, task, number, now)
-        if task.may_start_late:
-            self._observe_unanswered(worker, "expired", ORDER_DELAY_SECONDS)
-            task.clear_late_start()
+        task.clear_late_start()
         record.note_run(task, number)
         run = Run(record, task, number, worker.worker_id, now)
         run.sent_to = worker.started_at
@@ -107,13 +105,12 @@
         # A worker that has reported the run has carried out the only order.
         if run.known_at and not run.task.is_start_repeated:
             return
-        run.note_unanswered_start(now)
+        self._note_unanswered(run, now)
         if not run.known_at:
             run.is_start_uncertain = True
             self.unanswered_runs.add(run)
 
-    @staticmethod
-    def note_lost_start(run: Run, outcome: OrderOutcome, now: float) -> None:
+    def note_lost_start(self, run: Run, outcome: OrderOutcome, now: float) -> None:
         """Note the outcome of the start order of a run that was given up before.
 
         Args:
@@ -124,7 +121,7 @@
         if isinstance(outcome, Done):
             return
         if isinstance(outcome, Unavailable) and outcome.may_have_committed:
-            run.note_unanswered_start(now)
+            self._note_unanswered(run, now)
         elif not run.task.is_start_repeated and run.task.run == run.key.run:
             run.task.clear_late_start()
 
@@ -175,6 +172,8 @@
         is_uncertain = self._may_start_late(run, reason, now)
         if is_uncertain:
             self._keep_uncertain_start(worker, run, now)
+        if run.is_start_uncertain and not run.known_at:
+            self._observe_unanswered(worker, reason, now - run.given_up_at)
         self._metrics.increment("runs_lost", "Runs given up.", {"reason": reason})
         log_event(
             logger,
@@ -216,6 +215,7 @@
     def expire(self, now: float) -> None:
         """Give up the runs of silent workers whose lease has expired."""
         self.uncertain_starts.expire(now)
+        self._jobs.expire_late_starts(now)
         for worker in self._workers.worker_by_id.values():
             if worker.is_in_contact(now) or now <= worker.runs_end_by:
                 continue
@@ -235,6 +235,10 @@
         run.record.n_placed += 1
         run.task.ever_started = True
 
+    def _note_unanswered(self, run: Run, now: float) -> None:
+        run.note_unanswered_start(now)
+        self._jobs.note_late_start(run.record)
+
     @staticmethod
     def _may_start_late(run: Run, reason: str, now: float) -> bool:
         """Return whether a start order of a run that is given up may come late."""
@@ -253,7 +257,7 @@
             incarnation, run.key, now if is_under_way else run.given_up_at
         )
         if is_under_way:
-            run.note_unanswered_start(now)
+            self._note_unanswered(run, now)
 
     def _observe_unanswered(
         self, worker: WorkerRecord, outcome: str, seconds: float
--- a/catkinport/jobs/workers/run.py
+++ b/catkinport/jobs/workers/run.py
@@ -118,8 +118,7 @@
         """
         self.given_up_at = now
         self.late_start_until = now + ORDER_DELAY_SECONDS
-        self.task.hold_for_late_start(self.late_start_until)
-        self.record.is_dirty = True
+        self.record.hold_for_late_start(self.task, self.late_start_until)
 
     def may_be_stopped(self, reported_at: float) -> bool:
         """Return whether a stop of it is under way, or may still be carried out.
