Give steps that need approvals turns at the advice service

Cause: a call for six workers takes 1.72 s by the terms of the queue, of which the owner knew only ValidMs. It sent two calls at a time to a service that handles one, gave each up after 3 s, and put the next one in its place, so that each second one was given up just before its answer. A call also named up to 100 workers, whatever the step needed.

Change: placement/approval_turns.py decides, without network, which request is next and how long its answer may take: one call at a time, another one only once the first is overdue; by priority, account, kind and age; with a timeout by DecideMs, EachMs and the latest answers; with one growing pause after failures. placement/asked_workers.py names the workers that the step needs, and none again that was judged. ownership/approval_calls.py sends the calls. A status of 429 is no longer reported as a fault of the store.

Why it works: the service has one call at a time, so its time is known, and each call that is answered lets a step start.

--- a/catkinport/jobs/configuration.py
+++ b/catkinport/jobs/configuration.py
@@ -5,15 +5,46 @@
 
 from ..policy.resources import Resources
 
+MAX_WORKERS_PER_REQUEST = 100
+"""Most workers that the advice service judges in one call."""
+
 
 class ApprovalTerms(NamedTuple):
     """Terms of a queue whose jobs need an approval of the worker for each step.
 
     Args:
         valid_seconds: time in seconds for which an approval is valid.
+        decide_seconds: time in seconds that a call to the advice service takes.
+        each_seconds: additional time in seconds for each worker that a call names.
     """
 
     valid_seconds: float
+    decide_seconds: float = 0.0
+    each_seconds: float = 0.0
+
+    def call_seconds(self, n_workers: int) -> float:
+        """Return the time in seconds that the service takes for a call."""
+        return self.decide_seconds + self.each_seconds * n_workers
+
+    def fewest_workers(self) -> int:
+        """Return how many workers a call names at least, if there are so many.
+
+        They add a quarter to the time of the call at most, but for the first two.
+        """
+        if not self.each_seconds:
+            return MAX_WORKERS_PER_REQUEST
+        return max(2, int(self.decide_seconds / 4 / self.each_seconds))
+
+    def most_workers(self) -> int:
+        """Return how many workers a call may name, so that its tickets can be used.
+
+        The call takes half of the time for which its tickets hold, if that is possible.
+        """
+        if not self.each_seconds:
+            return MAX_WORKERS_PER_REQUEST
+        left_seconds = self.valid_seconds / 2 - self.decide_seconds
+        n_workers = int(left_seconds / self.each_seconds)
+        return max(1, min(n_workers, MAX_WORKERS_PER_REQUEST))
 
 
 class Queue(NamedTuple):
--- a/catkinport/jobs/dispatch/approvals.py
+++ b/catkinport/jobs/dispatch/approvals.py
@@ -7,8 +7,8 @@
 from collections.abc import Collection, Iterable, Mapping
 from typing import NamedTuple
 
-MAX_WORKERS_PER_REQUEST = 100
-"""Most workers that the advice service judges in one call."""
+FIRST_APPROVED_SHARE = 0.5
+"""Part of the workers that are expected to be approved before any answer."""
 
 REJECTED_TICKET_PAUSE_SECONDS = 0.5
 """Shortest time between two requests for a step that both follow rejected tickets. The
@@ -50,32 +50,60 @@
     Example:
         >>> approvals = Approvals()
         >>> ticket = Ticket("t", valid_until=15.0, requested_at=10.0)
-        >>> approvals.replace("a1.0.0", {"w1": ticket}, ["w1", "w2"])
+        >>> approvals.note_answer("a1.0.0", {"w1": ticket}, ["w1", "w2"])
         >>> approvals.find_valid("a1.0.0", "w1", 10.1, float("-inf")) == ticket
         True
-        >>> approvals.choose_asked("a1.0.0", ["w1", "w2", "w3"])
-        ('w1', 'w3')
+        >>> approvals.rank("a1.0.0", ["w1", "w2", "w3"])
+        ['w1', 'w3']
+        >>> approvals.approved_share
+        0.5
     """
 
     def __init__(self) -> None:
         self._tickets_by_stage: dict[str, dict[str, Ticket]] = {}
         self._unapproved_by_stage: dict[str, set[str]] = {}
         self._renewal_by_stage: dict[str, _Renewal] = {}
+        self._n_asked = 0
+        self._n_approved = 0
 
-    def replace(
+    @property
+    def approved_share(self) -> float:
+        """Part of the workers that were approved, of all that requests have named."""
+        n_approved = FIRST_APPROVED_SHARE + self._n_approved
+        return n_approved / (1 + self._n_asked)
+
+    def has_tickets(self, stage: str) -> bool:
+        """Return whether workers were approved for a step by the latest answer."""
+        return bool(self._tickets_by_stage.get(stage))
+
+    def count_unapproved(self, stage: str) -> int:
+        """Return how many workers were judged and not approved for a step."""
+        return len(self._unapproved_by_stage.get(stage, set()))
+
+    def were_all_asked(self, stage: str, worker_ids: Iterable[str]) -> bool:
+        """Return whether none of the workers is left that was not judged before."""
+        unapproved = self._unapproved_by_stage.get(stage, set())
+        return unapproved.issuperset(worker_ids)
+
+    def note_answer(
         self,
         stage: str,
         ticket_by_worker: Mapping[str, Ticket],
         asked_ids: Collection[str],
     ) -> None:
-        """Replace the approvals for a step.
+        """Note the answer to a request for a step; tickets of other workers stay.
 
         Args:
             stage: name of the step.
             ticket_by_worker: approvals of workers.
             asked_ids: workers that the request named, approved or not.
         """
-        self._tickets_by_stage[stage] = dict(ticket_by_worker)
+        self._n_asked += len(asked_ids)
+        self._n_approved += len(ticket_by_worker)
+        tickets = self._tickets_by_stage.setdefault(stage, {})
+        for worker_id in asked_ids:
+            tickets.pop(worker_id, None)
+        tickets.update(ticket_by_worker)
         unapproved = self._unapproved_by_stage.setdefault(stage, set())
         if not unapproved.isdisjoint(asked_ids):
             # No other worker was left, so the request has begun a new turn.
@@ -122,12 +150,15 @@
         renewal = self._renewal_by_stage.get(stage)
         return renewal is None or now >= renewal.due_at
 
-    def choose_asked(self, stage: str, worker_ids: Iterable[str]) -> tuple[str, ...]:
-        """Return the workers to request approvals of: all of them in turn.
+    def rank(self, stage: str, worker_ids: Iterable[str]) -> list[str]:
+        """Return the workers to request approvals of, in the order of their turns.
 
-        Workers that were approved before come first once their approvals have expired.
+        Those that were approved before come first once their approvals have expired.
+        Those that were not are left out until all others were judged: which workers may
+        run a step doesn't change.
         """
         unapproved = self._unapproved_by_stage.get(stage, set())
+        approved = self._tickets_by_stage.get(stage, {})
         every = list(worker_ids)
         left = [worker_id for worker_id in every if worker_id not in unapproved]
-        return tuple((left or every)[:MAX_WORKERS_PER_REQUEST])
+        return sorted(left or every, key=lambda worker_id: worker_id not in approved)
--- a/catkinport/jobs/ownership/run_orders.py
+++ b/catkinport/jobs/ownership/run_orders.py
@@ -1,7 +1,4 @@
-"""Sends the owner's orders for runs to workers: starts, stops and speeds.
-
-It also requests the approvals of workers (tickets) that the steps of some queues need.
-"""
+"""Sends the owner's orders for runs to workers: starts, stops and speeds."""
 
 import asyncio
 import contextlib
@@ -13,8 +10,7 @@
 from ...ports import Reason, Unavailable
 from ...ports.fleet_workers import Done, OrderOutcome, StartOrder
 from ...runtime.logs import log_event
-from ..dispatch.approvals import Ticket
-from ..placement.planner import ApprovalRequest, Planner
+from ..placement.planner import Planner
 from ..placement.round_budget import PlannedStart
 from ..placement.run_stops import (
     MayEndRun,
@@ -33,8 +29,9 @@
 from ..vms.zone_evacuations import ZoneEvacuations
 from ..workers.run import RunKey, RunPhase
 from ..workers.worker_state import LEASE_SECONDS, Incarnation, WorkerRecord
+from .approval_calls import ApprovalCalls
 from .round_times import RoundTimes
-from .session import RETRY_SECONDS, OwnerSession
+from .session import OwnerSession
 from .worker_watch import WorkerWatch
 
 logger = logging.getLogger(__name__)
@@ -53,13 +50,6 @@
 """Most orders for speeds that are sent in one turn. Those that are left out follow the
 next report of their worker."""
 
-MAX_APPROVAL_CALLS = 2
-"""Most calls to the advice service at a time. The service handles the calls of a daemon
-one after the other. Of many sent together, each would wait for those before it within
-its own timeout, and those given up may still take their turn before the repetitions. A
-second call goes on while the answer to the first one is lost."""
-
-
 MAX_UNCERTAIN_POLLS = 2
 """Most polls of a worker that follow a start without an answer at once. Other starts
 may be given up while the first poll is under way."""
@@ -95,8 +85,7 @@
         self._stop_turns = StopTurns(session.dispatcher, may_end_run)
         self._stalls = StallReporter(session.dispatcher)
         self._shares = ShareReporter()
-        self._requested_stages: set[str] = set()
-        self._approval_turns = asyncio.Semaphore(MAX_APPROVAL_CALLS)
+        self._approval_calls = ApprovalCalls(session)
         self._start_limit = ConcurrencyLimit()
         self._stops_in_flight: set[tuple[Incarnation, RunKey]] = set()
         self._uncertain_polls: set[str] = set()
@@ -170,8 +159,7 @@
                 self._session.spawn(self._send_start(start))
             if self._planner.is_unfinished:
                 self._session.wake.set()
-        for wanted in self._planner.wanted_approvals.values():
-            self._request_approval(wanted)
+        self._approval_calls.request(self._planner.wanted_approvals, now)
         if self._session.dispatcher.dirty_jobs():
             self._session.store_wake.set()
 
@@ -365,37 +353,6 @@
         if isinstance(outcome, Done):
             self._session.dispatcher.on_pace_done(*pace)
 
-    def _request_approval(self, wanted: ApprovalRequest) -> None:
-        if wanted.stage in self._requested_stages:
-            return
-        self._requested_stages.add(wanted.stage)
-        self._session.spawn(self._fetch_tickets(wanted))
-
-    async def _fetch_tickets(self, wanted: ApprovalRequest) -> None:
-        async with self._approval_turns:
-            sent_at = self._session.clock.now()
-            outcome = await self._session.ports.workers.fetch_tickets(
-                wanted.stage, wanted.worker_ids
-            )
-        if isinstance(outcome, Unavailable):
-            log_event(
-                logger,
-                "advice request failed",
-                step=wanted.stage,
-                reason=outcome.reason,
-                peer=outcome.peer,
-            )
-            await asyncio.sleep(RETRY_SECONDS)
-        else:
-            valid_until = sent_at + wanted.valid_seconds
-            tickets = {
-                worker_id: Ticket(text, valid_until, sent_at)
-                for worker_id, text in outcome.items()
-            }
-            self._planner.keep_tickets(wanted.stage, tickets, wanted.worker_ids)
-            self._session.wake.set()
-        self._requested_stages.discard(wanted.stage)
-
 
 def _describe_failure(outcome: OrderOutcome) -> dict[str, str]:
     """Return the field of a log line that says why an order was not confirmed."""
--- a/catkinport/jobs/placement/planner.py
+++ b/catkinport/jobs/placement/planner.py
@@ -8,9 +8,8 @@
 one goes on where it has ended. A pass is the rounds in which each job has its turn.
 """
 
-from collections.abc import Callable, Collection, Iterable, Iterator, Mapping, Sequence
+from collections.abc import Callable, Iterable, Iterator, Mapping, Sequence
 from itertools import chain, islice
-from typing import NamedTuple
 
 from ...policy.reservations import ExpectedEnd, Reservations
 from ...policy.resources import NO_RESOURCES, Resources, add
@@ -18,13 +17,15 @@
 from ...policy.step_choice import StepChooser
 from ...policy.wait_forecast import ComingCores
 from ...policy.worker_choice import CandidateWorker, choose_worker
-from ..configuration import Account, Queue
+from ..configuration import Account, ApprovalTerms, Queue
 from ..dispatch.approvals import Ticket
 from ..dispatch.dispatcher import Dispatcher
 from ..dispatch.record import JobRecord
 from ..dispatch.task import Task, TaskPhase
 from ..workers.worker_state import StartBlock
 from .account_usage import is_within_limit, usage_by_account
+from .approval_turns import ApprovalKind, ApprovalRequest
+from .asked_workers import choose_workers_to_ask
 from .blocked_workers import has_unbroken_contact
 from .gang_rooms import find_gang_rooms
 from .gap_planner import GapPlanner
@@ -40,20 +41,6 @@
 arrive faster than they are planned."""
 
 
-class ApprovalRequest(NamedTuple):
-    """Request to approve workers for a step.
-
-    Args:
-        stage: name of the step within its job's occurrence.
-        worker_ids: workers to approve.
-        valid_seconds: how long an approval holds.
-    """
-
-    stage: str
-    worker_ids: tuple[str, ...]
-    valid_seconds: float
-
-
 class Planner:
     """Places waiting tasks on workers, job by job in the order of `policy.job_order`.
 
@@ -85,21 +72,6 @@
         self.wanted_approvals: dict[str, ApprovalRequest] = {}
         self.coming_by_pool: Mapping[str, Sequence[ComingCores]] = {}
 
-    def keep_tickets(
-        self,
-        stage: str,
-        ticket_by_worker: Mapping[str, Ticket],
-        asked_ids: Collection[str],
-    ) -> None:
-        """Replace the approvals for a step.
-
-        Args:
-            stage: name of the step within its job's occurrence.
-            ticket_by_worker: approvals of workers.
-            asked_ids: workers that the request named, approved or not.
-        """
-        self._dispatcher.approvals.replace(stage, ticket_by_worker, asked_ids)
-
     def plan(
         self,
         now: float,
@@ -352,14 +324,49 @@
             for worker_id, room in rooms.items()
             if self._find_ticket(stage, worker_id, now) is not None
         }
-        approvals = self._dispatcher.approvals
-        if rooms and not valid and approvals.may_request(stage, now):
-            asked_ids = approvals.choose_asked(stage, rooms)
-            self.wanted_approvals[stage] = ApprovalRequest(
-                stage, asked_ids, queue.approval.valid_seconds
-            )
+        self._want_approval(task, queue, queue.approval, rooms, valid, now)
         return valid
 
+    def _want_approval(
+        self,
+        task: Task,
+        queue: Queue,
+        terms: ApprovalTerms,
+        rooms: dict[str, CandidateWorker],
+        approved: dict[str, CandidateWorker],
+        now: float,
+    ) -> None:
+        """Note which workers to ask for, if the approved ones lack room for the step.
+
+        Args:
+            task: first waiting task of the step.
+            queue: its queue.
+            terms: terms of the queue.
+            rooms: workers that may get tasks, by id.
+            approved: those that are approved now.
+            now: clock time in seconds.
+        """
+        stage = task.stage_name
+        approvals = self._dispatcher.approvals
+        if not approvals.may_request(stage, now):
+            return
+        record = self._dispatcher.job_by_id[task.task_id.job_id]
+        n_tasks = record.count_ready(task.task_id.step, TaskPhase.WAITING)
+        worker_ids = choose_workers_to_ask(
+            task_need(task), n_tasks, rooms, approved, approvals, terms
+        )
+        if not worker_ids:
+            return
+        kind = ApprovalKind.FIRST
+        if approvals.has_tickets(stage):
+            kind = ApprovalKind.RENEWAL
+        elif approvals.were_all_asked(stage, worker_ids):
+            kind = ApprovalKind.REPEATED_QUESTION
+        account = record.job.account
+        self.wanted_approvals[stage] = ApprovalRequest(
+            stage, worker_ids, terms, queue.priority, account, kind
+        )
+
     def _find_ticket(self, stage: str, worker_id: str, now: float) -> Ticket | None:
         restarted_at = self._dispatcher.worker_by_id[worker_id].restart_noted_at
         return self._dispatcher.approvals.find_valid(
--- a/catkinport/platform/operator_rows.py
+++ b/catkinport/platform/operator_rows.py
@@ -228,7 +228,11 @@
 
 
 def _decode_advice(entry: Mapping[str, Any]) -> ApprovalTerms:
-    return ApprovalTerms(valid_seconds=decoding.seconds(entry, "ValidMs", 1.0))
+    return ApprovalTerms(
+        valid_seconds=decoding.seconds(entry, "ValidMs", 1.0),
+        decide_seconds=max(0.0, decoding.seconds(entry, "DecideMs", 0.0)),
+        each_seconds=max(0.0, decoding.seconds(entry, "EachMs", 0.0)),
+    )
 
 
 def _decode_pool(entry: Mapping[str, Any]) -> Pool:
--- a/catkinport/platform/workers.py
+++ b/catkinport/platform/workers.py
@@ -63,9 +63,8 @@
 """Multiple of the event loop's lag that is added to the wait, because both the sending
 and the reading of the answer are late."""
 
-ADVICE_TIMEOUT_SECONDS = 3.0
-"""Longest wait for the answer of the advice service, which handles one call at a
-time."""
+TOO_MANY_CALLS_STATUS = 429
+"""Status with which the advice service answers while too many calls wait there."""
 
 OTHER_ID_STATUS = 421
 """Status with which a worker answers a call that is meant for another id."""
@@ -453,15 +452,15 @@
         return await self._send_order("worker-pace", worker, "/pace", lambda: body)
 
     async def fetch_tickets(
-        self, step: str, worker_ids: Sequence[str]
+        self, step: str, worker_ids: Sequence[str], timeout_seconds: float
     ) -> dict[str, str] | Unavailable:
         """Return the ticket of each worker that may run ``step``, by worker id."""
-        body = {"Step": step, "Workers": list(worker_ids)[:100]}
+        body = {"Step": step, "Workers": list(worker_ids)}
         peer = self._advice_address
         if self._advice_client is None:
             return Unavailable(Reason.NOT_FOUND, "advise", peer, "no client for it")
         reply = await self._advice_client.call(
-            "advise", "POST", peer, "/advise", ADVICE_TIMEOUT_SECONDS, body
+            "advise", "POST", peer, "/advise", timeout_seconds, body
         )
         if isinstance(reply, Unavailable):
             return reply
@@ -474,7 +473,9 @@
             detail = f"unreadable answer: {error!r}"[:200]
             return Unavailable(Reason.ANSWER_TRUNCATED, "advise", peer, detail)
         detail = f"status {reply.status}"
-        return Unavailable(Reason.STORE_UNAVAILABLE, "advise", peer, detail)
+        is_full = reply.status == TOO_MANY_CALLS_STATUS
+        reason = Reason.QUEUE_FULL if is_full else Reason.ANSWER_TRUNCATED
+        return Unavailable(reason, "advise", peer, detail)
 
     async def _send_order(
         self,
--- a/catkinport/ports/fleet_workers.py
+++ b/catkinport/ports/fleet_workers.py
@@ -220,7 +220,13 @@
         ...
 
     async def fetch_tickets(
-        self, step: str, worker_ids: Sequence[str]
+        self, step: str, worker_ids: Sequence[str], timeout_seconds: float
     ) -> dict[str, str] | Unavailable:
-        """Return the ticket of each worker that may run ``step``, by worker id."""
+        """Return the ticket of each worker that may run ``step``, by worker id.
+
+        Args:
+            step: name of the step within its job's occurrence.
+            worker_ids: ids of the workers to judge.
+            timeout_seconds: longest wait for the answer.
+        """
         ...
