--- a/catkinport/jobs/ownership/approval_calls.py
+++ b/catkinport/jobs/ownership/approval_calls.py
@@ -52,7 +52,7 @@
 
     async def _send(self, call: ApprovalCall) -> None:
         stage, worker_ids = call.request.stage, call.request.worker_ids
-        outcome = await self._session.ports.workers.fetch_tickets(
+        outcome = await self._session.ports.advice.fetch_tickets(
             stage, worker_ids, call.timeout_seconds
         )
         now = self._session.clock.now()
--- a/catkinport/jobs/ownership/session.py
+++ b/catkinport/jobs/ownership/session.py
@@ -7,6 +7,7 @@
 
 from ...policy.leadership import OwnLease
 from ...policy.takeover_time import RENEWAL_FACTOR, TakeoverTime
+from ...ports.advice import AdviceService, NoAdvice
 from ...ports.async_table import AsyncTable
 from ...ports.clock import Clock
 from ...ports.fleet_vms import (
@@ -44,6 +45,7 @@
     clock: Clock
     metrics: Metrics
     evacuations: EvacuationRequests = NoEvacuationRequests()
+    advice: AdviceService = NoAdvice()
 
 
 class OwnerSession:
--- a/catkinport/jobs/tests/test_approval_calls.py
+++ b/catkinport/jobs/tests/test_approval_calls.py
@@ -62,7 +62,7 @@
 
     def __init__(self, advice: SerialAdvice) -> None:
         self.dispatcher = Dispatcher(make_configuration())
-        self.ports = SimpleNamespace(workers=advice, metrics=Metrics())
+        self.ports = SimpleNamespace(advice=advice, metrics=Metrics())
         self.clock = SimpleNamespace(now=lambda: asyncio.get_running_loop().time())
         self.wake = asyncio.Event()
 
--- a/catkinport/platform/daemon.py
+++ b/catkinport/platform/daemon.py
@@ -28,6 +28,7 @@
 from ..runtime.logs import log_event
 from ..runtime.loop_lag import LoopLag
 from ..settings.declaration import format_fault
+from .advice import PlatformAdvice
 from .callers import CallerServer, ConfigurationAgeLimit
 from .client import PlatformClient
 from .client_limits import ClientGate
@@ -105,15 +106,14 @@
                 self._worker_client,
                 table,
                 self._clock,
-                settings.advice,
                 lambda: self._lag.seconds,
-                self._client,
             ),
             PlatformVms(self._client, settings.vms, settings.name),
             PlatformMaintenanceRequests(table, lambda: self._configuration.row_by_key),
             self._clock,
             self._metrics,
             PlatformEvacuationRequests(lambda: self._configuration.row_by_key),
+            PlatformAdvice(self._client, settings.advice),
         )
         max_age = settings.bounds.revoked_key * MAX_CONFIGURATION_AGE_FRACTION
         self._callers = CallerServer(
--- a/catkinport/platform/tests/restarted_workers.py
+++ b/catkinport/platform/tests/restarted_workers.py
@@ -136,7 +136,7 @@
         self.dispatcher = Dispatcher(
             make_configuration(), longest_lease=LONGEST_LEASE_SECONDS
         )
-        clients: Any = PlatformWorkers(self, self, self.clock, "")
+        clients: Any = PlatformWorkers(self, self, self.clock)
         ports = OwnerPorts(self, clients, None, None, self.clock, Metrics())
         self.session = OwnerSession(ports, self.dispatcher, OwnLease(1, self.now))
         self.watch = WorkerWatch(self.session, self, 0.0)
--- a/catkinport/platform/tests/test_advice.py
+++ b/catkinport/platform/tests/test_advice.py
@@ -6,10 +6,9 @@
 
 from ...jobs.configuration import ApprovalTerms
 from ...ports import Reason, Unavailable
-from ...ports.clock import ManualClock
+from ..advice import PlatformAdvice
 from ..client import Reply
 from ..operator_rows import decode_configuration
-from ..workers import PlatformWorkers
 
 
 class FakeAdvice:
@@ -31,9 +30,8 @@
 def fetch(answer: Reply | Unavailable):
     """Return the outcome of a call, and the client that has sent it."""
     client = FakeAdvice(answer)
-    clock = ManualClock(100.0)
-    workers = PlatformWorkers(None, None, clock, "advice:1", lambda: 0.0, client)
-    outcome = asyncio.run(workers.fetch_tickets("a1.0.0", ("i-1", "i-2"), 13.0))
+    advice = PlatformAdvice(client, "advice:1")
+    outcome = asyncio.run(advice.fetch_tickets("a1.0.0", ("i-1", "i-2"), 13.0))
     return outcome, client
 
 
--- a/catkinport/platform/tests/test_malformed_answers.py
+++ b/catkinport/platform/tests/test_malformed_answers.py
@@ -20,6 +20,7 @@
 from ...ports.fleet_vms import UpkeepWave
 from ...ports.fleet_workers import ListedWorker, StartOrder, WorkerLists
 from ...ports.table import Condition, RowKey, Transaction, Write
+from ..advice import PlatformAdvice
 from ..client import Reply, decode_reply
 from ..decoding import MessageError
 from ..operator_rows import decode_configuration, decode_wave
@@ -105,7 +106,7 @@
 def make_workers(body, status=200):
     clock = SimpleNamespace(now=lambda: 100.0)
     client = OneAnswerClient(body, status)
-    return PlatformWorkers(client, None, clock, "advice:1", advice_client=client)
+    return PlatformWorkers(client, None, clock)
 
 
 def hold(body):
@@ -169,8 +170,8 @@
 
     @given(JSON_VALUES)
     def test_any_tickets_are_decoded_or_count_as_no_answer(self, body):
-        workers = make_workers(body)
-        tickets = asyncio.run(workers.fetch_tickets("a1.0.0", ["i-1"], 3.0))
+        advice = PlatformAdvice(OneAnswerClient(body, 200), "advice:1")
+        tickets = asyncio.run(advice.fetch_tickets("a1.0.0", ["i-1"], 3.0))
         assert isinstance(tickets, dict | Unavailable)
 
 
--- a/catkinport/platform/tests/test_worker_client.py
+++ b/catkinport/platform/tests/test_worker_client.py
@@ -152,7 +152,7 @@
 
 def make_workers() -> PlatformWorkers:
     clock = SimpleNamespace(now=lambda: asyncio.get_running_loop().time())
-    return PlatformWorkers(WorkerClient(Metrics(), 8), None, clock, "")
+    return PlatformWorkers(WorkerClient(Metrics(), 8), None, clock)
 
 
 async def poll(workers, worker, end=0):
--- a/catkinport/platform/tests/test_workers.py
+++ b/catkinport/platform/tests/test_workers.py
@@ -71,7 +71,7 @@
     def __init__(self):
         self.client = FakeClient()
         clock = SimpleNamespace(now=lambda: 100.0)
-        self.workers = PlatformWorkers(self.client, None, clock, "")
+        self.workers = PlatformWorkers(self.client, None, clock)
         self.listed = ListedWorker(
             "i-1", "p", "h:1", "z", False, 0.0, Resources(4.0, 8.0, 0), (), 1.0
         )
@@ -227,7 +227,7 @@
     def test_entry_is_left_out_and_logged_once(self, capacity, caplog):
         """Guards against an entry that ends the ownership, or starts by its amounts."""
         table = FakeTable({"i-1": capacity, "i-2": {"Cpu": 4000, "MemMb": 8192}})
-        workers = PlatformWorkers(None, table, None, "")
+        workers = PlatformWorkers(None, table, None)
         for _ in range(2):
             listed = asyncio.run(workers.list_workers())
             assert [worker.worker_id for worker in listed] == ["i-2"]
@@ -304,7 +304,7 @@
         scene.client = self.SlowClient()
         clock = SimpleNamespace(now=lambda: 100.0)
         options = {"lag_seconds": lambda: lag_seconds} if lag_seconds else {}
-        scene.workers = PlatformWorkers(scene.client, None, clock, "", **options)
+        scene.workers = PlatformWorkers(scene.client, None, clock, **options)
         scene.hold()
         return scene
 
@@ -356,7 +356,7 @@
             async def read_range(self, table):
                 return Snapshot([rows.pop(0)], 1)
 
-        workers = PlatformWorkers(FakeClient(), Table(), None, "")
+        workers = PlatformWorkers(FakeClient(), Table(), None)
 
         async def run():
             return [await workers.list_workers() for _ in versions_and_states]
--- a/catkinport/platform/workers.py
+++ b/catkinport/platform/workers.py
@@ -1,12 +1,12 @@
 """Client of the platform's workers: lists them, renews leases and sends orders.
 
 A run is one attempt to execute a task on a worker. All runs of a worker share one
-lease. A ticket is the approval of a worker for a step by the advice service.
+lease.
 """
 
 import asyncio
 import logging
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Mapping
 from typing import Any, NamedTuple
 
 from ..policy.answer_times import AnswerTimes
@@ -24,7 +24,7 @@
 from ..ports.table import Row
 from ..runtime.logs import log_event
 from . import decoding
-from .client import PlatformClient, Reply
+from .client import Reply
 from .order_turns import MAX_ORDERS, OrderTurns
 from .worker_client import POLL_PATH, WorkerClient
 from .workers_codec import (
@@ -63,9 +63,6 @@
 """Multiple of the event loop's lag that is added to the wait, because both the sending
 and the reading of the answer are late."""
 
-TOO_MANY_CALLS_STATUS = 429
-"""Status with which the advice service answers while too many calls wait there."""
-
 OTHER_ID_STATUS = 421
 """Status with which a worker answers a call that is meant for another id."""
 
@@ -114,10 +111,8 @@
         client: HTTP client for workers.
         table: client of the store, which lists the workers.
         clock: steady clock.
-        advice_address: ``host:port`` of the advice service; empty for none.
         lag_seconds: returns how late the event loop of this daemon is, in seconds. That
             an answer is read late does not count against the worker.
-        advice_client: HTTP client for the advice service; ``None`` without one.
     """
 
     def __init__(
@@ -125,15 +120,11 @@
         client: WorkerClient,
         table: AsyncTable,
         clock: Clock,
-        advice_address: str,
         lag_seconds: Callable[[], float] = lambda: 0.0,
-        advice_client: PlatformClient | None = None,
     ) -> None:
         self._client = client
-        self._advice_client = advice_client
         self._table = table
         self._clock = clock
-        self._advice_address = advice_address
         self._clock_by_worker: dict[str, _WorkerClock] = {}
         # Clock time at which the latest poll without an answer was sent.
         self._unanswered_by_worker: dict[str, float] = {}
@@ -451,32 +442,6 @@
         body = {"Task": task, "Run": run, "Percent": percent, "FencingToken": token}
         return await self._send_order("worker-pace", worker, "/pace", lambda: body)
 
-    async def fetch_tickets(
-        self, step: str, worker_ids: Sequence[str], timeout_seconds: float
-    ) -> dict[str, str] | Unavailable:
-        """Return the ticket of each worker that may run ``step``, by worker id."""
-        body = {"Step": step, "Workers": list(worker_ids)}
-        peer = self._advice_address
-        if self._advice_client is None:
-            return Unavailable(Reason.NOT_FOUND, "advise", peer, "no client for it")
-        reply = await self._advice_client.call(
-            "advise", "POST", peer, "/advise", timeout_seconds, body
-        )
-        if isinstance(reply, Unavailable):
-            return reply
-        try:
-            if reply.status == 200:
-                return {
-                    str(worker): str(ticket) for worker, ticket in reply.body["Good"]
-                }
-        except (KeyError, TypeError, ValueError) as error:
-            detail = f"unreadable answer: {error!r}"[:200]
-            return Unavailable(Reason.ANSWER_TRUNCATED, "advise", peer, detail)
-        detail = f"status {reply.status}"
-        is_full = reply.status == TOO_MANY_CALLS_STATUS
-        reason = Reason.QUEUE_FULL if is_full else Reason.ANSWER_TRUNCATED
-        return Unavailable(reason, "advise", peer, detail)
-
     async def _send_order(
         self,
         step: str,
--- a/catkinport/ports/fleet_workers.py
+++ b/catkinport/ports/fleet_workers.py
@@ -218,15 +218,3 @@
     ) -> OrderOutcome:
         """Limit a task to ``percent`` of its full speed."""
         ...
-
-    async def fetch_tickets(
-        self, step: str, worker_ids: Sequence[str], timeout_seconds: float
-    ) -> dict[str, str] | Unavailable:
-        """Return the ticket of each worker that may run ``step``, by worker id.
-
-        Args:
-            step: name of the step within its job's occurrence.
-            worker_ids: ids of the workers to judge.
-            timeout_seconds: longest wait for the answer.
-        """
-        ...
