--- a/catkinport/jobs/dispatch/job_table.py
+++ b/catkinport/jobs/dispatch/job_table.py
@@ -183,7 +183,7 @@
             record.is_dirty = True
 
     def _may_have_runs(self, record: JobRecord) -> bool:
-        if record.n_placed > 0 or record.may_count_ends_late:
+        if record.n_placed > 0 or record.must_hold_ends:
             return True
         return not self.is_resolved(record)
 
--- a/catkinport/jobs/dispatch/record.py
+++ b/catkinport/jobs/dispatch/record.py
@@ -144,7 +144,7 @@
         return self._stages.count_ready(number, phase)
 
     @property
-    def may_count_ends_late(self) -> bool:
+    def must_hold_ends(self) -> bool:
         """Whether an end of a completed job must not be acknowledged yet.
 
         The order for its run was repeated, and one may still be carried out.
@@ -320,7 +320,7 @@
         if self.is_final:
             # A successor has to load an ended job that still has runs to stop, or ends
             # that must not be acknowledged.
-            row["settled"] = self.n_placed == 0 and not self.may_count_ends_late
+            row["settled"] = self.n_placed == 0 and not self.must_hold_ends
             return row
         row["done"] = {
             f"{occurrence}.{number}": _to_mask(
