Count the wait for a late start from the order that had no answer

Cause: the owner told from two times that a start was under way, and took an answered repetition for one. Found by reading the change.

Change: Run.is_start_under_way says so.

--- a/catkinport/jobs/dispatch/approvals.py
+++ b/catkinport/jobs/dispatch/approvals.py
@@ -73,7 +73,7 @@
         return n_approved / (1 + self._n_asked)
 
     def has_tickets(self, stage: str) -> bool:
-        """Return whether workers were approved for a step by the latest answer."""
+        """Return whether workers were approved for a step, now or before."""
         return bool(self._tickets_by_stage.get(stage))
 
     def count_unapproved(self, stage: str) -> int:
--- a/catkinport/jobs/dispatch/order_outcomes.py
+++ b/catkinport/jobs/dispatch/order_outcomes.py
@@ -36,6 +36,7 @@
 
     def on_start(self, run: Run, outcome: OrderOutcome, now: float) -> None:
         """Process the outcome of a start order."""
+        run.is_start_under_way = False
         worker = self._workers.worker_by_id.get(run.worker_id)
         if worker is None or run.key not in worker.run_by_key:
             self._runs.note_lost_start(run, outcome, now)
--- a/catkinport/jobs/dispatch/run_table.py
+++ b/catkinport/jobs/dispatch/run_table.py
@@ -56,6 +56,7 @@
         record.note_run(task, number)
         run = Run(record, task, number, worker.worker_id, now)
         run.sent_to = worker.started_at
+        run.is_start_under_way = True
         self._attach(worker, run)
         record.set_phase(task, TaskPhase.PLACED)
         return run
@@ -250,14 +251,9 @@
         # The incarnation that received the start rejects it once the lease is over.
         started_at = worker.started_at if run.stopped_at else run.sent_to
         incarnation = Incarnation(worker.worker_id, started_at)
-        # The latest order was sent before the wait for its answer ended, and maybe long
-        # after it was decided on. It may be under way.
-        is_under_way = run.given_up_at < run.asked_at
-        self.uncertain_starts.add(
-            incarnation, run.key, now if is_under_way else run.given_up_at
-        )
-        if is_under_way:
+        if run.is_start_under_way:
             self._note_unanswered(run, now)
+        self.uncertain_starts.add(incarnation, run.key, run.given_up_at)
 
     def _observe_unanswered(
         self, worker: WorkerRecord, outcome: str, seconds: float
--- a/catkinport/jobs/placement/start_repeats.py
+++ b/catkinport/jobs/placement/start_repeats.py
@@ -88,6 +88,7 @@
             if not holding.admit(worker):
                 continue
         run.asked_at = now
+        run.is_start_under_way = True
         run.sent_to = worker.started_at
         run.task.is_start_repeated = True
         run.record.is_dirty = True
@@ -101,7 +102,7 @@
         return False
     if run.phase is not RunPhase.ASKED or run.record.is_closing:
         return False
-    return run.asked_at <= run.given_up_at <= worker.polled_at
+    return not run.is_start_under_way and run.given_up_at <= worker.polled_at
 
 
 def _may_take(
--- a/catkinport/jobs/workers/run.py
+++ b/catkinport/jobs/workers/run.py
@@ -47,6 +47,8 @@
         known_at: clock time at which the worker confirmed it; 0 before.
         stop_sent_at: clock time of the latest stop order; 0 for none.
         stopped_at: clock time at which the worker confirmed a stop; 0 before.
+        is_start_under_way: whether a call with a start order waits for its answer, or
+            for its turn.
         is_start_uncertain: whether the start order had no answer and may be carried out
             late.
         late_start_until: clock time in seconds until which a start order without an
@@ -70,6 +72,7 @@
         "load",
         "given_up_at",
         "is_evacuated",
+        "is_start_under_way",
         "is_start_uncertain",
         "key",
         "known_at",
@@ -100,6 +103,7 @@
         self.known_at = 0.0
         self.stop_sent_at = 0.0
         self.stopped_at = 0.0
+        self.is_start_under_way = False
         self.is_start_uncertain = False
         self.given_up_at = 0.0
         self.late_start_until = float("-inf")
