Exempt loaded objects before the garbage collector starts again

Cause: the collector is stopped during the load. The loaded objects were exempt one step after its restart, so the first collection of the youngest generation visited all of them.

Change: one context stops the collector and exempts what lives at its end before the collector starts again.

--- a/catkinport/jobs/ownership/owner.py
+++ b/catkinport/jobs/ownership/owner.py
@@ -20,7 +20,6 @@
 from ...ports.table import Committed, Conflict, Transaction
 from ...runtime import Metrics
 from ...runtime.collector_pauses import (
-    collector_stopped,
     exempt_living_objects,
     visit_all_objects,
 )
@@ -220,7 +219,6 @@
     async def _load_and_run(self) -> None:
         while not await self._load():
             await asyncio.sleep(RETRY_SECONDS)
-        exempt_living_objects()
         # No loop may decide by the state alone while a zone is evacuated.
         self._zone_evacuations.update(self._session.clock.now())
         for loop in (
@@ -308,7 +306,7 @@
         if not is_queue_read or not self._snapshot_by_table.keys() >= set(tables):
             return False
         jobs, states, roster = map(self._snapshot_by_table.pop, tables)
-        with collector_stopped():
+        with exempt_living_objects():
             await self._restore(jobs, states, roster)
         # A report before would name runs of jobs that are not known yet.
         self._watch.poll_all()
--- a/catkinport/runtime/collector_pauses.py
+++ b/catkinport/runtime/collector_pauses.py
@@ -10,20 +10,20 @@
 
 
 @contextmanager
-def collector_stopped() -> Iterator[None]:
-    """Collect no garbage in this context, which creates many objects that live on."""
+def exempt_living_objects() -> Iterator[None]:
+    """Collect no garbage in this context, and exempt the objects that live at its end.
+
+    The first collection after a context that only stopped the collector would visit
+    all objects that were created in it.
+    """
     gc.disable()
     try:
         yield
     finally:
+        gc.freeze()
         gc.enable()
 
 
-def exempt_living_objects() -> None:
-    """Let later collections leave out the objects that exist now."""
-    gc.freeze()
-
-
 def visit_all_objects() -> None:
     """End the effect of `exempt_living_objects`."""
     gc.unfreeze()
