Let a new owner adopt the upkeeps that its predecessor has ordered

Cause: the successor left a VM alone for 3 s after its claim and then forgot the order. The platform may carry out an order without an answer 12 s late. The row also named each VM for 3 s after the latest order only.

Change: the row names the upkeeps without an answer with their waves. A new owner counts them as orders of its own that had no answer: their VMs count as down, get no tasks for these 3 s, and are ordered again first. The platform answers such an order as done, or rejects the former one where it checks fences. An upkeep that is stored as begun is not adopted.

--- a/catkinport/jobs/ownership/vm_orders.py
+++ b/catkinport/jobs/ownership/vm_orders.py
@@ -57,6 +57,9 @@
 its upkeeps ordered, by the former owner. The time covers a delayed read of the waves.
 """
 
+NO_ORDERS_ROW: Mapping[str, Any] = {"vms": [], "unanswered_upkeeps": {}}
+"""Row of the orders while a successor has none to reckon with."""
+
 
 class VmOrders:
     """Sender of orders for VMs, which also reports the progress of waves.
@@ -77,8 +80,8 @@
         self._memory_stored_at = session.clock.now()
         self._rows = FencedRows(session)
         self._begun_lock = asyncio.Lock()
-        self._stored_vms: list[str] = []
-        self._stored_vms_at = session.clock.now()
+        self._stored_row: dict[str, Any] = dict(NO_ORDERS_ROW)
+        self._row_stored_at = session.clock.now()
         self._calls_under_way: set[VmOrder] = set()
         self._are_waves_added = False
 
@@ -110,10 +113,7 @@
             snapshot = await self._session.table.read_range(WAVES_TABLE)
         self._rows.note_read(snapshot.rows)
         value_by_key = {row.row_key.key: row.value for row in snapshot.rows}
-        ordered = value_by_key.get(VM_ORDERS_KEY.key, {}).get("vms", [])
-        self._vm_planner.inventory.hold_back(ordered, self._held_until)
-        # These VMs are removed from the row once their hold has ended.
-        self._stored_vms = ordered
+        self._restore_orders(value_by_key)
         own_vms = value_by_key.get(OWN_VMS_KEY.key)
         if own_vms is not None:
             self._vm_planner.mover.restore_own_vms(own_vms["n_by_pool"])
@@ -140,6 +140,23 @@
                 self._begin_zone_moves()
             await asyncio.sleep(PLAN_SECONDS)
 
+    def _restore_orders(self, value_by_key: Mapping[str, Any]) -> None:
+        """Reckon with the orders that the former owner may have under way."""
+        row = {**NO_ORDERS_ROW, **value_by_key.get(VM_ORDERS_KEY.key, {})}
+        inventory = self._vm_planner.inventory
+        inventory.hold_back(row["vms"], self._held_until)
+        unanswered = {
+            vm_id: wave
+            for vm_id, wave in row["unanswered_upkeeps"].items()
+            if vm_id not in value_by_key.get(str(wave), {}).get("begun", [])
+        }
+        inventory.hold_back(unanswered, self._held_until)
+        inventory.adopt_upkeeps(unanswered, self._held_until)
+        if unanswered:
+            log_event(logger, "vm upkeeps adopted", vms=sorted(unanswered))
+        # VMs are removed from the row once a successor need not know them.
+        self._stored_row = row
+
     def _begin_zone_moves(self) -> None:
         """Let lasting tasks leave evacuated zones, apart from the drains of VMs."""
         # The commit before the orders for VMs may have taken seconds.
@@ -206,35 +223,42 @@
         that was replaced without knowing it, the write fails and nothing is sent.
         """
         if not orders:
-            await self._prune_stored_vms(now)
+            await self._prune_row(now)
             return
-        if await self._store_vms(
-            self._vm_planner.inventory.find_recently_ordered(now), now
-        ):
+        if await self._store_row(self._make_row(now), now):
             for order in orders:
                 self._session.spawn(self._send_vm_order(order, now))
             return
         for order in orders:
             self._vm_planner.on_no_effect(order)
 
-    async def _prune_stored_vms(self, now: float) -> None:
-        if not self._stored_vms or now - self._stored_vms_at < PRUNE_SECONDS:
-            return
-        vm_ids = self._vm_planner.inventory.find_recently_ordered(now)
-        if vm_ids != self._stored_vms:
-            await self._store_vms(vm_ids, now)
+    def _make_row(self, now: float) -> dict[str, Any]:
+        inventory = self._vm_planner.inventory
+        return {
+            "vms": inventory.find_recently_ordered(now),
+            "unanswered_upkeeps": inventory.find_unanswered_upkeeps(),
+        }
 
-    async def _store_vms(self, vm_ids: list[str], now: float) -> bool:
-        writes = [Write(VM_ORDERS_KEY, {"vms": vm_ids})]
+    async def _prune_row(self, now: float) -> None:
+        if now - self._row_stored_at < PRUNE_SECONDS:
+            return
+        row = self._make_row(now)
+        # An upkeep that was answered leaves the row with its VM. It is stored as begun.
+        is_kept = bool(row["vms"]) and row["vms"] == self._stored_row["vms"]
+        if row != self._stored_row and not is_kept:
+            await self._store_row(row, now)
+
+    async def _store_row(self, row: dict[str, Any], now: float) -> bool:
+        writes = [Write(VM_ORDERS_KEY, row)]
         outcome = await self._rows.commit(writes, n_attempts=COMMIT_ATTEMPTS)
         if isinstance(outcome, Committed):
-            self._stored_vms = vm_ids
-            self._stored_vms_at = now
+            self._stored_row = row
+            self._row_stored_at = now
             return True
         log_event(
             logger,
             "vm orders not stored",
-            n_vms=len(vm_ids),
+            n_vms=len(row["vms"]),
             reason=type(outcome).__name__,
         )
         return False
--- a/catkinport/jobs/tests/test_late_writes.py
+++ b/catkinport/jobs/tests/test_late_writes.py
@@ -80,6 +80,10 @@
     return VmOrders(session, vm_planner, 0.0)
 
 
+def make_row(*vm_ids: str) -> dict[str, object]:
+    return {**vm_orders.NO_ORDERS_ROW, "vms": list(vm_ids)}
+
+
 class TestVmOrders:
     # Guards against a successor that orders a VM which the former owner has just
     # ordered, because a late write took the VM out of the stored row.
@@ -88,8 +92,8 @@
             table = AsyncLateTable()
             orders = make_vm_orders(make_session(table))
             table.late.n_held = vm_orders.COMMIT_ATTEMPTS
-            assert not await orders._store_vms([], 100.0)
-            assert await orders._store_vms(["m0"], 100.0)
+            assert not await orders._store_row(make_row(), 100.0)
+            assert await orders._store_row(make_row("m0"), 100.0)
             table.late.carry_out_held()
             row = table.memory.read([VM_ORDERS_KEY])[VM_ORDERS_KEY]
             assert row.value["vms"] == ["m0"]
--- a/catkinport/jobs/vms/vm_inventory.py
+++ b/catkinport/jobs/vms/vm_inventory.py
@@ -3,7 +3,7 @@
 An order shows in the list only with a delay; until then the order itself counts.
 """
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 from typing import NamedTuple
 
 from ...ports.fleet_vms import FleetVm, VmState
@@ -105,6 +105,21 @@
         """
         self._held_until_by_vm.update(dict.fromkeys(vm_ids, until))
 
+    def adopt_upkeeps(self, wave_by_vm: Mapping[str, int], until: float) -> None:
+        """Count upkeeps that a former owner has ordered without an answer as ordered.
+
+        The platform may carry them out long after the holds of `hold_back` have ended.
+        So their VMs count as down until the same orders of this owner are answered.
+
+        Args:
+            wave_by_vm: number of the wave by id of the VM.
+            until: clock time in seconds from which on they are sent again.
+        """
+        for vm_id, wave in wave_by_vm.items():
+            order = VmOrder(vm_id, wave, "")
+            sent_at = until - REPEAT_SECONDS
+            self._pending_by_vm[vm_id] = PendingOrder(order, until, sent_at, 0.0, 1)
+
     def end_holds(self, now: float) -> None:
         """Remove the VMs whose hold by `hold_back` has ended."""
         held = self._held_until_by_vm.items()
@@ -122,6 +137,14 @@
         self.end_holds(now)
         return sorted({*self._ordered_at_by_vm, *self._held_until_by_vm})
 
+    def find_unanswered_upkeeps(self) -> dict[str, int]:
+        """Return the number of the wave by id of VM, for upkeeps without an answer."""
+        return {
+            vm_id: pending.order.wave
+            for vm_id, pending in sorted(self._pending_by_vm.items())
+            if pending.order.wave and not pending.answered_at
+        }
+
     def note_sent(self, order: VmOrder, now: float) -> None:
         """Record that an order is about to be sent."""
         former = self._pending_by_vm.get(order.vm_id)
@@ -263,6 +286,10 @@
         """Return whether the VM is up and no order is about to change that."""
         return vm.state is VmState.UP and not self.is_under_order(vm.vm_id)
 
+    def is_held_back(self, vm_id: str) -> bool:
+        """Return whether `hold_back` keeps the VM from getting orders."""
+        return vm_id in self._held_until_by_vm
+
     def is_under_order(self, vm_id: str) -> bool:
         """Return whether an order may be about to end the runs on the VM.
 
