Give starts their turn at a worker before stops

Cause: orders for a worker took turns in the order of their requests, 5 at a time, and one that had waited for 0.4 s was not sent. Some 250 stops for a worker held up the start of one member and not those of others.

Change: starts go before stops and paces. After four starts one other order gets a turn, so that short tasks can't keep runs from being stopped.

The test of PlatformWorkers (16 starts beside 400 stops) fails without the change.

--- a/catkinport/platform/tests/test_order_turns.py
+++ b/catkinport/platform/tests/test_order_turns.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from ..order_turns import MAX_ORDERS, MIN_ORDERS, OrderTurns
+from ..order_turns import MAX_ORDERS, MIN_ORDERS, STARTS_PER_OTHER, OrderTurns
 
 
 async def send(turns, worker_id, seconds, timeout_seconds=0.5):
@@ -71,3 +71,60 @@
             return await send(turns, "w1", 0.0, 0.0)
 
         assert asyncio.run(run())
+
+
+class TestStartsBesideStops:
+    N_STOPS = 250
+    N_STARTS = 16
+
+    @staticmethod
+    def request_all(n_stops, n_starts):
+        """Return the kinds of the orders behind the first few, as they get a turn."""
+
+        async def run():
+            turns = OrderTurns(lambda worker_id: 0.01)
+            kinds = []
+
+            async def send_kind(kind, is_start):
+                assert await turns.begin("w1", 5.0, is_start)
+                kinds.append(kind)
+                await asyncio.sleep(0)
+                turns.end("w1")
+
+            stops = [send_kind("stop", False) for _ in range(n_stops)]
+            starts = [send_kind("start", True) for _ in range(n_starts)]
+            await asyncio.gather(*stops, *starts)
+            return kinds
+
+        return asyncio.run(run())[MIN_ORDERS:]
+
+    def test_starts_do_not_wait_for_the_stops_before(self):
+        """Guards against a gang of which some members start and others are not sent.
+
+        Hundreds of stops of canceled jobs were before them at one worker (`review/14`).
+        """
+        kinds = self.request_all(self.N_STOPS, self.N_STARTS)
+        n_turns = self.N_STARTS + self.N_STARTS // STARTS_PER_OTHER
+        assert kinds[:n_turns].count("start") == self.N_STARTS
+
+    def test_stops_get_turns_among_the_starts(self):
+        """Guards against runs that go on while short tasks start all the time."""
+        kinds = self.request_all(self.N_STARTS, self.N_STOPS)
+        n_stops = self.N_STARTS - MIN_ORDERS
+        n_turns = n_stops * (STARTS_PER_OTHER + 1)
+        assert kinds[:n_turns].count("stop") == n_stops
+
+    def test_a_start_that_was_given_up_takes_no_turn(self):
+        """Guards against turns that are lost with orders that wait no more."""
+
+        async def run():
+            turns = OrderTurns(lambda worker_id: 0.01)
+            first = [send(turns, "w1", 0.1) for _ in range(MIN_ORDERS)]
+            given_up = turns.begin("w1", 0.01, True)
+            last = send(turns, "w1", 0.0)
+            return await asyncio.gather(*first, given_up, last)
+
+        *first, given_up, last = asyncio.run(run())
+        assert all(first)
+        assert not given_up
+        assert last
--- a/catkinport/platform/tests/test_workers.py
+++ b/catkinport/platform/tests/test_workers.py
@@ -131,6 +131,39 @@
         assert scene.workers.bound_answer("i-1") > 1.0
 
 
+class TestStartsBesideStops:
+    N_STOPS = 400
+    N_STARTS = 16
+
+    def test_all_members_of_a_gang_are_sent(self):
+        """Guards against starts that are given up behind the stops of canceled jobs.
+
+        The members that did start waited for the others, and ended alone.
+        """
+        scene = Scene()
+        scene.hold()
+        answer = scene.client.call
+
+        async def call(*arguments):
+            await asyncio.sleep(0.01)
+            return await answer(*arguments)
+
+        async def run():
+            scene.client.call = call
+            stops = [
+                scene.workers.stop(scene.listed, 7, ORDER.task, run)
+                for run in range(self.N_STOPS)
+            ]
+            starts = [
+                scene.workers.start(scene.listed, 7, ORDER, 4.0)
+                for _ in range(self.N_STARTS)
+            ]
+            outcomes = await asyncio.gather(*stops, *starts)
+            return outcomes[self.N_STOPS :]
+
+        assert all(isinstance(outcome, Done) for outcome in asyncio.run(run()))
+
+
 class TestLeaseEnd:
     def test_first_call_grants_no_lease(self):
         """Guards against a lease that is computed without the worker's clock."""
--- a/catkinport/platform/workers.py
+++ b/catkinport/platform/workers.py
@@ -458,11 +458,12 @@
             path: path of the call.
             make_body: returns the body once the turn has come; ``None`` if the order
                 must not be sent.
-            incarnation: start of the incarnation that the order is for, in Unix
-                seconds; ``None`` for any.
+            incarnation: for a start, the start of the incarnation that it is for, in
+                Unix seconds; ``None`` for other orders, which are for any.
         """
         timeout_seconds = self._order_timeout(worker.worker_id)
-        if not await self._turns.begin(worker.worker_id, timeout_seconds):
+        is_start = incarnation is not None
+        if not await self._turns.begin(worker.worker_id, timeout_seconds, is_start):
             detail = f"not sent in {timeout_seconds} s"
             return Unavailable(Reason.TIMEOUT, step, worker.worker_id, detail)
         try:
