Count jobs as waiting until the start of a task is confirmed

Cause: count_waiting left out every job of which a start had been ordered. The flag stayed when the order was rejected or had no answer.

Change: the state of the job tells whether a start was confirmed. For the shares of accounts a job has begun if it has runs or its state says so. Task.ever_started, which nothing read, and JobRecord.ever_started are gone.

--- a/catkinport/jobs/dispatch/job_table.py
+++ b/catkinport/jobs/dispatch/job_table.py
@@ -139,10 +139,14 @@
         return pools or set(self._workers.unresolved_by_id.values())
 
     def count_waiting(self) -> dict[str, int]:
-        """Return how many jobs have not started, for each queue with such jobs."""
+        """Return how many jobs no task of which has started, by queue.
+
+        A start order is no start: its worker may be lost or reject it. A start counts
+        once it is confirmed.
+        """
         n_by_queue: dict[str, int] = {}
         for record in self.job_by_id.values():
-            if not record.is_begun and not record.is_closing:
+            if record.state is JobState.QUEUED and not record.is_closing:
                 queue = record.job.queue
                 n_by_queue[queue] = n_by_queue.get(queue, 0) + 1
         return n_by_queue
--- a/catkinport/jobs/dispatch/record.py
+++ b/catkinport/jobs/dispatch/record.py
@@ -46,7 +46,6 @@
         n_placed: number of runs that are or may be on workers.
         n_crashes: number of crashes of workers counted for its tasks by this owner.
         n_stored_crashes: number of those that are stored.
-        ever_started: whether this owner has ordered or adopted a run of it.
         tasks_by_stage: tasks of each (occurrence, step); created when they are read.
         late_tasks: tasks that may have a start order without an answer; those whose
             order was carried out are removed by `expire_late_starts`.
@@ -67,7 +66,6 @@
         self.n_placed = 0
         self.n_crashes = 0
         self.n_stored_crashes = 0
-        self.ever_started = False
         self.is_surplus: bool | None = None
         self.first_start_at = 0.0
         self._top_run = 0
@@ -97,8 +95,8 @@
 
     @property
     def is_begun(self) -> bool:
-        """Whether any task has been started."""
-        return self.ever_started or self.state is not JobState.QUEUED
+        """Whether any task has started, or is or may be on a worker."""
+        return self.n_placed > 0 or self.state is not JobState.QUEUED
 
     def all_tasks(self) -> Iterator[Task]:
         """Iterate over the tasks of all occurrences and steps; this creates them."""
--- a/catkinport/jobs/dispatch/run_table.py
+++ b/catkinport/jobs/dispatch/run_table.py
@@ -230,11 +230,9 @@
     def _attach(self, worker: WorkerRecord, run: Run) -> None:
         worker.add_run(run)
         self.runs_by_task.setdefault(run.task.text, []).append(run)
-        if not run.record.ever_started:
+        if not run.record.first_start_at:
             run.record.first_start_at = run.asked_at
-        run.record.ever_started = True
         run.record.n_placed += 1
-        run.task.ever_started = True
 
     def _note_unanswered(self, run: Run, now: float) -> None:
         run.note_unanswered_start(now)
--- a/catkinport/jobs/dispatch/task.py
+++ b/catkinport/jobs/dispatch/task.py
@@ -42,13 +42,11 @@
         is_start_repeated: whether that order was sent more than once, so that a report
             of its run doesn't tell that none is left.
         avoided_worker: worker on which it failed or stalled last; empty for none.
-        ever_started: whether this owner has ordered or adopted a run of it.
     """
 
     __slots__ = (
         "avoided_worker",
         "crash_by_run",
-        "ever_started",
         "failed_runs",
         "is_start_repeated",
         "late_start_until",
@@ -73,7 +71,6 @@
         self.checkpoint = ""
         self.not_before = 0.0
         self.avoided_worker = ""
-        self.ever_started = False
         self.lost_at = float("-inf")
         self.late_start_until = float("-inf")
         self.is_start_repeated = False
