Split the lists and the clocks of workers from their client

platform/workers.py had 556 lines: reading the list of workers, estimating their clocks, polls and orders. WorkerEntries and WorkerClocks have modules of their own now; 442 lines are left. WorkerEntries also forgets malformed entries whose rows have gone, which were kept for the life of the daemon.

No other change of behaviour is meant: the tests of workers, incarnations, malformed answers and connections are green; one reads a renamed method.

--- a/catkinport/platform/tests/test_worker_incarnations.py
+++ b/catkinport/platform/tests/test_worker_incarnations.py
@@ -472,4 +472,4 @@
         worker = asyncio.run(run())
         assert not worker.may_have_restarted
         workers = scene.session.ports.workers
-        assert workers._known_incarnation("w1") == worker.started_at
+        assert workers._clocks.known_incarnation("w1") == worker.started_at
--- a/catkinport/platform/workers.py
+++ b/catkinport/platform/workers.py
@@ -6,8 +6,8 @@
 
 import asyncio
 import logging
-from collections.abc import Callable, Mapping
-from typing import Any, NamedTuple
+from collections.abc import Callable, Mapping, Set
+from typing import Any
 
 from ..policy.answer_times import AnswerTimes
 from ..ports import Reason, Unavailable
@@ -21,17 +21,17 @@
     StartOrder,
     WorkerLists,
 )
-from ..ports.table import Row
 from ..runtime.logs import log_event
 from . import decoding
 from .client import Reply
 from .order_turns import MAX_ORDERS, OrderTurns
 from .worker_client import POLL_PATH, WorkerClient
+from .worker_clocks import WorkerClocks
+from .worker_entries import WorkerEntries
 from .workers_codec import (
     decode_incarnation,
     decode_lists,
     decode_rejection,
-    decode_worker,
 )
 
 logger = logging.getLogger(__name__)
@@ -72,38 +72,6 @@
 incarnations under one id apart; the connections of `WorkerClient` do."""
 
 
-class _WorkerClock:
-    """Estimate of a worker's clock, taken from its latest lists of runs.
-
-    Attributes:
-        started_at: Unix time in seconds at which the incarnation started that the clock
-            belongs to. The clock of another one begins anew.
-        known_at: clock time in seconds at which a list of that incarnation was first
-            read.
-    """
-
-    def __init__(
-        self, milliseconds: int, started_at: float, read_at: float, known_at: float
-    ) -> None:
-        self.started_at = started_at
-        self.known_at = known_at
-        self._milliseconds = milliseconds
-        self._read_at = read_at
-
-    def lower_bound(self, now: float) -> int:
-        """Return a time in milliseconds that the worker's clock has surely reached."""
-        # The clock was read before the answer arrived here, and it may run up to 2 %
-        # slow, so a second counts as 980 ms.
-        return self._milliseconds + int((now - self._read_at) * 980)
-
-
-class _WorkerEntry(NamedTuple):
-    """A worker's decoded entry, and the version of its row."""
-
-    version: int
-    worker: ListedWorker
-
-
 class PlatformWorkers:
     """Implements `ports.fleet_workers.FleetWorkers`.
 
@@ -125,16 +93,13 @@
         self._client = client
         self._table = table
         self._clock = clock
-        self._clock_by_worker: dict[str, _WorkerClock] = {}
-        # Clock time at which the latest poll without an answer was sent.
-        self._unanswered_by_worker: dict[str, float] = {}
+        self._clocks = WorkerClocks()
+        self._entries = WorkerEntries()
         # Polls under way that carry a lease or an acknowledgment.
         self._incarnation_polls_by_worker: dict[
             str, set[asyncio.Task[Reply | Unavailable]]
         ]
         self._incarnation_polls_by_worker = {}
-        self._entry_by_worker: dict[str, _WorkerEntry] = {}
-        self._ignored_version_by_worker: dict[str, int] = {}
         self._unreadable_by_worker: dict[str, str] = {}
         self._lag_seconds = lag_seconds
         self._answer_times = AnswerTimes(MAX_ANSWER_SECONDS)
@@ -145,55 +110,23 @@
         snapshot = await self._table.read_range("servers")
         if isinstance(snapshot, Unavailable):
             return snapshot
-        workers = []
-        for row in snapshot.rows:
-            worker_id = row.row_key.key
-            try:
-                workers.append(self._decode_entry(row))
-            except decoding.MessageError as error:
-                if self._ignored_version_by_worker.get(worker_id) != row.version:
-                    self._ignored_version_by_worker[worker_id] = row.version
-                    log_event(
-                        logger,
-                        "worker entry ignored",
-                        level=logging.WARNING,
-                        worker=worker_id,
-                        version=row.version,
-                        reason=str(error),
-                    )
-        listed_ids = {worker.worker_id for worker in workers}
-        for worker_id in set(self._clock_by_worker) - listed_ids:
-            # A worker that is not listed may still answer; its next answer adds the
-            # clock again.
-            del self._clock_by_worker[worker_id]
-        for worker_id in set(self._incarnation_polls_by_worker) - listed_ids:
+        for worker in self._entries.update(snapshot.rows):
+            known = self._clocks.known_incarnation(worker.worker_id)
+            if known is not None and worker.started_at > known:
+                self._give_up_polls(worker.worker_id)
+        workers = self._entries.workers
+        self._keep_only({worker.worker_id for worker in workers})
+        return workers
+
+    def _keep_only(self, listed_ids: Set[str]) -> None:
+        """Forget the workers that are not listed."""
+        self._clocks.keep_only(listed_ids)
+        for worker_id in self._incarnation_polls_by_worker.keys() - listed_ids:
             if not self._incarnation_polls_by_worker[worker_id]:
                 del self._incarnation_polls_by_worker[worker_id]
-        for worker_id in set(self._unanswered_by_worker) - listed_ids:
-            del self._unanswered_by_worker[worker_id]
-        for worker_id in set(self._unreadable_by_worker) - listed_ids:
+        for worker_id in self._unreadable_by_worker.keys() - listed_ids:
             del self._unreadable_by_worker[worker_id]
-        for worker_id in set(self._entry_by_worker) - listed_ids:
-            del self._entry_by_worker[worker_id]
         self._answer_times.keep_only(listed_ids)
-        return workers
-
-    def _decode_entry(self, row: Row) -> ListedWorker:
-        """Decode the entry of a worker, once for each version of its row.
-
-        Raises:
-            MessageError: if a field is missing or not allowed.
-        """
-        worker_id = row.row_key.key
-        entry = self._entry_by_worker.get(worker_id)
-        if entry is None or entry.version != row.version:
-            worker = decode_worker(worker_id, row.value)
-            entry = _WorkerEntry(row.version, worker)
-            self._entry_by_worker[worker_id] = entry
-            known = self._known_incarnation(worker_id)
-            if known is not None and worker.started_at > known:
-                self._give_up_polls(worker_id)
-        return entry.worker
 
     def bound_answer(self, worker_id: str) -> float:
         """Return how many seconds after its wait a poll of a live worker is answered.
@@ -231,7 +164,7 @@
             answer names another incarnation than the known one, but has told no lists.
         """
         sent_at = self._clock.now()
-        known = self._known_incarnation(worker.worker_id)
+        known = self._clocks.known_incarnation(worker.worker_id)
         body: dict[str, Any] = {
             "FencingToken": token,
             "LastSeen": 0 if known is None else acknowledged_end,
@@ -251,7 +184,7 @@
         if isinstance(reply, Unavailable):
             if reply.reason is Reason.TIMEOUT:
                 self._answer_times.note_timeout(worker.worker_id)
-            self._note_no_answer(worker.worker_id, sent_at)
+            self._clocks.note_no_answer(worker.worker_id, sent_at)
             return reply
         self._note_poll_answer(worker.worker_id, reply.wait_seconds - wait_seconds)
         if reply.status != 200:
@@ -269,7 +202,11 @@
             self._forget_incarnation(worker.worker_id, known)
             return outcome._replace(reason=Reason.RESTARTED)
         self._unreadable_by_worker.pop(worker.worker_id, None)
-        self._note_clock(worker.worker_id, clock, lists.started_at, sent_at)
+        is_restarted = self._clocks.note_clock(
+            worker.worker_id, clock, lists.started_at, sent_at, self._clock.now()
+        )
+        if is_restarted:
+            self._give_up_polls(worker.worker_id)
         return lists
 
     async def _poll(
@@ -308,25 +245,10 @@
             )
         return call.result()
 
-    def _note_no_answer(self, worker_id: str, sent_at: float) -> None:
-        """Note that a poll sent at clock time ``sent_at`` had no answer.
-
-        It tells nothing of an incarnation that became known since.
-        """
-        known = self._clock_by_worker.get(worker_id)
-        if known is not None and known.known_at <= sent_at:
-            del self._clock_by_worker[worker_id]
-        latest = self._unanswered_by_worker.get(worker_id, sent_at)
-        self._unanswered_by_worker[worker_id] = max(latest, sent_at)
-
     def _forget_incarnation(self, worker_id: str, started_at: float) -> None:
-        """Forget the clock of an incarnation that has ended, if it is the known one.
-
-        Answers of it that are still on their way don't bring the clock back.
-        """
-        if self._known_incarnation(worker_id) == started_at:
-            del self._clock_by_worker[worker_id]
-            self._unanswered_by_worker[worker_id] = self._clock.now()
+        """Note that an incarnation has ended."""
+        now = self._clock.now()
+        if self._clocks.forget_incarnation(worker_id, started_at, now):
             self._give_up_polls(worker_id)
 
     def _give_up_polls(self, worker_id: str) -> None:
@@ -338,36 +260,6 @@
         for call in self._incarnation_polls_by_worker.pop(worker_id, set()):
             call.cancel()
 
-    def _note_clock(
-        self, worker_id: str, milliseconds: int, started_at: float, sent_at: float
-    ) -> None:
-        """Note the clock in an answer, unless it may be one of a former incarnation.
-
-        Polls overlap. The answer to one that was sent before a later incarnation was
-        known, or before a poll that had no answer, may have been written by the former
-        one.
-
-        Args:
-            worker_id: the worker.
-            milliseconds: what its clock showed.
-            started_at: Unix time in seconds at which the incarnation started.
-            sent_at: clock time in seconds at which the poll was sent.
-        """
-        now = self._clock.now()
-        known = self._clock_by_worker.get(worker_id)
-        known_at = now
-        if known is not None and known.started_at == started_at:
-            known_at = known.known_at
-        elif known is not None and sent_at < known.known_at:
-            return
-        elif known is not None:
-            self._give_up_polls(worker_id)
-        if sent_at < self._unanswered_by_worker.get(worker_id, float("-inf")):
-            return
-        self._clock_by_worker[worker_id] = _WorkerClock(
-            milliseconds, started_at, now, known_at
-        )
-
     def _note_poll_answer(self, worker_id: str, late_seconds: float) -> None:
         """Note an answer that came so many seconds after the requested wait.
 
@@ -399,7 +291,7 @@
         The clock of the worker's incarnation must be known, and the order is for this
         incarnation: it isn't sent once another one is known.
         """
-        incarnation = self._known_incarnation(worker.worker_id)
+        incarnation = self._clocks.known_incarnation(worker.worker_id)
         if incarnation is None:
             return _clock_unknown("worker-start", worker.worker_id)
         # The caller counts the lease from now on, and not from its turn.
@@ -407,7 +299,7 @@
 
         def make_body() -> dict[str, Any] | None:
             # The worker may have restarted while the order waited for its turn.
-            is_same = self._known_incarnation(worker.worker_id) == incarnation
+            is_same = self._clocks.known_incarnation(worker.worker_id) == incarnation
             is_listed = self._lease_end(worker, lease_seconds) is not None
             if until is None or not is_same or not is_listed:
                 return None
@@ -470,7 +362,7 @@
             body = make_body()
             if body is None:
                 return _clock_unknown(step, worker.worker_id)
-            clock = self._clock_by_worker.get(worker.worker_id)
+            clock = self._clocks.find(worker.worker_id)
             lower_bound = clock.lower_bound(self._clock.now()) if clock else 0
             reply = await self._call(
                 step, worker, path, body, timeout_seconds, incarnation
@@ -522,19 +414,13 @@
             incarnation,
         )
 
-    def _known_incarnation(self, worker_id: str) -> float | None:
-        """Return the start of the incarnation whose clock is known, in Unix seconds."""
-        clock = self._clock_by_worker.get(worker_id)
-        return clock.started_at if clock else None
-
     def _lease_end(self, worker: ListedWorker, lease_seconds: float) -> int | None:
-        clock = self._clock_by_worker.get(worker.worker_id)
+        clock = self._clocks.find(worker.worker_id)
         if clock is None or lease_seconds <= 0:
             return None
         # The entry of a worker that has restarted under its id may come before its
         # first answer. On its new clock, a time of the former one is far ahead.
-        entry = self._entry_by_worker.get(worker.worker_id)
-        listed = entry.worker if entry else worker
+        listed = self._entries.find(worker.worker_id) or worker
         if listed.started_at > clock.started_at:
             return None
         return clock.lower_bound(self._clock.now()) + int(lease_seconds * 1000)
