--- a/catkinport/platform/daemon.py
+++ b/catkinport/platform/daemon.py
@@ -31,7 +31,7 @@
 from .advice import PlatformAdvice
 from .callers import CallerServer, ConfigurationAgeLimit
 from .client import PlatformClient
-from .client_limits import ClientGate
+from .client_gate import ClientGate
 from .listener import HttpListener
 from .operator_rows import (
     CONFIGURATION_KEY,
--- a/catkinport/platform/listener.py
+++ b/catkinport/platform/listener.py
@@ -9,7 +9,8 @@
 from aiohttp import web
 
 from ..runtime.logs import log_event
-from .client_limits import ClientGate, LimitedHandler, LimitedServer
+from .client_gate import ClientGate
+from .client_limits import LimitedHandler, LimitedServer
 
 logger = logging.getLogger(__name__)
 
--- a/catkinport/platform/request_collector.py
+++ b/catkinport/platform/request_collector.py
@@ -11,7 +11,8 @@
 from ..policy.client_limits import MAX_PIPELINED, SMALL_BODY_BYTES
 
 if TYPE_CHECKING:
-    from .client_limits import ClientGate, LimitedHandler
+    from .client_gate import ClientGate
+    from .client_limits import LimitedHandler
 
 READ_BYTES = 16384
 """Most bytes of one read of a body."""
--- a/catkinport/platform/tests/test_client_limits.py
+++ b/catkinport/platform/tests/test_client_limits.py
@@ -10,7 +10,7 @@
 from ...policy.client_limits import ClientBounds, RequestLimits, derive_bounds
 from ...runtime import Metrics
 from .. import client_limits
-from ..client_limits import ClientGate
+from ..client_gate import ClientGate
 from ..listener import HttpListener
 
 HEAD = b"POST /a HTTP/1.1\r\nHost: h\r\n"
