--- a/catkinport/jobs/tests/test_uncertain_starts.py
+++ b/catkinport/jobs/tests/test_uncertain_starts.py
@@ -226,6 +226,54 @@
         assert start.worker.worker_id == workers.other_id
 
 
+class TestChangedEntry:
+    def change_entry(self, workers, **changes):
+        """List the worker with other fields, and let the other worker answer."""
+        fleet = workers.fleet
+        fleet.workers = [
+            listed._replace(**changes)
+            if listed.worker_id == workers.worker_id
+            else listed
+            for listed in fleet.workers
+        ]
+        workers.dispatcher.update_workers(fleet.workers, fleet.now, fleet.now)
+
+    @pytest.mark.parametrize("changes", [{"pool": "off"}, {"address": "h:2"}])
+    def test_task_waits_for_the_late_start_on_its_worker(self, changes):
+        """Guards against a second run beside a worker that has changed its place.
+
+        The start may reach it in its new pool, or at the address that it had.
+        """
+        workers = TwoWorkers()
+        workers.give_up()
+        self.change_entry(workers, **changes)
+        waited_seconds = MAX_LEASE_SECONDS + 0.1
+        while waited_seconds < ORDER_DELAY_SECONDS - 0.5:
+            assert workers.fleet.plan() == []
+            workers.pass_time(0.5)
+            waited_seconds += 0.5
+        workers.pass_time(1.0)
+        (start,) = workers.fleet.plan()
+        assert start.worker.worker_id == workers.other_id
+
+    def test_task_waits_while_another_worker_has_the_address(self):
+        """Guards against a second run beside a start that another worker rejects late.
+
+        Nothing tells whether the order was still sent to the worker that is gone.
+        """
+        workers = TwoWorkers()
+        workers.give_up()
+        fleet = workers.fleet
+        worker = workers.dispatcher.worker_by_id[workers.worker_id]
+        workers.dispatcher.retire_worker(worker.incarnation, fleet.now, fleet.now)
+        self.change_entry(workers, worker_id="w9")
+        assert workers.worker_id not in workers.dispatcher.worker_by_id
+        workers.pass_time(0.5)
+        assert workers.fleet.plan() == []
+        workers.pass_time(ORDER_DELAY_SECONDS)
+        assert len(workers.fleet.plan()) == 1
+
+
 class TestRestartAfterGivingUp:
     def test_stop_is_sent_to_the_restarted_worker(self):
         """Guards against a late start on a restarted worker after its lease ended."""
