Reserve the VMs of adopted upkeeps from the first list of VMs on

Cause: the VM was reserved in the first round of decisions about VMs. A task of 9 s had started on it by then.

Change: the inventory reserves it as soon as both the order and the list of VMs are known.

--- a/catkinport/jobs/tests/test_adopted_upkeeps.py
+++ b/catkinport/jobs/tests/test_adopted_upkeeps.py
@@ -10,6 +10,7 @@
 from ..ownership.vm_orders import VmOrders
 from ..tables import VM_ORDERS_KEY, wave_key
 from ..vms.order_targets import VmOrder
+from .builders import POOL
 from .test_vm_orders import FakeSession
 from .vm_fleet import BOUNDS, VmFleet
 
@@ -64,10 +65,16 @@
 def take_over(row_by_key):
     """Return the fleet of an owner that has just read the rows of the former one."""
     fleet = make_fleet()
+    restore(fleet, row_by_key)
+    return fleet
+
+
+def restore(fleet, row_by_key):
+    """Return the orders of an owner that has just read the rows of the former one."""
     held_until = fleet.now + BOUNDS.order_gap
     orders = VmOrders(RowSession(fleet), fleet.vm_planner, held_until)
     orders._restore_orders(row_by_key)
-    return fleet
+    return orders
 
 
 def step_for(fleet, seconds):
@@ -89,11 +96,8 @@
 
     def test_it_is_handed_on_however_long_it_has_had_no_answer(self):
         """Guards against a successor that is told of the latest 3 s only."""
-        row_by_key = order_without_answer(0.5)
-        fleet = take_over(row_by_key)
-        session = RowSession(fleet)
-        orders = VmOrders(session, fleet.vm_planner, fleet.now + BOUNDS.order_gap)
-        orders._restore_orders(row_by_key)
+        fleet = make_fleet()
+        orders = restore(fleet, order_without_answer(0.5))
 
         async def prune_for(seconds):
             for _ in range(round(seconds / STEP_SECONDS)):
@@ -101,17 +105,29 @@
                 await orders._send_vm_orders([], fleet.now)
 
         asyncio.run(prune_for(2 * BOUNDS.order_gap))
-        row = session.row_by_key[VM_ORDERS_KEY.key]
+        row_by_key = orders._session.row_by_key
+        row = row_by_key[VM_ORDERS_KEY.key]
         assert row == {"vms": [], "unanswered_upkeeps": {"m1": WAVE}}
-        assert set(step_for(take_over(session.row_by_key), 6.0)) == {LATE_ORDER}
+        assert set(step_for(take_over(row_by_key), 6.0)) == {LATE_ORDER}
 
     def test_no_task_starts_on_its_vm_until_it_is_sent_again(self):
         """Guards against a task that the order ends when it is carried out late."""
         fleet = take_over(order_without_answer(0.5))
-        fleet.step(STEP_SECONDS)
         assert fleet.dispatcher.worker_by_id["w1"].is_reserved
         assert not fleet.dispatcher.worker_by_id["w0"].is_reserved
 
+    def test_no_task_starts_on_its_vm_once_that_is_listed(self):
+        """Guards against a wave that waits for a task from before the first plan."""
+        row_by_key = order_without_answer(0.5)
+        fleet = make_fleet()
+        fleet.vms.pop()
+        fleet.list_vms()
+        restore(fleet, row_by_key)
+        assert not fleet.dispatcher.worker_by_id["w1"].is_reserved
+        fleet.vms.append(VmFleet._vm("m1", POOL, "w1"))
+        fleet.list_vms()
+        assert fleet.dispatcher.worker_by_id["w1"].is_reserved
+
     def test_the_wave_goes_on_after_its_answer(self):
         """Guards against a wave that stands still after a change of owner."""
         fleet = take_over(order_without_answer(0.5))
--- a/catkinport/jobs/vms/unanswered_orders.py
+++ b/catkinport/jobs/vms/unanswered_orders.py
@@ -56,7 +56,6 @@
         Moves of VMs that have tasks again are given up after a time.
         """
         orders = []
-        self._block_adopted()
         for pending in self._inventory.find_unanswered(now):
             worker = self._inventory.worker_on(pending.order.vm_id)
             if worker is None or self._may_repeat(pending, worker, now):
@@ -70,14 +69,6 @@
         self.unblock_workers(now)
         return orders
 
-    def _block_adopted(self) -> None:
-        """Start no tasks that the order of a former owner, or its repetition, ends."""
-        for pending in self._inventory.pending_orders:
-            vm_id = pending.order.vm_id
-            worker = self._inventory.worker_on(vm_id)
-            if worker is not None and self._inventory.is_held_back(vm_id):
-                worker.is_reserved = True
-
     def unblock_workers(self, now: float) -> None:
         """Let workers get tasks that have outlived an order for their VM."""
         for pending in self._inventory.pending_orders:
--- a/catkinport/jobs/vms/vm_inventory.py
+++ b/catkinport/jobs/vms/vm_inventory.py
@@ -97,6 +97,7 @@
                 # The worker is still there if the order had been carried out before.
                 self.release(vm_id)
         self._release_workers()
+        self._reserve_held_workers()
 
     def hold_back(self, vm_ids: Iterable[str], until: float) -> None:
         """Send no orders to VMs until a clock time.
@@ -119,6 +120,7 @@
             order = VmOrder(vm_id, wave, "")
             sent_at = until - REPEAT_SECONDS
             self._pending_by_vm[vm_id] = PendingOrder(order, until, sent_at, 0.0, 1)
+        self._reserve_held_workers()
 
     def end_holds(self, now: float) -> None:
         """Remove the VMs whose hold by `hold_back` has ended."""
@@ -286,10 +288,6 @@
         """Return whether the VM is up and no order is about to change that."""
         return vm.state is VmState.UP and not self.is_under_order(vm.vm_id)
 
-    def is_held_back(self, vm_id: str) -> bool:
-        """Return whether `hold_back` keeps the VM from getting orders."""
-        return vm_id in self._held_until_by_vm
-
     def is_under_order(self, vm_id: str) -> bool:
         """Return whether an order may be about to end the runs on the VM.
 
@@ -355,6 +353,13 @@
             if worker is not None and worker.is_reserved and not is_kept:
                 worker.is_reserved = False
 
+    def _reserve_held_workers(self) -> None:
+        """Start no tasks that an adopted order, or its repetition, would end."""
+        for vm_id in self._pending_by_vm.keys() & self._held_until_by_vm.keys():
+            worker = self.worker_on(vm_id)
+            if worker is not None:
+                worker.is_reserved = True
+
     def reserve(self, vm_id: str) -> None:
         """Give a VM no new tasks until its upkeep."""
         self.reserved.add(vm_id)
