Add an advice service to the stand-in of the users' platform

It now handles calls one at a time by DecideMs and EachMs, refuses them while 32 wait, goes on with calls that were given up or leaves them out, and its workers check the tickets of starts.

--- a/catkinport/platform/standin/server.py
+++ b/catkinport/platform/standin/server.py
@@ -1,4 +1,4 @@
-"""Server of the stand-in: store, workers, VMs, operator and faults in one process."""
+"""Server of the stand-in: store, workers, VMs, advice and faults in one process."""
 
 import asyncio
 import random
@@ -10,6 +10,7 @@
 from aiohttp import web
 
 from ...standins.faults import FaultSettings
+from .advice import AdviceServer
 from .rows import RowStore, StoreKey
 from .store_server import StoreServer
 from .vms import Crash, FleetSize, VmFleet, decode_value, encode_value
@@ -43,6 +44,14 @@
     "workers_one_way_seconds": 0.0,
     # Age of the data in the lists of VMs.
     "vm_list_age_seconds": 0.0,
+    # Terms of the advice service, whether it refuses calls, and whether it leaves out
+    # those that were given up while they waited.
+    "advice_decide_seconds": 0.0,
+    "advice_each_seconds": 0.0,
+    "advice_valid_seconds": 10.0,
+    "advice_approved_share": 1.0,
+    "is_advice_down": False,
+    "drops_given_up_advice": False,
 }
 """Faults and their values while they are switched off."""
 
@@ -68,8 +77,8 @@
         size: pools and VMs.
         seed: seed of the faults.
         host: IP address to listen on.
-        port: port of the store, the interface for VMs and the test controls; 0 lets the
-            kernel choose.
+        port: port of the store, the interface for VMs, the advice service and the test
+            controls; 0 lets the kernel choose.
     """
 
     def __init__(
@@ -81,6 +90,7 @@
         self._rng = random.Random(seed)
         rows = RowStore(time.monotonic, HISTORY_SECONDS)
         self._store = StoreServer(rows, time.monotonic, self.faults, self._rng)
+        self._advice = AdviceServer(self.faults)
         self._fleet = VmFleet(self._store, size, time.monotonic)
         self._runners: list[web.AppRunner] = []
         self._is_next_order_refused = True
@@ -93,6 +103,7 @@
         """Open the ports and start the workers."""
         app = web.Application(middlewares=[self._delay_platform])
         self._store.add_routes(app)
+        self._advice.add_routes(app)
         self._add_vm_routes(app)
         self._add_test_controls(app)
         self.address = await self._listen(app, self._port)
@@ -104,6 +115,7 @@
                 self._rng,
                 self._fleet.crash,
                 self._fleet.misdirected_calls,
+                self._advice.accepts,
             )
             worker_app = server.create_app()
             worker_app.middlewares.append(self._delay_workers)
--- a/catkinport/platform/standin/worker_server.py
+++ b/catkinport/platform/standin/worker_server.py
@@ -49,6 +49,8 @@
         crash: lets the worker of a VM crash.
         misdirected_calls: list to which calls are appended that are carried out with a
             value of a former incarnation.
+        accepts_ticket: returns whether a start of a task on a worker with a ticket is
+            accepted.
     """
 
     def __init__(
@@ -59,6 +61,7 @@
         rng: random.Random,
         crash: Callable[[str, Crash], None] = lambda vm_id, crash: None,
         misdirected_calls: list[MisdirectedCall] | None = None,
+        accepts_ticket: Callable[[str, str, str], bool] = lambda *_: True,
     ) -> None:
         self._vm = vm
         self._now = now
@@ -66,6 +69,7 @@
         self._rng = rng
         self._crash = crash
         self._misdirected_calls = [] if misdirected_calls is None else misdirected_calls
+        self._accepts_ticket = accepts_ticket
         self._late: set[asyncio.Task[None]] = set()
         self._connections: WeakSet[asyncio.Transport] = WeakSet()
         # Connections of former incarnations whose clients don't know of their end yet.
@@ -205,6 +209,9 @@
     async def _start(
         self, instance: WorkerIncarnation, body: Mapping[str, Any]
     ) -> web.Response:
+        ticket, task = body.get("Ticket"), str(body["Task"])
+        if ticket and not self._accepts_ticket(ticket, task, instance.worker_id):
+            return self._answer(instance, 409, {"Reason": "ticket"})
         try:
             instance.start(
                 body, int(body["UntilMs"]) / 1000 + self._clock_zero, self._now()
--- a/verification/platform/deployment.py
+++ b/verification/platform/deployment.py
@@ -41,6 +41,20 @@
 """Timeout of a control request to the stand-in."""
 
 
+class ApprovalSpec(NamedTuple):
+    """Terms of the advice service, in milliseconds.
+
+    Args:
+        decide_ms: time that a call takes.
+        each_ms: how much longer it takes for each worker named.
+        valid_ms: how long a ticket holds.
+    """
+
+    decide_ms: int
+    each_ms: int
+    valid_ms: int
+
+
 class PlatformSize(NamedTuple):
     """Size of a deployment.
 
@@ -57,6 +71,8 @@
         has_spare_pool: whether there is a spare pool; without one, idle VMs stay up.
         longest_lease_seconds: longest lease that a worker grants.
         daemon_limits: options of the section ``limits`` of each daemon's settings.
+        approval: terms of the advice service that approves workers for the steps of all
+            queues; ``None`` if none has to.
     """
 
     n_daemons: int = 3
@@ -71,6 +87,7 @@
     has_spare_pool: bool = True
     longest_lease_seconds: float = 6.0
     daemon_limits: Mapping[str, int] = MappingProxyType({})
+    approval: ApprovalSpec | None = None
 
 
 class DaemonProcess(NamedTuple):
@@ -133,6 +150,7 @@
         arguments += ["--max-lease-seconds", str(size.longest_lease_seconds)]
         standin = self._processes.start("platform", arguments)
         self.platform_address = standin.wait_for_line("listening on ")[0]
+        self.set_approval_times()
         self.configure()
 
     def start_daemon(
@@ -160,7 +178,8 @@
             f"[listen]\ncallers = {caller_address}\nready = {ready_address}\n"
             f"metrics_port = {metrics_address.rpartition(':')[2]}\n\n"
             f"[services]\ntable = {table}\n"
-            f"vms = {vms_address or self.platform_address}\n\n"
+            f"vms = {vms_address or self.platform_address}\n"
+            f"advice = {self.platform_address}\n\n"
             f"[bounds]\nupkeep_seconds = {self.size.upkeep_seconds}\n"
             f"move_seconds = {self.size.move_seconds}\n"
             f"longest_lease_ms = {int(self.size.longest_lease_seconds * 1000)}\n\n"
@@ -262,9 +281,21 @@
     def reset_faults(self) -> None:
         """End the injected faults of the stand-in; make silent workers reachable."""
         self.call_standin("DELETE", "/standin/faults")
+        self.set_approval_times()
         for number in range(self.size.n_pools * self.size.n_vms):
             self.set_vm_faults(f"m-{number}", is_silent=False)
 
+    def set_approval_times(self) -> None:
+        """Let the advice service keep to the terms of the deployment's size."""
+        if self.size.approval is None:
+            return
+        decide_ms, each_ms, valid_ms = self.size.approval
+        self.set_faults(
+            advice_decide_seconds=decide_ms / 1000,
+            advice_each_seconds=each_ms / 1000,
+            advice_valid_seconds=valid_ms / 1000,
+        )
+
     def set_faults(self, **faults: Any) -> None:
         """Change the injected faults of the stand-in."""
         self.call_standin("PUT", "/standin/faults", faults)
@@ -366,6 +397,10 @@
             }
             for number, pool in enumerate(pools)
         ]
+        if self.size.approval is not None:
+            decide_ms, each_ms, valid_ms = self.size.approval
+            terms = {"DecideMs": decide_ms, "EachMs": each_ms, "ValidMs": valid_ms}
+            routes = [{**route, "Advice": terms} for route in routes]
         services = [{"Name": pool, "EnforcesCapacity": True} for pool in pools]
         if self.size.has_spare_pool:
             services.append({"Name": SPARE_POOL, "Spare": True})
