--- a/catkinport/jobs/placement/approval_turns.py
+++ b/catkinport/jobs/placement/approval_turns.py
@@ -32,7 +32,6 @@
 MAX_RETRY_SECONDS = 3.2
 """Longest such pause."""
 
-
 MAX_SLOWNESS = 4.0
 """Most times by which a call is expected to take longer than the terms say."""
 
