--- a/catkinport/jobs/ownership/vm_orders.py
+++ b/catkinport/jobs/ownership/vm_orders.py
@@ -13,7 +13,6 @@
 from ..tables import (
     MEMORY_KEY,
     OWN_VMS_KEY,
-    VM_ORDERS_KEY,
     WAVES_TABLE,
     wave_key,
 )
@@ -23,6 +22,7 @@
 from .fenced_rows import FencedRows
 from .owner_memory import MEMORY_STORE_SECONDS, build_memory, restore_memory
 from .session import RETRY_SECONDS, OwnerSession
+from .vm_order_row import COMMIT_ATTEMPTS, VmOrderRow
 
 logger = logging.getLogger(__name__)
 
@@ -36,13 +36,6 @@
 PLAN_SECONDS = 0.25
 """Time between two rounds of decisions about VMs."""
 
-COMMIT_ATTEMPTS = 2
-"""Attempts of one commit of unknown outcome before its row is collected again."""
-
-PRUNE_SECONDS = 1.0
-"""Shortest time from a write of the row of ordered VMs to one that only removes VMs.
-VMs are removed once a successor need no longer wait before it orders them."""
-
 MAX_SEND_DELAY_SECONDS = 1.2
 """Longest time from a round of decisions to the sending of its orders while a successor
 may have claimed the ownership. It leaves the stored VMs alone for longer, so that an
@@ -57,9 +50,6 @@
 its upkeeps ordered, by the former owner. The time covers a delayed read of the waves.
 """
 
-NO_ORDERS_ROW: Mapping[str, Any] = {"vms": [], "unanswered_upkeeps": {}}
-"""Row of the orders while a successor has none to reckon with."""
-
 
 class VmOrders:
     """Sender of orders for VMs, which also reports the progress of waves.
@@ -80,8 +70,9 @@
         self._memory_stored_at = session.clock.now()
         self._rows = FencedRows(session)
         self._begun_lock = asyncio.Lock()
-        self._stored_row: dict[str, Any] = dict(NO_ORDERS_ROW)
-        self._row_stored_at = session.clock.now()
+        self._order_row = VmOrderRow(
+            self._rows, vm_planner.inventory, session.clock.now()
+        )
         self._calls_under_way: set[VmOrder] = set()
         self._are_waves_added = False
 
@@ -113,7 +104,7 @@
             snapshot = await self._session.table.read_range(WAVES_TABLE)
         self._rows.note_read(snapshot.rows)
         value_by_key = {row.row_key.key: row.value for row in snapshot.rows}
-        self._restore_orders(value_by_key)
+        self._order_row.restore(value_by_key, self._held_until)
         own_vms = value_by_key.get(OWN_VMS_KEY.key)
         if own_vms is not None:
             self._vm_planner.mover.restore_own_vms(own_vms["n_by_pool"])
@@ -140,23 +131,6 @@
                 self._begin_zone_moves()
             await asyncio.sleep(PLAN_SECONDS)
 
-    def _restore_orders(self, value_by_key: Mapping[str, Any]) -> None:
-        """Reckon with the orders that the former owner may have under way."""
-        row = {**NO_ORDERS_ROW, **value_by_key.get(VM_ORDERS_KEY.key, {})}
-        inventory = self._vm_planner.inventory
-        inventory.hold_back(row["vms"], self._held_until)
-        unanswered = {
-            vm_id: wave
-            for vm_id, wave in row["unanswered_upkeeps"].items()
-            if vm_id not in value_by_key.get(str(wave), {}).get("begun", [])
-        }
-        inventory.hold_back(unanswered, self._held_until)
-        inventory.adopt_upkeeps(unanswered, self._held_until)
-        if unanswered:
-            log_event(logger, "vm upkeeps adopted", vms=sorted(unanswered))
-        # VMs are removed from the row once a successor need not know them.
-        self._stored_row = row
-
     def _begin_zone_moves(self) -> None:
         """Let lasting tasks leave evacuated zones, apart from the drains of VMs."""
         # The commit before the orders for VMs may have taken seconds.
@@ -223,46 +197,15 @@
         that was replaced without knowing it, the write fails and nothing is sent.
         """
         if not orders:
-            await self._prune_row(now)
+            await self._order_row.prune(now)
             return
-        if await self._store_row(self._make_row(now), now):
+        if await self._order_row.store(now):
             for order in orders:
                 self._session.spawn(self._send_vm_order(order, now))
             return
         for order in orders:
             self._vm_planner.on_no_effect(order)
 
-    def _make_row(self, now: float) -> dict[str, Any]:
-        inventory = self._vm_planner.inventory
-        return {
-            "vms": inventory.find_recently_ordered(now),
-            "unanswered_upkeeps": inventory.find_unanswered_upkeeps(),
-        }
-
-    async def _prune_row(self, now: float) -> None:
-        if now - self._row_stored_at < PRUNE_SECONDS:
-            return
-        row = self._make_row(now)
-        # An upkeep that was answered leaves the row with its VM. It is stored as begun.
-        is_kept = bool(row["vms"]) and row["vms"] == self._stored_row["vms"]
-        if row != self._stored_row and not is_kept:
-            await self._store_row(row, now)
-
-    async def _store_row(self, row: dict[str, Any], now: float) -> bool:
-        writes = [Write(VM_ORDERS_KEY, row)]
-        outcome = await self._rows.commit(writes, n_attempts=COMMIT_ATTEMPTS)
-        if isinstance(outcome, Committed):
-            self._stored_row = row
-            self._row_stored_at = now
-            return True
-        log_event(
-            logger,
-            "vm orders not stored",
-            n_vms=len(row["vms"]),
-            reason=type(outcome).__name__,
-        )
-        return False
-
     async def _send_vm_order(self, order: VmOrder, planned_at: float) -> None:
         """Send an order that was decided at clock time ``planned_at``, in seconds.
 
--- a/catkinport/jobs/tests/test_adopted_upkeeps.py
+++ b/catkinport/jobs/tests/test_adopted_upkeeps.py
@@ -4,11 +4,12 @@
 from types import SimpleNamespace
 
 from ...ports import Reason, Unavailable
+from ...ports.async_table import Snapshot
 from ...ports.fleet_vms import VmState
-from ...ports.table import Committed
+from ...ports.table import Committed, Row, RowKey
 from ..dispatch.task import ORDER_DELAY_SECONDS
 from ..ownership.vm_orders import VmOrders
-from ..tables import VM_ORDERS_KEY, wave_key
+from ..tables import VM_ORDERS_KEY, WAVES_TABLE, wave_key
 from ..vms.order_targets import VmOrder
 from .builders import POOL
 from .test_vm_orders import FakeSession
@@ -73,7 +74,7 @@
     """Return the orders of an owner that has just read the rows of the former one."""
     held_until = fleet.now + BOUNDS.order_gap
     orders = VmOrders(RowSession(fleet), fleet.vm_planner, held_until)
-    orders._restore_orders(row_by_key)
+    orders._order_row.restore(row_by_key, held_until)
     return orders
 
 
@@ -155,6 +156,30 @@
         assert OTHER_ORDER in step_for(fleet, 3 * BOUNDS.upkeep)
 
 
+class TestOwnerThatBegins:
+    def test_it_reads_what_its_predecessor_has_stored(self):
+        """Guards against a row that is written and never read."""
+        fleet = make_fleet()
+        session = RowSession(fleet)
+        value_by_key = order_without_answer(0.5)
+        rows = [Row(RowKey(WAVES_TABLE, key), 1, v) for key, v in value_by_key.items()]
+
+        async def read_range(table):
+            return Snapshot(rows, 1)
+
+        async def run():
+            session.read_range = read_range
+            orders = VmOrders(session, fleet.vm_planner, fleet.now + BOUNDS.order_gap)
+            loop = asyncio.ensure_future(orders.run())
+            await asyncio.sleep(0)
+            await asyncio.sleep(0)
+            loop.cancel()
+
+        asyncio.run(run())
+        inventory = fleet.vm_planner.inventory
+        assert inventory.find_unanswered_upkeeps() == {"m1": WAVE}
+
+
 class TestAnsweredUpkeep:
     def test_it_is_not_handed_on(self):
         """Guards against a wave that waits for a VM that has had its upkeep."""
--- a/catkinport/jobs/tests/test_late_writes.py
+++ b/catkinport/jobs/tests/test_late_writes.py
@@ -3,9 +3,9 @@
 import asyncio
 
 from ...ports.fleet_vms import UpkeepWave
-from ..ownership import vm_orders
 from ..ownership.session import OwnerSession
 from ..ownership.state_store import StateStore
+from ..ownership.vm_order_row import COMMIT_ATTEMPTS, NO_ORDERS
 from ..ownership.vm_orders import VmOrders
 from ..ownership.worker_watch import WorkerWatch
 from ..tables import ROSTER_TABLE, VM_ORDERS_KEY, wave_key
@@ -80,8 +80,8 @@
     return VmOrders(session, vm_planner, 0.0)
 
 
-def make_row(*vm_ids: str) -> dict[str, object]:
-    return {**vm_orders.NO_ORDERS_ROW, "vms": list(vm_ids)}
+def make_value(*vm_ids: str) -> dict[str, object]:
+    return {**NO_ORDERS, "vms": list(vm_ids)}
 
 
 class TestVmOrders:
@@ -91,9 +91,9 @@
         async def run():
             table = AsyncLateTable()
             orders = make_vm_orders(make_session(table))
-            table.late.n_held = vm_orders.COMMIT_ATTEMPTS
-            assert not await orders._store_row(make_row(), 100.0)
-            assert await orders._store_row(make_row("m0"), 100.0)
+            table.late.n_held = COMMIT_ATTEMPTS
+            assert not await orders._order_row._write(make_value(), 100.0)
+            assert await orders._order_row._write(make_value("m0"), 100.0)
             table.late.carry_out_held()
             row = table.memory.read([VM_ORDERS_KEY])[VM_ORDERS_KEY]
             assert row.value["vms"] == ["m0"]
@@ -107,7 +107,7 @@
             table = AsyncLateTable()
             orders = make_vm_orders(make_session(table))
             begun = orders._vm_planner.wave_by_number[1].begun
-            table.late.n_held = vm_orders.COMMIT_ATTEMPTS
+            table.late.n_held = COMMIT_ATTEMPTS
             begun.add("m0")
             await orders._store_begun(1)
             begun.add("m1")
