Hold starts up for a worker in one place

Three tests of calls for former incarnations wrote out the same seven lines: submit a job and hold up the only start, which goes to one worker. RestartedWorkers.hold_up_start has them now, and checks for all three tests that the start goes to that worker, which one of them did before.

--- a/catkinport/platform/tests/restarted_workers.py
+++ b/catkinport/platform/tests/restarted_workers.py
@@ -218,6 +218,28 @@
         for start in self.find_starts():
             asyncio.run(self.orders._send_start(start))
 
+    def hold_up_start(self, worker_id: str) -> Call:
+        """Submit a job whose only start is sent to a worker, but not carried out yet.
+
+        The other workers can't be reached from then on.
+
+        Args:
+            worker_id: the worker.
+
+        Returns:
+            The start.
+        """
+        for other_id in self.worker_by_id.keys() - {worker_id}:
+            self.worker_by_id[other_id].is_reachable = False
+            self.poll(other_id)
+        self.submit(60.0)
+        self.holds_up = "/run-start"
+        self.plan()
+        self.holds_up = ""
+        (start,) = self.held_up
+        assert start.worker_id == worker_id
+        return start
+
     def find_starts(self) -> list[PlannedStart]:
         """Return the starts that are due."""
         self.dispatcher.expire(self.now)
--- a/catkinport/platform/tests/test_worker_incarnations.py
+++ b/catkinport/platform/tests/test_worker_incarnations.py
@@ -30,14 +30,7 @@
         run of another job goes on under it.
         """
         scene = RestartedWorkers(["w1", "w2"])
-        scene.worker_by_id["w2"].is_reachable = False
-        scene.poll("w2")
-        scene.submit(60.0)
-        scene.holds_up = "/run-start"
-        scene.plan()
-        scene.holds_up = ""
-        (late,) = scene.held_up
-        assert late.worker_id == "w1"
+        late = scene.hold_up_start("w1")
         scene.cancel_job(late)
         scene.submit(60.0)
         scene.worker_by_id["w1"].is_reachable = False
@@ -60,13 +53,7 @@
         doesn't know of calls for an incarnation before.
         """
         scene = RestartedWorkers(["w1", "w2"])
-        scene.worker_by_id["w2"].is_reachable = False
-        scene.poll("w2")
-        scene.submit(60.0)
-        scene.holds_up = "/run-start"
-        scene.plan()
-        scene.holds_up = ""
-        (late,) = scene.held_up
+        late = scene.hold_up_start("w1")
         scene.cancel_job(late)
         scene.submit(60.0)
         scene.worker_by_id["w1"].is_reachable = False
@@ -103,13 +90,7 @@
         one is carried out late, with the longest lease.
         """
         scene = UnreadableLists(["w1", "w2"])
-        scene.worker_by_id["w2"].is_reachable = False
-        scene.poll("w2")
-        scene.submit(60.0)
-        scene.holds_up = "/run-start"
-        scene.plan()
-        scene.holds_up = ""
-        (late,) = scene.held_up
+        late = scene.hold_up_start("w1")
         scene.worker_by_id["w1"].restart(scene.now)
         scene.unlisted_ids.add("w1")
         scene.poll("w1")
