Accept tickets of another advice service in the stand-in

Cause: since the workers of the stand-in accept only tickets that its own advice service has issued. The case has a service of its own, so every start was rejected with the reason "ticket".

Change: as long as the service of the stand-in has issued no ticket, it is not in use, and its workers take those of another one. The product is unchanged.

--- a/catkinport/platform/standin/advice.py
+++ b/catkinport/platform/standin/advice.py
@@ -41,7 +41,8 @@
     (the time that a call takes, and more for each worker named),
     ``advice_valid_seconds`` (how long a ticket holds from its answer on) and
     ``advice_approved_share`` (share of the workers that may run a step, which doesn't
-    change). Tickets belong to the id of a worker, also after a restart under it.
+    change). Tickets belong to the id of a worker, also after a restart under it. Until
+    it has issued a ticket, those of another service are accepted.
 
     Args:
         faults: faults that are switched on.
@@ -73,6 +74,8 @@
 
     def accepts(self, ticket: str, task: str, worker_id: str) -> bool:
         """Return whether a start of a task on a worker with this ticket is accepted."""
+        if not self._issued_by_ticket:
+            return True
         issued = self._issued_by_ticket.get(ticket)
         if issued is None:
             return False
--- a/catkinport/platform/standin/tests/test_advice.py
+++ b/catkinport/platform/standin/tests/test_advice.py
@@ -138,6 +138,24 @@
         """Guards against an owner that uses tickets that are no longer valid."""
         assert self.play_start(STEP, valid_seconds=0.0) == (409, "ticket")
 
+    @pytest.mark.parametrize(
+        ("is_asked", "outcome"), [(False, (200, None)), (True, (409, "ticket"))]
+    )
+    def test_a_ticket_of_another_service_is_taken_until_it_is_asked(
+        self, is_asked, outcome
+    ):
+        """Guards against workers that reject all tickets of another advice service.
+
+        Also guards against those that take any ticket while this one is in use.
+        """
+
+        async def scene(server, client):
+            if is_asked:
+                await advise(server, client)
+            return await self.start(server, client, STEP, "ticket-of-another-service")
+
+        assert play(scene) == outcome
+
     def test_the_approved_workers_do_not_change(self):
         """Guards against a service that approves whom it has rejected."""
 
