--- a/catkinport/entry/tests/cluster.py
+++ b/catkinport/entry/tests/cluster.py
@@ -196,6 +196,10 @@
         """Send a request to any path of the callers' API."""
         return self._pool.request(method, path, headers=headers, **options)
 
+    def wait_for_pools(self):
+        """Wait until the entry has read its pools; it refuses all requests before."""
+        self.engine._pools.ask(None)
+
     def stop(self):
         self.engine.stop()
         self.server.stop()
@@ -217,6 +221,8 @@
             server.start()
         self.serve([server.address for server in self.servers])
         self.entries = [Entry(self, f"e-{i}") for i in range(n_entries)]
+        for entry in self.entries:
+            entry.wait_for_pools()
 
     def serve(self, addresses):
         """Write the backend servers of the pool to its row."""
